--- /dev/null
+++ b/wire/wire.go
@@ -0,0 +1,411 @@
+// Package wire is the adapter for the bench's wire: it parses batches of events, hands them to the routers
+// that it hosts and prints their actions. It decides nothing.
+package wire
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"strconv"
+	"strings"
+
+	"cairnfront/brain"
+)
+
+// Maker starts a router's decision logic.
+type Maker func(seed uint64, rec brain.Records) brain.Decider
+
+// said is what one router wants done after one event.
+type said struct {
+	router  int
+	actions []brain.Action
+	fault   string
+}
+
+type server struct {
+	in      *bufio.Reader
+	out     *bufio.Writer
+	long    []byte // a line that outgrew the reader's buffer
+	start   Maker
+	routers map[int]brain.Decider
+	banks   map[int][]brain.Row
+	now     float64
+	batch   string
+	line    int
+	said    []said
+	buf     []byte
+}
+
+// Serve answers batches until the input ends.
+func Serve(in io.Reader, out io.Writer, start Maker) error {
+	s := &server{in: bufio.NewReaderSize(in, 1<<20), out: bufio.NewWriterSize(out, 1<<18), start: start,
+		routers: map[int]brain.Decider{}, banks: map[int][]brain.Row{}}
+	for {
+		err := s.round()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("batch %s line %d: %w", s.batch, s.line, err)
+		}
+	}
+}
+
+var errCut = errors.New("the input ends within a batch")
+
+// next returns the next line without its end; the bytes are good until the next call.
+func (s *server) next() ([]byte, error) {
+	s.long = s.long[:0]
+	for {
+		part, err := s.in.ReadSlice('\n')
+		if errors.Is(err, bufio.ErrBufferFull) {
+			s.long = append(s.long, part...)
+			continue
+		}
+		if err != nil {
+			if errors.Is(err, io.EOF) && len(part)+len(s.long) > 0 {
+				return nil, errCut
+			}
+			return nil, err
+		}
+		s.line++
+		if len(s.long) > 0 {
+			part = append(s.long, part...)
+			s.long = part
+		}
+		return bytes.TrimRight(part, "\r\n"), nil
+	}
+}
+
+// round reads one batch, hands its events out and writes the reply.
+func (s *server) round() error {
+	var head []byte
+	for len(head) == 0 {
+		var err error
+		if head, err = s.next(); err != nil {
+			return err
+		}
+	}
+	f := fields{rest: head}
+	if string(f.next()) != "BATCH" {
+		return fmt.Errorf("expected a batch, found %q", clip(head))
+	}
+	s.now = f.float()
+	s.batch, s.line, s.said = f.text(), 1, s.said[:0]
+	if f.err != nil || s.batch == "" {
+		return fmt.Errorf("bad batch line %q", clip(head))
+	}
+	for {
+		line, err := s.next()
+		if errors.Is(err, io.EOF) {
+			return errCut
+		}
+		if err != nil {
+			return err
+		}
+		if string(line) == "END" {
+			break
+		}
+		if len(line) == 0 {
+			continue
+		}
+		if err := s.event(line); err != nil {
+			return err
+		}
+	}
+	for _, x := range s.said {
+		for _, a := range x.actions {
+			s.action(x.router, a)
+		}
+		if x.fault != "" {
+			s.buf = append(append(s.word("BUG", x.router), ' '), x.fault...)
+			s.emit()
+		}
+	}
+	s.buf = append(append(s.buf[:0], "EOR "...), s.batch...)
+	s.emit()
+	return s.out.Flush()
+}
+
+func clip(line []byte) string { return string(line[:min(len(line), 80)]) }
+
+// event parses one line and hands it to its router. Events with unknown names are skipped.
+func (s *server) event(line []byte) error {
+	f := fields{rest: line}
+	name := string(f.next())
+	if name == "SNAPSHOT_ROWS" {
+		return s.bank(&f, line)
+	}
+	var ev brain.Event
+	router := f.integer()
+	switch name {
+	case "NEW_INSTANCE":
+		seed, rec := f.token(), brain.Records{}
+		for w := f.next(); len(w) > 0; w = f.next() {
+			key, value, _ := strings.Cut(string(w), "=")
+			key, value = record(key, value)
+			rec[key] = value
+		}
+		if f.err != nil {
+			return fmt.Errorf("%w in %q", f.err, clip(line))
+		}
+		s.guard(router, func() []brain.Action {
+			s.routers[router] = s.start(seed, rec)
+			return nil
+		})
+		return nil
+	case "DOWN":
+		delete(s.routers, router)
+		for i := range s.said { // what a killed router said in this batch is void
+			if s.said[i].router == router && s.said[i].fault == "" {
+				s.said[i].actions = nil
+			}
+		}
+		if f.err != nil {
+			return fmt.Errorf("%w in %q", f.err, clip(line))
+		}
+		return nil
+	case "ENDPOINTS":
+		bank, mode := f.integer(), f.text()
+		kind, ok := listKinds[mode]
+		if !ok {
+			f.fail("unknown kind of list")
+		}
+		l := brain.Listing{Kind: kind}
+		if kind != brain.Failed {
+			if l.Rows, ok = s.banks[bank]; !ok {
+				f.fail("unknown list")
+			}
+		}
+		ev = l
+	case "ACCEPT":
+		a := brain.Arrival{Txn: f.text(), Rule: f.integer()}
+		f.next() // tenant
+		a.Object, a.Limit, a.KB, a.Group, a.Part = f.text(), f.float(), f.float(), f.integer(), f.integer()
+		a.Write = f.integer()&4 != 0
+		ev = a
+	case "REPLY":
+		o := brain.Outcome{Txn: f.text(), FirstByte: f.float()}
+		o.Code = f.code()
+		o.Remark = brain.Remark(f.integer())
+		o.Member, o.Took, o.Hop, o.Final = f.text(), f.float(), f.integer(), f.integer() == 1
+		o.Load = f.load()
+		ev = o
+	case "TIMED_OUT_CLIENT":
+		ev = brain.ClientGone{Txn: f.text()}
+	case "BELL":
+		ev = brain.Bell{Token: f.token()}
+	case "STATUS_BACK":
+		c := brain.Checked{Member: f.text()}
+		c.Code = f.code()
+		c.Took, c.Load = f.float(), f.load()
+		ev = c
+	case "EXPIRED_NOW":
+		p := brain.Purge{Ago: f.float(), Group: f.integer()}
+		if p.Object = f.text(); p.Object == "0" {
+			p.Object = ""
+		}
+		ev = p
+	default: // nothing that the decisions listen to
+		return nil
+	}
+	if f.err != nil {
+		return fmt.Errorf("%w in %q", f.err, clip(line))
+	}
+	d := s.routers[router]
+	if d == nil {
+		return fmt.Errorf("event for router %d, which is not started: %q", router, clip(line))
+	}
+	s.guard(router, func() []brain.Action { return d.Decide(s.now, ev) })
+	return nil
+}
+
+// guard runs the module for one event; a panic there is kept as that router's fault.
+func (s *server) guard(router int, run func() []brain.Action) {
+	defer func() {
+		if p := recover(); p != nil {
+			text := strings.ReplaceAll(fmt.Sprint(p), "\n", " ")
+			s.said = append(s.said, said{router: router, fault: text})
+		}
+	}()
+	if acts := run(); len(acts) > 0 {
+		s.said = append(s.said, said{router: router, actions: append([]brain.Action(nil), acts...)})
+	}
+}
+
+// bank reads a numbered list of members. Lists in use are not changed: a new one takes the number.
+func (s *server) bank(f *fields, line []byte) error {
+	bank, count := f.integer(), f.integer()
+	if f.err != nil || count < 0 {
+		return fmt.Errorf("bad list line %q", clip(line))
+	}
+	var rows []brain.Row
+	for range count {
+		line, err := s.next()
+		if errors.Is(err, io.EOF) {
+			return errCut
+		}
+		if err != nil {
+			return err
+		}
+		g := fields{rest: line}
+		if string(g.next()) != "ROW" {
+			return fmt.Errorf("expected a row of the list, found %q", clip(line))
+		}
+		r := brain.Row{Member: g.text(), Location: g.integer(), Kind: g.integer(), Cell: g.integer()}
+		status, ok := statuses[string(g.next())]
+		if !ok {
+			g.fail("unknown status")
+		}
+		r.Status, r.Weight, r.Started = status, g.float(), g.float()
+		if g.err != nil {
+			return fmt.Errorf("%w in %q", g.err, clip(line))
+		}
+		rows = append(rows, r)
+	}
+	s.banks[bank] = rows
+	return nil
+}
+
+// fields takes the values of a line one by one. The first error stays.
+type fields struct {
+	rest []byte
+	err  error
+}
+
+func (f *fields) fail(what string) {
+	if f.err == nil {
+		f.err = errors.New(what)
+	}
+}
+
+func (f *fields) next() []byte {
+	word, rest, _ := bytes.Cut(f.rest, []byte{' '})
+	f.rest = rest
+	if string(word) == "-" {
+		return nil
+	}
+	return word
+}
+
+func (f *fields) text() string { return string(f.next()) }
+
+func (f *fields) integer() int {
+	w := f.next()
+	if len(w) == 0 {
+		return 0
+	}
+	n, err := strconv.Atoi(string(w))
+	if err != nil {
+		f.fail("bad number")
+	}
+	return n
+}
+
+func (f *fields) token() uint64 {
+	w := f.next()
+	if len(w) == 0 {
+		return 0
+	}
+	n, err := strconv.ParseUint(string(w), 10, 64)
+	if err != nil {
+		f.fail("bad number")
+	}
+	return n
+}
+
+func (f *fields) float() float64 {
+	w := f.next()
+	if len(w) == 0 {
+		return 0
+	}
+	x, err := strconv.ParseFloat(string(w), 64)
+	if err != nil || math.IsNaN(x) || math.IsInf(x, 0) {
+		f.fail("bad number")
+	}
+	return x
+}
+
+func (f *fields) code() brain.Code {
+	c, ok := codes[string(f.next())]
+	if !ok {
+		f.fail("unknown result")
+	}
+	return c
+}
+
+func (f *fields) load() []brain.Reading {
+	var out []brain.Reading
+	for pair := range strings.SplitSeq(f.text(), ",") {
+		name, value, ok := strings.Cut(pair, ":")
+		if !ok {
+			continue
+		}
+		x, err := strconv.ParseFloat(value, 64)
+		if err != nil {
+			f.fail("bad load report")
+		}
+		if ours, ok := readingNames[name]; ok {
+			name = ours
+		}
+		out = append(out, brain.Reading{Name: name, Value: x})
+	}
+	return out
+}
+
+// action prints one action as a line.
+func (s *server) action(router int, a brain.Action) {
+	switch a := a.(type) {
+	case brain.Hop:
+		how := flag(a.Join, 1) + flag(a.NoFetch, 2) + flag(a.NoTrace, 4) + flag(a.Renew, 8)
+		s.buf = s.text(s.text(s.word("ANSWER_FROM", router), a.Txn), a.To)
+		s.buf = s.text(s.float(s.buf, a.Until), a.Source)
+		s.buf = s.integer(s.float(s.integer(s.buf, a.Rank), a.MaxAge), how)
+	case brain.Cancel:
+		s.buf = s.integer(s.text(s.word("STOP_ATTEMPT", router), a.Txn), a.Hop)
+	case brain.Reject:
+		s.buf = s.float(s.text(s.word("DENY", router), a.Txn), a.Again)
+	case brain.Abort:
+		s.buf = s.text(s.word("LOSE", router), a.Txn)
+	case brain.Timer:
+		s.buf = s.float(s.word("NOTIFY_ME", router), a.After)
+		s.buf = strconv.AppendUint(append(s.buf, ' '), a.Token, 10)
+	case brain.Check:
+		s.buf = s.text(s.word("CHECK", router), a.Member)
+	case brain.Subscribe:
+		s.buf = s.integer(s.word("KEEP_INFORMED", router), 1)
+	case brain.Note:
+		s.buf = s.text(s.word("NOTE_DOWN", router), strings.ReplaceAll(a.Text, "\n", " "))
+	}
+	s.emit()
+}
+
+func flag(on bool, bit int) int {
+	if on {
+		return bit
+	}
+	return 0
+}
+
+func (s *server) word(name string, router int) []byte {
+	return strconv.AppendInt(append(append(s.buf[:0], name...), ' '), int64(router), 10)
+}
+
+func (s *server) text(b []byte, v string) []byte { return append(append(b, ' '), v...) }
+
+func (s *server) integer(b []byte, v int) []byte {
+	return strconv.AppendInt(append(b, ' '), int64(v), 10)
+}
+
+// float writes a time in whole microseconds, which is what the bench counts in.
+func (s *server) float(b []byte, v float64) []byte {
+	return strconv.AppendFloat(append(b, ' '), v, 'f', 6, 64)
+}
+
+func (s *server) emit() {
+	s.out.Write(append(s.buf, '\n')) // an error stays in the writer and comes out of Flush
+	s.buf = s.buf[:0]
+}
