--- a/brain/brain.go
+++ b/brain/brain.go
@@ -1,7 +1,7 @@
 // Every decision of the router. New starts an instance from its seed and its records; Decide takes one event
 // with the clock and returns the actions, in order. The types of both are in interface.go.
 //
-// A txn's wanted state is a set of hops that should be out, a verdict and a wake time. The event handlers
+// A txn's wanted state is the hops that should be out, whether it is held, a verdict and a wake time. Handlers
 // change only what is wanted; settle works out the difference to what is and emits it.
 package brain
 
@@ -10,7 +10,6 @@
 	"hash/fnv"
 	"math"
 	"slices"
-	"sort"
 )
 
 const (
@@ -30,25 +29,29 @@
 	lateBase     = 0.5     // share of the SLA time, without its stretch, after which a hop is looked at
 	lateStretch  = 1.3     // sending times added to that: a busy link stretches a transfer
 	quiet        = 0.35    // s without a sign of life at least before silence is suspected: over usual pauses
-	lookAgain    = 0.1     // s between looks at a hop that is late
+	lookAgain    = 0.1     // s between looks at a late hop, and before a txn asks again where it failed
 	benchFirst   = 1.0     // s on the bench at first: some dozens of txns would go there in it
 	benchMost    = 4.0     // s on the bench at most: a member that is back is wanted soon
 	badShare     = 0.5     // share of failed ends that benches: failing hops cost less than a lost cache below it
 	badLeast     = 4       // failed ends at least for that: chance
-	freshCap     = 2       // hops in flight at a member just back; one more for each answer
-	fullCap      = 24      // cap at which a member counts as proven: above usual needs of one router
+	freshRoom    = 2.0     // hops in flight at a member just back; one more for each answer
+	leastRoom    = 1.5     // hops in flight that a gate always lets through, so that it can learn
+	stretchRoom  = 2.0     // hops in flight a transfer of capacity: the SLA's stretch leaves about that much
+	roomCut      = 0.8     // what a late or refused hop leaves of a gate's room
+	cutEvery     = 0.25    // s between cuts: the hops then out all tell of the same jam
+	inTime       = 0.8     // share of the SLA time beyond which a hop tells of a jam
+	mostTries    = 12      // held txns looked at after each end, densest first: bounds the work
 	coldSpend    = 0.7     // share of a cold member's present capacity that is used: it serves no more in time
-	fillBound    = 1.5     // s of a member's link in fills under way before the hash order passes it by
-	busyBound    = 3.0     // s of a member's link in all hops out before the same
 	ageMargin    = 1e-4    // s by which a copy must be younger than the purge: rounding
 	leastAge     = 2e-6    // s, an age that is never rounded to 0, which means any
 	againAfter   = 0.5     // s a rejected client is told to stay away: queues of that length drain
 )
 
 type part struct {
-	no        int
-	dt, last  float64
-	requested bool
+	no       int
+	dt, last float64
+	seen     bool // requested before
+	near     bool // filled by a parent since its last purge
 }
 
 type object struct {
@@ -59,60 +62,52 @@
 
 // holding is a part that answers showed held at a cache. key orders by gap, largest gap first, at any time.
 type holding struct {
-	p          *part
-	kb         float64
-	key        float64
-	used, fill float64 // last use, last fill
-	seq        uint64
+	p                   *part
+	kb, key, used, fill float64
+	seq                 uint64
 }
 
-type sample struct {
-	at  float64
-	bad bool
-}
+// gate bounds what this router has in flight at a member, a link or the way to the origin. It grows with
+// answers in time, by one each up to what is proven, and shrinks with late and refused ones.
+type gate struct{ room, proven, out, cut float64 }
 
-type spend struct{ at, cost float64 }
+type sample struct{ at, cost float64 }
 
 type member struct {
 	Row
-	heard   float64  // last sign of life
-	ends    []sample // the last few ends laid to it
-	benched float64  // nothing but trials before this time
-	strikes int      // times on the bench since it was last proven
-	room    int      // cap on hops in flight, 0 for none
-	out     int
-	outKB   float64
-	fillKB  float64
-	spent   []spend
+	gate
+	heard   float64 // last sign of life
+	ends    []bool  // the last few ends laid to it, true for a failed one
+	benched float64 // nothing is sent before this time if there is another
+	strikes int     // times on the bench since it was last proven
+	spent   []sample
 	held    map[*part]*holding
 	order   []*holding
 	idles   []float64
 }
 
 type hop struct {
-	to, source *member
-	sent, late float64
-	rank       int
-	maxAge     float64
-	sibling    bool
-	fill       bool // it was thought to miss
-	wanted     bool
-	begun, out bool
-	stopped    bool
-	end        Code
+	to, source               *member
+	gates                    []*gate
+	rank                     int
+	maxAge, sent, late, over float64
+	sibling, fill, far       bool // filled by a sibling; thought to miss; thought to reach the origin
+	wanted, begun, out, stop bool
+	end                      Code
 }
 
 type txn struct {
 	Arrival
-	seq         uint64
-	came, send  float64
-	p           *part
-	obj         *object
-	firstSight  bool
-	hops        []*hop
-	verdict     Action
-	over        bool
-	wake, armed float64
+	seq               uint64
+	came, send, dense float64
+	sla               float64 // the SLA time of its size
+	p                 *part
+	obj               *object
+	unseen, held      bool
+	hops              []*hop
+	verdict           Action
+	over              bool
+	wake, armed       float64
 }
 
 type purge struct {
@@ -128,8 +123,10 @@
 	acts    []Action
 	members map[string]*member
 	all     []*member // in order of their ids
+	link    gate      // the location's link in
 	txns    map[string]*txn
 	bySeq   map[uint64]*txn
+	queue   []*txn // held, densest in importance first
 	seq     uint64
 	objects map[string]*object
 	swept   float64
@@ -163,7 +160,6 @@
 		if t := r.bySeq[ev.Token]; t != nil {
 			t.armed = 0
 			r.think(t)
-			r.settle(t)
 		}
 	case Purge:
 		r.purged(ev)
@@ -171,25 +167,48 @@
 	return r.acts
 }
 
+// chance is the next of a permuted congruential generator, from 0 up to 1.
+func (r *Router) chance() float64 {
+	old := r.pcg
+	r.pcg = old*6364136223846793005 + 1442695040888963407
+	x := uint32((old>>18 ^ old) >> 27)
+	rot := uint32(old >> 59)
+	return float64(x>>rot|x<<(-rot&31)) / (1 << 32)
+}
+
 // settle emits the difference between what is wanted for a txn and what is.
 func (r *Router) settle(t *txn) {
 	done, out := t.over || t.verdict != nil, 0
 	for i, h := range t.hops {
-		if h.out && (done || !h.wanted) && !h.stopped && r.rec.Is("may_cancel") {
-			h.stopped = true
+		if h.out && (done || !h.wanted) && !h.stop && r.rec.Is("may_cancel") {
+			h.stop = true
 			r.acts = append(r.acts, Cancel{t.Txn, i})
 		}
 		if h.wanted && !h.begun && !done {
 			h.begun, h.out, h.sent = true, true, r.now
-			r.acts = append(r.acts, Hop{Txn: t.Txn, To: h.to.Member, Until: t.Limit, Source: h.source.Member, Rank: h.rank,
-				MaxAge: h.maxAge, Join: r.rec.Is("may_join"), NoFetch: h.sibling,
+			r.acts = append(r.acts, Hop{Txn: t.Txn, To: h.to.Member, Until: t.Limit, Source: h.source.Member,
+				Rank: h.rank, MaxAge: h.maxAge, Join: r.rec.Is("may_join"), NoFetch: h.sibling,
 				Renew: h.maxAge == 0 && r.rec.NumItem("fresh_s", t.Rule, 0) > 0})
-			r.load(t, h, 1)
+			for _, g := range h.gates {
+				g.out++
+			}
+			r.charge(t, h.to)
+			if h.fill && h.source != h.to {
+				r.charge(t, h.source)
+			}
 		}
 		if h.out {
 			out++
 		}
 	}
+	if at := slices.Index(r.queue, t); at >= 0 && (done || !t.held) {
+		r.queue = slices.Delete(r.queue, at, at+1)
+	} else if at < 0 && t.held && !done {
+		at, _ = slices.BinarySearchFunc(r.queue, t, func(a, b *txn) int {
+			return cmp.Or(cmp.Compare(b.dense, a.dense), cmp.Compare(a.seq, b.seq))
+		})
+		r.queue = slices.Insert(r.queue, at, t)
+	}
 	if t.verdict != nil && !t.over {
 		t.over = true
 		r.acts = append(r.acts, t.verdict)
@@ -197,29 +216,26 @@
 	if t.over && out == 0 {
 		delete(r.txns, t.Txn)
 		delete(r.bySeq, t.seq)
-		return
-	}
-	if !t.over && (t.armed == 0 || t.wake < t.armed) {
+	} else if !t.over && (t.armed == 0 || t.wake < t.armed) {
 		t.armed = t.wake
 		r.acts = append(r.acts, Timer{max(t.wake-r.now, 0), t.seq})
 	}
 }
 
-// load keeps account of what is out at the members that a hop uses.
-func (r *Router) load(t *txn, h *hop, sign float64) {
-	h.to.out += int(sign)
-	h.to.outKB += sign * t.KB
-	if h.fill {
-		h.to.fillKB += sign * t.KB
-		if h.source != h.to {
-			h.source.fillKB += sign * t.KB
-		}
+func (g *gate) open() bool { return g.out < g.room }
+
+func (g *gate) grow() {
+	if g.room < g.proven {
+		g.room++
+	} else if g.out > g.room/2 {
+		g.room += 1 / g.room
 	}
-	if sign > 0 {
-		r.charge(h.to, r.cost(t, h.to))
-		if h.fill && h.source != h.to {
-			r.charge(h.source, r.cost(t, h.source))
-		}
+}
+
+func (g *gate) shrink(now float64) {
+	if now > g.cut+cutEvery {
+		g.room, g.cut = max(g.room*roomCut, leastRoom), now
+		g.proven = g.room
 	}
 }
 
@@ -240,25 +256,29 @@
 	for _, row := range l.Rows {
 		m := r.members[row.Member]
 		if m == nil {
-			m = &member{Row: row, held: map[*part]*holding{}}
+			m = &member{}
 			r.members[row.Member] = m
-			at, _ := slices.BinarySearchFunc(r.all, m, func(a, b *member) int { return cmp.Compare(a.Member, b.Member) })
+			at, _ := slices.BinarySearchFunc(r.all, row.Member, func(a *member, id string) int { return cmp.Compare(a.Member, id) })
 			r.all = slices.Insert(r.all, at, m)
-			r.renew(m)
 		}
-		again := row.Started > m.Started
+		again := m.held == nil || row.Started > m.Started
 		m.Row = row
 		if again {
-			r.renew(m)
+			*m = member{Row: row, held: map[*part]*holding{}, gate: gate{out: m.out}, spent: m.spent}
+			m.proven = max(stretchRoom*m.Weight/r.sharers(m), leastRoom)
+			if m.room = m.proven; r.warmth(m) < 1 {
+				m.room = freshRoom
+			}
 		}
 	}
-}
-
-func (r *Router) renew(m *member) {
-	m.ends, m.benched, m.strikes, m.room = nil, 0, 0, 0
-	m.held, m.order, m.idles = map[*part]*holding{}, nil, nil
-	if r.warmth(m) < 1 {
-		m.room = freshCap
+	if r.link.room == 0 {
+		flow := r.rec.NumItem("link_in_kb_s", int(r.rec.Num("location", 0)), 0) / max(r.rec.Num("pace_kb_s", 0), 1)
+		for _, m := range r.ready(r.isCache) {
+			if r.link.room += m.proven; flow > 0 {
+				r.link.room = stretchRoom * flow / r.sharers(m)
+			}
+		}
+		r.link.proven = r.link.room
 	}
 }
 
@@ -268,6 +288,16 @@
 	return !r.isParent(m) && !r.isOrigin(m) && float64(m.Location) == r.rec.Num("location", 0)
 }
 
+func (r *Router) ready(which func(*member) bool) []*member {
+	var out []*member
+	for _, m := range r.all {
+		if m.Status == Ready && which(m) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
 // warmth is the share of its capacity that a member surely has: a line from the cold share up to all of it.
 func (r *Router) warmth(m *member) float64 {
 	floor, over := r.rec.Num("cold_share", 1), r.rec.Num("cold_s", 0)
@@ -282,31 +312,33 @@
 
 // sharers is the number of routers that can send to a member.
 func (r *Router) sharers(m *member) float64 {
+	all := max(r.rec.Num("routers", 1), 1)
 	if r.isCache(m) {
-		return max(r.rec.NumItem("routers_at", m.Location, r.rec.Num("routers", 1)), 1)
+		return max(r.rec.NumItem("routers_at", m.Location, all), 1)
 	}
-	return max(r.rec.Num("routers", 1), 1)
+	return all
 }
 
-// cost is the work in sending seconds that a hop is counted at: a cache's hops at the mean of their rule.
+// cost is the work in sending seconds that a hop is counted at: at the mean of its rule, at a parent at its own
+// if that is more.
 func (r *Router) cost(t *txn, m *member) float64 {
 	sizes := r.sizes[t.Rule]
 	if len(sizes) < sizesNeeded {
-		return max(t.send, r.rec.Num(Remap(t.Rule, "sla_s"), 0))
+		return max(t.send, r.rec.Num(Remap(t.Rule, "sla_s"), 1))
 	}
-	sum := 0.0
+	mean := 0.0
 	for _, s := range sizes {
-		sum += s
+		mean += s / float64(len(sizes))
 	}
 	if r.isParent(m) {
-		return max(t.send, sum/float64(len(sizes))/2)
+		return max(t.send, mean)
 	}
-	return sum / float64(len(sizes))
+	return mean
 }
 
 // affords guards cold members (rule 4): in any window of the stated length this router spends no more than its
-// even part of a share of what the member can do then. It also covers a member that restarted unseen for a
-// while, once the list tells. It could harm where the other routers are idle: the room they leave is not used.
+// even part of a share of what the member can do then. It covers caches, and parents for the fills that may reach
+// them. It could harm where other routers are idle: the room they leave is not used.
 func (r *Router) affords(t *txn, m *member) bool {
 	warm := r.warmth(m)
 	if warm >= 1 {
@@ -322,28 +354,29 @@
 	return sum <= coldSpend*warm*m.Weight*window/r.sharers(m)
 }
 
-func (r *Router) charge(m *member, cost float64) {
+func (r *Router) charge(t *txn, m *member) {
 	if r.warmth(m) >= 1 {
 		m.spent = nil
 		return
 	}
 	cut := r.now - r.rec.Num("fall_s", 1)
-	m.spent = slices.DeleteFunc(m.spent, func(s spend) bool { return s.at <= cut })
-	m.spent = append(m.spent, spend{r.now, cost})
+	m.spent = slices.DeleteFunc(m.spent, func(s sample) bool { return s.at <= cut })
+	m.spent = append(m.spent, sample{r.now, r.cost(t, m)})
 }
 
-// arrive takes a txn, keeps its part's gap and decides its first hop.
+// arrive takes a txn and decides its first hop.
 func (r *Router) arrive(a Arrival) {
 	r.seq++
 	t := &txn{Arrival: a, seq: r.seq, came: r.now}
 	if pace := r.rec.Num("pace_kb_s", 0); pace > 0 {
 		t.send = a.KB / pace
 	}
+	t.sla = r.rec.Num(Remap(t.Rule, "sla_s"), 1) + t.send*r.rec.Num(Remap(t.Rule, "sla_stretch"), 0)
+	t.dense = r.rec.Num(Remap(t.Rule, "importance"), 1) / max(a.KB, 1)
 	r.txns[t.Txn], r.bySeq[t.seq] = t, t
 	r.sizes[t.Rule] = keep(r.sizes[t.Rule], t.send, keptSizes)
 	r.sweep()
-	t.obj = r.objects[a.Object]
-	if t.obj == nil {
+	if t.obj = r.objects[a.Object]; t.obj == nil {
 		t.obj = &object{group: a.Group}
 		r.objects[a.Object] = t.obj
 	}
@@ -353,9 +386,8 @@
 		t.obj.parts = slices.Insert(t.obj.parts, at, &part{no: a.Part})
 	}
 	t.p = t.obj.parts[at]
-	t.firstSight = !t.p.requested
+	t.unseen = !t.p.seen
 	r.think(t)
-	r.settle(t)
 }
 
 // keep appends to the last few samples.
@@ -366,15 +398,17 @@
 	return append(list, s)
 }
 
-// gap is a part's averaged gap as read now; an unseen part has the largest of its object's parts held at m.
+func (p *part) gap(now float64) float64 { return gamma*(now-p.last) + (1-gamma)*p.dt }
+
+// gap is the averaged gap of a txn's part; an unseen part has the largest of its object's parts held at m.
 func (r *Router) gap(t *txn, m *member) float64 {
-	if !t.firstSight {
-		return gamma*(r.now-t.p.last) + (1-gamma)*t.p.dt
+	if !t.unseen {
+		return t.p.gap(r.now)
 	}
 	largest := 0.0
 	for _, p := range t.obj.parts {
 		if m.held[p] != nil {
-			largest = max(largest, gamma*(r.now-p.last)+(1-gamma)*p.dt)
+			largest = max(largest, p.gap(r.now))
 		}
 	}
 	if largest == 0 {
@@ -385,19 +419,23 @@
 
 // request updates the part's gap, once a txn, and its place in the held lists.
 func (r *Router) request(t *txn, m *member) {
-	p := t.p
-	if p.requested {
-		p.dt = gamma*(r.now-p.last) + (1-gamma)*p.dt
-	} else {
-		p.requested, p.dt = true, r.horizon(m)
+	p, dt := t.p, r.horizon(m)
+	if p.seen {
+		dt = p.gap(r.now)
 	}
-	p.last = r.now
+	var at []*member
 	for _, c := range r.all {
-		if h := c.held[p]; h != nil {
-			c.unlist(h)
-			c.list(h)
+		if c.held[p] != nil {
+			at = append(at, c)
 		}
 	}
+	for _, c := range at {
+		c.unlist(p, false)
+	}
+	p.seen, p.dt, p.last = true, dt, r.now
+	for _, c := range at {
+		c.list(c.held[p])
+	}
 }
 
 func before(a, b *holding) int { return cmp.Or(cmp.Compare(a.key, b.key), cmp.Compare(a.seq, b.seq)) }
@@ -409,33 +447,42 @@
 	m.held[h.p] = h
 }
 
-func (m *member) unlist(h *holding) {
-	if at, found := slices.BinarySearchFunc(m.order, h, before); found {
-		m.order = slices.Delete(m.order, at, at+1)
+// unlist takes a part out of the order and, if it is gone, off the held list.
+func (m *member) unlist(p *part, gone bool) {
+	if h := m.held[p]; h != nil {
+		if at, found := slices.BinarySearchFunc(m.order, h, before); found {
+			m.order = slices.Delete(m.order, at, at+1)
+		}
+		if gone {
+			delete(m.held, p)
+		}
 	}
-	delete(m.held, h.p)
 }
 
 // horizon is T: the mean idle time before a miss of what was thought held.
 func (r *Router) horizon(m *member) float64 {
-	if len(m.idles) == 0 {
-		return firstHorizon
-	}
 	sum := 0.0
 	for _, s := range m.idles {
 		sum += s
 	}
+	if len(m.idles) == 0 {
+		return firstHorizon
+	}
 	return max(sum/float64(len(m.idles)), 1)
 }
 
+func (r *Router) uncacheable(t *txn) bool {
+	return t.Write || r.rec.Item("uncacheable", t.Rule) == "true"
+}
+
 // serves is the design's choice: true to fill and keep a missing part at m, false to pass it unkept.
 func (r *Router) serves(t *txn, m *member) bool {
-	if t.Write || r.rec.Item("uncacheable", t.Rule) == "true" {
+	if r.uncacheable(t) {
 		return false
 	}
 	T := r.horizon(m)
 	for len(m.order) > 0 && r.now-m.order[0].used > heldAge*T {
-		m.unlist(m.order[0])
+		m.unlist(m.order[0].p, true)
 	}
 	if m.held[t.p] != nil {
 		return true
@@ -454,7 +501,7 @@
 			break
 		}
 		kb := size(h.kb)
-		serve += min(kb, need) * T / (gamma*(r.now-h.p.last) + (1-gamma)*h.p.dt) * min(cf, cr)
+		serve += min(kb, need) * T / h.p.gap(r.now) * min(cf, cr)
 		need -= kb
 	}
 	return serve < pass
@@ -462,142 +509,102 @@
 
 // ordered puts members in the object's hash order; a larger member comes first more often.
 func ordered(obj string, list []*member) []*member {
-	type scored struct {
-		m *member
-		s float64
-	}
-	rank := make([]scored, 0, len(list))
+	score := map[*member]float64{}
 	for _, m := range list {
 		f := fnv.New64a()
-		f.Write([]byte(obj))
-		f.Write([]byte{0})
-		f.Write([]byte(m.Member))
-		x := f.Sum64() // fnv alone leaves ids alike in their high bits
-		x ^= x >> 33
-		x *= 0xff51afd7ed558ccd
-		x ^= x >> 33
-		x *= 0xc4ceb9fe1a85ec53
-		x ^= x >> 33
-		u := (float64(x>>11) + 0.5) / (1 << 53)
-		w := m.Weight
-		if w <= 0 {
-			w = 1
-		}
-		rank = append(rank, scored{m, -w / math.Log(u)})
-	}
-	sort.SliceStable(rank, func(i, j int) bool { return rank[i].s > rank[j].s })
-	out := make([]*member, len(rank))
-	for i, x := range rank {
-		out[i] = x.m
-	}
+		f.Write([]byte(obj + "\x00" + m.Member))
+		x := f.Sum64() // fnv alone leaves like ids alike in their high bits
+		x = (x ^ x>>33) * 0xff51afd7ed558ccd
+		x = (x ^ x>>33) * 0xc4ceb9fe1a85ec53
+		u := (float64((x^x>>33)>>11) + 0.5) / (1 << 53)
+		score[m] = math.Log(u) / max(m.Weight, 1e-3)
+	}
+	out := slices.Clone(list)
+	slices.SortStableFunc(out, func(a, b *member) int { return cmp.Compare(score[b], score[a]) })
 	return out
 }
 
-func (r *Router) ready(which func(*member) bool) []*member {
-	var out []*member
-	for _, m := range r.all {
-		if m.Status == Ready && which(m) {
-			out = append(out, m)
-		}
-	}
-	return out
-}
-
-// Levels of what is asked of a member; the drain and cold guards hold at all of them.
-const (
-	wellOff  = iota // proven, within its bounds and not failed for this txn
-	bearable        // on no bench, within its cap
-	anyone
-)
-
-func (r *Router) fits(t *txn, m *member, level int, failed func(*hop) bool) bool {
-	if !r.affords(t, m) {
+// fits says whether a member may be used by a txn: level 0 wants one that has not failed it, level 1 one not on
+// the bench, level 2 takes any. Cold guards and gates hold at all levels; writes are small and pass the gates.
+func (r *Router) fits(t *txn, m *member, level int, used func(*hop) bool) bool {
+	if !r.affords(t, m) || (level < 2 && m.benched > r.now) || !(m.open() || (t.Write && m.proven <= m.room)) {
 		return false
 	}
-	if level < anyone && (m.benched > r.now || (m.room > 0 && m.out >= m.room)) {
-		return false
-	}
-	if level > wellOff {
-		return true
-	}
-	if link := m.Weight * r.rec.Num("pace_kb_s", 0) / r.sharers(m); link > 0 &&
-		(m.fillKB > fillBound*link || m.outKB > busyBound*link) {
-		return false
-	}
-	return !slices.ContainsFunc(t.hops, failed)
+	return !slices.ContainsFunc(t.hops, func(h *hop) bool {
+		return used(h) && (level == 0 || r.now < h.over+lookAgain)
+	})
 }
 
-// next decides a further hop, or nil if there is nobody to send to.
+// next decides a further hop, or nil if nobody has room now.
 func (r *Router) next(t *txn) *hop {
-	caches := ordered(t.Object, r.ready(r.isCache))
-	parents := ordered(t.Object, r.ready(r.isParent))
-	origin := r.ready(r.isOrigin)
-	write := t.Write || r.rec.Item("uncacheable", t.Rule) == "true"
-	if write && r.rec.Is("may_go_direct") {
-		caches = append(slices.Clone(origin), parents...)
-	}
-	var to *member
-	for level := wellOff; level <= anyone && to == nil; level++ {
-		for _, m := range caches {
-			if r.inGroup(t, m) && r.fits(t, m, level, func(h *hop) bool { return h.to == m && h.begun }) {
-				to = m
-				break
-			}
-		}
-		if to == nil && level == bearable && r.rec.Is("may_go_direct") && !write {
-			for _, m := range append(parents, origin...) {
-				if r.fits(t, m, bearable, func(h *hop) bool { return h.to == m }) {
-					return r.shape(t, &hop{to: m, source: m, fill: true})
-				}
+	caches, parents := ordered(t.Object, r.ready(r.isCache)), ordered(t.Object, r.ready(r.isParent))
+	origin, direct, write := r.ready(r.isOrigin), r.rec.Is("may_go_direct"), r.uncacheable(t)
+	sources := append(slices.Clone(parents), origin...)
+	if write {
+		sources = append(slices.Clone(origin), parents...)
+	}
+	h := &hop{}
+	for level := 0; level < 3 && h.to == nil; level++ {
+		list := caches
+		if direct && write {
+			list = append(slices.Clone(sources), caches...)
+		} else if direct && level == 1 && r.link.open() {
+			list = append(slices.Clone(caches), sources...)
+		}
+		for _, m := range list {
+			if h.to == nil && r.inGroup(t, m) && r.fits(t, m, level, func(h *hop) bool { return h.to == m }) {
+				h.to = m
 			}
 		}
 	}
-	if to == nil {
+	if h.to == nil {
 		return nil
 	}
-	h := &hop{to: to, source: to, fill: to.held[t.p] == nil}
-	if write && r.rec.Is("may_go_direct") {
-		if len(origin) > 0 {
+	if h.source = h.to; !r.isCache(h.to) {
+		if h.fill = true; write && len(origin) > 0 {
 			h.source = origin[0]
 		}
-		return r.shape(t, h)
+		h.gates = []*gate{&h.to.gate, &r.link}
+		return h
 	}
-	sources := append(parents, origin...)
-	if write {
-		sources = append(slices.Clone(origin), parents...)
-	} else if sib := r.sibling(t, to); sib != nil {
-		h.source, h.sibling = sib, true
-		return r.shape(t, h)
+	h.fill, h.gates = h.to.held[t.p] == nil, []*gate{&h.to.gate}
+	if h.source = r.sibling(t, h.to); h.source != nil {
+		h.sibling, h.gates = true, append(h.gates, &h.source.gate)
+		return h
 	}
-	for level := wellOff; level <= anyone && h.source == to; level++ {
+	h.source = h.to
+	for level := 0; level < 3 && h.source == h.to; level++ {
 		for _, m := range sources {
-			if r.fits(t, m, level, func(h *hop) bool { return h.source == m && !h.sibling }) {
+			if h.source == h.to && r.fits(t, m, level, func(h *hop) bool { return h.source == m && !h.sibling }) {
 				h.source = m
-				break
 			}
 		}
 	}
-	return r.shape(t, h)
+	if !h.fill {
+		return h
+	}
+	h.far = !t.p.near && len(origin) > 0
+	if h.source == h.to || (!t.Write && (!r.link.open() || (h.far && !origin[0].open()))) {
+		return nil
+	}
+	if h.gates = append(h.gates, &h.source.gate, &r.link); h.far && h.source != origin[0] {
+		h.gates = append(h.gates, &origin[0].gate)
+	}
+	return h
 }
 
 // sibling names another cache of the location that answers showed holding a part which the chosen one lacks.
 // It acts after restarts, ejections and skips, when the hash order's first cache is not the holder; the link
 // and the parent are spared. A wrong guess costs one short hop.
 func (r *Router) sibling(t *txn, to *member) *member {
-	if s := r.rec["siblings"]; (s != "location" && s != "any") || to.held[t.p] != nil {
+	s, fresh := r.rec["siblings"], r.rec.NumItem("fresh_s", t.Rule, 0)
+	if (s != "location" && s != "any") || to.held[t.p] != nil || r.uncacheable(t) ||
+		slices.ContainsFunc(t.hops, func(h *hop) bool { return h.sibling }) {
 		return nil
 	}
-	fresh := r.rec.NumItem("fresh_s", t.Rule, 0)
-	for _, h := range t.hops {
-		if h.sibling {
-			return nil
-		}
-	}
-	for _, m := range r.all {
-		if m == to || m.Status != Ready || !r.isCache(m) || m.benched > r.now || !r.affords(t, m) {
-			continue
-		}
-		if h := m.held[t.p]; h != nil && r.now-h.used < r.horizon(m) && (fresh == 0 || r.now-h.fill < fresh/2) {
+	for _, m := range r.ready(r.isCache) {
+		if h := m.held[t.p]; h != nil && m != to && m.benched <= r.now && m.open() && r.affords(t, m) &&
+			r.now-h.used < r.horizon(m) && (fresh == 0 || r.now-h.fill < fresh/2) {
 			return m
 		}
 	}
@@ -610,44 +617,24 @@
 		return true
 	}
 	group := r.rec[Remap(t.Rule, "group")]
-	for _, h := range t.hops {
-		if h.mayHaveRun() && (group == "zone" && h.to.Location != m.Location || group == "cell" && h.to.Cell != m.Cell) {
-			return false
-		}
-	}
-	return true
+	return !slices.ContainsFunc(t.hops, func(h *hop) bool {
+		return h.mayHaveRun() && (group == "zone" && h.to.Location != m.Location || group == "cell" && h.to.Cell != m.Cell)
+	})
 }
 
 func (h *hop) mayHaveRun() bool {
 	return h.begun && (h.out || !(h.end == Busy || h.end == NoConnect || h.end == Moot || h.end == Miss))
 }
 
-// shape adds what is the same for every hop: rank by the design's choice, oldest copy by purges, late time.
-func (r *Router) shape(t *txn, h *hop) *hop {
-	if r.isCache(h.to) && r.serves(t, h.to) {
-		h.rank = fillRank
-	}
-	if !t.p.requested || t.p.last < t.came || len(t.hops) == 0 {
-		r.request(t, h.to)
-	}
-	h.maxAge = r.oldest(t)
-	h.late = r.now + lateBase*r.rec.Num(Remap(t.Rule, "sla_s"), 1) + lateStretch*t.send
-	h.wanted = true
-	t.hops = append(t.hops, h)
-	return h
-}
-
 // oldest is the oldest copy that will do (rule 5): younger than any purge that copies may have outlived.
 func (r *Router) oldest(t *txn) float64 {
-	age := 0.0
+	age := math.Inf(1)
 	for _, p := range r.purges {
-		if (p.Object == t.Object) || (p.Object == "" && p.Group == t.Group) {
-			if a := max(r.now-p.at-ageMargin, leastAge); age == 0 || a < age {
-				age = a
-			}
+		if p.Object == t.Object || (p.Object == "" && p.Group == t.Group) {
+			age = min(age, max(r.now-p.at-ageMargin, leastAge))
 		}
 	}
-	if fresh := r.rec.NumItem("fresh_s", t.Rule, 0); fresh > 0 && age > fresh {
+	if fresh := r.rec.NumItem("fresh_s", t.Rule, 0); math.IsInf(age, 1) || (fresh > 0 && age > fresh) {
 		return 0
 	}
 	return age
@@ -658,59 +645,45 @@
 	done := r.rec.Num("purge_done_s", 0)
 	r.purges = slices.DeleteFunc(r.purges, func(q purge) bool { return r.now > q.at+done+1 })
 	r.purges = append(r.purges, purge{p, r.now - p.Ago})
-	drop := func(o *object) {
-		for _, x := range o.parts {
-			for _, m := range r.all {
-				if h := m.held[x]; h != nil {
-					m.unlist(h)
-				}
-			}
+	for name, o := range r.objects {
+		if name == p.Object || (p.Object == "" && o.group == p.Group) {
+			r.drop(o)
 		}
 	}
-	if p.Object != "" {
-		if o := r.objects[p.Object]; o != nil {
-			drop(o)
-		}
-		return
-	}
-	for _, o := range r.objects {
-		if o.group == p.Group {
-			drop(o)
+}
+
+func (r *Router) drop(o *object) {
+	for _, p := range o.parts {
+		p.near = false
+		for _, m := range r.all {
+			m.unlist(p, true)
 		}
 	}
 }
 
-// sweep forgets objects that were idle for long.
+// sweep forgets objects that were idle for long, sooner if there are too many.
 func (r *Router) sweep() {
 	if r.now < r.swept+sweepEvery && len(r.objects) < mostObjects {
 		return
 	}
 	r.swept = r.now
-	for age := forgetAfter; age > 1e-3; age /= 2 {
+	for age := forgetAfter; age == forgetAfter || len(r.objects) > mostObjects/2; age /= 2 {
 		for name, o := range r.objects {
-			if r.now-o.last > age {
-				for _, m := range r.all {
-					for _, p := range o.parts {
-						if h := m.held[p]; h != nil {
-							m.unlist(h)
-						}
-					}
-				}
+			if r.now-o.last >= age {
+				r.drop(o)
 				delete(r.objects, name)
 			}
 		}
-		if len(r.objects) < mostObjects/2 {
-			return
-		}
 	}
 }
 
-// think decides what is wanted for a txn now.
+// think decides what is wanted for a txn now, and settles it.
 func (r *Router) think(t *txn) {
+	defer r.settle(t)
 	if t.over || t.verdict != nil {
 		return
 	}
-	t.wake = t.Limit - endMargin
+	t.held, t.wake = false, t.Limit-endMargin
 	if r.now >= t.wake {
 		r.giveUp(t)
 		return
@@ -724,7 +697,6 @@
 		if h.wanted && r.now >= h.late && r.silent(h) {
 			h.wanted = r.rec.Is("may_double") // a second copy beside it, else one after it
 			h.late = math.Inf(1)
-			continue
 		}
 		if h.wanted && !math.IsInf(h.late, 1) {
 			waiting = true
@@ -734,13 +706,32 @@
 	if waiting || (out && !r.rec.Is("may_double")) {
 		return
 	}
-	if !r.mayRepeat(t) || r.next(t) == nil {
+	if !r.mayRepeat(t) {
 		if !out {
 			r.giveUp(t)
 		}
 		return
 	}
-	t.wake = min(t.wake, t.hops[len(t.hops)-1].late)
+	if h := r.next(t); h != nil {
+		if r.isCache(h.to) && r.serves(t, h.to) {
+			h.rank = fillRank
+		}
+		if !slices.ContainsFunc(t.hops, func(*hop) bool { return true }) {
+			r.request(t, h.to)
+		}
+		h.maxAge, h.wanted = r.oldest(t), true
+		h.late = r.now + lateBase*r.rec.Num(Remap(t.Rule, "sla_s"), 1) + lateStretch*t.send
+		t.hops = append(t.hops, h)
+		t.wake = min(t.wake, h.late)
+		return
+	}
+	// Nobody has room: held while it could still be in time, densest in importance first; then given up at once.
+	patience := t.came + t.sla - lateStretch*t.send
+	if out || (r.now < patience && len(r.ready(r.isCache)) > 0) {
+		t.held, t.wake = true, min(t.wake, max(patience, r.now+lookAgain))
+		return
+	}
+	r.giveUp(t)
 }
 
 // mayRepeat says whether a further hop is allowed (rule 2).
@@ -748,46 +739,33 @@
 	if float64(len(t.hops)) >= r.rec.Num("max_hops", 1) {
 		return false
 	}
-	for _, h := range t.hops {
-		if !h.mayHaveRun() {
-			continue
-		}
-		switch r.rec[Remap(t.Rule, "effect")] {
-		case "repeatable":
-		case "keyed":
-			if r.now > h.sent+r.rec.Num(Remap(t.Rule, "window_s"), 0)-windowMargin {
-				return false
-			}
-		default:
-			return false
-		}
-	}
-	return true
+	effect, window := r.rec[Remap(t.Rule, "effect")], r.rec.Num(Remap(t.Rule, "window_s"), 0)
+	return effect == "repeatable" || !slices.ContainsFunc(t.hops, func(h *hop) bool {
+		return h.mayHaveRun() && (effect != "keyed" || r.now > h.sent+window-windowMargin)
+	})
 }
 
 // giveUp answers at once: rejected where trying again is harmless, aborted else (rule 2).
 func (r *Router) giveUp(t *txn) {
-	ran := slices.ContainsFunc(t.hops, (*hop).mayHaveRun)
 	effect, all := r.rec[Remap(t.Rule, "effect")], r.rec[Remap(t.Rule, "group")] == "all"
-	if effect == "repeatable" || !ran || (effect == "keyed" && all) {
+	t.verdict = Abort{t.Txn}
+	if effect == "repeatable" || !slices.ContainsFunc(t.hops, (*hop).mayHaveRun) || (effect == "keyed" && all) {
 		again := 0.0
 		if r.rec.Is("tells_retry") {
-			again = min(againAfter, r.rec.Num("max_retry_s", 0))
+			again = min(againAfter*(0.5+r.chance()), r.rec.Num("max_retry_s", 0))
 		}
 		t.verdict = Reject{t.Txn, again}
-		return
 	}
-	t.verdict = Abort{t.Txn}
 }
 
 // silent judges a late hop's cache, then its source: nothing at all was heard since the hop was sent. It covers
 // hangs, vanished machines and cut ways. It could harm a member that only pauses longer than quiet.
 func (r *Router) silent(h *hop) bool {
-	if m := h.to; m.heard < h.sent && r.now-max(m.heard, h.sent) > quiet {
+	if m := h.to; m.heard < h.sent && r.now-h.sent > quiet {
 		r.bench(m)
 		return true
 	}
-	if m := h.source; h.fill && m != h.to && m.heard < h.sent && r.now-max(m.heard, h.sent) > 2*quiet {
+	if m := h.source; h.fill && m != h.to && m.heard < h.sent && r.now-h.sent > 2*quiet {
 		r.bench(m)
 		return true
 	}
@@ -795,65 +773,68 @@
 }
 
 func (r *Router) bench(m *member) {
-	if m.benched > r.now {
-		return
+	if m.benched <= r.now {
+		m.benched = r.now + min(benchFirst*math.Pow(2, float64(min(m.strikes, 8))), benchMost)
+		m.ends, m.room = nil, 1
+		m.strikes++
 	}
-	m.benched = r.now + min(benchFirst*math.Pow(2, float64(min(m.strikes, 8))), benchMost)
-	m.strikes++
-	m.ends, m.room = nil, 1
 }
 
 // judge lays an end to a member. Failing ends bench it when they are half of the last few, or at once while it
 // is on trial; it covers errors, refused and broken connections of any cause.
 func (r *Router) judge(m *member, bad bool) {
-	if !bad && m.room > 0 {
-		if m.room++; m.room > fullCap {
-			m.room, m.strikes = 0, 0
-		}
-	}
-	m.ends = keep(m.ends, sample{r.now, bad}, keptSamples)
+	m.ends = keep(m.ends, bad, keptSamples)
 	failed := 0
-	for _, s := range m.ends {
-		if s.bad {
+	for _, b := range m.ends {
+		if b {
 			failed++
 		}
 	}
-	if bad && (m.room == 1 || failed >= badLeast && float64(failed) >= badShare*float64(len(m.ends))) {
+	if !bad && m.room >= m.proven {
+		m.strikes = 0
+	}
+	if bad && (m.room <= 1 || failed >= badLeast && float64(failed) >= badShare*float64(len(m.ends))) {
 		r.bench(m)
 	}
 }
 
-// outcome learns from the end of a hop and decides what follows.
+// outcome learns from the end of a hop and decides what follows, here and for what is held.
 func (r *Router) outcome(o Outcome) {
 	t := r.txns[o.Txn]
 	if t == nil || o.Hop < 0 || o.Hop >= len(t.hops) || !t.hops[o.Hop].out {
 		return
 	}
 	h := t.hops[o.Hop]
-	h.out, h.wanted, h.end = false, false, o.Code
-	r.load(t, h, -1)
-	r.learn(t, h, o)
-	if o.Final {
-		t.over = true
+	h.out, h.wanted, h.end, h.over = false, false, o.Code, r.now
+	for _, g := range h.gates {
+		g.out--
 	}
+	r.learn(t, h, o)
+	t.over = t.over || o.Final
 	r.think(t)
-	r.settle(t)
+	for i, held := range slices.Clone(r.queue) {
+		if i >= mostTries {
+			break
+		}
+		r.think(held)
+	}
 }
 
 func (r *Router) learn(t *txn, h *hop, o Outcome) {
+	filled := o.Code == Completed && o.Remark != Hit && o.Remark != Old
 	switch o.Code {
 	case Completed:
 		h.to.heard = r.now
 		r.judge(h.to, false)
-		if o.Remark == Hit || o.Remark == Old {
-			r.hold(t, h, false)
-			return
-		}
-		if h.source != h.to {
+		if filled && h.source != h.to {
 			h.source.heard = r.now
 			r.judge(h.source, false)
 		}
-		r.hold(t, h, true)
+		if filled && !h.sibling {
+			t.p.near = true
+		}
+		r.hold(t, h, filled)
+		r.tune(t, h, o, filled)
 	case Errored, Busy:
 		h.to.heard = r.now
 		switch o.Remark {
@@ -861,32 +842,58 @@
 			if o.Remark != SourceLost {
 				h.source.heard = r.now
 			}
-			r.judge(h.source, true)
+			if h.source.shrink(r.now); o.Remark != SourceRefused {
+				r.judge(h.source, true)
+			}
 		case SourceLacks:
 			h.source.heard = r.now
-			if x := h.source.held[t.p]; x != nil {
-				h.source.unlist(x)
-			}
+			h.source.unlist(t.p, true)
 		default:
-			r.judge(h.to, true)
-			if o.Remark == Untold && h.fill && h.source != h.to && r.rec["tells"] != "all" {
+			blind := h.fill && h.source != h.to && r.rec["tells"] != "all"
+			if o.Code == Busy && blind {
+				h.source.shrink(r.now)
+			} else if o.Code == Busy {
+				h.to.shrink(r.now)
+			} else if r.judge(h.to, true); blind {
 				r.judge(h.source, true)
 			}
 		}
 	case Miss:
-		h.to.heard = r.now
-		if x := h.source.held[t.p]; x != nil && h.sibling {
-			h.source.unlist(x)
+		if h.to.heard = r.now; h.sibling {
+			h.source.unlist(t.p, true)
 		}
 	case NoConnect, Broken:
 		r.judge(h.to, true)
 	}
 }
 
+// tune moves the gates that a completed hop went through. A late one tells of a jam: at the cache if it was held
+// there, at the source or the origin if the first byte came late, else on the location's link.
+func (r *Router) tune(t *txn, h *hop, o Outcome, filled bool) {
+	if o.Took <= inTime*t.sla {
+		for _, g := range h.gates {
+			g.grow()
+		}
+		return
+	}
+	switch {
+	case !filled:
+		h.to.shrink(r.now)
+	case o.FirstByte > lateBase*inTime*t.sla || (o.FirstByte == 0 && h.far):
+		if g := h.gates[len(h.gates)-1]; h.far && g != &h.to.gate {
+			g.shrink(r.now)
+		} else {
+			h.source.shrink(r.now)
+		}
+	case !h.sibling:
+		r.link.shrink(r.now)
+	}
+}
+
 // hold keeps the held list of a cache: what answers showed there. A part filled though thought held was lost; its
 // idle time before that miss is a sample of T.
 func (r *Router) hold(t *txn, h *hop, filled bool) {
-	if !r.isCache(h.to) || t.Write {
+	if !r.isCache(h.to) || r.uncacheable(t) {
 		return
 	}
 	x := h.to.held[t.p]
@@ -894,9 +901,7 @@
 		h.to.idles = keep(h.to.idles, max(h.sent-x.used, 0), keptSamples)
 	}
 	if filled && h.rank == 0 {
-		if x != nil {
-			h.to.unlist(x)
-		}
+		h.to.unlist(t.p, true)
 		return
 	}
 	if x == nil {
