--- a/brain/brain.go
+++ b/brain/brain.go
@@ -1,13 +1,11 @@
 // Every decision of the router. New starts an instance from its seed and its records; Decide takes one event
-// with the clock and returns the actions, in order. The types of both are in interface.go.
-//
+// with the clock and returns the actions, in order. Events, actions and their types are in interface.go.
 // A txn's wanted state is the hops that should be out, whether it is held, a verdict and a wake time. Handlers
 // change only what is wanted; settle works out the difference to what is and emits it.
 package brain
 
 import (
 	"cmp"
-	"hash/fnv"
 	"math"
 	"slices"
 )
@@ -16,6 +14,7 @@
 	alpha        = 1.0     // cost of a fill over that of a pass: the common preference, a pass uses the link too
 	gamma        = 0.25    // weight of the newest gap, from the design's source
 	firstHorizon = 10.0    // s, T before any idle time was seen, from the design
+	leastHorizon = 1.0     // s, T at least: a purge told late must not close the cache to new parts
 	fillRank     = 2       // rank of 1 to 3 on a serve: the middle one
 	keptSamples  = 10      // samples kept of a member's ends and idle times: few, so that a change shows soon
 	keptSizes    = 64      // sending times kept a remap rule: sizes vary widely, the mean needs more of them
@@ -43,13 +42,14 @@
 	mostTries    = 12      // held txns looked at after each end, densest first: bounds the work
 	coldSpend    = 0.7     // share of a cold member's present capacity that is used: it serves no more in time
 	ageMargin    = 1e-4    // s by which a copy must be younger than the purge: rounding
+	purgeMargin  = 1.0     // s for which a purge is kept after all should have dropped its copies
 	leastAge     = 2e-6    // s, an age that is never rounded to 0, which means any
 	againAfter   = 0.5     // s a rejected client is told to stay away: queues of that length drain
 )
 
 // New starts a router that knows nothing but its records.
 func New(seed uint64, rec Records) *Router {
-	return &Router{rec: rec, pcg: seed, members: map[string]*member{}, txns: map[string]*txn{},
+	return &Router{rec: rec, pcg: seed, txns: map[string]*txn{},
 		bySeq: map[uint64]*txn{}, objects: map[string]*object{}, sizes: map[int][]float64{}}
 }
 
@@ -79,15 +79,6 @@
 	return r.acts
 }
 
-// chance is the next of a permuted congruential generator, from 0 up to 1.
-func (r *Router) chance() float64 {
-	old := r.pcg
-	r.pcg = old*6364136223846793005 + 1442695040888963407
-	x := uint32((old>>18 ^ old) >> 27)
-	rot := uint32(old >> 59)
-	return float64(x>>rot|x<<(-rot&31)) / (1 << 32)
-}
-
 // settle emits the difference between what is wanted for a txn and what is.
 func (r *Router) settle(t *txn) {
 	done, out := t.over || t.verdict != nil, 0
@@ -104,22 +95,19 @@
 			for _, g := range h.gates {
 				g.out++
 			}
-			r.charge(t, h.to)
-			if h.fill && h.source != h.to {
-				r.charge(t, h.source)
+			for _, m := range []*member{h.to, h.source} {
+				if r.warmth(m) < 1 && (m == h.to || h.fill) {
+					m.spent = append(m.spent, sample{r.now, r.cost(t, m)})
+				}
 			}
 		}
 		if h.out {
 			out++
 		}
 	}
-	if at := slices.Index(r.queue, t); at >= 0 && (done || !t.held) {
-		r.queue = slices.Delete(r.queue, at, at+1)
-	} else if at < 0 && t.held && !done {
-		at, _ = slices.BinarySearchFunc(r.queue, t, func(a, b *txn) int {
-			return cmp.Or(cmp.Compare(b.dense, a.dense), cmp.Compare(a.seq, b.seq))
-		})
-		r.queue = slices.Insert(r.queue, at, t)
+	r.queue = slices.DeleteFunc(r.queue, func(x *txn) bool { return x == t })
+	if t.held && !done {
+		r.queue = append(r.queue, t)
 	}
 	if t.verdict != nil && !t.over {
 		t.over = true
@@ -166,13 +154,7 @@
 		}
 	}
 	for _, row := range l.Rows {
-		m := r.members[row.Member]
-		if m == nil {
-			m = &member{}
-			r.members[row.Member] = m
-			at, _ := slices.BinarySearchFunc(r.all, row.Member, func(a *member, id string) int { return cmp.Compare(a.Member, id) })
-			r.all = slices.Insert(r.all, at, m)
-		}
+		m := r.member(row.Member)
 		again := m.held == nil || row.Started > m.Started
 		m.Row = row
 		if again {
@@ -189,30 +171,14 @@
 			if r.link.room += m.proven; flow > 0 {
 				r.link.room = stretchRoom * flow / r.sharers(m)
 			}
+			r.link.proven = r.link.room
 		}
-		r.link.proven = r.link.room
 		for _, m := range r.ready(r.isOrigin) { // its weight says nothing: as much as the link, until it tells
 			m.room, m.proven = r.link.room, r.link.room
 		}
 	}
 }
 
-func (r *Router) isParent(m *member) bool { return float64(m.Kind) == r.rec.Num("parent_kind", -1) }
-func (r *Router) isOrigin(m *member) bool { return float64(m.Kind) == r.rec.Num("origin_kind", -1) }
-func (r *Router) isCache(m *member) bool {
-	return !r.isParent(m) && !r.isOrigin(m) && float64(m.Location) == r.rec.Num("location", 0)
-}
-
-func (r *Router) ready(which func(*member) bool) []*member {
-	var out []*member
-	for _, m := range r.all {
-		if m.Status == Ready && which(m) {
-			out = append(out, m)
-		}
-	}
-	return out
-}
-
 // warmth is the share of its capacity that a member surely has: a line from the cold share up to all of it.
 func (r *Router) warmth(m *member) float64 {
 	floor, over := r.rec.Num("cold_share", 1), r.rec.Num("cold_s", 0)
@@ -240,81 +206,51 @@
 	sizes := r.sizes[t.Rule]
 	if len(sizes) < sizesNeeded {
 		return max(t.send, r.rec.Num(Remap(t.Rule, "sla_s"), 1))
+	} else if r.isParent(m) {
+		return max(t.send, mean(sizes))
 	}
-	mean := 0.0
-	for _, s := range sizes {
-		mean += s / float64(len(sizes))
-	}
-	if r.isParent(m) {
-		return max(t.send, mean)
-	}
-	return mean
+	return mean(sizes)
 }
 
 // affords guards cold members (rule 4): in any window of the stated length this router spends no more than its
 // even part of a share of what the member can do then. It covers caches, and parents for the fills that may reach
 // them. It could harm where other routers are idle: the room they leave is not used.
 func (r *Router) affords(t *txn, m *member) bool {
-	warm := r.warmth(m)
-	if warm >= 1 {
-		return true
-	}
-	window := r.rec.Num("fall_s", 1)
+	warm, window := r.warmth(m), r.rec.Num("fall_s", 1)
+	m.spent = slices.DeleteFunc(m.spent, func(s sample) bool { return s.at <= r.now-window || warm >= 1 })
 	sum := r.cost(t, m)
 	for _, s := range m.spent {
-		if s.at > r.now-window {
-			sum += s.cost
-		}
+		sum += s.cost
 	}
-	return sum <= coldSpend*warm*m.Weight*window/r.sharers(m)
-}
-
-func (r *Router) charge(t *txn, m *member) {
-	if r.warmth(m) >= 1 {
-		m.spent = nil
-		return
-	}
-	cut := r.now - r.rec.Num("fall_s", 1)
-	m.spent = slices.DeleteFunc(m.spent, func(s sample) bool { return s.at <= cut })
-	m.spent = append(m.spent, sample{r.now, r.cost(t, m)})
+	return warm >= 1 || sum <= coldSpend*warm*m.Weight*window/r.sharers(m)
 }
 
 // arrive takes a txn and decides its first hop.
 func (r *Router) arrive(a Arrival) {
 	r.seq++
+	if a.KB <= 0 {
+		a.KB = 1 // sizes are not told: parts are counted
+	}
 	t := &txn{Arrival: a, seq: r.seq, came: r.now}
 	if pace := r.rec.Num("pace_kb_s", 0); pace > 0 {
 		t.send = a.KB / pace
 	}
 	t.sla = r.rec.Num(Remap(t.Rule, "sla_s"), 1) + t.send*r.rec.Num(Remap(t.Rule, "sla_stretch"), 0)
-	t.dense = r.rec.Num(Remap(t.Rule, "importance"), 1) / max(a.KB, 1)
+	t.dense = r.rec.Num(Remap(t.Rule, "importance"), 1) / a.KB
 	r.txns[t.Txn], r.bySeq[t.seq] = t, t
 	r.sizes[t.Rule] = keep(r.sizes[t.Rule], t.send, keptSizes)
 	r.sweep()
-	if t.obj = r.objects[a.Object]; t.obj == nil {
-		t.obj = &object{group: a.Group}
-		r.objects[a.Object] = t.obj
-	}
-	t.obj.last = r.now
-	at, found := slices.BinarySearchFunc(t.obj.parts, a.Part, func(p *part, no int) int { return cmp.Compare(p.no, no) })
-	if !found {
-		t.obj.parts = slices.Insert(t.obj.parts, at, &part{no: a.Part})
-	}
-	t.p = t.obj.parts[at]
+	t.obj = r.object(a.Object, a.Group)
+	t.obj.last, t.p = r.now, t.obj.part(a.Part)
 	t.unseen = !t.p.seen
 	r.think(t)
 }
 
-// keep appends to the last few samples.
-func keep[S any](list []S, s S, most int) []S {
-	if len(list) >= most {
-		list = append(list[:0], list[len(list)-most+1:]...)
-	}
-	return append(list, s)
-}
-
 func (p *part) gap(now float64) float64 { return gamma*(now-p.last) + (1-gamma)*p.dt }
 
+// key orders parts by their gaps, largest first, the same at any time.
+func (p *part) key() float64 { return gamma*p.last - (1-gamma)*p.dt }
+
 // gap is the averaged gap of a txn's part; an unseen part has the largest of its object's parts held at m.
 func (r *Router) gap(t *txn, m *member) float64 {
 	if !t.unseen {
@@ -326,10 +262,7 @@
 			largest = max(largest, p.gap(r.now))
 		}
 	}
-	if largest == 0 {
-		return math.Inf(1)
-	}
-	return largest
+	return cmp.Or(largest, math.Inf(1))
 }
 
 // request updates the part's gap, once a txn, and its place in the held lists.
@@ -338,52 +271,23 @@
 	if p.seen {
 		dt = p.gap(r.now)
 	}
-	var at []*member
 	for _, c := range r.all {
-		if c.held[p] != nil {
-			at = append(at, c)
-		}
-	}
-	for _, c := range at {
 		c.unlist(p, false)
 	}
 	p.seen, p.dt, p.last = true, dt, r.now
-	for _, c := range at {
-		c.list(c.held[p])
-	}
-}
-
-func before(a, b *holding) int { return cmp.Or(cmp.Compare(a.key, b.key), cmp.Compare(a.seq, b.seq)) }
-
-func (m *member) list(h *holding) {
-	h.key = gamma*h.p.last - (1-gamma)*h.p.dt
-	at, _ := slices.BinarySearchFunc(m.order, h, before)
-	m.order = slices.Insert(m.order, at, h)
-	m.held[h.p] = h
-}
-
-// unlist takes a part out of the order and, if it is gone, off the held list.
-func (m *member) unlist(p *part, gone bool) {
-	if h := m.held[p]; h != nil {
-		if at, found := slices.BinarySearchFunc(m.order, h, before); found {
-			m.order = slices.Delete(m.order, at, at+1)
-		}
-		if gone {
-			delete(m.held, p)
+	for _, c := range r.all {
+		if h := c.held[p]; h != nil {
+			c.list(h, p.key())
 		}
 	}
 }
 
 // horizon is T: the mean idle time before a miss of what was thought held.
 func (r *Router) horizon(m *member) float64 {
-	sum := 0.0
-	for _, s := range m.idles {
-		sum += s
-	}
 	if len(m.idles) == 0 {
 		return firstHorizon
 	}
-	return max(sum/float64(len(m.idles)), 1)
+	return max(mean(m.idles), leastHorizon)
 }
 
 func (r *Router) uncacheable(t *txn) bool {
@@ -402,22 +306,14 @@
 	if m.held[t.p] != nil {
 		return true
 	}
-	size := func(kb float64) float64 {
-		if t.KB <= 0 {
-			return 1
-		}
-		return kb
-	}
-	cf, cr := 2*alpha/(alpha+1), 2/(alpha+1)
-	need := size(t.KB)
+	cf, cr, need := 2*alpha/(alpha+1), 2/(alpha+1), t.KB
 	serve, pass := need*cf, need*cr+need*T/r.gap(t, m)*min(cf, cr)
 	for _, h := range m.order {
 		if need <= 0 || serve >= pass {
 			break
 		}
-		kb := size(h.kb)
-		serve += min(kb, need) * T / h.p.gap(r.now) * min(cf, cr)
-		need -= kb
+		serve += min(h.kb, need) * T / h.p.gap(r.now) * min(cf, cr)
+		need -= h.kb
 	}
 	return serve < pass
 }
@@ -426,28 +322,25 @@
 func ordered(obj string, list []*member) []*member {
 	score := map[*member]float64{}
 	for _, m := range list {
-		f := fnv.New64a()
-		f.Write([]byte(obj + "\x00" + m.Member))
-		x := f.Sum64() // fnv alone leaves like ids alike in their high bits
-		x = (x ^ x>>33) * 0xff51afd7ed558ccd
-		x = (x ^ x>>33) * 0xc4ceb9fe1a85ec53
-		u := (float64((x^x>>33)>>11) + 0.5) / (1 << 53)
-		score[m] = math.Log(u) / max(m.Weight, 1e-3)
-	}
-	out := slices.Clone(list)
-	slices.SortStableFunc(out, func(a, b *member) int { return cmp.Compare(score[b], score[a]) })
-	return out
-}
-
-// fits says whether a member may be used by a txn: level 0 wants one that has not failed it, level 1 one not on
-// the bench, level 2 takes any. Cold guards and gates hold at all levels; writes are small and pass the gates.
-func (r *Router) fits(t *txn, m *member, level int, used func(*hop) bool) bool {
-	if !r.affords(t, m) || (level < 2 && m.benched > r.now) || !(m.open() || (t.Write && m.proven <= m.room)) {
-		return false
+		score[m] = math.Log(unit(obj+" "+m.Member)) / max(m.Weight, 1e-3)
 	}
-	return !slices.ContainsFunc(t.hops, func(h *hop) bool {
-		return used(h) && (level == 0 || r.now < h.over+lookAgain)
+	slices.SortStableFunc(list, func(a, b *member) int { return cmp.Compare(score[b], score[a]) })
+	return list
+}
+
+// first is the first of a list that a txn may use: at level 0 one that has not failed it, at level 1 one not on
+// the bench, at level 2 any. Cold guards and gates hold at all levels; writes are small and pass the gates.
+func (r *Router) first(t *txn, list []*member, level int, used func(*hop, *member) bool) *member {
+	at := slices.IndexFunc(list, func(m *member) bool {
+		return r.affords(t, m) && (level > 1 || m.benched <= r.now) && (m.open() || (t.Write && m.proven <= m.room)) &&
+			!slices.ContainsFunc(t.hops, func(h *hop) bool {
+				return used(h, m) && (level == 0 || r.now < h.over+lookAgain)
+			})
 	})
+	if at < 0 {
+		return nil
+	}
+	return list[at]
 }
 
 // next decides a further hop, or nil if nobody has room now.
@@ -463,14 +356,11 @@
 		list := caches
 		if direct && write {
 			list = append(slices.Clone(sources), caches...)
-		} else if direct && level == 1 && r.link.open() {
+		} else if direct && level > 0 && r.link.open() {
 			list = append(slices.Clone(caches), sources...)
 		}
-		for _, m := range list {
-			if h.to == nil && r.inGroup(t, m) && r.fits(t, m, level, func(h *hop) bool { return h.to == m }) {
-				h.to = m
-			}
-		}
+		list = slices.DeleteFunc(slices.Clone(list), func(m *member) bool { return !r.inGroup(t, m) })
+		h.to = r.first(t, list, level, func(h *hop, m *member) bool { return h.to == m })
 	}
 	if h.to == nil {
 		return nil
@@ -483,27 +373,26 @@
 		return h
 	}
 	h.fill, h.gates = h.to.held[t.p] == nil, []*gate{&h.to.gate}
-	if h.source = r.sibling(t, h.to); h.source != nil {
-		h.sibling, h.gates = true, append(h.gates, &h.source.gate)
+	if m := r.sibling(t, h.to); m != nil {
+		h.source, h.sibling, h.gates = m, true, append(h.gates, &m.gate)
 		return h
 	}
-	h.source = h.to
 	for level := 0; level < 3 && h.source == h.to; level++ {
-		for _, m := range sources {
-			if h.source == h.to && r.fits(t, m, level, func(h *hop) bool { return h.source == m && !h.sibling }) {
-				h.source = m
-			}
+		if m := r.first(t, sources, level, func(h *hop, m *member) bool { return h.source == m && !h.sibling }); m != nil {
+			h.source = m
 		}
 	}
 	if !h.fill {
 		return h
 	}
-	h.far = !t.p.near && len(origin) > 0
-	if h.source == h.to || (!t.Write && (!r.link.open() || (h.far && !origin[0].open()))) {
+	if !t.p.near && len(origin) > 0 {
+		h.far = &origin[0].gate
+	}
+	if h.source == h.to || (!t.Write && (!r.link.open() || (h.far != nil && !h.far.open()))) {
 		return nil
 	}
-	if h.gates = append(h.gates, &h.source.gate, &r.link); h.far && h.source != origin[0] {
-		h.gates = append(h.gates, &origin[0].gate)
+	if h.gates = append(h.gates, &h.source.gate, &r.link); h.far != nil && h.far != &h.source.gate {
+		h.gates = append(h.gates, h.far)
 	}
 	return h
 }
@@ -545,7 +434,7 @@
 func (r *Router) oldest(t *txn) float64 {
 	age := math.Inf(1)
 	for _, p := range r.purges {
-		if p.Object == t.Object || (p.Object == "" && p.Group == t.Group) {
+		if (p.Object == t.Object || (p.Object == "" && p.Group == t.Group)) && !r.spent(p) {
 			age = min(age, max(r.now-p.at-ageMargin, leastAge))
 		}
 	}
@@ -557,8 +446,7 @@
 
 // purged remembers a purge until all copies are dropped everywhere and forgets what was thought held.
 func (r *Router) purged(p Purge) {
-	done := r.rec.Num("purge_done_s", 0)
-	r.purges = slices.DeleteFunc(r.purges, func(q purge) bool { return r.now > q.at+done+1 })
+	r.purges = slices.DeleteFunc(r.purges, r.spent)
 	r.purges = append(r.purges, purge{p, r.now - p.Ago})
 	for name, o := range r.objects {
 		if name == p.Object || (p.Object == "" && o.group == p.Group) {
@@ -567,6 +455,9 @@
 	}
 }
 
+// spent says that all copies which a purge voids are dropped everywhere.
+func (r *Router) spent(p purge) bool { return r.now > p.at+r.rec.Num("purge_done_s", 0)+purgeMargin }
+
 func (r *Router) drop(o *object) {
 	for _, p := range o.parts {
 		p.near = false
@@ -610,7 +501,8 @@
 		}
 		out = true
 		if h.wanted && r.now >= h.late && r.silent(h) {
-			h.wanted = r.rec.Is("may_double") // a second copy beside it, else one after it
+			// A second copy beside it, else one after it; one that must not run twice is waited for.
+			h.wanted = r.rec.Is("may_double") || r.rec[Remap(t.Rule, "effect")] == "unrepeatable"
 			h.late = math.Inf(1)
 		}
 		if h.wanted && !math.IsInf(h.late, 1) {
@@ -631,7 +523,7 @@
 		if r.isCache(h.to) && r.serves(t, h.to) {
 			h.rank = fillRank
 		}
-		if !slices.ContainsFunc(t.hops, func(*hop) bool { return true }) {
+		if len(t.hops) == 0 {
 			r.request(t, h.to)
 		}
 		h.maxAge, h.wanted = r.oldest(t), true
@@ -676,15 +568,14 @@
 // silent judges a late hop's cache, then its source: nothing at all was heard since the hop was sent. It covers
 // hangs, vanished machines and cut ways. It could harm a member that only pauses longer than quiet.
 func (r *Router) silent(h *hop) bool {
-	if m := h.to; m.heard < h.sent && r.now-h.sent > quiet {
-		r.bench(m)
-		return true
-	}
-	if m := h.source; h.fill && m != h.to && m.heard < h.sent && r.now-h.sent > 2*quiet {
-		r.bench(m)
-		return true
+	if h.to.heard < h.sent && r.now-h.sent > quiet {
+		r.bench(h.to)
+	} else if h.fill && h.source != h.to && h.source.heard < h.sent && r.now-h.sent > 2*quiet {
+		r.bench(h.source)
+	} else {
+		return false
 	}
-	return false
+	return true
 }
 
 func (r *Router) bench(m *member) {
@@ -698,17 +589,15 @@
 // judge lays an end to a member. Failing ends bench it when they are half of the last few, or at once while it
 // is on trial; it covers errors, refused and broken connections of any cause.
 func (r *Router) judge(m *member, bad bool) {
-	m.ends = keep(m.ends, bad, keptSamples)
-	failed := 0
-	for _, b := range m.ends {
-		if b {
-			failed++
-		}
-	}
-	if !bad && m.room >= m.proven {
+	failed := 0.0
+	if bad {
+		failed = 1
+	} else if m.room >= m.proven {
 		m.strikes = 0
 	}
-	if bad && (m.room <= 1 || failed >= badLeast && float64(failed) >= badShare*float64(len(m.ends))) {
+	m.ends = keep(m.ends, failed, keptSamples)
+	share := mean(m.ends)
+	if bad && (m.room <= 1 || share*float64(len(m.ends)) >= badLeast && share >= badShare) {
 		r.bench(m)
 	}
 }
@@ -727,19 +616,20 @@
 	r.learn(t, h, o)
 	t.over = t.over || o.Final
 	r.think(t)
-	for i, held := range slices.Clone(r.queue) {
-		if i >= mostTries {
-			break
-		}
+	queue := slices.Clone(r.queue)
+	slices.SortStableFunc(queue, func(a, b *txn) int { return cmp.Or(cmp.Compare(b.dense, a.dense), cmp.Compare(a.seq, b.seq)) })
+	for _, held := range queue[:min(len(queue), mostTries)] {
 		r.think(held)
 	}
 }
 
 func (r *Router) learn(t *txn, h *hop, o Outcome) {
 	filled := o.Code == Completed && o.Remark != Hit && o.Remark != Old
+	if o.Code == Completed || o.Code == Errored || o.Code == Busy || o.Code == Miss {
+		h.to.heard = r.now
+	}
 	switch o.Code {
 	case Completed:
-		h.to.heard = r.now
 		r.judge(h.to, false)
 		if filled && h.source != h.to {
 			h.source.heard = r.now
@@ -751,7 +641,6 @@
 		r.hold(t, h, filled)
 		r.tune(t, h, o, filled)
 	case Errored, Busy:
-		h.to.heard = r.now
 		switch o.Remark {
 		case SourceRefused, SourceLost, OriginFailed:
 			if o.Remark != SourceLost {
@@ -774,7 +663,7 @@
 			}
 		}
 	case Miss:
-		if h.to.heard = r.now; h.sibling {
+		if h.sibling {
 			h.source.unlist(t.p, true)
 		}
 	case NoConnect, Broken:
@@ -794,12 +683,10 @@
 	switch {
 	case !filled:
 		h.to.shrink(r.now)
-	case o.FirstByte > lateBase*inTime*t.sla || (o.FirstByte == 0 && h.far):
-		if g := h.gates[len(h.gates)-1]; h.far && g != &h.to.gate {
-			g.shrink(r.now)
-		} else {
-			h.source.shrink(r.now)
-		}
+	case h.far != nil && (r.rec["tells"] != "all" || o.Remark == FilledByOrigin && o.FirstByte > lateBase*inTime*t.sla):
+		h.far.shrink(r.now)
+	case o.FirstByte > lateBase*inTime*t.sla:
+		h.source.shrink(r.now)
 	case !h.sibling:
 		r.link.shrink(r.now)
 	}
@@ -822,7 +709,7 @@
 	if x == nil {
 		r.seq++
 		x = &holding{p: t.p, seq: r.seq, fill: r.now}
-		h.to.list(x)
+		h.to.list(x, t.p.key())
 	}
 	if filled {
 		x.fill = r.now
