--- a/brain/brain.go
+++ b/brain/brain.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	alpha        = 1.0     // cost of a fill over that of a pass: the common preference, a pass uses the link too
+	alpha        = 0.75    // cost of a fill over that of a pass, under 1: a pass uses the link as much and leaves nothing
 	gamma        = 0.25    // weight of the newest gap, from the design's source
 	firstHorizon = 10.0    // s, T before any idle time was seen, from the design
 	leastHorizon = 1.0     // s, T at least: a purge told late must not close the cache to new parts
