--- a/brain/brain.go
+++ b/brain/brain.go
@@ -36,6 +36,7 @@
 	freshRoom    = 2.0     // hops in flight at a member just back; one more for each answer
 	leastRoom    = 1.5     // hops in flight that a gate always lets through, so that it can learn
 	stretchRoom  = 2.0     // hops in flight a transfer of capacity: the SLA's stretch leaves about that much
+	jamShare     = 0.3     // share of late ones among the last few that tells of a jam: single ones are chance
 	roomCut      = 0.8     // what a late or refused hop leaves of a gate's room
 	cutEvery     = 0.25    // s between cuts: the hops then out all tell of the same jam
 	inTime       = 0.8     // share of the SLA time beyond which a hop tells of a jam
@@ -125,6 +126,7 @@
 func (g *gate) open() bool { return g.out < g.room }
 
 func (g *gate) grow() {
+	g.lates = keep(g.lates, 0, keptSamples)
 	if g.room < g.proven {
 		g.room++
 	} else if g.out > g.room/2 {
@@ -132,8 +134,10 @@
 	}
 }
 
-func (g *gate) shrink(now float64) {
-	if now > g.cut+cutEvery {
+// shrink takes a sign of a jam: late answers count when they are many of the last few, a refusal at once.
+func (g *gate) shrink(now float64, refused bool) {
+	g.lates = keep(g.lates, 1, keptSamples)
+	if now > g.cut+cutEvery && (refused || mean(g.lates) >= jamShare) {
 		g.room, g.cut = max(g.room*roomCut, leastRoom), now
 		g.proven = g.room
 	}
@@ -646,7 +650,7 @@
 			if o.Remark != SourceLost {
 				h.source.heard = r.now
 			}
-			if h.source.shrink(r.now); o.Remark != SourceRefused {
+			if h.source.shrink(r.now, true); o.Remark != SourceRefused {
 				r.judge(h.source, true)
 			}
 		case SourceLacks:
@@ -655,9 +659,9 @@
 		default:
 			blind := h.fill && h.source != h.to && r.rec["tells"] != "all"
 			if o.Code == Busy && blind {
-				h.source.shrink(r.now)
+				h.source.shrink(r.now, true)
 			} else if o.Code == Busy {
-				h.to.shrink(r.now)
+				h.to.shrink(r.now, true)
 			} else if r.judge(h.to, true); blind {
 				r.judge(h.source, true)
 			}
@@ -682,13 +686,13 @@
 	}
 	switch {
 	case !filled:
-		h.to.shrink(r.now)
+		h.to.shrink(r.now, false)
 	case h.far != nil && (r.rec["tells"] != "all" || o.Remark == FilledByOrigin && o.FirstByte > lateBase*inTime*t.sla):
-		h.far.shrink(r.now)
+		h.far.shrink(r.now, false)
 	case o.FirstByte > lateBase*inTime*t.sla:
-		h.source.shrink(r.now)
+		h.source.shrink(r.now, false)
 	case !h.sibling:
-		r.link.shrink(r.now)
+		r.link.shrink(r.now, false)
 	}
 }
 
--- a/brain/state.go
+++ b/brain/state.go
@@ -30,7 +30,10 @@
 
 // gate bounds what this router has in flight at a member, a link or the way to the origin. It grows with
 // answers in time, by one each up to what is proven, and shrinks with late and refused ones.
-type gate struct{ room, proven, out, cut float64 }
+type gate struct {
+	room, proven, out, cut float64
+	lates                  []float64 // the last few answers, 1 for a late one
+}
 
 type sample struct{ at, cost float64 }
 
