--- a/brain/brain.go
+++ b/brain/brain.go
@@ -145,14 +145,10 @@
 
 // listing takes news of the members. A member that starts again is empty, cold and unjudged.
 func (r *Router) listing(l Listing) {
-	if l.Kind == Failed || (!r.started && r.rec["list"] == "asked") {
+	if l.Kind == Failed || (l.Kind == Saved && r.rec["list"] == "asked") {
 		r.acts = append(r.acts, Subscribe{})
 	}
-	r.started = true
-	if l.Kind == Failed {
-		return
-	}
-	if l.Kind != Changes {
+	if l.Kind == Full || l.Kind == Saved {
 		for _, m := range r.all {
 			m.Status = Gone
 		}
@@ -389,8 +385,8 @@
 	if !h.fill {
 		return h
 	}
-	if !t.p.near && len(origin) > 0 {
-		h.far = &origin[0].gate
+	if !t.p.near {
+		h.far = r.wayToOrigin()
 	}
 	if h.source == h.to || (!t.Write && (!r.link.open() || (h.far != nil && !h.far.open()))) {
 		return nil
@@ -401,6 +397,14 @@
 	return h
 }
 
+// wayToOrigin is the gate of the first origin listed; one that is always open where there is none.
+func (r *Router) wayToOrigin() *gate {
+	for _, m := range r.ready(r.isOrigin) {
+		return &m.gate
+	}
+	return &gate{room: math.Inf(1)}
+}
+
 // sibling names another cache of the location that answers showed holding a part which the chosen one lacks.
 // It acts after restarts, ejections and skips, when the hash order's first cache is not the holder; the link
 // and the parent are spared. A wrong guess costs one short hop.
@@ -421,11 +425,8 @@
 
 // inGroup keeps a keyed txn that may have run within the group that drops its repeats (rule 2).
 func (r *Router) inGroup(t *txn, m *member) bool {
-	if r.rec[Remap(t.Rule, "effect")] != "keyed" {
-		return true
-	}
 	group := r.rec[Remap(t.Rule, "group")]
-	return !slices.ContainsFunc(t.hops, func(h *hop) bool {
+	return r.rec[Remap(t.Rule, "effect")] != "keyed" || !slices.ContainsFunc(t.hops, func(h *hop) bool {
 		return h.mayHaveRun() && (group == "zone" && h.to.Location != m.Location || group == "cell" && h.to.Cell != m.Cell)
 	})
 }
@@ -573,21 +574,17 @@
 // hangs, vanished machines and cut ways. It could harm a member that only pauses longer than quiet.
 func (r *Router) silent(h *hop) bool {
 	if h.to.heard < h.sent && r.now-h.sent > quiet {
-		r.bench(h.to)
-	} else if h.fill && h.source != h.to && h.source.heard < h.sent && r.now-h.sent > 2*quiet {
-		r.bench(h.source)
-	} else {
-		return false
+		return r.bench(h.to)
 	}
-	return true
+	return h.fill && h.source != h.to && h.source.heard < h.sent && r.now-h.sent > 2*quiet && r.bench(h.source)
 }
 
-func (r *Router) bench(m *member) {
+func (r *Router) bench(m *member) bool {
 	if m.benched <= r.now {
 		m.benched = r.now + min(benchFirst*math.Pow(2, float64(min(m.strikes, 8))), benchMost)
-		m.ends, m.room = nil, 1
-		m.strikes++
+		m.ends, m.room, m.strikes = nil, 1, m.strikes+1
 	}
+	return true
 }
 
 // judge lays an end to a member. Failing ends bench it when they are half of the last few, or at once while it
@@ -647,10 +644,11 @@
 	case Errored, Busy:
 		switch o.Remark {
 		case SourceRefused, SourceLost, OriginFailed:
-			if o.Remark != SourceLost {
+			// A source that was heard since is not the one that failed: the origin behind it is.
+			if o.Remark == OriginFailed || (o.Remark == SourceLost && h.far != nil && h.source.heard > h.sent) {
 				h.source.heard = r.now
-			}
-			if h.source.shrink(r.now, true); o.Remark != SourceRefused {
+				r.wayToOrigin().shrink(r.now, true)
+			} else if h.source.shrink(r.now, true); o.Remark == SourceLost {
 				r.judge(h.source, true)
 			}
 		case SourceLacks:
--- /dev/null
+++ b/brain/brain_test.go
@@ -0,0 +1,352 @@
+package brain
+
+import (
+	"fmt"
+	"math"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func TestGapIsAveraged(t *testing.T) {
+	r := router("keyed")
+	x := &txn{p: &part{seen: true, last: 90, dt: 8}}
+	r.request(x, r.member("c0"))
+	assert.InDelta(t, 0.25*10+0.75*8, x.p.dt, 1e-9)
+	assert.Equal(t, 100.0, x.p.last)
+}
+
+func TestFirstRequestSetsGapToHorizon(t *testing.T) {
+	r := router("keyed")
+	x := &txn{p: &part{}}
+	r.member("c0").idles = []float64{4, 6}
+	r.request(x, r.member("c0"))
+	assert.Equal(t, 5.0, x.p.dt)
+}
+
+func TestUnseenPartTakesLargestHeldGap(t *testing.T) {
+	r := router("keyed")
+	c, o := r.member("c0"), r.object("x", 0)
+	for i, dt := range []float64{4, 12, 40} {
+		p := o.part(i)
+		p.seen, p.dt, p.last = true, dt, 100
+		if i < 2 {
+			c.list(&holding{p: p, kb: 1}, p.key())
+		}
+	}
+	assert.InDelta(t, 9, r.gap(&txn{obj: o, p: o.part(9), unseen: true}, c), 1e-9)
+	assert.True(t, math.IsInf(r.gap(&txn{obj: o, p: o.part(9), unseen: true}, r.member("c1")), 1))
+}
+
+// With T = 10 and a part of 100 KB, serving costs 100 CF and what it displaces; passing 100 CR and 100 T/gap.
+func TestChoiceComparesServingWithPassing(t *testing.T) {
+	cf, cr := 2*alpha/(alpha+1), 2/(alpha+1)
+	for _, gap := range []float64{2, 8, 60} {
+		for _, old := range []float64{1, 5, 20} {
+			r := router("keyed")
+			c := r.member("c0")
+			p := &part{seen: true, last: 100, dt: old / 0.75}
+			c.list(&holding{p: p, kb: 300, used: 100}, p.key())
+			x := &txn{Arrival: Arrival{KB: 100}, p: &part{seen: true, last: 100, dt: gap / 0.75}}
+			want := 100*cf+100*10/old*min(cf, cr) < 100*cr+100*10/gap*min(cf, cr)
+			assert.Equal(t, want, r.serves(x, c), "gap %v against %v", gap, old)
+		}
+	}
+}
+
+func TestUncacheableRuleIsPassed(t *testing.T) {
+	r := router("keyed")
+	r.rec["uncacheable"] = "true,true"
+	assert.False(t, r.serves(&txn{Arrival: Arrival{KB: 1}, p: &part{seen: true, last: 100, dt: 0.1}}, r.member("c0")))
+}
+
+func TestHashOrderIsStableAndSkips(t *testing.T) {
+	r := router("keyed")
+	all := ordered("x", r.ready(r.isCache))
+	less := ordered("x", all[1:])
+	assert.Equal(t, []string{all[1].Member, all[2].Member}, []string{less[0].Member, less[1].Member})
+	all[0].out = all[0].room // its gate is full
+	h := of[Hop](r.Decide(100, arrival("t", "x")))
+	require.Len(t, h, 1)
+	assert.Equal(t, all[1].Member, h[0].To)
+}
+
+func TestPassNamesSourceAndKeepsNothing(t *testing.T) {
+	r := router("keyed")
+	for _, c := range r.ready(r.isCache) { // full of what is wanted all the time
+		p := &part{seen: true, last: 100, dt: 0.1}
+		c.list(&holding{p: p, kb: 1e6, used: 100}, p.key())
+	}
+	h := of[Hop](r.Decide(100, arrival("t", "x")))
+	require.Len(t, h, 1)
+	assert.Equal(t, 0, h[0].Rank)
+	assert.Contains(t, []string{"p0", "p1"}, h[0].Source)
+}
+
+func TestAnswerAtTheTimeLimit(t *testing.T) {
+	for _, c := range []struct {
+		effect string
+		out    bool
+		want   any
+	}{{"repeatable", true, Reject{}}, {"keyed", true, Reject{}}, {"unrepeatable", true, Abort{}}, {"unrepeatable", false, Reject{}}} {
+		r := router(c.effect)
+		x := sent(r, Busy, c.out)
+		r.now = 104.9
+		r.think(x)
+		assert.Nil(t, x.verdict, "before its time")
+		r.now = 105 - endMargin
+		x.hops = x.hops[:1]
+		r.think(x)
+		assert.IsType(t, c.want, x.verdict, c.effect)
+	}
+}
+
+func TestNothingIsSentAfterTheEnd(t *testing.T) {
+	r := router("repeatable")
+	sent(r, 0, true)
+	r.Decide(100.1, ClientGone{"t"})
+	acts := r.Decide(100.2, Outcome{Txn: "t", Member: "c0", Code: Errored, Final: true})
+	assert.Empty(t, of[Hop](acts))
+	assert.Empty(t, r.txns)
+}
+
+func TestFurtherHopByEffectAndEnd(t *testing.T) {
+	proves := map[Code]bool{Busy: true, NoConnect: true, Moot: true, Miss: true}
+	for _, end := range []Code{Errored, Busy, TimedOut, NoConnect, Broken, Cancelled, Moot, Miss} {
+		for _, effect := range []string{"repeatable", "keyed", "unrepeatable"} {
+			r := router(effect)
+			x := sent(r, 0, true)
+			acts := r.Decide(100.2, Outcome{Txn: "t", Member: "c0", Code: end})
+			allowed := effect != "unrepeatable" || proves[end]
+			assert.Equal(t, allowed, len(of[Hop](acts)) == 1, "%s after %v", effect, end)
+			assert.Equal(t, !allowed, len(of[Abort](acts)) == 1, "%s after %v", effect, end)
+			assert.Empty(t, of[Reject](acts), x.Txn)
+		}
+	}
+}
+
+func TestKeyedWindowCountsFromTheHopThatMayHaveRun(t *testing.T) {
+	r := router("keyed")
+	x := sent(r, Broken, false)
+	r.now = 105 - windowMargin
+	assert.True(t, r.mayRepeat(x))
+	r.now += 0.001
+	assert.False(t, r.mayRepeat(x))
+	x.hops[0].end = Busy
+	assert.True(t, r.mayRepeat(x))
+}
+
+func TestKeyedStaysInItsGroup(t *testing.T) {
+	r := router("keyed")
+	r.rec["remap.1.group"] = "cell"
+	x := sent(r, Broken, false)
+	r.member("c1").Cell = 5
+	assert.False(t, r.inGroup(x, r.member("c1")))
+	assert.True(t, r.inGroup(x, r.member("c2")))
+}
+
+func TestNoSecondHopBesideOneThatIsOut(t *testing.T) {
+	r := router("repeatable")
+	r.rec["may_double"] = "false"
+	x := sent(r, 0, true)
+	x.hops[0].late = 100.4
+	r.now = 100.4
+	r.think(x) // silent: cancelled, and the end is awaited
+	assert.Equal(t, []Cancel{{"t", 0}}, of[Cancel](r.acts))
+	assert.Len(t, x.hops, 1)
+	acts := r.Decide(100.41, Outcome{Txn: "t", Member: "c0", Code: Cancelled})
+	require.Len(t, of[Hop](acts), 1)
+	assert.NotEqual(t, "c0", of[Hop](acts)[0].To)
+}
+
+func TestUnrepeatableIsNotCancelledWhenSilent(t *testing.T) {
+	r := router("unrepeatable")
+	r.rec["may_double"] = "false"
+	x := sent(r, 0, true)
+	r.now = 101
+	r.think(x)
+	assert.Empty(t, of[Cancel](r.acts))
+	assert.Nil(t, x.verdict)
+}
+
+func TestDrainingAndGoneAreNeverUsed(t *testing.T) {
+	for _, status := range []Status{Draining, Gone} {
+		r := router("keyed")
+		r.Decide(100, Listing{Kind: Changes, Rows: []Row{{Member: "c0", Location: 1, Weight: 4, Status: status},
+			{Member: "c1", Location: 1, Weight: 4, Status: status}, {Member: "p0", Kind: 1, Weight: 20, Status: status}}})
+		p := r.object("x", 0).part(0)
+		r.member("c0").list(&holding{p: p, kb: 1, used: 100}, p.key())
+		for i := range 5 {
+			hops := of[Hop](r.Decide(100, arrival(fmt.Sprint(i), "x")))
+			assert.Len(t, hops, 1)
+			for _, h := range hops {
+				assert.Equal(t, "c2", h.To)
+				assert.Equal(t, "p1", h.Source)
+			}
+		}
+	}
+}
+
+func TestAllDrainedIsAnsweredAtOnce(t *testing.T) {
+	r := router("keyed")
+	r.Decide(100, Listing{Kind: Full})
+	assert.Len(t, of[Reject](r.Decide(100, arrival("t", "x"))), 1)
+}
+
+func TestColdBudgetOverAnyWindow(t *testing.T) {
+	r := router("keyed")
+	c := r.member("c0")
+	c.Started = 100
+	x := &txn{Arrival: Arrival{KB: 100}, send: 0.1}
+	r.sizes[0] = []float64{.1, .1, .1, .1, .1, .1, .1, .1}
+	budget := coldSpend * 0.25 * 4 * 2 // share, capacity and window, one router
+	c.spent = []sample{{100, budget - 0.1}}
+	r.now = 100
+	assert.True(t, r.affords(x, c))
+	c.spent = []sample{{100, budget - 0.09}}
+	assert.False(t, r.affords(x, c))
+	r.now = 102.01 // the window has passed
+	assert.True(t, r.affords(x, c))
+}
+
+func TestColdParentIsChargedForFillsAndSharedByAllRouters(t *testing.T) {
+	r := router("keyed")
+	for _, id := range []string{"p0", "p1"} {
+		r.member(id).Started = 100
+	}
+	total := 0.0
+	for i := range 50 {
+		r.Decide(100, arrival(fmt.Sprint("t", i), fmt.Sprint("x", i)))
+	}
+	for _, s := range append(r.member("p0").spent, r.member("p1").spent...) {
+		total += s.cost
+	}
+	assert.Positive(t, total)
+	assert.LessOrEqual(t, total, 2*coldSpend*0.1*20*2/2)
+}
+
+func TestRestartedMemberIsEmptyColdAndCapped(t *testing.T) {
+	r := router("keyed")
+	c, p := r.member("c0"), &part{}
+	c.list(&holding{p: p}, 0)
+	r.Decide(100, Listing{Kind: Changes, Rows: []Row{{Member: "c0", Location: 1, Weight: 4, Started: 99}}})
+	assert.Empty(t, c.held)
+	assert.Equal(t, freshRoom, c.room)
+	c.grow()
+	assert.Equal(t, freshRoom+1, c.room)
+}
+
+func TestPurgeBoundsTheAgeUntilCopiesAreGone(t *testing.T) {
+	r := router("keyed")
+	p := r.object("x", 3).part(0)
+	r.member("c0").list(&holding{p: p, kb: 1}, 0)
+	r.Decide(100, Purge{Ago: 0.2, Group: 3, Object: "x"})
+	assert.Empty(t, r.member("c0").held)
+	x := &txn{Arrival: Arrival{Object: "x", Group: 3}}
+	assert.InDelta(t, 0.2-ageMargin, r.oldest(x), 1e-9)
+	assert.Zero(t, r.oldest(&txn{Arrival: Arrival{Object: "y", Group: 3}}))
+	r.now = 99.8 + 6 + purgeMargin
+	assert.Positive(t, r.oldest(x))
+	r.now += 0.001
+	assert.Zero(t, r.oldest(x))
+	r.Decide(110, Purge{Group: 3})
+	assert.Equal(t, leastAge, r.oldest(&txn{Arrival: Arrival{Object: "y", Group: 3}}), "never 0, which means any")
+}
+
+func TestSilenceBenchesAndSendsElsewhere(t *testing.T) {
+	r := router("repeatable")
+	x := sent(r, 0, true)
+	x.hops[0].late = 100.3
+	r.now = 100 + quiet + 0.01
+	r.think(x)
+	assert.Greater(t, r.member("c0").benched, r.now)
+	require.Len(t, x.hops, 2)
+	assert.NotEqual(t, "c0", x.hops[1].to.Member)
+	assert.Empty(t, of[Cancel](r.acts), "a second copy runs beside the first")
+}
+
+func TestHeardMemberIsNotSilent(t *testing.T) {
+	r := router("repeatable")
+	x := sent(r, 0, true)
+	r.member("c0").heard = 100.1
+	r.now = 101
+	assert.False(t, r.silent(x.hops[0]))
+}
+
+func TestEjectionNeverEmptiesTheField(t *testing.T) {
+	r := router("keyed")
+	for _, m := range r.all {
+		m.benched = 200
+	}
+	assert.Len(t, of[Hop](r.Decide(100, arrival("t", "x"))), 1)
+}
+
+func TestOneLateAnswerDoesNotShrinkAGate(t *testing.T) {
+	g := gate{room: 10, proven: 10, lates: []float64{0, 0, 0, 0, 0, 0}}
+	g.shrink(100, false)
+	assert.Equal(t, 10.0, g.room)
+	g.shrink(100, true)
+	assert.Equal(t, 10*roomCut, g.room)
+	g.shrink(100.1, true)
+	assert.Equal(t, 10*roomCut, g.room, "all that was out tells of the same jam")
+}
+
+func TestFailureAtTheOriginIsNotLaidToTheParent(t *testing.T) {
+	r := router("repeatable")
+	x := sent(r, 0, true)
+	p, o := r.member("p0"), r.member("o")
+	x.hops[0].source, x.hops[0].fill = p, true
+	o.room, p.room = 10, 10
+	for range 6 {
+		r.learn(x, x.hops[0], Outcome{Code: Errored, Remark: OriginFailed})
+	}
+	assert.Less(t, o.room, 10.0)
+	assert.Equal(t, 10.0, p.room)
+	assert.Zero(t, p.benched)
+}
+
+func TestDensestIsReleasedFirst(t *testing.T) {
+	r := router("keyed")
+	for _, c := range r.ready(r.isCache) {
+		c.room, c.proven = 0, 0
+	}
+	big, small := arrival("big", "x"), arrival("small", "x")
+	big.KB = 400
+	r.Decide(100, big)
+	r.Decide(100, small)
+	x := sent(r, 0, true)
+	x.over = true
+	for _, c := range r.ready(r.isCache) {
+		c.room = 0.5
+	}
+	acts := of[Hop](r.Decide(100.05, Outcome{Txn: "t", Member: "c0", Code: Cancelled}))
+	require.NotEmpty(t, acts)
+	assert.Equal(t, "small", acts[0].Txn)
+}
+
+func TestBareRecordsAndOddLists(t *testing.T) {
+	for name, rows := range map[string][]Row{"empty": nil, "one cache": {{Member: "c"}}, "zero weight": {{Member: "c"}, {Member: "d"}}} {
+		r := New(1, Records{"unheard": "of", "remap.0.effect": "repeatable", "parent_kind": "-1"})
+		r.Decide(5, Listing{Kind: Saved, Rows: rows})
+		acts := r.Decide(5, Arrival{Txn: "t", Object: "x", Limit: 6})
+		acts = append([]Action{}, acts...)
+		acts = append(acts, r.Decide(6, Bell{1})...)
+		assert.Equal(t, 1, len(of[Reject](acts))+len(of[Abort](acts)), name)
+	}
+}
+
+func TestSameEventsSameActions(t *testing.T) {
+	run := func() (out []Action) {
+		r := router("keyed")
+		for i := range 60 {
+			now := 100 + float64(i)/50
+			out = append(out, r.Decide(now, arrival(fmt.Sprint(i), fmt.Sprint("x", i%7)))...)
+			if i%3 == 0 {
+				out = append(out, r.Decide(now, Outcome{Txn: fmt.Sprint(i / 2), Member: "c0", Code: Code(i % 9)})...)
+			}
+		}
+		return out
+	}
+	assert.Equal(t, run(), run())
+}
--- /dev/null
+++ b/brain/helpers_test.go
@@ -0,0 +1,57 @@
+package brain
+
+import "strconv"
+
+// records are those of a small made-up deployment with two rules: one repeatable, one as named.
+func records(effect string) Records {
+	return Records{
+		"router": "0", "routers": "2", "location": "1", "routers_at": "0,1", "parent_kind": "1", "origin_kind": "2",
+		"pace_kb_s": "1000", "siblings": "location", "tells": "all", "may_double": "true", "may_cancel": "true",
+		"max_hops": "5", "tells_retry": "true", "max_retry_s": "2", "cold_s": "10", "cold_share": "0.25",
+		"fall_multiple": "2", "fall_s": "2", "parent_cold_s": "20", "parent_cold_share": "0.1", "purge_done_s": "6",
+		"fresh_s": "0,0", "uncacheable": "false,false", "link_in_kb_s": "0,8000",
+		"remap.0.effect": "repeatable", "remap.0.group": "all", "remap.0.sla_s": "0.5", "remap.0.sla_stretch": "2",
+		"remap.0.importance": "2", "remap.1.effect": effect, "remap.1.group": "all", "remap.1.sla_s": "0.5",
+		"remap.1.window_s": "5", "remap.1.importance": "3",
+	}
+}
+
+// router is one that knows three caches, two parents and the origin, all warm, at clock 100.
+func router(effect string) *Router {
+	r := New(7, records(effect))
+	rows := []Row{{Member: "o", Kind: 2, Weight: 1}}
+	for i := range 3 {
+		rows = append(rows, Row{Member: "c" + strconv.Itoa(i), Location: 1, Weight: 4})
+	}
+	for i := range 2 {
+		rows = append(rows, Row{Member: "p" + strconv.Itoa(i), Kind: 1, Weight: 20})
+	}
+	r.Decide(100, Listing{Kind: Saved, Rows: rows})
+	return r
+}
+
+func arrival(txn, object string) Arrival {
+	return Arrival{Txn: txn, Object: object, KB: 100, Limit: 105}
+}
+
+// of picks the actions of one type.
+func of[A Action](acts []Action) []A {
+	var out []A
+	for _, a := range acts {
+		if x, ok := a.(A); ok {
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
+// sent is a txn of rule 1 whose single hop to c0 ended as told, or is still out.
+func sent(r *Router, end Code, out bool) *txn {
+	t := &txn{Arrival: Arrival{Txn: "t", Rule: 1, KB: 100, Limit: 105}, seq: 1, came: 100, sla: 0.5}
+	t.obj = r.object("x", 0)
+	t.p = t.obj.part(0)
+	c := r.member("c0")
+	t.hops = []*hop{{to: c, source: c, begun: true, out: out, wanted: out, end: end, sent: 100, over: 100}}
+	r.txns["t"], r.bySeq[1] = t, t
+	return t
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -96,7 +96,6 @@
 	swept   float64
 	sizes   map[int][]float64
 	purges  []purge
-	started bool
 }
 
 // chance is the next of a permuted congruential generator, from 0 up to 1.
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -141,6 +141,9 @@
 	}
 	var ev brain.Event
 	router := f.integer()
+	if len(line) == len(name) {
+		f.fail("missing router")
+	}
 	switch name {
 	case "NEW_INSTANCE":
 		seed, rec := f.token(), brain.Records{}
@@ -182,24 +185,24 @@
 		}
 		ev = l
 	case "ACCEPT":
-		a := brain.Arrival{Txn: f.text(), Rule: f.integer()}
+		a := brain.Arrival{Txn: f.id(), Rule: f.integer()}
 		f.next() // tenant
 		a.Object, a.Limit, a.KB, a.Group, a.Part = f.text(), f.float(), f.float(), f.integer(), f.integer()
 		a.Write = f.integer()&4 != 0
 		ev = a
 	case "REPLY":
-		o := brain.Outcome{Txn: f.text(), FirstByte: f.float()}
+		o := brain.Outcome{Txn: f.id(), FirstByte: f.float()}
 		o.Code = f.code()
 		o.Remark = brain.Remark(f.integer())
 		o.Member, o.Took, o.Hop, o.Final = f.text(), f.float(), f.integer(), f.integer() == 1
 		o.Load = f.load()
 		ev = o
 	case "TIMED_OUT_CLIENT":
-		ev = brain.ClientGone{Txn: f.text()}
+		ev = brain.ClientGone{Txn: f.id()}
 	case "BELL":
 		ev = brain.Bell{Token: f.token()}
 	case "STATUS_BACK":
-		c := brain.Checked{Member: f.text()}
+		c := brain.Checked{Member: f.id()}
 		c.Code = f.code()
 		c.Took, c.Load = f.float(), f.load()
 		ev = c
@@ -255,7 +258,7 @@
 		if string(g.next()) != "ROW" {
 			return fmt.Errorf("expected a row of the list, found %q", clip(line))
 		}
-		r := brain.Row{Member: g.text(), Location: g.integer(), Kind: g.integer(), Cell: g.integer()}
+		r := brain.Row{Member: g.id(), Location: g.integer(), Kind: g.integer(), Cell: g.integer()}
 		status, ok := statuses[string(g.next())]
 		if !ok {
 			g.fail("unknown status")
@@ -293,6 +296,15 @@
 
 func (f *fields) text() string { return string(f.next()) }
 
+// id is a text that must be there.
+func (f *fields) id() string {
+	w := f.next()
+	if len(w) == 0 {
+		f.fail("missing value")
+	}
+	return string(w)
+}
+
 func (f *fields) integer() int {
 	w := f.next()
 	if len(w) == 0 {
