--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -88,7 +88,7 @@
 	for in, want := range map[string]string{
 		"hello\n":                                                    "expected a batch",
 		"BATCH x 1\nEND\n":                                           "bad batch line",
-		start + "BATCH 2 1\nBELL 3 1\n": "ends within a batch",
+		start + "BATCH 2 1\nBELL 3 1\n":                              "ends within a batch",
 		"BATCH 1 1\nBELL 3":                                          "ends within a batch",
 		"BATCH 1 1\nBELL 3 1\nEND\n":                                 "not started",
 		start + "BATCH 2 1\nBELL 3 x\nEND\n":                         "batch 1 line 2: bad number",
