--- a/brain/brain.go
+++ b/brain/brain.go
@@ -39,7 +39,7 @@
 	jamShare     = 0.3     // share of late ones among the last few that tells of a jam: single ones are chance
 	roomCut      = 0.8     // what a late or refused hop leaves of a gate's room
 	cutEvery     = 0.25    // s between cuts: the hops then out all tell of the same jam
-	inTime       = 0.8     // share of the SLA time beyond which a hop tells of a jam
+	inTime       = 0.8     // share of the SLA time beyond which a hop tells of a jam; at 1 more came late everywhere
 	mostTries    = 12      // held txns looked at after each end, densest first: bounds the work
 	coldSpend    = 0.7     // share of a cold member's present capacity that is used: it serves no more in time
 	ageMargin    = 1e-4    // s by which a copy must be younger than the purge: rounding
