--- a/brain/brain.go
+++ b/brain/brain.go
@@ -14,6 +14,7 @@
 	alpha        = 0.75    // cost of a fill over that of a pass, under 1: a pass uses the link as much and leaves nothing
 	gamma        = 0.25    // weight of the newest gap, from the design's source
 	firstHorizon = 10.0    // s, T before any idle time was seen, from the design
+	hubFactor    = 2.0     // times as seldom first in hash order for each hub on the way: a fill costs that much more link
 	leastHorizon = 1.0     // s, T at least: a purge told late must not close the cache to new parts
 	fillRank     = 2       // rank of 1 to 3 on a serve: the middle one
 	keptSamples  = 10      // samples kept of a member's ends and idle times: few, so that a change shows soon
@@ -318,11 +319,11 @@
 	return serve < pass
 }
 
-// ordered puts members in the object's hash order; a larger member comes first more often.
-func ordered(obj string, list []*member) []*member {
+// ordered puts members in the object's hash order; a larger member, or one at a nearer hub, is first more often.
+func (r *Router) ordered(obj string, list []*member) []*member {
 	score := map[*member]float64{}
 	for _, m := range list {
-		score[m] = math.Log(unit(obj+" "+m.Member)) / max(m.Weight, 1e-3)
+		score[m] = math.Log(unit(obj+" "+m.Member)) / max(m.Weight, 1e-3) * math.Pow(hubFactor, r.hubsAway(m))
 	}
 	slices.SortStableFunc(list, func(a, b *member) int { return cmp.Compare(score[b], score[a]) })
 	return list
@@ -345,7 +346,7 @@
 
 // next decides a further hop, or nil if nobody has room now.
 func (r *Router) next(t *txn) *hop {
-	caches, parents := ordered(t.Object, r.ready(r.isCache)), ordered(t.Object, r.ready(r.isParent))
+	caches, parents := r.ordered(t.Object, r.ready(r.isCache)), r.ordered(t.Object, r.ready(r.isParent))
 	origin, direct, write := r.ready(r.isOrigin), r.rec.Is("may_go_direct"), r.uncacheable(t)
 	sources := append(slices.Clone(parents), origin...)
 	if write {
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -63,8 +63,8 @@
 
 func TestHashOrderIsStableAndSkips(t *testing.T) {
 	r := router("keyed")
-	all := ordered("x", r.ready(r.isCache))
-	less := ordered("x", all[1:])
+	all := r.ordered("x", r.ready(r.isCache))
+	less := r.ordered("x", all[1:])
 	assert.Equal(t, []string{all[1].Member, all[2].Member}, []string{less[0].Member, less[1].Member})
 	all[0].out = all[0].room // its gate is full
 	h := of[Hop](r.Decide(100, arrival("t", "x")))
--- a/brain/state.go
+++ b/brain/state.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"hash/fnv"
+	"math"
 	"slices"
 )
 
@@ -196,3 +197,17 @@
 	}
 	return out
 }
+
+// hubsAway is the number of hubs on the ring between this location's hub and a parent's.
+func (r *Router) hubsAway(m *member) float64 {
+	if !r.isParent(m) {
+		return 0
+	}
+	own := int(r.rec.NumItem("hub_of", int(r.rec.Num("location", 0)), float64(m.Location)))
+	ring := 0.0 // hubs come first among the locations and are their own
+	for r.rec.NumItem("hub_of", int(ring), -1) == ring {
+		ring++
+	}
+	way := math.Abs(float64(own - m.Location))
+	return min(way, max(ring-way, 0))
+}
