--- a/brain/brain.go
+++ b/brain/brain.go
@@ -686,9 +686,9 @@
 	switch {
 	case !filled:
 		h.to.shrink(r.now, false)
-	case h.far != nil && (r.rec["tells"] != "all" || o.Remark == FilledByOrigin && o.FirstByte > lateBase*inTime*t.sla):
+	case o.Remark == FilledByOrigin && h.far != nil && o.FirstByte > lateBase*inTime*t.sla:
 		h.far.shrink(r.now, false)
-	case o.FirstByte > lateBase*inTime*t.sla:
+	case r.rec["tells"] != "all" || o.FirstByte > lateBase*inTime*t.sla:
 		h.source.shrink(r.now, false)
 	case !h.sibling:
 		r.link.shrink(r.now, false)
