--- a/brain/brain.go
+++ b/brain/brain.go
@@ -38,6 +38,7 @@
 	leastRoom    = 1.5     // hops in flight that a gate always lets through, so that it can learn
 	stretchRoom  = 2.0     // hops in flight a transfer of capacity: the SLA's stretch leaves about that much
 	jamShare     = 0.3     // share of late ones among the last few that tells of a jam: single ones are chance
+	jamLasts     = 1.0     // s after a cut for which old copies will do: jams pass slower than that
 	roomCut      = 0.8     // what a late or refused hop leaves of a gate's room
 	cutEvery     = 0.25    // s between cuts: the hops then out all tell of the same jam
 	inTime       = 0.8     // share of the SLA time beyond which a hop tells of a jam; at 1 more came late everywhere
@@ -93,7 +94,7 @@
 			h.begun, h.out, h.sent = true, true, r.now
 			r.acts = append(r.acts, Hop{Txn: t.Txn, To: h.to.Member, Until: t.Limit, Source: h.source.Member,
 				Rank: h.rank, MaxAge: h.maxAge, Join: r.rec.Is("may_join"), NoFetch: h.sibling,
-				Renew: h.maxAge == 0 && r.rec.NumItem("fresh_s", t.Rule, 0) > 0})
+				Renew: r.rec.NumItem("fresh_s", t.Rule, 0) > 0})
 			for _, g := range h.gates {
 				g.out++
 			}
@@ -379,9 +380,9 @@
 		return h
 	}
 	for level := 0; level < 3 && h.source == h.to; level++ {
-		if m := r.first(t, sources, level, func(h *hop, m *member) bool { return h.source == m && !h.sibling }); m != nil {
-			h.source = m
-		}
+		h.source = cmp.Or(r.first(t, sources, level, func(h *hop, m *member) bool {
+			return h.source == m && !h.sibling
+		}), h.to)
 	}
 	if !h.fill {
 		return h
@@ -436,7 +437,8 @@
 	return h.begun && (h.out || !(h.end == Busy || h.end == NoConnect || h.end == Moot || h.end == Miss))
 }
 
-// oldest is the oldest copy that will do (rule 5): younger than any purge that copies may have outlived.
+// oldest is the oldest copy that will do (rule 5): younger than any purge that copies may have outlived. Where a
+// copy past its fresh time earns more than a late answer it will do if fills are jammed or one has failed.
 func (r *Router) oldest(t *txn) float64 {
 	age := math.Inf(1)
 	for _, p := range r.purges {
@@ -444,7 +446,12 @@
 			age = min(age, max(r.now-p.at-ageMargin, leastAge))
 		}
 	}
-	if fresh := r.rec.NumItem("fresh_s", t.Rule, 0); math.IsInf(age, 1) || (fresh > 0 && age > fresh) {
+	fresh, stale := r.rec.NumItem("fresh_s", t.Rule, 0), r.rec.NumItem("stale_s", t.Rule, 0)
+	jam := len(t.hops) > 0 || r.now < max(r.wayToOrigin().cut, r.link.cut)+jamLasts
+	late := r.rec.Num(Remap(t.Rule, "late_importance"), 0)
+	if jam && stale > 0 && r.rec.NumItem("stale_importance", t.Rule, 0) > late {
+		return min(age, fresh+stale)
+	} else if math.IsInf(age, 1) || (fresh > 0 && age > fresh) {
 		return 0
 	}
 	return age
@@ -591,13 +598,10 @@
 // judge lays an end to a member. Failing ends bench it when they are half of the last few, or at once while it
 // is on trial; it covers errors, refused and broken connections of any cause.
 func (r *Router) judge(m *member, bad bool) {
-	failed := 0.0
-	if bad {
-		failed = 1
-	} else if m.room >= m.proven {
+	if !bad && m.room >= m.proven {
 		m.strikes = 0
 	}
-	m.ends = keep(m.ends, failed, keptSamples)
+	m.ends = keep(m.ends, flag(bad), keptSamples)
 	share := mean(m.ends)
 	if bad && (m.room <= 1 || share*float64(len(m.ends)) >= badLeast && share >= badShare) {
 		r.bench(m)
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -254,6 +254,31 @@
 	assert.Equal(t, leastAge, r.oldest(&txn{Arrival: Arrival{Object: "y", Group: 3}}), "never 0, which means any")
 }
 
+func TestOldCopiesWillDoInAJamButNeverPurgedOnes(t *testing.T) {
+	r := router("keyed")
+	r.rec["fresh_s"], r.rec["stale_s"], r.rec["stale_importance"] = "5,0", "10,0", "0.5,0.5"
+	x := &txn{Arrival: Arrival{Object: "x", Group: 3}}
+	assert.Zero(t, r.oldest(x))
+	r.link.cut = 100
+	assert.Equal(t, 15.0, r.oldest(x))
+	r.purges = []purge{{Purge{Object: "x"}, 97}}
+	assert.InDelta(t, 3-ageMargin, r.oldest(x), 1e-9)
+	r.rec["remap.0.late_importance"], r.purges = "0.6", nil
+	assert.Zero(t, r.oldest(x), "a late answer is worth more")
+}
+
+func TestNearerParentIsMoreOftenFirst(t *testing.T) {
+	r := router("keyed")
+	r.member("p1").Location, r.rec["hub_of"], r.rec["location"] = 1, "0,1,0", "2"
+	near := 0
+	for i := range 300 {
+		if r.ordered(fmt.Sprint(i), r.ready(r.isParent))[0].Member == "p0" {
+			near++
+		}
+	}
+	assert.InDelta(t, 300*hubFactor/(1+hubFactor), near, 40)
+}
+
 func TestSilenceBenchesAndSendsElsewhere(t *testing.T) {
 	r := router("repeatable")
 	x := sent(r, 0, true)
--- a/brain/state.go
+++ b/brain/state.go
@@ -211,3 +211,10 @@
 	way := math.Abs(float64(own - m.Location))
 	return min(way, max(ring-way, 0))
 }
+
+func flag(on bool) float64 {
+	if on {
+		return 1
+	}
+	return 0
+}
