--- a/brain/brain.go
+++ b/brain/brain.go
@@ -84,7 +84,7 @@
 
 // settle emits the difference between what is wanted for a txn and what is.
 func (r *Router) settle(t *txn) {
-	done, out := t.over || t.verdict != nil, 0
+	done := t.over || t.verdict != nil
 	for i, h := range t.hops {
 		if h.out && (done || !h.wanted) && !h.stop && r.rec.Is("may_cancel") {
 			h.stop = true
@@ -104,9 +104,6 @@
 				}
 			}
 		}
-		if h.out {
-			out++
-		}
 	}
 	r.queue = slices.DeleteFunc(r.queue, func(x *txn) bool { return x == t })
 	if t.held && !done {
@@ -116,7 +113,7 @@
 		t.over = true
 		r.acts = append(r.acts, t.verdict)
 	}
-	if t.over && out == 0 {
+	if t.over && !slices.ContainsFunc(t.hops, func(h *hop) bool { return h.out }) {
 		delete(r.txns, t.Txn)
 		delete(r.bySeq, t.seq)
 	} else if !t.over && (t.armed == 0 || t.wake < t.armed) {
@@ -230,9 +227,7 @@
 // arrive takes a txn and decides its first hop.
 func (r *Router) arrive(a Arrival) {
 	r.seq++
-	if a.KB <= 0 {
-		a.KB = 1 // sizes are not told: parts are counted
-	}
+	a.KB = cmp.Or(max(a.KB, 0), 1) // where sizes are not told parts are counted
 	t := &txn{Arrival: a, seq: r.seq, came: r.now}
 	if pace := r.rec.Num("pace_kb_s", 0); pace > 0 {
 		t.send = a.KB / pace
@@ -448,8 +443,8 @@
 	}
 	fresh, stale := r.rec.NumItem("fresh_s", t.Rule, 0), r.rec.NumItem("stale_s", t.Rule, 0)
 	jam := len(t.hops) > 0 || r.now < max(r.wayToOrigin().cut, r.link.cut)+jamLasts
-	late := r.rec.Num(Remap(t.Rule, "late_importance"), 0)
-	if jam && stale > 0 && r.rec.NumItem("stale_importance", t.Rule, 0) > late {
+	if late := r.rec.Num(Remap(t.Rule, "late_importance"), 0); jam && stale > 0 &&
+		r.rec.NumItem("stale_importance", t.Rule, 0) > late {
 		return min(age, fresh+stale)
 	} else if math.IsInf(age, 1) || (fresh > 0 && age > fresh) {
 		return 0
@@ -570,11 +565,8 @@
 	effect, all := r.rec[Remap(t.Rule, "effect")], r.rec[Remap(t.Rule, "group")] == "all"
 	t.verdict = Abort{t.Txn}
 	if effect == "repeatable" || !slices.ContainsFunc(t.hops, (*hop).mayHaveRun) || (effect == "keyed" && all) {
-		again := 0.0
-		if r.rec.Is("tells_retry") {
-			again = min(againAfter*(0.5+r.chance()), r.rec.Num("max_retry_s", 0))
-		}
-		t.verdict = Reject{t.Txn, again}
+		again := flag(r.rec.Is("tells_retry")) * againAfter * (0.5 + r.chance())
+		t.verdict = Reject{t.Txn, min(again, r.rec.Num("max_retry_s", 0))}
 	}
 }
 
@@ -587,8 +579,13 @@
 	return h.fill && h.source != h.to && h.source.heard < h.sent && r.now-h.sent > 2*quiet && r.bench(h.source)
 }
 
+// bench keeps hops from a member for a while, if another in its place is in service; else, as with the origin,
+// its gate shrinks: where all seem sick at once the cause is common, and benches would close the field.
 func (r *Router) bench(m *member) bool {
-	if m.benched <= r.now {
+	role := map[bool]func(*member) bool{true: r.isCache, false: r.isParent}[r.isCache(m)]
+	if r.isOrigin(m) || !slices.ContainsFunc(r.ready(role), func(x *member) bool { return x != m && x.benched <= r.now }) {
+		m.shrink(r.now, true)
+	} else if m.benched <= r.now {
 		m.benched = r.now + min(benchFirst*math.Pow(2, float64(min(m.strikes, 8))), benchMost)
 		m.ends, m.room, m.strikes = nil, 1, m.strikes+1
 	}
