--- a/brain/brain.go
+++ b/brain/brain.go
@@ -36,10 +36,9 @@
 	badLeast     = 4       // failed ends at least for that: chance
 	freshRoom    = 2.0     // hops in flight at a member just back; one more for each answer
 	leastRoom    = 1.5     // hops in flight that a gate always lets through, so that it can learn
-	stretchRoom  = 2.0     // hops in flight a transfer of capacity: the SLA's stretch leaves about that much
+	stretchRoom  = 1.5     // hops in flight a transfer of capacity: the SLA's stretch leaves that and a margin
 	jamShare     = 0.3     // share of late ones among the last few that tells of a jam: single ones are chance
 	jamLasts     = 1.0     // s after a cut for which old copies will do: jams pass slower than that
-	linkFull     = 1.6     // transfers on the link over those that fit at which it is told to be jammed
 	roomCut      = 0.8     // what a late or refused hop leaves of a gate's room
 	cutEvery     = 0.25    // s between cuts: the hops then out all tell of the same jam
 	inTime       = 0.8     // share of the SLA time beyond which a hop tells of a jam; at 1 more came late everywhere
@@ -617,11 +616,6 @@
 	for _, g := range h.gates {
 		g.out--
 	}
-	for _, x := range o.Load {
-		if x.Name == "link_fill" && x.Value > linkFull && r.isCache(h.to) {
-			r.link.shrink(r.now, true)
-		}
-	}
 	r.learn(t, h, o)
 	t.over = t.over || o.Final
 	r.think(t)
