--- a/brain/brain.go
+++ b/brain/brain.go
@@ -39,7 +39,6 @@
 	stretchRoom  = 1.5     // hops in flight a transfer of capacity: the SLA's stretch leaves that and a margin
 	jamShare     = 0.3     // share of late ones among the last few that tells of a jam: single ones are chance
 	jamLasts     = 1.0     // s after a cut for which old copies will do: jams pass slower than that
-	wayThere     = 0.1     // s that a fill takes at least beside its sending
 	roomCut      = 0.8     // what a late or refused hop leaves of a gate's room
 	cutEvery     = 0.25    // s between cuts: the hops then out all tell of the same jam
 	inTime       = 0.8     // share of the SLA time beyond which a hop tells of a jam; at 1 more came late everywhere
@@ -443,7 +442,7 @@
 		}
 	}
 	fresh, stale := r.rec.NumItem("fresh_s", t.Rule, 0), r.rec.NumItem("stale_s", t.Rule, 0)
-	jam := len(t.hops) > 0 || r.jammed()
+	jam := len(t.hops) > 0 || r.now < max(r.wayToOrigin().cut, r.link.cut)+jamLasts
 	if late := r.rec.Num(Remap(t.Rule, "late_importance"), 0); jam && stale > 0 &&
 		r.rec.NumItem("stale_importance", t.Rule, 0) > late {
 		return min(age, fresh+stale)
@@ -453,9 +452,6 @@
 	return age
 }
 
-// jammed says that the link's or the origin's gate was cut just now.
-func (r *Router) jammed() bool { return r.now < max(r.wayToOrigin().cut, r.link.cut)+jamLasts }
-
 // purged remembers a purge until all copies are dropped everywhere and forgets what was thought held.
 func (r *Router) purged(p Purge) {
 	r.purges = slices.DeleteFunc(r.purges, r.spent)
@@ -531,11 +527,7 @@
 		}
 		return
 	}
-	if h := r.next(t); h != nil && h.fill && !h.sibling && len(t.hops) == 0 && !t.Write && r.jammed() && len(r.slow) > 0 &&
-		mean(r.slow)*(t.send+wayThere) > t.came+t.sla-r.now {
-		r.giveUp(t) // a fill that would surely be late only lengthens the jam
-		return
-	} else if h != nil {
+	if h := r.next(t); h != nil {
 		if r.isCache(h.to) && r.serves(t, h.to) {
 			h.rank = fillRank
 		}
@@ -686,9 +678,6 @@
 // tune moves the gates that a completed hop went through. A late one tells of a jam: at the cache if it was held
 // there, at the source or the origin if the first byte came late, else on the location's link.
 func (r *Router) tune(t *txn, h *hop, o Outcome, filled bool) {
-	if filled && !h.sibling {
-		r.slow = keep(r.slow, o.Took/(t.send+wayThere), keptSamples)
-	}
 	if o.Took <= inTime*t.sla {
 		for _, g := range h.gates {
 			g.grow()
--- a/brain/state.go
+++ b/brain/state.go
@@ -97,7 +97,6 @@
 	swept   float64
 	sizes   map[int][]float64
 	purges  []purge
-	slow    []float64 // what the last few fills took over what they would alone
 }
 
 // chance is the next of a permuted congruential generator, from 0 up to 1.
