--- a/brain/brain.go
+++ b/brain/brain.go
@@ -687,8 +687,7 @@
 	switch {
 	case !filled:
 		h.to.shrink(r.now, false)
-	case h.far != nil && (r.rec["tells"] != "all" && mean(h.source.lates) < jamShare ||
-		o.Remark == FilledByOrigin && o.FirstByte > lateBase*inTime*t.sla):
+	case o.Remark == FilledByOrigin && h.far != nil && o.FirstByte > lateBase*inTime*t.sla:
 		h.far.shrink(r.now, false)
 	case r.rec["tells"] != "all" || o.FirstByte > lateBase*inTime*t.sla:
 		h.source.shrink(r.now, false)
