--- a/brain/brain.go
+++ b/brain/brain.go
@@ -36,7 +36,7 @@
 	badLeast     = 4       // failed ends at least for that: chance
 	freshRoom    = 2.0     // hops in flight at a member just back; one more for each answer
 	leastRoom    = 1.5     // hops in flight that a gate always lets through, so that it can learn
-	stretchRoom  = 1.2     // hops in flight a transfer of capacity: the SLA's stretch leaves that and a margin
+	stretchRoom  = 1.5     // hops in flight a transfer of capacity: the SLA's stretch leaves that and a margin
 	jamShare     = 0.3     // share of late ones among the last few that tells of a jam: single ones are chance
 	jamLasts     = 1.0     // s after a cut for which old copies will do: jams pass slower than that
 	roomCut      = 0.8     // what a late or refused hop leaves of a gate's room
