--- a/brain/brain.go
+++ b/brain/brain.go
@@ -52,8 +52,8 @@
 
 // New starts a router that knows nothing but its records.
 func New(seed uint64, rec Records) *Router {
-	return &Router{rec: rec, pcg: seed, txns: map[string]*txn{},
-		bySeq: map[uint64]*txn{}, objects: map[string]*object{}, sizes: map[int][]float64{}}
+	return &Router{rec: rec, pcg: seed, nums: map[string]float64{}, rules: map[int]*rule{}, txns: map[string]*txn{},
+		bySeq: map[uint64]*txn{}, objects: map[string]*object{}}
 }
 
 // Decide takes one event and returns what is to be done. The slice is good until the next call.
@@ -94,21 +94,18 @@
 			h.begun, h.out, h.sent = true, true, r.now
 			r.acts = append(r.acts, Hop{Txn: t.Txn, To: h.to.Member, Until: t.Limit, Source: h.source.Member,
 				Rank: h.rank, MaxAge: h.maxAge, Join: r.rec.Is("may_join"), NoFetch: h.sibling,
-				Renew: r.rec.NumItem("fresh_s", t.Rule, 0) > 0})
+				Renew: r.rule(t.Rule).fresh > 0})
 			for _, g := range h.gates {
 				g.out++
 			}
-			for _, m := range []*member{h.to, h.source} {
+			for _, m := range [2]*member{h.to, h.source} {
 				if r.warmth(m) < 1 && (m == h.to || h.fill) {
 					m.spent = append(m.spent, sample{r.now, r.cost(t, m)})
 				}
 			}
 		}
 	}
-	r.queue = slices.DeleteFunc(r.queue, func(x *txn) bool { return x == t })
-	if t.held && !done {
-		r.queue = append(r.queue, t)
-	}
+	r.enqueue(t, t.held && !done)
 	if t.verdict != nil && !t.over {
 		t.over = true
 		r.acts = append(r.acts, t.verdict)
@@ -152,27 +149,31 @@
 			m.Status = Gone
 		}
 	}
+	var again []*member
 	for _, row := range l.Rows {
 		m := r.member(row.Member)
-		again := m.held == nil || row.Started > m.Started
+		if m.held == nil || row.Started > m.Started {
+			*m = member{held: map[*part]*holding{}, gate: gate{out: m.out}, spent: m.spent}
+			again = append(again, m)
+		}
 		m.Row = row
-		if again {
-			*m = member{Row: row, held: map[*part]*holding{}, gate: gate{out: m.out}, spent: m.spent}
-			m.proven = max(stretchRoom*m.Weight/r.sharers(m), leastRoom)
-			if m.room = m.proven; r.warmth(m) < 1 {
-				m.room = freshRoom
-			}
+	}
+	r.relist()
+	for _, m := range again {
+		m.proven = max(stretchRoom*m.Weight/m.sharers, leastRoom)
+		if m.room = m.proven; r.warmth(m) < 1 {
+			m.room = freshRoom
 		}
 	}
 	if r.link.room == 0 {
-		flow := r.rec.NumItem("link_in_kb_s", int(r.rec.Num("location", 0)), 0) / max(r.rec.Num("pace_kb_s", 0), 1)
-		for _, m := range r.ready(r.isCache) {
+		flow := r.rec.NumItem("link_in_kb_s", int(r.num("location", 0)), 0) / max(r.num("pace_kb_s", 0), 1)
+		for _, m := range r.caches {
 			if r.link.room += m.proven; flow > 0 {
-				r.link.room = stretchRoom * flow / r.sharers(m)
+				r.link.room = stretchRoom * flow / m.sharers
 			}
 			r.link.proven = r.link.room
 		}
-		for _, m := range r.ready(r.isOrigin) { // its weight says nothing: as much as the link, until it tells
+		for _, m := range r.origins { // its weight says nothing: as much as the link, until it tells
 			m.room, m.proven = r.link.room, r.link.room
 		}
 	}
@@ -180,48 +181,37 @@
 
 // warmth is the share of its capacity that a member surely has: a line from the cold share up to all of it.
 func (r *Router) warmth(m *member) float64 {
-	floor, over := r.rec.Num("cold_share", 1), r.rec.Num("cold_s", 0)
-	if r.isParent(m) {
-		floor, over = r.rec.Num("parent_cold_share", 1), r.rec.Num("parent_cold_s", 0)
+	if m.Started <= 0 || m.role == origin {
+		return 1
+	}
+	floor, over := r.num("cold_share", 1), r.num("cold_s", 0)
+	if m.role == parent {
+		floor, over = r.num("parent_cold_share", 1), r.num("parent_cold_s", 0)
 	}
-	if m.Started <= 0 || r.isOrigin(m) || over <= 0 || r.now >= m.Started+over {
+	if over <= 0 || r.now >= m.Started+over {
 		return 1
 	}
 	return floor + (1-floor)*max(r.now-m.Started, 0)/over
 }
 
-// sharers is the number of routers that can send to a member.
-func (r *Router) sharers(m *member) float64 {
-	all := max(r.rec.Num("routers", 1), 1)
-	if r.isCache(m) {
-		return max(r.rec.NumItem("routers_at", m.Location, all), 1)
-	}
-	return all
-}
-
 // cost is the work in sending seconds that a hop is counted at: at the mean of its rule, at a parent at its own
 // if that is more.
 func (r *Router) cost(t *txn, m *member) float64 {
-	sizes := r.sizes[t.Rule]
-	if len(sizes) < sizesNeeded {
-		return max(t.send, r.rec.Num(Remap(t.Rule, "sla_s"), 1))
-	} else if r.isParent(m) {
-		return max(t.send, mean(sizes))
+	u := r.rule(t.Rule)
+	if len(u.sizes) < sizesNeeded {
+		return max(t.send, u.sla)
+	} else if m.role == parent {
+		return max(t.send, mean(u.sizes))
 	}
-	return mean(sizes)
+	return mean(u.sizes)
 }
 
 // affords guards cold members (rule 4): in any window of the stated length this router spends no more than its
 // even part of a share of what the member can do then. It covers caches, and parents for the fills that may reach
 // them. It could harm where other routers are idle: the room they leave is not used.
 func (r *Router) affords(t *txn, m *member) bool {
-	warm, window := r.warmth(m), r.rec.Num("fall_s", 1)
-	m.spent = slices.DeleteFunc(m.spent, func(s sample) bool { return s.at <= r.now-window || warm >= 1 })
-	sum := r.cost(t, m)
-	for _, s := range m.spent {
-		sum += s.cost
-	}
-	return warm >= 1 || sum <= coldSpend*warm*m.Weight*window/r.sharers(m)
+	warm, window := r.warmth(m), r.num("fall_s", 1)
+	return warm >= 1 || r.cost(t, m)+m.spentSince(r.now-window) <= coldSpend*warm*m.Weight*window/m.sharers
 }
 
 // arrive takes a txn and decides its first hop.
@@ -229,13 +219,13 @@
 	r.seq++
 	a.KB = cmp.Or(max(a.KB, 0), 1) // where sizes are not told parts are counted
 	t := &txn{Arrival: a, seq: r.seq, came: r.now}
-	if pace := r.rec.Num("pace_kb_s", 0); pace > 0 {
+	if pace := r.num("pace_kb_s", 0); pace > 0 {
 		t.send = a.KB / pace
 	}
-	t.sla = r.rec.Num(Remap(t.Rule, "sla_s"), 1) + t.send*r.rec.Num(Remap(t.Rule, "sla_stretch"), 0)
-	t.dense = r.rec.Num(Remap(t.Rule, "importance"), 1) / a.KB
+	u := r.rule(t.Rule)
+	t.sla, t.dense = u.sla+t.send*u.stretch, u.importance/a.KB
 	r.txns[t.Txn], r.bySeq[t.seq] = t, t
-	r.sizes[t.Rule] = keep(r.sizes[t.Rule], t.send, keptSizes)
+	u.sizes = keep(u.sizes, t.send, keptSizes)
 	r.sweep()
 	t.obj = r.object(a.Object, a.Group)
 	t.obj.last, t.p = r.now, t.obj.part(a.Part)
@@ -268,11 +258,11 @@
 	if p.seen {
 		dt = p.gap(r.now)
 	}
-	for _, c := range r.all {
+	for _, c := range r.local {
 		c.unlist(p, false)
 	}
 	p.seen, p.dt, p.last = true, dt, r.now
-	for _, c := range r.all {
+	for _, c := range r.local {
 		if h := c.held[p]; h != nil {
 			c.list(h, p.key())
 		}
@@ -288,7 +278,7 @@
 }
 
 func (r *Router) uncacheable(t *txn) bool {
-	return t.Write || r.rec.Item("uncacheable", t.Rule) == "true"
+	return t.Write || r.rule(t.Rule).uncacheable
 }
 
 // serves is the design's choice: true to fill and keep a missing part at m, false to pass it unkept.
@@ -315,56 +305,58 @@
 	return serve < pass
 }
 
-// ordered puts members in the object's hash order; a larger member, or one at a nearer hub, is first more often.
-func (r *Router) ordered(obj string, list []*member) []*member {
-	score := map[*member]float64{}
-	for _, m := range list {
-		score[m] = math.Log(unit(obj+" "+m.Member)) / max(m.Weight, 1e-3) * math.Pow(hubFactor, r.hubsAway(m))
-	}
-	slices.SortStableFunc(list, func(a, b *member) int { return cmp.Compare(score[b], score[a]) })
-	return list
+// place orders members by the hash of an object; a larger one, or one at a nearer hub, is first more often.
+func place(id string, m *member) float64 {
+	return math.Log(unit(id+" "+m.Member)) / max(m.Weight, 1e-3) * math.Pow(hubFactor, m.away)
 }
 
-// first is the first of a list that a txn may use: at level 0 one that has not failed it, at level 1 one not on
-// the bench, at level 2 any. Cold guards and gates hold at all levels; writes are small and pass the gates.
-func (r *Router) first(t *txn, list []*member, level int, used func(*hop, *member) bool) *member {
-	at := slices.IndexFunc(list, func(m *member) bool {
-		return r.affords(t, m) && (level > 1 || m.benched <= r.now) && (m.open() || (t.Write && m.proven <= m.room)) &&
-			!slices.ContainsFunc(t.hops, func(h *hop) bool {
-				return used(h, m) && (level == 0 || r.now < h.over+lookAgain)
-			})
-	})
-	if at < 0 {
-		return nil
+// usable says whether a txn may use a member: at level 0 if it has not failed it, at level 1 if it is not on
+// the bench, at level 2 anyhow. Cold guards and gates hold at all levels; writes are small and pass the gates.
+func (r *Router) usable(t *txn, m *member, level int, used func(*hop, *member) bool) bool {
+	if (level < 2 && m.benched > r.now) || !(m.open() || (t.Write && m.proven <= m.room)) {
+		return false
+	}
+	for _, h := range t.hops {
+		if used(h, m) && (level == 0 || r.now < h.over+lookAgain) {
+			return false
+		}
 	}
-	return list[at]
+	return r.affords(t, m)
 }
 
+func sentTo(h *hop, m *member) bool     { return h.to == m }
+func filledFrom(h *hop, m *member) bool { return h.source == m && !h.sibling }
+
 // next decides a further hop, or nil if nobody has room now.
 func (r *Router) next(t *txn) *hop {
-	caches, parents := r.ordered(t.Object, r.ready(r.isCache)), r.ordered(t.Object, r.ready(r.isParent))
-	origin, direct, write := r.ready(r.isOrigin), r.rec.Is("may_go_direct"), r.uncacheable(t)
-	sources := append(slices.Clone(parents), origin...)
+	caches, parents := r.ordered(t.obj)
+	direct, write := r.rec.Is("may_go_direct"), r.uncacheable(t)
+	sources := [2][]*member{parents, r.origins}
 	if write {
-		sources = append(slices.Clone(origin), parents...)
+		sources = [2][]*member{r.origins, parents}
 	}
 	h := &hop{}
 	for level := 0; level < 3 && h.to == nil; level++ {
-		list := caches
+		lists := [3][]*member{caches}
 		if direct && write {
-			list = append(slices.Clone(sources), caches...)
+			lists = [3][]*member{sources[0], sources[1], caches}
 		} else if direct && level > 0 && r.link.open() {
-			list = append(slices.Clone(caches), sources...)
+			lists = [3][]*member{caches, sources[0], sources[1]}
+		}
+		for _, list := range lists {
+			for _, m := range list {
+				if h.to == nil && r.usable(t, m, level, sentTo) && r.inGroup(t, m) {
+					h.to = m
+				}
+			}
 		}
-		list = slices.DeleteFunc(slices.Clone(list), func(m *member) bool { return !r.inGroup(t, m) })
-		h.to = r.first(t, list, level, func(h *hop, m *member) bool { return h.to == m })
 	}
 	if h.to == nil {
 		return nil
 	}
-	if h.source = h.to; !r.isCache(h.to) {
-		if h.fill = true; write && len(origin) > 0 {
-			h.source = origin[0]
+	if h.source = h.to; h.to.role != cache {
+		if h.fill = true; write && len(r.origins) > 0 {
+			h.source = r.origins[0]
 		}
 		h.gates = []*gate{&h.to.gate, &r.link}
 		return h
@@ -375,9 +367,13 @@
 		return h
 	}
 	for level := 0; level < 3 && h.source == h.to; level++ {
-		h.source = cmp.Or(r.first(t, sources, level, func(h *hop, m *member) bool {
-			return h.source == m && !h.sibling
-		}), h.to)
+		for _, list := range sources {
+			for _, m := range list {
+				if h.source == h.to && r.usable(t, m, level, filledFrom) {
+					h.source = m
+				}
+			}
+		}
 	}
 	if !h.fill {
 		return h
@@ -396,8 +392,8 @@
 
 // wayToOrigin is the gate of the first origin listed; one that is always open where there is none.
 func (r *Router) wayToOrigin() *gate {
-	for _, m := range r.ready(r.isOrigin) {
-		return &m.gate
+	if len(r.origins) > 0 {
+		return &r.origins[0].gate
 	}
 	return &gate{room: math.Inf(1)}
 }
@@ -406,12 +402,12 @@
 // It acts after restarts, ejections and skips, when the hash order's first cache is not the holder; the link
 // and the parent are spared. A wrong guess costs one short hop.
 func (r *Router) sibling(t *txn, to *member) *member {
-	s, fresh := r.rec["siblings"], r.rec.NumItem("fresh_s", t.Rule, 0)
+	s, fresh := r.rec["siblings"], r.rule(t.Rule).fresh
 	if (s != "location" && s != "any") || to.held[t.p] != nil || r.uncacheable(t) ||
 		slices.ContainsFunc(t.hops, func(h *hop) bool { return h.sibling }) {
 		return nil
 	}
-	for _, m := range r.ready(r.isCache) {
+	for _, m := range r.caches {
 		if h := m.held[t.p]; h != nil && m != to && m.benched <= r.now && m.open() && r.affords(t, m) &&
 			r.now-h.used < r.horizon(m) && (fresh == 0 || r.now-h.fill < fresh/2) {
 			return m
@@ -422,8 +418,8 @@
 
 // inGroup keeps a keyed txn that may have run within the group that drops its repeats (rule 2).
 func (r *Router) inGroup(t *txn, m *member) bool {
-	group := r.rec[Remap(t.Rule, "group")]
-	return r.rec[Remap(t.Rule, "effect")] != "keyed" || !slices.ContainsFunc(t.hops, func(h *hop) bool {
+	group := r.rule(t.Rule).group
+	return r.rule(t.Rule).effect != "keyed" || !slices.ContainsFunc(t.hops, func(h *hop) bool {
 		return h.mayHaveRun() && (group == "zone" && h.to.Location != m.Location || group == "cell" && h.to.Cell != m.Cell)
 	})
 }
@@ -441,12 +437,11 @@
 			age = min(age, max(r.now-p.at-ageMargin, leastAge))
 		}
 	}
-	fresh, stale := r.rec.NumItem("fresh_s", t.Rule, 0), r.rec.NumItem("stale_s", t.Rule, 0)
+	u := r.rule(t.Rule)
 	jam := len(t.hops) > 0 || r.now < max(r.wayToOrigin().cut, r.link.cut)+jamLasts
-	if late := r.rec.Num(Remap(t.Rule, "late_importance"), 0); jam && stale > 0 &&
-		r.rec.NumItem("stale_importance", t.Rule, 0) > late {
-		return min(age, fresh+stale)
-	} else if math.IsInf(age, 1) || (fresh > 0 && age > fresh) {
+	if jam && u.stale > 0 && u.old > u.late {
+		return min(age, u.fresh+u.stale)
+	} else if math.IsInf(age, 1) || (u.fresh > 0 && age > u.fresh) {
 		return 0
 	}
 	return age
@@ -464,12 +459,12 @@
 }
 
 // spent says that all copies which a purge voids are dropped everywhere.
-func (r *Router) spent(p purge) bool { return r.now > p.at+r.rec.Num("purge_done_s", 0)+purgeMargin }
+func (r *Router) spent(p purge) bool { return r.now > p.at+r.num("purge_done_s", 0)+purgeMargin }
 
 func (r *Router) drop(o *object) {
 	for _, p := range o.parts {
 		p.near = false
-		for _, m := range r.all {
+		for _, m := range r.local {
 			m.unlist(p, true)
 		}
 	}
@@ -510,7 +505,7 @@
 		out = true
 		if h.wanted && r.now >= h.late && r.silent(h) {
 			// A second copy beside it, else one after it; one that must not run twice is waited for.
-			h.wanted = r.rec.Is("may_double") || r.rec[Remap(t.Rule, "effect")] == "unrepeatable"
+			h.wanted = r.rec.Is("may_double") || r.rule(t.Rule).effect == "unrepeatable"
 			h.late = math.Inf(1)
 		}
 		if h.wanted && !math.IsInf(h.late, 1) {
@@ -528,21 +523,21 @@
 		return
 	}
 	if h := r.next(t); h != nil {
-		if r.isCache(h.to) && r.serves(t, h.to) {
+		if h.to.role == cache && r.serves(t, h.to) {
 			h.rank = fillRank
 		}
 		if len(t.hops) == 0 {
 			r.request(t, h.to)
 		}
 		h.maxAge, h.wanted = r.oldest(t), true
-		h.late = r.now + lateBase*r.rec.Num(Remap(t.Rule, "sla_s"), 1) + lateStretch*t.send
+		h.late = r.now + lateBase*r.rule(t.Rule).sla + lateStretch*t.send
 		t.hops = append(t.hops, h)
 		t.wake = min(t.wake, h.late)
 		return
 	}
 	// Nobody has room: held while it could still be in time, densest in importance first; then given up at once.
 	patience := t.came + t.sla - lateStretch*t.send
-	if out || (r.now < patience && len(r.ready(r.isCache)) > 0) {
+	if out || (r.now < patience && len(r.caches) > 0) {
 		t.held, t.wake = true, min(t.wake, max(patience, r.now+lookAgain))
 		return
 	}
@@ -551,10 +546,10 @@
 
 // mayRepeat says whether a further hop is allowed (rule 2).
 func (r *Router) mayRepeat(t *txn) bool {
-	if float64(len(t.hops)) >= r.rec.Num("max_hops", 1) {
+	if float64(len(t.hops)) >= r.num("max_hops", 1) {
 		return false
 	}
-	effect, window := r.rec[Remap(t.Rule, "effect")], r.rec.Num(Remap(t.Rule, "window_s"), 0)
+	effect, window := r.rule(t.Rule).effect, r.rule(t.Rule).window
 	return effect == "repeatable" || !slices.ContainsFunc(t.hops, func(h *hop) bool {
 		return h.mayHaveRun() && (effect != "keyed" || r.now > h.sent+window-windowMargin)
 	})
@@ -562,11 +557,11 @@
 
 // giveUp answers at once: rejected where trying again is harmless, aborted else (rule 2).
 func (r *Router) giveUp(t *txn) {
-	effect, all := r.rec[Remap(t.Rule, "effect")], r.rec[Remap(t.Rule, "group")] == "all"
+	effect, all := r.rule(t.Rule).effect, r.rule(t.Rule).group == "all"
 	t.verdict = Abort{t.Txn}
 	if effect == "repeatable" || !slices.ContainsFunc(t.hops, (*hop).mayHaveRun) || (effect == "keyed" && all) {
 		again := flag(r.rec.Is("tells_retry")) * againAfter * (0.5 + r.chance())
-		t.verdict = Reject{t.Txn, min(again, r.rec.Num("max_retry_s", 0))}
+		t.verdict = Reject{t.Txn, min(again, r.num("max_retry_s", 0))}
 	}
 }
 
@@ -582,8 +577,11 @@
 // bench keeps hops from a member for a while, if another in its place is in service; else, as with the origin,
 // its gate shrinks: where all seem sick at once the cause is common, and benches would close the field.
 func (r *Router) bench(m *member) bool {
-	role := map[bool]func(*member) bool{true: r.isCache, false: r.isParent}[r.isCache(m)]
-	if r.isOrigin(m) || !slices.ContainsFunc(r.ready(role), func(x *member) bool { return x != m && x.benched <= r.now }) {
+	peers := r.parents
+	if m.role == cache {
+		peers = r.caches
+	}
+	if m.role == origin || !slices.ContainsFunc(peers, func(x *member) bool { return x != m && x.benched <= r.now }) {
 		m.shrink(r.now, true)
 	} else if m.benched <= r.now {
 		m.benched = r.now + min(benchFirst*math.Pow(2, float64(min(m.strikes, 8))), benchMost)
@@ -619,9 +617,7 @@
 	r.learn(t, h, o)
 	t.over = t.over || o.Final
 	r.think(t)
-	queue := slices.Clone(r.queue)
-	slices.SortStableFunc(queue, func(a, b *txn) int { return cmp.Or(cmp.Compare(b.dense, a.dense), cmp.Compare(a.seq, b.seq)) })
-	for _, held := range queue[:min(len(queue), mostTries)] {
+	for _, held := range slices.Clone(r.queue[:min(len(r.queue), mostTries)]) {
 		r.think(held)
 	}
 }
@@ -699,11 +695,11 @@
 // hold keeps the held list of a cache: what answers showed there. A part filled though thought held was lost; its
 // idle time before that miss is a sample of T.
 func (r *Router) hold(t *txn, h *hop, filled bool) {
-	if !r.isCache(h.to) || r.uncacheable(t) {
+	if h.to.role != cache || r.uncacheable(t) {
 		return
 	}
 	x := h.to.held[t.p]
-	if x != nil && filled && r.rec.NumItem("fresh_s", t.Rule, 0) == 0 {
+	if x != nil && filled && r.rule(t.Rule).fresh == 0 {
 		h.to.idles = keep(h.to.idles, max(h.sent-x.used, 0), keptSamples)
 	}
 	if filled && h.rank == 0 {
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -63,8 +63,8 @@
 
 func TestHashOrderIsStableAndSkips(t *testing.T) {
 	r := router("keyed")
-	all := r.ordered("x", r.ready(r.isCache))
-	less := r.ordered("x", all[1:])
+	all, _ := r.ordered(r.object("x", 0))
+	less := inOrder("x", all[1:])
 	assert.Equal(t, []string{all[1].Member, all[2].Member}, []string{less[0].Member, less[1].Member})
 	all[0].out = all[0].room // its gate is full
 	h := of[Hop](r.Decide(100, arrival("t", "x")))
@@ -74,7 +74,7 @@
 
 func TestPassNamesSourceAndKeepsNothing(t *testing.T) {
 	r := router("keyed")
-	for _, c := range r.ready(r.isCache) { // full of what is wanted all the time
+	for _, c := range r.caches { // full of what is wanted all the time
 		p := &part{seen: true, last: 100, dt: 0.1}
 		c.list(&holding{p: p, kb: 1e6, used: 100}, p.key())
 	}
@@ -199,7 +199,7 @@
 	c := r.member("c0")
 	c.Started = 100
 	x := &txn{Arrival: Arrival{KB: 100}, send: 0.1}
-	r.sizes[0] = []float64{.1, .1, .1, .1, .1, .1, .1, .1}
+	r.rule(0).sizes = []float64{.1, .1, .1, .1, .1, .1, .1, .1}
 	budget := coldSpend * 0.25 * 4 * 2 // share, capacity and window, one router
 	c.spent = []sample{{100, budget - 0.1}}
 	r.now = 100
@@ -263,16 +263,17 @@
 	assert.Equal(t, 15.0, r.oldest(x))
 	r.purges = []purge{{Purge{Object: "x"}, 97}}
 	assert.InDelta(t, 3-ageMargin, r.oldest(x), 1e-9)
-	r.rec["remap.0.late_importance"], r.purges = "0.6", nil
+	r.rule(0).late, r.purges = 0.6, nil
 	assert.Zero(t, r.oldest(x), "a late answer is worth more")
 }
 
 func TestNearerParentIsMoreOftenFirst(t *testing.T) {
 	r := router("keyed")
-	r.member("p1").Location, r.rec["hub_of"], r.rec["location"] = 1, "0,1,0", "2"
+	r.member("p1").Location, r.rec["hub_of"], r.nums["location"] = 1, "0,1,0", 2
+	r.relist()
 	near := 0
 	for i := range 300 {
-		if r.ordered(fmt.Sprint(i), r.ready(r.isParent))[0].Member == "p0" {
+		if inOrder(fmt.Sprint(i), r.parents)[0].Member == "p0" {
 			near++
 		}
 	}
@@ -333,7 +334,7 @@
 
 func TestDensestIsReleasedFirst(t *testing.T) {
 	r := router("keyed")
-	for _, c := range r.ready(r.isCache) {
+	for _, c := range r.caches {
 		c.room, c.proven = 0, 0
 	}
 	big, small := arrival("big", "x"), arrival("small", "x")
@@ -342,7 +343,7 @@
 	r.Decide(100, small)
 	x := sent(r, 0, true)
 	x.over = true
-	for _, c := range r.ready(r.isCache) {
+	for _, c := range r.caches {
 		c.room = 0.5
 	}
 	acts := of[Hop](r.Decide(100.05, Outcome{Txn: "t", Member: "c0", Code: Cancelled}))
--- a/brain/state.go
+++ b/brain/state.go
@@ -17,9 +17,12 @@
 }
 
 type object struct {
-	group int
-	parts []*part
-	last  float64
+	id              string
+	group           int
+	parts           []*part
+	last            float64
+	caches, parents []*member // in hash order, as of a version of the list
+	listed          int
 }
 
 // holding is a part that answers showed held at a cache. key orders by gap, largest gap first, at any time.
@@ -38,9 +41,22 @@
 
 type sample struct{ at, cost float64 }
 
+// role is what a member is to this router.
+type role int
+
+const (
+	elsewhere role = iota // a cache of another location
+	cache
+	parent
+	origin
+)
+
 type member struct {
 	Row
 	gate
+	role    role
+	away    float64   // hubs on the way
+	sharers float64   // routers that can send to it
 	heard   float64   // last sign of life
 	ends    []float64 // the last few ends laid to it, 1 for a failed one
 	benched float64   // nothing is sent before this time if there is another
@@ -62,6 +78,15 @@
 	end                      Code
 }
 
+// rule is a remap rule as the records have it, read once, and the last few sending times seen of it.
+type rule struct {
+	sla, stretch, importance, late, window float64
+	fresh, stale, old                      float64 // old: share of the importance past the fresh time
+	effect, group                          string
+	uncacheable                            bool
+	sizes                                  []float64
+}
+
 type txn struct {
 	Arrival
 	seq               uint64
@@ -70,6 +95,7 @@
 	p                 *part
 	obj               *object
 	unseen, held      bool
+	queued            bool
 	hops              []*hop
 	verdict           Action
 	over              bool
@@ -87,7 +113,14 @@
 	pcg     uint64
 	now     float64
 	acts    []Action
+	nums    map[string]float64 // records read as numbers
+	rules   map[int]*rule
 	all     []*member // in order of their ids
+	local   []*member // caches of this location, whatever their status
+	caches  []*member // ready
+	parents []*member // ready
+	origins []*member // ready
+	listed  int       // version of these lists
 	link    gate      // the location's link in
 	txns    map[string]*txn
 	bySeq   map[uint64]*txn
@@ -95,7 +128,6 @@
 	seq     uint64
 	objects map[string]*object
 	swept   float64
-	sizes   map[int][]float64
 	purges  []purge
 }
 
@@ -147,10 +179,56 @@
 	return (float64((x^x>>33)>>11) + 0.5) / (1 << 53)
 }
 
+// ordered gives the caches and the parents in the order of an object's hash.
+func (r *Router) ordered(o *object) (caches, parents []*member) {
+	if o.listed != r.listed {
+		o.listed, o.caches, o.parents = r.listed, inOrder(o.id, r.caches), inOrder(o.id, r.parents)
+	}
+	return o.caches, o.parents
+}
+
+func inOrder(id string, list []*member) []*member {
+	score := make([]float64, len(list))
+	list = slices.Clone(list)
+	for i, m := range list {
+		x := place(id, m)
+		at := i
+		for ; at > 0 && score[at-1] < x; at-- {
+			score[at], list[at] = score[at-1], list[at-1]
+		}
+		score[at], list[at] = x, m
+	}
+	return list
+}
+
+// enqueue puts a txn among the held ones, densest in importance first, or takes it out.
+func (r *Router) enqueue(t *txn, held bool) {
+	if held == t.queued {
+		return
+	}
+	at, _ := slices.BinarySearchFunc(r.queue, t, func(a, b *txn) int {
+		return cmp.Or(cmp.Compare(b.dense, a.dense), cmp.Compare(a.seq, b.seq))
+	})
+	if t.queued = held; held {
+		r.queue = slices.Insert(r.queue, at, t)
+	} else {
+		r.queue = slices.Delete(r.queue, at, at+1)
+	}
+}
+
+// spentSince adds up what was sent to a member after a time, and forgets the rest.
+func (m *member) spentSince(then float64) (sum float64) {
+	m.spent = slices.DeleteFunc(m.spent, func(s sample) bool { return s.at <= then })
+	for _, s := range m.spent {
+		sum += s.cost
+	}
+	return sum
+}
+
 // object finds an object, or adds it.
 func (r *Router) object(id string, group int) *object {
 	if r.objects[id] == nil {
-		r.objects[id] = &object{group: group}
+		r.objects[id] = &object{id: id, group: group}
 	}
 	return r.objects[id]
 }
@@ -181,29 +259,64 @@
 	return sum / float64(len(list))
 }
 
-// What a member is, by the records.
-func (r *Router) isParent(m *member) bool { return float64(m.Kind) == r.rec.Num("parent_kind", -1) }
-func (r *Router) isOrigin(m *member) bool { return float64(m.Kind) == r.rec.Num("origin_kind", -1) }
-func (r *Router) isCache(m *member) bool {
-	return !r.isParent(m) && !r.isOrigin(m) && float64(m.Location) == r.rec.Num("location", 0)
-}
-
-func (r *Router) ready(which func(*member) bool) []*member {
-	var out []*member
+// relist works out what each member is by the records, and who is in service.
+func (r *Router) relist() {
+	r.local, r.caches, r.parents, r.origins = nil, nil, nil, nil
+	r.listed++
+	here, all := int(r.num("location", 0)), max(r.num("routers", 1), 1)
 	for _, m := range r.all {
-		if m.Status == Ready && which(m) {
-			out = append(out, m)
+		m.role, m.away, m.sharers = elsewhere, r.hubsAway(m), all
+		list := new([]*member)
+		switch kind := float64(m.Kind); {
+		case kind == r.num("parent_kind", -1):
+			m.role, list = parent, &r.parents
+		case kind == r.num("origin_kind", -1):
+			m.role, list = origin, &r.origins
+		case m.Location == here:
+			m.role, list = cache, &r.caches
+			m.sharers = max(r.rec.NumItem("routers_at", here, all), 1)
+			r.local = append(r.local, m)
+		}
+		if m.Status == Ready {
+			*list = append(*list, m)
 		}
 	}
-	return out
+}
+
+// num reads a number of the records, once.
+func (r *Router) num(name string, otherwise float64) float64 {
+	x, ok := r.nums[name]
+	if !ok {
+		x = r.rec.Num(name, math.NaN())
+		r.nums[name] = x
+	}
+	if math.IsNaN(x) {
+		return otherwise
+	}
+	return x
+}
+
+// rule reads what the records say of a remap rule, once.
+func (r *Router) rule(n int) *rule {
+	u := r.rules[n]
+	if u == nil {
+		num := func(name string, otherwise float64) float64 { return r.rec.Num(Remap(n, name), otherwise) }
+		u = &rule{sla: num("sla_s", 1), stretch: num("sla_stretch", 0), importance: num("importance", 1),
+			late: num("late_importance", 0), window: num("window_s", 0),
+			fresh: r.rec.NumItem("fresh_s", n, 0), stale: r.rec.NumItem("stale_s", n, 0),
+			old: r.rec.NumItem("stale_importance", n, 0), effect: r.rec[Remap(n, "effect")],
+			group: r.rec[Remap(n, "group")], uncacheable: r.rec.Item("uncacheable", n) == "true"}
+		r.rules[n] = u
+	}
+	return u
 }
 
 // hubsAway is the number of hubs on the ring between this location's hub and a parent's.
 func (r *Router) hubsAway(m *member) float64 {
-	if !r.isParent(m) {
+	if float64(m.Kind) != r.num("parent_kind", -1) {
 		return 0
 	}
-	own := int(r.rec.NumItem("hub_of", int(r.rec.Num("location", 0)), float64(m.Location)))
+	own := int(r.rec.NumItem("hub_of", int(r.num("location", 0)), float64(m.Location)))
 	ring := 0.0 // hubs come first among the locations and are their own
 	for r.rec.NumItem("hub_of", int(ring), -1) == ring {
 		ring++
