--- a/brain/brain.go
+++ b/brain/brain.go
@@ -238,7 +238,10 @@
 // key orders parts by their gaps, largest first, the same at any time.
 func (p *part) key() float64 { return gamma*p.last - (1-gamma)*p.dt }
 
-// gap is the averaged gap of a txn's part; an unseen part has the largest of its object's parts held at m.
+// gap is the averaged gap of a txn's part; an unseen part has the largest of its object's parts held at m. Where
+// none is held and n routers share m, a first sight here is with odds of n-1 in n another router's repeat, whose
+// gap would be T: the expected T/gap is (n-1)/n. It covers any thin view; it harms where each router's objects
+// are its own.
 func (r *Router) gap(t *txn, m *member) float64 {
 	if !t.unseen {
 		return t.p.gap(r.now)
@@ -249,7 +252,7 @@
 			largest = max(largest, p.gap(r.now))
 		}
 	}
-	return cmp.Or(largest, math.Inf(1))
+	return cmp.Or(largest, r.horizon(m)*m.sharers/(m.sharers-1))
 }
 
 // request updates the part's gap, once a txn, and its place in the held lists.
