--- a/brain/brain.go
+++ b/brain/brain.go
@@ -95,8 +95,9 @@
 			r.acts = append(r.acts, Hop{Txn: t.Txn, To: h.to.Member, Until: t.Limit, Source: h.source.Member,
 				Rank: h.rank, MaxAge: h.maxAge, Join: r.rec.Is("may_join"), NoFetch: h.sibling,
 				Renew: r.rule(t.Rule).fresh > 0})
+			h.to.out++
 			for _, g := range h.gates {
-				g.out++
+				g.out += h.load
 			}
 			for _, m := range [2]*member{h.to, h.source} {
 				if r.warmth(m) < 1 && (m == h.to || h.fill) {
@@ -338,7 +339,7 @@
 	if write {
 		sources = [2][]*member{r.origins, parents}
 	}
-	h := &hop{}
+	h := &hop{load: 1}
 	for level := 0; level < 3 && h.to == nil; level++ {
 		lists := [3][]*member{caches}
 		if direct && write {
@@ -361,12 +362,12 @@
 		if h.fill = true; write && len(r.origins) > 0 {
 			h.source = r.origins[0]
 		}
-		h.gates = []*gate{&h.to.gate, &r.link}
+		h.gates = []*gate{&r.link}
 		return h
 	}
-	h.fill, h.gates = h.to.held[t.p] == nil, []*gate{&h.to.gate}
+	h.fill = h.to.held[t.p] == nil
 	if m := r.sibling(t, h.to); m != nil {
-		h.source, h.sibling, h.gates = m, true, append(h.gates, &m.gate)
+		h.source, h.sibling, h.gates = m, true, []*gate{&m.gate}
 		return h
 	}
 	for level := 0; level < 3 && h.source == h.to; level++ {
@@ -381,13 +382,16 @@
 	if !h.fill {
 		return h
 	}
+	if h.load = mean(r.misses); len(r.misses) < sizesNeeded {
+		h.load = 1
+	}
 	if !t.p.near {
 		h.far = r.wayToOrigin()
 	}
 	if h.source == h.to || (!t.Write && (!r.link.open() || (h.far != nil && !h.far.open()))) {
 		return nil
 	}
-	if h.gates = append(h.gates, &h.source.gate, &r.link); h.far != nil && h.far != &h.source.gate {
+	if h.gates = []*gate{&h.source.gate, &r.link}; h.far != nil && h.far != &h.source.gate {
 		h.gates = append(h.gates, h.far)
 	}
 	return h
@@ -614,8 +618,9 @@
 	}
 	h := t.hops[o.Hop]
 	h.out, h.wanted, h.end, h.over = false, false, o.Code, r.now
+	h.to.out--
 	for _, g := range h.gates {
-		g.out--
+		g.out -= h.load
 	}
 	r.learn(t, h, o)
 	t.over = t.over || o.Final
@@ -640,6 +645,9 @@
 		if filled && !h.sibling {
 			t.p.near = true
 		}
+		if h.fill && !h.sibling && h.to.role == cache {
+			r.misses = keep(r.misses, flag(filled), keptSizes)
+		}
 		r.hold(t, h, filled)
 		r.tune(t, h, o, filled)
 	case Errored, Busy:
@@ -678,8 +686,11 @@
 // there, at the source or the origin if the first byte came late, else on the location's link.
 func (r *Router) tune(t *txn, h *hop, o Outcome, filled bool) {
 	if o.Took <= inTime*t.sla {
+		h.to.grow()
 		for _, g := range h.gates {
-			g.grow()
+			if filled {
+				g.grow()
+			}
 		}
 		return
 	}
--- a/brain/state.go
+++ b/brain/state.go
@@ -69,11 +69,12 @@
 
 type hop struct {
 	to, source               *member
-	gates                    []*gate
+	gates                    []*gate // of the ways behind the cache
 	rank                     int
 	maxAge, sent, late, over float64
-	far                      *gate // the origin's, of one thought to reach it
-	sibling, fill            bool  // filled by a sibling; thought to miss
+	load                     float64 // places taken in the gates: the odds of a fill
+	far                      *gate   // the origin's, of one thought to reach it
+	sibling, fill            bool    // filled by a sibling; thought to miss
 	wanted, begun, out, stop bool
 	end                      Code
 }
@@ -129,6 +130,7 @@
 	objects map[string]*object
 	swept   float64
 	purges  []purge
+	misses  []float64 // the last few hops thought to miss, 1 for one that was filled
 }
 
 // chance is the next of a permuted congruential generator, from 0 up to 1.
