--- a/brain/brain.go
+++ b/brain/brain.go
@@ -572,18 +572,24 @@
 	}
 }
 
-// silent judges a late hop's cache, then its source: nothing at all was heard since the hop was sent. It covers
-// hangs, vanished machines and cut ways. It could harm a member that only pauses longer than quiet.
+// silent says whether nothing at all was heard of a late hop's cache, or then of its source, since it was sent,
+// and lays that to it as a failed end. It covers hangs, vanished machines and cut ways. One such hop alone tells
+// little to a router that sends a member few: its fill may just be slow.
 func (r *Router) silent(h *hop) bool {
-	if h.to.heard < h.sent && r.now-h.sent > quiet {
-		return r.bench(h.to)
+	m, wait := h.to, quiet
+	if m.heard >= h.sent && h.fill {
+		m, wait = h.source, 2*quiet
 	}
-	return h.fill && h.source != h.to && h.source.heard < h.sent && r.now-h.sent > 2*quiet && r.bench(h.source)
+	if m.heard >= h.sent || r.now-h.sent <= wait {
+		return false
+	}
+	r.judge(m, true)
+	return true
 }
 
 // bench keeps hops from a member for a while, if another in its place is in service; else, as with the origin,
 // its gate shrinks: where all seem sick at once the cause is common, and benches would close the field.
-func (r *Router) bench(m *member) bool {
+func (r *Router) bench(m *member) {
 	peers := r.parents
 	if m.role == cache {
 		peers = r.caches
@@ -594,7 +600,6 @@
 		m.benched = r.now + min(benchFirst*math.Pow(2, float64(min(m.strikes, 8))), benchMost)
 		m.ends, m.room, m.strikes = nil, 1, m.strikes+1
 	}
-	return true
 }
 
 // judge lays an end to a member. Failing ends bench it when they are half of the last few, or at once while it
