Gates have their true share; under one hop it is spent in turns; full fill places cut the link

Cause: a least of 1.5 hops a gate, times ten routers a location, let more fills onto a link than it carries; they ran on after their txns were given up, until caches had no place for a fill. Gates now start at the true share; one under a hop rests after each hop in proportion. Routers that share a way widen it together as fast as one alone. Guards against many small allowances adding up; should cover parents and the origin too; it harms where other routers are idle.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -35,7 +35,7 @@
 	badShare     = 0.5     // share of failed ends that benches: failing hops cost less than a lost cache below it
 	badLeast     = 4       // failed ends at least for that: chance
 	freshRoom    = 2.0     // hops in flight at a member just back; one more for each answer
-	leastRoom    = 1.5     // hops in flight that a gate always lets through, so that it can learn
+	leastRoom    = 0.1     // hops in flight at least, one in ten of the time: a gate must go on learning
 	stretchRoom  = 1.5     // hops in flight a transfer of capacity: the SLA's stretch leaves that and a margin
 	jamShare     = 0.3     // share of late ones among the last few that tells of a jam: single ones are chance
 	jamLasts     = 1.0     // s after a cut for which old copies will do: jams pass slower than that
@@ -120,14 +120,23 @@
 	}
 }
 
-func (g *gate) open() bool { return g.out < g.room }
+// open says whether a gate lets one more through. A share of less than one hop is spent in turns: after a hop the
+// gate rests until, with the rest, the time taken is in proportion.
+func (g *gate) open(now float64) bool { return g.out < g.room && now >= g.rest }
 
+func (g *gate) release(now, load, took float64, used bool) {
+	if g.out = max(g.out-load, 0); used && g.room < load {
+		g.rest = now + took*(load/g.room-1)
+	}
+}
+
+// grow takes an answer in time. All who share a gate's way widen it together as fast as one alone would.
 func (g *gate) grow() {
 	g.lates = keep(g.lates, 0, keptSamples)
 	if g.room < g.proven {
-		g.room++
-	} else if g.out > g.room/2 {
-		g.room += 1 / g.room
+		g.room = min(g.room+1, g.proven)
+	} else if g.out+1 > g.room/2 {
+		g.room += g.part / max(g.room, 1)
 	}
 }
 
@@ -161,7 +170,7 @@
 	}
 	r.relist()
 	for _, m := range again {
-		m.proven = max(stretchRoom*m.Weight/m.sharers, leastRoom)
+		m.proven, m.part = max(stretchRoom*m.Weight/m.sharers, leastRoom), 1/m.sharers
 		if m.room = m.proven; r.warmth(m) < 1 {
 			m.room = freshRoom
 		}
@@ -172,7 +181,7 @@
 			if r.link.room += m.proven; flow > 0 {
 				r.link.room = stretchRoom * flow / m.sharers
 			}
-			r.link.proven = r.link.room
+			r.link.proven, r.link.part = r.link.room, m.part
 		}
 		for _, m := range r.origins { // its weight says nothing: as much as the link, until it tells
 			m.room, m.proven = r.link.room, r.link.room
@@ -317,7 +326,7 @@
 // usable says whether a txn may use a member: at level 0 if it has not failed it, at level 1 if it is not on
 // the bench, at level 2 anyhow. Cold guards and gates hold at all levels; writes are small and pass the gates.
 func (r *Router) usable(t *txn, m *member, level int, used func(*hop, *member) bool) bool {
-	if (level < 2 && m.benched > r.now) || !(m.open() || (t.Write && m.proven <= m.room)) {
+	if (level < 2 && m.benched > r.now) || !(m.open(r.now) || (t.Write && m.proven <= m.room)) {
 		return false
 	}
 	for _, h := range t.hops {
@@ -344,7 +353,7 @@
 		lists := [3][]*member{caches}
 		if direct && write {
 			lists = [3][]*member{sources[0], sources[1], caches}
-		} else if direct && level > 0 && r.link.open() {
+		} else if direct && level > 0 && r.link.open(r.now) {
 			lists = [3][]*member{caches, sources[0], sources[1]}
 		}
 		for _, list := range lists {
@@ -388,7 +397,7 @@
 	if !t.p.near {
 		h.far = r.wayToOrigin()
 	}
-	if h.source == h.to || (!t.Write && (!r.link.open() || (h.far != nil && !h.far.open()))) {
+	if h.source == h.to || (!t.Write && (!r.link.open(r.now) || (h.far != nil && !h.far.open(r.now)))) {
 		return nil
 	}
 	if h.gates = []*gate{&h.source.gate, &r.link}; h.far != nil && h.far != &h.source.gate {
@@ -415,7 +424,7 @@
 		return nil
 	}
 	for _, m := range r.caches {
-		if h := m.held[t.p]; h != nil && m != to && m.benched <= r.now && m.open() && r.affords(t, m) &&
+		if h := m.held[t.p]; h != nil && m != to && m.benched <= r.now && m.open(r.now) && r.affords(t, m) &&
 			r.now-h.used < r.horizon(m) && (fresh == 0 || r.now-h.fill < fresh/2) {
 			return m
 		}
@@ -610,7 +619,7 @@
 	}
 	m.ends = keep(m.ends, flag(bad), keptSamples)
 	share := mean(m.ends)
-	if bad && (m.room <= 1 || share*float64(len(m.ends)) >= badLeast && share >= badShare) {
+	if bad && (m.strikes > 0 && share == 1 || share*float64(len(m.ends)) >= badLeast && share >= badShare) {
 		r.bench(m)
 	}
 }
@@ -623,9 +632,10 @@
 	}
 	h := t.hops[o.Hop]
 	h.out, h.wanted, h.end, h.over = false, false, o.Code, r.now
-	h.to.out--
+	filled := o.Code != Completed || (o.Remark != Hit && o.Remark != Old)
+	h.to.release(r.now, 1, o.Took, true)
 	for _, g := range h.gates {
-		g.out -= h.load
+		g.release(r.now, h.load, o.Took, filled)
 	}
 	r.learn(t, h, o)
 	t.over = t.over || o.Final
@@ -672,6 +682,8 @@
 			blind := h.fill && h.source != h.to && r.rec["tells"] != "all"
 			if o.Code == Busy && blind {
 				h.source.shrink(r.now, true)
+			} else if o.Remark == NoPlace {
+				r.link.shrink(r.now, true)
 			} else if o.Code == Busy {
 				h.to.shrink(r.now, true)
 			} else if r.judge(h.to, true); blind {
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -285,6 +285,7 @@
 	x := sent(r, 0, true)
 	x.hops[0].late = 100.3
 	r.now = 100 + quiet + 0.01
+	r.member("c0").ends = []float64{0, 1, 1, 1}
 	r.think(x)
 	assert.Greater(t, r.member("c0").benched, r.now)
 	require.Len(t, x.hops, 2)
@@ -308,6 +309,19 @@
 	assert.Len(t, of[Hop](r.Decide(100, arrival("t", "x"))), 1)
 }
 
+func TestShareUnderOneHopIsSpentInTurns(t *testing.T) {
+	g := gate{room: 0.25, proven: 0.25, part: 0.1}
+	require.True(t, g.open(100))
+	g.out++
+	assert.False(t, g.open(100))
+	g.release(101, 1, 1, true) // out for 1 s: three more of rest
+	assert.False(t, g.open(103.9))
+	assert.True(t, g.open(104))
+	g.rest = 0
+	g.release(105, 1, 1, false) // nothing went through
+	assert.True(t, g.open(105))
+}
+
 func TestOneLateAnswerDoesNotShrinkAGate(t *testing.T) {
 	g := gate{room: 10, proven: 10, lates: []float64{0, 0, 0, 0, 0, 0}}
 	g.shrink(100, false)
--- a/brain/state.go
+++ b/brain/state.go
@@ -36,6 +36,8 @@
 // answers in time, by one each up to what is proven, and shrinks with late and refused ones.
 type gate struct {
 	room, proven, out, cut float64
+	rest                   float64   // closed until then
+	part                   float64   // 1 / number of routers that share the way
 	lates                  []float64 // the last few answers, 1 for a late one
 }
 
