--- a/brain/brain.go
+++ b/brain/brain.go
@@ -582,8 +582,9 @@
 }
 
 // silent says whether nothing at all was heard of a late hop's cache, or then of its source, since it was sent,
-// and lays that to it as a failed end. It covers hangs, vanished machines and cut ways. One such hop alone tells
-// little to a router that sends a member few: its fill may just be slow.
+// and lays that to it as a failed end; the txn is helped elsewhere once that has benched it. It covers hangs,
+// vanished machines and cut ways. One such hop alone tells little to a router that sends a member few: its fill
+// may just be slow, it runs on when given up, and another beside it is one more on a slow way.
 func (r *Router) silent(h *hop) bool {
 	m, wait := h.to, quiet
 	if m.heard >= h.sent && h.fill {
@@ -593,7 +594,7 @@
 		return false
 	}
 	r.judge(m, true)
-	return true
+	return m.benched > r.now
 }
 
 // bench keeps hops from a member for a while, if another in its place is in service; else, as with the origin,
@@ -680,10 +681,8 @@
 			h.source.unlist(t.p, true)
 		default:
 			blind := h.fill && h.source != h.to && r.rec["tells"] != "all"
-			if o.Code == Busy && blind {
-				h.source.shrink(r.now, true)
-			} else if o.Remark == NoPlace {
-				r.link.shrink(r.now, true)
+			if o.Code == Busy && (blind || o.Remark == NoPlace) {
+				r.link.shrink(r.now, true) // its fills have taken all places
 			} else if o.Code == Busy {
 				h.to.shrink(r.now, true)
 			} else if r.judge(h.to, true); blind {
