--- a/brain/brain.go
+++ b/brain/brain.go
@@ -519,10 +519,12 @@
 			continue
 		}
 		out = true
-		if h.wanted && r.now >= h.late && r.silent(h) {
-			// A second copy beside it, else one after it; one that must not run twice is waited for.
-			h.wanted = r.rec.Is("may_double") || r.rule(t.Rule).effect == "unrepeatable"
-			h.late = math.Inf(1)
+		if h.wanted && r.now >= h.late {
+			if h.late = r.now + (r.now - h.sent); r.silent(h) {
+				// A second copy beside it, else one after it; one that must not run twice is waited for.
+				h.wanted = r.rec.Is("may_double") || r.rule(t.Rule).effect == "unrepeatable"
+				h.late = math.Inf(1)
+			}
 		}
 		if h.wanted && !math.IsInf(h.late, 1) {
 			waiting = true
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -151,7 +151,7 @@
 	r.rec["may_double"] = "false"
 	x := sent(r, 0, true)
 	x.hops[0].late = 100.4
-	r.now = 100.4
+	r.now, r.member("c0").ends = 100.4, []float64{0, 1, 1, 1}
 	r.think(x) // silent: cancelled, and the end is awaited
 	assert.Equal(t, []Cancel{{"t", 0}}, of[Cancel](r.acts))
 	assert.Len(t, x.hops, 1)
