--- a/brain/brain.go
+++ b/brain/brain.go
@@ -34,6 +34,7 @@
 	benchMost    = 4.0     // s on the bench at most: a member that is back is wanted soon
 	badShare     = 0.5     // share of failed ends that benches: failing hops cost less than a lost cache below it
 	badLeast     = 4       // failed ends at least for that: chance
+	badRow       = 3       // failed ends in a row that bench: chance, at less than half failing
 	freshRoom    = 2.0     // hops in flight at a member just back; one more for each answer
 	leastRoom    = 0.1     // hops in flight at least, one in ten of the time: a gate must go on learning
 	stretchRoom  = 1.5     // hops in flight a transfer of capacity: the SLA's stretch leaves that and a margin
@@ -519,12 +520,10 @@
 			continue
 		}
 		out = true
-		if h.wanted && r.now >= h.late {
-			if h.late = r.now + (r.now - h.sent); r.silent(h) {
-				// A second copy beside it, else one after it; one that must not run twice is waited for.
-				h.wanted = r.rec.Is("may_double") || r.rule(t.Rule).effect == "unrepeatable"
-				h.late = math.Inf(1)
-			}
+		if h.wanted && r.now >= h.late && r.silent(h) {
+			// A second copy beside it, else one after it; one that must not run twice is waited for.
+			h.wanted = r.rec.Is("may_double") || r.rule(t.Rule).effect == "unrepeatable"
+			h.late = math.Inf(1)
 		}
 		if h.wanted && !math.IsInf(h.late, 1) {
 			waiting = true
@@ -595,7 +594,10 @@
 	if m.heard >= h.sent || r.now-h.sent <= wait {
 		return false
 	}
-	r.judge(m, true)
+	if r.now >= h.again { // as long again until it counts once more
+		h.again = r.now + (r.now - h.sent)
+		r.judge(m, true)
+	}
 	return m.benched > r.now
 }
 
@@ -622,7 +624,8 @@
 	}
 	m.ends = keep(m.ends, flag(bad), keptSamples)
 	share := mean(m.ends)
-	if bad && (m.strikes > 0 && share == 1 || share*float64(len(m.ends)) >= badLeast && share >= badShare) {
+	row := m.ends[max(len(m.ends)-badRow, 0):]
+	if bad && (m.strikes > 0 && share == 1 || len(row) == badRow && mean(row) == 1 || share*float64(len(m.ends)) >= badLeast && share >= badShare) {
 		r.bench(m)
 	}
 }
--- a/brain/state.go
+++ b/brain/state.go
@@ -74,6 +74,7 @@
 	gates                    []*gate // of the ways behind the cache
 	rank                     int
 	maxAge, sent, late, over float64
+	again                    float64 // when its silence counts once more
 	load                     float64 // places taken in the gates: the odds of a fill
 	far                      *gate   // the origin's, of one thought to reach it
 	sibling, fill            bool    // filled by a sibling; thought to miss
