--- a/brain/brain.go
+++ b/brain/brain.go
@@ -29,12 +29,12 @@
 	lateBase     = 0.5     // share of the SLA time, without its stretch, after which a hop is looked at
 	lateStretch  = 1.3     // sending times added to that: a busy link stretches a transfer
 	quiet        = 0.35    // s without a sign of life at least before silence is suspected: over usual pauses
+	silences     = 4.0     // usual times between signs of life that tell of silence: by chance one wait in fifty
 	lookAgain    = 0.1     // s between looks at a late hop, and before a txn asks again where it failed
 	benchFirst   = 1.0     // s on the bench at first: some dozens of txns would go there in it
 	benchMost    = 4.0     // s on the bench at most: a member that is back is wanted soon
 	badShare     = 0.5     // share of failed ends that benches: failing hops cost less than a lost cache below it
 	badLeast     = 4       // failed ends at least for that: chance
-	badRow       = 3       // failed ends in a row that bench: chance, at less than half failing
 	freshRoom    = 2.0     // hops in flight at a member just back; one more for each answer
 	leastRoom    = 0.1     // hops in flight at least, one in ten of the time: a gate must go on learning
 	stretchRoom  = 1.5     // hops in flight a transfer of capacity: the SLA's stretch leaves that and a margin
@@ -582,23 +582,19 @@
 	}
 }
 
-// silent says whether nothing at all was heard of a late hop's cache, or then of its source, since it was sent,
-// and lays that to it as a failed end; the txn is helped elsewhere once that has benched it. It covers hangs,
-// vanished machines and cut ways. One such hop alone tells little to a router that sends a member few: its fill
-// may just be slow, it runs on when given up, and another beside it is one more on a slow way.
+// silent judges a late hop's cache, then its source: nothing at all was heard since the hop was sent, for several
+// times as long as usually passes between signs of life. It covers hangs, vanished machines and cut ways, sooner
+// where much is heard. It could harm a member whose answers all became slow at once.
 func (r *Router) silent(h *hop) bool {
 	m, wait := h.to, quiet
-	if m.heard >= h.sent && h.fill {
+	if m.heard() >= h.sent && h.fill {
 		m, wait = h.source, 2*quiet
 	}
-	if m.heard >= h.sent || r.now-h.sent <= wait {
+	if m.heard() >= h.sent || r.now-h.sent <= max(wait, silences*m.interval()) {
 		return false
 	}
-	if r.now >= h.again { // as long again until it counts once more
-		h.again = r.now + (r.now - h.sent)
-		r.judge(m, true)
-	}
-	return m.benched > r.now
+	r.bench(m)
+	return true
 }
 
 // bench keeps hops from a member for a while, if another in its place is in service; else, as with the origin,
@@ -624,8 +620,7 @@
 	}
 	m.ends = keep(m.ends, flag(bad), keptSamples)
 	share := mean(m.ends)
-	row := m.ends[max(len(m.ends)-badRow, 0):]
-	if bad && (m.strikes > 0 && share == 1 || len(row) == badRow && mean(row) == 1 || share*float64(len(m.ends)) >= badLeast && share >= badShare) {
+	if bad && (m.strikes > 0 && share == 1 || share*float64(len(m.ends)) >= badLeast && share >= badShare) {
 		r.bench(m)
 	}
 }
@@ -654,13 +649,13 @@
 func (r *Router) learn(t *txn, h *hop, o Outcome) {
 	filled := o.Code == Completed && o.Remark != Hit && o.Remark != Old
 	if o.Code == Completed || o.Code == Errored || o.Code == Busy || o.Code == Miss {
-		h.to.heard = r.now
+		h.to.hear(r.now)
 	}
 	switch o.Code {
 	case Completed:
 		r.judge(h.to, false)
 		if filled && h.source != h.to {
-			h.source.heard = r.now
+			h.source.hear(r.now)
 			r.judge(h.source, false)
 		}
 		if filled && !h.sibling {
@@ -675,14 +670,14 @@
 		switch o.Remark {
 		case SourceRefused, SourceLost, OriginFailed:
 			// A source that was heard since is not the one that failed: the origin behind it is.
-			if o.Remark == OriginFailed || (o.Remark == SourceLost && h.far != nil && h.source.heard > h.sent) {
-				h.source.heard = r.now
+			if o.Remark == OriginFailed || (o.Remark == SourceLost && h.far != nil && h.source.heard() > h.sent) {
+				h.source.hear(r.now)
 				r.wayToOrigin().shrink(r.now, true)
 			} else if h.source.shrink(r.now, true); o.Remark == SourceLost {
 				r.judge(h.source, true)
 			}
 		case SourceLacks:
-			h.source.heard = r.now
+			h.source.hear(r.now)
 			h.source.unlist(t.p, true)
 		default:
 			blind := h.fill && h.source != h.to && r.rec["tells"] != "all"
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -151,7 +151,7 @@
 	r.rec["may_double"] = "false"
 	x := sent(r, 0, true)
 	x.hops[0].late = 100.4
-	r.now, r.member("c0").ends = 100.4, []float64{0, 1, 1, 1}
+	r.now = 100.4
 	r.think(x) // silent: cancelled, and the end is awaited
 	assert.Equal(t, []Cancel{{"t", 0}}, of[Cancel](r.acts))
 	assert.Len(t, x.hops, 1)
@@ -285,7 +285,6 @@
 	x := sent(r, 0, true)
 	x.hops[0].late = 100.3
 	r.now = 100 + quiet + 0.01
-	r.member("c0").ends = []float64{0, 1, 1, 1}
 	r.think(x)
 	assert.Greater(t, r.member("c0").benched, r.now)
 	require.Len(t, x.hops, 2)
@@ -296,7 +295,7 @@
 func TestHeardMemberIsNotSilent(t *testing.T) {
 	r := router("repeatable")
 	x := sent(r, 0, true)
-	r.member("c0").heard = 100.1
+	r.member("c0").hear(100.1)
 	r.now = 101
 	assert.False(t, r.silent(x.hops[0]))
 }
--- a/brain/state.go
+++ b/brain/state.go
@@ -59,7 +59,7 @@
 	role    role
 	away    float64   // hubs on the way
 	sharers float64   // routers that can send to it
-	heard   float64   // last sign of life
+	signs   []float64 // times of its last few signs of life
 	ends    []float64 // the last few ends laid to it, 1 for a failed one
 	benched float64   // nothing is sent before this time if there is another
 	strikes int       // times on the bench since it was last proven
@@ -74,7 +74,6 @@
 	gates                    []*gate // of the ways behind the cache
 	rank                     int
 	maxAge, sent, late, over float64
-	again                    float64 // when its silence counts once more
 	load                     float64 // places taken in the gates: the odds of a fill
 	far                      *gate   // the origin's, of one thought to reach it
 	sibling, fill            bool    // filled by a sibling; thought to miss
@@ -230,6 +229,23 @@
 	return sum
 }
 
+func (m *member) hear(now float64) { m.signs = keep(m.signs, now, keptSamples) }
+
+// heard is the time of the last sign of life, interval the mean time between the last few.
+func (m *member) heard() float64 {
+	if len(m.signs) == 0 {
+		return 0
+	}
+	return m.signs[len(m.signs)-1]
+}
+
+func (m *member) interval() float64 {
+	if len(m.signs) < 2 {
+		return 0
+	}
+	return (m.heard() - m.signs[0]) / float64(len(m.signs)-1)
+}
+
 // object finds an object, or adds it.
 func (r *Router) object(id string, group int) *object {
 	if r.objects[id] == nil {
