Gates widen by 1/root n for n routers

Cause: widening by 1/n kept gates shut long after a cut; as if alone they jam the thin views. The independent swings of n routers even out as root n.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -171,7 +171,7 @@
 	}
 	r.relist()
 	for _, m := range again {
-		m.proven, m.part = max(stretchRoom*m.Weight/m.sharers, leastRoom), 1/m.sharers
+		m.proven, m.part = max(stretchRoom*m.Weight/m.sharers, leastRoom), 1/math.Sqrt(m.sharers)
 		if m.room = m.proven; r.warmth(m) < 1 {
 			m.room = freshRoom
 		}
