--- a/brain/brain.go
+++ b/brain/brain.go
@@ -36,7 +36,8 @@
 	badShare     = 0.5     // share of failed ends that benches: failing hops cost less than a lost cache below it
 	badLeast     = 4       // failed ends at least for that: chance
 	freshRoom    = 2.0     // hops in flight at a member just back; one more for each answer
-	leastRoom    = 0.1     // hops in flight at least, one in ten of the time: a gate must go on learning
+	leastRoom    = 0.1     // hops in flight that a share starts at, one in ten of the time: members without weight
+	leastShare   = 0.2     // of its starting share that a gate always lets through: it must go on learning
 	stretchRoom  = 1.5     // hops in flight a transfer of capacity: the SLA's stretch leaves that and a margin
 	jamShare     = 0.3     // share of late ones among the last few that tells of a jam: single ones are chance
 	jamLasts     = 1.0     // s after a cut for which old copies will do: jams pass slower than that
@@ -131,6 +132,12 @@
 	}
 }
 
+// share gives a gate its starting share of what n routers use together.
+func (g *gate) share(room, n float64) {
+	room = max(room, leastRoom)
+	g.room, g.proven, g.least, g.part = room, room, leastShare*room, 1/math.Sqrt(n)
+}
+
 // grow takes an answer in time. All who share a gate's way widen it together as fast as one alone would.
 func (g *gate) grow() {
 	g.lates = keep(g.lates, 0, keptSamples)
@@ -145,7 +152,7 @@
 func (g *gate) shrink(now float64, refused bool) {
 	g.lates = keep(g.lates, 1, keptSamples)
 	if now > g.cut+cutEvery && (refused || mean(g.lates) >= jamShare) {
-		g.room, g.cut = max(g.room*roomCut, leastRoom), now
+		g.room, g.cut = max(g.room*roomCut, g.least), now
 		g.proven = g.room
 	}
 }
@@ -171,21 +178,22 @@
 	}
 	r.relist()
 	for _, m := range again {
-		m.proven, m.part = max(stretchRoom*m.Weight/m.sharers, leastRoom), 1/math.Sqrt(m.sharers)
-		if m.room = m.proven; r.warmth(m) < 1 {
+		m.share(stretchRoom*m.Weight/m.sharers, m.sharers)
+		if r.warmth(m) < 1 {
 			m.room = freshRoom
 		}
 	}
 	if r.link.room == 0 {
 		flow := r.rec.NumItem("link_in_kb_s", int(r.num("location", 0)), 0) / max(r.num("pace_kb_s", 0), 1)
+		sum := 0.0
 		for _, m := range r.caches {
-			if r.link.room += m.proven; flow > 0 {
-				r.link.room = stretchRoom * flow / m.sharers
+			if sum += m.proven; flow > 0 {
+				sum = stretchRoom * flow / m.sharers
 			}
-			r.link.proven, r.link.part = r.link.room, m.part
+			r.link.share(sum, m.sharers)
 		}
 		for _, m := range r.origins { // its weight says nothing: as much as the link, until it tells
-			m.room, m.proven = r.link.room, r.link.room
+			m.share(sum, m.sharers)
 		}
 	}
 }
--- a/brain/state.go
+++ b/brain/state.go
@@ -37,7 +37,7 @@
 type gate struct {
 	room, proven, out, cut float64
 	rest                   float64   // closed until then
-	part                   float64   // 1 / number of routers that share the way
+	least, part            float64   // what is always let through; what an answer in time adds
 	lates                  []float64 // the last few answers, 1 for a late one
 }
 
