--- a/brain/brain.go
+++ b/brain/brain.go
@@ -41,6 +41,7 @@
 	stretchRoom  = 1.5     // hops in flight a transfer of capacity: the SLA's stretch leaves that and a margin
 	jamShare     = 0.3     // share of late ones among the last few that tells of a jam: single ones are chance
 	jamLasts     = 1.0     // s after a cut for which old copies will do: jams pass slower than that
+	together     = 2.0     // hops added to a gate in a round of answers in time, by the root of its sharers: swings even out
 	roomCut      = 0.8     // what a late or refused hop leaves of a gate's room
 	cutEvery     = 0.25    // s between cuts: the hops then out all tell of the same jam
 	inTime       = 0.8     // share of the SLA time beyond which a hop tells of a jam; at 1 more came late everywhere
@@ -135,7 +136,7 @@
 // share gives a gate its starting share of what n routers use together.
 func (g *gate) share(room, n float64) {
 	room = max(room, leastRoom)
-	g.room, g.proven, g.least, g.part = room, room, leastShare*room, 1/math.Sqrt(n)
+	g.room, g.proven, g.least, g.part = room, room, leastShare*room, min(together/math.Sqrt(n), 1)
 }
 
 // grow takes an answer in time. All who share a gate's way widen it together as fast as one alone would.
