--- a/brain/brain.go
+++ b/brain/brain.go
@@ -144,7 +144,7 @@
 	g.lates = keep(g.lates, 0, keptSamples)
 	if g.room < g.proven {
 		g.room = min(g.room+1, g.proven)
-	} else if g.out+1 > g.room/2 {
+	} else if g.room < 1 || g.out > g.room/2 {
 		g.room += g.part / max(g.room, 1)
 	}
 }
