--- a/brain/brain.go
+++ b/brain/brain.go
@@ -33,6 +33,7 @@
 	lookAgain    = 0.1     // s between looks at a late hop, and before a txn asks again where it failed
 	benchFirst   = 1.0     // s on the bench at first: some dozens of txns would go there in it
 	benchMost    = 4.0     // s on the bench at most: a member that is back is wanted soon
+	ownWord      = 0.004   // s in which only the cache itself can have refused: sources are a hub away
 	badShare     = 0.5     // share of failed ends that benches: failing hops cost less than a lost cache below it
 	badLeast     = 4       // failed ends at least for that: chance
 	freshRoom    = 2.0     // hops in flight at a member just back; one more for each answer
@@ -690,8 +691,10 @@
 			h.source.unlist(t.p, true)
 		default:
 			blind := h.fill && h.source != h.to && r.rec["tells"] != "all"
-			if o.Code == Busy && (blind || o.Remark == NoPlace) {
-				r.link.shrink(r.now, true) // its fills have taken all places
+			if o.Remark == NoPlace || (o.Code == Busy && blind && o.Took < ownWord) {
+				r.link.shrink(r.now, true) // fills have taken all places
+			} else if o.Code == Busy && blind {
+				h.source.shrink(r.now, true)
 			} else if o.Code == Busy {
 				h.to.shrink(r.now, true)
 			} else if r.judge(h.to, true); blind {
