--- a/brain/brain.go
+++ b/brain/brain.go
@@ -348,10 +348,13 @@
 	return r.affords(t, m)
 }
 
-func sentTo(h *hop, m *member) bool     { return h.to == m }
+func sentTo(h *hop, m *member) bool     { return h.to == m && !h.look }
 func filledFrom(h *hop, m *member) bool { return h.source == m && !h.sibling }
+func looked(h *hop) bool                { return h.look }
 
-// next decides a further hop, or nil if nobody has room now.
+// next decides a further hop, or nil if nobody has room now. Where the ways behind a cache are closed and the part
+// is not known to be there, one hop only looks: other routers may have filled it. It covers every thin view and a
+// restarted router; a wrong guess costs one short hop.
 func (r *Router) next(t *txn) *hop {
 	caches, parents := r.ordered(t.obj)
 	direct, write := r.rec.Is("may_go_direct"), r.uncacheable(t)
@@ -409,7 +412,10 @@
 		h.far = r.wayToOrigin()
 	}
 	if h.source == h.to || (!t.Write && (!r.link.open(r.now) || (h.far != nil && !h.far.open(r.now)))) {
-		return nil
+		if h.source, h.far, h.fill, h.look = h.to, nil, false, true; write || slices.ContainsFunc(t.hops, looked) {
+			return nil
+		}
+		return h
 	}
 	if h.gates = []*gate{&h.source.gate, &r.link}; h.far != nil && h.far != &h.source.gate {
 		h.gates = append(h.gates, h.far)
@@ -488,31 +494,6 @@
 // spent says that all copies which a purge voids are dropped everywhere.
 func (r *Router) spent(p purge) bool { return r.now > p.at+r.num("purge_done_s", 0)+purgeMargin }
 
-func (r *Router) drop(o *object) {
-	for _, p := range o.parts {
-		p.near = false
-		for _, m := range r.local {
-			m.unlist(p, true)
-		}
-	}
-}
-
-// sweep forgets objects that were idle for long, sooner if there are too many.
-func (r *Router) sweep() {
-	if r.now < r.swept+sweepEvery && len(r.objects) < mostObjects {
-		return
-	}
-	r.swept = r.now
-	for age := forgetAfter; age == forgetAfter || len(r.objects) > mostObjects/2; age /= 2 {
-		for name, o := range r.objects {
-			if r.now-o.last >= age {
-				r.drop(o)
-				delete(r.objects, name)
-			}
-		}
-	}
-}
-
 // think decides what is wanted for a txn now, and settles it.
 func (r *Router) think(t *txn) {
 	defer r.settle(t)
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -308,6 +308,17 @@
 	assert.Len(t, of[Hop](r.Decide(100, arrival("t", "x"))), 1)
 }
 
+func TestOneHopLooksWhereTheWaysAreClosed(t *testing.T) {
+	r := router("keyed")
+	r.link.room = 0
+	h := of[Hop](r.Decide(100, arrival("t", "x")))
+	require.Len(t, h, 1)
+	assert.Equal(t, h[0].To, h[0].Source, "nothing is filled")
+	assert.Empty(t, of[Hop](r.Decide(100.01, Outcome{Txn: "t", Member: h[0].To, Code: Miss})), "held, not looked for again")
+	r.link.room = 5
+	assert.Len(t, of[Hop](r.Decide(100.11, Bell{r.txns["t"].seq})), 1)
+}
+
 func TestShareUnderOneHopIsSpentInTurns(t *testing.T) {
 	g := gate{room: 0.25, proven: 0.25, part: 0.1}
 	require.True(t, g.open(100))
--- a/brain/state.go
+++ b/brain/state.go
@@ -77,6 +77,7 @@
 	load                     float64 // places taken in the gates: the odds of a fill
 	far                      *gate   // the origin's, of one thought to reach it
 	sibling, fill            bool    // filled by a sibling; thought to miss
+	look                     bool    // fills nothing
 	wanted, begun, out, stop bool
 	end                      Code
 }
@@ -346,6 +347,32 @@
 	return min(way, max(ring-way, 0))
 }
 
+// drop forgets what is thought held of an object.
+func (r *Router) drop(o *object) {
+	for _, p := range o.parts {
+		p.near = false
+		for _, m := range r.local {
+			m.unlist(p, true)
+		}
+	}
+}
+
+// sweep forgets objects that were idle for long, sooner if there are too many.
+func (r *Router) sweep() {
+	if r.now < r.swept+sweepEvery && len(r.objects) < mostObjects {
+		return
+	}
+	r.swept = r.now
+	for age := forgetAfter; age == forgetAfter || len(r.objects) > mostObjects/2; age /= 2 {
+		for name, o := range r.objects {
+			if r.now-o.last >= age {
+				r.drop(o)
+				delete(r.objects, name)
+			}
+		}
+	}
+}
+
 func flag(on bool) float64 {
 	if on {
 		return 1
