--- a/brain/brain.go
+++ b/brain/brain.go
@@ -19,7 +19,7 @@
 	fillRank     = 2       // rank of 1 to 3 on a serve: the middle one
 	keptSamples  = 10      // samples kept of a member's ends and idle times: few, so that a change shows soon
 	keptSizes    = 64      // sending times kept a remap rule: sizes vary widely, the mean needs more of them
-	sizesNeeded  = 8       // sending times before their mean is believed
+	sizesNeeded  = 8       // samples before their mean is believed
 	heldAge      = 3.0     // T, idle time after which a part leaves the held list: surely displaced by then
 	forgetAfter  = 60.0    // s, idle time after which an object is forgotten: several T
 	sweepEvery   = 5.0     // s between sweeps of what is forgotten
@@ -260,9 +260,8 @@
 func (p *part) key() float64 { return gamma*p.last - (1-gamma)*p.dt }
 
 // gap is the averaged gap of a txn's part; an unseen part has the largest of its object's parts held at m. Where
-// none is held and n routers share m, a first sight here is with odds of n-1 in n another router's repeat, whose
-// gap would be T: the expected T/gap is (n-1)/n. It covers any thin view; it harms where each router's objects
-// are its own.
+// none is held, its first sight here is another router's repeat with the odds of a hit where none was expected; the
+// gap would then be T, so the expected T/gap is those odds. It covers any thin view and a restarted router.
 func (r *Router) gap(t *txn, m *member) float64 {
 	if !t.unseen {
 		return t.p.gap(r.now)
@@ -273,7 +272,7 @@
 			largest = max(largest, p.gap(r.now))
 		}
 	}
-	return cmp.Or(largest, r.horizon(m)*m.sharers/(m.sharers-1))
+	return cmp.Or(largest, r.horizon(m)/(1-r.odds()))
 }
 
 // request updates the part's gap, once a txn, and its place in the held lists.
@@ -405,10 +404,7 @@
 	if !h.fill {
 		return h
 	}
-	if h.load = mean(r.misses); len(r.misses) < sizesNeeded {
-		h.load = 1
-	}
-	if !t.p.near {
+	if h.load = r.odds(); !t.p.near {
 		h.far = r.wayToOrigin()
 	}
 	if h.source == h.to || (!t.Write && (!r.link.open(r.now) || (h.far != nil && !h.far.open(r.now)))) {
@@ -423,6 +419,14 @@
 	return h
 }
 
+// odds is the share of the last few hops thought to miss that did.
+func (r *Router) odds() float64 {
+	if len(r.misses) < sizesNeeded {
+		return 1
+	}
+	return mean(r.misses)
+}
+
 // wayToOrigin is the gate of the first origin listed; one that is always open where there is none.
 func (r *Router) wayToOrigin() *gate {
 	if len(r.origins) > 0 {
