--- a/brain/brain.go
+++ b/brain/brain.go
@@ -1,6 +1,6 @@
 // Every decision of the router. New starts an instance from its seed and its records; Decide takes one event
-// with the clock and returns the actions, in order. Events, actions and their types are in interface.go.
-// A txn's wanted state is the hops that should be out, whether it is held, a verdict and a wake time. Handlers
+// with the clock and returns the actions, in order. Events, actions and their types are in interface.go. A
+// txn's wanted state is the hops that should be out, whether it is held, a verdict and a wake time. Handlers
 // change only what is wanted; settle works out the difference to what is and emits it.
 package brain
 
@@ -11,10 +11,10 @@
 )
 
 const (
-	alpha        = 0.75    // cost of a fill over that of a pass, under 1: a pass uses the link as much and leaves nothing
+	alpha        = 0.75    // cost of a fill over that of a pass, under 1: a pass uses as much and leaves nothing
 	gamma        = 0.25    // weight of the newest gap, from the design's source
 	firstHorizon = 10.0    // s, T before any idle time was seen, from the design
-	hubFactor    = 2.0     // times as seldom first in hash order for each hub on the way: a fill costs that much more link
+	hubFactor    = 2.0     // times as seldom first in hash order a hub on the way: a fill costs so much more
 	leastHorizon = 1.0     // s, T at least: a purge told late must not close the cache to new parts
 	fillRank     = 2       // rank of 1 to 3 on a serve: the middle one
 	keptSamples  = 10      // samples kept of a member's ends and idle times: few, so that a change shows soon
@@ -34,18 +34,18 @@
 	benchFirst   = 1.0     // s on the bench at first: some dozens of txns would go there in it
 	benchMost    = 4.0     // s on the bench at most: a member that is back is wanted soon
 	ownWord      = 0.004   // s in which only the cache itself can have refused: sources are a hub away
-	badShare     = 0.5     // share of failed ends that benches: failing hops cost less than a lost cache below it
+	badShare     = 0.5     // share of failed ends that benches: below it hops cost less than a lost cache
 	badLeast     = 4       // failed ends at least for that: chance
 	freshRoom    = 2.0     // hops in flight at a member just back; one more for each answer
-	leastRoom    = 0.1     // hops in flight that a share starts at, one in ten of the time: members without weight
+	leastRoom    = 0.1     // hops in flight that a share starts at, for members without weight
 	leastShare   = 0.2     // of its starting share that a gate always lets through: it must go on learning
 	stretchRoom  = 1.5     // hops in flight a transfer of capacity: the SLA's stretch leaves that and a margin
 	jamShare     = 0.3     // share of late ones among the last few that tells of a jam: single ones are chance
 	jamLasts     = 1.0     // s after a cut for which old copies will do: jams pass slower than that
-	together     = 2.0     // hops added to a gate in a round of answers in time, by the root of its sharers: swings even out
+	together     = 2.0     // hops added in a round of answers, by the root of the sharers: swings even out
 	roomCut      = 0.8     // what a late or refused hop leaves of a gate's room
 	cutEvery     = 0.25    // s between cuts: the hops then out all tell of the same jam
-	inTime       = 0.8     // share of the SLA time beyond which a hop tells of a jam; at 1 more came late everywhere
+	inTime       = 0.8     // share of the SLA time beyond which a hop tells of a jam; at 1 more came late
 	mostTries    = 12      // held txns looked at after each end, densest first: bounds the work
 	coldSpend    = 0.7     // share of a cold member's present capacity that is used: it serves no more in time
 	ageMargin    = 1e-4    // s by which a copy must be younger than the purge: rounding
@@ -56,8 +56,8 @@
 
 // New starts a router that knows nothing but its records.
 func New(seed uint64, rec Records) *Router {
-	return &Router{rec: rec, pcg: seed, nums: map[string]float64{}, rules: map[int]*rule{}, txns: map[string]*txn{},
-		bySeq: map[uint64]*txn{}, objects: map[string]*object{}}
+	return &Router{rec: rec, pcg: seed, nums: map[string]float64{}, rules: map[int]*rule{},
+		txns: map[string]*txn{}, bySeq: map[uint64]*txn{}, objects: map[string]*object{}}
 }
 
 // Decide takes one event and returns what is to be done. The slice is good until the next call.
@@ -124,8 +124,8 @@
 	}
 }
 
-// open says whether a gate lets one more through. A share of less than one hop is spent in turns: after a hop the
-// gate rests until, with the rest, the time taken is in proportion.
+// open says whether a gate lets one more through. A share of less than one hop is spent in turns: after a hop
+// the gate rests until, with the rest, the time taken is in proportion.
 func (g *gate) open(now float64) bool { return g.out < g.room && now >= g.rest }
 
 func (g *gate) release(now, load, took float64, used bool) {
@@ -164,22 +164,7 @@
 	if l.Kind == Failed || (l.Kind == Saved && r.rec["list"] == "asked") {
 		r.acts = append(r.acts, Subscribe{})
 	}
-	if l.Kind == Full || l.Kind == Saved {
-		for _, m := range r.all {
-			m.Status = Gone
-		}
-	}
-	var again []*member
-	for _, row := range l.Rows {
-		m := r.member(row.Member)
-		if m.held == nil || row.Started > m.Started {
-			*m = member{held: map[*part]*holding{}, gate: gate{out: m.out}, spent: m.spent}
-			again = append(again, m)
-		}
-		m.Row = row
-	}
-	r.relist()
-	for _, m := range again {
+	for _, m := range r.take(l) {
 		m.share(stretchRoom*m.Weight/m.sharers, m.sharers)
 		if r.warmth(m) < 1 {
 			m.room = freshRoom
@@ -215,8 +200,8 @@
 	return floor + (1-floor)*max(r.now-m.Started, 0)/over
 }
 
-// cost is the work in sending seconds that a hop is counted at: at the mean of its rule, at a parent at its own
-// if that is more.
+// cost is the work in sending seconds that a hop is counted at: at the mean of its rule, at a parent at its
+// own if that is more.
 func (r *Router) cost(t *txn, m *member) float64 {
 	u := r.rule(t.Rule)
 	if len(u.sizes) < sizesNeeded {
@@ -227,9 +212,9 @@
 	return mean(u.sizes)
 }
 
-// affords guards cold members (rule 4): in any window of the stated length this router spends no more than its
-// even part of a share of what the member can do then. It covers caches, and parents for the fills that may reach
-// them. It could harm where other routers are idle: the room they leave is not used.
+// affords guards cold members (rule 4): in any window of the stated length this router spends no more than
+// its even part of a share of what the member can do then. It covers caches, and parents for the fills that
+// may reach them. It could harm where other routers are idle: the room they leave is not used.
 func (r *Router) affords(t *txn, m *member) bool {
 	warm, window := r.warmth(m), r.num("fall_s", 1)
 	return warm >= 1 || r.cost(t, m)+m.spentSince(r.now-window) <= coldSpend*warm*m.Weight*window/m.sharers
@@ -259,9 +244,10 @@
 // key orders parts by their gaps, largest first, the same at any time.
 func (p *part) key() float64 { return gamma*p.last - (1-gamma)*p.dt }
 
-// gap is the averaged gap of a txn's part; an unseen part has the largest of its object's parts held at m. Where
-// none is held, its first sight here is another router's repeat with the odds of a hit where none was expected; the
-// gap would then be T, so the expected T/gap is those odds. It covers any thin view and a restarted router.
+// gap is the averaged gap of a txn's part; an unseen part has the largest of its object's parts held at m.
+// Where none is held, its first sight here is another router's repeat with the odds of a hit where none was
+// expected; the gap would then be T, so the expected T/gap is those odds. It covers any thin view and a
+// restarted router.
 func (r *Router) gap(t *txn, m *member) float64 {
 	if !t.unseen {
 		return t.p.gap(r.now)
@@ -334,7 +320,8 @@
 }
 
 // usable says whether a txn may use a member: at level 0 if it has not failed it, at level 1 if it is not on
-// the bench, at level 2 anyhow. Cold guards and gates hold at all levels; writes are small and pass the gates.
+// the bench, at level 2 anyhow. Cold guards and gates hold at all levels; writes are small and pass the
+// gates.
 func (r *Router) usable(t *txn, m *member, level int, used func(*hop, *member) bool) bool {
 	if (level < 2 && m.benched > r.now) || !(m.open(r.now) || (t.Write && m.proven <= m.room)) {
 		return false
@@ -347,13 +334,9 @@
 	return r.affords(t, m)
 }
 
-func sentTo(h *hop, m *member) bool     { return h.to == m && !h.look }
-func filledFrom(h *hop, m *member) bool { return h.source == m && !h.sibling }
-func looked(h *hop) bool                { return h.look }
-
-// next decides a further hop, or nil if nobody has room now. Where the ways behind a cache are closed and the part
-// is not known to be there, one hop only looks: other routers may have filled it. It covers every thin view and a
-// restarted router; a wrong guess costs one short hop.
+// next decides a further hop, or nil if nobody has room now. Where the ways behind a cache are closed and the
+// part is not known to be there, one hop only looks: other routers may have filled it. It covers every thin
+// view and a restarted router; a wrong guess costs one short hop.
 func (r *Router) next(t *txn) *hop {
 	caches, parents := r.ordered(t.obj)
 	direct, write := r.rec.Is("may_go_direct"), r.uncacheable(t)
@@ -427,14 +410,6 @@
 	return mean(r.misses)
 }
 
-// wayToOrigin is the gate of the first origin listed; one that is always open where there is none.
-func (r *Router) wayToOrigin() *gate {
-	if len(r.origins) > 0 {
-		return &r.origins[0].gate
-	}
-	return &gate{room: math.Inf(1)}
-}
-
 // sibling names another cache of the location that answers showed holding a part which the chosen one lacks.
 // It acts after restarts, ejections and skips, when the hash order's first cache is not the holder; the link
 // and the parent are spared. A wrong guess costs one short hop.
@@ -457,7 +432,8 @@
 func (r *Router) inGroup(t *txn, m *member) bool {
 	group := r.rule(t.Rule).group
 	return r.rule(t.Rule).effect != "keyed" || !slices.ContainsFunc(t.hops, func(h *hop) bool {
-		return h.mayHaveRun() && (group == "zone" && h.to.Location != m.Location || group == "cell" && h.to.Cell != m.Cell)
+		away := group == "zone" && h.to.Location != m.Location || group == "cell" && h.to.Cell != m.Cell
+		return away && h.mayHaveRun()
 	})
 }
 
@@ -465,8 +441,9 @@
 	return h.begun && (h.out || !(h.end == Busy || h.end == NoConnect || h.end == Moot || h.end == Miss))
 }
 
-// oldest is the oldest copy that will do (rule 5): younger than any purge that copies may have outlived. Where a
-// copy past its fresh time earns more than a late answer it will do if fills are jammed or one has failed.
+// oldest is the oldest copy that will do (rule 5): younger than any purge that copies may have outlived.
+// Where a copy past its fresh time earns more than a late answer it will do if fills are jammed or one has
+// failed.
 func (r *Router) oldest(t *txn) float64 {
 	age := math.Inf(1)
 	for _, p := range r.purges {
@@ -577,9 +554,9 @@
 	}
 }
 
-// silent judges a late hop's cache, then its source: nothing at all was heard since the hop was sent, for several
-// times as long as usually passes between signs of life. It covers hangs, vanished machines and cut ways, sooner
-// where much is heard. It could harm a member whose answers all became slow at once.
+// silent judges a late hop's cache, then its source: nothing at all was heard since the hop was sent, for
+// several times as long as usually passes between signs of life. It covers hangs, vanished machines and cut
+// ways, sooner where much is heard. It could harm a member whose answers all became slow at once.
 func (r *Router) silent(h *hop) bool {
 	m, wait := h.to, quiet
 	if m.heard() >= h.sent && h.fill {
@@ -592,14 +569,12 @@
 	return true
 }
 
-// bench keeps hops from a member for a while, if another in its place is in service; else, as with the origin,
-// its gate shrinks: where all seem sick at once the cause is common, and benches would close the field.
+// bench keeps hops from a member for a while, if another in its place is in service; else, as with the
+// origin, its gate shrinks: where all seem sick at once the cause is common, and benches would close the
+// field.
 func (r *Router) bench(m *member) {
-	peers := r.parents
-	if m.role == cache {
-		peers = r.caches
-	}
-	if m.role == origin || !slices.ContainsFunc(peers, func(x *member) bool { return x != m && x.benched <= r.now }) {
+	inService := func(x *member) bool { return x != m && x.benched <= r.now }
+	if m.role == origin || !slices.ContainsFunc(r.peers(m), inService) {
 		m.shrink(r.now, true)
 	} else if m.benched <= r.now {
 		m.benched = r.now + min(benchFirst*math.Pow(2, float64(min(m.strikes, 8))), benchMost)
@@ -607,8 +582,8 @@
 	}
 }
 
-// judge lays an end to a member. Failing ends bench it when they are half of the last few, or at once while it
-// is on trial; it covers errors, refused and broken connections of any cause.
+// judge lays an end to a member. Failing ends bench it when they are half of the last few, or at once while
+// it is on trial; it covers errors, refused and broken connections of any cause.
 func (r *Router) judge(m *member, bad bool) {
 	if !bad && m.room >= m.proven {
 		m.strikes = 0
@@ -695,8 +670,8 @@
 	}
 }
 
-// tune moves the gates that a completed hop went through. A late one tells of a jam: at the cache if it was held
-// there, at the source or the origin if the first byte came late, else on the location's link.
+// tune moves the gates that a completed hop went through. A late one tells of a jam: at the cache if it was
+// held there, at the source or the origin if the first byte came late, else on the location's link.
 func (r *Router) tune(t *txn, h *hop, o Outcome, filled bool) {
 	if o.Took <= inTime*t.sla {
 		h.to.grow()
@@ -719,8 +694,8 @@
 	}
 }
 
-// hold keeps the held list of a cache: what answers showed there. A part filled though thought held was lost; its
-// idle time before that miss is a sample of T.
+// hold keeps the held list of a cache: what answers showed there. A part filled though thought held was lost;
+// its idle time before that miss is a sample of T.
 func (r *Router) hold(t *txn, h *hop, filled bool) {
 	if h.to.role != cache || r.uncacheable(t) {
 		return
--- a/brain/state.go
+++ b/brain/state.go
@@ -266,7 +266,9 @@
 
 // member finds a member by its id, or adds one of which nothing is known.
 func (r *Router) member(id string) *member {
-	at, found := slices.BinarySearchFunc(r.all, id, func(m *member, id string) int { return cmp.Compare(m.Member, id) })
+	at, found := slices.BinarySearchFunc(r.all, id, func(m *member, id string) int {
+		return cmp.Compare(m.Member, id)
+	})
 	if !found {
 		r.all = slices.Insert(r.all, at, &member{Row: Row{Member: id}})
 	}
@@ -281,6 +283,25 @@
 	return sum / float64(len(list))
 }
 
+// take brings the list up to date and returns the members that are new or have started again.
+func (r *Router) take(l Listing) (again []*member) {
+	if l.Kind == Full || l.Kind == Saved {
+		for _, m := range r.all {
+			m.Status = Gone
+		}
+	}
+	for _, row := range l.Rows {
+		m := r.member(row.Member)
+		if m.held == nil || row.Started > m.Started {
+			*m = member{held: map[*part]*holding{}, gate: gate{out: m.out}, spent: m.spent}
+			again = append(again, m)
+		}
+		m.Row = row
+	}
+	r.relist()
+	return again
+}
+
 // relist works out what each member is by the records, and who is in service.
 func (r *Router) relist() {
 	r.local, r.caches, r.parents, r.origins = nil, nil, nil, nil
@@ -305,6 +326,26 @@
 	}
 }
 
+// peers are the members in service that can stand in for one.
+func (r *Router) peers(m *member) []*member {
+	if m.role == cache {
+		return r.caches
+	}
+	return r.parents
+}
+
+// wayToOrigin is the gate of the first origin listed; one that is always open where there is none.
+func (r *Router) wayToOrigin() *gate {
+	if len(r.origins) > 0 {
+		return &r.origins[0].gate
+	}
+	return &gate{room: math.Inf(1)}
+}
+
+func sentTo(h *hop, m *member) bool     { return h.to == m && !h.look }
+func filledFrom(h *hop, m *member) bool { return h.source == m && !h.sibling }
+func looked(h *hop) bool                { return h.look }
+
 // num reads a number of the records, once.
 func (r *Router) num(name string, otherwise float64) float64 {
 	x, ok := r.nums[name]
