--- a/brain/brain.go
+++ b/brain/brain.go
@@ -47,7 +47,7 @@
 	cutEvery     = 0.25    // s between cuts: the hops then out all tell of the same jam
 	inTime       = 0.8     // share of the SLA time beyond which a hop tells of a jam; at 1 more came late
 	mostTries    = 12      // held txns looked at after each end, densest first: bounds the work
-	coldSpend    = 0.7     // share of a cold member's present capacity that is used: it serves no more in time
+	coldSpend    = 1.0     // share of a cold member's present capacity that is used: half of what topples it, or less
 	ageMargin    = 1e-4    // s by which a copy must be younger than the purge: rounding
 	purgeMargin  = 1.0     // s for which a purge is kept after all should have dropped its copies
 	leastAge     = 2e-6    // s, an age that is never rounded to 0, which means any
