--- a/brain/brain.go
+++ b/brain/brain.go
@@ -97,7 +97,7 @@
 		if h.wanted && !h.begun && !done {
 			h.begun, h.out, h.sent = true, true, r.now
 			r.acts = append(r.acts, Hop{Txn: t.Txn, To: h.to.Member, Until: t.Limit, Source: h.source.Member,
-				Rank: h.rank, MaxAge: h.maxAge, Join: r.rec.Is("may_join"), NoFetch: h.sibling,
+				Rank: h.rank, MaxAge: h.maxAge, Join: r.rec.Is("may_join"), NoFetch: h.sibling || h.look,
 				Renew: r.rule(t.Rule).fresh > 0})
 			h.to.out++
 			for _, g := range h.gates {
@@ -334,9 +334,9 @@
 	return r.affords(t, m)
 }
 
-// next decides a further hop, or nil if nobody has room now. Where the ways behind a cache are closed and the
-// part is not known to be there, one hop only looks: other routers may have filled it. It covers every thin
-// view and a restarted router; a wrong guess costs one short hop.
+// next decides a further hop, or nil if nobody has room now. Where a way is closed and the part is not known to
+// be before it, one hop only looks, at the cache or as far as the parent: other routers may have filled it there.
+// It covers every thin view and a restarted router; a wrong guess costs one short hop.
 func (r *Router) next(t *txn) *hop {
 	caches, parents := r.ordered(t.obj)
 	direct, write := r.rec.Is("may_go_direct"), r.uncacheable(t)
@@ -390,11 +390,15 @@
 	if h.load = r.odds(); !t.p.near {
 		h.far = r.wayToOrigin()
 	}
-	if h.source == h.to || (!t.Write && (!r.link.open(r.now) || (h.far != nil && !h.far.open(r.now)))) {
-		if h.source, h.far, h.fill, h.look = h.to, nil, false, true; write || slices.ContainsFunc(t.hops, looked) {
+	closed := h.source == h.to || (!t.Write && !r.link.open(r.now))
+	if closed || (!t.Write && h.far != nil && !h.far.open(r.now)) {
+		if h.far, h.look = nil, true; write || slices.ContainsFunc(t.hops, looked) {
 			return nil
 		}
-		return h
+		if closed || h.source.role == origin {
+			h.source, h.fill = h.to, false
+			return h
+		}
 	}
 	if h.gates = []*gate{&h.source.gate, &r.link}; h.far != nil && h.far != &h.source.gate {
 		h.gates = append(h.gates, h.far)
@@ -631,7 +635,7 @@
 		if filled && !h.sibling {
 			t.p.near = true
 		}
-		if h.fill && !h.sibling && h.to.role == cache {
+		if h.fill && !h.sibling && !h.look && h.to.role == cache {
 			r.misses = keep(r.misses, flag(filled), keptSizes)
 		}
 		r.hold(t, h, filled)
--- a/brain/state.go
+++ b/brain/state.go
@@ -77,7 +77,7 @@
 	load                     float64 // places taken in the gates: the odds of a fill
 	far                      *gate   // the origin's, of one thought to reach it
 	sibling, fill            bool    // filled by a sibling; thought to miss
-	look                     bool    // fills nothing
+	look                     bool    // is not to reach behind its source
 	wanted, begun, out, stop bool
 	end                      Code
 }
