--- a/brain/brain.go
+++ b/brain/brain.go
@@ -37,6 +37,7 @@
 	badShare     = 0.5     // share of failed ends that benches: below it hops cost less than a lost cache
 	badLeast     = 4       // failed ends at least for that: chance
 	freshRoom    = 2.0     // hops in flight at a member just back; one more for each answer
+	burst        = 1.0     // of the root of a share, added to it: one router's part of the traffic swings so much
 	leastRoom    = 0.1     // hops in flight that a share starts at, for members without weight
 	leastShare   = 0.2     // of its starting share that a gate always lets through: it must go on learning
 	stretchRoom  = 1.5     // hops in flight a transfer of capacity: the SLA's stretch leaves that and a margin
@@ -165,7 +166,8 @@
 		r.acts = append(r.acts, Subscribe{})
 	}
 	for _, m := range r.take(l) {
-		m.share(stretchRoom*m.Weight/m.sharers, m.sharers)
+		share := stretchRoom * m.Weight / m.sharers
+		m.share(share+flag(m.role == cache)*burst*math.Sqrt(share*(1-1/m.sharers)), m.sharers)
 		if r.warmth(m) < 1 {
 			m.room = freshRoom
 		}
@@ -174,7 +176,7 @@
 		flow := r.rec.NumItem("link_in_kb_s", int(r.num("location", 0)), 0) / max(r.num("pace_kb_s", 0), 1)
 		sum := 0.0
 		for _, m := range r.caches {
-			if sum += m.proven; flow > 0 {
+			if sum += stretchRoom * m.Weight / m.sharers; flow > 0 {
 				sum = stretchRoom * flow / m.sharers
 			}
 			r.link.share(sum, m.sharers)
