--- a/brain/brain.go
+++ b/brain/brain.go
@@ -609,10 +609,9 @@
 	}
 	h := t.hops[o.Hop]
 	h.out, h.wanted, h.end, h.over = false, false, o.Code, r.now
-	filled := o.Code != Completed || (o.Remark != Hit && o.Remark != Old)
 	h.to.release(r.now, 1, o.Took, true)
 	for _, g := range h.gates {
-		g.release(r.now, h.load, o.Took, filled)
+		g.release(r.now, h.load, o.Took, o.Code != Completed || (o.Remark != Hit && o.Remark != Old))
 	}
 	r.learn(t, h, o)
 	t.over = t.over || o.Final
@@ -634,9 +633,7 @@
 			h.source.hear(r.now)
 			r.judge(h.source, false)
 		}
-		if filled && !h.sibling {
-			t.p.near = true
-		}
+		t.p.near = t.p.near || filled && !h.sibling
 		if h.fill && !h.sibling && !h.look && h.to.role == cache {
 			r.misses = keep(r.misses, flag(filled), keptSizes)
 		}
@@ -681,10 +678,8 @@
 func (r *Router) tune(t *txn, h *hop, o Outcome, filled bool) {
 	if o.Took <= inTime*t.sla {
 		h.to.grow()
-		for _, g := range h.gates {
-			if filled {
-				g.grow()
-			}
+		for i := 0; filled && i < len(h.gates); i++ {
+			h.gates[i].grow()
 		}
 		return
 	}
