--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -400,3 +400,77 @@
 	}
 	assert.Equal(t, run(), run())
 }
+
+func TestSilenceIsWeighedByTheUsualTimeBetweenSigns(t *testing.T) {
+	r := router("repeatable")
+	c, h := r.member("c0"), sent(r, 0, true).hops[0]
+	c.signs = []float64{96, 97, 98, 99}
+	for wait, want := range map[float64]bool{silences - 0.1: false, silences + 0.1: true} {
+		r.now, c.benched = 100+wait, 0
+		assert.Equal(t, want, r.silent(h), "after %v s", wait)
+		assert.Equal(t, want, c.benched > r.now)
+	}
+}
+
+func TestUnseenPartAndGatesGoByTheOddsOfAFill(t *testing.T) {
+	r := router("keyed")
+	r.misses = []float64{1, 0, 0, 0, 1, 0, 0, 0}
+	x := &txn{obj: r.object("y", 0), p: &part{}, unseen: true}
+	assert.InDelta(t, firstHorizon/0.75, r.gap(x, r.member("c0")), 1e-9)
+	require.Len(t, of[Hop](r.Decide(100, arrival("t", "x"))), 1)
+	assert.InDelta(t, 0.25, r.link.out, 1e-9)
+	r.Decide(100.1, Outcome{Txn: "t", Member: "c0", Code: Completed, Remark: Hit, Final: true})
+	assert.Zero(t, r.link.out)
+}
+
+func TestLookGoesAsFarAsTheParent(t *testing.T) {
+	r := router("keyed")
+	r.member("o").room = 0
+	h := of[Hop](r.Decide(100, arrival("t", "x")))
+	require.Len(t, h, 1)
+	assert.True(t, h[0].NoFetch)
+	assert.Contains(t, []string{"p0", "p1"}, h[0].Source)
+	r.txns["t"].p.near = true // a parent has it: no need to look
+	assert.False(t, of[Hop](r.Decide(100, arrival("u", "x")))[0].NoFetch)
+}
+
+func TestBlindRefusalIsLaidByItsTime(t *testing.T) {
+	for took, link := range map[float64]bool{ownWord / 2: true, ownWord * 2: false} {
+		r := router("repeatable")
+		r.rec["tells"] = "hit"
+		x := sent(r, 0, true)
+		p := r.member("p0")
+		x.hops[0].source, x.hops[0].fill = p, true
+		before, source := r.link.room, p.room
+		r.learn(x, x.hops[0], Outcome{Code: Busy, Took: took})
+		assert.Equal(t, link, r.link.room < before)
+		assert.Equal(t, !link, p.room < source)
+	}
+}
+
+// However many routers there are said to be, a txn finds a way, and all shares together stay near the capacity.
+func TestAnyToldCountOfRouters(t *testing.T) {
+	for _, told := range []string{"", "0", "-3", "0.5", "1", "400"} {
+		r := New(7, records("keyed"))
+		r.rec["routers"], r.rec["routers_at"] = told, "0,"+told
+		r.Decide(100, Listing{Kind: Saved, Rows: []Row{{Member: "o", Kind: 2, Weight: 1},
+			{Member: "c", Location: 1, Weight: 4}, {Member: "p", Kind: 1, Weight: 400}}})
+		assert.Len(t, of[Hop](r.Decide(100, arrival("t", "x"))), 1, "told %q", told)
+		n := max(r.rec.Num("routers", 1), 1)
+		assert.InDelta(t, stretchRoom*400, n*r.member("p").room, 1e-6, "told %q", told)
+	}
+}
+
+func TestAllStartedAtOnceWithoutSizesOrLinks(t *testing.T) {
+	r := New(7, records("keyed"))
+	r.rec["link_in_kb_s"], r.rec["pace_kb_s"] = "", ""
+	r.Decide(100, Listing{Kind: Full, Rows: []Row{{Member: "o", Kind: 2, Weight: 1, Started: 100},
+		{Member: "c", Location: 1, Weight: 4, Started: 100}, {Member: "p", Kind: 1, Weight: 40, Started: 100}}})
+	for i := range 40 {
+		r.Decide(100, Arrival{Txn: fmt.Sprint(i), Object: fmt.Sprint("x", i), Limit: 105})
+	}
+	for _, m := range r.all {
+		assert.LessOrEqual(t, m.spentSince(98), coldSpend*r.warmth(m)*m.Weight*2/m.sharers, m.Member)
+	}
+	assert.Positive(t, r.member("c").out)
+}
