Trial: where sources are not told a late fill is laid to the link too

Cause: on such deployments nothing but full fill places ever cut the link's gate, which starts far too wide where links are not told.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -688,7 +688,10 @@
 		h.to.shrink(r.now, false)
 	case o.Remark == FilledByOrigin && h.far != nil && o.FirstByte > lateBase*inTime*t.sla:
 		h.far.shrink(r.now, false)
-	case r.rec["tells"] != "all" || o.FirstByte > lateBase*inTime*t.sla:
+	case r.rec["tells"] != "all":
+		h.source.shrink(r.now, false)
+		r.link.shrink(r.now, false) // a single late source is few of the link's answers
+	case o.FirstByte > lateBase*inTime*t.sla:
 		h.source.shrink(r.now, false)
 	case !h.sibling:
 		r.link.shrink(r.now, false)
