--- a/brain/brain.go
+++ b/brain/brain.go
@@ -690,7 +690,9 @@
 		h.far.shrink(r.now, false)
 	case r.rec["tells"] != "all":
 		h.source.shrink(r.now, false)
-		r.link.shrink(r.now, false) // a single late source is few of the link's answers
+		if slices.ContainsFunc(r.parents, func(m *member) bool { return m != h.source && mean(m.lates) >= jamShare }) {
+			r.link.shrink(r.now, false) // several late sources have the link in common
+		}
 	case o.FirstByte > lateBase*inTime*t.sla:
 		h.source.shrink(r.now, false)
 	case !h.sibling:
