--- a/brain/state.go
+++ b/brain/state.go
@@ -343,7 +343,7 @@
 }
 
 func sentTo(h *hop, m *member) bool     { return h.to == m && !h.look }
-func filledFrom(h *hop, m *member) bool { return h.source == m && !h.sibling }
+func filledFrom(h *hop, m *member) bool { return h.source == m && !h.sibling && !h.look }
 func looked(h *hop) bool                { return h.look }
 
 // num reads a number of the records, once.
