--- a/brain/brain.go
+++ b/brain/brain.go
@@ -30,6 +30,7 @@
 	lateStretch  = 1.3     // sending times added to that: a busy link stretches a transfer
 	quiet        = 0.35    // s without a sign of life at least before silence is suspected: over usual pauses
 	silences     = 4.0     // usual times between signs of life that tell of silence: by chance one wait in fifty
+	lookOdds     = 0.1     // odds of a hit where none was expected that make a look worth its hop
 	lookAgain    = 0.1     // s between looks at a late hop, and before a txn asks again where it failed
 	benchFirst   = 1.0     // s on the bench at first: some dozens of txns would go there in it
 	benchMost    = 4.0     // s on the bench at most: a member that is back is wanted soon
@@ -40,6 +41,7 @@
 	burst        = 1.0     // of the root of a share, added to it: one router's part of the traffic swings so much
 	leastRoom    = 0.1     // hops in flight that a share starts at, for members without weight
 	leastShare   = 0.2     // of its starting share that a gate always lets through: it must go on learning
+	linkLeast    = 0.4     // the same for the link, the one way of all: its cuts cost most
 	stretchRoom  = 1.5     // hops in flight a transfer of capacity: the SLA's stretch leaves that and a margin
 	jamShare     = 0.3     // share of late ones among the last few that tells of a jam: single ones are chance
 	jamLasts     = 1.0     // s after a cut for which old copies will do: jams pass slower than that
@@ -180,6 +182,7 @@
 				sum = stretchRoom * flow / m.sharers
 			}
 			r.link.share(sum, m.sharers)
+			r.link.least = linkLeast * r.link.room
 		}
 		for _, m := range r.origins { // its weight says nothing: as much as the link, until it tells
 			m.share(sum, m.sharers)
@@ -399,7 +402,7 @@
 		}
 		if closed || h.source.role == origin {
 			h.source, h.fill = h.to, false
-			return h
+			return map[bool]*hop{true: h}[r.odds() <= 1-lookOdds]
 		}
 	}
 	if h.gates = []*gate{&h.source.gate, &r.link}; h.far != nil && h.far != &h.source.gate {
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -310,11 +310,12 @@
 
 func TestOneHopLooksWhereTheWaysAreClosed(t *testing.T) {
 	r := router("keyed")
-	r.link.room = 0
+	r.link.room, r.misses = 0, []float64{1, 0, 0, 0, 1, 0, 0, 0}
 	h := of[Hop](r.Decide(100, arrival("t", "x")))
 	require.Len(t, h, 1)
 	assert.Equal(t, h[0].To, h[0].Source, "nothing is filled")
-	assert.Empty(t, of[Hop](r.Decide(100.01, Outcome{Txn: "t", Member: h[0].To, Code: Miss})), "held, not looked for again")
+	acts := r.Decide(100.01, Outcome{Txn: "t", Member: h[0].To, Code: Miss})
+	assert.Empty(t, of[Hop](acts), "held, not looked for again")
 	r.link.room = 5
 	assert.Len(t, of[Hop](r.Decide(100.11, Bell{r.txns["t"].seq})), 1)
 }
