--- a/brain/brain.go
+++ b/brain/brain.go
@@ -209,12 +209,7 @@
 // own if that is more.
 func (r *Router) cost(t *txn, m *member) float64 {
 	u := r.rule(t.Rule)
-	if len(u.sizes) < sizesNeeded {
-		return max(t.send, u.sla)
-	} else if m.role == parent {
-		return max(t.send, mean(u.sizes))
-	}
-	return mean(u.sizes)
+	return max(believed(u.sizes, max(t.send, u.sla)), flag(m.role == parent)*t.send)
 }
 
 // affords guards cold members (rule 4): in any window of the stated length this router spends no more than
@@ -397,12 +392,13 @@
 	}
 	closed := h.source == h.to || (!t.Write && !r.link.open(r.now))
 	if closed || (!t.Write && h.far != nil && !h.far.open(r.now)) {
-		if h.far, h.look = nil, true; write || slices.ContainsFunc(t.hops, looked) {
-			return nil
-		}
-		if closed || h.source.role == origin {
+		if h.far, h.look = nil, true; closed || h.source.role == origin {
 			h.source, h.fill = h.to, false
-			return map[bool]*hop{true: h}[r.odds() <= 1-lookOdds]
+		}
+		if write || slices.ContainsFunc(t.hops, looked) || (h.source == h.to && r.odds() > 1-lookOdds) {
+			return nil
+		} else if h.source == h.to {
+			return h
 		}
 	}
 	if h.gates = []*gate{&h.source.gate, &r.link}; h.far != nil && h.far != &h.source.gate {
@@ -412,12 +408,7 @@
 }
 
 // odds is the share of the last few hops thought to miss that did.
-func (r *Router) odds() float64 {
-	if len(r.misses) < sizesNeeded {
-		return 1
-	}
-	return mean(r.misses)
-}
+func (r *Router) odds() float64 { return believed(r.misses, 1) }
 
 // sibling names another cache of the location that answers showed holding a part which the chosen one lacks.
 // It acts after restarts, ejections and skips, when the hash order's first cache is not the holder; the link
--- a/brain/state.go
+++ b/brain/state.go
@@ -275,6 +275,14 @@
 	return r.all[at]
 }
 
+// believed is the mean of samples once there are enough of them.
+func believed(list []float64, otherwise float64) float64 {
+	if len(list) < sizesNeeded {
+		return otherwise
+	}
+	return mean(list)
+}
+
 func mean(list []float64) float64 {
 	sum := 0.0
 	for _, x := range list {
