--- a/brain/brain.go
+++ b/brain/brain.go
@@ -38,7 +38,7 @@
 	badShare     = 0.5     // share of failed ends that benches: below it hops cost less than a lost cache
 	badLeast     = 4       // failed ends at least for that: chance
 	freshRoom    = 2.0     // hops in flight at a member just back; one more for each answer
-	burst        = 1.0     // of the root of a share, added to it: one router's part of the traffic swings so much
+	burst        = 1.0     // of the root of a cache's share, added to it: one router's traffic swings so much
 	leastRoom    = 0.1     // hops in flight that a share starts at, for members without weight
 	leastShare   = 0.2     // of its starting share that a gate always lets through: it must go on learning
 	linkLeast    = 0.7     // the same for the link of one router, which sees all its answers; by root n for n
@@ -50,7 +50,7 @@
 	cutEvery     = 0.25    // s between cuts: the hops then out all tell of the same jam
 	inTime       = 0.8     // share of the SLA time beyond which a hop tells of a jam; at 1 more came late
 	mostTries    = 12      // held txns looked at after each end, densest first: bounds the work
-	coldSpend    = 1.0     // share of a cold member's present capacity that is used: half of what topples it, or less
+	coldSpend    = 1.0     // share of a cold member's present capacity that is used: half of what topples it
 	ageMargin    = 1e-4    // s by which a copy must be younger than the purge: rounding
 	purgeMargin  = 1.0     // s for which a purge is kept after all should have dropped its copies
 	leastAge     = 2e-6    // s, an age that is never rounded to 0, which means any
@@ -334,8 +334,8 @@
 	return r.affords(t, m)
 }
 
-// next decides a further hop, or nil if nobody has room now. Where a way is closed and the part is not known to
-// be before it, one hop only looks, at the cache or as far as the parent: other routers may have filled it there.
+// next decides a further hop, or nil if nobody has room now. Where a way is closed and the part not known to be
+// before it, one hop only looks, at the cache or as far as the parent: other routers may have filled it there.
 // It covers every thin view and a restarted router; a wrong guess costs one short hop.
 func (r *Router) next(t *txn) *hop {
 	caches, parents := r.ordered(t.obj)
@@ -684,7 +684,8 @@
 		h.far.shrink(r.now, false)
 	case r.rec["tells"] != "all":
 		h.source.shrink(r.now, false)
-		if slices.ContainsFunc(r.parents, func(m *member) bool { return m != h.source && mean(m.lates) >= jamShare }) {
+		late := func(m *member) bool { return m != h.source && mean(m.lates) >= jamShare }
+		if slices.ContainsFunc(r.parents, late) {
 			r.link.shrink(r.now, false) // several late sources have the link in common
 		}
 	case o.FirstByte > lateBase*inTime*t.sla:
