--- a/brain/brain.go
+++ b/brain/brain.go
@@ -334,9 +334,9 @@
 	return r.affords(t, m)
 }
 
-// next decides a further hop, or nil if nobody has room now. Where a way is closed and the part not known to be
-// before it, one hop only looks, at the cache or as far as the parent: other routers may have filled it there.
-// It covers every thin view and a restarted router; a wrong guess costs one short hop.
+// next decides a further hop, or nil if nobody has room now. Where a way is closed and the part not known to
+// be before it, one hop only looks, at the cache or as far as the parent: others may have filled it there. It
+// covers every thin view and a restarted router; a wrong guess costs one short hop.
 func (r *Router) next(t *txn) *hop {
 	caches, parents := r.ordered(t.obj)
 	direct, write := r.rec.Is("may_go_direct"), r.uncacheable(t)
