--- a/brain/brain.go
+++ b/brain/brain.go
@@ -54,7 +54,7 @@
 	ageMargin    = 1e-4    // s by which a copy must be younger than the purge: rounding
 	purgeMargin  = 1.0     // s for which a purge is kept after all should have dropped its copies
 	leastAge     = 2e-6    // s, an age that is never rounded to 0, which means any
-	againAfter   = 1.5     // s a rejected client is told to stay away: jams last seconds, a repeat sooner adds to one
+	againAfter   = 1.5     // s a rejected client is told to stay away: jams last seconds, a repeat adds to one
 )
 
 // New starts a router that knows nothing but its records.
