--- a/brain/brain.go
+++ b/brain/brain.go
@@ -320,10 +320,10 @@
 }
 
 // usable says whether a txn may use a member: at level 0 if it has not failed it, at level 1 if it is not on
-// the bench, at level 2 anyhow. Cold guards and gates hold at all levels; writes are small and pass the
+// the bench, at level 2 anyhow if all are. Cold guards and gates hold at all levels; writes are small and pass the
 // gates.
 func (r *Router) usable(t *txn, m *member, level int, used func(*hop, *member) bool) bool {
-	if (level < 2 && m.benched > r.now) || !(m.open(r.now) || (t.Write && m.proven <= m.room)) {
+	if (m.benched > r.now && (level < 2 || r.spare(m))) || !(m.open(r.now) || (t.Write && m.proven <= m.room)) {
 		return false
 	}
 	for _, h := range t.hops {
@@ -573,8 +573,7 @@
 // origin, its gate shrinks: where all seem sick at once the cause is common, and benches would close the
 // field.
 func (r *Router) bench(m *member) {
-	inService := func(x *member) bool { return x != m && x.benched <= r.now }
-	if m.role == origin || !slices.ContainsFunc(r.peers(m), inService) {
+	if m.role == origin || !r.spare(m) {
 		m.shrink(r.now, true)
 	} else if m.benched <= r.now {
 		m.benched = r.now + min(benchFirst*math.Pow(2, float64(min(m.strikes, 8))), benchMost)
--- a/brain/state.go
+++ b/brain/state.go
@@ -334,12 +334,13 @@
 	}
 }
 
-// peers are the members in service that can stand in for one.
-func (r *Router) peers(m *member) []*member {
+// spare says whether another of a member's role is ready and not on the bench.
+func (r *Router) spare(m *member) bool {
+	peers := r.parents
 	if m.role == cache {
-		return r.caches
+		peers = r.caches
 	}
-	return r.parents
+	return slices.ContainsFunc(peers, func(x *member) bool { return x != m && x.benched <= r.now })
 }
 
 // wayToOrigin is the gate of the first origin listed; one that is always open where there is none.
