--- a/brain/brain.go
+++ b/brain/brain.go
@@ -41,7 +41,6 @@
 	burst        = 1.0     // of the root of a cache's share, added to it: one router's traffic swings so much
 	leastRoom    = 0.1     // hops in flight that a share starts at, for members without weight
 	leastShare   = 0.2     // of its starting share that a gate always lets through: it must go on learning
-	linkLeast    = 0.7     // the same for the link of one router, which sees all its answers; by root n for n
 	stretchRoom  = 1.5     // hops in flight a transfer of capacity: the SLA's stretch leaves that and a margin
 	jamShare     = 0.3     // share of late ones among the last few that tells of a jam: single ones are chance
 	jamLasts     = 1.0     // s after a cut for which old copies will do: jams pass slower than that
@@ -182,7 +181,7 @@
 				sum = stretchRoom * flow / m.sharers
 			}
 			r.link.share(sum, m.sharers)
-			r.link.least = max(leastShare, linkLeast/math.Sqrt(m.sharers)) * r.link.room
+			r.link.least = max(leastShare, 1/math.Sqrt(m.sharers)) * r.link.room // one alone sees all its answers
 		}
 		for _, m := range r.origins { // its weight says nothing: as much as the link, until it tells
 			m.share(sum, m.sharers)
