--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -442,6 +442,7 @@
 		x := sent(r, 0, true)
 		p := r.member("p0")
 		x.hops[0].source, x.hops[0].fill = p, true
+		r.link.least = 1 // shared with others
 		before, source := r.link.room, p.room
 		r.learn(x, x.hops[0], Outcome{Code: Busy, Took: took})
 		assert.Equal(t, link, r.link.room < before)
