--- a/brain/brain.go
+++ b/brain/brain.go
@@ -319,8 +319,7 @@
 }
 
 // usable says whether a txn may use a member: at level 0 if it has not failed it, at level 1 if it is not on
-// the bench, at level 2 anyhow if all are. Cold guards and gates hold at all levels; writes are small and pass the
-// gates.
+// the bench, at level 2 anyhow if all are. Cold guards and gates hold at all levels; writes pass the gates.
 func (r *Router) usable(t *txn, m *member, level int, used func(*hop, *member) bool) bool {
 	if (m.benched > r.now && (level < 2 || r.spare(m))) || !(m.open(r.now) || (t.Write && m.proven <= m.room)) {
 		return false
