--- a/brain/brain.go
+++ b/brain/brain.go
@@ -138,11 +138,14 @@
 
 // share gives a gate its starting share of what n routers use together.
 func (g *gate) share(room, n float64) {
-	room = max(room, leastRoom)
-	g.room, g.proven, g.least, g.part = room, room, leastShare*room, min(together/math.Sqrt(n), 1)
+	g.room, g.part = max(room, leastRoom), min(together/math.Sqrt(n), 1)
+	g.proven, g.least = g.room, leastShare*g.room
 }
 
-// grow takes an answer in time. All who share a gate's way widen it together as fast as one alone would.
+// ease raises the least of a way behind the caches: few sharers see most of its answers, no deep cuts needed.
+func (g *gate) ease(n float64) { g.least = max(leastShare, 1/math.Sqrt(n)) * g.room }
+
+// grow takes an answer in time.
 func (g *gate) grow() {
 	g.lates = keep(g.lates, 0, keptSamples)
 	if g.room < g.proven {
@@ -169,6 +172,9 @@
 	for _, m := range r.take(l) {
 		share := stretchRoom * m.Weight / m.sharers
 		m.share(share+flag(m.role == cache)*burst*math.Sqrt(share*(1-1/m.sharers)), m.sharers)
+		if m.role == parent {
+			m.ease(m.sharers)
+		}
 		if r.warmth(m) < 1 {
 			m.room = freshRoom
 		}
@@ -181,7 +187,7 @@
 				sum = stretchRoom * flow / m.sharers
 			}
 			r.link.share(sum, m.sharers)
-			r.link.least = max(leastShare, 1/math.Sqrt(m.sharers)) * r.link.room // one alone sees all its answers
+			r.link.ease(m.sharers)
 		}
 		for _, m := range r.origins { // its weight says nothing: as much as the link, until it tells
 			m.share(sum, m.sharers)
@@ -461,8 +467,7 @@
 
 // purged remembers a purge until all copies are dropped everywhere and forgets what was thought held.
 func (r *Router) purged(p Purge) {
-	r.purges = slices.DeleteFunc(r.purges, r.spent)
-	r.purges = append(r.purges, purge{p, r.now - p.Ago})
+	r.purges = append(slices.DeleteFunc(r.purges, r.spent), purge{p, r.now - p.Ago})
 	for name, o := range r.objects {
 		if name == p.Object || (p.Object == "" && o.group == p.Group) {
 			r.drop(o)
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -476,3 +476,15 @@
 	}
 	assert.Positive(t, r.member("c").out)
 }
+
+func TestWaysBehindFewRoutersAreNotCutDeep(t *testing.T) {
+	for n, least := range map[float64]float64{1: 10, 4: 5, 400: 10 * leastShare} {
+		g := gate{}
+		g.share(10, n)
+		g.ease(n)
+		for i := range 50 {
+			g.shrink(float64(i), true)
+		}
+		assert.InDelta(t, least, g.room, 1e-9, "%v routers", n)
+	}
+}
