--- /dev/null
+++ b/cmd/cairnfront/main.go
@@ -0,0 +1,61 @@
+// Command cairnfront is the router on sockets.
+package main
+
+import (
+	"fmt"
+	"os"
+	"runtime/debug"
+
+	"cairnfront/internal/start"
+
+	"github.com/spf13/cobra"
+)
+
+func main() {
+	root := &cobra.Command{Use: "cairnfront", Short: "A traffic router for a two-tier cache",
+		SilenceUsage: true, SilenceErrors: true}
+	root.AddCommand(
+		&cobra.Command{Use: "serve", Short: "Serve as the file that " + start.Variable + " names says", Args: cobra.NoArgs,
+			RunE: func(*cobra.Command, []string) error {
+				m, err := start.FromEnv()
+				if err != nil {
+					return err
+				}
+				return serve(m)
+			}},
+		&cobra.Command{Use: "check [FILE]", Short: "Check a start file, by default the one that " + start.Variable + " names",
+			Args: cobra.MaximumNArgs(1),
+			RunE: func(cmd *cobra.Command, args []string) error {
+				read := start.FromEnv
+				if len(args) > 0 {
+					read = func() (start.Manifest, error) { return start.FromFile(args[0]) }
+				}
+				m, err := read()
+				if err == nil {
+					fmt.Fprintf(cmd.OutOrStdout(), "%s on %s: %d remap rules, %d records, %d events of the notice board, %d MB, %d sockets\n",
+						m.Name, m.Listen, len(m.Rules), len(m.Records), len(m.Known), m.MemoryMB, m.Sockets)
+				}
+				return err
+			}},
+		&cobra.Command{Use: "version", Short: "Print the version", Args: cobra.NoArgs,
+			Run: func(cmd *cobra.Command, _ []string) { fmt.Fprintln(cmd.OutOrStdout(), "cairnfront", version()) }},
+	)
+	if err := root.Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "cairnfront:", err)
+		os.Exit(1)
+	}
+}
+
+// version is that of the module, or the commit that it was built from.
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			return info.Main.Version + " " + s.Value
+		}
+	}
+	return info.Main.Version
+}
--- /dev/null
+++ b/cmd/cairnfront/serve.go
@@ -0,0 +1,90 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"math"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"cairnfront/brain"
+	"cairnfront/internal/admit"
+	"cairnfront/internal/board"
+	"cairnfront/internal/book"
+	"cairnfront/internal/route"
+	"cairnfront/internal/send"
+	"cairnfront/internal/start"
+	"cairnfront/internal/take"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// The protocol's times of a planned restart: requests come for up to 0.6 s after the signal, and SIGKILL no sooner
+// than 3.7 s after it.
+const (
+	drainLeast = 700 * time.Millisecond
+	drainMost  = 3400 * time.Millisecond
+	flushMost  = 200 * time.Millisecond
+)
+
+// serve runs the router until a signal ends it.
+func serve(m start.Manifest) error {
+	runtime.GOMAXPROCS(max(int(math.Ceil(m.Cores)), 1))
+	debug.SetMemoryLimit(admit.HeapLimit(m.MemoryMB))
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	ln, err := net.Listen("tcp", m.Listen)
+	if err != nil {
+		return err
+	}
+	k := book.New(os.Stderr, m.Name)
+	defer k.Print(os.Stderr)
+	gate := admit.New(m.MemoryMB, m.Sockets)
+	seconds := func(name string) time.Duration { return time.Duration(m.Records.Num(name, 0) * float64(time.Second)) }
+	pool := &send.Pool{Gate: gate, Book: k, Connect: seconds("connect_s"), Idle: seconds("limits.idle_close_s"),
+		Streams: int(m.Records.Num("limits.max_streams", 1)), Report: m.Records["load_by"] == "checks"}
+	loop := route.New(brain.New(m.Seed, m.Records), m.Records, pool, k)
+	pool.Post = loop.Post
+	rules := map[string]int{}
+	for i, name := range m.Rules {
+		rules[name] = i
+	}
+	taker := &take.Taker{Rules: rules, Gate: gate, Book: k, Post: loop.Post}
+	news := &board.Client{Addr: m.Board, Last: m.Last, Book: k, Post: func(ev board.Event) { loop.Post(ev) }}
+
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	g, ctx := errgroup.WithContext(ctx)
+	pool.Start(ctx)
+	loop.Known(m.Known)
+	g.Go(func() error { return loop.Run(ctx) })
+	g.Go(func() error { return news.Run(ctx) })
+	g.Go(func() error { return taker.Run(ctx, ln) })
+	gate.SetReady()
+	k.Log.Info("serving", "listen", m.Listen, "version", version())
+	for {
+		select {
+		case <-ctx.Done():
+			return errors.Join(g.Wait(), pool.Wait())
+		case s := <-signals:
+			if s == syscall.SIGUSR1 {
+				k.Print(os.Stderr)
+				continue
+			}
+			k.Log.Info("draining", "signal", s.String())
+			taker.Stop()
+			gate.Drain(ctx, drainLeast, drainMost-drainLeast)
+			if gate.Owed() > 0 {
+				loop.Post(route.Abandon{})
+				gate.Drain(ctx, 0, flushMost)
+			}
+			cancel()
+			return errors.Join(g.Wait(), pool.Wait())
+		}
+	}
+}
--- /dev/null
+++ b/internal/admit/admit.go
@@ -0,0 +1,143 @@
+// Package admit owns what the router may hold: memory, descriptors, open txns; and whether it is ready or ends.
+package admit
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cairnfront/internal/txn"
+)
+
+// Parts of the limits that each use gets. These are resources, not decisions: past them the answer is no.
+const (
+	bodyShare    = 0.35     // of memory for gathered bodies
+	fullShare    = 0.9      // of the bodies' budget past which no txn is let in
+	txnShare     = 0.1      // of memory for what is kept of open txns
+	txnBytes     = 8 << 10  // kept of one: the txn, its hops, its timers
+	heapShare    = 0.7      // of memory as the runtime's soft limit; the rest is stacks, the program, swings
+	clientShare  = 0.45     // of descriptors for clients, who hold a third at most and overlap when they close
+	memberShare  = 0.4      // of descriptors for members
+	ClientRing   = 8 << 10  // bytes of each ring of a client's connection
+	MemberRing   = 32 << 10 // bytes of each ring of a member's connection
+	megabyte     = 1 << 20  //
+	refuseBeyond = 64       // clients over the limit that are told so before they are closed unheard
+)
+
+// Gate lets in what fits.
+type Gate struct {
+	Budget *txn.Budget
+	full   int64
+
+	mostTxns, mostClients, mostMembers int64
+	txns, clients, members             atomic.Int64
+	ready, stopping                    atomic.Bool
+
+	mu   sync.Mutex
+	idle chan struct{} // closed when the last txn is done, while somebody waits
+}
+
+// New divides the limits.
+func New(memoryMB, sockets int) *Gate {
+	memory := float64(memoryMB) * megabyte
+	bodies := int64(bodyShare * memory)
+	return &Gate{Budget: txn.NewBudget(bodies), full: int64(fullShare * float64(bodies)),
+		mostTxns: int64(txnShare * memory / txnBytes), mostClients: int64(clientShare * float64(sockets)),
+		mostMembers: int64(memberShare * float64(sockets))}
+}
+
+// HeapLimit is the runtime's soft limit in bytes.
+func HeapLimit(memoryMB int) int64 { return int64(heapShare * float64(memoryMB) * megabyte) }
+
+// Txn lets a txn in, or names what there is too much of. Each one let in ends with TxnDone.
+func (g *Gate) Txn() (reason string) {
+	if g.Budget.Used() > g.full {
+		return "memory"
+	}
+	if g.txns.Add(1) > g.mostTxns {
+		g.TxnDone()
+		return "open-txns"
+	}
+	return ""
+}
+
+// Enter counts a txn that is answered at once, whatever is open.
+func (g *Gate) Enter() { g.txns.Add(1) }
+
+// TxnDone says that a txn's answer is written, or owed no more.
+func (g *Gate) TxnDone() {
+	if g.txns.Add(-1) == 0 {
+		g.mu.Lock()
+		if g.idle != nil {
+			close(g.idle)
+			g.idle = nil
+		}
+		g.mu.Unlock()
+	}
+}
+
+// Owed is how many txns are let in and not done.
+func (g *Gate) Owed() int64 { return g.txns.Load() }
+
+// Client lets a client's connection in. Over the limit some are let in only to be told.
+func (g *Gate) Client() (in, tell bool) {
+	n := g.clients.Add(1)
+	if n <= g.mostClients {
+		return true, false
+	}
+	if n <= g.mostClients+refuseBeyond {
+		return false, true
+	}
+	g.clients.Add(-1)
+	return false, false
+}
+
+// ClientDone gives its place back.
+func (g *Gate) ClientDone() { g.clients.Add(-1) }
+
+// Member lets a connection to a member be made.
+func (g *Gate) Member() bool {
+	if g.members.Add(1) > g.mostMembers {
+		g.members.Add(-1)
+		return false
+	}
+	return true
+}
+
+// MemberDone gives its place back.
+func (g *Gate) MemberDone() { g.members.Add(-1) }
+
+// Ready says whether txns are wanted: the members are known, the listener is up and no end is near.
+func (g *Gate) Ready() bool { return g.ready.Load() && !g.stopping.Load() }
+
+// SetReady says that all is up.
+func (g *Gate) SetReady() { g.ready.Store(true) }
+
+// Stop says that an end is near.
+func (g *Gate) Stop() { g.stopping.Store(true) }
+
+// Stopping says whether an end is near.
+func (g *Gate) Stopping() bool { return g.stopping.Load() }
+
+// Drain waits until new txns can come no more and none is owed; most bounds the wait.
+func (g *Gate) Drain(ctx context.Context, least, most time.Duration) {
+	end, cancel := context.WithTimeout(ctx, most)
+	defer cancel()
+	select {
+	case <-end.Done():
+		return
+	case <-time.After(least):
+	}
+	g.mu.Lock()
+	idle := make(chan struct{})
+	g.idle = idle
+	g.mu.Unlock()
+	if g.Owed() == 0 {
+		return
+	}
+	select {
+	case <-end.Done():
+	case <-idle:
+	}
+}
--- /dev/null
+++ b/internal/conn/conn.go
@@ -0,0 +1,220 @@
+// Package conn is one connection with a ring buffer for each direction and one end, which is logged with a code.
+package conn
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"cairnfront/internal/book"
+	"cairnfront/internal/ring"
+)
+
+// Codes for why a connection ended; docs/oncall.md lists them.
+const (
+	PeerClosed = "peer-closed" // the other side closed it
+	Reset      = "reset"       // the other side broke it
+	Protocol   = "protocol"    // what came could not be followed
+	Slow       = "slow-reader" // the other side did not take what was written
+	Idle       = "idle"        // nothing was open on it
+	Silent     = "silent"      // nothing came although hops were out
+	NoConnect  = "no-connect"  // it never came up
+	Unlisted   = "unlisted"    // its member left the list or moved
+	Limit      = "limit"       // descriptors or memory ran out
+	Shutdown   = "shutdown"    // the router ends
+	Beats      = "no-beats"    // the notice board fell silent
+	Gap        = "gap"         // the notice board's numbers do not follow
+	Panic      = "panic"       // a fault of this program; the stack is logged
+	Failed     = "failed"      // any other error of the socket
+)
+
+// Conn is a connection. One goroutine may read while another writes.
+type Conn struct {
+	raw   net.Conn
+	in    *ring.Ring
+	out   *ring.Ring
+	since time.Time
+	stall time.Duration // longest wait for room at the other side, 0 for any
+	by    time.Time     // by when what is being written must be out, zero for any
+
+	read, wrote atomic.Int64
+	entered     int64 // bytes that came into the outgoing ring, ever
+	heard       atomic.Int64
+
+	once sync.Once
+	mu   sync.Mutex
+	code string
+	err  error
+}
+
+// New wraps a socket. Size is that of each ring.
+func New(raw net.Conn, size int, stall time.Duration) *Conn {
+	return &Conn{raw: raw, in: ring.New(size), out: ring.New(size), since: time.Now(), stall: stall}
+}
+
+// Peer is the other side's address.
+func (c *Conn) Peer() string { return c.raw.RemoteAddr().String() }
+
+// Since sets when the connection was begun, for one that took time to make.
+func (c *Conn) Since(t time.Time) { c.since = t }
+
+// Heard is the Unix time in nanoseconds at which bytes last came.
+func (c *Conn) Heard() int64 { return c.heard.Load() }
+
+// Wrote is how many bytes the socket has taken.
+func (c *Conn) Wrote() int64 { return c.wrote.Load() }
+
+// Entered is how many bytes were handed to Write so far.
+func (c *Conn) Entered() int64 { return c.entered }
+
+// SetReadDeadline bounds the reads to come.
+func (c *Conn) SetReadDeadline(t time.Time) { _ = c.raw.SetReadDeadline(t) }
+
+func (c *Conn) fill() error {
+	n, err := c.in.Fill(c.raw)
+	if n > 0 {
+		c.read.Add(int64(n))
+		c.heard.Store(time.Now().UnixNano())
+		return nil
+	}
+	return err
+}
+
+// ReadFull reads exactly len(p) bytes.
+func (c *Conn) ReadFull(p []byte) error {
+	for done := 0; ; {
+		if done += c.in.Read(p[done:]); done == len(p) {
+			return nil
+		}
+		if err := c.fill(); err != nil {
+			if errors.Is(err, io.EOF) && done > 0 {
+				err = io.ErrUnexpectedEOF
+			}
+			return err
+		}
+	}
+}
+
+// Skip reads n bytes and drops them.
+func (c *Conn) Skip(n int) error {
+	for {
+		if n -= c.in.Discard(n); n == 0 {
+			return nil
+		}
+		if err := c.fill(); err != nil {
+			return err
+		}
+	}
+}
+
+// ErrLong tells of a line that does not fit the ring.
+var ErrLong = errors.New("line too long")
+
+// Line reads up to the next line feed and returns the line without its end.
+func (c *Conn) Line() ([]byte, error) {
+	for from := 0; ; {
+		if i := c.in.Index('\n', from); i >= 0 {
+			line := make([]byte, i+1)
+			c.in.Read(line)
+			if i > 0 && line[i-1] == '\r' {
+				i--
+			}
+			return line[:i], nil
+		}
+		if from = c.in.Len(); c.in.Free() == 0 {
+			return nil, ErrLong
+		}
+		if err := c.fill(); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// Write puts p into the outgoing ring and flushes when that is full.
+func (c *Conn) Write(p []byte) error {
+	for len(p) > 0 {
+		n := c.out.Write(p)
+		c.entered += int64(n)
+		if p = p[n:]; len(p) > 0 {
+			if err := c.drain(); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// Flush writes out what the outgoing ring holds.
+func (c *Conn) Flush() error {
+	for c.out.Len() > 0 {
+		if err := c.drain(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// WriteBy bounds the writes to come, however steadily the other side reads.
+func (c *Conn) WriteBy(t time.Time) { c.by = t }
+
+func (c *Conn) drain() error {
+	if c.stall > 0 {
+		end := time.Now().Add(c.stall)
+		if !c.by.IsZero() && c.by.Before(end) {
+			end = c.by
+		}
+		_ = c.raw.SetWriteDeadline(end)
+	}
+	n, err := c.out.Drain(c.raw)
+	c.wrote.Add(int64(n))
+	return err
+}
+
+// Blame sets the code under which the connection will end, without ending it yet.
+func (c *Conn) Blame(code string, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.code == "" {
+		c.code, c.err = code, err
+	}
+}
+
+// End closes the socket. The first code given is the one that counts.
+func (c *Conn) End(code string, err error) {
+	c.once.Do(func() {
+		c.Blame(code, err)
+		_ = c.raw.Close()
+	})
+}
+
+// Done books the end, once all that used the connection have stopped.
+func (c *Conn) Done(b *book.Book, side, peer string) {
+	c.End(Shutdown, nil)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	b.Ended(book.Ended{Side: side, Peer: peer, Code: c.code, Err: c.err, Since: c.since,
+		In: c.read.Load(), Out: c.wrote.Load()})
+}
+
+// Reason names the code for an error of a read or write.
+func Reason(err error) string {
+	switch {
+	case errors.Is(err, io.EOF):
+		return PeerClosed
+	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE), errors.Is(err, io.ErrUnexpectedEOF):
+		return Reset
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return Slow
+	case errors.Is(err, ErrLong):
+		return Protocol
+	case errors.Is(err, context.Canceled), errors.Is(err, net.ErrClosed):
+		return Shutdown
+	}
+	return Failed
+}
--- /dev/null
+++ b/internal/frame/frame.go
@@ -0,0 +1,221 @@
+// Package frame is the codec of the clients' binary frames. It does no I/O; the protocol's names end here.
+package frame
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"math"
+	"strconv"
+
+	"cairnfront/internal/txn"
+)
+
+// Types of a frame.
+const (
+	Request  = 100
+	Answer   = 101
+	Leave    = 102
+	AskReady = 110
+	Ready    = 111
+	NoMore   = 120
+)
+
+// HeadSize is the size of length, type and stream; MostBody that of the largest body of a request.
+const (
+	HeadSize   = 9
+	leastSize  = 5
+	mostSize   = 262144
+	MostBody   = 48000
+	mostFields = 8192 // a request's fields are some hundred bytes
+	MostAsked  = MostBody + mostFields
+)
+
+// Head begins a frame.
+type Head struct {
+	Type   byte
+	Stream uint32
+	Size   int // of the payload
+}
+
+// ParseHead reads the first HeadSize bytes of a frame.
+func ParseHead(b []byte) (Head, error) {
+	n := binary.BigEndian.Uint32(b)
+	if n < leastSize || n > mostSize {
+		return Head{}, fmt.Errorf("frame length %d is out of bounds", n)
+	}
+	return Head{Type: b[4], Stream: binary.BigEndian.Uint32(b[5:]), Size: int(n) - leastSize}, nil
+}
+
+// AppendHead writes a frame's head; size is that of the payload.
+func AppendHead(b []byte, kind byte, stream uint32, size int) []byte {
+	b = binary.BigEndian.AppendUint32(b, uint32(size+leastSize))
+	return binary.BigEndian.AppendUint32(append(b, kind), stream)
+}
+
+// Field is a name with its value.
+type Field struct{ Name, Value string }
+
+var errOverrun = errors.New("fields overrun the frame")
+
+// ParseFields reads fields and returns what follows them.
+func ParseFields(b []byte) ([]Field, []byte, error) {
+	if len(b) == 0 {
+		return nil, nil, errOverrun
+	}
+	n, b := int(b[0]), b[1:]
+	fields := make([]Field, 0, n)
+	for range n {
+		if len(b) < 1 || len(b) < 1+int(b[0])+2 {
+			return nil, nil, errOverrun
+		}
+		name := string(b[1 : 1+b[0]])
+		b = b[1+int(b[0]):]
+		size := int(binary.BigEndian.Uint16(b))
+		if b = b[2:]; len(b) < size {
+			return nil, nil, errOverrun
+		}
+		fields = append(fields, Field{name, string(b[:size])})
+		b = b[size:]
+	}
+	return fields, b, nil
+}
+
+// AppendFields writes fields.
+func AppendFields(b []byte, fields ...Field) []byte {
+	b = append(b, byte(len(fields)))
+	for _, f := range fields {
+		b = append(append(b, byte(len(f.Name))), f.Name...)
+		b = binary.BigEndian.AppendUint16(b, uint16(len(f.Value)))
+		b = append(b, f.Value...)
+	}
+	return b
+}
+
+// Asked is a request as it came. The rule's name is not yet looked up.
+type Asked struct {
+	txn.Txn
+	TTL  float64 // seconds
+	Rest []byte  // the body
+}
+
+// ParseRequest reads the payload of a request. With an error, what could be read is in Asked.
+func ParseRequest(payload []byte) (Asked, error) {
+	var a Asked
+	fields, rest, err := ParseFields(payload)
+	if err != nil {
+		return a, err
+	}
+	a.Rest = rest
+	had := map[string]bool{}
+	bad := func(name string) {
+		if err == nil {
+			err = fmt.Errorf("field %s is missing or can't be used", name)
+		}
+	}
+	for _, f := range fields {
+		v, ok := f.Value, true
+		if had[f.Name] {
+			bad(f.Name)
+			continue
+		}
+		had[f.Name] = true
+		switch f.Name {
+		case "op":
+			a.Name, ok = v, v != ""
+		case "call":
+			a.ID, ok = v, isHex(v, 16)
+		case "ttl":
+			var ms uint64
+			ms, ok = number(v, math.MaxUint32)
+			a.TTL, ok = float64(ms)/1000, ok && ms > 0
+		case "dedupe":
+			a.Key, ok = v, plain(v)
+		case "row":
+			a.Object, ok = v, isHex(v, 16)
+		case "seg":
+			var n uint64
+			n, ok = number(v, 1<<31-1)
+			a.Part, a.PartNo = v, int(n)
+		case "bucket":
+			var n uint64
+			n, ok = number(v, 255)
+			a.Group = int(n)
+		case "heap":
+			var x error
+			a.KB, x = strconv.ParseFloat(v, 64)
+			ok = x == nil && a.KB >= 0 && a.KB <= math.MaxFloat32
+		case "etag":
+			a.Tag, ok = v, plain(v)
+		}
+		if !ok {
+			bad(f.Name)
+		}
+	}
+	for _, name := range []string{"op", "call", "ttl", "row", "seg"} {
+		if !had[name] {
+			bad(name)
+		}
+	}
+	if err == nil && len(rest) > MostBody {
+		err = fmt.Errorf("body of %d bytes is over %d", len(rest), MostBody)
+	}
+	return a, err
+}
+
+func number(s string, most uint64) (uint64, bool) {
+	n, err := strconv.ParseUint(s, 10, 64)
+	return n, err == nil && n <= most
+}
+
+func isHex(s string, size int) bool {
+	if len(s) != size {
+		return false
+	}
+	for _, c := range []byte(s) {
+		if (c < '0' || c > '9') && (c < 'a' || c > 'f') {
+			return false
+		}
+	}
+	return true
+}
+
+// plain says whether a value can stand in the caches' lines.
+func plain(s string) bool {
+	for _, c := range []byte(s) {
+		if c <= ' ' || c == ',' || c == '=' || c >= 0x7f {
+			return false
+		}
+	}
+	return s != "" && len(s) <= 256
+}
+
+var codes = [...]byte{txn.Completed: 1, txn.Rejected: 0, txn.Aborted: 9}
+
+// AppendAnswer writes an answer without its body, which has to follow.
+func AppendAnswer(b []byte, stream uint32, a txn.Answer) []byte {
+	var fields []Field
+	if a.Tag != "" {
+		fields = append(fields, Field{"etag", a.Tag})
+	}
+	if a.Same {
+		fields = append(fields, Field{"notmod", "1"})
+	}
+	if ms := int(math.Ceil(a.Again * 1000)); a.Verdict == txn.Rejected && ms > 0 {
+		fields = append(fields, Field{"pushback", strconv.Itoa(ms)})
+	}
+	if a.Error != "" {
+		fields = append(fields, Field{"error", a.Error})
+	}
+	payload := AppendFields([]byte{codes[a.Verdict]}, fields...)
+	return append(AppendHead(b, Answer, stream, len(payload)+a.Body.Len()), payload...)
+}
+
+// AppendReady writes the answer to the question whether the router is ready.
+func AppendReady(b []byte, stream uint32, yes bool) []byte {
+	code := byte(0)
+	if yes {
+		code = 1
+	}
+	return append(AppendHead(b, Ready, stream, 2), code, 0)
+}
--- /dev/null
+++ b/internal/line/line.go
@@ -0,0 +1,149 @@
+// Package line is the codec of the caches' lines. It does no I/O; the protocol's words end here.
+package line
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+
+	"cairnfront/brain"
+	"cairnfront/internal/txn"
+	"cairnfront/wire"
+)
+
+// MostBody is the size of the largest object.
+const MostBody = 240000
+
+// End follows each body.
+const End = "\r\n"
+
+// Do is a hop as it goes to a member. Fill names who fills a miss, empty for nobody.
+type Do struct {
+	Txn  *txn.Txn
+	Wait float64 // seconds
+	Fill string
+	brain.Hop
+}
+
+// AppendDo writes the line of a hop; the body and End have to follow.
+func AppendDo(b []byte, d Do) []byte {
+	t := d.Txn
+	b = append(append(append(b, "do "...), t.ID...), " profile="...)
+	b = append(append(b, t.Name...), ",thing="...)
+	b = append(append(b, t.Object...), ",nth="...)
+	b = append(append(b, t.Part...), ",max="...)
+	b = strconv.AppendInt(b, max(int64(math.Floor(d.Wait*1000)), 1), 10)
+	if t.Key != "" {
+		b = append(append(b, ",replay="...), t.Key...)
+	}
+	if d.Fill != "" {
+		b = append(append(b, ",parent="...), d.Fill...)
+	}
+	if d.Rank > 0 {
+		b = strconv.AppendInt(append(b, ",shelf="...), int64(d.Rank), 10)
+	}
+	if d.MaxAge > 0 { // rounded down: a younger copy will do as well; 0 would mean any
+		b = strconv.AppendInt(append(b, ",accept="...), max(int64(math.Floor(d.MaxAge*1000)), 1), 10)
+	}
+	mark := ",hints="
+	for _, h := range []struct {
+		on   bool
+		word string
+	}{{d.Join, "ride"}, {d.NoFetch, "have-only"}, {d.NoTrace, "through"}, {d.Renew, "update"}} {
+		if h.on {
+			b = append(append(b, mark...), h.word...)
+			mark = "+"
+		}
+	}
+	if t.Tag != "" {
+		b = append(append(b, ",got="...), t.Tag...)
+	}
+	b = strconv.AppendInt(append(b, ' '), int64(t.Body.Len()), 10)
+	return append(b, End...)
+}
+
+// AppendUndo writes the line that gives a hop up.
+func AppendUndo(b []byte, id string) []byte {
+	return append(append(append(b, "undo "...), id...), End...)
+}
+
+// AppendCheck writes a check, with the load report if that is wanted.
+func AppendCheck(b []byte, tag string, load bool) []byte {
+	word := "ping "
+	if load {
+		word = "top "
+	}
+	return append(append(append(b, word...), tag...), End...)
+}
+
+// Answer is a line of a member. The body of Size bytes and End follow it.
+type Answer struct {
+	ID    string
+	Check bool // it answers a check
+	txn.End
+	Size int
+}
+
+var ends = map[string]brain.Code{
+	"served": brain.Completed, "still_good": brain.Completed, "not_here": brain.Miss, "overload": brain.Busy,
+	"crashed": brain.Errored, "nobody": brain.Moot, "green": brain.Completed, "red": brain.Errored,
+}
+
+var remarks = map[string]brain.Remark{"h": brain.Hit, "f": brain.Filled, "j": brain.Joined, "s": brain.Old}
+
+var errShape = errors.New("answer is not of the form ID WORD FIELDS LENGTH")
+
+// ParseAnswer reads a member's line. After an error the connection is out of step.
+func ParseAnswer(text []byte) (Answer, error) {
+	w := bytes.Split(text, []byte{' '})
+	if len(w) != 4 || len(w[0]) == 0 {
+		return Answer{}, errShape
+	}
+	a := Answer{ID: string(w[0])}
+	word := string(w[1])
+	code, ok := ends[word]
+	if !ok {
+		return a, fmt.Errorf("unknown word %.40q", word)
+	}
+	a.Code, a.Check, a.Same = code, word == "green" || word == "red", word == "still_good"
+	n, err := strconv.ParseUint(string(w[3]), 10, 32)
+	if err != nil || n > MostBody {
+		return a, fmt.Errorf("bad length %.40q", w[3])
+	}
+	a.Size = int(n)
+	dated := false
+	if string(w[2]) != "-" {
+		for pair := range strings.SplitSeq(string(w[2]), ",") {
+			name, value, _ := strings.Cut(pair, "=")
+			switch name {
+			case "digest":
+				a.Tag = value
+			case "dated":
+				_, err := strconv.ParseUint(value, 10, 64)
+				dated = err == nil
+			case "remark":
+				a.Remark = remarks[value]
+			case "report":
+				a.Load = readings(value)
+			}
+		}
+	}
+	if code == brain.Completed && !a.Check && (a.Tag == "" || !dated) || a.Same && a.Size > 0 {
+		a.Code, a.Same = brain.Errored, false // it may have run, and what came can't be passed on
+	}
+	return a, nil
+}
+
+func readings(text string) []brain.Reading {
+	var out []brain.Reading
+	for pair := range strings.SplitSeq(text, ";") {
+		name, value, _ := strings.Cut(pair, ":")
+		if x, err := strconv.ParseFloat(value, 64); err == nil && !math.IsNaN(x) && !math.IsInf(x, 0) {
+			out = append(out, brain.Reading{Name: wire.Reading(name), Value: x})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,220 @@
+// Package relay brings answers to clients: at most one a txn, in any order, by one writer a connection.
+package relay
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"cairnfront/internal/admit"
+	"cairnfront/internal/book"
+	"cairnfront/internal/conn"
+	"cairnfront/internal/frame"
+	"cairnfront/internal/txn"
+)
+
+// Bounds of what waits for a reader that is slow.
+const (
+	Stall      = 5 * time.Second  // without a byte taken
+	mostTime   = 10 * time.Second // for one answer, after its time limit
+	mostQueued = 1024             // answers a connection
+)
+
+var errSlow = errors.New("too many answers wait")
+
+// Outlet is the answering side of one client's connection.
+type Outlet struct {
+	book *book.Book
+	gate *admit.Gate
+
+	mu      sync.Mutex
+	open    map[uint32]*txn.Txn
+	queue   []item
+	closed  bool // takes no answers any more
+	closing bool // ends once nothing is open and all is written
+	wake    chan struct{}
+}
+
+type item struct {
+	t    *txn.Txn // nil for what answers no txn
+	head []byte
+	body *txn.Body
+}
+
+// New makes the outlet of a connection.
+func New(b *book.Book, g *admit.Gate) *Outlet {
+	return &Outlet{book: b, gate: g, open: map[uint32]*txn.Txn{}, wake: make(chan struct{}, 1)}
+}
+
+func (o *Outlet) nudge() {
+	select {
+	case o.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Open says that a txn was taken: from here on it is owed an answer.
+func (o *Outlet) Open(t *txn.Txn) {
+	o.book.Taken(t.Name)
+	o.mu.Lock()
+	o.open[t.Stream] = t
+	o.mu.Unlock()
+}
+
+// Count is how many txns are open.
+func (o *Outlet) Count() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.open)
+}
+
+// Answer gives a txn its final answer, unless it had one or its client left.
+func (o *Outlet) Answer(t *txn.Txn, a txn.Answer) bool {
+	o.mu.Lock()
+	if o.closed || o.open[t.Stream] != t {
+		o.mu.Unlock()
+		a.Body.Free()
+		return false
+	}
+	delete(o.open, t.Stream)
+	o.queue = append(o.queue, item{t, frame.AppendAnswer(nil, t.Stream, a), a.Body})
+	o.mu.Unlock()
+	o.book.Answered(t.Name, a.Verdict.String(), a.Reason)
+	o.nudge()
+	return true
+}
+
+// Say writes a frame that answers no txn.
+func (o *Outlet) Say(head []byte) {
+	o.mu.Lock()
+	if !o.closed {
+		o.queue = append(o.queue, item{head: head})
+	}
+	o.mu.Unlock()
+	o.nudge()
+}
+
+// Leave says that nobody waits for a stream any more. It returns its txn if that was open; an answer that
+// nobody has begun to write is dropped.
+func (o *Outlet) Leave(stream uint32, reason string) *txn.Txn {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	t := o.open[stream]
+	if t != nil {
+		delete(o.open, stream)
+		o.left(t, reason)
+		return t
+	}
+	for i, x := range o.queue {
+		if x.t != nil && x.t.Stream == stream {
+			o.queue = append(o.queue[:i:i], o.queue[i+1:]...)
+			x.body.Free()
+			o.gate.TxnDone()
+			break
+		}
+	}
+	return nil
+}
+
+func (o *Outlet) left(t *txn.Txn, reason string) {
+	o.book.Left(t.Name, reason)
+	o.gate.TxnDone()
+}
+
+// Finish lets the writer end once nothing is open and all is written.
+func (o *Outlet) Finish() {
+	o.mu.Lock()
+	o.closing = true
+	o.mu.Unlock()
+	o.nudge()
+}
+
+// Close ends the outlet and returns the txns that were still open.
+func (o *Outlet) Close(reason string) []*txn.Txn {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.closed = true
+	var out []*txn.Txn
+	for _, t := range o.open {
+		o.left(t, reason)
+		out = append(out, t)
+	}
+	for _, x := range o.queue {
+		o.drop(x)
+	}
+	o.open, o.queue = nil, nil
+	return out
+}
+
+func (o *Outlet) drop(x item) {
+	x.body.Free()
+	if x.t != nil {
+		o.gate.TxnDone()
+	}
+}
+
+// next takes the next answer to write.
+func (o *Outlet) next() (x item, ok, end bool, err error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if len(o.queue) > mostQueued {
+		return x, false, false, errSlow
+	}
+	if len(o.queue) == 0 {
+		return x, false, o.closing && len(o.open) == 0, nil
+	}
+	x = o.queue[0]
+	o.queue[0] = item{}
+	if o.queue = o.queue[1:]; len(o.queue) == 0 {
+		o.queue = nil
+	}
+	return x, true, false, nil
+}
+
+// Run writes answers until the context ends, the socket fails, or all is written after Finish.
+func (o *Outlet) Run(ctx context.Context, c *conn.Conn) error {
+	for {
+		x, ok, end, err := o.next()
+		switch {
+		case err != nil:
+			c.End(conn.Slow, err)
+			return err
+		case end:
+			return nil
+		case ok:
+			if err := o.write(c, x); err != nil {
+				return err
+			}
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-o.wake:
+		}
+	}
+}
+
+// write brings one answer out whole; its body counts until then.
+func (o *Outlet) write(c *conn.Conn, x item) error {
+	defer o.drop(x)
+	by := time.Now()
+	if x.t != nil {
+		if limit := time.UnixMicro(int64(x.t.Limit * 1e6)); limit.After(by) {
+			by = limit
+		}
+	}
+	c.WriteBy(by.Add(mostTime))
+	err := c.Write(x.head)
+	if err == nil && x.body != nil {
+		err = c.Write(x.body.Bytes)
+	}
+	if err == nil {
+		err = c.Flush()
+	}
+	if err != nil {
+		c.End(conn.Reason(err), err)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/route/route.go
@@ -0,0 +1,416 @@
+// Package route is where one goroutine owns the decisions: it brings events to them in order, with a clock that
+// never goes back, and carries out their actions. It decides nothing itself.
+package route
+
+import (
+	"container/heap"
+	"context"
+	"fmt"
+	"runtime/debug"
+	"time"
+
+	"cairnfront/brain"
+	"cairnfront/internal/board"
+	"cairnfront/internal/book"
+	"cairnfront/internal/line"
+	"cairnfront/internal/send"
+	"cairnfront/internal/take"
+	"cairnfront/internal/txn"
+)
+
+const (
+	queued     = 4096                  // events that may wait for the loop
+	sweepEvery = time.Second           // between looks for links that are idle
+	guardAfter = 20 * time.Millisecond // past its time limit a txn is aborted here, if the decisions failed to end it
+)
+
+// Abandon ends every open txn: the process has to end.
+type Abandon struct{}
+
+// Loop owns the decisions. Post may be called from any goroutine, all else from the one that runs it.
+type Loop struct {
+	Brain   brain.Decider
+	Records brain.Records
+	Pool    *send.Pool
+	Book    *book.Book
+	Clock   func() float64 // Unix seconds
+
+	in     chan any
+	gone   chan struct{}
+	now    float64
+	open   map[string]*open
+	kinds  map[string]int // of members
+	timers timers
+}
+
+// open is a txn that is not answered, or has hops out.
+type open struct {
+	t     *txn.Txn
+	hops  []*hop
+	out   int
+	ended bool // it had its final answer, or its client left
+
+	abandoned bool
+}
+
+type hop struct {
+	o      *open
+	no     int
+	member string
+	sent   float64
+	call   *send.Call
+	link   *send.Link
+	over   bool
+	heard  bool // its end came from its link, which will say no more of it
+}
+
+type check struct {
+	member string
+	sent   float64
+	call   *send.Call
+	over   bool
+}
+
+// New makes a loop that stands still.
+func New(b brain.Decider, rec brain.Records, p *send.Pool, k *book.Book) *Loop {
+	return &Loop{Brain: b, Records: rec, Pool: p, Book: k, in: make(chan any, queued), gone: make(chan struct{}),
+		open: map[string]*open{}, kinds: map[string]int{},
+		Clock: func() float64 { return float64(time.Now().UnixMicro()) / 1e6 }}
+}
+
+// Post hands an event to the loop. It waits while too many do, but not for a loop that has ended.
+func (l *Loop) Post(ev any) {
+	select {
+	case l.in <- ev:
+	case <-l.gone:
+	}
+}
+
+// Run brings events to the decisions until the context ends.
+func (l *Loop) Run(ctx context.Context) error {
+	defer close(l.gone)
+	bell, sweep := time.NewTimer(0), time.NewTicker(sweepEvery)
+	defer bell.Stop()
+	defer sweep.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case ev := <-l.in:
+			l.Hear(ev)
+		case <-bell.C:
+		case <-sweep.C:
+			l.Pool.Sweep(time.Now())
+		}
+		l.ring()
+		if len(l.timers.list) > 0 {
+			bell.Reset(time.Duration(max(l.timers.list[0].at-l.Clock(), 0) * float64(time.Second)))
+		}
+	}
+}
+
+// tick moves the clock on.
+func (l *Loop) tick() { l.now = max(l.now, l.Clock()) }
+
+// Hear takes one event.
+func (l *Loop) Hear(ev any) {
+	l.tick()
+	switch ev := ev.(type) {
+	case *txn.Txn:
+		l.arrived(ev)
+	case take.Left:
+		if o := l.open[ev.Txn.ID]; o != nil && o.t == ev.Txn {
+			o.ended = true
+			l.decide(brain.ClientGone{Txn: ev.Txn.ID}, o)
+			l.tidy(o)
+		}
+	case send.Ended:
+		switch owner := ev.Call.Owner.(type) {
+		case *hop:
+			owner.heard = true
+			l.ended(owner, ev.End)
+		case *check:
+			l.checked(owner, ev.End)
+		}
+	case send.Dropped:
+		l.Pool.Drop(ev.Link)
+	case board.Event:
+		l.noticed(ev, brain.Changes)
+	case Abandon:
+		for _, o := range l.open {
+			l.answer(o, txn.Answer{Verdict: txn.Aborted, Reason: "shutdown"})
+		}
+	}
+}
+
+// Known takes the events that the router is told at its start.
+func (l *Loop) Known(events []board.Event) {
+	l.tick()
+	for i, ev := range events {
+		kind := brain.Changes
+		if i == 0 {
+			kind = brain.Saved
+		}
+		l.noticed(ev, kind)
+	}
+}
+
+func (l *Loop) noticed(ev board.Event, kind brain.ListKind) {
+	if ev.Purged {
+		l.decide(brain.Purge{Ago: max(l.now-ev.At, 0), Group: ev.Group, Object: ev.Object}, nil)
+		return
+	}
+	if ev.Full && kind != brain.Saved {
+		kind = brain.Full
+	}
+	rows := make([]brain.Row, len(ev.Rows))
+	for i, row := range ev.Rows {
+		rows[i] = row.Row
+		l.kinds[row.Member] = row.Kind
+	}
+	l.Pool.List(ev.Full, ev.Rows)
+	l.decide(brain.Listing{Kind: kind, Rows: rows}, nil)
+}
+
+func (l *Loop) arrived(t *txn.Txn) {
+	if l.open[t.ID] != nil { // the decisions know a txn by its id
+		t.Body.Free()
+		t.To.Answer(t, txn.Answer{Verdict: txn.Rejected, Reason: "id-in-use"})
+		return
+	}
+	o := &open{t: t}
+	l.open[t.ID] = o
+	l.at(t.Limit+guardAfter.Seconds(), timer{guard: o})
+	l.decide(brain.Arrival{Txn: t.ID, Rule: t.Rule, Object: t.Object, Part: t.PartNo, Group: t.Group, Limit: t.Limit,
+		KB: t.KB, Write: l.Records.Item("uncacheable", t.Rule) == "true"}, o)
+}
+
+// answer gives a txn its final answer, if it had none.
+func (l *Loop) answer(o *open, a txn.Answer) {
+	if o.ended {
+		a.Body.Free()
+		return
+	}
+	o.ended = true
+	o.t.To.Answer(o.t, a)
+	l.tidy(o)
+}
+
+// tidy forgets a txn that is answered and has no hop out.
+func (l *Loop) tidy(o *open) {
+	if o.ended && o.out == 0 && l.open[o.t.ID] == o {
+		delete(l.open, o.t.ID)
+		o.t.Body.Free()
+	}
+}
+
+var reasons = map[brain.Code]string{brain.Completed: "completed", brain.Errored: "errored", brain.Busy: "busy",
+	brain.TimedOut: "timed-out", brain.NoConnect: "no-connect", brain.Broken: "broken", brain.Cancelled: "cancelled",
+	brain.Moot: "moot", brain.Miss: "miss"}
+
+// ended is the end of a hop. The first completed one answers its txn.
+func (l *Loop) ended(h *hop, end txn.End) {
+	if h.over {
+		end.Body.Free()
+		return
+	}
+	o := h.o
+	h.over = true
+	o.out--
+	l.Book.Add("hops."+o.t.Name+"."+reasons[end.Code], 1)
+	if end.Code == brain.Completed {
+		l.answer(o, txn.Answer{Verdict: txn.Completed, Reason: "served", Tag: end.Tag, Same: end.Same, Body: end.Body})
+	}
+	l.decide(brain.Outcome{Txn: o.t.ID, Hop: h.no, Member: h.member, Code: end.Code, Remark: end.Remark,
+		Took: l.now - h.sent, Final: o.ended, Load: end.Load}, o)
+	l.tidy(o)
+}
+
+func (l *Loop) checked(c *check, end txn.End) {
+	if !c.over {
+		c.over = true
+		l.decide(brain.Checked{Member: c.member, Code: end.Code, Took: l.now - c.sent, Load: end.Load}, nil)
+	}
+}
+
+// decide brings an event to the decisions and carries out what they say, with what follows from that at once.
+// About is the txn that the event is of, if any: it is aborted if the decisions panic.
+func (l *Loop) decide(ev brain.Event, about *open) {
+	for _, a := range l.guarded(ev, about) {
+		l.act(a)
+	}
+}
+
+// guarded keeps a panic of the decisions from the process: the stack is logged and the txn aborted.
+func (l *Loop) guarded(ev brain.Event, about *open) (acts []brain.Action) {
+	defer func() {
+		if p := recover(); p != nil {
+			l.Book.Add("panics", 1)
+			l.Book.Log.Error("panic", "where", "decisions", "event", fmt.Sprintf("%T", ev), "what", fmt.Sprint(p),
+				"stack", string(debug.Stack()))
+			acts = nil
+			if about != nil {
+				l.abandon(about, "panic")
+			}
+		}
+	}()
+	// The slice is good until the next call, which an action may cause.
+	return append(acts, l.Brain.Decide(l.now, ev)...)
+}
+
+// abandon aborts a txn that the decisions failed to end, and gives up its hops.
+func (l *Loop) abandon(o *open, reason string) {
+	l.answer(o, txn.Answer{Verdict: txn.Aborted, Reason: reason})
+	for _, h := range o.hops {
+		l.undo(h, brain.Cancelled)
+	}
+	if !o.abandoned {
+		o.abandoned = true
+		l.later(func() { l.decide(brain.ClientGone{Txn: o.t.ID}, o) })
+	}
+}
+
+// act carries out one action.
+func (l *Loop) act(a brain.Action) {
+	switch a := a.(type) {
+	case brain.Hop:
+		if o := l.open[a.Txn]; o != nil {
+			l.hop(o, a)
+		}
+	case brain.Cancel:
+		if o := l.open[a.Txn]; o != nil && a.Hop >= 0 && a.Hop < len(o.hops) {
+			l.undo(o.hops[a.Hop], brain.Cancelled)
+		}
+	case brain.Reject:
+		if o := l.open[a.Txn]; o != nil {
+			l.answer(o, txn.Answer{Verdict: txn.Rejected, Reason: "decided", Again: a.Again})
+		}
+	case brain.Abort:
+		if o := l.open[a.Txn]; o != nil {
+			l.answer(o, txn.Answer{Verdict: txn.Aborted, Reason: "decided"})
+		}
+	case brain.Timer:
+		l.at(l.now+a.After, timer{token: a.Token})
+	case brain.Check:
+		c := &check{member: a.Member, sent: l.now}
+		if c.call = l.Pool.Check(a.Member, c); c.call == nil {
+			l.later(func() { l.checked(c, txn.End{Code: brain.NoConnect}) })
+			return
+		}
+		l.at(l.now+l.Pool.Connect.Seconds(), timer{check: c})
+	case brain.Note:
+		l.Book.Log.Info("note", "text", a.Text)
+	}
+}
+
+func (l *Loop) hop(o *open, a brain.Hop) {
+	h := &hop{o: o, no: len(o.hops), member: a.To, sent: l.now}
+	o.hops = append(o.hops, h)
+	o.out++
+	var avoid []*send.Link
+	for _, x := range o.hops[:h.no] {
+		if x.link != nil && !x.heard {
+			avoid = append(avoid, x.link)
+		}
+	}
+	until := o.t.Limit
+	if a.Until > 0 {
+		until = min(until, a.Until)
+	}
+	d := line.Do{Txn: o.t, Wait: until - l.now, Fill: a.Source, Hop: a}
+	if kind := l.kinds[a.To]; a.Source == a.To && kind != int(l.Records.Num("parent_kind", -1)) {
+		d.Fill = "" // only a parent is named as its own source
+	}
+	if !o.ended && until > l.now {
+		l.Book.Add("hops."+o.t.Name+".sent", 1)
+		h.call = l.Pool.Send(d, avoid, h)
+	}
+	if h.call == nil {
+		l.later(func() { l.ended(h, txn.End{Code: brain.Moot}) })
+		return
+	}
+	h.link = h.call.Link()
+	l.at(until, timer{hop: h})
+}
+
+// undo gives a hop up. One of which nothing was written surely did not run.
+func (l *Loop) undo(h *hop, code brain.Code) {
+	if h.over || h.call == nil { // without a call its end is on the way
+		return
+	}
+	if !l.Pool.Undo(h.call) {
+		code = brain.Moot
+	}
+	// The end is heard after the actions in hand are done, as from a link.
+	l.later(func() { l.ended(h, txn.End{Code: code}) })
+}
+
+// later does something once the event in hand is done with.
+func (l *Loop) later(f func()) { l.at(l.now, timer{then: f}) }
+
+// timer is something that comes due.
+type timer struct {
+	at    float64
+	seq   int
+	token uint64
+	hop   *hop
+	check *check
+	guard *open
+	then  func()
+}
+
+func (l *Loop) at(at float64, t timer) {
+	t.at = at
+	if l.timers.seq++; t.then != nil {
+		t.at = 0 // before all others
+	}
+	t.seq = l.timers.seq
+	heap.Push(&l.timers, t)
+}
+
+// ring brings what has come due.
+func (l *Loop) ring() {
+	l.tick()
+	for l.timers.Len() > 0 && l.timers.list[0].at <= l.now {
+		t := heap.Pop(&l.timers).(timer)
+		switch {
+		case t.then != nil:
+			t.then()
+		case t.hop != nil:
+			l.undo(t.hop, brain.TimedOut)
+		case t.check != nil:
+			if !t.check.over {
+				l.Pool.Undo(t.check.call)
+				l.checked(t.check, txn.End{Code: brain.TimedOut})
+			}
+		case t.guard != nil:
+			if !t.guard.ended {
+				l.Book.Log.Error("overdue", "txn", t.guard.t.ID)
+				l.abandon(t.guard, "overdue")
+			}
+		default:
+			l.decide(brain.Bell{Token: t.token}, nil)
+		}
+	}
+}
+
+// timers is a heap by time, then by the order in which they were set.
+type timers struct {
+	list []timer
+	seq  int
+}
+
+func (t *timers) Len() int { return len(t.list) }
+func (t *timers) Less(i, j int) bool {
+	a, b := &t.list[i], &t.list[j]
+	return a.at < b.at || a.at == b.at && a.seq < b.seq
+}
+func (t *timers) Swap(i, j int) { t.list[i], t.list[j] = t.list[j], t.list[i] }
+func (t *timers) Push(x any)    { t.list = append(t.list, x.(timer)) }
+func (t *timers) Pop() any {
+	n := len(t.list) - 1
+	x := t.list[n]
+	t.list[n] = timer{}
+	t.list = t.list[:n]
+	return x
+}
--- /dev/null
+++ b/internal/send/link.go
@@ -0,0 +1,325 @@
+package send
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"cairnfront/brain"
+	"cairnfront/internal/admit"
+	"cairnfront/internal/conn"
+	"cairnfront/internal/line"
+	"cairnfront/internal/txn"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// Call is a hop or a check on a link. What is not exported belongs to the link.
+type Call struct {
+	Owner any
+	link  *Link
+	id    string
+	head  []byte
+	body  *txn.Body
+	hop   bool
+
+	begun   bool      // some of it may be written
+	end     int64     // the link's count of bytes after its last one
+	written time.Time // when it was begun
+}
+
+// Link is the link that carries the call.
+func (c *Call) Link() *Link { return c.link }
+
+// Link is one connection to a member.
+type Link struct {
+	pool         *Pool
+	member, addr string
+
+	mu      sync.Mutex
+	c       *conn.Conn // nil until it is up
+	calls   map[string]*Call
+	queue   []item
+	wake    chan struct{}
+	used    time.Time // when a call last came or ended
+	suspect time.Time // when a call was undone that had heard nothing for long
+	dead    bool      // takes no more calls
+	stop    context.CancelFunc
+}
+
+// item is what the writer has to write: a call, or the line that undoes one.
+type item struct {
+	call *Call
+	text []byte
+}
+
+// load is how many calls are open, and whether the link takes more. One that owes an answer to a call that was
+// given up in silence is not used until it is heard again: its member may have vanished or be a new process.
+func (l *Link) load() (int, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.calls), !l.dead && !l.silent()
+}
+
+func (l *Link) silent() bool {
+	return !l.suspect.IsZero() && l.c != nil && l.c.Heard() < l.suspect.UnixNano()
+}
+
+// add takes a call, unless the link has ended or carries the same id already.
+func (l *Link) add(c *Call) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.dead || l.calls[c.id] != nil {
+		return false
+	}
+	c.link, l.used = l, time.Now()
+	l.calls[c.id] = c
+	l.push(item{call: c})
+	return true
+}
+
+func (l *Link) push(x item) {
+	l.queue = append(l.queue, x)
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// undo gives a call up and says whether any of it may have been written.
+func (l *Link) undo(c *Call) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.calls[c.id] != c {
+		return c.begun
+	}
+	delete(l.calls, c.id)
+	now := time.Now()
+	l.used = now
+	if !c.begun {
+		for i, x := range l.queue {
+			if x.call == c {
+				l.queue = append(l.queue[:i:i], l.queue[i+1:]...)
+				break
+			}
+		}
+		return false
+	}
+	if l.dead {
+		return true
+	}
+	if c.hop {
+		l.push(item{text: line.AppendUndo(nil, c.id)})
+	}
+	if l.c != nil && l.c.Heard() < c.written.UnixNano() && now.Sub(c.written) > l.pool.Connect {
+		l.suspect = now
+	}
+	return true
+}
+
+// endIf ends the link if nothing is open on it and was not since a time.
+func (l *Link) endIf(code string, since time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.dead || l.c == nil || len(l.calls) > 0 {
+		return
+	}
+	if l.silent() {
+		code = conn.Silent
+	} else if l.used.After(since) {
+		return
+	}
+	l.dead = true
+	l.c.End(code, nil)
+}
+
+// run makes the connection and serves it until it ends; then every open call gets its end.
+func (l *Link) run(ctx context.Context) {
+	began := time.Now()
+	dial, cancel := context.WithTimeout(ctx, l.pool.Connect)
+	raw, err := (&net.Dialer{}).DialContext(dial, "tcp", l.addr)
+	cancel()
+	peer := l.member + "@" + l.addr
+	if err != nil {
+		c := conn.New(nowhere{}, 0, 0)
+		code := conn.NoConnect
+		if ctx.Err() != nil {
+			code = conn.Shutdown
+		}
+		c.Since(began)
+		c.End(code, err)
+		l.finish(nil)
+		c.Done(l.pool.Book, "member", peer)
+		return
+	}
+	c := conn.New(raw, admit.MemberRing, 0)
+	l.mu.Lock()
+	l.c = c
+	l.mu.Unlock()
+	g, ctx := errgroup.WithContext(ctx)
+	stop := context.AfterFunc(ctx, func() { c.End(conn.Shutdown, nil) })
+	g.Go(func() error {
+		defer l.caught(c)
+		code, err := l.read(ctx, c)
+		c.End(code, err)
+		return errEnded
+	})
+	g.Go(func() error {
+		defer l.caught(c)
+		err := l.write(ctx, c)
+		c.End(conn.Reason(err), err)
+		return errEnded
+	})
+	_ = g.Wait()
+	stop()
+	l.finish(c)
+	c.Done(l.pool.Book, "member", peer)
+}
+
+var errEnded = errors.New("connection ended")
+
+// nowhere stands for the socket of a connection that never came up.
+type nowhere struct{ net.Conn }
+
+func (nowhere) Close() error { return nil }
+
+func (l *Link) caught(c *conn.Conn) {
+	if p := recover(); p != nil {
+		l.pool.Book.Log.Error("panic", "where", "member", "what", fmt.Sprint(p), "stack", string(debug.Stack()))
+		c.End(conn.Panic, nil)
+	}
+}
+
+// finish ends what is open: a call whose last byte the socket took may have run; any other surely did not.
+func (l *Link) finish(c *conn.Conn) {
+	l.mu.Lock()
+	l.dead = true
+	calls := l.calls
+	l.calls, l.queue = map[string]*Call{}, nil
+	l.mu.Unlock()
+	for _, call := range calls {
+		code := brain.NoConnect
+		if c != nil && call.begun && call.end <= c.Wrote() {
+			code = brain.Broken
+		}
+		l.pool.Post(Ended{call, txn.End{Code: code}})
+	}
+	l.pool.Post(Dropped{l})
+}
+
+// write brings out calls and undos in order.
+func (l *Link) write(ctx context.Context, c *conn.Conn) error {
+	for {
+		l.mu.Lock()
+		var x item
+		ok := len(l.queue) > 0
+		if ok {
+			x = l.queue[0]
+			if l.queue = l.queue[1:]; x.call != nil {
+				x.call.begun, x.call.written = true, time.Now()
+				x.call.end = c.Entered() + int64(len(x.call.head))
+				if x.call.hop {
+					x.call.end += int64(x.call.body.Len() + len(line.End))
+				}
+			}
+		}
+		l.mu.Unlock()
+		if !ok {
+			if err := c.Flush(); err != nil {
+				return err
+			}
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-l.wake:
+			}
+			continue
+		}
+		text := x.text
+		if x.call != nil {
+			text = x.call.head
+		}
+		err := c.Write(text)
+		if err == nil && x.call != nil && x.call.hop {
+			if x.call.body != nil {
+				err = c.Write(x.call.body.Bytes)
+			}
+			if err == nil {
+				err = c.Write([]byte(line.End))
+			}
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+var errStep = errors.New("no line end after a body")
+
+// read follows the member's answers. Bodies are gathered whole before the route stage hears of them; that of a
+// hop that was given up is dropped unread.
+func (l *Link) read(ctx context.Context, c *conn.Conn) (string, error) {
+	for tail := make([]byte, len(line.End)); ; {
+		text, err := c.Line()
+		if err != nil {
+			return conn.Reason(err), err
+		}
+		a, err := line.ParseAnswer(text)
+		if err != nil {
+			return conn.Protocol, err
+		}
+		l.mu.Lock()
+		call := l.calls[a.ID]
+		l.mu.Unlock()
+		if call == nil {
+			l.pool.Book.Add("member.late-answers", 1)
+		}
+		if call != nil && call.hop && a.Code == brain.Completed && !a.Same {
+			if a.Body, err = l.pool.Gate.Budget.Wait(ctx, a.Size); err != nil {
+				return conn.Shutdown, err
+			}
+			err = c.ReadFull(a.Body.Bytes)
+		} else {
+			err = c.Skip(a.Size)
+		}
+		if err == nil {
+			if err = c.ReadFull(tail); err == nil && !bytes.Equal(tail, []byte(line.End)) {
+				a.Body.Free()
+				return conn.Protocol, errStep
+			}
+		}
+		if err != nil {
+			a.Body.Free()
+			return conn.Reason(err), err
+		}
+		l.answered(call, a)
+	}
+}
+
+// answered ends a call, unless it was undone since.
+func (l *Link) answered(call *Call, a line.Answer) {
+	if call == nil {
+		return
+	}
+	l.mu.Lock()
+	open := l.calls[call.id] == call
+	if open {
+		delete(l.calls, call.id)
+		l.used = time.Now()
+	}
+	l.mu.Unlock()
+	if !open {
+		a.Body.Free()
+		return
+	}
+	if a.Check == call.hop { // an answer of the other kind: what it is about can't be known
+		a.Body.Free()
+		a.End = txn.End{Code: brain.Errored}
+	}
+	l.pool.Post(Ended{call, a.End})
+}
--- /dev/null
+++ b/internal/send/pool.go
@@ -0,0 +1,180 @@
+// Package send keeps the connections to members and carries hops, cancels and checks on them. It decides nothing:
+// it says how each hop ended, as far as the connection can prove it.
+package send
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"cairnfront/brain"
+	"cairnfront/internal/admit"
+	"cairnfront/internal/board"
+	"cairnfront/internal/book"
+	"cairnfront/internal/conn"
+	"cairnfront/internal/line"
+	"cairnfront/internal/txn"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// idleMargin is the part of the members' idle time after which a connection is closed from here, so that no hop
+// crosses a close of theirs.
+const idleMargin = 0.8
+
+// Ended says that a call is over. Each call has one, unless it was undone.
+type Ended struct {
+	Call *Call
+	End  txn.End
+}
+
+// Dropped says that a link carries nothing any more.
+type Dropped struct{ Link *Link }
+
+// Pool holds the links to all members. Its methods belong to one goroutine; what it hears it hands to Post.
+type Pool struct {
+	Gate    *admit.Gate
+	Book    *book.Book
+	Post    func(any)
+	Connect time.Duration // longest wait for a connection
+	Idle    time.Duration // after which members close idle ones
+	Streams int           // hops that one connection carries
+	Report  bool          // checks ask for the load report
+
+	ctx     context.Context
+	group   *errgroup.Group
+	members map[string]*member
+	checks  int
+}
+
+type member struct {
+	addr  string
+	gone  bool
+	links []*Link
+}
+
+// Start makes the pool ready; Wait returns once all its links have ended.
+func (p *Pool) Start(ctx context.Context) {
+	p.group, p.ctx = errgroup.WithContext(ctx)
+	p.members = map[string]*member{}
+}
+
+// Wait waits for the links to end, after the context has.
+func (p *Pool) Wait() error { return p.group.Wait() }
+
+// List takes news of where members are. A link belongs to the member's id and the address it was made for.
+func (p *Pool) List(full bool, rows []board.Row) {
+	if full {
+		for _, m := range p.members {
+			m.gone = true
+		}
+	}
+	for _, row := range rows {
+		m := p.members[row.Member]
+		if m == nil {
+			m = &member{}
+			p.members[row.Member] = m
+		}
+		m.addr, m.gone = row.Addr, row.Status == brain.Gone
+	}
+}
+
+// Call starts a hop or a check on a link of a member. Avoid names the links on which the same txn may still be
+// heard of. It returns nil where no connection may be made; then surely nothing ran.
+func (p *Pool) call(id string, c *Call, avoid []*Link) *Call {
+	m := p.members[id]
+	if m == nil {
+		return nil
+	}
+	var best *Link
+	least := p.Streams
+	for _, l := range m.links {
+		if n, ok := l.load(); ok && n < least && l.addr == m.addr && !contains(avoid, l) {
+			best, least = l, n
+		}
+	}
+	if best != nil && best.add(c) {
+		return c
+	}
+	if !p.Gate.Member() {
+		return nil
+	}
+	l := &Link{pool: p, member: id, addr: m.addr, calls: map[string]*Call{}, wake: make(chan struct{}, 1)}
+	l.add(c)
+	m.links = append(m.links, l)
+	p.Book.Began("member")
+	p.group.Go(func() error {
+		defer p.Gate.MemberDone()
+		l.run(p.ctx)
+		return nil
+	})
+	return c
+}
+
+func contains(links []*Link, l *Link) bool {
+	for _, x := range links {
+		if x == l {
+			return true
+		}
+	}
+	return false
+}
+
+// Send starts a hop.
+func (p *Pool) Send(d line.Do, avoid []*Link, owner any) *Call {
+	head := line.AppendDo(nil, d)
+	return p.call(d.To, &Call{Owner: owner, id: d.Txn.ID, head: head, body: d.Txn.Body, hop: true}, avoid)
+}
+
+// Check asks a member for its state.
+func (p *Pool) Check(id string, owner any) *Call {
+	p.checks++
+	tag := "check" + strconv.Itoa(p.checks)
+	return p.call(id, &Call{Owner: owner, id: tag, head: line.AppendCheck(nil, tag, p.Report)}, nil)
+}
+
+// Undo gives a call up; no end follows. It says whether any of it may have been written.
+func (p *Pool) Undo(c *Call) (written bool) { return c.link.undo(c) }
+
+// Drop forgets a link that has ended.
+func (p *Pool) Drop(l *Link) {
+	m := p.members[l.member]
+	if m == nil {
+		return
+	}
+	for i, x := range m.links {
+		if x == l {
+			m.links = append(m.links[:i], m.links[i+1:]...)
+			break
+		}
+	}
+	if m.gone && len(m.links) == 0 {
+		delete(p.members, l.member)
+	}
+}
+
+// Sweep closes links that nothing is open on and nothing will be.
+func (p *Pool) Sweep(now time.Time) {
+	for id, m := range p.members {
+		for _, l := range m.links {
+			switch {
+			case m.gone || l.addr != m.addr:
+				l.endIf(conn.Unlisted, now)
+			case p.Idle > 0:
+				l.endIf(conn.Idle, now.Add(-time.Duration(idleMargin*float64(p.Idle))))
+			}
+		}
+		if m.gone && len(m.links) == 0 {
+			delete(p.members, id)
+		}
+	}
+}
+
+// Links is how many links there are.
+func (p *Pool) Links() int {
+	n := 0
+	for _, m := range p.members {
+		n += len(m.links)
+	}
+	return n
+}
--- /dev/null
+++ b/internal/start/start.go
@@ -0,0 +1,172 @@
+// Package start reads what a router is told at its start.
+package start
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+
+	"cairnfront/brain"
+	"cairnfront/internal/board"
+	"cairnfront/wire"
+)
+
+// Manifest is all that a router is told at its start.
+type Manifest struct {
+	Name, Listen, Board string
+	Seed                uint64
+	Cores               float64
+	MemoryMB, Sockets   int
+	Records             brain.Records
+	Rules               []string // names of the remap rules
+	Known               []board.Event
+	Last                uint64 // number of the last known event
+}
+
+// Variable names the file to read.
+const Variable = "LB_CONFIG"
+
+// FromEnv reads the file that the environment names.
+func FromEnv() (Manifest, error) {
+	path := os.Getenv(Variable)
+	if path == "" {
+		return Manifest{}, errors.New(Variable + " is not set")
+	}
+	return FromFile(path)
+}
+
+// FromFile reads a file.
+func FromFile(path string) (Manifest, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Manifest{}, err
+	}
+	m, err := Parse(text)
+	if err != nil {
+		return m, fmt.Errorf("%s: %w", path, err)
+	}
+	return m, nil
+}
+
+// Parse reads the text of such a file.
+func Parse(text []byte) (Manifest, error) {
+	var file struct {
+		Name   string `json:"name"`
+		Listen string `json:"listen"`
+		Seed   string `json:"seed"`
+		Limits struct {
+			Cores    float64 `json:"cores"`
+			MemoryMB int     `json:"memory_mb"`
+			Sockets  int     `json:"sockets"`
+		} `json:"limits"`
+		Board    string          `json:"board"`
+		Known    json.RawMessage `json:"known"`
+		Settings map[string]any  `json:"settings"`
+	}
+	dec := json.NewDecoder(bytes.NewReader(text))
+	dec.UseNumber()
+	if err := dec.Decode(&file); err != nil {
+		return Manifest{}, fmt.Errorf("not the JSON that is expected: %w", err)
+	}
+	m := Manifest{Name: file.Name, Listen: file.Listen, Board: file.Board, Cores: file.Limits.Cores,
+		MemoryMB: file.Limits.MemoryMB, Sockets: file.Limits.Sockets, Records: brain.Records{}}
+	for name, addr := range map[string]string{"listen": m.Listen, "board": m.Board} {
+		if _, _, err := net.SplitHostPort(addr); err != nil {
+			return m, fmt.Errorf("%s: %q is no address", name, addr)
+		}
+	}
+	var err error
+	if m.Seed, err = strconv.ParseUint(file.Seed, 16, 64); err != nil {
+		return m, fmt.Errorf("seed: %q is no hex number of 64 bits", file.Seed)
+	}
+	if m.MemoryMB < 32 || m.Sockets < 64 {
+		return m, fmt.Errorf("limits: %d MB and %d sockets are missing or too few", m.MemoryMB, m.Sockets)
+	}
+	if len(file.Settings) == 0 {
+		return m, errors.New("settings: missing")
+	}
+	flatten(m.Records, "", file.Settings)
+	rules, _ := file.Settings["request_classes"].([]any)
+	for i := range rules {
+		name, _ := child(rules[i], "name").(string)
+		if name == "" {
+			return m, fmt.Errorf("settings: class %d has no name", i)
+		}
+		m.Rules = append(m.Rules, name)
+	}
+	if len(m.Rules) == 0 {
+		return m, errors.New("settings: no request_classes")
+	}
+	if len(file.Known) == 0 {
+		return m, errors.New("known: missing")
+	}
+	names := board.Names{Locations: texts(file.Settings["zones"]), Kinds: texts(file.Settings["flavors"])}
+	if m.Known, m.Last, err = board.ParseKnown(file.Known, names); err != nil {
+		return m, fmt.Errorf("known: %w", err)
+	}
+	return m, nil
+}
+
+func child(v any, name string) any {
+	m, _ := v.(map[string]any)
+	return m[name]
+}
+
+func texts(v any) []string {
+	list, _ := v.([]any)
+	out := make([]string, len(list))
+	for i, x := range list {
+		out[i], _ = x.(string)
+	}
+	return out
+}
+
+var spaces = strings.NewReplacer(" ", "_", ",", "_")
+
+func plain(v any) string {
+	switch v := v.(type) {
+	case nil:
+		return ""
+	case string:
+		return spaces.Replace(v)
+	default:
+		return fmt.Sprint(v)
+	}
+}
+
+// flatten turns nested objects into the paths and texts in which the simulator's wire gives them, and renames both.
+func flatten(rec brain.Records, path string, v any) {
+	put := func(text string) {
+		key, value := wire.Record(path, text)
+		rec[key] = value
+	}
+	switch v := v.(type) {
+	case map[string]any:
+		for name, x := range v {
+			if path != "" {
+				name = path + "." + name
+			}
+			flatten(rec, name, x)
+		}
+	case []any:
+		if len(v) > 0 && child(v[0], "name") != nil || path == "request_classes" || path == "tenants" {
+			flatten(rec, path+".count", json.Number(strconv.Itoa(len(v))))
+			for i, x := range v {
+				flatten(rec, path+"."+strconv.Itoa(i), x)
+			}
+			return
+		}
+		items := make([]string, len(v))
+		for i, x := range v {
+			items[i] = plain(x)
+		}
+		put(strings.Join(items, ","))
+	default:
+		put(plain(v))
+	}
+}
--- /dev/null
+++ b/internal/take/take.go
@@ -0,0 +1,285 @@
+// Package take listens for clients and turns their frames into txns.
+package take
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"cairnfront/internal/admit"
+	"cairnfront/internal/book"
+	"cairnfront/internal/conn"
+	"cairnfront/internal/frame"
+	"cairnfront/internal/relay"
+	"cairnfront/internal/txn"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// mostOpen is how many requests may be open on a connection, by the protocol.
+const mostOpen = 32
+
+// mostAhead is how far stream numbers may run ahead of the lowest one not used.
+const mostAhead = 4096
+
+// Left says that the client of a txn waits no more.
+type Left struct{ Txn *txn.Txn }
+
+// Taker takes in what clients send. Post hands a *txn.Txn or a Left to the route stage.
+type Taker struct {
+	Rules map[string]int
+	Gate  *admit.Gate
+	Book  *book.Book
+	Post  func(any)
+
+	mu      sync.Mutex
+	outlets map[*relay.Outlet]bool
+}
+
+// Run accepts clients until the listener is closed, then waits for their connections to end.
+func (k *Taker) Run(ctx context.Context, ln net.Listener) error {
+	g, ctx := errgroup.WithContext(ctx)
+	defer context.AfterFunc(ctx, func() { _ = ln.Close() })()
+	for {
+		raw, err := ln.Accept()
+		if err != nil {
+			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return g.Wait()
+			}
+			// Out of descriptors, or a connection that went away: the listener itself goes on.
+			k.Book.Log.Warn("accept", "err", err.Error())
+			select {
+			case <-ctx.Done():
+			case <-time.After(10 * time.Millisecond):
+			}
+			continue
+		}
+		in, tell := k.Gate.Client()
+		if !in && !tell {
+			_ = raw.Close()
+			k.Book.Add("conn.client.turned-away", 1)
+			continue
+		}
+		g.Go(func() error {
+			defer k.Gate.ClientDone()
+			k.client(ctx, raw, in)
+			return nil
+		})
+	}
+}
+
+// Stop tells every client to bring no new request on its connection.
+func (k *Taker) Stop() {
+	k.Gate.Stop()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for o := range k.outlets {
+		o.Say(frame.AppendHead(nil, frame.NoMore, 0, 0))
+	}
+}
+
+// client serves one connection until it ends.
+func (k *Taker) client(ctx context.Context, raw net.Conn, in bool) {
+	c := conn.New(raw, admit.ClientRing, relay.Stall)
+	o := relay.New(k.Book, k.Gate)
+	k.Book.Began("client")
+	k.mu.Lock()
+	if k.outlets == nil {
+		k.outlets = map[*relay.Outlet]bool{}
+	}
+	k.outlets[o] = true
+	k.mu.Unlock()
+	g, ctx := errgroup.WithContext(ctx)
+	defer context.AfterFunc(ctx, func() { c.End(conn.Shutdown, nil) })()
+	g.Go(func() error {
+		defer k.caught(c)
+		if !in {
+			c.End(conn.Limit, refuse(o, c, errors.New("too many connections")))
+			return errRefused
+		}
+		r := reader{k: k, c: c, o: o, used: map[uint32]bool{}, next: 1}
+		err := r.run()
+		if bad := (*violation)(nil); errors.As(err, &bad) {
+			// What was taken is still answered; only then does the connection end, under the code of the fault.
+			o.Say(errorFrame(bad.Error()))
+			o.Finish()
+			c.Blame(conn.Protocol, bad)
+			return nil
+		}
+		c.End(conn.Reason(err), err)
+		return err
+	})
+	g.Go(func() error {
+		defer k.caught(c)
+		err := o.Run(ctx, c)
+		if err == nil {
+			c.End(conn.Protocol, nil)
+		}
+		return err
+	})
+	_ = g.Wait()
+	k.mu.Lock()
+	delete(k.outlets, o)
+	k.mu.Unlock()
+	for _, t := range o.Close("connection-ended") {
+		k.Post(Left{t})
+	}
+	c.Done(k.Book, "client", c.Peer())
+}
+
+var errRefused = errors.New("refused")
+
+// refuse writes an error of the connection at once.
+func refuse(o *relay.Outlet, c *conn.Conn, err error) error {
+	_ = c.Write(errorFrame(err.Error()))
+	_ = c.Flush()
+	return err
+}
+
+func errorFrame(text string) []byte {
+	return frame.AppendAnswer(nil, 0, txn.Answer{Verdict: txn.Aborted, Error: text})
+}
+
+func (k *Taker) caught(c *conn.Conn) {
+	if p := recover(); p != nil {
+		k.Book.Log.Error("panic", "where", "client", "what", fmt.Sprint(p), "stack", string(debug.Stack()))
+		c.End(conn.Panic, nil)
+	}
+}
+
+// violation is an error after which the frames of a connection can't be followed.
+type violation struct{ text string }
+
+func (v *violation) Error() string { return v.text }
+
+func fault(format string, args ...any) error { return &violation{fmt.Sprintf(format, args...)} }
+
+// reader follows the frames of one connection.
+type reader struct {
+	k    *Taker
+	c    *conn.Conn
+	o    *relay.Outlet
+	used map[uint32]bool // streams used, from next on
+	next uint32          // lowest stream not used
+	told bool
+}
+
+func (r *reader) run() error {
+	for head := make([]byte, frame.HeadSize); ; {
+		if err := r.c.ReadFull(head); err != nil {
+			return err
+		}
+		h, err := frame.ParseHead(head)
+		if err != nil {
+			return fault("%s", err)
+		}
+		switch h.Type {
+		case frame.Request:
+			err = r.request(h)
+		case frame.Leave:
+			if err = r.c.Skip(h.Size); err == nil {
+				if t := r.o.Leave(h.Stream, "cancelled"); t != nil {
+					r.k.Post(Left{t})
+				}
+			}
+		case frame.AskReady:
+			if err = r.c.Skip(h.Size); err == nil {
+				r.o.Say(frame.AppendReady(nil, h.Stream, r.k.Gate.Ready()))
+			}
+		default:
+			return fault("unknown type %d", h.Type)
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// use marks a stream as used and says whether it was new.
+func (r *reader) use(stream uint32) bool {
+	if stream < r.next || r.used[stream] || stream-r.next > mostAhead {
+		return false
+	}
+	r.used[stream] = true
+	for r.used[r.next] {
+		delete(r.used, r.next)
+		r.next++
+	}
+	return true
+}
+
+// request takes one in. Whatever is wrong with it alone is answered on its stream.
+func (r *reader) request(h frame.Head) error {
+	if h.Stream == 0 {
+		return fault("a request on stream 0")
+	}
+	if !r.use(h.Stream) {
+		return fault("stream %d is not new", h.Stream)
+	}
+	t := &txn.Txn{Stream: h.Stream, Name: "unknown", To: r.o}
+	refuse := func(v txn.Verdict, reason, text string) {
+		r.k.Gate.Enter() // it is owed its answer like any other
+		r.o.Open(t)
+		r.o.Answer(t, txn.Answer{Verdict: v, Reason: reason, Error: text})
+	}
+	if h.Size > frame.MostAsked {
+		if err := r.c.Skip(h.Size); err != nil {
+			return err
+		}
+		refuse(txn.Aborted, "malformed", "request too large")
+		return nil
+	}
+	body := r.k.Gate.Budget.Try(h.Size)
+	if body == nil {
+		if err := r.c.Skip(h.Size); err != nil {
+			return err
+		}
+		refuse(txn.Rejected, "memory", "")
+		return nil
+	}
+	if err := r.c.ReadFull(body.Bytes); err != nil {
+		body.Free()
+		return err
+	}
+	now := time.Now()
+	a, err := frame.ParseRequest(body.Bytes)
+	rule, known := r.k.Rules[a.Name]
+	if err == nil && !known {
+		err = fmt.Errorf("unknown class %.40q", a.Name)
+	}
+	if err != nil {
+		body.Free()
+		refuse(txn.Aborted, "malformed", err.Error())
+		return nil
+	}
+	asked := a.Txn
+	asked.Stream, asked.To, asked.Rule = t.Stream, r.o, rule
+	t = &asked
+	t.Came = float64(now.UnixMicro()) / 1e6
+	t.Limit = t.Came + a.TTL
+	if body.Bytes = a.Rest; len(a.Rest) > 0 {
+		t.Body = body
+	} else {
+		body.Free()
+	}
+	reason := ""
+	if r.o.Count() >= mostOpen {
+		reason = "streams"
+	} else if reason = r.k.Gate.Txn(); reason == "" {
+		r.o.Open(t)
+		r.k.Post(t)
+	}
+	if reason != "" {
+		t.Body.Free()
+		refuse(txn.Rejected, reason, "")
+	}
+	if r.k.Gate.Stopping() && !r.told {
+		r.told = true
+		r.o.Say(frame.AppendHead(nil, frame.NoMore, 0, 0))
+	}
+	return nil
+}
--- a/wire/rename.go
+++ b/wire/rename.go
@@ -83,6 +83,14 @@
 	"x1":         "link_fill",
 }
 
+// Reading renames one value of a load report.
+func Reading(name string) string {
+	if ours, ok := readingNames[name]; ok {
+		return ours
+	}
+	return name
+}
+
 var codes = map[string]brain.Code{
 	"200": brain.Completed, "502": brain.Errored, "429": brain.Busy, "408": brain.TimedOut, "521": brain.NoConnect,
 	"520": brain.Broken, "444": brain.Cancelled, "409": brain.Moot, "204": brain.Miss,
@@ -94,8 +102,8 @@
 
 var statuses = map[string]brain.Status{"ready": brain.Ready, "draining": brain.Draining, "gone": brain.Gone}
 
-// record renames one setting; items of the list of remap rules become remap.N.name.
-func record(key, value string) (string, string) {
+// Record renames one setting for any adapter; items of the list of remap rules become remap.N.name.
+func Record(key, value string) (string, string) {
 	if v, ok := valueNames[value]; ok {
 		value = v
 	}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -149,7 +149,7 @@
 		seed, rec := f.token(), brain.Records{}
 		for w := f.next(); len(w) > 0; w = f.next() {
 			key, value, _ := strings.Cut(string(w), "=")
-			key, value = record(key, value)
+			key, value = Record(key, value)
 			rec[key] = value
 		}
 		if f.err != nil {
@@ -360,10 +360,7 @@
 		if err != nil {
 			f.fail("bad load report")
 		}
-		if ours, ok := readingNames[name]; ok {
-			name = ours
-		}
-		out = append(out, brain.Reading{Name: name, Value: x})
+		out = append(out, brain.Reading{Name: Reading(name), Value: x})
 	}
 	return out
 }
