Late answers and a late loop are counted; printing counters holds nobody up

Now an answer written more than 20 ms past its time limit leaves a log line, and the loop's worst lateness is counted.

--- a/internal/book/book.go
+++ b/internal/book/book.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"sort"
+	"strings"
 	"sync"
 	"time"
 )
@@ -95,16 +96,21 @@
 	b.Add("conn."+side+".open", 1)
 }
 
-// Print writes all counters, one a line, in the order of their names.
+// Most keeps the largest value seen under a name.
+func (b *Book) Most(name string, v int64) {
+	b.mu.Lock()
+	b.counts[name] = max(b.counts[name], v)
+	b.mu.Unlock()
+}
+
+// Print writes all counters, one a line, in the order of their names. Nobody waits for the writer: it may be slow.
 func (b *Book) Print(w io.Writer) {
 	b.mu.Lock()
-	defer b.mu.Unlock()
-	names := make([]string, 0, len(b.counts))
-	for name := range b.counts {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	for _, name := range names {
-		fmt.Fprintf(w, "counter %s %d\n", name, b.counts[name])
+	lines := make([]string, 0, len(b.counts))
+	for name, n := range b.counts {
+		lines = append(lines, fmt.Sprintf("counter %s %d\n", name, n))
 	}
+	b.mu.Unlock()
+	sort.Strings(lines)
+	_, _ = io.WriteString(w, strings.Join(lines, ""))
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -19,6 +19,7 @@
 	Stall      = 5 * time.Second  // without a byte taken
 	mostTime   = 10 * time.Second // for one answer, after its time limit
 	mostQueued = 1024             // answers a connection
+	lateLogged = 0.02             // s past the time limit from which a written answer is logged
 )
 
 var errSlow = errors.New("too many answers wait")
@@ -215,6 +216,13 @@
 	}
 	if err != nil {
 		c.End(conn.Reason(err), err)
+	} else if x.t != nil && x.t.Limit > 0 {
+		if late := float64(time.Now().UnixMicro())/1e6 - x.t.Limit; late > 0 {
+			o.book.Add("answers.after-limit", 1)
+			if o.book.Most("answers.after-limit.most-us", int64(late*1e6)); late > lateLogged {
+				o.book.Log.Warn("late answer", "txn", x.t.ID, "rule", x.t.Name, "by_s", late)
+			}
+		}
 	}
 	return err
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -374,6 +374,9 @@
 	l.tick()
 	for l.timers.Len() > 0 && l.timers.list[0].at <= l.now {
 		t := heap.Pop(&l.timers).(timer)
+		if t.at > 0 {
+			l.Book.Most("loop.late.most-us", int64((l.now-t.at)*1e6))
+		}
 		switch {
 		case t.then != nil:
 			t.then()
