Tests of take, admit, route, send and relay on state built directly

Each calls its stage over a pipe or directly: truth of hop ends (refused, silent, reset before and after a request is whole, cut body, out of step, undone before and after writing), one answer a txn, bad frames, limits, a panic of the decisions, the overdue guard, drains.

--- /dev/null
+++ b/internal/admit/admit_test.go
@@ -0,0 +1,65 @@
+package admit
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+func TestLimits(t *testing.T) {
+	g := New(192, 1024)
+	assert.Less(t, float64(g.full)+float64(HeapLimit(192))*(txnShare+heapShare-1), float64(192*megabyte))
+	assert.GreaterOrEqual(t, g.mostClients, int64(1024/3), "clients hold a third at most")
+	assert.Less(t, g.mostClients+g.mostMembers+refuseBeyond, int64(1024-32))
+	g.mostTxns, g.mostClients, g.mostMembers = 2, 1, 1
+	assert.Equal(t, []string{"", "", "open-txns"}, []string{g.Txn(), g.Txn(), g.Txn()})
+	g.TxnDone()
+	assert.Empty(t, g.Txn())
+	body, err := g.Budget.Wait(t.Context(), int(g.full)+1)
+	assert.NoError(t, err)
+	assert.Equal(t, "memory", g.Txn())
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err = g.Budget.Wait(ctx, int(g.full))
+	assert.ErrorIs(t, err, context.Canceled)
+	body.Free()
+	assert.True(t, g.Member())
+	assert.False(t, g.Member())
+	g.MemberDone()
+	assert.True(t, g.Member())
+	in, _ := g.Client()
+	assert.True(t, in)
+	in, tell := g.Client()
+	assert.Equal(t, []bool{false, true}, []bool{in, tell})
+	for range refuseBeyond {
+		in, tell = g.Client()
+	}
+	assert.Equal(t, []bool{false, false}, []bool{in, tell}, "beyond some more they are closed unheard")
+}
+
+func TestDrainWaitsForWhatIsOwed(t *testing.T) {
+	g := New(192, 1024)
+	g.SetReady()
+	assert.True(t, g.Ready())
+	g.Stop()
+	assert.False(t, g.Ready())
+	g.Drain(t.Context(), 0, time.Hour)
+	g.Enter()
+	done := make(chan bool)
+	go func() {
+		g.Drain(t.Context(), 0, time.Hour)
+		close(done)
+	}()
+	assert.Eventually(t, func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return g.idle != nil
+	}, time.Minute, time.Millisecond)
+	g.TxnDone()
+	<-done
+	g.Enter()
+	g.Drain(t.Context(), 0, time.Millisecond) // not for ever
+	assert.EqualValues(t, 1, g.Owed())
+}
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,64 @@
+package relay
+
+import (
+	"bytes"
+	"net"
+	"testing"
+	"time"
+
+	"cairnfront/internal/admit"
+	"cairnfront/internal/book"
+	"cairnfront/internal/conn"
+	"cairnfront/internal/txn"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// outlet is one with an open txn on stream 1.
+func outlet(t *testing.T) (*Outlet, *txn.Txn) {
+	g := admit.New(64, 256)
+	o, x := New(book.New(&bytes.Buffer{}, ""), g), &txn.Txn{Stream: 1, Name: "page"}
+	assert.Empty(t, g.Txn())
+	o.Open(x)
+	return o, x
+}
+
+func TestAnswerThatNobodyWaitsForIsDropped(t *testing.T) {
+	o, x := outlet(t)
+	body := o.gate.Budget.Try(100)
+	assert.True(t, o.Answer(x, txn.Answer{Body: body}))
+	assert.Nil(t, o.Leave(1, "cancelled"))
+	assert.False(t, o.Busy())
+	assert.Zero(t, o.gate.Budget.Used())
+	assert.Zero(t, o.gate.Owed())
+}
+
+func TestClosedOutletTakesNothing(t *testing.T) {
+	o, x := outlet(t)
+	y := &txn.Txn{Stream: 2, Name: "page"}
+	assert.Empty(t, o.gate.Txn())
+	o.Open(y)
+	assert.True(t, o.Answer(y, txn.Answer{Body: o.gate.Budget.Try(100)}))
+	assert.Equal(t, []*txn.Txn{x}, o.Close("connection-ended"))
+	assert.False(t, o.Answer(x, txn.Answer{Body: o.gate.Budget.Try(100)}))
+	assert.Zero(t, o.gate.Budget.Used(), "what comes too late is freed as well")
+	assert.Zero(t, o.gate.Owed())
+	assert.Equal(t, []int64{2, 1, 1, 0}, []int64{o.book.Count("taken"), o.book.Count("answered"), o.book.Count("left"), o.book.Count("open")})
+}
+
+func TestSlowReaderEnds(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	o, x := outlet(t)
+	c := conn.New(near, 64, time.Millisecond)
+	assert.True(t, o.Answer(x, txn.Answer{Body: o.gate.Budget.Try(1000)}))
+	assert.Error(t, o.Run(t.Context(), c))
+	var log bytes.Buffer
+	c.Done(book.New(&log, ""), "client", "x")
+	assert.Contains(t, log.String(), "code=slow-reader")
+	assert.Zero(t, o.gate.Budget.Used())
+	for range mostQueued + 1 {
+		o.Say(nil)
+	}
+	assert.ErrorIs(t, o.Run(t.Context(), c), errSlow)
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -318,11 +318,7 @@
 	if a.Until > 0 {
 		until = min(until, a.Until)
 	}
-	d := line.Do{Txn: o.t, Wait: until - l.now, Fill: a.Source, Hop: a}
-	if kind := l.kinds[a.To]; a.Source == a.To && kind != int(l.Records.Num("parent_kind", -1)) &&
-		kind != int(l.Records.Num("origin_kind", -1)) {
-		d.Fill = "" // a cache that is its own source fills nothing; a parent or the origin is named
-	}
+	d := line.Do{Txn: o.t, Wait: until - l.now, Fill: l.fill(a), Hop: a}
 	if !o.ended && until > l.now {
 		l.Book.Add("hops."+o.t.Name+".sent", 1)
 		h.call = l.Pool.Send(d, avoid, h)
@@ -335,6 +331,16 @@
 	l.at(until, timer{hop: h})
 }
 
+// fill is the source as the members hear it: a cache that is its own source fills nothing and none is named; a
+// parent or the origin is named all the same.
+func (l *Loop) fill(a brain.Hop) string {
+	kind := l.kinds[a.To]
+	if a.Source == a.To && kind != int(l.Records.Num("parent_kind", -1)) && kind != int(l.Records.Num("origin_kind", -1)) {
+		return ""
+	}
+	return a.Source
+}
+
 // undo gives a hop up. One of which nothing was written surely did not run.
 func (l *Loop) undo(h *hop, code brain.Code) {
 	if h.over || h.call == nil { // without a call its end is on the way
--- /dev/null
+++ b/internal/route/route_test.go
@@ -0,0 +1,202 @@
+package route
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"cairnfront/brain"
+	"cairnfront/internal/admit"
+	"cairnfront/internal/board"
+	"cairnfront/internal/book"
+	"cairnfront/internal/send"
+	"cairnfront/internal/take"
+	"cairnfront/internal/txn"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// script stands for the decisions: it keeps what it hears and says what it was given for that.
+type script struct {
+	heard []brain.Event
+	at    []float64
+	says  func(brain.Event) []brain.Action
+}
+
+func (s *script) Decide(now float64, ev brain.Event) []brain.Action {
+	s.heard, s.at = append(s.heard, ev), append(s.at, now)
+	if s.says == nil {
+		return nil
+	}
+	return s.says(ev)
+}
+
+// outlet keeps the answers.
+type outlet struct{ answers []txn.Answer }
+
+func (o *outlet) Answer(_ *txn.Txn, a txn.Answer) bool {
+	o.answers = append(o.answers, a)
+	return true
+}
+
+// stage is a loop at clock 100 whose members never come up, a txn, and where its answers go.
+func stage(t *testing.T, says func(brain.Event) []brain.Action) (*Loop, *script, *txn.Txn, *outlet, *bytes.Buffer) {
+	s, o, log := &script{says: says}, &outlet{}, &bytes.Buffer{}
+	k := book.New(log, "")
+	ctx, cancel := context.WithCancel(t.Context())
+	p := &send.Pool{Gate: admit.New(64, 256), Book: k, Connect: time.Hour, Streams: 4, Post: func(any) {},
+		Dial: func(ctx context.Context, _ string) (net.Conn, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}}
+	p.Start(ctx)
+	t.Cleanup(func() {
+		cancel()
+		assert.NoError(t, p.Wait())
+	})
+	l := New(s, brain.Records{"uncacheable": "false,true", "parent_kind": "1", "origin_kind": "2"}, p, k)
+	l.Clock = func() float64 { return 100 }
+	l.Known([]board.Event{{Full: true, Rows: []board.Row{{Addr: "c", Row: brain.Row{Member: "c"}}, {Addr: "o", Row: brain.Row{Member: "o", Kind: 2}}}}})
+	return l, s, &txn.Txn{ID: "ab", Name: "page", Rule: 1, Object: "FF", Limit: 105, To: o}, o, log
+}
+
+// hopOn is what the decisions say to an arrival; all else is answered with more.
+func hopOn(more ...brain.Action) func(brain.Event) []brain.Action {
+	return func(ev brain.Event) []brain.Action {
+		if _, ok := ev.(brain.Arrival); ok {
+			return []brain.Action{brain.Hop{Txn: "ab", To: "c", Source: "o"}}
+		}
+		return more
+	}
+}
+
+func TestEventsKeepOrderAndClock(t *testing.T) {
+	l, s, x, _, _ := stage(t, nil)
+	l.Hear(x)
+	l.Clock = func() float64 { return 99 }
+	l.Hear(board.Event{Purged: true, Object: "ff", At: 98})
+	l.Hear(board.Event{Rows: []board.Row{{Row: brain.Row{Member: "c", Status: brain.Draining}}}})
+	l.Hear(take.Left{Txn: x})
+	assert.Equal(t, []brain.Event{
+		brain.Listing{Kind: brain.Saved, Rows: []brain.Row{{Member: "c"}, {Member: "o", Kind: 2}}},
+		brain.Arrival{Txn: "ab", Rule: 1, Object: "ff", Limit: 105, Write: true}, brain.Purge{Ago: 2, Object: "ff"},
+		brain.Listing{Rows: []brain.Row{{Member: "c", Status: brain.Draining}}}, brain.ClientGone{Txn: "ab"}}, s.heard)
+	assert.Equal(t, []float64{100, 100, 100, 100, 100}, s.at, "the clock never goes back")
+	assert.Empty(t, l.open)
+}
+
+func TestFirstCompletedHopAnswers(t *testing.T) {
+	l, s, x, o, _ := stage(t, hopOn())
+	l.Hear(x)
+	h := l.open["ab"].hops[0]
+	end := txn.End{Code: brain.Completed, Tag: "t", Remark: brain.Hit, Body: &txn.Body{Bytes: []byte("x")}}
+	l.Hear(send.Ended{Call: h.call, End: end})
+	l.Hear(send.Ended{Call: h.call, End: end})
+	assert.Equal(t, []txn.Answer{{Verdict: txn.Completed, Reason: "served", Tag: "t", Body: end.Body}}, o.answers)
+	assert.Equal(t, brain.Outcome{Txn: "ab", Member: "c", Code: brain.Completed, Remark: brain.Hit, Final: true}, s.heard[2])
+	assert.Len(t, s.heard, 3, "a second end is not heard")
+	assert.Empty(t, l.open)
+}
+
+func TestHopEndsAtItsTime(t *testing.T) {
+	l, s, x, _, _ := stage(t, func(ev brain.Event) []brain.Action {
+		if _, ok := ev.(brain.Arrival); ok {
+			return []brain.Action{brain.Hop{Txn: "ab", To: "c", Until: 101}, brain.Hop{Txn: "ab", To: "c", Until: 99}, brain.Hop{Txn: "ab", To: "x"}}
+		}
+		return nil
+	})
+	l.Hear(x)
+	l.ring()
+	l.Clock = func() float64 { return 101.5 }
+	l.ring()
+	l.ring()
+	var ends []brain.Event
+	for _, i := range []int{1, 2, 0} { // of the two that could not be sent, then of the one that never came up
+		ends = append(ends, brain.Outcome{Txn: "ab", Hop: i, Member: []string{"c", "c", "x"}[i], Code: brain.Moot, Took: []float64{1.5, 0, 0}[i]})
+	}
+	assert.Equal(t, ends, s.heard[2:])
+	assert.Equal(t, 0, l.open["ab"].out)
+}
+
+func TestCancelOfWhatWasNeverWrittenIsMoot(t *testing.T) {
+	l, s, x, o, _ := stage(t, func(ev brain.Event) []brain.Action {
+		switch ev.(type) {
+		case brain.Arrival:
+			return []brain.Action{brain.Hop{Txn: "ab", To: "c"}, brain.Timer{After: 1, Token: 7}}
+		case brain.Bell:
+			return []brain.Action{brain.Cancel{Txn: "ab"}, brain.Reject{Txn: "ab", Again: 2}, brain.Abort{Txn: "ab"}, brain.Cancel{Txn: "ab", Hop: 9}}
+		}
+		return nil
+	})
+	l.Hear(x)
+	l.Clock = func() float64 { return 101 }
+	l.ring()
+	assert.Equal(t, []txn.Answer{{Verdict: txn.Rejected, Reason: "decided", Again: 2}}, o.answers, "one answer and no more")
+	assert.Equal(t, []brain.Event{brain.Bell{Token: 7}, brain.Outcome{Txn: "ab", Member: "c", Code: brain.Moot, Took: 1, Final: true}}, s.heard[2:])
+	assert.Empty(t, l.open)
+}
+
+func TestPanicCostsOneTxn(t *testing.T) {
+	l, s, x, o, log := stage(t, func(ev brain.Event) []brain.Action {
+		if _, ok := ev.(brain.Arrival); ok {
+			return []brain.Action{brain.Hop{Txn: "ab", To: "c"}}
+		}
+		panic(errors.New("a fault"))
+	})
+	l.Hear(x)
+	l.Hear(send.Ended{Call: l.open["ab"].hops[0].call, End: txn.End{Code: brain.Busy}})
+	l.ring()
+	assert.Equal(t, []txn.Answer{{Verdict: txn.Aborted, Reason: "panic"}}, o.answers)
+	assert.Contains(t, log.String(), "a fault")
+	assert.Contains(t, log.String(), "route_test.go", "with the stack")
+	assert.Empty(t, l.open)
+	assert.Equal(t, brain.ClientGone{Txn: "ab"}, s.heard[len(s.heard)-1])
+}
+
+func TestTxnThatTheDecisionsForgetIsAborted(t *testing.T) {
+	l, _, x, o, _ := stage(t, hopOn())
+	l.Hear(x)
+	l.Clock = func() float64 { return 105.01 }
+	l.ring()
+	assert.Empty(t, o.answers, "its own time is up, the client's not surely")
+	l.Clock = func() float64 { return 105.021 }
+	l.ring()
+	assert.Equal(t, []txn.Answer{{Verdict: txn.Aborted, Reason: "overdue"}}, o.answers)
+	assert.Empty(t, l.open)
+}
+
+func TestIdInUseIsRejected(t *testing.T) {
+	l, _, x, o, _ := stage(t, hopOn())
+	l.Hear(x)
+	twin := *x
+	l.Hear(&twin)
+	l.Hear(take.Left{Txn: &twin})
+	assert.Equal(t, []txn.Answer{{Verdict: txn.Rejected, Reason: "id-in-use"}}, o.answers)
+	assert.Equal(t, x, l.open["ab"].t, "the first one goes on")
+	l.Hear(Abandon{})
+	assert.Equal(t, txn.Aborted, o.answers[1].Verdict)
+}
+
+func TestCheckEndsOnce(t *testing.T) {
+	l, s, _, _, _ := stage(t, nil)
+	l.Pool.Connect = time.Second
+	l.act(brain.Check{Member: "c"})
+	l.act(brain.Check{Member: "x"})
+	l.ring()
+	assert.Equal(t, brain.Checked{Member: "x", Code: brain.NoConnect}, s.heard[1])
+	l.Clock = func() float64 { return 101 }
+	l.ring()
+	assert.Equal(t, []brain.Event{brain.Checked{Member: "c", Code: brain.TimedOut, Took: 1}}, s.heard[2:])
+}
+
+func TestOnlyACacheIsNotNamedAsItsOwnSource(t *testing.T) {
+	l, _, x, _, _ := stage(t, nil)
+	l.Hear(x)
+	for to, want := range map[string]string{"c": "", "o": "o"} {
+		assert.Equal(t, want, l.fill(brain.Hop{To: to, Source: to}))
+	}
+	assert.Equal(t, "o", l.fill(brain.Hop{To: "c", Source: "o"}))
+}
--- /dev/null
+++ b/internal/send/send_test.go
@@ -0,0 +1,258 @@
+package send
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"cairnfront/brain"
+	"cairnfront/internal/admit"
+	"cairnfront/internal/board"
+	"cairnfront/internal/book"
+	"cairnfront/internal/line"
+	"cairnfront/internal/txn"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// side is a pool with one member, and the member's end of what it dials.
+type side struct {
+	*Pool
+	ends   chan any
+	dialed chan net.Conn
+	log    *bytes.Buffer
+	stop   func()
+}
+
+func pool(t *testing.T) *side {
+	ctx, cancel := context.WithCancel(t.Context())
+	s := &side{ends: make(chan any, 99), dialed: make(chan net.Conn, 9), log: &bytes.Buffer{}}
+	s.Pool = &Pool{Gate: admit.New(64, 256), Book: book.New(s.log, ""), Connect: time.Second, Idle: time.Minute, Streams: 2,
+		Post: func(ev any) { s.ends <- ev }, Dial: func(context.Context, string) (net.Conn, error) {
+			near, far := net.Pipe()
+			s.dialed <- far
+			return near, nil
+		}}
+	s.Start(ctx)
+	s.List(true, []board.Row{{Addr: "a:1", Row: brain.Row{Member: "m"}}})
+	s.stop = func() {
+		cancel()
+		assert.NoError(t, s.Wait())
+	}
+	t.Cleanup(s.stop)
+	return s
+}
+
+func (s *side) send(id string, body int, avoid ...*Link) *Call {
+	x := &txn.Txn{ID: id, Name: "page", Object: "ff", Part: "0"}
+	if body > 0 {
+		x.Body = &txn.Body{Bytes: make([]byte, body)}
+	}
+	return s.Send(line.Do{Txn: x, Wait: 1, Hop: brain.Hop{To: "m"}}, avoid, id)
+}
+
+// end waits for the next end of a call.
+func (s *side) end(t *testing.T) Ended {
+	for {
+		if e, ok := (<-s.ends).(Ended); ok {
+			return e
+		}
+	}
+}
+
+// asked reads one hop as a member does and returns its id.
+func asked(t *testing.T, r *bufio.Reader) string {
+	text, err := r.ReadString('\n')
+	assert.NoError(t, err)
+	w := strings.Fields(text)
+	if w[0] == "do" {
+		_, err = r.ReadString('\n') // no body, and its end
+		assert.NoError(t, err)
+	}
+	return w[0] + " " + w[1]
+}
+
+func TestAnswersComeInAnyOrder(t *testing.T) {
+	s := pool(t)
+	a, b := s.send("a", 0), s.send("b", 0)
+	far := <-s.dialed
+	r := bufio.NewReader(far)
+	assert.Equal(t, "do a", asked(t, r))
+	assert.Equal(t, "do b", asked(t, r))
+	_, _ = io.WriteString(far, "b served digest=d,dated=1,remark=h 3\r\nxyz\r\nzz served - 2\r\nno\r\na not_here - 0\r\n\r\n")
+	e := s.end(t)
+	assert.Equal(t, b, e.Call)
+	assert.Equal(t, "xyz", string(e.End.Body.Bytes))
+	assert.Equal(t, brain.Hit, e.End.Remark)
+	assert.EqualValues(t, 3, s.Gate.Budget.Used())
+	e.End.Body.Free()
+	e.End.Body.Free()
+	assert.Zero(t, s.Gate.Budget.Used())
+	assert.Equal(t, Ended{a, txn.End{Code: brain.Miss}}, s.end(t))
+	assert.EqualValues(t, 1, s.Book.Count("member.late-answers"))
+	assert.Equal(t, 1, s.Links(), "one connection carries both")
+}
+
+// TestTruthOfBrokenConnections: only what the socket took whole may have run.
+func TestTruthOfBrokenConnections(t *testing.T) {
+	s := pool(t)
+	whole, part := s.send("a", 0), s.send("b", 200_000)
+	far := <-s.dialed
+	assert.Equal(t, "do a", asked(t, bufio.NewReaderSize(far, 16))) // and some of b
+	_ = far.Close()
+	ends := map[*Call]brain.Code{}
+	for range 2 {
+		e := s.end(t)
+		ends[e.Call] = e.End.Code
+	}
+	assert.Equal(t, map[*Call]brain.Code{whole: brain.Broken, part: brain.NoConnect}, ends)
+}
+
+func TestBodyCutShortIsBroken(t *testing.T) {
+	s := pool(t)
+	s.send("a", 0)
+	far := <-s.dialed
+	asked(t, bufio.NewReader(far))
+	_, _ = io.WriteString(far, "a served digest=d,dated=1 10\r\nhalf")
+	_ = far.Close()
+	assert.Equal(t, txn.End{Code: brain.Broken}, s.end(t).End)
+	assert.Zero(t, s.Gate.Budget.Used())
+}
+
+func TestMembersOutOfStepAreClosed(t *testing.T) {
+	for _, bad := range []string{"a what - 0\r\n", "a served - 1\r\nxyz", "a served - x\r\n", strings.Repeat("x", admit.MemberRing), "\r\n"} {
+		s := pool(t)
+		s.send("a", 0)
+		far := <-s.dialed
+		asked(t, bufio.NewReader(far))
+		_, _ = io.WriteString(far, bad)
+		assert.Equal(t, brain.Broken, s.end(t).End.Code, bad[:min(len(bad), 20)])
+		s.stop()
+		assert.Contains(t, s.log.String(), "code=protocol")
+		assert.Equal(t, 1, strings.Count(s.log.String(), "connection ended"), "one line a connection")
+	}
+}
+
+func TestNoConnectionProvesThatNothingRan(t *testing.T) {
+	for _, how := range []error{errors.New("refused"), nil} {
+		s := pool(t)
+		s.Connect = 20 * time.Millisecond
+		s.Dial = func(ctx context.Context, _ string) (net.Conn, error) {
+			if how == nil { // a machine that says nothing
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			return nil, how
+		}
+		c := s.send("a", 0)
+		assert.Equal(t, Ended{c, txn.End{Code: brain.NoConnect}}, s.end(t))
+		assert.Equal(t, Dropped{c.Link()}, <-s.ends)
+		s.Drop(c.Link())
+		assert.Zero(t, s.Links())
+	}
+}
+
+func TestUndo(t *testing.T) {
+	s := pool(t)
+	hold := make(chan bool)
+	dial := s.Dial
+	s.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
+		<-hold
+		return dial(ctx, addr)
+	}
+	a := s.send("a", 0)
+	b := s.send("b", 0)
+	assert.False(t, s.Undo(a), "nothing of it was written")
+	close(hold)
+	far := <-s.dialed
+	r := bufio.NewReader(far)
+	assert.Equal(t, "do b", asked(t, r), "and nothing of it will be")
+	c := s.send("c", 0)
+	assert.Equal(t, "do c", asked(t, r))
+	assert.True(t, s.Undo(b))
+	assert.Equal(t, "undo b", asked(t, r))
+	_, _ = io.WriteString(far, "b served - 4\r\nlate\r\nc overload - 0\r\n\r\n")
+	assert.Equal(t, Ended{c, txn.End{Code: brain.Busy}}, s.end(t), "a late answer to what was given up is passed over")
+	assert.NotSame(t, b.Link(), s.send("b", 0, b.Link()).Link(), "the id is not used again where it may still be answered")
+}
+
+func TestOneConnectionCarriesSoMany(t *testing.T) {
+	s := pool(t)
+	a, b, c := s.send("a", 0), s.send("b", 0), s.send("c", 0)
+	assert.Same(t, a.Link(), b.Link())
+	assert.NotSame(t, a.Link(), c.Link())
+}
+
+// TestSilentLinkIsNotUsed: a member that heard a hop and said nothing until it was given up may have vanished. The
+// wait after which that counts is how long a connection may take to come up.
+func TestSilentLinkIsNotUsed(t *testing.T) {
+	for connect, silent := range map[time.Duration]bool{time.Hour: false, 0: true} {
+		s := pool(t)
+		a := s.send("a", 0)
+		far := <-s.dialed
+		r := bufio.NewReader(far)
+		assert.Equal(t, "do a", asked(t, r))
+		s.Connect = connect
+		assert.True(t, s.Undo(a))
+		assert.Equal(t, "undo a", asked(t, r))
+		b := s.send("b", 0)
+		assert.Equal(t, silent, a.Link() != b.Link())
+		if silent {
+			s.Sweep(time.Now())
+			assert.Contains(t, s.after(t, a.Link()), "code=silent")
+		}
+	}
+}
+
+// after waits until a link has ended and returns the log.
+func (s *side) after(t *testing.T, l *Link) string {
+	for ev := range s.ends {
+		if ev == (Dropped{l}) {
+			break
+		}
+	}
+	s.stop()
+	return s.log.String()
+}
+
+func TestSweep(t *testing.T) {
+	s := pool(t)
+	c := s.send("a", 0)
+	far := <-s.dialed
+	asked(t, bufio.NewReader(far))
+	s.List(false, []board.Row{{Addr: "b:1", Row: brain.Row{Member: "m"}}})
+	s.Sweep(time.Now())
+	assert.NotSame(t, c.Link(), s.send("b", 0).Link(), "the address passed to another machine")
+	_, _ = io.WriteString(far, "a nobody - 0\r\n\r\n")
+	assert.Equal(t, Ended{c, txn.End{Code: brain.Moot}}, s.end(t))
+	s.Sweep(time.Now().Add(time.Second))
+	assert.Equal(t, Dropped{c.Link()}, <-s.ends, "the old link ends once nothing is open on it")
+	s.stop()
+	assert.Contains(t, s.log.String(), "code=unlisted")
+}
+
+func TestChecks(t *testing.T) {
+	s := pool(t)
+	s.Report = true
+	c := s.Check("m", "owner")
+	far := <-s.dialed
+	assert.Equal(t, "top check1", asked(t, bufio.NewReader(far)))
+	_, _ = io.WriteString(far, "check1 green report=util:0.5 0\r\n\r\n")
+	assert.Equal(t, Ended{c, txn.End{Load: []brain.Reading{{Name: "util", Value: 0.5}}}}, s.end(t))
+	assert.Nil(t, s.Check("nobody", nil))
+}
+
+func TestDescriptorsAreBounded(t *testing.T) {
+	s := pool(t)
+	s.Gate = admit.New(64, 5) // two for members
+	s.Streams = 0
+	assert.NotNil(t, s.send("a", 0))
+	assert.NotNil(t, s.send("b", 0))
+	assert.Nil(t, s.send("c", 0))
+}
--- /dev/null
+++ b/internal/take/take_test.go
@@ -0,0 +1,226 @@
+package take
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"cairnfront/internal/admit"
+	"cairnfront/internal/book"
+	"cairnfront/internal/frame"
+	"cairnfront/internal/txn"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// client is a taker with one client's connection.
+type client struct {
+	*Taker
+	net.Conn
+	posted chan any
+	log    *bytes.Buffer
+	done   chan bool
+}
+
+func connect(t *testing.T, in bool) *client {
+	near, far := net.Pipe()
+	c := &client{Conn: far, posted: make(chan any, 99), log: &bytes.Buffer{}, done: make(chan bool)}
+	c.Taker = &Taker{Rules: map[string]int{"page": 1}, Gate: admit.New(64, 256), Book: book.New(c.log, ""),
+		Post: func(ev any) { c.posted <- ev }}
+	go func() {
+		c.client(t.Context(), near, in)
+		close(c.done)
+	}()
+	t.Cleanup(func() {
+		_ = far.Close()
+		<-c.done
+		assert.Equal(t, 1, strings.Count(c.log.String(), "connection ended"), "one line")
+		assert.Zero(t, c.Gate.Owed(), "nothing is owed after the end")
+		assert.Equal(t, c.Book.Count("taken"), c.Book.Count("answered")+c.Book.Count("left"))
+	})
+	return c
+}
+
+func request(stream uint32, id string, more ...frame.Field) []byte {
+	payload := frame.AppendFields(nil, append([]frame.Field{{Name: "op", Value: "page"}, {Name: "call", Value: id + "0123456789abcd"},
+		{Name: "ttl", Value: "1500"}, {Name: "row", Value: "7f3a9c21e0b4d655"}, {Name: "seg", Value: "3"}}, more...)...)
+	return append(frame.AppendHead(nil, frame.Request, stream, len(payload)), payload...)
+}
+
+// next reads one frame: its type, stream and payload.
+func (c *client) next(t *testing.T) (byte, uint32, string) {
+	head := make([]byte, frame.HeadSize)
+	_, err := io.ReadFull(c, head)
+	assert.NoError(t, err)
+	h, err := frame.ParseHead(head)
+	assert.NoError(t, err)
+	payload := make([]byte, h.Size)
+	_, err = io.ReadFull(c, payload)
+	assert.NoError(t, err)
+	return h.Type, h.Stream, string(payload)
+}
+
+func TestRequestBecomesATxn(t *testing.T) {
+	c := connect(t, true)
+	before := float64(time.Now().UnixMicro()) / 1e6
+	_, _ = c.Write(request(1, "aa", frame.Field{Name: "heap", Value: "412.5"}))
+	x := (<-c.posted).(*txn.Txn)
+	assert.Equal(t, []any{"aa0123456789abcd", "page", 1, 3, 412.5}, []any{x.ID, x.Name, x.Rule, x.PartNo, x.KB})
+	assert.GreaterOrEqual(t, x.Came, before)
+	assert.InDelta(t, x.Came+1.5, x.Limit, 1e-6)
+	assert.True(t, x.To.Answer(x, txn.Answer{Tag: "t", Body: &txn.Body{Bytes: []byte("xyz")}}))
+	assert.False(t, x.To.Answer(x, txn.Answer{}), "one answer a txn")
+	kind, stream, payload := c.next(t)
+	assert.Equal(t, []any{byte(frame.Answer), uint32(1), "\x01\x01\x04etag\x00\x01txyz"}, []any{kind, stream, payload})
+	_, _ = c.Write(frame.AppendHead(nil, frame.Leave, 1, 0)) // too late to matter
+	_, _ = c.Write(request(2, "bb"))
+	x = (<-c.posted).(*txn.Txn)
+	_, _ = c.Write(frame.AppendHead(nil, frame.Leave, 2, 0))
+	assert.Equal(t, Left{x}, <-c.posted)
+	assert.False(t, x.To.Answer(x, txn.Answer{}), "nobody waits")
+	_, _ = c.Write(request(3, "cc"))
+	x = (<-c.posted).(*txn.Txn)
+	_ = c.Close()
+	assert.Equal(t, Left{x}, <-c.posted)
+	assert.EqualValues(t, 1, c.Book.Count("left.page.connection-ended"))
+}
+
+func TestReadiness(t *testing.T) {
+	c := connect(t, true)
+	ask := append(frame.AppendHead(nil, frame.AskReady, 5, 1), 0)
+	for _, want := range []string{"\x00\x00", "\x01\x00"} {
+		_, _ = c.Write(ask)
+		kind, stream, payload := c.next(t)
+		assert.Equal(t, []any{byte(frame.Ready), uint32(5), want}, []any{kind, stream, payload})
+		c.Gate.SetReady()
+	}
+	go c.Stop()
+	kind, stream, payload := c.next(t)
+	assert.Equal(t, []any{byte(frame.NoMore), uint32(0), ""}, []any{kind, stream, payload})
+	_, _ = c.Write(ask)
+	_, _, payload = c.next(t)
+	assert.Equal(t, "\x00\x00", payload, "no new clients while it ends")
+	_, _ = c.Write(request(1, "aa"))
+	x := (<-c.posted).(*txn.Txn)
+	kind, _, _ = c.next(t)
+	assert.Equal(t, byte(frame.NoMore), kind)
+	assert.True(t, x.To.Answer(x, txn.Answer{}), "and yet what comes is served")
+	_, stream, _ = c.next(t)
+	assert.EqualValues(t, 1, stream)
+}
+
+// TestBadRequestsAreAnsweredOnTheirStream: the connection goes on.
+func TestBadRequestsAreAnsweredOnTheirStream(t *testing.T) {
+	c := connect(t, true)
+	big := frame.AppendHead(nil, frame.Request, 1, frame.MostAsked+1)
+	for stream, bad := range [][]byte{append(big, make([]byte, frame.MostAsked+1)...), append(frame.AppendHead(nil, frame.Request, 2, 1), 9),
+		request(3, "zz"), request(4, "aa", frame.Field{Name: "op", Value: "page"}),
+		bytes.Replace(request(5, "aa"), []byte("\x04page"), []byte("\x04what"), 1), bytes.Replace(request(6, "aa"), []byte("page"), []byte("what"), 1)} {
+		_, _ = c.Write(bad)
+		kind, on, payload := c.next(t)
+		assert.Equal(t, []any{byte(frame.Answer), uint32(stream + 1)}, []any{kind, on})
+		assert.Equal(t, byte(9), payload[0])
+		assert.Contains(t, payload, "error")
+	}
+	_, _ = c.Write(request(7, "aa"))
+	x := (<-c.posted).(*txn.Txn)
+	x.To.Answer(x, txn.Answer{})
+	_, stream, _ := c.next(t)
+	assert.EqualValues(t, 7, stream)
+}
+
+// TestWhatCanNotBeFollowedEndsTheConnection: but what was taken is answered first.
+func TestWhatCanNotBeFollowedEndsTheConnection(t *testing.T) {
+	for want, bad := range map[string][]byte{"length": {0xff, 0, 0, 0, 100, 0, 0, 0, 9}, "type 77": frame.AppendHead(nil, 77, 9, 0),
+		"stream 0": request(0, "bb"), "not new": request(1, "bb"), "stream 99999": request(99999, "bb")} {
+		c := connect(t, true)
+		_, _ = c.Write(request(1, "aa"))
+		x := (<-c.posted).(*txn.Txn)
+		_, _ = c.Write(bad)
+		kind, stream, payload := c.next(t)
+		assert.Equal(t, []any{byte(frame.Answer), uint32(0)}, []any{kind, stream})
+		assert.Contains(t, payload, want)
+		x.To.Answer(x, txn.Answer{})
+		_, stream, _ = c.next(t)
+		assert.EqualValues(t, 1, stream)
+		_, err := c.Read(make([]byte, 1))
+		assert.ErrorIs(t, err, io.EOF)
+		<-c.done
+		assert.Contains(t, c.log.String(), "code=protocol")
+	}
+}
+
+func TestPastALimitTheAnswerIsNo(t *testing.T) {
+	c := connect(t, true)
+	for stream := uint32(1); stream <= mostOpen; stream++ {
+		_, _ = c.Write(request(stream, string([]byte{'a' + byte(stream%6), 'a' + byte(stream/6)})))
+		<-c.posted
+	}
+	_, _ = c.Write(request(mostOpen+1, "ff"))
+	_, stream, payload := c.next(t)
+	assert.Equal(t, []any{uint32(mostOpen + 1), "\x00\x00"}, []any{stream, payload})
+	_, _ = c.Write(frame.AppendHead(nil, frame.Leave, 1, 0))
+	<-c.posted
+	body := c.Gate.Budget.Try(64<<20*35/100 - 50)
+	assert.NotNil(t, body)
+	_, _ = c.Write(request(mostOpen+2, "ff"))
+	_, stream, payload = c.next(t)
+	assert.Equal(t, []any{uint32(mostOpen + 2), "\x00\x00"}, []any{stream, payload}, "no memory for a body")
+	body.Free()
+	assert.EqualValues(t, 1, c.Book.Count("answered.page.rejected.streams"))
+	assert.EqualValues(t, 1, c.Book.Count("answered.unknown.rejected.memory"))
+}
+
+func TestOneTooManyIsTold(t *testing.T) {
+	c := connect(t, false)
+	_, stream, payload := c.next(t)
+	assert.EqualValues(t, 0, stream)
+	assert.Contains(t, payload, "too many connections")
+	<-c.done
+	assert.Contains(t, c.log.String(), "code=limit")
+}
+
+func TestStillConnectionsEnd(t *testing.T) {
+	c := connect(t, true)
+	_, _ = c.Write(request(1, "aa"))
+	x := (<-c.posted).(*txn.Txn)
+	c.Sweep(time.Now().Add(time.Hour))
+	x.To.Answer(x, txn.Answer{})
+	_, stream, _ := c.next(t)
+	assert.EqualValues(t, 1, stream, "one with something open stays")
+	c.Sweep(time.Now().Add(-time.Hour))
+	_, _ = c.Write(append(frame.AppendHead(nil, frame.AskReady, 0, 1), 0))
+	c.next(t)
+	for c.Sweep(time.Now().Add(time.Hour)); ; c.Sweep(time.Now().Add(time.Hour)) {
+		select {
+		case <-c.done:
+		default:
+			continue
+		}
+		break
+	}
+	assert.Contains(t, c.log.String(), "code=idle")
+}
+
+func TestAcceptEndsWithItsContext(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	k := &Taker{Gate: admit.New(64, 256), Book: book.New(io.Discard, "")}
+	done := make(chan error)
+	go func() { done <- k.Run(ctx, ln) }()
+	far, err := net.Dial("tcp", ln.Addr().String())
+	assert.NoError(t, err)
+	_, _ = far.Write(append(frame.AppendHead(nil, frame.AskReady, 0, 1), 0))
+	_, err = io.ReadFull(far, make([]byte, 11))
+	assert.NoError(t, err)
+	cancel()
+	assert.NoError(t, <-done)
+	_, err = far.Read(make([]byte, 1))
+	assert.Error(t, err)
+	assert.EqualValues(t, 1, k.Book.Count("conn.client.ended.shutdown"))
+}
