--- a/cmd/cairnfront/serve_test.go
+++ b/cmd/cairnfront/serve_test.go
@@ -113,6 +113,12 @@
 	}
 }
 
+func (m *member) last() hop {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.hops[len(m.hops)-1]
+}
+
 func (m *member) count() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -178,12 +184,30 @@
 	return append(binary.BigEndian.AppendUint32(b, 8000), make([]byte, 8)...)
 }
 
+// text is what a program wrote so far.
+type text struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (x *text) Write(p []byte) (int, error) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.b.Write(p)
+}
+
+func (x *text) String() string {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.b.String()
+}
+
 // started is a running router.
 type started struct {
 	*exec.Cmd
 	addr   string
 	board  *notices
-	log    *bytes.Buffer
+	log    *text
 	ended  chan error
 	killed bool
 }
@@ -223,7 +247,7 @@
 func begin(t *testing.T, memory int, origin *member, caches ...*member) *started {
 	ln, err := net.Listen("tcp", "127.0.0.1:0") // a port that is free
 	require.NoError(t, err)
-	s := &started{addr: ln.Addr().String(), board: serveBoard(t), log: &bytes.Buffer{}, ended: make(chan error, 1)}
+	s := &started{addr: ln.Addr().String(), board: serveBoard(t), log: &text{}, ended: make(chan error, 1)}
 	_ = ln.Close()
 	path := filepath.Join(t.TempDir(), "start.json")
 	require.NoError(t, os.WriteFile(path, manifest(s.addr, s.board.Addr().String(), memory, origin, caches...), 0o600))
@@ -358,8 +382,9 @@
 	id := c.ask("page", row, "", frame.Field{Name: "dedupe", Value: "k1"})
 	code, fields, body := c.answer(t)
 	assert.Equal(t, []any{byte(1), "d1", "object "}, []any{code, fields["etag"], body})
-	assert.Equal(t, []string{id, "page", row, "0", "k1", "s-000000ff"}, []string{m.hops[0].id, m.hops[0].fields["profile"],
-		m.hops[0].fields["thing"], m.hops[0].fields["nth"], m.hops[0].fields["replay"], m.hops[0].fields["parent"]}, "passed on unchanged")
+	f := m.last().fields
+	assert.Equal(t, []string{id, "page", row, "0", "k1", "s-000000ff"}, []string{m.last().id, f["profile"], f["thing"], f["nth"], f["replay"],
+		f["parent"]}, "passed on unchanged")
 	c.ask("page", row, "", frame.Field{Name: "etag", Value: "t1"})
 	code, fields, body = c.answer(t)
 	assert.Equal(t, []any{byte(1), "1", "t1", ""}, []any{code, fields["notmod"], fields["etag"], body})
@@ -416,8 +441,7 @@
 		c.ask("page", row, "")
 		code, _, body := c.answer(t)
 		require.EqualValues(t, 1, code)
-		m := map[string]*member{"a": a, "b": b}[body]
-		return body, m.hops[len(m.hops)-1]
+		return body, map[string]*member{"a": a, "b": b}[body].last()
 	}
 	was, h := first()
 	assert.Empty(t, h.fields["accept"])
