--- a/internal/board/client.go
+++ b/internal/board/client.go
@@ -54,9 +54,10 @@
 // follow reads from one connection until it ends and says whether anything came.
 func (c *Client) follow(ctx context.Context) (heard bool) {
 	c.Book.Began("board")
+	began := time.Now()
 	raw, err := (&net.Dialer{Timeout: dialLimit}).DialContext(ctx, "tcp", c.Addr)
 	if err != nil {
-		c.Book.Ended(book.Ended{Side: "board", Peer: c.Addr, Code: conn.NoConnect, Err: err, Since: time.Now()})
+		c.Book.Ended(book.Ended{Side: "board", Peer: c.Addr, Code: conn.NoConnect, Err: err, Since: began})
 		return false
 	}
 	if c.silence == 0 {
