--- a/cmd/cairnfront/serve.go
+++ b/cmd/cairnfront/serve.go
@@ -35,6 +35,7 @@
 // serve runs the router until a signal ends it.
 func serve(m start.Manifest) error {
 	runtime.GOMAXPROCS(max(int(math.Ceil(m.Cores)), 1))
+	debug.SetGCPercent(admit.GCPercent)
 	debug.SetMemoryLimit(admit.HeapLimit(m.MemoryMB))
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
