A panic costs one txn at most, floods of frames end, no body outlives its txn

A panic in a connection's goroutine was recovered without ending its sibling, so the connection hung and its hops never ended (take.caught, send.caught). One in the loop outside the module would have ended the process. A client that writes without reading could queue answers while a write stalled (the bound was only looked at between writes). Timers kept bodies of writes until their time limit. A dial that fails for this router's own lack of descriptors or ports now ends as moot, not as the member's fault.

--- a/internal/book/book.go
+++ b/internal/book/book.go
@@ -114,8 +114,12 @@
 	}
 	b.mu.Unlock()
 	files, _ := os.ReadDir("/proc/self/fd")
+	var mem runtime.MemStats
+	runtime.GC() // for what is held, not what was
+	runtime.ReadMemStats(&mem)
 	lines = append(lines, fmt.Sprintf("counter process.descriptors %d\n", len(files)),
-		fmt.Sprintf("counter process.goroutines %d\n", runtime.NumGoroutine()))
+		fmt.Sprintf("counter process.goroutines %d\n", runtime.NumGoroutine()),
+		fmt.Sprintf("counter process.heap-bytes %d\n", mem.HeapAlloc))
 	sort.Strings(lines)
 	_, _ = io.WriteString(w, strings.Join(lines, ""))
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -22,7 +22,8 @@
 	lateLogged = 0.02             // s past the time limit from which a written answer is logged
 )
 
-var errSlow = errors.New("too many answers wait")
+// ErrSlow ends the connection of a client that does not read.
+var ErrSlow = errors.New("too many answers wait")
 
 // Outlet is the answering side of one client's connection.
 type Outlet struct {
@@ -103,6 +104,13 @@
 	o.nudge()
 }
 
+// Full says that more waits to be written than any sound client leaves unread.
+func (o *Outlet) Full() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.queue) > mostQueued
+}
+
 // Leave says that nobody waits for a stream any more. It returns its txn if that was open; an answer that
 // nobody has begun to write is dropped.
 func (o *Outlet) Leave(stream uint32, reason string) *txn.Txn {
@@ -163,31 +171,25 @@
 }
 
 // next takes the next answer to write.
-func (o *Outlet) next() (x item, ok, end bool, err error) {
+func (o *Outlet) next() (x item, ok, end bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if len(o.queue) > mostQueued {
-		return x, false, false, errSlow
-	}
 	if len(o.queue) == 0 {
-		return x, false, o.closing && len(o.open) == 0, nil
+		return x, false, o.closing && len(o.open) == 0
 	}
 	x = o.queue[0]
 	o.queue[0] = item{}
 	if o.queue = o.queue[1:]; len(o.queue) == 0 {
 		o.queue = nil
 	}
-	return x, true, false, nil
+	return x, true, false
 }
 
 // Run writes answers until the context ends, the socket fails, or all is written after Finish.
 func (o *Outlet) Run(ctx context.Context, c *conn.Conn) error {
 	for {
-		x, ok, end, err := o.next()
+		x, ok, end := o.next()
 		switch {
-		case err != nil:
-			c.End(conn.Slow, err)
-			return err
 		case end:
 			return nil
 		case ok:
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -98,18 +98,33 @@
 		case <-ctx.Done():
 			return nil
 		case ev := <-l.in:
-			l.Hear(ev)
+			l.safely(func() { l.Hear(ev) })
 		case <-bell.C:
 		case <-sweep.C:
-			l.Pool.Sweep(time.Now())
+			l.safely(func() { l.Pool.Sweep(time.Now()) })
 		}
-		l.ring()
+		l.safely(l.ring)
 		if len(l.timers.list) > 0 {
 			bell.Reset(time.Duration(max(l.timers.list[0].at-l.Clock(), 0) * float64(time.Second)))
 		}
 	}
 }
 
+// safely keeps the loop going after a panic of its own; the txn that it was about is aborted once overdue.
+func (l *Loop) safely(f func()) {
+	defer func() {
+		if p := recover(); p != nil {
+			l.panicked("route", "", p)
+		}
+	}()
+	f()
+}
+
+func (l *Loop) panicked(where, event string, p any) {
+	l.Book.Add("panics", 1)
+	l.Book.Log.Error("panic", "where", where, "event", event, "what", fmt.Sprint(p), "stack", string(debug.Stack()))
+}
+
 // tick moves the clock on.
 func (l *Loop) tick() { l.now = max(l.now, l.Clock()) }
 
@@ -202,6 +217,7 @@
 	if o.ended && o.out == 0 && l.open[o.t.ID] == o {
 		delete(l.open, o.t.ID)
 		o.t.Body.Free()
+		o.t.Body = nil // timers still to come know the txn
 	}
 }
 
@@ -216,7 +232,7 @@
 		return
 	}
 	o := h.o
-	h.over = true
+	h.over, h.call = true, nil // a call holds the body, and the hop's timer holds the hop
 	o.out--
 	l.Book.Add("hops."+o.t.Name+"."+reasons[end.Code], 1)
 	if end.Code == brain.Completed {
@@ -246,9 +262,7 @@
 func (l *Loop) guarded(ev brain.Event, about *open) (acts []brain.Action) {
 	defer func() {
 		if p := recover(); p != nil {
-			l.Book.Add("panics", 1)
-			l.Book.Log.Error("panic", "where", "decisions", "event", fmt.Sprintf("%T", ev), "what", fmt.Sprint(p),
-				"stack", string(debug.Stack()))
+			l.panicked("decisions", fmt.Sprintf("%T", ev), p)
 			acts = nil
 			if about != nil {
 				l.abandon(about, "panic")
--- a/internal/send/link.go
+++ b/internal/send/link.go
@@ -8,6 +8,7 @@
 	"net"
 	"runtime/debug"
 	"sync"
+	"syscall"
 	"time"
 
 	"cairnfront/brain"
@@ -150,10 +151,16 @@
 		code := conn.NoConnect
 		if ctx.Err() != nil {
 			code = conn.Shutdown
+		} else if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.EADDRNOTAVAIL) || errors.Is(err, syscall.ENOBUFS) {
+			code = conn.Limit // that is no fault of the member
 		}
 		c.Since(began)
 		c.End(code, err)
-		l.finish(nil)
+		if code == conn.Limit {
+			l.finish(nil, brain.Moot)
+		} else {
+			l.finish(nil, brain.NoConnect)
+		}
 		c.Done(l.pool.Book, "member", peer)
 		return
 	}
@@ -162,6 +169,8 @@
 	l.c = c
 	l.mu.Unlock()
 	g, ctx := errgroup.WithContext(ctx)
+	ctx, l.stop = context.WithCancel(ctx)
+	defer l.stop()
 	stop := context.AfterFunc(ctx, func() { c.End(conn.Shutdown, nil) })
 	g.Go(func() error {
 		defer l.caught(c)
@@ -177,7 +186,7 @@
 	})
 	_ = g.Wait()
 	stop()
-	l.finish(c)
+	l.finish(c, brain.NoConnect)
 	c.Done(l.pool.Book, "member", peer)
 }
 
@@ -190,20 +199,23 @@
 
 func (l *Link) caught(c *conn.Conn) {
 	if p := recover(); p != nil {
+		l.pool.Book.Add("panics", 1)
 		l.pool.Book.Log.Error("panic", "where", "member", "what", fmt.Sprint(p), "stack", string(debug.Stack()))
 		c.End(conn.Panic, nil)
+		l.stop()
 	}
 }
 
-// finish ends what is open: a call whose last byte the socket took may have run; any other surely did not.
-func (l *Link) finish(c *conn.Conn) {
+// finish ends what is open: a call whose last byte the socket took may have run; any other surely did not, and
+// ends by the code given.
+func (l *Link) finish(c *conn.Conn, unrun brain.Code) {
 	l.mu.Lock()
 	l.dead = true
 	calls := l.calls
 	l.calls, l.queue = map[string]*Call{}, nil
 	l.mu.Unlock()
 	for _, call := range calls {
-		code := brain.NoConnect
+		code := unrun
 		if c != nil && call.begun && call.end <= c.Wrote() {
 			code = brain.Broken
 		}
--- a/internal/take/take.go
+++ b/internal/take/take.go
@@ -124,14 +124,14 @@
 	k.mu.Unlock()
 	g, ctx := errgroup.WithContext(ctx)
 	defer context.AfterFunc(ctx, func() { c.End(conn.Shutdown, nil) })()
-	g.Go(func() error {
-		defer k.caught(c)
+	g.Go(func() (err error) {
+		defer k.caught(c, &err)
 		if !in {
 			c.End(conn.Limit, refuse(o, c, errors.New("too many connections")))
 			return errRefused
 		}
 		r := reader{k: k, c: c, o: o, used: map[uint32]bool{}, next: 1}
-		err := r.run()
+		err = r.run()
 		if bad := (*violation)(nil); errors.As(err, &bad) {
 			// What was taken is still answered; only then does the connection end, under the code of the fault.
 			o.Say(errorFrame(bad.Error()))
@@ -142,10 +142,9 @@
 		c.End(conn.Reason(err), err)
 		return err
 	})
-	g.Go(func() error {
-		defer k.caught(c)
-		err := o.Run(ctx, c)
-		if err == nil {
+	g.Go(func() (err error) {
+		defer k.caught(c, &err)
+		if err = o.Run(ctx, c); err == nil {
 			c.End(conn.Protocol, nil)
 		}
 		return err
@@ -173,13 +172,22 @@
 	return frame.AppendAnswer(nil, 0, txn.Answer{Verdict: txn.Aborted, Error: text})
 }
 
-func (k *Taker) caught(c *conn.Conn) {
+var errPanic = errors.New("panic")
+
+// caught ends a connection, not the process, after a panic in one of its goroutines.
+func (k *Taker) caught(c *conn.Conn, err *error) {
 	if p := recover(); p != nil {
-		k.Book.Log.Error("panic", "where", "client", "what", fmt.Sprint(p), "stack", string(debug.Stack()))
+		k.panicked(p)
+		*err = errPanic
 		c.End(conn.Panic, nil)
 	}
 }
 
+func (k *Taker) panicked(p any) {
+	k.Book.Add("panics", 1)
+	k.Book.Log.Error("panic", "where", "client", "what", fmt.Sprint(p), "stack", string(debug.Stack()))
+}
+
 // violation is an error after which the frames of a connection can't be followed.
 type violation struct{ text string }
 
@@ -222,6 +230,10 @@
 		default:
 			return fault("unknown type %d", h.Type)
 		}
+		if err == nil && r.o.Full() {
+			r.c.Blame(conn.Slow, relay.ErrSlow)
+			err = relay.ErrSlow
+		}
 		if err != nil {
 			return err
 		}
@@ -274,7 +286,24 @@
 		body.Free()
 		return err
 	}
-	now := time.Now()
+	r.admit(t, body, float64(time.Now().UnixMicro())/1e6, refuse)
+	if r.k.Gate.Stopping() && !r.told {
+		r.told = true
+		r.o.Say(frame.AppendHead(nil, frame.NoMore, 0, 0))
+	}
+	return nil
+}
+
+// admit reads a request that has come whole and hands it on. A panic there costs this txn only.
+func (r *reader) admit(t *txn.Txn, body *txn.Body, now float64, refuse func(txn.Verdict, string, string)) {
+	defer func() {
+		if p := recover(); p != nil {
+			r.k.panicked(p)
+			if !r.o.Answer(t, txn.Answer{Verdict: txn.Aborted, Reason: "panic"}) {
+				refuse(txn.Aborted, "panic", "")
+			}
+		}
+	}()
 	a, err := frame.ParseRequest(body.Bytes)
 	rule, known := r.k.Rules[a.Name]
 	if err == nil && !known {
@@ -283,13 +312,10 @@
 	if err != nil {
 		body.Free()
 		refuse(txn.Aborted, "malformed", err.Error())
-		return nil
+		return
 	}
-	asked := a.Txn
-	asked.Stream, asked.To, asked.Rule = t.Stream, r.o, rule
-	t = &asked
-	t.Came = float64(now.UnixMicro()) / 1e6
-	t.Limit = t.Came + a.TTL
+	a.Stream, a.To, a.Rule, a.Came, a.Limit = t.Stream, r.o, rule, now, now+a.TTL
+	*t = a.Txn
 	if body.Bytes = a.Rest; len(a.Rest) > 0 {
 		t.Body = body
 	} else {
@@ -306,9 +332,4 @@
 		t.Body.Free()
 		refuse(txn.Rejected, reason, "")
 	}
-	if r.k.Gate.Stopping() && !r.told {
-		r.told = true
-		r.o.Say(frame.AppendHead(nil, frame.NoMore, 0, 0))
-	}
-	return nil
 }
