Answers that wait together go out together

Cause: a third of the CPU is system calls, and each answer was flushed alone. A field's second sight is found without a map. A client over the limit is told by the writer like any other: telling it from the reader raced with the flush.

--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 
 	"cairnfront/internal/txn"
@@ -99,6 +100,11 @@
 	Rest []byte  // the body
 }
 
+// names are the fields that are read; so many of them are needed.
+var names = []string{"op", "call", "ttl", "row", "seg", "bucket", "heap", "dedupe", "etag"}
+
+const needed = 5
+
 // ParseRequest reads the payload of a request. With an error, what could be read is in Asked.
 func ParseRequest(payload []byte) (Asked, error) {
 	var a Asked
@@ -107,7 +113,7 @@
 		return a, err
 	}
 	a.Rest = rest
-	had := map[string]bool{}
+	had := make([]bool, len(names))
 	bad := func(name string) {
 		if err == nil {
 			err = fmt.Errorf("field %s is missing or can't be used", name)
@@ -115,11 +121,13 @@
 	}
 	for _, f := range fields {
 		v, ok := f.Value, true
-		if had[f.Name] {
-			bad(f.Name)
-			continue
+		if i := slices.Index(names, f.Name); i >= 0 {
+			if had[i] {
+				bad(f.Name)
+				continue
+			}
+			had[i] = true
 		}
-		had[f.Name] = true
 		switch f.Name {
 		case "op":
 			a.Name, ok = v, v != ""
@@ -152,8 +160,8 @@
 			bad(f.Name)
 		}
 	}
-	for _, name := range []string{"op", "call", "ttl", "row", "seg"} {
-		if !had[name] {
+	for i, name := range names[:needed] {
+		if !had[i] {
 			bad(name)
 		}
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -185,19 +185,36 @@
 	return x, true, false
 }
 
-// Run writes answers until the context ends, the socket fails, or all is written after Finish.
+// Run writes answers until the context ends, the socket fails, or all is written after Finish. Answers that wait
+// together go out together: the ring is flushed when it is full or nothing more waits.
 func (o *Outlet) Run(ctx context.Context, c *conn.Conn) error {
+	var unflushed []*txn.Txn
+	defer func() {
+		for range unflushed {
+			o.gate.TxnDone()
+		}
+	}()
 	for {
 		x, ok, end := o.next()
-		switch {
-		case end:
-			return nil
-		case ok:
+		if ok {
+			if x.t != nil {
+				unflushed = append(unflushed, x.t)
+			}
 			if err := o.write(c, x); err != nil {
 				return err
 			}
 			continue
 		}
+		if err := c.Flush(); err != nil {
+			c.End(conn.Reason(err), err)
+			return err
+		}
+		for _, t := range unflushed {
+			o.written(t)
+		}
+		if unflushed = unflushed[:0]; end {
+			return nil
+		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -206,9 +223,9 @@
 	}
 }
 
-// write brings one answer out whole; its body counts until then.
+// write brings one answer into the ring; its body counts until then.
 func (o *Outlet) write(c *conn.Conn, x item) error {
-	defer o.drop(x)
+	defer x.body.Free()
 	by := time.Now()
 	if x.t != nil {
 		if limit := time.UnixMicro(int64(x.t.Limit * 1e6)); limit.After(by) {
@@ -220,18 +237,22 @@
 	if err == nil && x.body != nil {
 		err = c.Write(x.body.Bytes)
 	}
-	if err == nil {
-		err = c.Flush()
-	}
 	if err != nil {
 		c.End(conn.Reason(err), err)
-	} else if x.t != nil && x.t.Limit > 0 {
-		if late := float64(time.Now().UnixMicro())/1e6 - x.t.Limit; late > 0 {
-			o.book.Add("answers.after-limit", 1)
-			if o.book.Most("answers.after-limit.most-us", int64(late*1e6)); late > lateLogged {
-				o.book.Log.Warn("late answer", "txn", x.t.ID, "rule", x.t.Name, "by_s", late)
-			}
-		}
 	}
 	return err
 }
+
+// written books an answer that the socket has taken.
+func (o *Outlet) written(t *txn.Txn) {
+	o.gate.TxnDone()
+	if t.Limit == 0 {
+		return
+	}
+	if late := float64(time.Now().UnixMicro())/1e6 - t.Limit; late > 0 {
+		o.book.Add("answers.after-limit", 1)
+		if o.book.Most("answers.after-limit.most-us", int64(late*1e6)); late > lateLogged {
+			o.book.Log.Warn("late answer", "txn", t.ID, "rule", t.Name, "by_s", late)
+		}
+	}
+}
--- a/internal/take/take.go
+++ b/internal/take/take.go
@@ -127,8 +127,10 @@
 	g.Go(func() (err error) {
 		defer k.caught(c, &err)
 		if !in {
-			c.End(conn.Limit, refuse(o, c, errors.New("too many connections")))
-			return errRefused
+			c.Blame(conn.Limit, nil)
+			o.Say(errorFrame("too many connections"))
+			o.Finish()
+			return nil
 		}
 		r := reader{k: k, c: c, o: o, used: map[uint32]bool{}, next: 1}
 		err = r.run()
@@ -159,15 +161,6 @@
 	c.Done(k.Book, "client", c.Peer())
 }
 
-var errRefused = errors.New("refused")
-
-// refuse writes an error of the connection at once.
-func refuse(o *relay.Outlet, c *conn.Conn, err error) error {
-	_ = c.Write(errorFrame(err.Error()))
-	_ = c.Flush()
-	return err
-}
-
 func errorFrame(text string) []byte {
 	return frame.AppendAnswer(nil, 0, txn.Answer{Verdict: txn.Aborted, Error: text})
 }
