--- a/cmd/cairnfront/serve.go
+++ b/cmd/cairnfront/serve.go
@@ -47,8 +47,8 @@
 	defer k.Print(os.Stderr)
 	gate := admit.New(m.MemoryMB, m.Sockets)
 	seconds := func(name string) time.Duration { return time.Duration(m.Records.Num(name, 0) * float64(time.Second)) }
-	pool := &send.Pool{Gate: gate, Book: k, Connect: seconds("connect_s"), Idle: seconds("limits.idle_close_s"),
-		Streams: int(m.Records.Num("limits.max_streams", 1)), Report: m.Records["load_by"] == "checks"}
+	pool := &send.Pool{Gate: gate, Book: k, Connect: seconds("connect_s"), Idle: seconds("idle_close_s"),
+		Streams: int(m.Records.Num("hops_a_connection", 1)), Report: m.Records["load_by"] == "checks"}
 	loop := route.New(brain.New(m.Seed, m.Records), m.Records, pool, k)
 	pool.Post = loop.Post
 	rules := map[string]int{}
--- a/wire/rename.go
+++ b/wire/rename.go
@@ -37,6 +37,8 @@
 	"extra.sideways":               "siblings",
 	"extra.tells":                  "tells",
 	"limits.cancelling":            "may_cancel",
+	"limits.idle_close_s":          "idle_close_s",
+	"limits.max_streams":           "hops_a_connection",
 	"limits.max_attempts":          "max_hops",
 	"limits.max_retry_after_s":     "max_retry_s",
 	"limits.may_probe":             "may_check",
