A field's name of 255 bytes no longer overruns: found by fuzzing

To blame: frame.ParseFields added 1 to the size byte before widening it, so 255 became 0 and the slice panicked. The panic would have been caught and the txn aborted.

--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -67,13 +67,16 @@
 	n, b := int(b[0]), b[1:]
 	fields := make([]Field, 0, n)
 	for range n {
-		if len(b) < 1 || len(b) < 1+int(b[0])+2 {
+		if len(b) < 1 {
 			return nil, nil, errOverrun
 		}
-		name := string(b[1 : 1+b[0]])
-		b = b[1+int(b[0]):]
-		size := int(binary.BigEndian.Uint16(b))
-		if b = b[2:]; len(b) < size {
+		end := 1 + int(b[0])
+		if len(b) < end+2 {
+			return nil, nil, errOverrun
+		}
+		name := string(b[1:end])
+		size := int(binary.BigEndian.Uint16(b[end:]))
+		if b = b[end+2:]; len(b) < size {
 			return nil, nil, errOverrun
 		}
 		fields = append(fields, Field{name, string(b[:size])})
