--- a/internal/frame/frame_test.go
+++ b/internal/frame/frame_test.go
@@ -36,6 +36,8 @@
 	}
 	_, err := ParseRequest(AppendFields(nil, append(good, good[0])...))
 	assert.ErrorContains(t, err, "op", "twice")
+	_, err = ParseRequest(AppendFields(nil, append(good, Field{strings.Repeat("n", 255), "x"})...))
+	assert.NoError(t, err, "a name may be as long as its size can say")
 	_, err = ParseRequest(append(AppendFields(nil, good...), make([]byte, MostBody+1)...))
 	assert.ErrorContains(t, err, "body")
 	whole := AppendFields(nil, good...)
