Stalled readers end after a second while the bodies' budget is full; any new stream will do

Cause, by reading: nine connections with 32 unread answers of 240,000 bytes hold the whole budget of 192 MB for 5 to 10 s, and all others are refused. A stream number far ahead was refused as not new; the protocol only asks that it is new.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -51,9 +51,12 @@
 // HeapLimit is the runtime's soft limit in bytes.
 func HeapLimit(memoryMB int) int64 { return int64(heapShare * float64(memoryMB) * megabyte) }
 
+// Full says that the bodies' budget is nearly spent.
+func (g *Gate) Full() bool { return g.Budget.Used() > g.full }
+
 // Txn lets a txn in, or names what there is too much of. Each one let in ends with TxnDone.
 func (g *Gate) Txn() (reason string) {
-	if g.Budget.Used() > g.full {
+	if g.Full() {
 		return "memory"
 	}
 	if g.txns.Add(1) > g.mostTxns {
--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -45,7 +45,7 @@
 
 	read, wrote atomic.Int64
 	entered     int64 // bytes that came into the outgoing ring, ever
-	heard       atomic.Int64
+	heard, took atomic.Int64
 
 	once sync.Once
 	mu   sync.Mutex
@@ -57,6 +57,7 @@
 func New(raw net.Conn, size int, stall time.Duration) *Conn {
 	c := &Conn{raw: raw, in: ring.New(size), out: ring.New(size), since: time.Now(), stall: stall}
 	c.heard.Store(c.since.UnixNano())
+	c.took.Store(c.since.UnixNano())
 	return c
 }
 
@@ -69,6 +70,9 @@
 // Heard is the Unix time in nanoseconds at which bytes last came.
 func (c *Conn) Heard() int64 { return c.heard.Load() }
 
+// Took is the Unix time in nanoseconds at which the socket last took bytes, or there was nothing to take.
+func (c *Conn) Took() int64 { return c.took.Load() }
+
 // Wrote is how many bytes the socket has taken.
 func (c *Conn) Wrote() int64 { return c.wrote.Load() }
 
@@ -173,8 +177,11 @@
 		}
 		_ = c.raw.SetWriteDeadline(end)
 	}
+	c.took.Store(time.Now().UnixNano())
 	n, err := c.out.Drain(c.raw)
-	c.wrote.Add(int64(n))
+	if c.wrote.Add(int64(n)); n > 0 {
+		c.took.Store(time.Now().UnixNano())
+	}
 	return err
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -35,6 +35,7 @@
 	queue   []item
 	closed  bool // takes no answers any more
 	closing bool // ends once nothing is open and all is written
+	writing bool // the writer has something in hand
 	wake    chan struct{}
 }
 
@@ -104,6 +105,13 @@
 	o.nudge()
 }
 
+// Waits says whether an answer is not wholly written.
+func (o *Outlet) Waits() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.writing || len(o.queue) > 0
+}
+
 // Full says that more waits to be written than any sound client leaves unread.
 func (o *Outlet) Full() bool {
 	o.mu.Lock()
@@ -174,7 +182,7 @@
 func (o *Outlet) next() (x item, ok, end bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if len(o.queue) == 0 {
+	if o.writing = len(o.queue) > 0; !o.writing {
 		return x, false, o.closing && len(o.open) == 0
 	}
 	x = o.queue[0]
--- a/internal/take/take.go
+++ b/internal/take/take.go
@@ -5,8 +5,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,14 +25,17 @@
 // mostOpen is how many requests may be open on a connection, by the protocol.
 const mostOpen = 32
 
-// mostAhead is how far stream numbers may run ahead of the lowest one not used.
-const mostAhead = 4096
+// mostSparse is how many used streams are remembered above the lowest one not used; beyond that the lower half of
+// what lies between counts as used.
+const mostSparse = 4096
 
 // How long a connection may be still with nothing open on it. Clients close theirs much sooner; what is left has
 // lost its client, or holds half a frame.
 const (
 	idleAfter  = 30 * time.Second
 	sweepEvery = time.Second
+
+	stalledAfter = time.Second // without a byte taken, while memory is short
 )
 
 // Left says that the client of a txn waits no more.
@@ -58,7 +63,7 @@
 				tick.Stop()
 				return nil
 			case now := <-tick.C:
-				k.Sweep(now.Add(-idleAfter))
+				k.Sweep(now.Add(-idleAfter), now.Add(-stalledAfter))
 			}
 		}
 	})
@@ -100,13 +105,18 @@
 	}
 }
 
-// Sweep ends connections on which nothing is open and nothing came since a time.
-func (k *Taker) Sweep(since time.Time) {
+// Sweep ends connections on which nothing is open and nothing came since a time. While the bodies' budget is full it
+// also ends those that took nothing of what waits for them since another time: few slow readers would hold all of it.
+func (k *Taker) Sweep(idle, stalled time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	full := k.Gate.Full()
 	for o, c := range k.conns {
-		if !o.Busy() && c.Heard() < since.UnixNano() {
+		switch {
+		case !o.Busy() && c.Heard() < idle.UnixNano():
 			c.End(conn.Idle, nil)
+		case full && o.Waits() && c.Took() < stalled.UnixNano():
+			c.End(conn.Slow, nil)
 		}
 	}
 }
@@ -235,10 +245,14 @@
 
 // use marks a stream as used and says whether it was new.
 func (r *reader) use(stream uint32) bool {
-	if stream < r.next || r.used[stream] || stream-r.next > mostAhead {
+	if stream < r.next || r.used[stream] {
 		return false
 	}
-	r.used[stream] = true
+	if r.used[stream] = true; len(r.used) > mostSparse {
+		all := slices.Sorted(maps.Keys(r.used))
+		r.next = all[len(all)/2]
+		maps.DeleteFunc(r.used, func(s uint32, _ bool) bool { return s < r.next })
+	}
 	for r.used[r.next] {
 		delete(r.used, r.next)
 		r.next++
