--- a/cmd/cairnfront/serve.go
+++ b/cmd/cairnfront/serve.go
@@ -24,7 +24,7 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// The protocol's times of a planned restart: requests come for up to 0.6 s after the signal, and SIGKILL no sooner
+// The protocol's times of a planned restart: txns come for up to 0.6 s after the signal, and SIGKILL no sooner
 // than 3.7 s after it.
 const (
 	drainLeast = 700 * time.Millisecond
--- a/cmd/cairnfront/serve_test.go
+++ b/cmd/cairnfront/serve_test.go
@@ -344,7 +344,7 @@
 	fields := append([]frame.Field{{Name: "op", Value: op}, {Name: "call", Value: id}, {Name: "ttl", Value: "4000"}, {Name: "row", Value: row},
 		{Name: "seg", Value: "0"}, {Name: "bucket", Value: "7"}, {Name: "heap", Value: "10"}}, more...)
 	payload := append(frame.AppendFields(nil, fields...), body...)
-	_, _ = c.Write(append(frame.AppendHead(nil, frame.Request, c.stream, len(payload)), payload...))
+	_, _ = c.Write(append(frame.AppendHead(nil, frame.Txn, c.stream, len(payload)), payload...))
 	return id
 }
 
@@ -400,8 +400,8 @@
 	assert.NoError(t, s.Process.Signal(syscall.SIGUSR1))
 	assert.NoError(t, s.end(t, syscall.SIGTERM))
 	got := s.counters()
-	assert.Equal(t, []int{3, 3, 0, 2, 1}, []int{got["taken"], got["answered"], got["open"], got["answered.page.completed.served"],
-		got["answered.write.completed.served"]})
+	assert.Equal(t, []int{3, 3, 0, 2, 1}, []int{got["taken"], got["answered"], got["open"], got["answered.page.completed.by-a-hop"],
+		got["answered.write.completed.by-a-hop"]})
 	assert.Equal(t, 2, strings.Count(s.log.String(), "counter taken 3\n"), "on request and at the end")
 	assert.Equal(t, got["conn.client.begun"]+got["conn.member.begun"]+got["conn.board.begun"],
 		strings.Count(s.log.String(), "msg=\"connection ended\""), "one line for each connection")
@@ -578,12 +578,12 @@
 	var full map[string]int
 	require.Eventually(t, func() bool { full = usage(); return full["open"] == 0 && full["taken"] == 341*32 }, patience, 100*time.Millisecond)
 	t.Logf("at most %d MB, %d descriptors; %d of %d completed", status("VmHWM"), full["process.descriptors"],
-		full["answered.page.completed.served"], full["taken"])
+		full["answered.page.completed.by-a-hop"], full["taken"])
 	assert.Less(t, status("VmHWM"), 192, "MB at most")
 	assert.Less(t, full["process.descriptors"], 1024)
 	assert.Equal(t, full["taken"], full["answered"]+full["left"]+full["open"])
-	assert.Positive(t, full["answered.page.completed.served"])
-	refused := full["taken"] - full["answered.page.completed.served"] - full["left"]
+	assert.Positive(t, full["answered.page.completed.by-a-hop"])
+	refused := full["taken"] - full["answered.page.completed.by-a-hop"] - full["left"]
 	assert.Positive(t, refused, "what does not fit is refused")
 	for _, c := range clients {
 		_ = c.Close()
--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -12,18 +12,18 @@
 
 // Parts of the limits that each use gets. These are resources, not decisions: past them the answer is no.
 const (
-	bodyShare    = 0.35     // of memory for gathered bodies
-	fullShare    = 0.9      // of the bodies' budget past which no txn is let in
-	txnShare     = 0.1      // of memory for what is kept of open txns
-	txnBytes     = 8 << 10  // kept of one: the txn, its hops, its timers
-	heapShare    = 0.7      // of memory as the runtime's soft limit; the rest is stacks, the program, swings
-	clientShare  = 0.45     // of descriptors for clients, who hold a third at most and overlap when they close
-	memberShare  = 0.4      // of descriptors for members
-	GCPercent    = 400      // heap growth between collections: what is kept is small, the soft limit holds all the same
-	ClientRing   = 16 << 10 // bytes of each ring of a client's connection
-	MemberRing   = 32 << 10 // bytes of each ring of a member's connection
-	megabyte     = 1 << 20  //
-	refuseBeyond = 64       // clients over the limit that are told so before they are closed unheard
+	bodyShare   = 0.35     // of memory for gathered bodies
+	fullShare   = 0.9      // of the bodies' budget past which no txn is let in
+	txnShare    = 0.1      // of memory for what is kept of open txns
+	txnBytes    = 8 << 10  // kept of one: the txn, its hops, its timers
+	heapShare   = 0.7      // of memory as the runtime's soft limit; the rest is stacks, the program, swings
+	clientShare = 0.45     // of descriptors for clients, who hold a third at most and overlap when they close
+	memberShare = 0.4      // of descriptors for members
+	GCPercent   = 400      // heap growth between collections: what is kept is small, the soft limit holds all the same
+	ClientRing  = 16 << 10 // bytes of each ring of a client's connection
+	MemberRing  = 32 << 10 // bytes of each ring of a member's connection
+	megabyte    = 1 << 20  //
+	tellBeyond  = 64       // clients over the limit that are told so before they are closed unheard
 )
 
 // Gate lets in what fits.
@@ -90,7 +90,7 @@
 	if n <= g.mostClients {
 		return true, false
 	}
-	if n <= g.mostClients+refuseBeyond {
+	if n <= g.mostClients+tellBeyond {
 		return false, true
 	}
 	g.clients.Add(-1)
--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -18,20 +18,20 @@
 
 // Codes for why a connection ended; docs/oncall.md lists them.
 const (
-	PeerClosed = "peer-closed" // the other side closed it
-	Reset      = "reset"       // the other side broke it
-	Protocol   = "protocol"    // what came could not be followed
-	Slow       = "slow-reader" // the other side did not take what was written
-	Idle       = "idle"        // nothing was open on it
-	Silent     = "silent"      // nothing came although hops were out
-	NoConnect  = "no-connect"  // it never came up
-	Unlisted   = "unlisted"    // its member left the list or moved
-	Limit      = "limit"       // descriptors or memory ran out
-	Shutdown   = "shutdown"    // the router ends
-	Beats      = "no-beats"    // the notice board fell silent
-	Gap        = "gap"         // the notice board's numbers do not follow
-	Panic      = "panic"       // a fault of this program; the stack is logged
-	Failed     = "failed"      // any other error of the socket
+	PeerClosed = "peer-closed"  // the other side closed it
+	Reset      = "reset"        // the other side broke it
+	Protocol   = "protocol"     // what came could not be followed
+	Slow       = "slow-reader"  // the other side did not take what was written
+	Idle       = "idle"         // nothing was open on it
+	Silent     = "silent"       // nothing came although hops were out
+	NoConnect  = "no-connect"   // it never came up
+	Unlisted   = "unlisted"     // its member left the list or moved
+	Limit      = "limit"        // descriptors or memory ran out
+	Shutdown   = "shutdown"     // the router ends
+	Beats      = "no-beats"     // the notice board fell silent
+	Gap        = "gap"          // the notice board's numbers do not follow
+	Panic      = "panic"        // a fault of this program; the stack is logged
+	Other      = "socket-error" // any other error of the socket
 )
 
 // Conn is a connection. One goroutine may read while another writes.
@@ -225,5 +225,5 @@
 	case errors.Is(err, context.Canceled), errors.Is(err, net.ErrClosed):
 		return Shutdown
 	}
-	return Failed
+	return Other
 }
--- a/internal/conn/conn_test.go
+++ b/internal/conn/conn_test.go
@@ -84,7 +84,7 @@
 
 func TestReasons(t *testing.T) {
 	for err, want := range map[error]string{io.EOF: PeerClosed, syscall.ECONNRESET: Reset, syscall.EPIPE: Reset, io.ErrUnexpectedEOF: Reset,
-		os.ErrDeadlineExceeded: Slow, net.ErrClosed: Shutdown, context.Canceled: Shutdown, errors.New("x"): Failed} {
+		os.ErrDeadlineExceeded: Slow, net.ErrClosed: Shutdown, context.Canceled: Shutdown, errors.New("x"): Other} {
 		assert.Equal(t, want, Reason(fmt.Errorf("wrapped: %w", err)))
 	}
 }
--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -14,7 +14,7 @@
 
 // Types of a frame.
 const (
-	Request  = 100
+	Txn      = 100
 	Answer   = 101
 	Leave    = 102
 	AskReady = 110
@@ -22,13 +22,13 @@
 	NoMore   = 120
 )
 
-// HeadSize is the size of length, type and stream; MostBody that of the largest body of a request.
+// HeadSize is the size of length, type and stream; MostBody that of the largest body of a txn.
 const (
 	HeadSize   = 9
 	leastSize  = 5
 	mostSize   = 262144
 	MostBody   = 48000
-	mostFields = 8192 // a request's fields are some hundred bytes
+	mostFields = 8192 // a txn's fields are some hundred bytes
 	MostAsked  = MostBody + mostFields
 )
 
@@ -96,7 +96,7 @@
 	return b
 }
 
-// Asked is a request as it came. The rule's name is not yet looked up.
+// Asked is a txn as it came. The rule's name is not yet looked up.
 type Asked struct {
 	txn.Txn
 	TTL  float64 // seconds
@@ -108,8 +108,8 @@
 
 const needed = 5
 
-// ParseRequest reads the payload of a request. With an error, what could be read is in Asked.
-func ParseRequest(payload []byte) (Asked, error) {
+// ParseTxn reads the payload of a txn. With an error, what could be read is in Asked.
+func ParseTxn(payload []byte) (Asked, error) {
 	var a Asked
 	fields, rest, err := ParseFields(payload)
 	if err != nil {
--- a/internal/frame/frame_test.go
+++ b/internal/frame/frame_test.go
@@ -12,47 +12,47 @@
 var good = []Field{{"op", "page"}, {"call", "9b1f03aa5c7e2d41"}, {"ttl", "1500"}, {"dedupe", "k1"}, {"row", "7F3a9c21e0b4d655"},
 	{"seg", "3"}, {"bucket", "17"}, {"heap", "412.5"}, {"etag", "4be0"}, {"later", "what"}}
 
-func TestRequestIsRead(t *testing.T) {
-	a, err := ParseRequest(append(AppendFields(nil, good...), "body"...))
+func TestTxnIsRead(t *testing.T) {
+	a, err := ParseTxn(append(AppendFields(nil, good...), "body"...))
 	assert.NoError(t, err)
 	assert.Equal(t, Asked{TTL: 1.5, Rest: []byte("body"), Txn: txn.Txn{ID: "9b1f03aa5c7e2d41", Name: "page", Key: "k1",
 		Object: "7F3a9c21e0b4d655", Part: "3", PartNo: 3, Group: 17, KB: 412.5, Tag: "4be0"}}, a)
 }
 
-func TestUnusableRequestsAreNamed(t *testing.T) {
+func TestUnusableTxnsAreNamed(t *testing.T) {
 	for i, bad := range map[int][]string{0: {""}, 1: {"", "12", "9b1f03aa5c7e2d4x"}, 2: {"0", "-1", "x", "4294967296", ""},
 		3: {"", "a,b", "a b", "a\r\nb", "a=b", strings.Repeat("x", 257)}, 4: {"xyz"}, 5: {"", "-1", "1.5"}, 6: {"256", "x"},
 		7: {"x", "NaN", "-1", "1e99"}, 8: {"a\nb", ""}} {
 		for _, v := range bad {
 			fields := append([]Field{}, good...)
 			fields[i].Value = v
-			_, err := ParseRequest(AppendFields(nil, fields...))
+			_, err := ParseTxn(AppendFields(nil, fields...))
 			assert.ErrorContains(t, err, fields[i].Name, v)
 		}
 	}
 	for _, gone := range []int{0, 1, 2, 4, 5} {
-		_, err := ParseRequest(AppendFields(nil, append(append([]Field{}, good[:gone]...), good[gone+1:]...)...))
+		_, err := ParseTxn(AppendFields(nil, append(append([]Field{}, good[:gone]...), good[gone+1:]...)...))
 		assert.ErrorContains(t, err, good[gone].Name)
 	}
-	_, err := ParseRequest(AppendFields(nil, append(good, good[0])...))
+	_, err := ParseTxn(AppendFields(nil, append(good, good[0])...))
 	assert.ErrorContains(t, err, "op", "twice")
-	_, err = ParseRequest(AppendFields(nil, append(good, Field{strings.Repeat("n", 255), "x"})...))
+	_, err = ParseTxn(AppendFields(nil, append(good, Field{strings.Repeat("n", 255), "x"})...))
 	assert.NoError(t, err, "a name may be as long as its size can say")
-	_, err = ParseRequest(append(AppendFields(nil, good...), make([]byte, MostBody+1)...))
+	_, err = ParseTxn(append(AppendFields(nil, good...), make([]byte, MostBody+1)...))
 	assert.ErrorContains(t, err, "body")
 	whole := AppendFields(nil, good...)
 	for n := range whole {
-		_, err := ParseRequest(whole[:n])
+		_, err := ParseTxn(whole[:n])
 		assert.Error(t, err, "cut at %d", n)
 	}
 }
 
 func TestHeadsHaveBounds(t *testing.T) {
-	h, err := ParseHead(AppendHead(nil, Request, 7, 100))
+	h, err := ParseHead(AppendHead(nil, Txn, 7, 100))
 	assert.NoError(t, err)
-	assert.Equal(t, Head{Request, 7, 100}, h)
+	assert.Equal(t, Head{Txn, 7, 100}, h)
 	for _, size := range []int{-1, 262140} {
-		_, err := ParseHead(AppendHead(nil, Request, 7, size))
+		_, err := ParseHead(AppendHead(nil, Txn, 7, size))
 		assert.ErrorContains(t, err, "length")
 	}
 }
@@ -75,10 +75,10 @@
 	assert.Equal(t, "\x00\x00\x00\x07\x6f\x00\x00\x00\x03\x00\x00", string(AppendReady(nil, 3, false)))
 }
 
-func FuzzParseRequest(f *testing.F) {
+func FuzzParseTxn(f *testing.F) {
 	f.Add(append(AppendFields(nil, good...), "body"...))
 	f.Fuzz(func(t *testing.T, b []byte) {
-		if a, err := ParseRequest(b); err == nil && (a.TTL <= 0 || len(a.ID) != 16 || a.KB < 0 || len(a.Rest) > MostBody) {
+		if a, err := ParseTxn(b); err == nil && (a.TTL <= 0 || len(a.ID) != 16 || a.KB < 0 || len(a.Rest) > MostBody) {
 			t.Fatalf("%+v", a)
 		}
 	})
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -236,7 +236,7 @@
 	o.out--
 	l.Book.Add("hops."+o.t.Name+"."+reasons[end.Code], 1)
 	if end.Code == brain.Completed {
-		l.answer(o, txn.Answer{Verdict: txn.Completed, Reason: "served", Tag: end.Tag, Same: end.Same, Body: end.Body})
+		l.answer(o, txn.Answer{Verdict: txn.Completed, Reason: "by-a-hop", Tag: end.Tag, Same: end.Same, Body: end.Body})
 	}
 	l.decide(brain.Outcome{Txn: o.t.ID, Hop: h.no, Member: h.member, Code: end.Code, Remark: end.Remark,
 		Took: l.now - h.sent, Final: o.ended, Load: end.Load}, o)
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -95,7 +95,7 @@
 	end := txn.End{Code: brain.Completed, Tag: "t", Remark: brain.Hit, Body: &txn.Body{Bytes: []byte("x")}}
 	l.Hear(send.Ended{Call: call, End: end})
 	l.Hear(send.Ended{Call: call, End: end})
-	assert.Equal(t, []txn.Answer{{Verdict: txn.Completed, Reason: "served", Tag: "t", Body: end.Body}}, o.answers)
+	assert.Equal(t, []txn.Answer{{Verdict: txn.Completed, Reason: "by-a-hop", Tag: "t", Body: end.Body}}, o.answers)
 	assert.Equal(t, brain.Outcome{Txn: "ab", Member: "c", Code: brain.Completed, Remark: brain.Hit, Final: true}, s.heard[2])
 	assert.Len(t, s.heard, 3, "a second end is not heard")
 	assert.Empty(t, l.open)
--- a/internal/take/take.go
+++ b/internal/take/take.go
@@ -22,7 +22,7 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// mostOpen is how many requests may be open on a connection, by the protocol.
+// mostOpen is how many txns may be open on a connection, by the protocol.
 const mostOpen = 32
 
 // mostSparse is how many used streams are remembered above the lowest one not used; beyond that the lower half of
@@ -95,7 +95,7 @@
 	}
 }
 
-// Stop tells every client to bring no new request on its connection.
+// Stop tells every client to bring no new txn on its connection.
 func (k *Taker) Stop() {
 	k.Gate.Stop()
 	k.mu.Lock()
@@ -218,8 +218,8 @@
 			return fault("%s", err)
 		}
 		switch h.Type {
-		case frame.Request:
-			err = r.request(h)
+		case frame.Txn:
+			err = r.txn(h)
 		case frame.Leave:
 			if err = r.c.Skip(h.Size); err == nil {
 				if t := r.o.Leave(h.Stream, "cancelled"); t != nil {
@@ -260,16 +260,16 @@
 	return true
 }
 
-// request takes one in. Whatever is wrong with it alone is answered on its stream.
-func (r *reader) request(h frame.Head) error {
+// txn takes one in. Whatever is wrong with it alone is answered on its stream.
+func (r *reader) txn(h frame.Head) error {
 	if h.Stream == 0 {
-		return fault("a request on stream 0")
+		return fault("a txn on stream 0")
 	}
 	if !r.use(h.Stream) {
 		return fault("stream %d is not new", h.Stream)
 	}
 	t := &txn.Txn{Stream: h.Stream, Name: "unknown", To: r.o}
-	refuse := func(v txn.Verdict, reason, text string) {
+	atOnce := func(v txn.Verdict, reason, text string) {
 		r.k.Gate.Enter() // it is owed its answer like any other
 		r.o.Open(t)
 		r.o.Answer(t, txn.Answer{Verdict: v, Reason: reason, Error: text})
@@ -278,7 +278,7 @@
 		if err := r.c.Skip(h.Size); err != nil {
 			return err
 		}
-		refuse(txn.Aborted, "malformed", "request too large")
+		atOnce(txn.Aborted, "malformed", "txn too large")
 		return nil
 	}
 	body := r.k.Gate.Budget.Try(h.Size)
@@ -286,14 +286,14 @@
 		if err := r.c.Skip(h.Size); err != nil {
 			return err
 		}
-		refuse(txn.Rejected, "memory", "")
+		atOnce(txn.Rejected, "memory", "")
 		return nil
 	}
 	if err := r.c.ReadFull(body.Bytes); err != nil {
 		body.Free()
 		return err
 	}
-	r.admit(t, body, float64(time.Now().UnixMicro())/1e6, refuse)
+	r.admit(t, body, float64(time.Now().UnixMicro())/1e6, atOnce)
 	if r.k.Gate.Stopping() && !r.told {
 		r.told = true
 		r.o.Say(frame.AppendHead(nil, frame.NoMore, 0, 0))
@@ -301,24 +301,24 @@
 	return nil
 }
 
-// admit reads a request that has come whole and hands it on. A panic there costs this txn only.
-func (r *reader) admit(t *txn.Txn, body *txn.Body, now float64, refuse func(txn.Verdict, string, string)) {
+// admit reads a txn that has come whole and hands it on. A panic there costs this txn only.
+func (r *reader) admit(t *txn.Txn, body *txn.Body, now float64, atOnce func(txn.Verdict, string, string)) {
 	defer func() {
 		if p := recover(); p != nil {
 			r.k.panicked(p)
 			if !r.o.Answer(t, txn.Answer{Verdict: txn.Aborted, Reason: "panic"}) {
-				refuse(txn.Aborted, "panic", "")
+				atOnce(txn.Aborted, "panic", "")
 			}
 		}
 	}()
-	a, err := frame.ParseRequest(body.Bytes)
+	a, err := frame.ParseTxn(body.Bytes)
 	rule, known := r.k.Rules[a.Name]
 	if err == nil && !known {
-		err = fmt.Errorf("unknown class %.40q", a.Name)
+		err = fmt.Errorf("unknown remap rule %.40q", a.Name)
 	}
 	if err != nil {
 		body.Free()
-		refuse(txn.Aborted, "malformed", err.Error())
+		atOnce(txn.Aborted, "malformed", err.Error())
 		return
 	}
 	a.Stream, a.To, a.Rule, a.Came, a.Limit = t.Stream, r.o, rule, now, now+a.TTL
@@ -337,6 +337,6 @@
 	}
 	if reason != "" {
 		t.Body.Free()
-		refuse(txn.Rejected, reason, "")
+		atOnce(txn.Rejected, reason, "")
 	}
 }
--- a/internal/take/take_test.go
+++ b/internal/take/take_test.go
@@ -50,7 +50,7 @@
 func request(stream uint32, id string, more ...frame.Field) []byte {
 	payload := frame.AppendFields(nil, append([]frame.Field{{Name: "op", Value: "page"}, {Name: "call", Value: id + "0123456789abcd"},
 		{Name: "ttl", Value: "1500"}, {Name: "row", Value: "7f3a9c21e0b4d655"}, {Name: "seg", Value: "3"}}, more...)...)
-	return append(frame.AppendHead(nil, frame.Request, stream, len(payload)), payload...)
+	return append(frame.AppendHead(nil, frame.Txn, stream, len(payload)), payload...)
 }
 
 // next reads one frame: its type, stream and payload.
@@ -118,8 +118,8 @@
 // TestBadRequestsAreAnsweredOnTheirStream: the connection goes on.
 func TestBadRequestsAreAnsweredOnTheirStream(t *testing.T) {
 	c := connect(t, true)
-	big := frame.AppendHead(nil, frame.Request, 1, frame.MostAsked+1)
-	for stream, bad := range [][]byte{append(big, make([]byte, frame.MostAsked+1)...), append(frame.AppendHead(nil, frame.Request, 2, 1), 9),
+	big := frame.AppendHead(nil, frame.Txn, 1, frame.MostAsked+1)
+	for stream, bad := range [][]byte{append(big, make([]byte, frame.MostAsked+1)...), append(frame.AppendHead(nil, frame.Txn, 2, 1), 9),
 		request(3, "zz"), request(4, "aa", frame.Field{Name: "op", Value: "page"}),
 		bytes.Replace(request(5, "aa"), []byte("\x04page"), []byte("\x04what"), 1), bytes.Replace(request(6, "aa"), []byte("page"), []byte("what"), 1)} {
 		_, _ = c.Write(bad)
--- a/internal/txn/txn.go
+++ b/internal/txn/txn.go
@@ -10,7 +10,7 @@
 	"golang.org/x/sync/semaphore"
 )
 
-// Txn is a request as the client wrote it. What is text goes on unchanged.
+// Txn is a client's request, as it was written. What is text goes on unchanged.
 type Txn struct {
 	ID     string
 	Stream uint32
@@ -50,7 +50,7 @@
 type Answer struct {
 	Verdict Verdict
 	Reason  string
-	Error   string  // told to the client where its request was at fault
+	Error   string  // told to the client where it was at fault
 	Again   float64 // seconds the client should stay away
 	Tag     string
 	Same    bool // the client's copy is the one
