A hop that crosses the end of its connection unwritten is moot, not the member's fault

By reading: between a member's idle close and the link's end, a hop could be queued on it and ended as no connection, which benches the member. Nothing of it was written, so it surely did not run.

--- a/internal/send/link.go
+++ b/internal/send/link.go
@@ -206,8 +206,9 @@
 	}
 }
 
-// finish ends what is open: a call whose last byte the socket took may have run; any other surely did not, and
-// ends by the code given.
+// finish ends what is open: a call whose last byte the socket took may have run; any other surely did not. One of
+// which nothing was written crossed the end of the connection, which may have been an idle one: that is no fault of
+// the member. What is left ends by the code given.
 func (l *Link) finish(c *conn.Conn, unrun brain.Code) {
 	l.mu.Lock()
 	l.dead = true
@@ -216,7 +217,9 @@
 	l.mu.Unlock()
 	for _, call := range calls {
 		code := unrun
-		if c != nil && call.begun && call.end <= c.Wrote() {
+		if c != nil && !call.begun {
+			code = brain.Moot
+		} else if c != nil && call.begun && call.end <= c.Wrote() {
 			code = brain.Broken
 		}
 		l.pool.Post(Ended{call, txn.End{Code: code}})
--- a/internal/send/send_test.go
+++ b/internal/send/send_test.go
@@ -114,6 +114,23 @@
 	assert.Equal(t, map[*Call]brain.Code{whole: brain.Broken, part: brain.NoConnect}, ends)
 }
 
+// TestHopThatCrossesACloseIsMoot: nothing of it was written, and the member may just have closed an idle connection.
+func TestHopThatCrossesACloseIsMoot(t *testing.T) {
+	s := pool(t)
+	s.Streams = 3
+	s.send("a", 200_000) // holds the writer up
+	b := s.send("b", 0)
+	far := <-s.dialed
+	_, _ = far.Read(make([]byte, 16))
+	_ = far.Close()
+	ends := map[*Call]brain.Code{}
+	for range 2 {
+		e := s.end(t)
+		ends[e.Call] = e.End.Code
+	}
+	assert.Equal(t, brain.Moot, ends[b])
+}
+
 func TestBodyCutShortIsBroken(t *testing.T) {
 	s := pool(t)
 	s.send("a", 0)
