After SIGTERM open txns get until 3.4 s, not 2.7 s, before they are aborted

Seen in a new integration test with a cache that never answers: the answer came after 2.72 s. To blame: serve passed the difference of both times to admit.Drain, which counts them together.

--- a/cmd/cairnfront/serve.go
+++ b/cmd/cairnfront/serve.go
@@ -79,7 +79,7 @@
 			}
 			k.Log.Info("draining", "signal", s.String())
 			taker.Stop()
-			gate.Drain(ctx, drainLeast, drainMost-drainLeast)
+			gate.Drain(ctx, drainLeast, drainMost)
 			if gate.Owed() > 0 {
 				loop.Post(route.Abandon{})
 				gate.Drain(ctx, 0, flushMost)
--- a/cmd/cairnfront/serve_test.go
+++ b/cmd/cairnfront/serve_test.go
@@ -520,6 +520,23 @@
 	assert.Equal(t, 0, s.counters()["open"])
 }
 
+// TestSigtermWaitsNoLongerThanItMay: what is still open near the end of the stated time is aborted, not lost.
+func TestSigtermWaitsNoLongerThanItMay(t *testing.T) {
+	m := serveMember(t, func(hop) string { return "" })
+	s := begin(t, 192, m, m)
+	c := s.dial(t)
+	c.ask("order", row, "")
+	require.Eventually(t, func() bool { return m.count() == 1 }, patience, time.Millisecond)
+	require.NoError(t, s.Process.Signal(syscall.SIGTERM))
+	kind, _, _ := c.next(t)
+	assert.EqualValues(t, frame.NoMore, kind)
+	code, _, _ := c.answer(t)
+	assert.EqualValues(t, 9, code)
+	s.killed = true
+	assert.NoError(t, <-s.ended, "exit 0")
+	assert.Equal(t, 1, s.counters()["answered.order.aborted.shutdown"])
+}
+
 // TestBadInputCostsOnlyItsConnection: the codecs' own tests have the kinds.
 func TestBadInputCostsOnlyItsConnection(t *testing.T) {
 	m := serveMember(t, func(h hop) string { return served(h, "x") })
--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -124,7 +124,7 @@
 // Stopping says whether an end is near.
 func (g *Gate) Stopping() bool { return g.stopping.Load() }
 
-// Drain waits until new txns can come no more and none is owed; most bounds the wait.
+// Drain waits until new txns can come no more and none is owed: least at the least, and no longer than most in all.
 func (g *Gate) Drain(ctx context.Context, least, most time.Duration) {
 	end, cancel := context.WithTimeout(ctx, most)
 	defer cancel()
