--- a/cmd/cairnfront/main.go
+++ b/cmd/cairnfront/main.go
@@ -17,11 +17,7 @@
 	root.AddCommand(
 		&cobra.Command{Use: "serve", Short: "Serve as the file that " + start.Variable + " names says", Args: cobra.NoArgs,
 			RunE: func(*cobra.Command, []string) error {
-				m, err := start.FromEnv()
-				if err != nil {
-					return err
-				}
-				return serve(m)
+				return serve(start.FromEnv)
 			}},
 		&cobra.Command{Use: "check [FILE]", Short: "Check a start file, by default the one that " + start.Variable + " names",
 			Args: cobra.MaximumNArgs(1),
--- a/cmd/cairnfront/serve.go
+++ b/cmd/cairnfront/serve.go
@@ -32,13 +32,18 @@
 	flushMost  = 200 * time.Millisecond
 )
 
-// serve runs the router until a signal ends it.
-func serve(m start.Manifest) error {
+// serve runs the router until a signal ends it. What it is told is read at the start and again on SIGHUP.
+func serve(read func() (start.Manifest, error)) error {
+	signals, again := make(chan os.Signal, 4), make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	signal.Notify(again, syscall.SIGHUP) // a channel of its own: many of them keep no other signal out
+	m, err := read()
+	if err != nil {
+		return err
+	}
 	runtime.GOMAXPROCS(max(int(math.Ceil(m.Cores)), 1))
 	debug.SetGCPercent(admit.GCPercent)
 	debug.SetMemoryLimit(admit.HeapLimit(m.MemoryMB))
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	ln, err := net.Listen("tcp", m.Listen)
 	if err != nil {
 		return err
@@ -56,7 +61,8 @@
 		rules[name] = i
 	}
 	taker := &take.Taker{Rules: rules, Gate: gate, Book: k, Post: loop.Post}
-	news := &board.Client{Addr: m.Board, Last: m.Last, Book: k, Post: func(ev board.Event) { loop.Post(ev) }}
+	news := &board.Client{Addr: m.Board, Last: m.Last, Book: k, Post: func(ev board.Event) { loop.Post(ev) },
+		Moves: make(chan string, 1)}
 
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -72,6 +78,8 @@
 		select {
 		case <-ctx.Done():
 			return errors.Join(g.Wait(), pool.Wait())
+		case <-again:
+			m = reread(ctx, m, read, news.Moves, k)
 		case s := <-signals:
 			if s == syscall.SIGUSR1 {
 				k.Print(os.Stderr)
@@ -89,3 +97,26 @@
 		}
 	}
 }
+
+// reread reads what the router is told once more and follows the notice board's new address. A file that can't be
+// used leaves the old one in force.
+func reread(ctx context.Context, old start.Manifest, read func() (start.Manifest, error), moves chan<- string, k *book.Book) start.Manifest {
+	m, err := read()
+	if err == nil {
+		err = m.Follows(old)
+	}
+	if err != nil {
+		k.Add("reloads.failed", 1)
+		k.Log.Error("reload", "code", "kept-old", "err", err.Error())
+		return old
+	}
+	k.Add("reloads", 1)
+	k.Log.Info("reload", "code", "followed", "board", m.Board)
+	if m.Board != old.Board {
+		select {
+		case moves <- m.Board:
+		case <-ctx.Done():
+		}
+	}
+	return m
+}
--- a/cmd/cairnfront/serve_test.go
+++ b/cmd/cairnfront/serve_test.go
@@ -638,6 +638,42 @@
 	assert.Equal(t, 2, m.count())
 }
 
+// TestReload: on SIGHUP the board's new address is followed and no open txn is disturbed; a file that can't be used
+// leaves the old one in force, and many signals at once do no harm.
+func TestReload(t *testing.T) {
+	release := make(chan bool)
+	m := serveMember(t, func(h hop) string {
+		<-release
+		return served(h, "x")
+	})
+	s := begin(t, 64, m, m)
+	c := s.dial(t)
+	c.ask("page", row, "")
+	require.Eventually(t, func() bool { return m.count() == 1 }, patience, time.Millisecond)
+	for i, bad := range []string{"{", strings.Replace(string(manifest(s.addr, s.board.Addr().String(), 64, m, m)), `"memory_mb":64`, `"memory_mb":65`, 1)} {
+		require.NoError(t, os.WriteFile(s.path, []byte(bad), 0o600))
+		require.NoError(t, s.Process.Signal(syscall.SIGHUP))
+		require.Eventually(t, func() bool { return strings.Count(s.log.String(), "code=kept-old") == i+1 }, patience, time.Millisecond)
+	}
+	next := serveBoard(t)
+	require.NoError(t, os.WriteFile(s.path, manifest(s.addr, next.Addr().String(), 64, m, m), 0o600))
+	for range 50 {
+		require.NoError(t, s.Process.Signal(syscall.SIGHUP))
+	}
+	m2 := serveMember(t, func(h hop) string { return served(h, "new") })
+	next.say <- notice(2, 2, append(record(9, m2, 0), record(1, m, 2)...))
+	close(release)
+	code, _, body := c.answer(t)
+	assert.EqualValues(t, 1, code)
+	assert.Equal(t, "x", body)
+	require.Eventually(t, func() bool {
+		c.ask("page", row, "")
+		_, _, body := c.answer(t)
+		return body == "new"
+	}, patience, time.Millisecond, "the new board's list counts")
+	assert.NoError(t, s.end(t, syscall.SIGTERM))
+}
+
 func TestCommands(t *testing.T) {
 	dir := t.TempDir()
 	write := func(name, text string) string {
--- a/internal/board/client.go
+++ b/internal/board/client.go
@@ -16,10 +16,10 @@
 // How the client keeps its connection: resources and the protocol's own beat, no decisions.
 const (
 	ringSize  = 16 << 10
-	beatsStop = 3 * time.Second // three of the board's beats
+	beatsStop = 2500 * time.Millisecond // two of the board's beats and a margin
 	firstWait = 100 * time.Millisecond
-	mostWait  = 2 * time.Second
-	dialLimit = 2 * time.Second
+	mostWait  = 400 * time.Millisecond
+	dialLimit = time.Second
 )
 
 // Client follows the notice board and posts each event after Last once, in the order of the numbers.
@@ -28,22 +28,43 @@
 	Last uint64
 	Post func(Event)
 	Book *book.Book
+	// Moves brings the board's new addresses. The connection to the old one is hung up: from then on the new board
+	// is asked, with the number of the last event had.
+	Moves chan string
 
 	silence time.Duration // as beatsStop, where set
 	missed  uint64        // the number that came where Last+1 was due, when it was seen first
 }
 
-// Run dials again, with a wait that grows, until the context ends.
+// errMoved tells of a new address.
+var errMoved = errors.New("the notice board moved")
+
+// Run dials again, with a wait that grows, until the context ends. At a new address it dials at once.
 func (c *Client) Run(ctx context.Context) error {
 	for wait := firstWait; ctx.Err() == nil; {
-		if c.follow(ctx) {
-			wait = firstWait
-		}
+		here, hangUp := context.WithCancelCause(ctx)
+		ended := make(chan bool, 1)
+		go func() { ended <- c.follow(here) }()
+		moved := ""
 		select {
-		case <-ctx.Done():
-		case <-time.After(wait):
+		case moved = <-c.Moves:
+			hangUp(errMoved)
+			<-ended
+		case heard := <-ended:
+			hangUp(nil)
+			if heard {
+				wait = firstWait
+			}
+			select {
+			case <-ctx.Done():
+			case moved = <-c.Moves:
+			case <-time.After(wait):
+			}
+			wait = min(2*wait, mostWait)
+		}
+		if moved != "" {
+			c.Addr, wait = moved, firstWait
 		}
-		wait = min(2*wait, mostWait)
 	}
 	return nil
 }
@@ -65,7 +86,13 @@
 	}
 	k := conn.New(raw, ringSize, c.silence)
 	defer k.Done(c.Book, "board", c.Addr)
-	defer context.AfterFunc(ctx, func() { k.End(conn.Shutdown, nil) })()
+	defer context.AfterFunc(ctx, func() {
+		code := conn.Shutdown
+		if errors.Is(context.Cause(ctx), errMoved) {
+			code = conn.Moved
+		}
+		k.End(code, nil)
+	})()
 	defer func() {
 		if p := recover(); p != nil {
 			c.Book.Log.Error("panic", "where", "board", "what", fmt.Sprint(p), "stack", string(debug.Stack()))
@@ -111,13 +138,18 @@
 	}
 }
 
-// take posts an event that follows the last one. A number that skips some is asked for again once, from the last
-// event had; if the same comes again the board holds nothing between, and it is taken.
+// take posts an event that follows the last one; one that was had before is passed over. A number that skips some is
+// asked for again once, from the last event had; if the same comes again the board holds nothing between, and it is
+// taken.
 func (c *Client) take(ev Event) error {
 	if ev.Beat {
 		return nil
 	}
-	if ev.Number <= c.Last || ev.Number > c.Last+1 && c.missed != ev.Number {
+	if ev.Number <= c.Last {
+		c.Book.Add("board.had-before", 1)
+		return nil
+	}
+	if ev.Number > c.Last+1 && c.missed != ev.Number {
 		c.missed = ev.Number
 		return fmt.Errorf("%w: %d after %d", errGap, ev.Number, c.Last)
 	}
--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -30,6 +30,7 @@
 	Shutdown   = "shutdown"     // the router ends
 	Beats      = "no-beats"     // the notice board fell silent
 	Gap        = "gap"          // the notice board's numbers do not follow
+	Moved      = "moved"        // the notice board has a new address
 	Panic      = "panic"        // a fault of this program; the stack is logged
 	Other      = "socket-error" // any other error of the socket
 )
--- a/internal/start/start.go
+++ b/internal/start/start.go
@@ -6,8 +6,10 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -112,6 +114,22 @@
 	return m, nil
 }
 
+// Follows says what in a file read again can't be followed while the router runs; nil where all of it can. The
+// notice board's address may change, and what is new with each start.
+func (m Manifest) Follows(old Manifest) error {
+	for _, x := range []struct {
+		name string
+		same bool
+	}{{"name", m.Name == old.Name}, {"listen", m.Listen == old.Listen},
+		{"limits", m.Cores == old.Cores && m.MemoryMB == old.MemoryMB && m.Sockets == old.Sockets},
+		{"settings", maps.Equal(m.Records, old.Records) && slices.Equal(m.Rules, old.Rules)}} {
+		if !x.same {
+			return fmt.Errorf("%s: can't change while the router runs", x.name)
+		}
+	}
+	return nil
+}
+
 func child(v any, name string) any {
 	m, _ := v.(map[string]any)
 	return m[name]
--- a/internal/start/start_test.go
+++ b/internal/start/start_test.go
@@ -48,6 +48,23 @@
 	assert.ErrorContains(t, err, path)
 }
 
+func TestWhatMayChangeWhileRunning(t *testing.T) {
+	old, err := Parse([]byte(file))
+	assert.NoError(t, err)
+	for want, change := range map[string][2]string{
+		"": {"127.0.0.1:2379", "127.0.0.1:2380"}, "name": {"n3", "n4"}, "listen": {"9090", "9091"}, "limits": {`"memory_mb":192`, `"memory_mb":64`},
+		"settings": {`"max_streams":32`, `"max_streams":31`},
+	} {
+		m, err := Parse([]byte(strings.Replace(file, change[0], change[1], 1)))
+		assert.NoError(t, err)
+		if err = m.Follows(old); want == "" {
+			assert.NoError(t, err)
+		} else {
+			assert.ErrorContains(t, err, want+": can't change")
+		}
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(file))
 	f.Add([]byte(strings.Replace(file, `"endpoints":[]`, `"endpoints":[{"name":"s-1","address":"10.1.0.9:9090","zone":"east","type":"std","status":"SERVING"}]`, 1)))
