--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -62,7 +62,8 @@
 	call   *send.Call
 	link   *send.Link
 	over   bool
-	heard  bool // its end came from its link, which will say no more of it
+	heard  bool // its link will say no more of it
+	undone bool
 }
 
 type check struct {
@@ -143,7 +144,7 @@
 	case send.Ended:
 		switch owner := ev.Call.Owner.(type) {
 		case *hop:
-			owner.heard = true
+			owner.heard = !ev.Undone
 			l.ended(owner, ev.End)
 		case *check:
 			l.checked(owner, ev.End)
@@ -355,16 +356,17 @@
 	return a.Source
 }
 
-// undo gives a hop up. One of which nothing was written surely did not run.
+// undo gives a hop up. Its end is heard once its member has been told; that of a hop which its member can't know of
+// after the actions in hand are done.
 func (l *Loop) undo(h *hop, code brain.Code) {
-	if h.over || h.call == nil { // without a call its end is on the way
+	if h.over || h.undone || h.call == nil { // without a call its end is on the way
 		return
 	}
-	if !l.Pool.Undo(h.call) {
-		code = brain.Moot
+	h.undone = true
+	if code, atOnce := l.Pool.Undo(h.call, code); atOnce {
+		h.heard = true
+		l.later(func() { l.ended(h, txn.End{Code: code}) })
 	}
-	// The end is heard after the actions in hand are done, as from a link.
-	l.later(func() { l.ended(h, txn.End{Code: code}) })
 }
 
 // later does something once the event in hand is done with.
@@ -405,7 +407,7 @@
 			l.undo(t.hop, brain.TimedOut)
 		case t.check != nil:
 			if !t.check.over {
-				l.Pool.Undo(t.check.call)
+				l.Pool.Undo(t.check.call, brain.TimedOut)
 				l.checked(t.check, txn.End{Code: brain.TimedOut})
 			}
 		case t.guard != nil:
--- a/internal/send/link.go
+++ b/internal/send/link.go
@@ -5,8 +5,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -32,6 +34,8 @@
 	begun   bool      // some of it may be written
 	end     int64     // the link's count of bytes after its last one
 	written time.Time // when it was begun
+
+	undone brain.Code // how it ends once its member has been told that it is given up
 }
 
 // Link is the link that carries the call.
@@ -46,6 +50,7 @@
 	c       *conn.Conn // nil until it is up
 	calls   map[string]*Call
 	queue   []item
+	undone  map[string]*Call // given up, and the member is yet to be told
 	wake    chan struct{}
 	used    time.Time // when a call last came or ended
 	suspect time.Time // when a call was undone that had heard nothing for long
@@ -56,7 +61,7 @@
 // item is what the writer has to write: a call, or the line that undoes one.
 type item struct {
 	call *Call
-	text []byte
+	text []byte // of the line that undoes it
 }
 
 // load is how many calls are open, and whether the link takes more. One that owes an answer to a call that was
@@ -75,7 +80,7 @@
 func (l *Link) add(c *Call) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.dead || l.calls[c.id] != nil {
+	if l.dead || l.calls[c.id] != nil || l.undone[c.id] != nil {
 		return false
 	}
 	c.link, l.used = l, time.Now()
@@ -92,12 +97,17 @@
 	}
 }
 
-// undo gives a call up and says whether any of it may have been written.
-func (l *Link) undo(c *Call) bool {
+// undo gives a call up and says how it ends by that, and whether at once. One that the member may know of is over only
+// when the socket has taken the line that tells it, or the connection has ended: a further hop sent before that line
+// would be a second one out at the same time. Its end then comes like any other.
+func (l *Link) undo(c *Call, code brain.Code) (end brain.Code, atOnce bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.calls[c.id] != c {
-		return c.begun
+	if l.calls[c.id] != c { // its end is on the way, or was lost with a panic
+		if !c.begun {
+			code = brain.Moot
+		}
+		return code, true
 	}
 	delete(l.calls, c.id)
 	now := time.Now()
@@ -109,18 +119,27 @@
 				break
 			}
 		}
-		return false
-	}
-	if l.dead {
-		return true
+		return brain.Moot, true
 	}
-	if c.hop {
-		l.push(item{text: line.AppendUndo(nil, c.id)})
+	if l.dead || !c.hop {
+		return code, true
 	}
+	c.undone, l.undone[c.id] = code, c
+	l.push(item{c, line.AppendUndo(nil, c.id)})
 	if l.c != nil && l.c.Heard() < c.written.UnixNano() && now.Sub(c.written) > l.pool.Connect {
 		l.suspect = now
 	}
-	return true
+	return code, false
+}
+
+// told ends the calls of which the member has now been told that they are given up.
+func (l *Link) told(calls []*Call) {
+	for _, c := range calls {
+		l.mu.Lock()
+		delete(l.undone, c.id)
+		l.mu.Unlock()
+		l.pool.Post(Ended{c, txn.End{Code: c.undone}, true})
+	}
 }
 
 // endIf ends the link if nothing is open on it and was not since a time.
@@ -164,7 +183,7 @@
 		c.Done(l.pool.Book, "member", peer)
 		return
 	}
-	c := conn.New(raw, admit.MemberRing, 0)
+	c := conn.New(raw, admit.MemberRing, writeStall)
 	l.mu.Lock()
 	l.c = c
 	l.mu.Unlock()
@@ -212,9 +231,10 @@
 func (l *Link) finish(c *conn.Conn, unrun brain.Code) {
 	l.mu.Lock()
 	l.dead = true
-	calls := l.calls
+	calls, undone := l.calls, slices.Collect(maps.Values(l.undone))
 	l.calls, l.queue = map[string]*Call{}, nil
 	l.mu.Unlock()
+	l.told(undone)
 	for _, call := range calls {
 		code := unrun
 		if c != nil && !call.begun {
@@ -222,20 +242,21 @@
 		} else if c != nil && call.begun && call.end <= c.Wrote() {
 			code = brain.Broken
 		}
-		l.pool.Post(Ended{call, txn.End{Code: code}})
+		l.pool.Post(Ended{call, txn.End{Code: code}, false})
 	}
 	l.pool.Post(Dropped{l})
 }
 
 // write brings out calls and undos in order.
 func (l *Link) write(ctx context.Context, c *conn.Conn) error {
+	var undone []*Call
 	for {
 		l.mu.Lock()
 		var x item
 		ok := len(l.queue) > 0
 		if ok {
 			x = l.queue[0]
-			if l.queue = l.queue[1:]; x.call != nil {
+			if l.queue = l.queue[1:]; x.text == nil {
 				x.call.begun, x.call.written = true, time.Now()
 				x.call.end = c.Entered() + int64(len(x.call.head))
 				if x.call.hop {
@@ -248,6 +269,8 @@
 			if err := c.Flush(); err != nil {
 				return err
 			}
+			l.told(undone)
+			undone = undone[:0]
 			select {
 			case <-ctx.Done():
 				return ctx.Err()
@@ -255,12 +278,14 @@
 			}
 			continue
 		}
-		text := x.text
-		if x.call != nil {
+		text, do := x.text, x.text == nil
+		if do {
 			text = x.call.head
+		} else {
+			undone = append(undone, x.call)
 		}
 		err := c.Write(text)
-		if err == nil && x.call != nil && x.call.hop {
+		if err == nil && do && x.call.hop {
 			if x.call.body != nil {
 				err = c.Write(x.call.body.Bytes)
 			}
@@ -336,5 +361,5 @@
 		a.Body.Free()
 		a.End = txn.End{Code: brain.Errored}
 	}
-	l.pool.Post(Ended{call, a.End})
+	l.pool.Post(Ended{call, a.End, false})
 }
--- a/internal/send/pool.go
+++ b/internal/send/pool.go
@@ -23,10 +23,15 @@
 // crosses a close of theirs.
 const idleMargin = 0.8
 
-// Ended says that a call is over. Each call has one, unless it was undone.
+// writeStall is how long a member may take nothing of what is written to it: small lines, and bodies that fit the
+// sockets' own buffers.
+const writeStall = time.Second
+
+// Ended says that a call is over. Each call has one, unless its undoing ended it at once.
 type Ended struct {
-	Call *Call
-	End  txn.End
+	Call   *Call
+	End    txn.End
+	Undone bool // its member may still answer
 }
 
 // Dropped says that a link carries nothing any more.
@@ -108,7 +113,7 @@
 	if !p.Gate.Member() {
 		return nil
 	}
-	l := &Link{pool: p, member: id, addr: m.addr, calls: map[string]*Call{}, wake: make(chan struct{}, 1)}
+	l := &Link{pool: p, member: id, addr: m.addr, calls: map[string]*Call{}, undone: map[string]*Call{}, wake: make(chan struct{}, 1)}
 	l.add(c)
 	m.links = append(m.links, l)
 	p.Book.Began("member")
@@ -142,8 +147,10 @@
 	return p.call(id, &Call{Owner: owner, id: tag, head: line.AppendCheck(nil, tag, p.Report)}, nil)
 }
 
-// Undo gives a call up; no end follows. It says whether any of it may have been written.
-func (p *Pool) Undo(c *Call) (written bool) { return c.link.undo(c) }
+// Undo gives a call up. It says how that ends it, and whether at once; else its end follows.
+func (p *Pool) Undo(c *Call, code brain.Code) (end brain.Code, atOnce bool) {
+	return c.link.undo(c, code)
+}
 
 // Drop forgets a link that has ended.
 func (p *Pool) Drop(l *Link) {
--- a/internal/send/send_test.go
+++ b/internal/send/send_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"cairnfront/brain"
@@ -94,7 +95,7 @@
 	e.End.Body.Free()
 	e.End.Body.Free()
 	assert.Zero(t, s.Gate.Budget.Used())
-	assert.Equal(t, Ended{a, txn.End{Code: brain.Miss}}, s.end(t))
+	assert.Equal(t, Ended{Call: a, End: txn.End{Code: brain.Miss}}, s.end(t))
 	assert.EqualValues(t, 1, s.Book.Count("member.late-answers"))
 	assert.Equal(t, 1, s.Links(), "one connection carries both")
 }
@@ -168,7 +169,7 @@
 			return nil, how
 		}
 		c := s.send("a", 0)
-		assert.Equal(t, Ended{c, txn.End{Code: code}}, s.end(t))
+		assert.Equal(t, Ended{Call: c, End: txn.End{Code: code}}, s.end(t))
 		assert.Equal(t, Dropped{c.Link()}, <-s.ends)
 		s.Drop(c.Link())
 		assert.Zero(t, s.Links())
@@ -190,7 +191,7 @@
 		post(ev)
 	}
 	_, _ = io.WriteString(far, "a not_here - 0\r\n\r\n")
-	assert.Equal(t, Ended{b, txn.End{Code: brain.Broken}}, s.end(t))
+	assert.Equal(t, Ended{Call: b, End: txn.End{Code: brain.Broken}}, s.end(t))
 	assert.Contains(t, s.after(t, a.Link()), "code=panic")
 }
 
@@ -204,20 +205,50 @@
 	}
 	a := s.send("a", 0)
 	b := s.send("b", 0)
-	assert.False(t, s.Undo(a), "nothing of it was written")
+	code, atOnce := s.Undo(a, brain.Cancelled)
+	assert.True(t, atOnce && code == brain.Moot, "nothing of it was written")
 	close(hold)
 	far := <-s.dialed
 	r := bufio.NewReader(far)
 	assert.Equal(t, "do b", asked(t, r), "and nothing of it will be")
 	c := s.send("c", 0)
 	assert.Equal(t, "do c", asked(t, r))
-	assert.True(t, s.Undo(b))
+	_, atOnce = s.Undo(b, brain.Cancelled)
+	assert.False(t, atOnce)
 	assert.Equal(t, "undo b", asked(t, r))
+	assert.Equal(t, Ended{b, txn.End{Code: brain.Cancelled}, true}, s.end(t))
 	_, _ = io.WriteString(far, "b served - 4\r\nlate\r\nc overload - 0\r\n\r\n")
-	assert.Equal(t, Ended{c, txn.End{Code: brain.Busy}}, s.end(t), "a late answer to what was given up is passed over")
+	assert.Equal(t, Ended{Call: c, End: txn.End{Code: brain.Busy}}, s.end(t), "a late answer to what was given up is passed over")
 	assert.NotSame(t, b.Link(), s.send("b", 0, b.Link()).Link(), "the id is not used again where it may still be answered")
 }
 
+// TestGivenUpOnceTold: a hop that its member knows of is over when the member has been told, not before: a further hop
+// would be a second one out at the same time. Where the member takes nothing, the connection's end tells it.
+func TestGivenUpOnceTold(t *testing.T) {
+	for _, reads := range []bool{true, false} {
+		s := pool(t)
+		s.Streams = 3
+		a := s.send("a", 0)
+		far := <-s.dialed
+		r := bufio.NewReader(iotest.OneByteReader(far))
+		assert.Equal(t, "do a", asked(t, r))
+		s.send("b", 200_000)
+		_, _ = r.ReadByte() // the writer is busy with b
+		_, atOnce := s.Undo(a, brain.TimedOut)
+		assert.False(t, atOnce)
+		assert.Empty(t, s.ends)
+		if reads {
+			_, _ = io.CopyN(io.Discard, r, 200_000)
+			for text := ""; text != "undo a\r\n"; text, _ = r.ReadString('\n') {
+				assert.Empty(t, s.ends)
+			}
+		} else {
+			_ = far.Close()
+		}
+		assert.Equal(t, Ended{a, txn.End{Code: brain.TimedOut}, true}, s.end(t))
+	}
+}
+
 func TestOneConnectionCarriesSoMany(t *testing.T) {
 	s := pool(t)
 	a, b, c := s.send("a", 0), s.send("b", 0), s.send("c", 0)
@@ -235,7 +266,7 @@
 		r := bufio.NewReader(far)
 		assert.Equal(t, "do a", asked(t, r))
 		s.Connect = connect
-		assert.True(t, s.Undo(a))
+		s.Undo(a, brain.TimedOut)
 		assert.Equal(t, "undo a", asked(t, r))
 		b := s.send("b", 0)
 		assert.Equal(t, silent, a.Link() != b.Link())
@@ -266,7 +297,7 @@
 	s.Sweep(time.Now())
 	assert.NotSame(t, c.Link(), s.send("b", 0).Link(), "the address passed to another machine")
 	_, _ = io.WriteString(far, "a nobody - 0\r\n\r\n")
-	assert.Equal(t, Ended{c, txn.End{Code: brain.Moot}}, s.end(t))
+	assert.Equal(t, Ended{Call: c, End: txn.End{Code: brain.Moot}}, s.end(t))
 	s.Sweep(time.Now().Add(time.Second))
 	assert.Equal(t, Dropped{c.Link()}, <-s.ends, "the old link ends once nothing is open on it")
 	s.stop()
@@ -280,7 +311,7 @@
 	far := <-s.dialed
 	assert.Equal(t, "top check1", asked(t, bufio.NewReader(far)))
 	_, _ = io.WriteString(far, "check1 green report=util:0.5 0\r\n\r\n")
-	assert.Equal(t, Ended{c, txn.End{Load: []brain.Reading{{Name: "util", Value: 0.5}}}}, s.end(t))
+	assert.Equal(t, Ended{Call: c, End: txn.End{Load: []brain.Reading{{Name: "util", Value: 0.5}}}}, s.end(t))
 	assert.Nil(t, s.Check("nobody", nil))
 }
 
