--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -19,9 +19,10 @@
 	heapShare   = 0.7      // of memory as the runtime's soft limit; the rest is stacks, the program, swings
 	clientShare = 0.45     // of descriptors for clients, who hold a third at most and overlap when they close
 	memberShare = 0.4      // of descriptors for members
+	easyShare   = 0.75     // of those for connections that spare a hop from sharing one; the rest is for members without any
 	GCPercent   = 400      // heap growth between collections: what is kept is small, the soft limit holds all the same
 	ClientRing  = 16 << 10 // bytes of each ring of a client's connection
-	MemberRing  = 32 << 10 // bytes of each ring of a member's connection
+	MemberRing  = 16 << 10 // bytes of each ring of a member's connection
 	megabyte    = 1 << 20  //
 	tellBeyond  = 64       // clients over the limit that are told so before they are closed unheard
 )
@@ -100,9 +101,14 @@
 // ClientDone gives its place back.
 func (g *Gate) ClientDone() { g.clients.Add(-1) }
 
-// Member lets a connection to a member be made.
-func (g *Gate) Member() bool {
-	if g.members.Add(1) > g.mostMembers {
+// Member lets a connection to a member be made. One that is only to spare a hop from sharing another is let in while
+// there is plenty of room.
+func (g *Gate) Member(needed bool) bool {
+	most := g.mostMembers
+	if !needed {
+		most = int64(easyShare * float64(most))
+	}
+	if g.members.Add(1) > most {
 		g.members.Add(-1)
 		return false
 	}
--- a/internal/send/pool.go
+++ b/internal/send/pool.go
@@ -94,7 +94,8 @@
 }
 
 // Call starts a hop or a check on a link of a member. Avoid names the links on which the same txn may still be
-// heard of. It returns nil where no connection may be made; then surely nothing ran.
+// heard of. A connection that breaks, or brings what can't be read, ends all that is open on it: while descriptors
+// allow, each has one to itself. It returns nil where no connection may be made; then surely nothing ran.
 func (p *Pool) call(id string, c *Call, avoid []*Link) *Call {
 	m := p.members[id]
 	if m == nil {
@@ -107,10 +108,13 @@
 			best, least = l, n
 		}
 	}
-	if best != nil && best.add(c) {
+	if best != nil && least == 0 && best.add(c) {
 		return c
 	}
-	if !p.Gate.Member() {
+	if !p.Gate.Member(best == nil) {
+		if best != nil && best.add(c) {
+			return c
+		}
 		return nil
 	}
 	l := &Link{pool: p, member: id, addr: m.addr, calls: map[string]*Call{}, undone: map[string]*Call{}, wake: make(chan struct{}, 1)}
--- a/internal/send/send_test.go
+++ b/internal/send/send_test.go
@@ -34,7 +34,7 @@
 func pool(t *testing.T) *side {
 	ctx, cancel := context.WithCancel(t.Context())
 	s := &side{ends: make(chan any, 99), dialed: make(chan net.Conn, 9), log: &bytes.Buffer{}}
-	s.Pool = &Pool{Gate: admit.New(64, 256), Book: book.New(s.log, ""), Connect: time.Second, Idle: time.Minute, Streams: 2,
+	s.Pool = &Pool{Gate: admit.New(64, 5), Book: book.New(s.log, ""), Connect: time.Second, Idle: time.Minute, Streams: 2,
 		Post: func(ev any) { s.ends <- ev }, Dial: func(context.Context, string) (net.Conn, error) {
 			near, far := net.Pipe()
 			s.dialed <- far
@@ -256,6 +256,23 @@
 	assert.NotSame(t, a.Link(), c.Link())
 }
 
+// TestSpoiltAnswerCostsItsOwnHopOnly: while descriptors allow, no hop shares its connection.
+func TestSpoiltAnswerCostsItsOwnHopOnly(t *testing.T) {
+	s := pool(t)
+	s.Gate = admit.New(64, 256)
+	a := s.send("a", 0)
+	far := <-s.dialed
+	b := s.send("b", 0)
+	other := <-s.dialed
+	asked(t, bufio.NewReader(far))
+	asked(t, bufio.NewReader(other))
+	_, _ = io.WriteString(far, "a served digest=\x00\r\n")
+	assert.Equal(t, Ended{Call: a, End: txn.End{Code: brain.Broken}}, s.end(t))
+	_, _ = io.WriteString(other, "b not_here - 0\r\n\r\n")
+	assert.Equal(t, Ended{Call: b, End: txn.End{Code: brain.Miss}}, s.end(t))
+	assert.Same(t, b.Link(), s.send("c", 0).Link(), "one that nothing is open on is used again")
+}
+
 // TestSilentLinkIsNotUsed: a member that heard a hop and said nothing until it was given up may have vanished. The
 // wait after which that counts is how long a connection may take to come up.
 func TestSilentLinkIsNotUsed(t *testing.T) {
