--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -24,7 +24,7 @@
 	ClientRing  = 16 << 10 // bytes of each ring of a client's connection
 	MemberRing  = 16 << 10 // bytes of each ring of a member's connection
 	megabyte    = 1 << 20  //
-	tellBeyond  = 64       // clients over the limit that are told so before they are closed unheard
+	tellShare   = 0.06     // of descriptors for clients over the limit, who are told so before they are closed
 )
 
 // Gate lets in what fits.
@@ -32,9 +32,10 @@
 	Budget *txn.Budget
 	full   int64
 
-	mostTxns, mostClients, mostMembers int64
-	txns, clients, members             atomic.Int64
-	ready, stopping                    atomic.Bool
+	mostTxns, mostClients, mostMembers, tellBeyond int64
+
+	txns, clients, members atomic.Int64
+	ready, stopping        atomic.Bool
 
 	mu   sync.Mutex
 	idle chan struct{} // closed when the last txn is done, while somebody waits
@@ -46,7 +47,7 @@
 	bodies := int64(bodyShare * memory)
 	return &Gate{Budget: txn.NewBudget(bodies), full: int64(fullShare * float64(bodies)),
 		mostTxns: int64(txnShare * memory / txnBytes), mostClients: int64(clientShare * float64(sockets)),
-		mostMembers: int64(memberShare * float64(sockets))}
+		mostMembers: int64(memberShare * float64(sockets)), tellBeyond: int64(tellShare * float64(sockets))}
 }
 
 // HeapLimit is the runtime's soft limit in bytes.
@@ -91,7 +92,7 @@
 	if n <= g.mostClients {
 		return true, false
 	}
-	if n <= g.mostClients+tellBeyond {
+	if n <= g.mostClients+g.tellBeyond {
 		return false, true
 	}
 	g.clients.Add(-1)
--- a/internal/admit/admit_test.go
+++ b/internal/admit/admit_test.go
@@ -12,7 +12,7 @@
 	g := New(192, 1024)
 	assert.Less(t, float64(g.full)+float64(HeapLimit(192))*(txnShare+heapShare-1), float64(192*megabyte))
 	assert.GreaterOrEqual(t, g.mostClients, int64(1024/3), "clients hold a third at most")
-	assert.Less(t, g.mostClients+g.mostMembers+tellBeyond, int64(1024-32))
+	assert.Less(t, g.mostClients+g.mostMembers+g.tellBeyond, int64(1024-32))
 	g.mostTxns, g.mostClients, g.mostMembers = 2, 1, 1
 	assert.Equal(t, []string{"", "", "open-txns"}, []string{g.Txn(), g.Txn(), g.Txn()})
 	g.TxnDone()
@@ -34,7 +34,7 @@
 	assert.True(t, in)
 	in, tell := g.Client()
 	assert.Equal(t, []bool{false, true}, []bool{in, tell})
-	for range tellBeyond {
+	for range g.tellBeyond {
 		in, tell = g.Client()
 	}
 	assert.Equal(t, []bool{false, false}, []bool{in, tell}, "beyond some more they are closed unheard")
--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -23,6 +23,9 @@
 	Protocol   = "protocol"     // what came could not be followed
 	Slow       = "slow-reader"  // the other side did not take what was written
 	Idle       = "idle"         // nothing was open on it
+	Mute       = "mute"         // it never brought a whole message
+	Half       = "half-frame"   // a message was begun and never came whole
+	Crowded    = "crowded"      // nothing was open on it, and its place was needed
 	Silent     = "silent"       // nothing came although hops were out
 	NoConnect  = "no-connect"   // it never came up
 	Unlisted   = "unlisted"     // its member left the list or moved
@@ -47,11 +50,13 @@
 	read, wrote atomic.Int64
 	entered     int64 // bytes that came into the outgoing ring, ever
 	heard, took atomic.Int64
+	begun       atomic.Int64 // when the first byte came of a message that is not whole, 0 for none
 
-	once sync.Once
-	mu   sync.Mutex
-	code string
-	err  error
+	once  sync.Once
+	ended atomic.Bool
+	mu    sync.Mutex
+	code  string
+	err   error
 }
 
 // New wraps a socket. Size is that of each ring.
@@ -74,6 +79,21 @@
 // Took is the Unix time in nanoseconds at which the socket last took bytes, or there was nothing to take.
 func (c *Conn) Took() int64 { return c.took.Load() }
 
+// Begun is the Unix time in nanoseconds at which a message began that is not whole yet; 0 where there is none.
+func (c *Conn) Begun() int64 { return c.begun.Load() }
+
+// Whole says that the reader has taken a whole message.
+func (c *Conn) Whole() {
+	if c.in.Len() == 0 {
+		c.begun.Store(0)
+	} else {
+		c.begun.Store(time.Now().UnixNano())
+	}
+}
+
+// Age is how long ago the connection was made.
+func (c *Conn) Age(now time.Time) time.Duration { return now.Sub(c.since) }
+
 // Wrote is how many bytes the socket has taken.
 func (c *Conn) Wrote() int64 { return c.wrote.Load() }
 
@@ -87,7 +107,9 @@
 	n, err := c.in.Fill(c.raw)
 	if n > 0 {
 		c.read.Add(int64(n))
-		c.heard.Store(time.Now().UnixNano())
+		now := time.Now().UnixNano()
+		c.heard.Store(now)
+		c.begun.CompareAndSwap(0, now)
 		return nil
 	}
 	return err
@@ -198,11 +220,31 @@
 // End closes the socket. The first code given is the one that counts.
 func (c *Conn) End(code string, err error) {
 	c.once.Do(func() {
+		c.ended.Store(true)
 		c.Blame(code, err)
 		_ = c.raw.Close()
 	})
 }
 
+// Linger ends the sending side and drops what still comes until the other side ends too, some time has passed or too
+// much has come: a close with input unread would destroy the last words on their way. Nobody else may be reading.
+func (c *Conn) Linger(most time.Duration, bytes int64) {
+	half, ok := c.raw.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		return
+	}
+	c.SetReadDeadline(time.Now().Add(most))
+	for bytes += c.read.Load(); c.read.Load() < bytes; {
+		c.in.Discard(c.in.Len())
+		if c.fill() != nil {
+			return
+		}
+	}
+}
+
+// Ended says whether the socket is closed.
+func (c *Conn) Ended() bool { return c.ended.Load() }
+
 // Done books the end, once all that used the connection have stopped.
 func (c *Conn) Done(b *book.Book, side, peer string) {
 	c.End(Shutdown, nil)
--- a/internal/take/take.go
+++ b/internal/take/take.go
@@ -10,6 +10,7 @@
 	"runtime/debug"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cairnfront/internal/admit"
@@ -29,13 +30,19 @@
 // what lies between counts as used.
 const mostSparse = 4096
 
-// How long a connection may be still with nothing open on it. Clients close theirs much sooner; what is left has
-// lost its client, or holds half a frame.
+// How long a connection may be of no use. Clients close theirs after 4 s with nothing open; one that brings nothing
+// whole is owed an end within 3 s.
 const (
-	idleAfter  = 30 * time.Second
-	sweepEvery = time.Second
+	sweepEvery = 200 * time.Millisecond
 
-	stalledAfter = time.Second // without a byte taken, while memory is short
+	idleAfter    = 6 * time.Second         // since it was heard, with nothing open
+	muteAfter    = 2500 * time.Millisecond // since it came up, without a whole frame
+	halfAfter    = 2 * time.Second         // since a frame began that is not whole
+	stalledAfter = time.Second             // without a byte taken, while memory is short
+	evictAfter   = 100 * time.Millisecond  // since it was heard, with nothing open, where its place is needed
+
+	lingerMost  = 500 * time.Millisecond // for a client that still sends to read why its connection ends
+	lingerBytes = 2 << 20
 )
 
 // Left says that the client of a txn waits no more.
@@ -49,7 +56,13 @@
 	Post  func(any)
 
 	mu    sync.Mutex
-	conns map[*relay.Outlet]*conn.Conn
+	conns map[*relay.Outlet]*peer
+}
+
+// peer is a client's connection and what it has brought so far.
+type peer struct {
+	*conn.Conn
+	whole, asked atomic.Bool // a whole frame; a txn
 }
 
 // Run accepts clients until the listener is closed, then waits for their connections to end.
@@ -63,7 +76,7 @@
 				tick.Stop()
 				return nil
 			case now := <-tick.C:
-				k.Sweep(now.Add(-idleAfter), now.Add(-stalledAfter))
+				k.Sweep(now)
 			}
 		}
 	})
@@ -82,6 +95,9 @@
 			continue
 		}
 		in, tell := k.Gate.Client()
+		if !in && tell {
+			in = k.evict(time.Now())
+		}
 		if !in && !tell {
 			_ = raw.Close()
 			k.Book.Add("conn.client.turned-away", 1)
@@ -105,38 +121,70 @@
 	}
 }
 
-// Sweep ends connections on which nothing is open and nothing came since a time. While the bodies' budget is full it
-// also ends those that took nothing of what waits for them since another time: few slow readers would hold all of it.
-func (k *Taker) Sweep(idle, stalled time.Time) {
+// Sweep ends connections that are of no use: still, or without a whole frame for long. What is open on one is answered
+// first. While the bodies' budget is full it also ends those that take nothing of what waits for them: few slow readers
+// would hold all of it.
+func (k *Taker) Sweep(now time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	full := k.Gate.Full()
+	before := func(at int64, most time.Duration) bool { return at < now.Add(-most).UnixNano() }
 	for o, c := range k.conns {
-		switch {
-		case !o.Busy() && c.Heard() < idle.UnixNano():
-			c.End(conn.Idle, nil)
-		case full && o.Waits() && c.Took() < stalled.UnixNano():
+		switch begun := c.Begun(); {
+		case full && o.Waits() && before(c.Took(), stalledAfter):
 			c.End(conn.Slow, nil)
+		case begun != 0 && before(begun, halfAfter):
+			c.Blame(conn.Half, nil)
+			if o.Finish(); !o.Busy() {
+				c.End(conn.Half, nil)
+			}
+		case o.Busy():
+		case !c.whole.Load() && c.Age(now) > muteAfter:
+			c.End(conn.Mute, nil)
+		case before(c.Heard(), idleAfter):
+			c.End(conn.Idle, nil)
+		}
+	}
+}
+
+// evict ends the connection that has been still for longest, if nothing is open on any: one that brought no txn
+// before one that did. The place then goes to whoever comes.
+func (k *Taker) evict(now time.Time) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var out *peer
+	least := now.Add(-evictAfter).UnixNano()
+	for o, c := range k.conns {
+		first := out == nil || !c.asked.Load() && out.asked.Load()
+		same := out == nil || c.asked.Load() == out.asked.Load()
+		if c.Heard() < least && (first || same && c.Heard() < out.Heard()) && !c.Ended() && !o.Busy() {
+			out = c
 		}
 	}
+	if out != nil {
+		out.End(conn.Crowded, nil)
+	}
+	return out != nil
 }
 
 // client serves one connection until it ends.
 func (k *Taker) client(ctx context.Context, raw net.Conn, in bool) {
-	c := conn.New(raw, admit.ClientRing, relay.Stall)
+	c := &peer{Conn: conn.New(raw, admit.ClientRing, relay.Stall)}
 	o := relay.New(k.Book, k.Gate)
 	k.Book.Began("client")
 	k.mu.Lock()
 	if k.conns == nil {
-		k.conns = map[*relay.Outlet]*conn.Conn{}
+		k.conns = map[*relay.Outlet]*peer{}
 	}
 	k.conns[o] = c
 	k.mu.Unlock()
 	g, ctx := errgroup.WithContext(ctx)
 	defer context.AfterFunc(ctx, func() { c.End(conn.Shutdown, nil) })()
+	var unread atomic.Bool // nobody reads any more
 	g.Go(func() (err error) {
-		defer k.caught(c, &err)
+		defer k.caught(c.Conn, &err)
 		if !in {
+			unread.Store(true)
 			c.Blame(conn.Limit, nil)
 			o.Say(errorFrame("too many connections"))
 			o.Finish()
@@ -146,17 +194,21 @@
 		err = r.run()
 		if bad := (*violation)(nil); errors.As(err, &bad) {
 			// What was taken is still answered; only then does the connection end, under the code of the fault.
+			unread.Store(true)
+			c.Blame(conn.Protocol, bad)
 			o.Say(errorFrame(bad.Error()))
 			o.Finish()
-			c.Blame(conn.Protocol, bad)
 			return nil
 		}
 		c.End(conn.Reason(err), err)
 		return err
 	})
 	g.Go(func() (err error) {
-		defer k.caught(c, &err)
-		if err = o.Run(ctx, c); err == nil {
+		defer k.caught(c.Conn, &err)
+		if err = o.Run(ctx, c.Conn); err == nil {
+			if unread.Load() {
+				c.Linger(lingerMost, lingerBytes)
+			}
 			c.End(conn.Protocol, nil)
 		}
 		return err
@@ -201,7 +253,7 @@
 // reader follows the frames of one connection.
 type reader struct {
 	k    *Taker
-	c    *conn.Conn
+	c    *peer
 	o    *relay.Outlet
 	used map[uint32]bool // streams used, from next on
 	next uint32          // lowest stream not used
@@ -240,6 +292,8 @@
 		if err != nil {
 			return err
 		}
+		r.c.Whole()
+		r.c.whole.Store(true)
 	}
 }
 
@@ -328,6 +382,7 @@
 	} else {
 		body.Free()
 	}
+	r.c.asked.Store(true)
 	reason := ""
 	if r.o.Count() >= mostOpen {
 		reason = "streams"
--- a/internal/take/take_test.go
+++ b/internal/take/take_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"maps"
 	"net"
 	"strings"
 	"testing"
@@ -12,6 +13,7 @@
 	"cairnfront/internal/admit"
 	"cairnfront/internal/book"
 	"cairnfront/internal/frame"
+	"cairnfront/internal/relay"
 	"cairnfront/internal/txn"
 
 	"github.com/stretchr/testify/assert"
@@ -47,6 +49,15 @@
 	return c
 }
 
+func (c *client) peer() *peer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, p := range c.conns {
+		return p
+	}
+	return nil
+}
+
 func request(stream uint32, id string, more ...frame.Field) []byte {
 	payload := frame.AppendFields(nil, append([]frame.Field{{Name: "op", Value: "page"}, {Name: "call", Value: id + "0123456789abcd"},
 		{Name: "ttl", Value: "1500"}, {Name: "row", Value: "7f3a9c21e0b4d655"}, {Name: "seg", Value: "3"}}, more...)...)
@@ -211,16 +222,15 @@
 	c := connect(t, true)
 	_, _ = c.Write(request(1, "aa"))
 	x := (<-c.posted).(*txn.Txn)
-	later := time.Now().Add(time.Hour)
 	body := c.Gate.Budget.Try(22 << 20)
-	c.Sweep(time.Time{}, later)
+	c.Sweep(time.Now().Add(2 * stalledAfter))
 	x.To.Answer(x, txn.Answer{Body: body})
 	_, err := io.ReadFull(c, make([]byte, 1<<20))
 	assert.NoError(t, err, "nothing waited")
-	c.Sweep(time.Time{}, time.Now().Add(-time.Hour))
+	c.Sweep(time.Now())
 	_, err = io.ReadFull(c, make([]byte, 1<<20))
 	assert.NoError(t, err, "it reads")
-	c.Sweep(time.Time{}, later)
+	c.Sweep(time.Now().Add(2 * stalledAfter))
 	<-c.done
 	assert.Contains(t, c.log.String(), "code=slow-reader")
 	assert.Zero(t, c.Gate.Budget.Used())
@@ -249,26 +259,80 @@
 	assert.Contains(t, c.log.String(), "code=limit")
 }
 
+// TestStillConnectionsEnd: one without a whole frame soonest, one with something open never.
 func TestStillConnectionsEnd(t *testing.T) {
+	ask := append(frame.AppendHead(nil, frame.AskReady, 0, 1), 0)
+	for _, x := range []struct {
+		says []byte
+		age  time.Duration
+		code string
+	}{{nil, muteAfter, "mute"}, {ask, idleAfter, "idle"}, {append(ask, ask[:5]...), halfAfter, "half-frame"}, {ask[:9], halfAfter, "half-frame"}} {
+		c := connect(t, true)
+		_, _ = c.Write(x.says)
+		if len(x.says) >= len(ask) {
+			c.next(t)
+		}
+		assert.Eventually(t, func() bool { // until the bytes have been seen
+			c.Sweep(time.Now().Add(x.age - 300*time.Millisecond))
+			return c.peer().whole.Load() == (len(x.says) >= len(ask)) && (c.peer().Begun() != 0) == (x.code == "half-frame")
+		}, time.Minute, time.Millisecond)
+		c.Sweep(time.Now().Add(x.age + time.Second))
+		<-c.done
+		assert.Contains(t, c.log.String(), "code="+x.code)
+	}
 	c := connect(t, true)
-	_, _ = c.Write(request(1, "aa"))
+	_, _ = c.Write(append(request(1, "aa"), 0, 0))
 	x := (<-c.posted).(*txn.Txn)
-	c.Sweep(time.Now().Add(time.Hour), time.Time{})
+	c.Sweep(time.Now().Add(time.Hour))
 	x.To.Answer(x, txn.Answer{})
 	_, stream, _ := c.next(t)
-	assert.EqualValues(t, 1, stream, "one with something open stays")
-	c.Sweep(time.Now().Add(-time.Hour), time.Time{})
-	_, _ = c.Write(append(frame.AppendHead(nil, frame.AskReady, 0, 1), 0))
-	c.next(t)
-	for c.Sweep(time.Now().Add(time.Hour), time.Time{}); ; c.Sweep(time.Now().Add(time.Hour), time.Time{}) {
-		select {
-		case <-c.done:
-		default:
-			continue
-		}
-		break
+	assert.EqualValues(t, 1, stream, "what is open is answered")
+}
+
+// TestStillOnesMakeRoom: one that never brought a txn before one that did, however long that is still.
+func TestStillOnesMakeRoom(t *testing.T) {
+	a, b := connect(t, true), connect(t, true)
+	_, _ = a.Write(request(1, "aa"))
+	x := (<-a.posted).(*txn.Txn)
+	k := &Taker{conns: map[*relay.Outlet]*peer{}}
+	for _, c := range []*client{a, b} {
+		assert.Eventually(t, func() bool { return c.peer() != nil }, time.Minute, time.Millisecond)
+		c.mu.Lock()
+		maps.Copy(k.conns, c.conns)
+		c.mu.Unlock()
 	}
-	assert.Contains(t, c.log.String(), "code=idle")
+	assert.False(t, k.evict(time.Now().Add(-time.Hour)), "none has been still")
+	assert.True(t, k.evict(time.Now().Add(time.Hour)))
+	<-b.done
+	assert.Contains(t, b.log.String(), "code=crowded")
+	assert.False(t, k.evict(time.Now().Add(time.Hour)), "a txn is open")
+	x.To.Answer(x, txn.Answer{})
+	a.next(t)
+	assert.True(t, k.evict(time.Now().Add(time.Hour)))
+	<-a.done
+}
+
+// TestLastWordsReachAClientThatStillSends: a close with input unread would reset the connection.
+func TestLastWordsReachAClientThatStillSends(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	k := &Taker{Gate: admit.New(64, 256), Book: book.New(io.Discard, "")}
+	done := make(chan error)
+	go func() { done <- k.Run(ctx, ln) }()
+	far, err := net.Dial("tcp", ln.Addr().String())
+	assert.NoError(t, err)
+	_, _ = far.Write(frame.AppendHead(nil, 77, 1, 0))
+	for range 20 {
+		_, err = far.Write(make([]byte, 64<<10))
+		assert.NoError(t, err)
+	}
+	words, err := io.ReadAll(far)
+	assert.NoError(t, err)
+	assert.Contains(t, string(words), "unknown type 77")
+	_ = far.Close()
+	cancel()
+	assert.NoError(t, <-done)
 }
 
 func TestAcceptEndsWithItsContext(t *testing.T) {
