Refused fills bench their source; errors count once the txn is completed elsewhere

Now a refused fill also counts as a failed end of its source, so that half of the last ten bench it if another is in service; it covers parents that are lost, cut off or fail at once, and could harm where the origin refuses through one parent only: benches last 1 to 4 s. An error counts against a member when its txn is completed elsewhere; an impossible request meets it everywhere. It could harm where an error is all that a member gives to unrepeatable txns.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -210,16 +210,14 @@
 	return floor + (1-floor)*max(r.now-m.Started, 0)/over
 }
 
-// cost is the work in sending seconds that a hop is counted at: at the mean of its rule, at a parent at its
-// own if that is more.
+// cost is the work in sending seconds that a hop counts for: the mean of its rule, at a parent its own if more.
 func (r *Router) cost(t *txn, m *member) float64 {
 	u := r.rule(t.Rule)
 	return max(believed(u.sizes, max(t.send, u.sla)), flag(m.role == parent)*t.send)
 }
 
-// affords guards cold members (rule 4): in any window of the stated length this router spends no more than
-// its even part of a share of what the member can do then. It covers caches, and parents for the fills that
-// may reach them. It could harm where other routers are idle: the room they leave is not used.
+// affords guards cold members (rule 4): in any window this router spends no more than its even part of what a
+// cache, or a parent with its fills, can do then. It could harm where other routers are idle.
 func (r *Router) affords(t *txn, m *member) bool {
 	warm, window := r.warmth(m), r.num("fall_s", 1)
 	return warm >= 1 || r.cost(t, m)+m.spentSince(r.now-window) <= coldSpend*warm*m.Weight*window/m.sharers
@@ -251,8 +249,7 @@
 
 // gap is the averaged gap of a txn's part; an unseen part has the largest of its object's parts held at m.
 // Where none is held, its first sight here is another router's repeat with the odds of a hit where none was
-// expected; the gap would then be T, so the expected T/gap is those odds. It covers any thin view and a
-// restarted router.
+// expected; the gap would then be T, so the expected T/gap is those odds. It covers any thin view.
 func (r *Router) gap(t *txn, m *member) float64 {
 	if !t.unseen {
 		return t.p.gap(r.now)
@@ -339,8 +336,7 @@
 }
 
 // next decides a further hop, or nil if nobody has room now. Where a way is closed and the part not known to
-// be before it, one hop only looks, at the cache or as far as the parent: others may have filled it there. It
-// covers every thin view and a restarted router; a wrong guess costs one short hop.
+// be before it, one hop only looks, at the cache or as far as the parent; a wrong guess costs one short hop.
 func (r *Router) next(t *txn) *hop {
 	caches, parents := r.ordered(t.obj)
 	direct, write := r.rec.Is("may_go_direct"), r.uncacheable(t)
@@ -414,9 +410,8 @@
 // odds is the share of the last few hops thought to miss that did.
 func (r *Router) odds() float64 { return believed(r.misses, 1) }
 
-// sibling names another cache of the location that answers showed holding a part which the chosen one lacks.
-// It acts after restarts, ejections and skips, when the hash order's first cache is not the holder; the link
-// and the parent are spared. A wrong guess costs one short hop.
+// sibling names another cache of the location that answers showed holding a part which the chosen one lacks:
+// after restarts, ejections and skips. Link and parent are spared; a wrong guess costs one short hop.
 func (r *Router) sibling(t *txn, to *member) *member {
 	s, fresh := r.rec["siblings"], r.rule(t.Rule).fresh
 	if (s != "location" && s != "any") || to.held[t.p] != nil || r.uncacheable(t) ||
@@ -445,9 +440,8 @@
 	return h.begun && (h.out || !(h.end == Busy || h.end == NoConnect || h.end == Moot || h.end == Miss))
 }
 
-// oldest is the oldest copy that will do (rule 5): younger than any purge that copies may have outlived.
-// Where a copy past its fresh time earns more than a late answer it will do if fills are jammed or one has
-// failed.
+// oldest is the oldest copy that will do (rule 5): younger than any purge that copies may have outlived. One
+// past its fresh time will do if it earns more than a late answer and fills are jammed or one has failed.
 func (r *Router) oldest(t *txn) float64 {
 	age := math.Inf(1)
 	for _, p := range r.purges {
@@ -527,7 +521,7 @@
 		t.wake = min(t.wake, h.late)
 		return
 	}
-	// Nobody has room: held while it could still be in time, densest in importance first; then given up at once.
+	// Nobody has room: held while it could still be in time, then given up at once.
 	patience := t.came + t.sla - lateStretch*t.send
 	if out || (r.now < patience && len(r.caches) > 0) {
 		t.held, t.wake = true, min(t.wake, max(patience, r.now+lookAgain))
@@ -573,8 +567,7 @@
 }
 
 // bench keeps hops from a member for a while, if another in its place is in service; else, as with the
-// origin, its gate shrinks: where all seem sick at once the cause is common, and benches would close the
-// field.
+// origin, its gate shrinks: where all seem sick the cause is common, and benches would close the field.
 func (r *Router) bench(m *member) {
 	if m.role == origin || !r.spare(m) {
 		m.shrink(r.now, true)
@@ -585,7 +578,7 @@
 }
 
 // judge lays an end to a member. Failing ends bench it when they are half of the last few, or at once while
-// it is on trial; it covers errors, refused and broken connections of any cause.
+// it is on trial; it covers errors, refused fills, refused and broken connections of any cause.
 func (r *Router) judge(m *member, bad bool) {
 	if !bad && m.room >= m.proven {
 		m.strikes = 0
@@ -624,6 +617,13 @@
 	}
 	switch o.Code {
 	case Completed:
+		for _, x := range t.hops { // not before: an error is the txn's own fault if it meets it everywhere
+			if x.accused {
+				if r.judge(x.to, true); x.blind {
+					r.judge(x.source, true)
+				}
+			}
+		}
 		r.judge(h.to, false)
 		if filled && h.source != h.to {
 			h.source.hear(r.now)
@@ -649,15 +649,14 @@
 			h.source.hear(r.now)
 			h.source.unlist(t.p, true)
 		default:
-			blind := h.fill && h.source != h.to && r.rec["tells"] != "all"
-			if o.Remark == NoPlace || (o.Code == Busy && blind && o.Took < ownWord) {
+			h.blind = h.fill && h.source != h.to && r.rec["tells"] != "all"
+			if o.Remark == NoPlace || (o.Code == Busy && h.blind && o.Took < ownWord) {
 				r.link.shrink(r.now, true) // fills have taken all places
-			} else if o.Code == Busy && blind {
+			} else if o.Code == Busy && h.blind {
 				h.source.shrink(r.now, true)
-			} else if o.Code == Busy {
-				h.to.shrink(r.now, true)
-			} else if r.judge(h.to, true); blind {
 				r.judge(h.source, true)
+			} else if h.accused = o.Code == Errored; !h.accused {
+				h.to.shrink(r.now, true)
 			}
 		}
 	case Miss:
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -450,6 +450,40 @@
 	}
 }
 
+// TestRefusedFillsBenchTheirSource: a source behind which fills end as full, again and again, is left out for a while,
+// whatever its cause; one refusal only narrows it.
+func TestRefusedFillsBenchTheirSource(t *testing.T) {
+	r := router("repeatable")
+	r.rec["tells"] = "hit"
+	p := r.member("p0")
+	for i := range badLeast {
+		assert.Zero(t, p.benched, "after %d", i)
+		x := sent(r, 0, true)
+		x.hops[0].source, x.hops[0].fill = p, true
+		r.learn(x, x.hops[0], Outcome{Code: Busy, Took: 0.8})
+	}
+	assert.Greater(t, p.benched, r.now)
+	assert.Zero(t, r.member("c0").benched)
+}
+
+// TestImpossibleTxnIsNoMembersIllHealth: an error counts against a member once its txn is completed elsewhere.
+func TestImpossibleTxnIsNoMembersIllHealth(t *testing.T) {
+	for _, completed := range []bool{false, true} {
+		r := router("repeatable")
+		for range 2 * badLeast {
+			x := sent(r, 0, true)
+			r.Decide(100, Outcome{Txn: "t", Member: "c0", Code: Errored})
+			require.Len(t, x.hops, 2, "sent on")
+			code := Errored
+			if completed {
+				code = Completed
+			}
+			r.Decide(100.01, Outcome{Txn: "t", Hop: 1, Member: x.hops[1].to.Member, Code: code, Remark: Hit, Final: completed})
+		}
+		assert.Equal(t, completed, r.member("c0").benched > r.now)
+	}
+}
+
 // However many routers there are said to be, a txn finds a way, and all shares together stay near the capacity.
 func TestAnyToldCountOfRouters(t *testing.T) {
 	for _, told := range []string{"", "0", "-3", "0.5", "1", "400"} {
