A half-told answer ends its connection; members that are gone are forgotten

Read, and shown by tests: an answer that stops short left its link looking idle once its hop was given up (load in internal/send/link.go counts open hops), so the next hop went on it and its answer was taken for the rest of the first. Such a link takes nothing new, and ends as stalled when no byte more came for as long as a connection may take to come up.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -210,7 +210,7 @@
 	return floor + (1-floor)*max(r.now-m.Started, 0)/over
 }
 
-// cost is the work in sending seconds that a hop counts for: the mean of its rule, at a parent its own if more.
+// cost is the work in sending seconds that a hop counts for: its rule's mean, at a parent its own if more.
 func (r *Router) cost(t *txn, m *member) float64 {
 	u := r.rule(t.Rule)
 	return max(believed(u.sizes, max(t.send, u.sla)), flag(m.role == parent)*t.send)
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"strconv"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -484,6 +485,17 @@
 	}
 }
 
+// TestGoneMembersAreForgotten: on a long day members are always new.
+func TestGoneMembersAreForgotten(t *testing.T) {
+	r := router("repeatable")
+	for i := range 20 {
+		now := 100 + float64(i)*forgetAfter/2
+		r.Decide(now, Listing{Rows: []Row{{Member: "n" + strconv.Itoa(i), Location: 1, Weight: 4}, {Member: "n" + strconv.Itoa(i-1), Location: 1, Status: Gone}}})
+	}
+	assert.Len(t, r.all, 6+1+2)
+	assert.Len(t, r.caches, 4)
+}
+
 // However many routers there are said to be, a txn finds a way, and all shares together stay near the capacity.
 func TestAnyToldCountOfRouters(t *testing.T) {
 	for _, told := range []string{"", "0", "-3", "0.5", "1", "400"} {
--- a/brain/state.go
+++ b/brain/state.go
@@ -62,6 +62,7 @@
 	signs   []float64 // times of its last few signs of life
 	ends    []float64 // the last few ends laid to it, 1 for a failed one
 	benched float64   // nothing is sent before this time if there is another
+	gone    float64   // when the list first told that it is gone, 0 if it does not
 	strikes int       // times on the bench since it was last proven
 	spent   []sample
 	held    map[*part]*holding
@@ -307,6 +308,10 @@
 		}
 		m.Row = row
 	}
+	r.all = slices.DeleteFunc(r.all, func(m *member) bool {
+		m.gone = flag(m.Status == Gone) * cmp.Or(m.gone, r.now)
+		return m.gone > 0 && r.now >= m.gone+forgetAfter
+	})
 	r.relist()
 	return again
 }
--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -27,6 +27,7 @@
 	Half       = "half-frame"   // a message was begun and never came whole
 	Crowded    = "crowded"      // nothing was open on it, and its place was needed
 	Silent     = "silent"       // nothing came although hops were out
+	Stalled    = "stalled"      // an answer was begun, and no more of it came
 	NoConnect  = "no-connect"   // it never came up
 	Unlisted   = "unlisted"     // its member left the list or moved
 	Limit      = "limit"        // descriptors or memory ran out
@@ -45,6 +46,7 @@
 	out   *ring.Ring
 	since time.Time
 	stall time.Duration // longest wait for room at the other side, 0 for any
+	pause time.Duration // longest wait for more of a message that was begun, 0 for any
 	by    time.Time     // by when what is being written must be out, zero for any
 
 	read, wrote atomic.Int64
@@ -103,7 +105,17 @@
 // SetReadDeadline bounds the reads to come.
 func (c *Conn) SetReadDeadline(t time.Time) { _ = c.raw.SetReadDeadline(t) }
 
+// Pause bounds the wait for more of a message that was begun.
+func (c *Conn) Pause(most time.Duration) { c.pause = most }
+
 func (c *Conn) fill() error {
+	if c.pause > 0 {
+		by := time.Time{}
+		if c.begun.Load() != 0 {
+			by = time.Now().Add(c.pause)
+		}
+		c.SetReadDeadline(by)
+	}
 	n, err := c.in.Fill(c.raw)
 	if n > 0 {
 		c.read.Add(int64(n))
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -62,7 +62,6 @@
 	call   *send.Call
 	link   *send.Link
 	over   bool
-	heard  bool // its link will say no more of it
 	undone bool
 }
 
@@ -144,7 +143,6 @@
 	case send.Ended:
 		switch owner := ev.Call.Owner.(type) {
 		case *hop:
-			owner.heard = !ev.Undone
 			l.ended(owner, ev.End)
 		case *check:
 			l.checked(owner, ev.End)
@@ -181,9 +179,14 @@
 		kind = brain.Full
 	}
 	rows := make([]brain.Row, len(ev.Rows))
+	if ev.Full {
+		clear(l.kinds)
+	}
 	for i, row := range ev.Rows {
 		rows[i] = row.Row
-		l.kinds[row.Member] = row.Kind
+		if l.kinds[row.Member] = row.Kind; row.Status == brain.Gone {
+			delete(l.kinds, row.Member)
+		}
 	}
 	l.Pool.List(ev.Full, ev.Rows)
 	l.decide(brain.Listing{Kind: kind, Rows: rows}, nil)
@@ -323,9 +326,9 @@
 	h := &hop{o: o, no: len(o.hops), member: a.To, sent: l.now}
 	o.hops = append(o.hops, h)
 	o.out++
-	var avoid []*send.Link
+	var avoid []*send.Link // what was said of the txn there may be said again
 	for _, x := range o.hops[:h.no] {
-		if x.link != nil && !x.heard {
+		if x.link != nil {
 			avoid = append(avoid, x.link)
 		}
 	}
@@ -364,7 +367,6 @@
 	}
 	h.undone = true
 	if code, atOnce := l.Pool.Undo(h.call, code); atOnce {
-		h.heard = true
 		l.later(func() { l.ended(h, txn.End{Code: code}) })
 	}
 }
--- a/internal/send/link.go
+++ b/internal/send/link.go
@@ -65,11 +65,13 @@
 }
 
 // load is how many calls are open, and whether the link takes more. One that owes an answer to a call that was
-// given up in silence is not used until it is heard again: its member may have vanished or be a new process.
+// given up in silence is not used until it is heard again: its member may have vanished or be a new process. Nor is
+// one on which an answer to a call that was given up is still to come whole.
 func (l *Link) load() (int, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.calls), !l.dead && !l.silent()
+	within := len(l.calls) == 0 && l.c != nil && l.c.Begun() != 0
+	return len(l.calls), !l.dead && !l.silent() && !within
 }
 
 func (l *Link) silent() bool {
@@ -138,7 +140,7 @@
 		l.mu.Lock()
 		delete(l.undone, c.id)
 		l.mu.Unlock()
-		l.pool.Post(Ended{c, txn.End{Code: c.undone}, true})
+		l.pool.Post(Ended{c, txn.End{Code: c.undone}})
 	}
 }
 
@@ -184,6 +186,7 @@
 		return
 	}
 	c := conn.New(raw, admit.MemberRing, writeStall)
+	c.Pause(l.pool.Connect)
 	l.mu.Lock()
 	l.c = c
 	l.mu.Unlock()
@@ -194,6 +197,9 @@
 	g.Go(func() error {
 		defer l.caught(c)
 		code, err := l.read(ctx, c)
+		if code == conn.Slow {
+			code = conn.Stalled
+		}
 		c.End(code, err)
 		return errEnded
 	})
@@ -242,7 +248,7 @@
 		} else if c != nil && call.begun && call.end <= c.Wrote() {
 			code = brain.Broken
 		}
-		l.pool.Post(Ended{call, txn.End{Code: code}, false})
+		l.pool.Post(Ended{call, txn.End{Code: code}})
 	}
 	l.pool.Post(Dropped{l})
 }
@@ -337,6 +343,7 @@
 			a.Body.Free()
 			return conn.Reason(err), err
 		}
+		c.Whole()
 		l.answered(call, a)
 	}
 }
@@ -361,5 +368,5 @@
 		a.Body.Free()
 		a.End = txn.End{Code: brain.Errored}
 	}
-	l.pool.Post(Ended{call, a.End, false})
+	l.pool.Post(Ended{call, a.End})
 }
--- a/internal/send/pool.go
+++ b/internal/send/pool.go
@@ -29,9 +29,8 @@
 
 // Ended says that a call is over. Each call has one, unless its undoing ended it at once.
 type Ended struct {
-	Call   *Call
-	End    txn.End
-	Undone bool // its member may still answer
+	Call *Call
+	End  txn.End
 }
 
 // Dropped says that a link carries nothing any more.
@@ -93,8 +92,8 @@
 	}
 }
 
-// Call starts a hop or a check on a link of a member. Avoid names the links on which the same txn may still be
-// heard of. A connection that breaks, or brings what can't be read, ends all that is open on it: while descriptors
+// Call starts a hop or a check on a link of a member. Avoid names the links on which the same txn was out
+// before: an answer that comes late, or twice, would be taken for this one's. A connection that breaks, or brings what can't be read, ends all that is open on it: while descriptors
 // allow, each has one to itself. It returns nil where no connection may be made; then surely nothing ran.
 func (p *Pool) call(id string, c *Call, avoid []*Link) *Call {
 	m := p.members[id]
--- a/internal/send/send_test.go
+++ b/internal/send/send_test.go
@@ -216,7 +216,7 @@
 	_, atOnce = s.Undo(b, brain.Cancelled)
 	assert.False(t, atOnce)
 	assert.Equal(t, "undo b", asked(t, r))
-	assert.Equal(t, Ended{b, txn.End{Code: brain.Cancelled}, true}, s.end(t))
+	assert.Equal(t, Ended{b, txn.End{Code: brain.Cancelled}}, s.end(t))
 	_, _ = io.WriteString(far, "b served - 4\r\nlate\r\nc overload - 0\r\n\r\n")
 	assert.Equal(t, Ended{Call: c, End: txn.End{Code: brain.Busy}}, s.end(t), "a late answer to what was given up is passed over")
 	assert.NotSame(t, b.Link(), s.send("b", 0, b.Link()).Link(), "the id is not used again where it may still be answered")
@@ -245,7 +245,7 @@
 		} else {
 			_ = far.Close()
 		}
-		assert.Equal(t, Ended{a, txn.End{Code: brain.TimedOut}, true}, s.end(t))
+		assert.Equal(t, Ended{a, txn.End{Code: brain.TimedOut}}, s.end(t))
 	}
 }
 
@@ -256,6 +256,30 @@
 	assert.NotSame(t, a.Link(), c.Link())
 }
 
+// TestAnswerThatStopsShort: nothing new goes on its connection once its hop is given up, and that ends by itself.
+func TestAnswerThatStopsShort(t *testing.T) {
+	for _, undone := range []bool{true, false} {
+		s := pool(t)
+		if !undone {
+			s.Connect = 50 * time.Millisecond
+		}
+		a := s.send("a", 0)
+		far := <-s.dialed
+		asked(t, bufio.NewReader(far))
+		_, _ = io.WriteString(far, "a served digest=d,dated=1,remark=h 10\r\nhalf")
+		if !undone {
+			assert.Equal(t, Ended{Call: a, End: txn.End{Code: brain.Broken}}, s.end(t))
+			assert.Contains(t, s.after(t, a.Link()), "code=stalled")
+			continue
+		}
+		assert.Eventually(t, func() bool { return a.link.c.Begun() != 0 }, time.Minute, time.Millisecond)
+		go func() { _, _ = io.Copy(io.Discard, far) }()
+		s.Undo(a, brain.TimedOut)
+		assert.Equal(t, brain.TimedOut, s.end(t).End.Code)
+		assert.NotSame(t, a.Link(), s.send("b", 0).Link())
+	}
+}
+
 // TestSpoiltAnswerCostsItsOwnHopOnly: while descriptors allow, no hop shares its connection.
 func TestSpoiltAnswerCostsItsOwnHopOnly(t *testing.T) {
 	s := pool(t)
