--- a/internal/send/link.go
+++ b/internal/send/link.go
@@ -186,7 +186,7 @@
 		return
 	}
 	c := conn.New(raw, admit.MemberRing, writeStall)
-	c.Pause(l.pool.Connect)
+	c.Pause(max(l.pool.Connect, stallLeast))
 	l.mu.Lock()
 	l.c = c
 	l.mu.Unlock()
--- a/internal/send/pool.go
+++ b/internal/send/pool.go
@@ -27,6 +27,10 @@
 // sockets' own buffers.
 const writeStall = time.Second
 
+// stallLeast is how long at least a member may send no more of an answer that it began: over the pauses of a core that
+// is shared, on either side.
+const stallLeast = time.Second
+
 // Ended says that a call is over. Each call has one, unless its undoing ended it at once.
 type Ended struct {
 	Call *Call
