--- a/brain/brain.go
+++ b/brain/brain.go
@@ -29,6 +29,7 @@
 	lateBase     = 0.5     // share of the SLA time, without its stretch, after which a hop is looked at
 	lateStretch  = 1.3     // sending times added to that: a busy link stretches a transfer
 	quiet        = 0.35    // s without a sign of life at least before silence is suspected: over usual pauses
+	lostMore     = 1.3     // times as long as the last lost one waits the next: in a jam all are slow
 	silences     = 4.0     // usual times between signs of life that tell of silence: by chance one wait in fifty
 	lookOdds     = 0.1     // odds of a hit where none was expected that make a look worth its hop
 	lookAgain    = 0.1     // s between looks at a late hop, and before a txn asks again where it failed
@@ -126,8 +127,7 @@
 	}
 }
 
-// open says whether a gate lets one more through. A share of less than one hop is spent in turns: after a hop
-// the gate rests until, with the rest, the time taken is in proportion.
+// open says whether a gate lets one more through. A share of less than one hop is spent in turns, with rests.
 func (g *gate) open(now float64) bool { return g.out < g.room && now >= g.rest }
 
 func (g *gate) release(now, load, took float64, used bool) {
@@ -248,8 +248,7 @@
 func (p *part) key() float64 { return gamma*p.last - (1-gamma)*p.dt }
 
 // gap is the averaged gap of a txn's part; an unseen part has the largest of its object's parts held at m.
-// Where none is held, its first sight here is another router's repeat with the odds of a hit where none was
-// expected; the gap would then be T, so the expected T/gap is those odds. It covers any thin view.
+// Where none is held it may be another router's repeat, with a gap of T: T/gap is the odds of that.
 func (r *Router) gap(t *txn, m *member) float64 {
 	if !t.unseen {
 		return t.p.gap(r.now)
@@ -459,19 +458,6 @@
 	return age
 }
 
-// purged remembers a purge until all copies are dropped everywhere and forgets what was thought held.
-func (r *Router) purged(p Purge) {
-	r.purges = append(slices.DeleteFunc(r.purges, r.spent), purge{p, r.now - p.Ago})
-	for name, o := range r.objects {
-		if name == p.Object || (p.Object == "" && o.group == p.Group) {
-			r.drop(o)
-		}
-	}
-}
-
-// spent says that all copies which a purge voids are dropped everywhere.
-func (r *Router) spent(p purge) bool { return r.now > p.at+r.num("purge_done_s", 0)+purgeMargin }
-
 // think decides what is wanted for a txn now, and settles it.
 func (r *Router) think(t *txn) {
 	defer r.settle(t)
@@ -551,21 +537,31 @@
 	}
 }
 
-// silent judges a late hop's cache, then its source: nothing at all was heard since the hop was sent, for
-// several times as long as usually passes between signs of life. It covers hangs, vanished machines and cut
-// ways, sooner where much is heard. It could harm a member whose answers all became slow at once.
+// silent judges a late hop's cache, then its source: nothing was heard since it was sent, several times as
+// long as usual. It covers hangs, vanished machines, cut ways. It could harm where all became slow at once.
 func (r *Router) silent(h *hop) bool {
 	m, wait := h.to, quiet
 	if m.heard() >= h.sent && h.fill {
 		m, wait = h.source, 2*quiet
 	}
 	if m.heard() >= h.sent || r.now-h.sent <= max(wait, silences*m.interval()) {
-		return false
+		return r.lost(h)
 	}
 	r.bench(m)
 	return true
 }
 
+// lost judges a late hop whose member is heard: it takes longer for its size than any of the last few dozen, and
+// most that did so lately never ended. It covers answers that never come; each one given up raises the bar.
+func (r *Router) lost(h *hop) bool {
+	x := (r.now - h.sent) / (h.late - h.sent)
+	if len(r.never) < badLeast || mean(r.never) < badShare || x <= slices.Max(r.slow) {
+		return false
+	}
+	r.slow = keep(r.slow, lostMore*x, keptSizes)
+	return true
+}
+
 // bench keeps hops from a member for a while, if another in its place is in service; else, as with the
 // origin, its gate shrinks: where all seem sick the cause is common, and benches would close the field.
 func (r *Router) bench(m *member) {
@@ -612,6 +608,10 @@
 
 func (r *Router) learn(t *txn, h *hop, o Outcome) {
 	filled := o.Code == Completed && o.Remark != Hit && o.Remark != Old
+	x := o.Took / (h.late - h.sent) // 0 for a hop that was taken for lost
+	if len(r.slow) == keptSizes && x > slices.Max(r.slow) {
+		r.never = keep(r.never, flag(o.Code == Cancelled || o.Code == TimedOut), keptSamples)
+	}
 	if o.Code == Completed || o.Code == Errored || o.Code == Busy || o.Code == Miss {
 		h.to.hear(r.now)
 	}
@@ -625,6 +625,7 @@
 			}
 		}
 		r.judge(h.to, false)
+		r.slow = keep(r.slow, x, keptSizes)
 		if filled && h.source != h.to {
 			h.source.hear(r.now)
 			r.judge(h.source, false)
@@ -668,8 +669,7 @@
 	}
 }
 
-// tune moves the gates that a completed hop went through. A late one tells of a jam: at the cache if it was
-// held there, at the source or the origin if the first byte came late, else on the location's link.
+// tune moves the gates that a completed hop went through; a late one tells of a jam at the first it may be.
 func (r *Router) tune(t *txn, h *hop, o Outcome, filled bool) {
 	if o.Took <= inTime*t.sla {
 		h.to.grow()
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -485,6 +485,40 @@
 	}
 }
 
+// TestAnswerThatNeverComes: a hop that takes longer than any of the last few dozen is sent elsewhere though its member
+// is heard, once it is known that such hops mostly have no answer; the next one waits longer.
+func TestAnswerThatNeverComes(t *testing.T) {
+	for _, lost := range []bool{true, false} {
+		r := router("repeatable")
+		for range keptSizes {
+			r.slow = append(r.slow, 2)
+		}
+		late := func() *txn {
+			x := sent(r, 0, true)
+			x.hops[0].late = 100.25
+			r.member("c0").hear(100.2)
+			return x
+		}
+		for range badLeast {
+			code := Cancelled
+			if !lost {
+				code = Errored // it came after all
+			}
+			r.learn(late(), r.txns["t"].hops[0], Outcome{Code: code, Took: 0.75})
+		}
+		x := late()
+		r.Decide(100.5, Bell{1})
+		assert.Len(t, x.hops, 1, "as long as others took")
+		r.Decide(100.75, Bell{1})
+		assert.Equal(t, lost, len(x.hops) == 2)
+		assert.Zero(t, r.member("c0").benched)
+		if lost {
+			assert.NotEqual(t, "c0", x.hops[1].to.Member)
+			assert.InDelta(t, 3*lostMore, r.slow[len(r.slow)-1], 1e-6)
+		}
+	}
+}
+
 // TestGoneMembersAreForgotten: on a long day members are always new.
 func TestGoneMembersAreForgotten(t *testing.T) {
 	r := router("repeatable")
--- a/brain/state.go
+++ b/brain/state.go
@@ -135,6 +135,8 @@
 	objects map[string]*object
 	swept   float64
 	purges  []purge
+	slow    []float64 // the last few times to an answer, over those after which hops are looked at
+	never   []float64 // the last few hops slower than any of those, 1 for one that had no answer until it was given up
 	misses  []float64 // the last few hops thought to miss, 1 for one that was filled
 }
 
@@ -403,6 +405,19 @@
 	return min(way, max(ring-way, 0))
 }
 
+// purged remembers a purge until all copies are dropped everywhere and forgets what was thought held.
+func (r *Router) purged(p Purge) {
+	r.purges = append(slices.DeleteFunc(r.purges, r.spent), purge{p, r.now - p.Ago})
+	for name, o := range r.objects {
+		if name == p.Object || (p.Object == "" && o.group == p.Group) {
+			r.drop(o)
+		}
+	}
+}
+
+// spent says that all copies which a purge voids are dropped everywhere.
+func (r *Router) spent(p purge) bool { return r.now > p.at+r.num("purge_done_s", 0)+purgeMargin }
+
 // drop forgets what is thought held of an object.
 func (r *Router) drop(o *object) {
 	for _, p := range o.parts {
