--- a/brain/brain.go
+++ b/brain/brain.go
@@ -551,7 +551,7 @@
 	return true
 }
 
-// lost judges a late hop whose member is heard: it takes longer for its size than any of the last few dozen, and
+// lost judges a late hop whose member is heard: it takes longer for its size than any of the last dozens, and
 // most that did so lately never ended. It covers answers that never come; each one given up raises the bar.
 func (r *Router) lost(h *hop) bool {
 	x := (r.now - h.sent) / (h.late - h.sent)
