--- a/cmd/cairnfront/serve_test.go
+++ b/cmd/cairnfront/serve_test.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -710,3 +711,108 @@
 		assert.Equal(t, 1, strings.Count(errs.String(), "\n"), "one plain line: %s", errs.String())
 	}
 }
+
+// TestBadClientsBesideAGoodOne: whatever they send, each is told or closed, never served, and the good one loses nothing.
+func TestBadClientsBesideAGoodOne(t *testing.T) {
+	m := serveMember(t, func(h hop) string { return served(h, "x") })
+	s := begin(t, 64, m, m)
+	head := func(kind byte, stream uint32, size int) []byte { return frame.AppendHead(nil, kind, stream, size) }
+	ends := make(chan error)
+	bad := [][]byte{[]byte("GET / HTTP/1.1\r\n\r\n"), bytes.Repeat([]byte{0xff}, 100_000), {0, 0, 0, 0, 100, 0, 0, 0, 1}, head(77, 1, 0), head(frame.Txn, 0, 1),
+		append([]byte{3, 0x93, 0x87, 0, 100, 0, 0, 0, 1}, make([]byte, 1<<20)...), head(frame.Txn, 1, 200)[:7], head(frame.Txn, 1, 200), nil}
+	for _, text := range bad {
+		c := s.dial(t)
+		go func() {
+			_, err := c.Write(text)
+			if err == nil {
+				_, err = io.Copy(io.Discard, c) // until it is closed
+			}
+			ends <- err
+		}()
+	}
+	c := s.dial(t)
+	for open := len(bad); open > 0; {
+		c.ask("page", row, "")
+		code, _, body := c.answer(t)
+		assert.EqualValues(t, 1, code)
+		assert.Equal(t, "x", body)
+		select {
+		case err := <-ends:
+			assert.NotErrorIs(t, err, os.ErrDeadlineExceeded)
+			open--
+		default:
+		}
+	}
+	odd := s.dial(t)
+	for _, f := range []frame.Field{{Name: "ttl", Value: "-1"}, {Name: "seg", Value: "x"}, {Name: "heap", Value: "NaN"}, {Name: "row", Value: "a,b=c"}} {
+		odd.ask("page", row, "", f)
+		code, _, _ := odd.answer(t)
+		assert.EqualValues(t, 9, code, f)
+	}
+	assert.NoError(t, s.end(t, syscall.SIGTERM))
+	for _, code := range []string{"protocol", "half-frame", "mute"} {
+		assert.Contains(t, s.log.String(), "code="+code)
+	}
+}
+
+// TestSpoiltAnswersCostNothing: two caches spoil some answers, in turns; each txn is completed by another hop.
+func TestSpoiltAnswersCostNothing(t *testing.T) {
+	var n atomic.Int64
+	spoil := func(h hop) string {
+		switch n.Add(1) % 5 {
+		case 0:
+			return "\x00\x01 noise\r\n"
+		case 2:
+			return h.id + " served digest=d1,dated=1,remark=h 3000000000\r\nx"
+		case 3: // twice, and one that nobody asked for
+			return "ffffffffffffffff served digest=d1,dated=1,remark=h 1\r\ny\r\n" + served(h, "x") + served(h, "x")
+		}
+		return served(h, "x")
+	}
+	a, b, o := serveMember(t, spoil), serveMember(t, spoil), serveMember(t, func(h hop) string { return served(h, "x") })
+	s := begin(t, 64, o, a, b)
+	c := s.dial(t)
+	for i := range 60 {
+		c.ask("page", fmt.Sprintf("%016x", i), "")
+		code, _, body := c.answer(t)
+		assert.EqualValues(t, 1, code, i)
+		assert.Equal(t, "x", body)
+	}
+	assert.NoError(t, s.end(t, syscall.SIGTERM))
+	k := s.counters()
+	assert.Equal(t, 60, k["answered.page.completed.by-a-hop"])
+	assert.Positive(t, k["hops.page.broken"])
+	assert.Equal(t, k["conn.member.begun"], k["conn.member.open"]+strings.Count(s.log.String(), "side=member"), "one line a connection")
+}
+
+// TestLongRunIsFlat: members, clients and objects are always new; what is held does not grow with them.
+func TestLongRunIsFlat(t *testing.T) {
+	o := serveMember(t, func(h hop) string { return served(h, "x") })
+	s := begin(t, 64, o, o)
+	usage := func() map[string]int {
+		before := strings.Count(s.log.String(), "counter process.goroutines")
+		require.NoError(t, s.Process.Signal(syscall.SIGUSR1))
+		require.Eventually(t, func() bool { return strings.Count(s.log.String(), "counter process.goroutines") > before }, patience, time.Millisecond)
+		return s.counters()
+	}
+	before := usage()
+	stay := s.dial(t) // asks once and keeps its connection
+	stay.ask("page", row, "")
+	stay.answer(t)
+	for i := range 60 {
+		m := serveMember(t, func(h hop) string { return served(h, "x") })
+		s.board.say <- notice(uint64(i+2), 2, append(record(uint32(i+2), m, 0), record(uint32(i+1), m, 2)...))
+		for range 10 {
+			c := s.dial(t)
+			c.ask("page", fmt.Sprintf("%016x", ids.n), "")
+			code, _, _ := c.answer(t)
+			assert.EqualValues(t, 1, code)
+			_ = c.Close()
+		}
+	}
+	require.Eventually(t, func() bool {
+		k := usage()
+		return k["taken"] == 601 && k["open"] == 0 && k["conn.client.open"] == 0 && k["conn.member.open"] <= 4 &&
+			k["process.descriptors"] <= before["process.descriptors"]+4 && k["process.heap-bytes"] < before["process.heap-bytes"]+2<<20
+	}, patience, 100*time.Millisecond)
+}
