--- a/internal/tier/trust/trust.go
+++ b/internal/tier/trust/trust.go
@@ -34,8 +34,7 @@
 func (v Verdict) String() string { return [...]string{"sound", "on probation", "void"}[v] }
 
 // Copy is what is asked about. Dated is the Unix ms at which the origin gave it out, Seq its place in the order of
-// writing; one that was never written has none and counts as new. Confirmed is the doubt (see Doubts) in which its
-// source last confirmed it.
+// writing, 0 for one in memory. Confirmed is the doubt (see Doubts) in which its source gave it or last confirmed it.
 type Copy struct {
 	Object    uint64
 	Group     uint16
@@ -258,7 +257,7 @@
 	}
 	switch {
 	case !c.Certain(now), x.Dated <= c.floor, x.Dated > now+clockSlack,
-		x.Seq > 0 && x.Seq <= c.doubt && x.Confirmed != c.doubts:
+		x.Confirmed != c.doubts && (x.Seq == 0 || x.Seq <= c.doubt):
 		return Probation
 	}
 	return Sound
