--- a/internal/tier/index.go
+++ b/internal/tier/index.go
@@ -11,11 +11,12 @@
 const IndexBytes = 63
 
 const (
-	shards    = 256  // so that a table that grows copies few entries
-	leastLen  = 16   // places of a table at first
-	fullest   = 0.80 // share of places used at most: linear probing is short up to there
-	growthBy  = 1.25
-	noSegment = 0
+	shards      = 256  // so that a table that grows copies few entries
+	leastLen    = 16   // places of a table at first
+	fullest     = 0.80 // share of places used at most: linear probing is short up to there
+	growthBy    = 1.25
+	reserveMore = 1.05 // a shard holds a little more or less than its even part
+	noSegment   = 0
 )
 
 // place is where a copy lies. A free place has no segment.
@@ -93,6 +94,14 @@
 	x.n++
 }
 
+// reserve makes room for n parts in an empty index. Without it, parts that come in the order of another table's places
+// would crowd at the front of each small table that grows.
+func (x *index) reserve(n int) {
+	for s := range x.tables {
+		x.tables[s] = make([]place, max(int(float64(n)/shards*reserveMore/fullest), leastLen))
+	}
+}
+
 func (x *index) insert(s uint64, p place) {
 	table := x.tables[s]
 	i := home(hash(p.key()), len(table))
--- a/internal/tier/snapshot.go
+++ b/internal/tier/snapshot.go
@@ -187,6 +187,7 @@
 			s.fault(Fault{Code: Missing, File: fmt.Sprintf(segmentForm, id), Err: errors.New("the snapshot names it: lost, or compacted since")})
 		}
 	}
+	s.index.reserve(int(entries))
 	for range entries {
 		if b, err = next(snapEntry); err != nil {
 			return nil, err
