--- /dev/null
+++ b/cmd/cairnfront/operators.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"fmt"
+
+	"cairnfront/internal/operators"
+
+	"github.com/spf13/cobra"
+)
+
+func operatorsCommand() *cobra.Command {
+	c := &cobra.Command{Use: "operators", Short: "The operators' file"}
+	c.AddCommand(
+		&cobra.Command{Use: "defaults", Short: "Print a file that says every default", Args: cobra.NoArgs,
+			RunE: func(cmd *cobra.Command, _ []string) error {
+				_, err := cmd.OutOrStdout().Write(operators.Defaults())
+				return err
+			}},
+		&cobra.Command{Use: "schema", Short: "Print the JSON Schema of the file", Args: cobra.NoArgs,
+			RunE: func(cmd *cobra.Command, _ []string) error {
+				_, err := cmd.OutOrStdout().Write(operators.Schema)
+				return err
+			}},
+		&cobra.Command{Use: "check FILE", Short: "Check a file; every mistake is named with line and column", Args: cobra.ExactArgs(1),
+			RunE: func(cmd *cobra.Command, args []string) error {
+				rules, err := operators.Read(args[0])
+				if err == nil {
+					fmt.Fprintf(cmd.OutOrStdout(), "%s: box %s (%s, %d remap rules), disk %q\n", args[0], rules.Box.ID, rules.Box.Role,
+						len(rules.Box.Rules), rules.Tier.Folder)
+				}
+				return err
+			}},
+	)
+	return c
+}
--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -6,9 +6,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"net/netip"
 	"slices"
 	"strconv"
+	"strings"
 
 	"cairnfront/brain"
 )
@@ -29,6 +31,7 @@
 	Object string  // empty for the whole group
 	Group  int     //
 	At     float64 // Unix seconds of the purge
+	Sum    uint32  // a checksum of the whole frame, for who proves that numbers go on
 }
 
 // HeadSize is the size of length, number and kind.
@@ -153,3 +156,50 @@
 	}
 	return out, known.Rev, nil
 }
+
+// ErrGap ends a connection of a reader that wants to ask from another number.
+var ErrGap = errGap
+
+// Append writes an event as the board does: for stand-ins.
+func Append(b []byte, ev Event) ([]byte, error) {
+	var payload []byte
+	kind := byte(0)
+	switch {
+	case ev.Beat:
+	case ev.Purged && ev.Object != "":
+		kind = 3
+		n, err := strconv.ParseUint(ev.Object, 16, 64)
+		if err != nil {
+			return b, fmt.Errorf("object %q: %w", ev.Object, err)
+		}
+		payload = binary.BigEndian.AppendUint64(nil, n)
+	case ev.Purged:
+		kind = 4
+		payload = binary.BigEndian.AppendUint16(nil, uint16(ev.Group))
+	default:
+		if kind = 2; ev.Full {
+			kind = 1
+		}
+		for _, row := range ev.Rows {
+			id, err := strconv.ParseUint(strings.TrimPrefix(row.Member, "s-"), 16, 32)
+			addr, err2 := netip.ParseAddrPort(row.Addr)
+			if err = errors.Join(err, err2); err != nil || !addr.Addr().Is4() {
+				return b, fmt.Errorf("member %q at %q can't be told: %w", row.Member, row.Addr, err)
+			}
+			ip := addr.Addr().As4()
+			payload = binary.BigEndian.AppendUint32(payload, uint32(id))
+			payload = append(payload, ip[:]...)
+			payload = binary.BigEndian.AppendUint16(payload, addr.Port())
+			payload = append(payload, byte(row.Status), byte(row.Location), byte(row.Kind))
+			payload = binary.BigEndian.AppendUint16(payload, uint16(row.Cell))
+			payload = binary.BigEndian.AppendUint32(payload, uint32(row.Weight*1000))
+			payload = binary.BigEndian.AppendUint64(payload, uint64(row.Started*1000))
+		}
+	}
+	if ev.Purged {
+		payload = binary.BigEndian.AppendUint64(payload, uint64(math.Round(ev.At*1000)))
+	}
+	b = binary.BigEndian.AppendUint32(b, uint32(9+len(payload)))
+	b = binary.BigEndian.AppendUint64(b, ev.Number)
+	return append(append(b, kind), payload...), nil
+}
--- a/internal/board/client.go
+++ b/internal/board/client.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"hash/crc32"
 	"net"
 	"runtime/debug"
 	"time"
@@ -31,6 +32,10 @@
 	// Moves brings the board's new addresses. The connection to the old one is hung up: from then on the new board
 	// is asked, with the number of the last event had.
 	Moves chan string
+	// Raw, where set, is handed every event as it came, beats too, in place of Post; its error ends the connection.
+	// From then says for each new connection after which number the board is asked.
+	Raw  func(Event) error
+	From func() uint64
 
 	silence time.Duration // as beatsStop, where set
 	missed  uint64        // the number that came where Last+1 was due, when it was seen first
@@ -105,7 +110,11 @@
 }
 
 func (c *Client) read(k *conn.Conn, heard *bool) (string, error) {
-	if err := errors.Join(k.Write(binary.BigEndian.AppendUint64(nil, c.Last)), k.Flush()); err != nil {
+	from := c.Last
+	if c.Raw != nil {
+		from = c.From()
+	}
+	if err := errors.Join(k.Write(binary.BigEndian.AppendUint64(nil, from)), k.Flush()); err != nil {
 		return conn.Reason(err), err
 	}
 	for head := make([]byte, HeadSize); ; {
@@ -124,7 +133,13 @@
 				if err != nil {
 					return conn.Protocol, err
 				}
-				if err := c.take(ev); err != nil {
+				if c.Raw != nil {
+					ev.Sum = crc32.Update(crc32.ChecksumIEEE(head), crc32.IEEETable, payload)
+					err = c.Raw(ev)
+				} else {
+					err = c.take(ev)
+				}
+				if err != nil {
 					return conn.Gap, err
 				}
 				*heard = true
--- /dev/null
+++ b/internal/box/box.go
@@ -0,0 +1,704 @@
+// Package box is a cache box of the product on sockets: the far side of the routers' lines, memory over a disk, fills
+// from the source that the router names. What it does with each txn is decided in box/desk, what the disk keeps and
+// what is believed in the tier; here that is carried out and each end told truly.
+package box
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"runtime/debug"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cairnfront/brain"
+	"cairnfront/internal/admit"
+	"cairnfront/internal/board"
+	"cairnfront/internal/book"
+	"cairnfront/internal/box/desk"
+	"cairnfront/internal/box/machine"
+	"cairnfront/internal/conn"
+	"cairnfront/internal/line"
+	"cairnfront/internal/operators"
+	"cairnfront/internal/send"
+	"cairnfront/internal/tier"
+	"cairnfront/internal/tier/keep"
+	"cairnfront/internal/tier/trust"
+	"cairnfront/internal/txn"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// Resources of the shell.
+const (
+	mostBody   = line.MostBody
+	queued     = 4096
+	tickEvery  = 20 * time.Millisecond
+	ringSize   = 16 << 10
+	writeStall = 2 * time.Second // for which an asker may take nothing
+	connectFor = 400 * time.Millisecond
+	memberMB   = 32 // least of the budget for bodies on their way
+)
+
+// believer tells what may be believed: the tier, or the same without a disk.
+type believer interface {
+	Judge(trust.Copy) trust.Verdict
+	Doubts() uint16
+	Ask() uint64
+	Following() (uint64, bool)
+	Connected()
+	Hear(trust.Notice) bool
+}
+
+// Box is one. Fields are set before Run.
+type Box struct {
+	Plan   operators.Box
+	Book   *book.Book
+	Disk   *tier.Tier // nil for none
+	Origin Origin     // of an origin
+
+	rules   map[string]operators.Rule
+	trust   believer
+	desk    *desk.Desk
+	pool    *send.Pool
+	machine machine.Machine
+	now     func() time.Time
+
+	in     chan any
+	gone   chan struct{}
+	number uint64
+	open   map[uint64]*asked
+	calls  map[uint64]*send.Call // of fills
+	conns  atomic.Int64
+	first  atomic.Bool
+}
+
+// asked is a txn that is open.
+type asked struct {
+	no   uint64
+	peer *peer
+	line line.Asked
+	key  keep.Key
+	body *txn.Body
+	sent bool
+}
+
+// peer is a connection of an asker.
+type peer struct {
+	c    *conn.Conn
+	ids  map[string]*asked // owned by the loop
+	over bool              // owned by the loop
+
+	mu    sync.Mutex
+	queue []item
+	wake  chan struct{}
+}
+
+type item struct {
+	head []byte
+	body []byte
+}
+
+// What comes to the loop.
+type (
+	came   struct{ a *asked }
+	undone struct {
+		p  *peer
+		id string
+	}
+	left    struct{ p *peer }
+	checked struct {
+		p    *peer
+		tag  string
+		load bool
+	}
+	fromDisk struct {
+		key keep.Key
+		c   *desk.Copy
+	}
+	due   struct{ then func() }
+	moved struct{ ev board.Event }
+)
+
+// Run serves on a listener until the context ends, then gives open txns their time.
+func (b *Box) Run(ctx context.Context, ln net.Listener) error {
+	b.now = time.Now
+	b.rules = map[string]operators.Rule{}
+	for _, r := range b.Plan.Rules {
+		b.rules[r.Name] = r
+	}
+	b.in, b.gone, b.open, b.calls = make(chan any, queued), make(chan struct{}), map[uint64]*asked{}, map[uint64]*send.Call{}
+	if b.trust = newBare(b.now); b.Disk != nil {
+		b.trust = b.Disk
+	}
+	b.first.Store(true)
+	e := b.Plan.Emulate
+	b.machine = machine.Machine{Started: seconds(b.now()), Numbers: machine.Numbers{Cores: e.Cores, Work: e.WorkMS / 1000,
+		Link: e.LinkKBS, Latency: e.LatencyMS / 1000, ColdShare: e.ColdShare, Cold: e.ColdS}}
+	memory := int64(b.Plan.MemoryMB * (1 << 20))
+	b.desk = desk.New(b, desk.Bounds{Memory: memory, Fills: b.Plan.Fills, FillWait: float64(b.Plan.FillWait)})
+	gate := admit.New(max(int(b.Plan.MemoryMB), memberMB), max(b.Plan.Connections, 64))
+	b.pool = &send.Pool{Gate: gate, Book: b.Book, Post: b.post, Connect: connectFor, Idle: b.Plan.IdleClose.Duration(), Streams: 32}
+
+	// What serves ends in steps: first the listener, then what is open, then all else.
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	g, serving := errgroup.WithContext(serving)
+	b.pool.Start(serving)
+	disk := make(chan error, 1)
+	if b.Disk != nil {
+		go func() { disk <- b.Disk.Run(serving) }()
+	} else {
+		disk <- nil
+	}
+	g.Go(func() error { return b.loop(serving) })
+	if b.Plan.Board != "" {
+		news := &board.Client{Addr: b.Plan.Board, Book: b.Book, Raw: b.notice, From: b.from}
+		g.Go(func() error { return news.Run(serving) })
+	}
+	var peers sync.WaitGroup
+	peers.Go(func() { b.accept(serving, ln, &peers) })
+	b.Book.Log.Info("serving", "listen", ln.Addr().String(), "id", b.Plan.ID, "role", b.Plan.Role)
+	select {
+	case <-ctx.Done():
+	case <-serving.Done():
+	}
+	_ = ln.Close()
+	b.drain(serving)
+	stop()
+	peers.Wait()
+	return errors.Join(g.Wait(), b.pool.Wait(), <-disk)
+}
+
+// drain waits for what is open, for no longer than the plan says.
+func (b *Box) drain(ctx context.Context) {
+	end, cancel := context.WithTimeout(ctx, b.Plan.Drain.Duration())
+	defer cancel()
+	for tick := time.NewTicker(tickEvery); ; {
+		open := make(chan int, 1)
+		b.post(due{func() { open <- len(b.open) }})
+		select {
+		case <-end.Done():
+			tick.Stop()
+			return
+		case n := <-open:
+			if n == 0 {
+				tick.Stop()
+				return
+			}
+		}
+		select {
+		case <-end.Done():
+		case <-tick.C:
+		}
+	}
+}
+
+func seconds(t time.Time) float64 { return float64(t.UnixMicro()) / 1e6 }
+
+func (b *Box) post(ev any) {
+	select {
+	case b.in <- ev:
+	case <-b.gone:
+	}
+}
+
+// loop owns the desk, the pool and the open txns.
+func (b *Box) loop(ctx context.Context) error {
+	defer close(b.gone)
+	tick, sweep := time.NewTicker(tickEvery), time.NewTicker(time.Second)
+	defer tick.Stop()
+	defer sweep.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case ev := <-b.in:
+			b.safely(func() { b.hear(ev) })
+		case <-tick.C:
+			b.safely(func() { b.carry(b.desk.Tick(seconds(b.now()))) })
+		case <-sweep.C:
+			b.safely(func() { b.pool.Sweep(b.now()) })
+		}
+	}
+}
+
+func (b *Box) safely(f func()) {
+	defer func() {
+		if p := recover(); p != nil {
+			b.Book.Add("panics", 1)
+			b.Book.Log.Error("panic", "where", "box", "what", fmt.Sprint(p), "stack", string(debug.Stack()))
+		}
+	}()
+	f()
+}
+
+func (b *Box) hear(ev any) {
+	now := seconds(b.now())
+	switch ev := ev.(type) {
+	case came:
+		b.came(now, ev.a)
+	case undone:
+		if a := ev.p.ids[ev.id]; a != nil {
+			b.left(now, a)
+		}
+	case left:
+		ev.p.over = true
+		for _, a := range ev.p.ids {
+			b.left(now, a)
+		}
+	case checked:
+		load := ""
+		if ev.load {
+			load = "inflight:" + strconv.Itoa(len(b.open)) + ";util:" + strconv.FormatFloat(b.machine.Busy(now), 'f', 3, 64)
+		}
+		ev.p.say(item{head: line.AppendChecked(nil, ev.tag, true, load)})
+	case fromDisk:
+		b.carry(b.desk.DiskRead(now, ev.key, ev.c))
+	case due:
+		ev.then()
+	case moved:
+		b.pool.List(ev.ev.Full, ev.ev.Rows)
+	case send.Ended:
+		b.fetched(now, ev)
+	case send.Dropped:
+		b.pool.Drop(ev.Link)
+	}
+}
+
+// came takes a txn.
+func (b *Box) came(now float64, a *asked) {
+	p := a.peer
+	if p.over || p.ids[a.line.ID] != nil || len(p.ids) >= b.Plan.Streams {
+		a.body.Free()
+		if !p.over {
+			b.Book.Add("box.turned-away", 1)
+			p.say(item{head: line.AppendReply(nil, a.line.ID, line.Reply{Code: brain.Busy})})
+		}
+		return
+	}
+	b.number++
+	a.no = b.number
+	b.open[a.no], p.ids[a.line.ID] = a, a
+	b.Book.Add("box.txns."+a.line.Name, 1)
+	rule, known := b.rules[a.line.Name]
+	if !known {
+		b.Book.Add("box.unknown-rule", 1)
+		b.finish(a, line.Reply{Code: brain.Errored}, nil)
+		return
+	}
+	done, ok := b.machine.Do(now)
+	if !ok {
+		b.Book.Add("box.overload", 1)
+		b.finish(a, line.Reply{Code: brain.Busy}, nil)
+		return
+	}
+	b.after(done, func() {
+		if b.open[a.no] != a {
+			return
+		}
+		if b.Origin != nil {
+			b.originate(a, rule)
+			return
+		}
+		source := a.line.Fill
+		if source == "" && b.Plan.Role == "parent" && !a.line.NoFetch {
+			source = b.Plan.Source
+		}
+		if source == b.Plan.ID {
+			source = ""
+		}
+		b.carry(b.desk.Ask(seconds(b.now()), desk.Txn{ID: a.no, Key: a.key, Rule: desk.Rule{Name: rule.Name, Kept: rule.Kept, Fresh: rule.FreshS, Stale: rule.StaleS},
+			Until: now + a.line.Wait, Source: source, Rank: a.line.Rank, MaxAge: a.line.MaxAge, Join: a.line.Join, NoFetch: a.line.NoFetch,
+			NoTrace: a.line.NoTrace, Renew: a.line.Renew, Tag: a.line.Tag}))
+	})
+}
+
+// after does something at a time, at once if that has come.
+func (b *Box) after(at float64, then func()) {
+	if wait := at - seconds(b.now()); wait > 0 {
+		time.AfterFunc(time.Duration(wait*float64(time.Second)), func() { b.post(due{then}) })
+		return
+	}
+	then()
+}
+
+func (b *Box) originate(a *asked, rule operators.Rule) {
+	if !rule.Kept {
+		err := b.Origin.Run(a.line.ID, a.line.Name, a.line.Key, a.key, rule.Effect)
+		if err != nil {
+			b.finish(a, line.Reply{Code: brain.Errored}, nil)
+			return
+		}
+		b.Book.Add("box.ran", 1)
+		b.finish(a, line.Reply{Code: brain.Completed}, nil)
+		return
+	}
+	dated := b.now().UnixMilli()
+	tag, group, body, ok := b.Origin.Give(a.key)
+	switch {
+	case !ok:
+		b.finish(a, line.Reply{Code: brain.Miss}, nil)
+	case tag == a.line.Tag:
+		b.finish(a, line.Reply{Code: brain.Completed, Same: true, Remark: brain.Hit, Tag: tag, Dated: dated, Group: int(group)}, nil)
+	default:
+		b.finish(a, line.Reply{Code: brain.Completed, Remark: brain.Hit, Tag: tag, Dated: dated, Group: int(group)}, body)
+	}
+}
+
+func (b *Box) left(now float64, a *asked) {
+	if b.open[a.no] != a {
+		return
+	}
+	b.close(a)
+	b.Book.Add("box.left", 1)
+	b.carry(b.desk.Leave(now, a.no, a.key))
+}
+
+func (b *Box) close(a *asked) {
+	delete(b.open, a.no)
+	delete(a.peer.ids, a.line.ID)
+	a.body.Free()
+}
+
+// finish ends a txn with an answer; its bytes go out when the machine that is played has sent them.
+func (b *Box) finish(a *asked, r line.Reply, body []byte) {
+	if b.open[a.no] != a || a.sent {
+		return
+	}
+	a.sent = true
+	r.Size = len(body)
+	b.Book.Add("box.answers."+a.line.Name+"."+codes[r.Code]+remarks[r.Remark], 1)
+	b.Book.Add("box.bytes."+remarks[r.Remark], int64(len(body)))
+	b.after(b.machine.Send(seconds(b.now()), len(body)), func() {
+		if b.open[a.no] != a {
+			return
+		}
+		b.close(a)
+		a.peer.say(item{head: line.AppendReply(nil, a.line.ID, r), body: body})
+	})
+}
+
+var codes = map[brain.Code]string{brain.Completed: "completed", brain.Errored: "errored", brain.Busy: "busy", brain.Miss: "miss"}
+var remarks = map[brain.Remark]string{brain.Hit: ".hit", brain.Filled: ".filled", brain.Joined: ".joined", brain.Old: ".old"}
+
+// carry carries out what the desk says.
+func (b *Box) carry(acts []desk.Action) {
+	for _, a := range append([]desk.Action(nil), acts...) { // carrying one out may ask the desk again
+		switch a := a.(type) {
+		case desk.Answer:
+			b.answer(a)
+		case desk.Read:
+			go b.read(a.Key) // as many as there are txns at the most; the tier bounds the wait
+		case desk.Fetch:
+			b.fetch(a)
+		case desk.Abandon:
+			if call := b.calls[a.Fill]; call != nil {
+				delete(b.calls, a.Fill)
+				b.pool.Undo(call, brain.Cancelled)
+			}
+		case desk.Keep:
+			if b.Disk != nil && a.Copy.Tag != "" {
+				c := a.Copy
+				b.Disk.Offer(tier.Meta{Key: c.Key, Group: c.Group, Rank: uint8(c.Rank), Dated: c.Dated, Tag: c.Tag}, c.Body, a.Doubts)
+			}
+		case desk.Used:
+			if b.Disk != nil {
+				b.Disk.Asked(a.Key, a.Size)
+			}
+		case desk.Forget:
+			if b.Disk != nil {
+				b.Disk.Drop(a.Key)
+			}
+		case desk.Confirm:
+			if b.Disk != nil {
+				b.Disk.Confirmed(a.Key, a.Seq, a.Doubts)
+			}
+			b.Book.Add("box.confirmed", 1)
+		}
+	}
+}
+
+func (b *Box) answer(a desk.Answer) {
+	x := b.open[a.Txn]
+	if x == nil {
+		return
+	}
+	r := line.Reply{Code: a.Code, Remark: a.Remark, Same: a.Same, Group: line.UnknownGroup}
+	var body []byte
+	if c := a.Copy; c != nil {
+		r.Tag, r.Dated, r.Group = c.Tag, c.Dated, int(c.Group)
+		if !a.Same {
+			body = c.Body
+		}
+	}
+	b.finish(x, r, body)
+}
+
+// read brings a part from the disk.
+func (b *Box) read(k keep.Key) {
+	part, verdict, err := b.Disk.Get(k)
+	if err != nil || verdict == trust.Void {
+		b.post(fromDisk{k, nil})
+		return
+	}
+	b.post(fromDisk{k, &desk.Copy{Key: k, Tag: part.Tag, Dated: part.Dated, Group: part.Group, Rank: int(part.Rank), Seq: part.Seq,
+		Confirmed: part.Confirmed, Body: part.Body}})
+}
+
+// fetch asks a source.
+func (b *Box) fetch(f desk.Fetch) {
+	t := &txn.Txn{ID: fmt.Sprintf("%s-%x", b.Plan.ID[2:], f.Fill), Name: f.Rule, Object: fmt.Sprintf("%016x", f.Key.Object), Part: strconv.Itoa(int(f.Key.Part)), Tag: f.Tag}
+	if a := b.open[f.Txn]; a != nil {
+		t.Key, t.Body = a.line.Key, a.body
+	}
+	call := b.pool.Send(line.Do{Txn: t, Wait: f.Wait, Hop: brain.Hop{To: f.Source, Rank: f.Rank, MaxAge: f.MaxAge, Join: f.Join,
+		NoFetch: f.NoFetch, NoTrace: f.NoTrace}}, nil, f.Fill)
+	if call == nil {
+		b.post(due{func() { b.carry(b.desk.Fetched(seconds(b.now()), f.Fill, desk.End{Code: brain.Moot})) }})
+		return
+	}
+	b.Book.Add("box.fetches", 1)
+	b.calls[f.Fill] = call
+}
+
+// fetched is the end of a call.
+func (b *Box) fetched(now float64, ev send.Ended) {
+	no, _ := ev.Call.Owner.(uint64)
+	if b.calls[no] == nil {
+		ev.End.Body.Free()
+		return
+	}
+	delete(b.calls, no)
+	e := desk.End{Code: ev.End.Code, Same: ev.End.Same, Tag: ev.End.Tag, Dated: ev.End.Dated, Group: trust.UnknownGroup}
+	if ev.End.Group > 0 {
+		e.Group = uint16(ev.End.Group - 1)
+	}
+	if body := ev.End.Body; body != nil {
+		e.Body = body.Bytes
+		b.Book.Add("box.fetched-bytes", int64(len(e.Body)))
+		body.Free() // what is kept of it counts in the memory's bound from here on
+	}
+	b.carry(b.desk.Fetched(now, no, e))
+}
+
+// Judge, Doubts and OnDisk make a box the desk's world.
+func (b *Box) Judge(c trust.Copy) trust.Verdict { return b.trust.Judge(c) }
+
+// Doubts implements desk.World.
+func (b *Box) Doubts() uint16 { return b.trust.Doubts() }
+
+// OnDisk implements desk.World.
+func (b *Box) OnDisk(k keep.Key) bool { return b.Disk != nil && b.Disk.Has(k) }
+
+// from says after which number the board is asked: at a start for all, for the list of members is not kept; later
+// for the last event once more.
+func (b *Box) from() uint64 {
+	b.trust.Connected()
+	if b.first.Load() {
+		return 0
+	}
+	return b.trust.Ask()
+}
+
+// notice takes an event of the board.
+func (b *Box) notice(ev board.Event) error {
+	if len(ev.Rows) > 0 {
+		b.post(moved{ev})
+	}
+	if ev.Beat {
+		b.first.Store(false)
+	}
+	if number, linked := b.trust.Following(); !linked && !ev.Beat && ev.Number < number {
+		return nil // heard before: only the list was wanted
+	}
+	n := trust.Notice{Number: ev.Number, Sum: ev.Sum, Beat: ev.Beat, Purge: ev.Purged, All: ev.Purged && ev.Object == "",
+		Group: uint16(ev.Group), At: int64(ev.At*1000 + 0.5)}
+	if n.Purge && !n.All {
+		n.Object, _ = strconv.ParseUint(ev.Object, 16, 64)
+	}
+	if b.trust.Hear(n) {
+		b.Book.Add("box.board-anew", 1)
+		b.Book.Log.Warn("box", "code", "board-anew", "event", ev.Number)
+		return board.ErrGap
+	}
+	if n.Purge {
+		b.Book.Add("box.purges", 1)
+	}
+	return nil
+}
+
+// accept takes connections until the listener is closed.
+func (b *Box) accept(ctx context.Context, ln net.Listener, peers *sync.WaitGroup) {
+	for {
+		raw, err := ln.Accept()
+		if err != nil {
+			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return
+			}
+			b.Book.Log.Warn("accept", "err", err.Error())
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		if b.conns.Add(1) > int64(b.Plan.Connections) {
+			b.conns.Add(-1)
+			b.Book.Add("conn.asker.turned-away", 1)
+			_ = raw.Close()
+			continue
+		}
+		b.Book.Began("asker")
+		peers.Go(func() {
+			defer b.conns.Add(-1)
+			b.serve(ctx, raw)
+		})
+	}
+}
+
+// serve follows one connection.
+func (b *Box) serve(ctx context.Context, raw net.Conn) {
+	p := &peer{c: conn.New(raw, ringSize, writeStall), ids: map[string]*asked{}, wake: make(chan struct{}, 1)}
+	who := p.c.Peer()
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(ctx, func() { p.c.End(conn.Shutdown, nil) })
+	var both sync.WaitGroup
+	run := func(f func() (string, error)) {
+		both.Go(func() {
+			defer cancel()
+			defer func() {
+				if x := recover(); x != nil {
+					b.Book.Add("panics", 1)
+					b.Book.Log.Error("panic", "where", "asker", "what", fmt.Sprint(x), "stack", string(debug.Stack()))
+					p.c.End(conn.Panic, nil)
+				}
+			}()
+			p.c.End(f())
+		})
+	}
+	run(func() (string, error) { return b.listen(ctx, p) })
+	run(func() (string, error) { return p.write(ctx) })
+	both.Wait()
+	stop()
+	b.post(left{p})
+	p.c.Done(b.Book, "asker", who)
+}
+
+// listen reads commands.
+func (b *Box) listen(ctx context.Context, p *peer) (string, error) {
+	idle := b.Plan.IdleClose.Duration()
+	tail := make([]byte, len(line.End))
+	for {
+		p.c.SetReadDeadline(time.Now().Add(idle))
+		text, err := p.c.Line()
+		if err != nil {
+			if code := conn.Reason(err); code != conn.Slow {
+				return code, err
+			}
+			return conn.Idle, nil
+		}
+		a, err := line.ParseAsked(text)
+		if err != nil {
+			return conn.Protocol, err
+		}
+		switch a.Verb {
+		case line.VerbUndo:
+			b.post(undone{p, a.ID})
+			continue
+		case line.VerbPing, line.VerbTop:
+			b.post(checked{p, a.ID, a.Verb == line.VerbTop})
+			continue
+		}
+		x := &asked{peer: p, line: a, key: keep.Key{Object: a.ObjNo, Part: a.PartNo}}
+		if a.Size > 0 {
+			if x.body, err = b.pool.Gate.Budget.Wait(ctx, a.Size); err != nil {
+				return conn.Shutdown, err
+			}
+			err = p.c.ReadFull(x.body.Bytes)
+		}
+		if err == nil {
+			err = p.c.ReadFull(tail)
+		}
+		if err != nil || string(tail) != line.End {
+			x.body.Free()
+			if err == nil {
+				return conn.Protocol, errors.New("no line end after a body")
+			}
+			return conn.Reason(err), err
+		}
+		b.post(came{x})
+	}
+}
+
+// say hands an answer to the connection's writer. At most as many wait as txns may be open.
+func (p *peer) say(x item) {
+	p.mu.Lock()
+	p.queue = append(p.queue, x)
+	p.mu.Unlock()
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (p *peer) write(ctx context.Context) (string, error) {
+	for {
+		p.mu.Lock()
+		batch := p.queue
+		p.queue = nil
+		p.mu.Unlock()
+		if len(batch) == 0 {
+			if err := p.c.Flush(); err != nil {
+				return conn.Reason(err), err
+			}
+			select {
+			case <-ctx.Done():
+				return conn.Shutdown, ctx.Err()
+			case <-p.wake:
+			}
+			continue
+		}
+		for _, x := range batch {
+			err := p.c.Write(x.head)
+			if err == nil {
+				err = p.c.Write(x.body)
+			}
+			if err == nil {
+				err = p.c.Write([]byte(line.End))
+			}
+			if err != nil {
+				return conn.Reason(err), err
+			}
+		}
+	}
+}
+
+// bare is trust without a disk.
+type bare struct {
+	mu   sync.Mutex
+	core *trust.Core
+	now  func() time.Time
+}
+
+func newBare(now func() time.Time) *bare { return &bare{core: trust.New(0), now: now} }
+
+func (x *bare) Judge(c trust.Copy) trust.Verdict {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.core.Judge(x.now().UnixMilli(), c)
+}
+func (x *bare) Doubts() uint16 { x.mu.Lock(); defer x.mu.Unlock(); return x.core.Doubts() }
+func (x *bare) Ask() uint64    { x.mu.Lock(); defer x.mu.Unlock(); return x.core.Ask() }
+func (x *bare) Following() (uint64, bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.core.Following()
+}
+func (x *bare) Connected() { x.mu.Lock(); defer x.mu.Unlock(); x.core.Connected() }
+func (x *bare) Hear(n trust.Notice) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	_, again := x.core.Hear(x.now().UnixMilli(), 1, n)
+	return again
+}
--- /dev/null
+++ b/internal/box/desk/desk.go
@@ -0,0 +1,538 @@
+// Package desk decides what a cache box does with each txn: answer it from memory, read the disk, ask a source, join
+// a fill that is under way, or say that it has nothing. It does no I/O: events come in with the time, actions go out,
+// and the shell tells truly how each ended.
+package desk
+
+import (
+	"container/list"
+	"math"
+	"slices"
+
+	"cairnfront/brain"
+	"cairnfront/internal/tier/keep"
+	"cairnfront/internal/tier/trust"
+)
+
+const (
+	ranks       = 4    // 0 keeps nothing, 3 goes last (the protocol's shelf)
+	parentRank  = 2    // at which a parent is asked to keep what it fetches for a box: the middle one
+	mostRefills = 1    // times that a fill is asked for anew because a purge overtook it
+	copyBytes   = 256  // of memory that a copy takes besides its body: its entry, its place in a list and a map
+	fillMargin  = 0.02 // s by which a source is told to be done earlier than the txn has to be: the way back
+)
+
+// Rule is a remap rule as far as a box has to know it. Times are seconds.
+type Rule struct {
+	Name         string
+	Kept         bool
+	Fresh, Stale float64
+}
+
+// Txn is one that a box was asked for. ID is the shell's.
+type Txn struct {
+	ID     uint64
+	Key    keep.Key
+	Rule   Rule
+	Until  float64 // Unix s after which nobody waits
+	Source string  // who fills a miss; empty for nobody
+	Rank   int
+	MaxAge float64 // s, 0 for the rule's fresh time
+
+	Join, NoFetch, NoTrace, Renew bool
+
+	Tag string // of the copy that the asker holds
+
+	came float64
+}
+
+// Copy is a part that a box has in memory. Seq is its place on the disk, 0 if it is not from there.
+type Copy struct {
+	keep.Key
+	Tag       string
+	Dated     int64 // Unix ms
+	Group     uint16
+	Rank      int
+	Seq       uint64
+	Confirmed uint16 // the doubt in which its source gave or confirmed it
+	Body      []byte
+}
+
+func (c *Copy) asked() trust.Copy {
+	return trust.Copy{Object: c.Object, Group: c.Group, Dated: c.Dated, Seq: c.Seq, Confirmed: c.Confirmed}
+}
+
+// Action is one of Answer, Read, Fetch, Abandon, Keep, Used, Forget and Confirm.
+type Action interface{ action() }
+
+// Answer is the end of a txn. Copy is set where it is completed from one; Same says that the asker's copy is the one.
+type Answer struct {
+	Txn    uint64
+	Code   brain.Code
+	Remark brain.Remark
+	Same   bool
+	Copy   *Copy
+	Passed bool // completed with what the source gave, which is no copy: its bytes are those of the fill
+	Fill   uint64
+}
+
+// Read asks for a part from the disk; its end is DiskRead.
+type Read struct{ Key keep.Key }
+
+// Fetch asks a source; its end is Fetched.
+type Fetch struct {
+	Fill   uint64
+	Txn    uint64 // whose body goes with it; 0 where it is for no txn in particular
+	Key    keep.Key
+	Rule   string
+	Source string
+	Tag    string  // of the copy in hand
+	Wait   float64 // s
+	MaxAge float64 // s, 0 for the rule's fresh time
+	Rank   int
+
+	NoFetch, NoTrace, Join bool
+}
+
+// Abandon gives a fetch up; its end is not waited for.
+type Abandon struct{ Fill uint64 }
+
+// Keep offers a copy to the disk. Doubts is from before its source was asked.
+type Keep struct {
+	Copy   *Copy
+	Doubts uint16
+}
+
+// Used tells the disk's choice of a request that memory answered.
+type Used struct {
+	Key  keep.Key
+	Size int
+}
+
+// Forget drops a part from the disk.
+type Forget struct{ Key keep.Key }
+
+// Confirm notes that the source has confirmed the copy on the disk.
+type Confirm struct {
+	Key    keep.Key
+	Seq    uint64
+	Doubts uint16
+}
+
+func (Answer) action()  {}
+func (Read) action()    {}
+func (Fetch) action()   {}
+func (Abandon) action() {}
+func (Keep) action()    {}
+func (Used) action()    {}
+func (Forget) action()  {}
+func (Confirm) action() {}
+
+// End is how a fetch ended.
+type End struct {
+	Code  brain.Code
+	Same  bool
+	Tag   string
+	Dated int64
+	Group uint16
+	Body  []byte
+}
+
+// World is what a desk may look up. Its answers hold for the event in hand.
+type World interface {
+	Judge(trust.Copy) trust.Verdict
+	Doubts() uint16
+	OnDisk(keep.Key) bool
+}
+
+// Bounds of a desk.
+type Bounds struct {
+	Memory   int64   // bytes of copies
+	Fills    int     // fetches under way
+	FillWait float64 // s after which one is given up
+}
+
+type held struct {
+	copy  *Copy
+	place *list.Element
+}
+
+type fill struct {
+	no      uint64
+	key     keep.Key
+	first   Txn
+	base    *Copy // the copy that is to be confirmed
+	doubts  uint16
+	by      float64
+	waiters []Txn // the first of them began it
+	passed  bool  // of a rule that is not kept: one txn's own
+	refills int
+}
+
+// Desk is the state. It is not safe for more than one goroutine.
+type Desk struct {
+	world  World
+	bounds Bounds
+	now    float64
+	acts   []Action
+
+	memory map[keep.Key]*held
+	shelf  [ranks]*list.List // of *held, longest unused first
+	bytes  int64
+
+	reads  map[keep.Key][]Txn // who waits for the disk
+	fills  map[uint64]*fill
+	byKey  map[keep.Key]*fill // that may be joined
+	ofTxn  map[uint64]*fill
+	number uint64
+}
+
+// New makes an empty desk.
+func New(w World, b Bounds) *Desk {
+	d := &Desk{world: w, bounds: b, memory: map[keep.Key]*held{}, reads: map[keep.Key][]Txn{}, fills: map[uint64]*fill{},
+		byKey: map[keep.Key]*fill{}, ofTxn: map[uint64]*fill{}}
+	for i := range d.shelf {
+		d.shelf[i] = list.New()
+	}
+	return d
+}
+
+// Bytes is what the copies in memory take; Fills how many fetches are under way.
+func (d *Desk) Bytes() int64 { return d.bytes }
+
+// Fills is how many fetches are under way.
+func (d *Desk) Fills() int { return len(d.fills) }
+
+func (d *Desk) begin(now float64) { d.now, d.acts = max(d.now, now), d.acts[:0] }
+
+func (d *Desk) do(a Action) { d.acts = append(d.acts, a) }
+
+// Ask takes a txn. The slice is good until the next call, as are those of the other events.
+func (d *Desk) Ask(now float64, t Txn) []Action {
+	d.begin(now)
+	if t.came = d.now; !t.Rule.Kept {
+		d.fetch(t, nil, 0)
+		return d.acts
+	}
+	if h := d.memory[t.Key]; h != nil {
+		d.weigh(t, h.copy, true)
+	} else if d.world.OnDisk(t.Key) {
+		if d.reads[t.Key] = append(d.reads[t.Key], t); len(d.reads[t.Key]) == 1 {
+			d.do(Read{t.Key})
+		}
+	} else {
+		d.miss(t)
+	}
+	return d.acts
+}
+
+// DiskRead is the end of a Read: the copy, or nil where it could not be had.
+func (d *Desk) DiskRead(now float64, k keep.Key, c *Copy) []Action {
+	d.begin(now)
+	waiters := d.reads[k]
+	delete(d.reads, k)
+	if h := d.memory[k]; h != nil && (c == nil || h.copy.Dated >= c.Dated) {
+		c = h.copy // a fill came first
+	} else if c != nil {
+		d.hold(c)
+	}
+	for _, t := range waiters {
+		if c == nil {
+			d.miss(t)
+		} else {
+			d.weigh(t, c, false)
+		}
+	}
+	return d.acts
+}
+
+// limit is the age in seconds that will do.
+func (t *Txn) limit() float64 {
+	switch {
+	case t.MaxAge > 0:
+		return t.MaxAge
+	case t.Rule.Fresh > 0:
+		return t.Rule.Fresh
+	}
+	return math.Inf(1)
+}
+
+func (d *Desk) age(c *Copy) float64 { return d.now - float64(c.Dated)/1000 }
+
+// weigh decides what a copy in hand is worth to a txn.
+func (d *Desk) weigh(t Txn, c *Copy, memory bool) {
+	switch d.world.Judge(c.asked()) {
+	case trust.Void:
+		d.drop(c.Key)
+		d.do(Forget{c.Key})
+		d.miss(t)
+		return
+	case trust.Probation:
+		d.fetch(t, c, 0) // only its source can tell
+		return
+	}
+	age := d.age(c)
+	if age > t.limit() {
+		d.fetch(t, c, 0)
+		return
+	}
+	old := t.Rule.Fresh > 0 && age > t.Rule.Fresh
+	d.serve(t, c, map[bool]brain.Remark{false: brain.Hit, true: brain.Old}[old], memory)
+	if old && t.Renew && t.Source != "" && d.byKey[t.Key] == nil && len(d.fills) < d.bounds.Fills {
+		t.ID, t.Until = 0, d.now+d.bounds.FillWait
+		d.fetch(t, c, 0)
+	}
+}
+
+func (d *Desk) serve(t Txn, c *Copy, r brain.Remark, used bool) {
+	if h := d.memory[c.Key]; h != nil {
+		d.shelf[h.copy.Rank].MoveToBack(h.place)
+	}
+	if used {
+		d.do(Used{c.Key, len(c.Body)})
+	}
+	d.do(Answer{Txn: t.ID, Code: brain.Completed, Remark: r, Same: t.Tag != "" && t.Tag == c.Tag, Copy: c})
+}
+
+func (d *Desk) miss(t Txn) { d.fetch(t, nil, 0) }
+
+// fetch joins a fill that will do, or begins one; without a source there is nothing to be had.
+func (d *Desk) fetch(t Txn, base *Copy, refills int) {
+	if f := d.byKey[t.Key]; f != nil && t.Rule.Kept && t.Join && t.ID != 0 && f.first.limit() <= t.limit() && f.by > d.now {
+		f.waiters = append(f.waiters, t)
+		d.ofTxn[t.ID] = f
+		return
+	}
+	if t.Source == "" {
+		d.end(t, brain.Miss)
+		return
+	}
+	if len(d.fills) >= d.bounds.Fills {
+		d.end(t, brain.Busy)
+		return
+	}
+	d.number++
+	f := &fill{no: d.number, key: t.Key, first: t, base: base, doubts: d.world.Doubts(), by: d.now + d.bounds.FillWait,
+		passed: !t.Rule.Kept, refills: refills}
+	if f.passed { // it is the txn's own, and ends with it
+		f.by = t.Until
+	}
+	d.fills[f.no] = f
+	if t.ID != 0 {
+		f.waiters, d.ofTxn[t.ID] = []Txn{t}, f
+	}
+	x := Fetch{Fill: f.no, Key: t.Key, Rule: t.Rule.Name, Source: t.Source, Wait: max(f.by-d.now-fillMargin, fillMargin), NoFetch: t.NoFetch, NoTrace: t.NoTrace}
+	if f.passed {
+		x.Txn, x.Tag = t.ID, t.Tag
+	} else {
+		if x.MaxAge = t.limit(); math.IsInf(x.MaxAge, 1) {
+			x.MaxAge = 0
+		}
+		if x.Join = true; !t.NoFetch && !t.NoTrace {
+			x.Rank = parentRank
+		}
+		if base != nil {
+			x.Tag = base.Tag
+		}
+		if t.Join || t.ID == 0 {
+			d.byKey[t.Key] = f
+		}
+	}
+	d.do(x)
+}
+
+func (d *Desk) end(t Txn, code brain.Code) {
+	if t.ID != 0 {
+		delete(d.ofTxn, t.ID)
+		d.do(Answer{Txn: t.ID, Code: code})
+	}
+}
+
+func (d *Desk) forget(f *fill) {
+	delete(d.fills, f.no)
+	if d.byKey[f.key] == f {
+		delete(d.byKey, f.key)
+	}
+	for _, t := range f.waiters {
+		delete(d.ofTxn, t.ID)
+	}
+}
+
+// Fetched is the end of a Fetch.
+func (d *Desk) Fetched(now float64, no uint64, e End) []Action {
+	d.begin(now)
+	f := d.fills[no]
+	if f == nil {
+		return d.acts
+	}
+	d.forget(f)
+	switch {
+	case f.passed:
+		for _, t := range f.waiters {
+			if e.Code == brain.Completed {
+				d.do(Answer{Txn: t.ID, Code: brain.Completed, Remark: brain.Filled, Same: e.Same, Passed: true, Fill: no})
+			} else {
+				d.end(t, told(e.Code))
+			}
+		}
+	case e.Code != brain.Completed:
+		code := told(e.Code)
+		for _, t := range f.waiters {
+			d.end(t, code)
+		}
+	default:
+		d.filled(f, e)
+	}
+	return d.acts
+}
+
+// told is what an asker hears of a source's end. What surely did not run may be said so; all else may have run.
+func told(code brain.Code) brain.Code {
+	switch code {
+	case brain.Miss:
+		return brain.Miss
+	case brain.Busy, brain.NoConnect, brain.Moot:
+		return brain.Busy
+	}
+	return brain.Errored
+}
+
+// filled takes what a source gave for a rule that is kept.
+func (d *Desk) filled(f *fill, e End) {
+	c := f.base
+	if e.Same && c == nil { // it confirms what was not asked
+		for _, t := range f.waiters {
+			d.end(t, brain.Errored)
+		}
+		return
+	}
+	if e.Same {
+		c = &Copy{Key: c.Key, Tag: c.Tag, Dated: max(c.Dated, e.Dated), Group: c.Group, Rank: c.Rank, Seq: c.Seq, Body: c.Body}
+		if e.Group != trust.UnknownGroup {
+			c.Group = e.Group
+		}
+	} else {
+		c = &Copy{Key: f.key, Tag: e.Tag, Dated: e.Dated, Group: e.Group, Rank: f.first.Rank, Body: e.Body}
+	}
+	c.Confirmed = f.doubts
+	verdict := d.world.Judge(c.asked())
+	if verdict == trust.Void { // a purge overtook it
+		d.drop(f.key)
+		d.do(Forget{f.key})
+		for _, t := range f.waiters {
+			if f.refills < mostRefills && t.Until > d.now {
+				d.fetch(t, nil, f.refills+1)
+			} else {
+				d.end(t, brain.Errored)
+			}
+		}
+		return
+	}
+	for _, t := range f.waiters {
+		c.Rank = max(c.Rank, t.Rank)
+	}
+	switch {
+	case e.Same:
+		if c.Seq > 0 {
+			d.do(Confirm{c.Key, c.Seq, f.doubts})
+		}
+		if h := d.memory[c.Key]; h == nil || h.copy.Dated <= c.Dated {
+			d.hold(c)
+		}
+	case c.Rank > 0 && !f.first.NoTrace:
+		d.hold(c)
+		d.do(Keep{c, f.doubts})
+	default:
+		d.drop(c.Key) // what was there is older
+	}
+	for i, t := range f.waiters {
+		r := brain.Filled
+		switch {
+		case e.Same:
+			r = brain.Hit // the bytes are the box's own
+		case i > 0:
+			r = brain.Joined
+		}
+		if d.age(c) > t.limit()+d.now-t.came+fillMargin && t.ID != 0 { // the source gave one older than was asked for
+			if f.refills < mostRefills && t.Until > d.now {
+				d.fetch(t, nil, f.refills+1)
+			} else {
+				d.end(t, brain.Miss)
+			}
+			continue
+		}
+		d.serve(t, c, r, e.Same)
+	}
+}
+
+// Leave says that nobody waits for a txn any more. A fill runs on; what is the txn's own is given up.
+func (d *Desk) Leave(now float64, id uint64, k keep.Key) []Action {
+	d.begin(now)
+	if list, ok := d.reads[k]; ok {
+		d.reads[k] = slices.DeleteFunc(list, func(t Txn) bool { return t.ID == id })
+	}
+	if f := d.ofTxn[id]; f != nil {
+		delete(d.ofTxn, id)
+		f.waiters = slices.DeleteFunc(f.waiters, func(t Txn) bool { return t.ID == id })
+		if f.passed {
+			d.forget(f)
+			d.do(Abandon{f.no})
+		}
+	}
+	return d.acts
+}
+
+// Tick gives up fills from which nothing came in time.
+func (d *Desk) Tick(now float64) []Action {
+	d.begin(now)
+	var late []*fill
+	for _, f := range d.fills {
+		if d.now >= f.by {
+			late = append(late, f)
+		}
+	}
+	slices.SortFunc(late, func(a, b *fill) int { return int(a.no) - int(b.no) })
+	for _, f := range late {
+		d.forget(f)
+		d.do(Abandon{f.no})
+		for _, t := range f.waiters {
+			d.end(t, brain.Errored)
+		}
+	}
+	return d.acts
+}
+
+// hold puts a copy into memory at its rank. What is ranked lowest goes first, then what was used longest ago, and
+// nothing for a copy of lower rank.
+func (d *Desk) hold(c *Copy) {
+	d.drop(c.Key)
+	if c.Rank = min(max(c.Rank, 0), ranks-1); c.Rank == 0 {
+		return
+	}
+	need := int64(len(c.Body)) + copyBytes
+	if need > d.bounds.Memory {
+		return
+	}
+	for r := 1; r <= c.Rank && d.bytes+need > d.bounds.Memory; {
+		e := d.shelf[r].Front()
+		if e == nil {
+			r++
+			continue
+		}
+		d.drop(e.Value.(*held).copy.Key)
+	}
+	if d.bytes+need > d.bounds.Memory {
+		return
+	}
+	h := &held{copy: c}
+	h.place = d.shelf[c.Rank].PushBack(h)
+	d.memory[c.Key] = h
+	d.bytes += need
+}
+
+func (d *Desk) drop(k keep.Key) {
+	if h := d.memory[k]; h != nil {
+		d.shelf[h.copy.Rank].Remove(h.place)
+		delete(d.memory, k)
+		d.bytes -= int64(len(h.copy.Body)) + copyBytes
+	}
+}
--- /dev/null
+++ b/internal/line/far.go
@@ -0,0 +1,208 @@
+package line
+
+import (
+	"bytes"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"cairnfront/brain"
+	"cairnfront/internal/txn"
+)
+
+// Verb is the first word of a command.
+type Verb int
+
+// What a cache box is asked.
+const (
+	VerbDo Verb = iota
+	VerbUndo
+	VerbPing
+	VerbTop
+)
+
+// MostWrite is the size of the largest body that a txn brings.
+const MostWrite = 48000
+
+// UnknownGroup is the group of a copy of which nobody told it.
+const UnknownGroup = 0xffff
+
+// Asked is a line that comes to a cache box. What is text goes on unchanged.
+type Asked struct {
+	Verb   Verb
+	ID     string
+	Name   string // of the remap rule
+	Object string
+	Part   string
+	ObjNo  uint64
+	PartNo uint32
+	Wait   float64 // seconds
+	Key    string
+	Fill   string
+	Tag    string
+	brain.Hop
+	Size int // of the body, which follows with End
+}
+
+var verbs = map[string]Verb{"do": VerbDo, "undo": VerbUndo, "ping": VerbPing, "top": VerbTop}
+
+// ParseAsked reads a line as a cache box gets it. After an error the connection is out of step.
+func ParseAsked(text []byte) (Asked, error) {
+	w := bytes.Split(text, []byte{' '})
+	verb, ok := verbs[string(w[0])]
+	if !ok {
+		return Asked{}, fmt.Errorf("unknown command %.40q", w[0])
+	}
+	a := Asked{Verb: verb}
+	if want := map[bool]int{true: 4, false: 2}[verb == VerbDo]; len(w) != want || len(w[1]) == 0 || len(w[1]) > 64 {
+		return a, fmt.Errorf("%s has %d words, %d are expected", w[0], len(w), want)
+	}
+	if a.ID = string(w[1]); verb != VerbDo {
+		return a, nil
+	}
+	n, err := strconv.ParseUint(string(w[3]), 10, 32)
+	if err != nil || n > MostWrite {
+		return a, fmt.Errorf("bad length %.40q", w[3])
+	}
+	a.Size = int(n)
+	had := map[string]bool{}
+	for pair := range strings.SplitSeq(string(w[2]), ",") {
+		name, v, ok := strings.Cut(pair, "=")
+		if had[name] {
+			return a, fmt.Errorf("field %.40q stands twice", name)
+		}
+		had[name] = true
+		ms := func() float64 {
+			n, err := strconv.ParseUint(v, 10, 40)
+			ok = ok && err == nil
+			return float64(n) / 1000
+		}
+		switch name {
+		case "profile":
+			a.Name, ok = v, ok && v != ""
+		case "thing":
+			a.Object = v
+			a.ObjNo, err = strconv.ParseUint(v, 16, 64)
+			ok = ok && err == nil && len(v) == 16
+		case "nth":
+			n, err := strconv.ParseUint(v, 10, 31)
+			a.Part, a.PartNo, ok = v, uint32(n), ok && err == nil
+		case "max":
+			a.Wait = ms()
+		case "replay":
+			a.Key = v
+		case "parent":
+			a.Fill = v
+		case "shelf":
+			n, err := strconv.ParseUint(v, 10, 8)
+			a.Rank, ok = int(n), ok && err == nil && n <= 3
+		case "accept":
+			a.MaxAge = ms()
+		case "got":
+			a.Tag = v
+		case "hints":
+			for word := range strings.SplitSeq(v, "+") {
+				switch word {
+				case "ride":
+					a.Join = true
+				case "have-only":
+					a.NoFetch = true
+				case "through":
+					a.NoTrace = true
+				case "update":
+					a.Renew = true
+				default:
+					ok = false
+				}
+			}
+		}
+		if !ok {
+			return a, fmt.Errorf("field %.40q can't be used", pair)
+		}
+	}
+	for _, name := range [...]string{"profile", "thing", "nth", "max"} {
+		if !had[name] {
+			return a, fmt.Errorf("field %s is missing", name)
+		}
+	}
+	return a, nil
+}
+
+// Reply is an answer of a cache box. The bytes of its body have to follow, and End.
+type Reply struct {
+	Code   brain.Code
+	Same   bool
+	Remark brain.Remark
+	Tag    string
+	Dated  int64 // Unix ms, 0 for none
+	Group  int   // UnknownGroup for none
+	Size   int
+}
+
+var replies = map[brain.Code]string{brain.Completed: "served", brain.Errored: "crashed", brain.Busy: "overload",
+	brain.Moot: "nobody", brain.Miss: "not_here"}
+
+// AppendReply writes the line of an answer.
+func AppendReply(b []byte, id string, r Reply) []byte {
+	word := replies[r.Code]
+	if r.Same {
+		word = "still_good"
+	}
+	b = append(append(append(append(b, id...), ' '), word...), ' ')
+	from := len(b)
+	field := func(name, v string) {
+		if len(b) > from {
+			b = append(b, ',')
+		}
+		b = append(append(append(b, name...), '='), v...)
+	}
+	if r.Code == brain.Completed {
+		if r.Tag != "" {
+			field("digest", r.Tag)
+		}
+		if r.Dated > 0 {
+			field("dated", strconv.FormatInt(r.Dated, 10))
+		}
+		if r.Dated > 0 && r.Group != UnknownGroup {
+			field(groupField, strconv.Itoa(r.Group))
+		}
+		for mark, is := range remarks {
+			if is == r.Remark {
+				field("remark", mark)
+			}
+		}
+	}
+	if len(b) == from {
+		b = append(b, '-')
+	}
+	b = strconv.AppendInt(append(b, ' '), int64(r.Size), 10)
+	return append(b, End...)
+}
+
+// AppendChecked answers a check; load is told if it was asked for.
+func AppendChecked(b []byte, tag string, good bool, load string) []byte {
+	word := "red"
+	if good {
+		word = "green"
+	}
+	if load = "report=" + load; load == "report=" {
+		load = "-"
+	}
+	return append(b, tag+" "+word+" "+load+" 0"+End...)
+}
+
+// groupField is a field of our own boxes' answers: a box learns from its source which group an object is in, since
+// routers do not say. Others pass it over.
+const groupField = "bucket"
+
+// dating reads what else an answer tells of a copy.
+func dating(name, value string, end *txn.End) {
+	switch name {
+	case "dated":
+		end.Dated, _ = strconv.ParseInt(value, 10, 64)
+	case groupField:
+		if n, err := strconv.ParseUint(value, 10, 16); err == nil {
+			end.Group = int(n) + 1
+		}
+	}
+}
--- a/internal/line/line.go
+++ b/internal/line/line.go
@@ -117,6 +117,7 @@
 	if string(w[2]) != "-" {
 		for pair := range strings.SplitSeq(string(w[2]), ",") {
 			name, value, _ := strings.Cut(pair, "=")
+			dating(name, value, &a.End)
 			switch name {
 			case "digest":
 				a.Tag = value
--- a/internal/line/line_test.go
+++ b/internal/line/line_test.go
@@ -38,6 +38,9 @@
 	} {
 		got, err := ParseAnswer([]byte(text))
 		assert.NoError(t, err, text)
+		if want.Tag != "" {
+			want.Dated = 176
+		}
 		assert.Equal(t, want, got, text)
 	}
 	for _, text := range []string{"", "ab", "ab served -", "ab what - 0", "ab served - -1", "ab served - 240001",
@@ -55,3 +58,43 @@
 		}
 	})
 }
+
+// What a router writes a box reads, and the other way round.
+func TestBothSidesAgree(t *testing.T) {
+	x := &txn.Txn{ID: "9b1f03aa5c7e2d41", Name: "page", Object: "7f3a9c21e0b4d655", Part: "3", Key: "k1", Tag: "t1", Body: &txn.Body{Bytes: []byte("hi")}}
+	hop := brain.Hop{Rank: 2, MaxAge: 0.012, Join: true, NoFetch: true, NoTrace: true, Renew: true}
+	text := AppendDo(nil, Do{Txn: x, Wait: 1.5, Fill: "s-1", Hop: hop})
+	a, err := ParseAsked(text[:len(text)-2])
+	assert.NoError(t, err)
+	assert.Equal(t, Asked{ID: x.ID, Name: "page", Object: x.Object, ObjNo: 0x7f3a9c21e0b4d655, Part: "3", PartNo: 3, Wait: 1.5, Key: "k1",
+		Fill: "s-1", Tag: "t1", Hop: hop, Size: 2}, a)
+	for _, r := range []Reply{{Code: brain.Completed, Remark: brain.Hit, Tag: "t", Dated: 7, Group: 12, Size: 4},
+		{Code: brain.Completed, Same: true, Remark: brain.Old, Tag: "t", Dated: 7, Group: UnknownGroup}, {Code: brain.Busy, Group: UnknownGroup},
+		{Code: brain.Miss, Group: UnknownGroup}, {Code: brain.Errored, Group: UnknownGroup}} {
+		text := AppendReply(nil, "ab", r)
+		got, err := ParseAnswer(text[:len(text)-2])
+		assert.NoError(t, err, string(text))
+		group := (r.Group + 1) % (UnknownGroup + 1)
+		assert.Equal(t, Answer{ID: "ab", Size: r.Size, End: txn.End{Code: r.Code, Remark: r.Remark, Tag: r.Tag, Dated: r.Dated, Group: group, Same: r.Same}}, got)
+	}
+}
+
+func TestBadCommandsAreNamed(t *testing.T) {
+	for text, want := range map[string]string{"go a - 0": "unknown command", "do a profile=p,thing=7f3a9c21e0b4d655,nth=1 0": "max is missing",
+		"do a profile=p,thing=x,nth=1,max=5 0": "thing=x", "do a profile=p,thing=7f3a9c21e0b4d655,nth=1,max=5,max=6 0": "twice",
+		"do a profile=p,thing=7f3a9c21e0b4d655,nth=1,max=5,shelf=4 0": "shelf=4", "do a - 48001": "bad length", "undo": "words"} {
+		_, err := ParseAsked([]byte(text))
+		assert.ErrorContains(t, err, want, text)
+	}
+}
+
+func FuzzParseAsked(f *testing.F) {
+	f.Add([]byte("do 9b profile=page,thing=7f3a9c21e0b4d655,nth=3,max=1500,hints=ride+update,accept=9 2"))
+	f.Add([]byte("undo 9b"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		a, err := ParseAsked(b)
+		if err == nil && (a.ID == "" || a.Size < 0 || a.Size > MostWrite || a.Rank > 3 || a.Wait < 0 || a.MaxAge < 0) {
+			t.Fatalf("%+v", a)
+		}
+	})
+}
--- a/internal/tier/format.go
+++ b/internal/tier/format.go
@@ -45,7 +45,8 @@
 // Part is a copy with its bytes.
 type Part struct {
 	Meta
-	Body []byte
+	Body      []byte
+	Confirmed uint16 // the doubt in which its source last confirmed it
 }
 
 // recordSize is what a copy takes on the disk.
--- a/internal/tier/powercut.go
+++ b/internal/tier/powercut.go
@@ -144,7 +144,7 @@
 	for o := range uint64(8) {
 		for part := range uint32(3) {
 			key := keep.Key{Object: o, Part: part}
-			got, _, err := s.Get(key)
+			got, err := s.Get(key)
 			if p.uncheckedBody && err != nil {
 				if pl := s.index.find(key); pl != nil {
 					err = nil
--- a/internal/tier/store.go
+++ b/internal/tier/store.go
@@ -521,12 +521,12 @@
 }
 
 // Get reads a part whole and checks it. ErrAbsent says that it is not held; a Fault costs the part, which is dropped.
-func (s *Store) Get(k keep.Key) (Part, uint16, error) {
+func (s *Store) Get(k keep.Key) (Part, error) {
 	s.mu.Lock()
 	found := s.index.find(k)
 	if found == nil || s.closed {
 		s.mu.Unlock()
-		return Part{}, 0, ErrAbsent
+		return Part{}, ErrAbsent
 	}
 	p := *found
 	g := s.segments[p.segment]
@@ -539,7 +539,7 @@
 	s.mu.Unlock()
 	if err != nil {
 		if errors.Is(err, disk.ErrPower) {
-			return Part{}, 0, err
+			return Part{}, err
 		}
 		f := Fault{Code: ReadFail, File: g.name, At: int64(p.at) * grain, Key: k, Err: err}
 		var bad badRecord
@@ -548,9 +548,9 @@
 		}
 		s.dropIf(k, p.seq)
 		s.fault(f)
-		return Part{}, 0, f
+		return Part{}, f
 	}
-	return part, p.confirmed, nil
+	return part, nil
 }
 
 type badRecord struct {
@@ -578,7 +578,7 @@
 	if crc32.Checksum(body, castagnoli) != h.bodySum {
 		return Part{}, badRecord{BadBody, errors.New("body's checksum does not hold")}
 	}
-	return Part{h.Meta, body}, nil
+	return Part{Meta: h.Meta, Body: body, Confirmed: p.confirmed}, nil
 }
 
 func (s *Store) closeDead(g *segment) {
--- a/internal/tier/store_test.go
+++ b/internal/tier/store_test.go
@@ -57,7 +57,7 @@
 
 func holds(t *testing.T, s *Store, key keep.Key, dated int64, n int) {
 	t.Helper()
-	p, _, err := s.Get(key)
+	p, err := s.Get(key)
 	require.NoError(t, err)
 	assert.Equal(t, dated, p.Dated)
 	assert.Equal(t, meta(key, dated).Tag, p.Tag)
@@ -78,7 +78,7 @@
 		}
 		put(t, s, k(7, 0), 200, 33)
 		s.Drop(k(8, 0))
-		_, _, err := s.Get(k(8, 0))
+		_, err := s.Get(k(8, 0))
 		assert.ErrorIs(t, err, ErrAbsent)
 		if snapshot {
 			require.NoError(t, s.Snapshot(func(keep.Key) (keep.Memory, bool) { return keep.Memory{Gap: 3, Last: 4}, true }))
@@ -124,7 +124,7 @@
 	assert.Equal(t, 9, s.Parts())
 	assert.Less(t, float64(after)/float64(live), 2.2)
 	holds(t, s, k(8, 0), 100, 400)
-	_, _, err := s.Get(k(4, 0))
+	_, err := s.Get(k(4, 0))
 	assert.ErrorIs(t, err, ErrAbsent)
 	require.NoError(t, s.Close())
 	s, _, faults := open(t, fs)
@@ -195,7 +195,7 @@
 				assert.Len(t, rep.Records, 1, "no purge is lost")
 				lost := 0
 				for i := range parts {
-					if p, _, err := s.Get(k(i, 0)); err != nil {
+					if p, err := s.Get(k(i, 0)); err != nil {
 						lost++
 					} else {
 						assert.True(t, bytes.Equal(body(k(i, 0), 100, size), p.Body))
@@ -387,7 +387,7 @@
 		var keys []keep.Key
 		s.Each(func(key keep.Key, _ int64, _ uint8) bool { keys = append(keys, key); return true })
 		for _, key := range keys {
-			if p, _, err := s.Get(key); err == nil && p.Key != key {
+			if p, err := s.Get(key); err == nil && p.Key != key {
 				t.Fatalf("%v for %v", p.Key, key)
 			}
 		}
@@ -428,7 +428,7 @@
 			b.ReportAllocs()
 			b.ResetTimer()
 			for i := range b.N {
-				_, _, _ = s.Get(k(i*37%500, 0))
+				_, _ = s.Get(k(i*37%500, 0))
 			}
 		})
 	}
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -84,9 +84,8 @@
 }
 
 type got struct {
-	part      Part
-	confirmed uint16
-	err       error
+	part Part
+	err  error
 }
 
 type write struct {
@@ -94,7 +93,7 @@
 	body []byte
 }
 
-// Open opens a folder and makes a tier of it. Run has to be called for anything to move.
+// OpenTier opens a folder and makes a tier of it. Run has to be called for anything to move.
 func OpenTier(fs disk.FS, p Plan, count Counter, log *slog.Logger) (*Tier, Report, error) {
 	p.Readers, p.ReadQueue, p.WriteQueue = max(p.Readers, 1), max(p.ReadQueue, 1), max(p.WriteQueue, 1)
 	t := &Tier{plan: p, count: count, log: log, now: time.Now, reads: make(chan *read, p.ReadQueue),
@@ -186,7 +185,7 @@
 			t.lost(k)
 			return Part{}, trust.Void, x.err
 		}
-		v := t.Judge(trust.Copy{Object: k.Object, Group: x.part.Group, Dated: x.part.Dated, Seq: x.part.Seq, Confirmed: x.confirmed})
+		v := t.Judge(trust.Copy{Object: k.Object, Group: x.part.Group, Dated: x.part.Dated, Seq: x.part.Seq, Confirmed: x.part.Confirmed})
 		if v == trust.Void {
 			t.count.Add("tier.read.void", 1)
 			t.Drop(k)
@@ -206,8 +205,8 @@
 		case <-ctx.Done():
 			return
 		case r := <-t.reads:
-			part, confirmed, err := t.store.Get(r.key)
-			r.done <- got{part, confirmed, err}
+			part, err := t.store.Get(r.key)
+			r.done <- got{part, err}
 		}
 	}
 }
@@ -304,6 +303,9 @@
 	return true
 }
 
+// Has says whether a part is held, as far as the index knows.
+func (t *Tier) Has(k keep.Key) bool { return t.store.Has(k) }
+
 // Judge says what a copy is now, wherever it is held.
 func (t *Tier) Judge(c trust.Copy) trust.Verdict {
 	t.trustMu.Lock()
@@ -330,6 +332,13 @@
 	return t.trust.Ask()
 }
 
+// Following is as in trust.Core.
+func (t *Tier) Following() (uint64, bool) {
+	t.trustMu.Lock()
+	defer t.trustMu.Unlock()
+	return t.trust.Following()
+}
+
 // Connected says that a new connection to the notice board was made.
 func (t *Tier) Connected() {
 	t.trustMu.Lock()
--- a/internal/tier/trust/trust.go
+++ b/internal/tier/trust/trust.go
@@ -142,6 +142,9 @@
 	return c.number - 1
 }
 
+// Following is the number of the last event followed, and whether this connection is known to go on from it.
+func (c *Core) Following() (number uint64, linked bool) { return c.number, c.linked }
+
 // Connected says that a new connection to the board was made.
 func (c *Core) Connected() { c.linked, c.caught = c.number == 0, false }
 
--- a/internal/txn/txn.go
+++ b/internal/txn/txn.go
@@ -63,6 +63,8 @@
 	Remark brain.Remark
 	Load   []brain.Reading
 	Tag    string
+	Dated  int64 // Unix ms at which the origin gave the copy out, where told
+	Group  int   // of the object, and one more; 0 where nobody told
 	Same   bool
 	Body   *Body
 }
