Laboratory scenarios demo and disk-restart: boxes killed outright, purges while they are down

Need: the disk tier is worth nothing unless a box that was killed answers from it at once and never with a copy from before a purge.

A request that memory answers now offers the part to the disk: first requests are passed, and nothing had ever been written.

--- a/internal/box/box.go
+++ b/internal/box/box.go
@@ -60,6 +60,10 @@
 	Disk   *tier.Tier // nil for none
 	Origin Origin     // of an origin
 
+	// For the laboratory, where set: what was asked, and how many bytes were given under which id.
+	Saw  func(line.Asked)
+	Gave func(id string, bytes int)
+
 	rules   map[string]operators.Rule
 	trust   believer
 	desk    *desk.Desk
@@ -280,6 +284,9 @@
 		}
 		return
 	}
+	if b.Saw != nil {
+		b.Saw(a.line)
+	}
 	b.number++
 	a.no = b.number
 	b.open[a.no], p.ids[a.line.ID] = a, a
@@ -377,6 +384,9 @@
 		if b.open[a.no] != a {
 			return
 		}
+		if b.Gave != nil {
+			b.Gave(a.line.ID, len(body))
+		}
 		b.close(a)
 		a.peer.say(item{head: line.AppendReply(nil, a.line.ID, r), body: body})
 	})
@@ -402,12 +412,11 @@
 			}
 		case desk.Keep:
 			if b.Disk != nil && a.Copy.Tag != "" {
-				c := a.Copy
-				b.Disk.Offer(tier.Meta{Key: c.Key, Group: c.Group, Rank: uint8(c.Rank), Dated: c.Dated, Tag: c.Tag}, c.Body, a.Doubts)
+				b.Disk.Offer(about(a.Copy), a.Copy.Body, a.Doubts)
 			}
 		case desk.Used:
-			if b.Disk != nil {
-				b.Disk.Asked(a.Key, a.Size)
+			if b.Disk != nil && a.Copy.Tag != "" {
+				b.Disk.Used(about(a.Copy), a.Copy.Body, a.Copy.Confirmed)
 			}
 		case desk.Forget:
 			if b.Disk != nil {
@@ -422,6 +431,10 @@
 	}
 }
 
+func about(c *desk.Copy) tier.Meta {
+	return tier.Meta{Key: c.Key, Group: c.Group, Rank: uint8(c.Rank), Dated: c.Dated, Tag: c.Tag}
+}
+
 func (b *Box) answer(a desk.Answer) {
 	x := b.open[a.Txn]
 	if x == nil {
--- a/internal/box/desk/desk.go
+++ b/internal/box/desk/desk.go
@@ -103,10 +103,7 @@
 }
 
 // Used tells the disk's choice of a request that memory answered.
-type Used struct {
-	Key  keep.Key
-	Size int
-}
+type Used struct{ Copy *Copy }
 
 // Forget drops a part from the disk.
 type Forget struct{ Key keep.Key }
@@ -288,7 +285,7 @@
 		d.shelf[h.copy.Rank].MoveToBack(h.place)
 	}
 	if used {
-		d.do(Used{c.Key, len(c.Body)})
+		d.do(Used{c})
 	}
 	d.do(Answer{Txn: t.ID, Code: brain.Completed, Remark: r, Same: t.Tag != "" && t.Tag == c.Tag, Copy: c})
 }
--- a/internal/lab/stubs.go
+++ /dev/null
@@ -1,3 +0,0 @@
-package lab
-
-var demo, diskRestart Scenario
--- a/internal/tier/index.go
+++ b/internal/tier/index.go
@@ -17,6 +17,7 @@
 	growthBy    = 1.25
 	reserveMore = 1.05 // a shard holds a little more or less than its even part
 	noSegment   = 0
+	placeBytes  = 40
 )
 
 // place is where a copy lies. A free place has no segment.
@@ -156,3 +157,16 @@
 		}
 	}
 }
+
+// IndexBytesFor is what the index takes a part once it holds so many, exactly: the places of its tables.
+func IndexBytesFor(parts int) float64 {
+	var x index
+	for i := range parts {
+		x.put(place{object: uint64(i / 15), part: uint32(i % 15), segment: 1})
+	}
+	places := 0
+	for s := range x.tables {
+		places += len(x.tables[s])
+	}
+	return float64(places) * placeBytes / float64(max(parts, 1))
+}
--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -211,15 +211,17 @@
 	}
 }
 
-// Asked tells the choice of a request that was answered from elsewhere.
-func (t *Tier) Asked(k keep.Key, size int) {
-	if !t.store.Has(k) {
-		return
-	}
+// Used tells of a request that memory answered. A part that the disk lacks is offered to it: most are worth keeping
+// only once they have been asked for again.
+func (t *Tier) Used(m Meta, body []byte, doubts uint16) {
 	t.keepMu.Lock()
-	defer t.keepMu.Unlock()
-	if t.keep.Holds(k) {
-		t.keep.Ask(seconds(t.now()), k, recordSize(0, size))
+	held := t.keep.Holds(m.Key)
+	if held {
+		t.keep.Ask(seconds(t.now()), m.Key, recordSize(len(m.Tag), len(body)))
+	}
+	t.keepMu.Unlock()
+	if !held {
+		t.Offer(m, body, doubts)
 	}
 }
 
