A purge counts for as long as it is remembered: a box may return with a disk

Need: the module forgot a purge once running boxes had surely dropped their copies, some seconds on. A box that was down or cut off then may return with a disk and give out what was purged.

Change: purges are kept by object and group, the newest of each, up to 16,384; what a member gives that started after the forgotten ones must be younger than those.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -52,7 +52,7 @@
 	mostTries    = 12      // held txns looked at after each end, densest first: bounds the work
 	coldSpend    = 1.0     // share of a cold member's present capacity that is used: half of what topples it
 	ageMargin    = 1e-4    // s by which a copy must be younger than the purge: rounding
-	purgeMargin  = 1.0     // s for which a purge is kept after all should have dropped its copies
+	mostPurges   = 1 << 14 // purges that count, some MB: hours of them; a box that was down may return with a disk
 	leastAge     = 2e-6    // s, an age that is never rounded to 0, which means any
 	againAfter   = 1.5     // s a rejected client is told to stay away: jams last seconds, a repeat adds to one
 )
@@ -60,7 +60,7 @@
 // New starts a router that knows nothing but its records.
 func New(seed uint64, rec Records) *Router {
 	return &Router{rec: rec, pcg: seed, nums: map[string]float64{}, rules: map[int]*rule{},
-		txns: map[string]*txn{}, bySeq: map[uint64]*txn{}, objects: map[string]*object{}}
+		txns: map[string]*txn{}, bySeq: map[uint64]*txn{}, objects: map[string]*object{}, purges: map[void]float64{}}
 }
 
 // Decide takes one event and returns what is to be done. The slice is good until the next call.
@@ -439,14 +439,18 @@
 	return h.begun && (h.out || !(h.end == Busy || h.end == NoConnect || h.end == Moot || h.end == Miss))
 }
 
-// oldest is the oldest copy that will do (rule 5): younger than any purge that copies may have outlived. One
-// past its fresh time will do if it earns more than a late answer and fills are jammed or one has failed.
-func (r *Router) oldest(t *txn) float64 {
+// oldest is the oldest copy that will do (rule 5): younger than any purge. Running boxes drop what was purged within
+// seconds, one that was down at the time may return with it on a disk, so a purge counts for as long as it is
+// remembered, and of a member that started since, nothing from before the forgotten ones will do. A copy past its
+// fresh time will do if it earns more than a late answer and fills are jammed or one has failed.
+func (r *Router) oldest(t *txn, h *hop) float64 {
+	at := max(r.purges[void{object: t.Object}], r.purges[void{group: t.Group}])
+	for _, m := range [2]*member{h.to, h.source} {
+		at = max(at, r.forgot*flag(m.Started > r.forgot))
+	}
 	age := math.Inf(1)
-	for _, p := range r.purges {
-		if (p.Object == t.Object || (p.Object == "" && p.Group == t.Group)) && !r.spent(p) {
-			age = min(age, max(r.now-p.at-ageMargin, leastAge))
-		}
+	if at > 0 {
+		age = max(r.now-at-ageMargin, leastAge)
 	}
 	u := r.rule(t.Rule)
 	jam := len(t.hops) > 0 || r.now < max(r.wayToOrigin().cut, r.link.cut)+jamLasts
@@ -501,7 +505,7 @@
 		if len(t.hops) == 0 {
 			r.request(t, h.to)
 		}
-		h.maxAge, h.wanted = r.oldest(t), true
+		h.maxAge, h.wanted = r.oldest(t, h), true
 		h.late = r.now + lateBase*r.rule(t.Rule).sla + lateStretch*t.send
 		t.hops = append(t.hops, h)
 		t.wake = min(t.wake, h.late)
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -238,34 +238,50 @@
 	assert.Equal(t, freshRoom+1, c.room)
 }
 
-func TestPurgeBoundsTheAgeUntilCopiesAreGone(t *testing.T) {
+// A box that was down when a purge was told may return with a disk, long after running boxes dropped their copies.
+func TestPurgeBoundsTheAgeHoweverLongAgo(t *testing.T) {
 	r := router("keyed")
 	p := r.object("x", 3).part(0)
 	r.member("c0").list(&holding{p: p, kb: 1}, 0)
 	r.Decide(100, Purge{Ago: 0.2, Group: 3, Object: "x"})
 	assert.Empty(t, r.member("c0").held)
-	x := &txn{Arrival: Arrival{Object: "x", Group: 3}}
-	assert.InDelta(t, 0.2-ageMargin, r.oldest(x), 1e-9)
-	assert.Zero(t, r.oldest(&txn{Arrival: Arrival{Object: "y", Group: 3}}))
-	r.now = 99.8 + 6 + purgeMargin
-	assert.Positive(t, r.oldest(x))
-	r.now += 0.001
-	assert.Zero(t, r.oldest(x))
-	r.Decide(110, Purge{Group: 3})
-	assert.Equal(t, leastAge, r.oldest(&txn{Arrival: Arrival{Object: "y", Group: 3}}), "never 0, which means any")
+	x, y := &txn{Arrival: Arrival{Object: "x", Group: 3}}, &txn{Arrival: Arrival{Object: "y", Group: 3}}
+	h := &hop{to: r.member("c0"), source: r.member("p0")}
+	assert.InDelta(t, 0.2-ageMargin, r.oldest(x, h), 1e-9)
+	assert.Zero(t, r.oldest(y, h))
+	r.now = 3700
+	assert.InDelta(t, 3600.2-ageMargin, r.oldest(x, h), 1e-9)
+	r.Decide(3710, Purge{Group: 3})
+	assert.Equal(t, leastAge, r.oldest(y, h), "never 0, which means any")
+}
+
+// Purges are forgotten in the end; what started since is then trusted with nothing from before them.
+func TestForgottenPurgesBoundWhatAMemberThatStartedSinceMayGive(t *testing.T) {
+	r := router("keyed")
+	for i := range mostPurges + 1 {
+		r.Decide(100+float64(i)/100, Purge{Object: string(rune(i + 1000))})
+	}
+	assert.LessOrEqual(t, len(r.purges), mostPurges)
+	h := &hop{to: r.member("c0"), source: r.member("p0")}
+	x := &txn{Arrival: Arrival{Object: "never purged", Group: 3}}
+	assert.Zero(t, r.oldest(x, h))
+	h.to.Started = r.forgot + 1
+	assert.InDelta(t, r.now-r.forgot-ageMargin, r.oldest(x, h), 1e-9)
+	h.to, h.source = h.source, h.to
+	assert.Positive(t, r.oldest(x, h), "as a source of fills too")
 }
 
 func TestOldCopiesWillDoInAJamButNeverPurgedOnes(t *testing.T) {
 	r := router("keyed")
 	r.rec["fresh_s"], r.rec["stale_s"], r.rec["stale_importance"] = "5,0", "10,0", "0.5,0.5"
-	x := &txn{Arrival: Arrival{Object: "x", Group: 3}}
-	assert.Zero(t, r.oldest(x))
+	x, h := &txn{Arrival: Arrival{Object: "x", Group: 3}}, &hop{to: r.member("c0"), source: r.member("p0")}
+	assert.Zero(t, r.oldest(x, h))
 	r.link.cut = 100
-	assert.Equal(t, 15.0, r.oldest(x))
-	r.purges = []purge{{Purge{Object: "x"}, 97}}
-	assert.InDelta(t, 3-ageMargin, r.oldest(x), 1e-9)
+	assert.Equal(t, 15.0, r.oldest(x, h))
+	r.purges[void{object: "x"}] = 97
+	assert.InDelta(t, 3-ageMargin, r.oldest(x, h), 1e-9)
 	r.rule(0).late, r.purges = 0.6, nil
-	assert.Zero(t, r.oldest(x), "a late answer is worth more")
+	assert.Zero(t, r.oldest(x, h), "a late answer is worth more")
 }
 
 func TestNearerParentIsMoreOftenFirst(t *testing.T) {
--- a/brain/state.go
+++ b/brain/state.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"hash/fnv"
+	"maps"
 	"math"
 	"slices"
 )
@@ -108,9 +109,10 @@
 	wake, armed       float64
 }
 
-type purge struct {
-	Purge
-	at float64
+// void names what a purge voids: an object, or a group where there is none.
+type void struct {
+	object string
+	group  int
 }
 
 // Router decides for one instance.
@@ -134,7 +136,8 @@
 	seq     uint64
 	objects map[string]*object
 	swept   float64
-	purges  []purge
+	purges  map[void]float64 // when each was told to be void, the newest of each
+	forgot  float64          // purges up to then are not remembered
 	slow    []float64 // the last few times to an answer, over those after which hops are looked at
 	never   []float64 // the last few hops slower than any of those, 1 for one that had no answer until it was given up
 	misses  []float64 // the last few hops thought to miss, 1 for one that was filled
@@ -405,9 +408,15 @@
 	return min(way, max(ring-way, 0))
 }
 
-// purged remembers a purge until all copies are dropped everywhere and forgets what was thought held.
+// purged remembers a purge and forgets what was thought held.
 func (r *Router) purged(p Purge) {
-	r.purges = append(slices.DeleteFunc(r.purges, r.spent), purge{p, r.now - p.Ago})
+	v := void{object: p.Object}
+	if p.Object == "" {
+		v.group = p.Group
+	}
+	if r.purges[v] = max(r.purges[v], r.now-p.Ago); len(r.purges) > mostPurges {
+		r.forget()
+	}
 	for name, o := range r.objects {
 		if name == p.Object || (p.Object == "" && o.group == p.Group) {
 			r.drop(o)
@@ -415,8 +424,16 @@
 	}
 }
 
-// spent says that all copies which a purge voids are dropped everywhere.
-func (r *Router) spent(p purge) bool { return r.now > p.at+r.num("purge_done_s", 0)+purgeMargin }
+// forget drops the oldest eighth of the purges, so that it is not done for each one.
+func (r *Router) forget() {
+	times := make([]float64, 0, len(r.purges))
+	for _, at := range r.purges {
+		times = append(times, at)
+	}
+	slices.Sort(times)
+	r.forgot = max(r.forgot, times[len(times)/8])
+	maps.DeleteFunc(r.purges, func(_ void, at float64) bool { return at <= r.forgot })
+}
 
 // drop forgets what is thought held of an object.
 func (r *Router) drop(o *object) {
