--- a/brain/state.go
+++ b/brain/state.go
@@ -138,9 +138,9 @@
 	swept   float64
 	purges  map[void]float64 // when each was told to be void, the newest of each
 	forgot  float64          // purges up to then are not remembered
-	slow    []float64 // the last few times to an answer, over those after which hops are looked at
-	never   []float64 // the last few hops slower than any of those, 1 for one that had no answer until it was given up
-	misses  []float64 // the last few hops thought to miss, 1 for one that was filled
+	slow    []float64        // the last few times to an answer, over those after which hops are looked at
+	never   []float64        // the last few hops slower than any of those, 1 for one that had no answer until it was given up
+	misses  []float64        // the last few hops thought to miss, 1 for one that was filled
 }
 
 // chance is the next of a permuted congruential generator, from 0 up to 1.
--- /dev/null
+++ b/cmd/cairnfront/tier_test.go
@@ -0,0 +1,117 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"cairnfront/internal/tier"
+	"cairnfront/internal/tier/disk"
+	"cairnfront/internal/tier/keep"
+	"cairnfront/internal/tier/trust"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// command runs the program and returns what it printed and its exit code.
+func command(t *testing.T, args ...string) (out, errs string, code int) {
+	t.Helper()
+	c := exec.Command(program, args...)
+	var a, b bytes.Buffer
+	c.Stdout, c.Stderr = &a, &b
+	_ = c.Run()
+	return a.String(), b.String(), c.ProcessState.ExitCode()
+}
+
+// folder is one of a stopped box: twenty parts, one of them purged since.
+func folder(t *testing.T) string {
+	path := filepath.Join(t.TempDir(), "disk")
+	d, err := disk.MakeDir(path)
+	require.NoError(t, err)
+	s, _, err := tier.Open(d, tier.Limits{}, false, nil)
+	require.NoError(t, err)
+	for i := range 20 {
+		_, err := s.Put(tier.Meta{Key: keep.Key{Object: uint64(i / 2), Part: uint32(i % 2)}, Dated: 1000, Tag: "t", Rank: 2}, bytes.Repeat([]byte{byte(i)}, 500))
+		require.NoError(t, err)
+	}
+	require.NoError(t, s.Log([]trust.Record{{Kind: trust.PurgeObject, Object: 3, At: 2000, Number: 7}}))
+	require.NoError(t, s.Close())
+	return path
+}
+
+func TestTierTools(t *testing.T) {
+	path := folder(t)
+	out, _, code := command(t, "tier", "inspect", path)
+	assert.Equal(t, 0, code)
+	assert.Contains(t, out, "20 of 10 objects")
+	assert.Contains(t, out, "notice 7 followed")
+	out, _, code = command(t, "tier", "inspect", "--json", path)
+	var in map[string]any
+	require.NoError(t, json.Unmarshal([]byte(out), &in))
+	assert.Equal(t, 20.0, in["Parts"])
+	assert.Equal(t, 0, code)
+	out, _, code = command(t, "tier", "verify", path)
+	assert.Equal(t, 0, code, out)
+	assert.Contains(t, out, "20 parts are whole, 2 of them voided by a purge; 0 bad")
+	tar := filepath.Join(t.TempDir(), "x.tar")
+	_, errs, code := command(t, "tier", "export", "--to", tar, path)
+	assert.Equal(t, "18 parts\n", errs)
+	assert.Equal(t, 0, code)
+	out, _, code = command(t, "tier", "compact", path)
+	assert.Equal(t, 0, code, out)
+	out, _, _ = command(t, "tier", "verify", path)
+	assert.Contains(t, out, "18 parts are whole, 0 of them voided")
+
+	names, _ := filepath.Glob(filepath.Join(path, "seg-*"))
+	b, err := os.ReadFile(names[len(names)-1])
+	require.NoError(t, err)
+	b[len(b)/2] ^= 4
+	require.NoError(t, os.WriteFile(names[len(names)-1], b, 0o600))
+	out, _, code = command(t, "tier", "verify", path)
+	assert.Equal(t, 1, code)
+	assert.Contains(t, out, "bad-body seg-")
+	_, errs, code = command(t, "tier", "inspect", t.TempDir())
+	assert.Equal(t, 1, code)
+	assert.Contains(t, errs, "is no folder of a disk tier")
+}
+
+func TestABoxHoldsItsFolderAndDrains(t *testing.T) {
+	path := folder(t)
+	file := filepath.Join(t.TempDir(), "o.yaml")
+	require.NoError(t, os.WriteFile(file, []byte(fmt.Sprintf("box:\n  rules: [{name: video}]\n  drain_s: 0.1\ntier:\n  folder: %q\n", path)), 0o600))
+	_, errs, code := command(t, "box", "--operators", filepath.Join(t.TempDir(), "none.yaml"))
+	assert.Equal(t, 1, code)
+	assert.Contains(t, errs, "none.yaml")
+	c := exec.Command(program, "box", "--operators", file)
+	log := &text{}
+	c.Stderr = log
+	require.NoError(t, c.Start())
+	require.Eventually(t, func() bool { return bytes.Contains([]byte(log.String()), []byte("serving")) }, patience, 5*time.Millisecond, log)
+	_, errs, code = command(t, "tier", "verify", path)
+	assert.Equal(t, 1, code)
+	assert.Contains(t, errs, "in use by another process")
+	require.NoError(t, c.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, c.Wait(), log.String())
+	out, _, code := command(t, "tier", "verify", path)
+	assert.Equal(t, 0, code, out)
+}
+
+func TestOperatorsCommands(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "o.yaml")
+	out, _, code := command(t, "operators", "defaults")
+	assert.Equal(t, 0, code)
+	require.NoError(t, os.WriteFile(file, []byte(out), 0o600))
+	_, errs, code := command(t, "operators", "check", file)
+	assert.Equal(t, 0, code, errs)
+	require.NoError(t, os.WriteFile(file, []byte("tier:\n  alpha: dear\n"), 0o600))
+	_, errs, code = command(t, "operators", "check", file)
+	assert.Equal(t, 1, code)
+	assert.Contains(t, errs, "o.yaml:2:10: tier.alpha")
+}
