Members with several addresses: the core that chooses, races of connections, the operators' socket

Need: some members answer on IPv4, IPv6 and a Unix socket; a member whose only address hangs is a sick member today.

Change: internal/reach orders addresses (RFC 8305), bends the order by what was measured, rests those that refuse, hang or stay silent with decorrelated jitter, looks at them again with attempts that carry nothing, and keeps a second link warm; a race uses one connection and closes every other. internal/send carries it out: a hop waits on one link, and not a byte of it is written before that link is up. internal/hatch is the operators' socket, cairnfront reach its first command.

Measured: every interleaving of two races over two addresses to depth seven (over 100,000) uses one connection at the most and none after the end; what is shown on sockets follows.

--- a/cmd/cairnfront/main.go
+++ b/cmd/cairnfront/main.go
@@ -14,11 +14,13 @@
 func main() {
 	root := &cobra.Command{Use: "cairnfront", Short: "A traffic router for a two-tier cache",
 		SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(boxCommand(), labCommand(), operatorsCommand(), tierCommand(),
-		&cobra.Command{Use: "serve", Short: "Serve as the file that " + start.Variable + " names says", Args: cobra.NoArgs,
-			RunE: func(*cobra.Command, []string) error {
-				return serve(start.FromEnv)
-			}},
+	var operators string
+	serving := &cobra.Command{Use: "serve", Short: "Serve as the file that " + start.Variable + " names says", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			return serve(start.FromEnv, operators)
+		}}
+	serving.Flags().StringVar(&operators, "operators", "", "the operators' file; none by default")
+	root.AddCommand(boxCommand(), labCommand(), operatorsCommand(), reachCommand(), serving, tierCommand(),
 		&cobra.Command{Use: "check [FILE]", Short: "Check a start file, by default the one that " + start.Variable + " names",
 			Args: cobra.MaximumNArgs(1),
 			RunE: func(cmd *cobra.Command, args []string) error {
--- /dev/null
+++ b/cmd/cairnfront/reach.go
@@ -0,0 +1,142 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"cairnfront/internal/board"
+	"cairnfront/internal/book"
+	"cairnfront/internal/hatch"
+	"cairnfront/internal/operators"
+	"cairnfront/internal/reach"
+	"cairnfront/internal/route"
+	"cairnfront/internal/send"
+
+	"github.com/spf13/cobra"
+	"golang.org/x/sync/errgroup"
+)
+
+// addressed gives a pool what the operators' file says of members with several addresses. It is changed by the loop.
+type addressed struct{ list []operators.Several }
+
+func (a *addressed) of(row board.Row) []reach.Addr {
+	for _, s := range a.list {
+		if s.Matches(row.Member, row.Addr) {
+			out := make([]reach.Addr, len(s.List))
+			for i, text := range s.List {
+				out[i] = reach.Addr(text)
+			}
+			return out
+		}
+	}
+	return nil
+}
+
+// extend makes a router of what the operators' file asks beside its start file. Nothing of it is there without one.
+// Reload takes the file's text anew; it is called by the loop's events only.
+func extend(ctx context.Context, g *errgroup.Group, file string, seed uint64, rules map[int]bool, probes bool, pool *send.Pool, loop *route.Loop,
+	k *book.Book) (reload func(), err error) {
+	if file == "" {
+		return func() {}, nil
+	}
+	book, err := operators.Read(file)
+	if err != nil {
+		return nil, err
+	}
+	if len(book.Router.Addresses) > 0 {
+		a := &addressed{book.Router.Addresses}
+		pool.Reach, pool.Addrs = reach.New(seed), a.of
+		pool.Reach.Probes = probes
+		pool.Repeatable = func(rule int) bool { return rules[rule] }
+		reload = func() {
+			fresh, err := operators.Read(file)
+			if err == nil && len(fresh.Router.Addresses) == 0 {
+				err = errors.New("router.addresses: the last ones can't go while the router runs")
+			}
+			if err != nil {
+				k.Add("reloads.failed", 1)
+				k.Log.Error("reload", "code", "kept-old", "err", err.Error())
+				return
+			}
+			loop.Post(func() {
+				a.list = fresh.Router.Addresses
+				pool.Relist()
+			})
+			k.Log.Info("reload", "code", "addresses", "entries", len(fresh.Router.Addresses))
+		}
+	} else {
+		reload = func() {}
+	}
+	if book.Router.Socket == "" {
+		return reload, nil
+	}
+	ln, err := hatch.Listen(book.Router.Socket)
+	if err != nil {
+		return nil, fmt.Errorf("router.socket: %w", err)
+	}
+	now := func() float64 { return float64(time.Now().UnixMicro()) / 1e6 }
+	by := func(f func(float64, string, reach.Addr) bool, no string) hatch.Handler {
+		return hatch.OnLoop(loop.Post, func(args map[string]string) (any, error) {
+			if pool.Reach == nil || !f(now(), args["member"], reach.Addr(args["address"])) {
+				return nil, errors.New(no)
+			}
+			return "done", nil
+		})
+	}
+	door := &hatch.Door{Count: k.Add, Handlers: map[string]hatch.Handler{
+		"reach": hatch.OnLoop(loop.Post, func(map[string]string) (any, error) {
+			if pool.Reach == nil {
+				return []reach.State{}, nil
+			}
+			return pool.Reach.States(now()), nil
+		}),
+		"rest": by(func(t float64, id string, a reach.Addr) bool { return pool.Reach.Rest(t, id, a) },
+			"no such member and address, or the last that is not at rest"),
+		"unrest": by(func(t float64, id string, a reach.Addr) bool { return pool.Reach.Unrest(t, id, a) }, "no such member and address"),
+	}}
+	g.Go(func() error { return door.Run(ctx, ln) })
+	return reload, nil
+}
+
+func reachCommand() *cobra.Command {
+	var socket string
+	var asJSON bool
+	c := &cobra.Command{Use: "reach", Short: "What a running router knows of its members' addresses", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			data, err := hatch.Ask(socket, "reach", nil)
+			if err != nil {
+				return err
+			}
+			var list []reach.State
+			if err := json.Unmarshal(data, &list); err != nil {
+				return err
+			}
+			if asJSON {
+				_, err = fmt.Fprintln(cmd.OutOrStdout(), string(data))
+				return err
+			}
+			for _, s := range list {
+				rest := fmt.Sprintf("%.1f s", s.RestS)
+				if s.RestS < 0 {
+					rest = "until unrest"
+				}
+				fmt.Fprintf(cmd.OutOrStdout(), "%-12s %d %-28s %-8s for %.0f s, rest %s, connect %.1f ms, first byte %.1f ms\n", s.Member, s.Rank, s.Addr, s.Why,
+					s.SinceS, rest, s.ConnectS*1000, s.FirstS*1000)
+			}
+			return nil
+		}}
+	c.PersistentFlags().StringVar(&socket, "socket", os.Getenv("CAIRNFRONT_SOCKET"), "the operators' socket (CAIRNFRONT_SOCKET)")
+	c.Flags().BoolVar(&asJSON, "json", false, "as JSON")
+	for _, x := range []struct{ do, short string }{{"rest", "Use an address for no new hop until it is unrested"}, {"unrest", "End any rest of an address"}} {
+		c.AddCommand(&cobra.Command{Use: x.do + " MEMBER ADDRESS", Short: x.short, Args: cobra.ExactArgs(2),
+			RunE: func(cmd *cobra.Command, args []string) error {
+				_, err := hatch.Ask(socket, x.do, map[string]string{"member": args[0], "address": args[1]})
+				return err
+			}})
+	}
+	return c
+}
--- a/cmd/cairnfront/serve.go
+++ b/cmd/cairnfront/serve.go
@@ -32,8 +32,9 @@
 	flushMost  = 200 * time.Millisecond
 )
 
-// serve runs the router until a signal ends it. What it is told is read at the start and again on SIGHUP.
-func serve(read func() (start.Manifest, error)) error {
+// serve runs the router until a signal ends it. What it is told is read at the start and again on SIGHUP; so is the
+// operators' file, where one is named.
+func serve(read func() (start.Manifest, error), operators string) error {
 	signals, again := make(chan os.Signal, 4), make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	signal.Notify(again, syscall.SIGHUP) // a channel of its own: many of them keep no other signal out
@@ -67,6 +68,14 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	g, ctx := errgroup.WithContext(ctx)
+	repeatable := map[int]bool{}
+	for i := range m.Rules {
+		repeatable[i] = m.Records[brain.Remap(i, "effect")] == "repeatable"
+	}
+	reload, err := extend(ctx, g, operators, m.Seed, repeatable, m.Records.Is("may_check"), pool, loop, k)
+	if err != nil {
+		return err
+	}
 	pool.Start(ctx)
 	loop.Known(m.Known)
 	g.Go(func() error { return loop.Run(ctx) })
@@ -80,6 +89,7 @@
 			return errors.Join(g.Wait(), pool.Wait())
 		case <-again:
 			m = reread(ctx, m, read, news.Moves, k)
+			reload()
 		case s := <-signals:
 			if s == syscall.SIGUSR1 {
 				k.Print(os.Stderr)
--- /dev/null
+++ b/internal/hatch/hatch_test.go
@@ -0,0 +1,77 @@
+package hatch
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func begin(t *testing.T, d *Door) string {
+	path := filepath.Join(t.TempDir(), "s")
+	ln, err := Listen(path)
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- d.Run(ctx, ln) }()
+	t.Cleanup(func() { cancel(); assert.NoError(t, <-done) })
+	return path
+}
+
+func TestRequestsAreAnswered(t *testing.T) {
+	path := begin(t, &Door{Handlers: map[string]Handler{
+		"echo": func(_ context.Context, args map[string]string) (any, error) { return args["x"], nil },
+		"fail": func(context.Context, map[string]string) (any, error) { return nil, errors.New("no such member") },
+		"fall": func(context.Context, map[string]string) (any, error) { panic("at this") },
+		"much": func(context.Context, map[string]string) (any, error) { return strings.Repeat("x", mostAnswer), nil },
+	}})
+	info, err := os.Stat(path)
+	require.NoError(t, err)
+	assert.Equal(t, os.FileMode(0o600), info.Mode().Perm())
+	data, err := Ask(path, "echo", map[string]string{"x": "y"})
+	require.NoError(t, err)
+	assert.Equal(t, `"y"`, string(data))
+	for do, want := range map[string]string{"fail": "no such member", "fall": "failed at this: at this", "what": "unknown request", "much": "ask for less"} {
+		_, err = Ask(path, do, nil)
+		assert.ErrorContains(t, err, want)
+	}
+	for line, want := range map[string]string{"nonsense\n": "not a line of JSON", `{"v":9,"do":"echo"}` + "\n": "version 9", strings.Repeat("x", mostRequest+1): "a line over"} {
+		c, err := net.Dial("unix", path)
+		require.NoError(t, err)
+		_, _ = c.Write([]byte(line))
+		b := make([]byte, 400)
+		n, _ := io.ReadAtLeast(c, b, 20)
+		assert.Contains(t, string(b[:n]), want)
+		_ = c.Close()
+	}
+}
+
+func TestAnotherUserIsRefused(t *testing.T) {
+	path := begin(t, &Door{allowed: func(uint32) bool { return false }})
+	_, err := Ask(path, "echo", nil)
+	assert.ErrorContains(t, err, "may not ask here")
+}
+
+func TestASocketInUseAndAnotherFileAreLeftAlone(t *testing.T) {
+	path := begin(t, &Door{})
+	_, err := Listen(path)
+	assert.ErrorContains(t, err, "in use")
+	file := filepath.Join(t.TempDir(), "f")
+	require.NoError(t, os.WriteFile(file, []byte("x"), 0o600))
+	_, err = Listen(file)
+	assert.ErrorContains(t, err, "no socket")
+	old, err := net.Listen("unix", file+"2")
+	require.NoError(t, err)
+	old.(*net.UnixListener).SetUnlinkOnClose(false)
+	_ = old.Close()
+	ln, err := Listen(file + "2")
+	require.NoError(t, err, "left behind")
+	_ = ln.Close()
+}
--- a/internal/operators/operators.go
+++ b/internal/operators/operators.go
@@ -8,7 +8,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net/netip"
 	"os"
+	"path"
 	"slices"
 	"strconv"
 	"strings"
@@ -29,8 +31,34 @@
 
 // Rulebook is what the file says, every default filled in.
 type Rulebook struct {
-	Box  Box  `json:"box"`
-	Tier Tier `json:"tier"`
+	Router Router `json:"router"`
+	Box    Box    `json:"box"`
+	Tier   Tier   `json:"tier"`
+}
+
+// Router is what a router is told beside its start file.
+type Router struct {
+	Socket    string    `json:"socket"`
+	Addresses []Several `json:"addresses"`
+}
+
+// Several is a member that answers at several addresses.
+type Several struct {
+	Member string   `json:"member"`
+	Board  string   `json:"board"`
+	List   []string `json:"list"`
+}
+
+// Matches says whether it is about a member with an id and an address on the notice board.
+func (s Several) Matches(id, addr string) bool {
+	if s.Board != "" && s.Board != addr {
+		return false
+	}
+	if s.Member == "" {
+		return s.Board != ""
+	}
+	ok, _ := path.Match(s.Member, id)
+	return ok
 }
 
 // Box is a cache box of the product.
@@ -173,6 +201,24 @@
 	if err != nil {
 		return book, Mistake{File: name, Line: 1, Column: 1, Reason: err.Error()}
 	}
+	for i, x := range book.Router.Addresses {
+		at := func(reason string, more ...string) error {
+			path := append([]string{"router", "addresses", strconv.Itoa(i)}, more...)
+			n := find(&root, path)
+			return Mistake{name, n.Line, n.Column, strings.Join(path, "."), reason}
+		}
+		if x.Member == "" && x.Board == "" {
+			return book, at("it names neither member nor board")
+		}
+		if _, err := path.Match(x.Member, ""); err != nil {
+			return book, at(fmt.Sprintf("%q is no pattern", x.Member), "member")
+		}
+		for j, a := range x.List {
+			if _, err := netip.ParseAddrPort(a); err != nil && !strings.HasPrefix(a, "unix:/") {
+				return book, at(fmt.Sprintf("%q is neither IP:PORT nor unix:/PATH", a), "list", strconv.Itoa(j))
+			}
+		}
+	}
 	if b := book.Box.Made; b.LeastBytes > b.MostBytes {
 		n := find(&root, []string{"box", "made", "least_bytes"})
 		return book, Mistake{name, n.Line, n.Column, "box.made.least_bytes", fmt.Sprintf("%d is over most_bytes, %d", b.LeastBytes, b.MostBytes)}
@@ -396,7 +442,10 @@
 				keys := items.values["properties"].(*object)
 				for _, key := range keys.keys {
 					k := keys.values[key].(*object)
-					text, _ := json.Marshal(k.values["default"])
+					text := []byte("needed")
+					if d, ok := k.values["default"]; ok {
+						text, _ = json.Marshal(d)
+					}
 					fmt.Fprintf(b, "%s  # of each, %s: %s   %s\n", pad, key, text, k.values["description"])
 				}
 			}
--- /dev/null
+++ b/internal/reach/reach_test.go
@@ -0,0 +1,289 @@
+package reach
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+)
+
+const (
+	sock = Addr("unix:/run/x")
+	four = Addr("127.0.0.1:1")
+	six  = Addr("[::1]:1")
+	far4 = Addr("10.0.0.1:1")
+	far6 = Addr("[2001:db8::1]:1")
+)
+
+func two() *Core {
+	c := New(1)
+	c.List(100, "a", 0, []Addr{four, sock})
+	return c
+}
+
+func addrs(plan []Try) (out []Addr) {
+	for _, t := range plan {
+		out = append(out, t.Addr)
+	}
+	return out
+}
+
+func TestOrderIsNearFirstAndFamiliesInTurns(t *testing.T) {
+	assert.Equal(t, []Addr{sock, six, four, far6, far4, "10.0.0.2:1"},
+		Order([]Addr{far4, four, "10.0.0.2:1", far6, six, sock, four}))
+}
+
+func TestAPlanStaggersByWhatWasMeasured(t *testing.T) {
+	c := two()
+	assert.Equal(t, []Try{{sock, 0}, {four, staggerMost}}, c.Plan(100, "a", true))
+	c.Dialed(100, "a", sock, Well, 0.02)
+	assert.Equal(t, []Try{{sock, 0}, {four, 0.08}}, c.Plan(100, "a", true))
+	c.Dialed(100, "a", four, Well, 0.001)
+	assert.Equal(t, []Addr{four, sock}, addrs(c.Plan(100, "a", true)), "the slower one goes behind")
+}
+
+func TestARefusalRestsTheAddressUntilALookSucceeds(t *testing.T) {
+	c := two()
+	none := func(string, Addr) bool { return true }
+	c.Dialed(100, "a", sock, Refused, 0)
+	assert.Equal(t, []Addr{four}, addrs(c.Plan(100, "a", true)))
+	assert.Empty(t, c.Looks(100.1, none), "it rests")
+	assert.Equal(t, []Look{{"a", sock, false}}, c.Looks(101, none))
+	assert.Equal(t, []Addr{four}, addrs(c.Plan(101, "a", true)), "a look carries nothing, and no hop goes there yet")
+	assert.Empty(t, c.Looks(101.05, none), "one at a time")
+	c.Dialed(101.1, "a", sock, Well, 0.001)
+	assert.Equal(t, []Addr{sock, four}, addrs(c.Plan(101.1, "a", true)))
+}
+
+func TestAllAddressesBadIsToldAtOnce(t *testing.T) {
+	c := two()
+	c.Dialed(100, "a", sock, Refused, 0)
+	c.Dialed(100, "a", four, Hung, 0)
+	assert.Empty(t, c.Plan(100, "a", true))
+}
+
+func TestASingleAddressIsNeverRested(t *testing.T) {
+	c := New(1)
+	c.List(100, "a", 0, []Addr{four})
+	for range 9 {
+		c.Dialed(100, "a", four, Refused, 0)
+		c.Broke(100, "a", four)
+	}
+	assert.False(t, c.Waits(100, "a", four, 10))
+	assert.Equal(t, []Addr{four}, addrs(c.Plan(100, "a", false)))
+	assert.Empty(t, c.Looks(200, func(string, Addr) bool { return false }))
+}
+
+// An address that accepts and stays silent: no hop goes there; then one repeatable txn tries it, an order never.
+func TestASilentAddressIsTriedByOneRepeatableTxn(t *testing.T) {
+	c := two()
+	assert.False(t, c.Waits(100, "a", sock, 0.1))
+	assert.True(t, c.Waits(100, "a", sock, 0.13))
+	_, ok := c.Usable(100, "a", sock, true)
+	assert.False(t, ok)
+	_, ok = c.Usable(110, "a", sock, false)
+	assert.False(t, ok, "an order does not try it")
+	_, ok = c.Usable(110, "a", sock, true)
+	assert.True(t, ok)
+	c.Sent(110, "a", sock)
+	_, ok = c.Usable(110, "a", sock, true)
+	assert.False(t, ok, "one at a time")
+	first := c.at(110, "a", sock).rest
+	assert.True(t, c.Waits(110.5, "a", sock, 0.5))
+	assert.NotZero(t, first)
+	c.Answered(140, "a", sock, 0.01)
+	_, ok = c.Usable(140, "a", sock, false)
+	assert.True(t, ok)
+}
+
+func TestSilenceIsJudgedByUsualWaits(t *testing.T) {
+	c := two()
+	for range 4 {
+		c.Answered(100, "a", sock, 0.2)
+	}
+	assert.False(t, c.Waits(100, "a", sock, 0.7))
+	assert.True(t, c.Waits(100, "a", sock, 0.81))
+}
+
+func TestRestsGrowUntilItHasAnsweredForAWhile(t *testing.T) {
+	c, now, longest := two(), 100.0, 0.0
+	for range 40 {
+		c.Dialed(now, "a", sock, Refused, 0)
+		x := c.at(now, "a", sock)
+		assert.GreaterOrEqual(t, x.rest, restFirst)
+		assert.LessOrEqual(t, x.rest, restMost)
+		longest = max(longest, x.rest)
+		now = x.until + 0.1
+		c.Dialed(now, "a", sock, Well, 0.001) // flapping: it is back and gone again
+	}
+	assert.Greater(t, longest, 2.0)
+	c.Answered(now, "a", sock, 0.01)
+	c.Broke(now+provenAfter, "a", sock)
+	assert.Less(t, c.at(now, "a", sock).rest, 3*restFirst)
+}
+
+func TestAMemberThatStartsAgainIsUnknownAndAListCanChange(t *testing.T) {
+	c := two()
+	c.Dialed(100, "a", sock, Refused, 0)
+	c.List(100, "a", 0, []Addr{sock, six})
+	assert.Equal(t, []Addr{six}, addrs(c.Plan(100, "a", true)), "what is known of one that stays is kept")
+	_, ok := c.Usable(100, "a", four, true)
+	assert.False(t, ok, "it has left the list")
+	c.Dialed(100, "a", four, Well, 1) // an attempt that was under way: nothing comes of it
+	c.List(101, "a", 101, []Addr{sock, six})
+	assert.Equal(t, []Addr{sock, six}, addrs(c.Plan(101, "a", true)))
+}
+
+func TestAnOperatorsWordHoldsUntilItIsTakenBack(t *testing.T) {
+	c := two()
+	assert.True(t, c.Rest(100, "a", sock))
+	assert.False(t, c.Rest(100, "a", four), "the last one")
+	c.Dialed(100, "a", sock, Well, 0.001)
+	c.Answered(100, "a", sock, 0.001)
+	assert.Equal(t, []Addr{four}, addrs(c.Plan(1e6, "a", true)))
+	assert.Equal(t, -1.0, c.States(1e6)[0].RestS)
+	assert.True(t, c.Unrest(1e6, "a", sock))
+	assert.Equal(t, []Addr{sock, four}, addrs(c.Plan(1e6, "a", true)))
+}
+
+func TestASecondLinkIsKeptWarmForMembersInUse(t *testing.T) {
+	c := two()
+	linked := func(string, Addr) bool { return false }
+	assert.Empty(t, c.Looks(100, linked))
+	c.Plan(100, "a", true)
+	assert.Equal(t, []Look{{"a", four, false}}, c.Looks(100.5, linked))
+	assert.Empty(t, c.Looks(101, linked))
+	assert.Empty(t, c.Looks(200, linked), "not used lately")
+}
+
+// Every interleaving of what can happen to the attempts for two txns over two addresses, to a depth of seven: never two
+// connections used for one race, none after it was stopped, and every one that came up is used or closed.
+func TestEveryInterleavingOfARace(t *testing.T) {
+	type world struct {
+		races [2]*Race
+		out   [2]map[int]bool
+		used  [2]int
+		dead  [2]bool
+		now   float64
+	}
+	runs := 0
+	steps := []string{"due0", "due1", "up00", "up01", "up10", "down00", "down01", "down10", "stop0", "late"}
+	play := func(path []int) (legal bool) {
+		w := world{now: 0}
+		for i := range w.races {
+			w.races[i], w.out[i] = NewRace(0, []Try{{sock, 0}, {four, 0.05}}, 0.4), map[int]bool{}
+		}
+		for _, p := range path {
+			w.now += 0.03
+			s := steps[p]
+			switch r := int(s[len(s)-1] - '0'); {
+			case s == "late":
+				w.now += 0.2
+			case s[:3] == "due":
+				if i := w.races[r].Due(w.now, func() bool { return runs%2 == 0 }); i >= 0 {
+					if w.dead[r] || w.used[r] > 0 {
+						t.Fatalf("an attempt begins after the end: %v", path)
+					}
+					w.out[r][i] = true
+				}
+			case s == "stop0":
+				w.races[0].Stop()
+				w.dead[0] = true
+			default:
+				r, i := int(s[len(s)-2]-'0'), int(s[len(s)-1]-'0')
+				if !w.out[r][i] {
+					return false
+				}
+				delete(w.out[r], i)
+				if s[:2] == "up" {
+					if w.races[r].Up(i, w.now) {
+						if w.used[r]++; w.used[r] > 1 || w.dead[r] {
+							t.Fatalf("a second connection is used, or one after the end: %v", path)
+						}
+					}
+				} else {
+					w.races[r].Down(i)
+				}
+			}
+			for r := range w.races {
+				if w.races[r].Lost(w.now) && w.used[r] > 0 {
+					t.Fatalf("lost and won: %v", path)
+				}
+			}
+		}
+		return true
+	}
+	var walk func(path []int)
+	walk = func(path []int) {
+		runs++
+		if !play(path) || len(path) == 7 {
+			return
+		}
+		for i := range steps {
+			walk(append(path[:len(path):len(path)], i))
+		}
+	}
+	walk(nil)
+	assert.Greater(t, runs, 100000)
+}
+
+func TestARaceWithoutGrantsGoesOneByOne(t *testing.T) {
+	no := func() bool { return false }
+	r := NewRace(0, []Try{{sock, 0}, {four, 0.05}}, 0.4)
+	assert.Equal(t, 0, r.Due(0, no))
+	assert.Equal(t, -1, r.Due(0.1, no))
+	r.Down(0)
+	assert.Equal(t, 1, r.Due(0.1, no))
+	r.Down(1)
+	assert.True(t, r.Lost(0.1))
+}
+
+// Whatever is heard in whatever order, a plan names only listed addresses that may be used, and rests end.
+func TestProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c, now := New(7), 100.0
+		all := []Addr{sock, four, six}
+		c.List(now, "a", 0, all)
+		for range rapid.IntRange(1, 80).Draw(t, "n") {
+			now += rapid.Float64Range(-1, 2).Draw(t, "dt") // a clock may jump back
+			a := rapid.SampledFrom(all).Draw(t, "a")
+			switch rapid.IntRange(0, 6).Draw(t, "what") {
+			case 0:
+				c.Dialed(now, "a", a, rapid.SampledFrom([]Why{Well, Refused, Hung}).Draw(t, "why"), 0.01)
+			case 1:
+				c.Answered(now, "a", a, 0.02)
+			case 2:
+				c.Waits(now, "a", a, 0.5)
+			case 3:
+				c.Broke(now, "a", a)
+			case 4:
+				c.Sent(now, "a", a)
+			case 5:
+				c.List(now, "a", 0, all[rapid.IntRange(0, 1).Draw(t, "from"):])
+			case 6:
+				c.Looks(now, func(string, Addr) bool { return false })
+			}
+			last := -1.0
+			for _, try := range c.Plan(now, "a", false) {
+				if _, ok := c.Usable(now, "a", try.Addr, false); !ok || try.After < last {
+					t.Fatalf("%v is in the plan %v", try, fmt.Sprint(c.States(now)))
+				}
+				last = try.After
+			}
+		}
+		for range 3 { // with looks that succeed all addresses come back
+			now += quietMost + 100
+			c.Probes = true
+			for _, l := range c.Looks(now, func(string, Addr) bool { return true }) {
+				c.Dialed(now, l.Member, l.Addr, Well, 0.01)
+				c.Answered(now, l.Member, l.Addr, 0.01)
+			}
+		}
+		for _, s := range c.States(now) {
+			if s.Why == "refused" || s.Why == "hung" || s.Why == "quiet" {
+				t.Fatalf("%+v never came back", s)
+			}
+		}
+	})
+}
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -22,6 +22,7 @@
 const (
 	queued     = 4096                  // events that may wait for the loop
 	sweepEvery = time.Second           // between looks for links that are idle
+	watchEvery = 20 * time.Millisecond // between looks for hops that wait in silence, where members have several addresses
 	guardAfter = 20 * time.Millisecond // past its time limit a txn is aborted here, if the decisions failed to end it
 )
 
@@ -93,6 +94,12 @@
 	bell, sweep := time.NewTimer(0), time.NewTicker(sweepEvery)
 	defer bell.Stop()
 	defer sweep.Stop()
+	var watch <-chan time.Time
+	if l.Pool.Reach != nil {
+		watching := time.NewTicker(watchEvery)
+		defer watching.Stop()
+		watch = watching.C
+	}
 	for {
 		select {
 		case <-ctx.Done():
@@ -102,6 +109,8 @@
 		case <-bell.C:
 		case <-sweep.C:
 			l.safely(func() { l.Pool.Sweep(time.Now()) })
+		case <-watch:
+			l.safely(func() { l.Pool.Watch(time.Now()) })
 		}
 		l.safely(l.ring)
 		if len(l.timers.list) > 0 {
@@ -140,7 +149,12 @@
 			l.decide(brain.ClientGone{Txn: ev.Txn.ID}, o)
 			l.tidy(o)
 		}
+	case send.Dialed:
+		l.Pool.Heard(ev)
+	case func():
+		ev()
 	case send.Ended:
+		l.Pool.Heard(ev)
 		switch owner := ev.Call.Owner.(type) {
 		case *hop:
 			l.ended(owner, ev.End)
--- a/internal/send/link.go
+++ b/internal/send/link.go
@@ -17,6 +17,7 @@
 	"cairnfront/internal/admit"
 	"cairnfront/internal/conn"
 	"cairnfront/internal/line"
+	"cairnfront/internal/reach"
 	"cairnfront/internal/txn"
 
 	"golang.org/x/sync/errgroup"
@@ -31,6 +32,8 @@
 	body  *txn.Body
 	hop   bool
 
+	repeatable bool // of a rule that may run again
+
 	begun   bool      // some of it may be written
 	end     int64     // the link's count of bytes after its last one
 	written time.Time // when it was begun
@@ -43,11 +46,15 @@
 
 // Link is one connection to a member.
 type Link struct {
-	pool         *Pool
-	member, addr string
+	pool    *Pool
+	member  string
+	started float64 // the member's start for which it was made
 
 	mu      sync.Mutex
-	c       *conn.Conn // nil until it is up
+	addr    string              // empty while several are tried
+	plan    []reach.Try         // of a member with several addresses
+	listed  map[reach.Addr]bool // those that it still has; nil for any
+	c       *conn.Conn          // nil until it is up
 	calls   map[string]*Call
 	queue   []item
 	undone  map[string]*Call // given up, and the member is yet to be told
@@ -163,10 +170,8 @@
 // run makes the connection and serves it until it ends; then every open call gets its end.
 func (l *Link) run(ctx context.Context) {
 	began := time.Now()
-	dial, cancel := context.WithTimeout(ctx, l.pool.Connect)
-	raw, err := l.pool.Dial(dial, l.addr)
-	cancel()
-	peer := l.member + "@" + l.addr
+	raw, err := l.dial(ctx)
+	peer := l.member + "@" + l.over()
 	if err != nil {
 		c := conn.New(nowhere{}, 0, 0)
 		code := conn.NoConnect
--- a/internal/send/pool.go
+++ b/internal/send/pool.go
@@ -14,6 +14,7 @@
 	"cairnfront/internal/book"
 	"cairnfront/internal/conn"
 	"cairnfront/internal/line"
+	"cairnfront/internal/reach"
 	"cairnfront/internal/txn"
 
 	"golang.org/x/sync/errgroup"
@@ -50,9 +51,15 @@
 	Streams int           // hops that one connection carries
 	Report  bool          // checks ask for the load report
 
-	// Dial makes a connection; the network's own where nil.
+	// Dial makes a connection; the network's own where nil. An address is host:port or unix:PATH.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
 
+	// Reach decides over which address a member is reached, and Addrs says which it has beside the one of the notice
+	// board; nil where each has that one only. Repeatable says of a remap rule whether it may run again.
+	Reach      *reach.Core
+	Addrs      func(board.Row) []reach.Addr
+	Repeatable func(rule int) bool
+
 	ctx     context.Context
 	group   *errgroup.Group
 	members map[string]*member
@@ -60,9 +67,12 @@
 }
 
 type member struct {
-	addr  string
-	gone  bool
-	links []*Link
+	row     board.Row
+	addr    string
+	several bool // addresses: Reach knows them
+	started float64
+	gone    bool
+	links   []*Link
 }
 
 // Start makes the pool ready; Wait returns once all its links have ended.
@@ -71,7 +81,8 @@
 	p.members = map[string]*member{}
 	if p.Dial == nil {
 		p.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
-			return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+			a := reach.Addr(addr)
+			return (&net.Dialer{}).DialContext(ctx, a.Network(), a.Target())
 		}
 	}
 }
@@ -92,7 +103,8 @@
 			m = &member{}
 			p.members[row.Member] = m
 		}
-		m.addr, m.gone = row.Addr, row.Status == brain.Gone
+		m.row, m.addr, m.gone = row, row.Addr, row.Status == brain.Gone
+		p.reaches(row, m)
 	}
 }
 
@@ -104,10 +116,13 @@
 	if m == nil {
 		return nil
 	}
+	if m.several {
+		return p.over(id, m, c, avoid)
+	}
 	var best *Link
 	least := p.Streams
 	for _, l := range m.links {
-		if n, ok := l.load(); ok && n < least && l.addr == m.addr && !contains(avoid, l) {
+		if n, ok := l.load(); ok && n < least && l.over() == m.addr && !contains(avoid, l) {
 			best, least = l, n
 		}
 	}
@@ -120,8 +135,19 @@
 		}
 		return nil
 	}
-	l := &Link{pool: p, member: id, addr: m.addr, calls: map[string]*Call{}, undone: map[string]*Call{}, wake: make(chan struct{}, 1)}
+	l := p.link(id, m)
+	l.addr = m.addr
 	l.add(c)
+	p.run(m, l)
+	return c
+}
+
+func (p *Pool) link(id string, m *member) *Link {
+	return &Link{pool: p, member: id, started: m.started, calls: map[string]*Call{}, undone: map[string]*Call{}, wake: make(chan struct{}, 1)}
+}
+
+// run lets a link live; a descriptor was granted for it.
+func (p *Pool) run(m *member, l *Link) {
 	m.links = append(m.links, l)
 	p.Book.Began("member")
 	p.group.Go(func() error {
@@ -129,7 +155,6 @@
 		l.run(p.ctx)
 		return nil
 	})
-	return c
 }
 
 func contains(links []*Link, l *Link) bool {
@@ -144,7 +169,8 @@
 // Send starts a hop.
 func (p *Pool) Send(d line.Do, avoid []*Link, owner any) *Call {
 	head := line.AppendDo(nil, d)
-	return p.call(d.To, &Call{Owner: owner, id: d.Txn.ID, head: head, body: d.Txn.Body, hop: true}, avoid)
+	return p.call(d.To, &Call{Owner: owner, id: d.Txn.ID, head: head, body: d.Txn.Body, hop: true,
+		repeatable: p.Repeatable != nil && p.Repeatable(d.Txn.Rule)}, avoid)
 }
 
 // Check asks a member for its state.
@@ -181,7 +207,7 @@
 	for id, m := range p.members {
 		for _, l := range m.links {
 			switch {
-			case m.gone || l.addr != m.addr:
+			case m.gone || !p.current(m, l):
 				l.endIf(conn.Unlisted, now)
 			case p.Idle > 0:
 				l.endIf(conn.Idle, now.Add(-time.Duration(idleMargin*float64(p.Idle))))
--- a/internal/tier/store_test.go
+++ b/internal/tier/store_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"path/filepath"
@@ -474,4 +473,51 @@
 	}
 }
 
-var _ = errors.Is
+// midway calls a function in the middle of a read.
+type midway struct {
+	disk.FS
+	then func()
+}
+
+type midwayFile struct {
+	disk.File
+	fs *midway
+}
+
+func (m *midway) Open(name string) (disk.File, error) {
+	f, err := m.FS.Open(name)
+	return midwayFile{f, m}, err
+}
+
+func (f midwayFile) ReadAt(p []byte, at int64) (int, error) {
+	if then := f.fs.then; then != nil && at > 0 {
+		f.fs.then = nil
+		then()
+	}
+	return f.File.ReadAt(p, at)
+}
+
+// A part is dropped and its segment compacted away while it is being read, and while a slow client is being sent it:
+// the bytes are the ones that were asked for, and the file is closed after the last reader.
+func TestAPartGoesWhileItIsBeingSent(t *testing.T) {
+	real := disk.NewFaulty(1)
+	s, _, _ := open(t, real)
+	for i := range 20 {
+		put(t, s, k(i, 0), 100, 400)
+	}
+	require.NoError(t, s.Close())
+	fs := &midway{FS: real}
+	s, _, _ = open(t, fs)
+	fs.then = func() {
+		s.Drop(k(1, 0))
+		_, err := s.Compact(1, func(Meta) bool { return true })
+		assert.NoError(t, err)
+	}
+	p, err := s.Get(k(1, 0))
+	require.NoError(t, err)
+	assert.Nil(t, real.Bytes("seg-00000001.cf"), "the segment is gone")
+	put(t, s, k(1, 0), 200, 400)
+	assert.True(t, bytes.Equal(body(k(1, 0), 100, 400), p.Body))
+	holds(t, s, k(1, 0), 200, 400)
+	holds(t, s, k(2, 0), 100, 400)
+}
