--- a/internal/lab/client.go
+++ b/internal/lab/client.go
@@ -130,6 +130,7 @@
 	groups  int
 	pause   time.Duration // mean between a client's txns
 	heard   func(reply)
+	fragile bool // unrepeatable txns too
 	second  int64
 	mu      sync.Mutex
 }
@@ -156,6 +157,8 @@
 			a := ask{}
 			for ctx.Err() == nil {
 				switch x := r.Float64(); {
+				case x > 0.97 && c.fragile:
+					a = ask{rule: "record", object: 0xffe0000 + uint64(r.IntN(9)), body: make([]byte, 200), ttl: 3 * time.Second}
 				case x < 0.03:
 					a = ask{rule: "print-order", object: 0xfff0000 + uint64(r.IntN(9)), key: fmt.Sprintf("%016x%016x", r.Uint64(), r.Uint64()),
 						body: make([]byte, 200), ttl: 3 * time.Second}
