Several addresses on sockets: tests of races, silence, lists that change, descriptors that run out

Need: the hard cases of several addresses have to be caused, not argued.

Change: tests end each connection attempt by hand (refused, hung, both up at once, off the list meanwhile, no descriptor left), a silent address gets no further hop and an order never tries it, links belong to a member's start. A plot names each kind of mark once and leaves room for its legend. A stand-in's reading of an undo may lag 10 ms behind the hop after it.

--- a/internal/lab/html.go
+++ b/internal/lab/html.go
@@ -67,7 +67,7 @@
 func (p Plot) svg() (template.HTML, error) {
 	g := plot.New()
 	g.Title.Text, g.X.Label.Text, g.Y.Label.Text = p.Title, p.X, p.Y
-	g.Legend.Top = true
+	g.Legend.Top, g.Legend.XOffs = true, -vg.Points(12)
 	g.Add(plotter.NewGrid())
 	low, high := 0.0, 0.0
 	for i, l := range p.Lines {
@@ -86,6 +86,7 @@
 		g.Add(line, dots)
 		g.Legend.Add(l.Name, line)
 	}
+	named := map[string]bool{} // a name stands once: many marks of a kind would write over one another
 	for _, m := range p.Marks {
 		line, err := plotter.NewLine(plotter.XYs{{X: m.At, Y: low}, {X: m.At, Y: high}})
 		if err != nil {
@@ -94,12 +95,19 @@
 		line.Color = color.RGBA{R: 0xaa, G: 0x11, B: 0x11, A: 0x80}
 		line.Dashes = []vg.Length{vg.Points(3), vg.Points(3)}
 		g.Add(line)
+		if named[m.Name] {
+			continue
+		}
+		named[m.Name] = true
 		labels, err := plotter.NewLabels(plotter.XYLabels{XYs: plotter.XYs{{X: m.At, Y: high}}, Labels: []string{m.Name}})
 		if err != nil {
 			return "", err
 		}
 		g.Add(labels)
 	}
+	if room := (high - low) * 0.15; room > 0 { // for the legend
+		g.Y.Max = high + room
+	}
 	to, err := g.WriterTo(22*vg.Centimeter, 10*vg.Centimeter, "svg")
 	if err != nil {
 		return "", err
--- /dev/null
+++ b/internal/send/several_test.go
@@ -0,0 +1,263 @@
+package send
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"cairnfront/brain"
+	"cairnfront/internal/admit"
+	"cairnfront/internal/board"
+	"cairnfront/internal/line"
+	"cairnfront/internal/reach"
+	"cairnfront/internal/txn"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	first  = reach.Addr("127.0.0.1:1")
+	second = reach.Addr("127.0.0.1:2")
+)
+
+// attempt is a connection that is being made; the test says how it ends.
+type attempt struct {
+	addr string
+	to   chan net.Conn // a connection, or closed for a refusal
+}
+
+type severalSide struct {
+	*side
+	attempts chan attempt
+}
+
+// several is a pool with one member of two addresses whose attempts a test ends.
+func several(t *testing.T, sockets int) *severalSide {
+	s := &severalSide{pool(t), make(chan attempt, 9)}
+	s.Gate = admit.New(64, sockets)
+	s.Connect = 5 * time.Second
+	s.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
+		a := attempt{addr, make(chan net.Conn, 1)}
+		s.attempts <- a
+		select {
+		case c, ok := <-a.to:
+			if !ok {
+				return nil, errors.New("connection refused")
+			}
+			return c, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	s.Reach, s.Addrs = reach.New(1), func(board.Row) []reach.Addr { return []reach.Addr{first, second} }
+	s.Repeatable = func(rule int) bool { return rule == 0 }
+	s.list(0)
+	return s
+}
+
+func (s *severalSide) list(started float64) {
+	s.List(true, []board.Row{{Addr: string(first), Row: brain.Row{Member: "m", Started: started}}})
+}
+
+func (a attempt) up() net.Conn {
+	near, far := net.Pipe()
+	a.to <- near
+	return far
+}
+
+// hear hands on what was posted until a call ends.
+func (s *severalSide) hear(t *testing.T) Ended {
+	for ev := range s.ends {
+		s.Heard(ev)
+		if e, ok := ev.(Ended); ok {
+			return e
+		}
+	}
+	t.Fatal("no end")
+	return Ended{}
+}
+
+func (s *severalSide) dialed() {
+	for {
+		ev := <-s.ends
+		s.Heard(ev)
+		if _, ok := ev.(Dialed); ok {
+			return
+		}
+	}
+}
+
+func TestARefusedAddressIsNoEndOfTheHop(t *testing.T) {
+	s := several(t, 20)
+	c := s.send("a", 0)
+	x := <-s.attempts
+	assert.Equal(t, string(first), x.addr)
+	close(x.to)
+	y := <-s.attempts
+	assert.Equal(t, string(second), y.addr)
+	far := y.up()
+	r := bufio.NewReader(far)
+	assert.Equal(t, "do a", asked(t, r))
+	_, _ = io.WriteString(far, "a not_here - 0\r\n\r\n")
+	assert.Equal(t, Ended{Call: c, End: txn.End{Code: brain.Miss}}, s.hear(t))
+	assert.Equal(t, "refused", s.Reach.States(unix(time.Now()))[0].Why)
+}
+
+// The first address hangs: after its stagger the second is tried beside it, and the hop goes there. The first comes up
+// later and is closed.
+func TestAHungAddressIsPassedAndClosedWhenItComesUp(t *testing.T) {
+	s := several(t, 20)
+	s.send("a", 0)
+	x, y := <-s.attempts, <-s.attempts
+	assert.Equal(t, string(second), y.addr)
+	far := y.up()
+	assert.Equal(t, "do a", asked(t, bufio.NewReader(far)))
+	select { // called off, unless it came up in the same moment
+	case x.to <- nil:
+	default:
+	}
+	assert.Equal(t, string(second), s.members["m"].links[0].over())
+}
+
+// Both come up at the same moment: one is used, and the other is closed without a byte.
+func TestOfTwoThatComeUpOneIsUsed(t *testing.T) {
+	s := several(t, 20)
+	s.send("a", 0)
+	x, y := <-s.attempts, <-s.attempts
+	a, b := x.up(), y.up()
+	got := make(chan string, 2)
+	for _, far := range []net.Conn{a, b} {
+		go func() {
+			text, err := bufio.NewReader(far).ReadString('\n')
+			if err != nil {
+				text = "closed"
+			}
+			got <- text
+		}()
+	}
+	one := <-got
+	if one == "closed" {
+		one = <-got
+	} else {
+		go func() { _, _ = io.Copy(io.Discard, a) }()
+		go func() { _, _ = io.Copy(io.Discard, b) }()
+	}
+	assert.Contains(t, one, "do a ")
+}
+
+// The list changes between attempt and success: the address passes to another member, and nothing is written there.
+func TestAnAddressThatLeftTheListIsNotUsed(t *testing.T) {
+	s := several(t, 20)
+	s.send("a", 0)
+	x := <-s.attempts
+	s.Addrs = func(board.Row) []reach.Addr { return []reach.Addr{second, "127.0.0.1:3"} }
+	s.Relist()
+	far := x.up()
+	_, err := far.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, io.EOF, "closed unwritten")
+	y := <-s.attempts
+	assert.Equal(t, string(second), y.addr)
+	assert.Equal(t, "do a", asked(t, bufio.NewReader(y.up())))
+}
+
+func TestAllAddressesRestingIsToldAtOnce(t *testing.T) {
+	s := several(t, 20)
+	now := unix(time.Now())
+	s.Reach.Dialed(now, "m", first, reach.Refused, 0)
+	s.Reach.Dialed(now, "m", second, reach.Refused, 0)
+	c := s.send("a", 0)
+	assert.Equal(t, Ended{Call: c, End: txn.End{Code: brain.NoConnect}}, s.hear(t))
+	assert.Empty(t, s.attempts)
+}
+
+// With no descriptor for a second attempt the first is waited for, then the second is made.
+func TestWithoutDescriptorsAttemptsGoOneByOne(t *testing.T) {
+	s := several(t, 3) // one for members
+	s.send("a", 0)
+	x := <-s.attempts
+	select {
+	case <-s.attempts:
+		t.Fatal("a second attempt without a descriptor")
+	case <-time.After(400 * time.Millisecond): // over the stagger; it only bounds how soon a fault would show
+	}
+	close(x.to)
+	assert.Equal(t, "do a", asked(t, bufio.NewReader((<-s.attempts).up())))
+	assert.False(t, s.Gate.Member(true), "the link's own is the only one held")
+}
+
+// A hop that is undone before its link is up was never written.
+func TestAnUndoneHopIsWrittenNowhere(t *testing.T) {
+	s := several(t, 20)
+	c := s.send("a", 0)
+	x := <-s.attempts
+	code, atOnce := s.Undo(c, brain.Cancelled)
+	assert.Equal(t, brain.Moot, code)
+	assert.True(t, atOnce)
+	far := x.up()
+	b := s.send("b", 0)
+	_ = b
+	assert.Equal(t, "do b", asked(t, bufio.NewReader(far)))
+}
+
+// An address accepts, takes a hop and stays silent: the hop stays where it is, the next goes over the other address,
+// and an order never tries the silent one.
+func TestASilentAddressGetsNoFurtherHop(t *testing.T) {
+	s := several(t, 40)
+	a := s.send("a", 0)
+	far := (<-s.attempts).up()
+	r := bufio.NewReader(far)
+	assert.Equal(t, "do a", asked(t, r))
+	require.Eventually(t, func() bool { // the watch tells it once it has waited for long enough
+		s.Watch(time.Now())
+		return s.Reach.States(unix(time.Now()))[0].Why == "quiet"
+	}, 5*time.Second, 10*time.Millisecond)
+	b := s.send("b", 0)
+	assert.NotSame(t, a.Link(), b.Link())
+	y := <-s.attempts
+	assert.Equal(t, string(second), y.addr)
+	other := y.up()
+	assert.Equal(t, "do b", asked(t, bufio.NewReader(other)))
+	_, _ = io.WriteString(other, "b not_here - 0\r\n\r\n")
+	assert.Equal(t, b, s.hear(t).Call)
+	x := &txn.Txn{ID: "c", Name: "order", Object: "ff", Part: "0", Rule: 1}
+	c := s.Send(line.Do{Txn: x, Wait: 1, Hop: brain.Hop{To: "m"}}, nil, "c")
+	assert.Same(t, b.Link(), c.Link())
+	_, _ = io.WriteString(far, "a not_here - 0\r\n\r\n")
+	assert.Equal(t, a, s.hear(t).Call, "its late answer is its end")
+	assert.Equal(t, "well", s.Reach.States(unix(time.Now()))[0].Why)
+}
+
+// A member that starts again is another one: its old links get no new hop.
+func TestLinksBelongToAStart(t *testing.T) {
+	s := several(t, 40)
+	a := s.send("a", 0)
+	far := (<-s.attempts).up()
+	assert.Equal(t, "do a", asked(t, bufio.NewReader(far)))
+	_, _ = io.WriteString(far, "a not_here - 0\r\n\r\n")
+	s.hear(t)
+	s.list(7)
+	b := s.send("b", 0)
+	assert.NotSame(t, a.Link(), b.Link())
+	s.Sweep(time.Now())
+	_, err := far.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, io.EOF, "retired")
+}
+
+// A rested address is looked at with a connection that carries nothing.
+func TestALookCarriesNothing(t *testing.T) {
+	s := several(t, 40)
+	s.Reach.Dialed(unix(time.Now()), "m", first, reach.Refused, 0)
+	s.Watch(time.Now().Add(time.Minute))
+	x := <-s.attempts
+	assert.Equal(t, string(first), x.addr)
+	far := x.up()
+	s.dialed()
+	assert.Equal(t, "well", s.Reach.States(unix(time.Now()))[0].Why)
+	require.Eventually(t, func() bool { s.send("a", 0); return len(s.members["m"].links) > 0 }, time.Second, time.Millisecond)
+	assert.Equal(t, "do a", asked(t, bufio.NewReader(far)), "and then it is warm")
+}
