A budget of further hops, told to the decisions as a fact

Need: in a bad hour every txn wants a further hop, and the load on what is left doubles just then.

Off unless the operators' file sets router.further_share.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -52,7 +52,7 @@
 	mostTries    = 12      // held txns looked at after each end, densest first: bounds the work
 	coldSpend    = 1.0     // share of a cold member's present capacity that is used: half of what topples it
 	ageMargin    = 1e-4    // s by which a copy must be younger than the purge: rounding
-	mostPurges   = 1 << 14 // purges that count, some MB: hours of them; a box that was down may return with a disk
+	mostPurges   = 1 << 14 // purges that count, some MB: hours of them; boxes may return with a disk
 	leastAge     = 2e-6    // s, an age that is never rounded to 0, which means any
 	againAfter   = 1.5     // s a rejected client is told to stay away: jams last seconds, a repeat adds to one
 )
@@ -60,7 +60,8 @@
 // New starts a router that knows nothing but its records.
 func New(seed uint64, rec Records) *Router {
 	return &Router{rec: rec, pcg: seed, nums: map[string]float64{}, rules: map[int]*rule{},
-		txns: map[string]*txn{}, bySeq: map[uint64]*txn{}, objects: map[string]*object{}, purges: map[void]float64{}}
+		txns: map[string]*txn{}, bySeq: map[uint64]*txn{}, objects: map[string]*object{},
+		purges: map[void]float64{}}
 }
 
 // Decide takes one event and returns what is to be done. The slice is good until the next call.
@@ -85,6 +86,12 @@
 		}
 	case Purge:
 		r.purged(ev)
+	case Spare:
+		if m := r.known(ev.Member); m != nil {
+			m.spentUp = !ev.Left
+		} else if ev.Member == "" {
+			r.rule(ev.Rule).spentUp = !ev.Left
+		}
 	}
 	return r.acts
 }
@@ -323,7 +330,8 @@
 // usable says whether a txn may use a member: at level 0 if it has not failed it, at level 1 if it is not on
 // the bench, at level 2 anyhow if all are. Cold guards and gates hold at all levels; writes pass the gates.
 func (r *Router) usable(t *txn, m *member, level int, used func(*hop, *member) bool) bool {
-	if (m.benched > r.now && (level < 2 || r.spare(m))) || !(m.open(r.now) || (t.Write && m.proven <= m.room)) {
+	barred := m.spentUp && len(t.hops) > 0 || m.benched > r.now && (level < 2 || r.spare(m))
+	if barred || !(m.open(r.now) || (t.Write && m.proven <= m.room)) {
 		return false
 	}
 	for _, h := range t.hops {
@@ -439,10 +447,10 @@
 	return h.begun && (h.out || !(h.end == Busy || h.end == NoConnect || h.end == Moot || h.end == Miss))
 }
 
-// oldest is the oldest copy that will do (rule 5): younger than any purge. Running boxes drop what was purged within
-// seconds, one that was down at the time may return with it on a disk, so a purge counts for as long as it is
-// remembered, and of a member that started since, nothing from before the forgotten ones will do. A copy past its
-// fresh time will do if it earns more than a late answer and fills are jammed or one has failed.
+// oldest is the oldest copy that will do (rule 5): younger than any purge. Running boxes drop what was purged
+// within seconds; one that was down may return with it on a disk. So a purge counts while it is remembered, and of
+// a member that started since the forgotten ones, nothing from before them will do. A copy past its fresh time
+// will do if it earns more than a late answer and fills are jammed or one has failed.
 func (r *Router) oldest(t *txn, h *hop) float64 {
 	at := max(r.purges[void{object: t.Object}], r.purges[void{group: t.Group}])
 	for _, m := range [2]*member{h.to, h.source} {
@@ -520,9 +528,9 @@
 	r.giveUp(t)
 }
 
-// mayRepeat says whether a further hop is allowed (rule 2).
+// mayRepeat says whether a further hop is allowed (rule 2), and left in its remap rule's budget.
 func (r *Router) mayRepeat(t *txn) bool {
-	if float64(len(t.hops)) >= r.num("max_hops", 1) {
+	if float64(len(t.hops)) >= r.num("max_hops", 1) || (len(t.hops) > 0 && r.rule(t.Rule).spentUp) {
 		return false
 	}
 	effect, window := r.rule(t.Rule).effect, r.rule(t.Rule).window
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -584,3 +584,26 @@
 		assert.InDelta(t, least, g.room, 1e-9, "%v routers", n)
 	}
 }
+
+// A spent budget of further hops ends a txn that has had one, and leaves fresh ones alone; a member's bars it alone.
+func TestASpentBudgetAllowsNoFurtherHop(t *testing.T) {
+	r := router("keyed")
+	fresh, once := &txn{}, &txn{hops: []*hop{{begun: true, end: Busy}}}
+	r.rec["max_hops"] = "6"
+	assert.True(t, r.mayRepeat(once))
+	r.Decide(100, Spare{Rule: 0})
+	assert.True(t, r.mayRepeat(fresh))
+	assert.False(t, r.mayRepeat(once))
+	r.Decide(100, Spare{Rule: 0, Left: true})
+	assert.True(t, r.mayRepeat(once))
+	m := r.member("c0")
+	m.room = 5
+	once.hops[0].to = r.member("c1")
+	used := func(*hop, *member) bool { return false }
+	r.Decide(100, Spare{Member: "c0"})
+	assert.True(t, r.usable(fresh, m, 0, used))
+	assert.False(t, r.usable(once, m, 0, used))
+	r.Decide(100, Spare{Member: "never heard of"})
+	r.Decide(100, Spare{Member: "c0", Left: true})
+	assert.True(t, r.usable(once, m, 0, used))
+}
--- a/brain/interface.go
+++ b/brain/interface.go
@@ -11,7 +11,7 @@
 	Decide(now float64, ev Event) []Action
 }
 
-// Event is one of Listing, Arrival, Outcome, ClientGone, Bell, Checked and Purge.
+// Event is one of Listing, Arrival, Outcome, ClientGone, Bell, Checked, Purge and Spare.
 type Event interface{ event() }
 
 // Action is one of Hop, Cancel, Reject, Abort, Timer, Check, Subscribe and Note.
@@ -141,6 +141,14 @@
 	Object string
 }
 
+// Spare says whether there is something left of a budget of further hops: a remap rule's, or a member's where one is
+// named.
+type Spare struct {
+	Rule   int
+	Member string
+	Left   bool
+}
+
 // Hop sends a txn to a member.
 type Hop struct {
 	Txn     string
@@ -192,6 +200,7 @@
 func (Bell) event()       {}
 func (Checked) event()    {}
 func (Purge) event()      {}
+func (Spare) event()      {}
 
 func (Hop) action()       {}
 func (Cancel) action()    {}
--- a/brain/state.go
+++ b/brain/state.go
@@ -64,6 +64,7 @@
 	ends    []float64 // the last few ends laid to it, 1 for a failed one
 	benched float64   // nothing is sent before this time if there is another
 	gone    float64   // when the list first told that it is gone, 0 if it does not
+	spentUp bool      // gets no further hops for now
 	strikes int       // times on the bench since it was last proven
 	spent   []sample
 	held    map[*part]*holding
@@ -90,7 +91,7 @@
 	sla, stretch, importance, late, window float64
 	fresh, stale, old                      float64 // old: share of the importance past the fresh time
 	effect, group                          string
-	uncacheable                            bool
+	uncacheable, spentUp                   bool
 	sizes                                  []float64
 }
 
@@ -282,6 +283,15 @@
 	return r.all[at]
 }
 
+// known finds a member by its id; nil where there is none.
+func (r *Router) known(id string) *member {
+	at, found := slices.BinarySearchFunc(r.all, id, func(m *member, id string) int { return cmp.Compare(m.Member, id) })
+	if !found {
+		return nil
+	}
+	return r.all[at]
+}
+
 // believed is the mean of samples once there are enough of them.
 func believed(list []float64, otherwise float64) float64 {
 	if len(list) < sizesNeeded {
--- a/cmd/cairnfront/reach.go
+++ b/cmd/cairnfront/reach.go
@@ -13,6 +13,7 @@
 	"cairnfront/internal/hatch"
 	"cairnfront/internal/operators"
 	"cairnfront/internal/reach"
+	"cairnfront/internal/reach/spend"
 	"cairnfront/internal/route"
 	"cairnfront/internal/send"
 
@@ -47,6 +48,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if book.Router.FurtherShare > 0 {
+		loop.Spend = spend.New(spend.Terms{Share: book.Router.FurtherShare, Least: book.Router.FurtherLeast})
+	}
 	if len(book.Router.Addresses) > 0 {
 		a := &addressed{book.Router.Addresses}
 		pool.Reach, pool.Addrs = reach.New(seed), a.of
--- a/internal/operators/operators.go
+++ b/internal/operators/operators.go
@@ -38,8 +38,10 @@
 
 // Router is what a router is told beside its start file.
 type Router struct {
-	Socket    string    `json:"socket"`
-	Addresses []Several `json:"addresses"`
+	Socket       string    `json:"socket"`
+	FurtherShare float64   `json:"further_share"`
+	FurtherLeast float64   `json:"further_least"`
+	Addresses    []Several `json:"addresses"`
 }
 
 // Several is a member that answers at several addresses.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -14,6 +14,7 @@
 	"cairnfront/internal/board"
 	"cairnfront/internal/book"
 	"cairnfront/internal/line"
+	"cairnfront/internal/reach/spend"
 	"cairnfront/internal/send"
 	"cairnfront/internal/take"
 	"cairnfront/internal/txn"
@@ -36,6 +37,7 @@
 	Pool    *send.Pool
 	Book    *book.Book
 	Clock   func() float64 // Unix seconds
+	Spend   *spend.Ledger  // the budget of further hops; nil for none
 
 	in     chan any
 	gone   chan struct{}
@@ -95,7 +97,7 @@
 	defer bell.Stop()
 	defer sweep.Stop()
 	var watch <-chan time.Time
-	if l.Pool.Reach != nil {
+	if l.Pool.Reach != nil || l.Spend != nil {
 		watching := time.NewTicker(watchEvery)
 		defer watching.Stop()
 		watch = watching.C
@@ -110,7 +112,13 @@
 		case <-sweep.C:
 			l.safely(func() { l.Pool.Sweep(time.Now()) })
 		case <-watch:
-			l.safely(func() { l.Pool.Watch(time.Now()) })
+			l.safely(func() {
+				l.tick()
+				if l.Pool.Watch(time.Now()); l.Spend != nil {
+					l.Spend.Tick(l.now)
+					l.spare()
+				}
+			})
 		}
 		l.safely(l.ring)
 		if len(l.timers.list) > 0 {
@@ -351,6 +359,10 @@
 		until = min(until, a.Until)
 	}
 	d := line.Do{Txn: o.t, Wait: until - l.now, Fill: l.fill(a), Hop: a}
+	if l.Spend != nil {
+		l.Spend.Sent(l.now, o.t.Rule, a.To, h.no > 0)
+		l.later(l.spare)
+	}
 	if !o.ended && until > l.now {
 		l.Book.Add("hops."+o.t.Name+".sent", 1)
 		h.call = l.Pool.Send(d, avoid, h)
@@ -363,6 +375,16 @@
 	l.at(until, timer{hop: h})
 }
 
+// spare tells the decisions which budgets of further hops are spent, and which are open again.
+func (l *Loop) spare() {
+	for _, c := range l.Spend.Changes() {
+		if l.Book.Add("spend.changes", 1); !c.Open {
+			l.Book.Add("spend.spent", 1)
+		}
+		l.decide(brain.Spare{Rule: c.Rule, Member: c.Member, Left: c.Open}, nil)
+	}
+}
+
 // fill is the source as the members hear it: a cache that is its own source fills nothing and none is named; a
 // parent or the origin is named all the same.
 func (l *Loop) fill(a brain.Hop) string {
