--- a/brain/brain.go
+++ b/brain/brain.go
@@ -448,8 +448,8 @@
 }
 
 // oldest is the oldest copy that will do (rule 5): younger than any purge. Running boxes drop what was purged
-// within seconds; one that was down may return with it on a disk. So a purge counts while it is remembered, and of
-// a member that started since the forgotten ones, nothing from before them will do. A copy past its fresh time
+// soon; one that was down may return with it on a disk. So a purge counts while it is remembered, and of a
+// member that started since the forgotten ones, nothing from before them will do. A copy past its fresh time
 // will do if it earns more than a late answer and fills are jammed or one has failed.
 func (r *Router) oldest(t *txn, h *hop) float64 {
 	at := max(r.purges[void{object: t.Object}], r.purges[void{group: t.Group}])
--- a/internal/lab/addresses.go
+++ b/internal/lab/addresses.go
@@ -46,6 +46,8 @@
 	{"one_half", true, hold(half)}, {"one_flapping", true, flap}, {"single_good", false, nil}, {"single_hung", false, hold(silent)},
 }
 
+const listed = 1000 // members in the list
+
 const settleFor = 2.0 // s after a fault begins before times are judged
 
 var addresses = Scenario{Name: "addresses", About: "Members with three addresses, one made to hang, reset, stop half way, shut or flap; the same load on one address each",
@@ -65,6 +67,7 @@
 			p99.Lines = append(p99.Lines, l)
 		}
 		r.Plots = append(r.Plots, p99)
+		r.Figures["cpu_several_over_single"] = r.Figures["cpu_us_a_txn.all_good"] / max(r.Figures["cpu_us_a_txn.single_good"], 1)
 		r.Did = append(r.Did, fmt.Sprintf("%d txns of a repeatable, a keyed and an unrepeatable rule in each of %d ways, over a router and four stand-in members", txns/len(variants), len(variants)),
 			"the fault is at the first address of one cache; times count from two seconds after it began")
 		good := r.Figures["p99_ms.all_good"]
@@ -78,7 +81,7 @@
 // playVariant plays one and adds to the report; the line is the times to an answer, in order.
 func playVariant(ctx context.Context, s Setting, r *Report, v variant, txns, clients int) (Line, error) {
 	none := Line{Name: v.name}
-	t, err := newTown(s, 1)
+	t, err := newTown(s, 2)
 	if err != nil {
 		return none, err
 	}
@@ -114,9 +117,14 @@
 		}
 		rules.Router.Addresses = append(rules.Router.Addresses, entry)
 	}
+	for i := len(members); i < listed; i++ { // of the other campus: listed, never asked
+		p := &place{id: fmt.Sprintf("s-%08x", i+1), location: 2, addr: "127.0.0.1:9"}
+		t.places = append(t.places, p)
+		rules.Router.Addresses = append(rules.Router.Addresses, operators.Several{Member: p.id, List: []string{"unix:/nowhere/" + p.id, "[::1]:9", "127.0.0.1:9"}})
+	}
 	hurt := members[2].doors[0]
 	if v.several {
-		text, err := json.Marshal(map[string]any{"router": rules.Router})
+		text, err := json.Marshal(map[string]any{"router": map[string]any{"addresses": rules.Router.Addresses}})
 		if err != nil {
 			return none, err
 		}
@@ -162,6 +170,12 @@
 	}
 	ended := unix(time.Now())
 	heal()
+	if v.fault == nil {
+		cpu, rss := t.routers[0].usage()
+		t.replies.mu.Lock()
+		r.Figures["cpu_us_a_txn."+v.name], r.Figures["rss_mb."+v.name] = cpu*1e6/float64(max(len(t.replies.all), 1)), rss
+		t.replies.mu.Unlock()
+	}
 	if v.name == "one_hung" || v.name == "one_shut" { // how long until the address is used again
 		_ = hurt.set(good)
 		back := unix(time.Now())
--- a/internal/lab/doors.go
+++ b/internal/lab/doors.go
@@ -41,6 +41,7 @@
 	id    string
 	delay time.Duration
 	body  func(line.Asked) []byte
+	fails func(a line.Asked, n int) bool // whether the nth hop of a txn here fails; nil for never
 
 	mu    sync.Mutex
 	doors []*door
@@ -203,6 +204,22 @@
 			return
 		}
 		time.AfterFunc(m.delay, func() {
+			m.mu.Lock()
+			n := 0
+			for i := len(m.hops) - 1; i >= 0 && i > len(m.hops)-200; i-- {
+				if m.hops[i].id == a.ID {
+					n++
+				}
+			}
+			m.mu.Unlock()
+			if m.fails != nil && m.fails(a, n) {
+				writing.Lock()
+				defer writing.Unlock()
+				if end(a.ID) {
+					_, _ = c.Write(append(line.AppendReply(nil, a.ID, line.Reply{Code: brain.Errored}), line.End...))
+				}
+				return
+			}
 			body := m.body(a)
 			out := line.AppendReply(nil, a.ID, line.Reply{Code: brain.Completed, Remark: brain.Hit, Tag: "v1", Dated: time.Now().UnixMilli(), Group: line.UnknownGroup, Size: len(body)})
 			out = append(append(out, body...), line.End...)
--- a/internal/lab/town.go
+++ b/internal/lab/town.go
@@ -9,6 +9,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -352,6 +354,23 @@
 	return nil
 }
 
+// usage is the CPU seconds that a router has used and its memory in MB, as the system counts them.
+func (r *router) usage() (cpu, rss float64) {
+	const ticks = 100 // a second, on Linux
+	if b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", r.cmd.Process.Pid)); err == nil {
+		fields := strings.Fields(string(b[strings.LastIndexByte(string(b), ')')+1:]))
+		for _, i := range []int{11, 12} { // utime and stime, proc(5)
+			n, _ := strconv.ParseFloat(fields[i], 64)
+			cpu += n / ticks
+		}
+	}
+	if b, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", r.cmd.Process.Pid)); err == nil {
+		n, _ := strconv.ParseFloat(strings.Fields(string(b))[1], 64)
+		rss = n * float64(os.Getpagesize()) / (1 << 20)
+	}
+	return cpu, rss
+}
+
 // ready asks a router whether it takes txns.
 func ready(addr string) bool {
 	c, err := net.Dial("tcp", addr)
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -139,8 +139,7 @@
 	id      string
 	started float64
 	list    []*address
-	used    float64
-	gone    bool
+	used    float64 // when a connection to it was last planned
 }
 
 // Try is one connection attempt of a plan, After so many seconds, or at once where the one before it has failed.
@@ -156,6 +155,8 @@
 	pcg     uint64
 	now     float64
 	members map[string]*member
+	order   []string // their names
+	stale   bool     // the order is not that of the members
 }
 
 // New makes an empty one.
@@ -178,11 +179,10 @@
 func (c *Core) List(now float64, id string, started float64, list []Addr) {
 	c.tick(now)
 	m := c.members[id]
-	if m == nil || m.started != started {
+	if m == nil || m.started != started { // used stays unset: what nobody uses needs no second link
 		m = &member{id: id, started: started}
-		c.members[id] = m
+		c.members[id], c.stale = m, true
 	}
-	m.gone = false
 	var next []*address
 	for _, a := range Order(list) {
 		if x := m.find(a); x != nil {
@@ -195,7 +195,10 @@
 }
 
 // Gone forgets a member.
-func (c *Core) Gone(id string) { delete(c.members, id) }
+func (c *Core) Gone(id string) {
+	delete(c.members, id)
+	c.stale = true
+}
 
 func (m *member) find(a Addr) *address {
 	for _, x := range m.list {
@@ -424,7 +427,7 @@
 	var out []Look
 	for _, id := range c.ids() {
 		m := c.members[id]
-		if len(m.list) < 2 {
+		if len(m.list) < 2 || (c.now-m.used >= recent && m.well()) { // most members, most of the time
 			continue
 		}
 		warm := 0
@@ -449,13 +452,26 @@
 	return out
 }
 
+// well says that nothing is held against any address.
+func (m *member) well() bool {
+	for _, x := range m.list {
+		if x.why != Well {
+			return false
+		}
+	}
+	return true
+}
+
+// ids are the members in the order of their names, sorted again only when one has come or gone.
 func (c *Core) ids() []string {
-	ids := make([]string, 0, len(c.members))
-	for id := range c.members {
-		ids = append(ids, id)
+	if len(c.order) != len(c.members) || c.stale {
+		c.order, c.stale = c.order[:0], false
+		for id := range c.members {
+			c.order = append(c.order, id)
+		}
+		sort.Strings(c.order)
 	}
-	sort.Strings(ids)
-	return ids
+	return c.order
 }
 
 // State is what an operator is shown of an address.
--- a/internal/send/several.go
+++ b/internal/send/several.go
@@ -300,7 +300,7 @@
 		return
 	}
 	for id, m := range p.members {
-		if !m.several {
+		if !m.several || len(m.links) == 0 {
 			continue
 		}
 		for _, l := range m.links {
