--- a/cmd/cairnfront/serve_test.go
+++ b/cmd/cairnfront/serve_test.go
@@ -212,6 +212,7 @@
 	ended  chan error
 	killed bool
 	path   string
+	args   []string
 }
 
 // manifest is a start file with caches s-00000001 and on, and an origin s-000000ff.
@@ -247,9 +248,14 @@
 
 // begin starts a router of its own address and board.
 func begin(t *testing.T, memory int, origin *member, caches ...*member) *started {
+	return beginWith(t, nil, memory, origin, caches...)
+}
+
+// beginWith does so with more arguments.
+func beginWith(t *testing.T, args []string, memory int, origin *member, caches ...*member) *started {
 	ln, err := net.Listen("tcp", "127.0.0.1:0") // a port that is free
 	require.NoError(t, err)
-	s := &started{addr: ln.Addr().String(), board: serveBoard(t), log: &text{}, ended: make(chan error, 1)}
+	s := &started{args: args, addr: ln.Addr().String(), board: serveBoard(t), log: &text{}, ended: make(chan error, 1)}
 	_ = ln.Close()
 	s.path = filepath.Join(t.TempDir(), "start.json")
 	require.NoError(t, os.WriteFile(s.path, manifest(s.addr, s.board.Addr().String(), memory, origin, caches...), 0o600))
@@ -264,7 +270,7 @@
 
 // start runs the program and waits until it is ready.
 func (s *started) start(t *testing.T) {
-	s.killed, s.Cmd = false, exec.Command(program, "serve")
+	s.killed, s.Cmd = false, exec.Command(program, append([]string{"serve"}, s.args...)...)
 	s.Env = append(os.Environ(), "LB_CONFIG="+s.path)
 	out, err := s.StderrPipe()
 	require.NoError(t, err)
