Bad addresses of every kind on real sockets; a member keeps to its share of descriptors

Need: one bad member must not take the others' connections, and black holes and dead sockets must be passed.

Change: a member with several addresses holds a quarter of the members' descriptors at most; tests pass a Unix socket that is gone, a file that is no socket and a full backlog on loopback.

--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -19,6 +19,7 @@
 	heapShare   = 0.7      // of memory as the runtime's soft limit; the rest is stacks, the program, swings
 	clientShare = 0.45     // of descriptors for clients, who hold a third at most and overlap when they close
 	memberShare = 0.4      // of descriptors for members
+	oneShare    = 0.25     // of those for one member with several addresses: a bad one must not take the others' place
 	easyShare   = 0.75     // of those for connections that spare a hop from sharing one; the rest is for members without any
 	GCPercent   = 400      // heap growth between collections: what is kept is small, the soft limit holds all the same
 	ClientRing  = 16 << 10 // bytes of each ring of a client's connection
@@ -116,6 +117,9 @@
 	return true
 }
 
+// Share is how many connections to one member with several addresses may be open.
+func (g *Gate) Share() int { return max(int(oneShare*float64(g.mostMembers)), 2) }
+
 // MemberDone gives its place back.
 func (g *Gate) MemberDone() { g.members.Add(-1) }
 
--- a/internal/send/several.go
+++ b/internal/send/several.go
@@ -130,7 +130,7 @@
 	if best != nil && least == 0 && use() != nil {
 		return c
 	}
-	if !p.Gate.Member(best == nil) {
+	if (best != nil && len(m.links) >= p.Gate.Share()) || !p.Gate.Member(best == nil) {
 		return use()
 	}
 	l := p.link(id, m)
--- a/internal/send/several_test.go
+++ b/internal/send/several_test.go
@@ -4,8 +4,12 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
+	"os"
+	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 
@@ -261,3 +265,62 @@
 	require.Eventually(t, func() bool { s.send("a", 0); return len(s.members["m"].links) > 0 }, time.Second, time.Millisecond)
 	assert.Equal(t, "do a", asked(t, bufio.NewReader(far)), "and then it is warm")
 }
+
+// blackHole is an address whose connections never come up: nobody accepts, and the backlog is full.
+func blackHole(t *testing.T) reach.Addr {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	require.NoError(t, syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	require.NoError(t, syscall.Listen(fd, 0))
+	name, err := syscall.Getsockname(fd)
+	require.NoError(t, err)
+	addr := fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
+	for { // fill the backlog until one more does not come up
+		c, err := net.DialTimeout("tcp", addr, 100*time.Millisecond)
+		if err != nil {
+			return reach.Addr(addr)
+		}
+		t.Cleanup(func() { _ = c.Close() })
+	}
+}
+
+// On real sockets: a Unix socket's file that is gone, one that is no socket, and a black hole are passed for the address
+// that answers, and only that one gets a byte.
+func TestBadAddressesOfEveryKindArePassed(t *testing.T) {
+	dir := t.TempDir()
+	file := filepath.Join(dir, "file")
+	require.NoError(t, os.WriteFile(file, nil, 0o600))
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	hole := blackHole(t)
+	s := several(t, 40)
+	s.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
+		a := reach.Addr(addr)
+		return (&net.Dialer{}).DialContext(ctx, a.Network(), a.Target())
+	}
+	list := []reach.Addr{reach.Addr("unix:" + filepath.Join(dir, "gone")), reach.Addr("unix:" + file), hole, reach.Addr(ln.Addr().String())}
+	s.Addrs = func(board.Row) []reach.Addr { return list }
+	s.Relist()
+	c := s.send("a", 0)
+	far, err := ln.Accept()
+	require.NoError(t, err)
+	assert.Equal(t, "do a", asked(t, bufio.NewReader(far)))
+	_, _ = io.WriteString(far, "a not_here - 0\r\n\r\n")
+	assert.Equal(t, Ended{Call: c, End: txn.End{Code: brain.Miss}}, s.hear(t))
+	for i, want := range []string{"refused", "refused"} {
+		assert.Equal(t, want, s.Reach.States(unix(time.Now()))[i].Why)
+	}
+}
+
+// A member holds no more than its share of the descriptors: over it hops go together on a link.
+func TestAMemberKeepsToItsShareOfDescriptors(t *testing.T) {
+	s := several(t, 40) // sixteen for members, four for one
+	s.Streams = 99
+	links := map[*Link]bool{}
+	for i := range 20 {
+		links[s.send(fmt.Sprint("t", i), 0).Link()] = true
+	}
+	assert.Len(t, links, 4)
+}
