--- a/cmd/cairnfront/reach_test.go
+++ b/cmd/cairnfront/reach_test.go
@@ -25,16 +25,7 @@
 	sock := filepath.Join(dir, "box.sock")
 	ln, err := net.Listen("unix", sock)
 	require.NoError(t, err)
-	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go m.serve(c)
-		}
-	}()
+	m.accept(t, ln)
 	file, door := filepath.Join(dir, "operators.yaml"), filepath.Join(dir, "door.sock")
 	write := func(list string) {
 		require.NoError(t, os.WriteFile(file, []byte(fmt.Sprintf("router:\n  socket: %q\n  addresses:\n    - {member: s-00000001, list: [%s]}\n", door, list)), 0o600))
--- a/cmd/cairnfront/serve_test.go
+++ b/cmd/cairnfront/serve_test.go
@@ -68,6 +68,12 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	m := &member{Listener: ln, answer: answer, undone: make(chan string, 1000)}
+	m.accept(t, ln)
+	return m
+}
+
+// accept serves on a listener until the test ends.
+func (m *member) accept(t *testing.T, ln net.Listener) {
 	t.Cleanup(func() { _ = ln.Close() })
 	go func() {
 		for {
@@ -78,7 +84,6 @@
 			go m.serve(c)
 		}
 	}()
-	return m
 }
 
 func (m *member) serve(c net.Conn) {
--- a/internal/lab/addresses.go
+++ b/internal/lab/addresses.go
@@ -202,7 +202,11 @@
 	r.Counts["txns."+v.name] = r.Counts["txns"] - before
 	var ms []float64
 	inTime := 0
+	slowest := 0.0 // in the first seconds, before anything was known of the fault
 	for _, h := range t.replies.all {
+		if h.sent < began+settleFor {
+			slowest = max(slowest, h.done-h.sent)
+		}
 		if h.sent < began+settleFor || h.sent > ended {
 			continue
 		}
@@ -220,6 +224,7 @@
 		return none, fmt.Errorf("no txn to judge")
 	}
 	r.Figures["p99_ms."+v.name] = ms[int(0.99*float64(len(ms)-1))]
+	r.Figures["slowest_at_first_ms."+v.name] = slowest * 1000
 	r.Figures["p50_ms."+v.name] = ms[len(ms)/2]
 	r.Figures["in_time."+v.name] = float64(inTime) / float64(len(ms))
 	overlapping, repeats, said := overlaps(members, map[string]bool{"record": true})
