--- a/brain/brain.go
+++ b/brain/brain.go
@@ -86,6 +86,11 @@
 		}
 	case Purge:
 		r.purged(ev)
+	case Stuck:
+		if t := r.txns[ev.Txn]; t != nil && ev.Hop >= 0 && ev.Hop < len(t.hops) {
+			t.hops[ev.Hop].stuck = true
+			r.think(t)
+		}
 	case Spare:
 		if m := r.known(ev.Member); m != nil {
 			m.spentUp = !ev.Left
@@ -487,10 +492,10 @@
 			continue
 		}
 		out = true
-		if h.wanted && r.now >= h.late && r.silent(h) {
+		if h.wanted && (h.stuck || r.now >= h.late && r.silent(h)) {
 			// A second copy beside it, else one after it; one that must not run twice is waited for.
 			h.wanted = r.rec.Is("may_double") || r.rule(t.Rule).effect == "unrepeatable"
-			h.late = math.Inf(1)
+			h.late, h.stuck = math.Inf(1), false
 		}
 		if h.wanted && !math.IsInf(h.late, 1) {
 			waiting = true
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -607,3 +607,19 @@
 	r.Decide(100, Spare{Member: "c0", Left: true})
 	assert.True(t, r.usable(once, m, 0, used))
 }
+
+// A hop whose way is silent is given up and its member is not benched for it; one that must not run twice is waited for.
+func TestAStuckHopIsGivenUpWithoutABench(t *testing.T) {
+	for effect, want := range map[string]bool{"repeatable": false, "keyed": false, "unrepeatable": true} {
+		r := router(effect)
+		r.rec["may_double"] = "false"
+		x := sent(r, 0, true)
+		x.hops[0].late = 200
+		r.Decide(100.2, Stuck{Txn: "t", Hop: 7})
+		r.Decide(100.2, Stuck{Txn: "gone"})
+		assert.True(t, x.hops[0].wanted)
+		r.Decide(100.2, Stuck{Txn: "t", Hop: 0})
+		assert.Equal(t, want, x.hops[0].wanted, effect)
+		assert.Zero(t, r.member("c0").benched)
+	}
+}
--- a/brain/interface.go
+++ b/brain/interface.go
@@ -11,7 +11,7 @@
 	Decide(now float64, ev Event) []Action
 }
 
-// Event is one of Listing, Arrival, Outcome, ClientGone, Bell, Checked, Purge and Spare.
+// Event is one of Listing, Arrival, Outcome, ClientGone, Bell, Checked, Purge, Spare and Stuck.
 type Event interface{ event() }
 
 // Action is one of Hop, Cancel, Reject, Abort, Timer, Check, Subscribe and Note.
@@ -149,6 +149,13 @@
 	Left   bool
 }
 
+// Stuck says that a hop's connection is silent while its member answers another way, or may be asked so: the way is
+// held to be bad before the member is.
+type Stuck struct {
+	Txn string
+	Hop int
+}
+
 // Hop sends a txn to a member.
 type Hop struct {
 	Txn     string
@@ -201,6 +208,7 @@
 func (Checked) event()    {}
 func (Purge) event()      {}
 func (Spare) event()      {}
+func (Stuck) event()      {}
 
 func (Hop) action()       {}
 func (Cancel) action()    {}
--- a/brain/state.go
+++ b/brain/state.go
@@ -82,6 +82,7 @@
 	sibling, fill            bool    // filled by a sibling; thought to miss
 	look                     bool    // is not to reach behind its source
 	wanted, begun, out, stop bool
+	stuck                    bool // its connection is silent though its member is not
 	blind, accused           bool // its failure may be its source's; failed by a fault of its own or of its txn
 	end                      Code
 }
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -128,6 +128,7 @@
 	proven   float64 // since when it has answered without a fault, 0 for not
 	looked   float64 // when a look was last begun
 	looking  bool
+	answered float64   // when something last came over it
 	trial    bool      // a hop was let through to see whether it answers
 	connects []float64 // s
 	waits    []float64 // s to a first byte
@@ -140,6 +141,7 @@
 	started float64
 	list    []*address
 	used    float64 // when a connection to it was last planned
+	doubt   bool    // an address fell silent: is it the member?
 }
 
 // Try is one connection attempt of a plan, After so many seconds, or at once where the one before it has failed.
@@ -328,7 +330,7 @@
 	if x == nil || x.why == ByHand {
 		return
 	}
-	x.waits = keep(x.waits, wait)
+	x.waits, x.answered = keep(x.waits, wait), c.now
 	if x.trial = false; x.why != Well {
 		x.why, x.since, x.until = Well, c.now, 0
 	}
@@ -355,6 +357,17 @@
 	return true
 }
 
+// Elsewhere says whether a member has sent something over another address since a time, or may be asked over another
+// now: then an address that is silent since is held to be bad before its member is. Where every other is silent too,
+// all of them rest, and the next hop is told at once that the member can't be reached.
+func (c *Core) Elsewhere(now float64, id string, a Addr, since float64) bool {
+	c.tick(now)
+	m := c.members[id]
+	return m != nil && slices.ContainsFunc(m.list, func(x *address) bool {
+		return x.Addr != a && (x.answered > since || c.open(m, x, false))
+	})
+}
+
 // Broke says that a connection over an address ended while txns were open on it.
 func (c *Core) Broke(now float64, id string, a Addr) {
 	if x := c.at(now, id, a); x != nil {
@@ -377,6 +390,7 @@
 	x.proven = 0
 	x.rest = min(most, restFirst+c.chance()*(max(x.rest, restFirst)*restTimes-restFirst))
 	x.why, x.since, x.until = why, c.now, c.now+x.rest
+	m.doubt = m.doubt || why == Quiet
 	if why == Refused || why == Hung {
 		x.connects = nil
 	}
@@ -430,8 +444,14 @@
 		if len(m.list) < 2 || (c.now-m.used >= recent && m.well()) { // most members, most of the time
 			continue
 		}
-		warm := 0
+		warm, doubt := 0, m.doubt && c.Probes
+		m.doubt = false
 		for _, x := range m.bent() {
+			if doubt && x.why == Well && !x.looking { // what another address says tells whether the member is silent
+				doubt, x.looking, x.looked = false, true, c.now
+				out = append(out, Look{id, x.Addr, true})
+				continue
+			}
 			if c.now-x.looked < restFirst || (x.looking && c.now-x.looked < restMost) {
 				continue
 			}
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -97,6 +97,26 @@
 	assert.True(t, ok)
 }
 
+// Whether an address or its member is silent is told by the other addresses; where checks are allowed, one is asked.
+func TestAnotherAddressTellsWhetherTheMemberIsSilent(t *testing.T) {
+	c := two()
+	c.Answered(99, "a", four, 0.01)
+	assert.True(t, c.Waits(101, "a", sock, 0.5))
+	assert.True(t, c.Elsewhere(101, "a", sock, 100.5), "it may be asked over the other")
+	c.Waits(101, "a", four, 0.5)
+	assert.False(t, c.Elsewhere(101, "a", sock, 100.5), "both are silent, nothing came since")
+	none := func(string, Addr) bool { return true }
+	assert.Empty(t, c.Looks(101, none), "no checks here")
+	c.Probes = true
+	assert.Empty(t, c.Looks(101, none), "the doubt was gone into once")
+	c = two()
+	c.Probes = true
+	c.Waits(101, "a", sock, 0.5)
+	assert.Equal(t, []Look{{"a", four, true}}, c.Looks(101, none))
+	c.Answered(101.1, "a", four, 0.01)
+	assert.True(t, c.Elsewhere(101.1, "a", sock, 100.5))
+}
+
 func TestSilenceIsJudgedByUsualWaits(t *testing.T) {
 	c := two()
 	for range 4 {
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -66,6 +66,7 @@
 	link   *send.Link
 	over   bool
 	undone bool
+	stuck  bool // the decisions know that its connection is silent
 }
 
 type check struct {
@@ -114,7 +115,8 @@
 		case <-watch:
 			l.safely(func() {
 				l.tick()
-				if l.Pool.Watch(time.Now()); l.Spend != nil {
+				l.stuck(l.Pool.Watch(time.Now()))
+				if l.Spend != nil {
 					l.Spend.Tick(l.now)
 					l.spare()
 				}
@@ -375,6 +377,17 @@
 	l.at(until, timer{hop: h})
 }
 
+// stuck tells the decisions of hops whose connection is silent while their member answers elsewhere, each once.
+func (l *Loop) stuck(calls []*send.Call) {
+	for _, c := range calls {
+		if h, ok := c.Owner.(*hop); ok && !h.over && !h.stuck {
+			h.stuck = true
+			l.Book.Add("reach.stuck", 1)
+			l.decide(brain.Stuck{Txn: h.o.t.ID, Hop: h.no}, h.o)
+		}
+	}
+}
+
 // spare tells the decisions which budgets of further hops are spent, and which are open again.
 func (l *Loop) spare() {
 	for _, c := range l.Spend.Changes() {
--- a/internal/send/several.go
+++ b/internal/send/several.go
@@ -294,18 +294,26 @@
 	}
 }
 
-// Watch looks for links on which a hop waits in silence, and at addresses whose rest is over.
-func (p *Pool) Watch(now time.Time) {
+// Watch looks for links on which a hop waits in silence, and at addresses whose rest is over. It returns the hops whose
+// address is silent while their member answers over another.
+func (p *Pool) Watch(now time.Time) (stuck []*Call) {
 	if p.Reach == nil {
-		return
+		return nil
 	}
 	for id, m := range p.members {
 		if !m.several || len(m.links) == 0 {
 			continue
 		}
 		for _, l := range m.links {
-			if wait, addr := l.waits(now); wait > 0 && p.Reach.Waits(unix(now), id, reach.Addr(addr), wait.Seconds()) {
-				p.Book.Add("reach.silent", 1)
+			wait, addr, calls := l.waits(now)
+			if wait == 0 || !p.Reach.Waits(unix(now), id, reach.Addr(addr), wait.Seconds()) {
+				continue
+			}
+			p.Book.Add("reach.silent", 1)
+			for _, c := range calls {
+				if p.Reach.Elsewhere(unix(now), id, reach.Addr(addr), unix(c.written)) {
+					stuck = append(stuck, c)
+				}
 			}
 		}
 	}
@@ -332,20 +340,22 @@
 		}
 		p.run(m, l)
 	}
+	return stuck
 }
 
-// waits is how long a written hop has waited on a link on which nothing at all came since.
-func (l *Link) waits(now time.Time) (longest time.Duration, addr string) {
+// waits is how long a written hop has waited on a link on which nothing at all came since, and which hops do.
+func (l *Link) waits(now time.Time) (longest time.Duration, addr string, calls []*Call) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.c == nil || l.dead {
-		return 0, ""
+		return 0, "", nil
 	}
 	heard := time.Unix(0, l.c.Heard())
 	for _, c := range l.calls {
 		if c.begun && heard.Before(c.written) {
 			longest = max(longest, now.Sub(c.written))
+			calls = append(calls, c)
 		}
 	}
-	return longest, l.addr
+	return longest, l.addr, calls
 }
