A part that is displaced while it waits for the disk takes no space

Need: a part that the choice dropped again while it stood in the queue was written all the same, and its bytes were counted by nobody: the disk would have filled up past its space.

Change: the writer asks the choice before and after it writes a part.

--- a/internal/tier/tier.go
+++ b/internal/tier/tier.go
@@ -253,6 +253,12 @@
 	}
 }
 
+func (t *Tier) holds(k keep.Key) bool {
+	t.keepMu.Lock()
+	defer t.keepMu.Unlock()
+	return t.keep.Holds(k)
+}
+
 func (t *Tier) lost(k keep.Key) {
 	t.keepMu.Lock()
 	t.keep.Lost(k)
@@ -294,12 +300,18 @@
 		t.lost(w.meta.Key)
 		return false
 	}
+	if !t.holds(w.meta.Key) { // displaced while it waited
+		return false
+	}
 	if _, err := t.store.Put(w.meta, w.body); err != nil {
 		t.lost(w.meta.Key)
 		t.rest.Store(t.now().Add(backOff).UnixNano())
 		t.count.Add("tier.write.failed", 1)
 		return false
 	}
+	if !t.holds(w.meta.Key) { // displaced meanwhile: what the choice does not count must not take space
+		t.store.Drop(w.meta.Key)
+	}
 	t.count.Add("tier.write.parts", 1)
 	t.count.Add("tier.write.bytes", int64(len(w.body)))
 	return true
--- a/internal/tier/tier_test.go
+++ b/internal/tier/tier_test.go
@@ -201,3 +201,20 @@
 	require.NoError(t, err)
 	assert.Equal(t, uint64(mostNotice+10), y.Ask())
 }
+
+// A part that is displaced while it waits for the disk is not written: the choice would not count it.
+func TestAPartDisplacedWhileItWaitsTakesNoSpace(t *testing.T) {
+	fs := disk.NewFaulty(1)
+	x, c, _ := running(t, fs, plan)
+	release := fs.Stop()
+	for range 2 {
+		x.Offer(meta(k(1, 0), 100), body(k(1, 0), 100, 300), x.Doubts())
+		x.Offer(meta(k(2, 0), 100), body(k(2, 0), 100, 300), x.Doubts())
+		x.Offer(meta(k(3, 0), 100), body(k(3, 0), 100, 300), x.Doubts())
+	}
+	x.lost(k(2, 0)) // as if another had taken its place
+	release()
+	require.Eventually(t, func() bool { return c.get("tier.write.parts") == 2 }, 5*time.Second, time.Millisecond)
+	assert.False(t, x.store.Has(k(2, 0)))
+	assert.True(t, x.store.Has(k(3, 0)))
+}
