Tests: a minute of flapping, and routers that do not come back in the same moment

Need: two of the hard cases of several addresses were not caused yet.

Change: the core plays a minute of an address that flaps every 300 ms, and forty routers whose member lost all addresses.

Measured: fewer than 120 looks for 200 changes, every plan holds the good address; of forty routers at most ten look again in the same tenth of a second.

--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -307,3 +307,48 @@
 		}
 	})
 }
+
+// An address flaps every 300 ms for a minute: hops go over the other one all the time, and the looks at it stay few.
+func TestAMinuteOfFlapping(t *testing.T) {
+	c, looks, tried := two(), 0, 0
+	none := func(string, Addr) bool { return true }
+	up := func(now float64) bool { return int((now-100)/0.3)%2 == 1 }
+	for now := 100.0; now < 160; now += 0.02 {
+		plan := c.Plan(now, "a", false)
+		assert.Contains(t, addrs(plan), four)
+		if plan[0].Addr == sock {
+			if tried++; up(now) {
+				c.Dialed(now, "a", sock, Well, 0.001)
+			} else {
+				c.Dialed(now, "a", sock, Refused, 0)
+			}
+		}
+		for _, l := range c.Looks(now, none) {
+			if looks++; up(now) {
+				c.Dialed(now, l.Member, l.Addr, Well, 0.001)
+			} else {
+				c.Dialed(now, l.Member, l.Addr, Refused, 0)
+			}
+		}
+	}
+	assert.Less(t, looks, 120, "of 200 changes")
+	assert.Greater(t, tried, 0, "and it is used when it is up")
+}
+
+// All addresses of a member go and come back together: routers with other seeds look again at other times.
+func TestRoutersDoNotComeBackInTheSameMoment(t *testing.T) {
+	at := map[string]int{}
+	for seed := range uint64(40) {
+		c := New(seed*0x9e3779b97f4a7c15 + 1)
+		c.List(100, "a", 0, []Addr{four, sock})
+		for now, n := 100.0, 0; n < 4; n++ { // four failures in a row
+			c.Dialed(now, "a", sock, Refused, 0)
+			now = c.at(now, "a", sock).until
+		}
+		at[fmt.Sprintf("%.1f", c.at(100, "a", sock).until)]++
+	}
+	for moment, n := range at {
+		assert.LessOrEqual(t, n, 10, "%s s", moment)
+	}
+	assert.Greater(t, len(at), 10)
+}
