Benchmarks of the store share how they open it

Need: the same lines stood twice in two benchmarks.

Measured: the benchmarks and the tests beside them run as before.

--- a/internal/tier/store_test.go
+++ b/internal/tier/store_test.go
@@ -396,13 +396,20 @@
 	})
 }
 
+// benched is a store in a real folder.
+func benched(b *testing.B) *Store {
+	d, err := disk.MakeDir(filepath.Join(b.TempDir(), "t"))
+	require.NoError(b, err)
+	s, _, err := Open(d, Limits{}, false, nil)
+	require.NoError(b, err)
+	b.Cleanup(func() { _ = s.Close() })
+	return s
+}
+
 func BenchmarkPut(b *testing.B) {
 	for _, n := range []int{4 << 10, 100 << 10} {
 		b.Run(fmt.Sprint(n>>10, "KB"), func(b *testing.B) {
-			d, _ := disk.MakeDir(filepath.Join(b.TempDir(), "t"))
-			s, _, err := Open(d, Limits{}, false, nil)
-			require.NoError(b, err)
-			defer s.Close()
+			s := benched(b)
 			x := body(k(1, 1), 1, n)
 			b.SetBytes(int64(n))
 			b.ReportAllocs()
@@ -416,10 +423,7 @@
 func BenchmarkGet(b *testing.B) {
 	for _, n := range []int{4 << 10, 100 << 10} {
 		b.Run(fmt.Sprint(n>>10, "KB"), func(b *testing.B) {
-			d, _ := disk.MakeDir(filepath.Join(b.TempDir(), "t"))
-			s, _, err := Open(d, Limits{}, false, nil)
-			require.NoError(b, err)
-			defer s.Close()
+			s := benched(b)
 			for i := range 500 {
 				_, _ = s.Put(meta(k(i, 0), 1), body(k(i, 0), 1, n))
 			}
