One way to end a connection: asked, a last look, half-close, read on, close

With input unread such a close resets the connection and can destroy an answer that is written; between a look at Busy and the close the reader could take a request, which was then lost. Connections accepted after Stop heard of the drain only after a request of theirs, the listener's close reset its backlog. After a violation nobody read on, so a client that went was not noticed. SIGHUP waited in the signal loop for the client of the notice board, and nothing was heard during a drain; the drain's time did not go by the settings' time limits.

Change: the goroutine that reads owns the end. Others Ask; it reads what the system has, says whether nothing is under way (Outlet.Shut: look and end in one step) and hangs up: half-close, read on for a bounded time, close. Finish takes in the backlog, closes the listener and ends each connection once nothing is open. A txn whose client went is marked at once, before the news has passed the queue: no attempt of it begins, also one that waits on a link. The signal loop never waits: the newest address of the board counts, a drain runs beside it. A port still in use is tried again for 4 s.

--- a/cmd/cairnfront/serve.go
+++ b/cmd/cairnfront/serve.go
@@ -25,14 +25,22 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// The protocol's times of a planned restart: txns come for up to 0.6 s after the signal, and SIGKILL no sooner
-// than 3.7 s after it.
+// The protocol's times of a planned restart: txns come for up to 0.6 s after the signal, and SIGKILL no sooner than
+// the longest time limit, 3 s at most, and 0.7 s after it.
 const (
 	drainLeast = 700 * time.Millisecond
-	drainMost  = 3400 * time.Millisecond
+	killMost   = 3 * time.Second
+	endMost    = 300 * time.Millisecond // of that for what is abandoned, and for the end of the process
 	flushMost  = 200 * time.Millisecond
 )
 
+// A port that is still in use at the start is tried again for so long: restarted processes have to be ready soon, and one
+// that waits for ever is not seen to be wrong.
+const (
+	portMost  = 4 * time.Second
+	portAgain = 20 * time.Millisecond
+)
+
 // serve runs the router until a signal ends it. What it is told is read at the start and again on SIGHUP; so is the
 // operators' file, where one is named.
 func serve(read func() (start.Manifest, error), operators string) error {
@@ -46,8 +54,8 @@
 	runtime.GOMAXPROCS(max(int(math.Ceil(m.Cores)), 1))
 	debug.SetGCPercent(admit.GCPercent)
 	debug.SetMemoryLimit(admit.HeapLimit(m.MemoryMB))
-	ln, err := net.Listen("tcp", m.Listen)
-	if err != nil {
+	ln, err := listen(m.Listen, signals)
+	if err != nil || ln == nil {
 		return err
 	}
 	k := book.New(os.Stderr, m.Name)
@@ -84,35 +92,82 @@
 	g.Go(func() error { return taker.Run(ctx, ln) })
 	labHooks(ctx, loop)
 	gate.SetReady()
+	var drained chan struct{} // closed when the drain is over; nil before it
 	k.Log.Info("serving", "listen", m.Listen, "version", version())
 	for {
 		select {
 		case <-ctx.Done():
 			return errors.Join(g.Wait(), pool.Wait())
 		case <-again:
-			m = reread(ctx, m, read, news.Moves, k)
+			m = reread(m, read, news.Moves, k)
 			reload()
 		case s := <-signals:
 			if s == syscall.SIGUSR1 {
 				k.Print(os.Stderr)
 				continue
 			}
-			k.Log.Info("draining", "signal", s.String())
-			taker.Stop()
-			gate.Drain(ctx, drainLeast, drainMost)
-			if gate.Owed() > 0 {
-				loop.Post(route.Abandon{})
-				gate.Drain(ctx, 0, flushMost)
+			k.Log.Info("draining", "signal", s.String(), "again", drained != nil)
+			if drained == nil { // a second signal changes nothing: what was taken is still owed
+				drained = make(chan struct{})
+				go func() {
+					defer close(drained)
+					drain(ctx, drainMost(m), taker, gate, loop)
+				}()
 			}
+		case <-drained:
 			cancel()
 			return errors.Join(g.Wait(), pool.Wait())
 		}
 	}
 }
 
+// drain ends what clients have open, in order: they are told, what comes all the same is served, each connection ends once
+// nothing is open on it. What is open when the time is up is abandoned.
+func drain(ctx context.Context, most time.Duration, taker *take.Taker, gate *admit.Gate, loop *route.Loop) {
+	end, cancel := context.WithTimeout(ctx, most)
+	defer cancel()
+	taker.Stop()
+	select {
+	case <-end.Done():
+	case <-time.After(drainLeast):
+	}
+	if taker.Finish(end); gate.Owed() > 0 {
+		loop.Post(route.Abandon{})
+		gate.Drain(ctx, 0, flushMost)
+	}
+}
+
+// drainMost is how long a drain may take: SIGKILL comes no sooner than the longest time limit, or the protocol's most
+// where that is longer, and some time more; the last of it is for ending.
+func drainMost(m start.Manifest) time.Duration {
+	longest := 0.0
+	for i := range m.Rules {
+		longest = max(longest, m.Records.Num(brain.Remap(i, "limit_s"), killMost.Seconds()))
+	}
+	return min(time.Duration(longest*float64(time.Second)), killMost) + drainLeast - endMost
+}
+
+// listen opens the listener, or nothing where a signal to end came first. The process before may still be ending, with
+// the port in its hands: that is waited out for a bounded time.
+func listen(addr string, signals <-chan os.Signal) (net.Listener, error) {
+	for end := time.Now().Add(portMost); ; {
+		ln, err := net.Listen("tcp", addr)
+		if err == nil || !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(end) {
+			return ln, err
+		}
+		select {
+		case s := <-signals:
+			if s != syscall.SIGUSR1 {
+				return nil, nil
+			}
+		case <-time.After(portAgain):
+		}
+	}
+}
+
 // reread reads what the router is told once more and follows the notice board's new address. A file that can't be
 // used leaves the old one in force.
-func reread(ctx context.Context, old start.Manifest, read func() (start.Manifest, error), moves chan<- string, k *book.Book) start.Manifest {
+func reread(old start.Manifest, read func() (start.Manifest, error), moves chan string, k *book.Book) start.Manifest {
 	m, err := read()
 	if err == nil {
 		err = m.Follows(old)
@@ -124,11 +179,12 @@
 	}
 	k.Add("reloads", 1)
 	k.Log.Info("reload", "code", "followed", "board", m.Board)
-	if m.Board != old.Board {
+	if m.Board != old.Board { // the newest address counts, and no signal waits for one that is not followed yet
 		select {
-		case moves <- m.Board:
-		case <-ctx.Done():
+		case <-moves:
+		default:
 		}
+		moves <- m.Board
 	}
 	return m
 }
--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -100,6 +100,9 @@
 	return false, false
 }
 
+// Clients is how many clients' connections are let in and have not ended.
+func (g *Gate) Clients() int64 { return g.clients.Load() }
+
 // ClientDone gives its place back.
 func (g *Gate) ClientDone() { g.clients.Add(-1) }
 
--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -39,8 +39,14 @@
 	Other      = "socket-error" // any other error of the socket
 )
 
-// Conn is a connection. One goroutine may read while another writes.
+// Conn is a connection. One goroutine may read while another writes. The one that reads owns the end of a connection
+// that has not failed: others Ask it, and it ends the connection with Hangup where nothing is under way.
 type Conn struct {
+	// Asked, set before reading begins, says whether the connection may end now for the reason that it was asked to; it
+	// is called by the goroutine that reads, between two reads, with nothing left unread. An error ends the read with it;
+	// after nil the connection goes on, and who asked may ask again.
+	Asked func(code string) error
+
 	raw   net.Conn
 	in    *ring.Ring
 	out   *ring.Ring
@@ -48,6 +54,10 @@
 	stall time.Duration // longest wait for room at the other side, 0 for any
 	pause time.Duration // longest wait for more of a message that was begun, 0 for any
 	by    time.Time     // by when what is being written must be out, zero for any
+	until time.Time     // by when what is being read must have come, zero for any; of the goroutine that reads
+	set   bool          // the socket's read deadline is not known to be none
+
+	ask atomic.Pointer[string] // why the reader is asked to end the connection; nil where it is not
 
 	read, wrote atomic.Int64
 	entered     int64 // bytes that came into the outgoing ring, ever
@@ -102,29 +112,63 @@
 // Entered is how many bytes were handed to Write so far.
 func (c *Conn) Entered() int64 { return c.entered }
 
-// SetReadDeadline bounds the reads to come.
-func (c *Conn) SetReadDeadline(t time.Time) { _ = c.raw.SetReadDeadline(t) }
+// SetReadDeadline bounds the reads to come; for the goroutine that reads.
+func (c *Conn) SetReadDeadline(t time.Time) { c.until, c.set = t, true }
 
 // Pause bounds the wait for more of a message that was begun.
 func (c *Conn) Pause(most time.Duration) { c.pause = most }
 
+// Ask asks the goroutine that reads to end the connection, and wakes it for that. The newest reason counts.
+func (c *Conn) Ask(code string) {
+	c.ask.Store(&code)
+	_ = c.raw.SetReadDeadline(time.Unix(1, 0))
+}
+
+// lastLook is how long the last read before an end waits: what the system has is read, no more is waited for.
+const lastLook = time.Millisecond
+
+// fill reads what there is, once. A reader that is asked to end the connection first reads what the system has already:
+// what came before the end was decided is taken in, not destroyed by it.
 func (c *Conn) fill() error {
-	if c.pause > 0 {
-		by := time.Time{}
-		if c.begun.Load() != 0 {
+	for {
+		by := c.until
+		if c.pause > 0 && c.begun.Load() != 0 {
 			by = time.Now().Add(c.pause)
 		}
-		c.SetReadDeadline(by)
-	}
-	n, err := c.in.Fill(c.raw)
-	if n > 0 {
-		c.read.Add(int64(n))
-		now := time.Now().UnixNano()
-		c.heard.Store(now)
-		c.begun.CompareAndSwap(0, now)
-		return nil
+		if c.set || c.pause > 0 {
+			_ = c.raw.SetReadDeadline(by)
+			c.set = false
+		}
+		asked := c.ask.Load() // after the deadline was set: one asked for later sets it anew
+		if asked != nil {
+			_ = c.raw.SetReadDeadline(time.Now().Add(lastLook))
+			c.set = true
+		}
+		n, err := c.in.Fill(c.raw)
+		if n > 0 {
+			c.read.Add(int64(n))
+			now := time.Now().UnixNano()
+			c.heard.Store(now)
+			c.begun.CompareAndSwap(0, now)
+			return nil
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return err
+		}
+		c.set = true // whatever it was: it has passed
+		switch {
+		case asked != nil:
+			c.ask.CompareAndSwap(asked, nil)
+			if c.Asked == nil { // it is ending
+				continue
+			}
+			if err := c.Asked(*asked); err != nil {
+				return err
+			}
+		case c.ask.Load() == nil && !by.IsZero() && !time.Now().Before(by):
+			return err
+		}
 	}
-	return err
 }
 
 // ReadFull reads exactly len(p) bytes.
@@ -154,6 +198,16 @@
 	}
 }
 
+// Drop reads on and drops all that comes, until an error: that it has ended, or that it was asked to and may.
+func (c *Conn) Drop() error {
+	for {
+		c.in.Discard(c.in.Len())
+		if err := c.fill(); err != nil {
+			return err
+		}
+	}
+}
+
 // ErrLong tells of a line that does not fit the ring.
 var ErrLong = errors.New("line too long")
 
@@ -238,17 +292,20 @@
 	})
 }
 
-// Linger ends the sending side and drops what still comes until the other side ends too, some time has passed or too
-// much has come: a close with input unread would destroy the last words on their way. Nobody else may be reading.
-func (c *Conn) Linger(most time.Duration, bytes int64) {
+// Hangup ends a connection on which nothing is under way and all is written: it ends the sending side, drops what still
+// comes until the other side ends too, some time has passed or too much has come, and closes. A close with input unread
+// would reset the connection and destroy the last words on their way. For the goroutine that reads.
+func (c *Conn) Hangup(code string, err error, most time.Duration, bytes int64) {
+	c.Blame(code, err)
+	defer c.End(code, err)
 	half, ok := c.raw.(interface{ CloseWrite() error })
 	if !ok || half.CloseWrite() != nil {
 		return
 	}
+	c.Asked, c.pause = nil, 0
 	c.SetReadDeadline(time.Now().Add(most))
 	for bytes += c.read.Load(); c.read.Load() < bytes; {
-		c.in.Discard(c.in.Len())
-		if c.fill() != nil {
+		if c.in.Discard(c.in.Len()); c.fill() != nil {
 			return
 		}
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -34,8 +34,9 @@
 	open    map[uint32]*txn.Txn
 	queue   []item
 	closed  bool // takes no answers any more
-	closing bool // ends once nothing is open and all is written
-	writing bool // the writer has something in hand
+	shut    bool // nothing is open, nothing more is said: the connection may end
+	closing bool // the writer ends once nothing is open and all is written
+	writing bool // the writer has something in hand that the socket has not taken
 	wake    chan struct{}
 }
 
@@ -72,11 +73,22 @@
 	return len(o.open)
 }
 
-// Busy says whether a txn is open or something waits to be written.
+// Busy says whether a txn is open or something is not wholly written.
 func (o *Outlet) Busy() bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return len(o.open)+len(o.queue) > 0
+	return o.busy()
+}
+
+func (o *Outlet) busy() bool { return len(o.open)+len(o.queue) > 0 || o.writing }
+
+// Shut says whether nothing is open and all is written, and from then on takes nothing more to say: looking and ending
+// are one step. It is called by the goroutine that opens txns, so none is opened after it.
+func (o *Outlet) Shut() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.shut = o.shut || !o.busy()
+	return o.shut
 }
 
 // Answer gives a txn its final answer, unless it had one or its client left.
@@ -98,7 +110,7 @@
 // Say writes a frame that answers no txn.
 func (o *Outlet) Say(head []byte) {
 	o.mu.Lock()
-	if !o.closed {
+	if !o.closed && !o.shut {
 		o.queue = append(o.queue, item{head: head})
 	}
 	o.mu.Unlock()
@@ -120,7 +132,7 @@
 }
 
 // Leave says that nobody waits for a stream any more. It returns its txn if that was open; an answer that
-// nobody has begun to write is dropped.
+// nobody has begun to write is dropped. From here on no attempt of the txn begins.
 func (o *Outlet) Leave(stream uint32, reason string) *txn.Txn {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -142,6 +154,7 @@
 }
 
 func (o *Outlet) left(t *txn.Txn, reason string) {
+	t.Leave()
 	o.book.Left(t.Name, reason)
 	o.gate.TxnDone()
 }
@@ -179,18 +192,28 @@
 }
 
 // next takes the next answer to write.
-func (o *Outlet) next() (x item, ok, end bool) {
+func (o *Outlet) next() (x item, ok bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.writing = len(o.queue) > 0; !o.writing {
-		return x, false, o.closing && len(o.open) == 0
+	if len(o.queue) == 0 {
+		return x, false
 	}
-	x = o.queue[0]
+	x, o.writing = o.queue[0], true
 	o.queue[0] = item{}
 	if o.queue = o.queue[1:]; len(o.queue) == 0 {
 		o.queue = nil
 	}
-	return x, true, false
+	return x, true
+}
+
+// flushed says that the socket has taken all that was handed to it: whether more waits, and whether the writer ends.
+func (o *Outlet) flushed() (more, end bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.writing = len(o.queue) > 0
+	end = o.closing && !o.busy()
+	o.shut = o.shut || end
+	return o.writing, end
 }
 
 // Run writes answers until the context ends, the socket fails, or all is written after Finish. Answers that wait
@@ -203,7 +226,7 @@
 		}
 	}()
 	for {
-		x, ok, end := o.next()
+		x, ok := o.next()
 		if ok {
 			if x.t != nil {
 				unflushed = append(unflushed, x.t)
@@ -220,8 +243,11 @@
 		for _, t := range unflushed {
 			o.written(t)
 		}
-		if unflushed = unflushed[:0]; end {
+		unflushed = unflushed[:0]
+		if more, end := o.flushed(); end {
 			return nil
+		} else if more {
+			continue
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -56,6 +56,7 @@
 	hops  []*hop
 	out   int
 	ended bool // it had its final answer, or its client left
+	gone  bool // its client left
 
 	abandoned bool
 }
@@ -158,9 +159,7 @@
 		l.arrived(ev)
 	case take.Left:
 		if o := l.open[ev.Txn.ID]; o != nil && o.t == ev.Txn {
-			o.ended = true
-			l.decide(brain.ClientGone{Txn: ev.Txn.ID}, o)
-			l.tidy(o)
+			l.left(o)
 		}
 	case send.Dialed:
 		l.Pool.Heard(ev)
@@ -221,7 +220,20 @@
 	l.decide(brain.Listing{Kind: kind, Rows: rows}, nil)
 }
 
+// left takes in, once, that a client waits no more.
+func (l *Loop) left(o *open) {
+	if !o.gone {
+		o.gone, o.ended = true, true
+		l.decide(brain.ClientGone{Txn: o.t.ID}, o)
+		l.tidy(o)
+	}
+}
+
 func (l *Loop) arrived(t *txn.Txn) {
+	if t.Left() { // while it waited for the loop: there is nothing to decide
+		t.Body.Free()
+		return
+	}
 	if l.open[t.ID] != nil { // the decisions know a txn by its id
 		t.Body.Free()
 		t.To.Answer(t, txn.Answer{Verdict: txn.Rejected, Reason: "id-in-use"})
@@ -373,7 +385,10 @@
 		l.Spend.Sent(l.now, o.t.Rule, a.To, h.no > 0)
 		l.later(l.spare)
 	}
-	if !o.ended && until > l.now {
+	switch {
+	case o.t.Left(): // the news of it is still in the queue
+		l.later(func() { l.left(o) })
+	case !o.ended && until > l.now:
 		l.Book.Add("hops."+o.t.Name+".sent", 1)
 		h.call = l.Pool.Send(d, avoid, h)
 	}
--- a/internal/send/link.go
+++ b/internal/send/link.go
@@ -30,6 +30,7 @@
 	id    string
 	head  []byte
 	body  *txn.Body
+	txn   *txn.Txn // of a hop
 	hop   bool
 
 	repeatable bool // of a rule that may run again
@@ -164,7 +165,21 @@
 		return
 	}
 	l.dead = true
-	l.c.End(code, nil)
+	l.c.Ask(code)
+}
+
+// errRetired ends the reading of a link that carries nothing and will not.
+var errRetired = errors.New("asked to end")
+
+// may says whether the connection may end now: its link takes no more calls and has none, or the program ends.
+func (l *Link) may(ctx context.Context, code string) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if ctx.Err() == nil && (!l.dead || len(l.calls) > 0) {
+		return nil
+	}
+	l.c.Blame(code, nil)
+	return errRetired
 }
 
 // run makes the connection and serves it until it ends; then every open call gets its end.
@@ -192,16 +207,21 @@
 	}
 	c := conn.New(raw, admit.MemberRing, writeStall)
 	c.Pause(max(l.pool.Connect, stallLeast))
-	l.mu.Lock()
-	l.c = c
-	l.mu.Unlock()
 	g, ctx := errgroup.WithContext(ctx)
 	ctx, l.stop = context.WithCancel(ctx)
 	defer l.stop()
-	stop := context.AfterFunc(ctx, func() { c.End(conn.Shutdown, nil) })
+	c.Asked = func(code string) error { return l.may(ctx, code) }
+	l.mu.Lock()
+	l.c = c
+	l.mu.Unlock()
+	stop := context.AfterFunc(ctx, func() { c.Ask(conn.Shutdown) })
 	g.Go(func() error {
 		defer l.caught(c)
 		code, err := l.read(ctx, c)
+		if errors.Is(err, errRetired) {
+			c.Hangup(conn.Shutdown, nil, lingerMost, lingerBytes)
+			return errEnded
+		}
 		if code == conn.Slow {
 			code = conn.Stalled
 		}
@@ -267,7 +287,14 @@
 		ok := len(l.queue) > 0
 		if ok {
 			x = l.queue[0]
-			if l.queue = l.queue[1:]; x.text == nil {
+			if l.queue = l.queue[1:]; x.text == nil && x.call.txn != nil && x.call.txn.Left() {
+				// Its client went while it waited here, for the connection or its turn: it never begins.
+				delete(l.calls, x.call.id)
+				l.mu.Unlock()
+				l.pool.Post(Ended{x.call, txn.End{Code: brain.Moot}})
+				continue
+			}
+			if x.text == nil {
 				x.call.begun, x.call.written = true, time.Now()
 				x.call.end = c.Entered() + int64(len(x.call.head))
 				if x.call.hop {
--- a/internal/send/pool.go
+++ b/internal/send/pool.go
@@ -32,6 +32,13 @@
 // is shared, on either side.
 const stallLeast = time.Second
 
+// How long a connection that is not used any more is read on, and how much: a member that is in the middle of a late
+// answer is not reset, and no descriptor is held for one that says nothing.
+const (
+	lingerMost  = 100 * time.Millisecond
+	lingerBytes = 1 << 20
+)
+
 // Ended says that a call is over. Each call has one, unless its undoing ended it at once.
 type Ended struct {
 	Call *Call
@@ -169,7 +176,7 @@
 // Send starts a hop.
 func (p *Pool) Send(d line.Do, avoid []*Link, owner any) *Call {
 	head := line.AppendDo(nil, d)
-	return p.call(d.To, &Call{Owner: owner, id: d.Txn.ID, head: head, body: d.Txn.Body, hop: true,
+	return p.call(d.To, &Call{Owner: owner, id: d.Txn.ID, head: head, body: d.Txn.Body, txn: d.Txn, hop: true,
 		repeatable: p.Repeatable != nil && p.Repeatable(d.Txn.Rule)}, avoid)
 }
 
--- a/internal/take/take.go
+++ b/internal/take/take.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"maps"
 	"net"
+	"os"
 	"runtime/debug"
 	"slices"
 	"sync"
@@ -41,8 +42,9 @@
 	stalledAfter = time.Second             // without a byte taken, while memory is short
 	evictAfter   = 100 * time.Millisecond  // since it was heard, with nothing open, where its place is needed
 
-	lingerMost  = 500 * time.Millisecond // for a client that still sends to read why its connection ends
+	lingerMost  = 500 * time.Millisecond // for a client to read what was written and to end its side
 	lingerBytes = 2 << 20
+	askEvery    = 10 * time.Millisecond // between looks for connections that may end, once no new ones come
 )
 
 // Left says that the client of a txn waits no more.
@@ -56,17 +58,66 @@
 	Post  func(any)
 
 	mu    sync.Mutex
-	conns map[*relay.Outlet]*peer
+	ln    net.Listener
+	deaf  bool // the listener is closed
+	conns map[*relay.Outlet]*clientConn
 }
 
-// peer is a client's connection and what it has brought so far.
-type peer struct {
+// clientConn is a client's connection and what it has brought so far.
+type clientConn struct {
 	*conn.Conn
-	whole, asked atomic.Bool // a whole frame; a txn
+	o           *relay.Outlet
+	whole, used atomic.Bool  // it brought a whole frame; a txn
+	asOf        atomic.Int64 // Unix ns at which a look at it found it of no use
+	told        atomic.Bool  // since it may know, to bring no new txn
+	evicted     atomic.Bool  // asked to make room
 }
 
+// end asks a connection to end, for what was seen of it at a time.
+func (c *clientConn) end(code string, now time.Time) {
+	c.asOf.Store(now.UnixNano())
+	c.Ask(code)
+}
+
+// noMore tells a client to bring no new txn on its connection.
+func (c *clientConn) noMore() { c.o.Say(frame.AppendHead(nil, frame.NoMore, 0, 0)) }
+
+// errEnding ends the reading of a connection that was asked to end and may.
+var errEnding = errors.New("asked to end")
+
+// may says whether a connection may end now for a reason, and if so lets nothing more be said on it. It is asked by
+// the goroutine that takes in txns, with nothing unread: what was seen of the connection may have passed since.
+func (c *clientConn) may(code string) error {
+	asOf, begun := time.Unix(0, c.asOf.Load()), c.Begun()
+	still := true
+	switch code {
+	case conn.Half:
+		still = begun != 0 && before(asOf, begun, halfAfter)
+	case conn.Mute:
+		still = begun == 0 && !c.whole.Load()
+	case conn.Idle:
+		still = begun == 0 && before(asOf, c.Heard(), idleAfter)
+	case conn.Crowded:
+		still = begun == 0 && before(asOf, c.Heard(), evictAfter)
+	case conn.Shutdown: // half a request is waited for: its client is told when it ends, not in the middle of it
+		still = begun == 0 || before(asOf, begun, halfAfter)
+	}
+	if !still || !c.o.Shut() {
+		c.evicted.Store(false)
+		return nil
+	}
+	c.Blame(code, nil)
+	return errEnding
+}
+
+// before says whether a Unix time in nanoseconds lies further back than most.
+func before(now time.Time, at int64, most time.Duration) bool { return at < now.Add(-most).UnixNano() }
+
 // Run accepts clients until the listener is closed, then waits for their connections to end.
 func (k *Taker) Run(ctx context.Context, ln net.Listener) error {
+	k.mu.Lock()
+	k.ln = ln
+	k.mu.Unlock()
 	g, ctx := errgroup.WithContext(ctx)
 	defer context.AfterFunc(ctx, func() { _ = ln.Close() })()
 	g.Go(func() error {
@@ -80,12 +131,23 @@
 			}
 		}
 	})
-	for {
+	for looked := false; ; {
 		raw, err := ln.Accept()
 		if err != nil {
 			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				k.mu.Lock()
+				k.deaf = true
+				k.mu.Unlock()
 				return g.Wait()
 			}
+			if errors.Is(err, os.ErrDeadlineExceeded) { // Finish: what has come is accepted before the listener closes
+				if looked {
+					_ = ln.Close()
+				}
+				looked = true
+				k.lastLook()
+				continue
+			}
 			// Out of descriptors, or a connection that went away: the listener itself goes on.
 			k.Book.Log.Warn("accept", "err", err.Error())
 			select {
@@ -94,6 +156,7 @@
 			}
 			continue
 		}
+		looked = false
 		in, tell := k.Gate.Client()
 		if !in && tell {
 			in = k.evict(time.Now())
@@ -111,94 +174,134 @@
 	}
 }
 
-// Stop tells every client to bring no new txn on its connection.
+// Stop tells every client to bring no new txn on its connection; those that come from now on are told at once.
 func (k *Taker) Stop() {
 	k.Gate.Stop()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	for o := range k.conns {
-		o.Say(frame.AppendHead(nil, frame.NoMore, 0, 0))
+	for _, c := range k.conns {
+		if !c.told.Load() {
+			c.noMore()
+		}
+	}
+}
+
+// Finish, after Stop, takes in what has connected already, closes the listener, and ends each connection once nothing is
+// open on it and what its client has written is read. It returns when all have ended or the context has.
+func (k *Taker) Finish(ctx context.Context) {
+	for tick := time.NewTicker(askEvery); ; {
+		k.mu.Lock()
+		deaf, now := k.deaf, time.Now()
+		for _, c := range k.conns {
+			c.end(conn.Shutdown, now)
+		}
+		k.mu.Unlock()
+		if !deaf {
+			k.lastLook()
+		} else if k.Gate.Clients() == 0 {
+			tick.Stop()
+			return
+		}
+		select {
+		case <-ctx.Done():
+			tick.Stop()
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// lastLook lets the listener wait for one more moment.
+func (k *Taker) lastLook() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if ln, ok := k.ln.(interface{ SetDeadline(time.Time) error }); ok {
+		_ = ln.SetDeadline(time.Now().Add(time.Millisecond))
 	}
 }
 
 // Sweep ends connections that are of no use: still, or without a whole frame for long. What is open on one is answered
-// first. While the bodies' budget is full it also ends those that take nothing of what waits for them: few slow readers
-// would hold all of it.
+// first, and what has come by then is taken in: it is for the goroutine that reads to say that nothing is under way.
+// While the bodies' budget is full it also breaks those that take nothing of what waits for them: few slow readers would
+// hold all of it, and there is nothing to end in order, as they read nothing.
 func (k *Taker) Sweep(now time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	full := k.Gate.Full()
-	before := func(at int64, most time.Duration) bool { return at < now.Add(-most).UnixNano() }
 	for o, c := range k.conns {
 		switch begun := c.Begun(); {
-		case full && o.Waits() && before(c.Took(), stalledAfter):
+		case full && o.Waits() && before(now, c.Took(), stalledAfter):
 			c.End(conn.Slow, nil)
-		case begun != 0 && before(begun, halfAfter):
-			c.Blame(conn.Half, nil)
-			if o.Finish(); !o.Busy() {
-				c.End(conn.Half, nil)
-			}
 		case o.Busy():
-		case !c.whole.Load() && c.Age(now) > muteAfter:
-			c.End(conn.Mute, nil)
-		case before(c.Heard(), idleAfter):
-			c.End(conn.Idle, nil)
+		case begun != 0 && before(now, begun, halfAfter):
+			c.end(conn.Half, now)
+		case begun == 0 && !c.whole.Load() && c.Age(now) > muteAfter:
+			c.end(conn.Mute, now)
+		case begun == 0 && before(now, c.Heard(), idleAfter):
+			c.end(conn.Idle, now)
 		}
 	}
 }
 
-// evict ends the connection that has been still for longest, if nothing is open on any: one that brought no txn
-// before one that did. The place then goes to whoever comes.
+// evict asks the connection that has been still for longest to end, if nothing is open on any: one that brought no txn
+// before one that did. The place then goes to whoever comes; until the other has ended both are held, and the gate bounds
+// how many such there are.
 func (k *Taker) evict(now time.Time) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	var out *peer
+	var out *clientConn
 	least := now.Add(-evictAfter).UnixNano()
 	for o, c := range k.conns {
-		first := out == nil || !c.asked.Load() && out.asked.Load()
-		same := out == nil || c.asked.Load() == out.asked.Load()
-		if c.Heard() < least && (first || same && c.Heard() < out.Heard()) && !c.Ended() && !o.Busy() {
+		first := out == nil || !c.used.Load() && out.used.Load()
+		same := out == nil || c.used.Load() == out.used.Load()
+		if c.Heard() < least && (first || same && c.Heard() < out.Heard()) && !c.evicted.Load() && c.Begun() == 0 && !c.Ended() && !o.Busy() {
 			out = c
 		}
 	}
 	if out != nil {
-		out.End(conn.Crowded, nil)
+		out.evicted.Store(true)
+		out.end(conn.Crowded, now)
 	}
 	return out != nil
 }
 
 // client serves one connection until it ends.
 func (k *Taker) client(ctx context.Context, raw net.Conn, in bool) {
-	c := &peer{Conn: conn.New(raw, admit.ClientRing, relay.Stall)}
 	o := relay.New(k.Book, k.Gate)
+	c := &clientConn{Conn: conn.New(raw, admit.ClientRing, relay.Stall), o: o}
+	c.Asked = c.may
 	k.Book.Began("client")
 	k.mu.Lock()
 	if k.conns == nil {
-		k.conns = map[*relay.Outlet]*peer{}
+		k.conns = map[*relay.Outlet]*clientConn{}
 	}
 	k.conns[o] = c
 	k.mu.Unlock()
+	if k.Gate.Stopping() && c.told.CompareAndSwap(false, true) { // Stop was before it, or sees it
+		c.noMore()
+	}
 	g, ctx := errgroup.WithContext(ctx)
 	defer context.AfterFunc(ctx, func() { c.End(conn.Shutdown, nil) })()
-	var unread atomic.Bool // nobody reads any more
 	g.Go(func() (err error) {
 		defer k.caught(c.Conn, &err)
-		if !in {
-			unread.Store(true)
+		r := reader{k: k, c: c, o: o, used: map[uint32]bool{}, next: 1}
+		if in {
+			err = r.run()
+		} else {
 			c.Blame(conn.Limit, nil)
-			o.Say(errorFrame("too many connections"))
-			o.Finish()
-			return nil
+			err = fault("too many connections")
 		}
-		r := reader{k: k, c: c, o: o, used: map[uint32]bool{}, next: 1}
-		err = r.run()
 		if bad := (*violation)(nil); errors.As(err, &bad) {
-			// What was taken is still answered; only then does the connection end, under the code of the fault.
-			unread.Store(true)
+			// What was taken is still answered; only then does the connection end, under the code of the fault. Until then it
+			// is read on, and all dropped: a client that goes is noticed.
 			c.Blame(conn.Protocol, bad)
 			o.Say(errorFrame(bad.Error()))
 			o.Finish()
-			return nil
+			err = c.Drop()
+		}
+		if errors.Is(err, errEnding) {
+			c.Hangup(conn.Shutdown, nil, lingerMost, lingerBytes)
+			return err
 		}
 		c.End(conn.Reason(err), err)
 		return err
@@ -206,20 +309,17 @@
 	g.Go(func() (err error) {
 		defer k.caught(c.Conn, &err)
 		if err = o.Run(ctx, c.Conn); err == nil {
-			if unread.Load() {
-				c.Linger(lingerMost, lingerBytes)
-			}
-			c.End(conn.Protocol, nil)
+			c.Ask(conn.Protocol)
 		}
 		return err
 	})
 	_ = g.Wait()
-	k.mu.Lock()
-	delete(k.conns, o)
-	k.mu.Unlock()
 	for _, t := range o.Close("connection-ended") {
 		k.Post(Left{t})
 	}
+	k.mu.Lock()
+	delete(k.conns, o)
+	k.mu.Unlock()
 	c.Done(k.Book, "client", c.Peer())
 }
 
@@ -253,11 +353,10 @@
 // reader follows the frames of one connection.
 type reader struct {
 	k    *Taker
-	c    *peer
+	c    *clientConn
 	o    *relay.Outlet
 	used map[uint32]bool // streams used, from next on
 	next uint32          // lowest stream not used
-	told bool
 }
 
 func (r *reader) run() error {
@@ -348,9 +447,8 @@
 		return err
 	}
 	r.admit(t, body, float64(time.Now().UnixMicro())/1e6, atOnce)
-	if r.k.Gate.Stopping() && !r.told {
-		r.told = true
-		r.o.Say(frame.AppendHead(nil, frame.NoMore, 0, 0))
+	if r.k.Gate.Stopping() && r.c.told.CompareAndSwap(false, true) { // this one may have crossed the word
+		r.c.noMore()
 	}
 	return nil
 }
@@ -382,7 +480,7 @@
 	} else {
 		body.Free()
 	}
-	r.c.asked.Store(true)
+	r.c.used.Store(true)
 	reason := ""
 	if r.o.Count() >= mostOpen {
 		reason = "streams"
--- a/internal/txn/txn.go
+++ b/internal/txn/txn.go
@@ -27,8 +27,17 @@
 	Came   float64 // Unix seconds at which its last byte was read
 	Limit  float64 // Unix seconds at which the client gives up
 	To     Outlet
+
+	left uint32 // 1 once nobody waits; a plain number, as a txn is copied while it is read in
 }
 
+// Leave says that the client has closed its connection or given the txn up. It may be said by any goroutine and counts
+// at once, before the news has passed the queue of the route stage: no attempt begins after it.
+func (t *Txn) Leave() { atomic.StoreUint32(&t.left, 1) }
+
+// Left says whether nobody waits for the txn any more.
+func (t *Txn) Left() bool { return atomic.LoadUint32(&t.left) == 1 }
+
 // Outlet is where a txn's answer goes. It says whether the answer was taken: only the first one is.
 type Outlet interface {
 	Answer(t *Txn, a Answer) bool
