Tests of the crossings at shutdown, at leavers, and at ends of connections; reloads in a drain

Test code that changed: the stand-in of a start reads the readiness answer without ending the test when the port is another's (it failed inside a wait, so no retry was possible); calls of Gate.Txn pass the txn's own bytes, 0.

--- /dev/null
+++ b/cmd/cairnfront/drain_test.go
@@ -0,0 +1,118 @@
+package main
+
+import (
+	"io"
+	"net"
+	"os"
+	"regexp"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"cairnfront/brain"
+	"cairnfront/internal/book"
+	"cairnfront/internal/frame"
+	"cairnfront/internal/start"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// TestSignalsDuringADrain: the notice board's new address is followed in it, a second SIGTERM changes nothing, and what was
+// open is answered.
+func TestSignalsDuringADrain(t *testing.T) {
+	release, m, s, c := signalled(t, syscall.SIGTERM)
+	kind, _, _ := c.next(t)
+	assert.EqualValues(t, frame.NoMore, kind)
+	next := serveBoard(t)
+	require.NoError(t, os.WriteFile(s.path, manifest(s.addr, next.Addr().String(), 192, m, m), 0o600))
+	require.NoError(t, s.Process.Signal(syscall.SIGHUP))
+	require.Eventually(t, func() bool { return strings.Contains(s.log.String(), "code=followed") }, patience, time.Millisecond)
+	select {
+	case next.say <- notice(2, 2, record(1, m, 1)): // taken by the board's connection to the router
+	case <-time.After(patience):
+		t.Fatal("the new board is not asked")
+	}
+	require.NoError(t, s.Process.Signal(syscall.SIGTERM))
+	require.Eventually(t, func() bool { return strings.Contains(s.log.String(), "again=true") }, patience, time.Millisecond)
+	close(release)
+	code, _, _ := c.answer(t)
+	assert.EqualValues(t, 1, code)
+	_, err := io.Copy(io.Discard, c)
+	assert.NoError(t, err, "ended, not reset")
+	_ = c.Close()
+	s.killed = true
+	assert.NoError(t, <-s.ended, "exit 0")
+}
+
+// TestPortStillInUse: the process before may still hold it. A signal is heard only between two tries, so it proves the first.
+func TestPortStillInUse(t *testing.T) {
+	type result struct {
+		net.Listener
+		error
+	}
+	for _, last := range []os.Signal{syscall.SIGUSR1, syscall.SIGTERM} {
+		held, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		signals, got := make(chan os.Signal), make(chan result)
+		go func() {
+			ln, err := listen(held.Addr().String(), signals, book.New(io.Discard, ""))
+			got <- result{ln, err}
+		}()
+		signals <- syscall.SIGUSR1
+		signals <- last
+		require.NoError(t, held.Close())
+		r := <-got
+		require.NoError(t, r.error)
+		if last == syscall.SIGTERM {
+			assert.Nil(t, r.Listener, "it is told to end before it began")
+			continue
+		}
+		assert.NoError(t, r.Listener.Close())
+	}
+}
+
+// TestReloadsNeverWait: while the client of the notice board follows none, the signal loop goes on, and the newest address
+// is the one that it will follow.
+func TestReloadsNeverWait(t *testing.T) {
+	moves, k, m := make(chan string, 1), book.New(io.Discard, ""), start.Manifest{}
+	for _, addr := range []string{"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"} {
+		m = reread(m, func() (start.Manifest, error) { return start.Manifest{Board: addr}, nil }, moves, k)
+	}
+	assert.Equal(t, "127.0.0.1:3", <-moves)
+	assert.Equal(t, "127.0.0.1:3", m.Board)
+}
+
+// TestDrainEndsBeforeTheKill: which comes no sooner than the longest time limit, 3 s at most, and 0.7 s.
+func TestDrainEndsBeforeTheKill(t *testing.T) {
+	for longest, want := range map[float64]time.Duration{0.9: 1300 * time.Millisecond, 2: 2400 * time.Millisecond, 6: 3400 * time.Millisecond} {
+		m := start.Manifest{Rules: []string{"a", "b"}, Records: brain.Records{brain.Remap(0, "limit_s"): "0.5",
+			brain.Remap(1, "limit_s"): strconv.FormatFloat(longest, 'f', -1, 64)}}
+		assert.Equal(t, want, drainMost(m), longest)
+	}
+}
+
+// TestSignalBeforeTheStart: a SIGHUP that meets the shell, or the program before it hears signals, does not end it, and those
+// after the start are followed. The line is the deploy file's own.
+func TestSignalBeforeTheStart(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/balancer.toml")
+	require.NoError(t, err)
+	run := regexp.MustCompile(`(?m)^run = "(.*)"`).FindSubmatch(text)
+	require.NotNil(t, run)
+	m := serveMember(t, func(h hop) string { return served(h, "x") })
+	s := begin(t, 64, m, m)
+	require.NoError(t, s.end(t, syscall.SIGTERM))
+	s.shell = strings.Replace(string(run[1]), "exec bin/cairnfront", "kill -HUP $$; exec "+program, 1)
+	require.Contains(t, s.shell, "kill")
+	s.start(t)
+	next := serveBoard(t)
+	require.NoError(t, os.WriteFile(s.path, manifest(s.addr, next.Addr().String(), 64, m, m), 0o600))
+	require.NoError(t, s.Process.Signal(syscall.SIGHUP))
+	select {
+	case next.say <- notice(2, 2, record(1, m, 0)):
+	case <-time.After(patience):
+		t.Fatal("the new board is not asked")
+	}
+}
--- a/cmd/cairnfront/serve.go
+++ b/cmd/cairnfront/serve.go
@@ -54,11 +54,11 @@
 	runtime.GOMAXPROCS(max(int(math.Ceil(m.Cores)), 1))
 	debug.SetGCPercent(admit.GCPercent)
 	debug.SetMemoryLimit(admit.HeapLimit(m.MemoryMB))
-	ln, err := listen(m.Listen, signals)
+	k := book.New(os.Stderr, m.Name)
+	ln, err := listen(m.Listen, signals, k)
 	if err != nil || ln == nil {
 		return err
 	}
-	k := book.New(os.Stderr, m.Name)
 	defer k.Print(os.Stderr)
 	gate := admit.New(m.MemoryMB, m.Sockets)
 	seconds := func(name string) time.Duration { return time.Duration(m.Records.Num(name, 0) * float64(time.Second)) }
@@ -149,10 +149,13 @@
 
 // listen opens the listener, or nothing where a signal to end came first. The process before may still be ending, with
 // the port in its hands: that is waited out for a bounded time.
-func listen(addr string, signals <-chan os.Signal) (net.Listener, error) {
-	for end := time.Now().Add(portMost); ; {
+func listen(addr string, signals <-chan os.Signal, k *book.Book) (net.Listener, error) {
+	for began, tries := time.Now(), 0; ; tries++ {
 		ln, err := net.Listen("tcp", addr)
-		if err == nil || !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(end) {
+		if err == nil && tries > 0 {
+			k.Log.Warn("listen", "code", "port-was-in-use", "address", addr, "for_s", time.Since(began).Seconds())
+		}
+		if err == nil || !errors.Is(err, syscall.EADDRINUSE) || time.Since(began) > portMost {
 			return ln, err
 		}
 		select {
--- a/cmd/cairnfront/serve_test.go
+++ b/cmd/cairnfront/serve_test.go
@@ -254,6 +254,7 @@
 	killed bool
 	path   string
 	args   []string
+	shell  string // starts the program in place of a plain start, where set
 }
 
 // manifest is a start file with caches s-00000001 and on, and an origin s-000000ff.
@@ -312,6 +313,9 @@
 // start runs the program and waits until it is ready.
 func (s *started) start(t *testing.T) {
 	s.killed, s.Cmd = false, exec.Command(program, append([]string{"serve"}, s.args...)...)
+	if s.shell != "" {
+		s.Cmd = exec.Command("/bin/sh", "-c", s.shell)
+	}
 	s.Env = append(os.Environ(), "LB_CONFIG="+s.path)
 	out, err := s.StderrPipe()
 	require.NoError(t, err)
@@ -331,10 +335,10 @@
 			return false
 		}
 		defer c.Close()
-		x := &client{Conn: c}
 		_, _ = c.Write(append(frame.AppendHead(nil, frame.AskReady, 0, 1), 0))
-		kind, _, payload := x.next(t)
-		return kind == frame.Ready && payload[0] == 1
+		said := make([]byte, frame.HeadSize+1) // or nothing: the port may still be another's
+		_, err = io.ReadFull(c, said)
+		return err == nil && said[4] == frame.Ready && said[frame.HeadSize] == 1
 	}, patience, 10*time.Millisecond)
 }
 
--- a/internal/admit/admit.go
+++ b/internal/admit/admit.go
@@ -57,9 +57,10 @@
 // Full says that the bodies' budget is nearly spent.
 func (g *Gate) Full() bool { return g.Budget.Used() > g.full }
 
-// Txn lets a txn in, or names what there is too much of. Each one let in ends with TxnDone.
-func (g *Gate) Txn() (reason string) {
-	if g.Full() {
+// Txn lets a txn in, or names what there is too much of. Its own bytes, which the budget holds already, do not count: one
+// with a large body is let in as often as one with none. Each one let in ends with TxnDone.
+func (g *Gate) Txn(own int) (reason string) {
+	if g.Budget.Used()-int64(own) > g.full {
 		return "memory"
 	}
 	if g.txns.Add(1) > g.mostTxns {
--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -311,6 +311,13 @@
 	}
 }
 
+// Code is the reason for which the connection ends, empty while there is none.
+func (c *Conn) Code() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.code
+}
+
 // Ended says whether the socket is closed.
 func (c *Conn) Ended() bool { return c.ended.Load() }
 
--- a/internal/conn/conn_test.go
+++ b/internal/conn/conn_test.go
@@ -16,6 +16,7 @@
 	"cairnfront/internal/book"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 )
 
 func TestReadsAcrossTheRing(t *testing.T) {
@@ -104,3 +105,128 @@
 	assert.Equal(t, 1, strings.Count(log.String(), "\n"))
 	assert.Equal(t, []int64{1, 0, 1}, []int64{b.Count("conn.client.begun"), b.Count("conn.client.open"), b.Count("conn.client.ended.protocol")})
 }
+
+// pair is a connection over loopback: the near side as the program has it, and the far side.
+func pair(t *testing.T) (near, far *net.TCPConn) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	c, err := net.Dial("tcp", ln.Addr().String())
+	require.NoError(t, err)
+	raw, err := ln.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		_ = raw.Close()
+		_ = c.Close()
+	})
+	return raw.(*net.TCPConn), c.(*net.TCPConn)
+}
+
+// TestHangupDestroysNothing: the last words arrive though the other side has written what nobody reads; a close at once
+// would reset the connection.
+func TestHangupDestroysNothing(t *testing.T) {
+	near, far := pair(t)
+	c := New(near, 1024, time.Second)
+	_, err := far.Write(make([]byte, 100_000))
+	require.NoError(t, err)
+	words := strings.Repeat("last words ", 9000)
+	require.NoError(t, errors.Join(c.Write([]byte(words)), c.Flush()))
+	done := make(chan bool)
+	go func() {
+		c.Hangup(Idle, nil, time.Minute, 1<<20)
+		close(done)
+	}()
+	got, err := io.ReadAll(far)
+	assert.NoError(t, err)
+	assert.Equal(t, words, string(got))
+	assert.False(t, c.Ended(), "it reads on until the other side has ended too")
+	_ = far.Close()
+	<-done
+	assert.True(t, c.Ended())
+}
+
+// TestHangupIsBounded: in time for one that says nothing more and does not end, in bytes for one that floods.
+func TestHangupIsBounded(t *testing.T) {
+	near, _ := pair(t)
+	c := New(near, 1024, 0)
+	c.Hangup(Idle, nil, time.Millisecond, 1<<20)
+	assert.True(t, c.Ended())
+	near, far := pair(t)
+	go func() { _, _ = far.Write(make([]byte, 10_000)) }()
+	c = New(near, 1024, 0)
+	c.Hangup(Idle, nil, time.Minute, 2000)
+	assert.True(t, c.Ended())
+}
+
+// script is a socket whose reads are scripted: each waits for its turn.
+type script struct {
+	net.Conn
+	reading chan bool
+	reads   chan func(p []byte) (int, error)
+	woken   chan bool
+}
+
+func (s *script) Read(p []byte) (int, error) {
+	s.reading <- true
+	return (<-s.reads)(p)
+}
+
+func (s *script) Close() error { return nil }
+
+func (s *script) SetReadDeadline(at time.Time) error {
+	if at.Equal(time.Unix(1, 0)) {
+		s.woken <- true
+	}
+	return nil
+}
+
+// TestAskedReadsWhatHasComeFirst: bytes that came in the moment in which the end was asked for are taken in; only when
+// nothing is unread is it asked whether the connection may end, and after a no it goes on.
+func TestAskedReadsWhatHasComeFirst(t *testing.T) {
+	late := func([]byte) (int, error) { return 0, os.ErrDeadlineExceeded }
+	bring := func(text string) func([]byte) (int, error) {
+		return func(p []byte) (int, error) { return copy(p, text), nil }
+	}
+	s := &script{reading: make(chan bool), reads: make(chan func([]byte) (int, error)), woken: make(chan bool, 9)}
+	c := New(s, 8, 0)
+	asked, may := make(chan string), make(chan error)
+	c.Asked = func(code string) error {
+		asked <- code
+		return <-may
+	}
+	got := make(chan string)
+	go func() {
+		p := make([]byte, 1)
+		for err := error(nil); err == nil; {
+			if err = c.ReadFull(p); err == nil {
+				got <- string(p)
+			} else {
+				got <- err.Error()
+			}
+		}
+	}()
+	next := func(f func([]byte) (int, error)) {
+		<-s.reading
+		s.reads <- f
+	}
+	<-s.reading
+	c.Ask(Idle)
+	<-s.woken
+	s.reads <- late  // the read that was under way
+	next(bring("x")) // the last look
+	assert.Equal(t, "x", <-got)
+	next(late) // asked still, and nothing is unread
+	assert.Equal(t, Idle, <-asked)
+	may <- nil
+	next(bring("y"))
+	assert.Equal(t, "y", <-got)
+	next(late) // a wake for nothing
+	<-s.reading
+	c.Ask(Shutdown)
+	<-s.woken
+	s.reads <- late
+	next(late)
+	assert.Equal(t, Shutdown, <-asked)
+	may <- errors.New("it may")
+	assert.Equal(t, "it may", <-got)
+}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -18,7 +19,7 @@
 func outlet(t *testing.T) (*Outlet, *txn.Txn) {
 	g := admit.New(64, 256)
 	o, x := New(book.New(&bytes.Buffer{}, ""), g), &txn.Txn{Stream: 1, Name: "page"}
-	assert.Empty(t, g.Txn())
+	assert.Empty(t, g.Txn(0))
 	o.Open(x)
 	return o, x
 }
@@ -36,7 +37,7 @@
 func TestClosedOutletTakesNothing(t *testing.T) {
 	o, x := outlet(t)
 	y := &txn.Txn{Stream: 2, Name: "page"}
-	assert.Empty(t, o.gate.Txn())
+	assert.Empty(t, o.gate.Txn(0))
 	o.Open(y)
 	assert.True(t, o.Answer(y, txn.Answer{Body: o.gate.Budget.Try(100)}))
 	assert.Equal(t, []*txn.Txn{x}, o.Close("connection-ended"))
@@ -63,3 +64,34 @@
 	}
 	assert.True(t, o.Full())
 }
+
+// TestLookAndEndAreOneStep: nothing may be open, wait, or be on its way into the socket; after a yes nothing more is said.
+func TestLookAndEndAreOneStep(t *testing.T) {
+	near, far := net.Pipe()
+	o, x := outlet(t)
+	assert.False(t, o.Shut(), "a txn is open")
+	assert.True(t, o.Answer(x, txn.Answer{}))
+	assert.False(t, o.Shut(), "its answer waits")
+	done := make(chan error)
+	go func() { done <- o.Run(t.Context(), conn.New(near, 64, time.Minute)) }()
+	_, _ = far.Read(make([]byte, 1))
+	assert.False(t, o.Shut(), "the socket has not taken all of it")
+	go func() { _, _ = io.Copy(io.Discard, far) }()
+	assert.Eventually(t, o.Shut, time.Minute, time.Millisecond)
+	o.Say([]byte("more"))
+	assert.False(t, o.Busy(), "nothing more is said")
+	o.Finish()
+	assert.NoError(t, <-done)
+	assert.True(t, o.Shut())
+}
+
+// TestNewsOfALeaverCountsAtOnce: whoever holds the txn sees it before the route stage has heard.
+func TestNewsOfALeaverCountsAtOnce(t *testing.T) {
+	o, x := outlet(t)
+	assert.False(t, x.Left())
+	o.Leave(1, "cancelled")
+	assert.True(t, x.Left())
+	o, x = outlet(t)
+	o.Close("connection-ended")
+	assert.True(t, x.Left())
+}
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -210,3 +210,34 @@
 	}
 	assert.Equal(t, "o", l.fill(brain.Hop{To: "c", Source: "o"}))
 }
+
+// TestNoAttemptOnceTheClientLeft: though the news of it is still in the queue, neither a first nor a further hop is sent, and
+// the decisions hear that the client is gone before they hear how that hop ended.
+func TestNoAttemptOnceTheClientLeft(t *testing.T) {
+	l, s, x, o, _ := stage(t, func(ev brain.Event) []brain.Action {
+		switch ev := ev.(type) {
+		case brain.Arrival:
+			return []brain.Action{brain.Hop{Txn: "ab", To: "c"}}
+		case brain.Outcome:
+			if ev.Hop == 0 {
+				return []brain.Action{brain.Hop{Txn: "ab", To: "o"}}
+			}
+		}
+		return nil
+	})
+	l.Hear(x)
+	x.Leave()
+	l.Hear(send.Ended{Call: l.open["ab"].hops[0].call, End: txn.End{Code: brain.Busy}})
+	assert.Nil(t, l.open["ab"].hops[1].call)
+	l.ring()
+	assert.Equal(t, []brain.Event{brain.Outcome{Txn: "ab", Member: "c", Code: brain.Busy}, brain.ClientGone{Txn: "ab"},
+		brain.Outcome{Txn: "ab", Hop: 1, Member: "o", Code: brain.Moot, Final: true}}, s.heard[2:])
+	l.Hear(take.Left{Txn: x})
+	assert.Len(t, s.heard, 5, "it is heard once")
+	assert.Empty(t, l.open)
+	assert.Empty(t, o.answers)
+	y := &txn.Txn{ID: "cd", To: o}
+	y.Leave()
+	l.Hear(y)
+	assert.Len(t, s.heard, 5, "of one that left in the queue nothing is decided")
+}
--- a/internal/send/link.go
+++ b/internal/send/link.go
@@ -230,8 +230,9 @@
 	})
 	g.Go(func() error {
 		defer l.caught(c)
-		err := l.write(ctx, c)
-		c.End(conn.Reason(err), err)
+		if err := l.write(ctx, c); ctx.Err() == nil { // else the reader ends it
+			c.End(conn.Reason(err), err)
+		}
 		return errEnded
 	})
 	_ = g.Wait()
--- a/internal/send/send_test.go
+++ b/internal/send/send_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"testing/iotest"
@@ -361,3 +362,91 @@
 	assert.NotNil(t, s.send("b", 0))
 	assert.Nil(t, s.send("c", 0))
 }
+
+// TestNothingBeginsForAClientThatLeft: a hop that waits for its connection, or its turn on one, is never written once its
+// client is gone, though the route stage has not heard of it; what else waits there goes on.
+func TestNothingBeginsForAClientThatLeft(t *testing.T) {
+	s := pool(t)
+	hold := make(chan bool)
+	dial := s.Dial
+	s.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
+		<-hold
+		return dial(ctx, addr)
+	}
+	a := s.send("a", 0)
+	b := s.send("b", 0)
+	a.txn.Leave()
+	close(hold)
+	r := bufio.NewReader(<-s.dialed)
+	assert.Equal(t, "do b", asked(t, r))
+	assert.Equal(t, Ended{a, txn.End{Code: brain.Moot}}, s.end(t))
+	_, atOnce := s.Undo(a, brain.Cancelled)
+	assert.True(t, atOnce, "and no line undoes it")
+	assert.NotNil(t, b.Link())
+}
+
+// crossing is a member's socket that tells when the router ends it, before that is done.
+type crossing struct {
+	*net.TCPConn
+	end func()
+}
+
+func (c *crossing) CloseWrite() error {
+	c.end()
+	return c.TCPConn.CloseWrite()
+}
+
+func (c *crossing) Close() error {
+	c.end()
+	return c.TCPConn.Close()
+}
+
+// TestHalfALineThatMeetsAnEndIsNotReset: of a member that left the list, of an idle connection, at the router's end.
+func TestHalfALineThatMeetsAnEndIsNotReset(t *testing.T) {
+	for _, how := range []string{"unlisted", "idle", "shutdown"} {
+		s := pool(t)
+		s.Dial = func(context.Context, string) (net.Conn, error) {
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				return nil, err
+			}
+			defer ln.Close()
+			far, err := net.Dial("tcp", ln.Addr().String())
+			if err != nil {
+				return nil, err
+			}
+			near, err := ln.Accept()
+			if err != nil {
+				return nil, err
+			}
+			s.dialed <- far
+			return &crossing{near.(*net.TCPConn), sync.OnceFunc(func() { _, _ = io.WriteString(far, "a served digest=d,dat") })}, nil
+		}
+		a := s.send("a", 0)
+		far := <-s.dialed
+		r := bufio.NewReader(far)
+		assert.Equal(t, "do a", asked(t, r))
+		_, _ = io.WriteString(far, "a nobody - 0\r\n\r\n")
+		s.end(t)
+		over := make(chan error)
+		go func() {
+			_, err := io.Copy(io.Discard, r)
+			_ = far.Close()
+			over <- err
+		}()
+		switch how {
+		case "unlisted":
+			s.List(true, nil)
+			s.Sweep(time.Now().Add(time.Second))
+		case "idle":
+			s.Sweep(time.Now().Add(time.Hour))
+		}
+		if how == "shutdown" {
+			s.stop()
+			assert.Contains(t, s.log.String(), "code=shutdown")
+		} else {
+			assert.Contains(t, s.after(t, a.Link()), "code="+how)
+		}
+		assert.NoError(t, <-over, "ended, not reset")
+	}
+}
--- a/internal/take/take.go
+++ b/internal/take/take.go
@@ -475,8 +475,9 @@
 	}
 	a.Stream, a.To, a.Rule, a.Came, a.Limit = t.Stream, r.o, rule, now, now+a.TTL
 	*t = a.Txn
-	if body.Bytes = a.Rest; len(a.Rest) > 0 {
-		t.Body = body
+	size := 0
+	if n := len(body.Bytes); len(a.Rest) > 0 {
+		body.Bytes, t.Body, size = a.Rest, body, n
 	} else {
 		body.Free()
 	}
@@ -484,7 +485,7 @@
 	reason := ""
 	if r.o.Count() >= mostOpen {
 		reason = "streams"
-	} else if reason = r.k.Gate.Txn(); reason == "" {
+	} else if reason = r.k.Gate.Txn(size); reason == "" {
 		r.o.Open(t)
 		r.k.Post(t)
 	}
--- a/internal/take/take_test.go
+++ b/internal/take/take_test.go
@@ -3,20 +3,25 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"maps"
 	"net"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"cairnfront/internal/admit"
 	"cairnfront/internal/book"
+	"cairnfront/internal/conn"
 	"cairnfront/internal/frame"
 	"cairnfront/internal/relay"
 	"cairnfront/internal/txn"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 )
 
 // client is a taker with one client's connection.
@@ -31,6 +36,10 @@
 
 func connect(t *testing.T, in bool) *client {
 	near, far := net.Pipe()
+	return connectOver(t, near, far, in)
+}
+
+func connectOver(t *testing.T, near, far net.Conn, in bool) *client {
 	c := &client{Conn: far, posted: make(chan any, 99), log: &bytes.Buffer{}, done: make(chan bool)}
 	c.Taker = &Taker{Rules: map[string]int{"page": 1}, Gate: admit.New(64, 256), Book: book.New(c.log, ""),
 		Post: func(ev any) { c.posted <- ev }}
@@ -365,3 +374,250 @@
 	assert.Error(t, err)
 	assert.EqualValues(t, 1, k.Book.Count("conn.client.ended.shutdown"))
 }
+
+// ending is a client's socket that tells when the router ends it, before that is done, and when it wakes its reader.
+type ending struct {
+	*net.TCPConn
+	wake, end func()
+}
+
+func (e *ending) SetReadDeadline(at time.Time) error {
+	if at.Equal(time.Unix(1, 0)) && e.wake != nil {
+		e.wake()
+	}
+	return e.TCPConn.SetReadDeadline(at)
+}
+
+func (e *ending) CloseWrite() error {
+	e.end()
+	return e.TCPConn.CloseWrite()
+}
+
+func (e *ending) Close() error {
+	e.end()
+	return e.TCPConn.Close()
+}
+
+// overTCP is a taker with one client's connection over loopback. End is called once, in the moment in which the router
+// ends the connection; wake each time that its reader is woken.
+func overTCP(t *testing.T, wake, end func(far net.Conn)) *client {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	far, err := net.Dial("tcp", ln.Addr().String())
+	require.NoError(t, err)
+	near, err := ln.Accept()
+	require.NoError(t, err)
+	e := &ending{TCPConn: near.(*net.TCPConn), wake: func() { wake(far) }, end: sync.OnceFunc(func() { end(far) })}
+	return connectOver(t, e, far, true)
+}
+
+func nothing(net.Conn) {}
+
+// whole reads until the router ends its side, and fails on a reset.
+func (c *client) whole(t *testing.T) {
+	_, err := io.Copy(io.Discard, c)
+	assert.NoError(t, err, "ended, not reset")
+	_ = c.Close()
+	<-c.done
+}
+
+// TestRequestThatMeetsAnIdleEnd: one that comes before the end is decided is taken in; one that crosses it meets a half-close,
+// so that its client knows that it was not taken and comes again, and no reset.
+func TestRequestThatMeetsAnIdleEnd(t *testing.T) {
+	ask := append(frame.AppendHead(nil, frame.AskReady, 5, 1), 0)
+	var came atomic.Bool
+	c := overTCP(t, func(far net.Conn) {
+		if came.CompareAndSwap(false, true) {
+			_, _ = far.Write(request(1, "aa"))
+		}
+	}, func(far net.Conn) { _, _ = far.Write(request(2, "bb")) })
+	_, _ = c.Write(ask)
+	c.next(t)
+	var x *txn.Txn
+	for x == nil { // until a sweep has seen that nothing is open
+		c.Sweep(time.Now().Add(idleAfter + time.Second))
+		select {
+		case ev := <-c.posted:
+			x = ev.(*txn.Txn)
+		case <-time.After(time.Millisecond):
+		}
+	}
+	assert.True(t, x.To.Answer(x, txn.Answer{}))
+	_, stream, _ := c.next(t)
+	assert.EqualValues(t, 1, stream, "it came before the end")
+	c.sweepUntil(t, conn.Idle)
+	c.whole(t)
+	assert.Empty(t, c.posted, "what crossed the end is not taken")
+	assert.Contains(t, c.log.String(), "code=idle")
+}
+
+// sweepUntil sweeps until the connection is about to end for a reason.
+func (c *client) sweepUntil(t *testing.T, code string) {
+	assert.Eventually(t, func() bool {
+		c.Sweep(time.Now().Add(time.Hour))
+		x := c.conn()
+		return x == nil || x.Code() == code
+	}, time.Minute, time.Millisecond)
+}
+
+// TestEndsOfEveryKindResetNothing: whatever a client writes in the moment in which its connection ends.
+func TestEndsOfEveryKindResetNothing(t *testing.T) {
+	ask := append(frame.AppendHead(nil, frame.AskReady, 5, 1), 0)
+	for code, says := range map[string][]byte{conn.Mute: nil, conn.Idle: ask, conn.Half: ask[:7]} {
+		c := overTCP(t, nothing, func(far net.Conn) { _, _ = far.Write(append(ask, make([]byte, 50_000)...)) })
+		_, _ = c.Write(says)
+		if code == conn.Idle {
+			c.next(t)
+		}
+		assert.Eventually(t, func() bool { x := c.conn(); return x != nil && (x.Begun() != 0) == (code == conn.Half) }, time.Minute, time.Millisecond)
+		c.sweepUntil(t, code)
+		c.whole(t)
+		assert.Contains(t, c.log.String(), "code="+code)
+	}
+	c := overTCP(t, nothing, func(far net.Conn) { _, _ = far.Write(ask) })
+	assert.Eventually(t, func() bool { return c.evict(time.Now().Add(time.Hour)) }, time.Minute, time.Millisecond)
+	c.whole(t)
+	assert.Contains(t, c.log.String(), "code=crowded")
+}
+
+// TestClientThatGoesAfterAFaultIsNoticed: nothing it sends is followed any more, but its end is.
+func TestClientThatGoesAfterAFaultIsNoticed(t *testing.T) {
+	c := connect(t, true)
+	_, _ = c.Write(request(1, "aa"))
+	x := (<-c.posted).(*txn.Txn)
+	_, _ = c.Write(frame.AppendHead(nil, 77, 9, 0))
+	c.next(t)
+	_, _ = c.Write(request(2, "bb"))
+	_ = c.Close()
+	assert.Equal(t, Left{x}, <-c.posted)
+	assert.True(t, x.Left())
+	assert.Empty(t, c.posted)
+}
+
+// listening is a taker that accepts on loopback.
+func listening(t *testing.T, before func(net.Listener)) (k *Taker, posted chan any, dial func() *client) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	posted = make(chan any, 99)
+	k = &Taker{Rules: map[string]int{"page": 1}, Gate: admit.New(64, 256), Book: book.New(io.Discard, ""), Post: func(ev any) { posted <- ev }}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error)
+	dial = func() *client {
+		far, err := net.Dial("tcp", ln.Addr().String())
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = far.Close() })
+		return &client{Conn: far}
+	}
+	if before != nil {
+		before(ln)
+	}
+	go func() { done <- k.Run(ctx, ln) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.NoError(t, <-done)
+	})
+	return k, posted, dial
+}
+
+// TestDrainTellsThoseThatComeAfterIt: at once, without a request of theirs.
+func TestDrainTellsThoseThatComeAfterIt(t *testing.T) {
+	k, _, dial := listening(t, nil)
+	k.Stop()
+	kind, _, _ := dial().next(t)
+	assert.EqualValues(t, frame.NoMore, kind)
+}
+
+// TestBacklogIsTakenInAtTheEnd: one that connected, and wrote, before the listener closed is owed an answer. The listener's
+// time is up before the first accept: without a last look it would close over its backlog and reset it.
+func TestBacklogIsTakenInAtTheEnd(t *testing.T) {
+	var c *client
+	k, posted, _ := listening(t, func(ln net.Listener) {
+		far, err := net.Dial("tcp", ln.Addr().String())
+		require.NoError(t, err)
+		c = &client{Conn: far}
+		_, _ = c.Write(request(1, "aa"))
+		_ = ln.(*net.TCPListener).SetDeadline(time.Unix(1, 0))
+	})
+	k.Stop()
+	finished := make(chan bool)
+	go func() {
+		k.Finish(t.Context())
+		close(finished)
+	}()
+	x := (<-posted).(*txn.Txn)
+	assert.True(t, x.To.Answer(x, txn.Answer{}))
+	for kind := byte(frame.NoMore); kind == frame.NoMore; {
+		var stream uint32
+		if kind, stream, _ = c.next(t); kind != frame.NoMore {
+			assert.Equal(t, []any{byte(frame.Answer), uint32(1)}, []any{kind, stream})
+		}
+	}
+	_, err := io.Copy(io.Discard, c)
+	assert.NoError(t, err, "ended, not reset")
+	_ = c.Close()
+	<-finished
+}
+
+// TestFinishEndsInOrder: a resting connection ends at once, one with something open after its answer, one in the middle
+// of a request once that has come whole and is answered.
+func TestFinishEndsInOrder(t *testing.T) {
+	k, posted, dial := listening(t, nil)
+	rests, waits, writes := dial(), dial(), dial()
+	_, _ = rests.Write(append(frame.AppendHead(nil, frame.AskReady, 5, 1), 0))
+	rests.next(t)
+	_, _ = waits.Write(request(1, "aa"))
+	x := (<-posted).(*txn.Txn)
+	text := request(1, "bb")
+	_, _ = writes.Write(append(append([]byte{}, frame.AppendHead(nil, frame.AskReady, 5, 1)...), append([]byte{0}, text[:20]...)...))
+	writes.next(t)
+	k.Stop()
+	finished := make(chan bool)
+	go func() {
+		k.Finish(t.Context())
+		close(finished)
+	}()
+	_, err := io.Copy(io.Discard, rests)
+	assert.NoError(t, err)
+	_ = rests.Close()
+	_, _ = writes.Write(text[20:])
+	y := (<-posted).(*txn.Txn)
+	for _, z := range []*txn.Txn{x, y} {
+		assert.True(t, z.To.Answer(z, txn.Answer{Body: &txn.Body{Bytes: make([]byte, 200_000)}}))
+	}
+	for _, c := range []*client{waits, writes} {
+		n, err := io.Copy(io.Discard, c)
+		assert.NoError(t, err)
+		assert.Greater(t, n, int64(200_000), "the answer is whole")
+		_ = c.Close()
+	}
+	<-finished
+}
+
+// TestWhileMemoryIsShortSizesAreAlike: what is left of the budget is not filled with small requests while large ones starve.
+func TestWhileMemoryIsShortSizesAreAlike(t *testing.T) {
+	c := connect(t, true)
+	stream := uint32(0)
+	for _, full := range []bool{false, true} {
+		held := c.Gate.Budget.Try(64<<20*35/100*9/10 - 1000)
+		more := (*txn.Body)(nil)
+		if full {
+			more = c.Gate.Budget.Try(2000)
+		}
+		for _, size := range []int{0, frame.MostBody} {
+			stream++
+			payload := append(request(stream, fmt.Sprintf("%02x", stream))[frame.HeadSize:], make([]byte, size)...)
+			go func() { _, _ = c.Write(append(frame.AppendHead(nil, frame.Txn, stream, len(payload)), payload...)) }()
+			if !full {
+				x := (<-c.posted).(*txn.Txn)
+				x.Body.Free()
+				x.To.Answer(x, txn.Answer{})
+			}
+			_, on, answer := c.next(t)
+			assert.Equal(t, stream, on)
+			assert.Equal(t, map[bool]byte{false: 1, true: 0}[full], answer[0])
+		}
+		held.Free()
+		more.Free()
+	}
+}
