--- a/internal/send/send_test.go
+++ b/internal/send/send_test.go
@@ -401,7 +401,7 @@
 	return c.TCPConn.Close()
 }
 
-// TestHalfALineThatMeetsAnEndIsNotReset: of a member that left the list, of an idle connection, at the router's end.
+// TestHalfALineThatMeetsAnEndIsNotReset: or the first part of a long answer, so long that it can't all be read before; of a member that left the list, of an idle connection, at the router's end.
 func TestHalfALineThatMeetsAnEndIsNotReset(t *testing.T) {
 	for _, how := range []string{"unlisted", "idle", "shutdown"} {
 		s := pool(t)
@@ -420,7 +420,9 @@
 				return nil, err
 			}
 			s.dialed <- far
-			return &crossing{near.(*net.TCPConn), sync.OnceFunc(func() { _, _ = io.WriteString(far, "a served digest=d,dat") })}, nil
+			return &crossing{near.(*net.TCPConn), sync.OnceFunc(func() {
+				_, _ = io.WriteString(far, "a served digest=d,dated=1 240000\r\n"+strings.Repeat("x", 200_000))
+			})}, nil
 		}
 		a := s.send("a", 0)
 		far := <-s.dialed
--- a/internal/take/take_test.go
+++ b/internal/take/take_test.go
@@ -475,7 +475,7 @@
 		c.whole(t)
 		assert.Contains(t, c.log.String(), "code="+code)
 	}
-	c := overTCP(t, nothing, func(far net.Conn) { _, _ = far.Write(ask) })
+	c := overTCP(t, nothing, func(far net.Conn) { _, _ = far.Write(append(ask, make([]byte, 500_000)...)) })
 	assert.Eventually(t, func() bool { return c.evict(time.Now().Add(time.Hour)) }, time.Minute, time.Millisecond)
 	c.whole(t)
 	assert.Contains(t, c.log.String(), "code=crowded")
