A flood puts no end off; the system's descriptor limit counts; one of no use makes room on EMFILE

Seen: with the reader as owner of the end, one that is asked to end first reads what has come. After a fault of the client, or on a link that carries nothing, what comes is dropped anyway, and one that floods would have put its end off for as long as it sent (conn.go, fill). Mended: the reader of such a connection is deaf, the question comes first.

Seen: where the process may hold fewer descriptors than limits.sockets says, clients that rest take all of them, and the notice board can't be dialled (EMFILE): the gate divided the number that it was told (serve.go). Now the lower one binds, and an accept that finds none evicts a resting client.

--- a/cmd/cairnfront/drain_test.go
+++ b/cmd/cairnfront/drain_test.go
@@ -7,6 +7,7 @@
 	"regexp"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -116,3 +117,57 @@
 		t.Fatal("the new board is not asked")
 	}
 }
+
+// TestDiscoveryComesBackWhileClientsFillTheDescriptors: the system's limit is lower than what the program was told. Clients
+// that rest take all that they may; the board goes away and comes back, and who asks is served.
+func TestDiscoveryComesBackWhileClientsFillTheDescriptors(t *testing.T) {
+	old, m := serveMember(t, func(h hop) string { return served(h, "old") }), serveMember(t, func(h hop) string { return served(h, "new") })
+	s := begin(t, 64, old, old)
+	require.NoError(t, s.end(t, syscall.SIGTERM))
+	s.shell = "ulimit -n 64; exec " + program + " serve"
+	s.start(t)
+	stop := make(chan bool)
+	rest := sync.WaitGroup{}
+	for range 80 { // each comes again when it is ended
+		rest.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				if c, err := net.Dial("tcp", s.addr); err == nil {
+					_, _ = c.Write(append(frame.AppendHead(nil, frame.AskReady, 0, 1), 0))
+					_ = c.SetReadDeadline(time.Now().Add(time.Second))
+					_, _ = io.Copy(io.Discard, c)
+					_ = c.Close()
+				}
+			}
+		})
+	}
+	defer rest.Wait()
+	defer close(stop)
+	full := func() bool {
+		before := strings.Count(s.log.String(), "counter process.descriptors")
+		require.NoError(t, s.Process.Signal(syscall.SIGUSR1))
+		require.Eventually(t, func() bool { return strings.Count(s.log.String(), "counter process.descriptors") > before }, patience, time.Millisecond)
+		return s.counters()["conn.client.open"] >= 28
+	}
+	require.Eventually(t, full, patience, 10*time.Millisecond)
+	next := serveBoard(t)
+	require.NoError(t, os.WriteFile(s.path, manifest(s.addr, next.Addr().String(), 64, old, old), 0o600))
+	require.NoError(t, s.Process.Signal(syscall.SIGHUP))
+	next.say <- notice(2, 2, append(record(9, m, 0), record(1, old, 2)...))
+	require.Eventually(t, func() bool {
+		c, err := net.Dial("tcp", s.addr)
+		if err != nil {
+			return false
+		}
+		defer c.Close()
+		_ = c.SetDeadline(time.Now().Add(time.Second))
+		(&client{Conn: c}).ask("page", row, "")
+		text, _ := io.ReadAll(c)
+		return strings.HasSuffix(string(text), "new")
+	}, patience, time.Millisecond, "it is heard of, and a new client gets in")
+	assert.Less(t, s.counters()["process.descriptors"], 64)
+}
--- a/cmd/cairnfront/serve.go
+++ b/cmd/cairnfront/serve.go
@@ -60,7 +60,7 @@
 		return err
 	}
 	defer k.Print(os.Stderr)
-	gate := admit.New(m.MemoryMB, m.Sockets)
+	gate := admit.New(m.MemoryMB, descriptors(m.Sockets))
 	seconds := func(name string) time.Duration { return time.Duration(m.Records.Num(name, 0) * float64(time.Second)) }
 	pool := &send.Pool{Gate: gate, Book: k, Connect: seconds("connect_s"), Idle: seconds("idle_close_s"),
 		Streams: int(m.Records.Num("hops_a_connection", 1)), Report: m.Records["load_by"] == "checks"}
@@ -121,6 +121,16 @@
 	}
 }
 
+// descriptors is how many the process may hold: as it is told, or fewer where the system's own limit is lower. What the
+// gate leaves over is for the notice board, the listener and the runtime, so it must go by the limit that binds.
+func descriptors(told int) int {
+	var limit syscall.Rlimit
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) == nil && limit.Cur < uint64(told) {
+		return int(limit.Cur)
+	}
+	return told
+}
+
 // drain ends what clients have open, in order: they are told, what comes all the same is served, each connection ends once
 // nothing is open on it. What is open when the time is up is abandoned.
 func drain(ctx context.Context, most time.Duration, taker *take.Taker, gate *admit.Gate, loop *route.Loop) {
--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -47,6 +47,10 @@
 	// after nil the connection goes on, and who asked may ask again.
 	Asked func(code string) error
 
+	// Deaf, of the goroutine that reads, says that nothing unread matters any more: the question is put before the next
+	// read, not after a last look. Else one that floods could put its end off for ever.
+	Deaf bool
+
 	raw   net.Conn
 	in    *ring.Ring
 	out   *ring.Ring
@@ -139,6 +143,12 @@
 			_ = c.raw.SetReadDeadline(by)
 			c.set = false
 		}
+		if asked := c.ask.Load(); asked != nil && c.Deaf && c.Asked != nil {
+			c.ask.CompareAndSwap(asked, nil)
+			if err := c.Asked(*asked); err != nil {
+				return err
+			}
+		}
 		asked := c.ask.Load() // after the deadline was set: one asked for later sets it anew
 		if asked != nil {
 			_ = c.raw.SetReadDeadline(time.Now().Add(lastLook))
@@ -200,6 +210,7 @@
 
 // Drop reads on and drops all that comes, until an error: that it has ended, or that it was asked to and may.
 func (c *Conn) Drop() error {
+	c.Deaf = true
 	for {
 		c.in.Discard(c.in.Len())
 		if err := c.fill(); err != nil {
--- a/internal/send/link.go
+++ b/internal/send/link.go
@@ -210,7 +210,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	ctx, l.stop = context.WithCancel(ctx)
 	defer l.stop()
-	c.Asked = func(code string) error { return l.may(ctx, code) }
+	c.Asked, c.Deaf = func(code string) error { return l.may(ctx, code) }, true // no call is open then: none waits for what is unread
 	l.mu.Lock()
 	l.c = c
 	l.mu.Unlock()
--- a/internal/send/send_test.go
+++ b/internal/send/send_test.go
@@ -452,3 +452,23 @@
 		assert.NoError(t, <-over, "ended, not reset")
 	}
 }
+
+// TestMemberThatFloodsPutsNoEndOff: of a connection that is not used any more.
+func TestMemberThatFloodsPutsNoEndOff(t *testing.T) {
+	s := pool(t)
+	a := s.send("a", 0)
+	far := <-s.dialed
+	asked(t, bufio.NewReader(far))
+	_, _ = io.WriteString(far, "a nobody - 0\r\n\r\n")
+	s.end(t)
+	go func() {
+		for {
+			if _, err := io.WriteString(far, "zz nobody - 0\r\n\r\n"); err != nil {
+				return
+			}
+		}
+	}()
+	s.List(true, nil)
+	s.Sweep(time.Now().Add(time.Second))
+	assert.Contains(t, s.after(t, a.Link()), "code=unlisted")
+}
--- a/internal/take/take.go
+++ b/internal/take/take.go
@@ -12,6 +12,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"cairnfront/internal/admit"
@@ -148,8 +149,11 @@
 				k.lastLook()
 				continue
 			}
-			// Out of descriptors, or a connection that went away: the listener itself goes on.
+			// Out of descriptors, or a connection that went away: the listener itself goes on, and one of no use makes room.
 			k.Book.Log.Warn("accept", "err", err.Error())
+			if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+				k.evict(time.Now())
+			}
 			select {
 			case <-ctx.Done():
 			case <-time.After(10 * time.Millisecond):
@@ -192,8 +196,10 @@
 	for tick := time.NewTicker(askEvery); ; {
 		k.mu.Lock()
 		deaf, now := k.deaf, time.Now()
-		for _, c := range k.conns {
-			c.end(conn.Shutdown, now)
+		for o, c := range k.conns {
+			if !o.Busy() && c.Code() == "" { // one that is ending already has a reason
+				c.end(conn.Shutdown, now)
+			}
 		}
 		k.mu.Unlock()
 		if !deaf {
--- a/internal/take/take_test.go
+++ b/internal/take/take_test.go
@@ -495,6 +495,24 @@
 	assert.Empty(t, c.posted)
 }
 
+// TestFloodAfterAFaultPutsNoEndOff: one whose frames can't be followed and who goes on sending is ended all the same.
+func TestFloodAfterAFaultPutsNoEndOff(t *testing.T) {
+	c := overTCP(t, nothing, nothing)
+	_, _ = c.Write(frame.AppendHead(nil, 77, 9, 0))
+	flooded := make(chan bool)
+	go func() {
+		defer close(flooded)
+		for text := make([]byte, 64<<10); ; {
+			if _, err := c.Write(text); err != nil {
+				return
+			}
+		}
+	}()
+	<-c.done
+	<-flooded
+	assert.Contains(t, c.log.String(), "code=protocol")
+}
+
 // listening is a taker that accepts on loopback.
 func listening(t *testing.T, before func(net.Listener)) (k *Taker, posted chan any, dial func() *client) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
