Discovery: a beat that names an event which was not had asks the board again

Need: a watch that goes on beating while its events are lost or held back was not told from one without news: take passed beats over unread (board/client.go), so a drain could stay unheard for as long as the beats came. Now a beat beyond the last event ends the connection, once for each number.

The test of the flooding member now runs over TCP: over a pipe its mutant survived.

--- a/internal/board/client.go
+++ b/internal/board/client.go
@@ -155,9 +155,14 @@
 
 // take posts an event that follows the last one; one that was had before is passed over. A number that skips some is
 // asked for again once, from the last event had; if the same comes again the board holds nothing between, and it is
-// taken.
+// taken. So is a beat that names a later event than the last one had: on a connection that brings beats and no news a drain
+// would never be heard of.
 func (c *Client) take(ev Event) error {
-	if ev.Beat {
+	if ev.Beat { // it names the board's last event: one that was not had got lost, or is held back on this connection
+		if ev.Number > c.Last && c.missed != ev.Number {
+			c.missed = ev.Number
+			return fmt.Errorf("%w: a beat at %d after %d", errGap, ev.Number, c.Last)
+		}
 		return nil
 	}
 	if ev.Number <= c.Last {
--- a/internal/send/send_test.go
+++ b/internal/send/send_test.go
@@ -401,29 +401,34 @@
 	return c.TCPConn.Close()
 }
 
+// overTCP makes the pool dial over loopback. End is called once, in the moment in which the router ends a connection.
+func (s *side) overTCP(end func(far net.Conn)) {
+	s.Dial = func(context.Context, string) (net.Conn, error) {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer ln.Close()
+		far, err := net.Dial("tcp", ln.Addr().String())
+		if err != nil {
+			return nil, err
+		}
+		near, err := ln.Accept()
+		if err != nil {
+			return nil, err
+		}
+		s.dialed <- far
+		return &crossing{near.(*net.TCPConn), sync.OnceFunc(func() { end(far) })}, nil
+	}
+}
+
 // TestHalfALineThatMeetsAnEndIsNotReset: or the first part of a long answer, so long that it can't all be read before; of a member that left the list, of an idle connection, at the router's end.
 func TestHalfALineThatMeetsAnEndIsNotReset(t *testing.T) {
 	for _, how := range []string{"unlisted", "idle", "shutdown"} {
 		s := pool(t)
-		s.Dial = func(context.Context, string) (net.Conn, error) {
-			ln, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				return nil, err
-			}
-			defer ln.Close()
-			far, err := net.Dial("tcp", ln.Addr().String())
-			if err != nil {
-				return nil, err
-			}
-			near, err := ln.Accept()
-			if err != nil {
-				return nil, err
-			}
-			s.dialed <- far
-			return &crossing{near.(*net.TCPConn), sync.OnceFunc(func() {
-				_, _ = io.WriteString(far, "a served digest=d,dated=1 240000\r\n"+strings.Repeat("x", 200_000))
-			})}, nil
-		}
+		s.overTCP(func(far net.Conn) {
+			_, _ = io.WriteString(far, "a served digest=d,dated=1 240000\r\n"+strings.Repeat("x", 200_000))
+		})
 		a := s.send("a", 0)
 		far := <-s.dialed
 		r := bufio.NewReader(far)
@@ -456,18 +461,20 @@
 // TestMemberThatFloodsPutsNoEndOff: of a connection that is not used any more.
 func TestMemberThatFloodsPutsNoEndOff(t *testing.T) {
 	s := pool(t)
+	s.overTCP(func(net.Conn) {})
 	a := s.send("a", 0)
 	far := <-s.dialed
 	asked(t, bufio.NewReader(far))
 	_, _ = io.WriteString(far, "a nobody - 0\r\n\r\n")
 	s.end(t)
 	go func() {
-		for {
-			if _, err := io.WriteString(far, "zz nobody - 0\r\n\r\n"); err != nil {
+		for text := strings.Repeat("zz nobody - 0\r\n\r\n", 10_000); ; {
+			if _, err := io.WriteString(far, text); err != nil {
 				return
 			}
 		}
 	}()
+	assert.Eventually(t, func() bool { return s.Book.Count("member.late-answers") > 1000 }, time.Minute, time.Millisecond)
 	s.List(true, nil)
 	s.Sweep(time.Now().Add(time.Second))
 	assert.Contains(t, s.after(t, a.Link()), "code=unlisted")
