A flood after a fault is read slowly while an answer is owed

Seen in reading: since a client is read on after a fault of its own, so that its end is noticed, one with a txn open could make the router drop what it sends as fast as it comes, for as long as its time limit (conn.go, Drop).

Measured: TestFloodWhileAnAnswerIsOwedIsSlowed ten times under -race, no failure; packages' tests pass.

--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -113,6 +113,9 @@
 // Wrote is how many bytes the socket has taken.
 func (c *Conn) Wrote() int64 { return c.wrote.Load() }
 
+// Got is how many bytes have come.
+func (c *Conn) Got() int64 { return c.read.Load() }
+
 // Entered is how many bytes were handed to Write so far.
 func (c *Conn) Entered() int64 { return c.entered }
 
@@ -208,11 +211,18 @@
 	}
 }
 
-// Drop reads on and drops all that comes, until an error: that it has ended, or that it was asked to and may.
-func (c *Conn) Drop() error {
+// dropPause lies between two reads of what is dropped, once that is more than any sound client has under way: a flood
+// must not cost the processor, and the end of one is still noticed.
+const dropPause = 5 * time.Millisecond
+
+// Drop reads on and drops all that comes, slowly past so many bytes, until an error: that it has ended, or that it was
+// asked to and may.
+func (c *Conn) Drop(bytes int64) error {
 	c.Deaf = true
-	for {
-		c.in.Discard(c.in.Len())
+	for bytes += c.read.Load(); ; {
+		if c.in.Discard(c.in.Len()); c.read.Load() > bytes {
+			time.Sleep(dropPause)
+		}
 		if err := c.fill(); err != nil {
 			return err
 		}
--- a/internal/take/take.go
+++ b/internal/take/take.go
@@ -303,7 +303,7 @@
 			c.Blame(conn.Protocol, bad)
 			o.Say(errorFrame(bad.Error()))
 			o.Finish()
-			err = c.Drop()
+			err = c.Drop(lingerBytes)
 		}
 		if errors.Is(err, errEnding) {
 			c.Hangup(conn.Shutdown, nil, lingerMost, lingerBytes)
--- a/internal/take/take_test.go
+++ b/internal/take/take_test.go
@@ -495,6 +495,31 @@
 	assert.Empty(t, c.posted)
 }
 
+// TestFloodWhileAnAnswerIsOwedIsSlowed: a client that can't be followed any more, has a txn open and floods is read on, but
+// not at the price of the processor: what it can bring until the answer is bounded.
+func TestFloodWhileAnAnswerIsOwedIsSlowed(t *testing.T) {
+	c := overTCP(t, nothing, nothing)
+	_, _ = c.Write(request(1, "aa"))
+	x := (<-c.posted).(*txn.Txn)
+	_, _ = c.Write(frame.AppendHead(nil, 77, 9, 0))
+	flooded := make(chan bool)
+	go func() {
+		defer close(flooded)
+		for text := make([]byte, 64<<10); ; {
+			if _, err := c.Write(text); err != nil {
+				return
+			}
+		}
+	}()
+	assert.Eventually(t, func() bool { return c.conn().Got() > lingerBytes }, time.Minute, time.Millisecond)
+	before, began := c.conn().Got(), time.Now()
+	assert.Eventually(t, func() bool { return c.conn().Got() > before+20*admit.ClientRing }, time.Minute, time.Millisecond)
+	assert.Greater(t, time.Since(began), 50*time.Millisecond)
+	assert.True(t, x.To.Answer(x, txn.Answer{}))
+	<-c.done
+	<-flooded
+}
+
 // TestFloodAfterAFaultPutsNoEndOff: one whose frames can't be followed and who goes on sending is ended all the same.
 func TestFloodAfterAFaultPutsNoEndOff(t *testing.T) {
 	c := overTCP(t, nothing, nothing)
