A connection without a whole frame ends in time also where its first one has begun

Measured: the new case of TestStillConnectionsEnd hangs without the change; fifty times under -race with it, no failure.

--- a/internal/send/send_test.go
+++ b/internal/send/send_test.go
@@ -51,6 +51,16 @@
 	return s
 }
 
+// holdDials keeps connections from being made until the channel is closed.
+func (s *side) holdDials() chan bool {
+	hold, dial := make(chan bool), s.Dial
+	s.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
+		<-hold
+		return dial(ctx, addr)
+	}
+	return hold
+}
+
 func (s *side) send(id string, body int, avoid ...*Link) *Call {
 	x := &txn.Txn{ID: id, Name: "page", Object: "ff", Part: "0"}
 	if body > 0 {
@@ -198,12 +208,7 @@
 
 func TestUndo(t *testing.T) {
 	s := pool(t)
-	hold := make(chan bool)
-	dial := s.Dial
-	s.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
-		<-hold
-		return dial(ctx, addr)
-	}
+	hold := s.holdDials()
 	a := s.send("a", 0)
 	b := s.send("b", 0)
 	code, atOnce := s.Undo(a, brain.Cancelled)
@@ -367,12 +372,7 @@
 // client is gone, though the route stage has not heard of it; what else waits there goes on.
 func TestNothingBeginsForAClientThatLeft(t *testing.T) {
 	s := pool(t)
-	hold := make(chan bool)
-	dial := s.Dial
-	s.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
-		<-hold
-		return dial(ctx, addr)
-	}
+	hold := s.holdDials()
 	a := s.send("a", 0)
 	b := s.send("b", 0)
 	a.txn.Leave()
--- a/internal/take/take.go
+++ b/internal/take/take.go
@@ -95,7 +95,7 @@
 	case conn.Half:
 		still = begun != 0 && before(asOf, begun, halfAfter)
 	case conn.Mute:
-		still = begun == 0 && !c.whole.Load()
+		still = !c.whole.Load()
 	case conn.Idle:
 		still = begun == 0 && before(asOf, c.Heard(), idleAfter)
 	case conn.Crowded:
@@ -241,7 +241,7 @@
 		case o.Busy():
 		case begun != 0 && before(now, begun, halfAfter):
 			c.end(conn.Half, now)
-		case begun == 0 && !c.whole.Load() && c.Age(now) > muteAfter:
+		case !c.whole.Load() && c.Age(now) > muteAfter: // also in the middle of its first frame: it has had its time
 			c.end(conn.Mute, now)
 		case begun == 0 && before(now, c.Heard(), idleAfter):
 			c.end(conn.Idle, now)
--- a/internal/take/take_test.go
+++ b/internal/take/take_test.go
@@ -288,6 +288,12 @@
 		c.sweepUntilDone(x.age + time.Second)
 		assert.Contains(t, c.log.String(), "code="+x.code)
 	}
+	late := connect(t, true) // one that begins its first frame late has not two more seconds for it
+	assert.Eventually(t, func() bool { return late.conn() != nil }, time.Minute, time.Millisecond)
+	late.conn().Since(time.Now().Add(-2 * muteAfter))
+	_, _ = late.Write(ask[:5])
+	late.sweepUntilDone(0)
+	assert.Contains(t, late.log.String(), "code=mute")
 	c := connect(t, true)
 	_, _ = c.Write(append(request(1, "aa"), 0, 0))
 	x := (<-c.posted).(*txn.Txn)
@@ -495,22 +501,28 @@
 	assert.Empty(t, c.posted)
 }
 
-// TestFloodWhileAnAnswerIsOwedIsSlowed: a client that can't be followed any more, has a txn open and floods is read on, but
-// not at the price of the processor: what it can bring until the answer is bounded.
-func TestFloodWhileAnAnswerIsOwedIsSlowed(t *testing.T) {
-	c := overTCP(t, nothing, nothing)
-	_, _ = c.Write(request(1, "aa"))
-	x := (<-c.posted).(*txn.Txn)
-	_, _ = c.Write(frame.AppendHead(nil, 77, 9, 0))
-	flooded := make(chan bool)
+// flood writes until the connection fails, and then says so.
+func (c *client) flood() <-chan bool {
+	over := make(chan bool)
 	go func() {
-		defer close(flooded)
+		defer close(over)
 		for text := make([]byte, 64<<10); ; {
 			if _, err := c.Write(text); err != nil {
 				return
 			}
 		}
 	}()
+	return over
+}
+
+// TestFloodWhileAnAnswerIsOwedIsSlowed: a client that can't be followed any more, has a txn open and floods is read on, but
+// not at the price of the processor: what it can bring until the answer is bounded.
+func TestFloodWhileAnAnswerIsOwedIsSlowed(t *testing.T) {
+	c := overTCP(t, nothing, nothing)
+	_, _ = c.Write(request(1, "aa"))
+	x := (<-c.posted).(*txn.Txn)
+	_, _ = c.Write(frame.AppendHead(nil, 77, 9, 0))
+	flooded := c.flood()
 	assert.Eventually(t, func() bool { return c.conn().Got() > lingerBytes }, time.Minute, time.Millisecond)
 	before, began := c.conn().Got(), time.Now()
 	assert.Eventually(t, func() bool { return c.conn().Got() > before+20*admit.ClientRing }, time.Minute, time.Millisecond)
@@ -524,15 +536,7 @@
 func TestFloodAfterAFaultPutsNoEndOff(t *testing.T) {
 	c := overTCP(t, nothing, nothing)
 	_, _ = c.Write(frame.AppendHead(nil, 77, 9, 0))
-	flooded := make(chan bool)
-	go func() {
-		defer close(flooded)
-		for text := make([]byte, 64<<10); ; {
-			if _, err := c.Write(text); err != nil {
-				return
-			}
-		}
-	}()
+	flooded := c.flood()
 	<-c.done
 	<-flooded
 	assert.Contains(t, c.log.String(), "code=protocol")
