A leaver never waits behind a full queue, and no reader stands still for one

Now leavers have a list of their own, bounded by the open txns, and go before each other event; a txn that finds no room is rejected at once (`answered.RULE.rejected.queue`). TestPanicCostsOneTxn of take panics where a txn is handed over now, in Offer.

--- a/cmd/cairnfront/serve.go
+++ b/cmd/cairnfront/serve.go
@@ -70,7 +70,7 @@
 	for i, name := range m.Rules {
 		rules[name] = i
 	}
-	taker := &take.Taker{Rules: rules, Gate: gate, Book: k, Post: loop.Post}
+	taker := &take.Taker{Rules: rules, Gate: gate, Book: k, Offer: loop.Offer, Post: loop.Post}
 	news := &board.Client{Addr: m.Board, Last: m.Last, Book: k, Post: func(ev board.Event) { loop.Post(ev) },
 		Moves: make(chan string, 1)}
 
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"runtime/debug"
 	"strings"
+	"sync"
 	"time"
 
 	"cairnfront/brain"
@@ -42,12 +43,15 @@
 	// Saw hears how each hop ended and how long it took, s; nil for nobody. It must not wait.
 	Saw func(member string, rule int, code brain.Code, took float64)
 
-	in     chan any
-	gone   chan struct{}
-	now    float64
-	open   map[string]*open
-	kinds  map[string]int // of members
-	timers timers
+	in      chan any
+	gone    chan struct{}
+	mu      sync.Mutex
+	leavers []take.Left   // not yet heard; each txn let in leaves once at the most, so their number is bounded
+	nudge   chan struct{} // there are leavers
+	now     float64
+	open    map[string]*open
+	kinds   map[string]int // of members
+	timers  timers
 }
 
 // open is a txn that is not answered, or has hops out.
@@ -82,19 +86,51 @@
 
 // New makes a loop that stands still.
 func New(b brain.Decider, rec brain.Records, p *send.Pool, k *book.Book) *Loop {
-	return &Loop{Brain: b, Records: rec, Pool: p, Book: k, in: make(chan any, queued), gone: make(chan struct{}),
+	return &Loop{Brain: b, Records: rec, Pool: p, Book: k, in: make(chan any, queued), gone: make(chan struct{}), nudge: make(chan struct{}, 1),
 		open: map[string]*open{}, kinds: map[string]int{},
 		Clock: func() float64 { return float64(time.Now().UnixMicro()) / 1e6 }}
 }
 
-// Post hands an event to the loop. It waits while too many do, but not for a loop that has ended.
+// Post hands an event to the loop. It waits while too many do, but not for a loop that has ended. Of a client that left it
+// never waits, and those go before all else that waits: who reads a connection must not stand still because of it.
 func (l *Loop) Post(ev any) {
+	if left, ok := ev.(take.Left); ok {
+		l.mu.Lock()
+		l.leavers = append(l.leavers, left)
+		l.mu.Unlock()
+		select {
+		case l.nudge <- struct{}{}:
+		default:
+		}
+		return
+	}
 	select {
 	case l.in <- ev:
 	case <-l.gone:
 	}
 }
 
+// Offer hands an event to the loop if there is room for it now.
+func (l *Loop) Offer(ev any) bool {
+	select {
+	case l.in <- ev:
+		return true
+	default:
+		return false
+	}
+}
+
+// partings hears of those that left.
+func (l *Loop) partings() {
+	l.mu.Lock()
+	left := l.leavers
+	l.leavers = nil
+	l.mu.Unlock()
+	for _, ev := range left {
+		l.safely(func() { l.Hear(ev) })
+	}
+}
+
 // Run brings events to the decisions until the context ends.
 func (l *Loop) Run(ctx context.Context) error {
 	defer close(l.gone)
@@ -111,7 +147,9 @@
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-l.nudge: // heard below, as before each other event
 		case ev := <-l.in:
+			l.partings()
 			l.safely(func() { l.Hear(ev) })
 		case <-bell.C:
 		case <-sweep.C:
@@ -126,6 +164,7 @@
 				}
 			})
 		}
+		l.partings()
 		l.safely(l.ring)
 		if len(l.timers.list) > 0 {
 			bell.Reset(time.Duration(max(l.timers.list[0].at-l.Clock(), 0) * float64(time.Second)))
--- a/internal/route/route_test.go
+++ b/internal/route/route_test.go
@@ -241,3 +241,22 @@
 	l.Hear(y)
 	assert.Len(t, s.heard, 5, "of one that left in the queue nothing is decided")
 }
+
+// TestLeaversGoBeforeAFullQueue: neither who tells of them waits, nor the decisions hear of them after what was queued before.
+func TestLeaversGoBeforeAFullQueue(t *testing.T) {
+	l, s, x, _, _ := stage(t, hopOn())
+	l.Hear(x)
+	for l.Offer(board.Event{Purged: true, Object: "ff", At: 98}) {
+	}
+	l.Post(take.Left{Txn: x})
+	ctx, cancel := context.WithCancel(t.Context())
+	heard := len(s.heard)
+	s.says = func(ev brain.Event) []brain.Action {
+		if _, ok := ev.(brain.Purge); ok {
+			cancel()
+		}
+		return nil
+	}
+	assert.NoError(t, l.Run(ctx))
+	assert.Equal(t, brain.ClientGone{Txn: "ab"}, s.heard[heard], "before the first of the queue")
+}
--- a/internal/take/take.go
+++ b/internal/take/take.go
@@ -51,11 +51,13 @@
 // Left says that the client of a txn waits no more.
 type Left struct{ Txn *txn.Txn }
 
-// Taker takes in what clients send. Post hands a *txn.Txn or a Left to the route stage.
+// Taker takes in what clients send. Offer hands a *txn.Txn to the route stage if there is room for it now: one that reads a
+// connection must not stand still, or it would not see its client go. Post hands on a Left.
 type Taker struct {
 	Rules map[string]int
 	Gate  *admit.Gate
 	Book  *book.Book
+	Offer func(any) bool
 	Post  func(any)
 
 	mu    sync.Mutex
@@ -492,8 +494,10 @@
 	if r.o.Count() >= mostOpen {
 		reason = "streams"
 	} else if reason = r.k.Gate.Txn(size); reason == "" {
-		r.o.Open(t)
-		r.k.Post(t)
+		if r.o.Open(t); !r.k.Offer(t) { // the decisions are far behind: what is given up is answered at once
+			t.Body.Free()
+			r.o.Answer(t, txn.Answer{Verdict: txn.Rejected, Reason: "queue"})
+		}
 	}
 	if reason != "" {
 		t.Body.Free()
--- a/internal/take/take_test.go
+++ b/internal/take/take_test.go
@@ -7,9 +7,11 @@
 	"io"
 	"maps"
 	"net"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -42,7 +44,10 @@
 func connectOver(t *testing.T, near, far net.Conn, in bool) *client {
 	c := &client{Conn: far, posted: make(chan any, 99), log: &bytes.Buffer{}, done: make(chan bool)}
 	c.Taker = &Taker{Rules: map[string]int{"page": 1}, Gate: admit.New(64, 256), Book: book.New(c.log, ""),
-		Post: func(ev any) { c.posted <- ev }}
+		Offer: func(ev any) bool {
+			c.posted <- ev
+			return true
+		}, Post: func(ev any) { c.posted <- ev }}
 	c.gate = c.Gate
 	go func() {
 		c.client(t.Context(), near, in)
@@ -200,7 +205,7 @@
 // TestPanicCostsOneTxn: one in the stages that a request is handed to is answered; one in a reader ends its connection.
 func TestPanicCostsOneTxn(t *testing.T) {
 	c := connect(t, true)
-	c.Post = func(any) { panic("a fault") }
+	c.Offer = func(any) bool { panic("a fault") }
 	_, _ = c.Write(request(1, "aa"))
 	_, stream, payload := c.next(t)
 	assert.Equal(t, []any{uint32(1), "\x09\x00"}, []any{stream, payload})
@@ -542,12 +547,62 @@
 	assert.Contains(t, c.log.String(), "code=protocol")
 }
 
+// TestNoRoomInTheQueue: the txn is rejected at once, and the reader goes on: it sees what comes next, an end too.
+func TestNoRoomInTheQueue(t *testing.T) {
+	c := connect(t, true)
+	full := c.Offer
+	c.Offer = func(any) bool { return false }
+	_, _ = c.Write(request(1, "aa", frame.Field{Name: "heap", Value: "1"}))
+	_, stream, payload := c.next(t)
+	assert.Equal(t, []any{uint32(1), "\x00\x00"}, []any{stream, payload})
+	assert.EqualValues(t, 1, c.Book.Count("answered.page.rejected.queue"))
+	assert.Zero(t, c.Gate.Budget.Used())
+	c.Offer = full
+	_, _ = c.Write(request(2, "bb"))
+	x := (<-c.posted).(*txn.Txn)
+	_ = c.Close()
+	assert.Equal(t, Left{x}, <-c.posted)
+}
+
+// starved is a listener that finds no descriptor, once.
+type starved struct {
+	net.Listener
+	once sync.Once
+}
+
+func (s *starved) Accept() (net.Conn, error) {
+	var err error
+	if s.once.Do(func() { err = &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.EMFILE)} }); err != nil {
+		return nil, err
+	}
+	return s.Listener.Accept()
+}
+
+// TestAcceptWithoutADescriptorMakesRoom: the connection that is of least use ends, and the listener goes on.
+func TestAcceptWithoutADescriptorMakesRoom(t *testing.T) {
+	c := overTCP(t, nothing, nothing)
+	assert.Eventually(t, func() bool { x := c.conn(); return x != nil && time.Since(time.Unix(0, x.Heard())) > evictAfter }, time.Minute, time.Millisecond)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error)
+	go func() { done <- c.Run(ctx, &starved{Listener: ln}) }()
+	c.whole(t)
+	assert.Contains(t, c.log.String(), "code=crowded")
+	cancel()
+	assert.NoError(t, <-done, "the listener itself goes on until it is told")
+}
+
 // listening is a taker that accepts on loopback.
 func listening(t *testing.T, before func(net.Listener)) (k *Taker, posted chan any, dial func() *client) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	posted = make(chan any, 99)
-	k = &Taker{Rules: map[string]int{"page": 1}, Gate: admit.New(64, 256), Book: book.New(io.Discard, ""), Post: func(ev any) { posted <- ev }}
+	k = &Taker{Rules: map[string]int{"page": 1}, Gate: admit.New(64, 256), Book: book.New(io.Discard, ""), Post: func(ev any) { posted <- ev },
+		Offer: func(ev any) bool {
+			posted <- ev
+			return true
+		}}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error)
 	dial = func() *client {
