An evicted connection gives its place back within 50 ms

Looked at: only take.go closes a connection unheard, where more than mostClients + tellBeyond are open. Cause: an evicted client that does not end its side was held for lingerMost, 0.5 s, and its place with it (client, Hangup); before, it was closed at once. Now for 50 ms, the time in which a request that crosses the end is sent again by the protocol; nothing else is under way on such a connection.

Measured: TestEvictedOnesGiveTheirPlaceBackSoon takes 0.5 s and fails without the lines; take's tests pass under -race.

--- a/internal/take/take.go
+++ b/internal/take/take.go
@@ -44,6 +44,7 @@
 	evictAfter   = 100 * time.Millisecond  // since it was heard, with nothing open, where its place is needed
 
 	lingerMost  = 500 * time.Millisecond // for a client to read what was written and to end its side
+	lingerRoom  = 50 * time.Millisecond  // the same where its place is needed: a request that crosses the end comes by then
 	lingerBytes = 2 << 20
 	askEvery    = 10 * time.Millisecond // between looks for connections that may end, once no new ones come
 )
@@ -308,7 +309,11 @@
 			err = c.Drop(lingerBytes)
 		}
 		if errors.Is(err, errEnding) {
-			c.Hangup(conn.Shutdown, nil, lingerMost, lingerBytes)
+			most := lingerMost
+			if c.Code() == conn.Crowded {
+				most = lingerRoom
+			}
+			c.Hangup(conn.Shutdown, nil, most, lingerBytes)
 			return err
 		}
 		c.End(conn.Reason(err), err)
--- a/internal/take/take_test.go
+++ b/internal/take/take_test.go
@@ -661,6 +661,15 @@
 	<-finished
 }
 
+// TestEvictedOnesGiveTheirPlaceBackSoon: though their clients never end their side, new ones are not turned away for it.
+func TestEvictedOnesGiveTheirPlaceBackSoon(t *testing.T) {
+	c := overTCP(t, nothing, nothing)
+	assert.Eventually(t, func() bool { return c.evict(time.Now().Add(time.Hour)) }, time.Minute, time.Millisecond)
+	began := time.Now()
+	<-c.done
+	assert.Less(t, time.Since(began), lingerMost, "the place is needed")
+}
+
 // TestFinishEndsInOrder: a resting connection ends at once, one with something open after its answer, one in the middle
 // of a request once that has come whole and is answered.
 func TestFinishEndsInOrder(t *testing.T) {
