--- a/cmd/cairnfront/box.go
+++ b/cmd/cairnfront/box.go
@@ -6,8 +6,8 @@
 	"os/signal"
 	"syscall"
 
-	"cairnfront/internal/box"
-	"cairnfront/internal/operators"
+	"cairnfront/internal/config"
+	"cairnfront/internal/edgecache"
 
 	"github.com/spf13/cobra"
 )
@@ -16,7 +16,7 @@
 	var file string
 	c := &cobra.Command{Use: "box", Short: "Run a cache box: memory over a disk, as the operators' file says", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
-			rules, err := operators.Read(file)
+			rules, err := config.Read(file)
 			if err != nil {
 				return err
 			}
@@ -29,7 +29,7 @@
 					print <- struct{}{}
 				}
 			}()
-			return box.Serve(ctx, rules, os.Stderr, print)
+			return edgecache.Serve(ctx, rules, os.Stderr, print)
 		}}
 	c.Flags().StringVar(&file, "operators", "deploy/operators.yaml", "the operators' file")
 	return c
--- a/cmd/cairnfront/ledger.go
+++ b/cmd/cairnfront/ledger.go
@@ -3,7 +3,7 @@
 import (
 	"errors"
 
-	"cairnfront/internal/ledger"
+	"cairnfront/internal/replication"
 
 	"github.com/spf13/cobra"
 )
@@ -12,7 +12,7 @@
 	c := &cobra.Command{Use: "ledger", Short: "The record of promises that routers hold for each other"}
 	c.AddCommand(&cobra.Command{Use: "verify FOLDER...", Short: "What the folders of stopped routers hold, and whether they agree; changes nothing", Args: cobra.MinimumNArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			if !ledger.Verify(cmd.OutOrStdout(), args) {
+			if !replication.Verify(cmd.OutOrStdout(), args) {
 				return errors.New("some folders can't be read, or do not agree")
 			}
 			return nil
--- a/cmd/cairnfront/main.go
+++ b/cmd/cairnfront/main.go
@@ -6,7 +6,7 @@
 	"os"
 	"runtime/debug"
 
-	"cairnfront/internal/start"
+	"cairnfront/internal/bootstrap"
 
 	"github.com/spf13/cobra"
 )
@@ -15,18 +15,18 @@
 	root := &cobra.Command{Use: "cairnfront", Short: "A traffic router for a two-tier cache",
 		SilenceUsage: true, SilenceErrors: true}
 	var operators string
-	serving := &cobra.Command{Use: "serve", Short: "Serve as the file that " + start.Variable + " names says", Args: cobra.NoArgs,
+	serving := &cobra.Command{Use: "serve", Short: "Serve as the file that " + bootstrap.Variable + " names says", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
-			return serve(start.FromEnv, operators)
+			return serve(bootstrap.FromEnv, operators)
 		}}
 	serving.Flags().StringVar(&operators, "operators", "", "the operators' file; none by default")
 	root.AddCommand(boxCommand(), labCommand(), ledgerCommand(), operatorsCommand(), peersCommand(), reachCommand(), serving, tierCommand(),
-		&cobra.Command{Use: "check [FILE]", Short: "Check a start file, by default the one that " + start.Variable + " names",
+		&cobra.Command{Use: "check [FILE]", Short: "Check a start file, by default the one that " + bootstrap.Variable + " names",
 			Args: cobra.MaximumNArgs(1),
 			RunE: func(cmd *cobra.Command, args []string) error {
-				read := start.FromEnv
+				read := bootstrap.FromEnv
 				if len(args) > 0 {
-					read = func() (start.Manifest, error) { return start.FromFile(args[0]) }
+					read = func() (bootstrap.Manifest, error) { return bootstrap.FromFile(args[0]) }
 				}
 				m, err := read()
 				if err == nil {
--- a/cmd/cairnfront/operators.go
+++ b/cmd/cairnfront/operators.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"cairnfront/internal/operators"
+	"cairnfront/internal/config"
 
 	"github.com/spf13/cobra"
 )
@@ -13,17 +13,17 @@
 	c.AddCommand(
 		&cobra.Command{Use: "defaults", Short: "Print a file that says every default", Args: cobra.NoArgs,
 			RunE: func(cmd *cobra.Command, _ []string) error {
-				_, err := cmd.OutOrStdout().Write(operators.Defaults())
+				_, err := cmd.OutOrStdout().Write(config.Defaults())
 				return err
 			}},
 		&cobra.Command{Use: "schema", Short: "Print the JSON Schema of the file", Args: cobra.NoArgs,
 			RunE: func(cmd *cobra.Command, _ []string) error {
-				_, err := cmd.OutOrStdout().Write(operators.Schema)
+				_, err := cmd.OutOrStdout().Write(config.Schema)
 				return err
 			}},
 		&cobra.Command{Use: "check FILE", Short: "Check a file; every mistake is named with line and column", Args: cobra.ExactArgs(1),
 			RunE: func(cmd *cobra.Command, args []string) error {
-				rules, err := operators.Read(args[0])
+				rules, err := config.Read(args[0])
 				if err == nil {
 					fmt.Fprintf(cmd.OutOrStdout(), "%s: box %s (%s, %d remap rules), disk %q, peers at %q (%d in the roster)\n", args[0], rules.Box.ID, rules.Box.Role,
 						len(rules.Box.Rules), rules.Tier.Folder, rules.Peers.Listen, len(rules.Peers.Roster))
--- a/cmd/cairnfront/peers.go
+++ b/cmd/cairnfront/peers.go
@@ -8,15 +8,15 @@
 	"os"
 	"strings"
 
-	"cairnfront/brain"
-	"cairnfront/internal/book"
-	"cairnfront/internal/hatch"
-	"cairnfront/internal/operators"
-	"cairnfront/internal/peers"
-	"cairnfront/internal/peers/meter"
-	"cairnfront/internal/peers/rumour"
-	"cairnfront/internal/peers/wire"
-	"cairnfront/internal/route"
+	"cairnfront/internal/admin"
+	"cairnfront/internal/config"
+	"cairnfront/internal/dispatch"
+	"cairnfront/internal/membership"
+	"cairnfront/internal/membership/datagram"
+	"cairnfront/internal/membership/observation"
+	"cairnfront/internal/membership/ratelimit"
+	"cairnfront/internal/telemetry"
+	"cairnfront/routing"
 
 	"github.com/spf13/cobra"
 	"golang.org/x/sync/errgroup"
@@ -26,20 +26,20 @@
 const mostDoubts = 256
 
 // roster turns the operators' file's into the node's.
-func roster(list []operators.Peer) ([]peers.Known, error) {
-	out := make([]peers.Known, len(list))
+func roster(list []config.Peer) ([]membership.Known, error) {
+	out := make([]membership.Known, len(list))
 	for i, x := range list {
-		key, err := wire.Public(x.Key)
+		key, err := datagram.Public(x.Key)
 		if err != nil {
 			return nil, fmt.Errorf("peers.roster.%d.key: %w", i, err)
 		}
-		out[i] = peers.Known{Name: x.Name, Key: key, Address: x.Address}
+		out[i] = membership.Known{Name: x.Name, Key: key, Address: x.Address}
 	}
 	return out, nil
 }
 
 // join makes a router one of several, if the operators' file says so.
-func join(ctx context.Context, g *errgroup.Group, p operators.Peers, name string, seed uint64, loop *route.Loop, k *book.Book) (*peers.Node, error) {
+func join(ctx context.Context, g *errgroup.Group, p config.Peers, name string, seed uint64, loop *dispatch.Loop, k *telemetry.Book) (*membership.Node, error) {
 	if p.Listen == "" {
 		return nil, nil
 	}
@@ -53,7 +53,7 @@
 	if info, err := os.Stat(p.KeyFile); err == nil && info.Mode().Perm()&0o077 != 0 {
 		return nil, fmt.Errorf("peers.key_file: %s may be read by others (mode %o): chmod 600", p.KeyFile, info.Mode().Perm())
 	}
-	key, err := wire.Key(strings.TrimSpace(string(text)))
+	key, err := datagram.Key(strings.TrimSpace(string(text)))
 	if err != nil {
 		return nil, fmt.Errorf("peers.key_file: %s: %w", p.KeyFile, err)
 	}
@@ -61,23 +61,23 @@
 	if err != nil {
 		return nil, err
 	}
-	node, err := peers.New(peers.Plan{Name: name, Zone: p.Zone, Listen: p.Listen, Advertise: p.Advertise, Key: key, Roster: list, Liars: p.Liars, Seed: seed,
-		In:  meter.Terms{AllDatagrams: p.InDatagrams, AllBytes: p.InKB * 1000, EachDatagrams: p.InEachDatagrams, EachBytes: p.InEachKB * 1000},
-		Out: meter.Terms{AllDatagrams: p.OutDatagrams, AllBytes: p.OutKB * 1000, EachDatagrams: p.OutEachDatagrams, EachBytes: p.OutEachKB * 1000}}, k)
+	node, err := membership.New(membership.Plan{Name: name, Zone: p.Zone, Listen: p.Listen, Advertise: p.Advertise, Key: key, Roster: list, Liars: p.Liars, Seed: seed,
+		In:  ratelimit.Terms{AllDatagrams: p.InDatagrams, AllBytes: p.InKB * 1000, EachDatagrams: p.InEachDatagrams, EachBytes: p.InEachKB * 1000},
+		Out: ratelimit.Terms{AllDatagrams: p.OutDatagrams, AllBytes: p.OutKB * 1000, EachDatagrams: p.OutEachDatagrams, EachBytes: p.OutEachKB * 1000}}, k)
 	if err != nil {
 		return nil, err
 	}
 	node.Pulse = func(done func()) { loop.Post(done) }
-	loop.Saw = func(member string, rule int, code brain.Code, took float64) {
-		sla := loop.Records.Num(brain.Remap(rule, "sla_s"), 1)
-		if says, ok := rumour.Read(code, took > sla); ok {
+	loop.Saw = func(member string, rule int, code routing.Code, took float64) {
+		sla := loop.Records.Num(routing.Remap(rule, "sla_s"), 1)
+		if says, ok := observation.Read(code, took > sla); ok {
 			node.Ended(member, says)
 		}
 	}
-	doubts := make(chan brain.Doubt, mostDoubts) // the loop may be slow; the node must not wait for it
+	doubts := make(chan routing.Doubt, mostDoubts) // the loop may be slow; the node must not wait for it
 	node.Heed = func(member string, doubt, s float64) {
 		select {
-		case doubts <- brain.Doubt{Member: member, Level: doubt, For: s}:
+		case doubts <- routing.Doubt{Member: member, Level: doubt, For: s}:
 		default:
 			k.Add("peers.doubts-untold", 1)
 		}
@@ -98,7 +98,7 @@
 }
 
 // rejoin follows a roster read anew.
-func rejoin(ctx context.Context, node *peers.Node, p operators.Peers, k *book.Book) error {
+func rejoin(ctx context.Context, node *membership.Node, p config.Peers, k *telemetry.Book) error {
 	if (node == nil) != (p.Listen == "") {
 		return errors.New("peers.listen: peers can't be taken up or given up while the router runs")
 	}
@@ -115,9 +115,9 @@
 	return err
 }
 
-func peerHandlers(node *peers.Node) map[string]hatch.Handler {
+func peerHandlers(node *membership.Node) map[string]admin.Handler {
 	off := errors.New("this router knows no peers: peers.listen is empty in its operators' file")
-	return map[string]hatch.Handler{
+	return map[string]admin.Handler{
 		"peers": func(ctx context.Context, _ map[string]string) (any, error) {
 			if node == nil {
 				return nil, off
@@ -138,7 +138,7 @@
 	var asJSON bool
 	c := &cobra.Command{Use: "peers", Short: "How a running router stands among its peers, and what it holds of each", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			data, err := hatch.Ask(socket, "peers", nil)
+			data, err := admin.Ask(socket, "peers", nil)
 			if err != nil {
 				return err
 			}
@@ -146,7 +146,7 @@
 				_, err = fmt.Fprintln(cmd.OutOrStdout(), string(data))
 				return err
 			}
-			var r peers.Report
+			var r membership.Report
 			if err := json.Unmarshal(data, &r); err != nil {
 				return err
 			}
@@ -157,11 +157,11 @@
 	c.Flags().BoolVar(&asJSON, "json", false, "as JSON")
 	c.AddCommand(&cobra.Command{Use: "leave", Short: "Say goodbye to the peers; the router goes on serving alone until its next start", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
-			_, err := hatch.Ask(socket, "peers-leave", nil)
+			_, err := admin.Ask(socket, "peers-leave", nil)
 			return err
 		}}, &cobra.Command{Use: "key FILE", Short: "Make a private key in a new file and print its public half for the roster", Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			seed, public, err := wire.NewKey()
+			seed, public, err := datagram.NewKey()
 			if err != nil {
 				return err
 			}
@@ -180,7 +180,7 @@
 }
 
 // tell prints a report for a person.
-func tell(cmd *cobra.Command, r peers.Report) {
+func tell(cmd *cobra.Command, r membership.Report) {
 	out := cmd.OutOrStdout()
 	fmt.Fprintf(out, "%s: %s for %.0f s, epoch %d; %d of %d there, own health %d of 8 lost\n", r.Name, r.Standing, r.SinceS, r.Epoch, r.There, r.Roster, r.Health)
 	up := max(r.UpS, 1)
--- a/cmd/cairnfront/peers_test.go
+++ b/cmd/cairnfront/peers_test.go
@@ -13,8 +13,8 @@
 	"testing"
 	"time"
 
-	"cairnfront/internal/hatch"
-	"cairnfront/internal/peers"
+	"cairnfront/internal/admin"
+	"cairnfront/internal/membership"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -44,8 +44,8 @@
 	return c.LocalAddr().String()
 }
 
-func (f *fellowship) report(i int) (r peers.Report) {
-	if data, err := hatch.Ask(f.door(i), "peers", nil); err == nil {
+func (f *fellowship) report(i int) (r membership.Report) {
+	if data, err := admin.Ask(f.door(i), "peers", nil); err == nil {
 		_ = json.Unmarshal(data, &r)
 	}
 	return r
--- a/cmd/cairnfront/reach.go
+++ b/cmd/cairnfront/reach.go
@@ -8,28 +8,28 @@
 	"os"
 	"time"
 
-	"cairnfront/internal/board"
-	"cairnfront/internal/book"
-	"cairnfront/internal/hatch"
-	"cairnfront/internal/operators"
-	"cairnfront/internal/reach"
-	"cairnfront/internal/reach/spend"
-	"cairnfront/internal/route"
-	"cairnfront/internal/send"
+	"cairnfront/internal/admin"
+	"cairnfront/internal/config"
+	"cairnfront/internal/discovery"
+	"cairnfront/internal/dispatch"
+	"cairnfront/internal/telemetry"
+	"cairnfront/internal/upstream"
+	"cairnfront/internal/upstream/address"
+	"cairnfront/internal/upstream/retrybudget"
 
 	"github.com/spf13/cobra"
 	"golang.org/x/sync/errgroup"
 )
 
 // addressed gives a pool what the operators' file says of members with several addresses. It is changed by the loop.
-type addressed struct{ list []operators.Several }
+type addressed struct{ list []config.Several }
 
-func (a *addressed) of(row board.Row) []reach.Addr {
+func (a *addressed) of(row discovery.Row) []address.Addr {
 	for _, s := range a.list {
 		if s.Matches(row.Member, row.Addr) {
-			out := make([]reach.Addr, len(s.List))
+			out := make([]address.Addr, len(s.List))
 			for i, text := range s.List {
-				out[i] = reach.Addr(text)
+				out[i] = address.Addr(text)
 			}
 			return out
 		}
@@ -39,12 +39,12 @@
 
 // extend makes a router of what the operators' file asks beside its start file. Nothing of it is there without one.
 // Reload takes the file's text anew.
-func extend(ctx context.Context, g *errgroup.Group, file, name string, seed uint64, rules map[int]bool, probes bool, pool *send.Pool, loop *route.Loop,
-	k *book.Book) (reload func(), err error) {
+func extend(ctx context.Context, g *errgroup.Group, file, name string, seed uint64, rules map[int]bool, probes bool, pool *upstream.Pool, loop *dispatch.Loop,
+	k *telemetry.Book) (reload func(), err error) {
 	if file == "" {
 		return func() {}, nil
 	}
-	book, err := operators.Read(file)
+	book, err := config.Read(file)
 	if err != nil {
 		return nil, err
 	}
@@ -53,15 +53,15 @@
 		return nil, err
 	}
 	if book.Router.FurtherShare > 0 {
-		loop.Spend = spend.New(spend.Terms{Share: book.Router.FurtherShare, Least: book.Router.FurtherLeast})
+		loop.Spend = retrybudget.New(retrybudget.Terms{Share: book.Router.FurtherShare, Least: book.Router.FurtherLeast})
 	}
-	apply := func(operators.Rulebook) error { return nil }
+	apply := func(config.Rulebook) error { return nil }
 	if len(book.Router.Addresses) > 0 {
 		a := &addressed{book.Router.Addresses}
-		pool.Reach, pool.Addrs = reach.New(seed), a.of
+		pool.Reach, pool.Addrs = address.New(seed), a.of
 		pool.Reach.Probes = probes
 		pool.Repeatable = func(rule int) bool { return rules[rule] }
-		apply = func(fresh operators.Rulebook) error {
+		apply = func(fresh config.Rulebook) error {
 			if len(fresh.Router.Addresses) == 0 {
 				return errors.New("router.addresses: the last ones can't go while the router runs")
 			}
@@ -74,7 +74,7 @@
 		}
 	}
 	reload = func() {
-		fresh, err := operators.Read(file)
+		fresh, err := config.Read(file)
 		if err == nil {
 			err = errors.Join(apply(fresh), rejoin(ctx, node, fresh.Peers, k))
 		}
@@ -86,29 +86,29 @@
 	if book.Router.Socket == "" {
 		return reload, nil
 	}
-	ln, err := hatch.Listen(book.Router.Socket)
+	ln, err := admin.Listen(book.Router.Socket)
 	if err != nil {
 		return nil, fmt.Errorf("router.socket: %w", err)
 	}
 	now := func() float64 { return float64(time.Now().UnixMicro()) / 1e6 }
-	by := func(f func(float64, string, reach.Addr) bool, no string) hatch.Handler {
-		return hatch.OnLoop(loop.Post, func(args map[string]string) (any, error) {
-			if pool.Reach == nil || !f(now(), args["member"], reach.Addr(args["address"])) {
+	by := func(f func(float64, string, address.Addr) bool, no string) admin.Handler {
+		return admin.OnLoop(loop.Post, func(args map[string]string) (any, error) {
+			if pool.Reach == nil || !f(now(), args["member"], address.Addr(args["address"])) {
 				return nil, errors.New(no)
 			}
 			return "done", nil
 		})
 	}
-	door := &hatch.Door{Count: k.Add, Handlers: map[string]hatch.Handler{
-		"reach": hatch.OnLoop(loop.Post, func(map[string]string) (any, error) {
+	door := &admin.Door{Count: k.Add, Handlers: map[string]admin.Handler{
+		"reach": admin.OnLoop(loop.Post, func(map[string]string) (any, error) {
 			if pool.Reach == nil {
-				return []reach.State{}, nil
+				return []address.State{}, nil
 			}
 			return pool.Reach.States(now()), nil
 		}),
-		"rest": by(func(t float64, id string, a reach.Addr) bool { return pool.Reach.Rest(t, id, a) },
+		"rest": by(func(t float64, id string, a address.Addr) bool { return pool.Reach.Rest(t, id, a) },
 			"no such member and address, or the last that is not at rest"),
-		"unrest": by(func(t float64, id string, a reach.Addr) bool { return pool.Reach.Unrest(t, id, a) }, "no such member and address"),
+		"unrest": by(func(t float64, id string, a address.Addr) bool { return pool.Reach.Unrest(t, id, a) }, "no such member and address"),
 	}}
 	for do, h := range peerHandlers(node) {
 		door.Handlers[do] = h
@@ -122,11 +122,11 @@
 	var asJSON bool
 	c := &cobra.Command{Use: "reach", Short: "What a running router knows of its members' addresses", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			data, err := hatch.Ask(socket, "reach", nil)
+			data, err := admin.Ask(socket, "reach", nil)
 			if err != nil {
 				return err
 			}
-			var list []reach.State
+			var list []address.State
 			if err := json.Unmarshal(data, &list); err != nil {
 				return err
 			}
@@ -149,7 +149,7 @@
 	for _, x := range []struct{ do, short string }{{"rest", "Use an address for no new hop until it is unrested"}, {"unrest", "End any rest of an address"}} {
 		c.AddCommand(&cobra.Command{Use: x.do + " MEMBER ADDRESS", Short: x.short, Args: cobra.ExactArgs(2),
 			RunE: func(cmd *cobra.Command, args []string) error {
-				_, err := hatch.Ask(socket, x.do, map[string]string{"member": args[0], "address": args[1]})
+				_, err := admin.Ask(socket, x.do, map[string]string{"member": args[0], "address": args[1]})
 				return err
 			}})
 	}
--- a/cmd/cairnfront/reach_test.go
+++ b/cmd/cairnfront/reach_test.go
@@ -11,7 +11,7 @@
 	"testing"
 	"time"
 
-	"cairnfront/internal/reach"
+	"cairnfront/internal/upstream/address"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -65,11 +65,11 @@
 	require.Eventually(t, func() bool { return strings.Contains(s.log.String(), "code=addresses") }, patience, 5*time.Millisecond)
 	require.Eventually(t, func() bool { return over() == "tcp" }, patience, 5*time.Millisecond)
 	out, _, _ = command(t, "reach", "--socket", door, "--json")
-	var list []reach.State
+	var list []address.State
 	require.NoError(t, json.Unmarshal([]byte(out), &list))
 	for _, x := range list {
 		if x.Member == "s-00000001" {
-			assert.Equal(t, reach.Addr(tcp), x.Addr)
+			assert.Equal(t, address.Addr(tcp), x.Addr)
 		}
 	}
 	info, err := os.Stat(door)
--- a/cmd/cairnfront/serve.go
+++ b/cmd/cairnfront/serve.go
@@ -12,15 +12,15 @@
 	"syscall"
 	"time"
 
-	"cairnfront/brain"
-	"cairnfront/internal/admit"
-	"cairnfront/internal/board"
-	"cairnfront/internal/book"
+	"cairnfront/internal/admission"
+	"cairnfront/internal/bootstrap"
+	"cairnfront/internal/discovery"
+	"cairnfront/internal/dispatch"
+	"cairnfront/internal/frontend"
 	"cairnfront/internal/lab"
-	"cairnfront/internal/route"
-	"cairnfront/internal/send"
-	"cairnfront/internal/start"
-	"cairnfront/internal/take"
+	"cairnfront/internal/telemetry"
+	"cairnfront/internal/upstream"
+	"cairnfront/routing"
 
 	"golang.org/x/sync/errgroup"
 )
@@ -43,7 +43,7 @@
 
 // serve runs the router until a signal ends it. What it is told is read at the start and again on SIGHUP; so is the
 // operators' file, where one is named.
-func serve(read func() (start.Manifest, error), operators string) error {
+func serve(read func() (bootstrap.Manifest, error), operators string) error {
 	signals, again := make(chan os.Signal, 4), make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	signal.Notify(again, syscall.SIGHUP) // a channel of its own: many of them keep no other signal out
@@ -52,26 +52,26 @@
 		return err
 	}
 	runtime.GOMAXPROCS(max(int(math.Ceil(m.Cores)), 1))
-	debug.SetGCPercent(admit.GCPercent)
-	debug.SetMemoryLimit(admit.HeapLimit(m.MemoryMB))
-	k := book.New(os.Stderr, m.Name)
+	debug.SetGCPercent(admission.GCPercent)
+	debug.SetMemoryLimit(admission.HeapLimit(m.MemoryMB))
+	k := telemetry.New(os.Stderr, m.Name)
 	ln, err := listen(m.Listen, signals, k)
 	if err != nil || ln == nil {
 		return err
 	}
 	defer k.Print(os.Stderr)
-	gate := admit.New(m.MemoryMB, descriptors(m.Sockets))
+	gate := admission.New(m.MemoryMB, descriptors(m.Sockets))
 	seconds := func(name string) time.Duration { return time.Duration(m.Records.Num(name, 0) * float64(time.Second)) }
-	pool := &send.Pool{Gate: gate, Book: k, Connect: seconds("connect_s"), Idle: seconds("idle_close_s"),
+	pool := &upstream.Pool{Gate: gate, Book: k, Connect: seconds("connect_s"), Idle: seconds("idle_close_s"),
 		Streams: int(m.Records.Num("hops_a_connection", 1)), Report: m.Records["load_by"] == "checks"}
-	loop := route.New(brain.New(m.Seed, m.Records), m.Records, pool, k)
+	loop := dispatch.New(routing.New(m.Seed, m.Records), m.Records, pool, k)
 	pool.Post = loop.Post
 	rules := map[string]int{}
 	for i, name := range m.Rules {
 		rules[name] = i
 	}
-	taker := &take.Taker{Rules: rules, Gate: gate, Book: k, Offer: loop.Offer, Post: loop.Post}
-	news := &board.Client{Addr: m.Board, Last: m.Last, Book: k, Post: func(ev board.Event) { loop.Post(ev) },
+	taker := &frontend.Taker{Rules: rules, Gate: gate, Book: k, Offer: loop.Offer, Post: loop.Post}
+	news := &discovery.Client{Addr: m.Board, Last: m.Last, Book: k, Post: func(ev discovery.Event) { loop.Post(ev) },
 		Moves: make(chan string, 1)}
 
 	ctx, cancel := context.WithCancel(context.Background())
@@ -79,7 +79,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	repeatable := map[int]bool{}
 	for i := range m.Rules {
-		repeatable[i] = m.Records[brain.Remap(i, "effect")] == "repeatable"
+		repeatable[i] = m.Records[routing.Remap(i, "effect")] == "repeatable"
 	}
 	reload, err := extend(ctx, g, operators, m.Name, m.Seed, repeatable, m.Records.Is("may_check"), pool, loop, k)
 	if err != nil {
@@ -133,7 +133,7 @@
 
 // drain ends what clients have open, in order: they are told, what comes all the same is served, each connection ends once
 // nothing is open on it. What is open when the time is up is abandoned.
-func drain(ctx context.Context, most time.Duration, taker *take.Taker, gate *admit.Gate, loop *route.Loop) {
+func drain(ctx context.Context, most time.Duration, taker *frontend.Taker, gate *admission.Gate, loop *dispatch.Loop) {
 	end, cancel := context.WithTimeout(ctx, most)
 	defer cancel()
 	taker.Stop()
@@ -142,24 +142,24 @@
 	case <-time.After(drainLeast):
 	}
 	if taker.Finish(end); gate.Owed() > 0 {
-		loop.Post(route.Abandon{})
+		loop.Post(dispatch.Abandon{})
 		gate.Drain(ctx, 0, flushMost)
 	}
 }
 
 // drainMost is how long a drain may take: SIGKILL comes no sooner than the longest time limit, or the protocol's most
 // where that is longer, and some time more; the last of it is for ending.
-func drainMost(m start.Manifest) time.Duration {
+func drainMost(m bootstrap.Manifest) time.Duration {
 	longest := 0.0
 	for i := range m.Rules {
-		longest = max(longest, m.Records.Num(brain.Remap(i, "limit_s"), killMost.Seconds()))
+		longest = max(longest, m.Records.Num(routing.Remap(i, "limit_s"), killMost.Seconds()))
 	}
 	return min(time.Duration(longest*float64(time.Second)), killMost) + drainLeast - endMost
 }
 
 // listen opens the listener, or nothing where a signal to end came first. The process before may still be ending, with
 // the port in its hands: that is waited out for a bounded time.
-func listen(addr string, signals <-chan os.Signal, k *book.Book) (net.Listener, error) {
+func listen(addr string, signals <-chan os.Signal, k *telemetry.Book) (net.Listener, error) {
 	for began, tries := time.Now(), 0; ; tries++ {
 		ln, err := net.Listen("tcp", addr)
 		if err == nil && tries > 0 {
@@ -180,7 +180,7 @@
 
 // reread reads what the router is told once more and follows the notice board's new address. A file that can't be
 // used leaves the old one in force.
-func reread(old start.Manifest, read func() (start.Manifest, error), moves chan string, k *book.Book) start.Manifest {
+func reread(old bootstrap.Manifest, read func() (bootstrap.Manifest, error), moves chan string, k *telemetry.Book) bootstrap.Manifest {
 	m, err := read()
 	if err == nil {
 		err = m.Follows(old)
@@ -204,7 +204,7 @@
 
 // labHooks lets the laboratory, and nobody else, make the decisions stand still while the rest of the process goes on: from one
 // SIGUSR2 to the next.
-func labHooks(ctx context.Context, loop *route.Loop) {
+func labHooks(ctx context.Context, loop *dispatch.Loop) {
 	if os.Getenv(lab.LabVariable) == "" {
 		return
 	}
--- a/cmd/cairnfront/serve_test.go
+++ b/cmd/cairnfront/serve_test.go
@@ -20,8 +20,8 @@
 	"testing"
 	"time"
 
-	"cairnfront/internal/admit"
-	"cairnfront/internal/frame"
+	"cairnfront/internal/admission"
+	"cairnfront/internal/clientproto"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -335,10 +335,10 @@
 			return false
 		}
 		defer c.Close()
-		_, _ = c.Write(append(frame.AppendHead(nil, frame.AskReady, 0, 1), 0))
-		said := make([]byte, frame.HeadSize+1) // or nothing: the port may still be another's
+		_, _ = c.Write(append(clientproto.AppendHead(nil, clientproto.AskReady, 0, 1), 0))
+		said := make([]byte, clientproto.HeadSize+1) // or nothing: the port may still be another's
 		_, err = io.ReadFull(c, said)
-		return err == nil && said[4] == frame.Ready && said[frame.HeadSize] == 1
+		return err == nil && said[4] == clientproto.Ready && said[clientproto.HeadSize] == 1
 	}, patience, 10*time.Millisecond)
 }
 
@@ -387,25 +387,25 @@
 }
 
 // ask writes a request of a remap rule and returns its id.
-func (c *client) ask(op, row, body string, more ...frame.Field) string {
+func (c *client) ask(op, row, body string, more ...clientproto.Field) string {
 	ids.Lock()
 	ids.n++
 	id := fmt.Sprintf("%016x", ids.n)
 	ids.Unlock()
 	c.stream++
-	fields := append([]frame.Field{{Name: "op", Value: op}, {Name: "call", Value: id}, {Name: "ttl", Value: "4000"}, {Name: "row", Value: row},
+	fields := append([]clientproto.Field{{Name: "op", Value: op}, {Name: "call", Value: id}, {Name: "ttl", Value: "4000"}, {Name: "row", Value: row},
 		{Name: "seg", Value: "0"}, {Name: "bucket", Value: "7"}, {Name: "heap", Value: "10"}}, more...)
-	payload := append(frame.AppendFields(nil, fields...), body...)
-	_, _ = c.Write(append(frame.AppendHead(nil, frame.Txn, c.stream, len(payload)), payload...))
+	payload := append(clientproto.AppendFields(nil, fields...), body...)
+	_, _ = c.Write(append(clientproto.AppendHead(nil, clientproto.Txn, c.stream, len(payload)), payload...))
 	return id
 }
 
 // next reads one frame.
 func (c *client) next(t *testing.T) (kind byte, stream uint32, payload string) {
-	head := make([]byte, frame.HeadSize)
+	head := make([]byte, clientproto.HeadSize)
 	_, err := io.ReadFull(c, head)
 	require.NoError(t, err)
-	h, err := frame.ParseHead(head)
+	h, err := clientproto.ParseHead(head)
 	require.NoError(t, err)
 	text := make([]byte, h.Size)
 	_, err = io.ReadFull(c, text)
@@ -416,8 +416,8 @@
 // answer reads one answer: its code, fields and body.
 func (c *client) answer(t *testing.T) (byte, map[string]string, string) {
 	kind, _, payload := c.next(t)
-	require.EqualValues(t, frame.Answer, kind)
-	list, body, err := frame.ParseFields([]byte(payload[1:]))
+	require.EqualValues(t, clientproto.Answer, kind)
+	list, body, err := clientproto.ParseFields([]byte(payload[1:]))
 	require.NoError(t, err)
 	fields := map[string]string{}
 	for _, f := range list {
@@ -437,13 +437,13 @@
 	})
 	s := begin(t, 192, serveMember(t, func(h hop) string { return h.id + " served - 0\r\n\r\n" }), m)
 	c := s.dial(t)
-	id := c.ask("page", row, "", frame.Field{Name: "dedupe", Value: "k1"})
+	id := c.ask("page", row, "", clientproto.Field{Name: "dedupe", Value: "k1"})
 	code, fields, body := c.answer(t)
 	assert.Equal(t, []any{byte(1), "d1", "object "}, []any{code, fields["etag"], body})
 	f := m.last().fields
 	assert.Equal(t, []string{id, "page", row, "0", "k1", "s-000000ff"}, []string{m.last().id, f["profile"], f["thing"], f["nth"], f["replay"],
 		f["parent"]}, "passed on unchanged")
-	c.ask("page", row, "", frame.Field{Name: "etag", Value: "t1"})
+	c.ask("page", row, "", clientproto.Field{Name: "etag", Value: "t1"})
 	code, fields, body = c.answer(t)
 	assert.Equal(t, []any{byte(1), "1", "t1", ""}, []any{code, fields["notmod"], fields["etag"], body})
 	c.ask("write", row, "order me")
@@ -531,7 +531,7 @@
 	c := s.dial(t)
 	id := c.ask("page", row, "")
 	require.Eventually(t, func() bool { return m.count() == 1 }, patience, time.Millisecond)
-	_, _ = c.Write(frame.AppendHead(nil, frame.Leave, 1, 0))
+	_, _ = c.Write(clientproto.AppendHead(nil, clientproto.Leave, 1, 0))
 	assert.Equal(t, id, <-m.undone)
 	c.ask("page", "0000000000000001", "")
 	_, stream, _ := c.next(t)
@@ -563,11 +563,11 @@
 func TestSigterm(t *testing.T) {
 	release, _, s, c := signalled(t, syscall.SIGTERM)
 	kind, stream, _ := c.next(t)
-	assert.Equal(t, []any{byte(frame.NoMore), uint32(0)}, []any{kind, stream})
+	assert.Equal(t, []any{byte(clientproto.NoMore), uint32(0)}, []any{kind, stream})
 	late := s.dial(t)
 	late.ask("order", "0000000000000002", "")
 	kind, _, _ = late.next(t)
-	assert.EqualValues(t, frame.NoMore, kind)
+	assert.EqualValues(t, clientproto.NoMore, kind)
 	close(release)
 	code, _, _ := late.answer(t)
 	assert.EqualValues(t, 1, code)
@@ -587,7 +587,7 @@
 	require.Eventually(t, func() bool { return m.count() == 1 }, patience, time.Millisecond)
 	require.NoError(t, s.Process.Signal(syscall.SIGTERM))
 	kind, _, _ := c.next(t)
-	assert.EqualValues(t, frame.NoMore, kind)
+	assert.EqualValues(t, clientproto.NoMore, kind)
 	code, _, _ := c.answer(t)
 	assert.EqualValues(t, 9, code)
 	s.killed = true
@@ -668,7 +668,7 @@
 	for end := time.Now().Add(patience); !held && time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 		after = usage()
 		// Connections to members that are kept open have their rings; how many there are is the machine's luck.
-		rings := after["conn.member.open"] * 2 * admit.MemberRing
+		rings := after["conn.member.open"] * 2 * admission.MemberRing
 		// The connection that asked whether the router is ready may have been open still when the first counters were read.
 		held = after["conn.client.open"] <= before["conn.client.open"] && after["process.descriptors"] <= before["process.descriptors"]+after["conn.member.open"]+1 &&
 			after["process.goroutines"] <= before["process.goroutines"]+4*after["conn.member.open"] &&
@@ -779,10 +779,12 @@
 func TestBadClientsBesideAGoodOne(t *testing.T) {
 	m := serveMember(t, func(h hop) string { return served(h, "x") })
 	s := begin(t, 64, m, m)
-	head := func(kind byte, stream uint32, size int) []byte { return frame.AppendHead(nil, kind, stream, size) }
+	head := func(kind byte, stream uint32, size int) []byte {
+		return clientproto.AppendHead(nil, kind, stream, size)
+	}
 	ends := make(chan error)
-	bad := [][]byte{[]byte("GET / HTTP/1.1\r\n\r\n"), bytes.Repeat([]byte{0xff}, 100_000), {0, 0, 0, 0, 100, 0, 0, 0, 1}, head(77, 1, 0), head(frame.Txn, 0, 1),
-		append([]byte{3, 0x93, 0x87, 0, 100, 0, 0, 0, 1}, make([]byte, 1<<20)...), head(frame.Txn, 1, 200)[:7], head(frame.Txn, 1, 200), nil}
+	bad := [][]byte{[]byte("GET / HTTP/1.1\r\n\r\n"), bytes.Repeat([]byte{0xff}, 100_000), {0, 0, 0, 0, 100, 0, 0, 0, 1}, head(77, 1, 0), head(clientproto.Txn, 0, 1),
+		append([]byte{3, 0x93, 0x87, 0, 100, 0, 0, 0, 1}, make([]byte, 1<<20)...), head(clientproto.Txn, 1, 200)[:7], head(clientproto.Txn, 1, 200), nil}
 	for _, text := range bad {
 		c := s.dial(t)
 		go func() {
@@ -807,7 +809,7 @@
 		}
 	}
 	odd := s.dial(t)
-	for _, f := range []frame.Field{{Name: "ttl", Value: "-1"}, {Name: "seg", Value: "x"}, {Name: "heap", Value: "NaN"}, {Name: "row", Value: "a,b=c"}} {
+	for _, f := range []clientproto.Field{{Name: "ttl", Value: "-1"}, {Name: "seg", Value: "x"}, {Name: "heap", Value: "NaN"}, {Name: "row", Value: "a,b=c"}} {
 		odd.ask("page", row, "", f)
 		code, _, _ := odd.answer(t)
 		assert.EqualValues(t, 9, code, f)
--- a/cmd/cairnfront/tier.go
+++ b/cmd/cairnfront/tier.go
@@ -6,7 +6,7 @@
 	"os"
 	"time"
 
-	"cairnfront/internal/tier"
+	"cairnfront/internal/diskcache"
 
 	"github.com/spf13/cobra"
 )
@@ -16,7 +16,7 @@
 	var asJSON bool
 	inspect := &cobra.Command{Use: "inspect DIR", Short: "Say what a folder holds", Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			in, err := tier.Inspect(args[0])
+			in, err := diskcache.Inspect(args[0])
 			if err != nil {
 				return err
 			}
@@ -36,7 +36,7 @@
 	verify := &cobra.Command{Use: "verify DIR", Short: "Read all and name every bad record; exit 1 if there is any", Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			shown := time.Now()
-			in, bad, err := tier.Verify(args[0], func(f tier.Fault) {
+			in, bad, err := diskcache.Verify(args[0], func(f diskcache.Fault) {
 				fmt.Fprintf(cmd.OutOrStdout(), "%s %s at %d: object %016x part %d: %v\n", f.Code, f.File, f.At, f.Key.Object, f.Key.Part, f.Err)
 			}, func(done, all int) {
 				if terminal(os.Stderr) && time.Since(shown) > 200*time.Millisecond {
@@ -55,7 +55,7 @@
 		}}
 	compact := &cobra.Command{Use: "compact DIR", Short: "Give back the space of what is dead", Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			before, after, err := tier.CompactAll(args[0])
+			before, after, err := diskcache.CompactAll(args[0])
 			if err == nil {
 				fmt.Fprintf(cmd.OutOrStdout(), "%d bytes before, %d after\n", before, after)
 			}
@@ -73,7 +73,7 @@
 				defer f.Close()
 				w = f
 			}
-			n, err := tier.Export(args[0], w)
+			n, err := diskcache.Export(args[0], w)
 			if err == nil {
 				fmt.Fprintf(cmd.ErrOrStderr(), "%d parts\n", n)
 			}
--- a/cmd/cairnfront/tier_test.go
+++ b/cmd/cairnfront/tier_test.go
@@ -11,10 +11,10 @@
 	"testing"
 	"time"
 
-	"cairnfront/internal/tier"
-	"cairnfront/internal/tier/disk"
-	"cairnfront/internal/tier/keep"
-	"cairnfront/internal/tier/trust"
+	"cairnfront/internal/diskcache"
+	"cairnfront/internal/diskcache/eviction"
+	"cairnfront/internal/diskcache/validity"
+	"cairnfront/internal/diskcache/vfs"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -33,15 +33,15 @@
 // folder is one of a stopped box: twenty parts, one of them purged since.
 func folder(t *testing.T) string {
 	path := filepath.Join(t.TempDir(), "disk")
-	d, err := disk.MakeDir(path)
+	d, err := vfs.MakeDir(path)
 	require.NoError(t, err)
-	s, _, err := tier.Open(d, tier.Limits{}, false, nil)
+	s, _, err := diskcache.Open(d, diskcache.Limits{}, false, nil)
 	require.NoError(t, err)
 	for i := range 20 {
-		_, err := s.Put(tier.Meta{Key: keep.Key{Object: uint64(i / 2), Part: uint32(i % 2)}, Dated: 1000, Tag: "t", Rank: 2}, bytes.Repeat([]byte{byte(i)}, 500))
+		_, err := s.Put(diskcache.Meta{Key: eviction.Key{Object: uint64(i / 2), Part: uint32(i % 2)}, Dated: 1000, Tag: "t", Rank: 2}, bytes.Repeat([]byte{byte(i)}, 500))
 		require.NoError(t, err)
 	}
-	require.NoError(t, s.Log([]trust.Record{{Kind: trust.PurgeObject, Object: 3, At: 2000, Number: 7}}))
+	require.NoError(t, s.Log([]validity.Record{{Kind: validity.PurgeObject, Object: 3, At: 2000, Number: 7}}))
 	require.NoError(t, s.Close())
 	return path
 }
--- a/internal/hatch/hatch.go
+++ b/internal/admin/hatch.go
@@ -1,6 +1,6 @@
 // Package hatch is the operators' door of a running program: a Unix socket of mode 0600 that takes lines of JSON. Who
 // may ask is told by the kernel (the peer's credentials), not by a password: the program's own user and root.
-package hatch
+package admin
 
 import (
 	"bufio"
--- a/internal/hatch/hatch_test.go
+++ b/internal/admin/hatch_test.go
@@ -1,4 +1,4 @@
-package hatch
+package admin
 
 import (
 	"context"
--- a/internal/admit/admit.go
+++ b/internal/admission/admit.go
@@ -1,5 +1,5 @@
 // Package admit owns what the router may hold: memory, descriptors, open txns; and whether it is ready or ends.
-package admit
+package admission
 
 import (
 	"context"
@@ -7,7 +7,7 @@
 	"sync/atomic"
 	"time"
 
-	"cairnfront/internal/txn"
+	"cairnfront/internal/request"
 )
 
 // Parts of the limits that each use gets. These are resources, not decisions: past them the answer is no.
@@ -30,7 +30,7 @@
 
 // Gate lets in what fits.
 type Gate struct {
-	Budget *txn.Budget
+	Budget *request.Budget
 	full   int64
 
 	mostTxns, mostClients, mostMembers, tellBeyond int64
@@ -46,7 +46,7 @@
 func New(memoryMB, sockets int) *Gate {
 	memory := float64(memoryMB) * megabyte
 	bodies := int64(bodyShare * memory)
-	return &Gate{Budget: txn.NewBudget(bodies), full: int64(fullShare * float64(bodies)),
+	return &Gate{Budget: request.NewBudget(bodies), full: int64(fullShare * float64(bodies)),
 		mostTxns: int64(txnShare * memory / txnBytes), mostClients: int64(clientShare * float64(sockets)),
 		mostMembers: int64(memberShare * float64(sockets)), tellBeyond: int64(tellShare * float64(sockets))}
 }
--- a/internal/admit/admit_test.go
+++ b/internal/admission/admit_test.go
@@ -1,4 +1,4 @@
-package admit
+package admission
 
 import (
 	"context"
--- a/internal/start/start.go
+++ b/internal/bootstrap/start.go
@@ -1,5 +1,5 @@
 // Package start reads what a router is told at its start.
-package start
+package bootstrap
 
 import (
 	"bytes"
@@ -13,9 +13,9 @@
 	"strconv"
 	"strings"
 
-	"cairnfront/brain"
-	"cairnfront/internal/board"
-	"cairnfront/wire"
+	"cairnfront/internal/discovery"
+	"cairnfront/routing"
+	"cairnfront/simadapter"
 )
 
 // Manifest is all that a router is told at its start.
@@ -24,9 +24,9 @@
 	Seed                uint64
 	Cores               float64
 	MemoryMB, Sockets   int
-	Records             brain.Records
+	Records             routing.Records
 	Rules               []string // names of the remap rules
-	Known               []board.Event
+	Known               []discovery.Event
 	Last                uint64 // number of the last known event
 }
 
@@ -76,7 +76,7 @@
 		return Manifest{}, fmt.Errorf("not the JSON that is expected: %w", err)
 	}
 	m := Manifest{Name: file.Name, Listen: file.Listen, Board: file.Board, Cores: file.Limits.Cores,
-		MemoryMB: file.Limits.MemoryMB, Sockets: file.Limits.Sockets, Records: brain.Records{}}
+		MemoryMB: file.Limits.MemoryMB, Sockets: file.Limits.Sockets, Records: routing.Records{}}
 	for name, addr := range map[string]string{"listen": m.Listen, "board": m.Board} {
 		if _, _, err := net.SplitHostPort(addr); err != nil {
 			return m, fmt.Errorf("%s: %q is no address", name, addr)
@@ -107,8 +107,8 @@
 	if len(file.Known) == 0 {
 		return m, errors.New("known: missing")
 	}
-	names := board.Names{Locations: texts(file.Settings["zones"]), Kinds: texts(file.Settings["flavors"])}
-	if m.Known, m.Last, err = board.ParseKnown(file.Known, names); err != nil {
+	names := discovery.Names{Locations: texts(file.Settings["zones"]), Kinds: texts(file.Settings["flavors"])}
+	if m.Known, m.Last, err = discovery.ParseKnown(file.Known, names); err != nil {
 		return m, fmt.Errorf("known: %w", err)
 	}
 	return m, nil
@@ -158,9 +158,9 @@
 }
 
 // flatten turns nested objects into the paths and texts in which the simulator's wire gives them, and renames both.
-func flatten(rec brain.Records, path string, v any) {
+func flatten(rec routing.Records, path string, v any) {
 	put := func(text string) {
-		key, value := wire.Record(path, text)
+		key, value := simadapter.Record(path, text)
 		rec[key] = value
 	}
 	switch v := v.(type) {
--- a/internal/start/start_test.go
+++ b/internal/bootstrap/start_test.go
@@ -1,4 +1,4 @@
-package start
+package bootstrap
 
 import (
 	"os"
--- a/internal/line/far.go
+++ b/internal/cacheproto/far.go
@@ -1,4 +1,4 @@
-package line
+package cacheproto
 
 import (
 	"bytes"
@@ -6,8 +6,8 @@
 	"strconv"
 	"strings"
 
-	"cairnfront/brain"
-	"cairnfront/internal/txn"
+	"cairnfront/internal/request"
+	"cairnfront/routing"
 )
 
 // Verb is the first word of a command.
@@ -40,7 +40,7 @@
 	Key    string
 	Fill   string
 	Tag    string
-	brain.Hop
+	routing.Hop
 	Size int // of the body, which follows with End
 }
 
@@ -130,17 +130,17 @@
 
 // Reply is an answer of a cache box. The bytes of its body have to follow, and End.
 type Reply struct {
-	Code   brain.Code
+	Code   routing.Code
 	Same   bool
-	Remark brain.Remark
+	Remark routing.Remark
 	Tag    string
 	Dated  int64 // Unix ms, 0 for none
 	Group  int   // UnknownGroup for none
 	Size   int
 }
 
-var replies = map[brain.Code]string{brain.Completed: "served", brain.Errored: "crashed", brain.Busy: "overload",
-	brain.Moot: "nobody", brain.Miss: "not_here"}
+var replies = map[routing.Code]string{routing.Completed: "served", routing.Errored: "crashed", routing.Busy: "overload",
+	routing.Moot: "nobody", routing.Miss: "not_here"}
 
 // AppendReply writes the line of an answer.
 func AppendReply(b []byte, id string, r Reply) []byte {
@@ -156,7 +156,7 @@
 		}
 		b = append(append(append(b, name...), '='), v...)
 	}
-	if r.Code == brain.Completed {
+	if r.Code == routing.Completed {
 		if r.Tag != "" {
 			field("digest", r.Tag)
 		}
@@ -196,7 +196,7 @@
 const groupField = "bucket"
 
 // dating reads what else an answer tells of a copy.
-func dating(name, value string, end *txn.End) {
+func dating(name, value string, end *request.End) {
 	switch name {
 	case "dated":
 		end.Dated, _ = strconv.ParseInt(value, 10, 64)
--- a/internal/line/line.go
+++ b/internal/cacheproto/line.go
@@ -1,5 +1,5 @@
 // Package line is the codec of the caches' lines. It does no I/O; the protocol's words end here.
-package line
+package cacheproto
 
 import (
 	"bytes"
@@ -9,9 +9,9 @@
 	"strconv"
 	"strings"
 
-	"cairnfront/brain"
-	"cairnfront/internal/txn"
-	"cairnfront/wire"
+	"cairnfront/internal/request"
+	"cairnfront/routing"
+	"cairnfront/simadapter"
 )
 
 // MostBody is the size of the largest object.
@@ -22,10 +22,10 @@
 
 // Do is a hop as it goes to a member. Fill names who fills a miss, empty for nobody.
 type Do struct {
-	Txn  *txn.Txn
+	Txn  *request.Txn
 	Wait float64 // seconds
 	Fill string
-	brain.Hop
+	routing.Hop
 }
 
 // AppendDo writes the line of a hop; the body and End have to follow.
@@ -83,16 +83,16 @@
 type Answer struct {
 	ID    string
 	Check bool // it answers a check
-	txn.End
+	request.End
 	Size int
 }
 
-var ends = map[string]brain.Code{
-	"served": brain.Completed, "still_good": brain.Completed, "not_here": brain.Miss, "overload": brain.Busy,
-	"crashed": brain.Errored, "nobody": brain.Moot, "green": brain.Completed, "red": brain.Errored,
+var ends = map[string]routing.Code{
+	"served": routing.Completed, "still_good": routing.Completed, "not_here": routing.Miss, "overload": routing.Busy,
+	"crashed": routing.Errored, "nobody": routing.Moot, "green": routing.Completed, "red": routing.Errored,
 }
 
-var remarks = map[string]brain.Remark{"h": brain.Hit, "f": brain.Filled, "j": brain.Joined, "s": brain.Old}
+var remarks = map[string]routing.Remark{"h": routing.Hit, "f": routing.Filled, "j": routing.Joined, "s": routing.Old}
 
 var errShape = errors.New("answer is not of the form ID WORD FIELDS LENGTH")
 
@@ -135,12 +135,12 @@
 	return a, nil
 }
 
-func readings(text string) []brain.Reading {
-	var out []brain.Reading
+func readings(text string) []routing.Reading {
+	var out []routing.Reading
 	for pair := range strings.SplitSeq(text, ";") {
 		name, value, _ := strings.Cut(pair, ":")
 		if x, err := strconv.ParseFloat(value, 64); err == nil && !math.IsNaN(x) && !math.IsInf(x, 0) {
-			out = append(out, brain.Reading{Name: wire.Reading(name), Value: x})
+			out = append(out, routing.Reading{Name: simadapter.Reading(name), Value: x})
 		}
 	}
 	return out
--- a/internal/line/line_test.go
+++ b/internal/cacheproto/line_test.go
@@ -1,40 +1,40 @@
-package line
+package cacheproto
 
 import (
 	"testing"
 
-	"cairnfront/brain"
-	"cairnfront/internal/txn"
+	"cairnfront/internal/request"
+	"cairnfront/routing"
 
 	"github.com/stretchr/testify/assert"
 )
 
 func TestDoGoesOutWhole(t *testing.T) {
-	x := &txn.Txn{ID: "9b1f03aa5c7e2d41", Name: "page", Object: "7f3a9c21e0b4d655", Part: "3", Key: "k1", Tag: "t1",
-		Body: &txn.Body{Bytes: []byte("ab")}}
+	x := &request.Txn{ID: "9b1f03aa5c7e2d41", Name: "page", Object: "7f3a9c21e0b4d655", Part: "3", Key: "k1", Tag: "t1",
+		Body: &request.Body{Bytes: []byte("ab")}}
 	assert.Equal(t, "do 9b1f03aa5c7e2d41 profile=page,thing=7f3a9c21e0b4d655,nth=3,max=1500,replay=k1,parent=s-1,shelf=2,"+
 		"accept=12,hints=ride+have-only+through+update,got=t1 2\r\n",
-		string(AppendDo(nil, Do{Txn: x, Wait: 1.5004, Fill: "s-1", Hop: brain.Hop{Rank: 2, MaxAge: 0.0129, Join: true,
+		string(AppendDo(nil, Do{Txn: x, Wait: 1.5004, Fill: "s-1", Hop: routing.Hop{Rank: 2, MaxAge: 0.0129, Join: true,
 			NoFetch: true, NoTrace: true, Renew: true}})))
 	x.Body, x.Key, x.Tag = nil, "", ""
 	assert.Equal(t, "do 9b1f03aa5c7e2d41 profile=page,thing=7f3a9c21e0b4d655,nth=3,max=1,accept=1 0\r\n",
-		string(AppendDo(nil, Do{Txn: x, Wait: 1e-5, Hop: brain.Hop{MaxAge: 2e-6}})), "no time and no age becomes 0")
+		string(AppendDo(nil, Do{Txn: x, Wait: 1e-5, Hop: routing.Hop{MaxAge: 2e-6}})), "no time and no age becomes 0")
 	assert.Equal(t, "undo ab\r\nping c1\r\ntop c2\r\n",
 		string(AppendCheck(AppendCheck(AppendUndo(nil, "ab"), "c1", false), "c2", true)))
 }
 
 func TestAnswersAreRead(t *testing.T) {
 	for text, want := range map[string]Answer{
-		"ab served digest=d1,dated=176,remark=f 7": {ID: "ab", Size: 7, End: txn.End{Code: brain.Completed, Tag: "d1", Remark: brain.Filled}},
-		"ab still_good digest=d1,dated=176 0":      {ID: "ab", End: txn.End{Code: brain.Completed, Tag: "d1", Same: true}},
-		"ab served - 0":                            {ID: "ab", End: txn.End{Code: brain.Completed}}, // a write's has no digest
-		"ab not_here remark=j 0":                   {ID: "ab", End: txn.End{Code: brain.Miss, Remark: brain.Joined}},
-		"ab overload - 0":                          {ID: "ab", End: txn.End{Code: brain.Busy}},
-		"ab crashed remark=zz 3":                   {ID: "ab", Size: 3, End: txn.End{Code: brain.Errored}},
-		"ab nobody - 0":                            {ID: "ab", End: txn.End{Code: brain.Moot}},
-		"c1 green report=inflight:7;x1:0.6;y:NaN 0": {ID: "c1", Check: true, End: txn.End{Code: brain.Completed,
-			Load: []brain.Reading{{Name: "inflight", Value: 7}, {Name: "link_fill", Value: 0.6}}}},
-		"c1 red - 0": {ID: "c1", Check: true, End: txn.End{Code: brain.Errored}},
+		"ab served digest=d1,dated=176,remark=f 7": {ID: "ab", Size: 7, End: request.End{Code: routing.Completed, Tag: "d1", Remark: routing.Filled}},
+		"ab still_good digest=d1,dated=176 0":      {ID: "ab", End: request.End{Code: routing.Completed, Tag: "d1", Same: true}},
+		"ab served - 0":                            {ID: "ab", End: request.End{Code: routing.Completed}}, // a write's has no digest
+		"ab not_here remark=j 0":                   {ID: "ab", End: request.End{Code: routing.Miss, Remark: routing.Joined}},
+		"ab overload - 0":                          {ID: "ab", End: request.End{Code: routing.Busy}},
+		"ab crashed remark=zz 3":                   {ID: "ab", Size: 3, End: request.End{Code: routing.Errored}},
+		"ab nobody - 0":                            {ID: "ab", End: request.End{Code: routing.Moot}},
+		"c1 green report=inflight:7;x1:0.6;y:NaN 0": {ID: "c1", Check: true, End: request.End{Code: routing.Completed,
+			Load: []routing.Reading{{Name: "inflight", Value: 7}, {Name: "link_fill", Value: 0.6}}}},
+		"c1 red - 0": {ID: "c1", Check: true, End: request.End{Code: routing.Errored}},
 	} {
 		got, err := ParseAnswer([]byte(text))
 		assert.NoError(t, err, text)
@@ -61,21 +61,21 @@
 
 // What a router writes a box reads, and the other way round.
 func TestBothSidesAgree(t *testing.T) {
-	x := &txn.Txn{ID: "9b1f03aa5c7e2d41", Name: "page", Object: "7f3a9c21e0b4d655", Part: "3", Key: "k1", Tag: "t1", Body: &txn.Body{Bytes: []byte("hi")}}
-	hop := brain.Hop{Rank: 2, MaxAge: 0.012, Join: true, NoFetch: true, NoTrace: true, Renew: true}
+	x := &request.Txn{ID: "9b1f03aa5c7e2d41", Name: "page", Object: "7f3a9c21e0b4d655", Part: "3", Key: "k1", Tag: "t1", Body: &request.Body{Bytes: []byte("hi")}}
+	hop := routing.Hop{Rank: 2, MaxAge: 0.012, Join: true, NoFetch: true, NoTrace: true, Renew: true}
 	text := AppendDo(nil, Do{Txn: x, Wait: 1.5, Fill: "s-1", Hop: hop})
 	a, err := ParseAsked(text[:len(text)-2])
 	assert.NoError(t, err)
 	assert.Equal(t, Asked{ID: x.ID, Name: "page", Object: x.Object, ObjNo: 0x7f3a9c21e0b4d655, Part: "3", PartNo: 3, Wait: 1.5, Key: "k1",
 		Fill: "s-1", Tag: "t1", Hop: hop, Size: 2}, a)
-	for _, r := range []Reply{{Code: brain.Completed, Remark: brain.Hit, Tag: "t", Dated: 7, Group: 12, Size: 4},
-		{Code: brain.Completed, Same: true, Remark: brain.Old, Tag: "t", Dated: 7, Group: UnknownGroup}, {Code: brain.Busy, Group: UnknownGroup},
-		{Code: brain.Miss, Group: UnknownGroup}, {Code: brain.Errored, Group: UnknownGroup}} {
+	for _, r := range []Reply{{Code: routing.Completed, Remark: routing.Hit, Tag: "t", Dated: 7, Group: 12, Size: 4},
+		{Code: routing.Completed, Same: true, Remark: routing.Old, Tag: "t", Dated: 7, Group: UnknownGroup}, {Code: routing.Busy, Group: UnknownGroup},
+		{Code: routing.Miss, Group: UnknownGroup}, {Code: routing.Errored, Group: UnknownGroup}} {
 		text := AppendReply(nil, "ab", r)
 		got, err := ParseAnswer(text[:len(text)-2])
 		assert.NoError(t, err, string(text))
 		group := (r.Group + 1) % (UnknownGroup + 1)
-		assert.Equal(t, Answer{ID: "ab", Size: r.Size, End: txn.End{Code: r.Code, Remark: r.Remark, Tag: r.Tag, Dated: r.Dated, Group: group, Same: r.Same}}, got)
+		assert.Equal(t, Answer{ID: "ab", Size: r.Size, End: request.End{Code: r.Code, Remark: r.Remark, Tag: r.Tag, Dated: r.Dated, Group: group, Same: r.Same}}, got)
 	}
 }
 
--- a/internal/pack/pack.go
+++ b/internal/cborcodec/pack.go
@@ -1,6 +1,6 @@
 // Package pack is the one way in which this program writes and reads CBOR (RFC 8949): deterministic, without tags or indefinite lengths,
 // with a bound on what is read.
-package pack
+package cborcodec
 
 import "github.com/fxamacker/cbor/v2"
 
--- a/internal/frame/frame.go
+++ b/internal/clientproto/frame.go
@@ -1,5 +1,5 @@
 // Package frame is the codec of the clients' binary frames. It does no I/O; the protocol's names end here.
-package frame
+package clientproto
 
 import (
 	"encoding/binary"
@@ -9,7 +9,7 @@
 	"slices"
 	"strconv"
 
-	"cairnfront/internal/txn"
+	"cairnfront/internal/request"
 )
 
 // Types of a frame.
@@ -98,7 +98,7 @@
 
 // Asked is a txn as it came. The rule's name is not yet looked up.
 type Asked struct {
-	txn.Txn
+	request.Txn
 	TTL  float64 // seconds
 	Rest []byte  // the body
 }
@@ -201,10 +201,10 @@
 	return s != "" && len(s) <= 256
 }
 
-var codes = [...]byte{txn.Completed: 1, txn.Rejected: 0, txn.Aborted: 9}
+var codes = [...]byte{request.Completed: 1, request.Rejected: 0, request.Aborted: 9}
 
 // AppendAnswer writes an answer without its body, which has to follow.
-func AppendAnswer(b []byte, stream uint32, a txn.Answer) []byte {
+func AppendAnswer(b []byte, stream uint32, a request.Answer) []byte {
 	var fields []Field
 	if a.Tag != "" {
 		fields = append(fields, Field{"etag", a.Tag})
@@ -212,7 +212,7 @@
 	if a.Same {
 		fields = append(fields, Field{"notmod", "1"})
 	}
-	if ms := int(math.Ceil(a.Again * 1000)); a.Verdict == txn.Rejected && ms > 0 {
+	if ms := int(math.Ceil(a.Again * 1000)); a.Verdict == request.Rejected && ms > 0 {
 		fields = append(fields, Field{"pushback", strconv.Itoa(ms)})
 	}
 	if a.Error != "" {
--- a/internal/frame/frame_test.go
+++ b/internal/clientproto/frame_test.go
@@ -1,10 +1,10 @@
-package frame
+package clientproto
 
 import (
 	"strings"
 	"testing"
 
-	"cairnfront/internal/txn"
+	"cairnfront/internal/request"
 
 	"github.com/stretchr/testify/assert"
 )
@@ -15,7 +15,7 @@
 func TestTxnIsRead(t *testing.T) {
 	a, err := ParseTxn(append(AppendFields(nil, good...), "body"...))
 	assert.NoError(t, err)
-	assert.Equal(t, Asked{TTL: 1.5, Rest: []byte("body"), Txn: txn.Txn{ID: "9b1f03aa5c7e2d41", Name: "page", Key: "k1",
+	assert.Equal(t, Asked{TTL: 1.5, Rest: []byte("body"), Txn: request.Txn{ID: "9b1f03aa5c7e2d41", Name: "page", Key: "k1",
 		Object: "7F3a9c21e0b4d655", Part: "3", PartNo: 3, Group: 17, KB: 412.5, Tag: "4be0"}}, a)
 }
 
@@ -58,12 +58,12 @@
 }
 
 func TestAnswersAreWritten(t *testing.T) {
-	body := &txn.Body{Bytes: []byte("abc")}
-	for want, a := range map[string]txn.Answer{
+	body := &request.Body{Bytes: []byte("abc")}
+	for want, a := range map[string]request.Answer{
 		"\x00\x00\x00\x14\x65\x00\x00\x00\x07\x01\x01\x04etag\x00\x02t1":       {Tag: "t1", Body: body},
 		"\x00\x00\x00\x11\x65\x00\x00\x00\x07\x01\x01\x06notmod\x00\x011":      {Same: true},
-		"\x00\x00\x00\x13\x65\x00\x00\x00\x07\x00\x01\x08pushback\x00\x01\x32": {Verdict: txn.Rejected, Again: 0.0011},
-		"\x00\x00\x00\x07\x65\x00\x00\x00\x07\x09\x00":                         {Verdict: txn.Aborted, Again: 1},
+		"\x00\x00\x00\x13\x65\x00\x00\x00\x07\x00\x01\x08pushback\x00\x01\x32": {Verdict: request.Rejected, Again: 0.0011},
+		"\x00\x00\x00\x07\x65\x00\x00\x00\x07\x09\x00":                         {Verdict: request.Aborted, Again: 1},
 	} {
 		got := AppendAnswer(nil, 7, a)
 		head, err := ParseHead(got)
--- a/internal/operators/operators.go
+++ b/internal/config/operators.go
@@ -1,6 +1,6 @@
 // Package operators reads the operators' file: YAML, held against a published schema, with every default in that
 // schema and nowhere else. An error names the file's line and column and what was expected there.
-package operators
+package config
 
 import (
 	"bytes"
--- a/internal/operators/operators_test.go
+++ b/internal/config/operators_test.go
@@ -1,4 +1,4 @@
-package operators
+package config
 
 import (
 	"os"
--- a/internal/board/board.go
+++ b/internal/discovery/board.go
@@ -1,5 +1,5 @@
 // Package board reads the notice board: the codec of its events, which does no I/O, and the client that follows it.
-package board
+package discovery
 
 import (
 	"encoding/binary"
@@ -12,12 +12,12 @@
 	"strconv"
 	"strings"
 
-	"cairnfront/brain"
+	"cairnfront/routing"
 )
 
 // Row is one member of the list with the address at which it listens.
 type Row struct {
-	brain.Row
+	routing.Row
 	Addr string
 }
 
@@ -41,7 +41,7 @@
 	mostFrame  = 1 << 20
 )
 
-var statuses = [...]brain.Status{brain.Ready, brain.Draining, brain.Gone}
+var statuses = [...]routing.Status{routing.Ready, routing.Draining, routing.Gone}
 
 // ParseHead reads the first HeadSize bytes of a frame and returns the size of its payload.
 func ParseHead(b []byte) (number uint64, kind byte, size int, err error) {
@@ -68,7 +68,7 @@
 				return ev, fmt.Errorf("unknown state %d", b[10])
 			}
 			addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte(b[4:8])), binary.BigEndian.Uint16(b[8:]))
-			ev.Rows = append(ev.Rows, Row{Addr: addr.String(), Row: brain.Row{
+			ev.Rows = append(ev.Rows, Row{Addr: addr.String(), Row: routing.Row{
 				Member: fmt.Sprintf("s-%08x", binary.BigEndian.Uint32(b)), Status: statuses[b[10]],
 				Location: int(b[11]), Kind: int(b[12]), Cell: int(binary.BigEndian.Uint16(b[13:])),
 				Weight:  float64(binary.BigEndian.Uint32(b[15:])) / 1000,
@@ -95,7 +95,7 @@
 // Names are the lists in which text finds its places.
 type Names struct{ Locations, Kinds []string }
 
-var words = map[string]brain.Status{"SERVING": brain.Ready, "DRAINING": brain.Draining, "DELETED": brain.Gone}
+var words = map[string]routing.Status{"SERVING": routing.Ready, "DRAINING": routing.Draining, "DELETED": routing.Gone}
 
 // ParseKnown reads the events that the router's start file holds.
 func ParseKnown(text []byte, names Names) ([]Event, uint64, error) {
@@ -134,7 +134,7 @@
 			ev.Full = n.Pool.Snapshot || i == 0
 			for _, e := range n.Pool.Endpoints {
 				status, ok := words[e.Status]
-				row := Row{Addr: e.Address, Row: brain.Row{Member: e.Name, Cell: e.Group, Status: status, Weight: e.Weight,
+				row := Row{Addr: e.Address, Row: routing.Row{Member: e.Name, Cell: e.Group, Status: status, Weight: e.Weight,
 					Started: e.Since / 1000, Location: slices.Index(names.Locations, e.Zone), Kind: slices.Index(names.Kinds, e.Type)}}
 				if _, err := netip.ParseAddrPort(e.Address); err != nil || !ok || row.Location < 0 || row.Kind < 0 || e.Name == "" {
 					return nil, 0, fmt.Errorf("notice %d: member %q can't be used", n.Rev, e.Name)
--- a/internal/board/board_test.go
+++ b/internal/discovery/board_test.go
@@ -1,4 +1,4 @@
-package board
+package discovery
 
 import (
 	"bytes"
@@ -10,8 +10,8 @@
 	"testing"
 	"time"
 
-	"cairnfront/brain"
-	"cairnfront/internal/book"
+	"cairnfront/internal/telemetry"
+	"cairnfront/routing"
 
 	"github.com/stretchr/testify/assert"
 )
@@ -19,8 +19,8 @@
 const record = "\x00\xc4\x1f\x7a\x0a\x01\x00\x09\x23\x82\x01\x01\x02\x00\x05\x00\x00\x0f\xa0\x00\x00\x00\x00\x00\x00\x13\x88"
 
 func TestEventsAreRead(t *testing.T) {
-	row := Row{Addr: "10.1.0.9:9090", Row: brain.Row{Member: "s-00c41f7a", Location: 1, Kind: 2, Cell: 5, Weight: 4,
-		Started: 5, Status: brain.Draining}}
+	row := Row{Addr: "10.1.0.9:9090", Row: routing.Row{Member: "s-00c41f7a", Location: 1, Kind: 2, Cell: 5, Weight: 4,
+		Started: 5, Status: routing.Draining}}
 	object := "\x7f\x3a\x9c\x21\xe0\xb4\xd6\x55"
 	at := "\x00\x00\x00\x00\x00\x00\x03\xe8"
 	for kind, c := range [][]any{{"", Event{Number: 9, Beat: true}}, {record, Event{Number: 9, Full: true, Rows: []Row{row}}},
@@ -50,7 +50,7 @@
 		{"rev":42,"flush":{"asset":"7f3a9c21e0b4d655","ms":1500}},{"rev":43,"flush":{"collection":17,"ms":2000}}]}`), names)
 	assert.NoError(t, err)
 	assert.Equal(t, uint64(43), last)
-	assert.Equal(t, []Event{{Number: 41, Full: true, Rows: []Row{{Addr: "10.1.0.9:9090", Row: brain.Row{Member: "s-00c41f7a",
+	assert.Equal(t, []Event{{Number: 41, Full: true, Rows: []Row{{Addr: "10.1.0.9:9090", Row: routing.Row{Member: "s-00c41f7a",
 		Location: 1, Kind: 1, Cell: 2, Weight: 4.5, Started: 1.5}}}}, {Number: 42, Purged: true, Object: "7f3a9c21e0b4d655", At: 1.5},
 		{Number: 43, Purged: true, Group: 17, At: 2}}, events)
 	for _, bad := range []string{"", "{}", `{"notices":[{"rev":1}]}`, `{"notices":[{"flush":{"asset":"zz","ms":1}}]}`} {
@@ -77,7 +77,7 @@
 // TestNumbersMustFollow: what was had is passed over; a gap ends the connection, and is taken if it is there again.
 func TestNumbersMustFollow(t *testing.T) {
 	var got []uint64
-	c := &Client{Last: 5, Book: book.New(io.Discard, ""), Post: func(ev Event) { got = append(got, ev.Number) }}
+	c := &Client{Last: 5, Book: telemetry.New(io.Discard, ""), Post: func(ev Event) { got = append(got, ev.Number) }}
 	for _, step := range []struct {
 		number uint64
 		ok     bool
@@ -100,7 +100,7 @@
 	events := make(chan Event, 9)
 	ctx, cancel := context.WithCancel(t.Context())
 	log := &bytes.Buffer{}
-	b := book.New(log, "")
+	b := telemetry.New(log, "")
 	done := make(chan error)
 	c := &Client{Addr: ln.Addr().String(), Last: 5, Book: b, silence: 50 * time.Millisecond, Post: func(ev Event) { events <- ev }}
 	go func() { done <- c.Run(ctx) }()
@@ -149,7 +149,7 @@
 	events := make(chan Event, 9)
 	ctx, cancel := context.WithCancel(t.Context())
 	log, done := &bytes.Buffer{}, make(chan error)
-	c := &Client{Addr: ln[0].Addr().String(), Last: 5, Book: book.New(log, ""), Moves: make(chan string, 1), Post: func(ev Event) { events <- ev }}
+	c := &Client{Addr: ln[0].Addr().String(), Last: 5, Book: telemetry.New(log, ""), Moves: make(chan string, 1), Post: func(ev Event) { events <- ev }}
 	go func() { done <- c.Run(ctx) }()
 	for i, want := range []uint64{5, 6, 7} {
 		assert.Equal(t, want, asked(ln[i]))
@@ -167,7 +167,7 @@
 // board is asked again from the last one had.
 func TestBeatsWithoutNews(t *testing.T) {
 	var got []uint64
-	c := &Client{Last: 5, Book: book.New(io.Discard, ""), Post: func(ev Event) { got = append(got, ev.Number) }}
+	c := &Client{Last: 5, Book: telemetry.New(io.Discard, ""), Post: func(ev Event) { got = append(got, ev.Number) }}
 	for _, step := range []struct {
 		ev Event
 		ok bool
--- a/internal/board/client.go
+++ b/internal/discovery/client.go
@@ -1,4 +1,4 @@
-package board
+package discovery
 
 import (
 	"context"
@@ -10,8 +10,8 @@
 	"runtime/debug"
 	"time"
 
-	"cairnfront/internal/book"
-	"cairnfront/internal/conn"
+	"cairnfront/internal/netconn"
+	"cairnfront/internal/telemetry"
 )
 
 // How the client keeps its connection: resources and the protocol's own beat, no decisions.
@@ -28,7 +28,7 @@
 	Addr string
 	Last uint64
 	Post func(Event)
-	Book *book.Book
+	Book *telemetry.Book
 	// Moves brings the board's new addresses. The connection to the old one is hung up: from then on the new board
 	// is asked, with the number of the last event had.
 	Moves chan string
@@ -83,25 +83,25 @@
 	began := time.Now()
 	raw, err := (&net.Dialer{Timeout: dialLimit}).DialContext(ctx, "tcp", c.Addr)
 	if err != nil {
-		c.Book.Ended(book.Ended{Side: "board", Peer: c.Addr, Code: conn.NoConnect, Err: err, Since: began})
+		c.Book.Ended(telemetry.Ended{Side: "board", Peer: c.Addr, Code: netconn.NoConnect, Err: err, Since: began})
 		return false
 	}
 	if c.silence == 0 {
 		c.silence = beatsStop
 	}
-	k := conn.New(raw, ringSize, c.silence)
+	k := netconn.New(raw, ringSize, c.silence)
 	defer k.Done(c.Book, "board", c.Addr)
 	defer context.AfterFunc(ctx, func() {
-		code := conn.Shutdown
+		code := netconn.Shutdown
 		if errors.Is(context.Cause(ctx), errMoved) {
-			code = conn.Moved
+			code = netconn.Moved
 		}
 		k.End(code, nil)
 	})()
 	defer func() {
 		if p := recover(); p != nil {
 			c.Book.Log.Error("panic", "where", "board", "what", fmt.Sprint(p), "stack", string(debug.Stack()))
-			k.End(conn.Panic, nil)
+			k.End(netconn.Panic, nil)
 		}
 	}()
 	code, err := c.read(k, &heard)
@@ -109,13 +109,13 @@
 	return heard
 }
 
-func (c *Client) read(k *conn.Conn, heard *bool) (string, error) {
+func (c *Client) read(k *netconn.Conn, heard *bool) (string, error) {
 	from := c.Last
 	if c.Raw != nil {
 		from = c.From()
 	}
 	if err := errors.Join(k.Write(binary.BigEndian.AppendUint64(nil, from)), k.Flush()); err != nil {
-		return conn.Reason(err), err
+		return netconn.Reason(err), err
 	}
 	for head := make([]byte, HeadSize); ; {
 		k.SetReadDeadline(time.Now().Add(c.silence))
@@ -125,13 +125,13 @@
 			var kind byte
 			var size int
 			if number, kind, size, err = ParseHead(head); err != nil {
-				return conn.Protocol, err
+				return netconn.Protocol, err
 			}
 			payload := make([]byte, size)
 			if err = k.ReadFull(payload); err == nil {
 				ev, err := Parse(number, kind, payload)
 				if err != nil {
-					return conn.Protocol, err
+					return netconn.Protocol, err
 				}
 				if c.Raw != nil {
 					ev.Sum = crc32.Update(crc32.ChecksumIEEE(head), crc32.IEEETable, payload)
@@ -140,16 +140,16 @@
 					err = c.take(ev)
 				}
 				if err != nil {
-					return conn.Gap, err
+					return netconn.Gap, err
 				}
 				*heard = true
 				continue
 			}
 		}
-		if code := conn.Reason(err); code != conn.Slow {
+		if code := netconn.Reason(err); code != netconn.Slow {
 			return code, err
 		}
-		return conn.Beats, err
+		return netconn.Beats, err
 	}
 }
 
--- a/internal/tier/compact.go
+++ b/internal/diskcache/compact.go
@@ -1,10 +1,10 @@
-package tier
+package diskcache
 
 import (
 	"errors"
 	"fmt"
 
-	"cairnfront/internal/tier/disk"
+	"cairnfront/internal/diskcache/vfs"
 )
 
 // When space is given back.
@@ -83,7 +83,7 @@
 	for i := range places {
 		p := &places[i]
 		part, err := s.read(g, *p)
-		if errors.Is(err, disk.ErrPower) {
+		if errors.Is(err, vfs.ErrPower) {
 			return m, err
 		}
 		if err != nil {
--- a/internal/tier/keep/keep.go
+++ b/internal/diskcache/eviction/keep.go
@@ -3,7 +3,7 @@
 //
 // A caller asks once for each request of a part, when the part's size is known, carries out what is said, and tells
 // what it could not carry out with Lost.
-package keep
+package eviction
 
 import (
 	"math"
--- a/internal/tier/keep/keep_test.go
+++ b/internal/diskcache/eviction/keep_test.go
@@ -1,4 +1,4 @@
-package keep
+package eviction
 
 import (
 	"fmt"
--- a/internal/tier/format.go
+++ b/internal/diskcache/format.go
@@ -1,11 +1,11 @@
-package tier
+package diskcache
 
 import (
 	"encoding/binary"
 	"fmt"
 	"hash/crc32"
 
-	"cairnfront/internal/tier/keep"
+	"cairnfront/internal/diskcache/eviction"
 )
 
 // The form on the disk; docs/disk-format.md names every byte. All numbers are little-endian.
@@ -34,7 +34,7 @@
 
 // Meta is what is told of a copy. Dated is the Unix ms at which the origin gave it out.
 type Meta struct {
-	keep.Key
+	eviction.Key
 	Group uint16 // trust.UnknownGroup where nobody told
 	Rank  uint8
 	Dated int64
--- a/internal/tier/index.go
+++ b/internal/diskcache/index.go
@@ -1,9 +1,9 @@
-package tier
+package diskcache
 
 import (
 	"math/bits"
 
-	"cairnfront/internal/tier/keep"
+	"cairnfront/internal/diskcache/eviction"
 )
 
 // IndexBytes is what the index takes in memory a part: 40 bytes a place, and a table is between 64% and 80% full once
@@ -32,7 +32,7 @@
 	rank      uint8
 }
 
-func (p *place) key() keep.Key { return keep.Key{Object: p.object, Part: p.part} }
+func (p *place) key() eviction.Key { return eviction.Key{Object: p.object, Part: p.part} }
 
 // index is an open table of places in shards; the zero value is empty.
 type index struct {
@@ -41,7 +41,7 @@
 	n      int
 }
 
-func hash(k keep.Key) uint64 {
+func hash(k eviction.Key) uint64 {
 	x := k.Object ^ uint64(k.Part)*0x9e3779b97f4a7c15
 	x = (x ^ x>>33) * 0xff51afd7ed558ccd
 	x = (x ^ x>>33) * 0xc4ceb9fe1a85ec53
@@ -54,7 +54,7 @@
 }
 
 // find returns the place of a key, nil if there is none. It is good until the next put or remove.
-func (x *index) find(k keep.Key) *place {
+func (x *index) find(k eviction.Key) *place {
 	h := hash(k)
 	table := x.tables[h>>56]
 	if len(table) == 0 {
@@ -115,7 +115,7 @@
 }
 
 // remove takes a key out; those that follow it move up, so that no search ends too early.
-func (x *index) remove(k keep.Key) bool {
+func (x *index) remove(k eviction.Key) bool {
 	p := x.find(k)
 	if p == nil {
 		return false
--- a/internal/tier/notices.go
+++ b/internal/diskcache/notices.go
@@ -1,19 +1,19 @@
-package tier
+package diskcache
 
 import (
 	"errors"
 	"fmt"
 	"io"
 
-	"cairnfront/internal/tier/disk"
-	"cairnfront/internal/tier/trust"
+	"cairnfront/internal/diskcache/validity"
+	"cairnfront/internal/diskcache/vfs"
 )
 
 // readLog reads the log of purges up to the first record that can't be believed, and cuts off the rest: it was never
 // acknowledged, and what is written next must not be followed by it.
-func (s *Store) readLog() ([]trust.Record, error) {
+func (s *Store) readLog() ([]validity.Record, error) {
 	f, err := s.fs.Open(noticesName)
-	if errors.Is(err, disk.ErrGone) {
+	if errors.Is(err, vfs.ErrGone) {
 		if err = s.replace(noticesName, nil); err == nil {
 			f, err = s.fs.Open(noticesName)
 		}
@@ -26,24 +26,24 @@
 	if err != nil {
 		return nil, fmt.Errorf("reading %s: %w", noticesName, err)
 	}
-	var out []trust.Record
-	buf := make([]byte, 1024*trust.RecordSize)
+	var out []validity.Record
+	buf := make([]byte, 1024*validity.RecordSize)
 	for s.logged < size {
 		n, err := f.ReadAt(buf[:min(int64(len(buf)), size-s.logged)], s.logged)
 		if err != nil && !errors.Is(err, io.EOF) {
 			return nil, fmt.Errorf("reading %s at %d: %w", noticesName, s.logged, err)
 		}
-		for b := buf[:n]; ; b = b[trust.RecordSize:] {
+		for b := buf[:n]; ; b = b[validity.RecordSize:] {
 			if len(b) == 0 {
 				break
 			}
-			r, err := trust.ParseRecord(b)
+			r, err := validity.ParseRecord(b)
 			if err != nil {
 				s.fault(Fault{Code: BadLog, File: noticesName, At: s.logged, Err: err})
 				return out, s.cutLog()
 			}
 			out = append(out, r)
-			s.logged += trust.RecordSize
+			s.logged += validity.RecordSize
 		}
 	}
 	return out, nil
@@ -57,10 +57,10 @@
 }
 
 // Log writes records of purges. When it returns without an error they outlast a loss of power.
-func (s *Store) Log(records []trust.Record) error {
+func (s *Store) Log(records []validity.Record) error {
 	var b []byte
 	for _, r := range records {
-		b = trust.AppendRecord(b, r)
+		b = validity.AppendRecord(b, r)
 	}
 	s.logMu.Lock()
 	defer s.logMu.Unlock()
@@ -79,12 +79,12 @@
 
 // Relog replaces the log by a shorter one that says the same. Get is asked for it once no other record can come
 // between.
-func (s *Store) Relog(get func() []trust.Record) error {
+func (s *Store) Relog(get func() []validity.Record) error {
 	s.logMu.Lock()
 	defer s.logMu.Unlock()
 	var b []byte
 	for _, r := range get() {
-		b = trust.AppendRecord(b, r)
+		b = validity.AppendRecord(b, r)
 	}
 	if err := s.replace(noticesName, b); err != nil {
 		return s.writeFault(Fault{File: noticesName, Err: err})
--- a/internal/tier/powercut.go
+++ b/internal/diskcache/powercut.go
@@ -1,4 +1,4 @@
-package tier
+package diskcache
 
 import (
 	"bytes"
@@ -7,9 +7,9 @@
 	"math/rand/v2"
 	"time"
 
-	"cairnfront/internal/tier/disk"
-	"cairnfront/internal/tier/keep"
-	"cairnfront/internal/tier/trust"
+	"cairnfront/internal/diskcache/eviction"
+	"cairnfront/internal/diskcache/validity"
+	"cairnfront/internal/diskcache/vfs"
 )
 
 // A power cut is played for tests and for the laboratory: a script of puts, purges, compactions and snapshots on a
@@ -35,16 +35,16 @@
 func PlayPowerCut(seed uint64, cut int) CutResult { return (&powerScript{seed: seed, cut: cut}).play() }
 
 // wrote is all versions of a part that were ever handed to the store: what is served must be one of them.
-type wrote map[keep.Key]map[int64][]byte
+type wrote map[eviction.Key]map[int64][]byte
 
 func (p *powerScript) play() (out CutResult) {
 	rnd := rand.New(rand.NewPCG(p.seed, 77))
-	fs := disk.NewFaulty(p.seed*31 + uint64(p.cut))
+	fs := vfs.NewFaulty(p.seed*31 + uint64(p.cut))
 	salt := p.seed
 	limits := Limits{SegmentBytes: 2500, Clock: func() time.Time { return time.UnixMilli(1) },
 		Salt: func() uint64 { salt++; return salt * 0x9e3779b97f4a7c15 }}
 	ever, acked := wrote{}, map[uint64]int64{}
-	synced := map[keep.Key]int64{} // the newest version that a sync has covered, unless dropped
+	synced := map[eviction.Key]int64{} // the newest version that a sync has covered, unless dropped
 	clock := int64(1000)
 	for life := range 3 {
 		if fs.CutAfter = 0; life == 1 || (life == 0 && p.cut > 0) {
@@ -63,35 +63,35 @@
 }
 
 // live opens the folder, checks what is there and goes on with the script until the power goes or the script ends.
-func (p *powerScript) live(fs *disk.Faulty, limits Limits, rnd *rand.Rand, clock *int64, ever wrote, acked map[uint64]int64,
-	synced map[keep.Key]int64, life int, out *CutResult) {
+func (p *powerScript) live(fs *vfs.Faulty, limits Limits, rnd *rand.Rand, clock *int64, ever wrote, acked map[uint64]int64,
+	synced map[eviction.Key]int64, life int, out *CutResult) {
 	say := func(form string, args ...any) {
 		out.Wrong = append(out.Wrong, fmt.Sprintf("life %d: ", life)+fmt.Sprintf(form, args...))
 	}
 	s, rep, err := Open(fs, limits, true, nil)
 	if err != nil {
-		if !errors.Is(err, disk.ErrPower) {
+		if !errors.Is(err, vfs.ErrPower) {
 			say("can't be opened: %v", err)
 		}
 		return
 	}
-	core := trust.New(0)
+	core := validity.New(0)
 	core.Restore(rep.Records, s.Top(), *clock)
 	current := p.check(s, core, ever, acked, synced, say, out) // what the index names
-	var log []trust.Record
+	var log []validity.Record
 	steps := 45
 	for range steps {
 		*clock += int64(1 + rnd.IntN(3))
-		key := keep.Key{Object: uint64(rnd.IntN(8)), Part: uint32(rnd.IntN(3))}
+		key := eviction.Key{Object: uint64(rnd.IntN(8)), Part: uint32(rnd.IntN(3))}
 		switch rnd.IntN(12) {
 		case 0, 1: // a purge
-			r := trust.Record{Kind: trust.PurgeObject, Object: key.Object, At: *clock}
+			r := validity.Record{Kind: validity.PurgeObject, Object: key.Object, At: *clock}
 			if log = append(log, r); p.unsyncedLog {
-				if _, err := s.notices.WriteAt(trust.AppendRecord(nil, r), s.logged); err == nil {
-					s.logged += trust.RecordSize
+				if _, err := s.notices.WriteAt(validity.AppendRecord(nil, r), s.logged); err == nil {
+					s.logged += validity.RecordSize
 					acked[key.Object] = *clock
 				}
-			} else if s.Log([]trust.Record{r}) == nil {
+			} else if s.Log([]validity.Record{r}) == nil {
 				acked[key.Object] = *clock
 				out.Purges++
 			}
@@ -100,7 +100,7 @@
 				_, _ = s.Compact(id, func(m Meta) bool { return m.Dated > acked[m.Object] })
 			}
 		case 3:
-			_ = s.Snapshot(func(keep.Key) (keep.Memory, bool) { return keep.Memory{Gap: 1, Last: 2}, true })
+			_ = s.Snapshot(func(eviction.Key) (eviction.Memory, bool) { return eviction.Memory{Gap: 1, Last: 2}, true })
 		case 4:
 			if s.Sync() == nil {
 				for key, v := range current {
@@ -112,8 +112,8 @@
 			delete(synced, key)
 			delete(current, key)
 		case 6:
-			_ = s.Relog(func() []trust.Record {
-				c := trust.New(0)
+			_ = s.Relog(func() []validity.Record {
+				c := validity.New(0)
 				c.Restore(append(rep.Records, log...), 0, *clock)
 				return c.Records(*clock)
 			})
@@ -138,12 +138,12 @@
 
 // check reads every part. Each that is served must be, whole, a version that was written under that name, and with
 // what was acknowledged no copy may pass as younger than its purge.
-func (p *powerScript) check(s *Store, core *trust.Core, ever wrote, acked map[uint64]int64, synced map[keep.Key]int64,
-	say func(string, ...any), out *CutResult) map[keep.Key]int64 {
-	served := map[keep.Key]int64{}
+func (p *powerScript) check(s *Store, core *validity.Core, ever wrote, acked map[uint64]int64, synced map[eviction.Key]int64,
+	say func(string, ...any), out *CutResult) map[eviction.Key]int64 {
+	served := map[eviction.Key]int64{}
 	for o := range uint64(8) {
 		for part := range uint32(3) {
-			key := keep.Key{Object: o, Part: part}
+			key := eviction.Key{Object: o, Part: part}
 			got, err := s.Get(key)
 			if p.uncheckedBody && err != nil {
 				if pl := s.index.find(key); pl != nil {
@@ -154,7 +154,7 @@
 					say("object %d part %d: torn bytes", o, part)
 				}
 			}
-			if errors.Is(err, disk.ErrPower) {
+			if errors.Is(err, vfs.ErrPower) {
 				return served
 			}
 			out.Checked++
@@ -170,7 +170,7 @@
 				say("object %d part %d: wrong bytes for version %d", o, part, got.Dated)
 			}
 		}
-		if at := acked[o]; at > 0 && !core.Voided(trust.Copy{Object: o, Dated: at}) {
+		if at := acked[o]; at > 0 && !core.Voided(validity.Copy{Object: o, Dated: at}) {
 			say("object %d: the purge at %d was acknowledged and is forgotten", o, at)
 		}
 	}
--- a/internal/tier/snapshot.go
+++ b/internal/diskcache/snapshot.go
@@ -1,4 +1,4 @@
-package tier
+package diskcache
 
 import (
 	"bufio"
@@ -9,8 +9,8 @@
 	"io"
 	"math"
 
-	"cairnfront/internal/tier/disk"
-	"cairnfront/internal/tier/keep"
+	"cairnfront/internal/diskcache/eviction"
+	"cairnfront/internal/diskcache/vfs"
 )
 
 // The snapshot only speeds the start: it spares reading the heads of what it covers. Nothing is served on its word:
@@ -23,7 +23,7 @@
 )
 
 // Snapshot writes the index with what is known of each part's gaps.
-func (s *Store) Snapshot(recall func(keep.Key) (keep.Memory, bool)) error {
+func (s *Store) Snapshot(recall func(eviction.Key) (eviction.Memory, bool)) error {
 	s.write.Lock()
 	defer s.write.Unlock()
 	if s.active != nil { // what is named must be there
@@ -73,7 +73,7 @@
 		b = le.AppendUint32(b, p.at)
 		b = le.AppendUint32(b, p.size)
 		b = append(b, p.rank, 0, 0, 0, 0, 0, 0, 0)
-		m := keep.Memory{Gap: math.NaN()}
+		m := eviction.Memory{Gap: math.NaN()}
 		if recall != nil {
 			if known, ok := recall(p.key()); ok {
 				m = known
@@ -100,7 +100,7 @@
 
 // at writes one after the other.
 type at struct {
-	f   disk.File
+	f   vfs.File
 	off int64
 }
 
@@ -127,7 +127,7 @@
 		return nil
 	}
 	defer f.Close()
-	known := map[keep.Key]keep.Memory{}
+	known := map[eviction.Key]eviction.Memory{}
 	covered, err := s.loadSnapshot(f, rep, want, known)
 	if err != nil {
 		s.fault(Fault{Code: BadSnap, File: snapshotName, Err: err})
@@ -145,7 +145,7 @@
 	return covered
 }
 
-func (s *Store) loadSnapshot(f disk.File, rep *Report, want bool, known map[keep.Key]keep.Memory) (map[uint32]int64, error) {
+func (s *Store) loadSnapshot(f vfs.File, rep *Report, want bool, known map[eviction.Key]eviction.Memory) (map[uint32]int64, error) {
 	r := bufio.NewReaderSize(&at{f: f}, 256<<10)
 	sum := uint32(0)
 	buf := make([]byte, snapEntry)
@@ -207,7 +207,7 @@
 		s.index.put(p)
 		rep.FromSnapshot++
 		if gap := math.Float64frombits(le.Uint64(b[40:])); want && !math.IsNaN(gap) {
-			known[p.key()] = keep.Memory{Gap: gap, Last: math.Float64frombits(le.Uint64(b[48:]))}
+			known[p.key()] = eviction.Memory{Gap: gap, Last: math.Float64frombits(le.Uint64(b[48:]))}
 		}
 	}
 	want32 := sum
--- a/internal/tier/store.go
+++ b/internal/diskcache/store.go
@@ -6,7 +6,7 @@
 // What outlasts a loss of power: a part once the Sync after its Put has returned, or not at all (half a part is never
 // served); records of purges when Log has returned. A part that was dropped may come back with a start; a purge that
 // was logged voids it then as before.
-package tier
+package diskcache
 
 import (
 	"crypto/rand"
@@ -19,9 +19,9 @@
 	"sync"
 	"time"
 
-	"cairnfront/internal/tier/disk"
-	"cairnfront/internal/tier/keep"
-	"cairnfront/internal/tier/trust"
+	"cairnfront/internal/diskcache/eviction"
+	"cairnfront/internal/diskcache/validity"
+	"cairnfront/internal/diskcache/vfs"
 )
 
 // Codes of what goes wrong with a folder, for counters and log lines; docs/operate/disk-tier.md lists them.
@@ -51,7 +51,7 @@
 	Code string
 	File string
 	At   int64
-	Key  keep.Key
+	Key  eviction.Key
 	Err  error
 }
 
@@ -90,7 +90,7 @@
 	id         uint32
 	name       string
 	salt       uint64
-	file       disk.File
+	file       vfs.File
 	size, live int64
 	oldest     int64 // dated of its oldest record, alive or not
 	sealed     bool
@@ -100,7 +100,7 @@
 
 // Store is a folder of parts. Its methods may be called from several goroutines; writers wait for each other.
 type Store struct {
-	fs     disk.FS
+	fs     vfs.FS
 	limits Limits
 	unlock func()
 	fault  func(Fault) // told of each; never nil
@@ -110,7 +110,7 @@
 	nextID uint32
 
 	logMu   sync.Mutex // held by whoever writes the log of purges
-	notices disk.File
+	notices vfs.File
 	logged  int64 // good bytes of the log
 
 	mu       sync.Mutex // the index and the segments
@@ -126,16 +126,16 @@
 	Bytes                 int64
 	Scanned               int64 // bytes read of segments
 	FromSnapshot          int   // parts that the snapshot named
-	Records               []trust.Record
+	Records               []validity.Record
 	Faults                int
 	Took                  time.Duration
-	Known                 map[keep.Key]keep.Memory `json:"-"` // gaps that the snapshot held; nil where there was none
+	Known                 map[eviction.Key]eviction.Memory `json:"-"` // gaps that the snapshot held; nil where there was none
 	SnapshotUsed, Created bool
 }
 
 // Open opens a folder, or makes a new one in an empty folder. Each fault found is told to fault; it costs the parts
 // concerned. Want says whether the gaps of the snapshot are wanted.
-func Open(fs disk.FS, l Limits, want bool, fault func(Fault)) (*Store, Report, error) {
+func Open(fs vfs.FS, l Limits, want bool, fault func(Fault)) (*Store, Report, error) {
 	if fault == nil {
 		fault = func(Fault) {}
 	}
@@ -183,7 +183,7 @@
 		}
 		s.nextID = max(s.nextID, id+1)
 		if err := s.openSegment(id, name); err != nil {
-			if errors.Is(err, disk.ErrPower) {
+			if errors.Is(err, vfs.ErrPower) {
 				return err
 			}
 			s.fault(Fault{Code: BadSeg, File: name, Err: err})
@@ -267,7 +267,7 @@
 	}
 	b := make([]byte, segmentHead)
 	n, err := f.ReadAt(b, 0)
-	if errors.Is(err, disk.ErrPower) {
+	if errors.Is(err, vfs.ErrPower) {
 		return err
 	}
 	salt, err := parseSegmentHead(b[:n], id)
@@ -302,7 +302,7 @@
 	for at := from; at+recordHead <= g.size; {
 		if at < base || at+recordHead+mostTag > base+int64(len(win)) && base+int64(len(win)) < g.size {
 			n, err := g.file.ReadAt(buf[:min(int64(width), g.size-at)], at)
-			if errors.Is(err, disk.ErrPower) {
+			if errors.Is(err, vfs.ErrPower) {
 				return read, err
 			}
 			if n < recordHead {
@@ -333,7 +333,7 @@
 		}
 		if bodies {
 			_, err := s.read(g, place{object: h.Object, part: h.Part, seq: h.Seq, at: uint32(at / grain), size: uint32(h.size())})
-			if errors.Is(err, disk.ErrPower) {
+			if errors.Is(err, vfs.ErrPower) {
 				return read, err
 			}
 			if read += int64(h.bodyLen); err != nil {
@@ -362,7 +362,7 @@
 	if err == nil {
 		err = g.file.Sync()
 	}
-	if errors.Is(err, disk.ErrPower) {
+	if errors.Is(err, vfs.ErrPower) {
 		return err
 	}
 	return nil // it stays a torn one: each start will try again
@@ -412,10 +412,14 @@
 }
 
 // Has says whether a part is held, as far as the index knows.
-func (s *Store) Has(k keep.Key) bool { s.mu.Lock(); defer s.mu.Unlock(); return s.index.find(k) != nil }
+func (s *Store) Has(k eviction.Key) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.index.find(k) != nil
+}
 
 // Confirm notes in which doubt a part's source has confirmed it; seq names the copy that was meant.
-func (s *Store) Confirm(k keep.Key, seq uint64, doubt uint16) {
+func (s *Store) Confirm(k eviction.Key, seq uint64, doubt uint16) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if p := s.index.find(k); p != nil && p.seq == seq {
@@ -476,7 +480,7 @@
 
 func (s *Store) writeFault(f Fault) error {
 	f.Code = WriteErr
-	if errors.Is(f.Err, disk.ErrFull) {
+	if errors.Is(f.Err, vfs.ErrFull) {
 		f.Code = FullDisk
 	}
 	s.fault(f)
@@ -521,7 +525,7 @@
 }
 
 // Get reads a part whole and checks it. ErrAbsent says that it is not held; a Fault costs the part, which is dropped.
-func (s *Store) Get(k keep.Key) (Part, error) {
+func (s *Store) Get(k eviction.Key) (Part, error) {
 	s.mu.Lock()
 	found := s.index.find(k)
 	if found == nil || s.closed {
@@ -538,7 +542,7 @@
 	s.closeDead(g)
 	s.mu.Unlock()
 	if err != nil {
-		if errors.Is(err, disk.ErrPower) {
+		if errors.Is(err, vfs.ErrPower) {
 			return Part{}, err
 		}
 		f := Fault{Code: ReadFail, File: g.name, At: int64(p.at) * grain, Key: k, Err: err}
@@ -589,9 +593,9 @@
 }
 
 // Drop forgets a part. Its bytes are given back by compaction; after a start it may be there again.
-func (s *Store) Drop(k keep.Key) bool { return s.dropIf(k, 0) }
+func (s *Store) Drop(k eviction.Key) bool { return s.dropIf(k, 0) }
 
-func (s *Store) dropIf(k keep.Key, seq uint64) bool {
+func (s *Store) dropIf(k eviction.Key, seq uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.index.find(k)
@@ -603,7 +607,7 @@
 }
 
 // Each calls f for every part with its size on the disk until it says no. The store is not to be used meanwhile.
-func (s *Store) Each(f func(k keep.Key, size int64, rank uint8) bool) {
+func (s *Store) Each(f func(k eviction.Key, size int64, rank uint8) bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.index.each(func(p *place) bool { return f(p.key(), int64(p.size), p.rank) })
--- a/internal/tier/store_test.go
+++ b/internal/diskcache/store_test.go
@@ -1,4 +1,4 @@
-package tier
+package diskcache
 
 import (
 	"bytes"
@@ -9,19 +9,19 @@
 	"testing"
 	"time"
 
-	"cairnfront/internal/tier/disk"
-	"cairnfront/internal/tier/keep"
-	"cairnfront/internal/tier/trust"
+	"cairnfront/internal/diskcache/eviction"
+	"cairnfront/internal/diskcache/validity"
+	"cairnfront/internal/diskcache/vfs"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 )
 
-func k(o, p int) keep.Key { return keep.Key{Object: uint64(o), Part: uint32(p)} }
+func k(o, p int) eviction.Key { return eviction.Key{Object: uint64(o), Part: uint32(p)} }
 
 // body is made of the part and its time, so that a wrong one shows.
-func body(key keep.Key, dated int64, n int) []byte {
+func body(key eviction.Key, dated int64, n int) []byte {
 	b := make([]byte, n)
 	r := rand.New(rand.NewPCG(key.Object<<8|uint64(key.Part), uint64(dated)))
 	for i := range b {
@@ -30,7 +30,7 @@
 	return b
 }
 
-func meta(key keep.Key, dated int64) Meta {
+func meta(key eviction.Key, dated int64) Meta {
 	return Meta{Key: key, Group: uint16(key.Object % 5), Dated: dated, Tag: fmt.Sprintf("t%d", dated), Rank: 2}
 }
 
@@ -40,7 +40,7 @@
 		Clock: func() time.Time { return time.UnixMilli(5000) }}
 }
 
-func open(t *testing.T, fs disk.FS) (*Store, Report, *[]Fault) {
+func open(t *testing.T, fs vfs.FS) (*Store, Report, *[]Fault) {
 	t.Helper()
 	var faults []Fault
 	s, rep, err := Open(fs, small(), true, func(f Fault) { faults = append(faults, f) })
@@ -48,13 +48,13 @@
 	return s, rep, &faults
 }
 
-func put(t *testing.T, s *Store, key keep.Key, dated int64, n int) {
+func put(t *testing.T, s *Store, key eviction.Key, dated int64, n int) {
 	t.Helper()
 	_, err := s.Put(meta(key, dated), body(key, dated, n))
 	require.NoError(t, err)
 }
 
-func holds(t *testing.T, s *Store, key keep.Key, dated int64, n int) {
+func holds(t *testing.T, s *Store, key eviction.Key, dated int64, n int) {
 	t.Helper()
 	p, err := s.Get(key)
 	require.NoError(t, err)
@@ -66,7 +66,7 @@
 
 func TestPartsComeBackFromARealFolder(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "tier")
-	d, err := disk.MakeDir(path)
+	d, err := vfs.MakeDir(path)
 	require.NoError(t, err)
 	for _, snapshot := range []bool{false, true} {
 		s, rep, _ := open(t, d)
@@ -80,7 +80,7 @@
 		_, err := s.Get(k(8, 0))
 		assert.ErrorIs(t, err, ErrAbsent)
 		if snapshot {
-			require.NoError(t, s.Snapshot(func(keep.Key) (keep.Memory, bool) { return keep.Memory{Gap: 3, Last: 4}, true }))
+			require.NoError(t, s.Snapshot(func(eviction.Key) (eviction.Memory, bool) { return eviction.Memory{Gap: 3, Last: 4}, true }))
 			put(t, s, k(99, 0), 300, 40)
 		}
 		require.NoError(t, s.Close())
@@ -88,18 +88,18 @@
 	s, rep, faults := open(t, d)
 	assert.Empty(t, *faults)
 	assert.True(t, rep.SnapshotUsed)
-	assert.Equal(t, keep.Memory{Gap: 3, Last: 4}, rep.Known[k(7, 0)])
+	assert.Equal(t, eviction.Memory{Gap: 3, Last: 4}, rep.Known[k(7, 0)])
 	assert.Less(t, rep.Scanned, int64(9000), "only what the snapshot does not cover")
 	holds(t, s, k(7, 0), 200, 33)
 	holds(t, s, k(9, 0), 100, 309)
 	holds(t, s, k(99, 0), 300, 40)
 	_, _, err = Open(d, small(), false, nil)
-	assert.ErrorIs(t, err, disk.ErrInUse)
+	assert.ErrorIs(t, err, vfs.ErrInUse)
 	require.NoError(t, s.Close())
 }
 
 func TestCompactionGivesSpaceBackAndKeepsWhatIsWanted(t *testing.T) {
-	fs := disk.NewFaulty(1)
+	fs := vfs.NewFaulty(1)
 	s, _, _ := open(t, fs)
 	for i := range 40 {
 		put(t, s, k(i, 0), 100, 400)
@@ -133,7 +133,7 @@
 
 // A part that is dropped while it is being moved stays dropped.
 func TestAPartDroppedWhileItIsMovedStaysDropped(t *testing.T) {
-	s, _, _ := open(t, disk.NewFaulty(1))
+	s, _, _ := open(t, vfs.NewFaulty(1))
 	for i := range 12 {
 		put(t, s, k(i, 0), 100, 400)
 	}
@@ -152,25 +152,25 @@
 	rec := recordSize(len("t100"), size)
 	cases := []struct {
 		name string
-		hurt func(*disk.Faulty)
+		hurt func(*vfs.Faulty)
 		lost int
 		code string
 	}{
-		{"a bit in a head", func(f *disk.Faulty) { f.Flip("seg-00000001.cf", segmentHead+rec+20, 3) }, 1, BadHead},
-		{"a bit in a body", func(f *disk.Faulty) { f.Flip("seg-00000001.cf", segmentHead+rec+recordHead+50, 3) }, 1, BadBody},
-		{"a segment cut off", func(f *disk.Faulty) {
+		{"a bit in a head", func(f *vfs.Faulty) { f.Flip("seg-00000001.cf", segmentHead+rec+20, 3) }, 1, BadHead},
+		{"a bit in a body", func(f *vfs.Faulty) { f.Flip("seg-00000001.cf", segmentHead+rec+recordHead+50, 3) }, 1, BadBody},
+		{"a segment cut off", func(f *vfs.Faulty) {
 			h, _ := f.Open("seg-00000002.cf")
 			_ = h.Truncate(segmentHead + 3*rec + 100)
 		}, -1, CutOff},
-		{"a segment's head", func(f *disk.Faulty) { f.Flip("seg-00000001.cf", 17, 0) }, 8, BadSeg},
-		{"a segment missing", func(f *disk.Faulty) { _ = f.Remove("seg-00000001.cf") }, 8, Missing},
-		{"a read that fails", func(f *disk.Faulty) {
+		{"a segment's head", func(f *vfs.Faulty) { f.Flip("seg-00000001.cf", 17, 0) }, 8, BadSeg},
+		{"a segment missing", func(f *vfs.Faulty) { _ = f.Remove("seg-00000001.cf") }, 8, Missing},
+		{"a read that fails", func(f *vfs.Faulty) {
 			f.ReadFails = func(name string, at int64) bool { return name == "seg-00000001.cf" && at == segmentHead+rec }
 		}, 1, ReadFail},
-		{"a snapshot's bit", func(f *disk.Faulty) { f.Flip(snapshotName, 200, 1) }, 0, BadSnap},
-		{"the notices' end", func(f *disk.Faulty) {
+		{"a snapshot's bit", func(f *vfs.Faulty) { f.Flip(snapshotName, 200, 1) }, 0, BadSnap},
+		{"the notices' end", func(f *vfs.Faulty) {
 			h, _ := f.Open(noticesName)
-			_, _ = h.WriteAt([]byte("garbage"), trust.RecordSize)
+			_, _ = h.WriteAt([]byte("garbage"), validity.RecordSize)
 		}, 0, BadLog},
 	}
 	for _, c := range cases {
@@ -179,12 +179,12 @@
 				continue
 			}
 			t.Run(fmt.Sprint(c.name, snapshot), func(t *testing.T) {
-				fs := disk.NewFaulty(1)
+				fs := vfs.NewFaulty(1)
 				s, _, _ := open(t, fs)
 				for i := range parts {
 					put(t, s, k(i, 0), 100, size)
 				}
-				require.NoError(t, s.Log([]trust.Record{{Kind: trust.PurgeObject, Object: 77, At: 5}}))
+				require.NoError(t, s.Log([]validity.Record{{Kind: validity.PurgeObject, Object: 77, At: 5}}))
 				if snapshot {
 					require.NoError(t, s.Snapshot(nil))
 				}
@@ -219,7 +219,7 @@
 }
 
 func TestAFullDiskCostsTheWriteAndNothingElse(t *testing.T) {
-	fs := disk.NewFaulty(1)
+	fs := vfs.NewFaulty(1)
 	s, _, faults := open(t, fs)
 	put(t, s, k(1, 0), 100, 400)
 	fs.Room = 1000
@@ -242,20 +242,20 @@
 	assert.False(t, s.Has(k(2, 0)))
 }
 
-func open2(t *testing.T, fs disk.FS, s *Store) (*Store, Report, *[]Fault) {
+func open2(t *testing.T, fs vfs.FS, s *Store) (*Store, Report, *[]Fault) {
 	t.Helper()
 	require.NoError(t, s.Close())
 	return open(t, fs)
 }
 
 func TestAnotherFormatIsRefusedWithALine(t *testing.T) {
-	fs := disk.NewFaulty(1)
+	fs := vfs.NewFaulty(1)
 	h, _ := fs.Create(formatName)
 	_, _ = h.WriteAt([]byte("cairnfront disk tier 9\n"), 0)
 	_, _, err := Open(fs, small(), false, nil)
 	assert.ErrorIs(t, err, ErrFormat)
 	assert.ErrorContains(t, err, "version 9, this program reads version 1")
-	fs = disk.NewFaulty(1)
+	fs = vfs.NewFaulty(1)
 	_, _ = fs.Create("seg-00000001.cf")
 	_, _, err = Open(fs, small(), false, nil)
 	assert.ErrorIs(t, err, ErrFormat)
@@ -264,7 +264,7 @@
 // A body may hold what looks like a record. After the true head before it is hurt, the scan meets it and must not
 // believe it: its maker does not know the segment's salt.
 func TestARecordWithinABodyIsNotBelieved(t *testing.T) {
-	fs := disk.NewFaulty(1)
+	fs := vfs.NewFaulty(1)
 	s, _, _ := open(t, fs)
 	forged := appendRecord(nil, 0, meta(k(666, 0), 1), []byte("not what it was"), 0)
 	for len(forged) < 3000 {
@@ -323,7 +323,7 @@
 func TestIndexAgainstAMap(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var x index
-		want := map[keep.Key]uint64{}
+		want := map[eviction.Key]uint64{}
 		for n := range rapid.IntRange(1, 3000).Draw(t, "n") {
 			key := k(n*7919%rapid.SampledFrom([]int{50, 400}).Draw(t, "wide"), 0)
 			if n%3 == 0 {
@@ -361,7 +361,7 @@
 
 // FuzzOpen gives a store segments, logs and snapshots of any bytes: it opens or says why, and serves nothing wrong.
 func FuzzOpen(f *testing.F) {
-	fs := disk.NewFaulty(1)
+	fs := vfs.NewFaulty(1)
 	s, _, err := Open(fs, small(), true, nil)
 	if err != nil {
 		f.Fatal(err)
@@ -369,12 +369,12 @@
 	for i := range 5 {
 		_, _ = s.Put(meta(k(i, 0), 100), body(k(i, 0), 100, 90))
 	}
-	_ = s.Log([]trust.Record{{Kind: trust.PurgeObject, Object: 1, At: 5}})
+	_ = s.Log([]validity.Record{{Kind: validity.PurgeObject, Object: 1, At: 5}})
 	_ = s.Snapshot(nil)
 	_ = s.Close()
 	f.Add(fs.Bytes("seg-00000001.cf"), fs.Bytes(snapshotName), fs.Bytes(noticesName))
 	f.Fuzz(func(t *testing.T, seg, snap, log []byte) {
-		fs := disk.NewFaulty(1)
+		fs := vfs.NewFaulty(1)
 		for name, b := range map[string][]byte{formatName: []byte("cairnfront disk tier 1\n"), "seg-00000001.cf": seg, snapshotName: snap, noticesName: log} {
 			h, _ := fs.Create(name)
 			_, _ = h.WriteAt(b, 0)
@@ -383,8 +383,8 @@
 		if err != nil {
 			return
 		}
-		var keys []keep.Key
-		s.Each(func(key keep.Key, _ int64, _ uint8) bool { keys = append(keys, key); return true })
+		var keys []eviction.Key
+		s.Each(func(key eviction.Key, _ int64, _ uint8) bool { keys = append(keys, key); return true })
 		for _, key := range keys {
 			if p, err := s.Get(key); err == nil && p.Key != key {
 				t.Fatalf("%v for %v", p.Key, key)
@@ -398,7 +398,7 @@
 
 // benched is a store in a real folder.
 func benched(b *testing.B) *Store {
-	d, err := disk.MakeDir(filepath.Join(b.TempDir(), "t"))
+	d, err := vfs.MakeDir(filepath.Join(b.TempDir(), "t"))
 	require.NoError(b, err)
 	s, _, err := Open(d, Limits{}, false, nil)
 	require.NoError(b, err)
@@ -441,7 +441,7 @@
 // the index takes a part and the most that the heap held on the way.
 func BenchmarkOpen(b *testing.B) {
 	const parts = 1_000_000
-	d, _ := disk.MakeDir(filepath.Join(b.TempDir(), "t"))
+	d, _ := vfs.MakeDir(filepath.Join(b.TempDir(), "t"))
 	s, _, err := Open(d, Limits{}, false, nil)
 	require.NoError(b, err)
 	for i := range parts {
@@ -479,16 +479,16 @@
 
 // midway calls a function in the middle of a read.
 type midway struct {
-	disk.FS
+	vfs.FS
 	then func()
 }
 
 type midwayFile struct {
-	disk.File
+	vfs.File
 	fs *midway
 }
 
-func (m *midway) Open(name string) (disk.File, error) {
+func (m *midway) Open(name string) (vfs.File, error) {
 	f, err := m.FS.Open(name)
 	return midwayFile{f, m}, err
 }
@@ -504,7 +504,7 @@
 // A part is dropped and its segment compacted away while it is being read, and while a slow client is being sent it:
 // the bytes are the ones that were asked for, and the file is closed after the last reader.
 func TestAPartGoesWhileItIsBeingSent(t *testing.T) {
-	real := disk.NewFaulty(1)
+	real := vfs.NewFaulty(1)
 	s, _, _ := open(t, real)
 	for i := range 20 {
 		put(t, s, k(i, 0), 100, 400)
--- a/internal/tier/tier.go
+++ b/internal/diskcache/tier.go
@@ -1,4 +1,4 @@
-package tier
+package diskcache
 
 import (
 	"context"
@@ -8,9 +8,9 @@
 	"sync/atomic"
 	"time"
 
-	"cairnfront/internal/tier/disk"
-	"cairnfront/internal/tier/keep"
-	"cairnfront/internal/tier/trust"
+	"cairnfront/internal/diskcache/eviction"
+	"cairnfront/internal/diskcache/validity"
+	"cairnfront/internal/diskcache/vfs"
 
 	"golang.org/x/sync/errgroup"
 )
@@ -60,17 +60,17 @@
 	now   func() time.Time
 
 	keepMu sync.Mutex
-	keep   *keep.Core
+	keep   *eviction.Core
 
 	trustMu sync.Mutex
-	trust   *trust.Core
+	trust   *validity.Core
 
 	reads  chan *read
 	writes chan write
 
 	noteMu  sync.Mutex
-	notes   []trust.Record // to be written
-	relog   bool           // too many waited: the whole is written anew
+	notes   []validity.Record // to be written
+	relog   bool              // too many waited: the whole is written anew
 	noteUp  chan struct{}
 	durable sync.Cond // of noteMu: all notes are written
 	writing bool
@@ -79,7 +79,7 @@
 }
 
 type read struct {
-	key  keep.Key
+	key  eviction.Key
 	done chan got
 }
 
@@ -94,7 +94,7 @@
 }
 
 // OpenTier opens a folder and makes a tier of it. Run has to be called for anything to move.
-func OpenTier(fs disk.FS, p Plan, count Counter, log *slog.Logger) (*Tier, Report, error) {
+func OpenTier(fs vfs.FS, p Plan, count Counter, log *slog.Logger) (*Tier, Report, error) {
 	p.Readers, p.ReadQueue, p.WriteQueue = max(p.Readers, 1), max(p.ReadQueue, 1), max(p.WriteQueue, 1)
 	t := &Tier{plan: p, count: count, log: log, now: time.Now, reads: make(chan *read, p.ReadQueue),
 		writes: make(chan write, p.WriteQueue), noteUp: make(chan struct{}, 1)}
@@ -104,10 +104,10 @@
 		return nil, rep, err
 	}
 	t.store = store
-	t.trust = trust.New(p.Purges)
+	t.trust = validity.New(p.Purges)
 	now := t.now()
 	t.note(t.trust.Restore(rep.Records, store.Top(), now.UnixMilli()))
-	t.keep = keep.New(keep.Terms{Alpha: p.Alpha, Capacity: int64(float64(p.Space) * liveShare), Ghosts: p.Ghosts, Daily: p.DailyWrites})
+	t.keep = eviction.New(eviction.Terms{Alpha: p.Alpha, Capacity: int64(float64(p.Space) * liveShare), Ghosts: p.Ghosts, Daily: p.DailyWrites})
 	t.load(rep.Known, seconds(now))
 	rep.Known, rep.Records = nil, nil
 	return t, rep, nil
@@ -115,17 +115,17 @@
 
 // load tells the choice what the disk holds. Of a part without a memory nothing is known but that it is held: it
 // counts as asked for now, with a gap as long as the disk has room for.
-func (t *Tier) load(known map[keep.Key]keep.Memory, now float64) {
+func (t *Tier) load(known map[eviction.Key]eviction.Memory, now float64) {
 	type found struct {
-		key  keep.Key
+		key  eviction.Key
 		size int64
 	}
 	var all []found
-	t.store.Each(func(k keep.Key, size int64, _ uint8) bool { all = append(all, found{k, size}); return true })
+	t.store.Each(func(k eviction.Key, size int64, _ uint8) bool { all = append(all, found{k, size}); return true })
 	for _, f := range all {
 		m, ok := known[f.key]
 		if !ok || m.Last > now {
-			m = keep.Memory{Gap: unknownGap, Last: now}
+			m = eviction.Memory{Gap: unknownGap, Last: now}
 		}
 		for _, out := range t.keep.Load(f.key, f.size, m) {
 			t.store.Drop(out)
@@ -166,16 +166,16 @@
 
 // Get reads a part. It waits for the disk no longer than the plan says; ErrAbsent, ErrBusy, ErrSlow and ErrVoid are
 // misses like any fault. The verdict says whether the copy may be served at once.
-func (t *Tier) Get(k keep.Key) (Part, trust.Verdict, error) {
+func (t *Tier) Get(k eviction.Key) (Part, validity.Verdict, error) {
 	if !t.store.Has(k) {
-		return Part{}, trust.Void, ErrAbsent
+		return Part{}, validity.Void, ErrAbsent
 	}
 	r := &read{key: k, done: make(chan got, 1)}
 	select {
 	case t.reads <- r:
 	default:
 		t.count.Add("tier.read.queue-full", 1)
-		return Part{}, trust.Void, ErrBusy
+		return Part{}, validity.Void, ErrBusy
 	}
 	wait := time.NewTimer(t.plan.ReadWait)
 	defer wait.Stop()
@@ -183,10 +183,10 @@
 	case x := <-r.done:
 		if x.err != nil {
 			t.lost(k)
-			return Part{}, trust.Void, x.err
+			return Part{}, validity.Void, x.err
 		}
-		v := t.Judge(trust.Copy{Object: k.Object, Group: x.part.Group, Dated: x.part.Dated, Seq: x.part.Seq, Confirmed: x.part.Confirmed})
-		if v == trust.Void {
+		v := t.Judge(validity.Copy{Object: k.Object, Group: x.part.Group, Dated: x.part.Dated, Seq: x.part.Seq, Confirmed: x.part.Confirmed})
+		if v == validity.Void {
 			t.count.Add("tier.read.void", 1)
 			t.Drop(k)
 			return Part{}, v, ErrVoid
@@ -195,7 +195,7 @@
 		return x.part, v, nil
 	case <-wait.C:
 		t.count.Add("tier.read.slow", 1)
-		return Part{}, trust.Void, ErrSlow
+		return Part{}, validity.Void, ErrSlow
 	}
 }
 
@@ -253,20 +253,20 @@
 	}
 }
 
-func (t *Tier) holds(k keep.Key) bool {
+func (t *Tier) holds(k eviction.Key) bool {
 	t.keepMu.Lock()
 	defer t.keepMu.Unlock()
 	return t.keep.Holds(k)
 }
 
-func (t *Tier) lost(k keep.Key) {
+func (t *Tier) lost(k eviction.Key) {
 	t.keepMu.Lock()
 	t.keep.Lost(k)
 	t.keepMu.Unlock()
 }
 
 // Drop forgets a part.
-func (t *Tier) Drop(k keep.Key) {
+func (t *Tier) Drop(k eviction.Key) {
 	t.store.Drop(k)
 	t.lost(k)
 }
@@ -294,7 +294,7 @@
 
 func (t *Tier) put(w write) bool {
 	t.trustMu.Lock()
-	void := t.trust.Voided(trust.Copy{Object: w.meta.Object, Group: w.meta.Group, Dated: w.meta.Dated})
+	void := t.trust.Voided(validity.Copy{Object: w.meta.Object, Group: w.meta.Group, Dated: w.meta.Dated})
 	t.trustMu.Unlock()
 	if void { // purged while it waited
 		t.lost(w.meta.Key)
@@ -318,10 +318,10 @@
 }
 
 // Has says whether a part is held, as far as the index knows.
-func (t *Tier) Has(k keep.Key) bool { return t.store.Has(k) }
+func (t *Tier) Has(k eviction.Key) bool { return t.store.Has(k) }
 
 // Judge says what a copy is now, wherever it is held.
-func (t *Tier) Judge(c trust.Copy) trust.Verdict {
+func (t *Tier) Judge(c validity.Copy) validity.Verdict {
 	t.trustMu.Lock()
 	defer t.trustMu.Unlock()
 	return t.trust.Judge(t.now().UnixMilli(), c)
@@ -335,7 +335,7 @@
 }
 
 // Confirmed says that a part's source has confirmed the copy with that seq, asked in that doubt.
-func (t *Tier) Confirmed(k keep.Key, seq uint64, doubts uint16) { t.store.Confirm(k, seq, doubts) }
+func (t *Tier) Confirmed(k eviction.Key, seq uint64, doubts uint16) { t.store.Confirm(k, seq, doubts) }
 
 // Ask is the number after which the notice board has to be asked; Connected and Hear are as in trust.Core. What Hear
 // takes counts at once for what is served, and is written behind, in order: what is not written yet will be asked for
@@ -361,7 +361,7 @@
 }
 
 // Hear takes an event of the notice board; see Ask.
-func (t *Tier) Hear(n trust.Notice) (again bool) {
+func (t *Tier) Hear(n validity.Notice) (again bool) {
 	top := t.store.Top()
 	t.trustMu.Lock()
 	defer t.trustMu.Unlock()
@@ -370,7 +370,7 @@
 	return again
 }
 
-func (t *Tier) note(records []trust.Record) {
+func (t *Tier) note(records []validity.Record) {
 	if len(records) == 0 {
 		return
 	}
@@ -437,7 +437,7 @@
 }
 
 // records is the shortest log.
-func (t *Tier) records() []trust.Record {
+func (t *Tier) records() []validity.Record {
 	now, oldest := t.now(), t.store.Oldest()
 	t.trustMu.Lock()
 	defer t.trustMu.Unlock()
@@ -462,14 +462,14 @@
 			marked = now
 			t.trustMu.Lock()
 			m := t.trust.Mark(now.UnixMilli())
-			t.note([]trust.Record{m})
+			t.note([]validity.Record{m})
 			t.trustMu.Unlock()
 		}
 		if t.store.LogSize() > longLog {
 			t.noteMu.Lock()
 			t.relog = true
 			t.noteMu.Unlock()
-			t.note([]trust.Record{{Kind: trust.Mark}})
+			t.note([]validity.Record{{Kind: validity.Mark}})
 		}
 		if t.plan.SnapshotEvery > 0 && now.Sub(shot) > t.plan.SnapshotEvery {
 			shot = now
@@ -479,7 +479,7 @@
 }
 
 func (t *Tier) snapshot() {
-	err := t.store.Snapshot(func(k keep.Key) (keep.Memory, bool) {
+	err := t.store.Snapshot(func(k eviction.Key) (eviction.Memory, bool) {
 		t.keepMu.Lock()
 		defer t.keepMu.Unlock()
 		return t.keep.Recall(k)
@@ -497,7 +497,7 @@
 		}
 		m, err := t.store.Compact(id, func(m Meta) bool {
 			t.trustMu.Lock()
-			void := t.trust.Voided(trust.Copy{Object: m.Object, Group: m.Group, Dated: m.Dated})
+			void := t.trust.Voided(validity.Copy{Object: m.Object, Group: m.Group, Dated: m.Dated})
 			t.trustMu.Unlock()
 			if void {
 				t.lost(m.Key)
@@ -515,7 +515,7 @@
 
 // State is what an operator is shown.
 type State struct {
-	trust.State
+	validity.State
 	Parts         int
 	Live, OnDisk  int64
 	Budget        float64 // bytes that may be written now
--- a/internal/tier/tier_test.go
+++ b/internal/diskcache/tier_test.go
@@ -1,4 +1,4 @@
-package tier
+package diskcache
 
 import (
 	"context"
@@ -9,8 +9,8 @@
 	"testing"
 	"time"
 
-	"cairnfront/internal/tier/disk"
-	"cairnfront/internal/tier/trust"
+	"cairnfront/internal/diskcache/validity"
+	"cairnfront/internal/diskcache/vfs"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -36,7 +36,7 @@
 	ReadWait: 50 * time.Millisecond, WriteQueue: 64, SyncEvery: 20 * time.Millisecond}
 
 // running is a tier that runs, caught up with a board that told one event.
-func running(t *testing.T, fs disk.FS, p Plan) (*Tier, *counts, func()) {
+func running(t *testing.T, fs vfs.FS, p Plan) (*Tier, *counts, func()) {
 	t.Helper()
 	c := &counts{}
 	x, _, err := OpenTier(fs, p, c, slog.New(slog.NewTextHandler(io.Discard, nil)))
@@ -48,8 +48,8 @@
 	stop := func() { once.Do(func() { cancel(); <-done }) }
 	t.Cleanup(stop)
 	x.Connected()
-	x.Hear(trust.Notice{Number: 1, Sum: 1})
-	x.Hear(trust.Notice{Beat: true})
+	x.Hear(validity.Notice{Number: 1, Sum: 1})
+	x.Hear(validity.Notice{Beat: true})
 	return x, c, stop
 }
 
@@ -62,36 +62,36 @@
 }
 
 func TestTierKeepsThroughAStartWhatWasNotPurgedMeanwhile(t *testing.T) {
-	fs := disk.NewFaulty(1)
+	fs := vfs.NewFaulty(1)
 	x, _, stop := running(t, fs, plan)
 	for o := range 5 {
 		offered(t, x, o, 0, 100)
 	}
 	_, v, err := x.Get(k(1, 0))
 	require.NoError(t, err)
-	assert.Equal(t, trust.Sound, v)
+	assert.Equal(t, validity.Sound, v)
 	stop()
 	require.NoError(t, x.Close())
 
 	x, _, _ = running(t, fs, plan)
-	x.Hear(trust.Notice{Number: 2, Purge: true, Object: 1, At: 150})
-	x.Hear(trust.Notice{Number: 3, Purge: true, All: true, Group: 2, At: 150})
+	x.Hear(validity.Notice{Number: 2, Purge: true, Object: 1, At: 150})
+	x.Hear(validity.Notice{Number: 3, Purge: true, All: true, Group: 2, At: 150})
 	_, _, err = x.Get(k(1, 0))
 	assert.ErrorIs(t, err, ErrVoid)
 	_, _, err = x.Get(k(2, 0))
 	assert.ErrorIs(t, err, ErrVoid)
 	p, v, err := x.Get(k(3, 0))
 	require.NoError(t, err)
-	assert.Equal(t, trust.Sound, v)
+	assert.Equal(t, validity.Sound, v)
 	assert.Equal(t, body(k(3, 0), 100, 300), p.Body)
 }
 
 func TestAPurgeThatIsSettledOutlastsAPowerCut(t *testing.T) {
-	fs := disk.NewFaulty(3)
+	fs := vfs.NewFaulty(3)
 	x, _, stop := running(t, fs, plan)
 	offered(t, x, 1, 0, 100)
 	require.NoError(t, x.store.Sync())
-	x.Hear(trust.Notice{Number: 2, Sum: 9, Purge: true, Object: 1, At: 150})
+	x.Hear(validity.Notice{Number: 2, Sum: 9, Purge: true, Object: 1, At: 150})
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
 	require.NoError(t, x.Settle(ctx))
@@ -101,13 +101,13 @@
 	fs.Restart()
 	x, _, err := OpenTier(fs, plan, &counts{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	require.NoError(t, err)
-	assert.Equal(t, trust.Void, x.Judge(trust.Copy{Object: 1, Dated: 100, Seq: 1}))
+	assert.Equal(t, validity.Void, x.Judge(validity.Copy{Object: 1, Dated: 100, Seq: 1}))
 	assert.Equal(t, uint64(1), x.Ask(), "the last one once more")
 }
 
 // A disk that hangs: reads are misses within their wait, full queues at once; parts are not kept; purges count.
 func TestADiskThatHangsCostsMissesOnly(t *testing.T) {
-	fs := disk.NewFaulty(1)
+	fs := vfs.NewFaulty(1)
 	x, c, stop := running(t, fs, plan)
 	for o := range 30 {
 		offered(t, x, o, 0, 100)
@@ -133,8 +133,8 @@
 	}
 	assert.Greater(t, c.get("tier.offer.queue-full"), int64(0))
 	assert.LessOrEqual(t, len(x.writes), plan.WriteQueue)
-	x.Hear(trust.Notice{Number: 2, Purge: true, Object: 3, At: 150})
-	assert.Equal(t, trust.Void, x.Judge(trust.Copy{Object: 3, Dated: 100, Seq: 1}), "purges don't wait for the disk")
+	x.Hear(validity.Notice{Number: 2, Purge: true, Object: 3, At: 150})
+	assert.Equal(t, validity.Void, x.Judge(validity.Copy{Object: 3, Dated: 100, Seq: 1}), "purges don't wait for the disk")
 	release()
 	require.Eventually(t, func() bool { _, _, err := x.Get(k(1, 0)); return err == nil }, 5*time.Second, time.Millisecond)
 	stop()
@@ -142,13 +142,13 @@
 }
 
 func TestAPurgeMeetsAPartThatIsBeingWritten(t *testing.T) {
-	fs := disk.NewFaulty(1)
+	fs := vfs.NewFaulty(1)
 	x, _, _ := running(t, fs, plan)
 	release := fs.Stop()
 	for range 2 {
 		x.Offer(meta(k(1, 0), 100), body(k(1, 0), 100, 300), x.Doubts())
 	}
-	x.Hear(trust.Notice{Number: 2, Purge: true, Object: 1, At: 150})
+	x.Hear(validity.Notice{Number: 2, Purge: true, Object: 1, At: 150})
 	release()
 	offered(t, x, 2, 0, 200)
 	_, _, err := x.Get(k(1, 0))
@@ -156,23 +156,23 @@
 }
 
 func TestAFillAskedForBeforeADoubtIsNotKept(t *testing.T) {
-	x, _, _ := running(t, disk.NewFaulty(1), plan)
+	x, _, _ := running(t, vfs.NewFaulty(1), plan)
 	offered(t, x, 1, 0, 100)
 	before := x.Doubts()
-	x.Hear(trust.Notice{Number: 9}) // a gap
+	x.Hear(validity.Notice{Number: 9}) // a gap
 	assert.False(t, x.Offer(meta(k(2, 0), 100), body(k(2, 0), 100, 300), before))
 	_, v, err := x.Get(k(1, 0))
 	require.NoError(t, err)
-	assert.Equal(t, trust.Probation, v)
+	assert.Equal(t, validity.Probation, v)
 	x.Confirmed(k(1, 0), x.store.Top(), x.Doubts())
 	_, v, _ = x.Get(k(1, 0))
-	assert.Equal(t, trust.Sound, v)
+	assert.Equal(t, validity.Sound, v)
 }
 
 func TestSpaceStaysWithinItsBound(t *testing.T) {
 	p := plan
 	p.Space = 64 << 10
-	x, _, _ := running(t, disk.NewFaulty(1), p)
+	x, _, _ := running(t, vfs.NewFaulty(1), p)
 	for i := range 3000 {
 		o := i % 400
 		x.Offer(meta(k(o, 0), 100), body(k(o, 0), 100, 300), x.Doubts())
@@ -185,11 +185,11 @@
 }
 
 func TestAnEndlessWaitOfNoticesIsWrittenAnew(t *testing.T) {
-	fs := disk.NewFaulty(1)
+	fs := vfs.NewFaulty(1)
 	x, _, stop := running(t, fs, plan)
 	release := fs.Stop()
 	for n := range uint64(mostNotice + 10) {
-		x.Hear(trust.Notice{Number: 2 + n, Purge: true, Object: n % 1000, At: int64(n)})
+		x.Hear(validity.Notice{Number: 2 + n, Purge: true, Object: n % 1000, At: int64(n)})
 	}
 	release()
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
@@ -204,7 +204,7 @@
 
 // A part that is displaced while it waits for the disk is not written: the choice would not count it.
 func TestAPartDisplacedWhileItWaitsTakesNoSpace(t *testing.T) {
-	fs := disk.NewFaulty(1)
+	fs := vfs.NewFaulty(1)
 	x, c, _ := running(t, fs, plan)
 	release := fs.Stop()
 	for range 2 {
--- a/internal/tier/tools.go
+++ b/internal/diskcache/tools.go
@@ -1,4 +1,4 @@
-package tier
+package diskcache
 
 import (
 	"archive/tar"
@@ -8,9 +8,9 @@
 	"slices"
 	"time"
 
-	"cairnfront/internal/tier/disk"
-	"cairnfront/internal/tier/keep"
-	"cairnfront/internal/tier/trust"
+	"cairnfront/internal/diskcache/eviction"
+	"cairnfront/internal/diskcache/validity"
+	"cairnfront/internal/diskcache/vfs"
 )
 
 // The operators' tools work on the folder of a stopped box; one in use is refused by its lock.
@@ -34,9 +34,9 @@
 }
 
 // opened opens a folder that must be there already.
-func opened(path string, fault func(Fault)) (*Store, Inspection, *trust.Core, error) {
+func opened(path string, fault func(Fault)) (*Store, Inspection, *validity.Core, error) {
 	in := Inspection{FaultsByCode: map[string]int{}}
-	dir := disk.Dir(path)
+	dir := vfs.Dir(path)
 	names, err := dir.List()
 	if err != nil {
 		return nil, in, nil, fmt.Errorf("reading the folder: %w", err)
@@ -54,7 +54,7 @@
 		return nil, in, nil, err
 	}
 	in.Report = rep
-	core := trust.New(1 << 30)
+	core := validity.New(1 << 30)
 	now := time.Now().UnixMilli()
 	core.Restore(rep.Records, s.Top(), now)
 	st := core.State(now)
@@ -66,7 +66,7 @@
 		in.OldestDated = s.Oldest()
 	}
 	objects := map[uint64]bool{}
-	s.Each(func(k keep.Key, _ int64, rank uint8) bool {
+	s.Each(func(k eviction.Key, _ int64, rank uint8) bool {
 		objects[k.Object] = true
 		in.ByRank[min(rank, 3)]++
 		return true
@@ -85,10 +85,10 @@
 }
 
 // keys is every part, in order.
-func (s *Store) keys() []keep.Key {
-	var out []keep.Key
-	s.Each(func(k keep.Key, _ int64, _ uint8) bool { out = append(out, k); return true })
-	slices.SortFunc(out, func(a, b keep.Key) int {
+func (s *Store) keys() []eviction.Key {
+	var out []eviction.Key
+	s.Each(func(k eviction.Key, _ int64, _ uint8) bool { out = append(out, k); return true })
+	slices.SortFunc(out, func(a, b eviction.Key) int {
 		if a.Object != b.Object {
 			if a.Object < b.Object {
 				return -1
@@ -118,7 +118,7 @@
 	keys := s.keys()
 	for i, k := range keys {
 		p, err := s.Get(k)
-		if err == nil && core.Voided(trust.Copy{Object: k.Object, Group: p.Group, Dated: p.Dated}) {
+		if err == nil && core.Voided(validity.Copy{Object: k.Object, Group: p.Group, Dated: p.Dated}) {
 			in.Voided++
 		} else if err == nil {
 			in.Sound++
@@ -138,7 +138,7 @@
 	}
 	for _, k := range s.keys() {
 		p, err := s.Get(k)
-		if err == nil && core.Voided(trust.Copy{Object: k.Object, Group: p.Group, Dated: p.Dated}) {
+		if err == nil && core.Voided(validity.Copy{Object: k.Object, Group: p.Group, Dated: p.Dated}) {
 			s.Drop(k)
 		}
 	}
@@ -149,7 +149,7 @@
 			}
 		}
 	}
-	if err := s.Snapshot(func(k keep.Key) (keep.Memory, bool) { m, ok := in.Known[k]; return m, ok }); err != nil {
+	if err := s.Snapshot(func(k eviction.Key) (eviction.Memory, bool) { m, ok := in.Known[k]; return m, ok }); err != nil {
 		return in.OnDisk, 0, errors.Join(err, s.Close())
 	}
 	_, after = s.Sizes()
@@ -165,7 +165,7 @@
 	out := tar.NewWriter(w)
 	for _, k := range s.keys() {
 		p, err := s.Get(k)
-		if err != nil || core.Voided(trust.Copy{Object: k.Object, Group: p.Group, Dated: p.Dated}) {
+		if err != nil || core.Voided(validity.Copy{Object: k.Object, Group: p.Group, Dated: p.Dated}) {
 			continue
 		}
 		h := &tar.Header{Name: fmt.Sprintf("%016x/%d", k.Object, k.Part), Mode: 0o640, Size: int64(len(p.Body)), ModTime: time.UnixMilli(p.Dated),
--- a/internal/tier/trust/trust.go
+++ b/internal/diskcache/validity/trust.go
@@ -5,7 +5,7 @@
 // Continuity with the notice board is proved, not assumed. A box asks for the last event that it followed once more;
 // the same number with the same sum says that the board's numbers go on where they stood. Anything else (another
 // event under that number, a gap, nothing at all) says that purges may have been missed.
-package trust
+package validity
 
 import (
 	"cmp"
--- a/internal/tier/trust/trust_test.go
+++ b/internal/diskcache/validity/trust_test.go
@@ -1,4 +1,4 @@
-package trust
+package validity
 
 import (
 	"testing"
--- a/internal/tier/disk/disk.go
+++ b/internal/diskcache/vfs/disk.go
@@ -1,6 +1,6 @@
 // Package disk is the file system as the store sees it: one folder without sub-folders, whose files are read and
 // written at places. Dir is the real one; Faulty loses power, fills up, hangs and flips bits when it is told to.
-package disk
+package vfs
 
 import (
 	"errors"
--- a/internal/tier/disk/faulty.go
+++ b/internal/diskcache/vfs/faulty.go
@@ -1,4 +1,4 @@
-package disk
+package vfs
 
 import (
 	"errors"
--- a/internal/route/route.go
+++ b/internal/dispatch/route.go
@@ -1,6 +1,6 @@
 // Package route is where one goroutine owns the decisions: it brings events to them in order, with a clock that
 // never goes back, and carries out their actions. It decides nothing itself.
-package route
+package dispatch
 
 import (
 	"container/heap"
@@ -11,14 +11,14 @@
 	"sync"
 	"time"
 
-	"cairnfront/brain"
-	"cairnfront/internal/board"
-	"cairnfront/internal/book"
-	"cairnfront/internal/line"
-	"cairnfront/internal/reach/spend"
-	"cairnfront/internal/send"
-	"cairnfront/internal/take"
-	"cairnfront/internal/txn"
+	"cairnfront/internal/cacheproto"
+	"cairnfront/internal/discovery"
+	"cairnfront/internal/frontend"
+	"cairnfront/internal/request"
+	"cairnfront/internal/telemetry"
+	"cairnfront/internal/upstream"
+	"cairnfront/internal/upstream/retrybudget"
+	"cairnfront/routing"
 )
 
 const (
@@ -33,21 +33,21 @@
 
 // Loop owns the decisions. Post may be called from any goroutine, all else from the one that runs it.
 type Loop struct {
-	Brain   brain.Decider
-	Records brain.Records
-	Pool    *send.Pool
-	Book    *book.Book
-	Clock   func() float64 // Unix seconds
-	Spend   *spend.Ledger  // the budget of further hops; nil for none
+	Brain   routing.Decider
+	Records routing.Records
+	Pool    *upstream.Pool
+	Book    *telemetry.Book
+	Clock   func() float64      // Unix seconds
+	Spend   *retrybudget.Ledger // the budget of further hops; nil for none
 
 	// Saw hears how each hop ended and how long it took, s; nil for nobody. It must not wait.
-	Saw func(member string, rule int, code brain.Code, took float64)
+	Saw func(member string, rule int, code routing.Code, took float64)
 
 	in      chan any
 	gone    chan struct{}
 	mu      sync.Mutex
-	leavers []take.Left   // not yet heard; each txn let in leaves once at the most, so their number is bounded
-	nudge   chan struct{} // there are leavers
+	leavers []frontend.Left // not yet heard; each txn let in leaves once at the most, so their number is bounded
+	nudge   chan struct{}   // there are leavers
 	now     float64
 	open    map[string]*open
 	kinds   map[string]int // of members
@@ -56,7 +56,7 @@
 
 // open is a txn that is not answered, or has hops out.
 type open struct {
-	t     *txn.Txn
+	t     *request.Txn
 	hops  []*hop
 	out   int
 	ended bool // it had its final answer, or its client left
@@ -70,8 +70,8 @@
 	no     int
 	member string
 	sent   float64
-	call   *send.Call
-	link   *send.Link
+	call   *upstream.Call
+	link   *upstream.Link
 	over   bool
 	undone bool
 	stuck  bool // the decisions know that its connection is silent
@@ -80,12 +80,12 @@
 type check struct {
 	member string
 	sent   float64
-	call   *send.Call
+	call   *upstream.Call
 	over   bool
 }
 
 // New makes a loop that stands still.
-func New(b brain.Decider, rec brain.Records, p *send.Pool, k *book.Book) *Loop {
+func New(b routing.Decider, rec routing.Records, p *upstream.Pool, k *telemetry.Book) *Loop {
 	return &Loop{Brain: b, Records: rec, Pool: p, Book: k, in: make(chan any, queued), gone: make(chan struct{}), nudge: make(chan struct{}, 1),
 		open: map[string]*open{}, kinds: map[string]int{},
 		Clock: func() float64 { return float64(time.Now().UnixMicro()) / 1e6 }}
@@ -94,7 +94,7 @@
 // Post hands an event to the loop. It waits while too many do, but not for a loop that has ended. Of a client that left it
 // never waits, and those go before all else that waits: who reads a connection must not stand still because of it.
 func (l *Loop) Post(ev any) {
-	if left, ok := ev.(take.Left); ok {
+	if left, ok := ev.(frontend.Left); ok {
 		l.mu.Lock()
 		l.leavers = append(l.leavers, left)
 		l.mu.Unlock()
@@ -194,19 +194,19 @@
 func (l *Loop) Hear(ev any) {
 	l.tick()
 	switch ev := ev.(type) {
-	case *txn.Txn:
+	case *request.Txn:
 		l.arrived(ev)
-	case take.Left:
+	case frontend.Left:
 		if o := l.open[ev.Txn.ID]; o != nil && o.t == ev.Txn {
 			l.left(o)
 		}
-	case send.Dialed:
+	case upstream.Dialed:
 		l.Pool.Heard(ev)
 	case func():
 		ev()
-	case brain.Event: // a fact from beside the txns
+	case routing.Event: // a fact from beside the txns
 		l.decide(ev, nil)
-	case send.Ended:
+	case upstream.Ended:
 		l.Pool.Heard(ev)
 		switch owner := ev.Call.Owner.(type) {
 		case *hop:
@@ -214,79 +214,79 @@
 		case *check:
 			l.checked(owner, ev.End)
 		}
-	case send.Dropped:
+	case upstream.Dropped:
 		l.Pool.Drop(ev.Link)
-	case board.Event:
-		l.noticed(ev, brain.Changes)
+	case discovery.Event:
+		l.noticed(ev, routing.Changes)
 	case Abandon:
 		for _, o := range l.open {
-			l.answer(o, txn.Answer{Verdict: txn.Aborted, Reason: "shutdown"})
+			l.answer(o, request.Answer{Verdict: request.Aborted, Reason: "shutdown"})
 		}
 	}
 }
 
 // Known takes the events that the router is told at its start.
-func (l *Loop) Known(events []board.Event) {
+func (l *Loop) Known(events []discovery.Event) {
 	l.tick()
 	for i, ev := range events {
-		kind := brain.Changes
+		kind := routing.Changes
 		if i == 0 {
-			kind = brain.Saved
+			kind = routing.Saved
 		}
 		l.noticed(ev, kind)
 	}
 }
 
-func (l *Loop) noticed(ev board.Event, kind brain.ListKind) {
+func (l *Loop) noticed(ev discovery.Event, kind routing.ListKind) {
 	if ev.Purged {
-		l.decide(brain.Purge{Ago: max(l.now-ev.At, 0), Group: ev.Group, Object: ev.Object}, nil)
+		l.decide(routing.Purge{Ago: max(l.now-ev.At, 0), Group: ev.Group, Object: ev.Object}, nil)
 		return
 	}
-	if ev.Full && kind != brain.Saved {
-		kind = brain.Full
+	if ev.Full && kind != routing.Saved {
+		kind = routing.Full
 	}
-	rows := make([]brain.Row, len(ev.Rows))
+	rows := make([]routing.Row, len(ev.Rows))
 	if ev.Full {
 		clear(l.kinds)
 	}
 	for i, row := range ev.Rows {
 		rows[i] = row.Row
-		if l.kinds[row.Member] = row.Kind; row.Status == brain.Gone {
+		if l.kinds[row.Member] = row.Kind; row.Status == routing.Gone {
 			delete(l.kinds, row.Member)
 		}
 	}
 	l.Pool.List(ev.Full, ev.Rows)
-	l.decide(brain.Listing{Kind: kind, Rows: rows}, nil)
+	l.decide(routing.Listing{Kind: kind, Rows: rows}, nil)
 }
 
 // left takes in, once, that a client waits no more.
 func (l *Loop) left(o *open) {
 	if !o.gone {
 		o.gone, o.ended = true, true
-		l.decide(brain.ClientGone{Txn: o.t.ID}, o)
+		l.decide(routing.ClientGone{Txn: o.t.ID}, o)
 		l.tidy(o)
 	}
 }
 
-func (l *Loop) arrived(t *txn.Txn) {
+func (l *Loop) arrived(t *request.Txn) {
 	if t.Left() { // while it waited for the loop: there is nothing to decide
 		t.Body.Free()
 		return
 	}
 	if l.open[t.ID] != nil { // the decisions know a txn by its id
 		t.Body.Free()
-		t.To.Answer(t, txn.Answer{Verdict: txn.Rejected, Reason: "id-in-use"})
+		t.To.Answer(t, request.Answer{Verdict: request.Rejected, Reason: "id-in-use"})
 		return
 	}
 	o := &open{t: t}
 	l.open[t.ID] = o
 	l.at(t.Limit+guardAfter.Seconds(), timer{guard: o})
-	l.decide(brain.Arrival{Txn: t.ID, Rule: t.Rule, Object: strings.ToLower(t.Object), Part: t.PartNo, Group: t.Group, Limit: t.Limit,
+	l.decide(routing.Arrival{Txn: t.ID, Rule: t.Rule, Object: strings.ToLower(t.Object), Part: t.PartNo, Group: t.Group, Limit: t.Limit,
 		KB: t.KB, Write: l.Records.Item("uncacheable", t.Rule) == "true"}, o)
 }
 
 // answer gives a txn its final answer, if it had none.
-func (l *Loop) answer(o *open, a txn.Answer) {
+func (l *Loop) answer(o *open, a request.Answer) {
 	if o.ended {
 		a.Body.Free()
 		return
@@ -305,12 +305,12 @@
 	}
 }
 
-var reasons = map[brain.Code]string{brain.Completed: "completed", brain.Errored: "errored", brain.Busy: "busy",
-	brain.TimedOut: "timed-out", brain.NoConnect: "no-connect", brain.Broken: "broken", brain.Cancelled: "cancelled",
-	brain.Moot: "moot", brain.Miss: "miss"}
+var reasons = map[routing.Code]string{routing.Completed: "completed", routing.Errored: "errored", routing.Busy: "busy",
+	routing.TimedOut: "timed-out", routing.NoConnect: "no-connect", routing.Broken: "broken", routing.Cancelled: "cancelled",
+	routing.Moot: "moot", routing.Miss: "miss"}
 
 // ended is the end of a hop. The first completed one answers its txn.
-func (l *Loop) ended(h *hop, end txn.End) {
+func (l *Loop) ended(h *hop, end request.End) {
 	if h.over {
 		end.Body.Free()
 		return
@@ -319,34 +319,34 @@
 	h.over, h.call = true, nil // a call holds the body, and the hop's timer holds the hop
 	o.out--
 	l.Book.Add("hops."+o.t.Name+"."+reasons[end.Code], 1)
-	if end.Code == brain.Completed {
-		l.answer(o, txn.Answer{Verdict: txn.Completed, Reason: "by-a-hop", Tag: end.Tag, Same: end.Same, Body: end.Body})
+	if end.Code == routing.Completed {
+		l.answer(o, request.Answer{Verdict: request.Completed, Reason: "by-a-hop", Tag: end.Tag, Same: end.Same, Body: end.Body})
 	}
 	if l.Saw != nil {
 		l.Saw(h.member, o.t.Rule, end.Code, l.now-h.sent)
 	}
-	l.decide(brain.Outcome{Txn: o.t.ID, Hop: h.no, Member: h.member, Code: end.Code, Remark: end.Remark,
+	l.decide(routing.Outcome{Txn: o.t.ID, Hop: h.no, Member: h.member, Code: end.Code, Remark: end.Remark,
 		Took: l.now - h.sent, Final: o.ended, Load: end.Load}, o)
 	l.tidy(o)
 }
 
-func (l *Loop) checked(c *check, end txn.End) {
+func (l *Loop) checked(c *check, end request.End) {
 	if !c.over {
 		c.over = true
-		l.decide(brain.Checked{Member: c.member, Code: end.Code, Took: l.now - c.sent, Load: end.Load}, nil)
+		l.decide(routing.Checked{Member: c.member, Code: end.Code, Took: l.now - c.sent, Load: end.Load}, nil)
 	}
 }
 
 // decide brings an event to the decisions and carries out what they say, with what follows from that at once.
 // About is the txn that the event is of, if any: it is aborted if the decisions panic.
-func (l *Loop) decide(ev brain.Event, about *open) {
+func (l *Loop) decide(ev routing.Event, about *open) {
 	for _, a := range l.guarded(ev, about) {
 		l.act(a)
 	}
 }
 
 // guarded keeps a panic of the decisions from the process: the stack is logged and the txn aborted.
-func (l *Loop) guarded(ev brain.Event, about *open) (acts []brain.Action) {
+func (l *Loop) guarded(ev routing.Event, about *open) (acts []routing.Action) {
 	defer func() {
 		if p := recover(); p != nil {
 			l.panicked("decisions", fmt.Sprintf("%T", ev), p)
@@ -362,54 +362,54 @@
 
 // abandon aborts a txn that the decisions failed to end, and gives up its hops.
 func (l *Loop) abandon(o *open, reason string) {
-	l.answer(o, txn.Answer{Verdict: txn.Aborted, Reason: reason})
+	l.answer(o, request.Answer{Verdict: request.Aborted, Reason: reason})
 	for _, h := range o.hops {
-		l.undo(h, brain.Cancelled)
+		l.undo(h, routing.Cancelled)
 	}
 	if !o.abandoned {
 		o.abandoned = true
-		l.later(func() { l.decide(brain.ClientGone{Txn: o.t.ID}, o) })
+		l.later(func() { l.decide(routing.ClientGone{Txn: o.t.ID}, o) })
 	}
 }
 
 // act carries out one action.
-func (l *Loop) act(a brain.Action) {
+func (l *Loop) act(a routing.Action) {
 	switch a := a.(type) {
-	case brain.Hop:
+	case routing.Hop:
 		if o := l.open[a.Txn]; o != nil {
 			l.hop(o, a)
 		}
-	case brain.Cancel:
+	case routing.Cancel:
 		if o := l.open[a.Txn]; o != nil && a.Hop >= 0 && a.Hop < len(o.hops) {
-			l.undo(o.hops[a.Hop], brain.Cancelled)
+			l.undo(o.hops[a.Hop], routing.Cancelled)
 		}
-	case brain.Reject:
+	case routing.Reject:
 		if o := l.open[a.Txn]; o != nil {
-			l.answer(o, txn.Answer{Verdict: txn.Rejected, Reason: "decided", Again: a.Again})
+			l.answer(o, request.Answer{Verdict: request.Rejected, Reason: "decided", Again: a.Again})
 		}
-	case brain.Abort:
+	case routing.Abort:
 		if o := l.open[a.Txn]; o != nil {
-			l.answer(o, txn.Answer{Verdict: txn.Aborted, Reason: "decided"})
+			l.answer(o, request.Answer{Verdict: request.Aborted, Reason: "decided"})
 		}
-	case brain.Timer:
+	case routing.Timer:
 		l.at(l.now+a.After, timer{token: a.Token})
-	case brain.Check:
+	case routing.Check:
 		c := &check{member: a.Member, sent: l.now}
 		if c.call = l.Pool.Check(a.Member, c); c.call == nil {
-			l.later(func() { l.checked(c, txn.End{Code: brain.NoConnect}) })
+			l.later(func() { l.checked(c, request.End{Code: routing.NoConnect}) })
 			return
 		}
 		l.at(l.now+l.Pool.Connect.Seconds(), timer{check: c})
-	case brain.Note:
+	case routing.Note:
 		l.Book.Log.Info("note", "text", a.Text)
 	}
 }
 
-func (l *Loop) hop(o *open, a brain.Hop) {
+func (l *Loop) hop(o *open, a routing.Hop) {
 	h := &hop{o: o, no: len(o.hops), member: a.To, sent: l.now}
 	o.hops = append(o.hops, h)
 	o.out++
-	var avoid []*send.Link // what was said of the txn there may be said again
+	var avoid []*upstream.Link // what was said of the txn there may be said again
 	for _, x := range o.hops[:h.no] {
 		if x.link != nil {
 			avoid = append(avoid, x.link)
@@ -419,7 +419,7 @@
 	if a.Until > 0 {
 		until = min(until, a.Until)
 	}
-	d := line.Do{Txn: o.t, Wait: until - l.now, Fill: l.fill(a), Hop: a}
+	d := cacheproto.Do{Txn: o.t, Wait: until - l.now, Fill: l.fill(a), Hop: a}
 	if l.Spend != nil {
 		l.Spend.Sent(l.now, o.t.Rule, a.To, h.no > 0)
 		l.later(l.spare)
@@ -432,7 +432,7 @@
 		h.call = l.Pool.Send(d, avoid, h)
 	}
 	if h.call == nil {
-		l.later(func() { l.ended(h, txn.End{Code: brain.Moot}) })
+		l.later(func() { l.ended(h, request.End{Code: routing.Moot}) })
 		return
 	}
 	h.link = h.call.Link()
@@ -440,12 +440,12 @@
 }
 
 // stuck tells the decisions of hops whose connection is silent while their member answers elsewhere, each once.
-func (l *Loop) stuck(calls []*send.Call) {
+func (l *Loop) stuck(calls []*upstream.Call) {
 	for _, c := range calls {
 		if h, ok := c.Owner.(*hop); ok && !h.over && !h.stuck {
 			h.stuck = true
 			l.Book.Add("reach.stuck", 1)
-			l.decide(brain.Stuck{Txn: h.o.t.ID, Hop: h.no}, h.o)
+			l.decide(routing.Stuck{Txn: h.o.t.ID, Hop: h.no}, h.o)
 		}
 	}
 }
@@ -456,13 +456,13 @@
 		if l.Book.Add("spend.changes", 1); !c.Open {
 			l.Book.Add("spend.spent", 1)
 		}
-		l.decide(brain.Spare{Rule: c.Rule, Member: c.Member, Left: c.Open}, nil)
+		l.decide(routing.Spare{Rule: c.Rule, Member: c.Member, Left: c.Open}, nil)
 	}
 }
 
 // fill is the source as the members hear it: a cache that is its own source fills nothing and none is named; a
 // parent or the origin is named all the same.
-func (l *Loop) fill(a brain.Hop) string {
+func (l *Loop) fill(a routing.Hop) string {
 	kind := l.kinds[a.To]
 	if a.Source == a.To && kind != int(l.Records.Num("parent_kind", -1)) && kind != int(l.Records.Num("origin_kind", -1)) {
 		return ""
@@ -472,13 +472,13 @@
 
 // undo gives a hop up. Its end is heard once its member has been told; that of a hop which its member can't know of
 // after the actions in hand are done.
-func (l *Loop) undo(h *hop, code brain.Code) {
+func (l *Loop) undo(h *hop, code routing.Code) {
 	if h.over || h.undone || h.call == nil { // without a call its end is on the way
 		return
 	}
 	h.undone = true
 	if code, atOnce := l.Pool.Undo(h.call, code); atOnce {
-		l.later(func() { l.ended(h, txn.End{Code: code}) })
+		l.later(func() { l.ended(h, request.End{Code: code}) })
 	}
 }
 
@@ -517,11 +517,11 @@
 		case t.then != nil:
 			t.then()
 		case t.hop != nil:
-			l.undo(t.hop, brain.TimedOut)
+			l.undo(t.hop, routing.TimedOut)
 		case t.check != nil:
 			if !t.check.over {
-				l.Pool.Undo(t.check.call, brain.TimedOut)
-				l.checked(t.check, txn.End{Code: brain.TimedOut})
+				l.Pool.Undo(t.check.call, routing.TimedOut)
+				l.checked(t.check, request.End{Code: routing.TimedOut})
 			}
 		case t.guard != nil:
 			if !t.guard.ended {
@@ -529,7 +529,7 @@
 				l.abandon(t.guard, "overdue")
 			}
 		default:
-			l.decide(brain.Bell{Token: t.token}, nil)
+			l.decide(routing.Bell{Token: t.token}, nil)
 		}
 	}
 }
--- /dev/null
+++ b/internal/dispatch/route_test.go
@@ -0,0 +1,262 @@
+package dispatch
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"cairnfront/internal/admission"
+	"cairnfront/internal/discovery"
+	"cairnfront/internal/frontend"
+	"cairnfront/internal/request"
+	"cairnfront/internal/telemetry"
+	"cairnfront/internal/upstream"
+	"cairnfront/routing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// script stands for the decisions: it keeps what it hears and says what it was given for that.
+type script struct {
+	heard []routing.Event
+	at    []float64
+	says  func(routing.Event) []routing.Action
+}
+
+func (s *script) Decide(now float64, ev routing.Event) []routing.Action {
+	s.heard, s.at = append(s.heard, ev), append(s.at, now)
+	if s.says == nil {
+		return nil
+	}
+	return s.says(ev)
+}
+
+// outlet keeps the answers.
+type outlet struct{ answers []request.Answer }
+
+func (o *outlet) Answer(_ *request.Txn, a request.Answer) bool {
+	o.answers = append(o.answers, a)
+	return true
+}
+
+// stage is a loop at clock 100 whose members never come up, a txn, and where its answers go.
+func stage(t *testing.T, says func(routing.Event) []routing.Action) (*Loop, *script, *request.Txn, *outlet, *bytes.Buffer) {
+	s, o, log := &script{says: says}, &outlet{}, &bytes.Buffer{}
+	k := telemetry.New(log, "")
+	ctx, cancel := context.WithCancel(t.Context())
+	p := &upstream.Pool{Gate: admission.New(64, 256), Book: k, Connect: time.Hour, Streams: 4, Post: func(any) {},
+		Dial: func(ctx context.Context, _ string) (net.Conn, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}}
+	p.Start(ctx)
+	t.Cleanup(func() {
+		cancel()
+		assert.NoError(t, p.Wait())
+	})
+	l := New(s, routing.Records{"uncacheable": "false,true", "parent_kind": "1", "origin_kind": "2"}, p, k)
+	l.Clock = func() float64 { return 100 }
+	l.Known([]discovery.Event{{Full: true, Rows: []discovery.Row{{Addr: "c", Row: routing.Row{Member: "c"}}, {Addr: "o", Row: routing.Row{Member: "o", Kind: 2}}}}})
+	return l, s, &request.Txn{ID: "ab", Name: "page", Rule: 1, Object: "FF", Limit: 105, To: o}, o, log
+}
+
+// hopOn is what the decisions say to an arrival; all else is answered with more.
+func hopOn(more ...routing.Action) func(routing.Event) []routing.Action {
+	return func(ev routing.Event) []routing.Action {
+		if _, ok := ev.(routing.Arrival); ok {
+			return []routing.Action{routing.Hop{Txn: "ab", To: "c", Source: "o"}}
+		}
+		return more
+	}
+}
+
+func TestEventsKeepOrderAndClock(t *testing.T) {
+	l, s, x, _, _ := stage(t, nil)
+	l.Hear(x)
+	l.Clock = func() float64 { return 99 }
+	l.Hear(discovery.Event{Purged: true, Object: "ff", At: 98})
+	l.Hear(discovery.Event{Rows: []discovery.Row{{Row: routing.Row{Member: "c", Status: routing.Draining}}}})
+	l.Hear(frontend.Left{Txn: x})
+	assert.Equal(t, []routing.Event{
+		routing.Listing{Kind: routing.Saved, Rows: []routing.Row{{Member: "c"}, {Member: "o", Kind: 2}}},
+		routing.Arrival{Txn: "ab", Rule: 1, Object: "ff", Limit: 105, Write: true}, routing.Purge{Ago: 2, Object: "ff"},
+		routing.Listing{Rows: []routing.Row{{Member: "c", Status: routing.Draining}}}, routing.ClientGone{Txn: "ab"}}, s.heard)
+	assert.Equal(t, []float64{100, 100, 100, 100, 100}, s.at, "the clock never goes back")
+	assert.Empty(t, l.open)
+}
+
+func TestFirstCompletedHopAnswers(t *testing.T) {
+	l, s, x, o, _ := stage(t, hopOn())
+	l.Hear(x)
+	call := l.open["ab"].hops[0].call
+	end := request.End{Code: routing.Completed, Tag: "t", Remark: routing.Hit, Body: &request.Body{Bytes: []byte("x")}}
+	l.Hear(upstream.Ended{Call: call, End: end})
+	l.Hear(upstream.Ended{Call: call, End: end})
+	assert.Equal(t, []request.Answer{{Verdict: request.Completed, Reason: "by-a-hop", Tag: "t", Body: end.Body}}, o.answers)
+	assert.Equal(t, routing.Outcome{Txn: "ab", Member: "c", Code: routing.Completed, Remark: routing.Hit, Final: true}, s.heard[2])
+	assert.Len(t, s.heard, 3, "a second end is not heard")
+	assert.Empty(t, l.open)
+}
+
+func TestHopEndsAtItsTime(t *testing.T) {
+	l, s, x, _, _ := stage(t, func(ev routing.Event) []routing.Action {
+		if _, ok := ev.(routing.Arrival); ok {
+			return []routing.Action{routing.Hop{Txn: "ab", To: "c", Until: 101}, routing.Hop{Txn: "ab", To: "c", Until: 99}, routing.Hop{Txn: "ab", To: "x"}}
+		}
+		return nil
+	})
+	l.Hear(x)
+	l.ring()
+	l.Clock = func() float64 { return 101.5 }
+	l.ring()
+	l.ring()
+	var ends []routing.Event
+	for _, i := range []int{1, 2, 0} { // of the two that could not be sent, then of the one that never came up
+		ends = append(ends, routing.Outcome{Txn: "ab", Hop: i, Member: []string{"c", "c", "x"}[i], Code: routing.Moot, Took: []float64{1.5, 0, 0}[i]})
+	}
+	assert.Equal(t, ends, s.heard[2:])
+	assert.Equal(t, 0, l.open["ab"].out)
+}
+
+func TestCancelOfWhatWasNeverWrittenIsMoot(t *testing.T) {
+	l, s, x, o, _ := stage(t, func(ev routing.Event) []routing.Action {
+		switch ev.(type) {
+		case routing.Arrival:
+			return []routing.Action{routing.Hop{Txn: "ab", To: "c"}, routing.Timer{After: 1, Token: 7}}
+		case routing.Bell:
+			return []routing.Action{routing.Cancel{Txn: "ab"}, routing.Reject{Txn: "ab", Again: 2}, routing.Abort{Txn: "ab"}, routing.Cancel{Txn: "ab", Hop: 9}}
+		}
+		return nil
+	})
+	l.Hear(x)
+	l.Clock = func() float64 { return 101 }
+	l.ring()
+	assert.Equal(t, []request.Answer{{Verdict: request.Rejected, Reason: "decided", Again: 2}}, o.answers, "one answer and no more")
+	assert.Equal(t, []routing.Event{routing.Bell{Token: 7}, routing.Outcome{Txn: "ab", Member: "c", Code: routing.Moot, Took: 1, Final: true}}, s.heard[2:])
+	assert.Empty(t, l.open)
+}
+
+func TestPanicCostsOneTxn(t *testing.T) {
+	l, s, x, o, log := stage(t, func(ev routing.Event) []routing.Action {
+		if _, ok := ev.(routing.Arrival); ok {
+			return []routing.Action{routing.Hop{Txn: "ab", To: "c"}}
+		}
+		panic(errors.New("a fault"))
+	})
+	l.Hear(x)
+	l.Hear(upstream.Ended{Call: l.open["ab"].hops[0].call, End: request.End{Code: routing.Busy}})
+	l.ring()
+	assert.Equal(t, []request.Answer{{Verdict: request.Aborted, Reason: "panic"}}, o.answers)
+	assert.Contains(t, log.String(), "a fault")
+	assert.Contains(t, log.String(), "route_test.go", "with the stack")
+	assert.Empty(t, l.open)
+	assert.Equal(t, routing.ClientGone{Txn: "ab"}, s.heard[len(s.heard)-1])
+}
+
+func TestLoopOutlivesItsOwnPanic(t *testing.T) {
+	l, _, x, o, log := stage(t, nil)
+	x.To = nil
+	l.safely(func() { l.Hear(x); l.answer(l.open["ab"], request.Answer{}) })
+	assert.Contains(t, log.String(), "where=route")
+	assert.EqualValues(t, 1, l.Book.Count("panics"))
+	l.Hear(&request.Txn{ID: "cd", To: o})
+	assert.Len(t, l.open, 2)
+}
+
+func TestTxnThatTheDecisionsForgetIsAborted(t *testing.T) {
+	l, _, x, o, _ := stage(t, hopOn())
+	l.Hear(x)
+	l.Clock = func() float64 { return 105.01 }
+	l.ring()
+	assert.Empty(t, o.answers, "its own time is up, the client's not surely")
+	l.Clock = func() float64 { return 105.021 }
+	l.ring()
+	assert.Equal(t, []request.Answer{{Verdict: request.Aborted, Reason: "overdue"}}, o.answers)
+	assert.Empty(t, l.open)
+}
+
+func TestIdInUseIsRejected(t *testing.T) {
+	l, _, x, o, _ := stage(t, hopOn())
+	l.Hear(x)
+	twin := *x
+	l.Hear(&twin)
+	l.Hear(frontend.Left{Txn: &twin})
+	assert.Equal(t, []request.Answer{{Verdict: request.Rejected, Reason: "id-in-use"}}, o.answers)
+	assert.Equal(t, x, l.open["ab"].t, "the first one goes on")
+	l.Hear(Abandon{})
+	assert.Equal(t, request.Aborted, o.answers[1].Verdict)
+}
+
+func TestCheckEndsOnce(t *testing.T) {
+	l, s, _, _, _ := stage(t, nil)
+	l.Pool.Connect = time.Second
+	l.act(routing.Check{Member: "c"})
+	l.act(routing.Check{Member: "x"})
+	l.ring()
+	assert.Equal(t, routing.Checked{Member: "x", Code: routing.NoConnect}, s.heard[1])
+	l.Clock = func() float64 { return 101 }
+	l.ring()
+	assert.Equal(t, []routing.Event{routing.Checked{Member: "c", Code: routing.TimedOut, Took: 1}}, s.heard[2:])
+}
+
+func TestOnlyACacheIsNotNamedAsItsOwnSource(t *testing.T) {
+	l, _, x, _, _ := stage(t, nil)
+	l.Hear(x)
+	for to, want := range map[string]string{"c": "", "o": "o"} {
+		assert.Equal(t, want, l.fill(routing.Hop{To: to, Source: to}))
+	}
+	assert.Equal(t, "o", l.fill(routing.Hop{To: "c", Source: "o"}))
+}
+
+// TestNoAttemptOnceTheClientLeft: though the news of it is still in the queue, neither a first nor a further hop is sent, and
+// the decisions hear that the client is gone before they hear how that hop ended.
+func TestNoAttemptOnceTheClientLeft(t *testing.T) {
+	l, s, x, o, _ := stage(t, func(ev routing.Event) []routing.Action {
+		switch ev := ev.(type) {
+		case routing.Arrival:
+			return []routing.Action{routing.Hop{Txn: "ab", To: "c"}}
+		case routing.Outcome:
+			if ev.Hop == 0 {
+				return []routing.Action{routing.Hop{Txn: "ab", To: "o"}}
+			}
+		}
+		return nil
+	})
+	l.Hear(x)
+	x.Leave()
+	l.Hear(upstream.Ended{Call: l.open["ab"].hops[0].call, End: request.End{Code: routing.Busy}})
+	assert.Nil(t, l.open["ab"].hops[1].call)
+	l.ring()
+	assert.Equal(t, []routing.Event{routing.Outcome{Txn: "ab", Member: "c", Code: routing.Busy}, routing.ClientGone{Txn: "ab"},
+		routing.Outcome{Txn: "ab", Hop: 1, Member: "o", Code: routing.Moot, Final: true}}, s.heard[2:])
+	l.Hear(frontend.Left{Txn: x})
+	assert.Len(t, s.heard, 5, "it is heard once")
+	assert.Empty(t, l.open)
+	assert.Empty(t, o.answers)
+	y := &request.Txn{ID: "cd", To: o}
+	y.Leave()
+	l.Hear(y)
+	assert.Len(t, s.heard, 5, "of one that left in the queue nothing is decided")
+}
+
+// TestLeaversGoBeforeAFullQueue: neither who tells of them waits, nor the decisions hear of them after what was queued before.
+func TestLeaversGoBeforeAFullQueue(t *testing.T) {
+	l, s, x, _, _ := stage(t, hopOn())
+	l.Hear(x)
+	for l.Offer(discovery.Event{Purged: true, Object: "ff", At: 98}) {
+	}
+	l.Post(frontend.Left{Txn: x})
+	ctx, cancel := context.WithCancel(t.Context())
+	heard := len(s.heard)
+	s.says = func(ev routing.Event) []routing.Action {
+		if _, ok := ev.(routing.Purge); ok {
+			cancel()
+		}
+		return nil
+	}
+	assert.NoError(t, l.Run(ctx))
+	assert.Equal(t, routing.ClientGone{Txn: "ab"}, s.heard[heard], "before the first of the queue")
+}
--- a/internal/box/box.go
+++ b/internal/edgecache/box.go
@@ -1,7 +1,7 @@
 // Package box is a cache box of the product on sockets: the far side of the routers' lines, memory over a disk, fills
 // from the source that the router names. What it does with each txn is decided in box/desk, what the disk keeps and
 // what is believed in the tier; here that is carried out and each end told truly.
-package box
+package edgecache
 
 import (
 	"context"
@@ -14,27 +14,27 @@
 	"sync/atomic"
 	"time"
 
-	"cairnfront/brain"
-	"cairnfront/internal/admit"
-	"cairnfront/internal/board"
-	"cairnfront/internal/book"
-	"cairnfront/internal/box/desk"
-	"cairnfront/internal/box/machine"
-	"cairnfront/internal/conn"
-	"cairnfront/internal/line"
-	"cairnfront/internal/operators"
-	"cairnfront/internal/send"
-	"cairnfront/internal/tier"
-	"cairnfront/internal/tier/keep"
-	"cairnfront/internal/tier/trust"
-	"cairnfront/internal/txn"
+	"cairnfront/internal/admission"
+	"cairnfront/internal/cacheproto"
+	"cairnfront/internal/config"
+	"cairnfront/internal/discovery"
+	"cairnfront/internal/diskcache"
+	"cairnfront/internal/diskcache/eviction"
+	"cairnfront/internal/diskcache/validity"
+	"cairnfront/internal/edgecache/capacity"
+	"cairnfront/internal/edgecache/handler"
+	"cairnfront/internal/netconn"
+	"cairnfront/internal/request"
+	"cairnfront/internal/telemetry"
+	"cairnfront/internal/upstream"
+	"cairnfront/routing"
 
 	"golang.org/x/sync/errgroup"
 )
 
 // Resources of the shell.
 const (
-	mostBody   = line.MostBody
+	mostBody   = cacheproto.MostBody
 	queued     = 4096
 	tickEvery  = 20 * time.Millisecond
 	ringSize   = 16 << 10
@@ -45,37 +45,37 @@
 
 // believer tells what may be believed: the tier, or the same without a disk.
 type believer interface {
-	Judge(trust.Copy) trust.Verdict
+	Judge(validity.Copy) validity.Verdict
 	Doubts() uint16
 	Ask() uint64
 	Following() (uint64, bool)
 	Connected()
-	Hear(trust.Notice) bool
+	Hear(validity.Notice) bool
 }
 
 // Box is one. Fields are set before Run.
 type Box struct {
-	Plan   operators.Box
-	Book   *book.Book
-	Disk   *tier.Tier // nil for none
-	Origin Origin     // of an origin
+	Plan   config.Box
+	Book   *telemetry.Book
+	Disk   *diskcache.Tier // nil for none
+	Origin Origin          // of an origin
 
 	// For the laboratory, where set: what was asked, and how many bytes were given under which id.
-	Saw  func(line.Asked)
+	Saw  func(cacheproto.Asked)
 	Gave func(id string, bytes int)
 
-	rules   map[string]operators.Rule
+	rules   map[string]config.Rule
 	trust   believer
-	desk    *desk.Desk
-	pool    *send.Pool
-	machine machine.Machine
+	desk    *handler.Desk
+	pool    *upstream.Pool
+	machine capacity.Machine
 	now     func() time.Time
 
 	in     chan any
 	gone   chan struct{}
 	number uint64
 	open   map[uint64]*asked
-	calls  map[uint64]*send.Call // of fills
+	calls  map[uint64]*upstream.Call // of fills
 	conns  atomic.Int64
 	first  atomic.Bool
 }
@@ -84,15 +84,15 @@
 type asked struct {
 	no   uint64
 	peer *peer
-	line line.Asked
-	key  keep.Key
-	body *txn.Body
+	line cacheproto.Asked
+	key  eviction.Key
+	body *request.Body
 	sent bool
 }
 
 // peer is a connection of an asker.
 type peer struct {
-	c    *conn.Conn
+	c    *netconn.Conn
 	ids  map[string]*asked // owned by the loop
 	over bool              // owned by the loop
 
@@ -120,32 +120,32 @@
 		load bool
 	}
 	fromDisk struct {
-		key keep.Key
-		c   *desk.Copy
+		key eviction.Key
+		c   *handler.Copy
 	}
 	due   struct{ then func() }
-	moved struct{ ev board.Event }
+	moved struct{ ev discovery.Event }
 )
 
 // Run serves on a listener until the context ends, then gives open txns their time.
 func (b *Box) Run(ctx context.Context, ln net.Listener) error {
 	b.now = time.Now
-	b.rules = map[string]operators.Rule{}
+	b.rules = map[string]config.Rule{}
 	for _, r := range b.Plan.Rules {
 		b.rules[r.Name] = r
 	}
-	b.in, b.gone, b.open, b.calls = make(chan any, queued), make(chan struct{}), map[uint64]*asked{}, map[uint64]*send.Call{}
+	b.in, b.gone, b.open, b.calls = make(chan any, queued), make(chan struct{}), map[uint64]*asked{}, map[uint64]*upstream.Call{}
 	if b.trust = newBare(b.now); b.Disk != nil {
 		b.trust = b.Disk
 	}
 	b.first.Store(true)
 	e := b.Plan.Emulate
-	b.machine = machine.Machine{Started: seconds(b.now()), Numbers: machine.Numbers{Cores: e.Cores, Work: e.WorkMS / 1000,
+	b.machine = capacity.Machine{Started: seconds(b.now()), Numbers: capacity.Numbers{Cores: e.Cores, Work: e.WorkMS / 1000,
 		Link: e.LinkKBS, Latency: e.LatencyMS / 1000, ColdShare: e.ColdShare, Cold: e.ColdS}}
 	memory := int64(b.Plan.MemoryMB * (1 << 20))
-	b.desk = desk.New(b, desk.Bounds{Memory: memory, Fills: b.Plan.Fills, FillWait: float64(b.Plan.FillWait)})
-	gate := admit.New(max(int(b.Plan.MemoryMB), memberMB), max(b.Plan.Connections, 64))
-	b.pool = &send.Pool{Gate: gate, Book: b.Book, Post: b.post, Connect: connectFor, Idle: b.Plan.IdleClose.Duration(), Streams: 32}
+	b.desk = handler.New(b, handler.Bounds{Memory: memory, Fills: b.Plan.Fills, FillWait: float64(b.Plan.FillWait)})
+	gate := admission.New(max(int(b.Plan.MemoryMB), memberMB), max(b.Plan.Connections, 64))
+	b.pool = &upstream.Pool{Gate: gate, Book: b.Book, Post: b.post, Connect: connectFor, Idle: b.Plan.IdleClose.Duration(), Streams: 32}
 
 	// What serves ends in steps: first the listener, then what is open, then all else.
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -160,7 +160,7 @@
 	}
 	g.Go(func() error { return b.loop(serving) })
 	if b.Plan.Board != "" {
-		news := &board.Client{Addr: b.Plan.Board, Book: b.Book, Raw: b.notice, From: b.from}
+		news := &discovery.Client{Addr: b.Plan.Board, Book: b.Book, Raw: b.notice, From: b.from}
 		g.Go(func() error { return news.Run(serving) })
 	}
 	var peers sync.WaitGroup
@@ -259,16 +259,16 @@
 		if ev.load {
 			load = "inflight:" + strconv.Itoa(len(b.open)) + ";util:" + strconv.FormatFloat(b.machine.Busy(now), 'f', 3, 64)
 		}
-		ev.p.say(item{head: line.AppendChecked(nil, ev.tag, true, load)})
+		ev.p.say(item{head: cacheproto.AppendChecked(nil, ev.tag, true, load)})
 	case fromDisk:
 		b.carry(b.desk.DiskRead(now, ev.key, ev.c))
 	case due:
 		ev.then()
 	case moved:
 		b.pool.List(ev.ev.Full, ev.ev.Rows)
-	case send.Ended:
+	case upstream.Ended:
 		b.fetched(now, ev)
-	case send.Dropped:
+	case upstream.Dropped:
 		b.pool.Drop(ev.Link)
 	}
 }
@@ -280,7 +280,7 @@
 		a.body.Free()
 		if !p.over {
 			b.Book.Add("box.turned-away", 1)
-			p.say(item{head: line.AppendReply(nil, a.line.ID, line.Reply{Code: brain.Busy})})
+			p.say(item{head: cacheproto.AppendReply(nil, a.line.ID, cacheproto.Reply{Code: routing.Busy})})
 		}
 		return
 	}
@@ -294,13 +294,13 @@
 	rule, known := b.rules[a.line.Name]
 	if !known {
 		b.Book.Add("box.unknown-rule", 1)
-		b.finish(a, line.Reply{Code: brain.Errored}, nil)
+		b.finish(a, cacheproto.Reply{Code: routing.Errored}, nil)
 		return
 	}
 	done, ok := b.machine.Do(now)
 	if !ok {
 		b.Book.Add("box.overload", 1)
-		b.finish(a, line.Reply{Code: brain.Busy}, nil)
+		b.finish(a, cacheproto.Reply{Code: routing.Busy}, nil)
 		return
 	}
 	b.after(done, func() {
@@ -318,7 +318,7 @@
 		if source == b.Plan.ID {
 			source = ""
 		}
-		b.carry(b.desk.Ask(seconds(b.now()), desk.Txn{ID: a.no, Key: a.key, Rule: desk.Rule{Name: rule.Name, Kept: rule.Kept, Fresh: rule.FreshS, Stale: rule.StaleS},
+		b.carry(b.desk.Ask(seconds(b.now()), handler.Txn{ID: a.no, Key: a.key, Rule: handler.Rule{Name: rule.Name, Kept: rule.Kept, Fresh: rule.FreshS, Stale: rule.StaleS},
 			Until: now + a.line.Wait, Source: source, Rank: a.line.Rank, MaxAge: a.line.MaxAge, Join: a.line.Join, NoFetch: a.line.NoFetch,
 			NoTrace: a.line.NoTrace, Renew: a.line.Renew, Tag: a.line.Tag}))
 	})
@@ -333,26 +333,26 @@
 	then()
 }
 
-func (b *Box) originate(a *asked, rule operators.Rule) {
+func (b *Box) originate(a *asked, rule config.Rule) {
 	if !rule.Kept {
 		err := b.Origin.Run(a.line.ID, a.line.Name, a.line.Key, a.key, rule.Effect)
 		if err != nil {
-			b.finish(a, line.Reply{Code: brain.Errored}, nil)
+			b.finish(a, cacheproto.Reply{Code: routing.Errored}, nil)
 			return
 		}
 		b.Book.Add("box.ran", 1)
-		b.finish(a, line.Reply{Code: brain.Completed}, nil)
+		b.finish(a, cacheproto.Reply{Code: routing.Completed}, nil)
 		return
 	}
 	dated := b.now().UnixMilli()
 	tag, group, body, ok := b.Origin.Give(a.key)
 	switch {
 	case !ok:
-		b.finish(a, line.Reply{Code: brain.Miss}, nil)
+		b.finish(a, cacheproto.Reply{Code: routing.Miss}, nil)
 	case tag == a.line.Tag:
-		b.finish(a, line.Reply{Code: brain.Completed, Same: true, Remark: brain.Hit, Tag: tag, Dated: dated, Group: int(group)}, nil)
+		b.finish(a, cacheproto.Reply{Code: routing.Completed, Same: true, Remark: routing.Hit, Tag: tag, Dated: dated, Group: int(group)}, nil)
 	default:
-		b.finish(a, line.Reply{Code: brain.Completed, Remark: brain.Hit, Tag: tag, Dated: dated, Group: int(group)}, body)
+		b.finish(a, cacheproto.Reply{Code: routing.Completed, Remark: routing.Hit, Tag: tag, Dated: dated, Group: int(group)}, body)
 	}
 }
 
@@ -372,7 +372,7 @@
 }
 
 // finish ends a txn with an answer; its bytes go out when the machine that is played has sent them.
-func (b *Box) finish(a *asked, r line.Reply, body []byte) {
+func (b *Box) finish(a *asked, r cacheproto.Reply, body []byte) {
 	if b.open[a.no] != a || a.sent {
 		return
 	}
@@ -388,41 +388,41 @@
 			b.Gave(a.line.ID, len(body))
 		}
 		b.close(a)
-		a.peer.say(item{head: line.AppendReply(nil, a.line.ID, r), body: body})
+		a.peer.say(item{head: cacheproto.AppendReply(nil, a.line.ID, r), body: body})
 	})
 }
 
-var codes = map[brain.Code]string{brain.Completed: "completed", brain.Errored: "errored", brain.Busy: "busy", brain.Miss: "miss"}
-var remarks = map[brain.Remark]string{brain.Hit: ".hit", brain.Filled: ".filled", brain.Joined: ".joined", brain.Old: ".old"}
+var codes = map[routing.Code]string{routing.Completed: "completed", routing.Errored: "errored", routing.Busy: "busy", routing.Miss: "miss"}
+var remarks = map[routing.Remark]string{routing.Hit: ".hit", routing.Filled: ".filled", routing.Joined: ".joined", routing.Old: ".old"}
 
 // carry carries out what the desk says.
-func (b *Box) carry(acts []desk.Action) {
-	for _, a := range append([]desk.Action(nil), acts...) { // carrying one out may ask the desk again
+func (b *Box) carry(acts []handler.Action) {
+	for _, a := range append([]handler.Action(nil), acts...) { // carrying one out may ask the desk again
 		switch a := a.(type) {
-		case desk.Answer:
+		case handler.Answer:
 			b.answer(a)
-		case desk.Read:
+		case handler.Read:
 			go b.read(a.Key) // as many as there are txns at the most; the tier bounds the wait
-		case desk.Fetch:
+		case handler.Fetch:
 			b.fetch(a)
-		case desk.Abandon:
+		case handler.Abandon:
 			if call := b.calls[a.Fill]; call != nil {
 				delete(b.calls, a.Fill)
-				b.pool.Undo(call, brain.Cancelled)
+				b.pool.Undo(call, routing.Cancelled)
 			}
-		case desk.Keep:
+		case handler.Keep:
 			if b.Disk != nil && a.Copy.Tag != "" {
 				b.Disk.Offer(about(a.Copy), a.Copy.Body, a.Doubts)
 			}
-		case desk.Used:
+		case handler.Used:
 			if b.Disk != nil && a.Copy.Tag != "" {
 				b.Disk.Used(about(a.Copy), a.Copy.Body, a.Copy.Confirmed)
 			}
-		case desk.Forget:
+		case handler.Forget:
 			if b.Disk != nil {
 				b.Disk.Drop(a.Key)
 			}
-		case desk.Confirm:
+		case handler.Confirm:
 			if b.Disk != nil {
 				b.Disk.Confirmed(a.Key, a.Seq, a.Doubts)
 			}
@@ -431,16 +431,16 @@
 	}
 }
 
-func about(c *desk.Copy) tier.Meta {
-	return tier.Meta{Key: c.Key, Group: c.Group, Rank: uint8(c.Rank), Dated: c.Dated, Tag: c.Tag}
+func about(c *handler.Copy) diskcache.Meta {
+	return diskcache.Meta{Key: c.Key, Group: c.Group, Rank: uint8(c.Rank), Dated: c.Dated, Tag: c.Tag}
 }
 
-func (b *Box) answer(a desk.Answer) {
+func (b *Box) answer(a handler.Answer) {
 	x := b.open[a.Txn]
 	if x == nil {
 		return
 	}
-	r := line.Reply{Code: a.Code, Remark: a.Remark, Same: a.Same, Group: line.UnknownGroup}
+	r := cacheproto.Reply{Code: a.Code, Remark: a.Remark, Same: a.Same, Group: cacheproto.UnknownGroup}
 	var body []byte
 	if c := a.Copy; c != nil {
 		r.Tag, r.Dated, r.Group = c.Tag, c.Dated, int(c.Group)
@@ -452,26 +452,26 @@
 }
 
 // read brings a part from the disk.
-func (b *Box) read(k keep.Key) {
+func (b *Box) read(k eviction.Key) {
 	part, verdict, err := b.Disk.Get(k)
-	if err != nil || verdict == trust.Void {
+	if err != nil || verdict == validity.Void {
 		b.post(fromDisk{k, nil})
 		return
 	}
-	b.post(fromDisk{k, &desk.Copy{Key: k, Tag: part.Tag, Dated: part.Dated, Group: part.Group, Rank: int(part.Rank), Seq: part.Seq,
+	b.post(fromDisk{k, &handler.Copy{Key: k, Tag: part.Tag, Dated: part.Dated, Group: part.Group, Rank: int(part.Rank), Seq: part.Seq,
 		Confirmed: part.Confirmed, Body: part.Body}})
 }
 
 // fetch asks a source.
-func (b *Box) fetch(f desk.Fetch) {
-	t := &txn.Txn{ID: fmt.Sprintf("%s-%x", b.Plan.ID[2:], f.Fill), Name: f.Rule, Object: fmt.Sprintf("%016x", f.Key.Object), Part: strconv.Itoa(int(f.Key.Part)), Tag: f.Tag}
+func (b *Box) fetch(f handler.Fetch) {
+	t := &request.Txn{ID: fmt.Sprintf("%s-%x", b.Plan.ID[2:], f.Fill), Name: f.Rule, Object: fmt.Sprintf("%016x", f.Key.Object), Part: strconv.Itoa(int(f.Key.Part)), Tag: f.Tag}
 	if a := b.open[f.Txn]; a != nil {
 		t.Key, t.Body = a.line.Key, a.body
 	}
-	call := b.pool.Send(line.Do{Txn: t, Wait: f.Wait, Hop: brain.Hop{To: f.Source, Rank: f.Rank, MaxAge: f.MaxAge, Join: f.Join,
+	call := b.pool.Send(cacheproto.Do{Txn: t, Wait: f.Wait, Hop: routing.Hop{To: f.Source, Rank: f.Rank, MaxAge: f.MaxAge, Join: f.Join,
 		NoFetch: f.NoFetch, NoTrace: f.NoTrace}}, nil, f.Fill)
 	if call == nil {
-		b.post(due{func() { b.carry(b.desk.Fetched(seconds(b.now()), f.Fill, desk.End{Code: brain.Moot})) }})
+		b.post(due{func() { b.carry(b.desk.Fetched(seconds(b.now()), f.Fill, handler.End{Code: routing.Moot})) }})
 		return
 	}
 	b.Book.Add("box.fetches", 1)
@@ -479,14 +479,14 @@
 }
 
 // fetched is the end of a call.
-func (b *Box) fetched(now float64, ev send.Ended) {
+func (b *Box) fetched(now float64, ev upstream.Ended) {
 	no, _ := ev.Call.Owner.(uint64)
 	if b.calls[no] == nil {
 		ev.End.Body.Free()
 		return
 	}
 	delete(b.calls, no)
-	e := desk.End{Code: ev.End.Code, Same: ev.End.Same, Tag: ev.End.Tag, Dated: ev.End.Dated, Group: trust.UnknownGroup}
+	e := handler.End{Code: ev.End.Code, Same: ev.End.Same, Tag: ev.End.Tag, Dated: ev.End.Dated, Group: validity.UnknownGroup}
 	if ev.End.Group > 0 {
 		e.Group = uint16(ev.End.Group - 1)
 	}
@@ -499,13 +499,13 @@
 }
 
 // Judge, Doubts and OnDisk make a box the desk's world.
-func (b *Box) Judge(c trust.Copy) trust.Verdict { return b.trust.Judge(c) }
+func (b *Box) Judge(c validity.Copy) validity.Verdict { return b.trust.Judge(c) }
 
 // Doubts implements desk.World.
 func (b *Box) Doubts() uint16 { return b.trust.Doubts() }
 
 // OnDisk implements desk.World.
-func (b *Box) OnDisk(k keep.Key) bool { return b.Disk != nil && b.Disk.Has(k) }
+func (b *Box) OnDisk(k eviction.Key) bool { return b.Disk != nil && b.Disk.Has(k) }
 
 // from says after which number the board is asked: at a start for all, for the list of members is not kept; later
 // for the last event once more.
@@ -518,7 +518,7 @@
 }
 
 // notice takes an event of the board.
-func (b *Box) notice(ev board.Event) error {
+func (b *Box) notice(ev discovery.Event) error {
 	if len(ev.Rows) > 0 {
 		b.post(moved{ev})
 	}
@@ -528,7 +528,7 @@
 	if number, linked := b.trust.Following(); !linked && !ev.Beat && ev.Number < number {
 		return nil // heard before: only the list was wanted
 	}
-	n := trust.Notice{Number: ev.Number, Sum: ev.Sum, Beat: ev.Beat, Purge: ev.Purged, All: ev.Purged && ev.Object == "",
+	n := validity.Notice{Number: ev.Number, Sum: ev.Sum, Beat: ev.Beat, Purge: ev.Purged, All: ev.Purged && ev.Object == "",
 		Group: uint16(ev.Group), At: int64(ev.At*1000 + 0.5)}
 	if n.Purge && !n.All {
 		n.Object, _ = strconv.ParseUint(ev.Object, 16, 64)
@@ -536,7 +536,7 @@
 	if b.trust.Hear(n) {
 		b.Book.Add("box.board-anew", 1)
 		b.Book.Log.Warn("box", "code", "board-anew", "event", ev.Number)
-		return board.ErrGap
+		return discovery.ErrGap
 	}
 	if n.Purge {
 		b.Book.Add("box.purges", 1)
@@ -572,10 +572,10 @@
 
 // serve follows one connection.
 func (b *Box) serve(ctx context.Context, raw net.Conn) {
-	p := &peer{c: conn.New(raw, ringSize, writeStall), ids: map[string]*asked{}, wake: make(chan struct{}, 1)}
+	p := &peer{c: netconn.New(raw, ringSize, writeStall), ids: map[string]*asked{}, wake: make(chan struct{}, 1)}
 	who := p.c.Peer()
 	ctx, cancel := context.WithCancel(ctx)
-	stop := context.AfterFunc(ctx, func() { p.c.End(conn.Shutdown, nil) })
+	stop := context.AfterFunc(ctx, func() { p.c.End(netconn.Shutdown, nil) })
 	var both sync.WaitGroup
 	run := func(f func() (string, error)) {
 		both.Go(func() {
@@ -584,7 +584,7 @@
 				if x := recover(); x != nil {
 					b.Book.Add("panics", 1)
 					b.Book.Log.Error("panic", "where", "asker", "what", fmt.Sprint(x), "stack", string(debug.Stack()))
-					p.c.End(conn.Panic, nil)
+					p.c.End(netconn.Panic, nil)
 				}
 			}()
 			p.c.End(f())
@@ -601,44 +601,44 @@
 // listen reads commands.
 func (b *Box) listen(ctx context.Context, p *peer) (string, error) {
 	idle := b.Plan.IdleClose.Duration()
-	tail := make([]byte, len(line.End))
+	tail := make([]byte, len(cacheproto.End))
 	for {
 		p.c.SetReadDeadline(time.Now().Add(idle))
 		text, err := p.c.Line()
 		if err != nil {
-			if code := conn.Reason(err); code != conn.Slow {
+			if code := netconn.Reason(err); code != netconn.Slow {
 				return code, err
 			}
-			return conn.Idle, nil
+			return netconn.Idle, nil
 		}
-		a, err := line.ParseAsked(text)
+		a, err := cacheproto.ParseAsked(text)
 		if err != nil {
-			return conn.Protocol, err
+			return netconn.Protocol, err
 		}
 		switch a.Verb {
-		case line.VerbUndo:
+		case cacheproto.VerbUndo:
 			b.post(undone{p, a.ID})
 			continue
-		case line.VerbPing, line.VerbTop:
-			b.post(checked{p, a.ID, a.Verb == line.VerbTop})
+		case cacheproto.VerbPing, cacheproto.VerbTop:
+			b.post(checked{p, a.ID, a.Verb == cacheproto.VerbTop})
 			continue
 		}
-		x := &asked{peer: p, line: a, key: keep.Key{Object: a.ObjNo, Part: a.PartNo}}
+		x := &asked{peer: p, line: a, key: eviction.Key{Object: a.ObjNo, Part: a.PartNo}}
 		if a.Size > 0 {
 			if x.body, err = b.pool.Gate.Budget.Wait(ctx, a.Size); err != nil {
-				return conn.Shutdown, err
+				return netconn.Shutdown, err
 			}
 			err = p.c.ReadFull(x.body.Bytes)
 		}
 		if err == nil {
 			err = p.c.ReadFull(tail)
 		}
-		if err != nil || string(tail) != line.End {
+		if err != nil || string(tail) != cacheproto.End {
 			x.body.Free()
 			if err == nil {
-				return conn.Protocol, errors.New("no line end after a body")
+				return netconn.Protocol, errors.New("no line end after a body")
 			}
-			return conn.Reason(err), err
+			return netconn.Reason(err), err
 		}
 		b.post(came{x})
 	}
@@ -663,11 +663,11 @@
 		p.mu.Unlock()
 		if len(batch) == 0 {
 			if err := p.c.Flush(); err != nil {
-				return conn.Reason(err), err
+				return netconn.Reason(err), err
 			}
 			select {
 			case <-ctx.Done():
-				return conn.Shutdown, ctx.Err()
+				return netconn.Shutdown, ctx.Err()
 			case <-p.wake:
 			}
 			continue
@@ -678,10 +678,10 @@
 				err = p.c.Write(x.body)
 			}
 			if err == nil {
-				err = p.c.Write([]byte(line.End))
+				err = p.c.Write([]byte(cacheproto.End))
 			}
 			if err != nil {
-				return conn.Reason(err), err
+				return netconn.Reason(err), err
 			}
 		}
 	}
@@ -690,13 +690,13 @@
 // bare is trust without a disk.
 type bare struct {
 	mu   sync.Mutex
-	core *trust.Core
+	core *validity.Core
 	now  func() time.Time
 }
 
-func newBare(now func() time.Time) *bare { return &bare{core: trust.New(0), now: now} }
+func newBare(now func() time.Time) *bare { return &bare{core: validity.New(0), now: now} }
 
-func (x *bare) Judge(c trust.Copy) trust.Verdict {
+func (x *bare) Judge(c validity.Copy) validity.Verdict {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	return x.core.Judge(x.now().UnixMilli(), c)
@@ -709,7 +709,7 @@
 	return x.core.Following()
 }
 func (x *bare) Connected() { x.mu.Lock(); defer x.mu.Unlock(); x.core.Connected() }
-func (x *bare) Hear(n trust.Notice) bool {
+func (x *bare) Hear(n validity.Notice) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	_, again := x.core.Hear(x.now().UnixMilli(), 1, n)
--- a/internal/box/box_test.go
+++ b/internal/edgecache/box_test.go
@@ -1,4 +1,4 @@
-package box
+package edgecache
 
 import (
 	"bufio"
@@ -13,13 +13,13 @@
 	"testing"
 	"time"
 
-	"cairnfront/brain"
-	"cairnfront/internal/board"
-	"cairnfront/internal/book"
-	"cairnfront/internal/operators"
-	"cairnfront/internal/tier"
-	"cairnfront/internal/tier/disk"
-	"cairnfront/internal/tier/keep"
+	"cairnfront/internal/config"
+	"cairnfront/internal/discovery"
+	"cairnfront/internal/diskcache"
+	"cairnfront/internal/diskcache/eviction"
+	"cairnfront/internal/diskcache/vfs"
+	"cairnfront/internal/telemetry"
+	"cairnfront/routing"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -31,7 +31,7 @@
 type told struct {
 	net.Listener
 	mu     sync.Mutex
-	events []board.Event
+	events []discovery.Event
 	conns  []net.Conn
 }
 
@@ -50,8 +50,8 @@
 				continue
 			}
 			b.mu.Lock()
-			for _, ev := range append(append([]board.Event{}, b.events...), board.Event{Beat: true}) {
-				text, _ := board.Append(nil, ev)
+			for _, ev := range append(append([]discovery.Event{}, b.events...), discovery.Event{Beat: true}) {
+				text, _ := discovery.Append(nil, ev)
 				_, _ = c.Write(text)
 			}
 			b.conns = append(b.conns, c)
@@ -61,12 +61,12 @@
 	return b
 }
 
-func (b *told) tell(ev board.Event) {
+func (b *told) tell(ev discovery.Event) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	ev.Number = uint64(len(b.events) + 1)
 	b.events = append(b.events, ev)
-	text, _ := board.Append(nil, ev)
+	text, _ := discovery.Append(nil, ev)
 	for _, c := range b.conns {
 		_, _ = c.Write(text)
 	}
@@ -81,11 +81,11 @@
 
 func start(t *testing.T, b *told, change func(*Box)) *running {
 	t.Helper()
-	rules, err := operators.Parse("test", []byte("box: {rules: [{name: video}, {name: page, fresh_s: 10, stale_s: 10}, {name: order, kept: false, effect: keyed}]}"))
+	rules, err := config.Parse("test", []byte("box: {rules: [{name: video}, {name: page, fresh_s: 10, stale_s: 10}, {name: order, kept: false, effect: keyed}]}"))
 	require.NoError(t, err)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	x := &Box{Plan: rules.Box, Book: book.New(io.Discard, "")}
+	x := &Box{Plan: rules.Box, Book: telemetry.New(io.Discard, "")}
 	x.Plan.Board, x.Plan.Drain = b.Addr().String(), 0.2
 	if change != nil {
 		change(x)
@@ -100,8 +100,8 @@
 	return r
 }
 
-func (r *running) row(id string, kind int) board.Event {
-	return board.Event{Rows: []board.Row{{Addr: r.addr, Row: brain.Row{Member: id, Kind: kind, Weight: 8}}}}
+func (r *running) row(id string, kind int) discovery.Event {
+	return discovery.Event{Rows: []discovery.Row{{Addr: r.addr, Row: routing.Row{Member: id, Kind: kind, Weight: 8}}}}
 }
 
 // origin starts one whose objects have versions that a test sets.
@@ -167,7 +167,7 @@
 	assert.Equal(t, "served", word)
 	assert.Equal(t, "f", f["remark"])
 	assert.Equal(t, "5", f["bucket"])
-	assert.Equal(t, string(MadeBody(7, keep.Key{Object: 5, Part: 1}, 0, 100, 3000)), body)
+	assert.Equal(t, string(MadeBody(7, eviction.Key{Object: 5, Part: 1}, 0, 100, 3000)), body)
 	word, f, _ = a.ask(t, "video", 5, "")
 	assert.Equal(t, "served h", word+" "+f["remark"])
 	word, _, body = a.ask(t, "video", 5, ",got="+f["digest"])
@@ -186,7 +186,7 @@
 	}
 	assert.Len(t, m.keys, 1)
 
-	b.tell(board.Event{Purged: true, Object: fmt.Sprintf("%016x", 5), At: float64(time.Now().UnixMilli()+1) / 1000})
+	b.tell(discovery.Event{Purged: true, Object: fmt.Sprintf("%016x", 5), At: float64(time.Now().UnixMilli()+1) / 1000})
 	require.Eventually(t, func() bool { return x.Book.Count("box.purges") == 1 }, patience, time.Millisecond)
 	word, _, _ = a.ask(t, "video", 5, "")
 	assert.Equal(t, "not_here", word, "purged")
@@ -225,12 +225,12 @@
 func TestABoxReturnsWithItsDisk(t *testing.T) {
 	b := startBoard(t)
 	o, _ := origin(t, b)
-	dir, err := disk.MakeDir(t.TempDir() + "/d")
+	dir, err := vfs.MakeDir(t.TempDir() + "/d")
 	require.NoError(t, err)
 	with := func(x *Box) {
-		p := TierPlan(operators.Tier{SpaceMB: 8, SegmentMB: 1, Alpha: 1, Ghosts: 100, Readers: 2, ReadQueue: 9, ReadWait: 1, WriteQueue: 9, Sync: 0.01})
+		p := TierPlan(config.Tier{SpaceMB: 8, SegmentMB: 1, Alpha: 1, Ghosts: 100, Readers: 2, ReadQueue: 9, ReadWait: 1, WriteQueue: 9, Sync: 0.01})
 		var err error
-		x.Disk, _, err = tier.OpenTier(dir, p, x.Book, slog.New(slog.DiscardHandler))
+		x.Disk, _, err = diskcache.OpenTier(dir, p, x.Book, slog.New(slog.DiscardHandler))
 		require.NoError(t, err)
 	}
 	const filled = ",parent=s-000000ff,shelf=2,hints=ride"
@@ -244,7 +244,7 @@
 	x.stop()
 	require.NoError(t, x.Disk.Close())
 
-	b.tell(board.Event{Purged: true, Object: fmt.Sprintf("%016x", 6), At: float64(time.Now().UnixMilli()+1) / 1000})
+	b.tell(discovery.Event{Purged: true, Object: fmt.Sprintf("%016x", 6), At: float64(time.Now().UnixMilli()+1) / 1000})
 	x = start(t, b, with)
 	a = x.dial(t)
 	require.Eventually(t, func() bool { word, _, _ := a.ask(t, "video", 5, ""); return word == "served" }, patience, time.Millisecond)
@@ -254,7 +254,7 @@
 	require.NoError(t, x.Disk.Close())
 
 	other := startBoard(t) // which tells other events under the same numbers
-	other.tell(board.Event{Purged: true, Group: 200, At: 1})
+	other.tell(discovery.Event{Purged: true, Group: 200, At: 1})
 	other.tell(o.row("s-000000ff", 2))
 	x = start(t, other, with)
 	a = x.dial(t)
--- a/internal/box/machine/machine.go
+++ b/internal/edgecache/capacity/machine.go
@@ -1,6 +1,6 @@
 // Package machine plays a machine by numbers, without I/O: cores that work, a link that carries, a cold start. The
 // laboratory's boxes are slowed down by it, so that what a real one bears shows on a loopback.
-package machine
+package capacity
 
 const (
 	mostQueue = 0.25 // s of work that may wait for the cores; over it a txn is turned away
--- a/internal/box/machine/machine_test.go
+++ b/internal/edgecache/capacity/machine_test.go
@@ -1,4 +1,4 @@
-package machine
+package capacity
 
 import (
 	"testing"
--- a/internal/box/desk/desk.go
+++ b/internal/edgecache/handler/desk.go
@@ -1,16 +1,16 @@
 // Package desk decides what a cache box does with each txn: answer it from memory, read the disk, ask a source, join
 // a fill that is under way, or say that it has nothing. It does no I/O: events come in with the time, actions go out,
 // and the shell tells truly how each ended.
-package desk
+package handler
 
 import (
 	"container/list"
 	"math"
 	"slices"
 
-	"cairnfront/brain"
-	"cairnfront/internal/tier/keep"
-	"cairnfront/internal/tier/trust"
+	"cairnfront/internal/diskcache/eviction"
+	"cairnfront/internal/diskcache/validity"
+	"cairnfront/routing"
 )
 
 const (
@@ -31,7 +31,7 @@
 // Txn is one that a box was asked for. ID is the shell's.
 type Txn struct {
 	ID     uint64
-	Key    keep.Key
+	Key    eviction.Key
 	Rule   Rule
 	Until  float64 // Unix s after which nobody waits
 	Source string  // who fills a miss; empty for nobody
@@ -47,7 +47,7 @@
 
 // Copy is a part that a box has in memory. Seq is its place on the disk, 0 if it is not from there.
 type Copy struct {
-	keep.Key
+	eviction.Key
 	Tag       string
 	Dated     int64 // Unix ms
 	Group     uint16
@@ -57,8 +57,8 @@
 	Body      []byte
 }
 
-func (c *Copy) asked() trust.Copy {
-	return trust.Copy{Object: c.Object, Group: c.Group, Dated: c.Dated, Seq: c.Seq, Confirmed: c.Confirmed}
+func (c *Copy) asked() validity.Copy {
+	return validity.Copy{Object: c.Object, Group: c.Group, Dated: c.Dated, Seq: c.Seq, Confirmed: c.Confirmed}
 }
 
 // Action is one of Answer, Read, Fetch, Abandon, Keep, Used, Forget and Confirm.
@@ -67,8 +67,8 @@
 // Answer is the end of a txn. Copy is set where it is completed from one; Same says that the asker's copy is the one.
 type Answer struct {
 	Txn    uint64
-	Code   brain.Code
-	Remark brain.Remark
+	Code   routing.Code
+	Remark routing.Remark
 	Same   bool
 	Copy   *Copy
 	Passed bool // completed with what the source gave, which is no copy: its bytes are those of the fill
@@ -76,13 +76,13 @@
 }
 
 // Read asks for a part from the disk; its end is DiskRead.
-type Read struct{ Key keep.Key }
+type Read struct{ Key eviction.Key }
 
 // Fetch asks a source; its end is Fetched.
 type Fetch struct {
 	Fill   uint64
 	Txn    uint64 // whose body goes with it; 0 where it is for no txn in particular
-	Key    keep.Key
+	Key    eviction.Key
 	Rule   string
 	Source string
 	Tag    string  // of the copy in hand
@@ -106,11 +106,11 @@
 type Used struct{ Copy *Copy }
 
 // Forget drops a part from the disk.
-type Forget struct{ Key keep.Key }
+type Forget struct{ Key eviction.Key }
 
 // Confirm notes that the source has confirmed the copy on the disk.
 type Confirm struct {
-	Key    keep.Key
+	Key    eviction.Key
 	Seq    uint64
 	Doubts uint16
 }
@@ -126,7 +126,7 @@
 
 // End is how a fetch ended.
 type End struct {
-	Code  brain.Code
+	Code  routing.Code
 	Same  bool
 	Tag   string
 	Dated int64
@@ -136,9 +136,9 @@
 
 // World is what a desk may look up. Its answers hold for the event in hand.
 type World interface {
-	Judge(trust.Copy) trust.Verdict
+	Judge(validity.Copy) validity.Verdict
 	Doubts() uint16
-	OnDisk(keep.Key) bool
+	OnDisk(eviction.Key) bool
 }
 
 // Bounds of a desk.
@@ -155,7 +155,7 @@
 
 type fill struct {
 	no      uint64
-	key     keep.Key
+	key     eviction.Key
 	first   Txn
 	base    *Copy // the copy that is to be confirmed
 	doubts  uint16
@@ -172,21 +172,21 @@
 	now    float64
 	acts   []Action
 
-	memory map[keep.Key]*held
+	memory map[eviction.Key]*held
 	shelf  [ranks]*list.List // of *held, longest unused first
 	bytes  int64
 
-	reads  map[keep.Key][]Txn // who waits for the disk
+	reads  map[eviction.Key][]Txn // who waits for the disk
 	fills  map[uint64]*fill
-	byKey  map[keep.Key]*fill // that may be joined
+	byKey  map[eviction.Key]*fill // that may be joined
 	ofTxn  map[uint64]*fill
 	number uint64
 }
 
 // New makes an empty desk.
 func New(w World, b Bounds) *Desk {
-	d := &Desk{world: w, bounds: b, memory: map[keep.Key]*held{}, reads: map[keep.Key][]Txn{}, fills: map[uint64]*fill{},
-		byKey: map[keep.Key]*fill{}, ofTxn: map[uint64]*fill{}}
+	d := &Desk{world: w, bounds: b, memory: map[eviction.Key]*held{}, reads: map[eviction.Key][]Txn{}, fills: map[uint64]*fill{},
+		byKey: map[eviction.Key]*fill{}, ofTxn: map[uint64]*fill{}}
 	for i := range d.shelf {
 		d.shelf[i] = list.New()
 	}
@@ -223,7 +223,7 @@
 }
 
 // DiskRead is the end of a Read: the copy, or nil where it could not be had.
-func (d *Desk) DiskRead(now float64, k keep.Key, c *Copy) []Action {
+func (d *Desk) DiskRead(now float64, k eviction.Key, c *Copy) []Action {
 	d.begin(now)
 	waiters := d.reads[k]
 	delete(d.reads, k)
@@ -258,12 +258,12 @@
 // weigh decides what a copy in hand is worth to a txn.
 func (d *Desk) weigh(t Txn, c *Copy, memory bool) {
 	switch d.world.Judge(c.asked()) {
-	case trust.Void:
+	case validity.Void:
 		d.drop(c.Key)
 		d.do(Forget{c.Key})
 		d.miss(t)
 		return
-	case trust.Probation:
+	case validity.Probation:
 		d.fetch(t, c, 0) // only its source can tell
 		return
 	}
@@ -273,21 +273,21 @@
 		return
 	}
 	old := t.Rule.Fresh > 0 && age > t.Rule.Fresh
-	d.serve(t, c, map[bool]brain.Remark{false: brain.Hit, true: brain.Old}[old], memory)
+	d.serve(t, c, map[bool]routing.Remark{false: routing.Hit, true: routing.Old}[old], memory)
 	if old && t.Renew && t.Source != "" && d.byKey[t.Key] == nil && len(d.fills) < d.bounds.Fills {
 		t.ID, t.Until = 0, d.now+d.bounds.FillWait
 		d.fetch(t, c, 0)
 	}
 }
 
-func (d *Desk) serve(t Txn, c *Copy, r brain.Remark, used bool) {
+func (d *Desk) serve(t Txn, c *Copy, r routing.Remark, used bool) {
 	if h := d.memory[c.Key]; h != nil {
 		d.shelf[h.copy.Rank].MoveToBack(h.place)
 	}
 	if used {
 		d.do(Used{c})
 	}
-	d.do(Answer{Txn: t.ID, Code: brain.Completed, Remark: r, Same: t.Tag != "" && t.Tag == c.Tag, Copy: c})
+	d.do(Answer{Txn: t.ID, Code: routing.Completed, Remark: r, Same: t.Tag != "" && t.Tag == c.Tag, Copy: c})
 }
 
 func (d *Desk) miss(t Txn) { d.fetch(t, nil, 0) }
@@ -300,11 +300,11 @@
 		return
 	}
 	if t.Source == "" {
-		d.end(t, brain.Miss)
+		d.end(t, routing.Miss)
 		return
 	}
 	if len(d.fills) >= d.bounds.Fills {
-		d.end(t, brain.Busy)
+		d.end(t, routing.Busy)
 		return
 	}
 	d.number++
@@ -337,7 +337,7 @@
 	d.do(x)
 }
 
-func (d *Desk) end(t Txn, code brain.Code) {
+func (d *Desk) end(t Txn, code routing.Code) {
 	if t.ID != 0 {
 		delete(d.ofTxn, t.ID)
 		d.do(Answer{Txn: t.ID, Code: code})
@@ -365,13 +365,13 @@
 	switch {
 	case f.passed:
 		for _, t := range f.waiters {
-			if e.Code == brain.Completed {
-				d.do(Answer{Txn: t.ID, Code: brain.Completed, Remark: brain.Filled, Same: e.Same, Passed: true, Fill: no})
+			if e.Code == routing.Completed {
+				d.do(Answer{Txn: t.ID, Code: routing.Completed, Remark: routing.Filled, Same: e.Same, Passed: true, Fill: no})
 			} else {
 				d.end(t, told(e.Code))
 			}
 		}
-	case e.Code != brain.Completed:
+	case e.Code != routing.Completed:
 		code := told(e.Code)
 		for _, t := range f.waiters {
 			d.end(t, code)
@@ -383,14 +383,14 @@
 }
 
 // told is what an asker hears of a source's end. What surely did not run may be said so; all else may have run.
-func told(code brain.Code) brain.Code {
+func told(code routing.Code) routing.Code {
 	switch code {
-	case brain.Miss:
-		return brain.Miss
-	case brain.Busy, brain.NoConnect, brain.Moot:
-		return brain.Busy
+	case routing.Miss:
+		return routing.Miss
+	case routing.Busy, routing.NoConnect, routing.Moot:
+		return routing.Busy
 	}
-	return brain.Errored
+	return routing.Errored
 }
 
 // filled takes what a source gave for a rule that is kept.
@@ -398,13 +398,13 @@
 	c := f.base
 	if e.Same && c == nil { // it confirms what was not asked
 		for _, t := range f.waiters {
-			d.end(t, brain.Errored)
+			d.end(t, routing.Errored)
 		}
 		return
 	}
 	if e.Same {
 		c = &Copy{Key: c.Key, Tag: c.Tag, Dated: max(c.Dated, e.Dated), Group: c.Group, Rank: c.Rank, Seq: c.Seq, Body: c.Body}
-		if e.Group != trust.UnknownGroup {
+		if e.Group != validity.UnknownGroup {
 			c.Group = e.Group
 		}
 	} else {
@@ -412,14 +412,14 @@
 	}
 	c.Confirmed = f.doubts
 	verdict := d.world.Judge(c.asked())
-	if verdict == trust.Void { // a purge overtook it
+	if verdict == validity.Void { // a purge overtook it
 		d.drop(f.key)
 		d.do(Forget{f.key})
 		for _, t := range f.waiters {
 			if f.refills < mostRefills && t.Until > d.now {
 				d.fetch(t, nil, f.refills+1)
 			} else {
-				d.end(t, brain.Errored)
+				d.end(t, routing.Errored)
 			}
 		}
 		return
@@ -442,18 +442,18 @@
 		d.drop(c.Key) // what was there is older
 	}
 	for i, t := range f.waiters {
-		r := brain.Filled
+		r := routing.Filled
 		switch {
 		case e.Same:
-			r = brain.Hit // the bytes are the box's own
+			r = routing.Hit // the bytes are the box's own
 		case i > 0:
-			r = brain.Joined
+			r = routing.Joined
 		}
 		if d.age(c) > t.limit()+d.now-t.came+fillMargin && t.ID != 0 { // the source gave one older than was asked for
 			if f.refills < mostRefills && t.Until > d.now {
 				d.fetch(t, nil, f.refills+1)
 			} else {
-				d.end(t, brain.Miss)
+				d.end(t, routing.Miss)
 			}
 			continue
 		}
@@ -462,7 +462,7 @@
 }
 
 // Leave says that nobody waits for a txn any more. A fill runs on; what is the txn's own is given up.
-func (d *Desk) Leave(now float64, id uint64, k keep.Key) []Action {
+func (d *Desk) Leave(now float64, id uint64, k eviction.Key) []Action {
 	d.begin(now)
 	if list, ok := d.reads[k]; ok {
 		d.reads[k] = slices.DeleteFunc(list, func(t Txn) bool { return t.ID == id })
@@ -492,7 +492,7 @@
 		d.forget(f)
 		d.do(Abandon{f.no})
 		for _, t := range f.waiters {
-			d.end(t, brain.Errored)
+			d.end(t, routing.Errored)
 		}
 	}
 	return d.acts
@@ -526,7 +526,7 @@
 	d.bytes += need
 }
 
-func (d *Desk) drop(k keep.Key) {
+func (d *Desk) drop(k eviction.Key) {
 	if h := d.memory[k]; h != nil {
 		d.shelf[h.copy.Rank].Remove(h.place)
 		delete(d.memory, k)
--- a/internal/box/desk/desk_test.go
+++ b/internal/edgecache/handler/desk_test.go
@@ -1,11 +1,11 @@
-package desk
+package handler
 
 import (
 	"testing"
 
-	"cairnfront/brain"
-	"cairnfront/internal/tier/keep"
-	"cairnfront/internal/tier/trust"
+	"cairnfront/internal/diskcache/eviction"
+	"cairnfront/internal/diskcache/validity"
+	"cairnfront/routing"
 
 	"github.com/stretchr/testify/assert"
 	"pgregory.net/rapid"
@@ -13,35 +13,35 @@
 
 // world is a trust that is told what to say.
 type world struct {
-	verdict map[uint64]trust.Verdict
+	verdict map[uint64]validity.Verdict
 	void    map[uint64]int64
-	disk    map[keep.Key]bool
+	disk    map[eviction.Key]bool
 	doubts  uint16
 }
 
-func (w *world) Judge(c trust.Copy) trust.Verdict {
+func (w *world) Judge(c validity.Copy) validity.Verdict {
 	if at, ok := w.void[c.Object]; ok && c.Dated <= at {
-		return trust.Void
+		return validity.Void
 	}
-	if w.verdict[c.Object] == trust.Probation && c.Confirmed == w.doubts {
-		return trust.Sound
+	if w.verdict[c.Object] == validity.Probation && c.Confirmed == w.doubts {
+		return validity.Sound
 	}
 	return w.verdict[c.Object]
 }
-func (w *world) Doubts() uint16         { return w.doubts }
-func (w *world) OnDisk(k keep.Key) bool { return w.disk[k] }
+func (w *world) Doubts() uint16             { return w.doubts }
+func (w *world) OnDisk(k eviction.Key) bool { return w.disk[k] }
 
 const now = 1000.0
 
 var (
-	key   = keep.Key{Object: 7, Part: 1}
+	key   = eviction.Key{Object: 7, Part: 1}
 	video = Rule{Kept: true}
 	page  = Rule{Kept: true, Fresh: 10, Stale: 10}
 	order = Rule{}
 )
 
 func fresh() (*Desk, *world) {
-	w := &world{verdict: map[uint64]trust.Verdict{}, void: map[uint64]int64{}, disk: map[keep.Key]bool{}}
+	w := &world{verdict: map[uint64]validity.Verdict{}, void: map[uint64]int64{}, disk: map[eviction.Key]bool{}}
 	return New(w, Bounds{Memory: 10000, Fills: 4, FillWait: 3}), w
 }
 
@@ -50,7 +50,7 @@
 }
 
 func given(age float64) End {
-	return End{Code: brain.Completed, Tag: "v", Dated: int64((now - age) * 1000), Group: 3, Body: make([]byte, 500)}
+	return End{Code: routing.Completed, Tag: "v", Dated: int64((now - age) * 1000), Group: 3, Body: make([]byte, 500)}
 }
 
 // with puts a copy of an age into memory.
@@ -60,8 +60,8 @@
 	d.hold(&Copy{Key: key, Tag: e.Tag, Dated: e.Dated, Rank: 2, Body: e.Body, Seq: 5})
 }
 
-func code(acts []Action) []brain.Code {
-	var out []brain.Code
+func code(acts []Action) []routing.Code {
+	var out []routing.Code
 	for _, a := range acts {
 		if x, ok := a.(Answer); ok {
 			out = append(out, x.Code)
@@ -82,17 +82,17 @@
 	assert.Len(t, d.Ask(now, alone), 1, "one that may not join has a fill of its own")
 	acts = append([]Action{}, d.Fetched(now+0.1, f.Fill, given(0))...)
 	assert.IsType(t, Keep{}, acts[0])
-	assert.Equal(t, brain.Filled, acts[1].(Answer).Remark)
-	assert.Equal(t, brain.Joined, acts[2].(Answer).Remark)
+	assert.Equal(t, routing.Filled, acts[1].(Answer).Remark)
+	assert.Equal(t, routing.Joined, acts[2].(Answer).Remark)
 	hit := d.Ask(now+0.2, txn(4, video))
-	assert.Equal(t, brain.Hit, hit[1].(Answer).Remark)
+	assert.Equal(t, routing.Hit, hit[1].(Answer).Remark)
 }
 
 func TestWithoutASourceThereIsNothing(t *testing.T) {
 	d, _ := fresh()
 	x := txn(1, video)
 	x.Source = ""
-	assert.Equal(t, []brain.Code{brain.Miss}, code(d.Ask(now, x)))
+	assert.Equal(t, []routing.Code{routing.Miss}, code(d.Ask(now, x)))
 }
 
 func TestTheDiskIsReadOnceAndAMissGoesOn(t *testing.T) {
@@ -102,7 +102,7 @@
 	assert.Empty(t, d.Ask(now, txn(2, video)))
 	e := given(50)
 	acts := d.DiskRead(now, key, &Copy{Key: key, Tag: "v", Dated: e.Dated, Rank: 2, Seq: 4, Body: e.Body})
-	assert.Equal(t, []brain.Code{brain.Completed, brain.Completed}, code(acts))
+	assert.Equal(t, []routing.Code{routing.Completed, routing.Completed}, code(acts))
 	d, w = fresh()
 	w.disk[key] = true
 	d.Ask(now, txn(1, video))
@@ -112,7 +112,7 @@
 func TestACopyOnProbationIsServedOnceItsSourceConfirmsIt(t *testing.T) {
 	for _, same := range []bool{true, false} {
 		d, w := fresh()
-		w.verdict[7], w.doubts = trust.Probation, 9
+		w.verdict[7], w.doubts = validity.Probation, 9
 		with(d, 50)
 		f := d.Ask(now, txn(1, video))[0].(Fetch)
 		assert.Equal(t, "v", f.Tag)
@@ -121,18 +121,18 @@
 			e.Body, e.Tag = nil, ""
 		}
 		acts := d.Fetched(now+0.1, f.Fill, e)
-		assert.Equal(t, []brain.Code{brain.Completed}, code(acts))
+		assert.Equal(t, []routing.Code{routing.Completed}, code(acts))
 		if same {
 			assert.Contains(t, acts, Confirm{key, 5, 9})
 		}
-		assert.Equal(t, []brain.Code{brain.Completed}, code(d.Ask(now+0.2, txn(2, video))), "and then it is sound")
+		assert.Equal(t, []routing.Code{routing.Completed}, code(d.Ask(now+0.2, txn(2, video))), "and then it is sound")
 	}
 	d, w := fresh()
-	w.verdict[7], w.doubts = trust.Probation, 9
+	w.verdict[7], w.doubts = validity.Probation, 9
 	with(d, 50)
 	x := txn(1, video)
 	x.Source = ""
-	assert.Equal(t, []brain.Code{brain.Miss}, code(d.Ask(now, x)), "nobody to confirm it")
+	assert.Equal(t, []routing.Code{routing.Miss}, code(d.Ask(now, x)), "nobody to confirm it")
 }
 
 func TestAVoidCopyIsNeverServed(t *testing.T) {
@@ -147,7 +147,7 @@
 	acts = append([]Action{}, d.Fetched(now+0.1, f.Fill, given(30))...)
 	assert.Empty(t, code(acts))
 	again := acts[1].(Fetch)
-	assert.Equal(t, []brain.Code{brain.Errored}, code(d.Fetched(now+0.2, again.Fill, given(30))))
+	assert.Equal(t, []routing.Code{routing.Errored}, code(d.Fetched(now+0.2, again.Fill, given(30))))
 	assert.Empty(t, d.memory)
 }
 
@@ -172,7 +172,7 @@
 		for _, a := range d.Ask(now, x) {
 			switch a := a.(type) {
 			case Answer:
-				got = map[brain.Remark]string{brain.Hit: "hit", brain.Old: "old", brain.Untold: "miss"}[a.Remark]
+				got = map[routing.Remark]string{routing.Hit: "hit", routing.Old: "old", routing.Untold: "miss"}[a.Remark]
 			case Fetch:
 				if got != "" {
 					got += "+"
@@ -186,13 +186,13 @@
 
 // What may have run is not called harmless, and what surely did not is not called a failure.
 func TestAnOrdersEndIsToldTruly(t *testing.T) {
-	for from, to := range map[brain.Code]brain.Code{brain.Busy: brain.Busy, brain.NoConnect: brain.Busy, brain.Moot: brain.Busy,
-		brain.Miss: brain.Miss, brain.Broken: brain.Errored, brain.TimedOut: brain.Errored, brain.Errored: brain.Errored, brain.Cancelled: brain.Errored} {
+	for from, to := range map[routing.Code]routing.Code{routing.Busy: routing.Busy, routing.NoConnect: routing.Busy, routing.Moot: routing.Busy,
+		routing.Miss: routing.Miss, routing.Broken: routing.Errored, routing.TimedOut: routing.Errored, routing.Errored: routing.Errored, routing.Cancelled: routing.Errored} {
 		d, _ := fresh()
 		f := d.Ask(now, txn(1, order))[0].(Fetch)
 		assert.Equal(t, uint64(1), f.Txn)
 		assert.False(t, f.Join)
-		assert.Equal(t, []brain.Code{to}, code(d.Fetched(now, f.Fill, End{Code: from})))
+		assert.Equal(t, []routing.Code{to}, code(d.Fetched(now, f.Fill, End{Code: from})))
 	}
 }
 
@@ -212,29 +212,29 @@
 		x.Key.Part = uint32(i)
 		acts := d.Ask(now, x)
 		if i == 4 {
-			assert.Equal(t, []brain.Code{brain.Busy}, code(acts))
+			assert.Equal(t, []routing.Code{routing.Busy}, code(acts))
 		}
 	}
 	assert.Empty(t, d.Tick(now+2.9))
-	assert.Equal(t, []brain.Code{brain.Errored, brain.Errored, brain.Errored, brain.Errored}, code(d.Tick(now+3)))
+	assert.Equal(t, []routing.Code{routing.Errored, routing.Errored, routing.Errored, routing.Errored}, code(d.Tick(now+3)))
 	assert.Zero(t, d.Fills())
 }
 
 func TestLowRanksGoFirstAndNothingForALowerOne(t *testing.T) {
 	d, _ := fresh()
 	put := func(o uint64, rank int) {
-		d.hold(&Copy{Key: keep.Key{Object: o}, Rank: rank, Body: make([]byte, 3000-copyBytes)})
+		d.hold(&Copy{Key: eviction.Key{Object: o}, Rank: rank, Body: make([]byte, 3000-copyBytes)})
 	}
 	put(1, 3)
 	put(2, 1)
 	put(3, 2)
 	put(4, 2)
-	assert.Nil(t, d.memory[keep.Key{Object: 2}])
+	assert.Nil(t, d.memory[eviction.Key{Object: 2}])
 	put(5, 1)
-	assert.Nil(t, d.memory[keep.Key{Object: 5}])
+	assert.Nil(t, d.memory[eviction.Key{Object: 5}])
 	put(6, 3)
-	assert.Nil(t, d.memory[keep.Key{Object: 3}], "the one used longest ago")
-	assert.NotNil(t, d.memory[keep.Key{Object: 1}])
+	assert.Nil(t, d.memory[eviction.Key{Object: 3}], "the one used longest ago")
+	assert.NotNil(t, d.memory[eviction.Key{Object: 1}])
 }
 
 // Whatever comes in whatever order, each txn has exactly one answer unless it left, no void copy is served, memory and
@@ -242,9 +242,9 @@
 func TestProperties(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		d, w := fresh()
-		clock, open, left, done := now, map[uint64]keep.Key{}, map[uint64]bool{}, map[uint64]bool{}
+		clock, open, left, done := now, map[uint64]eviction.Key{}, map[uint64]bool{}, map[uint64]bool{}
 		var fetches []Fetch
-		var reads []keep.Key
+		var reads []eviction.Key
 		take := func(acts []Action) {
 			for _, a := range acts {
 				switch a := a.(type) {
@@ -253,7 +253,7 @@
 						t.Fatalf("txn %d is answered again, or was not asked", a.Txn)
 					}
 					done[a.Txn] = true
-					if a.Copy != nil && w.Judge(a.Copy.asked()) == trust.Void {
+					if a.Copy != nil && w.Judge(a.Copy.asked()) == validity.Void {
 						t.Fatalf("a void copy is served")
 					}
 				case Fetch:
@@ -268,13 +268,13 @@
 		}
 		for id := range uint64(rapid.IntRange(5, 120).Draw(t, "n")) {
 			clock += rapid.Float64Range(0, 0.4).Draw(t, "dt")
-			k := keep.Key{Object: uint64(rapid.IntRange(0, 3).Draw(t, "o"))}
+			k := eviction.Key{Object: uint64(rapid.IntRange(0, 3).Draw(t, "o"))}
 			switch rapid.IntRange(0, 6).Draw(t, "what") {
 			case 0:
 				if len(fetches) > 0 {
 					f := fetches[0]
 					fetches = fetches[1:]
-					e := End{Code: brain.Code(rapid.IntRange(0, 8).Draw(t, "code")), Tag: "x", Dated: int64((clock - rapid.Float64Range(0, 20).Draw(t, "age")) * 1000),
+					e := End{Code: routing.Code(rapid.IntRange(0, 8).Draw(t, "code")), Tag: "x", Dated: int64((clock - rapid.Float64Range(0, 20).Draw(t, "age")) * 1000),
 						Body: make([]byte, rapid.IntRange(0, 4000).Draw(t, "size")), Same: rapid.Bool().Draw(t, "same")}
 					take(d.Fetched(clock, f.Fill, e))
 				}
--- a/internal/box/made.go
+++ b/internal/edgecache/made.go
@@ -1,4 +1,4 @@
-package box
+package edgecache
 
 import (
 	"encoding/binary"
@@ -10,16 +10,16 @@
 	"sync"
 	"time"
 
-	"cairnfront/internal/tier/keep"
-	"cairnfront/internal/tier/trust"
+	"cairnfront/internal/diskcache/eviction"
+	"cairnfront/internal/diskcache/validity"
 )
 
 // Origin is where bytes come from and where writes run.
 type Origin interface {
 	// Give returns a part as it is now; ok is false where there is none.
-	Give(k keep.Key) (tag string, group uint16, body []byte, ok bool)
+	Give(k eviction.Key) (tag string, group uint16, body []byte, ok bool)
 	// Run carries out a write; a keyed one whose key it knows is completed without running again.
-	Run(id, rule, key string, k keep.Key, effect string) error
+	Run(id, rule, key string, k eviction.Key, effect string) error
 }
 
 // Maker makes every part from a seed. Version tells how often an object was published anew; nil is never.
@@ -40,7 +40,7 @@
 const MadeHead = 24
 
 // Give implements Origin.
-func (m *Maker) Give(k keep.Key) (string, uint16, []byte, bool) {
+func (m *Maker) Give(k eviction.Key) (string, uint16, []byte, bool) {
 	v := uint64(0)
 	if m.Version != nil {
 		v = m.Version(k.Object)
@@ -50,7 +50,7 @@
 }
 
 // MadeBody is a part as it is made: who knows the seed can tell every byte of it.
-func MadeBody(seed uint64, k keep.Key, version uint64, least, most int) []byte {
+func MadeBody(seed uint64, k eviction.Key, version uint64, least, most int) []byte {
 	n := max(least+int(mix(seed+k.Object*31+uint64(k.Part))%uint64(max(most-least+1, 1))), MadeHead)
 	b := make([]byte, 0, n+8)
 	b = binary.BigEndian.AppendUint64(b, k.Object)
@@ -71,7 +71,7 @@
 }
 
 // Run implements Origin.
-func (m *Maker) Run(id, _, key string, _ keep.Key, effect string) error {
+func (m *Maker) Run(id, _, key string, _ eviction.Key, effect string) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := time.Now()
@@ -100,7 +100,7 @@
 type Folder string
 
 // Give implements Origin.
-func (f Folder) Give(k keep.Key) (string, uint16, []byte, bool) {
+func (f Folder) Give(k eviction.Key) (string, uint16, []byte, bool) {
 	path := filepath.Join(string(f), fmt.Sprintf("%016x", k.Object), fmt.Sprint(k.Part))
 	info, err := os.Stat(path)
 	if err != nil || info.Size() > mostBody {
@@ -110,10 +110,10 @@
 	if err != nil {
 		return "", 0, nil, false
 	}
-	return fmt.Sprintf("%x-%x", info.Size(), info.ModTime().UnixNano()), trust.UnknownGroup, b, true
+	return fmt.Sprintf("%x-%x", info.Size(), info.ModTime().UnixNano()), validity.UnknownGroup, b, true
 }
 
 var errNoWrites = errors.New("this origin runs no writes")
 
 // Run implements Origin.
-func (f Folder) Run(string, string, string, keep.Key, string) error { return errNoWrites }
+func (f Folder) Run(string, string, string, eviction.Key, string) error { return errNoWrites }
--- a/internal/box/start.go
+++ b/internal/edgecache/start.go
@@ -1,4 +1,4 @@
-package box
+package edgecache
 
 import (
 	"context"
@@ -8,25 +8,25 @@
 	"net"
 	"path/filepath"
 
-	"cairnfront/internal/book"
-	"cairnfront/internal/operators"
-	"cairnfront/internal/tier"
-	"cairnfront/internal/tier/disk"
+	"cairnfront/internal/config"
+	"cairnfront/internal/diskcache"
+	"cairnfront/internal/diskcache/vfs"
+	"cairnfront/internal/telemetry"
 )
 
 const megabyte = 1 << 20
 
 // TierPlan is the tier's plan as the operators' file has it.
-func TierPlan(t operators.Tier) tier.Plan {
-	return tier.Plan{Space: int64(t.SpaceMB * megabyte), SegmentBytes: int64(t.SegmentMB * megabyte), Alpha: t.Alpha,
+func TierPlan(t config.Tier) diskcache.Plan {
+	return diskcache.Plan{Space: int64(t.SpaceMB * megabyte), SegmentBytes: int64(t.SegmentMB * megabyte), Alpha: t.Alpha,
 		DailyWrites: int64(t.DailyWriteMB * megabyte), Ghosts: t.Ghosts, Purges: t.Purges, Readers: t.Readers, ReadQueue: t.ReadQueue,
 		ReadWait: t.ReadWait.Duration(), WriteQueue: t.WriteQueue, SyncEvery: t.Sync.Duration(), SnapshotEvery: t.Snapshot.Duration()}
 }
 
 // Serve runs a box as the operators' file says until the context ends. Log lines go to out; the counters follow at
 // the end, and whenever print is told to.
-func Serve(ctx context.Context, rules operators.Rulebook, out io.Writer, print <-chan struct{}) error {
-	k := book.New(out, rules.Box.ID)
+func Serve(ctx context.Context, rules config.Rulebook, out io.Writer, print <-chan struct{}) error {
+	k := telemetry.New(out, rules.Box.ID)
 	defer k.Print(out)
 	b := &Box{Plan: rules.Box, Book: k}
 	if len(b.Plan.Rules) == 0 {
@@ -45,11 +45,11 @@
 		if err != nil {
 			return fmt.Errorf("tier.folder: %w", err)
 		}
-		dir, err := disk.MakeDir(path)
+		dir, err := vfs.MakeDir(path)
 		if err != nil {
 			return fmt.Errorf("tier.folder: %w", err)
 		}
-		t, rep, err := tier.OpenTier(dir, TierPlan(rules.Tier), k, k.Log)
+		t, rep, err := diskcache.OpenTier(dir, TierPlan(rules.Tier), k, k.Log)
 		if err != nil {
 			return fmt.Errorf("tier.folder: %w", err)
 		}
--- a/internal/lab/relay/relay.go
+++ b/internal/faultproxy/relay.go
@@ -1,6 +1,6 @@
 // Package relay stands between processes on loopback: each datagram and each connection from one to another passes it, and a
 // fault script says what becomes of it. What it carried it records; that is what the laboratory judges by.
-package relay
+package faultproxy
 
 import (
 	"context"
@@ -14,7 +14,7 @@
 	"sync/atomic"
 	"time"
 
-	"cairnfront/internal/lab/fault"
+	"cairnfront/internal/sim/faults"
 )
 
 const (
@@ -26,7 +26,7 @@
 // Net is the ways between processes. A script's clock starts with Play; before that all passes.
 type Net struct {
 	mu      sync.Mutex
-	script  fault.Script
+	script  faults.Script
 	began   time.Time
 	rnd     *rand.Rand
 	spoiled int64
@@ -54,7 +54,7 @@
 }
 
 // Play starts a script's clock.
-func (n *Net) Play(s fault.Script) time.Time {
+func (n *Net) Play(s faults.Script) time.Time {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.script, n.began = s, time.Now()
--- a/internal/lab/relay/relay_test.go
+++ b/internal/faultproxy/relay_test.go
@@ -1,4 +1,4 @@
-package relay
+package faultproxy
 
 import (
 	"bufio"
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"cairnfront/internal/lab/fault"
+	"cairnfront/internal/sim/faults"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -44,15 +44,15 @@
 	}
 	send("as it is")
 	assert.Equal(t, "as it is", hear())
-	n.Play(fault.Script{Peers: 2, Until: 60, Acts: []fault.Act{{Do: fault.Spoil, Share: 1}, {Do: fault.Double, Share: 1}}})
+	n.Play(faults.Script{Peers: 2, Until: 60, Acts: []faults.Act{{Do: faults.Spoil, Share: 1}, {Do: faults.Double, Share: 1}}})
 	send("spoilt")
 	a, b := hear(), hear()
 	assert.NotEqual(t, "spoilt", a)
 	assert.Equal(t, a, b, "and twice")
-	n.Play(fault.Script{Peers: 2, Until: 60, Acts: []fault.Act{{Do: fault.Cut, From: []int{0}, To: []int{1}}}})
+	n.Play(faults.Script{Peers: 2, Until: 60, Acts: []faults.Act{{Do: faults.Cut, From: []int{0}, To: []int{1}}}})
 	send("lost")
 	require.Eventually(t, func() bool { d, _ := n.Sent(0, 0, 3600); return d == 3 }, patience, time.Millisecond, "what is cut is counted as sent")
-	n.Play(fault.Script{Peers: 2, Until: 60})
+	n.Play(faults.Script{Peers: 2, Until: 60})
 	send("after")
 	assert.Equal(t, "after", hear(), "what was cut does not come later")
 }
@@ -87,11 +87,11 @@
 	}
 	say("one")
 	assert.Equal(t, "one\n", hear())
-	n.Play(fault.Script{Peers: 2, Until: 60, Acts: []fault.Act{{Do: fault.Cut, From: []int{1}, To: []int{0}}}}) // the way back
+	n.Play(faults.Script{Peers: 2, Until: 60, Acts: []faults.Act{{Do: faults.Cut, From: []int{1}, To: []int{0}}}}) // the way back
 	say("two")
 	_ = c.SetReadDeadline(time.Now().Add(150 * time.Millisecond))
 	_, err = r.ReadByte()
 	require.Error(t, err, "nothing comes")
-	n.Play(fault.Script{Peers: 2, Until: 60})
+	n.Play(faults.Script{Peers: 2, Until: 60})
 	assert.Equal(t, "two\n", hear(), "and nothing is lost")
 }
