--- a/internal/take/take.go
+++ b/internal/frontend/take.go
@@ -1,5 +1,5 @@
 // Package take listens for clients and turns their frames into txns.
-package take
+package frontend
 
 import (
 	"context"
@@ -15,12 +15,12 @@
 	"syscall"
 	"time"
 
-	"cairnfront/internal/admit"
-	"cairnfront/internal/book"
-	"cairnfront/internal/conn"
-	"cairnfront/internal/frame"
+	"cairnfront/internal/admission"
+	"cairnfront/internal/clientproto"
+	"cairnfront/internal/netconn"
 	"cairnfront/internal/relay"
-	"cairnfront/internal/txn"
+	"cairnfront/internal/request"
+	"cairnfront/internal/telemetry"
 
 	"golang.org/x/sync/errgroup"
 )
@@ -50,14 +50,14 @@
 )
 
 // Left says that the client of a txn waits no more.
-type Left struct{ Txn *txn.Txn }
+type Left struct{ Txn *request.Txn }
 
 // Taker takes in what clients send. Offer hands a *txn.Txn to the route stage if there is room for it now: one that reads a
 // connection must not stand still, or it would not see its client go. Post hands on a Left.
 type Taker struct {
 	Rules map[string]int
-	Gate  *admit.Gate
-	Book  *book.Book
+	Gate  *admission.Gate
+	Book  *telemetry.Book
 	Offer func(any) bool
 	Post  func(any)
 
@@ -69,7 +69,7 @@
 
 // clientConn is a client's connection and what it has brought so far.
 type clientConn struct {
-	*conn.Conn
+	*netconn.Conn
 	o           *relay.Outlet
 	whole, used atomic.Bool  // it brought a whole frame; a txn
 	asOf        atomic.Int64 // Unix ns at which a look at it found it of no use
@@ -84,7 +84,7 @@
 }
 
 // noMore tells a client to bring no new txn on its connection.
-func (c *clientConn) noMore() { c.o.Say(frame.AppendHead(nil, frame.NoMore, 0, 0)) }
+func (c *clientConn) noMore() { c.o.Say(clientproto.AppendHead(nil, clientproto.NoMore, 0, 0)) }
 
 // errEnding ends the reading of a connection that was asked to end and may.
 var errEnding = errors.New("asked to end")
@@ -95,15 +95,15 @@
 	asOf, begun := time.Unix(0, c.asOf.Load()), c.Begun()
 	still := true
 	switch code {
-	case conn.Half:
+	case netconn.Half:
 		still = begun != 0 && before(asOf, begun, halfAfter)
-	case conn.Mute:
+	case netconn.Mute:
 		still = !c.whole.Load()
-	case conn.Idle:
+	case netconn.Idle:
 		still = begun == 0 && before(asOf, c.Heard(), idleAfter)
-	case conn.Crowded:
+	case netconn.Crowded:
 		still = begun == 0 && before(asOf, c.Heard(), evictAfter)
-	case conn.Shutdown: // half a request is waited for: its client is told when it ends, not in the middle of it
+	case netconn.Shutdown: // half a request is waited for: its client is told when it ends, not in the middle of it
 		still = begun == 0 || before(asOf, begun, halfAfter)
 	}
 	if !still || !c.o.Shut() {
@@ -201,7 +201,7 @@
 		deaf, now := k.deaf, time.Now()
 		for o, c := range k.conns {
 			if !o.Busy() && c.Code() == "" { // one that is ending already has a reason
-				c.end(conn.Shutdown, now)
+				c.end(netconn.Shutdown, now)
 			}
 		}
 		k.mu.Unlock()
@@ -240,14 +240,14 @@
 	for o, c := range k.conns {
 		switch begun := c.Begun(); {
 		case full && o.Waits() && before(now, c.Took(), stalledAfter):
-			c.End(conn.Slow, nil)
+			c.End(netconn.Slow, nil)
 		case o.Busy():
 		case begun != 0 && before(now, begun, halfAfter):
-			c.end(conn.Half, now)
+			c.end(netconn.Half, now)
 		case !c.whole.Load() && c.Age(now) > muteAfter: // also in the middle of its first frame: it has had its time
-			c.end(conn.Mute, now)
+			c.end(netconn.Mute, now)
 		case begun == 0 && before(now, c.Heard(), idleAfter):
-			c.end(conn.Idle, now)
+			c.end(netconn.Idle, now)
 		}
 	}
 }
@@ -269,7 +269,7 @@
 	}
 	if out != nil {
 		out.evicted.Store(true)
-		out.end(conn.Crowded, now)
+		out.end(netconn.Crowded, now)
 	}
 	return out != nil
 }
@@ -277,7 +277,7 @@
 // client serves one connection until it ends.
 func (k *Taker) client(ctx context.Context, raw net.Conn, in bool) {
 	o := relay.New(k.Book, k.Gate)
-	c := &clientConn{Conn: conn.New(raw, admit.ClientRing, relay.Stall), o: o}
+	c := &clientConn{Conn: netconn.New(raw, admission.ClientRing, relay.Stall), o: o}
 	c.Asked = c.may
 	k.Book.Began("client")
 	k.mu.Lock()
@@ -290,39 +290,39 @@
 		c.noMore()
 	}
 	g, ctx := errgroup.WithContext(ctx)
-	defer context.AfterFunc(ctx, func() { c.End(conn.Shutdown, nil) })()
+	defer context.AfterFunc(ctx, func() { c.End(netconn.Shutdown, nil) })()
 	g.Go(func() (err error) {
 		defer k.caught(c.Conn, &err)
 		r := reader{k: k, c: c, o: o, used: map[uint32]bool{}, next: 1}
 		if in {
 			err = r.run()
 		} else {
-			c.Blame(conn.Limit, nil)
+			c.Blame(netconn.Limit, nil)
 			err = fault("too many connections")
 		}
 		if bad := (*violation)(nil); errors.As(err, &bad) {
 			// What was taken is still answered; only then does the connection end, under the code of the fault. Until then it
 			// is read on, and all dropped: a client that goes is noticed.
-			c.Blame(conn.Protocol, bad)
+			c.Blame(netconn.Protocol, bad)
 			o.Say(errorFrame(bad.Error()))
 			o.Finish()
 			err = c.Drop(lingerBytes)
 		}
 		if errors.Is(err, errEnding) {
 			most := lingerMost
-			if c.Code() == conn.Crowded {
+			if c.Code() == netconn.Crowded {
 				most = lingerRoom
 			}
-			c.Hangup(conn.Shutdown, nil, most, lingerBytes)
+			c.Hangup(netconn.Shutdown, nil, most, lingerBytes)
 			return err
 		}
-		c.End(conn.Reason(err), err)
+		c.End(netconn.Reason(err), err)
 		return err
 	})
 	g.Go(func() (err error) {
 		defer k.caught(c.Conn, &err)
 		if err = o.Run(ctx, c.Conn); err == nil {
-			c.Ask(conn.Protocol)
+			c.Ask(netconn.Protocol)
 		}
 		return err
 	})
@@ -337,17 +337,17 @@
 }
 
 func errorFrame(text string) []byte {
-	return frame.AppendAnswer(nil, 0, txn.Answer{Verdict: txn.Aborted, Error: text})
+	return clientproto.AppendAnswer(nil, 0, request.Answer{Verdict: request.Aborted, Error: text})
 }
 
 var errPanic = errors.New("panic")
 
 // caught ends a connection, not the process, after a panic in one of its goroutines.
-func (k *Taker) caught(c *conn.Conn, err *error) {
+func (k *Taker) caught(c *netconn.Conn, err *error) {
 	if p := recover(); p != nil {
 		k.panicked(p)
 		*err = errPanic
-		c.End(conn.Panic, nil)
+		c.End(netconn.Panic, nil)
 	}
 }
 
@@ -373,32 +373,32 @@
 }
 
 func (r *reader) run() error {
-	for head := make([]byte, frame.HeadSize); ; {
+	for head := make([]byte, clientproto.HeadSize); ; {
 		if err := r.c.ReadFull(head); err != nil {
 			return err
 		}
-		h, err := frame.ParseHead(head)
+		h, err := clientproto.ParseHead(head)
 		if err != nil {
 			return fault("%s", err)
 		}
 		switch h.Type {
-		case frame.Txn:
+		case clientproto.Txn:
 			err = r.txn(h)
-		case frame.Leave:
+		case clientproto.Leave:
 			if err = r.c.Skip(h.Size); err == nil {
 				if t := r.o.Leave(h.Stream, "cancelled"); t != nil {
 					r.k.Post(Left{t})
 				}
 			}
-		case frame.AskReady:
+		case clientproto.AskReady:
 			if err = r.c.Skip(h.Size); err == nil {
-				r.o.Say(frame.AppendReady(nil, h.Stream, r.k.Gate.Ready()))
+				r.o.Say(clientproto.AppendReady(nil, h.Stream, r.k.Gate.Ready()))
 			}
 		default:
 			return fault("unknown type %d", h.Type)
 		}
 		if err == nil && r.o.Full() {
-			r.c.Blame(conn.Slow, relay.ErrSlow)
+			r.c.Blame(netconn.Slow, relay.ErrSlow)
 			err = relay.ErrSlow
 		}
 		if err != nil {
@@ -427,24 +427,24 @@
 }
 
 // txn takes one in. Whatever is wrong with it alone is answered on its stream.
-func (r *reader) txn(h frame.Head) error {
+func (r *reader) txn(h clientproto.Head) error {
 	if h.Stream == 0 {
 		return fault("a txn on stream 0")
 	}
 	if !r.use(h.Stream) {
 		return fault("stream %d is not new", h.Stream)
 	}
-	t := &txn.Txn{Stream: h.Stream, Name: "unknown", To: r.o}
-	atOnce := func(v txn.Verdict, reason, text string) {
+	t := &request.Txn{Stream: h.Stream, Name: "unknown", To: r.o}
+	atOnce := func(v request.Verdict, reason, text string) {
 		r.k.Gate.Enter() // it is owed its answer like any other
 		r.o.Open(t)
-		r.o.Answer(t, txn.Answer{Verdict: v, Reason: reason, Error: text})
+		r.o.Answer(t, request.Answer{Verdict: v, Reason: reason, Error: text})
 	}
-	if h.Size > frame.MostAsked {
+	if h.Size > clientproto.MostAsked {
 		if err := r.c.Skip(h.Size); err != nil {
 			return err
 		}
-		atOnce(txn.Aborted, "malformed", "txn too large")
+		atOnce(request.Aborted, "malformed", "txn too large")
 		return nil
 	}
 	body := r.k.Gate.Budget.Try(h.Size)
@@ -452,7 +452,7 @@
 		if err := r.c.Skip(h.Size); err != nil {
 			return err
 		}
-		atOnce(txn.Rejected, "memory", "")
+		atOnce(request.Rejected, "memory", "")
 		return nil
 	}
 	if err := r.c.ReadFull(body.Bytes); err != nil {
@@ -467,23 +467,23 @@
 }
 
 // admit reads a txn that has come whole and hands it on. A panic there costs this txn only.
-func (r *reader) admit(t *txn.Txn, body *txn.Body, now float64, atOnce func(txn.Verdict, string, string)) {
+func (r *reader) admit(t *request.Txn, body *request.Body, now float64, atOnce func(request.Verdict, string, string)) {
 	defer func() {
 		if p := recover(); p != nil {
 			r.k.panicked(p)
-			if !r.o.Answer(t, txn.Answer{Verdict: txn.Aborted, Reason: "panic"}) {
-				atOnce(txn.Aborted, "panic", "")
+			if !r.o.Answer(t, request.Answer{Verdict: request.Aborted, Reason: "panic"}) {
+				atOnce(request.Aborted, "panic", "")
 			}
 		}
 	}()
-	a, err := frame.ParseTxn(body.Bytes)
+	a, err := clientproto.ParseTxn(body.Bytes)
 	rule, known := r.k.Rules[a.Name]
 	if err == nil && !known {
 		err = fmt.Errorf("unknown remap rule %.40q", a.Name)
 	}
 	if err != nil {
 		body.Free()
-		atOnce(txn.Aborted, "malformed", err.Error())
+		atOnce(request.Aborted, "malformed", err.Error())
 		return
 	}
 	a.Stream, a.To, a.Rule, a.Came, a.Limit = t.Stream, r.o, rule, now, now+a.TTL
@@ -501,11 +501,11 @@
 	} else if reason = r.k.Gate.Txn(size); reason == "" {
 		if r.o.Open(t); !r.k.Offer(t) { // the decisions are far behind: what is given up is answered at once
 			t.Body.Free()
-			r.o.Answer(t, txn.Answer{Verdict: txn.Rejected, Reason: "queue"})
+			r.o.Answer(t, request.Answer{Verdict: request.Rejected, Reason: "queue"})
 		}
 	}
 	if reason != "" {
 		t.Body.Free()
-		atOnce(txn.Rejected, reason, "")
+		atOnce(request.Rejected, reason, "")
 	}
 }
--- a/internal/take/take_test.go
+++ b/internal/frontend/take_test.go
@@ -1,4 +1,4 @@
-package take
+package frontend
 
 import (
 	"bytes"
@@ -15,12 +15,12 @@
 	"testing"
 	"time"
 
-	"cairnfront/internal/admit"
-	"cairnfront/internal/book"
-	"cairnfront/internal/conn"
-	"cairnfront/internal/frame"
+	"cairnfront/internal/admission"
+	"cairnfront/internal/clientproto"
+	"cairnfront/internal/netconn"
 	"cairnfront/internal/relay"
-	"cairnfront/internal/txn"
+	"cairnfront/internal/request"
+	"cairnfront/internal/telemetry"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -33,7 +33,7 @@
 	posted chan any
 	log    *bytes.Buffer
 	done   chan bool
-	gate   *admit.Gate
+	gate   *admission.Gate
 	socket *ending // over TCP
 }
 
@@ -44,7 +44,7 @@
 
 func connectOver(t *testing.T, near, far net.Conn, in bool) *client {
 	c := &client{Conn: far, posted: make(chan any, 99), log: &bytes.Buffer{}, done: make(chan bool)}
-	c.Taker = &Taker{Rules: map[string]int{"page": 1}, Gate: admit.New(64, 256), Book: book.New(c.log, ""),
+	c.Taker = &Taker{Rules: map[string]int{"page": 1}, Gate: admission.New(64, 256), Book: telemetry.New(c.log, ""),
 		Offer: func(ev any) bool {
 			c.posted <- ev
 			return true
@@ -73,18 +73,18 @@
 	return nil
 }
 
-func request(stream uint32, id string, more ...frame.Field) []byte {
-	payload := frame.AppendFields(nil, append([]frame.Field{{Name: "op", Value: "page"}, {Name: "call", Value: id + "0123456789abcd"},
+func requestFrame(stream uint32, id string, more ...clientproto.Field) []byte {
+	payload := clientproto.AppendFields(nil, append([]clientproto.Field{{Name: "op", Value: "page"}, {Name: "call", Value: id + "0123456789abcd"},
 		{Name: "ttl", Value: "1500"}, {Name: "row", Value: "7f3a9c21e0b4d655"}, {Name: "seg", Value: "3"}}, more...)...)
-	return append(frame.AppendHead(nil, frame.Txn, stream, len(payload)), payload...)
+	return append(clientproto.AppendHead(nil, clientproto.Txn, stream, len(payload)), payload...)
 }
 
 // next reads one frame: its type, stream and payload.
 func (c *client) next(t *testing.T) (byte, uint32, string) {
-	head := make([]byte, frame.HeadSize)
+	head := make([]byte, clientproto.HeadSize)
 	_, err := io.ReadFull(c, head)
 	assert.NoError(t, err)
-	h, err := frame.ParseHead(head)
+	h, err := clientproto.ParseHead(head)
 	assert.NoError(t, err)
 	payload := make([]byte, h.Size)
 	_, err = io.ReadFull(c, payload)
@@ -95,23 +95,23 @@
 func TestRequestBecomesATxn(t *testing.T) {
 	c := connect(t, true)
 	before := float64(time.Now().UnixMicro()) / 1e6
-	_, _ = c.Write(request(1, "aa", frame.Field{Name: "heap", Value: "412.5"}))
-	x := (<-c.posted).(*txn.Txn)
+	_, _ = c.Write(requestFrame(1, "aa", clientproto.Field{Name: "heap", Value: "412.5"}))
+	x := (<-c.posted).(*request.Txn)
 	assert.Equal(t, []any{"aa0123456789abcd", "page", 1, 3, 412.5}, []any{x.ID, x.Name, x.Rule, x.PartNo, x.KB})
 	assert.GreaterOrEqual(t, x.Came, before)
 	assert.InDelta(t, x.Came+1.5, x.Limit, 1e-6)
-	assert.True(t, x.To.Answer(x, txn.Answer{Tag: "t", Body: &txn.Body{Bytes: []byte("xyz")}}))
-	assert.False(t, x.To.Answer(x, txn.Answer{}), "one answer a txn")
+	assert.True(t, x.To.Answer(x, request.Answer{Tag: "t", Body: &request.Body{Bytes: []byte("xyz")}}))
+	assert.False(t, x.To.Answer(x, request.Answer{}), "one answer a txn")
 	kind, stream, payload := c.next(t)
-	assert.Equal(t, []any{byte(frame.Answer), uint32(1), "\x01\x01\x04etag\x00\x01txyz"}, []any{kind, stream, payload})
-	_, _ = c.Write(frame.AppendHead(nil, frame.Leave, 1, 0)) // too late to matter
-	_, _ = c.Write(request(2, "bb"))
-	x = (<-c.posted).(*txn.Txn)
-	_, _ = c.Write(frame.AppendHead(nil, frame.Leave, 2, 0))
+	assert.Equal(t, []any{byte(clientproto.Answer), uint32(1), "\x01\x01\x04etag\x00\x01txyz"}, []any{kind, stream, payload})
+	_, _ = c.Write(clientproto.AppendHead(nil, clientproto.Leave, 1, 0)) // too late to matter
+	_, _ = c.Write(requestFrame(2, "bb"))
+	x = (<-c.posted).(*request.Txn)
+	_, _ = c.Write(clientproto.AppendHead(nil, clientproto.Leave, 2, 0))
 	assert.Equal(t, Left{x}, <-c.posted)
-	assert.False(t, x.To.Answer(x, txn.Answer{}), "nobody waits")
-	_, _ = c.Write(request(3, "cc"))
-	x = (<-c.posted).(*txn.Txn)
+	assert.False(t, x.To.Answer(x, request.Answer{}), "nobody waits")
+	_, _ = c.Write(requestFrame(3, "cc"))
+	x = (<-c.posted).(*request.Txn)
 	_ = c.Close()
 	assert.Equal(t, Left{x}, <-c.posted)
 	assert.EqualValues(t, 1, c.Book.Count("left.page.connection-ended"))
@@ -119,24 +119,24 @@
 
 func TestReadiness(t *testing.T) {
 	c := connect(t, true)
-	ask := append(frame.AppendHead(nil, frame.AskReady, 5, 1), 0)
+	ask := append(clientproto.AppendHead(nil, clientproto.AskReady, 5, 1), 0)
 	for _, want := range []string{"\x00\x00", "\x01\x00"} {
 		_, _ = c.Write(ask)
 		kind, stream, payload := c.next(t)
-		assert.Equal(t, []any{byte(frame.Ready), uint32(5), want}, []any{kind, stream, payload})
+		assert.Equal(t, []any{byte(clientproto.Ready), uint32(5), want}, []any{kind, stream, payload})
 		c.Gate.SetReady()
 	}
 	go c.Stop()
 	kind, stream, payload := c.next(t)
-	assert.Equal(t, []any{byte(frame.NoMore), uint32(0), ""}, []any{kind, stream, payload})
+	assert.Equal(t, []any{byte(clientproto.NoMore), uint32(0), ""}, []any{kind, stream, payload})
 	_, _ = c.Write(ask)
 	_, _, payload = c.next(t)
 	assert.Equal(t, "\x00\x00", payload, "no new clients while it ends")
-	_, _ = c.Write(request(1, "aa"))
-	x := (<-c.posted).(*txn.Txn)
+	_, _ = c.Write(requestFrame(1, "aa"))
+	x := (<-c.posted).(*request.Txn)
 	kind, _, _ = c.next(t)
-	assert.Equal(t, byte(frame.NoMore), kind)
-	assert.True(t, x.To.Answer(x, txn.Answer{}), "and yet what comes is served")
+	assert.Equal(t, byte(clientproto.NoMore), kind)
+	assert.True(t, x.To.Answer(x, request.Answer{}), "and yet what comes is served")
 	_, stream, _ = c.next(t)
 	assert.EqualValues(t, 1, stream)
 }
@@ -144,35 +144,35 @@
 // TestBadRequestsAreAnsweredOnTheirStream: the connection goes on.
 func TestBadRequestsAreAnsweredOnTheirStream(t *testing.T) {
 	c := connect(t, true)
-	big := frame.AppendHead(nil, frame.Txn, 1, frame.MostAsked+1)
-	for stream, bad := range [][]byte{append(big, make([]byte, frame.MostAsked+1)...), append(frame.AppendHead(nil, frame.Txn, 2, 1), 9),
-		request(3, "zz"), request(4, "aa", frame.Field{Name: "op", Value: "page"}),
-		bytes.Replace(request(5, "aa"), []byte("\x04page"), []byte("\x04what"), 1), bytes.Replace(request(6, "aa"), []byte("page"), []byte("what"), 1)} {
+	big := clientproto.AppendHead(nil, clientproto.Txn, 1, clientproto.MostAsked+1)
+	for stream, bad := range [][]byte{append(big, make([]byte, clientproto.MostAsked+1)...), append(clientproto.AppendHead(nil, clientproto.Txn, 2, 1), 9),
+		requestFrame(3, "zz"), requestFrame(4, "aa", clientproto.Field{Name: "op", Value: "page"}),
+		bytes.Replace(requestFrame(5, "aa"), []byte("\x04page"), []byte("\x04what"), 1), bytes.Replace(requestFrame(6, "aa"), []byte("page"), []byte("what"), 1)} {
 		_, _ = c.Write(bad)
 		kind, on, payload := c.next(t)
-		assert.Equal(t, []any{byte(frame.Answer), uint32(stream + 1)}, []any{kind, on})
+		assert.Equal(t, []any{byte(clientproto.Answer), uint32(stream + 1)}, []any{kind, on})
 		assert.Equal(t, byte(9), payload[0])
 		assert.Contains(t, payload, "error")
 	}
-	_, _ = c.Write(request(7, "aa"))
-	x := (<-c.posted).(*txn.Txn)
-	x.To.Answer(x, txn.Answer{})
+	_, _ = c.Write(requestFrame(7, "aa"))
+	x := (<-c.posted).(*request.Txn)
+	x.To.Answer(x, request.Answer{})
 	_, stream, _ := c.next(t)
 	assert.EqualValues(t, 7, stream)
 }
 
 // TestWhatCanNotBeFollowedEndsTheConnection: but what was taken is answered first.
 func TestWhatCanNotBeFollowedEndsTheConnection(t *testing.T) {
-	for want, bad := range map[string][]byte{"length": {0xff, 0, 0, 0, 100, 0, 0, 0, 9}, "type 77": frame.AppendHead(nil, 77, 9, 0),
-		"stream 0": request(0, "bb"), "not new": request(1, "bb")} {
+	for want, bad := range map[string][]byte{"length": {0xff, 0, 0, 0, 100, 0, 0, 0, 9}, "type 77": clientproto.AppendHead(nil, 77, 9, 0),
+		"stream 0": requestFrame(0, "bb"), "not new": requestFrame(1, "bb")} {
 		c := connect(t, true)
-		_, _ = c.Write(request(1, "aa"))
-		x := (<-c.posted).(*txn.Txn)
+		_, _ = c.Write(requestFrame(1, "aa"))
+		x := (<-c.posted).(*request.Txn)
 		_, _ = c.Write(bad)
 		kind, stream, payload := c.next(t)
-		assert.Equal(t, []any{byte(frame.Answer), uint32(0)}, []any{kind, stream})
+		assert.Equal(t, []any{byte(clientproto.Answer), uint32(0)}, []any{kind, stream})
 		assert.Contains(t, payload, want)
-		x.To.Answer(x, txn.Answer{})
+		x.To.Answer(x, request.Answer{})
 		_, stream, _ = c.next(t)
 		assert.EqualValues(t, 1, stream)
 		_, err := c.Read(make([]byte, 1))
@@ -185,17 +185,17 @@
 func TestPastALimitTheAnswerIsNo(t *testing.T) {
 	c := connect(t, true)
 	for stream := uint32(1); stream <= mostOpen; stream++ {
-		_, _ = c.Write(request(stream, string([]byte{'a' + byte(stream%6), 'a' + byte(stream/6)})))
+		_, _ = c.Write(requestFrame(stream, string([]byte{'a' + byte(stream%6), 'a' + byte(stream/6)})))
 		<-c.posted
 	}
-	_, _ = c.Write(request(mostOpen+1, "ff"))
+	_, _ = c.Write(requestFrame(mostOpen+1, "ff"))
 	_, stream, payload := c.next(t)
 	assert.Equal(t, []any{uint32(mostOpen + 1), "\x00\x00"}, []any{stream, payload})
-	_, _ = c.Write(frame.AppendHead(nil, frame.Leave, 1, 0))
+	_, _ = c.Write(clientproto.AppendHead(nil, clientproto.Leave, 1, 0))
 	<-c.posted
 	body := c.Gate.Budget.Try(64<<20*35/100 - 50)
 	assert.NotNil(t, body)
-	_, _ = c.Write(request(mostOpen+2, "ff"))
+	_, _ = c.Write(requestFrame(mostOpen+2, "ff"))
 	_, stream, payload = c.next(t)
 	assert.Equal(t, []any{uint32(mostOpen + 2), "\x00\x00"}, []any{stream, payload}, "no memory for a body")
 	body.Free()
@@ -207,13 +207,13 @@
 func TestPanicCostsOneTxn(t *testing.T) {
 	c := connect(t, true)
 	c.Offer = func(any) bool { panic("a fault") }
-	_, _ = c.Write(request(1, "aa"))
+	_, _ = c.Write(requestFrame(1, "aa"))
 	_, stream, payload := c.next(t)
 	assert.Equal(t, []any{uint32(1), "\x09\x00"}, []any{stream, payload})
 	assert.Contains(t, c.log.String(), "a fault")
 	assert.EqualValues(t, 1, c.Book.Count("answered.page.aborted.panic"))
 	c.Gate = nil
-	_, _ = c.Write(append(frame.AppendHead(nil, frame.AskReady, 0, 1), 0))
+	_, _ = c.Write(append(clientproto.AppendHead(nil, clientproto.AskReady, 0, 1), 0))
 	_, err := c.Read(make([]byte, 1))
 	assert.ErrorIs(t, err, io.EOF)
 	c.Gate = c.gate
@@ -224,7 +224,7 @@
 func TestClientThatDoesNotReadEnds(t *testing.T) {
 	c := connect(t, true)
 	for range 1030 {
-		if _, err := c.Write(append(frame.AppendHead(nil, frame.AskReady, 0, 1), 0)); err != nil {
+		if _, err := c.Write(append(clientproto.AppendHead(nil, clientproto.AskReady, 0, 1), 0)); err != nil {
 			break
 		}
 	}
@@ -235,11 +235,11 @@
 // TestStalledReadersEndWhileMemoryIsShort: but not those that read, nor any while there is room.
 func TestStalledReadersEndWhileMemoryIsShort(t *testing.T) {
 	c := connect(t, true)
-	_, _ = c.Write(request(1, "aa"))
-	x := (<-c.posted).(*txn.Txn)
+	_, _ = c.Write(requestFrame(1, "aa"))
+	x := (<-c.posted).(*request.Txn)
 	body := c.Gate.Budget.Try(22 << 20)
 	c.Sweep(time.Now().Add(2 * stalledAfter))
-	x.To.Answer(x, txn.Answer{Body: body})
+	x.To.Answer(x, request.Answer{Body: body})
 	_, err := io.ReadFull(c, make([]byte, 1<<20))
 	assert.NoError(t, err, "nothing waited")
 	c.Sweep(time.Now())
@@ -276,7 +276,7 @@
 
 // TestStillConnectionsEnd: one without a whole frame soonest, one with something open never.
 func TestStillConnectionsEnd(t *testing.T) {
-	ask := append(frame.AppendHead(nil, frame.AskReady, 0, 1), 0)
+	ask := append(clientproto.AppendHead(nil, clientproto.AskReady, 0, 1), 0)
 	for _, x := range []struct {
 		says []byte
 		age  time.Duration
@@ -301,10 +301,10 @@
 	late.sweepUntilDone(0)
 	assert.Contains(t, late.log.String(), "code=mute")
 	c := connect(t, true)
-	_, _ = c.Write(append(request(1, "aa"), 0, 0))
-	x := (<-c.posted).(*txn.Txn)
+	_, _ = c.Write(append(requestFrame(1, "aa"), 0, 0))
+	x := (<-c.posted).(*request.Txn)
 	c.Sweep(time.Now().Add(time.Hour))
-	x.To.Answer(x, txn.Answer{})
+	x.To.Answer(x, request.Answer{})
 	_, stream, _ := c.next(t)
 	assert.EqualValues(t, 1, stream, "what is open is answered")
 }
@@ -325,8 +325,8 @@
 // TestStillOnesMakeRoom: one that never brought a txn before one that did, however long that is still.
 func TestStillOnesMakeRoom(t *testing.T) {
 	a, b := connect(t, true), connect(t, true)
-	_, _ = a.Write(request(1, "aa"))
-	x := (<-a.posted).(*txn.Txn)
+	_, _ = a.Write(requestFrame(1, "aa"))
+	x := (<-a.posted).(*request.Txn)
 	k := &Taker{conns: map[*relay.Outlet]*clientConn{}}
 	for _, c := range []*client{a, b} {
 		assert.Eventually(t, func() bool { return c.conn() != nil }, time.Minute, time.Millisecond)
@@ -339,7 +339,7 @@
 	<-b.done
 	assert.Contains(t, b.log.String(), "code=crowded")
 	assert.False(t, k.evict(time.Now().Add(time.Hour)), "a txn is open")
-	x.To.Answer(x, txn.Answer{})
+	x.To.Answer(x, request.Answer{})
 	a.next(t)
 	assert.Eventually(t, func() bool { return k.evict(time.Now().Add(time.Hour)) }, time.Minute, time.Millisecond, "once the answer is known as written")
 	<-a.done
@@ -350,12 +350,12 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NoError(t, err)
 	ctx, cancel := context.WithCancel(t.Context())
-	k := &Taker{Gate: admit.New(64, 256), Book: book.New(io.Discard, "")}
+	k := &Taker{Gate: admission.New(64, 256), Book: telemetry.New(io.Discard, "")}
 	done := make(chan error)
 	go func() { done <- k.Run(ctx, ln) }()
 	far, err := net.Dial("tcp", ln.Addr().String())
 	assert.NoError(t, err)
-	_, _ = far.Write(frame.AppendHead(nil, 77, 1, 0))
+	_, _ = far.Write(clientproto.AppendHead(nil, 77, 1, 0))
 	for range 20 {
 		_, err = far.Write(make([]byte, 64<<10))
 		assert.NoError(t, err)
@@ -372,12 +372,12 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NoError(t, err)
 	ctx, cancel := context.WithCancel(t.Context())
-	k := &Taker{Gate: admit.New(64, 256), Book: book.New(io.Discard, "")}
+	k := &Taker{Gate: admission.New(64, 256), Book: telemetry.New(io.Discard, "")}
 	done := make(chan error)
 	go func() { done <- k.Run(ctx, ln) }()
 	far, err := net.Dial("tcp", ln.Addr().String())
 	assert.NoError(t, err)
-	_, _ = far.Write(append(frame.AppendHead(nil, frame.AskReady, 0, 1), 0))
+	_, _ = far.Write(append(clientproto.AppendHead(nil, clientproto.AskReady, 0, 1), 0))
 	_, err = io.ReadFull(far, make([]byte, 11))
 	assert.NoError(t, err)
 	cancel()
@@ -445,28 +445,28 @@
 // TestRequestThatMeetsAnIdleEnd: one that comes before the end is decided is taken in; one that crosses it meets a half-close,
 // so that its client knows that it was not taken and comes again, and no reset.
 func TestRequestThatMeetsAnIdleEnd(t *testing.T) {
-	ask := append(frame.AppendHead(nil, frame.AskReady, 5, 1), 0)
+	ask := append(clientproto.AppendHead(nil, clientproto.AskReady, 5, 1), 0)
 	var came atomic.Bool
 	c := overTCP(t, func(far net.Conn) {
 		if came.CompareAndSwap(false, true) {
-			_, _ = far.Write(request(1, "aa"))
+			_, _ = far.Write(requestFrame(1, "aa"))
 		}
-	}, func(far net.Conn) { _, _ = far.Write(request(2, "bb")) })
+	}, func(far net.Conn) { _, _ = far.Write(requestFrame(2, "bb")) })
 	_, _ = c.Write(ask)
 	c.next(t)
-	var x *txn.Txn
+	var x *request.Txn
 	for x == nil { // until a sweep has seen that nothing is open
 		c.Sweep(time.Now().Add(idleAfter + time.Second))
 		select {
 		case ev := <-c.posted:
-			x = ev.(*txn.Txn)
+			x = ev.(*request.Txn)
 		case <-time.After(time.Millisecond):
 		}
 	}
-	assert.True(t, x.To.Answer(x, txn.Answer{}))
+	assert.True(t, x.To.Answer(x, request.Answer{}))
 	_, stream, _ := c.next(t)
 	assert.EqualValues(t, 1, stream, "it came before the end")
-	c.sweepUntil(t, conn.Idle)
+	c.sweepUntil(t, netconn.Idle)
 	c.whole(t)
 	assert.Empty(t, c.posted, "what crossed the end is not taken")
 	assert.Contains(t, c.log.String(), "code=idle")
@@ -483,14 +483,14 @@
 
 // TestEndsOfEveryKindResetNothing: whatever a client writes in the moment in which its connection ends.
 func TestEndsOfEveryKindResetNothing(t *testing.T) {
-	ask := append(frame.AppendHead(nil, frame.AskReady, 5, 1), 0)
-	for code, says := range map[string][]byte{conn.Mute: nil, conn.Idle: ask, conn.Half: ask[:7]} {
+	ask := append(clientproto.AppendHead(nil, clientproto.AskReady, 5, 1), 0)
+	for code, says := range map[string][]byte{netconn.Mute: nil, netconn.Idle: ask, netconn.Half: ask[:7]} {
 		c := overTCP(t, nothing, func(far net.Conn) { _, _ = far.Write(append(ask, make([]byte, 50_000)...)) })
 		_, _ = c.Write(says)
-		if code == conn.Idle {
+		if code == netconn.Idle {
 			c.next(t)
 		}
-		assert.Eventually(t, func() bool { x := c.conn(); return x != nil && (x.Begun() != 0) == (code == conn.Half) }, time.Minute, time.Millisecond)
+		assert.Eventually(t, func() bool { x := c.conn(); return x != nil && (x.Begun() != 0) == (code == netconn.Half) }, time.Minute, time.Millisecond)
 		c.sweepUntil(t, code)
 		c.whole(t)
 		assert.Contains(t, c.log.String(), "code="+code)
@@ -504,11 +504,11 @@
 // TestClientThatGoesAfterAFaultIsNoticed: nothing it sends is followed any more, but its end is.
 func TestClientThatGoesAfterAFaultIsNoticed(t *testing.T) {
 	c := connect(t, true)
-	_, _ = c.Write(request(1, "aa"))
-	x := (<-c.posted).(*txn.Txn)
-	_, _ = c.Write(frame.AppendHead(nil, 77, 9, 0))
+	_, _ = c.Write(requestFrame(1, "aa"))
+	x := (<-c.posted).(*request.Txn)
+	_, _ = c.Write(clientproto.AppendHead(nil, 77, 9, 0))
 	c.next(t)
-	_, _ = c.Write(request(2, "bb"))
+	_, _ = c.Write(requestFrame(2, "bb"))
 	_ = c.Close()
 	assert.Equal(t, Left{x}, <-c.posted)
 	assert.True(t, x.Left())
@@ -533,15 +533,15 @@
 // not at the price of the processor: what it can bring until the answer is bounded.
 func TestFloodWhileAnAnswerIsOwedIsSlowed(t *testing.T) {
 	c := overTCP(t, nothing, nothing)
-	_, _ = c.Write(request(1, "aa"))
-	x := (<-c.posted).(*txn.Txn)
-	_, _ = c.Write(frame.AppendHead(nil, 77, 9, 0))
+	_, _ = c.Write(requestFrame(1, "aa"))
+	x := (<-c.posted).(*request.Txn)
+	_, _ = c.Write(clientproto.AppendHead(nil, 77, 9, 0))
 	flooded := c.flood()
 	assert.Eventually(t, func() bool { return c.conn().Got() > lingerBytes }, time.Minute, time.Millisecond)
 	before, began := c.conn().Got(), time.Now()
-	assert.Eventually(t, func() bool { return c.conn().Got() > before+20*admit.ClientRing }, time.Minute, time.Millisecond)
+	assert.Eventually(t, func() bool { return c.conn().Got() > before+20*admission.ClientRing }, time.Minute, time.Millisecond)
 	assert.Greater(t, time.Since(began), 50*time.Millisecond)
-	assert.True(t, x.To.Answer(x, txn.Answer{}))
+	assert.True(t, x.To.Answer(x, request.Answer{}))
 	<-c.done
 	<-flooded
 }
@@ -549,7 +549,7 @@
 // TestFloodAfterAFaultPutsNoEndOff: one whose frames can't be followed and who goes on sending is ended all the same.
 func TestFloodAfterAFaultPutsNoEndOff(t *testing.T) {
 	c := overTCP(t, nothing, nothing)
-	_, _ = c.Write(frame.AppendHead(nil, 77, 9, 0))
+	_, _ = c.Write(clientproto.AppendHead(nil, 77, 9, 0))
 	flooded := c.flood()
 	<-c.done
 	<-flooded
@@ -561,14 +561,14 @@
 	c := connect(t, true)
 	full := c.Offer
 	c.Offer = func(any) bool { return false }
-	_, _ = c.Write(request(1, "aa", frame.Field{Name: "heap", Value: "1"}))
+	_, _ = c.Write(requestFrame(1, "aa", clientproto.Field{Name: "heap", Value: "1"}))
 	_, stream, payload := c.next(t)
 	assert.Equal(t, []any{uint32(1), "\x00\x00"}, []any{stream, payload})
 	assert.EqualValues(t, 1, c.Book.Count("answered.page.rejected.queue"))
 	assert.Zero(t, c.Gate.Budget.Used())
 	c.Offer = full
-	_, _ = c.Write(request(2, "bb"))
-	x := (<-c.posted).(*txn.Txn)
+	_, _ = c.Write(requestFrame(2, "bb"))
+	x := (<-c.posted).(*request.Txn)
 	_ = c.Close()
 	assert.Equal(t, Left{x}, <-c.posted)
 }
@@ -607,7 +607,7 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	posted = make(chan any, 99)
-	k = &Taker{Rules: map[string]int{"page": 1}, Gate: admit.New(64, 256), Book: book.New(io.Discard, ""), Post: func(ev any) { posted <- ev },
+	k = &Taker{Rules: map[string]int{"page": 1}, Gate: admission.New(64, 256), Book: telemetry.New(io.Discard, ""), Post: func(ev any) { posted <- ev },
 		Offer: func(ev any) bool {
 			posted <- ev
 			return true
@@ -636,7 +636,7 @@
 	k, _, dial := listening(t, nil)
 	k.Stop()
 	kind, _, _ := dial().next(t)
-	assert.EqualValues(t, frame.NoMore, kind)
+	assert.EqualValues(t, clientproto.NoMore, kind)
 }
 
 // TestBacklogIsTakenInAtTheEnd: one that connected, and wrote, before the listener closed is owed an answer. The listener's
@@ -647,7 +647,7 @@
 		far, err := net.Dial("tcp", ln.Addr().String())
 		require.NoError(t, err)
 		c = &client{Conn: far}
-		_, _ = c.Write(request(1, "aa"))
+		_, _ = c.Write(requestFrame(1, "aa"))
 		_ = ln.(*net.TCPListener).SetDeadline(time.Unix(1, 0))
 	})
 	k.Stop()
@@ -656,12 +656,12 @@
 		k.Finish(t.Context())
 		close(finished)
 	}()
-	x := (<-posted).(*txn.Txn)
-	assert.True(t, x.To.Answer(x, txn.Answer{}))
-	for kind := byte(frame.NoMore); kind == frame.NoMore; {
+	x := (<-posted).(*request.Txn)
+	assert.True(t, x.To.Answer(x, request.Answer{}))
+	for kind := byte(clientproto.NoMore); kind == clientproto.NoMore; {
 		var stream uint32
-		if kind, stream, _ = c.next(t); kind != frame.NoMore {
-			assert.Equal(t, []any{byte(frame.Answer), uint32(1)}, []any{kind, stream})
+		if kind, stream, _ = c.next(t); kind != clientproto.NoMore {
+			assert.Equal(t, []any{byte(clientproto.Answer), uint32(1)}, []any{kind, stream})
 		}
 	}
 	_, err := io.Copy(io.Discard, c)
@@ -684,12 +684,12 @@
 func TestFinishEndsInOrder(t *testing.T) {
 	k, posted, dial := listening(t, nil)
 	rests, waits, writes := dial(), dial(), dial()
-	_, _ = rests.Write(append(frame.AppendHead(nil, frame.AskReady, 5, 1), 0))
+	_, _ = rests.Write(append(clientproto.AppendHead(nil, clientproto.AskReady, 5, 1), 0))
 	rests.next(t)
-	_, _ = waits.Write(request(1, "aa"))
-	x := (<-posted).(*txn.Txn)
-	text := request(1, "bb")
-	_, _ = writes.Write(append(append([]byte{}, frame.AppendHead(nil, frame.AskReady, 5, 1)...), append([]byte{0}, text[:20]...)...))
+	_, _ = waits.Write(requestFrame(1, "aa"))
+	x := (<-posted).(*request.Txn)
+	text := requestFrame(1, "bb")
+	_, _ = writes.Write(append(append([]byte{}, clientproto.AppendHead(nil, clientproto.AskReady, 5, 1)...), append([]byte{0}, text[:20]...)...))
 	writes.next(t)
 	k.Stop()
 	finished := make(chan bool)
@@ -701,9 +701,9 @@
 	assert.NoError(t, err)
 	_ = rests.Close()
 	_, _ = writes.Write(text[20:])
-	y := (<-posted).(*txn.Txn)
-	for _, z := range []*txn.Txn{x, y} {
-		assert.True(t, z.To.Answer(z, txn.Answer{Body: &txn.Body{Bytes: make([]byte, 200_000)}}))
+	y := (<-posted).(*request.Txn)
+	for _, z := range []*request.Txn{x, y} {
+		assert.True(t, z.To.Answer(z, request.Answer{Body: &request.Body{Bytes: make([]byte, 200_000)}}))
 	}
 	for _, c := range []*client{waits, writes} {
 		n, err := io.Copy(io.Discard, c)
@@ -720,18 +720,20 @@
 	stream := uint32(0)
 	for _, full := range []bool{false, true} {
 		held := c.Gate.Budget.Try(64<<20*35/100*9/10 - 1000)
-		more := (*txn.Body)(nil)
+		more := (*request.Body)(nil)
 		if full {
 			more = c.Gate.Budget.Try(2000)
 		}
-		for _, size := range []int{0, frame.MostBody} {
+		for _, size := range []int{0, clientproto.MostBody} {
 			stream++
-			payload := append(request(stream, fmt.Sprintf("%02x", stream))[frame.HeadSize:], make([]byte, size)...)
-			go func() { _, _ = c.Write(append(frame.AppendHead(nil, frame.Txn, stream, len(payload)), payload...)) }()
+			payload := append(requestFrame(stream, fmt.Sprintf("%02x", stream))[clientproto.HeadSize:], make([]byte, size)...)
+			go func() {
+				_, _ = c.Write(append(clientproto.AppendHead(nil, clientproto.Txn, stream, len(payload)), payload...))
+			}()
 			if !full {
-				x := (<-c.posted).(*txn.Txn)
+				x := (<-c.posted).(*request.Txn)
 				x.Body.Free()
-				x.To.Answer(x, txn.Answer{})
+				x.To.Answer(x, request.Answer{})
 			}
 			_, on, answer := c.next(t)
 			assert.Equal(t, stream, on)
--- a/internal/lab/addresses.go
+++ b/internal/lab/addresses.go
@@ -10,11 +10,11 @@
 	"sync"
 	"time"
 
-	"cairnfront/brain"
-	"cairnfront/internal/box"
-	"cairnfront/internal/line"
-	"cairnfront/internal/operators"
-	"cairnfront/internal/tier/keep"
+	"cairnfront/internal/cacheproto"
+	"cairnfront/internal/config"
+	"cairnfront/internal/diskcache/eviction"
+	"cairnfront/internal/edgecache"
+	"cairnfront/routing"
 )
 
 // variant is one way in which the same load is played.
@@ -201,27 +201,27 @@
 	}
 	t.fragile = true
 	orders := orderBook{}
-	var rules operators.Rulebook
+	var rules config.Rulebook
 	for i, kind := range []int{2, 1, 0, 0} {
 		m, err := newDoors(fmt.Sprintf("s-%08x", i+1), t.s.Folder, time.Millisecond)
 		if err != nil {
 			return nil, nil, nil, err
 		}
-		m.body = func(a line.Asked) []byte {
+		m.body = func(a cacheproto.Asked) []byte {
 			if a.Name == "print-order" && orders.runs(a.Key, unix(time.Now())) {
 				t.made.Ran(a.Name, a.Key)
 			}
 			if a.Name == "print-order" || a.Name == "record" {
 				return nil
 			}
-			return box.MadeBody(s.Seed, keep.Key{Object: a.ObjNo, Part: a.PartNo}, 0, t.made.Least, t.made.Most)
+			return edgecache.MadeBody(s.Seed, eviction.Key{Object: a.ObjNo, Part: a.PartNo}, 0, t.made.Least, t.made.Most)
 		}
 		members = append(members, m)
 		last := m.doors[len(m.doors)-1] // the notice board knows IPv4 alone
 		p := &place{id: m.id, kind: kind, location: min(1-min(kind, 1), 1), addr: last.addr}
 		t.places = append(t.places, p)
-		t.list(p, brain.Ready)
-		entry := operators.Several{Member: m.id}
+		t.list(p, routing.Ready)
+		entry := config.Several{Member: m.id}
 		for _, d := range m.doors {
 			entry.List = append(entry.List, d.addr)
 		}
@@ -230,7 +230,7 @@
 	for i := len(members); i < listed; i++ { // of the other campus: listed, never asked
 		p := &place{id: fmt.Sprintf("s-%08x", i+1), location: 2, addr: "127.0.0.1:9"}
 		t.places = append(t.places, p)
-		rules.Router.Addresses = append(rules.Router.Addresses, operators.Several{Member: p.id, List: []string{"unix:/nowhere/" + p.id, "[::1]:9", "127.0.0.1:9"}})
+		rules.Router.Addresses = append(rules.Router.Addresses, config.Several{Member: p.id, List: []string{"unix:/nowhere/" + p.id, "[::1]:9", "127.0.0.1:9"}})
 	}
 	doors := members[2].doors
 	if hurt = doors[len(doors)-1]; several {
--- a/internal/lab/admit.go
+++ b/internal/lab/admit.go
@@ -8,7 +8,7 @@
 	"runtime"
 	"sort"
 
-	"cairnfront/internal/tier/keep"
+	"cairnfront/internal/diskcache/eviction"
 
 	"golang.org/x/sync/errgroup"
 )
@@ -35,7 +35,7 @@
 
 type request struct {
 	at   float64
-	key  keep.Key
+	key  eviction.Key
 	size int64
 }
 
@@ -73,7 +73,7 @@
 			from = r.IntN(last)
 		}
 		for p := from; p < last; p++ {
-			out = append(out, request{at, keep.Key{Object: o, Part: uint32(p)}, partBytes})
+			out = append(out, request{at, eviction.Key{Object: o, Part: uint32(p)}, partBytes})
 			at += partPause * (0.6 + 0.8*r.Float64())
 			if r.Float64() > stayOdds {
 				break
@@ -85,7 +85,7 @@
 }
 
 // efficiency is the paper's Eq. 2 over the judged part of the day, and the shares that were filled and passed.
-func efficiency(day []request, p keep.Policy, alpha float64) (eff, filled, passed float64) {
+func efficiency(day []request, p eviction.Policy, alpha float64) (eff, filled, passed float64) {
 	cf, cr := 2*alpha/(alpha+1), 2/(alpha+1)
 	var asked, fill, pass float64
 	for _, q := range day {
@@ -116,7 +116,7 @@
 			n = 1_000_000
 		}
 		day := drawDay(s.Seed, n)
-		distinct := map[keep.Key]bool{}
+		distinct := map[eviction.Key]bool{}
 		for _, q := range day {
 			distinct[q.key] = true
 		}
@@ -126,12 +126,12 @@
 			fmt.Sprintf("judged from %.0f%% of the day on; a simulation of the choice alone, no disk is written", judgedFrom*100))
 		policies := []struct {
 			name string
-			make func(size int64, alpha float64) keep.Policy
+			make func(size int64, alpha float64) eviction.Policy
 		}{
-			{"lru", func(size int64, _ float64) keep.Policy { return keep.NewLRU(size) }},
-			{"xlru", func(size int64, a float64) keep.Policy { return keep.NewXLRU(size, a) }},
-			{"tier", func(size int64, a float64) keep.Policy {
-				return keep.New(keep.Terms{Alpha: a, Capacity: size, Ghosts: len(distinct)})
+			{"lru", func(size int64, _ float64) eviction.Policy { return eviction.NewLRU(size) }},
+			{"xlru", func(size int64, a float64) eviction.Policy { return eviction.NewXLRU(size, a) }},
+			{"tier", func(size int64, a float64) eviction.Policy {
+				return eviction.New(eviction.Terms{Alpha: a, Capacity: size, Ghosts: len(distinct)})
 			}},
 		}
 		type cell struct{ p, size, alpha int }
@@ -208,7 +208,7 @@
 		// How much disk xLRU needs for what the tier's choice reaches at alpha 2 with the middle size.
 		want, needs := got[cell{2, 1, 2}][0], math.NaN()
 		for times := 1.0; times <= 4; times += 0.25 {
-			if e, _, _ := efficiency(day, keep.NewXLRU(int64(all*admitSizes[1]*times), 2), 2); e >= want {
+			if e, _, _ := efficiency(day, eviction.NewXLRU(int64(all*admitSizes[1]*times), 2), 2); e >= want {
 				needs = times
 				break
 			}
--- a/internal/lab/board.go
+++ b/internal/lab/board.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"cairnfront/internal/board"
+	"cairnfront/internal/discovery"
 )
 
 // noticeBoard is a stand-in of the notice board. It notes when each event had been written to every connection that
@@ -16,7 +16,7 @@
 	ln net.Listener
 
 	mu     sync.Mutex
-	events []board.Event
+	events []discovery.Event
 	frames [][]byte
 	told   []float64 // Unix s by which every connection had the event
 	conns  map[*watcher]bool
@@ -69,11 +69,11 @@
 func unix(t time.Time) float64 { return float64(t.UnixMicro()) / 1e6 }
 
 // tell publishes an event and returns its place.
-func (b *noticeBoard) tell(ev board.Event) int {
+func (b *noticeBoard) tell(ev discovery.Event) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	ev.Number = uint64(len(b.events) + 1)
-	f, err := board.Append(nil, ev)
+	f, err := discovery.Append(nil, ev)
 	if err != nil {
 		panic(err) // the scenario's own mistake
 	}
@@ -131,7 +131,7 @@
 		}
 		b.mu.Unlock()
 		if len(out) == 0 || first { // what there was is told whole: the beat says so
-			out, _ = board.Append(out, board.Event{Number: uint64(live), Beat: true})
+			out, _ = discovery.Append(out, discovery.Event{Number: uint64(live), Beat: true})
 		}
 		if _, err := c.Write(out); err != nil {
 			return
--- a/internal/lab/brownout.go
+++ b/internal/lab/brownout.go
@@ -10,10 +10,10 @@
 	"sync/atomic"
 	"time"
 
-	"cairnfront/brain"
-	"cairnfront/internal/box"
-	"cairnfront/internal/line"
-	"cairnfront/internal/tier/keep"
+	"cairnfront/internal/cacheproto"
+	"cairnfront/internal/diskcache/eviction"
+	"cairnfront/internal/edgecache"
+	"cairnfront/routing"
 )
 
 // Half of a brown-out's hops fail: that is what makes every txn want another one.
@@ -62,19 +62,19 @@
 			return out, err
 		}
 		defer m.close()
-		m.body = func(a line.Asked) []byte {
+		m.body = func(a cacheproto.Asked) []byte {
 			if a.Name == "print-order" {
 				return nil
 			}
-			return box.MadeBody(s.Seed, keep.Key{Object: a.ObjNo, Part: a.PartNo}, 0, t.made.Least, t.made.Most)
+			return edgecache.MadeBody(s.Seed, eviction.Key{Object: a.ObjNo, Part: a.PartNo}, 0, t.made.Least, t.made.Most)
 		}
-		m.fails = func(a line.Asked, n int) bool { // drawn from the txn's id and the hop's number: the same in both plays
+		m.fails = func(a cacheproto.Asked, n int) bool { // drawn from the txn's id and the hop's number: the same in both plays
 			return failing.Load() && float64(mixed(a.ID, n)%1000) < brownFails*1000
 		}
 		members = append(members, m)
 		p := &place{id: m.id, kind: kind, location: min(1-min(kind, 1), 1), addr: m.doors[len(m.doors)-1].addr}
 		t.places = append(t.places, p)
-		t.list(p, brain.Ready)
+		t.list(p, routing.Ready)
 	}
 	text, err := json.Marshal(map[string]any{"router": map[string]any{"further_share": share}})
 	if err != nil {
--- a/internal/lab/client.go
+++ b/internal/lab/client.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"cairnfront/internal/frame"
+	"cairnfront/internal/clientproto"
 )
 
 // ask is one txn as a client asks it.
@@ -55,26 +55,26 @@
 		l.c, l.stream = c, 0
 	}
 	l.stream++
-	fields := []frame.Field{{Name: "op", Value: a.rule}, {Name: "call", Value: id}, {Name: "ttl", Value: fmt.Sprint(a.ttl.Milliseconds())},
+	fields := []clientproto.Field{{Name: "op", Value: a.rule}, {Name: "call", Value: id}, {Name: "ttl", Value: fmt.Sprint(a.ttl.Milliseconds())},
 		{Name: "row", Value: fmt.Sprintf("%016x", a.object)}, {Name: "seg", Value: fmt.Sprint(a.part)}, {Name: "bucket", Value: fmt.Sprint(a.group)},
 		{Name: "heap", Value: "30"}}
 	if a.key != "" {
-		fields = append(fields, frame.Field{Name: "dedupe", Value: a.key})
+		fields = append(fields, clientproto.Field{Name: "dedupe", Value: a.key})
 	}
-	payload := append(frame.AppendFields(nil, fields...), a.body...)
+	payload := append(clientproto.AppendFields(nil, fields...), a.body...)
 	r.sent = unix(time.Now())
-	if _, err := l.c.Write(append(frame.AppendHead(nil, frame.Txn, l.stream, len(payload)), payload...)); err != nil {
+	if _, err := l.c.Write(append(clientproto.AppendHead(nil, clientproto.Txn, l.stream, len(payload)), payload...)); err != nil {
 		l.hangUp()
 		return r, err
 	}
 	_ = l.c.SetReadDeadline(time.Now().Add(a.ttl + 500*time.Millisecond))
 	for {
-		head := make([]byte, frame.HeadSize)
+		head := make([]byte, clientproto.HeadSize)
 		if _, err := io.ReadFull(l.c, head); err != nil {
 			l.hangUp()
 			return r, nil
 		}
-		h, err := frame.ParseHead(head)
+		h, err := clientproto.ParseHead(head)
 		if err != nil {
 			l.hangUp()
 			return r, nil
@@ -84,7 +84,7 @@
 			l.hangUp()
 			return r, nil
 		}
-		if h.Type != frame.Answer {
+		if h.Type != clientproto.Answer {
 			continue
 		}
 		if h.Stream != l.stream {
@@ -97,7 +97,7 @@
 			return r, nil
 		}
 		r.code = body[0]
-		fields, rest, err := frame.ParseFields(body[1:])
+		fields, rest, err := clientproto.ParseFields(body[1:])
 		if err != nil {
 			r.code = noAnswer
 		}
--- a/internal/lab/demo.go
+++ b/internal/lab/demo.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"cairnfront/brain"
+	"cairnfront/routing"
 )
 
 var demo = Scenario{Name: "demo", About: "A first look: two campuses with two boxes each, two routers, clients of three remap rules, a purge, a drain, a lost box",
@@ -35,7 +35,7 @@
 			if err := t.open(p); err != nil {
 				return err
 			}
-			t.list(p, brain.Ready)
+			t.list(p, routing.Ready)
 		}
 		var crowds []*crowd
 		for campus := 1; campus <= 2; campus++ {
@@ -78,7 +78,7 @@
 		}
 		mark("drain")
 		drained := boxes[0]
-		t.list(drained, brain.Draining)
+		t.list(drained, routing.Draining)
 		event := len(t.board.events) - 1
 		if err := rest(); err != nil {
 			return err
@@ -96,7 +96,7 @@
 			return err
 		}
 		lost.started = unix(time.Now())
-		t.list(lost, brain.Ready)
+		t.list(lost, routing.Ready)
 		if err := rest(); err != nil {
 			return err
 		}
--- a/internal/lab/doors.go
+++ b/internal/lab/doors.go
@@ -13,8 +13,8 @@
 	"sync/atomic"
 	"time"
 
-	"cairnfront/brain"
-	"cairnfront/internal/line"
+	"cairnfront/internal/cacheproto"
+	"cairnfront/routing"
 )
 
 // mode is how an address of a stand-in behaves.
@@ -42,9 +42,9 @@
 type manyDoors struct {
 	id    string
 	delay time.Duration
-	body  func(line.Asked) []byte
-	fails func(a line.Asked, n int) bool // whether the nth hop of a txn here fails; nil for never
-	hung  atomic.Int64                   // connections that came while their address was silent
+	body  func(cacheproto.Asked) []byte
+	fails func(a cacheproto.Asked, n int) bool // whether the nth hop of a txn here fails; nil for never
+	hung  atomic.Int64                         // connections that came while their address was silent
 
 	mu    sync.Mutex
 	doors []*door
@@ -185,7 +185,7 @@
 		if err != nil {
 			return
 		}
-		a, err := line.ParseAsked([]byte(strings.TrimRight(text, "\r\n")))
+		a, err := cacheproto.ParseAsked([]byte(strings.TrimRight(text, "\r\n")))
 		if err != nil {
 			return
 		}
@@ -193,18 +193,18 @@
 		now := d.mode
 		m.mu.Unlock()
 		switch a.Verb {
-		case line.VerbUndo:
+		case cacheproto.VerbUndo:
 			end(a.ID)
 			continue
-		case line.VerbPing, line.VerbTop:
+		case cacheproto.VerbPing, cacheproto.VerbTop:
 			if now == good {
 				writing.Lock()
-				_, _ = c.Write(append(line.AppendChecked(nil, a.ID, true, ""), line.End...))
+				_, _ = c.Write(append(cacheproto.AppendChecked(nil, a.ID, true, ""), cacheproto.End...))
 				writing.Unlock()
 			}
 			continue
 		}
-		if _, err := io.ReadFull(r, make([]byte, a.Size+len(line.End))); err != nil {
+		if _, err := io.ReadFull(r, make([]byte, a.Size+len(cacheproto.End))); err != nil {
 			return
 		}
 		h := &hopSeen{id: a.ID, rule: a.Name, key: a.Key, door: m.lookup(d), from: unix(time.Now()), mode: now}
@@ -234,13 +234,13 @@
 				writing.Lock()
 				defer writing.Unlock()
 				if end(a.ID) {
-					_, _ = c.Write(append(line.AppendReply(nil, a.ID, line.Reply{Code: brain.Errored}), line.End...))
+					_, _ = c.Write(append(cacheproto.AppendReply(nil, a.ID, cacheproto.Reply{Code: routing.Errored}), cacheproto.End...))
 				}
 				return
 			}
 			body := m.body(a)
-			out := line.AppendReply(nil, a.ID, line.Reply{Code: brain.Completed, Remark: brain.Hit, Tag: "v1", Dated: time.Now().UnixMilli(), Group: line.UnknownGroup, Size: len(body)})
-			out = append(append(out, body...), line.End...)
+			out := cacheproto.AppendReply(nil, a.ID, cacheproto.Reply{Code: routing.Completed, Remark: routing.Hit, Tag: "v1", Dated: time.Now().UnixMilli(), Group: cacheproto.UnknownGroup, Size: len(body)})
+			out = append(append(out, body...), cacheproto.End...)
 			if now == half {
 				out = out[:len(out)/2]
 			}
--- a/internal/lab/judge.go
+++ b/internal/lab/judge.go
@@ -5,8 +5,8 @@
 	"encoding/binary"
 	"sync"
 
-	"cairnfront/internal/box"
-	"cairnfront/internal/tier/keep"
+	"cairnfront/internal/diskcache/eviction"
+	"cairnfront/internal/edgecache"
 )
 
 // tally is what clients heard.
@@ -27,11 +27,11 @@
 func (t *town) hear(r reply) {
 	h := heard{reply: r, bytes: len(r.body)}
 	if r.code == 1 && r.rule != "print-order" && r.rule != "record" {
-		if len(r.body) < box.MadeHead {
+		if len(r.body) < edgecache.MadeHead {
 			h.wrong = true
 		} else {
 			h.version = binary.BigEndian.Uint64(r.body[12:])
-			want := box.MadeBody(t.made.Seed, keep.Key{Object: r.object, Part: r.part}, h.version, t.made.Least, t.made.Most)
+			want := edgecache.MadeBody(t.made.Seed, eviction.Key{Object: r.object, Part: r.part}, h.version, t.made.Least, t.made.Most)
 			h.wrong = !bytes.Equal(want, r.body)
 		}
 	}
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
-	"cairnfront/internal/box"
-	"cairnfront/internal/tier/keep"
+	"cairnfront/internal/diskcache/eviction"
+	"cairnfront/internal/edgecache"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -23,7 +23,7 @@
 	x.purge(5, false)
 	at := x.board.toldAt(x.purges[1].event)
 	r := reply{ask: ask{rule: "video-part", object: 5, ttl: time.Second}, sent: at + purgeGrace + 0.1, done: at + purgeGrace + 0.2, code: 1,
-		body: box.MadeBody(3, keep.Key{Object: 5}, 2, x.made.Least, x.made.Most)}
+		body: edgecache.MadeBody(3, eviction.Key{Object: 5}, 2, x.made.Least, x.made.Most)}
 	change(x, &r)
 	x.hear(r)
 	rep := &Report{Counts: map[string]int64{}}
@@ -33,7 +33,9 @@
 
 // Each check is shown to fail where its rule is broken, and to hold where it is not.
 func TestChecksSeeWhatIsBroken(t *testing.T) {
-	old := func(x *town, r *reply) { r.body = box.MadeBody(3, keep.Key{Object: 5}, 1, x.made.Least, x.made.Most) }
+	old := func(x *town, r *reply) {
+		r.body = edgecache.MadeBody(3, eviction.Key{Object: 5}, 1, x.made.Least, x.made.Most)
+	}
 	for name, c := range map[string]struct {
 		change func(*town, *reply)
 		want   Rules
@@ -78,8 +80,8 @@
 	a, b, c := drawDay(1, 5000), drawDay(1, 5000), drawDay(2, 5000)
 	assert.Equal(t, a, b)
 	assert.NotEqual(t, a, c)
-	x, _, _ := efficiency(a, keep.NewLRU(1<<33), 1)
-	y, _, _ := efficiency(b, keep.NewLRU(1<<33), 1)
+	x, _, _ := efficiency(a, eviction.NewLRU(1<<33), 1)
+	y, _, _ := efficiency(b, eviction.NewLRU(1<<33), 1)
 	assert.Equal(t, x, y)
 }
 
--- a/internal/lab/mutants_test.go
+++ b/internal/lab/mutants_test.go
@@ -20,14 +20,14 @@
 }
 
 var mutants = []mutant{
-	{"a dropped peer comes back without a higher incarnation", "internal/peers/view/step.go", [][2]string{{"if e.state == Failed || e.state == Unknown {\n\t\treturn //",
+	{"a dropped peer comes back without a higher incarnation", "internal/membership/swim/step.go", [][2]string{{"if e.state == Failed || e.state == Unknown {\n\t\treturn //",
 		"if e.state == Failed {\n\t\tc.become(now, p, e.claim.State, \"it answers\")\n\t}\n\tif e.state == Unknown {\n\t\treturn //"}},
 		[]string{"--seeds", "1..20", "--acts", "8", "--peers", "20"}},
-	{"a charge is enough for a drop", "internal/peers/view/view.go", [][2]string{{"if c.terms.Plain && ch.Dead {", "if ch.By != c.me {"}},
+	{"a charge is enough for a drop", "internal/membership/swim/view.go", [][2]string{{"if c.terms.Plain && ch.Dead {", "if ch.By != c.me {"}},
 		[]string{"--seeds", "1..20", "--acts", "3", "--peers", "20", "--hostile", "3"}},
-	{"one who was stopped blames the others", "internal/peers/view/step.go", [][2]string{{"if c.terms.Plain || late < gap {", "if true {"}},
+	{"one who was stopped blames the others", "internal/membership/swim/step.go", [][2]string{{"if c.terms.Plain || late < gap {", "if true {"}},
 		[]string{"--seeds", "1..40", "--acts", "8", "--peers", "20"}},
-	{"nobody looks for those who are gone", "internal/peers/view/step.go", [][2]string{{"if c.turns%failedEvery == 0 {", "if false {"}},
+	{"nobody looks for those who are gone", "internal/membership/swim/step.go", [][2]string{{"if c.turns%failedEvery == 0 {", "if false {"}},
 		[]string{"--seeds", "1..20", "--acts", "8", "--peers", "20"}},
 }
 
--- a/internal/lab/peers.go
+++ b/internal/lab/peers.go
@@ -16,13 +16,13 @@
 	"syscall"
 	"time"
 
-	"cairnfront/brain"
-	"cairnfront/internal/hatch"
-	"cairnfront/internal/lab/fault"
-	"cairnfront/internal/lab/relay"
-	"cairnfront/internal/operators"
-	"cairnfront/internal/peers"
-	"cairnfront/internal/peers/wire"
+	"cairnfront/internal/admin"
+	"cairnfront/internal/config"
+	"cairnfront/internal/faultproxy"
+	"cairnfront/internal/membership"
+	"cairnfront/internal/membership/datagram"
+	"cairnfront/internal/sim/faults"
+	"cairnfront/routing"
 )
 
 // Sizes and bounds of the scenario.
@@ -42,7 +42,7 @@
 	Run: func(ctx context.Context, s Setting, r *Report) error {
 		script := peersScript(s)
 		if s.Script != "" {
-			read, err := fault.Read(s.Script)
+			read, err := faults.Read(s.Script)
 			if err != nil {
 				return err
 			}
@@ -64,54 +64,54 @@
 
 // peersScript is what is done to twenty processes. Small is one kill, one cut, one stop; full is the whole list of hard cases.
 // The hostile peers stand behind the processes: one at small size, three at full.
-func peersScript(s Setting) fault.Script {
+func peersScript(s Setting) faults.Script {
 	up := func(from, to int) (out []int) {
 		for i := from; i < to; i++ {
 			out = append(out, i)
 		}
 		return out
 	}
-	x := fault.Script{Seed: s.Seed, Peers: peersOf + 1}
+	x := faults.Script{Seed: s.Seed, Peers: peersOf + 1}
 	k := int(s.Seed) % 7
 	if !s.Full {
 		x.Until = 20
-		x.Acts = []fault.Act{{Do: fault.Kill, At: 1, Until: 6, From: []int{10 + k}}, {Do: fault.Cut, At: 8, Until: 13, From: up(0, 7), To: up(7, 21), Both: true},
-			{Do: fault.Pause, At: 9, Until: 9.5, From: []int{8 + k}}}
+		x.Acts = []faults.Act{{Do: faults.Kill, At: 1, Until: 6, From: []int{10 + k}}, {Do: faults.Cut, At: 8, Until: 13, From: up(0, 7), To: up(7, 21), Both: true},
+			{Do: faults.Pause, At: 9, Until: 9.5, From: []int{8 + k}}}
 		return x
 	}
 	x.Peers = peersOf + 3
 	at := 1.0
-	then := func(lasts, rest float64, acts ...fault.Act) {
+	then := func(lasts, rest float64, acts ...faults.Act) {
 		for _, a := range acts {
 			a.At, a.Until = at, at+lasts
 			x.Acts = append(x.Acts, a)
 		}
 		at += lasts + rest
 	}
-	both := func(from, to []int) fault.Act { return fault.Act{Do: fault.Cut, From: from, To: to, Both: true} }
+	both := func(from, to []int) faults.Act { return faults.Act{Do: faults.Cut, From: from, To: to, Both: true} }
 	for i := range 5 {
-		then(6, 5, fault.Act{Do: fault.Kill, From: []int{(3*i + k) % peersOf}})
+		then(6, 5, faults.Act{Do: faults.Kill, From: []int{(3*i + k) % peersOf}})
 	}
 	then(10, 8, both(up(0, 10), up(10, x.Peers)))
 	then(10, 8, both(up(0, 7), up(7, x.Peers)))
 	then(10, 8, both(up(0, 6), up(6, x.Peers)), both(up(6, 12), up(12, x.Peers)))
-	then(8, 6, fault.Act{Do: fault.Cut, From: []int{k}, To: []int{k + 1}})                          // one way between two
-	then(8, 6, fault.Act{Do: fault.Cut, From: []int{k}, To: slices.Delete(up(0, x.Peers), k, k+1)}) // nobody hears one
-	then(8, 6, both([]int{0}, []int{2}), both([]int{5}, []int{7}))                                  // chains
-	then(20, 6, fault.Act{Do: fault.Lose, Share: 0.3})                                              //
-	then(20, 6, fault.Act{Do: fault.Delay, S: 0.4})                                                 //
-	then(10, 4, fault.Act{Do: fault.Double, Share: 0.3}, fault.Act{Do: fault.Reorder, Share: 0.5, S: 0.3}, fault.Act{Do: fault.Spoil, Share: 0.1})
+	then(8, 6, faults.Act{Do: faults.Cut, From: []int{k}, To: []int{k + 1}})                          // one way between two
+	then(8, 6, faults.Act{Do: faults.Cut, From: []int{k}, To: slices.Delete(up(0, x.Peers), k, k+1)}) // nobody hears one
+	then(8, 6, both([]int{0}, []int{2}), both([]int{5}, []int{7}))                                    // chains
+	then(20, 6, faults.Act{Do: faults.Lose, Share: 0.3})                                              //
+	then(20, 6, faults.Act{Do: faults.Delay, S: 0.4})                                                 //
+	then(10, 4, faults.Act{Do: faults.Double, Share: 0.3}, faults.Act{Do: faults.Reorder, Share: 0.5, S: 0.3}, faults.Act{Do: faults.Spoil, Share: 0.1})
 	for _, s := range []float64{0.3, 1, 2.5, 5} {
-		then(s, 1, fault.Act{Do: fault.Pause, From: []int{9 + k}})
+		then(s, 1, faults.Act{Do: faults.Pause, From: []int{9 + k}})
 	}
-	then(5, 6, fault.Act{Do: fault.Stuck, From: []int{4}})
-	x.Acts = append(x.Acts, fault.Act{Do: fault.Clock, At: at, Until: at + 20, From: []int{11, 12}, S: -3600}, fault.Act{Do: fault.Clock, At: at, Until: at + 20, From: []int{13}, S: 3600})
-	then(0.6, 6, fault.Act{Do: fault.Kill, From: []int{11, 13}}) // back while their death is still being spread
-	then(6, 6, fault.Act{Do: fault.Kill, From: []int{12}})
+	then(5, 6, faults.Act{Do: faults.Stuck, From: []int{4}})
+	x.Acts = append(x.Acts, faults.Act{Do: faults.Clock, At: at, Until: at + 20, From: []int{11, 12}, S: -3600}, faults.Act{Do: faults.Clock, At: at, Until: at + 20, From: []int{13}, S: 3600})
+	then(0.6, 6, faults.Act{Do: faults.Kill, From: []int{11, 13}}) // back while their death is still being spread
+	then(6, 6, faults.Act{Do: faults.Kill, From: []int{12}})
 	for i := 0; i < peersOf; i += 2 { // a tenth at a time
-		then(1, 3, fault.Act{Do: fault.Wipe, From: []int{i, i + 1}})
+		then(1, 3, faults.Act{Do: faults.Wipe, From: []int{i, i + 1}})
 	}
-	then(12, 10, fault.Act{Do: fault.Kill, From: up(0, 14)}) // seven in ten at once
+	then(12, 10, faults.Act{Do: faults.Kill, From: up(0, 14)}) // seven in ten at once
 	x.Until = at + 2
 	return x
 }
@@ -143,8 +143,8 @@
 type peerFleet struct {
 	s        Setting
 	t        *town
-	script   fault.Script
-	net      *relay.Net
+	script   faults.Script
+	net      *faultproxy.Net
 	procs    []*process
 	hostiles []*hostile
 	crowds   []*crowd
@@ -157,12 +157,12 @@
 	twins    int
 }
 
-func newFleet(s Setting, script fault.Script, liars int) (f *peerFleet, err error) {
+func newFleet(s Setting, script faults.Script, liars int) (f *peerFleet, err error) {
 	t, err := newTown(s, 2)
 	if err != nil {
 		return nil, err
 	}
-	f = &peerFleet{s: s, t: t, script: script, net: relay.New(s.Seed, script.Peers), made: time.Now()}
+	f = &peerFleet{s: s, t: t, script: script, net: faultproxy.New(s.Seed, script.Peers), made: time.Now()}
 	defer func() {
 		if err != nil {
 			f.close(nil)
@@ -183,24 +183,24 @@
 		if err := t.open(p); err != nil {
 			return nil, err
 		}
-		t.list(p, brain.Ready)
+		t.list(p, routing.Ready)
 	}
 	n := script.Peers
-	var people []wire.Person
+	var people []datagram.Person
 	var seeds, public []string
 	var conns []*net.UDPConn // hold the ports until their processes take them
 	for i := range n {
-		seed, pub, err := wire.NewKey()
+		seed, pub, err := datagram.NewKey()
 		if err != nil {
 			return nil, err
 		}
-		key, _ := wire.Public(pub)
+		key, _ := datagram.Public(pub)
 		c, err := listenLowUDP()
 		if err != nil {
 			return nil, err
 		}
 		f.names = append(f.names, fmt.Sprintf("n%d", i+1))
-		people, seeds, public, conns = append(people, wire.Person{Name: f.names[i], Key: key}), append(seeds, seed), append(public, pub), append(conns, c)
+		people, seeds, public, conns = append(people, datagram.Person{Name: f.names[i], Key: key}), append(seeds, seed), append(public, pub), append(conns, c)
 	}
 	ways := make([][]netip.AddrPort, n)
 	for i := range n {
@@ -247,7 +247,7 @@
 		f.procs = append(f.procs, &process{router: r, index: i})
 	}
 	for i := peersOf; i < n; i++ {
-		key, err := wire.Key(seeds[i])
+		key, err := datagram.Key(seeds[i])
 		if err != nil {
 			return nil, err
 		}
@@ -328,7 +328,7 @@
 	return sleep(ctx, time.Until(began.Add(time.Duration(f.script.Until*float64(time.Second)))))
 }
 
-func (f *peerFleet) moment(m fault.Moment) error {
+func (f *peerFleet) moment(m faults.Moment) error {
 	var waits sync.WaitGroup
 	var mu sync.Mutex
 	var first error
@@ -338,7 +338,7 @@
 		}
 		p := f.procs[i]
 		switch m.Act.Do {
-		case fault.Kill, fault.Wipe:
+		case faults.Kill, faults.Wipe:
 			if !m.End {
 				p.kill()
 				continue
@@ -350,16 +350,16 @@
 					mu.Unlock()
 				}
 			})
-		case fault.Pause, fault.Stuck:
+		case faults.Pause, faults.Stuck:
 			if p.cmd == nil {
 				continue
 			}
 			sig := map[bool]syscall.Signal{false: syscall.SIGSTOP, true: syscall.SIGCONT}[m.End]
-			if m.Act.Do == fault.Stuck {
+			if m.Act.Do == faults.Stuck {
 				sig = syscall.SIGUSR2
 			}
 			_ = p.cmd.Process.Signal(sig)
-		case fault.Clock:
+		case faults.Clock:
 			p.env = []string{LabVariable + "=1"}
 			if !m.End {
 				p.env = append(p.env, fmt.Sprintf("CAIRNFRONT_LAB_CLOCK_S=%g", m.Act.S))
@@ -475,12 +475,12 @@
 	var detect, agree []float64
 	for _, a := range s.Acts {
 		switch a.Do {
-		case fault.Cut:
+		case faults.Cut:
 			r.Counts["cuts"]++
 			agree = append(agree, f.agrees(r, a.Until)...)
-		case fault.Pause:
+		case faults.Pause:
 			r.Counts["pauses"]++
-		case fault.Kill, fault.Wipe:
+		case faults.Kill, faults.Wipe:
 			for _, i := range a.From {
 				r.Counts["kills"]++
 				if a.Until-a.At < aimDetect+slack || len(a.From) > 1 {
@@ -563,12 +563,12 @@
 }
 
 // askPeers asks a router at its operators' socket how it stands.
-func askPeers(r *router) (rep peers.Report, err error) {
-	book, err := operators.Read(r.operators)
+func askPeers(r *router) (rep membership.Report, err error) {
+	book, err := config.Read(r.operators)
 	if err != nil {
 		return rep, err
 	}
-	data, err := hatch.Ask(book.Router.Socket, "peers", nil)
+	data, err := admin.Ask(book.Router.Socket, "peers", nil)
 	if err != nil {
 		return rep, err
 	}
@@ -593,7 +593,7 @@
 	s := &f.script
 	const most = 12.0
 	for _, a := range s.Acts {
-		if a.At <= from+aimAgree+slack && a.Until > from && a.Do != fault.Lose {
+		if a.At <= from+aimAgree+slack && a.Until > from && a.Do != faults.Lose {
 			return nil
 		}
 	}
--- a/internal/lab/peers_test.go
+++ b/internal/lab/peers_test.go
@@ -7,9 +7,9 @@
 	"testing"
 	"time"
 
-	"cairnfront/internal/lab/fault"
-	"cairnfront/internal/lab/relay"
-	"cairnfront/internal/line"
+	"cairnfront/internal/cacheproto"
+	"cairnfront/internal/faultproxy"
+	"cairnfront/internal/sim/faults"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -20,8 +20,8 @@
 	dir := t.TempDir()
 	x, err := newTown(Setting{Seed: 3, Folder: dir}, 2)
 	require.NoError(t, err)
-	f := &peerFleet{t: x, net: relay.New(1, peersOf), began: time.Now().Truncate(time.Millisecond), made: time.Now(), script: fault.Script{Peers: peersOf, Until: 30,
-		Acts: []fault.Act{{Do: fault.Kill, At: 1, Until: 8, From: []int{3}}, {Do: fault.Cut, At: 15, Until: 20, From: []int{0}, Both: true}}}}
+	f := &peerFleet{t: x, net: faultproxy.New(1, peersOf), began: time.Now().Truncate(time.Millisecond), made: time.Now(), script: faults.Script{Peers: peersOf, Until: 30,
+		Acts: []faults.Act{{Do: faults.Kill, At: 1, Until: 8, From: []int{3}}, {Do: faults.Cut, At: 15, Until: 20, From: []int{0}, Both: true}}}}
 	defer f.net.Close()
 	defer x.close(nil)
 	logs := make([]string, peersOf)
@@ -46,7 +46,7 @@
 	box := &place{id: "s-00000001"}
 	f.boxes = []*place{box}
 	for at := 0.5; at < 30; at++ {
-		x.asks = append(x.asks, saw{unix(f.began) + at, box.id, line.Asked{}})
+		x.asks = append(x.asks, saw{unix(f.began) + at, box.id, cacheproto.Asked{}})
 	}
 	change(say, f)
 	for i, text := range logs {
--- a/internal/lab/peerscost.go
+++ b/internal/lab/peerscost.go
@@ -11,11 +11,11 @@
 	"sync"
 	"time"
 
-	"cairnfront/brain"
-	"cairnfront/internal/book"
-	"cairnfront/internal/peers"
-	"cairnfront/internal/peers/meter"
-	"cairnfront/internal/peers/wire"
+	"cairnfront/internal/membership"
+	"cairnfront/internal/membership/datagram"
+	"cairnfront/internal/membership/ratelimit"
+	"cairnfront/internal/telemetry"
+	"cairnfront/routing"
 )
 
 // Sizes and bounds of the scenario.
@@ -45,7 +45,7 @@
 			if err := t.open(p); err != nil {
 				return err
 			}
-			t.list(p, brain.Ready)
+			t.list(p, routing.Ready)
 		}
 		with, err := t.planRouter(1)
 		if err != nil {
@@ -120,12 +120,12 @@
 
 // crowdOfPeers starts so many nodes in this process and writes the operators' file of a router among them.
 func crowdOfPeers(ctx context.Context, s Setting, r *router, n int) (stop func(), err error) {
-	var roster []peers.Known
+	var roster []membership.Known
 	var seeds []string
 	var entries []map[string]string
 	var conns []*net.UDPConn
 	for i := range n + 1 {
-		seed, pub, err := wire.NewKey()
+		seed, pub, err := datagram.NewKey()
 		if err != nil {
 			return nil, err
 		}
@@ -135,12 +135,12 @@
 		}
 		defer c.Close() // held until all have theirs
 		conns = append(conns, c)
-		key, _ := wire.Public(pub)
+		key, _ := datagram.Public(pub)
 		name := fmt.Sprintf("peer-%d", i)
 		if i == n {
 			name = r.name
 		}
-		roster, seeds = append(roster, peers.Known{Name: name, Key: key, Address: c.LocalAddr().String()}), append(seeds, seed)
+		roster, seeds = append(roster, membership.Known{Name: name, Key: key, Address: c.LocalAddr().String()}), append(seeds, seed)
 		entries = append(entries, map[string]string{"name": name, "key": pub, "address": c.LocalAddr().String()})
 	}
 	for _, c := range conns {
@@ -159,19 +159,19 @@
 	if err := os.WriteFile(keyFile, []byte(seeds[n]), 0o600); err != nil {
 		return nil, err
 	}
-	in := meter.Terms{AllDatagrams: 2000, AllBytes: 1.5e6, EachDatagrams: 100, EachBytes: 1e5}
-	out := meter.Terms{AllDatagrams: 400, AllBytes: 2e5, EachDatagrams: 50, EachBytes: 5e4}
+	in := ratelimit.Terms{AllDatagrams: 2000, AllBytes: 1.5e6, EachDatagrams: 100, EachBytes: 1e5}
+	out := ratelimit.Terms{AllDatagrams: 400, AllBytes: 2e5, EachDatagrams: 50, EachBytes: 5e4}
 	play, end := context.WithCancel(ctx)
 	var all sync.WaitGroup
 	stop = func() { end(); all.Wait() }
 	for i := range n {
-		key, err := wire.Key(seeds[i])
+		key, err := datagram.Key(seeds[i])
 		if err != nil {
 			stop()
 			return nil, err
 		}
-		node, err := peers.New(peers.Plan{Name: roster[i].Name, Listen: roster[i].Address, Key: key, Roster: roster, Liars: 1, In: in, Out: out, Seed: s.Seed + uint64(i)},
-			book.New(io.Discard, ""))
+		node, err := membership.New(membership.Plan{Name: roster[i].Name, Listen: roster[i].Address, Key: key, Roster: roster, Liars: 1, In: in, Out: out, Seed: s.Seed + uint64(i)},
+			telemetry.New(io.Discard, ""))
 		if err != nil {
 			stop()
 			return nil, err
--- a/internal/lab/restart.go
+++ b/internal/lab/restart.go
@@ -11,8 +11,8 @@
 	"sync/atomic"
 	"time"
 
-	"cairnfront/brain"
-	"cairnfront/internal/tier"
+	"cairnfront/internal/diskcache"
+	"cairnfront/routing"
 
 	"golang.org/x/sync/errgroup"
 )
@@ -22,7 +22,7 @@
 	const seeds = 40 // scripts; the cuts go round their operations
 	ops := make([]int, seeds)
 	for i := range ops {
-		ops[i] = tier.PlayPowerCut(s.Seed*1000+uint64(i), 0).Ops
+		ops[i] = diskcache.PlayPowerCut(s.Seed*1000+uint64(i), 0).Ops
 	}
 	var mu sync.Mutex
 	var done atomic.Int64
@@ -36,7 +36,7 @@
 			script := i % seeds
 			cut := 1 + i/seeds%ops[script]
 			again := uint64(i / seeds / ops[script]) // round again with other chances
-			out := tier.PlayPowerCut(s.Seed*1000+uint64(script)+again<<32, cut)
+			out := diskcache.PlayPowerCut(s.Seed*1000+uint64(script)+again<<32, cut)
 			mu.Lock()
 			defer mu.Unlock()
 			r.Counts["power_cuts"]++
@@ -92,7 +92,7 @@
 				return err
 			}
 			p.started = 0 // warm long since, as far as anybody is told
-			t.list(p, brain.Ready)
+			t.list(p, routing.Ready)
 		}
 		if err := t.addRouter(1); err != nil {
 			return err
@@ -131,7 +131,7 @@
 				return err
 			}
 			for _, p := range boxes {
-				t.list(p, brain.Gone)
+				t.list(p, routing.Gone)
 			}
 			for i := range 4 { // told while they are down; what is much wanted among them
 				t.purge(1+uint64(rnd.IntN(12)), i == 3)
@@ -151,7 +151,7 @@
 				r.Counts["restarts"]++
 			}
 			for _, p := range boxes {
-				t.list(p, brain.Ready)
+				t.list(p, routing.Ready)
 			}
 			from := unix(time.Now())
 			t.purge(1+uint64(rnd.IntN(12)), false) // and one while they catch up
@@ -173,10 +173,10 @@
 		all.Wait()
 		ended := unix(time.Now())
 		r.Figures["recovery_s"] = recovery / float64(r.Counts["restarts"])
-		r.Figures["index_bytes_a_part"] = tier.IndexBytesFor(1_000_000)
+		r.Figures["index_bytes_a_part"] = diskcache.IndexBytesFor(1_000_000)
 		for _, p := range boxes {
 			p.kill()
-			in, bad, err := tier.Verify(folders[p], func(tier.Fault) {}, nil)
+			in, bad, err := diskcache.Verify(folders[p], func(diskcache.Fault) {}, nil)
 			if err != nil {
 				r.Broke("the folder of %s after the last kill: %v", p.id, err)
 				continue
--- a/internal/lab/rumours.go
+++ b/internal/lab/rumours.go
@@ -1,11 +1,10 @@
 package lab
 
 import (
+	simrouting "cairnfront/internal/sim/routing"
 	"context"
 	"fmt"
 
-	"cairnfront/internal/lab/model"
-
 	"golang.org/x/sync/errgroup"
 )
 
@@ -20,19 +19,19 @@
 	Run: func(ctx context.Context, s Setting, r *Report) error {
 		ways := []struct {
 			name string
-			talk model.Talk
-		}{{"without", model.Talk{}}, {"with", model.Talk{Rumours: true, Liars: 1}}, {"with_liars", model.Talk{Rumours: true, Liars: 3}}}
+			talk simrouting.Talk
+		}{{"without", simrouting.Talk{}}, {"with", simrouting.Talk{Rumours: true, Liars: 1}}, {"with_liars", simrouting.Talk{Rumours: true, Liars: 3}}}
 		seeds := 2
 		if s.Full {
 			seeds = 12
 		}
-		played := make([]*model.Result, len(ways)*seeds)
+		played := make([]*simrouting.Result, len(ways)*seeds)
 		var g errgroup.Group
 		g.SetLimit(4)
 		for i := range played {
 			g.Go(func() (err error) {
 				if err = ctx.Err(); err == nil {
-					played[i], err = model.PlayTalking(s.Seed+uint64(i%seeds), talking, model.BadBox, ways[i/seeds].talk)
+					played[i], err = simrouting.PlayTalking(s.Seed+uint64(i%seeds), talking, simrouting.BadBox, ways[i/seeds].talk)
 				}
 				return err
 			})
@@ -41,7 +40,7 @@
 			return err
 		}
 		seconds := Plot{Title: "Share of txns in time, second by second (first seed)", X: "s", Y: "share",
-			Marks: []Mark{{model.Phases[1].From, "bad box"}, {model.Phases[1].To, "well"}}}
+			Marks: []Mark{{simrouting.Phases[1].From, "bad box"}, {simrouting.Phases[1].To, "well"}}}
 		for w, way := range ways {
 			l := Line{Name: way.name}
 			for at, share := range played[w*seeds].Seconds {
@@ -56,7 +55,7 @@
 				r.Rules.SecondAnswers += int64(x.Twice)
 			}
 			r.Figures["bad_hops."+way.name] = float64(bad) / float64(seeds)
-			for _, p := range model.Phases {
+			for _, p := range simrouting.Phases {
 				txns, good := 0, 0
 				for _, x := range played[w*seeds : (w+1)*seeds] {
 					txns, good = txns+x.Txns[p.Name], good+x.InTime[p.Name]
@@ -67,13 +66,13 @@
 		}
 		r.Numbers = true
 		r.Plots = append(r.Plots, seconds)
-		r.Did = append(r.Did, fmt.Sprintf("%d routers of the module over 12 caches on virtual time, %d seeds; one cache fails all it is sent from %.0f to %.0f s", talking, seeds, model.Phases[1].From, model.Phases[1].To),
+		r.Did = append(r.Did, fmt.Sprintf("%d routers of the module over 12 caches on virtual time, %d seeds; one cache fails all it is sent from %.0f to %.0f s", talking, seeds, simrouting.Phases[1].From, simrouting.Phases[1].To),
 			"with_liars: three routers say of every member, each second, that it fails")
 		if a, b := r.Figures["bad_hops.with"], r.Figures["bad_hops.without"]; a > lessSpent*b {
 			r.Broke("%.0f hops failed at the bad box with rumours, %.0f without", a, b)
 		}
 		for _, w := range []string{"with", "with_liars"} {
-			for _, p := range model.Phases {
+			for _, p := range simrouting.Phases {
 				if a, b := r.Figures["in_time."+w+"."+p.Name], r.Figures["in_time.without."+p.Name]; a < b-sameService {
 					r.Broke("%s, %s: %.4f in time, %.4f without rumours", w, p.Name, a, b)
 				}
--- a/internal/lab/simledger.go
+++ b/internal/lab/simledger.go
@@ -1,13 +1,12 @@
 package lab
 
 import (
+	"cairnfront/internal/sim/faults"
+	simreplication "cairnfront/internal/sim/replication"
 	"context"
 	"encoding/json"
 	"fmt"
 	"sort"
-
-	"cairnfront/internal/lab/fault"
-	"cairnfront/internal/lab/promises"
 )
 
 // SimLedger is what 'lab sim ledger' plays: the ledger's cores on virtual time, with faulty disks.
@@ -35,14 +34,14 @@
 		if err := ctx.Err(); err != nil {
 			return nil, err
 		}
-		s := promises.Draw(seed, c.Routers, c.Lasts)
+		s := simreplication.Draw(seed, c.Routers, c.Lasts)
 		if c.Script != "" {
 			var err error
-			if s, err = fault.Read(c.Script); err != nil {
+			if s, err = faults.Read(c.Script); err != nil {
 				return nil, err
 			}
 		}
-		x, err := promises.Play(promises.Plan{Script: s, Slices: c.Slices})
+		x, err := simreplication.Play(simreplication.Plan{Script: s, Slices: c.Slices})
 		if err != nil {
 			return nil, fmt.Errorf("seed %d: %w", seed, err)
 		}
--- a/internal/lab/simpeers.go
+++ b/internal/lab/simpeers.go
@@ -9,9 +9,9 @@
 	"sort"
 	"sync"
 
-	"cairnfront/internal/lab/fault"
-	"cairnfront/internal/lab/fleet"
-	"cairnfront/internal/peers/view"
+	"cairnfront/internal/membership/swim"
+	"cairnfront/internal/sim/faults"
+	simmembership "cairnfront/internal/sim/membership"
 
 	"golang.org/x/sync/errgroup"
 )
@@ -72,7 +72,7 @@
 		}
 	}
 	seeds := int(c.To - c.From + 1)
-	results := make([]*fleet.Result, len(points)*seeds)
+	results := make([]*simmembership.Result, len(points)*seeds)
 	g, ctx := errgroup.WithContext(ctx)
 	g.SetLimit(max(runtime.NumCPU()-1, 1))
 	for i := range results {
@@ -82,15 +82,15 @@
 			}
 			p := points[i/seeds]
 			c.Tell("%d peers, %.0f%% lost, plain %v", p.size, p.loss*100, p.plain)
-			s := fault.Script{Seed: c.From + uint64(i%seeds), Peers: p.size, Until: simLasts}
+			s := faults.Script{Seed: c.From + uint64(i%seeds), Peers: p.size, Until: simLasts}
 			if p.loss > 0 {
-				s.Acts = append(s.Acts, fault.Act{Do: fault.Lose, Share: p.loss})
+				s.Acts = append(s.Acts, faults.Act{Do: faults.Lose, Share: p.loss})
 			}
 			for k := range 2 {
 				at := 15 + 20*float64(k)
-				s.Acts = append(s.Acts, fault.Act{Do: fault.Kill, At: at, Until: at + longKill, From: []int{(7*k + int(s.Seed)) % p.size}})
+				s.Acts = append(s.Acts, faults.Act{Do: faults.Kill, At: at, Until: at + longKill, From: []int{(7*k + int(s.Seed)) % p.size}})
 			}
-			results[i], err = fleet.Play(fleet.Plan{Script: s, Terms: view.Terms{Liars: simLiars, Plain: p.plain}, Known: p.size > largestJoin})
+			results[i], err = simmembership.Play(simmembership.Plan{Script: s, Terms: swim.Terms{Liars: simLiars, Plain: p.plain}, Known: p.size > largestJoin})
 			return err
 		})
 	}
@@ -158,7 +158,7 @@
 }
 
 // broken says which invariant a play broke.
-func (c SimPeers) broken(x *fleet.Result, s *fault.Script) string {
+func (c SimPeers) broken(x *simmembership.Result, s *faults.Script) string {
 	bound := s.Peers * 12 // a claim and up to eleven charges of each
 	switch {
 	case x.Resurrected > 0:
@@ -174,8 +174,8 @@
 	return ""
 }
 
-func (c SimPeers) plan(s fault.Script) fleet.Plan {
-	p := fleet.Plan{Script: s, Terms: view.Terms{Liars: max(simLiars, c.Hostile)}}
+func (c SimPeers) plan(s faults.Script) simmembership.Plan {
+	p := simmembership.Plan{Script: s, Terms: swim.Terms{Liars: max(simLiars, c.Hostile)}}
 	for i := range c.Hostile {
 		p.Hostile = append(p.Hostile, s.Peers-1-i)
 	}
@@ -185,7 +185,7 @@
 // drawn plays a script drawn from each seed; one that breaks an invariant is shortened and told.
 func (c SimPeers) drawn(ctx context.Context, r *Report) error {
 	var mu sync.Mutex
-	var found []fault.Script
+	var found []faults.Script
 	g, ctx := errgroup.WithContext(ctx)
 	g.SetLimit(max(runtime.NumCPU()-1, 1))
 	for seed := c.From; seed <= c.To; seed++ {
@@ -193,8 +193,8 @@
 			if err := ctx.Err(); err != nil {
 				return err
 			}
-			s := fault.Draw(seed, c.Peers, c.Scripts, simLasts)
-			x, err := fleet.Play(c.plan(s))
+			s := faults.Draw(seed, c.Peers, c.Scripts, simLasts)
+			x, err := simmembership.Play(c.plan(s))
 			if err != nil {
 				return fmt.Errorf("seed %d: %w", seed, err)
 			}
@@ -225,8 +225,8 @@
 		return err
 	}
 	for _, s := range found {
-		short, plays := fault.Shorten(s, shortenPlays, func(s fault.Script) bool {
-			x, err := fleet.Play(c.plan(s))
+		short, plays := faults.Shorten(s, shortenPlays, func(s faults.Script) bool {
+			x, err := simmembership.Play(c.plan(s))
 			return err == nil && c.broken(x, &s) != ""
 		})
 		text, _ := json.Marshal(short)
@@ -243,16 +243,16 @@
 
 // one plays one script twice: it has to come to the same, byte for byte.
 func (c SimPeers) one(r *Report) error {
-	s, err := fault.Read(c.Script)
+	s, err := faults.Read(c.Script)
 	if err != nil {
 		return err
 	}
 	r.Seed, r.Size = s.Seed, "one script, played twice"
-	x, err := fleet.Play(c.plan(s))
+	x, err := simmembership.Play(c.plan(s))
 	if err != nil {
 		return err
 	}
-	again, err := fleet.Play(c.plan(s))
+	again, err := simmembership.Play(c.plan(s))
 	if err != nil {
 		return err
 	}
--- a/internal/lab/thin.go
+++ b/internal/lab/thin.go
@@ -1,11 +1,10 @@
 package lab
 
 import (
+	simrouting "cairnfront/internal/sim/routing"
 	"context"
 	"fmt"
 
-	"cairnfront/internal/lab/model"
-
 	"golang.org/x/sync/errgroup"
 )
 
@@ -15,29 +14,29 @@
 
 var thinViews = Scenario{Name: "thin-views", About: "The same traffic seen by 3, 30 and 300 routers on virtual time: a burst with a purge, then a lost hub; does service come back",
 	Run: func(ctx context.Context, s Setting, r *Report) error {
-		for name, trouble := range map[string]model.Trouble{"burst": model.Burst, "hub": model.LostHub} {
+		for name, trouble := range map[string]simrouting.Trouble{"burst": simrouting.Burst, "hub": simrouting.LostHub} {
 			if err := playThin(ctx, s, r, name, trouble); err != nil {
 				return err
 			}
 		}
 		r.Numbers = true
 		r.Did = append(r.Did, "the module alone; members, links and clients are numbers on virtual time",
-			fmt.Sprintf("from %.0f to %.0f s half as much traffic again and a purge of one group, or half of the parents lost and back empty", model.Phases[1].From, model.Phases[1].To))
+			fmt.Sprintf("from %.0f to %.0f s half as much traffic again and a purge of one group, or half of the parents lost and back empty", simrouting.Phases[1].From, simrouting.Phases[1].To))
 		return nil
 	}}
 
 // playThin plays one trouble for each number of routers and adds to the report.
-func playThin(ctx context.Context, s Setting, r *Report, trouble string, what model.Trouble) error {
+func playThin(ctx context.Context, s Setting, r *Report, trouble string, what simrouting.Trouble) error {
 	counts, seeds := []int{3, 30, 300}, 1
 	if s.Full {
 		counts, seeds = []int{3, 9, 30, 90, 300, 900}, 4
 	}
-	played := make([]*model.Result, len(counts)*seeds)
+	played := make([]*simrouting.Result, len(counts)*seeds)
 	var g errgroup.Group
 	for i := range played {
 		g.Go(func() (err error) {
 			if err = ctx.Err(); err == nil {
-				played[i], err = model.Play(s.Seed+uint64(i%seeds), counts[i/seeds], what)
+				played[i], err = simrouting.Play(s.Seed+uint64(i%seeds), counts[i/seeds], what)
 			}
 			return err
 		})
@@ -46,17 +45,17 @@
 		return err
 	}
 	seconds := Plot{Title: trouble + ": share of txns in time, second by second (first seed)", X: "s", Y: "share",
-		Marks: []Mark{{model.Phases[1].From, trouble}, {model.Phases[1].To, "over"}}}
+		Marks: []Mark{{simrouting.Phases[1].From, trouble}, {simrouting.Phases[1].To, "over"}}}
 	curve := Plot{Title: trouble + ": share in time by the number of routers, the same traffic", X: "routers", Y: "share"}
-	curve.Lines = make([]Line, len(model.Phases))
+	curve.Lines = make([]Line, len(simrouting.Phases))
 	for i, n := range counts {
 		l := Line{Name: fmt.Sprintf("%d routers", n)}
 		for at, share := range played[i*seeds].Seconds {
 			l.X, l.Y = append(l.X, float64(at)), append(l.Y, share)
 		}
 		seconds.Lines = append(seconds.Lines, l)
-		for p, phase := range model.Phases {
-			var sum model.Result
+		for p, phase := range simrouting.Phases {
+			var sum simrouting.Result
 			var txns, inTime, rejected, hops int
 			for _, x := range played[i*seeds : (i+1)*seeds] {
 				txns, inTime, rejected = txns+x.Txns[phase.Name], inTime+x.InTime[phase.Name], rejected+x.Rejected[phase.Name]
--- a/internal/lab/town.go
+++ b/internal/lab/town.go
@@ -16,13 +16,13 @@
 	"syscall"
 	"time"
 
-	"cairnfront/brain"
-	"cairnfront/internal/board"
-	"cairnfront/internal/book"
-	"cairnfront/internal/box"
-	"cairnfront/internal/frame"
-	"cairnfront/internal/line"
-	"cairnfront/internal/operators"
+	"cairnfront/internal/cacheproto"
+	"cairnfront/internal/clientproto"
+	"cairnfront/internal/config"
+	"cairnfront/internal/discovery"
+	"cairnfront/internal/edgecache"
+	"cairnfront/internal/telemetry"
+	"cairnfront/routing"
 )
 
 // The remap rules of a town, as its boxes and its routers are told them.
@@ -35,7 +35,7 @@
 	goneEverywhere       = 6.0        // s, after which running boxes have dropped what was purged
 )
 
-var townRules = []operators.Rule{{Name: "video-part", Kept: true, Effect: "repeatable"},
+var townRules = []config.Rule{{Name: "video-part", Kept: true, Effect: "repeatable"},
 	{Name: "page-asset", Kept: true, Effect: "repeatable", FreshS: pageFresh, StaleS: pageStale},
 	{Name: "print-order", Kept: false, Effect: "keyed"}}
 
@@ -46,7 +46,7 @@
 	location int // 0 hub, 1 and on campuses
 	addr     string
 	started  float64
-	status   brain.Status
+	status   routing.Status
 
 	// Of one that runs in this process:
 	stop func()
@@ -61,7 +61,7 @@
 type saw struct {
 	at     float64
 	member string
-	asked  line.Asked
+	asked  cacheproto.Asked
 }
 
 // gave is an answer that a member in this process gave.
@@ -76,7 +76,7 @@
 type town struct {
 	s     Setting
 	board *noticeBoard
-	made  box.Maker
+	made  edgecache.Maker
 
 	mu       sync.Mutex
 	places   []*place
@@ -149,7 +149,7 @@
 	}
 	t.mu.Unlock()
 	time.Sleep(2 * time.Millisecond) // the archive gives out the new one before anybody is told
-	ev := board.Event{Purged: true, Group: int(p.group), At: unix(time.Now())}
+	ev := discovery.Event{Purged: true, Group: int(p.group), At: unix(time.Now())}
 	if !all {
 		ev.Object = fmt.Sprintf("%016x", object)
 	}
@@ -199,19 +199,19 @@
 	return p, nil
 }
 
-func (p *place) row() board.Row {
-	return board.Row{Addr: p.addr, Row: brain.Row{Member: p.id, Location: p.location, Kind: p.kind, Status: p.status, Weight: 8, Started: p.started}}
+func (p *place) row() discovery.Row {
+	return discovery.Row{Addr: p.addr, Row: routing.Row{Member: p.id, Location: p.location, Kind: p.kind, Status: p.status, Weight: 8, Started: p.started}}
 }
 
 // list tells the board how a member stands.
-func (t *town) list(p *place, status brain.Status) {
+func (t *town) list(p *place, status routing.Status) {
 	p.status = status
-	t.board.tell(board.Event{Rows: []board.Row{p.row()}})
+	t.board.tell(discovery.Event{Rows: []discovery.Row{p.row()}})
 }
 
 // rulebook is the operators' file of a member.
-func (t *town) rulebook(p *place, folder string) operators.Rulebook {
-	rules, err := operators.Parse("lab", nil)
+func (t *town) rulebook(p *place, folder string) config.Rulebook {
+	rules, err := config.Parse("lab", nil)
 	if err != nil {
 		panic(err) // the product's own defaults
 	}
@@ -239,11 +239,11 @@
 		return err
 	}
 	rules := t.rulebook(p, "")
-	b := &box.Box{Plan: rules.Box, Book: book.New(io.Discard, p.id)}
+	b := &edgecache.Box{Plan: rules.Box, Book: telemetry.New(io.Discard, p.id)}
 	if p.kind == 2 {
 		b.Origin = &t.made
 	}
-	b.Saw = func(a line.Asked) {
+	b.Saw = func(a cacheproto.Asked) {
 		t.mu.Lock()
 		t.asks = append(t.asks, saw{unix(time.Now()), p.id, a})
 		t.mu.Unlock()
@@ -449,12 +449,12 @@
 	}
 	defer c.Close()
 	_ = c.SetDeadline(time.Now().Add(time.Second))
-	if _, err := c.Write(append(frame.AppendHead(nil, frame.AskReady, 0, 1), 0)); err != nil {
+	if _, err := c.Write(append(clientproto.AppendHead(nil, clientproto.AskReady, 0, 1), 0)); err != nil {
 		return false
 	}
-	b := make([]byte, frame.HeadSize+2)
+	b := make([]byte, clientproto.HeadSize+2)
 	_, err = io.ReadFull(c, b)
-	return err == nil && b[4] == frame.Ready && b[frame.HeadSize] == 1
+	return err == nil && b[4] == clientproto.Ready && b[clientproto.HeadSize] == 1
 }
 
 // close ends all that the town started: routers by SIGTERM, as an operator would. A router that does not end well is
--- a/internal/peers/wire/wire.go
+++ b/internal/membership/datagram/wire.go
@@ -1,7 +1,7 @@
 // Package wire is the datagrams between peers: CBOR with numbered keys, so that a later version's parts are skipped, signed
 // with the sender's own Ed25519 key, addressed to one peer, counted. What a peer says of itself or of another is signed by it
 // alone and travels on as it is. Docs: docs/peers-wire.md. No I/O.
-package wire
+package datagram
 
 import (
 	"crypto/ed25519"
@@ -12,9 +12,9 @@
 	"fmt"
 	"slices"
 
-	"cairnfront/internal/pack"
-	"cairnfront/internal/peers/rumour"
-	"cairnfront/internal/peers/view"
+	"cairnfront/internal/cborcodec"
+	"cairnfront/internal/membership/observation"
+	"cairnfront/internal/membership/swim"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -54,7 +54,7 @@
 	ErrOld     = errors.New("from an earlier life of its sender")
 )
 
-var enc, dec = pack.Modes(64)
+var enc, dec = cborcodec.Modes(64)
 
 type envelope struct {
 	V     uint            `cbor:"1,keyasint"`
@@ -66,7 +66,7 @@
 }
 
 type body struct {
-	Kind    view.Kind `cbor:"1,keyasint"`
+	Kind    swim.Kind `cbor:"1,keyasint"`
 	Nonce   uint64    `cbor:"2,keyasint,omitempty"`
 	For     string    `cbor:"3,keyasint,omitempty"`
 	Of      string    `cbor:"4,keyasint,omitempty"`
@@ -82,7 +82,7 @@
 	Of    string     `cbor:"1,keyasint"`
 	Start uint64     `cbor:"2,keyasint,omitempty"`
 	Beat  uint32     `cbor:"3,keyasint,omitempty"`
-	State view.State `cbor:"4,keyasint,omitempty"`
+	State swim.State `cbor:"4,keyasint,omitempty"`
 }
 
 type claim struct {
@@ -90,7 +90,7 @@
 	Start uint64     `cbor:"2,keyasint"`
 	Beat  uint32     `cbor:"3,keyasint,omitempty"`
 	Birth uint64     `cbor:"4,keyasint"`
-	State view.State `cbor:"5,keyasint"`
+	State swim.State `cbor:"5,keyasint"`
 	Addr  string     `cbor:"6,keyasint"`
 	Zone  string     `cbor:"7,keyasint,omitempty"`
 }
@@ -156,19 +156,19 @@
 }
 
 type sealed struct {
-	at    view.Incarnation
-	state view.State
+	at    swim.Incarnation
+	state swim.State
 	text  []byte
 }
 
 // Codec is one peer's. It belongs to one goroutine.
 type Codec struct {
-	me     view.Peer
+	me     swim.Peer
 	key    ed25519.PrivateKey
 	addr   string
 	zone   string
 	people []Person
-	index  map[string]view.Peer
+	index  map[string]swim.Peer
 	counts []uint64
 	guards []guard
 	own    sealed
@@ -176,8 +176,8 @@
 }
 
 // New makes the codec of a peer with its key, the address at which it is reached, and its zone.
-func New(me view.Peer, key ed25519.PrivateKey, addr, zone string, people []Person) (*Codec, error) {
-	c := &Codec{me: me, key: key, addr: addr, zone: zone, index: map[string]view.Peer{}, held: map[string]bool{}}
+func New(me swim.Peer, key ed25519.PrivateKey, addr, zone string, people []Person) (*Codec, error) {
+	c := &Codec{me: me, key: key, addr: addr, zone: zone, index: map[string]swim.Peer{}, held: map[string]bool{}}
 	if len(addr) > mostAddr || len(zone) > mostName {
 		return nil, fmt.Errorf("the address %q or the zone %q is too long", addr, zone)
 	}
@@ -205,7 +205,7 @@
 		if at, ok := c.index[p.Name]; ok && int(at) != i {
 			return fmt.Errorf("peer %q stands twice", p.Name)
 		}
-		c.index[p.Name] = view.Peer(i)
+		c.index[p.Name] = swim.Peer(i)
 	}
 	c.people = slices.Clone(people)
 	for len(c.counts) < len(people) {
@@ -215,7 +215,7 @@
 }
 
 // Name of a peer.
-func (c *Codec) Name(p view.Peer) string { return c.people[p].Name }
+func (c *Codec) Name(p swim.Peer) string { return c.people[p].Name }
 
 // Moved sets the address at which this peer says that it is reached.
 func (c *Codec) Moved(addr string) { c.addr, c.own = addr, sealed{} }
@@ -224,7 +224,7 @@
 	return append(ed25519.Sign(c.key, append([]byte(use), text...)), text...)
 }
 
-func (c *Codec) holds(use string, p view.Peer, signed []byte) bool {
+func (c *Codec) holds(use string, p swim.Peer, signed []byte) bool {
 	if len(signed) < sigSize {
 		return false
 	}
@@ -236,7 +236,7 @@
 }
 
 // seal is the signed text of a claim: a foreign one as it came, our own signed once.
-func (c *Codec) seal(cl view.Claim) ([]byte, error) {
+func (c *Codec) seal(cl swim.Claim) ([]byte, error) {
 	if cl.Of != c.me {
 		return cl.Seal, nil
 	}
@@ -250,7 +250,7 @@
 	return c.own.text, nil
 }
 
-func (c *Codec) charge(ch view.Charge) ([]byte, error) {
+func (c *Codec) charge(ch swim.Charge) ([]byte, error) {
 	if ch.By != c.me {
 		return ch.Seal, nil
 	}
@@ -263,16 +263,16 @@
 
 // Encode makes a datagram. Start is the sender's incarnation. What does not fit is left out, rumours first, then charges, claims
 // and rows.
-func (c *Codec) Encode(start uint64, to view.Peer, m view.Message, rumours [][]byte) ([]byte, error) {
+func (c *Codec) Encode(start uint64, to swim.Peer, m swim.Message, rumours [][]byte) ([]byte, error) {
 	b := body{Kind: m.Kind, Nonce: m.Nonce, Digest: m.Digest, Rumours: rumours}
 	switch m.Kind {
-	case view.Ping, view.Ack, view.Ask, view.Told:
+	case swim.Ping, swim.Ack, swim.Ask, swim.Told:
 		b.For = c.people[m.For].Name
 	}
 	switch m.Kind {
-	case view.Ask, view.Told:
+	case swim.Ask, swim.Told:
 		b.Of, b.Proof = c.people[m.Of].Name, m.Proof
-	case view.Ack:
+	case swim.Ack:
 		if m.For != to { // the one who asked for it only hands it on
 			b.Proof = ed25519.Sign(c.key, proofText(m.Nonce, b.For))
 		}
@@ -328,16 +328,16 @@
 
 // Heard is a datagram that was taken.
 type Heard struct {
-	From    view.Peer
+	From    swim.Peer
 	Start   uint64
-	Message view.Message
-	Rumours []rumour.Rumour
+	Message swim.Message
+	Rumours []observation.Rumour
 	Skipped int // parts that were left out because their signature does not hold or they name nobody
 }
 
 // Decode takes a datagram: for us, from one of the roster, its signature, life and counter in order. Newer says whether a claim
 // would be news; one that would not be is not looked into. An error of ErrOld names the sender all the same.
-func (c *Codec) Decode(text []byte, newer func(view.Peer, view.Incarnation) bool) (h Heard, err error) {
+func (c *Codec) Decode(text []byte, newer func(swim.Peer, swim.Incarnation) bool) (h Heard, err error) {
 	if len(text) < sigSize || len(text) > Most {
 		return h, ErrShape
 	}
@@ -375,25 +375,25 @@
 	h.From, h.Start = from, e.Start
 	m := &h.Message
 	m.Kind, m.Nonce, m.Digest = b.Kind, b.Nonce, b.Digest
-	if m.Kind < view.Ping || m.Kind > view.Give {
+	if m.Kind < swim.Ping || m.Kind > swim.Give {
 		m.Kind = 0 // of a later version: what it carries counts
 	}
 	switch m.Kind {
-	case view.Ping, view.Ack, view.Ask, view.Told:
+	case swim.Ping, swim.Ack, swim.Ask, swim.Told:
 		if m.For, ok = c.index[b.For]; !ok {
 			return h, ErrName
 		}
 	}
 	switch m.Kind {
-	case view.Ask, view.Told:
+	case swim.Ask, swim.Told:
 		if m.Of, ok = c.index[b.Of]; !ok {
 			return h, ErrName
 		}
 	}
 	switch m.Kind {
-	case view.Ack:
+	case swim.Ack:
 		m.Proof = b.Proof
-	case view.Told:
+	case swim.Told:
 		if !ed25519.Verify(c.people[m.Of].Key, proofText(m.Nonce, c.people[c.me].Name), b.Proof) {
 			return h, ErrSigned
 		}
@@ -422,14 +422,14 @@
 		}
 	}
 	for _, r := range b.Rows {
-		if of, ok := c.index[r.Of]; ok && r.State <= view.Left {
-			m.Rows = append(m.Rows, view.Row{Of: of, At: view.Incarnation{Start: r.Start, Beat: r.Beat}, State: r.State})
+		if of, ok := c.index[r.Of]; ok && r.State <= swim.Left {
+			m.Rows = append(m.Rows, swim.Row{Of: of, At: swim.Incarnation{Start: r.Start, Beat: r.Beat}, State: r.State})
 		}
 	}
 	return h, nil
 }
 
-func (c *Codec) checked(use string, p view.Peer, text []byte) bool {
+func (c *Codec) checked(use string, p swim.Peer, text []byte) bool {
 	if c.held[string(text)] {
 		return true
 	}
@@ -443,14 +443,14 @@
 	return true
 }
 
-func (c *Codec) openClaim(text []byte, newer func(view.Peer, view.Incarnation) bool) (view.Claim, bool) {
+func (c *Codec) openClaim(text []byte, newer func(swim.Peer, swim.Incarnation) bool) (swim.Claim, bool) {
 	var t claim
 	if len(text) <= sigSize || len(text) > mostSeal || dec.Unmarshal(text[sigSize:], &t) != nil {
-		return view.Claim{}, false
+		return swim.Claim{}, false
 	}
 	of, ok := c.index[t.Of]
-	cl := view.Claim{Of: of, At: view.Incarnation{Start: t.Start, Beat: t.Beat}, Birth: t.Birth, State: t.State, Seal: slices.Clone(text)}
-	if !ok || t.State != view.Alive && t.State != view.Stuck && t.State != view.Left || len(t.Addr) > mostAddr || len(t.Zone) > mostName {
+	cl := swim.Claim{Of: of, At: swim.Incarnation{Start: t.Start, Beat: t.Beat}, Birth: t.Birth, State: t.State, Seal: slices.Clone(text)}
+	if !ok || t.State != swim.Alive && t.State != swim.Stuck && t.State != swim.Left || len(t.Addr) > mostAddr || len(t.Zone) > mostName {
 		return cl, false
 	}
 	if !newer(of, cl.At) {
@@ -459,14 +459,14 @@
 	return cl, c.checked(forClaim, of, text)
 }
 
-func (c *Codec) openCharge(text []byte) (view.Charge, bool) {
+func (c *Codec) openCharge(text []byte) (swim.Charge, bool) {
 	var t charge
 	if len(text) <= sigSize || len(text) > mostSeal || dec.Unmarshal(text[sigSize:], &t) != nil {
-		return view.Charge{}, false
+		return swim.Charge{}, false
 	}
 	by, ok := c.index[t.By]
 	of, ok2 := c.index[t.Of]
-	ch := view.Charge{By: by, Of: of, At: view.Incarnation{Start: t.Start, Beat: t.Beat}, Seal: slices.Clone(text)}
+	ch := swim.Charge{By: by, Of: of, At: swim.Incarnation{Start: t.Start, Beat: t.Beat}, Seal: slices.Clone(text)}
 	return ch, ok && ok2 && by != of && c.checked(forCharge, by, text)
 }
 
@@ -480,7 +480,7 @@
 }
 
 // SealRumour signs a word of our own.
-func (c *Codec) SealRumour(r rumour.Rumour) ([]byte, error) {
+func (c *Codec) SealRumour(r observation.Rumour) ([]byte, error) {
 	text, err := enc.Marshal(word{c.people[c.me].Name, r.Start, r.Seq, r.Member, uint8(r.Says), r.Zone})
 	if err != nil {
 		return nil, fmt.Errorf("sealing a rumour: %w", err)
@@ -489,16 +489,16 @@
 }
 
 // OpenRumour reads a word and checks that its witness signed it.
-func (c *Codec) OpenRumour(seal []byte) (rumour.Rumour, bool) {
+func (c *Codec) OpenRumour(seal []byte) (observation.Rumour, bool) {
 	var t word
 	if len(seal) <= sigSize || len(seal) > mostSeal || dec.Unmarshal(seal[sigSize:], &t) != nil {
-		return rumour.Rumour{}, false
+		return observation.Rumour{}, false
 	}
 	by, ok := c.index[t.By]
 	if !ok || by == c.me || len(t.Member) > mostName || len(t.Zone) > mostName || !c.checked(forRumour, by, seal) {
-		return rumour.Rumour{}, false
+		return observation.Rumour{}, false
 	}
-	return rumour.Rumour{By: int(by), Start: t.Start, Seq: t.Seq, Member: t.Member, Says: rumour.Says(t.Says), Zone: t.Zone, Seal: slices.Clone(seal)}, true
+	return observation.Rumour{By: int(by), Start: t.Start, Seq: t.Seq, Member: t.Member, Says: observation.Says(t.Says), Zone: t.Zone, Seal: slices.Clone(seal)}, true
 }
 
 // NewKey makes a key and its public half as the operators' file has it.
@@ -529,7 +529,7 @@
 }
 
 // Forge makes a claim in another's name under our own signature: what a liar would send, for the laboratory and the tests.
-func (c *Codec) Forge(of view.Peer, at view.Incarnation, state view.State) []byte {
+func (c *Codec) Forge(of swim.Peer, at swim.Incarnation, state swim.State) []byte {
 	text, err := enc.Marshal(claim{c.people[of].Name, at.Start, at.Beat, 1, state, c.addr, c.zone})
 	if err != nil {
 		return nil
--- a/internal/peers/wire/wire_test.go
+++ b/internal/membership/datagram/wire_test.go
@@ -1,12 +1,12 @@
-package wire
+package datagram
 
 import (
 	"crypto/ed25519"
 	"strings"
 	"testing"
 
-	"cairnfront/internal/peers/rumour"
-	"cairnfront/internal/peers/view"
+	"cairnfront/internal/membership/observation"
+	"cairnfront/internal/membership/swim"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -23,20 +23,20 @@
 	}
 	var out [3]*Codec
 	for i := range out {
-		c, err := New(view.Peer(i), keys[i], "127.0.0.1:1000", "zone", people)
+		c, err := New(swim.Peer(i), keys[i], "127.0.0.1:1000", "zone", people)
 		require.NoError(t, err)
 		out[i] = c
 	}
 	return out
 }
 
-func all(view.Peer, view.Incarnation) bool { return true }
+func all(swim.Peer, swim.Incarnation) bool { return true }
 
 func TestWhatIsSaidComesAcross(t *testing.T) {
 	c := three(t)
-	m := view.Message{Kind: view.Ping, Nonce: 7, For: 0, Digest: 5, Claims: []view.Claim{{Of: 0, At: view.Incarnation{Start: 9, Beat: 2}, Birth: 3, State: view.Alive}},
-		Charges: []view.Charge{{By: 0, Of: 2, At: view.Incarnation{Start: 4, Beat: 1}}}, Rows: []view.Row{{Of: 1, At: view.Incarnation{Start: 8}, State: view.Failed}}}
-	r := rumour.Rumour{By: 0, Start: 9, Seq: 1, Member: "s-00000001", Says: rumour.Failing, Zone: "zone"}
+	m := swim.Message{Kind: swim.Ping, Nonce: 7, For: 0, Digest: 5, Claims: []swim.Claim{{Of: 0, At: swim.Incarnation{Start: 9, Beat: 2}, Birth: 3, State: swim.Alive}},
+		Charges: []swim.Charge{{By: 0, Of: 2, At: swim.Incarnation{Start: 4, Beat: 1}}}, Rows: []swim.Row{{Of: 1, At: swim.Incarnation{Start: 8}, State: swim.Failed}}}
+	r := observation.Rumour{By: 0, Start: 9, Seq: 1, Member: "s-00000001", Says: observation.Failing, Zone: "zone"}
 	seal, err := c[0].SealRumour(r)
 	require.NoError(t, err)
 	text, err := c[0].Encode(9, 1, m, [][]byte{seal})
@@ -44,7 +44,7 @@
 	h, err := c[1].Decode(text, all)
 	require.NoError(t, err)
 	assert.Zero(t, h.Skipped)
-	assert.Equal(t, [4]any{view.Peer(0), uint64(9), uint64(7), uint64(5)}, [4]any{h.From, h.Start, h.Message.Nonce, h.Message.Digest})
+	assert.Equal(t, [4]any{swim.Peer(0), uint64(9), uint64(7), uint64(5)}, [4]any{h.From, h.Start, h.Message.Nonce, h.Message.Digest})
 	require.Len(t, h.Message.Claims, 1)
 	assert.Equal(t, m.Claims[0].At, h.Message.Claims[0].At)
 	assert.Equal(t, m.Rows, h.Message.Rows)
@@ -53,7 +53,7 @@
 	addr, zone := Where(h.Message.Claims[0].Seal)
 	assert.Equal(t, []string{"127.0.0.1:1000", "zone"}, []string{addr, zone})
 	// What one hears it hands on, and the next one holds it against its author's key.
-	text, err = c[1].Encode(1, 2, view.Message{Kind: view.Give, Claims: h.Message.Claims, Charges: h.Message.Charges}, [][]byte{h.Rumours[0].Seal})
+	text, err = c[1].Encode(1, 2, swim.Message{Kind: swim.Give, Claims: h.Message.Claims, Charges: h.Message.Charges}, [][]byte{h.Rumours[0].Seal})
 	require.NoError(t, err)
 	h, err = c[2].Decode(text, all)
 	require.NoError(t, err)
@@ -65,7 +65,7 @@
 
 func TestForgeriesAreRefused(t *testing.T) {
 	c := three(t)
-	text, err := c[0].Encode(9, 1, view.Message{Kind: view.Ping, For: 0}, nil)
+	text, err := c[0].Encode(9, 1, swim.Message{Kind: swim.Ping, For: 0}, nil)
 	require.NoError(t, err)
 	for i := range text { // one wrong bit anywhere
 		bad := append([]byte(nil), text...)
@@ -82,17 +82,17 @@
 	_, err = c[1].Decode(make([]byte, Most+1), all)
 	assert.ErrorIs(t, err, ErrShape)
 	// The third peer says in the first one's name that it is alive, that it charges the second, and that a member fails.
-	claim, err := c[2].seal(view.Claim{Of: 2, At: view.Incarnation{Start: 1 << 60}, State: view.Alive})
+	claim, err := c[2].seal(swim.Claim{Of: 2, At: swim.Incarnation{Start: 1 << 60}, State: swim.Alive})
 	require.NoError(t, err)
 	for _, name := range []string{"router-a", "router-c"} {
 		forged := []byte(strings.Replace(string(claim), "router-c", name, 1))
-		text, err = c[2].Encode(1, 1, view.Message{Kind: view.Give, Claims: []view.Claim{{Of: 0, Seal: forged}}}, nil)
+		text, err = c[2].Encode(1, 1, swim.Message{Kind: swim.Give, Claims: []swim.Claim{{Of: 0, Seal: forged}}}, nil)
 		require.NoError(t, err)
 		h, err := c[1].Decode(text, all)
 		require.NoError(t, err)
 		assert.Equal(t, name != "router-c", h.Skipped == 1, name)
 	}
-	text, err = c[2].Encode(1, 1, view.Message{Kind: view.Told, For: 1, Of: 0, Nonce: 4, Proof: make([]byte, 64)}, nil)
+	text, err = c[2].Encode(1, 1, swim.Message{Kind: swim.Told, For: 1, Of: 0, Nonce: 4, Proof: make([]byte, 64)}, nil)
 	require.NoError(t, err)
 	_, err = c[1].Decode(text, all)
 	assert.ErrorIs(t, err, ErrSigned, "an answer for the dead")
@@ -100,15 +100,15 @@
 
 func TestProofGoesThroughAnother(t *testing.T) {
 	c := three(t)
-	ack, err := c[2].Encode(1, 1, view.Message{Kind: view.Ack, Nonce: 77, For: 0}, nil) // asked by b for a
+	ack, err := c[2].Encode(1, 1, swim.Message{Kind: swim.Ack, Nonce: 77, For: 0}, nil) // asked by b for a
 	require.NoError(t, err)
 	h, err := c[1].Decode(ack, all)
 	require.NoError(t, err)
-	told, err := c[1].Encode(1, 0, view.Message{Kind: view.Told, Nonce: 77, For: 0, Of: 2, Proof: h.Message.Proof}, nil)
+	told, err := c[1].Encode(1, 0, swim.Message{Kind: swim.Told, Nonce: 77, For: 0, Of: 2, Proof: h.Message.Proof}, nil)
 	require.NoError(t, err)
 	_, err = c[0].Decode(told, all)
 	assert.NoError(t, err)
-	other, err := c[1].Encode(1, 0, view.Message{Kind: view.Told, Nonce: 78, For: 0, Of: 2, Proof: h.Message.Proof}, nil)
+	other, err := c[1].Encode(1, 0, swim.Message{Kind: swim.Told, Nonce: 78, For: 0, Of: 2, Proof: h.Message.Proof}, nil)
 	require.NoError(t, err)
 	_, err = c[0].Decode(other, all)
 	assert.ErrorIs(t, err, ErrSigned, "a proof is for one question")
@@ -127,12 +127,12 @@
 
 func TestDatagramsStayShort(t *testing.T) {
 	c := three(t)
-	var m view.Message
-	m.Kind = view.Table
+	var m swim.Message
+	m.Kind = swim.Table
 	for range 20 {
-		m.Rows = append(m.Rows, view.Row{Of: 1, At: view.Incarnation{Start: 1 << 50, Beat: 9}, State: view.Alive})
-		m.Claims = append(m.Claims, view.Claim{Of: 0, At: view.Incarnation{Start: 1 << 50}, State: view.Alive})
-		m.Charges = append(m.Charges, view.Charge{By: 0, Of: 1})
+		m.Rows = append(m.Rows, swim.Row{Of: 1, At: swim.Incarnation{Start: 1 << 50, Beat: 9}, State: swim.Alive})
+		m.Claims = append(m.Claims, swim.Claim{Of: 0, At: swim.Incarnation{Start: 1 << 50}, State: swim.Alive})
+		m.Charges = append(m.Charges, swim.Charge{By: 0, Of: 1})
 	}
 	text, err := c[0].Encode(1, 1, m, [][]byte{make([]byte, 300), make([]byte, 300)})
 	require.NoError(t, err)
@@ -155,16 +155,16 @@
 	require.NoError(t, err)
 	h, err := c[1].Decode(c[0].sign(forDatagram, text), all)
 	require.NoError(t, err)
-	assert.Equal(t, []any{view.Kind(0), uint64(5)}, []any{h.Message.Kind, h.Message.Digest})
+	assert.Equal(t, []any{swim.Kind(0), uint64(5)}, []any{h.Message.Kind, h.Message.Digest})
 	assert.Empty(t, h.Message.Rows)
 }
 
 func FuzzDecode(f *testing.F) {
 	c := three(f)
-	text, err := c[0].Encode(9, 1, view.Message{Kind: view.Table, Rows: []view.Row{{Of: 1}}, Claims: []view.Claim{{Of: 0, State: view.Alive}}}, nil)
+	text, err := c[0].Encode(9, 1, swim.Message{Kind: swim.Table, Rows: []swim.Row{{Of: 1}}, Claims: []swim.Claim{{Of: 0, State: swim.Alive}}}, nil)
 	require.NoError(f, err)
 	f.Add(text[sigSize:])
-	inner, err := enc.Marshal(body{Kind: view.Told, For: "router-b", Of: "router-c", Proof: []byte("x"), Claims: [][]byte{{1}}, Charges: [][]byte{{2}}, Rumours: [][]byte{{3}}})
+	inner, err := enc.Marshal(body{Kind: swim.Told, For: "router-b", Of: "router-c", Proof: []byte("x"), Claims: [][]byte{{1}}, Charges: [][]byte{{2}}, Rumours: [][]byte{{3}}})
 	require.NoError(f, err)
 	text, err = enc.Marshal(envelope{Version, "router-a", "router-b", 1, 1, inner})
 	require.NoError(f, err)
--- a/internal/peers/rumour/rumour.go
+++ b/internal/membership/observation/rumour.go
@@ -2,7 +2,7 @@
 // signed by its witness and runs out. It counts by witnesses that are independent of each other, less for more of one zone,
 // by what their earlier words were worth; what comes of it is a doubt, which makes the module look sooner and never takes a
 // member out. No I/O and no clock: the same events with the same times give the same.
-package rumour
+package observation
 
 import (
 	"cmp"
--- a/internal/peers/rumour/rumour_test.go
+++ b/internal/membership/observation/rumour_test.go
@@ -1,10 +1,10 @@
-package rumour
+package observation
 
 import (
 	"fmt"
 	"testing"
 
-	"cairnfront/brain"
+	"cairnfront/routing"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -120,11 +120,11 @@
 }
 
 func TestEndsThatSayNothing(t *testing.T) {
-	for code, want := range map[brain.Code]Says{brain.Completed: Well, brain.Errored: Failing, brain.Busy: Slow, brain.Broken: Failing, brain.Cancelled: 0, brain.Moot: 0} {
+	for code, want := range map[routing.Code]Says{routing.Completed: Well, routing.Errored: Failing, routing.Busy: Slow, routing.Broken: Failing, routing.Cancelled: 0, routing.Moot: 0} {
 		got, ok := Read(code, false)
 		assert.Equal(t, want, got)
 		assert.Equal(t, want != 0, ok)
 	}
-	got, _ := Read(brain.Completed, true)
+	got, _ := Read(routing.Completed, true)
 	assert.Equal(t, Slow, got)
 }
--- a/internal/peers/standing/standing.go
+++ b/internal/membership/partition/standing.go
@@ -1,6 +1,6 @@
 // Package standing says how a router stands among its peers, from what its view shows: with all of them, with most, with
 // few, alone, or among such as see other things than it does. No I/O, no clock: the same events give the same changes.
-package standing
+package partition
 
 // Standing is one of the five, in the order of what they allow: the later, the more.
 type Standing uint8
--- a/internal/peers/standing/standing_test.go
+++ b/internal/membership/partition/standing_test.go
@@ -1,4 +1,4 @@
-package standing
+package partition
 
 import (
 	"testing"
--- a/internal/peers/peers.go
+++ b/internal/membership/peers.go
@@ -1,7 +1,7 @@
 // Package peers is a router's part among the routers of an installation: one UDP socket, one goroutine that owns the cores
 // view, standing and rumour, and one that reads. What is decided is decided in those; here it is carried out. Design note:
 // docs/peers.md.
-package peers
+package membership
 
 import (
 	"context"
@@ -17,12 +17,12 @@
 	"strings"
 	"time"
 
-	"cairnfront/internal/book"
-	"cairnfront/internal/peers/meter"
-	"cairnfront/internal/peers/rumour"
-	"cairnfront/internal/peers/standing"
-	"cairnfront/internal/peers/view"
-	"cairnfront/internal/peers/wire"
+	"cairnfront/internal/membership/datagram"
+	"cairnfront/internal/membership/observation"
+	"cairnfront/internal/membership/partition"
+	"cairnfront/internal/membership/ratelimit"
+	"cairnfront/internal/membership/swim"
+	"cairnfront/internal/telemetry"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"golang.org/x/sync/errgroup"
@@ -57,7 +57,7 @@
 	Key               ed25519.PrivateKey
 	Roster            []Known
 	Liars             int
-	In, Out           meter.Terms
+	In, Out           ratelimit.Terms
 	Seed              uint64
 }
 
@@ -69,17 +69,17 @@
 	Heed  func(member string, doubt, s float64)
 
 	plan  Plan
-	book  *book.Book
+	book  *telemetry.Book
 	conn  *net.UDPConn
 	base  time.Time
-	me    view.Peer
-	codec *wire.Codec
-	view  *view.Core
-	stand *standing.Core
-	talk  *rumour.Core
-	out   *meter.Meter
+	me    swim.Peer
+	codec *datagram.Codec
+	view  *swim.Core
+	stand *partition.Core
+	talk  *observation.Core
+	out   *ratelimit.Meter
 	addrs []netip.AddrPort // by peer; of the file, or of the claim whose incarnation stands beside it
-	ats   []view.Incarnation
+	ats   []swim.Incarnation
 	fixed []bool
 	old   []time.Time // when the earlier life of a peer was last answered
 
@@ -99,20 +99,20 @@
 
 type end struct {
 	member string
-	says   rumour.Says
+	says   observation.Says
 }
 
 // New opens a node's socket. Nothing is sent before Run.
-func New(p Plan, k *book.Book) (*Node, error) {
+func New(p Plan, k *telemetry.Book) (*Node, error) {
 	n := &Node{plan: p, book: k, base: time.Now(), me: -1, in: make(chan []byte, mostWaiting), ends: make(chan end, mostEnds),
-		posts: make(chan func(), 16), gone: make(chan struct{}), pulsed: make(chan struct{}, 1), out: meter.New(p.Out),
+		posts: make(chan func(), 16), gone: make(chan struct{}), pulsed: make(chan struct{}, 1), out: ratelimit.New(p.Out),
 		detect: hdrhistogram.New(1, longestS*1000, 2)}
-	var people []wire.Person
+	var people []datagram.Person
 	var marks []uint64
 	for i, x := range p.Roster {
-		people, marks = append(people, wire.Person{Name: x.Name, Key: x.Key}), append(marks, view.Mark(x.Name))
+		people, marks = append(people, datagram.Person{Name: x.Name, Key: x.Key}), append(marks, swim.Mark(x.Name))
 		if x.Name == p.Name {
-			n.me = view.Peer(i)
+			n.me = swim.Peer(i)
 		}
 	}
 	if n.me < 0 {
@@ -129,7 +129,7 @@
 	if p.Advertise == "" {
 		p.Advertise = n.conn.LocalAddr().String()
 	}
-	if n.codec, err = wire.New(n.me, p.Key, p.Advertise, p.Zone, people); err != nil {
+	if n.codec, err = datagram.New(n.me, p.Key, p.Advertise, p.Zone, people); err != nil {
 		_ = n.conn.Close()
 		return nil, fmt.Errorf("peers: %w", err)
 	}
@@ -140,9 +140,9 @@
 	}
 	start := uint64(wall.UnixMilli())
 	birth := uint64(time.Now().UnixNano()) ^ uint64(os.Getpid())<<44
-	n.view = view.New(view.Terms{Liars: p.Liars}, n.me, marks, p.Seed, start, birth, 0)
-	n.stand = standing.New(p.Liars, 0)
-	n.talk = rumour.New(int(n.me), p.Zone, p.Liars, start)
+	n.view = swim.New(swim.Terms{Liars: p.Liars}, n.me, marks, p.Seed, start, birth, 0)
+	n.stand = partition.New(p.Liars, 0)
+	n.talk = observation.New(int(n.me), p.Zone, p.Liars, start)
 	return n, nil
 }
 
@@ -152,7 +152,7 @@
 func (n *Node) grow(roster []Known) {
 	for i := len(n.addrs); i < len(roster); i++ {
 		a, err := netip.ParseAddrPort(roster[i].Address)
-		n.addrs, n.ats, n.fixed = append(n.addrs, a), append(n.ats, view.Incarnation{}), append(n.fixed, err == nil)
+		n.addrs, n.ats, n.fixed = append(n.addrs, a), append(n.ats, swim.Incarnation{}), append(n.fixed, err == nil)
 		n.old = append(n.old, time.Time{})
 	}
 }
@@ -161,7 +161,7 @@
 func (n *Node) now() float64 { return time.Since(n.base).Seconds() }
 
 // Ended tells how a hop to a member ended. It never waits.
-func (n *Node) Ended(member string, says rumour.Says) {
+func (n *Node) Ended(member string, says observation.Says) {
 	select {
 	case n.ends <- end{member, says}:
 	default:
@@ -185,8 +185,8 @@
 
 // read takes datagrams from the socket as long as their senders keep within the bounds.
 func (n *Node) read(ctx context.Context) error {
-	m := meter.New(n.plan.In)
-	buf := make([]byte, wire.Most+1)
+	m := ratelimit.New(n.plan.In)
+	buf := make([]byte, datagram.Most+1)
 	for ctx.Err() == nil {
 		size, from, err := n.conn.ReadFromUDPAddrPort(buf)
 		if err != nil {
@@ -195,7 +195,7 @@
 			}
 			continue // an answer of the network to something sent: the next read is another matter
 		}
-		if size > wire.Most || !m.In(n.now(), from, size) {
+		if size > datagram.Most || !m.In(n.now(), from, size) {
 			n.book.Add("peers.in.over", 1)
 			continue
 		}
@@ -288,10 +288,10 @@
 	h, err := n.codec.Decode(text, n.view.Newer)
 	if err != nil {
 		n.book.Add("peers.refused."+reason(err), 1)
-		if errors.Is(err, wire.ErrOld) && time.Since(n.old[h.From]) > oldLifeEvery {
+		if errors.Is(err, datagram.ErrOld) && time.Since(n.old[h.From]) > oldLifeEvery {
 			n.old[h.From] = time.Now() // it may not know that it lived before: its own word tells it
 			_, cl := n.view.State(h.From)
-			n.act([]view.Action{view.Send{To: h.From, Message: view.Message{Kind: view.Give, Digest: n.view.Digest(), Claims: []view.Claim{cl}}}})
+			n.act([]swim.Action{swim.Send{To: h.From, Message: swim.Message{Kind: swim.Give, Digest: n.view.Digest(), Claims: []swim.Claim{cl}}}})
 		}
 		return
 	}
@@ -304,7 +304,7 @@
 		n.stand.Heard(now, int(h.From), n.view.Differs(now, h.From))
 	}
 	for _, r := range h.Rumours {
-		if s, _ := n.view.State(view.Peer(r.By)); s.There() {
+		if s, _ := n.view.State(swim.Peer(r.By)); s.There() {
 			heeds, _ := n.talk.Heard(now, r)
 			n.heed(heeds)
 		}
@@ -312,8 +312,8 @@
 }
 
 func reason(err error) string {
-	for name, is := range map[string]error{"shape": wire.ErrShape, "version": wire.ErrVersion, "name": wire.ErrName, "not-me": wire.ErrMe,
-		"signature": wire.ErrSigned, "replay": wire.ErrReplay, "old-life": wire.ErrOld} {
+	for name, is := range map[string]error{"shape": datagram.ErrShape, "version": datagram.ErrVersion, "name": datagram.ErrName, "not-me": datagram.ErrMe,
+		"signature": datagram.ErrSigned, "replay": datagram.ErrReplay, "old-life": datagram.ErrOld} {
 		if errors.Is(err, is) {
 			return name
 		}
@@ -322,7 +322,7 @@
 }
 
 // heed tells the module of doubts, where the standing lets it believe what peers tell, and signs words that wait.
-func (n *Node) heed(heeds []rumour.Heed) {
+func (n *Node) heed(heeds []observation.Heed) {
 	now := n.now()
 	s, _, _ := n.stand.Now()
 	for _, h := range heeds {
@@ -351,15 +351,15 @@
 }
 
 // act carries out what the view asks for, and then sees how this router stands.
-func (n *Node) act(actions []view.Action) {
+func (n *Node) act(actions []swim.Action) {
 	now := n.now()
 	for _, a := range actions {
 		switch a := a.(type) {
-		case view.Send:
+		case swim.Send:
 			n.send(now, a)
-		case view.Change:
+		case swim.Change:
 			n.changed(a)
-		case view.Yield:
+		case swim.Yield:
 			n.silent = true
 			n.book.Add("peers.yielded", 1)
 			n.book.Log.Error("peers", "code", "twin", "what", "a newer process has this router's name; this one says nothing more to peers", "birth", a.Birth)
@@ -370,18 +370,18 @@
 		there = 1
 	}
 	before, _, _ := n.stand.Now()
-	if n.stand.Step(now, standing.Seen{Roster: roster, There: there, Stuck: stuck}) {
+	if n.stand.Step(now, partition.Seen{Roster: roster, There: there, Stuck: stuck}) {
 		s, epoch, _ := n.stand.Now()
 		n.book.Add("peers.standing."+s.String(), 1)
 		n.book.Log.Info("standing", "code", s.String(), "from", before.String(), "epoch", epoch, "there", there, "roster", roster, "stuck", stuck)
 	}
 }
 
-func (n *Node) changed(c view.Change) {
+func (n *Node) changed(c swim.Change) {
 	name := n.codec.Name(c.Of)
 	n.book.Add("peers.became."+c.To.String(), 1)
 	args := []any{"code", c.To.String(), "peer", name, "from", c.From.String(), "why", c.Why, "life", c.At.Start, "beat", c.At.Beat}
-	if c.To == view.Failed && c.TookS > 0 {
+	if c.To == swim.Failed && c.TookS > 0 {
 		_ = n.detect.RecordValue(int64(c.TookS * 1000))
 		args = append(args, "took_s", fmt.Sprintf("%.2f", c.TookS))
 	}
@@ -392,12 +392,12 @@
 }
 
 // where is a peer's address: of the file, else as it says itself.
-func (n *Node) where(p view.Peer) (netip.AddrPort, bool) {
+func (n *Node) where(p swim.Peer) (netip.AddrPort, bool) {
 	if n.fixed[p] {
 		return n.addrs[p], true
 	}
 	if _, cl := n.view.State(p); n.ats[p] != cl.At && cl.Seal != nil {
-		text, _ := wire.Where(cl.Seal)
+		text, _ := datagram.Where(cl.Seal)
 		if a, err := netip.ParseAddrPort(text); err == nil {
 			n.addrs[p], n.ats[p] = a, cl.At
 		}
@@ -405,7 +405,7 @@
 	return n.addrs[p], n.addrs[p].IsValid()
 }
 
-func (n *Node) send(now float64, a view.Send) {
+func (n *Node) send(now float64, a swim.Send) {
 	to, ok := n.where(a.To)
 	if !ok {
 		return // nobody has told yet where it is
@@ -420,7 +420,7 @@
 		n.book.Log.Error("peers", "code", "unsent", "to", n.codec.Name(a.To), "err", err.Error())
 		return
 	}
-	if !n.out.Out(now, int(a.To), len(text), a.Kind >= view.Table) {
+	if !n.out.Out(now, int(a.To), len(text), a.Kind >= swim.Table) {
 		n.dropped++
 		n.book.Add("peers.out.over", 1)
 		return
@@ -546,10 +546,10 @@
 	if !listed[n.plan.Name] {
 		return fmt.Errorf("peers.roster: this router's name %q is not in it", n.plan.Name)
 	}
-	var people []wire.Person
+	var people []datagram.Person
 	var marks []uint64
 	for _, x := range all {
-		people, marks = append(people, wire.Person{Name: x.Name, Key: x.Key}), append(marks, view.Mark(x.Name))
+		people, marks = append(people, datagram.Person{Name: x.Name, Key: x.Key}), append(marks, swim.Mark(x.Name))
 	}
 	if err := n.codec.Grow(people); err != nil {
 		return err
@@ -561,7 +561,7 @@
 		if a, err := netip.ParseAddrPort(x.Address); err == nil {
 			n.addrs[i], n.fixed[i] = a, true
 		}
-		n.act(n.view.Remove(n.now(), view.Peer(i), !listed[x.Name]))
+		n.act(n.view.Remove(n.now(), swim.Peer(i), !listed[x.Name]))
 		if !listed[x.Name] {
 			n.talk.Gone(i)
 		}
@@ -595,7 +595,7 @@
 			x.Address = a.String()
 		}
 		_, cl := n.view.State(l.Of)
-		_, x.Zone = wire.Where(cl.Seal)
+		_, x.Zone = datagram.Where(cl.Seal)
 		if l.Of == n.me {
 			x.Zone, x.Address = n.plan.Zone, n.conn.LocalAddr().String()
 		}
@@ -609,7 +609,7 @@
 	for _, l := range n.talk.Lines(now) {
 		d := Doubt{Member: l.Member, Doubt: l.Doubt}
 		for i, p := range l.Witnesses {
-			d.Witnesses = append(d.Witnesses, n.codec.Name(view.Peer(p))+": "+l.Says[i])
+			d.Witnesses = append(d.Witnesses, n.codec.Name(swim.Peer(p))+": "+l.Says[i])
 		}
 		r.Doubts = append(r.Doubts, d)
 	}
--- a/internal/peers/meter/meter.go
+++ b/internal/membership/ratelimit/meter.go
@@ -1,6 +1,6 @@
 // Package meter bounds what goes out to peers and what comes in from them, by datagrams and bytes a second, for each and for
 // all together. It has no clock and no I/O: each call brings the time.
-package meter
+package ratelimit
 
 import (
 	"net/netip"
--- a/internal/peers/meter/meter_test.go
+++ b/internal/membership/ratelimit/meter_test.go
@@ -1,4 +1,4 @@
-package meter
+package ratelimit
 
 import (
 	"net/netip"
--- a/internal/peers/view/view.go
+++ b/internal/membership/swim/view.go
@@ -4,7 +4,7 @@
 // proof that a question was heard ends a suspicion.
 //
 // The same events with the same times from the same seed give the same actions, byte for byte.
-package view
+package swim
 
 import (
 	"math"
--- a/internal/peers/view/view_test.go
+++ b/internal/membership/swim/view_test.go
@@ -1,4 +1,4 @@
-package view
+package swim
 
 import (
 	"testing"
--- a/internal/conn/conn.go
+++ b/internal/netconn/conn.go
@@ -1,5 +1,5 @@
 // Package conn is one connection with a ring buffer for each direction and one end, which is logged with a code.
-package conn
+package netconn
 
 import (
 	"context"
@@ -12,8 +12,8 @@
 	"syscall"
 	"time"
 
-	"cairnfront/internal/book"
-	"cairnfront/internal/ring"
+	"cairnfront/internal/ringbuffer"
+	"cairnfront/internal/telemetry"
 )
 
 // Codes for why a connection ended; docs/oncall.md lists them.
@@ -52,8 +52,8 @@
 	Deaf bool
 
 	raw   net.Conn
-	in    *ring.Ring
-	out   *ring.Ring
+	in    *ringbuffer.Ring
+	out   *ringbuffer.Ring
 	since time.Time
 	stall time.Duration // longest wait for room at the other side, 0 for any
 	pause time.Duration // longest wait for more of a message that was begun, 0 for any
@@ -77,7 +77,7 @@
 
 // New wraps a socket. Size is that of each ring.
 func New(raw net.Conn, size int, stall time.Duration) *Conn {
-	c := &Conn{raw: raw, in: ring.New(size), out: ring.New(size), since: time.Now(), stall: stall}
+	c := &Conn{raw: raw, in: ringbuffer.New(size), out: ringbuffer.New(size), since: time.Now(), stall: stall}
 	c.heard.Store(c.since.UnixNano())
 	c.took.Store(c.since.UnixNano())
 	return c
@@ -343,11 +343,11 @@
 func (c *Conn) Ended() bool { return c.ended.Load() }
 
 // Done books the end, once all that used the connection have stopped.
-func (c *Conn) Done(b *book.Book, side, peer string) {
+func (c *Conn) Done(b *telemetry.Book, side, peer string) {
 	c.End(Shutdown, nil)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	b.Ended(book.Ended{Side: side, Peer: peer, Code: c.code, Err: c.err, Since: c.since,
+	b.Ended(telemetry.Ended{Side: side, Peer: peer, Code: c.code, Err: c.err, Since: c.since,
 		In: c.read.Load(), Out: c.wrote.Load()})
 }
 
--- a/internal/conn/conn_test.go
+++ b/internal/netconn/conn_test.go
@@ -1,4 +1,4 @@
-package conn
+package netconn
 
 import (
 	"bytes"
@@ -13,7 +13,7 @@
 	"testing"
 	"time"
 
-	"cairnfront/internal/book"
+	"cairnfront/internal/telemetry"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -94,7 +94,7 @@
 	near, _ := net.Pipe()
 	c := New(near, 8, 0)
 	var log bytes.Buffer
-	b := book.New(&log, "n1")
+	b := telemetry.New(&log, "n1")
 	b.Began("client")
 	c.Blame(Protocol, errors.New("why"))
 	c.End(Idle, nil)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -7,11 +7,11 @@
 	"sync"
 	"time"
 
-	"cairnfront/internal/admit"
-	"cairnfront/internal/book"
-	"cairnfront/internal/conn"
-	"cairnfront/internal/frame"
-	"cairnfront/internal/txn"
+	"cairnfront/internal/admission"
+	"cairnfront/internal/clientproto"
+	"cairnfront/internal/netconn"
+	"cairnfront/internal/request"
+	"cairnfront/internal/telemetry"
 )
 
 // Bounds of what waits for a reader that is slow.
@@ -27,11 +27,11 @@
 
 // Outlet is the answering side of one client's connection.
 type Outlet struct {
-	book *book.Book
-	gate *admit.Gate
+	book *telemetry.Book
+	gate *admission.Gate
 
 	mu      sync.Mutex
-	open    map[uint32]*txn.Txn
+	open    map[uint32]*request.Txn
 	queue   []item
 	closed  bool // takes no answers any more
 	shut    bool // nothing is open, nothing more is said: the connection may end
@@ -41,14 +41,14 @@
 }
 
 type item struct {
-	t    *txn.Txn // nil for what answers no txn
+	t    *request.Txn // nil for what answers no txn
 	head []byte
-	body *txn.Body
+	body *request.Body
 }
 
 // New makes the outlet of a connection.
-func New(b *book.Book, g *admit.Gate) *Outlet {
-	return &Outlet{book: b, gate: g, open: map[uint32]*txn.Txn{}, wake: make(chan struct{}, 1)}
+func New(b *telemetry.Book, g *admission.Gate) *Outlet {
+	return &Outlet{book: b, gate: g, open: map[uint32]*request.Txn{}, wake: make(chan struct{}, 1)}
 }
 
 func (o *Outlet) nudge() {
@@ -59,7 +59,7 @@
 }
 
 // Open says that a txn was taken: from here on it is owed an answer.
-func (o *Outlet) Open(t *txn.Txn) {
+func (o *Outlet) Open(t *request.Txn) {
 	o.book.Taken(t.Name)
 	o.mu.Lock()
 	o.open[t.Stream] = t
@@ -92,7 +92,7 @@
 }
 
 // Answer gives a txn its final answer, unless it had one or its client left.
-func (o *Outlet) Answer(t *txn.Txn, a txn.Answer) bool {
+func (o *Outlet) Answer(t *request.Txn, a request.Answer) bool {
 	o.mu.Lock()
 	if o.closed || o.open[t.Stream] != t {
 		o.mu.Unlock()
@@ -100,7 +100,7 @@
 		return false
 	}
 	delete(o.open, t.Stream)
-	o.queue = append(o.queue, item{t, frame.AppendAnswer(nil, t.Stream, a), a.Body})
+	o.queue = append(o.queue, item{t, clientproto.AppendAnswer(nil, t.Stream, a), a.Body})
 	o.mu.Unlock()
 	o.book.Answered(t.Name, a.Verdict.String(), a.Reason)
 	o.nudge()
@@ -133,7 +133,7 @@
 
 // Leave says that nobody waits for a stream any more. It returns its txn if that was open; an answer that
 // nobody has begun to write is dropped. From here on no attempt of the txn begins.
-func (o *Outlet) Leave(stream uint32, reason string) *txn.Txn {
+func (o *Outlet) Leave(stream uint32, reason string) *request.Txn {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	t := o.open[stream]
@@ -153,7 +153,7 @@
 	return nil
 }
 
-func (o *Outlet) left(t *txn.Txn, reason string) {
+func (o *Outlet) left(t *request.Txn, reason string) {
 	t.Leave()
 	o.book.Left(t.Name, reason)
 	o.gate.TxnDone()
@@ -168,11 +168,11 @@
 }
 
 // Close ends the outlet and returns the txns that were still open.
-func (o *Outlet) Close(reason string) []*txn.Txn {
+func (o *Outlet) Close(reason string) []*request.Txn {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.closed = true
-	var out []*txn.Txn
+	var out []*request.Txn
 	for _, t := range o.open {
 		o.left(t, reason)
 		out = append(out, t)
@@ -218,8 +218,8 @@
 
 // Run writes answers until the context ends, the socket fails, or all is written after Finish. Answers that wait
 // together go out together: the ring is flushed when it is full or nothing more waits.
-func (o *Outlet) Run(ctx context.Context, c *conn.Conn) error {
-	var unflushed []*txn.Txn
+func (o *Outlet) Run(ctx context.Context, c *netconn.Conn) error {
+	var unflushed []*request.Txn
 	defer func() {
 		for range unflushed {
 			o.gate.TxnDone()
@@ -237,7 +237,7 @@
 			continue
 		}
 		if err := c.Flush(); err != nil {
-			c.End(conn.Reason(err), err)
+			c.End(netconn.Reason(err), err)
 			return err
 		}
 		for _, t := range unflushed {
@@ -258,7 +258,7 @@
 }
 
 // write brings one answer into the ring; its body counts until then.
-func (o *Outlet) write(c *conn.Conn, x item) error {
+func (o *Outlet) write(c *netconn.Conn, x item) error {
 	defer x.body.Free()
 	by := time.Now()
 	if x.t != nil {
@@ -272,13 +272,13 @@
 		err = c.Write(x.body.Bytes)
 	}
 	if err != nil {
-		c.End(conn.Reason(err), err)
+		c.End(netconn.Reason(err), err)
 	}
 	return err
 }
 
 // written books an answer that the socket has taken.
-func (o *Outlet) written(t *txn.Txn) {
+func (o *Outlet) written(t *request.Txn) {
 	o.gate.TxnDone()
 	if t.Limit == 0 {
 		return
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -7,18 +7,18 @@
 	"testing"
 	"time"
 
-	"cairnfront/internal/admit"
-	"cairnfront/internal/book"
-	"cairnfront/internal/conn"
-	"cairnfront/internal/txn"
+	"cairnfront/internal/admission"
+	"cairnfront/internal/netconn"
+	"cairnfront/internal/request"
+	"cairnfront/internal/telemetry"
 
 	"github.com/stretchr/testify/assert"
 )
 
 // outlet is one with an open txn on stream 1.
-func outlet(t *testing.T) (*Outlet, *txn.Txn) {
-	g := admit.New(64, 256)
-	o, x := New(book.New(&bytes.Buffer{}, ""), g), &txn.Txn{Stream: 1, Name: "page"}
+func outlet(t *testing.T) (*Outlet, *request.Txn) {
+	g := admission.New(64, 256)
+	o, x := New(telemetry.New(&bytes.Buffer{}, ""), g), &request.Txn{Stream: 1, Name: "page"}
 	assert.Empty(t, g.Txn(0))
 	o.Open(x)
 	return o, x
@@ -27,7 +27,7 @@
 func TestAnswerThatNobodyWaitsForIsDropped(t *testing.T) {
 	o, x := outlet(t)
 	body := o.gate.Budget.Try(100)
-	assert.True(t, o.Answer(x, txn.Answer{Body: body}))
+	assert.True(t, o.Answer(x, request.Answer{Body: body}))
 	assert.Nil(t, o.Leave(1, "cancelled"))
 	assert.False(t, o.Busy())
 	assert.Zero(t, o.gate.Budget.Used())
@@ -36,12 +36,12 @@
 
 func TestClosedOutletTakesNothing(t *testing.T) {
 	o, x := outlet(t)
-	y := &txn.Txn{Stream: 2, Name: "page"}
+	y := &request.Txn{Stream: 2, Name: "page"}
 	assert.Empty(t, o.gate.Txn(0))
 	o.Open(y)
-	assert.True(t, o.Answer(y, txn.Answer{Body: o.gate.Budget.Try(100)}))
-	assert.Equal(t, []*txn.Txn{x}, o.Close("connection-ended"))
-	assert.False(t, o.Answer(x, txn.Answer{Body: o.gate.Budget.Try(100)}))
+	assert.True(t, o.Answer(y, request.Answer{Body: o.gate.Budget.Try(100)}))
+	assert.Equal(t, []*request.Txn{x}, o.Close("connection-ended"))
+	assert.False(t, o.Answer(x, request.Answer{Body: o.gate.Budget.Try(100)}))
 	assert.Zero(t, o.gate.Budget.Used(), "what comes too late is freed as well")
 	assert.Zero(t, o.gate.Owed())
 	assert.Equal(t, []int64{2, 1, 1, 0}, []int64{o.book.Count("taken"), o.book.Count("answered"), o.book.Count("left"), o.book.Count("open")})
@@ -51,11 +51,11 @@
 	near, far := net.Pipe()
 	defer far.Close()
 	o, x := outlet(t)
-	c := conn.New(near, 64, time.Millisecond)
-	assert.True(t, o.Answer(x, txn.Answer{Body: o.gate.Budget.Try(1000)}))
+	c := netconn.New(near, 64, time.Millisecond)
+	assert.True(t, o.Answer(x, request.Answer{Body: o.gate.Budget.Try(1000)}))
 	assert.Error(t, o.Run(t.Context(), c))
 	var log bytes.Buffer
-	c.Done(book.New(&log, ""), "client", "x")
+	c.Done(telemetry.New(&log, ""), "client", "x")
 	assert.Contains(t, log.String(), "code=slow-reader")
 	assert.Zero(t, o.gate.Budget.Used())
 	for range mostQueued + 1 {
@@ -70,10 +70,10 @@
 	near, far := net.Pipe()
 	o, x := outlet(t)
 	assert.False(t, o.Shut(), "a txn is open")
-	assert.True(t, o.Answer(x, txn.Answer{}))
+	assert.True(t, o.Answer(x, request.Answer{}))
 	assert.False(t, o.Shut(), "its answer waits")
 	done := make(chan error)
-	go func() { done <- o.Run(t.Context(), conn.New(near, 64, time.Minute)) }()
+	go func() { done <- o.Run(t.Context(), netconn.New(near, 64, time.Minute)) }()
 	_, _ = far.Read(make([]byte, 1))
 	assert.False(t, o.Shut(), "the socket has not taken all of it")
 	go func() { _, _ = io.Copy(io.Discard, far) }()
--- a/internal/ledger/ledger.go
+++ b/internal/replication/ledger.go
@@ -1,7 +1,7 @@
 // Package ledger is a router's part in the replicated record of promises: one goroutine that owns its slices, the keeper and the
 // folder, and the connections to the others. What is decided is decided in the cores (record, slice, place, claim); here it is carried
 // out, in the order that they need: first on the disk, then sent, then believed. Design note: docs/ledger.md.
-package ledger
+package replication
 
 import (
 	"context"
@@ -13,12 +13,12 @@
 	"slices"
 	"time"
 
-	"cairnfront/internal/ledger/folder"
-	"cairnfront/internal/ledger/link"
-	"cairnfront/internal/ledger/place"
-	"cairnfront/internal/ledger/record"
-	"cairnfront/internal/ledger/slice"
-	"cairnfront/internal/tier/disk"
+	"cairnfront/internal/diskcache/vfs"
+	"cairnfront/internal/replication/placement"
+	"cairnfront/internal/replication/shard"
+	"cairnfront/internal/replication/statemachine"
+	"cairnfront/internal/replication/transport"
+	"cairnfront/internal/replication/wal"
 
 	pb "go.etcd.io/raft/v3/raftpb"
 	"golang.org/x/sync/errgroup"
@@ -41,8 +41,8 @@
 	Copies     int      // holders of each slice
 	First      []string // who begins the ledger, all of whom have to be there once
 	GoneS      float64  // s after which a lost holder is replaced
-	Net        *link.Net
-	Disk       disk.FS
+	Net        *transport.Net
+	Disk       vfs.FS
 	Log        *slog.Logger
 	Clock      func() time.Time // of promises' ends; nil for the system's
 }
@@ -53,14 +53,14 @@
 // Ledger is one router's.
 type Ledger struct {
 	plan   Plan
-	folder *folder.Folder
+	folder *wal.Folder
 	me     uint64
-	slices map[int]*slice.Slice
-	keeper *place.Keeper
+	slices map[int]*shard.Slice
+	keeper *placement.Keeper
 	rnd    *rand.Rand
 	base   time.Time
 
-	seen   map[uint64]place.Seen // holders by their disks
+	seen   map[uint64]placement.Seen // holders by their disks
 	boots  map[uint64]uint32
 	voters map[int][]uint64 // of slices that others hold, as they said
 	hints  map[int]uint64   // who leads
@@ -88,33 +88,33 @@
 type reply struct {
 	to   string
 	no   uint64
-	then func(record.Result, error)
+	then func(statemachine.Result, error)
 	at   time.Time
 }
 
 // ask is a question of this router that is out.
 type ask struct {
-	frame link.Frame
+	frame transport.Frame
 	slice int
 	try   int
 	at    time.Time
 	until time.Time
-	then  func(record.Result, error)
+	then  func(statemachine.Result, error)
 }
 
 type (
 	took struct {
 		from string
-		f    link.Frame
+		f    transport.Frame
 	}
 	upped struct {
 		name string
 		up   bool
 	}
 	asked struct {
-		f     link.Frame
+		f     transport.Frame
 		until time.Time
-		then  func(record.Result, error)
+		then  func(statemachine.Result, error)
 	}
 	looked struct{ f func() }
 )
@@ -127,29 +127,29 @@
 
 // New opens a router's folder. The Net's callbacks are taken over.
 func New(p Plan) (*Ledger, error) {
-	f, saved, err := folder.Open(p.Disk, p.Name, rand.Uint64)
+	f, saved, err := wal.Open(p.Disk, p.Name, rand.Uint64)
 	if err != nil {
 		return nil, fmt.Errorf("ledger: %w", err)
 	}
 	if p.Clock == nil {
 		p.Clock = time.Now
 	}
-	l := &Ledger{plan: p, folder: f, me: f.Me().ID, slices: map[int]*slice.Slice{}, keeper: place.NewKeeper(p.Copies, p.GoneS), base: time.Now(),
-		rnd: rand.New(rand.NewPCG(f.Me().ID, uint64(f.Me().Boots))), seen: map[uint64]place.Seen{}, boots: map[uint64]uint32{}, voters: map[int][]uint64{},
+	l := &Ledger{plan: p, folder: f, me: f.Me().ID, slices: map[int]*shard.Slice{}, keeper: placement.NewKeeper(p.Copies, p.GoneS), base: time.Now(),
+		rnd: rand.New(rand.NewPCG(f.Me().ID, uint64(f.Me().Boots))), seen: map[uint64]placement.Seen{}, boots: map[uint64]uint32{}, voters: map[int][]uint64{},
 		hints: map[int]uint64{}, empty: map[string]bool{}, up: map[string]bool{}, asks: map[uint64]*ask{}, replies: map[question]reply{},
 		in: make(chan any, mostWaiting), gone: make(chan struct{})}
 	l.no = uint64(f.Me().Boots) << 40
-	l.seen[l.me] = place.Seen{ID: l.me, Name: p.Name, Zone: p.Zone, Up: true}
+	l.seen[l.me] = placement.Seen{ID: l.me, Name: p.Name, Zone: p.Zone, Up: true}
 	l.boots[l.me] = f.Me().Boots
 	for no, s := range saved {
-		x, err := slice.New(no, l.me, s, nil)
+		x, err := shard.New(no, l.me, s, nil)
 		if err != nil {
 			f.Close()
 			return nil, fmt.Errorf("ledger: %w", err)
 		}
 		l.slices[no] = x
 	}
-	p.Net.Took = func(from string, f link.Frame) { l.post(took{from, f}) }
+	p.Net.Took = func(from string, f transport.Frame) { l.post(took{from, f}) }
 	p.Net.Up = func(name string, up bool) { l.post(upped{name, up}) }
 	return l, nil
 }
@@ -164,32 +164,32 @@
 
 // Do puts a command to the ledger; then is called once, from the ledger's goroutine, with what it came to or why not. It must not wait.
 // A command that is asked twice is carried out once, by its asker and number.
-func (l *Ledger) Do(c record.Command, until time.Time, then func(record.Result, error)) {
+func (l *Ledger) Do(c statemachine.Command, until time.Time, then func(statemachine.Result, error)) {
 	text, err := c.Encode()
 	if err != nil {
-		then(record.Result{}, err)
+		then(statemachine.Result{}, err)
 		return
 	}
-	l.put(asked{link.Frame{Kind: link.Ask, Slice: place.Of(c.Key), Text: text}, until, then})
+	l.put(asked{transport.Frame{Kind: transport.Ask, Slice: placement.Of(c.Key), Text: text}, until, then})
 }
 
 // Get reads a promise as it stands.
-func (l *Ledger) Get(kind record.Kind, key string, until time.Time, then func(record.Result, error)) {
-	l.put(asked{link.Frame{Kind: link.Read, Slice: place.Of(key), What: kind, Key: key}, until, then})
+func (l *Ledger) Get(kind statemachine.Kind, key string, until time.Time, then func(statemachine.Result, error)) {
+	l.put(asked{transport.Frame{Kind: transport.Read, Slice: placement.Of(key), What: kind, Key: key}, until, then})
 }
 
 // put never waits: one that finds no room is answered at once.
 func (l *Ledger) put(a asked) {
 	select {
 	case <-l.gone:
-		a.then(record.Result{}, ErrEnded)
+		a.then(statemachine.Result{}, ErrEnded)
 		return
 	default:
 	}
 	select {
 	case l.in <- a:
 	default:
-		a.then(record.Result{}, slice.ErrBusy)
+		a.then(statemachine.Result{}, shard.ErrBusy)
 	}
 }
 
@@ -226,7 +226,7 @@
 }
 
 func (l *Ledger) own(ctx context.Context) error {
-	tick := time.NewTicker(time.Duration(slice.TickS * float64(time.Second)))
+	tick := time.NewTicker(time.Duration(shard.TickS * float64(time.Second)))
 	keep := time.NewTicker(keepEvery)
 	defer tick.Stop()
 	defer keep.Stop()
@@ -235,7 +235,7 @@
 		select {
 		case <-ctx.Done():
 			for _, a := range l.asks {
-				a.then(record.Result{}, ErrEnded)
+				a.then(statemachine.Result{}, ErrEnded)
 			}
 			return nil
 		case ev := <-l.in:
@@ -290,7 +290,7 @@
 	case asked:
 		l.no++
 		if len(l.asks) >= mostOpen {
-			ev.then(record.Result{}, slice.ErrBusy)
+			ev.then(statemachine.Result{}, shard.ErrBusy)
 			return
 		}
 		ev.f.No = l.no
@@ -313,17 +313,17 @@
 	return id
 }
 
-func (l *Ledger) hello() link.Frame {
-	f := link.Frame{Kind: link.Hello, Holder: l.me, Boots: l.folder.Me().Boots, Zone: l.plan.Zone, Began: map[int][]uint64{}, Seen: l.boots}
+func (l *Ledger) hello() transport.Frame {
+	f := transport.Frame{Kind: transport.Hello, Holder: l.me, Boots: l.folder.Me().Boots, Zone: l.plan.Zone, Began: map[int][]uint64{}, Seen: l.boots}
 	for no, s := range l.slices {
 		f.Began[no], _ = s.Holders()
 	}
 	return f
 }
 
-func (l *Ledger) take(from string, f link.Frame) {
+func (l *Ledger) take(from string, f transport.Frame) {
 	switch f.Kind {
-	case link.Hello:
+	case transport.Hello:
 		if f.Seen[l.me] > l.folder.Me().Boots {
 			l.failed = ErrOldFolder
 			return
@@ -337,7 +337,7 @@
 				l.seen[id] = s
 			}
 		}
-		l.seen[f.Holder] = place.Seen{ID: f.Holder, Name: from, Zone: f.Zone, Up: true, Last: l.now()}
+		l.seen[f.Holder] = placement.Seen{ID: f.Holder, Name: from, Zone: f.Zone, Up: true, Last: l.now()}
 		l.empty[from] = len(f.Began) == 0
 		for no, v := range f.Began {
 			if len(v) > 0 {
@@ -345,16 +345,16 @@
 			}
 		}
 		l.begin()
-	case link.Raft:
+	case transport.Raft:
 		l.raft(from, f)
-	case link.Ask, link.Read:
+	case transport.Ask, transport.Read:
 		l.serve(f, reply{to: from, no: f.No, at: time.Now()})
-	case link.Answer:
+	case transport.Answer:
 		if a := l.asks[f.No]; a != nil && f.Result != nil {
 			delete(l.asks, f.No)
 			a.then(*f.Result, nil)
 		}
-	case link.NotHere:
+	case transport.NotHere:
 		if a := l.asks[f.No]; a != nil {
 			if l.hints[a.slice] = f.Holder; f.Holder == 0 {
 				delete(l.hints, a.slice)
@@ -365,7 +365,7 @@
 	}
 }
 
-func (l *Ledger) raft(from string, f link.Frame) {
+func (l *Ledger) raft(from string, f transport.Frame) {
 	m := &pb.Message{}
 	if proto.Unmarshal(f.Text, m) != nil || m.GetTo() != l.me || l.seen[m.GetFrom()].Name != from {
 		return // for an earlier disk of this machine, or from nobody who said hello
@@ -373,7 +373,7 @@
 	s := l.slices[f.Slice]
 	if s == nil {
 		var err error
-		if s, err = slice.New(f.Slice, l.me, slice.Saved{}, nil); err != nil {
+		if s, err = shard.New(f.Slice, l.me, shard.Saved{}, nil); err != nil {
 			l.plan.Log.Error("ledger", "code", "no-slice", "slice", f.Slice, "err", err.Error())
 			return
 		}
@@ -387,24 +387,24 @@
 	if len(l.slices) > 0 || !slices.Contains(l.plan.First, l.plan.Name) {
 		return
 	}
-	var of []place.Holder
+	var of []placement.Holder
 	ids := map[string]uint64{l.plan.Name: l.me}
 	for _, name := range l.plan.First {
 		if name == l.plan.Name {
-			of = append(of, place.Holder{Name: name, Zone: l.plan.Zone})
+			of = append(of, placement.Holder{Name: name, Zone: l.plan.Zone})
 			continue
 		}
 		id := l.newest(name)
 		if !l.empty[name] && l.voters[0] == nil && id != 0 || id == 0 || !l.seen[id].Up {
 			return // somebody is missing, or holds a ledger that this one does not belong to
 		}
-		of, ids[name] = append(of, place.Holder{Name: name, Zone: l.seen[id].Zone}), id
+		of, ids[name] = append(of, placement.Holder{Name: name, Zone: l.seen[id].Zone}), id
 	}
-	var batches []slice.Batch
+	var batches []shard.Batch
 	born := map[int][]uint64{}
-	for no := range place.Slices {
+	for no := range placement.Slices {
 		var voters []uint64
-		for _, name := range place.Holders(no, of, l.plan.Copies) {
+		for _, name := range placement.Holders(no, of, l.plan.Copies) {
 			voters = append(voters, ids[name])
 		}
 		if v := l.voters[no]; v != nil && !same(v, voters) {
@@ -412,7 +412,7 @@
 		}
 		if slices.Contains(voters, l.me) {
 			born[no] = voters
-			batches = append(batches, slice.Batch{Slice: no, Snapshot: slice.Birth(voters), Sync: true})
+			batches = append(batches, shard.Batch{Slice: no, Snapshot: shard.Birth(voters), Sync: true})
 		}
 		l.voters[no] = voters
 	}
@@ -420,7 +420,7 @@
 		return
 	}
 	for no, voters := range born {
-		s, err := slice.New(no, l.me, slice.Saved{Snapshot: slice.Birth(voters)}, nil)
+		s, err := shard.New(no, l.me, shard.Saved{Snapshot: shard.Birth(voters)}, nil)
 		if err != nil {
 			l.failed = err
 			return
@@ -479,20 +479,20 @@
 }
 
 // serve answers a question if this holder leads its slice.
-func (l *Ledger) serve(f link.Frame, r reply) {
+func (l *Ledger) serve(f transport.Frame, r reply) {
 	s := l.slices[f.Slice]
 	lead := uint64(0)
 	var err error
 	if s == nil {
-		err = slice.ErrNotLeader
-	} else if _, lead = s.Leads(); f.Kind == link.Read {
+		err = shard.ErrNotLeader
+	} else if _, lead = s.Leads(); f.Kind == transport.Read {
 		q := question{"read/" + r.to, r.no}
 		if err = s.Read(f.What, f.Key, q.asker, q.ask); err == nil {
 			l.replies[q] = r
 		}
 	} else {
-		var c record.Command
-		if c, err = record.Decode(f.Text); err == nil {
+		var c statemachine.Command
+		if c, err = statemachine.Decode(f.Text); err == nil {
 			c.Now = float64(l.plan.Clock().UnixMilli()) / 1000 // the leader's clock counts
 			if err = s.Propose(c); err == nil {
 				l.replies[question{c.Asker, c.Ask}] = r
@@ -501,11 +501,11 @@
 		}
 	}
 	if err != nil && r.to != "" {
-		l.plan.Net.Send(r.to, link.Frame{Kind: link.NotHere, No: r.no, Slice: f.Slice, Holder: lead})
+		l.plan.Net.Send(r.to, transport.Frame{Kind: transport.NotHere, No: r.no, Slice: f.Slice, Holder: lead})
 	}
 }
 
-func (l *Ledger) answer(a slice.Answer) {
+func (l *Ledger) answer(a shard.Answer) {
 	q := question{a.Asker, a.Ask}
 	r, ok := l.replies[q]
 	if !ok {
@@ -513,7 +513,7 @@
 	}
 	delete(l.replies, q)
 	if r.to != "" {
-		l.plan.Net.Send(r.to, link.Frame{Kind: link.Answer, No: r.no, Result: &a.Result})
+		l.plan.Net.Send(r.to, transport.Frame{Kind: transport.Answer, No: r.no, Result: &a.Result})
 		return
 	}
 	if x := l.asks[r.no]; x != nil {
@@ -529,7 +529,7 @@
 		switch {
 		case now.After(a.until):
 			delete(l.asks, no)
-			a.then(record.Result{}, ErrUnanswered)
+			a.then(statemachine.Result{}, ErrUnanswered)
 		case now.Sub(a.at) > 250*time.Millisecond:
 			l.route(a)
 		}
@@ -543,22 +543,22 @@
 
 // keep looks after the slices that are led here: their holders, their time, their logs.
 func (l *Ledger) keep() {
-	var led []place.Led
+	var led []placement.Led
 	still := time.Since(l.swept) > sweepEvery
 	for no, s := range l.slices {
 		if leads, _ := s.Leads(); leads {
 			voters, learners := s.Holders()
-			led = append(led, place.Led{Slice: no, Voters: voters, Learners: learners})
+			led = append(led, placement.Led{Slice: no, Voters: voters, Learners: learners})
 			if still {
-				_ = s.Propose(record.Command{Op: record.OpSweep, Now: float64(l.plan.Clock().UnixMilli()) / 1000})
+				_ = s.Propose(statemachine.Command{Op: statemachine.OpSweep, Now: float64(l.plan.Clock().UnixMilli()) / 1000})
 			}
 		}
 	}
 	if still {
 		l.swept = time.Now()
 	}
-	slices.SortFunc(led, func(a, b place.Led) int { return a.Slice - b.Slice })
-	for _, c := range l.keeper.Changes(l.now(), place.Sorted(l.seen), led) {
+	slices.SortFunc(led, func(a, b placement.Led) int { return a.Slice - b.Slice })
+	for _, c := range l.keeper.Changes(l.now(), placement.Sorted(l.seen), led) {
 		if err := l.slices[c.Slice].Change(c.Add, c.Remove); err == nil {
 			l.plan.Log.Info("ledger", "code", "holders", "slice", c.Slice, "add", l.seen[c.Add].Name, "remove", l.seen[c.Remove].Name)
 		}
@@ -568,7 +568,7 @@
 // work writes what the slices want written, with one sync, then sends and answers what follows from it.
 func (l *Ledger) work() error {
 	for {
-		var batches []slice.Batch
+		var batches []shard.Batch
 		for _, s := range l.slices {
 			if b, ok := s.Work(); ok {
 				batches = append(batches, b)
@@ -611,10 +611,10 @@
 	}
 }
 
-func (l *Ledger) send(s *slice.Slice, m *pb.Message) {
+func (l *Ledger) send(s *shard.Slice, m *pb.Message) {
 	to, ok := l.seen[m.GetTo()]
 	text, err := proto.Marshal(m)
-	ok = ok && err == nil && to.Up && l.plan.Net.Send(to.Name, link.Frame{Kind: link.Raft, Slice: s.No(), Text: text})
+	ok = ok && err == nil && to.Up && l.plan.Net.Send(to.Name, transport.Frame{Kind: transport.Raft, Slice: s.No(), Text: text})
 	if m.GetType() == pb.MessageType_MsgSnap {
 		s.Sent(m.GetTo(), ok)
 	} else if !ok {
@@ -662,7 +662,7 @@
 	}
 	slices.Sort(r.Up)
 	worstMachine, worstZone := 1<<30, 1<<30
-	for no := range place.Slices {
+	for no := range placement.Slices {
 		s := l.slices[no]
 		if s == nil {
 			continue
@@ -672,11 +672,11 @@
 		x.Leads, lead = s.Leads()
 		x.Leader = l.seen[lead].Name
 		voters, learners := s.Holders()
-		var of []place.Holder
+		var of []placement.Holder
 		for _, v := range voters {
 			x.Holders = append(x.Holders, l.seen[v].Name)
 			if l.seen[v].Up {
-				of = append(of, place.Holder{Name: l.seen[v].Name, Zone: l.seen[v].Zone})
+				of = append(of, placement.Holder{Name: l.seen[v].Name, Zone: l.seen[v].Zone})
 			}
 		}
 		for _, v := range learners {
@@ -685,7 +685,7 @@
 		for _, lag := range s.Lag() {
 			x.Lag = max(x.Lag, lag)
 		}
-		x.Machine, x.Zones = place.Bears(len(voters), of)
+		x.Machine, x.Zones = placement.Bears(len(voters), of)
 		worstMachine, worstZone = min(worstMachine, x.Machine), min(worstZone, x.Zones)
 		r.Slices = append(r.Slices, x)
 	}
--- a/internal/ledger/ledger_test.go
+++ b/internal/replication/ledger_test.go
@@ -1,4 +1,4 @@
-package ledger
+package replication
 
 import (
 	"context"
@@ -11,11 +11,11 @@
 	"testing"
 	"time"
 
-	"cairnfront/internal/lab/fault"
-	"cairnfront/internal/lab/relay"
-	"cairnfront/internal/ledger/link"
-	"cairnfront/internal/ledger/record"
-	"cairnfront/internal/tier/disk"
+	"cairnfront/internal/diskcache/vfs"
+	"cairnfront/internal/faultproxy"
+	"cairnfront/internal/replication/statemachine"
+	"cairnfront/internal/replication/transport"
+	"cairnfront/internal/sim/faults"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -26,8 +26,8 @@
 // town is routers' ledgers in three zones, each way between two over a relay.
 type town struct {
 	t     *testing.T
-	net   *relay.Net
-	peers []link.Peer
+	net   *faultproxy.Net
+	peers []transport.Peer
 	keys  []ed25519.PrivateKey
 	lns   []net.Listener
 	addrs []string
@@ -38,19 +38,19 @@
 type running struct {
 	*Ledger
 	stop func()
-	fs   disk.FS
+	fs   vfs.FS
 	ask  uint64
 }
 
 func newTown(t *testing.T, n int) *town {
-	x := &town{t: t, net: relay.New(1, n)}
+	x := &town{t: t, net: faultproxy.New(1, n)}
 	t.Cleanup(x.net.Close)
 	for i := range n {
 		key := ed25519.NewKeyFromSeed([]byte(strings.Repeat(string(rune('a'+i)), 32)))
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(t, err)
 		x.keys, x.lns, x.addrs = append(x.keys, key), append(x.lns, ln), append(x.addrs, ln.Addr().String())
-		x.peers = append(x.peers, link.Peer{Name: fmt.Sprint("r", i), Key: key.Public().(ed25519.PublicKey)})
+		x.peers = append(x.peers, transport.Peer{Name: fmt.Sprint("r", i), Key: key.Public().(ed25519.PublicKey)})
 		x.runs = append(x.runs, nil)
 	}
 	for i := range n {
@@ -63,7 +63,7 @@
 		x.ways = append(x.ways, row)
 	}
 	for i := range n {
-		x.start(i, disk.NewFaulty(uint64(i+1)))
+		x.start(i, vfs.NewFaulty(uint64(i+1)))
 	}
 	t.Cleanup(func() {
 		for i := range x.runs {
@@ -73,8 +73,8 @@
 	return x
 }
 
-func (x *town) start(i int, fs disk.FS) {
-	var peers []link.Peer
+func (x *town) start(i int, fs vfs.FS) {
+	var peers []transport.Peer
 	var names []string
 	for j, p := range x.peers {
 		p.Addr = x.ways[i][j]
@@ -88,7 +88,7 @@
 		}, patience, 10*time.Millisecond)
 	}
 	l, err := New(Plan{Name: x.peers[i].Name, Zone: fmt.Sprint("z", i%3), Copies: 3, First: names, GoneS: 1.5, Disk: fs,
-		Net: &link.Net{Me: x.peers[i].Name, Key: x.keys[i], Peers: peers}, Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
+		Net: &transport.Net{Me: x.peers[i].Name, Key: x.keys[i], Peers: peers}, Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
 	require.NoError(x.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -101,7 +101,7 @@
 }
 
 // end stops a router; nothing of what it did not sync is on its disk.
-func (x *town) end(i int) disk.FS {
+func (x *town) end(i int) vfs.FS {
 	r := x.runs[i]
 	if r == nil {
 		return nil
@@ -112,25 +112,25 @@
 }
 
 // claim asks at a router for a key; tried again while nobody answers.
-func (x *town) claim(i int, key, group string) record.Result {
+func (x *town) claim(i int, key, group string) statemachine.Result {
 	x.t.Helper()
 	r := x.runs[i]
 	r.ask++
 	for end := time.Now().Add(patience); time.Now().Before(end); {
 		got := make(chan any, 1)
-		r.Do(record.Command{Op: record.OpClaim, Key: key, Group: group, Lasts: 60, Asker: x.peers[i].Name, Ask: r.ask}, time.Now().Add(2*time.Second), func(res record.Result, err error) {
+		r.Do(statemachine.Command{Op: statemachine.OpClaim, Key: key, Group: group, Lasts: 60, Asker: x.peers[i].Name, Ask: r.ask}, time.Now().Add(2*time.Second), func(res statemachine.Result, err error) {
 			if err != nil {
 				got <- err
 			} else {
 				got <- res
 			}
 		})
-		if res, ok := (<-got).(record.Result); ok {
+		if res, ok := (<-got).(statemachine.Result); ok {
 			return res
 		}
 	}
 	x.t.Fatalf("r%d: no answer for %s", i, key)
-	return record.Result{}
+	return statemachine.Result{}
 }
 
 func (x *town) report(i int) Report {
@@ -168,7 +168,7 @@
 		assert.Len(t, l.Holders, 3)
 		assert.NotContains(t, l.Holders, "r1")
 	}
-	x.start(1, disk.NewFaulty(99)) // a new machine under the old name
+	x.start(1, vfs.NewFaulty(99)) // a new machine under the old name
 	require.Eventually(t, func() bool { return len(x.report(1).Slices) > 0 }, patience, 50*time.Millisecond, "it is taken in")
 	t.Logf("taken in %.1f s after the loss", time.Since(lost).Seconds())
 	assert.False(t, x.claim(1, "k3", "g2").Granted)
@@ -178,13 +178,13 @@
 func TestMinorityGrantsNothing(t *testing.T) {
 	x := newTown(t, 3)
 	x.healthy(0, "bears the loss of a zone")
-	x.net.Play(fault.Script{Peers: 3, Until: 1e6, Acts: []fault.Act{{Do: fault.Cut, From: []int{0}, To: []int{1, 2}, Both: true}}})
+	x.net.Play(faults.Script{Peers: 3, Until: 1e6, Acts: []faults.Act{{Do: faults.Cut, From: []int{0}, To: []int{1, 2}, Both: true}}})
 	got := make(chan error, 1)
-	x.runs[0].Do(record.Command{Op: record.OpClaim, Key: "k", Group: "g1", Lasts: 60, Asker: "r0", Ask: 1 << 50}, time.Now().Add(1500*time.Millisecond),
-		func(_ record.Result, err error) { got <- err })
+	x.runs[0].Do(statemachine.Command{Op: statemachine.OpClaim, Key: "k", Group: "g1", Lasts: 60, Asker: "r0", Ask: 1 << 50}, time.Now().Add(1500*time.Millisecond),
+		func(_ statemachine.Result, err error) { got <- err })
 	assert.True(t, x.claim(1, "k", "g2").Granted)
 	assert.ErrorIs(t, <-got, ErrUnanswered)
-	x.net.Play(fault.Script{Peers: 3, Until: 1e6})
+	x.net.Play(faults.Script{Peers: 3, Until: 1e6})
 	r := x.claim(0, "k", "g3")
 	assert.False(t, r.Granted)
 	assert.Equal(t, "g2", r.Promise.Group)
@@ -195,12 +195,12 @@
 	x := newTown(t, 3)
 	x.healthy(0, "bears the loss of a zone")
 	assert.True(t, x.claim(0, "k", "g1").Granted)
-	var disks []disk.FS
+	var disks []vfs.FS
 	for i := range 3 {
 		disks = append(disks, x.end(i))
 	}
 	for i := range 3 {
-		disks[i].(*disk.Faulty).Restart()
+		disks[i].(*vfs.Faulty).Restart()
 		x.start(i, disks[i])
 	}
 	assert.False(t, x.claim(2, "k", "g2").Granted)
--- a/internal/ledger/place/keeper.go
+++ b/internal/replication/placement/keeper.go
@@ -1,4 +1,4 @@
-package place
+package placement
 
 import (
 	"cmp"
--- a/internal/ledger/place/place.go
+++ b/internal/replication/placement/place.go
@@ -1,6 +1,6 @@
 // Package place says which routers hold which slice of the ledger: by rendezvous hashing, spread over zones, so that a machine
 // more or less moves few slices and the loss of a zone leaves each slice most of its holders where that can be. No I/O.
-package place
+package placement
 
 import (
 	"cmp"
--- a/internal/ledger/claim/claim.go
+++ b/internal/replication/reservation/claim.go
@@ -3,14 +3,14 @@
 // asked of the ledger goes out as actions, and how it ended comes back as events. The decision loop never waits for it.
 //
 // Rule 2 is kept by each router alone, for its own hops; this adds what other routers' hops may have done.
-package claim
+package reservation
 
 import (
 	"cmp"
 	"math/rand/v2"
 	"slices"
 
-	"cairnfront/internal/ledger/record"
+	"cairnfront/internal/replication/statemachine"
 )
 
 // Terms are what an installation may change.
@@ -44,7 +44,7 @@
 // Ask goes to the ledger; its answer comes back by its number, or not at all.
 type Ask struct {
 	No      uint64
-	Command record.Command
+	Command statemachine.Command
 	Try     int // which time, from 0: later ones go to another holder
 }
 
@@ -260,17 +260,17 @@
 func (c *Core) ask(now float64, w *waiting) {
 	wait := min(askAgain*float64(int(1)<<min(w.try, 4)), askMost)
 	w.at, w.next = now, now+wait*(0.75+0.5*c.rnd.Float64())
-	c.out = append(c.out, Ask{No: w.no, Try: w.try, Command: record.Command{Op: record.OpClaim, Key: w.Key, Group: w.Group, Lasts: w.Window, Asker: c.name, Ask: w.no}})
+	c.out = append(c.out, Ask{No: w.no, Try: w.try, Command: statemachine.Command{Op: statemachine.OpClaim, Key: w.Key, Group: w.Group, Lasts: w.Window, Asker: c.name, Ask: w.no}})
 	w.try++
 }
 
 // Answered is what the ledger said to a claim. Answers to one that was asked twice come twice.
-func (c *Core) Answered(now float64, no uint64, r record.Result) []Action {
+func (c *Core) Answered(now float64, no uint64, r statemachine.Result) []Action {
 	w := c.open[no]
 	if w == nil {
 		if g, ok := c.given[no]; ok && r.Granted { // nothing went on it, and nothing will
 			delete(c.given, no)
-			c.settle(g.key, g.group, no, record.Harmless)
+			c.settle(g.key, g.group, no, statemachine.Harmless)
 		}
 		return c.emit()
 	}
@@ -279,8 +279,8 @@
 	left := max(r.Left, 0) // of the window, by the leader's clock when it looked: no other clock counts
 	if !r.Granted {
 		c.Followed++
-		ended := p.State == record.Completed
-		c.remember(w.Key, done{group: p.Group, until: now + left + record.Linger, ended: ended, at: now})
+		ended := p.State == statemachine.Completed
+		c.remember(w.Key, done{group: p.Group, until: now + left + statemachine.Linger, ended: ended, at: now})
 		told := map[string]bool{}
 		for _, h := range w.hops {
 			c.deny(h.txn, h.no)
@@ -306,7 +306,7 @@
 	c.refuse(late, "the ledger answered too late")
 	if len(d.users) == 0 {
 		c.Late++
-		c.settle(w.Key, w.Group, w.no, record.Harmless)
+		c.settle(w.Key, w.Group, w.no, statemachine.Harmless)
 		return c.emit()
 	}
 	c.Granted++
@@ -322,7 +322,7 @@
 }
 
 func (c *Core) settle(key, group string, no uint64, state uint8) {
-	c.out = append(c.out, Ask{Command: record.Command{Op: record.OpSettle, Key: key, Group: group, State: state, Asker: c.name, Ask: no}})
+	c.out = append(c.out, Ask{Command: statemachine.Command{Op: statemachine.OpSettle, Key: key, Group: group, State: state, Asker: c.name, Ask: no}})
 }
 
 // Ended takes how a keyed txn ended: completed, or with every hop that was let out surely not run.
@@ -341,14 +341,14 @@
 	case completed:
 		d.ended = true
 		c.known[key] = d
-		c.settle(key, d.group, d.no, record.Completed)
+		c.settle(key, d.group, d.no, statemachine.Completed)
 	case surelyNotRun:
 		d.users = slices.DeleteFunc(slices.Clone(d.users), func(u string) bool { return u == txn })
 		if c.known[key] = d; len(d.users) > 0 {
 			break // another txn's hop went on the same claim
 		}
 		delete(c.known, key)
-		c.settle(key, d.group, d.no, record.Harmless)
+		c.settle(key, d.group, d.no, statemachine.Harmless)
 	}
 	return c.emit()
 }
--- a/internal/ledger/claim/claim_test.go
+++ b/internal/replication/reservation/claim_test.go
@@ -1,10 +1,10 @@
-package claim
+package reservation
 
 import (
 	"fmt"
 	"testing"
 
-	"cairnfront/internal/ledger/record"
+	"cairnfront/internal/replication/statemachine"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -32,28 +32,28 @@
 	return Ask{}
 }
 
-func granted(g string) record.Result {
-	return record.Result{Granted: true, Promise: record.Promise{Group: g, First: 50, Until: 56}, Left: 6}
+func granted(g string) statemachine.Result {
+	return statemachine.Result{Granted: true, Promise: statemachine.Promise{Group: g, First: 50, Until: 56}, Left: 6}
 }
 
 func TestHopGoesOnceItsWhereaboutsAreHeld(t *testing.T) {
 	c := core()
 	a := asked(t, c.Hop(0, want("t", 0, "g")))
-	assert.Equal(t, record.OpClaim, a.Command.Op)
+	assert.Equal(t, statemachine.OpClaim, a.Command.Op)
 	assert.Equal(t, []Action{Go{"t", 0}}, c.Answered(0.01, a.No, granted("g")))
 	assert.Empty(t, c.Answered(0.02, a.No, granted("g")), "an answer that comes twice")
 	assert.Equal(t, []Action{Go{"t", 1}}, c.Hop(0.5, want("t", 1, "g")), "a further hop into the same group needs no second claim")
 	acts := c.Hop(0.6, want("t", 2, "other"))
 	assert.Contains(t, acts, Deny{"t", 2})
 	s := asked(t, c.Ended(1, "t", "k", true, false))
-	assert.Equal(t, []any{record.OpSettle, record.Completed, a.No}, []any{s.Command.Op, s.Command.State, s.Command.Ask})
+	assert.Equal(t, []any{statemachine.OpSettle, statemachine.Completed, a.No}, []any{s.Command.Op, s.Command.State, s.Command.Ask})
 	assert.Contains(t, c.Hop(1.5, want("u", 0, "g")), Action(Known{"u", "g", 6.01, true}))
 }
 
 func TestEarlierHopElsewhereIsTold(t *testing.T) {
 	c := core()
 	a := asked(t, c.Hop(0, want("t", 0, "g2")))
-	acts := c.Answered(0.1, a.No, record.Result{Promise: record.Promise{Group: "g1", First: 50, Until: 56}, Left: 6})
+	acts := c.Answered(0.1, a.No, statemachine.Result{Promise: statemachine.Promise{Group: "g1", First: 50, Until: 56}, Left: 6})
 	assert.Equal(t, []Action{Deny{"t", 0}, Known{"t", "g1", 6.1, false}}, acts)
 	a = asked(t, c.Hop(0.1, want("t", 1, "g1")))
 	assert.Equal(t, []Action{Go{"t", 1}}, c.Answered(0.2, a.No, granted("g1")))
@@ -73,7 +73,7 @@
 	c.Hop(0.1, want("u", 0, "g"))
 	c.Answered(0.2, a.No, granted("g"))
 	assert.Empty(t, c.Ended(0.5, "t", "k", false, true), "the other's hop may have run")
-	assert.Equal(t, record.Harmless, asked(t, c.Ended(0.6, "u", "k", false, true)).Command.State)
+	assert.Equal(t, statemachine.Harmless, asked(t, c.Ended(0.6, "u", "k", false, true)).Command.State)
 }
 
 func TestWithoutTheLedgerNothingGoes(t *testing.T) {
@@ -98,7 +98,7 @@
 	assert.Contains(t, acts, Action(Deny{"t", 0}))
 	assert.Zero(t, c.Waiting())
 	s := asked(t, c.Answered(2.95, a.No, granted("g")))
-	assert.Equal(t, record.Harmless, s.Command.State, "it was granted after all, and nothing went")
+	assert.Equal(t, statemachine.Harmless, s.Command.State, "it was granted after all, and nothing went")
 	assert.Empty(t, c.Answered(2.96, a.No, granted("g")))
 }
 
@@ -108,7 +108,7 @@
 	c.Ended(0.1, "t", "k", false, true)
 	acts := c.Answered(0.2, a.No, granted("g"))
 	assert.NotContains(t, acts, Action(Go{"t", 0}))
-	assert.Equal(t, record.Harmless, asked(t, acts).Command.State)
+	assert.Equal(t, statemachine.Harmless, asked(t, acts).Command.State)
 }
 
 func TestImportantClaimsComeFirst(t *testing.T) {
@@ -129,11 +129,11 @@
 func TestNoHopWithoutAGrant(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		c := core()
-		state := record.New()
+		state := statemachine.New()
 		now, rev := 0.0, uint64(0)
 		type question struct {
 			no  uint64
-			cmd record.Command
+			cmd statemachine.Command
 		}
 		var out []question
 		went := map[uint64]bool{}
@@ -142,12 +142,12 @@
 			for _, a := range acts {
 				switch a := a.(type) {
 				case Ask:
-					if a.Command.Op == record.OpSettle && a.Command.State == record.Harmless && went[a.Command.Ask] {
+					if a.Command.Op == statemachine.OpSettle && a.Command.State == statemachine.Harmless && went[a.Command.Ask] {
 						t.Fatalf("claim %d is called harmless, a hop went on it", a.Command.Ask)
 					}
 					out = append(out, question{a.No, a.Command})
 				case Go:
-					p, ok := state.Get(record.Whereabouts, "k")
+					p, ok := state.Get(statemachine.Whereabouts, "k")
 					if !ok || lastGrant["k"] == 0 {
 						t.Fatalf("a hop went without a claim: %+v", p)
 					}
@@ -171,7 +171,7 @@
 					rev++
 					q.cmd.Now = 1000 + now
 					r := state.Apply(rev, q.cmd)
-					if q.cmd.Op == record.OpClaim && rapid.Bool().Draw(t, "told") {
+					if q.cmd.Op == statemachine.OpClaim && rapid.Bool().Draw(t, "told") {
 						if r.Granted && c.open[q.no] != nil {
 							lastGrant["k"] = q.no
 						}
--- a/internal/ledger/slice/slice.go
+++ b/internal/replication/shard/slice.go
@@ -4,7 +4,7 @@
 //
 // A holder is named by its disk, not by its machine: a folder gets a number by chance when it is made (see package folder), and a
 // machine that comes back with an emptied disk is another holder, which has no vote until it is taken in anew.
-package slice
+package shard
 
 import (
 	"errors"
@@ -13,7 +13,7 @@
 	"log"
 	"slices"
 
-	"cairnfront/internal/ledger/record"
+	"cairnfront/internal/replication/statemachine"
 
 	"go.etcd.io/raft/v3"
 	pb "go.etcd.io/raft/v3/raftpb"
@@ -62,7 +62,7 @@
 type Answer struct {
 	Asker  string
 	Ask    uint64
-	Result record.Result
+	Result statemachine.Result
 }
 
 // Slice is one holder's. It belongs to one goroutine.
@@ -71,7 +71,7 @@
 	id    uint64
 	rn    *raft.RawNode
 	log   *raft.MemoryStorage
-	state *record.State
+	state *statemachine.State
 
 	applied uint64
 	snapAt  uint64
@@ -89,7 +89,7 @@
 type read struct {
 	no    string
 	index uint64 // 0 while it is not confirmed
-	kind  record.Kind
+	kind  statemachine.Kind
 	key   string
 	asker string
 	ask   uint64
@@ -99,7 +99,7 @@
 
 // New makes a holder's part of a slice from what is saved; with voters and nothing saved it is one of the first.
 func New(no int, id uint64, saved Saved, voters []uint64) (*Slice, error) {
-	s := &Slice{no: no, id: id, log: raft.NewMemoryStorage(), state: record.New(), conf: &pb.ConfState{}}
+	s := &Slice{no: no, id: id, log: raft.NewMemoryStorage(), state: statemachine.New(), conf: &pb.ConfState{}}
 	first := saved.Hard == nil && saved.Snapshot == nil && len(saved.Entries) == 0
 	if first && len(voters) > 0 {
 		saved.Snapshot = Birth(voters)
@@ -129,7 +129,7 @@
 // Birth is the snapshot with which a slice begins at its first holders: the same at each.
 func Birth(voters []uint64) *pb.Snapshot {
 	ids := slices.Sorted(slices.Values(voters))
-	data, err := record.New().Snapshot()
+	data, err := statemachine.New().Snapshot()
 	if err != nil {
 		panic(err) // of an empty state
 	}
@@ -138,7 +138,7 @@
 
 // install takes a snapshot as the state.
 func (s *Slice) install(snap *pb.Snapshot) error {
-	state, err := record.Restore(snap.GetData())
+	state, err := statemachine.Restore(snap.GetData())
 	if err != nil {
 		return fmt.Errorf("slice %d: its snapshot: %w", s.no, err)
 	}
@@ -175,7 +175,7 @@
 func (s *Slice) Leads() (bool, uint64) { return s.leads, s.lead }
 
 // Propose puts a command to the slice. Its answer comes by its asker and number, once most of the holders have it on their disks.
-func (s *Slice) Propose(c record.Command) error {
+func (s *Slice) Propose(c statemachine.Command) error {
 	if !s.leads {
 		return ErrNotLeader
 	}
@@ -194,7 +194,7 @@
 
 // Read asks for a promise as it stands now: the answer comes once most holders have confirmed that this one still leads, so that one
 // who was stopped and wakes up believing that it does answers nothing old.
-func (s *Slice) Read(kind record.Kind, key, asker string, ask uint64) error {
+func (s *Slice) Read(kind statemachine.Kind, key, asker string, ask uint64) error {
 	if !s.leads {
 		return ErrNotLeader
 	}
@@ -256,7 +256,7 @@
 }
 
 // State is the promises as this holder has them; only a read is sure that they are the newest.
-func (s *Slice) State() *record.State { return s.state }
+func (s *Slice) State() *statemachine.State { return s.state }
 
 // Work gives what is to be written and sent, false for nothing. Done has to follow before the next Work.
 func (s *Slice) Work() (Batch, bool) {
@@ -333,7 +333,7 @@
 	case e.GetType() == pb.EntryType_EntryNormal && len(e.GetData()) == 0:
 		s.changes = 0 // a leader's first; or a change that raft would not take, as one was under way
 	case e.GetType() == pb.EntryType_EntryNormal:
-		c, err := record.Decode(e.GetData())
+		c, err := statemachine.Decode(e.GetData())
 		if err != nil {
 			return nil // of a later version: all of this version pass it over alike
 		}
@@ -351,7 +351,7 @@
 			return false
 		}
 		p, ok := s.state.Get(r.kind, r.key)
-		s.answers = append(s.answers, Answer{r.asker, r.ask, s.state.Left(record.Result{Granted: ok, Promise: p})})
+		s.answers = append(s.answers, Answer{r.asker, r.ask, s.state.Left(statemachine.Result{Granted: ok, Promise: p})})
 		return true
 	})
 }
--- a/internal/ledger/slice/slice_test.go
+++ b/internal/replication/shard/slice_test.go
@@ -1,4 +1,4 @@
-package slice
+package shard
 
 import (
 	crand "crypto/rand"
@@ -9,8 +9,8 @@
 	"testing"
 	"time"
 
-	"cairnfront/internal/ledger/history"
-	"cairnfront/internal/ledger/record"
+	"cairnfront/internal/replication/history"
+	"cairnfront/internal/replication/statemachine"
 
 	"github.com/anishathalye/porcupine"
 	"github.com/stretchr/testify/assert"
@@ -139,9 +139,9 @@
 	c.ask++
 	var err error
 	if x.Read {
-		err = h.s.Read(record.Whereabouts, x.Key, "c", c.ask)
+		err = h.s.Read(statemachine.Whereabouts, x.Key, "c", c.ask)
 	} else {
-		err = h.s.Propose(record.Command{Op: record.OpClaim, Now: 100, Key: x.Key, Group: x.Group, Lasts: 1e6, Asker: "c", Ask: c.ask})
+		err = h.s.Propose(statemachine.Command{Op: statemachine.OpClaim, Now: 100, Key: x.Key, Group: x.Group, Lasts: 1e6, Asker: "c", Ask: c.ask})
 	}
 	if err != nil {
 		return
@@ -149,8 +149,8 @@
 	c.calls[fmt.Sprint("c", c.ask)] = len(c.history)
 	c.history = append(c.history, porcupine.Operation{ClientId: int(c.ask), Input: x, Call: c.step, Output: history.Output{}, Return: history.Unanswered})
 	if x.Read && c.bad.lease { // answered at once from what it has, as one who was stopped would
-		p, ok := h.s.State().Get(record.Whereabouts, x.Key)
-		c.answered(Answer{"c", c.ask, record.Result{Granted: ok, Promise: p}})
+		p, ok := h.s.State().Get(statemachine.Whereabouts, x.Key)
+		c.answered(Answer{"c", c.ask, statemachine.Result{Granted: ok, Promise: p}})
 	}
 }
 
@@ -318,7 +318,7 @@
 		for _, id := range c.ids {
 			if leads, _ := c.all[id].s.Leads(); leads && c.ask < snapEvery+1000 {
 				c.ask++
-				_ = c.all[id].s.Propose(record.Command{Op: record.OpClaim, Now: 100, Key: fmt.Sprint(c.ask), Group: "g", Lasts: 60, Asker: "x", Ask: c.ask})
+				_ = c.all[id].s.Propose(statemachine.Command{Op: statemachine.OpClaim, Now: 100, Key: fmt.Sprint(c.ask), Group: "g", Lasts: 60, Asker: "x", Ask: c.ask})
 			}
 			if snap, err := c.all[id].s.Shorten(); assert.NoError(t, err) && snap != nil {
 				h := c.all[id]
--- a/internal/ledger/record/record.go
+++ b/internal/replication/statemachine/record.go
@@ -1,7 +1,7 @@
 // Package record is what a slice of the ledger holds: promises, each with an end of life, and the commands that change them. It
 // is a state machine: the same commands in the same order give the same state on every holder, byte for byte. No I/O and no
 // clock: the time that counts is that of the commands, which the slice's leader sets, and it never goes back.
-package record
+package statemachine
 
 import (
 	"bytes"
@@ -12,7 +12,7 @@
 	"hash/fnv"
 	"slices"
 
-	"cairnfront/internal/pack"
+	"cairnfront/internal/cborcodec"
 
 	"github.com/google/btree"
 )
@@ -163,7 +163,7 @@
 // mostEntries is how many promises a snapshot may hold.
 const mostEntries = 1 << 24
 
-var enc, dec = pack.Modes(mostEntries)
+var enc, dec = cborcodec.Modes(mostEntries)
 
 // Encode writes a command, Decode reads one. Parts of later versions are skipped.
 func (c Command) Encode() ([]byte, error) {
--- a/internal/ledger/record/record_test.go
+++ b/internal/replication/statemachine/record_test.go
@@ -1,4 +1,4 @@
-package record
+package statemachine
 
 import (
 	"bytes"
--- a/internal/ledger/link/link.go
+++ b/internal/replication/transport/link.go
@@ -1,7 +1,7 @@
 // Package link is the connections between the ledger's routers: one a pair, with frames of CBOR in it, each side known by the key that
 // the roster has of it. Frames that can't be sent at once wait, bounded; what does not fit is dropped, for everything on it is asked
 // or said again. It decides nothing.
-package link
+package transport
 
 import (
 	"context"
@@ -18,8 +18,8 @@
 	"sync"
 	"time"
 
-	"cairnfront/internal/ledger/record"
-	"cairnfront/internal/pack"
+	"cairnfront/internal/cborcodec"
+	"cairnfront/internal/replication/statemachine"
 
 	"golang.org/x/sync/errgroup"
 )
@@ -53,21 +53,21 @@
 
 // Frame is what goes between two routers. Parts that a version does not know are skipped.
 type Frame struct {
-	Kind   Kind              `cbor:"1,keyasint"`
-	Slice  int               `cbor:"2,keyasint,omitempty"`
-	Text   []byte            `cbor:"3,keyasint,omitempty"` // Raft: the message; Ask: the command
-	No     uint64            `cbor:"4,keyasint,omitempty"` // of a question
-	Key    string            `cbor:"5,keyasint,omitempty"` // Read
-	What   record.Kind       `cbor:"6,keyasint,omitempty"` // Read
-	Result *record.Result    `cbor:"7,keyasint,omitempty"` // Answer
-	Holder uint64            `cbor:"8,keyasint,omitempty"` // Hello: the disk's number; NotHere: who leads, 0 for nobody known
-	Boots  uint32            `cbor:"9,keyasint,omitempty"` // Hello
-	Zone   string            `cbor:"10,keyasint,omitempty"`
-	Began  map[int][]uint64  `cbor:"11,keyasint,omitempty"` // Hello: the slices held, with their voters
-	Seen   map[uint64]uint32 `cbor:"12,keyasint,omitempty"` // Hello: how often each disk was seen to start
+	Kind   Kind                 `cbor:"1,keyasint"`
+	Slice  int                  `cbor:"2,keyasint,omitempty"`
+	Text   []byte               `cbor:"3,keyasint,omitempty"` // Raft: the message; Ask: the command
+	No     uint64               `cbor:"4,keyasint,omitempty"` // of a question
+	Key    string               `cbor:"5,keyasint,omitempty"` // Read
+	What   statemachine.Kind    `cbor:"6,keyasint,omitempty"` // Read
+	Result *statemachine.Result `cbor:"7,keyasint,omitempty"` // Answer
+	Holder uint64               `cbor:"8,keyasint,omitempty"` // Hello: the disk's number; NotHere: who leads, 0 for nobody known
+	Boots  uint32               `cbor:"9,keyasint,omitempty"` // Hello
+	Zone   string               `cbor:"10,keyasint,omitempty"`
+	Began  map[int][]uint64     `cbor:"11,keyasint,omitempty"` // Hello: the slices held, with their voters
+	Seen   map[uint64]uint32    `cbor:"12,keyasint,omitempty"` // Hello: how often each disk was seen to start
 }
 
-var enc, dec = pack.Modes(1 << 16)
+var enc, dec = cborcodec.Modes(1 << 16)
 
 // Peer is another router.
 type Peer struct {
--- a/internal/ledger/link/link_test.go
+++ b/internal/replication/transport/link_test.go
@@ -1,4 +1,4 @@
-package link
+package transport
 
 import (
 	"context"
--- a/internal/ledger/verify.go
+++ b/internal/replication/verify.go
@@ -1,4 +1,4 @@
-package ledger
+package replication
 
 import (
 	"bytes"
@@ -6,10 +6,10 @@
 	"io"
 	"slices"
 
-	"cairnfront/internal/ledger/folder"
-	"cairnfront/internal/ledger/record"
-	"cairnfront/internal/ledger/slice"
-	"cairnfront/internal/tier/disk"
+	"cairnfront/internal/diskcache/vfs"
+	"cairnfront/internal/replication/shard"
+	"cairnfront/internal/replication/statemachine"
+	"cairnfront/internal/replication/wal"
 
 	pb "go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
@@ -20,12 +20,12 @@
 func Verify(w io.Writer, paths []string) bool {
 	type one struct {
 		path  string
-		saved map[int]slice.Saved
+		saved map[int]shard.Saved
 	}
 	var all []one
 	ok := true
 	for _, path := range paths {
-		me, saved, err := folder.Inspect(disk.Dir(path))
+		me, saved, err := wal.Inspect(vfs.Dir(path))
 		if err != nil {
 			fmt.Fprintf(w, "%s: %v\n", path, err)
 			ok = false
@@ -72,12 +72,12 @@
 }
 
 // replay is the state that a holder's snapshot and agreed commands come to.
-func replay(s slice.Saved) (*record.State, error) {
-	state := record.New()
+func replay(s shard.Saved) (*statemachine.State, error) {
+	state := statemachine.New()
 	from := uint64(0)
 	if s.Snapshot != nil {
 		var err error
-		if state, err = record.Restore(s.Snapshot.GetData()); err != nil {
+		if state, err = statemachine.Restore(s.Snapshot.GetData()); err != nil {
 			return nil, err
 		}
 		from = s.Snapshot.GetMetadata().GetIndex()
@@ -86,7 +86,7 @@
 		if e.GetIndex() <= from || e.GetIndex() > s.Hard.GetCommit() || e.GetType() != pb.EntryType_EntryNormal || len(e.GetData()) == 0 {
 			continue
 		}
-		if c, err := record.Decode(e.GetData()); err == nil {
+		if c, err := statemachine.Decode(e.GetData()); err == nil {
 			state.Apply(e.GetIndex(), c)
 		}
 	}
@@ -94,7 +94,7 @@
 }
 
 // compare looks through the commands that two holders both have and both know to be agreed on.
-func compare(a, b slice.Saved) (at uint64, why string) {
+func compare(a, b shard.Saved) (at uint64, why string) {
 	agreed := min(a.Hard.GetCommit(), b.Hard.GetCommit())
 	for _, x := range a.Entries {
 		i := slices.IndexFunc(b.Entries, func(e *pb.Entry) bool { return e.GetIndex() == x.GetIndex() })
--- a/internal/ledger/verify_test.go
+++ b/internal/replication/verify_test.go
@@ -1,13 +1,13 @@
-package ledger
+package replication
 
 import (
 	"bytes"
 	"testing"
 
-	"cairnfront/internal/ledger/folder"
-	"cairnfront/internal/ledger/record"
-	"cairnfront/internal/ledger/slice"
-	"cairnfront/internal/tier/disk"
+	"cairnfront/internal/diskcache/vfs"
+	"cairnfront/internal/replication/shard"
+	"cairnfront/internal/replication/statemachine"
+	"cairnfront/internal/replication/wal"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -17,11 +17,11 @@
 
 func stopped(t *testing.T, group string) string {
 	path := t.TempDir()
-	f, _, err := folder.Open(disk.Dir(path), "r1", func() uint64 { return 5 })
+	f, _, err := wal.Open(vfs.Dir(path), "r1", func() uint64 { return 5 })
 	require.NoError(t, err)
-	text, err := record.Command{Op: record.OpClaim, Now: 100, Key: "k", Group: group, Lasts: 60, Asker: "a", Ask: 1}.Encode()
+	text, err := statemachine.Command{Op: statemachine.OpClaim, Now: 100, Key: "k", Group: group, Lasts: 60, Asker: "a", Ask: 1}.Encode()
 	require.NoError(t, err)
-	require.NoError(t, f.Write([]slice.Batch{{Slice: 3, Sync: true, Snapshot: slice.Birth([]uint64{5}), Hard: &pb.HardState{Term: proto.Uint64(2), Vote: proto.Uint64(5), Commit: proto.Uint64(2)},
+	require.NoError(t, f.Write([]shard.Batch{{Slice: 3, Sync: true, Snapshot: shard.Birth([]uint64{5}), Hard: &pb.HardState{Term: proto.Uint64(2), Vote: proto.Uint64(5), Commit: proto.Uint64(2)},
 		Entries: []*pb.Entry{{Index: proto.Uint64(2), Term: proto.Uint64(2), Type: pb.EntryType_EntryNormal.Enum(), Data: text}}}}))
 	f.Close()
 	return path
--- a/internal/ledger/folder/folder.go
+++ b/internal/replication/wal/folder.go
@@ -5,7 +5,7 @@
 // acknowledged. Damage to what was synced is another matter: a holder that forgot it would vote against its word, so such a folder is
 // refused. Each batch says up to where the file was synced before it, which tells the two apart; only damage to the very last batch
 // looks like a torn end.
-package folder
+package wal
 
 import (
 	"encoding/binary"
@@ -16,8 +16,8 @@
 	"slices"
 	"strings"
 
-	"cairnfront/internal/ledger/slice"
-	"cairnfront/internal/tier/disk"
+	"cairnfront/internal/diskcache/vfs"
+	"cairnfront/internal/replication/shard"
 
 	pb "go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
@@ -63,10 +63,10 @@
 
 // Folder is an open one. It belongs to one goroutine.
 type Folder struct {
-	fs      disk.FS
+	fs      vfs.FS
 	me      Identity
 	release func()
-	log     disk.File
+	log     vfs.File
 	number  uint32
 	size    int64
 	synced  int64
@@ -85,7 +85,7 @@
 }
 
 // Open opens a router's folder, or makes it. Draw gives the number of a new one.
-func Open(fs disk.FS, owner string, draw func() uint64) (*Folder, map[int]slice.Saved, error) {
+func Open(fs vfs.FS, owner string, draw func() uint64) (*Folder, map[int]shard.Saved, error) {
 	release, err := fs.Lock(lockFile)
 	if err != nil {
 		return nil, nil, fmt.Errorf("the ledger's folder: %w", err)
@@ -102,7 +102,7 @@
 // Me is the holder's identity.
 func (f *Folder) Me() Identity { return f.me }
 
-func (f *Folder) open(owner string, draw func() uint64) (map[int]slice.Saved, error) {
+func (f *Folder) open(owner string, draw func() uint64) (map[int]shard.Saved, error) {
 	if err := f.identify(owner, draw); err != nil {
 		return nil, err
 	}
@@ -131,10 +131,10 @@
 }
 
 // saved is what counts of each slice.
-func (f *Folder) saved() (map[int]slice.Saved, error) {
-	out := map[int]slice.Saved{}
+func (f *Folder) saved() (map[int]shard.Saved, error) {
+	out := map[int]shard.Saved{}
 	for no, h := range f.held {
-		s := slice.Saved{Hard: h.hard, Entries: h.entries}
+		s := shard.Saved{Hard: h.hard, Entries: h.entries}
 		if h.snap > 0 {
 			var err error
 			if s.Snapshot, err = f.snapshot(no, h.snap); err != nil {
@@ -147,7 +147,7 @@
 }
 
 // Inspect reads a stopped router's folder and changes nothing in it.
-func Inspect(fs disk.FS) (Identity, map[int]slice.Saved, error) {
+func Inspect(fs vfs.FS) (Identity, map[int]shard.Saved, error) {
 	text, err := readAll(fs, nameFile)
 	if err != nil {
 		return Identity{}, nil, fmt.Errorf("the ledger's folder: %w", err)
@@ -180,7 +180,7 @@
 func (f *Folder) identify(owner string, draw func() uint64) error {
 	text, err := readAll(f.fs, nameFile)
 	switch {
-	case errors.Is(err, disk.ErrGone):
+	case errors.Is(err, vfs.ErrGone):
 		f.me = Identity{ID: draw() | 1, Owner: owner}
 	case err != nil:
 		return fmt.Errorf("the ledger's folder: %w", err)
@@ -210,7 +210,7 @@
 	return Identity{ID: binary.BigEndian.Uint64(text[1:]), Boots: binary.BigEndian.Uint32(text[9:]), Owner: string(text[13 : len(text)-4])}, nil
 }
 
-func readAll(fs disk.FS, name string) ([]byte, error) {
+func readAll(fs vfs.FS, name string) ([]byte, error) {
 	file, err := fs.Open(name)
 	if err != nil {
 		return nil, err
@@ -230,7 +230,7 @@
 }
 
 // replace writes a file whole or not at all, and outlasts a loss of power.
-func replace(fs disk.FS, name string, text []byte) error {
+func replace(fs vfs.FS, name string, text []byte) error {
 	file, err := fs.Create(name + ".new")
 	if err == nil {
 		_, err = file.WriteAt(text, 0)
@@ -278,7 +278,7 @@
 	}
 	for _, n := range names {
 		if !keep[n] && (strings.HasPrefix(n, "log-") || strings.HasPrefix(n, "slice-") || strings.HasSuffix(n, ".new")) {
-			if err := f.fs.Remove(n); err != nil && !errors.Is(err, disk.ErrGone) {
+			if err := f.fs.Remove(n); err != nil && !errors.Is(err, vfs.ErrGone) {
 				return err
 			}
 		}
@@ -391,7 +391,7 @@
 
 // Write puts batches on the disk, with one sync if any of them wants it. After an error nothing may be sent or believed of them, and
 // the folder takes nothing more: what is on the disk is not known until it is opened anew.
-func (f *Folder) Write(batches []slice.Batch) error {
+func (f *Folder) Write(batches []shard.Batch) error {
 	if f.broken != nil {
 		return f.broken
 	}
--- a/internal/ledger/folder/folder_test.go
+++ b/internal/replication/wal/folder_test.go
@@ -1,4 +1,4 @@
-package folder
+package wal
 
 import (
 	"encoding/binary"
@@ -7,8 +7,8 @@
 	"math/rand/v2"
 	"testing"
 
-	"cairnfront/internal/ledger/slice"
-	"cairnfront/internal/tier/disk"
+	"cairnfront/internal/diskcache/vfs"
+	"cairnfront/internal/replication/shard"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -26,7 +26,7 @@
 
 func draw() uint64 { return 77 }
 
-func open(t *testing.T, fs disk.FS) (*Folder, map[int]slice.Saved) {
+func open(t *testing.T, fs vfs.FS) (*Folder, map[int]shard.Saved) {
 	f, saved, err := Open(fs, "r1", draw)
 	require.NoError(t, err)
 	return f, saved
@@ -37,13 +37,13 @@
 }
 
 func TestWhatWasWrittenIsThereAgain(t *testing.T) {
-	fs, err := disk.MakeDir(t.TempDir())
+	fs, err := vfs.MakeDir(t.TempDir())
 	require.NoError(t, err)
 	f, saved := open(t, fs)
 	assert.Empty(t, saved)
 	assert.Equal(t, Identity{77, "r1", 1}, f.Me())
-	require.NoError(t, f.Write([]slice.Batch{{Slice: 4, Hard: vote(1, 0), Entries: []*pb.Entry{entry(1, 1, "a"), entry(2, 1, "b")}, Sync: true}, {Slice: 9, Entries: []*pb.Entry{entry(1, 1, "x")}}}))
-	require.NoError(t, f.Write([]slice.Batch{{Slice: 4, Entries: []*pb.Entry{entry(2, 2, "c")}, Sync: true}}))
+	require.NoError(t, f.Write([]shard.Batch{{Slice: 4, Hard: vote(1, 0), Entries: []*pb.Entry{entry(1, 1, "a"), entry(2, 1, "b")}, Sync: true}, {Slice: 9, Entries: []*pb.Entry{entry(1, 1, "x")}}}))
+	require.NoError(t, f.Write([]shard.Batch{{Slice: 4, Entries: []*pb.Entry{entry(2, 2, "c")}, Sync: true}}))
 	assert.EqualValues(t, 2, f.Syncs, "one for all slices")
 	f.Close()
 	f, saved = open(t, fs)
@@ -65,7 +65,7 @@
 	assert.Equal(t, f.Me(), me)
 	assert.Equal(t, len(saved), len(seen))
 	_, _, err = Open(fs, "r1", draw)
-	assert.ErrorIs(t, err, disk.ErrInUse)
+	assert.ErrorIs(t, err, vfs.ErrInUse)
 	f.Close()
 	_, _, err = Open(fs, "r2", draw)
 	assert.ErrorIs(t, err, ErrOther)
@@ -81,7 +81,7 @@
 	cuts := 0
 	for seed := range uint64(25) {
 		for cut := 1; ; cut++ {
-			fs := disk.NewFaulty(seed*1000 + uint64(cut))
+			fs := vfs.NewFaulty(seed*1000 + uint64(cut))
 			fs.CutAfter = cut
 			rnd := rand.New(rand.NewPCG(seed, 1))
 			acked, under := written{entries: map[uint64]string{}}, written{entries: map[uint64]string{}}
@@ -103,7 +103,7 @@
 					}
 					under.term = uint64(i + 1)
 					sync := rnd.IntN(3) > 0
-					if f.Write([]slice.Batch{{Slice: 1, Hard: vote(uint64(i+1), 0), Entries: es, Sync: sync}}) != nil {
+					if f.Write([]shard.Batch{{Slice: 1, Hard: vote(uint64(i+1), 0), Entries: es, Sync: sync}}) != nil {
 						return
 					}
 					if sync {
@@ -152,10 +152,10 @@
 }
 
 func TestDamageIsRefusedAndATornEndIsNot(t *testing.T) {
-	fs := disk.NewFaulty(3)
+	fs := vfs.NewFaulty(3)
 	f, _ := open(t, fs)
 	for i := range uint64(20) {
-		require.NoError(t, f.Write([]slice.Batch{{Slice: 1, Hard: vote(i+1, 0), Entries: []*pb.Entry{entry(i+1, 1, "some text that is long enough")}, Sync: true}}))
+		require.NoError(t, f.Write([]shard.Batch{{Slice: 1, Hard: vote(i+1, 0), Entries: []*pb.Entry{entry(i+1, 1, "some text that is long enough")}, Sync: true}}))
 	}
 	last := f.size
 	f.Close()
@@ -167,7 +167,7 @@
 		fs.Flip(name, at, 1)
 	}
 	f, _ = open(t, fs)
-	require.NoError(t, f.Write([]slice.Batch{{Slice: 1, Entries: []*pb.Entry{entry(21, 1, "unsynced")}}}))
+	require.NoError(t, f.Write([]shard.Batch{{Slice: 1, Entries: []*pb.Entry{entry(21, 1, "unsynced")}}}))
 	f.Close()
 	fs.Flip(name, last+30, 1)
 	f, saved := open(t, fs)
@@ -179,22 +179,22 @@
 }
 
 func TestAfterAFailedWriteNothingMoreIsTaken(t *testing.T) {
-	fs := disk.NewFaulty(3)
+	fs := vfs.NewFaulty(3)
 	f, _ := open(t, fs)
 	fs.Room = 1
-	err := f.Write([]slice.Batch{{Slice: 1, Entries: []*pb.Entry{entry(1, 1, "x")}, Sync: true}})
-	assert.ErrorIs(t, err, disk.ErrFull)
+	err := f.Write([]shard.Batch{{Slice: 1, Entries: []*pb.Entry{entry(1, 1, "x")}, Sync: true}})
+	assert.ErrorIs(t, err, vfs.ErrFull)
 	fs.Room = 0
-	assert.Equal(t, err, f.Write([]slice.Batch{{Slice: 1, Hard: vote(1, 1), Sync: true}}), "what is on the disk is not known")
+	assert.Equal(t, err, f.Write([]shard.Batch{{Slice: 1, Hard: vote(1, 1), Sync: true}}), "what is on the disk is not known")
 	f.Close()
 	f, saved := open(t, fs)
 	assert.Empty(t, saved[1].Entries)
-	require.NoError(t, f.Write([]slice.Batch{{Slice: 1, Hard: vote(1, 1), Sync: true}}))
+	require.NoError(t, f.Write([]shard.Batch{{Slice: 1, Hard: vote(1, 1), Sync: true}}))
 	f.Close()
 }
 
 func TestLaterVersionsAreNamed(t *testing.T) {
-	fs := disk.NewFaulty(4)
+	fs := vfs.NewFaulty(4)
 	f, _ := open(t, fs)
 	f.Close()
 	text, err := readAll(fs, nameFile)
@@ -213,7 +213,7 @@
 	f.Add(appendRecord(appendRecord(nil, kindStarted, 0, make([]byte, 9)), kindEntry, 1, []byte{8, 1}))
 	f.Add(appendRecord(nil, kindHard, 1, []byte("x")))
 	f.Fuzz(func(t *testing.T, text []byte) {
-		fs := disk.NewFaulty(1)
+		fs := vfs.NewFaulty(1)
 		file, err := fs.Create(fmt.Sprintf(logName, 1))
 		if err != nil {
 			t.Fatal(err)
--- a/internal/txn/txn.go
+++ b/internal/request/txn.go
@@ -1,11 +1,11 @@
 // Package txn holds what the stages hand to each other: a txn as it was taken in, and its answer.
-package txn
+package request
 
 import (
 	"context"
 	"sync/atomic"
 
-	"cairnfront/brain"
+	"cairnfront/routing"
 
 	"golang.org/x/sync/semaphore"
 )
@@ -68,9 +68,9 @@
 
 // End is how a hop ended, as the connection saw it.
 type End struct {
-	Code   brain.Code
-	Remark brain.Remark
-	Load   []brain.Reading
+	Code   routing.Code
+	Remark routing.Remark
+	Load   []routing.Reading
 	Tag    string
 	Dated  int64 // Unix ms at which the origin gave the copy out, where told
 	Group  int   // of the object, and one more; 0 where nobody told
--- a/internal/ring/ring.go
+++ b/internal/ringbuffer/ring.go
@@ -1,5 +1,5 @@
 // Package ring is a byte ring of fixed size: what one direction of a connection holds between socket and codec.
-package ring
+package ringbuffer
 
 import "io"
 
--- a/internal/ring/ring_test.go
+++ b/internal/ringbuffer/ring_test.go
@@ -1,4 +1,4 @@
-package ring
+package ringbuffer
 
 import (
 	"bytes"
--- a/internal/lab/sim/sim.go
+++ b/internal/sim/clock/sim.go
@@ -1,6 +1,6 @@
 // Package sim is virtual time for cores: events in the order of their times, chance from one seed, no clock and no
 // goroutine. The same seed and the same calls give the same events, byte for byte.
-package sim
+package clock
 
 import (
 	"container/heap"
--- a/internal/lab/fault/fault.go
+++ b/internal/sim/faults/fault.go
@@ -1,6 +1,6 @@
 // Package fault is scripts of faults between processes: values that are drawn from a seed, printed, replayed and shortened.
 // The same script is played by relays between processes on loopback and by the network of the simulator.
-package fault
+package faults
 
 import (
 	"encoding/json"
--- a/internal/lab/fault/fault_test.go
+++ b/internal/sim/faults/fault_test.go
@@ -1,4 +1,4 @@
-package fault
+package faults
 
 import (
 	"math/rand/v2"
--- a/internal/lab/fleet/fleet.go
+++ b/internal/sim/membership/fleet.go
@@ -1,6 +1,6 @@
 // Package fleet plays the cores of many peers on virtual time, with the same fault scripts that the laboratory plays between
 // processes: thousands of instances in one process, one seed, the same events each time.
-package fleet
+package membership
 
 import (
 	"fmt"
@@ -9,10 +9,10 @@
 	"slices"
 	"sort"
 
-	"cairnfront/internal/lab/fault"
-	"cairnfront/internal/lab/sim"
-	"cairnfront/internal/peers/standing"
-	"cairnfront/internal/peers/view"
+	"cairnfront/internal/membership/partition"
+	"cairnfront/internal/membership/swim"
+	"cairnfront/internal/sim/clock"
+	"cairnfront/internal/sim/faults"
 )
 
 // Sizes of datagrams, bytes, as measured on the wire's codec with names of eight letters; a test holds them to it.
@@ -31,8 +31,8 @@
 
 // Plan is what is played.
 type Plan struct {
-	Script  fault.Script
-	Terms   view.Terms
+	Script  faults.Script
+	Terms   swim.Terms
 	Hostile []int // those who lie in every way that their own signature allows
 	Agree   bool  // time how long it takes to agree after the last act
 	Known   bool  // all know each other from the start: a fleet that has long been running
@@ -64,8 +64,8 @@
 // node is one instance.
 type node struct {
 	id       int
-	core     *view.Core
-	stand    *standing.Core
+	core     *swim.Core
+	stand    *partition.Core
 	up       bool
 	paused   bool
 	stuck    bool
@@ -80,7 +80,7 @@
 
 // player is a run.
 type player struct {
-	w      *sim.World
+	w      *clock.World
 	plan   Plan
 	nodes  []*node
 	marks  []uint64
@@ -94,7 +94,7 @@
 	bytes     int
 	datagrams int
 	rnd       *rand.Rand
-	highest   map[[2]int]view.Incarnation // at which an observer dropped a peer
+	highest   map[[2]int]swim.Incarnation // at which an observer dropped a peer
 }
 
 // Play plays a plan.
@@ -103,10 +103,10 @@
 		return nil, err
 	}
 	h := fnv.New64a()
-	x := &player{w: sim.New(p.Script.Seed, 7, 0), plan: p, r: &Result{Peers: p.Script.Peers, AgreeS: -1}, hash: h, kills: map[int]float64{},
-		rnd: rand.New(rand.NewPCG(p.Script.Seed, 8)), highest: map[[2]int]view.Incarnation{}}
+	x := &player{w: clock.New(p.Script.Seed, 7, 0), plan: p, r: &Result{Peers: p.Script.Peers, AgreeS: -1}, hash: h, kills: map[int]float64{},
+		rnd: rand.New(rand.NewPCG(p.Script.Seed, 8)), highest: map[[2]int]swim.Incarnation{}}
 	for i := range p.Script.Peers {
-		x.marks = append(x.marks, view.Mark(fmt.Sprintf("n%d", i)))
+		x.marks = append(x.marks, swim.Mark(fmt.Sprintf("n%d", i)))
 		x.nodes = append(x.nodes, &node{id: i, hostile: slices.Contains(p.Hostile, i)})
 	}
 	for _, n := range x.nodes {
@@ -143,7 +143,7 @@
 	return x.r, nil
 }
 
-func lastOf(s fault.Script) float64 {
+func lastOf(s faults.Script) float64 {
 	end := 0.0
 	for _, a := range s.Acts {
 		end = max(end, a.At, a.Until)
@@ -155,16 +155,16 @@
 	now := x.w.Now()
 	n.up, n.waiting = true, nil
 	start := uint64((1_700_000_000 + now + n.clock) * 1000)
-	n.core = view.New(x.plan.Terms, view.Peer(n.id), x.marks, x.plan.Script.Seed*1000+uint64(n.id), start, x.rnd.Uint64(), now)
+	n.core = swim.New(x.plan.Terms, swim.Peer(n.id), x.marks, x.plan.Script.Seed*1000+uint64(n.id), start, x.rnd.Uint64(), now)
 	if x.births != nil && now < 1 {
-		var claims []view.Claim
+		var claims []swim.Claim
 		for i, birth := range x.births {
-			claims = append(claims, view.Claim{Of: view.Peer(i), At: view.Incarnation{Start: lifeBefore}, Birth: birth, State: view.Alive})
+			claims = append(claims, swim.Claim{Of: swim.Peer(i), At: swim.Incarnation{Start: lifeBefore}, Birth: birth, State: swim.Alive})
 		}
-		n.core = view.New(x.plan.Terms, view.Peer(n.id), x.marks, x.plan.Script.Seed*1000+uint64(n.id), lifeBefore, x.births[n.id], now)
+		n.core = swim.New(x.plan.Terms, swim.Peer(n.id), x.marks, x.plan.Script.Seed*1000+uint64(n.id), lifeBefore, x.births[n.id], now)
 		n.core.Assume(now, claims)
 	}
-	n.stand = standing.New(x.plan.Terms.Liars, now)
+	n.stand = partition.New(x.plan.Terms.Liars, now)
 	delete(x.kills, n.id)
 	x.step(n)
 }
@@ -194,47 +194,47 @@
 }
 
 // act carries out what a core asks for.
-func (x *player) act(n *node, actions []view.Action) {
+func (x *player) act(n *node, actions []swim.Action) {
 	now := x.w.Now()
 	for _, a := range actions {
 		switch a := a.(type) {
-		case view.Send:
+		case swim.Send:
 			if n.hostile {
 				x.lie(n, &a)
 			}
 			x.send(n, a)
-		case view.Change:
+		case swim.Change:
 			x.changed(n, a)
-		case view.Yield:
+		case swim.Yield:
 			x.r.Yielded++
 		}
 	}
 	x.r.Most = max(x.r.Most, n.core.Queued())
 	there, roster, stuck := n.core.There()
-	n.stand.Step(now, standing.Seen{Roster: roster, There: there, Stuck: stuck})
+	n.stand.Step(now, partition.Seen{Roster: roster, There: there, Stuck: stuck})
 }
 
 // lie makes a message as bad as its sender's own signature allows: it charges whom it can, shows a table in which all others
 // have failed, and says that it sees nobody.
-func (x *player) lie(n *node, a *view.Send) {
+func (x *player) lie(n *node, a *swim.Send) {
 	a.Digest = x.rnd.Uint64()
 	a.Charges = a.Charges[:0]
 	for len(a.Charges) < 3 {
-		p := view.Peer(x.rnd.IntN(len(x.nodes)))
+		p := swim.Peer(x.rnd.IntN(len(x.nodes)))
 		_, cl := n.core.State(p)
-		a.Charges = append(a.Charges, view.Charge{By: view.Peer(n.id), Of: p, At: cl.At, Dead: x.plan.Terms.Plain}) // SWIM has a word for it
+		a.Charges = append(a.Charges, swim.Charge{By: swim.Peer(n.id), Of: p, At: cl.At, Dead: x.plan.Terms.Plain}) // SWIM has a word for it
 	}
-	if a.Kind == view.Table || a.Kind == view.Reply {
+	if a.Kind == swim.Table || a.Kind == swim.Reply {
 		for i := range a.Rows {
-			a.Rows[i].State = view.Failed
+			a.Rows[i].State = swim.Failed
 		}
 	}
-	if a.Kind == view.Told || a.Kind == view.Ack && a.For != view.Peer(n.id) && x.rnd.IntN(2) == 0 {
-		a.Kind = view.Give // it keeps answers from those who asked it to look
+	if a.Kind == swim.Told || a.Kind == swim.Ack && a.For != swim.Peer(n.id) && x.rnd.IntN(2) == 0 {
+		a.Kind = swim.Give // it keeps answers from those who asked it to look
 	}
 }
 
-func (x *player) send(n *node, a view.Send) {
+func (x *player) send(n *node, a swim.Send) {
 	size := headBytes + claimBytes*len(a.Claims) + chargeBytes*len(a.Charges) + rowBytes*len(a.Rows)
 	x.bytes += size
 	x.datagrams++
@@ -251,7 +251,7 @@
 	}
 }
 
-func (x *player) arrive(to, from *node, a view.Send) {
+func (x *player) arrive(to, from *node, a swim.Send) {
 	if !to.up {
 		return
 	}
@@ -262,9 +262,9 @@
 		return
 	}
 	now := x.w.Now()
-	x.act(to, to.core.Heard(now, view.Peer(from.id), a.Message))
-	if s, _ := to.core.State(view.Peer(from.id)); s.There() {
-		to.stand.Heard(now, from.id, to.core.Differs(now, view.Peer(from.id)))
+	x.act(to, to.core.Heard(now, swim.Peer(from.id), a.Message))
+	if s, _ := to.core.State(swim.Peer(from.id)); s.There() {
+		to.stand.Heard(now, from.id, to.core.Differs(now, swim.Peer(from.id)))
 	}
 	if to.core.Next() < now+0.3 {
 		x.set(to)
@@ -272,14 +272,14 @@
 }
 
 // changed judges a change by what is true.
-func (x *player) changed(n *node, c view.Change) {
+func (x *player) changed(n *node, c swim.Change) {
 	fmt.Fprintf(x.hash, "%.6f %d %d %d %d\n", x.w.Now(), n.id, c.Of, c.From, c.To)
 	now, of := x.w.Now(), x.nodes[c.Of]
 	key := [2]int{n.id, int(c.Of)}
 	switch {
-	case c.To == view.Suspect:
+	case c.To == swim.Suspect:
 		x.r.Suspicions++
-	case c.To == view.Failed:
+	case c.To == swim.Failed:
 		x.highest[key] = c.At
 		if at, down := x.kills[int(c.Of)]; down {
 			if !n.knows[int(c.Of)] && !n.hostile {
@@ -296,7 +296,7 @@
 				x.r.WrongSaid = append(x.r.WrongSaid, fmt.Sprintf("%.2f s: %d dropped %d: %s", now, n.id, c.Of, c.Why))
 			}
 		}
-	case c.From == view.Failed && c.To.There():
+	case c.From == swim.Failed && c.To.There():
 		if !x.highest[key].Less(c.At) {
 			x.r.Resurrected++
 		}
@@ -314,11 +314,11 @@
 }
 
 // moment begins or ends a fault of processes; those of ways go by the time alone.
-func (x *player) moment(m fault.Moment) {
+func (x *player) moment(m faults.Moment) {
 	for _, i := range m.Act.From {
 		n := x.nodes[i]
 		switch m.Act.Do {
-		case fault.Kill, fault.Wipe:
+		case faults.Kill, faults.Wipe:
 			if m.End {
 				if !n.up {
 					x.r.Restarted++
@@ -334,7 +334,7 @@
 					delete(o.knows, i)
 				}
 			}
-		case fault.Pause:
+		case faults.Pause:
 			if !m.End {
 				n.paused = true
 				continue
@@ -348,12 +348,12 @@
 					f()
 				}
 			}
-		case fault.Stuck:
+		case faults.Stuck:
 			n.stuck = !m.End
 			if n.up && !n.paused {
 				x.act(n, n.core.Work(x.w.Now(), m.End))
 			}
-		case fault.Clock:
+		case faults.Clock:
 			n.clock = m.Act.S
 		}
 	}
@@ -372,7 +372,7 @@
 			continue
 		}
 		for _, o := range x.nodes {
-			if s, _ := n.core.State(view.Peer(o.id)); s.There() != o.up && !o.hostile {
+			if s, _ := n.core.State(swim.Peer(o.id)); s.There() != o.up && !o.hostile {
 				agree = false
 			}
 		}
--- a/internal/lab/promises/draw.go
+++ b/internal/sim/replication/draw.go
@@ -1,31 +1,31 @@
-package promises
+package replication
 
 import (
 	"math/rand/v2"
 	"sort"
 
-	"cairnfront/internal/lab/fault"
+	"cairnfront/internal/sim/faults"
 )
 
 // Draw makes a script that a ledger of three copies has to bear: machines are lost with their disks one at a time, with time between to
 // copy what they held; losses of power, stops, cuts and bad networks come on top of that, and all is well in the last seconds.
-func Draw(seed uint64, routers int, until float64) fault.Script {
+func Draw(seed uint64, routers int, until float64) faults.Script {
 	rnd := rand.New(rand.NewPCG(seed, 0x1ed9e4))
-	s := fault.Script{Seed: seed, Peers: routers, Until: until}
+	s := faults.Script{Seed: seed, Peers: routers, Until: until}
 	last := until - 20
 	for at := 4 + 3*rnd.Float64(); at < last; at += lossEvery * (0.9 + 0.4*rnd.Float64()) {
-		s.Acts = append(s.Acts, fault.Act{Do: fault.Wipe, At: at, Until: at + 1 + 4*rnd.Float64(), From: []int{rnd.IntN(routers)}})
+		s.Acts = append(s.Acts, faults.Act{Do: faults.Wipe, At: at, Until: at + 1 + 4*rnd.Float64(), From: []int{rnd.IntN(routers)}})
 	}
 	for range 2 + rnd.IntN(5) {
-		a := fault.Act{At: 3 + rnd.Float64()*(last-6)}
+		a := faults.Act{At: 3 + rnd.Float64()*(last-6)}
 		a.Until = min(a.At+0.3+rnd.ExpFloat64()*2, last)
 		switch rnd.IntN(6) {
 		case 0, 1:
-			a.Do, a.From = fault.Kill, []int{rnd.IntN(routers)}
+			a.Do, a.From = faults.Kill, []int{rnd.IntN(routers)}
 		case 2:
-			a.Do, a.From = fault.Pause, []int{rnd.IntN(routers)}
+			a.Do, a.From = faults.Pause, []int{rnd.IntN(routers)}
 		case 3:
-			a.Do, a.Both = fault.Cut, rnd.IntN(3) > 0
+			a.Do, a.Both = faults.Cut, rnd.IntN(3) > 0
 			for i := range routers {
 				if rnd.IntN(3) == 0 {
 					a.From = append(a.From, i)
@@ -37,9 +37,9 @@
 				a.From, a.To = []int{0}, []int{1}
 			}
 		case 4:
-			a.Do, a.Share = fault.Lose, 0.3*rnd.Float64()
+			a.Do, a.Share = faults.Lose, 0.3*rnd.Float64()
 		default:
-			a.Do, a.S = fault.Delay, 0.15*rnd.Float64()
+			a.Do, a.S = faults.Delay, 0.15*rnd.Float64()
 		}
 		if a.Until > a.At {
 			s.Acts = append(s.Acts, a)
