--- a/internal/lab/promises/promises.go
+++ b/internal/sim/replication/promises.go
@@ -1,7 +1,7 @@
 // Package promises plays the ledger's cores on virtual time: holders with faulty disks in zones, a network with the fault scripts of
 // the laboratory, clients that claim keys at any router and try again elsewhere. What clients were told is held against a record
 // without faults: linearizable, and no promise that was given is lost.
-package promises
+package replication
 
 import (
 	crand "crypto/rand"
@@ -12,14 +12,14 @@
 	"sync"
 	"time"
 
-	"cairnfront/internal/lab/fault"
-	"cairnfront/internal/lab/sim"
-	"cairnfront/internal/ledger/folder"
-	"cairnfront/internal/ledger/history"
-	"cairnfront/internal/ledger/place"
-	"cairnfront/internal/ledger/record"
-	"cairnfront/internal/ledger/slice"
-	"cairnfront/internal/tier/disk"
+	"cairnfront/internal/diskcache/vfs"
+	"cairnfront/internal/replication/history"
+	"cairnfront/internal/replication/placement"
+	"cairnfront/internal/replication/shard"
+	"cairnfront/internal/replication/statemachine"
+	"cairnfront/internal/replication/wal"
+	"cairnfront/internal/sim/clock"
+	"cairnfront/internal/sim/faults"
 
 	"github.com/anishathalye/porcupine"
 	pb "go.etcd.io/raft/v3/raftpb"
@@ -44,7 +44,7 @@
 
 // Plan is what is played. Power cuts hit in the middle of writes.
 type Plan struct {
-	Script fault.Script
+	Script faults.Script
 	Slices int // of the ledger's; the rest hold nothing
 }
 
@@ -65,16 +65,16 @@
 	i      int
 	name   string
 	zone   string
-	fs     *disk.Faulty
-	f      *folder.Folder
+	fs     *vfs.Faulty
+	f      *wal.Folder
 	id     uint64
-	slices map[int]*slice.Slice
+	slices map[int]*shard.Slice
 	up     bool
 	paused bool
 	held   []func()
 	seen   bool // as others know
 	since  float64
-	keeper *place.Keeper
+	keeper *placement.Keeper
 	boots  int
 	busy   bool // a batch is on its way to the disk
 	disks  int
@@ -85,17 +85,17 @@
 	at   float64
 	key  string
 	read bool
-	cmd  record.Command
+	cmd  statemachine.Command
 	done bool
 	try  int
 }
 
 type player struct {
-	w       *sim.World
+	w       *clock.World
 	plan    Plan
 	nodes   []*node
 	byID    map[uint64]*node
-	seen    map[uint64]place.Seen
+	seen    map[uint64]placement.Seen
 	calls   map[uint64]*call
 	history []porcupine.Operation
 	r       *Result
@@ -131,15 +131,15 @@
 	before := crand.Reader
 	crand.Reader = seeded{rand.New(rand.NewPCG(p.Script.Seed, 0x4af7))}
 	defer func() { crand.Reader = before }()
-	x := &player{w: sim.New(p.Script.Seed, 0x1ed6, 0), plan: p, byID: map[uint64]*node{}, seen: map[uint64]place.Seen{}, calls: map[uint64]*call{}, r: &Result{},
+	x := &player{w: clock.New(p.Script.Seed, 0x1ed6, 0), plan: p, byID: map[uint64]*node{}, seen: map[uint64]placement.Seen{}, calls: map[uint64]*call{}, r: &Result{},
 		groups: map[string]string{}, ledless: map[int]float64{}}
 	for k := 0; len(x.keys) < keysOf; k++ {
-		if key := fmt.Sprint("k", k); place.Of(key) < p.Slices {
+		if key := fmt.Sprint("k", k); placement.Of(key) < p.Slices {
 			x.keys = append(x.keys, key)
 		}
 	}
 	for i := range p.Script.Peers {
-		n := &node{i: i, name: fmt.Sprint("r", i), zone: fmt.Sprint("z", i%zones), keeper: place.NewKeeper(copies, goneAfter)}
+		n := &node{i: i, name: fmt.Sprint("r", i), zone: fmt.Sprint("z", i%zones), keeper: placement.NewKeeper(copies, goneAfter)}
 		x.nodes = append(x.nodes, n)
 		x.fresh(n)
 	}
@@ -150,7 +150,7 @@
 		x.w.At(m.At, func() { x.moment(m) })
 	}
 	for _, n := range x.nodes {
-		x.w.After(slice.TickS*x.w.Rand.Float64(), func() { x.tick(n) })
+		x.w.After(shard.TickS*x.w.Rand.Float64(), func() { x.tick(n) })
 		x.w.After(0.5*x.w.Rand.Float64(), func() { x.keep(n) })
 	}
 	x.w.After(1, x.client)
@@ -172,23 +172,23 @@
 // fresh gives a node an empty disk.
 func (x *player) fresh(n *node) {
 	n.disks++
-	n.fs = disk.NewFaulty(x.plan.Script.Seed*1000 + uint64(n.i*16+n.disks))
+	n.fs = vfs.NewFaulty(x.plan.Script.Seed*1000 + uint64(n.i*16+n.disks))
 	x.open(n)
 }
 
 // open starts a node on its disk.
 func (x *player) open(n *node) {
-	f, saved, err := folder.Open(n.fs, n.name, func() uint64 { return x.w.Rand.Uint64()>>1 | 1 })
+	f, saved, err := wal.Open(n.fs, n.name, func() uint64 { return x.w.Rand.Uint64()>>1 | 1 })
 	if err != nil {
 		x.fail(fmt.Errorf("%s opens its folder: %w", n.name, err))
 		return
 	}
 	n.f, n.id, n.up, n.paused, n.busy, n.held = f, f.Me().ID, true, false, false, nil
-	n.slices = map[int]*slice.Slice{}
+	n.slices = map[int]*shard.Slice{}
 	n.boots++
 	x.byID[n.id] = n
 	for no, s := range saved {
-		if n.slices[no], err = slice.New(no, n.id, s, nil); err != nil {
+		if n.slices[no], err = shard.New(no, n.id, s, nil); err != nil {
 			x.fail(err)
 		}
 	}
@@ -200,7 +200,7 @@
 	id := n.id
 	set := func() {
 		s := x.seen[id]
-		x.seen[id] = place.Seen{ID: id, Name: n.name, Zone: n.zone, Up: up && n.up && n.id == id, Last: x.w.Now()}
+		x.seen[id] = placement.Seen{ID: id, Name: n.name, Zone: n.zone, Up: up && n.up && n.id == id, Last: x.w.Now()}
 		if !up && !s.Up {
 			x.seen[id] = s
 		}
@@ -213,22 +213,22 @@
 }
 
 func (x *player) begin() error {
-	var of []place.Holder
+	var of []placement.Holder
 	ids := map[string]uint64{}
 	for _, n := range x.nodes {
-		of, ids[n.name] = append(of, place.Holder{Name: n.name, Zone: n.zone}), n.id
+		of, ids[n.name] = append(of, placement.Holder{Name: n.name, Zone: n.zone}), n.id
 	}
 	for no := range x.plan.Slices {
 		var voters []uint64
-		for _, name := range place.Holders(no, of, copies) {
+		for _, name := range placement.Holders(no, of, copies) {
 			voters = append(voters, ids[name])
 		}
 		for _, v := range voters {
 			n := x.byID[v]
-			if err := n.f.Write([]slice.Batch{{Slice: no, Snapshot: slice.Birth(voters), Sync: true}}); err != nil {
+			if err := n.f.Write([]shard.Batch{{Slice: no, Snapshot: shard.Birth(voters), Sync: true}}); err != nil {
 				return err
 			}
-			s, err := slice.New(no, n.id, slice.Saved{Snapshot: slice.Birth(voters)}, nil)
+			s, err := shard.New(no, n.id, shard.Saved{Snapshot: shard.Birth(voters)}, nil)
 			if err != nil {
 				return err
 			}
@@ -258,10 +258,10 @@
 			n.slices[no].Tick()
 		}
 	})
-	x.w.After(slice.TickS, func() { x.tick(n) })
+	x.w.After(shard.TickS, func() { x.tick(n) })
 }
 
-func sorted(m map[int]*slice.Slice) []int {
+func sorted(m map[int]*shard.Slice) []int {
 	out := make([]int, 0, len(m))
 	for no := range m {
 		out = append(out, no)
@@ -275,7 +275,7 @@
 	if n.busy {
 		return
 	}
-	var batches []slice.Batch
+	var batches []shard.Batch
 	for _, no := range sorted(n.slices) {
 		if b, ok := n.slices[no].Work(); ok {
 			batches = append(batches, b)
@@ -285,7 +285,7 @@
 		return
 	}
 	if err := n.f.Write(batches); err != nil {
-		if !errors.Is(err, disk.ErrPower) {
+		if !errors.Is(err, vfs.ErrPower) {
 			x.fail(err)
 		}
 		x.down(n)
@@ -302,7 +302,7 @@
 	})
 }
 
-func (x *player) written(n *node, batches []slice.Batch) {
+func (x *player) written(n *node, batches []shard.Batch) {
 	for _, b := range batches {
 		s := n.slices[b.Slice]
 		for _, m := range b.Messages {
@@ -319,7 +319,7 @@
 	}
 }
 
-func (x *player) send(n *node, s *slice.Slice, m *pb.Message) {
+func (x *player) send(n *node, s *shard.Slice, m *pb.Message) {
 	to := x.byID[m.GetTo()]
 	snap := m.GetType() == pb.MessageType_MsgSnap
 	if to == nil || to.id != m.GetTo() {
@@ -342,7 +342,7 @@
 				return
 			}
 			if to.slices[s.No()] == nil {
-				fresh, err := slice.New(s.No(), to.id, slice.Saved{}, nil)
+				fresh, err := shard.New(s.No(), to.id, shard.Saved{}, nil)
 				if err != nil {
 					x.fail(err)
 					return
@@ -360,14 +360,14 @@
 // keep lets a node look after the slices that it leads.
 func (x *player) keep(n *node) {
 	x.do(n, func() {
-		var led []place.Led
+		var led []placement.Led
 		for _, no := range sorted(n.slices) {
 			if leads, _ := n.slices[no].Leads(); leads {
 				v, l := n.slices[no].Holders()
-				led = append(led, place.Led{Slice: no, Voters: v, Learners: l})
+				led = append(led, placement.Led{Slice: no, Voters: v, Learners: l})
 			}
 		}
-		for _, c := range n.keeper.Changes(x.w.Now(), place.Sorted(x.seen), led) {
+		for _, c := range n.keeper.Changes(x.w.Now(), placement.Sorted(x.seen), led) {
 			if n.slices[c.Slice].Change(c.Add, c.Remove) == nil {
 				x.r.Changes++
 			}
@@ -395,7 +395,7 @@
 	k := x.keys[x.w.Rand.IntN(len(x.keys))]
 	in := history.Input{Read: x.w.Rand.IntN(3) == 0, Key: k, Group: fmt.Sprint("g", x.w.Rand.IntN(3))}
 	c := &call{op: len(x.history), at: x.w.Now(), key: k, read: in.Read,
-		cmd: record.Command{Op: record.OpClaim, Now: clockStart, Key: k, Group: in.Group, Lasts: life, Asker: "c", Ask: x.no}}
+		cmd: statemachine.Command{Op: statemachine.OpClaim, Now: clockStart, Key: k, Group: in.Group, Lasts: life, Asker: "c", Ask: x.no}}
 	if in.Read {
 		x.r.Reads++
 	} else {
@@ -415,7 +415,7 @@
 		return
 	}
 	c.try++
-	slc := place.Of(c.key)
+	slc := placement.Of(c.key)
 	var leads []*node // who believes so, stopped ones that wake up too
 	for _, n := range x.nodes {
 		if n.up && n.slices[slc] != nil {
@@ -432,7 +432,7 @@
 				return
 			}
 			if c.read {
-				_ = s.Read(record.Whereabouts, c.key, "c", no)
+				_ = s.Read(statemachine.Whereabouts, c.key, "c", no)
 			} else {
 				_ = s.Propose(c.cmd)
 			}
@@ -441,7 +441,7 @@
 	x.w.After(askAgain, func() { x.ask(no) })
 }
 
-func (x *player) answered(_ *node, a slice.Answer) {
+func (x *player) answered(_ *node, a shard.Answer) {
 	c := x.calls[a.Ask]
 	if c == nil || c.done {
 		return
@@ -467,14 +467,14 @@
 			continue
 		}
 		for _, n := range x.nodes {
-			s := n.slices[place.Of(key)]
+			s := n.slices[placement.Of(key)]
 			if !n.up || s == nil {
 				continue
 			}
 			if leads, _ := s.Leads(); !leads {
 				continue
 			}
-			if p, ok := s.State().Get(record.Whereabouts, key); !ok || p.Group != g {
+			if p, ok := s.State().Get(statemachine.Whereabouts, key); !ok || p.Group != g {
 				x.r.PromisesLost++
 			}
 		}
@@ -490,14 +490,14 @@
 }
 
 // moment begins or ends a fault of machines. A loss of power hits in the middle of the disk's operations.
-func (x *player) moment(m fault.Moment) {
+func (x *player) moment(m faults.Moment) {
 	for _, i := range m.Act.From {
 		if m.Act.OfWay() || i >= len(x.nodes) {
 			continue
 		}
 		n := x.nodes[i]
 		switch m.Act.Do {
-		case fault.Kill:
+		case faults.Kill:
 			if !m.End {
 				x.r.Cuts++
 				n.fs.CutAfter = n.fs.Ops() + 1 + x.w.Rand.IntN(6)
@@ -506,14 +506,14 @@
 				n.fs.Restart()
 				x.open(n)
 			}
-		case fault.Wipe:
+		case faults.Wipe:
 			if !m.End {
 				x.r.Lost++
 				x.down(n)
 			} else if !n.up {
 				x.fresh(n)
 			}
-		case fault.Pause:
+		case faults.Pause:
 			if !m.End {
 				n.paused = n.up
 			} else if n.paused {
--- a/internal/lab/model/model.go
+++ b/internal/sim/routing/model.go
@@ -1,7 +1,7 @@
 // Package model plays the decision module with as many routers as wanted over one small town of caches, on virtual
 // time: what the same traffic costs where each router sees less of it. Caches, parents, links and the archive are
 // numbers; the module is the one that serves.
-package model
+package routing
 
 import (
 	"fmt"
@@ -13,9 +13,9 @@
 	"strconv"
 	"strings"
 
-	"cairnfront/brain"
-	"cairnfront/internal/lab/sim"
-	"cairnfront/internal/peers/rumour"
+	"cairnfront/internal/membership/observation"
+	"cairnfront/internal/sim/clock"
+	"cairnfront/routing"
 )
 
 // The town. Campuses are alike: a link in, caches behind it. What a hop costs follows from how many are under way.
@@ -155,15 +155,15 @@
 
 type router struct {
 	t      *town
-	brain  brain.Decider
+	brain  routing.Decider
 	campus int
 	open   map[string]*txn
-	talk   *rumour.Core
+	talk   *observation.Core
 	seq    uint32
 }
 
 type town struct {
-	*sim.World
+	*clock.World
 	members map[string]*station
 	links   [campuses]*station
 	sizes   map[key]float64
@@ -175,14 +175,14 @@
 	gossip  *rand.Rand // of its own, so that the traffic is the same with words and without
 }
 
-func records(me, routers, campus int) brain.Records {
+func records(me, routers, campus int) routing.Records {
 	at, links, hubOf := zeros(), zeros(), zeros() // hubs are the first locations
 	for i := range hubs + campuses {
 		if hubOf[i] = strconv.Itoa(i % hubs); i >= hubs {
 			at[i], links[i] = strconv.Itoa(routers/campuses), strconv.Itoa(int(linkCarry*pace))
 		}
 	}
-	return brain.Records{"router": strconv.Itoa(me), "routers": strconv.Itoa(routers), "location": strconv.Itoa(hubs + campus),
+	return routing.Records{"router": strconv.Itoa(me), "routers": strconv.Itoa(routers), "location": strconv.Itoa(hubs + campus),
 		"routers_at": strings.Join(at, ","), "hub_of": strings.Join(hubOf, ","), "parent_kind": "1", "origin_kind": "2",
 		"pace_kb_s": strconv.Itoa(int(pace)), "siblings": "location", "tells": "hit", "may_cancel": "true", "may_join": "true", "max_hops": "5",
 		"tells_retry": "true", "max_retry_s": "2", "cold_s": "2", "cold_share": "0.5", "fall_multiple": "2", "fall_s": "1", "purge_done_s": "6",
@@ -225,7 +225,7 @@
 	}
 	res := &Result{Routers: routers, Txns: map[string]int{}, InTime: map[string]int{}, Late: map[string]int{}, Rejected: map[string]int{},
 		Aborted: map[string]int{}, Hops: map[string]int{}, sent: make([]int, int(lasts)+1), good: make([]int, int(lasts)+1)}
-	t := &town{World: sim.New(seed, 0x7417, clock0), members: map[string]*station{}, sizes: map[key]float64{}, res: res,
+	t := &town{World: clock.New(seed, 0x7417, clock0), members: map[string]*station{}, sizes: map[key]float64{}, res: res,
 		gossip: rand.New(rand.NewPCG(seed, 0x60551))}
 	sum := 0.0
 	for i := range objects {
@@ -235,10 +235,10 @@
 			t.sizes[key{i, p}] = leastKB + (mostKB-leastKB)*math.Pow(t.Rand.Float64(), 2)
 		}
 	}
-	var rows []brain.Row
+	var rows []routing.Row
 	add := func(id string, location, kind int, carry, keeps float64) {
 		t.members[id] = &station{id: id, carry: carry, keeps: keeps, held: map[key]*copyHeld{}, filling: map[key][]func(bool){}}
-		rows = append(rows, brain.Row{Member: id, Location: location, Kind: kind, Weight: carry})
+		rows = append(rows, routing.Row{Member: id, Location: location, Kind: kind, Weight: carry})
 	}
 	for c := range campuses {
 		t.links[c] = &station{carry: linkCarry}
@@ -252,11 +252,11 @@
 	add(originID, 0, 2, originCarry, 0)
 	for i := range routers {
 		r := &router{t: t, campus: i % campuses, open: map[string]*txn{}}
-		r.brain = brain.New(seed+uint64(i)*977, records(i, routers, r.campus))
+		r.brain = routing.New(seed+uint64(i)*977, records(i, routers, r.campus))
 		if t.routers = append(t.routers, r); talk.Rumours {
-			r.talk = rumour.New(i, fmt.Sprint("campus-", r.campus), talk.Liars, 1)
+			r.talk = observation.New(i, fmt.Sprint("campus-", r.campus), talk.Liars, 1)
 		}
-		r.decide(brain.Listing{Kind: brain.Saved, Rows: rows})
+		r.decide(routing.Listing{Kind: routing.Saved, Rows: rows})
 	}
 	if talk.Rumours {
 		t.spread(talk.Liars)
@@ -322,7 +322,7 @@
 		}
 	}
 	for _, r := range t.routers {
-		r.decide(brain.Purge{Group: group})
+		r.decide(routing.Purge{Group: group})
 	}
 }
 
@@ -345,25 +345,25 @@
 	r.open[id] = x
 	t.res.Txns[x.phase]++
 	t.res.sent[int(x.sent-clock0)]++
-	r.decide(brain.Arrival{Txn: id, Object: strconv.Itoa(k.object), Part: k.part, Group: k.object % groups, Limit: x.limit, KB: kb})
+	r.decide(routing.Arrival{Txn: id, Object: strconv.Itoa(k.object), Part: k.part, Group: k.object % groups, Limit: x.limit, KB: kb})
 }
 
 // decide brings an event to the module and carries its actions out, after the event as the service does.
-func (r *router) decide(ev brain.Event) {
-	for _, a := range append([]brain.Action(nil), r.brain.Decide(r.t.Now(), ev)...) {
+func (r *router) decide(ev routing.Event) {
+	for _, a := range append([]routing.Action(nil), r.brain.Decide(r.t.Now(), ev)...) {
 		switch a := a.(type) {
-		case brain.Hop:
+		case routing.Hop:
 			r.hop(a)
-		case brain.Cancel:
+		case routing.Cancel:
 			if x := r.open[a.Txn]; x != nil && a.Hop < len(x.hops) {
 				h, no := x.hops[a.Hop], a.Hop
-				r.t.After(cancelled, func() { r.end(a.Txn, no, h, brain.Cancelled, brain.Untold) })
+				r.t.After(cancelled, func() { r.end(a.Txn, no, h, routing.Cancelled, routing.Untold) })
 			}
-		case brain.Timer:
-			r.t.After(a.After, func() { r.decide(brain.Bell{Token: a.Token}) })
-		case brain.Reject:
+		case routing.Timer:
+			r.t.After(a.After, func() { r.decide(routing.Bell{Token: a.Token}) })
+		case routing.Reject:
 			r.answer(a.Txn, r.t.res.Rejected)
-		case brain.Abort:
+		case routing.Abort:
 			r.answer(a.Txn, r.t.res.Aborted)
 		}
 	}
@@ -392,14 +392,14 @@
 }
 
 // end tells the module how a hop ended; the first completed one answers its txn.
-func (r *router) end(id string, no int, h *hop, code brain.Code, remark brain.Remark) {
+func (r *router) end(id string, no int, h *hop, code routing.Code, remark routing.Remark) {
 	if h.over {
 		return
 	}
 	h.over = true
 	x, now := r.open[id], r.t.Now()
 	r.saw(h.to, code, now-h.sent > x.sla)
-	if code == brain.Completed && !x.over {
+	if code == routing.Completed && !x.over {
 		x.over = true
 		x.answers++
 		if now <= x.sent+x.sla {
@@ -409,48 +409,48 @@
 			r.t.res.Late[x.phase]++
 		}
 	}
-	r.decide(brain.Outcome{Txn: id, Hop: no, Code: code, Remark: remark, Took: now - h.sent, Final: x.over})
+	r.decide(routing.Outcome{Txn: id, Hop: no, Code: code, Remark: remark, Took: now - h.sent, Final: x.over})
 	r.tidy(id, x)
 }
 
 // hop plays one: to the cache, and for a miss through the campus' link to its source.
-func (r *router) hop(a brain.Hop) {
+func (r *router) hop(a routing.Hop) {
 	x, t := r.open[a.Txn], r.t
 	h, no := &hop{sent: t.Now(), to: a.To}, len(x.hops)
 	x.hops = append(x.hops, h)
 	t.res.Hops[x.phase]++
-	finish := func(code brain.Code, remark brain.Remark) { r.end(a.Txn, no, h, code, remark) }
+	finish := func(code routing.Code, remark routing.Remark) { r.end(a.Txn, no, h, code, remark) }
 	to := t.members[a.To]
 	if to.bad {
 		t.res.Bad++
-		t.After(latency, func() { finish(brain.Errored, brain.Untold) })
+		t.After(latency, func() { finish(routing.Errored, routing.Untold) })
 		return
 	}
 	if to.full() {
-		t.After(latency, func() { finish(brain.Busy, brain.Untold) })
+		t.After(latency, func() { finish(routing.Busy, routing.Untold) })
 		return
 	}
-	send := func(remark brain.Remark) {
+	send := func(remark routing.Remark) {
 		t.After(to.transfer(x.kb)+latency, func() {
 			to.out--
-			finish(brain.Completed, remark)
+			finish(routing.Completed, remark)
 		})
 	}
 	if c := to.held[x.k]; c != nil {
 		c.used, c.rank = t.Now(), max(c.rank, a.Rank)
-		send(brain.Hit)
+		send(routing.Hit)
 		return
 	}
 	if a.Source == a.To || a.NoFetch && t.members[a.Source].held[x.k] == nil {
-		t.After(latency, func() { finish(brain.Miss, brain.Untold) })
+		t.After(latency, func() { finish(routing.Miss, routing.Untold) })
 		return
 	}
 	if waiting, ok := to.filling[x.k]; ok && a.Join {
 		to.filling[x.k] = append(waiting, func(ok bool) {
 			if ok {
-				send(brain.Joined)
+				send(routing.Joined)
 			} else {
-				finish(brain.Busy, brain.Untold)
+				finish(routing.Busy, routing.Untold)
 			}
 		})
 		return
@@ -464,9 +464,9 @@
 				t.res.Kept++
 			}
 			to.keep(x.k, a.Rank, t.Now(), x.kb)
-			finish(brain.Completed, brain.Filled)
+			finish(routing.Completed, routing.Filled)
 		} else {
-			finish(brain.Busy, brain.Untold)
+			finish(routing.Busy, routing.Untold)
 		}
 		for _, w := range waiting {
 			w(ok)
@@ -476,7 +476,7 @@
 
 // fill brings a part over the link of a campus, from a sibling, a parent or the archive; a parent that lacks it asks the
 // archive first and keeps it. A fill runs on when its txn is given up.
-func (t *town) fill(campus int, to *station, a brain.Hop, x *txn, done func(bool)) {
+func (t *town) fill(campus int, to *station, a routing.Hop, x *txn, done func(bool)) {
 	from, link := t.members[a.Source], t.links[campus]
 	if from.lost {
 		t.After(lostAnswer, func() { done(false) })
@@ -518,12 +518,12 @@
 }
 
 // saw tells a router's rumours how a hop ended, and the module what comes of it.
-func (r *router) saw(member string, code brain.Code, late bool) {
+func (r *router) saw(member string, code routing.Code, late bool) {
 	if r.talk == nil {
 		return
 	}
 	now := r.t.Now() - clock0
-	if says, ok := rumour.Read(code, late); ok {
+	if says, ok := observation.Read(code, late); ok {
 		r.heed(r.talk.Ended(now, member, says))
 	}
 	for _, w := range r.talk.Say() {
@@ -531,15 +531,15 @@
 	}
 }
 
-func (r *router) heed(heeds []rumour.Heed) {
+func (r *router) heed(heeds []observation.Heed) {
 	now := r.t.Now() - clock0
 	for _, h := range heeds {
-		r.decide(brain.Doubt{Member: h.Member, Level: h.Doubt, For: max(h.Until-now, 0)})
+		r.decide(routing.Doubt{Member: h.Member, Level: h.Doubt, For: max(h.Until-now, 0)})
 	}
 }
 
 // tell brings a word to all other routers, to each after a time as gossip takes it there.
-func (t *town) tell(w rumour.Rumour) {
+func (t *town) tell(w observation.Rumour) {
 	for i, to := range t.routers {
 		if i != w.By {
 			t.After(gossipLeast+t.gossip.Float64()*(gossipMost-gossipLeast), func() {
@@ -559,7 +559,7 @@
 			if i < liars {
 				for _, m := range sortedNames(t.members) {
 					r.seq++
-					t.tell(rumour.Rumour{By: i, Start: 2, Seq: r.seq, Member: m, Says: rumour.Failing, Zone: fmt.Sprint("z", r.seq%7)})
+					t.tell(observation.Rumour{By: i, Start: 2, Seq: r.seq, Member: m, Says: observation.Failing, Zone: fmt.Sprint("z", r.seq%7)})
 				}
 			}
 		}
--- a/internal/book/book.go
+++ b/internal/telemetry/book.go
@@ -1,5 +1,5 @@
 // Package book keeps the counters of what is taken in, sent and answered, and writes the log lines.
-package book
+package telemetry
 
 import (
 	"fmt"
--- a/internal/book/book_test.go
+++ b/internal/telemetry/book_test.go
@@ -1,4 +1,4 @@
-package book
+package telemetry
 
 import (
 	"bytes"
--- a/internal/reach/race.go
+++ b/internal/upstream/address/race.go
@@ -1,4 +1,4 @@
-package reach
+package address
 
 import "math"
 
--- a/internal/reach/reach.go
+++ b/internal/upstream/address/reach.go
@@ -4,7 +4,7 @@
 //
 // It never decides on a hop. A hop is written on one link, once; what is decided here is on which link a hop that is
 // not written yet goes.
-package reach
+package address
 
 import (
 	"math"
--- a/internal/send/link.go
+++ b/internal/upstream/link.go
@@ -1,4 +1,4 @@
-package send
+package upstream
 
 import (
 	"bytes"
@@ -13,12 +13,12 @@
 	"syscall"
 	"time"
 
-	"cairnfront/brain"
-	"cairnfront/internal/admit"
-	"cairnfront/internal/conn"
-	"cairnfront/internal/line"
-	"cairnfront/internal/reach"
-	"cairnfront/internal/txn"
+	"cairnfront/internal/admission"
+	"cairnfront/internal/cacheproto"
+	"cairnfront/internal/netconn"
+	"cairnfront/internal/request"
+	"cairnfront/internal/upstream/address"
+	"cairnfront/routing"
 
 	"golang.org/x/sync/errgroup"
 )
@@ -29,8 +29,8 @@
 	link  *Link
 	id    string
 	head  []byte
-	body  *txn.Body
-	txn   *txn.Txn // of a hop
+	body  *request.Body
+	txn   *request.Txn // of a hop
 	hop   bool
 
 	repeatable bool // of a rule that may run again
@@ -39,7 +39,7 @@
 	end     int64     // the link's count of bytes after its last one
 	written time.Time // when it was begun
 
-	undone brain.Code // how it ends once its member has been told that it is given up
+	undone routing.Code // how it ends once its member has been told that it is given up
 }
 
 // Link is the link that carries the call.
@@ -52,10 +52,10 @@
 	started float64 // the member's start for which it was made
 
 	mu      sync.Mutex
-	addr    string              // empty while several are tried
-	plan    []reach.Try         // of a member with several addresses
-	listed  map[reach.Addr]bool // those that it still has; nil for any
-	c       *conn.Conn          // nil until it is up
+	addr    string                // empty while several are tried
+	plan    []address.Try         // of a member with several addresses
+	listed  map[address.Addr]bool // those that it still has; nil for any
+	c       *netconn.Conn         // nil until it is up
 	calls   map[string]*Call
 	queue   []item
 	undone  map[string]*Call // given up, and the member is yet to be told
@@ -110,12 +110,12 @@
 // undo gives a call up and says how it ends by that, and whether at once. One that the member may know of is over only
 // when the socket has taken the line that tells it, or the connection has ended: a further hop sent before that line
 // would be a second one out at the same time. Its end then comes like any other.
-func (l *Link) undo(c *Call, code brain.Code) (end brain.Code, atOnce bool) {
+func (l *Link) undo(c *Call, code routing.Code) (end routing.Code, atOnce bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.calls[c.id] != c { // its end is on the way, or was lost with a panic
 		if !c.begun {
-			code = brain.Moot
+			code = routing.Moot
 		}
 		return code, true
 	}
@@ -129,13 +129,13 @@
 				break
 			}
 		}
-		return brain.Moot, true
+		return routing.Moot, true
 	}
 	if l.dead || !c.hop {
 		return code, true
 	}
 	c.undone, l.undone[c.id] = code, c
-	l.push(item{c, line.AppendUndo(nil, c.id)})
+	l.push(item{c, cacheproto.AppendUndo(nil, c.id)})
 	if l.c != nil && l.c.Heard() < c.written.UnixNano() && now.Sub(c.written) > l.pool.Connect {
 		l.suspect = now
 	}
@@ -148,7 +148,7 @@
 		l.mu.Lock()
 		delete(l.undone, c.id)
 		l.mu.Unlock()
-		l.pool.Post(Ended{c, txn.End{Code: c.undone}})
+		l.pool.Post(Ended{c, request.End{Code: c.undone}})
 	}
 }
 
@@ -160,7 +160,7 @@
 		return
 	}
 	if l.silent() {
-		code = conn.Silent
+		code = netconn.Silent
 	} else if l.used.After(since) {
 		return
 	}
@@ -188,24 +188,24 @@
 	raw, err := l.dial(ctx)
 	peer := l.member + "@" + l.over()
 	if err != nil {
-		c := conn.New(nowhere{}, 0, 0)
-		code := conn.NoConnect
+		c := netconn.New(nowhere{}, 0, 0)
+		code := netconn.NoConnect
 		if ctx.Err() != nil {
-			code = conn.Shutdown
+			code = netconn.Shutdown
 		} else if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.EADDRNOTAVAIL) || errors.Is(err, syscall.ENOBUFS) {
-			code = conn.Limit // that is no fault of the member
+			code = netconn.Limit // that is no fault of the member
 		}
 		c.Since(began)
 		c.End(code, err)
-		if code == conn.Limit {
-			l.finish(nil, brain.Moot)
+		if code == netconn.Limit {
+			l.finish(nil, routing.Moot)
 		} else {
-			l.finish(nil, brain.NoConnect)
+			l.finish(nil, routing.NoConnect)
 		}
 		c.Done(l.pool.Book, "member", peer)
 		return
 	}
-	c := conn.New(raw, admit.MemberRing, writeStall)
+	c := netconn.New(raw, admission.MemberRing, writeStall)
 	c.Pause(max(l.pool.Connect, stallLeast))
 	g, ctx := errgroup.WithContext(ctx)
 	ctx, l.stop = context.WithCancel(ctx)
@@ -214,16 +214,16 @@
 	l.mu.Lock()
 	l.c = c
 	l.mu.Unlock()
-	stop := context.AfterFunc(ctx, func() { c.Ask(conn.Shutdown) })
+	stop := context.AfterFunc(ctx, func() { c.Ask(netconn.Shutdown) })
 	g.Go(func() error {
 		defer l.caught(c)
 		code, err := l.read(ctx, c)
 		if errors.Is(err, errRetired) {
-			c.Hangup(conn.Shutdown, nil, lingerMost, lingerBytes)
+			c.Hangup(netconn.Shutdown, nil, lingerMost, lingerBytes)
 			return errEnded
 		}
-		if code == conn.Slow {
-			code = conn.Stalled
+		if code == netconn.Slow {
+			code = netconn.Stalled
 		}
 		c.End(code, err)
 		return errEnded
@@ -231,13 +231,13 @@
 	g.Go(func() error {
 		defer l.caught(c)
 		if err := l.write(ctx, c); ctx.Err() == nil { // else the reader ends it
-			c.End(conn.Reason(err), err)
+			c.End(netconn.Reason(err), err)
 		}
 		return errEnded
 	})
 	_ = g.Wait()
 	stop()
-	l.finish(c, brain.NoConnect)
+	l.finish(c, routing.NoConnect)
 	c.Done(l.pool.Book, "member", peer)
 }
 
@@ -248,11 +248,11 @@
 
 func (nowhere) Close() error { return nil }
 
-func (l *Link) caught(c *conn.Conn) {
+func (l *Link) caught(c *netconn.Conn) {
 	if p := recover(); p != nil {
 		l.pool.Book.Add("panics", 1)
 		l.pool.Book.Log.Error("panic", "where", "member", "what", fmt.Sprint(p), "stack", string(debug.Stack()))
-		c.End(conn.Panic, nil)
+		c.End(netconn.Panic, nil)
 		l.stop()
 	}
 }
@@ -260,7 +260,7 @@
 // finish ends what is open: a call whose last byte the socket took may have run; any other surely did not. One of
 // which nothing was written crossed the end of the connection, which may have been an idle one: that is no fault of
 // the member. What is left ends by the code given.
-func (l *Link) finish(c *conn.Conn, unrun brain.Code) {
+func (l *Link) finish(c *netconn.Conn, unrun routing.Code) {
 	l.mu.Lock()
 	l.dead = true
 	calls, undone := l.calls, slices.Collect(maps.Values(l.undone))
@@ -270,17 +270,17 @@
 	for _, call := range calls {
 		code := unrun
 		if c != nil && !call.begun {
-			code = brain.Moot
+			code = routing.Moot
 		} else if c != nil && call.begun && call.end <= c.Wrote() {
-			code = brain.Broken
+			code = routing.Broken
 		}
-		l.pool.Post(Ended{call, txn.End{Code: code}})
+		l.pool.Post(Ended{call, request.End{Code: code}})
 	}
 	l.pool.Post(Dropped{l})
 }
 
 // write brings out calls and undos in order.
-func (l *Link) write(ctx context.Context, c *conn.Conn) error {
+func (l *Link) write(ctx context.Context, c *netconn.Conn) error {
 	var undone []*Call
 	for {
 		l.mu.Lock()
@@ -292,14 +292,14 @@
 				// Its client went while it waited here, for the connection or its turn: it never begins.
 				delete(l.calls, x.call.id)
 				l.mu.Unlock()
-				l.pool.Post(Ended{x.call, txn.End{Code: brain.Moot}})
+				l.pool.Post(Ended{x.call, request.End{Code: routing.Moot}})
 				continue
 			}
 			if x.text == nil {
 				x.call.begun, x.call.written = true, time.Now()
 				x.call.end = c.Entered() + int64(len(x.call.head))
 				if x.call.hop {
-					x.call.end += int64(x.call.body.Len() + len(line.End))
+					x.call.end += int64(x.call.body.Len() + len(cacheproto.End))
 				}
 			}
 		}
@@ -329,7 +329,7 @@
 				err = c.Write(x.call.body.Bytes)
 			}
 			if err == nil {
-				err = c.Write([]byte(line.End))
+				err = c.Write([]byte(cacheproto.End))
 			}
 		}
 		if err != nil {
@@ -342,15 +342,15 @@
 
 // read follows the member's answers. Bodies are gathered whole before the route stage hears of them; that of a
 // hop that was given up is dropped unread.
-func (l *Link) read(ctx context.Context, c *conn.Conn) (string, error) {
-	for tail := make([]byte, len(line.End)); ; {
+func (l *Link) read(ctx context.Context, c *netconn.Conn) (string, error) {
+	for tail := make([]byte, len(cacheproto.End)); ; {
 		text, err := c.Line()
 		if err != nil {
-			return conn.Reason(err), err
+			return netconn.Reason(err), err
 		}
-		a, err := line.ParseAnswer(text)
+		a, err := cacheproto.ParseAnswer(text)
 		if err != nil {
-			return conn.Protocol, err
+			return netconn.Protocol, err
 		}
 		l.mu.Lock()
 		call := l.calls[a.ID]
@@ -358,23 +358,23 @@
 		if call == nil {
 			l.pool.Book.Add("member.late-answers", 1)
 		}
-		if call != nil && call.hop && a.Code == brain.Completed && !a.Same {
+		if call != nil && call.hop && a.Code == routing.Completed && !a.Same {
 			if a.Body, err = l.pool.Gate.Budget.Wait(ctx, a.Size); err != nil {
-				return conn.Shutdown, err
+				return netconn.Shutdown, err
 			}
 			err = c.ReadFull(a.Body.Bytes)
 		} else {
 			err = c.Skip(a.Size)
 		}
 		if err == nil {
-			if err = c.ReadFull(tail); err == nil && !bytes.Equal(tail, []byte(line.End)) {
+			if err = c.ReadFull(tail); err == nil && !bytes.Equal(tail, []byte(cacheproto.End)) {
 				a.Body.Free()
-				return conn.Protocol, errStep
+				return netconn.Protocol, errStep
 			}
 		}
 		if err != nil {
 			a.Body.Free()
-			return conn.Reason(err), err
+			return netconn.Reason(err), err
 		}
 		c.Whole()
 		l.answered(call, a)
@@ -382,7 +382,7 @@
 }
 
 // answered ends a call, unless it was undone since.
-func (l *Link) answered(call *Call, a line.Answer) {
+func (l *Link) answered(call *Call, a cacheproto.Answer) {
 	if call == nil {
 		return
 	}
@@ -399,7 +399,7 @@
 	}
 	if a.Check == call.hop { // an answer of the other kind: what it is about can't be known
 		a.Body.Free()
-		a.End = txn.End{Code: brain.Errored}
+		a.End = request.End{Code: routing.Errored}
 	}
 	l.pool.Post(Ended{call, a.End})
 }
--- a/internal/send/pool.go
+++ b/internal/upstream/pool.go
@@ -1,6 +1,6 @@
 // Package send keeps the connections to members and carries hops, cancels and checks on them. It decides nothing:
 // it says how each hop ended, as far as the connection can prove it.
-package send
+package upstream
 
 import (
 	"context"
@@ -8,14 +8,14 @@
 	"strconv"
 	"time"
 
-	"cairnfront/brain"
-	"cairnfront/internal/admit"
-	"cairnfront/internal/board"
-	"cairnfront/internal/book"
-	"cairnfront/internal/conn"
-	"cairnfront/internal/line"
-	"cairnfront/internal/reach"
-	"cairnfront/internal/txn"
+	"cairnfront/internal/admission"
+	"cairnfront/internal/cacheproto"
+	"cairnfront/internal/discovery"
+	"cairnfront/internal/netconn"
+	"cairnfront/internal/request"
+	"cairnfront/internal/telemetry"
+	"cairnfront/internal/upstream/address"
+	"cairnfront/routing"
 
 	"golang.org/x/sync/errgroup"
 )
@@ -42,7 +42,7 @@
 // Ended says that a call is over. Each call has one, unless its undoing ended it at once.
 type Ended struct {
 	Call *Call
-	End  txn.End
+	End  request.End
 }
 
 // Dropped says that a link carries nothing any more.
@@ -50,8 +50,8 @@
 
 // Pool holds the links to all members. Its methods belong to one goroutine; what it hears it hands to Post.
 type Pool struct {
-	Gate    *admit.Gate
-	Book    *book.Book
+	Gate    *admission.Gate
+	Book    *telemetry.Book
 	Post    func(any)
 	Connect time.Duration // longest wait for a connection
 	Idle    time.Duration // after which members close idle ones
@@ -63,8 +63,8 @@
 
 	// Reach decides over which address a member is reached, and Addrs says which it has beside the one of the notice
 	// board; nil where each has that one only. Repeatable says of a remap rule whether it may run again.
-	Reach      *reach.Core
-	Addrs      func(board.Row) []reach.Addr
+	Reach      *address.Core
+	Addrs      func(discovery.Row) []address.Addr
 	Repeatable func(rule int) bool
 
 	ctx     context.Context
@@ -74,7 +74,7 @@
 }
 
 type member struct {
-	row     board.Row
+	row     discovery.Row
 	addr    string
 	several bool // addresses: Reach knows them
 	started float64
@@ -88,7 +88,7 @@
 	p.members = map[string]*member{}
 	if p.Dial == nil {
 		p.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
-			a := reach.Addr(addr)
+			a := address.Addr(addr)
 			return (&net.Dialer{}).DialContext(ctx, a.Network(), a.Target())
 		}
 	}
@@ -98,7 +98,7 @@
 func (p *Pool) Wait() error { return p.group.Wait() }
 
 // List takes news of where members are. A link belongs to the member's id and the address it was made for.
-func (p *Pool) List(full bool, rows []board.Row) {
+func (p *Pool) List(full bool, rows []discovery.Row) {
 	if full {
 		for _, m := range p.members {
 			m.gone = true
@@ -110,7 +110,7 @@
 			m = &member{}
 			p.members[row.Member] = m
 		}
-		m.row, m.addr, m.gone = row, row.Addr, row.Status == brain.Gone
+		m.row, m.addr, m.gone = row, row.Addr, row.Status == routing.Gone
 		p.reaches(row, m)
 	}
 }
@@ -174,8 +174,8 @@
 }
 
 // Send starts a hop.
-func (p *Pool) Send(d line.Do, avoid []*Link, owner any) *Call {
-	head := line.AppendDo(nil, d)
+func (p *Pool) Send(d cacheproto.Do, avoid []*Link, owner any) *Call {
+	head := cacheproto.AppendDo(nil, d)
 	return p.call(d.To, &Call{Owner: owner, id: d.Txn.ID, head: head, body: d.Txn.Body, txn: d.Txn, hop: true,
 		repeatable: p.Repeatable != nil && p.Repeatable(d.Txn.Rule)}, avoid)
 }
@@ -184,11 +184,11 @@
 func (p *Pool) Check(id string, owner any) *Call {
 	p.checks++
 	tag := "check" + strconv.Itoa(p.checks)
-	return p.call(id, &Call{Owner: owner, id: tag, head: line.AppendCheck(nil, tag, p.Report)}, nil)
+	return p.call(id, &Call{Owner: owner, id: tag, head: cacheproto.AppendCheck(nil, tag, p.Report)}, nil)
 }
 
 // Undo gives a call up. It says how that ends it, and whether at once; else its end follows.
-func (p *Pool) Undo(c *Call, code brain.Code) (end brain.Code, atOnce bool) {
+func (p *Pool) Undo(c *Call, code routing.Code) (end routing.Code, atOnce bool) {
 	return c.link.undo(c, code)
 }
 
@@ -215,9 +215,9 @@
 		for _, l := range m.links {
 			switch {
 			case m.gone || !p.current(m, l):
-				l.endIf(conn.Unlisted, now)
+				l.endIf(netconn.Unlisted, now)
 			case p.Idle > 0:
-				l.endIf(conn.Idle, now.Add(-time.Duration(idleMargin*float64(p.Idle))))
+				l.endIf(netconn.Idle, now.Add(-time.Duration(idleMargin*float64(p.Idle))))
 			}
 		}
 		if m.gone && len(m.links) == 0 {
--- a/internal/reach/spend/spend.go
+++ b/internal/upstream/retrybudget/spend.go
@@ -1,7 +1,7 @@
 // Package spend keeps a budget of further hops: a share of the fresh txns of the last seconds, for each remap rule and
 // for each member. It does no I/O and decides on no hop: it says whether there is something left, as a fact for the
 // decisions. In a bad hour every txn wants a further hop, and without a budget the load doubles just then.
-package spend
+package retrybudget
 
 import "sort"
 
--- a/internal/reach/spend/spend_test.go
+++ b/internal/upstream/retrybudget/spend_test.go
@@ -1,4 +1,4 @@
-package spend
+package retrybudget
 
 import (
 	"testing"
--- a/internal/send/send_test.go
+++ b/internal/upstream/send_test.go
@@ -1,4 +1,4 @@
-package send
+package upstream
 
 import (
 	"bufio"
@@ -13,12 +13,12 @@
 	"testing/iotest"
 	"time"
 
-	"cairnfront/brain"
-	"cairnfront/internal/admit"
-	"cairnfront/internal/board"
-	"cairnfront/internal/book"
-	"cairnfront/internal/line"
-	"cairnfront/internal/txn"
+	"cairnfront/internal/admission"
+	"cairnfront/internal/cacheproto"
+	"cairnfront/internal/discovery"
+	"cairnfront/internal/request"
+	"cairnfront/internal/telemetry"
+	"cairnfront/routing"
 
 	"github.com/stretchr/testify/assert"
 )
@@ -35,14 +35,14 @@
 func pool(t *testing.T) *side {
 	ctx, cancel := context.WithCancel(t.Context())
 	s := &side{ends: make(chan any, 99), dialed: make(chan net.Conn, 9), log: &bytes.Buffer{}}
-	s.Pool = &Pool{Gate: admit.New(64, 5), Book: book.New(s.log, ""), Connect: time.Second, Idle: time.Minute, Streams: 2,
+	s.Pool = &Pool{Gate: admission.New(64, 5), Book: telemetry.New(s.log, ""), Connect: time.Second, Idle: time.Minute, Streams: 2,
 		Post: func(ev any) { s.ends <- ev }, Dial: func(context.Context, string) (net.Conn, error) {
 			near, far := net.Pipe()
 			s.dialed <- far
 			return near, nil
 		}}
 	s.Start(ctx)
-	s.List(true, []board.Row{{Addr: "a:1", Row: brain.Row{Member: "m"}}})
+	s.List(true, []discovery.Row{{Addr: "a:1", Row: routing.Row{Member: "m"}}})
 	s.stop = func() {
 		cancel()
 		assert.NoError(t, s.Wait())
@@ -62,11 +62,11 @@
 }
 
 func (s *side) send(id string, body int, avoid ...*Link) *Call {
-	x := &txn.Txn{ID: id, Name: "page", Object: "ff", Part: "0"}
+	x := &request.Txn{ID: id, Name: "page", Object: "ff", Part: "0"}
 	if body > 0 {
-		x.Body = &txn.Body{Bytes: make([]byte, body)}
+		x.Body = &request.Body{Bytes: make([]byte, body)}
 	}
-	return s.Send(line.Do{Txn: x, Wait: 1, Hop: brain.Hop{To: "m"}}, avoid, id)
+	return s.Send(cacheproto.Do{Txn: x, Wait: 1, Hop: routing.Hop{To: "m"}}, avoid, id)
 }
 
 // end waits for the next end of a call.
@@ -101,12 +101,12 @@
 	e := s.end(t)
 	assert.Equal(t, b, e.Call)
 	assert.Equal(t, "xyz", string(e.End.Body.Bytes))
-	assert.Equal(t, brain.Hit, e.End.Remark)
+	assert.Equal(t, routing.Hit, e.End.Remark)
 	assert.EqualValues(t, 3, s.Gate.Budget.Used())
 	e.End.Body.Free()
 	e.End.Body.Free()
 	assert.Zero(t, s.Gate.Budget.Used())
-	assert.Equal(t, Ended{Call: a, End: txn.End{Code: brain.Miss}}, s.end(t))
+	assert.Equal(t, Ended{Call: a, End: request.End{Code: routing.Miss}}, s.end(t))
 	assert.EqualValues(t, 1, s.Book.Count("member.late-answers"))
 	assert.Equal(t, 1, s.Links(), "one connection carries both")
 }
@@ -118,12 +118,12 @@
 	far := <-s.dialed
 	assert.Equal(t, "do a", asked(t, bufio.NewReaderSize(far, 16))) // and some of b
 	_ = far.Close()
-	ends := map[*Call]brain.Code{}
+	ends := map[*Call]routing.Code{}
 	for range 2 {
 		e := s.end(t)
 		ends[e.Call] = e.End.Code
 	}
-	assert.Equal(t, map[*Call]brain.Code{whole: brain.Broken, part: brain.NoConnect}, ends)
+	assert.Equal(t, map[*Call]routing.Code{whole: routing.Broken, part: routing.NoConnect}, ends)
 }
 
 // TestHopThatCrossesACloseIsMoot: nothing of it was written, and the member may just have closed an idle connection.
@@ -135,12 +135,12 @@
 	far := <-s.dialed
 	_, _ = far.Read(make([]byte, 16))
 	_ = far.Close()
-	ends := map[*Call]brain.Code{}
+	ends := map[*Call]routing.Code{}
 	for range 2 {
 		e := s.end(t)
 		ends[e.Call] = e.End.Code
 	}
-	assert.Equal(t, brain.Moot, ends[b])
+	assert.Equal(t, routing.Moot, ends[b])
 }
 
 func TestBodyCutShortIsBroken(t *testing.T) {
@@ -150,18 +150,18 @@
 	asked(t, bufio.NewReader(far))
 	_, _ = io.WriteString(far, "a served digest=d,dated=1 10\r\nhalf")
 	_ = far.Close()
-	assert.Equal(t, txn.End{Code: brain.Broken}, s.end(t).End)
+	assert.Equal(t, request.End{Code: routing.Broken}, s.end(t).End)
 	assert.Zero(t, s.Gate.Budget.Used())
 }
 
 func TestMembersOutOfStepAreClosed(t *testing.T) {
-	for _, bad := range []string{"a what - 0\r\n", "a served - 1\r\nxyz", "a served - x\r\n", strings.Repeat("x", admit.MemberRing), "\r\n"} {
+	for _, bad := range []string{"a what - 0\r\n", "a served - 1\r\nxyz", "a served - x\r\n", strings.Repeat("x", admission.MemberRing), "\r\n"} {
 		s := pool(t)
 		s.send("a", 0)
 		far := <-s.dialed
 		asked(t, bufio.NewReader(far))
 		_, _ = io.WriteString(far, bad)
-		assert.Equal(t, brain.Broken, s.end(t).End.Code, bad[:min(len(bad), 20)])
+		assert.Equal(t, routing.Broken, s.end(t).End.Code, bad[:min(len(bad), 20)])
 		s.stop()
 		assert.Contains(t, s.log.String(), "code=protocol")
 		assert.Equal(t, 1, strings.Count(s.log.String(), "connection ended"), "one line a connection")
@@ -169,7 +169,7 @@
 }
 
 func TestNoConnectionProvesThatNothingRan(t *testing.T) {
-	for how, code := range map[error]brain.Code{syscall.ECONNREFUSED: brain.NoConnect, nil: brain.NoConnect, syscall.EMFILE: brain.Moot} {
+	for how, code := range map[error]routing.Code{syscall.ECONNREFUSED: routing.NoConnect, nil: routing.NoConnect, syscall.EMFILE: routing.Moot} {
 		s := pool(t)
 		s.Connect = 20 * time.Millisecond
 		s.Dial = func(ctx context.Context, _ string) (net.Conn, error) {
@@ -180,7 +180,7 @@
 			return nil, how
 		}
 		c := s.send("a", 0)
-		assert.Equal(t, Ended{Call: c, End: txn.End{Code: code}}, s.end(t))
+		assert.Equal(t, Ended{Call: c, End: request.End{Code: code}}, s.end(t))
 		assert.Equal(t, Dropped{c.Link()}, <-s.ends)
 		s.Drop(c.Link())
 		assert.Zero(t, s.Links())
@@ -196,13 +196,13 @@
 	asked(t, r)
 	post := s.Post
 	s.Post = func(ev any) {
-		if e, ok := ev.(Ended); ok && e.Call == a && e.End.Code == brain.Miss {
+		if e, ok := ev.(Ended); ok && e.Call == a && e.End.Code == routing.Miss {
 			panic("a fault")
 		}
 		post(ev)
 	}
 	_, _ = io.WriteString(far, "a not_here - 0\r\n\r\n")
-	assert.Equal(t, Ended{Call: b, End: txn.End{Code: brain.Broken}}, s.end(t))
+	assert.Equal(t, Ended{Call: b, End: request.End{Code: routing.Broken}}, s.end(t))
 	assert.Contains(t, s.after(t, a.Link()), "code=panic")
 }
 
@@ -211,20 +211,20 @@
 	hold := s.holdDials()
 	a := s.send("a", 0)
 	b := s.send("b", 0)
-	code, atOnce := s.Undo(a, brain.Cancelled)
-	assert.True(t, atOnce && code == brain.Moot, "nothing of it was written")
+	code, atOnce := s.Undo(a, routing.Cancelled)
+	assert.True(t, atOnce && code == routing.Moot, "nothing of it was written")
 	close(hold)
 	far := <-s.dialed
 	r := bufio.NewReader(far)
 	assert.Equal(t, "do b", asked(t, r), "and nothing of it will be")
 	c := s.send("c", 0)
 	assert.Equal(t, "do c", asked(t, r))
-	_, atOnce = s.Undo(b, brain.Cancelled)
+	_, atOnce = s.Undo(b, routing.Cancelled)
 	assert.False(t, atOnce)
 	assert.Equal(t, "undo b", asked(t, r))
-	assert.Equal(t, Ended{b, txn.End{Code: brain.Cancelled}}, s.end(t))
+	assert.Equal(t, Ended{b, request.End{Code: routing.Cancelled}}, s.end(t))
 	_, _ = io.WriteString(far, "b served - 4\r\nlate\r\nc overload - 0\r\n\r\n")
-	assert.Equal(t, Ended{Call: c, End: txn.End{Code: brain.Busy}}, s.end(t), "a late answer to what was given up is passed over")
+	assert.Equal(t, Ended{Call: c, End: request.End{Code: routing.Busy}}, s.end(t), "a late answer to what was given up is passed over")
 	assert.NotSame(t, b.Link(), s.send("b", 0, b.Link()).Link(), "the id is not used again where it may still be answered")
 }
 
@@ -240,7 +240,7 @@
 		assert.Equal(t, "do a", asked(t, r))
 		s.send("b", 200_000)
 		_, _ = r.ReadByte() // the writer is busy with b
-		_, atOnce := s.Undo(a, brain.TimedOut)
+		_, atOnce := s.Undo(a, routing.TimedOut)
 		assert.False(t, atOnce)
 		assert.Empty(t, s.ends)
 		if reads {
@@ -251,7 +251,7 @@
 		} else {
 			_ = far.Close()
 		}
-		assert.Equal(t, Ended{a, txn.End{Code: brain.TimedOut}}, s.end(t))
+		assert.Equal(t, Ended{a, request.End{Code: routing.TimedOut}}, s.end(t))
 	}
 }
 
@@ -271,14 +271,14 @@
 		asked(t, bufio.NewReader(far))
 		_, _ = io.WriteString(far, "a served digest=d,dated=1,remark=h 10\r\nhalf")
 		if !undone {
-			assert.Equal(t, Ended{Call: a, End: txn.End{Code: brain.Broken}}, s.end(t))
+			assert.Equal(t, Ended{Call: a, End: request.End{Code: routing.Broken}}, s.end(t))
 			assert.Contains(t, s.after(t, a.Link()), "code=stalled")
 			continue
 		}
 		assert.Eventually(t, func() bool { return a.link.c.Begun() != 0 }, time.Minute, time.Millisecond)
 		go func() { _, _ = io.Copy(io.Discard, far) }()
-		s.Undo(a, brain.TimedOut)
-		assert.Equal(t, brain.TimedOut, s.end(t).End.Code)
+		s.Undo(a, routing.TimedOut)
+		assert.Equal(t, routing.TimedOut, s.end(t).End.Code)
 		assert.NotSame(t, a.Link(), s.send("b", 0).Link())
 	}
 }
@@ -286,7 +286,7 @@
 // TestSpoiltAnswerCostsItsOwnHopOnly: while descriptors allow, no hop shares its connection.
 func TestSpoiltAnswerCostsItsOwnHopOnly(t *testing.T) {
 	s := pool(t)
-	s.Gate = admit.New(64, 256)
+	s.Gate = admission.New(64, 256)
 	a := s.send("a", 0)
 	far := <-s.dialed
 	b := s.send("b", 0)
@@ -294,9 +294,9 @@
 	asked(t, bufio.NewReader(far))
 	asked(t, bufio.NewReader(other))
 	_, _ = io.WriteString(far, "a served digest=\x00\r\n")
-	assert.Equal(t, Ended{Call: a, End: txn.End{Code: brain.Broken}}, s.end(t))
+	assert.Equal(t, Ended{Call: a, End: request.End{Code: routing.Broken}}, s.end(t))
 	_, _ = io.WriteString(other, "b not_here - 0\r\n\r\n")
-	assert.Equal(t, Ended{Call: b, End: txn.End{Code: brain.Miss}}, s.end(t))
+	assert.Equal(t, Ended{Call: b, End: request.End{Code: routing.Miss}}, s.end(t))
 	assert.Same(t, b.Link(), s.send("c", 0).Link(), "one that nothing is open on is used again")
 }
 
@@ -310,7 +310,7 @@
 		r := bufio.NewReader(far)
 		assert.Equal(t, "do a", asked(t, r))
 		s.Connect = connect
-		s.Undo(a, brain.TimedOut)
+		s.Undo(a, routing.TimedOut)
 		assert.Equal(t, "undo a", asked(t, r))
 		b := s.send("b", 0)
 		assert.Equal(t, silent, a.Link() != b.Link())
@@ -337,11 +337,11 @@
 	c := s.send("a", 0)
 	far := <-s.dialed
 	asked(t, bufio.NewReader(far))
-	s.List(false, []board.Row{{Addr: "b:1", Row: brain.Row{Member: "m"}}})
+	s.List(false, []discovery.Row{{Addr: "b:1", Row: routing.Row{Member: "m"}}})
 	s.Sweep(time.Now())
 	assert.NotSame(t, c.Link(), s.send("b", 0).Link(), "the address passed to another machine")
 	_, _ = io.WriteString(far, "a nobody - 0\r\n\r\n")
-	assert.Equal(t, Ended{Call: c, End: txn.End{Code: brain.Moot}}, s.end(t))
+	assert.Equal(t, Ended{Call: c, End: request.End{Code: routing.Moot}}, s.end(t))
 	s.Sweep(time.Now().Add(time.Second))
 	assert.Equal(t, Dropped{c.Link()}, <-s.ends, "the old link ends once nothing is open on it")
 	s.stop()
@@ -355,13 +355,13 @@
 	far := <-s.dialed
 	assert.Equal(t, "top check1", asked(t, bufio.NewReader(far)))
 	_, _ = io.WriteString(far, "check1 green report=util:0.5 0\r\n\r\n")
-	assert.Equal(t, Ended{Call: c, End: txn.End{Load: []brain.Reading{{Name: "util", Value: 0.5}}}}, s.end(t))
+	assert.Equal(t, Ended{Call: c, End: request.End{Load: []routing.Reading{{Name: "util", Value: 0.5}}}}, s.end(t))
 	assert.Nil(t, s.Check("nobody", nil))
 }
 
 func TestDescriptorsAreBounded(t *testing.T) {
 	s := pool(t)
-	s.Gate = admit.New(64, 5) // two for members
+	s.Gate = admission.New(64, 5) // two for members
 	s.Streams = 0
 	assert.NotNil(t, s.send("a", 0))
 	assert.NotNil(t, s.send("b", 0))
@@ -379,8 +379,8 @@
 	close(hold)
 	r := bufio.NewReader(<-s.dialed)
 	assert.Equal(t, "do b", asked(t, r))
-	assert.Equal(t, Ended{a, txn.End{Code: brain.Moot}}, s.end(t))
-	_, atOnce := s.Undo(a, brain.Cancelled)
+	assert.Equal(t, Ended{a, request.End{Code: routing.Moot}}, s.end(t))
+	_, atOnce := s.Undo(a, routing.Cancelled)
 	assert.True(t, atOnce, "and no line undoes it")
 	assert.NotNil(t, b.Link())
 }
--- a/internal/send/several.go
+++ b/internal/upstream/several.go
@@ -1,4 +1,4 @@
-package send
+package upstream
 
 import (
 	"context"
@@ -8,10 +8,10 @@
 	"syscall"
 	"time"
 
-	"cairnfront/brain"
-	"cairnfront/internal/board"
-	"cairnfront/internal/line"
-	"cairnfront/internal/reach"
+	"cairnfront/internal/cacheproto"
+	"cairnfront/internal/discovery"
+	"cairnfront/internal/upstream/address"
+	"cairnfront/routing"
 )
 
 // Members with several addresses: reach decides, and here it is carried out. A hop waits on one link from the moment
@@ -21,8 +21,8 @@
 // Dialed says how an attempt to connect ended.
 type Dialed struct {
 	Member string
-	Addr   reach.Addr
-	Why    reach.Why
+	Addr   address.Addr
+	Why    address.Why
 	Took   float64
 }
 
@@ -32,7 +32,7 @@
 func unix(t time.Time) float64 { return float64(t.UnixMicro()) / 1e6 }
 
 // reaches takes a member's addresses from the list.
-func (p *Pool) reaches(row board.Row, m *member) {
+func (p *Pool) reaches(row discovery.Row, m *member) {
 	m.started = row.Started
 	if p.Reach == nil {
 		return
@@ -41,20 +41,20 @@
 		p.Reach.Gone(row.Member)
 		return
 	}
-	list := []reach.Addr{reach.Addr(row.Addr)}
+	list := []address.Addr{address.Addr(row.Addr)}
 	if more := p.Addrs(row); len(more) > 0 {
 		list = more
 	}
 	p.Reach.List(unix(time.Now()), row.Member, row.Started, list)
 	m.several = p.Reach.Several(row.Member)
-	listed := map[reach.Addr]bool{}
+	listed := map[address.Addr]bool{}
 	for _, a := range list {
 		listed[a] = true
 	}
 	for _, l := range m.links {
 		l.mu.Lock()
 		if l.listed = listed; l.started != m.started {
-			l.listed = map[reach.Addr]bool{}
+			l.listed = map[address.Addr]bool{}
 		}
 		l.mu.Unlock()
 	}
@@ -85,7 +85,7 @@
 	if l.started != m.started {
 		return false
 	}
-	_, ok := p.Reach.Usable(unix(time.Now()), l.member, reach.Addr(addr), true)
+	_, ok := p.Reach.Usable(unix(time.Now()), l.member, address.Addr(addr), true)
 	return ok || addr == "" || p.rested(l.member, addr)
 }
 
@@ -112,7 +112,7 @@
 		}
 		rank, ok := len(m.links), true // one that is not up yet: behind those that are
 		if addr := l.over(); addr != "" {
-			rank, ok = p.Reach.Usable(now, id, reach.Addr(addr), c.repeatable)
+			rank, ok = p.Reach.Usable(now, id, address.Addr(addr), c.repeatable)
 		}
 		if ok && (best == nil || min(n, 1) < min(least, 1) || min(n, 1) == min(least, 1) && (rank < first || rank == first && n < least)) {
 			best, least, first = l, n, rank
@@ -123,7 +123,7 @@
 			return nil
 		}
 		if addr := best.over(); addr != "" {
-			p.Reach.Sent(now, id, reach.Addr(addr))
+			p.Reach.Sent(now, id, address.Addr(addr))
 		}
 		return c
 	}
@@ -164,12 +164,12 @@
 }
 
 // race tries a plan's addresses. Each attempt beside another has a descriptor of its own while it lasts.
-func (l *Link) race(ctx context.Context, plan []reach.Try) (net.Conn, error) {
+func (l *Link) race(ctx context.Context, plan []address.Try) (net.Conn, error) {
 	if len(plan) == 0 {
 		return nil, errNowhere
 	}
 	p, began := l.pool, time.Now()
-	r := reach.NewRace(unix(began), plan, unix(began.Add(p.Connect)))
+	r := address.NewRace(unix(began), plan, unix(began.Add(p.Connect)))
 	results := make(chan result, len(plan))
 	ctx, cancel := context.WithDeadline(ctx, began.Add(p.Connect))
 	defer cancel()
@@ -200,9 +200,9 @@
 			own = false
 			p.group.Go(func() error {
 				if x := <-results; x.err == nil {
-					p.Post(Dialed{l.member, plan[x.i].Addr, reach.Well, x.took.Seconds()})
+					p.Post(Dialed{l.member, plan[x.i].Addr, address.Well, x.took.Seconds()})
 					_ = x.c.Close()
-				} else if why := l.why(x.err); why == reach.Hung && !won {
+				} else if why := l.why(x.err); why == address.Hung && !won {
 					p.Post(Dialed{l.member, plan[x.i].Addr, why, x.took.Seconds()})
 				}
 				if !first {
@@ -245,24 +245,24 @@
 }
 
 // why names what an attempt's error says of its address; a shortage of our own says nothing.
-func (l *Link) why(err error) reach.Why {
+func (l *Link) why(err error) address.Why {
 	switch {
 	case err == nil:
-		return reach.Well
+		return address.Well
 	case errors.Is(err, context.Canceled), errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.EADDRNOTAVAIL), errors.Is(err, syscall.ENOBUFS):
-		return reach.ByHand // not blamed; see Heard
+		return address.ByHand // not blamed; see Heard
 	case errors.Is(err, context.DeadlineExceeded):
-		return reach.Hung
+		return address.Hung
 	}
 	var t net.Error
 	if errors.As(err, &t) && t.Timeout() {
-		return reach.Hung
+		return address.Hung
 	}
-	return reach.Refused
+	return address.Refused
 }
 
 // allows says whether an address is still the member's.
-func (l *Link) allows(a reach.Addr) bool {
+func (l *Link) allows(a address.Addr) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.listed == nil || l.listed[a]
@@ -276,19 +276,19 @@
 	now := unix(time.Now())
 	switch ev := ev.(type) {
 	case Dialed:
-		if ev.Why != reach.ByHand {
+		if ev.Why != address.ByHand {
 			p.Reach.Dialed(now, ev.Member, ev.Addr, ev.Why, ev.Took)
 		}
 	case Ended:
 		l := ev.Call.link
-		addr := reach.Addr(l.over())
+		addr := address.Addr(l.over())
 		if l.plan == nil || addr == "" {
 			return
 		}
 		switch ev.End.Code {
-		case brain.Completed, brain.Errored, brain.Busy, brain.Miss:
+		case routing.Completed, routing.Errored, routing.Busy, routing.Miss:
 			p.Reach.Answered(now, l.member, addr, time.Since(ev.Call.written).Seconds())
-		case brain.Broken, brain.NoConnect:
+		case routing.Broken, routing.NoConnect:
 			p.Reach.Broke(now, l.member, addr)
 		}
 	}
@@ -306,18 +306,18 @@
 		}
 		for _, l := range m.links {
 			wait, addr, calls := l.waits(now)
-			if wait == 0 || !p.Reach.Waits(unix(now), id, reach.Addr(addr), wait.Seconds()) {
+			if wait == 0 || !p.Reach.Waits(unix(now), id, address.Addr(addr), wait.Seconds()) {
 				continue
 			}
 			p.Book.Add("reach.silent", 1)
 			for _, c := range calls {
-				if p.Reach.Elsewhere(unix(now), id, reach.Addr(addr), unix(c.written)) {
+				if p.Reach.Elsewhere(unix(now), id, address.Addr(addr), unix(c.written)) {
 					stuck = append(stuck, c)
 				}
 			}
 		}
 	}
-	linked := func(id string, a reach.Addr) bool {
+	linked := func(id string, a address.Addr) bool {
 		for _, l := range p.members[id].links {
 			if l.over() == string(a) {
 				return true
@@ -332,11 +332,11 @@
 		}
 		p.Book.Add("reach.looks", 1)
 		l := p.link(look.Member, m)
-		l.plan = []reach.Try{{Addr: look.Addr}}
+		l.plan = []address.Try{{Addr: look.Addr}}
 		if look.Probe {
 			p.checks++
 			tag := "look" + strconv.Itoa(p.checks)
-			l.add(&Call{id: tag, head: line.AppendCheck(nil, tag, false)})
+			l.add(&Call{id: tag, head: cacheproto.AppendCheck(nil, tag, false)})
 		}
 		p.run(m, l)
 	}
--- a/internal/send/several_test.go
+++ b/internal/upstream/several_test.go
@@ -1,4 +1,4 @@
-package send
+package upstream
 
 import (
 	"bufio"
@@ -13,20 +13,20 @@
 	"testing"
 	"time"
 
-	"cairnfront/brain"
-	"cairnfront/internal/admit"
-	"cairnfront/internal/board"
-	"cairnfront/internal/line"
-	"cairnfront/internal/reach"
-	"cairnfront/internal/txn"
+	"cairnfront/internal/admission"
+	"cairnfront/internal/cacheproto"
+	"cairnfront/internal/discovery"
+	"cairnfront/internal/request"
+	"cairnfront/internal/upstream/address"
+	"cairnfront/routing"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
 
 const (
-	first  = reach.Addr("127.0.0.1:1")
-	second = reach.Addr("127.0.0.1:2")
+	first  = address.Addr("127.0.0.1:1")
+	second = address.Addr("127.0.0.1:2")
 )
 
 // attempt is a connection that is being made; the test says how it ends.
@@ -43,7 +43,7 @@
 // several is a pool with one member of two addresses whose attempts a test ends.
 func several(t *testing.T, sockets int) *severalSide {
 	s := &severalSide{pool(t), make(chan attempt, 9)}
-	s.Gate = admit.New(64, sockets)
+	s.Gate = admission.New(64, sockets)
 	s.Connect = 5 * time.Second
 	s.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
 		a := attempt{addr, make(chan net.Conn, 1)}
@@ -58,14 +58,14 @@
 			return nil, ctx.Err()
 		}
 	}
-	s.Reach, s.Addrs = reach.New(1), func(board.Row) []reach.Addr { return []reach.Addr{first, second} }
+	s.Reach, s.Addrs = address.New(1), func(discovery.Row) []address.Addr { return []address.Addr{first, second} }
 	s.Repeatable = func(rule int) bool { return rule == 0 }
 	s.list(0)
 	return s
 }
 
 func (s *severalSide) list(started float64) {
-	s.List(true, []board.Row{{Addr: string(first), Row: brain.Row{Member: "m", Started: started}}})
+	s.List(true, []discovery.Row{{Addr: string(first), Row: routing.Row{Member: "m", Started: started}}})
 }
 
 func (a attempt) up() net.Conn {
@@ -108,7 +108,7 @@
 	r := bufio.NewReader(far)
 	assert.Equal(t, "do a", asked(t, r))
 	_, _ = io.WriteString(far, "a not_here - 0\r\n\r\n")
-	assert.Equal(t, Ended{Call: c, End: txn.End{Code: brain.Miss}}, s.hear(t))
+	assert.Equal(t, Ended{Call: c, End: request.End{Code: routing.Miss}}, s.hear(t))
 	assert.Equal(t, "refused", s.Reach.States(unix(time.Now()))[0].Why)
 }
 
@@ -159,7 +159,7 @@
 	s := several(t, 20)
 	s.send("a", 0)
 	x := <-s.attempts
-	s.Addrs = func(board.Row) []reach.Addr { return []reach.Addr{second, "127.0.0.1:3"} }
+	s.Addrs = func(discovery.Row) []address.Addr { return []address.Addr{second, "127.0.0.1:3"} }
 	s.Relist()
 	far := x.up()
 	_, err := far.Read(make([]byte, 1))
@@ -172,10 +172,10 @@
 func TestAllAddressesRestingIsToldAtOnce(t *testing.T) {
 	s := several(t, 20)
 	now := unix(time.Now())
-	s.Reach.Dialed(now, "m", first, reach.Refused, 0)
-	s.Reach.Dialed(now, "m", second, reach.Refused, 0)
+	s.Reach.Dialed(now, "m", first, address.Refused, 0)
+	s.Reach.Dialed(now, "m", second, address.Refused, 0)
 	c := s.send("a", 0)
-	assert.Equal(t, Ended{Call: c, End: txn.End{Code: brain.NoConnect}}, s.hear(t))
+	assert.Equal(t, Ended{Call: c, End: request.End{Code: routing.NoConnect}}, s.hear(t))
 	assert.Empty(t, s.attempts)
 }
 
@@ -199,8 +199,8 @@
 	s := several(t, 20)
 	c := s.send("a", 0)
 	x := <-s.attempts
-	code, atOnce := s.Undo(c, brain.Cancelled)
-	assert.Equal(t, brain.Moot, code)
+	code, atOnce := s.Undo(c, routing.Cancelled)
+	assert.Equal(t, routing.Moot, code)
 	assert.True(t, atOnce)
 	far := x.up()
 	b := s.send("b", 0)
@@ -228,8 +228,8 @@
 	assert.Equal(t, "do b", asked(t, bufio.NewReader(other)))
 	_, _ = io.WriteString(other, "b not_here - 0\r\n\r\n")
 	assert.Equal(t, b, s.hear(t).Call)
-	x := &txn.Txn{ID: "c", Name: "order", Object: "ff", Part: "0", Rule: 1}
-	c := s.Send(line.Do{Txn: x, Wait: 1, Hop: brain.Hop{To: "m"}}, nil, "c")
+	x := &request.Txn{ID: "c", Name: "order", Object: "ff", Part: "0", Rule: 1}
+	c := s.Send(cacheproto.Do{Txn: x, Wait: 1, Hop: routing.Hop{To: "m"}}, nil, "c")
 	assert.Same(t, b.Link(), c.Link())
 	_, _ = io.WriteString(far, "a not_here - 0\r\n\r\n")
 	assert.Equal(t, a, s.hear(t).Call, "its late answer is its end")
@@ -255,7 +255,7 @@
 // A rested address is looked at with a connection that carries nothing.
 func TestALookCarriesNothing(t *testing.T) {
 	s := several(t, 40)
-	s.Reach.Dialed(unix(time.Now()), "m", first, reach.Refused, 0)
+	s.Reach.Dialed(unix(time.Now()), "m", first, address.Refused, 0)
 	s.Watch(time.Now().Add(time.Minute))
 	x := <-s.attempts
 	assert.Equal(t, string(first), x.addr)
@@ -267,7 +267,7 @@
 }
 
 // blackHole is an address whose connections never come up: nobody accepts, and the backlog is full.
-func blackHole(t *testing.T) reach.Addr {
+func blackHole(t *testing.T) address.Addr {
 	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = syscall.Close(fd) })
@@ -279,7 +279,7 @@
 	for { // fill the backlog until one more does not come up
 		c, err := net.DialTimeout("tcp", addr, 100*time.Millisecond)
 		if err != nil {
-			return reach.Addr(addr)
+			return address.Addr(addr)
 		}
 		t.Cleanup(func() { _ = c.Close() })
 	}
@@ -297,18 +297,18 @@
 	hole := blackHole(t)
 	s := several(t, 40)
 	s.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
-		a := reach.Addr(addr)
+		a := address.Addr(addr)
 		return (&net.Dialer{}).DialContext(ctx, a.Network(), a.Target())
 	}
-	list := []reach.Addr{reach.Addr("unix:" + filepath.Join(dir, "gone")), reach.Addr("unix:" + file), hole, reach.Addr(ln.Addr().String())}
-	s.Addrs = func(board.Row) []reach.Addr { return list }
+	list := []address.Addr{address.Addr("unix:" + filepath.Join(dir, "gone")), address.Addr("unix:" + file), hole, address.Addr(ln.Addr().String())}
+	s.Addrs = func(discovery.Row) []address.Addr { return list }
 	s.Relist()
 	c := s.send("a", 0)
 	far, err := ln.Accept()
 	require.NoError(t, err)
 	assert.Equal(t, "do a", asked(t, bufio.NewReader(far)))
 	_, _ = io.WriteString(far, "a not_here - 0\r\n\r\n")
-	assert.Equal(t, Ended{Call: c, End: txn.End{Code: brain.Miss}}, s.hear(t))
+	assert.Equal(t, Ended{Call: c, End: request.End{Code: routing.Miss}}, s.hear(t))
 	for i, want := range []string{"refused", "refused"} {
 		assert.Equal(t, want, s.Reach.States(unix(time.Now()))[i].Why)
 	}
--- a/brain/brain.go
+++ b/routing/brain.go
@@ -2,7 +2,7 @@
 // with the clock and returns the actions, in order. Events, actions and their types are in interface.go. A
 // txn's wanted state is the hops that should be out, whether it is held, a verdict and a wake time. Handlers
 // change only what is wanted; settle works out the difference to what is and emits it.
-package brain
+package routing
 
 import (
 	"cmp"
--- a/brain/helpers_test.go
+++ b/routing/helpers_test.go
@@ -1,4 +1,4 @@
-package brain
+package routing
 
 import "strconv"
 
--- a/brain/interface.go
+++ b/routing/interface.go
@@ -1,6 +1,6 @@
 // Package brain decides what a router of a two-tier cache does with each txn. The decisions are all in
 // brain.go; this file holds what goes in and what comes out, in words that no protocol owns.
-package brain
+package routing
 
 // Records are the standing facts that a router is handed at its start, by name.
 type Records map[string]string
--- a/wire/rename.go
+++ b/simadapter/rename.go
@@ -1,9 +1,9 @@
-package wire
+package simadapter
 
 import (
 	"strings"
 
-	"cairnfront/brain"
+	"cairnfront/routing"
 )
 
 // The bench's names end in this file: each is paired with ours and nothing is decided here.
@@ -93,16 +93,16 @@
 	return name
 }
 
-var codes = map[string]brain.Code{
-	"200": brain.Completed, "502": brain.Errored, "429": brain.Busy, "408": brain.TimedOut, "521": brain.NoConnect,
-	"520": brain.Broken, "444": brain.Cancelled, "409": brain.Moot, "204": brain.Miss,
+var codes = map[string]routing.Code{
+	"200": routing.Completed, "502": routing.Errored, "429": routing.Busy, "408": routing.TimedOut, "521": routing.NoConnect,
+	"520": routing.Broken, "444": routing.Cancelled, "409": routing.Moot, "204": routing.Miss,
 }
 
-var listKinds = map[string]brain.ListKind{
-	"INCREMENTAL": brain.Changes, "FULL": brain.Full, "SAVED": brain.Saved, "FAILED": brain.Failed,
+var listKinds = map[string]routing.ListKind{
+	"INCREMENTAL": routing.Changes, "FULL": routing.Full, "SAVED": routing.Saved, "FAILED": routing.Failed,
 }
 
-var statuses = map[string]brain.Status{"ready": brain.Ready, "draining": brain.Draining, "gone": brain.Gone}
+var statuses = map[string]routing.Status{"ready": routing.Ready, "draining": routing.Draining, "gone": routing.Gone}
 
 // Record renames one setting for any adapter; items of the list of remap rules become remap.N.name.
 func Record(key, value string) (string, string) {
--- a/wire/wire.go
+++ b/simadapter/wire.go
@@ -1,6 +1,6 @@
 // Package wire is the adapter for the bench's wire: it parses batches of events, hands them to the routers
 // that it hosts and prints their actions. It decides nothing.
-package wire
+package simadapter
 
 import (
 	"bufio"
@@ -12,16 +12,16 @@
 	"strconv"
 	"strings"
 
-	"cairnfront/brain"
+	"cairnfront/routing"
 )
 
 // Maker starts a router's decision logic.
-type Maker func(seed uint64, rec brain.Records) brain.Decider
+type Maker func(seed uint64, rec routing.Records) routing.Decider
 
 // said is what one router wants done after one event.
 type said struct {
 	router  int
-	actions []brain.Action
+	actions []routing.Action
 	fault   string
 }
 
@@ -30,8 +30,8 @@
 	out     *bufio.Writer
 	long    []byte // a line that outgrew the reader's buffer
 	start   Maker
-	routers map[int]brain.Decider
-	banks   map[int][]brain.Row
+	routers map[int]routing.Decider
+	banks   map[int][]routing.Row
 	now     float64
 	batch   string
 	line    int
@@ -42,7 +42,7 @@
 // Serve answers batches until the input ends.
 func Serve(in io.Reader, out io.Writer, start Maker) error {
 	s := &server{in: bufio.NewReaderSize(in, 1<<20), out: bufio.NewWriterSize(out, 1<<18), start: start,
-		routers: map[int]brain.Decider{}, banks: map[int][]brain.Row{}}
+		routers: map[int]routing.Decider{}, banks: map[int][]routing.Row{}}
 	for {
 		err := s.round()
 		if errors.Is(err, io.EOF) {
@@ -139,14 +139,14 @@
 	if name == "SNAPSHOT_ROWS" {
 		return s.bank(&f, line)
 	}
-	var ev brain.Event
+	var ev routing.Event
 	router := f.integer()
 	if len(line) == len(name) {
 		f.fail("missing router")
 	}
 	switch name {
 	case "NEW_INSTANCE":
-		seed, rec := f.token(), brain.Records{}
+		seed, rec := f.token(), routing.Records{}
 		for w := f.next(); len(w) > 0; w = f.next() {
 			key, value, _ := strings.Cut(string(w), "=")
 			key, value = Record(key, value)
@@ -155,7 +155,7 @@
 		if f.err != nil {
 			return fmt.Errorf("%w in %q", f.err, clip(line))
 		}
-		s.guard(router, func() []brain.Action {
+		s.guard(router, func() []routing.Action {
 			s.routers[router] = s.start(seed, rec)
 			return nil
 		})
@@ -177,37 +177,37 @@
 		if !ok {
 			f.fail("unknown kind of list")
 		}
-		l := brain.Listing{Kind: kind}
-		if kind != brain.Failed {
+		l := routing.Listing{Kind: kind}
+		if kind != routing.Failed {
 			if l.Rows, ok = s.banks[bank]; !ok {
 				f.fail("unknown list")
 			}
 		}
 		ev = l
 	case "ACCEPT":
-		a := brain.Arrival{Txn: f.id(), Rule: f.integer()}
+		a := routing.Arrival{Txn: f.id(), Rule: f.integer()}
 		f.next() // tenant
 		a.Object, a.Limit, a.KB, a.Group, a.Part = f.text(), f.float(), f.float(), f.integer(), f.integer()
 		a.Write = f.integer()&4 != 0
 		ev = a
 	case "REPLY":
-		o := brain.Outcome{Txn: f.id(), FirstByte: f.float()}
+		o := routing.Outcome{Txn: f.id(), FirstByte: f.float()}
 		o.Code = f.code()
-		o.Remark = brain.Remark(f.integer())
+		o.Remark = routing.Remark(f.integer())
 		o.Member, o.Took, o.Hop, o.Final = f.text(), f.float(), f.integer(), f.integer() == 1
 		o.Load = f.load()
 		ev = o
 	case "TIMED_OUT_CLIENT":
-		ev = brain.ClientGone{Txn: f.id()}
+		ev = routing.ClientGone{Txn: f.id()}
 	case "BELL":
-		ev = brain.Bell{Token: f.token()}
+		ev = routing.Bell{Token: f.token()}
 	case "STATUS_BACK":
-		c := brain.Checked{Member: f.id()}
+		c := routing.Checked{Member: f.id()}
 		c.Code = f.code()
 		c.Took, c.Load = f.float(), f.load()
 		ev = c
 	case "EXPIRED_NOW":
-		p := brain.Purge{Ago: f.float(), Group: f.integer()}
+		p := routing.Purge{Ago: f.float(), Group: f.integer()}
 		if p.Object = f.text(); p.Object == "0" {
 			p.Object = ""
 		}
@@ -222,12 +222,12 @@
 	if d == nil {
 		return fmt.Errorf("event for router %d, which is not started: %q", router, clip(line))
 	}
-	s.guard(router, func() []brain.Action { return d.Decide(s.now, ev) })
+	s.guard(router, func() []routing.Action { return d.Decide(s.now, ev) })
 	return nil
 }
 
 // guard runs the module for one event; a panic there is kept as that router's fault.
-func (s *server) guard(router int, run func() []brain.Action) {
+func (s *server) guard(router int, run func() []routing.Action) {
 	defer func() {
 		if p := recover(); p != nil {
 			text := strings.ReplaceAll(fmt.Sprint(p), "\n", " ")
@@ -235,7 +235,7 @@
 		}
 	}()
 	if acts := run(); len(acts) > 0 {
-		s.said = append(s.said, said{router: router, actions: append([]brain.Action(nil), acts...)})
+		s.said = append(s.said, said{router: router, actions: append([]routing.Action(nil), acts...)})
 	}
 }
 
@@ -245,7 +245,7 @@
 	if f.err != nil || count < 0 {
 		return fmt.Errorf("bad list line %q", clip(line))
 	}
-	var rows []brain.Row
+	var rows []routing.Row
 	for range count {
 		line, err := s.next()
 		if errors.Is(err, io.EOF) {
@@ -258,7 +258,7 @@
 		if string(g.next()) != "ROW" {
 			return fmt.Errorf("expected a row of the list, found %q", clip(line))
 		}
-		r := brain.Row{Member: g.id(), Location: g.integer(), Kind: g.integer(), Cell: g.integer()}
+		r := routing.Row{Member: g.id(), Location: g.integer(), Kind: g.integer(), Cell: g.integer()}
 		status, ok := statuses[string(g.next())]
 		if !ok {
 			g.fail("unknown status")
@@ -341,7 +341,7 @@
 	return x
 }
 
-func (f *fields) code() brain.Code {
+func (f *fields) code() routing.Code {
 	c, ok := codes[string(f.next())]
 	if !ok {
 		f.fail("unknown result")
@@ -349,8 +349,8 @@
 	return c
 }
 
-func (f *fields) load() []brain.Reading {
-	var out []brain.Reading
+func (f *fields) load() []routing.Reading {
+	var out []routing.Reading
 	for pair := range strings.SplitSeq(f.text(), ",") {
 		name, value, ok := strings.Cut(pair, ":")
 		if !ok {
@@ -360,33 +360,33 @@
 		if err != nil {
 			f.fail("bad load report")
 		}
-		out = append(out, brain.Reading{Name: Reading(name), Value: x})
+		out = append(out, routing.Reading{Name: Reading(name), Value: x})
 	}
 	return out
 }
 
 // action prints one action as a line.
-func (s *server) action(router int, a brain.Action) {
+func (s *server) action(router int, a routing.Action) {
 	switch a := a.(type) {
-	case brain.Hop:
+	case routing.Hop:
 		how := flag(a.Join, 1) + flag(a.NoFetch, 2) + flag(a.NoTrace, 4) + flag(a.Renew, 8)
 		s.buf = s.text(s.text(s.word("ANSWER_FROM", router), a.Txn), a.To)
 		s.buf = s.text(s.float(s.buf, a.Until), a.Source)
 		s.buf = s.integer(s.float(s.integer(s.buf, a.Rank), a.MaxAge), how)
-	case brain.Cancel:
+	case routing.Cancel:
 		s.buf = s.integer(s.text(s.word("STOP_ATTEMPT", router), a.Txn), a.Hop)
-	case brain.Reject:
+	case routing.Reject:
 		s.buf = s.float(s.text(s.word("DENY", router), a.Txn), a.Again)
-	case brain.Abort:
+	case routing.Abort:
 		s.buf = s.text(s.word("LOSE", router), a.Txn)
-	case brain.Timer:
+	case routing.Timer:
 		s.buf = s.float(s.word("NOTIFY_ME", router), a.After)
 		s.buf = strconv.AppendUint(append(s.buf, ' '), a.Token, 10)
-	case brain.Check:
+	case routing.Check:
 		s.buf = s.text(s.word("CHECK", router), a.Member)
-	case brain.Subscribe:
+	case routing.Subscribe:
 		s.buf = s.integer(s.word("KEEP_INFORMED", router), 1)
-	case brain.Note:
+	case routing.Note:
 		s.buf = s.text(s.word("NOTE_DOWN", router), strings.ReplaceAll(a.Text, "\n", " "))
 	}
 	s.emit()
--- a/wire/wire_test.go
+++ b/simadapter/wire_test.go
@@ -1,32 +1,32 @@
-package wire
+package simadapter
 
 import (
 	"strings"
 	"testing"
 
-	"cairnfront/brain"
+	"cairnfront/routing"
 
 	"github.com/stretchr/testify/assert"
 )
 
 // script is a decider that keeps what it hears and says what it was given.
 type script struct {
-	heard *[]brain.Event
-	says  []brain.Action
+	heard *[]routing.Event
+	says  []routing.Action
 }
 
-func (s script) Decide(_ float64, ev brain.Event) []brain.Action {
+func (s script) Decide(_ float64, ev routing.Event) []routing.Action {
 	*s.heard = append(*s.heard, ev)
-	if a, ok := ev.(brain.Arrival); ok && a.Object == "h:bad" {
+	if a, ok := ev.(routing.Arrival); ok && a.Object == "h:bad" {
 		panic("two\nlines")
 	}
 	return s.says
 }
 
-func serve(in string, says ...brain.Action) (string, []brain.Event, error) {
-	var heard []brain.Event
+func serve(in string, says ...routing.Action) (string, []routing.Event, error) {
+	var heard []routing.Event
 	var out strings.Builder
-	err := Serve(strings.NewReader(in), &out, func(uint64, brain.Records) brain.Decider { return script{&heard, says} })
+	err := Serve(strings.NewReader(in), &out, func(uint64, routing.Records) routing.Decider { return script{&heard, says} })
 	return out.String(), heard, err
 }
 
@@ -34,9 +34,9 @@
 
 func TestActionsArePrinted(t *testing.T) {
 	out, _, err := serve(start+"BATCH 2.5 1\nBELL 3 77\nEND\n",
-		brain.Hop{Txn: "ab", To: "1.2.3.4:5", Until: 2.25, Source: "p:1", Rank: 2, MaxAge: 0.5, Join: true, Renew: true},
-		brain.Cancel{Txn: "ab", Hop: 1}, brain.Reject{Txn: "ab", Again: 0.25}, brain.Abort{Txn: "cd"}, brain.Timer{After: 0.5, Token: 9},
-		brain.Check{Member: "x:1"}, brain.Subscribe{}, brain.Note{Text: "a\nb"})
+		routing.Hop{Txn: "ab", To: "1.2.3.4:5", Until: 2.25, Source: "p:1", Rank: 2, MaxAge: 0.5, Join: true, Renew: true},
+		routing.Cancel{Txn: "ab", Hop: 1}, routing.Reject{Txn: "ab", Again: 0.25}, routing.Abort{Txn: "cd"}, routing.Timer{After: 0.5, Token: 9},
+		routing.Check{Member: "x:1"}, routing.Subscribe{}, routing.Note{Text: "a\nb"})
 	assert.NoError(t, err)
 	assert.Equal(t, "EOR 0\nANSWER_FROM 3 ab 1.2.3.4:5 2.250000 p:1 2 0.500000 9\nSTOP_ATTEMPT 3 ab 1\nDENY 3 ab 0.250000\n"+
 		"LOSE 3 cd\nNOTIFY_ME 3 0.500000 9\nCHECK 3 x:1\nKEEP_INFORMED 3 1\nNOTE_DOWN 3 a b\nEOR 1\n", out)
@@ -49,14 +49,14 @@
 		"ACCEPT 3 8b 1 0 h:k 8.5 640 11 3 4\nREPLY 3 8b 0.5 204 8 a:1 0.7 2 1 load_share:0.5,x1:2\n" +
 		"TIMED_OUT_CLIENT 3 8b\nBELL 3 5\nSTATUS_BACK 3 a:1 521 0.4 -\nEXPIRED_NOW 3 0.1 11 -\nNEWS 3 what\nEND\n")
 	assert.NoError(t, err)
-	assert.Equal(t, []brain.Event{
-		brain.Listing{Kind: brain.Saved, Rows: []brain.Row{{Member: "a:1", Location: 3, Cell: 7, Weight: 1.5, Started: 6.1}}},
-		brain.Listing{Kind: brain.Changes, Rows: []brain.Row{{Member: "b:1", Location: 3, Cell: 7, Weight: 1, Status: brain.Draining}}},
-		brain.Arrival{Txn: "8b", Rule: 1, Object: "h:k", Limit: 8.5, KB: 640, Group: 11, Part: 3, Write: true},
-		brain.Outcome{Txn: "8b", FirstByte: 0.5, Code: brain.Miss, Remark: brain.SourceLacks, Member: "a:1", Took: 0.7, Hop: 2, Final: true,
-			Load: []brain.Reading{{Name: "util", Value: 0.5}, {Name: "link_fill", Value: 2}}},
-		brain.ClientGone{Txn: "8b"}, brain.Bell{Token: 5}, brain.Checked{Member: "a:1", Code: brain.NoConnect, Took: 0.4},
-		brain.Purge{Ago: 0.1, Group: 11},
+	assert.Equal(t, []routing.Event{
+		routing.Listing{Kind: routing.Saved, Rows: []routing.Row{{Member: "a:1", Location: 3, Cell: 7, Weight: 1.5, Started: 6.1}}},
+		routing.Listing{Kind: routing.Changes, Rows: []routing.Row{{Member: "b:1", Location: 3, Cell: 7, Weight: 1, Status: routing.Draining}}},
+		routing.Arrival{Txn: "8b", Rule: 1, Object: "h:k", Limit: 8.5, KB: 640, Group: 11, Part: 3, Write: true},
+		routing.Outcome{Txn: "8b", FirstByte: 0.5, Code: routing.Miss, Remark: routing.SourceLacks, Member: "a:1", Took: 0.7, Hop: 2, Final: true,
+			Load: []routing.Reading{{Name: "util", Value: 0.5}, {Name: "link_fill", Value: 2}}},
+		routing.ClientGone{Txn: "8b"}, routing.Bell{Token: 5}, routing.Checked{Member: "a:1", Code: routing.NoConnect, Took: 0.4},
+		routing.Purge{Ago: 0.1, Group: 11},
 	}, heard)
 }
 
@@ -72,7 +72,7 @@
 
 func TestWhatAKilledRouterSaidIsVoid(t *testing.T) {
 	out, heard, err := serve(start+"BATCH 2 1\nBELL 3 1\nDOWN 3\nNEW_INSTANCE 3 8 me=2\nBELL 3 2\nEND\nBATCH 3 2\nEND\n",
-		brain.Timer{After: 1, Token: 4})
+		routing.Timer{After: 1, Token: 4})
 	assert.NoError(t, err)
 	assert.Len(t, heard, 2)
 	assert.Equal(t, "EOR 0\nNOTIFY_ME 3 1.000000 4\nEOR 1\nEOR 2\n", out)
