--- a/cmd/cairnfront-sim/main.go
+++ b/cmd/cairnfront-sim/main.go
@@ -10,7 +10,7 @@
 )
 
 func main() {
-	fresh := func(seed uint64, rec routing.Records) routing.Decider { return routing.New(seed, rec) }
+	fresh := func(seed uint64, rec routing.Settings) routing.Decider { return routing.New(seed, rec) }
 	if err := simadapter.Serve(os.Stdin, os.Stdout, fresh); err != nil {
 		fmt.Fprintln(os.Stderr, "cairnfront-sim:", err)
 		os.Exit(1)
--- a/cmd/cairnfront/drain_test.go
+++ b/cmd/cairnfront/drain_test.go
@@ -89,8 +89,8 @@
 // TestDrainEndsBeforeTheKill: which comes no sooner than the longest time limit, 3 s at most, and 0.7 s.
 func TestDrainEndsBeforeTheKill(t *testing.T) {
 	for longest, want := range map[float64]time.Duration{0.9: 1300 * time.Millisecond, 2: 2400 * time.Millisecond, 6: 3400 * time.Millisecond} {
-		m := bootstrap.Manifest{Rules: []string{"a", "b"}, Records: routing.Records{routing.Remap(0, "limit_s"): "0.5",
-			routing.Remap(1, "limit_s"): strconv.FormatFloat(longest, 'f', -1, 64)}}
+		m := bootstrap.Manifest{Rules: []string{"a", "b"}, Records: routing.Settings{routing.ClassSetting(0, "limit_s"): "0.5",
+			routing.ClassSetting(1, "limit_s"): strconv.FormatFloat(longest, 'f', -1, 64)}}
 		assert.Equal(t, want, drainMost(m), longest)
 	}
 }
--- a/cmd/cairnfront/peers.go
+++ b/cmd/cairnfront/peers.go
@@ -68,16 +68,16 @@
 		return nil, err
 	}
 	node.Pulse = func(done func()) { loop.Post(done) }
-	loop.Saw = func(member string, rule int, code routing.Code, took float64) {
-		sla := loop.Records.Num(routing.Remap(rule, "sla_s"), 1)
+	loop.Saw = func(member string, rule int, code routing.AttemptResult, took float64) {
+		sla := loop.Records.Float(routing.ClassSetting(rule, "sla_s"), 1)
 		if says, ok := observation.Read(code, took > sla); ok {
 			node.Ended(member, says)
 		}
 	}
-	doubts := make(chan routing.Doubt, mostDoubts) // the loop may be slow; the node must not wait for it
+	doubts := make(chan routing.HealthObservation, mostDoubts) // the loop may be slow; the node must not wait for it
 	node.Heed = func(member string, doubt, s float64) {
 		select {
-		case doubts <- routing.Doubt{Member: member, Level: doubt, For: s}:
+		case doubts <- routing.HealthObservation{Endpoint: member, Suspicion: doubt, ValidSeconds: s}:
 		default:
 			k.Add("peers.doubts-untold", 1)
 		}
--- a/cmd/cairnfront/reach.go
+++ b/cmd/cairnfront/reach.go
@@ -26,7 +26,7 @@
 
 func (a *addressed) of(row discovery.Row) []address.Addr {
 	for _, s := range a.list {
-		if s.Matches(row.Member, row.Addr) {
+		if s.Matches(row.ID, row.Addr) {
 			out := make([]address.Addr, len(s.List))
 			for i, text := range s.List {
 				out[i] = address.Addr(text)
--- a/cmd/cairnfront/serve.go
+++ b/cmd/cairnfront/serve.go
@@ -61,9 +61,9 @@
 	}
 	defer k.Print(os.Stderr)
 	gate := admission.New(m.MemoryMB, descriptors(m.Sockets))
-	seconds := func(name string) time.Duration { return time.Duration(m.Records.Num(name, 0) * float64(time.Second)) }
+	seconds := func(name string) time.Duration { return time.Duration(m.Records.Float(name, 0) * float64(time.Second)) }
 	pool := &upstream.Pool{Gate: gate, Book: k, Connect: seconds("connect_s"), Idle: seconds("idle_close_s"),
-		Streams: int(m.Records.Num("hops_a_connection", 1)), Report: m.Records["load_by"] == "checks"}
+		Streams: int(m.Records.Float("hops_a_connection", 1)), Report: m.Records["load_by"] == "checks"}
 	loop := dispatch.New(routing.New(m.Seed, m.Records), m.Records, pool, k)
 	pool.Post = loop.Post
 	rules := map[string]int{}
@@ -79,9 +79,9 @@
 	g, ctx := errgroup.WithContext(ctx)
 	repeatable := map[int]bool{}
 	for i := range m.Rules {
-		repeatable[i] = m.Records[routing.Remap(i, "effect")] == "repeatable"
+		repeatable[i] = m.Records[routing.ClassSetting(i, "effect")] == "repeatable"
 	}
-	reload, err := extend(ctx, g, operators, m.Name, m.Seed, repeatable, m.Records.Is("may_check"), pool, loop, k)
+	reload, err := extend(ctx, g, operators, m.Name, m.Seed, repeatable, m.Records.Bool("may_check"), pool, loop, k)
 	if err != nil {
 		return err
 	}
@@ -152,7 +152,7 @@
 func drainMost(m bootstrap.Manifest) time.Duration {
 	longest := 0.0
 	for i := range m.Rules {
-		longest = max(longest, m.Records.Num(routing.Remap(i, "limit_s"), killMost.Seconds()))
+		longest = max(longest, m.Records.Float(routing.ClassSetting(i, "limit_s"), killMost.Seconds()))
 	}
 	return min(time.Duration(longest*float64(time.Second)), killMost) + drainLeast - endMost
 }
--- a/internal/bootstrap/start.go
+++ b/internal/bootstrap/start.go
@@ -24,7 +24,7 @@
 	Seed                uint64
 	Cores               float64
 	MemoryMB, Sockets   int
-	Records             routing.Records
+	Records             routing.Settings
 	Rules               []string // names of the remap rules
 	Known               []discovery.Event
 	Last                uint64 // number of the last known event
@@ -76,7 +76,7 @@
 		return Manifest{}, fmt.Errorf("not the JSON that is expected: %w", err)
 	}
 	m := Manifest{Name: file.Name, Listen: file.Listen, Board: file.Board, Cores: file.Limits.Cores,
-		MemoryMB: file.Limits.MemoryMB, Sockets: file.Limits.Sockets, Records: routing.Records{}}
+		MemoryMB: file.Limits.MemoryMB, Sockets: file.Limits.Sockets, Records: routing.Settings{}}
 	for name, addr := range map[string]string{"listen": m.Listen, "board": m.Board} {
 		if _, _, err := net.SplitHostPort(addr); err != nil {
 			return m, fmt.Errorf("%s: %q is no address", name, addr)
@@ -158,7 +158,7 @@
 }
 
 // flatten turns nested objects into the paths and texts in which the simulator's wire gives them, and renames both.
-func flatten(rec routing.Records, path string, v any) {
+func flatten(rec routing.Settings, path string, v any) {
 	put := func(text string) {
 		key, value := simadapter.Record(path, text)
 		rec[key] = value
--- a/internal/cacheproto/far.go
+++ b/internal/cacheproto/far.go
@@ -40,7 +40,7 @@
 	Key    string
 	Fill   string
 	Tag    string
-	routing.Hop
+	routing.StartAttempt
 	Size int // of the body, which follows with End
 }
 
@@ -95,22 +95,22 @@
 			a.Fill = v
 		case "shelf":
 			n, err := strconv.ParseUint(v, 10, 8)
-			a.Rank, ok = int(n), ok && err == nil && n <= 3
+			a.RetentionRank, ok = int(n), ok && err == nil && n <= 3
 		case "accept":
-			a.MaxAge = ms()
+			a.MaxAgeSeconds = ms()
 		case "got":
 			a.Tag = v
 		case "hints":
 			for word := range strings.SplitSeq(v, "+") {
 				switch word {
 				case "ride":
-					a.Join = true
+					a.JoinFill = true
 				case "have-only":
-					a.NoFetch = true
+					a.CacheOnly = true
 				case "through":
-					a.NoTrace = true
+					a.ParentNoStore = true
 				case "update":
-					a.Renew = true
+					a.Revalidate = true
 				default:
 					ok = false
 				}
@@ -130,17 +130,17 @@
 
 // Reply is an answer of a cache box. The bytes of its body have to follow, and End.
 type Reply struct {
-	Code   routing.Code
+	Code   routing.AttemptResult
 	Same   bool
-	Remark routing.Remark
+	Remark routing.ResultDetail
 	Tag    string
 	Dated  int64 // Unix ms, 0 for none
 	Group  int   // UnknownGroup for none
 	Size   int
 }
 
-var replies = map[routing.Code]string{routing.Completed: "served", routing.Errored: "crashed", routing.Busy: "overload",
-	routing.Moot: "nobody", routing.Miss: "not_here"}
+var replies = map[routing.AttemptResult]string{routing.Completed: "served", routing.ServerError: "crashed", routing.Overloaded: "overload",
+	routing.NotSent: "nobody", routing.CacheMiss: "not_here"}
 
 // AppendReply writes the line of an answer.
 func AppendReply(b []byte, id string, r Reply) []byte {
--- a/internal/cacheproto/line.go
+++ b/internal/cacheproto/line.go
@@ -25,7 +25,7 @@
 	Txn  *request.Txn
 	Wait float64 // seconds
 	Fill string
-	routing.Hop
+	routing.StartAttempt
 }
 
 // AppendDo writes the line of a hop; the body and End have to follow.
@@ -42,17 +42,17 @@
 	if d.Fill != "" {
 		b = append(append(b, ",parent="...), d.Fill...)
 	}
-	if d.Rank > 0 {
-		b = strconv.AppendInt(append(b, ",shelf="...), int64(d.Rank), 10)
+	if d.RetentionRank > 0 {
+		b = strconv.AppendInt(append(b, ",shelf="...), int64(d.RetentionRank), 10)
 	}
-	if d.MaxAge > 0 { // rounded down: a younger copy will do as well; 0 would mean any
-		b = strconv.AppendInt(append(b, ",accept="...), max(int64(math.Floor(d.MaxAge*1000)), 1), 10)
+	if d.MaxAgeSeconds > 0 { // rounded down: a younger copy will do as well; 0 would mean any
+		b = strconv.AppendInt(append(b, ",accept="...), max(int64(math.Floor(d.MaxAgeSeconds*1000)), 1), 10)
 	}
 	mark := ",hints="
 	for _, h := range []struct {
 		on   bool
 		word string
-	}{{d.Join, "ride"}, {d.NoFetch, "have-only"}, {d.NoTrace, "through"}, {d.Renew, "update"}} {
+	}{{d.JoinFill, "ride"}, {d.CacheOnly, "have-only"}, {d.ParentNoStore, "through"}, {d.Revalidate, "update"}} {
 		if h.on {
 			b = append(append(b, mark...), h.word...)
 			mark = "+"
@@ -87,12 +87,12 @@
 	Size int
 }
 
-var ends = map[string]routing.Code{
-	"served": routing.Completed, "still_good": routing.Completed, "not_here": routing.Miss, "overload": routing.Busy,
-	"crashed": routing.Errored, "nobody": routing.Moot, "green": routing.Completed, "red": routing.Errored,
+var ends = map[string]routing.AttemptResult{
+	"served": routing.Completed, "still_good": routing.Completed, "not_here": routing.CacheMiss, "overload": routing.Overloaded,
+	"crashed": routing.ServerError, "nobody": routing.NotSent, "green": routing.Completed, "red": routing.ServerError,
 }
 
-var remarks = map[string]routing.Remark{"h": routing.Hit, "f": routing.Filled, "j": routing.Joined, "s": routing.Old}
+var remarks = map[string]routing.ResultDetail{"h": routing.CacheHit, "f": routing.Filled, "j": routing.JoinedFill, "s": routing.StaleHit}
 
 var errShape = errors.New("answer is not of the form ID WORD FIELDS LENGTH")
 
@@ -135,12 +135,12 @@
 	return a, nil
 }
 
-func readings(text string) []routing.Reading {
-	var out []routing.Reading
+func readings(text string) []routing.LoadMetric {
+	var out []routing.LoadMetric
 	for pair := range strings.SplitSeq(text, ";") {
 		name, value, _ := strings.Cut(pair, ":")
 		if x, err := strconv.ParseFloat(value, 64); err == nil && !math.IsNaN(x) && !math.IsInf(x, 0) {
-			out = append(out, routing.Reading{Name: simadapter.Reading(name), Value: x})
+			out = append(out, routing.LoadMetric{Name: simadapter.Reading(name), Value: x})
 		}
 	}
 	return out
--- a/internal/cacheproto/line_test.go
+++ b/internal/cacheproto/line_test.go
@@ -14,11 +14,11 @@
 		Body: &request.Body{Bytes: []byte("ab")}}
 	assert.Equal(t, "do 9b1f03aa5c7e2d41 profile=page,thing=7f3a9c21e0b4d655,nth=3,max=1500,replay=k1,parent=s-1,shelf=2,"+
 		"accept=12,hints=ride+have-only+through+update,got=t1 2\r\n",
-		string(AppendDo(nil, Do{Txn: x, Wait: 1.5004, Fill: "s-1", Hop: routing.Hop{Rank: 2, MaxAge: 0.0129, Join: true,
-			NoFetch: true, NoTrace: true, Renew: true}})))
+		string(AppendDo(nil, Do{Txn: x, Wait: 1.5004, Fill: "s-1", StartAttempt: routing.StartAttempt{RetentionRank: 2, MaxAgeSeconds: 0.0129, JoinFill: true,
+			CacheOnly: true, ParentNoStore: true, Revalidate: true}})))
 	x.Body, x.Key, x.Tag = nil, "", ""
 	assert.Equal(t, "do 9b1f03aa5c7e2d41 profile=page,thing=7f3a9c21e0b4d655,nth=3,max=1,accept=1 0\r\n",
-		string(AppendDo(nil, Do{Txn: x, Wait: 1e-5, Hop: routing.Hop{MaxAge: 2e-6}})), "no time and no age becomes 0")
+		string(AppendDo(nil, Do{Txn: x, Wait: 1e-5, StartAttempt: routing.StartAttempt{MaxAgeSeconds: 2e-6}})), "no time and no age becomes 0")
 	assert.Equal(t, "undo ab\r\nping c1\r\ntop c2\r\n",
 		string(AppendCheck(AppendCheck(AppendUndo(nil, "ab"), "c1", false), "c2", true)))
 }
@@ -28,13 +28,13 @@
 		"ab served digest=d1,dated=176,remark=f 7": {ID: "ab", Size: 7, End: request.End{Code: routing.Completed, Tag: "d1", Remark: routing.Filled}},
 		"ab still_good digest=d1,dated=176 0":      {ID: "ab", End: request.End{Code: routing.Completed, Tag: "d1", Same: true}},
 		"ab served - 0":                            {ID: "ab", End: request.End{Code: routing.Completed}}, // a write's has no digest
-		"ab not_here remark=j 0":                   {ID: "ab", End: request.End{Code: routing.Miss, Remark: routing.Joined}},
-		"ab overload - 0":                          {ID: "ab", End: request.End{Code: routing.Busy}},
-		"ab crashed remark=zz 3":                   {ID: "ab", Size: 3, End: request.End{Code: routing.Errored}},
-		"ab nobody - 0":                            {ID: "ab", End: request.End{Code: routing.Moot}},
+		"ab not_here remark=j 0":                   {ID: "ab", End: request.End{Code: routing.CacheMiss, Remark: routing.JoinedFill}},
+		"ab overload - 0":                          {ID: "ab", End: request.End{Code: routing.Overloaded}},
+		"ab crashed remark=zz 3":                   {ID: "ab", Size: 3, End: request.End{Code: routing.ServerError}},
+		"ab nobody - 0":                            {ID: "ab", End: request.End{Code: routing.NotSent}},
 		"c1 green report=inflight:7;x1:0.6;y:NaN 0": {ID: "c1", Check: true, End: request.End{Code: routing.Completed,
-			Load: []routing.Reading{{Name: "inflight", Value: 7}, {Name: "link_fill", Value: 0.6}}}},
-		"c1 red - 0": {ID: "c1", Check: true, End: request.End{Code: routing.Errored}},
+			Load: []routing.LoadMetric{{Name: "inflight", Value: 7}, {Name: "link_fill", Value: 0.6}}}},
+		"c1 red - 0": {ID: "c1", Check: true, End: request.End{Code: routing.ServerError}},
 	} {
 		got, err := ParseAnswer([]byte(text))
 		assert.NoError(t, err, text)
@@ -62,15 +62,15 @@
 // What a router writes a box reads, and the other way round.
 func TestBothSidesAgree(t *testing.T) {
 	x := &request.Txn{ID: "9b1f03aa5c7e2d41", Name: "page", Object: "7f3a9c21e0b4d655", Part: "3", Key: "k1", Tag: "t1", Body: &request.Body{Bytes: []byte("hi")}}
-	hop := routing.Hop{Rank: 2, MaxAge: 0.012, Join: true, NoFetch: true, NoTrace: true, Renew: true}
-	text := AppendDo(nil, Do{Txn: x, Wait: 1.5, Fill: "s-1", Hop: hop})
+	hop := routing.StartAttempt{RetentionRank: 2, MaxAgeSeconds: 0.012, JoinFill: true, CacheOnly: true, ParentNoStore: true, Revalidate: true}
+	text := AppendDo(nil, Do{Txn: x, Wait: 1.5, Fill: "s-1", StartAttempt: hop})
 	a, err := ParseAsked(text[:len(text)-2])
 	assert.NoError(t, err)
 	assert.Equal(t, Asked{ID: x.ID, Name: "page", Object: x.Object, ObjNo: 0x7f3a9c21e0b4d655, Part: "3", PartNo: 3, Wait: 1.5, Key: "k1",
-		Fill: "s-1", Tag: "t1", Hop: hop, Size: 2}, a)
-	for _, r := range []Reply{{Code: routing.Completed, Remark: routing.Hit, Tag: "t", Dated: 7, Group: 12, Size: 4},
-		{Code: routing.Completed, Same: true, Remark: routing.Old, Tag: "t", Dated: 7, Group: UnknownGroup}, {Code: routing.Busy, Group: UnknownGroup},
-		{Code: routing.Miss, Group: UnknownGroup}, {Code: routing.Errored, Group: UnknownGroup}} {
+		Fill: "s-1", Tag: "t1", StartAttempt: hop, Size: 2}, a)
+	for _, r := range []Reply{{Code: routing.Completed, Remark: routing.CacheHit, Tag: "t", Dated: 7, Group: 12, Size: 4},
+		{Code: routing.Completed, Same: true, Remark: routing.StaleHit, Tag: "t", Dated: 7, Group: UnknownGroup}, {Code: routing.Overloaded, Group: UnknownGroup},
+		{Code: routing.CacheMiss, Group: UnknownGroup}, {Code: routing.ServerError, Group: UnknownGroup}} {
 		text := AppendReply(nil, "ab", r)
 		got, err := ParseAnswer(text[:len(text)-2])
 		assert.NoError(t, err, string(text))
@@ -93,7 +93,7 @@
 	f.Add([]byte("undo 9b"))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		a, err := ParseAsked(b)
-		if err == nil && (a.ID == "" || a.Size < 0 || a.Size > MostWrite || a.Rank > 3 || a.Wait < 0 || a.MaxAge < 0) {
+		if err == nil && (a.ID == "" || a.Size < 0 || a.Size > MostWrite || a.RetentionRank > 3 || a.Wait < 0 || a.MaxAgeSeconds < 0) {
 			t.Fatalf("%+v", a)
 		}
 	})
--- a/internal/discovery/board.go
+++ b/internal/discovery/board.go
@@ -17,7 +17,7 @@
 
 // Row is one member of the list with the address at which it listens.
 type Row struct {
-	routing.Row
+	routing.Endpoint
 	Addr string
 }
 
@@ -41,7 +41,7 @@
 	mostFrame  = 1 << 20
 )
 
-var statuses = [...]routing.Status{routing.Ready, routing.Draining, routing.Gone}
+var statuses = [...]routing.EndpointStatus{routing.Ready, routing.Draining, routing.Removed}
 
 // ParseHead reads the first HeadSize bytes of a frame and returns the size of its payload.
 func ParseHead(b []byte) (number uint64, kind byte, size int, err error) {
@@ -68,11 +68,11 @@
 				return ev, fmt.Errorf("unknown state %d", b[10])
 			}
 			addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte(b[4:8])), binary.BigEndian.Uint16(b[8:]))
-			ev.Rows = append(ev.Rows, Row{Addr: addr.String(), Row: routing.Row{
-				Member: fmt.Sprintf("s-%08x", binary.BigEndian.Uint32(b)), Status: statuses[b[10]],
-				Location: int(b[11]), Kind: int(b[12]), Cell: int(binary.BigEndian.Uint16(b[13:])),
-				Weight:  float64(binary.BigEndian.Uint32(b[15:])) / 1000,
-				Started: float64(binary.BigEndian.Uint64(b[19:])) / 1000}})
+			ev.Rows = append(ev.Rows, Row{Addr: addr.String(), Endpoint: routing.Endpoint{
+				ID: fmt.Sprintf("s-%08x", binary.BigEndian.Uint32(b)), Status: statuses[b[10]],
+				Zone: int(b[11]), Kind: int(b[12]), Cell: int(binary.BigEndian.Uint16(b[13:])),
+				Weight:    float64(binary.BigEndian.Uint32(b[15:])) / 1000,
+				StartedAt: float64(binary.BigEndian.Uint64(b[19:])) / 1000}})
 		}
 	case 3, 4:
 		ev.Purged = true
@@ -95,7 +95,7 @@
 // Names are the lists in which text finds its places.
 type Names struct{ Locations, Kinds []string }
 
-var words = map[string]routing.Status{"SERVING": routing.Ready, "DRAINING": routing.Draining, "DELETED": routing.Gone}
+var words = map[string]routing.EndpointStatus{"SERVING": routing.Ready, "DRAINING": routing.Draining, "DELETED": routing.Removed}
 
 // ParseKnown reads the events that the router's start file holds.
 func ParseKnown(text []byte, names Names) ([]Event, uint64, error) {
@@ -134,9 +134,9 @@
 			ev.Full = n.Pool.Snapshot || i == 0
 			for _, e := range n.Pool.Endpoints {
 				status, ok := words[e.Status]
-				row := Row{Addr: e.Address, Row: routing.Row{Member: e.Name, Cell: e.Group, Status: status, Weight: e.Weight,
-					Started: e.Since / 1000, Location: slices.Index(names.Locations, e.Zone), Kind: slices.Index(names.Kinds, e.Type)}}
-				if _, err := netip.ParseAddrPort(e.Address); err != nil || !ok || row.Location < 0 || row.Kind < 0 || e.Name == "" {
+				row := Row{Addr: e.Address, Endpoint: routing.Endpoint{ID: e.Name, Cell: e.Group, Status: status, Weight: e.Weight,
+					StartedAt: e.Since / 1000, Zone: slices.Index(names.Locations, e.Zone), Kind: slices.Index(names.Kinds, e.Type)}}
+				if _, err := netip.ParseAddrPort(e.Address); err != nil || !ok || row.Zone < 0 || row.Kind < 0 || e.Name == "" {
 					return nil, 0, fmt.Errorf("notice %d: member %q can't be used", n.Rev, e.Name)
 				}
 				ev.Rows = append(ev.Rows, row)
@@ -181,19 +181,19 @@
 			kind = 1
 		}
 		for _, row := range ev.Rows {
-			id, err := strconv.ParseUint(strings.TrimPrefix(row.Member, "s-"), 16, 32)
+			id, err := strconv.ParseUint(strings.TrimPrefix(row.ID, "s-"), 16, 32)
 			addr, err2 := netip.ParseAddrPort(row.Addr)
 			if err = errors.Join(err, err2); err != nil || !addr.Addr().Is4() {
-				return b, fmt.Errorf("member %q at %q can't be told: %w", row.Member, row.Addr, err)
+				return b, fmt.Errorf("member %q at %q can't be told: %w", row.ID, row.Addr, err)
 			}
 			ip := addr.Addr().As4()
 			payload = binary.BigEndian.AppendUint32(payload, uint32(id))
 			payload = append(payload, ip[:]...)
 			payload = binary.BigEndian.AppendUint16(payload, addr.Port())
-			payload = append(payload, byte(row.Status), byte(row.Location), byte(row.Kind))
+			payload = append(payload, byte(row.Status), byte(row.Zone), byte(row.Kind))
 			payload = binary.BigEndian.AppendUint16(payload, uint16(row.Cell))
 			payload = binary.BigEndian.AppendUint32(payload, uint32(row.Weight*1000))
-			payload = binary.BigEndian.AppendUint64(payload, uint64(row.Started*1000))
+			payload = binary.BigEndian.AppendUint64(payload, uint64(row.StartedAt*1000))
 		}
 	}
 	if ev.Purged {
--- a/internal/discovery/board_test.go
+++ b/internal/discovery/board_test.go
@@ -19,8 +19,8 @@
 const record = "\x00\xc4\x1f\x7a\x0a\x01\x00\x09\x23\x82\x01\x01\x02\x00\x05\x00\x00\x0f\xa0\x00\x00\x00\x00\x00\x00\x13\x88"
 
 func TestEventsAreRead(t *testing.T) {
-	row := Row{Addr: "10.1.0.9:9090", Row: routing.Row{Member: "s-00c41f7a", Location: 1, Kind: 2, Cell: 5, Weight: 4,
-		Started: 5, Status: routing.Draining}}
+	row := Row{Addr: "10.1.0.9:9090", Endpoint: routing.Endpoint{ID: "s-00c41f7a", Zone: 1, Kind: 2, Cell: 5, Weight: 4,
+		StartedAt: 5, Status: routing.Draining}}
 	object := "\x7f\x3a\x9c\x21\xe0\xb4\xd6\x55"
 	at := "\x00\x00\x00\x00\x00\x00\x03\xe8"
 	for kind, c := range [][]any{{"", Event{Number: 9, Beat: true}}, {record, Event{Number: 9, Full: true, Rows: []Row{row}}},
@@ -50,8 +50,8 @@
 		{"rev":42,"flush":{"asset":"7f3a9c21e0b4d655","ms":1500}},{"rev":43,"flush":{"collection":17,"ms":2000}}]}`), names)
 	assert.NoError(t, err)
 	assert.Equal(t, uint64(43), last)
-	assert.Equal(t, []Event{{Number: 41, Full: true, Rows: []Row{{Addr: "10.1.0.9:9090", Row: routing.Row{Member: "s-00c41f7a",
-		Location: 1, Kind: 1, Cell: 2, Weight: 4.5, Started: 1.5}}}}, {Number: 42, Purged: true, Object: "7f3a9c21e0b4d655", At: 1.5},
+	assert.Equal(t, []Event{{Number: 41, Full: true, Rows: []Row{{Addr: "10.1.0.9:9090", Endpoint: routing.Endpoint{ID: "s-00c41f7a",
+		Zone: 1, Kind: 1, Cell: 2, Weight: 4.5, StartedAt: 1.5}}}}, {Number: 42, Purged: true, Object: "7f3a9c21e0b4d655", At: 1.5},
 		{Number: 43, Purged: true, Group: 17, At: 2}}, events)
 	for _, bad := range []string{"", "{}", `{"notices":[{"rev":1}]}`, `{"notices":[{"flush":{"asset":"zz","ms":1}}]}`} {
 		_, _, err := ParseKnown([]byte(bad), names)
--- a/internal/dispatch/route.go
+++ b/internal/dispatch/route.go
@@ -34,14 +34,14 @@
 // Loop owns the decisions. Post may be called from any goroutine, all else from the one that runs it.
 type Loop struct {
 	Brain   routing.Decider
-	Records routing.Records
+	Records routing.Settings
 	Pool    *upstream.Pool
 	Book    *telemetry.Book
 	Clock   func() float64      // Unix seconds
 	Spend   *retrybudget.Ledger // the budget of further hops; nil for none
 
 	// Saw hears how each hop ended and how long it took, s; nil for nobody. It must not wait.
-	Saw func(member string, rule int, code routing.Code, took float64)
+	Saw func(member string, rule int, code routing.AttemptResult, took float64)
 
 	in      chan any
 	gone    chan struct{}
@@ -85,7 +85,7 @@
 }
 
 // New makes a loop that stands still.
-func New(b routing.Decider, rec routing.Records, p *upstream.Pool, k *telemetry.Book) *Loop {
+func New(b routing.Decider, rec routing.Settings, p *upstream.Pool, k *telemetry.Book) *Loop {
 	return &Loop{Brain: b, Records: rec, Pool: p, Book: k, in: make(chan any, queued), gone: make(chan struct{}), nudge: make(chan struct{}, 1),
 		open: map[string]*open{}, kinds: map[string]int{},
 		Clock: func() float64 { return float64(time.Now().UnixMicro()) / 1e6 }}
@@ -217,7 +217,7 @@
 	case upstream.Dropped:
 		l.Pool.Drop(ev.Link)
 	case discovery.Event:
-		l.noticed(ev, routing.Changes)
+		l.noticed(ev, routing.Incremental)
 	case Abandon:
 		for _, o := range l.open {
 			l.answer(o, request.Answer{Verdict: request.Aborted, Reason: "shutdown"})
@@ -229,41 +229,41 @@
 func (l *Loop) Known(events []discovery.Event) {
 	l.tick()
 	for i, ev := range events {
-		kind := routing.Changes
+		kind := routing.Incremental
 		if i == 0 {
-			kind = routing.Saved
+			kind = routing.Restored
 		}
 		l.noticed(ev, kind)
 	}
 }
 
-func (l *Loop) noticed(ev discovery.Event, kind routing.ListKind) {
+func (l *Loop) noticed(ev discovery.Event, kind routing.UpdateKind) {
 	if ev.Purged {
-		l.decide(routing.Purge{Ago: max(l.now-ev.At, 0), Group: ev.Group, Object: ev.Object}, nil)
+		l.decide(routing.Purge{AgeSeconds: max(l.now-ev.At, 0), ObjectGroup: ev.Group, Object: ev.Object}, nil)
 		return
 	}
-	if ev.Full && kind != routing.Saved {
-		kind = routing.Full
+	if ev.Full && kind != routing.Restored {
+		kind = routing.Snapshot
 	}
-	rows := make([]routing.Row, len(ev.Rows))
+	rows := make([]routing.Endpoint, len(ev.Rows))
 	if ev.Full {
 		clear(l.kinds)
 	}
 	for i, row := range ev.Rows {
-		rows[i] = row.Row
-		if l.kinds[row.Member] = row.Kind; row.Status == routing.Gone {
-			delete(l.kinds, row.Member)
+		rows[i] = row.Endpoint
+		if l.kinds[row.ID] = row.Kind; row.Status == routing.Removed {
+			delete(l.kinds, row.ID)
 		}
 	}
 	l.Pool.List(ev.Full, ev.Rows)
-	l.decide(routing.Listing{Kind: kind, Rows: rows}, nil)
+	l.decide(routing.EndpointUpdate{Kind: kind, Endpoints: rows}, nil)
 }
 
 // left takes in, once, that a client waits no more.
 func (l *Loop) left(o *open) {
 	if !o.gone {
 		o.gone, o.ended = true, true
-		l.decide(routing.ClientGone{Txn: o.t.ID}, o)
+		l.decide(routing.ClientDisconnected{Request: o.t.ID}, o)
 		l.tidy(o)
 	}
 }
@@ -281,8 +281,8 @@
 	o := &open{t: t}
 	l.open[t.ID] = o
 	l.at(t.Limit+guardAfter.Seconds(), timer{guard: o})
-	l.decide(routing.Arrival{Txn: t.ID, Rule: t.Rule, Object: strings.ToLower(t.Object), Part: t.PartNo, Group: t.Group, Limit: t.Limit,
-		KB: t.KB, Write: l.Records.Item("uncacheable", t.Rule) == "true"}, o)
+	l.decide(routing.RequestArrived{Request: t.ID, Class: t.Rule, Object: strings.ToLower(t.Object), Chunk: t.PartNo, ObjectGroup: t.Group, Deadline: t.Limit,
+		SizeKB: t.KB, Write: l.Records.ListItem("uncacheable", t.Rule) == "true"}, o)
 }
 
 // answer gives a txn its final answer, if it had none.
@@ -305,9 +305,9 @@
 	}
 }
 
-var reasons = map[routing.Code]string{routing.Completed: "completed", routing.Errored: "errored", routing.Busy: "busy",
-	routing.TimedOut: "timed-out", routing.NoConnect: "no-connect", routing.Broken: "broken", routing.Cancelled: "cancelled",
-	routing.Moot: "moot", routing.Miss: "miss"}
+var reasons = map[routing.AttemptResult]string{routing.Completed: "completed", routing.ServerError: "errored", routing.Overloaded: "busy",
+	routing.TimedOut: "timed-out", routing.ConnectFailed: "no-connect", routing.ConnectionBroken: "broken", routing.Cancelled: "cancelled",
+	routing.NotSent: "moot", routing.CacheMiss: "miss"}
 
 // ended is the end of a hop. The first completed one answers its txn.
 func (l *Loop) ended(h *hop, end request.End) {
@@ -325,15 +325,15 @@
 	if l.Saw != nil {
 		l.Saw(h.member, o.t.Rule, end.Code, l.now-h.sent)
 	}
-	l.decide(routing.Outcome{Txn: o.t.ID, Hop: h.no, Member: h.member, Code: end.Code, Remark: end.Remark,
-		Took: l.now - h.sent, Final: o.ended, Load: end.Load}, o)
+	l.decide(routing.AttemptEnded{Request: o.t.ID, Attempt: h.no, Endpoint: h.member, Result: end.Code, Detail: end.Remark,
+		ElapsedSeconds: l.now - h.sent, RequestDone: o.ended, LoadReport: end.Load}, o)
 	l.tidy(o)
 }
 
 func (l *Loop) checked(c *check, end request.End) {
 	if !c.over {
 		c.over = true
-		l.decide(routing.Checked{Member: c.member, Code: end.Code, Took: l.now - c.sent, Load: end.Load}, nil)
+		l.decide(routing.ProbeResult{Endpoint: c.member, Result: end.Code, ElapsedSeconds: l.now - c.sent, LoadReport: end.Load}, nil)
 	}
 }
 
@@ -368,45 +368,45 @@
 	}
 	if !o.abandoned {
 		o.abandoned = true
-		l.later(func() { l.decide(routing.ClientGone{Txn: o.t.ID}, o) })
+		l.later(func() { l.decide(routing.ClientDisconnected{Request: o.t.ID}, o) })
 	}
 }
 
 // act carries out one action.
 func (l *Loop) act(a routing.Action) {
 	switch a := a.(type) {
-	case routing.Hop:
-		if o := l.open[a.Txn]; o != nil {
+	case routing.StartAttempt:
+		if o := l.open[a.Request]; o != nil {
 			l.hop(o, a)
 		}
-	case routing.Cancel:
-		if o := l.open[a.Txn]; o != nil && a.Hop >= 0 && a.Hop < len(o.hops) {
-			l.undo(o.hops[a.Hop], routing.Cancelled)
+	case routing.CancelAttempt:
+		if o := l.open[a.Request]; o != nil && a.Attempt >= 0 && a.Attempt < len(o.hops) {
+			l.undo(o.hops[a.Attempt], routing.Cancelled)
 		}
-	case routing.Reject:
-		if o := l.open[a.Txn]; o != nil {
-			l.answer(o, request.Answer{Verdict: request.Rejected, Reason: "decided", Again: a.Again})
+	case routing.RejectRequest:
+		if o := l.open[a.Request]; o != nil {
+			l.answer(o, request.Answer{Verdict: request.Rejected, Reason: "decided", Again: a.RetryAfterSeconds})
 		}
-	case routing.Abort:
-		if o := l.open[a.Txn]; o != nil {
+	case routing.AbortRequest:
+		if o := l.open[a.Request]; o != nil {
 			l.answer(o, request.Answer{Verdict: request.Aborted, Reason: "decided"})
 		}
-	case routing.Timer:
-		l.at(l.now+a.After, timer{token: a.Token})
-	case routing.Check:
-		c := &check{member: a.Member, sent: l.now}
-		if c.call = l.Pool.Check(a.Member, c); c.call == nil {
-			l.later(func() { l.checked(c, request.End{Code: routing.NoConnect}) })
+	case routing.SetTimer:
+		l.at(l.now+a.AfterSeconds, timer{token: a.Token})
+	case routing.Probe:
+		c := &check{member: a.Endpoint, sent: l.now}
+		if c.call = l.Pool.Check(a.Endpoint, c); c.call == nil {
+			l.later(func() { l.checked(c, request.End{Code: routing.ConnectFailed}) })
 			return
 		}
 		l.at(l.now+l.Pool.Connect.Seconds(), timer{check: c})
-	case routing.Note:
-		l.Book.Log.Info("note", "text", a.Text)
+	case routing.LogNote:
+		l.Book.Log.Info("note", "text", a.Message)
 	}
 }
 
-func (l *Loop) hop(o *open, a routing.Hop) {
-	h := &hop{o: o, no: len(o.hops), member: a.To, sent: l.now}
+func (l *Loop) hop(o *open, a routing.StartAttempt) {
+	h := &hop{o: o, no: len(o.hops), member: a.Endpoint, sent: l.now}
 	o.hops = append(o.hops, h)
 	o.out++
 	var avoid []*upstream.Link // what was said of the txn there may be said again
@@ -416,12 +416,12 @@
 		}
 	}
 	until := o.t.Limit
-	if a.Until > 0 {
-		until = min(until, a.Until)
+	if a.Deadline > 0 {
+		until = min(until, a.Deadline)
 	}
-	d := cacheproto.Do{Txn: o.t, Wait: until - l.now, Fill: l.fill(a), Hop: a}
+	d := cacheproto.Do{Txn: o.t, Wait: until - l.now, Fill: l.fill(a), StartAttempt: a}
 	if l.Spend != nil {
-		l.Spend.Sent(l.now, o.t.Rule, a.To, h.no > 0)
+		l.Spend.Sent(l.now, o.t.Rule, a.Endpoint, h.no > 0)
 		l.later(l.spare)
 	}
 	switch {
@@ -432,7 +432,7 @@
 		h.call = l.Pool.Send(d, avoid, h)
 	}
 	if h.call == nil {
-		l.later(func() { l.ended(h, request.End{Code: routing.Moot}) })
+		l.later(func() { l.ended(h, request.End{Code: routing.NotSent}) })
 		return
 	}
 	h.link = h.call.Link()
@@ -445,7 +445,7 @@
 		if h, ok := c.Owner.(*hop); ok && !h.over && !h.stuck {
 			h.stuck = true
 			l.Book.Add("reach.stuck", 1)
-			l.decide(routing.Stuck{Txn: h.o.t.ID, Hop: h.no}, h.o)
+			l.decide(routing.AttemptStalled{Request: h.o.t.ID, Attempt: h.no}, h.o)
 		}
 	}
 }
@@ -456,15 +456,15 @@
 		if l.Book.Add("spend.changes", 1); !c.Open {
 			l.Book.Add("spend.spent", 1)
 		}
-		l.decide(routing.Spare{Rule: c.Rule, Member: c.Member, Left: c.Open}, nil)
+		l.decide(routing.RetryBudgetChanged{Class: c.Rule, Endpoint: c.Member, Available: c.Open}, nil)
 	}
 }
 
 // fill is the source as the members hear it: a cache that is its own source fills nothing and none is named; a
 // parent or the origin is named all the same.
-func (l *Loop) fill(a routing.Hop) string {
-	kind := l.kinds[a.To]
-	if a.Source == a.To && kind != int(l.Records.Num("parent_kind", -1)) && kind != int(l.Records.Num("origin_kind", -1)) {
+func (l *Loop) fill(a routing.StartAttempt) string {
+	kind := l.kinds[a.Endpoint]
+	if a.Source == a.Endpoint && kind != int(l.Records.Float("parent_kind", -1)) && kind != int(l.Records.Float("origin_kind", -1)) {
 		return ""
 	}
 	return a.Source
@@ -472,7 +472,7 @@
 
 // undo gives a hop up. Its end is heard once its member has been told; that of a hop which its member can't know of
 // after the actions in hand are done.
-func (l *Loop) undo(h *hop, code routing.Code) {
+func (l *Loop) undo(h *hop, code routing.AttemptResult) {
 	if h.over || h.undone || h.call == nil { // without a call its end is on the way
 		return
 	}
@@ -529,7 +529,7 @@
 				l.abandon(t.guard, "overdue")
 			}
 		default:
-			l.decide(routing.Bell{Token: t.token}, nil)
+			l.decide(routing.TimerFired{Token: t.token}, nil)
 		}
 	}
 }
--- a/internal/dispatch/route_test.go
+++ b/internal/dispatch/route_test.go
@@ -57,17 +57,17 @@
 		cancel()
 		assert.NoError(t, p.Wait())
 	})
-	l := New(s, routing.Records{"uncacheable": "false,true", "parent_kind": "1", "origin_kind": "2"}, p, k)
+	l := New(s, routing.Settings{"uncacheable": "false,true", "parent_kind": "1", "origin_kind": "2"}, p, k)
 	l.Clock = func() float64 { return 100 }
-	l.Known([]discovery.Event{{Full: true, Rows: []discovery.Row{{Addr: "c", Row: routing.Row{Member: "c"}}, {Addr: "o", Row: routing.Row{Member: "o", Kind: 2}}}}})
+	l.Known([]discovery.Event{{Full: true, Rows: []discovery.Row{{Addr: "c", Endpoint: routing.Endpoint{ID: "c"}}, {Addr: "o", Endpoint: routing.Endpoint{ID: "o", Kind: 2}}}}})
 	return l, s, &request.Txn{ID: "ab", Name: "page", Rule: 1, Object: "FF", Limit: 105, To: o}, o, log
 }
 
 // hopOn is what the decisions say to an arrival; all else is answered with more.
 func hopOn(more ...routing.Action) func(routing.Event) []routing.Action {
 	return func(ev routing.Event) []routing.Action {
-		if _, ok := ev.(routing.Arrival); ok {
-			return []routing.Action{routing.Hop{Txn: "ab", To: "c", Source: "o"}}
+		if _, ok := ev.(routing.RequestArrived); ok {
+			return []routing.Action{routing.StartAttempt{Request: "ab", Endpoint: "c", Source: "o"}}
 		}
 		return more
 	}
@@ -78,12 +78,12 @@
 	l.Hear(x)
 	l.Clock = func() float64 { return 99 }
 	l.Hear(discovery.Event{Purged: true, Object: "ff", At: 98})
-	l.Hear(discovery.Event{Rows: []discovery.Row{{Row: routing.Row{Member: "c", Status: routing.Draining}}}})
+	l.Hear(discovery.Event{Rows: []discovery.Row{{Endpoint: routing.Endpoint{ID: "c", Status: routing.Draining}}}})
 	l.Hear(frontend.Left{Txn: x})
 	assert.Equal(t, []routing.Event{
-		routing.Listing{Kind: routing.Saved, Rows: []routing.Row{{Member: "c"}, {Member: "o", Kind: 2}}},
-		routing.Arrival{Txn: "ab", Rule: 1, Object: "ff", Limit: 105, Write: true}, routing.Purge{Ago: 2, Object: "ff"},
-		routing.Listing{Rows: []routing.Row{{Member: "c", Status: routing.Draining}}}, routing.ClientGone{Txn: "ab"}}, s.heard)
+		routing.EndpointUpdate{Kind: routing.Restored, Endpoints: []routing.Endpoint{{ID: "c"}, {ID: "o", Kind: 2}}},
+		routing.RequestArrived{Request: "ab", Class: 1, Object: "ff", Deadline: 105, Write: true}, routing.Purge{AgeSeconds: 2, Object: "ff"},
+		routing.EndpointUpdate{Endpoints: []routing.Endpoint{{ID: "c", Status: routing.Draining}}}, routing.ClientDisconnected{Request: "ab"}}, s.heard)
 	assert.Equal(t, []float64{100, 100, 100, 100, 100}, s.at, "the clock never goes back")
 	assert.Empty(t, l.open)
 }
@@ -92,19 +92,19 @@
 	l, s, x, o, _ := stage(t, hopOn())
 	l.Hear(x)
 	call := l.open["ab"].hops[0].call
-	end := request.End{Code: routing.Completed, Tag: "t", Remark: routing.Hit, Body: &request.Body{Bytes: []byte("x")}}
+	end := request.End{Code: routing.Completed, Tag: "t", Remark: routing.CacheHit, Body: &request.Body{Bytes: []byte("x")}}
 	l.Hear(upstream.Ended{Call: call, End: end})
 	l.Hear(upstream.Ended{Call: call, End: end})
 	assert.Equal(t, []request.Answer{{Verdict: request.Completed, Reason: "by-a-hop", Tag: "t", Body: end.Body}}, o.answers)
-	assert.Equal(t, routing.Outcome{Txn: "ab", Member: "c", Code: routing.Completed, Remark: routing.Hit, Final: true}, s.heard[2])
+	assert.Equal(t, routing.AttemptEnded{Request: "ab", Endpoint: "c", Result: routing.Completed, Detail: routing.CacheHit, RequestDone: true}, s.heard[2])
 	assert.Len(t, s.heard, 3, "a second end is not heard")
 	assert.Empty(t, l.open)
 }
 
 func TestHopEndsAtItsTime(t *testing.T) {
 	l, s, x, _, _ := stage(t, func(ev routing.Event) []routing.Action {
-		if _, ok := ev.(routing.Arrival); ok {
-			return []routing.Action{routing.Hop{Txn: "ab", To: "c", Until: 101}, routing.Hop{Txn: "ab", To: "c", Until: 99}, routing.Hop{Txn: "ab", To: "x"}}
+		if _, ok := ev.(routing.RequestArrived); ok {
+			return []routing.Action{routing.StartAttempt{Request: "ab", Endpoint: "c", Deadline: 101}, routing.StartAttempt{Request: "ab", Endpoint: "c", Deadline: 99}, routing.StartAttempt{Request: "ab", Endpoint: "x"}}
 		}
 		return nil
 	})
@@ -115,7 +115,7 @@
 	l.ring()
 	var ends []routing.Event
 	for _, i := range []int{1, 2, 0} { // of the two that could not be sent, then of the one that never came up
-		ends = append(ends, routing.Outcome{Txn: "ab", Hop: i, Member: []string{"c", "c", "x"}[i], Code: routing.Moot, Took: []float64{1.5, 0, 0}[i]})
+		ends = append(ends, routing.AttemptEnded{Request: "ab", Attempt: i, Endpoint: []string{"c", "c", "x"}[i], Result: routing.NotSent, ElapsedSeconds: []float64{1.5, 0, 0}[i]})
 	}
 	assert.Equal(t, ends, s.heard[2:])
 	assert.Equal(t, 0, l.open["ab"].out)
@@ -124,10 +124,10 @@
 func TestCancelOfWhatWasNeverWrittenIsMoot(t *testing.T) {
 	l, s, x, o, _ := stage(t, func(ev routing.Event) []routing.Action {
 		switch ev.(type) {
-		case routing.Arrival:
-			return []routing.Action{routing.Hop{Txn: "ab", To: "c"}, routing.Timer{After: 1, Token: 7}}
-		case routing.Bell:
-			return []routing.Action{routing.Cancel{Txn: "ab"}, routing.Reject{Txn: "ab", Again: 2}, routing.Abort{Txn: "ab"}, routing.Cancel{Txn: "ab", Hop: 9}}
+		case routing.RequestArrived:
+			return []routing.Action{routing.StartAttempt{Request: "ab", Endpoint: "c"}, routing.SetTimer{AfterSeconds: 1, Token: 7}}
+		case routing.TimerFired:
+			return []routing.Action{routing.CancelAttempt{Request: "ab"}, routing.RejectRequest{Request: "ab", RetryAfterSeconds: 2}, routing.AbortRequest{Request: "ab"}, routing.CancelAttempt{Request: "ab", Attempt: 9}}
 		}
 		return nil
 	})
@@ -135,25 +135,25 @@
 	l.Clock = func() float64 { return 101 }
 	l.ring()
 	assert.Equal(t, []request.Answer{{Verdict: request.Rejected, Reason: "decided", Again: 2}}, o.answers, "one answer and no more")
-	assert.Equal(t, []routing.Event{routing.Bell{Token: 7}, routing.Outcome{Txn: "ab", Member: "c", Code: routing.Moot, Took: 1, Final: true}}, s.heard[2:])
+	assert.Equal(t, []routing.Event{routing.TimerFired{Token: 7}, routing.AttemptEnded{Request: "ab", Endpoint: "c", Result: routing.NotSent, ElapsedSeconds: 1, RequestDone: true}}, s.heard[2:])
 	assert.Empty(t, l.open)
 }
 
 func TestPanicCostsOneTxn(t *testing.T) {
 	l, s, x, o, log := stage(t, func(ev routing.Event) []routing.Action {
-		if _, ok := ev.(routing.Arrival); ok {
-			return []routing.Action{routing.Hop{Txn: "ab", To: "c"}}
+		if _, ok := ev.(routing.RequestArrived); ok {
+			return []routing.Action{routing.StartAttempt{Request: "ab", Endpoint: "c"}}
 		}
 		panic(errors.New("a fault"))
 	})
 	l.Hear(x)
-	l.Hear(upstream.Ended{Call: l.open["ab"].hops[0].call, End: request.End{Code: routing.Busy}})
+	l.Hear(upstream.Ended{Call: l.open["ab"].hops[0].call, End: request.End{Code: routing.Overloaded}})
 	l.ring()
 	assert.Equal(t, []request.Answer{{Verdict: request.Aborted, Reason: "panic"}}, o.answers)
 	assert.Contains(t, log.String(), "a fault")
 	assert.Contains(t, log.String(), "route_test.go", "with the stack")
 	assert.Empty(t, l.open)
-	assert.Equal(t, routing.ClientGone{Txn: "ab"}, s.heard[len(s.heard)-1])
+	assert.Equal(t, routing.ClientDisconnected{Request: "ab"}, s.heard[len(s.heard)-1])
 }
 
 func TestLoopOutlivesItsOwnPanic(t *testing.T) {
@@ -193,22 +193,22 @@
 func TestCheckEndsOnce(t *testing.T) {
 	l, s, _, _, _ := stage(t, nil)
 	l.Pool.Connect = time.Second
-	l.act(routing.Check{Member: "c"})
-	l.act(routing.Check{Member: "x"})
+	l.act(routing.Probe{Endpoint: "c"})
+	l.act(routing.Probe{Endpoint: "x"})
 	l.ring()
-	assert.Equal(t, routing.Checked{Member: "x", Code: routing.NoConnect}, s.heard[1])
+	assert.Equal(t, routing.ProbeResult{Endpoint: "x", Result: routing.ConnectFailed}, s.heard[1])
 	l.Clock = func() float64 { return 101 }
 	l.ring()
-	assert.Equal(t, []routing.Event{routing.Checked{Member: "c", Code: routing.TimedOut, Took: 1}}, s.heard[2:])
+	assert.Equal(t, []routing.Event{routing.ProbeResult{Endpoint: "c", Result: routing.TimedOut, ElapsedSeconds: 1}}, s.heard[2:])
 }
 
 func TestOnlyACacheIsNotNamedAsItsOwnSource(t *testing.T) {
 	l, _, x, _, _ := stage(t, nil)
 	l.Hear(x)
 	for to, want := range map[string]string{"c": "", "o": "o"} {
-		assert.Equal(t, want, l.fill(routing.Hop{To: to, Source: to}))
+		assert.Equal(t, want, l.fill(routing.StartAttempt{Endpoint: to, Source: to}))
 	}
-	assert.Equal(t, "o", l.fill(routing.Hop{To: "c", Source: "o"}))
+	assert.Equal(t, "o", l.fill(routing.StartAttempt{Endpoint: "c", Source: "o"}))
 }
 
 // TestNoAttemptOnceTheClientLeft: though the news of it is still in the queue, neither a first nor a further hop is sent, and
@@ -216,22 +216,22 @@
 func TestNoAttemptOnceTheClientLeft(t *testing.T) {
 	l, s, x, o, _ := stage(t, func(ev routing.Event) []routing.Action {
 		switch ev := ev.(type) {
-		case routing.Arrival:
-			return []routing.Action{routing.Hop{Txn: "ab", To: "c"}}
-		case routing.Outcome:
-			if ev.Hop == 0 {
-				return []routing.Action{routing.Hop{Txn: "ab", To: "o"}}
+		case routing.RequestArrived:
+			return []routing.Action{routing.StartAttempt{Request: "ab", Endpoint: "c"}}
+		case routing.AttemptEnded:
+			if ev.Attempt == 0 {
+				return []routing.Action{routing.StartAttempt{Request: "ab", Endpoint: "o"}}
 			}
 		}
 		return nil
 	})
 	l.Hear(x)
 	x.Leave()
-	l.Hear(upstream.Ended{Call: l.open["ab"].hops[0].call, End: request.End{Code: routing.Busy}})
+	l.Hear(upstream.Ended{Call: l.open["ab"].hops[0].call, End: request.End{Code: routing.Overloaded}})
 	assert.Nil(t, l.open["ab"].hops[1].call)
 	l.ring()
-	assert.Equal(t, []routing.Event{routing.Outcome{Txn: "ab", Member: "c", Code: routing.Busy}, routing.ClientGone{Txn: "ab"},
-		routing.Outcome{Txn: "ab", Hop: 1, Member: "o", Code: routing.Moot, Final: true}}, s.heard[2:])
+	assert.Equal(t, []routing.Event{routing.AttemptEnded{Request: "ab", Endpoint: "c", Result: routing.Overloaded}, routing.ClientDisconnected{Request: "ab"},
+		routing.AttemptEnded{Request: "ab", Attempt: 1, Endpoint: "o", Result: routing.NotSent, RequestDone: true}}, s.heard[2:])
 	l.Hear(frontend.Left{Txn: x})
 	assert.Len(t, s.heard, 5, "it is heard once")
 	assert.Empty(t, l.open)
@@ -258,5 +258,5 @@
 		return nil
 	}
 	assert.NoError(t, l.Run(ctx))
-	assert.Equal(t, routing.ClientGone{Txn: "ab"}, s.heard[heard], "before the first of the queue")
+	assert.Equal(t, routing.ClientDisconnected{Request: "ab"}, s.heard[heard], "before the first of the queue")
 }
--- a/internal/edgecache/box.go
+++ b/internal/edgecache/box.go
@@ -280,7 +280,7 @@
 		a.body.Free()
 		if !p.over {
 			b.Book.Add("box.turned-away", 1)
-			p.say(item{head: cacheproto.AppendReply(nil, a.line.ID, cacheproto.Reply{Code: routing.Busy})})
+			p.say(item{head: cacheproto.AppendReply(nil, a.line.ID, cacheproto.Reply{Code: routing.Overloaded})})
 		}
 		return
 	}
@@ -294,13 +294,13 @@
 	rule, known := b.rules[a.line.Name]
 	if !known {
 		b.Book.Add("box.unknown-rule", 1)
-		b.finish(a, cacheproto.Reply{Code: routing.Errored}, nil)
+		b.finish(a, cacheproto.Reply{Code: routing.ServerError}, nil)
 		return
 	}
 	done, ok := b.machine.Do(now)
 	if !ok {
 		b.Book.Add("box.overload", 1)
-		b.finish(a, cacheproto.Reply{Code: routing.Busy}, nil)
+		b.finish(a, cacheproto.Reply{Code: routing.Overloaded}, nil)
 		return
 	}
 	b.after(done, func() {
@@ -312,15 +312,15 @@
 			return
 		}
 		source := a.line.Fill
-		if source == "" && b.Plan.Role == "parent" && !a.line.NoFetch {
+		if source == "" && b.Plan.Role == "parent" && !a.line.CacheOnly {
 			source = b.Plan.Source
 		}
 		if source == b.Plan.ID {
 			source = ""
 		}
 		b.carry(b.desk.Ask(seconds(b.now()), handler.Txn{ID: a.no, Key: a.key, Rule: handler.Rule{Name: rule.Name, Kept: rule.Kept, Fresh: rule.FreshS, Stale: rule.StaleS},
-			Until: now + a.line.Wait, Source: source, Rank: a.line.Rank, MaxAge: a.line.MaxAge, Join: a.line.Join, NoFetch: a.line.NoFetch,
-			NoTrace: a.line.NoTrace, Renew: a.line.Renew, Tag: a.line.Tag}))
+			Until: now + a.line.Wait, Source: source, Rank: a.line.RetentionRank, MaxAge: a.line.MaxAgeSeconds, Join: a.line.JoinFill, NoFetch: a.line.CacheOnly,
+			NoTrace: a.line.ParentNoStore, Renew: a.line.Revalidate, Tag: a.line.Tag}))
 	})
 }
 
@@ -337,7 +337,7 @@
 	if !rule.Kept {
 		err := b.Origin.Run(a.line.ID, a.line.Name, a.line.Key, a.key, rule.Effect)
 		if err != nil {
-			b.finish(a, cacheproto.Reply{Code: routing.Errored}, nil)
+			b.finish(a, cacheproto.Reply{Code: routing.ServerError}, nil)
 			return
 		}
 		b.Book.Add("box.ran", 1)
@@ -348,11 +348,11 @@
 	tag, group, body, ok := b.Origin.Give(a.key)
 	switch {
 	case !ok:
-		b.finish(a, cacheproto.Reply{Code: routing.Miss}, nil)
+		b.finish(a, cacheproto.Reply{Code: routing.CacheMiss}, nil)
 	case tag == a.line.Tag:
-		b.finish(a, cacheproto.Reply{Code: routing.Completed, Same: true, Remark: routing.Hit, Tag: tag, Dated: dated, Group: int(group)}, nil)
+		b.finish(a, cacheproto.Reply{Code: routing.Completed, Same: true, Remark: routing.CacheHit, Tag: tag, Dated: dated, Group: int(group)}, nil)
 	default:
-		b.finish(a, cacheproto.Reply{Code: routing.Completed, Remark: routing.Hit, Tag: tag, Dated: dated, Group: int(group)}, body)
+		b.finish(a, cacheproto.Reply{Code: routing.Completed, Remark: routing.CacheHit, Tag: tag, Dated: dated, Group: int(group)}, body)
 	}
 }
 
@@ -392,8 +392,8 @@
 	})
 }
 
-var codes = map[routing.Code]string{routing.Completed: "completed", routing.Errored: "errored", routing.Busy: "busy", routing.Miss: "miss"}
-var remarks = map[routing.Remark]string{routing.Hit: ".hit", routing.Filled: ".filled", routing.Joined: ".joined", routing.Old: ".old"}
+var codes = map[routing.AttemptResult]string{routing.Completed: "completed", routing.ServerError: "errored", routing.Overloaded: "busy", routing.CacheMiss: "miss"}
+var remarks = map[routing.ResultDetail]string{routing.CacheHit: ".hit", routing.Filled: ".filled", routing.JoinedFill: ".joined", routing.StaleHit: ".old"}
 
 // carry carries out what the desk says.
 func (b *Box) carry(acts []handler.Action) {
@@ -468,10 +468,10 @@
 	if a := b.open[f.Txn]; a != nil {
 		t.Key, t.Body = a.line.Key, a.body
 	}
-	call := b.pool.Send(cacheproto.Do{Txn: t, Wait: f.Wait, Hop: routing.Hop{To: f.Source, Rank: f.Rank, MaxAge: f.MaxAge, Join: f.Join,
-		NoFetch: f.NoFetch, NoTrace: f.NoTrace}}, nil, f.Fill)
+	call := b.pool.Send(cacheproto.Do{Txn: t, Wait: f.Wait, StartAttempt: routing.StartAttempt{Endpoint: f.Source, RetentionRank: f.Rank, MaxAgeSeconds: f.MaxAge, JoinFill: f.Join,
+		CacheOnly: f.NoFetch, ParentNoStore: f.NoTrace}}, nil, f.Fill)
 	if call == nil {
-		b.post(due{func() { b.carry(b.desk.Fetched(seconds(b.now()), f.Fill, handler.End{Code: routing.Moot})) }})
+		b.post(due{func() { b.carry(b.desk.Fetched(seconds(b.now()), f.Fill, handler.End{Code: routing.NotSent})) }})
 		return
 	}
 	b.Book.Add("box.fetches", 1)
--- a/internal/edgecache/box_test.go
+++ b/internal/edgecache/box_test.go
@@ -101,7 +101,7 @@
 }
 
 func (r *running) row(id string, kind int) discovery.Event {
-	return discovery.Event{Rows: []discovery.Row{{Addr: r.addr, Row: routing.Row{Member: id, Kind: kind, Weight: 8}}}}
+	return discovery.Event{Rows: []discovery.Row{{Addr: r.addr, Endpoint: routing.Endpoint{ID: id, Kind: kind, Weight: 8}}}}
 }
 
 // origin starts one whose objects have versions that a test sets.
--- a/internal/edgecache/handler/desk.go
+++ b/internal/edgecache/handler/desk.go
@@ -67,8 +67,8 @@
 // Answer is the end of a txn. Copy is set where it is completed from one; Same says that the asker's copy is the one.
 type Answer struct {
 	Txn    uint64
-	Code   routing.Code
-	Remark routing.Remark
+	Code   routing.AttemptResult
+	Remark routing.ResultDetail
 	Same   bool
 	Copy   *Copy
 	Passed bool // completed with what the source gave, which is no copy: its bytes are those of the fill
@@ -126,7 +126,7 @@
 
 // End is how a fetch ended.
 type End struct {
-	Code  routing.Code
+	Code  routing.AttemptResult
 	Same  bool
 	Tag   string
 	Dated int64
@@ -273,14 +273,14 @@
 		return
 	}
 	old := t.Rule.Fresh > 0 && age > t.Rule.Fresh
-	d.serve(t, c, map[bool]routing.Remark{false: routing.Hit, true: routing.Old}[old], memory)
+	d.serve(t, c, map[bool]routing.ResultDetail{false: routing.CacheHit, true: routing.StaleHit}[old], memory)
 	if old && t.Renew && t.Source != "" && d.byKey[t.Key] == nil && len(d.fills) < d.bounds.Fills {
 		t.ID, t.Until = 0, d.now+d.bounds.FillWait
 		d.fetch(t, c, 0)
 	}
 }
 
-func (d *Desk) serve(t Txn, c *Copy, r routing.Remark, used bool) {
+func (d *Desk) serve(t Txn, c *Copy, r routing.ResultDetail, used bool) {
 	if h := d.memory[c.Key]; h != nil {
 		d.shelf[h.copy.Rank].MoveToBack(h.place)
 	}
@@ -300,11 +300,11 @@
 		return
 	}
 	if t.Source == "" {
-		d.end(t, routing.Miss)
+		d.end(t, routing.CacheMiss)
 		return
 	}
 	if len(d.fills) >= d.bounds.Fills {
-		d.end(t, routing.Busy)
+		d.end(t, routing.Overloaded)
 		return
 	}
 	d.number++
@@ -337,7 +337,7 @@
 	d.do(x)
 }
 
-func (d *Desk) end(t Txn, code routing.Code) {
+func (d *Desk) end(t Txn, code routing.AttemptResult) {
 	if t.ID != 0 {
 		delete(d.ofTxn, t.ID)
 		d.do(Answer{Txn: t.ID, Code: code})
@@ -383,14 +383,14 @@
 }
 
 // told is what an asker hears of a source's end. What surely did not run may be said so; all else may have run.
-func told(code routing.Code) routing.Code {
+func told(code routing.AttemptResult) routing.AttemptResult {
 	switch code {
-	case routing.Miss:
-		return routing.Miss
-	case routing.Busy, routing.NoConnect, routing.Moot:
-		return routing.Busy
+	case routing.CacheMiss:
+		return routing.CacheMiss
+	case routing.Overloaded, routing.ConnectFailed, routing.NotSent:
+		return routing.Overloaded
 	}
-	return routing.Errored
+	return routing.ServerError
 }
 
 // filled takes what a source gave for a rule that is kept.
@@ -398,7 +398,7 @@
 	c := f.base
 	if e.Same && c == nil { // it confirms what was not asked
 		for _, t := range f.waiters {
-			d.end(t, routing.Errored)
+			d.end(t, routing.ServerError)
 		}
 		return
 	}
@@ -419,7 +419,7 @@
 			if f.refills < mostRefills && t.Until > d.now {
 				d.fetch(t, nil, f.refills+1)
 			} else {
-				d.end(t, routing.Errored)
+				d.end(t, routing.ServerError)
 			}
 		}
 		return
@@ -445,15 +445,15 @@
 		r := routing.Filled
 		switch {
 		case e.Same:
-			r = routing.Hit // the bytes are the box's own
+			r = routing.CacheHit // the bytes are the box's own
 		case i > 0:
-			r = routing.Joined
+			r = routing.JoinedFill
 		}
 		if d.age(c) > t.limit()+d.now-t.came+fillMargin && t.ID != 0 { // the source gave one older than was asked for
 			if f.refills < mostRefills && t.Until > d.now {
 				d.fetch(t, nil, f.refills+1)
 			} else {
-				d.end(t, routing.Miss)
+				d.end(t, routing.CacheMiss)
 			}
 			continue
 		}
@@ -492,7 +492,7 @@
 		d.forget(f)
 		d.do(Abandon{f.no})
 		for _, t := range f.waiters {
-			d.end(t, routing.Errored)
+			d.end(t, routing.ServerError)
 		}
 	}
 	return d.acts
--- a/internal/edgecache/handler/desk_test.go
+++ b/internal/edgecache/handler/desk_test.go
@@ -60,8 +60,8 @@
 	d.hold(&Copy{Key: key, Tag: e.Tag, Dated: e.Dated, Rank: 2, Body: e.Body, Seq: 5})
 }
 
-func code(acts []Action) []routing.Code {
-	var out []routing.Code
+func code(acts []Action) []routing.AttemptResult {
+	var out []routing.AttemptResult
 	for _, a := range acts {
 		if x, ok := a.(Answer); ok {
 			out = append(out, x.Code)
@@ -83,16 +83,16 @@
 	acts = append([]Action{}, d.Fetched(now+0.1, f.Fill, given(0))...)
 	assert.IsType(t, Keep{}, acts[0])
 	assert.Equal(t, routing.Filled, acts[1].(Answer).Remark)
-	assert.Equal(t, routing.Joined, acts[2].(Answer).Remark)
+	assert.Equal(t, routing.JoinedFill, acts[2].(Answer).Remark)
 	hit := d.Ask(now+0.2, txn(4, video))
-	assert.Equal(t, routing.Hit, hit[1].(Answer).Remark)
+	assert.Equal(t, routing.CacheHit, hit[1].(Answer).Remark)
 }
 
 func TestWithoutASourceThereIsNothing(t *testing.T) {
 	d, _ := fresh()
 	x := txn(1, video)
 	x.Source = ""
-	assert.Equal(t, []routing.Code{routing.Miss}, code(d.Ask(now, x)))
+	assert.Equal(t, []routing.AttemptResult{routing.CacheMiss}, code(d.Ask(now, x)))
 }
 
 func TestTheDiskIsReadOnceAndAMissGoesOn(t *testing.T) {
@@ -102,7 +102,7 @@
 	assert.Empty(t, d.Ask(now, txn(2, video)))
 	e := given(50)
 	acts := d.DiskRead(now, key, &Copy{Key: key, Tag: "v", Dated: e.Dated, Rank: 2, Seq: 4, Body: e.Body})
-	assert.Equal(t, []routing.Code{routing.Completed, routing.Completed}, code(acts))
+	assert.Equal(t, []routing.AttemptResult{routing.Completed, routing.Completed}, code(acts))
 	d, w = fresh()
 	w.disk[key] = true
 	d.Ask(now, txn(1, video))
@@ -121,18 +121,18 @@
 			e.Body, e.Tag = nil, ""
 		}
 		acts := d.Fetched(now+0.1, f.Fill, e)
-		assert.Equal(t, []routing.Code{routing.Completed}, code(acts))
+		assert.Equal(t, []routing.AttemptResult{routing.Completed}, code(acts))
 		if same {
 			assert.Contains(t, acts, Confirm{key, 5, 9})
 		}
-		assert.Equal(t, []routing.Code{routing.Completed}, code(d.Ask(now+0.2, txn(2, video))), "and then it is sound")
+		assert.Equal(t, []routing.AttemptResult{routing.Completed}, code(d.Ask(now+0.2, txn(2, video))), "and then it is sound")
 	}
 	d, w := fresh()
 	w.verdict[7], w.doubts = validity.Probation, 9
 	with(d, 50)
 	x := txn(1, video)
 	x.Source = ""
-	assert.Equal(t, []routing.Code{routing.Miss}, code(d.Ask(now, x)), "nobody to confirm it")
+	assert.Equal(t, []routing.AttemptResult{routing.CacheMiss}, code(d.Ask(now, x)), "nobody to confirm it")
 }
 
 func TestAVoidCopyIsNeverServed(t *testing.T) {
@@ -147,7 +147,7 @@
 	acts = append([]Action{}, d.Fetched(now+0.1, f.Fill, given(30))...)
 	assert.Empty(t, code(acts))
 	again := acts[1].(Fetch)
-	assert.Equal(t, []routing.Code{routing.Errored}, code(d.Fetched(now+0.2, again.Fill, given(30))))
+	assert.Equal(t, []routing.AttemptResult{routing.ServerError}, code(d.Fetched(now+0.2, again.Fill, given(30))))
 	assert.Empty(t, d.memory)
 }
 
@@ -172,7 +172,7 @@
 		for _, a := range d.Ask(now, x) {
 			switch a := a.(type) {
 			case Answer:
-				got = map[routing.Remark]string{routing.Hit: "hit", routing.Old: "old", routing.Untold: "miss"}[a.Remark]
+				got = map[routing.ResultDetail]string{routing.CacheHit: "hit", routing.StaleHit: "old", routing.NoDetail: "miss"}[a.Remark]
 			case Fetch:
 				if got != "" {
 					got += "+"
@@ -186,13 +186,13 @@
 
 // What may have run is not called harmless, and what surely did not is not called a failure.
 func TestAnOrdersEndIsToldTruly(t *testing.T) {
-	for from, to := range map[routing.Code]routing.Code{routing.Busy: routing.Busy, routing.NoConnect: routing.Busy, routing.Moot: routing.Busy,
-		routing.Miss: routing.Miss, routing.Broken: routing.Errored, routing.TimedOut: routing.Errored, routing.Errored: routing.Errored, routing.Cancelled: routing.Errored} {
+	for from, to := range map[routing.AttemptResult]routing.AttemptResult{routing.Overloaded: routing.Overloaded, routing.ConnectFailed: routing.Overloaded, routing.NotSent: routing.Overloaded,
+		routing.CacheMiss: routing.CacheMiss, routing.ConnectionBroken: routing.ServerError, routing.TimedOut: routing.ServerError, routing.ServerError: routing.ServerError, routing.Cancelled: routing.ServerError} {
 		d, _ := fresh()
 		f := d.Ask(now, txn(1, order))[0].(Fetch)
 		assert.Equal(t, uint64(1), f.Txn)
 		assert.False(t, f.Join)
-		assert.Equal(t, []routing.Code{to}, code(d.Fetched(now, f.Fill, End{Code: from})))
+		assert.Equal(t, []routing.AttemptResult{to}, code(d.Fetched(now, f.Fill, End{Code: from})))
 	}
 }
 
@@ -212,11 +212,11 @@
 		x.Key.Part = uint32(i)
 		acts := d.Ask(now, x)
 		if i == 4 {
-			assert.Equal(t, []routing.Code{routing.Busy}, code(acts))
+			assert.Equal(t, []routing.AttemptResult{routing.Overloaded}, code(acts))
 		}
 	}
 	assert.Empty(t, d.Tick(now+2.9))
-	assert.Equal(t, []routing.Code{routing.Errored, routing.Errored, routing.Errored, routing.Errored}, code(d.Tick(now+3)))
+	assert.Equal(t, []routing.AttemptResult{routing.ServerError, routing.ServerError, routing.ServerError, routing.ServerError}, code(d.Tick(now+3)))
 	assert.Zero(t, d.Fills())
 }
 
@@ -274,7 +274,7 @@
 				if len(fetches) > 0 {
 					f := fetches[0]
 					fetches = fetches[1:]
-					e := End{Code: routing.Code(rapid.IntRange(0, 8).Draw(t, "code")), Tag: "x", Dated: int64((clock - rapid.Float64Range(0, 20).Draw(t, "age")) * 1000),
+					e := End{Code: routing.AttemptResult(rapid.IntRange(0, 8).Draw(t, "code")), Tag: "x", Dated: int64((clock - rapid.Float64Range(0, 20).Draw(t, "age")) * 1000),
 						Body: make([]byte, rapid.IntRange(0, 4000).Draw(t, "size")), Same: rapid.Bool().Draw(t, "same")}
 					take(d.Fetched(clock, f.Fill, e))
 				}
--- a/internal/lab/doors.go
+++ b/internal/lab/doors.go
@@ -234,12 +234,12 @@
 				writing.Lock()
 				defer writing.Unlock()
 				if end(a.ID) {
-					_, _ = c.Write(append(cacheproto.AppendReply(nil, a.ID, cacheproto.Reply{Code: routing.Errored}), cacheproto.End...))
+					_, _ = c.Write(append(cacheproto.AppendReply(nil, a.ID, cacheproto.Reply{Code: routing.ServerError}), cacheproto.End...))
 				}
 				return
 			}
 			body := m.body(a)
-			out := cacheproto.AppendReply(nil, a.ID, cacheproto.Reply{Code: routing.Completed, Remark: routing.Hit, Tag: "v1", Dated: time.Now().UnixMilli(), Group: cacheproto.UnknownGroup, Size: len(body)})
+			out := cacheproto.AppendReply(nil, a.ID, cacheproto.Reply{Code: routing.Completed, Remark: routing.CacheHit, Tag: "v1", Dated: time.Now().UnixMilli(), Group: cacheproto.UnknownGroup, Size: len(body)})
 			out = append(append(out, body...), cacheproto.End...)
 			if now == half {
 				out = out[:len(out)/2]
--- a/internal/lab/restart.go
+++ b/internal/lab/restart.go
@@ -131,7 +131,7 @@
 				return err
 			}
 			for _, p := range boxes {
-				t.list(p, routing.Gone)
+				t.list(p, routing.Removed)
 			}
 			for i := range 4 { // told while they are down; what is much wanted among them
 				t.purge(1+uint64(rnd.IntN(12)), i == 3)
--- a/internal/lab/rumours.go
+++ b/internal/lab/rumours.go
@@ -19,8 +19,8 @@
 	Run: func(ctx context.Context, s Setting, r *Report) error {
 		ways := []struct {
 			name string
-			talk simrouting.Talk
-		}{{"without", simrouting.Talk{}}, {"with", simrouting.Talk{Rumours: true, Liars: 1}}, {"with_liars", simrouting.Talk{Rumours: true, Liars: 3}}}
+			talk simrouting.Gossip
+		}{{"without", simrouting.Gossip{}}, {"with", simrouting.Gossip{Enabled: true, FaultyRouters: 1}}, {"with_liars", simrouting.Gossip{Enabled: true, FaultyRouters: 3}}}
 		seeds := 2
 		if s.Full {
 			seeds = 12
@@ -31,7 +31,7 @@
 		for i := range played {
 			g.Go(func() (err error) {
 				if err = ctx.Err(); err == nil {
-					played[i], err = simrouting.PlayTalking(s.Seed+uint64(i%seeds), talking, simrouting.BadBox, ways[i/seeds].talk)
+					played[i], err = simrouting.RunWithGossip(s.Seed+uint64(i%seeds), talking, simrouting.FailingCache, ways[i/seeds].talk)
 				}
 				return err
 			})
@@ -43,22 +43,22 @@
 			Marks: []Mark{{simrouting.Phases[1].From, "bad box"}, {simrouting.Phases[1].To, "well"}}}
 		for w, way := range ways {
 			l := Line{Name: way.name}
-			for at, share := range played[w*seeds].Seconds {
+			for at, share := range played[w*seeds].OnTimePerSecond {
 				l.X, l.Y = append(l.X, float64(at)), append(l.Y, share)
 			}
 			seconds.Lines = append(seconds.Lines, l)
 			bad, hops := 0, 0
 			for _, x := range played[w*seeds : (w+1)*seeds] {
-				bad += x.Bad
-				hops += x.Hops["trouble"]
+				bad += x.FailingCacheAttempts
+				hops += x.Attempts["trouble"]
 				r.Rules.Lost += int64(x.Unanswered)
-				r.Rules.SecondAnswers += int64(x.Twice)
+				r.Rules.SecondAnswers += int64(x.AnsweredTwice)
 			}
 			r.Figures["bad_hops."+way.name] = float64(bad) / float64(seeds)
 			for _, p := range simrouting.Phases {
 				txns, good := 0, 0
 				for _, x := range played[w*seeds : (w+1)*seeds] {
-					txns, good = txns+x.Txns[p.Name], good+x.InTime[p.Name]
+					txns, good = txns+x.Requests[p.Name], good+x.OnTime[p.Name]
 				}
 				r.Figures["in_time."+way.name+"."+p.Name] = float64(good) / max(float64(txns), 1)
 				r.Counts["txns"] += int64(txns)
--- a/internal/lab/thin.go
+++ b/internal/lab/thin.go
@@ -14,7 +14,7 @@
 
 var thinViews = Scenario{Name: "thin-views", About: "The same traffic seen by 3, 30 and 300 routers on virtual time: a burst with a purge, then a lost hub; does service come back",
 	Run: func(ctx context.Context, s Setting, r *Report) error {
-		for name, trouble := range map[string]simrouting.Trouble{"burst": simrouting.Burst, "hub": simrouting.LostHub} {
+		for name, trouble := range map[string]simrouting.Fault{"burst": simrouting.TrafficBurst, "hub": simrouting.ParentZoneLost} {
 			if err := playThin(ctx, s, r, name, trouble); err != nil {
 				return err
 			}
@@ -26,7 +26,7 @@
 	}}
 
 // playThin plays one trouble for each number of routers and adds to the report.
-func playThin(ctx context.Context, s Setting, r *Report, trouble string, what simrouting.Trouble) error {
+func playThin(ctx context.Context, s Setting, r *Report, trouble string, what simrouting.Fault) error {
 	counts, seeds := []int{3, 30, 300}, 1
 	if s.Full {
 		counts, seeds = []int{3, 9, 30, 90, 300, 900}, 4
@@ -36,7 +36,7 @@
 	for i := range played {
 		g.Go(func() (err error) {
 			if err = ctx.Err(); err == nil {
-				played[i], err = simrouting.Play(s.Seed+uint64(i%seeds), counts[i/seeds], what)
+				played[i], err = simrouting.Run(s.Seed+uint64(i%seeds), counts[i/seeds], what)
 			}
 			return err
 		})
@@ -50,7 +50,7 @@
 	curve.Lines = make([]Line, len(simrouting.Phases))
 	for i, n := range counts {
 		l := Line{Name: fmt.Sprintf("%d routers", n)}
-		for at, share := range played[i*seeds].Seconds {
+		for at, share := range played[i*seeds].OnTimePerSecond {
 			l.X, l.Y = append(l.X, float64(at)), append(l.Y, share)
 		}
 		seconds.Lines = append(seconds.Lines, l)
@@ -58,13 +58,13 @@
 			var sum simrouting.Result
 			var txns, inTime, rejected, hops int
 			for _, x := range played[i*seeds : (i+1)*seeds] {
-				txns, inTime, rejected = txns+x.Txns[phase.Name], inTime+x.InTime[phase.Name], rejected+x.Rejected[phase.Name]
-				hops, sum.Filled, sum.Kept = hops+x.Hops[phase.Name], sum.Filled+x.Filled, sum.Kept+x.Kept
+				txns, inTime, rejected = txns+x.Requests[phase.Name], inTime+x.OnTime[phase.Name], rejected+x.Rejected[phase.Name]
+				hops, sum.Fills, sum.StoredFills = hops+x.Attempts[phase.Name], sum.Fills+x.Fills, sum.StoredFills+x.StoredFills
 			}
 			name := fmt.Sprintf("%s.%s.%03d", trouble, phase.Name, n)
 			of := func(part int) float64 { return float64(part) / max(float64(txns), 1) }
 			r.Figures["in_time."+name], r.Figures["rejected."+name], r.Figures["hops_a_txn."+name] = of(inTime), of(rejected), of(hops)
-			r.Figures[fmt.Sprintf("fills_kept.%s.%03d", trouble, n)] = float64(sum.Kept) / max(float64(sum.Filled), 1)
+			r.Figures[fmt.Sprintf("fills_kept.%s.%03d", trouble, n)] = float64(sum.StoredFills) / max(float64(sum.Fills), 1)
 			curve.Lines[p].Name = phase.Name
 			curve.Lines[p].X, curve.Lines[p].Y = append(curve.Lines[p].X, float64(n)), append(curve.Lines[p].Y, of(inTime))
 			r.Counts["txns"] += int64(txns)
@@ -73,7 +73,7 @@
 	r.Plots = append(r.Plots, curve, seconds)
 	for _, x := range played {
 		r.Rules.Lost += int64(x.Unanswered)
-		r.Rules.SecondAnswers += int64(x.Twice)
+		r.Rules.SecondAnswers += int64(x.AnsweredTwice)
 	}
 	few, many := r.Figures["in_time."+trouble+".after.003"], r.Figures["in_time."+trouble+".after.300"]
 	if r.Figures["after_300_over_3."+trouble] = many / max(few, 1e-9); many < leastOfWide*few {
--- a/internal/lab/town.go
+++ b/internal/lab/town.go
@@ -46,7 +46,7 @@
 	location int // 0 hub, 1 and on campuses
 	addr     string
 	started  float64
-	status   routing.Status
+	status   routing.EndpointStatus
 
 	// Of one that runs in this process:
 	stop func()
@@ -200,11 +200,11 @@
 }
 
 func (p *place) row() discovery.Row {
-	return discovery.Row{Addr: p.addr, Row: routing.Row{Member: p.id, Location: p.location, Kind: p.kind, Status: p.status, Weight: 8, Started: p.started}}
+	return discovery.Row{Addr: p.addr, Endpoint: routing.Endpoint{ID: p.id, Zone: p.location, Kind: p.kind, Status: p.status, Weight: 8, StartedAt: p.started}}
 }
 
 // list tells the board how a member stands.
-func (t *town) list(p *place, status routing.Status) {
+func (t *town) list(p *place, status routing.EndpointStatus) {
 	p.status = status
 	t.board.tell(discovery.Event{Rows: []discovery.Row{p.row()}})
 }
--- a/internal/membership/observation/ends.go
+++ b/internal/membership/observation/ends.go
@@ -4,16 +4,16 @@
 
 // Read says what the end of a hop tells of its member, if anything. Late is an answer past the txn's SLA time. What the
 // txn or its client brought about says nothing; a full member is slow, not failing.
-func Read(code routing.Code, late bool) (Says, bool) {
+func Read(code routing.AttemptResult, late bool) (Says, bool) {
 	switch code {
-	case routing.Completed, routing.Miss:
+	case routing.Completed, routing.CacheMiss:
 		if late {
 			return Slow, true
 		}
 		return Well, true
-	case routing.Busy:
+	case routing.Overloaded:
 		return Slow, true
-	case routing.Errored, routing.NoConnect, routing.Broken, routing.TimedOut:
+	case routing.ServerError, routing.ConnectFailed, routing.ConnectionBroken, routing.TimedOut:
 		return Failing, true
 	}
 	return 0, false
--- a/internal/membership/observation/rumour_test.go
+++ b/internal/membership/observation/rumour_test.go
@@ -120,7 +120,7 @@
 }
 
 func TestEndsThatSayNothing(t *testing.T) {
-	for code, want := range map[routing.Code]Says{routing.Completed: Well, routing.Errored: Failing, routing.Busy: Slow, routing.Broken: Failing, routing.Cancelled: 0, routing.Moot: 0} {
+	for code, want := range map[routing.AttemptResult]Says{routing.Completed: Well, routing.ServerError: Failing, routing.Overloaded: Slow, routing.ConnectionBroken: Failing, routing.Cancelled: 0, routing.NotSent: 0} {
 		got, ok := Read(code, false)
 		assert.Equal(t, want, got)
 		assert.Equal(t, want != 0, ok)
--- a/internal/request/txn.go
+++ b/internal/request/txn.go
@@ -68,9 +68,9 @@
 
 // End is how a hop ended, as the connection saw it.
 type End struct {
-	Code   routing.Code
-	Remark routing.Remark
-	Load   []routing.Reading
+	Code   routing.AttemptResult
+	Remark routing.ResultDetail
+	Load   []routing.LoadMetric
 	Tag    string
 	Dated  int64 // Unix ms at which the origin gave the copy out, where told
 	Group  int   // of the object, and one more; 0 where nobody told
--- a/internal/sim/routing/model.go
+++ b/internal/sim/routing/model.go
@@ -70,12 +70,12 @@
 
 // Result is what came of a run, by phase.
 type Result struct {
-	Routers                                     int
-	Txns, InTime, Late, Rejected, Aborted, Hops map[string]int
-	Unanswered, Twice                           int
-	Filled, Kept                                int       // fills at caches, and those of them that were kept
-	Bad                                         int       // hops that a bad box failed
-	Seconds                                     []float64 // share in time, second by second
+	Routers                                             int
+	Requests, OnTime, Late, Rejected, Aborted, Attempts map[string]int
+	Unanswered, AnsweredTwice                           int
+	Fills, StoredFills                                  int       // fills at caches, and those of them that were kept
+	FailingCacheAttempts                                int       // hops that a bad box failed
+	OnTimePerSecond                                     []float64 // share in time, second by second
 
 	sent, good []int // by second
 }
@@ -171,18 +171,18 @@
 	routers []*router
 	res     *Result
 	n       int
-	trouble Trouble
+	trouble Fault
 	gossip  *rand.Rand // of its own, so that the traffic is the same with words and without
 }
 
-func records(me, routers, campus int) routing.Records {
+func records(me, routers, campus int) routing.Settings {
 	at, links, hubOf := zeros(), zeros(), zeros() // hubs are the first locations
 	for i := range hubs + campuses {
 		if hubOf[i] = strconv.Itoa(i % hubs); i >= hubs {
 			at[i], links[i] = strconv.Itoa(routers/campuses), strconv.Itoa(int(linkCarry*pace))
 		}
 	}
-	return routing.Records{"router": strconv.Itoa(me), "routers": strconv.Itoa(routers), "location": strconv.Itoa(hubs + campus),
+	return routing.Settings{"router": strconv.Itoa(me), "routers": strconv.Itoa(routers), "location": strconv.Itoa(hubs + campus),
 		"routers_at": strings.Join(at, ","), "hub_of": strings.Join(hubOf, ","), "parent_kind": "1", "origin_kind": "2",
 		"pace_kb_s": strconv.Itoa(int(pace)), "siblings": "location", "tells": "hit", "may_cancel": "true", "may_join": "true", "max_hops": "5",
 		"tells_retry": "true", "max_retry_s": "2", "cold_s": "2", "cold_share": "0.5", "fall_multiple": "2", "fall_s": "1", "purge_done_s": "6",
@@ -198,33 +198,33 @@
 const originID = "origin"
 
 // Trouble is what happens in the second phase.
-type Trouble int
+type Fault int
 
 // The troubles: half as much traffic again and a purge, or half of the parents lost, which come back empty.
 const (
-	Burst Trouble = iota
-	LostHub
-	BadBox // one cache answers all it is sent as failed
+	TrafficBurst Fault = iota
+	ParentZoneLost
+	FailingCache // one cache answers all it is sent as failed
 )
 
 // Talk is what routers tell each other of members.
-type Talk struct {
-	Rumours bool
-	Liars   int // routers that slander every member, all the time; as many may lie by the terms
+type Gossip struct {
+	Enabled       bool
+	FaultyRouters int // routers that slander every member, all the time; as many may lie by the terms
 }
 
 // Play runs the town once with so many routers, a multiple of the campuses, that tell each other nothing.
-func Play(seed uint64, routers int, trouble Trouble) (*Result, error) {
-	return PlayTalking(seed, routers, trouble, Talk{})
+func Run(seed uint64, routers int, trouble Fault) (*Result, error) {
+	return RunWithGossip(seed, routers, trouble, Gossip{})
 }
 
 // PlayTalking is Play with routers that tell each other what they saw of members.
-func PlayTalking(seed uint64, routers int, trouble Trouble, talk Talk) (*Result, error) {
+func RunWithGossip(seed uint64, routers int, trouble Fault, talk Gossip) (*Result, error) {
 	if routers < campuses || routers%campuses != 0 {
 		return nil, fmt.Errorf("%d routers: a multiple of %d is needed", routers, campuses)
 	}
-	res := &Result{Routers: routers, Txns: map[string]int{}, InTime: map[string]int{}, Late: map[string]int{}, Rejected: map[string]int{},
-		Aborted: map[string]int{}, Hops: map[string]int{}, sent: make([]int, int(lasts)+1), good: make([]int, int(lasts)+1)}
+	res := &Result{Routers: routers, Requests: map[string]int{}, OnTime: map[string]int{}, Late: map[string]int{}, Rejected: map[string]int{},
+		Aborted: map[string]int{}, Attempts: map[string]int{}, sent: make([]int, int(lasts)+1), good: make([]int, int(lasts)+1)}
 	t := &town{World: clock.New(seed, 0x7417, clock0), members: map[string]*station{}, sizes: map[key]float64{}, res: res,
 		gossip: rand.New(rand.NewPCG(seed, 0x60551))}
 	sum := 0.0
@@ -235,10 +235,10 @@
 			t.sizes[key{i, p}] = leastKB + (mostKB-leastKB)*math.Pow(t.Rand.Float64(), 2)
 		}
 	}
-	var rows []routing.Row
+	var rows []routing.Endpoint
 	add := func(id string, location, kind int, carry, keeps float64) {
 		t.members[id] = &station{id: id, carry: carry, keeps: keeps, held: map[key]*copyHeld{}, filling: map[key][]func(bool){}}
-		rows = append(rows, routing.Row{Member: id, Location: location, Kind: kind, Weight: carry})
+		rows = append(rows, routing.Endpoint{ID: id, Zone: location, Kind: kind, Weight: carry})
 	}
 	for c := range campuses {
 		t.links[c] = &station{carry: linkCarry}
@@ -253,23 +253,23 @@
 	for i := range routers {
 		r := &router{t: t, campus: i % campuses, open: map[string]*txn{}}
 		r.brain = routing.New(seed+uint64(i)*977, records(i, routers, r.campus))
-		if t.routers = append(t.routers, r); talk.Rumours {
-			r.talk = observation.New(i, fmt.Sprint("campus-", r.campus), talk.Liars, 1)
+		if t.routers = append(t.routers, r); talk.Enabled {
+			r.talk = observation.New(i, fmt.Sprint("campus-", r.campus), talk.FaultyRouters, 1)
 		}
-		r.decide(routing.Listing{Kind: routing.Saved, Rows: rows})
+		r.decide(routing.EndpointUpdate{Kind: routing.Restored, Endpoints: rows})
 	}
-	if talk.Rumours {
-		t.spread(talk.Liars)
+	if talk.Enabled {
+		t.spread(talk.FaultyRouters)
 	}
 	t.trouble = trouble
 	switch trouble {
-	case BadBox:
+	case FailingCache:
 		bad := t.members[cacheID(0, 0)]
 		t.At(clock0+burstFrom, func() { bad.bad = true })
 		t.At(clock0+burstTo, func() { bad.bad = false })
-	case Burst:
+	case TrafficBurst:
 		t.At(clock0+purgeAt, func() { t.purge(int(seed % groups)) })
-	case LostHub:
+	case ParentZoneLost:
 		for i := 0; i < parents; i += hubs {
 			p := t.members[parentID(i)]
 			t.At(clock0+burstFrom, func() { p.lost = true })
@@ -286,7 +286,7 @@
 		}
 	}
 	for i, n := range res.sent[:int(lasts)] {
-		res.Seconds = append(res.Seconds, float64(res.good[i])/max(float64(n), 1))
+		res.OnTimePerSecond = append(res.OnTimePerSecond, float64(res.good[i])/max(float64(n), 1))
 	}
 	return res, nil
 }
@@ -298,7 +298,7 @@
 		return
 	}
 	rate := txnsPerS * (1 - viewStays)
-	if t.trouble == Burst && now >= burstFrom && now < burstTo {
+	if t.trouble == TrafficBurst && now >= burstFrom && now < burstTo {
 		rate *= burstTimes
 	}
 	if at < 0 {
@@ -322,7 +322,7 @@
 		}
 	}
 	for _, r := range t.routers {
-		r.decide(routing.Purge{Group: group})
+		r.decide(routing.Purge{ObjectGroup: group})
 	}
 }
 
@@ -343,28 +343,28 @@
 	x.limit = x.sent + x.sla + giveUpAfter
 	id := strconv.Itoa(t.n)
 	r.open[id] = x
-	t.res.Txns[x.phase]++
+	t.res.Requests[x.phase]++
 	t.res.sent[int(x.sent-clock0)]++
-	r.decide(routing.Arrival{Txn: id, Object: strconv.Itoa(k.object), Part: k.part, Group: k.object % groups, Limit: x.limit, KB: kb})
+	r.decide(routing.RequestArrived{Request: id, Object: strconv.Itoa(k.object), Chunk: k.part, ObjectGroup: k.object % groups, Deadline: x.limit, SizeKB: kb})
 }
 
 // decide brings an event to the module and carries its actions out, after the event as the service does.
 func (r *router) decide(ev routing.Event) {
 	for _, a := range append([]routing.Action(nil), r.brain.Decide(r.t.Now(), ev)...) {
 		switch a := a.(type) {
-		case routing.Hop:
+		case routing.StartAttempt:
 			r.hop(a)
-		case routing.Cancel:
-			if x := r.open[a.Txn]; x != nil && a.Hop < len(x.hops) {
-				h, no := x.hops[a.Hop], a.Hop
-				r.t.After(cancelled, func() { r.end(a.Txn, no, h, routing.Cancelled, routing.Untold) })
+		case routing.CancelAttempt:
+			if x := r.open[a.Request]; x != nil && a.Attempt < len(x.hops) {
+				h, no := x.hops[a.Attempt], a.Attempt
+				r.t.After(cancelled, func() { r.end(a.Request, no, h, routing.Cancelled, routing.NoDetail) })
 			}
-		case routing.Timer:
-			r.t.After(a.After, func() { r.decide(routing.Bell{Token: a.Token}) })
-		case routing.Reject:
-			r.answer(a.Txn, r.t.res.Rejected)
-		case routing.Abort:
-			r.answer(a.Txn, r.t.res.Aborted)
+		case routing.SetTimer:
+			r.t.After(a.AfterSeconds, func() { r.decide(routing.TimerFired{Token: a.Token}) })
+		case routing.RejectRequest:
+			r.answer(a.Request, r.t.res.Rejected)
+		case routing.AbortRequest:
+			r.answer(a.Request, r.t.res.Aborted)
 		}
 	}
 }
@@ -372,7 +372,7 @@
 func (r *router) answer(id string, count map[string]int) {
 	x := r.open[id]
 	if x.answers++; x.answers > 1 {
-		r.t.res.Twice++
+		r.t.res.AnsweredTwice++
 		return
 	}
 	count[x.phase]++
@@ -392,7 +392,7 @@
 }
 
 // end tells the module how a hop ended; the first completed one answers its txn.
-func (r *router) end(id string, no int, h *hop, code routing.Code, remark routing.Remark) {
+func (r *router) end(id string, no int, h *hop, code routing.AttemptResult, remark routing.ResultDetail) {
 	if h.over {
 		return
 	}
@@ -403,54 +403,54 @@
 		x.over = true
 		x.answers++
 		if now <= x.sent+x.sla {
-			r.t.res.InTime[x.phase]++
+			r.t.res.OnTime[x.phase]++
 			r.t.res.good[int(x.sent-clock0)]++
 		} else {
 			r.t.res.Late[x.phase]++
 		}
 	}
-	r.decide(routing.Outcome{Txn: id, Hop: no, Code: code, Remark: remark, Took: now - h.sent, Final: x.over})
+	r.decide(routing.AttemptEnded{Request: id, Attempt: no, Result: code, Detail: remark, ElapsedSeconds: now - h.sent, RequestDone: x.over})
 	r.tidy(id, x)
 }
 
 // hop plays one: to the cache, and for a miss through the campus' link to its source.
-func (r *router) hop(a routing.Hop) {
-	x, t := r.open[a.Txn], r.t
-	h, no := &hop{sent: t.Now(), to: a.To}, len(x.hops)
+func (r *router) hop(a routing.StartAttempt) {
+	x, t := r.open[a.Request], r.t
+	h, no := &hop{sent: t.Now(), to: a.Endpoint}, len(x.hops)
 	x.hops = append(x.hops, h)
-	t.res.Hops[x.phase]++
-	finish := func(code routing.Code, remark routing.Remark) { r.end(a.Txn, no, h, code, remark) }
-	to := t.members[a.To]
+	t.res.Attempts[x.phase]++
+	finish := func(code routing.AttemptResult, remark routing.ResultDetail) { r.end(a.Request, no, h, code, remark) }
+	to := t.members[a.Endpoint]
 	if to.bad {
-		t.res.Bad++
-		t.After(latency, func() { finish(routing.Errored, routing.Untold) })
+		t.res.FailingCacheAttempts++
+		t.After(latency, func() { finish(routing.ServerError, routing.NoDetail) })
 		return
 	}
 	if to.full() {
-		t.After(latency, func() { finish(routing.Busy, routing.Untold) })
+		t.After(latency, func() { finish(routing.Overloaded, routing.NoDetail) })
 		return
 	}
-	send := func(remark routing.Remark) {
+	send := func(remark routing.ResultDetail) {
 		t.After(to.transfer(x.kb)+latency, func() {
 			to.out--
 			finish(routing.Completed, remark)
 		})
 	}
 	if c := to.held[x.k]; c != nil {
-		c.used, c.rank = t.Now(), max(c.rank, a.Rank)
-		send(routing.Hit)
+		c.used, c.rank = t.Now(), max(c.rank, a.RetentionRank)
+		send(routing.CacheHit)
 		return
 	}
-	if a.Source == a.To || a.NoFetch && t.members[a.Source].held[x.k] == nil {
-		t.After(latency, func() { finish(routing.Miss, routing.Untold) })
+	if a.Source == a.Endpoint || a.CacheOnly && t.members[a.Source].held[x.k] == nil {
+		t.After(latency, func() { finish(routing.CacheMiss, routing.NoDetail) })
 		return
 	}
-	if waiting, ok := to.filling[x.k]; ok && a.Join {
+	if waiting, ok := to.filling[x.k]; ok && a.JoinFill {
 		to.filling[x.k] = append(waiting, func(ok bool) {
 			if ok {
-				send(routing.Joined)
+				send(routing.JoinedFill)
 			} else {
-				finish(routing.Busy, routing.Untold)
+				finish(routing.Overloaded, routing.NoDetail)
 			}
 		})
 		return
@@ -460,13 +460,13 @@
 		waiting := to.filling[x.k]
 		delete(to.filling, x.k)
 		if ok {
-			if t.res.Filled++; a.Rank > 0 {
-				t.res.Kept++
+			if t.res.Fills++; a.RetentionRank > 0 {
+				t.res.StoredFills++
 			}
-			to.keep(x.k, a.Rank, t.Now(), x.kb)
+			to.keep(x.k, a.RetentionRank, t.Now(), x.kb)
 			finish(routing.Completed, routing.Filled)
 		} else {
-			finish(routing.Busy, routing.Untold)
+			finish(routing.Overloaded, routing.NoDetail)
 		}
 		for _, w := range waiting {
 			w(ok)
@@ -476,7 +476,7 @@
 
 // fill brings a part over the link of a campus, from a sibling, a parent or the archive; a parent that lacks it asks the
 // archive first and keeps it. A fill runs on when its txn is given up.
-func (t *town) fill(campus int, to *station, a routing.Hop, x *txn, done func(bool)) {
+func (t *town) fill(campus int, to *station, a routing.StartAttempt, x *txn, done func(bool)) {
 	from, link := t.members[a.Source], t.links[campus]
 	if from.lost {
 		t.After(lostAnswer, func() { done(false) })
@@ -518,7 +518,7 @@
 }
 
 // saw tells a router's rumours how a hop ended, and the module what comes of it.
-func (r *router) saw(member string, code routing.Code, late bool) {
+func (r *router) saw(member string, code routing.AttemptResult, late bool) {
 	if r.talk == nil {
 		return
 	}
@@ -534,7 +534,7 @@
 func (r *router) heed(heeds []observation.Heed) {
 	now := r.t.Now() - clock0
 	for _, h := range heeds {
-		r.decide(routing.Doubt{Member: h.Member, Level: h.Doubt, For: max(h.Until-now, 0)})
+		r.decide(routing.HealthObservation{Endpoint: h.Member, Suspicion: h.Doubt, ValidSeconds: max(h.Until-now, 0)})
 	}
 }
 
--- a/internal/upstream/link.go
+++ b/internal/upstream/link.go
@@ -39,7 +39,7 @@
 	end     int64     // the link's count of bytes after its last one
 	written time.Time // when it was begun
 
-	undone routing.Code // how it ends once its member has been told that it is given up
+	undone routing.AttemptResult // how it ends once its member has been told that it is given up
 }
 
 // Link is the link that carries the call.
@@ -110,12 +110,12 @@
 // undo gives a call up and says how it ends by that, and whether at once. One that the member may know of is over only
 // when the socket has taken the line that tells it, or the connection has ended: a further hop sent before that line
 // would be a second one out at the same time. Its end then comes like any other.
-func (l *Link) undo(c *Call, code routing.Code) (end routing.Code, atOnce bool) {
+func (l *Link) undo(c *Call, code routing.AttemptResult) (end routing.AttemptResult, atOnce bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.calls[c.id] != c { // its end is on the way, or was lost with a panic
 		if !c.begun {
-			code = routing.Moot
+			code = routing.NotSent
 		}
 		return code, true
 	}
@@ -129,7 +129,7 @@
 				break
 			}
 		}
-		return routing.Moot, true
+		return routing.NotSent, true
 	}
 	if l.dead || !c.hop {
 		return code, true
@@ -198,9 +198,9 @@
 		c.Since(began)
 		c.End(code, err)
 		if code == netconn.Limit {
-			l.finish(nil, routing.Moot)
+			l.finish(nil, routing.NotSent)
 		} else {
-			l.finish(nil, routing.NoConnect)
+			l.finish(nil, routing.ConnectFailed)
 		}
 		c.Done(l.pool.Book, "member", peer)
 		return
@@ -237,7 +237,7 @@
 	})
 	_ = g.Wait()
 	stop()
-	l.finish(c, routing.NoConnect)
+	l.finish(c, routing.ConnectFailed)
 	c.Done(l.pool.Book, "member", peer)
 }
 
@@ -260,7 +260,7 @@
 // finish ends what is open: a call whose last byte the socket took may have run; any other surely did not. One of
 // which nothing was written crossed the end of the connection, which may have been an idle one: that is no fault of
 // the member. What is left ends by the code given.
-func (l *Link) finish(c *netconn.Conn, unrun routing.Code) {
+func (l *Link) finish(c *netconn.Conn, unrun routing.AttemptResult) {
 	l.mu.Lock()
 	l.dead = true
 	calls, undone := l.calls, slices.Collect(maps.Values(l.undone))
@@ -270,9 +270,9 @@
 	for _, call := range calls {
 		code := unrun
 		if c != nil && !call.begun {
-			code = routing.Moot
+			code = routing.NotSent
 		} else if c != nil && call.begun && call.end <= c.Wrote() {
-			code = routing.Broken
+			code = routing.ConnectionBroken
 		}
 		l.pool.Post(Ended{call, request.End{Code: code}})
 	}
@@ -292,7 +292,7 @@
 				// Its client went while it waited here, for the connection or its turn: it never begins.
 				delete(l.calls, x.call.id)
 				l.mu.Unlock()
-				l.pool.Post(Ended{x.call, request.End{Code: routing.Moot}})
+				l.pool.Post(Ended{x.call, request.End{Code: routing.NotSent}})
 				continue
 			}
 			if x.text == nil {
@@ -399,7 +399,7 @@
 	}
 	if a.Check == call.hop { // an answer of the other kind: what it is about can't be known
 		a.Body.Free()
-		a.End = request.End{Code: routing.Errored}
+		a.End = request.End{Code: routing.ServerError}
 	}
 	l.pool.Post(Ended{call, a.End})
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -105,12 +105,12 @@
 		}
 	}
 	for _, row := range rows {
-		m := p.members[row.Member]
+		m := p.members[row.ID]
 		if m == nil {
 			m = &member{}
-			p.members[row.Member] = m
+			p.members[row.ID] = m
 		}
-		m.row, m.addr, m.gone = row, row.Addr, row.Status == routing.Gone
+		m.row, m.addr, m.gone = row, row.Addr, row.Status == routing.Removed
 		p.reaches(row, m)
 	}
 }
@@ -176,7 +176,7 @@
 // Send starts a hop.
 func (p *Pool) Send(d cacheproto.Do, avoid []*Link, owner any) *Call {
 	head := cacheproto.AppendDo(nil, d)
-	return p.call(d.To, &Call{Owner: owner, id: d.Txn.ID, head: head, body: d.Txn.Body, txn: d.Txn, hop: true,
+	return p.call(d.Endpoint, &Call{Owner: owner, id: d.Txn.ID, head: head, body: d.Txn.Body, txn: d.Txn, hop: true,
 		repeatable: p.Repeatable != nil && p.Repeatable(d.Txn.Rule)}, avoid)
 }
 
@@ -188,7 +188,7 @@
 }
 
 // Undo gives a call up. It says how that ends it, and whether at once; else its end follows.
-func (p *Pool) Undo(c *Call, code routing.Code) (end routing.Code, atOnce bool) {
+func (p *Pool) Undo(c *Call, code routing.AttemptResult) (end routing.AttemptResult, atOnce bool) {
 	return c.link.undo(c, code)
 }
 
--- a/internal/upstream/send_test.go
+++ b/internal/upstream/send_test.go
@@ -42,7 +42,7 @@
 			return near, nil
 		}}
 	s.Start(ctx)
-	s.List(true, []discovery.Row{{Addr: "a:1", Row: routing.Row{Member: "m"}}})
+	s.List(true, []discovery.Row{{Addr: "a:1", Endpoint: routing.Endpoint{ID: "m"}}})
 	s.stop = func() {
 		cancel()
 		assert.NoError(t, s.Wait())
@@ -66,7 +66,7 @@
 	if body > 0 {
 		x.Body = &request.Body{Bytes: make([]byte, body)}
 	}
-	return s.Send(cacheproto.Do{Txn: x, Wait: 1, Hop: routing.Hop{To: "m"}}, avoid, id)
+	return s.Send(cacheproto.Do{Txn: x, Wait: 1, StartAttempt: routing.StartAttempt{Endpoint: "m"}}, avoid, id)
 }
 
 // end waits for the next end of a call.
@@ -101,12 +101,12 @@
 	e := s.end(t)
 	assert.Equal(t, b, e.Call)
 	assert.Equal(t, "xyz", string(e.End.Body.Bytes))
-	assert.Equal(t, routing.Hit, e.End.Remark)
+	assert.Equal(t, routing.CacheHit, e.End.Remark)
 	assert.EqualValues(t, 3, s.Gate.Budget.Used())
 	e.End.Body.Free()
 	e.End.Body.Free()
 	assert.Zero(t, s.Gate.Budget.Used())
-	assert.Equal(t, Ended{Call: a, End: request.End{Code: routing.Miss}}, s.end(t))
+	assert.Equal(t, Ended{Call: a, End: request.End{Code: routing.CacheMiss}}, s.end(t))
 	assert.EqualValues(t, 1, s.Book.Count("member.late-answers"))
 	assert.Equal(t, 1, s.Links(), "one connection carries both")
 }
@@ -118,12 +118,12 @@
 	far := <-s.dialed
 	assert.Equal(t, "do a", asked(t, bufio.NewReaderSize(far, 16))) // and some of b
 	_ = far.Close()
-	ends := map[*Call]routing.Code{}
+	ends := map[*Call]routing.AttemptResult{}
 	for range 2 {
 		e := s.end(t)
 		ends[e.Call] = e.End.Code
 	}
-	assert.Equal(t, map[*Call]routing.Code{whole: routing.Broken, part: routing.NoConnect}, ends)
+	assert.Equal(t, map[*Call]routing.AttemptResult{whole: routing.ConnectionBroken, part: routing.ConnectFailed}, ends)
 }
 
 // TestHopThatCrossesACloseIsMoot: nothing of it was written, and the member may just have closed an idle connection.
@@ -135,12 +135,12 @@
 	far := <-s.dialed
 	_, _ = far.Read(make([]byte, 16))
 	_ = far.Close()
-	ends := map[*Call]routing.Code{}
+	ends := map[*Call]routing.AttemptResult{}
 	for range 2 {
 		e := s.end(t)
 		ends[e.Call] = e.End.Code
 	}
-	assert.Equal(t, routing.Moot, ends[b])
+	assert.Equal(t, routing.NotSent, ends[b])
 }
 
 func TestBodyCutShortIsBroken(t *testing.T) {
@@ -150,7 +150,7 @@
 	asked(t, bufio.NewReader(far))
 	_, _ = io.WriteString(far, "a served digest=d,dated=1 10\r\nhalf")
 	_ = far.Close()
-	assert.Equal(t, request.End{Code: routing.Broken}, s.end(t).End)
+	assert.Equal(t, request.End{Code: routing.ConnectionBroken}, s.end(t).End)
 	assert.Zero(t, s.Gate.Budget.Used())
 }
 
@@ -161,7 +161,7 @@
 		far := <-s.dialed
 		asked(t, bufio.NewReader(far))
 		_, _ = io.WriteString(far, bad)
-		assert.Equal(t, routing.Broken, s.end(t).End.Code, bad[:min(len(bad), 20)])
+		assert.Equal(t, routing.ConnectionBroken, s.end(t).End.Code, bad[:min(len(bad), 20)])
 		s.stop()
 		assert.Contains(t, s.log.String(), "code=protocol")
 		assert.Equal(t, 1, strings.Count(s.log.String(), "connection ended"), "one line a connection")
@@ -169,7 +169,7 @@
 }
 
 func TestNoConnectionProvesThatNothingRan(t *testing.T) {
-	for how, code := range map[error]routing.Code{syscall.ECONNREFUSED: routing.NoConnect, nil: routing.NoConnect, syscall.EMFILE: routing.Moot} {
+	for how, code := range map[error]routing.AttemptResult{syscall.ECONNREFUSED: routing.ConnectFailed, nil: routing.ConnectFailed, syscall.EMFILE: routing.NotSent} {
 		s := pool(t)
 		s.Connect = 20 * time.Millisecond
 		s.Dial = func(ctx context.Context, _ string) (net.Conn, error) {
@@ -196,13 +196,13 @@
 	asked(t, r)
 	post := s.Post
 	s.Post = func(ev any) {
-		if e, ok := ev.(Ended); ok && e.Call == a && e.End.Code == routing.Miss {
+		if e, ok := ev.(Ended); ok && e.Call == a && e.End.Code == routing.CacheMiss {
 			panic("a fault")
 		}
 		post(ev)
 	}
 	_, _ = io.WriteString(far, "a not_here - 0\r\n\r\n")
-	assert.Equal(t, Ended{Call: b, End: request.End{Code: routing.Broken}}, s.end(t))
+	assert.Equal(t, Ended{Call: b, End: request.End{Code: routing.ConnectionBroken}}, s.end(t))
 	assert.Contains(t, s.after(t, a.Link()), "code=panic")
 }
 
@@ -212,7 +212,7 @@
 	a := s.send("a", 0)
 	b := s.send("b", 0)
 	code, atOnce := s.Undo(a, routing.Cancelled)
-	assert.True(t, atOnce && code == routing.Moot, "nothing of it was written")
+	assert.True(t, atOnce && code == routing.NotSent, "nothing of it was written")
 	close(hold)
 	far := <-s.dialed
 	r := bufio.NewReader(far)
@@ -224,7 +224,7 @@
 	assert.Equal(t, "undo b", asked(t, r))
 	assert.Equal(t, Ended{b, request.End{Code: routing.Cancelled}}, s.end(t))
 	_, _ = io.WriteString(far, "b served - 4\r\nlate\r\nc overload - 0\r\n\r\n")
-	assert.Equal(t, Ended{Call: c, End: request.End{Code: routing.Busy}}, s.end(t), "a late answer to what was given up is passed over")
+	assert.Equal(t, Ended{Call: c, End: request.End{Code: routing.Overloaded}}, s.end(t), "a late answer to what was given up is passed over")
 	assert.NotSame(t, b.Link(), s.send("b", 0, b.Link()).Link(), "the id is not used again where it may still be answered")
 }
 
@@ -271,7 +271,7 @@
 		asked(t, bufio.NewReader(far))
 		_, _ = io.WriteString(far, "a served digest=d,dated=1,remark=h 10\r\nhalf")
 		if !undone {
-			assert.Equal(t, Ended{Call: a, End: request.End{Code: routing.Broken}}, s.end(t))
+			assert.Equal(t, Ended{Call: a, End: request.End{Code: routing.ConnectionBroken}}, s.end(t))
 			assert.Contains(t, s.after(t, a.Link()), "code=stalled")
 			continue
 		}
@@ -294,9 +294,9 @@
 	asked(t, bufio.NewReader(far))
 	asked(t, bufio.NewReader(other))
 	_, _ = io.WriteString(far, "a served digest=\x00\r\n")
-	assert.Equal(t, Ended{Call: a, End: request.End{Code: routing.Broken}}, s.end(t))
+	assert.Equal(t, Ended{Call: a, End: request.End{Code: routing.ConnectionBroken}}, s.end(t))
 	_, _ = io.WriteString(other, "b not_here - 0\r\n\r\n")
-	assert.Equal(t, Ended{Call: b, End: request.End{Code: routing.Miss}}, s.end(t))
+	assert.Equal(t, Ended{Call: b, End: request.End{Code: routing.CacheMiss}}, s.end(t))
 	assert.Same(t, b.Link(), s.send("c", 0).Link(), "one that nothing is open on is used again")
 }
 
@@ -337,11 +337,11 @@
 	c := s.send("a", 0)
 	far := <-s.dialed
 	asked(t, bufio.NewReader(far))
-	s.List(false, []discovery.Row{{Addr: "b:1", Row: routing.Row{Member: "m"}}})
+	s.List(false, []discovery.Row{{Addr: "b:1", Endpoint: routing.Endpoint{ID: "m"}}})
 	s.Sweep(time.Now())
 	assert.NotSame(t, c.Link(), s.send("b", 0).Link(), "the address passed to another machine")
 	_, _ = io.WriteString(far, "a nobody - 0\r\n\r\n")
-	assert.Equal(t, Ended{Call: c, End: request.End{Code: routing.Moot}}, s.end(t))
+	assert.Equal(t, Ended{Call: c, End: request.End{Code: routing.NotSent}}, s.end(t))
 	s.Sweep(time.Now().Add(time.Second))
 	assert.Equal(t, Dropped{c.Link()}, <-s.ends, "the old link ends once nothing is open on it")
 	s.stop()
@@ -355,7 +355,7 @@
 	far := <-s.dialed
 	assert.Equal(t, "top check1", asked(t, bufio.NewReader(far)))
 	_, _ = io.WriteString(far, "check1 green report=util:0.5 0\r\n\r\n")
-	assert.Equal(t, Ended{Call: c, End: request.End{Load: []routing.Reading{{Name: "util", Value: 0.5}}}}, s.end(t))
+	assert.Equal(t, Ended{Call: c, End: request.End{Load: []routing.LoadMetric{{Name: "util", Value: 0.5}}}}, s.end(t))
 	assert.Nil(t, s.Check("nobody", nil))
 }
 
@@ -379,7 +379,7 @@
 	close(hold)
 	r := bufio.NewReader(<-s.dialed)
 	assert.Equal(t, "do b", asked(t, r))
-	assert.Equal(t, Ended{a, request.End{Code: routing.Moot}}, s.end(t))
+	assert.Equal(t, Ended{a, request.End{Code: routing.NotSent}}, s.end(t))
 	_, atOnce := s.Undo(a, routing.Cancelled)
 	assert.True(t, atOnce, "and no line undoes it")
 	assert.NotNil(t, b.Link())
--- a/internal/upstream/several.go
+++ b/internal/upstream/several.go
@@ -33,20 +33,20 @@
 
 // reaches takes a member's addresses from the list.
 func (p *Pool) reaches(row discovery.Row, m *member) {
-	m.started = row.Started
+	m.started = row.StartedAt
 	if p.Reach == nil {
 		return
 	}
 	if m.gone {
-		p.Reach.Gone(row.Member)
+		p.Reach.Gone(row.ID)
 		return
 	}
 	list := []address.Addr{address.Addr(row.Addr)}
 	if more := p.Addrs(row); len(more) > 0 {
 		list = more
 	}
-	p.Reach.List(unix(time.Now()), row.Member, row.Started, list)
-	m.several = p.Reach.Several(row.Member)
+	p.Reach.List(unix(time.Now()), row.ID, row.StartedAt, list)
+	m.several = p.Reach.Several(row.ID)
 	listed := map[address.Addr]bool{}
 	for _, a := range list {
 		listed[a] = true
@@ -286,9 +286,9 @@
 			return
 		}
 		switch ev.End.Code {
-		case routing.Completed, routing.Errored, routing.Busy, routing.Miss:
+		case routing.Completed, routing.ServerError, routing.Overloaded, routing.CacheMiss:
 			p.Reach.Answered(now, l.member, addr, time.Since(ev.Call.written).Seconds())
-		case routing.Broken, routing.NoConnect:
+		case routing.ConnectionBroken, routing.ConnectFailed:
 			p.Reach.Broke(now, l.member, addr)
 		}
 	}
--- a/internal/upstream/several_test.go
+++ b/internal/upstream/several_test.go
@@ -65,7 +65,7 @@
 }
 
 func (s *severalSide) list(started float64) {
-	s.List(true, []discovery.Row{{Addr: string(first), Row: routing.Row{Member: "m", Started: started}}})
+	s.List(true, []discovery.Row{{Addr: string(first), Endpoint: routing.Endpoint{ID: "m", StartedAt: started}}})
 }
 
 func (a attempt) up() net.Conn {
@@ -108,7 +108,7 @@
 	r := bufio.NewReader(far)
 	assert.Equal(t, "do a", asked(t, r))
 	_, _ = io.WriteString(far, "a not_here - 0\r\n\r\n")
-	assert.Equal(t, Ended{Call: c, End: request.End{Code: routing.Miss}}, s.hear(t))
+	assert.Equal(t, Ended{Call: c, End: request.End{Code: routing.CacheMiss}}, s.hear(t))
 	assert.Equal(t, "refused", s.Reach.States(unix(time.Now()))[0].Why)
 }
 
@@ -175,7 +175,7 @@
 	s.Reach.Dialed(now, "m", first, address.Refused, 0)
 	s.Reach.Dialed(now, "m", second, address.Refused, 0)
 	c := s.send("a", 0)
-	assert.Equal(t, Ended{Call: c, End: request.End{Code: routing.NoConnect}}, s.hear(t))
+	assert.Equal(t, Ended{Call: c, End: request.End{Code: routing.ConnectFailed}}, s.hear(t))
 	assert.Empty(t, s.attempts)
 }
 
@@ -200,7 +200,7 @@
 	c := s.send("a", 0)
 	x := <-s.attempts
 	code, atOnce := s.Undo(c, routing.Cancelled)
-	assert.Equal(t, routing.Moot, code)
+	assert.Equal(t, routing.NotSent, code)
 	assert.True(t, atOnce)
 	far := x.up()
 	b := s.send("b", 0)
@@ -229,7 +229,7 @@
 	_, _ = io.WriteString(other, "b not_here - 0\r\n\r\n")
 	assert.Equal(t, b, s.hear(t).Call)
 	x := &request.Txn{ID: "c", Name: "order", Object: "ff", Part: "0", Rule: 1}
-	c := s.Send(cacheproto.Do{Txn: x, Wait: 1, Hop: routing.Hop{To: "m"}}, nil, "c")
+	c := s.Send(cacheproto.Do{Txn: x, Wait: 1, StartAttempt: routing.StartAttempt{Endpoint: "m"}}, nil, "c")
 	assert.Same(t, b.Link(), c.Link())
 	_, _ = io.WriteString(far, "a not_here - 0\r\n\r\n")
 	assert.Equal(t, a, s.hear(t).Call, "its late answer is its end")
@@ -308,7 +308,7 @@
 	require.NoError(t, err)
 	assert.Equal(t, "do a", asked(t, bufio.NewReader(far)))
 	_, _ = io.WriteString(far, "a not_here - 0\r\n\r\n")
-	assert.Equal(t, Ended{Call: c, End: request.End{Code: routing.Miss}}, s.hear(t))
+	assert.Equal(t, Ended{Call: c, End: request.End{Code: routing.CacheMiss}}, s.hear(t))
 	for i, want := range []string{"refused", "refused"} {
 		assert.Equal(t, want, s.Reach.States(unix(time.Now()))[i].Why)
 	}
--- a/routing/brain.go
+++ b/routing/brain.go
@@ -61,7 +61,7 @@
 )
 
 // New starts a router that knows nothing but its records.
-func New(seed uint64, rec Records) *Router {
+func New(seed uint64, rec Settings) *Router {
 	return &Router{rec: rec, pcg: seed, nums: map[string]float64{}, rules: map[int]*rule{},
 		txns: map[string]*txn{}, bySeq: map[uint64]*txn{}, objects: map[string]*object{},
 		purges: map[void]float64{}}
@@ -71,38 +71,38 @@
 func (r *Router) Decide(now float64, ev Event) []Action {
 	r.now, r.acts = now, r.acts[:0]
 	switch ev := ev.(type) {
-	case Listing:
+	case EndpointUpdate:
 		r.listing(ev)
-	case Arrival:
+	case RequestArrived:
 		r.arrive(ev)
-	case Outcome:
+	case AttemptEnded:
 		r.outcome(ev)
-	case ClientGone:
-		if t := r.txns[ev.Txn]; t != nil {
+	case ClientDisconnected:
+		if t := r.txns[ev.Request]; t != nil {
 			t.over = true
 			r.settle(t)
 		}
-	case Bell:
+	case TimerFired:
 		if t := r.bySeq[ev.Token]; t != nil {
 			t.armed = 0
 			r.think(t)
 		}
 	case Purge:
 		r.purged(ev)
-	case Stuck:
-		if t := r.txns[ev.Txn]; t != nil && ev.Hop >= 0 && ev.Hop < len(t.hops) {
-			t.hops[ev.Hop].stuck = true
+	case AttemptStalled:
+		if t := r.txns[ev.Request]; t != nil && ev.Attempt >= 0 && ev.Attempt < len(t.hops) {
+			t.hops[ev.Attempt].stuck = true
 			r.think(t)
 		}
-	case Doubt: // it takes nothing out by itself: a hop of our own has to fail too
-		if m := r.known(ev.Member); m != nil {
-			m.doubted = r.now + ev.For*flag(ev.Level >= doubtful)
+	case HealthObservation: // it takes nothing out by itself: a hop of our own has to fail too
+		if m := r.known(ev.Endpoint); m != nil {
+			m.doubted = r.now + ev.ValidSeconds*flag(ev.Suspicion >= doubtful)
 		}
-	case Spare:
-		if m := r.known(ev.Member); m != nil {
-			m.spentUp = !ev.Left
-		} else if ev.Member == "" {
-			r.rule(ev.Rule).spentUp = !ev.Left
+	case RetryBudgetChanged:
+		if m := r.known(ev.Endpoint); m != nil {
+			m.spentUp = !ev.Available
+		} else if ev.Endpoint == "" {
+			r.rule(ev.Class).spentUp = !ev.Available
 		}
 	}
 	return r.acts
@@ -112,15 +112,15 @@
 func (r *Router) settle(t *txn) {
 	done := t.over || t.verdict != nil
 	for i, h := range t.hops {
-		if h.out && (done || !h.wanted) && !h.stop && r.rec.Is("may_cancel") {
+		if h.out && (done || !h.wanted) && !h.stop && r.rec.Bool("may_cancel") {
 			h.stop = true
-			r.acts = append(r.acts, Cancel{t.Txn, i})
+			r.acts = append(r.acts, CancelAttempt{t.Request, i})
 		}
 		if h.wanted && !h.begun && !done {
 			h.begun, h.out, h.sent = true, true, r.now
-			r.acts = append(r.acts, Hop{Txn: t.Txn, To: h.to.Member, Until: t.Limit, Source: h.source.Member,
-				Rank: h.rank, MaxAge: h.maxAge, Join: r.rec.Is("may_join"), NoFetch: h.sibling || h.look,
-				Renew: r.rule(t.Rule).fresh > 0})
+			r.acts = append(r.acts, StartAttempt{Request: t.Request, Endpoint: h.to.ID, Deadline: t.Deadline, Source: h.source.ID,
+				RetentionRank: h.rank, MaxAgeSeconds: h.maxAge, JoinFill: r.rec.Bool("may_join"), CacheOnly: h.sibling || h.look,
+				Revalidate: r.rule(t.Class).fresh > 0})
 			h.to.out++
 			for _, g := range h.gates {
 				g.out += h.load
@@ -138,11 +138,11 @@
 		r.acts = append(r.acts, t.verdict)
 	}
 	if t.over && !slices.ContainsFunc(t.hops, func(h *hop) bool { return h.out }) {
-		delete(r.txns, t.Txn)
+		delete(r.txns, t.Request)
 		delete(r.bySeq, t.seq)
 	} else if !t.over && (t.armed == 0 || t.wake < t.armed) {
 		t.armed = t.wake
-		r.acts = append(r.acts, Timer{max(t.wake-r.now, 0), t.seq})
+		r.acts = append(r.acts, SetTimer{max(t.wake-r.now, 0), t.seq})
 	}
 }
 
@@ -184,9 +184,9 @@
 }
 
 // listing takes news of the members. A member that starts again is empty, cold and unjudged.
-func (r *Router) listing(l Listing) {
-	if l.Kind == Failed || (l.Kind == Saved && r.rec["list"] == "asked") {
-		r.acts = append(r.acts, Subscribe{})
+func (r *Router) listing(l EndpointUpdate) {
+	if l.Kind == Unavailable || (l.Kind == Restored && r.rec["list"] == "asked") {
+		r.acts = append(r.acts, SubscribeEndpoints{})
 	}
 	for _, m := range r.take(l) {
 		share := stretchRoom * m.Weight / m.sharers
@@ -199,7 +199,7 @@
 		}
 	}
 	if r.link.room == 0 {
-		flow := r.rec.NumItem("link_in_kb_s", int(r.num("location", 0)), 0) / max(r.num("pace_kb_s", 0), 1)
+		flow := r.rec.FloatItem("link_in_kb_s", int(r.num("location", 0)), 0) / max(r.num("pace_kb_s", 0), 1)
 		sum := 0.0
 		for _, m := range r.caches {
 			if sum += stretchRoom * m.Weight / m.sharers; flow > 0 {
@@ -216,22 +216,22 @@
 
 // warmth is the share of its capacity that a member surely has: a line from the cold share up to all of it.
 func (r *Router) warmth(m *member) float64 {
-	if m.Started <= 0 || m.role == origin {
+	if m.StartedAt <= 0 || m.role == origin {
 		return 1
 	}
 	floor, over := r.num("cold_share", 1), r.num("cold_s", 0)
 	if m.role == parent {
 		floor, over = r.num("parent_cold_share", 1), r.num("parent_cold_s", 0)
 	}
-	if over <= 0 || r.now >= m.Started+over {
+	if over <= 0 || r.now >= m.StartedAt+over {
 		return 1
 	}
-	return floor + (1-floor)*max(r.now-m.Started, 0)/over
+	return floor + (1-floor)*max(r.now-m.StartedAt, 0)/over
 }
 
 // cost is the work in sending seconds that a hop counts for: its rule's mean, at a parent its own if more.
 func (r *Router) cost(t *txn, m *member) float64 {
-	u := r.rule(t.Rule)
+	u := r.rule(t.Class)
 	return max(believed(u.sizes, max(t.send, u.sla)), flag(m.role == parent)*t.send)
 }
 
@@ -243,20 +243,20 @@
 }
 
 // arrive takes a txn and decides its first hop.
-func (r *Router) arrive(a Arrival) {
+func (r *Router) arrive(a RequestArrived) {
 	r.seq++
-	a.KB = cmp.Or(max(a.KB, 0), 1) // where sizes are not told parts are counted
-	t := &txn{Arrival: a, seq: r.seq, came: r.now}
+	a.SizeKB = cmp.Or(max(a.SizeKB, 0), 1) // where sizes are not told parts are counted
+	t := &txn{RequestArrived: a, seq: r.seq, came: r.now}
 	if pace := r.num("pace_kb_s", 0); pace > 0 {
-		t.send = a.KB / pace
+		t.send = a.SizeKB / pace
 	}
-	u := r.rule(t.Rule)
-	t.sla, t.dense = u.sla+t.send*u.stretch, u.importance/a.KB
-	r.txns[t.Txn], r.bySeq[t.seq] = t, t
+	u := r.rule(t.Class)
+	t.sla, t.dense = u.sla+t.send*u.stretch, u.importance/a.SizeKB
+	r.txns[t.Request], r.bySeq[t.seq] = t, t
 	u.sizes = keep(u.sizes, t.send, keptSizes)
 	r.sweep()
-	t.obj = r.object(a.Object, a.Group)
-	t.obj.last, t.p = r.now, t.obj.part(a.Part)
+	t.obj = r.object(a.Object, a.ObjectGroup)
+	t.obj.last, t.p = r.now, t.obj.part(a.Chunk)
 	t.unseen = !t.p.seen
 	r.think(t)
 }
@@ -307,7 +307,7 @@
 }
 
 func (r *Router) uncacheable(t *txn) bool {
-	return t.Write || r.rule(t.Rule).uncacheable
+	return t.Write || r.rule(t.Class).uncacheable
 }
 
 // serves is the design's choice: true to fill and keep a missing part at m, false to pass it unkept.
@@ -322,7 +322,7 @@
 	if m.held[t.p] != nil {
 		return true
 	}
-	cf, cr, need := 2*alpha/(alpha+1), 2/(alpha+1), t.KB
+	cf, cr, need := 2*alpha/(alpha+1), 2/(alpha+1), t.SizeKB
 	serve, pass := need*cf, need*cr+need*T/r.gap(t, m)*min(cf, cr)
 	for _, h := range m.order {
 		if need <= 0 || serve >= pass {
@@ -336,7 +336,7 @@
 
 // place orders members by the hash of an object; a larger one, or one at a nearer hub, is first more often.
 func place(id string, m *member) float64 {
-	return math.Log(unit(id+" "+m.Member)) / max(m.Weight, 1e-3) * math.Pow(hubFactor, m.away)
+	return math.Log(unit(id+" "+m.ID)) / max(m.Weight, 1e-3) * math.Pow(hubFactor, m.away)
 }
 
 // usable says whether a txn may use a member: at level 0 if it has not failed it, at level 1 if it is not on
@@ -358,7 +358,7 @@
 // be before it, one hop only looks, at the cache or as far as the parent; a wrong guess costs one short hop.
 func (r *Router) next(t *txn) *hop {
 	caches, parents := r.ordered(t.obj)
-	direct, write := r.rec.Is("may_go_direct"), r.uncacheable(t)
+	direct, write := r.rec.Bool("may_go_direct"), r.uncacheable(t)
 	sources := [2][]*member{parents, r.origins}
 	if write {
 		sources = [2][]*member{r.origins, parents}
@@ -432,7 +432,7 @@
 // sibling names another cache of the location that answers showed holding a part which the chosen one lacks:
 // after restarts, ejections and skips. Link and parent are spared; a wrong guess costs one short hop.
 func (r *Router) sibling(t *txn, to *member) *member {
-	s, fresh := r.rec["siblings"], r.rule(t.Rule).fresh
+	s, fresh := r.rec["siblings"], r.rule(t.Class).fresh
 	if (s != "location" && s != "any") || to.held[t.p] != nil || r.uncacheable(t) ||
 		slices.ContainsFunc(t.hops, func(h *hop) bool { return h.sibling }) {
 		return nil
@@ -448,15 +448,15 @@
 
 // inGroup keeps a keyed txn that may have run within the group that drops its repeats (rule 2).
 func (r *Router) inGroup(t *txn, m *member) bool {
-	group := r.rule(t.Rule).group
-	return r.rule(t.Rule).effect != "keyed" || !slices.ContainsFunc(t.hops, func(h *hop) bool {
-		away := group == "zone" && h.to.Location != m.Location || group == "cell" && h.to.Cell != m.Cell
+	group := r.rule(t.Class).group
+	return r.rule(t.Class).effect != "keyed" || !slices.ContainsFunc(t.hops, func(h *hop) bool {
+		away := group == "zone" && h.to.Zone != m.Zone || group == "cell" && h.to.Cell != m.Cell
 		return away && h.mayHaveRun()
 	})
 }
 
 func (h *hop) mayHaveRun() bool {
-	return h.begun && (h.out || !(h.end == Busy || h.end == NoConnect || h.end == Moot || h.end == Miss))
+	return h.begun && (h.out || !(h.end == Overloaded || h.end == ConnectFailed || h.end == NotSent || h.end == CacheMiss))
 }
 
 // oldest is the oldest copy that will do (rule 5): younger than any purge. Running boxes drop what was purged
@@ -464,15 +464,15 @@
 // member that started since the forgotten ones, nothing from before them will do. A copy past its fresh time
 // will do if it earns more than a late answer and fills are jammed or one has failed.
 func (r *Router) oldest(t *txn, h *hop) float64 {
-	at := max(r.purges[void{object: t.Object}], r.purges[void{group: t.Group}])
+	at := max(r.purges[void{object: t.Object}], r.purges[void{group: t.ObjectGroup}])
 	for _, m := range [2]*member{h.to, h.source} {
-		at = max(at, r.forgot*flag(m.Started > r.forgot))
+		at = max(at, r.forgot*flag(m.StartedAt > r.forgot))
 	}
 	age := math.Inf(1)
 	if at > 0 {
 		age = max(r.now-at-ageMargin, leastAge)
 	}
-	u := r.rule(t.Rule)
+	u := r.rule(t.Class)
 	jam := len(t.hops) > 0 || r.now < max(r.wayToOrigin().cut, r.link.cut)+jamLasts
 	if jam && u.stale > 0 && u.old > u.late {
 		return min(age, u.fresh+u.stale)
@@ -488,7 +488,7 @@
 	if t.over || t.verdict != nil {
 		return
 	}
-	t.held, t.wake = false, t.Limit-endMargin
+	t.held, t.wake = false, t.Deadline-endMargin
 	if r.now >= t.wake {
 		r.unanswered(t)
 		r.giveUp(t)
@@ -502,7 +502,7 @@
 		out = true
 		if h.wanted && (h.stuck || r.now >= h.late && r.silent(h)) {
 			// A second copy beside it, else one after it; one that must not run twice is waited for.
-			h.wanted = r.rec.Is("may_double") || r.rule(t.Rule).effect == "unrepeatable"
+			h.wanted = r.rec.Bool("may_double") || r.rule(t.Class).effect == "unrepeatable"
 			h.late, h.stuck = math.Inf(1), false
 		}
 		if h.wanted && !math.IsInf(h.late, 1) {
@@ -510,7 +510,7 @@
 			t.wake = min(t.wake, max(h.late, r.now+lookAgain))
 		}
 	}
-	if waiting || (out && !r.rec.Is("may_double")) {
+	if waiting || (out && !r.rec.Bool("may_double")) {
 		return
 	}
 	if !r.mayRepeat(t) {
@@ -527,7 +527,7 @@
 			r.request(t, h.to)
 		}
 		h.maxAge, h.wanted = r.oldest(t, h), true
-		h.late = r.now + lateBase*r.rule(t.Rule).sla + lateStretch*t.send
+		h.late = r.now + lateBase*r.rule(t.Class).sla + lateStretch*t.send
 		t.hops = append(t.hops, h)
 		t.wake = min(t.wake, h.late)
 		return
@@ -544,10 +544,10 @@
 
 // mayRepeat says whether a further hop is allowed (rule 2), and left in its remap rule's budget.
 func (r *Router) mayRepeat(t *txn) bool {
-	if float64(len(t.hops)) >= r.num("max_hops", 1) || (len(t.hops) > 0 && r.rule(t.Rule).spentUp) {
+	if float64(len(t.hops)) >= r.num("max_hops", 1) || (len(t.hops) > 0 && r.rule(t.Class).spentUp) {
 		return false
 	}
-	effect, window := r.rule(t.Rule).effect, r.rule(t.Rule).window
+	effect, window := r.rule(t.Class).effect, r.rule(t.Class).window
 	return effect == "repeatable" || !slices.ContainsFunc(t.hops, func(h *hop) bool {
 		return h.mayHaveRun() && (effect != "keyed" || r.now > h.sent+window-windowMargin)
 	})
@@ -555,11 +555,11 @@
 
 // giveUp answers at once: rejected where trying again is harmless, aborted else (rule 2).
 func (r *Router) giveUp(t *txn) {
-	effect, all := r.rule(t.Rule).effect, r.rule(t.Rule).group == "all"
-	t.verdict = Abort{t.Txn}
+	effect, all := r.rule(t.Class).effect, r.rule(t.Class).group == "all"
+	t.verdict = AbortRequest{t.Request}
 	if effect == "repeatable" || !slices.ContainsFunc(t.hops, (*hop).mayHaveRun) || (effect == "keyed" && all) {
-		again := flag(r.rec.Is("tells_retry")) * againAfter * (0.5 + r.chance())
-		t.verdict = Reject{t.Txn, min(again, r.num("max_retry_s", 0))}
+		again := flag(r.rec.Bool("tells_retry")) * againAfter * (0.5 + r.chance())
+		t.verdict = RejectRequest{t.Request, min(again, r.num("max_retry_s", 0))}
 	}
 }
 
@@ -617,35 +617,35 @@
 }
 
 // outcome learns from the end of a hop and decides what follows, here and for what is held.
-func (r *Router) outcome(o Outcome) {
-	t := r.txns[o.Txn]
-	if t == nil || o.Hop < 0 || o.Hop >= len(t.hops) || !t.hops[o.Hop].out {
+func (r *Router) outcome(o AttemptEnded) {
+	t := r.txns[o.Request]
+	if t == nil || o.Attempt < 0 || o.Attempt >= len(t.hops) || !t.hops[o.Attempt].out {
 		return
 	}
-	h := t.hops[o.Hop]
-	h.out, h.wanted, h.end, h.over = false, false, o.Code, r.now
-	h.to.release(r.now, 1, o.Took, true)
+	h := t.hops[o.Attempt]
+	h.out, h.wanted, h.end, h.over = false, false, o.Result, r.now
+	h.to.release(r.now, 1, o.ElapsedSeconds, true)
 	for _, g := range h.gates {
-		g.release(r.now, h.load, o.Took, o.Code != Completed || (o.Remark != Hit && o.Remark != Old))
+		g.release(r.now, h.load, o.ElapsedSeconds, o.Result != Completed || (o.Detail != CacheHit && o.Detail != StaleHit))
 	}
 	r.learn(t, h, o)
-	t.over = t.over || o.Final
+	t.over = t.over || o.RequestDone
 	r.think(t)
 	for _, held := range slices.Clone(r.queue[:min(len(r.queue), mostTries)]) {
 		r.think(held)
 	}
 }
 
-func (r *Router) learn(t *txn, h *hop, o Outcome) {
-	filled := o.Code == Completed && o.Remark != Hit && o.Remark != Old
-	x := o.Took / (h.late - h.sent) // 0 for a hop that was taken for lost
+func (r *Router) learn(t *txn, h *hop, o AttemptEnded) {
+	filled := o.Result == Completed && o.Detail != CacheHit && o.Detail != StaleHit
+	x := o.ElapsedSeconds / (h.late - h.sent) // 0 for a hop that was taken for lost
 	if len(r.slow) == keptSizes && x > slices.Max(r.slow) {
-		r.never = keep(r.never, flag(o.Code == Cancelled || o.Code == TimedOut), keptSamples)
+		r.never = keep(r.never, flag(o.Result == Cancelled || o.Result == TimedOut), keptSamples)
 	}
-	if o.Code == Completed || o.Code == Errored || o.Code == Busy || o.Code == Miss {
+	if o.Result == Completed || o.Result == ServerError || o.Result == Overloaded || o.Result == CacheMiss {
 		h.to.hear(r.now)
 	}
-	switch o.Code {
+	switch o.Result {
 	case Completed:
 		for _, x := range t.hops { // not before: an error is the txn's own fault if it meets it everywhere
 			if x.accused {
@@ -666,42 +666,42 @@
 		}
 		r.hold(t, h, filled)
 		r.tune(t, h, o, filled)
-	case Errored, Busy:
-		switch o.Remark {
-		case SourceRefused, SourceLost, OriginFailed:
+	case ServerError, Overloaded:
+		switch o.Detail {
+		case SourceRefused, SourceUnreachable, OriginFailed:
 			// A source that was heard since is not the one that failed: the origin behind it is.
-			if o.Remark == OriginFailed || (o.Remark == SourceLost && h.far != nil && h.source.heard() > h.sent) {
+			if o.Detail == OriginFailed || (o.Detail == SourceUnreachable && h.far != nil && h.source.heard() > h.sent) {
 				h.source.hear(r.now)
 				r.wayToOrigin().shrink(r.now, true)
-			} else if h.source.shrink(r.now, true); o.Remark == SourceLost {
+			} else if h.source.shrink(r.now, true); o.Detail == SourceUnreachable {
 				r.judge(h.source, true)
 			}
-		case SourceLacks:
+		case SourceCacheMiss:
 			h.source.hear(r.now)
 			h.source.unlist(t.p, true)
 		default:
 			h.blind = h.fill && h.source != h.to && r.rec["tells"] != "all"
-			if o.Remark == NoPlace || (o.Code == Busy && h.blind && o.Took < ownWord) {
+			if o.Detail == FillSlotsExhausted || (o.Result == Overloaded && h.blind && o.ElapsedSeconds < ownWord) {
 				r.link.shrink(r.now, true) // fills have taken all places
-			} else if o.Code == Busy && h.blind {
+			} else if o.Result == Overloaded && h.blind {
 				h.source.shrink(r.now, true)
 				r.judge(h.source, true)
-			} else if h.accused = o.Code == Errored; !h.accused {
+			} else if h.accused = o.Result == ServerError; !h.accused {
 				h.to.shrink(r.now, true)
 			}
 		}
-	case Miss:
+	case CacheMiss:
 		if h.sibling {
 			h.source.unlist(t.p, true)
 		}
-	case NoConnect, Broken:
+	case ConnectFailed, ConnectionBroken:
 		r.judge(h.to, true)
 	}
 }
 
 // tune moves the gates that a completed hop went through; a late one tells of a jam at the first it may be.
-func (r *Router) tune(t *txn, h *hop, o Outcome, filled bool) {
-	if o.Took <= inTime*t.sla {
+func (r *Router) tune(t *txn, h *hop, o AttemptEnded, filled bool) {
+	if o.ElapsedSeconds <= inTime*t.sla {
 		h.to.grow()
 		for i := 0; filled && i < len(h.gates); i++ {
 			h.gates[i].grow()
@@ -711,12 +711,12 @@
 	switch {
 	case !filled:
 		h.to.shrink(r.now, false)
-	case o.Remark == FilledByOrigin && h.far != nil && o.FirstByte > lateBase*inTime*t.sla:
+	case o.Detail == FilledByOrigin && h.far != nil && o.FirstByteSeconds > lateBase*inTime*t.sla:
 		h.far.shrink(r.now, false)
 	case r.rec["tells"] != "all":
 		h.source.shrink(r.now, false)
 		r.link.shrink(r.now, false) // either may be to blame; few share the link and most of its fills are seen
-	case o.FirstByte > lateBase*inTime*t.sla:
+	case o.FirstByteSeconds > lateBase*inTime*t.sla:
 		h.source.shrink(r.now, false)
 	case !h.sibling:
 		r.link.shrink(r.now, false)
@@ -732,7 +732,7 @@
 		if !h.out || !h.wanted || math.IsInf(h.late, 1) || took <= inTime*t.sla {
 			continue
 		}
-		r.tune(t, h, Outcome{Took: took, FirstByte: took}, h.fill)
+		r.tune(t, h, AttemptEnded{ElapsedSeconds: took, FirstByteSeconds: took}, h.fill)
 		if h.far != nil && h.far != &h.source.gate {
 			h.far.shrink(r.now, false)
 		}
@@ -746,7 +746,7 @@
 		return
 	}
 	x := h.to.held[t.p]
-	if x != nil && filled && r.rule(t.Rule).fresh == 0 {
+	if x != nil && filled && r.rule(t.Class).fresh == 0 {
 		h.to.idles = keep(h.to.idles, max(h.sent-x.used, 0), keptSamples)
 	}
 	if filled && h.rank == 0 {
@@ -761,5 +761,5 @@
 	if filled {
 		x.fill = r.now
 	}
-	x.kb, x.used = t.KB, r.now
+	x.kb, x.used = t.SizeKB, r.now
 }
--- a/routing/brain_test.go
+++ b/routing/brain_test.go
@@ -49,7 +49,7 @@
 			c := r.member("c0")
 			p := &part{seen: true, last: 100, dt: old / 0.75}
 			c.list(&holding{p: p, kb: 300, used: 100}, p.key())
-			x := &txn{Arrival: Arrival{KB: 100}, p: &part{seen: true, last: 100, dt: gap / 0.75}}
+			x := &txn{RequestArrived: RequestArrived{SizeKB: 100}, p: &part{seen: true, last: 100, dt: gap / 0.75}}
 			want := 100*cf+100*10/old*min(cf, cr) < 100*cr+100*10/gap*min(cf, cr)
 			assert.Equal(t, want, r.serves(x, c), "gap %v against %v", gap, old)
 		}
@@ -59,18 +59,18 @@
 func TestUncacheableRuleIsPassed(t *testing.T) {
 	r := router("keyed")
 	r.rec["uncacheable"] = "true,true"
-	assert.False(t, r.serves(&txn{Arrival: Arrival{KB: 1}, p: &part{seen: true, last: 100, dt: 0.1}}, r.member("c0")))
+	assert.False(t, r.serves(&txn{RequestArrived: RequestArrived{SizeKB: 1}, p: &part{seen: true, last: 100, dt: 0.1}}, r.member("c0")))
 }
 
 func TestHashOrderIsStableAndSkips(t *testing.T) {
 	r := router("keyed")
 	all, _ := r.ordered(r.object("x", 0))
 	less := inOrder("x", all[1:])
-	assert.Equal(t, []string{all[1].Member, all[2].Member}, []string{less[0].Member, less[1].Member})
+	assert.Equal(t, []string{all[1].ID, all[2].ID}, []string{less[0].ID, less[1].ID})
 	all[0].out = all[0].room // its gate is full
-	h := of[Hop](r.Decide(100, arrival("t", "x")))
+	h := of[StartAttempt](r.Decide(100, arrival("t", "x")))
 	require.Len(t, h, 1)
-	assert.Equal(t, all[1].Member, h[0].To)
+	assert.Equal(t, all[1].ID, h[0].Endpoint)
 }
 
 func TestPassNamesSourceAndKeepsNothing(t *testing.T) {
@@ -79,9 +79,9 @@
 		p := &part{seen: true, last: 100, dt: 0.1}
 		c.list(&holding{p: p, kb: 1e6, used: 100}, p.key())
 	}
-	h := of[Hop](r.Decide(100, arrival("t", "x")))
+	h := of[StartAttempt](r.Decide(100, arrival("t", "x")))
 	require.Len(t, h, 1)
-	assert.Equal(t, 0, h[0].Rank)
+	assert.Equal(t, 0, h[0].RetentionRank)
 	assert.Contains(t, []string{"p0", "p1"}, h[0].Source)
 }
 
@@ -90,9 +90,9 @@
 		effect string
 		out    bool
 		want   any
-	}{{"repeatable", true, Reject{}}, {"keyed", true, Reject{}}, {"unrepeatable", true, Abort{}}, {"unrepeatable", false, Reject{}}} {
+	}{{"repeatable", true, RejectRequest{}}, {"keyed", true, RejectRequest{}}, {"unrepeatable", true, AbortRequest{}}, {"unrepeatable", false, RejectRequest{}}} {
 		r := router(c.effect)
-		x := sent(r, Busy, c.out)
+		x := sent(r, Overloaded, c.out)
 		r.now = 104.9
 		r.think(x)
 		assert.Nil(t, x.verdict, "before its time")
@@ -106,42 +106,42 @@
 func TestNothingIsSentAfterTheEnd(t *testing.T) {
 	r := router("repeatable")
 	sent(r, 0, true)
-	r.Decide(100.1, ClientGone{"t"})
-	acts := r.Decide(100.2, Outcome{Txn: "t", Member: "c0", Code: Errored, Final: true})
-	assert.Empty(t, of[Hop](acts))
+	r.Decide(100.1, ClientDisconnected{"t"})
+	acts := r.Decide(100.2, AttemptEnded{Request: "t", Endpoint: "c0", Result: ServerError, RequestDone: true})
+	assert.Empty(t, of[StartAttempt](acts))
 	assert.Empty(t, r.txns)
 }
 
 func TestFurtherHopByEffectAndEnd(t *testing.T) {
-	proves := map[Code]bool{Busy: true, NoConnect: true, Moot: true, Miss: true}
-	for _, end := range []Code{Errored, Busy, TimedOut, NoConnect, Broken, Cancelled, Moot, Miss} {
+	proves := map[AttemptResult]bool{Overloaded: true, ConnectFailed: true, NotSent: true, CacheMiss: true}
+	for _, end := range []AttemptResult{ServerError, Overloaded, TimedOut, ConnectFailed, ConnectionBroken, Cancelled, NotSent, CacheMiss} {
 		for _, effect := range []string{"repeatable", "keyed", "unrepeatable"} {
 			r := router(effect)
 			x := sent(r, 0, true)
-			acts := r.Decide(100.2, Outcome{Txn: "t", Member: "c0", Code: end})
+			acts := r.Decide(100.2, AttemptEnded{Request: "t", Endpoint: "c0", Result: end})
 			allowed := effect != "unrepeatable" || proves[end]
-			assert.Equal(t, allowed, len(of[Hop](acts)) == 1, "%s after %v", effect, end)
-			assert.Equal(t, !allowed, len(of[Abort](acts)) == 1, "%s after %v", effect, end)
-			assert.Empty(t, of[Reject](acts), x.Txn)
+			assert.Equal(t, allowed, len(of[StartAttempt](acts)) == 1, "%s after %v", effect, end)
+			assert.Equal(t, !allowed, len(of[AbortRequest](acts)) == 1, "%s after %v", effect, end)
+			assert.Empty(t, of[RejectRequest](acts), x.Request)
 		}
 	}
 }
 
 func TestKeyedWindowCountsFromTheHopThatMayHaveRun(t *testing.T) {
 	r := router("keyed")
-	x := sent(r, Broken, false)
+	x := sent(r, ConnectionBroken, false)
 	r.now = 105 - windowMargin
 	assert.True(t, r.mayRepeat(x))
 	r.now += 0.001
 	assert.False(t, r.mayRepeat(x))
-	x.hops[0].end = Busy
+	x.hops[0].end = Overloaded
 	assert.True(t, r.mayRepeat(x))
 }
 
 func TestKeyedStaysInItsGroup(t *testing.T) {
 	r := router("keyed")
 	r.rec["remap.1.group"] = "cell"
-	x := sent(r, Broken, false)
+	x := sent(r, ConnectionBroken, false)
 	r.member("c1").Cell = 5
 	assert.False(t, r.inGroup(x, r.member("c1")))
 	assert.True(t, r.inGroup(x, r.member("c2")))
@@ -154,11 +154,11 @@
 	x.hops[0].late = 100.3
 	r.now = 100.4
 	r.think(x) // silent: cancelled, and the end is awaited
-	assert.Equal(t, []Cancel{{"t", 0}}, of[Cancel](r.acts))
+	assert.Equal(t, []CancelAttempt{{"t", 0}}, of[CancelAttempt](r.acts))
 	assert.Len(t, x.hops, 1)
-	acts := r.Decide(100.41, Outcome{Txn: "t", Member: "c0", Code: Cancelled})
-	require.Len(t, of[Hop](acts), 1)
-	assert.NotEqual(t, "c0", of[Hop](acts)[0].To)
+	acts := r.Decide(100.41, AttemptEnded{Request: "t", Endpoint: "c0", Result: Cancelled})
+	require.Len(t, of[StartAttempt](acts), 1)
+	assert.NotEqual(t, "c0", of[StartAttempt](acts)[0].Endpoint)
 }
 
 func TestUnrepeatableIsNotCancelledWhenSilent(t *testing.T) {
@@ -167,22 +167,22 @@
 	x := sent(r, 0, true)
 	r.now = 101
 	r.think(x)
-	assert.Empty(t, of[Cancel](r.acts))
+	assert.Empty(t, of[CancelAttempt](r.acts))
 	assert.Nil(t, x.verdict)
 }
 
 func TestDrainingAndGoneAreNeverUsed(t *testing.T) {
-	for _, status := range []Status{Draining, Gone} {
+	for _, status := range []EndpointStatus{Draining, Removed} {
 		r := router("keyed")
-		r.Decide(100, Listing{Kind: Changes, Rows: []Row{{Member: "c0", Location: 1, Weight: 4, Status: status},
-			{Member: "c1", Location: 1, Weight: 4, Status: status}, {Member: "p0", Kind: 1, Weight: 20, Status: status}}})
+		r.Decide(100, EndpointUpdate{Kind: Incremental, Endpoints: []Endpoint{{ID: "c0", Zone: 1, Weight: 4, Status: status},
+			{ID: "c1", Zone: 1, Weight: 4, Status: status}, {ID: "p0", Kind: 1, Weight: 20, Status: status}}})
 		p := r.object("x", 0).part(0)
 		r.member("c0").list(&holding{p: p, kb: 1, used: 100}, p.key())
 		for i := range 5 {
-			hops := of[Hop](r.Decide(100, arrival(fmt.Sprint(i), "x")))
+			hops := of[StartAttempt](r.Decide(100, arrival(fmt.Sprint(i), "x")))
 			assert.Len(t, hops, 1)
 			for _, h := range hops {
-				assert.Equal(t, "c2", h.To)
+				assert.Equal(t, "c2", h.Endpoint)
 				assert.Equal(t, "p1", h.Source)
 			}
 		}
@@ -191,15 +191,15 @@
 
 func TestAllDrainedIsAnsweredAtOnce(t *testing.T) {
 	r := router("keyed")
-	r.Decide(100, Listing{Kind: Full})
-	assert.Len(t, of[Reject](r.Decide(100, arrival("t", "x"))), 1)
+	r.Decide(100, EndpointUpdate{Kind: Snapshot})
+	assert.Len(t, of[RejectRequest](r.Decide(100, arrival("t", "x"))), 1)
 }
 
 func TestColdBudgetOverAnyWindow(t *testing.T) {
 	r := router("keyed")
 	c := r.member("c0")
-	c.Started = 100
-	x := &txn{Arrival: Arrival{KB: 100}, send: 0.1}
+	c.StartedAt = 100
+	x := &txn{RequestArrived: RequestArrived{SizeKB: 100}, send: 0.1}
 	r.rule(0).sizes = []float64{.1, .1, .1, .1, .1, .1, .1, .1}
 	budget := coldSpend * 0.25 * 4 * 2 // share, capacity and window, one router
 	c.spent = []sample{{100, budget - 0.1}}
@@ -214,7 +214,7 @@
 func TestColdParentIsChargedForFillsAndSharedByAllRouters(t *testing.T) {
 	r := router("keyed")
 	for _, id := range []string{"p0", "p1"} {
-		r.member(id).Started = 100
+		r.member(id).StartedAt = 100
 	}
 	total := 0.0
 	for i := range 50 {
@@ -231,27 +231,27 @@
 // that they have. What stand-ins of the members count stays, in every window, under what topples them; each is used.
 func TestAZoneThatReturnsColdIsNotPushedOver(t *testing.T) {
 	const sharers = 6
-	rows := []Row{{Member: "o", Kind: 2, Weight: 1}, {Member: "p0", Kind: 1, Weight: 20, Started: 100}, {Member: "p1", Kind: 1, Weight: 20}}
+	rows := []Endpoint{{ID: "o", Kind: 2, Weight: 1}, {ID: "p0", Kind: 1, Weight: 20, StartedAt: 100}, {ID: "p1", Kind: 1, Weight: 20}}
 	for _, id := range []string{"c0", "c1", "c2"} {
-		rows = append(rows, Row{Member: id, Location: 1, Weight: 8, Started: 100})
+		rows = append(rows, Endpoint{ID: id, Zone: 1, Weight: 8, StartedAt: 100})
 	}
 	came := map[string][]float64{} // times at which a hop, or a fill, came to a member
 	for i := range sharers {
 		rec := records("keyed")
 		rec["routers"], rec["routers_at"] = strconv.Itoa(sharers), "0,"+strconv.Itoa(sharers)
 		r := New(uint64(i), rec)
-		r.Decide(100, Listing{Kind: Saved, Rows: rows})
+		r.Decide(100, EndpointUpdate{Kind: Restored, Endpoints: rows})
 		for n := range 300 { // 50 a second for 6 s, each answered a tenth of a second later by a fill
 			now := 100 + float64(n)/50
-			for _, h := range of[Hop](r.Decide(now, Arrival{Txn: fmt.Sprint(n), Object: fmt.Sprint("x", n), KB: 100, Limit: now + 5})) {
-				came[h.To] = append(came[h.To], now)
-				if h.Source != h.To {
+			for _, h := range of[StartAttempt](r.Decide(now, RequestArrived{Request: fmt.Sprint(n), Object: fmt.Sprint("x", n), SizeKB: 100, Deadline: now + 5})) {
+				came[h.Endpoint] = append(came[h.Endpoint], now)
+				if h.Source != h.Endpoint {
 					came[h.Source] = append(came[h.Source], now)
 				}
 			}
 			if n >= 5 {
-				for _, h := range of[Hop](r.Decide(now, Outcome{Txn: fmt.Sprint(n - 5), Remark: Filled, Took: 0.1, Final: true})) {
-					came[h.To] = append(came[h.To], now)
+				for _, h := range of[StartAttempt](r.Decide(now, AttemptEnded{Request: fmt.Sprint(n - 5), Detail: Filled, ElapsedSeconds: 0.1, RequestDone: true})) {
+					came[h.Endpoint] = append(came[h.Endpoint], now)
 				}
 			}
 		}
@@ -274,7 +274,7 @@
 	r := router("keyed")
 	c, p := r.member("c0"), &part{}
 	c.list(&holding{p: p}, 0)
-	r.Decide(100, Listing{Kind: Changes, Rows: []Row{{Member: "c0", Location: 1, Weight: 4, Started: 99}}})
+	r.Decide(100, EndpointUpdate{Kind: Incremental, Endpoints: []Endpoint{{ID: "c0", Zone: 1, Weight: 4, StartedAt: 99}}})
 	assert.Empty(t, c.held)
 	assert.Equal(t, freshRoom, c.room)
 	c.grow()
@@ -286,15 +286,15 @@
 	r := router("keyed")
 	p := r.object("x", 3).part(0)
 	r.member("c0").list(&holding{p: p, kb: 1}, 0)
-	r.Decide(100, Purge{Ago: 0.2, Group: 3, Object: "x"})
+	r.Decide(100, Purge{AgeSeconds: 0.2, ObjectGroup: 3, Object: "x"})
 	assert.Empty(t, r.member("c0").held)
-	x, y := &txn{Arrival: Arrival{Object: "x", Group: 3}}, &txn{Arrival: Arrival{Object: "y", Group: 3}}
+	x, y := &txn{RequestArrived: RequestArrived{Object: "x", ObjectGroup: 3}}, &txn{RequestArrived: RequestArrived{Object: "y", ObjectGroup: 3}}
 	h := &hop{to: r.member("c0"), source: r.member("p0")}
 	assert.InDelta(t, 0.2-ageMargin, r.oldest(x, h), 1e-9)
 	assert.Zero(t, r.oldest(y, h))
 	r.now = 3700
 	assert.InDelta(t, 3600.2-ageMargin, r.oldest(x, h), 1e-9)
-	r.Decide(3710, Purge{Group: 3})
+	r.Decide(3710, Purge{ObjectGroup: 3})
 	assert.Equal(t, leastAge, r.oldest(y, h), "never 0, which means any")
 }
 
@@ -306,9 +306,9 @@
 	}
 	assert.LessOrEqual(t, len(r.purges), mostPurges)
 	h := &hop{to: r.member("c0"), source: r.member("p0")}
-	x := &txn{Arrival: Arrival{Object: "never purged", Group: 3}}
+	x := &txn{RequestArrived: RequestArrived{Object: "never purged", ObjectGroup: 3}}
 	assert.Zero(t, r.oldest(x, h))
-	h.to.Started = r.forgot + 1
+	h.to.StartedAt = r.forgot + 1
 	assert.InDelta(t, r.now-r.forgot-ageMargin, r.oldest(x, h), 1e-9)
 	h.to, h.source = h.source, h.to
 	assert.Positive(t, r.oldest(x, h), "as a source of fills too")
@@ -317,7 +317,7 @@
 func TestOldCopiesWillDoInAJamButNeverPurgedOnes(t *testing.T) {
 	r := router("keyed")
 	r.rec["fresh_s"], r.rec["stale_s"], r.rec["stale_importance"] = "5,0", "10,0", "0.5,0.5"
-	x, h := &txn{Arrival: Arrival{Object: "x", Group: 3}}, &hop{to: r.member("c0"), source: r.member("p0")}
+	x, h := &txn{RequestArrived: RequestArrived{Object: "x", ObjectGroup: 3}}, &hop{to: r.member("c0"), source: r.member("p0")}
 	assert.Zero(t, r.oldest(x, h))
 	r.link.cut = 100
 	assert.Equal(t, 15.0, r.oldest(x, h))
@@ -329,11 +329,11 @@
 
 func TestNearerParentIsMoreOftenFirst(t *testing.T) {
 	r := router("keyed")
-	r.member("p1").Location, r.rec["hub_of"], r.nums["location"] = 1, "0,1,0", 2
+	r.member("p1").Zone, r.rec["hub_of"], r.nums["location"] = 1, "0,1,0", 2
 	r.relist()
 	near := 0
 	for i := range 300 {
-		if inOrder(fmt.Sprint(i), r.parents)[0].Member == "p0" {
+		if inOrder(fmt.Sprint(i), r.parents)[0].ID == "p0" {
 			near++
 		}
 	}
@@ -348,8 +348,8 @@
 	r.think(x)
 	assert.Greater(t, r.member("c0").benched, r.now)
 	require.Len(t, x.hops, 2)
-	assert.NotEqual(t, "c0", x.hops[1].to.Member)
-	assert.Empty(t, of[Cancel](r.acts), "a second copy runs beside the first")
+	assert.NotEqual(t, "c0", x.hops[1].to.ID)
+	assert.Empty(t, of[CancelAttempt](r.acts), "a second copy runs beside the first")
 }
 
 // TestALongTransferIsNotSilence: a router that hears a cache once in a while hears nothing during a long transfer. It is
@@ -383,19 +383,19 @@
 	for _, m := range r.all {
 		m.benched = 200
 	}
-	assert.Len(t, of[Hop](r.Decide(100, arrival("t", "x"))), 1)
+	assert.Len(t, of[StartAttempt](r.Decide(100, arrival("t", "x"))), 1)
 }
 
 func TestOneHopLooksWhereTheWaysAreClosed(t *testing.T) {
 	r := router("keyed")
 	r.link.room, r.misses = 0, []float64{1, 0, 0, 0, 1, 0, 0, 0}
-	h := of[Hop](r.Decide(100, arrival("t", "x")))
+	h := of[StartAttempt](r.Decide(100, arrival("t", "x")))
 	require.Len(t, h, 1)
-	assert.Equal(t, h[0].To, h[0].Source, "nothing is filled")
-	acts := r.Decide(100.01, Outcome{Txn: "t", Member: h[0].To, Code: Miss})
-	assert.Empty(t, of[Hop](acts), "held, not looked for again")
+	assert.Equal(t, h[0].Endpoint, h[0].Source, "nothing is filled")
+	acts := r.Decide(100.01, AttemptEnded{Request: "t", Endpoint: h[0].Endpoint, Result: CacheMiss})
+	assert.Empty(t, of[StartAttempt](acts), "held, not looked for again")
 	r.link.room = 5
-	assert.Len(t, of[Hop](r.Decide(100.11, Bell{r.txns["t"].seq})), 1)
+	assert.Len(t, of[StartAttempt](r.Decide(100.11, TimerFired{r.txns["t"].seq})), 1)
 }
 
 func TestShareUnderOneHopIsSpentInTurns(t *testing.T) {
@@ -448,7 +448,7 @@
 	h.source, h.fill, h.late = r.member("p0"), true, 100.2
 	r.link.least = 1
 	before := [2]float64{h.source.room, r.link.room}
-	r.tune(x, h, Outcome{Took: 0.6}, true)
+	r.tune(x, h, AttemptEnded{ElapsedSeconds: 0.6}, true)
 	assert.Less(t, h.source.room, before[0])
 	assert.Less(t, r.link.room, before[1])
 }
@@ -477,9 +477,9 @@
 			before = append(before, g.room)
 		}
 		c.change(h)
-		r.now = x.Limit
+		r.now = x.Deadline
 		r.think(x)
-		assert.IsType(t, Reject{}, x.verdict, name)
+		assert.IsType(t, RejectRequest{}, x.verdict, name)
 		for i, g := range ways {
 			assert.Equal(t, c.narrower, g.room < before[i], "%s, way %d", name, i)
 		}
@@ -494,7 +494,7 @@
 	x.hops[0].source, x.hops[0].fill = p, true
 	o.room, p.room = 10, 10
 	for range 6 {
-		r.learn(x, x.hops[0], Outcome{Code: Errored, Remark: OriginFailed})
+		r.learn(x, x.hops[0], AttemptEnded{Result: ServerError, Detail: OriginFailed})
 	}
 	assert.Less(t, o.room, 10.0)
 	assert.Equal(t, 10.0, p.room)
@@ -510,16 +510,16 @@
 			m.room, m.proven = 0, 0
 		}
 		a := arrival("t", "x")
-		a.KB = kb // at 1000 KB a second, the SLA time being half a second and two sending times
+		a.SizeKB = kb // at 1000 KB a second, the SLA time being half a second and two sending times
 		acts := r.Decide(100, a)
 		if most > 0 {
-			assert.Empty(t, of[Reject](acts))
+			assert.Empty(t, of[RejectRequest](acts))
 			r.now = 100 + most - 0.01
 			r.think(r.txns["t"])
 			assert.Nil(t, r.txns["t"].verdict)
-			acts = r.Decide(100+most+0.01, Bell{r.txns["t"].seq})
+			acts = r.Decide(100+most+0.01, TimerFired{r.txns["t"].seq})
 		}
-		assert.Len(t, of[Reject](acts), 1, "%v KB", kb)
+		assert.Len(t, of[RejectRequest](acts), 1, "%v KB", kb)
 	}
 }
 
@@ -529,7 +529,7 @@
 		c.room, c.proven = 0, 0
 	}
 	big, small := arrival("big", "x"), arrival("small", "x")
-	big.KB = 400
+	big.SizeKB = 400
 	r.Decide(100, big)
 	r.Decide(100, small)
 	x := sent(r, 0, true)
@@ -537,19 +537,19 @@
 	for _, c := range r.caches {
 		c.room = 0.5
 	}
-	acts := of[Hop](r.Decide(100.05, Outcome{Txn: "t", Member: "c0", Code: Cancelled}))
+	acts := of[StartAttempt](r.Decide(100.05, AttemptEnded{Request: "t", Endpoint: "c0", Result: Cancelled}))
 	require.NotEmpty(t, acts)
-	assert.Equal(t, "small", acts[0].Txn)
+	assert.Equal(t, "small", acts[0].Request)
 }
 
 func TestBareRecordsAndOddLists(t *testing.T) {
-	for name, rows := range map[string][]Row{"empty": nil, "one cache": {{Member: "c"}}, "zero weight": {{Member: "c"}, {Member: "d"}}} {
-		r := New(1, Records{"unheard": "of", "remap.0.effect": "repeatable", "parent_kind": "-1"})
-		r.Decide(5, Listing{Kind: Saved, Rows: rows})
-		acts := r.Decide(5, Arrival{Txn: "t", Object: "x", Limit: 6})
+	for name, rows := range map[string][]Endpoint{"empty": nil, "one cache": {{ID: "c"}}, "zero weight": {{ID: "c"}, {ID: "d"}}} {
+		r := New(1, Settings{"unheard": "of", "remap.0.effect": "repeatable", "parent_kind": "-1"})
+		r.Decide(5, EndpointUpdate{Kind: Restored, Endpoints: rows})
+		acts := r.Decide(5, RequestArrived{Request: "t", Object: "x", Deadline: 6})
 		acts = append([]Action{}, acts...)
-		acts = append(acts, r.Decide(6, Bell{1})...)
-		assert.Equal(t, 1, len(of[Reject](acts))+len(of[Abort](acts)), name)
+		acts = append(acts, r.Decide(6, TimerFired{1})...)
+		assert.Equal(t, 1, len(of[RejectRequest](acts))+len(of[AbortRequest](acts)), name)
 	}
 }
 
@@ -560,7 +560,7 @@
 			now := 100 + float64(i)/50
 			out = append(out, r.Decide(now, arrival(fmt.Sprint(i), fmt.Sprint("x", i%7)))...)
 			if i%3 == 0 {
-				out = append(out, r.Decide(now, Outcome{Txn: fmt.Sprint(i / 2), Member: "c0", Code: Code(i % 9)})...)
+				out = append(out, r.Decide(now, AttemptEnded{Request: fmt.Sprint(i / 2), Endpoint: "c0", Result: AttemptResult(i % 9)})...)
 			}
 		}
 		return out
@@ -584,21 +584,21 @@
 	r.misses = []float64{1, 0, 0, 0, 1, 0, 0, 0}
 	x := &txn{obj: r.object("y", 0), p: &part{}, unseen: true}
 	assert.InDelta(t, firstHorizon/0.75, r.gap(x, r.member("c0")), 1e-9)
-	require.Len(t, of[Hop](r.Decide(100, arrival("t", "x"))), 1)
+	require.Len(t, of[StartAttempt](r.Decide(100, arrival("t", "x"))), 1)
 	assert.InDelta(t, 0.25, r.link.out, 1e-9)
-	r.Decide(100.1, Outcome{Txn: "t", Member: "c0", Code: Completed, Remark: Hit, Final: true})
+	r.Decide(100.1, AttemptEnded{Request: "t", Endpoint: "c0", Result: Completed, Detail: CacheHit, RequestDone: true})
 	assert.Zero(t, r.link.out)
 }
 
 func TestLookGoesAsFarAsTheParent(t *testing.T) {
 	r := router("keyed")
 	r.member("o").room = 0
-	h := of[Hop](r.Decide(100, arrival("t", "x")))
+	h := of[StartAttempt](r.Decide(100, arrival("t", "x")))
 	require.Len(t, h, 1)
-	assert.True(t, h[0].NoFetch)
+	assert.True(t, h[0].CacheOnly)
 	assert.Contains(t, []string{"p0", "p1"}, h[0].Source)
 	r.txns["t"].p.near = true // a parent has it: no need to look
-	assert.False(t, of[Hop](r.Decide(100, arrival("u", "x")))[0].NoFetch)
+	assert.False(t, of[StartAttempt](r.Decide(100, arrival("u", "x")))[0].CacheOnly)
 }
 
 func TestBlindRefusalIsLaidByItsTime(t *testing.T) {
@@ -610,7 +610,7 @@
 		x.hops[0].source, x.hops[0].fill = p, true
 		r.link.least = 1 // shared with others
 		before, source := r.link.room, p.room
-		r.learn(x, x.hops[0], Outcome{Code: Busy, Took: took})
+		r.learn(x, x.hops[0], AttemptEnded{Result: Overloaded, ElapsedSeconds: took})
 		assert.Equal(t, link, r.link.room < before)
 		assert.Equal(t, !link, p.room < source)
 	}
@@ -626,7 +626,7 @@
 		assert.Zero(t, p.benched, "after %d", i)
 		x := sent(r, 0, true)
 		x.hops[0].source, x.hops[0].fill = p, true
-		r.learn(x, x.hops[0], Outcome{Code: Busy, Took: 0.8})
+		r.learn(x, x.hops[0], AttemptEnded{Result: Overloaded, ElapsedSeconds: 0.8})
 	}
 	assert.Greater(t, p.benched, r.now)
 	assert.Zero(t, r.member("c0").benched)
@@ -638,13 +638,13 @@
 		r := router("repeatable")
 		for range 2 * badLeast {
 			x := sent(r, 0, true)
-			r.Decide(100, Outcome{Txn: "t", Member: "c0", Code: Errored})
+			r.Decide(100, AttemptEnded{Request: "t", Endpoint: "c0", Result: ServerError})
 			require.Len(t, x.hops, 2, "sent on")
-			code := Errored
+			code := ServerError
 			if completed {
 				code = Completed
 			}
-			r.Decide(100.01, Outcome{Txn: "t", Hop: 1, Member: x.hops[1].to.Member, Code: code, Remark: Hit, Final: completed})
+			r.Decide(100.01, AttemptEnded{Request: "t", Attempt: 1, Endpoint: x.hops[1].to.ID, Result: code, Detail: CacheHit, RequestDone: completed})
 		}
 		assert.Equal(t, completed, r.member("c0").benched > r.now)
 	}
@@ -667,18 +667,18 @@
 		for range badLeast {
 			code := Cancelled
 			if !lost {
-				code = Errored // it came after all
+				code = ServerError // it came after all
 			}
-			r.learn(late(), r.txns["t"].hops[0], Outcome{Code: code, Took: 0.75})
+			r.learn(late(), r.txns["t"].hops[0], AttemptEnded{Result: code, ElapsedSeconds: 0.75})
 		}
 		x := late()
-		r.Decide(100.5, Bell{1})
+		r.Decide(100.5, TimerFired{1})
 		assert.Len(t, x.hops, 1, "as long as others took")
-		r.Decide(100.75, Bell{1})
+		r.Decide(100.75, TimerFired{1})
 		assert.Equal(t, lost, len(x.hops) == 2)
 		assert.Zero(t, r.member("c0").benched)
 		if lost {
-			assert.NotEqual(t, "c0", x.hops[1].to.Member)
+			assert.NotEqual(t, "c0", x.hops[1].to.ID)
 			assert.InDelta(t, 3*lostMore, r.slow[len(r.slow)-1], 1e-6)
 		}
 	}
@@ -689,7 +689,7 @@
 	r := router("repeatable")
 	for i := range 20 {
 		now := 100 + float64(i)*forgetAfter/2
-		r.Decide(now, Listing{Rows: []Row{{Member: "n" + strconv.Itoa(i), Location: 1, Weight: 4}, {Member: "n" + strconv.Itoa(i-1), Location: 1, Status: Gone}}})
+		r.Decide(now, EndpointUpdate{Endpoints: []Endpoint{{ID: "n" + strconv.Itoa(i), Zone: 1, Weight: 4}, {ID: "n" + strconv.Itoa(i-1), Zone: 1, Status: Removed}}})
 	}
 	assert.Len(t, r.all, 6+1+2)
 	assert.Len(t, r.caches, 4)
@@ -700,10 +700,10 @@
 	for _, told := range []string{"", "0", "-3", "0.5", "1", "400"} {
 		r := New(7, records("keyed"))
 		r.rec["routers"], r.rec["routers_at"] = told, "0,"+told
-		r.Decide(100, Listing{Kind: Saved, Rows: []Row{{Member: "o", Kind: 2, Weight: 1},
-			{Member: "c", Location: 1, Weight: 4}, {Member: "p", Kind: 1, Weight: 400}}})
-		assert.Len(t, of[Hop](r.Decide(100, arrival("t", "x"))), 1, "told %q", told)
-		n := max(r.rec.Num("routers", 1), 1)
+		r.Decide(100, EndpointUpdate{Kind: Restored, Endpoints: []Endpoint{{ID: "o", Kind: 2, Weight: 1},
+			{ID: "c", Zone: 1, Weight: 4}, {ID: "p", Kind: 1, Weight: 400}}})
+		assert.Len(t, of[StartAttempt](r.Decide(100, arrival("t", "x"))), 1, "told %q", told)
+		n := max(r.rec.Float("routers", 1), 1)
 		assert.InDelta(t, stretchRoom*400, n*r.member("p").room, 1e-6, "told %q", told)
 	}
 }
@@ -711,13 +711,13 @@
 func TestAllStartedAtOnceWithoutSizesOrLinks(t *testing.T) {
 	r := New(7, records("keyed"))
 	r.rec["link_in_kb_s"], r.rec["pace_kb_s"] = "", ""
-	r.Decide(100, Listing{Kind: Full, Rows: []Row{{Member: "o", Kind: 2, Weight: 1, Started: 100},
-		{Member: "c", Location: 1, Weight: 4, Started: 100}, {Member: "p", Kind: 1, Weight: 40, Started: 100}}})
+	r.Decide(100, EndpointUpdate{Kind: Snapshot, Endpoints: []Endpoint{{ID: "o", Kind: 2, Weight: 1, StartedAt: 100},
+		{ID: "c", Zone: 1, Weight: 4, StartedAt: 100}, {ID: "p", Kind: 1, Weight: 40, StartedAt: 100}}})
 	for i := range 40 {
-		r.Decide(100, Arrival{Txn: fmt.Sprint(i), Object: fmt.Sprint("x", i), Limit: 105})
+		r.Decide(100, RequestArrived{Request: fmt.Sprint(i), Object: fmt.Sprint("x", i), Deadline: 105})
 	}
 	for _, m := range r.all {
-		assert.LessOrEqual(t, m.spentSince(98), coldSpend*r.warmth(m)*m.Weight*2/m.sharers, m.Member)
+		assert.LessOrEqual(t, m.spentSince(98), coldSpend*r.warmth(m)*m.Weight*2/m.sharers, m.ID)
 	}
 	assert.Positive(t, r.member("c").out)
 }
@@ -737,23 +737,23 @@
 // A spent budget of further hops ends a txn that has had one, and leaves fresh ones alone; a member's bars it alone.
 func TestASpentBudgetAllowsNoFurtherHop(t *testing.T) {
 	r := router("keyed")
-	fresh, once := &txn{}, &txn{hops: []*hop{{begun: true, end: Busy}}}
+	fresh, once := &txn{}, &txn{hops: []*hop{{begun: true, end: Overloaded}}}
 	r.rec["max_hops"] = "6"
 	assert.True(t, r.mayRepeat(once))
-	r.Decide(100, Spare{Rule: 0})
+	r.Decide(100, RetryBudgetChanged{Class: 0})
 	assert.True(t, r.mayRepeat(fresh))
 	assert.False(t, r.mayRepeat(once))
-	r.Decide(100, Spare{Rule: 0, Left: true})
+	r.Decide(100, RetryBudgetChanged{Class: 0, Available: true})
 	assert.True(t, r.mayRepeat(once))
 	m := r.member("c0")
 	m.room = 5
 	once.hops[0].to = r.member("c1")
 	used := func(*hop, *member) bool { return false }
-	r.Decide(100, Spare{Member: "c0"})
+	r.Decide(100, RetryBudgetChanged{Endpoint: "c0"})
 	assert.True(t, r.usable(fresh, m, 0, used))
 	assert.False(t, r.usable(once, m, 0, used))
-	r.Decide(100, Spare{Member: "never heard of"})
-	r.Decide(100, Spare{Member: "c0", Left: true})
+	r.Decide(100, RetryBudgetChanged{Endpoint: "never heard of"})
+	r.Decide(100, RetryBudgetChanged{Endpoint: "c0", Available: true})
 	assert.True(t, r.usable(once, m, 0, used))
 }
 
@@ -764,10 +764,10 @@
 		r.rec["may_double"] = "false"
 		x := sent(r, 0, true)
 		x.hops[0].late = 200
-		r.Decide(100.2, Stuck{Txn: "t", Hop: 7})
-		r.Decide(100.2, Stuck{Txn: "gone"})
+		r.Decide(100.2, AttemptStalled{Request: "t", Attempt: 7})
+		r.Decide(100.2, AttemptStalled{Request: "gone"})
 		assert.True(t, x.hops[0].wanted)
-		r.Decide(100.2, Stuck{Txn: "t", Hop: 0})
+		r.Decide(100.2, AttemptStalled{Request: "t", Attempt: 0})
 		assert.Equal(t, want, x.hops[0].wanted, effect)
 		assert.Zero(t, r.member("c0").benched)
 	}
@@ -778,8 +778,8 @@
 	for level, want := range map[float64]bool{0: false, doubtful / 2: false, doubtful: true, 1: true} {
 		r := router("repeatable")
 		c := r.member("c0")
-		r.Decide(r.now, Doubt{Member: "c0", Level: level, For: 10})
-		r.Decide(r.now, Doubt{Member: "nobody", Level: level, For: 10})
+		r.Decide(r.now, HealthObservation{Endpoint: "c0", Suspicion: level, ValidSeconds: 10})
+		r.Decide(r.now, HealthObservation{Endpoint: "nobody", Suspicion: level, ValidSeconds: 10})
 		assert.Zero(t, c.benched)
 		r.judge(c, false)
 		assert.Zero(t, c.benched, "level %v", level)
@@ -791,7 +791,7 @@
 	}
 	r := router("repeatable")
 	c := r.member("c0")
-	r.Decide(r.now, Doubt{Member: "c0", Level: 1, For: 10})
+	r.Decide(r.now, HealthObservation{Endpoint: "c0", Suspicion: 1, ValidSeconds: 10})
 	r.now += 11
 	r.judge(c, true)
 	assert.Zero(t, c.benched, "it has run out")
--- a/routing/helpers_test.go
+++ b/routing/helpers_test.go
@@ -3,8 +3,8 @@
 import "strconv"
 
 // records are those of a small made-up deployment with two rules: one repeatable, one as named.
-func records(effect string) Records {
-	return Records{
+func records(effect string) Settings {
+	return Settings{
 		"router": "0", "routers": "2", "location": "1", "routers_at": "0,1", "parent_kind": "1", "origin_kind": "2",
 		"pace_kb_s": "1000", "siblings": "location", "tells": "all", "may_double": "true", "may_cancel": "true",
 		"max_hops": "5", "tells_retry": "true", "max_retry_s": "2", "cold_s": "10", "cold_share": "0.25",
@@ -19,19 +19,19 @@
 // router is one that knows three caches, two parents and the origin, all warm, at clock 100.
 func router(effect string) *Router {
 	r := New(7, records(effect))
-	rows := []Row{{Member: "o", Kind: 2, Weight: 1}}
+	rows := []Endpoint{{ID: "o", Kind: 2, Weight: 1}}
 	for i := range 3 {
-		rows = append(rows, Row{Member: "c" + strconv.Itoa(i), Location: 1, Weight: 4})
+		rows = append(rows, Endpoint{ID: "c" + strconv.Itoa(i), Zone: 1, Weight: 4})
 	}
 	for i := range 2 {
-		rows = append(rows, Row{Member: "p" + strconv.Itoa(i), Kind: 1, Weight: 20})
+		rows = append(rows, Endpoint{ID: "p" + strconv.Itoa(i), Kind: 1, Weight: 20})
 	}
-	r.Decide(100, Listing{Kind: Saved, Rows: rows})
+	r.Decide(100, EndpointUpdate{Kind: Restored, Endpoints: rows})
 	return r
 }
 
-func arrival(txn, object string) Arrival {
-	return Arrival{Txn: txn, Object: object, KB: 100, Limit: 105}
+func arrival(txn, object string) RequestArrived {
+	return RequestArrived{Request: txn, Object: object, SizeKB: 100, Deadline: 105}
 }
 
 // of picks the actions of one type.
@@ -46,8 +46,8 @@
 }
 
 // sent is a txn of rule 1 whose single hop to c0 ended as told, or is still out.
-func sent(r *Router, end Code, out bool) *txn {
-	t := &txn{Arrival: Arrival{Txn: "t", Rule: 1, KB: 100, Limit: 105}, seq: 1, came: 100, sla: 0.5}
+func sent(r *Router, end AttemptResult, out bool) *txn {
+	t := &txn{RequestArrived: RequestArrived{Request: "t", Class: 1, SizeKB: 100, Deadline: 105}, seq: 1, came: 100, sla: 0.5}
 	t.obj = r.object("x", 0)
 	t.p = t.obj.part(0)
 	c := r.member("c0")
--- a/routing/interface.go
+++ b/routing/interface.go
@@ -3,7 +3,7 @@
 package routing
 
 // Records are the standing facts that a router is handed at its start, by name.
-type Records map[string]string
+type Settings map[string]string
 
 // Decider is one router's decision logic. Events come in the order in which they happened and never
 // with an earlier clock; the actions are to be carried out in order, at that same time.
@@ -18,211 +18,211 @@
 type Action interface{ action() }
 
 // ListKind says how a Listing relates to the list in hand.
-type ListKind int
+type UpdateKind int
 
 // The kinds of listing.
 const (
-	Changes ListKind = iota // only the rows that changed
-	Full                    // all rows
-	Saved                   // all rows, as last held before a restart
-	Failed                  // no rows: the list could not be had
+	Incremental UpdateKind = iota // only the rows that changed
+	Snapshot                      // all rows
+	Restored                      // all rows, as last held before a restart
+	Unavailable                   // no rows: the list could not be had
 )
 
 // Status of a member in the list.
-type Status int
+type EndpointStatus int
 
 // What the list can say of a member.
 const (
-	Ready Status = iota
+	Ready EndpointStatus = iota
 	Draining
-	Gone
+	Removed
 )
 
 // Row is one member of the list: an edge cache, a parent or the origin.
-type Row struct {
-	Member   string
-	Location int
-	Kind     int
-	Cell     int
-	Status   Status
-	Weight   float64
-	Started  float64 // clock time of its last start, 0 for long ago
+type Endpoint struct {
+	ID        string
+	Zone      int
+	Kind      int
+	Cell      int
+	Status    EndpointStatus
+	Weight    float64
+	StartedAt float64 // clock time of its last start, 0 for long ago
 }
 
 // Listing is news of the members.
-type Listing struct {
-	Kind ListKind
-	Rows []Row
+type EndpointUpdate struct {
+	Kind      UpdateKind
+	Endpoints []Endpoint
 }
 
 // Arrival is a txn that this router has taken.
-type Arrival struct {
-	Txn    string
-	Rule   int
-	Object string
-	Part   int
-	Group  int
-	Limit  float64 // clock time at which the client gives up
-	KB     float64 // 0 where sizes are not told
-	Write  bool
+type RequestArrived struct {
+	Request     string
+	Class       int
+	Object      string
+	Chunk       int
+	ObjectGroup int
+	Deadline    float64 // clock time at which the client gives up
+	SizeKB      float64 // 0 where sizes are not told
+	Write       bool
 }
 
 // Code says how a hop ended.
-type Code int
+type AttemptResult int
 
 // Ends of a hop. Busy, NoConnect, Moot and Miss prove that it did not run.
 const (
-	Completed Code = iota
-	Errored
-	Busy
+	Completed AttemptResult = iota
+	ServerError
+	Overloaded
 	TimedOut
-	NoConnect
-	Broken
+	ConnectFailed
+	ConnectionBroken
 	Cancelled
-	Moot
-	Miss
+	NotSent
+	CacheMiss
 )
 
 // Remark tells more of an end, where the deployment tells it.
-type Remark int
+type ResultDetail int
 
 // Remarks on an end. From SourceRefused on they tell why a fill failed.
 const (
-	Untold Remark = iota
-	Hit
+	NoDetail ResultDetail = iota
+	CacheHit
 	Filled
 	FilledByOrigin
-	Joined
-	Old
+	JoinedFill
+	StaleHit
 	SourceRefused
-	SourceLost
-	SourceLacks
-	NoPlace
+	SourceUnreachable
+	SourceCacheMiss
+	FillSlotsExhausted
 	OriginFailed
 )
 
 // Reading is one value of a load report.
-type Reading struct {
+type LoadMetric struct {
 	Name  string
 	Value float64
 }
 
 // Outcome is the end of a hop. Every hop has exactly one.
-type Outcome struct {
-	Txn       string
-	Hop       int
-	Member    string
-	Code      Code
-	Remark    Remark
-	Took      float64
-	FirstByte float64
-	Final     bool // the txn has ended, by this or before
-	Load      []Reading
+type AttemptEnded struct {
+	Request          string
+	Attempt          int
+	Endpoint         string
+	Result           AttemptResult
+	Detail           ResultDetail
+	ElapsedSeconds   float64
+	FirstByteSeconds float64
+	RequestDone      bool // the txn has ended, by this or before
+	LoadReport       []LoadMetric
 }
 
 // ClientGone says that a client has left; nothing more is owed.
-type ClientGone struct{ Txn string }
+type ClientDisconnected struct{ Request string }
 
 // Bell is a timer come due.
-type Bell struct{ Token uint64 }
+type TimerFired struct{ Token uint64 }
 
 // Checked is the answer to a Check.
-type Checked struct {
-	Member string
-	Code   Code
-	Took   float64
-	Load   []Reading
+type ProbeResult struct {
+	Endpoint       string
+	Result         AttemptResult
+	ElapsedSeconds float64
+	LoadReport     []LoadMetric
 }
 
 // Purge voids the copies of an object, or of a whole group where Object is empty, made over Ago seconds ago.
 type Purge struct {
-	Ago    float64
-	Group  int
-	Object string
+	AgeSeconds  float64
+	ObjectGroup int
+	Object      string
 }
 
 // Spare says whether there is something left of a budget of further hops: a remap rule's, or a member's where one is
 // named.
-type Spare struct {
-	Rule   int
-	Member string
-	Left   bool
+type RetryBudgetChanged struct {
+	Class     int
+	Endpoint  string
+	Available bool
 }
 
 // Stuck says that a hop's connection is silent while its member answers another way, or may be asked so: the way is
 // held to be bad before the member is.
-type Stuck struct {
-	Txn string
-	Hop int
+type AttemptStalled struct {
+	Request string
+	Attempt int
 }
 
 // Doubt says how far several witnesses doubt a member, from 0 to 1, and for how many seconds that counts.
-type Doubt struct {
-	Member string
-	Level  float64
-	For    float64
+type HealthObservation struct {
+	Endpoint     string
+	Suspicion    float64
+	ValidSeconds float64
 }
 
 // Hop sends a txn to a member.
-type Hop struct {
-	Txn     string
-	To      string
-	Until   float64 // clock time at which the hop is dropped
-	Source  string  // who fills a miss; To itself for nobody
-	Rank    int     // 0 keeps nothing
-	MaxAge  float64 // oldest copy that will do; 0 for the remap rule's fresh time
-	Join    bool    // wait for a fill that runs already
-	NoFetch bool    // the source gives only what it holds
-	NoTrace bool    // the parent keeps no copy
-	Renew   bool    // an ageing copy is served and renewed behind
+type StartAttempt struct {
+	Request       string
+	Endpoint      string
+	Deadline      float64 // clock time at which the hop is dropped
+	Source        string  // who fills a miss; To itself for nobody
+	RetentionRank int     // 0 keeps nothing
+	MaxAgeSeconds float64 // oldest copy that will do; 0 for the remap rule's fresh time
+	JoinFill      bool    // wait for a fill that runs already
+	CacheOnly     bool    // the source gives only what it holds
+	ParentNoStore bool    // the parent keeps no copy
+	Revalidate    bool    // an ageing copy is served and renewed behind
 }
 
 // Cancel stops waiting for a hop.
-type Cancel struct {
-	Txn string
-	Hop int
+type CancelAttempt struct {
+	Request string
+	Attempt int
 }
 
 // Reject is the final answer that says that trying again is harmless.
-type Reject struct {
-	Txn   string
-	Again float64 // seconds the client should stay away, 0 for no advice
+type RejectRequest struct {
+	Request           string
+	RetryAfterSeconds float64 // seconds the client should stay away, 0 for no advice
 }
 
 // Abort is the final answer that promises nothing.
-type Abort struct{ Txn string }
+type AbortRequest struct{ Request string }
 
 // Timer asks for a Bell.
-type Timer struct {
-	After float64
-	Token uint64
+type SetTimer struct {
+	AfterSeconds float64
+	Token        uint64
 }
 
 // Check asks a member for its state.
-type Check struct{ Member string }
+type Probe struct{ Endpoint string }
 
 // Subscribe asks for list changes from now on.
-type Subscribe struct{}
+type SubscribeEndpoints struct{}
 
 // Note is a line for the operators.
-type Note struct{ Text string }
-
-func (Listing) event()    {}
-func (Arrival) event()    {}
-func (Outcome) event()    {}
-func (ClientGone) event() {}
-func (Bell) event()       {}
-func (Checked) event()    {}
-func (Purge) event()      {}
-func (Spare) event()      {}
-func (Stuck) event()      {}
-func (Doubt) event()      {}
-
-func (Hop) action()       {}
-func (Cancel) action()    {}
-func (Reject) action()    {}
-func (Abort) action()     {}
-func (Timer) action()     {}
-func (Check) action()     {}
-func (Subscribe) action() {}
-func (Note) action()      {}
+type LogNote struct{ Message string }
+
+func (EndpointUpdate) event()     {}
+func (RequestArrived) event()     {}
+func (AttemptEnded) event()       {}
+func (ClientDisconnected) event() {}
+func (TimerFired) event()         {}
+func (ProbeResult) event()        {}
+func (Purge) event()              {}
+func (RetryBudgetChanged) event() {}
+func (AttemptStalled) event()     {}
+func (HealthObservation) event()  {}
+
+func (StartAttempt) action()       {}
+func (CancelAttempt) action()      {}
+func (RejectRequest) action()      {}
+func (AbortRequest) action()       {}
+func (SetTimer) action()           {}
+func (Probe) action()              {}
+func (SubscribeEndpoints) action() {}
+func (LogNote) action()            {}
--- a/routing/records.go
+++ b/routing/records.go
@@ -6,7 +6,7 @@
 )
 
 // Num reads a number, or returns the other value where the record is missing or no number.
-func (rec Records) Num(name string, otherwise float64) float64 {
+func (rec Settings) Float(name string, otherwise float64) float64 {
 	if x, err := strconv.ParseFloat(rec[name], 64); err == nil {
 		return x
 	}
@@ -14,10 +14,10 @@
 }
 
 // Is tells whether a record says true.
-func (rec Records) Is(name string) bool { return rec[name] == "true" }
+func (rec Settings) Bool(name string) bool { return rec[name] == "true" }
 
 // Item reads item i of a list set apart by commas, empty where there is none.
-func (rec Records) Item(name string, i int) string {
+func (rec Settings) ListItem(name string, i int) string {
 	list := rec[name]
 	for ; i > 0; i-- {
 		_, rest, ok := strings.Cut(list, ",")
@@ -31,12 +31,12 @@
 }
 
 // NumItem reads item i of a list of numbers.
-func (rec Records) NumItem(name string, i int, otherwise float64) float64 {
-	if x, err := strconv.ParseFloat(rec.Item(name, i), 64); err == nil {
+func (rec Settings) FloatItem(name string, i int, otherwise float64) float64 {
+	if x, err := strconv.ParseFloat(rec.ListItem(name, i), 64); err == nil {
 		return x
 	}
 	return otherwise
 }
 
 // Remap is the name of a record of remap rule n.
-func Remap(n int, name string) string { return "remap." + strconv.Itoa(n) + "." + name }
+func ClassSetting(n int, name string) string { return "remap." + strconv.Itoa(n) + "." + name }
--- a/routing/state.go
+++ b/routing/state.go
@@ -55,7 +55,7 @@
 )
 
 type member struct {
-	Row
+	Endpoint
 	gate
 	role    role
 	away    float64   // hubs on the way
@@ -85,7 +85,7 @@
 	wanted, begun, out, stop bool
 	stuck                    bool // its connection is silent though its member is not
 	blind, accused           bool // its failure may be its source's; failed by a fault of its own or of its txn
-	end                      Code
+	end                      AttemptResult
 }
 
 // rule is a remap rule as the records have it, read once, and the last few sending times seen of it.
@@ -98,7 +98,7 @@
 }
 
 type txn struct {
-	Arrival
+	RequestArrived
 	seq               uint64
 	came, send, dense float64
 	sla               float64 // the SLA time of its size
@@ -120,7 +120,7 @@
 
 // Router decides for one instance.
 type Router struct {
-	rec     Records
+	rec     Settings
 	pcg     uint64
 	now     float64
 	acts    []Action
@@ -289,17 +289,17 @@
 // member finds a member by its id, or adds one of which nothing is known.
 func (r *Router) member(id string) *member {
 	at, found := slices.BinarySearchFunc(r.all, id, func(m *member, id string) int {
-		return cmp.Compare(m.Member, id)
+		return cmp.Compare(m.ID, id)
 	})
 	if !found {
-		r.all = slices.Insert(r.all, at, &member{Row: Row{Member: id}})
+		r.all = slices.Insert(r.all, at, &member{Endpoint: Endpoint{ID: id}})
 	}
 	return r.all[at]
 }
 
 // known finds a member by its id; nil where there is none.
 func (r *Router) known(id string) *member {
-	at, found := slices.BinarySearchFunc(r.all, id, func(m *member, id string) int { return cmp.Compare(m.Member, id) })
+	at, found := slices.BinarySearchFunc(r.all, id, func(m *member, id string) int { return cmp.Compare(m.ID, id) })
 	if !found {
 		return nil
 	}
@@ -323,22 +323,22 @@
 }
 
 // take brings the list up to date and returns the members that are new or have started again.
-func (r *Router) take(l Listing) (again []*member) {
-	if l.Kind == Full || l.Kind == Saved {
+func (r *Router) take(l EndpointUpdate) (again []*member) {
+	if l.Kind == Snapshot || l.Kind == Restored {
 		for _, m := range r.all {
-			m.Status = Gone
+			m.Status = Removed
 		}
 	}
-	for _, row := range l.Rows {
-		m := r.member(row.Member)
-		if m.held == nil || row.Started > m.Started {
+	for _, row := range l.Endpoints {
+		m := r.member(row.ID)
+		if m.held == nil || row.StartedAt > m.StartedAt {
 			*m = member{held: map[*part]*holding{}, gate: gate{out: m.out}, spent: m.spent}
 			again = append(again, m)
 		}
-		m.Row = row
+		m.Endpoint = row
 	}
 	r.all = slices.DeleteFunc(r.all, func(m *member) bool {
-		m.gone = flag(m.Status == Gone) * cmp.Or(m.gone, r.now)
+		m.gone = flag(m.Status == Removed) * cmp.Or(m.gone, r.now)
 		return m.gone > 0 && r.now >= m.gone+forgetAfter
 	})
 	r.relist()
@@ -358,9 +358,9 @@
 			m.role, list = parent, &r.parents
 		case kind == r.num("origin_kind", -1):
 			m.role, list = origin, &r.origins
-		case m.Location == here:
+		case m.Zone == here:
 			m.role, list = cache, &r.caches
-			m.sharers = max(r.rec.NumItem("routers_at", here, all), 1)
+			m.sharers = max(r.rec.FloatItem("routers_at", here, all), 1)
 			r.local = append(r.local, m)
 		}
 		if m.Status == Ready {
@@ -394,7 +394,7 @@
 func (r *Router) num(name string, otherwise float64) float64 {
 	x, ok := r.nums[name]
 	if !ok {
-		x = r.rec.Num(name, math.NaN())
+		x = r.rec.Float(name, math.NaN())
 		r.nums[name] = x
 	}
 	if math.IsNaN(x) {
@@ -407,12 +407,12 @@
 func (r *Router) rule(n int) *rule {
 	u := r.rules[n]
 	if u == nil {
-		num := func(name string, otherwise float64) float64 { return r.rec.Num(Remap(n, name), otherwise) }
+		num := func(name string, otherwise float64) float64 { return r.rec.Float(ClassSetting(n, name), otherwise) }
 		u = &rule{sla: num("sla_s", 1), stretch: num("sla_stretch", 0), importance: num("importance", 1),
 			late: num("late_importance", 0), window: num("window_s", 0),
-			fresh: r.rec.NumItem("fresh_s", n, 0), stale: r.rec.NumItem("stale_s", n, 0),
-			old: r.rec.NumItem("stale_importance", n, 0), effect: r.rec[Remap(n, "effect")],
-			group: r.rec[Remap(n, "group")], uncacheable: r.rec.Item("uncacheable", n) == "true"}
+			fresh: r.rec.FloatItem("fresh_s", n, 0), stale: r.rec.FloatItem("stale_s", n, 0),
+			old: r.rec.FloatItem("stale_importance", n, 0), effect: r.rec[ClassSetting(n, "effect")],
+			group: r.rec[ClassSetting(n, "group")], uncacheable: r.rec.ListItem("uncacheable", n) == "true"}
 		r.rules[n] = u
 	}
 	return u
@@ -423,12 +423,12 @@
 	if float64(m.Kind) != r.num("parent_kind", -1) {
 		return 0
 	}
-	own := int(r.rec.NumItem("hub_of", int(r.num("location", 0)), float64(m.Location)))
+	own := int(r.rec.FloatItem("hub_of", int(r.num("location", 0)), float64(m.Zone)))
 	ring := 0.0 // hubs come first among the locations and are their own
-	for r.rec.NumItem("hub_of", int(ring), -1) == ring {
+	for r.rec.FloatItem("hub_of", int(ring), -1) == ring {
 		ring++
 	}
-	way := math.Abs(float64(own - m.Location))
+	way := math.Abs(float64(own - m.Zone))
 	return min(way, max(ring-way, 0))
 }
 
@@ -436,13 +436,13 @@
 func (r *Router) purged(p Purge) {
 	v := void{object: p.Object}
 	if p.Object == "" {
-		v.group = p.Group
+		v.group = p.ObjectGroup
 	}
-	if r.purges[v] = max(r.purges[v], r.now-p.Ago); len(r.purges) > mostPurges {
+	if r.purges[v] = max(r.purges[v], r.now-p.AgeSeconds); len(r.purges) > mostPurges {
 		r.forget()
 	}
 	for name, o := range r.objects {
-		if name == p.Object || (p.Object == "" && o.group == p.Group) {
+		if name == p.Object || (p.Object == "" && o.group == p.ObjectGroup) {
 			r.drop(o)
 		}
 	}
--- a/simadapter/rename.go
+++ b/simadapter/rename.go
@@ -93,16 +93,16 @@
 	return name
 }
 
-var codes = map[string]routing.Code{
-	"200": routing.Completed, "502": routing.Errored, "429": routing.Busy, "408": routing.TimedOut, "521": routing.NoConnect,
-	"520": routing.Broken, "444": routing.Cancelled, "409": routing.Moot, "204": routing.Miss,
+var codes = map[string]routing.AttemptResult{
+	"200": routing.Completed, "502": routing.ServerError, "429": routing.Overloaded, "408": routing.TimedOut, "521": routing.ConnectFailed,
+	"520": routing.ConnectionBroken, "444": routing.Cancelled, "409": routing.NotSent, "204": routing.CacheMiss,
 }
 
-var listKinds = map[string]routing.ListKind{
-	"INCREMENTAL": routing.Changes, "FULL": routing.Full, "SAVED": routing.Saved, "FAILED": routing.Failed,
+var listKinds = map[string]routing.UpdateKind{
+	"INCREMENTAL": routing.Incremental, "FULL": routing.Snapshot, "SAVED": routing.Restored, "FAILED": routing.Unavailable,
 }
 
-var statuses = map[string]routing.Status{"ready": routing.Ready, "draining": routing.Draining, "gone": routing.Gone}
+var statuses = map[string]routing.EndpointStatus{"ready": routing.Ready, "draining": routing.Draining, "gone": routing.Removed}
 
 // Record renames one setting for any adapter; items of the list of remap rules become remap.N.name.
 func Record(key, value string) (string, string) {
--- a/simadapter/wire.go
+++ b/simadapter/wire.go
@@ -16,7 +16,7 @@
 )
 
 // Maker starts a router's decision logic.
-type Maker func(seed uint64, rec routing.Records) routing.Decider
+type Maker func(seed uint64, rec routing.Settings) routing.Decider
 
 // said is what one router wants done after one event.
 type said struct {
@@ -31,7 +31,7 @@
 	long    []byte // a line that outgrew the reader's buffer
 	start   Maker
 	routers map[int]routing.Decider
-	banks   map[int][]routing.Row
+	banks   map[int][]routing.Endpoint
 	now     float64
 	batch   string
 	line    int
@@ -42,7 +42,7 @@
 // Serve answers batches until the input ends.
 func Serve(in io.Reader, out io.Writer, start Maker) error {
 	s := &server{in: bufio.NewReaderSize(in, 1<<20), out: bufio.NewWriterSize(out, 1<<18), start: start,
-		routers: map[int]routing.Decider{}, banks: map[int][]routing.Row{}}
+		routers: map[int]routing.Decider{}, banks: map[int][]routing.Endpoint{}}
 	for {
 		err := s.round()
 		if errors.Is(err, io.EOF) {
@@ -146,7 +146,7 @@
 	}
 	switch name {
 	case "NEW_INSTANCE":
-		seed, rec := f.token(), routing.Records{}
+		seed, rec := f.token(), routing.Settings{}
 		for w := f.next(); len(w) > 0; w = f.next() {
 			key, value, _ := strings.Cut(string(w), "=")
 			key, value = Record(key, value)
@@ -177,37 +177,37 @@
 		if !ok {
 			f.fail("unknown kind of list")
 		}
-		l := routing.Listing{Kind: kind}
-		if kind != routing.Failed {
-			if l.Rows, ok = s.banks[bank]; !ok {
+		l := routing.EndpointUpdate{Kind: kind}
+		if kind != routing.Unavailable {
+			if l.Endpoints, ok = s.banks[bank]; !ok {
 				f.fail("unknown list")
 			}
 		}
 		ev = l
 	case "ACCEPT":
-		a := routing.Arrival{Txn: f.id(), Rule: f.integer()}
+		a := routing.RequestArrived{Request: f.id(), Class: f.integer()}
 		f.next() // tenant
-		a.Object, a.Limit, a.KB, a.Group, a.Part = f.text(), f.float(), f.float(), f.integer(), f.integer()
+		a.Object, a.Deadline, a.SizeKB, a.ObjectGroup, a.Chunk = f.text(), f.float(), f.float(), f.integer(), f.integer()
 		a.Write = f.integer()&4 != 0
 		ev = a
 	case "REPLY":
-		o := routing.Outcome{Txn: f.id(), FirstByte: f.float()}
-		o.Code = f.code()
-		o.Remark = routing.Remark(f.integer())
-		o.Member, o.Took, o.Hop, o.Final = f.text(), f.float(), f.integer(), f.integer() == 1
-		o.Load = f.load()
+		o := routing.AttemptEnded{Request: f.id(), FirstByteSeconds: f.float()}
+		o.Result = f.code()
+		o.Detail = routing.ResultDetail(f.integer())
+		o.Endpoint, o.ElapsedSeconds, o.Attempt, o.RequestDone = f.text(), f.float(), f.integer(), f.integer() == 1
+		o.LoadReport = f.load()
 		ev = o
 	case "TIMED_OUT_CLIENT":
-		ev = routing.ClientGone{Txn: f.id()}
+		ev = routing.ClientDisconnected{Request: f.id()}
 	case "BELL":
-		ev = routing.Bell{Token: f.token()}
+		ev = routing.TimerFired{Token: f.token()}
 	case "STATUS_BACK":
-		c := routing.Checked{Member: f.id()}
-		c.Code = f.code()
-		c.Took, c.Load = f.float(), f.load()
+		c := routing.ProbeResult{Endpoint: f.id()}
+		c.Result = f.code()
+		c.ElapsedSeconds, c.LoadReport = f.float(), f.load()
 		ev = c
 	case "EXPIRED_NOW":
-		p := routing.Purge{Ago: f.float(), Group: f.integer()}
+		p := routing.Purge{AgeSeconds: f.float(), ObjectGroup: f.integer()}
 		if p.Object = f.text(); p.Object == "0" {
 			p.Object = ""
 		}
@@ -245,7 +245,7 @@
 	if f.err != nil || count < 0 {
 		return fmt.Errorf("bad list line %q", clip(line))
 	}
-	var rows []routing.Row
+	var rows []routing.Endpoint
 	for range count {
 		line, err := s.next()
 		if errors.Is(err, io.EOF) {
@@ -258,12 +258,12 @@
 		if string(g.next()) != "ROW" {
 			return fmt.Errorf("expected a row of the list, found %q", clip(line))
 		}
-		r := routing.Row{Member: g.id(), Location: g.integer(), Kind: g.integer(), Cell: g.integer()}
+		r := routing.Endpoint{ID: g.id(), Zone: g.integer(), Kind: g.integer(), Cell: g.integer()}
 		status, ok := statuses[string(g.next())]
 		if !ok {
 			g.fail("unknown status")
 		}
-		r.Status, r.Weight, r.Started = status, g.float(), g.float()
+		r.Status, r.Weight, r.StartedAt = status, g.float(), g.float()
 		if g.err != nil {
 			return fmt.Errorf("%w in %q", g.err, clip(line))
 		}
@@ -341,7 +341,7 @@
 	return x
 }
 
-func (f *fields) code() routing.Code {
+func (f *fields) code() routing.AttemptResult {
 	c, ok := codes[string(f.next())]
 	if !ok {
 		f.fail("unknown result")
@@ -349,8 +349,8 @@
 	return c
 }
 
-func (f *fields) load() []routing.Reading {
-	var out []routing.Reading
+func (f *fields) load() []routing.LoadMetric {
+	var out []routing.LoadMetric
 	for pair := range strings.SplitSeq(f.text(), ",") {
 		name, value, ok := strings.Cut(pair, ":")
 		if !ok {
@@ -360,7 +360,7 @@
 		if err != nil {
 			f.fail("bad load report")
 		}
-		out = append(out, routing.Reading{Name: Reading(name), Value: x})
+		out = append(out, routing.LoadMetric{Name: Reading(name), Value: x})
 	}
 	return out
 }
@@ -368,26 +368,26 @@
 // action prints one action as a line.
 func (s *server) action(router int, a routing.Action) {
 	switch a := a.(type) {
-	case routing.Hop:
-		how := flag(a.Join, 1) + flag(a.NoFetch, 2) + flag(a.NoTrace, 4) + flag(a.Renew, 8)
-		s.buf = s.text(s.text(s.word("ANSWER_FROM", router), a.Txn), a.To)
-		s.buf = s.text(s.float(s.buf, a.Until), a.Source)
-		s.buf = s.integer(s.float(s.integer(s.buf, a.Rank), a.MaxAge), how)
-	case routing.Cancel:
-		s.buf = s.integer(s.text(s.word("STOP_ATTEMPT", router), a.Txn), a.Hop)
-	case routing.Reject:
-		s.buf = s.float(s.text(s.word("DENY", router), a.Txn), a.Again)
-	case routing.Abort:
-		s.buf = s.text(s.word("LOSE", router), a.Txn)
-	case routing.Timer:
-		s.buf = s.float(s.word("NOTIFY_ME", router), a.After)
+	case routing.StartAttempt:
+		how := flag(a.JoinFill, 1) + flag(a.CacheOnly, 2) + flag(a.ParentNoStore, 4) + flag(a.Revalidate, 8)
+		s.buf = s.text(s.text(s.word("ANSWER_FROM", router), a.Request), a.Endpoint)
+		s.buf = s.text(s.float(s.buf, a.Deadline), a.Source)
+		s.buf = s.integer(s.float(s.integer(s.buf, a.RetentionRank), a.MaxAgeSeconds), how)
+	case routing.CancelAttempt:
+		s.buf = s.integer(s.text(s.word("STOP_ATTEMPT", router), a.Request), a.Attempt)
+	case routing.RejectRequest:
+		s.buf = s.float(s.text(s.word("DENY", router), a.Request), a.RetryAfterSeconds)
+	case routing.AbortRequest:
+		s.buf = s.text(s.word("LOSE", router), a.Request)
+	case routing.SetTimer:
+		s.buf = s.float(s.word("NOTIFY_ME", router), a.AfterSeconds)
 		s.buf = strconv.AppendUint(append(s.buf, ' '), a.Token, 10)
-	case routing.Check:
-		s.buf = s.text(s.word("CHECK", router), a.Member)
-	case routing.Subscribe:
+	case routing.Probe:
+		s.buf = s.text(s.word("CHECK", router), a.Endpoint)
+	case routing.SubscribeEndpoints:
 		s.buf = s.integer(s.word("KEEP_INFORMED", router), 1)
-	case routing.Note:
-		s.buf = s.text(s.word("NOTE_DOWN", router), strings.ReplaceAll(a.Text, "\n", " "))
+	case routing.LogNote:
+		s.buf = s.text(s.word("NOTE_DOWN", router), strings.ReplaceAll(a.Message, "\n", " "))
 	}
 	s.emit()
 }
--- a/simadapter/wire_test.go
+++ b/simadapter/wire_test.go
@@ -17,7 +17,7 @@
 
 func (s script) Decide(_ float64, ev routing.Event) []routing.Action {
 	*s.heard = append(*s.heard, ev)
-	if a, ok := ev.(routing.Arrival); ok && a.Object == "h:bad" {
+	if a, ok := ev.(routing.RequestArrived); ok && a.Object == "h:bad" {
 		panic("two\nlines")
 	}
 	return s.says
@@ -26,7 +26,7 @@
 func serve(in string, says ...routing.Action) (string, []routing.Event, error) {
 	var heard []routing.Event
 	var out strings.Builder
-	err := Serve(strings.NewReader(in), &out, func(uint64, routing.Records) routing.Decider { return script{&heard, says} })
+	err := Serve(strings.NewReader(in), &out, func(uint64, routing.Settings) routing.Decider { return script{&heard, says} })
 	return out.String(), heard, err
 }
 
@@ -34,9 +34,9 @@
 
 func TestActionsArePrinted(t *testing.T) {
 	out, _, err := serve(start+"BATCH 2.5 1\nBELL 3 77\nEND\n",
-		routing.Hop{Txn: "ab", To: "1.2.3.4:5", Until: 2.25, Source: "p:1", Rank: 2, MaxAge: 0.5, Join: true, Renew: true},
-		routing.Cancel{Txn: "ab", Hop: 1}, routing.Reject{Txn: "ab", Again: 0.25}, routing.Abort{Txn: "cd"}, routing.Timer{After: 0.5, Token: 9},
-		routing.Check{Member: "x:1"}, routing.Subscribe{}, routing.Note{Text: "a\nb"})
+		routing.StartAttempt{Request: "ab", Endpoint: "1.2.3.4:5", Deadline: 2.25, Source: "p:1", RetentionRank: 2, MaxAgeSeconds: 0.5, JoinFill: true, Revalidate: true},
+		routing.CancelAttempt{Request: "ab", Attempt: 1}, routing.RejectRequest{Request: "ab", RetryAfterSeconds: 0.25}, routing.AbortRequest{Request: "cd"}, routing.SetTimer{AfterSeconds: 0.5, Token: 9},
+		routing.Probe{Endpoint: "x:1"}, routing.SubscribeEndpoints{}, routing.LogNote{Message: "a\nb"})
 	assert.NoError(t, err)
 	assert.Equal(t, "EOR 0\nANSWER_FROM 3 ab 1.2.3.4:5 2.250000 p:1 2 0.500000 9\nSTOP_ATTEMPT 3 ab 1\nDENY 3 ab 0.250000\n"+
 		"LOSE 3 cd\nNOTIFY_ME 3 0.500000 9\nCHECK 3 x:1\nKEEP_INFORMED 3 1\nNOTE_DOWN 3 a b\nEOR 1\n", out)
@@ -50,13 +50,13 @@
 		"TIMED_OUT_CLIENT 3 8b\nBELL 3 5\nSTATUS_BACK 3 a:1 521 0.4 -\nEXPIRED_NOW 3 0.1 11 -\nNEWS 3 what\nEND\n")
 	assert.NoError(t, err)
 	assert.Equal(t, []routing.Event{
-		routing.Listing{Kind: routing.Saved, Rows: []routing.Row{{Member: "a:1", Location: 3, Cell: 7, Weight: 1.5, Started: 6.1}}},
-		routing.Listing{Kind: routing.Changes, Rows: []routing.Row{{Member: "b:1", Location: 3, Cell: 7, Weight: 1, Status: routing.Draining}}},
-		routing.Arrival{Txn: "8b", Rule: 1, Object: "h:k", Limit: 8.5, KB: 640, Group: 11, Part: 3, Write: true},
-		routing.Outcome{Txn: "8b", FirstByte: 0.5, Code: routing.Miss, Remark: routing.SourceLacks, Member: "a:1", Took: 0.7, Hop: 2, Final: true,
-			Load: []routing.Reading{{Name: "util", Value: 0.5}, {Name: "link_fill", Value: 2}}},
-		routing.ClientGone{Txn: "8b"}, routing.Bell{Token: 5}, routing.Checked{Member: "a:1", Code: routing.NoConnect, Took: 0.4},
-		routing.Purge{Ago: 0.1, Group: 11},
+		routing.EndpointUpdate{Kind: routing.Restored, Endpoints: []routing.Endpoint{{ID: "a:1", Zone: 3, Cell: 7, Weight: 1.5, StartedAt: 6.1}}},
+		routing.EndpointUpdate{Kind: routing.Incremental, Endpoints: []routing.Endpoint{{ID: "b:1", Zone: 3, Cell: 7, Weight: 1, Status: routing.Draining}}},
+		routing.RequestArrived{Request: "8b", Class: 1, Object: "h:k", Deadline: 8.5, SizeKB: 640, ObjectGroup: 11, Chunk: 3, Write: true},
+		routing.AttemptEnded{Request: "8b", FirstByteSeconds: 0.5, Result: routing.CacheMiss, Detail: routing.SourceCacheMiss, Endpoint: "a:1", ElapsedSeconds: 0.7, Attempt: 2, RequestDone: true,
+			LoadReport: []routing.LoadMetric{{Name: "util", Value: 0.5}, {Name: "link_fill", Value: 2}}},
+		routing.ClientDisconnected{Request: "8b"}, routing.TimerFired{Token: 5}, routing.ProbeResult{Endpoint: "a:1", Result: routing.ConnectFailed, ElapsedSeconds: 0.4},
+		routing.Purge{AgeSeconds: 0.1, ObjectGroup: 11},
 	}, heard)
 }
 
@@ -72,7 +72,7 @@
 
 func TestWhatAKilledRouterSaidIsVoid(t *testing.T) {
 	out, heard, err := serve(start+"BATCH 2 1\nBELL 3 1\nDOWN 3\nNEW_INSTANCE 3 8 me=2\nBELL 3 2\nEND\nBATCH 3 2\nEND\n",
-		routing.Timer{After: 1, Token: 4})
+		routing.SetTimer{AfterSeconds: 1, Token: 4})
 	assert.NoError(t, err)
 	assert.Len(t, heard, 2)
 	assert.Equal(t, "EOR 0\nNOTIFY_ME 3 1.000000 4\nEOR 1\nEOR 2\n", out)
