--- a/cmd/cairnfront/drain_test.go
+++ b/cmd/cairnfront/drain_test.go
@@ -26,7 +26,7 @@
 func TestSignalsDuringADrain(t *testing.T) {
 	release, m, s, c := signalled(t, syscall.SIGTERM)
 	kind, _, _ := c.next(t)
-	assert.EqualValues(t, clientproto.NoMore, kind)
+	assert.EqualValues(t, clientproto.TypeGoAway, kind)
 	next := serveBoard(t)
 	require.NoError(t, os.WriteFile(s.path, manifest(s.addr, next.Addr().String(), 192, m, m), 0o600))
 	require.NoError(t, s.Process.Signal(syscall.SIGHUP))
@@ -78,18 +78,18 @@
 // TestReloadsNeverWait: while the client of the notice board follows none, the signal loop goes on, and the newest address
 // is the one that it will follow.
 func TestReloadsNeverWait(t *testing.T) {
-	moves, k, m := make(chan string, 1), telemetry.New(io.Discard, ""), bootstrap.Manifest{}
+	moves, k, m := make(chan string, 1), telemetry.New(io.Discard, ""), bootstrap.Config{}
 	for _, addr := range []string{"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"} {
-		m = reread(m, func() (bootstrap.Manifest, error) { return bootstrap.Manifest{Board: addr}, nil }, moves, k)
+		m = reread(m, func() (bootstrap.Config, error) { return bootstrap.Config{DiscoveryAddress: addr}, nil }, moves, k)
 	}
 	assert.Equal(t, "127.0.0.1:3", <-moves)
-	assert.Equal(t, "127.0.0.1:3", m.Board)
+	assert.Equal(t, "127.0.0.1:3", m.DiscoveryAddress)
 }
 
 // TestDrainEndsBeforeTheKill: which comes no sooner than the longest time limit, 3 s at most, and 0.7 s.
 func TestDrainEndsBeforeTheKill(t *testing.T) {
 	for longest, want := range map[float64]time.Duration{0.9: 1300 * time.Millisecond, 2: 2400 * time.Millisecond, 6: 3400 * time.Millisecond} {
-		m := bootstrap.Manifest{Rules: []string{"a", "b"}, Records: routing.Settings{routing.ClassSetting(0, "limit_s"): "0.5",
+		m := bootstrap.Config{ClassNames: []string{"a", "b"}, Settings: routing.Settings{routing.ClassSetting(0, "limit_s"): "0.5",
 			routing.ClassSetting(1, "limit_s"): strconv.FormatFloat(longest, 'f', -1, 64)}}
 		assert.Equal(t, want, drainMost(m), longest)
 	}
@@ -137,7 +137,7 @@
 				default:
 				}
 				if c, err := net.Dial("tcp", s.addr); err == nil {
-					_, _ = c.Write(append(clientproto.AppendHead(nil, clientproto.AskReady, 0, 1), 0))
+					_, _ = c.Write(append(clientproto.AppendHeader(nil, clientproto.TypeReadinessQuery, 0, 1), 0))
 					_ = c.SetReadDeadline(time.Now().Add(time.Second))
 					_, _ = io.Copy(io.Discard, c)
 					_ = c.Close()
--- a/cmd/cairnfront/main.go
+++ b/cmd/cairnfront/main.go
@@ -15,23 +15,23 @@
 	root := &cobra.Command{Use: "cairnfront", Short: "A traffic router for a two-tier cache",
 		SilenceUsage: true, SilenceErrors: true}
 	var operators string
-	serving := &cobra.Command{Use: "serve", Short: "Serve as the file that " + bootstrap.Variable + " names says", Args: cobra.NoArgs,
+	serving := &cobra.Command{Use: "serve", Short: "Serve as the file that " + bootstrap.PathVariable + " names says", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
-			return serve(bootstrap.FromEnv, operators)
+			return serve(bootstrap.LoadFromEnv, operators)
 		}}
 	serving.Flags().StringVar(&operators, "operators", "", "the operators' file; none by default")
 	root.AddCommand(boxCommand(), labCommand(), ledgerCommand(), operatorsCommand(), peersCommand(), reachCommand(), serving, tierCommand(),
-		&cobra.Command{Use: "check [FILE]", Short: "Check a start file, by default the one that " + bootstrap.Variable + " names",
+		&cobra.Command{Use: "check [FILE]", Short: "Check a start file, by default the one that " + bootstrap.PathVariable + " names",
 			Args: cobra.MaximumNArgs(1),
 			RunE: func(cmd *cobra.Command, args []string) error {
-				read := bootstrap.FromEnv
+				read := bootstrap.LoadFromEnv
 				if len(args) > 0 {
-					read = func() (bootstrap.Manifest, error) { return bootstrap.FromFile(args[0]) }
+					read = func() (bootstrap.Config, error) { return bootstrap.LoadFile(args[0]) }
 				}
 				m, err := read()
 				if err == nil {
 					fmt.Fprintf(cmd.OutOrStdout(), "%s on %s: %d remap rules, %d records, %d events of the notice board, %d MB, %d sockets\n",
-						m.Name, m.Listen, len(m.Rules), len(m.Records), len(m.Known), m.MemoryMB, m.Sockets)
+						m.Name, m.ListenAddress, len(m.ClassNames), len(m.Settings), len(m.KnownEvents), m.MemoryMB, m.MaxSockets)
 				}
 				return err
 			}},
--- a/cmd/cairnfront/reach.go
+++ b/cmd/cairnfront/reach.go
@@ -24,9 +24,9 @@
 // addressed gives a pool what the operators' file says of members with several addresses. It is changed by the loop.
 type addressed struct{ list []config.Several }
 
-func (a *addressed) of(row discovery.Row) []address.Addr {
+func (a *addressed) of(row discovery.Endpoint) []address.Addr {
 	for _, s := range a.list {
-		if s.Matches(row.ID, row.Addr) {
+		if s.Matches(row.ID, row.Address) {
 			out := make([]address.Addr, len(s.List))
 			for i, text := range s.List {
 				out[i] = address.Addr(text)
--- a/cmd/cairnfront/serve.go
+++ b/cmd/cairnfront/serve.go
@@ -43,7 +43,7 @@
 
 // serve runs the router until a signal ends it. What it is told is read at the start and again on SIGHUP; so is the
 // operators' file, where one is named.
-func serve(read func() (bootstrap.Manifest, error), operators string) error {
+func serve(read func() (bootstrap.Config, error), operators string) error {
 	signals, again := make(chan os.Signal, 4), make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	signal.Notify(again, syscall.SIGHUP) // a channel of its own: many of them keep no other signal out
@@ -55,51 +55,53 @@
 	debug.SetGCPercent(admission.GCPercent)
 	debug.SetMemoryLimit(admission.HeapLimit(m.MemoryMB))
 	k := telemetry.New(os.Stderr, m.Name)
-	ln, err := listen(m.Listen, signals, k)
+	ln, err := listen(m.ListenAddress, signals, k)
 	if err != nil || ln == nil {
 		return err
 	}
 	defer k.Print(os.Stderr)
-	gate := admission.New(m.MemoryMB, descriptors(m.Sockets))
-	seconds := func(name string) time.Duration { return time.Duration(m.Records.Float(name, 0) * float64(time.Second)) }
+	gate := admission.New(m.MemoryMB, descriptors(m.MaxSockets))
+	seconds := func(name string) time.Duration {
+		return time.Duration(m.Settings.Float(name, 0) * float64(time.Second))
+	}
 	pool := &upstream.Pool{Gate: gate, Book: k, Connect: seconds("connect_s"), Idle: seconds("idle_close_s"),
-		Streams: int(m.Records.Float("hops_a_connection", 1)), Report: m.Records["load_by"] == "checks"}
-	loop := dispatch.New(routing.New(m.Seed, m.Records), m.Records, pool, k)
+		Streams: int(m.Settings.Float("hops_a_connection", 1)), Report: m.Settings["load_by"] == "checks"}
+	loop := dispatch.New(routing.New(m.Seed, m.Settings), m.Settings, pool, k)
 	pool.Post = loop.Post
 	rules := map[string]int{}
-	for i, name := range m.Rules {
+	for i, name := range m.ClassNames {
 		rules[name] = i
 	}
 	taker := &frontend.Taker{Rules: rules, Gate: gate, Book: k, Offer: loop.Offer, Post: loop.Post}
-	news := &discovery.Client{Addr: m.Board, Last: m.Last, Book: k, Post: func(ev discovery.Event) { loop.Post(ev) },
-		Moves: make(chan string, 1)}
+	news := &discovery.Client{Address: m.DiscoveryAddress, LastRevision: m.LastRevision, Telemetry: k, OnEvent: func(ev discovery.Event) { loop.Post(ev) },
+		AddressChanges: make(chan string, 1)}
 
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	g, ctx := errgroup.WithContext(ctx)
 	repeatable := map[int]bool{}
-	for i := range m.Rules {
-		repeatable[i] = m.Records[routing.ClassSetting(i, "effect")] == "repeatable"
+	for i := range m.ClassNames {
+		repeatable[i] = m.Settings[routing.ClassSetting(i, "effect")] == "repeatable"
 	}
-	reload, err := extend(ctx, g, operators, m.Name, m.Seed, repeatable, m.Records.Bool("may_check"), pool, loop, k)
+	reload, err := extend(ctx, g, operators, m.Name, m.Seed, repeatable, m.Settings.Bool("may_check"), pool, loop, k)
 	if err != nil {
 		return err
 	}
 	pool.Start(ctx)
-	loop.Known(m.Known)
+	loop.Known(m.KnownEvents)
 	g.Go(func() error { return loop.Run(ctx) })
 	g.Go(func() error { return news.Run(ctx) })
 	g.Go(func() error { return taker.Run(ctx, ln) })
 	labHooks(ctx, loop)
 	gate.SetReady()
 	var drained chan struct{} // closed when the drain is over; nil before it
-	k.Log.Info("serving", "listen", m.Listen, "version", version())
+	k.Log.Info("serving", "listen", m.ListenAddress, "version", version())
 	for {
 		select {
 		case <-ctx.Done():
 			return errors.Join(g.Wait(), pool.Wait())
 		case <-again:
-			m = reread(m, read, news.Moves, k)
+			m = reread(m, read, news.AddressChanges, k)
 			reload()
 		case s := <-signals:
 			if s == syscall.SIGUSR1 {
@@ -149,10 +151,10 @@
 
 // drainMost is how long a drain may take: SIGKILL comes no sooner than the longest time limit, or the protocol's most
 // where that is longer, and some time more; the last of it is for ending.
-func drainMost(m bootstrap.Manifest) time.Duration {
+func drainMost(m bootstrap.Config) time.Duration {
 	longest := 0.0
-	for i := range m.Rules {
-		longest = max(longest, m.Records.Float(routing.ClassSetting(i, "limit_s"), killMost.Seconds()))
+	for i := range m.ClassNames {
+		longest = max(longest, m.Settings.Float(routing.ClassSetting(i, "limit_s"), killMost.Seconds()))
 	}
 	return min(time.Duration(longest*float64(time.Second)), killMost) + drainLeast - endMost
 }
@@ -180,10 +182,10 @@
 
 // reread reads what the router is told once more and follows the notice board's new address. A file that can't be
 // used leaves the old one in force.
-func reread(old bootstrap.Manifest, read func() (bootstrap.Manifest, error), moves chan string, k *telemetry.Book) bootstrap.Manifest {
+func reread(old bootstrap.Config, read func() (bootstrap.Config, error), moves chan string, k *telemetry.Book) bootstrap.Config {
 	m, err := read()
 	if err == nil {
-		err = m.Follows(old)
+		err = m.CheckReload(old)
 	}
 	if err != nil {
 		k.Add("reloads.failed", 1)
@@ -191,13 +193,13 @@
 		return old
 	}
 	k.Add("reloads", 1)
-	k.Log.Info("reload", "code", "followed", "board", m.Board)
-	if m.Board != old.Board { // the newest address counts, and no signal waits for one that is not followed yet
+	k.Log.Info("reload", "code", "followed", "board", m.DiscoveryAddress)
+	if m.DiscoveryAddress != old.DiscoveryAddress { // the newest address counts, and no signal waits for one that is not followed yet
 		select {
 		case <-moves:
 		default:
 		}
-		moves <- m.Board
+		moves <- m.DiscoveryAddress
 	}
 	return m
 }
--- a/cmd/cairnfront/serve_test.go
+++ b/cmd/cairnfront/serve_test.go
@@ -335,10 +335,10 @@
 			return false
 		}
 		defer c.Close()
-		_, _ = c.Write(append(clientproto.AppendHead(nil, clientproto.AskReady, 0, 1), 0))
-		said := make([]byte, clientproto.HeadSize+1) // or nothing: the port may still be another's
+		_, _ = c.Write(append(clientproto.AppendHeader(nil, clientproto.TypeReadinessQuery, 0, 1), 0))
+		said := make([]byte, clientproto.HeaderSize+1) // or nothing: the port may still be another's
 		_, err = io.ReadFull(c, said)
-		return err == nil && said[4] == clientproto.Ready && said[clientproto.HeadSize] == 1
+		return err == nil && said[4] == clientproto.TypeReadinessReply && said[clientproto.HeaderSize] == 1
 	}, patience, 10*time.Millisecond)
 }
 
@@ -396,27 +396,27 @@
 	fields := append([]clientproto.Field{{Name: "op", Value: op}, {Name: "call", Value: id}, {Name: "ttl", Value: "4000"}, {Name: "row", Value: row},
 		{Name: "seg", Value: "0"}, {Name: "bucket", Value: "7"}, {Name: "heap", Value: "10"}}, more...)
 	payload := append(clientproto.AppendFields(nil, fields...), body...)
-	_, _ = c.Write(append(clientproto.AppendHead(nil, clientproto.Txn, c.stream, len(payload)), payload...))
+	_, _ = c.Write(append(clientproto.AppendHeader(nil, clientproto.TypeRequest, c.stream, len(payload)), payload...))
 	return id
 }
 
 // next reads one frame.
 func (c *client) next(t *testing.T) (kind byte, stream uint32, payload string) {
-	head := make([]byte, clientproto.HeadSize)
+	head := make([]byte, clientproto.HeaderSize)
 	_, err := io.ReadFull(c, head)
 	require.NoError(t, err)
-	h, err := clientproto.ParseHead(head)
+	h, err := clientproto.ParseHeader(head)
 	require.NoError(t, err)
-	text := make([]byte, h.Size)
+	text := make([]byte, h.PayloadBytes)
 	_, err = io.ReadFull(c, text)
 	require.NoError(t, err)
-	return h.Type, h.Stream, string(text)
+	return h.Type, h.StreamID, string(text)
 }
 
 // answer reads one answer: its code, fields and body.
 func (c *client) answer(t *testing.T) (byte, map[string]string, string) {
 	kind, _, payload := c.next(t)
-	require.EqualValues(t, clientproto.Answer, kind)
+	require.EqualValues(t, clientproto.TypeResponse, kind)
 	list, body, err := clientproto.ParseFields([]byte(payload[1:]))
 	require.NoError(t, err)
 	fields := map[string]string{}
@@ -531,7 +531,7 @@
 	c := s.dial(t)
 	id := c.ask("page", row, "")
 	require.Eventually(t, func() bool { return m.count() == 1 }, patience, time.Millisecond)
-	_, _ = c.Write(clientproto.AppendHead(nil, clientproto.Leave, 1, 0))
+	_, _ = c.Write(clientproto.AppendHeader(nil, clientproto.TypeCancel, 1, 0))
 	assert.Equal(t, id, <-m.undone)
 	c.ask("page", "0000000000000001", "")
 	_, stream, _ := c.next(t)
@@ -563,11 +563,11 @@
 func TestSigterm(t *testing.T) {
 	release, _, s, c := signalled(t, syscall.SIGTERM)
 	kind, stream, _ := c.next(t)
-	assert.Equal(t, []any{byte(clientproto.NoMore), uint32(0)}, []any{kind, stream})
+	assert.Equal(t, []any{byte(clientproto.TypeGoAway), uint32(0)}, []any{kind, stream})
 	late := s.dial(t)
 	late.ask("order", "0000000000000002", "")
 	kind, _, _ = late.next(t)
-	assert.EqualValues(t, clientproto.NoMore, kind)
+	assert.EqualValues(t, clientproto.TypeGoAway, kind)
 	close(release)
 	code, _, _ := late.answer(t)
 	assert.EqualValues(t, 1, code)
@@ -587,7 +587,7 @@
 	require.Eventually(t, func() bool { return m.count() == 1 }, patience, time.Millisecond)
 	require.NoError(t, s.Process.Signal(syscall.SIGTERM))
 	kind, _, _ := c.next(t)
-	assert.EqualValues(t, clientproto.NoMore, kind)
+	assert.EqualValues(t, clientproto.TypeGoAway, kind)
 	code, _, _ := c.answer(t)
 	assert.EqualValues(t, 9, code)
 	s.killed = true
@@ -780,11 +780,11 @@
 	m := serveMember(t, func(h hop) string { return served(h, "x") })
 	s := begin(t, 64, m, m)
 	head := func(kind byte, stream uint32, size int) []byte {
-		return clientproto.AppendHead(nil, kind, stream, size)
+		return clientproto.AppendHeader(nil, kind, stream, size)
 	}
 	ends := make(chan error)
-	bad := [][]byte{[]byte("GET / HTTP/1.1\r\n\r\n"), bytes.Repeat([]byte{0xff}, 100_000), {0, 0, 0, 0, 100, 0, 0, 0, 1}, head(77, 1, 0), head(clientproto.Txn, 0, 1),
-		append([]byte{3, 0x93, 0x87, 0, 100, 0, 0, 0, 1}, make([]byte, 1<<20)...), head(clientproto.Txn, 1, 200)[:7], head(clientproto.Txn, 1, 200), nil}
+	bad := [][]byte{[]byte("GET / HTTP/1.1\r\n\r\n"), bytes.Repeat([]byte{0xff}, 100_000), {0, 0, 0, 0, 100, 0, 0, 0, 1}, head(77, 1, 0), head(clientproto.TypeRequest, 0, 1),
+		append([]byte{3, 0x93, 0x87, 0, 100, 0, 0, 0, 1}, make([]byte, 1<<20)...), head(clientproto.TypeRequest, 1, 200)[:7], head(clientproto.TypeRequest, 1, 200), nil}
 	for _, text := range bad {
 		c := s.dial(t)
 		go func() {
--- a/cmd/cairnfront/standing_test.go
+++ b/cmd/cairnfront/standing_test.go
@@ -62,7 +62,7 @@
 	before, since := worked(t, s.Process.Pid), time.Now()
 	for time.Since(since) < time.Second { // idle but for one that asks whether it is ready
 		c := s.dial(t)
-		_, _ = c.Write(append(clientproto.AppendHead(nil, clientproto.AskReady, 0, 1), 0))
+		_, _ = c.Write(append(clientproto.AppendHeader(nil, clientproto.TypeReadinessQuery, 0, 1), 0))
 		c.next(t)
 		time.Sleep(100 * time.Millisecond)
 	}
@@ -127,7 +127,7 @@
 					asked++
 				}
 				kind, _, payload := c.next(t)
-				if told = told || kind == clientproto.NoMore; kind == clientproto.Answer {
+				if told = told || kind == clientproto.TypeGoAway; kind == clientproto.TypeResponse {
 					asked--
 					assert.EqualValues(t, 1, payload[0])
 				}
--- a/internal/bootstrap/start.go
+++ b/internal/bootstrap/start.go
@@ -19,34 +19,34 @@
 )
 
 // Manifest is all that a router is told at its start.
-type Manifest struct {
-	Name, Listen, Board string
-	Seed                uint64
-	Cores               float64
-	MemoryMB, Sockets   int
-	Records             routing.Settings
-	Rules               []string // names of the remap rules
-	Known               []discovery.Event
-	Last                uint64 // number of the last known event
+type Config struct {
+	Name, ListenAddress, DiscoveryAddress string
+	Seed                                  uint64
+	Cores                                 float64
+	MemoryMB, MaxSockets                  int
+	Settings                              routing.Settings
+	ClassNames                            []string // names of the remap rules
+	KnownEvents                           []discovery.Event
+	LastRevision                          uint64 // number of the last known event
 }
 
 // Variable names the file to read.
-const Variable = "LB_CONFIG"
+const PathVariable = "LB_CONFIG"
 
 // FromEnv reads the file that the environment names.
-func FromEnv() (Manifest, error) {
-	path := os.Getenv(Variable)
+func LoadFromEnv() (Config, error) {
+	path := os.Getenv(PathVariable)
 	if path == "" {
-		return Manifest{}, errors.New(Variable + " is not set")
+		return Config{}, errors.New(PathVariable + " is not set")
 	}
-	return FromFile(path)
+	return LoadFile(path)
 }
 
 // FromFile reads a file.
-func FromFile(path string) (Manifest, error) {
+func LoadFile(path string) (Config, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return Manifest{}, err
+		return Config{}, err
 	}
 	m, err := Parse(text)
 	if err != nil {
@@ -56,7 +56,7 @@
 }
 
 // Parse reads the text of such a file.
-func Parse(text []byte) (Manifest, error) {
+func Parse(text []byte) (Config, error) {
 	var file struct {
 		Name   string `json:"name"`
 		Listen string `json:"listen"`
@@ -73,11 +73,11 @@
 	dec := json.NewDecoder(bytes.NewReader(text))
 	dec.UseNumber()
 	if err := dec.Decode(&file); err != nil {
-		return Manifest{}, fmt.Errorf("not the JSON that is expected: %w", err)
+		return Config{}, fmt.Errorf("not the JSON that is expected: %w", err)
 	}
-	m := Manifest{Name: file.Name, Listen: file.Listen, Board: file.Board, Cores: file.Limits.Cores,
-		MemoryMB: file.Limits.MemoryMB, Sockets: file.Limits.Sockets, Records: routing.Settings{}}
-	for name, addr := range map[string]string{"listen": m.Listen, "board": m.Board} {
+	m := Config{Name: file.Name, ListenAddress: file.Listen, DiscoveryAddress: file.Board, Cores: file.Limits.Cores,
+		MemoryMB: file.Limits.MemoryMB, MaxSockets: file.Limits.Sockets, Settings: routing.Settings{}}
+	for name, addr := range map[string]string{"listen": m.ListenAddress, "board": m.DiscoveryAddress} {
 		if _, _, err := net.SplitHostPort(addr); err != nil {
 			return m, fmt.Errorf("%s: %q is no address", name, addr)
 		}
@@ -86,29 +86,29 @@
 	if m.Seed, err = strconv.ParseUint(file.Seed, 16, 64); err != nil {
 		return m, fmt.Errorf("seed: %q is no hex number of 64 bits", file.Seed)
 	}
-	if m.MemoryMB < 32 || m.Sockets < 64 {
-		return m, fmt.Errorf("limits: %d MB and %d sockets are missing or too few", m.MemoryMB, m.Sockets)
+	if m.MemoryMB < 32 || m.MaxSockets < 64 {
+		return m, fmt.Errorf("limits: %d MB and %d sockets are missing or too few", m.MemoryMB, m.MaxSockets)
 	}
 	if len(file.Settings) == 0 {
 		return m, errors.New("settings: missing")
 	}
-	flatten(m.Records, "", file.Settings)
+	flatten(m.Settings, "", file.Settings)
 	rules, _ := file.Settings["request_classes"].([]any)
 	for i := range rules {
 		name, _ := child(rules[i], "name").(string)
 		if name == "" {
 			return m, fmt.Errorf("settings: class %d has no name", i)
 		}
-		m.Rules = append(m.Rules, name)
+		m.ClassNames = append(m.ClassNames, name)
 	}
-	if len(m.Rules) == 0 {
+	if len(m.ClassNames) == 0 {
 		return m, errors.New("settings: no request_classes")
 	}
 	if len(file.Known) == 0 {
 		return m, errors.New("known: missing")
 	}
-	names := discovery.Names{Locations: texts(file.Settings["zones"]), Kinds: texts(file.Settings["flavors"])}
-	if m.Known, m.Last, err = discovery.ParseKnown(file.Known, names); err != nil {
+	names := discovery.IndexNames{Zones: texts(file.Settings["zones"]), Kinds: texts(file.Settings["flavors"])}
+	if m.KnownEvents, m.LastRevision, err = discovery.ParseKnownEvents(file.Known, names); err != nil {
 		return m, fmt.Errorf("known: %w", err)
 	}
 	return m, nil
@@ -116,13 +116,13 @@
 
 // Follows says what in a file read again can't be followed while the router runs; nil where all of it can. The
 // notice board's address may change, and what is new with each start.
-func (m Manifest) Follows(old Manifest) error {
+func (m Config) CheckReload(old Config) error {
 	for _, x := range []struct {
 		name string
 		same bool
-	}{{"name", m.Name == old.Name}, {"listen", m.Listen == old.Listen},
-		{"limits", m.Cores == old.Cores && m.MemoryMB == old.MemoryMB && m.Sockets == old.Sockets},
-		{"settings", maps.Equal(m.Records, old.Records) && slices.Equal(m.Rules, old.Rules)}} {
+	}{{"name", m.Name == old.Name}, {"listen", m.ListenAddress == old.ListenAddress},
+		{"limits", m.Cores == old.Cores && m.MemoryMB == old.MemoryMB && m.MaxSockets == old.MaxSockets},
+		{"settings", maps.Equal(m.Settings, old.Settings) && slices.Equal(m.ClassNames, old.ClassNames)}} {
 		if !x.same {
 			return fmt.Errorf("%s: can't change while the router runs", x.name)
 		}
@@ -160,7 +160,7 @@
 // flatten turns nested objects into the paths and texts in which the simulator's wire gives them, and renames both.
 func flatten(rec routing.Settings, path string, v any) {
 	put := func(text string) {
-		key, value := simadapter.Record(path, text)
+		key, value := simadapter.TranslateSetting(path, text)
 		rec[key] = value
 	}
 	switch v := v.(type) {
--- a/internal/bootstrap/start_test.go
+++ b/internal/bootstrap/start_test.go
@@ -17,13 +17,13 @@
 func TestFileBecomesRecords(t *testing.T) {
 	m, err := Parse([]byte(file))
 	assert.NoError(t, err)
-	assert.Equal(t, []string{"page", "order"}, m.Rules)
+	assert.Equal(t, []string{"page", "order"}, m.ClassNames)
 	assert.Equal(t, uint64(0x8c1f30d27a5be964), m.Seed)
-	assert.Len(t, m.Known, 1)
+	assert.Len(t, m.KnownEvents, 1)
 	for name, want := range map[string]string{"router": "2", "zones": "north_hub,east", "fresh_s": "0,12.0", "may_join": "true",
 		"uncacheable": "false,true", "connect_s": "0.4", "hops_a_connection": "32", "load_by": "checks", "remap.count": "2", "remap.0.effect": "repeatable",
 		"remap.1.effect": "unrepeatable", "remap.1.name": "order"} {
-		assert.Equal(t, want, m.Records[name], name)
+		assert.Equal(t, want, m.Settings[name], name)
 	}
 }
 
@@ -36,15 +36,15 @@
 		_, err := Parse([]byte(strings.Replace(file, change[0], change[1], 1)))
 		assert.ErrorContains(t, err, want)
 	}
-	t.Setenv(Variable, "")
-	_, err := FromEnv()
-	assert.ErrorContains(t, err, Variable)
+	t.Setenv(PathVariable, "")
+	_, err := LoadFromEnv()
+	assert.ErrorContains(t, err, PathVariable)
 	path := filepath.Join(t.TempDir(), "x.json")
-	t.Setenv(Variable, path)
-	_, err = FromEnv()
+	t.Setenv(PathVariable, path)
+	_, err = LoadFromEnv()
 	assert.ErrorIs(t, err, os.ErrNotExist)
 	assert.NoError(t, os.WriteFile(path, []byte("nonsense"), 0o600))
-	_, err = FromEnv()
+	_, err = LoadFromEnv()
 	assert.ErrorContains(t, err, path)
 }
 
@@ -57,7 +57,7 @@
 	} {
 		m, err := Parse([]byte(strings.Replace(file, change[0], change[1], 1)))
 		assert.NoError(t, err)
-		if err = m.Follows(old); want == "" {
+		if err = m.CheckReload(old); want == "" {
 			assert.NoError(t, err)
 		} else {
 			assert.ErrorContains(t, err, want+": can't change")
@@ -69,7 +69,7 @@
 	f.Add([]byte(file))
 	f.Add([]byte(strings.Replace(file, `"endpoints":[]`, `"endpoints":[{"name":"s-1","address":"10.1.0.9:9090","zone":"east","type":"std","status":"SERVING"}]`, 1)))
 	f.Fuzz(func(t *testing.T, text []byte) {
-		if m, err := Parse(text); err == nil && (len(m.Rules) == 0 || len(m.Known) == 0 || m.MemoryMB < 32) {
+		if m, err := Parse(text); err == nil && (len(m.ClassNames) == 0 || len(m.KnownEvents) == 0 || m.MemoryMB < 32) {
 			t.Fatalf("%+v", m)
 		}
 	})
--- a/internal/cacheproto/far.go
+++ b/internal/cacheproto/far.go
@@ -11,60 +11,60 @@
 )
 
 // Verb is the first word of a command.
-type Verb int
+type CommandKind int
 
 // What a cache box is asked.
 const (
-	VerbDo Verb = iota
-	VerbUndo
-	VerbPing
-	VerbTop
+	CommandAttempt CommandKind = iota
+	CommandCancel
+	CommandProbe
+	CommandProbeLoad
 )
 
 // MostWrite is the size of the largest body that a txn brings.
-const MostWrite = 48000
+const MaxRequestBodyBytes = 48000
 
 // UnknownGroup is the group of a copy of which nobody told it.
 const UnknownGroup = 0xffff
 
 // Asked is a line that comes to a cache box. What is text goes on unchanged.
-type Asked struct {
-	Verb   Verb
-	ID     string
-	Name   string // of the remap rule
-	Object string
-	Part   string
-	ObjNo  uint64
-	PartNo uint32
-	Wait   float64 // seconds
-	Key    string
-	Fill   string
-	Tag    string
+type Command struct {
+	Kind           CommandKind
+	ID             string
+	ClassName      string // of the remap rule
+	Object         string
+	Part           string
+	ObjectID       uint64
+	PartIndex      uint32
+	TimeoutSeconds float64 // seconds
+	IdempotencyKey string
+	FillSource     string
+	ETag           string
 	routing.StartAttempt
-	Size int // of the body, which follows with End
+	BodyBytes int // of the body, which follows with End
 }
 
-var verbs = map[string]Verb{"do": VerbDo, "undo": VerbUndo, "ping": VerbPing, "top": VerbTop}
+var verbs = map[string]CommandKind{"do": CommandAttempt, "undo": CommandCancel, "ping": CommandProbe, "top": CommandProbeLoad}
 
 // ParseAsked reads a line as a cache box gets it. After an error the connection is out of step.
-func ParseAsked(text []byte) (Asked, error) {
+func ParseCommand(text []byte) (Command, error) {
 	w := bytes.Split(text, []byte{' '})
 	verb, ok := verbs[string(w[0])]
 	if !ok {
-		return Asked{}, fmt.Errorf("unknown command %.40q", w[0])
+		return Command{}, fmt.Errorf("unknown command %.40q", w[0])
 	}
-	a := Asked{Verb: verb}
-	if want := map[bool]int{true: 4, false: 2}[verb == VerbDo]; len(w) != want || len(w[1]) == 0 || len(w[1]) > 64 {
+	a := Command{Kind: verb}
+	if want := map[bool]int{true: 4, false: 2}[verb == CommandAttempt]; len(w) != want || len(w[1]) == 0 || len(w[1]) > 64 {
 		return a, fmt.Errorf("%s has %d words, %d are expected", w[0], len(w), want)
 	}
-	if a.ID = string(w[1]); verb != VerbDo {
+	if a.ID = string(w[1]); verb != CommandAttempt {
 		return a, nil
 	}
 	n, err := strconv.ParseUint(string(w[3]), 10, 32)
-	if err != nil || n > MostWrite {
+	if err != nil || n > MaxRequestBodyBytes {
 		return a, fmt.Errorf("bad length %.40q", w[3])
 	}
-	a.Size = int(n)
+	a.BodyBytes = int(n)
 	had := map[string]bool{}
 	for pair := range strings.SplitSeq(string(w[2]), ",") {
 		name, v, ok := strings.Cut(pair, "=")
@@ -79,27 +79,27 @@
 		}
 		switch name {
 		case "profile":
-			a.Name, ok = v, ok && v != ""
+			a.ClassName, ok = v, ok && v != ""
 		case "thing":
 			a.Object = v
-			a.ObjNo, err = strconv.ParseUint(v, 16, 64)
+			a.ObjectID, err = strconv.ParseUint(v, 16, 64)
 			ok = ok && err == nil && len(v) == 16
 		case "nth":
 			n, err := strconv.ParseUint(v, 10, 31)
-			a.Part, a.PartNo, ok = v, uint32(n), ok && err == nil
+			a.Part, a.PartIndex, ok = v, uint32(n), ok && err == nil
 		case "max":
-			a.Wait = ms()
+			a.TimeoutSeconds = ms()
 		case "replay":
-			a.Key = v
+			a.IdempotencyKey = v
 		case "parent":
-			a.Fill = v
+			a.FillSource = v
 		case "shelf":
 			n, err := strconv.ParseUint(v, 10, 8)
 			a.RetentionRank, ok = int(n), ok && err == nil && n <= 3
 		case "accept":
 			a.MaxAgeSeconds = ms()
 		case "got":
-			a.Tag = v
+			a.ETag = v
 		case "hints":
 			for word := range strings.SplitSeq(v, "+") {
 				switch word {
@@ -129,23 +129,23 @@
 }
 
 // Reply is an answer of a cache box. The bytes of its body have to follow, and End.
-type Reply struct {
-	Code   routing.AttemptResult
-	Same   bool
-	Remark routing.ResultDetail
-	Tag    string
-	Dated  int64 // Unix ms, 0 for none
-	Group  int   // UnknownGroup for none
-	Size   int
+type AttemptResult struct {
+	Code             routing.AttemptResult
+	NotModified      bool
+	Remark           routing.ResultDetail
+	ETag             string
+	OriginUnixMillis int64 // Unix ms, 0 for none
+	Group            int   // UnknownGroup for none
+	BodyBytes        int
 }
 
 var replies = map[routing.AttemptResult]string{routing.Completed: "served", routing.ServerError: "crashed", routing.Overloaded: "overload",
 	routing.NotSent: "nobody", routing.CacheMiss: "not_here"}
 
 // AppendReply writes the line of an answer.
-func AppendReply(b []byte, id string, r Reply) []byte {
+func AppendAttemptResult(b []byte, id string, r AttemptResult) []byte {
 	word := replies[r.Code]
-	if r.Same {
+	if r.NotModified {
 		word = "still_good"
 	}
 	b = append(append(append(append(b, id...), ' '), word...), ' ')
@@ -157,13 +157,13 @@
 		b = append(append(append(b, name...), '='), v...)
 	}
 	if r.Code == routing.Completed {
-		if r.Tag != "" {
-			field("digest", r.Tag)
+		if r.ETag != "" {
+			field("digest", r.ETag)
 		}
-		if r.Dated > 0 {
-			field("dated", strconv.FormatInt(r.Dated, 10))
+		if r.OriginUnixMillis > 0 {
+			field("dated", strconv.FormatInt(r.OriginUnixMillis, 10))
 		}
-		if r.Dated > 0 && r.Group != UnknownGroup {
+		if r.OriginUnixMillis > 0 && r.Group != UnknownGroup {
 			field(groupField, strconv.Itoa(r.Group))
 		}
 		for mark, is := range remarks {
@@ -175,12 +175,12 @@
 	if len(b) == from {
 		b = append(b, '-')
 	}
-	b = strconv.AppendInt(append(b, ' '), int64(r.Size), 10)
-	return append(b, End...)
+	b = strconv.AppendInt(append(b, ' '), int64(r.BodyBytes), 10)
+	return append(b, LineEnd...)
 }
 
 // AppendChecked answers a check; load is told if it was asked for.
-func AppendChecked(b []byte, tag string, good bool, load string) []byte {
+func AppendProbeReply(b []byte, tag string, good bool, load string) []byte {
 	word := "red"
 	if good {
 		word = "green"
@@ -188,7 +188,7 @@
 	if load = "report=" + load; load == "report=" {
 		load = "-"
 	}
-	return append(b, tag+" "+word+" "+load+" 0"+End...)
+	return append(b, tag+" "+word+" "+load+" 0"+LineEnd...)
 }
 
 // groupField is a field of our own boxes' answers: a box learns from its source which group an object is in, since
--- a/internal/cacheproto/line.go
+++ b/internal/cacheproto/line.go
@@ -15,32 +15,32 @@
 )
 
 // MostBody is the size of the largest object.
-const MostBody = 240000
+const MaxObjectBytes = 240000
 
 // End follows each body.
-const End = "\r\n"
+const LineEnd = "\r\n"
 
 // Do is a hop as it goes to a member. Fill names who fills a miss, empty for nobody.
-type Do struct {
-	Txn  *request.Txn
-	Wait float64 // seconds
-	Fill string
+type Attempt struct {
+	Txn            *request.Txn
+	TimeoutSeconds float64 // seconds
+	FillSource     string
 	routing.StartAttempt
 }
 
 // AppendDo writes the line of a hop; the body and End have to follow.
-func AppendDo(b []byte, d Do) []byte {
+func AppendAttempt(b []byte, d Attempt) []byte {
 	t := d.Txn
 	b = append(append(append(b, "do "...), t.ID...), " profile="...)
 	b = append(append(b, t.Name...), ",thing="...)
 	b = append(append(b, t.Object...), ",nth="...)
 	b = append(append(b, t.Part...), ",max="...)
-	b = strconv.AppendInt(b, max(int64(math.Floor(d.Wait*1000)), 1), 10)
+	b = strconv.AppendInt(b, max(int64(math.Floor(d.TimeoutSeconds*1000)), 1), 10)
 	if t.Key != "" {
 		b = append(append(b, ",replay="...), t.Key...)
 	}
-	if d.Fill != "" {
-		b = append(append(b, ",parent="...), d.Fill...)
+	if d.FillSource != "" {
+		b = append(append(b, ",parent="...), d.FillSource...)
 	}
 	if d.RetentionRank > 0 {
 		b = strconv.AppendInt(append(b, ",shelf="...), int64(d.RetentionRank), 10)
@@ -62,29 +62,29 @@
 		b = append(append(b, ",got="...), t.Tag...)
 	}
 	b = strconv.AppendInt(append(b, ' '), int64(t.Body.Len()), 10)
-	return append(b, End...)
+	return append(b, LineEnd...)
 }
 
 // AppendUndo writes the line that gives a hop up.
-func AppendUndo(b []byte, id string) []byte {
-	return append(append(append(b, "undo "...), id...), End...)
+func AppendCancel(b []byte, id string) []byte {
+	return append(append(append(b, "undo "...), id...), LineEnd...)
 }
 
 // AppendCheck writes a check, with the load report if that is wanted.
-func AppendCheck(b []byte, tag string, load bool) []byte {
+func AppendProbe(b []byte, tag string, load bool) []byte {
 	word := "ping "
 	if load {
 		word = "top "
 	}
-	return append(append(append(b, word...), tag...), End...)
+	return append(append(append(b, word...), tag...), LineEnd...)
 }
 
 // Answer is a line of a member. The body of Size bytes and End follow it.
-type Answer struct {
-	ID    string
-	Check bool // it answers a check
+type Response struct {
+	ID           string
+	IsProbeReply bool // it answers a check
 	request.End
-	Size int
+	BodyBytes int
 }
 
 var ends = map[string]routing.AttemptResult{
@@ -97,23 +97,23 @@
 var errShape = errors.New("answer is not of the form ID WORD FIELDS LENGTH")
 
 // ParseAnswer reads a member's line. After an error the connection is out of step.
-func ParseAnswer(text []byte) (Answer, error) {
+func ParseResponse(text []byte) (Response, error) {
 	w := bytes.Split(text, []byte{' '})
 	if len(w) != 4 || len(w[0]) == 0 {
-		return Answer{}, errShape
+		return Response{}, errShape
 	}
-	a := Answer{ID: string(w[0])}
+	a := Response{ID: string(w[0])}
 	word := string(w[1])
 	code, ok := ends[word]
 	if !ok {
 		return a, fmt.Errorf("unknown word %.40q", word)
 	}
-	a.Code, a.Check, a.Same = code, word == "green" || word == "red", word == "still_good"
+	a.Code, a.IsProbeReply, a.Same = code, word == "green" || word == "red", word == "still_good"
 	n, err := strconv.ParseUint(string(w[3]), 10, 32)
-	if err != nil || n > MostBody {
+	if err != nil || n > MaxObjectBytes {
 		return a, fmt.Errorf("bad length %.40q", w[3])
 	}
-	a.Size = int(n)
+	a.BodyBytes = int(n)
 	if string(w[2]) != "-" {
 		for pair := range strings.SplitSeq(string(w[2]), ",") {
 			name, value, _ := strings.Cut(pair, "=")
@@ -129,7 +129,7 @@
 		}
 	}
 	// A write's answer has neither digest nor date: what was served is completed with or without them.
-	if a.Same && a.Size > 0 {
+	if a.Same && a.BodyBytes > 0 {
 		return a, errors.New("bytes with the word that there are none")
 	}
 	return a, nil
@@ -140,7 +140,7 @@
 	for pair := range strings.SplitSeq(text, ";") {
 		name, value, _ := strings.Cut(pair, ":")
 		if x, err := strconv.ParseFloat(value, 64); err == nil && !math.IsNaN(x) && !math.IsInf(x, 0) {
-			out = append(out, routing.LoadMetric{Name: simadapter.Reading(name), Value: x})
+			out = append(out, routing.LoadMetric{Name: simadapter.TranslateLoadMetric(name), Value: x})
 		}
 	}
 	return out
--- a/internal/cacheproto/line_test.go
+++ b/internal/cacheproto/line_test.go
@@ -14,29 +14,29 @@
 		Body: &request.Body{Bytes: []byte("ab")}}
 	assert.Equal(t, "do 9b1f03aa5c7e2d41 profile=page,thing=7f3a9c21e0b4d655,nth=3,max=1500,replay=k1,parent=s-1,shelf=2,"+
 		"accept=12,hints=ride+have-only+through+update,got=t1 2\r\n",
-		string(AppendDo(nil, Do{Txn: x, Wait: 1.5004, Fill: "s-1", StartAttempt: routing.StartAttempt{RetentionRank: 2, MaxAgeSeconds: 0.0129, JoinFill: true,
+		string(AppendAttempt(nil, Attempt{Txn: x, TimeoutSeconds: 1.5004, FillSource: "s-1", StartAttempt: routing.StartAttempt{RetentionRank: 2, MaxAgeSeconds: 0.0129, JoinFill: true,
 			CacheOnly: true, ParentNoStore: true, Revalidate: true}})))
 	x.Body, x.Key, x.Tag = nil, "", ""
 	assert.Equal(t, "do 9b1f03aa5c7e2d41 profile=page,thing=7f3a9c21e0b4d655,nth=3,max=1,accept=1 0\r\n",
-		string(AppendDo(nil, Do{Txn: x, Wait: 1e-5, StartAttempt: routing.StartAttempt{MaxAgeSeconds: 2e-6}})), "no time and no age becomes 0")
+		string(AppendAttempt(nil, Attempt{Txn: x, TimeoutSeconds: 1e-5, StartAttempt: routing.StartAttempt{MaxAgeSeconds: 2e-6}})), "no time and no age becomes 0")
 	assert.Equal(t, "undo ab\r\nping c1\r\ntop c2\r\n",
-		string(AppendCheck(AppendCheck(AppendUndo(nil, "ab"), "c1", false), "c2", true)))
+		string(AppendProbe(AppendProbe(AppendCancel(nil, "ab"), "c1", false), "c2", true)))
 }
 
 func TestAnswersAreRead(t *testing.T) {
-	for text, want := range map[string]Answer{
-		"ab served digest=d1,dated=176,remark=f 7": {ID: "ab", Size: 7, End: request.End{Code: routing.Completed, Tag: "d1", Remark: routing.Filled}},
+	for text, want := range map[string]Response{
+		"ab served digest=d1,dated=176,remark=f 7": {ID: "ab", BodyBytes: 7, End: request.End{Code: routing.Completed, Tag: "d1", Remark: routing.Filled}},
 		"ab still_good digest=d1,dated=176 0":      {ID: "ab", End: request.End{Code: routing.Completed, Tag: "d1", Same: true}},
 		"ab served - 0":                            {ID: "ab", End: request.End{Code: routing.Completed}}, // a write's has no digest
 		"ab not_here remark=j 0":                   {ID: "ab", End: request.End{Code: routing.CacheMiss, Remark: routing.JoinedFill}},
 		"ab overload - 0":                          {ID: "ab", End: request.End{Code: routing.Overloaded}},
-		"ab crashed remark=zz 3":                   {ID: "ab", Size: 3, End: request.End{Code: routing.ServerError}},
+		"ab crashed remark=zz 3":                   {ID: "ab", BodyBytes: 3, End: request.End{Code: routing.ServerError}},
 		"ab nobody - 0":                            {ID: "ab", End: request.End{Code: routing.NotSent}},
-		"c1 green report=inflight:7;x1:0.6;y:NaN 0": {ID: "c1", Check: true, End: request.End{Code: routing.Completed,
+		"c1 green report=inflight:7;x1:0.6;y:NaN 0": {ID: "c1", IsProbeReply: true, End: request.End{Code: routing.Completed,
 			Load: []routing.LoadMetric{{Name: "inflight", Value: 7}, {Name: "link_fill", Value: 0.6}}}},
-		"c1 red - 0": {ID: "c1", Check: true, End: request.End{Code: routing.ServerError}},
+		"c1 red - 0": {ID: "c1", IsProbeReply: true, End: request.End{Code: routing.ServerError}},
 	} {
-		got, err := ParseAnswer([]byte(text))
+		got, err := ParseResponse([]byte(text))
 		assert.NoError(t, err, text)
 		if want.Tag != "" {
 			want.Dated = 176
@@ -45,7 +45,7 @@
 	}
 	for _, text := range []string{"", "ab", "ab served -", "ab what - 0", "ab served - -1", "ab served - 240001",
 		"ab served - x", " served - 0", "ab still_good digest=d 4"} {
-		_, err := ParseAnswer([]byte(text))
+		_, err := ParseResponse([]byte(text))
 		assert.Error(t, err, text)
 	}
 }
@@ -53,7 +53,7 @@
 func FuzzParseAnswer(f *testing.F) {
 	f.Add([]byte("ab served digest=d1,dated=176,remark=f,report=util:0.5;x 7"))
 	f.Fuzz(func(t *testing.T, b []byte) {
-		if a, err := ParseAnswer(b); err == nil && (a.ID == "" || a.Size < 0 || a.Size > MostBody) {
+		if a, err := ParseResponse(b); err == nil && (a.ID == "" || a.BodyBytes < 0 || a.BodyBytes > MaxObjectBytes) {
 			t.Fatalf("%+v", a)
 		}
 	})
@@ -63,19 +63,19 @@
 func TestBothSidesAgree(t *testing.T) {
 	x := &request.Txn{ID: "9b1f03aa5c7e2d41", Name: "page", Object: "7f3a9c21e0b4d655", Part: "3", Key: "k1", Tag: "t1", Body: &request.Body{Bytes: []byte("hi")}}
 	hop := routing.StartAttempt{RetentionRank: 2, MaxAgeSeconds: 0.012, JoinFill: true, CacheOnly: true, ParentNoStore: true, Revalidate: true}
-	text := AppendDo(nil, Do{Txn: x, Wait: 1.5, Fill: "s-1", StartAttempt: hop})
-	a, err := ParseAsked(text[:len(text)-2])
+	text := AppendAttempt(nil, Attempt{Txn: x, TimeoutSeconds: 1.5, FillSource: "s-1", StartAttempt: hop})
+	a, err := ParseCommand(text[:len(text)-2])
 	assert.NoError(t, err)
-	assert.Equal(t, Asked{ID: x.ID, Name: "page", Object: x.Object, ObjNo: 0x7f3a9c21e0b4d655, Part: "3", PartNo: 3, Wait: 1.5, Key: "k1",
-		Fill: "s-1", Tag: "t1", StartAttempt: hop, Size: 2}, a)
-	for _, r := range []Reply{{Code: routing.Completed, Remark: routing.CacheHit, Tag: "t", Dated: 7, Group: 12, Size: 4},
-		{Code: routing.Completed, Same: true, Remark: routing.StaleHit, Tag: "t", Dated: 7, Group: UnknownGroup}, {Code: routing.Overloaded, Group: UnknownGroup},
+	assert.Equal(t, Command{ID: x.ID, ClassName: "page", Object: x.Object, ObjectID: 0x7f3a9c21e0b4d655, Part: "3", PartIndex: 3, TimeoutSeconds: 1.5, IdempotencyKey: "k1",
+		FillSource: "s-1", ETag: "t1", StartAttempt: hop, BodyBytes: 2}, a)
+	for _, r := range []AttemptResult{{Code: routing.Completed, Remark: routing.CacheHit, ETag: "t", OriginUnixMillis: 7, Group: 12, BodyBytes: 4},
+		{Code: routing.Completed, NotModified: true, Remark: routing.StaleHit, ETag: "t", OriginUnixMillis: 7, Group: UnknownGroup}, {Code: routing.Overloaded, Group: UnknownGroup},
 		{Code: routing.CacheMiss, Group: UnknownGroup}, {Code: routing.ServerError, Group: UnknownGroup}} {
-		text := AppendReply(nil, "ab", r)
-		got, err := ParseAnswer(text[:len(text)-2])
+		text := AppendAttemptResult(nil, "ab", r)
+		got, err := ParseResponse(text[:len(text)-2])
 		assert.NoError(t, err, string(text))
 		group := (r.Group + 1) % (UnknownGroup + 1)
-		assert.Equal(t, Answer{ID: "ab", Size: r.Size, End: request.End{Code: r.Code, Remark: r.Remark, Tag: r.Tag, Dated: r.Dated, Group: group, Same: r.Same}}, got)
+		assert.Equal(t, Response{ID: "ab", BodyBytes: r.BodyBytes, End: request.End{Code: r.Code, Remark: r.Remark, Tag: r.ETag, Dated: r.OriginUnixMillis, Group: group, Same: r.NotModified}}, got)
 	}
 }
 
@@ -83,7 +83,7 @@
 	for text, want := range map[string]string{"go a - 0": "unknown command", "do a profile=p,thing=7f3a9c21e0b4d655,nth=1 0": "max is missing",
 		"do a profile=p,thing=x,nth=1,max=5 0": "thing=x", "do a profile=p,thing=7f3a9c21e0b4d655,nth=1,max=5,max=6 0": "twice",
 		"do a profile=p,thing=7f3a9c21e0b4d655,nth=1,max=5,shelf=4 0": "shelf=4", "do a - 48001": "bad length", "undo": "words"} {
-		_, err := ParseAsked([]byte(text))
+		_, err := ParseCommand([]byte(text))
 		assert.ErrorContains(t, err, want, text)
 	}
 }
@@ -92,8 +92,8 @@
 	f.Add([]byte("do 9b profile=page,thing=7f3a9c21e0b4d655,nth=3,max=1500,hints=ride+update,accept=9 2"))
 	f.Add([]byte("undo 9b"))
 	f.Fuzz(func(t *testing.T, b []byte) {
-		a, err := ParseAsked(b)
-		if err == nil && (a.ID == "" || a.Size < 0 || a.Size > MostWrite || a.RetentionRank > 3 || a.Wait < 0 || a.MaxAgeSeconds < 0) {
+		a, err := ParseCommand(b)
+		if err == nil && (a.ID == "" || a.BodyBytes < 0 || a.BodyBytes > MaxRequestBodyBytes || a.RetentionRank > 3 || a.TimeoutSeconds < 0 || a.MaxAgeSeconds < 0) {
 			t.Fatalf("%+v", a)
 		}
 	})
--- a/internal/clientproto/frame.go
+++ b/internal/clientproto/frame.go
@@ -14,42 +14,42 @@
 
 // Types of a frame.
 const (
-	Txn      = 100
-	Answer   = 101
-	Leave    = 102
-	AskReady = 110
-	Ready    = 111
-	NoMore   = 120
+	TypeRequest        = 100
+	TypeResponse       = 101
+	TypeCancel         = 102
+	TypeReadinessQuery = 110
+	TypeReadinessReply = 111
+	TypeGoAway         = 120
 )
 
 // HeadSize is the size of length, type and stream; MostBody that of the largest body of a txn.
 const (
-	HeadSize   = 9
-	leastSize  = 5
-	mostSize   = 262144
-	MostBody   = 48000
-	mostFields = 8192 // a txn's fields are some hundred bytes
-	MostAsked  = MostBody + mostFields
+	HeaderSize      = 9
+	leastSize       = 5
+	mostSize        = 262144
+	MaxBodyBytes    = 48000
+	mostFields      = 8192 // a txn's fields are some hundred bytes
+	MaxRequestBytes = MaxBodyBytes + mostFields
 )
 
 // Head begins a frame.
-type Head struct {
-	Type   byte
-	Stream uint32
-	Size   int // of the payload
+type Header struct {
+	Type         byte
+	StreamID     uint32
+	PayloadBytes int // of the payload
 }
 
 // ParseHead reads the first HeadSize bytes of a frame.
-func ParseHead(b []byte) (Head, error) {
+func ParseHeader(b []byte) (Header, error) {
 	n := binary.BigEndian.Uint32(b)
 	if n < leastSize || n > mostSize {
-		return Head{}, fmt.Errorf("frame length %d is out of bounds", n)
+		return Header{}, fmt.Errorf("frame length %d is out of bounds", n)
 	}
-	return Head{Type: b[4], Stream: binary.BigEndian.Uint32(b[5:]), Size: int(n) - leastSize}, nil
+	return Header{Type: b[4], StreamID: binary.BigEndian.Uint32(b[5:]), PayloadBytes: int(n) - leastSize}, nil
 }
 
 // AppendHead writes a frame's head; size is that of the payload.
-func AppendHead(b []byte, kind byte, stream uint32, size int) []byte {
+func AppendHeader(b []byte, kind byte, stream uint32, size int) []byte {
 	b = binary.BigEndian.AppendUint32(b, uint32(size+leastSize))
 	return binary.BigEndian.AppendUint32(append(b, kind), stream)
 }
@@ -97,10 +97,10 @@
 }
 
 // Asked is a txn as it came. The rule's name is not yet looked up.
-type Asked struct {
+type Request struct {
 	request.Txn
-	TTL  float64 // seconds
-	Rest []byte  // the body
+	TimeoutSeconds float64 // seconds
+	RawBody        []byte  // the body
 }
 
 // names are the fields that are read; so many of them are needed.
@@ -109,13 +109,13 @@
 const needed = 5
 
 // ParseTxn reads the payload of a txn. With an error, what could be read is in Asked.
-func ParseTxn(payload []byte) (Asked, error) {
-	var a Asked
+func ParseRequest(payload []byte) (Request, error) {
+	var a Request
 	fields, rest, err := ParseFields(payload)
 	if err != nil {
 		return a, err
 	}
-	a.Rest = rest
+	a.RawBody = rest
 	had := make([]bool, len(names))
 	bad := func(name string) {
 		if err == nil {
@@ -139,7 +139,7 @@
 		case "ttl":
 			var ms uint64
 			ms, ok = number(v, math.MaxUint32)
-			a.TTL, ok = float64(ms)/1000, ok && ms > 0
+			a.TimeoutSeconds, ok = float64(ms)/1000, ok && ms > 0
 		case "dedupe":
 			a.Key, ok = v, plain(v)
 		case "row":
@@ -168,8 +168,8 @@
 			bad(name)
 		}
 	}
-	if err == nil && len(rest) > MostBody {
-		err = fmt.Errorf("body of %d bytes is over %d", len(rest), MostBody)
+	if err == nil && len(rest) > MaxBodyBytes {
+		err = fmt.Errorf("body of %d bytes is over %d", len(rest), MaxBodyBytes)
 	}
 	return a, err
 }
@@ -204,7 +204,7 @@
 var codes = [...]byte{request.Completed: 1, request.Rejected: 0, request.Aborted: 9}
 
 // AppendAnswer writes an answer without its body, which has to follow.
-func AppendAnswer(b []byte, stream uint32, a request.Answer) []byte {
+func AppendResponse(b []byte, stream uint32, a request.Answer) []byte {
 	var fields []Field
 	if a.Tag != "" {
 		fields = append(fields, Field{"etag", a.Tag})
@@ -219,14 +219,14 @@
 		fields = append(fields, Field{"error", a.Error})
 	}
 	payload := AppendFields([]byte{codes[a.Verdict]}, fields...)
-	return append(AppendHead(b, Answer, stream, len(payload)+a.Body.Len()), payload...)
+	return append(AppendHeader(b, TypeResponse, stream, len(payload)+a.Body.Len()), payload...)
 }
 
 // AppendReady writes the answer to the question whether the router is ready.
-func AppendReady(b []byte, stream uint32, yes bool) []byte {
+func AppendReadinessReply(b []byte, stream uint32, yes bool) []byte {
 	code := byte(0)
 	if yes {
 		code = 1
 	}
-	return append(AppendHead(b, Ready, stream, 2), code, 0)
+	return append(AppendHeader(b, TypeReadinessReply, stream, 2), code, 0)
 }
--- a/internal/clientproto/frame_test.go
+++ b/internal/clientproto/frame_test.go
@@ -13,9 +13,9 @@
 	{"seg", "3"}, {"bucket", "17"}, {"heap", "412.5"}, {"etag", "4be0"}, {"later", "what"}}
 
 func TestTxnIsRead(t *testing.T) {
-	a, err := ParseTxn(append(AppendFields(nil, good...), "body"...))
+	a, err := ParseRequest(append(AppendFields(nil, good...), "body"...))
 	assert.NoError(t, err)
-	assert.Equal(t, Asked{TTL: 1.5, Rest: []byte("body"), Txn: request.Txn{ID: "9b1f03aa5c7e2d41", Name: "page", Key: "k1",
+	assert.Equal(t, Request{TimeoutSeconds: 1.5, RawBody: []byte("body"), Txn: request.Txn{ID: "9b1f03aa5c7e2d41", Name: "page", Key: "k1",
 		Object: "7F3a9c21e0b4d655", Part: "3", PartNo: 3, Group: 17, KB: 412.5, Tag: "4be0"}}, a)
 }
 
@@ -26,33 +26,33 @@
 		for _, v := range bad {
 			fields := append([]Field{}, good...)
 			fields[i].Value = v
-			_, err := ParseTxn(AppendFields(nil, fields...))
+			_, err := ParseRequest(AppendFields(nil, fields...))
 			assert.ErrorContains(t, err, fields[i].Name, v)
 		}
 	}
 	for _, gone := range []int{0, 1, 2, 4, 5} {
-		_, err := ParseTxn(AppendFields(nil, append(append([]Field{}, good[:gone]...), good[gone+1:]...)...))
+		_, err := ParseRequest(AppendFields(nil, append(append([]Field{}, good[:gone]...), good[gone+1:]...)...))
 		assert.ErrorContains(t, err, good[gone].Name)
 	}
-	_, err := ParseTxn(AppendFields(nil, append(good, good[0])...))
+	_, err := ParseRequest(AppendFields(nil, append(good, good[0])...))
 	assert.ErrorContains(t, err, "op", "twice")
-	_, err = ParseTxn(AppendFields(nil, append(good, Field{strings.Repeat("n", 255), "x"})...))
+	_, err = ParseRequest(AppendFields(nil, append(good, Field{strings.Repeat("n", 255), "x"})...))
 	assert.NoError(t, err, "a name may be as long as its size can say")
-	_, err = ParseTxn(append(AppendFields(nil, good...), make([]byte, MostBody+1)...))
+	_, err = ParseRequest(append(AppendFields(nil, good...), make([]byte, MaxBodyBytes+1)...))
 	assert.ErrorContains(t, err, "body")
 	whole := AppendFields(nil, good...)
 	for n := range whole {
-		_, err := ParseTxn(whole[:n])
+		_, err := ParseRequest(whole[:n])
 		assert.Error(t, err, "cut at %d", n)
 	}
 }
 
 func TestHeadsHaveBounds(t *testing.T) {
-	h, err := ParseHead(AppendHead(nil, Txn, 7, 100))
+	h, err := ParseHeader(AppendHeader(nil, TypeRequest, 7, 100))
 	assert.NoError(t, err)
-	assert.Equal(t, Head{Txn, 7, 100}, h)
+	assert.Equal(t, Header{TypeRequest, 7, 100}, h)
 	for _, size := range []int{-1, 262140} {
-		_, err := ParseHead(AppendHead(nil, Txn, 7, size))
+		_, err := ParseHeader(AppendHeader(nil, TypeRequest, 7, size))
 		assert.ErrorContains(t, err, "length")
 	}
 }
@@ -65,20 +65,20 @@
 		"\x00\x00\x00\x13\x65\x00\x00\x00\x07\x00\x01\x08pushback\x00\x01\x32": {Verdict: request.Rejected, Again: 0.0011},
 		"\x00\x00\x00\x07\x65\x00\x00\x00\x07\x09\x00":                         {Verdict: request.Aborted, Again: 1},
 	} {
-		got := AppendAnswer(nil, 7, a)
-		head, err := ParseHead(got)
+		got := AppendResponse(nil, 7, a)
+		head, err := ParseHeader(got)
 		assert.NoError(t, err)
-		assert.Equal(t, len(got)-HeadSize+a.Body.Len(), head.Size, "the length counts the body that follows")
+		assert.Equal(t, len(got)-HeaderSize+a.Body.Len(), head.PayloadBytes, "the length counts the body that follows")
 		assert.Equal(t, want[4:], string(got[4:]))
 	}
-	assert.Equal(t, "\x00\x00\x00\x07\x6f\x00\x00\x00\x03\x01\x00", string(AppendReady(nil, 3, true)))
-	assert.Equal(t, "\x00\x00\x00\x07\x6f\x00\x00\x00\x03\x00\x00", string(AppendReady(nil, 3, false)))
+	assert.Equal(t, "\x00\x00\x00\x07\x6f\x00\x00\x00\x03\x01\x00", string(AppendReadinessReply(nil, 3, true)))
+	assert.Equal(t, "\x00\x00\x00\x07\x6f\x00\x00\x00\x03\x00\x00", string(AppendReadinessReply(nil, 3, false)))
 }
 
 func FuzzParseTxn(f *testing.F) {
 	f.Add(append(AppendFields(nil, good...), "body"...))
 	f.Fuzz(func(t *testing.T, b []byte) {
-		if a, err := ParseTxn(b); err == nil && (a.TTL <= 0 || len(a.ID) != 16 || a.KB < 0 || len(a.Rest) > MostBody) {
+		if a, err := ParseRequest(b); err == nil && (a.TimeoutSeconds <= 0 || len(a.ID) != 16 || a.KB < 0 || len(a.RawBody) > MaxBodyBytes) {
 			t.Fatalf("%+v", a)
 		}
 	})
--- a/internal/discovery/board.go
+++ b/internal/discovery/board.go
@@ -16,27 +16,27 @@
 )
 
 // Row is one member of the list with the address at which it listens.
-type Row struct {
+type Endpoint struct {
 	routing.Endpoint
-	Addr string
+	Address string
 }
 
 // Event is one notice. It holds rows, or a purge where Purged is set.
 type Event struct {
-	Number uint64
-	Beat   bool // nothing new
-	Full   bool // the rows are the whole list
-	Rows   []Row
-	Purged bool
-	Object string  // empty for the whole group
-	Group  int     //
-	At     float64 // Unix seconds of the purge
-	Sum    uint32  // a checksum of the whole frame, for who proves that numbers go on
+	Revision  uint64
+	Heartbeat bool // nothing new
+	Full      bool // the rows are the whole list
+	Endpoints []Endpoint
+	Purged    bool
+	Object    string  // empty for the whole group
+	Group     int     //
+	At        float64 // Unix seconds of the purge
+	Checksum  uint32  // a checksum of the whole frame, for who proves that numbers go on
 }
 
 // HeadSize is the size of length, number and kind.
 const (
-	HeadSize   = 13
+	HeaderSize = 13
 	recordSize = 27
 	mostFrame  = 1 << 20
 )
@@ -44,7 +44,7 @@
 var statuses = [...]routing.EndpointStatus{routing.Ready, routing.Draining, routing.Removed}
 
 // ParseHead reads the first HeadSize bytes of a frame and returns the size of its payload.
-func ParseHead(b []byte) (number uint64, kind byte, size int, err error) {
+func ParseHeader(b []byte) (number uint64, kind byte, size int, err error) {
 	n := binary.BigEndian.Uint32(b)
 	if n < 9 || n > mostFrame {
 		return 0, 0, 0, fmt.Errorf("frame length %d is out of bounds", n)
@@ -53,11 +53,11 @@
 }
 
 // Parse reads the payload of an event.
-func Parse(number uint64, kind byte, b []byte) (Event, error) {
-	ev := Event{Number: number}
+func ParsePayload(number uint64, kind byte, b []byte) (Event, error) {
+	ev := Event{Revision: number}
 	switch kind {
 	case 0:
-		ev.Beat = true
+		ev.Heartbeat = true
 	case 1, 2:
 		ev.Full = kind == 1
 		if len(b)%recordSize != 0 {
@@ -68,7 +68,7 @@
 				return ev, fmt.Errorf("unknown state %d", b[10])
 			}
 			addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte(b[4:8])), binary.BigEndian.Uint16(b[8:]))
-			ev.Rows = append(ev.Rows, Row{Addr: addr.String(), Endpoint: routing.Endpoint{
+			ev.Endpoints = append(ev.Endpoints, Endpoint{Address: addr.String(), Endpoint: routing.Endpoint{
 				ID: fmt.Sprintf("s-%08x", binary.BigEndian.Uint32(b)), Status: statuses[b[10]],
 				Zone: int(b[11]), Kind: int(b[12]), Cell: int(binary.BigEndian.Uint16(b[13:])),
 				Weight:    float64(binary.BigEndian.Uint32(b[15:])) / 1000,
@@ -93,12 +93,12 @@
 }
 
 // Names are the lists in which text finds its places.
-type Names struct{ Locations, Kinds []string }
+type IndexNames struct{ Zones, Kinds []string }
 
 var words = map[string]routing.EndpointStatus{"SERVING": routing.Ready, "DRAINING": routing.Draining, "DELETED": routing.Removed}
 
 // ParseKnown reads the events that the router's start file holds.
-func ParseKnown(text []byte, names Names) ([]Event, uint64, error) {
+func ParseKnownEvents(text []byte, names IndexNames) ([]Event, uint64, error) {
 	var known struct {
 		Rev     uint64 `json:"rev"`
 		Notices []struct {
@@ -128,18 +128,18 @@
 	}
 	var out []Event
 	for i, n := range known.Notices {
-		ev := Event{Number: n.Rev}
+		ev := Event{Revision: n.Rev}
 		switch {
 		case n.Pool != nil:
 			ev.Full = n.Pool.Snapshot || i == 0
 			for _, e := range n.Pool.Endpoints {
 				status, ok := words[e.Status]
-				row := Row{Addr: e.Address, Endpoint: routing.Endpoint{ID: e.Name, Cell: e.Group, Status: status, Weight: e.Weight,
-					StartedAt: e.Since / 1000, Zone: slices.Index(names.Locations, e.Zone), Kind: slices.Index(names.Kinds, e.Type)}}
+				row := Endpoint{Address: e.Address, Endpoint: routing.Endpoint{ID: e.Name, Cell: e.Group, Status: status, Weight: e.Weight,
+					StartedAt: e.Since / 1000, Zone: slices.Index(names.Zones, e.Zone), Kind: slices.Index(names.Kinds, e.Type)}}
 				if _, err := netip.ParseAddrPort(e.Address); err != nil || !ok || row.Zone < 0 || row.Kind < 0 || e.Name == "" {
 					return nil, 0, fmt.Errorf("notice %d: member %q can't be used", n.Rev, e.Name)
 				}
-				ev.Rows = append(ev.Rows, row)
+				ev.Endpoints = append(ev.Endpoints, row)
 			}
 		case n.Flush != nil:
 			ev.Purged, ev.Object, ev.Group, ev.At = true, n.Flush.Asset, n.Flush.Collection, n.Flush.MS/1000
@@ -158,14 +158,14 @@
 }
 
 // ErrGap ends a connection of a reader that wants to ask from another number.
-var ErrGap = errGap
+var ErrRevisionGap = errGap
 
 // Append writes an event as the board does: for stand-ins.
-func Append(b []byte, ev Event) ([]byte, error) {
+func AppendEvent(b []byte, ev Event) ([]byte, error) {
 	var payload []byte
 	kind := byte(0)
 	switch {
-	case ev.Beat:
+	case ev.Heartbeat:
 	case ev.Purged && ev.Object != "":
 		kind = 3
 		n, err := strconv.ParseUint(ev.Object, 16, 64)
@@ -180,11 +180,11 @@
 		if kind = 2; ev.Full {
 			kind = 1
 		}
-		for _, row := range ev.Rows {
+		for _, row := range ev.Endpoints {
 			id, err := strconv.ParseUint(strings.TrimPrefix(row.ID, "s-"), 16, 32)
-			addr, err2 := netip.ParseAddrPort(row.Addr)
+			addr, err2 := netip.ParseAddrPort(row.Address)
 			if err = errors.Join(err, err2); err != nil || !addr.Addr().Is4() {
-				return b, fmt.Errorf("member %q at %q can't be told: %w", row.ID, row.Addr, err)
+				return b, fmt.Errorf("member %q at %q can't be told: %w", row.ID, row.Address, err)
 			}
 			ip := addr.Addr().As4()
 			payload = binary.BigEndian.AppendUint32(payload, uint32(id))
@@ -200,6 +200,6 @@
 		payload = binary.BigEndian.AppendUint64(payload, uint64(math.Round(ev.At*1000)))
 	}
 	b = binary.BigEndian.AppendUint32(b, uint32(9+len(payload)))
-	b = binary.BigEndian.AppendUint64(b, ev.Number)
+	b = binary.BigEndian.AppendUint64(b, ev.Revision)
 	return append(append(b, kind), payload...), nil
 }
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -25,17 +25,17 @@
 
 // Client follows the notice board and posts each event after Last once, in the order of the numbers.
 type Client struct {
-	Addr string
-	Last uint64
-	Post func(Event)
-	Book *telemetry.Book
+	Address      string
+	LastRevision uint64
+	OnEvent      func(Event)
+	Telemetry    *telemetry.Book
 	// Moves brings the board's new addresses. The connection to the old one is hung up: from then on the new board
 	// is asked, with the number of the last event had.
-	Moves chan string
+	AddressChanges chan string
 	// Raw, where set, is handed every event as it came, beats too, in place of Post; its error ends the connection.
 	// From then says for each new connection after which number the board is asked.
-	Raw  func(Event) error
-	From func() uint64
+	OnRawEvent    func(Event) error
+	StartRevision func() uint64
 
 	silence time.Duration // as beatsStop, where set
 	missed  uint64        // the number that came where Last+1 was due, when it was seen first
@@ -52,7 +52,7 @@
 		go func() { ended <- c.follow(here) }()
 		moved := ""
 		select {
-		case moved = <-c.Moves:
+		case moved = <-c.AddressChanges:
 			hangUp(errMoved)
 			<-ended
 		case heard := <-ended:
@@ -62,13 +62,13 @@
 			}
 			select {
 			case <-ctx.Done():
-			case moved = <-c.Moves:
+			case moved = <-c.AddressChanges:
 			case <-time.After(wait):
 			}
 			wait = min(2*wait, mostWait)
 		}
 		if moved != "" {
-			c.Addr, wait = moved, firstWait
+			c.Address, wait = moved, firstWait
 		}
 	}
 	return nil
@@ -79,18 +79,18 @@
 
 // follow reads from one connection until it ends and says whether anything came.
 func (c *Client) follow(ctx context.Context) (heard bool) {
-	c.Book.Began("board")
+	c.Telemetry.Began("board")
 	began := time.Now()
-	raw, err := (&net.Dialer{Timeout: dialLimit}).DialContext(ctx, "tcp", c.Addr)
+	raw, err := (&net.Dialer{Timeout: dialLimit}).DialContext(ctx, "tcp", c.Address)
 	if err != nil {
-		c.Book.Ended(telemetry.Ended{Side: "board", Peer: c.Addr, Code: netconn.NoConnect, Err: err, Since: began})
+		c.Telemetry.Ended(telemetry.Ended{Side: "board", Peer: c.Address, Code: netconn.NoConnect, Err: err, Since: began})
 		return false
 	}
 	if c.silence == 0 {
 		c.silence = beatsStop
 	}
 	k := netconn.New(raw, ringSize, c.silence)
-	defer k.Done(c.Book, "board", c.Addr)
+	defer k.Done(c.Telemetry, "board", c.Address)
 	defer context.AfterFunc(ctx, func() {
 		code := netconn.Shutdown
 		if errors.Is(context.Cause(ctx), errMoved) {
@@ -100,7 +100,7 @@
 	})()
 	defer func() {
 		if p := recover(); p != nil {
-			c.Book.Log.Error("panic", "where", "board", "what", fmt.Sprint(p), "stack", string(debug.Stack()))
+			c.Telemetry.Log.Error("panic", "where", "board", "what", fmt.Sprint(p), "stack", string(debug.Stack()))
 			k.End(netconn.Panic, nil)
 		}
 	}()
@@ -110,32 +110,32 @@
 }
 
 func (c *Client) read(k *netconn.Conn, heard *bool) (string, error) {
-	from := c.Last
-	if c.Raw != nil {
-		from = c.From()
+	from := c.LastRevision
+	if c.OnRawEvent != nil {
+		from = c.StartRevision()
 	}
 	if err := errors.Join(k.Write(binary.BigEndian.AppendUint64(nil, from)), k.Flush()); err != nil {
 		return netconn.Reason(err), err
 	}
-	for head := make([]byte, HeadSize); ; {
+	for head := make([]byte, HeaderSize); ; {
 		k.SetReadDeadline(time.Now().Add(c.silence))
 		err := k.ReadFull(head)
 		if err == nil {
 			var number uint64
 			var kind byte
 			var size int
-			if number, kind, size, err = ParseHead(head); err != nil {
+			if number, kind, size, err = ParseHeader(head); err != nil {
 				return netconn.Protocol, err
 			}
 			payload := make([]byte, size)
 			if err = k.ReadFull(payload); err == nil {
-				ev, err := Parse(number, kind, payload)
+				ev, err := ParsePayload(number, kind, payload)
 				if err != nil {
 					return netconn.Protocol, err
 				}
-				if c.Raw != nil {
-					ev.Sum = crc32.Update(crc32.ChecksumIEEE(head), crc32.IEEETable, payload)
-					err = c.Raw(ev)
+				if c.OnRawEvent != nil {
+					ev.Checksum = crc32.Update(crc32.ChecksumIEEE(head), crc32.IEEETable, payload)
+					err = c.OnRawEvent(ev)
 				} else {
 					err = c.take(ev)
 				}
@@ -158,22 +158,22 @@
 // taken. So is a beat that names a later event than the last one had: on a connection that brings beats and no news a drain
 // would never be heard of.
 func (c *Client) take(ev Event) error {
-	if ev.Beat { // it names the board's last event: one that was not had got lost, or is held back on this connection
-		if ev.Number > c.Last && c.missed != ev.Number {
-			c.missed = ev.Number
-			return fmt.Errorf("%w: a beat at %d after %d", errGap, ev.Number, c.Last)
+	if ev.Heartbeat { // it names the board's last event: one that was not had got lost, or is held back on this connection
+		if ev.Revision > c.LastRevision && c.missed != ev.Revision {
+			c.missed = ev.Revision
+			return fmt.Errorf("%w: a beat at %d after %d", errGap, ev.Revision, c.LastRevision)
 		}
 		return nil
 	}
-	if ev.Number <= c.Last {
-		c.Book.Add("board.had-before", 1)
+	if ev.Revision <= c.LastRevision {
+		c.Telemetry.Add("board.had-before", 1)
 		return nil
 	}
-	if ev.Number > c.Last+1 && c.missed != ev.Number {
-		c.missed = ev.Number
-		return fmt.Errorf("%w: %d after %d", errGap, ev.Number, c.Last)
+	if ev.Revision > c.LastRevision+1 && c.missed != ev.Revision {
+		c.missed = ev.Revision
+		return fmt.Errorf("%w: %d after %d", errGap, ev.Revision, c.LastRevision)
 	}
-	c.Last, c.missed = ev.Number, 0
-	c.Post(ev)
+	c.LastRevision, c.missed = ev.Revision, 0
+	c.OnEvent(ev)
 	return nil
 }
--- a/internal/dispatch/route.go
+++ b/internal/dispatch/route.go
@@ -245,17 +245,17 @@
 	if ev.Full && kind != routing.Restored {
 		kind = routing.Snapshot
 	}
-	rows := make([]routing.Endpoint, len(ev.Rows))
+	rows := make([]routing.Endpoint, len(ev.Endpoints))
 	if ev.Full {
 		clear(l.kinds)
 	}
-	for i, row := range ev.Rows {
+	for i, row := range ev.Endpoints {
 		rows[i] = row.Endpoint
 		if l.kinds[row.ID] = row.Kind; row.Status == routing.Removed {
 			delete(l.kinds, row.ID)
 		}
 	}
-	l.Pool.List(ev.Full, ev.Rows)
+	l.Pool.List(ev.Full, ev.Endpoints)
 	l.decide(routing.EndpointUpdate{Kind: kind, Endpoints: rows}, nil)
 }
 
@@ -419,7 +419,7 @@
 	if a.Deadline > 0 {
 		until = min(until, a.Deadline)
 	}
-	d := cacheproto.Do{Txn: o.t, Wait: until - l.now, Fill: l.fill(a), StartAttempt: a}
+	d := cacheproto.Attempt{Txn: o.t, TimeoutSeconds: until - l.now, FillSource: l.fill(a), StartAttempt: a}
 	if l.Spend != nil {
 		l.Spend.Sent(l.now, o.t.Rule, a.Endpoint, h.no > 0)
 		l.later(l.spare)
--- a/internal/dispatch/route_test.go
+++ b/internal/dispatch/route_test.go
@@ -59,7 +59,7 @@
 	})
 	l := New(s, routing.Settings{"uncacheable": "false,true", "parent_kind": "1", "origin_kind": "2"}, p, k)
 	l.Clock = func() float64 { return 100 }
-	l.Known([]discovery.Event{{Full: true, Rows: []discovery.Row{{Addr: "c", Endpoint: routing.Endpoint{ID: "c"}}, {Addr: "o", Endpoint: routing.Endpoint{ID: "o", Kind: 2}}}}})
+	l.Known([]discovery.Event{{Full: true, Endpoints: []discovery.Endpoint{{Address: "c", Endpoint: routing.Endpoint{ID: "c"}}, {Address: "o", Endpoint: routing.Endpoint{ID: "o", Kind: 2}}}}})
 	return l, s, &request.Txn{ID: "ab", Name: "page", Rule: 1, Object: "FF", Limit: 105, To: o}, o, log
 }
 
@@ -78,7 +78,7 @@
 	l.Hear(x)
 	l.Clock = func() float64 { return 99 }
 	l.Hear(discovery.Event{Purged: true, Object: "ff", At: 98})
-	l.Hear(discovery.Event{Rows: []discovery.Row{{Endpoint: routing.Endpoint{ID: "c", Status: routing.Draining}}}})
+	l.Hear(discovery.Event{Endpoints: []discovery.Endpoint{{Endpoint: routing.Endpoint{ID: "c", Status: routing.Draining}}}})
 	l.Hear(frontend.Left{Txn: x})
 	assert.Equal(t, []routing.Event{
 		routing.EndpointUpdate{Kind: routing.Restored, Endpoints: []routing.Endpoint{{ID: "c"}, {ID: "o", Kind: 2}}},
--- a/internal/edgecache/box.go
+++ b/internal/edgecache/box.go
@@ -34,7 +34,7 @@
 
 // Resources of the shell.
 const (
-	mostBody   = cacheproto.MostBody
+	mostBody   = cacheproto.MaxObjectBytes
 	queued     = 4096
 	tickEvery  = 20 * time.Millisecond
 	ringSize   = 16 << 10
@@ -61,7 +61,7 @@
 	Origin Origin          // of an origin
 
 	// For the laboratory, where set: what was asked, and how many bytes were given under which id.
-	Saw  func(cacheproto.Asked)
+	Saw  func(cacheproto.Command)
 	Gave func(id string, bytes int)
 
 	rules   map[string]config.Rule
@@ -84,7 +84,7 @@
 type asked struct {
 	no   uint64
 	peer *peer
-	line cacheproto.Asked
+	line cacheproto.Command
 	key  eviction.Key
 	body *request.Body
 	sent bool
@@ -160,7 +160,7 @@
 	}
 	g.Go(func() error { return b.loop(serving) })
 	if b.Plan.Board != "" {
-		news := &discovery.Client{Addr: b.Plan.Board, Book: b.Book, Raw: b.notice, From: b.from}
+		news := &discovery.Client{Address: b.Plan.Board, Telemetry: b.Book, OnRawEvent: b.notice, StartRevision: b.from}
 		g.Go(func() error { return news.Run(serving) })
 	}
 	var peers sync.WaitGroup
@@ -259,13 +259,13 @@
 		if ev.load {
 			load = "inflight:" + strconv.Itoa(len(b.open)) + ";util:" + strconv.FormatFloat(b.machine.Busy(now), 'f', 3, 64)
 		}
-		ev.p.say(item{head: cacheproto.AppendChecked(nil, ev.tag, true, load)})
+		ev.p.say(item{head: cacheproto.AppendProbeReply(nil, ev.tag, true, load)})
 	case fromDisk:
 		b.carry(b.desk.DiskRead(now, ev.key, ev.c))
 	case due:
 		ev.then()
 	case moved:
-		b.pool.List(ev.ev.Full, ev.ev.Rows)
+		b.pool.List(ev.ev.Full, ev.ev.Endpoints)
 	case upstream.Ended:
 		b.fetched(now, ev)
 	case upstream.Dropped:
@@ -280,7 +280,7 @@
 		a.body.Free()
 		if !p.over {
 			b.Book.Add("box.turned-away", 1)
-			p.say(item{head: cacheproto.AppendReply(nil, a.line.ID, cacheproto.Reply{Code: routing.Overloaded})})
+			p.say(item{head: cacheproto.AppendAttemptResult(nil, a.line.ID, cacheproto.AttemptResult{Code: routing.Overloaded})})
 		}
 		return
 	}
@@ -290,17 +290,17 @@
 	b.number++
 	a.no = b.number
 	b.open[a.no], p.ids[a.line.ID] = a, a
-	b.Book.Add("box.txns."+a.line.Name, 1)
-	rule, known := b.rules[a.line.Name]
+	b.Book.Add("box.txns."+a.line.ClassName, 1)
+	rule, known := b.rules[a.line.ClassName]
 	if !known {
 		b.Book.Add("box.unknown-rule", 1)
-		b.finish(a, cacheproto.Reply{Code: routing.ServerError}, nil)
+		b.finish(a, cacheproto.AttemptResult{Code: routing.ServerError}, nil)
 		return
 	}
 	done, ok := b.machine.Do(now)
 	if !ok {
 		b.Book.Add("box.overload", 1)
-		b.finish(a, cacheproto.Reply{Code: routing.Overloaded}, nil)
+		b.finish(a, cacheproto.AttemptResult{Code: routing.Overloaded}, nil)
 		return
 	}
 	b.after(done, func() {
@@ -311,7 +311,7 @@
 			b.originate(a, rule)
 			return
 		}
-		source := a.line.Fill
+		source := a.line.FillSource
 		if source == "" && b.Plan.Role == "parent" && !a.line.CacheOnly {
 			source = b.Plan.Source
 		}
@@ -319,8 +319,8 @@
 			source = ""
 		}
 		b.carry(b.desk.Ask(seconds(b.now()), handler.Txn{ID: a.no, Key: a.key, Rule: handler.Rule{Name: rule.Name, Kept: rule.Kept, Fresh: rule.FreshS, Stale: rule.StaleS},
-			Until: now + a.line.Wait, Source: source, Rank: a.line.RetentionRank, MaxAge: a.line.MaxAgeSeconds, Join: a.line.JoinFill, NoFetch: a.line.CacheOnly,
-			NoTrace: a.line.ParentNoStore, Renew: a.line.Revalidate, Tag: a.line.Tag}))
+			Until: now + a.line.TimeoutSeconds, Source: source, Rank: a.line.RetentionRank, MaxAge: a.line.MaxAgeSeconds, Join: a.line.JoinFill, NoFetch: a.line.CacheOnly,
+			NoTrace: a.line.ParentNoStore, Renew: a.line.Revalidate, Tag: a.line.ETag}))
 	})
 }
 
@@ -335,24 +335,24 @@
 
 func (b *Box) originate(a *asked, rule config.Rule) {
 	if !rule.Kept {
-		err := b.Origin.Run(a.line.ID, a.line.Name, a.line.Key, a.key, rule.Effect)
+		err := b.Origin.Run(a.line.ID, a.line.ClassName, a.line.IdempotencyKey, a.key, rule.Effect)
 		if err != nil {
-			b.finish(a, cacheproto.Reply{Code: routing.ServerError}, nil)
+			b.finish(a, cacheproto.AttemptResult{Code: routing.ServerError}, nil)
 			return
 		}
 		b.Book.Add("box.ran", 1)
-		b.finish(a, cacheproto.Reply{Code: routing.Completed}, nil)
+		b.finish(a, cacheproto.AttemptResult{Code: routing.Completed}, nil)
 		return
 	}
 	dated := b.now().UnixMilli()
 	tag, group, body, ok := b.Origin.Give(a.key)
 	switch {
 	case !ok:
-		b.finish(a, cacheproto.Reply{Code: routing.CacheMiss}, nil)
-	case tag == a.line.Tag:
-		b.finish(a, cacheproto.Reply{Code: routing.Completed, Same: true, Remark: routing.CacheHit, Tag: tag, Dated: dated, Group: int(group)}, nil)
+		b.finish(a, cacheproto.AttemptResult{Code: routing.CacheMiss}, nil)
+	case tag == a.line.ETag:
+		b.finish(a, cacheproto.AttemptResult{Code: routing.Completed, NotModified: true, Remark: routing.CacheHit, ETag: tag, OriginUnixMillis: dated, Group: int(group)}, nil)
 	default:
-		b.finish(a, cacheproto.Reply{Code: routing.Completed, Remark: routing.CacheHit, Tag: tag, Dated: dated, Group: int(group)}, body)
+		b.finish(a, cacheproto.AttemptResult{Code: routing.Completed, Remark: routing.CacheHit, ETag: tag, OriginUnixMillis: dated, Group: int(group)}, body)
 	}
 }
 
@@ -372,13 +372,13 @@
 }
 
 // finish ends a txn with an answer; its bytes go out when the machine that is played has sent them.
-func (b *Box) finish(a *asked, r cacheproto.Reply, body []byte) {
+func (b *Box) finish(a *asked, r cacheproto.AttemptResult, body []byte) {
 	if b.open[a.no] != a || a.sent {
 		return
 	}
 	a.sent = true
-	r.Size = len(body)
-	b.Book.Add("box.answers."+a.line.Name+"."+codes[r.Code]+remarks[r.Remark], 1)
+	r.BodyBytes = len(body)
+	b.Book.Add("box.answers."+a.line.ClassName+"."+codes[r.Code]+remarks[r.Remark], 1)
 	b.Book.Add("box.bytes."+remarks[r.Remark], int64(len(body)))
 	b.after(b.machine.Send(seconds(b.now()), len(body)), func() {
 		if b.open[a.no] != a {
@@ -388,7 +388,7 @@
 			b.Gave(a.line.ID, len(body))
 		}
 		b.close(a)
-		a.peer.say(item{head: cacheproto.AppendReply(nil, a.line.ID, r), body: body})
+		a.peer.say(item{head: cacheproto.AppendAttemptResult(nil, a.line.ID, r), body: body})
 	})
 }
 
@@ -440,10 +440,10 @@
 	if x == nil {
 		return
 	}
-	r := cacheproto.Reply{Code: a.Code, Remark: a.Remark, Same: a.Same, Group: cacheproto.UnknownGroup}
+	r := cacheproto.AttemptResult{Code: a.Code, Remark: a.Remark, NotModified: a.Same, Group: cacheproto.UnknownGroup}
 	var body []byte
 	if c := a.Copy; c != nil {
-		r.Tag, r.Dated, r.Group = c.Tag, c.Dated, int(c.Group)
+		r.ETag, r.OriginUnixMillis, r.Group = c.Tag, c.Dated, int(c.Group)
 		if !a.Same {
 			body = c.Body
 		}
@@ -466,9 +466,9 @@
 func (b *Box) fetch(f handler.Fetch) {
 	t := &request.Txn{ID: fmt.Sprintf("%s-%x", b.Plan.ID[2:], f.Fill), Name: f.Rule, Object: fmt.Sprintf("%016x", f.Key.Object), Part: strconv.Itoa(int(f.Key.Part)), Tag: f.Tag}
 	if a := b.open[f.Txn]; a != nil {
-		t.Key, t.Body = a.line.Key, a.body
+		t.Key, t.Body = a.line.IdempotencyKey, a.body
 	}
-	call := b.pool.Send(cacheproto.Do{Txn: t, Wait: f.Wait, StartAttempt: routing.StartAttempt{Endpoint: f.Source, RetentionRank: f.Rank, MaxAgeSeconds: f.MaxAge, JoinFill: f.Join,
+	call := b.pool.Send(cacheproto.Attempt{Txn: t, TimeoutSeconds: f.Wait, StartAttempt: routing.StartAttempt{Endpoint: f.Source, RetentionRank: f.Rank, MaxAgeSeconds: f.MaxAge, JoinFill: f.Join,
 		CacheOnly: f.NoFetch, ParentNoStore: f.NoTrace}}, nil, f.Fill)
 	if call == nil {
 		b.post(due{func() { b.carry(b.desk.Fetched(seconds(b.now()), f.Fill, handler.End{Code: routing.NotSent})) }})
@@ -519,24 +519,24 @@
 
 // notice takes an event of the board.
 func (b *Box) notice(ev discovery.Event) error {
-	if len(ev.Rows) > 0 {
+	if len(ev.Endpoints) > 0 {
 		b.post(moved{ev})
 	}
-	if ev.Beat {
+	if ev.Heartbeat {
 		b.first.Store(false)
 	}
-	if number, linked := b.trust.Following(); !linked && !ev.Beat && ev.Number < number {
+	if number, linked := b.trust.Following(); !linked && !ev.Heartbeat && ev.Revision < number {
 		return nil // heard before: only the list was wanted
 	}
-	n := validity.Notice{Number: ev.Number, Sum: ev.Sum, Beat: ev.Beat, Purge: ev.Purged, All: ev.Purged && ev.Object == "",
+	n := validity.Notice{Number: ev.Revision, Sum: ev.Checksum, Beat: ev.Heartbeat, Purge: ev.Purged, All: ev.Purged && ev.Object == "",
 		Group: uint16(ev.Group), At: int64(ev.At*1000 + 0.5)}
 	if n.Purge && !n.All {
 		n.Object, _ = strconv.ParseUint(ev.Object, 16, 64)
 	}
 	if b.trust.Hear(n) {
 		b.Book.Add("box.board-anew", 1)
-		b.Book.Log.Warn("box", "code", "board-anew", "event", ev.Number)
-		return discovery.ErrGap
+		b.Book.Log.Warn("box", "code", "board-anew", "event", ev.Revision)
+		return discovery.ErrRevisionGap
 	}
 	if n.Purge {
 		b.Book.Add("box.purges", 1)
@@ -601,7 +601,7 @@
 // listen reads commands.
 func (b *Box) listen(ctx context.Context, p *peer) (string, error) {
 	idle := b.Plan.IdleClose.Duration()
-	tail := make([]byte, len(cacheproto.End))
+	tail := make([]byte, len(cacheproto.LineEnd))
 	for {
 		p.c.SetReadDeadline(time.Now().Add(idle))
 		text, err := p.c.Line()
@@ -611,21 +611,21 @@
 			}
 			return netconn.Idle, nil
 		}
-		a, err := cacheproto.ParseAsked(text)
+		a, err := cacheproto.ParseCommand(text)
 		if err != nil {
 			return netconn.Protocol, err
 		}
-		switch a.Verb {
-		case cacheproto.VerbUndo:
+		switch a.Kind {
+		case cacheproto.CommandCancel:
 			b.post(undone{p, a.ID})
 			continue
-		case cacheproto.VerbPing, cacheproto.VerbTop:
-			b.post(checked{p, a.ID, a.Verb == cacheproto.VerbTop})
+		case cacheproto.CommandProbe, cacheproto.CommandProbeLoad:
+			b.post(checked{p, a.ID, a.Kind == cacheproto.CommandProbeLoad})
 			continue
 		}
-		x := &asked{peer: p, line: a, key: eviction.Key{Object: a.ObjNo, Part: a.PartNo}}
-		if a.Size > 0 {
-			if x.body, err = b.pool.Gate.Budget.Wait(ctx, a.Size); err != nil {
+		x := &asked{peer: p, line: a, key: eviction.Key{Object: a.ObjectID, Part: a.PartIndex}}
+		if a.BodyBytes > 0 {
+			if x.body, err = b.pool.Gate.Budget.Wait(ctx, a.BodyBytes); err != nil {
 				return netconn.Shutdown, err
 			}
 			err = p.c.ReadFull(x.body.Bytes)
@@ -633,7 +633,7 @@
 		if err == nil {
 			err = p.c.ReadFull(tail)
 		}
-		if err != nil || string(tail) != cacheproto.End {
+		if err != nil || string(tail) != cacheproto.LineEnd {
 			x.body.Free()
 			if err == nil {
 				return netconn.Protocol, errors.New("no line end after a body")
@@ -678,7 +678,7 @@
 				err = p.c.Write(x.body)
 			}
 			if err == nil {
-				err = p.c.Write([]byte(cacheproto.End))
+				err = p.c.Write([]byte(cacheproto.LineEnd))
 			}
 			if err != nil {
 				return netconn.Reason(err), err
--- a/internal/edgecache/box_test.go
+++ b/internal/edgecache/box_test.go
@@ -50,8 +50,8 @@
 				continue
 			}
 			b.mu.Lock()
-			for _, ev := range append(append([]discovery.Event{}, b.events...), discovery.Event{Beat: true}) {
-				text, _ := discovery.Append(nil, ev)
+			for _, ev := range append(append([]discovery.Event{}, b.events...), discovery.Event{Heartbeat: true}) {
+				text, _ := discovery.AppendEvent(nil, ev)
 				_, _ = c.Write(text)
 			}
 			b.conns = append(b.conns, c)
@@ -64,9 +64,9 @@
 func (b *told) tell(ev discovery.Event) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	ev.Number = uint64(len(b.events) + 1)
+	ev.Revision = uint64(len(b.events) + 1)
 	b.events = append(b.events, ev)
-	text, _ := discovery.Append(nil, ev)
+	text, _ := discovery.AppendEvent(nil, ev)
 	for _, c := range b.conns {
 		_, _ = c.Write(text)
 	}
@@ -101,7 +101,7 @@
 }
 
 func (r *running) row(id string, kind int) discovery.Event {
-	return discovery.Event{Rows: []discovery.Row{{Addr: r.addr, Endpoint: routing.Endpoint{ID: id, Kind: kind, Weight: 8}}}}
+	return discovery.Event{Endpoints: []discovery.Endpoint{{Address: r.addr, Endpoint: routing.Endpoint{ID: id, Kind: kind, Weight: 8}}}}
 }
 
 // origin starts one whose objects have versions that a test sets.
--- a/internal/frontend/take.go
+++ b/internal/frontend/take.go
@@ -84,7 +84,7 @@
 }
 
 // noMore tells a client to bring no new txn on its connection.
-func (c *clientConn) noMore() { c.o.Say(clientproto.AppendHead(nil, clientproto.NoMore, 0, 0)) }
+func (c *clientConn) noMore() { c.o.Say(clientproto.AppendHeader(nil, clientproto.TypeGoAway, 0, 0)) }
 
 // errEnding ends the reading of a connection that was asked to end and may.
 var errEnding = errors.New("asked to end")
@@ -337,7 +337,7 @@
 }
 
 func errorFrame(text string) []byte {
-	return clientproto.AppendAnswer(nil, 0, request.Answer{Verdict: request.Aborted, Error: text})
+	return clientproto.AppendResponse(nil, 0, request.Answer{Verdict: request.Aborted, Error: text})
 }
 
 var errPanic = errors.New("panic")
@@ -373,26 +373,26 @@
 }
 
 func (r *reader) run() error {
-	for head := make([]byte, clientproto.HeadSize); ; {
+	for head := make([]byte, clientproto.HeaderSize); ; {
 		if err := r.c.ReadFull(head); err != nil {
 			return err
 		}
-		h, err := clientproto.ParseHead(head)
+		h, err := clientproto.ParseHeader(head)
 		if err != nil {
 			return fault("%s", err)
 		}
 		switch h.Type {
-		case clientproto.Txn:
+		case clientproto.TypeRequest:
 			err = r.txn(h)
-		case clientproto.Leave:
-			if err = r.c.Skip(h.Size); err == nil {
-				if t := r.o.Leave(h.Stream, "cancelled"); t != nil {
+		case clientproto.TypeCancel:
+			if err = r.c.Skip(h.PayloadBytes); err == nil {
+				if t := r.o.Leave(h.StreamID, "cancelled"); t != nil {
 					r.k.Post(Left{t})
 				}
 			}
-		case clientproto.AskReady:
-			if err = r.c.Skip(h.Size); err == nil {
-				r.o.Say(clientproto.AppendReady(nil, h.Stream, r.k.Gate.Ready()))
+		case clientproto.TypeReadinessQuery:
+			if err = r.c.Skip(h.PayloadBytes); err == nil {
+				r.o.Say(clientproto.AppendReadinessReply(nil, h.StreamID, r.k.Gate.Ready()))
 			}
 		default:
 			return fault("unknown type %d", h.Type)
@@ -427,29 +427,29 @@
 }
 
 // txn takes one in. Whatever is wrong with it alone is answered on its stream.
-func (r *reader) txn(h clientproto.Head) error {
-	if h.Stream == 0 {
+func (r *reader) txn(h clientproto.Header) error {
+	if h.StreamID == 0 {
 		return fault("a txn on stream 0")
 	}
-	if !r.use(h.Stream) {
-		return fault("stream %d is not new", h.Stream)
+	if !r.use(h.StreamID) {
+		return fault("stream %d is not new", h.StreamID)
 	}
-	t := &request.Txn{Stream: h.Stream, Name: "unknown", To: r.o}
+	t := &request.Txn{Stream: h.StreamID, Name: "unknown", To: r.o}
 	atOnce := func(v request.Verdict, reason, text string) {
 		r.k.Gate.Enter() // it is owed its answer like any other
 		r.o.Open(t)
 		r.o.Answer(t, request.Answer{Verdict: v, Reason: reason, Error: text})
 	}
-	if h.Size > clientproto.MostAsked {
-		if err := r.c.Skip(h.Size); err != nil {
+	if h.PayloadBytes > clientproto.MaxRequestBytes {
+		if err := r.c.Skip(h.PayloadBytes); err != nil {
 			return err
 		}
 		atOnce(request.Aborted, "malformed", "txn too large")
 		return nil
 	}
-	body := r.k.Gate.Budget.Try(h.Size)
+	body := r.k.Gate.Budget.Try(h.PayloadBytes)
 	if body == nil {
-		if err := r.c.Skip(h.Size); err != nil {
+		if err := r.c.Skip(h.PayloadBytes); err != nil {
 			return err
 		}
 		atOnce(request.Rejected, "memory", "")
@@ -476,7 +476,7 @@
 			}
 		}
 	}()
-	a, err := clientproto.ParseTxn(body.Bytes)
+	a, err := clientproto.ParseRequest(body.Bytes)
 	rule, known := r.k.Rules[a.Name]
 	if err == nil && !known {
 		err = fmt.Errorf("unknown remap rule %.40q", a.Name)
@@ -486,11 +486,11 @@
 		atOnce(request.Aborted, "malformed", err.Error())
 		return
 	}
-	a.Stream, a.To, a.Rule, a.Came, a.Limit = t.Stream, r.o, rule, now, now+a.TTL
+	a.Stream, a.To, a.Rule, a.Came, a.Limit = t.Stream, r.o, rule, now, now+a.TimeoutSeconds
 	*t = a.Txn
 	size := 0
-	if n := len(body.Bytes); len(a.Rest) > 0 {
-		body.Bytes, t.Body, size = a.Rest, body, n
+	if n := len(body.Bytes); len(a.RawBody) > 0 {
+		body.Bytes, t.Body, size = a.RawBody, body, n
 	} else {
 		body.Free()
 	}
--- a/internal/frontend/take_test.go
+++ b/internal/frontend/take_test.go
@@ -76,20 +76,20 @@
 func requestFrame(stream uint32, id string, more ...clientproto.Field) []byte {
 	payload := clientproto.AppendFields(nil, append([]clientproto.Field{{Name: "op", Value: "page"}, {Name: "call", Value: id + "0123456789abcd"},
 		{Name: "ttl", Value: "1500"}, {Name: "row", Value: "7f3a9c21e0b4d655"}, {Name: "seg", Value: "3"}}, more...)...)
-	return append(clientproto.AppendHead(nil, clientproto.Txn, stream, len(payload)), payload...)
+	return append(clientproto.AppendHeader(nil, clientproto.TypeRequest, stream, len(payload)), payload...)
 }
 
 // next reads one frame: its type, stream and payload.
 func (c *client) next(t *testing.T) (byte, uint32, string) {
-	head := make([]byte, clientproto.HeadSize)
+	head := make([]byte, clientproto.HeaderSize)
 	_, err := io.ReadFull(c, head)
 	assert.NoError(t, err)
-	h, err := clientproto.ParseHead(head)
+	h, err := clientproto.ParseHeader(head)
 	assert.NoError(t, err)
-	payload := make([]byte, h.Size)
+	payload := make([]byte, h.PayloadBytes)
 	_, err = io.ReadFull(c, payload)
 	assert.NoError(t, err)
-	return h.Type, h.Stream, string(payload)
+	return h.Type, h.StreamID, string(payload)
 }
 
 func TestRequestBecomesATxn(t *testing.T) {
@@ -103,11 +103,11 @@
 	assert.True(t, x.To.Answer(x, request.Answer{Tag: "t", Body: &request.Body{Bytes: []byte("xyz")}}))
 	assert.False(t, x.To.Answer(x, request.Answer{}), "one answer a txn")
 	kind, stream, payload := c.next(t)
-	assert.Equal(t, []any{byte(clientproto.Answer), uint32(1), "\x01\x01\x04etag\x00\x01txyz"}, []any{kind, stream, payload})
-	_, _ = c.Write(clientproto.AppendHead(nil, clientproto.Leave, 1, 0)) // too late to matter
+	assert.Equal(t, []any{byte(clientproto.TypeResponse), uint32(1), "\x01\x01\x04etag\x00\x01txyz"}, []any{kind, stream, payload})
+	_, _ = c.Write(clientproto.AppendHeader(nil, clientproto.TypeCancel, 1, 0)) // too late to matter
 	_, _ = c.Write(requestFrame(2, "bb"))
 	x = (<-c.posted).(*request.Txn)
-	_, _ = c.Write(clientproto.AppendHead(nil, clientproto.Leave, 2, 0))
+	_, _ = c.Write(clientproto.AppendHeader(nil, clientproto.TypeCancel, 2, 0))
 	assert.Equal(t, Left{x}, <-c.posted)
 	assert.False(t, x.To.Answer(x, request.Answer{}), "nobody waits")
 	_, _ = c.Write(requestFrame(3, "cc"))
@@ -119,23 +119,23 @@
 
 func TestReadiness(t *testing.T) {
 	c := connect(t, true)
-	ask := append(clientproto.AppendHead(nil, clientproto.AskReady, 5, 1), 0)
+	ask := append(clientproto.AppendHeader(nil, clientproto.TypeReadinessQuery, 5, 1), 0)
 	for _, want := range []string{"\x00\x00", "\x01\x00"} {
 		_, _ = c.Write(ask)
 		kind, stream, payload := c.next(t)
-		assert.Equal(t, []any{byte(clientproto.Ready), uint32(5), want}, []any{kind, stream, payload})
+		assert.Equal(t, []any{byte(clientproto.TypeReadinessReply), uint32(5), want}, []any{kind, stream, payload})
 		c.Gate.SetReady()
 	}
 	go c.Stop()
 	kind, stream, payload := c.next(t)
-	assert.Equal(t, []any{byte(clientproto.NoMore), uint32(0), ""}, []any{kind, stream, payload})
+	assert.Equal(t, []any{byte(clientproto.TypeGoAway), uint32(0), ""}, []any{kind, stream, payload})
 	_, _ = c.Write(ask)
 	_, _, payload = c.next(t)
 	assert.Equal(t, "\x00\x00", payload, "no new clients while it ends")
 	_, _ = c.Write(requestFrame(1, "aa"))
 	x := (<-c.posted).(*request.Txn)
 	kind, _, _ = c.next(t)
-	assert.Equal(t, byte(clientproto.NoMore), kind)
+	assert.Equal(t, byte(clientproto.TypeGoAway), kind)
 	assert.True(t, x.To.Answer(x, request.Answer{}), "and yet what comes is served")
 	_, stream, _ = c.next(t)
 	assert.EqualValues(t, 1, stream)
@@ -144,13 +144,13 @@
 // TestBadRequestsAreAnsweredOnTheirStream: the connection goes on.
 func TestBadRequestsAreAnsweredOnTheirStream(t *testing.T) {
 	c := connect(t, true)
-	big := clientproto.AppendHead(nil, clientproto.Txn, 1, clientproto.MostAsked+1)
-	for stream, bad := range [][]byte{append(big, make([]byte, clientproto.MostAsked+1)...), append(clientproto.AppendHead(nil, clientproto.Txn, 2, 1), 9),
+	big := clientproto.AppendHeader(nil, clientproto.TypeRequest, 1, clientproto.MaxRequestBytes+1)
+	for stream, bad := range [][]byte{append(big, make([]byte, clientproto.MaxRequestBytes+1)...), append(clientproto.AppendHeader(nil, clientproto.TypeRequest, 2, 1), 9),
 		requestFrame(3, "zz"), requestFrame(4, "aa", clientproto.Field{Name: "op", Value: "page"}),
 		bytes.Replace(requestFrame(5, "aa"), []byte("\x04page"), []byte("\x04what"), 1), bytes.Replace(requestFrame(6, "aa"), []byte("page"), []byte("what"), 1)} {
 		_, _ = c.Write(bad)
 		kind, on, payload := c.next(t)
-		assert.Equal(t, []any{byte(clientproto.Answer), uint32(stream + 1)}, []any{kind, on})
+		assert.Equal(t, []any{byte(clientproto.TypeResponse), uint32(stream + 1)}, []any{kind, on})
 		assert.Equal(t, byte(9), payload[0])
 		assert.Contains(t, payload, "error")
 	}
@@ -163,14 +163,14 @@
 
 // TestWhatCanNotBeFollowedEndsTheConnection: but what was taken is answered first.
 func TestWhatCanNotBeFollowedEndsTheConnection(t *testing.T) {
-	for want, bad := range map[string][]byte{"length": {0xff, 0, 0, 0, 100, 0, 0, 0, 9}, "type 77": clientproto.AppendHead(nil, 77, 9, 0),
+	for want, bad := range map[string][]byte{"length": {0xff, 0, 0, 0, 100, 0, 0, 0, 9}, "type 77": clientproto.AppendHeader(nil, 77, 9, 0),
 		"stream 0": requestFrame(0, "bb"), "not new": requestFrame(1, "bb")} {
 		c := connect(t, true)
 		_, _ = c.Write(requestFrame(1, "aa"))
 		x := (<-c.posted).(*request.Txn)
 		_, _ = c.Write(bad)
 		kind, stream, payload := c.next(t)
-		assert.Equal(t, []any{byte(clientproto.Answer), uint32(0)}, []any{kind, stream})
+		assert.Equal(t, []any{byte(clientproto.TypeResponse), uint32(0)}, []any{kind, stream})
 		assert.Contains(t, payload, want)
 		x.To.Answer(x, request.Answer{})
 		_, stream, _ = c.next(t)
@@ -191,7 +191,7 @@
 	_, _ = c.Write(requestFrame(mostOpen+1, "ff"))
 	_, stream, payload := c.next(t)
 	assert.Equal(t, []any{uint32(mostOpen + 1), "\x00\x00"}, []any{stream, payload})
-	_, _ = c.Write(clientproto.AppendHead(nil, clientproto.Leave, 1, 0))
+	_, _ = c.Write(clientproto.AppendHeader(nil, clientproto.TypeCancel, 1, 0))
 	<-c.posted
 	body := c.Gate.Budget.Try(64<<20*35/100 - 50)
 	assert.NotNil(t, body)
@@ -213,7 +213,7 @@
 	assert.Contains(t, c.log.String(), "a fault")
 	assert.EqualValues(t, 1, c.Book.Count("answered.page.aborted.panic"))
 	c.Gate = nil
-	_, _ = c.Write(append(clientproto.AppendHead(nil, clientproto.AskReady, 0, 1), 0))
+	_, _ = c.Write(append(clientproto.AppendHeader(nil, clientproto.TypeReadinessQuery, 0, 1), 0))
 	_, err := c.Read(make([]byte, 1))
 	assert.ErrorIs(t, err, io.EOF)
 	c.Gate = c.gate
@@ -224,7 +224,7 @@
 func TestClientThatDoesNotReadEnds(t *testing.T) {
 	c := connect(t, true)
 	for range 1030 {
-		if _, err := c.Write(append(clientproto.AppendHead(nil, clientproto.AskReady, 0, 1), 0)); err != nil {
+		if _, err := c.Write(append(clientproto.AppendHeader(nil, clientproto.TypeReadinessQuery, 0, 1), 0)); err != nil {
 			break
 		}
 	}
@@ -276,7 +276,7 @@
 
 // TestStillConnectionsEnd: one without a whole frame soonest, one with something open never.
 func TestStillConnectionsEnd(t *testing.T) {
-	ask := append(clientproto.AppendHead(nil, clientproto.AskReady, 0, 1), 0)
+	ask := append(clientproto.AppendHeader(nil, clientproto.TypeReadinessQuery, 0, 1), 0)
 	for _, x := range []struct {
 		says []byte
 		age  time.Duration
@@ -355,7 +355,7 @@
 	go func() { done <- k.Run(ctx, ln) }()
 	far, err := net.Dial("tcp", ln.Addr().String())
 	assert.NoError(t, err)
-	_, _ = far.Write(clientproto.AppendHead(nil, 77, 1, 0))
+	_, _ = far.Write(clientproto.AppendHeader(nil, 77, 1, 0))
 	for range 20 {
 		_, err = far.Write(make([]byte, 64<<10))
 		assert.NoError(t, err)
@@ -377,7 +377,7 @@
 	go func() { done <- k.Run(ctx, ln) }()
 	far, err := net.Dial("tcp", ln.Addr().String())
 	assert.NoError(t, err)
-	_, _ = far.Write(append(clientproto.AppendHead(nil, clientproto.AskReady, 0, 1), 0))
+	_, _ = far.Write(append(clientproto.AppendHeader(nil, clientproto.TypeReadinessQuery, 0, 1), 0))
 	_, err = io.ReadFull(far, make([]byte, 11))
 	assert.NoError(t, err)
 	cancel()
@@ -445,7 +445,7 @@
 // TestRequestThatMeetsAnIdleEnd: one that comes before the end is decided is taken in; one that crosses it meets a half-close,
 // so that its client knows that it was not taken and comes again, and no reset.
 func TestRequestThatMeetsAnIdleEnd(t *testing.T) {
-	ask := append(clientproto.AppendHead(nil, clientproto.AskReady, 5, 1), 0)
+	ask := append(clientproto.AppendHeader(nil, clientproto.TypeReadinessQuery, 5, 1), 0)
 	var came atomic.Bool
 	c := overTCP(t, func(far net.Conn) {
 		if came.CompareAndSwap(false, true) {
@@ -483,7 +483,7 @@
 
 // TestEndsOfEveryKindResetNothing: whatever a client writes in the moment in which its connection ends.
 func TestEndsOfEveryKindResetNothing(t *testing.T) {
-	ask := append(clientproto.AppendHead(nil, clientproto.AskReady, 5, 1), 0)
+	ask := append(clientproto.AppendHeader(nil, clientproto.TypeReadinessQuery, 5, 1), 0)
 	for code, says := range map[string][]byte{netconn.Mute: nil, netconn.Idle: ask, netconn.Half: ask[:7]} {
 		c := overTCP(t, nothing, func(far net.Conn) { _, _ = far.Write(append(ask, make([]byte, 50_000)...)) })
 		_, _ = c.Write(says)
@@ -506,7 +506,7 @@
 	c := connect(t, true)
 	_, _ = c.Write(requestFrame(1, "aa"))
 	x := (<-c.posted).(*request.Txn)
-	_, _ = c.Write(clientproto.AppendHead(nil, 77, 9, 0))
+	_, _ = c.Write(clientproto.AppendHeader(nil, 77, 9, 0))
 	c.next(t)
 	_, _ = c.Write(requestFrame(2, "bb"))
 	_ = c.Close()
@@ -535,7 +535,7 @@
 	c := overTCP(t, nothing, nothing)
 	_, _ = c.Write(requestFrame(1, "aa"))
 	x := (<-c.posted).(*request.Txn)
-	_, _ = c.Write(clientproto.AppendHead(nil, 77, 9, 0))
+	_, _ = c.Write(clientproto.AppendHeader(nil, 77, 9, 0))
 	flooded := c.flood()
 	assert.Eventually(t, func() bool { return c.conn().Got() > lingerBytes }, time.Minute, time.Millisecond)
 	before, began := c.conn().Got(), time.Now()
@@ -549,7 +549,7 @@
 // TestFloodAfterAFaultPutsNoEndOff: one whose frames can't be followed and who goes on sending is ended all the same.
 func TestFloodAfterAFaultPutsNoEndOff(t *testing.T) {
 	c := overTCP(t, nothing, nothing)
-	_, _ = c.Write(clientproto.AppendHead(nil, 77, 9, 0))
+	_, _ = c.Write(clientproto.AppendHeader(nil, 77, 9, 0))
 	flooded := c.flood()
 	<-c.done
 	<-flooded
@@ -636,7 +636,7 @@
 	k, _, dial := listening(t, nil)
 	k.Stop()
 	kind, _, _ := dial().next(t)
-	assert.EqualValues(t, clientproto.NoMore, kind)
+	assert.EqualValues(t, clientproto.TypeGoAway, kind)
 }
 
 // TestBacklogIsTakenInAtTheEnd: one that connected, and wrote, before the listener closed is owed an answer. The listener's
@@ -658,10 +658,10 @@
 	}()
 	x := (<-posted).(*request.Txn)
 	assert.True(t, x.To.Answer(x, request.Answer{}))
-	for kind := byte(clientproto.NoMore); kind == clientproto.NoMore; {
+	for kind := byte(clientproto.TypeGoAway); kind == clientproto.TypeGoAway; {
 		var stream uint32
-		if kind, stream, _ = c.next(t); kind != clientproto.NoMore {
-			assert.Equal(t, []any{byte(clientproto.Answer), uint32(1)}, []any{kind, stream})
+		if kind, stream, _ = c.next(t); kind != clientproto.TypeGoAway {
+			assert.Equal(t, []any{byte(clientproto.TypeResponse), uint32(1)}, []any{kind, stream})
 		}
 	}
 	_, err := io.Copy(io.Discard, c)
@@ -684,12 +684,12 @@
 func TestFinishEndsInOrder(t *testing.T) {
 	k, posted, dial := listening(t, nil)
 	rests, waits, writes := dial(), dial(), dial()
-	_, _ = rests.Write(append(clientproto.AppendHead(nil, clientproto.AskReady, 5, 1), 0))
+	_, _ = rests.Write(append(clientproto.AppendHeader(nil, clientproto.TypeReadinessQuery, 5, 1), 0))
 	rests.next(t)
 	_, _ = waits.Write(requestFrame(1, "aa"))
 	x := (<-posted).(*request.Txn)
 	text := requestFrame(1, "bb")
-	_, _ = writes.Write(append(append([]byte{}, clientproto.AppendHead(nil, clientproto.AskReady, 5, 1)...), append([]byte{0}, text[:20]...)...))
+	_, _ = writes.Write(append(append([]byte{}, clientproto.AppendHeader(nil, clientproto.TypeReadinessQuery, 5, 1)...), append([]byte{0}, text[:20]...)...))
 	writes.next(t)
 	k.Stop()
 	finished := make(chan bool)
@@ -724,11 +724,11 @@
 		if full {
 			more = c.Gate.Budget.Try(2000)
 		}
-		for _, size := range []int{0, clientproto.MostBody} {
+		for _, size := range []int{0, clientproto.MaxBodyBytes} {
 			stream++
-			payload := append(requestFrame(stream, fmt.Sprintf("%02x", stream))[clientproto.HeadSize:], make([]byte, size)...)
+			payload := append(requestFrame(stream, fmt.Sprintf("%02x", stream))[clientproto.HeaderSize:], make([]byte, size)...)
 			go func() {
-				_, _ = c.Write(append(clientproto.AppendHead(nil, clientproto.Txn, stream, len(payload)), payload...))
+				_, _ = c.Write(append(clientproto.AppendHeader(nil, clientproto.TypeRequest, stream, len(payload)), payload...))
 			}()
 			if !full {
 				x := (<-c.posted).(*request.Txn)
--- a/internal/lab/addresses.go
+++ b/internal/lab/addresses.go
@@ -207,14 +207,14 @@
 		if err != nil {
 			return nil, nil, nil, err
 		}
-		m.body = func(a cacheproto.Asked) []byte {
-			if a.Name == "print-order" && orders.runs(a.Key, unix(time.Now())) {
-				t.made.Ran(a.Name, a.Key)
+		m.body = func(a cacheproto.Command) []byte {
+			if a.ClassName == "print-order" && orders.runs(a.IdempotencyKey, unix(time.Now())) {
+				t.made.Ran(a.ClassName, a.IdempotencyKey)
 			}
-			if a.Name == "print-order" || a.Name == "record" {
+			if a.ClassName == "print-order" || a.ClassName == "record" {
 				return nil
 			}
-			return edgecache.MadeBody(s.Seed, eviction.Key{Object: a.ObjNo, Part: a.PartNo}, 0, t.made.Least, t.made.Most)
+			return edgecache.MadeBody(s.Seed, eviction.Key{Object: a.ObjectID, Part: a.PartIndex}, 0, t.made.Least, t.made.Most)
 		}
 		members = append(members, m)
 		last := m.doors[len(m.doors)-1] // the notice board knows IPv4 alone
--- a/internal/lab/board.go
+++ b/internal/lab/board.go
@@ -72,8 +72,8 @@
 func (b *noticeBoard) tell(ev discovery.Event) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	ev.Number = uint64(len(b.events) + 1)
-	f, err := discovery.Append(nil, ev)
+	ev.Revision = uint64(len(b.events) + 1)
+	f, err := discovery.AppendEvent(nil, ev)
 	if err != nil {
 		panic(err) // the scenario's own mistake
 	}
@@ -131,7 +131,7 @@
 		}
 		b.mu.Unlock()
 		if len(out) == 0 || first { // what there was is told whole: the beat says so
-			out, _ = discovery.Append(out, discovery.Event{Number: uint64(live), Beat: true})
+			out, _ = discovery.AppendEvent(out, discovery.Event{Revision: uint64(live), Heartbeat: true})
 		}
 		if _, err := c.Write(out); err != nil {
 			return
--- a/internal/lab/brownout.go
+++ b/internal/lab/brownout.go
@@ -62,13 +62,13 @@
 			return out, err
 		}
 		defer m.close()
-		m.body = func(a cacheproto.Asked) []byte {
-			if a.Name == "print-order" {
+		m.body = func(a cacheproto.Command) []byte {
+			if a.ClassName == "print-order" {
 				return nil
 			}
-			return edgecache.MadeBody(s.Seed, eviction.Key{Object: a.ObjNo, Part: a.PartNo}, 0, t.made.Least, t.made.Most)
+			return edgecache.MadeBody(s.Seed, eviction.Key{Object: a.ObjectID, Part: a.PartIndex}, 0, t.made.Least, t.made.Most)
 		}
-		m.fails = func(a cacheproto.Asked, n int) bool { // drawn from the txn's id and the hop's number: the same in both plays
+		m.fails = func(a cacheproto.Command, n int) bool { // drawn from the txn's id and the hop's number: the same in both plays
 			return failing.Load() && float64(mixed(a.ID, n)%1000) < brownFails*1000
 		}
 		members = append(members, m)
--- a/internal/lab/client.go
+++ b/internal/lab/client.go
@@ -63,31 +63,31 @@
 	}
 	payload := append(clientproto.AppendFields(nil, fields...), a.body...)
 	r.sent = unix(time.Now())
-	if _, err := l.c.Write(append(clientproto.AppendHead(nil, clientproto.Txn, l.stream, len(payload)), payload...)); err != nil {
+	if _, err := l.c.Write(append(clientproto.AppendHeader(nil, clientproto.TypeRequest, l.stream, len(payload)), payload...)); err != nil {
 		l.hangUp()
 		return r, err
 	}
 	_ = l.c.SetReadDeadline(time.Now().Add(a.ttl + 500*time.Millisecond))
 	for {
-		head := make([]byte, clientproto.HeadSize)
+		head := make([]byte, clientproto.HeaderSize)
 		if _, err := io.ReadFull(l.c, head); err != nil {
 			l.hangUp()
 			return r, nil
 		}
-		h, err := clientproto.ParseHead(head)
+		h, err := clientproto.ParseHeader(head)
 		if err != nil {
 			l.hangUp()
 			return r, nil
 		}
-		body := make([]byte, h.Size)
+		body := make([]byte, h.PayloadBytes)
 		if _, err := io.ReadFull(l.c, body); err != nil {
 			l.hangUp()
 			return r, nil
 		}
-		if h.Type != clientproto.Answer {
+		if h.Type != clientproto.TypeResponse {
 			continue
 		}
-		if h.Stream != l.stream {
+		if h.StreamID != l.stream {
 			l.second++
 			continue
 		}
--- a/internal/lab/doors.go
+++ b/internal/lab/doors.go
@@ -42,9 +42,9 @@
 type manyDoors struct {
 	id    string
 	delay time.Duration
-	body  func(cacheproto.Asked) []byte
-	fails func(a cacheproto.Asked, n int) bool // whether the nth hop of a txn here fails; nil for never
-	hung  atomic.Int64                         // connections that came while their address was silent
+	body  func(cacheproto.Command) []byte
+	fails func(a cacheproto.Command, n int) bool // whether the nth hop of a txn here fails; nil for never
+	hung  atomic.Int64                           // connections that came while their address was silent
 
 	mu    sync.Mutex
 	doors []*door
@@ -185,29 +185,29 @@
 		if err != nil {
 			return
 		}
-		a, err := cacheproto.ParseAsked([]byte(strings.TrimRight(text, "\r\n")))
+		a, err := cacheproto.ParseCommand([]byte(strings.TrimRight(text, "\r\n")))
 		if err != nil {
 			return
 		}
 		m.mu.Lock()
 		now := d.mode
 		m.mu.Unlock()
-		switch a.Verb {
-		case cacheproto.VerbUndo:
+		switch a.Kind {
+		case cacheproto.CommandCancel:
 			end(a.ID)
 			continue
-		case cacheproto.VerbPing, cacheproto.VerbTop:
+		case cacheproto.CommandProbe, cacheproto.CommandProbeLoad:
 			if now == good {
 				writing.Lock()
-				_, _ = c.Write(append(cacheproto.AppendChecked(nil, a.ID, true, ""), cacheproto.End...))
+				_, _ = c.Write(append(cacheproto.AppendProbeReply(nil, a.ID, true, ""), cacheproto.LineEnd...))
 				writing.Unlock()
 			}
 			continue
 		}
-		if _, err := io.ReadFull(r, make([]byte, a.Size+len(cacheproto.End))); err != nil {
+		if _, err := io.ReadFull(r, make([]byte, a.BodyBytes+len(cacheproto.LineEnd))); err != nil {
 			return
 		}
-		h := &hopSeen{id: a.ID, rule: a.Name, key: a.Key, door: m.lookup(d), from: unix(time.Now()), mode: now}
+		h := &hopSeen{id: a.ID, rule: a.ClassName, key: a.IdempotencyKey, door: m.lookup(d), from: unix(time.Now()), mode: now}
 		m.mu.Lock()
 		m.hops = append(m.hops, h)
 		open[a.ID] = h
@@ -234,13 +234,13 @@
 				writing.Lock()
 				defer writing.Unlock()
 				if end(a.ID) {
-					_, _ = c.Write(append(cacheproto.AppendReply(nil, a.ID, cacheproto.Reply{Code: routing.ServerError}), cacheproto.End...))
+					_, _ = c.Write(append(cacheproto.AppendAttemptResult(nil, a.ID, cacheproto.AttemptResult{Code: routing.ServerError}), cacheproto.LineEnd...))
 				}
 				return
 			}
 			body := m.body(a)
-			out := cacheproto.AppendReply(nil, a.ID, cacheproto.Reply{Code: routing.Completed, Remark: routing.CacheHit, Tag: "v1", Dated: time.Now().UnixMilli(), Group: cacheproto.UnknownGroup, Size: len(body)})
-			out = append(append(out, body...), cacheproto.End...)
+			out := cacheproto.AppendAttemptResult(nil, a.ID, cacheproto.AttemptResult{Code: routing.Completed, Remark: routing.CacheHit, ETag: "v1", OriginUnixMillis: time.Now().UnixMilli(), Group: cacheproto.UnknownGroup, BodyBytes: len(body)})
+			out = append(append(out, body...), cacheproto.LineEnd...)
 			if now == half {
 				out = out[:len(out)/2]
 			}
--- a/internal/lab/peers_test.go
+++ b/internal/lab/peers_test.go
@@ -46,7 +46,7 @@
 	box := &place{id: "s-00000001"}
 	f.boxes = []*place{box}
 	for at := 0.5; at < 30; at++ {
-		x.asks = append(x.asks, saw{unix(f.began) + at, box.id, cacheproto.Asked{}})
+		x.asks = append(x.asks, saw{unix(f.began) + at, box.id, cacheproto.Command{}})
 	}
 	change(say, f)
 	for i, text := range logs {
--- a/internal/lab/town.go
+++ b/internal/lab/town.go
@@ -61,7 +61,7 @@
 type saw struct {
 	at     float64
 	member string
-	asked  cacheproto.Asked
+	asked  cacheproto.Command
 }
 
 // gave is an answer that a member in this process gave.
@@ -199,14 +199,14 @@
 	return p, nil
 }
 
-func (p *place) row() discovery.Row {
-	return discovery.Row{Addr: p.addr, Endpoint: routing.Endpoint{ID: p.id, Zone: p.location, Kind: p.kind, Status: p.status, Weight: 8, StartedAt: p.started}}
+func (p *place) row() discovery.Endpoint {
+	return discovery.Endpoint{Address: p.addr, Endpoint: routing.Endpoint{ID: p.id, Zone: p.location, Kind: p.kind, Status: p.status, Weight: 8, StartedAt: p.started}}
 }
 
 // list tells the board how a member stands.
 func (t *town) list(p *place, status routing.EndpointStatus) {
 	p.status = status
-	t.board.tell(discovery.Event{Rows: []discovery.Row{p.row()}})
+	t.board.tell(discovery.Event{Endpoints: []discovery.Endpoint{p.row()}})
 }
 
 // rulebook is the operators' file of a member.
@@ -243,7 +243,7 @@
 	if p.kind == 2 {
 		b.Origin = &t.made
 	}
-	b.Saw = func(a cacheproto.Asked) {
+	b.Saw = func(a cacheproto.Command) {
 		t.mu.Lock()
 		t.asks = append(t.asks, saw{unix(time.Now()), p.id, a})
 		t.mu.Unlock()
@@ -449,12 +449,12 @@
 	}
 	defer c.Close()
 	_ = c.SetDeadline(time.Now().Add(time.Second))
-	if _, err := c.Write(append(clientproto.AppendHead(nil, clientproto.AskReady, 0, 1), 0)); err != nil {
+	if _, err := c.Write(append(clientproto.AppendHeader(nil, clientproto.TypeReadinessQuery, 0, 1), 0)); err != nil {
 		return false
 	}
-	b := make([]byte, clientproto.HeadSize+2)
+	b := make([]byte, clientproto.HeaderSize+2)
 	_, err = io.ReadFull(c, b)
-	return err == nil && b[4] == clientproto.Ready && b[clientproto.HeadSize] == 1
+	return err == nil && b[4] == clientproto.TypeReadinessReply && b[clientproto.HeaderSize] == 1
 }
 
 // close ends all that the town started: routers by SIGTERM, as an operator would. A router that does not end well is
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -100,7 +100,7 @@
 		return false
 	}
 	delete(o.open, t.Stream)
-	o.queue = append(o.queue, item{t, clientproto.AppendAnswer(nil, t.Stream, a), a.Body})
+	o.queue = append(o.queue, item{t, clientproto.AppendResponse(nil, t.Stream, a), a.Body})
 	o.mu.Unlock()
 	o.book.Answered(t.Name, a.Verdict.String(), a.Reason)
 	o.nudge()
--- a/internal/upstream/link.go
+++ b/internal/upstream/link.go
@@ -135,7 +135,7 @@
 		return code, true
 	}
 	c.undone, l.undone[c.id] = code, c
-	l.push(item{c, cacheproto.AppendUndo(nil, c.id)})
+	l.push(item{c, cacheproto.AppendCancel(nil, c.id)})
 	if l.c != nil && l.c.Heard() < c.written.UnixNano() && now.Sub(c.written) > l.pool.Connect {
 		l.suspect = now
 	}
@@ -299,7 +299,7 @@
 				x.call.begun, x.call.written = true, time.Now()
 				x.call.end = c.Entered() + int64(len(x.call.head))
 				if x.call.hop {
-					x.call.end += int64(x.call.body.Len() + len(cacheproto.End))
+					x.call.end += int64(x.call.body.Len() + len(cacheproto.LineEnd))
 				}
 			}
 		}
@@ -329,7 +329,7 @@
 				err = c.Write(x.call.body.Bytes)
 			}
 			if err == nil {
-				err = c.Write([]byte(cacheproto.End))
+				err = c.Write([]byte(cacheproto.LineEnd))
 			}
 		}
 		if err != nil {
@@ -343,12 +343,12 @@
 // read follows the member's answers. Bodies are gathered whole before the route stage hears of them; that of a
 // hop that was given up is dropped unread.
 func (l *Link) read(ctx context.Context, c *netconn.Conn) (string, error) {
-	for tail := make([]byte, len(cacheproto.End)); ; {
+	for tail := make([]byte, len(cacheproto.LineEnd)); ; {
 		text, err := c.Line()
 		if err != nil {
 			return netconn.Reason(err), err
 		}
-		a, err := cacheproto.ParseAnswer(text)
+		a, err := cacheproto.ParseResponse(text)
 		if err != nil {
 			return netconn.Protocol, err
 		}
@@ -359,15 +359,15 @@
 			l.pool.Book.Add("member.late-answers", 1)
 		}
 		if call != nil && call.hop && a.Code == routing.Completed && !a.Same {
-			if a.Body, err = l.pool.Gate.Budget.Wait(ctx, a.Size); err != nil {
+			if a.Body, err = l.pool.Gate.Budget.Wait(ctx, a.BodyBytes); err != nil {
 				return netconn.Shutdown, err
 			}
 			err = c.ReadFull(a.Body.Bytes)
 		} else {
-			err = c.Skip(a.Size)
+			err = c.Skip(a.BodyBytes)
 		}
 		if err == nil {
-			if err = c.ReadFull(tail); err == nil && !bytes.Equal(tail, []byte(cacheproto.End)) {
+			if err = c.ReadFull(tail); err == nil && !bytes.Equal(tail, []byte(cacheproto.LineEnd)) {
 				a.Body.Free()
 				return netconn.Protocol, errStep
 			}
@@ -382,7 +382,7 @@
 }
 
 // answered ends a call, unless it was undone since.
-func (l *Link) answered(call *Call, a cacheproto.Answer) {
+func (l *Link) answered(call *Call, a cacheproto.Response) {
 	if call == nil {
 		return
 	}
@@ -397,7 +397,7 @@
 		a.Body.Free()
 		return
 	}
-	if a.Check == call.hop { // an answer of the other kind: what it is about can't be known
+	if a.IsProbeReply == call.hop { // an answer of the other kind: what it is about can't be known
 		a.Body.Free()
 		a.End = request.End{Code: routing.ServerError}
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -64,7 +64,7 @@
 	// Reach decides over which address a member is reached, and Addrs says which it has beside the one of the notice
 	// board; nil where each has that one only. Repeatable says of a remap rule whether it may run again.
 	Reach      *address.Core
-	Addrs      func(discovery.Row) []address.Addr
+	Addrs      func(discovery.Endpoint) []address.Addr
 	Repeatable func(rule int) bool
 
 	ctx     context.Context
@@ -74,7 +74,7 @@
 }
 
 type member struct {
-	row     discovery.Row
+	row     discovery.Endpoint
 	addr    string
 	several bool // addresses: Reach knows them
 	started float64
@@ -98,7 +98,7 @@
 func (p *Pool) Wait() error { return p.group.Wait() }
 
 // List takes news of where members are. A link belongs to the member's id and the address it was made for.
-func (p *Pool) List(full bool, rows []discovery.Row) {
+func (p *Pool) List(full bool, rows []discovery.Endpoint) {
 	if full {
 		for _, m := range p.members {
 			m.gone = true
@@ -110,7 +110,7 @@
 			m = &member{}
 			p.members[row.ID] = m
 		}
-		m.row, m.addr, m.gone = row, row.Addr, row.Status == routing.Removed
+		m.row, m.addr, m.gone = row, row.Address, row.Status == routing.Removed
 		p.reaches(row, m)
 	}
 }
@@ -174,8 +174,8 @@
 }
 
 // Send starts a hop.
-func (p *Pool) Send(d cacheproto.Do, avoid []*Link, owner any) *Call {
-	head := cacheproto.AppendDo(nil, d)
+func (p *Pool) Send(d cacheproto.Attempt, avoid []*Link, owner any) *Call {
+	head := cacheproto.AppendAttempt(nil, d)
 	return p.call(d.Endpoint, &Call{Owner: owner, id: d.Txn.ID, head: head, body: d.Txn.Body, txn: d.Txn, hop: true,
 		repeatable: p.Repeatable != nil && p.Repeatable(d.Txn.Rule)}, avoid)
 }
@@ -184,7 +184,7 @@
 func (p *Pool) Check(id string, owner any) *Call {
 	p.checks++
 	tag := "check" + strconv.Itoa(p.checks)
-	return p.call(id, &Call{Owner: owner, id: tag, head: cacheproto.AppendCheck(nil, tag, p.Report)}, nil)
+	return p.call(id, &Call{Owner: owner, id: tag, head: cacheproto.AppendProbe(nil, tag, p.Report)}, nil)
 }
 
 // Undo gives a call up. It says how that ends it, and whether at once; else its end follows.
--- a/internal/upstream/send_test.go
+++ b/internal/upstream/send_test.go
@@ -42,7 +42,7 @@
 			return near, nil
 		}}
 	s.Start(ctx)
-	s.List(true, []discovery.Row{{Addr: "a:1", Endpoint: routing.Endpoint{ID: "m"}}})
+	s.List(true, []discovery.Endpoint{{Address: "a:1", Endpoint: routing.Endpoint{ID: "m"}}})
 	s.stop = func() {
 		cancel()
 		assert.NoError(t, s.Wait())
@@ -66,7 +66,7 @@
 	if body > 0 {
 		x.Body = &request.Body{Bytes: make([]byte, body)}
 	}
-	return s.Send(cacheproto.Do{Txn: x, Wait: 1, StartAttempt: routing.StartAttempt{Endpoint: "m"}}, avoid, id)
+	return s.Send(cacheproto.Attempt{Txn: x, TimeoutSeconds: 1, StartAttempt: routing.StartAttempt{Endpoint: "m"}}, avoid, id)
 }
 
 // end waits for the next end of a call.
@@ -337,7 +337,7 @@
 	c := s.send("a", 0)
 	far := <-s.dialed
 	asked(t, bufio.NewReader(far))
-	s.List(false, []discovery.Row{{Addr: "b:1", Endpoint: routing.Endpoint{ID: "m"}}})
+	s.List(false, []discovery.Endpoint{{Address: "b:1", Endpoint: routing.Endpoint{ID: "m"}}})
 	s.Sweep(time.Now())
 	assert.NotSame(t, c.Link(), s.send("b", 0).Link(), "the address passed to another machine")
 	_, _ = io.WriteString(far, "a nobody - 0\r\n\r\n")
--- a/internal/upstream/several.go
+++ b/internal/upstream/several.go
@@ -32,7 +32,7 @@
 func unix(t time.Time) float64 { return float64(t.UnixMicro()) / 1e6 }
 
 // reaches takes a member's addresses from the list.
-func (p *Pool) reaches(row discovery.Row, m *member) {
+func (p *Pool) reaches(row discovery.Endpoint, m *member) {
 	m.started = row.StartedAt
 	if p.Reach == nil {
 		return
@@ -41,7 +41,7 @@
 		p.Reach.Gone(row.ID)
 		return
 	}
-	list := []address.Addr{address.Addr(row.Addr)}
+	list := []address.Addr{address.Addr(row.Address)}
 	if more := p.Addrs(row); len(more) > 0 {
 		list = more
 	}
@@ -336,7 +336,7 @@
 		if look.Probe {
 			p.checks++
 			tag := "look" + strconv.Itoa(p.checks)
-			l.add(&Call{id: tag, head: cacheproto.AppendCheck(nil, tag, false)})
+			l.add(&Call{id: tag, head: cacheproto.AppendProbe(nil, tag, false)})
 		}
 		p.run(m, l)
 	}
--- a/internal/upstream/several_test.go
+++ b/internal/upstream/several_test.go
@@ -58,14 +58,14 @@
 			return nil, ctx.Err()
 		}
 	}
-	s.Reach, s.Addrs = address.New(1), func(discovery.Row) []address.Addr { return []address.Addr{first, second} }
+	s.Reach, s.Addrs = address.New(1), func(discovery.Endpoint) []address.Addr { return []address.Addr{first, second} }
 	s.Repeatable = func(rule int) bool { return rule == 0 }
 	s.list(0)
 	return s
 }
 
 func (s *severalSide) list(started float64) {
-	s.List(true, []discovery.Row{{Addr: string(first), Endpoint: routing.Endpoint{ID: "m", StartedAt: started}}})
+	s.List(true, []discovery.Endpoint{{Address: string(first), Endpoint: routing.Endpoint{ID: "m", StartedAt: started}}})
 }
 
 func (a attempt) up() net.Conn {
@@ -159,7 +159,7 @@
 	s := several(t, 20)
 	s.send("a", 0)
 	x := <-s.attempts
-	s.Addrs = func(discovery.Row) []address.Addr { return []address.Addr{second, "127.0.0.1:3"} }
+	s.Addrs = func(discovery.Endpoint) []address.Addr { return []address.Addr{second, "127.0.0.1:3"} }
 	s.Relist()
 	far := x.up()
 	_, err := far.Read(make([]byte, 1))
@@ -229,7 +229,7 @@
 	_, _ = io.WriteString(other, "b not_here - 0\r\n\r\n")
 	assert.Equal(t, b, s.hear(t).Call)
 	x := &request.Txn{ID: "c", Name: "order", Object: "ff", Part: "0", Rule: 1}
-	c := s.Send(cacheproto.Do{Txn: x, Wait: 1, StartAttempt: routing.StartAttempt{Endpoint: "m"}}, nil, "c")
+	c := s.Send(cacheproto.Attempt{Txn: x, TimeoutSeconds: 1, StartAttempt: routing.StartAttempt{Endpoint: "m"}}, nil, "c")
 	assert.Same(t, b.Link(), c.Link())
 	_, _ = io.WriteString(far, "a not_here - 0\r\n\r\n")
 	assert.Equal(t, a, s.hear(t).Call, "its late answer is its end")
@@ -301,7 +301,7 @@
 		return (&net.Dialer{}).DialContext(ctx, a.Network(), a.Target())
 	}
 	list := []address.Addr{address.Addr("unix:" + filepath.Join(dir, "gone")), address.Addr("unix:" + file), hole, address.Addr(ln.Addr().String())}
-	s.Addrs = func(discovery.Row) []address.Addr { return list }
+	s.Addrs = func(discovery.Endpoint) []address.Addr { return list }
 	s.Relist()
 	c := s.send("a", 0)
 	far, err := ln.Accept()
--- a/simadapter/rename.go
+++ b/simadapter/rename.go
@@ -86,7 +86,7 @@
 }
 
 // Reading renames one value of a load report.
-func Reading(name string) string {
+func TranslateLoadMetric(name string) string {
 	if ours, ok := readingNames[name]; ok {
 		return ours
 	}
@@ -105,7 +105,7 @@
 var statuses = map[string]routing.EndpointStatus{"ready": routing.Ready, "draining": routing.Draining, "gone": routing.Removed}
 
 // Record renames one setting for any adapter; items of the list of remap rules become remap.N.name.
-func Record(key, value string) (string, string) {
+func TranslateSetting(key, value string) (string, string) {
 	if v, ok := valueNames[value]; ok {
 		value = v
 	}
--- a/simadapter/wire.go
+++ b/simadapter/wire.go
@@ -16,7 +16,7 @@
 )
 
 // Maker starts a router's decision logic.
-type Maker func(seed uint64, rec routing.Settings) routing.Decider
+type NewRouterFunc func(seed uint64, rec routing.Settings) routing.Decider
 
 // said is what one router wants done after one event.
 type said struct {
@@ -29,7 +29,7 @@
 	in      *bufio.Reader
 	out     *bufio.Writer
 	long    []byte // a line that outgrew the reader's buffer
-	start   Maker
+	start   NewRouterFunc
 	routers map[int]routing.Decider
 	banks   map[int][]routing.Endpoint
 	now     float64
@@ -40,7 +40,7 @@
 }
 
 // Serve answers batches until the input ends.
-func Serve(in io.Reader, out io.Writer, start Maker) error {
+func Serve(in io.Reader, out io.Writer, start NewRouterFunc) error {
 	s := &server{in: bufio.NewReaderSize(in, 1<<20), out: bufio.NewWriterSize(out, 1<<18), start: start,
 		routers: map[int]routing.Decider{}, banks: map[int][]routing.Endpoint{}}
 	for {
@@ -149,7 +149,7 @@
 		seed, rec := f.token(), routing.Settings{}
 		for w := f.next(); len(w) > 0; w = f.next() {
 			key, value, _ := strings.Cut(string(w), "=")
-			key, value = Record(key, value)
+			key, value = TranslateSetting(key, value)
 			rec[key] = value
 		}
 		if f.err != nil {
@@ -360,7 +360,7 @@
 		if err != nil {
 			f.fail("bad load report")
 		}
-		out = append(out, routing.LoadMetric{Name: Reading(name), Value: x})
+		out = append(out, routing.LoadMetric{Name: TranslateLoadMetric(name), Value: x})
 	}
 	return out
 }
--- a/simadapter/wire_test.go
+++ b/simadapter/wire_test.go
@@ -65,7 +65,7 @@
 		{"request_classes.1.effect", "fragile", "remap.1.effect", "unrepeatable"}, {"me", "2", "router", "2"},
 		{"request_classes.count", "2", "remap.count", "2"}, {"never.heard", "x", "never.heard", "x"},
 	} {
-		key, value := Record(c[0], c[1])
+		key, value := TranslateSetting(c[0], c[1])
 		assert.Equal(t, [2]string{c[2], c[3]}, [2]string{key, value})
 	}
 }
