--- a/internal/lab/simledger.go
+++ b/internal/lab/simledger.go
@@ -34,38 +34,38 @@
 		if err := ctx.Err(); err != nil {
 			return nil, err
 		}
-		s := simreplication.Draw(seed, c.Routers, c.Lasts)
+		s := simreplication.GenerateScript(seed, c.Routers, c.Lasts)
 		if c.Script != "" {
 			var err error
 			if s, err = faults.Read(c.Script); err != nil {
 				return nil, err
 			}
 		}
-		x, err := simreplication.Play(simreplication.Plan{Script: s, Slices: c.Slices})
+		x, err := simreplication.Run(simreplication.Config{Script: s, Shards: c.Slices})
 		if err != nil {
 			return nil, fmt.Errorf("seed %d: %w", seed, err)
 		}
 		r.Counts["plays"]++
-		r.Counts["claims"] += int64(x.Claims)
+		r.Counts["claims"] += int64(x.Reservations)
 		r.Counts["reads"] += int64(x.Reads)
 		r.Counts["answered"] += int64(x.Answered)
-		r.Counts["machines_lost_with_disk"] += int64(x.Lost)
-		r.Counts["power_cuts"] += int64(x.Cuts)
-		r.Counts["changes_of_holders"] += int64(x.Changes)
-		r.Counts["promises_lost"] += int64(x.PromisesLost)
-		r.Counts["second_grants"] += int64(x.SecondLive)
-		took = append(took, x.Took...)
-		leaderless = max(leaderless, x.MostLeaderless)
-		why := x.Broken
+		r.Counts["machines_lost_with_disk"] += int64(x.MachinesLost)
+		r.Counts["power_cuts"] += int64(x.PowerCuts)
+		r.Counts["changes_of_holders"] += int64(x.ConfChanges)
+		r.Counts["promises_lost"] += int64(x.ReservationsLost)
+		r.Counts["second_grants"] += int64(x.ConflictingGrants)
+		took = append(took, x.LatencySeconds...)
+		leaderless = max(leaderless, x.LongestLeaderlessSeconds)
+		why := x.Failure
 		switch {
 		case why != "":
-		case !x.Linear:
+		case !x.Linearizable:
 			why = "what clients were told is not linearizable"
 			r.Counts["not_linear"]++
-		case x.PromisesLost > 0:
-			why = fmt.Sprintf("%d promises lost", x.PromisesLost)
-		case x.SecondLive > 0:
-			why = fmt.Sprintf("%d keys granted to two groups", x.SecondLive)
+		case x.ReservationsLost > 0:
+			why = fmt.Sprintf("%d promises lost", x.ReservationsLost)
+		case x.ConflictingGrants > 0:
+			why = fmt.Sprintf("%d keys granted to two groups", x.ConflictingGrants)
 		}
 		if why != "" {
 			text, _ := json.Marshal(s)
--- a/internal/replication/history/history.go
+++ b/internal/replication/history/history.go
@@ -16,15 +16,15 @@
 
 // Output is what was answered; not Known where nothing came, which may have been carried out or not.
 type Output struct {
-	Known, Granted bool
-	Group          string
+	Answered, Granted bool
+	Group             string
 }
 
 // Unanswered is the time of return of what was not answered.
 const Unanswered = 1 << 60
 
 // Check says whether a history is linearizable; false too where that can't be told in the time.
-func Check(h []porcupine.Operation, within time.Duration) bool {
+func Linearizable(h []porcupine.Operation, within time.Duration) bool {
 	return porcupine.CheckOperationsTimeout(model.ToModel(), h, within) == porcupine.Ok
 }
 
@@ -44,16 +44,16 @@
 	Step: func(state, input, output any) []any {
 		held, in, out := state.(string), input.(Input), output.(Output)
 		switch {
-		case in.Read && !out.Known:
+		case in.Read && !out.Answered:
 			return []any{held}
 		case in.Read:
 			if out.Granted == (held != "") && out.Group == held {
 				return []any{held}
 			}
 			return nil
-		case !out.Known && held == "":
+		case !out.Answered && held == "":
 			return []any{held, in.Group}
-		case !out.Known:
+		case !out.Answered:
 			return []any{held}
 		case held == "" && out.Granted && out.Group == in.Group:
 			return []any{in.Group}
--- a/internal/replication/ledger.go
+++ b/internal/replication/ledger.go
@@ -36,31 +36,31 @@
 )
 
 // Plan is what a router is told of its ledger.
-type Plan struct {
-	Name, Zone string
-	Copies     int      // holders of each slice
-	First      []string // who begins the ledger, all of whom have to be there once
-	GoneS      float64  // s after which a lost holder is replaced
-	Net        *transport.Net
-	Disk       vfs.FS
-	Log        *slog.Logger
-	Clock      func() time.Time // of promises' ends; nil for the system's
+type Config struct {
+	Name, Zone          string
+	ReplicaCount        int      // holders of each slice
+	InitialMembers      []string // who begins the ledger, all of whom have to be there once
+	ReplaceAfterSeconds float64  // s after which a lost holder is replaced
+	Transport           *transport.Transport
+	Disk                vfs.FS
+	Logger              *slog.Logger
+	Clock               func() time.Time // of promises' ends; nil for the system's
 }
 
 // ErrOldFolder says that the folder is a copy from an earlier time: its word was already given otherwise.
-var ErrOldFolder = errors.New("the ledger's folder is an old copy: its disk was seen to start more often than it remembers")
+var ErrStaleFolder = errors.New("the ledger's folder is an old copy: its disk was seen to start more often than it remembers")
 
 // Ledger is one router's.
-type Ledger struct {
-	plan   Plan
-	folder *wal.Folder
+type Node struct {
+	plan   Config
+	folder *wal.WAL
 	me     uint64
-	slices map[int]*shard.Slice
-	keeper *placement.Keeper
+	slices map[int]*shard.Replica
+	keeper *placement.Rebalancer
 	rnd    *rand.Rand
 	base   time.Time
 
-	seen   map[uint64]placement.Seen // holders by their disks
+	seen   map[uint64]placement.ReplicaStatus // holders by their disks
 	boots  map[uint64]uint32
 	voters map[int][]uint64 // of slices that others hold, as they said
 	hints  map[int]uint64   // who leads
@@ -76,7 +76,7 @@
 	swept  time.Time
 	failed error
 
-	Claims, Syncs int64 // counts for operators
+	ProposalCount, SyncCount int64 // counts for operators
 }
 
 type question struct {
@@ -121,12 +121,12 @@
 
 // Errors of questions.
 var (
-	ErrUnanswered = errors.New("no holder of the slice answered in time")
-	ErrEnded      = errors.New("the ledger has ended")
+	ErrNoAnswer = errors.New("no holder of the slice answered in time")
+	ErrStopped  = errors.New("the ledger has ended")
 )
 
 // New opens a router's folder. The Net's callbacks are taken over.
-func New(p Plan) (*Ledger, error) {
+func New(p Config) (*Node, error) {
 	f, saved, err := wal.Open(p.Disk, p.Name, rand.Uint64)
 	if err != nil {
 		return nil, fmt.Errorf("ledger: %w", err)
@@ -134,13 +134,13 @@
 	if p.Clock == nil {
 		p.Clock = time.Now
 	}
-	l := &Ledger{plan: p, folder: f, me: f.Me().ID, slices: map[int]*shard.Slice{}, keeper: placement.NewKeeper(p.Copies, p.GoneS), base: time.Now(),
-		rnd: rand.New(rand.NewPCG(f.Me().ID, uint64(f.Me().Boots))), seen: map[uint64]placement.Seen{}, boots: map[uint64]uint32{}, voters: map[int][]uint64{},
+	l := &Node{plan: p, folder: f, me: f.Identity().ID, slices: map[int]*shard.Replica{}, keeper: placement.NewRebalancer(p.ReplicaCount, p.ReplaceAfterSeconds), base: time.Now(),
+		rnd: rand.New(rand.NewPCG(f.Identity().ID, uint64(f.Identity().StartCount))), seen: map[uint64]placement.ReplicaStatus{}, boots: map[uint64]uint32{}, voters: map[int][]uint64{},
 		hints: map[int]uint64{}, empty: map[string]bool{}, up: map[string]bool{}, asks: map[uint64]*ask{}, replies: map[question]reply{},
 		in: make(chan any, mostWaiting), gone: make(chan struct{})}
-	l.no = uint64(f.Me().Boots) << 40
-	l.seen[l.me] = placement.Seen{ID: l.me, Name: p.Name, Zone: p.Zone, Up: true}
-	l.boots[l.me] = f.Me().Boots
+	l.no = uint64(f.Identity().StartCount) << 40
+	l.seen[l.me] = placement.ReplicaStatus{ID: l.me, Node: p.Name, Zone: p.Zone, Up: true}
+	l.boots[l.me] = f.Identity().StartCount
 	for no, s := range saved {
 		x, err := shard.New(no, l.me, s, nil)
 		if err != nil {
@@ -149,13 +149,13 @@
 		}
 		l.slices[no] = x
 	}
-	p.Net.Took = func(from string, f transport.Frame) { l.post(took{from, f}) }
-	p.Net.Up = func(name string, up bool) { l.post(upped{name, up}) }
+	p.Transport.OnFrame = func(from string, f transport.Frame) { l.post(took{from, f}) }
+	p.Transport.OnPeerState = func(name string, up bool) { l.post(upped{name, up}) }
 	return l, nil
 }
 
 // post hands an event to the goroutine. It waits while too many do: a peer that sends too much is slowed by its connection.
-func (l *Ledger) post(ev any) {
+func (l *Node) post(ev any) {
 	select {
 	case l.in <- ev:
 	case <-l.gone:
@@ -164,25 +164,25 @@
 
 // Do puts a command to the ledger; then is called once, from the ledger's goroutine, with what it came to or why not. It must not wait.
 // A command that is asked twice is carried out once, by its asker and number.
-func (l *Ledger) Do(c statemachine.Command, until time.Time, then func(statemachine.Result, error)) {
+func (l *Node) Propose(c statemachine.Command, until time.Time, then func(statemachine.Result, error)) {
 	text, err := c.Encode()
 	if err != nil {
 		then(statemachine.Result{}, err)
 		return
 	}
-	l.put(asked{transport.Frame{Kind: transport.Ask, Slice: placement.Of(c.Key), Text: text}, until, then})
+	l.put(asked{transport.Frame{Kind: transport.KindPropose, Shard: placement.ShardOf(c.Key), Payload: text}, until, then})
 }
 
 // Get reads a promise as it stands.
-func (l *Ledger) Get(kind statemachine.Kind, key string, until time.Time, then func(statemachine.Result, error)) {
-	l.put(asked{transport.Frame{Kind: transport.Read, Slice: placement.Of(key), What: kind, Key: key}, until, then})
+func (l *Node) Read(kind statemachine.Kind, key string, until time.Time, then func(statemachine.Result, error)) {
+	l.put(asked{transport.Frame{Kind: transport.KindRead, Shard: placement.ShardOf(key), ReservationKind: kind, Key: key}, until, then})
 }
 
 // put never waits: one that finds no room is answered at once.
-func (l *Ledger) put(a asked) {
+func (l *Node) put(a asked) {
 	select {
 	case <-l.gone:
-		a.then(statemachine.Result{}, ErrEnded)
+		a.then(statemachine.Result{}, ErrStopped)
 		return
 	default:
 	}
@@ -194,12 +194,12 @@
 }
 
 // Look runs a function where the state is owned, and waits for it.
-func (l *Ledger) Look(ctx context.Context, f func()) error {
+func (l *Node) Look(ctx context.Context, f func()) error {
 	done := make(chan struct{})
 	select {
 	case l.in <- looked{func() { f(); close(done) }}:
 	case <-l.gone:
-		return ErrEnded
+		return ErrStopped
 	case <-ctx.Done():
 		return ctx.Err()
 	}
@@ -207,16 +207,16 @@
 	case <-done:
 		return nil
 	case <-l.gone:
-		return ErrEnded
+		return ErrStopped
 	case <-ctx.Done():
 		return ctx.Err()
 	}
 }
 
 // Run plays the router's part until the context ends, or its disk fails.
-func (l *Ledger) Run(ctx context.Context, ln net.Listener) error {
+func (l *Node) Run(ctx context.Context, ln net.Listener) error {
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return l.plan.Net.Run(ctx, ln) })
+	g.Go(func() error { return l.plan.Transport.Run(ctx, ln) })
 	g.Go(func() error {
 		defer close(l.gone)
 		defer l.folder.Close()
@@ -225,8 +225,8 @@
 	return g.Wait()
 }
 
-func (l *Ledger) own(ctx context.Context) error {
-	tick := time.NewTicker(time.Duration(shard.TickS * float64(time.Second)))
+func (l *Node) own(ctx context.Context) error {
+	tick := time.NewTicker(time.Duration(shard.TickSeconds * float64(time.Second)))
 	keep := time.NewTicker(keepEvery)
 	defer tick.Stop()
 	defer keep.Stop()
@@ -235,7 +235,7 @@
 		select {
 		case <-ctx.Done():
 			for _, a := range l.asks {
-				a.then(statemachine.Result{}, ErrEnded)
+				a.then(statemachine.Result{}, ErrStopped)
 			}
 			return nil
 		case ev := <-l.in:
@@ -258,31 +258,31 @@
 			l.keep()
 		}
 		if err := l.work(); err != nil {
-			l.plan.Log.Error("ledger", "code", "ended", "err", err.Error())
+			l.plan.Logger.Error("ledger", "code", "ended", "err", err.Error())
 			return err
 		}
 		if l.failed != nil {
-			l.plan.Log.Error("ledger", "code", "ended", "err", l.failed.Error())
+			l.plan.Logger.Error("ledger", "code", "ended", "err", l.failed.Error())
 			return l.failed
 		}
 	}
 }
 
-func (l *Ledger) now() float64 { return time.Since(l.base).Seconds() }
+func (l *Node) now() float64 { return time.Since(l.base).Seconds() }
 
-func (l *Ledger) hear(ev any) {
+func (l *Node) hear(ev any) {
 	switch ev := ev.(type) {
 	case took:
 		l.take(ev.from, ev.f)
 	case upped:
 		l.up[ev.name] = ev.up
 		if ev.up {
-			l.plan.Net.Send(ev.name, l.hello())
+			l.plan.Transport.Send(ev.name, l.hello())
 		}
 		for id, s := range l.seen {
-			if s.Name == ev.name && id != l.me {
+			if s.Node == ev.name && id != l.me {
 				if s.Up = ev.up && l.newest(ev.name) == id; !s.Up {
-					s.Last = l.now()
+					s.LastSeen = l.now()
 				}
 				l.seen[id] = s
 			}
@@ -293,8 +293,8 @@
 			ev.then(statemachine.Result{}, shard.ErrBusy)
 			return
 		}
-		ev.f.No = l.no
-		a := &ask{frame: ev.f, slice: ev.f.Slice, until: ev.until, then: ev.then}
+		ev.f.Number = l.no
+		a := &ask{frame: ev.f, slice: ev.f.Shard, until: ev.until, then: ev.then}
 		l.asks[l.no] = a
 		l.route(a)
 	case looked:
@@ -303,60 +303,60 @@
 }
 
 // newest is the disk under a name that said hello last.
-func (l *Ledger) newest(name string) (id uint64) {
+func (l *Node) newest(name string) (id uint64) {
 	last := -1.0
 	for _, s := range l.seen {
-		if s.Name == name && s.Last > last {
-			id, last = s.ID, s.Last
+		if s.Node == name && s.LastSeen > last {
+			id, last = s.ID, s.LastSeen
 		}
 	}
 	return id
 }
 
-func (l *Ledger) hello() transport.Frame {
-	f := transport.Frame{Kind: transport.Hello, Holder: l.me, Boots: l.folder.Me().Boots, Zone: l.plan.Zone, Began: map[int][]uint64{}, Seen: l.boots}
+func (l *Node) hello() transport.Frame {
+	f := transport.Frame{Kind: transport.KindHello, Replica: l.me, StartCount: l.folder.Identity().StartCount, Zone: l.plan.Zone, ShardVoters: map[int][]uint64{}, SeenStartCounts: l.boots}
 	for no, s := range l.slices {
-		f.Began[no], _ = s.Holders()
+		f.ShardVoters[no], _ = s.Members()
 	}
 	return f
 }
 
-func (l *Ledger) take(from string, f transport.Frame) {
+func (l *Node) take(from string, f transport.Frame) {
 	switch f.Kind {
-	case transport.Hello:
-		if f.Seen[l.me] > l.folder.Me().Boots {
-			l.failed = ErrOldFolder
+	case transport.KindHello:
+		if f.SeenStartCounts[l.me] > l.folder.Identity().StartCount {
+			l.failed = ErrStaleFolder
 			return
 		}
-		if l.boots[f.Holder] < f.Boots {
-			l.boots[f.Holder] = f.Boots
+		if l.boots[f.Replica] < f.StartCount {
+			l.boots[f.Replica] = f.StartCount
 		}
 		for id, s := range l.seen { // another disk under the same name is gone
-			if s.Name == from && id != f.Holder && s.Up {
-				s.Up, s.Last = false, l.now()
+			if s.Node == from && id != f.Replica && s.Up {
+				s.Up, s.LastSeen = false, l.now()
 				l.seen[id] = s
 			}
 		}
-		l.seen[f.Holder] = placement.Seen{ID: f.Holder, Name: from, Zone: f.Zone, Up: true, Last: l.now()}
-		l.empty[from] = len(f.Began) == 0
-		for no, v := range f.Began {
+		l.seen[f.Replica] = placement.ReplicaStatus{ID: f.Replica, Node: from, Zone: f.Zone, Up: true, LastSeen: l.now()}
+		l.empty[from] = len(f.ShardVoters) == 0
+		for no, v := range f.ShardVoters {
 			if len(v) > 0 {
 				l.voters[no] = v
 			}
 		}
 		l.begin()
-	case transport.Raft:
+	case transport.KindRaft:
 		l.raft(from, f)
-	case transport.Ask, transport.Read:
-		l.serve(f, reply{to: from, no: f.No, at: time.Now()})
-	case transport.Answer:
-		if a := l.asks[f.No]; a != nil && f.Result != nil {
-			delete(l.asks, f.No)
+	case transport.KindPropose, transport.KindRead:
+		l.serve(f, reply{to: from, no: f.Number, at: time.Now()})
+	case transport.KindResult:
+		if a := l.asks[f.Number]; a != nil && f.Result != nil {
+			delete(l.asks, f.Number)
 			a.then(*f.Result, nil)
 		}
-	case transport.NotHere:
-		if a := l.asks[f.No]; a != nil {
-			if l.hints[a.slice] = f.Holder; f.Holder == 0 {
+	case transport.KindNotLeader:
+		if a := l.asks[f.Number]; a != nil {
+			if l.hints[a.slice] = f.Replica; f.Replica == 0 {
 				delete(l.hints, a.slice)
 			} else {
 				l.route(a)
@@ -365,46 +365,46 @@
 	}
 }
 
-func (l *Ledger) raft(from string, f transport.Frame) {
+func (l *Node) raft(from string, f transport.Frame) {
 	m := &pb.Message{}
-	if proto.Unmarshal(f.Text, m) != nil || m.GetTo() != l.me || l.seen[m.GetFrom()].Name != from {
+	if proto.Unmarshal(f.Payload, m) != nil || m.GetTo() != l.me || l.seen[m.GetFrom()].Node != from {
 		return // for an earlier disk of this machine, or from nobody who said hello
 	}
-	s := l.slices[f.Slice]
+	s := l.slices[f.Shard]
 	if s == nil {
 		var err error
-		if s, err = shard.New(f.Slice, l.me, shard.Saved{}, nil); err != nil {
-			l.plan.Log.Error("ledger", "code", "no-slice", "slice", f.Slice, "err", err.Error())
+		if s, err = shard.New(f.Shard, l.me, shard.PersistentState{}, nil); err != nil {
+			l.plan.Logger.Error("ledger", "code", "no-slice", "slice", f.Shard, "err", err.Error())
 			return
 		}
-		l.slices[f.Slice] = s
+		l.slices[f.Shard] = s
 	}
 	s.Step(m)
 }
 
 // begin starts the ledger once all who are to begin it are there and none of them holds anything; or joins those who began already.
-func (l *Ledger) begin() {
-	if len(l.slices) > 0 || !slices.Contains(l.plan.First, l.plan.Name) {
+func (l *Node) begin() {
+	if len(l.slices) > 0 || !slices.Contains(l.plan.InitialMembers, l.plan.Name) {
 		return
 	}
-	var of []placement.Holder
+	var of []placement.Node
 	ids := map[string]uint64{l.plan.Name: l.me}
-	for _, name := range l.plan.First {
+	for _, name := range l.plan.InitialMembers {
 		if name == l.plan.Name {
-			of = append(of, placement.Holder{Name: name, Zone: l.plan.Zone})
+			of = append(of, placement.Node{Name: name, Zone: l.plan.Zone})
 			continue
 		}
 		id := l.newest(name)
 		if !l.empty[name] && l.voters[0] == nil && id != 0 || id == 0 || !l.seen[id].Up {
 			return // somebody is missing, or holds a ledger that this one does not belong to
 		}
-		of, ids[name] = append(of, placement.Holder{Name: name, Zone: l.seen[id].Zone}), id
+		of, ids[name] = append(of, placement.Node{Name: name, Zone: l.seen[id].Zone}), id
 	}
-	var batches []shard.Batch
+	var batches []shard.Ready
 	born := map[int][]uint64{}
-	for no := range placement.Slices {
+	for no := range placement.ShardCount {
 		var voters []uint64
-		for _, name := range placement.Holders(no, of, l.plan.Copies) {
+		for _, name := range placement.PreferredNodes(no, of, l.plan.ReplicaCount) {
 			voters = append(voters, ids[name])
 		}
 		if v := l.voters[no]; v != nil && !same(v, voters) {
@@ -412,7 +412,7 @@
 		}
 		if slices.Contains(voters, l.me) {
 			born[no] = voters
-			batches = append(batches, shard.Batch{Slice: no, Snapshot: shard.Birth(voters), Sync: true})
+			batches = append(batches, shard.Ready{Shard: no, Snapshot: shard.InitialSnapshot(voters), MustSync: true})
 		}
 		l.voters[no] = voters
 	}
@@ -420,14 +420,14 @@
 		return
 	}
 	for no, voters := range born {
-		s, err := shard.New(no, l.me, shard.Saved{Snapshot: shard.Birth(voters)}, nil)
+		s, err := shard.New(no, l.me, shard.PersistentState{Snapshot: shard.InitialSnapshot(voters)}, nil)
 		if err != nil {
 			l.failed = err
 			return
 		}
 		l.slices[no] = s
 	}
-	l.plan.Log.Info("ledger", "code", "began", "slices", len(born), "holder", l.me)
+	l.plan.Logger.Info("ledger", "code", "began", "slices", len(born), "holder", l.me)
 	l.greet()
 }
 
@@ -436,20 +436,20 @@
 }
 
 // greet tells all others what is held here now.
-func (l *Ledger) greet() {
+func (l *Node) greet() {
 	for name, up := range l.up {
 		if up {
-			l.plan.Net.Send(name, l.hello())
+			l.plan.Transport.Send(name, l.hello())
 		}
 	}
 }
 
 // route puts a question to who leads its slice, as far as is known, else to one of its holders after the other.
-func (l *Ledger) route(a *ask) {
+func (l *Node) route(a *ask) {
 	a.at = time.Now()
 	if s := l.slices[a.slice]; s != nil {
-		if leads, lead := s.Leads(); leads {
-			l.serve(a.frame, reply{no: a.frame.No, then: a.then, at: a.at})
+		if leads, lead := s.Leadership(); leads {
+			l.serve(a.frame, reply{no: a.frame.Number, then: a.then, at: a.at})
 			return
 		} else if lead != 0 && a.try == 0 {
 			l.hints[a.slice] = lead
@@ -461,7 +461,7 @@
 		var able []uint64
 		voters := l.voters[a.slice]
 		if s := l.slices[a.slice]; s != nil {
-			if v, _ := s.Holders(); len(v) > 0 { // none while it is still coming in
+			if v, _ := s.Members(); len(v) > 0 { // none while it is still coming in
 				voters = v
 			}
 		}
@@ -475,45 +475,45 @@
 		}
 		to = able[(a.try+l.rnd.IntN(len(able)))%len(able)]
 	}
-	l.plan.Net.Send(l.seen[to].Name, a.frame)
+	l.plan.Transport.Send(l.seen[to].Node, a.frame)
 }
 
 // serve answers a question if this holder leads its slice.
-func (l *Ledger) serve(f transport.Frame, r reply) {
-	s := l.slices[f.Slice]
+func (l *Node) serve(f transport.Frame, r reply) {
+	s := l.slices[f.Shard]
 	lead := uint64(0)
 	var err error
 	if s == nil {
 		err = shard.ErrNotLeader
-	} else if _, lead = s.Leads(); f.Kind == transport.Read {
+	} else if _, lead = s.Leadership(); f.Kind == transport.KindRead {
 		q := question{"read/" + r.to, r.no}
-		if err = s.Read(f.What, f.Key, q.asker, q.ask); err == nil {
+		if err = s.Read(f.ReservationKind, f.Key, q.asker, q.ask); err == nil {
 			l.replies[q] = r
 		}
 	} else {
 		var c statemachine.Command
-		if c, err = statemachine.Decode(f.Text); err == nil {
+		if c, err = statemachine.Decode(f.Payload); err == nil {
 			c.Now = float64(l.plan.Clock().UnixMilli()) / 1000 // the leader's clock counts
 			if err = s.Propose(c); err == nil {
-				l.replies[question{c.Asker, c.Ask}] = r
-				l.Claims++
+				l.replies[question{c.Requester, c.RequestNumber}] = r
+				l.ProposalCount++
 			}
 		}
 	}
 	if err != nil && r.to != "" {
-		l.plan.Net.Send(r.to, transport.Frame{Kind: transport.NotHere, No: r.no, Slice: f.Slice, Holder: lead})
+		l.plan.Transport.Send(r.to, transport.Frame{Kind: transport.KindNotLeader, Number: r.no, Shard: f.Shard, Replica: lead})
 	}
 }
 
-func (l *Ledger) answer(a shard.Answer) {
-	q := question{a.Asker, a.Ask}
+func (l *Node) answer(a shard.Response) {
+	q := question{a.Requester, a.RequestNumber}
 	r, ok := l.replies[q]
 	if !ok {
 		return
 	}
 	delete(l.replies, q)
 	if r.to != "" {
-		l.plan.Net.Send(r.to, transport.Frame{Kind: transport.Answer, No: r.no, Result: &a.Result})
+		l.plan.Transport.Send(r.to, transport.Frame{Kind: transport.KindResult, Number: r.no, Result: &a.Result})
 		return
 	}
 	if x := l.asks[r.no]; x != nil {
@@ -523,13 +523,13 @@
 }
 
 // overdue asks again what was not answered, and gives up what has no time left.
-func (l *Ledger) overdue() {
+func (l *Node) overdue() {
 	now := time.Now()
 	for no, a := range l.asks {
 		switch {
 		case now.After(a.until):
 			delete(l.asks, no)
-			a.then(statemachine.Result{}, ErrUnanswered)
+			a.then(statemachine.Result{}, ErrNoAnswer)
 		case now.Sub(a.at) > 250*time.Millisecond:
 			l.route(a)
 		}
@@ -542,35 +542,35 @@
 }
 
 // keep looks after the slices that are led here: their holders, their time, their logs.
-func (l *Ledger) keep() {
-	var led []placement.Led
+func (l *Node) keep() {
+	var led []placement.LedShard
 	still := time.Since(l.swept) > sweepEvery
 	for no, s := range l.slices {
-		if leads, _ := s.Leads(); leads {
-			voters, learners := s.Holders()
-			led = append(led, placement.Led{Slice: no, Voters: voters, Learners: learners})
+		if leads, _ := s.Leadership(); leads {
+			voters, learners := s.Members()
+			led = append(led, placement.LedShard{Shard: no, Voters: voters, Learners: learners})
 			if still {
-				_ = s.Propose(statemachine.Command{Op: statemachine.OpSweep, Now: float64(l.plan.Clock().UnixMilli()) / 1000})
+				_ = s.Propose(statemachine.Command{Op: statemachine.OpAdvanceTime, Now: float64(l.plan.Clock().UnixMilli()) / 1000})
 			}
 		}
 	}
 	if still {
 		l.swept = time.Now()
 	}
-	slices.SortFunc(led, func(a, b placement.Led) int { return a.Slice - b.Slice })
-	for _, c := range l.keeper.Changes(l.now(), placement.Sorted(l.seen), led) {
-		if err := l.slices[c.Slice].Change(c.Add, c.Remove); err == nil {
-			l.plan.Log.Info("ledger", "code", "holders", "slice", c.Slice, "add", l.seen[c.Add].Name, "remove", l.seen[c.Remove].Name)
+	slices.SortFunc(led, func(a, b placement.LedShard) int { return a.Shard - b.Shard })
+	for _, c := range l.keeper.Changes(l.now(), placement.SortedByID(l.seen), led) {
+		if err := l.slices[c.Shard].ProposeConfChange(c.Add, c.Remove); err == nil {
+			l.plan.Logger.Info("ledger", "code", "holders", "slice", c.Shard, "add", l.seen[c.Add].Node, "remove", l.seen[c.Remove].Node)
 		}
 	}
 }
 
 // work writes what the slices want written, with one sync, then sends and answers what follows from it.
-func (l *Ledger) work() error {
+func (l *Node) work() error {
 	for {
-		var batches []shard.Batch
+		var batches []shard.Ready
 		for _, s := range l.slices {
-			if b, ok := s.Work(); ok {
+			if b, ok := s.Ready(); ok {
 				batches = append(batches, b)
 			}
 		}
@@ -580,26 +580,26 @@
 		if err := l.folder.Write(batches); err != nil {
 			return err
 		}
-		l.Syncs = l.folder.Syncs
+		l.SyncCount = l.folder.SyncCount
 		moved := false
 		for _, b := range batches {
-			s := l.slices[b.Slice]
+			s := l.slices[b.Shard]
 			for _, m := range b.Messages {
 				l.send(s, m)
 			}
-			before, _ := s.Holders()
-			answers, err := s.Done(b)
+			before, _ := s.Members()
+			answers, err := s.Advance(b)
 			if err != nil {
 				return err
 			}
-			after, _ := s.Holders()
+			after, _ := s.Members()
 			moved = moved || !slices.Equal(before, after)
 			for _, a := range answers {
 				l.answer(a)
 			}
-			snap, err := s.Shorten()
+			snap, err := s.Compact()
 			if err == nil && snap != nil {
-				err = l.folder.Snapshot(b.Slice, snap)
+				err = l.folder.SaveSnapshot(b.Shard, snap)
 			}
 			if err != nil {
 				return err
@@ -611,50 +611,50 @@
 	}
 }
 
-func (l *Ledger) send(s *shard.Slice, m *pb.Message) {
+func (l *Node) send(s *shard.Replica, m *pb.Message) {
 	to, ok := l.seen[m.GetTo()]
 	text, err := proto.Marshal(m)
-	ok = ok && err == nil && to.Up && l.plan.Net.Send(to.Name, transport.Frame{Kind: transport.Raft, Slice: s.No(), Text: text})
+	ok = ok && err == nil && to.Up && l.plan.Transport.Send(to.Node, transport.Frame{Kind: transport.KindRaft, Shard: s.Shard(), Payload: text})
 	if m.GetType() == pb.MessageType_MsgSnap {
-		s.Sent(m.GetTo(), ok)
+		s.ReportSnapshot(m.GetTo(), ok)
 	} else if !ok {
-		s.Unreachable(m.GetTo())
+		s.ReportUnreachable(m.GetTo())
 	}
 }
 
 // Line is a slice as operators see it.
-type Line struct {
-	Slice   int      `json:"slice"`
-	Leads   bool     `json:"leads"`
-	Leader  string   `json:"leader"`
-	Holders []string `json:"holders"`
-	Coming  []string `json:"coming"`
-	Lag     uint64   `json:"lag"` // commands that the holder furthest behind lacks, where this one leads
-	Held    int      `json:"promises"`
-	Machine int      `json:"bears_machines"`
-	Zones   int      `json:"bears_zones"`
+type ShardReport struct {
+	Shard               int      `json:"slice"`
+	Leads               bool     `json:"leads"`
+	Leader              string   `json:"leader"`
+	Replicas            []string `json:"holders"`
+	Learners            []string `json:"coming"`
+	Lag                 uint64   `json:"lag"` // commands that the holder furthest behind lacks, where this one leads
+	Reservations        int      `json:"promises"`
+	TolerableNodeLosses int      `json:"bears_machines"`
+	TolerableZoneLosses int      `json:"bears_zones"`
 }
 
 // Report is what a router knows of the ledger.
 type Report struct {
-	Name   string   `json:"name"`
-	Holder uint64   `json:"holder"`
-	Boots  uint32   `json:"boots"`
-	Health string   `json:"health"` // what the loss of one more machine, or zone, would cost
-	Up     []string `json:"up"`
-	Slices []Line   `json:"slices"`
-	Claims int64    `json:"claims"`
-	Syncs  int64    `json:"syncs"`
+	Name       string        `json:"name"`
+	Replica    uint64        `json:"holder"`
+	StartCount uint32        `json:"boots"`
+	Health     string        `json:"health"` // what the loss of one more machine, or zone, would cost
+	Up         []string      `json:"up"`
+	Shards     []ShardReport `json:"slices"`
+	Proposals  int64         `json:"claims"`
+	Syncs      int64         `json:"syncs"`
 }
 
 // Report asks the ledger. It may be called from any goroutine.
-func (l *Ledger) Report(ctx context.Context) (r Report, err error) {
+func (l *Node) Report(ctx context.Context) (r Report, err error) {
 	err = l.Look(ctx, func() { r = l.report() })
 	return r, err
 }
 
-func (l *Ledger) report() Report {
-	r := Report{Name: l.plan.Name, Holder: l.me, Boots: l.folder.Me().Boots, Claims: l.Claims, Syncs: l.Syncs, Up: []string{}, Slices: []Line{}}
+func (l *Node) report() Report {
+	r := Report{Name: l.plan.Name, Replica: l.me, StartCount: l.folder.Identity().StartCount, Proposals: l.ProposalCount, Syncs: l.SyncCount, Up: []string{}, Shards: []ShardReport{}}
 	for name, up := range l.up {
 		if up {
 			r.Up = append(r.Up, name)
@@ -662,35 +662,35 @@
 	}
 	slices.Sort(r.Up)
 	worstMachine, worstZone := 1<<30, 1<<30
-	for no := range placement.Slices {
+	for no := range placement.ShardCount {
 		s := l.slices[no]
 		if s == nil {
 			continue
 		}
-		x := Line{Slice: no, Held: s.State().Len()}
+		x := ShardReport{Shard: no, Reservations: s.State().Len()}
 		var lead uint64
-		x.Leads, lead = s.Leads()
-		x.Leader = l.seen[lead].Name
-		voters, learners := s.Holders()
-		var of []placement.Holder
+		x.Leads, lead = s.Leadership()
+		x.Leader = l.seen[lead].Node
+		voters, learners := s.Members()
+		var of []placement.Node
 		for _, v := range voters {
-			x.Holders = append(x.Holders, l.seen[v].Name)
+			x.Replicas = append(x.Replicas, l.seen[v].Node)
 			if l.seen[v].Up {
-				of = append(of, placement.Holder{Name: l.seen[v].Name, Zone: l.seen[v].Zone})
+				of = append(of, placement.Node{Name: l.seen[v].Node, Zone: l.seen[v].Zone})
 			}
 		}
 		for _, v := range learners {
-			x.Coming = append(x.Coming, l.seen[v].Name)
+			x.Learners = append(x.Learners, l.seen[v].Node)
 		}
 		for _, lag := range s.Lag() {
 			x.Lag = max(x.Lag, lag)
 		}
-		x.Machine, x.Zones = placement.Bears(len(voters), of)
-		worstMachine, worstZone = min(worstMachine, x.Machine), min(worstZone, x.Zones)
-		r.Slices = append(r.Slices, x)
+		x.TolerableNodeLosses, x.TolerableZoneLosses = placement.FaultTolerance(len(voters), of)
+		worstMachine, worstZone = min(worstMachine, x.TolerableNodeLosses), min(worstZone, x.TolerableZoneLosses)
+		r.Shards = append(r.Shards, x)
 	}
 	switch {
-	case len(r.Slices) == 0:
+	case len(r.Shards) == 0:
 		r.Health = "holds nothing"
 	case worstMachine < 0:
 		r.Health = "some slices have no majority: their promises can't be read or made"
--- a/internal/replication/ledger_test.go
+++ b/internal/replication/ledger_test.go
@@ -36,7 +36,7 @@
 }
 
 type running struct {
-	*Ledger
+	*Node
 	stop func()
 	fs   vfs.FS
 	ask  uint64
@@ -50,7 +50,7 @@
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(t, err)
 		x.keys, x.lns, x.addrs = append(x.keys, key), append(x.lns, ln), append(x.addrs, ln.Addr().String())
-		x.peers = append(x.peers, transport.Peer{Name: fmt.Sprint("r", i), Key: key.Public().(ed25519.PublicKey)})
+		x.peers = append(x.peers, transport.Peer{Name: fmt.Sprint("r", i), PublicKey: key.Public().(ed25519.PublicKey)})
 		x.runs = append(x.runs, nil)
 	}
 	for i := range n {
@@ -77,7 +77,7 @@
 	var peers []transport.Peer
 	var names []string
 	for j, p := range x.peers {
-		p.Addr = x.ways[i][j]
+		p.Address = x.ways[i][j]
 		peers, names = append(peers, p), append(names, p.Name)
 	}
 	if x.lns[i] == nil {
@@ -87,8 +87,8 @@
 			return err == nil
 		}, patience, 10*time.Millisecond)
 	}
-	l, err := New(Plan{Name: x.peers[i].Name, Zone: fmt.Sprint("z", i%3), Copies: 3, First: names, GoneS: 1.5, Disk: fs,
-		Net: &transport.Net{Me: x.peers[i].Name, Key: x.keys[i], Peers: peers}, Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
+	l, err := New(Config{Name: x.peers[i].Name, Zone: fmt.Sprint("z", i%3), ReplicaCount: 3, InitialMembers: names, ReplaceAfterSeconds: 1.5, Disk: fs,
+		Transport: &transport.Transport{Name: x.peers[i].Name, PrivateKey: x.keys[i], Peers: peers}, Logger: slog.New(slog.NewTextHandler(io.Discard, nil))})
 	require.NoError(x.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
@@ -97,7 +97,7 @@
 		_ = l.Run(ctx, ln)
 		close(done)
 	}()
-	x.runs[i] = &running{Ledger: l, fs: fs, stop: func() { cancel(); <-done }}
+	x.runs[i] = &running{Node: l, fs: fs, stop: func() { cancel(); <-done }}
 }
 
 // end stops a router; nothing of what it did not sync is on its disk.
@@ -118,7 +118,7 @@
 	r.ask++
 	for end := time.Now().Add(patience); time.Now().Before(end); {
 		got := make(chan any, 1)
-		r.Do(statemachine.Command{Op: statemachine.OpClaim, Key: key, Group: group, Lasts: 60, Asker: x.peers[i].Name, Ask: r.ask}, time.Now().Add(2*time.Second), func(res statemachine.Result, err error) {
+		r.Propose(statemachine.Command{Op: statemachine.OpReserve, Key: key, Group: group, LifetimeSeconds: 60, Requester: x.peers[i].Name, RequestNumber: r.ask}, time.Now().Add(2*time.Second), func(res statemachine.Result, err error) {
 			if err != nil {
 				got <- err
 			} else {
@@ -159,17 +159,17 @@
 	for k := range 20 {
 		r := x.claim([]int{0, 2, 3, 4}[k%4], fmt.Sprint("k", k), "g2")
 		assert.False(t, r.Granted)
-		assert.Equal(t, "g1", r.Promise.Group)
+		assert.Equal(t, "g1", r.Reservation.Group)
 	}
 	t.Logf("20 claims followed %.1f s after the loss", time.Since(lost).Seconds())
 	x.healthy(0, "bears the loss of a zone") // others took its place
 	t.Logf("whole again %.1f s after the loss", time.Since(lost).Seconds())
-	for _, l := range x.report(0).Slices {
-		assert.Len(t, l.Holders, 3)
-		assert.NotContains(t, l.Holders, "r1")
+	for _, l := range x.report(0).Shards {
+		assert.Len(t, l.Replicas, 3)
+		assert.NotContains(t, l.Replicas, "r1")
 	}
 	x.start(1, vfs.NewFaulty(99)) // a new machine under the old name
-	require.Eventually(t, func() bool { return len(x.report(1).Slices) > 0 }, patience, 50*time.Millisecond, "it is taken in")
+	require.Eventually(t, func() bool { return len(x.report(1).Shards) > 0 }, patience, 50*time.Millisecond, "it is taken in")
 	t.Logf("taken in %.1f s after the loss", time.Since(lost).Seconds())
 	assert.False(t, x.claim(1, "k3", "g2").Granted)
 }
@@ -180,14 +180,14 @@
 	x.healthy(0, "bears the loss of a zone")
 	x.net.Play(faults.Script{Peers: 3, Until: 1e6, Acts: []faults.Act{{Do: faults.Cut, From: []int{0}, To: []int{1, 2}, Both: true}}})
 	got := make(chan error, 1)
-	x.runs[0].Do(statemachine.Command{Op: statemachine.OpClaim, Key: "k", Group: "g1", Lasts: 60, Asker: "r0", Ask: 1 << 50}, time.Now().Add(1500*time.Millisecond),
+	x.runs[0].Propose(statemachine.Command{Op: statemachine.OpReserve, Key: "k", Group: "g1", LifetimeSeconds: 60, Requester: "r0", RequestNumber: 1 << 50}, time.Now().Add(1500*time.Millisecond),
 		func(_ statemachine.Result, err error) { got <- err })
 	assert.True(t, x.claim(1, "k", "g2").Granted)
-	assert.ErrorIs(t, <-got, ErrUnanswered)
+	assert.ErrorIs(t, <-got, ErrNoAnswer)
 	x.net.Play(faults.Script{Peers: 3, Until: 1e6})
 	r := x.claim(0, "k", "g3")
 	assert.False(t, r.Granted)
-	assert.Equal(t, "g2", r.Promise.Group)
+	assert.Equal(t, "g2", r.Reservation.Group)
 }
 
 // TestAllOffAndOnAgain: what was acknowledged is there after all machines were off at once.
--- a/internal/replication/placement/place.go
+++ b/internal/replication/placement/place.go
@@ -11,16 +11,16 @@
 
 // Slices is the fixed number of parts that keys fall into. It is part of the format on the disk: 64 keep a machine's share of 300
 // routers under one slice in five, and the heartbeats of all of them under those of the peers' checks.
-const Slices = 64
+const ShardCount = 64
 
 // Holder is a router that may hold slices.
-type Holder struct {
+type Node struct {
 	Name string
 	Zone string
 }
 
 // Of is the slice of a key.
-func Of(key string) int { return int(xxhash.Sum64String(key) % Slices) }
+func ShardOf(key string) int { return int(xxhash.Sum64String(key) % ShardCount) }
 
 // weight is a holder's for a slice; the highest come first.
 func weight(slice int, name string) uint64 {
@@ -32,9 +32,9 @@
 
 // Holders are the n routers that should hold a slice, best first. No zone has more of them than its even part, rounded up, as long
 // as others have room; with one zone the n best are taken wherever they stand.
-func Holders(slice int, of []Holder, n int) []string {
+func PreferredNodes(slice int, of []Node, n int) []string {
 	type ranked struct {
-		Holder
+		Node
 		w uint64
 	}
 	list := make([]ranked, len(of))
@@ -62,7 +62,7 @@
 
 // Bears says how many machines, and how many zones, of those who are there may be lost so that most of all holders are still
 // there; below 0 they are not now.
-func Bears(holders int, there []Holder) (machines, zones int) {
+func FaultTolerance(holders int, there []Node) (machines, zones int) {
 	need := holders/2 + 1
 	machines = len(there) - need
 	if machines < 0 {
--- a/internal/replication/shard/slice.go
+++ b/internal/replication/shard/slice.go
@@ -22,15 +22,15 @@
 
 // Tuned values. A tick is TickS; elections take 10 to 20 of them.
 const (
-	TickS         = 0.05    // s between ticks: a heartbeat each, an election after 0.5 to 1 s of silence
-	electionTicks = 10      // raft draws from one to two times as many
-	beatTicks     = 2       // ticks between a leader's heartbeats
-	mostInflight  = 64      // messages under way to a holder
-	messageBytes  = 1 << 18 // of entries in a message
-	openBytes     = 4 << 20 // of entries that are not agreed on yet; beyond it a proposal is refused: the claims wait, and are shed
-	snapEvery     = 4096    // commands between two snapshots
-	keepEntries   = 512     // commands kept before a snapshot: one who is a little behind needs no snapshot
-	catchUp       = 128     // commands that a newcomer may still lack when it gets its vote
+	TickSeconds      = 0.05    // s between ticks: a heartbeat each, an election after 0.5 to 1 s of silence
+	electionTicks    = 10      // raft draws from one to two times as many
+	beatTicks        = 2       // ticks between a leader's heartbeats
+	mostInflight     = 64      // messages under way to a holder
+	messageBytes     = 1 << 18 // of entries in a message
+	openBytes        = 4 << 20 // of entries that are not agreed on yet; beyond it a proposal is refused: the claims wait, and are shed
+	snapshotInterval = 4096    // commands between two snapshots
+	keepEntries      = 512     // commands kept before a snapshot: one who is a little behind needs no snapshot
+	catchUp          = 128     // commands that a newcomer may still lack when it gets its vote
 )
 
 // Errors of proposals. After either nothing was written.
@@ -40,49 +40,49 @@
 )
 
 // Saved is what of a slice is on the disk: where it was when it ended.
-type Saved struct {
-	Hard     *pb.HardState
-	Snapshot *pb.Snapshot // nil for none
-	Entries  []*pb.Entry
+type PersistentState struct {
+	HardState *pb.HardState
+	Snapshot  *pb.Snapshot // nil for none
+	Entries   []*pb.Entry
 }
 
 // Batch is what has to be on the disk before Messages are sent and Results are believed.
-type Batch struct {
-	Slice    int
-	Hard     *pb.HardState
-	Entries  []*pb.Entry
-	Snapshot *pb.Snapshot
-	Sync     bool // it has to outlast a loss of power
-	Messages []*pb.Message
+type Ready struct {
+	Shard     int
+	HardState *pb.HardState
+	Entries   []*pb.Entry
+	Snapshot  *pb.Snapshot
+	MustSync  bool // it has to outlast a loss of power
+	Messages  []*pb.Message
 
 	ready raft.Ready
 }
 
 // Answer is what a command came to that was proposed here.
-type Answer struct {
-	Asker  string
-	Ask    uint64
-	Result statemachine.Result
+type Response struct {
+	Requester     string
+	RequestNumber uint64
+	Result        statemachine.Result
 }
 
 // Slice is one holder's. It belongs to one goroutine.
-type Slice struct {
+type Replica struct {
 	no    int
 	id    uint64
 	rn    *raft.RawNode
 	log   *raft.MemoryStorage
 	state *statemachine.State
 
-	applied uint64
-	snapAt  uint64
-	conf    *pb.ConfState
-	reads   []read
-	leads   bool
-	lead    uint64
-	term    uint64
-	changes int // of the holders, under way
-	answers []Answer
-	readNo  uint64
+	applied       uint64
+	snapshotIndex uint64
+	conf          *pb.ConfState
+	reads         []read
+	leads         bool
+	lead          uint64
+	term          uint64
+	changes       int // of the holders, under way
+	answers       []Response
+	readNo        uint64
 }
 
 // read waits until the state is as new as it was when the read was asked.
@@ -98,19 +98,19 @@
 var silent = &raft.DefaultLogger{Logger: log.New(io.Discard, "", 0)}
 
 // New makes a holder's part of a slice from what is saved; with voters and nothing saved it is one of the first.
-func New(no int, id uint64, saved Saved, voters []uint64) (*Slice, error) {
-	s := &Slice{no: no, id: id, log: raft.NewMemoryStorage(), state: statemachine.New(), conf: &pb.ConfState{}}
-	first := saved.Hard == nil && saved.Snapshot == nil && len(saved.Entries) == 0
+func New(no int, id uint64, saved PersistentState, voters []uint64) (*Replica, error) {
+	s := &Replica{no: no, id: id, log: raft.NewMemoryStorage(), state: statemachine.New(), conf: &pb.ConfState{}}
+	first := saved.HardState == nil && saved.Snapshot == nil && len(saved.Entries) == 0
 	if first && len(voters) > 0 {
-		saved.Snapshot = Birth(voters)
+		saved.Snapshot = InitialSnapshot(voters)
 	}
 	if saved.Snapshot != nil {
 		if err := s.install(saved.Snapshot); err != nil {
 			return nil, err
 		}
 	}
-	if saved.Hard != nil {
-		if err := s.log.SetHardState(saved.Hard); err != nil {
+	if saved.HardState != nil {
+		if err := s.log.SetHardState(saved.HardState); err != nil {
 			return nil, fmt.Errorf("slice %d: its last vote: %w", no, err)
 		}
 	}
@@ -127,7 +127,7 @@
 }
 
 // Birth is the snapshot with which a slice begins at its first holders: the same at each.
-func Birth(voters []uint64) *pb.Snapshot {
+func InitialSnapshot(voters []uint64) *pb.Snapshot {
 	ids := slices.Sorted(slices.Values(voters))
 	data, err := statemachine.New().Snapshot()
 	if err != nil {
@@ -137,7 +137,7 @@
 }
 
 // install takes a snapshot as the state.
-func (s *Slice) install(snap *pb.Snapshot) error {
+func (s *Replica) install(snap *pb.Snapshot) error {
 	state, err := statemachine.Restore(snap.GetData())
 	if err != nil {
 		return fmt.Errorf("slice %d: its snapshot: %w", s.no, err)
@@ -145,25 +145,25 @@
 	if err := s.log.ApplySnapshot(snap); err != nil && !errors.Is(err, raft.ErrSnapOutOfDate) {
 		return fmt.Errorf("slice %d: its snapshot: %w", s.no, err)
 	}
-	s.state, s.applied, s.snapAt = state, snap.GetMetadata().GetIndex(), snap.GetMetadata().GetIndex()
+	s.state, s.applied, s.snapshotIndex = state, snap.GetMetadata().GetIndex(), snap.GetMetadata().GetIndex()
 	s.conf = snap.GetMetadata().GetConfState()
 	return nil
 }
 
 // No is the slice's number.
-func (s *Slice) No() int { return s.no }
+func (s *Replica) Shard() int { return s.no }
 
 // Tick lets time pass: TickS.
-func (s *Slice) Tick() { s.rn.Tick() }
+func (s *Replica) Tick() { s.rn.Tick() }
 
 // Step takes a message of another holder. One that makes no sense is dropped, as raft does.
-func (s *Slice) Step(m *pb.Message) { _ = s.rn.Step(m) }
+func (s *Replica) Step(m *pb.Message) { _ = s.rn.Step(m) }
 
 // Unreachable says that a holder could not be sent to.
-func (s *Slice) Unreachable(id uint64) { s.rn.ReportUnreachable(id) }
+func (s *Replica) ReportUnreachable(id uint64) { s.rn.ReportUnreachable(id) }
 
 // Sent says how the sending of a snapshot ended.
-func (s *Slice) Sent(id uint64, ok bool) {
+func (s *Replica) ReportSnapshot(id uint64, ok bool) {
 	how := raft.SnapshotFinish
 	if !ok {
 		how = raft.SnapshotFailure
@@ -172,10 +172,10 @@
 }
 
 // Leads says whether this holder leads, and who does as far as it knows (0: nobody).
-func (s *Slice) Leads() (bool, uint64) { return s.leads, s.lead }
+func (s *Replica) Leadership() (bool, uint64) { return s.leads, s.lead }
 
 // Propose puts a command to the slice. Its answer comes by its asker and number, once most of the holders have it on their disks.
-func (s *Slice) Propose(c statemachine.Command) error {
+func (s *Replica) Propose(c statemachine.Command) error {
 	if !s.leads {
 		return ErrNotLeader
 	}
@@ -194,7 +194,7 @@
 
 // Read asks for a promise as it stands now: the answer comes once most holders have confirmed that this one still leads, so that one
 // who was stopped and wakes up believing that it does answers nothing old.
-func (s *Slice) Read(kind statemachine.Kind, key, asker string, ask uint64) error {
+func (s *Replica) Read(kind statemachine.Kind, key, asker string, ask uint64) error {
 	if !s.leads {
 		return ErrNotLeader
 	}
@@ -206,12 +206,12 @@
 }
 
 // Holders are who has a vote, and who is still catching up.
-func (s *Slice) Holders() (voters, learners []uint64) {
+func (s *Replica) Members() (voters, learners []uint64) {
 	return slices.Clone(s.conf.GetVoters()), slices.Clone(s.conf.GetLearners())
 }
 
 // Change brings a holder in, without a vote first, or takes one out. One change at a time.
-func (s *Slice) Change(add, remove uint64) error {
+func (s *Replica) ProposeConfChange(add, remove uint64) error {
 	if !s.leads {
 		return ErrNotLeader
 	}
@@ -237,13 +237,13 @@
 }
 
 // caughtUp says whether a learner has nearly all that the leader has.
-func (s *Slice) caughtUp(id uint64) bool {
+func (s *Replica) caughtUp(id uint64) bool {
 	p, ok := s.rn.Status().Progress[id]
 	return ok && p.Match+catchUp >= s.applied && p.Match > 0
 }
 
 // Lag is how many commands each holder lacks, as the leader knows.
-func (s *Slice) Lag() map[uint64]uint64 {
+func (s *Replica) Lag() map[uint64]uint64 {
 	out := map[uint64]uint64{}
 	if s.leads {
 		st := s.rn.Status()
@@ -256,23 +256,23 @@
 }
 
 // State is the promises as this holder has them; only a read is sure that they are the newest.
-func (s *Slice) State() *statemachine.State { return s.state }
+func (s *Replica) State() *statemachine.State { return s.state }
 
 // Work gives what is to be written and sent, false for nothing. Done has to follow before the next Work.
-func (s *Slice) Work() (Batch, bool) {
+func (s *Replica) Ready() (Ready, bool) {
 	if !s.rn.HasReady() {
-		return Batch{}, false
+		return Ready{}, false
 	}
 	rd := s.rn.Ready()
-	b := Batch{Slice: s.no, Hard: rd.HardState, Entries: rd.Entries, Sync: rd.MustSync, Messages: rd.Messages, ready: rd}
+	b := Ready{Shard: s.no, HardState: rd.HardState, Entries: rd.Entries, MustSync: rd.MustSync, Messages: rd.Messages, ready: rd}
 	if rd.Snapshot != nil && rd.Snapshot.GetMetadata().GetIndex() > 0 {
-		b.Snapshot, b.Sync = rd.Snapshot, true
+		b.Snapshot, b.MustSync = rd.Snapshot, true
 	}
 	return b, true
 }
 
 // Done says that a batch is on the disk, and gives the answers that follow from it.
-func (s *Slice) Done(b Batch) ([]Answer, error) {
+func (s *Replica) Advance(b Ready) ([]Response, error) {
 	rd := b.ready
 	if rd.SoftState != nil {
 		s.lead, s.leads = rd.SoftState.Lead, rd.SoftState.RaftState == raft.StateLeader
@@ -312,7 +312,7 @@
 	return out, nil
 }
 
-func (s *Slice) apply(e *pb.Entry) error {
+func (s *Replica) apply(e *pb.Entry) error {
 	s.applied = e.GetIndex()
 	switch {
 	case e.GetType() == pb.EntryType_EntryConfChangeV2:
@@ -339,27 +339,27 @@
 		}
 		r := s.state.Apply(e.GetIndex(), c)
 		if s.leads {
-			s.answers = append(s.answers, Answer{c.Asker, c.Ask, r})
+			s.answers = append(s.answers, Response{c.Requester, c.RequestNumber, r})
 		}
 	}
 	return nil
 }
 
-func (s *Slice) answerReads() {
+func (s *Replica) answerReads() {
 	s.reads = slices.DeleteFunc(s.reads, func(r read) bool {
 		if r.index == 0 || s.applied < r.index {
 			return false
 		}
 		p, ok := s.state.Get(r.kind, r.key)
-		s.answers = append(s.answers, Answer{r.asker, r.ask, s.state.Left(statemachine.Result{Granted: ok, Promise: p})})
+		s.answers = append(s.answers, Response{r.asker, r.ask, s.state.WithRemaining(statemachine.Result{Granted: ok, Reservation: p})})
 		return true
 	})
 }
 
 // Shorten makes a snapshot once enough commands have come since the last one, and drops what stands before it. Nil while not.
 // The snapshot has to be on the disk before the log there is shortened.
-func (s *Slice) Shorten() (*pb.Snapshot, error) {
-	if s.applied < s.snapAt+snapEvery {
+func (s *Replica) Compact() (*pb.Snapshot, error) {
+	if s.applied < s.snapshotIndex+snapshotInterval {
 		return nil, nil
 	}
 	data, err := s.state.Snapshot()
@@ -370,7 +370,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("slice %d: %w", s.no, err)
 	}
-	s.snapAt = s.applied
+	s.snapshotIndex = s.applied
 	if from := s.applied - min(s.applied, keepEntries); from > 1 {
 		if err := s.log.Compact(from); err != nil && !errors.Is(err, raft.ErrCompacted) {
 			return nil, fmt.Errorf("slice %d: %w", s.no, err)
@@ -380,7 +380,7 @@
 }
 
 // Campaign asks for the lead now: for the laboratory, and where a leader goes in good order.
-func (s *Slice) Campaign() { _ = s.rn.Campaign() }
+func (s *Replica) Campaign() { _ = s.rn.Campaign() }
 
 // Hand gives the lead to another holder.
-func (s *Slice) Hand(to uint64) { s.rn.TransferLeader(to) }
+func (s *Replica) TransferLeadership(to uint64) { s.rn.TransferLeader(to) }
--- a/internal/replication/shard/slice_test.go
+++ b/internal/replication/shard/slice_test.go
@@ -37,9 +37,9 @@
 // holder is a Slice with its disk, which outlasts it.
 type holder struct {
 	id    uint64
-	s     *Slice
-	disk  Saved
-	early Saved // what a loss of power leaves of it, where an acknowledgement goes out before the sync
+	s     *Replica
+	disk  PersistentState
+	early PersistentState // what a loss of power leaves of it, where an acknowledgement goes out before the sync
 }
 
 // broken is code broken on purpose, which the histories have to show.
@@ -76,7 +76,7 @@
 	s, err := New(3, h.id, h.disk, voters)
 	require.NoError(c.t, err)
 	if h.disk.Snapshot == nil && len(voters) > 0 {
-		h.disk.Snapshot = Birth(voters)
+		h.disk.Snapshot = InitialSnapshot(voters)
 		h.early = h.disk
 	}
 	h.s = s
@@ -84,12 +84,12 @@
 }
 
 // save puts a batch on a holder's disk.
-func save(d *Saved, b Batch) {
+func save(d *PersistentState, b Ready) {
 	if b.Snapshot != nil {
 		d.Snapshot, d.Entries = b.Snapshot, nil
 	}
-	if b.Hard != nil {
-		d.Hard = proto.Clone(b.Hard).(*pb.HardState)
+	if b.HardState != nil {
+		d.HardState = proto.Clone(b.HardState).(*pb.HardState)
 	}
 	for _, e := range b.Entries {
 		d.Entries = slices.DeleteFunc(slices.Clone(d.Entries), func(o *pb.Entry) bool { return o.GetIndex() >= e.GetIndex() })
@@ -100,7 +100,7 @@
 // work lets a holder write, send and answer.
 func (c *cluster) work(h *holder) {
 	for range 10 {
-		b, ok := h.s.Work()
+		b, ok := h.s.Ready()
 		if !ok {
 			return
 		}
@@ -109,7 +109,7 @@
 			h.early = h.disk
 		}
 		c.net = append(c.net, b.Messages...)
-		answers, err := h.s.Done(b)
+		answers, err := h.s.Advance(b)
 		require.NoError(c.t, err)
 		for _, a := range answers {
 			c.answered(a)
@@ -117,13 +117,13 @@
 	}
 }
 
-func (c *cluster) answered(a Answer) {
-	i, ok := c.calls[fmt.Sprint(a.Asker, a.Ask)]
+func (c *cluster) answered(a Response) {
+	i, ok := c.calls[fmt.Sprint(a.Requester, a.RequestNumber)]
 	if !ok {
 		return
 	}
-	delete(c.calls, fmt.Sprint(a.Asker, a.Ask))
-	c.history[i].Output = history.Output{Known: true, Granted: a.Result.Granted, Group: a.Result.Promise.Group}
+	delete(c.calls, fmt.Sprint(a.Requester, a.RequestNumber))
+	c.history[i].Output = history.Output{Answered: true, Granted: a.Result.Granted, Group: a.Result.Reservation.Group}
 	c.history[i].Return = c.step
 }
 
@@ -139,9 +139,9 @@
 	c.ask++
 	var err error
 	if x.Read {
-		err = h.s.Read(statemachine.Whereabouts, x.Key, "c", c.ask)
+		err = h.s.Read(statemachine.KindAttemptLocation, x.Key, "c", c.ask)
 	} else {
-		err = h.s.Propose(statemachine.Command{Op: statemachine.OpClaim, Now: 100, Key: x.Key, Group: x.Group, Lasts: 1e6, Asker: "c", Ask: c.ask})
+		err = h.s.Propose(statemachine.Command{Op: statemachine.OpReserve, Now: 100, Key: x.Key, Group: x.Group, LifetimeSeconds: 1e6, Requester: "c", RequestNumber: c.ask})
 	}
 	if err != nil {
 		return
@@ -149,8 +149,8 @@
 	c.calls[fmt.Sprint("c", c.ask)] = len(c.history)
 	c.history = append(c.history, porcupine.Operation{ClientId: int(c.ask), Input: x, Call: c.step, Output: history.Output{}, Return: history.Unanswered})
 	if x.Read && c.bad.lease { // answered at once from what it has, as one who was stopped would
-		p, ok := h.s.State().Get(statemachine.Whereabouts, x.Key)
-		c.answered(Answer{"c", c.ask, statemachine.Result{Granted: ok, Promise: p}})
+		p, ok := h.s.State().Get(statemachine.KindAttemptLocation, x.Key)
+		c.answered(Response{"c", c.ask, statemachine.Result{Granted: ok, Reservation: p}})
 	}
 }
 
@@ -172,7 +172,7 @@
 			to := c.all[m.GetTo()]
 			lost := to == nil || to.s == nil || to.id == c.stopped || c.cut[m.GetFrom()] != c.cut[m.GetTo()] || c.rnd.IntN(40) == 0
 			if from := c.all[m.GetFrom()]; m.GetType() == pb.MessageType_MsgSnap && from != nil && from.s != nil {
-				from.s.Sent(m.GetTo(), !lost)
+				from.s.ReportSnapshot(m.GetTo(), !lost)
 			}
 			if lost {
 				continue
@@ -194,7 +194,7 @@
 	case 3: // one who leads is stopped, and asked as soon as it wakes up
 		for _, o := range c.ids {
 			if x := c.all[o]; x != nil && x.s != nil {
-				if leads, _ := x.s.Leads(); leads {
+				if leads, _ := x.s.Leadership(); leads {
 					id = o
 				}
 			}
@@ -242,8 +242,8 @@
 			if h == nil || h.s == nil || id == fresh {
 				continue
 			}
-			voters, _ := h.s.Holders()
-			if leads, _ := h.s.Leads(); !leads {
+			voters, _ := h.s.Members()
+			if leads, _ := h.s.Leadership(); !leads {
 				continue
 			}
 			if slices.Contains(voters, fresh) {
@@ -251,9 +251,9 @@
 					in = true
 					break
 				}
-				_ = h.s.Change(0, gone)
+				_ = h.s.ProposeConfChange(0, gone)
 			} else {
-				_ = h.s.Change(fresh, 0)
+				_ = h.s.ProposeConfChange(fresh, 0)
 			}
 		}
 		if in {
@@ -270,7 +270,7 @@
 		c.trouble()
 		c.run(80)
 	}
-	return history.Check(c.history, 20*time.Second), c
+	return history.Linearizable(c.history, 20*time.Second), c
 }
 
 // TestHistoriesAreLinearizable plays losses of power, machines lost with their disks and cuts, and checks what clients were told.
@@ -281,7 +281,7 @@
 		assert.True(t, linear, "seed %d", seed)
 		for _, o := range c.history {
 			asked++
-			if o.Output.(history.Output).Known {
+			if o.Output.(history.Output).Answered {
 				answered++
 			}
 		}
@@ -316,21 +316,21 @@
 	for range 40_000 {
 		c.run(1)
 		for _, id := range c.ids {
-			if leads, _ := c.all[id].s.Leads(); leads && c.ask < snapEvery+1000 {
+			if leads, _ := c.all[id].s.Leadership(); leads && c.ask < snapshotInterval+1000 {
 				c.ask++
-				_ = c.all[id].s.Propose(statemachine.Command{Op: statemachine.OpClaim, Now: 100, Key: fmt.Sprint(c.ask), Group: "g", Lasts: 60, Asker: "x", Ask: c.ask})
+				_ = c.all[id].s.Propose(statemachine.Command{Op: statemachine.OpReserve, Now: 100, Key: fmt.Sprint(c.ask), Group: "g", LifetimeSeconds: 60, Requester: "x", RequestNumber: c.ask})
 			}
-			if snap, err := c.all[id].s.Shorten(); assert.NoError(t, err) && snap != nil {
+			if snap, err := c.all[id].s.Compact(); assert.NoError(t, err) && snap != nil {
 				h := c.all[id]
 				h.disk.Snapshot = snap
 				h.disk.Entries = slices.DeleteFunc(h.disk.Entries, func(e *pb.Entry) bool { return e.GetIndex() <= snap.GetMetadata().GetIndex() })
 			}
 		}
-		if c.all[1].s.applied > snapEvery+500 && c.all[2].s.applied > snapEvery+500 && c.all[3].s.applied > snapEvery+500 {
+		if c.all[1].s.applied > snapshotInterval+500 && c.all[2].s.applied > snapshotInterval+500 && c.all[3].s.applied > snapshotInterval+500 {
 			break
 		}
 	}
-	require.Greater(t, c.all[1].s.snapAt, uint64(snapEvery))
+	require.Greater(t, c.all[1].s.snapshotIndex, uint64(snapshotInterval))
 	c.all[2].s = nil
 	delete(c.all, 2)
 	c.ids = []uint64{1, 3, 4}
--- a/internal/replication/statemachine/record_test.go
+++ b/internal/replication/statemachine/record_test.go
@@ -11,11 +11,11 @@
 )
 
 func claim(now float64, key, group, asker string, ask uint64) Command {
-	return Command{Op: OpClaim, Now: now, Key: key, Group: group, Lasts: 6, Asker: asker, Ask: ask}
+	return Command{Op: OpReserve, Now: now, Key: key, Group: group, LifetimeSeconds: 6, Requester: asker, RequestNumber: ask}
 }
 
 func settle(now float64, key, group, asker string, ask uint64, state uint8) Command {
-	return Command{Op: OpSettle, Now: now, Key: key, Group: group, Asker: asker, Ask: ask, State: state}
+	return Command{Op: OpSettle, Now: now, Key: key, Group: group, Requester: asker, RequestNumber: ask, Status: state}
 }
 
 func TestSecondTryFollowsIntoItsGroup(t *testing.T) {
@@ -23,25 +23,25 @@
 	assert.True(t, s.Apply(1, claim(100, "k", "g1", "a", 1)).Granted)
 	r := s.Apply(2, claim(101, "k", "g2", "b", 1))
 	assert.False(t, r.Granted)
-	assert.Equal(t, []any{"g1", 106.0}, []any{r.Promise.Group, r.Promise.Until})
+	assert.Equal(t, []any{"g1", 106.0}, []any{r.Reservation.Group, r.Reservation.ExpiresAt})
 	r = s.Apply(3, claim(102, "k", "g1", "b", 2))
 	assert.True(t, r.Granted)
-	assert.Equal(t, 106.0, r.Promise.Until, "the window runs from the first hop")
-	s.Apply(4, settle(103, "k", "g1", "a", 1, Completed))
+	assert.Equal(t, 106.0, r.Reservation.ExpiresAt, "the window runs from the first hop")
+	s.Apply(4, settle(103, "k", "g1", "a", 1, StatusCompleted))
 	r = s.Apply(5, claim(104, "k", "g1", "c", 1))
 	assert.False(t, r.Granted)
-	assert.Equal(t, Completed, r.Promise.State)
-	assert.False(t, s.Apply(6, claim(106+Linger, "k", "g2", "c", 2)).Granted, "its client may still ask")
-	assert.True(t, s.Apply(7, claim(106.1+Linger, "k", "g2", "c", 3)).Granted)
+	assert.Equal(t, StatusCompleted, r.Reservation.Status)
+	assert.False(t, s.Apply(6, claim(106+RetentionSeconds, "k", "g2", "c", 2)).Granted, "its client may still ask")
+	assert.True(t, s.Apply(7, claim(106.1+RetentionSeconds, "k", "g2", "c", 3)).Granted)
 }
 
 func TestNothingGoesIntoAGroupThatDropsRepeatsNoMore(t *testing.T) {
 	s := New()
 	s.Apply(1, claim(100, "k", "g1", "a", 1))
-	assert.True(t, s.Apply(2, claim(106-Margin, "k", "g1", "b", 1)).Granted)
+	assert.True(t, s.Apply(2, claim(106-WindowMarginSeconds, "k", "g1", "b", 1)).Granted)
 	r := s.Apply(3, claim(106.1, "k", "g1", "b", 2))
 	assert.False(t, r.Granted, "it would run a second time")
-	assert.InDelta(t, -0.1, r.Left, 1e-9)
+	assert.InDelta(t, -0.1, r.RemainingSeconds, 1e-9)
 }
 
 func TestHarmlessOnlyWhenAllClaimsAreSo(t *testing.T) {
@@ -49,17 +49,17 @@
 	s.Apply(1, claim(100, "k", "g1", "a", 1))
 	s.Apply(2, claim(100, "k", "g1", "a", 1)) // asked again: the same one
 	s.Apply(3, claim(100, "k", "g1", "b", 7))
-	s.Apply(4, settle(101, "k", "g1", "b", 7, Harmless))
-	s.Apply(5, settle(101, "k", "g1", "b", 7, Harmless)) // told again: it must not stand for a's
+	s.Apply(4, settle(101, "k", "g1", "b", 7, StatusNotExecuted))
+	s.Apply(5, settle(101, "k", "g1", "b", 7, StatusNotExecuted)) // told again: it must not stand for a's
 	assert.False(t, s.Apply(6, claim(101, "k", "g2", "c", 1)).Granted, "a's hop may have run")
-	s.Apply(7, settle(101, "k", "g1", "a", 1, Harmless))
+	s.Apply(7, settle(101, "k", "g1", "a", 1, StatusNotExecuted))
 	assert.True(t, s.Apply(8, claim(101, "k", "g2", "c", 1)).Granted)
 	s = New()
-	for i := range mostGrants + 2 {
+	for i := range maxGrants + 2 {
 		s.Apply(uint64(i+1), claim(100, "k", "g", "a", uint64(i)))
 	}
-	for i := range mostGrants + 2 {
-		s.Apply(uint64(100+i), settle(100, "k", "g", "a", uint64(i), Harmless))
+	for i := range maxGrants + 2 {
+		s.Apply(uint64(100+i), settle(100, "k", "g", "a", uint64(i), StatusNotExecuted))
 	}
 	assert.False(t, s.Apply(200, claim(100, "k", "other", "b", 1)).Granted, "too many to tell apart: it stays open")
 }
@@ -68,7 +68,7 @@
 	s := New()
 	s.Apply(1, claim(1000, "k", "g1", "a", 1))
 	r := s.Apply(2, claim(100, "x", "g1", "a", 2)) // a leader whose clock is behind
-	assert.Equal(t, 1000.0, r.Promise.First)
+	assert.Equal(t, 1000.0, r.Reservation.CreatedAt)
 	assert.Equal(t, 1000.0, s.Now())
 }
 
@@ -83,8 +83,8 @@
 		for i := range rapid.IntRange(1, 60).Draw(t, "commands") {
 			now += rapid.Float64Range(-1, 4).Draw(t, "step")
 			key, group := fmt.Sprint(rapid.IntRange(0, 2).Draw(t, "key")), fmt.Sprint(rapid.IntRange(0, 1).Draw(t, "group"))
-			c := Command{Op: Op(rapid.IntRange(1, 4).Draw(t, "op")), Now: now, Key: key, Group: group, Lasts: 6, State: uint8(rapid.IntRange(1, 2).Draw(t, "state")),
-				Asker: "r", Ask: uint64(rapid.IntRange(0, 3).Draw(t, "ask")), Kind: Purge}
+			c := Command{Op: Op(rapid.IntRange(1, 4).Draw(t, "op")), Now: now, Key: key, Group: group, LifetimeSeconds: 6, Status: uint8(rapid.IntRange(1, 2).Draw(t, "state")),
+				Requester: "r", RequestNumber: uint64(rapid.IntRange(0, 3).Draw(t, "ask")), Kind: KindPurge}
 			text, err := c.Encode()
 			if err != nil {
 				t.Fatal(err)
@@ -97,16 +97,16 @@
 			if fmt.Sprint(ra) != fmt.Sprint(rb) {
 				t.Fatalf("%+v, %+v", ra, rb)
 			}
-			if c.Op == OpClaim && ra.Granted {
-				if g, ok := holds[key]; ok && a.Now() <= until[key]+Linger {
-					if g != group || a.Now() > until[key]-Margin {
+			if c.Op == OpReserve && ra.Granted {
+				if g, ok := holds[key]; ok && a.Now() <= until[key]+RetentionSeconds {
+					if g != group || a.Now() > until[key]-WindowMarginSeconds {
 						t.Fatalf("%s granted to %s at %v while %s may have run, window to %v", key, group, a.Now(), g, until[key])
 					}
 				} else {
-					holds[key], until[key] = group, ra.Promise.Until
+					holds[key], until[key] = group, ra.Reservation.ExpiresAt
 				}
 			}
-			if c.Op == OpSettle && ra.Granted && ra.Promise.State == Harmless {
+			if c.Op == OpSettle && ra.Granted && ra.Reservation.Status == StatusNotExecuted {
 				delete(holds, key)
 			}
 			if rapid.IntRange(0, 9).Draw(t, "restore") == 0 {
@@ -134,18 +134,18 @@
 	}
 	assert.Equal(t, 10_000, s.Len())
 	for i := range 60 {
-		s.Apply(uint64(20_000+i), Command{Op: OpSweep, Now: 200})
+		s.Apply(uint64(20_000+i), Command{Op: OpAdvanceTime, Now: 200})
 	}
 	assert.Zero(t, s.Len())
-	_, ok := s.Oldest()
+	_, ok := s.FirstToExpire()
 	assert.False(t, ok)
 }
 
 func TestBadCommandsAndSnapshots(t *testing.T) {
-	for _, c := range []Command{{}, {Op: 9, Key: "k"}, {Op: OpClaim}, {Op: OpClaim, Key: string(make([]byte, MostKey+1))}, {Op: OpPut, Key: "k", Kind: Whereabouts},
-		{Op: OpPut, Key: "k", Kind: kinds}, {Op: OpClaim, Key: "k", Lasts: -1}, {Op: OpSettle, Key: "k", State: 7}, {Op: OpPut, Key: "k", Kind: Purge, Value: make([]byte, MostValue+1)}} {
+	for _, c := range []Command{{}, {Op: 9, Key: "k"}, {Op: OpReserve}, {Op: OpReserve, Key: string(make([]byte, MaxKeyBytes+1))}, {Op: OpPut, Key: "k", Kind: KindAttemptLocation},
+		{Op: OpPut, Key: "k", Kind: kindEnd}, {Op: OpReserve, Key: "k", LifetimeSeconds: -1}, {Op: OpSettle, Key: "k", Status: 7}, {Op: OpPut, Key: "k", Kind: KindPurge, Value: make([]byte, MaxValueBytes+1)}} {
 		_, err := c.Encode()
-		assert.ErrorIs(t, err, ErrBad, "%+v", c)
+		assert.ErrorIs(t, err, ErrInvalid, "%+v", c)
 	}
 	s := New()
 	s.Apply(1, claim(100, "k", "g", "a", 1))
@@ -155,7 +155,7 @@
 		bad := bytes.Clone(image)
 		bad[i] ^= 1
 		_, err := Restore(bad)
-		assert.ErrorIs(t, err, ErrBad, "byte %d", i)
+		assert.ErrorIs(t, err, ErrInvalid, "byte %d", i)
 	}
 	for n := range image {
 		_, err := Restore(image[:n])
--- a/internal/replication/transport/link.go
+++ b/internal/replication/transport/link.go
@@ -26,15 +26,15 @@
 
 // Bounds and times of connections.
 const (
-	Longest   = 8 << 20 // bytes of a frame: a snapshot of a slice with 40,000 promises
-	mostQueue = 4096    // frames that wait for a peer
-	mostBytes = 16 << 20
-	dialEvery = 200 * time.Millisecond // between attempts, up to
-	dialMost  = 2 * time.Second
-	patience  = 2 * time.Second // for a handshake
-	idleMost  = 10 * time.Second
-	beatEvery = time.Second
-	protocol  = "cairnfront-ledger/1" // of the handshake: another version is refused before a frame is read
+	MaxFrameBytes   = 8 << 20 // bytes of a frame: a snapshot of a slice with 40,000 promises
+	maxQueuedFrames = 4096    // frames that wait for a peer
+	maxQueuedBytes  = 16 << 20
+	dialEvery       = 200 * time.Millisecond // between attempts, up to
+	dialMost        = 2 * time.Second
+	patience        = 2 * time.Second // for a handshake
+	idleMost        = 10 * time.Second
+	beatEvery       = time.Second
+	protocol        = "cairnfront-ledger/1" // of the handshake: another version is refused before a frame is read
 )
 
 // Kind of a frame.
@@ -42,47 +42,47 @@
 
 // The kinds: who speaks; a message of raft; a command or a read for a slice, its answer, and who leads instead; nothing.
 const (
-	Hello Kind = iota + 1
-	Raft
-	Ask
-	Read
-	Answer
-	NotHere
-	Beat
+	KindHello Kind = iota + 1
+	KindRaft
+	KindPropose
+	KindRead
+	KindResult
+	KindNotLeader
+	KindHeartbeat
 )
 
 // Frame is what goes between two routers. Parts that a version does not know are skipped.
 type Frame struct {
-	Kind   Kind                 `cbor:"1,keyasint"`
-	Slice  int                  `cbor:"2,keyasint,omitempty"`
-	Text   []byte               `cbor:"3,keyasint,omitempty"` // Raft: the message; Ask: the command
-	No     uint64               `cbor:"4,keyasint,omitempty"` // of a question
-	Key    string               `cbor:"5,keyasint,omitempty"` // Read
-	What   statemachine.Kind    `cbor:"6,keyasint,omitempty"` // Read
-	Result *statemachine.Result `cbor:"7,keyasint,omitempty"` // Answer
-	Holder uint64               `cbor:"8,keyasint,omitempty"` // Hello: the disk's number; NotHere: who leads, 0 for nobody known
-	Boots  uint32               `cbor:"9,keyasint,omitempty"` // Hello
-	Zone   string               `cbor:"10,keyasint,omitempty"`
-	Began  map[int][]uint64     `cbor:"11,keyasint,omitempty"` // Hello: the slices held, with their voters
-	Seen   map[uint64]uint32    `cbor:"12,keyasint,omitempty"` // Hello: how often each disk was seen to start
+	Kind            Kind                 `cbor:"1,keyasint"`
+	Shard           int                  `cbor:"2,keyasint,omitempty"`
+	Payload         []byte               `cbor:"3,keyasint,omitempty"` // Raft: the message; Ask: the command
+	Number          uint64               `cbor:"4,keyasint,omitempty"` // of a question
+	Key             string               `cbor:"5,keyasint,omitempty"` // Read
+	ReservationKind statemachine.Kind    `cbor:"6,keyasint,omitempty"` // Read
+	Result          *statemachine.Result `cbor:"7,keyasint,omitempty"` // Answer
+	Replica         uint64               `cbor:"8,keyasint,omitempty"` // Hello: the disk's number; NotHere: who leads, 0 for nobody known
+	StartCount      uint32               `cbor:"9,keyasint,omitempty"` // Hello
+	Zone            string               `cbor:"10,keyasint,omitempty"`
+	ShardVoters     map[int][]uint64     `cbor:"11,keyasint,omitempty"` // Hello: the slices held, with their voters
+	SeenStartCounts map[uint64]uint32    `cbor:"12,keyasint,omitempty"` // Hello: how often each disk was seen to start
 }
 
 var enc, dec = cborcodec.Modes(1 << 16)
 
 // Peer is another router.
 type Peer struct {
-	Name string
-	Key  ed25519.PublicKey
-	Addr string
+	Name      string
+	PublicKey ed25519.PublicKey
+	Address   string
 }
 
 // Net is one router's connections. Took hears each frame with who sent it; it must not wait for long.
-type Net struct {
-	Me    string
-	Key   ed25519.PrivateKey
-	Peers []Peer
-	Took  func(from string, f Frame)
-	Up    func(name string, up bool)
+type Transport struct {
+	Name        string
+	PrivateKey  ed25519.PrivateKey
+	Peers       []Peer
+	OnFrame     func(from string, f Frame)
+	OnPeerState func(name string, up bool)
 
 	mu    sync.Mutex
 	lines map[string]*line
@@ -98,16 +98,16 @@
 }
 
 // certificate names this router by its key; nobody signs for it but itself, the roster does.
-func (n *Net) certificate() (tls.Certificate, error) {
-	t := &x509.Certificate{SerialNumber: big.NewInt(1), DNSNames: []string{n.Me}, NotBefore: time.Unix(0, 0), NotAfter: time.Unix(1<<33, 0)}
-	der, err := x509.CreateCertificate(rand.Reader, t, t, n.Key.Public(), n.Key)
+func (n *Transport) certificate() (tls.Certificate, error) {
+	t := &x509.Certificate{SerialNumber: big.NewInt(1), DNSNames: []string{n.Name}, NotBefore: time.Unix(0, 0), NotAfter: time.Unix(1<<33, 0)}
+	der, err := x509.CreateCertificate(rand.Reader, t, t, n.PrivateKey.Public(), n.PrivateKey)
 	if err != nil {
 		return tls.Certificate{}, fmt.Errorf("the ledger's certificate: %w", err)
 	}
-	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: n.Key}, nil
+	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: n.PrivateKey}, nil
 }
 
-func (n *Net) terms() (*tls.Config, error) {
+func (n *Transport) terms() (*tls.Config, error) {
 	cert, err := n.certificate()
 	if err != nil {
 		return nil, err
@@ -118,7 +118,7 @@
 }
 
 // who is the peer at the other end, by its key.
-func (n *Net) who(c *tls.Conn) (string, error) {
+func (n *Transport) who(c *tls.Conn) (string, error) {
 	s := c.ConnectionState()
 	if s.NegotiatedProtocol != protocol {
 		return "", fmt.Errorf("it speaks %q, this program %q", s.NegotiatedProtocol, protocol)
@@ -128,7 +128,7 @@
 	}
 	key, ok := s.PeerCertificates[0].PublicKey.(ed25519.PublicKey)
 	for _, p := range n.Peers {
-		if ok && key.Equal(p.Key) && p.Name != n.Me {
+		if ok && key.Equal(p.PublicKey) && p.Name != n.Name {
 			return p.Name, nil
 		}
 	}
@@ -136,7 +136,7 @@
 }
 
 // Run serves until the context ends. Of a pair the one with the lesser name dials.
-func (n *Net) Run(ctx context.Context, ln net.Listener) error {
+func (n *Transport) Run(ctx context.Context, ln net.Listener) error {
 	terms, err := n.terms()
 	if err != nil {
 		return err
@@ -167,7 +167,7 @@
 		}
 	})
 	for _, p := range n.Peers {
-		if n.Me < p.Name {
+		if n.Name < p.Name {
 			g.Go(func() error {
 				n.dial(ctx, p, terms)
 				return nil
@@ -177,11 +177,11 @@
 	return g.Wait()
 }
 
-func (n *Net) dial(ctx context.Context, p Peer, terms *tls.Config) {
+func (n *Transport) dial(ctx context.Context, p Peer, terms *tls.Config) {
 	wait := dialEvery
 	for ctx.Err() == nil {
 		d := net.Dialer{Timeout: patience}
-		c, err := d.DialContext(ctx, "tcp", p.Addr)
+		c, err := d.DialContext(ctx, "tcp", p.Address)
 		if err == nil {
 			began := time.Now()
 			n.serve(ctx, tls.Client(c, terms), p.Name)
@@ -198,7 +198,7 @@
 }
 
 // serve carries one connection until it ends.
-func (n *Net) serve(ctx context.Context, c *tls.Conn, want string) {
+func (n *Transport) serve(ctx context.Context, c *tls.Conn, want string) {
 	defer c.Close()
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	defer stop()
@@ -212,9 +212,9 @@
 	}
 	_ = c.SetDeadline(time.Time{})
 	l := n.line(name)
-	if n.Up != nil {
-		n.Up(name, true)
-		defer n.Up(name, false)
+	if n.OnPeerState != nil {
+		n.OnPeerState(name, true)
+		defer n.OnPeerState(name, false)
 	}
 	done := make(chan struct{})
 	go func() {
@@ -229,7 +229,7 @@
 			break
 		}
 		size := binary.BigEndian.Uint32(head)
-		if size > Longest {
+		if size > MaxFrameBytes {
 			break
 		}
 		text := make([]byte, size)
@@ -240,8 +240,8 @@
 		if dec.Unmarshal(text, &f) != nil {
 			break
 		}
-		if f.Kind != Beat {
-			n.Took(name, f)
+		if f.Kind != KindHeartbeat {
+			n.OnFrame(name, f)
 		}
 	}
 	_ = c.Close()
@@ -249,7 +249,7 @@
 	<-done
 }
 
-func (n *Net) line(name string) *line {
+func (n *Transport) line(name string) *line {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.lines == nil {
@@ -274,7 +274,7 @@
 func (l *line) write(ctx context.Context, c net.Conn, _ chan struct{}) {
 	beat := time.NewTicker(beatEvery)
 	defer beat.Stop()
-	empty, _ := framed(Frame{Kind: Beat})
+	empty, _ := framed(Frame{Kind: KindHeartbeat})
 	for {
 		l.mu.Lock()
 		list := l.queue
@@ -302,21 +302,21 @@
 	if err != nil {
 		return nil, fmt.Errorf("a frame: %w", err)
 	}
-	if len(text) > Longest {
-		return nil, fmt.Errorf("a frame of %d bytes, over %d", len(text), Longest)
+	if len(text) > MaxFrameBytes {
+		return nil, fmt.Errorf("a frame of %d bytes, over %d", len(text), MaxFrameBytes)
 	}
 	return append(binary.BigEndian.AppendUint32(make([]byte, 0, 4+len(text)), uint32(len(text))), text...), nil
 }
 
 // Send queues a frame for a peer; false where there is no room, and then it is lost.
-func (n *Net) Send(to string, f Frame) bool {
+func (n *Transport) Send(to string, f Frame) bool {
 	text, err := framed(f)
 	if err != nil {
 		return false
 	}
 	l := n.line(to)
 	l.mu.Lock()
-	ok := len(l.queue) < mostQueue && l.bytes+len(text) <= mostBytes
+	ok := len(l.queue) < maxQueuedFrames && l.bytes+len(text) <= maxQueuedBytes
 	if ok {
 		l.queue, l.bytes = append(l.queue, text), l.bytes+len(text)
 	} else {
--- a/internal/replication/transport/link_test.go
+++ b/internal/replication/transport/link_test.go
@@ -17,9 +17,9 @@
 func key(c string) ed25519.PrivateKey { return ed25519.NewKeyFromSeed([]byte(strings.Repeat(c, 32))) }
 
 // start runs a router's connections; what it takes comes out of the channel.
-func start(t *testing.T, me string, k ed25519.PrivateKey, ln net.Listener, peers []Peer) (*Net, chan Frame, chan bool) {
+func start(t *testing.T, me string, k ed25519.PrivateKey, ln net.Listener, peers []Peer) (*Transport, chan Frame, chan bool) {
 	took, up := make(chan Frame, 100), make(chan bool, 100)
-	n := &Net{Me: me, Key: k, Peers: peers, Took: func(_ string, f Frame) { took <- f }, Up: func(_ string, is bool) { up <- is }}
+	n := &Transport{Name: me, PrivateKey: k, Peers: peers, OnFrame: func(_ string, f Frame) { took <- f }, OnPeerState: func(_ string, is bool) { up <- is }}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error)
 	go func() { done <- n.Run(ctx, ln) }()
@@ -44,17 +44,17 @@
 	case <-time.After(waits):
 		t.Fatal("they do not meet")
 	}
-	require.True(t, one.Send("b", Frame{Kind: Read, Slice: 7, Key: "k", No: 3}))
+	require.True(t, one.Send("b", Frame{Kind: KindRead, Shard: 7, Key: "k", Number: 3}))
 	select {
 	case f := <-took:
-		assert.Equal(t, Frame{Kind: Read, Slice: 7, Key: "k", No: 3}, f)
+		assert.Equal(t, Frame{Kind: KindRead, Shard: 7, Key: "k", Number: 3}, f)
 	case <-time.After(waits):
 		t.Fatal("nothing came")
 	}
 	// Somebody with a key of its own under a's name.
 	c := listen(t)
 	liar, _, up := start(t, "a", key("x"), c, []Peer{{"a", key("x").Public().(ed25519.PublicKey), ""}, peers[1]})
-	liar.Send("b", Frame{Kind: Read, Key: "forged"})
+	liar.Send("b", Frame{Kind: KindRead, Key: "forged"})
 	select {
 	case <-up: // TLS 1.3 lets a client think that it is through until it reads
 	case <-time.After(time.Second):
@@ -67,21 +67,21 @@
 }
 
 func TestWhatWaitsIsBounded(t *testing.T) {
-	n := &Net{Me: "a", Key: key("a")}
+	n := &Transport{Name: "a", PrivateKey: key("a")}
 	sent := 0
-	for range 2 * mostQueue {
-		if n.Send("b", Frame{Kind: Raft, Text: make([]byte, 10)}) {
+	for range 2 * maxQueuedFrames {
+		if n.Send("b", Frame{Kind: KindRaft, Payload: make([]byte, 10)}) {
 			sent++
 		}
 	}
-	assert.Equal(t, mostQueue, sent)
-	assert.False(t, n.Send("b", Frame{Kind: Raft, Text: make([]byte, Longest+1)}))
-	n = &Net{Me: "a", Key: key("a")}
+	assert.Equal(t, maxQueuedFrames, sent)
+	assert.False(t, n.Send("b", Frame{Kind: KindRaft, Payload: make([]byte, MaxFrameBytes+1)}))
+	n = &Transport{Name: "a", PrivateKey: key("a")}
 	sent = 0
 	for range 100 {
-		if n.Send("b", Frame{Kind: Raft, Text: make([]byte, 1<<20)}) {
+		if n.Send("b", Frame{Kind: KindRaft, Payload: make([]byte, 1<<20)}) {
 			sent++
 		}
 	}
-	assert.LessOrEqual(t, sent, mostBytes>>20)
+	assert.LessOrEqual(t, sent, maxQueuedBytes>>20)
 }
--- a/internal/replication/verify.go
+++ b/internal/replication/verify.go
@@ -20,7 +20,7 @@
 func Verify(w io.Writer, paths []string) bool {
 	type one struct {
 		path  string
-		saved map[int]shard.Saved
+		saved map[int]shard.PersistentState
 	}
 	var all []one
 	ok := true
@@ -44,7 +44,7 @@
 			entries += len(s.Entries)
 			times = max(times, state.Now())
 		}
-		fmt.Fprintf(w, "%s: router %s, holder %x, started %d times: %d slices, %d promises, %d commands in the log, newest at Unix %.0f s\n", path, me.Owner, me.ID, me.Boots,
+		fmt.Fprintf(w, "%s: router %s, holder %x, started %d times: %d slices, %d promises, %d commands in the log, newest at Unix %.0f s\n", path, me.Owner, me.ID, me.StartCount,
 			len(saved), promises, entries, times)
 		all = append(all, one{path, saved})
 	}
@@ -72,7 +72,7 @@
 }
 
 // replay is the state that a holder's snapshot and agreed commands come to.
-func replay(s shard.Saved) (*statemachine.State, error) {
+func replay(s shard.PersistentState) (*statemachine.State, error) {
 	state := statemachine.New()
 	from := uint64(0)
 	if s.Snapshot != nil {
@@ -83,7 +83,7 @@
 		from = s.Snapshot.GetMetadata().GetIndex()
 	}
 	for _, e := range s.Entries {
-		if e.GetIndex() <= from || e.GetIndex() > s.Hard.GetCommit() || e.GetType() != pb.EntryType_EntryNormal || len(e.GetData()) == 0 {
+		if e.GetIndex() <= from || e.GetIndex() > s.HardState.GetCommit() || e.GetType() != pb.EntryType_EntryNormal || len(e.GetData()) == 0 {
 			continue
 		}
 		if c, err := statemachine.Decode(e.GetData()); err == nil {
@@ -94,8 +94,8 @@
 }
 
 // compare looks through the commands that two holders both have and both know to be agreed on.
-func compare(a, b shard.Saved) (at uint64, why string) {
-	agreed := min(a.Hard.GetCommit(), b.Hard.GetCommit())
+func compare(a, b shard.PersistentState) (at uint64, why string) {
+	agreed := min(a.HardState.GetCommit(), b.HardState.GetCommit())
 	for _, x := range a.Entries {
 		i := slices.IndexFunc(b.Entries, func(e *pb.Entry) bool { return e.GetIndex() == x.GetIndex() })
 		if x.GetIndex() > agreed || i < 0 {
--- a/internal/replication/verify_test.go
+++ b/internal/replication/verify_test.go
@@ -19,9 +19,9 @@
 	path := t.TempDir()
 	f, _, err := wal.Open(vfs.Dir(path), "r1", func() uint64 { return 5 })
 	require.NoError(t, err)
-	text, err := statemachine.Command{Op: statemachine.OpClaim, Now: 100, Key: "k", Group: group, Lasts: 60, Asker: "a", Ask: 1}.Encode()
+	text, err := statemachine.Command{Op: statemachine.OpReserve, Now: 100, Key: "k", Group: group, LifetimeSeconds: 60, Requester: "a", RequestNumber: 1}.Encode()
 	require.NoError(t, err)
-	require.NoError(t, f.Write([]shard.Batch{{Slice: 3, Sync: true, Snapshot: shard.Birth([]uint64{5}), Hard: &pb.HardState{Term: proto.Uint64(2), Vote: proto.Uint64(5), Commit: proto.Uint64(2)},
+	require.NoError(t, f.Write([]shard.Ready{{Shard: 3, MustSync: true, Snapshot: shard.InitialSnapshot([]uint64{5}), HardState: &pb.HardState{Term: proto.Uint64(2), Vote: proto.Uint64(5), Commit: proto.Uint64(2)},
 		Entries: []*pb.Entry{{Index: proto.Uint64(2), Term: proto.Uint64(2), Type: pb.EntryType_EntryNormal.Enum(), Data: text}}}}))
 	f.Close()
 	return path
--- a/internal/replication/wal/folder.go
+++ b/internal/replication/wal/folder.go
@@ -24,11 +24,11 @@
 )
 
 const (
-	version  = 1
-	nameFile = "holder"
-	lockFile = "lock"
-	logName  = "log-%08x"
-	snapName = "slice-%02x-%016x"
+	version            = 1
+	identityFile       = "holder"
+	lockFile           = "lock"
+	logNameFormat      = "log-%08x"
+	snapshotNameFormat = "slice-%02x-%016x"
 
 	rotateAt = 16 << 20 // bytes of a log file before the next one begins with what still counts
 	longest  = 8 << 20  // bytes of a record
@@ -37,32 +37,32 @@
 
 // Kinds of records.
 const (
-	kindHard    = 1
-	kindEntry   = 2
-	kindSnap    = 3 // names a snapshot's index: entries up to it no longer count
-	kindForget  = 4 // the slice is not held here any more
-	kindStarted = 5 // first of a file: version, and the bytes of what the file begins with
-	kindBatch   = 6 // before each batch: up to where the file was synced
+	kindHardState   = 1
+	kindEntry       = 2
+	kindSnapshot    = 3 // names a snapshot's index: entries up to it no longer count
+	kindRemoveShard = 4 // the slice is not held here any more
+	kindFileHeader  = 5 // first of a file: version, and the bytes of what the file begins with
+	kindBatchHeader = 6 // before each batch: up to where the file was synced
 )
 
 // Errors that a caller tells apart.
 var (
-	ErrDamaged = errors.New("the ledger's folder is damaged")
-	ErrLater   = errors.New("the ledger's folder was written by a later version")
-	ErrOther   = errors.New("the ledger's folder is another router's")
+	ErrCorrupt      = errors.New("the ledger's folder is damaged")
+	ErrNewerVersion = errors.New("the ledger's folder was written by a later version")
+	ErrForeignOwner = errors.New("the ledger's folder is another router's")
 )
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
 // Identity is what names a holder.
 type Identity struct {
-	ID    uint64 // drawn when the folder was made
-	Owner string // the router's name
-	Boots uint32 // times that it was opened: one brought back from an old copy has fewer than its peers have seen
+	ID         uint64 // drawn when the folder was made
+	Owner      string // the router's name
+	StartCount uint32 // times that it was opened: one brought back from an old copy has fewer than its peers have seen
 }
 
 // Folder is an open one. It belongs to one goroutine.
-type Folder struct {
+type WAL struct {
 	fs      vfs.FS
 	me      Identity
 	release func()
@@ -73,8 +73,8 @@
 	held    map[int]*held
 	buf     []byte
 	// Counts for operators.
-	Syncs, Bytes int64
-	broken       error // after a write or sync that failed nothing more is written: what is on the disk is not known
+	SyncCount, BytesWritten int64
+	broken                  error // after a write or sync that failed nothing more is written: what is on the disk is not known
 }
 
 // held is what of a slice counts.
@@ -85,12 +85,12 @@
 }
 
 // Open opens a router's folder, or makes it. Draw gives the number of a new one.
-func Open(fs vfs.FS, owner string, draw func() uint64) (*Folder, map[int]shard.Saved, error) {
+func Open(fs vfs.FS, owner string, draw func() uint64) (*WAL, map[int]shard.PersistentState, error) {
 	release, err := fs.Lock(lockFile)
 	if err != nil {
 		return nil, nil, fmt.Errorf("the ledger's folder: %w", err)
 	}
-	f := &Folder{fs: fs, release: release, held: map[int]*held{}}
+	f := &WAL{fs: fs, release: release, held: map[int]*held{}}
 	saved, err := f.open(owner, draw)
 	if err != nil {
 		f.Close()
@@ -100,9 +100,9 @@
 }
 
 // Me is the holder's identity.
-func (f *Folder) Me() Identity { return f.me }
+func (f *WAL) Identity() Identity { return f.me }
 
-func (f *Folder) open(owner string, draw func() uint64) (map[int]shard.Saved, error) {
+func (f *WAL) open(owner string, draw func() uint64) (map[int]shard.PersistentState, error) {
 	if err := f.identify(owner, draw); err != nil {
 		return nil, err
 	}
@@ -131,10 +131,10 @@
 }
 
 // saved is what counts of each slice.
-func (f *Folder) saved() (map[int]shard.Saved, error) {
-	out := map[int]shard.Saved{}
+func (f *WAL) saved() (map[int]shard.PersistentState, error) {
+	out := map[int]shard.PersistentState{}
 	for no, h := range f.held {
-		s := shard.Saved{Hard: h.hard, Entries: h.entries}
+		s := shard.PersistentState{HardState: h.hard, Entries: h.entries}
 		if h.snap > 0 {
 			var err error
 			if s.Snapshot, err = f.snapshot(no, h.snap); err != nil {
@@ -147,12 +147,12 @@
 }
 
 // Inspect reads a stopped router's folder and changes nothing in it.
-func Inspect(fs vfs.FS) (Identity, map[int]shard.Saved, error) {
-	text, err := readAll(fs, nameFile)
+func Inspect(fs vfs.FS) (Identity, map[int]shard.PersistentState, error) {
+	text, err := readFile(fs, identityFile)
 	if err != nil {
 		return Identity{}, nil, fmt.Errorf("the ledger's folder: %w", err)
 	}
-	f := &Folder{fs: fs, held: map[int]*held{}}
+	f := &WAL{fs: fs, held: map[int]*held{}}
 	if f.me, err = parseIdentity(text); err != nil {
 		return f.me, nil, err
 	}
@@ -167,7 +167,7 @@
 		}
 	}
 	if last == "" {
-		return f.me, nil, fmt.Errorf("%w: it has no log", ErrDamaged)
+		return f.me, nil, fmt.Errorf("%w: it has no log", ErrCorrupt)
 	}
 	if err := f.read(last, false); err != nil {
 		return f.me, nil, err
@@ -177,8 +177,8 @@
 }
 
 // identify reads who the folder belongs to, or makes it, and counts this opening.
-func (f *Folder) identify(owner string, draw func() uint64) error {
-	text, err := readAll(f.fs, nameFile)
+func (f *WAL) identify(owner string, draw func() uint64) error {
+	text, err := readFile(f.fs, identityFile)
 	switch {
 	case errors.Is(err, vfs.ErrGone):
 		f.me = Identity{ID: draw() | 1, Owner: owner}
@@ -189,28 +189,28 @@
 			return err
 		}
 		if f.me.Owner != owner {
-			return fmt.Errorf("%w: it is %q's, this is %q", ErrOther, f.me.Owner, owner)
+			return fmt.Errorf("%w: it is %q's, this is %q", ErrForeignOwner, f.me.Owner, owner)
 		}
 	}
-	f.me.Boots++
+	f.me.StartCount++
 	b := []byte{version}
 	b = binary.BigEndian.AppendUint64(b, f.me.ID)
-	b = binary.BigEndian.AppendUint32(b, f.me.Boots)
+	b = binary.BigEndian.AppendUint32(b, f.me.StartCount)
 	b = append(b, f.me.Owner...)
-	return replace(f.fs, nameFile, binary.BigEndian.AppendUint32(b, crc32.Checksum(b, castagnoli)))
+	return replaceFile(f.fs, identityFile, binary.BigEndian.AppendUint32(b, crc32.Checksum(b, castagnoli)))
 }
 
 func parseIdentity(text []byte) (Identity, error) {
 	if len(text) < 17 || crc32.Checksum(text[:len(text)-4], castagnoli) != binary.BigEndian.Uint32(text[len(text)-4:]) {
-		return Identity{}, fmt.Errorf("%w: the file %s", ErrDamaged, nameFile)
+		return Identity{}, fmt.Errorf("%w: the file %s", ErrCorrupt, identityFile)
 	}
 	if text[0] > version {
-		return Identity{}, fmt.Errorf("%w: %d, this program reads %d", ErrLater, text[0], version)
+		return Identity{}, fmt.Errorf("%w: %d, this program reads %d", ErrNewerVersion, text[0], version)
 	}
-	return Identity{ID: binary.BigEndian.Uint64(text[1:]), Boots: binary.BigEndian.Uint32(text[9:]), Owner: string(text[13 : len(text)-4])}, nil
+	return Identity{ID: binary.BigEndian.Uint64(text[1:]), StartCount: binary.BigEndian.Uint32(text[9:]), Owner: string(text[13 : len(text)-4])}, nil
 }
 
-func readAll(fs vfs.FS, name string) ([]byte, error) {
+func readFile(fs vfs.FS, name string) ([]byte, error) {
 	file, err := fs.Open(name)
 	if err != nil {
 		return nil, err
@@ -230,7 +230,7 @@
 }
 
 // replace writes a file whole or not at all, and outlasts a loss of power.
-func replace(fs vfs.FS, name string, text []byte) error {
+func replaceFile(fs vfs.FS, name string, text []byte) error {
 	file, err := fs.Create(name + ".new")
 	if err == nil {
 		_, err = file.WriteAt(text, 0)
@@ -271,10 +271,10 @@
 }
 
 // clean removes what a loss of power left over.
-func (f *Folder) clean(names []string) error {
-	keep := map[string]bool{nameFile: true, lockFile: true, fmt.Sprintf(logName, f.number): true}
+func (f *WAL) clean(names []string) error {
+	keep := map[string]bool{identityFile: true, lockFile: true, fmt.Sprintf(logNameFormat, f.number): true}
 	for no, h := range f.held {
-		keep[fmt.Sprintf(snapName, no, h.snap)] = true
+		keep[fmt.Sprintf(snapshotNameFormat, no, h.snap)] = true
 	}
 	for _, n := range names {
 		if !keep[n] && (strings.HasPrefix(n, "log-") || strings.HasPrefix(n, "slice-") || strings.HasSuffix(n, ".new")) {
@@ -287,13 +287,13 @@
 }
 
 // read takes a log file's records.
-func (f *Folder) read(name string, cut bool) error {
-	text, err := readAll(f.fs, name)
+func (f *WAL) read(name string, cut bool) error {
+	text, err := readFile(f.fs, name)
 	if err != nil {
 		return fmt.Errorf("%s: %w", name, err)
 	}
-	if _, err := fmt.Sscanf(name, logName, &f.number); err != nil {
-		return fmt.Errorf("%w: a file with the name %s", ErrDamaged, name)
+	if _, err := fmt.Sscanf(name, logNameFormat, &f.number); err != nil {
+		return fmt.Errorf("%w: a file with the name %s", ErrCorrupt, name)
 	}
 	at, base := 0, 0
 	for at < len(text) {
@@ -306,22 +306,22 @@
 			if err := f.take(kind, no, payload); err != nil {
 				return fmt.Errorf("%s at byte %d: %w", name, at, err)
 			}
-		case kind != kindStarted || len(payload) < 9:
-			return fmt.Errorf("%w: %s does not begin as a log", ErrDamaged, name)
+		case kind != kindFileHeader || len(payload) < 9:
+			return fmt.Errorf("%w: %s does not begin as a log", ErrCorrupt, name)
 		case payload[0] > version:
-			return fmt.Errorf("%w: %s has %d, this program reads %d", ErrLater, name, payload[0], version)
+			return fmt.Errorf("%w: %s has %d, this program reads %d", ErrNewerVersion, name, payload[0], version)
 		default:
 			base = int(binary.BigEndian.Uint64(payload[1:]))
 		}
 		at += size
 	}
 	if at < base || at == 0 {
-		return fmt.Errorf("%w: %s at byte %d of %d that it begins with", ErrDamaged, name, at, base)
+		return fmt.Errorf("%w: %s at byte %d of %d that it begins with", ErrCorrupt, name, at, base)
 	}
 	if at < len(text) {
 		for i := at + 1; i+headSize <= len(text); i++ {
-			if kind, _, payload, _, ok := parseRecord(text[i:]); ok && kind == kindBatch && len(payload) == 8 && binary.BigEndian.Uint64(payload) > uint64(at) {
-				return fmt.Errorf("%w: %s at byte %d, synced up to %d", ErrDamaged, name, at, binary.BigEndian.Uint64(payload))
+			if kind, _, payload, _, ok := parseRecord(text[i:]); ok && kind == kindBatchHeader && len(payload) == 8 && binary.BigEndian.Uint64(payload) > uint64(at) {
+				return fmt.Errorf("%w: %s at byte %d, synced up to %d", ErrCorrupt, name, at, binary.BigEndian.Uint64(payload))
 			}
 		}
 		if !cut {
@@ -339,37 +339,37 @@
 	return nil
 }
 
-func (f *Folder) of(no int) *held {
+func (f *WAL) of(no int) *held {
 	if f.held[no] == nil {
 		f.held[no] = &held{}
 	}
 	return f.held[no]
 }
 
-func (f *Folder) take(kind byte, no int, payload []byte) error {
-	if kind == kindForget {
+func (f *WAL) take(kind byte, no int, payload []byte) error {
+	if kind == kindRemoveShard {
 		delete(f.held, no)
 		return nil
 	}
-	if kind != kindHard && kind != kindEntry && kind != kindSnap {
+	if kind != kindHardState && kind != kindEntry && kind != kindSnapshot {
 		return nil // a batch's head, or of a later version and nothing that this one needs
 	}
 	h := f.of(no)
 	switch kind {
-	case kindHard:
+	case kindHardState:
 		h.hard = &pb.HardState{}
 		if err := proto.Unmarshal(payload, h.hard); err != nil {
-			return fmt.Errorf("%w: a vote: %w", ErrDamaged, err)
+			return fmt.Errorf("%w: a vote: %w", ErrCorrupt, err)
 		}
 	case kindEntry:
 		e := &pb.Entry{}
 		if err := proto.Unmarshal(payload, e); err != nil {
-			return fmt.Errorf("%w: an entry: %w", ErrDamaged, err)
+			return fmt.Errorf("%w: an entry: %w", ErrCorrupt, err)
 		}
 		h.add(e)
-	case kindSnap:
+	case kindSnapshot:
 		if len(payload) != 8 {
-			return fmt.Errorf("%w: a snapshot's place", ErrDamaged)
+			return fmt.Errorf("%w: a snapshot's place", ErrCorrupt)
 		}
 		h.shorten(binary.BigEndian.Uint64(payload))
 	}
@@ -391,28 +391,28 @@
 
 // Write puts batches on the disk, with one sync if any of them wants it. After an error nothing may be sent or believed of them, and
 // the folder takes nothing more: what is on the disk is not known until it is opened anew.
-func (f *Folder) Write(batches []shard.Batch) error {
+func (f *WAL) Write(batches []shard.Ready) error {
 	if f.broken != nil {
 		return f.broken
 	}
 	f.buf = f.buf[:0]
 	sync := false
 	for _, b := range batches {
-		h := f.of(b.Slice)
-		sync = sync || b.Sync
+		h := f.of(b.Shard)
+		sync = sync || b.MustSync
 		if b.Snapshot != nil {
-			if err := f.keep(b.Slice, b.Snapshot); err != nil {
+			if err := f.keep(b.Shard, b.Snapshot); err != nil {
 				return f.fail(err)
 			}
 			h.entries = nil
 		}
-		if b.Hard != nil {
-			h.hard = b.Hard
-			text, err := proto.Marshal(b.Hard)
+		if b.HardState != nil {
+			h.hard = b.HardState
+			text, err := proto.Marshal(b.HardState)
 			if err != nil {
 				return f.fail(err)
 			}
-			f.buf = appendRecord(f.buf, kindHard, b.Slice, text)
+			f.buf = appendRecord(f.buf, kindHardState, b.Shard, text)
 		}
 		for _, e := range b.Entries {
 			h.add(e)
@@ -420,7 +420,7 @@
 			if err != nil {
 				return f.fail(err)
 			}
-			f.buf = appendRecord(f.buf, kindEntry, b.Slice, text)
+			f.buf = appendRecord(f.buf, kindEntry, b.Shard, text)
 		}
 	}
 	if err := f.flush(sync); err != nil {
@@ -434,23 +434,23 @@
 	return nil
 }
 
-func (f *Folder) fail(err error) error {
+func (f *WAL) fail(err error) error {
 	f.broken = fmt.Errorf("the ledger's disk: %w", err)
 	return f.broken
 }
 
-func (f *Folder) flush(sync bool) error {
+func (f *WAL) flush(sync bool) error {
 	if len(f.buf) > 0 {
-		b := append(appendRecord(nil, kindBatch, 0, binary.BigEndian.AppendUint64(nil, uint64(f.synced))), f.buf...)
+		b := append(appendRecord(nil, kindBatchHeader, 0, binary.BigEndian.AppendUint64(nil, uint64(f.synced))), f.buf...)
 		if _, err := f.log.WriteAt(b, f.size); err != nil {
 			return err
 		}
 		f.size += int64(len(b))
-		f.Bytes += int64(len(b))
+		f.BytesWritten += int64(len(b))
 		f.buf = f.buf[:0]
 	}
 	if sync {
-		f.Syncs++
+		f.SyncCount++
 		if err := f.log.Sync(); err != nil {
 			return err
 		}
@@ -460,17 +460,17 @@
 }
 
 // keep writes a snapshot's file and then names it in the log's buffer.
-func (f *Folder) keep(no int, snap *pb.Snapshot) error {
+func (f *WAL) keep(no int, snap *pb.Snapshot) error {
 	body, err := proto.Marshal(snap)
 	if err != nil {
 		return err
 	}
 	index := snap.GetMetadata().GetIndex()
 	b := append([]byte{version}, body...)
-	if err := replace(f.fs, fmt.Sprintf(snapName, no, index), binary.BigEndian.AppendUint32(b, crc32.Checksum(b, castagnoli))); err != nil {
+	if err := replaceFile(f.fs, fmt.Sprintf(snapshotNameFormat, no, index), binary.BigEndian.AppendUint32(b, crc32.Checksum(b, castagnoli))); err != nil {
 		return err
 	}
-	f.buf = appendRecord(f.buf, kindSnap, no, binary.BigEndian.AppendUint64(nil, index))
+	f.buf = appendRecord(f.buf, kindSnapshot, no, binary.BigEndian.AppendUint64(nil, index))
 	old := f.of(no).snap
 	f.of(no).shorten(index)
 	if old > 0 && old != index {
@@ -478,32 +478,32 @@
 		if err := f.flush(true); err != nil {
 			return err
 		}
-		return f.fs.Remove(fmt.Sprintf(snapName, no, old))
+		return f.fs.Remove(fmt.Sprintf(snapshotNameFormat, no, old))
 	}
 	return nil
 }
 
-func (f *Folder) snapshot(no int, index uint64) (*pb.Snapshot, error) {
-	name := fmt.Sprintf(snapName, no, index)
-	text, err := readAll(f.fs, name)
+func (f *WAL) snapshot(no int, index uint64) (*pb.Snapshot, error) {
+	name := fmt.Sprintf(snapshotNameFormat, no, index)
+	text, err := readFile(f.fs, name)
 	if err != nil {
-		return nil, fmt.Errorf("%w: %s: %w", ErrDamaged, name, err)
+		return nil, fmt.Errorf("%w: %s: %w", ErrCorrupt, name, err)
 	}
 	if len(text) < 5 || crc32.Checksum(text[:len(text)-4], castagnoli) != binary.BigEndian.Uint32(text[len(text)-4:]) {
-		return nil, fmt.Errorf("%w: the checksum of %s", ErrDamaged, name)
+		return nil, fmt.Errorf("%w: the checksum of %s", ErrCorrupt, name)
 	}
 	if text[0] > version {
-		return nil, fmt.Errorf("%w: %s has %d, this program reads %d", ErrLater, name, text[0], version)
+		return nil, fmt.Errorf("%w: %s has %d, this program reads %d", ErrNewerVersion, name, text[0], version)
 	}
 	snap := &pb.Snapshot{}
 	if err := proto.Unmarshal(text[1:len(text)-4], snap); err != nil {
-		return nil, fmt.Errorf("%w: %s: %w", ErrDamaged, name, err)
+		return nil, fmt.Errorf("%w: %s: %w", ErrCorrupt, name, err)
 	}
 	return snap, nil
 }
 
 // Snapshot keeps one that the slice made of itself: the log before it no longer counts.
-func (f *Folder) Snapshot(no int, snap *pb.Snapshot) error {
+func (f *WAL) SaveSnapshot(no int, snap *pb.Snapshot) error {
 	if f.broken != nil {
 		return f.broken
 	}
@@ -519,16 +519,16 @@
 }
 
 // Forget drops a slice that is not held here any more.
-func (f *Folder) Forget(no int) error {
+func (f *WAL) RemoveShard(no int) error {
 	if f.broken != nil {
 		return f.broken
 	}
 	old := f.of(no).snap
-	f.buf = appendRecord(f.buf[:0], kindForget, no, nil)
+	f.buf = appendRecord(f.buf[:0], kindRemoveShard, no, nil)
 	delete(f.held, no)
 	err := f.flush(true)
 	if err == nil && old > 0 {
-		err = f.fs.Remove(fmt.Sprintf(snapName, no, old))
+		err = f.fs.Remove(fmt.Sprintf(snapshotNameFormat, no, old))
 	}
 	if err != nil {
 		return f.fail(err)
@@ -537,26 +537,26 @@
 }
 
 // rotate begins the next log file with all that counts, and drops the older ones once that is on the disk.
-func (f *Folder) rotate() error {
+func (f *WAL) rotate() error {
 	number := f.number + 1
-	name := fmt.Sprintf(logName, number)
+	name := fmt.Sprintf(logNameFormat, number)
 	file, err := f.fs.Create(name + ".new")
 	if err != nil {
 		return err
 	}
-	head := len(appendRecord(nil, kindStarted, 0, make([]byte, 9)))
+	head := len(appendRecord(nil, kindFileHeader, 0, make([]byte, 9)))
 	b := make([]byte, head)
 	for _, no := range slices.Sorted(maps.Keys(f.held)) {
 		h := f.held[no]
 		if h.snap > 0 {
-			b = appendRecord(b, kindSnap, no, binary.BigEndian.AppendUint64(nil, h.snap))
+			b = appendRecord(b, kindSnapshot, no, binary.BigEndian.AppendUint64(nil, h.snap))
 		}
 		if h.hard != nil {
 			text, err := proto.Marshal(h.hard)
 			if err != nil {
 				return err
 			}
-			b = appendRecord(b, kindHard, no, text)
+			b = appendRecord(b, kindHardState, no, text)
 		}
 		for _, e := range h.entries {
 			text, err := proto.Marshal(e)
@@ -566,7 +566,7 @@
 			b = appendRecord(b, kindEntry, no, text)
 		}
 	}
-	copy(b, appendRecord(nil, kindStarted, 0, binary.BigEndian.AppendUint64([]byte{version}, uint64(len(b)))))
+	copy(b, appendRecord(nil, kindFileHeader, 0, binary.BigEndian.AppendUint64([]byte{version}, uint64(len(b)))))
 	if _, err := file.WriteAt(b, 0); err != nil {
 		return errors.Join(err, file.Close())
 	}
@@ -575,17 +575,17 @@
 	}
 	if f.log != nil {
 		_ = f.log.Close()
-		if err := f.fs.Remove(fmt.Sprintf(logName, f.number)); err != nil {
+		if err := f.fs.Remove(fmt.Sprintf(logNameFormat, f.number)); err != nil {
 			return err
 		}
 	}
 	f.log, f.number, f.size, f.synced = file, number, int64(len(b)), int64(len(b))
-	f.Bytes += int64(len(b))
+	f.BytesWritten += int64(len(b))
 	return nil
 }
 
 // Close lets the folder go.
-func (f *Folder) Close() {
+func (f *WAL) Close() {
 	if f.log != nil {
 		_ = f.log.Close()
 	}
--- a/internal/replication/wal/folder_test.go
+++ b/internal/replication/wal/folder_test.go
@@ -26,7 +26,7 @@
 
 func draw() uint64 { return 77 }
 
-func open(t *testing.T, fs vfs.FS) (*Folder, map[int]shard.Saved) {
+func open(t *testing.T, fs vfs.FS) (*WAL, map[int]shard.PersistentState) {
 	f, saved, err := Open(fs, "r1", draw)
 	require.NoError(t, err)
 	return f, saved
@@ -41,20 +41,20 @@
 	require.NoError(t, err)
 	f, saved := open(t, fs)
 	assert.Empty(t, saved)
-	assert.Equal(t, Identity{77, "r1", 1}, f.Me())
-	require.NoError(t, f.Write([]shard.Batch{{Slice: 4, Hard: vote(1, 0), Entries: []*pb.Entry{entry(1, 1, "a"), entry(2, 1, "b")}, Sync: true}, {Slice: 9, Entries: []*pb.Entry{entry(1, 1, "x")}}}))
-	require.NoError(t, f.Write([]shard.Batch{{Slice: 4, Entries: []*pb.Entry{entry(2, 2, "c")}, Sync: true}}))
-	assert.EqualValues(t, 2, f.Syncs, "one for all slices")
+	assert.Equal(t, Identity{77, "r1", 1}, f.Identity())
+	require.NoError(t, f.Write([]shard.Ready{{Shard: 4, HardState: vote(1, 0), Entries: []*pb.Entry{entry(1, 1, "a"), entry(2, 1, "b")}, MustSync: true}, {Shard: 9, Entries: []*pb.Entry{entry(1, 1, "x")}}}))
+	require.NoError(t, f.Write([]shard.Ready{{Shard: 4, Entries: []*pb.Entry{entry(2, 2, "c")}, MustSync: true}}))
+	assert.EqualValues(t, 2, f.SyncCount, "one for all slices")
 	f.Close()
 	f, saved = open(t, fs)
-	assert.EqualValues(t, 2, f.Me().Boots)
+	assert.EqualValues(t, 2, f.Identity().StartCount)
 	require.Len(t, saved[4].Entries, 2)
 	assert.Equal(t, "c", string(saved[4].Entries[1].Data))
-	assert.EqualValues(t, 1, saved[4].Hard.GetTerm())
+	assert.EqualValues(t, 1, saved[4].HardState.GetTerm())
 	assert.Len(t, saved[9].Entries, 1)
-	require.NoError(t, f.Snapshot(4, snapshot(1, "state")))
+	require.NoError(t, f.SaveSnapshot(4, snapshot(1, "state")))
 	require.NoError(t, f.rotate())
-	require.NoError(t, f.Forget(9))
+	require.NoError(t, f.RemoveShard(9))
 	f.Close()
 	f, saved = open(t, fs)
 	assert.Equal(t, "state", string(saved[4].Snapshot.Data))
@@ -62,13 +62,13 @@
 	assert.NotContains(t, saved, 9)
 	me, seen, err := Inspect(fs)
 	require.NoError(t, err)
-	assert.Equal(t, f.Me(), me)
+	assert.Equal(t, f.Identity(), me)
 	assert.Equal(t, len(saved), len(seen))
 	_, _, err = Open(fs, "r1", draw)
 	assert.ErrorIs(t, err, vfs.ErrInUse)
 	f.Close()
 	_, _, err = Open(fs, "r2", draw)
-	assert.ErrorIs(t, err, ErrOther)
+	assert.ErrorIs(t, err, ErrForeignOwner)
 }
 
 // TestEveryPowerCutKeepsWhatWasAcknowledged cuts the power at each operation of a long history, in many ways, and holds that after it
@@ -103,7 +103,7 @@
 					}
 					under.term = uint64(i + 1)
 					sync := rnd.IntN(3) > 0
-					if f.Write([]shard.Batch{{Slice: 1, Hard: vote(uint64(i+1), 0), Entries: es, Sync: sync}}) != nil {
+					if f.Write([]shard.Ready{{Shard: 1, HardState: vote(uint64(i+1), 0), Entries: es, MustSync: sync}}) != nil {
 						return
 					}
 					if sync {
@@ -113,7 +113,7 @@
 						}
 					}
 					if rnd.IntN(8) == 0 && index > snap+2 {
-						if f.Snapshot(1, snapshot(index-2, "s")) != nil {
+						if f.SaveSnapshot(1, snapshot(index-2, "s")) != nil {
 							return
 						}
 						snap = index - 2
@@ -138,7 +138,7 @@
 					require.Equal(t, v, have[k], "seed %d, cut %d: entry %d was acknowledged", seed, cut, k)
 				}
 			}
-			require.GreaterOrEqual(t, got.Hard.GetTerm(), acked.term, "seed %d, cut %d", seed, cut)
+			require.GreaterOrEqual(t, got.HardState.GetTerm(), acked.term, "seed %d, cut %d", seed, cut)
 			require.GreaterOrEqual(t, got.Snapshot.GetMetadata().GetIndex(), snap)
 			f.Close()
 			cuts++
@@ -155,41 +155,41 @@
 	fs := vfs.NewFaulty(3)
 	f, _ := open(t, fs)
 	for i := range uint64(20) {
-		require.NoError(t, f.Write([]shard.Batch{{Slice: 1, Hard: vote(i+1, 0), Entries: []*pb.Entry{entry(i+1, 1, "some text that is long enough")}, Sync: true}}))
+		require.NoError(t, f.Write([]shard.Ready{{Shard: 1, HardState: vote(i+1, 0), Entries: []*pb.Entry{entry(i+1, 1, "some text that is long enough")}, MustSync: true}}))
 	}
 	last := f.size
 	f.Close()
-	name := fmt.Sprintf(logName, f.number)
+	name := fmt.Sprintf(logNameFormat, f.number)
 	for _, at := range []int64{3, 14, 40, last / 2} {
 		fs.Flip(name, at, 1)
 		_, _, err := Open(fs, "r1", draw)
-		assert.ErrorIs(t, err, ErrDamaged, "byte %d", at)
+		assert.ErrorIs(t, err, ErrCorrupt, "byte %d", at)
 		fs.Flip(name, at, 1)
 	}
 	f, _ = open(t, fs)
-	require.NoError(t, f.Write([]shard.Batch{{Slice: 1, Entries: []*pb.Entry{entry(21, 1, "unsynced")}}}))
+	require.NoError(t, f.Write([]shard.Ready{{Shard: 1, Entries: []*pb.Entry{entry(21, 1, "unsynced")}}}))
 	f.Close()
 	fs.Flip(name, last+30, 1)
 	f, saved := open(t, fs)
 	assert.Len(t, saved[1].Entries, 20)
 	f.Close()
-	fs.Flip(nameFile, 2, 1)
+	fs.Flip(identityFile, 2, 1)
 	_, _, err := Open(fs, "r1", draw)
-	assert.ErrorIs(t, err, ErrDamaged)
+	assert.ErrorIs(t, err, ErrCorrupt)
 }
 
 func TestAfterAFailedWriteNothingMoreIsTaken(t *testing.T) {
 	fs := vfs.NewFaulty(3)
 	f, _ := open(t, fs)
 	fs.Room = 1
-	err := f.Write([]shard.Batch{{Slice: 1, Entries: []*pb.Entry{entry(1, 1, "x")}, Sync: true}})
+	err := f.Write([]shard.Ready{{Shard: 1, Entries: []*pb.Entry{entry(1, 1, "x")}, MustSync: true}})
 	assert.ErrorIs(t, err, vfs.ErrFull)
 	fs.Room = 0
-	assert.Equal(t, err, f.Write([]shard.Batch{{Slice: 1, Hard: vote(1, 1), Sync: true}}), "what is on the disk is not known")
+	assert.Equal(t, err, f.Write([]shard.Ready{{Shard: 1, HardState: vote(1, 1), MustSync: true}}), "what is on the disk is not known")
 	f.Close()
 	f, saved := open(t, fs)
 	assert.Empty(t, saved[1].Entries)
-	require.NoError(t, f.Write([]shard.Batch{{Slice: 1, Hard: vote(1, 1), Sync: true}}))
+	require.NoError(t, f.Write([]shard.Ready{{Shard: 1, HardState: vote(1, 1), MustSync: true}}))
 	f.Close()
 }
 
@@ -197,24 +197,24 @@
 	fs := vfs.NewFaulty(4)
 	f, _ := open(t, fs)
 	f.Close()
-	text, err := readAll(fs, nameFile)
+	text, err := readFile(fs, identityFile)
 	require.NoError(t, err)
 	later := func(b []byte) []byte {
 		b[0] = version + 1
 		return binary.BigEndian.AppendUint32(b[:len(b)-4], crc32.Checksum(b[:len(b)-4], castagnoli))
 	}
-	require.NoError(t, replace(fs, nameFile, later(text)))
+	require.NoError(t, replaceFile(fs, identityFile, later(text)))
 	_, _, err = Open(fs, "r1", draw)
-	assert.ErrorIs(t, err, ErrLater)
+	assert.ErrorIs(t, err, ErrNewerVersion)
 	assert.ErrorContains(t, err, "2, this program reads 1")
 }
 
 func FuzzRead(f *testing.F) {
-	f.Add(appendRecord(appendRecord(nil, kindStarted, 0, make([]byte, 9)), kindEntry, 1, []byte{8, 1}))
-	f.Add(appendRecord(nil, kindHard, 1, []byte("x")))
+	f.Add(appendRecord(appendRecord(nil, kindFileHeader, 0, make([]byte, 9)), kindEntry, 1, []byte{8, 1}))
+	f.Add(appendRecord(nil, kindHardState, 1, []byte("x")))
 	f.Fuzz(func(t *testing.T, text []byte) {
 		fs := vfs.NewFaulty(1)
-		file, err := fs.Create(fmt.Sprintf(logName, 1))
+		file, err := fs.Create(fmt.Sprintf(logNameFormat, 1))
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/sim/replication/draw.go
+++ b/internal/sim/replication/draw.go
@@ -9,7 +9,7 @@
 
 // Draw makes a script that a ledger of three copies has to bear: machines are lost with their disks one at a time, with time between to
 // copy what they held; losses of power, stops, cuts and bad networks come on top of that, and all is well in the last seconds.
-func Draw(seed uint64, routers int, until float64) faults.Script {
+func GenerateScript(seed uint64, routers int, until float64) faults.Script {
 	rnd := rand.New(rand.NewPCG(seed, 0x1ed9e4))
 	s := faults.Script{Seed: seed, Peers: routers, Until: until}
 	last := until - 20
--- a/internal/sim/replication/promises.go
+++ b/internal/sim/replication/promises.go
@@ -43,22 +43,22 @@
 )
 
 // Plan is what is played. Power cuts hit in the middle of writes.
-type Plan struct {
+type Config struct {
 	Script faults.Script
-	Slices int // of the ledger's; the rest hold nothing
+	Shards int // of the ledger's; the rest hold nothing
 }
 
 // Result is what came of it.
 type Result struct {
-	Claims, Reads, Answered  int
-	Lost                     int // machines lost with their disks
-	Cuts                     int // losses of power
-	Linear                   bool
-	Broken                   string // what went wrong beside that
-	Took                     []float64
-	Changes                  int
-	PromisesLost, SecondLive int // claims that were granted and are not there at the end; keys granted to two groups
-	MostLeaderless           float64
+	Reservations, Reads, Answered       int
+	MachinesLost                        int // machines lost with their disks
+	PowerCuts                           int // losses of power
+	Linearizable                        bool
+	Failure                             string // what went wrong beside that
+	LatencySeconds                      []float64
+	ConfChanges                         int
+	ReservationsLost, ConflictingGrants int // claims that were granted and are not there at the end; keys granted to two groups
+	LongestLeaderlessSeconds            float64
 }
 
 type node struct {
@@ -66,15 +66,15 @@
 	name   string
 	zone   string
 	fs     *vfs.Faulty
-	f      *wal.Folder
+	f      *wal.WAL
 	id     uint64
-	slices map[int]*shard.Slice
+	slices map[int]*shard.Replica
 	up     bool
 	paused bool
 	held   []func()
 	seen   bool // as others know
 	since  float64
-	keeper *placement.Keeper
+	keeper *placement.Rebalancer
 	boots  int
 	busy   bool // a batch is on its way to the disk
 	disks  int
@@ -92,10 +92,10 @@
 
 type player struct {
 	w       *clock.World
-	plan    Plan
+	plan    Config
 	nodes   []*node
 	byID    map[uint64]*node
-	seen    map[uint64]placement.Seen
+	seen    map[uint64]placement.ReplicaStatus
 	calls   map[uint64]*call
 	history []porcupine.Operation
 	r       *Result
@@ -122,7 +122,7 @@
 }
 
 // Play plays a plan. Only one play runs at a time in a process.
-func Play(p Plan) (*Result, error) {
+func Run(p Config) (*Result, error) {
 	if err := p.Script.Check(); err != nil {
 		return nil, err
 	}
@@ -131,15 +131,15 @@
 	before := crand.Reader
 	crand.Reader = seeded{rand.New(rand.NewPCG(p.Script.Seed, 0x4af7))}
 	defer func() { crand.Reader = before }()
-	x := &player{w: clock.New(p.Script.Seed, 0x1ed6, 0), plan: p, byID: map[uint64]*node{}, seen: map[uint64]placement.Seen{}, calls: map[uint64]*call{}, r: &Result{},
+	x := &player{w: clock.New(p.Script.Seed, 0x1ed6, 0), plan: p, byID: map[uint64]*node{}, seen: map[uint64]placement.ReplicaStatus{}, calls: map[uint64]*call{}, r: &Result{},
 		groups: map[string]string{}, ledless: map[int]float64{}}
 	for k := 0; len(x.keys) < keysOf; k++ {
-		if key := fmt.Sprint("k", k); placement.Of(key) < p.Slices {
+		if key := fmt.Sprint("k", k); placement.ShardOf(key) < p.Shards {
 			x.keys = append(x.keys, key)
 		}
 	}
 	for i := range p.Script.Peers {
-		n := &node{i: i, name: fmt.Sprint("r", i), zone: fmt.Sprint("z", i%zones), keeper: placement.NewKeeper(copies, goneAfter)}
+		n := &node{i: i, name: fmt.Sprint("r", i), zone: fmt.Sprint("z", i%zones), keeper: placement.NewRebalancer(copies, goneAfter)}
 		x.nodes = append(x.nodes, n)
 		x.fresh(n)
 	}
@@ -150,15 +150,15 @@
 		x.w.At(m.At, func() { x.moment(m) })
 	}
 	for _, n := range x.nodes {
-		x.w.After(shard.TickS*x.w.Rand.Float64(), func() { x.tick(n) })
+		x.w.After(shard.TickSeconds*x.w.Rand.Float64(), func() { x.tick(n) })
 		x.w.After(0.5*x.w.Rand.Float64(), func() { x.keep(n) })
 	}
 	x.w.After(1, x.client)
 	x.w.Run(p.Script.Until)
 	if x.err != nil {
-		x.r.Broken = x.err.Error()
+		x.r.Failure = x.err.Error()
 	}
-	x.r.Linear = history.Check(x.history, 30*time.Second)
+	x.r.Linearizable = history.Linearizable(x.history, 30*time.Second)
 	x.count()
 	return x.r, nil
 }
@@ -183,8 +183,8 @@
 		x.fail(fmt.Errorf("%s opens its folder: %w", n.name, err))
 		return
 	}
-	n.f, n.id, n.up, n.paused, n.busy, n.held = f, f.Me().ID, true, false, false, nil
-	n.slices = map[int]*shard.Slice{}
+	n.f, n.id, n.up, n.paused, n.busy, n.held = f, f.Identity().ID, true, false, false, nil
+	n.slices = map[int]*shard.Replica{}
 	n.boots++
 	x.byID[n.id] = n
 	for no, s := range saved {
@@ -200,7 +200,7 @@
 	id := n.id
 	set := func() {
 		s := x.seen[id]
-		x.seen[id] = placement.Seen{ID: id, Name: n.name, Zone: n.zone, Up: up && n.up && n.id == id, Last: x.w.Now()}
+		x.seen[id] = placement.ReplicaStatus{ID: id, Node: n.name, Zone: n.zone, Up: up && n.up && n.id == id, LastSeen: x.w.Now()}
 		if !up && !s.Up {
 			x.seen[id] = s
 		}
@@ -213,22 +213,22 @@
 }
 
 func (x *player) begin() error {
-	var of []placement.Holder
+	var of []placement.Node
 	ids := map[string]uint64{}
 	for _, n := range x.nodes {
-		of, ids[n.name] = append(of, placement.Holder{Name: n.name, Zone: n.zone}), n.id
+		of, ids[n.name] = append(of, placement.Node{Name: n.name, Zone: n.zone}), n.id
 	}
-	for no := range x.plan.Slices {
+	for no := range x.plan.Shards {
 		var voters []uint64
-		for _, name := range placement.Holders(no, of, copies) {
+		for _, name := range placement.PreferredNodes(no, of, copies) {
 			voters = append(voters, ids[name])
 		}
 		for _, v := range voters {
 			n := x.byID[v]
-			if err := n.f.Write([]shard.Batch{{Slice: no, Snapshot: shard.Birth(voters), Sync: true}}); err != nil {
+			if err := n.f.Write([]shard.Ready{{Shard: no, Snapshot: shard.InitialSnapshot(voters), MustSync: true}}); err != nil {
 				return err
 			}
-			s, err := shard.New(no, n.id, shard.Saved{Snapshot: shard.Birth(voters)}, nil)
+			s, err := shard.New(no, n.id, shard.PersistentState{Snapshot: shard.InitialSnapshot(voters)}, nil)
 			if err != nil {
 				return err
 			}
@@ -258,10 +258,10 @@
 			n.slices[no].Tick()
 		}
 	})
-	x.w.After(shard.TickS, func() { x.tick(n) })
+	x.w.After(shard.TickSeconds, func() { x.tick(n) })
 }
 
-func sorted(m map[int]*shard.Slice) []int {
+func sorted(m map[int]*shard.Replica) []int {
 	out := make([]int, 0, len(m))
 	for no := range m {
 		out = append(out, no)
@@ -275,9 +275,9 @@
 	if n.busy {
 		return
 	}
-	var batches []shard.Batch
+	var batches []shard.Ready
 	for _, no := range sorted(n.slices) {
-		if b, ok := n.slices[no].Work(); ok {
+		if b, ok := n.slices[no].Ready(); ok {
 			batches = append(batches, b)
 		}
 	}
@@ -302,13 +302,13 @@
 	})
 }
 
-func (x *player) written(n *node, batches []shard.Batch) {
+func (x *player) written(n *node, batches []shard.Ready) {
 	for _, b := range batches {
-		s := n.slices[b.Slice]
+		s := n.slices[b.Shard]
 		for _, m := range b.Messages {
 			x.send(n, s, m)
 		}
-		answers, err := s.Done(b)
+		answers, err := s.Advance(b)
 		if err != nil {
 			x.fail(err)
 			return
@@ -319,20 +319,20 @@
 	}
 }
 
-func (x *player) send(n *node, s *shard.Slice, m *pb.Message) {
+func (x *player) send(n *node, s *shard.Replica, m *pb.Message) {
 	to := x.byID[m.GetTo()]
 	snap := m.GetType() == pb.MessageType_MsgSnap
 	if to == nil || to.id != m.GetTo() {
-		s.Unreachable(m.GetTo())
+		s.ReportUnreachable(m.GetTo())
 		if snap {
-			s.Sent(m.GetTo(), false)
+			s.ReportSnapshot(m.GetTo(), false)
 		}
 		return
 	}
 	delays, spoilt := x.plan.Script.Way(n.i, to.i, x.w.Now()).Passing(x.w.Rand)
 	if len(delays) == 0 || spoilt {
 		if snap {
-			s.Sent(m.GetTo(), false)
+			s.ReportSnapshot(m.GetTo(), false)
 		}
 		return
 	}
@@ -341,18 +341,18 @@
 			if to.id != m.GetTo() {
 				return
 			}
-			if to.slices[s.No()] == nil {
-				fresh, err := shard.New(s.No(), to.id, shard.Saved{}, nil)
+			if to.slices[s.Shard()] == nil {
+				fresh, err := shard.New(s.Shard(), to.id, shard.PersistentState{}, nil)
 				if err != nil {
 					x.fail(err)
 					return
 				}
-				to.slices[s.No()] = fresh
+				to.slices[s.Shard()] = fresh
 			}
-			to.slices[s.No()].Step(m)
+			to.slices[s.Shard()].Step(m)
 		})
-		if snap && n.up && n.slices[s.No()] == s {
-			s.Sent(m.GetTo(), true)
+		if snap && n.up && n.slices[s.Shard()] == s {
+			s.ReportSnapshot(m.GetTo(), true)
 		}
 	})
 }
@@ -360,31 +360,31 @@
 // keep lets a node look after the slices that it leads.
 func (x *player) keep(n *node) {
 	x.do(n, func() {
-		var led []placement.Led
+		var led []placement.LedShard
 		for _, no := range sorted(n.slices) {
-			if leads, _ := n.slices[no].Leads(); leads {
-				v, l := n.slices[no].Holders()
-				led = append(led, placement.Led{Slice: no, Voters: v, Learners: l})
+			if leads, _ := n.slices[no].Leadership(); leads {
+				v, l := n.slices[no].Members()
+				led = append(led, placement.LedShard{Shard: no, Voters: v, Learners: l})
 			}
 		}
-		for _, c := range n.keeper.Changes(x.w.Now(), placement.Sorted(x.seen), led) {
-			if n.slices[c.Slice].Change(c.Add, c.Remove) == nil {
-				x.r.Changes++
+		for _, c := range n.keeper.Changes(x.w.Now(), placement.SortedByID(x.seen), led) {
+			if n.slices[c.Shard].ProposeConfChange(c.Add, c.Remove) == nil {
+				x.r.ConfChanges++
 			}
 		}
 	})
-	for no := range x.plan.Slices {
+	for no := range x.plan.Shards {
 		leads := false
 		for _, o := range x.nodes {
 			if s := o.slices[no]; o.up && !o.paused && s != nil {
-				l, _ := s.Leads()
+				l, _ := s.Leadership()
 				leads = leads || l
 			}
 		}
 		if leads {
 			x.ledless[no] = x.w.Now()
 		}
-		x.r.MostLeaderless = max(x.r.MostLeaderless, x.w.Now()-x.ledless[no])
+		x.r.LongestLeaderlessSeconds = max(x.r.LongestLeaderlessSeconds, x.w.Now()-x.ledless[no])
 	}
 	x.w.After(0.5, func() { x.keep(n) })
 }
@@ -395,11 +395,11 @@
 	k := x.keys[x.w.Rand.IntN(len(x.keys))]
 	in := history.Input{Read: x.w.Rand.IntN(3) == 0, Key: k, Group: fmt.Sprint("g", x.w.Rand.IntN(3))}
 	c := &call{op: len(x.history), at: x.w.Now(), key: k, read: in.Read,
-		cmd: statemachine.Command{Op: statemachine.OpClaim, Now: clockStart, Key: k, Group: in.Group, Lasts: life, Asker: "c", Ask: x.no}}
+		cmd: statemachine.Command{Op: statemachine.OpReserve, Now: clockStart, Key: k, Group: in.Group, LifetimeSeconds: life, Requester: "c", RequestNumber: x.no}}
 	if in.Read {
 		x.r.Reads++
 	} else {
-		x.r.Claims++
+		x.r.Reservations++
 	}
 	x.calls[x.no] = c
 	x.history = append(x.history, porcupine.Operation{ClientId: int(x.no), Input: in, Output: history.Output{}, Call: x.stamp(), Return: history.Unanswered})
@@ -415,11 +415,11 @@
 		return
 	}
 	c.try++
-	slc := placement.Of(c.key)
+	slc := placement.ShardOf(c.key)
 	var leads []*node // who believes so, stopped ones that wake up too
 	for _, n := range x.nodes {
 		if n.up && n.slices[slc] != nil {
-			if l, _ := n.slices[slc].Leads(); l {
+			if l, _ := n.slices[slc].Leadership(); l {
 				leads = append(leads, n)
 			}
 		}
@@ -432,7 +432,7 @@
 				return
 			}
 			if c.read {
-				_ = s.Read(statemachine.Whereabouts, c.key, "c", no)
+				_ = s.Read(statemachine.KindAttemptLocation, c.key, "c", no)
 			} else {
 				_ = s.Propose(c.cmd)
 			}
@@ -441,19 +441,19 @@
 	x.w.After(askAgain, func() { x.ask(no) })
 }
 
-func (x *player) answered(_ *node, a shard.Answer) {
-	c := x.calls[a.Ask]
+func (x *player) answered(_ *node, a shard.Response) {
+	c := x.calls[a.RequestNumber]
 	if c == nil || c.done {
 		return
 	}
 	c.done = true
 	x.r.Answered++
-	x.r.Took = append(x.r.Took, x.w.Now()-c.at)
+	x.r.LatencySeconds = append(x.r.LatencySeconds, x.w.Now()-c.at)
 	h := &x.history[c.op]
-	h.Output, h.Return = history.Output{Known: true, Granted: a.Result.Granted, Group: a.Result.Promise.Group}, x.stamp()
+	h.Output, h.Return = history.Output{Answered: true, Granted: a.Result.Granted, Group: a.Result.Reservation.Group}, x.stamp()
 	if !c.read && a.Result.Granted {
 		if g, ok := x.groups[c.key]; ok && g != c.cmd.Group {
-			x.r.SecondLive++
+			x.r.ConflictingGrants++
 		}
 		x.groups[c.key] = c.cmd.Group
 	}
@@ -467,15 +467,15 @@
 			continue
 		}
 		for _, n := range x.nodes {
-			s := n.slices[placement.Of(key)]
+			s := n.slices[placement.ShardOf(key)]
 			if !n.up || s == nil {
 				continue
 			}
-			if leads, _ := s.Leads(); !leads {
+			if leads, _ := s.Leadership(); !leads {
 				continue
 			}
-			if p, ok := s.State().Get(statemachine.Whereabouts, key); !ok || p.Group != g {
-				x.r.PromisesLost++
+			if p, ok := s.State().Get(statemachine.KindAttemptLocation, key); !ok || p.Group != g {
+				x.r.ReservationsLost++
 			}
 		}
 	}
@@ -499,7 +499,7 @@
 		switch m.Act.Do {
 		case faults.Kill:
 			if !m.End {
-				x.r.Cuts++
+				x.r.PowerCuts++
 				n.fs.CutAfter = n.fs.Ops() + 1 + x.w.Rand.IntN(6)
 				x.w.After(0.3, func() { x.down(n) }) // at the latest
 			} else if x.down(n); !n.up {
@@ -508,7 +508,7 @@
 			}
 		case faults.Wipe:
 			if !m.End {
-				x.r.Lost++
+				x.r.MachinesLost++
 				x.down(n)
 			} else if !n.up {
 				x.fresh(n)
