--- a/cmd/cairnfront/peers.go
+++ b/cmd/cairnfront/peers.go
@@ -26,14 +26,14 @@
 const mostDoubts = 256
 
 // roster turns the operators' file's into the node's.
-func roster(list []config.Peer) ([]membership.Known, error) {
-	out := make([]membership.Known, len(list))
+func roster(list []config.Peer) ([]membership.RosterEntry, error) {
+	out := make([]membership.RosterEntry, len(list))
 	for i, x := range list {
-		key, err := datagram.Public(x.Key)
+		key, err := datagram.ParsePublicKey(x.Key)
 		if err != nil {
 			return nil, fmt.Errorf("peers.roster.%d.key: %w", i, err)
 		}
-		out[i] = membership.Known{Name: x.Name, Key: key, Address: x.Address}
+		out[i] = membership.RosterEntry{Name: x.Name, Key: key, Address: x.Address}
 	}
 	return out, nil
 }
@@ -53,7 +53,7 @@
 	if info, err := os.Stat(p.KeyFile); err == nil && info.Mode().Perm()&0o077 != 0 {
 		return nil, fmt.Errorf("peers.key_file: %s may be read by others (mode %o): chmod 600", p.KeyFile, info.Mode().Perm())
 	}
-	key, err := datagram.Key(strings.TrimSpace(string(text)))
+	key, err := datagram.ParsePrivateKey(strings.TrimSpace(string(text)))
 	if err != nil {
 		return nil, fmt.Errorf("peers.key_file: %s: %w", p.KeyFile, err)
 	}
@@ -61,21 +61,21 @@
 	if err != nil {
 		return nil, err
 	}
-	node, err := membership.New(membership.Plan{Name: name, Zone: p.Zone, Listen: p.Listen, Advertise: p.Advertise, Key: key, Roster: list, Liars: p.Liars, Seed: seed,
-		In:  ratelimit.Terms{AllDatagrams: p.InDatagrams, AllBytes: p.InKB * 1000, EachDatagrams: p.InEachDatagrams, EachBytes: p.InEachKB * 1000},
-		Out: ratelimit.Terms{AllDatagrams: p.OutDatagrams, AllBytes: p.OutKB * 1000, EachDatagrams: p.OutEachDatagrams, EachBytes: p.OutEachKB * 1000}}, k)
+	node, err := membership.New(membership.Config{Name: name, Zone: p.Zone, Listen: p.Listen, Advertise: p.Advertise, Key: key, Roster: list, MaxByzantine: p.Liars, Seed: seed,
+		ReceiveLimits: ratelimit.Limits{TotalDatagrams: p.InDatagrams, TotalBytes: p.InKB * 1000, PerPeerDatagrams: p.InEachDatagrams, PerPeerBytes: p.InEachKB * 1000},
+		SendLimits:    ratelimit.Limits{TotalDatagrams: p.OutDatagrams, TotalBytes: p.OutKB * 1000, PerPeerDatagrams: p.OutEachDatagrams, PerPeerBytes: p.OutEachKB * 1000}}, k)
 	if err != nil {
 		return nil, err
 	}
-	node.Pulse = func(done func()) { loop.Post(done) }
+	node.ProbeEventLoop = func(done func()) { loop.Post(done) }
 	loop.Saw = func(member string, rule int, code routing.AttemptResult, took float64) {
 		sla := loop.Records.Float(routing.ClassSetting(rule, "sla_s"), 1)
-		if says, ok := observation.Read(code, took > sla); ok {
-			node.Ended(member, says)
+		if says, ok := observation.Classify(code, took > sla); ok {
+			node.ReportAttempt(member, says)
 		}
 	}
 	doubts := make(chan routing.HealthObservation, mostDoubts) // the loop may be slow; the node must not wait for it
-	node.Heed = func(member string, doubt, s float64) {
+	node.OnDoubt = func(member string, doubt, s float64) {
 		select {
 		case doubts <- routing.HealthObservation{Endpoint: member, Suspicion: doubt, ValidSeconds: s}:
 		default:
@@ -107,7 +107,7 @@
 	}
 	list, err := roster(p.Roster)
 	if err == nil {
-		err = node.Follow(ctx, list)
+		err = node.UpdateRoster(ctx, list)
 	}
 	if err == nil {
 		k.Log.Info("reload", "code", "roster", "entries", len(list))
@@ -161,7 +161,7 @@
 			return err
 		}}, &cobra.Command{Use: "key FILE", Short: "Make a private key in a new file and print its public half for the roster", Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			seed, public, err := datagram.NewKey()
+			seed, public, err := datagram.GenerateKey()
 			if err != nil {
 				return err
 			}
@@ -182,33 +182,33 @@
 // tell prints a report for a person.
 func tell(cmd *cobra.Command, r membership.Report) {
 	out := cmd.OutOrStdout()
-	fmt.Fprintf(out, "%s: %s for %.0f s, epoch %d; %d of %d there, own health %d of 8 lost\n", r.Name, r.Standing, r.SinceS, r.Epoch, r.There, r.Roster, r.Health)
-	up := max(r.UpS, 1)
+	fmt.Fprintf(out, "%s: %s for %.0f s, epoch %d; %d of %d there, own health %d of 8 lost\n", r.Name, r.PartitionState, r.SinceSeconds, r.Epoch, r.Present, r.Roster, r.Health)
+	up := max(r.UptimeSeconds, 1)
 	fmt.Fprintf(out, "in %.0f bytes/s in %.1f datagrams/s, out %.0f in %.1f, %d held back; %d drops, p50 %.1f s, p99 %.1f s\n", float64(r.InBytes)/up,
-		float64(r.InCount)/up, float64(r.OutBytes)/up, float64(r.OutCount)/up, r.Held, r.Detected, r.DetectP50S, r.DetectP99S)
+		float64(r.InDatagrams)/up, float64(r.OutBytes)/up, float64(r.OutDatagrams)/up, r.SendsDropped, r.Detections, r.DetectionP50Seconds, r.DetectionP99Seconds)
 	if r.Silent {
 		fmt.Fprintln(out, "SILENT: a newer process has this router's name")
 	}
-	for _, p := range r.Peers {
-		fmt.Fprintf(out, "%-16s %-8s for %6.0f s  zone %-10s %-21s life %d.%d", p.Name, p.State, p.SinceS, p.Zone, p.Address, p.Life, p.Beat)
-		if len(p.Accusers) > 0 || p.OwnFails > 0 {
-			fmt.Fprintf(out, "  own failed looks %d, charged by %s", p.OwnFails, strings.Join(p.Accusers, " "))
+	for _, p := range r.Members {
+		fmt.Fprintf(out, "%-16s %-8s for %6.0f s  zone %-10s %-21s life %d.%d", p.Name, p.State, p.SinceSeconds, p.Zone, p.Address, p.StartMillis, p.Refutations)
+		if len(p.Accusers) > 0 || p.FailedProbes > 0 {
+			fmt.Fprintf(out, "  own failed looks %d, charged by %s", p.FailedProbes, strings.Join(p.Accusers, " "))
 		}
-		if p.Wrong+p.Right >= 0.5 {
-			fmt.Fprintf(out, "  its charges: %.1f right, %.1f wrong", p.Right, p.Wrong)
+		if p.RefutedAccusations+p.ConfirmedAccusations >= 0.5 {
+			fmt.Fprintf(out, "  its charges: %.1f right, %.1f wrong", p.ConfirmedAccusations, p.RefutedAccusations)
 		}
-		if p.WordsOK+p.WordsBad >= 0.5 {
-			fmt.Fprintf(out, "  its words on members: %.1f right, %.1f wrong", p.WordsOK, p.WordsBad)
+		if p.ConfirmedObservations+p.RefutedObservations >= 0.5 {
+			fmt.Fprintf(out, "  its words on members: %.1f right, %.1f wrong", p.ConfirmedObservations, p.RefutedObservations)
 		}
-		if p.Silenced || !p.Voice {
+		if p.Silenced || !p.Trusted {
 			fmt.Fprint(out, "  NOT LISTENED TO")
 		}
-		if p.Differs {
+		if p.ViewDiffers {
 			fmt.Fprint(out, "  sees others than we do")
 		}
 		fmt.Fprintln(out)
 	}
 	for _, d := range r.Doubts {
-		fmt.Fprintf(out, "member %-12s doubt %.2f: %s\n", d.Member, d.Doubt, strings.Join(d.Witnesses, ", "))
+		fmt.Fprintf(out, "member %-12s doubt %.2f: %s\n", d.Endpoint, d.Level, strings.Join(d.Witnesses, ", "))
 	}
 }
--- a/cmd/cairnfront/peers_test.go
+++ b/cmd/cairnfront/peers_test.go
@@ -53,7 +53,7 @@
 
 func (f *fellowship) stands(t *testing.T, i int, want string) {
 	t.Helper()
-	require.Eventually(t, func() bool { return f.report(i).Standing == want }, patience, 20*time.Millisecond, "router %d is %+v", i, f.report(i))
+	require.Eventually(t, func() bool { return f.report(i).PartitionState == want }, patience, 20*time.Millisecond, "router %d is %+v", i, f.report(i))
 }
 
 // TestRoutersKnowEachOther starts three routers with keys that the program made, loses one, stops one, lets one leave, adds one
@@ -93,12 +93,12 @@
 	assert.Contains(t, string(out), third, "the address that r2 told")
 
 	require.NoError(t, exec.Command(program, "peers", "leave", "--socket", f.door(2)).Run())
-	require.Eventually(t, func() bool { r := f.report(0); return r.Roster == 2 && r.There == 2 }, patience, 20*time.Millisecond)
-	assert.Equal(t, "whole", f.report(0).Standing, "who left is not missed")
+	require.Eventually(t, func() bool { r := f.report(0); return r.Roster == 2 && r.Present == 2 }, patience, 20*time.Millisecond)
+	assert.Equal(t, "whole", f.report(0).PartitionState, "who left is not missed")
 
 	f.operators(t, 0, f.entries[0]["address"], append(f.entries[:2:2], f.entries[3]))
 	require.NoError(t, procs[0].Process.Signal(syscall.SIGHUP))
-	require.Eventually(t, func() bool { return len(f.report(0).Peers) == 3 && f.report(0).Roster == 3 }, patience, 20*time.Millisecond, "r3 came, r2 went")
+	require.Eventually(t, func() bool { return len(f.report(0).Members) == 3 && f.report(0).Roster == 3 }, patience, 20*time.Millisecond, "r3 came, r2 went")
 
 	// A second process under r1's name: the newest goes on, the older one falls silent.
 	f.entries[1]["address"] = port(t)
@@ -114,10 +114,10 @@
 	text, err = json.Marshal(book)
 	require.NoError(t, err)
 	require.NoError(t, os.WriteFile(file, text, 0o600))
-	require.Eventually(t, func() bool { return f.report(1).UpS > 21 }, patience, 100*time.Millisecond, "past the time in which it may think of an earlier life")
+	require.Eventually(t, func() bool { return f.report(1).UptimeSeconds > 21 }, patience, 100*time.Millisecond, "past the time in which it may think of an earlier life")
 	beginWith(t, []string{"--operators", file}, 192, m, m)
 	require.Eventually(t, func() bool { return f.report(1).Silent }, patience, 20*time.Millisecond)
-	assert.Equal(t, "alone", f.report(1).Standing)
+	assert.Equal(t, "alone", f.report(1).PartitionState)
 }
 
 // TestPeersAreRefusedWithPlaceAndReason: what is wrong in the operators' file ends the start, in one line.
--- a/internal/lab/peers.go
+++ b/internal/lab/peers.go
@@ -186,21 +186,21 @@
 		t.list(p, routing.Ready)
 	}
 	n := script.Peers
-	var people []datagram.Person
+	var people []datagram.Identity
 	var seeds, public []string
 	var conns []*net.UDPConn // hold the ports until their processes take them
 	for i := range n {
-		seed, pub, err := datagram.NewKey()
+		seed, pub, err := datagram.GenerateKey()
 		if err != nil {
 			return nil, err
 		}
-		key, _ := datagram.Public(pub)
+		key, _ := datagram.ParsePublicKey(pub)
 		c, err := listenLowUDP()
 		if err != nil {
 			return nil, err
 		}
 		f.names = append(f.names, fmt.Sprintf("n%d", i+1))
-		people, seeds, public, conns = append(people, datagram.Person{Name: f.names[i], Key: key}), append(seeds, seed), append(public, pub), append(conns, c)
+		people, seeds, public, conns = append(people, datagram.Identity{Name: f.names[i], Key: key}), append(seeds, seed), append(public, pub), append(conns, c)
 	}
 	ways := make([][]netip.AddrPort, n)
 	for i := range n {
@@ -247,7 +247,7 @@
 		f.procs = append(f.procs, &process{router: r, index: i})
 	}
 	for i := peersOf; i < n; i++ {
-		key, err := datagram.Key(seeds[i])
+		key, err := datagram.ParsePrivateKey(seeds[i])
 		if err != nil {
 			return nil, err
 		}
--- a/internal/lab/peerscost.go
+++ b/internal/lab/peerscost.go
@@ -67,10 +67,10 @@
 		}
 		if err := until(60*time.Second, func() bool {
 			rep, _ := askPeers(with)
-			return rep.Standing == "whole"
+			return rep.PartitionState == "whole"
 		}); err != nil {
 			rep, _ := askPeers(with)
-			return fmt.Errorf("the router does not find its %d peers: %w; it is %s and sees %d", n, err, rep.Standing, rep.There)
+			return fmt.Errorf("the router does not find its %d peers: %w; it is %s and sees %d", n, err, rep.PartitionState, rep.Present)
 		}
 		var crowds []*crowd
 		for _, loaded := range []bool{false, true} {
@@ -104,8 +104,8 @@
 		}
 		t.judge(r, crowds)
 		rep, _ := askPeers(with)
-		r.Counts["peers"], r.Counts["there"] = int64(n), int64(rep.There)
-		r.Figures["bytes_s_out"], r.Figures["bytes_s_in"] = float64(rep.OutBytes)/rep.UpS, float64(rep.InBytes)/rep.UpS
+		r.Counts["peers"], r.Counts["there"] = int64(n), int64(rep.Present)
+		r.Figures["bytes_s_out"], r.Figures["bytes_s_in"] = float64(rep.OutBytes)/rep.UptimeSeconds, float64(rep.InBytes)/rep.UptimeSeconds
 		if more := r.Figures["cores_with.idle"] - r.Figures["cores_without.idle"]; more > mostCostCores {
 			r.Broke("%.3f of a core for %d peers, idle", more, n)
 		}
@@ -120,12 +120,12 @@
 
 // crowdOfPeers starts so many nodes in this process and writes the operators' file of a router among them.
 func crowdOfPeers(ctx context.Context, s Setting, r *router, n int) (stop func(), err error) {
-	var roster []membership.Known
+	var roster []membership.RosterEntry
 	var seeds []string
 	var entries []map[string]string
 	var conns []*net.UDPConn
 	for i := range n + 1 {
-		seed, pub, err := datagram.NewKey()
+		seed, pub, err := datagram.GenerateKey()
 		if err != nil {
 			return nil, err
 		}
@@ -135,12 +135,12 @@
 		}
 		defer c.Close() // held until all have theirs
 		conns = append(conns, c)
-		key, _ := datagram.Public(pub)
+		key, _ := datagram.ParsePublicKey(pub)
 		name := fmt.Sprintf("peer-%d", i)
 		if i == n {
 			name = r.name
 		}
-		roster, seeds = append(roster, membership.Known{Name: name, Key: key, Address: c.LocalAddr().String()}), append(seeds, seed)
+		roster, seeds = append(roster, membership.RosterEntry{Name: name, Key: key, Address: c.LocalAddr().String()}), append(seeds, seed)
 		entries = append(entries, map[string]string{"name": name, "key": pub, "address": c.LocalAddr().String()})
 	}
 	for _, c := range conns {
@@ -159,18 +159,18 @@
 	if err := os.WriteFile(keyFile, []byte(seeds[n]), 0o600); err != nil {
 		return nil, err
 	}
-	in := ratelimit.Terms{AllDatagrams: 2000, AllBytes: 1.5e6, EachDatagrams: 100, EachBytes: 1e5}
-	out := ratelimit.Terms{AllDatagrams: 400, AllBytes: 2e5, EachDatagrams: 50, EachBytes: 5e4}
+	in := ratelimit.Limits{TotalDatagrams: 2000, TotalBytes: 1.5e6, PerPeerDatagrams: 100, PerPeerBytes: 1e5}
+	out := ratelimit.Limits{TotalDatagrams: 400, TotalBytes: 2e5, PerPeerDatagrams: 50, PerPeerBytes: 5e4}
 	play, end := context.WithCancel(ctx)
 	var all sync.WaitGroup
 	stop = func() { end(); all.Wait() }
 	for i := range n {
-		key, err := datagram.Key(seeds[i])
+		key, err := datagram.ParsePrivateKey(seeds[i])
 		if err != nil {
 			stop()
 			return nil, err
 		}
-		node, err := membership.New(membership.Plan{Name: roster[i].Name, Listen: roster[i].Address, Key: key, Roster: roster, Liars: 1, In: in, Out: out, Seed: s.Seed + uint64(i)},
+		node, err := membership.New(membership.Config{Name: roster[i].Name, Listen: roster[i].Address, Key: key, Roster: roster, MaxByzantine: 1, ReceiveLimits: in, SendLimits: out, Seed: s.Seed + uint64(i)},
 			telemetry.New(io.Discard, ""))
 		if err != nil {
 			stop()
--- a/internal/lab/simpeers.go
+++ b/internal/lab/simpeers.go
@@ -90,7 +90,7 @@
 				at := 15 + 20*float64(k)
 				s.Acts = append(s.Acts, faults.Act{Do: faults.Kill, At: at, Until: at + longKill, From: []int{(7*k + int(s.Seed)) % p.size}})
 			}
-			results[i], err = simmembership.Play(simmembership.Plan{Script: s, Terms: swim.Terms{Liars: simLiars, Plain: p.plain}, Known: p.size > largestJoin})
+			results[i], err = simmembership.Run(simmembership.Config{Script: s, SWIM: swim.Config{MaxByzantine: simLiars, PublishedSWIM: p.plain}, Preloaded: p.size > largestJoin})
 			return err
 		})
 	}
@@ -115,9 +115,9 @@
 				var all []float64
 				drops, rate, suspicions := 0, 0.0, 0
 				for _, x := range results[i*seeds : (i+1)*seeds] {
-					all = append(all, x.Detect...)
-					drops += x.Wrong
-					rate += x.BytesEach / float64(seeds)
+					all = append(all, x.DetectionSeconds...)
+					drops += x.FalseFailures
+					rate += x.BytesPerSecond / float64(seeds)
 					suspicions += x.Suspicions
 					r.Counts["resurrected"] += int64(x.Resurrected)
 				}
@@ -163,19 +163,19 @@
 	switch {
 	case x.Resurrected > 0:
 		return "a peer came back without a higher incarnation"
-	case x.Most > bound:
-		return fmt.Sprintf("%d things waited to be handed on, over %d", x.Most, bound)
+	case x.MaxQueueLength > bound:
+		return fmt.Sprintf("%d things waited to be handed on, over %d", x.MaxQueueLength, bound)
 	}
-	for _, n := range x.FinalThere {
-		if n != len(x.FinalThere) {
-			return fmt.Sprintf("at the end one sees %d, %d run", n, len(x.FinalThere))
+	for _, n := range x.FinalPresent {
+		if n != len(x.FinalPresent) {
+			return fmt.Sprintf("at the end one sees %d, %d run", n, len(x.FinalPresent))
 		}
 	}
 	return ""
 }
 
-func (c SimPeers) plan(s faults.Script) simmembership.Plan {
-	p := simmembership.Plan{Script: s, Terms: swim.Terms{Liars: max(simLiars, c.Hostile)}}
+func (c SimPeers) plan(s faults.Script) simmembership.Config {
+	p := simmembership.Config{Script: s, SWIM: swim.Config{MaxByzantine: max(simLiars, c.Hostile)}}
 	for i := range c.Hostile {
 		p.Hostile = append(p.Hostile, s.Peers-1-i)
 	}
@@ -194,24 +194,24 @@
 				return err
 			}
 			s := faults.Draw(seed, c.Peers, c.Scripts, simLasts)
-			x, err := simmembership.Play(c.plan(s))
+			x, err := simmembership.Run(c.plan(s))
 			if err != nil {
 				return fmt.Errorf("seed %d: %w", seed, err)
 			}
 			mu.Lock()
 			defer mu.Unlock()
 			r.Counts["plays"]++
-			r.Counts["wrong"] += int64(x.Wrong)
+			r.Counts["wrong"] += int64(x.FalseFailures)
 			r.Counts["suspicions"] += int64(x.Suspicions)
 			r.Counts["resurrected"] += int64(x.Resurrected)
-			r.Counts["most_queued"] = max(r.Counts["most_queued"], int64(x.Most))
+			r.Counts["most_queued"] = max(r.Counts["most_queued"], int64(x.MaxQueueLength))
 			if r.Counts["plays"]%50 == 0 {
 				c.Tell("%d of %d plays", r.Counts["plays"], c.To-c.From+1)
 			}
-			if x.Wrong > 0 && r.Counts["plays_wrong"] < 5 {
-				r.Did = append(r.Did, fmt.Sprintf("seed %d: %s", seed, x.WrongSaid[0]))
+			if x.FalseFailures > 0 && r.Counts["plays_wrong"] < 5 {
+				r.Did = append(r.Did, fmt.Sprintf("seed %d: %s", seed, x.FalseFailureDetails[0]))
 			}
-			r.Counts["plays_wrong"] += int64(min(x.Wrong, 1))
+			r.Counts["plays_wrong"] += int64(min(x.FalseFailures, 1))
 			if why := c.broken(x, &s); why != "" {
 				r.Broke("seed %d: %s", seed, why)
 				if len(found) < 3 {
@@ -226,7 +226,7 @@
 	}
 	for _, s := range found {
 		short, plays := faults.Shorten(s, shortenPlays, func(s faults.Script) bool {
-			x, err := simmembership.Play(c.plan(s))
+			x, err := simmembership.Run(c.plan(s))
 			return err == nil && c.broken(x, &s) != ""
 		})
 		text, _ := json.Marshal(short)
@@ -248,24 +248,24 @@
 		return err
 	}
 	r.Seed, r.Size = s.Seed, "one script, played twice"
-	x, err := simmembership.Play(c.plan(s))
+	x, err := simmembership.Run(c.plan(s))
 	if err != nil {
 		return err
 	}
-	again, err := simmembership.Play(c.plan(s))
+	again, err := simmembership.Run(c.plan(s))
 	if err != nil {
 		return err
 	}
-	if x.Trace != again.Trace {
+	if x.TraceHash != again.TraceHash {
 		r.Broke("two plays of one script came to different things")
 	}
 	if why := c.broken(x, &s); why != "" {
 		r.Broke("%s", why)
 	}
-	r.Counts["wrong"], r.Counts["suspicions"], r.Counts["resurrected"] = int64(x.Wrong), int64(x.Suspicions), int64(x.Resurrected)
-	r.Figures["bytes_s_each"] = x.BytesEach
+	r.Counts["wrong"], r.Counts["suspicions"], r.Counts["resurrected"] = int64(x.FalseFailures), int64(x.Suspicions), int64(x.Resurrected)
+	r.Figures["bytes_s_each"] = x.BytesPerSecond
 	l := Line{Name: "datagrams a second a peer"}
-	for i, d := range x.Datagrams {
+	for i, d := range x.DatagramsPerSecond {
 		l.X, l.Y = append(l.X, float64(i)), append(l.Y, d)
 	}
 	plot := Plot{Title: "Datagrams between peers", X: "s", Y: "a second a peer", Lines: []Line{l}}
@@ -273,6 +273,6 @@
 		plot.Marks = append(plot.Marks, Mark{a.At, string(a.Do)})
 	}
 	r.Plots = append(r.Plots, plot)
-	r.Did = append(r.Did, x.WrongSaid...)
+	r.Did = append(r.Did, x.FalseFailureDetails...)
 	return nil
 }
--- a/internal/membership/datagram/wire.go
+++ b/internal/membership/datagram/wire.go
@@ -24,7 +24,7 @@
 
 // Bounds of what is taken in and put out.
 const (
-	Most      = 1400 // bytes of a datagram: it fits an Ethernet frame with any headers
+	MaxSize   = 1400 // bytes of a datagram: it fits an Ethernet frame with any headers
 	mostName  = 32   // bytes of a name
 	mostAddr  = 64   // bytes of an address
 	mostSeal  = 400  // bytes of a claim or a charge with its signature
@@ -45,13 +45,13 @@
 
 // Why a datagram was not taken.
 var (
-	ErrShape   = errors.New("not a datagram of this protocol")
-	ErrVersion = errors.New("another version")
-	ErrName    = errors.New("nobody of the roster")
-	ErrMe      = errors.New("not for this peer")
-	ErrSigned  = errors.New("the signature does not hold")
-	ErrReplay  = errors.New("seen before")
-	ErrOld     = errors.New("from an earlier life of its sender")
+	ErrMalformed          = errors.New("not a datagram of this protocol")
+	ErrUnsupportedVersion = errors.New("another version")
+	ErrUnknownMember      = errors.New("nobody of the roster")
+	ErrWrongRecipient     = errors.New("not for this peer")
+	ErrBadSignature       = errors.New("the signature does not hold")
+	ErrReplayed           = errors.New("seen before")
+	ErrStaleIncarnation   = errors.New("from an earlier life of its sender")
 )
 
 var enc, dec = cborcodec.Modes(64)
@@ -66,16 +66,16 @@
 }
 
 type body struct {
-	Kind    swim.Kind `cbor:"1,keyasint"`
-	Nonce   uint64    `cbor:"2,keyasint,omitempty"`
-	For     string    `cbor:"3,keyasint,omitempty"`
-	Of      string    `cbor:"4,keyasint,omitempty"`
-	Proof   []byte    `cbor:"5,keyasint,omitempty"`
-	Digest  uint64    `cbor:"6,keyasint,omitempty"`
-	Claims  [][]byte  `cbor:"7,keyasint,omitempty"`
-	Charges [][]byte  `cbor:"8,keyasint,omitempty"`
-	Rows    []row     `cbor:"9,keyasint,omitempty"`
-	Rumours [][]byte  `cbor:"10,keyasint,omitempty"`
+	Kind    swim.MessageKind `cbor:"1,keyasint"`
+	Nonce   uint64           `cbor:"2,keyasint,omitempty"`
+	For     string           `cbor:"3,keyasint,omitempty"`
+	Of      string           `cbor:"4,keyasint,omitempty"`
+	Proof   []byte           `cbor:"5,keyasint,omitempty"`
+	Digest  uint64           `cbor:"6,keyasint,omitempty"`
+	Claims  [][]byte         `cbor:"7,keyasint,omitempty"`
+	Charges [][]byte         `cbor:"8,keyasint,omitempty"`
+	Rows    []row            `cbor:"9,keyasint,omitempty"`
+	Rumours [][]byte         `cbor:"10,keyasint,omitempty"`
 }
 
 type row struct {
@@ -112,7 +112,7 @@
 }
 
 // Person is one of the roster.
-type Person struct {
+type Identity struct {
 	Name string
 	Key  ed25519.PublicKey
 }
@@ -127,7 +127,7 @@
 func (g *guard) fresh(start, count uint64) error {
 	switch {
 	case start < g.start:
-		return ErrOld
+		return ErrStaleIncarnation
 	case start > g.start:
 		*g = guard{start: start}
 	}
@@ -145,11 +145,11 @@
 			g.high, n = g.high+step, n-step
 		}
 	} else if g.high-count >= window {
-		return ErrReplay
+		return ErrReplayed
 	}
 	at := count % window
 	if g.seen[at/64]&(1<<(at%64)) != 0 {
-		return ErrReplay
+		return ErrReplayed
 	}
 	g.seen[at/64] |= 1 << (at % 64)
 	return nil
@@ -163,12 +163,12 @@
 
 // Codec is one peer's. It belongs to one goroutine.
 type Codec struct {
-	me     swim.Peer
+	me     swim.MemberID
 	key    ed25519.PrivateKey
 	addr   string
 	zone   string
-	people []Person
-	index  map[string]swim.Peer
+	people []Identity
+	index  map[string]swim.MemberID
 	counts []uint64
 	guards []guard
 	own    sealed
@@ -176,12 +176,12 @@
 }
 
 // New makes the codec of a peer with its key, the address at which it is reached, and its zone.
-func New(me swim.Peer, key ed25519.PrivateKey, addr, zone string, people []Person) (*Codec, error) {
-	c := &Codec{me: me, key: key, addr: addr, zone: zone, index: map[string]swim.Peer{}, held: map[string]bool{}}
+func New(me swim.MemberID, key ed25519.PrivateKey, addr, zone string, people []Identity) (*Codec, error) {
+	c := &Codec{me: me, key: key, addr: addr, zone: zone, index: map[string]swim.MemberID{}, held: map[string]bool{}}
 	if len(addr) > mostAddr || len(zone) > mostName {
 		return nil, fmt.Errorf("the address %q or the zone %q is too long", addr, zone)
 	}
-	if err := c.Grow(people); err != nil {
+	if err := c.SetRoster(people); err != nil {
 		return nil, err
 	}
 	if int(me) >= len(people) || !key.Public().(ed25519.PublicKey).Equal(people[me].Key) {
@@ -191,7 +191,7 @@
 }
 
 // Grow takes a longer roster; the names that were there stay in their places.
-func (c *Codec) Grow(people []Person) error {
+func (c *Codec) SetRoster(people []Identity) error {
 	for i := range people {
 		p := people[i]
 		switch {
@@ -205,7 +205,7 @@
 		if at, ok := c.index[p.Name]; ok && int(at) != i {
 			return fmt.Errorf("peer %q stands twice", p.Name)
 		}
-		c.index[p.Name] = swim.Peer(i)
+		c.index[p.Name] = swim.MemberID(i)
 	}
 	c.people = slices.Clone(people)
 	for len(c.counts) < len(people) {
@@ -215,16 +215,16 @@
 }
 
 // Name of a peer.
-func (c *Codec) Name(p swim.Peer) string { return c.people[p].Name }
+func (c *Codec) Name(p swim.MemberID) string { return c.people[p].Name }
 
 // Moved sets the address at which this peer says that it is reached.
-func (c *Codec) Moved(addr string) { c.addr, c.own = addr, sealed{} }
+func (c *Codec) SetAddress(addr string) { c.addr, c.own = addr, sealed{} }
 
 func (c *Codec) sign(use string, text []byte) []byte {
 	return append(ed25519.Sign(c.key, append([]byte(use), text...)), text...)
 }
 
-func (c *Codec) holds(use string, p swim.Peer, signed []byte) bool {
+func (c *Codec) holds(use string, p swim.MemberID, signed []byte) bool {
 	if len(signed) < sigSize {
 		return false
 	}
@@ -236,25 +236,25 @@
 }
 
 // seal is the signed text of a claim: a foreign one as it came, our own signed once.
-func (c *Codec) seal(cl swim.Claim) ([]byte, error) {
-	if cl.Of != c.me {
-		return cl.Seal, nil
+func (c *Codec) seal(cl swim.MemberRecord) ([]byte, error) {
+	if cl.Member != c.me {
+		return cl.Signed, nil
 	}
-	if c.own.text == nil || c.own.at != cl.At || c.own.state != cl.State {
-		text, err := enc.Marshal(claim{c.people[cl.Of].Name, cl.At.Start, cl.At.Beat, cl.Birth, cl.State, c.addr, c.zone})
+	if c.own.text == nil || c.own.at != cl.Incarnation || c.own.state != cl.State {
+		text, err := enc.Marshal(claim{c.people[cl.Member].Name, cl.Incarnation.StartMillis, cl.Incarnation.Refutations, cl.InstanceID, cl.State, c.addr, c.zone})
 		if err != nil {
 			return nil, err
 		}
-		c.own = sealed{cl.At, cl.State, c.sign(forClaim, text)}
+		c.own = sealed{cl.Incarnation, cl.State, c.sign(forClaim, text)}
 	}
 	return c.own.text, nil
 }
 
-func (c *Codec) charge(ch swim.Charge) ([]byte, error) {
-	if ch.By != c.me {
-		return ch.Seal, nil
+func (c *Codec) charge(ch swim.Accusation) ([]byte, error) {
+	if ch.Accuser != c.me {
+		return ch.Signed, nil
 	}
-	text, err := enc.Marshal(charge{c.people[ch.By].Name, c.people[ch.Of].Name, ch.At.Start, ch.At.Beat})
+	text, err := enc.Marshal(charge{c.people[ch.Accuser].Name, c.people[ch.Member].Name, ch.Incarnation.StartMillis, ch.Incarnation.Refutations})
 	if err != nil {
 		return nil, err
 	}
@@ -263,21 +263,21 @@
 
 // Encode makes a datagram. Start is the sender's incarnation. What does not fit is left out, rumours first, then charges, claims
 // and rows.
-func (c *Codec) Encode(start uint64, to swim.Peer, m swim.Message, rumours [][]byte) ([]byte, error) {
-	b := body{Kind: m.Kind, Nonce: m.Nonce, Digest: m.Digest, Rumours: rumours}
+func (c *Codec) Encode(start uint64, to swim.MemberID, m swim.Message, rumours [][]byte) ([]byte, error) {
+	b := body{Kind: m.Kind, Nonce: m.Nonce, Digest: m.ViewHash, Rumours: rumours}
 	switch m.Kind {
-	case swim.Ping, swim.Ack, swim.Ask, swim.Told:
-		b.For = c.people[m.For].Name
+	case swim.Ping, swim.Ack, swim.IndirectPing, swim.IndirectAck:
+		b.For = c.people[m.Requester].Name
 	}
 	switch m.Kind {
-	case swim.Ask, swim.Told:
-		b.Of, b.Proof = c.people[m.Of].Name, m.Proof
+	case swim.IndirectPing, swim.IndirectAck:
+		b.Of, b.Proof = c.people[m.Target].Name, m.Proof
 	case swim.Ack:
-		if m.For != to { // the one who asked for it only hands it on
+		if m.Requester != to { // the one who asked for it only hands it on
 			b.Proof = ed25519.Sign(c.key, proofText(m.Nonce, b.For))
 		}
 	}
-	for _, cl := range m.Claims {
+	for _, cl := range m.Records {
 		text, err := c.seal(cl)
 		if err != nil {
 			return nil, fmt.Errorf("sealing a claim: %w", err)
@@ -286,7 +286,7 @@
 			b.Claims = append(b.Claims, text)
 		}
 	}
-	for _, ch := range m.Charges {
+	for _, ch := range m.Accusations {
 		text, err := c.charge(ch)
 		if err != nil {
 			return nil, fmt.Errorf("sealing a charge: %w", err)
@@ -295,8 +295,8 @@
 			b.Charges = append(b.Charges, text)
 		}
 	}
-	for _, r := range m.Rows {
-		b.Rows = append(b.Rows, row{c.people[r.Of].Name, r.At.Start, r.At.Beat, r.State})
+	for _, r := range m.Entries {
+		b.Rows = append(b.Rows, row{c.people[r.Member].Name, r.Incarnation.StartMillis, r.Incarnation.Refutations, r.State})
 	}
 	c.counts[to]++
 	for {
@@ -308,7 +308,7 @@
 		if err != nil {
 			return nil, fmt.Errorf("encoding for %s: %w", c.people[to].Name, err)
 		}
-		if sigSize+len(text) <= Most {
+		if sigSize+len(text) <= MaxSize {
 			return c.sign(forDatagram, text), nil
 		}
 		switch {
@@ -321,87 +321,87 @@
 		case len(b.Rows) > 0:
 			b.Rows = b.Rows[:len(b.Rows)/2]
 		default:
-			return nil, fmt.Errorf("a message of kind %d does not fit %d bytes", m.Kind, Most)
+			return nil, fmt.Errorf("a message of kind %d does not fit %d bytes", m.Kind, MaxSize)
 		}
 	}
 }
 
 // Heard is a datagram that was taken.
-type Heard struct {
-	From    swim.Peer
-	Start   uint64
-	Message swim.Message
-	Rumours []observation.Rumour
-	Skipped int // parts that were left out because their signature does not hold or they name nobody
+type Received struct {
+	From         swim.MemberID
+	StartMillis  uint64
+	Message      swim.Message
+	Observations []observation.Observation
+	Skipped      int // parts that were left out because their signature does not hold or they name nobody
 }
 
 // Decode takes a datagram: for us, from one of the roster, its signature, life and counter in order. Newer says whether a claim
 // would be news; one that would not be is not looked into. An error of ErrOld names the sender all the same.
-func (c *Codec) Decode(text []byte, newer func(swim.Peer, swim.Incarnation) bool) (h Heard, err error) {
-	if len(text) < sigSize || len(text) > Most {
-		return h, ErrShape
+func (c *Codec) Decode(text []byte, newer func(swim.MemberID, swim.Incarnation) bool) (h Received, err error) {
+	if len(text) < sigSize || len(text) > MaxSize {
+		return h, ErrMalformed
 	}
 	var e envelope
 	if dec.Unmarshal(text[sigSize:], &e) != nil {
-		return h, ErrShape
+		return h, ErrMalformed
 	}
 	if e.V != Version {
-		return h, ErrVersion
+		return h, ErrUnsupportedVersion
 	}
 	from, ok := c.index[e.From]
 	if !ok || from == c.me {
-		return h, ErrName
+		return h, ErrUnknownMember
 	}
 	if e.To != c.people[c.me].Name {
-		return h, ErrMe
+		return h, ErrWrongRecipient
 	}
 	if e.Start < c.guards[from].start { // before the dear part: an old life's datagrams are known without it
 		h.From = from
 		if !c.holds(forDatagram, from, text) {
-			return h, ErrSigned
+			return h, ErrBadSignature
 		}
-		return h, ErrOld
+		return h, ErrStaleIncarnation
 	}
 	if !c.holds(forDatagram, from, text) {
-		return h, ErrSigned
+		return h, ErrBadSignature
 	}
 	if err := c.guards[from].fresh(e.Start, e.Count); err != nil {
 		return h, err
 	}
 	var b body
 	if dec.Unmarshal(e.Body, &b) != nil || len(b.Claims) > mostList || len(b.Charges) > mostList || len(b.Rows) > mostList || len(b.Rumours) > mostList {
-		return h, ErrShape
+		return h, ErrMalformed
 	}
-	h.From, h.Start = from, e.Start
+	h.From, h.StartMillis = from, e.Start
 	m := &h.Message
-	m.Kind, m.Nonce, m.Digest = b.Kind, b.Nonce, b.Digest
-	if m.Kind < swim.Ping || m.Kind > swim.Give {
+	m.Kind, m.Nonce, m.ViewHash = b.Kind, b.Nonce, b.Digest
+	if m.Kind < swim.Ping || m.Kind > swim.Push {
 		m.Kind = 0 // of a later version: what it carries counts
 	}
 	switch m.Kind {
-	case swim.Ping, swim.Ack, swim.Ask, swim.Told:
-		if m.For, ok = c.index[b.For]; !ok {
-			return h, ErrName
+	case swim.Ping, swim.Ack, swim.IndirectPing, swim.IndirectAck:
+		if m.Requester, ok = c.index[b.For]; !ok {
+			return h, ErrUnknownMember
 		}
 	}
 	switch m.Kind {
-	case swim.Ask, swim.Told:
-		if m.Of, ok = c.index[b.Of]; !ok {
-			return h, ErrName
+	case swim.IndirectPing, swim.IndirectAck:
+		if m.Target, ok = c.index[b.Of]; !ok {
+			return h, ErrUnknownMember
 		}
 	}
 	switch m.Kind {
 	case swim.Ack:
 		m.Proof = b.Proof
-	case swim.Told:
-		if !ed25519.Verify(c.people[m.Of].Key, proofText(m.Nonce, c.people[c.me].Name), b.Proof) {
-			return h, ErrSigned
+	case swim.IndirectAck:
+		if !ed25519.Verify(c.people[m.Target].Key, proofText(m.Nonce, c.people[c.me].Name), b.Proof) {
+			return h, ErrBadSignature
 		}
 	}
 	for _, text := range b.Claims {
 		cl, ok := c.openClaim(text, newer)
 		if ok {
-			m.Claims = append(m.Claims, cl)
+			m.Records = append(m.Records, cl)
 		} else {
 			h.Skipped++
 		}
@@ -409,27 +409,27 @@
 	for _, text := range b.Charges {
 		ch, ok := c.openCharge(text)
 		if ok {
-			m.Charges = append(m.Charges, ch)
+			m.Accusations = append(m.Accusations, ch)
 		} else {
 			h.Skipped++
 		}
 	}
 	for _, text := range b.Rumours {
-		if r, ok := c.OpenRumour(text); ok {
-			h.Rumours = append(h.Rumours, r)
+		if r, ok := c.VerifyObservation(text); ok {
+			h.Observations = append(h.Observations, r)
 		} else {
 			h.Skipped++
 		}
 	}
 	for _, r := range b.Rows {
 		if of, ok := c.index[r.Of]; ok && r.State <= swim.Left {
-			m.Rows = append(m.Rows, swim.Row{Of: of, At: swim.Incarnation{Start: r.Start, Beat: r.Beat}, State: r.State})
+			m.Entries = append(m.Entries, swim.PushPullEntry{Member: of, Incarnation: swim.Incarnation{StartMillis: r.Start, Refutations: r.Beat}, State: r.State})
 		}
 	}
 	return h, nil
 }
 
-func (c *Codec) checked(use string, p swim.Peer, text []byte) bool {
+func (c *Codec) checked(use string, p swim.MemberID, text []byte) bool {
 	if c.held[string(text)] {
 		return true
 	}
@@ -443,35 +443,35 @@
 	return true
 }
 
-func (c *Codec) openClaim(text []byte, newer func(swim.Peer, swim.Incarnation) bool) (swim.Claim, bool) {
+func (c *Codec) openClaim(text []byte, newer func(swim.MemberID, swim.Incarnation) bool) (swim.MemberRecord, bool) {
 	var t claim
 	if len(text) <= sigSize || len(text) > mostSeal || dec.Unmarshal(text[sigSize:], &t) != nil {
-		return swim.Claim{}, false
+		return swim.MemberRecord{}, false
 	}
 	of, ok := c.index[t.Of]
-	cl := swim.Claim{Of: of, At: swim.Incarnation{Start: t.Start, Beat: t.Beat}, Birth: t.Birth, State: t.State, Seal: slices.Clone(text)}
+	cl := swim.MemberRecord{Member: of, Incarnation: swim.Incarnation{StartMillis: t.Start, Refutations: t.Beat}, InstanceID: t.Birth, State: t.State, Signed: slices.Clone(text)}
 	if !ok || t.State != swim.Alive && t.State != swim.Stuck && t.State != swim.Left || len(t.Addr) > mostAddr || len(t.Zone) > mostName {
 		return cl, false
 	}
-	if !newer(of, cl.At) {
+	if !newer(of, cl.Incarnation) {
 		return cl, true // it changes nothing, whoever wrote it
 	}
 	return cl, c.checked(forClaim, of, text)
 }
 
-func (c *Codec) openCharge(text []byte) (swim.Charge, bool) {
+func (c *Codec) openCharge(text []byte) (swim.Accusation, bool) {
 	var t charge
 	if len(text) <= sigSize || len(text) > mostSeal || dec.Unmarshal(text[sigSize:], &t) != nil {
-		return swim.Charge{}, false
+		return swim.Accusation{}, false
 	}
 	by, ok := c.index[t.By]
 	of, ok2 := c.index[t.Of]
-	ch := swim.Charge{By: by, Of: of, At: swim.Incarnation{Start: t.Start, Beat: t.Beat}, Seal: slices.Clone(text)}
+	ch := swim.Accusation{Accuser: by, Member: of, Incarnation: swim.Incarnation{StartMillis: t.Start, Refutations: t.Beat}, Signed: slices.Clone(text)}
 	return ch, ok && ok2 && by != of && c.checked(forCharge, by, text)
 }
 
 // Where tells what a signed claim says of its author's place.
-func Where(seal []byte) (addr, zone string) {
+func RecordLocation(seal []byte) (addr, zone string) {
 	var t claim
 	if len(seal) > sigSize && dec.Unmarshal(seal[sigSize:], &t) == nil {
 		return t.Addr, t.Zone
@@ -480,8 +480,8 @@
 }
 
 // SealRumour signs a word of our own.
-func (c *Codec) SealRumour(r observation.Rumour) ([]byte, error) {
-	text, err := enc.Marshal(word{c.people[c.me].Name, r.Start, r.Seq, r.Member, uint8(r.Says), r.Zone})
+func (c *Codec) SignObservation(r observation.Observation) ([]byte, error) {
+	text, err := enc.Marshal(word{c.people[c.me].Name, r.WitnessStartMillis, r.Sequence, r.Endpoint, uint8(r.Health), r.Zone})
 	if err != nil {
 		return nil, fmt.Errorf("sealing a rumour: %w", err)
 	}
@@ -489,20 +489,20 @@
 }
 
 // OpenRumour reads a word and checks that its witness signed it.
-func (c *Codec) OpenRumour(seal []byte) (observation.Rumour, bool) {
+func (c *Codec) VerifyObservation(seal []byte) (observation.Observation, bool) {
 	var t word
 	if len(seal) <= sigSize || len(seal) > mostSeal || dec.Unmarshal(seal[sigSize:], &t) != nil {
-		return observation.Rumour{}, false
+		return observation.Observation{}, false
 	}
 	by, ok := c.index[t.By]
 	if !ok || by == c.me || len(t.Member) > mostName || len(t.Zone) > mostName || !c.checked(forRumour, by, seal) {
-		return observation.Rumour{}, false
+		return observation.Observation{}, false
 	}
-	return observation.Rumour{By: int(by), Start: t.Start, Seq: t.Seq, Member: t.Member, Says: observation.Says(t.Says), Zone: t.Zone, Seal: slices.Clone(seal)}, true
+	return observation.Observation{Witness: int(by), WitnessStartMillis: t.Start, Sequence: t.Seq, Endpoint: t.Member, Health: observation.Health(t.Says), Zone: t.Zone, Signed: slices.Clone(seal)}, true
 }
 
 // NewKey makes a key and its public half as the operators' file has it.
-func NewKey() (seed, public string, err error) {
+func GenerateKey() (seed, public string, err error) {
 	pub, priv, err := ed25519.GenerateKey(rand.Reader)
 	if err != nil {
 		return "", "", fmt.Errorf("a new key: %w", err)
@@ -511,7 +511,7 @@
 }
 
 // Key reads a private key as NewKey wrote it, Public a public one.
-func Key(text string) (ed25519.PrivateKey, error) {
+func ParsePrivateKey(text string) (ed25519.PrivateKey, error) {
 	seed, err := base64.StdEncoding.DecodeString(text)
 	if err != nil || len(seed) != ed25519.SeedSize {
 		return nil, fmt.Errorf("not %d bytes in base64", ed25519.SeedSize)
@@ -520,7 +520,7 @@
 }
 
 // Public reads a public key.
-func Public(text string) (ed25519.PublicKey, error) {
+func ParsePublicKey(text string) (ed25519.PublicKey, error) {
 	key, err := base64.StdEncoding.DecodeString(text)
 	if err != nil || len(key) != ed25519.PublicKeySize {
 		return nil, fmt.Errorf("not %d bytes in base64", ed25519.PublicKeySize)
@@ -529,8 +529,8 @@
 }
 
 // Forge makes a claim in another's name under our own signature: what a liar would send, for the laboratory and the tests.
-func (c *Codec) Forge(of swim.Peer, at swim.Incarnation, state swim.State) []byte {
-	text, err := enc.Marshal(claim{c.people[of].Name, at.Start, at.Beat, 1, state, c.addr, c.zone})
+func (c *Codec) ForgeRecord(of swim.MemberID, at swim.Incarnation, state swim.State) []byte {
+	text, err := enc.Marshal(claim{c.people[of].Name, at.StartMillis, at.Refutations, 1, state, c.addr, c.zone})
 	if err != nil {
 		return nil
 	}
--- a/internal/membership/observation/rumour.go
+++ b/internal/membership/observation/rumour.go
@@ -12,32 +12,32 @@
 )
 
 // Says is what a witness saw.
-type Says uint8
+type Health uint8
 
 // What can be said. Failing is errors, refusals and silence; Slow is late answers, which operators see and which raise no doubt,
 // for in a burst all are slow; Well takes either back.
 const (
-	Failing Says = iota + 1
+	Failing Health = iota + 1
 	Slow
-	Well
+	Healthy
 )
 
-func (s Says) String() string {
-	if s < Failing || s > Well {
+func (s Health) String() string {
+	if s < Failing || s > Healthy {
 		return "nothing"
 	}
 	return [...]string{"failing", "slow", "well"}[s-1]
 }
 
 // Rumour is one witness's word on one member.
-type Rumour struct {
-	By     int    // the witness, a place in the roster
-	Start  uint64 // of its life
-	Seq    uint32 // of its words in that life
-	Member string
-	Says   Says
-	Zone   string // from where it was seen
-	Seal   []byte // the signed text, not looked into here
+type Observation struct {
+	Witness            int    // the witness, a place in the roster
+	WitnessStartMillis uint64 // of its life
+	Sequence           uint32 // of its words in that life
+	Endpoint           string
+	Health             Health
+	Zone               string // from where it was seen
+	Signed             []byte // the signed text, not looked into here
 }
 
 // Tuned values, with unit and reason.
@@ -65,7 +65,7 @@
 
 // word is a rumour as held.
 type word struct {
-	Rumour
+	Observation
 	until  float64
 	judged bool
 }
@@ -81,26 +81,26 @@
 // own is what this router saw of a member.
 type own struct {
 	row       int // ends of the same kind in a row
-	last      Says
-	said      Says
+	last      Health
+	said      Health
 	saidAt    float64
 	good, bad float64 // when it last ended well, and failed
 }
 
 // Heed is how much a member is doubted, from 0 to 1, and until when. It is emitted where it changes.
-type Heed struct {
-	Member string
-	Doubt  float64
-	Until  float64 // clock time of the core
+type Doubt struct {
+	Endpoint string
+	Level    float64
+	Until    float64 // clock time of the core
 }
 
 type handing struct {
-	r    Rumour
+	r    Observation
 	sent int
 }
 
 // Core is one router's. It belongs to one goroutine.
-type Core struct {
+type Tracker struct {
 	me    int
 	zone  string
 	liars int
@@ -111,24 +111,24 @@
 	held      int
 	witnesses map[int]*witness
 	own       map[string]*own
-	doubted   map[string]Heed
+	doubted   map[string]Doubt
 	queue     []handing
 	tokens    float64
 	tokensAt  float64
-	say       []Rumour
+	say       []Observation
 }
 
 // New makes the rumours of a router: its place in the roster, its zone, its life, and how many peers may lie.
-func New(me int, zone string, liars int, start uint64) *Core {
-	return &Core{me: me, zone: zone, liars: liars, start: start, words: map[string][]word{}, witnesses: map[int]*witness{}, own: map[string]*own{},
-		doubted: map[string]Heed{}, tokens: ownBurst}
+func New(me int, zone string, liars int, start uint64) *Tracker {
+	return &Tracker{me: me, zone: zone, liars: liars, start: start, words: map[string][]word{}, witnesses: map[int]*witness{}, own: map[string]*own{},
+		doubted: map[string]Doubt{}, tokens: ownBurst}
 }
 
 // Life sets the incarnation under which words go out.
-func (c *Core) Life(start uint64) { c.start, c.seq = start, 0 }
+func (c *Tracker) SetIncarnation(start uint64) { c.start, c.seq = start, 0 }
 
 // Ended takes the end of an own hop to a member: what it says of the member, and of those who spoke about it.
-func (c *Core) Ended(now float64, member string, says Says) (heeds []Heed) {
+func (c *Tracker) AttemptEnded(now float64, member string, says Health) (heeds []Doubt) {
 	o := c.own[member]
 	if o == nil {
 		if len(c.own) >= mostMembers {
@@ -151,19 +151,19 @@
 		o.good = now
 	}
 	c.try(now, member, o)
-	need := map[Says]int{Failing: badEnds, Slow: slowEnds, Well: goodEnds}[says]
+	need := map[Health]int{Failing: badEnds, Slow: slowEnds, Healthy: goodEnds}[says]
 	known := o.said == says && now < o.saidAt+repeatAfter
-	if o.row >= need && !known && (says != Well || o.said != 0 && o.said != Well) && c.may(now) {
+	if o.row >= need && !known && (says != Healthy || o.said != 0 && o.said != Healthy) && c.may(now) {
 		o.said, o.saidAt = says, now
 		c.seq++
-		r := Rumour{By: c.me, Start: c.start, Seq: c.seq, Member: member, Says: says, Zone: c.zone}
+		r := Observation{Witness: c.me, WitnessStartMillis: c.start, Sequence: c.seq, Endpoint: member, Health: says, Zone: c.zone}
 		c.say = append(c.say, r)
 	}
 	return c.weigh(now, member)
 }
 
 // may spends from the bucket of own words.
-func (c *Core) may(now float64) bool {
+func (c *Tracker) may(now float64) bool {
 	c.tokens = min(c.tokens+mostOwn*max(now-c.tokensAt, 0), ownBurst)
 	c.tokensAt = now
 	if c.tokens < 1 {
@@ -174,15 +174,15 @@
 }
 
 // Say gives the own words that wait to be signed; each comes back by Tell.
-func (c *Core) Say() []Rumour {
+func (c *Tracker) TakeUnsigned() []Observation {
 	out := c.say
 	c.say = nil
 	return out
 }
 
 // Tell queues a signed word to be handed on. There is one of a witness on a member.
-func (c *Core) Tell(r Rumour) {
-	same := func(h handing) bool { return h.r.By == r.By && h.r.Member == r.Member }
+func (c *Tracker) Enqueue(r Observation) {
+	same := func(h handing) bool { return h.r.Witness == r.Witness && h.r.Endpoint == r.Endpoint }
 	if i := slices.IndexFunc(c.queue, same); i >= 0 {
 		c.queue[i] = handing{r: r}
 		return
@@ -200,11 +200,11 @@
 }
 
 // Next gives what goes with a datagram to a peer, of so many that are there, the least told first.
-func (c *Core) Next(to, there int) (out []Rumour) {
+func (c *Tracker) Piggyback(to, there int) (out []Observation) {
 	most := max(int(spread*math.Ceil(math.Log2(float64(there+1)))), 2)
 	slices.SortStableFunc(c.queue, func(a, b handing) int { return cmp.Compare(a.sent, b.sent) })
 	for i := range c.queue {
-		if h := &c.queue[i]; len(out) < mostPer && h.r.By != to {
+		if h := &c.queue[i]; len(out) < mostPer && h.r.Witness != to {
 			out = append(out, h.r)
 			h.sent++
 		}
@@ -214,31 +214,31 @@
 }
 
 // Heard takes a word whose signature holds. It is refused if its witness said something later, or the life it is from is over.
-func (c *Core) Heard(now float64, r Rumour) (heeds []Heed, fresh bool) {
-	if r.By == c.me || r.Says < Failing || r.Says > Well || r.Member == "" {
+func (c *Tracker) HandleObservation(now float64, r Observation) (heeds []Doubt, fresh bool) {
+	if r.Witness == c.me || r.Health < Failing || r.Health > Healthy || r.Endpoint == "" {
 		return nil, false
 	}
-	w := c.witnesses[r.By]
+	w := c.witnesses[r.Witness]
 	if w == nil {
 		w = &witness{at: now}
-		c.witnesses[r.By] = w
+		c.witnesses[r.Witness] = w
 	}
-	if r.Start < w.start || r.Start == w.start && (r.Seq <= w.seq || w.start != 0 && r.Seq-w.seq > mostAhead) {
+	if r.WitnessStartMillis < w.start || r.WitnessStartMillis == w.start && (r.Sequence <= w.seq || w.start != 0 && r.Sequence-w.seq > mostAhead) {
 		if !c.missing(r) {
 			return nil, false
 		}
 	} else {
-		w.start, w.seq = r.Start, r.Seq
+		w.start, w.seq = r.WitnessStartMillis, r.Sequence
 	}
-	list := c.words[r.Member]
+	list := c.words[r.Endpoint]
 	if list == nil && len(c.words) >= mostMembers || c.held >= mostWords {
 		c.forget(now)
-		if list = c.words[r.Member]; list == nil && len(c.words) >= mostMembers || c.held >= mostWords {
+		if list = c.words[r.Endpoint]; list == nil && len(c.words) >= mostMembers || c.held >= mostWords {
 			return nil, false
 		}
 	}
-	if i := slices.IndexFunc(list, func(x word) bool { return x.By == r.By }); i >= 0 {
-		if list[i].Start == r.Start && list[i].Seq >= r.Seq || list[i].Start > r.Start {
+	if i := slices.IndexFunc(list, func(x word) bool { return x.Witness == r.Witness }); i >= 0 {
+		if list[i].WitnessStartMillis == r.WitnessStartMillis && list[i].Sequence >= r.Sequence || list[i].WitnessStartMillis > r.WitnessStartMillis {
 			return nil, false
 		}
 		list = slices.Delete(list, i, i+1)
@@ -248,33 +248,33 @@
 		list = slices.Delete(list, 0, 1)
 		c.held--
 	}
-	c.words[r.Member] = append(list, word{Rumour: r, until: now + lasts})
+	c.words[r.Endpoint] = append(list, word{Observation: r, until: now + lasts})
 	c.held++
-	c.Tell(r)
-	if o := c.own[r.Member]; o != nil {
-		c.try(now, r.Member, o)
+	c.Enqueue(r)
+	if o := c.own[r.Endpoint]; o != nil {
+		c.try(now, r.Endpoint, o)
 	}
-	return c.weigh(now, r.Member), true
+	return c.weigh(now, r.Endpoint), true
 }
 
 // missing says whether a word with an earlier number may still be news: numbers of one witness on different members can
 // arrive in any order, so one that is not far behind counts if nothing is held of it on that member.
-func (c *Core) missing(r Rumour) bool {
-	w := c.witnesses[r.By]
-	if r.Start != w.start || r.Seq == w.seq || w.seq-r.Seq > 64 || r.Seq > w.seq {
+func (c *Tracker) missing(r Observation) bool {
+	w := c.witnesses[r.Witness]
+	if r.WitnessStartMillis != w.start || r.Sequence == w.seq || w.seq-r.Sequence > 64 || r.Sequence > w.seq {
 		return false
 	}
-	return !slices.ContainsFunc(c.words[r.Member], func(x word) bool { return x.By == r.By })
+	return !slices.ContainsFunc(c.words[r.Endpoint], func(x word) bool { return x.Witness == r.Witness })
 }
 
 // try holds the words on a member against what this router just saw of it itself.
-func (c *Core) try(now float64, member string, o *own) {
+func (c *Tracker) try(now float64, member string, o *own) {
 	for i := range c.words[member] {
 		x := &c.words[member][i]
-		if x.judged || now >= x.until || x.Says != Failing {
+		if x.judged || now >= x.until || x.Health != Failing {
 			continue // slowness depends on where one stands
 		}
-		w := c.witnesses[x.By]
+		w := c.witnesses[x.Witness]
 		c.age(now, w)
 		switch {
 		case now-o.bad < ownFresh && o.bad > 0:
@@ -287,7 +287,7 @@
 	}
 }
 
-func (c *Core) age(now float64, w *witness) {
+func (c *Tracker) age(now float64, w *witness) {
 	k := math.Exp2(-(now - w.at) / recordHalf)
 	w.right, w.wrong, w.at = w.right*k, w.wrong*k, now
 }
@@ -301,43 +301,43 @@
 }
 
 // weigh reckons the doubt of a member anew and tells if it changed. Liars alone raise none, however many words they say.
-func (c *Core) weigh(now float64, member string) []Heed {
+func (c *Tracker) weigh(now float64, member string) []Doubt {
 	var voices []word
 	for _, x := range c.words[member] {
-		if now < x.until && x.Says == Failing && c.witnesses[x.By].weight() > 0 {
+		if now < x.until && x.Health == Failing && c.witnesses[x.Witness].weight() > 0 {
 			voices = append(voices, x)
 		}
 	}
 	slices.SortFunc(voices, func(a, b word) int {
-		return cmp.Or(cmp.Compare(c.witnesses[b.By].weight(), c.witnesses[a.By].weight()), cmp.Compare(a.By, b.By))
+		return cmp.Or(cmp.Compare(c.witnesses[b.Witness].weight(), c.witnesses[a.Witness].weight()), cmp.Compare(a.Witness, b.Witness))
 	})
 	zones := map[string]int{}
 	sum, until := 0.0, 0.0
 	for i, x := range voices {
 		if i >= c.liars { // the best of them may be the liars: they count for nothing
-			sum += c.witnesses[x.By].weight() * math.Pow(sameZone, float64(zones[x.Zone]))
+			sum += c.witnesses[x.Witness].weight() * math.Pow(sameZone, float64(zones[x.Zone]))
 			zones[x.Zone]++
 			until = max(until, x.until)
 		}
 	}
-	h := Heed{Member: member, Doubt: 1 - math.Exp2(-2*sum), Until: until}
+	h := Doubt{Endpoint: member, Level: 1 - math.Exp2(-2*sum), Until: until}
 	if sum == 0 {
-		h = Heed{Member: member}
+		h = Doubt{Endpoint: member}
 	}
 	old := c.doubted[member]
-	if (old.Doubt == 0) == (h.Doubt == 0) && math.Abs(h.Doubt-old.Doubt) < 0.1 && h.Until <= old.Until+lasts/4 {
+	if (old.Level == 0) == (h.Level == 0) && math.Abs(h.Level-old.Level) < 0.1 && h.Until <= old.Until+lasts/4 {
 		return nil
 	}
-	if h.Doubt == 0 {
+	if h.Level == 0 {
 		delete(c.doubted, member)
 	} else {
 		c.doubted[member] = h
 	}
-	return []Heed{h}
+	return []Doubt{h}
 }
 
 // Tick ends what has run out and gives the doubts that changed by it, in the order of their members.
-func (c *Core) Tick(now float64) (out []Heed) {
+func (c *Tracker) Tick(now float64) (out []Doubt) {
 	members := slices.Sorted(maps.Keys(c.doubted))
 	c.forget(now)
 	for _, m := range members {
@@ -347,7 +347,7 @@
 }
 
 // forget drops what has run out.
-func (c *Core) forget(now float64) {
+func (c *Tracker) forget(now float64) {
 	for m, list := range c.words {
 		n := len(list)
 		list = slices.DeleteFunc(list, func(x word) bool { return now >= x.until })
@@ -366,23 +366,23 @@
 }
 
 // Gone forgets a peer that is no longer in the roster; its record goes with it.
-func (c *Core) Gone(p int) { delete(c.witnesses, p) }
+func (c *Tracker) ForgetWitness(p int) { delete(c.witnesses, p) }
 
 // Line is what is held of a member, for people.
-type Line struct {
-	Member    string
+type EndpointEvidence struct {
+	Endpoint  string
 	Doubt     float64
 	Witnesses []int
-	Says      []string
+	Healths   []string
 }
 
 // Lines are the words that count, by member.
-func (c *Core) Lines(now float64) (out []Line) {
+func (c *Tracker) Snapshot(now float64) (out []EndpointEvidence) {
 	for _, m := range slices.Sorted(maps.Keys(c.words)) {
-		l := Line{Member: m, Doubt: c.doubted[m].Doubt}
+		l := EndpointEvidence{Endpoint: m, Doubt: c.doubted[m].Level}
 		for _, x := range c.words[m] {
 			if now < x.until {
-				l.Witnesses, l.Says = append(l.Witnesses, x.By), append(l.Says, x.Says.String())
+				l.Witnesses, l.Healths = append(l.Witnesses, x.Witness), append(l.Healths, x.Health.String())
 			}
 		}
 		if len(l.Witnesses) > 0 {
@@ -393,7 +393,7 @@
 }
 
 // Record is what a witness's words were worth, and whether it is still listened to.
-func (c *Core) Record(p int) (right, wrong float64, voice bool) {
+func (c *Tracker) Reputation(p int) (right, wrong float64, voice bool) {
 	w := c.witnesses[p]
 	if w == nil {
 		return 0, 0, true
@@ -402,4 +402,4 @@
 }
 
 // Held is how many words are held and how many wait, for tests of the bounds.
-func (c *Core) Held() (words, waiting int) { return c.held, len(c.queue) }
+func (c *Tracker) Sizes() (words, waiting int) { return c.held, len(c.queue) }
--- a/internal/membership/peers.go
+++ b/internal/membership/peers.go
@@ -41,43 +41,43 @@
 )
 
 // ClockVariable shifts the clock that a router's life is named by, in seconds. The laboratory alone sets it.
-const ClockVariable = "CAIRNFRONT_LAB_CLOCK_S"
+const ClockOffsetVariable = "CAIRNFRONT_LAB_CLOCK_S"
 
 // Known is one of the roster, as the operators' file has it.
-type Known struct {
+type RosterEntry struct {
 	Name    string
 	Key     ed25519.PublicKey
 	Address string // where it is reached; empty: as it says itself
 }
 
 // Plan is what a router is told of its peers.
-type Plan struct {
-	Name, Zone        string
-	Listen, Advertise string
-	Key               ed25519.PrivateKey
-	Roster            []Known
-	Liars             int
-	In, Out           ratelimit.Terms
-	Seed              uint64
+type Config struct {
+	Name, Zone                string
+	Listen, Advertise         string
+	Key                       ed25519.PrivateKey
+	Roster                    []RosterEntry
+	MaxByzantine              int
+	ReceiveLimits, SendLimits ratelimit.Limits
+	Seed                      uint64
 }
 
 // Node is one router among its peers.
 type Node struct {
 	// Pulse asks the router's own work to call back; Heed hears how far a member is doubted, for so many seconds. Both are
 	// set before Run, and called from goroutines of the node.
-	Pulse func(done func())
-	Heed  func(member string, doubt, s float64)
+	ProbeEventLoop func(done func())
+	OnDoubt        func(member string, doubt, s float64)
 
-	plan  Plan
+	plan  Config
 	book  *telemetry.Book
 	conn  *net.UDPConn
 	base  time.Time
-	me    swim.Peer
+	me    swim.MemberID
 	codec *datagram.Codec
 	view  *swim.Core
-	stand *partition.Core
-	talk  *observation.Core
-	out   *ratelimit.Meter
+	stand *partition.Tracker
+	talk  *observation.Tracker
+	out   *ratelimit.Limiter
 	addrs []netip.AddrPort // by peer; of the file, or of the claim whose incarnation stands beside it
 	ats   []swim.Incarnation
 	fixed []bool
@@ -99,20 +99,20 @@
 
 type end struct {
 	member string
-	says   observation.Says
+	says   observation.Health
 }
 
 // New opens a node's socket. Nothing is sent before Run.
-func New(p Plan, k *telemetry.Book) (*Node, error) {
+func New(p Config, k *telemetry.Book) (*Node, error) {
 	n := &Node{plan: p, book: k, base: time.Now(), me: -1, in: make(chan []byte, mostWaiting), ends: make(chan end, mostEnds),
-		posts: make(chan func(), 16), gone: make(chan struct{}), pulsed: make(chan struct{}, 1), out: ratelimit.New(p.Out),
+		posts: make(chan func(), 16), gone: make(chan struct{}), pulsed: make(chan struct{}, 1), out: ratelimit.New(p.SendLimits),
 		detect: hdrhistogram.New(1, longestS*1000, 2)}
-	var people []datagram.Person
+	var people []datagram.Identity
 	var marks []uint64
 	for i, x := range p.Roster {
-		people, marks = append(people, datagram.Person{Name: x.Name, Key: x.Key}), append(marks, swim.Mark(x.Name))
+		people, marks = append(people, datagram.Identity{Name: x.Name, Key: x.Key}), append(marks, swim.NameHash(x.Name))
 		if x.Name == p.Name {
-			n.me = swim.Peer(i)
+			n.me = swim.MemberID(i)
 		}
 	}
 	if n.me < 0 {
@@ -135,21 +135,21 @@
 	}
 	n.grow(p.Roster)
 	wall := time.Now()
-	if s, err := strconv.ParseFloat(os.Getenv(ClockVariable), 64); err == nil {
+	if s, err := strconv.ParseFloat(os.Getenv(ClockOffsetVariable), 64); err == nil {
 		wall = wall.Add(time.Duration(s * float64(time.Second)))
 	}
 	start := uint64(wall.UnixMilli())
 	birth := uint64(time.Now().UnixNano()) ^ uint64(os.Getpid())<<44
-	n.view = swim.New(swim.Terms{Liars: p.Liars}, n.me, marks, p.Seed, start, birth, 0)
-	n.stand = partition.New(p.Liars, 0)
-	n.talk = observation.New(int(n.me), p.Zone, p.Liars, start)
+	n.view = swim.New(swim.Config{MaxByzantine: p.MaxByzantine}, n.me, marks, p.Seed, start, birth, 0)
+	n.stand = partition.New(p.MaxByzantine, 0)
+	n.talk = observation.New(int(n.me), p.Zone, p.MaxByzantine, start)
 	return n, nil
 }
 
 // Addr is where the node listens.
 func (n *Node) Addr() string { return n.conn.LocalAddr().String() }
 
-func (n *Node) grow(roster []Known) {
+func (n *Node) grow(roster []RosterEntry) {
 	for i := len(n.addrs); i < len(roster); i++ {
 		a, err := netip.ParseAddrPort(roster[i].Address)
 		n.addrs, n.ats, n.fixed = append(n.addrs, a), append(n.ats, swim.Incarnation{}), append(n.fixed, err == nil)
@@ -161,7 +161,7 @@
 func (n *Node) now() float64 { return time.Since(n.base).Seconds() }
 
 // Ended tells how a hop to a member ended. It never waits.
-func (n *Node) Ended(member string, says observation.Says) {
+func (n *Node) ReportAttempt(member string, says observation.Health) {
 	select {
 	case n.ends <- end{member, says}:
 	default:
@@ -185,8 +185,8 @@
 
 // read takes datagrams from the socket as long as their senders keep within the bounds.
 func (n *Node) read(ctx context.Context) error {
-	m := ratelimit.New(n.plan.In)
-	buf := make([]byte, datagram.Most+1)
+	m := ratelimit.New(n.plan.ReceiveLimits)
+	buf := make([]byte, datagram.MaxSize+1)
 	for ctx.Err() == nil {
 		size, from, err := n.conn.ReadFromUDPAddrPort(buf)
 		if err != nil {
@@ -195,7 +195,7 @@
 			}
 			continue // an answer of the network to something sent: the next read is another matter
 		}
-		if size > datagram.Most || !m.In(n.now(), from, size) {
+		if size > datagram.MaxSize || !m.AllowReceive(n.now(), from, size) {
 			n.book.Add("peers.in.over", 1)
 			continue
 		}
@@ -222,21 +222,21 @@
 		case text := <-n.in:
 			n.safely(func() { n.heard(text) })
 		case e := <-n.ends:
-			n.safely(func() { n.heed(n.talk.Ended(n.now(), e.member, e.says)) })
+			n.safely(func() { n.heed(n.talk.AttemptEnded(n.now(), e.member, e.says)) })
 		case f := <-n.posts:
 			n.safely(f)
 		case <-pulse.C:
 			n.safely(n.work)
 		case <-n.pulsed:
 			n.asked = time.Time{}
-			n.safely(func() { n.act(n.view.Work(n.now(), true)) })
+			n.safely(func() { n.act(n.view.SetWorking(n.now(), true)) })
 		case <-second.C:
 			n.safely(func() { n.heed(n.talk.Tick(n.now())) })
 		case <-bell.C:
 			n.safely(func() { n.act(n.view.Tick(n.now())) })
 		}
-		next := n.view.Next()
-		if at := n.stand.Wants(); at > 0 {
+		next := n.view.NextDeadline()
+		if at := n.stand.NextDeadline(); at > 0 {
 			next = min(next, at)
 		}
 		bell.Reset(max(time.Duration((next-n.now())*float64(time.Second)), time.Millisecond))
@@ -255,20 +255,20 @@
 
 // work finds out whether the router's own work goes on.
 func (n *Node) work() {
-	if n.Pulse == nil {
+	if n.ProbeEventLoop == nil {
 		return
 	}
 	switch {
 	case n.asked.IsZero():
 		n.asked = time.Now()
-		go n.Pulse(func() { // it may wait for a long time: the loop's queue can be full
+		go n.ProbeEventLoop(func() { // it may wait for a long time: the loop's queue can be full
 			select {
 			case n.pulsed <- struct{}{}:
 			default:
 			}
 		})
 	case time.Since(n.asked) > stillAfter:
-		n.act(n.view.Work(n.now(), false))
+		n.act(n.view.SetWorking(n.now(), false))
 	}
 }
 
@@ -285,13 +285,13 @@
 	}
 	n.inBytes[0] += int64(len(text))
 	n.inBytes[1]++
-	h, err := n.codec.Decode(text, n.view.Newer)
+	h, err := n.codec.Decode(text, n.view.IsNewer)
 	if err != nil {
 		n.book.Add("peers.refused."+reason(err), 1)
-		if errors.Is(err, datagram.ErrOld) && time.Since(n.old[h.From]) > oldLifeEvery {
+		if errors.Is(err, datagram.ErrStaleIncarnation) && time.Since(n.old[h.From]) > oldLifeEvery {
 			n.old[h.From] = time.Now() // it may not know that it lived before: its own word tells it
-			_, cl := n.view.State(h.From)
-			n.act([]swim.Action{swim.Send{To: h.From, Message: swim.Message{Kind: swim.Give, Digest: n.view.Digest(), Claims: []swim.Claim{cl}}}})
+			_, cl := n.view.Lookup(h.From)
+			n.act([]swim.Action{swim.Send{To: h.From, Message: swim.Message{Kind: swim.Push, ViewHash: n.view.ViewHash(), Records: []swim.MemberRecord{cl}}}})
 		}
 		return
 	}
@@ -299,21 +299,21 @@
 		n.book.Add("peers.refused.part", int64(h.Skipped))
 	}
 	now := n.now()
-	n.act(n.view.Heard(now, h.From, h.Message))
-	if s, _ := n.view.State(h.From); s.There() {
-		n.stand.Heard(now, int(h.From), n.view.Differs(now, h.From))
+	n.act(n.view.HandleMessage(now, h.From, h.Message))
+	if s, _ := n.view.Lookup(h.From); s.Present() {
+		n.stand.RecordViewComparison(now, int(h.From), n.view.ViewDiffers(now, h.From))
 	}
-	for _, r := range h.Rumours {
-		if s, _ := n.view.State(swim.Peer(r.By)); s.There() {
-			heeds, _ := n.talk.Heard(now, r)
+	for _, r := range h.Observations {
+		if s, _ := n.view.Lookup(swim.MemberID(r.Witness)); s.Present() {
+			heeds, _ := n.talk.HandleObservation(now, r)
 			n.heed(heeds)
 		}
 	}
 }
 
 func reason(err error) string {
-	for name, is := range map[string]error{"shape": datagram.ErrShape, "version": datagram.ErrVersion, "name": datagram.ErrName, "not-me": datagram.ErrMe,
-		"signature": datagram.ErrSigned, "replay": datagram.ErrReplay, "old-life": datagram.ErrOld} {
+	for name, is := range map[string]error{"shape": datagram.ErrMalformed, "version": datagram.ErrUnsupportedVersion, "name": datagram.ErrUnknownMember, "not-me": datagram.ErrWrongRecipient,
+		"signature": datagram.ErrBadSignature, "replay": datagram.ErrReplayed, "old-life": datagram.ErrStaleIncarnation} {
 		if errors.Is(err, is) {
 			return name
 		}
@@ -322,31 +322,31 @@
 }
 
 // heed tells the module of doubts, where the standing lets it believe what peers tell, and signs words that wait.
-func (n *Node) heed(heeds []observation.Heed) {
+func (n *Node) heed(heeds []observation.Doubt) {
 	now := n.now()
-	s, _, _ := n.stand.Now()
+	s, _, _ := n.stand.Current()
 	for _, h := range heeds {
-		if h.Doubt > 0 && !s.Believes() {
+		if h.Level > 0 && !s.TrustsReports() {
 			continue
 		}
 		n.book.Add("peers.doubts", 1)
-		n.book.Log.Info("member", "code", "doubted", "member", h.Member, "doubt", fmt.Sprintf("%.2f", h.Doubt), "for_s", fmt.Sprintf("%.1f", max(h.Until-now, 0)))
-		if n.Heed != nil {
-			n.Heed(h.Member, h.Doubt, max(h.Until-now, 0))
+		n.book.Log.Info("member", "code", "doubted", "member", h.Endpoint, "doubt", fmt.Sprintf("%.2f", h.Level), "for_s", fmt.Sprintf("%.1f", max(h.Until-now, 0)))
+		if n.OnDoubt != nil {
+			n.OnDoubt(h.Endpoint, h.Level, max(h.Until-now, 0))
 		}
 	}
-	for _, r := range n.talk.Say() {
-		if !s.MayTell() {
+	for _, r := range n.talk.TakeUnsigned() {
+		if !s.MayGossip() {
 			continue
 		}
-		seal, err := n.codec.SealRumour(r)
+		seal, err := n.codec.SignObservation(r)
 		if err != nil {
 			n.book.Log.Error("peers", "code", "unsealed", "err", err.Error())
 			continue
 		}
-		r.Seal = seal
+		r.Signed = seal
 		n.book.Add("peers.rumours.own", 1)
-		n.talk.Tell(r)
+		n.talk.Enqueue(r)
 	}
 }
 
@@ -357,49 +357,49 @@
 		switch a := a.(type) {
 		case swim.Send:
 			n.send(now, a)
-		case swim.Change:
+		case swim.StateChange:
 			n.changed(a)
-		case swim.Yield:
+		case swim.NameConflict:
 			n.silent = true
 			n.book.Add("peers.yielded", 1)
-			n.book.Log.Error("peers", "code", "twin", "what", "a newer process has this router's name; this one says nothing more to peers", "birth", a.Birth)
+			n.book.Log.Error("peers", "code", "twin", "what", "a newer process has this router's name; this one says nothing more to peers", "birth", a.InstanceID)
 		}
 	}
-	there, roster, stuck := n.view.There()
+	there, roster, stuck := n.view.Counts()
 	if n.silent {
 		there = 1
 	}
-	before, _, _ := n.stand.Now()
-	if n.stand.Step(now, partition.Seen{Roster: roster, There: there, Stuck: stuck}) {
-		s, epoch, _ := n.stand.Now()
+	before, _, _ := n.stand.Current()
+	if n.stand.Update(now, partition.View{Roster: roster, Present: there, Stuck: stuck}) {
+		s, epoch, _ := n.stand.Current()
 		n.book.Add("peers.standing."+s.String(), 1)
 		n.book.Log.Info("standing", "code", s.String(), "from", before.String(), "epoch", epoch, "there", there, "roster", roster, "stuck", stuck)
 	}
 }
 
-func (n *Node) changed(c swim.Change) {
-	name := n.codec.Name(c.Of)
+func (n *Node) changed(c swim.StateChange) {
+	name := n.codec.Name(c.Member)
 	n.book.Add("peers.became."+c.To.String(), 1)
-	args := []any{"code", c.To.String(), "peer", name, "from", c.From.String(), "why", c.Why, "life", c.At.Start, "beat", c.At.Beat}
-	if c.To == swim.Failed && c.TookS > 0 {
-		_ = n.detect.RecordValue(int64(c.TookS * 1000))
-		args = append(args, "took_s", fmt.Sprintf("%.2f", c.TookS))
+	args := []any{"code", c.To.String(), "peer", name, "from", c.From.String(), "why", c.Reason, "life", c.Incarnation.StartMillis, "beat", c.Incarnation.Refutations}
+	if c.To == swim.Failed && c.SuspectedSeconds > 0 {
+		_ = n.detect.RecordValue(int64(c.SuspectedSeconds * 1000))
+		args = append(args, "took_s", fmt.Sprintf("%.2f", c.SuspectedSeconds))
 	}
-	if !c.To.There() {
-		n.stand.Gone(int(c.Of))
+	if !c.To.Present() {
+		n.stand.Forget(int(c.Member))
 	}
 	n.book.Log.Info("peer", args...)
 }
 
 // where is a peer's address: of the file, else as it says itself.
-func (n *Node) where(p swim.Peer) (netip.AddrPort, bool) {
+func (n *Node) where(p swim.MemberID) (netip.AddrPort, bool) {
 	if n.fixed[p] {
 		return n.addrs[p], true
 	}
-	if _, cl := n.view.State(p); n.ats[p] != cl.At && cl.Seal != nil {
-		text, _ := datagram.Where(cl.Seal)
+	if _, cl := n.view.Lookup(p); n.ats[p] != cl.Incarnation && cl.Signed != nil {
+		text, _ := datagram.RecordLocation(cl.Signed)
 		if a, err := netip.ParseAddrPort(text); err == nil {
-			n.addrs[p], n.ats[p] = a, cl.At
+			n.addrs[p], n.ats[p] = a, cl.Incarnation
 		}
 	}
 	return n.addrs[p], n.addrs[p].IsValid()
@@ -410,17 +410,17 @@
 	if !ok {
 		return // nobody has told yet where it is
 	}
-	there, _, _ := n.view.There()
+	there, _, _ := n.view.Counts()
 	var words [][]byte
-	for _, r := range n.talk.Next(int(a.To), there) {
-		words = append(words, r.Seal)
+	for _, r := range n.talk.Piggyback(int(a.To), there) {
+		words = append(words, r.Signed)
 	}
-	text, err := n.codec.Encode(n.view.Me().At.Start, a.To, a.Message, words)
+	text, err := n.codec.Encode(n.view.SelfRecord().Incarnation.StartMillis, a.To, a.Message, words)
 	if err != nil {
 		n.book.Log.Error("peers", "code", "unsent", "to", n.codec.Name(a.To), "err", err.Error())
 		return
 	}
-	if !n.out.Out(now, int(a.To), len(text), a.Kind >= swim.Table) {
+	if !n.out.AllowSend(now, int(a.To), len(text), a.Kind >= swim.PushPullRequest) {
 		n.dropped++
 		n.book.Add("peers.out.over", 1)
 		return
@@ -431,53 +431,53 @@
 }
 
 // Line is a peer as operators see it.
-type Line struct {
-	Name     string   `json:"name"`
-	State    string   `json:"state"`
-	SinceS   float64  `json:"since_s"`
-	Life     uint64   `json:"life"`
-	Beat     uint32   `json:"beat"`
-	Address  string   `json:"address"`
-	Zone     string   `json:"zone"`
-	Accusers []string `json:"accusers"`
-	OwnFails int      `json:"own_fails"`
-	Wrong    float64  `json:"wrong"` // of its charges against peers, fading
-	Right    float64  `json:"right"`
-	Silenced bool     `json:"silenced"`
-	Differs  bool     `json:"differs"` // it says that it sees others than we do
-	WordsBad float64  `json:"words_wrong"`
-	WordsOK  float64  `json:"words_right"`
-	Voice    bool     `json:"voice"`
+type MemberReport struct {
+	Name                  string   `json:"name"`
+	State                 string   `json:"state"`
+	SinceSeconds          float64  `json:"since_s"`
+	StartMillis           uint64   `json:"life"`
+	Refutations           uint32   `json:"beat"`
+	Address               string   `json:"address"`
+	Zone                  string   `json:"zone"`
+	Accusers              []string `json:"accusers"`
+	FailedProbes          int      `json:"own_fails"`
+	RefutedAccusations    float64  `json:"wrong"` // of its charges against peers, fading
+	ConfirmedAccusations  float64  `json:"right"`
+	Silenced              bool     `json:"silenced"`
+	ViewDiffers           bool     `json:"differs"` // it says that it sees others than we do
+	RefutedObservations   float64  `json:"words_wrong"`
+	ConfirmedObservations float64  `json:"words_right"`
+	Trusted               bool     `json:"voice"`
 }
 
 // Doubt is a member as peers tell of it.
-type Doubt struct {
-	Member    string   `json:"member"`
-	Doubt     float64  `json:"doubt"`
+type EndpointDoubt struct {
+	Endpoint  string   `json:"member"`
+	Level     float64  `json:"doubt"`
 	Witnesses []string `json:"witnesses"`
 }
 
 // Report is what a node knows.
 type Report struct {
-	Name       string  `json:"name"`
-	Standing   string  `json:"standing"`
-	Epoch      uint64  `json:"epoch"`
-	SinceS     float64 `json:"since_s"`
-	There      int     `json:"there"`
-	Roster     int     `json:"roster"`
-	Health     int     `json:"health"`
-	Silent     bool    `json:"silent"`
-	UpS        float64 `json:"up_s"`
-	InBytes    int64   `json:"in_bytes"`
-	InCount    int64   `json:"in_datagrams"`
-	OutBytes   int64   `json:"out_bytes"`
-	OutCount   int64   `json:"out_datagrams"`
-	Held       int64   `json:"held_back"`
-	DetectP50S float64 `json:"detect_p50_s"`
-	DetectP99S float64 `json:"detect_p99_s"`
-	Detected   int64   `json:"detected"`
-	Peers      []Line  `json:"peers"`
-	Doubts     []Doubt `json:"doubts"`
+	Name                string          `json:"name"`
+	PartitionState      string          `json:"standing"`
+	Epoch               uint64          `json:"epoch"`
+	SinceSeconds        float64         `json:"since_s"`
+	Present             int             `json:"there"`
+	Roster              int             `json:"roster"`
+	Health              int             `json:"health"`
+	Silent              bool            `json:"silent"`
+	UptimeSeconds       float64         `json:"up_s"`
+	InBytes             int64           `json:"in_bytes"`
+	InDatagrams         int64           `json:"in_datagrams"`
+	OutBytes            int64           `json:"out_bytes"`
+	OutDatagrams        int64           `json:"out_datagrams"`
+	SendsDropped        int64           `json:"held_back"`
+	DetectionP50Seconds float64         `json:"detect_p50_s"`
+	DetectionP99Seconds float64         `json:"detect_p99_s"`
+	Detections          int64           `json:"detected"`
+	Members             []MemberReport  `json:"peers"`
+	Doubts              []EndpointDoubt `json:"doubts"`
 }
 
 // Report asks the node. It may be called from any goroutine.
@@ -514,7 +514,7 @@
 }
 
 // Follow takes a roster read anew: who is added has to stand behind the others; who is missing is left out.
-func (n *Node) Follow(ctx context.Context, roster []Known) error {
+func (n *Node) UpdateRoster(ctx context.Context, roster []RosterEntry) error {
 	done := make(chan error, 1)
 	err := n.post(ctx, func() { done <- n.follow(roster) })
 	if err != nil {
@@ -528,12 +528,12 @@
 	}
 }
 
-func (n *Node) follow(roster []Known) error {
+func (n *Node) follow(roster []RosterEntry) error {
 	all := slices.Clone(n.plan.Roster)
 	listed := map[string]bool{}
 	for _, x := range roster {
 		listed[x.Name] = true
-		i := slices.IndexFunc(all, func(o Known) bool { return o.Name == x.Name })
+		i := slices.IndexFunc(all, func(o RosterEntry) bool { return o.Name == x.Name })
 		switch {
 		case i < 0:
 			all = append(all, x)
@@ -546,12 +546,12 @@
 	if !listed[n.plan.Name] {
 		return fmt.Errorf("peers.roster: this router's name %q is not in it", n.plan.Name)
 	}
-	var people []datagram.Person
+	var people []datagram.Identity
 	var marks []uint64
 	for _, x := range all {
-		people, marks = append(people, datagram.Person{Name: x.Name, Key: x.Key}), append(marks, swim.Mark(x.Name))
+		people, marks = append(people, datagram.Identity{Name: x.Name, Key: x.Key}), append(marks, swim.NameHash(x.Name))
 	}
-	if err := n.codec.Grow(people); err != nil {
+	if err := n.codec.SetRoster(people); err != nil {
 		return err
 	}
 	n.plan.Roster = all
@@ -561,9 +561,9 @@
 		if a, err := netip.ParseAddrPort(x.Address); err == nil {
 			n.addrs[i], n.fixed[i] = a, true
 		}
-		n.act(n.view.Remove(n.now(), swim.Peer(i), !listed[x.Name]))
+		n.act(n.view.SetRemoved(n.now(), swim.MemberID(i), !listed[x.Name]))
 		if !listed[x.Name] {
-			n.talk.Gone(i)
+			n.talk.ForgetWitness(i)
 		}
 	}
 	return nil
@@ -582,34 +582,34 @@
 
 func (n *Node) report() Report {
 	now := n.now()
-	s, epoch, since := n.stand.Now()
-	there, roster, _ := n.view.There()
-	r := Report{Name: n.plan.Name, Standing: s.String(), Epoch: epoch, SinceS: now - since, There: there, Roster: roster, Health: n.view.Health(),
-		Silent: n.silent, UpS: now, InBytes: n.inBytes[0], InCount: n.inBytes[1], OutBytes: n.outAll[0], OutCount: n.outAll[1], Held: n.dropped,
-		DetectP50S: float64(n.detect.ValueAtQuantile(50)) / 1000, DetectP99S: float64(n.detect.ValueAtQuantile(99)) / 1000,
-		Detected: n.detect.TotalCount(), Peers: []Line{}, Doubts: []Doubt{}}
-	for _, l := range n.view.Lines(now) {
-		x := Line{Name: n.codec.Name(l.Of), State: l.State.String(), SinceS: now - l.Since, Life: l.At.Start, Beat: l.At.Beat, OwnFails: l.Own,
-			Wrong: l.Wrong, Right: l.Right, Silenced: l.Silenced, Differs: l.Differs, Accusers: []string{}}
-		if a, ok := n.where(l.Of); ok {
+	s, epoch, since := n.stand.Current()
+	there, roster, _ := n.view.Counts()
+	r := Report{Name: n.plan.Name, PartitionState: s.String(), Epoch: epoch, SinceSeconds: now - since, Present: there, Roster: roster, Health: n.view.HealthScore(),
+		Silent: n.silent, UptimeSeconds: now, InBytes: n.inBytes[0], InDatagrams: n.inBytes[1], OutBytes: n.outAll[0], OutDatagrams: n.outAll[1], SendsDropped: n.dropped,
+		DetectionP50Seconds: float64(n.detect.ValueAtQuantile(50)) / 1000, DetectionP99Seconds: float64(n.detect.ValueAtQuantile(99)) / 1000,
+		Detections: n.detect.TotalCount(), Members: []MemberReport{}, Doubts: []EndpointDoubt{}}
+	for _, l := range n.view.Snapshot(now) {
+		x := MemberReport{Name: n.codec.Name(l.Member), State: l.State.String(), SinceSeconds: now - l.Since, StartMillis: l.Incarnation.StartMillis, Refutations: l.Incarnation.Refutations, FailedProbes: l.FailedProbes,
+			RefutedAccusations: l.RefutedAccusations, ConfirmedAccusations: l.ConfirmedAccusations, Silenced: l.Silenced, ViewDiffers: l.ViewDiffers, Accusers: []string{}}
+		if a, ok := n.where(l.Member); ok {
 			x.Address = a.String()
 		}
-		_, cl := n.view.State(l.Of)
-		_, x.Zone = datagram.Where(cl.Seal)
-		if l.Of == n.me {
+		_, cl := n.view.Lookup(l.Member)
+		_, x.Zone = datagram.RecordLocation(cl.Signed)
+		if l.Member == n.me {
 			x.Zone, x.Address = n.plan.Zone, n.conn.LocalAddr().String()
 		}
 		for _, p := range l.Accusers {
 			x.Accusers = append(x.Accusers, n.codec.Name(p))
 		}
-		x.WordsOK, x.WordsBad, x.Voice = n.talk.Record(int(l.Of))
-		r.Peers = append(r.Peers, x)
+		x.ConfirmedObservations, x.RefutedObservations, x.Trusted = n.talk.Reputation(int(l.Member))
+		r.Members = append(r.Members, x)
 	}
-	slices.SortFunc(r.Peers, func(a, b Line) int { return strings.Compare(a.Name, b.Name) })
-	for _, l := range n.talk.Lines(now) {
-		d := Doubt{Member: l.Member, Doubt: l.Doubt}
+	slices.SortFunc(r.Members, func(a, b MemberReport) int { return strings.Compare(a.Name, b.Name) })
+	for _, l := range n.talk.Snapshot(now) {
+		d := EndpointDoubt{Endpoint: l.Endpoint, Level: l.Doubt}
 		for i, p := range l.Witnesses {
-			d.Witnesses = append(d.Witnesses, n.codec.Name(swim.Peer(p))+": "+l.Says[i])
+			d.Witnesses = append(d.Witnesses, n.codec.Name(swim.MemberID(p))+": "+l.Healths[i])
 		}
 		r.Doubts = append(r.Doubts, d)
 	}
--- a/internal/membership/ratelimit/meter.go
+++ b/internal/membership/ratelimit/meter.go
@@ -10,9 +10,9 @@
 )
 
 // Terms are the bounds; all are a second.
-type Terms struct {
-	EachDatagrams, EachBytes float64 // for one peer, or one address while nobody knows who speaks
-	AllDatagrams, AllBytes   float64
+type Limits struct {
+	PerPeerDatagrams, PerPeerBytes float64 // for one peer, or one address while nobody knows who speaks
+	TotalDatagrams, TotalBytes     float64
 }
 
 // Tuned values.
@@ -43,26 +43,26 @@
 }
 
 // Meter is one direction. It belongs to one goroutine.
-type Meter struct {
-	terms Terms
+type Limiter struct {
+	terms Limits
 	all   pair
 	peers map[int]pair
 	from  map[netip.AddrPort]pair
 }
 
 // New makes a meter.
-func New(t Terms) *Meter {
-	return &Meter{terms: t, all: newPair(t.AllDatagrams, t.AllBytes), peers: map[int]pair{}, from: map[netip.AddrPort]pair{}}
+func New(t Limits) *Limiter {
+	return &Limiter{terms: t, all: newPair(t.TotalDatagrams, t.TotalBytes), peers: map[int]pair{}, from: map[netip.AddrPort]pair{}}
 }
 
 // at turns seconds of any clock into what the buckets reckon with.
 func at(now float64) time.Time { return time.Unix(0, int64(now*1e9)) }
 
 // Out says whether a datagram to a peer may go. Idle ones, which exchange tables, may not use the last of the whole.
-func (m *Meter) Out(now float64, peer, size int, idle bool) bool {
+func (m *Limiter) AllowSend(now float64, peer, size int, idle bool) bool {
 	p, ok := m.peers[peer]
 	if !ok {
-		p = newPair(m.terms.EachDatagrams, m.terms.EachBytes)
+		p = newPair(m.terms.PerPeerDatagrams, m.terms.PerPeerBytes)
 		m.peers[peer] = p
 	}
 	leave := 0.0
@@ -79,7 +79,7 @@
 }
 
 // In says whether a datagram from an address is looked into at all. One address that floods uses up its own part only.
-func (m *Meter) In(now float64, from netip.AddrPort, size int) bool {
+func (m *Limiter) AllowReceive(now float64, from netip.AddrPort, size int) bool {
 	p, ok := m.from[from]
 	if !ok {
 		if len(m.from) >= mostSources {
@@ -88,7 +88,7 @@
 				break
 			}
 		}
-		p = newPair(m.terms.EachDatagrams, m.terms.EachBytes)
+		p = newPair(m.terms.PerPeerDatagrams, m.terms.PerPeerBytes)
 		m.from[from] = p
 	}
 	t := at(now)
--- a/internal/membership/swim/step.go
+++ b/internal/membership/swim/step.go
@@ -27,8 +27,8 @@
 	}
 	c.verdicts(now)
 	if now >= c.nextAt {
-		p := c.terms.Period
-		if !c.terms.Plain {
+		p := c.terms.ProbeIntervalSeconds
+		if !c.terms.PublishedSWIM {
 			p *= float64(1 + c.health)
 		}
 		if c.nextAt = max(c.nextAt+p, now+p/2); c.turns == 0 {
@@ -38,20 +38,20 @@
 		c.checkOne(now)
 	}
 	if now >= c.lookAt && len(c.targets) > 0 {
-		c.lookAt = now + c.terms.Period // however slowly we judge: looks are what saves a suspect
+		c.lookAt = now + c.terms.ProbeIntervalSeconds // however slowly we judge: looks are what saves a suspect
 		c.suspectsOnce(now)
 	}
 	if now >= c.exAt {
 		c.exchange(now)
 	}
-	c.last, c.wanted = now, c.Next()
+	c.last, c.wanted = now, c.NextDeadline()
 	return c.emit()
 }
 
 // awake finds out whether we were stopped: then nobody else is to blame for what did not come.
 func (c *Core) awake(now float64) {
 	late := now - max(c.wanted, c.last)
-	if c.terms.Plain || late < gap {
+	if c.terms.PublishedSWIM || late < gap {
 		return
 	}
 	c.checks, c.late = c.checks[:0], c.late[:0]
@@ -86,15 +86,15 @@
 		for c.place < len(c.round) {
 			p := c.round[c.place]
 			c.place++
-			if e := &c.peers[p]; e.state.There() && p != c.me && !e.removed {
+			if e := &c.peers[p]; e.state.Present() && p != c.me && !e.removed {
 				c.check(now, p)
 				return
 			}
 		}
 		c.round, c.place = c.round[:0], 0
 		for i := range c.peers {
-			if Peer(i) != c.me && c.peers[i].state.There() {
-				c.round = append(c.round, Peer(i))
+			if MemberID(i) != c.me && c.peers[i].state.Present() {
+				c.round = append(c.round, MemberID(i))
 			}
 		}
 		c.rnd.Shuffle(len(c.round), func(i, j int) { c.round[i], c.round[j] = c.round[j], c.round[i] })
@@ -102,13 +102,13 @@
 }
 
 // absent draws one of the roster who is not there and did not leave.
-func (c *Core) absent() (Peer, bool) {
+func (c *Core) absent() (MemberID, bool) {
 	if len(c.peers) == 0 {
 		return 0, false
 	}
 	from := c.rnd.IntN(len(c.peers))
 	for i := range c.peers {
-		p := Peer((from + i) % len(c.peers))
+		p := MemberID((from + i) % len(c.peers))
 		if e := &c.peers[p]; p != c.me && !e.removed && (e.state == Failed || e.state == Unknown || e.state == Left && c.turns%(8*failedEvery) == 0) {
 			return p, true
 		}
@@ -116,18 +116,18 @@
 	return 0, false
 }
 
-func (c *Core) check(now float64, p Peer) {
+func (c *Core) check(now float64, p MemberID) {
 	if slices.ContainsFunc(c.checks, func(k check) bool { return k.of == p }) || len(c.checks) >= mostChecks {
 		return
 	}
 	c.checks = append(c.checks, check{nonce: c.ping(p), of: p, sent: now, due: now + c.wait()})
 }
 
-func (c *Core) ping(p Peer) uint64 {
+func (c *Core) ping(p MemberID) uint64 {
 	c.nonce++
-	m := Message{Kind: Ping, Nonce: c.nonce, For: c.me}
-	if e := &c.peers[c.me]; !c.peers[p].state.There() {
-		m.Claims = append(m.Claims, e.claim) // who does not know us may want to
+	m := Message{Kind: Ping, Nonce: c.nonce, Requester: c.me}
+	if e := &c.peers[c.me]; !c.peers[p].state.Present() {
+		m.Records = append(m.Records, e.claim) // who does not know us may want to
 	}
 	c.send(p, m)
 	return c.nonce
@@ -137,26 +137,26 @@
 func (c *Core) further(now float64, k *check) {
 	c.nonce++
 	k.second, k.again, k.againAt, k.due = true, c.nonce, now, now+2*c.wait()
-	if !c.terms.Plain {
-		c.send(k.of, Message{Kind: Ping, Nonce: k.again, For: c.me})
+	if !c.terms.PublishedSWIM {
+		c.send(k.of, Message{Kind: Ping, Nonce: k.again, Requester: c.me})
 	}
-	if s := c.peers[k.of].sus; s != nil && c.others(s) > c.terms.Liars && !c.terms.Plain {
+	if s := c.peers[k.of].sus; s != nil && c.others(s) > c.terms.MaxByzantine && !c.terms.PublishedSWIM {
 		return // one of them at least speaks the truth and has asked others: our own eyes are enough
 	}
-	var able []Peer
+	var able []MemberID
 	for i := range c.peers {
-		if e := &c.peers[i]; Peer(i) != c.me && Peer(i) != k.of && (e.state == Alive || e.state == Stuck) && !e.removed {
-			able = append(able, Peer(i))
+		if e := &c.peers[i]; MemberID(i) != c.me && MemberID(i) != k.of && (e.state == Alive || e.state == Stuck) && !e.removed {
+			able = append(able, MemberID(i))
 		}
 	}
 	// Of some drawn by chance those who were heard last: in a cut they are on this side of it.
 	c.rnd.Shuffle(len(able), func(i, j int) { able[i], able[j] = able[j], able[i] })
-	if !c.terms.Plain {
+	if !c.terms.PublishedSWIM {
 		able = able[:min(len(able), relayChoice)]
-		slices.SortStableFunc(able, func(a, b Peer) int { return cmp.Compare(c.peers[b].heard, c.peers[a].heard) })
+		slices.SortStableFunc(able, func(a, b MemberID) int { return cmp.Compare(c.peers[b].heard, c.peers[a].heard) })
 	}
 	for _, p := range able[:min(len(able), relays)] {
-		c.send(p, Message{Kind: Ask, Nonce: k.again, For: c.me, Of: k.of})
+		c.send(p, Message{Kind: IndirectPing, Nonce: k.again, Requester: c.me, Target: k.of})
 		k.asked++
 	}
 }
@@ -164,7 +164,7 @@
 // missed is a check that nobody answered.
 func (c *Core) missed(now float64, k check) {
 	e := &c.peers[k.of]
-	if !e.state.There() {
+	if !e.state.Present() {
 		return
 	}
 	if len(c.late) >= mostChecks {
@@ -175,7 +175,7 @@
 	if k.asked > 0 && k.taken < (k.asked+1)/2 {
 		c.health = min(c.health+1, maxHealth)
 	}
-	c.suspect(now, Charge{By: c.me, Of: k.of, At: e.claim.At})
+	c.suspect(now, Accusation{Accuser: c.me, Member: k.of, Incarnation: e.claim.Incarnation})
 	if e.sus != nil {
 		e.sus.lookAt = now
 		// A look that waited long because we were unwell tells of the time when it asked.
@@ -185,7 +185,7 @@
 
 // answered is a proof that a peer heard a question of ours. One that comes late proves the same, and tells how far away
 // the peer is.
-func (c *Core) answered(now float64, p Peer, nonce uint64) bool {
+func (c *Core) answered(now float64, p MemberID, nonce uint64) bool {
 	same := func(k check) bool { return k.of == p && (k.nonce == nonce || k.second && k.again == nonce) }
 	list, late := &c.checks, false
 	i := slices.IndexFunc(*list, same)
@@ -229,18 +229,18 @@
 		e := &c.peers[p]
 		s := e.sus
 		if now >= s.lookAt {
-			s.lookAt = now + c.terms.Period
+			s.lookAt = now + c.terms.ProbeIntervalSeconds
 			c.look(p)
 		}
-		if now < c.ends(s) || !c.terms.Plain && s.own < max(ownFails, c.doubt()) && !c.overwhelming(now, s) {
+		if now < c.ends(s) || !c.terms.PublishedSWIM && s.own < max(ownFails, c.doubt()) && !c.overwhelming(now, s) {
 			continue
 		}
-		if now > s.ownAt+freshLook && !c.terms.Plain && !c.overwhelming(now, s) {
+		if now > s.ownAt+freshLook && !c.terms.PublishedSWIM && !c.overwhelming(now, s) {
 			c.look(p)
 			continue
 		}
 		for _, a := range s.accusers {
-			c.judge(now, a.By, false)
+			c.judge(now, a.Accuser, false)
 		}
 		why := "our checks and its silence"
 		if s.own < ownFails {
@@ -248,8 +248,8 @@
 		}
 		c.become(now, p, Failed, why)
 		c.clear(p)
-		if c.terms.Plain {
-			c.handCharge(Charge{By: c.me, Of: p, At: e.claim.At, Dead: true})
+		if c.terms.PublishedSWIM {
+			c.handCharge(Accusation{Accuser: c.me, Member: p, Incarnation: e.claim.Incarnation, Dead: true})
 		}
 	}
 }
@@ -258,20 +258,20 @@
 // to look for itself.
 func (c *Core) overwhelming(now float64, s *suspicion) bool {
 	_, most := c.limits()
-	return c.voices(s) > c.terms.Liars+1 && now >= s.since+2*most
+	return c.voices(s) > c.terms.MaxByzantine+1 && now >= s.since+2*most
 }
 
 // exchange compares a part of the table with somebody, sooner with one who sees others than we do.
 func (c *Core) exchange(now float64) {
-	var able, differ []Peer
+	var able, differ []MemberID
 	for i := range c.peers {
 		e := &c.peers[i]
-		if Peer(i) == c.me || !e.state.There() || e.removed {
+		if MemberID(i) == c.me || !e.state.Present() || e.removed {
 			continue
 		}
-		able = append(able, Peer(i))
+		able = append(able, MemberID(i))
 		if e.heard > c.changed+differFor && now-e.heard < exchangeEvery && e.digest != c.digest {
-			differ = append(differ, Peer(i))
+			differ = append(differ, MemberID(i))
 		}
 	}
 	every, from := exchangeEvery, able
@@ -282,80 +282,82 @@
 	if len(from) == 0 {
 		return
 	}
-	c.send(from[c.rnd.IntN(len(from))], Message{Kind: Table, Rows: c.rows()})
+	c.send(from[c.rnd.IntN(len(from))], Message{Kind: PushPullRequest, Entries: c.rows()})
 }
 
 // rows is the next part of the table.
-func (c *Core) rows() []Row {
-	var out []Row
+func (c *Core) rows() []PushPullEntry {
+	var out []PushPullEntry
 	for n := 0; n < len(c.peers) && len(out) < mostRows; n++ {
 		c.row = (c.row + 1) % len(c.peers)
-		out = append(out, c.rowOf(Peer(c.row)))
+		out = append(out, c.rowOf(MemberID(c.row)))
 	}
 	return out
 }
 
-func (c *Core) rowOf(p Peer) Row { return Row{p, c.peers[p].claim.At, c.peers[p].state} }
+func (c *Core) rowOf(p MemberID) PushPullEntry {
+	return PushPullEntry{p, c.peers[p].claim.Incarnation, c.peers[p].state}
+}
 
 // Heard takes a message from a peer whose signature, counter and proof the shell has checked.
-func (c *Core) Heard(now float64, from Peer, m Message) []Action {
+func (c *Core) HandleMessage(now float64, from MemberID, m Message) []Action {
 	if c.yielded || from == c.me || int(from) >= len(c.peers) || c.peers[from].removed {
 		return c.emit()
 	}
-	for _, cl := range m.Claims {
+	for _, cl := range m.Records {
 		c.claim(now, cl)
 	}
-	for _, ch := range m.Charges {
+	for _, ch := range m.Accusations {
 		c.charge(now, ch)
 	}
 	e := &c.peers[from]
-	if m.Digest != 0 {
-		e.digest, e.heard = m.Digest, now
+	if m.ViewHash != 0 {
+		e.digest, e.heard = m.ViewHash, now
 	}
 	switch m.Kind {
 	case Ping:
 		// Asked for somebody else, we answer the one who asks on, with a proof for the one who wants to know.
-		back := Message{Kind: Ack, Nonce: m.Nonce, For: m.For}
-		if !e.state.There() || e.state == Suspect {
-			back.Claims = append(back.Claims, c.peers[c.me].claim)
+		back := Message{Kind: Ack, Nonce: m.Nonce, Requester: m.Requester}
+		if !e.state.Present() || e.state == Suspect {
+			back.Records = append(back.Records, c.peers[c.me].claim)
 		}
 		c.send(from, back)
 	case Ack:
-		if m.For != c.me {
-			if int(m.For) < len(c.peers) {
-				c.send(m.For, Message{Kind: Told, Nonce: m.Nonce, For: m.For, Of: from, Proof: m.Proof})
+		if m.Requester != c.me {
+			if int(m.Requester) < len(c.peers) {
+				c.send(m.Requester, Message{Kind: IndirectAck, Nonce: m.Nonce, Requester: m.Requester, Target: from, Proof: m.Proof})
 			}
 		} else if c.answered(now, from, m.Nonce) {
 			c.proven(now, from)
 		}
-	case Ask:
-		if int(m.Of) < len(c.peers) && m.Of != c.me {
-			c.send(from, Message{Kind: Taken, Nonce: m.Nonce})
-			c.send(m.Of, Message{Kind: Ping, Nonce: m.Nonce, For: from})
+	case IndirectPing:
+		if int(m.Target) < len(c.peers) && m.Target != c.me {
+			c.send(from, Message{Kind: IndirectPingAccepted, Nonce: m.Nonce})
+			c.send(m.Target, Message{Kind: Ping, Nonce: m.Nonce, Requester: from})
 		}
-	case Taken:
+	case IndirectPingAccepted:
 		if i := slices.IndexFunc(c.checks, func(k check) bool { return k.second && k.again == m.Nonce }); i >= 0 {
 			c.checks[i].taken++
 		}
-	case Told:
-		if m.For == c.me && int(m.Of) < len(c.peers) && c.answered(now, m.Of, m.Nonce) {
-			c.proven(now, m.Of)
+	case IndirectAck:
+		if m.Requester == c.me && int(m.Target) < len(c.peers) && c.answered(now, m.Target, m.Nonce) {
+			c.proven(now, m.Target)
 		}
-	case Table:
-		back := Message{Kind: Reply}
-		c.compare(now, from, m.Rows, &back, true)
+	case PushPullRequest:
+		back := Message{Kind: PushPullReply}
+		c.compare(now, from, m.Entries, &back, true)
 		c.send(from, back)
-	case Reply:
-		give := Message{Kind: Give}
-		c.compare(now, from, m.Rows, &give, false)
-		if len(give.Claims) > 0 {
+	case PushPullReply:
+		give := Message{Kind: Push}
+		c.compare(now, from, m.Entries, &give, false)
+		if len(give.Records) > 0 {
 			c.send(from, give)
 		}
 	}
 	return c.emit()
 }
 
-func (c *Core) proven(now float64, p Peer) {
+func (c *Core) proven(now float64, p MemberID) {
 	e := &c.peers[p]
 	if e.state == Failed || e.state == Unknown {
 		return // it answers, but its new incarnation is what brings it back
@@ -364,54 +366,54 @@
 }
 
 // compare looks through rows of another: what we know better goes back with it, what it knows better we ask for.
-func (c *Core) compare(now float64, from Peer, rows []Row, back *Message, ask bool) {
+func (c *Core) compare(now float64, from MemberID, rows []PushPullEntry, back *Message, ask bool) {
 	pings := 0
 	for _, r := range rows {
-		if int(r.Of) >= len(c.peers) {
+		if int(r.Member) >= len(c.peers) {
 			continue
 		}
-		e := &c.peers[r.Of]
+		e := &c.peers[r.Member]
 		switch {
-		case r.At.Less(e.claim.At):
-			if len(back.Claims) < mostClaims {
-				back.Claims = append(back.Claims, e.claim)
+		case r.Incarnation.Less(e.claim.Incarnation):
+			if len(back.Records) < mostClaims {
+				back.Records = append(back.Records, e.claim)
 			}
-		case e.claim.At.Less(r.At):
-			if ask && len(back.Rows) < mostRows {
-				back.Rows = append(back.Rows, c.rowOf(r.Of))
+		case e.claim.Incarnation.Less(r.Incarnation):
+			if ask && len(back.Entries) < mostRows {
+				back.Entries = append(back.Entries, c.rowOf(r.Member))
 			}
-		case r.State == Failed && e.state.There():
+		case r.State == Failed && e.state.Present():
 			// Whoever sent the table signed it: its row is its charge.
-			c.charge(now, Charge{By: from, Of: r.Of, At: r.At, Bare: true})
-		case r.State.There() && e.state == Failed && r.Of != c.me && pings < looks:
+			c.charge(now, Accusation{Accuser: from, Member: r.Member, Incarnation: r.Incarnation, FromPushPull: true})
+		case r.State.Present() && e.state == Failed && r.Member != c.me && pings < looks:
 			pings++
-			c.ping(r.Of) // somebody sees whom we dropped: it will refute what we hold against it
+			c.ping(r.Member) // somebody sees whom we dropped: it will refute what we hold against it
 		}
 	}
 }
 
 // claim takes what a peer says of itself; its signature has been checked.
-func (c *Core) claim(now float64, cl Claim) {
-	if int(cl.Of) >= len(c.peers) {
+func (c *Core) claim(now float64, cl MemberRecord) {
+	if int(cl.Member) >= len(c.peers) {
 		return
 	}
-	e := &c.peers[cl.Of]
-	if cl.Of == c.me {
+	e := &c.peers[cl.Member]
+	if cl.Member == c.me {
 		c.ourselves(now, cl)
 		return
 	}
-	if e.claim.At == cl.At {
-		c.echo(cl.Of, -1)
+	if e.claim.Incarnation == cl.Incarnation {
+		c.echo(cl.Member, -1)
 	}
-	if e.removed || !e.claim.At.Less(cl.At) && !(e.claim.At == cl.At && e.state == Unknown) {
+	if e.removed || !e.claim.Incarnation.Less(cl.Incarnation) && !(e.claim.Incarnation == cl.Incarnation && e.state == Unknown) {
 		return
 	}
 	e.claim = cl
-	c.handClaim(cl.Of)
+	c.handClaim(cl.Member)
 	if e.state == Unknown {
-		c.exAt = min(c.exAt, now+c.terms.Period*c.rnd.Float64()) // who comes in anew has things to tell
+		c.exAt = min(c.exAt, now+c.terms.ProbeIntervalSeconds*c.rnd.Float64()) // who comes in anew has things to tell
 	}
-	c.well(now, cl.Of, "it refuted")
+	c.well(now, cl.Member, "it refuted")
 	why := "its newer claim"
 	switch cl.State {
 	case Left:
@@ -419,63 +421,63 @@
 	case Stuck:
 		why = "it says that its work stands still"
 	}
-	c.become(now, cl.Of, cl.State, why)
+	c.become(now, cl.Member, cl.State, why)
 }
 
 // ourselves is a claim under our own name: of an earlier life, of ours, or of another process with our key.
-func (c *Core) ourselves(now float64, cl Claim) {
+func (c *Core) ourselves(now float64, cl MemberRecord) {
 	e := &c.peers[c.me]
-	if !e.claim.At.Less(cl.At) {
+	if !e.claim.Incarnation.Less(cl.Incarnation) {
 		return
 	}
 	if c.adopted || now > c.started+adopt {
 		c.yielded = true
-		c.out = append(c.out, Yield{cl.Birth})
+		c.out = append(c.out, NameConflict{cl.InstanceID})
 		return
 	}
 	c.adopted = true
-	c.restate(now, Incarnation{Start: cl.At.Start + 1})
+	c.restate(now, Incarnation{StartMillis: cl.Incarnation.StartMillis + 1})
 }
 
 func (c *Core) restate(now float64, at Incarnation) {
 	e := &c.peers[c.me]
-	e.claim.At, c.refuted = at, now
+	e.claim.Incarnation, c.refuted = at, now
 	c.handClaim(c.me)
 }
 
 // charge takes another's word against a peer.
-func (c *Core) charge(now float64, ch Charge) {
-	if int(ch.Of) >= len(c.peers) || int(ch.By) >= len(c.peers) || c.peers[ch.By].removed || ch.By == c.me {
+func (c *Core) charge(now float64, ch Accusation) {
+	if int(ch.Member) >= len(c.peers) || int(ch.Accuser) >= len(c.peers) || c.peers[ch.Accuser].removed || ch.Accuser == c.me {
 		return
 	}
-	if ch.Of != c.me {
+	if ch.Member != c.me {
 		c.suspect(now, ch)
 		return
 	}
 	e := &c.peers[c.me]
-	if ch.At == e.claim.At {
-		c.accused(now, ch.By)
+	if ch.Incarnation == e.claim.Incarnation {
+		c.accused(now, ch.Accuser)
 	}
-	if ch.At != e.claim.At || c.leaving || now < c.refuted+refuteEvery*c.terms.Period {
+	if ch.Incarnation != e.claim.Incarnation || c.leaving || now < c.refuted+refuteEvery*c.terms.ProbeIntervalSeconds {
 		return // of a life that is over, of one that never was, or answered just now
 	}
-	c.judge(now, ch.By, true)
-	c.restate(now, Incarnation{e.claim.At.Start, e.claim.At.Beat + 1})
+	c.judge(now, ch.Accuser, true)
+	c.restate(now, Incarnation{e.claim.Incarnation.StartMillis, e.claim.Incarnation.Refutations + 1})
 }
 
 // accused notes who charges us. More than may lie say that we were not heard in time: then we judge more slowly. Fewer say
 // nothing, for a liar could make us slow.
-func (c *Core) accused(now float64, by Peer) {
+func (c *Core) accused(now float64, by MemberID) {
 	c.accusers = slices.DeleteFunc(c.accusers, func(a accuser) bool { return a.by == by || now-a.at > accusedFor })
 	c.accusers = append(c.accusers, accuser{by, now})
-	if len(c.accusers) > c.terms.Liars && !c.terms.Plain {
+	if len(c.accusers) > c.terms.MaxByzantine && !c.terms.PublishedSWIM {
 		c.health = min(c.health+1, maxHealth)
 		c.accusers = c.accusers[:0]
 	}
 }
 
 // Work says whether our own work goes on; while it stands still we say so.
-func (c *Core) Work(now float64, goes bool) []Action {
+func (c *Core) SetWorking(now float64, goes bool) []Action {
 	e := &c.peers[c.me]
 	want := Alive
 	if !goes {
@@ -484,7 +486,7 @@
 	if e.claim.State != want && !c.leaving && !c.yielded {
 		e.claim.State = want
 		c.become(now, c.me, want, "our own work")
-		c.restate(now, Incarnation{e.claim.At.Start, e.claim.At.Beat + 1})
+		c.restate(now, Incarnation{e.claim.Incarnation.StartMillis, e.claim.Incarnation.Refutations + 1})
 	}
 	return c.emit()
 }
@@ -498,48 +500,48 @@
 	e := &c.peers[c.me]
 	e.claim.State = Left
 	c.become(now, c.me, Left, "we leave")
-	c.restate(now, Incarnation{e.claim.At.Start, e.claim.At.Beat + 1})
-	var able []Peer
+	c.restate(now, Incarnation{e.claim.Incarnation.StartMillis, e.claim.Incarnation.Refutations + 1})
+	var able []MemberID
 	for i := range c.peers {
-		if Peer(i) != c.me && c.peers[i].state.There() {
-			able = append(able, Peer(i))
+		if MemberID(i) != c.me && c.peers[i].state.Present() {
+			able = append(able, MemberID(i))
 		}
 	}
 	c.rnd.Shuffle(len(able), func(i, j int) { able[i], able[j] = able[j], able[i] })
 	for _, p := range able[:min(len(able), 2*relays)] {
-		c.send(p, Message{Kind: Give, Claims: []Claim{e.claim}})
+		c.send(p, Message{Kind: Push, Records: []MemberRecord{e.claim}})
 	}
 	return c.emit()
 }
 
 // Line is what is held of a peer, for people.
-type Line struct {
-	Of       Peer
-	State    State
-	At       Incarnation
-	Since    float64
-	Accusers []Peer
-	Own      int
-	Wrong    float64
-	Right    float64
-	Silenced bool
-	Differs  bool
+type MemberInfo struct {
+	Member               MemberID
+	State                State
+	Incarnation          Incarnation
+	Since                float64
+	Accusers             []MemberID
+	FailedProbes         int
+	RefutedAccusations   float64
+	ConfirmedAccusations float64
+	Silenced             bool
+	ViewDiffers          bool
 }
 
 // Lines is the whole view.
-func (c *Core) Lines(now float64) []Line {
-	var out []Line
+func (c *Core) Snapshot(now float64) []MemberInfo {
+	var out []MemberInfo
 	for i := range c.peers {
 		e := &c.peers[i]
 		if e.removed {
 			continue
 		}
-		l := Line{Of: Peer(i), State: e.state, At: e.claim.At, Since: e.since, Wrong: e.wrong, Right: e.right, Silenced: c.voiceless(Peer(i)),
-			Differs: c.Differs(now, Peer(i))}
+		l := MemberInfo{Member: MemberID(i), State: e.state, Incarnation: e.claim.Incarnation, Since: e.since, RefutedAccusations: e.wrong, ConfirmedAccusations: e.right, Silenced: c.voiceless(MemberID(i)),
+			ViewDiffers: c.ViewDiffers(now, MemberID(i))}
 		if e.sus != nil {
-			l.Own = e.sus.own
+			l.FailedProbes = e.sus.own
 			for _, a := range e.sus.accusers {
-				l.Accusers = append(l.Accusers, a.By)
+				l.Accusers = append(l.Accusers, a.Accuser)
 			}
 		}
 		out = append(out, l)
@@ -548,44 +550,44 @@
 }
 
 // State of a peer, and its claim.
-func (c *Core) State(p Peer) (State, Claim) { return c.peers[p].state, c.peers[p].claim }
+func (c *Core) Lookup(p MemberID) (State, MemberRecord) { return c.peers[p].state, c.peers[p].claim }
 
 // There counts those who are there, we among them, and those of the roster who did not say goodbye.
-func (c *Core) There() (there, roster, stuck int) {
+func (c *Core) Counts() (there, roster, stuck int) {
 	return c.there, len(c.peers) - c.removed - c.left, c.stuck
 }
 
 // Assume takes claims as known from before, without handing them on: the state of a fleet that has long been running.
-func (c *Core) Assume(now float64, claims []Claim) []Action {
+func (c *Core) Preload(now float64, claims []MemberRecord) []Action {
 	for _, cl := range claims {
-		if cl.Of != c.me {
-			c.peers[cl.Of].claim = cl
-			c.become(now, cl.Of, cl.State, "assumed")
+		if cl.Member != c.me {
+			c.peers[cl.Member].claim = cl
+			c.become(now, cl.Member, cl.State, "assumed")
 		}
 	}
 	return c.emit()
 }
 
 // Differs says whether somebody who is there was lately heard to see others than we do.
-func (c *Core) Differs(now float64, p Peer) bool {
+func (c *Core) ViewDiffers(now float64, p MemberID) bool {
 	e := &c.peers[p]
-	return p != c.me && e.state.There() && e.heard > 0 && now-e.heard < 2*exchangeEvery && e.digest != c.digest
+	return p != c.me && e.state.Present() && e.heard > 0 && now-e.heard < 2*exchangeEvery && e.digest != c.digest
 }
 
 // Health is our own, 0 to 8: how much slower we judge others.
-func (c *Core) Health() int { return c.health }
+func (c *Core) HealthScore() int { return c.health }
 
 // Queued is how much waits to be handed on, for tests of its bound.
-func (c *Core) Queued() int { return len(c.newest) }
+func (c *Core) QueueLength() int { return len(c.newest) }
 
 // Newer says whether a claim would be news, so that its signature has to be checked.
-func (c *Core) Newer(p Peer, at Incarnation) bool {
+func (c *Core) IsNewer(p MemberID, at Incarnation) bool {
 	e := &c.peers[p]
-	return e.claim.At.Less(at) || e.state == Unknown && e.claim.At == at
+	return e.claim.Incarnation.Less(at) || e.state == Unknown && e.claim.Incarnation == at
 }
 
 // Digest is that of those who are there.
-func (c *Core) Digest() uint64 { return c.digest }
+func (c *Core) ViewHash() uint64 { return c.digest }
 
 // Me is this peer's own claim.
-func (c *Core) Me() Claim { return c.peers[c.me].claim }
+func (c *Core) SelfRecord() MemberRecord { return c.peers[c.me].claim }
--- a/internal/membership/swim/view.go
+++ b/internal/membership/swim/view.go
@@ -13,7 +13,7 @@
 )
 
 // Peer is a place in the roster, which both sides of every call share. The roster only grows.
-type Peer int32
+type MemberID int32
 
 // State is what a router holds of a peer.
 type State uint8
@@ -33,78 +33,78 @@
 }
 
 // There says whether a peer in this state counts as being there.
-func (s State) There() bool { return s == Alive || s == Stuck || s == Suspect }
+func (s State) Present() bool { return s == Alive || s == Stuck || s == Suspect }
 
 // Incarnation is one life of a peer and the times it has refuted in it. Only the peer itself can raise it.
 type Incarnation struct {
-	Start uint64 // Unix ms at which the process started
-	Beat  uint32 // refutations since
+	StartMillis uint64 // Unix ms at which the process started
+	Refutations uint32 // refutations since
 }
 
 // Less orders incarnations.
 func (a Incarnation) Less(b Incarnation) bool {
-	return a.Start < b.Start || a.Start == b.Start && a.Beat < b.Beat
+	return a.StartMillis < b.StartMillis || a.StartMillis == b.StartMillis && a.Refutations < b.Refutations
 }
 
 // Claim is what a peer says of itself, signed by it. Others hand it on as it is.
-type Claim struct {
-	Of    Peer
-	At    Incarnation
-	Birth uint64 // chosen anew at each start: two processes under one name differ here
-	State State  // Alive, Stuck or Left
-	Seal  []byte // the signed text, not looked into here
+type MemberRecord struct {
+	Member      MemberID
+	Incarnation Incarnation
+	InstanceID  uint64 // chosen anew at each start: two processes under one name differ here
+	State       State  // Alive, Stuck or Left
+	Signed      []byte // the signed text, not looked into here
 }
 
 // Charge says that its author failed to reach a peer at an incarnation, signed by its author.
-type Charge struct {
-	By, Of Peer
-	At     Incarnation
-	Dead   bool // Terms.Plain alone: its author has dropped the peer, and so does everybody who hears of it
-	Bare   bool // it came as a row of an exchange, whose sender signed it: it is not handed on
-	Seal   []byte
+type Accusation struct {
+	Accuser, Member MemberID
+	Incarnation     Incarnation
+	Dead            bool // Terms.Plain alone: its author has dropped the peer, and so does everybody who hears of it
+	FromPushPull    bool // it came as a row of an exchange, whose sender signed it: it is not handed on
+	Signed          []byte
 }
 
 // Kind is that of a message.
-type Kind uint8
+type MessageKind uint8
 
 // The kinds. A Ping is answered by an Ack to whom it names; one who asks others to look sends Ask, is told Taken at once,
 // and Told when the answer came. Table, Reply and Give are the three messages of an exchange.
 const (
-	Ping Kind = iota + 1
+	Ping MessageKind = iota + 1
 	Ack
-	Ask
-	Taken
-	Told
-	Table
-	Reply
-	Give
+	IndirectPing
+	IndirectPingAccepted
+	IndirectAck
+	PushPullRequest
+	PushPullReply
+	Push
 )
 
 // Row is a line of an exchange: what the sender holds of a peer.
-type Row struct {
-	Of    Peer
-	At    Incarnation
-	State State
+type PushPullEntry struct {
+	Member      MemberID
+	Incarnation Incarnation
+	State       State
 }
 
 // Message is what one peer sends another. Bounds of the lists are those of the constants below.
 type Message struct {
-	Kind    Kind
-	Nonce   uint64 // of a check
-	For     Peer   // who asked: the sender itself, or another whom the sender looks for
-	Of      Peer   // Ask, Told: who is looked at
-	Proof   []byte // Ack, Told: signed by the one looked at, over nonce and asker; made and checked outside
-	Digest  uint64 // of those who are there in the sender's view
-	Claims  []Claim
-	Charges []Charge
-	Rows    []Row
+	Kind        MessageKind
+	Nonce       uint64   // of a check
+	Requester   MemberID // who asked: the sender itself, or another whom the sender looks for
+	Target      MemberID // Ask, Told: who is looked at
+	Proof       []byte   // Ack, Told: signed by the one looked at, over nonce and asker; made and checked outside
+	ViewHash    uint64   // of those who are there in the sender's view
+	Records     []MemberRecord
+	Accusations []Accusation
+	Entries     []PushPullEntry
 }
 
 // Terms are what an installation may change, and what the laboratory does to compare.
-type Terms struct {
-	Period float64 // s between two checks of a router; 0: the constant
-	Liars  int     // peers that may lie at the same time
-	Plain  bool    // SWIM as published, for comparison: fixed suspicion, one accuser believed, no health of one's own
+type Config struct {
+	ProbeIntervalSeconds float64 // s between two checks of a router; 0: the constant
+	MaxByzantine         int     // peers that may lie at the same time
+	PublishedSWIM        bool    // SWIM as published, for comparison: fixed suspicion, one accuser believed, no health of one's own
 }
 
 // Tuned values, with their unit and reason.
@@ -154,16 +154,16 @@
 type suspicion struct {
 	since    float64
 	at       Incarnation
-	own      int      // own failed looks since
-	ownAt    float64  // the last of them
-	said     bool     // our charge is out
-	accusers []Charge // in the order in which they came
-	lookAt   float64  // next own look
+	own      int          // own failed looks since
+	ownAt    float64      // the last of them
+	said     bool         // our charge is out
+	accusers []Accusation // in the order in which they came
+	lookAt   float64      // next own look
 }
 
 // entry is what is held of a peer: about 140 bytes, a suspicion while there is one, and a seal of some 150 bytes.
 type entry struct {
-	claim   Claim
+	claim   MemberRecord
 	state   State
 	since   float64 // of the state
 	sus     *suspicion
@@ -179,7 +179,7 @@
 // check is one look at a peer.
 type check struct {
 	nonce, again uint64 // of the first question and of the second: an answer tells how long it took
-	of           Peer
+	of           MemberID
 	sent, due    float64
 	againAt      float64 // of the second question
 	second       bool    // others have been asked, with the second question
@@ -190,13 +190,13 @@
 // handing is something to be told on: of each peer its newest claim, and charges against it.
 type handing struct {
 	subject
-	charge Charge
+	charge Accusation
 	number uint64
 }
 
 // subject is what a thing handed on is about: one entry for a peer's claim and one for each accuser of it, so that the queue is
 // bounded by the roster. By is -1 for a claim.
-type subject struct{ of, by Peer }
+type subject struct{ of, by MemberID }
 
 // queuedAs is the newest entry of a subject, and how often others told us the same since.
 type queuedAs struct {
@@ -205,22 +205,22 @@
 }
 
 type accuser struct {
-	by Peer
+	by MemberID
 	at float64
 }
 
 // Change tells that a peer's state changed, with the reason.
-type Change struct {
-	Of       Peer
-	From, To State
-	Why      string
-	At       Incarnation
-	TookS    float64 // from the first suspicion, where it ended in a drop
+type StateChange struct {
+	Member           MemberID
+	From, To         State
+	Reason           string
+	Incarnation      Incarnation
+	SuspectedSeconds float64 // from the first suspicion, where it ended in a drop
 }
 
 // Send is a message that has to go out.
 type Send struct {
-	To Peer
+	To MemberID
 	Message
 }
 
@@ -228,12 +228,12 @@
 type Action any
 
 // Yield says that a newer process runs under our name: we must fall silent.
-type Yield struct{ Birth uint64 }
+type NameConflict struct{ InstanceID uint64 }
 
 // Core is one router's view. Its methods belong to one goroutine.
 type Core struct {
-	terms Terms
-	me    Peer
+	terms Config
+	me    MemberID
 	rnd   *rand.Rand
 
 	peers   []entry
@@ -244,17 +244,17 @@
 	exAt    float64 // of the next exchange
 	turns   int     // checks made
 
-	round    []Peer // order of checks, shuffled anew each time it is through
+	round    []MemberID // order of checks, shuffled anew each time it is through
 	place    int
 	checks   []check
 	late     []check // missed; an answer still tells how far away a peer is
-	suspects []Peer
+	suspects []MemberID
 	nonce    uint64
 	levels   [][]handing           // by how often they were handed on
 	newest   map[subject]*queuedAs // what is still to be handed on of each subject
 	queued   uint64
-	targets  []Peer  // suspects to be looked at
-	lookAt   float64 // of the next looks at them
+	targets  []MemberID // suspects to be looked at
+	lookAt   float64    // of the next looks at them
 
 	health   int
 	accusers []accuser // who charged us lately
@@ -280,16 +280,16 @@
 
 // New makes the view of one peer of a roster, which is given by the marks of its names (Mark). Start is the peer's incarnation,
 // birth a number that no other start has, now the time in seconds on any clock that does not jump.
-func New(t Terms, me Peer, roster []uint64, seed, start, birth uint64, now float64) *Core {
-	if t.Period == 0 {
-		t.Period = period
+func New(t Config, me MemberID, roster []uint64, seed, start, birth uint64, now float64) *Core {
+	if t.ProbeIntervalSeconds == 0 {
+		t.ProbeIntervalSeconds = period
 	}
 	c := &Core{terms: t, me: me, rnd: rand.New(rand.NewPCG(seed, uint64(me)+1)), newest: map[subject]*queuedAs{}, started: now, last: now, wanted: now, nextAt: now, exAt: now}
-	c.nonce, c.refuted = c.rnd.Uint64(), now-refuteEvery*t.Period
+	c.nonce, c.refuted = c.rnd.Uint64(), now-refuteEvery*t.ProbeIntervalSeconds
 	c.Grow(roster)
 	c.row = c.rnd.IntN(len(roster))
 	e := &c.peers[me]
-	e.claim = Claim{Of: me, At: Incarnation{Start: start}, Birth: birth, State: Alive}
+	e.claim = MemberRecord{Member: me, Incarnation: Incarnation{StartMillis: start}, InstanceID: birth, State: Alive}
 	e.state, e.since = Alive, now
 	c.digest, c.there = c.peers[me].mark, 1
 	return c
@@ -298,12 +298,12 @@
 // Grow makes room for a longer roster.
 func (c *Core) Grow(roster []uint64) {
 	for i := len(c.peers); i < len(roster); i++ {
-		c.peers = append(c.peers, entry{claim: Claim{Of: Peer(i)}, mark: roster[i]})
+		c.peers = append(c.peers, entry{claim: MemberRecord{Member: MemberID(i)}, mark: roster[i]})
 	}
 }
 
 // Remove takes a peer out of the roster, or back in.
-func (c *Core) Remove(now float64, p Peer, removed bool) []Action {
+func (c *Core) SetRemoved(now float64, p MemberID, removed bool) []Action {
 	e := &c.peers[p]
 	if e.removed == removed || p == c.me {
 		return c.emit()
@@ -318,7 +318,7 @@
 }
 
 // Mark is a name's part of the digest of those who are there.
-func Mark(name string) uint64 {
+func NameHash(name string) uint64 {
 	x := uint64(0xcbf29ce484222325)
 	for i := range len(name) {
 		x = (x ^ uint64(name[i])) * 0x100000001b3
@@ -335,16 +335,16 @@
 }
 
 // become is the one place where a peer's state changes.
-func (c *Core) become(now float64, p Peer, to State, why string) {
+func (c *Core) become(now float64, p MemberID, to State, why string) {
 	e := &c.peers[p]
 	if e.state == to {
 		return
 	}
-	ch := Change{Of: p, From: e.state, To: to, Why: why, At: e.claim.At}
+	ch := StateChange{Member: p, From: e.state, To: to, Reason: why, Incarnation: e.claim.Incarnation}
 	if e.sus != nil && to == Failed {
-		ch.TookS = now - e.sus.since
+		ch.SuspectedSeconds = now - e.sus.since
 	}
-	if was, is := e.state.There(), to.There(); was != is {
+	if was, is := e.state.Present(), to.Present(); was != is {
 		c.digest, c.changed = c.digest^e.mark, now
 		c.there++
 		if was {
@@ -375,7 +375,7 @@
 	if c.rtt > 0 {
 		w = min(max(c.rtt+4*c.dev, leastWait), mostWait)
 	}
-	if c.terms.Plain {
+	if c.terms.PublishedSWIM {
 		return w
 	}
 	return max(w, min(w*float64(1+c.health), longWait))
@@ -383,11 +383,11 @@
 
 // limits are the shortest and the longest time of a suspicion.
 func (c *Core) limits() (least, most float64) {
-	if c.terms.Plain {
-		t := suspectFactor * math.Log2(c.size()) * c.terms.Period
+	if c.terms.PublishedSWIM {
+		t := suspectFactor * math.Log2(c.size()) * c.terms.ProbeIntervalSeconds
 		return t, t
 	}
-	least = suspectLeast*max(math.Log10(c.size()), 1)*c.terms.Period + 2*max(c.rtt, 0)
+	least = suspectLeast*max(math.Log10(c.size()), 1)*c.terms.ProbeIntervalSeconds + 2*max(c.rtt, 0)
 	return least, suspectMost * least
 }
 
@@ -406,7 +406,7 @@
 // alone would do it less than once in a thousand. A look fails if two questions and three relayed ones are lost, each relayed one over
 // two round trips. Lifeguard's health does the same for lateness.
 func (c *Core) doubt() int {
-	if c.terms.Plain || c.loss <= 0 {
+	if c.terms.PublishedSWIM || c.loss <= 0 {
 		return 1
 	}
 	l := min(c.loss, mostLoss)
@@ -426,7 +426,7 @@
 // others counts the accusers that are listened to.
 func (c *Core) others(s *suspicion) (n int) {
 	for _, a := range s.accusers {
-		if !c.voiceless(a.By) {
+		if !c.voiceless(a.Accuser) {
 			n++
 		}
 	}
@@ -434,18 +434,18 @@
 }
 
 // voiceless says whether an accuser has been wrong so much more often than others that it is not listened to.
-func (c *Core) voiceless(p Peer) bool {
+func (c *Core) voiceless(p MemberID) bool {
 	e := &c.peers[p]
-	return !c.terms.Plain && e.wrong > e.right && e.wrong > wrongLeast+wrongOver*c.wrongs/c.size()
+	return !c.terms.PublishedSWIM && e.wrong > e.right && e.wrong > wrongLeast+wrongOver*c.wrongs/c.size()
 }
 
 // Record is what an accuser's charges were worth: contradicted and borne out, and whether it is listened to no more.
-func (c *Core) Record(p Peer) (wrong, right float64, voiceless bool) {
+func (c *Core) Reputation(p MemberID) (wrong, right float64, voiceless bool) {
 	e := &c.peers[p]
 	return e.wrong, e.right, c.voiceless(p)
 }
 
-func (c *Core) judge(now float64, p Peer, wrong bool) {
+func (c *Core) judge(now float64, p MemberID, wrong bool) {
 	if p == c.me {
 		return
 	}
@@ -462,11 +462,11 @@
 }
 
 // well is somebody's proof that it heard a question of ours, or a newer claim of its own: what was held against it is over.
-func (c *Core) well(now float64, p Peer, why string) {
+func (c *Core) well(now float64, p MemberID, why string) {
 	e := &c.peers[p]
 	if e.sus != nil {
 		for _, a := range e.sus.accusers {
-			c.judge(now, a.By, true)
+			c.judge(now, a.Accuser, true)
 		}
 		c.clear(p)
 	}
@@ -476,39 +476,39 @@
 }
 
 // clear ends a suspicion.
-func (c *Core) clear(p Peer) {
+func (c *Core) clear(p MemberID) {
 	if s := c.peers[p].sus; s != nil {
 		c.unhand(s, p)
 	}
 	c.peers[p].sus = nil
-	c.suspects = slices.DeleteFunc(c.suspects, func(o Peer) bool { return o == p })
+	c.suspects = slices.DeleteFunc(c.suspects, func(o MemberID) bool { return o == p })
 }
 
 // suspect notes a charge, or our own where by is us.
-func (c *Core) suspect(now float64, ch Charge) {
-	e := &c.peers[ch.Of]
-	if ch.Of == c.me || e.removed || e.state == Unknown || e.state == Left || ch.At != e.claim.At {
+func (c *Core) suspect(now float64, ch Accusation) {
+	e := &c.peers[ch.Member]
+	if ch.Member == c.me || e.removed || e.state == Unknown || e.state == Left || ch.Incarnation != e.claim.Incarnation {
 		return // a charge against an incarnation that nobody signed to us says nothing
 	}
 	if e.state == Failed {
 		return
 	}
-	if c.terms.Plain && ch.Dead {
-		c.clear(ch.Of)
+	if c.terms.PublishedSWIM && ch.Dead {
+		c.clear(ch.Member)
 		c.handCharge(ch)
-		c.become(now, ch.Of, Failed, "another peer's word")
+		c.become(now, ch.Member, Failed, "another peer's word")
 		return
 	}
-	own := ch.By == c.me
-	if !own && c.voiceless(ch.By) {
+	own := ch.Accuser == c.me
+	if !own && c.voiceless(ch.Accuser) {
 		return
 	}
 	if e.sus == nil {
-		e.sus = &suspicion{since: now, at: e.claim.At, lookAt: now}
-		c.suspects = append(c.suspects, ch.Of)
-		c.become(now, ch.Of, Suspect, why(own))
+		e.sus = &suspicion{since: now, at: e.claim.Incarnation, lookAt: now}
+		c.suspects = append(c.suspects, ch.Member)
+		c.become(now, ch.Member, Suspect, why(own))
 		if !own {
-			c.look(ch.Of)
+			c.look(ch.Member)
 		}
 	}
 	s := e.sus
@@ -520,15 +520,15 @@
 		}
 		return
 	}
-	if slices.ContainsFunc(s.accusers, func(a Charge) bool { return a.By == ch.By }) {
-		c.echo(ch.Of, ch.By)
+	if slices.ContainsFunc(s.accusers, func(a Accusation) bool { return a.Accuser == ch.Accuser }) {
+		c.echo(ch.Member, ch.Accuser)
 		return
 	}
 	if len(s.accusers) >= maxAccusers {
 		return
 	}
 	s.accusers = append(s.accusers, ch)
-	if len(s.accusers) <= confirmations+1 && !ch.Bare {
+	if len(s.accusers) <= confirmations+1 && !ch.FromPushPull {
 		c.handCharge(ch)
 	}
 }
@@ -540,16 +540,18 @@
 	return "another peer's charge"
 }
 
-func (c *Core) look(p Peer) {
+func (c *Core) look(p MemberID) {
 	if len(c.targets) < mostTargets && !slices.Contains(c.targets, p) {
 		c.targets = append(c.targets, p)
 	}
 }
 
 // handClaim queues a peer's newest claim to be handed on, handCharge a charge.
-func (c *Core) handClaim(p Peer) { c.hand(handing{subject: subject{p, -1}}) }
+func (c *Core) handClaim(p MemberID) { c.hand(handing{subject: subject{p, -1}}) }
 
-func (c *Core) handCharge(ch Charge) { c.hand(handing{subject: subject{ch.Of, ch.By}, charge: ch}) }
+func (c *Core) handCharge(ch Accusation) {
+	c.hand(handing{subject: subject{ch.Member, ch.Accuser}, charge: ch})
+}
 
 func (c *Core) hand(h handing) {
 	c.queued++
@@ -562,8 +564,8 @@
 }
 
 // echo is somebody telling us what we hand on ourselves: after some of them it has got around.
-func (c *Core) echo(of, by Peer) {
-	if q := c.newest[subject{of, by}]; q != nil && !c.terms.Plain {
+func (c *Core) echo(of, by MemberID) {
+	if q := c.newest[subject{of, by}]; q != nil && !c.terms.PublishedSWIM {
 		if q.echoes++; q.echoes >= mostEchoes {
 			delete(c.newest, subject{of, by})
 		}
@@ -571,43 +573,43 @@
 }
 
 // unhand ends the handing on of all charges against a peer.
-func (c *Core) unhand(s *suspicion, p Peer) {
+func (c *Core) unhand(s *suspicion, p MemberID) {
 	delete(c.newest, subject{p, c.me})
 	for _, a := range s.accusers {
-		delete(c.newest, subject{p, a.By})
+		delete(c.newest, subject{p, a.Accuser})
 	}
 }
 
 // fill puts what is least told into a message, after what the receiver itself should know of.
-func (c *Core) fill(to Peer, m *Message) {
-	m.Digest = c.digest
+func (c *Core) fill(to MemberID, m *Message) {
+	m.ViewHash = c.digest
 	if e := &c.peers[to]; e.sus != nil || e.state == Failed {
 		// Who is charged has to hear of it to be able to refute: Lifeguard's buddies.
 		if e.sus == nil || e.sus.said {
-			m.Charges = append(m.Charges, Charge{By: c.me, Of: to, At: e.claim.At})
-		} else if i := slices.IndexFunc(e.sus.accusers, func(a Charge) bool { return !a.Bare }); i >= 0 {
-			m.Charges = append(m.Charges, e.sus.accusers[i])
+			m.Accusations = append(m.Accusations, Accusation{Accuser: c.me, Member: to, Incarnation: e.claim.Incarnation})
+		} else if i := slices.IndexFunc(e.sus.accusers, func(a Accusation) bool { return !a.FromPushPull }); i >= 0 {
+			m.Accusations = append(m.Accusations, e.sus.accusers[i])
 		}
 	}
 	claims := mostClaims
-	if len(m.Rows) > 0 {
+	if len(m.Entries) > 0 {
 		claims = mostTold
 	}
 	most := max(int(spread*math.Ceil(math.Log2(c.size()+1))), 3)
-	for level := 0; level < len(c.levels) && (len(m.Claims) < claims || len(m.Charges) < mostCharges); level++ {
+	for level := 0; level < len(c.levels) && (len(m.Records) < claims || len(m.Accusations) < mostCharges); level++ {
 		list := c.levels[level]
 		var kept, told []handing
 		i := 0
-		for ; i < len(list) && (len(m.Claims) < claims || len(m.Charges) < mostCharges); i++ {
+		for ; i < len(list) && (len(m.Records) < claims || len(m.Accusations) < mostCharges); i++ {
 			h := list[i]
 			isClaim := h.by < 0
 			switch {
 			case c.newest[h.subject] == nil || c.newest[h.subject].number != h.number: // something newer stands in the queue, or nothing is to be said any more
-			case isClaim && len(m.Claims) < claims && h.of != to && !hasClaim(m, h.of):
-				m.Claims = append(m.Claims, c.peers[h.of].claim)
+			case isClaim && len(m.Records) < claims && h.of != to && !hasClaim(m, h.of):
+				m.Records = append(m.Records, c.peers[h.of].claim)
 				told = append(told, h)
-			case !isClaim && len(m.Charges) < mostCharges && h.of != to && h.by != to:
-				m.Charges = append(m.Charges, h.charge)
+			case !isClaim && len(m.Accusations) < mostCharges && h.of != to && h.by != to:
+				m.Accusations = append(m.Accusations, h.charge)
 				told = append(told, h)
 			default:
 				kept = append(kept, h)
@@ -633,18 +635,18 @@
 	}
 }
 
-func hasClaim(m *Message, p Peer) bool {
-	return slices.ContainsFunc(m.Claims, func(x Claim) bool { return x.Of == p })
+func hasClaim(m *Message, p MemberID) bool {
+	return slices.ContainsFunc(m.Records, func(x MemberRecord) bool { return x.Member == p })
 }
 
 // send fills a message up and puts it out.
-func (c *Core) send(to Peer, m Message) {
+func (c *Core) send(to MemberID, m Message) {
 	c.fill(to, &m)
 	c.out = append(c.out, Send{to, m})
 }
 
 // Next is when the next tick is wanted.
-func (c *Core) Next() float64 {
+func (c *Core) NextDeadline() float64 {
 	next := min(c.nextAt, c.exAt)
 	if len(c.targets) > 0 {
 		next = min(next, c.lookAt)
--- a/internal/membership/swim/view_test.go
+++ b/internal/membership/swim/view_test.go
@@ -8,20 +8,22 @@
 	"pgregory.net/rapid"
 )
 
-var names = []uint64{Mark("a"), Mark("b"), Mark("c"), Mark("d"), Mark("e")}
+var names = []uint64{NameHash("a"), NameHash("b"), NameHash("c"), NameHash("d"), NameHash("e")}
 
 // core makes a view that holds all of n peers for alive.
-func core(n int, t Terms) *Core {
+func core(n int, t Config) *Core {
 	c := New(t, 0, names[:n], 1, 100, 7, 0)
 	for p := 1; p < n; p++ {
-		c.Heard(0, Peer(p), Message{Kind: Give, Claims: []Claim{{Of: Peer(p), At: Incarnation{Start: 100}, Birth: uint64(p), State: Alive}}})
+		c.HandleMessage(0, MemberID(p), Message{Kind: Push, Records: []MemberRecord{{Member: MemberID(p), Incarnation: Incarnation{StartMillis: 100}, InstanceID: uint64(p), State: Alive}}})
 	}
 	return c
 }
 
-func charge(by, of Peer) Charge { return Charge{By: by, Of: of, At: Incarnation{Start: 100}} }
+func charge(by, of MemberID) Accusation {
+	return Accusation{Accuser: by, Member: of, Incarnation: Incarnation{StartMillis: 100}}
+}
 
-func stateOf(c *Core, p Peer) State { s, _ := c.State(p); return s }
+func stateOf(c *Core, p MemberID) State { s, _ := c.Lookup(p); return s }
 
 // quiet lets time pass without an answer from anybody; answering replies to every question of some.
 func pass(c *Core, from, to float64, answers func(Send) bool) (all []Action) {
@@ -29,55 +31,55 @@
 	for now < to {
 		for _, a := range c.Tick(now) {
 			all = append(all, a)
-			if s, ok := a.(Send); ok && s.Kind == Ping && s.For == c.me && answers(s) {
-				all = append(all, c.Heard(now+0.001, s.To, Message{Kind: Ack, Nonce: s.Nonce, For: c.me})...)
+			if s, ok := a.(Send); ok && s.Kind == Ping && s.Requester == c.me && answers(s) {
+				all = append(all, c.HandleMessage(now+0.001, s.To, Message{Kind: Ack, Nonce: s.Nonce, Requester: c.me})...)
 			}
 		}
-		now = min(max(c.Next(), now+0.002), now+0.1)
+		now = min(max(c.NextDeadline(), now+0.002), now+0.1)
 	}
 	return all
 }
 
 func TestLiarsWordDropsNobodyWhoAnswers(t *testing.T) {
-	c := core(5, Terms{Liars: 1})
+	c := core(5, Config{MaxByzantine: 1})
 	now := 1.0
 	for range 50 {
-		for _, of := range []Peer{1, 2, 3} {
-			c.Heard(now, 4, Message{Kind: Give, Charges: []Charge{charge(4, of)}})
+		for _, of := range []MemberID{1, 2, 3} {
+			c.HandleMessage(now, 4, Message{Kind: Push, Accusations: []Accusation{charge(4, of)}})
 		}
 		pass(c, now, now+0.5, func(Send) bool { return true })
 		now += 0.5
 	}
-	for _, p := range []Peer{1, 2, 3} {
-		assert.True(t, stateOf(c, p).There(), "peer %d is %v", p, stateOf(c, p))
+	for _, p := range []MemberID{1, 2, 3} {
+		assert.True(t, stateOf(c, p).Present(), "peer %d is %v", p, stateOf(c, p))
 	}
-	_, _, silenced := c.Record(4)
+	_, _, silenced := c.Reputation(4)
 	assert.True(t, silenced, "who is wrong that often is not listened to")
-	c.Heard(now, 4, Message{Kind: Give, Charges: []Charge{charge(4, 1)}})
+	c.HandleMessage(now, 4, Message{Kind: Push, Accusations: []Accusation{charge(4, 1)}})
 	assert.NotEqual(t, Suspect, stateOf(c, 1))
 }
 
 func TestSilentPeerIsDroppedAndOnlyANewIncarnationBringsItBack(t *testing.T) {
-	c := core(4, Terms{Liars: 1})
+	c := core(4, Config{MaxByzantine: 1})
 	acts := pass(c, 0.1, 12, func(s Send) bool { return s.To != 2 })
 	require.Equal(t, Failed, stateOf(c, 2))
-	assert.True(t, stateOf(c, 1).There() && stateOf(c, 3).There())
+	assert.True(t, stateOf(c, 1).Present() && stateOf(c, 3).Present())
 	asked := 0
 	for _, a := range acts {
-		if s, ok := a.(Send); ok && s.Kind == Ask && s.Of == 2 {
+		if s, ok := a.(Send); ok && s.Kind == IndirectPing && s.Target == 2 {
 			asked++
 		}
 	}
 	assert.Positive(t, asked, "others were asked to look")
-	c.Heard(13, 2, Message{Kind: Ack, Nonce: 1, For: 0})
-	c.Heard(13, 1, Message{Kind: Give, Claims: []Claim{{Of: 2, At: Incarnation{Start: 100}, State: Alive}}})
+	c.HandleMessage(13, 2, Message{Kind: Ack, Nonce: 1, Requester: 0})
+	c.HandleMessage(13, 1, Message{Kind: Push, Records: []MemberRecord{{Member: 2, Incarnation: Incarnation{StartMillis: 100}, State: Alive}}})
 	assert.Equal(t, Failed, stateOf(c, 2), "an old claim does not raise it")
-	c.Heard(13, 1, Message{Kind: Give, Claims: []Claim{{Of: 2, At: Incarnation{Start: 100, Beat: 1}, State: Alive}}})
+	c.HandleMessage(13, 1, Message{Kind: Push, Records: []MemberRecord{{Member: 2, Incarnation: Incarnation{StartMillis: 100, Refutations: 1}, State: Alive}}})
 	assert.Equal(t, Alive, stateOf(c, 2))
 }
 
 func TestLateAnswerEndsASuspicion(t *testing.T) {
-	c := core(3, Terms{})
+	c := core(3, Config{})
 	var asked Send
 	for now := 0.0; now < 1.2 && stateOf(c, 1) != Suspect; now += 0.02 {
 		for _, a := range c.Tick(now) {
@@ -87,77 +89,77 @@
 		}
 	}
 	require.Equal(t, Suspect, stateOf(c, 1))
-	c.Heard(1.3, 1, Message{Kind: Ack, Nonce: asked.Nonce, For: 0})
+	c.HandleMessage(1.3, 1, Message{Kind: Ack, Nonce: asked.Nonce, Requester: 0})
 	assert.Equal(t, Alive, stateOf(c, 1))
 }
 
 func TestOneWhoWasStoppedBlamesNobody(t *testing.T) {
-	c := core(4, Terms{})
+	c := core(4, Config{})
 	pass(c, 0.1, 1, func(Send) bool { return true })
 	c.Tick(1.1)
 	c.Tick(60) // a minute later
-	for p := Peer(1); p < 4; p++ {
+	for p := MemberID(1); p < 4; p++ {
 		assert.Equal(t, Alive, stateOf(c, p))
 	}
-	assert.Positive(t, c.Health(), "and it judges others more slowly for a while")
+	assert.Positive(t, c.HealthScore(), "and it judges others more slowly for a while")
 }
 
 func TestChargedPeerRefutesNotTooOften(t *testing.T) {
-	c := core(3, Terms{})
+	c := core(3, Config{})
 	for i := range 10 {
-		c.Heard(0.1+float64(i)*0.01, 1, Message{Kind: Give, Charges: []Charge{{By: 1, Of: 0, At: c.Me().At}}})
+		c.HandleMessage(0.1+float64(i)*0.01, 1, Message{Kind: Push, Accusations: []Accusation{{Accuser: 1, Member: 0, Incarnation: c.SelfRecord().Incarnation}}})
 	}
-	assert.EqualValues(t, 1, c.Me().At.Beat)
-	c.Heard(5, 1, Message{Kind: Give, Charges: []Charge{{By: 1, Of: 0, At: Incarnation{Start: 100, Beat: 4_000_000}}}})
-	assert.EqualValues(t, 1, c.Me().At.Beat, "a beat that it never made is not answered")
+	assert.EqualValues(t, 1, c.SelfRecord().Incarnation.Refutations)
+	c.HandleMessage(5, 1, Message{Kind: Push, Accusations: []Accusation{{Accuser: 1, Member: 0, Incarnation: Incarnation{StartMillis: 100, Refutations: 4_000_000}}}})
+	assert.EqualValues(t, 1, c.SelfRecord().Incarnation.Refutations, "a beat that it never made is not answered")
 }
 
 func TestTwinFallsSilentAfterOneTry(t *testing.T) {
-	c := core(3, Terms{})
-	c.Heard(1, 1, Message{Kind: Give, Claims: []Claim{{Of: 0, At: Incarnation{Start: 200}, Birth: 9, State: Alive}}})
-	assert.Equal(t, Incarnation{Start: 201}, c.Me().At, "it may be its own earlier life, by a clock that went back")
-	acts := c.Heard(2, 1, Message{Kind: Give, Claims: []Claim{{Of: 0, At: Incarnation{Start: 300}, Birth: 9, State: Alive}}})
-	assert.Contains(t, acts, Yield{9})
+	c := core(3, Config{})
+	c.HandleMessage(1, 1, Message{Kind: Push, Records: []MemberRecord{{Member: 0, Incarnation: Incarnation{StartMillis: 200}, InstanceID: 9, State: Alive}}})
+	assert.Equal(t, Incarnation{StartMillis: 201}, c.SelfRecord().Incarnation, "it may be its own earlier life, by a clock that went back")
+	acts := c.HandleMessage(2, 1, Message{Kind: Push, Records: []MemberRecord{{Member: 0, Incarnation: Incarnation{StartMillis: 300}, InstanceID: 9, State: Alive}}})
+	assert.Contains(t, acts, NameConflict{9})
 	assert.Empty(t, c.Tick(10))
 }
 
 func TestStuckAndLeavingAreSaidByThePeerItself(t *testing.T) {
-	c := core(3, Terms{})
-	c.Heard(1, 1, Message{Kind: Give, Claims: []Claim{{Of: 2, At: Incarnation{Start: 100, Beat: 1}, State: Stuck}}})
-	there, roster, stuck := c.There()
+	c := core(3, Config{})
+	c.HandleMessage(1, 1, Message{Kind: Push, Records: []MemberRecord{{Member: 2, Incarnation: Incarnation{StartMillis: 100, Refutations: 1}, State: Stuck}}})
+	there, roster, stuck := c.Counts()
 	assert.Equal(t, []int{3, 3, 1}, []int{there, roster, stuck})
-	c.Heard(1, 1, Message{Kind: Give, Claims: []Claim{{Of: 2, At: Incarnation{Start: 100, Beat: 2}, State: Left}}})
-	there, roster, stuck = c.There()
+	c.HandleMessage(1, 1, Message{Kind: Push, Records: []MemberRecord{{Member: 2, Incarnation: Incarnation{StartMillis: 100, Refutations: 2}, State: Left}}})
+	there, roster, stuck = c.Counts()
 	assert.Equal(t, []int{2, 2, 0}, []int{there, roster, stuck})
-	c.Heard(2, 1, Message{Kind: Give, Charges: []Charge{{By: 1, Of: 2, At: Incarnation{Start: 100, Beat: 2}}}})
+	c.HandleMessage(2, 1, Message{Kind: Push, Accusations: []Accusation{{Accuser: 1, Member: 2, Incarnation: Incarnation{StartMillis: 100, Refutations: 2}}}})
 	assert.Equal(t, Left, stateOf(c, 2), "who left is not suspected")
 	acts := c.Leave(3)
-	assert.Equal(t, Left, c.Me().State)
+	assert.Equal(t, Left, c.SelfRecord().State)
 	assert.NotEmpty(t, acts)
 }
 
 // TestQueuesAreBounded: however much is said, what waits is bounded by the roster.
 func TestQueuesAreBounded(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		c := core(5, Terms{Liars: 1})
+		c := core(5, Config{MaxByzantine: 1})
 		now := 0.0
 		for range rapid.IntRange(1, 200).Draw(t, "events") {
 			now += rapid.Float64Range(0, 0.4).Draw(t, "step")
-			from := Peer(rapid.IntRange(1, 4).Draw(t, "from"))
-			at := Incarnation{Start: uint64(rapid.IntRange(90, 110).Draw(t, "start")), Beat: uint32(rapid.IntRange(0, 3).Draw(t, "beat"))}
-			of := Peer(rapid.IntRange(0, 4).Draw(t, "of"))
-			m := Message{Kind: Kind(rapid.IntRange(0, 9).Draw(t, "kind")), Nonce: rapid.Uint64().Draw(t, "nonce"), For: of, Of: of,
-				Charges: []Charge{{By: from, Of: of, At: at}}, Rows: []Row{{of, at, State(rapid.IntRange(0, 5).Draw(t, "state"))}}}
+			from := MemberID(rapid.IntRange(1, 4).Draw(t, "from"))
+			at := Incarnation{StartMillis: uint64(rapid.IntRange(90, 110).Draw(t, "start")), Refutations: uint32(rapid.IntRange(0, 3).Draw(t, "beat"))}
+			of := MemberID(rapid.IntRange(0, 4).Draw(t, "of"))
+			m := Message{Kind: MessageKind(rapid.IntRange(0, 9).Draw(t, "kind")), Nonce: rapid.Uint64().Draw(t, "nonce"), Requester: of, Target: of,
+				Accusations: []Accusation{{Accuser: from, Member: of, Incarnation: at}}, Entries: []PushPullEntry{{of, at, State(rapid.IntRange(0, 5).Draw(t, "state"))}}}
 			if of != 0 {
-				m.Claims = []Claim{{Of: of, At: at, State: Alive}}
+				m.Records = []MemberRecord{{Member: of, Incarnation: at, State: Alive}}
 			}
-			c.Heard(now, from, m)
+			c.HandleMessage(now, from, m)
 			for _, a := range c.Tick(now) {
-				if s, ok := a.(Send); ok && (len(s.Claims) > mostClaims+1 || len(s.Charges) > mostCharges+1 || len(s.Rows) > mostRows) {
+				if s, ok := a.(Send); ok && (len(s.Records) > mostClaims+1 || len(s.Accusations) > mostCharges+1 || len(s.Entries) > mostRows) {
 					t.Fatalf("a message over its bounds: %+v", s)
 				}
 			}
-			if n := c.Queued(); n > 5*(1+maxAccusers+1) || len(c.checks) > mostChecks || len(c.targets) > mostTargets || len(c.late) > mostChecks {
+			if n := c.QueueLength(); n > 5*(1+maxAccusers+1) || len(c.checks) > mostChecks || len(c.targets) > mostTargets || len(c.late) > mostChecks {
 				t.Fatalf("%d waiting, %d checks", n, len(c.checks))
 			}
 		}
@@ -215,10 +217,10 @@
 func begin(t *testing.T, rounds int) *world {
 	w := &world{dead: -1, wires: make([][]Send, 3), lives: make([]Incarnation, 3)}
 	for i := range w.cores {
-		w.cores[i] = New(Terms{Liars: 0}, Peer(i), names[:3], uint64(i), 100, uint64(i), 0)
+		w.cores[i] = New(Config{MaxByzantine: 0}, MemberID(i), names[:3], uint64(i), 100, uint64(i), 0)
 		for p := range 3 {
 			if p != i {
-				w.cores[i].Heard(0, Peer(p), Message{Kind: Give, Claims: []Claim{{Of: Peer(p), At: Incarnation{Start: 100}, Birth: uint64(p), State: Alive}}})
+				w.cores[i].HandleMessage(0, MemberID(p), Message{Kind: Push, Records: []MemberRecord{{Member: MemberID(p), Incarnation: Incarnation{StartMillis: 100}, InstanceID: uint64(p), State: Alive}}})
 			}
 		}
 	}
@@ -260,7 +262,7 @@
 		if choice%2 == 0 || int(m.To) == w.dead {
 			return true // lost
 		}
-		w.out(t, int(m.To), w.cores[m.To].Heard(w.now, Peer(i), m.Message))
+		w.out(t, int(m.To), w.cores[m.To].HandleMessage(w.now, MemberID(i), m.Message))
 	case w.dead < 0:
 		w.dead = 2
 	default:
@@ -274,19 +276,19 @@
 		switch a := a.(type) {
 		case Send:
 			w.wires[from] = append(w.wires[from], a)
-		case Change:
+		case StateChange:
 			if a.To == Failed {
-				w.lives[from], w.dropped = a.At, true
-				if c := w.cores[from].peers[a.Of]; c.sus != nil && c.sus.own < ownFails {
-					t.Fatalf("%d dropped %d on others' word", from, a.Of)
+				w.lives[from], w.dropped = a.Incarnation, true
+				if c := w.cores[from].peers[a.Member]; c.sus != nil && c.sus.own < ownFails {
+					t.Fatalf("%d dropped %d on others' word", from, a.Member)
 				}
 			}
-			if a.From == Failed && a.To.There() && !w.lives[from].Less(a.At) {
-				t.Fatalf("%d took %d back without a higher incarnation", from, a.Of)
+			if a.From == Failed && a.To.Present() && !w.lives[from].Less(a.Incarnation) {
+				t.Fatalf("%d took %d back without a higher incarnation", from, a.Member)
 			}
 		}
 	}
-	if n := w.cores[from].Queued(); n > 3*(1+maxAccusers+1) {
+	if n := w.cores[from].QueueLength(); n > 3*(1+maxAccusers+1) {
 		t.Fatalf("%d waiting", n)
 	}
 }
--- a/internal/sim/membership/fleet.go
+++ b/internal/sim/membership/fleet.go
@@ -30,42 +30,42 @@
 )
 
 // Plan is what is played.
-type Plan struct {
-	Script  faults.Script
-	Terms   swim.Terms
-	Hostile []int // those who lie in every way that their own signature allows
-	Agree   bool  // time how long it takes to agree after the last act
-	Known   bool  // all know each other from the start: a fleet that has long been running
+type Config struct {
+	Script           faults.Script
+	SWIM             swim.Config
+	Hostile          []int // those who lie in every way that their own signature allows
+	MeasureAgreement bool  // time how long it takes to agree after the last act
+	Preloaded        bool  // all know each other from the start: a fleet that has long been running
 }
 
 // Result is what came of it.
 type Result struct {
-	Peers        int
-	Wrong        int       // drops of a peer that ran, was not cut off from who dropped it and did not stand still
-	WrongSaid    []string  // the first few of them
-	Detect       []float64 // s from a kill until each of the others held it failed, one entry an observer
-	AllKnow      []float64 // s from a kill until all that ran knew
-	AgreeS       float64   // s from the end of the last act until all see just those who run; -1: never
-	Datagrams    []float64 // a second an instance, second by second
-	BytesEach    float64   // a second an instance, over the whole time after settling
-	Most         int       // longest queue of things to hand on
-	Resurrected  int       // changes from failed to there without a higher incarnation
-	StandingS    float64   // s an instance in which a standing was not that of the truth
-	Refuted      int       // claims beyond the first
-	Trace        uint64    // of all changes in their order: two runs of a plan have the same
-	Suspicions   int
-	Yielded      int
-	FinalThere   []int
-	Restarted    int
-	events       int
-	standingWhen float64
+	Members                    int
+	FalseFailures              int       // drops of a peer that ran, was not cut off from who dropped it and did not stand still
+	FalseFailureDetails        []string  // the first few of them
+	DetectionSeconds           []float64 // s from a kill until each of the others held it failed, one entry an observer
+	FullDetectionSeconds       []float64 // s from a kill until all that ran knew
+	AgreementSeconds           float64   // s from the end of the last act until all see just those who run; -1: never
+	DatagramsPerSecond         []float64 // a second an instance, second by second
+	BytesPerSecond             float64   // a second an instance, over the whole time after settling
+	MaxQueueLength             int       // longest queue of things to hand on
+	Resurrected                int       // changes from failed to there without a higher incarnation
+	WrongPartitionStateSeconds float64   // s an instance in which a standing was not that of the truth
+	Refutations                int       // claims beyond the first
+	TraceHash                  uint64    // of all changes in their order: two runs of a plan have the same
+	Suspicions                 int
+	NameConflicts              int
+	FinalPresent               []int
+	Restarts                   int
+	events                     int
+	standingWhen               float64
 }
 
 // node is one instance.
 type node struct {
 	id       int
 	core     *swim.Core
-	stand    *partition.Core
+	stand    *partition.Tracker
 	up       bool
 	paused   bool
 	stuck    bool
@@ -81,7 +81,7 @@
 // player is a run.
 type player struct {
 	w      *clock.World
-	plan   Plan
+	plan   Config
 	nodes  []*node
 	marks  []uint64
 	births []uint64 // of those who know each other from the start
@@ -98,19 +98,19 @@
 }
 
 // Play plays a plan.
-func Play(p Plan) (*Result, error) {
+func Run(p Config) (*Result, error) {
 	if err := p.Script.Check(); err != nil {
 		return nil, err
 	}
 	h := fnv.New64a()
-	x := &player{w: clock.New(p.Script.Seed, 7, 0), plan: p, r: &Result{Peers: p.Script.Peers, AgreeS: -1}, hash: h, kills: map[int]float64{},
+	x := &player{w: clock.New(p.Script.Seed, 7, 0), plan: p, r: &Result{Members: p.Script.Peers, AgreementSeconds: -1}, hash: h, kills: map[int]float64{},
 		rnd: rand.New(rand.NewPCG(p.Script.Seed, 8)), highest: map[[2]int]swim.Incarnation{}}
 	for i := range p.Script.Peers {
-		x.marks = append(x.marks, swim.Mark(fmt.Sprintf("n%d", i)))
+		x.marks = append(x.marks, swim.NameHash(fmt.Sprintf("n%d", i)))
 		x.nodes = append(x.nodes, &node{id: i, hostile: slices.Contains(p.Hostile, i)})
 	}
 	for _, n := range x.nodes {
-		if p.Known {
+		if p.Preloaded {
 			x.births = append(x.births, x.rnd.Uint64())
 		}
 		x.w.After(0.05*x.rnd.Float64(), func() { x.start(n) })
@@ -124,22 +124,24 @@
 	for s := 1.0; s <= over; s++ {
 		at := 0
 		x.w.At(s-1, func() { at = x.datagrams })
-		x.w.At(s-1e-9, func() { x.r.Datagrams = append(x.r.Datagrams, float64(x.datagrams-at)/float64(len(x.nodes))) })
+		x.w.At(s-1e-9, func() {
+			x.r.DatagramsPerSecond = append(x.r.DatagramsPerSecond, float64(x.datagrams-at)/float64(len(x.nodes)))
+		})
 	}
-	if p.Agree {
+	if p.MeasureAgreement {
 		x.w.At(lastOf(p.Script)+0.001, func() { x.watch(lastOf(p.Script)) })
 	}
 	x.w.Run(over)
-	x.r.BytesEach = float64(x.bytes-settledBytes) / float64(len(x.nodes)) / max(over-settle, 1)
-	x.r.Trace = h.Sum64()
-	x.r.StandingS /= float64(len(x.nodes))
+	x.r.BytesPerSecond = float64(x.bytes-settledBytes) / float64(len(x.nodes)) / max(over-settle, 1)
+	x.r.TraceHash = h.Sum64()
+	x.r.WrongPartitionStateSeconds /= float64(len(x.nodes))
 	for _, n := range x.nodes {
 		if n.up {
-			there, _, _ := n.core.There()
-			x.r.FinalThere = append(x.r.FinalThere, there)
+			there, _, _ := n.core.Counts()
+			x.r.FinalPresent = append(x.r.FinalPresent, there)
 		}
 	}
-	sort.Float64s(x.r.Detect)
+	sort.Float64s(x.r.DetectionSeconds)
 	return x.r, nil
 }
 
@@ -155,16 +157,16 @@
 	now := x.w.Now()
 	n.up, n.waiting = true, nil
 	start := uint64((1_700_000_000 + now + n.clock) * 1000)
-	n.core = swim.New(x.plan.Terms, swim.Peer(n.id), x.marks, x.plan.Script.Seed*1000+uint64(n.id), start, x.rnd.Uint64(), now)
+	n.core = swim.New(x.plan.SWIM, swim.MemberID(n.id), x.marks, x.plan.Script.Seed*1000+uint64(n.id), start, x.rnd.Uint64(), now)
 	if x.births != nil && now < 1 {
-		var claims []swim.Claim
+		var claims []swim.MemberRecord
 		for i, birth := range x.births {
-			claims = append(claims, swim.Claim{Of: swim.Peer(i), At: swim.Incarnation{Start: lifeBefore}, Birth: birth, State: swim.Alive})
+			claims = append(claims, swim.MemberRecord{Member: swim.MemberID(i), Incarnation: swim.Incarnation{StartMillis: lifeBefore}, InstanceID: birth, State: swim.Alive})
 		}
-		n.core = swim.New(x.plan.Terms, swim.Peer(n.id), x.marks, x.plan.Script.Seed*1000+uint64(n.id), lifeBefore, x.births[n.id], now)
-		n.core.Assume(now, claims)
+		n.core = swim.New(x.plan.SWIM, swim.MemberID(n.id), x.marks, x.plan.Script.Seed*1000+uint64(n.id), lifeBefore, x.births[n.id], now)
+		n.core.Preload(now, claims)
 	}
-	n.stand = partition.New(x.plan.Terms.Liars, now)
+	n.stand = partition.New(x.plan.SWIM.MaxByzantine, now)
 	delete(x.kills, n.id)
 	x.step(n)
 }
@@ -181,7 +183,7 @@
 func (x *player) set(n *node) {
 	n.tick++
 	mine := n.tick
-	x.w.At(max(n.core.Next(), x.w.Now()+0.001), func() {
+	x.w.At(max(n.core.NextDeadline(), x.w.Now()+0.001), func() {
 		if n.tick != mine {
 			return
 		}
@@ -203,39 +205,39 @@
 				x.lie(n, &a)
 			}
 			x.send(n, a)
-		case swim.Change:
+		case swim.StateChange:
 			x.changed(n, a)
-		case swim.Yield:
-			x.r.Yielded++
+		case swim.NameConflict:
+			x.r.NameConflicts++
 		}
 	}
-	x.r.Most = max(x.r.Most, n.core.Queued())
-	there, roster, stuck := n.core.There()
-	n.stand.Step(now, partition.Seen{Roster: roster, There: there, Stuck: stuck})
+	x.r.MaxQueueLength = max(x.r.MaxQueueLength, n.core.QueueLength())
+	there, roster, stuck := n.core.Counts()
+	n.stand.Update(now, partition.View{Roster: roster, Present: there, Stuck: stuck})
 }
 
 // lie makes a message as bad as its sender's own signature allows: it charges whom it can, shows a table in which all others
 // have failed, and says that it sees nobody.
 func (x *player) lie(n *node, a *swim.Send) {
-	a.Digest = x.rnd.Uint64()
-	a.Charges = a.Charges[:0]
-	for len(a.Charges) < 3 {
-		p := swim.Peer(x.rnd.IntN(len(x.nodes)))
-		_, cl := n.core.State(p)
-		a.Charges = append(a.Charges, swim.Charge{By: swim.Peer(n.id), Of: p, At: cl.At, Dead: x.plan.Terms.Plain}) // SWIM has a word for it
+	a.ViewHash = x.rnd.Uint64()
+	a.Accusations = a.Accusations[:0]
+	for len(a.Accusations) < 3 {
+		p := swim.MemberID(x.rnd.IntN(len(x.nodes)))
+		_, cl := n.core.Lookup(p)
+		a.Accusations = append(a.Accusations, swim.Accusation{Accuser: swim.MemberID(n.id), Member: p, Incarnation: cl.Incarnation, Dead: x.plan.SWIM.PublishedSWIM}) // SWIM has a word for it
 	}
-	if a.Kind == swim.Table || a.Kind == swim.Reply {
-		for i := range a.Rows {
-			a.Rows[i].State = swim.Failed
+	if a.Kind == swim.PushPullRequest || a.Kind == swim.PushPullReply {
+		for i := range a.Entries {
+			a.Entries[i].State = swim.Failed
 		}
 	}
-	if a.Kind == swim.Told || a.Kind == swim.Ack && a.For != swim.Peer(n.id) && x.rnd.IntN(2) == 0 {
-		a.Kind = swim.Give // it keeps answers from those who asked it to look
+	if a.Kind == swim.IndirectAck || a.Kind == swim.Ack && a.Requester != swim.MemberID(n.id) && x.rnd.IntN(2) == 0 {
+		a.Kind = swim.Push // it keeps answers from those who asked it to look
 	}
 }
 
 func (x *player) send(n *node, a swim.Send) {
-	size := headBytes + claimBytes*len(a.Claims) + chargeBytes*len(a.Charges) + rowBytes*len(a.Rows)
+	size := headBytes + claimBytes*len(a.Records) + chargeBytes*len(a.Accusations) + rowBytes*len(a.Entries)
 	x.bytes += size
 	x.datagrams++
 	way := x.plan.Script.Way(n.id, int(a.To), x.w.Now())
@@ -262,45 +264,45 @@
 		return
 	}
 	now := x.w.Now()
-	x.act(to, to.core.Heard(now, swim.Peer(from.id), a.Message))
-	if s, _ := to.core.State(swim.Peer(from.id)); s.There() {
-		to.stand.Heard(now, from.id, to.core.Differs(now, swim.Peer(from.id)))
+	x.act(to, to.core.HandleMessage(now, swim.MemberID(from.id), a.Message))
+	if s, _ := to.core.Lookup(swim.MemberID(from.id)); s.Present() {
+		to.stand.RecordViewComparison(now, from.id, to.core.ViewDiffers(now, swim.MemberID(from.id)))
 	}
-	if to.core.Next() < now+0.3 {
+	if to.core.NextDeadline() < now+0.3 {
 		x.set(to)
 	}
 }
 
 // changed judges a change by what is true.
-func (x *player) changed(n *node, c swim.Change) {
-	fmt.Fprintf(x.hash, "%.6f %d %d %d %d\n", x.w.Now(), n.id, c.Of, c.From, c.To)
-	now, of := x.w.Now(), x.nodes[c.Of]
-	key := [2]int{n.id, int(c.Of)}
+func (x *player) changed(n *node, c swim.StateChange) {
+	fmt.Fprintf(x.hash, "%.6f %d %d %d %d\n", x.w.Now(), n.id, c.Member, c.From, c.To)
+	now, of := x.w.Now(), x.nodes[c.Member]
+	key := [2]int{n.id, int(c.Member)}
 	switch {
 	case c.To == swim.Suspect:
 		x.r.Suspicions++
 	case c.To == swim.Failed:
-		x.highest[key] = c.At
-		if at, down := x.kills[int(c.Of)]; down {
-			if !n.knows[int(c.Of)] && !n.hostile {
+		x.highest[key] = c.Incarnation
+		if at, down := x.kills[int(c.Member)]; down {
+			if !n.knows[int(c.Member)] && !n.hostile {
 				if n.knows == nil {
 					n.knows = map[int]bool{}
 				}
-				n.knows[int(c.Of)] = true
-				x.r.Detect = append(x.r.Detect, now-at)
-				x.allKnow(int(c.Of), at)
+				n.knows[int(c.Member)] = true
+				x.r.DetectionSeconds = append(x.r.DetectionSeconds, now-at)
+				x.allKnow(int(c.Member), at)
 			}
 		} else if !n.hostile && !of.hostile && now > settle && !x.plan.Script.Excused(n.id, of.id, now, blameFor) {
-			x.r.Wrong++
-			if len(x.r.WrongSaid) < 10 {
-				x.r.WrongSaid = append(x.r.WrongSaid, fmt.Sprintf("%.2f s: %d dropped %d: %s", now, n.id, c.Of, c.Why))
+			x.r.FalseFailures++
+			if len(x.r.FalseFailureDetails) < 10 {
+				x.r.FalseFailureDetails = append(x.r.FalseFailureDetails, fmt.Sprintf("%.2f s: %d dropped %d: %s", now, n.id, c.Member, c.Reason))
 			}
 		}
-	case c.From == swim.Failed && c.To.There():
-		if !x.highest[key].Less(c.At) {
+	case c.From == swim.Failed && c.To.Present():
+		if !x.highest[key].Less(c.Incarnation) {
 			x.r.Resurrected++
 		}
-		delete(n.knows, int(c.Of))
+		delete(n.knows, int(c.Member))
 	}
 }
 
@@ -310,7 +312,7 @@
 			return
 		}
 	}
-	x.r.AllKnow = append(x.r.AllKnow, x.w.Now()-at)
+	x.r.FullDetectionSeconds = append(x.r.FullDetectionSeconds, x.w.Now()-at)
 }
 
 // moment begins or ends a fault of processes; those of ways go by the time alone.
@@ -321,7 +323,7 @@
 		case faults.Kill, faults.Wipe:
 			if m.End {
 				if !n.up {
-					x.r.Restarted++
+					x.r.Restarts++
 					x.start(n)
 				}
 				continue
@@ -351,7 +353,7 @@
 		case faults.Stuck:
 			n.stuck = !m.End
 			if n.up && !n.paused {
-				x.act(n, n.core.Work(x.w.Now(), m.End))
+				x.act(n, n.core.SetWorking(x.w.Now(), m.End))
 			}
 		case faults.Clock:
 			n.clock = m.Act.S
@@ -372,13 +374,13 @@
 			continue
 		}
 		for _, o := range x.nodes {
-			if s, _ := n.core.State(swim.Peer(o.id)); s.There() != o.up && !o.hostile {
+			if s, _ := n.core.Lookup(swim.MemberID(o.id)); s.Present() != o.up && !o.hostile {
 				agree = false
 			}
 		}
 	}
 	if agree {
-		x.r.AgreeS = x.w.Now() - from
+		x.r.AgreementSeconds = x.w.Now() - from
 		return
 	}
 	x.w.After(0.05, func() { x.watch(from) })
--- a/internal/sim/membership/fleet_test.go
+++ b/internal/sim/membership/fleet_test.go
@@ -17,19 +17,19 @@
 	return out
 }
 
-func play(t *testing.T, p Plan) *Result {
-	r, err := Play(p)
+func play(t *testing.T, p Config) *Result {
+	r, err := Run(p)
 	require.NoError(t, err)
 	assert.Zero(t, r.Resurrected)
 	return r
 }
 
 func TestSamePlayIsTheSameByteForByte(t *testing.T) {
-	p := Plan{Script: faults.Draw(9, 20, 10, 60), Terms: swim.Terms{Liars: 1}, Hostile: []int{19}}
-	assert.Equal(t, play(t, p).Trace, play(t, p).Trace)
+	p := Config{Script: faults.Draw(9, 20, 10, 60), SWIM: swim.Config{MaxByzantine: 1}, Hostile: []int{19}}
+	assert.Equal(t, play(t, p).TraceHash, play(t, p).TraceHash)
 	q := p
 	q.Script.Seed++
-	assert.NotEqual(t, play(t, p).Trace, play(t, q).Trace)
+	assert.NotEqual(t, play(t, p).TraceHash, play(t, q).TraceHash)
 }
 
 func TestCutsHealAndAllAgree(t *testing.T) {
@@ -41,14 +41,14 @@
 		"ten minutes": {{Do: faults.Cut, At: 15, Until: 615, From: up(0, 10), To: up(10, 20), Both: true}},
 	} {
 		s := faults.Script{Seed: 3, Peers: 20, Until: acts[0].Until + 20, Acts: acts}
-		r := play(t, Plan{Script: s, Terms: swim.Terms{Liars: 1}, Agree: true})
-		assert.Zero(t, r.Wrong, "%s: %v", name, r.WrongSaid)
-		assert.True(t, r.AgreeS >= 0 && r.AgreeS < 4, "%s: agreed after %v s", name, r.AgreeS)
-		calm, most := r.Datagrams[13], 0.0
+		r := play(t, Config{Script: s, SWIM: swim.Config{MaxByzantine: 1}, MeasureAgreement: true})
+		assert.Zero(t, r.FalseFailures, "%s: %v", name, r.FalseFailureDetails)
+		assert.True(t, r.AgreementSeconds >= 0 && r.AgreementSeconds < 4, "%s: agreed after %v s", name, r.AgreementSeconds)
+		calm, most := r.DatagramsPerSecond[13], 0.0
 		for at := int(acts[0].Until); at < int(acts[0].Until)+15; at++ {
-			most = max(most, r.Datagrams[at])
+			most = max(most, r.DatagramsPerSecond[at])
 		}
-		t.Logf("%s: agreed after %.2f s, %.1f datagrams a second a peer in calm, %.1f at most while rejoining", name, r.AgreeS, calm, most)
+		t.Logf("%s: agreed after %.2f s, %.1f datagrams a second a peer in calm, %.1f at most while rejoining", name, r.AgreementSeconds, calm, most)
 		assert.Less(t, most, 2*calm, name)
 	}
 }
@@ -56,13 +56,13 @@
 // TestOnlyOurCoreHoldsAgainstALiar: the same script with SWIM as published loses healthy peers, so the check can fail.
 func TestOnlyOurCoreHoldsAgainstALiar(t *testing.T) {
 	for liars := 1; liars <= 3; liars += 2 {
-		p := Plan{Script: faults.Script{Seed: 4, Peers: 20, Until: 60, Acts: []faults.Act{{Do: faults.Kill, At: 20, Until: 40, From: []int{2}}, {Do: faults.Lose, Share: 0.1}}},
-			Terms: swim.Terms{Liars: liars}, Hostile: up(20-liars, 20)}
+		p := Config{Script: faults.Script{Seed: 4, Peers: 20, Until: 60, Acts: []faults.Act{{Do: faults.Kill, At: 20, Until: 40, From: []int{2}}, {Do: faults.Lose, Share: 0.1}}},
+			SWIM: swim.Config{MaxByzantine: liars}, Hostile: up(20-liars, 20)}
 		r := play(t, p)
-		assert.Zero(t, r.Wrong, r.WrongSaid)
-		assert.Len(t, r.Detect, 19-liars, "and the dead one is found")
-		p.Terms.Plain = true
-		assert.Positive(t, play(t, p).Wrong)
+		assert.Zero(t, r.FalseFailures, r.FalseFailureDetails)
+		assert.Len(t, r.DetectionSeconds, 19-liars, "and the dead one is found")
+		p.SWIM.PublishedSWIM = true
+		assert.Positive(t, play(t, p).FalseFailures)
 	}
 }
 
@@ -76,25 +76,25 @@
 		"seven in ten":  {{Do: faults.Kill, At: 20, Until: 30, From: up(0, 14)}},
 		"an hour ahead": {{Do: faults.Clock, At: 15, Until: 22, From: []int{4}, S: 3600}, {Do: faults.Kill, At: 18, Until: 19, From: []int{4}}, {Do: faults.Kill, At: 24, Until: 25, From: []int{4}}},
 	} {
-		r := play(t, Plan{Script: faults.Script{Seed: 6, Peers: 20, Until: 60, Acts: acts}, Terms: swim.Terms{Liars: 1}})
-		assert.Zero(t, r.Wrong, "%s: %v", name, r.WrongSaid)
-		for i, n := range r.FinalThere {
+		r := play(t, Config{Script: faults.Script{Seed: 6, Peers: 20, Until: 60, Acts: acts}, SWIM: swim.Config{MaxByzantine: 1}})
+		assert.Zero(t, r.FalseFailures, "%s: %v", name, r.FalseFailureDetails)
+		for i, n := range r.FinalPresent {
 			assert.Equal(t, 20, n, "%s: what %d sees at the end", name, i)
 		}
 	}
 }
 
 func TestStuckPeerIsThereAndCountsAsNotWorking(t *testing.T) {
-	r := play(t, Plan{Script: faults.Script{Seed: 6, Peers: 20, Until: 40, Acts: []faults.Act{{Do: faults.Stuck, At: 15, Until: 30, From: []int{4}}}}, Terms: swim.Terms{Liars: 1}})
-	assert.Zero(t, r.Wrong)
-	assert.Equal(t, 20, r.FinalThere[0])
+	r := play(t, Config{Script: faults.Script{Seed: 6, Peers: 20, Until: 40, Acts: []faults.Act{{Do: faults.Stuck, At: 15, Until: 30, From: []int{4}}}}, SWIM: swim.Config{MaxByzantine: 1}})
+	assert.Zero(t, r.FalseFailures)
+	assert.Equal(t, 20, r.FinalPresent[0])
 }
 
 // TestScriptsThatOnceBroke: on a network that was well again peers were dropped up to 20 s later, on looks that had begun in a time of
 // losses and waited long for their answers.
 func TestScriptsThatOnceBroke(t *testing.T) {
 	for _, seed := range []uint64{102, 1898, 6983} {
-		r := play(t, Plan{Script: faults.Draw(seed, 50, 8, 60), Terms: swim.Terms{Liars: 1}})
-		assert.Zero(t, r.Wrong, "seed %d: %v", seed, r.WrongSaid)
+		r := play(t, Config{Script: faults.Draw(seed, 50, 8, 60), SWIM: swim.Config{MaxByzantine: 1}})
+		assert.Zero(t, r.FalseFailures, "seed %d: %v", seed, r.FalseFailureDetails)
 	}
 }
--- a/internal/sim/routing/model.go
+++ b/internal/sim/routing/model.go
@@ -158,7 +158,7 @@
 	brain  routing.Decider
 	campus int
 	open   map[string]*txn
-	talk   *observation.Core
+	talk   *observation.Tracker
 	seq    uint32
 }
 
@@ -523,27 +523,27 @@
 		return
 	}
 	now := r.t.Now() - clock0
-	if says, ok := observation.Read(code, late); ok {
-		r.heed(r.talk.Ended(now, member, says))
+	if says, ok := observation.Classify(code, late); ok {
+		r.heed(r.talk.AttemptEnded(now, member, says))
 	}
-	for _, w := range r.talk.Say() {
+	for _, w := range r.talk.TakeUnsigned() {
 		r.t.tell(w)
 	}
 }
 
-func (r *router) heed(heeds []observation.Heed) {
+func (r *router) heed(heeds []observation.Doubt) {
 	now := r.t.Now() - clock0
 	for _, h := range heeds {
-		r.decide(routing.HealthObservation{Endpoint: h.Member, Suspicion: h.Doubt, ValidSeconds: max(h.Until-now, 0)})
+		r.decide(routing.HealthObservation{Endpoint: h.Endpoint, Suspicion: h.Level, ValidSeconds: max(h.Until-now, 0)})
 	}
 }
 
 // tell brings a word to all other routers, to each after a time as gossip takes it there.
-func (t *town) tell(w observation.Rumour) {
+func (t *town) tell(w observation.Observation) {
 	for i, to := range t.routers {
-		if i != w.By {
+		if i != w.Witness {
 			t.After(gossipLeast+t.gossip.Float64()*(gossipMost-gossipLeast), func() {
-				heeds, _ := to.talk.Heard(t.Now()-clock0, w)
+				heeds, _ := to.talk.HandleObservation(t.Now()-clock0, w)
 				to.heed(heeds)
 			})
 		}
@@ -559,7 +559,7 @@
 			if i < liars {
 				for _, m := range sortedNames(t.members) {
 					r.seq++
-					t.tell(observation.Rumour{By: i, Start: 2, Seq: r.seq, Member: m, Says: observation.Failing, Zone: fmt.Sprint("z", r.seq%7)})
+					t.tell(observation.Observation{Witness: i, WitnessStartMillis: 2, Sequence: r.seq, Endpoint: m, Health: observation.Failing, Zone: fmt.Sprint("z", r.seq%7)})
 				}
 			}
 		}
