--- /dev/null
+++ b/internal/codestyle/doc.go
@@ -0,0 +1,2 @@
+// Package codestyle holds the tests that keep the code in the terms of docs/glossary.md. It has no code of its own.
+package codestyle
--- /dev/null
+++ b/internal/codestyle/names_test.go
@@ -0,0 +1,106 @@
+package codestyle
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"unicode"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// withdrawn has the words that no identifier uses any more, each with the term in its place (docs/glossary.md).
+var withdrawn = map[string]string{
+	"txn": "request", "txns": "requests", "hop": "attempt", "hops": "attempts", "remap": "class", "sla": "latency objective",
+	"repeatable": "idempotent", "unrepeatable": "non-idempotent", "sharers": "routers sharing the endpoint",
+	"benched": "ejected", "sibling": "peer cache", "leaver": "client disconnected", "leavers": "clients disconnected",
+	"parting": "client disconnected", "partings": "clients disconnected", "rulebook": "settings", "outlet": "response writer",
+	"taker": "frontend", "hangup": "graceful close", "deaf": "discard input", "rumour": "health observation",
+	"whereabouts": "attempt location", "keeper": "rebalancer", "hatch": "admin socket", "desk": "request handler",
+	"drill": "simulator adapter", "brain": "routing", "bell": "timer", "noticeboard": "discovery service",
+}
+
+// done lists the folders whose code is held to the withdrawn words. A folder that is added here stays.
+var done = []string{}
+
+// TestIdentifiersUseTheGlossary walks the folders that are done and fails for each identifier with a withdrawn word.
+func TestIdentifiersUseTheGlossary(t *testing.T) {
+	root, err := filepath.Abs("../..")
+	require.NoError(t, err)
+	for _, folder := range done {
+		for _, file := range goFiles(t, filepath.Join(root, folder)) {
+			for _, found := range withdrawnIn(t, file) {
+				assert.Fail(t, "a withdrawn word", "%s", strings.TrimPrefix(found, root+"/"))
+			}
+		}
+	}
+}
+
+// TestWithdrawnWordsAreFound shows that the check can fail.
+func TestWithdrawnWordsAreFound(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "code.go")
+	text := "package code\n\ntype openTxn struct{ lastHop int }\n\nfunc attempt(hopper int) int { return hopper }\n"
+	require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
+	assert.Len(t, withdrawnIn(t, file), 2)
+}
+
+func goFiles(t *testing.T, folder string) []string {
+	t.Helper()
+	var files []string
+	err := filepath.WalkDir(folder, func(path string, entry fs.DirEntry, err error) error {
+		if err == nil && !entry.IsDir() && strings.HasSuffix(path, ".go") {
+			files = append(files, path)
+		}
+		return err
+	})
+	require.NoError(t, err)
+	require.NotEmpty(t, files, "no Go files in %s", folder)
+	return files
+}
+
+// withdrawnIn lists the identifiers of a file that have a withdrawn word, with their places.
+func withdrawnIn(t *testing.T, file string) []string {
+	t.Helper()
+	set := token.NewFileSet()
+	tree, err := parser.ParseFile(set, file, nil, parser.SkipObjectResolution)
+	require.NoError(t, err)
+	var found []string
+	ast.Inspect(tree, func(node ast.Node) bool {
+		identifier, ok := node.(*ast.Ident)
+		if !ok {
+			return true
+		}
+		for _, word := range words(identifier.Name) {
+			if term := withdrawn[word]; term != "" {
+				found = append(found, set.Position(identifier.Pos()).String()+": "+identifier.Name+": say "+term)
+			}
+		}
+		return true
+	})
+	return found
+}
+
+// words splits an identifier in mixed caps into lower-case words; a run of capitals is one word.
+func words(identifier string) []string {
+	var list []string
+	var word []rune
+	letters := []rune(identifier)
+	for i, letter := range letters {
+		begins := unicode.IsUpper(letter) && i > 0 &&
+			(!unicode.IsUpper(letters[i-1]) || i+1 < len(letters) && unicode.IsLower(letters[i+1]))
+		if (begins || letter == '_') && len(word) > 0 {
+			list = append(list, strings.ToLower(string(word)))
+			word = nil
+		}
+		if letter != '_' {
+			word = append(word, letter)
+		}
+	}
+	return append(list, strings.ToLower(string(word)))
+}
