--- a/internal/peers/rumour/ends.go
+++ b/internal/membership/observation/ends.go
@@ -1,19 +1,19 @@
-package rumour
+package observation
 
-import "cairnfront/brain"
+import "cairnfront/routing"
 
 // Read says what the end of a hop tells of its member, if anything. Late is an answer past the txn's SLA time. What the
 // txn or its client brought about says nothing; a full member is slow, not failing.
-func Read(code brain.Code, late bool) (Says, bool) {
+func Classify(code routing.AttemptResult, late bool) (Health, bool) {
 	switch code {
-	case brain.Completed, brain.Miss:
+	case routing.Completed, routing.CacheMiss:
 		if late {
 			return Slow, true
 		}
-		return Well, true
-	case brain.Busy:
+		return Healthy, true
+	case routing.Overloaded:
 		return Slow, true
-	case brain.Errored, brain.NoConnect, brain.Broken, brain.TimedOut:
+	case routing.ServerError, routing.ConnectFailed, routing.ConnectionBroken, routing.TimedOut:
 		return Failing, true
 	}
 	return 0, false
--- a/wire/rename.go
+++ b/simadapter/rename.go
@@ -1,9 +1,9 @@
-package wire
+package simadapter
 
 import (
 	"strings"
 
-	"cairnfront/brain"
+	"cairnfront/routing"
 )
 
 // The bench's names end in this file: each is paired with ours and nothing is decided here.
@@ -86,26 +86,26 @@
 }
 
 // Reading renames one value of a load report.
-func Reading(name string) string {
+func TranslateLoadMetric(name string) string {
 	if ours, ok := readingNames[name]; ok {
 		return ours
 	}
 	return name
 }
 
-var codes = map[string]brain.Code{
-	"200": brain.Completed, "502": brain.Errored, "429": brain.Busy, "408": brain.TimedOut, "521": brain.NoConnect,
-	"520": brain.Broken, "444": brain.Cancelled, "409": brain.Moot, "204": brain.Miss,
+var codes = map[string]routing.AttemptResult{
+	"200": routing.Completed, "502": routing.ServerError, "429": routing.Overloaded, "408": routing.TimedOut, "521": routing.ConnectFailed,
+	"520": routing.ConnectionBroken, "444": routing.Cancelled, "409": routing.NotSent, "204": routing.CacheMiss,
 }
 
-var listKinds = map[string]brain.ListKind{
-	"INCREMENTAL": brain.Changes, "FULL": brain.Full, "SAVED": brain.Saved, "FAILED": brain.Failed,
+var listKinds = map[string]routing.UpdateKind{
+	"INCREMENTAL": routing.Incremental, "FULL": routing.Snapshot, "SAVED": routing.Restored, "FAILED": routing.Unavailable,
 }
 
-var statuses = map[string]brain.Status{"ready": brain.Ready, "draining": brain.Draining, "gone": brain.Gone}
+var statuses = map[string]routing.EndpointStatus{"ready": routing.Ready, "draining": routing.Draining, "gone": routing.Removed}
 
 // Record renames one setting for any adapter; items of the list of remap rules become remap.N.name.
-func Record(key, value string) (string, string) {
+func TranslateSetting(key, value string) (string, string) {
 	if v, ok := valueNames[value]; ok {
 		value = v
 	}
--- a/wire/wire.go
+++ b/simadapter/wire.go
@@ -1,6 +1,6 @@
 // Package wire is the adapter for the bench's wire: it parses batches of events, hands them to the routers
 // that it hosts and prints their actions. It decides nothing.
-package wire
+package simadapter
 
 import (
 	"bufio"
@@ -12,16 +12,16 @@
 	"strconv"
 	"strings"
 
-	"cairnfront/brain"
+	"cairnfront/routing"
 )
 
 // Maker starts a router's decision logic.
-type Maker func(seed uint64, rec brain.Records) brain.Decider
+type NewRouterFunc func(seed uint64, rec routing.Settings) routing.Decider
 
 // said is what one router wants done after one event.
 type said struct {
 	router  int
-	actions []brain.Action
+	actions []routing.Action
 	fault   string
 }
 
@@ -29,9 +29,9 @@
 	in      *bufio.Reader
 	out     *bufio.Writer
 	long    []byte // a line that outgrew the reader's buffer
-	start   Maker
-	routers map[int]brain.Decider
-	banks   map[int][]brain.Row
+	start   NewRouterFunc
+	routers map[int]routing.Decider
+	banks   map[int][]routing.Endpoint
 	now     float64
 	batch   string
 	line    int
@@ -40,9 +40,9 @@
 }
 
 // Serve answers batches until the input ends.
-func Serve(in io.Reader, out io.Writer, start Maker) error {
+func Serve(in io.Reader, out io.Writer, start NewRouterFunc) error {
 	s := &server{in: bufio.NewReaderSize(in, 1<<20), out: bufio.NewWriterSize(out, 1<<18), start: start,
-		routers: map[int]brain.Decider{}, banks: map[int][]brain.Row{}}
+		routers: map[int]routing.Decider{}, banks: map[int][]routing.Endpoint{}}
 	for {
 		err := s.round()
 		if errors.Is(err, io.EOF) {
@@ -139,23 +139,23 @@
 	if name == "SNAPSHOT_ROWS" {
 		return s.bank(&f, line)
 	}
-	var ev brain.Event
+	var ev routing.Event
 	router := f.integer()
 	if len(line) == len(name) {
 		f.fail("missing router")
 	}
 	switch name {
 	case "NEW_INSTANCE":
-		seed, rec := f.token(), brain.Records{}
+		seed, rec := f.token(), routing.Settings{}
 		for w := f.next(); len(w) > 0; w = f.next() {
 			key, value, _ := strings.Cut(string(w), "=")
-			key, value = Record(key, value)
+			key, value = TranslateSetting(key, value)
 			rec[key] = value
 		}
 		if f.err != nil {
 			return fmt.Errorf("%w in %q", f.err, clip(line))
 		}
-		s.guard(router, func() []brain.Action {
+		s.guard(router, func() []routing.Action {
 			s.routers[router] = s.start(seed, rec)
 			return nil
 		})
@@ -177,37 +177,37 @@
 		if !ok {
 			f.fail("unknown kind of list")
 		}
-		l := brain.Listing{Kind: kind}
-		if kind != brain.Failed {
-			if l.Rows, ok = s.banks[bank]; !ok {
+		l := routing.EndpointUpdate{Kind: kind}
+		if kind != routing.Unavailable {
+			if l.Endpoints, ok = s.banks[bank]; !ok {
 				f.fail("unknown list")
 			}
 		}
 		ev = l
 	case "ACCEPT":
-		a := brain.Arrival{Txn: f.id(), Rule: f.integer()}
+		a := routing.RequestArrived{Request: f.id(), Class: f.integer()}
 		f.next() // tenant
-		a.Object, a.Limit, a.KB, a.Group, a.Part = f.text(), f.float(), f.float(), f.integer(), f.integer()
+		a.Object, a.Deadline, a.SizeKB, a.ObjectGroup, a.Chunk = f.text(), f.float(), f.float(), f.integer(), f.integer()
 		a.Write = f.integer()&4 != 0
 		ev = a
 	case "REPLY":
-		o := brain.Outcome{Txn: f.id(), FirstByte: f.float()}
-		o.Code = f.code()
-		o.Remark = brain.Remark(f.integer())
-		o.Member, o.Took, o.Hop, o.Final = f.text(), f.float(), f.integer(), f.integer() == 1
-		o.Load = f.load()
+		o := routing.AttemptEnded{Request: f.id(), FirstByteSeconds: f.float()}
+		o.Result = f.code()
+		o.Detail = routing.ResultDetail(f.integer())
+		o.Endpoint, o.ElapsedSeconds, o.Attempt, o.RequestDone = f.text(), f.float(), f.integer(), f.integer() == 1
+		o.LoadReport = f.load()
 		ev = o
 	case "TIMED_OUT_CLIENT":
-		ev = brain.ClientGone{Txn: f.id()}
+		ev = routing.ClientDisconnected{Request: f.id()}
 	case "BELL":
-		ev = brain.Bell{Token: f.token()}
+		ev = routing.TimerFired{Token: f.token()}
 	case "STATUS_BACK":
-		c := brain.Checked{Member: f.id()}
-		c.Code = f.code()
-		c.Took, c.Load = f.float(), f.load()
+		c := routing.ProbeResult{Endpoint: f.id()}
+		c.Result = f.code()
+		c.ElapsedSeconds, c.LoadReport = f.float(), f.load()
 		ev = c
 	case "EXPIRED_NOW":
-		p := brain.Purge{Ago: f.float(), Group: f.integer()}
+		p := routing.Purge{AgeSeconds: f.float(), ObjectGroup: f.integer()}
 		if p.Object = f.text(); p.Object == "0" {
 			p.Object = ""
 		}
@@ -222,12 +222,12 @@
 	if d == nil {
 		return fmt.Errorf("event for router %d, which is not started: %q", router, clip(line))
 	}
-	s.guard(router, func() []brain.Action { return d.Decide(s.now, ev) })
+	s.guard(router, func() []routing.Action { return d.Decide(s.now, ev) })
 	return nil
 }
 
 // guard runs the module for one event; a panic there is kept as that router's fault.
-func (s *server) guard(router int, run func() []brain.Action) {
+func (s *server) guard(router int, run func() []routing.Action) {
 	defer func() {
 		if p := recover(); p != nil {
 			text := strings.ReplaceAll(fmt.Sprint(p), "\n", " ")
@@ -235,7 +235,7 @@
 		}
 	}()
 	if acts := run(); len(acts) > 0 {
-		s.said = append(s.said, said{router: router, actions: append([]brain.Action(nil), acts...)})
+		s.said = append(s.said, said{router: router, actions: append([]routing.Action(nil), acts...)})
 	}
 }
 
@@ -245,7 +245,7 @@
 	if f.err != nil || count < 0 {
 		return fmt.Errorf("bad list line %q", clip(line))
 	}
-	var rows []brain.Row
+	var rows []routing.Endpoint
 	for range count {
 		line, err := s.next()
 		if errors.Is(err, io.EOF) {
@@ -258,12 +258,12 @@
 		if string(g.next()) != "ROW" {
 			return fmt.Errorf("expected a row of the list, found %q", clip(line))
 		}
-		r := brain.Row{Member: g.id(), Location: g.integer(), Kind: g.integer(), Cell: g.integer()}
+		r := routing.Endpoint{ID: g.id(), Zone: g.integer(), Kind: g.integer(), Cell: g.integer()}
 		status, ok := statuses[string(g.next())]
 		if !ok {
 			g.fail("unknown status")
 		}
-		r.Status, r.Weight, r.Started = status, g.float(), g.float()
+		r.Status, r.Weight, r.StartedAt = status, g.float(), g.float()
 		if g.err != nil {
 			return fmt.Errorf("%w in %q", g.err, clip(line))
 		}
@@ -341,7 +341,7 @@
 	return x
 }
 
-func (f *fields) code() brain.Code {
+func (f *fields) code() routing.AttemptResult {
 	c, ok := codes[string(f.next())]
 	if !ok {
 		f.fail("unknown result")
@@ -349,8 +349,8 @@
 	return c
 }
 
-func (f *fields) load() []brain.Reading {
-	var out []brain.Reading
+func (f *fields) load() []routing.LoadMetric {
+	var out []routing.LoadMetric
 	for pair := range strings.SplitSeq(f.text(), ",") {
 		name, value, ok := strings.Cut(pair, ":")
 		if !ok {
@@ -360,34 +360,34 @@
 		if err != nil {
 			f.fail("bad load report")
 		}
-		out = append(out, brain.Reading{Name: Reading(name), Value: x})
+		out = append(out, routing.LoadMetric{Name: TranslateLoadMetric(name), Value: x})
 	}
 	return out
 }
 
 // action prints one action as a line.
-func (s *server) action(router int, a brain.Action) {
+func (s *server) action(router int, a routing.Action) {
 	switch a := a.(type) {
-	case brain.Hop:
-		how := flag(a.Join, 1) + flag(a.NoFetch, 2) + flag(a.NoTrace, 4) + flag(a.Renew, 8)
-		s.buf = s.text(s.text(s.word("ANSWER_FROM", router), a.Txn), a.To)
-		s.buf = s.text(s.float(s.buf, a.Until), a.Source)
-		s.buf = s.integer(s.float(s.integer(s.buf, a.Rank), a.MaxAge), how)
-	case brain.Cancel:
-		s.buf = s.integer(s.text(s.word("STOP_ATTEMPT", router), a.Txn), a.Hop)
-	case brain.Reject:
-		s.buf = s.float(s.text(s.word("DENY", router), a.Txn), a.Again)
-	case brain.Abort:
-		s.buf = s.text(s.word("LOSE", router), a.Txn)
-	case brain.Timer:
-		s.buf = s.float(s.word("NOTIFY_ME", router), a.After)
+	case routing.StartAttempt:
+		how := flag(a.JoinFill, 1) + flag(a.CacheOnly, 2) + flag(a.ParentNoStore, 4) + flag(a.Revalidate, 8)
+		s.buf = s.text(s.text(s.word("ANSWER_FROM", router), a.Request), a.Endpoint)
+		s.buf = s.text(s.float(s.buf, a.Deadline), a.Source)
+		s.buf = s.integer(s.float(s.integer(s.buf, a.RetentionRank), a.MaxAgeSeconds), how)
+	case routing.CancelAttempt:
+		s.buf = s.integer(s.text(s.word("STOP_ATTEMPT", router), a.Request), a.Attempt)
+	case routing.RejectRequest:
+		s.buf = s.float(s.text(s.word("DENY", router), a.Request), a.RetryAfterSeconds)
+	case routing.AbortRequest:
+		s.buf = s.text(s.word("LOSE", router), a.Request)
+	case routing.SetTimer:
+		s.buf = s.float(s.word("NOTIFY_ME", router), a.AfterSeconds)
 		s.buf = strconv.AppendUint(append(s.buf, ' '), a.Token, 10)
-	case brain.Check:
-		s.buf = s.text(s.word("CHECK", router), a.Member)
-	case brain.Subscribe:
+	case routing.Probe:
+		s.buf = s.text(s.word("CHECK", router), a.Endpoint)
+	case routing.SubscribeEndpoints:
 		s.buf = s.integer(s.word("KEEP_INFORMED", router), 1)
-	case brain.Note:
-		s.buf = s.text(s.word("NOTE_DOWN", router), strings.ReplaceAll(a.Text, "\n", " "))
+	case routing.LogNote:
+		s.buf = s.text(s.word("NOTE_DOWN", router), strings.ReplaceAll(a.Message, "\n", " "))
 	}
 	s.emit()
 }
