--- a/cmd/cairnfront/serve.go
+++ b/cmd/cairnfront/serve.go
@@ -53,7 +53,7 @@
 	}
 	runtime.GOMAXPROCS(max(int(math.Ceil(m.Cores)), 1))
 	debug.SetGCPercent(admission.GCPercent)
-	debug.SetMemoryLimit(admission.HeapLimit(m.MemoryMB))
+	debug.SetMemoryLimit(admission.HeapLimitBytes(m.MemoryMB))
 	k := telemetry.New(os.Stderr, m.Name)
 	ln, err := listen(m.ListenAddress, signals, k)
 	if err != nil || ln == nil {
@@ -72,7 +72,7 @@
 	for i, name := range m.ClassNames {
 		rules[name] = i
 	}
-	taker := &frontend.Taker{Rules: rules, Gate: gate, Book: k, Offer: loop.Offer, Post: loop.Post}
+	taker := &frontend.Server{ClassIndexes: rules, Admission: gate, Book: k, Offer: loop.Offer, Post: loop.Post}
 	news := &discovery.Client{Address: m.DiscoveryAddress, LastRevision: m.LastRevision, Telemetry: k, OnEvent: func(ev discovery.Event) { loop.Post(ev) },
 		AddressChanges: make(chan string, 1)}
 
@@ -91,7 +91,7 @@
 	loop.Known(m.KnownEvents)
 	g.Go(func() error { return loop.Run(ctx) })
 	g.Go(func() error { return news.Run(ctx) })
-	g.Go(func() error { return taker.Run(ctx, ln) })
+	g.Go(func() error { return taker.Serve(ctx, ln) })
 	labHooks(ctx, loop)
 	gate.SetReady()
 	var drained chan struct{} // closed when the drain is over; nil before it
@@ -135,17 +135,17 @@
 
 // drain ends what clients have open, in order: they are told, what comes all the same is served, each connection ends once
 // nothing is open on it. What is open when the time is up is abandoned.
-func drain(ctx context.Context, most time.Duration, taker *frontend.Taker, gate *admission.Gate, loop *dispatch.Loop) {
+func drain(ctx context.Context, most time.Duration, taker *frontend.Server, gate *admission.Controller, loop *dispatch.Loop) {
 	end, cancel := context.WithTimeout(ctx, most)
 	defer cancel()
-	taker.Stop()
+	taker.BeginDrain()
 	select {
 	case <-end.Done():
 	case <-time.After(drainLeast):
 	}
-	if taker.Finish(end); gate.Owed() > 0 {
+	if taker.FinishDrain(end); gate.OpenRequests() > 0 {
 		loop.Post(dispatch.Abandon{})
-		gate.Drain(ctx, 0, flushMost)
+		gate.WaitDrained(ctx, 0, flushMost)
 	}
 }
 
--- a/cmd/cairnfront/serve_test.go
+++ b/cmd/cairnfront/serve_test.go
@@ -668,7 +668,7 @@
 	for end := time.Now().Add(patience); !held && time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
 		after = usage()
 		// Connections to members that are kept open have their rings; how many there are is the machine's luck.
-		rings := after["conn.member.open"] * 2 * admission.MemberRing
+		rings := after["conn.member.open"] * 2 * admission.EndpointRingBytes
 		// The connection that asked whether the router is ready may have been open still when the first counters were read.
 		held = after["conn.client.open"] <= before["conn.client.open"] && after["process.descriptors"] <= before["process.descriptors"]+after["conn.member.open"]+1 &&
 			after["process.goroutines"] <= before["process.goroutines"]+4*after["conn.member.open"] &&
--- a/internal/admission/admit.go
+++ b/internal/admission/admit.go
@@ -12,25 +12,25 @@
 
 // Parts of the limits that each use gets. These are resources, not decisions: past them the answer is no.
 const (
-	bodyShare   = 0.35     // of memory for gathered bodies
-	fullShare   = 0.9      // of the bodies' budget past which no txn is let in
-	txnShare    = 0.1      // of memory for what is kept of open txns
-	txnBytes    = 8 << 10  // kept of one: the txn, its hops, its timers
-	heapShare   = 0.7      // of memory as the runtime's soft limit; the rest is stacks, the program, swings
-	clientShare = 0.45     // of descriptors for clients, who hold a third at most and overlap when they close
-	memberShare = 0.4      // of descriptors for members
-	oneShare    = 0.25     // of those for one member with several addresses: a bad one must not take the others' place
-	easyShare   = 0.75     // of those for connections that spare a hop from sharing one; the rest is for members without any
-	GCPercent   = 400      // heap growth between collections: what is kept is small, the soft limit holds all the same
-	ClientRing  = 16 << 10 // bytes of each ring of a client's connection
-	MemberRing  = 16 << 10 // bytes of each ring of a member's connection
-	megabyte    = 1 << 20  //
-	tellShare   = 0.06     // of descriptors for clients over the limit, who are told so before they are closed
+	bodyShare         = 0.35     // of memory for gathered bodies
+	fullShare         = 0.9      // of the bodies' budget past which no txn is let in
+	txnShare          = 0.1      // of memory for what is kept of open txns
+	txnBytes          = 8 << 10  // kept of one: the txn, its hops, its timers
+	heapShare         = 0.7      // of memory as the runtime's soft limit; the rest is stacks, the program, swings
+	clientShare       = 0.45     // of descriptors for clients, who hold a third at most and overlap when they close
+	memberShare       = 0.4      // of descriptors for members
+	oneShare          = 0.25     // of those for one member with several addresses: a bad one must not take the others' place
+	easyShare         = 0.75     // of those for connections that spare a hop from sharing one; the rest is for members without any
+	GCPercent         = 400      // heap growth between collections: what is kept is small, the soft limit holds all the same
+	ClientRingBytes   = 16 << 10 // bytes of each ring of a client's connection
+	EndpointRingBytes = 16 << 10 // bytes of each ring of a member's connection
+	megabyte          = 1 << 20  //
+	tellShare         = 0.06     // of descriptors for clients over the limit, who are told so before they are closed
 )
 
 // Gate lets in what fits.
-type Gate struct {
-	Budget *request.Budget
+type Controller struct {
+	Bodies *request.BodyBudget
 	full   int64
 
 	mostTxns, mostClients, mostMembers, tellBeyond int64
@@ -43,38 +43,38 @@
 }
 
 // New divides the limits.
-func New(memoryMB, sockets int) *Gate {
+func New(memoryMB, sockets int) *Controller {
 	memory := float64(memoryMB) * megabyte
 	bodies := int64(bodyShare * memory)
-	return &Gate{Budget: request.NewBudget(bodies), full: int64(fullShare * float64(bodies)),
+	return &Controller{Bodies: request.NewBodyBudget(bodies), full: int64(fullShare * float64(bodies)),
 		mostTxns: int64(txnShare * memory / txnBytes), mostClients: int64(clientShare * float64(sockets)),
 		mostMembers: int64(memberShare * float64(sockets)), tellBeyond: int64(tellShare * float64(sockets))}
 }
 
 // HeapLimit is the runtime's soft limit in bytes.
-func HeapLimit(memoryMB int) int64 { return int64(heapShare * float64(memoryMB) * megabyte) }
+func HeapLimitBytes(memoryMB int) int64 { return int64(heapShare * float64(memoryMB) * megabyte) }
 
 // Full says that the bodies' budget is nearly spent.
-func (g *Gate) Full() bool { return g.Budget.Used() > g.full }
+func (g *Controller) BodiesNearlyFull() bool { return g.Bodies.UsedBytes() > g.full }
 
 // Txn lets a txn in, or names what there is too much of. Its own bytes, which the budget holds already, do not count: one
 // with a large body is let in as often as one with none. Each one let in ends with TxnDone.
-func (g *Gate) Txn(own int) (reason string) {
-	if g.Budget.Used()-int64(own) > g.full {
+func (g *Controller) AdmitRequest(own int) (reason string) {
+	if g.Bodies.UsedBytes()-int64(own) > g.full {
 		return "memory"
 	}
 	if g.txns.Add(1) > g.mostTxns {
-		g.TxnDone()
+		g.RequestDone()
 		return "open-txns"
 	}
 	return ""
 }
 
 // Enter counts a txn that is answered at once, whatever is open.
-func (g *Gate) Enter() { g.txns.Add(1) }
+func (g *Controller) CountRequest() { g.txns.Add(1) }
 
 // TxnDone says that a txn's answer is written, or owed no more.
-func (g *Gate) TxnDone() {
+func (g *Controller) RequestDone() {
 	if g.txns.Add(-1) == 0 {
 		g.mu.Lock()
 		if g.idle != nil {
@@ -86,10 +86,10 @@
 }
 
 // Owed is how many txns are let in and not done.
-func (g *Gate) Owed() int64 { return g.txns.Load() }
+func (g *Controller) OpenRequests() int64 { return g.txns.Load() }
 
 // Client lets a client's connection in. Over the limit some are let in only to be told.
-func (g *Gate) Client() (in, tell bool) {
+func (g *Controller) AdmitClient() (in, tell bool) {
 	n := g.clients.Add(1)
 	if n <= g.mostClients {
 		return true, false
@@ -102,14 +102,14 @@
 }
 
 // Clients is how many clients' connections are let in and have not ended.
-func (g *Gate) Clients() int64 { return g.clients.Load() }
+func (g *Controller) OpenClients() int64 { return g.clients.Load() }
 
 // ClientDone gives its place back.
-func (g *Gate) ClientDone() { g.clients.Add(-1) }
+func (g *Controller) ClientDone() { g.clients.Add(-1) }
 
 // Member lets a connection to a member be made. One that is only to spare a hop from sharing another is let in while
 // there is plenty of room.
-func (g *Gate) Member(needed bool) bool {
+func (g *Controller) AdmitEndpointConn(needed bool) bool {
 	most := g.mostMembers
 	if !needed {
 		most = int64(easyShare * float64(most))
@@ -122,25 +122,25 @@
 }
 
 // Share is how many connections to one member with several addresses may be open.
-func (g *Gate) Share() int { return max(int(oneShare*float64(g.mostMembers)), 2) }
+func (g *Controller) MaxConnsPerEndpoint() int { return max(int(oneShare*float64(g.mostMembers)), 2) }
 
 // MemberDone gives its place back.
-func (g *Gate) MemberDone() { g.members.Add(-1) }
+func (g *Controller) EndpointConnDone() { g.members.Add(-1) }
 
 // Ready says whether txns are wanted: the members are known, the listener is up and no end is near.
-func (g *Gate) Ready() bool { return g.ready.Load() && !g.stopping.Load() }
+func (g *Controller) Ready() bool { return g.ready.Load() && !g.stopping.Load() }
 
 // SetReady says that all is up.
-func (g *Gate) SetReady() { g.ready.Store(true) }
+func (g *Controller) SetReady() { g.ready.Store(true) }
 
 // Stop says that an end is near.
-func (g *Gate) Stop() { g.stopping.Store(true) }
+func (g *Controller) StartDraining() { g.stopping.Store(true) }
 
 // Stopping says whether an end is near.
-func (g *Gate) Stopping() bool { return g.stopping.Load() }
+func (g *Controller) Draining() bool { return g.stopping.Load() }
 
 // Drain waits until new txns can come no more and none is owed: least at the least, and no longer than most in all.
-func (g *Gate) Drain(ctx context.Context, least, most time.Duration) {
+func (g *Controller) WaitDrained(ctx context.Context, least, most time.Duration) {
 	end, cancel := context.WithTimeout(ctx, most)
 	defer cancel()
 	select {
@@ -152,7 +152,7 @@
 	idle := make(chan struct{})
 	g.idle = idle
 	g.mu.Unlock()
-	if g.Owed() == 0 {
+	if g.OpenRequests() == 0 {
 		return
 	}
 	select {
--- a/internal/admission/admit_test.go
+++ b/internal/admission/admit_test.go
@@ -10,32 +10,32 @@
 
 func TestLimits(t *testing.T) {
 	g := New(192, 1024)
-	assert.Less(t, float64(g.full)+float64(HeapLimit(192))*(txnShare+heapShare-1), float64(192*megabyte))
+	assert.Less(t, float64(g.full)+float64(HeapLimitBytes(192))*(txnShare+heapShare-1), float64(192*megabyte))
 	assert.GreaterOrEqual(t, g.mostClients, int64(1024/3), "clients hold a third at most")
 	assert.Less(t, g.mostClients+g.mostMembers+g.tellBeyond, int64(1024-32))
 	g.mostTxns, g.mostClients, g.mostMembers = 2, 1, 1
-	assert.Equal(t, []string{"", "", "open-txns"}, []string{g.Txn(0), g.Txn(0), g.Txn(0)})
-	g.TxnDone()
-	assert.Empty(t, g.Txn(0))
-	body, err := g.Budget.Wait(t.Context(), int(g.full)+1)
+	assert.Equal(t, []string{"", "", "open-txns"}, []string{g.AdmitRequest(0), g.AdmitRequest(0), g.AdmitRequest(0)})
+	g.RequestDone()
+	assert.Empty(t, g.AdmitRequest(0))
+	body, err := g.Bodies.Allocate(t.Context(), int(g.full)+1)
 	assert.NoError(t, err)
-	assert.Equal(t, "memory", g.Txn(0))
+	assert.Equal(t, "memory", g.AdmitRequest(0))
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	_, err = g.Budget.Wait(ctx, int(g.full))
+	_, err = g.Bodies.Allocate(ctx, int(g.full))
 	assert.ErrorIs(t, err, context.Canceled)
 	body.Free()
-	assert.True(t, g.Member(true))
-	assert.False(t, g.Member(true))
-	g.MemberDone()
-	assert.False(t, g.Member(false), "the last places are for members without a connection")
-	assert.True(t, g.Member(true))
-	in, _ := g.Client()
+	assert.True(t, g.AdmitEndpointConn(true))
+	assert.False(t, g.AdmitEndpointConn(true))
+	g.EndpointConnDone()
+	assert.False(t, g.AdmitEndpointConn(false), "the last places are for members without a connection")
+	assert.True(t, g.AdmitEndpointConn(true))
+	in, _ := g.AdmitClient()
 	assert.True(t, in)
-	in, tell := g.Client()
+	in, tell := g.AdmitClient()
 	assert.Equal(t, []bool{false, true}, []bool{in, tell})
 	for range g.tellBeyond {
-		in, tell = g.Client()
+		in, tell = g.AdmitClient()
 	}
 	assert.Equal(t, []bool{false, false}, []bool{in, tell}, "beyond some more they are closed unheard")
 }
@@ -44,13 +44,13 @@
 	g := New(192, 1024)
 	g.SetReady()
 	assert.True(t, g.Ready())
-	g.Stop()
+	g.StartDraining()
 	assert.False(t, g.Ready())
-	g.Drain(t.Context(), 0, time.Hour)
-	g.Enter()
+	g.WaitDrained(t.Context(), 0, time.Hour)
+	g.CountRequest()
 	done := make(chan bool)
 	go func() {
-		g.Drain(t.Context(), 0, time.Hour)
+		g.WaitDrained(t.Context(), 0, time.Hour)
 		close(done)
 	}()
 	assert.Eventually(t, func() bool {
@@ -58,9 +58,9 @@
 		defer g.mu.Unlock()
 		return g.idle != nil
 	}, time.Minute, time.Millisecond)
-	g.TxnDone()
+	g.RequestDone()
 	<-done
-	g.Enter()
-	g.Drain(t.Context(), 0, time.Millisecond) // not for ever
-	assert.EqualValues(t, 1, g.Owed())
+	g.CountRequest()
+	g.WaitDrained(t.Context(), 0, time.Millisecond) // not for ever
+	assert.EqualValues(t, 1, g.OpenRequests())
 }
--- a/internal/cacheproto/far.go
+++ b/internal/cacheproto/far.go
@@ -196,13 +196,13 @@
 const groupField = "bucket"
 
 // dating reads what else an answer tells of a copy.
-func dating(name, value string, end *request.End) {
+func dating(name, value string, end *request.AttemptEnd) {
 	switch name {
 	case "dated":
-		end.Dated, _ = strconv.ParseInt(value, 10, 64)
+		end.OriginTimeMillis, _ = strconv.ParseInt(value, 10, 64)
 	case groupField:
 		if n, err := strconv.ParseUint(value, 10, 16); err == nil {
-			end.Group = int(n) + 1
+			end.PurgeGroupPlusOne = int(n) + 1
 		}
 	}
 }
--- a/internal/cacheproto/line.go
+++ b/internal/cacheproto/line.go
@@ -22,7 +22,7 @@
 
 // Do is a hop as it goes to a member. Fill names who fills a miss, empty for nobody.
 type Attempt struct {
-	Txn            *request.Txn
+	Txn            *request.Request
 	TimeoutSeconds float64 // seconds
 	FillSource     string
 	routing.StartAttempt
@@ -32,12 +32,12 @@
 func AppendAttempt(b []byte, d Attempt) []byte {
 	t := d.Txn
 	b = append(append(append(b, "do "...), t.ID...), " profile="...)
-	b = append(append(b, t.Name...), ",thing="...)
+	b = append(append(b, t.ClassName...), ",thing="...)
 	b = append(append(b, t.Object...), ",nth="...)
 	b = append(append(b, t.Part...), ",max="...)
 	b = strconv.AppendInt(b, max(int64(math.Floor(d.TimeoutSeconds*1000)), 1), 10)
-	if t.Key != "" {
-		b = append(append(b, ",replay="...), t.Key...)
+	if t.IdempotencyKey != "" {
+		b = append(append(b, ",replay="...), t.IdempotencyKey...)
 	}
 	if d.FillSource != "" {
 		b = append(append(b, ",parent="...), d.FillSource...)
@@ -58,8 +58,8 @@
 			mark = "+"
 		}
 	}
-	if t.Tag != "" {
-		b = append(append(b, ",got="...), t.Tag...)
+	if t.ETag != "" {
+		b = append(append(b, ",got="...), t.ETag...)
 	}
 	b = strconv.AppendInt(append(b, ' '), int64(t.Body.Len()), 10)
 	return append(b, LineEnd...)
@@ -83,7 +83,7 @@
 type Response struct {
 	ID           string
 	IsProbeReply bool // it answers a check
-	request.End
+	request.AttemptEnd
 	BodyBytes int
 }
 
@@ -108,7 +108,7 @@
 	if !ok {
 		return a, fmt.Errorf("unknown word %.40q", word)
 	}
-	a.Code, a.IsProbeReply, a.Same = code, word == "green" || word == "red", word == "still_good"
+	a.Code, a.IsProbeReply, a.NotModified = code, word == "green" || word == "red", word == "still_good"
 	n, err := strconv.ParseUint(string(w[3]), 10, 32)
 	if err != nil || n > MaxObjectBytes {
 		return a, fmt.Errorf("bad length %.40q", w[3])
@@ -117,19 +117,19 @@
 	if string(w[2]) != "-" {
 		for pair := range strings.SplitSeq(string(w[2]), ",") {
 			name, value, _ := strings.Cut(pair, "=")
-			dating(name, value, &a.End)
+			dating(name, value, &a.AttemptEnd)
 			switch name {
 			case "digest":
-				a.Tag = value
+				a.ETag = value
 			case "remark":
 				a.Remark = remarks[value]
 			case "report":
-				a.Load = readings(value)
+				a.LoadReport = readings(value)
 			}
 		}
 	}
 	// A write's answer has neither digest nor date: what was served is completed with or without them.
-	if a.Same && a.BodyBytes > 0 {
+	if a.NotModified && a.BodyBytes > 0 {
 		return a, errors.New("bytes with the word that there are none")
 	}
 	return a, nil
--- a/internal/cacheproto/line_test.go
+++ b/internal/cacheproto/line_test.go
@@ -10,13 +10,13 @@
 )
 
 func TestDoGoesOutWhole(t *testing.T) {
-	x := &request.Txn{ID: "9b1f03aa5c7e2d41", Name: "page", Object: "7f3a9c21e0b4d655", Part: "3", Key: "k1", Tag: "t1",
+	x := &request.Request{ID: "9b1f03aa5c7e2d41", ClassName: "page", Object: "7f3a9c21e0b4d655", Part: "3", IdempotencyKey: "k1", ETag: "t1",
 		Body: &request.Body{Bytes: []byte("ab")}}
 	assert.Equal(t, "do 9b1f03aa5c7e2d41 profile=page,thing=7f3a9c21e0b4d655,nth=3,max=1500,replay=k1,parent=s-1,shelf=2,"+
 		"accept=12,hints=ride+have-only+through+update,got=t1 2\r\n",
 		string(AppendAttempt(nil, Attempt{Txn: x, TimeoutSeconds: 1.5004, FillSource: "s-1", StartAttempt: routing.StartAttempt{RetentionRank: 2, MaxAgeSeconds: 0.0129, JoinFill: true,
 			CacheOnly: true, ParentNoStore: true, Revalidate: true}})))
-	x.Body, x.Key, x.Tag = nil, "", ""
+	x.Body, x.IdempotencyKey, x.ETag = nil, "", ""
 	assert.Equal(t, "do 9b1f03aa5c7e2d41 profile=page,thing=7f3a9c21e0b4d655,nth=3,max=1,accept=1 0\r\n",
 		string(AppendAttempt(nil, Attempt{Txn: x, TimeoutSeconds: 1e-5, StartAttempt: routing.StartAttempt{MaxAgeSeconds: 2e-6}})), "no time and no age becomes 0")
 	assert.Equal(t, "undo ab\r\nping c1\r\ntop c2\r\n",
@@ -25,21 +25,21 @@
 
 func TestAnswersAreRead(t *testing.T) {
 	for text, want := range map[string]Response{
-		"ab served digest=d1,dated=176,remark=f 7": {ID: "ab", BodyBytes: 7, End: request.End{Code: routing.Completed, Tag: "d1", Remark: routing.Filled}},
-		"ab still_good digest=d1,dated=176 0":      {ID: "ab", End: request.End{Code: routing.Completed, Tag: "d1", Same: true}},
-		"ab served - 0":                            {ID: "ab", End: request.End{Code: routing.Completed}}, // a write's has no digest
-		"ab not_here remark=j 0":                   {ID: "ab", End: request.End{Code: routing.CacheMiss, Remark: routing.JoinedFill}},
-		"ab overload - 0":                          {ID: "ab", End: request.End{Code: routing.Overloaded}},
-		"ab crashed remark=zz 3":                   {ID: "ab", BodyBytes: 3, End: request.End{Code: routing.ServerError}},
-		"ab nobody - 0":                            {ID: "ab", End: request.End{Code: routing.NotSent}},
-		"c1 green report=inflight:7;x1:0.6;y:NaN 0": {ID: "c1", IsProbeReply: true, End: request.End{Code: routing.Completed,
-			Load: []routing.LoadMetric{{Name: "inflight", Value: 7}, {Name: "link_fill", Value: 0.6}}}},
-		"c1 red - 0": {ID: "c1", IsProbeReply: true, End: request.End{Code: routing.ServerError}},
+		"ab served digest=d1,dated=176,remark=f 7": {ID: "ab", BodyBytes: 7, AttemptEnd: request.AttemptEnd{Code: routing.Completed, ETag: "d1", Remark: routing.Filled}},
+		"ab still_good digest=d1,dated=176 0":      {ID: "ab", AttemptEnd: request.AttemptEnd{Code: routing.Completed, ETag: "d1", NotModified: true}},
+		"ab served - 0":                            {ID: "ab", AttemptEnd: request.AttemptEnd{Code: routing.Completed}}, // a write's has no digest
+		"ab not_here remark=j 0":                   {ID: "ab", AttemptEnd: request.AttemptEnd{Code: routing.CacheMiss, Remark: routing.JoinedFill}},
+		"ab overload - 0":                          {ID: "ab", AttemptEnd: request.AttemptEnd{Code: routing.Overloaded}},
+		"ab crashed remark=zz 3":                   {ID: "ab", BodyBytes: 3, AttemptEnd: request.AttemptEnd{Code: routing.ServerError}},
+		"ab nobody - 0":                            {ID: "ab", AttemptEnd: request.AttemptEnd{Code: routing.NotSent}},
+		"c1 green report=inflight:7;x1:0.6;y:NaN 0": {ID: "c1", IsProbeReply: true, AttemptEnd: request.AttemptEnd{Code: routing.Completed,
+			LoadReport: []routing.LoadMetric{{Name: "inflight", Value: 7}, {Name: "link_fill", Value: 0.6}}}},
+		"c1 red - 0": {ID: "c1", IsProbeReply: true, AttemptEnd: request.AttemptEnd{Code: routing.ServerError}},
 	} {
 		got, err := ParseResponse([]byte(text))
 		assert.NoError(t, err, text)
-		if want.Tag != "" {
-			want.Dated = 176
+		if want.ETag != "" {
+			want.OriginTimeMillis = 176
 		}
 		assert.Equal(t, want, got, text)
 	}
@@ -61,7 +61,7 @@
 
 // What a router writes a box reads, and the other way round.
 func TestBothSidesAgree(t *testing.T) {
-	x := &request.Txn{ID: "9b1f03aa5c7e2d41", Name: "page", Object: "7f3a9c21e0b4d655", Part: "3", Key: "k1", Tag: "t1", Body: &request.Body{Bytes: []byte("hi")}}
+	x := &request.Request{ID: "9b1f03aa5c7e2d41", ClassName: "page", Object: "7f3a9c21e0b4d655", Part: "3", IdempotencyKey: "k1", ETag: "t1", Body: &request.Body{Bytes: []byte("hi")}}
 	hop := routing.StartAttempt{RetentionRank: 2, MaxAgeSeconds: 0.012, JoinFill: true, CacheOnly: true, ParentNoStore: true, Revalidate: true}
 	text := AppendAttempt(nil, Attempt{Txn: x, TimeoutSeconds: 1.5, FillSource: "s-1", StartAttempt: hop})
 	a, err := ParseCommand(text[:len(text)-2])
@@ -75,7 +75,7 @@
 		got, err := ParseResponse(text[:len(text)-2])
 		assert.NoError(t, err, string(text))
 		group := (r.Group + 1) % (UnknownGroup + 1)
-		assert.Equal(t, Response{ID: "ab", BodyBytes: r.BodyBytes, End: request.End{Code: r.Code, Remark: r.Remark, Tag: r.ETag, Dated: r.OriginUnixMillis, Group: group, Same: r.NotModified}}, got)
+		assert.Equal(t, Response{ID: "ab", BodyBytes: r.BodyBytes, AttemptEnd: request.AttemptEnd{Code: r.Code, Remark: r.Remark, ETag: r.ETag, OriginTimeMillis: r.OriginUnixMillis, PurgeGroupPlusOne: group, NotModified: r.NotModified}}, got)
 	}
 }
 
--- a/internal/clientproto/frame.go
+++ b/internal/clientproto/frame.go
@@ -98,7 +98,7 @@
 
 // Asked is a txn as it came. The rule's name is not yet looked up.
 type Request struct {
-	request.Txn
+	request.Request
 	TimeoutSeconds float64 // seconds
 	RawBody        []byte  // the body
 }
@@ -133,7 +133,7 @@
 		}
 		switch f.Name {
 		case "op":
-			a.Name, ok = v, v != ""
+			a.ClassName, ok = v, v != ""
 		case "call":
 			a.ID, ok = v, isHex(v, 16)
 		case "ttl":
@@ -141,23 +141,23 @@
 			ms, ok = number(v, math.MaxUint32)
 			a.TimeoutSeconds, ok = float64(ms)/1000, ok && ms > 0
 		case "dedupe":
-			a.Key, ok = v, plain(v)
+			a.IdempotencyKey, ok = v, plain(v)
 		case "row":
 			a.Object, ok = v, isHex(v, 16)
 		case "seg":
 			var n uint64
 			n, ok = number(v, 1<<31-1)
-			a.Part, a.PartNo = v, int(n)
+			a.Part, a.PartNumber = v, int(n)
 		case "bucket":
 			var n uint64
 			n, ok = number(v, 255)
-			a.Group = int(n)
+			a.PurgeGroup = int(n)
 		case "heap":
 			var x error
-			a.KB, x = strconv.ParseFloat(v, 64)
-			ok = x == nil && a.KB >= 0 && a.KB <= math.MaxFloat32
+			a.SizeKB, x = strconv.ParseFloat(v, 64)
+			ok = x == nil && a.SizeKB >= 0 && a.SizeKB <= math.MaxFloat32
 		case "etag":
-			a.Tag, ok = v, plain(v)
+			a.ETag, ok = v, plain(v)
 		}
 		if !ok {
 			bad(f.Name)
@@ -204,21 +204,21 @@
 var codes = [...]byte{request.Completed: 1, request.Rejected: 0, request.Aborted: 9}
 
 // AppendAnswer writes an answer without its body, which has to follow.
-func AppendResponse(b []byte, stream uint32, a request.Answer) []byte {
+func AppendResponse(b []byte, stream uint32, a request.Response) []byte {
 	var fields []Field
-	if a.Tag != "" {
-		fields = append(fields, Field{"etag", a.Tag})
+	if a.ETag != "" {
+		fields = append(fields, Field{"etag", a.ETag})
 	}
-	if a.Same {
+	if a.NotModified {
 		fields = append(fields, Field{"notmod", "1"})
 	}
-	if ms := int(math.Ceil(a.Again * 1000)); a.Verdict == request.Rejected && ms > 0 {
+	if ms := int(math.Ceil(a.RetryAfterSeconds * 1000)); a.Result == request.Rejected && ms > 0 {
 		fields = append(fields, Field{"pushback", strconv.Itoa(ms)})
 	}
-	if a.Error != "" {
-		fields = append(fields, Field{"error", a.Error})
+	if a.ErrorText != "" {
+		fields = append(fields, Field{"error", a.ErrorText})
 	}
-	payload := AppendFields([]byte{codes[a.Verdict]}, fields...)
+	payload := AppendFields([]byte{codes[a.Result]}, fields...)
 	return append(AppendHeader(b, TypeResponse, stream, len(payload)+a.Body.Len()), payload...)
 }
 
--- a/internal/clientproto/frame_test.go
+++ b/internal/clientproto/frame_test.go
@@ -15,8 +15,8 @@
 func TestTxnIsRead(t *testing.T) {
 	a, err := ParseRequest(append(AppendFields(nil, good...), "body"...))
 	assert.NoError(t, err)
-	assert.Equal(t, Request{TimeoutSeconds: 1.5, RawBody: []byte("body"), Txn: request.Txn{ID: "9b1f03aa5c7e2d41", Name: "page", Key: "k1",
-		Object: "7F3a9c21e0b4d655", Part: "3", PartNo: 3, Group: 17, KB: 412.5, Tag: "4be0"}}, a)
+	assert.Equal(t, Request{TimeoutSeconds: 1.5, RawBody: []byte("body"), Request: request.Request{ID: "9b1f03aa5c7e2d41", ClassName: "page", IdempotencyKey: "k1",
+		Object: "7F3a9c21e0b4d655", Part: "3", PartNumber: 3, PurgeGroup: 17, SizeKB: 412.5, ETag: "4be0"}}, a)
 }
 
 func TestUnusableTxnsAreNamed(t *testing.T) {
@@ -59,11 +59,11 @@
 
 func TestAnswersAreWritten(t *testing.T) {
 	body := &request.Body{Bytes: []byte("abc")}
-	for want, a := range map[string]request.Answer{
-		"\x00\x00\x00\x14\x65\x00\x00\x00\x07\x01\x01\x04etag\x00\x02t1":       {Tag: "t1", Body: body},
-		"\x00\x00\x00\x11\x65\x00\x00\x00\x07\x01\x01\x06notmod\x00\x011":      {Same: true},
-		"\x00\x00\x00\x13\x65\x00\x00\x00\x07\x00\x01\x08pushback\x00\x01\x32": {Verdict: request.Rejected, Again: 0.0011},
-		"\x00\x00\x00\x07\x65\x00\x00\x00\x07\x09\x00":                         {Verdict: request.Aborted, Again: 1},
+	for want, a := range map[string]request.Response{
+		"\x00\x00\x00\x14\x65\x00\x00\x00\x07\x01\x01\x04etag\x00\x02t1":       {ETag: "t1", Body: body},
+		"\x00\x00\x00\x11\x65\x00\x00\x00\x07\x01\x01\x06notmod\x00\x011":      {NotModified: true},
+		"\x00\x00\x00\x13\x65\x00\x00\x00\x07\x00\x01\x08pushback\x00\x01\x32": {Result: request.Rejected, RetryAfterSeconds: 0.0011},
+		"\x00\x00\x00\x07\x65\x00\x00\x00\x07\x09\x00":                         {Result: request.Aborted, RetryAfterSeconds: 1},
 	} {
 		got := AppendResponse(nil, 7, a)
 		head, err := ParseHeader(got)
@@ -78,7 +78,7 @@
 func FuzzParseTxn(f *testing.F) {
 	f.Add(append(AppendFields(nil, good...), "body"...))
 	f.Fuzz(func(t *testing.T, b []byte) {
-		if a, err := ParseRequest(b); err == nil && (a.TimeoutSeconds <= 0 || len(a.ID) != 16 || a.KB < 0 || len(a.RawBody) > MaxBodyBytes) {
+		if a, err := ParseRequest(b); err == nil && (a.TimeoutSeconds <= 0 || len(a.ID) != 16 || a.SizeKB < 0 || len(a.RawBody) > MaxBodyBytes) {
 			t.Fatalf("%+v", a)
 		}
 	})
--- a/internal/dispatch/route.go
+++ b/internal/dispatch/route.go
@@ -46,8 +46,8 @@
 	in      chan any
 	gone    chan struct{}
 	mu      sync.Mutex
-	leavers []frontend.Left // not yet heard; each txn let in leaves once at the most, so their number is bounded
-	nudge   chan struct{}   // there are leavers
+	leavers []frontend.RequestCancelled // not yet heard; each txn let in leaves once at the most, so their number is bounded
+	nudge   chan struct{}               // there are leavers
 	now     float64
 	open    map[string]*open
 	kinds   map[string]int // of members
@@ -56,7 +56,7 @@
 
 // open is a txn that is not answered, or has hops out.
 type open struct {
-	t     *request.Txn
+	t     *request.Request
 	hops  []*hop
 	out   int
 	ended bool // it had its final answer, or its client left
@@ -94,7 +94,7 @@
 // Post hands an event to the loop. It waits while too many do, but not for a loop that has ended. Of a client that left it
 // never waits, and those go before all else that waits: who reads a connection must not stand still because of it.
 func (l *Loop) Post(ev any) {
-	if left, ok := ev.(frontend.Left); ok {
+	if left, ok := ev.(frontend.RequestCancelled); ok {
 		l.mu.Lock()
 		l.leavers = append(l.leavers, left)
 		l.mu.Unlock()
@@ -194,10 +194,10 @@
 func (l *Loop) Hear(ev any) {
 	l.tick()
 	switch ev := ev.(type) {
-	case *request.Txn:
+	case *request.Request:
 		l.arrived(ev)
-	case frontend.Left:
-		if o := l.open[ev.Txn.ID]; o != nil && o.t == ev.Txn {
+	case frontend.RequestCancelled:
+		if o := l.open[ev.Request.ID]; o != nil && o.t == ev.Request {
 			l.left(o)
 		}
 	case upstream.Dialed:
@@ -220,7 +220,7 @@
 		l.noticed(ev, routing.Incremental)
 	case Abandon:
 		for _, o := range l.open {
-			l.answer(o, request.Answer{Verdict: request.Aborted, Reason: "shutdown"})
+			l.answer(o, request.Response{Result: request.Aborted, Reason: "shutdown"})
 		}
 	}
 }
@@ -268,31 +268,31 @@
 	}
 }
 
-func (l *Loop) arrived(t *request.Txn) {
-	if t.Left() { // while it waited for the loop: there is nothing to decide
+func (l *Loop) arrived(t *request.Request) {
+	if t.Cancelled() { // while it waited for the loop: there is nothing to decide
 		t.Body.Free()
 		return
 	}
 	if l.open[t.ID] != nil { // the decisions know a txn by its id
 		t.Body.Free()
-		t.To.Answer(t, request.Answer{Verdict: request.Rejected, Reason: "id-in-use"})
+		t.ResponseWriter.Respond(t, request.Response{Result: request.Rejected, Reason: "id-in-use"})
 		return
 	}
 	o := &open{t: t}
 	l.open[t.ID] = o
-	l.at(t.Limit+guardAfter.Seconds(), timer{guard: o})
-	l.decide(routing.RequestArrived{Request: t.ID, Class: t.Rule, Object: strings.ToLower(t.Object), Chunk: t.PartNo, ObjectGroup: t.Group, Deadline: t.Limit,
-		SizeKB: t.KB, Write: l.Records.ListItem("uncacheable", t.Rule) == "true"}, o)
+	l.at(t.Deadline+guardAfter.Seconds(), timer{guard: o})
+	l.decide(routing.RequestArrived{Request: t.ID, Class: t.Class, Object: strings.ToLower(t.Object), Chunk: t.PartNumber, ObjectGroup: t.PurgeGroup, Deadline: t.Deadline,
+		SizeKB: t.SizeKB, Write: l.Records.ListItem("uncacheable", t.Class) == "true"}, o)
 }
 
 // answer gives a txn its final answer, if it had none.
-func (l *Loop) answer(o *open, a request.Answer) {
+func (l *Loop) answer(o *open, a request.Response) {
 	if o.ended {
 		a.Body.Free()
 		return
 	}
 	o.ended = true
-	o.t.To.Answer(o.t, a)
+	o.t.ResponseWriter.Respond(o.t, a)
 	l.tidy(o)
 }
 
@@ -310,7 +310,7 @@
 	routing.NotSent: "moot", routing.CacheMiss: "miss"}
 
 // ended is the end of a hop. The first completed one answers its txn.
-func (l *Loop) ended(h *hop, end request.End) {
+func (l *Loop) ended(h *hop, end request.AttemptEnd) {
 	if h.over {
 		end.Body.Free()
 		return
@@ -318,22 +318,22 @@
 	o := h.o
 	h.over, h.call = true, nil // a call holds the body, and the hop's timer holds the hop
 	o.out--
-	l.Book.Add("hops."+o.t.Name+"."+reasons[end.Code], 1)
+	l.Book.Add("hops."+o.t.ClassName+"."+reasons[end.Code], 1)
 	if end.Code == routing.Completed {
-		l.answer(o, request.Answer{Verdict: request.Completed, Reason: "by-a-hop", Tag: end.Tag, Same: end.Same, Body: end.Body})
+		l.answer(o, request.Response{Result: request.Completed, Reason: "by-a-hop", ETag: end.ETag, NotModified: end.NotModified, Body: end.Body})
 	}
 	if l.Saw != nil {
-		l.Saw(h.member, o.t.Rule, end.Code, l.now-h.sent)
+		l.Saw(h.member, o.t.Class, end.Code, l.now-h.sent)
 	}
 	l.decide(routing.AttemptEnded{Request: o.t.ID, Attempt: h.no, Endpoint: h.member, Result: end.Code, Detail: end.Remark,
-		ElapsedSeconds: l.now - h.sent, RequestDone: o.ended, LoadReport: end.Load}, o)
+		ElapsedSeconds: l.now - h.sent, RequestDone: o.ended, LoadReport: end.LoadReport}, o)
 	l.tidy(o)
 }
 
-func (l *Loop) checked(c *check, end request.End) {
+func (l *Loop) checked(c *check, end request.AttemptEnd) {
 	if !c.over {
 		c.over = true
-		l.decide(routing.ProbeResult{Endpoint: c.member, Result: end.Code, ElapsedSeconds: l.now - c.sent, LoadReport: end.Load}, nil)
+		l.decide(routing.ProbeResult{Endpoint: c.member, Result: end.Code, ElapsedSeconds: l.now - c.sent, LoadReport: end.LoadReport}, nil)
 	}
 }
 
@@ -362,7 +362,7 @@
 
 // abandon aborts a txn that the decisions failed to end, and gives up its hops.
 func (l *Loop) abandon(o *open, reason string) {
-	l.answer(o, request.Answer{Verdict: request.Aborted, Reason: reason})
+	l.answer(o, request.Response{Result: request.Aborted, Reason: reason})
 	for _, h := range o.hops {
 		l.undo(h, routing.Cancelled)
 	}
@@ -385,18 +385,18 @@
 		}
 	case routing.RejectRequest:
 		if o := l.open[a.Request]; o != nil {
-			l.answer(o, request.Answer{Verdict: request.Rejected, Reason: "decided", Again: a.RetryAfterSeconds})
+			l.answer(o, request.Response{Result: request.Rejected, Reason: "decided", RetryAfterSeconds: a.RetryAfterSeconds})
 		}
 	case routing.AbortRequest:
 		if o := l.open[a.Request]; o != nil {
-			l.answer(o, request.Answer{Verdict: request.Aborted, Reason: "decided"})
+			l.answer(o, request.Response{Result: request.Aborted, Reason: "decided"})
 		}
 	case routing.SetTimer:
 		l.at(l.now+a.AfterSeconds, timer{token: a.Token})
 	case routing.Probe:
 		c := &check{member: a.Endpoint, sent: l.now}
 		if c.call = l.Pool.Check(a.Endpoint, c); c.call == nil {
-			l.later(func() { l.checked(c, request.End{Code: routing.ConnectFailed}) })
+			l.later(func() { l.checked(c, request.AttemptEnd{Code: routing.ConnectFailed}) })
 			return
 		}
 		l.at(l.now+l.Pool.Connect.Seconds(), timer{check: c})
@@ -415,24 +415,24 @@
 			avoid = append(avoid, x.link)
 		}
 	}
-	until := o.t.Limit
+	until := o.t.Deadline
 	if a.Deadline > 0 {
 		until = min(until, a.Deadline)
 	}
 	d := cacheproto.Attempt{Txn: o.t, TimeoutSeconds: until - l.now, FillSource: l.fill(a), StartAttempt: a}
 	if l.Spend != nil {
-		l.Spend.Sent(l.now, o.t.Rule, a.Endpoint, h.no > 0)
+		l.Spend.Sent(l.now, o.t.Class, a.Endpoint, h.no > 0)
 		l.later(l.spare)
 	}
 	switch {
-	case o.t.Left(): // the news of it is still in the queue
+	case o.t.Cancelled(): // the news of it is still in the queue
 		l.later(func() { l.left(o) })
 	case !o.ended && until > l.now:
-		l.Book.Add("hops."+o.t.Name+".sent", 1)
+		l.Book.Add("hops."+o.t.ClassName+".sent", 1)
 		h.call = l.Pool.Send(d, avoid, h)
 	}
 	if h.call == nil {
-		l.later(func() { l.ended(h, request.End{Code: routing.NotSent}) })
+		l.later(func() { l.ended(h, request.AttemptEnd{Code: routing.NotSent}) })
 		return
 	}
 	h.link = h.call.Link()
@@ -478,7 +478,7 @@
 	}
 	h.undone = true
 	if code, atOnce := l.Pool.Undo(h.call, code); atOnce {
-		l.later(func() { l.ended(h, request.End{Code: code}) })
+		l.later(func() { l.ended(h, request.AttemptEnd{Code: code}) })
 	}
 }
 
@@ -521,7 +521,7 @@
 		case t.check != nil:
 			if !t.check.over {
 				l.Pool.Undo(t.check.call, routing.TimedOut)
-				l.checked(t.check, request.End{Code: routing.TimedOut})
+				l.checked(t.check, request.AttemptEnd{Code: routing.TimedOut})
 			}
 		case t.guard != nil:
 			if !t.guard.ended {
--- a/internal/dispatch/route_test.go
+++ b/internal/dispatch/route_test.go
@@ -35,15 +35,15 @@
 }
 
 // outlet keeps the answers.
-type outlet struct{ answers []request.Answer }
+type outlet struct{ answers []request.Response }
 
-func (o *outlet) Answer(_ *request.Txn, a request.Answer) bool {
+func (o *outlet) Respond(_ *request.Request, a request.Response) bool {
 	o.answers = append(o.answers, a)
 	return true
 }
 
 // stage is a loop at clock 100 whose members never come up, a txn, and where its answers go.
-func stage(t *testing.T, says func(routing.Event) []routing.Action) (*Loop, *script, *request.Txn, *outlet, *bytes.Buffer) {
+func stage(t *testing.T, says func(routing.Event) []routing.Action) (*Loop, *script, *request.Request, *outlet, *bytes.Buffer) {
 	s, o, log := &script{says: says}, &outlet{}, &bytes.Buffer{}
 	k := telemetry.New(log, "")
 	ctx, cancel := context.WithCancel(t.Context())
@@ -60,7 +60,7 @@
 	l := New(s, routing.Settings{"uncacheable": "false,true", "parent_kind": "1", "origin_kind": "2"}, p, k)
 	l.Clock = func() float64 { return 100 }
 	l.Known([]discovery.Event{{Full: true, Endpoints: []discovery.Endpoint{{Address: "c", Endpoint: routing.Endpoint{ID: "c"}}, {Address: "o", Endpoint: routing.Endpoint{ID: "o", Kind: 2}}}}})
-	return l, s, &request.Txn{ID: "ab", Name: "page", Rule: 1, Object: "FF", Limit: 105, To: o}, o, log
+	return l, s, &request.Request{ID: "ab", ClassName: "page", Class: 1, Object: "FF", Deadline: 105, ResponseWriter: o}, o, log
 }
 
 // hopOn is what the decisions say to an arrival; all else is answered with more.
@@ -79,7 +79,7 @@
 	l.Clock = func() float64 { return 99 }
 	l.Hear(discovery.Event{Purged: true, Object: "ff", At: 98})
 	l.Hear(discovery.Event{Endpoints: []discovery.Endpoint{{Endpoint: routing.Endpoint{ID: "c", Status: routing.Draining}}}})
-	l.Hear(frontend.Left{Txn: x})
+	l.Hear(frontend.RequestCancelled{Request: x})
 	assert.Equal(t, []routing.Event{
 		routing.EndpointUpdate{Kind: routing.Restored, Endpoints: []routing.Endpoint{{ID: "c"}, {ID: "o", Kind: 2}}},
 		routing.RequestArrived{Request: "ab", Class: 1, Object: "ff", Deadline: 105, Write: true}, routing.Purge{AgeSeconds: 2, Object: "ff"},
@@ -92,10 +92,10 @@
 	l, s, x, o, _ := stage(t, hopOn())
 	l.Hear(x)
 	call := l.open["ab"].hops[0].call
-	end := request.End{Code: routing.Completed, Tag: "t", Remark: routing.CacheHit, Body: &request.Body{Bytes: []byte("x")}}
+	end := request.AttemptEnd{Code: routing.Completed, ETag: "t", Remark: routing.CacheHit, Body: &request.Body{Bytes: []byte("x")}}
 	l.Hear(upstream.Ended{Call: call, End: end})
 	l.Hear(upstream.Ended{Call: call, End: end})
-	assert.Equal(t, []request.Answer{{Verdict: request.Completed, Reason: "by-a-hop", Tag: "t", Body: end.Body}}, o.answers)
+	assert.Equal(t, []request.Response{{Result: request.Completed, Reason: "by-a-hop", ETag: "t", Body: end.Body}}, o.answers)
 	assert.Equal(t, routing.AttemptEnded{Request: "ab", Endpoint: "c", Result: routing.Completed, Detail: routing.CacheHit, RequestDone: true}, s.heard[2])
 	assert.Len(t, s.heard, 3, "a second end is not heard")
 	assert.Empty(t, l.open)
@@ -134,7 +134,7 @@
 	l.Hear(x)
 	l.Clock = func() float64 { return 101 }
 	l.ring()
-	assert.Equal(t, []request.Answer{{Verdict: request.Rejected, Reason: "decided", Again: 2}}, o.answers, "one answer and no more")
+	assert.Equal(t, []request.Response{{Result: request.Rejected, Reason: "decided", RetryAfterSeconds: 2}}, o.answers, "one answer and no more")
 	assert.Equal(t, []routing.Event{routing.TimerFired{Token: 7}, routing.AttemptEnded{Request: "ab", Endpoint: "c", Result: routing.NotSent, ElapsedSeconds: 1, RequestDone: true}}, s.heard[2:])
 	assert.Empty(t, l.open)
 }
@@ -147,9 +147,9 @@
 		panic(errors.New("a fault"))
 	})
 	l.Hear(x)
-	l.Hear(upstream.Ended{Call: l.open["ab"].hops[0].call, End: request.End{Code: routing.Overloaded}})
+	l.Hear(upstream.Ended{Call: l.open["ab"].hops[0].call, End: request.AttemptEnd{Code: routing.Overloaded}})
 	l.ring()
-	assert.Equal(t, []request.Answer{{Verdict: request.Aborted, Reason: "panic"}}, o.answers)
+	assert.Equal(t, []request.Response{{Result: request.Aborted, Reason: "panic"}}, o.answers)
 	assert.Contains(t, log.String(), "a fault")
 	assert.Contains(t, log.String(), "route_test.go", "with the stack")
 	assert.Empty(t, l.open)
@@ -158,11 +158,11 @@
 
 func TestLoopOutlivesItsOwnPanic(t *testing.T) {
 	l, _, x, o, log := stage(t, nil)
-	x.To = nil
-	l.safely(func() { l.Hear(x); l.answer(l.open["ab"], request.Answer{}) })
+	x.ResponseWriter = nil
+	l.safely(func() { l.Hear(x); l.answer(l.open["ab"], request.Response{}) })
 	assert.Contains(t, log.String(), "where=route")
 	assert.EqualValues(t, 1, l.Book.Count("panics"))
-	l.Hear(&request.Txn{ID: "cd", To: o})
+	l.Hear(&request.Request{ID: "cd", ResponseWriter: o})
 	assert.Len(t, l.open, 2)
 }
 
@@ -174,7 +174,7 @@
 	assert.Empty(t, o.answers, "its own time is up, the client's not surely")
 	l.Clock = func() float64 { return 105.021 }
 	l.ring()
-	assert.Equal(t, []request.Answer{{Verdict: request.Aborted, Reason: "overdue"}}, o.answers)
+	assert.Equal(t, []request.Response{{Result: request.Aborted, Reason: "overdue"}}, o.answers)
 	assert.Empty(t, l.open)
 }
 
@@ -183,11 +183,11 @@
 	l.Hear(x)
 	twin := *x
 	l.Hear(&twin)
-	l.Hear(frontend.Left{Txn: &twin})
-	assert.Equal(t, []request.Answer{{Verdict: request.Rejected, Reason: "id-in-use"}}, o.answers)
+	l.Hear(frontend.RequestCancelled{Request: &twin})
+	assert.Equal(t, []request.Response{{Result: request.Rejected, Reason: "id-in-use"}}, o.answers)
 	assert.Equal(t, x, l.open["ab"].t, "the first one goes on")
 	l.Hear(Abandon{})
-	assert.Equal(t, request.Aborted, o.answers[1].Verdict)
+	assert.Equal(t, request.Aborted, o.answers[1].Result)
 }
 
 func TestCheckEndsOnce(t *testing.T) {
@@ -226,18 +226,18 @@
 		return nil
 	})
 	l.Hear(x)
-	x.Leave()
-	l.Hear(upstream.Ended{Call: l.open["ab"].hops[0].call, End: request.End{Code: routing.Overloaded}})
+	x.Cancel()
+	l.Hear(upstream.Ended{Call: l.open["ab"].hops[0].call, End: request.AttemptEnd{Code: routing.Overloaded}})
 	assert.Nil(t, l.open["ab"].hops[1].call)
 	l.ring()
 	assert.Equal(t, []routing.Event{routing.AttemptEnded{Request: "ab", Endpoint: "c", Result: routing.Overloaded}, routing.ClientDisconnected{Request: "ab"},
 		routing.AttemptEnded{Request: "ab", Attempt: 1, Endpoint: "o", Result: routing.NotSent, RequestDone: true}}, s.heard[2:])
-	l.Hear(frontend.Left{Txn: x})
+	l.Hear(frontend.RequestCancelled{Request: x})
 	assert.Len(t, s.heard, 5, "it is heard once")
 	assert.Empty(t, l.open)
 	assert.Empty(t, o.answers)
-	y := &request.Txn{ID: "cd", To: o}
-	y.Leave()
+	y := &request.Request{ID: "cd", ResponseWriter: o}
+	y.Cancel()
 	l.Hear(y)
 	assert.Len(t, s.heard, 5, "of one that left in the queue nothing is decided")
 }
@@ -248,7 +248,7 @@
 	l.Hear(x)
 	for l.Offer(discovery.Event{Purged: true, Object: "ff", At: 98}) {
 	}
-	l.Post(frontend.Left{Txn: x})
+	l.Post(frontend.RequestCancelled{Request: x})
 	ctx, cancel := context.WithCancel(t.Context())
 	heard := len(s.heard)
 	s.says = func(ev routing.Event) []routing.Action {
--- a/internal/edgecache/box.go
+++ b/internal/edgecache/box.go
@@ -464,9 +464,9 @@
 
 // fetch asks a source.
 func (b *Box) fetch(f handler.Fetch) {
-	t := &request.Txn{ID: fmt.Sprintf("%s-%x", b.Plan.ID[2:], f.Fill), Name: f.Rule, Object: fmt.Sprintf("%016x", f.Key.Object), Part: strconv.Itoa(int(f.Key.Part)), Tag: f.Tag}
+	t := &request.Request{ID: fmt.Sprintf("%s-%x", b.Plan.ID[2:], f.Fill), ClassName: f.Rule, Object: fmt.Sprintf("%016x", f.Key.Object), Part: strconv.Itoa(int(f.Key.Part)), ETag: f.Tag}
 	if a := b.open[f.Txn]; a != nil {
-		t.Key, t.Body = a.line.IdempotencyKey, a.body
+		t.IdempotencyKey, t.Body = a.line.IdempotencyKey, a.body
 	}
 	call := b.pool.Send(cacheproto.Attempt{Txn: t, TimeoutSeconds: f.Wait, StartAttempt: routing.StartAttempt{Endpoint: f.Source, RetentionRank: f.Rank, MaxAgeSeconds: f.MaxAge, JoinFill: f.Join,
 		CacheOnly: f.NoFetch, ParentNoStore: f.NoTrace}}, nil, f.Fill)
@@ -486,9 +486,9 @@
 		return
 	}
 	delete(b.calls, no)
-	e := handler.End{Code: ev.End.Code, Same: ev.End.Same, Tag: ev.End.Tag, Dated: ev.End.Dated, Group: validity.UnknownGroup}
-	if ev.End.Group > 0 {
-		e.Group = uint16(ev.End.Group - 1)
+	e := handler.End{Code: ev.End.Code, Same: ev.End.NotModified, Tag: ev.End.ETag, Dated: ev.End.OriginTimeMillis, Group: validity.UnknownGroup}
+	if ev.End.PurgeGroupPlusOne > 0 {
+		e.Group = uint16(ev.End.PurgeGroupPlusOne - 1)
 	}
 	if body := ev.End.Body; body != nil {
 		e.Body = body.Bytes
@@ -625,7 +625,7 @@
 		}
 		x := &asked{peer: p, line: a, key: eviction.Key{Object: a.ObjectID, Part: a.PartIndex}}
 		if a.BodyBytes > 0 {
-			if x.body, err = b.pool.Gate.Budget.Wait(ctx, a.BodyBytes); err != nil {
+			if x.body, err = b.pool.Gate.Bodies.Allocate(ctx, a.BodyBytes); err != nil {
 				return netconn.Shutdown, err
 			}
 			err = p.c.ReadFull(x.body.Bytes)
--- a/internal/frontend/take.go
+++ b/internal/frontend/take.go
@@ -50,16 +50,16 @@
 )
 
 // Left says that the client of a txn waits no more.
-type Left struct{ Txn *request.Txn }
+type RequestCancelled struct{ Request *request.Request }
 
 // Taker takes in what clients send. Offer hands a *txn.Txn to the route stage if there is room for it now: one that reads a
 // connection must not stand still, or it would not see its client go. Post hands on a Left.
-type Taker struct {
-	Rules map[string]int
-	Gate  *admission.Gate
-	Book  *telemetry.Book
-	Offer func(any) bool
-	Post  func(any)
+type Server struct {
+	ClassIndexes map[string]int
+	Admission    *admission.Controller
+	Book         *telemetry.Book
+	Offer        func(any) bool
+	Post         func(any)
 
 	mu    sync.Mutex
 	ln    net.Listener
@@ -118,7 +118,7 @@
 func before(now time.Time, at int64, most time.Duration) bool { return at < now.Add(-most).UnixNano() }
 
 // Run accepts clients until the listener is closed, then waits for their connections to end.
-func (k *Taker) Run(ctx context.Context, ln net.Listener) error {
+func (k *Server) Serve(ctx context.Context, ln net.Listener) error {
 	k.mu.Lock()
 	k.ln = ln
 	k.mu.Unlock()
@@ -164,7 +164,7 @@
 			continue
 		}
 		looked = false
-		in, tell := k.Gate.Client()
+		in, tell := k.Admission.AdmitClient()
 		if !in && tell {
 			in = k.evict(time.Now())
 		}
@@ -174,7 +174,7 @@
 			continue
 		}
 		g.Go(func() error {
-			defer k.Gate.ClientDone()
+			defer k.Admission.ClientDone()
 			k.client(ctx, raw, in)
 			return nil
 		})
@@ -182,8 +182,8 @@
 }
 
 // Stop tells every client to bring no new txn on its connection; those that come from now on are told at once.
-func (k *Taker) Stop() {
-	k.Gate.Stop()
+func (k *Server) BeginDrain() {
+	k.Admission.StartDraining()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for _, c := range k.conns {
@@ -195,7 +195,7 @@
 
 // Finish, after Stop, takes in what has connected already, closes the listener, and ends each connection once nothing is
 // open on it and what its client has written is read. It returns when all have ended or the context has.
-func (k *Taker) Finish(ctx context.Context) {
+func (k *Server) FinishDrain(ctx context.Context) {
 	for tick := time.NewTicker(askEvery); ; {
 		k.mu.Lock()
 		deaf, now := k.deaf, time.Now()
@@ -207,7 +207,7 @@
 		k.mu.Unlock()
 		if !deaf {
 			k.lastLook()
-		} else if k.Gate.Clients() == 0 {
+		} else if k.Admission.OpenClients() == 0 {
 			tick.Stop()
 			return
 		}
@@ -221,7 +221,7 @@
 }
 
 // lastLook lets the listener wait for one more moment.
-func (k *Taker) lastLook() {
+func (k *Server) lastLook() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if ln, ok := k.ln.(interface{ SetDeadline(time.Time) error }); ok {
@@ -233,10 +233,10 @@
 // first, and what has come by then is taken in: it is for the goroutine that reads to say that nothing is under way.
 // While the bodies' budget is full it also breaks those that take nothing of what waits for them: few slow readers would
 // hold all of it, and there is nothing to end in order, as they read nothing.
-func (k *Taker) Sweep(now time.Time) {
+func (k *Server) Sweep(now time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	full := k.Gate.Full()
+	full := k.Admission.BodiesNearlyFull()
 	for o, c := range k.conns {
 		switch begun := c.Begun(); {
 		case full && o.Waits() && before(now, c.Took(), stalledAfter):
@@ -255,7 +255,7 @@
 // evict asks the connection that has been still for longest to end, if nothing is open on any: one that brought no txn
 // before one that did. The place then goes to whoever comes; until the other has ended both are held, and the gate bounds
 // how many such there are.
-func (k *Taker) evict(now time.Time) bool {
+func (k *Server) evict(now time.Time) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	var out *clientConn
@@ -275,9 +275,9 @@
 }
 
 // client serves one connection until it ends.
-func (k *Taker) client(ctx context.Context, raw net.Conn, in bool) {
-	o := relay.New(k.Book, k.Gate)
-	c := &clientConn{Conn: netconn.New(raw, admission.ClientRing, relay.Stall), o: o}
+func (k *Server) client(ctx context.Context, raw net.Conn, in bool) {
+	o := relay.New(k.Book, k.Admission)
+	c := &clientConn{Conn: netconn.New(raw, admission.ClientRingBytes, relay.Stall), o: o}
 	c.Asked = c.may
 	k.Book.Began("client")
 	k.mu.Lock()
@@ -286,7 +286,7 @@
 	}
 	k.conns[o] = c
 	k.mu.Unlock()
-	if k.Gate.Stopping() && c.told.CompareAndSwap(false, true) { // Stop was before it, or sees it
+	if k.Admission.Draining() && c.told.CompareAndSwap(false, true) { // Stop was before it, or sees it
 		c.noMore()
 	}
 	g, ctx := errgroup.WithContext(ctx)
@@ -328,7 +328,7 @@
 	})
 	_ = g.Wait()
 	for _, t := range o.Close("connection-ended") {
-		k.Post(Left{t})
+		k.Post(RequestCancelled{t})
 	}
 	k.mu.Lock()
 	delete(k.conns, o)
@@ -337,13 +337,13 @@
 }
 
 func errorFrame(text string) []byte {
-	return clientproto.AppendResponse(nil, 0, request.Answer{Verdict: request.Aborted, Error: text})
+	return clientproto.AppendResponse(nil, 0, request.Response{Result: request.Aborted, ErrorText: text})
 }
 
 var errPanic = errors.New("panic")
 
 // caught ends a connection, not the process, after a panic in one of its goroutines.
-func (k *Taker) caught(c *netconn.Conn, err *error) {
+func (k *Server) caught(c *netconn.Conn, err *error) {
 	if p := recover(); p != nil {
 		k.panicked(p)
 		*err = errPanic
@@ -351,7 +351,7 @@
 	}
 }
 
-func (k *Taker) panicked(p any) {
+func (k *Server) panicked(p any) {
 	k.Book.Add("panics", 1)
 	k.Book.Log.Error("panic", "where", "client", "what", fmt.Sprint(p), "stack", string(debug.Stack()))
 }
@@ -365,7 +365,7 @@
 
 // reader follows the frames of one connection.
 type reader struct {
-	k    *Taker
+	k    *Server
 	c    *clientConn
 	o    *relay.Outlet
 	used map[uint32]bool // streams used, from next on
@@ -387,12 +387,12 @@
 		case clientproto.TypeCancel:
 			if err = r.c.Skip(h.PayloadBytes); err == nil {
 				if t := r.o.Leave(h.StreamID, "cancelled"); t != nil {
-					r.k.Post(Left{t})
+					r.k.Post(RequestCancelled{t})
 				}
 			}
 		case clientproto.TypeReadinessQuery:
 			if err = r.c.Skip(h.PayloadBytes); err == nil {
-				r.o.Say(clientproto.AppendReadinessReply(nil, h.StreamID, r.k.Gate.Ready()))
+				r.o.Say(clientproto.AppendReadinessReply(nil, h.StreamID, r.k.Admission.Ready()))
 			}
 		default:
 			return fault("unknown type %d", h.Type)
@@ -434,11 +434,11 @@
 	if !r.use(h.StreamID) {
 		return fault("stream %d is not new", h.StreamID)
 	}
-	t := &request.Txn{Stream: h.StreamID, Name: "unknown", To: r.o}
-	atOnce := func(v request.Verdict, reason, text string) {
-		r.k.Gate.Enter() // it is owed its answer like any other
+	t := &request.Request{StreamID: h.StreamID, ClassName: "unknown", ResponseWriter: r.o}
+	atOnce := func(v request.Result, reason, text string) {
+		r.k.Admission.CountRequest() // it is owed its answer like any other
 		r.o.Open(t)
-		r.o.Answer(t, request.Answer{Verdict: v, Reason: reason, Error: text})
+		r.o.Respond(t, request.Response{Result: v, Reason: reason, ErrorText: text})
 	}
 	if h.PayloadBytes > clientproto.MaxRequestBytes {
 		if err := r.c.Skip(h.PayloadBytes); err != nil {
@@ -447,7 +447,7 @@
 		atOnce(request.Aborted, "malformed", "txn too large")
 		return nil
 	}
-	body := r.k.Gate.Budget.Try(h.PayloadBytes)
+	body := r.k.Admission.Bodies.TryAllocate(h.PayloadBytes)
 	if body == nil {
 		if err := r.c.Skip(h.PayloadBytes); err != nil {
 			return err
@@ -460,34 +460,34 @@
 		return err
 	}
 	r.admit(t, body, float64(time.Now().UnixMicro())/1e6, atOnce)
-	if r.k.Gate.Stopping() && r.c.told.CompareAndSwap(false, true) { // this one may have crossed the word
+	if r.k.Admission.Draining() && r.c.told.CompareAndSwap(false, true) { // this one may have crossed the word
 		r.c.noMore()
 	}
 	return nil
 }
 
 // admit reads a txn that has come whole and hands it on. A panic there costs this txn only.
-func (r *reader) admit(t *request.Txn, body *request.Body, now float64, atOnce func(request.Verdict, string, string)) {
+func (r *reader) admit(t *request.Request, body *request.Body, now float64, atOnce func(request.Result, string, string)) {
 	defer func() {
 		if p := recover(); p != nil {
 			r.k.panicked(p)
-			if !r.o.Answer(t, request.Answer{Verdict: request.Aborted, Reason: "panic"}) {
+			if !r.o.Respond(t, request.Response{Result: request.Aborted, Reason: "panic"}) {
 				atOnce(request.Aborted, "panic", "")
 			}
 		}
 	}()
 	a, err := clientproto.ParseRequest(body.Bytes)
-	rule, known := r.k.Rules[a.Name]
+	rule, known := r.k.ClassIndexes[a.ClassName]
 	if err == nil && !known {
-		err = fmt.Errorf("unknown remap rule %.40q", a.Name)
+		err = fmt.Errorf("unknown remap rule %.40q", a.ClassName)
 	}
 	if err != nil {
 		body.Free()
 		atOnce(request.Aborted, "malformed", err.Error())
 		return
 	}
-	a.Stream, a.To, a.Rule, a.Came, a.Limit = t.Stream, r.o, rule, now, now+a.TimeoutSeconds
-	*t = a.Txn
+	a.StreamID, a.ResponseWriter, a.Class, a.ArrivedAt, a.Deadline = t.StreamID, r.o, rule, now, now+a.TimeoutSeconds
+	*t = a.Request
 	size := 0
 	if n := len(body.Bytes); len(a.RawBody) > 0 {
 		body.Bytes, t.Body, size = a.RawBody, body, n
@@ -498,10 +498,10 @@
 	reason := ""
 	if r.o.Count() >= mostOpen {
 		reason = "streams"
-	} else if reason = r.k.Gate.Txn(size); reason == "" {
+	} else if reason = r.k.Admission.AdmitRequest(size); reason == "" {
 		if r.o.Open(t); !r.k.Offer(t) { // the decisions are far behind: what is given up is answered at once
 			t.Body.Free()
-			r.o.Answer(t, request.Answer{Verdict: request.Rejected, Reason: "queue"})
+			r.o.Respond(t, request.Response{Result: request.Rejected, Reason: "queue"})
 		}
 	}
 	if reason != "" {
--- a/internal/frontend/take_test.go
+++ b/internal/frontend/take_test.go
@@ -28,12 +28,12 @@
 
 // client is a taker with one client's connection.
 type client struct {
-	*Taker
+	*Server
 	net.Conn
 	posted chan any
 	log    *bytes.Buffer
 	done   chan bool
-	gate   *admission.Gate
+	gate   *admission.Controller
 	socket *ending // over TCP
 }
 
@@ -44,12 +44,12 @@
 
 func connectOver(t *testing.T, near, far net.Conn, in bool) *client {
 	c := &client{Conn: far, posted: make(chan any, 99), log: &bytes.Buffer{}, done: make(chan bool)}
-	c.Taker = &Taker{Rules: map[string]int{"page": 1}, Gate: admission.New(64, 256), Book: telemetry.New(c.log, ""),
+	c.Server = &Server{ClassIndexes: map[string]int{"page": 1}, Admission: admission.New(64, 256), Book: telemetry.New(c.log, ""),
 		Offer: func(ev any) bool {
 			c.posted <- ev
 			return true
 		}, Post: func(ev any) { c.posted <- ev }}
-	c.gate = c.Gate
+	c.gate = c.Admission
 	go func() {
 		c.client(t.Context(), near, in)
 		close(c.done)
@@ -58,7 +58,7 @@
 		_ = far.Close()
 		<-c.done
 		assert.Equal(t, 1, strings.Count(c.log.String(), "connection ended"), "one line")
-		assert.Zero(t, c.gate.Owed(), "nothing is owed after the end")
+		assert.Zero(t, c.gate.OpenRequests(), "nothing is owed after the end")
 		assert.Equal(t, c.Book.Count("taken"), c.Book.Count("answered")+c.Book.Count("left"))
 	})
 	return c
@@ -96,24 +96,24 @@
 	c := connect(t, true)
 	before := float64(time.Now().UnixMicro()) / 1e6
 	_, _ = c.Write(requestFrame(1, "aa", clientproto.Field{Name: "heap", Value: "412.5"}))
-	x := (<-c.posted).(*request.Txn)
-	assert.Equal(t, []any{"aa0123456789abcd", "page", 1, 3, 412.5}, []any{x.ID, x.Name, x.Rule, x.PartNo, x.KB})
-	assert.GreaterOrEqual(t, x.Came, before)
-	assert.InDelta(t, x.Came+1.5, x.Limit, 1e-6)
-	assert.True(t, x.To.Answer(x, request.Answer{Tag: "t", Body: &request.Body{Bytes: []byte("xyz")}}))
-	assert.False(t, x.To.Answer(x, request.Answer{}), "one answer a txn")
+	x := (<-c.posted).(*request.Request)
+	assert.Equal(t, []any{"aa0123456789abcd", "page", 1, 3, 412.5}, []any{x.ID, x.ClassName, x.Class, x.PartNumber, x.SizeKB})
+	assert.GreaterOrEqual(t, x.ArrivedAt, before)
+	assert.InDelta(t, x.ArrivedAt+1.5, x.Deadline, 1e-6)
+	assert.True(t, x.ResponseWriter.Respond(x, request.Response{ETag: "t", Body: &request.Body{Bytes: []byte("xyz")}}))
+	assert.False(t, x.ResponseWriter.Respond(x, request.Response{}), "one answer a txn")
 	kind, stream, payload := c.next(t)
 	assert.Equal(t, []any{byte(clientproto.TypeResponse), uint32(1), "\x01\x01\x04etag\x00\x01txyz"}, []any{kind, stream, payload})
 	_, _ = c.Write(clientproto.AppendHeader(nil, clientproto.TypeCancel, 1, 0)) // too late to matter
 	_, _ = c.Write(requestFrame(2, "bb"))
-	x = (<-c.posted).(*request.Txn)
+	x = (<-c.posted).(*request.Request)
 	_, _ = c.Write(clientproto.AppendHeader(nil, clientproto.TypeCancel, 2, 0))
-	assert.Equal(t, Left{x}, <-c.posted)
-	assert.False(t, x.To.Answer(x, request.Answer{}), "nobody waits")
+	assert.Equal(t, RequestCancelled{x}, <-c.posted)
+	assert.False(t, x.ResponseWriter.Respond(x, request.Response{}), "nobody waits")
 	_, _ = c.Write(requestFrame(3, "cc"))
-	x = (<-c.posted).(*request.Txn)
+	x = (<-c.posted).(*request.Request)
 	_ = c.Close()
-	assert.Equal(t, Left{x}, <-c.posted)
+	assert.Equal(t, RequestCancelled{x}, <-c.posted)
 	assert.EqualValues(t, 1, c.Book.Count("left.page.connection-ended"))
 }
 
@@ -124,19 +124,19 @@
 		_, _ = c.Write(ask)
 		kind, stream, payload := c.next(t)
 		assert.Equal(t, []any{byte(clientproto.TypeReadinessReply), uint32(5), want}, []any{kind, stream, payload})
-		c.Gate.SetReady()
+		c.Admission.SetReady()
 	}
-	go c.Stop()
+	go c.BeginDrain()
 	kind, stream, payload := c.next(t)
 	assert.Equal(t, []any{byte(clientproto.TypeGoAway), uint32(0), ""}, []any{kind, stream, payload})
 	_, _ = c.Write(ask)
 	_, _, payload = c.next(t)
 	assert.Equal(t, "\x00\x00", payload, "no new clients while it ends")
 	_, _ = c.Write(requestFrame(1, "aa"))
-	x := (<-c.posted).(*request.Txn)
+	x := (<-c.posted).(*request.Request)
 	kind, _, _ = c.next(t)
 	assert.Equal(t, byte(clientproto.TypeGoAway), kind)
-	assert.True(t, x.To.Answer(x, request.Answer{}), "and yet what comes is served")
+	assert.True(t, x.ResponseWriter.Respond(x, request.Response{}), "and yet what comes is served")
 	_, stream, _ = c.next(t)
 	assert.EqualValues(t, 1, stream)
 }
@@ -155,8 +155,8 @@
 		assert.Contains(t, payload, "error")
 	}
 	_, _ = c.Write(requestFrame(7, "aa"))
-	x := (<-c.posted).(*request.Txn)
-	x.To.Answer(x, request.Answer{})
+	x := (<-c.posted).(*request.Request)
+	x.ResponseWriter.Respond(x, request.Response{})
 	_, stream, _ := c.next(t)
 	assert.EqualValues(t, 7, stream)
 }
@@ -167,12 +167,12 @@
 		"stream 0": requestFrame(0, "bb"), "not new": requestFrame(1, "bb")} {
 		c := connect(t, true)
 		_, _ = c.Write(requestFrame(1, "aa"))
-		x := (<-c.posted).(*request.Txn)
+		x := (<-c.posted).(*request.Request)
 		_, _ = c.Write(bad)
 		kind, stream, payload := c.next(t)
 		assert.Equal(t, []any{byte(clientproto.TypeResponse), uint32(0)}, []any{kind, stream})
 		assert.Contains(t, payload, want)
-		x.To.Answer(x, request.Answer{})
+		x.ResponseWriter.Respond(x, request.Response{})
 		_, stream, _ = c.next(t)
 		assert.EqualValues(t, 1, stream)
 		_, err := c.Read(make([]byte, 1))
@@ -193,7 +193,7 @@
 	assert.Equal(t, []any{uint32(mostOpen + 1), "\x00\x00"}, []any{stream, payload})
 	_, _ = c.Write(clientproto.AppendHeader(nil, clientproto.TypeCancel, 1, 0))
 	<-c.posted
-	body := c.Gate.Budget.Try(64<<20*35/100 - 50)
+	body := c.Admission.Bodies.TryAllocate(64<<20*35/100 - 50)
 	assert.NotNil(t, body)
 	_, _ = c.Write(requestFrame(mostOpen+2, "ff"))
 	_, stream, payload = c.next(t)
@@ -212,11 +212,11 @@
 	assert.Equal(t, []any{uint32(1), "\x09\x00"}, []any{stream, payload})
 	assert.Contains(t, c.log.String(), "a fault")
 	assert.EqualValues(t, 1, c.Book.Count("answered.page.aborted.panic"))
-	c.Gate = nil
+	c.Admission = nil
 	_, _ = c.Write(append(clientproto.AppendHeader(nil, clientproto.TypeReadinessQuery, 0, 1), 0))
 	_, err := c.Read(make([]byte, 1))
 	assert.ErrorIs(t, err, io.EOF)
-	c.Gate = c.gate
+	c.Admission = c.gate
 	<-c.done
 	assert.Contains(t, c.log.String(), "code=panic")
 }
@@ -236,10 +236,10 @@
 func TestStalledReadersEndWhileMemoryIsShort(t *testing.T) {
 	c := connect(t, true)
 	_, _ = c.Write(requestFrame(1, "aa"))
-	x := (<-c.posted).(*request.Txn)
-	body := c.Gate.Budget.Try(22 << 20)
+	x := (<-c.posted).(*request.Request)
+	body := c.Admission.Bodies.TryAllocate(22 << 20)
 	c.Sweep(time.Now().Add(2 * stalledAfter))
-	x.To.Answer(x, request.Answer{Body: body})
+	x.ResponseWriter.Respond(x, request.Response{Body: body})
 	_, err := io.ReadFull(c, make([]byte, 1<<20))
 	assert.NoError(t, err, "nothing waited")
 	c.Sweep(time.Now())
@@ -248,7 +248,7 @@
 	c.Sweep(time.Now().Add(2 * stalledAfter))
 	<-c.done
 	assert.Contains(t, c.log.String(), "code=slow-reader")
-	assert.Zero(t, c.Gate.Budget.Used())
+	assert.Zero(t, c.Admission.Bodies.UsedBytes())
 }
 
 func TestStreamsAreNewOnce(t *testing.T) {
@@ -302,9 +302,9 @@
 	assert.Contains(t, late.log.String(), "code=mute")
 	c := connect(t, true)
 	_, _ = c.Write(append(requestFrame(1, "aa"), 0, 0))
-	x := (<-c.posted).(*request.Txn)
+	x := (<-c.posted).(*request.Request)
 	c.Sweep(time.Now().Add(time.Hour))
-	x.To.Answer(x, request.Answer{})
+	x.ResponseWriter.Respond(x, request.Response{})
 	_, stream, _ := c.next(t)
 	assert.EqualValues(t, 1, stream, "what is open is answered")
 }
@@ -326,8 +326,8 @@
 func TestStillOnesMakeRoom(t *testing.T) {
 	a, b := connect(t, true), connect(t, true)
 	_, _ = a.Write(requestFrame(1, "aa"))
-	x := (<-a.posted).(*request.Txn)
-	k := &Taker{conns: map[*relay.Outlet]*clientConn{}}
+	x := (<-a.posted).(*request.Request)
+	k := &Server{conns: map[*relay.Outlet]*clientConn{}}
 	for _, c := range []*client{a, b} {
 		assert.Eventually(t, func() bool { return c.conn() != nil }, time.Minute, time.Millisecond)
 		c.mu.Lock()
@@ -339,7 +339,7 @@
 	<-b.done
 	assert.Contains(t, b.log.String(), "code=crowded")
 	assert.False(t, k.evict(time.Now().Add(time.Hour)), "a txn is open")
-	x.To.Answer(x, request.Answer{})
+	x.ResponseWriter.Respond(x, request.Response{})
 	a.next(t)
 	assert.Eventually(t, func() bool { return k.evict(time.Now().Add(time.Hour)) }, time.Minute, time.Millisecond, "once the answer is known as written")
 	<-a.done
@@ -350,9 +350,9 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NoError(t, err)
 	ctx, cancel := context.WithCancel(t.Context())
-	k := &Taker{Gate: admission.New(64, 256), Book: telemetry.New(io.Discard, "")}
+	k := &Server{Admission: admission.New(64, 256), Book: telemetry.New(io.Discard, "")}
 	done := make(chan error)
-	go func() { done <- k.Run(ctx, ln) }()
+	go func() { done <- k.Serve(ctx, ln) }()
 	far, err := net.Dial("tcp", ln.Addr().String())
 	assert.NoError(t, err)
 	_, _ = far.Write(clientproto.AppendHeader(nil, 77, 1, 0))
@@ -372,9 +372,9 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NoError(t, err)
 	ctx, cancel := context.WithCancel(t.Context())
-	k := &Taker{Gate: admission.New(64, 256), Book: telemetry.New(io.Discard, "")}
+	k := &Server{Admission: admission.New(64, 256), Book: telemetry.New(io.Discard, "")}
 	done := make(chan error)
-	go func() { done <- k.Run(ctx, ln) }()
+	go func() { done <- k.Serve(ctx, ln) }()
 	far, err := net.Dial("tcp", ln.Addr().String())
 	assert.NoError(t, err)
 	_, _ = far.Write(append(clientproto.AppendHeader(nil, clientproto.TypeReadinessQuery, 0, 1), 0))
@@ -454,16 +454,16 @@
 	}, func(far net.Conn) { _, _ = far.Write(requestFrame(2, "bb")) })
 	_, _ = c.Write(ask)
 	c.next(t)
-	var x *request.Txn
+	var x *request.Request
 	for x == nil { // until a sweep has seen that nothing is open
 		c.Sweep(time.Now().Add(idleAfter + time.Second))
 		select {
 		case ev := <-c.posted:
-			x = ev.(*request.Txn)
+			x = ev.(*request.Request)
 		case <-time.After(time.Millisecond):
 		}
 	}
-	assert.True(t, x.To.Answer(x, request.Answer{}))
+	assert.True(t, x.ResponseWriter.Respond(x, request.Response{}))
 	_, stream, _ := c.next(t)
 	assert.EqualValues(t, 1, stream, "it came before the end")
 	c.sweepUntil(t, netconn.Idle)
@@ -505,13 +505,13 @@
 func TestClientThatGoesAfterAFaultIsNoticed(t *testing.T) {
 	c := connect(t, true)
 	_, _ = c.Write(requestFrame(1, "aa"))
-	x := (<-c.posted).(*request.Txn)
+	x := (<-c.posted).(*request.Request)
 	_, _ = c.Write(clientproto.AppendHeader(nil, 77, 9, 0))
 	c.next(t)
 	_, _ = c.Write(requestFrame(2, "bb"))
 	_ = c.Close()
-	assert.Equal(t, Left{x}, <-c.posted)
-	assert.True(t, x.Left())
+	assert.Equal(t, RequestCancelled{x}, <-c.posted)
+	assert.True(t, x.Cancelled())
 	assert.Empty(t, c.posted)
 }
 
@@ -534,14 +534,14 @@
 func TestFloodWhileAnAnswerIsOwedIsSlowed(t *testing.T) {
 	c := overTCP(t, nothing, nothing)
 	_, _ = c.Write(requestFrame(1, "aa"))
-	x := (<-c.posted).(*request.Txn)
+	x := (<-c.posted).(*request.Request)
 	_, _ = c.Write(clientproto.AppendHeader(nil, 77, 9, 0))
 	flooded := c.flood()
 	assert.Eventually(t, func() bool { return c.conn().Got() > lingerBytes }, time.Minute, time.Millisecond)
 	before, began := c.conn().Got(), time.Now()
-	assert.Eventually(t, func() bool { return c.conn().Got() > before+20*admission.ClientRing }, time.Minute, time.Millisecond)
+	assert.Eventually(t, func() bool { return c.conn().Got() > before+20*admission.ClientRingBytes }, time.Minute, time.Millisecond)
 	assert.Greater(t, time.Since(began), 50*time.Millisecond)
-	assert.True(t, x.To.Answer(x, request.Answer{}))
+	assert.True(t, x.ResponseWriter.Respond(x, request.Response{}))
 	<-c.done
 	<-flooded
 }
@@ -565,12 +565,12 @@
 	_, stream, payload := c.next(t)
 	assert.Equal(t, []any{uint32(1), "\x00\x00"}, []any{stream, payload})
 	assert.EqualValues(t, 1, c.Book.Count("answered.page.rejected.queue"))
-	assert.Zero(t, c.Gate.Budget.Used())
+	assert.Zero(t, c.Admission.Bodies.UsedBytes())
 	c.Offer = full
 	_, _ = c.Write(requestFrame(2, "bb"))
-	x := (<-c.posted).(*request.Txn)
+	x := (<-c.posted).(*request.Request)
 	_ = c.Close()
-	assert.Equal(t, Left{x}, <-c.posted)
+	assert.Equal(t, RequestCancelled{x}, <-c.posted)
 }
 
 // starved is a listener that finds no descriptor, once.
@@ -595,7 +595,7 @@
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error)
-	go func() { done <- c.Run(ctx, &starved{Listener: ln}) }()
+	go func() { done <- c.Serve(ctx, &starved{Listener: ln}) }()
 	c.whole(t)
 	assert.Contains(t, c.log.String(), "code=crowded")
 	cancel()
@@ -603,11 +603,11 @@
 }
 
 // listening is a taker that accepts on loopback.
-func listening(t *testing.T, before func(net.Listener)) (k *Taker, posted chan any, dial func() *client) {
+func listening(t *testing.T, before func(net.Listener)) (k *Server, posted chan any, dial func() *client) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	posted = make(chan any, 99)
-	k = &Taker{Rules: map[string]int{"page": 1}, Gate: admission.New(64, 256), Book: telemetry.New(io.Discard, ""), Post: func(ev any) { posted <- ev },
+	k = &Server{ClassIndexes: map[string]int{"page": 1}, Admission: admission.New(64, 256), Book: telemetry.New(io.Discard, ""), Post: func(ev any) { posted <- ev },
 		Offer: func(ev any) bool {
 			posted <- ev
 			return true
@@ -623,7 +623,7 @@
 	if before != nil {
 		before(ln)
 	}
-	go func() { done <- k.Run(ctx, ln) }()
+	go func() { done <- k.Serve(ctx, ln) }()
 	t.Cleanup(func() {
 		cancel()
 		assert.NoError(t, <-done)
@@ -634,7 +634,7 @@
 // TestDrainTellsThoseThatComeAfterIt: at once, without a request of theirs.
 func TestDrainTellsThoseThatComeAfterIt(t *testing.T) {
 	k, _, dial := listening(t, nil)
-	k.Stop()
+	k.BeginDrain()
 	kind, _, _ := dial().next(t)
 	assert.EqualValues(t, clientproto.TypeGoAway, kind)
 }
@@ -650,14 +650,14 @@
 		_, _ = c.Write(requestFrame(1, "aa"))
 		_ = ln.(*net.TCPListener).SetDeadline(time.Unix(1, 0))
 	})
-	k.Stop()
+	k.BeginDrain()
 	finished := make(chan bool)
 	go func() {
-		k.Finish(t.Context())
+		k.FinishDrain(t.Context())
 		close(finished)
 	}()
-	x := (<-posted).(*request.Txn)
-	assert.True(t, x.To.Answer(x, request.Answer{}))
+	x := (<-posted).(*request.Request)
+	assert.True(t, x.ResponseWriter.Respond(x, request.Response{}))
 	for kind := byte(clientproto.TypeGoAway); kind == clientproto.TypeGoAway; {
 		var stream uint32
 		if kind, stream, _ = c.next(t); kind != clientproto.TypeGoAway {
@@ -687,23 +687,23 @@
 	_, _ = rests.Write(append(clientproto.AppendHeader(nil, clientproto.TypeReadinessQuery, 5, 1), 0))
 	rests.next(t)
 	_, _ = waits.Write(requestFrame(1, "aa"))
-	x := (<-posted).(*request.Txn)
+	x := (<-posted).(*request.Request)
 	text := requestFrame(1, "bb")
 	_, _ = writes.Write(append(append([]byte{}, clientproto.AppendHeader(nil, clientproto.TypeReadinessQuery, 5, 1)...), append([]byte{0}, text[:20]...)...))
 	writes.next(t)
-	k.Stop()
+	k.BeginDrain()
 	finished := make(chan bool)
 	go func() {
-		k.Finish(t.Context())
+		k.FinishDrain(t.Context())
 		close(finished)
 	}()
 	_, err := io.Copy(io.Discard, rests)
 	assert.NoError(t, err)
 	_ = rests.Close()
 	_, _ = writes.Write(text[20:])
-	y := (<-posted).(*request.Txn)
-	for _, z := range []*request.Txn{x, y} {
-		assert.True(t, z.To.Answer(z, request.Answer{Body: &request.Body{Bytes: make([]byte, 200_000)}}))
+	y := (<-posted).(*request.Request)
+	for _, z := range []*request.Request{x, y} {
+		assert.True(t, z.ResponseWriter.Respond(z, request.Response{Body: &request.Body{Bytes: make([]byte, 200_000)}}))
 	}
 	for _, c := range []*client{waits, writes} {
 		n, err := io.Copy(io.Discard, c)
@@ -719,10 +719,10 @@
 	c := connect(t, true)
 	stream := uint32(0)
 	for _, full := range []bool{false, true} {
-		held := c.Gate.Budget.Try(64<<20*35/100*9/10 - 1000)
+		held := c.Admission.Bodies.TryAllocate(64<<20*35/100*9/10 - 1000)
 		more := (*request.Body)(nil)
 		if full {
-			more = c.Gate.Budget.Try(2000)
+			more = c.Admission.Bodies.TryAllocate(2000)
 		}
 		for _, size := range []int{0, clientproto.MaxBodyBytes} {
 			stream++
@@ -731,9 +731,9 @@
 				_, _ = c.Write(append(clientproto.AppendHeader(nil, clientproto.TypeRequest, stream, len(payload)), payload...))
 			}()
 			if !full {
-				x := (<-c.posted).(*request.Txn)
+				x := (<-c.posted).(*request.Request)
 				x.Body.Free()
-				x.To.Answer(x, request.Answer{})
+				x.ResponseWriter.Respond(x, request.Response{})
 			}
 			_, on, answer := c.next(t)
 			assert.Equal(t, stream, on)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -28,10 +28,10 @@
 // Outlet is the answering side of one client's connection.
 type Outlet struct {
 	book *telemetry.Book
-	gate *admission.Gate
+	gate *admission.Controller
 
 	mu      sync.Mutex
-	open    map[uint32]*request.Txn
+	open    map[uint32]*request.Request
 	queue   []item
 	closed  bool // takes no answers any more
 	shut    bool // nothing is open, nothing more is said: the connection may end
@@ -41,14 +41,14 @@
 }
 
 type item struct {
-	t    *request.Txn // nil for what answers no txn
+	t    *request.Request // nil for what answers no txn
 	head []byte
 	body *request.Body
 }
 
 // New makes the outlet of a connection.
-func New(b *telemetry.Book, g *admission.Gate) *Outlet {
-	return &Outlet{book: b, gate: g, open: map[uint32]*request.Txn{}, wake: make(chan struct{}, 1)}
+func New(b *telemetry.Book, g *admission.Controller) *Outlet {
+	return &Outlet{book: b, gate: g, open: map[uint32]*request.Request{}, wake: make(chan struct{}, 1)}
 }
 
 func (o *Outlet) nudge() {
@@ -59,10 +59,10 @@
 }
 
 // Open says that a txn was taken: from here on it is owed an answer.
-func (o *Outlet) Open(t *request.Txn) {
-	o.book.Taken(t.Name)
+func (o *Outlet) Open(t *request.Request) {
+	o.book.Taken(t.ClassName)
 	o.mu.Lock()
-	o.open[t.Stream] = t
+	o.open[t.StreamID] = t
 	o.mu.Unlock()
 }
 
@@ -92,17 +92,17 @@
 }
 
 // Answer gives a txn its final answer, unless it had one or its client left.
-func (o *Outlet) Answer(t *request.Txn, a request.Answer) bool {
+func (o *Outlet) Respond(t *request.Request, a request.Response) bool {
 	o.mu.Lock()
-	if o.closed || o.open[t.Stream] != t {
+	if o.closed || o.open[t.StreamID] != t {
 		o.mu.Unlock()
 		a.Body.Free()
 		return false
 	}
-	delete(o.open, t.Stream)
-	o.queue = append(o.queue, item{t, clientproto.AppendResponse(nil, t.Stream, a), a.Body})
+	delete(o.open, t.StreamID)
+	o.queue = append(o.queue, item{t, clientproto.AppendResponse(nil, t.StreamID, a), a.Body})
 	o.mu.Unlock()
-	o.book.Answered(t.Name, a.Verdict.String(), a.Reason)
+	o.book.Answered(t.ClassName, a.Result.String(), a.Reason)
 	o.nudge()
 	return true
 }
@@ -133,7 +133,7 @@
 
 // Leave says that nobody waits for a stream any more. It returns its txn if that was open; an answer that
 // nobody has begun to write is dropped. From here on no attempt of the txn begins.
-func (o *Outlet) Leave(stream uint32, reason string) *request.Txn {
+func (o *Outlet) Leave(stream uint32, reason string) *request.Request {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	t := o.open[stream]
@@ -143,20 +143,20 @@
 		return t
 	}
 	for i, x := range o.queue {
-		if x.t != nil && x.t.Stream == stream {
+		if x.t != nil && x.t.StreamID == stream {
 			o.queue = append(o.queue[:i:i], o.queue[i+1:]...)
 			x.body.Free()
-			o.gate.TxnDone()
+			o.gate.RequestDone()
 			break
 		}
 	}
 	return nil
 }
 
-func (o *Outlet) left(t *request.Txn, reason string) {
-	t.Leave()
-	o.book.Left(t.Name, reason)
-	o.gate.TxnDone()
+func (o *Outlet) left(t *request.Request, reason string) {
+	t.Cancel()
+	o.book.Left(t.ClassName, reason)
+	o.gate.RequestDone()
 }
 
 // Finish lets the writer end once nothing is open and all is written.
@@ -168,11 +168,11 @@
 }
 
 // Close ends the outlet and returns the txns that were still open.
-func (o *Outlet) Close(reason string) []*request.Txn {
+func (o *Outlet) Close(reason string) []*request.Request {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.closed = true
-	var out []*request.Txn
+	var out []*request.Request
 	for _, t := range o.open {
 		o.left(t, reason)
 		out = append(out, t)
@@ -187,7 +187,7 @@
 func (o *Outlet) drop(x item) {
 	x.body.Free()
 	if x.t != nil {
-		o.gate.TxnDone()
+		o.gate.RequestDone()
 	}
 }
 
@@ -219,10 +219,10 @@
 // Run writes answers until the context ends, the socket fails, or all is written after Finish. Answers that wait
 // together go out together: the ring is flushed when it is full or nothing more waits.
 func (o *Outlet) Run(ctx context.Context, c *netconn.Conn) error {
-	var unflushed []*request.Txn
+	var unflushed []*request.Request
 	defer func() {
 		for range unflushed {
-			o.gate.TxnDone()
+			o.gate.RequestDone()
 		}
 	}()
 	for {
@@ -262,7 +262,7 @@
 	defer x.body.Free()
 	by := time.Now()
 	if x.t != nil {
-		if limit := time.UnixMicro(int64(x.t.Limit * 1e6)); limit.After(by) {
+		if limit := time.UnixMicro(int64(x.t.Deadline * 1e6)); limit.After(by) {
 			by = limit
 		}
 	}
@@ -278,15 +278,15 @@
 }
 
 // written books an answer that the socket has taken.
-func (o *Outlet) written(t *request.Txn) {
-	o.gate.TxnDone()
-	if t.Limit == 0 {
+func (o *Outlet) written(t *request.Request) {
+	o.gate.RequestDone()
+	if t.Deadline == 0 {
 		return
 	}
-	if late := float64(time.Now().UnixMicro())/1e6 - t.Limit; late > 0 {
+	if late := float64(time.Now().UnixMicro())/1e6 - t.Deadline; late > 0 {
 		o.book.Add("answers.after-limit", 1)
 		if o.book.Most("answers.after-limit.most-us", int64(late*1e6)); late > lateLogged {
-			o.book.Log.Warn("late answer", "txn", t.ID, "rule", t.Name, "by_s", late)
+			o.book.Log.Warn("late answer", "txn", t.ID, "rule", t.ClassName, "by_s", late)
 		}
 	}
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -16,34 +16,34 @@
 )
 
 // outlet is one with an open txn on stream 1.
-func outlet(t *testing.T) (*Outlet, *request.Txn) {
+func outlet(t *testing.T) (*Outlet, *request.Request) {
 	g := admission.New(64, 256)
-	o, x := New(telemetry.New(&bytes.Buffer{}, ""), g), &request.Txn{Stream: 1, Name: "page"}
-	assert.Empty(t, g.Txn(0))
+	o, x := New(telemetry.New(&bytes.Buffer{}, ""), g), &request.Request{StreamID: 1, ClassName: "page"}
+	assert.Empty(t, g.AdmitRequest(0))
 	o.Open(x)
 	return o, x
 }
 
 func TestAnswerThatNobodyWaitsForIsDropped(t *testing.T) {
 	o, x := outlet(t)
-	body := o.gate.Budget.Try(100)
-	assert.True(t, o.Answer(x, request.Answer{Body: body}))
+	body := o.gate.Bodies.TryAllocate(100)
+	assert.True(t, o.Respond(x, request.Response{Body: body}))
 	assert.Nil(t, o.Leave(1, "cancelled"))
 	assert.False(t, o.Busy())
-	assert.Zero(t, o.gate.Budget.Used())
-	assert.Zero(t, o.gate.Owed())
+	assert.Zero(t, o.gate.Bodies.UsedBytes())
+	assert.Zero(t, o.gate.OpenRequests())
 }
 
 func TestClosedOutletTakesNothing(t *testing.T) {
 	o, x := outlet(t)
-	y := &request.Txn{Stream: 2, Name: "page"}
-	assert.Empty(t, o.gate.Txn(0))
+	y := &request.Request{StreamID: 2, ClassName: "page"}
+	assert.Empty(t, o.gate.AdmitRequest(0))
 	o.Open(y)
-	assert.True(t, o.Answer(y, request.Answer{Body: o.gate.Budget.Try(100)}))
-	assert.Equal(t, []*request.Txn{x}, o.Close("connection-ended"))
-	assert.False(t, o.Answer(x, request.Answer{Body: o.gate.Budget.Try(100)}))
-	assert.Zero(t, o.gate.Budget.Used(), "what comes too late is freed as well")
-	assert.Zero(t, o.gate.Owed())
+	assert.True(t, o.Respond(y, request.Response{Body: o.gate.Bodies.TryAllocate(100)}))
+	assert.Equal(t, []*request.Request{x}, o.Close("connection-ended"))
+	assert.False(t, o.Respond(x, request.Response{Body: o.gate.Bodies.TryAllocate(100)}))
+	assert.Zero(t, o.gate.Bodies.UsedBytes(), "what comes too late is freed as well")
+	assert.Zero(t, o.gate.OpenRequests())
 	assert.Equal(t, []int64{2, 1, 1, 0}, []int64{o.book.Count("taken"), o.book.Count("answered"), o.book.Count("left"), o.book.Count("open")})
 }
 
@@ -52,12 +52,12 @@
 	defer far.Close()
 	o, x := outlet(t)
 	c := netconn.New(near, 64, time.Millisecond)
-	assert.True(t, o.Answer(x, request.Answer{Body: o.gate.Budget.Try(1000)}))
+	assert.True(t, o.Respond(x, request.Response{Body: o.gate.Bodies.TryAllocate(1000)}))
 	assert.Error(t, o.Run(t.Context(), c))
 	var log bytes.Buffer
 	c.Done(telemetry.New(&log, ""), "client", "x")
 	assert.Contains(t, log.String(), "code=slow-reader")
-	assert.Zero(t, o.gate.Budget.Used())
+	assert.Zero(t, o.gate.Bodies.UsedBytes())
 	for range mostQueued + 1 {
 		assert.False(t, o.Full())
 		o.Say(nil)
@@ -70,7 +70,7 @@
 	near, far := net.Pipe()
 	o, x := outlet(t)
 	assert.False(t, o.Shut(), "a txn is open")
-	assert.True(t, o.Answer(x, request.Answer{}))
+	assert.True(t, o.Respond(x, request.Response{}))
 	assert.False(t, o.Shut(), "its answer waits")
 	done := make(chan error)
 	go func() { done <- o.Run(t.Context(), netconn.New(near, 64, time.Minute)) }()
@@ -88,10 +88,10 @@
 // TestNewsOfALeaverCountsAtOnce: whoever holds the txn sees it before the route stage has heard.
 func TestNewsOfALeaverCountsAtOnce(t *testing.T) {
 	o, x := outlet(t)
-	assert.False(t, x.Left())
+	assert.False(t, x.Cancelled())
 	o.Leave(1, "cancelled")
-	assert.True(t, x.Left())
+	assert.True(t, x.Cancelled())
 	o, x = outlet(t)
 	o.Close("connection-ended")
-	assert.True(t, x.Left())
+	assert.True(t, x.Cancelled())
 }
--- a/internal/upstream/link.go
+++ b/internal/upstream/link.go
@@ -30,7 +30,7 @@
 	id    string
 	head  []byte
 	body  *request.Body
-	txn   *request.Txn // of a hop
+	txn   *request.Request // of a hop
 	hop   bool
 
 	repeatable bool // of a rule that may run again
@@ -148,7 +148,7 @@
 		l.mu.Lock()
 		delete(l.undone, c.id)
 		l.mu.Unlock()
-		l.pool.Post(Ended{c, request.End{Code: c.undone}})
+		l.pool.Post(Ended{c, request.AttemptEnd{Code: c.undone}})
 	}
 }
 
@@ -205,7 +205,7 @@
 		c.Done(l.pool.Book, "member", peer)
 		return
 	}
-	c := netconn.New(raw, admission.MemberRing, writeStall)
+	c := netconn.New(raw, admission.EndpointRingBytes, writeStall)
 	c.Pause(max(l.pool.Connect, stallLeast))
 	g, ctx := errgroup.WithContext(ctx)
 	ctx, l.stop = context.WithCancel(ctx)
@@ -274,7 +274,7 @@
 		} else if c != nil && call.begun && call.end <= c.Wrote() {
 			code = routing.ConnectionBroken
 		}
-		l.pool.Post(Ended{call, request.End{Code: code}})
+		l.pool.Post(Ended{call, request.AttemptEnd{Code: code}})
 	}
 	l.pool.Post(Dropped{l})
 }
@@ -288,11 +288,11 @@
 		ok := len(l.queue) > 0
 		if ok {
 			x = l.queue[0]
-			if l.queue = l.queue[1:]; x.text == nil && x.call.txn != nil && x.call.txn.Left() {
+			if l.queue = l.queue[1:]; x.text == nil && x.call.txn != nil && x.call.txn.Cancelled() {
 				// Its client went while it waited here, for the connection or its turn: it never begins.
 				delete(l.calls, x.call.id)
 				l.mu.Unlock()
-				l.pool.Post(Ended{x.call, request.End{Code: routing.NotSent}})
+				l.pool.Post(Ended{x.call, request.AttemptEnd{Code: routing.NotSent}})
 				continue
 			}
 			if x.text == nil {
@@ -358,8 +358,8 @@
 		if call == nil {
 			l.pool.Book.Add("member.late-answers", 1)
 		}
-		if call != nil && call.hop && a.Code == routing.Completed && !a.Same {
-			if a.Body, err = l.pool.Gate.Budget.Wait(ctx, a.BodyBytes); err != nil {
+		if call != nil && call.hop && a.Code == routing.Completed && !a.NotModified {
+			if a.Body, err = l.pool.Gate.Bodies.Allocate(ctx, a.BodyBytes); err != nil {
 				return netconn.Shutdown, err
 			}
 			err = c.ReadFull(a.Body.Bytes)
@@ -399,7 +399,7 @@
 	}
 	if a.IsProbeReply == call.hop { // an answer of the other kind: what it is about can't be known
 		a.Body.Free()
-		a.End = request.End{Code: routing.ServerError}
+		a.AttemptEnd = request.AttemptEnd{Code: routing.ServerError}
 	}
-	l.pool.Post(Ended{call, a.End})
+	l.pool.Post(Ended{call, a.AttemptEnd})
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -42,7 +42,7 @@
 // Ended says that a call is over. Each call has one, unless its undoing ended it at once.
 type Ended struct {
 	Call *Call
-	End  request.End
+	End  request.AttemptEnd
 }
 
 // Dropped says that a link carries nothing any more.
@@ -50,7 +50,7 @@
 
 // Pool holds the links to all members. Its methods belong to one goroutine; what it hears it hands to Post.
 type Pool struct {
-	Gate    *admission.Gate
+	Gate    *admission.Controller
 	Book    *telemetry.Book
 	Post    func(any)
 	Connect time.Duration // longest wait for a connection
@@ -136,7 +136,7 @@
 	if best != nil && least == 0 && best.add(c) {
 		return c
 	}
-	if !p.Gate.Member(best == nil) {
+	if !p.Gate.AdmitEndpointConn(best == nil) {
 		if best != nil && best.add(c) {
 			return c
 		}
@@ -158,7 +158,7 @@
 	m.links = append(m.links, l)
 	p.Book.Began("member")
 	p.group.Go(func() error {
-		defer p.Gate.MemberDone()
+		defer p.Gate.EndpointConnDone()
 		l.run(p.ctx)
 		return nil
 	})
@@ -177,7 +177,7 @@
 func (p *Pool) Send(d cacheproto.Attempt, avoid []*Link, owner any) *Call {
 	head := cacheproto.AppendAttempt(nil, d)
 	return p.call(d.Endpoint, &Call{Owner: owner, id: d.Txn.ID, head: head, body: d.Txn.Body, txn: d.Txn, hop: true,
-		repeatable: p.Repeatable != nil && p.Repeatable(d.Txn.Rule)}, avoid)
+		repeatable: p.Repeatable != nil && p.Repeatable(d.Txn.Class)}, avoid)
 }
 
 // Check asks a member for its state.
--- a/internal/upstream/send_test.go
+++ b/internal/upstream/send_test.go
@@ -62,7 +62,7 @@
 }
 
 func (s *side) send(id string, body int, avoid ...*Link) *Call {
-	x := &request.Txn{ID: id, Name: "page", Object: "ff", Part: "0"}
+	x := &request.Request{ID: id, ClassName: "page", Object: "ff", Part: "0"}
 	if body > 0 {
 		x.Body = &request.Body{Bytes: make([]byte, body)}
 	}
@@ -102,11 +102,11 @@
 	assert.Equal(t, b, e.Call)
 	assert.Equal(t, "xyz", string(e.End.Body.Bytes))
 	assert.Equal(t, routing.CacheHit, e.End.Remark)
-	assert.EqualValues(t, 3, s.Gate.Budget.Used())
+	assert.EqualValues(t, 3, s.Gate.Bodies.UsedBytes())
 	e.End.Body.Free()
 	e.End.Body.Free()
-	assert.Zero(t, s.Gate.Budget.Used())
-	assert.Equal(t, Ended{Call: a, End: request.End{Code: routing.CacheMiss}}, s.end(t))
+	assert.Zero(t, s.Gate.Bodies.UsedBytes())
+	assert.Equal(t, Ended{Call: a, End: request.AttemptEnd{Code: routing.CacheMiss}}, s.end(t))
 	assert.EqualValues(t, 1, s.Book.Count("member.late-answers"))
 	assert.Equal(t, 1, s.Links(), "one connection carries both")
 }
@@ -150,12 +150,12 @@
 	asked(t, bufio.NewReader(far))
 	_, _ = io.WriteString(far, "a served digest=d,dated=1 10\r\nhalf")
 	_ = far.Close()
-	assert.Equal(t, request.End{Code: routing.ConnectionBroken}, s.end(t).End)
-	assert.Zero(t, s.Gate.Budget.Used())
+	assert.Equal(t, request.AttemptEnd{Code: routing.ConnectionBroken}, s.end(t).End)
+	assert.Zero(t, s.Gate.Bodies.UsedBytes())
 }
 
 func TestMembersOutOfStepAreClosed(t *testing.T) {
-	for _, bad := range []string{"a what - 0\r\n", "a served - 1\r\nxyz", "a served - x\r\n", strings.Repeat("x", admission.MemberRing), "\r\n"} {
+	for _, bad := range []string{"a what - 0\r\n", "a served - 1\r\nxyz", "a served - x\r\n", strings.Repeat("x", admission.EndpointRingBytes), "\r\n"} {
 		s := pool(t)
 		s.send("a", 0)
 		far := <-s.dialed
@@ -180,7 +180,7 @@
 			return nil, how
 		}
 		c := s.send("a", 0)
-		assert.Equal(t, Ended{Call: c, End: request.End{Code: code}}, s.end(t))
+		assert.Equal(t, Ended{Call: c, End: request.AttemptEnd{Code: code}}, s.end(t))
 		assert.Equal(t, Dropped{c.Link()}, <-s.ends)
 		s.Drop(c.Link())
 		assert.Zero(t, s.Links())
@@ -202,7 +202,7 @@
 		post(ev)
 	}
 	_, _ = io.WriteString(far, "a not_here - 0\r\n\r\n")
-	assert.Equal(t, Ended{Call: b, End: request.End{Code: routing.ConnectionBroken}}, s.end(t))
+	assert.Equal(t, Ended{Call: b, End: request.AttemptEnd{Code: routing.ConnectionBroken}}, s.end(t))
 	assert.Contains(t, s.after(t, a.Link()), "code=panic")
 }
 
@@ -222,9 +222,9 @@
 	_, atOnce = s.Undo(b, routing.Cancelled)
 	assert.False(t, atOnce)
 	assert.Equal(t, "undo b", asked(t, r))
-	assert.Equal(t, Ended{b, request.End{Code: routing.Cancelled}}, s.end(t))
+	assert.Equal(t, Ended{b, request.AttemptEnd{Code: routing.Cancelled}}, s.end(t))
 	_, _ = io.WriteString(far, "b served - 4\r\nlate\r\nc overload - 0\r\n\r\n")
-	assert.Equal(t, Ended{Call: c, End: request.End{Code: routing.Overloaded}}, s.end(t), "a late answer to what was given up is passed over")
+	assert.Equal(t, Ended{Call: c, End: request.AttemptEnd{Code: routing.Overloaded}}, s.end(t), "a late answer to what was given up is passed over")
 	assert.NotSame(t, b.Link(), s.send("b", 0, b.Link()).Link(), "the id is not used again where it may still be answered")
 }
 
@@ -251,7 +251,7 @@
 		} else {
 			_ = far.Close()
 		}
-		assert.Equal(t, Ended{a, request.End{Code: routing.TimedOut}}, s.end(t))
+		assert.Equal(t, Ended{a, request.AttemptEnd{Code: routing.TimedOut}}, s.end(t))
 	}
 }
 
@@ -271,7 +271,7 @@
 		asked(t, bufio.NewReader(far))
 		_, _ = io.WriteString(far, "a served digest=d,dated=1,remark=h 10\r\nhalf")
 		if !undone {
-			assert.Equal(t, Ended{Call: a, End: request.End{Code: routing.ConnectionBroken}}, s.end(t))
+			assert.Equal(t, Ended{Call: a, End: request.AttemptEnd{Code: routing.ConnectionBroken}}, s.end(t))
 			assert.Contains(t, s.after(t, a.Link()), "code=stalled")
 			continue
 		}
@@ -294,9 +294,9 @@
 	asked(t, bufio.NewReader(far))
 	asked(t, bufio.NewReader(other))
 	_, _ = io.WriteString(far, "a served digest=\x00\r\n")
-	assert.Equal(t, Ended{Call: a, End: request.End{Code: routing.ConnectionBroken}}, s.end(t))
+	assert.Equal(t, Ended{Call: a, End: request.AttemptEnd{Code: routing.ConnectionBroken}}, s.end(t))
 	_, _ = io.WriteString(other, "b not_here - 0\r\n\r\n")
-	assert.Equal(t, Ended{Call: b, End: request.End{Code: routing.CacheMiss}}, s.end(t))
+	assert.Equal(t, Ended{Call: b, End: request.AttemptEnd{Code: routing.CacheMiss}}, s.end(t))
 	assert.Same(t, b.Link(), s.send("c", 0).Link(), "one that nothing is open on is used again")
 }
 
@@ -341,7 +341,7 @@
 	s.Sweep(time.Now())
 	assert.NotSame(t, c.Link(), s.send("b", 0).Link(), "the address passed to another machine")
 	_, _ = io.WriteString(far, "a nobody - 0\r\n\r\n")
-	assert.Equal(t, Ended{Call: c, End: request.End{Code: routing.NotSent}}, s.end(t))
+	assert.Equal(t, Ended{Call: c, End: request.AttemptEnd{Code: routing.NotSent}}, s.end(t))
 	s.Sweep(time.Now().Add(time.Second))
 	assert.Equal(t, Dropped{c.Link()}, <-s.ends, "the old link ends once nothing is open on it")
 	s.stop()
@@ -355,7 +355,7 @@
 	far := <-s.dialed
 	assert.Equal(t, "top check1", asked(t, bufio.NewReader(far)))
 	_, _ = io.WriteString(far, "check1 green report=util:0.5 0\r\n\r\n")
-	assert.Equal(t, Ended{Call: c, End: request.End{Load: []routing.LoadMetric{{Name: "util", Value: 0.5}}}}, s.end(t))
+	assert.Equal(t, Ended{Call: c, End: request.AttemptEnd{LoadReport: []routing.LoadMetric{{Name: "util", Value: 0.5}}}}, s.end(t))
 	assert.Nil(t, s.Check("nobody", nil))
 }
 
@@ -375,11 +375,11 @@
 	hold := s.holdDials()
 	a := s.send("a", 0)
 	b := s.send("b", 0)
-	a.txn.Leave()
+	a.txn.Cancel()
 	close(hold)
 	r := bufio.NewReader(<-s.dialed)
 	assert.Equal(t, "do b", asked(t, r))
-	assert.Equal(t, Ended{a, request.End{Code: routing.NotSent}}, s.end(t))
+	assert.Equal(t, Ended{a, request.AttemptEnd{Code: routing.NotSent}}, s.end(t))
 	_, atOnce := s.Undo(a, routing.Cancelled)
 	assert.True(t, atOnce, "and no line undoes it")
 	assert.NotNil(t, b.Link())
--- a/internal/upstream/several.go
+++ b/internal/upstream/several.go
@@ -130,7 +130,7 @@
 	if best != nil && least == 0 && use() != nil {
 		return c
 	}
-	if (best != nil && len(m.links) >= p.Gate.Share()) || !p.Gate.Member(best == nil) {
+	if (best != nil && len(m.links) >= p.Gate.MaxConnsPerEndpoint()) || !p.Gate.AdmitEndpointConn(best == nil) {
 		return use()
 	}
 	l := p.link(id, m)
@@ -189,7 +189,7 @@
 			last = x.err
 		}
 		if r.Down(x.i); out > 0 { // the link itself holds a descriptor for one
-			p.Gate.MemberDone()
+			p.Gate.EndpointConnDone()
 		}
 		return false
 	}
@@ -206,7 +206,7 @@
 					p.Post(Dialed{l.member, plan[x.i].Addr, why, x.took.Seconds()})
 				}
 				if !first {
-					p.Gate.MemberDone()
+					p.Gate.EndpointConnDone()
 				}
 				return nil
 			})
@@ -214,7 +214,7 @@
 	}()
 	for {
 		now := unix(time.Now())
-		for i := r.Due(now, func() bool { return p.Gate.Member(false) }); i >= 0; i = r.Due(now, func() bool { return p.Gate.Member(false) }) {
+		for i := r.Due(now, func() bool { return p.Gate.AdmitEndpointConn(false) }); i >= 0; i = r.Due(now, func() bool { return p.Gate.AdmitEndpointConn(false) }) {
 			out++
 			go func() {
 				from := time.Now()
@@ -327,7 +327,7 @@
 	}
 	for _, look := range p.Reach.Looks(unix(now), linked) {
 		m := p.members[look.Member]
-		if m == nil || !p.Gate.Member(false) {
+		if m == nil || !p.Gate.AdmitEndpointConn(false) {
 			continue
 		}
 		p.Book.Add("reach.looks", 1)
--- a/internal/upstream/several_test.go
+++ b/internal/upstream/several_test.go
@@ -108,7 +108,7 @@
 	r := bufio.NewReader(far)
 	assert.Equal(t, "do a", asked(t, r))
 	_, _ = io.WriteString(far, "a not_here - 0\r\n\r\n")
-	assert.Equal(t, Ended{Call: c, End: request.End{Code: routing.CacheMiss}}, s.hear(t))
+	assert.Equal(t, Ended{Call: c, End: request.AttemptEnd{Code: routing.CacheMiss}}, s.hear(t))
 	assert.Equal(t, "refused", s.Reach.States(unix(time.Now()))[0].Why)
 }
 
@@ -175,7 +175,7 @@
 	s.Reach.Dialed(now, "m", first, address.Refused, 0)
 	s.Reach.Dialed(now, "m", second, address.Refused, 0)
 	c := s.send("a", 0)
-	assert.Equal(t, Ended{Call: c, End: request.End{Code: routing.ConnectFailed}}, s.hear(t))
+	assert.Equal(t, Ended{Call: c, End: request.AttemptEnd{Code: routing.ConnectFailed}}, s.hear(t))
 	assert.Empty(t, s.attempts)
 }
 
@@ -191,7 +191,7 @@
 	}
 	close(x.to)
 	assert.Equal(t, "do a", asked(t, bufio.NewReader((<-s.attempts).up())))
-	assert.False(t, s.Gate.Member(true), "the link's own is the only one held")
+	assert.False(t, s.Gate.AdmitEndpointConn(true), "the link's own is the only one held")
 }
 
 // A hop that is undone before its link is up was never written.
@@ -228,7 +228,7 @@
 	assert.Equal(t, "do b", asked(t, bufio.NewReader(other)))
 	_, _ = io.WriteString(other, "b not_here - 0\r\n\r\n")
 	assert.Equal(t, b, s.hear(t).Call)
-	x := &request.Txn{ID: "c", Name: "order", Object: "ff", Part: "0", Rule: 1}
+	x := &request.Request{ID: "c", ClassName: "order", Object: "ff", Part: "0", Class: 1}
 	c := s.Send(cacheproto.Attempt{Txn: x, TimeoutSeconds: 1, StartAttempt: routing.StartAttempt{Endpoint: "m"}}, nil, "c")
 	assert.Same(t, b.Link(), c.Link())
 	_, _ = io.WriteString(far, "a not_here - 0\r\n\r\n")
@@ -308,7 +308,7 @@
 	require.NoError(t, err)
 	assert.Equal(t, "do a", asked(t, bufio.NewReader(far)))
 	_, _ = io.WriteString(far, "a not_here - 0\r\n\r\n")
-	assert.Equal(t, Ended{Call: c, End: request.End{Code: routing.CacheMiss}}, s.hear(t))
+	assert.Equal(t, Ended{Call: c, End: request.AttemptEnd{Code: routing.CacheMiss}}, s.hear(t))
 	for i, want := range []string{"refused", "refused"} {
 		assert.Equal(t, want, s.Reach.States(unix(time.Now()))[i].Why)
 	}
