--- a/cmd/cairnfront/tier.go
+++ b/cmd/cairnfront/tier.go
@@ -36,8 +36,8 @@
 	verify := &cobra.Command{Use: "verify DIR", Short: "Read all and name every bad record; exit 1 if there is any", Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			shown := time.Now()
-			in, bad, err := diskcache.Verify(args[0], func(f diskcache.Fault) {
-				fmt.Fprintf(cmd.OutOrStdout(), "%s %s at %d: object %016x part %d: %v\n", f.Code, f.File, f.At, f.Key.Object, f.Key.Part, f.Err)
+			in, bad, err := diskcache.Verify(args[0], func(f diskcache.StoreError) {
+				fmt.Fprintf(cmd.OutOrStdout(), "%s %s at %d: object %016x part %d: %v\n", f.Code, f.File, f.Offset, f.Key.Object, f.Key.Chunk, f.Err)
 			}, func(done, all int) {
 				if terminal(os.Stderr) && time.Since(shown) > 200*time.Millisecond {
 					shown = time.Now()
--- a/internal/diskcache/compact.go
+++ b/internal/diskcache/compact.go
@@ -15,14 +15,14 @@
 )
 
 // SegmentUse is how full a segment is.
-type SegmentUse struct {
+type SegmentUsage struct {
 	ID         uint32
 	Size, Live int64
 	Sealed     bool
 }
 
 // Emptiest names the segment to rewrite next, if any is worth it: the one with the smallest share of live bytes.
-func Emptiest(uses []SegmentUse, space int64) (uint32, bool) {
+func PickCompaction(uses []SegmentUsage, space int64) (uint32, bool) {
 	all, best, least := int64(0), uint32(0), 2.0
 	for _, u := range uses {
 		all += u.Size
@@ -38,26 +38,26 @@
 }
 
 // Uses says how full each segment is.
-func (s *Store) Uses() []SegmentUse {
+func (s *Store) SegmentUsage() []SegmentUsage {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := make([]SegmentUse, 0, len(s.segments))
+	out := make([]SegmentUsage, 0, len(s.segments))
 	for _, g := range s.segments {
-		out = append(out, SegmentUse{g.id, g.size, g.live, g.sealed})
+		out = append(out, SegmentUsage{g.id, g.size, g.live, g.sealed})
 	}
 	return out
 }
 
 // Moved is what a compaction did.
-type Moved struct {
+type CompactionResult struct {
 	Kept, Dropped, Bad int
 	Freed              int64 // bytes
 }
 
 // Compact rewrites one sealed segment: what is alive and wanted goes to the active one, then the file is removed. A
 // crash on the way leaves a part twice at worst, with the same seq. Between two parts others may write.
-func (s *Store) Compact(id uint32, wanted func(Meta) bool) (Moved, error) {
-	var m Moved
+func (s *Store) Compact(id uint32, wanted func(Meta) bool) (CompactionResult, error) {
+	var m CompactionResult
 	s.mu.Lock()
 	g := s.segments[id]
 	if g == nil || !g.sealed || s.closed {
@@ -83,13 +83,13 @@
 	for i := range places {
 		p := &places[i]
 		part, err := s.read(g, *p)
-		if errors.Is(err, vfs.ErrPower) {
+		if errors.Is(err, vfs.ErrPowerLoss) {
 			return m, err
 		}
 		if err != nil {
 			m.Bad++
 			s.dropIf(p.key(), p.seq)
-			s.fault(Fault{Code: BadBody, File: g.name, At: int64(p.at) * grain, Key: p.key(), Err: err})
+			s.fault(StoreError{Code: CodeBadBody, File: g.name, Offset: int64(p.at) * grain, Key: p.key(), Err: err})
 			continue
 		}
 		if !wanted(part.Meta) {
@@ -107,7 +107,7 @@
 		wrote += int64(p.size)
 	}
 	if err := s.Sync(); err != nil { // what was moved must be there before its old place goes
-		return m, s.writeFault(Fault{File: g.name, Err: err})
+		return m, s.writeFault(StoreError{File: g.name, Err: err})
 	}
 	s.mu.Lock()
 	if g.live != 0 { // somebody put it back here: it can't be, segments are sealed
@@ -119,7 +119,7 @@
 	s.mu.Unlock()
 	m.Freed = g.size - wrote
 	if err := errors.Join(s.fs.Remove(g.name), s.fs.SyncDir()); err != nil {
-		return m, s.writeFault(Fault{File: g.name, Err: err})
+		return m, s.writeFault(StoreError{File: g.name, Err: err})
 	}
 	return m, nil
 }
--- a/internal/diskcache/eviction/baseline.go
+++ b/internal/diskcache/eviction/baseline.go
@@ -27,17 +27,17 @@
 	return true
 }
 
-func (l *lru) add(now float64, k Key, size int64) Choice {
+func (l *lru) add(now float64, k Key, size int64) Decision {
 	if size > l.capacity {
-		return Choice{}
+		return Decision{}
 	}
-	c := Choice{Keep: true}
+	c := Decision{Admit: true}
 	for l.bytes+size > l.capacity {
 		x := l.order.oldest()
 		l.order.cut(x)
 		delete(l.parts, x.key)
 		l.bytes -= x.size
-		c.Out = append(c.Out, x.key)
+		c.Evict = append(c.Evict, x.key)
 	}
 	e := &entry{key: k, size: size, last: now}
 	l.parts[k] = e
@@ -57,9 +57,9 @@
 }
 
 // Ask implements Policy.
-func (p *LRU) Ask(now float64, k Key, size int64) Choice {
+func (p *LRU) Request(now float64, k Key, size int64) Decision {
 	if p.use(now, k) {
-		return Choice{Held: true}
+		return Decision{Cached: true}
 	}
 	return p.add(now, k, size)
 }
@@ -89,7 +89,7 @@
 }
 
 // Ask implements Policy (the paper's Figure 1 with Eq. 5).
-func (p *XLRU) Ask(now float64, k Key, size int64) Choice {
+func (p *XLRU) Request(now float64, k Key, size int64) Decision {
 	age := math.Inf(1) // while the disk is not full
 	if x := p.order.oldest(); x != nil && p.bytes+size > p.capacity {
 		age = now - x.last
@@ -105,10 +105,10 @@
 	v.last = now
 	p.sweep(now, age)
 	if p.use(now, k) {
-		return Choice{Held: true}
+		return Decision{Cached: true}
 	}
 	if !v.serve {
-		return Choice{}
+		return Decision{}
 	}
 	return p.add(now, k, size)
 }
--- a/internal/diskcache/eviction/keep.go
+++ b/internal/diskcache/eviction/keep.go
@@ -29,27 +29,27 @@
 // Key names a part of an object.
 type Key struct {
 	Object uint64
-	Part   uint32
+	Chunk  uint32
 }
 
 // Terms are what the operators' file says of the choice.
-type Terms struct {
-	Alpha    float64 // cost of a fill over that of a pass (the paper's alpha_F2R), over 0
-	Capacity int64   // bytes of the disk
-	Ghosts   int     // parts remembered that are not held
-	Daily    int64   // bytes that may be written a day, 0 for any
+type Config struct {
+	Alpha           float64 // cost of a fill over that of a pass (the paper's alpha_F2R), over 0
+	CapacityBytes   int64   // bytes of the disk
+	MaxGhosts       int     // parts remembered that are not held
+	DailyWriteBytes int64   // bytes that may be written a day, 0 for any
 }
 
 // Choice is what is to be done with a part that was asked for.
-type Choice struct {
-	Held bool  // it was held already
-	Keep bool  // it is to be written, and is held from now on
-	Out  []Key // parts to drop for it
+type Decision struct {
+	Cached bool  // it was held already
+	Admit  bool  // it is to be written, and is held from now on
+	Evict  []Key // parts to drop for it
 }
 
 // Policy is a choice that can be compared with others. Only Core serves; the others are baselines.
 type Policy interface {
-	Ask(now float64, k Key, size int64) Choice
+	Request(now float64, k Key, size int64) Decision
 }
 
 // entry is a part that is held, or a ghost: one that is remembered with its gap.
@@ -91,8 +91,8 @@
 }
 
 // Core is the choice. It is not safe for more than one goroutine.
-type Core struct {
-	terms  Terms
+type Cafe struct {
+	terms  Config
 	cf, cr float64
 	parts  map[Key]*entry
 	byGap  *btree.BTreeG[*entry] // held parts, largest gap first
@@ -106,12 +106,12 @@
 }
 
 // New makes a choice that holds nothing.
-func New(t Terms) *Core {
+func NewCafe(t Config) *Cafe {
 	if !(t.Alpha > 0) || math.IsInf(t.Alpha, 1) {
 		t.Alpha = 1
 	}
-	c := &Core{terms: t, cf: 2 * t.Alpha / (t.Alpha + 1), cr: 2 / (t.Alpha + 1), parts: map[Key]*entry{},
-		of: map[uint64][]*entry{}, first: math.NaN(), tokens: float64(t.Daily) * burstShare}
+	c := &Cafe{terms: t, cf: 2 * t.Alpha / (t.Alpha + 1), cr: 2 / (t.Alpha + 1), parts: map[Key]*entry{},
+		of: map[uint64][]*entry{}, first: math.NaN(), tokens: float64(t.DailyWriteBytes) * burstShare}
 	c.byGap = btree.NewG(degree, func(a, b *entry) bool {
 		if a.rank != b.rank {
 			return a.rank < b.rank
@@ -119,27 +119,27 @@
 		if a.key.Object != b.key.Object {
 			return a.key.Object < b.key.Object
 		}
-		return a.key.Part < b.key.Part
+		return a.key.Chunk < b.key.Chunk
 	})
 	c.ghosts.init()
 	return c
 }
 
 // Bytes is how much is held, Parts how many parts, Remembered how many that are not held.
-func (c *Core) Bytes() int64 { return c.bytes }
+func (c *Cafe) Bytes() int64 { return c.bytes }
 
 // Parts is how many parts are held.
-func (c *Core) Parts() int { return c.count }
+func (c *Cafe) Chunks() int { return c.count }
 
 // Remembered is how many parts are remembered that are not held.
-func (c *Core) Remembered() int { return c.ghosts.n }
+func (c *Cafe) Ghosts() int { return c.ghosts.n }
 
 // Holds says whether a part is held.
-func (c *Core) Holds(k Key) bool { e := c.parts[k]; return e != nil && e.held }
+func (c *Cafe) Contains(k Key) bool { e := c.parts[k]; return e != nil && e.held }
 
 // Budget is how many bytes may be written now, infinite where there is no budget.
-func (c *Core) Budget(now float64) float64 {
-	if c.terms.Daily <= 0 {
+func (c *Cafe) WriteBudget(now float64) float64 {
+	if c.terms.DailyWriteBytes <= 0 {
 		return math.Inf(1)
 	}
 	c.refill(now)
@@ -150,12 +150,12 @@
 // is half full, the time for which there have been requests, if that is more. In seconds. The time since the least
 // recent use was tried and is worse: one part that was much wanted for an hour keeps its low gap while it ages, T grows
 // with it, and where T is large alpha no longer counts (docs/disk-tier.md has the figures).
-func (c *Core) Horizon(now float64) float64 {
+func (c *Cafe) CacheAge(now float64) float64 {
 	T := leastAge
 	if e, ok := c.byGap.Min(); ok {
 		T = max(T, e.gap(now))
 	}
-	if !math.IsNaN(c.first) && c.bytes < c.terms.Capacity/2 {
+	if !math.IsNaN(c.first) && c.bytes < c.terms.CapacityBytes/2 {
 		T = max(T, now-c.first)
 	}
 	return T
@@ -165,7 +165,7 @@
 
 // Gap is a part's averaged gap (Eq. 8) in seconds; that of an unseen one is the largest of its object's held parts,
 // infinite where none is held.
-func (c *Core) Gap(now float64, k Key) float64 {
+func (c *Cafe) Gap(now float64, k Key) float64 {
 	if e := c.parts[k]; e != nil {
 		return e.gap(now)
 	}
@@ -181,15 +181,15 @@
 }
 
 // Ask takes a request of a part of so many bytes and says what to do with it (Eq. 6 and 7).
-func (c *Core) Ask(now float64, k Key, size int64) Choice {
+func (c *Cafe) Request(now float64, k Key, size int64) Decision {
 	if math.IsNaN(c.first) {
 		c.first = now
 	}
-	T, gap := c.Horizon(now), c.Gap(now, k)
+	T, gap := c.CacheAge(now), c.Gap(now, k)
 	e := c.parts[k]
 	if e != nil && e.held {
 		c.requested(e, now, T)
-		return Choice{Held: true}
+		return Decision{Cached: true}
 	}
 	keep, out := c.serves(now, size, T, gap)
 	if e == nil {
@@ -199,10 +199,10 @@
 	}
 	e.size = size
 	c.requested(e, now, T)
-	choice := Choice{Keep: keep}
+	choice := Decision{Admit: keep}
 	if keep {
 		for _, x := range out {
-			choice.Out = append(choice.Out, x.key)
+			choice.Evict = append(choice.Evict, x.key)
 			c.drop(x)
 		}
 		c.tokens -= float64(size)
@@ -213,22 +213,22 @@
 }
 
 // serves compares the cost of keeping a part of a size with that of passing it, and names what it would displace.
-func (c *Core) serves(now float64, size int64, T, gap float64) (bool, []*entry) {
-	if size <= 0 || size > c.terms.Capacity {
+func (c *Cafe) serves(now float64, size int64, T, gap float64) (bool, []*entry) {
+	if size <= 0 || size > c.terms.CapacityBytes {
 		return false, nil
 	}
 	least, wear := min(c.cf, c.cr), 0.0
-	if c.terms.Daily > 0 {
+	if c.terms.DailyWriteBytes > 0 {
 		if c.refill(now); c.tokens < float64(size) {
 			return false, nil
 		}
-		burst := float64(c.terms.Daily) * burstShare
+		burst := float64(c.terms.DailyWriteBytes) * burstShare
 		wear = max(0, 1-c.tokens/burst/dearBelow)
 	}
 	serve := float64(size) * c.cf * (1 + wear)
 	pass := float64(size) * (c.cr + T/gap*least)
 	var out []*entry
-	need := size - (c.terms.Capacity - c.bytes)
+	need := size - (c.terms.CapacityBytes - c.bytes)
 	c.byGap.Ascend(func(x *entry) bool {
 		if need <= 0 || serve >= pass {
 			return false
@@ -242,7 +242,7 @@
 }
 
 // requested updates a part's gap and its places. A first request sets its gap to T (the design's own rule).
-func (c *Core) requested(e *entry, now, T float64) {
+func (c *Cafe) requested(e *entry, now, T float64) {
 	if e.held {
 		c.byGap.Delete(e)
 	} else {
@@ -252,7 +252,7 @@
 	c.place(e)
 }
 
-func (c *Core) place(e *entry) {
+func (c *Cafe) place(e *entry) {
 	e.rank = gamma*e.last - (1-gamma)*e.dt
 	if e.held {
 		c.byGap.ReplaceOrInsert(e)
@@ -261,7 +261,7 @@
 	}
 }
 
-func (c *Core) hold(e *entry) {
+func (c *Cafe) hold(e *entry) {
 	c.ghosts.cut(e)
 	e.held = true
 	c.count++
@@ -271,7 +271,7 @@
 }
 
 // drop makes a held part a ghost.
-func (c *Core) drop(e *entry) {
+func (c *Cafe) drop(e *entry) {
 	c.byGap.Delete(e)
 	c.count--
 	e.held = false
@@ -289,8 +289,8 @@
 }
 
 // forget keeps the ghosts within their bound, the longest unused first.
-func (c *Core) forget() {
-	for c.ghosts.n > c.terms.Ghosts {
+func (c *Cafe) forget() {
+	for c.ghosts.n > c.terms.MaxGhosts {
 		e := c.ghosts.oldest()
 		c.ghosts.cut(e)
 		delete(c.parts, e.key)
@@ -298,7 +298,7 @@
 }
 
 // Lost says that a part is not held after all: it could not be written or read, or was purged.
-func (c *Core) Lost(k Key) {
+func (c *Cafe) Remove(k Key) {
 	if e := c.parts[k]; e != nil && e.held {
 		c.drop(e)
 		c.forget()
@@ -306,22 +306,22 @@
 }
 
 // Memory is what is known of a held part; it goes into the index snapshot and comes back from there.
-type Memory struct {
-	Gap, Last float64 // s; Unix s
+type AccessHistory struct {
+	MeanGap, LastAccess float64 // s; Unix s
 }
 
 // Recall says what is known of a held part.
-func (c *Core) Recall(k Key) (Memory, bool) {
+func (c *Cafe) History(k Key) (AccessHistory, bool) {
 	e := c.parts[k]
 	if e == nil || !e.held {
-		return Memory{}, false
+		return AccessHistory{}, false
 	}
-	return Memory{Gap: e.dt, Last: e.last}, true
+	return AccessHistory{MeanGap: e.dt, LastAccess: e.last}, true
 }
 
 // Load takes a part that was found on the disk at a start. It returns what has to be dropped where the disk holds
 // more than it should by now.
-func (c *Core) Load(k Key, size int64, m Memory) []Key {
+func (c *Cafe) Restore(k Key, size int64, m AccessHistory) []Key {
 	e := c.parts[k]
 	if e != nil && e.held {
 		return nil
@@ -331,10 +331,10 @@
 		c.parts[k] = e
 		c.ghosts.push(e)
 	}
-	e.size, e.dt, e.last = size, max(m.Gap, 0), m.Last
+	e.size, e.dt, e.last = size, max(m.MeanGap, 0), m.LastAccess
 	c.hold(e)
 	var out []Key
-	for c.bytes > c.terms.Capacity {
+	for c.bytes > c.terms.CapacityBytes {
 		x, _ := c.byGap.Min()
 		out = append(out, x.key)
 		c.drop(x)
@@ -344,10 +344,10 @@
 }
 
 // refill adds what the budget gained since it was last looked at.
-func (c *Core) refill(now float64) {
+func (c *Cafe) refill(now float64) {
 	if c.filled > 0 && now > c.filled {
-		rate := float64(c.terms.Daily) / daySeconds
-		c.tokens = min(c.tokens+rate*(now-c.filled), float64(c.terms.Daily)*burstShare)
+		rate := float64(c.terms.DailyWriteBytes) / daySeconds
+		c.tokens = min(c.tokens+rate*(now-c.filled), float64(c.terms.DailyWriteBytes)*burstShare)
 	}
 	c.filled = max(c.filled, now)
 }
--- a/internal/diskcache/format.go
+++ b/internal/diskcache/format.go
@@ -35,18 +35,18 @@
 // Meta is what is told of a copy. Dated is the Unix ms at which the origin gave it out.
 type Meta struct {
 	eviction.Key
-	Group uint16 // trust.UnknownGroup where nobody told
-	Rank  uint8
-	Dated int64
-	Tag   string
-	Seq   uint64 // place in the order of writing; the store gives it
+	Group    uint16 // trust.UnknownGroup where nobody told
+	Rank     uint8
+	IssuedAt int64
+	Tag      string
+	Seq      uint64 // place in the order of writing; the store gives it
 }
 
 // Part is a copy with its bytes.
-type Part struct {
+type Chunk struct {
 	Meta
-	Body      []byte
-	Confirmed uint16 // the doubt in which its source last confirmed it
+	Body           []byte
+	ConfirmedEpoch uint16 // the doubt in which its source last confirmed it
 }
 
 // recordSize is what a copy takes on the disk.
@@ -102,11 +102,11 @@
 	b = append(b, formatVersion, kind)
 	b = le.AppendUint16(b, uint16(len(m.Tag)))
 	b = le.AppendUint64(b, m.Object)
-	b = le.AppendUint32(b, m.Part)
+	b = le.AppendUint32(b, m.Chunk)
 	b = le.AppendUint16(b, m.Group)
 	b = append(b, m.Rank, 0)
 	b = le.AppendUint64(b, m.Seq)
-	b = le.AppendUint64(b, uint64(m.Dated))
+	b = le.AppendUint64(b, uint64(m.IssuedAt))
 	b = le.AppendUint32(b, uint32(size))
 	b = le.AppendUint32(b, bodySum)
 	b = le.AppendUint64(b, uint64(wroteMS))
@@ -144,9 +144,9 @@
 	if b[4] != formatVersion || b[5] != partKind && b[5] != struckKind {
 		return h, fmt.Errorf("record of version %d and kind %d", b[4], b[5])
 	}
-	h.Object, h.Part, h.Group, h.Rank = le.Uint64(b[8:]), le.Uint32(b[16:]), le.Uint16(b[20:]), b[22]
+	h.Object, h.Chunk, h.Group, h.Rank = le.Uint64(b[8:]), le.Uint32(b[16:]), le.Uint16(b[20:]), b[22]
 	h.struck = b[5] == struckKind
-	h.Seq, h.Dated = le.Uint64(b[24:]), int64(le.Uint64(b[32:]))
+	h.Seq, h.IssuedAt = le.Uint64(b[24:]), int64(le.Uint64(b[32:]))
 	h.bodyLen, h.bodySum = int(le.Uint32(b[40:])), le.Uint32(b[44:])
 	h.Tag = string(b[recordHead : recordHead+tag])
 	if h.bodyLen > mostBody {
--- a/internal/diskcache/index.go
+++ b/internal/diskcache/index.go
@@ -8,7 +8,7 @@
 
 // IndexBytes is what the index takes in memory a part: 40 bytes a place, and a table is between 64% and 80% full once
 // it has grown. Measured over a million parts by BenchmarkOpen: 50 to 63.
-const IndexBytes = 63
+const IndexBytesPerChunk = 63
 
 const (
 	shards      = 256  // so that a table that grows copies few entries
@@ -32,7 +32,7 @@
 	rank      uint8
 }
 
-func (p *place) key() eviction.Key { return eviction.Key{Object: p.object, Part: p.part} }
+func (p *place) key() eviction.Key { return eviction.Key{Object: p.object, Chunk: p.part} }
 
 // index is an open table of places in shards; the zero value is empty.
 type index struct {
@@ -42,7 +42,7 @@
 }
 
 func hash(k eviction.Key) uint64 {
-	x := k.Object ^ uint64(k.Part)*0x9e3779b97f4a7c15
+	x := k.Object ^ uint64(k.Chunk)*0x9e3779b97f4a7c15
 	x = (x ^ x>>33) * 0xff51afd7ed558ccd
 	x = (x ^ x>>33) * 0xc4ceb9fe1a85ec53
 	return x ^ x>>33
@@ -65,7 +65,7 @@
 		if p.segment == noSegment {
 			return nil
 		}
-		if p.object == k.Object && p.part == k.Part {
+		if p.object == k.Object && p.part == k.Chunk {
 			return p
 		}
 		if i++; i == len(table) {
@@ -159,7 +159,7 @@
 }
 
 // IndexBytesFor is what the index takes a part once it holds so many, exactly: the places of its tables.
-func IndexBytesFor(parts int) float64 {
+func MeasureIndexBytes(parts int) float64 {
 	var x index
 	for i := range parts {
 		x.put(place{object: uint64(i / 15), part: uint32(i % 15), segment: 1})
--- a/internal/diskcache/notices.go
+++ b/internal/diskcache/notices.go
@@ -13,7 +13,7 @@
 // acknowledged, and what is written next must not be followed by it.
 func (s *Store) readLog() ([]validity.Record, error) {
 	f, err := s.fs.Open(noticesName)
-	if errors.Is(err, vfs.ErrGone) {
+	if errors.Is(err, vfs.ErrNotExist) {
 		if err = s.replace(noticesName, nil); err == nil {
 			f, err = s.fs.Open(noticesName)
 		}
@@ -39,7 +39,7 @@
 			}
 			r, err := validity.ParseRecord(b)
 			if err != nil {
-				s.fault(Fault{Code: BadLog, File: noticesName, At: s.logged, Err: err})
+				s.fault(StoreError{Code: CodeBadPurgeLog, File: noticesName, Offset: s.logged, Err: err})
 				return out, s.cutLog()
 			}
 			out = append(out, r)
@@ -57,7 +57,7 @@
 }
 
 // Log writes records of purges. When it returns without an error they outlast a loss of power.
-func (s *Store) Log(records []validity.Record) error {
+func (s *Store) AppendPurgeRecords(records []validity.Record) error {
 	var b []byte
 	for _, r := range records {
 		b = validity.AppendRecord(b, r)
@@ -65,21 +65,21 @@
 	s.logMu.Lock()
 	defer s.logMu.Unlock()
 	if _, err := s.notices.WriteAt(b, s.logged); err != nil {
-		return s.writeFault(Fault{File: noticesName, At: s.logged, Err: err})
+		return s.writeFault(StoreError{File: noticesName, Offset: s.logged, Err: err})
 	}
 	if err := s.notices.Sync(); err != nil {
-		return s.writeFault(Fault{File: noticesName, At: s.logged, Err: err})
+		return s.writeFault(StoreError{File: noticesName, Offset: s.logged, Err: err})
 	}
 	s.logged += int64(len(b))
 	return nil
 }
 
 // LogSize is how long the log of purges is, in bytes.
-func (s *Store) LogSize() int64 { s.logMu.Lock(); defer s.logMu.Unlock(); return s.logged }
+func (s *Store) PurgeLogBytes() int64 { s.logMu.Lock(); defer s.logMu.Unlock(); return s.logged }
 
 // Relog replaces the log by a shorter one that says the same. Get is asked for it once no other record can come
 // between.
-func (s *Store) Relog(get func() []validity.Record) error {
+func (s *Store) RewritePurgeLog(get func() []validity.Record) error {
 	s.logMu.Lock()
 	defer s.logMu.Unlock()
 	var b []byte
@@ -87,11 +87,11 @@
 		b = validity.AppendRecord(b, r)
 	}
 	if err := s.replace(noticesName, b); err != nil {
-		return s.writeFault(Fault{File: noticesName, Err: err})
+		return s.writeFault(StoreError{File: noticesName, Err: err})
 	}
 	f, err := s.fs.Open(noticesName)
 	if err != nil {
-		return s.writeFault(Fault{File: noticesName, Err: err})
+		return s.writeFault(StoreError{File: noticesName, Err: err})
 	}
 	_ = s.notices.Close()
 	s.notices, s.logged = f, int64(len(b))
--- a/internal/diskcache/powercut.go
+++ b/internal/diskcache/powercut.go
@@ -16,11 +16,11 @@
 // faulty disk, with the power cut in the middle, and a look at what is there after.
 
 // CutResult is what a played power cut showed.
-type CutResult struct {
+type PowerLossResult struct {
 	Ops, Checked int      // operations of the disk; parts read after the restart
 	Recovered    int      // of them whole
 	Purges       int      // acknowledged before the cut
-	Wrong        []string // what broke, one line each
+	Violations   []string // what broke, one line each
 }
 
 type powerScript struct {
@@ -32,30 +32,32 @@
 }
 
 // PlayPowerCut plays the script drawn from the seed with the power cut at an operation; 0 cuts it at the end.
-func PlayPowerCut(seed uint64, cut int) CutResult { return (&powerScript{seed: seed, cut: cut}).play() }
+func RunPowerLoss(seed uint64, cut int) PowerLossResult {
+	return (&powerScript{seed: seed, cut: cut}).play()
+}
 
 // wrote is all versions of a part that were ever handed to the store: what is served must be one of them.
 type wrote map[eviction.Key]map[int64][]byte
 
-func (p *powerScript) play() (out CutResult) {
+func (p *powerScript) play() (out PowerLossResult) {
 	rnd := rand.New(rand.NewPCG(p.seed, 77))
-	fs := vfs.NewFaulty(p.seed*31 + uint64(p.cut))
+	fs := vfs.NewFaultFS(p.seed*31 + uint64(p.cut))
 	salt := p.seed
-	limits := Limits{SegmentBytes: 2500, Clock: func() time.Time { return time.UnixMilli(1) },
+	limits := StoreOptions{SegmentBytes: 2500, Clock: func() time.Time { return time.UnixMilli(1) },
 		Salt: func() uint64 { salt++; return salt * 0x9e3779b97f4a7c15 }}
 	ever, acked := wrote{}, map[uint64]int64{}
 	synced := map[eviction.Key]int64{} // the newest version that a sync has covered, unless dropped
 	clock := int64(1000)
 	for life := range 3 {
-		if fs.CutAfter = 0; life == 1 || (life == 0 && p.cut > 0) {
-			fs.CutAfter = max(p.cut, 1)
+		if fs.PowerLossAfter = 0; life == 1 || (life == 0 && p.cut > 0) {
+			fs.PowerLossAfter = max(p.cut, 1)
 			if life == 1 { // and again while it recovers, or soon after
-				fs.CutAfter = 1 + int(p.seed+uint64(p.cut))%25
+				fs.PowerLossAfter = 1 + int(p.seed+uint64(p.cut))%25
 			}
 		}
 		p.live(fs, limits, rnd, &clock, ever, acked, synced, life, &out)
 		if life == 0 {
-			out.Ops = fs.Ops()
+			out.Ops = fs.OpCount()
 		}
 		fs.Restart()
 	}
@@ -63,44 +65,46 @@
 }
 
 // live opens the folder, checks what is there and goes on with the script until the power goes or the script ends.
-func (p *powerScript) live(fs *vfs.Faulty, limits Limits, rnd *rand.Rand, clock *int64, ever wrote, acked map[uint64]int64,
-	synced map[eviction.Key]int64, life int, out *CutResult) {
+func (p *powerScript) live(fs *vfs.FaultFS, limits StoreOptions, rnd *rand.Rand, clock *int64, ever wrote, acked map[uint64]int64,
+	synced map[eviction.Key]int64, life int, out *PowerLossResult) {
 	say := func(form string, args ...any) {
-		out.Wrong = append(out.Wrong, fmt.Sprintf("life %d: ", life)+fmt.Sprintf(form, args...))
+		out.Violations = append(out.Violations, fmt.Sprintf("life %d: ", life)+fmt.Sprintf(form, args...))
 	}
-	s, rep, err := Open(fs, limits, true, nil)
+	s, rep, err := OpenStore(fs, limits, true, nil)
 	if err != nil {
-		if !errors.Is(err, vfs.ErrPower) {
+		if !errors.Is(err, vfs.ErrPowerLoss) {
 			say("can't be opened: %v", err)
 		}
 		return
 	}
-	core := validity.New(0)
-	core.Restore(rep.Records, s.Top(), *clock)
+	core := validity.NewTracker(0)
+	core.Restore(rep.Records, s.LastSeq(), *clock)
 	current := p.check(s, core, ever, acked, synced, say, out) // what the index names
 	var log []validity.Record
 	steps := 45
 	for range steps {
 		*clock += int64(1 + rnd.IntN(3))
-		key := eviction.Key{Object: uint64(rnd.IntN(8)), Part: uint32(rnd.IntN(3))}
+		key := eviction.Key{Object: uint64(rnd.IntN(8)), Chunk: uint32(rnd.IntN(3))}
 		switch rnd.IntN(12) {
 		case 0, 1: // a purge
-			r := validity.Record{Kind: validity.PurgeObject, Object: key.Object, At: *clock}
+			r := validity.Record{Kind: validity.PurgeObject, Object: key.Object, PurgedAt: *clock}
 			if log = append(log, r); p.unsyncedLog {
 				if _, err := s.notices.WriteAt(validity.AppendRecord(nil, r), s.logged); err == nil {
 					s.logged += validity.RecordSize
 					acked[key.Object] = *clock
 				}
-			} else if s.Log([]validity.Record{r}) == nil {
+			} else if s.AppendPurgeRecords([]validity.Record{r}) == nil {
 				acked[key.Object] = *clock
 				out.Purges++
 			}
 		case 2:
-			if id, ok := Emptiest(s.Uses(), 1); ok {
-				_, _ = s.Compact(id, func(m Meta) bool { return m.Dated > acked[m.Object] })
+			if id, ok := PickCompaction(s.SegmentUsage(), 1); ok {
+				_, _ = s.Compact(id, func(m Meta) bool { return m.IssuedAt > acked[m.Object] })
 			}
 		case 3:
-			_ = s.Snapshot(func(eviction.Key) (eviction.Memory, bool) { return eviction.Memory{Gap: 1, Last: 2}, true })
+			_ = s.WriteSnapshot(func(eviction.Key) (eviction.AccessHistory, bool) {
+				return eviction.AccessHistory{MeanGap: 1, LastAccess: 2}, true
+			})
 		case 4:
 			if s.Sync() == nil {
 				for key, v := range current {
@@ -108,12 +112,12 @@
 				}
 			}
 		case 5:
-			s.Drop(key)
+			s.Delete(key)
 			delete(synced, key)
 			delete(current, key)
 		case 6:
-			_ = s.Relog(func() []validity.Record {
-				c := validity.New(0)
+			_ = s.RewritePurgeLog(func() []validity.Record {
+				c := validity.NewTracker(0)
 				c.Restore(append(rep.Records, log...), 0, *clock)
 				return c.Records(*clock)
 			})
@@ -127,7 +131,7 @@
 				ever[key] = map[int64][]byte{}
 			}
 			ever[key][*clock] = b
-			if _, err := s.Put(Meta{Key: key, Dated: *clock, Tag: fmt.Sprint("v", *clock)}, b); err == nil {
+			if _, err := s.Put(Meta{Key: key, IssuedAt: *clock, Tag: fmt.Sprint("v", *clock)}, b); err == nil {
 				current[key] = *clock
 			}
 		}
@@ -138,23 +142,23 @@
 
 // check reads every part. Each that is served must be, whole, a version that was written under that name, and with
 // what was acknowledged no copy may pass as younger than its purge.
-func (p *powerScript) check(s *Store, core *validity.Core, ever wrote, acked map[uint64]int64, synced map[eviction.Key]int64,
-	say func(string, ...any), out *CutResult) map[eviction.Key]int64 {
+func (p *powerScript) check(s *Store, core *validity.Tracker, ever wrote, acked map[uint64]int64, synced map[eviction.Key]int64,
+	say func(string, ...any), out *PowerLossResult) map[eviction.Key]int64 {
 	served := map[eviction.Key]int64{}
 	for o := range uint64(8) {
 		for part := range uint32(3) {
-			key := eviction.Key{Object: o, Part: part}
+			key := eviction.Key{Object: o, Chunk: part}
 			got, err := s.Get(key)
 			if p.uncheckedBody && err != nil {
 				if pl := s.index.find(key); pl != nil {
 					err = nil
 				}
-				var f Fault
-				if errors.As(err, &f) && f.Code == BadBody {
+				var f StoreError
+				if errors.As(err, &f) && f.Code == CodeBadBody {
 					say("object %d part %d: torn bytes", o, part)
 				}
 			}
-			if errors.Is(err, vfs.ErrPower) {
+			if errors.Is(err, vfs.ErrPowerLoss) {
 				return served
 			}
 			out.Checked++
@@ -165,12 +169,12 @@
 				continue
 			}
 			out.Recovered++
-			served[key] = got.Dated
-			if b, ok := ever[key][got.Dated]; !ok || !bytes.Equal(b, got.Body) || got.Tag != fmt.Sprint("v", got.Dated) {
-				say("object %d part %d: wrong bytes for version %d", o, part, got.Dated)
+			served[key] = got.IssuedAt
+			if b, ok := ever[key][got.IssuedAt]; !ok || !bytes.Equal(b, got.Body) || got.Tag != fmt.Sprint("v", got.IssuedAt) {
+				say("object %d part %d: wrong bytes for version %d", o, part, got.IssuedAt)
 			}
 		}
-		if at := acked[o]; at > 0 && !core.Voided(validity.Copy{Object: o, Dated: at}) {
+		if at := acked[o]; at > 0 && !core.IsInvalidated(validity.Copy{Object: o, IssuedAt: at}) {
 			say("object %d: the purge at %d was acknowledged and is forgotten", o, at)
 		}
 	}
--- a/internal/diskcache/snapshot.go
+++ b/internal/diskcache/snapshot.go
@@ -23,12 +23,12 @@
 )
 
 // Snapshot writes the index with what is known of each part's gaps.
-func (s *Store) Snapshot(recall func(eviction.Key) (eviction.Memory, bool)) error {
+func (s *Store) WriteSnapshot(recall func(eviction.Key) (eviction.AccessHistory, bool)) error {
 	s.write.Lock()
 	defer s.write.Unlock()
 	if s.active != nil { // what is named must be there
 		if err := s.active.file.Sync(); err != nil {
-			return s.writeFault(Fault{File: s.active.name, Err: err})
+			return s.writeFault(StoreError{File: s.active.name, Err: err})
 		}
 	}
 	s.mu.Lock()
@@ -43,7 +43,7 @@
 
 	f, err := s.fs.Create(snapshotName + freshSuffix)
 	if err != nil {
-		return s.writeFault(Fault{File: snapshotName, Err: err})
+		return s.writeFault(StoreError{File: snapshotName, Err: err})
 	}
 	w := &at{f: f}
 	buf := bufio.NewWriterSize(w, 256<<10)
@@ -73,14 +73,14 @@
 		b = le.AppendUint32(b, p.at)
 		b = le.AppendUint32(b, p.size)
 		b = append(b, p.rank, 0, 0, 0, 0, 0, 0, 0)
-		m := eviction.Memory{Gap: math.NaN()}
+		m := eviction.AccessHistory{MeanGap: math.NaN()}
 		if recall != nil {
 			if known, ok := recall(p.key()); ok {
 				m = known
 			}
 		}
-		b = le.AppendUint64(b, math.Float64bits(m.Gap))
-		b = le.AppendUint64(b, math.Float64bits(m.Last))
+		b = le.AppendUint64(b, math.Float64bits(m.MeanGap))
+		b = le.AppendUint64(b, math.Float64bits(m.LastAccess))
 		put(le.AppendUint64(b, 0))
 	}
 	_, _ = buf.Write(le.AppendUint32(nil, sum))
@@ -93,7 +93,7 @@
 	}
 	if err != nil {
 		_ = s.fs.Remove(snapshotName + freshSuffix)
-		return s.writeFault(Fault{File: snapshotName, Err: err})
+		return s.writeFault(StoreError{File: snapshotName, Err: err})
 	}
 	return nil
 }
@@ -121,16 +121,16 @@
 
 // readSnapshot enters what the snapshot names and says up to where it covers each segment. One that can't be used is
 // passed over whole.
-func (s *Store) readSnapshot(rep *Report, want bool) map[uint32]int64 {
+func (s *Store) readSnapshot(rep *RecoveryReport, want bool) map[uint32]int64 {
 	f, err := s.fs.Open(snapshotName)
 	if err != nil {
 		return nil
 	}
 	defer f.Close()
-	known := map[eviction.Key]eviction.Memory{}
+	known := map[eviction.Key]eviction.AccessHistory{}
 	covered, err := s.loadSnapshot(f, rep, want, known)
 	if err != nil {
-		s.fault(Fault{Code: BadSnap, File: snapshotName, Err: err})
+		s.fault(StoreError{Code: CodeBadSnapshot, File: snapshotName, Err: err})
 		s.index, s.seq = index{}, 0
 		for _, g := range s.segments {
 			g.live, g.oldest = 0, 1<<63-1
@@ -145,7 +145,7 @@
 	return covered
 }
 
-func (s *Store) loadSnapshot(f vfs.File, rep *Report, want bool, known map[eviction.Key]eviction.Memory) (map[uint32]int64, error) {
+func (s *Store) loadSnapshot(f vfs.File, rep *RecoveryReport, want bool, known map[eviction.Key]eviction.AccessHistory) (map[uint32]int64, error) {
 	r := bufio.NewReaderSize(&at{f: f}, 256<<10)
 	sum := uint32(0)
 	buf := make([]byte, snapEntry)
@@ -179,12 +179,12 @@
 				return nil, fmt.Errorf("segment %08x is covered up to %d", id, upto)
 			}
 			if covered[id] = min(upto, g.size); g.size < upto {
-				s.fault(Fault{Code: CutOff, File: g.name, At: g.size, Err: fmt.Errorf("it was %d bytes long", upto)})
+				s.fault(StoreError{Code: CodeTruncated, File: g.name, Offset: g.size, Err: fmt.Errorf("it was %d bytes long", upto)})
 			}
 			g.oldest = int64(le.Uint64(b[24:]))
 		} else {
 			gone[id] = true
-			s.fault(Fault{Code: Missing, File: fmt.Sprintf(segmentForm, id), Err: errors.New("the snapshot names it: lost, or compacted since")})
+			s.fault(StoreError{Code: CodeMissingSegment, File: fmt.Sprintf(segmentForm, id), Err: errors.New("the snapshot names it: lost, or compacted since")})
 		}
 	}
 	s.index.reserve(int(entries))
@@ -207,7 +207,7 @@
 		s.index.put(p)
 		rep.FromSnapshot++
 		if gap := math.Float64frombits(le.Uint64(b[40:])); want && !math.IsNaN(gap) {
-			known[p.key()] = eviction.Memory{Gap: gap, Last: math.Float64frombits(le.Uint64(b[48:]))}
+			known[p.key()] = eviction.AccessHistory{MeanGap: gap, LastAccess: math.Float64frombits(le.Uint64(b[48:]))}
 		}
 	}
 	want32 := sum
--- a/internal/diskcache/store.go
+++ b/internal/diskcache/store.go
@@ -26,49 +26,49 @@
 
 // Codes of what goes wrong with a folder, for counters and log lines; docs/operate/disk-tier.md lists them.
 const (
-	BadHead  = "bad-head"        // a record's head can't be read
-	BadBody  = "bad-body"        // a record's body is not what was written
-	CutOff   = "cut-off"         // a segment ends within a record
-	Missing  = "missing-segment" // a segment that the index names is not there
-	BadSeg   = "bad-segment"     // a segment's head can't be read
-	BadLog   = "bad-notices"     // the log of purges ends in something else
-	BadSnap  = "bad-snapshot"    // the index snapshot was not used
-	ReadFail = "read-failed"
-	FullDisk = "disk-full"
-	WriteErr = "write-failed"
-	OldForm  = "other-format"
+	CodeBadHeader      = "bad-head"        // a record's head can't be read
+	CodeBadBody        = "bad-body"        // a record's body is not what was written
+	CodeTruncated      = "cut-off"         // a segment ends within a record
+	CodeMissingSegment = "missing-segment" // a segment that the index names is not there
+	CodeBadSegment     = "bad-segment"     // a segment's head can't be read
+	CodeBadPurgeLog    = "bad-notices"     // the log of purges ends in something else
+	CodeBadSnapshot    = "bad-snapshot"    // the index snapshot was not used
+	CodeReadFailed     = "read-failed"
+	CodeDiskFull       = "disk-full"
+	CodeWriteFailed    = "write-failed"
+	CodeOtherFormat    = "other-format"
 )
 
 // Errors of the store.
 var (
-	ErrAbsent = errors.New("not held")
-	ErrFormat = errors.New("folder of another format")
-	errClosed = errors.New("store is closed")
+	ErrNotFound          = errors.New("not held")
+	ErrUnsupportedFormat = errors.New("folder of another format")
+	errClosed            = errors.New("store is closed")
 )
 
 // Fault is one thing that is wrong with a folder. It costs the parts concerned and nothing else.
-type Fault struct {
-	Code string
-	File string
-	At   int64
-	Key  eviction.Key
-	Err  error
+type StoreError struct {
+	Code   string
+	File   string
+	Offset int64
+	Key    eviction.Key
+	Err    error
 }
 
-func (f Fault) Error() string {
-	return fmt.Sprintf("%s: %s at %d: %v", f.Code, f.File, f.At, f.Err)
+func (f StoreError) Error() string {
+	return fmt.Sprintf("%s: %s at %d: %v", f.Code, f.File, f.Offset, f.Err)
 }
 
-func (f Fault) Unwrap() error { return f.Err }
+func (f StoreError) Unwrap() error { return f.Err }
 
 // Limits of a store, from the operators' file.
-type Limits struct {
+type StoreOptions struct {
 	SegmentBytes int64 // size at which a segment is closed
 	Clock        func() time.Time
 	Salt         func() uint64 // for tests; else from the system
 }
 
-func (l Limits) fill() Limits {
+func (l StoreOptions) fill() StoreOptions {
 	if l.SegmentBytes <= 0 {
 		l.SegmentBytes = 64 << 20
 	}
@@ -101,9 +101,9 @@
 // Store is a folder of parts. Its methods may be called from several goroutines; writers wait for each other.
 type Store struct {
 	fs     vfs.FS
-	limits Limits
+	limits StoreOptions
 	unlock func()
-	fault  func(Fault) // told of each; never nil
+	fault  func(StoreError) // told of each; never nil
 
 	write  sync.Mutex // held by whoever appends, compacts or snapshots
 	active *segment
@@ -121,7 +121,7 @@
 }
 
 // Report is what a start found.
-type Report struct {
+type RecoveryReport struct {
 	Parts, Segments       int
 	Bytes                 int64
 	Scanned               int64 // bytes read of segments
@@ -129,24 +129,24 @@
 	Records               []validity.Record
 	Faults                int
 	Took                  time.Duration
-	Known                 map[eviction.Key]eviction.Memory `json:"-"` // gaps that the snapshot held; nil where there was none
+	Known                 map[eviction.Key]eviction.AccessHistory `json:"-"` // gaps that the snapshot held; nil where there was none
 	SnapshotUsed, Created bool
 }
 
 // Open opens a folder, or makes a new one in an empty folder. Each fault found is told to fault; it costs the parts
 // concerned. Want says whether the gaps of the snapshot are wanted.
-func Open(fs vfs.FS, l Limits, want bool, fault func(Fault)) (*Store, Report, error) {
+func OpenStore(fs vfs.FS, l StoreOptions, want bool, fault func(StoreError)) (*Store, RecoveryReport, error) {
 	if fault == nil {
-		fault = func(Fault) {}
+		fault = func(StoreError) {}
 	}
 	began := time.Now()
-	rep := Report{}
+	rep := RecoveryReport{}
 	unlock, err := fs.Lock(lockName)
 	if err != nil {
 		return nil, rep, fmt.Errorf("opening the folder: %w", err)
 	}
 	s := &Store{fs: fs, limits: l.fill(), unlock: unlock, segments: map[uint32]*segment{}, nextID: 1}
-	s.fault = func(f Fault) { rep.Faults++; fault(f) }
+	s.fault = func(f StoreError) { rep.Faults++; fault(f) }
 	if err := s.open(&rep, want); err != nil {
 		s.closeFiles()
 		unlock()
@@ -161,7 +161,7 @@
 	return s, rep, nil
 }
 
-func (s *Store) open(rep *Report, want bool) error {
+func (s *Store) open(rep *RecoveryReport, want bool) error {
 	names, err := s.fs.List()
 	if err != nil {
 		return fmt.Errorf("listing the folder: %w", err)
@@ -183,10 +183,10 @@
 		}
 		s.nextID = max(s.nextID, id+1)
 		if err := s.openSegment(id, name); err != nil {
-			if errors.Is(err, vfs.ErrPower) {
+			if errors.Is(err, vfs.ErrPowerLoss) {
 				return err
 			}
-			s.fault(Fault{Code: BadSeg, File: name, Err: err})
+			s.fault(StoreError{Code: CodeBadSegment, File: name, Err: err})
 		}
 	}
 	covered := s.readSnapshot(rep, want)
@@ -210,7 +210,7 @@
 }
 
 // format checks the folder's version and writes it into a new folder.
-func (s *Store) format(names []string, rep *Report) error {
+func (s *Store) format(names []string, rep *RecoveryReport) error {
 	if slices.Contains(names, formatName) {
 		f, err := s.fs.Open(formatName)
 		if err != nil {
@@ -222,7 +222,7 @@
 		var v int
 		if _, err := fmt.Sscanf(string(text[:n]), "cairnfront disk tier %d\n", &v); err == nil && v != formatVersion {
 			return fmt.Errorf("%w: version %d, this program reads version %d; empty the folder or use the program that wrote it",
-				ErrFormat, v, formatVersion)
+				ErrUnsupportedFormat, v, formatVersion)
 		} else if err == nil {
 			return nil
 		} // torn at its first start: written anew, unless there are parts
@@ -230,7 +230,7 @@
 	for _, name := range names {
 		if strings.HasPrefix(name, "seg-") || name == noticesName {
 			if !slices.Contains(names, formatName) {
-				return fmt.Errorf("%w: it holds %s and no %s", ErrFormat, name, formatName)
+				return fmt.Errorf("%w: it holds %s and no %s", ErrUnsupportedFormat, name, formatName)
 			}
 		}
 	}
@@ -267,7 +267,7 @@
 	}
 	b := make([]byte, segmentHead)
 	n, err := f.ReadAt(b, 0)
-	if errors.Is(err, vfs.ErrPower) {
+	if errors.Is(err, vfs.ErrPowerLoss) {
 		return err
 	}
 	salt, err := parseSegmentHead(b[:n], id)
@@ -302,11 +302,11 @@
 	for at := from; at+recordHead <= g.size; {
 		if at < base || at+recordHead+mostTag > base+int64(len(win)) && base+int64(len(win)) < g.size {
 			n, err := g.file.ReadAt(buf[:min(int64(width), g.size-at)], at)
-			if errors.Is(err, vfs.ErrPower) {
+			if errors.Is(err, vfs.ErrPowerLoss) {
 				return read, err
 			}
 			if n < recordHead {
-				s.fault(Fault{Code: ReadFail, File: g.name, At: at, Err: err})
+				s.fault(StoreError{Code: CodeReadFailed, File: g.name, Offset: at, Err: err})
 				return read, nil
 			}
 			read += int64(n)
@@ -314,14 +314,14 @@
 		}
 		h, err := parseHead(win[at-base:], g.salt)
 		if err == nil && at+h.size() > g.size {
-			s.fault(Fault{Code: CutOff, File: g.name, At: at, Key: h.Key, Err: errors.New("the file ends within the part")})
+			s.fault(StoreError{Code: CodeTruncated, File: g.name, Offset: at, Key: h.Key, Err: errors.New("the file ends within the part")})
 			err = errors.New("cut off")
 			lost = true
 		}
 		if err != nil {
 			if !lost {
 				lost = true
-				s.fault(Fault{Code: BadHead, File: g.name, At: at, Err: err})
+				s.fault(StoreError{Code: CodeBadHeader, File: g.name, Offset: at, Err: err})
 			}
 			at += grain
 			width = wideWindow
@@ -332,12 +332,12 @@
 			continue
 		}
 		if bodies {
-			_, err := s.read(g, place{object: h.Object, part: h.Part, seq: h.Seq, at: uint32(at / grain), size: uint32(h.size())})
-			if errors.Is(err, vfs.ErrPower) {
+			_, err := s.read(g, place{object: h.Object, part: h.Chunk, seq: h.Seq, at: uint32(at / grain), size: uint32(h.size())})
+			if errors.Is(err, vfs.ErrPowerLoss) {
 				return read, err
 			}
 			if read += int64(h.bodyLen); err != nil {
-				s.fault(Fault{Code: BadBody, File: g.name, At: at, Key: h.Key, Err: err})
+				s.fault(StoreError{Code: CodeBadBody, File: g.name, Offset: at, Key: h.Key, Err: err})
 				if err := s.strike(g, at, h); err != nil {
 					return read, err
 				}
@@ -362,7 +362,7 @@
 	if err == nil {
 		err = g.file.Sync()
 	}
-	if errors.Is(err, vfs.ErrPower) {
+	if errors.Is(err, vfs.ErrPowerLoss) {
 		return err
 	}
 	return nil // it stays a torn one: each start will try again
@@ -370,7 +370,7 @@
 
 // enter takes a record into the index unless a newer one of its part is there.
 func (s *Store) enter(g *segment, at int64, h head) {
-	g.oldest = min(g.oldest, h.Dated)
+	g.oldest = min(g.oldest, h.IssuedAt)
 	s.seq = max(s.seq, h.Seq)
 	old := s.index.find(h.Key)
 	if old != nil && old.seq >= h.Seq {
@@ -380,14 +380,14 @@
 		s.segments[old.segment].live -= int64(old.size)
 	}
 	g.live += h.size()
-	s.index.put(place{object: h.Object, part: h.Part, seq: h.Seq, segment: g.id, at: uint32(at / grain), size: uint32(h.size()), rank: h.Rank})
+	s.index.put(place{object: h.Object, part: h.Chunk, seq: h.Seq, segment: g.id, at: uint32(at / grain), size: uint32(h.size()), rank: h.Rank})
 }
 
 // Top is the highest seq written.
-func (s *Store) Top() uint64 { s.mu.Lock(); defer s.mu.Unlock(); return s.seq }
+func (s *Store) LastSeq() uint64 { s.mu.Lock(); defer s.mu.Unlock(); return s.seq }
 
 // Parts is how many parts are held.
-func (s *Store) Parts() int { s.mu.Lock(); defer s.mu.Unlock(); return s.index.n }
+func (s *Store) Chunks() int { s.mu.Lock(); defer s.mu.Unlock(); return s.index.n }
 
 // Sizes are the bytes that live parts take and those of all segments.
 func (s *Store) Sizes() (live, all int64) {
@@ -401,7 +401,7 @@
 }
 
 // Oldest is the time of the oldest record on the disk, alive or not; far in the future where there is none.
-func (s *Store) Oldest() int64 {
+func (s *Store) OldestIssuedAt() int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	oldest := int64(1<<63 - 1)
@@ -412,7 +412,7 @@
 }
 
 // Has says whether a part is held, as far as the index knows.
-func (s *Store) Has(k eviction.Key) bool {
+func (s *Store) Contains(k eviction.Key) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.index.find(k) != nil
@@ -450,23 +450,23 @@
 func (s *Store) append(m Meta, body []byte, moved *place) error {
 	size := recordSize(len(m.Tag), len(body))
 	if err := s.roll(size); err != nil {
-		return s.writeFault(Fault{File: fmt.Sprintf(segmentForm, s.nextID), Key: m.Key, Err: err})
+		return s.writeFault(StoreError{File: fmt.Sprintf(segmentForm, s.nextID), Key: m.Key, Err: err})
 	}
 	g := s.active
 	at := g.size
 	if _, err := g.file.WriteAt(appendRecord(nil, g.salt, m, body, s.limits.Clock().UnixMilli()), at); err != nil {
 		// The next record takes the same place.
-		return s.writeFault(Fault{File: g.name, At: at, Key: m.Key, Err: err})
+		return s.writeFault(StoreError{File: g.name, Offset: at, Key: m.Key, Err: err})
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	g.size += size
-	g.oldest = min(g.oldest, m.Dated)
+	g.oldest = min(g.oldest, m.IssuedAt)
 	old := s.index.find(m.Key)
 	if moved != nil && (old == nil || old.seq != moved.seq) {
 		return nil
 	}
-	p := place{object: m.Object, part: m.Part, seq: m.Seq, segment: g.id, at: uint32(at / grain), size: uint32(size), rank: m.Rank}
+	p := place{object: m.Object, part: m.Chunk, seq: m.Seq, segment: g.id, at: uint32(at / grain), size: uint32(size), rank: m.Rank}
 	if old != nil {
 		s.segments[old.segment].live -= int64(old.size)
 	}
@@ -478,10 +478,10 @@
 	return nil
 }
 
-func (s *Store) writeFault(f Fault) error {
-	f.Code = WriteErr
-	if errors.Is(f.Err, vfs.ErrFull) {
-		f.Code = FullDisk
+func (s *Store) writeFault(f StoreError) error {
+	f.Code = CodeWriteFailed
+	if errors.Is(f.Err, vfs.ErrNoSpace) {
+		f.Code = CodeDiskFull
 	}
 	s.fault(f)
 	return f
@@ -525,12 +525,12 @@
 }
 
 // Get reads a part whole and checks it. ErrAbsent says that it is not held; a Fault costs the part, which is dropped.
-func (s *Store) Get(k eviction.Key) (Part, error) {
+func (s *Store) Get(k eviction.Key) (Chunk, error) {
 	s.mu.Lock()
 	found := s.index.find(k)
 	if found == nil || s.closed {
 		s.mu.Unlock()
-		return Part{}, ErrAbsent
+		return Chunk{}, ErrNotFound
 	}
 	p := *found
 	g := s.segments[p.segment]
@@ -542,17 +542,17 @@
 	s.closeDead(g)
 	s.mu.Unlock()
 	if err != nil {
-		if errors.Is(err, vfs.ErrPower) {
-			return Part{}, err
+		if errors.Is(err, vfs.ErrPowerLoss) {
+			return Chunk{}, err
 		}
-		f := Fault{Code: ReadFail, File: g.name, At: int64(p.at) * grain, Key: k, Err: err}
+		f := StoreError{Code: CodeReadFailed, File: g.name, Offset: int64(p.at) * grain, Key: k, Err: err}
 		var bad badRecord
 		if errors.As(err, &bad) {
 			f.Code = bad.code
 		}
 		s.dropIf(k, p.seq)
 		s.fault(f)
-		return Part{}, f
+		return Chunk{}, f
 	}
 	return part, nil
 }
@@ -565,24 +565,24 @@
 func (b badRecord) Error() string { return b.err.Error() }
 
 // read reads the record at a place and holds it against what the place says.
-func (s *Store) read(g *segment, p place) (Part, error) {
+func (s *Store) read(g *segment, p place) (Chunk, error) {
 	b := make([]byte, p.size)
 	n, err := g.file.ReadAt(b, int64(p.at)*grain)
 	if n < len(b) {
-		return Part{}, fmt.Errorf("read %d of %d bytes: %w", n, len(b), err)
+		return Chunk{}, fmt.Errorf("read %d of %d bytes: %w", n, len(b), err)
 	}
 	h, err := parseHead(b, g.salt)
 	if err != nil {
-		return Part{}, badRecord{BadHead, err}
+		return Chunk{}, badRecord{CodeBadHeader, err}
 	}
 	if h.struck || h.Key != p.key() || h.Seq != p.seq || h.size() != int64(p.size) {
-		return Part{}, badRecord{BadHead, fmt.Errorf("another part stands there: object %016x part %d", h.Object, h.Part)}
+		return Chunk{}, badRecord{CodeBadHeader, fmt.Errorf("another part stands there: object %016x part %d", h.Object, h.Chunk)}
 	}
 	body := b[recordHead+len(h.Tag):][:h.bodyLen:h.bodyLen]
 	if crc32.Checksum(body, castagnoli) != h.bodySum {
-		return Part{}, badRecord{BadBody, errors.New("body's checksum does not hold")}
+		return Chunk{}, badRecord{CodeBadBody, errors.New("body's checksum does not hold")}
 	}
-	return Part{Meta: h.Meta, Body: body, Confirmed: p.confirmed}, nil
+	return Chunk{Meta: h.Meta, Body: body, ConfirmedEpoch: p.confirmed}, nil
 }
 
 func (s *Store) closeDead(g *segment) {
@@ -593,7 +593,7 @@
 }
 
 // Drop forgets a part. Its bytes are given back by compaction; after a start it may be there again.
-func (s *Store) Drop(k eviction.Key) bool { return s.dropIf(k, 0) }
+func (s *Store) Delete(k eviction.Key) bool { return s.dropIf(k, 0) }
 
 func (s *Store) dropIf(k eviction.Key, seq uint64) bool {
 	s.mu.Lock()
--- a/internal/diskcache/store_test.go
+++ b/internal/diskcache/store_test.go
@@ -18,12 +18,12 @@
 	"pgregory.net/rapid"
 )
 
-func k(o, p int) eviction.Key { return eviction.Key{Object: uint64(o), Part: uint32(p)} }
+func k(o, p int) eviction.Key { return eviction.Key{Object: uint64(o), Chunk: uint32(p)} }
 
 // body is made of the part and its time, so that a wrong one shows.
 func body(key eviction.Key, dated int64, n int) []byte {
 	b := make([]byte, n)
-	r := rand.New(rand.NewPCG(key.Object<<8|uint64(key.Part), uint64(dated)))
+	r := rand.New(rand.NewPCG(key.Object<<8|uint64(key.Chunk), uint64(dated)))
 	for i := range b {
 		b[i] = byte(r.Uint32())
 	}
@@ -31,19 +31,19 @@
 }
 
 func meta(key eviction.Key, dated int64) Meta {
-	return Meta{Key: key, Group: uint16(key.Object % 5), Dated: dated, Tag: fmt.Sprintf("t%d", dated), Rank: 2}
+	return Meta{Key: key, Group: uint16(key.Object % 5), IssuedAt: dated, Tag: fmt.Sprintf("t%d", dated), Rank: 2}
 }
 
-func small() Limits {
+func small() StoreOptions {
 	salt := uint64(0)
-	return Limits{SegmentBytes: 4096, Salt: func() uint64 { salt++; return salt * 0x9e3779b97f4a7c15 },
+	return StoreOptions{SegmentBytes: 4096, Salt: func() uint64 { salt++; return salt * 0x9e3779b97f4a7c15 },
 		Clock: func() time.Time { return time.UnixMilli(5000) }}
 }
 
-func open(t *testing.T, fs vfs.FS) (*Store, Report, *[]Fault) {
+func open(t *testing.T, fs vfs.FS) (*Store, RecoveryReport, *[]StoreError) {
 	t.Helper()
-	var faults []Fault
-	s, rep, err := Open(fs, small(), true, func(f Fault) { faults = append(faults, f) })
+	var faults []StoreError
+	s, rep, err := OpenStore(fs, small(), true, func(f StoreError) { faults = append(faults, f) })
 	require.NoError(t, err)
 	return s, rep, &faults
 }
@@ -58,7 +58,7 @@
 	t.Helper()
 	p, err := s.Get(key)
 	require.NoError(t, err)
-	assert.Equal(t, dated, p.Dated)
+	assert.Equal(t, dated, p.IssuedAt)
 	assert.Equal(t, meta(key, dated).Tag, p.Tag)
 	assert.Equal(t, uint16(key.Object%5), p.Group)
 	assert.True(t, bytes.Equal(body(key, dated, n), p.Body))
@@ -76,11 +76,13 @@
 			put(t, s, k(i, 1), 100, 10)
 		}
 		put(t, s, k(7, 0), 200, 33)
-		s.Drop(k(8, 0))
+		s.Delete(k(8, 0))
 		_, err := s.Get(k(8, 0))
-		assert.ErrorIs(t, err, ErrAbsent)
+		assert.ErrorIs(t, err, ErrNotFound)
 		if snapshot {
-			require.NoError(t, s.Snapshot(func(eviction.Key) (eviction.Memory, bool) { return eviction.Memory{Gap: 3, Last: 4}, true }))
+			require.NoError(t, s.WriteSnapshot(func(eviction.Key) (eviction.AccessHistory, bool) {
+				return eviction.AccessHistory{MeanGap: 3, LastAccess: 4}, true
+			}))
 			put(t, s, k(99, 0), 300, 40)
 		}
 		require.NoError(t, s.Close())
@@ -88,30 +90,30 @@
 	s, rep, faults := open(t, d)
 	assert.Empty(t, *faults)
 	assert.True(t, rep.SnapshotUsed)
-	assert.Equal(t, eviction.Memory{Gap: 3, Last: 4}, rep.Known[k(7, 0)])
+	assert.Equal(t, eviction.AccessHistory{MeanGap: 3, LastAccess: 4}, rep.Known[k(7, 0)])
 	assert.Less(t, rep.Scanned, int64(9000), "only what the snapshot does not cover")
 	holds(t, s, k(7, 0), 200, 33)
 	holds(t, s, k(9, 0), 100, 309)
 	holds(t, s, k(99, 0), 300, 40)
-	_, _, err = Open(d, small(), false, nil)
-	assert.ErrorIs(t, err, vfs.ErrInUse)
+	_, _, err = OpenStore(d, small(), false, nil)
+	assert.ErrorIs(t, err, vfs.ErrLocked)
 	require.NoError(t, s.Close())
 }
 
 func TestCompactionGivesSpaceBackAndKeepsWhatIsWanted(t *testing.T) {
-	fs := vfs.NewFaulty(1)
+	fs := vfs.NewFaultFS(1)
 	s, _, _ := open(t, fs)
 	for i := range 40 {
 		put(t, s, k(i, 0), 100, 400)
 	}
 	for i := range 40 {
 		if i%4 != 0 {
-			s.Drop(k(i, 0))
+			s.Delete(k(i, 0))
 		}
 	}
 	_, before := s.Sizes()
 	for range 20 {
-		id, ok := Emptiest(s.Uses(), 1<<30)
+		id, ok := PickCompaction(s.SegmentUsage(), 1<<30)
 		if !ok {
 			break
 		}
@@ -120,11 +122,11 @@
 	}
 	live, after := s.Sizes()
 	assert.Less(t, after, before/2)
-	assert.Equal(t, 9, s.Parts())
+	assert.Equal(t, 9, s.Chunks())
 	assert.Less(t, float64(after)/float64(live), 2.2)
 	holds(t, s, k(8, 0), 100, 400)
 	_, err := s.Get(k(4, 0))
-	assert.ErrorIs(t, err, ErrAbsent)
+	assert.ErrorIs(t, err, ErrNotFound)
 	require.NoError(t, s.Close())
 	s, _, faults := open(t, fs)
 	assert.Empty(t, *faults)
@@ -133,17 +135,17 @@
 
 // A part that is dropped while it is being moved stays dropped.
 func TestAPartDroppedWhileItIsMovedStaysDropped(t *testing.T) {
-	s, _, _ := open(t, vfs.NewFaulty(1))
+	s, _, _ := open(t, vfs.NewFaultFS(1))
 	for i := range 12 {
 		put(t, s, k(i, 0), 100, 400)
 	}
 	_, err := s.Compact(1, func(m Meta) bool {
-		s.Drop(m.Key) // a purge comes in between
+		s.Delete(m.Key) // a purge comes in between
 		return true
 	})
 	require.NoError(t, err)
 	for i := range 7 {
-		assert.False(t, s.Has(k(i, 0)), i)
+		assert.False(t, s.Contains(k(i, 0)), i)
 	}
 }
 
@@ -152,41 +154,41 @@
 	rec := recordSize(len("t100"), size)
 	cases := []struct {
 		name string
-		hurt func(*vfs.Faulty)
+		hurt func(*vfs.FaultFS)
 		lost int
 		code string
 	}{
-		{"a bit in a head", func(f *vfs.Faulty) { f.Flip("seg-00000001.cf", segmentHead+rec+20, 3) }, 1, BadHead},
-		{"a bit in a body", func(f *vfs.Faulty) { f.Flip("seg-00000001.cf", segmentHead+rec+recordHead+50, 3) }, 1, BadBody},
-		{"a segment cut off", func(f *vfs.Faulty) {
+		{"a bit in a head", func(f *vfs.FaultFS) { f.FlipBit("seg-00000001.cf", segmentHead+rec+20, 3) }, 1, CodeBadHeader},
+		{"a bit in a body", func(f *vfs.FaultFS) { f.FlipBit("seg-00000001.cf", segmentHead+rec+recordHead+50, 3) }, 1, CodeBadBody},
+		{"a segment cut off", func(f *vfs.FaultFS) {
 			h, _ := f.Open("seg-00000002.cf")
 			_ = h.Truncate(segmentHead + 3*rec + 100)
-		}, -1, CutOff},
-		{"a segment's head", func(f *vfs.Faulty) { f.Flip("seg-00000001.cf", 17, 0) }, 8, BadSeg},
-		{"a segment missing", func(f *vfs.Faulty) { _ = f.Remove("seg-00000001.cf") }, 8, Missing},
-		{"a read that fails", func(f *vfs.Faulty) {
-			f.ReadFails = func(name string, at int64) bool { return name == "seg-00000001.cf" && at == segmentHead+rec }
-		}, 1, ReadFail},
-		{"a snapshot's bit", func(f *vfs.Faulty) { f.Flip(snapshotName, 200, 1) }, 0, BadSnap},
-		{"the notices' end", func(f *vfs.Faulty) {
+		}, -1, CodeTruncated},
+		{"a segment's head", func(f *vfs.FaultFS) { f.FlipBit("seg-00000001.cf", 17, 0) }, 8, CodeBadSegment},
+		{"a segment missing", func(f *vfs.FaultFS) { _ = f.Remove("seg-00000001.cf") }, 8, CodeMissingSegment},
+		{"a read that fails", func(f *vfs.FaultFS) {
+			f.FailRead = func(name string, at int64) bool { return name == "seg-00000001.cf" && at == segmentHead+rec }
+		}, 1, CodeReadFailed},
+		{"a snapshot's bit", func(f *vfs.FaultFS) { f.FlipBit(snapshotName, 200, 1) }, 0, CodeBadSnapshot},
+		{"the notices' end", func(f *vfs.FaultFS) {
 			h, _ := f.Open(noticesName)
 			_, _ = h.WriteAt([]byte("garbage"), validity.RecordSize)
-		}, 0, BadLog},
+		}, 0, CodeBadPurgeLog},
 	}
 	for _, c := range cases {
 		for _, snapshot := range []bool{false, true} {
-			if !snapshot && (c.code == Missing || c.code == BadSnap) {
+			if !snapshot && (c.code == CodeMissingSegment || c.code == CodeBadSnapshot) {
 				continue
 			}
 			t.Run(fmt.Sprint(c.name, snapshot), func(t *testing.T) {
-				fs := vfs.NewFaulty(1)
+				fs := vfs.NewFaultFS(1)
 				s, _, _ := open(t, fs)
 				for i := range parts {
 					put(t, s, k(i, 0), 100, size)
 				}
-				require.NoError(t, s.Log([]validity.Record{{Kind: validity.PurgeObject, Object: 77, At: 5}}))
+				require.NoError(t, s.AppendPurgeRecords([]validity.Record{{Kind: validity.PurgeObject, Object: 77, PurgedAt: 5}}))
 				if snapshot {
-					require.NoError(t, s.Snapshot(nil))
+					require.NoError(t, s.WriteSnapshot(nil))
 				}
 				require.NoError(t, s.Close())
 				c.hurt(fs)
@@ -219,52 +221,52 @@
 }
 
 func TestAFullDiskCostsTheWriteAndNothingElse(t *testing.T) {
-	fs := vfs.NewFaulty(1)
+	fs := vfs.NewFaultFS(1)
 	s, _, faults := open(t, fs)
 	put(t, s, k(1, 0), 100, 400)
-	fs.Room = 1000
+	fs.CapacityBytes = 1000
 	_, err := s.Put(meta(k(2, 0), 100), body(k(2, 0), 100, 900))
-	var f Fault
+	var f StoreError
 	require.ErrorAs(t, err, &f)
-	assert.Equal(t, FullDisk, f.Code)
+	assert.Equal(t, CodeDiskFull, f.Code)
 	assert.Len(t, *faults, 1)
 	holds(t, s, k(1, 0), 100, 400)
-	fs.Room = 0
+	fs.CapacityBytes = 0
 	short := true
 	fs.ShortWrite = func() bool { short = !short; return !short }
 	_, err = s.Put(meta(k(3, 0), 100), body(k(3, 0), 100, 900))
 	require.ErrorAs(t, err, &f)
-	assert.Equal(t, WriteErr, f.Code)
+	assert.Equal(t, CodeWriteFailed, f.Code)
 	fs.ShortWrite = nil
 	put(t, s, k(3, 0), 100, 800)
 	s, _, _ = open2(t, fs, s)
 	holds(t, s, k(3, 0), 100, 800)
-	assert.False(t, s.Has(k(2, 0)))
+	assert.False(t, s.Contains(k(2, 0)))
 }
 
-func open2(t *testing.T, fs vfs.FS, s *Store) (*Store, Report, *[]Fault) {
+func open2(t *testing.T, fs vfs.FS, s *Store) (*Store, RecoveryReport, *[]StoreError) {
 	t.Helper()
 	require.NoError(t, s.Close())
 	return open(t, fs)
 }
 
 func TestAnotherFormatIsRefusedWithALine(t *testing.T) {
-	fs := vfs.NewFaulty(1)
+	fs := vfs.NewFaultFS(1)
 	h, _ := fs.Create(formatName)
 	_, _ = h.WriteAt([]byte("cairnfront disk tier 9\n"), 0)
-	_, _, err := Open(fs, small(), false, nil)
-	assert.ErrorIs(t, err, ErrFormat)
+	_, _, err := OpenStore(fs, small(), false, nil)
+	assert.ErrorIs(t, err, ErrUnsupportedFormat)
 	assert.ErrorContains(t, err, "version 9, this program reads version 1")
-	fs = vfs.NewFaulty(1)
+	fs = vfs.NewFaultFS(1)
 	_, _ = fs.Create("seg-00000001.cf")
-	_, _, err = Open(fs, small(), false, nil)
-	assert.ErrorIs(t, err, ErrFormat)
+	_, _, err = OpenStore(fs, small(), false, nil)
+	assert.ErrorIs(t, err, ErrUnsupportedFormat)
 }
 
 // A body may hold what looks like a record. After the true head before it is hurt, the scan meets it and must not
 // believe it: its maker does not know the segment's salt.
 func TestARecordWithinABodyIsNotBelieved(t *testing.T) {
-	fs := vfs.NewFaulty(1)
+	fs := vfs.NewFaultFS(1)
 	s, _, _ := open(t, fs)
 	forged := appendRecord(nil, 0, meta(k(666, 0), 1), []byte("not what it was"), 0)
 	for len(forged) < 3000 {
@@ -274,9 +276,9 @@
 	require.NoError(t, err)
 	put(t, s, k(2, 0), 100, 100)
 	require.NoError(t, s.Close())
-	fs.Flip("seg-00000001.cf", segmentHead+9, 0)
+	fs.FlipBit("seg-00000001.cf", segmentHead+9, 0)
 	s, _, _ = open(t, fs)
-	assert.Equal(t, 1, s.Parts())
+	assert.Equal(t, 1, s.Chunks())
 	holds(t, s, k(2, 0), 100, 100)
 }
 
@@ -284,8 +286,8 @@
 // operation numbered cut, and opens the folder again. It returns how many operations there were in all if the power
 // stayed on, and what was wrong after.
 func powerCut(t require.TestingT, seed uint64, cut int) (ops int) {
-	out := PlayPowerCut(seed, cut)
-	require.Empty(t, out.Wrong, "seed %d, cut at %d", seed, cut)
+	out := RunPowerLoss(seed, cut)
+	require.Empty(t, out.Violations, "seed %d, cut at %d", seed, cut)
 	return out.Ops
 }
 
@@ -313,7 +315,7 @@
 			for cut := 20; cut < 100; cut += 7 {
 				p := powerScript{seed: seed, cut: cut}
 				breakIt(&p)
-				wrong += len(p.play().Wrong)
+				wrong += len(p.play().Violations)
 			}
 		}
 		assert.Greater(t, wrong, 0, name)
@@ -361,25 +363,25 @@
 
 // FuzzOpen gives a store segments, logs and snapshots of any bytes: it opens or says why, and serves nothing wrong.
 func FuzzOpen(f *testing.F) {
-	fs := vfs.NewFaulty(1)
-	s, _, err := Open(fs, small(), true, nil)
+	fs := vfs.NewFaultFS(1)
+	s, _, err := OpenStore(fs, small(), true, nil)
 	if err != nil {
 		f.Fatal(err)
 	}
 	for i := range 5 {
 		_, _ = s.Put(meta(k(i, 0), 100), body(k(i, 0), 100, 90))
 	}
-	_ = s.Log([]validity.Record{{Kind: validity.PurgeObject, Object: 1, At: 5}})
-	_ = s.Snapshot(nil)
+	_ = s.AppendPurgeRecords([]validity.Record{{Kind: validity.PurgeObject, Object: 1, PurgedAt: 5}})
+	_ = s.WriteSnapshot(nil)
 	_ = s.Close()
-	f.Add(fs.Bytes("seg-00000001.cf"), fs.Bytes(snapshotName), fs.Bytes(noticesName))
+	f.Add(fs.Contents("seg-00000001.cf"), fs.Contents(snapshotName), fs.Contents(noticesName))
 	f.Fuzz(func(t *testing.T, seg, snap, log []byte) {
-		fs := vfs.NewFaulty(1)
+		fs := vfs.NewFaultFS(1)
 		for name, b := range map[string][]byte{formatName: []byte("cairnfront disk tier 1\n"), "seg-00000001.cf": seg, snapshotName: snap, noticesName: log} {
 			h, _ := fs.Create(name)
 			_, _ = h.WriteAt(b, 0)
 		}
-		s, _, err := Open(fs, small(), true, nil)
+		s, _, err := OpenStore(fs, small(), true, nil)
 		if err != nil {
 			return
 		}
@@ -400,7 +402,7 @@
 func benched(b *testing.B) *Store {
 	d, err := vfs.MakeDir(filepath.Join(b.TempDir(), "t"))
 	require.NoError(b, err)
-	s, _, err := Open(d, Limits{}, false, nil)
+	s, _, err := OpenStore(d, StoreOptions{}, false, nil)
 	require.NoError(b, err)
 	b.Cleanup(func() { _ = s.Close() })
 	return s
@@ -442,26 +444,26 @@
 func BenchmarkOpen(b *testing.B) {
 	const parts = 1_000_000
 	d, _ := vfs.MakeDir(filepath.Join(b.TempDir(), "t"))
-	s, _, err := Open(d, Limits{}, false, nil)
+	s, _, err := OpenStore(d, StoreOptions{}, false, nil)
 	require.NoError(b, err)
 	for i := range parts {
-		_, err := s.Put(Meta{Key: k(i/15, i%15), Dated: 1, Tag: "4be0c1927d55a6f3"}, []byte("a body of 24 bytes, so. "))
+		_, err := s.Put(Meta{Key: k(i/15, i%15), IssuedAt: 1, Tag: "4be0c1927d55a6f3"}, []byte("a body of 24 bytes, so. "))
 		require.NoError(b, err)
 	}
 	require.NoError(b, s.Close())
 	for _, snapshot := range []bool{false, true} {
 		b.Run(fmt.Sprintf("snapshot=%v", snapshot), func(b *testing.B) {
 			if snapshot {
-				s, _, err := Open(d, Limits{}, false, nil)
+				s, _, err := OpenStore(d, StoreOptions{}, false, nil)
 				require.NoError(b, err)
-				require.NoError(b, s.Snapshot(nil))
+				require.NoError(b, s.WriteSnapshot(nil))
 				require.NoError(b, s.Close())
 			}
 			for range b.N {
 				var before, after runtime.MemStats
 				runtime.GC()
 				runtime.ReadMemStats(&before)
-				s, rep, err := Open(d, Limits{}, false, nil)
+				s, rep, err := OpenStore(d, StoreOptions{}, false, nil)
 				require.NoError(b, err)
 				runtime.ReadMemStats(&after)
 				top := float64(after.HeapSys-after.HeapReleased) / (1 << 20)
@@ -504,7 +506,7 @@
 // A part is dropped and its segment compacted away while it is being read, and while a slow client is being sent it:
 // the bytes are the ones that were asked for, and the file is closed after the last reader.
 func TestAPartGoesWhileItIsBeingSent(t *testing.T) {
-	real := vfs.NewFaulty(1)
+	real := vfs.NewFaultFS(1)
 	s, _, _ := open(t, real)
 	for i := range 20 {
 		put(t, s, k(i, 0), 100, 400)
@@ -513,13 +515,13 @@
 	fs := &midway{FS: real}
 	s, _, _ = open(t, fs)
 	fs.then = func() {
-		s.Drop(k(1, 0))
+		s.Delete(k(1, 0))
 		_, err := s.Compact(1, func(Meta) bool { return true })
 		assert.NoError(t, err)
 	}
 	p, err := s.Get(k(1, 0))
 	require.NoError(t, err)
-	assert.Nil(t, real.Bytes("seg-00000001.cf"), "the segment is gone")
+	assert.Nil(t, real.Contents("seg-00000001.cf"), "the segment is gone")
 	put(t, s, k(1, 0), 200, 400)
 	assert.True(t, bytes.Equal(body(k(1, 0), 100, 400), p.Body))
 	holds(t, s, k(1, 0), 200, 400)
--- a/internal/diskcache/tier.go
+++ b/internal/diskcache/tier.go
@@ -16,19 +16,19 @@
 )
 
 // Plan is what the operators' file says of the tier.
-type Plan struct {
-	Space         int64 // bytes of disk that all segments may take
-	SegmentBytes  int64
-	Alpha         float64
-	DailyWrites   int64 // bytes a day, 0 for any
-	Ghosts        int   // parts remembered that are not held
-	Purges        int   // purges remembered
-	Readers       int
-	ReadQueue     int           // reads that may wait for a reader
-	ReadWait      time.Duration // after which a read is a miss
-	WriteQueue    int           // parts that may wait to be written
-	SyncEvery     time.Duration
-	SnapshotEvery time.Duration
+type Config struct {
+	SpaceBytes       int64 // bytes of disk that all segments may take
+	SegmentBytes     int64
+	Alpha            float64
+	DailyWriteBytes  int64 // bytes a day, 0 for any
+	MaxGhosts        int   // parts remembered that are not held
+	MaxPurges        int   // purges remembered
+	Readers          int
+	ReadQueue        int           // reads that may wait for a reader
+	ReadTimeout      time.Duration // after which a read is a miss
+	WriteQueue       int           // parts that may wait to be written
+	SyncInterval     time.Duration
+	SnapshotInterval time.Duration
 }
 
 // Times and shares of the shell: resources, no choices.
@@ -43,27 +43,27 @@
 
 // Errors of a read that is not waited for.
 var (
-	ErrBusy = errors.New("too many reads wait for the disk")
-	ErrSlow = errors.New("the disk took too long")
-	ErrVoid = errors.New("purged")
+	ErrReadQueueFull = errors.New("too many reads wait for the disk")
+	ErrReadTimeout   = errors.New("the disk took too long")
+	ErrInvalidated   = errors.New("purged")
 )
 
 // Counter counts what is told of by name.
 type Counter interface{ Add(name string, n int64) }
 
 // Tier is the disk in the path of txns. Nothing here waits for the disk without a bound, but Close.
-type Tier struct {
-	plan  Plan
+type Cache struct {
+	plan  Config
 	store *Store
 	count Counter
 	log   *slog.Logger
 	now   func() time.Time
 
 	keepMu sync.Mutex
-	keep   *eviction.Core
+	keep   *eviction.Cafe
 
 	trustMu sync.Mutex
-	trust   *validity.Core
+	trust   *validity.Tracker
 
 	reads  chan *read
 	writes chan write
@@ -84,7 +84,7 @@
 }
 
 type got struct {
-	part Part
+	part Chunk
 	err  error
 }
 
@@ -94,20 +94,20 @@
 }
 
 // OpenTier opens a folder and makes a tier of it. Run has to be called for anything to move.
-func OpenTier(fs vfs.FS, p Plan, count Counter, log *slog.Logger) (*Tier, Report, error) {
+func OpenCache(fs vfs.FS, p Config, count Counter, log *slog.Logger) (*Cache, RecoveryReport, error) {
 	p.Readers, p.ReadQueue, p.WriteQueue = max(p.Readers, 1), max(p.ReadQueue, 1), max(p.WriteQueue, 1)
-	t := &Tier{plan: p, count: count, log: log, now: time.Now, reads: make(chan *read, p.ReadQueue),
+	t := &Cache{plan: p, count: count, log: log, now: time.Now, reads: make(chan *read, p.ReadQueue),
 		writes: make(chan write, p.WriteQueue), noteUp: make(chan struct{}, 1)}
 	t.durable.L = &t.noteMu
-	store, rep, err := Open(fs, Limits{SegmentBytes: p.SegmentBytes}, true, t.fault)
+	store, rep, err := OpenStore(fs, StoreOptions{SegmentBytes: p.SegmentBytes}, true, t.fault)
 	if err != nil {
 		return nil, rep, err
 	}
 	t.store = store
-	t.trust = validity.New(p.Purges)
+	t.trust = validity.NewTracker(p.MaxPurges)
 	now := t.now()
-	t.note(t.trust.Restore(rep.Records, store.Top(), now.UnixMilli()))
-	t.keep = eviction.New(eviction.Terms{Alpha: p.Alpha, Capacity: int64(float64(p.Space) * liveShare), Ghosts: p.Ghosts, Daily: p.DailyWrites})
+	t.note(t.trust.Restore(rep.Records, store.LastSeq(), now.UnixMilli()))
+	t.keep = eviction.NewCafe(eviction.Config{Alpha: p.Alpha, CapacityBytes: int64(float64(p.SpaceBytes) * liveShare), MaxGhosts: p.MaxGhosts, DailyWriteBytes: p.DailyWriteBytes})
 	t.load(rep.Known, seconds(now))
 	rep.Known, rep.Records = nil, nil
 	return t, rep, nil
@@ -115,7 +115,7 @@
 
 // load tells the choice what the disk holds. Of a part without a memory nothing is known but that it is held: it
 // counts as asked for now, with a gap as long as the disk has room for.
-func (t *Tier) load(known map[eviction.Key]eviction.Memory, now float64) {
+func (t *Cache) load(known map[eviction.Key]eviction.AccessHistory, now float64) {
 	type found struct {
 		key  eviction.Key
 		size int64
@@ -124,11 +124,11 @@
 	t.store.Each(func(k eviction.Key, size int64, _ uint8) bool { all = append(all, found{k, size}); return true })
 	for _, f := range all {
 		m, ok := known[f.key]
-		if !ok || m.Last > now {
-			m = eviction.Memory{Gap: unknownGap, Last: now}
+		if !ok || m.LastAccess > now {
+			m = eviction.AccessHistory{MeanGap: unknownGap, LastAccess: now}
 		}
-		for _, out := range t.keep.Load(f.key, f.size, m) {
-			t.store.Drop(out)
+		for _, out := range t.keep.Restore(f.key, f.size, m) {
+			t.store.Delete(out)
 		}
 	}
 }
@@ -137,13 +137,13 @@
 
 func seconds(t time.Time) float64 { return float64(t.UnixMilli()) / 1000 }
 
-func (t *Tier) fault(f Fault) {
+func (t *Cache) fault(f StoreError) {
 	t.count.Add("tier.fault."+f.Code, 1)
-	t.log.Warn("tier", "code", f.Code, "file", f.File, "at", f.At, "err", f.Err.Error())
+	t.log.Warn("tier", "code", f.Code, "file", f.File, "at", f.Offset, "err", f.Err.Error())
 }
 
 // Run moves parts and records until the context ends.
-func (t *Tier) Run(ctx context.Context) error {
+func (t *Cache) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	for range t.plan.Readers {
 		g.Go(func() error { t.reader(ctx); return nil })
@@ -155,7 +155,7 @@
 }
 
 // Close writes what waits and a snapshot, and lets the folder go. Run must have ended.
-func (t *Tier) Close() error {
+func (t *Cache) Close() error {
 	for len(t.writes) > 0 {
 		t.put(<-t.writes)
 	}
@@ -166,40 +166,40 @@
 
 // Get reads a part. It waits for the disk no longer than the plan says; ErrAbsent, ErrBusy, ErrSlow and ErrVoid are
 // misses like any fault. The verdict says whether the copy may be served at once.
-func (t *Tier) Get(k eviction.Key) (Part, validity.Verdict, error) {
-	if !t.store.Has(k) {
-		return Part{}, validity.Void, ErrAbsent
+func (t *Cache) Get(k eviction.Key) (Chunk, validity.Verdict, error) {
+	if !t.store.Contains(k) {
+		return Chunk{}, validity.Invalidated, ErrNotFound
 	}
 	r := &read{key: k, done: make(chan got, 1)}
 	select {
 	case t.reads <- r:
 	default:
 		t.count.Add("tier.read.queue-full", 1)
-		return Part{}, validity.Void, ErrBusy
+		return Chunk{}, validity.Invalidated, ErrReadQueueFull
 	}
-	wait := time.NewTimer(t.plan.ReadWait)
+	wait := time.NewTimer(t.plan.ReadTimeout)
 	defer wait.Stop()
 	select {
 	case x := <-r.done:
 		if x.err != nil {
 			t.lost(k)
-			return Part{}, validity.Void, x.err
+			return Chunk{}, validity.Invalidated, x.err
 		}
-		v := t.Judge(validity.Copy{Object: k.Object, Group: x.part.Group, Dated: x.part.Dated, Seq: x.part.Seq, Confirmed: x.part.Confirmed})
-		if v == validity.Void {
+		v := t.Evaluate(validity.Copy{Object: k.Object, Group: x.part.Group, IssuedAt: x.part.IssuedAt, Seq: x.part.Seq, ConfirmedEpoch: x.part.ConfirmedEpoch})
+		if v == validity.Invalidated {
 			t.count.Add("tier.read.void", 1)
-			t.Drop(k)
-			return Part{}, v, ErrVoid
+			t.Delete(k)
+			return Chunk{}, v, ErrInvalidated
 		}
 		t.count.Add("tier.read.served", 1)
 		return x.part, v, nil
 	case <-wait.C:
 		t.count.Add("tier.read.slow", 1)
-		return Part{}, validity.Void, ErrSlow
+		return Chunk{}, validity.Invalidated, ErrReadTimeout
 	}
 }
 
-func (t *Tier) reader(ctx context.Context) {
+func (t *Cache) reader(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -213,33 +213,33 @@
 
 // Used tells of a request that memory answered. A part that the disk lacks is offered to it: most are worth keeping
 // only once they have been asked for again.
-func (t *Tier) Used(m Meta, body []byte, doubts uint16) {
+func (t *Cache) Touch(m Meta, body []byte, doubts uint16) {
 	t.keepMu.Lock()
-	held := t.keep.Holds(m.Key)
+	held := t.keep.Contains(m.Key)
 	if held {
-		t.keep.Ask(seconds(t.now()), m.Key, recordSize(len(m.Tag), len(body)))
+		t.keep.Request(seconds(t.now()), m.Key, recordSize(len(m.Tag), len(body)))
 	}
 	t.keepMu.Unlock()
 	if !held {
-		t.Offer(m, body, doubts)
+		t.Admit(m, body, doubts)
 	}
 }
 
 // Offer lets the choice say whether a part that came in is kept, and has it written behind. Doubts is what Doubts said
 // when its source was asked: a copy that is asked for before a doubt and comes after it is not kept.
-func (t *Tier) Offer(m Meta, body []byte, doubts uint16) bool {
-	if t.Doubts() != doubts || t.now().UnixNano() < t.rest.Load() {
+func (t *Cache) Admit(m Meta, body []byte, doubts uint16) bool {
+	if t.Epoch() != doubts || t.now().UnixNano() < t.rest.Load() {
 		return false
 	}
-	t.Drop(m.Key) // an older copy, if any
+	t.Delete(m.Key) // an older copy, if any
 	size := recordSize(len(m.Tag), len(body))
 	t.keepMu.Lock()
-	c := t.keep.Ask(seconds(t.now()), m.Key, size)
+	c := t.keep.Request(seconds(t.now()), m.Key, size)
 	t.keepMu.Unlock()
-	for _, k := range c.Out {
-		t.store.Drop(k)
+	for _, k := range c.Evict {
+		t.store.Delete(k)
 	}
-	if !c.Keep {
+	if !c.Admit {
 		t.count.Add("tier.offer.passed", 1)
 		return false
 	}
@@ -253,26 +253,26 @@
 	}
 }
 
-func (t *Tier) holds(k eviction.Key) bool {
+func (t *Cache) holds(k eviction.Key) bool {
 	t.keepMu.Lock()
 	defer t.keepMu.Unlock()
-	return t.keep.Holds(k)
+	return t.keep.Contains(k)
 }
 
-func (t *Tier) lost(k eviction.Key) {
+func (t *Cache) lost(k eviction.Key) {
 	t.keepMu.Lock()
-	t.keep.Lost(k)
+	t.keep.Remove(k)
 	t.keepMu.Unlock()
 }
 
 // Drop forgets a part.
-func (t *Tier) Drop(k eviction.Key) {
-	t.store.Drop(k)
+func (t *Cache) Delete(k eviction.Key) {
+	t.store.Delete(k)
 	t.lost(k)
 }
 
-func (t *Tier) writer(ctx context.Context) {
-	sync := time.NewTicker(max(t.plan.SyncEvery, 10*time.Millisecond))
+func (t *Cache) writer(ctx context.Context) {
+	sync := time.NewTicker(max(t.plan.SyncInterval, 10*time.Millisecond))
 	defer sync.Stop()
 	dirty := false
 	for {
@@ -292,9 +292,9 @@
 	}
 }
 
-func (t *Tier) put(w write) bool {
+func (t *Cache) put(w write) bool {
 	t.trustMu.Lock()
-	void := t.trust.Voided(validity.Copy{Object: w.meta.Object, Group: w.meta.Group, Dated: w.meta.Dated})
+	void := t.trust.IsInvalidated(validity.Copy{Object: w.meta.Object, Group: w.meta.Group, IssuedAt: w.meta.IssuedAt})
 	t.trustMu.Unlock()
 	if void { // purged while it waited
 		t.lost(w.meta.Key)
@@ -310,7 +310,7 @@
 		return false
 	}
 	if !t.holds(w.meta.Key) { // displaced meanwhile: what the choice does not count must not take space
-		t.store.Drop(w.meta.Key)
+		t.store.Delete(w.meta.Key)
 	}
 	t.count.Add("tier.write.parts", 1)
 	t.count.Add("tier.write.bytes", int64(len(w.body)))
@@ -318,59 +318,59 @@
 }
 
 // Has says whether a part is held, as far as the index knows.
-func (t *Tier) Has(k eviction.Key) bool { return t.store.Has(k) }
+func (t *Cache) Contains(k eviction.Key) bool { return t.store.Contains(k) }
 
 // Judge says what a copy is now, wherever it is held.
-func (t *Tier) Judge(c validity.Copy) validity.Verdict {
+func (t *Cache) Evaluate(c validity.Copy) validity.Verdict {
 	t.trustMu.Lock()
 	defer t.trustMu.Unlock()
-	return t.trust.Judge(t.now().UnixMilli(), c)
+	return t.trust.Evaluate(t.now().UnixMilli(), c)
 }
 
 // Doubts names the present doubt; see trust.Core.Doubts.
-func (t *Tier) Doubts() uint16 {
+func (t *Cache) Epoch() uint16 {
 	t.trustMu.Lock()
 	defer t.trustMu.Unlock()
-	return t.trust.Doubts()
+	return t.trust.Epoch()
 }
 
 // Confirmed says that a part's source has confirmed the copy with that seq, asked in that doubt.
-func (t *Tier) Confirmed(k eviction.Key, seq uint64, doubts uint16) { t.store.Confirm(k, seq, doubts) }
+func (t *Cache) Confirm(k eviction.Key, seq uint64, doubts uint16) { t.store.Confirm(k, seq, doubts) }
 
 // Ask is the number after which the notice board has to be asked; Connected and Hear are as in trust.Core. What Hear
 // takes counts at once for what is served, and is written behind, in order: what is not written yet will be asked for
 // again after a crash.
-func (t *Tier) Ask() uint64 {
+func (t *Cache) ResumeAfter() uint64 {
 	t.trustMu.Lock()
 	defer t.trustMu.Unlock()
-	return t.trust.Ask()
+	return t.trust.ResumeAfter()
 }
 
 // Following is as in trust.Core.
-func (t *Tier) Following() (uint64, bool) {
+func (t *Cache) Position() (uint64, bool) {
 	t.trustMu.Lock()
 	defer t.trustMu.Unlock()
-	return t.trust.Following()
+	return t.trust.Position()
 }
 
 // Connected says that a new connection to the notice board was made.
-func (t *Tier) Connected() {
+func (t *Cache) StreamOpened() {
 	t.trustMu.Lock()
 	defer t.trustMu.Unlock()
-	t.trust.Connected()
+	t.trust.StreamOpened()
 }
 
 // Hear takes an event of the notice board; see Ask.
-func (t *Tier) Hear(n validity.Notice) (again bool) {
-	top := t.store.Top()
+func (t *Cache) Apply(n validity.Event) (again bool) {
+	top := t.store.LastSeq()
 	t.trustMu.Lock()
 	defer t.trustMu.Unlock()
-	records, again := t.trust.Hear(t.now().UnixMilli(), top, n)
+	records, again := t.trust.Apply(t.now().UnixMilli(), top, n)
 	t.note(records) // under the lock: the order is that of the events
 	return again
 }
 
-func (t *Tier) note(records []validity.Record) {
+func (t *Cache) note(records []validity.Record) {
 	if len(records) == 0 {
 		return
 	}
@@ -386,7 +386,7 @@
 }
 
 // Settle waits until all that was heard is on the disk, or the context ends.
-func (t *Tier) Settle(ctx context.Context) error {
+func (t *Cache) Flush(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { t.noteMu.Lock(); t.durable.Broadcast(); t.noteMu.Unlock() })
 	defer stop()
 	t.noteMu.Lock()
@@ -398,7 +398,7 @@
 }
 
 // notary writes records, as many as there are at once.
-func (t *Tier) notary(ctx context.Context) {
+func (t *Cache) notary(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -415,16 +415,16 @@
 	}
 }
 
-func (t *Tier) writeNotes() bool {
+func (t *Cache) writeNotes() bool {
 	t.noteMu.Lock()
 	notes, relog := t.notes, t.relog
 	t.notes, t.relog, t.writing = nil, false, true
 	t.noteMu.Unlock()
 	var err error
 	if relog {
-		err = t.store.Relog(t.records)
+		err = t.store.RewritePurgeLog(t.records)
 	} else if len(notes) > 0 {
-		err = t.store.Log(notes)
+		err = t.store.AppendPurgeRecords(notes)
 	}
 	t.noteMu.Lock()
 	defer t.noteMu.Unlock()
@@ -437,16 +437,16 @@
 }
 
 // records is the shortest log.
-func (t *Tier) records() []validity.Record {
-	now, oldest := t.now(), t.store.Oldest()
+func (t *Cache) records() []validity.Record {
+	now, oldest := t.now(), t.store.OldestIssuedAt()
 	t.trustMu.Lock()
 	defer t.trustMu.Unlock()
-	t.trust.Settled(min(oldest, now.Add(-inFlight).UnixMilli()))
+	t.trust.PrunePurges(min(oldest, now.Add(-inFlight).UnixMilli()))
 	return t.trust.Records(now.UnixMilli())
 }
 
 // janitor gives space back, shortens the log, marks the clock and writes snapshots.
-func (t *Tier) janitor(ctx context.Context) {
+func (t *Cache) janitor(ctx context.Context) {
 	work := time.NewTicker(workEvery)
 	defer work.Stop()
 	shot := t.now()
@@ -461,43 +461,43 @@
 		if now.Sub(marked) > 10*time.Second {
 			marked = now
 			t.trustMu.Lock()
-			m := t.trust.Mark(now.UnixMilli())
+			m := t.trust.Checkpoint(now.UnixMilli())
 			t.note([]validity.Record{m})
 			t.trustMu.Unlock()
 		}
-		if t.store.LogSize() > longLog {
+		if t.store.PurgeLogBytes() > longLog {
 			t.noteMu.Lock()
 			t.relog = true
 			t.noteMu.Unlock()
-			t.note([]validity.Record{{Kind: validity.Mark}})
+			t.note([]validity.Record{{Kind: validity.Checkpoint}})
 		}
-		if t.plan.SnapshotEvery > 0 && now.Sub(shot) > t.plan.SnapshotEvery {
+		if t.plan.SnapshotInterval > 0 && now.Sub(shot) > t.plan.SnapshotInterval {
 			shot = now
 			t.snapshot()
 		}
 	}
 }
 
-func (t *Tier) snapshot() {
-	err := t.store.Snapshot(func(k eviction.Key) (eviction.Memory, bool) {
+func (t *Cache) snapshot() {
+	err := t.store.WriteSnapshot(func(k eviction.Key) (eviction.AccessHistory, bool) {
 		t.keepMu.Lock()
 		defer t.keepMu.Unlock()
-		return t.keep.Recall(k)
+		return t.keep.History(k)
 	})
 	if err == nil {
 		t.count.Add("tier.snapshots", 1)
 	}
 }
 
-func (t *Tier) compact(ctx context.Context) {
+func (t *Cache) compact(ctx context.Context) {
 	for ctx.Err() == nil {
-		id, ok := Emptiest(t.store.Uses(), t.plan.Space)
+		id, ok := PickCompaction(t.store.SegmentUsage(), t.plan.SpaceBytes)
 		if !ok {
 			return
 		}
 		m, err := t.store.Compact(id, func(m Meta) bool {
 			t.trustMu.Lock()
-			void := t.trust.Voided(validity.Copy{Object: m.Object, Group: m.Group, Dated: m.Dated})
+			void := t.trust.IsInvalidated(validity.Copy{Object: m.Object, Group: m.Group, IssuedAt: m.IssuedAt})
 			t.trustMu.Unlock()
 			if void {
 				t.lost(m.Key)
@@ -514,33 +514,33 @@
 }
 
 // State is what an operator is shown.
-type State struct {
-	validity.State
-	Parts         int
-	Live, OnDisk  int64
-	Budget        float64 // bytes that may be written now
-	Remembered    int
-	IndexBytes    int64
-	NotesWaiting  int
-	WritesWaiting int
+type Status struct {
+	validity.Status
+	Chunks               int
+	LiveBytes, DiskBytes int64
+	WriteBudget          float64 // bytes that may be written now
+	Ghosts               int
+	IndexBytes           int64
+	PendingRecords       int
+	PendingWrites        int
 }
 
 // State says how things stand.
-func (t *Tier) State() State {
+func (t *Cache) Status() Status {
 	now := t.now()
-	var s State
+	var s Status
 	t.trustMu.Lock()
-	s.State = t.trust.State(now.UnixMilli())
+	s.Status = t.trust.Status(now.UnixMilli())
 	t.trustMu.Unlock()
-	s.Parts = t.store.Parts()
-	s.Live, s.OnDisk = t.store.Sizes()
+	s.Chunks = t.store.Chunks()
+	s.LiveBytes, s.DiskBytes = t.store.Sizes()
 	t.keepMu.Lock()
-	s.Budget, s.Remembered = t.keep.Budget(seconds(now)), t.keep.Remembered()
+	s.WriteBudget, s.Ghosts = t.keep.WriteBudget(seconds(now)), t.keep.Ghosts()
 	t.keepMu.Unlock()
-	s.IndexBytes = int64(s.Parts) * IndexBytes
+	s.IndexBytes = int64(s.Chunks) * IndexBytesPerChunk
 	t.noteMu.Lock()
-	s.NotesWaiting = len(t.notes)
+	s.PendingRecords = len(t.notes)
 	t.noteMu.Unlock()
-	s.WritesWaiting = len(t.writes)
+	s.PendingWrites = len(t.writes)
 	return s
 }
--- a/internal/diskcache/tools.go
+++ b/internal/diskcache/tools.go
@@ -17,7 +17,7 @@
 
 // Inspection is what a folder holds.
 type Inspection struct {
-	Report
+	RecoveryReport
 	Objects       int
 	Live, OnDisk  int64
 	ByRank        [4]int
@@ -27,14 +27,14 @@
 	Floor         int64
 	OldestDated   int64 // Unix ms; 0 where there is none
 	LogBytes      int64
-	Uses          []SegmentUse
+	Uses          []SegmentUsage
 	FaultsByCode  map[string]int
 	IndexBytes    int64
 	Voided, Sound int // parts that a purge voids, and the others; counted by Verify
 }
 
 // opened opens a folder that must be there already.
-func opened(path string, fault func(Fault)) (*Store, Inspection, *validity.Core, error) {
+func opened(path string, fault func(StoreError)) (*Store, Inspection, *validity.Tracker, error) {
 	in := Inspection{FaultsByCode: map[string]int{}}
 	dir := vfs.Dir(path)
 	names, err := dir.List()
@@ -44,7 +44,7 @@
 	if !slices.Contains(names, formatName) {
 		return nil, in, nil, fmt.Errorf("%s is no folder of a disk tier: it holds no %s", path, formatName)
 	}
-	s, rep, err := Open(dir, Limits{}, true, func(f Fault) {
+	s, rep, err := OpenStore(dir, StoreOptions{}, true, func(f StoreError) {
 		in.FaultsByCode[f.Code]++
 		if fault != nil {
 			fault(f)
@@ -53,17 +53,17 @@
 	if err != nil {
 		return nil, in, nil, err
 	}
-	in.Report = rep
-	core := validity.New(1 << 30)
+	in.RecoveryReport = rep
+	core := validity.NewTracker(1 << 30)
 	now := time.Now().UnixMilli()
-	core.Restore(rep.Records, s.Top(), now)
-	st := core.State(now)
-	in.Purges, in.Followed, in.Doubted, in.Floor = st.Purges, st.Number, st.Doubted, st.Floor
+	core.Restore(rep.Records, s.LastSeq(), now)
+	st := core.Status(now)
+	in.Purges, in.Followed, in.Doubted, in.Floor = st.Purges, st.Number, st.SuspectUpTo, st.PurgeFloor
 	in.Live, in.OnDisk = s.Sizes()
-	in.LogBytes, in.Uses, in.IndexBytes = s.LogSize(), s.Uses(), int64(rep.Parts)*IndexBytes
-	slices.SortFunc(in.Uses, func(a, b SegmentUse) int { return int(int64(a.ID) - int64(b.ID)) })
+	in.LogBytes, in.Uses, in.IndexBytes = s.PurgeLogBytes(), s.SegmentUsage(), int64(rep.Parts)*IndexBytesPerChunk
+	slices.SortFunc(in.Uses, func(a, b SegmentUsage) int { return int(int64(a.ID) - int64(b.ID)) })
 	if rep.Parts > 0 {
-		in.OldestDated = s.Oldest()
+		in.OldestDated = s.OldestIssuedAt()
 	}
 	objects := map[uint64]bool{}
 	s.Each(func(k eviction.Key, _ int64, rank uint8) bool {
@@ -95,15 +95,15 @@
 			}
 			return 1
 		}
-		return int(int64(a.Part) - int64(b.Part))
+		return int(int64(a.Chunk) - int64(b.Chunk))
 	})
 	return out
 }
 
 // Verify reads every part whole and calls bad for each record that can't be used. Progress is told how many are read.
-func Verify(path string, bad func(Fault), progress func(done, all int)) (Inspection, int, error) {
+func Verify(path string, bad func(StoreError), progress func(done, all int)) (Inspection, int, error) {
 	faults := 0
-	count := func(f Fault) {
+	count := func(f StoreError) {
 		faults++
 		bad(f)
 	}
@@ -111,14 +111,14 @@
 	if err != nil {
 		return in, faults, err
 	}
-	s.fault = func(f Fault) {
+	s.fault = func(f StoreError) {
 		in.FaultsByCode[f.Code]++
 		count(f)
 	}
 	keys := s.keys()
 	for i, k := range keys {
 		p, err := s.Get(k)
-		if err == nil && core.Voided(validity.Copy{Object: k.Object, Group: p.Group, Dated: p.Dated}) {
+		if err == nil && core.IsInvalidated(validity.Copy{Object: k.Object, Group: p.Group, IssuedAt: p.IssuedAt}) {
 			in.Voided++
 		} else if err == nil {
 			in.Sound++
@@ -138,18 +138,18 @@
 	}
 	for _, k := range s.keys() {
 		p, err := s.Get(k)
-		if err == nil && core.Voided(validity.Copy{Object: k.Object, Group: p.Group, Dated: p.Dated}) {
-			s.Drop(k)
+		if err == nil && core.IsInvalidated(validity.Copy{Object: k.Object, Group: p.Group, IssuedAt: p.IssuedAt}) {
+			s.Delete(k)
 		}
 	}
-	for _, u := range s.Uses() {
+	for _, u := range s.SegmentUsage() {
 		if u.Sealed && u.Size-u.Live > segmentHead {
 			if _, err := s.Compact(u.ID, func(Meta) bool { return true }); err != nil {
 				return in.OnDisk, 0, errors.Join(err, s.Close())
 			}
 		}
 	}
-	if err := s.Snapshot(func(k eviction.Key) (eviction.Memory, bool) { m, ok := in.Known[k]; return m, ok }); err != nil {
+	if err := s.WriteSnapshot(func(k eviction.Key) (eviction.AccessHistory, bool) { m, ok := in.Known[k]; return m, ok }); err != nil {
 		return in.OnDisk, 0, errors.Join(err, s.Close())
 	}
 	_, after = s.Sizes()
@@ -165,14 +165,14 @@
 	out := tar.NewWriter(w)
 	for _, k := range s.keys() {
 		p, err := s.Get(k)
-		if err != nil || core.Voided(validity.Copy{Object: k.Object, Group: p.Group, Dated: p.Dated}) {
+		if err != nil || core.IsInvalidated(validity.Copy{Object: k.Object, Group: p.Group, IssuedAt: p.IssuedAt}) {
 			continue
 		}
-		h := &tar.Header{Name: fmt.Sprintf("%016x/%d", k.Object, k.Part), Mode: 0o640, Size: int64(len(p.Body)), ModTime: time.UnixMilli(p.Dated),
+		h := &tar.Header{Name: fmt.Sprintf("%016x/%d", k.Object, k.Chunk), Mode: 0o640, Size: int64(len(p.Body)), ModTime: time.UnixMilli(p.IssuedAt),
 			Format: tar.FormatPAX, PAXRecords: map[string]string{"CAIRNFRONT.tag": p.Tag, "CAIRNFRONT.group": fmt.Sprint(p.Group),
-				"CAIRNFRONT.dated": fmt.Sprint(p.Dated)}}
+				"CAIRNFRONT.dated": fmt.Sprint(p.IssuedAt)}}
 		if err := errors.Join(out.WriteHeader(h), second(out.Write(p.Body))); err != nil {
-			return parts, errors.Join(fmt.Errorf("writing part %d of object %016x: %w", k.Part, k.Object, err), s.Close())
+			return parts, errors.Join(fmt.Errorf("writing part %d of object %016x: %w", k.Chunk, k.Object, err), s.Close())
 		}
 		parts++
 	}
--- a/internal/diskcache/validity/trust.go
+++ b/internal/diskcache/validity/trust.go
@@ -13,12 +13,12 @@
 )
 
 const (
-	silenceMost  = 5000 // ms without a word of the board after which purges may have been missed: five beats
-	clockSlack   = 2000 // ms by which a clock may lag behind what it said before: more has been set back
-	forgetShare  = 8    // a full memory of purges forgets this part of it at once, so that it is not sorted each time
-	MostPurges   = 65536
-	BytesAPurge  = 64 // in memory, about: key, time and their place in the map
-	UnknownGroup = 0xffff
+	silenceMost      = 5000 // ms without a word of the board after which purges may have been missed: five beats
+	clockSlack       = 2000 // ms by which a clock may lag behind what it said before: more has been set back
+	forgetShare      = 8    // a full memory of purges forgets this part of it at once, so that it is not sorted each time
+	DefaultMaxPurges = 65536
+	BytesPerPurge    = 64 // in memory, about: key, time and their place in the map
+	UnknownGroup     = 0xffff
 )
 
 // Verdict is what a copy is.
@@ -26,9 +26,9 @@
 
 // A sound copy may be served, one on probation once its source has confirmed its tag, a void one never.
 const (
-	Sound Verdict = iota
-	Probation
-	Void
+	Valid Verdict = iota
+	Unconfirmed
+	Invalidated
 )
 
 func (v Verdict) String() string { return [...]string{"sound", "on probation", "void"}[v] }
@@ -36,11 +36,11 @@
 // Copy is what is asked about. Dated is the Unix ms at which the origin gave it out, Seq its place in the order of
 // writing, 0 for one in memory. Confirmed is the doubt (see Doubts) in which its source gave it or last confirmed it.
 type Copy struct {
-	Object    uint64
-	Group     uint16
-	Dated     int64
-	Seq       uint64
-	Confirmed uint16
+	Object         uint64
+	Group          uint16
+	IssuedAt       int64
+	Seq            uint64
+	ConfirmedEpoch uint16
 }
 
 // Kind of a record.
@@ -50,37 +50,37 @@
 const (
 	PurgeObject Kind = 1 + iota
 	PurgeGroup
-	Mark  // the number followed so far, and the clock
-	Doubt // all written up to Seq may be older than a purge that was not heard
-	Floor // purges up to At are forgotten
+	Checkpoint // the number followed so far, and the clock
+	Gap        // all written up to Seq may be older than a purge that was not heard
+	PurgeFloor // purges up to At are forgotten
 )
 
 // Record is what has to outlast a loss of power. At, Heard: Unix ms; Heard is the box's own clock.
 type Record struct {
-	Kind   Kind
-	Group  uint16
-	Object uint64
-	At     int64
-	Number uint64
-	Sum    uint32
-	Heard  int64
-	Seq    uint64
+	Kind      Kind
+	Group     uint16
+	Object    uint64
+	PurgedAt  int64 `json:"At"`
+	Number    uint64
+	Checksum  uint32 `json:"Sum"`
+	WrittenAt int64  `json:"Heard"`
+	Seq       uint64
 }
 
 // Notice is one event of the board. Sum is a checksum of all of it. A beat says that there is nothing new.
-type Notice struct {
-	Number uint64
-	Sum    uint32
-	Beat   bool
-	Purge  bool
-	All    bool // of the purge: the whole group
-	Object uint64
-	Group  uint16
-	At     int64
+type Event struct {
+	Number     uint64
+	Checksum   uint32
+	Heartbeat  bool
+	Purge      bool
+	WholeGroup bool // of the purge: the whole group
+	Object     uint64
+	Group      uint16
+	PurgedAt   int64
 }
 
 // Core is what is known. It is not safe for more than one goroutine.
-type Core struct {
+type Tracker struct {
 	objects map[uint64]int64 // newest purge of each
 	groups  map[uint16]int64
 	any     int64 // newest purge of any group: for copies whose group is not known
@@ -102,29 +102,29 @@
 }
 
 // New starts with an empty memory of so many purges.
-func New(most int) *Core {
+func NewTracker(most int) *Tracker {
 	if most <= 0 {
-		most = MostPurges
+		most = DefaultMaxPurges
 	}
-	return &Core{objects: map[uint64]int64{}, groups: map[uint16]int64{}, most: most, empty: true, doubts: 1}
+	return &Tracker{objects: map[uint64]int64{}, groups: map[uint16]int64{}, most: most, empty: true, doubts: 1}
 }
 
 // Restore takes the records of earlier starts, in order. Top is the highest seq on the disk, now the clock. What it
 // returns has to be written.
-func (c *Core) Restore(records []Record, top uint64, now int64) []Record {
+func (c *Tracker) Restore(records []Record, top uint64, now int64) []Record {
 	for _, r := range records {
 		switch r.Kind {
 		case PurgeObject, PurgeGroup:
-			c.purge(r.Kind == PurgeGroup, r.Object, r.Group, r.At)
-		case Doubt:
+			c.purge(r.Kind == PurgeGroup, r.Object, r.Group, r.PurgedAt)
+		case Gap:
 			c.doubt = max(c.doubt, r.Seq)
-		case Floor:
-			c.floor = max(c.floor, r.At)
+		case PurgeFloor:
+			c.floor = max(c.floor, r.PurgedAt)
 		}
 		if r.Number > 0 {
-			c.number, c.sum = r.Number, r.Sum
+			c.number, c.sum = r.Number, r.Checksum
 		}
-		c.high = max(c.high, r.Heard)
+		c.high = max(c.high, r.WrittenAt)
 	}
 	c.empty = top == 0 && c.number == 0
 	var out []Record
@@ -135,7 +135,7 @@
 }
 
 // Ask is the number to ask the board for events after: the last one followed comes once more, to prove continuity.
-func (c *Core) Ask() uint64 {
+func (c *Tracker) ResumeAfter() uint64 {
 	if c.number == 0 {
 		return 0
 	}
@@ -143,17 +143,17 @@
 }
 
 // Following is the number of the last event followed, and whether this connection is known to go on from it.
-func (c *Core) Following() (number uint64, linked bool) { return c.number, c.linked }
+func (c *Tracker) Position() (number uint64, linked bool) { return c.number, c.linked }
 
 // Connected says that a new connection to the board was made.
-func (c *Core) Connected() { c.linked, c.caught = c.number == 0, false }
+func (c *Tracker) StreamOpened() { c.linked, c.caught = c.number == 0, false }
 
 // Hear takes an event. Top is the highest seq written so far. Again asks for a new connection, from Ask: the board's
 // numbers are others now, and all of them have to be read.
-func (c *Core) Hear(now int64, top uint64, n Notice) (write []Record, again bool) {
+func (c *Tracker) Apply(now int64, top uint64, n Event) (write []Record, again bool) {
 	c.high = max(c.high, now)
 	if !c.linked {
-		if !n.Beat && n.Number == c.number && n.Sum == c.sum {
+		if !n.Heartbeat && n.Number == c.number && n.Checksum == c.sum {
 			c.linked, c.last = true, now
 			return nil, false
 		}
@@ -161,7 +161,7 @@
 		return c.missed(top, now), true
 	}
 	c.last = now
-	if n.Beat {
+	if n.Heartbeat {
 		c.caught, c.certain = true, true
 		return nil, false
 	}
@@ -173,12 +173,12 @@
 	} else if c.number == 0 && n.Number > 1 && !c.empty { // its numbers began before what it has to tell
 		write = append(write, c.missed(top, now)...)
 	}
-	c.number, c.sum = n.Number, n.Sum
-	r := Record{Kind: Mark, Number: n.Number, Sum: n.Sum, Heard: now}
+	c.number, c.sum = n.Number, n.Checksum
+	r := Record{Kind: Checkpoint, Number: n.Number, Checksum: n.Checksum, WrittenAt: now}
 	if n.Purge {
-		c.purge(n.All, n.Object, n.Group, n.At)
-		r.Kind, r.Object, r.Group, r.At = PurgeObject, n.Object, n.Group, n.At
-		if n.All {
+		c.purge(n.WholeGroup, n.Object, n.Group, n.PurgedAt)
+		r.Kind, r.Object, r.Group, r.PurgedAt = PurgeObject, n.Object, n.Group, n.PurgedAt
+		if n.WholeGroup {
 			r.Kind = PurgeGroup
 		}
 	}
@@ -187,26 +187,26 @@
 }
 
 // missed notes that purges may have been missed; of an empty disk they can't have been.
-func (c *Core) missed(top uint64, now int64) []Record {
+func (c *Tracker) missed(top uint64, now int64) []Record {
 	if top == 0 {
 		return nil
 	}
 	return []Record{c.distrust(top, now)}
 }
 
-func (c *Core) distrust(top uint64, now int64) Record {
+func (c *Tracker) distrust(top uint64, now int64) Record {
 	c.doubt = max(c.doubt, top)
 	c.doubts++
-	return Record{Kind: Doubt, Seq: top, Heard: now}
+	return Record{Kind: Gap, Seq: top, WrittenAt: now}
 }
 
 // Mark is the record of the clock and the number followed so far; it is worth writing now and then.
-func (c *Core) Mark(now int64) Record {
+func (c *Tracker) Checkpoint(now int64) Record {
 	c.high = max(c.high, now)
-	return Record{Kind: Mark, Number: c.number, Sum: c.sum, Heard: now}
+	return Record{Kind: Checkpoint, Number: c.number, Checksum: c.sum, WrittenAt: now}
 }
 
-func (c *Core) purge(all bool, object uint64, group uint16, at int64) {
+func (c *Tracker) purge(all bool, object uint64, group uint16, at int64) {
 	if all {
 		c.groups[group] = max(c.groups[group], at)
 		c.any = max(c.any, at)
@@ -216,7 +216,7 @@
 }
 
 // forget keeps the memory of purges within its bound. Copies from before what is forgotten stay on probation.
-func (c *Core) forget(now int64) []Record {
+func (c *Tracker) forget(now int64) []Record {
 	if len(c.objects) <= c.most {
 		return nil
 	}
@@ -231,12 +231,12 @@
 			delete(c.objects, object)
 		}
 	}
-	return []Record{{Kind: Floor, At: c.floor, Heard: now}}
+	return []Record{{Kind: PurgeFloor, PurgedAt: c.floor, WrittenAt: now}}
 }
 
 // Settled forgets the purges that nothing can meet any more: every copy on the disk is younger than they are, and
 // none that could still be on its way is older. Oldest is the time of the oldest copy on the disk.
-func (c *Core) Settled(oldest int64) {
+func (c *Tracker) PrunePurges(oldest int64) {
 	for object, at := range c.objects {
 		if at < oldest {
 			delete(c.objects, object)
@@ -251,69 +251,69 @@
 
 // Certain says whether no purge can have been missed: the board was caught up with and is heard. Before that, and
 // while it is silent, every copy is on probation.
-func (c *Core) Certain(now int64) bool { return c.certain && now-c.last <= silenceMost }
+func (c *Tracker) UpToDate(now int64) bool { return c.certain && now-c.last <= silenceMost }
 
 // Judge says what a copy is now.
-func (c *Core) Judge(now int64, x Copy) Verdict {
-	if c.Voided(x) {
-		return Void
+func (c *Tracker) Evaluate(now int64, x Copy) Verdict {
+	if c.IsInvalidated(x) {
+		return Invalidated
 	}
 	switch {
-	case !c.Certain(now), x.Dated <= c.floor, x.Dated > now+clockSlack,
-		x.Confirmed != c.doubts && (x.Seq == 0 || x.Seq <= c.doubt):
-		return Probation
+	case !c.UpToDate(now), x.IssuedAt <= c.floor, x.IssuedAt > now+clockSlack,
+		x.ConfirmedEpoch != c.doubts && (x.Seq == 0 || x.Seq <= c.doubt):
+		return Unconfirmed
 	}
-	return Sound
+	return Valid
 }
 
 // Voided says whether a purge that was heard voids a copy. One of the same millisecond is void too.
-func (c *Core) Voided(x Copy) bool {
-	if at, ok := c.objects[x.Object]; ok && x.Dated <= at {
+func (c *Tracker) IsInvalidated(x Copy) bool {
+	if at, ok := c.objects[x.Object]; ok && x.IssuedAt <= at {
 		return true
 	}
 	if x.Group == UnknownGroup {
-		return x.Dated <= c.any
+		return x.IssuedAt <= c.any
 	}
 	at, ok := c.groups[x.Group]
-	return ok && x.Dated <= at
+	return ok && x.IssuedAt <= at
 }
 
 // Doubts is what a confirmation has to carry: it counts only if no doubt came up since it was asked for.
-func (c *Core) Doubts() uint16 { return c.doubts }
+func (c *Tracker) Epoch() uint16 { return c.doubts }
 
 // State is what an operator is shown.
-type State struct {
-	Number          uint64
-	Certain, Linked bool
-	Doubted         uint64 // the highest seq on probation
-	Floor           int64
-	Purges          int
-	High            int64
+type Status struct {
+	Number               uint64
+	UpToDate, Continuous bool
+	SuspectUpTo          uint64 // the highest seq on probation
+	PurgeFloor           int64
+	Purges               int
+	ClockHighWater       int64
 }
 
 // State says how things stand.
-func (c *Core) State(now int64) State {
-	return State{Number: c.number, Certain: c.Certain(now), Linked: c.linked, Doubted: c.doubt, Floor: c.floor,
-		Purges: len(c.objects) + len(c.groups), High: c.high}
+func (c *Tracker) Status(now int64) Status {
+	return Status{Number: c.number, UpToDate: c.UpToDate(now), Continuous: c.linked, SuspectUpTo: c.doubt, PurgeFloor: c.floor,
+		Purges: len(c.objects) + len(c.groups), ClockHighWater: c.high}
 }
 
 // Records is the shortest list that restores what is known, for a log that has grown.
-func (c *Core) Records(now int64) []Record {
+func (c *Tracker) Records(now int64) []Record {
 	var out []Record
 	for object, at := range c.objects {
-		out = append(out, Record{Kind: PurgeObject, Object: object, At: at, Heard: now})
+		out = append(out, Record{Kind: PurgeObject, Object: object, PurgedAt: at, WrittenAt: now})
 	}
 	for group, at := range c.groups {
-		out = append(out, Record{Kind: PurgeGroup, Group: group, At: at, Heard: now})
+		out = append(out, Record{Kind: PurgeGroup, Group: group, PurgedAt: at, WrittenAt: now})
 	}
 	slices.SortFunc(out, func(a, b Record) int {
-		return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Object, b.Object), cmp.Compare(a.Group, b.Group))
+		return cmp.Or(cmp.Compare(a.PurgedAt, b.PurgedAt), cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Object, b.Object), cmp.Compare(a.Group, b.Group))
 	})
 	if c.doubt > 0 {
-		out = append(out, Record{Kind: Doubt, Seq: c.doubt, Heard: now})
+		out = append(out, Record{Kind: Gap, Seq: c.doubt, WrittenAt: now})
 	}
 	if c.floor > 0 {
-		out = append(out, Record{Kind: Floor, At: c.floor, Heard: now})
+		out = append(out, Record{Kind: PurgeFloor, PurgedAt: c.floor, WrittenAt: now})
 	}
-	return append(out, c.Mark(now))
+	return append(out, c.Checkpoint(now))
 }
--- a/internal/diskcache/vfs/disk.go
+++ b/internal/diskcache/vfs/disk.go
@@ -14,9 +14,9 @@
 
 // Errors that a caller tells apart. Both file systems wrap them.
 var (
-	ErrFull  = errors.New("no space left")
-	ErrInUse = errors.New("in use by another process")
-	ErrGone  = fs.ErrNotExist
+	ErrNoSpace  = errors.New("no space left")
+	ErrLocked   = errors.New("in use by another process")
+	ErrNotExist = fs.ErrNotExist
 )
 
 // File is an open file. ReadAt and WriteAt may be called from several goroutines.
@@ -67,7 +67,7 @@
 func (f file) WriteAt(p []byte, at int64) (int, error) {
 	n, err := f.File.WriteAt(p, at)
 	if errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) {
-		err = fmt.Errorf("%w: %w", ErrFull, err)
+		err = fmt.Errorf("%w: %w", ErrNoSpace, err)
 	}
 	return n, err
 }
@@ -129,7 +129,7 @@
 	}
 	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
 		_ = f.Close()
-		return nil, fmt.Errorf("%s: %w", string(d), ErrInUse)
+		return nil, fmt.Errorf("%s: %w", string(d), ErrLocked)
 	}
 	return func() { _ = f.Close() }, nil
 }
--- a/internal/diskcache/vfs/faulty.go
+++ b/internal/diskcache/vfs/faulty.go
@@ -13,15 +13,15 @@
 const sector = 512
 
 // ErrPower is what every call says once the power is off.
-var ErrPower = errors.New("the power is off")
+var ErrPowerLoss = errors.New("the power is off")
 
 // ErrRead is a read that the disk could not do.
-var ErrRead = errors.New("input/output error")
+var ErrIO = errors.New("input/output error")
 
 // Faulty is a disk in memory that does what real ones do at their worst. Until a file is synced, each sector of each
 // write, and each change of its size, may be on the medium or not when the power goes, in any combination; until
 // the folder is synced, so may each creation, renaming and removal. Chance comes from the seed.
-type Faulty struct {
+type FaultFS struct {
 	mu    sync.Mutex
 	rnd   *rand.Rand
 	names map[string]*inode // as the running system sees them
@@ -31,12 +31,12 @@
 	lock  bool
 	ops   int
 
-	CutAfter int   // the power goes at this write, sync, rename, removal or truncation; 0 for never
-	Room     int64 // bytes that fit; 0 for any number
-	Hang     chan struct{}
-	hung     bool
+	PowerLossAfter int   // the power goes at this write, sync, rename, removal or truncation; 0 for never
+	CapacityBytes  int64 // bytes that fit; 0 for any number
+	release        chan struct{}
+	hung           bool
 
-	ReadFails  func(name string, at int64) bool // a read that fails
+	FailRead   func(name string, at int64) bool // a read that fails
 	ShortWrite func() bool                      // a write that stops half way
 }
 
@@ -56,19 +56,19 @@
 }
 
 // NewFaulty makes an empty disk.
-func NewFaulty(seed uint64) *Faulty {
-	return &Faulty{rnd: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)), names: map[string]*inode{}, solid: map[string]*inode{}}
+func NewFaultFS(seed uint64) *FaultFS {
+	return &FaultFS{rnd: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)), names: map[string]*inode{}, solid: map[string]*inode{}}
 }
 
 // Ops is how many writes, syncs, renames, removals and truncations there were.
-func (f *Faulty) Ops() int { f.mu.Lock(); defer f.mu.Unlock(); return f.ops }
+func (f *FaultFS) OpCount() int { f.mu.Lock(); defer f.mu.Unlock(); return f.ops }
 
 // Stop lets every call wait until the function that it returns is called: a disk that hangs.
-func (f *Faulty) Stop() (release func()) {
+func (f *FaultFS) Hang() (release func()) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.Hang, f.hung = make(chan struct{}), true
-	hang := f.Hang
+	f.release, f.hung = make(chan struct{}), true
+	hang := f.release
 	return func() {
 		f.mu.Lock()
 		f.hung = false
@@ -78,31 +78,31 @@
 }
 
 // enter waits out a hang and says whether the power is on. The caller holds mu on return.
-func (f *Faulty) enter() error {
+func (f *FaultFS) enter() error {
 	f.mu.Lock()
 	for f.hung {
-		hang := f.Hang
+		hang := f.release
 		f.mu.Unlock()
 		<-hang
 		f.mu.Lock()
 	}
 	if f.off {
-		return ErrPower
+		return ErrPowerLoss
 	}
 	return nil
 }
 
 // step counts an operation and cuts the power at its turn. What is under way may come to be or not.
-func (f *Faulty) step() bool {
+func (f *FaultFS) step() bool {
 	f.ops++
-	if f.CutAfter > 0 && f.ops >= f.CutAfter {
+	if f.PowerLossAfter > 0 && f.ops >= f.PowerLossAfter {
 		f.off = true
 	}
 	return f.off
 }
 
 // Restart brings the power back: what the medium has is all there is.
-func (f *Faulty) Restart() {
+func (f *FaultFS) Restart() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, c := range f.dir {
@@ -110,7 +110,7 @@
 			c.apply(f.solid)
 		}
 	}
-	f.dir, f.off, f.lock, f.CutAfter, f.ops = nil, false, false, 0, 0
+	f.dir, f.off, f.lock, f.PowerLossAfter, f.ops = nil, false, false, 0, 0
 	seen := map[*inode]bool{}
 	f.names = map[string]*inode{}
 	names := make([]string, 0, len(f.solid))
@@ -175,13 +175,13 @@
 	}
 }
 
-func (f *Faulty) rename(c change) {
+func (f *FaultFS) rename(c change) {
 	c.apply(f.names)
 	f.dir = append(f.dir, c)
 }
 
 // Create implements FS.
-func (f *Faulty) Create(name string) (File, error) {
+func (f *FaultFS) Create(name string) (File, error) {
 	defer f.mu.Unlock()
 	if err := f.enter(); err != nil {
 		return nil, err
@@ -189,59 +189,59 @@
 	i := &inode{}
 	f.rename(change{map[string]*inode{name: i}})
 	if f.step() {
-		return nil, ErrPower
+		return nil, ErrPowerLoss
 	}
 	return &handle{f, name, i}, nil
 }
 
 // Open implements FS.
-func (f *Faulty) Open(name string) (File, error) {
+func (f *FaultFS) Open(name string) (File, error) {
 	defer f.mu.Unlock()
 	if err := f.enter(); err != nil {
 		return nil, err
 	}
 	i := f.names[name]
 	if i == nil {
-		return nil, fmt.Errorf("%s: %w", name, ErrGone)
+		return nil, fmt.Errorf("%s: %w", name, ErrNotExist)
 	}
 	return &handle{f, name, i}, nil
 }
 
 // Rename implements FS.
-func (f *Faulty) Rename(from, to string) error {
+func (f *FaultFS) Rename(from, to string) error {
 	defer f.mu.Unlock()
 	if err := f.enter(); err != nil {
 		return err
 	}
 	i := f.names[from]
 	if i == nil {
-		return fmt.Errorf("%s: %w", from, ErrGone)
+		return fmt.Errorf("%s: %w", from, ErrNotExist)
 	}
 	f.rename(change{map[string]*inode{from: nil, to: i}})
 	if f.step() {
-		return ErrPower
+		return ErrPowerLoss
 	}
 	return nil
 }
 
 // Remove implements FS.
-func (f *Faulty) Remove(name string) error {
+func (f *FaultFS) Remove(name string) error {
 	defer f.mu.Unlock()
 	if err := f.enter(); err != nil {
 		return err
 	}
 	if f.names[name] == nil {
-		return fmt.Errorf("%s: %w", name, ErrGone)
+		return fmt.Errorf("%s: %w", name, ErrNotExist)
 	}
 	f.rename(change{map[string]*inode{name: nil}})
 	if f.step() {
-		return ErrPower
+		return ErrPowerLoss
 	}
 	return nil
 }
 
 // List implements FS.
-func (f *Faulty) List() ([]string, error) {
+func (f *FaultFS) List() ([]string, error) {
 	defer f.mu.Unlock()
 	if err := f.enter(); err != nil {
 		return nil, err
@@ -255,13 +255,13 @@
 }
 
 // SyncDir implements FS.
-func (f *Faulty) SyncDir() error {
+func (f *FaultFS) SyncDir() error {
 	defer f.mu.Unlock()
 	if err := f.enter(); err != nil {
 		return err
 	}
 	if f.step() {
-		return ErrPower
+		return ErrPowerLoss
 	}
 	for _, c := range f.dir {
 		c.apply(f.solid)
@@ -271,20 +271,20 @@
 }
 
 // Lock implements FS.
-func (f *Faulty) Lock(string) (func(), error) {
+func (f *FaultFS) Lock(string) (func(), error) {
 	defer f.mu.Unlock()
 	if err := f.enter(); err != nil {
 		return nil, err
 	}
 	if f.lock {
-		return nil, ErrInUse
+		return nil, ErrLocked
 	}
 	f.lock = true
 	return func() { f.mu.Lock(); f.lock = false; f.mu.Unlock() }, nil
 }
 
 // Flip turns over one bit of a file, on the medium and off it.
-func (f *Faulty) Flip(name string, at int64, bit byte) {
+func (f *FaultFS) FlipBit(name string, at int64, bit byte) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	i := f.names[name]
@@ -296,7 +296,7 @@
 }
 
 // Bytes is a copy of a file as the running system sees it, nil where there is none.
-func (f *Faulty) Bytes(name string) []byte {
+func (f *FaultFS) Contents(name string) []byte {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if i := f.names[name]; i != nil {
@@ -306,7 +306,7 @@
 }
 
 type handle struct {
-	f    *Faulty
+	f    *FaultFS
 	name string
 	i    *inode
 }
@@ -316,8 +316,8 @@
 	if err := h.f.enter(); err != nil {
 		return 0, err
 	}
-	if h.f.ReadFails != nil && h.f.ReadFails(h.name, at) {
-		return 0, ErrRead
+	if h.f.FailRead != nil && h.f.FailRead(h.name, at) {
+		return 0, ErrIO
 	}
 	if at >= int64(len(h.i.data)) {
 		return 0, io.EOF
@@ -335,8 +335,8 @@
 		return 0, err
 	}
 	err, n := error(nil), len(p)
-	if h.f.Room > 0 && h.f.used()+max(at+int64(n)-int64(len(h.i.data)), 0) > h.f.Room {
-		n, err = n/2, ErrFull
+	if h.f.CapacityBytes > 0 && h.f.used()+max(at+int64(n)-int64(len(h.i.data)), 0) > h.f.CapacityBytes {
+		n, err = n/2, ErrNoSpace
 	} else if h.f.ShortWrite != nil && h.f.ShortWrite() {
 		n, err = n/2, io.ErrShortWrite
 	}
@@ -344,12 +344,12 @@
 	h.i.data = put(h.i.data, w.data, at)
 	h.i.pending = append(h.i.pending, w)
 	if h.f.step() {
-		return 0, ErrPower
+		return 0, ErrPowerLoss
 	}
 	return n, err
 }
 
-func (f *Faulty) used() (sum int64) {
+func (f *FaultFS) used() (sum int64) {
 	for _, i := range f.names {
 		sum += int64(len(i.data))
 	}
@@ -372,7 +372,7 @@
 	h.i.data = resize(h.i.data, size)
 	h.i.pending = append(h.i.pending, write{at: size, truncate: true})
 	if h.f.step() {
-		return ErrPower
+		return ErrPowerLoss
 	}
 	return nil
 }
@@ -383,7 +383,7 @@
 		return err
 	}
 	if h.f.step() {
-		return ErrPower
+		return ErrPowerLoss
 	}
 	for _, w := range h.i.pending {
 		h.i.tear(w, func() bool { return true })
--- a/internal/edgecache/box.go
+++ b/internal/edgecache/box.go
@@ -45,30 +45,30 @@
 
 // believer tells what may be believed: the tier, or the same without a disk.
 type believer interface {
-	Judge(validity.Copy) validity.Verdict
-	Doubts() uint16
-	Ask() uint64
-	Following() (uint64, bool)
-	Connected()
-	Hear(validity.Notice) bool
+	Evaluate(validity.Copy) validity.Verdict
+	Epoch() uint16
+	ResumeAfter() uint64
+	Position() (uint64, bool)
+	StreamOpened()
+	Apply(validity.Event) bool
 }
 
 // Box is one. Fields are set before Run.
-type Box struct {
-	Plan   config.Box
-	Book   *telemetry.Book
-	Disk   *diskcache.Tier // nil for none
-	Origin Origin          // of an origin
+type Server struct {
+	Config    config.Box
+	Telemetry *telemetry.Book
+	Disk      *diskcache.Cache // nil for none
+	Origin    Origin           // of an origin
 
 	// For the laboratory, where set: what was asked, and how many bytes were given under which id.
-	Saw  func(cacheproto.Command)
-	Gave func(id string, bytes int)
+	OnRequest  func(cacheproto.Command)
+	OnResponse func(id string, bytes int)
 
 	rules   map[string]config.Rule
 	trust   believer
-	desk    *handler.Desk
+	desk    *handler.Handler
 	pool    *upstream.Pool
-	machine capacity.Machine
+	machine capacity.Model
 	now     func() time.Time
 
 	in     chan any
@@ -128,10 +128,10 @@
 )
 
 // Run serves on a listener until the context ends, then gives open txns their time.
-func (b *Box) Run(ctx context.Context, ln net.Listener) error {
+func (b *Server) Run(ctx context.Context, ln net.Listener) error {
 	b.now = time.Now
 	b.rules = map[string]config.Rule{}
-	for _, r := range b.Plan.Rules {
+	for _, r := range b.Config.Rules {
 		b.rules[r.Name] = r
 	}
 	b.in, b.gone, b.open, b.calls = make(chan any, queued), make(chan struct{}), map[uint64]*asked{}, map[uint64]*upstream.Call{}
@@ -139,13 +139,13 @@
 		b.trust = b.Disk
 	}
 	b.first.Store(true)
-	e := b.Plan.Emulate
-	b.machine = capacity.Machine{Started: seconds(b.now()), Numbers: capacity.Numbers{Cores: e.Cores, Work: e.WorkMS / 1000,
-		Link: e.LinkKBS, Latency: e.LatencyMS / 1000, ColdShare: e.ColdShare, Cold: e.ColdS}}
-	memory := int64(b.Plan.MemoryMB * (1 << 20))
-	b.desk = handler.New(b, handler.Bounds{Memory: memory, Fills: b.Plan.Fills, FillWait: float64(b.Plan.FillWait)})
-	gate := admission.New(max(int(b.Plan.MemoryMB), memberMB), max(b.Plan.Connections, 64))
-	b.pool = &upstream.Pool{Gate: gate, Book: b.Book, Post: b.post, Connect: connectFor, Idle: b.Plan.IdleClose.Duration(), Streams: 32}
+	e := b.Config.Emulate
+	b.machine = capacity.Model{StartedAt: seconds(b.now()), Params: capacity.Params{Cores: e.Cores, WorkSeconds: e.WorkMS / 1000,
+		LinkKBps: e.LinkKBS, LatencySeconds: e.LatencyMS / 1000, ColdShare: e.ColdShare, ColdSeconds: e.ColdS}}
+	memory := int64(b.Config.MemoryMB * (1 << 20))
+	b.desk = handler.New(b, handler.Limits{MemoryBytes: memory, MaxFills: b.Config.Fills, FillTimeoutSeconds: float64(b.Config.FillWait)})
+	gate := admission.New(max(int(b.Config.MemoryMB), memberMB), max(b.Config.Connections, 64))
+	b.pool = &upstream.Pool{Gate: gate, Book: b.Telemetry, Post: b.post, Connect: connectFor, Idle: b.Config.IdleClose.Duration(), Streams: 32}
 
 	// What serves ends in steps: first the listener, then what is open, then all else.
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -159,13 +159,13 @@
 		disk <- nil
 	}
 	g.Go(func() error { return b.loop(serving) })
-	if b.Plan.Board != "" {
-		news := &discovery.Client{Address: b.Plan.Board, Telemetry: b.Book, OnRawEvent: b.notice, StartRevision: b.from}
+	if b.Config.Board != "" {
+		news := &discovery.Client{Address: b.Config.Board, Telemetry: b.Telemetry, OnRawEvent: b.notice, StartRevision: b.from}
 		g.Go(func() error { return news.Run(serving) })
 	}
 	var peers sync.WaitGroup
 	peers.Go(func() { b.accept(serving, ln, &peers) })
-	b.Book.Log.Info("serving", "listen", ln.Addr().String(), "id", b.Plan.ID, "role", b.Plan.Role)
+	b.Telemetry.Log.Info("serving", "listen", ln.Addr().String(), "id", b.Config.ID, "role", b.Config.Role)
 	select {
 	case <-ctx.Done():
 	case <-serving.Done():
@@ -178,8 +178,8 @@
 }
 
 // drain waits for what is open, for no longer than the plan says.
-func (b *Box) drain(ctx context.Context) {
-	end, cancel := context.WithTimeout(ctx, b.Plan.Drain.Duration())
+func (b *Server) drain(ctx context.Context) {
+	end, cancel := context.WithTimeout(ctx, b.Config.Drain.Duration())
 	defer cancel()
 	for tick := time.NewTicker(tickEvery); ; {
 		open := make(chan int, 1)
@@ -203,7 +203,7 @@
 
 func seconds(t time.Time) float64 { return float64(t.UnixMicro()) / 1e6 }
 
-func (b *Box) post(ev any) {
+func (b *Server) post(ev any) {
 	select {
 	case b.in <- ev:
 	case <-b.gone:
@@ -211,7 +211,7 @@
 }
 
 // loop owns the desk, the pool and the open txns.
-func (b *Box) loop(ctx context.Context) error {
+func (b *Server) loop(ctx context.Context) error {
 	defer close(b.gone)
 	tick, sweep := time.NewTicker(tickEvery), time.NewTicker(time.Second)
 	defer tick.Stop()
@@ -223,24 +223,24 @@
 		case ev := <-b.in:
 			b.safely(func() { b.hear(ev) })
 		case <-tick.C:
-			b.safely(func() { b.carry(b.desk.Tick(seconds(b.now()))) })
+			b.safely(func() { b.carry(b.desk.HandleTick(seconds(b.now()))) })
 		case <-sweep.C:
 			b.safely(func() { b.pool.Sweep(b.now()) })
 		}
 	}
 }
 
-func (b *Box) safely(f func()) {
+func (b *Server) safely(f func()) {
 	defer func() {
 		if p := recover(); p != nil {
-			b.Book.Add("panics", 1)
-			b.Book.Log.Error("panic", "where", "box", "what", fmt.Sprint(p), "stack", string(debug.Stack()))
+			b.Telemetry.Add("panics", 1)
+			b.Telemetry.Log.Error("panic", "where", "box", "what", fmt.Sprint(p), "stack", string(debug.Stack()))
 		}
 	}()
 	f()
 }
 
-func (b *Box) hear(ev any) {
+func (b *Server) hear(ev any) {
 	now := seconds(b.now())
 	switch ev := ev.(type) {
 	case came:
@@ -257,11 +257,11 @@
 	case checked:
 		load := ""
 		if ev.load {
-			load = "inflight:" + strconv.Itoa(len(b.open)) + ";util:" + strconv.FormatFloat(b.machine.Busy(now), 'f', 3, 64)
+			load = "inflight:" + strconv.Itoa(len(b.open)) + ";util:" + strconv.FormatFloat(b.machine.Utilization(now), 'f', 3, 64)
 		}
 		ev.p.say(item{head: cacheproto.AppendProbeReply(nil, ev.tag, true, load)})
 	case fromDisk:
-		b.carry(b.desk.DiskRead(now, ev.key, ev.c))
+		b.carry(b.desk.HandleDiskRead(now, ev.key, ev.c))
 	case due:
 		ev.then()
 	case moved:
@@ -274,32 +274,32 @@
 }
 
 // came takes a txn.
-func (b *Box) came(now float64, a *asked) {
+func (b *Server) came(now float64, a *asked) {
 	p := a.peer
-	if p.over || p.ids[a.line.ID] != nil || len(p.ids) >= b.Plan.Streams {
+	if p.over || p.ids[a.line.ID] != nil || len(p.ids) >= b.Config.Streams {
 		a.body.Free()
 		if !p.over {
-			b.Book.Add("box.turned-away", 1)
+			b.Telemetry.Add("box.turned-away", 1)
 			p.say(item{head: cacheproto.AppendAttemptResult(nil, a.line.ID, cacheproto.AttemptResult{Code: routing.Overloaded})})
 		}
 		return
 	}
-	if b.Saw != nil {
-		b.Saw(a.line)
+	if b.OnRequest != nil {
+		b.OnRequest(a.line)
 	}
 	b.number++
 	a.no = b.number
 	b.open[a.no], p.ids[a.line.ID] = a, a
-	b.Book.Add("box.txns."+a.line.ClassName, 1)
+	b.Telemetry.Add("box.txns."+a.line.ClassName, 1)
 	rule, known := b.rules[a.line.ClassName]
 	if !known {
-		b.Book.Add("box.unknown-rule", 1)
+		b.Telemetry.Add("box.unknown-rule", 1)
 		b.finish(a, cacheproto.AttemptResult{Code: routing.ServerError}, nil)
 		return
 	}
-	done, ok := b.machine.Do(now)
+	done, ok := b.machine.Process(now)
 	if !ok {
-		b.Book.Add("box.overload", 1)
+		b.Telemetry.Add("box.overload", 1)
 		b.finish(a, cacheproto.AttemptResult{Code: routing.Overloaded}, nil)
 		return
 	}
@@ -312,20 +312,20 @@
 			return
 		}
 		source := a.line.FillSource
-		if source == "" && b.Plan.Role == "parent" && !a.line.CacheOnly {
-			source = b.Plan.Source
+		if source == "" && b.Config.Role == "parent" && !a.line.CacheOnly {
+			source = b.Config.Source
 		}
-		if source == b.Plan.ID {
+		if source == b.Config.ID {
 			source = ""
 		}
-		b.carry(b.desk.Ask(seconds(b.now()), handler.Txn{ID: a.no, Key: a.key, Rule: handler.Rule{Name: rule.Name, Kept: rule.Kept, Fresh: rule.FreshS, Stale: rule.StaleS},
-			Until: now + a.line.TimeoutSeconds, Source: source, Rank: a.line.RetentionRank, MaxAge: a.line.MaxAgeSeconds, Join: a.line.JoinFill, NoFetch: a.line.CacheOnly,
+		b.carry(b.desk.HandleRequest(seconds(b.now()), handler.Request{ID: a.no, Key: a.key, Class: handler.Class{Name: rule.Name, Cacheable: rule.Kept, FreshSeconds: rule.FreshS, StaleSeconds: rule.StaleS},
+			Deadline: now + a.line.TimeoutSeconds, Source: source, Rank: a.line.RetentionRank, MaxAge: a.line.MaxAgeSeconds, Join: a.line.JoinFill, NoFetch: a.line.CacheOnly,
 			NoTrace: a.line.ParentNoStore, Renew: a.line.Revalidate, Tag: a.line.ETag}))
 	})
 }
 
 // after does something at a time, at once if that has come.
-func (b *Box) after(at float64, then func()) {
+func (b *Server) after(at float64, then func()) {
 	if wait := at - seconds(b.now()); wait > 0 {
 		time.AfterFunc(time.Duration(wait*float64(time.Second)), func() { b.post(due{then}) })
 		return
@@ -333,19 +333,19 @@
 	then()
 }
 
-func (b *Box) originate(a *asked, rule config.Rule) {
+func (b *Server) originate(a *asked, rule config.Rule) {
 	if !rule.Kept {
-		err := b.Origin.Run(a.line.ID, a.line.ClassName, a.line.IdempotencyKey, a.key, rule.Effect)
+		err := b.Origin.Execute(a.line.ID, a.line.ClassName, a.line.IdempotencyKey, a.key, rule.Effect)
 		if err != nil {
 			b.finish(a, cacheproto.AttemptResult{Code: routing.ServerError}, nil)
 			return
 		}
-		b.Book.Add("box.ran", 1)
+		b.Telemetry.Add("box.ran", 1)
 		b.finish(a, cacheproto.AttemptResult{Code: routing.Completed}, nil)
 		return
 	}
 	dated := b.now().UnixMilli()
-	tag, group, body, ok := b.Origin.Give(a.key)
+	tag, group, body, ok := b.Origin.Get(a.key)
 	switch {
 	case !ok:
 		b.finish(a, cacheproto.AttemptResult{Code: routing.CacheMiss}, nil)
@@ -356,36 +356,36 @@
 	}
 }
 
-func (b *Box) left(now float64, a *asked) {
+func (b *Server) left(now float64, a *asked) {
 	if b.open[a.no] != a {
 		return
 	}
 	b.close(a)
-	b.Book.Add("box.left", 1)
-	b.carry(b.desk.Leave(now, a.no, a.key))
+	b.Telemetry.Add("box.left", 1)
+	b.carry(b.desk.HandleCancel(now, a.no, a.key))
 }
 
-func (b *Box) close(a *asked) {
+func (b *Server) close(a *asked) {
 	delete(b.open, a.no)
 	delete(a.peer.ids, a.line.ID)
 	a.body.Free()
 }
 
 // finish ends a txn with an answer; its bytes go out when the machine that is played has sent them.
-func (b *Box) finish(a *asked, r cacheproto.AttemptResult, body []byte) {
+func (b *Server) finish(a *asked, r cacheproto.AttemptResult, body []byte) {
 	if b.open[a.no] != a || a.sent {
 		return
 	}
 	a.sent = true
 	r.BodyBytes = len(body)
-	b.Book.Add("box.answers."+a.line.ClassName+"."+codes[r.Code]+remarks[r.Remark], 1)
-	b.Book.Add("box.bytes."+remarks[r.Remark], int64(len(body)))
-	b.after(b.machine.Send(seconds(b.now()), len(body)), func() {
+	b.Telemetry.Add("box.answers."+a.line.ClassName+"."+codes[r.Code]+remarks[r.Remark], 1)
+	b.Telemetry.Add("box.bytes."+remarks[r.Remark], int64(len(body)))
+	b.after(b.machine.Transmit(seconds(b.now()), len(body)), func() {
 		if b.open[a.no] != a {
 			return
 		}
-		if b.Gave != nil {
-			b.Gave(a.line.ID, len(body))
+		if b.OnResponse != nil {
+			b.OnResponse(a.line.ID, len(body))
 		}
 		b.close(a)
 		a.peer.say(item{head: cacheproto.AppendAttemptResult(nil, a.line.ID, r), body: body})
@@ -396,55 +396,55 @@
 var remarks = map[routing.ResultDetail]string{routing.CacheHit: ".hit", routing.Filled: ".filled", routing.JoinedFill: ".joined", routing.StaleHit: ".old"}
 
 // carry carries out what the desk says.
-func (b *Box) carry(acts []handler.Action) {
+func (b *Server) carry(acts []handler.Action) {
 	for _, a := range append([]handler.Action(nil), acts...) { // carrying one out may ask the desk again
 		switch a := a.(type) {
-		case handler.Answer:
+		case handler.Respond:
 			b.answer(a)
-		case handler.Read:
+		case handler.ReadDisk:
 			go b.read(a.Key) // as many as there are txns at the most; the tier bounds the wait
 		case handler.Fetch:
 			b.fetch(a)
-		case handler.Abandon:
+		case handler.CancelFetch:
 			if call := b.calls[a.Fill]; call != nil {
 				delete(b.calls, a.Fill)
 				b.pool.Undo(call, routing.Cancelled)
 			}
-		case handler.Keep:
+		case handler.WriteDisk:
 			if b.Disk != nil && a.Copy.Tag != "" {
-				b.Disk.Offer(about(a.Copy), a.Copy.Body, a.Doubts)
+				b.Disk.Admit(about(a.Copy), a.Copy.Body, a.Epoch)
 			}
-		case handler.Used:
+		case handler.TouchDisk:
 			if b.Disk != nil && a.Copy.Tag != "" {
-				b.Disk.Used(about(a.Copy), a.Copy.Body, a.Copy.Confirmed)
+				b.Disk.Touch(about(a.Copy), a.Copy.Body, a.Copy.ConfirmedEpoch)
 			}
-		case handler.Forget:
+		case handler.DeleteFromDisk:
 			if b.Disk != nil {
-				b.Disk.Drop(a.Key)
+				b.Disk.Delete(a.Key)
 			}
-		case handler.Confirm:
+		case handler.ConfirmOnDisk:
 			if b.Disk != nil {
-				b.Disk.Confirmed(a.Key, a.Seq, a.Doubts)
+				b.Disk.Confirm(a.Key, a.Seq, a.Epoch)
 			}
-			b.Book.Add("box.confirmed", 1)
+			b.Telemetry.Add("box.confirmed", 1)
 		}
 	}
 }
 
 func about(c *handler.Copy) diskcache.Meta {
-	return diskcache.Meta{Key: c.Key, Group: c.Group, Rank: uint8(c.Rank), Dated: c.Dated, Tag: c.Tag}
+	return diskcache.Meta{Key: c.Key, Group: c.Group, Rank: uint8(c.Rank), IssuedAt: c.IssuedAt, Tag: c.Tag}
 }
 
-func (b *Box) answer(a handler.Answer) {
-	x := b.open[a.Txn]
+func (b *Server) answer(a handler.Respond) {
+	x := b.open[a.Request]
 	if x == nil {
 		return
 	}
-	r := cacheproto.AttemptResult{Code: a.Code, Remark: a.Remark, NotModified: a.Same, Group: cacheproto.UnknownGroup}
+	r := cacheproto.AttemptResult{Code: a.Code, Remark: a.Remark, NotModified: a.NotModified, Group: cacheproto.UnknownGroup}
 	var body []byte
 	if c := a.Copy; c != nil {
-		r.ETag, r.OriginUnixMillis, r.Group = c.Tag, c.Dated, int(c.Group)
-		if !a.Same {
+		r.ETag, r.OriginUnixMillis, r.Group = c.Tag, c.IssuedAt, int(c.Group)
+		if !a.NotModified {
 			body = c.Body
 		}
 	}
@@ -452,117 +452,119 @@
 }
 
 // read brings a part from the disk.
-func (b *Box) read(k eviction.Key) {
+func (b *Server) read(k eviction.Key) {
 	part, verdict, err := b.Disk.Get(k)
-	if err != nil || verdict == validity.Void {
+	if err != nil || verdict == validity.Invalidated {
 		b.post(fromDisk{k, nil})
 		return
 	}
-	b.post(fromDisk{k, &handler.Copy{Key: k, Tag: part.Tag, Dated: part.Dated, Group: part.Group, Rank: int(part.Rank), Seq: part.Seq,
-		Confirmed: part.Confirmed, Body: part.Body}})
+	b.post(fromDisk{k, &handler.Copy{Key: k, Tag: part.Tag, IssuedAt: part.IssuedAt, Group: part.Group, Rank: int(part.Rank), Seq: part.Seq,
+		ConfirmedEpoch: part.ConfirmedEpoch, Body: part.Body}})
 }
 
 // fetch asks a source.
-func (b *Box) fetch(f handler.Fetch) {
-	t := &request.Request{ID: fmt.Sprintf("%s-%x", b.Plan.ID[2:], f.Fill), ClassName: f.Rule, Object: fmt.Sprintf("%016x", f.Key.Object), Part: strconv.Itoa(int(f.Key.Part)), ETag: f.Tag}
-	if a := b.open[f.Txn]; a != nil {
+func (b *Server) fetch(f handler.Fetch) {
+	t := &request.Request{ID: fmt.Sprintf("%s-%x", b.Config.ID[2:], f.Fill), ClassName: f.Class, Object: fmt.Sprintf("%016x", f.Key.Object), Part: strconv.Itoa(int(f.Key.Chunk)), ETag: f.Tag}
+	if a := b.open[f.Request]; a != nil {
 		t.IdempotencyKey, t.Body = a.line.IdempotencyKey, a.body
 	}
-	call := b.pool.Send(cacheproto.Attempt{Txn: t, TimeoutSeconds: f.Wait, StartAttempt: routing.StartAttempt{Endpoint: f.Source, RetentionRank: f.Rank, MaxAgeSeconds: f.MaxAge, JoinFill: f.Join,
+	call := b.pool.Send(cacheproto.Attempt{Txn: t, TimeoutSeconds: f.TimeoutSeconds, StartAttempt: routing.StartAttempt{Endpoint: f.Source, RetentionRank: f.Rank, MaxAgeSeconds: f.MaxAge, JoinFill: f.Join,
 		CacheOnly: f.NoFetch, ParentNoStore: f.NoTrace}}, nil, f.Fill)
 	if call == nil {
-		b.post(due{func() { b.carry(b.desk.Fetched(seconds(b.now()), f.Fill, handler.End{Code: routing.NotSent})) }})
+		b.post(due{func() {
+			b.carry(b.desk.HandleFetched(seconds(b.now()), f.Fill, handler.FetchResult{Code: routing.NotSent}))
+		}})
 		return
 	}
-	b.Book.Add("box.fetches", 1)
+	b.Telemetry.Add("box.fetches", 1)
 	b.calls[f.Fill] = call
 }
 
 // fetched is the end of a call.
-func (b *Box) fetched(now float64, ev upstream.Ended) {
+func (b *Server) fetched(now float64, ev upstream.Ended) {
 	no, _ := ev.Call.Owner.(uint64)
 	if b.calls[no] == nil {
 		ev.End.Body.Free()
 		return
 	}
 	delete(b.calls, no)
-	e := handler.End{Code: ev.End.Code, Same: ev.End.NotModified, Tag: ev.End.ETag, Dated: ev.End.OriginTimeMillis, Group: validity.UnknownGroup}
+	e := handler.FetchResult{Code: ev.End.Code, NotModified: ev.End.NotModified, Tag: ev.End.ETag, IssuedAt: ev.End.OriginTimeMillis, Group: validity.UnknownGroup}
 	if ev.End.PurgeGroupPlusOne > 0 {
 		e.Group = uint16(ev.End.PurgeGroupPlusOne - 1)
 	}
 	if body := ev.End.Body; body != nil {
 		e.Body = body.Bytes
-		b.Book.Add("box.fetched-bytes", int64(len(e.Body)))
+		b.Telemetry.Add("box.fetched-bytes", int64(len(e.Body)))
 		body.Free() // what is kept of it counts in the memory's bound from here on
 	}
-	b.carry(b.desk.Fetched(now, no, e))
+	b.carry(b.desk.HandleFetched(now, no, e))
 }
 
 // Judge, Doubts and OnDisk make a box the desk's world.
-func (b *Box) Judge(c validity.Copy) validity.Verdict { return b.trust.Judge(c) }
+func (b *Server) Evaluate(c validity.Copy) validity.Verdict { return b.trust.Evaluate(c) }
 
 // Doubts implements desk.World.
-func (b *Box) Doubts() uint16 { return b.trust.Doubts() }
+func (b *Server) Epoch() uint16 { return b.trust.Epoch() }
 
 // OnDisk implements desk.World.
-func (b *Box) OnDisk(k eviction.Key) bool { return b.Disk != nil && b.Disk.Has(k) }
+func (b *Server) OnDisk(k eviction.Key) bool { return b.Disk != nil && b.Disk.Contains(k) }
 
 // from says after which number the board is asked: at a start for all, for the list of members is not kept; later
 // for the last event once more.
-func (b *Box) from() uint64 {
-	b.trust.Connected()
+func (b *Server) from() uint64 {
+	b.trust.StreamOpened()
 	if b.first.Load() {
 		return 0
 	}
-	return b.trust.Ask()
+	return b.trust.ResumeAfter()
 }
 
 // notice takes an event of the board.
-func (b *Box) notice(ev discovery.Event) error {
+func (b *Server) notice(ev discovery.Event) error {
 	if len(ev.Endpoints) > 0 {
 		b.post(moved{ev})
 	}
 	if ev.Heartbeat {
 		b.first.Store(false)
 	}
-	if number, linked := b.trust.Following(); !linked && !ev.Heartbeat && ev.Revision < number {
+	if number, linked := b.trust.Position(); !linked && !ev.Heartbeat && ev.Revision < number {
 		return nil // heard before: only the list was wanted
 	}
-	n := validity.Notice{Number: ev.Revision, Sum: ev.Checksum, Beat: ev.Heartbeat, Purge: ev.Purged, All: ev.Purged && ev.Object == "",
-		Group: uint16(ev.Group), At: int64(ev.At*1000 + 0.5)}
-	if n.Purge && !n.All {
+	n := validity.Event{Number: ev.Revision, Checksum: ev.Checksum, Heartbeat: ev.Heartbeat, Purge: ev.Purged, WholeGroup: ev.Purged && ev.Object == "",
+		Group: uint16(ev.Group), PurgedAt: int64(ev.At*1000 + 0.5)}
+	if n.Purge && !n.WholeGroup {
 		n.Object, _ = strconv.ParseUint(ev.Object, 16, 64)
 	}
-	if b.trust.Hear(n) {
-		b.Book.Add("box.board-anew", 1)
-		b.Book.Log.Warn("box", "code", "board-anew", "event", ev.Revision)
+	if b.trust.Apply(n) {
+		b.Telemetry.Add("box.board-anew", 1)
+		b.Telemetry.Log.Warn("box", "code", "board-anew", "event", ev.Revision)
 		return discovery.ErrRevisionGap
 	}
 	if n.Purge {
-		b.Book.Add("box.purges", 1)
+		b.Telemetry.Add("box.purges", 1)
 	}
 	return nil
 }
 
 // accept takes connections until the listener is closed.
-func (b *Box) accept(ctx context.Context, ln net.Listener, peers *sync.WaitGroup) {
+func (b *Server) accept(ctx context.Context, ln net.Listener, peers *sync.WaitGroup) {
 	for {
 		raw, err := ln.Accept()
 		if err != nil {
 			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 				return
 			}
-			b.Book.Log.Warn("accept", "err", err.Error())
+			b.Telemetry.Log.Warn("accept", "err", err.Error())
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
-		if b.conns.Add(1) > int64(b.Plan.Connections) {
+		if b.conns.Add(1) > int64(b.Config.Connections) {
 			b.conns.Add(-1)
-			b.Book.Add("conn.asker.turned-away", 1)
+			b.Telemetry.Add("conn.asker.turned-away", 1)
 			_ = raw.Close()
 			continue
 		}
-		b.Book.Began("asker")
+		b.Telemetry.Began("asker")
 		peers.Go(func() {
 			defer b.conns.Add(-1)
 			b.serve(ctx, raw)
@@ -571,7 +573,7 @@
 }
 
 // serve follows one connection.
-func (b *Box) serve(ctx context.Context, raw net.Conn) {
+func (b *Server) serve(ctx context.Context, raw net.Conn) {
 	p := &peer{c: netconn.New(raw, ringSize, writeStall), ids: map[string]*asked{}, wake: make(chan struct{}, 1)}
 	who := p.c.Peer()
 	ctx, cancel := context.WithCancel(ctx)
@@ -582,8 +584,8 @@
 			defer cancel()
 			defer func() {
 				if x := recover(); x != nil {
-					b.Book.Add("panics", 1)
-					b.Book.Log.Error("panic", "where", "asker", "what", fmt.Sprint(x), "stack", string(debug.Stack()))
+					b.Telemetry.Add("panics", 1)
+					b.Telemetry.Log.Error("panic", "where", "asker", "what", fmt.Sprint(x), "stack", string(debug.Stack()))
 					p.c.End(netconn.Panic, nil)
 				}
 			}()
@@ -595,12 +597,12 @@
 	both.Wait()
 	stop()
 	b.post(left{p})
-	p.c.Done(b.Book, "asker", who)
+	p.c.Done(b.Telemetry, "asker", who)
 }
 
 // listen reads commands.
-func (b *Box) listen(ctx context.Context, p *peer) (string, error) {
-	idle := b.Plan.IdleClose.Duration()
+func (b *Server) listen(ctx context.Context, p *peer) (string, error) {
+	idle := b.Config.IdleClose.Duration()
 	tail := make([]byte, len(cacheproto.LineEnd))
 	for {
 		p.c.SetReadDeadline(time.Now().Add(idle))
@@ -623,7 +625,7 @@
 			b.post(checked{p, a.ID, a.Kind == cacheproto.CommandProbeLoad})
 			continue
 		}
-		x := &asked{peer: p, line: a, key: eviction.Key{Object: a.ObjectID, Part: a.PartIndex}}
+		x := &asked{peer: p, line: a, key: eviction.Key{Object: a.ObjectID, Chunk: a.PartIndex}}
 		if a.BodyBytes > 0 {
 			if x.body, err = b.pool.Gate.Bodies.Allocate(ctx, a.BodyBytes); err != nil {
 				return netconn.Shutdown, err
@@ -690,28 +692,28 @@
 // bare is trust without a disk.
 type bare struct {
 	mu   sync.Mutex
-	core *validity.Core
+	core *validity.Tracker
 	now  func() time.Time
 }
 
-func newBare(now func() time.Time) *bare { return &bare{core: validity.New(0), now: now} }
+func newBare(now func() time.Time) *bare { return &bare{core: validity.NewTracker(0), now: now} }
 
-func (x *bare) Judge(c validity.Copy) validity.Verdict {
+func (x *bare) Evaluate(c validity.Copy) validity.Verdict {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.core.Judge(x.now().UnixMilli(), c)
+	return x.core.Evaluate(x.now().UnixMilli(), c)
 }
-func (x *bare) Doubts() uint16 { x.mu.Lock(); defer x.mu.Unlock(); return x.core.Doubts() }
-func (x *bare) Ask() uint64    { x.mu.Lock(); defer x.mu.Unlock(); return x.core.Ask() }
-func (x *bare) Following() (uint64, bool) {
+func (x *bare) Epoch() uint16       { x.mu.Lock(); defer x.mu.Unlock(); return x.core.Epoch() }
+func (x *bare) ResumeAfter() uint64 { x.mu.Lock(); defer x.mu.Unlock(); return x.core.ResumeAfter() }
+func (x *bare) Position() (uint64, bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.core.Following()
+	return x.core.Position()
 }
-func (x *bare) Connected() { x.mu.Lock(); defer x.mu.Unlock(); x.core.Connected() }
-func (x *bare) Hear(n validity.Notice) bool {
+func (x *bare) StreamOpened() { x.mu.Lock(); defer x.mu.Unlock(); x.core.StreamOpened() }
+func (x *bare) Apply(n validity.Event) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	_, again := x.core.Hear(x.now().UnixMilli(), 1, n)
+	_, again := x.core.Apply(x.now().UnixMilli(), 1, n)
 	return again
 }
--- a/internal/edgecache/box_test.go
+++ b/internal/edgecache/box_test.go
@@ -74,19 +74,19 @@
 
 // running is a box in this process.
 type running struct {
-	*Box
+	*Server
 	addr string
 	stop func()
 }
 
-func start(t *testing.T, b *told, change func(*Box)) *running {
+func start(t *testing.T, b *told, change func(*Server)) *running {
 	t.Helper()
 	rules, err := config.Parse("test", []byte("box: {rules: [{name: video}, {name: page, fresh_s: 10, stale_s: 10}, {name: order, kept: false, effect: keyed}]}"))
 	require.NoError(t, err)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	x := &Box{Plan: rules.Box, Book: telemetry.New(io.Discard, "")}
-	x.Plan.Board, x.Plan.Drain = b.Addr().String(), 0.2
+	x := &Server{Config: rules.Box, Telemetry: telemetry.New(io.Discard, "")}
+	x.Config.Board, x.Config.Drain = b.Addr().String(), 0.2
 	if change != nil {
 		change(x)
 	}
@@ -94,9 +94,9 @@
 	done := make(chan struct{})
 	go func() { _ = x.Run(ctx, ln); close(done) }()
 	var once sync.Once
-	r := &running{Box: x, addr: ln.Addr().String(), stop: func() { once.Do(func() { cancel(); <-done }) }}
+	r := &running{Server: x, addr: ln.Addr().String(), stop: func() { once.Do(func() { cancel(); <-done }) }}
 	t.Cleanup(r.stop)
-	require.Eventually(t, func() bool { return r.Book.Count("conn.board.begun") > 0 || r.Origin != nil }, patience, time.Millisecond)
+	require.Eventually(t, func() bool { return r.Telemetry.Count("conn.board.begun") > 0 || r.Origin != nil }, patience, time.Millisecond)
 	return r
 }
 
@@ -105,9 +105,9 @@
 }
 
 // origin starts one whose objects have versions that a test sets.
-func origin(t *testing.T, b *told) (*running, *Maker) {
-	m := &Maker{Seed: 7, Least: 100, Most: 3000, Groups: 16, Window: time.Minute}
-	r := start(t, b, func(x *Box) { x.Origin, x.Plan.Role, x.Plan.ID = m, "origin", "s-000000ff" })
+func origin(t *testing.T, b *told) (*running, *SyntheticOrigin) {
+	m := &SyntheticOrigin{Seed: 7, MinBytes: 100, MaxBytes: 3000, Groups: 16, KeyRetention: time.Minute}
+	r := start(t, b, func(x *Server) { x.Origin, x.Config.Role, x.Config.ID = m, "origin", "s-000000ff" })
 	b.tell(r.row("s-000000ff", 2))
 	return r, m
 }
@@ -167,7 +167,7 @@
 	assert.Equal(t, "served", word)
 	assert.Equal(t, "f", f["remark"])
 	assert.Equal(t, "5", f["bucket"])
-	assert.Equal(t, string(MadeBody(7, eviction.Key{Object: 5, Part: 1}, 0, 100, 3000)), body)
+	assert.Equal(t, string(SyntheticBody(7, eviction.Key{Object: 5, Chunk: 1}, 0, 100, 3000)), body)
 	word, f, _ = a.ask(t, "video", 5, "")
 	assert.Equal(t, "served h", word+" "+f["remark"])
 	word, _, body = a.ask(t, "video", 5, ",got="+f["digest"])
@@ -187,7 +187,7 @@
 	assert.Len(t, m.keys, 1)
 
 	b.tell(discovery.Event{Purged: true, Object: fmt.Sprintf("%016x", 5), At: float64(time.Now().UnixMilli()+1) / 1000})
-	require.Eventually(t, func() bool { return x.Book.Count("box.purges") == 1 }, patience, time.Millisecond)
+	require.Eventually(t, func() bool { return x.Telemetry.Count("box.purges") == 1 }, patience, time.Millisecond)
 	word, _, _ = a.ask(t, "video", 5, "")
 	assert.Equal(t, "not_here", word, "purged")
 }
@@ -204,17 +204,17 @@
 	_, _ = fmt.Fprint(a, "what is this\r\n")
 	_, err := a.r.ReadByte()
 	assert.Error(t, err, "the connection ends")
-	require.Eventually(t, func() bool { return x.Book.Count("conn.asker.ended.protocol") == 1 }, patience, time.Millisecond)
+	require.Eventually(t, func() bool { return x.Telemetry.Count("conn.asker.ended.protocol") == 1 }, patience, time.Millisecond)
 }
 
 func TestADrainAnswersWhatIsOpen(t *testing.T) {
 	b := startBoard(t)
 	o, _ := origin(t, b)
-	slow := start(t, b, func(x *Box) { x.Plan.Emulate.LatencyMS, x.Plan.Drain = 100, 5 })
+	slow := start(t, b, func(x *Server) { x.Config.Emulate.LatencyMS, x.Config.Drain = 100, 5 })
 	a := slow.dial(t)
 	require.Eventually(t, func() bool { word, _, _ := a.ask(t, "video", 9, ",parent=s-000000ff"); return word == "served" }, patience, time.Millisecond)
 	_, _ = fmt.Fprint(a, "do 0123456789abcdef profile=video,thing=0000000000000005,nth=1,max=3000,parent=s-000000ff 0\r\n\r\n")
-	require.Eventually(t, func() bool { return o.Book.Count("box.txns.video") >= 2 }, patience, time.Millisecond)
+	require.Eventually(t, func() bool { return o.Telemetry.Count("box.txns.video") >= 2 }, patience, time.Millisecond)
 	go slow.stop()
 	_, word, _, _ := a.next(t)
 	assert.Equal(t, "served", word)
@@ -227,10 +227,10 @@
 	o, _ := origin(t, b)
 	dir, err := vfs.MakeDir(t.TempDir() + "/d")
 	require.NoError(t, err)
-	with := func(x *Box) {
-		p := TierPlan(config.Tier{SpaceMB: 8, SegmentMB: 1, Alpha: 1, Ghosts: 100, Readers: 2, ReadQueue: 9, ReadWait: 1, WriteQueue: 9, Sync: 0.01})
+	with := func(x *Server) {
+		p := DiskCacheConfig(config.Tier{SpaceMB: 8, SegmentMB: 1, Alpha: 1, Ghosts: 100, Readers: 2, ReadQueue: 9, ReadWait: 1, WriteQueue: 9, Sync: 0.01})
 		var err error
-		x.Disk, _, err = diskcache.OpenTier(dir, p, x.Book, slog.New(slog.DiscardHandler))
+		x.Disk, _, err = diskcache.OpenCache(dir, p, x.Telemetry, slog.New(slog.DiscardHandler))
 		require.NoError(t, err)
 	}
 	const filled = ",parent=s-000000ff,shelf=2,hints=ride"
@@ -240,7 +240,7 @@
 	for _, object := range []int{5, 6, 5, 6, 5, 6} {
 		a.ask(t, "video", object, filled)
 	}
-	require.Eventually(t, func() bool { return x.Book.Count("tier.write.parts") >= 2 }, patience, time.Millisecond)
+	require.Eventually(t, func() bool { return x.Telemetry.Count("tier.write.parts") >= 2 }, patience, time.Millisecond)
 	x.stop()
 	require.NoError(t, x.Disk.Close())
 
@@ -258,12 +258,12 @@
 	other.tell(o.row("s-000000ff", 2))
 	x = start(t, other, with)
 	a = x.dial(t)
-	require.Eventually(t, func() bool { return x.Book.Count("box.board-anew") == 1 && x.Disk.State().Certain }, patience, time.Millisecond)
+	require.Eventually(t, func() bool { return x.Telemetry.Count("box.board-anew") == 1 && x.Disk.Status().UpToDate }, patience, time.Millisecond)
 	word, _, _ = a.ask(t, "video", 5, "")
 	assert.Equal(t, "not_here", word, "on probation, and nobody to confirm it")
 	word, f, _ := a.ask(t, "video", 5, filled)
 	assert.Equal(t, "served h", word+" "+f["remark"])
-	assert.Equal(t, int64(1), x.Book.Count("box.confirmed"))
+	assert.Equal(t, int64(1), x.Telemetry.Count("box.confirmed"))
 	word, _, _ = a.ask(t, "video", 5, "")
 	assert.Equal(t, "served", word)
 }
--- a/internal/edgecache/handler/desk.go
+++ b/internal/edgecache/handler/desk.go
@@ -22,21 +22,21 @@
 )
 
 // Rule is a remap rule as far as a box has to know it. Times are seconds.
-type Rule struct {
-	Name         string
-	Kept         bool
-	Fresh, Stale float64
+type Class struct {
+	Name                       string
+	Cacheable                  bool
+	FreshSeconds, StaleSeconds float64
 }
 
 // Txn is one that a box was asked for. ID is the shell's.
-type Txn struct {
-	ID     uint64
-	Key    eviction.Key
-	Rule   Rule
-	Until  float64 // Unix s after which nobody waits
-	Source string  // who fills a miss; empty for nobody
-	Rank   int
-	MaxAge float64 // s, 0 for the rule's fresh time
+type Request struct {
+	ID       uint64
+	Key      eviction.Key
+	Class    Class
+	Deadline float64 // Unix s after which nobody waits
+	Source   string  // who fills a miss; empty for nobody
+	Rank     int
+	MaxAge   float64 // s, 0 for the rule's fresh time
 
 	Join, NoFetch, NoTrace, Renew bool
 
@@ -48,104 +48,104 @@
 // Copy is a part that a box has in memory. Seq is its place on the disk, 0 if it is not from there.
 type Copy struct {
 	eviction.Key
-	Tag       string
-	Dated     int64 // Unix ms
-	Group     uint16
-	Rank      int
-	Seq       uint64
-	Confirmed uint16 // the doubt in which its source gave or confirmed it
-	Body      []byte
+	Tag            string
+	IssuedAt       int64 // Unix ms
+	Group          uint16
+	Rank           int
+	Seq            uint64
+	ConfirmedEpoch uint16 // the doubt in which its source gave or confirmed it
+	Body           []byte
 }
 
 func (c *Copy) asked() validity.Copy {
-	return validity.Copy{Object: c.Object, Group: c.Group, Dated: c.Dated, Seq: c.Seq, Confirmed: c.Confirmed}
+	return validity.Copy{Object: c.Object, Group: c.Group, IssuedAt: c.IssuedAt, Seq: c.Seq, ConfirmedEpoch: c.ConfirmedEpoch}
 }
 
 // Action is one of Answer, Read, Fetch, Abandon, Keep, Used, Forget and Confirm.
 type Action interface{ action() }
 
 // Answer is the end of a txn. Copy is set where it is completed from one; Same says that the asker's copy is the one.
-type Answer struct {
-	Txn    uint64
-	Code   routing.AttemptResult
-	Remark routing.ResultDetail
-	Same   bool
-	Copy   *Copy
-	Passed bool // completed with what the source gave, which is no copy: its bytes are those of the fill
-	Fill   uint64
+type Respond struct {
+	Request     uint64
+	Code        routing.AttemptResult
+	Remark      routing.ResultDetail
+	NotModified bool
+	Copy        *Copy
+	PassThrough bool // completed with what the source gave, which is no copy: its bytes are those of the fill
+	Fill        uint64
 }
 
 // Read asks for a part from the disk; its end is DiskRead.
-type Read struct{ Key eviction.Key }
+type ReadDisk struct{ Key eviction.Key }
 
 // Fetch asks a source; its end is Fetched.
 type Fetch struct {
-	Fill   uint64
-	Txn    uint64 // whose body goes with it; 0 where it is for no txn in particular
-	Key    eviction.Key
-	Rule   string
-	Source string
-	Tag    string  // of the copy in hand
-	Wait   float64 // s
-	MaxAge float64 // s, 0 for the rule's fresh time
-	Rank   int
+	Fill           uint64
+	Request        uint64 // whose body goes with it; 0 where it is for no txn in particular
+	Key            eviction.Key
+	Class          string
+	Source         string
+	Tag            string  // of the copy in hand
+	TimeoutSeconds float64 // s
+	MaxAge         float64 // s, 0 for the rule's fresh time
+	Rank           int
 
 	NoFetch, NoTrace, Join bool
 }
 
 // Abandon gives a fetch up; its end is not waited for.
-type Abandon struct{ Fill uint64 }
+type CancelFetch struct{ Fill uint64 }
 
 // Keep offers a copy to the disk. Doubts is from before its source was asked.
-type Keep struct {
-	Copy   *Copy
-	Doubts uint16
+type WriteDisk struct {
+	Copy  *Copy
+	Epoch uint16
 }
 
 // Used tells the disk's choice of a request that memory answered.
-type Used struct{ Copy *Copy }
+type TouchDisk struct{ Copy *Copy }
 
 // Forget drops a part from the disk.
-type Forget struct{ Key eviction.Key }
+type DeleteFromDisk struct{ Key eviction.Key }
 
 // Confirm notes that the source has confirmed the copy on the disk.
-type Confirm struct {
-	Key    eviction.Key
-	Seq    uint64
-	Doubts uint16
+type ConfirmOnDisk struct {
+	Key   eviction.Key
+	Seq   uint64
+	Epoch uint16
 }
 
-func (Answer) action()  {}
-func (Read) action()    {}
-func (Fetch) action()   {}
-func (Abandon) action() {}
-func (Keep) action()    {}
-func (Used) action()    {}
-func (Forget) action()  {}
-func (Confirm) action() {}
+func (Respond) action()        {}
+func (ReadDisk) action()       {}
+func (Fetch) action()          {}
+func (CancelFetch) action()    {}
+func (WriteDisk) action()      {}
+func (TouchDisk) action()      {}
+func (DeleteFromDisk) action() {}
+func (ConfirmOnDisk) action()  {}
 
 // End is how a fetch ended.
-type End struct {
-	Code  routing.AttemptResult
-	Same  bool
-	Tag   string
-	Dated int64
-	Group uint16
-	Body  []byte
+type FetchResult struct {
+	Code        routing.AttemptResult
+	NotModified bool
+	Tag         string
+	IssuedAt    int64
+	Group       uint16
+	Body        []byte
 }
 
 // World is what a desk may look up. Its answers hold for the event in hand.
-type World interface {
-	Judge(validity.Copy) validity.Verdict
-	Doubts() uint16
+type Environment interface {
+	Evaluate(validity.Copy) validity.Verdict
+	Epoch() uint16
 	OnDisk(eviction.Key) bool
 }
 
 // Bounds of a desk.
-type Bounds struct {
-	Memory   int64   // bytes of copies
-	Fills    int     // fetches under way
-	FillWait float64 // s after which one is given up
+type Limits struct {
+	MemoryBytes        int64   // bytes of copies
+	MaxFills           int     // fetches under way
+	FillTimeoutSeconds float64 // s after which one is given up
 }
 
 type held struct {
@@ -156,19 +156,19 @@
 type fill struct {
 	no      uint64
 	key     eviction.Key
-	first   Txn
+	first   Request
 	base    *Copy // the copy that is to be confirmed
 	doubts  uint16
 	by      float64
-	waiters []Txn // the first of them began it
-	passed  bool  // of a rule that is not kept: one txn's own
+	waiters []Request // the first of them began it
+	passed  bool      // of a rule that is not kept: one txn's own
 	refills int
 }
 
 // Desk is the state. It is not safe for more than one goroutine.
-type Desk struct {
-	world  World
-	bounds Bounds
+type Handler struct {
+	world  Environment
+	bounds Limits
 	now    float64
 	acts   []Action
 
@@ -176,7 +176,7 @@
 	shelf  [ranks]*list.List // of *held, longest unused first
 	bytes  int64
 
-	reads  map[eviction.Key][]Txn // who waits for the disk
+	reads  map[eviction.Key][]Request // who waits for the disk
 	fills  map[uint64]*fill
 	byKey  map[eviction.Key]*fill // that may be joined
 	ofTxn  map[uint64]*fill
@@ -184,8 +184,8 @@
 }
 
 // New makes an empty desk.
-func New(w World, b Bounds) *Desk {
-	d := &Desk{world: w, bounds: b, memory: map[eviction.Key]*held{}, reads: map[eviction.Key][]Txn{}, fills: map[uint64]*fill{},
+func New(w Environment, b Limits) *Handler {
+	d := &Handler{world: w, bounds: b, memory: map[eviction.Key]*held{}, reads: map[eviction.Key][]Request{}, fills: map[uint64]*fill{},
 		byKey: map[eviction.Key]*fill{}, ofTxn: map[uint64]*fill{}}
 	for i := range d.shelf {
 		d.shelf[i] = list.New()
@@ -194,19 +194,19 @@
 }
 
 // Bytes is what the copies in memory take; Fills how many fetches are under way.
-func (d *Desk) Bytes() int64 { return d.bytes }
+func (d *Handler) Bytes() int64 { return d.bytes }
 
 // Fills is how many fetches are under way.
-func (d *Desk) Fills() int { return len(d.fills) }
+func (d *Handler) Fills() int { return len(d.fills) }
 
-func (d *Desk) begin(now float64) { d.now, d.acts = max(d.now, now), d.acts[:0] }
+func (d *Handler) begin(now float64) { d.now, d.acts = max(d.now, now), d.acts[:0] }
 
-func (d *Desk) do(a Action) { d.acts = append(d.acts, a) }
+func (d *Handler) do(a Action) { d.acts = append(d.acts, a) }
 
 // Ask takes a txn. The slice is good until the next call, as are those of the other events.
-func (d *Desk) Ask(now float64, t Txn) []Action {
+func (d *Handler) HandleRequest(now float64, t Request) []Action {
 	d.begin(now)
-	if t.came = d.now; !t.Rule.Kept {
+	if t.came = d.now; !t.Class.Cacheable {
 		d.fetch(t, nil, 0)
 		return d.acts
 	}
@@ -214,7 +214,7 @@
 		d.weigh(t, h.copy, true)
 	} else if d.world.OnDisk(t.Key) {
 		if d.reads[t.Key] = append(d.reads[t.Key], t); len(d.reads[t.Key]) == 1 {
-			d.do(Read{t.Key})
+			d.do(ReadDisk{t.Key})
 		}
 	} else {
 		d.miss(t)
@@ -223,11 +223,11 @@
 }
 
 // DiskRead is the end of a Read: the copy, or nil where it could not be had.
-func (d *Desk) DiskRead(now float64, k eviction.Key, c *Copy) []Action {
+func (d *Handler) HandleDiskRead(now float64, k eviction.Key, c *Copy) []Action {
 	d.begin(now)
 	waiters := d.reads[k]
 	delete(d.reads, k)
-	if h := d.memory[k]; h != nil && (c == nil || h.copy.Dated >= c.Dated) {
+	if h := d.memory[k]; h != nil && (c == nil || h.copy.IssuedAt >= c.IssuedAt) {
 		c = h.copy // a fill came first
 	} else if c != nil {
 		d.hold(c)
@@ -243,27 +243,27 @@
 }
 
 // limit is the age in seconds that will do.
-func (t *Txn) limit() float64 {
+func (t *Request) limit() float64 {
 	switch {
 	case t.MaxAge > 0:
 		return t.MaxAge
-	case t.Rule.Fresh > 0:
-		return t.Rule.Fresh
+	case t.Class.FreshSeconds > 0:
+		return t.Class.FreshSeconds
 	}
 	return math.Inf(1)
 }
 
-func (d *Desk) age(c *Copy) float64 { return d.now - float64(c.Dated)/1000 }
+func (d *Handler) age(c *Copy) float64 { return d.now - float64(c.IssuedAt)/1000 }
 
 // weigh decides what a copy in hand is worth to a txn.
-func (d *Desk) weigh(t Txn, c *Copy, memory bool) {
-	switch d.world.Judge(c.asked()) {
-	case validity.Void:
+func (d *Handler) weigh(t Request, c *Copy, memory bool) {
+	switch d.world.Evaluate(c.asked()) {
+	case validity.Invalidated:
 		d.drop(c.Key)
-		d.do(Forget{c.Key})
+		d.do(DeleteFromDisk{c.Key})
 		d.miss(t)
 		return
-	case validity.Probation:
+	case validity.Unconfirmed:
 		d.fetch(t, c, 0) // only its source can tell
 		return
 	}
@@ -272,29 +272,29 @@
 		d.fetch(t, c, 0)
 		return
 	}
-	old := t.Rule.Fresh > 0 && age > t.Rule.Fresh
+	old := t.Class.FreshSeconds > 0 && age > t.Class.FreshSeconds
 	d.serve(t, c, map[bool]routing.ResultDetail{false: routing.CacheHit, true: routing.StaleHit}[old], memory)
-	if old && t.Renew && t.Source != "" && d.byKey[t.Key] == nil && len(d.fills) < d.bounds.Fills {
-		t.ID, t.Until = 0, d.now+d.bounds.FillWait
+	if old && t.Renew && t.Source != "" && d.byKey[t.Key] == nil && len(d.fills) < d.bounds.MaxFills {
+		t.ID, t.Deadline = 0, d.now+d.bounds.FillTimeoutSeconds
 		d.fetch(t, c, 0)
 	}
 }
 
-func (d *Desk) serve(t Txn, c *Copy, r routing.ResultDetail, used bool) {
+func (d *Handler) serve(t Request, c *Copy, r routing.ResultDetail, used bool) {
 	if h := d.memory[c.Key]; h != nil {
 		d.shelf[h.copy.Rank].MoveToBack(h.place)
 	}
 	if used {
-		d.do(Used{c})
+		d.do(TouchDisk{c})
 	}
-	d.do(Answer{Txn: t.ID, Code: routing.Completed, Remark: r, Same: t.Tag != "" && t.Tag == c.Tag, Copy: c})
+	d.do(Respond{Request: t.ID, Code: routing.Completed, Remark: r, NotModified: t.Tag != "" && t.Tag == c.Tag, Copy: c})
 }
 
-func (d *Desk) miss(t Txn) { d.fetch(t, nil, 0) }
+func (d *Handler) miss(t Request) { d.fetch(t, nil, 0) }
 
 // fetch joins a fill that will do, or begins one; without a source there is nothing to be had.
-func (d *Desk) fetch(t Txn, base *Copy, refills int) {
-	if f := d.byKey[t.Key]; f != nil && t.Rule.Kept && t.Join && t.ID != 0 && f.first.limit() <= t.limit() && f.by > d.now {
+func (d *Handler) fetch(t Request, base *Copy, refills int) {
+	if f := d.byKey[t.Key]; f != nil && t.Class.Cacheable && t.Join && t.ID != 0 && f.first.limit() <= t.limit() && f.by > d.now {
 		f.waiters = append(f.waiters, t)
 		d.ofTxn[t.ID] = f
 		return
@@ -303,23 +303,23 @@
 		d.end(t, routing.CacheMiss)
 		return
 	}
-	if len(d.fills) >= d.bounds.Fills {
+	if len(d.fills) >= d.bounds.MaxFills {
 		d.end(t, routing.Overloaded)
 		return
 	}
 	d.number++
-	f := &fill{no: d.number, key: t.Key, first: t, base: base, doubts: d.world.Doubts(), by: d.now + d.bounds.FillWait,
-		passed: !t.Rule.Kept, refills: refills}
+	f := &fill{no: d.number, key: t.Key, first: t, base: base, doubts: d.world.Epoch(), by: d.now + d.bounds.FillTimeoutSeconds,
+		passed: !t.Class.Cacheable, refills: refills}
 	if f.passed { // it is the txn's own, and ends with it
-		f.by = t.Until
+		f.by = t.Deadline
 	}
 	d.fills[f.no] = f
 	if t.ID != 0 {
-		f.waiters, d.ofTxn[t.ID] = []Txn{t}, f
+		f.waiters, d.ofTxn[t.ID] = []Request{t}, f
 	}
-	x := Fetch{Fill: f.no, Key: t.Key, Rule: t.Rule.Name, Source: t.Source, Wait: max(f.by-d.now-fillMargin, fillMargin), NoFetch: t.NoFetch, NoTrace: t.NoTrace}
+	x := Fetch{Fill: f.no, Key: t.Key, Class: t.Class.Name, Source: t.Source, TimeoutSeconds: max(f.by-d.now-fillMargin, fillMargin), NoFetch: t.NoFetch, NoTrace: t.NoTrace}
 	if f.passed {
-		x.Txn, x.Tag = t.ID, t.Tag
+		x.Request, x.Tag = t.ID, t.Tag
 	} else {
 		if x.MaxAge = t.limit(); math.IsInf(x.MaxAge, 1) {
 			x.MaxAge = 0
@@ -337,14 +337,14 @@
 	d.do(x)
 }
 
-func (d *Desk) end(t Txn, code routing.AttemptResult) {
+func (d *Handler) end(t Request, code routing.AttemptResult) {
 	if t.ID != 0 {
 		delete(d.ofTxn, t.ID)
-		d.do(Answer{Txn: t.ID, Code: code})
+		d.do(Respond{Request: t.ID, Code: code})
 	}
 }
 
-func (d *Desk) forget(f *fill) {
+func (d *Handler) forget(f *fill) {
 	delete(d.fills, f.no)
 	if d.byKey[f.key] == f {
 		delete(d.byKey, f.key)
@@ -355,7 +355,7 @@
 }
 
 // Fetched is the end of a Fetch.
-func (d *Desk) Fetched(now float64, no uint64, e End) []Action {
+func (d *Handler) HandleFetched(now float64, no uint64, e FetchResult) []Action {
 	d.begin(now)
 	f := d.fills[no]
 	if f == nil {
@@ -366,7 +366,7 @@
 	case f.passed:
 		for _, t := range f.waiters {
 			if e.Code == routing.Completed {
-				d.do(Answer{Txn: t.ID, Code: routing.Completed, Remark: routing.Filled, Same: e.Same, Passed: true, Fill: no})
+				d.do(Respond{Request: t.ID, Code: routing.Completed, Remark: routing.Filled, NotModified: e.NotModified, PassThrough: true, Fill: no})
 			} else {
 				d.end(t, told(e.Code))
 			}
@@ -394,29 +394,29 @@
 }
 
 // filled takes what a source gave for a rule that is kept.
-func (d *Desk) filled(f *fill, e End) {
+func (d *Handler) filled(f *fill, e FetchResult) {
 	c := f.base
-	if e.Same && c == nil { // it confirms what was not asked
+	if e.NotModified && c == nil { // it confirms what was not asked
 		for _, t := range f.waiters {
 			d.end(t, routing.ServerError)
 		}
 		return
 	}
-	if e.Same {
-		c = &Copy{Key: c.Key, Tag: c.Tag, Dated: max(c.Dated, e.Dated), Group: c.Group, Rank: c.Rank, Seq: c.Seq, Body: c.Body}
+	if e.NotModified {
+		c = &Copy{Key: c.Key, Tag: c.Tag, IssuedAt: max(c.IssuedAt, e.IssuedAt), Group: c.Group, Rank: c.Rank, Seq: c.Seq, Body: c.Body}
 		if e.Group != validity.UnknownGroup {
 			c.Group = e.Group
 		}
 	} else {
-		c = &Copy{Key: f.key, Tag: e.Tag, Dated: e.Dated, Group: e.Group, Rank: f.first.Rank, Body: e.Body}
+		c = &Copy{Key: f.key, Tag: e.Tag, IssuedAt: e.IssuedAt, Group: e.Group, Rank: f.first.Rank, Body: e.Body}
 	}
-	c.Confirmed = f.doubts
-	verdict := d.world.Judge(c.asked())
-	if verdict == validity.Void { // a purge overtook it
+	c.ConfirmedEpoch = f.doubts
+	verdict := d.world.Evaluate(c.asked())
+	if verdict == validity.Invalidated { // a purge overtook it
 		d.drop(f.key)
-		d.do(Forget{f.key})
+		d.do(DeleteFromDisk{f.key})
 		for _, t := range f.waiters {
-			if f.refills < mostRefills && t.Until > d.now {
+			if f.refills < mostRefills && t.Deadline > d.now {
 				d.fetch(t, nil, f.refills+1)
 			} else {
 				d.end(t, routing.ServerError)
@@ -428,58 +428,58 @@
 		c.Rank = max(c.Rank, t.Rank)
 	}
 	switch {
-	case e.Same:
+	case e.NotModified:
 		if c.Seq > 0 {
-			d.do(Confirm{c.Key, c.Seq, f.doubts})
+			d.do(ConfirmOnDisk{c.Key, c.Seq, f.doubts})
 		}
-		if h := d.memory[c.Key]; h == nil || h.copy.Dated <= c.Dated {
+		if h := d.memory[c.Key]; h == nil || h.copy.IssuedAt <= c.IssuedAt {
 			d.hold(c)
 		}
 	case c.Rank > 0 && !f.first.NoTrace:
 		d.hold(c)
-		d.do(Keep{c, f.doubts})
+		d.do(WriteDisk{c, f.doubts})
 	default:
 		d.drop(c.Key) // what was there is older
 	}
 	for i, t := range f.waiters {
 		r := routing.Filled
 		switch {
-		case e.Same:
+		case e.NotModified:
 			r = routing.CacheHit // the bytes are the box's own
 		case i > 0:
 			r = routing.JoinedFill
 		}
 		if d.age(c) > t.limit()+d.now-t.came+fillMargin && t.ID != 0 { // the source gave one older than was asked for
-			if f.refills < mostRefills && t.Until > d.now {
+			if f.refills < mostRefills && t.Deadline > d.now {
 				d.fetch(t, nil, f.refills+1)
 			} else {
 				d.end(t, routing.CacheMiss)
 			}
 			continue
 		}
-		d.serve(t, c, r, e.Same)
+		d.serve(t, c, r, e.NotModified)
 	}
 }
 
 // Leave says that nobody waits for a txn any more. A fill runs on; what is the txn's own is given up.
-func (d *Desk) Leave(now float64, id uint64, k eviction.Key) []Action {
+func (d *Handler) HandleCancel(now float64, id uint64, k eviction.Key) []Action {
 	d.begin(now)
 	if list, ok := d.reads[k]; ok {
-		d.reads[k] = slices.DeleteFunc(list, func(t Txn) bool { return t.ID == id })
+		d.reads[k] = slices.DeleteFunc(list, func(t Request) bool { return t.ID == id })
 	}
 	if f := d.ofTxn[id]; f != nil {
 		delete(d.ofTxn, id)
-		f.waiters = slices.DeleteFunc(f.waiters, func(t Txn) bool { return t.ID == id })
+		f.waiters = slices.DeleteFunc(f.waiters, func(t Request) bool { return t.ID == id })
 		if f.passed {
 			d.forget(f)
-			d.do(Abandon{f.no})
+			d.do(CancelFetch{f.no})
 		}
 	}
 	return d.acts
 }
 
 // Tick gives up fills from which nothing came in time.
-func (d *Desk) Tick(now float64) []Action {
+func (d *Handler) HandleTick(now float64) []Action {
 	d.begin(now)
 	var late []*fill
 	for _, f := range d.fills {
@@ -490,7 +490,7 @@
 	slices.SortFunc(late, func(a, b *fill) int { return int(a.no) - int(b.no) })
 	for _, f := range late {
 		d.forget(f)
-		d.do(Abandon{f.no})
+		d.do(CancelFetch{f.no})
 		for _, t := range f.waiters {
 			d.end(t, routing.ServerError)
 		}
@@ -500,16 +500,16 @@
 
 // hold puts a copy into memory at its rank. What is ranked lowest goes first, then what was used longest ago, and
 // nothing for a copy of lower rank.
-func (d *Desk) hold(c *Copy) {
+func (d *Handler) hold(c *Copy) {
 	d.drop(c.Key)
 	if c.Rank = min(max(c.Rank, 0), ranks-1); c.Rank == 0 {
 		return
 	}
 	need := int64(len(c.Body)) + copyBytes
-	if need > d.bounds.Memory {
+	if need > d.bounds.MemoryBytes {
 		return
 	}
-	for r := 1; r <= c.Rank && d.bytes+need > d.bounds.Memory; {
+	for r := 1; r <= c.Rank && d.bytes+need > d.bounds.MemoryBytes; {
 		e := d.shelf[r].Front()
 		if e == nil {
 			r++
@@ -517,7 +517,7 @@
 		}
 		d.drop(e.Value.(*held).copy.Key)
 	}
-	if d.bytes+need > d.bounds.Memory {
+	if d.bytes+need > d.bounds.MemoryBytes {
 		return
 	}
 	h := &held{copy: c}
@@ -526,7 +526,7 @@
 	d.bytes += need
 }
 
-func (d *Desk) drop(k eviction.Key) {
+func (d *Handler) drop(k eviction.Key) {
 	if h := d.memory[k]; h != nil {
 		d.shelf[h.copy.Rank].Remove(h.place)
 		delete(d.memory, k)
--- a/internal/edgecache/start.go
+++ b/internal/edgecache/start.go
@@ -17,10 +17,10 @@
 const megabyte = 1 << 20
 
 // TierPlan is the tier's plan as the operators' file has it.
-func TierPlan(t config.Tier) diskcache.Plan {
-	return diskcache.Plan{Space: int64(t.SpaceMB * megabyte), SegmentBytes: int64(t.SegmentMB * megabyte), Alpha: t.Alpha,
-		DailyWrites: int64(t.DailyWriteMB * megabyte), Ghosts: t.Ghosts, Purges: t.Purges, Readers: t.Readers, ReadQueue: t.ReadQueue,
-		ReadWait: t.ReadWait.Duration(), WriteQueue: t.WriteQueue, SyncEvery: t.Sync.Duration(), SnapshotEvery: t.Snapshot.Duration()}
+func DiskCacheConfig(t config.Tier) diskcache.Config {
+	return diskcache.Config{SpaceBytes: int64(t.SpaceMB * megabyte), SegmentBytes: int64(t.SegmentMB * megabyte), Alpha: t.Alpha,
+		DailyWriteBytes: int64(t.DailyWriteMB * megabyte), MaxGhosts: t.Ghosts, MaxPurges: t.Purges, Readers: t.Readers, ReadQueue: t.ReadQueue,
+		ReadTimeout: t.ReadWait.Duration(), WriteQueue: t.WriteQueue, SyncInterval: t.Sync.Duration(), SnapshotInterval: t.Snapshot.Duration()}
 }
 
 // Serve runs a box as the operators' file says until the context ends. Log lines go to out; the counters follow at
@@ -28,19 +28,19 @@
 func Serve(ctx context.Context, rules config.Rulebook, out io.Writer, print <-chan struct{}) error {
 	k := telemetry.New(out, rules.Box.ID)
 	defer k.Print(out)
-	b := &Box{Plan: rules.Box, Book: k}
-	if len(b.Plan.Rules) == 0 {
+	b := &Server{Config: rules.Box, Telemetry: k}
+	if len(b.Config.Rules) == 0 {
 		return errors.New("box.rules: a box has to know the remap rules of its txns")
 	}
-	if b.Plan.Role == "origin" {
-		if b.Plan.Made.Folder != "" {
-			b.Origin = Folder(b.Plan.Made.Folder)
+	if b.Config.Role == "origin" {
+		if b.Config.Made.Folder != "" {
+			b.Origin = DirOrigin(b.Config.Made.Folder)
 		} else {
-			m := b.Plan.Made
-			b.Origin = &Maker{Seed: m.Seed, Least: m.LeastBytes, Most: m.MostBytes, Groups: m.Groups, Window: m.Window.Duration()}
+			m := b.Config.Made
+			b.Origin = &SyntheticOrigin{Seed: m.Seed, MinBytes: m.LeastBytes, MaxBytes: m.MostBytes, Groups: m.Groups, KeyRetention: m.Window.Duration()}
 		}
 	}
-	if rules.Tier.Folder != "" && b.Plan.Role != "origin" {
+	if rules.Tier.Folder != "" && b.Config.Role != "origin" {
 		path, err := filepath.Abs(rules.Tier.Folder)
 		if err != nil {
 			return fmt.Errorf("tier.folder: %w", err)
@@ -49,7 +49,7 @@
 		if err != nil {
 			return fmt.Errorf("tier.folder: %w", err)
 		}
-		t, rep, err := diskcache.OpenTier(dir, TierPlan(rules.Tier), k, k.Log)
+		t, rep, err := diskcache.OpenCache(dir, DiskCacheConfig(rules.Tier), k, k.Log)
 		if err != nil {
 			return fmt.Errorf("tier.folder: %w", err)
 		}
@@ -62,7 +62,7 @@
 			}
 		}()
 	}
-	ln, err := net.Listen("tcp", b.Plan.Listen)
+	ln, err := net.Listen("tcp", b.Config.Listen)
 	if err != nil {
 		return fmt.Errorf("box.listen: %w", err)
 	}
@@ -75,9 +75,9 @@
 				return
 			case <-print:
 				if b.Disk != nil {
-					s := b.Disk.State()
-					k.Log.Info("tier", "code", "state", "parts", s.Parts, "live", s.Live, "on_disk", s.OnDisk, "certain", s.Certain, "followed",
-						s.Number, "purges", s.Purges, "doubted_up_to", s.Doubted, "writes_waiting", s.WritesWaiting, "notes_waiting", s.NotesWaiting)
+					s := b.Disk.Status()
+					k.Log.Info("tier", "code", "state", "parts", s.Chunks, "live", s.LiveBytes, "on_disk", s.DiskBytes, "certain", s.UpToDate, "followed",
+						s.Number, "purges", s.Purges, "doubted_up_to", s.SuspectUpTo, "writes_waiting", s.PendingWrites, "notes_waiting", s.PendingRecords)
 				}
 				k.Print(out)
 			}
--- a/internal/lab/addresses.go
+++ b/internal/lab/addresses.go
@@ -209,12 +209,12 @@
 		}
 		m.body = func(a cacheproto.Command) []byte {
 			if a.ClassName == "print-order" && orders.runs(a.IdempotencyKey, unix(time.Now())) {
-				t.made.Ran(a.ClassName, a.IdempotencyKey)
+				t.made.OnExecute(a.ClassName, a.IdempotencyKey)
 			}
 			if a.ClassName == "print-order" || a.ClassName == "record" {
 				return nil
 			}
-			return edgecache.MadeBody(s.Seed, eviction.Key{Object: a.ObjectID, Part: a.PartIndex}, 0, t.made.Least, t.made.Most)
+			return edgecache.SyntheticBody(s.Seed, eviction.Key{Object: a.ObjectID, Chunk: a.PartIndex}, 0, t.made.MinBytes, t.made.MaxBytes)
 		}
 		members = append(members, m)
 		last := m.doors[len(m.doors)-1] // the notice board knows IPv4 alone
--- a/internal/lab/admit.go
+++ b/internal/lab/admit.go
@@ -73,7 +73,7 @@
 			from = r.IntN(last)
 		}
 		for p := from; p < last; p++ {
-			out = append(out, request{at, eviction.Key{Object: o, Part: uint32(p)}, partBytes})
+			out = append(out, request{at, eviction.Key{Object: o, Chunk: uint32(p)}, partBytes})
 			at += partPause * (0.6 + 0.8*r.Float64())
 			if r.Float64() > stayOdds {
 				break
@@ -89,14 +89,14 @@
 	cf, cr := 2*alpha/(alpha+1), 2/(alpha+1)
 	var asked, fill, pass float64
 	for _, q := range day {
-		c := p.Ask(q.at, q.key, q.size)
+		c := p.Request(q.at, q.key, q.size)
 		if q.at < judgedFrom*dayLength {
 			continue
 		}
 		asked += float64(q.size)
 		switch {
-		case c.Held:
-		case c.Keep:
+		case c.Cached:
+		case c.Admit:
 			fill += float64(q.size)
 		default:
 			pass += float64(q.size)
@@ -131,7 +131,7 @@
 			{"lru", func(size int64, _ float64) eviction.Policy { return eviction.NewLRU(size) }},
 			{"xlru", func(size int64, a float64) eviction.Policy { return eviction.NewXLRU(size, a) }},
 			{"tier", func(size int64, a float64) eviction.Policy {
-				return eviction.New(eviction.Terms{Alpha: a, Capacity: size, Ghosts: len(distinct)})
+				return eviction.NewCafe(eviction.Config{Alpha: a, CapacityBytes: size, MaxGhosts: len(distinct)})
 			}},
 		}
 		type cell struct{ p, size, alpha int }
--- a/internal/lab/judge.go
+++ b/internal/lab/judge.go
@@ -27,11 +27,11 @@
 func (t *town) hear(r reply) {
 	h := heard{reply: r, bytes: len(r.body)}
 	if r.code == 1 && r.rule != "print-order" && r.rule != "record" {
-		if len(r.body) < edgecache.MadeHead {
+		if len(r.body) < edgecache.SyntheticHeaderBytes {
 			h.wrong = true
 		} else {
 			h.version = binary.BigEndian.Uint64(r.body[12:])
-			want := edgecache.MadeBody(t.made.Seed, eviction.Key{Object: r.object, Part: r.part}, h.version, t.made.Least, t.made.Most)
+			want := edgecache.SyntheticBody(t.made.Seed, eviction.Key{Object: r.object, Chunk: r.part}, h.version, t.made.MinBytes, t.made.MaxBytes)
 			h.wrong = !bytes.Equal(want, r.body)
 		}
 	}
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -23,7 +23,7 @@
 	x.purge(5, false)
 	at := x.board.toldAt(x.purges[1].event)
 	r := reply{ask: ask{rule: "video-part", object: 5, ttl: time.Second}, sent: at + purgeGrace + 0.1, done: at + purgeGrace + 0.2, code: 1,
-		body: edgecache.MadeBody(3, eviction.Key{Object: 5}, 2, x.made.Least, x.made.Most)}
+		body: edgecache.SyntheticBody(3, eviction.Key{Object: 5}, 2, x.made.MinBytes, x.made.MaxBytes)}
 	change(x, &r)
 	x.hear(r)
 	rep := &Report{Counts: map[string]int64{}}
@@ -34,7 +34,7 @@
 // Each check is shown to fail where its rule is broken, and to hold where it is not.
 func TestChecksSeeWhatIsBroken(t *testing.T) {
 	old := func(x *town, r *reply) {
-		r.body = edgecache.MadeBody(3, eviction.Key{Object: 5}, 1, x.made.Least, x.made.Most)
+		r.body = edgecache.SyntheticBody(3, eviction.Key{Object: 5}, 1, x.made.MinBytes, x.made.MaxBytes)
 	}
 	for name, c := range map[string]struct {
 		change func(*town, *reply)
--- a/internal/lab/restart.go
+++ b/internal/lab/restart.go
@@ -22,7 +22,7 @@
 	const seeds = 40 // scripts; the cuts go round their operations
 	ops := make([]int, seeds)
 	for i := range ops {
-		ops[i] = diskcache.PlayPowerCut(s.Seed*1000+uint64(i), 0).Ops
+		ops[i] = diskcache.RunPowerLoss(s.Seed*1000+uint64(i), 0).Ops
 	}
 	var mu sync.Mutex
 	var done atomic.Int64
@@ -36,14 +36,14 @@
 			script := i % seeds
 			cut := 1 + i/seeds%ops[script]
 			again := uint64(i / seeds / ops[script]) // round again with other chances
-			out := diskcache.PlayPowerCut(s.Seed*1000+uint64(script)+again<<32, cut)
+			out := diskcache.RunPowerLoss(s.Seed*1000+uint64(script)+again<<32, cut)
 			mu.Lock()
 			defer mu.Unlock()
 			r.Counts["power_cuts"]++
 			r.Counts["cut_parts_checked"] += int64(out.Checked)
 			r.Counts["cut_parts_whole"] += int64(out.Recovered)
 			r.Counts["cut_purges"] += int64(out.Purges)
-			for _, w := range out.Wrong {
+			for _, w := range out.Violations {
 				r.Counts["cut_wrong"]++
 				r.Broke("script %d cut at %d: %s", script, cut, w)
 			}
@@ -173,10 +173,10 @@
 		all.Wait()
 		ended := unix(time.Now())
 		r.Figures["recovery_s"] = recovery / float64(r.Counts["restarts"])
-		r.Figures["index_bytes_a_part"] = diskcache.IndexBytesFor(1_000_000)
+		r.Figures["index_bytes_a_part"] = diskcache.MeasureIndexBytes(1_000_000)
 		for _, p := range boxes {
 			p.kill()
-			in, bad, err := diskcache.Verify(folders[p], func(diskcache.Fault) {}, nil)
+			in, bad, err := diskcache.Verify(folders[p], func(diskcache.StoreError) {}, nil)
 			if err != nil {
 				r.Broke("the folder of %s after the last kill: %v", p.id, err)
 				continue
--- a/internal/lab/town.go
+++ b/internal/lab/town.go
@@ -76,7 +76,7 @@
 type town struct {
 	s     Setting
 	board *noticeBoard
-	made  edgecache.Maker
+	made  edgecache.SyntheticOrigin
 
 	mu       sync.Mutex
 	places   []*place
@@ -120,10 +120,10 @@
 		return nil, err
 	}
 	t := &town{s: s, board: b, versions: map[uint64]uint64{}, groups: map[uint64]uint64{}, ran: map[string]int{}, campuses: campuses}
-	t.made.Seed, t.made.Least, t.made.Most, t.made.Groups = s.Seed, 8000, 40000, 32
-	t.made.Window = time.Duration(keyWindow * float64(time.Second))
+	t.made.Seed, t.made.MinBytes, t.made.MaxBytes, t.made.Groups = s.Seed, 8000, 40000, 32
+	t.made.KeyRetention = time.Duration(keyWindow * float64(time.Second))
 	t.made.Version = t.versionOf
-	t.made.Ran = func(_, key string) {
+	t.made.OnExecute = func(_, key string) {
 		t.mu.Lock()
 		t.ran[key]++
 		t.mu.Unlock()
@@ -239,16 +239,16 @@
 		return err
 	}
 	rules := t.rulebook(p, "")
-	b := &edgecache.Box{Plan: rules.Box, Book: telemetry.New(io.Discard, p.id)}
+	b := &edgecache.Server{Config: rules.Box, Telemetry: telemetry.New(io.Discard, p.id)}
 	if p.kind == 2 {
 		b.Origin = &t.made
 	}
-	b.Saw = func(a cacheproto.Command) {
+	b.OnRequest = func(a cacheproto.Command) {
 		t.mu.Lock()
 		t.asks = append(t.asks, saw{unix(time.Now()), p.id, a})
 		t.mu.Unlock()
 	}
-	b.Gave = func(id string, bytes int) {
+	b.OnResponse = func(id string, bytes int) {
 		t.mu.Lock()
 		t.gaves = append(t.gaves, gave{unix(time.Now()), p.id, id, bytes})
 		t.mu.Unlock()
--- a/internal/replication/ledger_test.go
+++ b/internal/replication/ledger_test.go
@@ -63,7 +63,7 @@
 		x.ways = append(x.ways, row)
 	}
 	for i := range n {
-		x.start(i, vfs.NewFaulty(uint64(i+1)))
+		x.start(i, vfs.NewFaultFS(uint64(i+1)))
 	}
 	t.Cleanup(func() {
 		for i := range x.runs {
@@ -168,7 +168,7 @@
 		assert.Len(t, l.Replicas, 3)
 		assert.NotContains(t, l.Replicas, "r1")
 	}
-	x.start(1, vfs.NewFaulty(99)) // a new machine under the old name
+	x.start(1, vfs.NewFaultFS(99)) // a new machine under the old name
 	require.Eventually(t, func() bool { return len(x.report(1).Shards) > 0 }, patience, 50*time.Millisecond, "it is taken in")
 	t.Logf("taken in %.1f s after the loss", time.Since(lost).Seconds())
 	assert.False(t, x.claim(1, "k3", "g2").Granted)
@@ -200,7 +200,7 @@
 		disks = append(disks, x.end(i))
 	}
 	for i := range 3 {
-		disks[i].(*vfs.Faulty).Restart()
+		disks[i].(*vfs.FaultFS).Restart()
 		x.start(i, disks[i])
 	}
 	assert.False(t, x.claim(2, "k", "g2").Granted)
--- a/internal/replication/wal/folder.go
+++ b/internal/replication/wal/folder.go
@@ -180,7 +180,7 @@
 func (f *WAL) identify(owner string, draw func() uint64) error {
 	text, err := readFile(f.fs, identityFile)
 	switch {
-	case errors.Is(err, vfs.ErrGone):
+	case errors.Is(err, vfs.ErrNotExist):
 		f.me = Identity{ID: draw() | 1, Owner: owner}
 	case err != nil:
 		return fmt.Errorf("the ledger's folder: %w", err)
@@ -278,7 +278,7 @@
 	}
 	for _, n := range names {
 		if !keep[n] && (strings.HasPrefix(n, "log-") || strings.HasPrefix(n, "slice-") || strings.HasSuffix(n, ".new")) {
-			if err := f.fs.Remove(n); err != nil && !errors.Is(err, vfs.ErrGone) {
+			if err := f.fs.Remove(n); err != nil && !errors.Is(err, vfs.ErrNotExist) {
 				return err
 			}
 		}
--- a/internal/replication/wal/folder_test.go
+++ b/internal/replication/wal/folder_test.go
@@ -65,7 +65,7 @@
 	assert.Equal(t, f.Identity(), me)
 	assert.Equal(t, len(saved), len(seen))
 	_, _, err = Open(fs, "r1", draw)
-	assert.ErrorIs(t, err, vfs.ErrInUse)
+	assert.ErrorIs(t, err, vfs.ErrLocked)
 	f.Close()
 	_, _, err = Open(fs, "r2", draw)
 	assert.ErrorIs(t, err, ErrForeignOwner)
@@ -81,8 +81,8 @@
 	cuts := 0
 	for seed := range uint64(25) {
 		for cut := 1; ; cut++ {
-			fs := vfs.NewFaulty(seed*1000 + uint64(cut))
-			fs.CutAfter = cut
+			fs := vfs.NewFaultFS(seed*1000 + uint64(cut))
+			fs.PowerLossAfter = cut
 			rnd := rand.New(rand.NewPCG(seed, 1))
 			acked, under := written{entries: map[uint64]string{}}, written{entries: map[uint64]string{}}
 			snap := uint64(0)
@@ -152,7 +152,7 @@
 }
 
 func TestDamageIsRefusedAndATornEndIsNot(t *testing.T) {
-	fs := vfs.NewFaulty(3)
+	fs := vfs.NewFaultFS(3)
 	f, _ := open(t, fs)
 	for i := range uint64(20) {
 		require.NoError(t, f.Write([]shard.Ready{{Shard: 1, HardState: vote(i+1, 0), Entries: []*pb.Entry{entry(i+1, 1, "some text that is long enough")}, MustSync: true}}))
@@ -161,30 +161,30 @@
 	f.Close()
 	name := fmt.Sprintf(logNameFormat, f.number)
 	for _, at := range []int64{3, 14, 40, last / 2} {
-		fs.Flip(name, at, 1)
+		fs.FlipBit(name, at, 1)
 		_, _, err := Open(fs, "r1", draw)
 		assert.ErrorIs(t, err, ErrCorrupt, "byte %d", at)
-		fs.Flip(name, at, 1)
+		fs.FlipBit(name, at, 1)
 	}
 	f, _ = open(t, fs)
 	require.NoError(t, f.Write([]shard.Ready{{Shard: 1, Entries: []*pb.Entry{entry(21, 1, "unsynced")}}}))
 	f.Close()
-	fs.Flip(name, last+30, 1)
+	fs.FlipBit(name, last+30, 1)
 	f, saved := open(t, fs)
 	assert.Len(t, saved[1].Entries, 20)
 	f.Close()
-	fs.Flip(identityFile, 2, 1)
+	fs.FlipBit(identityFile, 2, 1)
 	_, _, err := Open(fs, "r1", draw)
 	assert.ErrorIs(t, err, ErrCorrupt)
 }
 
 func TestAfterAFailedWriteNothingMoreIsTaken(t *testing.T) {
-	fs := vfs.NewFaulty(3)
+	fs := vfs.NewFaultFS(3)
 	f, _ := open(t, fs)
-	fs.Room = 1
+	fs.CapacityBytes = 1
 	err := f.Write([]shard.Ready{{Shard: 1, Entries: []*pb.Entry{entry(1, 1, "x")}, MustSync: true}})
-	assert.ErrorIs(t, err, vfs.ErrFull)
-	fs.Room = 0
+	assert.ErrorIs(t, err, vfs.ErrNoSpace)
+	fs.CapacityBytes = 0
 	assert.Equal(t, err, f.Write([]shard.Ready{{Shard: 1, HardState: vote(1, 1), MustSync: true}}), "what is on the disk is not known")
 	f.Close()
 	f, saved := open(t, fs)
@@ -194,7 +194,7 @@
 }
 
 func TestLaterVersionsAreNamed(t *testing.T) {
-	fs := vfs.NewFaulty(4)
+	fs := vfs.NewFaultFS(4)
 	f, _ := open(t, fs)
 	f.Close()
 	text, err := readFile(fs, identityFile)
@@ -213,7 +213,7 @@
 	f.Add(appendRecord(appendRecord(nil, kindFileHeader, 0, make([]byte, 9)), kindEntry, 1, []byte{8, 1}))
 	f.Add(appendRecord(nil, kindHardState, 1, []byte("x")))
 	f.Fuzz(func(t *testing.T, text []byte) {
-		fs := vfs.NewFaulty(1)
+		fs := vfs.NewFaultFS(1)
 		file, err := fs.Create(fmt.Sprintf(logNameFormat, 1))
 		if err != nil {
 			t.Fatal(err)
--- a/internal/sim/replication/promises.go
+++ b/internal/sim/replication/promises.go
@@ -65,7 +65,7 @@
 	i      int
 	name   string
 	zone   string
-	fs     *vfs.Faulty
+	fs     *vfs.FaultFS
 	f      *wal.WAL
 	id     uint64
 	slices map[int]*shard.Replica
@@ -172,7 +172,7 @@
 // fresh gives a node an empty disk.
 func (x *player) fresh(n *node) {
 	n.disks++
-	n.fs = vfs.NewFaulty(x.plan.Script.Seed*1000 + uint64(n.i*16+n.disks))
+	n.fs = vfs.NewFaultFS(x.plan.Script.Seed*1000 + uint64(n.i*16+n.disks))
 	x.open(n)
 }
 
@@ -285,7 +285,7 @@
 		return
 	}
 	if err := n.f.Write(batches); err != nil {
-		if !errors.Is(err, vfs.ErrPower) {
+		if !errors.Is(err, vfs.ErrPowerLoss) {
 			x.fail(err)
 		}
 		x.down(n)
@@ -500,7 +500,7 @@
 		case faults.Kill:
 			if !m.End {
 				x.r.PowerCuts++
-				n.fs.CutAfter = n.fs.Ops() + 1 + x.w.Rand.IntN(6)
+				n.fs.PowerLossAfter = n.fs.OpCount() + 1 + x.w.Rand.IntN(6)
 				x.w.After(0.3, func() { x.down(n) }) // at the latest
 			} else if x.down(n); !n.up {
 				n.fs.Restart()
