--- /dev/null
+++ b/internal/bootstrap/golden_test.go
@@ -0,0 +1,47 @@
+package bootstrap
+
+import (
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// printConfig writes each value of a configuration on a line of its own, in an order that does not change.
+func printConfig(c Config) string {
+	var out strings.Builder
+	line := func(format string, values ...any) { fmt.Fprintf(&out, format+"\n", values...) }
+	line("name %s", c.Name)
+	line("listen %s", c.ListenAddress)
+	line("board %s", c.DiscoveryAddress)
+	line("seed %x", c.Seed)
+	line("limits cores=%g memory_mb=%d sockets=%d", c.Cores, c.MemoryMB, c.MaxSockets)
+	for i, name := range c.ClassNames {
+		line("class %d %s", i, name)
+	}
+	line("last revision %d", c.LastRevision)
+	for _, ev := range c.KnownEvents {
+		line("event %d heartbeat=%t full=%t purge=%t object=%q group=%d at=%.3f", ev.Revision, ev.Heartbeat, ev.Full, ev.Purged, ev.Object, ev.Group, ev.At)
+		for _, e := range ev.Endpoints {
+			line("  endpoint %s at %s zone=%d kind=%d cell=%d status=%d weight=%g started=%.3f", e.ID, e.Address, e.Zone, e.Kind, e.Cell, e.Status, e.Weight, e.StartedAt)
+		}
+	}
+	for _, key := range slices.Sorted(maps.Keys(c.Settings)) {
+		line("setting %s=%s", key, c.Settings[key])
+	}
+	return out.String()
+}
+
+// TestFileWithEveryKeyIsReadTheSame compares a file with every key with its parsed form, value by value.
+func TestFileWithEveryKeyIsReadTheSame(t *testing.T) {
+	config, err := LoadFile("testdata/every-key.json")
+	require.NoError(t, err)
+	want, err := os.ReadFile("testdata/every-key.golden")
+	require.NoError(t, err)
+	assert.Equal(t, string(want), printConfig(config))
+}
--- /dev/null
+++ b/internal/cacheproto/golden_test.go
@@ -0,0 +1,156 @@
+package cacheproto
+
+import (
+	"testing"
+
+	"cairnfront/internal/request"
+	"cairnfront/routing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	goldenAttempt = "do 9b1f03aa5c7e2d41 profile=page,thing=7f3a9c21e0b4d655,nth=3,max=1500,replay=k1,parent=s-1,shelf=2," +
+		"accept=12,hints=ride+have-only+through+update,got=t1 2\r\n"
+	goldenPlainAttempt = "do 9b1f03aa5c7e2d41 profile=page,thing=7f3a9c21e0b4d655,nth=0,max=250 0\r\n"
+)
+
+// goldenResults holds each form of an attempt's result as it stands on the wire, and what it is decoded to.
+var goldenResults = []struct {
+	line     string
+	encoded  AttemptResult
+	response Response
+}{
+	{
+		"a1 served digest=d1,dated=1764576000123,bucket=17,remark=h 4\r\n",
+		AttemptResult{Code: routing.Completed, Remark: routing.CacheHit, ETag: "d1", OriginUnixMillis: 1764576000123, Group: 17, BodyBytes: 4},
+		Response{ID: "a1", BodyBytes: 4, End: request.End{Code: routing.Completed, Remark: routing.CacheHit, Tag: "d1", Dated: 1764576000123, Group: 18}},
+	},
+	{
+		"a1 served digest=d1,dated=7,remark=f 240000\r\n",
+		AttemptResult{Code: routing.Completed, Remark: routing.Filled, ETag: "d1", OriginUnixMillis: 7, Group: UnknownGroup, BodyBytes: 240000},
+		Response{ID: "a1", BodyBytes: 240000, End: request.End{Code: routing.Completed, Remark: routing.Filled, Tag: "d1", Dated: 7}},
+	},
+	{
+		"a1 served remark=j 0\r\n",
+		AttemptResult{Code: routing.Completed, Remark: routing.JoinedFill, Group: 3},
+		Response{ID: "a1", End: request.End{Code: routing.Completed, Remark: routing.JoinedFill}},
+	},
+	{
+		"a1 served - 0\r\n",
+		AttemptResult{Code: routing.Completed, Group: UnknownGroup},
+		Response{ID: "a1", End: request.End{Code: routing.Completed}},
+	},
+	{
+		"a1 still_good digest=d1,dated=7,bucket=0,remark=s 0\r\n",
+		AttemptResult{Code: routing.Completed, NotModified: true, Remark: routing.StaleHit, ETag: "d1", OriginUnixMillis: 7},
+		Response{ID: "a1", End: request.End{Code: routing.Completed, Same: true, Remark: routing.StaleHit, Tag: "d1", Dated: 7, Group: 1}},
+	},
+	{
+		"a1 not_here - 0\r\n",
+		AttemptResult{Code: routing.CacheMiss, Remark: routing.JoinedFill, ETag: "d1"},
+		Response{ID: "a1", End: request.End{Code: routing.CacheMiss}},
+	},
+	{"a1 overload - 0\r\n", AttemptResult{Code: routing.Overloaded}, Response{ID: "a1", End: request.End{Code: routing.Overloaded}}},
+	{"a1 crashed - 0\r\n", AttemptResult{Code: routing.ServerError}, Response{ID: "a1", End: request.End{Code: routing.ServerError}}},
+	{"a1 nobody - 0\r\n", AttemptResult{Code: routing.NotSent}, Response{ID: "a1", End: request.End{Code: routing.NotSent}}},
+}
+
+func TestCommandsAreEncodedToTheGoldenBytes(t *testing.T) {
+	whole := &request.Txn{
+		ID:     "9b1f03aa5c7e2d41",
+		Name:   "page",
+		Object: "7f3a9c21e0b4d655",
+		Part:   "3",
+		Key:    "k1",
+		Tag:    "t1",
+		Body:   &request.Body{Bytes: []byte("ab")},
+	}
+	plain := &request.Txn{ID: "9b1f03aa5c7e2d41", Name: "page", Object: "7f3a9c21e0b4d655", Part: "0"}
+	action := routing.StartAttempt{
+		RetentionRank: 2,
+		MaxAgeSeconds: 0.0129,
+		JoinFill:      true,
+		CacheOnly:     true,
+		ParentNoStore: true,
+		Revalidate:    true,
+	}
+	for want, got := range map[string][]byte{
+		goldenAttempt:      AppendAttempt(nil, Attempt{Txn: whole, TimeoutSeconds: 1.5, FillSource: "s-1", StartAttempt: action}),
+		goldenPlainAttempt: AppendAttempt(nil, Attempt{Txn: plain, TimeoutSeconds: 0.25}),
+		"undo a1\r\n":      AppendCancel(nil, "a1"),
+		"ping c1\r\n":      AppendProbe(nil, "c1", false),
+		"top c1\r\n":       AppendProbe(nil, "c1", true),
+	} {
+		assert.Equal(t, want, string(got))
+	}
+}
+
+func TestGoldenCommandsAreDecoded(t *testing.T) {
+	for line, want := range map[string]Command{
+		goldenAttempt: {
+			ID:             "9b1f03aa5c7e2d41",
+			ClassName:      "page",
+			Object:         "7f3a9c21e0b4d655",
+			ObjectID:       0x7f3a9c21e0b4d655,
+			Part:           "3",
+			PartIndex:      3,
+			TimeoutSeconds: 1.5,
+			IdempotencyKey: "k1",
+			FillSource:     "s-1",
+			ETag:           "t1",
+			BodyBytes:      2,
+			StartAttempt: routing.StartAttempt{
+				RetentionRank: 2,
+				MaxAgeSeconds: 0.012,
+				JoinFill:      true,
+				CacheOnly:     true,
+				ParentNoStore: true,
+				Revalidate:    true,
+			},
+		},
+		goldenPlainAttempt: {
+			ID:             "9b1f03aa5c7e2d41",
+			ClassName:      "page",
+			Object:         "7f3a9c21e0b4d655",
+			ObjectID:       0x7f3a9c21e0b4d655,
+			Part:           "0",
+			TimeoutSeconds: 0.25,
+		},
+		"undo a1\r\n": {Kind: CommandCancel, ID: "a1"},
+		"ping c1\r\n": {Kind: CommandProbe, ID: "c1"},
+		"top c1\r\n":  {Kind: CommandProbeLoad, ID: "c1"},
+	} {
+		got, err := ParseCommand([]byte(line[:len(line)-len(LineEnd)]))
+		require.NoError(t, err, line)
+		assert.Equal(t, want, got, line)
+	}
+}
+
+func TestResultsMatchTheGoldenBytes(t *testing.T) {
+	for _, c := range goldenResults {
+		assert.Equal(t, c.line, string(AppendAttemptResult(nil, "a1", c.encoded)))
+		got, err := ParseResponse([]byte(c.line[:len(c.line)-len(LineEnd)]))
+		require.NoError(t, err, c.line)
+		assert.Equal(t, c.response, got, c.line)
+	}
+}
+
+func TestProbeRepliesMatchTheGoldenBytes(t *testing.T) {
+	const load = "inflight:7;util:0.61"
+	assert.Equal(t, "c1 green report=inflight:7;util:0.61 0\r\n", string(AppendProbeReply(nil, "c1", true, load)))
+	assert.Equal(t, "c1 green - 0\r\n", string(AppendProbeReply(nil, "c1", true, "")))
+	assert.Equal(t, "c1 red - 0\r\n", string(AppendProbeReply(nil, "c1", false, "")))
+
+	got, err := ParseResponse([]byte("c1 green report=inflight:7;concurrent:8;util:0.61;load_share:0.5;x0:1;x1:2 0"))
+	require.NoError(t, err)
+	assert.Equal(t, Response{ID: "c1", IsProbeReply: true, End: request.End{Code: routing.Completed, Load: []routing.LoadMetric{
+		{Name: "inflight", Value: 7},
+		{Name: "inflight", Value: 8},
+		{Name: "util", Value: 0.61},
+		{Name: "util", Value: 0.5},
+		{Name: "hit_share", Value: 1},
+		{Name: "link_fill", Value: 2},
+	}}}, got)
+}
