--- a/internal/cacheproto/golden_test.go
+++ b/internal/cacheproto/golden_test.go
@@ -25,49 +25,49 @@
 	{
 		"a1 served digest=d1,dated=1764576000123,bucket=17,remark=h 4\r\n",
 		AttemptResult{Code: routing.Completed, Remark: routing.CacheHit, ETag: "d1", OriginUnixMillis: 1764576000123, Group: 17, BodyBytes: 4},
-		Response{ID: "a1", BodyBytes: 4, End: request.End{Code: routing.Completed, Remark: routing.CacheHit, Tag: "d1", Dated: 1764576000123, Group: 18}},
+		Response{ID: "a1", BodyBytes: 4, AttemptEnd: request.AttemptEnd{Code: routing.Completed, Remark: routing.CacheHit, ETag: "d1", OriginTimeMillis: 1764576000123, PurgeGroupPlusOne: 18}},
 	},
 	{
 		"a1 served digest=d1,dated=7,remark=f 240000\r\n",
 		AttemptResult{Code: routing.Completed, Remark: routing.Filled, ETag: "d1", OriginUnixMillis: 7, Group: UnknownGroup, BodyBytes: 240000},
-		Response{ID: "a1", BodyBytes: 240000, End: request.End{Code: routing.Completed, Remark: routing.Filled, Tag: "d1", Dated: 7}},
+		Response{ID: "a1", BodyBytes: 240000, AttemptEnd: request.AttemptEnd{Code: routing.Completed, Remark: routing.Filled, ETag: "d1", OriginTimeMillis: 7}},
 	},
 	{
 		"a1 served remark=j 0\r\n",
 		AttemptResult{Code: routing.Completed, Remark: routing.JoinedFill, Group: 3},
-		Response{ID: "a1", End: request.End{Code: routing.Completed, Remark: routing.JoinedFill}},
+		Response{ID: "a1", AttemptEnd: request.AttemptEnd{Code: routing.Completed, Remark: routing.JoinedFill}},
 	},
 	{
 		"a1 served - 0\r\n",
 		AttemptResult{Code: routing.Completed, Group: UnknownGroup},
-		Response{ID: "a1", End: request.End{Code: routing.Completed}},
+		Response{ID: "a1", AttemptEnd: request.AttemptEnd{Code: routing.Completed}},
 	},
 	{
 		"a1 still_good digest=d1,dated=7,bucket=0,remark=s 0\r\n",
 		AttemptResult{Code: routing.Completed, NotModified: true, Remark: routing.StaleHit, ETag: "d1", OriginUnixMillis: 7},
-		Response{ID: "a1", End: request.End{Code: routing.Completed, Same: true, Remark: routing.StaleHit, Tag: "d1", Dated: 7, Group: 1}},
+		Response{ID: "a1", AttemptEnd: request.AttemptEnd{Code: routing.Completed, NotModified: true, Remark: routing.StaleHit, ETag: "d1", OriginTimeMillis: 7, PurgeGroupPlusOne: 1}},
 	},
 	{
 		"a1 not_here - 0\r\n",
 		AttemptResult{Code: routing.CacheMiss, Remark: routing.JoinedFill, ETag: "d1"},
-		Response{ID: "a1", End: request.End{Code: routing.CacheMiss}},
+		Response{ID: "a1", AttemptEnd: request.AttemptEnd{Code: routing.CacheMiss}},
 	},
-	{"a1 overload - 0\r\n", AttemptResult{Code: routing.Overloaded}, Response{ID: "a1", End: request.End{Code: routing.Overloaded}}},
-	{"a1 crashed - 0\r\n", AttemptResult{Code: routing.ServerError}, Response{ID: "a1", End: request.End{Code: routing.ServerError}}},
-	{"a1 nobody - 0\r\n", AttemptResult{Code: routing.NotSent}, Response{ID: "a1", End: request.End{Code: routing.NotSent}}},
+	{"a1 overload - 0\r\n", AttemptResult{Code: routing.Overloaded}, Response{ID: "a1", AttemptEnd: request.AttemptEnd{Code: routing.Overloaded}}},
+	{"a1 crashed - 0\r\n", AttemptResult{Code: routing.ServerError}, Response{ID: "a1", AttemptEnd: request.AttemptEnd{Code: routing.ServerError}}},
+	{"a1 nobody - 0\r\n", AttemptResult{Code: routing.NotSent}, Response{ID: "a1", AttemptEnd: request.AttemptEnd{Code: routing.NotSent}}},
 }
 
 func TestCommandsAreEncodedToTheGoldenBytes(t *testing.T) {
-	whole := &request.Txn{
-		ID:     "9b1f03aa5c7e2d41",
-		Name:   "page",
-		Object: "7f3a9c21e0b4d655",
-		Part:   "3",
-		Key:    "k1",
-		Tag:    "t1",
-		Body:   &request.Body{Bytes: []byte("ab")},
+	whole := &request.Request{
+		ID:             "9b1f03aa5c7e2d41",
+		ClassName:      "page",
+		Object:         "7f3a9c21e0b4d655",
+		Part:           "3",
+		IdempotencyKey: "k1",
+		ETag:           "t1",
+		Body:           &request.Body{Bytes: []byte("ab")},
 	}
-	plain := &request.Txn{ID: "9b1f03aa5c7e2d41", Name: "page", Object: "7f3a9c21e0b4d655", Part: "0"}
+	plain := &request.Request{ID: "9b1f03aa5c7e2d41", ClassName: "page", Object: "7f3a9c21e0b4d655", Part: "0"}
 	action := routing.StartAttempt{
 		RetentionRank: 2,
 		MaxAgeSeconds: 0.0129,
@@ -145,7 +145,7 @@
 
 	got, err := ParseResponse([]byte("c1 green report=inflight:7;concurrent:8;util:0.61;load_share:0.5;x0:1;x1:2 0"))
 	require.NoError(t, err)
-	assert.Equal(t, Response{ID: "c1", IsProbeReply: true, End: request.End{Code: routing.Completed, Load: []routing.LoadMetric{
+	assert.Equal(t, Response{ID: "c1", IsProbeReply: true, AttemptEnd: request.AttemptEnd{Code: routing.Completed, LoadReport: []routing.LoadMetric{
 		{Name: "inflight", Value: 7},
 		{Name: "inflight", Value: 8},
 		{Name: "util", Value: 0.61},
--- a/internal/clientproto/golden_test.go
+++ b/internal/clientproto/golden_test.go
@@ -45,15 +45,15 @@
 		Field{"bucket", "17"}, Field{"heap", "412.5"}, Field{"etag", "4be0c1927d55a6f3"})
 	requestPayload := append(fields, "body"...)
 	body := &request.Body{Bytes: []byte("seven b")}
-	completed := request.Answer{Tag: "4be0c1927d55a6f3", Body: body}
-	notModified := request.Answer{Tag: "4be0c1927d55a6f3", Same: true}
+	completed := request.Response{ETag: "4be0c1927d55a6f3", Body: body}
+	notModified := request.Response{ETag: "4be0c1927d55a6f3", NotModified: true}
 	for name, frame := range map[string][]byte{
 		"request":                      append(AppendHeader(nil, TypeRequest, streamID, len(requestPayload)), requestPayload...),
 		"response completed":           append(AppendResponse(nil, streamID, completed), body.Bytes...),
 		"response not modified":        AppendResponse(nil, streamID, notModified),
-		"response rejected with retry": AppendResponse(nil, streamID, request.Answer{Verdict: request.Rejected, Again: 0.2501}),
-		"response rejected":            AppendResponse(nil, streamID, request.Answer{Verdict: request.Rejected, Reason: "full"}),
-		"response aborted":             AppendResponse(nil, 0, request.Answer{Verdict: request.Aborted, Again: 1, Error: "broken"}),
+		"response rejected with retry": AppendResponse(nil, streamID, request.Response{Result: request.Rejected, RetryAfterSeconds: 0.2501}),
+		"response rejected":            AppendResponse(nil, streamID, request.Response{Result: request.Rejected, Reason: "full"}),
+		"response aborted":             AppendResponse(nil, 0, request.Response{Result: request.Aborted, RetryAfterSeconds: 1, ErrorText: "broken"}),
 		"cancel":                       AppendHeader(nil, TypeCancel, streamID, 0),
 		"readiness query":              append(AppendHeader(nil, TypeReadinessQuery, streamID, 1), 0),
 		"readiness reply: ready":       AppendReadinessReply(nil, streamID, true),
@@ -84,16 +84,16 @@
 	got, err := ParseRequest([]byte(goldenFrames["request"][HeaderSize:]))
 	require.NoError(t, err)
 	assert.Equal(t, Request{
-		Txn: request.Txn{
-			ID:     "9b1f03aa5c7e2d41",
-			Name:   "page",
-			Object: "7f3a9c21e0b4d655",
-			Part:   "3",
-			PartNo: 3,
-			Group:  17,
-			KB:     412.5,
-			Key:    "5c0f6e1a2b3d4c59a8b7c6d5e4f30211",
-			Tag:    "4be0c1927d55a6f3",
+		Request: request.Request{
+			ID:             "9b1f03aa5c7e2d41",
+			ClassName:      "page",
+			Object:         "7f3a9c21e0b4d655",
+			Part:           "3",
+			PartNumber:     3,
+			PurgeGroup:     17,
+			SizeKB:         412.5,
+			IdempotencyKey: "5c0f6e1a2b3d4c59a8b7c6d5e4f30211",
+			ETag:           "4be0c1927d55a6f3",
 		},
 		TimeoutSeconds: 1.5,
 		RawBody:        []byte("body"),
