--- a/cmd/cairnfront/reach.go
+++ b/cmd/cairnfront/reach.go
@@ -53,21 +53,21 @@
 		return nil, err
 	}
 	if book.Router.FurtherShare > 0 {
-		loop.Spend = retrybudget.New(retrybudget.Terms{Share: book.Router.FurtherShare, Least: book.Router.FurtherLeast})
+		loop.Spend = retrybudget.New(retrybudget.Limits{RetryRatio: book.Router.FurtherShare, MinRetries: book.Router.FurtherLeast})
 	}
 	apply := func(config.Rulebook) error { return nil }
 	if len(book.Router.Addresses) > 0 {
 		a := &addressed{book.Router.Addresses}
-		pool.Reach, pool.Addrs = address.New(seed), a.of
-		pool.Reach.Probes = probes
-		pool.Repeatable = func(rule int) bool { return rules[rule] }
+		pool.AddressSelector, pool.EndpointAddresses = address.New(seed), a.of
+		pool.AddressSelector.HealthChecksAllowed = probes
+		pool.IsIdempotent = func(rule int) bool { return rules[rule] }
 		apply = func(fresh config.Rulebook) error {
 			if len(fresh.Router.Addresses) == 0 {
 				return errors.New("router.addresses: the last ones can't go while the router runs")
 			}
 			loop.Post(func() {
 				a.list = fresh.Router.Addresses
-				pool.Relist()
+				pool.RefreshAddresses()
 			})
 			k.Log.Info("reload", "code", "addresses", "entries", len(fresh.Router.Addresses))
 			return nil
@@ -93,7 +93,7 @@
 	now := func() float64 { return float64(time.Now().UnixMicro()) / 1e6 }
 	by := func(f func(float64, string, address.Addr) bool, no string) admin.Handler {
 		return admin.OnLoop(loop.Post, func(args map[string]string) (any, error) {
-			if pool.Reach == nil || !f(now(), args["member"], address.Addr(args["address"])) {
+			if pool.AddressSelector == nil || !f(now(), args["member"], address.Addr(args["address"])) {
 				return nil, errors.New(no)
 			}
 			return "done", nil
@@ -101,14 +101,14 @@
 	}
 	door := &admin.Door{Count: k.Add, Handlers: map[string]admin.Handler{
 		"reach": admin.OnLoop(loop.Post, func(map[string]string) (any, error) {
-			if pool.Reach == nil {
-				return []address.State{}, nil
+			if pool.AddressSelector == nil {
+				return []address.AddressStatus{}, nil
 			}
-			return pool.Reach.States(now()), nil
+			return pool.AddressSelector.Status(now()), nil
 		}),
-		"rest": by(func(t float64, id string, a address.Addr) bool { return pool.Reach.Rest(t, id, a) },
+		"rest": by(func(t float64, id string, a address.Addr) bool { return pool.AddressSelector.Disable(t, id, a) },
 			"no such member and address, or the last that is not at rest"),
-		"unrest": by(func(t float64, id string, a address.Addr) bool { return pool.Reach.Unrest(t, id, a) }, "no such member and address"),
+		"unrest": by(func(t float64, id string, a address.Addr) bool { return pool.AddressSelector.Reinstate(t, id, a) }, "no such member and address"),
 	}}
 	for do, h := range peerHandlers(node) {
 		door.Handlers[do] = h
@@ -126,7 +126,7 @@
 			if err != nil {
 				return err
 			}
-			var list []address.State
+			var list []address.AddressStatus
 			if err := json.Unmarshal(data, &list); err != nil {
 				return err
 			}
@@ -135,12 +135,12 @@
 				return err
 			}
 			for _, s := range list {
-				rest := fmt.Sprintf("%.1f s", s.RestS)
-				if s.RestS < 0 {
+				rest := fmt.Sprintf("%.1f s", s.CooldownSeconds)
+				if s.CooldownSeconds < 0 {
 					rest = "until unrest"
 				}
-				fmt.Fprintf(cmd.OutOrStdout(), "%-12s %d %-28s %-8s for %.0f s, rest %s, connect %.1f ms, first byte %.1f ms\n", s.Member, s.Rank, s.Addr, s.Why,
-					s.SinceS, rest, s.ConnectS*1000, s.FirstS*1000)
+				fmt.Fprintf(cmd.OutOrStdout(), "%-12s %d %-28s %-8s for %.0f s, rest %s, connect %.1f ms, first byte %.1f ms\n", s.Endpoint, s.Rank, s.Addr, s.Condition,
+					s.SinceSeconds, rest, s.ConnectSeconds*1000, s.FirstByteSeconds*1000)
 			}
 			return nil
 		}}
--- a/cmd/cairnfront/reach_test.go
+++ b/cmd/cairnfront/reach_test.go
@@ -65,10 +65,10 @@
 	require.Eventually(t, func() bool { return strings.Contains(s.log.String(), "code=addresses") }, patience, 5*time.Millisecond)
 	require.Eventually(t, func() bool { return over() == "tcp" }, patience, 5*time.Millisecond)
 	out, _, _ = command(t, "reach", "--socket", door, "--json")
-	var list []address.State
+	var list []address.AddressStatus
 	require.NoError(t, json.Unmarshal([]byte(out), &list))
 	for _, x := range list {
-		if x.Member == "s-00000001" {
+		if x.Endpoint == "s-00000001" {
 			assert.Equal(t, address.Addr(tcp), x.Addr)
 		}
 	}
--- a/cmd/cairnfront/serve.go
+++ b/cmd/cairnfront/serve.go
@@ -64,10 +64,10 @@
 	seconds := func(name string) time.Duration {
 		return time.Duration(m.Settings.Float(name, 0) * float64(time.Second))
 	}
-	pool := &upstream.Pool{Gate: gate, Book: k, Connect: seconds("connect_s"), Idle: seconds("idle_close_s"),
-		Streams: int(m.Settings.Float("hops_a_connection", 1)), Report: m.Settings["load_by"] == "checks"}
+	pool := &upstream.Pool{Admission: gate, Telemetry: k, ConnectTimeout: seconds("connect_s"), EndpointIdleTimeout: seconds("idle_close_s"),
+		MaxAttemptsPerConnection: int(m.Settings.Float("hops_a_connection", 1)), RequestLoadReports: m.Settings["load_by"] == "checks"}
 	loop := dispatch.New(routing.New(m.Seed, m.Settings), m.Settings, pool, k)
-	pool.Post = loop.Post
+	pool.OnEvent = func(ev upstream.Event) { loop.Post(ev) }
 	rules := map[string]int{}
 	for i, name := range m.ClassNames {
 		rules[name] = i
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -83,39 +83,39 @@
 	began := time.Now()
 	raw, err := (&net.Dialer{Timeout: dialLimit}).DialContext(ctx, "tcp", c.Address)
 	if err != nil {
-		c.Telemetry.Ended(telemetry.Ended{Side: "board", Peer: c.Address, Code: netconn.NoConnect, Err: err, Since: began})
+		c.Telemetry.Ended(telemetry.Ended{Side: "board", Peer: c.Address, Code: netconn.ConnectFailed.String(), Err: err, Since: began})
 		return false
 	}
 	if c.silence == 0 {
 		c.silence = beatsStop
 	}
 	k := netconn.New(raw, ringSize, c.silence)
-	defer k.Done(c.Telemetry, "board", c.Address)
+	defer k.LogEnd(c.Telemetry, "board", c.Address)
 	defer context.AfterFunc(ctx, func() {
 		code := netconn.Shutdown
 		if errors.Is(context.Cause(ctx), errMoved) {
-			code = netconn.Moved
+			code = netconn.AddressChanged
 		}
-		k.End(code, nil)
+		k.Close(code, nil)
 	})()
 	defer func() {
 		if p := recover(); p != nil {
 			c.Telemetry.Log.Error("panic", "where", "board", "what", fmt.Sprint(p), "stack", string(debug.Stack()))
-			k.End(netconn.Panic, nil)
+			k.Close(netconn.Panic, nil)
 		}
 	}()
 	code, err := c.read(k, &heard)
-	k.End(code, err)
+	k.Close(code, err)
 	return heard
 }
 
-func (c *Client) read(k *netconn.Conn, heard *bool) (string, error) {
+func (c *Client) read(k *netconn.Conn, heard *bool) (netconn.EndCode, error) {
 	from := c.LastRevision
 	if c.OnRawEvent != nil {
 		from = c.StartRevision()
 	}
 	if err := errors.Join(k.Write(binary.BigEndian.AppendUint64(nil, from)), k.Flush()); err != nil {
-		return netconn.Reason(err), err
+		return netconn.ClassifyError(err), err
 	}
 	for head := make([]byte, HeaderSize); ; {
 		k.SetReadDeadline(time.Now().Add(c.silence))
@@ -125,13 +125,13 @@
 			var kind byte
 			var size int
 			if number, kind, size, err = ParseHeader(head); err != nil {
-				return netconn.Protocol, err
+				return netconn.ProtocolError, err
 			}
 			payload := make([]byte, size)
 			if err = k.ReadFull(payload); err == nil {
 				ev, err := ParsePayload(number, kind, payload)
 				if err != nil {
-					return netconn.Protocol, err
+					return netconn.ProtocolError, err
 				}
 				if c.OnRawEvent != nil {
 					ev.Checksum = crc32.Update(crc32.ChecksumIEEE(head), crc32.IEEETable, payload)
@@ -140,16 +140,16 @@
 					err = c.take(ev)
 				}
 				if err != nil {
-					return netconn.Gap, err
+					return netconn.SequenceGap, err
 				}
 				*heard = true
 				continue
 			}
 		}
-		if code := netconn.Reason(err); code != netconn.Slow {
+		if code := netconn.ClassifyError(err); code != netconn.SlowReader {
 			return code, err
 		}
-		return netconn.Beats, err
+		return netconn.MissedHeartbeats, err
 	}
 }
 
--- a/internal/dispatch/route.go
+++ b/internal/dispatch/route.go
@@ -38,7 +38,7 @@
 	Pool    *upstream.Pool
 	Book    *telemetry.Book
 	Clock   func() float64      // Unix seconds
-	Spend   *retrybudget.Ledger // the budget of further hops; nil for none
+	Spend   *retrybudget.Budget // the budget of further hops; nil for none
 
 	// Saw hears how each hop ended and how long it took, s; nil for nobody. It must not wait.
 	Saw func(member string, rule int, code routing.AttemptResult, took float64)
@@ -70,8 +70,8 @@
 	no     int
 	member string
 	sent   float64
-	call   *upstream.Call
-	link   *upstream.Link
+	call   *upstream.Attempt
+	link   *upstream.Connection
 	over   bool
 	undone bool
 	stuck  bool // the decisions know that its connection is silent
@@ -80,10 +80,16 @@
 type check struct {
 	member string
 	sent   float64
-	call   *upstream.Call
+	call   *upstream.Attempt
 	over   bool
 }
 
+// OwnsUpstreamAttempt makes a hop an upstream.Owner.
+func (*hop) OwnsUpstreamAttempt() {}
+
+// OwnsUpstreamAttempt makes a check an upstream.Owner.
+func (*check) OwnsUpstreamAttempt() {}
+
 // New makes a loop that stands still.
 func New(b routing.Decider, rec routing.Settings, p *upstream.Pool, k *telemetry.Book) *Loop {
 	return &Loop{Brain: b, Records: rec, Pool: p, Book: k, in: make(chan any, queued), gone: make(chan struct{}), nudge: make(chan struct{}, 1),
@@ -138,7 +144,7 @@
 	defer bell.Stop()
 	defer sweep.Stop()
 	var watch <-chan time.Time
-	if l.Pool.Reach != nil || l.Spend != nil {
+	if l.Pool.AddressSelector != nil || l.Spend != nil {
 		watching := time.NewTicker(watchEvery)
 		defer watching.Stop()
 		watch = watching.C
@@ -153,13 +159,13 @@
 			l.safely(func() { l.Hear(ev) })
 		case <-bell.C:
 		case <-sweep.C:
-			l.safely(func() { l.Pool.Sweep(time.Now()) })
+			l.safely(func() { l.Pool.CloseIdle(time.Now()) })
 		case <-watch:
 			l.safely(func() {
 				l.tick()
-				l.stuck(l.Pool.Watch(time.Now()))
+				l.stuck(l.Pool.CheckAddresses(time.Now()))
 				if l.Spend != nil {
-					l.Spend.Tick(l.now)
+					l.Spend.Advance(l.now)
 					l.spare()
 				}
 			})
@@ -200,22 +206,22 @@
 		if o := l.open[ev.Request.ID]; o != nil && o.t == ev.Request {
 			l.left(o)
 		}
-	case upstream.Dialed:
-		l.Pool.Heard(ev)
+	case upstream.DialEnded:
+		l.Pool.HandleEvent(ev)
 	case func():
 		ev()
 	case routing.Event: // a fact from beside the txns
 		l.decide(ev, nil)
-	case upstream.Ended:
-		l.Pool.Heard(ev)
-		switch owner := ev.Call.Owner.(type) {
+	case upstream.AttemptEnded:
+		l.Pool.HandleEvent(ev)
+		switch owner := ev.Attempt.Owner.(type) {
 		case *hop:
 			l.ended(owner, ev.End)
 		case *check:
 			l.checked(owner, ev.End)
 		}
-	case upstream.Dropped:
-		l.Pool.Drop(ev.Link)
+	case upstream.ConnectionClosed:
+		l.Pool.RemoveConnection(ev.Connection)
 	case discovery.Event:
 		l.noticed(ev, routing.Incremental)
 	case Abandon:
@@ -255,7 +261,7 @@
 			delete(l.kinds, row.ID)
 		}
 	}
-	l.Pool.List(ev.Full, ev.Endpoints)
+	l.Pool.UpdateEndpoints(ev.Full, ev.Endpoints)
 	l.decide(routing.EndpointUpdate{Kind: kind, Endpoints: rows}, nil)
 }
 
@@ -395,11 +401,11 @@
 		l.at(l.now+a.AfterSeconds, timer{token: a.Token})
 	case routing.Probe:
 		c := &check{member: a.Endpoint, sent: l.now}
-		if c.call = l.Pool.Check(a.Endpoint, c); c.call == nil {
+		if c.call = l.Pool.SendHealthCheck(a.Endpoint, c); c.call == nil {
 			l.later(func() { l.checked(c, request.AttemptEnd{Code: routing.ConnectFailed}) })
 			return
 		}
-		l.at(l.now+l.Pool.Connect.Seconds(), timer{check: c})
+		l.at(l.now+l.Pool.ConnectTimeout.Seconds(), timer{check: c})
 	case routing.LogNote:
 		l.Book.Log.Info("note", "text", a.Message)
 	}
@@ -409,7 +415,7 @@
 	h := &hop{o: o, no: len(o.hops), member: a.Endpoint, sent: l.now}
 	o.hops = append(o.hops, h)
 	o.out++
-	var avoid []*upstream.Link // what was said of the txn there may be said again
+	var avoid []*upstream.Connection // what was said of the txn there may be said again
 	for _, x := range o.hops[:h.no] {
 		if x.link != nil {
 			avoid = append(avoid, x.link)
@@ -421,7 +427,7 @@
 	}
 	d := cacheproto.Attempt{Txn: o.t, TimeoutSeconds: until - l.now, FillSource: l.fill(a), StartAttempt: a}
 	if l.Spend != nil {
-		l.Spend.Sent(l.now, o.t.Class, a.Endpoint, h.no > 0)
+		l.Spend.RecordAttempt(l.now, o.t.Class, a.Endpoint, h.no > 0)
 		l.later(l.spare)
 	}
 	switch {
@@ -435,12 +441,12 @@
 		l.later(func() { l.ended(h, request.AttemptEnd{Code: routing.NotSent}) })
 		return
 	}
-	h.link = h.call.Link()
+	h.link = h.call.Connection()
 	l.at(until, timer{hop: h})
 }
 
 // stuck tells the decisions of hops whose connection is silent while their member answers elsewhere, each once.
-func (l *Loop) stuck(calls []*upstream.Call) {
+func (l *Loop) stuck(calls []*upstream.Attempt) {
 	for _, c := range calls {
 		if h, ok := c.Owner.(*hop); ok && !h.over && !h.stuck {
 			h.stuck = true
@@ -452,11 +458,11 @@
 
 // spare tells the decisions which budgets of further hops are spent, and which are open again.
 func (l *Loop) spare() {
-	for _, c := range l.Spend.Changes() {
-		if l.Book.Add("spend.changes", 1); !c.Open {
+	for _, c := range l.Spend.TakeChanges() {
+		if l.Book.Add("spend.changes", 1); !c.Available {
 			l.Book.Add("spend.spent", 1)
 		}
-		l.decide(routing.RetryBudgetChanged{Class: c.Rule, Endpoint: c.Member, Available: c.Open}, nil)
+		l.decide(routing.RetryBudgetChanged{Class: c.Class, Endpoint: c.Endpoint, Available: c.Available}, nil)
 	}
 }
 
@@ -477,7 +483,7 @@
 		return
 	}
 	h.undone = true
-	if code, atOnce := l.Pool.Undo(h.call, code); atOnce {
+	if code, atOnce := l.Pool.Cancel(h.call, code); atOnce {
 		l.later(func() { l.ended(h, request.AttemptEnd{Code: code}) })
 	}
 }
@@ -520,7 +526,7 @@
 			l.undo(t.hop, routing.TimedOut)
 		case t.check != nil:
 			if !t.check.over {
-				l.Pool.Undo(t.check.call, routing.TimedOut)
+				l.Pool.Cancel(t.check.call, routing.TimedOut)
 				l.checked(t.check, request.AttemptEnd{Code: routing.TimedOut})
 			}
 		case t.guard != nil:
--- a/internal/dispatch/route_test.go
+++ b/internal/dispatch/route_test.go
@@ -47,7 +47,7 @@
 	s, o, log := &script{says: says}, &outlet{}, &bytes.Buffer{}
 	k := telemetry.New(log, "")
 	ctx, cancel := context.WithCancel(t.Context())
-	p := &upstream.Pool{Gate: admission.New(64, 256), Book: k, Connect: time.Hour, Streams: 4, Post: func(any) {},
+	p := &upstream.Pool{Admission: admission.New(64, 256), Telemetry: k, ConnectTimeout: time.Hour, MaxAttemptsPerConnection: 4, OnEvent: func(upstream.Event) {},
 		Dial: func(ctx context.Context, _ string) (net.Conn, error) {
 			<-ctx.Done()
 			return nil, ctx.Err()
@@ -93,8 +93,8 @@
 	l.Hear(x)
 	call := l.open["ab"].hops[0].call
 	end := request.AttemptEnd{Code: routing.Completed, ETag: "t", Remark: routing.CacheHit, Body: &request.Body{Bytes: []byte("x")}}
-	l.Hear(upstream.Ended{Call: call, End: end})
-	l.Hear(upstream.Ended{Call: call, End: end})
+	l.Hear(upstream.AttemptEnded{Attempt: call, End: end})
+	l.Hear(upstream.AttemptEnded{Attempt: call, End: end})
 	assert.Equal(t, []request.Response{{Result: request.Completed, Reason: "by-a-hop", ETag: "t", Body: end.Body}}, o.answers)
 	assert.Equal(t, routing.AttemptEnded{Request: "ab", Endpoint: "c", Result: routing.Completed, Detail: routing.CacheHit, RequestDone: true}, s.heard[2])
 	assert.Len(t, s.heard, 3, "a second end is not heard")
@@ -147,7 +147,7 @@
 		panic(errors.New("a fault"))
 	})
 	l.Hear(x)
-	l.Hear(upstream.Ended{Call: l.open["ab"].hops[0].call, End: request.AttemptEnd{Code: routing.Overloaded}})
+	l.Hear(upstream.AttemptEnded{Attempt: l.open["ab"].hops[0].call, End: request.AttemptEnd{Code: routing.Overloaded}})
 	l.ring()
 	assert.Equal(t, []request.Response{{Result: request.Aborted, Reason: "panic"}}, o.answers)
 	assert.Contains(t, log.String(), "a fault")
@@ -192,7 +192,7 @@
 
 func TestCheckEndsOnce(t *testing.T) {
 	l, s, _, _, _ := stage(t, nil)
-	l.Pool.Connect = time.Second
+	l.Pool.ConnectTimeout = time.Second
 	l.act(routing.Probe{Endpoint: "c"})
 	l.act(routing.Probe{Endpoint: "x"})
 	l.ring()
@@ -227,7 +227,7 @@
 	})
 	l.Hear(x)
 	x.Cancel()
-	l.Hear(upstream.Ended{Call: l.open["ab"].hops[0].call, End: request.AttemptEnd{Code: routing.Overloaded}})
+	l.Hear(upstream.AttemptEnded{Attempt: l.open["ab"].hops[0].call, End: request.AttemptEnd{Code: routing.Overloaded}})
 	assert.Nil(t, l.open["ab"].hops[1].call)
 	l.ring()
 	assert.Equal(t, []routing.Event{routing.AttemptEnded{Request: "ab", Endpoint: "c", Result: routing.Overloaded}, routing.ClientDisconnected{Request: "ab"},
--- a/internal/edgecache/box.go
+++ b/internal/edgecache/box.go
@@ -75,7 +75,7 @@
 	gone   chan struct{}
 	number uint64
 	open   map[uint64]*asked
-	calls  map[uint64]*upstream.Call // of fills
+	calls  map[uint64]*upstream.Attempt // of fills
 	conns  atomic.Int64
 	first  atomic.Bool
 }
@@ -134,7 +134,7 @@
 	for _, r := range b.Config.Rules {
 		b.rules[r.Name] = r
 	}
-	b.in, b.gone, b.open, b.calls = make(chan any, queued), make(chan struct{}), map[uint64]*asked{}, map[uint64]*upstream.Call{}
+	b.in, b.gone, b.open, b.calls = make(chan any, queued), make(chan struct{}), map[uint64]*asked{}, map[uint64]*upstream.Attempt{}
 	if b.trust = newBare(b.now); b.Disk != nil {
 		b.trust = b.Disk
 	}
@@ -145,7 +145,7 @@
 	memory := int64(b.Config.MemoryMB * (1 << 20))
 	b.desk = handler.New(b, handler.Limits{MemoryBytes: memory, MaxFills: b.Config.Fills, FillTimeoutSeconds: float64(b.Config.FillWait)})
 	gate := admission.New(max(int(b.Config.MemoryMB), memberMB), max(b.Config.Connections, 64))
-	b.pool = &upstream.Pool{Gate: gate, Book: b.Telemetry, Post: b.post, Connect: connectFor, Idle: b.Config.IdleClose.Duration(), Streams: 32}
+	b.pool = &upstream.Pool{Admission: gate, Telemetry: b.Telemetry, OnEvent: func(ev upstream.Event) { b.post(ev) }, ConnectTimeout: connectFor, EndpointIdleTimeout: b.Config.IdleClose.Duration(), MaxAttemptsPerConnection: 32}
 
 	// What serves ends in steps: first the listener, then what is open, then all else.
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -225,7 +225,7 @@
 		case <-tick.C:
 			b.safely(func() { b.carry(b.desk.HandleTick(seconds(b.now()))) })
 		case <-sweep.C:
-			b.safely(func() { b.pool.Sweep(b.now()) })
+			b.safely(func() { b.pool.CloseIdle(b.now()) })
 		}
 	}
 }
@@ -265,11 +265,11 @@
 	case due:
 		ev.then()
 	case moved:
-		b.pool.List(ev.ev.Full, ev.ev.Endpoints)
-	case upstream.Ended:
+		b.pool.UpdateEndpoints(ev.ev.Full, ev.ev.Endpoints)
+	case upstream.AttemptEnded:
 		b.fetched(now, ev)
-	case upstream.Dropped:
-		b.pool.Drop(ev.Link)
+	case upstream.ConnectionClosed:
+		b.pool.RemoveConnection(ev.Connection)
 	}
 }
 
@@ -408,7 +408,7 @@
 		case handler.CancelFetch:
 			if call := b.calls[a.Fill]; call != nil {
 				delete(b.calls, a.Fill)
-				b.pool.Undo(call, routing.Cancelled)
+				b.pool.Cancel(call, routing.Cancelled)
 			}
 		case handler.WriteDisk:
 			if b.Disk != nil && a.Copy.Tag != "" {
@@ -462,6 +462,12 @@
 		ConfirmedEpoch: part.ConfirmedEpoch, Body: part.Body}})
 }
 
+// fillOwner is the number of a fill, as the owner of its attempt.
+type fillOwner uint64
+
+// OwnsUpstreamAttempt makes it an upstream.Owner.
+func (fillOwner) OwnsUpstreamAttempt() {}
+
 // fetch asks a source.
 func (b *Server) fetch(f handler.Fetch) {
 	t := &request.Request{ID: fmt.Sprintf("%s-%x", b.Config.ID[2:], f.Fill), ClassName: f.Class, Object: fmt.Sprintf("%016x", f.Key.Object), Part: strconv.Itoa(int(f.Key.Chunk)), ETag: f.Tag}
@@ -469,7 +475,7 @@
 		t.IdempotencyKey, t.Body = a.line.IdempotencyKey, a.body
 	}
 	call := b.pool.Send(cacheproto.Attempt{Txn: t, TimeoutSeconds: f.TimeoutSeconds, StartAttempt: routing.StartAttempt{Endpoint: f.Source, RetentionRank: f.Rank, MaxAgeSeconds: f.MaxAge, JoinFill: f.Join,
-		CacheOnly: f.NoFetch, ParentNoStore: f.NoTrace}}, nil, f.Fill)
+		CacheOnly: f.NoFetch, ParentNoStore: f.NoTrace}}, nil, fillOwner(f.Fill))
 	if call == nil {
 		b.post(due{func() {
 			b.carry(b.desk.HandleFetched(seconds(b.now()), f.Fill, handler.FetchResult{Code: routing.NotSent}))
@@ -481,8 +487,9 @@
 }
 
 // fetched is the end of a call.
-func (b *Server) fetched(now float64, ev upstream.Ended) {
-	no, _ := ev.Call.Owner.(uint64)
+func (b *Server) fetched(now float64, ev upstream.AttemptEnded) {
+	owner, _ := ev.Attempt.Owner.(fillOwner)
+	no := uint64(owner)
 	if b.calls[no] == nil {
 		ev.End.Body.Free()
 		return
@@ -575,47 +582,47 @@
 // serve follows one connection.
 func (b *Server) serve(ctx context.Context, raw net.Conn) {
 	p := &peer{c: netconn.New(raw, ringSize, writeStall), ids: map[string]*asked{}, wake: make(chan struct{}, 1)}
-	who := p.c.Peer()
+	who := p.c.RemoteAddr()
 	ctx, cancel := context.WithCancel(ctx)
-	stop := context.AfterFunc(ctx, func() { p.c.End(netconn.Shutdown, nil) })
+	stop := context.AfterFunc(ctx, func() { p.c.Close(netconn.Shutdown, nil) })
 	var both sync.WaitGroup
-	run := func(f func() (string, error)) {
+	run := func(f func() (netconn.EndCode, error)) {
 		both.Go(func() {
 			defer cancel()
 			defer func() {
 				if x := recover(); x != nil {
 					b.Telemetry.Add("panics", 1)
 					b.Telemetry.Log.Error("panic", "where", "asker", "what", fmt.Sprint(x), "stack", string(debug.Stack()))
-					p.c.End(netconn.Panic, nil)
+					p.c.Close(netconn.Panic, nil)
 				}
 			}()
-			p.c.End(f())
+			p.c.Close(f())
 		})
 	}
-	run(func() (string, error) { return b.listen(ctx, p) })
-	run(func() (string, error) { return p.write(ctx) })
+	run(func() (netconn.EndCode, error) { return b.listen(ctx, p) })
+	run(func() (netconn.EndCode, error) { return p.write(ctx) })
 	both.Wait()
 	stop()
 	b.post(left{p})
-	p.c.Done(b.Telemetry, "asker", who)
+	p.c.LogEnd(b.Telemetry, "asker", who)
 }
 
 // listen reads commands.
-func (b *Server) listen(ctx context.Context, p *peer) (string, error) {
+func (b *Server) listen(ctx context.Context, p *peer) (netconn.EndCode, error) {
 	idle := b.Config.IdleClose.Duration()
 	tail := make([]byte, len(cacheproto.LineEnd))
 	for {
 		p.c.SetReadDeadline(time.Now().Add(idle))
-		text, err := p.c.Line()
+		text, err := p.c.ReadLine()
 		if err != nil {
-			if code := netconn.Reason(err); code != netconn.Slow {
+			if code := netconn.ClassifyError(err); code != netconn.SlowReader {
 				return code, err
 			}
-			return netconn.Idle, nil
+			return netconn.IdleTimeout, nil
 		}
 		a, err := cacheproto.ParseCommand(text)
 		if err != nil {
-			return netconn.Protocol, err
+			return netconn.ProtocolError, err
 		}
 		switch a.Kind {
 		case cacheproto.CommandCancel:
@@ -627,7 +634,7 @@
 		}
 		x := &asked{peer: p, line: a, key: eviction.Key{Object: a.ObjectID, Chunk: a.PartIndex}}
 		if a.BodyBytes > 0 {
-			if x.body, err = b.pool.Gate.Bodies.Allocate(ctx, a.BodyBytes); err != nil {
+			if x.body, err = b.pool.Admission.Bodies.Allocate(ctx, a.BodyBytes); err != nil {
 				return netconn.Shutdown, err
 			}
 			err = p.c.ReadFull(x.body.Bytes)
@@ -638,9 +645,9 @@
 		if err != nil || string(tail) != cacheproto.LineEnd {
 			x.body.Free()
 			if err == nil {
-				return netconn.Protocol, errors.New("no line end after a body")
+				return netconn.ProtocolError, errors.New("no line end after a body")
 			}
-			return netconn.Reason(err), err
+			return netconn.ClassifyError(err), err
 		}
 		b.post(came{x})
 	}
@@ -657,7 +664,7 @@
 	}
 }
 
-func (p *peer) write(ctx context.Context) (string, error) {
+func (p *peer) write(ctx context.Context) (netconn.EndCode, error) {
 	for {
 		p.mu.Lock()
 		batch := p.queue
@@ -665,7 +672,7 @@
 		p.mu.Unlock()
 		if len(batch) == 0 {
 			if err := p.c.Flush(); err != nil {
-				return netconn.Reason(err), err
+				return netconn.ClassifyError(err), err
 			}
 			select {
 			case <-ctx.Done():
@@ -683,7 +690,7 @@
 				err = p.c.Write([]byte(cacheproto.LineEnd))
 			}
 			if err != nil {
-				return netconn.Reason(err), err
+				return netconn.ClassifyError(err), err
 			}
 		}
 	}
--- a/internal/frontend/take.go
+++ b/internal/frontend/take.go
@@ -78,9 +78,9 @@
 }
 
 // end asks a connection to end, for what was seen of it at a time.
-func (c *clientConn) end(code string, now time.Time) {
+func (c *clientConn) end(code netconn.EndCode, now time.Time) {
 	c.asOf.Store(now.UnixNano())
-	c.Ask(code)
+	c.RequestClose(code)
 }
 
 // noMore tells a client to bring no new txn on its connection.
@@ -91,18 +91,18 @@
 
 // may says whether a connection may end now for a reason, and if so lets nothing more be said on it. It is asked by
 // the goroutine that takes in txns, with nothing unread: what was seen of the connection may have passed since.
-func (c *clientConn) may(code string) error {
-	asOf, begun := time.Unix(0, c.asOf.Load()), c.Begun()
+func (c *clientConn) may(code netconn.EndCode) error {
+	asOf, begun := time.Unix(0, c.asOf.Load()), c.FrameStartUnixNano()
 	still := true
 	switch code {
-	case netconn.Half:
+	case netconn.PartialFrame:
 		still = begun != 0 && before(asOf, begun, halfAfter)
-	case netconn.Mute:
+	case netconn.NoFirstFrame:
 		still = !c.whole.Load()
-	case netconn.Idle:
-		still = begun == 0 && before(asOf, c.Heard(), idleAfter)
-	case netconn.Crowded:
-		still = begun == 0 && before(asOf, c.Heard(), evictAfter)
+	case netconn.IdleTimeout:
+		still = begun == 0 && before(asOf, c.LastReadUnixNano(), idleAfter)
+	case netconn.Evicted:
+		still = begun == 0 && before(asOf, c.LastReadUnixNano(), evictAfter)
 	case netconn.Shutdown: // half a request is waited for: its client is told when it ends, not in the middle of it
 		still = begun == 0 || before(asOf, begun, halfAfter)
 	}
@@ -110,7 +110,7 @@
 		c.evicted.Store(false)
 		return nil
 	}
-	c.Blame(code, nil)
+	c.SetEndCode(code, nil)
 	return errEnding
 }
 
@@ -200,7 +200,7 @@
 		k.mu.Lock()
 		deaf, now := k.deaf, time.Now()
 		for o, c := range k.conns {
-			if !o.Busy() && c.Code() == "" { // one that is ending already has a reason
+			if !o.Busy() && c.EndCode() == netconn.NoEndCode { // one that is ending already has a reason
 				c.end(netconn.Shutdown, now)
 			}
 		}
@@ -238,16 +238,16 @@
 	defer k.mu.Unlock()
 	full := k.Admission.BodiesNearlyFull()
 	for o, c := range k.conns {
-		switch begun := c.Begun(); {
-		case full && o.Waits() && before(now, c.Took(), stalledAfter):
-			c.End(netconn.Slow, nil)
+		switch begun := c.FrameStartUnixNano(); {
+		case full && o.Waits() && before(now, c.LastWriteUnixNano(), stalledAfter):
+			c.Close(netconn.SlowReader, nil)
 		case o.Busy():
 		case begun != 0 && before(now, begun, halfAfter):
-			c.end(netconn.Half, now)
+			c.end(netconn.PartialFrame, now)
 		case !c.whole.Load() && c.Age(now) > muteAfter: // also in the middle of its first frame: it has had its time
-			c.end(netconn.Mute, now)
-		case begun == 0 && before(now, c.Heard(), idleAfter):
-			c.end(netconn.Idle, now)
+			c.end(netconn.NoFirstFrame, now)
+		case begun == 0 && before(now, c.LastReadUnixNano(), idleAfter):
+			c.end(netconn.IdleTimeout, now)
 		}
 	}
 }
@@ -263,13 +263,13 @@
 	for o, c := range k.conns {
 		first := out == nil || !c.used.Load() && out.used.Load()
 		same := out == nil || c.used.Load() == out.used.Load()
-		if c.Heard() < least && (first || same && c.Heard() < out.Heard()) && !c.evicted.Load() && c.Begun() == 0 && !c.Ended() && !o.Busy() {
+		if c.LastReadUnixNano() < least && (first || same && c.LastReadUnixNano() < out.LastReadUnixNano()) && !c.evicted.Load() && c.FrameStartUnixNano() == 0 && !c.IsClosed() && !o.Busy() {
 			out = c
 		}
 	}
 	if out != nil {
 		out.evicted.Store(true)
-		out.end(netconn.Crowded, now)
+		out.end(netconn.Evicted, now)
 	}
 	return out != nil
 }
@@ -278,7 +278,7 @@
 func (k *Server) client(ctx context.Context, raw net.Conn, in bool) {
 	o := relay.New(k.Book, k.Admission)
 	c := &clientConn{Conn: netconn.New(raw, admission.ClientRingBytes, relay.Stall), o: o}
-	c.Asked = c.may
+	c.OnCloseRequest = c.may
 	k.Book.Began("client")
 	k.mu.Lock()
 	if k.conns == nil {
@@ -290,39 +290,39 @@
 		c.noMore()
 	}
 	g, ctx := errgroup.WithContext(ctx)
-	defer context.AfterFunc(ctx, func() { c.End(netconn.Shutdown, nil) })()
+	defer context.AfterFunc(ctx, func() { c.Close(netconn.Shutdown, nil) })()
 	g.Go(func() (err error) {
 		defer k.caught(c.Conn, &err)
 		r := reader{k: k, c: c, o: o, used: map[uint32]bool{}, next: 1}
 		if in {
 			err = r.run()
 		} else {
-			c.Blame(netconn.Limit, nil)
+			c.SetEndCode(netconn.ResourceLimit, nil)
 			err = fault("too many connections")
 		}
 		if bad := (*violation)(nil); errors.As(err, &bad) {
 			// What was taken is still answered; only then does the connection end, under the code of the fault. Until then it
 			// is read on, and all dropped: a client that goes is noticed.
-			c.Blame(netconn.Protocol, bad)
+			c.SetEndCode(netconn.ProtocolError, bad)
 			o.Say(errorFrame(bad.Error()))
 			o.Finish()
-			err = c.Drop(lingerBytes)
+			err = c.DiscardUntilClosed(lingerBytes)
 		}
 		if errors.Is(err, errEnding) {
 			most := lingerMost
-			if c.Code() == netconn.Crowded {
+			if c.EndCode() == netconn.Evicted {
 				most = lingerRoom
 			}
-			c.Hangup(netconn.Shutdown, nil, most, lingerBytes)
+			c.CloseGracefully(netconn.Shutdown, nil, most, lingerBytes)
 			return err
 		}
-		c.End(netconn.Reason(err), err)
+		c.Close(netconn.ClassifyError(err), err)
 		return err
 	})
 	g.Go(func() (err error) {
 		defer k.caught(c.Conn, &err)
 		if err = o.Run(ctx, c.Conn); err == nil {
-			c.Ask(netconn.Protocol)
+			c.RequestClose(netconn.ProtocolError)
 		}
 		return err
 	})
@@ -333,7 +333,7 @@
 	k.mu.Lock()
 	delete(k.conns, o)
 	k.mu.Unlock()
-	c.Done(k.Book, "client", c.Peer())
+	c.LogEnd(k.Book, "client", c.RemoteAddr())
 }
 
 func errorFrame(text string) []byte {
@@ -347,7 +347,7 @@
 	if p := recover(); p != nil {
 		k.panicked(p)
 		*err = errPanic
-		c.End(netconn.Panic, nil)
+		c.Close(netconn.Panic, nil)
 	}
 }
 
@@ -385,26 +385,26 @@
 		case clientproto.TypeRequest:
 			err = r.txn(h)
 		case clientproto.TypeCancel:
-			if err = r.c.Skip(h.PayloadBytes); err == nil {
+			if err = r.c.Discard(h.PayloadBytes); err == nil {
 				if t := r.o.Leave(h.StreamID, "cancelled"); t != nil {
 					r.k.Post(RequestCancelled{t})
 				}
 			}
 		case clientproto.TypeReadinessQuery:
-			if err = r.c.Skip(h.PayloadBytes); err == nil {
+			if err = r.c.Discard(h.PayloadBytes); err == nil {
 				r.o.Say(clientproto.AppendReadinessReply(nil, h.StreamID, r.k.Admission.Ready()))
 			}
 		default:
 			return fault("unknown type %d", h.Type)
 		}
 		if err == nil && r.o.Full() {
-			r.c.Blame(netconn.Slow, relay.ErrSlow)
+			r.c.SetEndCode(netconn.SlowReader, relay.ErrSlow)
 			err = relay.ErrSlow
 		}
 		if err != nil {
 			return err
 		}
-		r.c.Whole()
+		r.c.FrameComplete()
 		r.c.whole.Store(true)
 	}
 }
@@ -441,7 +441,7 @@
 		r.o.Respond(t, request.Response{Result: v, Reason: reason, ErrorText: text})
 	}
 	if h.PayloadBytes > clientproto.MaxRequestBytes {
-		if err := r.c.Skip(h.PayloadBytes); err != nil {
+		if err := r.c.Discard(h.PayloadBytes); err != nil {
 			return err
 		}
 		atOnce(request.Aborted, "malformed", "txn too large")
@@ -449,7 +449,7 @@
 	}
 	body := r.k.Admission.Bodies.TryAllocate(h.PayloadBytes)
 	if body == nil {
-		if err := r.c.Skip(h.PayloadBytes); err != nil {
+		if err := r.c.Discard(h.PayloadBytes); err != nil {
 			return err
 		}
 		atOnce(request.Rejected, "memory", "")
--- a/internal/frontend/take_test.go
+++ b/internal/frontend/take_test.go
@@ -289,14 +289,14 @@
 		}
 		assert.Eventually(t, func() bool { // until the bytes have been seen
 			c.Sweep(time.Now().Add(x.age - 300*time.Millisecond))
-			return c.conn().whole.Load() == (len(x.says) >= len(ask)) && (c.conn().Begun() != 0) == (x.code == "half-frame")
+			return c.conn().whole.Load() == (len(x.says) >= len(ask)) && (c.conn().FrameStartUnixNano() != 0) == (x.code == "half-frame")
 		}, time.Minute, time.Millisecond)
 		c.sweepUntilDone(x.age + time.Second)
 		assert.Contains(t, c.log.String(), "code="+x.code)
 	}
 	late := connect(t, true) // one that begins its first frame late has not two more seconds for it
 	assert.Eventually(t, func() bool { return late.conn() != nil }, time.Minute, time.Millisecond)
-	late.conn().Since(time.Now().Add(-2 * muteAfter))
+	late.conn().SetStartTime(time.Now().Add(-2 * muteAfter))
 	_, _ = late.Write(ask[:5])
 	late.sweepUntilDone(0)
 	assert.Contains(t, late.log.String(), "code=mute")
@@ -466,34 +466,37 @@
 	assert.True(t, x.ResponseWriter.Respond(x, request.Response{}))
 	_, stream, _ := c.next(t)
 	assert.EqualValues(t, 1, stream, "it came before the end")
-	c.sweepUntil(t, netconn.Idle)
+	c.sweepUntil(t, netconn.IdleTimeout)
 	c.whole(t)
 	assert.Empty(t, c.posted, "what crossed the end is not taken")
 	assert.Contains(t, c.log.String(), "code=idle")
 }
 
 // sweepUntil sweeps until the connection is about to end for a reason.
-func (c *client) sweepUntil(t *testing.T, code string) {
+func (c *client) sweepUntil(t *testing.T, code netconn.EndCode) {
 	assert.Eventually(t, func() bool {
 		c.Sweep(time.Now().Add(time.Hour))
 		x := c.conn()
-		return x == nil || x.Code() == code
+		return x == nil || x.EndCode() == code
 	}, time.Minute, time.Millisecond)
 }
 
 // TestEndsOfEveryKindResetNothing: whatever a client writes in the moment in which its connection ends.
 func TestEndsOfEveryKindResetNothing(t *testing.T) {
 	ask := append(clientproto.AppendHeader(nil, clientproto.TypeReadinessQuery, 5, 1), 0)
-	for code, says := range map[string][]byte{netconn.Mute: nil, netconn.Idle: ask, netconn.Half: ask[:7]} {
+	for code, says := range map[netconn.EndCode][]byte{netconn.NoFirstFrame: nil, netconn.IdleTimeout: ask, netconn.PartialFrame: ask[:7]} {
 		c := overTCP(t, nothing, func(far net.Conn) { _, _ = far.Write(append(ask, make([]byte, 50_000)...)) })
 		_, _ = c.Write(says)
-		if code == netconn.Idle {
+		if code == netconn.IdleTimeout {
 			c.next(t)
 		}
-		assert.Eventually(t, func() bool { x := c.conn(); return x != nil && (x.Begun() != 0) == (code == netconn.Half) }, time.Minute, time.Millisecond)
+		assert.Eventually(t, func() bool {
+			x := c.conn()
+			return x != nil && (x.FrameStartUnixNano() != 0) == (code == netconn.PartialFrame)
+		}, time.Minute, time.Millisecond)
 		c.sweepUntil(t, code)
 		c.whole(t)
-		assert.Contains(t, c.log.String(), "code="+code)
+		assert.Contains(t, c.log.String(), "code="+code.String())
 	}
 	c := overTCP(t, nothing, func(far net.Conn) { _, _ = far.Write(append(ask, make([]byte, 500_000)...)) })
 	assert.Eventually(t, func() bool { return c.evict(time.Now().Add(time.Hour)) }, time.Minute, time.Millisecond)
@@ -537,9 +540,9 @@
 	x := (<-c.posted).(*request.Request)
 	_, _ = c.Write(clientproto.AppendHeader(nil, 77, 9, 0))
 	flooded := c.flood()
-	assert.Eventually(t, func() bool { return c.conn().Got() > lingerBytes }, time.Minute, time.Millisecond)
-	before, began := c.conn().Got(), time.Now()
-	assert.Eventually(t, func() bool { return c.conn().Got() > before+20*admission.ClientRingBytes }, time.Minute, time.Millisecond)
+	assert.Eventually(t, func() bool { return c.conn().BytesRead() > lingerBytes }, time.Minute, time.Millisecond)
+	before, began := c.conn().BytesRead(), time.Now()
+	assert.Eventually(t, func() bool { return c.conn().BytesRead() > before+20*admission.ClientRingBytes }, time.Minute, time.Millisecond)
 	assert.Greater(t, time.Since(began), 50*time.Millisecond)
 	assert.True(t, x.ResponseWriter.Respond(x, request.Response{}))
 	<-c.done
@@ -590,7 +593,10 @@
 // TestAcceptWithoutADescriptorMakesRoom: the connection that is of least use ends, and the listener goes on.
 func TestAcceptWithoutADescriptorMakesRoom(t *testing.T) {
 	c := overTCP(t, nothing, nothing)
-	assert.Eventually(t, func() bool { x := c.conn(); return x != nil && time.Since(time.Unix(0, x.Heard())) > evictAfter }, time.Minute, time.Millisecond)
+	assert.Eventually(t, func() bool {
+		x := c.conn()
+		return x != nil && time.Since(time.Unix(0, x.LastReadUnixNano())) > evictAfter
+	}, time.Minute, time.Millisecond)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(t.Context())
--- a/internal/netconn/conn_test.go
+++ b/internal/netconn/conn_test.go
@@ -26,12 +26,12 @@
 		_, _ = io.WriteString(far, "one\r\ntwo\n0123456789abcdefrest")
 		_ = far.Close()
 	}()
-	a, err := c.Line()
+	a, err := c.ReadLine()
 	assert.NoError(t, err)
-	b, err := c.Line()
+	b, err := c.ReadLine()
 	assert.NoError(t, err)
 	assert.Equal(t, []string{"one", "two"}, []string{string(a), string(b)})
-	assert.NoError(t, c.Skip(4))
+	assert.NoError(t, c.Discard(4))
 	p := make([]byte, 12)
 	assert.NoError(t, c.ReadFull(p))
 	assert.Equal(t, "456789abcdef", string(p))
@@ -43,8 +43,8 @@
 	near, far := net.Pipe()
 	defer far.Close()
 	go func() { _, _ = io.WriteString(far, strings.Repeat("x", 9)) }()
-	_, err := New(near, 8, 0).Line()
-	assert.Equal(t, Protocol, Reason(err))
+	_, err := New(near, 8, 0).ReadLine()
+	assert.Equal(t, ProtocolError, ClassifyError(err))
 }
 
 // TestBytesAreCounted: what was handed in and what the socket took tell whether a request may have run.
@@ -61,14 +61,14 @@
 	assert.NoError(t, c.Write([]byte("0123456789")))
 	assert.Equal(t, "01234567", <-got)
 	assert.Error(t, c.Flush())
-	assert.Equal(t, []int64{10, 8}, []int64{c.Entered(), c.Wrote()})
+	assert.Equal(t, []int64{10, 8}, []int64{c.BytesBuffered(), c.BytesWritten()})
 }
 
 func TestStalledAndTrickledWritesEnd(t *testing.T) {
 	near, far := net.Pipe()
 	defer far.Close()
 	c := New(near, 8, time.Millisecond)
-	assert.Equal(t, Slow, Reason(c.Write([]byte("0123456789"))))
+	assert.Equal(t, SlowReader, ClassifyError(c.Write([]byte("0123456789"))))
 	near, far = net.Pipe()
 	go func() {
 		for p := make([]byte, 1); ; {
@@ -78,15 +78,15 @@
 		}
 	}()
 	c = New(near, 8, time.Hour)
-	c.WriteBy(time.Now())
-	assert.Equal(t, Slow, Reason(c.Write(make([]byte, 1000))), "however steadily it is read")
+	c.SetWriteDeadline(time.Now())
+	assert.Equal(t, SlowReader, ClassifyError(c.Write(make([]byte, 1000))), "however steadily it is read")
 	_ = far.Close()
 }
 
 func TestReasons(t *testing.T) {
-	for err, want := range map[error]string{io.EOF: PeerClosed, syscall.ECONNRESET: Reset, syscall.EPIPE: Reset, io.ErrUnexpectedEOF: Reset,
-		os.ErrDeadlineExceeded: Slow, net.ErrClosed: Shutdown, context.Canceled: Shutdown, errors.New("x"): Other} {
-		assert.Equal(t, want, Reason(fmt.Errorf("wrapped: %w", err)))
+	for err, want := range map[error]EndCode{io.EOF: PeerClosed, syscall.ECONNRESET: PeerReset, syscall.EPIPE: PeerReset, io.ErrUnexpectedEOF: PeerReset,
+		os.ErrDeadlineExceeded: SlowReader, net.ErrClosed: Shutdown, context.Canceled: Shutdown, errors.New("x"): SocketError} {
+		assert.Equal(t, want, ClassifyError(fmt.Errorf("wrapped: %w", err)))
 	}
 }
 
@@ -96,10 +96,10 @@
 	var log bytes.Buffer
 	b := telemetry.New(&log, "n1")
 	b.Began("client")
-	c.Blame(Protocol, errors.New("why"))
-	c.End(Idle, nil)
-	c.End(Reset, nil)
-	c.Done(b, "client", "x:1")
+	c.SetEndCode(ProtocolError, errors.New("why"))
+	c.Close(IdleTimeout, nil)
+	c.Close(PeerReset, nil)
+	c.LogEnd(b, "client", "x:1")
 	assert.Contains(t, log.String(), "side=client code=protocol peer=x:1")
 	assert.Contains(t, log.String(), "err=why")
 	assert.Equal(t, 1, strings.Count(log.String(), "\n"))
@@ -133,29 +133,29 @@
 	require.NoError(t, errors.Join(c.Write([]byte(words)), c.Flush()))
 	done := make(chan bool)
 	go func() {
-		c.Hangup(Idle, nil, time.Minute, 1<<20)
+		c.CloseGracefully(IdleTimeout, nil, time.Minute, 1<<20)
 		close(done)
 	}()
 	got, err := io.ReadAll(far)
 	assert.NoError(t, err)
 	assert.Equal(t, words, string(got))
-	assert.False(t, c.Ended(), "it reads on until the other side has ended too")
+	assert.False(t, c.IsClosed(), "it reads on until the other side has ended too")
 	_ = far.Close()
 	<-done
-	assert.True(t, c.Ended())
+	assert.True(t, c.IsClosed())
 }
 
 // TestHangupIsBounded: in time for one that says nothing more and does not end, in bytes for one that floods.
 func TestHangupIsBounded(t *testing.T) {
 	near, _ := pair(t)
 	c := New(near, 1024, 0)
-	c.Hangup(Idle, nil, time.Millisecond, 1<<20)
-	assert.True(t, c.Ended())
+	c.CloseGracefully(IdleTimeout, nil, time.Millisecond, 1<<20)
+	assert.True(t, c.IsClosed())
 	near, far := pair(t)
 	go func() { _, _ = far.Write(make([]byte, 10_000)) }()
 	c = New(near, 1024, 0)
-	c.Hangup(Idle, nil, time.Minute, 2000)
-	assert.True(t, c.Ended())
+	c.CloseGracefully(IdleTimeout, nil, time.Minute, 2000)
+	assert.True(t, c.IsClosed())
 }
 
 // script is a socket whose reads are scripted: each waits for its turn.
@@ -189,8 +189,8 @@
 	}
 	s := &script{reading: make(chan bool), reads: make(chan func([]byte) (int, error)), woken: make(chan bool, 9)}
 	c := New(s, 8, 0)
-	asked, may := make(chan string), make(chan error)
-	c.Asked = func(code string) error {
+	asked, may := make(chan EndCode), make(chan error)
+	c.OnCloseRequest = func(code EndCode) error {
 		asked <- code
 		return <-may
 	}
@@ -210,19 +210,19 @@
 		s.reads <- f
 	}
 	<-s.reading
-	c.Ask(Idle)
+	c.RequestClose(IdleTimeout)
 	<-s.woken
 	s.reads <- late  // the read that was under way
 	next(bring("x")) // the last look
 	assert.Equal(t, "x", <-got)
 	next(late) // asked still, and nothing is unread
-	assert.Equal(t, Idle, <-asked)
+	assert.Equal(t, IdleTimeout, <-asked)
 	may <- nil
 	next(bring("y"))
 	assert.Equal(t, "y", <-got)
 	next(late) // a wake for nothing
 	<-s.reading
-	c.Ask(Shutdown)
+	c.RequestClose(Shutdown)
 	<-s.woken
 	s.reads <- late
 	next(late)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -237,7 +237,7 @@
 			continue
 		}
 		if err := c.Flush(); err != nil {
-			c.End(netconn.Reason(err), err)
+			c.Close(netconn.ClassifyError(err), err)
 			return err
 		}
 		for _, t := range unflushed {
@@ -266,13 +266,13 @@
 			by = limit
 		}
 	}
-	c.WriteBy(by.Add(mostTime))
+	c.SetWriteDeadline(by.Add(mostTime))
 	err := c.Write(x.head)
 	if err == nil && x.body != nil {
 		err = c.Write(x.body.Bytes)
 	}
 	if err != nil {
-		c.End(netconn.Reason(err), err)
+		c.Close(netconn.ClassifyError(err), err)
 	}
 	return err
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -55,7 +55,7 @@
 	assert.True(t, o.Respond(x, request.Response{Body: o.gate.Bodies.TryAllocate(1000)}))
 	assert.Error(t, o.Run(t.Context(), c))
 	var log bytes.Buffer
-	c.Done(telemetry.New(&log, ""), "client", "x")
+	c.LogEnd(telemetry.New(&log, ""), "client", "x")
 	assert.Contains(t, log.String(), "code=slow-reader")
 	assert.Zero(t, o.gate.Bodies.UsedBytes())
 	for range mostQueued + 1 {
--- a/internal/ringbuffer/ring.go
+++ b/internal/ringbuffer/ring.go
@@ -4,23 +4,23 @@
 import "io"
 
 // Ring holds up to its size in bytes, first in, first out.
-type Ring struct {
+type Buffer struct {
 	buf  []byte
 	head int // place of the first byte held
 	held int
 }
 
 // New makes an empty ring.
-func New(size int) *Ring { return &Ring{buf: make([]byte, size)} }
+func New(size int) *Buffer { return &Buffer{buf: make([]byte, size)} }
 
 // Len is how many bytes are held, Free how many more would fit.
-func (q *Ring) Len() int { return q.held }
+func (q *Buffer) Len() int { return q.held }
 
 // Free is how many more bytes would fit.
-func (q *Ring) Free() int { return len(q.buf) - q.held }
+func (q *Buffer) Free() int { return len(q.buf) - q.held }
 
 // room is the longest free stretch that follows what is held.
-func (q *Ring) room() []byte {
+func (q *Buffer) room() []byte {
 	tail := q.head + q.held
 	if tail >= len(q.buf) {
 		return q.buf[tail-len(q.buf) : q.head]
@@ -29,10 +29,10 @@
 }
 
 // front is the longest stretch of what is held, from its first byte.
-func (q *Ring) front() []byte { return q.buf[q.head:min(q.head+q.held, len(q.buf))] }
+func (q *Buffer) front() []byte { return q.buf[q.head:min(q.head+q.held, len(q.buf))] }
 
 // Fill does one read into the free room; a full ring reads nothing.
-func (q *Ring) Fill(src io.Reader) (int, error) {
+func (q *Buffer) ReadOnceFrom(src io.Reader) (int, error) {
 	if q.held == 0 {
 		q.head = 0
 	}
@@ -45,14 +45,14 @@
 }
 
 // Drain does one write of what is held and drops what was written.
-func (q *Ring) Drain(dst io.Writer) (int, error) {
+func (q *Buffer) WriteOnceTo(dst io.Writer) (int, error) {
 	n, err := dst.Write(q.front())
 	q.Discard(n)
 	return n, err
 }
 
 // Write takes in as much of p as fits and says how much that was.
-func (q *Ring) Write(p []byte) int {
+func (q *Buffer) Write(p []byte) int {
 	done := 0
 	for len(p) > done && q.Free() > 0 {
 		n := copy(q.room(), p[done:])
@@ -63,7 +63,7 @@
 }
 
 // Read moves held bytes into p and says how many.
-func (q *Ring) Read(p []byte) int {
+func (q *Buffer) Read(p []byte) int {
 	done := 0
 	for len(p) > done && q.held > 0 {
 		n := copy(p[done:], q.front())
@@ -74,7 +74,7 @@
 }
 
 // Discard drops up to n held bytes and says how many.
-func (q *Ring) Discard(n int) int {
+func (q *Buffer) Discard(n int) int {
 	n = min(n, q.held)
 	q.head = (q.head + n) % len(q.buf)
 	q.held -= n
@@ -82,7 +82,7 @@
 }
 
 // Index is the place of the first byte b at or after from, or -1.
-func (q *Ring) Index(b byte, from int) int {
+func (q *Buffer) IndexByte(b byte, from int) int {
 	for i := from; i < q.held; i++ {
 		if q.buf[(q.head+i)%len(q.buf)] == b {
 			return i
--- a/internal/ringbuffer/ring_test.go
+++ b/internal/ringbuffer/ring_test.go
@@ -28,18 +28,18 @@
 				assert.Equal(t, string(want[:k]), string(p[:k]))
 				want = want[k:]
 			case 2:
-				k, _ := q.Fill(bytes.NewReader(p))
+				k, _ := q.ReadOnceFrom(bytes.NewReader(p))
 				want = append(want, p[:k]...)
 			case 3:
 				var out bytes.Buffer
-				k, err := q.Drain(&out)
+				k, err := q.WriteOnceTo(&out)
 				assert.NoError(t, err)
 				assert.Equal(t, string(want[:k]), out.String())
 				want = want[k:]
 			}
 			assert.Equal(t, len(want), q.Len())
 			assert.Equal(t, 11-len(want), q.Free())
-			assert.Equal(t, bytes.IndexByte(want, fresh), q.Index(fresh, 0))
+			assert.Equal(t, bytes.IndexByte(want, fresh), q.IndexByte(fresh, 0))
 		}
 	})
 }
@@ -47,8 +47,8 @@
 func TestFullRingReadsNothing(t *testing.T) {
 	q := New(2)
 	assert.Equal(t, 2, q.Write([]byte("abc")))
-	_, err := q.Fill(bytes.NewReader([]byte("x")))
+	_, err := q.ReadOnceFrom(bytes.NewReader([]byte("x")))
 	assert.ErrorIs(t, err, io.ErrShortBuffer)
 	assert.Equal(t, 2, q.Discard(5))
-	assert.Equal(t, -1, q.Index('a', 0))
+	assert.Equal(t, -1, q.IndexByte('a', 0))
 }
--- a/internal/upstream/address/race.go
+++ b/internal/upstream/address/race.go
@@ -6,7 +6,7 @@
 // each some time after the one before it or as soon as that has failed; the first that succeeds is used and every other
 // is closed. It holds nothing but the attempts' states: whoever dials tells how each ended.
 type Race struct {
-	tries []Try
+	tries []PlannedDial
 	state []attempt
 	began float64
 	by    float64 // after which none succeeds any more
@@ -25,13 +25,13 @@
 )
 
 // NewRace makes one over a plan, to be won by a time.
-func NewRace(now float64, plan []Try, by float64) *Race {
+func NewRace(now float64, plan []PlannedDial, by float64) *Race {
 	return &Race{tries: plan, state: make([]attempt, len(plan)), began: now, by: by, last: math.Inf(-1)}
 }
 
 // Due says which attempt begins now, -1 for none. Grant is asked for each but the only one under way: where it says no,
 // the attempt waits until the others have failed.
-func (r *Race) Due(now float64, grant func() bool) int {
+func (r *Race) NextDial(now float64, grant func() bool) int {
 	if r.used || r.over || now >= r.by {
 		return -1
 	}
@@ -57,7 +57,7 @@
 	if i == 0 {
 		return 0
 	}
-	return r.tries[i].After - r.tries[i-1].After
+	return r.tries[i].DelaySeconds - r.tries[i-1].DelaySeconds
 }
 
 func (r *Race) count(s attempt) (n int) {
@@ -70,7 +70,7 @@
 }
 
 // Next is when the next attempt is due, or the race is over, if nothing happens before.
-func (r *Race) Next(now float64) float64 {
+func (r *Race) NextDeadline(now float64) float64 {
 	at := r.by
 	for i, s := range r.state {
 		if s == waiting && r.count(underWay) > 0 {
@@ -84,7 +84,7 @@
 }
 
 // Up says that an attempt has succeeded; use says whether its connection is the one. Any other has to be closed.
-func (r *Race) Up(i int, now float64) (use bool) {
+func (r *Race) Connected(i int, now float64) (use bool) {
 	if r.state[i] != underWay {
 		return false
 	}
@@ -96,7 +96,7 @@
 }
 
 // Down says that an attempt has failed.
-func (r *Race) Down(i int) {
+func (r *Race) Failed(i int) {
 	if r.state[i] == underWay {
 		r.state[i] = failed
 	}
--- a/internal/upstream/address/reach.go
+++ b/internal/upstream/address/reach.go
@@ -37,9 +37,9 @@
 
 // The families, in order. Of loopback and of others, IPv6 and IPv4 are interleaved (RFC 8305, section 4).
 const (
-	Unix Family = iota
-	Loopback
-	Other
+	FamilyUnix Family = iota
+	FamilyLoopback
+	FamilyOther
 )
 
 // Addr is one address of a member: host:port with a literal IP, or unix:PATH.
@@ -61,24 +61,24 @@
 // kind is an address's family, and whether it is IPv6.
 func (a Addr) kind() (Family, bool) {
 	if a.Network() == "unix" {
-		return Unix, false
+		return FamilyUnix, false
 	}
 	ap, err := netip.ParseAddrPort(a.Target())
 	if err != nil {
-		return Other, false
+		return FamilyOther, false
 	}
 	six := ap.Addr().Is6() && !ap.Addr().Is4In6()
 	if ap.Addr().IsLoopback() {
-		return Loopback, six
+		return FamilyLoopback, six
 	}
-	return Other, six
+	return FamilyOther, six
 }
 
 // Order sorts addresses by family, IPv6 and IPv4 in turns within each, and drops those that stand twice. What is
 // alike keeps its order.
-func Order(list []Addr) []Addr {
+func SortAddrs(list []Addr) []Addr {
 	var out []Addr
-	for _, f := range []Family{Unix, Loopback, Other} {
+	for _, f := range []Family{FamilyUnix, FamilyLoopback, FamilyOther} {
 		var sides [2][]Addr // IPv6 first
 		for _, a := range list {
 			family, six := a.kind()
@@ -102,26 +102,26 @@
 }
 
 // Why says what is held against an address.
-type Why int
+type Condition int
 
 // Reasons for a rest. Those from Quiet on can't be cleared by a connection alone.
 const (
-	Well Why = iota
+	Healthy Condition = iota
 	Refused
-	Hung   // the attempt came to nothing in its time
-	Broken // a connection ended while txns were open on it
-	Quiet  // it accepted, took a txn and said nothing
-	ByHand // an operator's word
+	TimedOut // the attempt came to nothing in its time
+	Broken   // a connection ended while txns were open on it
+	Silent   // it accepted, took a txn and said nothing
+	Disabled // an operator's word
 )
 
-func (w Why) String() string {
+func (w Condition) String() string {
 	return [...]string{"well", "refused", "hung", "broken", "quiet", "by-hand"}[w]
 }
 
 // address is what is known of one. About 250 bytes.
 type address struct {
 	Addr
-	why      Why
+	why      Condition
 	since    float64 // Unix s of the present state
 	until    float64 // rest: not used for hops before
 	rest     float64 // s, the last rest
@@ -145,14 +145,14 @@
 }
 
 // Try is one connection attempt of a plan, After so many seconds, or at once where the one before it has failed.
-type Try struct {
-	Addr  Addr
-	After float64
+type PlannedDial struct {
+	Addr         Addr
+	DelaySeconds float64
 }
 
 // Core is the state of all members. It is not safe for more than one goroutine.
-type Core struct {
-	Probes bool // the deployment allows checks
+type Selector struct {
+	HealthChecksAllowed bool // the deployment allows checks
 
 	pcg     uint64
 	now     float64
@@ -162,10 +162,10 @@
 }
 
 // New makes an empty one.
-func New(seed uint64) *Core { return &Core{pcg: seed, members: map[string]*member{}} }
+func New(seed uint64) *Selector { return &Selector{pcg: seed, members: map[string]*member{}} }
 
 // chance is the next number of a permuted congruential generator, 0 to 1.
-func (c *Core) chance() float64 {
+func (c *Selector) chance() float64 {
 	old := c.pcg
 	c.pcg = old*6364136223846793005 + 1442695040888963407
 	x := uint32((old>>18 ^ old) >> 27)
@@ -174,11 +174,11 @@
 }
 
 // tick moves the clock on; one that jumps back is not followed.
-func (c *Core) tick(now float64) { c.now = max(c.now, now) }
+func (c *Selector) tick(now float64) { c.now = max(c.now, now) }
 
 // List says which addresses a member has, in any order. What is known of those that stay is kept, unless the member has
 // started again.
-func (c *Core) List(now float64, id string, started float64, list []Addr) {
+func (c *Selector) SetAddresses(now float64, id string, started float64, list []Addr) {
 	c.tick(now)
 	m := c.members[id]
 	if m == nil || m.started != started { // used stays unset: what nobody uses needs no second link
@@ -186,7 +186,7 @@
 		c.members[id], c.stale = m, true
 	}
 	var next []*address
-	for _, a := range Order(list) {
+	for _, a := range SortAddrs(list) {
 		if x := m.find(a); x != nil {
 			next = append(next, x)
 		} else {
@@ -197,7 +197,7 @@
 }
 
 // Gone forgets a member.
-func (c *Core) Gone(id string) {
+func (c *Selector) RemoveEndpoint(id string) {
 	delete(c.members, id)
 	c.stale = true
 }
@@ -212,7 +212,7 @@
 }
 
 // Several says whether a member has more than one address. What has one is never rested: its faults are its own.
-func (c *Core) Several(id string) bool {
+func (c *Selector) HasAlternatives(id string) bool {
 	m := c.members[id]
 	return m != nil && len(m.list) > 1
 }
@@ -235,14 +235,14 @@
 // Plan says which addresses to try for a new connection, in order. It is empty where all rest: then the member is
 // sick and that is told at once. Repeatable says whether the hop that wants it may be used to try an address that was
 // silent; anything else goes only where answers came.
-func (c *Core) Plan(now float64, id string, repeatable bool) []Try {
+func (c *Selector) Plan(now float64, id string, repeatable bool) []PlannedDial {
 	c.tick(now)
 	m := c.members[id]
 	if m == nil {
 		return nil
 	}
 	m.used = c.now
-	var out []Try
+	var out []PlannedDial
 	after, usual := 0.0, 0.0
 	for _, x := range m.bent() {
 		if len(m.list) > 1 && !c.open(m, x, repeatable) {
@@ -252,24 +252,24 @@
 			after += c.stagger(usual)
 		}
 		usual = mean(x.connects)
-		out = append(out, Try{x.Addr, after})
+		out = append(out, PlannedDial{x.Addr, after})
 	}
 	return out
 }
 
 // open says whether a new hop may go over an address.
-func (c *Core) open(m *member, x *address, repeatable bool) bool {
-	if x.rests(c.now) || x.why == ByHand {
+func (c *Selector) open(m *member, x *address, repeatable bool) bool {
+	if x.rests(c.now) || x.why == Disabled {
 		return false
 	}
-	if x.why == Quiet { // one repeatable txn at a time tries it, if there is another address for the rest
+	if x.why == Silent { // one repeatable txn at a time tries it, if there is another address for the rest
 		return repeatable && !x.trial
 	}
-	return x.why == Well || x.why == Broken
+	return x.why == Healthy || x.why == Broken
 }
 
 // stagger is the delay before the attempt that follows one to an address whose usual connect time is given.
-func (c *Core) stagger(usual float64) float64 {
+func (c *Selector) stagger(usual float64) float64 {
 	if usual == 0 {
 		return staggerMost
 	}
@@ -278,7 +278,7 @@
 
 // Usable says whether a new hop may be written on a link over an address, and how good that address is: 0 for the
 // first choice, more for later ones.
-func (c *Core) Usable(now float64, id string, a Addr, repeatable bool) (rank int, ok bool) {
+func (c *Selector) Usable(now float64, id string, a Addr, repeatable bool) (rank int, ok bool) {
 	c.tick(now)
 	m := c.members[id]
 	if m == nil {
@@ -293,13 +293,13 @@
 }
 
 // Sent says that a hop is on its way over an address; the one that tries a silent address is the only one there.
-func (c *Core) Sent(now float64, id string, a Addr) {
-	if x := c.at(now, id, a); x != nil && x.why == Quiet {
+func (c *Selector) AttemptSent(now float64, id string, a Addr) {
+	if x := c.at(now, id, a); x != nil && x.why == Silent {
 		x.trial = true
 	}
 }
 
-func (c *Core) at(now float64, id string, a Addr) *address {
+func (c *Selector) at(now float64, id string, a Addr) *address {
 	c.tick(now)
 	if m := c.members[id]; m != nil {
 		return m.find(a)
@@ -308,16 +308,16 @@
 }
 
 // Dialed says how a connection attempt ended: Well with its time, or Refused or Hung.
-func (c *Core) Dialed(now float64, id string, a Addr, why Why, took float64) {
+func (c *Selector) DialEnded(now float64, id string, a Addr, why Condition, took float64) {
 	x := c.at(now, id, a)
 	if x == nil {
 		return
 	}
 	x.looking = false
-	if why == Well {
+	if why == Healthy {
 		x.connects = keep(x.connects, took)
-		if x.why == Refused || x.why == Hung || x.why == Broken {
-			x.why, x.since, x.until = Well, c.now, 0
+		if x.why == Refused || x.why == TimedOut || x.why == Broken {
+			x.why, x.since, x.until = Healthy, c.now, 0
 		}
 		return
 	}
@@ -325,14 +325,14 @@
 }
 
 // Answered says that a member sent something over an address, so long after what it answers was written.
-func (c *Core) Answered(now float64, id string, a Addr, wait float64) {
+func (c *Selector) ResponseReceived(now float64, id string, a Addr, wait float64) {
 	x := c.at(now, id, a)
-	if x == nil || x.why == ByHand {
+	if x == nil || x.why == Disabled {
 		return
 	}
 	x.waits, x.answered = keep(x.waits, wait), c.now
-	if x.trial = false; x.why != Well {
-		x.why, x.since, x.until = Well, c.now, 0
+	if x.trial = false; x.why != Healthy {
+		x.why, x.since, x.until = Healthy, c.now, 0
 	}
 	if x.proven == 0 {
 		x.proven = c.now
@@ -342,25 +342,25 @@
 // Waits says that a hop was written over an address so long ago and nothing at all has come over that link since. It
 // returns whether the address is now held to be silent: no other hop goes there. That is told apart from a silent
 // member by what its other addresses do.
-func (c *Core) Waits(now float64, id string, a Addr, wait float64) bool {
+func (c *Selector) AwaitingResponse(now float64, id string, a Addr, wait float64) bool {
 	x := c.at(now, id, a)
-	if x == nil || !c.Several(id) || x.why == ByHand {
+	if x == nil || !c.HasAlternatives(id) || x.why == Disabled {
 		return false
 	}
-	if x.why == Quiet && x.rests(c.now) {
+	if x.why == Silent && x.rests(c.now) {
 		return true
 	}
 	if wait < max(quietLeast, quietOver*mean(x.waits)) {
 		return false
 	}
-	c.blame(c.members[id], x, Quiet)
+	c.blame(c.members[id], x, Silent)
 	return true
 }
 
 // Elsewhere says whether a member has sent something over another address since a time, or may be asked over another
 // now: then an address that is silent since is held to be bad before its member is. Where every other is silent too,
 // all of them rest, and the next hop is told at once that the member can't be reached.
-func (c *Core) Elsewhere(now float64, id string, a Addr, since float64) bool {
+func (c *Selector) ReachableElsewhere(now float64, id string, a Addr, since float64) bool {
 	c.tick(now)
 	m := c.members[id]
 	return m != nil && slices.ContainsFunc(m.list, func(x *address) bool {
@@ -369,100 +369,100 @@
 }
 
 // Broke says that a connection over an address ended while txns were open on it.
-func (c *Core) Broke(now float64, id string, a Addr) {
+func (c *Selector) ConnectionBroken(now float64, id string, a Addr) {
 	if x := c.at(now, id, a); x != nil {
 		c.blame(c.members[id], x, Broken)
 	}
 }
 
 // blame rests an address. Rests grow by decorrelated jitter until it has answered well for a while.
-func (c *Core) blame(m *member, x *address, why Why) {
-	if x.trial = false; x.why == ByHand || len(m.list) < 2 || (x.why == why && x.rests(c.now)) {
+func (c *Selector) blame(m *member, x *address, why Condition) {
+	if x.trial = false; x.why == Disabled || len(m.list) < 2 || (x.why == why && x.rests(c.now)) {
 		return
 	}
 	if x.proven > 0 && c.now-x.proven >= provenAfter {
 		x.rest = 0
 	}
 	most := restMost
-	if why == Quiet {
+	if why == Silent {
 		most = quietMost
 	}
 	x.proven = 0
 	x.rest = min(most, restFirst+c.chance()*(max(x.rest, restFirst)*restTimes-restFirst))
 	x.why, x.since, x.until = why, c.now, c.now+x.rest
-	m.doubt = m.doubt || why == Quiet
-	if why == Refused || why == Hung {
+	m.doubt = m.doubt || why == Silent
+	if why == Refused || why == TimedOut {
 		x.connects = nil
 	}
 }
 
 // Rest and Unrest are an operator's word. Rest refuses to rest a member's last address that is not rested.
-func (c *Core) Rest(now float64, id string, a Addr) bool {
+func (c *Selector) Disable(now float64, id string, a Addr) bool {
 	x := c.at(now, id, a)
 	if x == nil {
 		return false
 	}
 	others := 0
 	for _, y := range c.members[id].list {
-		if y != x && y.why != ByHand {
+		if y != x && y.why != Disabled {
 			others++
 		}
 	}
 	if others == 0 {
 		return false
 	}
-	x.why, x.since, x.until = ByHand, c.now, math.Inf(1)
+	x.why, x.since, x.until = Disabled, c.now, math.Inf(1)
 	return true
 }
 
 // Unrest ends any rest of an address.
-func (c *Core) Unrest(now float64, id string, a Addr) bool {
+func (c *Selector) Reinstate(now float64, id string, a Addr) bool {
 	x := c.at(now, id, a)
 	if x == nil {
 		return false
 	}
-	x.why, x.since, x.until, x.rest, x.trial = Well, c.now, 0, 0, false
+	x.why, x.since, x.until, x.rest, x.trial = Healthy, c.now, 0, 0, false
 	return true
 }
 
 // Look is an attempt that carries nothing: to see whether a rested address can be reached again, or to have a second
 // link warm. Probe asks for a check on it where the deployment allows one: a connection alone tells nothing of an
 // address that accepts and stays silent.
-type Look struct {
-	Member string
-	Addr   Addr
-	Probe  bool
+type Probe struct {
+	Endpoint    string
+	Addr        Addr
+	HealthCheck bool
 }
 
 // Looks names what is to be looked at now, in the order of members' names. Each is begun once; Dialed or Answered ends
 // it. Linked says whether a live link is there already.
-func (c *Core) Looks(now float64, linked func(id string, a Addr) bool) []Look {
+func (c *Selector) DueProbes(now float64, linked func(id string, a Addr) bool) []Probe {
 	c.tick(now)
-	var out []Look
+	var out []Probe
 	for _, id := range c.ids() {
 		m := c.members[id]
 		if len(m.list) < 2 || (c.now-m.used >= recent && m.well()) { // most members, most of the time
 			continue
 		}
-		warm, doubt := 0, m.doubt && c.Probes
+		warm, doubt := 0, m.doubt && c.HealthChecksAllowed
 		m.doubt = false
 		for _, x := range m.bent() {
-			if doubt && x.why == Well && !x.looking { // what another address says tells whether the member is silent
+			if doubt && x.why == Healthy && !x.looking { // what another address says tells whether the member is silent
 				doubt, x.looking, x.looked = false, true, c.now
-				out = append(out, Look{id, x.Addr, true})
+				out = append(out, Probe{id, x.Addr, true})
 				continue
 			}
 			if c.now-x.looked < restFirst || (x.looking && c.now-x.looked < restMost) {
 				continue
 			}
 			switch {
-			case x.why == ByHand || x.rests(c.now) || (x.why == Quiet && !c.Probes):
-			case x.why != Well:
+			case x.why == Disabled || x.rests(c.now) || (x.why == Silent && !c.HealthChecksAllowed):
+			case x.why != Healthy:
 				x.looking, x.looked = true, c.now
-				out = append(out, Look{id, x.Addr, x.why == Quiet})
+				out = append(out, Probe{id, x.Addr, x.why == Silent})
 			case warm == 1 && c.now-m.used < recent && c.now-x.looked >= warmEvery && !linked(id, x.Addr):
 				x.looking, x.looked = true, c.now
-				out = append(out, Look{id, x.Addr, false})
+				out = append(out, Probe{id, x.Addr, false})
 				warm++
 			default:
 				warm++
@@ -475,7 +475,7 @@
 // well says that nothing is held against any address.
 func (m *member) well() bool {
 	for _, x := range m.list {
-		if x.why != Well {
+		if x.why != Healthy {
 			return false
 		}
 	}
@@ -483,7 +483,7 @@
 }
 
 // ids are the members in the order of their names, sorted again only when one has come or gone.
-func (c *Core) ids() []string {
+func (c *Selector) ids() []string {
 	if len(c.order) != len(c.members) || c.stale {
 		c.order, c.stale = c.order[:0], false
 		for id := range c.members {
@@ -495,26 +495,26 @@
 }
 
 // State is what an operator is shown of an address.
-type State struct {
-	Member   string  `json:"member"`
-	Addr     Addr    `json:"address"`
-	Why      string  `json:"state"`
-	SinceS   float64 `json:"since_s"` // s ago
-	RestS    float64 `json:"rest_s"`  // s left of its rest
-	ConnectS float64 `json:"connect_s"`
-	FirstS   float64 `json:"first_byte_s"`
-	Rank     int     `json:"rank"`
+type AddressStatus struct {
+	Endpoint         string  `json:"member"`
+	Addr             Addr    `json:"address"`
+	Condition        string  `json:"state"`
+	SinceSeconds     float64 `json:"since_s"` // s ago
+	CooldownSeconds  float64 `json:"rest_s"`  // s left of its rest
+	ConnectSeconds   float64 `json:"connect_s"`
+	FirstByteSeconds float64 `json:"first_byte_s"`
+	Rank             int     `json:"rank"`
 }
 
 // States lists every address in the order in which it would be tried.
-func (c *Core) States(now float64) []State {
+func (c *Selector) Status(now float64) []AddressStatus {
 	c.tick(now)
-	var out []State
+	var out []AddressStatus
 	for _, id := range c.ids() {
 		for rank, x := range c.members[id].bent() {
-			s := State{Member: id, Addr: x.Addr, Why: x.why.String(), SinceS: c.now - x.since, ConnectS: mean(x.connects), FirstS: mean(x.waits), Rank: rank}
-			if s.RestS = max(x.until-c.now, 0); math.IsInf(s.RestS, 1) {
-				s.RestS = -1 // until an operator ends it
+			s := AddressStatus{Endpoint: id, Addr: x.Addr, Condition: x.why.String(), SinceSeconds: c.now - x.since, ConnectSeconds: mean(x.connects), FirstByteSeconds: mean(x.waits), Rank: rank}
+			if s.CooldownSeconds = max(x.until-c.now, 0); math.IsInf(s.CooldownSeconds, 1) {
+				s.CooldownSeconds = -1 // until an operator ends it
 			}
 			out = append(out, s)
 		}
--- a/internal/upstream/address/reach_test.go
+++ b/internal/upstream/address/reach_test.go
@@ -16,13 +16,13 @@
 	far6 = Addr("[2001:db8::1]:1")
 )
 
-func two() *Core {
+func two() *Selector {
 	c := New(1)
-	c.List(100, "a", 0, []Addr{four, sock})
+	c.SetAddresses(100, "a", 0, []Addr{four, sock})
 	return c
 }
 
-func addrs(plan []Try) (out []Addr) {
+func addrs(plan []PlannedDial) (out []Addr) {
 	for _, t := range plan {
 		out = append(out, t.Addr)
 	}
@@ -31,68 +31,68 @@
 
 func TestOrderIsNearFirstAndFamiliesInTurns(t *testing.T) {
 	assert.Equal(t, []Addr{sock, six, four, far6, far4, "10.0.0.2:1"},
-		Order([]Addr{far4, four, "10.0.0.2:1", far6, six, sock, four}))
+		SortAddrs([]Addr{far4, four, "10.0.0.2:1", far6, six, sock, four}))
 }
 
 func TestAPlanStaggersByWhatWasMeasured(t *testing.T) {
 	c := two()
-	assert.Equal(t, []Try{{sock, 0}, {four, staggerMost}}, c.Plan(100, "a", true))
-	c.Dialed(100, "a", sock, Well, 0.02)
-	assert.Equal(t, []Try{{sock, 0}, {four, 0.08}}, c.Plan(100, "a", true))
-	c.Dialed(100, "a", four, Well, 0.001)
+	assert.Equal(t, []PlannedDial{{sock, 0}, {four, staggerMost}}, c.Plan(100, "a", true))
+	c.DialEnded(100, "a", sock, Healthy, 0.02)
+	assert.Equal(t, []PlannedDial{{sock, 0}, {four, 0.08}}, c.Plan(100, "a", true))
+	c.DialEnded(100, "a", four, Healthy, 0.001)
 	assert.Equal(t, []Addr{four, sock}, addrs(c.Plan(100, "a", true)), "the slower one goes behind")
 }
 
 func TestARefusalRestsTheAddressUntilALookSucceeds(t *testing.T) {
 	c := two()
 	none := func(string, Addr) bool { return true }
-	c.Dialed(100, "a", sock, Refused, 0)
+	c.DialEnded(100, "a", sock, Refused, 0)
 	assert.Equal(t, []Addr{four}, addrs(c.Plan(100, "a", true)))
-	assert.Empty(t, c.Looks(100.1, none), "it rests")
-	assert.Equal(t, []Look{{"a", sock, false}}, c.Looks(101, none))
+	assert.Empty(t, c.DueProbes(100.1, none), "it rests")
+	assert.Equal(t, []Probe{{"a", sock, false}}, c.DueProbes(101, none))
 	assert.Equal(t, []Addr{four}, addrs(c.Plan(101, "a", true)), "a look carries nothing, and no hop goes there yet")
-	assert.Empty(t, c.Looks(101.05, none), "one at a time")
-	c.Dialed(101.1, "a", sock, Well, 0.001)
+	assert.Empty(t, c.DueProbes(101.05, none), "one at a time")
+	c.DialEnded(101.1, "a", sock, Healthy, 0.001)
 	assert.Equal(t, []Addr{sock, four}, addrs(c.Plan(101.1, "a", true)))
 }
 
 func TestAllAddressesBadIsToldAtOnce(t *testing.T) {
 	c := two()
-	c.Dialed(100, "a", sock, Refused, 0)
-	c.Dialed(100, "a", four, Hung, 0)
+	c.DialEnded(100, "a", sock, Refused, 0)
+	c.DialEnded(100, "a", four, TimedOut, 0)
 	assert.Empty(t, c.Plan(100, "a", true))
 }
 
 func TestASingleAddressIsNeverRested(t *testing.T) {
 	c := New(1)
-	c.List(100, "a", 0, []Addr{four})
+	c.SetAddresses(100, "a", 0, []Addr{four})
 	for range 9 {
-		c.Dialed(100, "a", four, Refused, 0)
-		c.Broke(100, "a", four)
+		c.DialEnded(100, "a", four, Refused, 0)
+		c.ConnectionBroken(100, "a", four)
 	}
-	assert.False(t, c.Waits(100, "a", four, 10))
+	assert.False(t, c.AwaitingResponse(100, "a", four, 10))
 	assert.Equal(t, []Addr{four}, addrs(c.Plan(100, "a", false)))
-	assert.Empty(t, c.Looks(200, func(string, Addr) bool { return false }))
+	assert.Empty(t, c.DueProbes(200, func(string, Addr) bool { return false }))
 }
 
 // An address that accepts and stays silent: no hop goes there; then one repeatable txn tries it, an order never.
 func TestASilentAddressIsTriedByOneRepeatableTxn(t *testing.T) {
 	c := two()
-	assert.False(t, c.Waits(100, "a", sock, 0.1))
-	assert.True(t, c.Waits(100, "a", sock, 0.13))
+	assert.False(t, c.AwaitingResponse(100, "a", sock, 0.1))
+	assert.True(t, c.AwaitingResponse(100, "a", sock, 0.13))
 	_, ok := c.Usable(100, "a", sock, true)
 	assert.False(t, ok)
 	_, ok = c.Usable(110, "a", sock, false)
 	assert.False(t, ok, "an order does not try it")
 	_, ok = c.Usable(110, "a", sock, true)
 	assert.True(t, ok)
-	c.Sent(110, "a", sock)
+	c.AttemptSent(110, "a", sock)
 	_, ok = c.Usable(110, "a", sock, true)
 	assert.False(t, ok, "one at a time")
 	first := c.at(110, "a", sock).rest
-	assert.True(t, c.Waits(110.5, "a", sock, 0.5))
+	assert.True(t, c.AwaitingResponse(110.5, "a", sock, 0.5))
 	assert.NotZero(t, first)
-	c.Answered(140, "a", sock, 0.01)
+	c.ResponseReceived(140, "a", sock, 0.01)
 	_, ok = c.Usable(140, "a", sock, false)
 	assert.True(t, ok)
 }
@@ -100,81 +100,81 @@
 // Whether an address or its member is silent is told by the other addresses; where checks are allowed, one is asked.
 func TestAnotherAddressTellsWhetherTheMemberIsSilent(t *testing.T) {
 	c := two()
-	c.Answered(99, "a", four, 0.01)
-	assert.True(t, c.Waits(101, "a", sock, 0.5))
-	assert.True(t, c.Elsewhere(101, "a", sock, 100.5), "it may be asked over the other")
-	c.Waits(101, "a", four, 0.5)
-	assert.False(t, c.Elsewhere(101, "a", sock, 100.5), "both are silent, nothing came since")
+	c.ResponseReceived(99, "a", four, 0.01)
+	assert.True(t, c.AwaitingResponse(101, "a", sock, 0.5))
+	assert.True(t, c.ReachableElsewhere(101, "a", sock, 100.5), "it may be asked over the other")
+	c.AwaitingResponse(101, "a", four, 0.5)
+	assert.False(t, c.ReachableElsewhere(101, "a", sock, 100.5), "both are silent, nothing came since")
 	none := func(string, Addr) bool { return true }
-	assert.Empty(t, c.Looks(101, none), "no checks here")
-	c.Probes = true
-	assert.Empty(t, c.Looks(101, none), "the doubt was gone into once")
+	assert.Empty(t, c.DueProbes(101, none), "no checks here")
+	c.HealthChecksAllowed = true
+	assert.Empty(t, c.DueProbes(101, none), "the doubt was gone into once")
 	c = two()
-	c.Probes = true
-	c.Waits(101, "a", sock, 0.5)
-	assert.Equal(t, []Look{{"a", four, true}}, c.Looks(101, none))
-	c.Answered(101.1, "a", four, 0.01)
-	assert.True(t, c.Elsewhere(101.1, "a", sock, 100.5))
+	c.HealthChecksAllowed = true
+	c.AwaitingResponse(101, "a", sock, 0.5)
+	assert.Equal(t, []Probe{{"a", four, true}}, c.DueProbes(101, none))
+	c.ResponseReceived(101.1, "a", four, 0.01)
+	assert.True(t, c.ReachableElsewhere(101.1, "a", sock, 100.5))
 }
 
 func TestSilenceIsJudgedByUsualWaits(t *testing.T) {
 	c := two()
 	for range 4 {
-		c.Answered(100, "a", sock, 0.2)
+		c.ResponseReceived(100, "a", sock, 0.2)
 	}
-	assert.False(t, c.Waits(100, "a", sock, 0.7))
-	assert.True(t, c.Waits(100, "a", sock, 0.81))
+	assert.False(t, c.AwaitingResponse(100, "a", sock, 0.7))
+	assert.True(t, c.AwaitingResponse(100, "a", sock, 0.81))
 }
 
 func TestRestsGrowUntilItHasAnsweredForAWhile(t *testing.T) {
 	c, now, longest := two(), 100.0, 0.0
 	for range 40 {
-		c.Dialed(now, "a", sock, Refused, 0)
+		c.DialEnded(now, "a", sock, Refused, 0)
 		x := c.at(now, "a", sock)
 		assert.GreaterOrEqual(t, x.rest, restFirst)
 		assert.LessOrEqual(t, x.rest, restMost)
 		longest = max(longest, x.rest)
 		now = x.until + 0.1
-		c.Dialed(now, "a", sock, Well, 0.001) // flapping: it is back and gone again
+		c.DialEnded(now, "a", sock, Healthy, 0.001) // flapping: it is back and gone again
 	}
 	assert.Greater(t, longest, 2.0)
-	c.Answered(now, "a", sock, 0.01)
-	c.Broke(now+provenAfter, "a", sock)
+	c.ResponseReceived(now, "a", sock, 0.01)
+	c.ConnectionBroken(now+provenAfter, "a", sock)
 	assert.Less(t, c.at(now, "a", sock).rest, 3*restFirst)
 }
 
 func TestAMemberThatStartsAgainIsUnknownAndAListCanChange(t *testing.T) {
 	c := two()
-	c.Dialed(100, "a", sock, Refused, 0)
-	c.List(100, "a", 0, []Addr{sock, six})
+	c.DialEnded(100, "a", sock, Refused, 0)
+	c.SetAddresses(100, "a", 0, []Addr{sock, six})
 	assert.Equal(t, []Addr{six}, addrs(c.Plan(100, "a", true)), "what is known of one that stays is kept")
 	_, ok := c.Usable(100, "a", four, true)
 	assert.False(t, ok, "it has left the list")
-	c.Dialed(100, "a", four, Well, 1) // an attempt that was under way: nothing comes of it
-	c.List(101, "a", 101, []Addr{sock, six})
+	c.DialEnded(100, "a", four, Healthy, 1) // an attempt that was under way: nothing comes of it
+	c.SetAddresses(101, "a", 101, []Addr{sock, six})
 	assert.Equal(t, []Addr{sock, six}, addrs(c.Plan(101, "a", true)))
 }
 
 func TestAnOperatorsWordHoldsUntilItIsTakenBack(t *testing.T) {
 	c := two()
-	assert.True(t, c.Rest(100, "a", sock))
-	assert.False(t, c.Rest(100, "a", four), "the last one")
-	c.Dialed(100, "a", sock, Well, 0.001)
-	c.Answered(100, "a", sock, 0.001)
+	assert.True(t, c.Disable(100, "a", sock))
+	assert.False(t, c.Disable(100, "a", four), "the last one")
+	c.DialEnded(100, "a", sock, Healthy, 0.001)
+	c.ResponseReceived(100, "a", sock, 0.001)
 	assert.Equal(t, []Addr{four}, addrs(c.Plan(1e6, "a", true)))
-	assert.Equal(t, -1.0, c.States(1e6)[0].RestS)
-	assert.True(t, c.Unrest(1e6, "a", sock))
+	assert.Equal(t, -1.0, c.Status(1e6)[0].CooldownSeconds)
+	assert.True(t, c.Reinstate(1e6, "a", sock))
 	assert.Equal(t, []Addr{sock, four}, addrs(c.Plan(1e6, "a", true)))
 }
 
 func TestASecondLinkIsKeptWarmForMembersInUse(t *testing.T) {
 	c := two()
 	linked := func(string, Addr) bool { return false }
-	assert.Empty(t, c.Looks(100, linked))
+	assert.Empty(t, c.DueProbes(100, linked))
 	c.Plan(100, "a", true)
-	assert.Equal(t, []Look{{"a", four, false}}, c.Looks(100.5, linked))
-	assert.Empty(t, c.Looks(101, linked))
-	assert.Empty(t, c.Looks(200, linked), "not used lately")
+	assert.Equal(t, []Probe{{"a", four, false}}, c.DueProbes(100.5, linked))
+	assert.Empty(t, c.DueProbes(101, linked))
+	assert.Empty(t, c.DueProbes(200, linked), "not used lately")
 }
 
 // Every interleaving of what can happen to the attempts for two txns over two addresses, to a depth of seven: never two
@@ -192,7 +192,7 @@
 	play := func(path []int) (legal bool) {
 		w := world{now: 0}
 		for i := range w.races {
-			w.races[i], w.out[i] = NewRace(0, []Try{{sock, 0}, {four, 0.05}}, 0.4), map[int]bool{}
+			w.races[i], w.out[i] = NewRace(0, []PlannedDial{{sock, 0}, {four, 0.05}}, 0.4), map[int]bool{}
 		}
 		for _, p := range path {
 			w.now += 0.03
@@ -201,7 +201,7 @@
 			case s == "late":
 				w.now += 0.2
 			case s[:3] == "due":
-				if i := w.races[r].Due(w.now, func() bool { return runs%2 == 0 }); i >= 0 {
+				if i := w.races[r].NextDial(w.now, func() bool { return runs%2 == 0 }); i >= 0 {
 					if w.dead[r] || w.used[r] > 0 {
 						t.Fatalf("an attempt begins after the end: %v", path)
 					}
@@ -217,13 +217,13 @@
 				}
 				delete(w.out[r], i)
 				if s[:2] == "up" {
-					if w.races[r].Up(i, w.now) {
+					if w.races[r].Connected(i, w.now) {
 						if w.used[r]++; w.used[r] > 1 || w.dead[r] {
 							t.Fatalf("a second connection is used, or one after the end: %v", path)
 						}
 					}
 				} else {
-					w.races[r].Down(i)
+					w.races[r].Failed(i)
 				}
 			}
 			for r := range w.races {
@@ -250,12 +250,12 @@
 
 func TestARaceWithoutGrantsGoesOneByOne(t *testing.T) {
 	no := func() bool { return false }
-	r := NewRace(0, []Try{{sock, 0}, {four, 0.05}}, 0.4)
-	assert.Equal(t, 0, r.Due(0, no))
-	assert.Equal(t, -1, r.Due(0.1, no))
-	r.Down(0)
-	assert.Equal(t, 1, r.Due(0.1, no))
-	r.Down(1)
+	r := NewRace(0, []PlannedDial{{sock, 0}, {four, 0.05}}, 0.4)
+	assert.Equal(t, 0, r.NextDial(0, no))
+	assert.Equal(t, -1, r.NextDial(0.1, no))
+	r.Failed(0)
+	assert.Equal(t, 1, r.NextDial(0.1, no))
+	r.Failed(1)
 	assert.True(t, r.Lost(0.1))
 }
 
@@ -264,44 +264,44 @@
 	rapid.Check(t, func(t *rapid.T) {
 		c, now := New(7), 100.0
 		all := []Addr{sock, four, six}
-		c.List(now, "a", 0, all)
+		c.SetAddresses(now, "a", 0, all)
 		for range rapid.IntRange(1, 80).Draw(t, "n") {
 			now += rapid.Float64Range(-1, 2).Draw(t, "dt") // a clock may jump back
 			a := rapid.SampledFrom(all).Draw(t, "a")
 			switch rapid.IntRange(0, 6).Draw(t, "what") {
 			case 0:
-				c.Dialed(now, "a", a, rapid.SampledFrom([]Why{Well, Refused, Hung}).Draw(t, "why"), 0.01)
+				c.DialEnded(now, "a", a, rapid.SampledFrom([]Condition{Healthy, Refused, TimedOut}).Draw(t, "why"), 0.01)
 			case 1:
-				c.Answered(now, "a", a, 0.02)
+				c.ResponseReceived(now, "a", a, 0.02)
 			case 2:
-				c.Waits(now, "a", a, 0.5)
+				c.AwaitingResponse(now, "a", a, 0.5)
 			case 3:
-				c.Broke(now, "a", a)
+				c.ConnectionBroken(now, "a", a)
 			case 4:
-				c.Sent(now, "a", a)
+				c.AttemptSent(now, "a", a)
 			case 5:
-				c.List(now, "a", 0, all[rapid.IntRange(0, 1).Draw(t, "from"):])
+				c.SetAddresses(now, "a", 0, all[rapid.IntRange(0, 1).Draw(t, "from"):])
 			case 6:
-				c.Looks(now, func(string, Addr) bool { return false })
+				c.DueProbes(now, func(string, Addr) bool { return false })
 			}
 			last := -1.0
 			for _, try := range c.Plan(now, "a", false) {
-				if _, ok := c.Usable(now, "a", try.Addr, false); !ok || try.After < last {
-					t.Fatalf("%v is in the plan %v", try, fmt.Sprint(c.States(now)))
+				if _, ok := c.Usable(now, "a", try.Addr, false); !ok || try.DelaySeconds < last {
+					t.Fatalf("%v is in the plan %v", try, fmt.Sprint(c.Status(now)))
 				}
-				last = try.After
+				last = try.DelaySeconds
 			}
 		}
 		for range 3 { // with looks that succeed all addresses come back
 			now += quietMost + 100
-			c.Probes = true
-			for _, l := range c.Looks(now, func(string, Addr) bool { return true }) {
-				c.Dialed(now, l.Member, l.Addr, Well, 0.01)
-				c.Answered(now, l.Member, l.Addr, 0.01)
+			c.HealthChecksAllowed = true
+			for _, l := range c.DueProbes(now, func(string, Addr) bool { return true }) {
+				c.DialEnded(now, l.Endpoint, l.Addr, Healthy, 0.01)
+				c.ResponseReceived(now, l.Endpoint, l.Addr, 0.01)
 			}
 		}
-		for _, s := range c.States(now) {
-			if s.Why == "refused" || s.Why == "hung" || s.Why == "quiet" {
+		for _, s := range c.Status(now) {
+			if s.Condition == "refused" || s.Condition == "hung" || s.Condition == "quiet" {
 				t.Fatalf("%+v never came back", s)
 			}
 		}
@@ -318,16 +318,16 @@
 		assert.Contains(t, addrs(plan), four)
 		if plan[0].Addr == sock {
 			if tried++; up(now) {
-				c.Dialed(now, "a", sock, Well, 0.001)
+				c.DialEnded(now, "a", sock, Healthy, 0.001)
 			} else {
-				c.Dialed(now, "a", sock, Refused, 0)
+				c.DialEnded(now, "a", sock, Refused, 0)
 			}
 		}
-		for _, l := range c.Looks(now, none) {
+		for _, l := range c.DueProbes(now, none) {
 			if looks++; up(now) {
-				c.Dialed(now, l.Member, l.Addr, Well, 0.001)
+				c.DialEnded(now, l.Endpoint, l.Addr, Healthy, 0.001)
 			} else {
-				c.Dialed(now, l.Member, l.Addr, Refused, 0)
+				c.DialEnded(now, l.Endpoint, l.Addr, Refused, 0)
 			}
 		}
 	}
@@ -340,9 +340,9 @@
 	at := map[string]int{}
 	for seed := range uint64(40) {
 		c := New(seed*0x9e3779b97f4a7c15 + 1)
-		c.List(100, "a", 0, []Addr{four, sock})
+		c.SetAddresses(100, "a", 0, []Addr{four, sock})
 		for now, n := 100.0, 0; n < 4; n++ { // four failures in a row
-			c.Dialed(now, "a", sock, Refused, 0)
+			c.DialEnded(now, "a", sock, Refused, 0)
 			now = c.at(now, "a", sock).until
 		}
 		at[fmt.Sprintf("%.1f", c.at(100, "a", sock).until)]++
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -39,33 +39,40 @@
 	lingerBytes = 1 << 20
 )
 
-// Ended says that a call is over. Each call has one, unless its undoing ended it at once.
-type Ended struct {
-	Call *Call
-	End  request.AttemptEnd
+// Event is what a pool tells its owner: AttemptEnded, DialEnded or ConnectionClosed.
+type Event interface{ isUpstreamEvent() }
+
+func (AttemptEnded) isUpstreamEvent()     {}
+func (DialEnded) isUpstreamEvent()        {}
+func (ConnectionClosed) isUpstreamEvent() {}
+
+// AttemptEnded says that a call is over. Each call has one, unless its undoing ended it at once.
+type AttemptEnded struct {
+	Attempt *Attempt
+	End     request.AttemptEnd
 }
 
 // Dropped says that a link carries nothing any more.
-type Dropped struct{ Link *Link }
+type ConnectionClosed struct{ Connection *Connection }
 
 // Pool holds the links to all members. Its methods belong to one goroutine; what it hears it hands to Post.
 type Pool struct {
-	Gate    *admission.Controller
-	Book    *telemetry.Book
-	Post    func(any)
-	Connect time.Duration // longest wait for a connection
-	Idle    time.Duration // after which members close idle ones
-	Streams int           // hops that one connection carries
-	Report  bool          // checks ask for the load report
+	Admission                *admission.Controller
+	Telemetry                *telemetry.Book
+	OnEvent                  func(Event)
+	ConnectTimeout           time.Duration // longest wait for a connection
+	EndpointIdleTimeout      time.Duration // after which members close idle ones
+	MaxAttemptsPerConnection int           // hops that one connection carries
+	RequestLoadReports       bool          // checks ask for the load report
 
 	// Dial makes a connection; the network's own where nil. An address is host:port or unix:PATH.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
 
 	// Reach decides over which address a member is reached, and Addrs says which it has beside the one of the notice
 	// board; nil where each has that one only. Repeatable says of a remap rule whether it may run again.
-	Reach      *address.Core
-	Addrs      func(discovery.Endpoint) []address.Addr
-	Repeatable func(rule int) bool
+	AddressSelector   *address.Selector
+	EndpointAddresses func(discovery.Endpoint) []address.Addr
+	IsIdempotent      func(rule int) bool
 
 	ctx     context.Context
 	group   *errgroup.Group
@@ -79,7 +86,7 @@
 	several bool // addresses: Reach knows them
 	started float64
 	gone    bool
-	links   []*Link
+	links   []*Connection
 }
 
 // Start makes the pool ready; Wait returns once all its links have ended.
@@ -98,7 +105,7 @@
 func (p *Pool) Wait() error { return p.group.Wait() }
 
 // List takes news of where members are. A link belongs to the member's id and the address it was made for.
-func (p *Pool) List(full bool, rows []discovery.Endpoint) {
+func (p *Pool) UpdateEndpoints(full bool, rows []discovery.Endpoint) {
 	if full {
 		for _, m := range p.members {
 			m.gone = true
@@ -118,7 +125,7 @@
 // Call starts a hop or a check on a link of a member. Avoid names the links on which the same txn was out
 // before: an answer that comes late, or twice, would be taken for this one's. A connection that breaks, or brings what can't be read, ends all that is open on it: while descriptors
 // allow, each has one to itself. It returns nil where no connection may be made; then surely nothing ran.
-func (p *Pool) call(id string, c *Call, avoid []*Link) *Call {
+func (p *Pool) call(id string, c *Attempt, avoid []*Connection) *Attempt {
 	m := p.members[id]
 	if m == nil {
 		return nil
@@ -126,8 +133,8 @@
 	if m.several {
 		return p.over(id, m, c, avoid)
 	}
-	var best *Link
-	least := p.Streams
+	var best *Connection
+	least := p.MaxAttemptsPerConnection
 	for _, l := range m.links {
 		if n, ok := l.load(); ok && n < least && l.over() == m.addr && !contains(avoid, l) {
 			best, least = l, n
@@ -136,7 +143,7 @@
 	if best != nil && least == 0 && best.add(c) {
 		return c
 	}
-	if !p.Gate.AdmitEndpointConn(best == nil) {
+	if !p.Admission.AdmitEndpointConn(best == nil) {
 		if best != nil && best.add(c) {
 			return c
 		}
@@ -149,22 +156,22 @@
 	return c
 }
 
-func (p *Pool) link(id string, m *member) *Link {
-	return &Link{pool: p, member: id, started: m.started, calls: map[string]*Call{}, undone: map[string]*Call{}, wake: make(chan struct{}, 1)}
+func (p *Pool) link(id string, m *member) *Connection {
+	return &Connection{pool: p, member: id, started: m.started, calls: map[string]*Attempt{}, undone: map[string]*Attempt{}, wake: make(chan struct{}, 1)}
 }
 
 // run lets a link live; a descriptor was granted for it.
-func (p *Pool) run(m *member, l *Link) {
+func (p *Pool) run(m *member, l *Connection) {
 	m.links = append(m.links, l)
-	p.Book.Began("member")
+	p.Telemetry.Began("member")
 	p.group.Go(func() error {
-		defer p.Gate.EndpointConnDone()
+		defer p.Admission.EndpointConnDone()
 		l.run(p.ctx)
 		return nil
 	})
 }
 
-func contains(links []*Link, l *Link) bool {
+func contains(links []*Connection, l *Connection) bool {
 	for _, x := range links {
 		if x == l {
 			return true
@@ -174,26 +181,26 @@
 }
 
 // Send starts a hop.
-func (p *Pool) Send(d cacheproto.Attempt, avoid []*Link, owner any) *Call {
+func (p *Pool) Send(d cacheproto.Attempt, avoid []*Connection, owner Owner) *Attempt {
 	head := cacheproto.AppendAttempt(nil, d)
-	return p.call(d.Endpoint, &Call{Owner: owner, id: d.Txn.ID, head: head, body: d.Txn.Body, txn: d.Txn, hop: true,
-		repeatable: p.Repeatable != nil && p.Repeatable(d.Txn.Class)}, avoid)
+	return p.call(d.Endpoint, &Attempt{Owner: owner, id: d.Txn.ID, head: head, body: d.Txn.Body, txn: d.Txn, hop: true,
+		repeatable: p.IsIdempotent != nil && p.IsIdempotent(d.Txn.Class)}, avoid)
 }
 
 // Check asks a member for its state.
-func (p *Pool) Check(id string, owner any) *Call {
+func (p *Pool) SendHealthCheck(id string, owner Owner) *Attempt {
 	p.checks++
 	tag := "check" + strconv.Itoa(p.checks)
-	return p.call(id, &Call{Owner: owner, id: tag, head: cacheproto.AppendProbe(nil, tag, p.Report)}, nil)
+	return p.call(id, &Attempt{Owner: owner, id: tag, head: cacheproto.AppendProbe(nil, tag, p.RequestLoadReports)}, nil)
 }
 
 // Undo gives a call up. It says how that ends it, and whether at once; else its end follows.
-func (p *Pool) Undo(c *Call, code routing.AttemptResult) (end routing.AttemptResult, atOnce bool) {
+func (p *Pool) Cancel(c *Attempt, code routing.AttemptResult) (end routing.AttemptResult, atOnce bool) {
 	return c.link.undo(c, code)
 }
 
 // Drop forgets a link that has ended.
-func (p *Pool) Drop(l *Link) {
+func (p *Pool) RemoveConnection(l *Connection) {
 	m := p.members[l.member]
 	if m == nil {
 		return
@@ -210,14 +217,14 @@
 }
 
 // Sweep closes links that nothing is open on and nothing will be.
-func (p *Pool) Sweep(now time.Time) {
+func (p *Pool) CloseIdle(now time.Time) {
 	for id, m := range p.members {
 		for _, l := range m.links {
 			switch {
 			case m.gone || !p.current(m, l):
-				l.endIf(netconn.Unlisted, now)
-			case p.Idle > 0:
-				l.endIf(netconn.Idle, now.Add(-time.Duration(idleMargin*float64(p.Idle))))
+				l.endIf(netconn.EndpointRemoved, now)
+			case p.EndpointIdleTimeout > 0:
+				l.endIf(netconn.IdleTimeout, now.Add(-time.Duration(idleMargin*float64(p.EndpointIdleTimeout))))
 			}
 		}
 		if m.gone && len(m.links) == 0 {
@@ -227,7 +234,7 @@
 }
 
 // Links is how many links there are.
-func (p *Pool) Links() int {
+func (p *Pool) ConnectionCount() int {
 	n := 0
 	for _, m := range p.members {
 		n += len(m.links)
--- a/internal/upstream/retrybudget/spend.go
+++ b/internal/upstream/retrybudget/spend.go
@@ -13,21 +13,21 @@
 )
 
 // Terms of a budget.
-type Terms struct {
-	Share float64 // further hops a fresh txn
-	Least float64 // further hops in the window that are always there: low traffic must go on learning
+type Limits struct {
+	RetryRatio float64 // further hops a fresh txn
+	MinRetries float64 // further hops in the window that are always there: low traffic must go on learning
 }
 
 // Scope is what a budget is for: a remap rule, or a member where it is named.
 type Scope struct {
-	Rule   int
-	Member string
+	Class    int
+	Endpoint string
 }
 
 // Change says that a budget is spent, or open again.
 type Change struct {
 	Scope
-	Open bool
+	Available bool
 }
 
 // account is one budget: about 150 bytes.
@@ -38,22 +38,22 @@
 }
 
 // Ledger is all budgets. It is not safe for more than one goroutine.
-type Ledger struct {
-	terms    Terms
+type Budget struct {
+	terms    Limits
 	now      float64
 	accounts map[Scope]*account
 	changes  []Change
 }
 
 // New makes a ledger; a share of 0 or less is no budget at all.
-func New(t Terms) *Ledger { return &Ledger{terms: t, accounts: map[Scope]*account{}} }
+func New(t Limits) *Budget { return &Budget{terms: t, accounts: map[Scope]*account{}} }
 
 func scopes(rule int, member string) [2]Scope {
-	return [2]Scope{{Rule: rule}, {Rule: -1, Member: member}}
+	return [2]Scope{{Class: rule}, {Class: -1, Endpoint: member}}
 }
 
 // move brings an account's slots up to now.
-func (l *Ledger) move(a *account) {
+func (l *Budget) move(a *account) {
 	slot := int64(l.now / slotTime)
 	for n := min(slot-a.at, slots); n > 0; n-- {
 		i := (slot - n + 1) % slots
@@ -69,7 +69,7 @@
 	return x
 }
 
-func (l *Ledger) account(s Scope) *account {
+func (l *Budget) account(s Scope) *account {
 	a := l.accounts[s]
 	if a == nil {
 		a = &account{at: int64(l.now / slotTime)}
@@ -80,8 +80,8 @@
 }
 
 // judge notes whether an account's state has changed.
-func (l *Ledger) judge(s Scope, a *account) {
-	budget, used := l.terms.Least+l.terms.Share*sum(a.fresh), sum(a.further)
+func (l *Budget) judge(s Scope, a *account) {
+	budget, used := l.terms.MinRetries+l.terms.RetryRatio*sum(a.fresh), sum(a.further)
 	if !a.spent && used >= budget || a.spent && used < reopen*budget {
 		a.spent = !a.spent
 		l.changes = append(l.changes, Change{s, !a.spent})
@@ -89,8 +89,8 @@
 }
 
 // Sent notes a hop: a txn's first, or a further one.
-func (l *Ledger) Sent(now float64, rule int, member string, further bool) {
-	if l.terms.Share <= 0 {
+func (l *Budget) RecordAttempt(now float64, rule int, member string, further bool) {
+	if l.terms.RetryRatio <= 0 {
 		return
 	}
 	l.now = max(l.now, now)
@@ -106,7 +106,7 @@
 }
 
 // Tick lets time pass: what is spent opens again, and members that were not used for a window are forgotten.
-func (l *Ledger) Tick(now float64) {
+func (l *Budget) Advance(now float64) {
 	l.now = max(l.now, now)
 	for _, s := range l.scopes() {
 		a := l.accounts[s]
@@ -117,19 +117,19 @@
 	}
 }
 
-func (l *Ledger) scopes() []Scope {
+func (l *Budget) scopes() []Scope {
 	list := make([]Scope, 0, len(l.accounts))
 	for s := range l.accounts {
 		list = append(list, s)
 	}
 	sort.Slice(list, func(i, j int) bool {
-		return list[i].Rule < list[j].Rule || list[i].Rule == list[j].Rule && list[i].Member < list[j].Member
+		return list[i].Class < list[j].Class || list[i].Class == list[j].Class && list[i].Endpoint < list[j].Endpoint
 	})
 	return list
 }
 
 // Changes returns what has changed since it was last asked.
-func (l *Ledger) Changes() []Change {
+func (l *Budget) TakeChanges() []Change {
 	c := l.changes
 	l.changes = nil
 	return c
--- a/internal/upstream/send_test.go
+++ b/internal/upstream/send_test.go
@@ -26,23 +26,28 @@
 // side is a pool with one member, and the member's end of what it dials.
 type side struct {
 	*Pool
-	ends   chan any
+	ends   chan Event
 	dialed chan net.Conn
 	log    *bytes.Buffer
 	stop   func()
 }
 
+// testOwner is the owner of an attempt of a test.
+type testOwner string
+
+func (testOwner) OwnsUpstreamAttempt() {}
+
 func pool(t *testing.T) *side {
 	ctx, cancel := context.WithCancel(t.Context())
-	s := &side{ends: make(chan any, 99), dialed: make(chan net.Conn, 9), log: &bytes.Buffer{}}
-	s.Pool = &Pool{Gate: admission.New(64, 5), Book: telemetry.New(s.log, ""), Connect: time.Second, Idle: time.Minute, Streams: 2,
-		Post: func(ev any) { s.ends <- ev }, Dial: func(context.Context, string) (net.Conn, error) {
+	s := &side{ends: make(chan Event, 99), dialed: make(chan net.Conn, 9), log: &bytes.Buffer{}}
+	s.Pool = &Pool{Admission: admission.New(64, 5), Telemetry: telemetry.New(s.log, ""), ConnectTimeout: time.Second, EndpointIdleTimeout: time.Minute, MaxAttemptsPerConnection: 2,
+		OnEvent: func(ev Event) { s.ends <- ev }, Dial: func(context.Context, string) (net.Conn, error) {
 			near, far := net.Pipe()
 			s.dialed <- far
 			return near, nil
 		}}
 	s.Start(ctx)
-	s.List(true, []discovery.Endpoint{{Address: "a:1", Endpoint: routing.Endpoint{ID: "m"}}})
+	s.UpdateEndpoints(true, []discovery.Endpoint{{Address: "a:1", Endpoint: routing.Endpoint{ID: "m"}}})
 	s.stop = func() {
 		cancel()
 		assert.NoError(t, s.Wait())
@@ -61,18 +66,18 @@
 	return hold
 }
 
-func (s *side) send(id string, body int, avoid ...*Link) *Call {
+func (s *side) send(id string, body int, avoid ...*Connection) *Attempt {
 	x := &request.Request{ID: id, ClassName: "page", Object: "ff", Part: "0"}
 	if body > 0 {
 		x.Body = &request.Body{Bytes: make([]byte, body)}
 	}
-	return s.Send(cacheproto.Attempt{Txn: x, TimeoutSeconds: 1, StartAttempt: routing.StartAttempt{Endpoint: "m"}}, avoid, id)
+	return s.Send(cacheproto.Attempt{Txn: x, TimeoutSeconds: 1, StartAttempt: routing.StartAttempt{Endpoint: "m"}}, avoid, testOwner(id))
 }
 
 // end waits for the next end of a call.
-func (s *side) end(t *testing.T) Ended {
+func (s *side) end(t *testing.T) AttemptEnded {
 	for {
-		if e, ok := (<-s.ends).(Ended); ok {
+		if e, ok := (<-s.ends).(AttemptEnded); ok {
 			return e
 		}
 	}
@@ -99,16 +104,16 @@
 	assert.Equal(t, "do b", asked(t, r))
 	_, _ = io.WriteString(far, "b served digest=d,dated=1,remark=h 3\r\nxyz\r\nzz served - 2\r\nno\r\na not_here - 0\r\n\r\n")
 	e := s.end(t)
-	assert.Equal(t, b, e.Call)
+	assert.Equal(t, b, e.Attempt)
 	assert.Equal(t, "xyz", string(e.End.Body.Bytes))
 	assert.Equal(t, routing.CacheHit, e.End.Remark)
-	assert.EqualValues(t, 3, s.Gate.Bodies.UsedBytes())
+	assert.EqualValues(t, 3, s.Admission.Bodies.UsedBytes())
 	e.End.Body.Free()
 	e.End.Body.Free()
-	assert.Zero(t, s.Gate.Bodies.UsedBytes())
-	assert.Equal(t, Ended{Call: a, End: request.AttemptEnd{Code: routing.CacheMiss}}, s.end(t))
-	assert.EqualValues(t, 1, s.Book.Count("member.late-answers"))
-	assert.Equal(t, 1, s.Links(), "one connection carries both")
+	assert.Zero(t, s.Admission.Bodies.UsedBytes())
+	assert.Equal(t, AttemptEnded{Attempt: a, End: request.AttemptEnd{Code: routing.CacheMiss}}, s.end(t))
+	assert.EqualValues(t, 1, s.Telemetry.Count("member.late-answers"))
+	assert.Equal(t, 1, s.ConnectionCount(), "one connection carries both")
 }
 
 // TestTruthOfBrokenConnections: only what the socket took whole may have run.
@@ -118,27 +123,27 @@
 	far := <-s.dialed
 	assert.Equal(t, "do a", asked(t, bufio.NewReaderSize(far, 16))) // and some of b
 	_ = far.Close()
-	ends := map[*Call]routing.AttemptResult{}
+	ends := map[*Attempt]routing.AttemptResult{}
 	for range 2 {
 		e := s.end(t)
-		ends[e.Call] = e.End.Code
+		ends[e.Attempt] = e.End.Code
 	}
-	assert.Equal(t, map[*Call]routing.AttemptResult{whole: routing.ConnectionBroken, part: routing.ConnectFailed}, ends)
+	assert.Equal(t, map[*Attempt]routing.AttemptResult{whole: routing.ConnectionBroken, part: routing.ConnectFailed}, ends)
 }
 
 // TestHopThatCrossesACloseIsMoot: nothing of it was written, and the member may just have closed an idle connection.
 func TestHopThatCrossesACloseIsMoot(t *testing.T) {
 	s := pool(t)
-	s.Streams = 3
+	s.MaxAttemptsPerConnection = 3
 	s.send("a", 200_000) // holds the writer up
 	b := s.send("b", 0)
 	far := <-s.dialed
 	_, _ = far.Read(make([]byte, 16))
 	_ = far.Close()
-	ends := map[*Call]routing.AttemptResult{}
+	ends := map[*Attempt]routing.AttemptResult{}
 	for range 2 {
 		e := s.end(t)
-		ends[e.Call] = e.End.Code
+		ends[e.Attempt] = e.End.Code
 	}
 	assert.Equal(t, routing.NotSent, ends[b])
 }
@@ -151,7 +156,7 @@
 	_, _ = io.WriteString(far, "a served digest=d,dated=1 10\r\nhalf")
 	_ = far.Close()
 	assert.Equal(t, request.AttemptEnd{Code: routing.ConnectionBroken}, s.end(t).End)
-	assert.Zero(t, s.Gate.Bodies.UsedBytes())
+	assert.Zero(t, s.Admission.Bodies.UsedBytes())
 }
 
 func TestMembersOutOfStepAreClosed(t *testing.T) {
@@ -171,7 +176,7 @@
 func TestNoConnectionProvesThatNothingRan(t *testing.T) {
 	for how, code := range map[error]routing.AttemptResult{syscall.ECONNREFUSED: routing.ConnectFailed, nil: routing.ConnectFailed, syscall.EMFILE: routing.NotSent} {
 		s := pool(t)
-		s.Connect = 20 * time.Millisecond
+		s.ConnectTimeout = 20 * time.Millisecond
 		s.Dial = func(ctx context.Context, _ string) (net.Conn, error) {
 			if how == nil { // a machine that says nothing
 				<-ctx.Done()
@@ -180,10 +185,10 @@
 			return nil, how
 		}
 		c := s.send("a", 0)
-		assert.Equal(t, Ended{Call: c, End: request.AttemptEnd{Code: code}}, s.end(t))
-		assert.Equal(t, Dropped{c.Link()}, <-s.ends)
-		s.Drop(c.Link())
-		assert.Zero(t, s.Links())
+		assert.Equal(t, AttemptEnded{Attempt: c, End: request.AttemptEnd{Code: code}}, s.end(t))
+		assert.Equal(t, ConnectionClosed{c.Connection()}, <-s.ends)
+		s.RemoveConnection(c.Connection())
+		assert.Zero(t, s.ConnectionCount())
 	}
 }
 
@@ -194,16 +199,16 @@
 	r := bufio.NewReader(far)
 	asked(t, r)
 	asked(t, r)
-	post := s.Post
-	s.Post = func(ev any) {
-		if e, ok := ev.(Ended); ok && e.Call == a && e.End.Code == routing.CacheMiss {
+	post := s.OnEvent
+	s.OnEvent = func(ev Event) {
+		if e, ok := ev.(AttemptEnded); ok && e.Attempt == a && e.End.Code == routing.CacheMiss {
 			panic("a fault")
 		}
 		post(ev)
 	}
 	_, _ = io.WriteString(far, "a not_here - 0\r\n\r\n")
-	assert.Equal(t, Ended{Call: b, End: request.AttemptEnd{Code: routing.ConnectionBroken}}, s.end(t))
-	assert.Contains(t, s.after(t, a.Link()), "code=panic")
+	assert.Equal(t, AttemptEnded{Attempt: b, End: request.AttemptEnd{Code: routing.ConnectionBroken}}, s.end(t))
+	assert.Contains(t, s.after(t, a.Connection()), "code=panic")
 }
 
 func TestUndo(t *testing.T) {
@@ -211,7 +216,7 @@
 	hold := s.holdDials()
 	a := s.send("a", 0)
 	b := s.send("b", 0)
-	code, atOnce := s.Undo(a, routing.Cancelled)
+	code, atOnce := s.Cancel(a, routing.Cancelled)
 	assert.True(t, atOnce && code == routing.NotSent, "nothing of it was written")
 	close(hold)
 	far := <-s.dialed
@@ -219,13 +224,13 @@
 	assert.Equal(t, "do b", asked(t, r), "and nothing of it will be")
 	c := s.send("c", 0)
 	assert.Equal(t, "do c", asked(t, r))
-	_, atOnce = s.Undo(b, routing.Cancelled)
+	_, atOnce = s.Cancel(b, routing.Cancelled)
 	assert.False(t, atOnce)
 	assert.Equal(t, "undo b", asked(t, r))
-	assert.Equal(t, Ended{b, request.AttemptEnd{Code: routing.Cancelled}}, s.end(t))
+	assert.Equal(t, AttemptEnded{b, request.AttemptEnd{Code: routing.Cancelled}}, s.end(t))
 	_, _ = io.WriteString(far, "b served - 4\r\nlate\r\nc overload - 0\r\n\r\n")
-	assert.Equal(t, Ended{Call: c, End: request.AttemptEnd{Code: routing.Overloaded}}, s.end(t), "a late answer to what was given up is passed over")
-	assert.NotSame(t, b.Link(), s.send("b", 0, b.Link()).Link(), "the id is not used again where it may still be answered")
+	assert.Equal(t, AttemptEnded{Attempt: c, End: request.AttemptEnd{Code: routing.Overloaded}}, s.end(t), "a late answer to what was given up is passed over")
+	assert.NotSame(t, b.Connection(), s.send("b", 0, b.Connection()).Connection(), "the id is not used again where it may still be answered")
 }
 
 // TestGivenUpOnceTold: a hop that its member knows of is over when the member has been told, not before: a further hop
@@ -233,14 +238,14 @@
 func TestGivenUpOnceTold(t *testing.T) {
 	for _, reads := range []bool{true, false} {
 		s := pool(t)
-		s.Streams = 3
+		s.MaxAttemptsPerConnection = 3
 		a := s.send("a", 0)
 		far := <-s.dialed
 		r := bufio.NewReader(iotest.OneByteReader(far))
 		assert.Equal(t, "do a", asked(t, r))
 		s.send("b", 200_000)
 		_, _ = r.ReadByte() // the writer is busy with b
-		_, atOnce := s.Undo(a, routing.TimedOut)
+		_, atOnce := s.Cancel(a, routing.TimedOut)
 		assert.False(t, atOnce)
 		assert.Empty(t, s.ends)
 		if reads {
@@ -251,15 +256,15 @@
 		} else {
 			_ = far.Close()
 		}
-		assert.Equal(t, Ended{a, request.AttemptEnd{Code: routing.TimedOut}}, s.end(t))
+		assert.Equal(t, AttemptEnded{a, request.AttemptEnd{Code: routing.TimedOut}}, s.end(t))
 	}
 }
 
 func TestOneConnectionCarriesSoMany(t *testing.T) {
 	s := pool(t)
 	a, b, c := s.send("a", 0), s.send("b", 0), s.send("c", 0)
-	assert.Same(t, a.Link(), b.Link())
-	assert.NotSame(t, a.Link(), c.Link())
+	assert.Same(t, a.Connection(), b.Connection())
+	assert.NotSame(t, a.Connection(), c.Connection())
 }
 
 // TestAnswerThatStopsShort: nothing new goes on its connection once its hop is given up, and that ends by itself.
@@ -271,22 +276,22 @@
 		asked(t, bufio.NewReader(far))
 		_, _ = io.WriteString(far, "a served digest=d,dated=1,remark=h 10\r\nhalf")
 		if !undone {
-			assert.Equal(t, Ended{Call: a, End: request.AttemptEnd{Code: routing.ConnectionBroken}}, s.end(t))
-			assert.Contains(t, s.after(t, a.Link()), "code=stalled")
+			assert.Equal(t, AttemptEnded{Attempt: a, End: request.AttemptEnd{Code: routing.ConnectionBroken}}, s.end(t))
+			assert.Contains(t, s.after(t, a.Connection()), "code=stalled")
 			continue
 		}
-		assert.Eventually(t, func() bool { return a.link.c.Begun() != 0 }, time.Minute, time.Millisecond)
+		assert.Eventually(t, func() bool { return a.link.c.FrameStartUnixNano() != 0 }, time.Minute, time.Millisecond)
 		go func() { _, _ = io.Copy(io.Discard, far) }()
-		s.Undo(a, routing.TimedOut)
+		s.Cancel(a, routing.TimedOut)
 		assert.Equal(t, routing.TimedOut, s.end(t).End.Code)
-		assert.NotSame(t, a.Link(), s.send("b", 0).Link())
+		assert.NotSame(t, a.Connection(), s.send("b", 0).Connection())
 	}
 }
 
 // TestSpoiltAnswerCostsItsOwnHopOnly: while descriptors allow, no hop shares its connection.
 func TestSpoiltAnswerCostsItsOwnHopOnly(t *testing.T) {
 	s := pool(t)
-	s.Gate = admission.New(64, 256)
+	s.Admission = admission.New(64, 256)
 	a := s.send("a", 0)
 	far := <-s.dialed
 	b := s.send("b", 0)
@@ -294,10 +299,10 @@
 	asked(t, bufio.NewReader(far))
 	asked(t, bufio.NewReader(other))
 	_, _ = io.WriteString(far, "a served digest=\x00\r\n")
-	assert.Equal(t, Ended{Call: a, End: request.AttemptEnd{Code: routing.ConnectionBroken}}, s.end(t))
+	assert.Equal(t, AttemptEnded{Attempt: a, End: request.AttemptEnd{Code: routing.ConnectionBroken}}, s.end(t))
 	_, _ = io.WriteString(other, "b not_here - 0\r\n\r\n")
-	assert.Equal(t, Ended{Call: b, End: request.AttemptEnd{Code: routing.CacheMiss}}, s.end(t))
-	assert.Same(t, b.Link(), s.send("c", 0).Link(), "one that nothing is open on is used again")
+	assert.Equal(t, AttemptEnded{Attempt: b, End: request.AttemptEnd{Code: routing.CacheMiss}}, s.end(t))
+	assert.Same(t, b.Connection(), s.send("c", 0).Connection(), "one that nothing is open on is used again")
 }
 
 // TestSilentLinkIsNotUsed: a member that heard a hop and said nothing until it was given up may have vanished. The
@@ -309,22 +314,22 @@
 		far := <-s.dialed
 		r := bufio.NewReader(far)
 		assert.Equal(t, "do a", asked(t, r))
-		s.Connect = connect
-		s.Undo(a, routing.TimedOut)
+		s.ConnectTimeout = connect
+		s.Cancel(a, routing.TimedOut)
 		assert.Equal(t, "undo a", asked(t, r))
 		b := s.send("b", 0)
-		assert.Equal(t, silent, a.Link() != b.Link())
+		assert.Equal(t, silent, a.Connection() != b.Connection())
 		if silent {
-			s.Sweep(time.Now())
-			assert.Contains(t, s.after(t, a.Link()), "code=silent")
+			s.CloseIdle(time.Now())
+			assert.Contains(t, s.after(t, a.Connection()), "code=silent")
 		}
 	}
 }
 
 // after waits until a link has ended and returns the log.
-func (s *side) after(t *testing.T, l *Link) string {
+func (s *side) after(t *testing.T, l *Connection) string {
 	for ev := range s.ends {
-		if ev == (Dropped{l}) {
+		if ev == (ConnectionClosed{l}) {
 			break
 		}
 	}
@@ -337,32 +342,32 @@
 	c := s.send("a", 0)
 	far := <-s.dialed
 	asked(t, bufio.NewReader(far))
-	s.List(false, []discovery.Endpoint{{Address: "b:1", Endpoint: routing.Endpoint{ID: "m"}}})
-	s.Sweep(time.Now())
-	assert.NotSame(t, c.Link(), s.send("b", 0).Link(), "the address passed to another machine")
+	s.UpdateEndpoints(false, []discovery.Endpoint{{Address: "b:1", Endpoint: routing.Endpoint{ID: "m"}}})
+	s.CloseIdle(time.Now())
+	assert.NotSame(t, c.Connection(), s.send("b", 0).Connection(), "the address passed to another machine")
 	_, _ = io.WriteString(far, "a nobody - 0\r\n\r\n")
-	assert.Equal(t, Ended{Call: c, End: request.AttemptEnd{Code: routing.NotSent}}, s.end(t))
-	s.Sweep(time.Now().Add(time.Second))
-	assert.Equal(t, Dropped{c.Link()}, <-s.ends, "the old link ends once nothing is open on it")
+	assert.Equal(t, AttemptEnded{Attempt: c, End: request.AttemptEnd{Code: routing.NotSent}}, s.end(t))
+	s.CloseIdle(time.Now().Add(time.Second))
+	assert.Equal(t, ConnectionClosed{c.Connection()}, <-s.ends, "the old link ends once nothing is open on it")
 	s.stop()
 	assert.Contains(t, s.log.String(), "code=unlisted")
 }
 
 func TestChecks(t *testing.T) {
 	s := pool(t)
-	s.Report = true
-	c := s.Check("m", "owner")
+	s.RequestLoadReports = true
+	c := s.SendHealthCheck("m", testOwner("owner"))
 	far := <-s.dialed
 	assert.Equal(t, "top check1", asked(t, bufio.NewReader(far)))
 	_, _ = io.WriteString(far, "check1 green report=util:0.5 0\r\n\r\n")
-	assert.Equal(t, Ended{Call: c, End: request.AttemptEnd{LoadReport: []routing.LoadMetric{{Name: "util", Value: 0.5}}}}, s.end(t))
-	assert.Nil(t, s.Check("nobody", nil))
+	assert.Equal(t, AttemptEnded{Attempt: c, End: request.AttemptEnd{LoadReport: []routing.LoadMetric{{Name: "util", Value: 0.5}}}}, s.end(t))
+	assert.Nil(t, s.SendHealthCheck("nobody", nil))
 }
 
 func TestDescriptorsAreBounded(t *testing.T) {
 	s := pool(t)
-	s.Gate = admission.New(64, 5) // two for members
-	s.Streams = 0
+	s.Admission = admission.New(64, 5) // two for members
+	s.MaxAttemptsPerConnection = 0
 	assert.NotNil(t, s.send("a", 0))
 	assert.NotNil(t, s.send("b", 0))
 	assert.Nil(t, s.send("c", 0))
@@ -379,10 +384,10 @@
 	close(hold)
 	r := bufio.NewReader(<-s.dialed)
 	assert.Equal(t, "do b", asked(t, r))
-	assert.Equal(t, Ended{a, request.AttemptEnd{Code: routing.NotSent}}, s.end(t))
-	_, atOnce := s.Undo(a, routing.Cancelled)
+	assert.Equal(t, AttemptEnded{a, request.AttemptEnd{Code: routing.NotSent}}, s.end(t))
+	_, atOnce := s.Cancel(a, routing.Cancelled)
 	assert.True(t, atOnce, "and no line undoes it")
-	assert.NotNil(t, b.Link())
+	assert.NotNil(t, b.Connection())
 }
 
 // crossing is a member's socket that tells when the router ends it, before that is done.
@@ -443,16 +448,16 @@
 		}()
 		switch how {
 		case "unlisted":
-			s.List(true, nil)
-			s.Sweep(time.Now().Add(time.Second))
+			s.UpdateEndpoints(true, nil)
+			s.CloseIdle(time.Now().Add(time.Second))
 		case "idle":
-			s.Sweep(time.Now().Add(time.Hour))
+			s.CloseIdle(time.Now().Add(time.Hour))
 		}
 		if how == "shutdown" {
 			s.stop()
 			assert.Contains(t, s.log.String(), "code=shutdown")
 		} else {
-			assert.Contains(t, s.after(t, a.Link()), "code="+how)
+			assert.Contains(t, s.after(t, a.Connection()), "code="+how)
 		}
 		assert.NoError(t, <-over, "ended, not reset")
 	}
@@ -474,8 +479,8 @@
 			}
 		}
 	}()
-	assert.Eventually(t, func() bool { return s.Book.Count("member.late-answers") > 1000 }, time.Minute, time.Millisecond)
-	s.List(true, nil)
-	s.Sweep(time.Now().Add(time.Second))
-	assert.Contains(t, s.after(t, a.Link()), "code=unlisted")
+	assert.Eventually(t, func() bool { return s.Telemetry.Count("member.late-answers") > 1000 }, time.Minute, time.Millisecond)
+	s.UpdateEndpoints(true, nil)
+	s.CloseIdle(time.Now().Add(time.Second))
+	assert.Contains(t, s.after(t, a.Connection()), "code=unlisted")
 }
--- a/internal/upstream/several.go
+++ b/internal/upstream/several.go
@@ -19,11 +19,11 @@
 // one is up.
 
 // Dialed says how an attempt to connect ended.
-type Dialed struct {
-	Member string
-	Addr   address.Addr
-	Why    address.Why
-	Took   float64
+type DialEnded struct {
+	Endpoint string
+	Addr     address.Addr
+	Result   address.Condition
+	Seconds  float64
 }
 
 // errNowhere says that every address of a member rests.
@@ -34,19 +34,19 @@
 // reaches takes a member's addresses from the list.
 func (p *Pool) reaches(row discovery.Endpoint, m *member) {
 	m.started = row.StartedAt
-	if p.Reach == nil {
+	if p.AddressSelector == nil {
 		return
 	}
 	if m.gone {
-		p.Reach.Gone(row.ID)
+		p.AddressSelector.RemoveEndpoint(row.ID)
 		return
 	}
 	list := []address.Addr{address.Addr(row.Address)}
-	if more := p.Addrs(row); len(more) > 0 {
+	if more := p.EndpointAddresses(row); len(more) > 0 {
 		list = more
 	}
-	p.Reach.List(unix(time.Now()), row.ID, row.StartedAt, list)
-	m.several = p.Reach.Several(row.ID)
+	p.AddressSelector.SetAddresses(unix(time.Now()), row.ID, row.StartedAt, list)
+	m.several = p.AddressSelector.HasAlternatives(row.ID)
 	listed := map[address.Addr]bool{}
 	for _, a := range list {
 		listed[a] = true
@@ -61,7 +61,7 @@
 }
 
 // Relist asks Addrs anew for every member.
-func (p *Pool) Relist() {
+func (p *Pool) RefreshAddresses() {
 	for _, m := range p.members {
 		if !m.gone {
 			p.reaches(m.row, m)
@@ -70,14 +70,14 @@
 }
 
 // over is the address of a link; empty while several are tried.
-func (l *Link) over() string {
+func (l *Connection) over() string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.addr
 }
 
 // current says whether new hops may still be written on a link: its address and the member's start are those of the list.
-func (p *Pool) current(m *member, l *Link) bool {
+func (p *Pool) current(m *member, l *Connection) bool {
 	addr := l.over()
 	if !m.several {
 		return addr == m.addr
@@ -85,14 +85,14 @@
 	if l.started != m.started {
 		return false
 	}
-	_, ok := p.Reach.Usable(unix(time.Now()), l.member, address.Addr(addr), true)
+	_, ok := p.AddressSelector.Usable(unix(time.Now()), l.member, address.Addr(addr), true)
 	return ok || addr == "" || p.rested(l.member, addr)
 }
 
 // rested says whether an address is listed, and only rests: its links may end by themselves.
 func (p *Pool) rested(id, addr string) bool {
-	for _, s := range p.Reach.States(unix(time.Now())) {
-		if s.Member == id && string(s.Addr) == addr {
+	for _, s := range p.AddressSelector.Status(unix(time.Now())) {
+		if s.Endpoint == id && string(s.Addr) == addr {
 			return true
 		}
 	}
@@ -101,55 +101,55 @@
 
 // over starts a call to a member with several addresses: on a link without others over the best address that may be
 // used, else on a new one, else on one that is shared.
-func (p *Pool) over(id string, m *member, c *Call, avoid []*Link) *Call {
+func (p *Pool) over(id string, m *member, c *Attempt, avoid []*Connection) *Attempt {
 	now := unix(time.Now())
-	var best *Link
-	least, first := p.Streams, 0
+	var best *Connection
+	least, first := p.MaxAttemptsPerConnection, 0
 	for _, l := range m.links {
 		n, ok := l.load()
-		if !ok || n >= p.Streams || l.started != m.started || contains(avoid, l) {
+		if !ok || n >= p.MaxAttemptsPerConnection || l.started != m.started || contains(avoid, l) {
 			continue
 		}
 		rank, ok := len(m.links), true // one that is not up yet: behind those that are
 		if addr := l.over(); addr != "" {
-			rank, ok = p.Reach.Usable(now, id, address.Addr(addr), c.repeatable)
+			rank, ok = p.AddressSelector.Usable(now, id, address.Addr(addr), c.repeatable)
 		}
 		if ok && (best == nil || min(n, 1) < min(least, 1) || min(n, 1) == min(least, 1) && (rank < first || rank == first && n < least)) {
 			best, least, first = l, n, rank
 		}
 	}
-	use := func() *Call {
+	use := func() *Attempt {
 		if best == nil || !best.add(c) {
 			return nil
 		}
 		if addr := best.over(); addr != "" {
-			p.Reach.Sent(now, id, address.Addr(addr))
+			p.AddressSelector.AttemptSent(now, id, address.Addr(addr))
 		}
 		return c
 	}
 	if best != nil && least == 0 && use() != nil {
 		return c
 	}
-	if (best != nil && len(m.links) >= p.Gate.MaxConnsPerEndpoint()) || !p.Gate.AdmitEndpointConn(best == nil) {
+	if (best != nil && len(m.links) >= p.Admission.MaxConnsPerEndpoint()) || !p.Admission.AdmitEndpointConn(best == nil) {
 		return use()
 	}
 	l := p.link(id, m)
-	l.plan = p.Reach.Plan(now, id, c.repeatable)
+	l.plan = p.AddressSelector.Plan(now, id, c.repeatable)
 	l.add(c)
-	if len(l.plan) > 0 && l.plan[0].After == 0 {
-		p.Reach.Sent(now, id, l.plan[0].Addr)
+	if len(l.plan) > 0 && l.plan[0].DelaySeconds == 0 {
+		p.AddressSelector.AttemptSent(now, id, l.plan[0].Addr)
 	}
 	p.run(m, l)
 	return c
 }
 
 // dial makes a link's connection: over its one address, or over the one of several that comes up first.
-func (l *Link) dial(ctx context.Context) (net.Conn, error) {
+func (l *Connection) dial(ctx context.Context) (net.Conn, error) {
 	l.mu.Lock()
 	addr, plan := l.addr, l.plan
 	l.mu.Unlock()
 	if addr != "" {
-		ctx, cancel := context.WithTimeout(ctx, l.pool.Connect)
+		ctx, cancel := context.WithTimeout(ctx, l.pool.ConnectTimeout)
 		defer cancel()
 		return l.pool.Dial(ctx, addr)
 	}
@@ -164,22 +164,22 @@
 }
 
 // race tries a plan's addresses. Each attempt beside another has a descriptor of its own while it lasts.
-func (l *Link) race(ctx context.Context, plan []address.Try) (net.Conn, error) {
+func (l *Connection) race(ctx context.Context, plan []address.PlannedDial) (net.Conn, error) {
 	if len(plan) == 0 {
 		return nil, errNowhere
 	}
 	p, began := l.pool, time.Now()
-	r := address.NewRace(unix(began), plan, unix(began.Add(p.Connect)))
+	r := address.NewRace(unix(began), plan, unix(began.Add(p.ConnectTimeout)))
 	results := make(chan result, len(plan))
-	ctx, cancel := context.WithDeadline(ctx, began.Add(p.Connect))
+	ctx, cancel := context.WithDeadline(ctx, began.Add(p.ConnectTimeout))
 	defer cancel()
 	out := 0
 	var last error
 	won := false
 	done := func(x result) bool {
 		out--
-		p.Post(Dialed{l.member, plan[x.i].Addr, l.why(x.err), x.took.Seconds()})
-		if x.err == nil && l.allows(plan[x.i].Addr) && r.Up(x.i, unix(time.Now())) {
+		p.OnEvent(DialEnded{l.member, plan[x.i].Addr, l.why(x.err), x.took.Seconds()})
+		if x.err == nil && l.allows(plan[x.i].Addr) && r.Connected(x.i, unix(time.Now())) {
 			won = true
 			return true
 		}
@@ -188,8 +188,8 @@
 		} else {
 			last = x.err
 		}
-		if r.Down(x.i); out > 0 { // the link itself holds a descriptor for one
-			p.Gate.EndpointConnDone()
+		if r.Failed(x.i); out > 0 { // the link itself holds a descriptor for one
+			p.Admission.EndpointConnDone()
 		}
 		return false
 	}
@@ -200,13 +200,13 @@
 			own = false
 			p.group.Go(func() error {
 				if x := <-results; x.err == nil {
-					p.Post(Dialed{l.member, plan[x.i].Addr, address.Well, x.took.Seconds()})
+					p.OnEvent(DialEnded{l.member, plan[x.i].Addr, address.Healthy, x.took.Seconds()})
 					_ = x.c.Close()
-				} else if why := l.why(x.err); why == address.Hung && !won {
-					p.Post(Dialed{l.member, plan[x.i].Addr, why, x.took.Seconds()})
+				} else if why := l.why(x.err); why == address.TimedOut && !won {
+					p.OnEvent(DialEnded{l.member, plan[x.i].Addr, why, x.took.Seconds()})
 				}
 				if !first {
-					p.Gate.EndpointConnDone()
+					p.Admission.EndpointConnDone()
 				}
 				return nil
 			})
@@ -214,7 +214,7 @@
 	}()
 	for {
 		now := unix(time.Now())
-		for i := r.Due(now, func() bool { return p.Gate.AdmitEndpointConn(false) }); i >= 0; i = r.Due(now, func() bool { return p.Gate.AdmitEndpointConn(false) }) {
+		for i := r.NextDial(now, func() bool { return p.Admission.AdmitEndpointConn(false) }); i >= 0; i = r.NextDial(now, func() bool { return p.Admission.AdmitEndpointConn(false) }) {
 			out++
 			go func() {
 				from := time.Now()
@@ -228,7 +228,7 @@
 			}
 			return nil, last
 		}
-		next := time.NewTimer(time.Duration(max(r.Next(now)-now, 0.0005) * float64(time.Second)))
+		next := time.NewTimer(time.Duration(max(r.NextDeadline(now)-now, 0.0005) * float64(time.Second)))
 		select {
 		case x := <-results:
 			if done(x) {
@@ -245,59 +245,59 @@
 }
 
 // why names what an attempt's error says of its address; a shortage of our own says nothing.
-func (l *Link) why(err error) address.Why {
+func (l *Connection) why(err error) address.Condition {
 	switch {
 	case err == nil:
-		return address.Well
+		return address.Healthy
 	case errors.Is(err, context.Canceled), errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.EADDRNOTAVAIL), errors.Is(err, syscall.ENOBUFS):
-		return address.ByHand // not blamed; see Heard
+		return address.Disabled // not blamed; see Heard
 	case errors.Is(err, context.DeadlineExceeded):
-		return address.Hung
+		return address.TimedOut
 	}
 	var t net.Error
 	if errors.As(err, &t) && t.Timeout() {
-		return address.Hung
+		return address.TimedOut
 	}
 	return address.Refused
 }
 
 // allows says whether an address is still the member's.
-func (l *Link) allows(a address.Addr) bool {
+func (l *Connection) allows(a address.Addr) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.listed == nil || l.listed[a]
 }
 
 // Heard tells reach what came of attempts and calls; the loop that owns the pool hands it what was posted.
-func (p *Pool) Heard(ev any) {
-	if p.Reach == nil {
+func (p *Pool) HandleEvent(ev Event) {
+	if p.AddressSelector == nil {
 		return
 	}
 	now := unix(time.Now())
 	switch ev := ev.(type) {
-	case Dialed:
-		if ev.Why != address.ByHand {
-			p.Reach.Dialed(now, ev.Member, ev.Addr, ev.Why, ev.Took)
+	case DialEnded:
+		if ev.Result != address.Disabled {
+			p.AddressSelector.DialEnded(now, ev.Endpoint, ev.Addr, ev.Result, ev.Seconds)
 		}
-	case Ended:
-		l := ev.Call.link
+	case AttemptEnded:
+		l := ev.Attempt.link
 		addr := address.Addr(l.over())
 		if l.plan == nil || addr == "" {
 			return
 		}
 		switch ev.End.Code {
 		case routing.Completed, routing.ServerError, routing.Overloaded, routing.CacheMiss:
-			p.Reach.Answered(now, l.member, addr, time.Since(ev.Call.written).Seconds())
+			p.AddressSelector.ResponseReceived(now, l.member, addr, time.Since(ev.Attempt.written).Seconds())
 		case routing.ConnectionBroken, routing.ConnectFailed:
-			p.Reach.Broke(now, l.member, addr)
+			p.AddressSelector.ConnectionBroken(now, l.member, addr)
 		}
 	}
 }
 
 // Watch looks for links on which a hop waits in silence, and at addresses whose rest is over. It returns the hops whose
 // address is silent while their member answers over another.
-func (p *Pool) Watch(now time.Time) (stuck []*Call) {
-	if p.Reach == nil {
+func (p *Pool) CheckAddresses(now time.Time) (stuck []*Attempt) {
+	if p.AddressSelector == nil {
 		return nil
 	}
 	for id, m := range p.members {
@@ -306,12 +306,12 @@
 		}
 		for _, l := range m.links {
 			wait, addr, calls := l.waits(now)
-			if wait == 0 || !p.Reach.Waits(unix(now), id, address.Addr(addr), wait.Seconds()) {
+			if wait == 0 || !p.AddressSelector.AwaitingResponse(unix(now), id, address.Addr(addr), wait.Seconds()) {
 				continue
 			}
-			p.Book.Add("reach.silent", 1)
+			p.Telemetry.Add("reach.silent", 1)
 			for _, c := range calls {
-				if p.Reach.Elsewhere(unix(now), id, address.Addr(addr), unix(c.written)) {
+				if p.AddressSelector.ReachableElsewhere(unix(now), id, address.Addr(addr), unix(c.written)) {
 					stuck = append(stuck, c)
 				}
 			}
@@ -325,18 +325,18 @@
 		}
 		return false
 	}
-	for _, look := range p.Reach.Looks(unix(now), linked) {
-		m := p.members[look.Member]
-		if m == nil || !p.Gate.AdmitEndpointConn(false) {
+	for _, look := range p.AddressSelector.DueProbes(unix(now), linked) {
+		m := p.members[look.Endpoint]
+		if m == nil || !p.Admission.AdmitEndpointConn(false) {
 			continue
 		}
-		p.Book.Add("reach.looks", 1)
-		l := p.link(look.Member, m)
-		l.plan = []address.Try{{Addr: look.Addr}}
-		if look.Probe {
+		p.Telemetry.Add("reach.looks", 1)
+		l := p.link(look.Endpoint, m)
+		l.plan = []address.PlannedDial{{Addr: look.Addr}}
+		if look.HealthCheck {
 			p.checks++
 			tag := "look" + strconv.Itoa(p.checks)
-			l.add(&Call{id: tag, head: cacheproto.AppendProbe(nil, tag, false)})
+			l.add(&Attempt{id: tag, head: cacheproto.AppendProbe(nil, tag, false)})
 		}
 		p.run(m, l)
 	}
@@ -344,13 +344,13 @@
 }
 
 // waits is how long a written hop has waited on a link on which nothing at all came since, and which hops do.
-func (l *Link) waits(now time.Time) (longest time.Duration, addr string, calls []*Call) {
+func (l *Connection) waits(now time.Time) (longest time.Duration, addr string, calls []*Attempt) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.c == nil || l.dead {
 		return 0, "", nil
 	}
-	heard := time.Unix(0, l.c.Heard())
+	heard := time.Unix(0, l.c.LastReadUnixNano())
 	for _, c := range l.calls {
 		if c.begun && heard.Before(c.written) {
 			longest = max(longest, now.Sub(c.written))
--- a/internal/upstream/several_test.go
+++ b/internal/upstream/several_test.go
@@ -43,8 +43,8 @@
 // several is a pool with one member of two addresses whose attempts a test ends.
 func several(t *testing.T, sockets int) *severalSide {
 	s := &severalSide{pool(t), make(chan attempt, 9)}
-	s.Gate = admission.New(64, sockets)
-	s.Connect = 5 * time.Second
+	s.Admission = admission.New(64, sockets)
+	s.ConnectTimeout = 5 * time.Second
 	s.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
 		a := attempt{addr, make(chan net.Conn, 1)}
 		s.attempts <- a
@@ -58,14 +58,14 @@
 			return nil, ctx.Err()
 		}
 	}
-	s.Reach, s.Addrs = address.New(1), func(discovery.Endpoint) []address.Addr { return []address.Addr{first, second} }
-	s.Repeatable = func(rule int) bool { return rule == 0 }
+	s.AddressSelector, s.EndpointAddresses = address.New(1), func(discovery.Endpoint) []address.Addr { return []address.Addr{first, second} }
+	s.IsIdempotent = func(rule int) bool { return rule == 0 }
 	s.list(0)
 	return s
 }
 
 func (s *severalSide) list(started float64) {
-	s.List(true, []discovery.Endpoint{{Address: string(first), Endpoint: routing.Endpoint{ID: "m", StartedAt: started}}})
+	s.UpdateEndpoints(true, []discovery.Endpoint{{Address: string(first), Endpoint: routing.Endpoint{ID: "m", StartedAt: started}}})
 }
 
 func (a attempt) up() net.Conn {
@@ -75,22 +75,22 @@
 }
 
 // hear hands on what was posted until a call ends.
-func (s *severalSide) hear(t *testing.T) Ended {
+func (s *severalSide) hear(t *testing.T) AttemptEnded {
 	for ev := range s.ends {
-		s.Heard(ev)
-		if e, ok := ev.(Ended); ok {
+		s.HandleEvent(ev)
+		if e, ok := ev.(AttemptEnded); ok {
 			return e
 		}
 	}
 	t.Fatal("no end")
-	return Ended{}
+	return AttemptEnded{}
 }
 
 func (s *severalSide) dialed() {
 	for {
 		ev := <-s.ends
-		s.Heard(ev)
-		if _, ok := ev.(Dialed); ok {
+		s.HandleEvent(ev)
+		if _, ok := ev.(DialEnded); ok {
 			return
 		}
 	}
@@ -108,8 +108,8 @@
 	r := bufio.NewReader(far)
 	assert.Equal(t, "do a", asked(t, r))
 	_, _ = io.WriteString(far, "a not_here - 0\r\n\r\n")
-	assert.Equal(t, Ended{Call: c, End: request.AttemptEnd{Code: routing.CacheMiss}}, s.hear(t))
-	assert.Equal(t, "refused", s.Reach.States(unix(time.Now()))[0].Why)
+	assert.Equal(t, AttemptEnded{Attempt: c, End: request.AttemptEnd{Code: routing.CacheMiss}}, s.hear(t))
+	assert.Equal(t, "refused", s.AddressSelector.Status(unix(time.Now()))[0].Condition)
 }
 
 // The first address hangs: after its stagger the second is tried beside it, and the hop goes there. The first comes up
@@ -159,8 +159,8 @@
 	s := several(t, 20)
 	s.send("a", 0)
 	x := <-s.attempts
-	s.Addrs = func(discovery.Endpoint) []address.Addr { return []address.Addr{second, "127.0.0.1:3"} }
-	s.Relist()
+	s.EndpointAddresses = func(discovery.Endpoint) []address.Addr { return []address.Addr{second, "127.0.0.1:3"} }
+	s.RefreshAddresses()
 	far := x.up()
 	_, err := far.Read(make([]byte, 1))
 	assert.ErrorIs(t, err, io.EOF, "closed unwritten")
@@ -172,10 +172,10 @@
 func TestAllAddressesRestingIsToldAtOnce(t *testing.T) {
 	s := several(t, 20)
 	now := unix(time.Now())
-	s.Reach.Dialed(now, "m", first, address.Refused, 0)
-	s.Reach.Dialed(now, "m", second, address.Refused, 0)
+	s.AddressSelector.DialEnded(now, "m", first, address.Refused, 0)
+	s.AddressSelector.DialEnded(now, "m", second, address.Refused, 0)
 	c := s.send("a", 0)
-	assert.Equal(t, Ended{Call: c, End: request.AttemptEnd{Code: routing.ConnectFailed}}, s.hear(t))
+	assert.Equal(t, AttemptEnded{Attempt: c, End: request.AttemptEnd{Code: routing.ConnectFailed}}, s.hear(t))
 	assert.Empty(t, s.attempts)
 }
 
@@ -191,7 +191,7 @@
 	}
 	close(x.to)
 	assert.Equal(t, "do a", asked(t, bufio.NewReader((<-s.attempts).up())))
-	assert.False(t, s.Gate.AdmitEndpointConn(true), "the link's own is the only one held")
+	assert.False(t, s.Admission.AdmitEndpointConn(true), "the link's own is the only one held")
 }
 
 // A hop that is undone before its link is up was never written.
@@ -199,7 +199,7 @@
 	s := several(t, 20)
 	c := s.send("a", 0)
 	x := <-s.attempts
-	code, atOnce := s.Undo(c, routing.Cancelled)
+	code, atOnce := s.Cancel(c, routing.Cancelled)
 	assert.Equal(t, routing.NotSent, code)
 	assert.True(t, atOnce)
 	far := x.up()
@@ -217,23 +217,23 @@
 	r := bufio.NewReader(far)
 	assert.Equal(t, "do a", asked(t, r))
 	require.Eventually(t, func() bool { // the watch tells it once it has waited for long enough
-		s.Watch(time.Now())
-		return s.Reach.States(unix(time.Now()))[0].Why == "quiet"
+		s.CheckAddresses(time.Now())
+		return s.AddressSelector.Status(unix(time.Now()))[0].Condition == "quiet"
 	}, 5*time.Second, 10*time.Millisecond)
 	b := s.send("b", 0)
-	assert.NotSame(t, a.Link(), b.Link())
+	assert.NotSame(t, a.Connection(), b.Connection())
 	y := <-s.attempts
 	assert.Equal(t, string(second), y.addr)
 	other := y.up()
 	assert.Equal(t, "do b", asked(t, bufio.NewReader(other)))
 	_, _ = io.WriteString(other, "b not_here - 0\r\n\r\n")
-	assert.Equal(t, b, s.hear(t).Call)
+	assert.Equal(t, b, s.hear(t).Attempt)
 	x := &request.Request{ID: "c", ClassName: "order", Object: "ff", Part: "0", Class: 1}
-	c := s.Send(cacheproto.Attempt{Txn: x, TimeoutSeconds: 1, StartAttempt: routing.StartAttempt{Endpoint: "m"}}, nil, "c")
-	assert.Same(t, b.Link(), c.Link())
+	c := s.Send(cacheproto.Attempt{Txn: x, TimeoutSeconds: 1, StartAttempt: routing.StartAttempt{Endpoint: "m"}}, nil, testOwner("c"))
+	assert.Same(t, b.Connection(), c.Connection())
 	_, _ = io.WriteString(far, "a not_here - 0\r\n\r\n")
-	assert.Equal(t, a, s.hear(t).Call, "its late answer is its end")
-	assert.Equal(t, "well", s.Reach.States(unix(time.Now()))[0].Why)
+	assert.Equal(t, a, s.hear(t).Attempt, "its late answer is its end")
+	assert.Equal(t, "well", s.AddressSelector.Status(unix(time.Now()))[0].Condition)
 }
 
 // A member that starts again is another one: its old links get no new hop.
@@ -246,8 +246,8 @@
 	s.hear(t)
 	s.list(7)
 	b := s.send("b", 0)
-	assert.NotSame(t, a.Link(), b.Link())
-	s.Sweep(time.Now())
+	assert.NotSame(t, a.Connection(), b.Connection())
+	s.CloseIdle(time.Now())
 	_, err := far.Read(make([]byte, 1))
 	assert.ErrorIs(t, err, io.EOF, "retired")
 }
@@ -255,13 +255,13 @@
 // A rested address is looked at with a connection that carries nothing.
 func TestALookCarriesNothing(t *testing.T) {
 	s := several(t, 40)
-	s.Reach.Dialed(unix(time.Now()), "m", first, address.Refused, 0)
-	s.Watch(time.Now().Add(time.Minute))
+	s.AddressSelector.DialEnded(unix(time.Now()), "m", first, address.Refused, 0)
+	s.CheckAddresses(time.Now().Add(time.Minute))
 	x := <-s.attempts
 	assert.Equal(t, string(first), x.addr)
 	far := x.up()
 	s.dialed()
-	assert.Equal(t, "well", s.Reach.States(unix(time.Now()))[0].Why)
+	assert.Equal(t, "well", s.AddressSelector.Status(unix(time.Now()))[0].Condition)
 	require.Eventually(t, func() bool { s.send("a", 0); return len(s.members["m"].links) > 0 }, time.Second, time.Millisecond)
 	assert.Equal(t, "do a", asked(t, bufio.NewReader(far)), "and then it is warm")
 }
@@ -301,26 +301,26 @@
 		return (&net.Dialer{}).DialContext(ctx, a.Network(), a.Target())
 	}
 	list := []address.Addr{address.Addr("unix:" + filepath.Join(dir, "gone")), address.Addr("unix:" + file), hole, address.Addr(ln.Addr().String())}
-	s.Addrs = func(discovery.Endpoint) []address.Addr { return list }
-	s.Relist()
+	s.EndpointAddresses = func(discovery.Endpoint) []address.Addr { return list }
+	s.RefreshAddresses()
 	c := s.send("a", 0)
 	far, err := ln.Accept()
 	require.NoError(t, err)
 	assert.Equal(t, "do a", asked(t, bufio.NewReader(far)))
 	_, _ = io.WriteString(far, "a not_here - 0\r\n\r\n")
-	assert.Equal(t, Ended{Call: c, End: request.AttemptEnd{Code: routing.CacheMiss}}, s.hear(t))
+	assert.Equal(t, AttemptEnded{Attempt: c, End: request.AttemptEnd{Code: routing.CacheMiss}}, s.hear(t))
 	for i, want := range []string{"refused", "refused"} {
-		assert.Equal(t, want, s.Reach.States(unix(time.Now()))[i].Why)
+		assert.Equal(t, want, s.AddressSelector.Status(unix(time.Now()))[i].Condition)
 	}
 }
 
 // A member holds no more than its share of the descriptors: over it hops go together on a link.
 func TestAMemberKeepsToItsShareOfDescriptors(t *testing.T) {
 	s := several(t, 40) // sixteen for members, four for one
-	s.Streams = 99
-	links := map[*Link]bool{}
+	s.MaxAttemptsPerConnection = 99
+	links := map[*Connection]bool{}
 	for i := range 20 {
-		links[s.send(fmt.Sprint("t", i), 0).Link()] = true
+		links[s.send(fmt.Sprint("t", i), 0).Connection()] = true
 	}
 	assert.Len(t, links, 4)
 }
