--- a/internal/replication/shard/slice_test.go
+++ b/internal/replication/shard/slice_test.go
@@ -59,6 +59,7 @@
 	history []porcupine.Operation
 	calls   map[string]int // by asker and number, the place in the history
 	ask     uint64
+	trace   func(id uint64, ready Ready, answers []Response) // hears each step of a replica; nil for nobody
 }
 
 func newCluster(t *testing.T, seed uint64, n int, bad broken) *cluster {
@@ -111,6 +112,9 @@
 		c.net = append(c.net, b.Messages...)
 		answers, err := h.s.Advance(b)
 		require.NoError(c.t, err)
+		if c.trace != nil {
+			c.trace(h.id, b, answers)
+		}
 		for _, a := range answers {
 			c.answered(a)
 		}
--- /dev/null
+++ b/internal/replication/wal/golden_test.go
@@ -0,0 +1,66 @@
+package wal
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+
+	"cairnfront/internal/diskcache/vfs"
+	"cairnfront/internal/replication/shard"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+var update = flag.Bool("update", false, "write testdata/folder-*.txt anew; the folders themselves stay as an earlier version wrote them")
+
+// describe prints what a folder holds, shard by shard.
+func describe(id Identity, saved map[int]shard.PersistentState) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "owner %s id %d starts %d\n", id.Owner, id.ID, id.StartCount)
+	for _, number := range slices.Sorted(maps.Keys(saved)) {
+		state := saved[number]
+		fmt.Fprintf(&b, "shard %d term %d vote %d commit %d\n", number, state.HardState.GetTerm(), state.HardState.GetVote(), state.HardState.GetCommit())
+		if state.Snapshot != nil {
+			meta := state.Snapshot.GetMetadata()
+			fmt.Fprintf(&b, "  snapshot index %d term %d voters %v learners %v data %x\n", meta.GetIndex(), meta.GetTerm(),
+				meta.GetConfState().GetVoters(), meta.GetConfState().GetLearners(), state.Snapshot.GetData())
+		}
+		for _, entry := range state.Entries {
+			fmt.Fprintf(&b, "  entry index %d term %d type %d data %x\n", entry.GetIndex(), entry.GetTerm(), entry.GetType(), entry.GetData())
+		}
+	}
+	return b.String()
+}
+
+// TestGoldenFoldersAreRead reads folders that an earlier version wrote: several shards, snapshots, an overwritten entry, a removed
+// shard and an unsynced tail.
+func TestGoldenFoldersAreRead(t *testing.T) {
+	for _, owner := range []string{"r1", "r2"} {
+		golden := "testdata/folder-" + owner
+		if *update {
+			id, saved, err := Inspect(vfs.Dir(golden))
+			require.NoError(t, err)
+			require.NoError(t, os.WriteFile(golden+".txt", []byte(describe(id, saved)), 0o644))
+		}
+		want, err := os.ReadFile(golden + ".txt")
+		require.NoError(t, err)
+
+		id, saved, err := Inspect(vfs.Dir(golden))
+		require.NoError(t, err)
+		assert.Equal(t, string(want), describe(id, saved))
+
+		writable := t.TempDir()
+		require.NoError(t, os.CopyFS(writable, os.DirFS(golden)))
+		opened, reopened, err := Open(vfs.Dir(writable), owner, draw)
+		require.NoError(t, err)
+		id.StartCount++ // opening counts a start, inspecting does not
+		assert.Equal(t, id, opened.Identity())
+		assert.Equal(t, describe(id, saved), describe(opened.Identity(), reopened))
+		opened.Close()
+	}
+}
