Discovery: typed event kinds, one file a concern, named steps in the watch client

An event's kind was spread over three booleans and its purge over three fields, and codec, JSON form and client shared names of the earlier house style. Event has a Kind and a Purge, the codec a Header, and malformed frames, gaps and unusable events have sentinel errors that the tests check with errors.Is. The golden frames and the tests of discovery, bootstrap, dispatch and edgecache pass.

--- a/internal/bootstrap/golden_test.go
+++ b/internal/bootstrap/golden_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"testing"
 
+	"cairnfront/internal/discovery"
+
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
@@ -26,7 +28,8 @@
 	}
 	line("last revision %d", c.LastRevision)
 	for _, ev := range c.KnownEvents {
-		line("event %d heartbeat=%t full=%t purge=%t object=%q group=%d at=%.3f", ev.Revision, ev.Heartbeat, ev.Full, ev.Purged, ev.Object, ev.Group, ev.At)
+		line("event %d heartbeat=%t full=%t purge=%t object=%q group=%d at=%.3f", ev.Revision,
+			ev.Kind == discovery.Heartbeat, ev.Kind == discovery.Snapshot, ev.IsPurge(), ev.Purge.Object, ev.Purge.Group, ev.Purge.PurgedAt)
 		for _, e := range ev.Endpoints {
 			line("  endpoint %s at %s zone=%d kind=%d cell=%d status=%d weight=%g started=%.3f", e.ID, e.Address, e.Zone, e.Kind, e.Cell, e.Status, e.Weight, e.StartedAt)
 		}
--- a/internal/bootstrap/start_test.go
+++ b/internal/bootstrap/start_test.go
@@ -31,7 +31,7 @@
 	for want, change := range map[string][2]string{
 		"JSON": {"{", "["}, "listen": {`"127.0.0.1:9090"`, `"nowhere"`}, "board": {`"board":"127.0.0.1:2379",`, ""}, "seed": {"8c1f", "zz"},
 		"limits": {`"memory_mb":192`, `"memory_mb":1`}, "request_classes": {"request_classes", "other"}, "no name": {`"name":"page",`, ""},
-		"known": {`"known"`, `"unknown"`}, "no notices": {`{"rev":1,"pool":{"endpoints":[]}}`, ""}, "settings": {`"settings"`, `"x"`},
+		"known": {`"known"`, `"unknown"`}, "no events": {`{"rev":1,"pool":{"endpoints":[]}}`, ""}, "settings": {`"settings"`, `"x"`},
 	} {
 		_, err := Parse([]byte(strings.Replace(file, change[0], change[1], 1)))
 		assert.ErrorContains(t, err, want)
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -14,166 +14,233 @@
 	"cairnfront/internal/telemetry"
 )
 
-// How the client keeps its connection: resources and the protocol's own beat, no decisions.
 const (
-	ringSize  = 16 << 10
-	beatsStop = 2500 * time.Millisecond // two of the board's beats and a margin
-	firstWait = 100 * time.Millisecond
-	mostWait  = 400 * time.Millisecond
-	dialLimit = time.Second
+	bufferBytes      = 16 << 10
+	heartbeatTimeout = 2500 * time.Millisecond // two heartbeats of the service and a margin
+	dialTimeout      = time.Second
+	initialBackoff   = 100 * time.Millisecond
+	maxBackoff       = 400 * time.Millisecond
+
+	// telemetrySide is the side of the connection in counters and log lines.
+	telemetrySide = "board"
 )
 
-// Client follows the notice board and posts each event after Last once, in the order of the numbers.
+// ErrRevisionGap ends a connection whose revisions do not follow on from those that the client has.
+var ErrRevisionGap = errors.New("revision gap")
+
+// errAddressChanged is the cause with which a connection to an earlier address is cancelled.
+var errAddressChanged = errors.New("discovery service has another address")
+
+// Client watches the discovery service. It reconnects until its context ends, and asks each time for the events that
+// follow the last one it has. Its fields are set before Run and belong to Run from then on.
 type Client struct {
 	Address      string
 	LastRevision uint64
-	OnEvent      func(Event)
 	Telemetry    *telemetry.Book
-	// Moves brings the board's new addresses. The connection to the old one is hung up: from then on the new board
-	// is asked, with the number of the last event had.
+
+	// OnEvent is handed each event after LastRevision once, in the order of the revisions, and no heartbeats. It is
+	// called on the goroutine that reads the connection.
+	OnEvent func(Event)
+
+	// AddressChanges brings new addresses of the service. The connection to the former one is closed at once.
 	AddressChanges chan string
-	// Raw, where set, is handed every event as it came, beats too, in place of Post; its error ends the connection.
-	// From then says for each new connection after which number the board is asked.
+
+	// OnRawEvent, where set, is handed every event as it came, heartbeats too, in place of OnEvent. Its error ends the
+	// connection. StartRevision then returns the revision after which the service is asked on each new connection.
 	OnRawEvent    func(Event) error
 	StartRevision func() uint64
 
-	silence time.Duration // as beatsStop, where set
-	missed  uint64        // the number that came where Last+1 was due, when it was seen first
+	readTimeout time.Duration // heartbeatTimeout unless a test sets another
+	gapRevision uint64        // revision that came after a gap, when it was seen first; 0 for none
 }
 
-// errMoved tells of a new address.
-var errMoved = errors.New("the notice board moved")
-
-// Run dials again, with a wait that grows, until the context ends. At a new address it dials at once.
+// Run watches the service until the context ends. Between connections it waits with an exponential backoff, which a new
+// address cuts short.
 func (c *Client) Run(ctx context.Context) error {
-	for wait := firstWait; ctx.Err() == nil; {
-		here, hangUp := context.WithCancelCause(ctx)
-		ended := make(chan bool, 1)
-		go func() { ended <- c.follow(here) }()
-		moved := ""
-		select {
-		case moved = <-c.AddressChanges:
-			hangUp(errMoved)
-			<-ended
-		case heard := <-ended:
-			hangUp(nil)
-			if heard {
-				wait = firstWait
-			}
-			select {
-			case <-ctx.Done():
-			case moved = <-c.AddressChanges:
-			case <-time.After(wait):
+	backoff := initialBackoff
+	for ctx.Err() == nil {
+		newAddress, receivedAny := c.watchUntilAddressChange(ctx)
+		if newAddress == "" {
+			if receivedAny {
+				backoff = initialBackoff
 			}
-			wait = min(2*wait, mostWait)
+			newAddress = c.wait(ctx, backoff)
+			backoff = min(2*backoff, maxBackoff)
 		}
-		if moved != "" {
-			c.Address, wait = moved, firstWait
+		if newAddress != "" {
+			c.Address = newAddress
+			backoff = initialBackoff
 		}
 	}
 	return nil
 }
 
-// errGap tells of numbers that do not follow.
-var errGap = errors.New("numbers do not follow")
+// watchUntilAddressChange runs one connection. It returns the new address if one came meanwhile, and otherwise whether
+// the connection brought any event.
+func (c *Client) watchUntilAddressChange(ctx context.Context) (newAddress string, receivedAny bool) {
+	connCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	ended := make(chan bool, 1)
+	go func() { ended <- c.watch(connCtx) }()
+	select {
+	case newAddress = <-c.AddressChanges:
+		cancel(errAddressChanged)
+		<-ended
+		return newAddress, false
+	case receivedAny = <-ended:
+		return "", receivedAny
+	}
+}
+
+// wait returns after the backoff, at the end of the context, or with a new address.
+func (c *Client) wait(ctx context.Context, backoff time.Duration) (newAddress string) {
+	select {
+	case <-ctx.Done():
+	case newAddress = <-c.AddressChanges:
+	case <-time.After(backoff):
+	}
+	return newAddress
+}
 
-// follow reads from one connection until it ends and says whether anything came.
-func (c *Client) follow(ctx context.Context) (heard bool) {
-	c.Telemetry.Began("board")
-	began := time.Now()
-	raw, err := (&net.Dialer{Timeout: dialLimit}).DialContext(ctx, "tcp", c.Address)
+// watch reads events from one connection until it ends and returns whether any came.
+func (c *Client) watch(ctx context.Context) (receivedAny bool) {
+	c.Telemetry.Began(telemetrySide)
+	startedAt := time.Now()
+	dialer := net.Dialer{Timeout: dialTimeout}
+	rawConn, err := dialer.DialContext(ctx, "tcp", c.Address)
 	if err != nil {
-		c.Telemetry.Ended(telemetry.Ended{Side: "board", Peer: c.Address, Code: netconn.ConnectFailed.String(), Err: err, Since: began})
+		c.Telemetry.Ended(telemetry.Ended{
+			Side:  telemetrySide,
+			Peer:  c.Address,
+			Code:  netconn.ConnectFailed.String(),
+			Err:   err,
+			Since: startedAt,
+		})
 		return false
 	}
-	if c.silence == 0 {
-		c.silence = beatsStop
+	if c.readTimeout == 0 {
+		c.readTimeout = heartbeatTimeout
 	}
-	k := netconn.New(raw, ringSize, c.silence)
-	defer k.LogEnd(c.Telemetry, "board", c.Address)
-	defer context.AfterFunc(ctx, func() {
-		code := netconn.Shutdown
-		if errors.Is(context.Cause(ctx), errMoved) {
-			code = netconn.AddressChanged
-		}
-		k.Close(code, nil)
-	})()
+	conn := netconn.New(rawConn, bufferBytes, c.readTimeout)
+	defer conn.LogEnd(c.Telemetry, telemetrySide, c.Address)
+	stopClosing := context.AfterFunc(ctx, func() { conn.Close(cancelCode(ctx), nil) })
+	defer stopClosing()
 	defer func() {
 		if p := recover(); p != nil {
-			c.Telemetry.Log.Error("panic", "where", "board", "what", fmt.Sprint(p), "stack", string(debug.Stack()))
-			k.Close(netconn.Panic, nil)
+			c.Telemetry.Log.Error("panic", "where", telemetrySide, "what", fmt.Sprint(p), "stack", string(debug.Stack()))
+			conn.Close(netconn.Panic, nil)
 		}
 	}()
-	code, err := c.read(k, &heard)
-	k.Close(code, err)
-	return heard
+	code, err := c.readEvents(conn, &receivedAny)
+	conn.Close(code, err)
+	return receivedAny
+}
+
+// cancelCode is the end code of a connection whose context was cancelled.
+func cancelCode(ctx context.Context) netconn.EndCode {
+	if errors.Is(context.Cause(ctx), errAddressChanged) {
+		return netconn.AddressChanged
+	}
+	return netconn.Shutdown
 }
 
-func (c *Client) read(k *netconn.Conn, heard *bool) (netconn.EndCode, error) {
-	from := c.LastRevision
+// readEvents asks for the missing events, hands on those that come, and returns why the connection ends.
+func (c *Client) readEvents(conn *netconn.Conn, receivedAny *bool) (netconn.EndCode, error) {
+	after := c.LastRevision
 	if c.OnRawEvent != nil {
-		from = c.StartRevision()
+		after = c.StartRevision()
 	}
-	if err := errors.Join(k.Write(binary.BigEndian.AppendUint64(nil, from)), k.Flush()); err != nil {
+	query := binary.BigEndian.AppendUint64(nil, after)
+	if err := errors.Join(conn.Write(query), conn.Flush()); err != nil {
 		return netconn.ClassifyError(err), err
 	}
-	for head := make([]byte, HeaderSize); ; {
-		k.SetReadDeadline(time.Now().Add(c.silence))
-		err := k.ReadFull(head)
-		if err == nil {
-			var number uint64
-			var kind byte
-			var size int
-			if number, kind, size, err = ParseHeader(head); err != nil {
-				return netconn.ProtocolError, err
-			}
-			payload := make([]byte, size)
-			if err = k.ReadFull(payload); err == nil {
-				ev, err := ParsePayload(number, kind, payload)
-				if err != nil {
-					return netconn.ProtocolError, err
-				}
-				if c.OnRawEvent != nil {
-					ev.Checksum = crc32.Update(crc32.ChecksumIEEE(head), crc32.IEEETable, payload)
-					err = c.OnRawEvent(ev)
-				} else {
-					err = c.take(ev)
-				}
-				if err != nil {
-					return netconn.SequenceGap, err
-				}
-				*heard = true
-				continue
-			}
+	headerBytes := make([]byte, HeaderSize)
+	for {
+		conn.SetReadDeadline(time.Now().Add(c.readTimeout))
+		ev, err := readEvent(conn, headerBytes)
+		if err != nil {
+			return readErrorCode(err), err
 		}
-		if code := netconn.ClassifyError(err); code != netconn.SlowReader {
-			return code, err
+		if err := c.deliver(ev); err != nil {
+			return netconn.SequenceGap, err
 		}
-		return netconn.MissedHeartbeats, err
+		*receivedAny = true
 	}
 }
 
-// take posts an event that follows the last one; one that was had before is passed over. A number that skips some is
-// asked for again once, from the last event had; if the same comes again the board holds nothing between, and it is
-// taken. So is a beat that names a later event than the last one had: on a connection that brings beats and no news a drain
-// would never be heard of.
-func (c *Client) take(ev Event) error {
-	if ev.Heartbeat { // it names the board's last event: one that was not had got lost, or is held back on this connection
-		if ev.Revision > c.LastRevision && c.missed != ev.Revision {
-			c.missed = ev.Revision
-			return fmt.Errorf("%w: a beat at %d after %d", errGap, ev.Revision, c.LastRevision)
-		}
-		return nil
+// readEvent reads one frame. headerBytes is scratch space of HeaderSize bytes.
+func readEvent(conn *netconn.Conn, headerBytes []byte) (Event, error) {
+	if err := conn.ReadFull(headerBytes); err != nil {
+		return Event{}, err
+	}
+	header, err := ParseHeader(headerBytes)
+	if err != nil {
+		return Event{}, err
+	}
+	payload := make([]byte, header.PayloadBytes)
+	if err := conn.ReadFull(payload); err != nil {
+		return Event{}, err
+	}
+	ev, err := ParsePayload(header, payload)
+	ev.Checksum = crc32.Update(crc32.ChecksumIEEE(headerBytes), crc32.IEEETable, payload)
+	return ev, err
+}
+
+func readErrorCode(err error) netconn.EndCode {
+	if errors.Is(err, ErrMalformed) {
+		return netconn.ProtocolError
+	}
+	code := netconn.ClassifyError(err)
+	if code == netconn.SlowReader { // the read deadline passed
+		return netconn.MissedHeartbeats
+	}
+	return code
+}
+
+func (c *Client) deliver(ev Event) error {
+	if c.OnRawEvent != nil {
+		return c.OnRawEvent(ev)
+	}
+	if ev.Kind == Heartbeat {
+		return c.checkHeartbeat(ev.Revision)
 	}
+	return c.acceptInOrder(ev)
+}
+
+// acceptInOrder hands on an event that follows the last one, and passes over one that was handed on before. A revision
+// that skips some ends the connection once, so that the service is asked again after the last revision. If the same
+// revision then comes again, the service holds nothing between, and the event is accepted.
+func (c *Client) acceptInOrder(ev Event) error {
 	if ev.Revision <= c.LastRevision {
 		c.Telemetry.Add("board.had-before", 1)
 		return nil
 	}
-	if ev.Revision > c.LastRevision+1 && c.missed != ev.Revision {
-		c.missed = ev.Revision
-		return fmt.Errorf("%w: %d after %d", errGap, ev.Revision, c.LastRevision)
+	if ev.Revision > c.LastRevision+1 {
+		if err := c.reportGapOnce(ev.Revision); err != nil {
+			return err
+		}
 	}
-	c.LastRevision, c.missed = ev.Revision, 0
+	c.LastRevision = ev.Revision
+	c.gapRevision = 0
 	c.OnEvent(ev)
 	return nil
 }
+
+// checkHeartbeat compares the heartbeat's revision, that of the service's last event, with the last one received. An
+// event that was lost or is held back on this connection is asked for once on another: on a connection that brings
+// heartbeats and no events a drain would never be heard of.
+func (c *Client) checkHeartbeat(revision uint64) error {
+	if revision <= c.LastRevision {
+		return nil
+	}
+	return c.reportGapOnce(revision)
+}
+
+// reportGapOnce returns an error the first time that this revision is seen after a gap.
+func (c *Client) reportGapOnce(revision uint64) error {
+	if c.gapRevision == revision {
+		return nil
+	}
+	c.gapRevision = revision
+	return fmt.Errorf("%w: revision %d came after %d", ErrRevisionGap, revision, c.LastRevision)
+}
--- /dev/null
+++ b/internal/discovery/client_test.go
@@ -0,0 +1,172 @@
+package discovery
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"cairnfront/internal/telemetry"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// frame builds a frame by hand, so that it may be malformed.
+func frame(revision uint64, kind EventKind, payload string) []byte {
+	b := binary.BigEndian.AppendUint32(nil, uint32(countedHeader+len(payload)))
+	b = binary.BigEndian.AppendUint64(b, revision)
+	return append(append(b, byte(kind)), payload...)
+}
+
+// TestRevisionGapIsAskedForOnce: an event that was handed on before is passed over. A gap ends the connection, and is
+// accepted if the same revision comes again.
+func TestRevisionGapIsAskedForOnce(t *testing.T) {
+	var got []uint64
+	c := &Client{
+		LastRevision: 5,
+		Telemetry:    telemetry.New(io.Discard, ""),
+		OnEvent:      func(ev Event) { got = append(got, ev.Revision) },
+	}
+	for _, step := range []struct {
+		revision uint64
+		accepted bool
+	}{{6, true}, {6, true}, {3, true}, {8, false}, {8, true}, {10, false}, {9, true}, {11, false}, {10, true}} {
+		err := c.deliver(Event{Revision: step.revision, Kind: Update})
+		assert.Equal(t, step.accepted, err == nil, step.revision)
+		if err != nil {
+			assert.ErrorIs(t, err, ErrRevisionGap)
+		}
+	}
+	assert.NoError(t, c.deliver(Event{Kind: Heartbeat}))
+	assert.Equal(t, []uint64{6, 8, 9, 10}, got)
+}
+
+// TestClientReconnectsFromTheLastRevision: half a record, an unknown kind and silence each end a connection. The next
+// one asks for what follows the last event.
+func TestClientReconnectsFromTheLastRevision(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NoError(t, err)
+	events := make(chan Event, 9)
+	ctx, cancel := context.WithCancel(t.Context())
+	log := &bytes.Buffer{}
+	c := &Client{
+		Address:      listener.Addr().String(),
+		LastRevision: 5,
+		Telemetry:    telemetry.New(log, ""),
+		OnEvent:      func(ev Event) { events <- ev },
+		readTimeout:  50 * time.Millisecond,
+	}
+	done := make(chan error)
+	go func() { done <- c.Run(ctx) }()
+	const unknownKind = 9
+	for _, connection := range []struct {
+		wantQuery uint64
+		sent      []byte
+	}{
+		{5, frame(6, Update, drainingRecord)},
+		{6, frame(7, Update, drainingRecord[:5])},
+		{6, frame(7, unknownKind, "")},
+		{6, append(frame(6, Heartbeat, ""), frame(7, Update, drainingRecord)...)},
+		{7, nil},
+	} {
+		conn, err := listener.Accept()
+		assert.NoError(t, err)
+		query := make([]byte, 8)
+		_, err = io.ReadFull(conn, query)
+		assert.NoError(t, err)
+		assert.Equal(t, connection.wantQuery, binary.BigEndian.Uint64(query))
+		_, _ = conn.Write(connection.sent)
+		_, _ = conn.Read(query) // returns when the client closes the connection
+		_ = conn.Close()
+	}
+	assert.Equal(t, uint64(6), (<-events).Revision)
+	assert.Equal(t, uint64(7), (<-events).Revision)
+	cancel()
+	assert.NoError(t, <-done)
+	assert.Contains(t, log.String(), "code=no-beats")
+	assert.Contains(t, log.String(), "code=protocol")
+}
+
+// TestClientFollowsAddressChanges: a new address is asked at once for what follows the last event, although the former
+// one still holds its connection open.
+func TestClientFollowsAddressChanges(t *testing.T) {
+	var listeners [3]net.Listener
+	for i := range listeners {
+		var err error
+		listeners[i], err = net.Listen("tcp", "127.0.0.1:0")
+		assert.NoError(t, err)
+		defer func() { assert.NoError(t, listeners[i].Close()) }()
+	}
+	answerQuery := func(listener net.Listener) uint64 {
+		conn, err := listener.Accept()
+		assert.NoError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		query := make([]byte, 8)
+		_, err = io.ReadFull(conn, query)
+		assert.NoError(t, err)
+		revision := binary.BigEndian.Uint64(query)
+		_, _ = conn.Write(frame(revision+1, Update, drainingRecord))
+		return revision
+	}
+	events := make(chan Event, 9)
+	ctx, cancel := context.WithCancel(t.Context())
+	log := &bytes.Buffer{}
+	c := &Client{
+		Address:        listeners[0].Addr().String(),
+		LastRevision:   5,
+		Telemetry:      telemetry.New(log, ""),
+		AddressChanges: make(chan string, 1),
+		OnEvent:        func(ev Event) { events <- ev },
+	}
+	done := make(chan error)
+	go func() { done <- c.Run(ctx) }()
+	for i, want := range []uint64{5, 6, 7} {
+		assert.Equal(t, want, answerQuery(listeners[i]))
+		assert.Equal(t, want+1, (<-events).Revision)
+		if i+1 < len(listeners) {
+			c.AddressChanges <- listeners[i+1].Addr().String()
+		}
+	}
+	cancel()
+	assert.NoError(t, <-done)
+	assert.Equal(t, 2, strings.Count(log.String(), "code=moved"))
+}
+
+// TestHeartbeatAheadOfTheLastRevisionIsAGap: a heartbeat that names an event which did not come ends the connection,
+// once for each such revision after each event.
+func TestHeartbeatAheadOfTheLastRevisionIsAGap(t *testing.T) {
+	var got []uint64
+	c := &Client{
+		LastRevision: 5,
+		Telemetry:    telemetry.New(io.Discard, ""),
+		OnEvent:      func(ev Event) { got = append(got, ev.Revision) },
+	}
+	for _, step := range []struct {
+		kind     EventKind
+		revision uint64
+		accepted bool
+	}{
+		{Heartbeat, 5, true},
+		{Heartbeat, 4, true},
+		{Heartbeat, 7, false},
+		{Heartbeat, 7, true},
+		{Update, 6, true},
+		{Heartbeat, 7, false},
+		{Heartbeat, 7, true},
+		{Heartbeat, 8, false},
+		{Update, 7, true},
+		{Update, 8, true},
+		{Heartbeat, 8, true},
+	} {
+		err := c.deliver(Event{Revision: step.revision, Kind: step.kind})
+		assert.Equal(t, step.accepted, err == nil, step)
+		if err != nil {
+			assert.ErrorIs(t, err, ErrRevisionGap)
+		}
+	}
+	assert.Equal(t, []uint64{6, 7, 8}, got)
+}
--- a/internal/discovery/golden_test.go
+++ b/internal/discovery/golden_test.go
@@ -18,14 +18,14 @@
 	{
 		"heartbeat",
 		"\x00\x00\x00\x09\x00\x00\x00\x00\x00\x00\x01\x02\x00",
-		Event{Revision: 258, Heartbeat: true},
+		Event{Revision: 258, Kind: Heartbeat},
 	},
 	{
 		"snapshot",
 		"\x00\x00\x00\x3f\x00\x00\x00\x00\x00\x00\x01\x02\x01" +
 			"\x00\xc4\x1f\x7a\x0a\x01\x00\x09\x23\x82\x00\x01\x02\x00\x05\x00\x00\x0f\xa0\x00\x00\x00\x00\x00\x00\x00\x00" +
 			"\x00\x00\x00\x02\x7f\x00\x00\x02\x00\x50\x01\x00\x01\x01\x00\x00\x00\x40\x74\x00\x00\x01\x9a\xd8\xed\xa0\x7b",
-		Event{Revision: 258, Full: true, Endpoints: []Endpoint{
+		Event{Revision: 258, Kind: Snapshot, Endpoints: []Endpoint{
 			{Address: "10.1.0.9:9090", Endpoint: routing.Endpoint{ID: "s-00c41f7a", Zone: 1, Kind: 2, Cell: 5, Weight: 4}},
 			{Address: "127.0.0.2:80", Endpoint: routing.Endpoint{
 				ID:        "s-00000002",
@@ -42,7 +42,7 @@
 		"changes",
 		"\x00\x00\x00\x24\x00\x00\x00\x00\x00\x00\x01\x03\x02" +
 			"\x00\xc4\x1f\x7a\x0a\x01\x00\x09\x23\x82\x02\x01\x02\x00\x05\x00\x00\x0f\xa0\x00\x00\x00\x00\x00\x00\x00\x00",
-		Event{Revision: 259, Endpoints: []Endpoint{{Address: "10.1.0.9:9090", Endpoint: routing.Endpoint{
+		Event{Revision: 259, Kind: Update, Endpoints: []Endpoint{{Address: "10.1.0.9:9090", Endpoint: routing.Endpoint{
 			ID:     "s-00c41f7a",
 			Zone:   1,
 			Kind:   2,
@@ -54,12 +54,12 @@
 	{
 		"purge of an object",
 		"\x00\x00\x00\x19\x00\x00\x00\x00\x00\x00\x01\x04\x03\x7f\x3a\x9c\x21\xe0\xb4\xd6\x55\x00\x00\x01\x9a\xd8\xed\xa0\x7b",
-		Event{Revision: 260, Purged: true, Object: "7f3a9c21e0b4d655", At: 1764576043.131},
+		Event{Revision: 260, Kind: PurgeObject, Purge: Purge{Object: "7f3a9c21e0b4d655", PurgedAt: 1764576043.131}},
 	},
 	{
 		"purge of a group",
 		"\x00\x00\x00\x13\x00\x00\x00\x00\x00\x00\x01\x05\x04\x00\x11\x00\x00\x01\x9a\xd8\xed\xa0\x7b",
-		Event{Revision: 261, Purged: true, Group: 17, At: 1764576043.131},
+		Event{Revision: 261, Kind: PurgeGroup, Purge: Purge{Group: 17, PurgedAt: 1764576043.131}},
 	},
 }
 
@@ -69,10 +69,10 @@
 		require.NoError(t, err, c.name)
 		assert.Equal(t, c.frame, string(frame), c.name)
 
-		revision, kind, size, err := ParseHeader([]byte(c.frame))
+		header, err := ParseHeader([]byte(c.frame))
 		require.NoError(t, err, c.name)
-		assert.Equal(t, len(c.frame)-HeaderSize, size, c.name)
-		event, err := ParsePayload(revision, kind, []byte(c.frame[HeaderSize:]))
+		assert.Equal(t, len(c.frame)-HeaderSize, header.PayloadBytes, c.name)
+		event, err := ParsePayload(header, []byte(c.frame[HeaderSize:]))
 		require.NoError(t, err, c.name)
 		assert.Equal(t, c.event, event, c.name)
 	}
--- a/internal/dispatch/route.go
+++ b/internal/dispatch/route.go
@@ -244,15 +244,15 @@
 }
 
 func (l *Loop) noticed(ev discovery.Event, kind routing.UpdateKind) {
-	if ev.Purged {
-		l.decide(routing.Purge{AgeSeconds: max(l.now-ev.At, 0), ObjectGroup: ev.Group, Object: ev.Object}, nil)
+	if ev.IsPurge() {
+		l.decide(routing.Purge{AgeSeconds: max(l.now-ev.Purge.PurgedAt, 0), ObjectGroup: ev.Purge.Group, Object: ev.Purge.Object}, nil)
 		return
 	}
-	if ev.Full && kind != routing.Restored {
+	if ev.Kind == discovery.Snapshot && kind != routing.Restored {
 		kind = routing.Snapshot
 	}
 	rows := make([]routing.Endpoint, len(ev.Endpoints))
-	if ev.Full {
+	if ev.Kind == discovery.Snapshot {
 		clear(l.kinds)
 	}
 	for i, row := range ev.Endpoints {
@@ -261,7 +261,7 @@
 			delete(l.kinds, row.ID)
 		}
 	}
-	l.Pool.UpdateEndpoints(ev.Full, ev.Endpoints)
+	l.Pool.UpdateEndpoints(ev.Kind == discovery.Snapshot, ev.Endpoints)
 	l.decide(routing.EndpointUpdate{Kind: kind, Endpoints: rows}, nil)
 }
 
--- a/internal/dispatch/route_test.go
+++ b/internal/dispatch/route_test.go
@@ -59,7 +59,7 @@
 	})
 	l := New(s, routing.Settings{"uncacheable": "false,true", "parent_kind": "1", "origin_kind": "2"}, p, k)
 	l.Clock = func() float64 { return 100 }
-	l.Known([]discovery.Event{{Full: true, Endpoints: []discovery.Endpoint{{Address: "c", Endpoint: routing.Endpoint{ID: "c"}}, {Address: "o", Endpoint: routing.Endpoint{ID: "o", Kind: 2}}}}})
+	l.Known([]discovery.Event{{Kind: discovery.Snapshot, Endpoints: []discovery.Endpoint{{Address: "c", Endpoint: routing.Endpoint{ID: "c"}}, {Address: "o", Endpoint: routing.Endpoint{ID: "o", Kind: 2}}}}})
 	return l, s, &request.Request{ID: "ab", ClassName: "page", Class: 1, Object: "FF", Deadline: 105, ResponseWriter: o}, o, log
 }
 
@@ -77,8 +77,8 @@
 	l, s, x, _, _ := stage(t, nil)
 	l.Hear(x)
 	l.Clock = func() float64 { return 99 }
-	l.Hear(discovery.Event{Purged: true, Object: "ff", At: 98})
-	l.Hear(discovery.Event{Endpoints: []discovery.Endpoint{{Endpoint: routing.Endpoint{ID: "c", Status: routing.Draining}}}})
+	l.Hear(discovery.Event{Kind: discovery.PurgeObject, Purge: discovery.Purge{Object: "ff", PurgedAt: 98}})
+	l.Hear(discovery.Event{Kind: discovery.Update, Endpoints: []discovery.Endpoint{{Endpoint: routing.Endpoint{ID: "c", Status: routing.Draining}}}})
 	l.Hear(frontend.RequestCancelled{Request: x})
 	assert.Equal(t, []routing.Event{
 		routing.EndpointUpdate{Kind: routing.Restored, Endpoints: []routing.Endpoint{{ID: "c"}, {ID: "o", Kind: 2}}},
@@ -246,7 +246,7 @@
 func TestLeaversGoBeforeAFullQueue(t *testing.T) {
 	l, s, x, _, _ := stage(t, hopOn())
 	l.Hear(x)
-	for l.Offer(discovery.Event{Purged: true, Object: "ff", At: 98}) {
+	for l.Offer(discovery.Event{Kind: discovery.PurgeObject, Purge: discovery.Purge{Object: "ff", PurgedAt: 98}}) {
 	}
 	l.Post(frontend.RequestCancelled{Request: x})
 	ctx, cancel := context.WithCancel(t.Context())
--- a/internal/edgecache/box.go
+++ b/internal/edgecache/box.go
@@ -265,7 +265,7 @@
 	case due:
 		ev.then()
 	case moved:
-		b.pool.UpdateEndpoints(ev.ev.Full, ev.ev.Endpoints)
+		b.pool.UpdateEndpoints(ev.ev.Kind == discovery.Snapshot, ev.ev.Endpoints)
 	case upstream.AttemptEnded:
 		b.fetched(now, ev)
 	case upstream.ConnectionClosed:
@@ -531,16 +531,23 @@
 	if len(ev.Endpoints) > 0 {
 		b.post(moved{ev})
 	}
-	if ev.Heartbeat {
+	if ev.Kind == discovery.Heartbeat {
 		b.first.Store(false)
 	}
-	if number, linked := b.trust.Position(); !linked && !ev.Heartbeat && ev.Revision < number {
+	if number, linked := b.trust.Position(); !linked && ev.Kind != discovery.Heartbeat && ev.Revision < number {
 		return nil // heard before: only the list was wanted
 	}
-	n := validity.Event{Number: ev.Revision, Checksum: ev.Checksum, Heartbeat: ev.Heartbeat, Purge: ev.Purged, WholeGroup: ev.Purged && ev.Object == "",
-		Group: uint16(ev.Group), PurgedAt: int64(ev.At*1000 + 0.5)}
+	n := validity.Event{
+		Number:     ev.Revision,
+		Checksum:   ev.Checksum,
+		Heartbeat:  ev.Kind == discovery.Heartbeat,
+		Purge:      ev.IsPurge(),
+		WholeGroup: ev.Kind == discovery.PurgeGroup,
+		Group:      uint16(ev.Purge.Group),
+		PurgedAt:   int64(ev.Purge.PurgedAt*1000 + 0.5),
+	}
 	if n.Purge && !n.WholeGroup {
-		n.Object, _ = strconv.ParseUint(ev.Object, 16, 64)
+		n.Object, _ = strconv.ParseUint(ev.Purge.Object, 16, 64)
 	}
 	if b.trust.Apply(n) {
 		b.Telemetry.Add("box.board-anew", 1)
--- a/internal/edgecache/box_test.go
+++ b/internal/edgecache/box_test.go
@@ -50,7 +50,7 @@
 				continue
 			}
 			b.mu.Lock()
-			for _, ev := range append(append([]discovery.Event{}, b.events...), discovery.Event{Heartbeat: true}) {
+			for _, ev := range append(append([]discovery.Event{}, b.events...), discovery.Event{Kind: discovery.Heartbeat}) {
 				text, _ := discovery.AppendEvent(nil, ev)
 				_, _ = c.Write(text)
 			}
@@ -101,7 +101,7 @@
 }
 
 func (r *running) row(id string, kind int) discovery.Event {
-	return discovery.Event{Endpoints: []discovery.Endpoint{{Address: r.addr, Endpoint: routing.Endpoint{ID: id, Kind: kind, Weight: 8}}}}
+	return discovery.Event{Kind: discovery.Update, Endpoints: []discovery.Endpoint{{Address: r.addr, Endpoint: routing.Endpoint{ID: id, Kind: kind, Weight: 8}}}}
 }
 
 // origin starts one whose objects have versions that a test sets.
@@ -186,7 +186,7 @@
 	}
 	assert.Len(t, m.keys, 1)
 
-	b.tell(discovery.Event{Purged: true, Object: fmt.Sprintf("%016x", 5), At: float64(time.Now().UnixMilli()+1) / 1000})
+	b.tell(discovery.Event{Kind: discovery.PurgeObject, Purge: discovery.Purge{Object: fmt.Sprintf("%016x", 5), PurgedAt: float64(time.Now().UnixMilli()+1) / 1000}})
 	require.Eventually(t, func() bool { return x.Telemetry.Count("box.purges") == 1 }, patience, time.Millisecond)
 	word, _, _ = a.ask(t, "video", 5, "")
 	assert.Equal(t, "not_here", word, "purged")
@@ -244,7 +244,7 @@
 	x.stop()
 	require.NoError(t, x.Disk.Close())
 
-	b.tell(discovery.Event{Purged: true, Object: fmt.Sprintf("%016x", 6), At: float64(time.Now().UnixMilli()+1) / 1000})
+	b.tell(discovery.Event{Kind: discovery.PurgeObject, Purge: discovery.Purge{Object: fmt.Sprintf("%016x", 6), PurgedAt: float64(time.Now().UnixMilli()+1) / 1000}})
 	x = start(t, b, with)
 	a = x.dial(t)
 	require.Eventually(t, func() bool { word, _, _ := a.ask(t, "video", 5, ""); return word == "served" }, patience, time.Millisecond)
@@ -254,7 +254,7 @@
 	require.NoError(t, x.Disk.Close())
 
 	other := startBoard(t) // which tells other events under the same numbers
-	other.tell(discovery.Event{Purged: true, Group: 200, At: 1})
+	other.tell(discovery.Event{Kind: discovery.PurgeGroup, Purge: discovery.Purge{Group: 200, PurgedAt: 1}})
 	other.tell(o.row("s-000000ff", 2))
 	x = start(t, other, with)
 	a = x.dial(t)
--- a/internal/lab/board.go
+++ b/internal/lab/board.go
@@ -131,7 +131,7 @@
 		}
 		b.mu.Unlock()
 		if len(out) == 0 || first { // what there was is told whole: the beat says so
-			out, _ = discovery.AppendEvent(out, discovery.Event{Revision: uint64(live), Heartbeat: true})
+			out, _ = discovery.AppendEvent(out, discovery.Event{Revision: uint64(live), Kind: discovery.Heartbeat})
 		}
 		if _, err := c.Write(out); err != nil {
 			return
--- a/internal/lab/town.go
+++ b/internal/lab/town.go
@@ -149,9 +149,10 @@
 	}
 	t.mu.Unlock()
 	time.Sleep(2 * time.Millisecond) // the archive gives out the new one before anybody is told
-	ev := discovery.Event{Purged: true, Group: int(p.group), At: unix(time.Now())}
+	ev := discovery.Event{Kind: discovery.PurgeGroup, Purge: discovery.Purge{Group: int(p.group), PurgedAt: unix(time.Now())}}
 	if !all {
-		ev.Object = fmt.Sprintf("%016x", object)
+		ev.Kind = discovery.PurgeObject
+		ev.Purge.Object = fmt.Sprintf("%016x", object)
 	}
 	p.event = t.board.tell(ev)
 	t.mu.Lock()
@@ -206,7 +207,7 @@
 // list tells the board how a member stands.
 func (t *town) list(p *place, status routing.EndpointStatus) {
 	p.status = status
-	t.board.tell(discovery.Event{Endpoints: []discovery.Endpoint{p.row()}})
+	t.board.tell(discovery.Event{Kind: discovery.Update, Endpoints: []discovery.Endpoint{p.row()}})
 }
 
 // rulebook is the operators' file of a member.
