--- a/internal/dispatch/route.go
+++ b/internal/dispatch/route.go
@@ -38,7 +38,7 @@
 	Pool    *upstream.Pool
 	Book    *telemetry.Book
 	Clock   func() float64      // Unix seconds
-	Spend   *retrybudget.Ledger // the budget of further hops; nil for none
+	Spend   *retrybudget.Budget // the budget of further hops; nil for none
 
 	// Saw hears how each hop ended and how long it took, s; nil for nobody. It must not wait.
 	Saw func(member string, rule int, code routing.AttemptResult, took float64)
@@ -46,8 +46,8 @@
 	in      chan any
 	gone    chan struct{}
 	mu      sync.Mutex
-	leavers []frontend.Left // not yet heard; each txn let in leaves once at the most, so their number is bounded
-	nudge   chan struct{}   // there are leavers
+	leavers []frontend.RequestCancelled // not yet heard; each txn let in leaves once at the most, so their number is bounded
+	nudge   chan struct{}               // there are leavers
 	now     float64
 	open    map[string]*open
 	kinds   map[string]int // of members
@@ -56,7 +56,7 @@
 
 // open is a txn that is not answered, or has hops out.
 type open struct {
-	t     *request.Txn
+	t     *request.Request
 	hops  []*hop
 	out   int
 	ended bool // it had its final answer, or its client left
@@ -70,8 +70,8 @@
 	no     int
 	member string
 	sent   float64
-	call   *upstream.Call
-	link   *upstream.Link
+	call   *upstream.Attempt
+	link   *upstream.Connection
 	over   bool
 	undone bool
 	stuck  bool // the decisions know that its connection is silent
@@ -80,10 +80,16 @@
 type check struct {
 	member string
 	sent   float64
-	call   *upstream.Call
+	call   *upstream.Attempt
 	over   bool
 }
 
+// OwnsUpstreamAttempt makes a hop an upstream.Owner.
+func (*hop) OwnsUpstreamAttempt() {}
+
+// OwnsUpstreamAttempt makes a check an upstream.Owner.
+func (*check) OwnsUpstreamAttempt() {}
+
 // New makes a loop that stands still.
 func New(b routing.Decider, rec routing.Settings, p *upstream.Pool, k *telemetry.Book) *Loop {
 	return &Loop{Brain: b, Records: rec, Pool: p, Book: k, in: make(chan any, queued), gone: make(chan struct{}), nudge: make(chan struct{}, 1),
@@ -94,7 +100,7 @@
 // Post hands an event to the loop. It waits while too many do, but not for a loop that has ended. Of a client that left it
 // never waits, and those go before all else that waits: who reads a connection must not stand still because of it.
 func (l *Loop) Post(ev any) {
-	if left, ok := ev.(frontend.Left); ok {
+	if left, ok := ev.(frontend.RequestCancelled); ok {
 		l.mu.Lock()
 		l.leavers = append(l.leavers, left)
 		l.mu.Unlock()
@@ -138,7 +144,7 @@
 	defer bell.Stop()
 	defer sweep.Stop()
 	var watch <-chan time.Time
-	if l.Pool.Reach != nil || l.Spend != nil {
+	if l.Pool.AddressSelector != nil || l.Spend != nil {
 		watching := time.NewTicker(watchEvery)
 		defer watching.Stop()
 		watch = watching.C
@@ -153,13 +159,13 @@
 			l.safely(func() { l.Hear(ev) })
 		case <-bell.C:
 		case <-sweep.C:
-			l.safely(func() { l.Pool.Sweep(time.Now()) })
+			l.safely(func() { l.Pool.CloseIdle(time.Now()) })
 		case <-watch:
 			l.safely(func() {
 				l.tick()
-				l.stuck(l.Pool.Watch(time.Now()))
+				l.stuck(l.Pool.CheckAddresses(time.Now()))
 				if l.Spend != nil {
-					l.Spend.Tick(l.now)
+					l.Spend.Advance(l.now)
 					l.spare()
 				}
 			})
@@ -194,33 +200,33 @@
 func (l *Loop) Hear(ev any) {
 	l.tick()
 	switch ev := ev.(type) {
-	case *request.Txn:
+	case *request.Request:
 		l.arrived(ev)
-	case frontend.Left:
-		if o := l.open[ev.Txn.ID]; o != nil && o.t == ev.Txn {
+	case frontend.RequestCancelled:
+		if o := l.open[ev.Request.ID]; o != nil && o.t == ev.Request {
 			l.left(o)
 		}
-	case upstream.Dialed:
-		l.Pool.Heard(ev)
+	case upstream.DialEnded:
+		l.Pool.HandleEvent(ev)
 	case func():
 		ev()
 	case routing.Event: // a fact from beside the txns
 		l.decide(ev, nil)
-	case upstream.Ended:
-		l.Pool.Heard(ev)
-		switch owner := ev.Call.Owner.(type) {
+	case upstream.AttemptEnded:
+		l.Pool.HandleEvent(ev)
+		switch owner := ev.Attempt.Owner.(type) {
 		case *hop:
 			l.ended(owner, ev.End)
 		case *check:
 			l.checked(owner, ev.End)
 		}
-	case upstream.Dropped:
-		l.Pool.Drop(ev.Link)
+	case upstream.ConnectionClosed:
+		l.Pool.RemoveConnection(ev.Connection)
 	case discovery.Event:
 		l.noticed(ev, routing.Incremental)
 	case Abandon:
 		for _, o := range l.open {
-			l.answer(o, request.Answer{Verdict: request.Aborted, Reason: "shutdown"})
+			l.answer(o, request.Response{Result: request.Aborted, Reason: "shutdown"})
 		}
 	}
 }
@@ -238,15 +244,15 @@
 }
 
 func (l *Loop) noticed(ev discovery.Event, kind routing.UpdateKind) {
-	if ev.Purged {
-		l.decide(routing.Purge{AgeSeconds: max(l.now-ev.At, 0), ObjectGroup: ev.Group, Object: ev.Object}, nil)
+	if ev.IsPurge() {
+		l.decide(routing.Purge{AgeSeconds: max(l.now-ev.Purge.PurgedAt, 0), ObjectGroup: ev.Purge.Group, Object: ev.Purge.Object}, nil)
 		return
 	}
-	if ev.Full && kind != routing.Restored {
+	if ev.Kind == discovery.Snapshot && kind != routing.Restored {
 		kind = routing.Snapshot
 	}
 	rows := make([]routing.Endpoint, len(ev.Endpoints))
-	if ev.Full {
+	if ev.Kind == discovery.Snapshot {
 		clear(l.kinds)
 	}
 	for i, row := range ev.Endpoints {
@@ -255,7 +261,7 @@
 			delete(l.kinds, row.ID)
 		}
 	}
-	l.Pool.List(ev.Full, ev.Endpoints)
+	l.Pool.UpdateEndpoints(ev.Kind == discovery.Snapshot, ev.Endpoints)
 	l.decide(routing.EndpointUpdate{Kind: kind, Endpoints: rows}, nil)
 }
 
@@ -268,31 +274,31 @@
 	}
 }
 
-func (l *Loop) arrived(t *request.Txn) {
-	if t.Left() { // while it waited for the loop: there is nothing to decide
+func (l *Loop) arrived(t *request.Request) {
+	if t.Cancelled() { // while it waited for the loop: there is nothing to decide
 		t.Body.Free()
 		return
 	}
 	if l.open[t.ID] != nil { // the decisions know a txn by its id
 		t.Body.Free()
-		t.To.Answer(t, request.Answer{Verdict: request.Rejected, Reason: "id-in-use"})
+		t.ResponseWriter.Respond(t, request.Response{Result: request.Rejected, Reason: "id-in-use"})
 		return
 	}
 	o := &open{t: t}
 	l.open[t.ID] = o
-	l.at(t.Limit+guardAfter.Seconds(), timer{guard: o})
-	l.decide(routing.RequestArrived{Request: t.ID, Class: t.Rule, Object: strings.ToLower(t.Object), Chunk: t.PartNo, ObjectGroup: t.Group, Deadline: t.Limit,
-		SizeKB: t.KB, Write: l.Records.ListItem("uncacheable", t.Rule) == "true"}, o)
+	l.at(t.Deadline+guardAfter.Seconds(), timer{guard: o})
+	l.decide(routing.RequestArrived{Request: t.ID, Class: t.Class, Object: strings.ToLower(t.Object), Chunk: t.PartNumber, ObjectGroup: t.PurgeGroup, Deadline: t.Deadline,
+		SizeKB: t.SizeKB, Write: l.Records.ListItem("uncacheable", t.Class) == "true"}, o)
 }
 
 // answer gives a txn its final answer, if it had none.
-func (l *Loop) answer(o *open, a request.Answer) {
+func (l *Loop) answer(o *open, a request.Response) {
 	if o.ended {
 		a.Body.Free()
 		return
 	}
 	o.ended = true
-	o.t.To.Answer(o.t, a)
+	o.t.ResponseWriter.Respond(o.t, a)
 	l.tidy(o)
 }
 
@@ -310,7 +316,7 @@
 	routing.NotSent: "moot", routing.CacheMiss: "miss"}
 
 // ended is the end of a hop. The first completed one answers its txn.
-func (l *Loop) ended(h *hop, end request.End) {
+func (l *Loop) ended(h *hop, end request.AttemptEnd) {
 	if h.over {
 		end.Body.Free()
 		return
@@ -318,22 +324,22 @@
 	o := h.o
 	h.over, h.call = true, nil // a call holds the body, and the hop's timer holds the hop
 	o.out--
-	l.Book.Add("hops."+o.t.Name+"."+reasons[end.Code], 1)
+	l.Book.Add("hops."+o.t.ClassName+"."+reasons[end.Code], 1)
 	if end.Code == routing.Completed {
-		l.answer(o, request.Answer{Verdict: request.Completed, Reason: "by-a-hop", Tag: end.Tag, Same: end.Same, Body: end.Body})
+		l.answer(o, request.Response{Result: request.Completed, Reason: "by-a-hop", ETag: end.ETag, NotModified: end.NotModified, Body: end.Body})
 	}
 	if l.Saw != nil {
-		l.Saw(h.member, o.t.Rule, end.Code, l.now-h.sent)
+		l.Saw(h.member, o.t.Class, end.Code, l.now-h.sent)
 	}
 	l.decide(routing.AttemptEnded{Request: o.t.ID, Attempt: h.no, Endpoint: h.member, Result: end.Code, Detail: end.Remark,
-		ElapsedSeconds: l.now - h.sent, RequestDone: o.ended, LoadReport: end.Load}, o)
+		ElapsedSeconds: l.now - h.sent, RequestDone: o.ended, LoadReport: end.LoadReport}, o)
 	l.tidy(o)
 }
 
-func (l *Loop) checked(c *check, end request.End) {
+func (l *Loop) checked(c *check, end request.AttemptEnd) {
 	if !c.over {
 		c.over = true
-		l.decide(routing.ProbeResult{Endpoint: c.member, Result: end.Code, ElapsedSeconds: l.now - c.sent, LoadReport: end.Load}, nil)
+		l.decide(routing.ProbeResult{Endpoint: c.member, Result: end.Code, ElapsedSeconds: l.now - c.sent, LoadReport: end.LoadReport}, nil)
 	}
 }
 
@@ -362,7 +368,7 @@
 
 // abandon aborts a txn that the decisions failed to end, and gives up its hops.
 func (l *Loop) abandon(o *open, reason string) {
-	l.answer(o, request.Answer{Verdict: request.Aborted, Reason: reason})
+	l.answer(o, request.Response{Result: request.Aborted, Reason: reason})
 	for _, h := range o.hops {
 		l.undo(h, routing.Cancelled)
 	}
@@ -385,21 +391,21 @@
 		}
 	case routing.RejectRequest:
 		if o := l.open[a.Request]; o != nil {
-			l.answer(o, request.Answer{Verdict: request.Rejected, Reason: "decided", Again: a.RetryAfterSeconds})
+			l.answer(o, request.Response{Result: request.Rejected, Reason: "decided", RetryAfterSeconds: a.RetryAfterSeconds})
 		}
 	case routing.AbortRequest:
 		if o := l.open[a.Request]; o != nil {
-			l.answer(o, request.Answer{Verdict: request.Aborted, Reason: "decided"})
+			l.answer(o, request.Response{Result: request.Aborted, Reason: "decided"})
 		}
 	case routing.SetTimer:
 		l.at(l.now+a.AfterSeconds, timer{token: a.Token})
 	case routing.Probe:
 		c := &check{member: a.Endpoint, sent: l.now}
-		if c.call = l.Pool.Check(a.Endpoint, c); c.call == nil {
-			l.later(func() { l.checked(c, request.End{Code: routing.ConnectFailed}) })
+		if c.call = l.Pool.SendHealthCheck(a.Endpoint, c); c.call == nil {
+			l.later(func() { l.checked(c, request.AttemptEnd{Code: routing.ConnectFailed}) })
 			return
 		}
-		l.at(l.now+l.Pool.Connect.Seconds(), timer{check: c})
+		l.at(l.now+l.Pool.ConnectTimeout.Seconds(), timer{check: c})
 	case routing.LogNote:
 		l.Book.Log.Info("note", "text", a.Message)
 	}
@@ -409,38 +415,38 @@
 	h := &hop{o: o, no: len(o.hops), member: a.Endpoint, sent: l.now}
 	o.hops = append(o.hops, h)
 	o.out++
-	var avoid []*upstream.Link // what was said of the txn there may be said again
+	var avoid []*upstream.Connection // what was said of the txn there may be said again
 	for _, x := range o.hops[:h.no] {
 		if x.link != nil {
 			avoid = append(avoid, x.link)
 		}
 	}
-	until := o.t.Limit
+	until := o.t.Deadline
 	if a.Deadline > 0 {
 		until = min(until, a.Deadline)
 	}
 	d := cacheproto.Attempt{Txn: o.t, TimeoutSeconds: until - l.now, FillSource: l.fill(a), StartAttempt: a}
 	if l.Spend != nil {
-		l.Spend.Sent(l.now, o.t.Rule, a.Endpoint, h.no > 0)
+		l.Spend.RecordAttempt(l.now, o.t.Class, a.Endpoint, h.no > 0)
 		l.later(l.spare)
 	}
 	switch {
-	case o.t.Left(): // the news of it is still in the queue
+	case o.t.Cancelled(): // the news of it is still in the queue
 		l.later(func() { l.left(o) })
 	case !o.ended && until > l.now:
-		l.Book.Add("hops."+o.t.Name+".sent", 1)
+		l.Book.Add("hops."+o.t.ClassName+".sent", 1)
 		h.call = l.Pool.Send(d, avoid, h)
 	}
 	if h.call == nil {
-		l.later(func() { l.ended(h, request.End{Code: routing.NotSent}) })
+		l.later(func() { l.ended(h, request.AttemptEnd{Code: routing.NotSent}) })
 		return
 	}
-	h.link = h.call.Link()
+	h.link = h.call.Connection()
 	l.at(until, timer{hop: h})
 }
 
 // stuck tells the decisions of hops whose connection is silent while their member answers elsewhere, each once.
-func (l *Loop) stuck(calls []*upstream.Call) {
+func (l *Loop) stuck(calls []*upstream.Attempt) {
 	for _, c := range calls {
 		if h, ok := c.Owner.(*hop); ok && !h.over && !h.stuck {
 			h.stuck = true
@@ -452,11 +458,11 @@
 
 // spare tells the decisions which budgets of further hops are spent, and which are open again.
 func (l *Loop) spare() {
-	for _, c := range l.Spend.Changes() {
-		if l.Book.Add("spend.changes", 1); !c.Open {
+	for _, c := range l.Spend.TakeChanges() {
+		if l.Book.Add("spend.changes", 1); !c.Available {
 			l.Book.Add("spend.spent", 1)
 		}
-		l.decide(routing.RetryBudgetChanged{Class: c.Rule, Endpoint: c.Member, Available: c.Open}, nil)
+		l.decide(routing.RetryBudgetChanged{Class: c.Class, Endpoint: c.Endpoint, Available: c.Available}, nil)
 	}
 }
 
@@ -477,8 +483,8 @@
 		return
 	}
 	h.undone = true
-	if code, atOnce := l.Pool.Undo(h.call, code); atOnce {
-		l.later(func() { l.ended(h, request.End{Code: code}) })
+	if code, atOnce := l.Pool.Cancel(h.call, code); atOnce {
+		l.later(func() { l.ended(h, request.AttemptEnd{Code: code}) })
 	}
 }
 
@@ -520,8 +526,8 @@
 			l.undo(t.hop, routing.TimedOut)
 		case t.check != nil:
 			if !t.check.over {
-				l.Pool.Undo(t.check.call, routing.TimedOut)
-				l.checked(t.check, request.End{Code: routing.TimedOut})
+				l.Pool.Cancel(t.check.call, routing.TimedOut)
+				l.checked(t.check, request.AttemptEnd{Code: routing.TimedOut})
 			}
 		case t.guard != nil:
 			if !t.guard.ended {
--- a/internal/lab/town.go
+++ b/internal/lab/town.go
@@ -76,7 +76,7 @@
 type town struct {
 	s     Setting
 	board *noticeBoard
-	made  edgecache.Maker
+	made  edgecache.SyntheticOrigin
 
 	mu       sync.Mutex
 	places   []*place
@@ -120,10 +120,10 @@
 		return nil, err
 	}
 	t := &town{s: s, board: b, versions: map[uint64]uint64{}, groups: map[uint64]uint64{}, ran: map[string]int{}, campuses: campuses}
-	t.made.Seed, t.made.Least, t.made.Most, t.made.Groups = s.Seed, 8000, 40000, 32
-	t.made.Window = time.Duration(keyWindow * float64(time.Second))
+	t.made.Seed, t.made.MinBytes, t.made.MaxBytes, t.made.Groups = s.Seed, 8000, 40000, 32
+	t.made.KeyRetention = time.Duration(keyWindow * float64(time.Second))
 	t.made.Version = t.versionOf
-	t.made.Ran = func(_, key string) {
+	t.made.OnExecute = func(_, key string) {
 		t.mu.Lock()
 		t.ran[key]++
 		t.mu.Unlock()
@@ -149,9 +149,10 @@
 	}
 	t.mu.Unlock()
 	time.Sleep(2 * time.Millisecond) // the archive gives out the new one before anybody is told
-	ev := discovery.Event{Purged: true, Group: int(p.group), At: unix(time.Now())}
+	ev := discovery.Event{Kind: discovery.PurgeGroup, Purge: discovery.Purge{Group: int(p.group), PurgedAt: unix(time.Now())}}
 	if !all {
-		ev.Object = fmt.Sprintf("%016x", object)
+		ev.Kind = discovery.PurgeObject
+		ev.Purge.Object = fmt.Sprintf("%016x", object)
 	}
 	p.event = t.board.tell(ev)
 	t.mu.Lock()
@@ -206,7 +207,7 @@
 // list tells the board how a member stands.
 func (t *town) list(p *place, status routing.EndpointStatus) {
 	p.status = status
-	t.board.tell(discovery.Event{Endpoints: []discovery.Endpoint{p.row()}})
+	t.board.tell(discovery.Event{Kind: discovery.Update, Endpoints: []discovery.Endpoint{p.row()}})
 }
 
 // rulebook is the operators' file of a member.
@@ -239,16 +240,16 @@
 		return err
 	}
 	rules := t.rulebook(p, "")
-	b := &edgecache.Box{Plan: rules.Box, Book: telemetry.New(io.Discard, p.id)}
+	b := &edgecache.Server{Config: rules.Box, Telemetry: telemetry.New(io.Discard, p.id)}
 	if p.kind == 2 {
 		b.Origin = &t.made
 	}
-	b.Saw = func(a cacheproto.Command) {
+	b.OnRequest = func(a cacheproto.Command) {
 		t.mu.Lock()
 		t.asks = append(t.asks, saw{unix(time.Now()), p.id, a})
 		t.mu.Unlock()
 	}
-	b.Gave = func(id string, bytes int) {
+	b.OnResponse = func(id string, bytes int) {
 		t.mu.Lock()
 		t.gaves = append(t.gaves, gave{unix(time.Now()), p.id, id, bytes})
 		t.mu.Unlock()
