--- a/internal/frontend/golden_test.go
+++ b/internal/frontend/golden_test.go
@@ -72,7 +72,7 @@
 		}
 		assert.Eventually(t, func() bool { // until the bytes have been seen
 			p := c.conn()
-			return p != nil && p.Got() == int64(len(says))
+			return p != nil && p.BytesRead() == int64(len(says))
 		}, time.Minute, time.Millisecond)
 		c.sweepUntilDone(age + time.Second)
 		return endedLine(t, c)
@@ -264,7 +264,7 @@
 	s.step("graceful close")
 	for ended := false; !ended; {
 		s.FinishDrain(canceled(t))
-		ended = s.conn().Code() == netconn.Shutdown
+		ended = s.conn().EndCode() == netconn.Shutdown
 	}
 	s.end(t)
 
