--- a/cmd/cairnfront/operators.go
+++ b/cmd/cairnfront/operators.go
@@ -25,8 +25,8 @@
 			RunE: func(cmd *cobra.Command, args []string) error {
 				rules, err := config.Read(args[0])
 				if err == nil {
-					fmt.Fprintf(cmd.OutOrStdout(), "%s: box %s (%s, %d remap rules), disk %q, peers at %q (%d in the roster)\n", args[0], rules.Box.ID, rules.Box.Role,
-						len(rules.Box.Rules), rules.Tier.Folder, rules.Peers.Listen, len(rules.Peers.Roster))
+					fmt.Fprintf(cmd.OutOrStdout(), "%s: box %s (%s, %d remap rules), disk %q, peers at %q (%d in the roster)\n", args[0], rules.EdgeCache.ID, rules.EdgeCache.Role,
+						len(rules.EdgeCache.Classes), rules.DiskCache.Directory, rules.Membership.Listen, len(rules.Membership.Roster))
 				}
 				return err
 			}},
--- a/cmd/cairnfront/peers.go
+++ b/cmd/cairnfront/peers.go
@@ -39,7 +39,7 @@
 }
 
 // join makes a router one of several, if the operators' file says so.
-func join(ctx context.Context, g *errgroup.Group, p config.Peers, name string, seed uint64, loop *dispatch.Loop, k *telemetry.Book) (*membership.Node, error) {
+func join(ctx context.Context, g *errgroup.Group, p config.Membership, name string, seed uint64, loop *dispatch.Dispatcher, k *telemetry.Metrics) (*membership.Node, error) {
 	if p.Listen == "" {
 		return nil, nil
 	}
@@ -61,15 +61,15 @@
 	if err != nil {
 		return nil, err
 	}
-	node, err := membership.New(membership.Config{Name: name, Zone: p.Zone, Listen: p.Listen, Advertise: p.Advertise, Key: key, Roster: list, MaxByzantine: p.Liars, Seed: seed,
-		ReceiveLimits: ratelimit.Limits{TotalDatagrams: p.InDatagrams, TotalBytes: p.InKB * 1000, PerPeerDatagrams: p.InEachDatagrams, PerPeerBytes: p.InEachKB * 1000},
-		SendLimits:    ratelimit.Limits{TotalDatagrams: p.OutDatagrams, TotalBytes: p.OutKB * 1000, PerPeerDatagrams: p.OutEachDatagrams, PerPeerBytes: p.OutEachKB * 1000}}, k)
+	node, err := membership.New(membership.Config{Name: name, Zone: p.Zone, Listen: p.Listen, Advertise: p.Advertise, Key: key, Roster: list, MaxByzantine: p.FaultyPeers, Seed: seed,
+		ReceiveLimits: ratelimit.Limits{TotalDatagrams: p.ReceiveDatagrams, TotalBytes: p.ReceiveKB * 1000, PerPeerDatagrams: p.ReceiveDatagramsPerPeer, PerPeerBytes: p.ReceiveKBPerPeer * 1000},
+		SendLimits:    ratelimit.Limits{TotalDatagrams: p.SendDatagrams, TotalBytes: p.SendKB * 1000, PerPeerDatagrams: p.SendDatagramsPerPeer, PerPeerBytes: p.SendKBPerPeer * 1000}}, k)
 	if err != nil {
 		return nil, err
 	}
 	node.ProbeEventLoop = func(done func()) { loop.Post(done) }
-	loop.Saw = func(member string, rule int, code routing.AttemptResult, took float64) {
-		sla := loop.Records.Float(routing.ClassSetting(rule, "sla_s"), 1)
+	loop.OnAttemptEnd = func(member string, rule int, code routing.AttemptResult, took float64) {
+		sla := loop.Settings.Float(routing.ClassSetting(rule, "sla_s"), 1)
 		if says, ok := observation.Classify(code, took > sla); ok {
 			node.ReportAttempt(member, says)
 		}
@@ -98,7 +98,7 @@
 }
 
 // rejoin follows a roster read anew.
-func rejoin(ctx context.Context, node *membership.Node, p config.Peers, k *telemetry.Book) error {
+func rejoin(ctx context.Context, node *membership.Node, p config.Membership, k *telemetry.Metrics) error {
 	if (node == nil) != (p.Listen == "") {
 		return errors.New("peers.listen: peers can't be taken up or given up while the router runs")
 	}
@@ -138,7 +138,7 @@
 	var asJSON bool
 	c := &cobra.Command{Use: "peers", Short: "How a running router stands among its peers, and what it holds of each", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			data, err := admin.Ask(socket, "peers", nil)
+			data, err := admin.Call(socket, "peers", nil)
 			if err != nil {
 				return err
 			}
@@ -157,7 +157,7 @@
 	c.Flags().BoolVar(&asJSON, "json", false, "as JSON")
 	c.AddCommand(&cobra.Command{Use: "leave", Short: "Say goodbye to the peers; the router goes on serving alone until its next start", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
-			_, err := admin.Ask(socket, "peers-leave", nil)
+			_, err := admin.Call(socket, "peers-leave", nil)
 			return err
 		}}, &cobra.Command{Use: "key FILE", Short: "Make a private key in a new file and print its public half for the roster", Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
--- a/cmd/cairnfront/peers_test.go
+++ b/cmd/cairnfront/peers_test.go
@@ -45,7 +45,7 @@
 }
 
 func (f *fellowship) report(i int) (r membership.Report) {
-	if data, err := admin.Ask(f.door(i), "peers", nil); err == nil {
+	if data, err := admin.Call(f.door(i), "peers", nil); err == nil {
 		_ = json.Unmarshal(data, &r)
 	}
 	return r
--- a/cmd/cairnfront/reach.go
+++ b/cmd/cairnfront/reach.go
@@ -22,13 +22,13 @@
 )
 
 // addressed gives a pool what the operators' file says of members with several addresses. It is changed by the loop.
-type addressed struct{ list []config.Several }
+type addressed struct{ list []config.EndpointAddresses }
 
 func (a *addressed) of(row discovery.Endpoint) []address.Addr {
 	for _, s := range a.list {
 		if s.Matches(row.ID, row.Address) {
-			out := make([]address.Addr, len(s.List))
-			for i, text := range s.List {
+			out := make([]address.Addr, len(s.Addresses))
+			for i, text := range s.Addresses {
 				out[i] = address.Addr(text)
 			}
 			return out
@@ -39,8 +39,8 @@
 
 // extend makes a router of what the operators' file asks beside its start file. Nothing of it is there without one.
 // Reload takes the file's text anew.
-func extend(ctx context.Context, g *errgroup.Group, file, name string, seed uint64, rules map[int]bool, probes bool, pool *upstream.Pool, loop *dispatch.Loop,
-	k *telemetry.Book) (reload func(), err error) {
+func extend(ctx context.Context, g *errgroup.Group, file, name string, seed uint64, rules map[int]bool, probes bool, pool *upstream.Pool, loop *dispatch.Dispatcher,
+	k *telemetry.Metrics) (reload func(), err error) {
 	if file == "" {
 		return func() {}, nil
 	}
@@ -48,20 +48,20 @@
 	if err != nil {
 		return nil, err
 	}
-	node, err := join(ctx, g, book.Peers, name, seed, loop, k)
+	node, err := join(ctx, g, book.Membership, name, seed, loop, k)
 	if err != nil {
 		return nil, err
 	}
-	if book.Router.FurtherShare > 0 {
-		loop.Spend = retrybudget.New(retrybudget.Limits{RetryRatio: book.Router.FurtherShare, MinRetries: book.Router.FurtherLeast})
+	if book.Router.RetryShare > 0 {
+		loop.RetryBudget = retrybudget.New(retrybudget.Limits{RetryRatio: book.Router.RetryShare, MinRetries: book.Router.RetryFloor})
 	}
-	apply := func(config.Rulebook) error { return nil }
+	apply := func(config.File) error { return nil }
 	if len(book.Router.Addresses) > 0 {
 		a := &addressed{book.Router.Addresses}
 		pool.AddressSelector, pool.EndpointAddresses = address.New(seed), a.of
 		pool.AddressSelector.HealthChecksAllowed = probes
 		pool.IsIdempotent = func(rule int) bool { return rules[rule] }
-		apply = func(fresh config.Rulebook) error {
+		apply = func(fresh config.File) error {
 			if len(fresh.Router.Addresses) == 0 {
 				return errors.New("router.addresses: the last ones can't go while the router runs")
 			}
@@ -76,17 +76,17 @@
 	reload = func() {
 		fresh, err := config.Read(file)
 		if err == nil {
-			err = errors.Join(apply(fresh), rejoin(ctx, node, fresh.Peers, k))
+			err = errors.Join(apply(fresh), rejoin(ctx, node, fresh.Membership, k))
 		}
 		if err != nil {
 			k.Add("reloads.failed", 1)
 			k.Log.Error("reload", "code", "kept-old", "err", err.Error())
 		}
 	}
-	if book.Router.Socket == "" {
+	if book.Router.AdminSocket == "" {
 		return reload, nil
 	}
-	ln, err := admin.Listen(book.Router.Socket)
+	ln, err := admin.Listen(book.Router.AdminSocket)
 	if err != nil {
 		return nil, fmt.Errorf("router.socket: %w", err)
 	}
@@ -99,7 +99,7 @@
 			return "done", nil
 		})
 	}
-	door := &admin.Door{Count: k.Add, Handlers: map[string]admin.Handler{
+	door := &admin.Server{Count: k.Add, Handlers: map[string]admin.Handler{
 		"reach": admin.OnLoop(loop.Post, func(map[string]string) (any, error) {
 			if pool.AddressSelector == nil {
 				return []address.AddressStatus{}, nil
@@ -122,7 +122,7 @@
 	var asJSON bool
 	c := &cobra.Command{Use: "reach", Short: "What a running router knows of its members' addresses", Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			data, err := admin.Ask(socket, "reach", nil)
+			data, err := admin.Call(socket, "reach", nil)
 			if err != nil {
 				return err
 			}
@@ -149,7 +149,7 @@
 	for _, x := range []struct{ do, short string }{{"rest", "Use an address for no new hop until it is unrested"}, {"unrest", "End any rest of an address"}} {
 		c.AddCommand(&cobra.Command{Use: x.do + " MEMBER ADDRESS", Short: x.short, Args: cobra.ExactArgs(2),
 			RunE: func(cmd *cobra.Command, args []string) error {
-				_, err := admin.Ask(socket, x.do, map[string]string{"member": args[0], "address": args[1]})
+				_, err := admin.Call(socket, x.do, map[string]string{"member": args[0], "address": args[1]})
 				return err
 			}})
 	}
--- a/cmd/cairnfront/serve.go
+++ b/cmd/cairnfront/serve.go
@@ -59,7 +59,7 @@
 	if err != nil || ln == nil {
 		return err
 	}
-	defer k.Print(os.Stderr)
+	defer k.Dump(os.Stderr)
 	gate := admission.New(m.MemoryMB, descriptors(m.MaxSockets))
 	seconds := func(name string) time.Duration {
 		return time.Duration(m.Settings.Float(name, 0) * float64(time.Second))
@@ -88,7 +88,7 @@
 		return err
 	}
 	pool.Start(ctx)
-	loop.Known(m.KnownEvents)
+	loop.LoadBootstrap(m.KnownEvents)
 	g.Go(func() error { return loop.Run(ctx) })
 	g.Go(func() error { return news.Run(ctx) })
 	g.Go(func() error { return taker.Serve(ctx, ln) })
@@ -105,7 +105,7 @@
 			reload()
 		case s := <-signals:
 			if s == syscall.SIGUSR1 {
-				k.Print(os.Stderr)
+				k.Dump(os.Stderr)
 				continue
 			}
 			k.Log.Info("draining", "signal", s.String(), "again", drained != nil)
@@ -135,7 +135,7 @@
 
 // drain ends what clients have open, in order: they are told, what comes all the same is served, each connection ends once
 // nothing is open on it. What is open when the time is up is abandoned.
-func drain(ctx context.Context, most time.Duration, taker *frontend.Server, gate *admission.Controller, loop *dispatch.Loop) {
+func drain(ctx context.Context, most time.Duration, taker *frontend.Server, gate *admission.Controller, loop *dispatch.Dispatcher) {
 	end, cancel := context.WithTimeout(ctx, most)
 	defer cancel()
 	taker.BeginDrain()
@@ -144,7 +144,7 @@
 	case <-time.After(drainLeast):
 	}
 	if taker.FinishDrain(end); gate.OpenRequests() > 0 {
-		loop.Post(dispatch.Abandon{})
+		loop.Post(dispatch.FailAll{})
 		gate.WaitDrained(ctx, 0, flushMost)
 	}
 }
@@ -161,7 +161,7 @@
 
 // listen opens the listener, or nothing where a signal to end came first. The process before may still be ending, with
 // the port in its hands: that is waited out for a bounded time.
-func listen(addr string, signals <-chan os.Signal, k *telemetry.Book) (net.Listener, error) {
+func listen(addr string, signals <-chan os.Signal, k *telemetry.Metrics) (net.Listener, error) {
 	for began, tries := time.Now(), 0; ; tries++ {
 		ln, err := net.Listen("tcp", addr)
 		if err == nil && tries > 0 {
@@ -182,7 +182,7 @@
 
 // reread reads what the router is told once more and follows the notice board's new address. A file that can't be
 // used leaves the old one in force.
-func reread(old bootstrap.Config, read func() (bootstrap.Config, error), moves chan string, k *telemetry.Book) bootstrap.Config {
+func reread(old bootstrap.Config, read func() (bootstrap.Config, error), moves chan string, k *telemetry.Metrics) bootstrap.Config {
 	m, err := read()
 	if err == nil {
 		err = m.CheckReload(old)
@@ -206,7 +206,7 @@
 
 // labHooks lets the laboratory, and nobody else, make the decisions stand still while the rest of the process goes on: from one
 // SIGUSR2 to the next.
-func labHooks(ctx context.Context, loop *dispatch.Loop) {
+func labHooks(ctx context.Context, loop *dispatch.Dispatcher) {
 	if os.Getenv(lab.LabVariable) == "" {
 		return
 	}
--- a/internal/admin/hatch.go
+++ b/internal/admin/hatch.go
@@ -37,7 +37,7 @@
 }
 
 // Answer is the line that goes out.
-type Answer struct {
+type Response struct {
 	V     int             `json:"v"`
 	OK    bool            `json:"ok"`
 	Error string          `json:"error,omitempty"`
@@ -48,7 +48,7 @@
 type Handler func(ctx context.Context, args map[string]string) (any, error)
 
 // Door is a door. Handlers are set before Run.
-type Door struct {
+type Server struct {
 	Handlers map[string]Handler
 	Count    func(name string, n int64)
 	allowed  func(uid uint32) bool
@@ -78,7 +78,7 @@
 }
 
 // Run serves until the context ends.
-func (d *Door) Run(ctx context.Context, ln net.Listener) error {
+func (d *Server) Run(ctx context.Context, ln net.Listener) error {
 	if d.allowed == nil {
 		d.allowed = func(uid uint32) bool { return uid == 0 || int(uid) == os.Getuid() }
 	}
@@ -135,7 +135,7 @@
 	return cred.Uid, nil
 }
 
-func (d *Door) serve(ctx context.Context, c net.Conn) {
+func (d *Server) serve(ctx context.Context, c net.Conn) {
 	_ = c.SetDeadline(time.Now().Add(patience))
 	uid, err := uidOf(c)
 	if err == nil && !d.allowed(uid) {
@@ -164,7 +164,7 @@
 	}
 }
 
-func (d *Door) handle(ctx context.Context, line []byte) (data any, err error) {
+func (d *Server) handle(ctx context.Context, line []byte) (data any, err error) {
 	var q Request
 	if err := json.Unmarshal(line, &q); err != nil {
 		return nil, fmt.Errorf("not a line of JSON as expected: %w", err)
@@ -188,8 +188,8 @@
 	return h(ctx, q.Args)
 }
 
-func (d *Door) answer(c net.Conn, data any, err error) bool {
-	a := Answer{V: Version, OK: err == nil}
+func (d *Server) answer(c net.Conn, data any, err error) bool {
+	a := Response{V: Version, OK: err == nil}
 	if err == nil {
 		if a.Data, err = json.Marshal(data); err == nil && len(a.Data) > mostAnswer {
 			err = fmt.Errorf("the answer has %d bytes, over %d: ask for less", len(a.Data), mostAnswer)
@@ -208,7 +208,7 @@
 }
 
 // Ask asks a running program once.
-func Ask(path, do string, args map[string]string) (json.RawMessage, error) {
+func Call(path, do string, args map[string]string) (json.RawMessage, error) {
 	c, err := net.DialTimeout("unix", path, patience)
 	if err != nil {
 		return nil, fmt.Errorf("asking at %s: %w", path, err)
@@ -226,7 +226,7 @@
 		return nil, err
 	}
 	_, unsent := c.Write(append(text, '\n'))
-	var a Answer
+	var a Response
 	if err := json.NewDecoder(c).Decode(&a); err != nil {
 		if unsent != nil {
 			return nil, fmt.Errorf("asking at %s: %w", path, unsent)
--- a/internal/admin/hatch_test.go
+++ b/internal/admin/hatch_test.go
@@ -14,7 +14,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-func begin(t *testing.T, d *Door) string {
+func begin(t *testing.T, d *Server) string {
 	path := filepath.Join(t.TempDir(), "s")
 	ln, err := Listen(path)
 	require.NoError(t, err)
@@ -26,7 +26,7 @@
 }
 
 func TestRequestsAreAnswered(t *testing.T) {
-	path := begin(t, &Door{Handlers: map[string]Handler{
+	path := begin(t, &Server{Handlers: map[string]Handler{
 		"echo": func(_ context.Context, args map[string]string) (any, error) { return args["x"], nil },
 		"fail": func(context.Context, map[string]string) (any, error) { return nil, errors.New("no such member") },
 		"fall": func(context.Context, map[string]string) (any, error) { panic("at this") },
@@ -35,11 +35,11 @@
 	info, err := os.Stat(path)
 	require.NoError(t, err)
 	assert.Equal(t, os.FileMode(0o600), info.Mode().Perm())
-	data, err := Ask(path, "echo", map[string]string{"x": "y"})
+	data, err := Call(path, "echo", map[string]string{"x": "y"})
 	require.NoError(t, err)
 	assert.Equal(t, `"y"`, string(data))
 	for do, want := range map[string]string{"fail": "no such member", "fall": "failed at this: at this", "what": "unknown request", "much": "ask for less"} {
-		_, err = Ask(path, do, nil)
+		_, err = Call(path, do, nil)
 		assert.ErrorContains(t, err, want)
 	}
 	for line, want := range map[string]string{"nonsense\n": "not a line of JSON", `{"v":9,"do":"echo"}` + "\n": "version 9", strings.Repeat("x", mostRequest+1): "a line over"} {
@@ -54,8 +54,8 @@
 }
 
 func TestAnotherUserIsRefused(t *testing.T) {
-	path := begin(t, &Door{allowed: func(uint32) bool { return false }})
-	_, err := Ask(path, "echo", nil)
+	path := begin(t, &Server{allowed: func(uint32) bool { return false }})
+	_, err := Call(path, "echo", nil)
 	assert.ErrorContains(t, err, "may not ask here")
 }
 
@@ -80,7 +80,7 @@
 }
 
 func TestASocketInUseAndAnotherFileAreLeftAlone(t *testing.T) {
-	path := begin(t, &Door{})
+	path := begin(t, &Server{})
 	_, err := Listen(path)
 	assert.ErrorContains(t, err, "in use")
 	file := filepath.Join(t.TempDir(), "f")
--- a/internal/config/operators.go
+++ b/internal/config/operators.go
@@ -31,57 +31,57 @@
 var Schema []byte
 
 // Rulebook is what the file says, every default filled in.
-type Rulebook struct {
-	Router Router `json:"router"`
-	Peers  Peers  `json:"peers"`
-	Box    Box    `json:"box"`
-	Tier   Tier   `json:"tier"`
+type File struct {
+	Router     Router     `json:"router"`
+	Membership Membership `json:"peers"`
+	EdgeCache  EdgeCache  `json:"box"`
+	DiskCache  DiskCache  `json:"tier"`
 }
 
 // Router is what a router is told beside its start file.
 type Router struct {
-	Socket       string    `json:"socket"`
-	FurtherShare float64   `json:"further_share"`
-	FurtherLeast float64   `json:"further_least"`
-	Addresses    []Several `json:"addresses"`
+	AdminSocket string              `json:"socket"`
+	RetryShare  float64             `json:"further_share"`
+	RetryFloor  float64             `json:"further_least"`
+	Addresses   []EndpointAddresses `json:"addresses"`
 }
 
 // Several is a member that answers at several addresses.
-type Several struct {
-	Member string   `json:"member"`
-	Board  string   `json:"board"`
-	List   []string `json:"list"`
+type EndpointAddresses struct {
+	Endpoint         string   `json:"member"`
+	DiscoveryAddress string   `json:"board"`
+	Addresses        []string `json:"list"`
 }
 
 // Matches says whether it is about a member with an id and an address on the notice board.
-func (s Several) Matches(id, addr string) bool {
-	if s.Board != "" && s.Board != addr {
+func (s EndpointAddresses) Matches(id, addr string) bool {
+	if s.DiscoveryAddress != "" && s.DiscoveryAddress != addr {
 		return false
 	}
-	if s.Member == "" {
-		return s.Board != ""
+	if s.Endpoint == "" {
+		return s.DiscoveryAddress != ""
 	}
-	ok, _ := path.Match(s.Member, id)
+	ok, _ := path.Match(s.Endpoint, id)
 	return ok
 }
 
 // Peers is what a router is told of the other routers.
-type Peers struct {
-	Listen           string  `json:"listen"`
-	Advertise        string  `json:"advertise"`
-	Name             string  `json:"name"`
-	Zone             string  `json:"zone"`
-	KeyFile          string  `json:"key_file"`
-	Liars            int     `json:"liars"`
-	Roster           []Peer  `json:"roster"`
-	InDatagrams      float64 `json:"in_datagrams"`
-	InKB             float64 `json:"in_kb"`
-	InEachDatagrams  float64 `json:"in_each_datagrams"`
-	InEachKB         float64 `json:"in_each_kb"`
-	OutDatagrams     float64 `json:"out_datagrams"`
-	OutKB            float64 `json:"out_kb"`
-	OutEachDatagrams float64 `json:"out_each_datagrams"`
-	OutEachKB        float64 `json:"out_each_kb"`
+type Membership struct {
+	Listen                  string  `json:"listen"`
+	Advertise               string  `json:"advertise"`
+	Name                    string  `json:"name"`
+	Zone                    string  `json:"zone"`
+	KeyFile                 string  `json:"key_file"`
+	FaultyPeers             int     `json:"liars"`
+	Roster                  []Peer  `json:"roster"`
+	ReceiveDatagrams        float64 `json:"in_datagrams"`
+	ReceiveKB               float64 `json:"in_kb"`
+	ReceiveDatagramsPerPeer float64 `json:"in_each_datagrams"`
+	ReceiveKBPerPeer        float64 `json:"in_each_kb"`
+	SendDatagrams           float64 `json:"out_datagrams"`
+	SendKB                  float64 `json:"out_kb"`
+	SendDatagramsPerPeer    float64 `json:"out_each_datagrams"`
+	SendKBPerPeer           float64 `json:"out_each_kb"`
 }
 
 // Peer is one of the roster.
@@ -92,68 +92,68 @@
 }
 
 // Box is a cache box of the product.
-type Box struct {
-	ID          string  `json:"id"`
-	Role        string  `json:"role"`
-	Listen      string  `json:"listen"`
-	Board       string  `json:"board"`
-	Source      string  `json:"source"`
-	MemoryMB    float64 `json:"memory_mb"`
-	Streams     int     `json:"streams"`
-	Connections int     `json:"connections"`
-	Fills       int     `json:"fills"`
-	FillWait    Seconds `json:"fill_wait_s"`
-	IdleClose   Seconds `json:"idle_close_s"`
-	Drain       Seconds `json:"drain_s"`
-	Emulate     Machine `json:"emulate"`
-	Made        Made    `json:"made"`
-	Rules       []Rule  `json:"rules"`
+type EdgeCache struct {
+	ID                   string           `json:"id"`
+	Role                 string           `json:"role"`
+	Listen               string           `json:"listen"`
+	DiscoveryAddress     string           `json:"board"`
+	DefaultSource        string           `json:"source"`
+	MemoryMB             float64          `json:"memory_mb"`
+	StreamsPerConnection int              `json:"streams"`
+	MaxConnections       int              `json:"connections"`
+	MaxFetches           int              `json:"fills"`
+	FetchTimeout         Seconds          `json:"fill_wait_s"`
+	IdleTimeout          Seconds          `json:"idle_close_s"`
+	DrainTimeout         Seconds          `json:"drain_s"`
+	Capacity             CapacityModel    `json:"emulate"`
+	Synthetic            SyntheticContent `json:"made"`
+	Classes              []Class          `json:"rules"`
 }
 
 // Machine is one that is played by numbers.
-type Machine struct {
-	Cores     float64 `json:"cores"`
-	WorkMS    float64 `json:"work_ms"`
-	LinkKBS   float64 `json:"link_kb_s"`
-	LatencyMS float64 `json:"latency_ms"`
-	ColdShare float64 `json:"cold_share"`
-	ColdS     float64 `json:"cold_s"`
+type CapacityModel struct {
+	Cores           float64 `json:"cores"`
+	WorkMS          float64 `json:"work_ms"`
+	LinkKBPerSecond float64 `json:"link_kb_s"`
+	LatencyMS       float64 `json:"latency_ms"`
+	ColdShare       float64 `json:"cold_share"`
+	ColdSeconds     float64 `json:"cold_s"`
 }
 
 // Made is what an origin makes.
-type Made struct {
-	Seed       uint64  `json:"seed"`
-	Folder     string  `json:"folder"`
-	LeastBytes int     `json:"least_bytes"`
-	MostBytes  int     `json:"most_bytes"`
-	Groups     int     `json:"groups"`
-	Window     Seconds `json:"window_s"`
+type SyntheticContent struct {
+	Seed              uint64  `json:"seed"`
+	Directory         string  `json:"folder"`
+	MinBytes          int     `json:"least_bytes"`
+	MaxBytes          int     `json:"most_bytes"`
+	Groups            int     `json:"groups"`
+	IdempotencyWindow Seconds `json:"window_s"`
 }
 
 // Rule is a remap rule as a box has to know it.
-type Rule struct {
-	Name   string  `json:"name"`
-	Kept   bool    `json:"kept"`
-	Effect string  `json:"effect"`
-	FreshS float64 `json:"fresh_s"`
-	StaleS float64 `json:"stale_s"`
+type Class struct {
+	Name         string  `json:"name"`
+	Cacheable    bool    `json:"kept"`
+	Effect       string  `json:"effect"`
+	FreshSeconds float64 `json:"fresh_s"`
+	StaleSeconds float64 `json:"stale_s"`
 }
 
 // Tier is the disk of a box.
-type Tier struct {
-	Folder       string  `json:"folder"`
-	SpaceMB      float64 `json:"space_mb"`
-	SegmentMB    float64 `json:"segment_mb"`
-	Alpha        float64 `json:"alpha"`
-	DailyWriteMB float64 `json:"daily_write_mb"`
-	Ghosts       int     `json:"ghosts"`
-	Purges       int     `json:"purges"`
-	Readers      int     `json:"readers"`
-	ReadQueue    int     `json:"read_queue"`
-	ReadWait     Seconds `json:"read_wait_s"`
-	WriteQueue   int     `json:"write_queue"`
-	Sync         Seconds `json:"sync_s"`
-	Snapshot     Seconds `json:"snapshot_s"`
+type DiskCache struct {
+	Directory        string  `json:"folder"`
+	CapacityMB       float64 `json:"space_mb"`
+	SegmentMB        float64 `json:"segment_mb"`
+	Alpha            float64 `json:"alpha"`
+	DailyWriteMB     float64 `json:"daily_write_mb"`
+	GhostEntries     int     `json:"ghosts"`
+	RememberedPurges int     `json:"purges"`
+	Readers          int     `json:"readers"`
+	ReadQueue        int     `json:"read_queue"`
+	ReadTimeout      Seconds `json:"read_wait_s"`
+	WriteQueue       int     `json:"write_queue"`
+	SyncInterval     Seconds `json:"sync_s"`
+	SnapshotInterval Seconds `json:"snapshot_s"`
 }
 
 // Seconds is a time as the file gives it.
@@ -163,13 +163,13 @@
 func (s Seconds) Duration() time.Duration { return time.Duration(float64(s) * float64(time.Second)) }
 
 // Mistake is one error in a file.
-type Mistake struct {
+type FieldError struct {
 	File         string
 	Line, Column int
 	Path, Reason string
 }
 
-func (m Mistake) Error() string {
+func (m FieldError) Error() string {
 	where := fmt.Sprintf("%s:%d:%d: ", m.File, m.Line, m.Column)
 	if m.Path != "" {
 		where += m.Path + ": "
@@ -190,20 +190,20 @@
 })
 
 // Read reads a file.
-func Read(path string) (Rulebook, error) {
+func Read(path string) (File, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return Rulebook{}, fmt.Errorf("reading the operators' file: %w", err)
+		return File{}, fmt.Errorf("reading the operators' file: %w", err)
 	}
 	return Parse(path, text)
 }
 
 // Parse reads a file's text. Its error joins all Mistakes, in the order of the file.
-func Parse(name string, text []byte) (Rulebook, error) {
-	var book Rulebook
+func Parse(name string, text []byte) (File, error) {
+	var book File
 	var root yaml.Node
 	if err := yaml.Unmarshal(text, &root); err != nil {
-		m := Mistake{File: name, Line: 1, Column: 1, Reason: err.Error()}
+		m := FieldError{File: name, Line: 1, Column: 1, Reason: err.Error()}
 		if _, rest, ok := strings.Cut(m.Reason, "line "); ok {
 			n, why, _ := strings.Cut(rest, ": ")
 			if line, err := strconv.Atoi(n); err == nil {
@@ -229,42 +229,42 @@
 		err = json.Unmarshal(filled, &book)
 	}
 	if err != nil {
-		return book, Mistake{File: name, Line: 1, Column: 1, Reason: err.Error()}
+		return book, FieldError{File: name, Line: 1, Column: 1, Reason: err.Error()}
 	}
 	for i, x := range book.Router.Addresses {
 		at := func(reason string, more ...string) error {
 			path := append([]string{"router", "addresses", strconv.Itoa(i)}, more...)
 			n := find(&root, path)
-			return Mistake{name, n.Line, n.Column, strings.Join(path, "."), reason}
+			return FieldError{name, n.Line, n.Column, strings.Join(path, "."), reason}
 		}
-		if x.Member == "" && x.Board == "" {
+		if x.Endpoint == "" && x.DiscoveryAddress == "" {
 			return book, at("it names neither member nor board")
 		}
-		if _, err := path.Match(x.Member, ""); err != nil {
-			return book, at(fmt.Sprintf("%q is no pattern", x.Member), "member")
+		if _, err := path.Match(x.Endpoint, ""); err != nil {
+			return book, at(fmt.Sprintf("%q is no pattern", x.Endpoint), "member")
 		}
-		for j, a := range x.List {
+		for j, a := range x.Addresses {
 			if _, err := netip.ParseAddrPort(a); err != nil && !strings.HasPrefix(a, "unix:/") {
 				return book, at(fmt.Sprintf("%q is neither IP:PORT nor unix:/PATH", a), "list", strconv.Itoa(j))
 			}
 		}
 	}
-	if err := book.Peers.check(func(reason string, more ...string) error {
+	if err := book.Membership.check(func(reason string, more ...string) error {
 		path := append([]string{"peers"}, more...)
 		n := find(&root, path)
-		return Mistake{name, n.Line, n.Column, strings.Join(path, "."), reason}
+		return FieldError{name, n.Line, n.Column, strings.Join(path, "."), reason}
 	}); err != nil {
 		return book, err
 	}
-	if b := book.Box.Made; b.LeastBytes > b.MostBytes {
+	if b := book.EdgeCache.Synthetic; b.MinBytes > b.MaxBytes {
 		n := find(&root, []string{"box", "made", "least_bytes"})
-		return book, Mistake{name, n.Line, n.Column, "box.made.least_bytes", fmt.Sprintf("%d is over most_bytes, %d", b.LeastBytes, b.MostBytes)}
+		return book, FieldError{name, n.Line, n.Column, "box.made.least_bytes", fmt.Sprintf("%d is over most_bytes, %d", b.MinBytes, b.MaxBytes)}
 	}
 	return book, nil
 }
 
 // check finds what a schema can't: a roster in which somebody stands twice, or that nobody can be reached by.
-func (p Peers) check(at func(reason string, more ...string) error) error {
+func (p Membership) check(at func(reason string, more ...string) error) error {
 	if p.Listen == "" {
 		return nil
 	}
@@ -296,8 +296,8 @@
 		return at("none of the others has an address: nobody could be reached", "roster")
 	case p.Name != "" && !names[p.Name]:
 		return at(fmt.Sprintf("%q is not in the roster", p.Name), "name")
-	case 3*p.Liars >= len(p.Roster) && p.Liars > 1:
-		return at(fmt.Sprintf("%d of %d may not lie: under a third", p.Liars, len(p.Roster)), "liars")
+	case 3*p.FaultyPeers >= len(p.Roster) && p.FaultyPeers > 1:
+		return at(fmt.Sprintf("%d of %d may not lie: under a third", p.FaultyPeers, len(p.Roster)), "liars")
 	}
 	return nil
 }
@@ -306,7 +306,7 @@
 // mistakes.
 func plain(file string, n *yaml.Node, path string, mistakes *[]error) any {
 	bad := func(n *yaml.Node, reason string) {
-		*mistakes = append(*mistakes, Mistake{file, n.Line, n.Column, path, reason})
+		*mistakes = append(*mistakes, FieldError{file, n.Line, n.Column, path, reason})
 	}
 	switch n.Kind {
 	case yaml.MappingNode:
@@ -389,7 +389,7 @@
 		return err
 	}
 	words := message.NewPrinter(language.English)
-	var out []Mistake
+	var out []FieldError
 	var walk func(*jsonschema.ValidationError)
 	walk = func(v *jsonschema.ValidationError) {
 		for _, c := range v.Causes {
@@ -399,7 +399,7 @@
 			return
 		}
 		n := find(root, v.InstanceLocation)
-		m := Mistake{file, n.Line, n.Column, strings.Join(v.InstanceLocation, "."), v.ErrorKind.LocalizedString(words)}
+		m := FieldError{file, n.Line, n.Column, strings.Join(v.InstanceLocation, "."), v.ErrorKind.LocalizedString(words)}
 		if extra, ok := v.ErrorKind.(*kind.AdditionalProperties); ok {
 			for _, key := range extra.Properties {
 				m := m
@@ -417,7 +417,7 @@
 		out = append(out, m)
 	}
 	walk(v)
-	slices.SortStableFunc(out, func(a, b Mistake) int { return (a.Line-b.Line)*1000 + a.Column - b.Column })
+	slices.SortStableFunc(out, func(a, b FieldError) int { return (a.Line-b.Line)*1000 + a.Column - b.Column })
 	errs := make([]error, len(out))
 	for i, m := range out {
 		errs[i] = m
--- a/internal/config/operators_test.go
+++ b/internal/config/operators_test.go
@@ -14,8 +14,8 @@
 	full, err := Parse("defaults", Defaults())
 	require.NoError(t, err)
 	assert.Equal(t, empty, full)
-	assert.Equal(t, 4096.0, empty.Tier.SpaceMB)
-	assert.Empty(t, empty.Tier.Folder, "nothing is on by default")
+	assert.Equal(t, 4096.0, empty.DiskCache.CapacityMB)
+	assert.Empty(t, empty.DiskCache.Directory, "nothing is on by default")
 }
 
 func TestTheFileUnderDeployHoldsTheDefaults(t *testing.T) {
@@ -45,7 +45,7 @@
 	f.Add("box:\n  rules:\n  - {name: a}\ntier: {alpha: 2}\n")
 	f.Add("a: &x [*x]")
 	f.Fuzz(func(t *testing.T, text string) {
-		if book, err := Parse("f", []byte(text)); err == nil && (book.Tier.Alpha <= 0 || book.Box.Streams < 1) {
+		if book, err := Parse("f", []byte(text)); err == nil && (book.DiskCache.Alpha <= 0 || book.EdgeCache.StreamsPerConnection < 1) {
 			t.Fatalf("%+v", book)
 		}
 	})
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -36,7 +36,7 @@
 type Client struct {
 	Address      string
 	LastRevision uint64
-	Telemetry    *telemetry.Book
+	Telemetry    *telemetry.Metrics
 
 	// OnEvent is handed each event after LastRevision once, in the order of the revisions, and no heartbeats. It is
 	// called on the goroutine that reads the connection.
@@ -104,17 +104,17 @@
 
 // watch reads events from one connection until it ends and returns whether any came.
 func (c *Client) watch(ctx context.Context) (receivedAny bool) {
-	c.Telemetry.Began(telemetrySide)
+	c.Telemetry.ConnectionOpened(telemetrySide)
 	startedAt := time.Now()
 	dialer := net.Dialer{Timeout: dialTimeout}
 	rawConn, err := dialer.DialContext(ctx, "tcp", c.Address)
 	if err != nil {
-		c.Telemetry.Ended(telemetry.Ended{
-			Side:  telemetrySide,
-			Peer:  c.Address,
-			Code:  netconn.ConnectFailed.String(),
-			Err:   err,
-			Since: startedAt,
+		c.Telemetry.ConnectionEnded(telemetry.ConnectionEnd{
+			Side:       telemetrySide,
+			RemoteAddr: c.Address,
+			Code:       netconn.ConnectFailed.String(),
+			Err:        err,
+			OpenedAt:   startedAt,
 		})
 		return false
 	}
--- a/internal/dispatch/route.go
+++ b/internal/dispatch/route.go
@@ -29,19 +29,19 @@
 )
 
 // Abandon ends every open txn: the process has to end.
-type Abandon struct{}
+type FailAll struct{}
 
 // Loop owns the decisions. Post may be called from any goroutine, all else from the one that runs it.
-type Loop struct {
-	Brain   routing.Decider
-	Records routing.Settings
-	Pool    *upstream.Pool
-	Book    *telemetry.Book
-	Clock   func() float64      // Unix seconds
-	Spend   *retrybudget.Budget // the budget of further hops; nil for none
+type Dispatcher struct {
+	Decider     routing.Decider
+	Settings    routing.Settings
+	Pool        *upstream.Pool
+	Metrics     *telemetry.Metrics
+	Clock       func() float64      // Unix seconds
+	RetryBudget *retrybudget.Budget // the budget of further hops; nil for none
 
 	// Saw hears how each hop ended and how long it took, s; nil for nobody. It must not wait.
-	Saw func(member string, rule int, code routing.AttemptResult, took float64)
+	OnAttemptEnd func(member string, rule int, code routing.AttemptResult, took float64)
 
 	in      chan any
 	gone    chan struct{}
@@ -91,15 +91,15 @@
 func (*check) OwnsUpstreamAttempt() {}
 
 // New makes a loop that stands still.
-func New(b routing.Decider, rec routing.Settings, p *upstream.Pool, k *telemetry.Book) *Loop {
-	return &Loop{Brain: b, Records: rec, Pool: p, Book: k, in: make(chan any, queued), gone: make(chan struct{}), nudge: make(chan struct{}, 1),
+func New(b routing.Decider, rec routing.Settings, p *upstream.Pool, k *telemetry.Metrics) *Dispatcher {
+	return &Dispatcher{Decider: b, Settings: rec, Pool: p, Metrics: k, in: make(chan any, queued), gone: make(chan struct{}), nudge: make(chan struct{}, 1),
 		open: map[string]*open{}, kinds: map[string]int{},
 		Clock: func() float64 { return float64(time.Now().UnixMicro()) / 1e6 }}
 }
 
 // Post hands an event to the loop. It waits while too many do, but not for a loop that has ended. Of a client that left it
 // never waits, and those go before all else that waits: who reads a connection must not stand still because of it.
-func (l *Loop) Post(ev any) {
+func (l *Dispatcher) Post(ev any) {
 	if left, ok := ev.(frontend.RequestCancelled); ok {
 		l.mu.Lock()
 		l.leavers = append(l.leavers, left)
@@ -117,7 +117,7 @@
 }
 
 // Offer hands an event to the loop if there is room for it now.
-func (l *Loop) Offer(ev any) bool {
+func (l *Dispatcher) Offer(ev any) bool {
 	select {
 	case l.in <- ev:
 		return true
@@ -127,24 +127,24 @@
 }
 
 // partings hears of those that left.
-func (l *Loop) partings() {
+func (l *Dispatcher) partings() {
 	l.mu.Lock()
 	left := l.leavers
 	l.leavers = nil
 	l.mu.Unlock()
 	for _, ev := range left {
-		l.safely(func() { l.Hear(ev) })
+		l.safely(func() { l.Handle(ev) })
 	}
 }
 
 // Run brings events to the decisions until the context ends.
-func (l *Loop) Run(ctx context.Context) error {
+func (l *Dispatcher) Run(ctx context.Context) error {
 	defer close(l.gone)
 	bell, sweep := time.NewTimer(0), time.NewTicker(sweepEvery)
 	defer bell.Stop()
 	defer sweep.Stop()
 	var watch <-chan time.Time
-	if l.Pool.AddressSelector != nil || l.Spend != nil {
+	if l.Pool.AddressSelector != nil || l.RetryBudget != nil {
 		watching := time.NewTicker(watchEvery)
 		defer watching.Stop()
 		watch = watching.C
@@ -156,7 +156,7 @@
 		case <-l.nudge: // heard below, as before each other event
 		case ev := <-l.in:
 			l.partings()
-			l.safely(func() { l.Hear(ev) })
+			l.safely(func() { l.Handle(ev) })
 		case <-bell.C:
 		case <-sweep.C:
 			l.safely(func() { l.Pool.CloseIdle(time.Now()) })
@@ -164,8 +164,8 @@
 			l.safely(func() {
 				l.tick()
 				l.stuck(l.Pool.CheckAddresses(time.Now()))
-				if l.Spend != nil {
-					l.Spend.Advance(l.now)
+				if l.RetryBudget != nil {
+					l.RetryBudget.Advance(l.now)
 					l.spare()
 				}
 			})
@@ -179,7 +179,7 @@
 }
 
 // safely keeps the loop going after a panic of its own; the txn that it was about is aborted once overdue.
-func (l *Loop) safely(f func()) {
+func (l *Dispatcher) safely(f func()) {
 	defer func() {
 		if p := recover(); p != nil {
 			l.panicked("route", "", p)
@@ -188,16 +188,16 @@
 	f()
 }
 
-func (l *Loop) panicked(where, event string, p any) {
-	l.Book.Add("panics", 1)
-	l.Book.Log.Error("panic", "where", where, "event", event, "what", fmt.Sprint(p), "stack", string(debug.Stack()))
+func (l *Dispatcher) panicked(where, event string, p any) {
+	l.Metrics.Add("panics", 1)
+	l.Metrics.Log.Error("panic", "where", where, "event", event, "what", fmt.Sprint(p), "stack", string(debug.Stack()))
 }
 
 // tick moves the clock on.
-func (l *Loop) tick() { l.now = max(l.now, l.Clock()) }
+func (l *Dispatcher) tick() { l.now = max(l.now, l.Clock()) }
 
 // Hear takes one event.
-func (l *Loop) Hear(ev any) {
+func (l *Dispatcher) Handle(ev any) {
 	l.tick()
 	switch ev := ev.(type) {
 	case *request.Request:
@@ -224,7 +224,7 @@
 		l.Pool.RemoveConnection(ev.Connection)
 	case discovery.Event:
 		l.noticed(ev, routing.Incremental)
-	case Abandon:
+	case FailAll:
 		for _, o := range l.open {
 			l.answer(o, request.Response{Result: request.Aborted, Reason: "shutdown"})
 		}
@@ -232,7 +232,7 @@
 }
 
 // Known takes the events that the router is told at its start.
-func (l *Loop) Known(events []discovery.Event) {
+func (l *Dispatcher) LoadBootstrap(events []discovery.Event) {
 	l.tick()
 	for i, ev := range events {
 		kind := routing.Incremental
@@ -243,7 +243,7 @@
 	}
 }
 
-func (l *Loop) noticed(ev discovery.Event, kind routing.UpdateKind) {
+func (l *Dispatcher) noticed(ev discovery.Event, kind routing.UpdateKind) {
 	if ev.IsPurge() {
 		l.decide(routing.Purge{AgeSeconds: max(l.now-ev.Purge.PurgedAt, 0), ObjectGroup: ev.Purge.Group, Object: ev.Purge.Object}, nil)
 		return
@@ -266,7 +266,7 @@
 }
 
 // left takes in, once, that a client waits no more.
-func (l *Loop) left(o *open) {
+func (l *Dispatcher) left(o *open) {
 	if !o.gone {
 		o.gone, o.ended = true, true
 		l.decide(routing.ClientDisconnected{Request: o.t.ID}, o)
@@ -274,7 +274,7 @@
 	}
 }
 
-func (l *Loop) arrived(t *request.Request) {
+func (l *Dispatcher) arrived(t *request.Request) {
 	if t.Cancelled() { // while it waited for the loop: there is nothing to decide
 		t.Body.Free()
 		return
@@ -288,11 +288,11 @@
 	l.open[t.ID] = o
 	l.at(t.Deadline+guardAfter.Seconds(), timer{guard: o})
 	l.decide(routing.RequestArrived{Request: t.ID, Class: t.Class, Object: strings.ToLower(t.Object), Chunk: t.PartNumber, ObjectGroup: t.PurgeGroup, Deadline: t.Deadline,
-		SizeKB: t.SizeKB, Write: l.Records.ListItem("uncacheable", t.Class) == "true"}, o)
+		SizeKB: t.SizeKB, Write: l.Settings.ListItem("uncacheable", t.Class) == "true"}, o)
 }
 
 // answer gives a txn its final answer, if it had none.
-func (l *Loop) answer(o *open, a request.Response) {
+func (l *Dispatcher) answer(o *open, a request.Response) {
 	if o.ended {
 		a.Body.Free()
 		return
@@ -303,7 +303,7 @@
 }
 
 // tidy forgets a txn that is answered and has no hop out.
-func (l *Loop) tidy(o *open) {
+func (l *Dispatcher) tidy(o *open) {
 	if o.ended && o.out == 0 && l.open[o.t.ID] == o {
 		delete(l.open, o.t.ID)
 		o.t.Body.Free()
@@ -316,7 +316,7 @@
 	routing.NotSent: "moot", routing.CacheMiss: "miss"}
 
 // ended is the end of a hop. The first completed one answers its txn.
-func (l *Loop) ended(h *hop, end request.AttemptEnd) {
+func (l *Dispatcher) ended(h *hop, end request.AttemptEnd) {
 	if h.over {
 		end.Body.Free()
 		return
@@ -324,19 +324,19 @@
 	o := h.o
 	h.over, h.call = true, nil // a call holds the body, and the hop's timer holds the hop
 	o.out--
-	l.Book.Add("hops."+o.t.ClassName+"."+reasons[end.Code], 1)
+	l.Metrics.Add("hops."+o.t.ClassName+"."+reasons[end.Code], 1)
 	if end.Code == routing.Completed {
 		l.answer(o, request.Response{Result: request.Completed, Reason: "by-a-hop", ETag: end.ETag, NotModified: end.NotModified, Body: end.Body})
 	}
-	if l.Saw != nil {
-		l.Saw(h.member, o.t.Class, end.Code, l.now-h.sent)
+	if l.OnAttemptEnd != nil {
+		l.OnAttemptEnd(h.member, o.t.Class, end.Code, l.now-h.sent)
 	}
 	l.decide(routing.AttemptEnded{Request: o.t.ID, Attempt: h.no, Endpoint: h.member, Result: end.Code, Detail: end.Remark,
 		ElapsedSeconds: l.now - h.sent, RequestDone: o.ended, LoadReport: end.LoadReport}, o)
 	l.tidy(o)
 }
 
-func (l *Loop) checked(c *check, end request.AttemptEnd) {
+func (l *Dispatcher) checked(c *check, end request.AttemptEnd) {
 	if !c.over {
 		c.over = true
 		l.decide(routing.ProbeResult{Endpoint: c.member, Result: end.Code, ElapsedSeconds: l.now - c.sent, LoadReport: end.LoadReport}, nil)
@@ -345,14 +345,14 @@
 
 // decide brings an event to the decisions and carries out what they say, with what follows from that at once.
 // About is the txn that the event is of, if any: it is aborted if the decisions panic.
-func (l *Loop) decide(ev routing.Event, about *open) {
+func (l *Dispatcher) decide(ev routing.Event, about *open) {
 	for _, a := range l.guarded(ev, about) {
 		l.act(a)
 	}
 }
 
 // guarded keeps a panic of the decisions from the process: the stack is logged and the txn aborted.
-func (l *Loop) guarded(ev routing.Event, about *open) (acts []routing.Action) {
+func (l *Dispatcher) guarded(ev routing.Event, about *open) (acts []routing.Action) {
 	defer func() {
 		if p := recover(); p != nil {
 			l.panicked("decisions", fmt.Sprintf("%T", ev), p)
@@ -363,11 +363,11 @@
 		}
 	}()
 	// The slice is good until the next call, which an action may cause.
-	return append(acts, l.Brain.Decide(l.now, ev)...)
+	return append(acts, l.Decider.Decide(l.now, ev)...)
 }
 
 // abandon aborts a txn that the decisions failed to end, and gives up its hops.
-func (l *Loop) abandon(o *open, reason string) {
+func (l *Dispatcher) abandon(o *open, reason string) {
 	l.answer(o, request.Response{Result: request.Aborted, Reason: reason})
 	for _, h := range o.hops {
 		l.undo(h, routing.Cancelled)
@@ -379,7 +379,7 @@
 }
 
 // act carries out one action.
-func (l *Loop) act(a routing.Action) {
+func (l *Dispatcher) act(a routing.Action) {
 	switch a := a.(type) {
 	case routing.StartAttempt:
 		if o := l.open[a.Request]; o != nil {
@@ -407,11 +407,11 @@
 		}
 		l.at(l.now+l.Pool.ConnectTimeout.Seconds(), timer{check: c})
 	case routing.LogNote:
-		l.Book.Log.Info("note", "text", a.Message)
+		l.Metrics.Log.Info("note", "text", a.Message)
 	}
 }
 
-func (l *Loop) hop(o *open, a routing.StartAttempt) {
+func (l *Dispatcher) hop(o *open, a routing.StartAttempt) {
 	h := &hop{o: o, no: len(o.hops), member: a.Endpoint, sent: l.now}
 	o.hops = append(o.hops, h)
 	o.out++
@@ -426,15 +426,15 @@
 		until = min(until, a.Deadline)
 	}
 	d := cacheproto.Attempt{Txn: o.t, TimeoutSeconds: until - l.now, FillSource: l.fill(a), StartAttempt: a}
-	if l.Spend != nil {
-		l.Spend.RecordAttempt(l.now, o.t.Class, a.Endpoint, h.no > 0)
+	if l.RetryBudget != nil {
+		l.RetryBudget.RecordAttempt(l.now, o.t.Class, a.Endpoint, h.no > 0)
 		l.later(l.spare)
 	}
 	switch {
 	case o.t.Cancelled(): // the news of it is still in the queue
 		l.later(func() { l.left(o) })
 	case !o.ended && until > l.now:
-		l.Book.Add("hops."+o.t.ClassName+".sent", 1)
+		l.Metrics.Add("hops."+o.t.ClassName+".sent", 1)
 		h.call = l.Pool.Send(d, avoid, h)
 	}
 	if h.call == nil {
@@ -446,21 +446,21 @@
 }
 
 // stuck tells the decisions of hops whose connection is silent while their member answers elsewhere, each once.
-func (l *Loop) stuck(calls []*upstream.Attempt) {
+func (l *Dispatcher) stuck(calls []*upstream.Attempt) {
 	for _, c := range calls {
 		if h, ok := c.Owner.(*hop); ok && !h.over && !h.stuck {
 			h.stuck = true
-			l.Book.Add("reach.stuck", 1)
+			l.Metrics.Add("reach.stuck", 1)
 			l.decide(routing.AttemptStalled{Request: h.o.t.ID, Attempt: h.no}, h.o)
 		}
 	}
 }
 
 // spare tells the decisions which budgets of further hops are spent, and which are open again.
-func (l *Loop) spare() {
-	for _, c := range l.Spend.TakeChanges() {
-		if l.Book.Add("spend.changes", 1); !c.Available {
-			l.Book.Add("spend.spent", 1)
+func (l *Dispatcher) spare() {
+	for _, c := range l.RetryBudget.TakeChanges() {
+		if l.Metrics.Add("spend.changes", 1); !c.Available {
+			l.Metrics.Add("spend.spent", 1)
 		}
 		l.decide(routing.RetryBudgetChanged{Class: c.Class, Endpoint: c.Endpoint, Available: c.Available}, nil)
 	}
@@ -468,9 +468,9 @@
 
 // fill is the source as the members hear it: a cache that is its own source fills nothing and none is named; a
 // parent or the origin is named all the same.
-func (l *Loop) fill(a routing.StartAttempt) string {
+func (l *Dispatcher) fill(a routing.StartAttempt) string {
 	kind := l.kinds[a.Endpoint]
-	if a.Source == a.Endpoint && kind != int(l.Records.Float("parent_kind", -1)) && kind != int(l.Records.Float("origin_kind", -1)) {
+	if a.Source == a.Endpoint && kind != int(l.Settings.Float("parent_kind", -1)) && kind != int(l.Settings.Float("origin_kind", -1)) {
 		return ""
 	}
 	return a.Source
@@ -478,7 +478,7 @@
 
 // undo gives a hop up. Its end is heard once its member has been told; that of a hop which its member can't know of
 // after the actions in hand are done.
-func (l *Loop) undo(h *hop, code routing.AttemptResult) {
+func (l *Dispatcher) undo(h *hop, code routing.AttemptResult) {
 	if h.over || h.undone || h.call == nil { // without a call its end is on the way
 		return
 	}
@@ -489,7 +489,7 @@
 }
 
 // later does something once the event in hand is done with.
-func (l *Loop) later(f func()) { l.at(l.now, timer{then: f}) }
+func (l *Dispatcher) later(f func()) { l.at(l.now, timer{then: f}) }
 
 // timer is something that comes due.
 type timer struct {
@@ -502,7 +502,7 @@
 	then  func()
 }
 
-func (l *Loop) at(at float64, t timer) {
+func (l *Dispatcher) at(at float64, t timer) {
 	t.at = at
 	if l.timers.seq++; t.then != nil {
 		t.at = 0 // before all others
@@ -512,12 +512,12 @@
 }
 
 // ring brings what has come due.
-func (l *Loop) ring() {
+func (l *Dispatcher) ring() {
 	l.tick()
 	for l.timers.Len() > 0 && l.timers.list[0].at <= l.now {
 		t := heap.Pop(&l.timers).(timer)
 		if t.at > 0 {
-			l.Book.Most("loop.late.most-us", int64((l.now-t.at)*1e6))
+			l.Metrics.Max("loop.late.most-us", int64((l.now-t.at)*1e6))
 		}
 		switch {
 		case t.then != nil:
@@ -531,7 +531,7 @@
 			}
 		case t.guard != nil:
 			if !t.guard.ended {
-				l.Book.Log.Error("overdue", "txn", t.guard.t.ID)
+				l.Metrics.Log.Error("overdue", "txn", t.guard.t.ID)
 				l.abandon(t.guard, "overdue")
 			}
 		default:
--- a/internal/dispatch/route_test.go
+++ b/internal/dispatch/route_test.go
@@ -43,7 +43,7 @@
 }
 
 // stage is a loop at clock 100 whose members never come up, a txn, and where its answers go.
-func stage(t *testing.T, says func(routing.Event) []routing.Action) (*Loop, *script, *request.Request, *outlet, *bytes.Buffer) {
+func stage(t *testing.T, says func(routing.Event) []routing.Action) (*Dispatcher, *script, *request.Request, *outlet, *bytes.Buffer) {
 	s, o, log := &script{says: says}, &outlet{}, &bytes.Buffer{}
 	k := telemetry.New(log, "")
 	ctx, cancel := context.WithCancel(t.Context())
@@ -59,7 +59,7 @@
 	})
 	l := New(s, routing.Settings{"uncacheable": "false,true", "parent_kind": "1", "origin_kind": "2"}, p, k)
 	l.Clock = func() float64 { return 100 }
-	l.Known([]discovery.Event{{Kind: discovery.Snapshot, Endpoints: []discovery.Endpoint{{Address: "c", Endpoint: routing.Endpoint{ID: "c"}}, {Address: "o", Endpoint: routing.Endpoint{ID: "o", Kind: 2}}}}})
+	l.LoadBootstrap([]discovery.Event{{Kind: discovery.Snapshot, Endpoints: []discovery.Endpoint{{Address: "c", Endpoint: routing.Endpoint{ID: "c"}}, {Address: "o", Endpoint: routing.Endpoint{ID: "o", Kind: 2}}}}})
 	return l, s, &request.Request{ID: "ab", ClassName: "page", Class: 1, Object: "FF", Deadline: 105, ResponseWriter: o}, o, log
 }
 
@@ -75,11 +75,11 @@
 
 func TestEventsKeepOrderAndClock(t *testing.T) {
 	l, s, x, _, _ := stage(t, nil)
-	l.Hear(x)
+	l.Handle(x)
 	l.Clock = func() float64 { return 99 }
-	l.Hear(discovery.Event{Kind: discovery.PurgeObject, Purge: discovery.Purge{Object: "ff", PurgedAt: 98}})
-	l.Hear(discovery.Event{Kind: discovery.Update, Endpoints: []discovery.Endpoint{{Endpoint: routing.Endpoint{ID: "c", Status: routing.Draining}}}})
-	l.Hear(frontend.RequestCancelled{Request: x})
+	l.Handle(discovery.Event{Kind: discovery.PurgeObject, Purge: discovery.Purge{Object: "ff", PurgedAt: 98}})
+	l.Handle(discovery.Event{Kind: discovery.Update, Endpoints: []discovery.Endpoint{{Endpoint: routing.Endpoint{ID: "c", Status: routing.Draining}}}})
+	l.Handle(frontend.RequestCancelled{Request: x})
 	assert.Equal(t, []routing.Event{
 		routing.EndpointUpdate{Kind: routing.Restored, Endpoints: []routing.Endpoint{{ID: "c"}, {ID: "o", Kind: 2}}},
 		routing.RequestArrived{Request: "ab", Class: 1, Object: "ff", Deadline: 105, Write: true}, routing.Purge{AgeSeconds: 2, Object: "ff"},
@@ -90,11 +90,11 @@
 
 func TestFirstCompletedHopAnswers(t *testing.T) {
 	l, s, x, o, _ := stage(t, hopOn())
-	l.Hear(x)
+	l.Handle(x)
 	call := l.open["ab"].hops[0].call
 	end := request.AttemptEnd{Code: routing.Completed, ETag: "t", Remark: routing.CacheHit, Body: &request.Body{Bytes: []byte("x")}}
-	l.Hear(upstream.AttemptEnded{Attempt: call, End: end})
-	l.Hear(upstream.AttemptEnded{Attempt: call, End: end})
+	l.Handle(upstream.AttemptEnded{Attempt: call, End: end})
+	l.Handle(upstream.AttemptEnded{Attempt: call, End: end})
 	assert.Equal(t, []request.Response{{Result: request.Completed, Reason: "by-a-hop", ETag: "t", Body: end.Body}}, o.answers)
 	assert.Equal(t, routing.AttemptEnded{Request: "ab", Endpoint: "c", Result: routing.Completed, Detail: routing.CacheHit, RequestDone: true}, s.heard[2])
 	assert.Len(t, s.heard, 3, "a second end is not heard")
@@ -108,7 +108,7 @@
 		}
 		return nil
 	})
-	l.Hear(x)
+	l.Handle(x)
 	l.ring()
 	l.Clock = func() float64 { return 101.5 }
 	l.ring()
@@ -131,7 +131,7 @@
 		}
 		return nil
 	})
-	l.Hear(x)
+	l.Handle(x)
 	l.Clock = func() float64 { return 101 }
 	l.ring()
 	assert.Equal(t, []request.Response{{Result: request.Rejected, Reason: "decided", RetryAfterSeconds: 2}}, o.answers, "one answer and no more")
@@ -146,8 +146,8 @@
 		}
 		panic(errors.New("a fault"))
 	})
-	l.Hear(x)
-	l.Hear(upstream.AttemptEnded{Attempt: l.open["ab"].hops[0].call, End: request.AttemptEnd{Code: routing.Overloaded}})
+	l.Handle(x)
+	l.Handle(upstream.AttemptEnded{Attempt: l.open["ab"].hops[0].call, End: request.AttemptEnd{Code: routing.Overloaded}})
 	l.ring()
 	assert.Equal(t, []request.Response{{Result: request.Aborted, Reason: "panic"}}, o.answers)
 	assert.Contains(t, log.String(), "a fault")
@@ -159,16 +159,16 @@
 func TestLoopOutlivesItsOwnPanic(t *testing.T) {
 	l, _, x, o, log := stage(t, nil)
 	x.ResponseWriter = nil
-	l.safely(func() { l.Hear(x); l.answer(l.open["ab"], request.Response{}) })
+	l.safely(func() { l.Handle(x); l.answer(l.open["ab"], request.Response{}) })
 	assert.Contains(t, log.String(), "where=route")
-	assert.EqualValues(t, 1, l.Book.Count("panics"))
-	l.Hear(&request.Request{ID: "cd", ResponseWriter: o})
+	assert.EqualValues(t, 1, l.Metrics.Value("panics"))
+	l.Handle(&request.Request{ID: "cd", ResponseWriter: o})
 	assert.Len(t, l.open, 2)
 }
 
 func TestTxnThatTheDecisionsForgetIsAborted(t *testing.T) {
 	l, _, x, o, _ := stage(t, hopOn())
-	l.Hear(x)
+	l.Handle(x)
 	l.Clock = func() float64 { return 105.01 }
 	l.ring()
 	assert.Empty(t, o.answers, "its own time is up, the client's not surely")
@@ -180,13 +180,13 @@
 
 func TestIdInUseIsRejected(t *testing.T) {
 	l, _, x, o, _ := stage(t, hopOn())
-	l.Hear(x)
+	l.Handle(x)
 	twin := *x
-	l.Hear(&twin)
-	l.Hear(frontend.RequestCancelled{Request: &twin})
+	l.Handle(&twin)
+	l.Handle(frontend.RequestCancelled{Request: &twin})
 	assert.Equal(t, []request.Response{{Result: request.Rejected, Reason: "id-in-use"}}, o.answers)
 	assert.Equal(t, x, l.open["ab"].t, "the first one goes on")
-	l.Hear(Abandon{})
+	l.Handle(FailAll{})
 	assert.Equal(t, request.Aborted, o.answers[1].Result)
 }
 
@@ -204,7 +204,7 @@
 
 func TestOnlyACacheIsNotNamedAsItsOwnSource(t *testing.T) {
 	l, _, x, _, _ := stage(t, nil)
-	l.Hear(x)
+	l.Handle(x)
 	for to, want := range map[string]string{"c": "", "o": "o"} {
 		assert.Equal(t, want, l.fill(routing.StartAttempt{Endpoint: to, Source: to}))
 	}
@@ -225,27 +225,27 @@
 		}
 		return nil
 	})
-	l.Hear(x)
+	l.Handle(x)
 	x.Cancel()
-	l.Hear(upstream.AttemptEnded{Attempt: l.open["ab"].hops[0].call, End: request.AttemptEnd{Code: routing.Overloaded}})
+	l.Handle(upstream.AttemptEnded{Attempt: l.open["ab"].hops[0].call, End: request.AttemptEnd{Code: routing.Overloaded}})
 	assert.Nil(t, l.open["ab"].hops[1].call)
 	l.ring()
 	assert.Equal(t, []routing.Event{routing.AttemptEnded{Request: "ab", Endpoint: "c", Result: routing.Overloaded}, routing.ClientDisconnected{Request: "ab"},
 		routing.AttemptEnded{Request: "ab", Attempt: 1, Endpoint: "o", Result: routing.NotSent, RequestDone: true}}, s.heard[2:])
-	l.Hear(frontend.RequestCancelled{Request: x})
+	l.Handle(frontend.RequestCancelled{Request: x})
 	assert.Len(t, s.heard, 5, "it is heard once")
 	assert.Empty(t, l.open)
 	assert.Empty(t, o.answers)
 	y := &request.Request{ID: "cd", ResponseWriter: o}
 	y.Cancel()
-	l.Hear(y)
+	l.Handle(y)
 	assert.Len(t, s.heard, 5, "of one that left in the queue nothing is decided")
 }
 
 // TestLeaversGoBeforeAFullQueue: neither who tells of them waits, nor the decisions hear of them after what was queued before.
 func TestLeaversGoBeforeAFullQueue(t *testing.T) {
 	l, s, x, _, _ := stage(t, hopOn())
-	l.Hear(x)
+	l.Handle(x)
 	for l.Offer(discovery.Event{Kind: discovery.PurgeObject, Purge: discovery.Purge{Object: "ff", PurgedAt: 98}}) {
 	}
 	l.Post(frontend.RequestCancelled{Request: x})
--- a/internal/edgecache/box.go
+++ b/internal/edgecache/box.go
@@ -55,8 +55,8 @@
 
 // Box is one. Fields are set before Run.
 type Server struct {
-	Config    config.Box
-	Telemetry *telemetry.Book
+	Config    config.EdgeCache
+	Telemetry *telemetry.Metrics
 	Disk      *diskcache.Cache // nil for none
 	Origin    Origin           // of an origin
 
@@ -64,7 +64,7 @@
 	OnRequest  func(cacheproto.Command)
 	OnResponse func(id string, bytes int)
 
-	rules   map[string]config.Rule
+	rules   map[string]config.Class
 	trust   believer
 	desk    *handler.Handler
 	pool    *upstream.Pool
@@ -130,8 +130,8 @@
 // Run serves on a listener until the context ends, then gives open txns their time.
 func (b *Server) Run(ctx context.Context, ln net.Listener) error {
 	b.now = time.Now
-	b.rules = map[string]config.Rule{}
-	for _, r := range b.Config.Rules {
+	b.rules = map[string]config.Class{}
+	for _, r := range b.Config.Classes {
 		b.rules[r.Name] = r
 	}
 	b.in, b.gone, b.open, b.calls = make(chan any, queued), make(chan struct{}), map[uint64]*asked{}, map[uint64]*upstream.Attempt{}
@@ -139,13 +139,13 @@
 		b.trust = b.Disk
 	}
 	b.first.Store(true)
-	e := b.Config.Emulate
+	e := b.Config.Capacity
 	b.machine = capacity.Model{StartedAt: seconds(b.now()), Params: capacity.Params{Cores: e.Cores, WorkSeconds: e.WorkMS / 1000,
-		LinkKBps: e.LinkKBS, LatencySeconds: e.LatencyMS / 1000, ColdShare: e.ColdShare, ColdSeconds: e.ColdS}}
+		LinkKBps: e.LinkKBPerSecond, LatencySeconds: e.LatencyMS / 1000, ColdShare: e.ColdShare, ColdSeconds: e.ColdSeconds}}
 	memory := int64(b.Config.MemoryMB * (1 << 20))
-	b.desk = handler.New(b, handler.Limits{MemoryBytes: memory, MaxFills: b.Config.Fills, FillTimeoutSeconds: float64(b.Config.FillWait)})
-	gate := admission.New(max(int(b.Config.MemoryMB), memberMB), max(b.Config.Connections, 64))
-	b.pool = &upstream.Pool{Admission: gate, Telemetry: b.Telemetry, OnEvent: func(ev upstream.Event) { b.post(ev) }, ConnectTimeout: connectFor, EndpointIdleTimeout: b.Config.IdleClose.Duration(), MaxAttemptsPerConnection: 32}
+	b.desk = handler.New(b, handler.Limits{MemoryBytes: memory, MaxFills: b.Config.MaxFetches, FillTimeoutSeconds: float64(b.Config.FetchTimeout)})
+	gate := admission.New(max(int(b.Config.MemoryMB), memberMB), max(b.Config.MaxConnections, 64))
+	b.pool = &upstream.Pool{Admission: gate, Telemetry: b.Telemetry, OnEvent: func(ev upstream.Event) { b.post(ev) }, ConnectTimeout: connectFor, EndpointIdleTimeout: b.Config.IdleTimeout.Duration(), MaxAttemptsPerConnection: 32}
 
 	// What serves ends in steps: first the listener, then what is open, then all else.
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -159,8 +159,8 @@
 		disk <- nil
 	}
 	g.Go(func() error { return b.loop(serving) })
-	if b.Config.Board != "" {
-		news := &discovery.Client{Address: b.Config.Board, Telemetry: b.Telemetry, OnRawEvent: b.notice, StartRevision: b.from}
+	if b.Config.DiscoveryAddress != "" {
+		news := &discovery.Client{Address: b.Config.DiscoveryAddress, Telemetry: b.Telemetry, OnRawEvent: b.notice, StartRevision: b.from}
 		g.Go(func() error { return news.Run(serving) })
 	}
 	var peers sync.WaitGroup
@@ -179,7 +179,7 @@
 
 // drain waits for what is open, for no longer than the plan says.
 func (b *Server) drain(ctx context.Context) {
-	end, cancel := context.WithTimeout(ctx, b.Config.Drain.Duration())
+	end, cancel := context.WithTimeout(ctx, b.Config.DrainTimeout.Duration())
 	defer cancel()
 	for tick := time.NewTicker(tickEvery); ; {
 		open := make(chan int, 1)
@@ -276,7 +276,7 @@
 // came takes a txn.
 func (b *Server) came(now float64, a *asked) {
 	p := a.peer
-	if p.over || p.ids[a.line.ID] != nil || len(p.ids) >= b.Config.Streams {
+	if p.over || p.ids[a.line.ID] != nil || len(p.ids) >= b.Config.StreamsPerConnection {
 		a.body.Free()
 		if !p.over {
 			b.Telemetry.Add("box.turned-away", 1)
@@ -313,12 +313,12 @@
 		}
 		source := a.line.FillSource
 		if source == "" && b.Config.Role == "parent" && !a.line.CacheOnly {
-			source = b.Config.Source
+			source = b.Config.DefaultSource
 		}
 		if source == b.Config.ID {
 			source = ""
 		}
-		b.carry(b.desk.HandleRequest(seconds(b.now()), handler.Request{ID: a.no, Key: a.key, Class: handler.Class{Name: rule.Name, Cacheable: rule.Kept, FreshSeconds: rule.FreshS, StaleSeconds: rule.StaleS},
+		b.carry(b.desk.HandleRequest(seconds(b.now()), handler.Request{ID: a.no, Key: a.key, Class: handler.Class{Name: rule.Name, Cacheable: rule.Cacheable, FreshSeconds: rule.FreshSeconds, StaleSeconds: rule.StaleSeconds},
 			Deadline: now + a.line.TimeoutSeconds, Source: source, Rank: a.line.RetentionRank, MaxAge: a.line.MaxAgeSeconds, Join: a.line.JoinFill, NoFetch: a.line.CacheOnly,
 			NoTrace: a.line.ParentNoStore, Renew: a.line.Revalidate, Tag: a.line.ETag}))
 	})
@@ -333,8 +333,8 @@
 	then()
 }
 
-func (b *Server) originate(a *asked, rule config.Rule) {
-	if !rule.Kept {
+func (b *Server) originate(a *asked, rule config.Class) {
+	if !rule.Cacheable {
 		err := b.Origin.Execute(a.line.ID, a.line.ClassName, a.line.IdempotencyKey, a.key, rule.Effect)
 		if err != nil {
 			b.finish(a, cacheproto.AttemptResult{Code: routing.ServerError}, nil)
@@ -572,13 +572,13 @@
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
-		if b.conns.Add(1) > int64(b.Config.Connections) {
+		if b.conns.Add(1) > int64(b.Config.MaxConnections) {
 			b.conns.Add(-1)
 			b.Telemetry.Add("conn.asker.turned-away", 1)
 			_ = raw.Close()
 			continue
 		}
-		b.Telemetry.Began("asker")
+		b.Telemetry.ConnectionOpened("asker")
 		peers.Go(func() {
 			defer b.conns.Add(-1)
 			b.serve(ctx, raw)
@@ -616,7 +616,7 @@
 
 // listen reads commands.
 func (b *Server) listen(ctx context.Context, p *peer) (netconn.EndCode, error) {
-	idle := b.Config.IdleClose.Duration()
+	idle := b.Config.IdleTimeout.Duration()
 	tail := make([]byte, len(cacheproto.LineEnd))
 	for {
 		p.c.SetReadDeadline(time.Now().Add(idle))
--- a/internal/edgecache/box_test.go
+++ b/internal/edgecache/box_test.go
@@ -85,8 +85,8 @@
 	require.NoError(t, err)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	x := &Server{Config: rules.Box, Telemetry: telemetry.New(io.Discard, "")}
-	x.Config.Board, x.Config.Drain = b.Addr().String(), 0.2
+	x := &Server{Config: rules.EdgeCache, Telemetry: telemetry.New(io.Discard, "")}
+	x.Config.DiscoveryAddress, x.Config.DrainTimeout = b.Addr().String(), 0.2
 	if change != nil {
 		change(x)
 	}
@@ -96,7 +96,7 @@
 	var once sync.Once
 	r := &running{Server: x, addr: ln.Addr().String(), stop: func() { once.Do(func() { cancel(); <-done }) }}
 	t.Cleanup(r.stop)
-	require.Eventually(t, func() bool { return r.Telemetry.Count("conn.board.begun") > 0 || r.Origin != nil }, patience, time.Millisecond)
+	require.Eventually(t, func() bool { return r.Telemetry.Value("conn.board.begun") > 0 || r.Origin != nil }, patience, time.Millisecond)
 	return r
 }
 
@@ -187,7 +187,7 @@
 	assert.Len(t, m.keys, 1)
 
 	b.tell(discovery.Event{Kind: discovery.PurgeObject, Purge: discovery.Purge{Object: fmt.Sprintf("%016x", 5), PurgedAt: float64(time.Now().UnixMilli()+1) / 1000}})
-	require.Eventually(t, func() bool { return x.Telemetry.Count("box.purges") == 1 }, patience, time.Millisecond)
+	require.Eventually(t, func() bool { return x.Telemetry.Value("box.purges") == 1 }, patience, time.Millisecond)
 	word, _, _ = a.ask(t, "video", 5, "")
 	assert.Equal(t, "not_here", word, "purged")
 }
@@ -204,17 +204,17 @@
 	_, _ = fmt.Fprint(a, "what is this\r\n")
 	_, err := a.r.ReadByte()
 	assert.Error(t, err, "the connection ends")
-	require.Eventually(t, func() bool { return x.Telemetry.Count("conn.asker.ended.protocol") == 1 }, patience, time.Millisecond)
+	require.Eventually(t, func() bool { return x.Telemetry.Value("conn.asker.ended.protocol") == 1 }, patience, time.Millisecond)
 }
 
 func TestADrainAnswersWhatIsOpen(t *testing.T) {
 	b := startBoard(t)
 	o, _ := origin(t, b)
-	slow := start(t, b, func(x *Server) { x.Config.Emulate.LatencyMS, x.Config.Drain = 100, 5 })
+	slow := start(t, b, func(x *Server) { x.Config.Capacity.LatencyMS, x.Config.DrainTimeout = 100, 5 })
 	a := slow.dial(t)
 	require.Eventually(t, func() bool { word, _, _ := a.ask(t, "video", 9, ",parent=s-000000ff"); return word == "served" }, patience, time.Millisecond)
 	_, _ = fmt.Fprint(a, "do 0123456789abcdef profile=video,thing=0000000000000005,nth=1,max=3000,parent=s-000000ff 0\r\n\r\n")
-	require.Eventually(t, func() bool { return o.Telemetry.Count("box.txns.video") >= 2 }, patience, time.Millisecond)
+	require.Eventually(t, func() bool { return o.Telemetry.Value("box.txns.video") >= 2 }, patience, time.Millisecond)
 	go slow.stop()
 	_, word, _, _ := a.next(t)
 	assert.Equal(t, "served", word)
@@ -228,7 +228,7 @@
 	dir, err := vfs.MakeDir(t.TempDir() + "/d")
 	require.NoError(t, err)
 	with := func(x *Server) {
-		p := DiskCacheConfig(config.Tier{SpaceMB: 8, SegmentMB: 1, Alpha: 1, Ghosts: 100, Readers: 2, ReadQueue: 9, ReadWait: 1, WriteQueue: 9, Sync: 0.01})
+		p := DiskCacheConfig(config.DiskCache{CapacityMB: 8, SegmentMB: 1, Alpha: 1, GhostEntries: 100, Readers: 2, ReadQueue: 9, ReadTimeout: 1, WriteQueue: 9, SyncInterval: 0.01})
 		var err error
 		x.Disk, _, err = diskcache.OpenCache(dir, p, x.Telemetry, slog.New(slog.DiscardHandler))
 		require.NoError(t, err)
@@ -240,7 +240,7 @@
 	for _, object := range []int{5, 6, 5, 6, 5, 6} {
 		a.ask(t, "video", object, filled)
 	}
-	require.Eventually(t, func() bool { return x.Telemetry.Count("tier.write.parts") >= 2 }, patience, time.Millisecond)
+	require.Eventually(t, func() bool { return x.Telemetry.Value("tier.write.parts") >= 2 }, patience, time.Millisecond)
 	x.stop()
 	require.NoError(t, x.Disk.Close())
 
@@ -258,12 +258,12 @@
 	other.tell(o.row("s-000000ff", 2))
 	x = start(t, other, with)
 	a = x.dial(t)
-	require.Eventually(t, func() bool { return x.Telemetry.Count("box.board-anew") == 1 && x.Disk.Status().UpToDate }, patience, time.Millisecond)
+	require.Eventually(t, func() bool { return x.Telemetry.Value("box.board-anew") == 1 && x.Disk.Status().UpToDate }, patience, time.Millisecond)
 	word, _, _ = a.ask(t, "video", 5, "")
 	assert.Equal(t, "not_here", word, "on probation, and nobody to confirm it")
 	word, f, _ := a.ask(t, "video", 5, filled)
 	assert.Equal(t, "served h", word+" "+f["remark"])
-	assert.Equal(t, int64(1), x.Telemetry.Count("box.confirmed"))
+	assert.Equal(t, int64(1), x.Telemetry.Value("box.confirmed"))
 	word, _, _ = a.ask(t, "video", 5, "")
 	assert.Equal(t, "served", word)
 }
--- a/internal/edgecache/start.go
+++ b/internal/edgecache/start.go
@@ -17,31 +17,31 @@
 const megabyte = 1 << 20
 
 // TierPlan is the tier's plan as the operators' file has it.
-func DiskCacheConfig(t config.Tier) diskcache.Config {
-	return diskcache.Config{SpaceBytes: int64(t.SpaceMB * megabyte), SegmentBytes: int64(t.SegmentMB * megabyte), Alpha: t.Alpha,
-		DailyWriteBytes: int64(t.DailyWriteMB * megabyte), MaxGhosts: t.Ghosts, MaxPurges: t.Purges, Readers: t.Readers, ReadQueue: t.ReadQueue,
-		ReadTimeout: t.ReadWait.Duration(), WriteQueue: t.WriteQueue, SyncInterval: t.Sync.Duration(), SnapshotInterval: t.Snapshot.Duration()}
+func DiskCacheConfig(t config.DiskCache) diskcache.Config {
+	return diskcache.Config{SpaceBytes: int64(t.CapacityMB * megabyte), SegmentBytes: int64(t.SegmentMB * megabyte), Alpha: t.Alpha,
+		DailyWriteBytes: int64(t.DailyWriteMB * megabyte), MaxGhosts: t.GhostEntries, MaxPurges: t.RememberedPurges, Readers: t.Readers, ReadQueue: t.ReadQueue,
+		ReadTimeout: t.ReadTimeout.Duration(), WriteQueue: t.WriteQueue, SyncInterval: t.SyncInterval.Duration(), SnapshotInterval: t.SnapshotInterval.Duration()}
 }
 
 // Serve runs a box as the operators' file says until the context ends. Log lines go to out; the counters follow at
 // the end, and whenever print is told to.
-func Serve(ctx context.Context, rules config.Rulebook, out io.Writer, print <-chan struct{}) error {
-	k := telemetry.New(out, rules.Box.ID)
-	defer k.Print(out)
-	b := &Server{Config: rules.Box, Telemetry: k}
-	if len(b.Config.Rules) == 0 {
+func Serve(ctx context.Context, rules config.File, out io.Writer, print <-chan struct{}) error {
+	k := telemetry.New(out, rules.EdgeCache.ID)
+	defer k.Dump(out)
+	b := &Server{Config: rules.EdgeCache, Telemetry: k}
+	if len(b.Config.Classes) == 0 {
 		return errors.New("box.rules: a box has to know the remap rules of its txns")
 	}
 	if b.Config.Role == "origin" {
-		if b.Config.Made.Folder != "" {
-			b.Origin = DirOrigin(b.Config.Made.Folder)
+		if b.Config.Synthetic.Directory != "" {
+			b.Origin = DirOrigin(b.Config.Synthetic.Directory)
 		} else {
-			m := b.Config.Made
-			b.Origin = &SyntheticOrigin{Seed: m.Seed, MinBytes: m.LeastBytes, MaxBytes: m.MostBytes, Groups: m.Groups, KeyRetention: m.Window.Duration()}
+			m := b.Config.Synthetic
+			b.Origin = &SyntheticOrigin{Seed: m.Seed, MinBytes: m.MinBytes, MaxBytes: m.MaxBytes, Groups: m.Groups, KeyRetention: m.IdempotencyWindow.Duration()}
 		}
 	}
-	if rules.Tier.Folder != "" && b.Config.Role != "origin" {
-		path, err := filepath.Abs(rules.Tier.Folder)
+	if rules.DiskCache.Directory != "" && b.Config.Role != "origin" {
+		path, err := filepath.Abs(rules.DiskCache.Directory)
 		if err != nil {
 			return fmt.Errorf("tier.folder: %w", err)
 		}
@@ -49,7 +49,7 @@
 		if err != nil {
 			return fmt.Errorf("tier.folder: %w", err)
 		}
-		t, rep, err := diskcache.OpenCache(dir, DiskCacheConfig(rules.Tier), k, k.Log)
+		t, rep, err := diskcache.OpenCache(dir, DiskCacheConfig(rules.DiskCache), k, k.Log)
 		if err != nil {
 			return fmt.Errorf("tier.folder: %w", err)
 		}
@@ -79,7 +79,7 @@
 					k.Log.Info("tier", "code", "state", "parts", s.Chunks, "live", s.LiveBytes, "on_disk", s.DiskBytes, "certain", s.UpToDate, "followed",
 						s.Number, "purges", s.Purges, "doubted_up_to", s.SuspectUpTo, "writes_waiting", s.PendingWrites, "notes_waiting", s.PendingRecords)
 				}
-				k.Print(out)
+				k.Dump(out)
 			}
 		}
 	}()
--- a/internal/frontend/take.go
+++ b/internal/frontend/take.go
@@ -57,7 +57,7 @@
 type Server struct {
 	ClassIndexes map[string]int
 	Admission    *admission.Controller
-	Book         *telemetry.Book
+	Book         *telemetry.Metrics
 	Offer        func(any) bool
 	Post         func(any)
 
@@ -279,7 +279,7 @@
 	o := relay.New(k.Book, k.Admission)
 	c := &clientConn{Conn: netconn.New(raw, admission.ClientRingBytes, relay.Stall), o: o}
 	c.OnCloseRequest = c.may
-	k.Book.Began("client")
+	k.Book.ConnectionOpened("client")
 	k.mu.Lock()
 	if k.conns == nil {
 		k.conns = map[*relay.Outlet]*clientConn{}
--- a/internal/frontend/take_test.go
+++ b/internal/frontend/take_test.go
@@ -59,7 +59,7 @@
 		<-c.done
 		assert.Equal(t, 1, strings.Count(c.log.String(), "connection ended"), "one line")
 		assert.Zero(t, c.gate.OpenRequests(), "nothing is owed after the end")
-		assert.Equal(t, c.Book.Count("taken"), c.Book.Count("answered")+c.Book.Count("left"))
+		assert.Equal(t, c.Book.Value("taken"), c.Book.Value("answered")+c.Book.Value("left"))
 	})
 	return c
 }
@@ -114,7 +114,7 @@
 	x = (<-c.posted).(*request.Request)
 	_ = c.Close()
 	assert.Equal(t, RequestCancelled{x}, <-c.posted)
-	assert.EqualValues(t, 1, c.Book.Count("left.page.connection-ended"))
+	assert.EqualValues(t, 1, c.Book.Value("left.page.connection-ended"))
 }
 
 func TestReadiness(t *testing.T) {
@@ -199,8 +199,8 @@
 	_, stream, payload = c.next(t)
 	assert.Equal(t, []any{uint32(mostOpen + 2), "\x00\x00"}, []any{stream, payload}, "no memory for a body")
 	body.Free()
-	assert.EqualValues(t, 1, c.Book.Count("answered.page.rejected.streams"))
-	assert.EqualValues(t, 1, c.Book.Count("answered.unknown.rejected.memory"))
+	assert.EqualValues(t, 1, c.Book.Value("answered.page.rejected.streams"))
+	assert.EqualValues(t, 1, c.Book.Value("answered.unknown.rejected.memory"))
 }
 
 // TestPanicCostsOneTxn: one in the stages that a request is handed to is answered; one in a reader ends its connection.
@@ -211,7 +211,7 @@
 	_, stream, payload := c.next(t)
 	assert.Equal(t, []any{uint32(1), "\x09\x00"}, []any{stream, payload})
 	assert.Contains(t, c.log.String(), "a fault")
-	assert.EqualValues(t, 1, c.Book.Count("answered.page.aborted.panic"))
+	assert.EqualValues(t, 1, c.Book.Value("answered.page.aborted.panic"))
 	c.Admission = nil
 	_, _ = c.Write(append(clientproto.AppendHeader(nil, clientproto.TypeReadinessQuery, 0, 1), 0))
 	_, err := c.Read(make([]byte, 1))
@@ -384,7 +384,7 @@
 	assert.NoError(t, <-done)
 	_, err = far.Read(make([]byte, 1))
 	assert.Error(t, err)
-	assert.EqualValues(t, 1, k.Book.Count("conn.client.ended.shutdown"))
+	assert.EqualValues(t, 1, k.Book.Value("conn.client.ended.shutdown"))
 }
 
 // ending is a client's socket that tells when the router ends it, before that is done, and when it wakes its reader.
@@ -567,7 +567,7 @@
 	_, _ = c.Write(requestFrame(1, "aa", clientproto.Field{Name: "heap", Value: "1"}))
 	_, stream, payload := c.next(t)
 	assert.Equal(t, []any{uint32(1), "\x00\x00"}, []any{stream, payload})
-	assert.EqualValues(t, 1, c.Book.Count("answered.page.rejected.queue"))
+	assert.EqualValues(t, 1, c.Book.Value("answered.page.rejected.queue"))
 	assert.Zero(t, c.Admission.Bodies.UsedBytes())
 	c.Offer = full
 	_, _ = c.Write(requestFrame(2, "bb"))
--- a/internal/lab/addresses.go
+++ b/internal/lab/addresses.go
@@ -201,7 +201,7 @@
 	}
 	t.fragile = true
 	orders := orderBook{}
-	var rules config.Rulebook
+	var rules config.File
 	for i, kind := range []int{2, 1, 0, 0} {
 		m, err := newDoors(fmt.Sprintf("s-%08x", i+1), t.s.Folder, time.Millisecond)
 		if err != nil {
@@ -221,16 +221,16 @@
 		p := &place{id: m.id, kind: kind, location: min(1-min(kind, 1), 1), addr: last.addr}
 		t.places = append(t.places, p)
 		t.list(p, routing.Ready)
-		entry := config.Several{Member: m.id}
+		entry := config.EndpointAddresses{Endpoint: m.id}
 		for _, d := range m.doors {
-			entry.List = append(entry.List, d.addr)
+			entry.Addresses = append(entry.Addresses, d.addr)
 		}
 		rules.Router.Addresses = append(rules.Router.Addresses, entry)
 	}
 	for i := len(members); i < listed; i++ { // of the other campus: listed, never asked
 		p := &place{id: fmt.Sprintf("s-%08x", i+1), location: 2, addr: "127.0.0.1:9"}
 		t.places = append(t.places, p)
-		rules.Router.Addresses = append(rules.Router.Addresses, config.Several{Member: p.id, List: []string{"unix:/nowhere/" + p.id, "[::1]:9", "127.0.0.1:9"}})
+		rules.Router.Addresses = append(rules.Router.Addresses, config.EndpointAddresses{Endpoint: p.id, Addresses: []string{"unix:/nowhere/" + p.id, "[::1]:9", "127.0.0.1:9"}})
 	}
 	doors := members[2].doors
 	if hurt = doors[len(doors)-1]; several {
--- a/internal/lab/peers.go
+++ b/internal/lab/peers.go
@@ -568,7 +568,7 @@
 	if err != nil {
 		return rep, err
 	}
-	data, err := admin.Ask(book.Router.Socket, "peers", nil)
+	data, err := admin.Call(book.Router.AdminSocket, "peers", nil)
 	if err != nil {
 		return rep, err
 	}
--- a/internal/lab/town.go
+++ b/internal/lab/town.go
@@ -35,9 +35,9 @@
 	goneEverywhere       = 6.0        // s, after which running boxes have dropped what was purged
 )
 
-var townRules = []config.Rule{{Name: "video-part", Kept: true, Effect: "repeatable"},
-	{Name: "page-asset", Kept: true, Effect: "repeatable", FreshS: pageFresh, StaleS: pageStale},
-	{Name: "print-order", Kept: false, Effect: "keyed"}}
+var townRules = []config.Class{{Name: "video-part", Cacheable: true, Effect: "repeatable"},
+	{Name: "page-asset", Cacheable: true, Effect: "repeatable", FreshSeconds: pageFresh, StaleSeconds: pageStale},
+	{Name: "print-order", Cacheable: false, Effect: "keyed"}}
 
 // place is a member of a town: a box, a parent or the archive.
 type place struct {
@@ -211,25 +211,25 @@
 }
 
 // rulebook is the operators' file of a member.
-func (t *town) rulebook(p *place, folder string) config.Rulebook {
+func (t *town) rulebook(p *place, folder string) config.File {
 	rules, err := config.Parse("lab", nil)
 	if err != nil {
 		panic(err) // the product's own defaults
 	}
-	b := &rules.Box
-	b.ID, b.Listen, b.Board, b.Rules = p.id, p.addr, t.board.addr(), townRules
+	b := &rules.EdgeCache
+	b.ID, b.Listen, b.DiscoveryAddress, b.Classes = p.id, p.addr, t.board.addr(), townRules
 	b.Role = [...]string{"cache", "parent", "origin"}[p.kind]
-	b.MemoryMB, b.Drain = 4, 0.5
+	b.MemoryMB, b.DrainTimeout = 4, 0.5
 	if p.kind == 1 {
 		b.MemoryMB = 256
 		for _, x := range t.places {
 			if x.kind == 2 {
-				b.Source = x.id
+				b.DefaultSource = x.id
 			}
 		}
 	}
-	rules.Tier.Folder, rules.Tier.SpaceMB, rules.Tier.SegmentMB = folder, 256, 4
-	rules.Tier.Sync, rules.Tier.Snapshot = 0.25, 2
+	rules.DiskCache.Directory, rules.DiskCache.CapacityMB, rules.DiskCache.SegmentMB = folder, 256, 4
+	rules.DiskCache.SyncInterval, rules.DiskCache.SnapshotInterval = 0.25, 2
 	return rules
 }
 
@@ -240,7 +240,7 @@
 		return err
 	}
 	rules := t.rulebook(p, "")
-	b := &edgecache.Server{Config: rules.Box, Telemetry: telemetry.New(io.Discard, p.id)}
+	b := &edgecache.Server{Config: rules.EdgeCache, Telemetry: telemetry.New(io.Discard, p.id)}
 	if p.kind == 2 {
 		b.Origin = &t.made
 	}
--- a/internal/membership/peers.go
+++ b/internal/membership/peers.go
@@ -69,7 +69,7 @@
 	OnDoubt        func(member string, doubt, s float64)
 
 	plan  Config
-	book  *telemetry.Book
+	book  *telemetry.Metrics
 	conn  *net.UDPConn
 	base  time.Time
 	me    swim.MemberID
@@ -103,7 +103,7 @@
 }
 
 // New opens a node's socket. Nothing is sent before Run.
-func New(p Config, k *telemetry.Book) (*Node, error) {
+func New(p Config, k *telemetry.Metrics) (*Node, error) {
 	n := &Node{plan: p, book: k, base: time.Now(), me: -1, in: make(chan []byte, mostWaiting), ends: make(chan end, mostEnds),
 		posts: make(chan func(), 16), gone: make(chan struct{}), pulsed: make(chan struct{}, 1), out: ratelimit.New(p.SendLimits),
 		detect: hdrhistogram.New(1, longestS*1000, 2)}
--- a/internal/netconn/conn.go
+++ b/internal/netconn/conn.go
@@ -374,12 +374,12 @@
 func (c *Conn) IsClosed() bool { return c.closed.Load() }
 
 // Done books the end, once all that used the connection have stopped.
-func (c *Conn) LogEnd(b *telemetry.Book, side, peer string) {
+func (c *Conn) LogEnd(b *telemetry.Metrics, side, peer string) {
 	c.Close(Shutdown, nil)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	b.Ended(telemetry.Ended{Side: side, Peer: peer, Code: c.code.String(), Err: c.err, Since: c.since,
-		In: c.read.Load(), Out: c.wrote.Load()})
+	b.ConnectionEnded(telemetry.ConnectionEnd{Side: side, RemoteAddr: peer, Code: c.code.String(), Err: c.err, OpenedAt: c.since,
+		BytesIn: c.read.Load(), BytesOut: c.wrote.Load()})
 }
 
 // Reason names the code for an error of a read or write.
--- a/internal/netconn/conn_test.go
+++ b/internal/netconn/conn_test.go
@@ -95,7 +95,7 @@
 	c := New(near, 8, 0)
 	var log bytes.Buffer
 	b := telemetry.New(&log, "n1")
-	b.Began("client")
+	b.ConnectionOpened("client")
 	c.SetEndCode(ProtocolError, errors.New("why"))
 	c.Close(IdleTimeout, nil)
 	c.Close(PeerReset, nil)
@@ -103,7 +103,7 @@
 	assert.Contains(t, log.String(), "side=client code=protocol peer=x:1")
 	assert.Contains(t, log.String(), "err=why")
 	assert.Equal(t, 1, strings.Count(log.String(), "\n"))
-	assert.Equal(t, []int64{1, 0, 1}, []int64{b.Count("conn.client.begun"), b.Count("conn.client.open"), b.Count("conn.client.ended.protocol")})
+	assert.Equal(t, []int64{1, 0, 1}, []int64{b.Value("conn.client.begun"), b.Value("conn.client.open"), b.Value("conn.client.ended.protocol")})
 }
 
 // pair is a connection over loopback: the near side as the program has it, and the far side.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -27,7 +27,7 @@
 
 // Outlet is the answering side of one client's connection.
 type Outlet struct {
-	book *telemetry.Book
+	book *telemetry.Metrics
 	gate *admission.Controller
 
 	mu      sync.Mutex
@@ -47,7 +47,7 @@
 }
 
 // New makes the outlet of a connection.
-func New(b *telemetry.Book, g *admission.Controller) *Outlet {
+func New(b *telemetry.Metrics, g *admission.Controller) *Outlet {
 	return &Outlet{book: b, gate: g, open: map[uint32]*request.Request{}, wake: make(chan struct{}, 1)}
 }
 
@@ -60,7 +60,7 @@
 
 // Open says that a txn was taken: from here on it is owed an answer.
 func (o *Outlet) Open(t *request.Request) {
-	o.book.Taken(t.ClassName)
+	o.book.RequestReceived(t.ClassName)
 	o.mu.Lock()
 	o.open[t.StreamID] = t
 	o.mu.Unlock()
@@ -102,7 +102,7 @@
 	delete(o.open, t.StreamID)
 	o.queue = append(o.queue, item{t, clientproto.AppendResponse(nil, t.StreamID, a), a.Body})
 	o.mu.Unlock()
-	o.book.Answered(t.ClassName, a.Result.String(), a.Reason)
+	o.book.RequestAnswered(t.ClassName, a.Result.String(), a.Reason)
 	o.nudge()
 	return true
 }
@@ -155,7 +155,7 @@
 
 func (o *Outlet) left(t *request.Request, reason string) {
 	t.Cancel()
-	o.book.Left(t.ClassName, reason)
+	o.book.RequestCancelled(t.ClassName, reason)
 	o.gate.RequestDone()
 }
 
@@ -285,7 +285,7 @@
 	}
 	if late := float64(time.Now().UnixMicro())/1e6 - t.Deadline; late > 0 {
 		o.book.Add("answers.after-limit", 1)
-		if o.book.Most("answers.after-limit.most-us", int64(late*1e6)); late > lateLogged {
+		if o.book.Max("answers.after-limit.most-us", int64(late*1e6)); late > lateLogged {
 			o.book.Log.Warn("late answer", "txn", t.ID, "rule", t.ClassName, "by_s", late)
 		}
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -44,7 +44,7 @@
 	assert.False(t, o.Respond(x, request.Response{Body: o.gate.Bodies.TryAllocate(100)}))
 	assert.Zero(t, o.gate.Bodies.UsedBytes(), "what comes too late is freed as well")
 	assert.Zero(t, o.gate.OpenRequests())
-	assert.Equal(t, []int64{2, 1, 1, 0}, []int64{o.book.Count("taken"), o.book.Count("answered"), o.book.Count("left"), o.book.Count("open")})
+	assert.Equal(t, []int64{2, 1, 1, 0}, []int64{o.book.Value("taken"), o.book.Value("answered"), o.book.Value("left"), o.book.Value("open")})
 }
 
 func TestSlowReaderEnds(t *testing.T) {
--- a/internal/telemetry/book.go
+++ b/internal/telemetry/book.go
@@ -15,7 +15,7 @@
 
 // Book is one router's counters and its log. Counters go by name; names are made of a stage, a remap rule and a
 // code, set apart by dots.
-type Book struct {
+type Metrics struct {
 	Log *slog.Logger
 
 	mu     sync.Mutex
@@ -23,30 +23,30 @@
 }
 
 // New starts an empty book that logs to out.
-func New(out io.Writer, name string) *Book {
+func New(out io.Writer, name string) *Metrics {
 	log := slog.New(slog.NewTextHandler(out, nil))
 	if name != "" {
 		log = log.With("router", name)
 	}
-	return &Book{Log: log, counts: map[string]int64{}}
+	return &Metrics{Log: log, counts: map[string]int64{}}
 }
 
 // Add counts n more under a name.
-func (b *Book) Add(name string, n int64) {
+func (b *Metrics) Add(name string, n int64) {
 	b.mu.Lock()
 	b.counts[name] += n
 	b.mu.Unlock()
 }
 
 // Count reads a counter.
-func (b *Book) Count(name string) int64 {
+func (b *Metrics) Value(name string) int64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.counts[name]
 }
 
 // Taken, Answered and Left follow a txn: taken = answered + left + open at any time.
-func (b *Book) Taken(rule string) {
+func (b *Metrics) RequestReceived(rule string) {
 	b.mu.Lock()
 	b.counts["taken"]++
 	b.counts["taken."+rule]++
@@ -55,12 +55,14 @@
 }
 
 // Answered counts a final answer by remap rule, code and reason.
-func (b *Book) Answered(rule, code, reason string) { b.ended("answered", rule, code+"."+reason) }
+func (b *Metrics) RequestAnswered(rule, code, reason string) {
+	b.requestEnded("answered", rule, code+"."+reason)
+}
 
 // Left counts a txn whose client went away before its answer.
-func (b *Book) Left(rule, reason string) { b.ended("left", rule, reason) }
+func (b *Metrics) RequestCancelled(rule, reason string) { b.requestEnded("left", rule, reason) }
 
-func (b *Book) ended(how, rule, what string) {
+func (b *Metrics) requestEnded(how, rule, what string) {
 	b.mu.Lock()
 	b.counts[how]++
 	b.counts[how+"."+rule+"."+what]++
@@ -69,23 +71,23 @@
 }
 
 // Ended is how a connection ended. Side is client, member or board.
-type Ended struct {
-	Side, Peer, Code string
-	Err              error
-	Since            time.Time
-	In, Out          int64
+type ConnectionEnd struct {
+	Side, RemoteAddr, Code string
+	Err                    error
+	OpenedAt               time.Time
+	BytesIn, BytesOut      int64
 }
 
 // Ended counts an ended connection and leaves its one log line.
-func (b *Book) Ended(e Ended) {
+func (b *Metrics) ConnectionEnded(e ConnectionEnd) {
 	b.mu.Lock()
 	b.counts["conn."+e.Side+".ended."+e.Code]++
 	b.counts["conn."+e.Side+".open"]--
-	b.counts["bytes."+e.Side+".in"] += e.In
-	b.counts["bytes."+e.Side+".out"] += e.Out
+	b.counts["bytes."+e.Side+".in"] += e.BytesIn
+	b.counts["bytes."+e.Side+".out"] += e.BytesOut
 	b.mu.Unlock()
-	args := []any{"side", e.Side, "code", e.Code, "peer", e.Peer, "lasted_s", time.Since(e.Since).Seconds(),
-		"in", e.In, "out", e.Out}
+	args := []any{"side", e.Side, "code", e.Code, "peer", e.RemoteAddr, "lasted_s", time.Since(e.OpenedAt).Seconds(),
+		"in", e.BytesIn, "out", e.BytesOut}
 	if e.Err != nil {
 		args = append(args, "err", e.Err.Error())
 	}
@@ -93,20 +95,20 @@
 }
 
 // Began counts a connection that came up or is being made.
-func (b *Book) Began(side string) {
+func (b *Metrics) ConnectionOpened(side string) {
 	b.Add("conn."+side+".begun", 1)
 	b.Add("conn."+side+".open", 1)
 }
 
 // Most keeps the largest value seen under a name.
-func (b *Book) Most(name string, v int64) {
+func (b *Metrics) Max(name string, v int64) {
 	b.mu.Lock()
 	b.counts[name] = max(b.counts[name], v)
 	b.mu.Unlock()
 }
 
 // Print writes all counters, one a line, in the order of their names. Nobody waits for the writer: it may be slow.
-func (b *Book) Print(w io.Writer) {
+func (b *Metrics) Dump(w io.Writer) {
 	b.mu.Lock()
 	lines := make([]string, 0, len(b.counts))
 	for name, n := range b.counts {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -58,7 +58,7 @@
 // Pool holds the links to all members. Its methods belong to one goroutine; what it hears it hands to Post.
 type Pool struct {
 	Admission                *admission.Controller
-	Telemetry                *telemetry.Book
+	Telemetry                *telemetry.Metrics
 	OnEvent                  func(Event)
 	ConnectTimeout           time.Duration // longest wait for a connection
 	EndpointIdleTimeout      time.Duration // after which members close idle ones
@@ -163,7 +163,7 @@
 // run lets a link live; a descriptor was granted for it.
 func (p *Pool) run(m *member, l *Connection) {
 	m.links = append(m.links, l)
-	p.Telemetry.Began("member")
+	p.Telemetry.ConnectionOpened("member")
 	p.group.Go(func() error {
 		defer p.Admission.EndpointConnDone()
 		l.run(p.ctx)
--- a/internal/upstream/send_test.go
+++ b/internal/upstream/send_test.go
@@ -112,7 +112,7 @@
 	e.End.Body.Free()
 	assert.Zero(t, s.Admission.Bodies.UsedBytes())
 	assert.Equal(t, AttemptEnded{Attempt: a, End: request.AttemptEnd{Code: routing.CacheMiss}}, s.end(t))
-	assert.EqualValues(t, 1, s.Telemetry.Count("member.late-answers"))
+	assert.EqualValues(t, 1, s.Telemetry.Value("member.late-answers"))
 	assert.Equal(t, 1, s.ConnectionCount(), "one connection carries both")
 }
 
@@ -479,7 +479,7 @@
 			}
 		}
 	}()
-	assert.Eventually(t, func() bool { return s.Telemetry.Count("member.late-answers") > 1000 }, time.Minute, time.Millisecond)
+	assert.Eventually(t, func() bool { return s.Telemetry.Value("member.late-answers") > 1000 }, time.Minute, time.Millisecond)
 	s.UpdateEndpoints(true, nil)
 	s.CloseIdle(time.Now().Add(time.Second))
 	assert.Contains(t, s.after(t, a.Connection()), "code=unlisted")
