Add golden tests of the disk cache's folder, tools, decisions and request handler

Names and shapes are about to change while bytes, decisions and output must not. Folders (whole and damaged) were written by the code as it stands; the tools' output was printed by the program built before the renames.

--- /dev/null
+++ b/cmd/cairnfront/tier_golden_test.go
@@ -0,0 +1,48 @@
+package main
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// elapsed is what differs from run to run in the tools' output.
+var elapsed = regexp.MustCompile(`opened     in [0-9.]+ s|"Took":[0-9]+`)
+
+// The tools print the same for a folder of an earlier version, whole and damaged, as the program that wrote
+// testdata/tier.txt did.
+func TestTierToolsPrintTheSame(t *testing.T) {
+	var text strings.Builder
+	for _, name := range []string{"folder", "damaged"} {
+		golden := filepath.Join("..", "..", "internal", "diskcache", "testdata", "golden", name)
+		scratch := t.TempDir()
+		archive := filepath.Join(scratch, "archive.tar")
+		run := func(folder string, args ...string) {
+			path := filepath.Join(scratch, folder)
+			if _, err := os.Stat(path); err != nil {
+				require.NoError(t, os.CopyFS(path, os.DirFS(golden)))
+			}
+			out, errs, code := command(t, append(append([]string{"tier"}, args...), path)...)
+			fmt.Fprintf(&text, "== %s %s\n%s%sexit %d\n", name, args[0], out, errs, code)
+		}
+		run("1", "inspect")
+		run("2", "inspect", "--json")
+		run("3", "verify")
+		run("4", "export", "--to", archive)
+		content, err := os.ReadFile(archive)
+		require.NoError(t, err)
+		fmt.Fprintf(&text, "sha256 %x\n", sha256.Sum256(content))
+		run("5", "compact")
+		run("5", "verify")
+	}
+	want, err := os.ReadFile("testdata/tier.txt")
+	require.NoError(t, err)
+	assert.Equal(t, string(want), elapsed.ReplaceAllString(text.String(), "ELAPSED"))
+}
--- /dev/null
+++ b/internal/edgecache/handler/golden_test.go
@@ -0,0 +1,206 @@
+package handler
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"cairnfront/internal/diskcache/eviction"
+	"cairnfront/internal/diskcache/validity"
+	"cairnfront/routing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// compareGolden compares a text with a file of testdata; UPDATE_GOLDEN=1 writes the file instead.
+func compareGolden(t *testing.T, name, got string) {
+	t.Helper()
+	path := filepath.Join("testdata", name)
+	if os.Getenv("UPDATE_GOLDEN") == "1" {
+		require.NoError(t, os.MkdirAll("testdata", 0o750))
+		require.NoError(t, os.WriteFile(path, []byte(got), 0o600))
+	}
+	want, err := os.ReadFile(path)
+	require.NoError(t, err)
+	assert.Equal(t, string(want), got)
+}
+
+func printCopy(c *Copy) string {
+	if c == nil {
+		return "-"
+	}
+	return fmt.Sprintf("%d/%d,%s,at=%d,g=%d,r=%d,seq=%d,conf=%d,%dB", c.Object, c.Key.Chunk, c.Tag, c.IssuedAt, c.Group, c.Rank,
+		c.Seq, c.ConfirmedEpoch, len(c.Body))
+}
+
+// printActions writes actions without any Go name.
+func printActions(out *strings.Builder, actions []Action) {
+	for _, action := range actions {
+		switch a := action.(type) {
+		case Respond:
+			fmt.Fprintf(out, "  answer %d code=%d remark=%d same=%v passed=%v fill=%d copy=%s\n", a.Request, a.Code, a.Remark,
+				a.NotModified, a.PassThrough, a.Fill, printCopy(a.Copy))
+		case ReadDisk:
+			fmt.Fprintf(out, "  read %d/%d\n", a.Key.Object, a.Key.Chunk)
+		case Fetch:
+			fmt.Fprintf(out, "  fetch %d txn=%d %d/%d rule=%s source=%s tag=%s wait=%.6f maxage=%v rank=%d nofetch=%v notrace=%v join=%v\n",
+				a.Fill, a.Request, a.Key.Object, a.Key.Chunk, a.Class, a.Source, a.Tag, a.TimeoutSeconds, a.MaxAge, a.Rank,
+				a.NoFetch, a.NoTrace, a.Join)
+		case CancelFetch:
+			fmt.Fprintf(out, "  abandon %d\n", a.Fill)
+		case WriteDisk:
+			fmt.Fprintf(out, "  keep %s doubts=%d\n", printCopy(a.Copy), a.Epoch)
+		case TouchDisk:
+			fmt.Fprintf(out, "  used %s\n", printCopy(a.Copy))
+		case DeleteFromDisk:
+			fmt.Fprintf(out, "  forget %d/%d\n", a.Key.Object, a.Key.Chunk)
+		case ConfirmOnDisk:
+			fmt.Fprintf(out, "  confirm %d/%d seq=%d doubts=%d\n", a.Key.Object, a.Key.Chunk, a.Seq, a.Epoch)
+		}
+	}
+}
+
+// session plays a seeded script of requests, ends, cancels and purges against a handler.
+type session struct {
+	rnd     *rand.Rand
+	handler *Handler
+	env     *world
+	clock   float64
+	out     strings.Builder
+	fetches []Fetch
+	reads   []eviction.Key
+	open    []Request
+}
+
+func (s *session) take(actions []Action) {
+	printActions(&s.out, actions)
+	for _, action := range actions {
+		switch a := action.(type) {
+		case Fetch:
+			s.fetches = append(s.fetches, a)
+		case ReadDisk:
+			s.reads = append(s.reads, a.Key)
+		}
+	}
+	fmt.Fprintf(&s.out, "  bytes=%d fills=%d\n", s.handler.Bytes(), s.handler.Fills())
+}
+
+func (s *session) chance(percent int) bool { return s.rnd.IntN(100) < percent }
+
+func (s *session) request(id uint64) {
+	request := Request{
+		ID:       id,
+		Key:      eviction.Key{Object: uint64(s.rnd.IntN(9)), Chunk: uint32(s.rnd.IntN(2))},
+		Class:    []Class{video, page, order}[s.rnd.IntN(3)],
+		Deadline: s.clock + 5,
+		Rank:     s.rnd.IntN(4),
+		Join:     s.chance(80),
+		NoFetch:  s.chance(10),
+		NoTrace:  s.chance(10),
+		Renew:    s.chance(50),
+	}
+	request.Class.Name = "c"
+	if s.chance(85) {
+		request.Source = "s-1"
+	}
+	if s.chance(30) {
+		request.MaxAge = 5 + 25*s.rnd.Float64()
+	}
+	if s.chance(20) {
+		request.Tag = "v2"
+	}
+	s.env.disk[request.Key] = s.chance(25)
+	s.open = append(s.open, request)
+	fmt.Fprintf(&s.out, "%.3f ask %d %d/%d kept=%v\n", s.clock, id, request.Key.Object, request.Key.Chunk, request.Class.Cacheable)
+	s.take(s.handler.HandleRequest(s.clock, request))
+}
+
+func (s *session) fetched() {
+	if len(s.fetches) == 0 {
+		return
+	}
+	i := s.rnd.IntN(len(s.fetches))
+	f := s.fetches[i]
+	s.fetches = append(s.fetches[:i:i], s.fetches[i+1:]...)
+	codes := []routing.AttemptResult{routing.Completed, routing.Completed, routing.Completed, routing.Completed, routing.Overloaded,
+		routing.CacheMiss, routing.TimedOut, routing.ConnectFailed, routing.NotSent}
+	result := FetchResult{
+		Code:     codes[s.rnd.IntN(len(codes))],
+		Tag:      fmt.Sprint("v", s.rnd.IntN(4)),
+		IssuedAt: int64((s.clock - 12*s.rnd.Float64()) * 1000),
+		Group:    uint16(s.rnd.IntN(3)),
+		Body:     make([]byte, 100+s.rnd.IntN(2500)),
+	}
+	if f.Tag != "" && s.chance(60) {
+		result.NotModified, result.Body = true, nil
+	}
+	if s.chance(20) {
+		result.Group = validity.UnknownGroup
+	}
+	fmt.Fprintf(&s.out, "%.3f fetched %d code=%d same=%v\n", s.clock, f.Fill, result.Code, result.NotModified)
+	s.take(s.handler.HandleFetched(s.clock, f.Fill, result))
+}
+
+func (s *session) diskRead() {
+	if len(s.reads) == 0 {
+		return
+	}
+	k := s.reads[0]
+	s.reads = s.reads[1:]
+	var c *Copy
+	if s.chance(70) {
+		c = &Copy{Key: k, Tag: "v2", IssuedAt: int64((s.clock - 15*s.rnd.Float64()) * 1000), Group: 1, Rank: s.rnd.IntN(4),
+			Seq: 1 + uint64(s.rnd.IntN(50)), Body: make([]byte, 700)}
+	}
+	fmt.Fprintf(&s.out, "%.3f disk %d/%d found=%v\n", s.clock, k.Object, k.Chunk, c != nil)
+	s.take(s.handler.HandleDiskRead(s.clock, k, c))
+}
+
+func (s *session) step(id uint64) {
+	s.clock += s.rnd.Float64() * 0.5
+	switch choice := s.rnd.IntN(20); {
+	case choice < 7:
+		s.request(id)
+	case choice < 13:
+		s.fetched()
+	case choice < 15:
+		s.diskRead()
+	case choice == 15 && len(s.open) > 0:
+		request := s.open[s.rnd.IntN(len(s.open))]
+		fmt.Fprintf(&s.out, "%.3f leave %d\n", s.clock, request.ID)
+		s.take(s.handler.HandleCancel(s.clock, request.ID, request.Key))
+	case choice == 16:
+		object := uint64(s.rnd.IntN(9))
+		s.env.void[object] = int64(s.clock*1000) - int64(s.rnd.IntN(4000))
+		fmt.Fprintf(&s.out, "purge %d\n", object)
+	case choice == 17:
+		object := uint64(s.rnd.IntN(9))
+		s.env.verdict[object] = validity.Verdict(s.rnd.IntN(2))
+		s.env.doubts++
+		fmt.Fprintf(&s.out, "verdict %d %d\n", object, s.env.verdict[object])
+	default:
+		fmt.Fprintf(&s.out, "%.3f tick\n", s.clock)
+		s.take(s.handler.HandleTick(s.clock))
+	}
+}
+
+func playSession(seed uint64, steps int) string {
+	h, env := fresh()
+	s := &session{rnd: rand.New(rand.NewPCG(seed, 9)), handler: h, env: env, clock: now}
+	for id := range uint64(steps) {
+		s.step(id + 1)
+	}
+	return s.out.String()
+}
+
+// A short session is stored as text, a long one by its hash.
+func TestGoldenSession(t *testing.T) {
+	compareGolden(t, "session.txt", playSession(3, 400))
+	long := playSession(4, 20000)
+	compareGolden(t, "session-long.txt", fmt.Sprintf("%d lines, sha256 %x\n", strings.Count(long, "\n"), sha256.Sum256([]byte(long))))
+}
