--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"sort"
 	"time"
 )
@@ -83,41 +84,71 @@
 
 // Run runs a scenario. An error says that it could not be run; whether it held is in the report.
 func Run(ctx context.Context, name string, s Setting) (*Report, error) {
-	for _, sc := range Scenarios() {
-		if sc.Name != name {
-			continue
-		}
-		r := &Report{Scenario: name, Seed: s.Seed, Size: "small", Counts: map[string]int64{}, Figures: map[string]float64{}, Broken: []string{}}
-		if s.Full {
-			r.Size = "full"
-		}
-		if s.Tell == nil {
-			s.Tell = func(string, ...any) {}
-		}
-		if s.Folder == "" {
-			dir, err := os.MkdirTemp("", "cairnfront-lab")
-			if err != nil {
-				return nil, fmt.Errorf("a folder for the scenario: %w", err)
-			}
-			defer os.RemoveAll(dir)
-			s.Folder = dir
-		}
-		began := time.Now()
-		if err := sc.Run(ctx, s, r); err != nil {
-			return nil, fmt.Errorf("scenario %s: %w", name, err)
+	scenarios := Scenarios()
+	at := slices.IndexFunc(scenarios, func(sc Scenario) bool { return sc.Name == name })
+	if at < 0 {
+		return nil, fmt.Errorf("there is no scenario %q; see 'lab list'", name)
+	}
+	folder, remove, err := scenarioFolder(s.Folder)
+	if err != nil {
+		return nil, fmt.Errorf("scenario %s: %w", name, err)
+	}
+	defer remove()
+	s.Folder = folder
+	if s.Tell == nil {
+		s.Tell = func(string, ...any) {}
+	}
+	r := &Report{
+		Scenario: name,
+		Seed:     s.Seed,
+		Size:     "small",
+		Counts:   map[string]int64{},
+		Figures:  map[string]float64{},
+		Broken:   []string{},
+	}
+	if s.Full {
+		r.Size = "full"
+	}
+	began := time.Now()
+	if err := scenarios[at].Run(ctx, s, r); err != nil {
+		return nil, fmt.Errorf("scenario %s: %w", name, err)
+	}
+	r.Figures["took_s"] = time.Since(began).Seconds()
+	r.close()
+	return r, nil
+}
+
+// scenarioFolder makes the folder that a scenario writes to. Without a name it is a temporary one, which remove deletes.
+func scenarioFolder(name string) (folder string, remove func(), err error) {
+	if name != "" {
+		if err := os.MkdirAll(name, 0o700); err != nil {
+			return "", nil, fmt.Errorf("make its folder: %w", err)
 		}
-		r.Figures["took_s"] = time.Since(began).Seconds()
-		for what, n := range map[string]int64{"txns lost": r.Rules.Lost, "second answers": r.Rules.SecondAnswers, "second effects": r.Rules.SecondEffects,
-			"drains not kept": r.Rules.Drain, "cold members pushed over": r.Rules.Cold, "answers older than a purge": r.Rules.Purge} {
-			if n > 0 {
-				r.Broke("%d %s", n, what)
-			}
+		return name, func() {}, nil
+	}
+	folder, err = os.MkdirTemp("", "cairnfront-lab")
+	if err != nil {
+		return "", nil, fmt.Errorf("make its temporary folder: %w", err)
+	}
+	return folder, func() { _ = os.RemoveAll(folder) }, nil
+}
+
+// close lists the broken rules among what broke, and gives the verdict.
+func (r *Report) close() {
+	for what, n := range map[string]int64{
+		"txns lost":                  r.Rules.Lost,
+		"second answers":             r.Rules.SecondAnswers,
+		"second effects":             r.Rules.SecondEffects,
+		"drains not kept":            r.Rules.Drain,
+		"cold members pushed over":   r.Rules.Cold,
+		"answers older than a purge": r.Rules.Purge,
+	} {
+		if n > 0 {
+			r.Broke("%d %s", n, what)
 		}
-		sort.Strings(r.Broken)
-		r.Held = len(r.Broken) == 0
-		return r, nil
 	}
-	return nil, fmt.Errorf("there is no scenario %q; see 'lab list'", name)
+	sort.Strings(r.Broken)
+	r.Held = len(r.Broken) == 0
 }
 
 // Broke notes a bound that did not hold; the first few of a kind are enough.
@@ -140,18 +171,18 @@
 	if !r.Held {
 		verdict = "BROKEN"
 	}
-	fmt.Fprintf(w, "%s, seed %d, %s: %s\n", r.Scenario, r.Seed, r.Size, verdict)
+	_, _ = fmt.Fprintf(w, "%s, seed %d, %s: %s\n", r.Scenario, r.Seed, r.Size, verdict)
 	for _, line := range r.Did {
-		fmt.Fprintf(w, "  %s\n", line)
+		_, _ = fmt.Fprintf(w, "  %s\n", line)
 	}
 	for _, name := range sortedKeys(r.Counts) {
-		fmt.Fprintf(w, "  %-28s %d\n", name, r.Counts[name])
+		_, _ = fmt.Fprintf(w, "  %-28s %d\n", name, r.Counts[name])
 	}
 	for _, name := range sortedKeys(r.Figures) {
-		fmt.Fprintf(w, "  %-28s %.4g\n", name, r.Figures[name])
+		_, _ = fmt.Fprintf(w, "  %-28s %.4g\n", name, r.Figures[name])
 	}
 	for _, line := range r.Broken {
-		fmt.Fprintf(w, "  broken: %s\n", line)
+		_, _ = fmt.Fprintf(w, "  broken: %s\n", line)
 	}
 }
 
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"encoding/json"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -31,6 +33,27 @@
 	return rep
 }
 
+// TestScenarioFolderIsMade holds that a named folder is made, with those above it, and kept; a temporary one is removed.
+func TestScenarioFolderIsMade(t *testing.T) {
+	missing := filepath.Join(t.TempDir(), "not", "there")
+	folder, remove, err := scenarioFolder(missing)
+	require.NoError(t, err)
+	remove()
+	assert.Equal(t, missing, folder)
+	assert.DirExists(t, missing)
+
+	folder, remove, err = scenarioFolder("")
+	require.NoError(t, err)
+	assert.DirExists(t, folder)
+	remove()
+	assert.NoDirExists(t, folder)
+
+	file := filepath.Join(t.TempDir(), "file")
+	require.NoError(t, os.WriteFile(file, nil, 0o600))
+	_, _, err = scenarioFolder(filepath.Join(file, "below"))
+	assert.ErrorContains(t, err, file, "the error names the folder")
+}
+
 // Each check is shown to fail where its rule is broken, and to hold where it is not.
 func TestChecksSeeWhatIsBroken(t *testing.T) {
 	old := func(x *town, r *reply) {
