--- /dev/null
+++ b/internal/netconn/golden_test.go
@@ -0,0 +1,42 @@
+package netconn
+
+import (
+	"bytes"
+	"errors"
+	"flag"
+	"net"
+	"os"
+	"regexp"
+	"testing"
+
+	"cairnfront/internal/telemetry"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+var update = flag.Bool("update", false, "write the golden files")
+
+// TestEndedConnectionLogLines compares the log line and the counters of an ended connection for each end code with the
+// golden file. The time and the duration are masked.
+func TestEndedConnectionLogLines(t *testing.T) {
+	var log bytes.Buffer
+	book := telemetry.New(&log, "n1")
+	for code := NoEndCode + 1; code <= SocketError; code++ {
+		near, _ := net.Pipe()
+		c := New(near, 8, 0)
+		book.ConnectionOpened("member")
+		c.Close(code, errors.New("cause"))
+		c.LogEnd(book, "member", "m@a:1")
+	}
+	book.Dump(&log)
+	masked := regexp.MustCompile(`(time|lasted_s)=\S+`).ReplaceAll(log.Bytes(), []byte("$1=*"))
+	masked = regexp.MustCompile(`counter process\.\S+ \d+\n`).ReplaceAll(masked, nil)
+	const file = "testdata/ended-connections.golden"
+	if *update {
+		require.NoError(t, os.WriteFile(file, masked, 0o644))
+	}
+	want, err := os.ReadFile(file)
+	require.NoError(t, err)
+	assert.Equal(t, string(want), string(masked))
+}
--- /dev/null
+++ b/internal/upstream/golden_test.go
@@ -0,0 +1,192 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"flag"
+	"io"
+	"net"
+	"os"
+	"regexp"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"cairnfront/internal/admission"
+	"cairnfront/internal/discovery"
+	"cairnfront/internal/upstream/address"
+	"cairnfront/routing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+var update = flag.Bool("update", false, "write the golden files")
+
+// failingConn is a socket whose reads fail, once it was written to, with an error of no known kind.
+type failingConn struct {
+	net.Conn
+	written chan bool
+}
+
+func (c failingConn) Read([]byte) (int, error) {
+	<-c.written
+	return 0, errors.New("read failed")
+}
+
+func (c failingConn) Write(p []byte) (int, error) {
+	if bytes.HasSuffix(p, []byte("\r\n\r\n")) {
+		time.AfterFunc(10*time.Millisecond, func() { close(c.written) })
+	}
+	return len(p), nil
+}
+
+func (failingConn) Close() error                     { return nil }
+func (failingConn) SetReadDeadline(time.Time) error  { return nil }
+func (failingConn) SetWriteDeadline(time.Time) error { return nil }
+
+// dialFails makes the pool's dials fail.
+func dialFails(s *side, err error) {
+	s.Dial = func(context.Context, string) (net.Conn, error) { return nil, err }
+}
+
+// sendAndRead sends an attempt and reads it at the far side, which is returned.
+func sendAndRead(t *testing.T, s *side) (*Attempt, net.Conn) {
+	a := s.send("a", 0)
+	far := <-s.dialed
+	asked(t, bufio.NewReader(far))
+	return a, far
+}
+
+// answered sends an attempt that is answered, so that its connection is idle.
+func answered(t *testing.T, s *side) (*Attempt, net.Conn) {
+	a, far := sendAndRead(t, s)
+	_, _ = io.WriteString(far, "a nobody - 0\r\n\r\n")
+	s.end(t)
+	return a, far
+}
+
+// connectionEnds has a cause for each way in which an upstream connection ends. Each returns the attempt whose
+// connection ends.
+var connectionEnds = []struct {
+	name  string
+	cause func(t *testing.T, s *side) *Attempt
+}{
+	{"closed by the endpoint", func(t *testing.T, s *side) *Attempt {
+		a, far := answered(t, s)
+		_ = far.Close()
+		return a
+	}},
+	{"closed inside a body", func(t *testing.T, s *side) *Attempt {
+		a, far := sendAndRead(t, s)
+		_, _ = io.WriteString(far, "a served digest=d,dated=1 10\r\nhalf")
+		_ = far.Close()
+		return a
+	}},
+	{"unknown code", func(t *testing.T, s *side) *Attempt {
+		a, far := sendAndRead(t, s)
+		_, _ = io.WriteString(far, "a what - 0\r\n")
+		return a
+	}},
+	{"line too long", func(t *testing.T, s *side) *Attempt {
+		a, far := sendAndRead(t, s)
+		_, _ = io.WriteString(far, strings.Repeat("x", admission.EndpointRingBytes))
+		return a
+	}},
+	{"no line end after a body", func(t *testing.T, s *side) *Attempt {
+		a, far := sendAndRead(t, s)
+		_, _ = io.WriteString(far, "a served - 1\r\nxyz")
+		return a
+	}},
+	{"response stalls", func(t *testing.T, s *side) *Attempt {
+		a, far := sendAndRead(t, s)
+		_, _ = io.WriteString(far, "a served digest=d,dated=1,remark=h 10\r\nhalf")
+		return a
+	}},
+	{"endpoint does not read", func(_ *testing.T, s *side) *Attempt {
+		return s.send("a", 200_000)
+	}},
+	{"idle", func(t *testing.T, s *side) *Attempt {
+		a, _ := answered(t, s)
+		s.CloseIdle(time.Now().Add(time.Hour))
+		return a
+	}},
+	{"endpoint removed", func(t *testing.T, s *side) *Attempt {
+		a, _ := answered(t, s)
+		s.UpdateEndpoints(true, nil)
+		s.CloseIdle(time.Now().Add(time.Second))
+		return a
+	}},
+	{"silent after a cancel", func(t *testing.T, s *side) *Attempt {
+		a, far := sendAndRead(t, s)
+		s.ConnectTimeout = 0
+		s.Cancel(a, routing.TimedOut)
+		assert.Equal(t, "undo a", asked(t, bufio.NewReader(far)))
+		s.end(t)
+		s.CloseIdle(time.Now())
+		return a
+	}},
+	{"panic", func(t *testing.T, s *side) *Attempt {
+		onEvent := s.OnEvent
+		s.OnEvent = func(ev Event) {
+			if e, ok := ev.(AttemptEnded); ok && e.End.Code == routing.CacheMiss {
+				panic("a fault")
+			}
+			onEvent(ev)
+		}
+		a, far := sendAndRead(t, s)
+		_, _ = io.WriteString(far, "a not_here - 0\r\n\r\n")
+		return a
+	}},
+	{"read error", func(_ *testing.T, s *side) *Attempt {
+		s.Dial = func(context.Context, string) (net.Conn, error) { return failingConn{written: make(chan bool)}, nil }
+		return s.send("a", 0)
+	}},
+	{"refused", func(_ *testing.T, s *side) *Attempt {
+		dialFails(s, syscall.ECONNREFUSED)
+		return s.send("a", 0)
+	}},
+	{"no descriptors", func(_ *testing.T, s *side) *Attempt {
+		dialFails(s, syscall.EMFILE)
+		return s.send("a", 0)
+	}},
+	{"all addresses in cooldown", func(_ *testing.T, s *side) *Attempt {
+		s.AddressSelector = address.New(1)
+		s.EndpointAddresses = func(discovery.Endpoint) []address.Addr { return []address.Addr{first, second} }
+		s.RefreshAddresses()
+		now := unix(time.Now())
+		s.AddressSelector.DialEnded(now, "m", first, address.Refused, 0)
+		s.AddressSelector.DialEnded(now, "m", second, address.Refused, 0)
+		return s.send("a", 0)
+	}},
+	{"shutdown", func(t *testing.T, s *side) *Attempt {
+		a, _ := answered(t, s)
+		go s.stop()
+		return a
+	}},
+}
+
+// TestEndedConnectionLogLines causes each kind of end and compares the log lines with the golden file. Times, durations
+// and the error text of the codec, which is another package's, are masked.
+func TestEndedConnectionLogLines(t *testing.T) {
+	volatile := regexp.MustCompile(`(time|lasted_s|stack)=("(\\.|[^"])*"|\S+)`)
+	codecError := regexp.MustCompile(`err=.*what.*`)
+	var lines strings.Builder
+	for _, end := range connectionEnds {
+		s := pool(t)
+		a := end.cause(t, s)
+		log := s.after(t, a.Connection())
+		log = codecError.ReplaceAllString(volatile.ReplaceAllString(log, "$1=*"), "err=*")
+		lines.WriteString(end.name + "\n" + log)
+	}
+	const file = "testdata/ended-connections.golden"
+	if *update {
+		require.NoError(t, os.WriteFile(file, []byte(lines.String()), 0o644))
+	}
+	want, err := os.ReadFile(file)
+	require.NoError(t, err)
+	assert.Equal(t, string(want), lines.String())
+}
