--- a/internal/admission/admit.go
+++ b/internal/admission/admit.go
@@ -59,15 +59,15 @@
 
 // Txn lets a txn in, or names what there is too much of. Its own bytes, which the budget holds already, do not count: one
 // with a large body is let in as often as one with none. Each one let in ends with TxnDone.
-func (g *Controller) AdmitRequest(own int) (reason string) {
+func (g *Controller) AdmitRequest(own int) request.Reason {
 	if g.Bodies.UsedBytes()-int64(own) > g.full {
-		return "memory"
+		return request.ReasonMemoryShort
 	}
 	if g.txns.Add(1) > g.mostTxns {
 		g.RequestDone()
-		return "open-txns"
+		return request.ReasonTooManyRequests
 	}
-	return ""
+	return request.ReasonNone
 }
 
 // Enter counts a txn that is answered at once, whatever is open.
--- a/internal/admission/admit_test.go
+++ b/internal/admission/admit_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"cairnfront/internal/request"
+
 	"github.com/stretchr/testify/assert"
 )
 
@@ -14,12 +16,13 @@
 	assert.GreaterOrEqual(t, g.mostClients, int64(1024/3), "clients hold a third at most")
 	assert.Less(t, g.mostClients+g.mostMembers+g.tellBeyond, int64(1024-32))
 	g.mostTxns, g.mostClients, g.mostMembers = 2, 1, 1
-	assert.Equal(t, []string{"", "", "open-txns"}, []string{g.AdmitRequest(0), g.AdmitRequest(0), g.AdmitRequest(0)})
+	assert.Equal(t, []request.Reason{request.ReasonNone, request.ReasonNone, request.ReasonTooManyRequests},
+		[]request.Reason{g.AdmitRequest(0), g.AdmitRequest(0), g.AdmitRequest(0)})
 	g.RequestDone()
 	assert.Empty(t, g.AdmitRequest(0))
 	body, err := g.Bodies.Allocate(t.Context(), int(g.full)+1)
 	assert.NoError(t, err)
-	assert.Equal(t, "memory", g.AdmitRequest(0))
+	assert.Equal(t, request.ReasonMemoryShort, g.AdmitRequest(0))
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	_, err = g.Bodies.Allocate(ctx, int(g.full))
--- a/internal/clientproto/golden_test.go
+++ b/internal/clientproto/golden_test.go
@@ -52,7 +52,7 @@
 		"response completed":           append(AppendResponse(nil, streamID, completed), body.Bytes...),
 		"response not modified":        AppendResponse(nil, streamID, notModified),
 		"response rejected with retry": AppendResponse(nil, streamID, request.Response{Result: request.Rejected, RetryAfterSeconds: 0.2501}),
-		"response rejected":            AppendResponse(nil, streamID, request.Response{Result: request.Rejected, Reason: "full"}),
+		"response rejected":            AppendResponse(nil, streamID, request.Response{Result: request.Rejected, Reason: request.ReasonQueueFull}),
 		"response aborted":             AppendResponse(nil, 0, request.Response{Result: request.Aborted, RetryAfterSeconds: 1, ErrorText: "broken"}),
 		"cancel":                       AppendHeader(nil, TypeCancel, streamID, 0),
 		"readiness query":              append(AppendHeader(nil, TypeReadinessQuery, streamID, 1), 0),
--- a/internal/dispatch/route.go
+++ b/internal/dispatch/route.go
@@ -226,7 +226,7 @@
 		l.noticed(ev, routing.Incremental)
 	case FailAll:
 		for _, o := range l.open {
-			l.answer(o, request.Response{Result: request.Aborted, Reason: "shutdown"})
+			l.answer(o, request.Response{Result: request.Aborted, Reason: request.ReasonShutdown})
 		}
 	}
 }
@@ -281,7 +281,7 @@
 	}
 	if l.open[t.ID] != nil { // the decisions know a txn by its id
 		t.Body.Free()
-		t.ResponseWriter.Respond(t, request.Response{Result: request.Rejected, Reason: "id-in-use"})
+		t.ResponseWriter.Respond(t, request.Response{Result: request.Rejected, Reason: request.ReasonDuplicateID})
 		return
 	}
 	o := &open{t: t}
@@ -326,7 +326,7 @@
 	o.out--
 	l.Metrics.Add("hops."+o.t.ClassName+"."+reasons[end.Code], 1)
 	if end.Code == routing.Completed {
-		l.answer(o, request.Response{Result: request.Completed, Reason: "by-a-hop", ETag: end.ETag, NotModified: end.NotModified, Body: end.Body})
+		l.answer(o, request.Response{Result: request.Completed, Reason: request.ReasonAttemptCompleted, ETag: end.ETag, NotModified: end.NotModified, Body: end.Body})
 	}
 	if l.OnAttemptEnd != nil {
 		l.OnAttemptEnd(h.member, o.t.Class, end.Code, l.now-h.sent)
@@ -358,7 +358,7 @@
 			l.panicked("decisions", fmt.Sprintf("%T", ev), p)
 			acts = nil
 			if about != nil {
-				l.abandon(about, "panic")
+				l.abandon(about, request.ReasonPanic)
 			}
 		}
 	}()
@@ -367,7 +367,7 @@
 }
 
 // abandon aborts a txn that the decisions failed to end, and gives up its hops.
-func (l *Dispatcher) abandon(o *open, reason string) {
+func (l *Dispatcher) abandon(o *open, reason request.Reason) {
 	l.answer(o, request.Response{Result: request.Aborted, Reason: reason})
 	for _, h := range o.hops {
 		l.undo(h, routing.Cancelled)
@@ -391,11 +391,11 @@
 		}
 	case routing.RejectRequest:
 		if o := l.open[a.Request]; o != nil {
-			l.answer(o, request.Response{Result: request.Rejected, Reason: "decided", RetryAfterSeconds: a.RetryAfterSeconds})
+			l.answer(o, request.Response{Result: request.Rejected, Reason: request.ReasonDecided, RetryAfterSeconds: a.RetryAfterSeconds})
 		}
 	case routing.AbortRequest:
 		if o := l.open[a.Request]; o != nil {
-			l.answer(o, request.Response{Result: request.Aborted, Reason: "decided"})
+			l.answer(o, request.Response{Result: request.Aborted, Reason: request.ReasonDecided})
 		}
 	case routing.SetTimer:
 		l.at(l.now+a.AfterSeconds, timer{token: a.Token})
@@ -532,7 +532,7 @@
 		case t.guard != nil:
 			if !t.guard.ended {
 				l.Metrics.Log.Error("overdue", "txn", t.guard.t.ID)
-				l.abandon(t.guard, "overdue")
+				l.abandon(t.guard, request.ReasonDeadlineExceeded)
 			}
 		default:
 			l.decide(routing.TimerFired{Token: t.token}, nil)
--- a/internal/dispatch/route_test.go
+++ b/internal/dispatch/route_test.go
@@ -95,7 +95,7 @@
 	end := request.AttemptEnd{Code: routing.Completed, ETag: "t", Remark: routing.CacheHit, Body: &request.Body{Bytes: []byte("x")}}
 	l.Handle(upstream.AttemptEnded{Attempt: call, End: end})
 	l.Handle(upstream.AttemptEnded{Attempt: call, End: end})
-	assert.Equal(t, []request.Response{{Result: request.Completed, Reason: "by-a-hop", ETag: "t", Body: end.Body}}, o.answers)
+	assert.Equal(t, []request.Response{{Result: request.Completed, Reason: request.ReasonAttemptCompleted, ETag: "t", Body: end.Body}}, o.answers)
 	assert.Equal(t, routing.AttemptEnded{Request: "ab", Endpoint: "c", Result: routing.Completed, Detail: routing.CacheHit, RequestDone: true}, s.heard[2])
 	assert.Len(t, s.heard, 3, "a second end is not heard")
 	assert.Empty(t, l.open)
@@ -134,7 +134,7 @@
 	l.Handle(x)
 	l.Clock = func() float64 { return 101 }
 	l.ring()
-	assert.Equal(t, []request.Response{{Result: request.Rejected, Reason: "decided", RetryAfterSeconds: 2}}, o.answers, "one answer and no more")
+	assert.Equal(t, []request.Response{{Result: request.Rejected, Reason: request.ReasonDecided, RetryAfterSeconds: 2}}, o.answers, "one answer and no more")
 	assert.Equal(t, []routing.Event{routing.TimerFired{Token: 7}, routing.AttemptEnded{Request: "ab", Endpoint: "c", Result: routing.NotSent, ElapsedSeconds: 1, RequestDone: true}}, s.heard[2:])
 	assert.Empty(t, l.open)
 }
@@ -149,7 +149,7 @@
 	l.Handle(x)
 	l.Handle(upstream.AttemptEnded{Attempt: l.open["ab"].hops[0].call, End: request.AttemptEnd{Code: routing.Overloaded}})
 	l.ring()
-	assert.Equal(t, []request.Response{{Result: request.Aborted, Reason: "panic"}}, o.answers)
+	assert.Equal(t, []request.Response{{Result: request.Aborted, Reason: request.ReasonPanic}}, o.answers)
 	assert.Contains(t, log.String(), "a fault")
 	assert.Contains(t, log.String(), "route_test.go", "with the stack")
 	assert.Empty(t, l.open)
@@ -174,7 +174,7 @@
 	assert.Empty(t, o.answers, "its own time is up, the client's not surely")
 	l.Clock = func() float64 { return 105.021 }
 	l.ring()
-	assert.Equal(t, []request.Response{{Result: request.Aborted, Reason: "overdue"}}, o.answers)
+	assert.Equal(t, []request.Response{{Result: request.Aborted, Reason: request.ReasonDeadlineExceeded}}, o.answers)
 	assert.Empty(t, l.open)
 }
 
@@ -184,7 +184,7 @@
 	twin := *x
 	l.Handle(&twin)
 	l.Handle(frontend.RequestCancelled{Request: &twin})
-	assert.Equal(t, []request.Response{{Result: request.Rejected, Reason: "id-in-use"}}, o.answers)
+	assert.Equal(t, []request.Response{{Result: request.Rejected, Reason: request.ReasonDuplicateID}}, o.answers)
 	assert.Equal(t, x, l.open["ab"].t, "the first one goes on")
 	l.Handle(FailAll{})
 	assert.Equal(t, request.Aborted, o.answers[1].Result)
--- a/internal/frontend/take.go
+++ b/internal/frontend/take.go
@@ -327,7 +327,7 @@
 		return err
 	})
 	_ = g.Wait()
-	for _, t := range o.Close("connection-ended") {
+	for _, t := range o.Close(request.ConnectionEnded) {
 		k.Post(RequestCancelled{t})
 	}
 	k.mu.Lock()
@@ -386,7 +386,7 @@
 			err = r.txn(h)
 		case clientproto.TypeCancel:
 			if err = r.c.Discard(h.PayloadBytes); err == nil {
-				if t := r.o.Leave(h.StreamID, "cancelled"); t != nil {
+				if t := r.o.Leave(h.StreamID, request.CancelledByClient); t != nil {
 					r.k.Post(RequestCancelled{t})
 				}
 			}
@@ -435,7 +435,7 @@
 		return fault("stream %d is not new", h.StreamID)
 	}
 	t := &request.Request{StreamID: h.StreamID, ClassName: "unknown", ResponseWriter: r.o}
-	atOnce := func(v request.Result, reason, text string) {
+	atOnce := func(v request.Result, reason request.Reason, text string) {
 		r.k.Admission.CountRequest() // it is owed its answer like any other
 		r.o.Open(t)
 		r.o.Respond(t, request.Response{Result: v, Reason: reason, ErrorText: text})
@@ -444,7 +444,7 @@
 		if err := r.c.Discard(h.PayloadBytes); err != nil {
 			return err
 		}
-		atOnce(request.Aborted, "malformed", "txn too large")
+		atOnce(request.Aborted, request.ReasonMalformed, "txn too large")
 		return nil
 	}
 	body := r.k.Admission.Bodies.TryAllocate(h.PayloadBytes)
@@ -452,7 +452,7 @@
 		if err := r.c.Discard(h.PayloadBytes); err != nil {
 			return err
 		}
-		atOnce(request.Rejected, "memory", "")
+		atOnce(request.Rejected, request.ReasonMemoryShort, "")
 		return nil
 	}
 	if err := r.c.ReadFull(body.Bytes); err != nil {
@@ -467,12 +467,12 @@
 }
 
 // admit reads a txn that has come whole and hands it on. A panic there costs this txn only.
-func (r *reader) admit(t *request.Request, body *request.Body, now float64, atOnce func(request.Result, string, string)) {
+func (r *reader) admit(t *request.Request, body *request.Body, now float64, atOnce func(request.Result, request.Reason, string)) {
 	defer func() {
 		if p := recover(); p != nil {
 			r.k.panicked(p)
-			if !r.o.Respond(t, request.Response{Result: request.Aborted, Reason: "panic"}) {
-				atOnce(request.Aborted, "panic", "")
+			if !r.o.Respond(t, request.Response{Result: request.Aborted, Reason: request.ReasonPanic}) {
+				atOnce(request.Aborted, request.ReasonPanic, "")
 			}
 		}
 	}()
@@ -483,7 +483,7 @@
 	}
 	if err != nil {
 		body.Free()
-		atOnce(request.Aborted, "malformed", err.Error())
+		atOnce(request.Aborted, request.ReasonMalformed, err.Error())
 		return
 	}
 	a.StreamID, a.ResponseWriter, a.Class, a.ArrivedAt, a.Deadline = t.StreamID, r.o, rule, now, now+a.TimeoutSeconds
@@ -495,16 +495,16 @@
 		body.Free()
 	}
 	r.c.used.Store(true)
-	reason := ""
+	reason := request.ReasonNone
 	if r.o.Count() >= mostOpen {
-		reason = "streams"
-	} else if reason = r.k.Admission.AdmitRequest(size); reason == "" {
+		reason = request.ReasonTooManyStreams
+	} else if reason = r.k.Admission.AdmitRequest(size); reason == request.ReasonNone {
 		if r.o.Open(t); !r.k.Offer(t) { // the decisions are far behind: what is given up is answered at once
 			t.Body.Free()
-			r.o.Respond(t, request.Response{Result: request.Rejected, Reason: "queue"})
+			r.o.Respond(t, request.Response{Result: request.Rejected, Reason: request.ReasonQueueFull})
 		}
 	}
-	if reason != "" {
+	if reason != request.ReasonNone {
 		t.Body.Free()
 		atOnce(request.Rejected, reason, "")
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -102,7 +102,7 @@
 	delete(o.open, t.StreamID)
 	o.queue = append(o.queue, item{t, clientproto.AppendResponse(nil, t.StreamID, a), a.Body})
 	o.mu.Unlock()
-	o.book.RequestAnswered(t.ClassName, a.Result.String(), a.Reason)
+	o.book.RequestAnswered(t.ClassName, a.Result.String(), a.Reason.String())
 	o.nudge()
 	return true
 }
@@ -133,7 +133,7 @@
 
 // Leave says that nobody waits for a stream any more. It returns its txn if that was open; an answer that
 // nobody has begun to write is dropped. From here on no attempt of the txn begins.
-func (o *Outlet) Leave(stream uint32, reason string) *request.Request {
+func (o *Outlet) Leave(stream uint32, reason request.CancelReason) *request.Request {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	t := o.open[stream]
@@ -153,9 +153,9 @@
 	return nil
 }
 
-func (o *Outlet) left(t *request.Request, reason string) {
+func (o *Outlet) left(t *request.Request, reason request.CancelReason) {
 	t.Cancel()
-	o.book.RequestCancelled(t.ClassName, reason)
+	o.book.RequestCancelled(t.ClassName, reason.String())
 	o.gate.RequestDone()
 }
 
@@ -168,7 +168,7 @@
 }
 
 // Close ends the outlet and returns the txns that were still open.
-func (o *Outlet) Close(reason string) []*request.Request {
+func (o *Outlet) Close(reason request.CancelReason) []*request.Request {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.closed = true
--- /dev/null
+++ b/internal/request/request_test.go
@@ -0,0 +1,72 @@
+package request
+
+import (
+	"context"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// TestReasonTextsStandInCounterNames holds the texts that operators read in the counters' dump.
+func TestReasonTextsStandInCounterNames(t *testing.T) {
+	reasons := []string{"", "by-a-hop", "decided", "id-in-use", "overdue", "malformed", "memory", "open-txns", "streams",
+		"queue", "panic", "shutdown"}
+	for i, want := range reasons {
+		assert.Equal(t, want, Reason(i).String())
+	}
+	assert.Len(t, reasonTexts, len(reasons))
+	assert.Equal(t, "cancelled", CancelledByClient.String())
+	assert.Equal(t, "connection-ended", ConnectionEnded.String())
+	assert.Len(t, cancelReasonTexts, 2)
+	for i, want := range []string{"completed", "rejected", "aborted"} {
+		assert.Equal(t, want, Result(i).String())
+	}
+}
+
+func TestCancelIsSeenByAllHolders(t *testing.T) {
+	r := &Request{}
+	assert.False(t, r.Cancelled())
+	r.Cancel()
+	assert.True(t, r.Cancelled())
+}
+
+func TestBodyBudgetBoundsBytesUntilFree(t *testing.T) {
+	budget := NewBodyBudget(100)
+	body := budget.TryAllocate(60)
+	require.NotNil(t, body)
+	assert.Equal(t, 60, body.Len())
+	assert.EqualValues(t, 60, budget.UsedBytes())
+	assert.Nil(t, budget.TryAllocate(41))
+	body.Bytes = body.Bytes[:10]
+	body.Free()
+	body.Free()
+	assert.Zero(t, budget.UsedBytes(), "the whole body is given back, and once")
+	assert.NotNil(t, budget.TryAllocate(100))
+	canceled, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err := budget.Allocate(canceled, 1)
+	assert.ErrorIs(t, err, context.Canceled)
+}
+
+func TestAllocateWaitsForRoom(t *testing.T) {
+	budget := NewBodyBudget(100)
+	first := budget.TryAllocate(100)
+	allocated := make(chan *Body)
+	go func() {
+		body, err := budget.Allocate(t.Context(), 50)
+		assert.NoError(t, err)
+		allocated <- body
+	}()
+	first.Free()
+	assert.Equal(t, 50, (<-allocated).Len())
+}
+
+func TestBodyOfNilAndOfALiteral(t *testing.T) {
+	var none *Body
+	none.Free()
+	assert.Zero(t, none.Len())
+	literal := &Body{Bytes: []byte("abc")}
+	literal.Free()
+	assert.Equal(t, 3, literal.Len())
+}
