--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -127,7 +127,8 @@
 	defer stopClosing()
 	defer func() {
 		if p := recover(); p != nil {
-			c.Telemetry.Log.Error("panic", "where", telemetrySide, "what", fmt.Sprint(p), "stack", string(debug.Stack()))
+			stack := string(debug.Stack())
+			c.Telemetry.Log.Error("panic", "where", telemetrySide, "what", fmt.Sprint(p), "stack", stack)
 			conn.Close(netconn.Panic, nil)
 		}
 	}()
--- a/internal/discovery/known_test.go
+++ b/internal/discovery/known_test.go
@@ -53,7 +53,8 @@
 	}
 	for _, needed := range []string{"east", "std", "SERVING", "10.1.0.9:9090", "s-00c41f7a"} {
 		endpoint := strings.Replace(knownEndpointText, needed, "", 1)
-		_, _, err := ParseKnownEvents([]byte(`{"rev":1,"notices":[{"rev":1,"pool":{"endpoints":[`+endpoint+`]}}]}`), testNames)
+		text := `{"rev":1,"notices":[{"rev":1,"pool":{"endpoints":[` + endpoint + `]}}]}`
+		_, _, err := ParseKnownEvents([]byte(text), testNames)
 		assert.ErrorIs(t, err, ErrInvalidEndpoint, needed)
 	}
 }
