Reservation and its state machine are whole in the field's terms

Both are split by concern, actions are a sealed interface, outcomes, statuses and reasons are enums.

--- a/internal/replication/reservation/trace_test.go
+++ b/internal/replication/reservation/trace_test.go
@@ -1,29 +1,26 @@
 package reservation
 
 import (
+	"cairnfront/internal/replication/statemachine"
 	"crypto/sha256"
 	"fmt"
 	"math/rand/v2"
 	"testing"
 
-	"cairnfront/internal/replication/statemachine"
-
 	"github.com/stretchr/testify/assert"
 )
 
 // goldenTrace is the SHA-256 of the trace as an earlier version wrote it.
 const goldenTrace = "8e2fb655b783e8a496a580da50a43d6a10e0119fe38a9601974630b51a894c12"
 
-// reasonCode names the reason of a rejection independently of its text.
-func reasonCode(reason string) int {
-	return map[string]int{
-		"":                                  0,
-		"the ledger can't be reached":       1,
-		"too little time for a claim":       2,
-		"too many claims wait":              3,
-		"the ledger did not answer in time": 4,
-		"the ledger answered too late":      5,
-	}[reason]
+// reasonCodes number the reasons of a rejection as the trace does.
+var reasonCodes = map[RejectReason]int{
+	ReasonUnreachable:    1,
+	ReasonTooLittleTime:  2,
+	ReasonTooManyPending: 3,
+	ReasonNoResult:       4,
+	ReasonResultTooLate:  5,
+	ReasonDisplaced:      0,
 }
 
 // actionText writes an action in words that do not depend on the names in the code.
@@ -39,19 +36,21 @@
 	case ReportLocation:
 		return fmt.Sprintf("location %s %s %v %v", a.RequestID, a.Group, a.ExpiresAt, a.Completed)
 	case RejectRequest:
-		return fmt.Sprintf("reject %s %v %d", a.RequestID, a.RetryAfterSeconds, reasonCode(a.Reason))
+		return fmt.Sprintf("reject %s %v %d", a.RequestID, a.RetryAfterSeconds, reasonCodes[a.Reason])
 	}
 	return fmt.Sprintf("unknown %T", action)
 }
 
-// TestTraceOfSeededScript plays a script drawn from a seed against the state machine and compares all actions by hash.
+// TestTraceOfSeededScript plays a script drawn from a seed against the state machine and compares
+// all actions by hash.
 func TestTraceOfSeededScript(t *testing.T) {
 	rnd := rand.New(rand.NewPCG(7, 11))
 	core := New(Config{MaxPending: 6}, "r1", 3, 5)
 	state := statemachine.New()
 	hash := sha256.New()
 	counts := map[string]int{}
-	var submitted []SubmitCommand
+	outcomes := []Outcome{OutcomeUnknown, OutcomeCompleted, OutcomeNotExecuted}
+	var commands []SubmitCommand
 	now, revision := 0.0, uint64(0)
 	record := func(actions []Action) {
 		for _, action := range actions {
@@ -61,7 +60,7 @@
 			_, _ = fmt.Sscan(text, &word)
 			counts[word]++
 			if command, ok := action.(SubmitCommand); ok {
-				submitted = append(submitted, command)
+				commands = append(commands, command)
 			}
 		}
 	}
@@ -69,7 +68,7 @@
 	for i := range 20_000 {
 		now += 0.05 * rnd.Float64()
 		key := fmt.Sprint("k", rnd.IntN(40)+i/500)
-		request := fmt.Sprint("t", rnd.IntN(30))
+		request := RequestID(fmt.Sprint("t", rnd.IntN(30)))
 		switch event := rnd.IntN(100); {
 		case event < 35:
 			record(core.RequestAttempt(now, Attempt{
@@ -81,11 +80,11 @@
 				Deadline:       now + 2*rnd.Float64(),
 				PriorityWeight: float64(rnd.IntN(4)),
 			}))
-		case event < 65 && len(submitted) > 0:
-			j := rnd.IntN(min(len(submitted), 12))
-			command := submitted[j]
+		case event < 65 && len(commands) > 0:
+			j := rnd.IntN(min(len(commands), 12))
+			command := commands[j]
 			if rnd.IntN(8) > 0 {
-				submitted = append(submitted[:j:j], submitted[j+1:]...)
+				commands = append(commands[:j:j], commands[j+1:]...)
 			}
 			revision++
 			command.Command.Now = 1000 + now
@@ -97,7 +96,7 @@
 			record(core.Tick(now))
 		case event < 98:
 			outcome := rnd.IntN(3)
-			record(core.RequestEnded(now, request, key, outcome == 1, outcome == 2))
+			record(core.RequestEnded(request, key, outcomes[outcome]))
 		default:
 			core.config.ProceedWhenUnavailable = rnd.IntN(2) == 0
 			record(core.SetReachable(now, rnd.IntN(3) > 0))
--- a/internal/replication/statemachine/golden_test.go
+++ b/internal/replication/statemachine/golden_test.go
@@ -24,21 +24,36 @@
 	return golden
 }
 
-// TestGoldenCommandBytes holds the encoding of each operation and of a snapshot to the bytes of an earlier version.
+// TestGoldenCommandBytes holds the encoding of each operation and of a snapshot to the bytes of an
+// earlier version.
 func TestGoldenCommandBytes(t *testing.T) {
 	golden := goldenBytes(t, "testdata/commands.txt")
+	reserveCommand := Command{
+		Op:              OpReserve,
+		Now:             1700000000.25,
+		Key:             "k",
+		Group:           "g",
+		LifetimeSeconds: 6,
+		Requester:       "r1",
+		RequestNumber:   1<<20 + 1,
+	}
+	completed := settle(1700000001, "k", "g", "r1", 1<<20+1, StatusCompleted)
+	completed.Value = []byte("200")
+	put := func(now float64, kind Kind, key string, lifetimeSeconds float64, value []byte) Command {
+		return Command{Op: OpPut, Now: now, Kind: kind, Key: key, LifetimeSeconds: lifetimeSeconds, Value: value}
+	}
 	commands := []struct {
 		name    string
 		command Command
 	}{
-		{"reserve", Command{Op: OpReserve, Now: 1700000000.25, Key: "k", Group: "g", LifetimeSeconds: 6, Requester: "r1", RequestNumber: 1<<20 + 1}},
-		{"settle-completed", Command{Op: OpSettle, Now: 1700000001, Key: "k", Group: "g", Status: StatusCompleted, Value: []byte("200"), Requester: "r1", RequestNumber: 1<<20 + 1}},
-		{"settle-not-executed", Command{Op: OpSettle, Now: 1700000001, Key: "k", Group: "g", Status: StatusNotExecuted, Requester: "r1", RequestNumber: 1<<20 + 1}},
-		{"put-request-outcome", Command{Op: OpPut, Now: 1700000002, Kind: KindRequestOutcome, Key: "o", LifetimeSeconds: 60, Value: []byte("ok")}},
-		{"put-purge", Command{Op: OpPut, Now: 1700000003, Kind: KindPurge, Key: "p", LifetimeSeconds: 3600, Value: []byte("tag")}},
-		{"put-drain", Command{Op: OpPut, Now: 1700000004, Kind: KindDrain, Key: "d", LifetimeSeconds: 3600}},
-		{"put-return-time", Command{Op: OpPut, Now: 1700000005, Kind: KindReturnTime, Key: "t", LifetimeSeconds: 5.5}},
-		{"put-operator-order", Command{Op: OpPut, Now: 1700000006, Kind: KindOperatorOrder, Key: "x", LifetimeSeconds: 1e9, Value: []byte{0, 255}}},
+		{"reserve", reserveCommand},
+		{"settle-completed", completed},
+		{"settle-not-executed", settle(1700000001, "k", "g", "r1", 1<<20+1, StatusNotExecuted)},
+		{"put-request-outcome", put(1700000002, KindRequestOutcome, "o", 60, []byte("ok"))},
+		{"put-purge", put(1700000003, KindPurge, "p", 3600, []byte("tag"))},
+		{"put-drain", put(1700000004, KindDrain, "d", 3600, nil)},
+		{"put-return-time", put(1700000005, KindReturnTime, "t", 5.5, nil)},
+		{"put-operator-order", put(1700000006, KindOperatorOrder, "x", 1e9, []byte{0, 255})},
 		{"advance-time", Command{Op: OpAdvanceTime, Now: 1700000007.5}},
 	}
 	assert.Len(t, golden, len(commands)+1)
