--- a/internal/cacheproto/far.go
+++ b/internal/cacheproto/far.go
@@ -199,7 +199,7 @@
 func dating(name, value string, end *request.AttemptEnd) {
 	switch name {
 	case "dated":
-		end.OriginTimeMillis, _ = strconv.ParseInt(value, 10, 64)
+		end.OriginUnixMillis, _ = strconv.ParseInt(value, 10, 64)
 	case groupField:
 		if n, err := strconv.ParseUint(value, 10, 16); err == nil {
 			end.PurgeGroupPlusOne = int(n) + 1
--- a/internal/cacheproto/golden_test.go
+++ b/internal/cacheproto/golden_test.go
@@ -25,36 +25,36 @@
 	{
 		"a1 served digest=d1,dated=1764576000123,bucket=17,remark=h 4\r\n",
 		AttemptResult{Code: routing.Completed, Remark: routing.CacheHit, ETag: "d1", OriginUnixMillis: 1764576000123, Group: 17, BodyBytes: 4},
-		Response{ID: "a1", BodyBytes: 4, AttemptEnd: request.AttemptEnd{Code: routing.Completed, Remark: routing.CacheHit, ETag: "d1", OriginTimeMillis: 1764576000123, PurgeGroupPlusOne: 18}},
+		Response{ID: "a1", BodyBytes: 4, AttemptEnd: request.AttemptEnd{Result: routing.Completed, Detail: routing.CacheHit, ETag: "d1", OriginUnixMillis: 1764576000123, PurgeGroupPlusOne: 18}},
 	},
 	{
 		"a1 served digest=d1,dated=7,remark=f 240000\r\n",
 		AttemptResult{Code: routing.Completed, Remark: routing.Filled, ETag: "d1", OriginUnixMillis: 7, Group: UnknownGroup, BodyBytes: 240000},
-		Response{ID: "a1", BodyBytes: 240000, AttemptEnd: request.AttemptEnd{Code: routing.Completed, Remark: routing.Filled, ETag: "d1", OriginTimeMillis: 7}},
+		Response{ID: "a1", BodyBytes: 240000, AttemptEnd: request.AttemptEnd{Result: routing.Completed, Detail: routing.Filled, ETag: "d1", OriginUnixMillis: 7}},
 	},
 	{
 		"a1 served remark=j 0\r\n",
 		AttemptResult{Code: routing.Completed, Remark: routing.JoinedFill, Group: 3},
-		Response{ID: "a1", AttemptEnd: request.AttemptEnd{Code: routing.Completed, Remark: routing.JoinedFill}},
+		Response{ID: "a1", AttemptEnd: request.AttemptEnd{Result: routing.Completed, Detail: routing.JoinedFill}},
 	},
 	{
 		"a1 served - 0\r\n",
 		AttemptResult{Code: routing.Completed, Group: UnknownGroup},
-		Response{ID: "a1", AttemptEnd: request.AttemptEnd{Code: routing.Completed}},
+		Response{ID: "a1", AttemptEnd: request.AttemptEnd{Result: routing.Completed}},
 	},
 	{
 		"a1 still_good digest=d1,dated=7,bucket=0,remark=s 0\r\n",
 		AttemptResult{Code: routing.Completed, NotModified: true, Remark: routing.StaleHit, ETag: "d1", OriginUnixMillis: 7},
-		Response{ID: "a1", AttemptEnd: request.AttemptEnd{Code: routing.Completed, NotModified: true, Remark: routing.StaleHit, ETag: "d1", OriginTimeMillis: 7, PurgeGroupPlusOne: 1}},
+		Response{ID: "a1", AttemptEnd: request.AttemptEnd{Result: routing.Completed, NotModified: true, Detail: routing.StaleHit, ETag: "d1", OriginUnixMillis: 7, PurgeGroupPlusOne: 1}},
 	},
 	{
 		"a1 not_here - 0\r\n",
 		AttemptResult{Code: routing.CacheMiss, Remark: routing.JoinedFill, ETag: "d1"},
-		Response{ID: "a1", AttemptEnd: request.AttemptEnd{Code: routing.CacheMiss}},
+		Response{ID: "a1", AttemptEnd: request.AttemptEnd{Result: routing.CacheMiss}},
 	},
-	{"a1 overload - 0\r\n", AttemptResult{Code: routing.Overloaded}, Response{ID: "a1", AttemptEnd: request.AttemptEnd{Code: routing.Overloaded}}},
-	{"a1 crashed - 0\r\n", AttemptResult{Code: routing.ServerError}, Response{ID: "a1", AttemptEnd: request.AttemptEnd{Code: routing.ServerError}}},
-	{"a1 nobody - 0\r\n", AttemptResult{Code: routing.NotSent}, Response{ID: "a1", AttemptEnd: request.AttemptEnd{Code: routing.NotSent}}},
+	{"a1 overload - 0\r\n", AttemptResult{Code: routing.Overloaded}, Response{ID: "a1", AttemptEnd: request.AttemptEnd{Result: routing.Overloaded}}},
+	{"a1 crashed - 0\r\n", AttemptResult{Code: routing.ServerError}, Response{ID: "a1", AttemptEnd: request.AttemptEnd{Result: routing.ServerError}}},
+	{"a1 nobody - 0\r\n", AttemptResult{Code: routing.NotSent}, Response{ID: "a1", AttemptEnd: request.AttemptEnd{Result: routing.NotSent}}},
 }
 
 func TestCommandsAreEncodedToTheGoldenBytes(t *testing.T) {
@@ -145,7 +145,7 @@
 
 	got, err := ParseResponse([]byte("c1 green report=inflight:7;concurrent:8;util:0.61;load_share:0.5;x0:1;x1:2 0"))
 	require.NoError(t, err)
-	assert.Equal(t, Response{ID: "c1", IsProbeReply: true, AttemptEnd: request.AttemptEnd{Code: routing.Completed, LoadReport: []routing.LoadMetric{
+	assert.Equal(t, Response{ID: "c1", IsProbeReply: true, AttemptEnd: request.AttemptEnd{Result: routing.Completed, LoadReport: []routing.LoadMetric{
 		{Name: "inflight", Value: 7},
 		{Name: "inflight", Value: 8},
 		{Name: "util", Value: 0.61},
--- a/internal/cacheproto/line.go
+++ b/internal/cacheproto/line.go
@@ -108,7 +108,7 @@
 	if !ok {
 		return a, fmt.Errorf("unknown word %.40q", word)
 	}
-	a.Code, a.IsProbeReply, a.NotModified = code, word == "green" || word == "red", word == "still_good"
+	a.Result, a.IsProbeReply, a.NotModified = code, word == "green" || word == "red", word == "still_good"
 	n, err := strconv.ParseUint(string(w[3]), 10, 32)
 	if err != nil || n > MaxObjectBytes {
 		return a, fmt.Errorf("bad length %.40q", w[3])
@@ -122,7 +122,7 @@
 			case "digest":
 				a.ETag = value
 			case "remark":
-				a.Remark = remarks[value]
+				a.Detail = remarks[value]
 			case "report":
 				a.LoadReport = readings(value)
 			}
--- a/internal/cacheproto/line_test.go
+++ b/internal/cacheproto/line_test.go
@@ -25,21 +25,21 @@
 
 func TestAnswersAreRead(t *testing.T) {
 	for text, want := range map[string]Response{
-		"ab served digest=d1,dated=176,remark=f 7": {ID: "ab", BodyBytes: 7, AttemptEnd: request.AttemptEnd{Code: routing.Completed, ETag: "d1", Remark: routing.Filled}},
-		"ab still_good digest=d1,dated=176 0":      {ID: "ab", AttemptEnd: request.AttemptEnd{Code: routing.Completed, ETag: "d1", NotModified: true}},
-		"ab served - 0":                            {ID: "ab", AttemptEnd: request.AttemptEnd{Code: routing.Completed}}, // a write's has no digest
-		"ab not_here remark=j 0":                   {ID: "ab", AttemptEnd: request.AttemptEnd{Code: routing.CacheMiss, Remark: routing.JoinedFill}},
-		"ab overload - 0":                          {ID: "ab", AttemptEnd: request.AttemptEnd{Code: routing.Overloaded}},
-		"ab crashed remark=zz 3":                   {ID: "ab", BodyBytes: 3, AttemptEnd: request.AttemptEnd{Code: routing.ServerError}},
-		"ab nobody - 0":                            {ID: "ab", AttemptEnd: request.AttemptEnd{Code: routing.NotSent}},
-		"c1 green report=inflight:7;x1:0.6;y:NaN 0": {ID: "c1", IsProbeReply: true, AttemptEnd: request.AttemptEnd{Code: routing.Completed,
+		"ab served digest=d1,dated=176,remark=f 7": {ID: "ab", BodyBytes: 7, AttemptEnd: request.AttemptEnd{Result: routing.Completed, ETag: "d1", Detail: routing.Filled}},
+		"ab still_good digest=d1,dated=176 0":      {ID: "ab", AttemptEnd: request.AttemptEnd{Result: routing.Completed, ETag: "d1", NotModified: true}},
+		"ab served - 0":                            {ID: "ab", AttemptEnd: request.AttemptEnd{Result: routing.Completed}}, // a write's has no digest
+		"ab not_here remark=j 0":                   {ID: "ab", AttemptEnd: request.AttemptEnd{Result: routing.CacheMiss, Detail: routing.JoinedFill}},
+		"ab overload - 0":                          {ID: "ab", AttemptEnd: request.AttemptEnd{Result: routing.Overloaded}},
+		"ab crashed remark=zz 3":                   {ID: "ab", BodyBytes: 3, AttemptEnd: request.AttemptEnd{Result: routing.ServerError}},
+		"ab nobody - 0":                            {ID: "ab", AttemptEnd: request.AttemptEnd{Result: routing.NotSent}},
+		"c1 green report=inflight:7;x1:0.6;y:NaN 0": {ID: "c1", IsProbeReply: true, AttemptEnd: request.AttemptEnd{Result: routing.Completed,
 			LoadReport: []routing.LoadMetric{{Name: "inflight", Value: 7}, {Name: "link_fill", Value: 0.6}}}},
-		"c1 red - 0": {ID: "c1", IsProbeReply: true, AttemptEnd: request.AttemptEnd{Code: routing.ServerError}},
+		"c1 red - 0": {ID: "c1", IsProbeReply: true, AttemptEnd: request.AttemptEnd{Result: routing.ServerError}},
 	} {
 		got, err := ParseResponse([]byte(text))
 		assert.NoError(t, err, text)
 		if want.ETag != "" {
-			want.OriginTimeMillis = 176
+			want.OriginUnixMillis = 176
 		}
 		assert.Equal(t, want, got, text)
 	}
@@ -75,7 +75,7 @@
 		got, err := ParseResponse(text[:len(text)-2])
 		assert.NoError(t, err, string(text))
 		group := (r.Group + 1) % (UnknownGroup + 1)
-		assert.Equal(t, Response{ID: "ab", BodyBytes: r.BodyBytes, AttemptEnd: request.AttemptEnd{Code: r.Code, Remark: r.Remark, ETag: r.ETag, OriginTimeMillis: r.OriginUnixMillis, PurgeGroupPlusOne: group, NotModified: r.NotModified}}, got)
+		assert.Equal(t, Response{ID: "ab", BodyBytes: r.BodyBytes, AttemptEnd: request.AttemptEnd{Result: r.Code, Detail: r.Remark, ETag: r.ETag, OriginUnixMillis: r.OriginUnixMillis, PurgeGroupPlusOne: group, NotModified: r.NotModified}}, got)
 	}
 }
 
--- a/internal/dispatch/route.go
+++ b/internal/dispatch/route.go
@@ -324,14 +324,14 @@
 	o := h.o
 	h.over, h.call = true, nil // a call holds the body, and the hop's timer holds the hop
 	o.out--
-	l.Metrics.Add("hops."+o.t.ClassName+"."+reasons[end.Code], 1)
-	if end.Code == routing.Completed {
+	l.Metrics.Add("hops."+o.t.ClassName+"."+reasons[end.Result], 1)
+	if end.Result == routing.Completed {
 		l.answer(o, request.Response{Result: request.Completed, Reason: request.ReasonAttemptCompleted, ETag: end.ETag, NotModified: end.NotModified, Body: end.Body})
 	}
 	if l.OnAttemptEnd != nil {
-		l.OnAttemptEnd(h.member, o.t.Class, end.Code, l.now-h.sent)
+		l.OnAttemptEnd(h.member, o.t.Class, end.Result, l.now-h.sent)
 	}
-	l.decide(routing.AttemptEnded{Request: o.t.ID, Attempt: h.no, Endpoint: h.member, Result: end.Code, Detail: end.Remark,
+	l.decide(routing.AttemptEnded{Request: o.t.ID, Attempt: h.no, Endpoint: h.member, Result: end.Result, Detail: end.Detail,
 		ElapsedSeconds: l.now - h.sent, RequestDone: o.ended, LoadReport: end.LoadReport}, o)
 	l.tidy(o)
 }
@@ -339,7 +339,7 @@
 func (l *Dispatcher) checked(c *check, end request.AttemptEnd) {
 	if !c.over {
 		c.over = true
-		l.decide(routing.ProbeResult{Endpoint: c.member, Result: end.Code, ElapsedSeconds: l.now - c.sent, LoadReport: end.LoadReport}, nil)
+		l.decide(routing.ProbeResult{Endpoint: c.member, Result: end.Result, ElapsedSeconds: l.now - c.sent, LoadReport: end.LoadReport}, nil)
 	}
 }
 
@@ -402,7 +402,7 @@
 	case routing.Probe:
 		c := &check{member: a.Endpoint, sent: l.now}
 		if c.call = l.Pool.SendHealthCheck(a.Endpoint, c); c.call == nil {
-			l.later(func() { l.checked(c, request.AttemptEnd{Code: routing.ConnectFailed}) })
+			l.later(func() { l.checked(c, request.AttemptEnd{Result: routing.ConnectFailed}) })
 			return
 		}
 		l.at(l.now+l.Pool.ConnectTimeout.Seconds(), timer{check: c})
@@ -438,7 +438,7 @@
 		h.call = l.Pool.Send(d, avoid, h)
 	}
 	if h.call == nil {
-		l.later(func() { l.ended(h, request.AttemptEnd{Code: routing.NotSent}) })
+		l.later(func() { l.ended(h, request.AttemptEnd{Result: routing.NotSent}) })
 		return
 	}
 	h.link = h.call.Connection()
@@ -484,7 +484,7 @@
 	}
 	h.undone = true
 	if code, atOnce := l.Pool.Cancel(h.call, code); atOnce {
-		l.later(func() { l.ended(h, request.AttemptEnd{Code: code}) })
+		l.later(func() { l.ended(h, request.AttemptEnd{Result: code}) })
 	}
 }
 
@@ -527,7 +527,7 @@
 		case t.check != nil:
 			if !t.check.over {
 				l.Pool.Cancel(t.check.call, routing.TimedOut)
-				l.checked(t.check, request.AttemptEnd{Code: routing.TimedOut})
+				l.checked(t.check, request.AttemptEnd{Result: routing.TimedOut})
 			}
 		case t.guard != nil:
 			if !t.guard.ended {
--- a/internal/dispatch/route_test.go
+++ b/internal/dispatch/route_test.go
@@ -92,7 +92,7 @@
 	l, s, x, o, _ := stage(t, hopOn())
 	l.Handle(x)
 	call := l.open["ab"].hops[0].call
-	end := request.AttemptEnd{Code: routing.Completed, ETag: "t", Remark: routing.CacheHit, Body: &request.Body{Bytes: []byte("x")}}
+	end := request.AttemptEnd{Result: routing.Completed, ETag: "t", Detail: routing.CacheHit, Body: &request.Body{Bytes: []byte("x")}}
 	l.Handle(upstream.AttemptEnded{Attempt: call, End: end})
 	l.Handle(upstream.AttemptEnded{Attempt: call, End: end})
 	assert.Equal(t, []request.Response{{Result: request.Completed, Reason: request.ReasonAttemptCompleted, ETag: "t", Body: end.Body}}, o.answers)
@@ -147,7 +147,7 @@
 		panic(errors.New("a fault"))
 	})
 	l.Handle(x)
-	l.Handle(upstream.AttemptEnded{Attempt: l.open["ab"].hops[0].call, End: request.AttemptEnd{Code: routing.Overloaded}})
+	l.Handle(upstream.AttemptEnded{Attempt: l.open["ab"].hops[0].call, End: request.AttemptEnd{Result: routing.Overloaded}})
 	l.ring()
 	assert.Equal(t, []request.Response{{Result: request.Aborted, Reason: request.ReasonPanic}}, o.answers)
 	assert.Contains(t, log.String(), "a fault")
@@ -227,7 +227,7 @@
 	})
 	l.Handle(x)
 	x.Cancel()
-	l.Handle(upstream.AttemptEnded{Attempt: l.open["ab"].hops[0].call, End: request.AttemptEnd{Code: routing.Overloaded}})
+	l.Handle(upstream.AttemptEnded{Attempt: l.open["ab"].hops[0].call, End: request.AttemptEnd{Result: routing.Overloaded}})
 	assert.Nil(t, l.open["ab"].hops[1].call)
 	l.ring()
 	assert.Equal(t, []routing.Event{routing.AttemptEnded{Request: "ab", Endpoint: "c", Result: routing.Overloaded}, routing.ClientDisconnected{Request: "ab"},
--- a/internal/edgecache/box.go
+++ b/internal/edgecache/box.go
@@ -495,7 +495,7 @@
 		return
 	}
 	delete(b.calls, no)
-	e := handler.FetchResult{Code: ev.End.Code, NotModified: ev.End.NotModified, Tag: ev.End.ETag, IssuedAt: ev.End.OriginTimeMillis, Group: validity.UnknownGroup}
+	e := handler.FetchResult{Code: ev.End.Result, NotModified: ev.End.NotModified, Tag: ev.End.ETag, IssuedAt: ev.End.OriginUnixMillis, Group: validity.UnknownGroup}
 	if ev.End.PurgeGroupPlusOne > 0 {
 		e.Group = uint16(ev.End.PurgeGroupPlusOne - 1)
 	}
--- a/internal/upstream/golden_test.go
+++ b/internal/upstream/golden_test.go
@@ -132,7 +132,7 @@
 	{"panic", func(t *testing.T, s *side) *Attempt {
 		onEvent := s.OnEvent
 		s.OnEvent = func(ev Event) {
-			if e, ok := ev.(AttemptEnded); ok && e.End.Code == routing.CacheMiss {
+			if e, ok := ev.(AttemptEnded); ok && e.End.Result == routing.CacheMiss {
 				panic("a fault")
 			}
 			onEvent(ev)
--- a/internal/upstream/link.go
+++ b/internal/upstream/link.go
@@ -151,7 +151,7 @@
 		l.mu.Lock()
 		delete(l.undone, c.id)
 		l.mu.Unlock()
-		l.pool.OnEvent(AttemptEnded{c, request.AttemptEnd{Code: c.undone}})
+		l.pool.OnEvent(AttemptEnded{c, request.AttemptEnd{Result: c.undone}})
 	}
 }
 
@@ -277,7 +277,7 @@
 		} else if c != nil && call.begun && call.end <= c.BytesWritten() {
 			code = routing.ConnectionBroken
 		}
-		l.pool.OnEvent(AttemptEnded{call, request.AttemptEnd{Code: code}})
+		l.pool.OnEvent(AttemptEnded{call, request.AttemptEnd{Result: code}})
 	}
 	l.pool.OnEvent(ConnectionClosed{l})
 }
@@ -295,7 +295,7 @@
 				// Its client went while it waited here, for the connection or its turn: it never begins.
 				delete(l.calls, x.call.id)
 				l.mu.Unlock()
-				l.pool.OnEvent(AttemptEnded{x.call, request.AttemptEnd{Code: routing.NotSent}})
+				l.pool.OnEvent(AttemptEnded{x.call, request.AttemptEnd{Result: routing.NotSent}})
 				continue
 			}
 			if x.text == nil {
@@ -361,7 +361,7 @@
 		if call == nil {
 			l.pool.Telemetry.Add("member.late-answers", 1)
 		}
-		if call != nil && call.hop && a.Code == routing.Completed && !a.NotModified {
+		if call != nil && call.hop && a.Result == routing.Completed && !a.NotModified {
 			if a.Body, err = l.pool.Admission.Bodies.Allocate(ctx, a.BodyBytes); err != nil {
 				return netconn.Shutdown, err
 			}
@@ -402,7 +402,7 @@
 	}
 	if a.IsProbeReply == call.hop { // an answer of the other kind: what it is about can't be known
 		a.Body.Free()
-		a.AttemptEnd = request.AttemptEnd{Code: routing.ServerError}
+		a.AttemptEnd = request.AttemptEnd{Result: routing.ServerError}
 	}
 	l.pool.OnEvent(AttemptEnded{call, a.AttemptEnd})
 }
--- a/internal/upstream/send_test.go
+++ b/internal/upstream/send_test.go
@@ -106,12 +106,12 @@
 	e := s.end(t)
 	assert.Equal(t, b, e.Attempt)
 	assert.Equal(t, "xyz", string(e.End.Body.Bytes))
-	assert.Equal(t, routing.CacheHit, e.End.Remark)
+	assert.Equal(t, routing.CacheHit, e.End.Detail)
 	assert.EqualValues(t, 3, s.Admission.Bodies.UsedBytes())
 	e.End.Body.Free()
 	e.End.Body.Free()
 	assert.Zero(t, s.Admission.Bodies.UsedBytes())
-	assert.Equal(t, AttemptEnded{Attempt: a, End: request.AttemptEnd{Code: routing.CacheMiss}}, s.end(t))
+	assert.Equal(t, AttemptEnded{Attempt: a, End: request.AttemptEnd{Result: routing.CacheMiss}}, s.end(t))
 	assert.EqualValues(t, 1, s.Telemetry.Value("member.late-answers"))
 	assert.Equal(t, 1, s.ConnectionCount(), "one connection carries both")
 }
@@ -126,7 +126,7 @@
 	ends := map[*Attempt]routing.AttemptResult{}
 	for range 2 {
 		e := s.end(t)
-		ends[e.Attempt] = e.End.Code
+		ends[e.Attempt] = e.End.Result
 	}
 	assert.Equal(t, map[*Attempt]routing.AttemptResult{whole: routing.ConnectionBroken, part: routing.ConnectFailed}, ends)
 }
@@ -143,7 +143,7 @@
 	ends := map[*Attempt]routing.AttemptResult{}
 	for range 2 {
 		e := s.end(t)
-		ends[e.Attempt] = e.End.Code
+		ends[e.Attempt] = e.End.Result
 	}
 	assert.Equal(t, routing.NotSent, ends[b])
 }
@@ -155,7 +155,7 @@
 	asked(t, bufio.NewReader(far))
 	_, _ = io.WriteString(far, "a served digest=d,dated=1 10\r\nhalf")
 	_ = far.Close()
-	assert.Equal(t, request.AttemptEnd{Code: routing.ConnectionBroken}, s.end(t).End)
+	assert.Equal(t, request.AttemptEnd{Result: routing.ConnectionBroken}, s.end(t).End)
 	assert.Zero(t, s.Admission.Bodies.UsedBytes())
 }
 
@@ -166,7 +166,7 @@
 		far := <-s.dialed
 		asked(t, bufio.NewReader(far))
 		_, _ = io.WriteString(far, bad)
-		assert.Equal(t, routing.ConnectionBroken, s.end(t).End.Code, bad[:min(len(bad), 20)])
+		assert.Equal(t, routing.ConnectionBroken, s.end(t).End.Result, bad[:min(len(bad), 20)])
 		s.stop()
 		assert.Contains(t, s.log.String(), "code=protocol")
 		assert.Equal(t, 1, strings.Count(s.log.String(), "connection ended"), "one line a connection")
@@ -185,7 +185,7 @@
 			return nil, how
 		}
 		c := s.send("a", 0)
-		assert.Equal(t, AttemptEnded{Attempt: c, End: request.AttemptEnd{Code: code}}, s.end(t))
+		assert.Equal(t, AttemptEnded{Attempt: c, End: request.AttemptEnd{Result: code}}, s.end(t))
 		assert.Equal(t, ConnectionClosed{c.Connection()}, <-s.ends)
 		s.RemoveConnection(c.Connection())
 		assert.Zero(t, s.ConnectionCount())
@@ -201,13 +201,13 @@
 	asked(t, r)
 	post := s.OnEvent
 	s.OnEvent = func(ev Event) {
-		if e, ok := ev.(AttemptEnded); ok && e.Attempt == a && e.End.Code == routing.CacheMiss {
+		if e, ok := ev.(AttemptEnded); ok && e.Attempt == a && e.End.Result == routing.CacheMiss {
 			panic("a fault")
 		}
 		post(ev)
 	}
 	_, _ = io.WriteString(far, "a not_here - 0\r\n\r\n")
-	assert.Equal(t, AttemptEnded{Attempt: b, End: request.AttemptEnd{Code: routing.ConnectionBroken}}, s.end(t))
+	assert.Equal(t, AttemptEnded{Attempt: b, End: request.AttemptEnd{Result: routing.ConnectionBroken}}, s.end(t))
 	assert.Contains(t, s.after(t, a.Connection()), "code=panic")
 }
 
@@ -227,9 +227,9 @@
 	_, atOnce = s.Cancel(b, routing.Cancelled)
 	assert.False(t, atOnce)
 	assert.Equal(t, "undo b", asked(t, r))
-	assert.Equal(t, AttemptEnded{b, request.AttemptEnd{Code: routing.Cancelled}}, s.end(t))
+	assert.Equal(t, AttemptEnded{b, request.AttemptEnd{Result: routing.Cancelled}}, s.end(t))
 	_, _ = io.WriteString(far, "b served - 4\r\nlate\r\nc overload - 0\r\n\r\n")
-	assert.Equal(t, AttemptEnded{Attempt: c, End: request.AttemptEnd{Code: routing.Overloaded}}, s.end(t), "a late answer to what was given up is passed over")
+	assert.Equal(t, AttemptEnded{Attempt: c, End: request.AttemptEnd{Result: routing.Overloaded}}, s.end(t), "a late answer to what was given up is passed over")
 	assert.NotSame(t, b.Connection(), s.send("b", 0, b.Connection()).Connection(), "the id is not used again where it may still be answered")
 }
 
@@ -256,7 +256,7 @@
 		} else {
 			_ = far.Close()
 		}
-		assert.Equal(t, AttemptEnded{a, request.AttemptEnd{Code: routing.TimedOut}}, s.end(t))
+		assert.Equal(t, AttemptEnded{a, request.AttemptEnd{Result: routing.TimedOut}}, s.end(t))
 	}
 }
 
@@ -276,14 +276,14 @@
 		asked(t, bufio.NewReader(far))
 		_, _ = io.WriteString(far, "a served digest=d,dated=1,remark=h 10\r\nhalf")
 		if !undone {
-			assert.Equal(t, AttemptEnded{Attempt: a, End: request.AttemptEnd{Code: routing.ConnectionBroken}}, s.end(t))
+			assert.Equal(t, AttemptEnded{Attempt: a, End: request.AttemptEnd{Result: routing.ConnectionBroken}}, s.end(t))
 			assert.Contains(t, s.after(t, a.Connection()), "code=stalled")
 			continue
 		}
 		assert.Eventually(t, func() bool { return a.link.c.FrameStartUnixNano() != 0 }, time.Minute, time.Millisecond)
 		go func() { _, _ = io.Copy(io.Discard, far) }()
 		s.Cancel(a, routing.TimedOut)
-		assert.Equal(t, routing.TimedOut, s.end(t).End.Code)
+		assert.Equal(t, routing.TimedOut, s.end(t).End.Result)
 		assert.NotSame(t, a.Connection(), s.send("b", 0).Connection())
 	}
 }
@@ -299,9 +299,9 @@
 	asked(t, bufio.NewReader(far))
 	asked(t, bufio.NewReader(other))
 	_, _ = io.WriteString(far, "a served digest=\x00\r\n")
-	assert.Equal(t, AttemptEnded{Attempt: a, End: request.AttemptEnd{Code: routing.ConnectionBroken}}, s.end(t))
+	assert.Equal(t, AttemptEnded{Attempt: a, End: request.AttemptEnd{Result: routing.ConnectionBroken}}, s.end(t))
 	_, _ = io.WriteString(other, "b not_here - 0\r\n\r\n")
-	assert.Equal(t, AttemptEnded{Attempt: b, End: request.AttemptEnd{Code: routing.CacheMiss}}, s.end(t))
+	assert.Equal(t, AttemptEnded{Attempt: b, End: request.AttemptEnd{Result: routing.CacheMiss}}, s.end(t))
 	assert.Same(t, b.Connection(), s.send("c", 0).Connection(), "one that nothing is open on is used again")
 }
 
@@ -346,7 +346,7 @@
 	s.CloseIdle(time.Now())
 	assert.NotSame(t, c.Connection(), s.send("b", 0).Connection(), "the address passed to another machine")
 	_, _ = io.WriteString(far, "a nobody - 0\r\n\r\n")
-	assert.Equal(t, AttemptEnded{Attempt: c, End: request.AttemptEnd{Code: routing.NotSent}}, s.end(t))
+	assert.Equal(t, AttemptEnded{Attempt: c, End: request.AttemptEnd{Result: routing.NotSent}}, s.end(t))
 	s.CloseIdle(time.Now().Add(time.Second))
 	assert.Equal(t, ConnectionClosed{c.Connection()}, <-s.ends, "the old link ends once nothing is open on it")
 	s.stop()
@@ -384,7 +384,7 @@
 	close(hold)
 	r := bufio.NewReader(<-s.dialed)
 	assert.Equal(t, "do b", asked(t, r))
-	assert.Equal(t, AttemptEnded{a, request.AttemptEnd{Code: routing.NotSent}}, s.end(t))
+	assert.Equal(t, AttemptEnded{a, request.AttemptEnd{Result: routing.NotSent}}, s.end(t))
 	_, atOnce := s.Cancel(a, routing.Cancelled)
 	assert.True(t, atOnce, "and no line undoes it")
 	assert.NotNil(t, b.Connection())
--- a/internal/upstream/several.go
+++ b/internal/upstream/several.go
@@ -285,7 +285,7 @@
 		if l.plan == nil || addr == "" {
 			return
 		}
-		switch ev.End.Code {
+		switch ev.End.Result {
 		case routing.Completed, routing.ServerError, routing.Overloaded, routing.CacheMiss:
 			p.AddressSelector.ResponseReceived(now, l.member, addr, time.Since(ev.Attempt.written).Seconds())
 		case routing.ConnectionBroken, routing.ConnectFailed:
--- a/internal/upstream/several_test.go
+++ b/internal/upstream/several_test.go
@@ -108,7 +108,7 @@
 	r := bufio.NewReader(far)
 	assert.Equal(t, "do a", asked(t, r))
 	_, _ = io.WriteString(far, "a not_here - 0\r\n\r\n")
-	assert.Equal(t, AttemptEnded{Attempt: c, End: request.AttemptEnd{Code: routing.CacheMiss}}, s.hear(t))
+	assert.Equal(t, AttemptEnded{Attempt: c, End: request.AttemptEnd{Result: routing.CacheMiss}}, s.hear(t))
 	assert.Equal(t, "refused", s.AddressSelector.Status(unix(time.Now()))[0].Condition)
 }
 
@@ -175,7 +175,7 @@
 	s.AddressSelector.DialEnded(now, "m", first, address.Refused, 0)
 	s.AddressSelector.DialEnded(now, "m", second, address.Refused, 0)
 	c := s.send("a", 0)
-	assert.Equal(t, AttemptEnded{Attempt: c, End: request.AttemptEnd{Code: routing.ConnectFailed}}, s.hear(t))
+	assert.Equal(t, AttemptEnded{Attempt: c, End: request.AttemptEnd{Result: routing.ConnectFailed}}, s.hear(t))
 	assert.Empty(t, s.attempts)
 }
 
@@ -308,7 +308,7 @@
 	require.NoError(t, err)
 	assert.Equal(t, "do a", asked(t, bufio.NewReader(far)))
 	_, _ = io.WriteString(far, "a not_here - 0\r\n\r\n")
-	assert.Equal(t, AttemptEnded{Attempt: c, End: request.AttemptEnd{Code: routing.CacheMiss}}, s.hear(t))
+	assert.Equal(t, AttemptEnded{Attempt: c, End: request.AttemptEnd{Result: routing.CacheMiss}}, s.hear(t))
 	for i, want := range []string{"refused", "refused"} {
 		assert.Equal(t, want, s.AddressSelector.Status(unix(time.Now()))[i].Condition)
 	}
