--- /dev/null
+++ b/internal/netconn/close.go
@@ -0,0 +1,88 @@
+package netconn
+
+import (
+	"time"
+
+	"cairnfront/internal/telemetry"
+)
+
+// interruptDeadline is a read deadline in the past. It interrupts the read under way.
+var interruptDeadline = time.Unix(1, 0)
+
+// RequestClose asks the reading goroutine to end the connection, and interrupts its read for that. The newest code
+// replaces one that was not handled yet. Any goroutine may call it.
+func (c *Conn) RequestClose(code EndCode) {
+	c.closeRequest.Store(&code)
+	_ = c.raw.SetReadDeadline(interruptDeadline)
+}
+
+// SetEndCode sets the code and the cause with which the connection will end, and does not end it yet. The first code
+// that was set stays.
+func (c *Conn) SetEndCode(code EndCode, cause error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.endCode == NoEndCode {
+		c.endCode = code
+		c.endErr = cause
+	}
+}
+
+// EndCode returns the code with which the connection ends, NoEndCode where none was set.
+func (c *Conn) EndCode() EndCode {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.endCode
+}
+
+// Close closes the socket at once, which resets the connection where input is unread. It is for a socket that has
+// failed, for a peer that does not read, and for the end of the process. More calls do nothing.
+func (c *Conn) Close(code EndCode, cause error) {
+	c.closeOnce.Do(func() {
+		c.closed.Store(true)
+		c.SetEndCode(code, cause)
+		_ = c.raw.Close()
+	})
+}
+
+// IsClosed says whether the socket is closed.
+func (c *Conn) IsClosed() bool { return c.closed.Load() }
+
+// CloseGracefully ends a connection on which no request is open and all output is written. It ends the sending side,
+// then discards input until the other side ends too, lingerTimeout has passed or lingerBytes have come, and closes. A
+// close with unread input would reset the connection and destroy the output on its way. It is for the reading
+// goroutine.
+func (c *Conn) CloseGracefully(code EndCode, cause error, lingerTimeout time.Duration, lingerBytes int64) {
+	c.SetEndCode(code, cause)
+	defer c.Close(code, cause)
+	sender, ok := c.raw.(interface{ CloseWrite() error })
+	if !ok || sender.CloseWrite() != nil {
+		return
+	}
+	c.OnCloseRequest = nil
+	c.frameTimeout = 0
+	c.SetReadDeadline(time.Now().Add(lingerTimeout))
+	limit := c.bytesRead.Load() + lingerBytes
+	for c.bytesRead.Load() < limit {
+		c.in.Discard(c.in.Len())
+		if c.fill() != nil {
+			return
+		}
+	}
+}
+
+// LogEnd closes the connection where that has not happened, logs its end and counts it. It has to be called once all
+// goroutines that used the connection have stopped.
+func (c *Conn) LogEnd(metrics *telemetry.Metrics, side, remoteAddr string) {
+	c.Close(Shutdown, nil)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	metrics.ConnectionEnded(telemetry.ConnectionEnd{
+		Side:       side,
+		RemoteAddr: remoteAddr,
+		Code:       c.endCode.String(),
+		Err:        c.endErr,
+		OpenedAt:   c.openedAt,
+		BytesIn:    c.bytesRead.Load(),
+		BytesOut:   c.bytesWritten.Load(),
+	})
+}
--- a/internal/netconn/conn_test.go
+++ b/internal/netconn/conn_test.go
@@ -19,7 +19,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-func TestReadsAcrossTheRing(t *testing.T) {
+func TestReadsWrapAroundTheBuffer(t *testing.T) {
 	near, far := net.Pipe()
 	c := New(near, 8, 0)
 	go func() {
@@ -39,7 +39,7 @@
 	assert.ErrorIs(t, c.ReadFull(p), io.EOF)
 }
 
-func TestOverlongLine(t *testing.T) {
+func TestLineLongerThanTheBufferIsAProtocolError(t *testing.T) {
 	near, far := net.Pipe()
 	defer far.Close()
 	go func() { _, _ = io.WriteString(far, strings.Repeat("x", 9)) }()
@@ -47,7 +47,8 @@
 	assert.Equal(t, ProtocolError, ClassifyError(err))
 }
 
-// TestBytesAreCounted: what was handed in and what the socket took tell whether a request may have run.
+// TestBytesAreCounted tests the counts of what was handed to Write and of what the socket took: they tell whether a
+// request may have run.
 func TestBytesAreCounted(t *testing.T) {
 	near, far := net.Pipe()
 	c := New(near, 8, 0)
@@ -64,7 +65,7 @@
 	assert.Equal(t, []int64{10, 8}, []int64{c.BytesBuffered(), c.BytesWritten()})
 }
 
-func TestStalledAndTrickledWritesEnd(t *testing.T) {
+func TestSlowReadersEndWrites(t *testing.T) {
 	near, far := net.Pipe()
 	defer far.Close()
 	c := New(near, 8, time.Millisecond)
@@ -83,14 +84,23 @@
 	_ = far.Close()
 }
 
-func TestReasons(t *testing.T) {
-	for err, want := range map[error]EndCode{io.EOF: PeerClosed, syscall.ECONNRESET: PeerReset, syscall.EPIPE: PeerReset, io.ErrUnexpectedEOF: PeerReset,
-		os.ErrDeadlineExceeded: SlowReader, net.ErrClosed: Shutdown, context.Canceled: Shutdown, errors.New("x"): SocketError} {
+func TestErrorsAreClassified(t *testing.T) {
+	for err, want := range map[error]EndCode{
+		io.EOF:                 PeerClosed,
+		syscall.ECONNRESET:     PeerReset,
+		syscall.EPIPE:          PeerReset,
+		io.ErrUnexpectedEOF:    PeerReset,
+		os.ErrDeadlineExceeded: SlowReader,
+		ErrLineTooLong:         ProtocolError,
+		net.ErrClosed:          Shutdown,
+		context.Canceled:       Shutdown,
+		errors.New("x"):        SocketError,
+	} {
 		assert.Equal(t, want, ClassifyError(fmt.Errorf("wrapped: %w", err)))
 	}
 }
 
-func TestFirstCodeCounts(t *testing.T) {
+func TestFirstEndCodeStays(t *testing.T) {
 	near, _ := net.Pipe()
 	c := New(near, 8, 0)
 	var log bytes.Buffer
@@ -103,11 +113,13 @@
 	assert.Contains(t, log.String(), "side=client code=protocol peer=x:1")
 	assert.Contains(t, log.String(), "err=why")
 	assert.Equal(t, 1, strings.Count(log.String(), "\n"))
-	assert.Equal(t, []int64{1, 0, 1}, []int64{b.Value("conn.client.begun"), b.Value("conn.client.open"), b.Value("conn.client.ended.protocol")})
+	assert.EqualValues(t, 1, b.Value("conn.client.begun"))
+	assert.EqualValues(t, 0, b.Value("conn.client.open"))
+	assert.EqualValues(t, 1, b.Value("conn.client.ended.protocol"))
 }
 
-// pair is a connection over loopback: the near side as the program has it, and the far side.
-func pair(t *testing.T) (near, far *net.TCPConn) {
+// tcpPair returns both sides of a connection over loopback: the near one as the program has it, and the far one.
+func tcpPair(t *testing.T) (near, far *net.TCPConn) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer ln.Close()
@@ -122,15 +134,15 @@
 	return raw.(*net.TCPConn), c.(*net.TCPConn)
 }
 
-// TestHangupDestroysNothing: the last words arrive though the other side has written what nobody reads; a close at once
-// would reset the connection.
-func TestHangupDestroysNothing(t *testing.T) {
-	near, far := pair(t)
+// TestGracefulCloseDeliversTheOutput tests that the output arrives although input is unread. A close at once would
+// reset the connection.
+func TestGracefulCloseDeliversTheOutput(t *testing.T) {
+	near, far := tcpPair(t)
 	c := New(near, 1024, time.Second)
 	_, err := far.Write(make([]byte, 100_000))
 	require.NoError(t, err)
-	words := strings.Repeat("last words ", 9000)
-	require.NoError(t, errors.Join(c.Write([]byte(words)), c.Flush()))
+	output := strings.Repeat("output ", 14000)
+	require.NoError(t, errors.Join(c.Write([]byte(output)), c.Flush()))
 	done := make(chan bool)
 	go func() {
 		c.CloseGracefully(IdleTimeout, nil, time.Minute, 1<<20)
@@ -138,61 +150,66 @@
 	}()
 	got, err := io.ReadAll(far)
 	assert.NoError(t, err)
-	assert.Equal(t, words, string(got))
+	assert.Equal(t, output, string(got))
 	assert.False(t, c.IsClosed(), "it reads on until the other side has ended too")
 	_ = far.Close()
 	<-done
 	assert.True(t, c.IsClosed())
 }
 
-// TestHangupIsBounded: in time for one that says nothing more and does not end, in bytes for one that floods.
-func TestHangupIsBounded(t *testing.T) {
-	near, _ := pair(t)
+// TestGracefulCloseIsBounded tests the bounds: in time for a peer that sends nothing and does not close, in bytes for
+// one that floods.
+func TestGracefulCloseIsBounded(t *testing.T) {
+	near, _ := tcpPair(t)
 	c := New(near, 1024, 0)
 	c.CloseGracefully(IdleTimeout, nil, time.Millisecond, 1<<20)
 	assert.True(t, c.IsClosed())
-	near, far := pair(t)
+	near, far := tcpPair(t)
 	go func() { _, _ = far.Write(make([]byte, 10_000)) }()
 	c = New(near, 1024, 0)
 	c.CloseGracefully(IdleTimeout, nil, time.Minute, 2000)
 	assert.True(t, c.IsClosed())
 }
 
-// script is a socket whose reads are scripted: each waits for its turn.
-type script struct {
+// scriptedSocket is a socket whose reads are scripted. Each waits for its turn.
+type scriptedSocket struct {
 	net.Conn
-	reading chan bool
-	reads   chan func(p []byte) (int, error)
-	woken   chan bool
+	reading     chan bool
+	reads       chan func(p []byte) (int, error)
+	interrupted chan bool
 }
 
-func (s *script) Read(p []byte) (int, error) {
+func (s *scriptedSocket) Read(p []byte) (int, error) {
 	s.reading <- true
 	return (<-s.reads)(p)
 }
 
-func (s *script) Close() error { return nil }
+func (s *scriptedSocket) Close() error { return nil }
 
-func (s *script) SetReadDeadline(at time.Time) error {
-	if at.Equal(time.Unix(1, 0)) {
-		s.woken <- true
+func (s *scriptedSocket) SetReadDeadline(at time.Time) error {
+	if at.Equal(interruptDeadline) {
+		s.interrupted <- true
 	}
 	return nil
 }
 
-// TestAskedReadsWhatHasComeFirst: bytes that came in the moment in which the end was asked for are taken in; only when
-// nothing is unread is it asked whether the connection may end, and after a no it goes on.
-func TestAskedReadsWhatHasComeFirst(t *testing.T) {
-	late := func([]byte) (int, error) { return 0, os.ErrDeadlineExceeded }
+// TestCloseRequestReadsPendingInputFirst tests that input which came as the end was requested is taken in. The user is
+// asked whether the connection may end only once nothing is unread, and after a no the connection goes on.
+func TestCloseRequestReadsPendingInputFirst(t *testing.T) {
+	timeout := func([]byte) (int, error) { return 0, os.ErrDeadlineExceeded }
 	bring := func(text string) func([]byte) (int, error) {
 		return func(p []byte) (int, error) { return copy(p, text), nil }
 	}
-	s := &script{reading: make(chan bool), reads: make(chan func([]byte) (int, error)), woken: make(chan bool, 9)}
+	s := &scriptedSocket{
+		reading:     make(chan bool),
+		reads:       make(chan func([]byte) (int, error)),
+		interrupted: make(chan bool, 9),
+	}
 	c := New(s, 8, 0)
-	asked, may := make(chan EndCode), make(chan error)
+	requested, reply := make(chan EndCode), make(chan error)
 	c.OnCloseRequest = func(code EndCode) error {
-		asked <- code
-		return <-may
+		requested <- code
+		return <-reply
 	}
 	got := make(chan string)
 	go func() {
@@ -211,22 +228,22 @@
 	}
 	<-s.reading
 	c.RequestClose(IdleTimeout)
-	<-s.woken
-	s.reads <- late  // the read that was under way
-	next(bring("x")) // the last look
+	<-s.interrupted
+	s.reads <- timeout // the read that was under way
+	next(bring("x"))   // the read before the end
 	assert.Equal(t, "x", <-got)
-	next(late) // asked still, and nothing is unread
-	assert.Equal(t, IdleTimeout, <-asked)
-	may <- nil
+	next(timeout) // still requested, and nothing is unread
+	assert.Equal(t, IdleTimeout, <-requested)
+	reply <- nil
 	next(bring("y"))
 	assert.Equal(t, "y", <-got)
-	next(late) // a wake for nothing
+	next(timeout) // an interrupt without a request
 	<-s.reading
 	c.RequestClose(Shutdown)
-	<-s.woken
-	s.reads <- late
-	next(late)
-	assert.Equal(t, Shutdown, <-asked)
-	may <- errors.New("it may")
+	<-s.interrupted
+	s.reads <- timeout
+	next(timeout)
+	assert.Equal(t, Shutdown, <-requested)
+	reply <- errors.New("it may")
 	assert.Equal(t, "it may", <-got)
 }
--- /dev/null
+++ b/internal/netconn/endcode.go
@@ -0,0 +1,81 @@
+package netconn
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"syscall"
+)
+
+// EndCode says why a connection ended. Its text stands in the log line of an ended connection and in the name of the
+// counter of such ends; docs/oncall.md lists the texts. The zero value is that of a connection without a reason to end.
+type EndCode uint8
+
+// The end codes.
+const (
+	NoEndCode        EndCode = iota // nothing has asked for the end
+	PeerClosed                      // the other side closed the connection
+	PeerReset                       // the other side reset the connection, or closed it inside a frame
+	ProtocolError                   // the input broke the protocol
+	SlowReader                      // the other side did not take the output in time
+	IdleTimeout                     // no request was open for the idle time
+	NoFirstFrame                    // no whole frame came in time after the connection was made
+	PartialFrame                    // a frame was begun and did not become whole in time
+	Evicted                         // idle, and its descriptor was needed for another connection
+	Unresponsive                    // no input although attempts were open
+	StalledResponse                 // a response was begun and stopped
+	ConnectFailed                   // the connection was never established
+	EndpointRemoved                 // the endpoint left the endpoint list, or has another address
+	ResourceLimit                   // descriptors or memory ran out
+	Shutdown                        // the process ends
+	MissedHeartbeats                // the discovery service sent no heartbeat in time
+	SequenceGap                     // the numbers of the discovery service's events have a gap
+	AddressChanged                  // the discovery service has another address
+	Panic                           // this program panicked; the stack is in the log
+	SocketError                     // any other error of the socket
+)
+
+var endCodeTexts = [...]string{
+	NoEndCode:        "",
+	PeerClosed:       "peer-closed",
+	PeerReset:        "reset",
+	ProtocolError:    "protocol",
+	SlowReader:       "slow-reader",
+	IdleTimeout:      "idle",
+	NoFirstFrame:     "mute",
+	PartialFrame:     "half-frame",
+	Evicted:          "crowded",
+	Unresponsive:     "silent",
+	StalledResponse:  "stalled",
+	ConnectFailed:    "no-connect",
+	EndpointRemoved:  "unlisted",
+	ResourceLimit:    "limit",
+	Shutdown:         "shutdown",
+	MissedHeartbeats: "no-beats",
+	SequenceGap:      "gap",
+	AddressChanged:   "moved",
+	Panic:            "panic",
+	SocketError:      "socket-error",
+}
+
+// String returns the code's text in logs and counter names.
+func (c EndCode) String() string { return endCodeTexts[c] }
+
+// ClassifyError returns the end code for an error of a read or a write.
+func ClassifyError(err error) EndCode {
+	switch {
+	case errors.Is(err, io.EOF):
+		return PeerClosed
+	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE), errors.Is(err, io.ErrUnexpectedEOF):
+		return PeerReset
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return SlowReader
+	case errors.Is(err, ErrLineTooLong):
+		return ProtocolError
+	case errors.Is(err, context.Canceled), errors.Is(err, net.ErrClosed):
+		return Shutdown
+	}
+	return SocketError
+}
--- /dev/null
+++ b/internal/netconn/write.go
@@ -0,0 +1,50 @@
+package netconn
+
+import "time"
+
+// SetWriteDeadline bounds the writes to come, however steadily the other side reads. It is for the writing goroutine.
+func (c *Conn) SetWriteDeadline(t time.Time) { c.writeDeadline = t }
+
+// Write puts p into the ring buffer and writes to the socket whenever that is full.
+func (c *Conn) Write(p []byte) error {
+	for len(p) > 0 {
+		n := c.out.Write(p)
+		c.bytesBuffered += int64(n)
+		p = p[n:]
+		if len(p) == 0 {
+			return nil
+		}
+		if err := c.writeOnce(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Flush writes what the ring buffer holds to the socket.
+func (c *Conn) Flush() error {
+	for c.out.Len() > 0 {
+		if err := c.writeOnce(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// writeOnce does one write to the socket within the write limits.
+func (c *Conn) writeOnce() error {
+	if c.writeStallTimeout > 0 {
+		deadline := time.Now().Add(c.writeStallTimeout)
+		if !c.writeDeadline.IsZero() && c.writeDeadline.Before(deadline) {
+			deadline = c.writeDeadline
+		}
+		_ = c.raw.SetWriteDeadline(deadline)
+	}
+	c.lastWrite.Store(time.Now().UnixNano())
+	n, err := c.out.WriteOnceTo(c.raw)
+	c.bytesWritten.Add(int64(n))
+	if n > 0 {
+		c.lastWrite.Store(time.Now().UnixNano())
+	}
+	return err
+}
--- /dev/null
+++ b/internal/ringbuffer/buffer_test.go
@@ -0,0 +1,55 @@
+package ringbuffer
+
+import (
+	"bytes"
+	"io"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// FuzzBuffer plays steps on a buffer and on a plain slice. Each byte is a step and its size.
+func FuzzBuffer(f *testing.F) {
+	f.Add([]byte{0x03, 0x41, 0x82, 0xc1, 0x0f, 0x47, 0x0f, 0x8f, 0xcf})
+	f.Fuzz(func(t *testing.T, steps []byte) {
+		const size = 11
+		b, want, newest := New(size), []byte{}, byte(0)
+		for _, step := range steps {
+			n := int(step & 0x1f)
+			p := make([]byte, n)
+			for i := range p {
+				newest++
+				p[i] = newest
+			}
+			switch step >> 6 {
+			case 0:
+				want = append(want, p[:b.Write(p)]...)
+			case 1:
+				count := b.Read(p)
+				assert.Equal(t, string(want[:count]), string(p[:count]))
+				want = want[count:]
+			case 2:
+				count, _ := b.ReadOnceFrom(bytes.NewReader(p))
+				want = append(want, p[:count]...)
+			case 3:
+				var out bytes.Buffer
+				count, err := b.WriteOnceTo(&out)
+				assert.NoError(t, err)
+				assert.Equal(t, string(want[:count]), out.String())
+				want = want[count:]
+			}
+			assert.Equal(t, len(want), b.Len())
+			assert.Equal(t, size-len(want), b.Free())
+			assert.Equal(t, bytes.IndexByte(want, newest), b.IndexByte(newest, 0))
+		}
+	})
+}
+
+func TestFullBufferReadsNothing(t *testing.T) {
+	b := New(2)
+	assert.Equal(t, 2, b.Write([]byte("abc")))
+	_, err := b.ReadOnceFrom(bytes.NewReader([]byte("x")))
+	assert.ErrorIs(t, err, io.ErrShortBuffer)
+	assert.Equal(t, 2, b.Discard(5))
+	assert.Equal(t, -1, b.IndexByte('a', 0))
+}
