--- a/internal/diskcache/validity/golden_test.go
+++ b/internal/diskcache/validity/golden_test.go
@@ -58,7 +58,7 @@
 	var out strings.Builder
 	var log []Record
 	const limit = 24
-	tracker, now, top, number := NewTracker(limit), t0, uint64(0), uint64(0)
+	tracker, now, top, number := NewTracker(limit), startMS, uint64(0), uint64(0)
 	tracker.StreamOpened()
 	write := func(records []Record) {
 		printRecords(&out, records)
@@ -78,8 +78,15 @@
 		switch choice := rnd.IntN(20); {
 		case choice < 6:
 			number++
-			apply(Event{Number: number, Checksum: uint32(number) * 7, Purge: true, WholeGroup: rnd.IntN(5) == 0,
-				Object: uint64(rnd.IntN(60)), Group: uint16(rnd.IntN(6)), PurgedAt: now - int64(rnd.IntN(3000))})
+			apply(Event{
+				Number:     number,
+				Checksum:   uint32(number) * 7,
+				Purge:      true,
+				WholeGroup: rnd.IntN(5) == 0,
+				Object:     uint64(rnd.IntN(60)),
+				Group:      uint16(rnd.IntN(6)),
+				PurgedAt:   now - int64(rnd.IntN(3000)),
+			})
 		case choice < 8:
 			number++
 			apply(Event{Number: number, Checksum: uint32(number) * 7})
@@ -107,8 +114,13 @@
 			top++
 		}
 		for range 3 {
-			c := Copy{Object: uint64(rnd.IntN(60)), Group: uint16(rnd.IntN(6)), IssuedAt: now - int64(rnd.IntN(9000)) + 500,
-				Seq: uint64(rnd.IntN(int(top) + 2)), ConfirmedEpoch: uint16(rnd.IntN(int(tracker.Epoch()) + 1))}
+			c := Copy{
+				Object:         uint64(rnd.IntN(60)),
+				Group:          uint16(rnd.IntN(6)),
+				IssuedAt:       now - int64(rnd.IntN(9000)) + 500,
+				Seq:            uint64(rnd.IntN(int(top) + 2)),
+				ConfirmedEpoch: uint16(rnd.IntN(int(tracker.Epoch()) + 1)),
+			}
 			if rnd.IntN(8) == 0 {
 				c.Group = UnknownGroup
 			}
@@ -125,5 +137,9 @@
 // The decisions of a script drawn from a seed stay the same, by hash; they are printed without any Go name.
 func TestGoldenTrace(t *testing.T) {
 	trace := validityTrace(11, 3000)
-	compareGolden(t, "trace.txt", fmt.Sprintf("%d lines, sha256 %x\n", strings.Count(trace, "\n"), sha256.Sum256([]byte(trace))))
+	compareGolden(
+		t,
+		"trace.txt",
+		fmt.Sprintf("%d lines, sha256 %x\n", strings.Count(trace, "\n"), sha256.Sum256([]byte(trace))),
+	)
 }
--- a/internal/diskcache/validity/record.go
+++ b/internal/diskcache/validity/record.go
@@ -7,21 +7,49 @@
 	"hash/crc32"
 )
 
-// RecordSize is that of every record on the disk. Eight fill a sector: none is torn in two.
+// RecordSize is the size in bytes of an encoded record. Eight records fill a disk sector, so none straddles two.
 const RecordSize = 64
 
-const recordMagic = 0x4e43 // "CN"
+const (
+	recordMagic   = 0x4e43 // "CN" in little-endian order
+	recordVersion = 1
+	checksumAt    = RecordSize - 4
+)
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
-// ErrRecord tells of a record that can't be believed.
+// ErrBadRecord reports bytes that are not a valid record.
 var ErrBadRecord = errors.New("bad record")
 
-// AppendRecord writes a record; docs/disk-format.md names its bytes.
+// Kind is the kind of a record.
+type Kind byte
+
+// The kinds of record; the values are part of the format on disk.
+const (
+	PurgeObject Kind = 1 + iota
+	PurgeGroup
+	Checkpoint // position in the event stream and the clock
+	Gap        // copies up to Seq may be older than a purge that was missed
+	PurgeFloor // purges up to PurgedAt were forgotten
+)
+
+// Record is a state change that must survive a power loss. The JSON keys are part of the output of tier inspect.
+type Record struct {
+	Kind      Kind
+	Group     uint16
+	Object    uint64
+	PurgedAt  int64 `json:"At"` // Unix ms
+	Number    uint64
+	Checksum  uint32 `json:"Sum"`
+	WrittenAt int64  `json:"Heard"` // Unix ms by the cache's own clock
+	Seq       uint64
+}
+
+// AppendRecord encodes a record as described in docs/disk-format.md.
 func AppendRecord(b []byte, r Record) []byte {
-	from := len(b)
+	start := len(b)
 	b = binary.LittleEndian.AppendUint16(b, recordMagic)
-	b = append(b, byte(r.Kind), 1)
+	b = append(b, byte(r.Kind), recordVersion)
 	b = binary.LittleEndian.AppendUint16(b, r.Group)
 	b = binary.LittleEndian.AppendUint16(b, 0)
 	b = binary.LittleEndian.AppendUint64(b, r.Object)
@@ -30,24 +58,32 @@
 	b = binary.LittleEndian.AppendUint64(b, uint64(r.WrittenAt))
 	b = binary.LittleEndian.AppendUint64(b, r.Seq)
 	b = binary.LittleEndian.AppendUint32(b, r.Checksum)
-	b = append(b, make([]byte, from+RecordSize-4-len(b))...)
-	return binary.LittleEndian.AppendUint32(b, crc32.Checksum(b[from:], castagnoli))
+	b = append(b, make([]byte, start+checksumAt-len(b))...)
+	return binary.LittleEndian.AppendUint32(b, crc32.Checksum(b[start:], castagnoli))
 }
 
-// ParseRecord reads RecordSize bytes.
+// ParseRecord decodes the first RecordSize bytes of b. Its errors wrap ErrBadRecord.
 func ParseRecord(b []byte) (Record, error) {
 	if len(b) < RecordSize {
 		return Record{}, fmt.Errorf("%w: %d bytes of %d", ErrBadRecord, len(b), RecordSize)
 	}
 	le := binary.LittleEndian
-	if le.Uint16(b) != recordMagic || le.Uint32(b[RecordSize-4:]) != crc32.Checksum(b[:RecordSize-4], castagnoli) {
+	if le.Uint16(b) != recordMagic || le.Uint32(b[checksumAt:]) != crc32.Checksum(b[:checksumAt], castagnoli) {
 		return Record{}, fmt.Errorf("%w: its checksum does not hold", ErrBadRecord)
 	}
-	if b[3] != 1 {
-		return Record{}, fmt.Errorf("%w: version %d, this program knows 1", ErrBadRecord, b[3])
+	if b[3] != recordVersion {
+		return Record{}, fmt.Errorf("%w: version %d, this program knows %d", ErrBadRecord, b[3], recordVersion)
+	}
+	r := Record{
+		Kind:      Kind(b[2]),
+		Group:     le.Uint16(b[4:]),
+		Object:    le.Uint64(b[8:]),
+		PurgedAt:  int64(le.Uint64(b[16:])),
+		Number:    le.Uint64(b[24:]),
+		WrittenAt: int64(le.Uint64(b[32:])),
+		Seq:       le.Uint64(b[40:]),
+		Checksum:  le.Uint32(b[48:]),
 	}
-	r := Record{Kind: Kind(b[2]), Group: le.Uint16(b[4:]), Object: le.Uint64(b[8:]), PurgedAt: int64(le.Uint64(b[16:])),
-		Number: le.Uint64(b[24:]), WrittenAt: int64(le.Uint64(b[32:])), Seq: le.Uint64(b[40:]), Checksum: le.Uint32(b[48:])}
 	if r.Kind < PurgeObject || r.Kind > PurgeFloor {
 		return Record{}, fmt.Errorf("%w: unknown kind %d", ErrBadRecord, r.Kind)
 	}
--- /dev/null
+++ b/internal/diskcache/validity/tracker_test.go
@@ -0,0 +1,289 @@
+package validity
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// startMS is the time at which the tests begin, in Unix ms.
+const startMS = int64(1_800_000_000_000)
+
+// caughtUpTracker has applied events up to number 7; ten copies are on its disk.
+func caughtUpTracker() (*Tracker, []Record) {
+	c := NewTracker(0)
+	c.StreamOpened()
+	var log []Record
+	for n := range uint64(7) {
+		w, _ := c.Apply(startMS, 10, Event{Number: n + 1, Checksum: uint32(n) + 100})
+		log = append(log, w...)
+	}
+	c.Apply(startMS, 10, Event{Heartbeat: true})
+	return c, log
+}
+
+func restarted(log []Record, now int64) *Tracker {
+	c := NewTracker(0)
+	c.Restore(log, 10, now)
+	c.StreamOpened()
+	return c
+}
+
+var olderCopy = Copy{Object: 1, Group: 3, IssuedAt: startMS - 5000, Seq: 4}
+
+func TestPurgeInvalidatesCopiesNotYounger(t *testing.T) {
+	c, _ := caughtUpTracker()
+	assert.Equal(t, Valid, c.Evaluate(startMS, olderCopy))
+	c.Apply(startMS, 10, Event{Number: 8, Purge: true, Object: 1, PurgedAt: startMS - 5000})
+	assert.Equal(t, Invalidated, c.Evaluate(startMS, olderCopy), "the same millisecond")
+	assert.Equal(t, Valid, c.Evaluate(startMS, Copy{Object: 1, Group: 3, IssuedAt: startMS - 4999, Seq: 4}))
+	assert.Equal(t, Valid, c.Evaluate(startMS, Copy{Object: 2, Group: 3, IssuedAt: startMS - 9000, Seq: 4}))
+	c.Apply(startMS, 10, Event{Number: 9, Purge: true, WholeGroup: true, Group: 3, PurgedAt: startMS - 4000})
+	assert.Equal(t, Invalidated, c.Evaluate(startMS, Copy{Object: 2, Group: 3, IssuedAt: startMS - 4500, Seq: 4}))
+	assert.Equal(
+		t,
+		Invalidated,
+		c.Evaluate(startMS, Copy{Object: 2, Group: UnknownGroup, IssuedAt: startMS - 4500}),
+		"unknown group",
+	)
+}
+
+func TestPurgesSurviveRestart(t *testing.T) {
+	c, log := caughtUpTracker()
+	w, _ := c.Apply(startMS, 10, Event{Number: 8, Checksum: 5, Purge: true, Object: 1, PurgedAt: startMS})
+	c = restarted(append(log, w...), startMS+1000)
+	assert.Equal(t, Invalidated, c.Evaluate(startMS+1000, olderCopy))
+	assert.Equal(t, uint64(7), c.ResumeAfter())
+}
+
+func TestCopiesAreUnconfirmedUntilCaughtUpAfterRestart(t *testing.T) {
+	_, log := caughtUpTracker()
+	c := restarted(log, startMS+9000)
+	assert.Equal(t, Unconfirmed, c.Evaluate(startMS+9000, olderCopy), "no event applied")
+	_, re := c.Apply(startMS+9000, 10, Event{Number: 7, Checksum: 106})
+	assert.False(t, re)
+	assert.Equal(t, Unconfirmed, c.Evaluate(startMS+9000, olderCopy), "continuous, not caught up")
+	c.Apply(startMS+9000, 10, Event{Number: 8, Purge: true, Object: 1, PurgedAt: startMS + 3000})
+	c.Apply(startMS+9000, 10, Event{Heartbeat: true})
+	assert.Equal(t, Invalidated, c.Evaluate(startMS+9000, olderCopy), "purged while it was down")
+	assert.Equal(t, Valid, c.Evaluate(startMS+9000, Copy{Object: 2, IssuedAt: startMS, Seq: 5}))
+}
+
+// The stream carries another event under the last number, nothing from there on, or only later events: in each case
+// the copies stay unconfirmed, after another restart too, until their source confirms them.
+func TestRestartedNumberingLeavesCopiesUnconfirmed(t *testing.T) {
+	for name, first := range map[string]Event{
+		"another event":  {Number: 7, Checksum: 1},
+		"heartbeat only": {Heartbeat: true},
+		"a gap":          {Number: 9, Checksum: 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, log := caughtUpTracker()
+			c := restarted(log, startMS+9000)
+			w, re := c.Apply(startMS+9000, 10, first)
+			assert.True(t, re, "all events have to be read again")
+			assert.Equal(t, uint64(0), c.ResumeAfter())
+			log = append(log, w...)
+			c.StreamOpened()
+			for n := range uint64(3) {
+				w, _ = c.Apply(startMS+9100, 10, Event{Number: n + 1, Checksum: uint32(n)})
+				log = append(log, w...)
+			}
+			c.Apply(startMS+9100, 10, Event{Heartbeat: true})
+			assert.Equal(t, Unconfirmed, c.Evaluate(startMS+9100, olderCopy))
+			assert.Equal(
+				t,
+				Valid,
+				c.Evaluate(startMS+9100, Copy{Object: 1, IssuedAt: startMS + 9050, Seq: 11}),
+				"fetched since",
+			)
+			confirmed := olderCopy
+			confirmed.ConfirmedEpoch = c.Epoch()
+			assert.Equal(t, Valid, c.Evaluate(startMS+9100, confirmed))
+
+			c = restarted(log, startMS+20000)
+			c.Apply(startMS+20000, 11, Event{Number: 3, Checksum: 2})
+			c.Apply(startMS+20000, 11, Event{Heartbeat: true})
+			assert.Equal(t, Unconfirmed, c.Evaluate(startMS+20000, olderCopy), "a restart does not confirm it")
+			assert.Equal(t, Valid, c.Evaluate(startMS+20000, Copy{Object: 1, IssuedAt: startMS + 9050, Seq: 11}))
+		})
+	}
+}
+
+func TestGapOnOpenStreamLeavesCopiesUnconfirmed(t *testing.T) {
+	c, _ := caughtUpTracker()
+	c.Apply(startMS, 10, Event{Number: 9})
+	assert.Equal(t, Unconfirmed, c.Evaluate(startMS, olderCopy))
+	assert.Equal(t, Valid, c.Evaluate(startMS, Copy{Object: 1, IssuedAt: startMS, Seq: 11}))
+}
+
+func TestSilentStreamLeavesCopiesUnconfirmed(t *testing.T) {
+	c, _ := caughtUpTracker()
+	assert.Equal(t, Valid, c.Evaluate(startMS+maxSilenceMS, olderCopy))
+	assert.Equal(t, Unconfirmed, c.Evaluate(startMS+maxSilenceMS+1, olderCopy))
+	c.StreamOpened()
+	c.Apply(startMS+9000, 10, Event{Number: 7, Checksum: 106})
+	c.Apply(startMS+9000, 10, Event{Heartbeat: true})
+	assert.Equal(t, Valid, c.Evaluate(startMS+9000, olderCopy), "continuous")
+}
+
+func TestClockSetBackLeavesCopiesUnconfirmed(t *testing.T) {
+	_, log := caughtUpTracker()
+	c := NewTracker(0)
+	w := c.Restore(log, 10, startMS-60000)
+	assert.Len(t, w, 1)
+	c.StreamOpened()
+	c.Apply(startMS-60000, 10, Event{Number: 7, Checksum: 106})
+	c.Apply(startMS-60000, 10, Event{Heartbeat: true})
+	assert.Equal(t, Unconfirmed, c.Evaluate(startMS-60000, Copy{Object: 1, IssuedAt: startMS - 70000, Seq: 4}))
+	assert.Equal(
+		t,
+		Unconfirmed,
+		c.Evaluate(startMS-60000, Copy{Object: 1, IssuedAt: startMS, Seq: 11}),
+		"issued in the future",
+	)
+}
+
+func TestForgottenPurgesLeaveCopiesUnconfirmed(t *testing.T) {
+	c, _ := caughtUpTracker()
+	c.purges.limit = 16
+	var log []Record
+	for n := range uint64(40) {
+		w, _ := c.Apply(
+			startMS,
+			10,
+			Event{Number: 8 + n, Purge: true, Object: 1000 + n, PurgedAt: startMS - 1000 + int64(n)},
+		)
+		log = append(log, w...)
+	}
+	assert.LessOrEqual(t, len(c.purges.objects), 16)
+	assert.NotEqual(
+		t,
+		Valid,
+		c.Evaluate(startMS, Copy{Object: 1000, IssuedAt: startMS - 2000, Seq: 11}),
+		"its purge may be forgotten",
+	)
+	c = NewTracker(16)
+	c.Restore(log, 10, startMS)
+	assert.NotEqual(t, Valid, c.Evaluate(startMS, Copy{Object: 1000, IssuedAt: startMS - 2000, Seq: 11}))
+}
+
+// interleaving is a discovery service with its events and a tracker with its log, driven by named steps.
+type interleaving struct {
+	tracker *Tracker
+	log     []Record
+	events  []Event
+	now     int64
+	sum     uint32
+	purged  bool
+}
+
+func newInterleaving() *interleaving {
+	x := &interleaving{
+		tracker: NewTracker(0),
+		events:  []Event{{Number: 1, Checksum: 1}},
+		now:     startMS,
+		sum:     1,
+	}
+	x.connect()
+	return x
+}
+
+// connect reads the stream to its end, and again from the start where the tracker asks for it.
+func (x *interleaving) connect() {
+	const attempts = 3
+	for range attempts {
+		after := x.tracker.ResumeAfter()
+		x.tracker.StreamOpened()
+		if !x.readAfter(after) {
+			return
+		}
+	}
+}
+
+func (x *interleaving) readAfter(number uint64) (reconnect bool) {
+	for _, event := range append(x.events, Event{Heartbeat: true}) {
+		if !event.Heartbeat && event.Number <= number {
+			continue
+		}
+		records, again := x.tracker.Apply(x.now, 5, event)
+		x.log = append(x.log, records...)
+		if again {
+			return true
+		}
+	}
+	return false
+}
+
+func (x *interleaving) publish(event Event) {
+	event.Number, event.Checksum = uint64(len(x.events)+1), x.sum
+	x.events = append(x.events, event)
+}
+
+func (x *interleaving) step(name string) {
+	x.now += 1000
+	x.sum++
+	switch name {
+	case "purge":
+		x.purged = true
+		x.publish(Event{Purge: true, Object: 1, PurgedAt: x.now})
+		return
+	case "other":
+		x.publish(Event{})
+		return
+	case "restart":
+		x.tracker = NewTracker(0)
+		x.log = append(x.log, x.tracker.Restore(x.log, 5, x.now)...)
+	case "reset": // the service restarts its numbering and has forgotten the purge
+		x.events = []Event{{Number: 1, Checksum: x.sum}}
+	}
+	x.connect()
+}
+
+// Every interleaving of what the service can send and a cache can go through, to a depth of six: after none of them
+// is a copy valid that a published purge invalidates.
+func TestNoInterleavingForgetsPurge(t *testing.T) {
+	const depth = 6
+	steps := []string{"purge", "other", "restart", "reconnect", "reset"}
+	runs := 0
+	play := func(path []string) {
+		runs++
+		x := newInterleaving()
+		for _, name := range path {
+			x.step(name)
+		}
+		x.connect()
+		verdict := x.tracker.Evaluate(x.now+10, Copy{Object: 1, IssuedAt: startMS - 1, Seq: 3})
+		if x.purged && verdict == Valid {
+			t.Fatalf("valid after %v", path)
+		}
+	}
+	var walk func(path []string)
+	walk = func(path []string) {
+		play(path)
+		if len(path) == depth {
+			return
+		}
+		for _, s := range steps {
+			walk(append(path[:len(path):len(path)], s))
+		}
+	}
+	walk(nil)
+	assert.Greater(t, runs, 15000)
+}
+
+func FuzzParseRecord(f *testing.F) {
+	f.Add(AppendRecord(
+		nil,
+		Record{Kind: PurgeGroup, Group: 7, PurgedAt: startMS, Number: 3, Checksum: 9, WrittenAt: startMS, Seq: 2},
+	))
+	f.Add(make([]byte, RecordSize))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		r, err := ParseRecord(b)
+		if err == nil {
+			back, err := ParseRecord(AppendRecord(nil, r))
+			assert.NoError(t, err)
+			assert.Equal(t, r, back)
+		}
+	})
+}
