Requests, endpoints and classes have id types across the routing API

Bare strings and integers named three different things. RequestID, EndpointID and ClassIndex are now types of their own; other packages convert where they still hold text.

--- a/cmd/cairnfront/reach.go
+++ b/cmd/cairnfront/reach.go
@@ -26,7 +26,7 @@
 
 func (a *addressed) of(row discovery.Endpoint) []address.Addr {
 	for _, s := range a.list {
-		if s.Matches(row.ID, row.Address) {
+		if s.Matches(string(row.ID), row.Address) {
 			out := make([]address.Addr, len(s.Addresses))
 			for i, text := range s.Addresses {
 				out[i] = address.Addr(text)
--- a/cmd/cairnfront/serve.go
+++ b/cmd/cairnfront/serve.go
@@ -81,7 +81,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	repeatable := map[int]bool{}
 	for i := range m.ClassNames {
-		repeatable[i] = m.Settings[routing.ClassSetting(i, "effect")] == "repeatable"
+		repeatable[i] = m.Settings[routing.ClassSetting(routing.ClassIndex(i), "effect")] == "repeatable"
 	}
 	reload, err := extend(ctx, g, operators, m.Name, m.Seed, repeatable, m.Settings.Bool("may_check"), pool, loop, k)
 	if err != nil {
@@ -154,7 +154,7 @@
 func drainMost(m bootstrap.Config) time.Duration {
 	longest := 0.0
 	for i := range m.ClassNames {
-		longest = max(longest, m.Settings.Float(routing.ClassSetting(i, "limit_s"), killMost.Seconds()))
+		longest = max(longest, m.Settings.Float(routing.ClassSetting(routing.ClassIndex(i), "limit_s"), killMost.Seconds()))
 	}
 	return min(time.Duration(longest*float64(time.Second)), killMost) + drainLeast - endMost
 }
--- a/internal/discovery/codec.go
+++ b/internal/discovery/codec.go
@@ -101,7 +101,7 @@
 	return Endpoint{
 		Address: address.String(),
 		Endpoint: routing.Endpoint{
-			ID:        fmt.Sprintf(endpointIDPrefix+"%08x", binary.BigEndian.Uint32(record)),
+			ID:        routing.EndpointID(fmt.Sprintf(endpointIDPrefix+"%08x", binary.BigEndian.Uint32(record))),
 			Status:    endpointStatuses[state],
 			Zone:      int(record[11]),
 			Kind:      int(record[12]),
@@ -172,7 +172,7 @@
 }
 
 func appendEndpoint(b []byte, endpoint Endpoint) ([]byte, error) {
-	id, err := strconv.ParseUint(strings.TrimPrefix(endpoint.ID, endpointIDPrefix), 16, 32)
+	id, err := strconv.ParseUint(strings.TrimPrefix(string(endpoint.ID), endpointIDPrefix), 16, 32)
 	if err != nil {
 		return b, fmt.Errorf("encode endpoint %q: %w", endpoint.ID, err)
 	}
--- a/internal/discovery/known.go
+++ b/internal/discovery/known.go
@@ -120,7 +120,7 @@
 	endpoint := Endpoint{
 		Address: k.Address,
 		Endpoint: routing.Endpoint{
-			ID:        k.ID,
+			ID:        routing.EndpointID(k.ID),
 			Zone:      slices.Index(names.Zones, k.Zone),
 			Kind:      slices.Index(names.Kinds, k.Kind),
 			Cell:      k.Cell,
--- a/internal/dispatch/route.go
+++ b/internal/dispatch/route.go
@@ -257,8 +257,8 @@
 	}
 	for i, row := range ev.Endpoints {
 		rows[i] = row.Endpoint
-		if l.kinds[row.ID] = row.Kind; row.Status == routing.Removed {
-			delete(l.kinds, row.ID)
+		if l.kinds[string(row.ID)] = row.Kind; row.Status == routing.Removed {
+			delete(l.kinds, string(row.ID))
 		}
 	}
 	l.Pool.UpdateEndpoints(ev.Kind == discovery.Snapshot, ev.Endpoints)
@@ -269,7 +269,7 @@
 func (l *Dispatcher) left(o *open) {
 	if !o.gone {
 		o.gone, o.ended = true, true
-		l.decide(routing.ClientDisconnected{Request: o.t.ID}, o)
+		l.decide(routing.ClientDisconnected{Request: routing.RequestID(o.t.ID)}, o)
 		l.tidy(o)
 	}
 }
@@ -287,7 +287,7 @@
 	o := &open{t: t}
 	l.open[t.ID] = o
 	l.at(t.Deadline+guardAfter.Seconds(), timer{guard: o})
-	l.decide(routing.RequestArrived{Request: t.ID, Class: t.Class, Object: strings.ToLower(t.Object), Chunk: t.PartNumber, ObjectGroup: t.PurgeGroup, Deadline: t.Deadline,
+	l.decide(routing.RequestArrived{Request: routing.RequestID(t.ID), Class: routing.ClassIndex(t.Class), Object: strings.ToLower(t.Object), Chunk: t.PartNumber, ObjectGroup: t.PurgeGroup, Deadline: t.Deadline,
 		SizeKB: t.SizeKB, Write: l.Settings.ListItem("uncacheable", t.Class) == "true"}, o)
 }
 
@@ -331,7 +331,7 @@
 	if l.OnAttemptEnd != nil {
 		l.OnAttemptEnd(h.member, o.t.Class, end.Result, l.now-h.sent)
 	}
-	l.decide(routing.AttemptEnded{Request: o.t.ID, Attempt: h.no, Endpoint: h.member, Result: end.Result, Detail: end.Detail,
+	l.decide(routing.AttemptEnded{Request: routing.RequestID(o.t.ID), Attempt: h.no, Endpoint: routing.EndpointID(h.member), Result: end.Result, Detail: end.Detail,
 		ElapsedSeconds: l.now - h.sent, RequestDone: o.ended, LoadReport: end.LoadReport}, o)
 	l.tidy(o)
 }
@@ -339,7 +339,7 @@
 func (l *Dispatcher) checked(c *check, end request.AttemptEnd) {
 	if !c.over {
 		c.over = true
-		l.decide(routing.ProbeResult{Endpoint: c.member, Result: end.Result, ElapsedSeconds: l.now - c.sent, LoadReport: end.LoadReport}, nil)
+		l.decide(routing.ProbeResult{Endpoint: routing.EndpointID(c.member), Result: end.Result, ElapsedSeconds: l.now - c.sent, LoadReport: end.LoadReport}, nil)
 	}
 }
 
@@ -374,7 +374,7 @@
 	}
 	if !o.abandoned {
 		o.abandoned = true
-		l.later(func() { l.decide(routing.ClientDisconnected{Request: o.t.ID}, o) })
+		l.later(func() { l.decide(routing.ClientDisconnected{Request: routing.RequestID(o.t.ID)}, o) })
 	}
 }
 
@@ -382,26 +382,26 @@
 func (l *Dispatcher) act(a routing.Action) {
 	switch a := a.(type) {
 	case routing.StartAttempt:
-		if o := l.open[a.Request]; o != nil {
+		if o := l.open[string(a.Request)]; o != nil {
 			l.hop(o, a)
 		}
 	case routing.CancelAttempt:
-		if o := l.open[a.Request]; o != nil && a.Attempt >= 0 && a.Attempt < len(o.hops) {
+		if o := l.open[string(a.Request)]; o != nil && a.Attempt >= 0 && a.Attempt < len(o.hops) {
 			l.undo(o.hops[a.Attempt], routing.Cancelled)
 		}
 	case routing.RejectRequest:
-		if o := l.open[a.Request]; o != nil {
+		if o := l.open[string(a.Request)]; o != nil {
 			l.answer(o, request.Response{Result: request.Rejected, Reason: request.ReasonDecided, RetryAfterSeconds: a.RetryAfterSeconds})
 		}
 	case routing.AbortRequest:
-		if o := l.open[a.Request]; o != nil {
+		if o := l.open[string(a.Request)]; o != nil {
 			l.answer(o, request.Response{Result: request.Aborted, Reason: request.ReasonDecided})
 		}
 	case routing.SetTimer:
 		l.at(l.now+a.AfterSeconds, timer{token: a.Token})
 	case routing.Probe:
-		c := &check{member: a.Endpoint, sent: l.now}
-		if c.call = l.Pool.SendHealthCheck(a.Endpoint, c); c.call == nil {
+		c := &check{member: string(a.Endpoint), sent: l.now}
+		if c.call = l.Pool.SendHealthCheck(string(a.Endpoint), c); c.call == nil {
 			l.later(func() { l.checked(c, request.AttemptEnd{Result: routing.ConnectFailed}) })
 			return
 		}
@@ -412,7 +412,7 @@
 }
 
 func (l *Dispatcher) hop(o *open, a routing.StartAttempt) {
-	h := &hop{o: o, no: len(o.hops), member: a.Endpoint, sent: l.now}
+	h := &hop{o: o, no: len(o.hops), member: string(a.Endpoint), sent: l.now}
 	o.hops = append(o.hops, h)
 	o.out++
 	var avoid []*upstream.Connection // what was said of the txn there may be said again
@@ -427,7 +427,7 @@
 	}
 	d := cacheproto.Attempt{Txn: o.t, TimeoutSeconds: until - l.now, FillSource: l.fill(a), StartAttempt: a}
 	if l.RetryBudget != nil {
-		l.RetryBudget.RecordAttempt(l.now, o.t.Class, a.Endpoint, h.no > 0)
+		l.RetryBudget.RecordAttempt(l.now, o.t.Class, string(a.Endpoint), h.no > 0)
 		l.later(l.spare)
 	}
 	switch {
@@ -451,7 +451,7 @@
 		if h, ok := c.Owner.(*hop); ok && !h.over && !h.stuck {
 			h.stuck = true
 			l.Metrics.Add("reach.stuck", 1)
-			l.decide(routing.AttemptStalled{Request: h.o.t.ID, Attempt: h.no}, h.o)
+			l.decide(routing.AttemptStalled{Request: routing.RequestID(h.o.t.ID), Attempt: h.no}, h.o)
 		}
 	}
 }
@@ -462,18 +462,18 @@
 		if l.Metrics.Add("spend.changes", 1); !c.Available {
 			l.Metrics.Add("spend.spent", 1)
 		}
-		l.decide(routing.RetryBudgetChanged{Class: c.Class, Endpoint: c.Endpoint, Available: c.Available}, nil)
+		l.decide(routing.RetryBudgetChanged{Class: routing.ClassIndex(c.Class), Endpoint: routing.EndpointID(c.Endpoint), Available: c.Available}, nil)
 	}
 }
 
 // fill is the source as the members hear it: a cache that is its own source fills nothing and none is named; a
 // parent or the origin is named all the same.
 func (l *Dispatcher) fill(a routing.StartAttempt) string {
-	kind := l.kinds[a.Endpoint]
+	kind := l.kinds[string(a.Endpoint)]
 	if a.Source == a.Endpoint && kind != int(l.Settings.Float("parent_kind", -1)) && kind != int(l.Settings.Float("origin_kind", -1)) {
 		return ""
 	}
-	return a.Source
+	return string(a.Source)
 }
 
 // undo gives a hop up. Its end is heard once its member has been told; that of a hop which its member can't know of
--- a/internal/dispatch/route_test.go
+++ b/internal/dispatch/route_test.go
@@ -115,7 +115,7 @@
 	l.ring()
 	var ends []routing.Event
 	for _, i := range []int{1, 2, 0} { // of the two that could not be sent, then of the one that never came up
-		ends = append(ends, routing.AttemptEnded{Request: "ab", Attempt: i, Endpoint: []string{"c", "c", "x"}[i], Result: routing.NotSent, ElapsedSeconds: []float64{1.5, 0, 0}[i]})
+		ends = append(ends, routing.AttemptEnded{Request: "ab", Attempt: i, Endpoint: []routing.EndpointID{"c", "c", "x"}[i], Result: routing.NotSent, ElapsedSeconds: []float64{1.5, 0, 0}[i]})
 	}
 	assert.Equal(t, ends, s.heard[2:])
 	assert.Equal(t, 0, l.open["ab"].out)
@@ -206,7 +206,7 @@
 	l, _, x, _, _ := stage(t, nil)
 	l.Handle(x)
 	for to, want := range map[string]string{"c": "", "o": "o"} {
-		assert.Equal(t, want, l.fill(routing.StartAttempt{Endpoint: to, Source: to}))
+		assert.Equal(t, want, l.fill(routing.StartAttempt{Endpoint: routing.EndpointID(to), Source: routing.EndpointID(to)}))
 	}
 	assert.Equal(t, "o", l.fill(routing.StartAttempt{Endpoint: "c", Source: "o"}))
 }
--- a/internal/edgecache/box.go
+++ b/internal/edgecache/box.go
@@ -474,7 +474,7 @@
 	if a := b.open[f.Request]; a != nil {
 		t.IdempotencyKey, t.Body = a.line.IdempotencyKey, a.body
 	}
-	call := b.pool.Send(cacheproto.Attempt{Txn: t, TimeoutSeconds: f.TimeoutSeconds, StartAttempt: routing.StartAttempt{Endpoint: f.Source, RetentionRank: f.Rank, MaxAgeSeconds: f.MaxAge, JoinFill: f.Join,
+	call := b.pool.Send(cacheproto.Attempt{Txn: t, TimeoutSeconds: f.TimeoutSeconds, StartAttempt: routing.StartAttempt{Endpoint: routing.EndpointID(f.Source), RetentionRank: f.Rank, MaxAgeSeconds: f.MaxAge, JoinFill: f.Join,
 		CacheOnly: f.NoFetch, ParentNoStore: f.NoTrace}}, nil, fillOwner(f.Fill))
 	if call == nil {
 		b.post(due{func() {
--- a/internal/edgecache/box_test.go
+++ b/internal/edgecache/box_test.go
@@ -101,7 +101,7 @@
 }
 
 func (r *running) row(id string, kind int) discovery.Event {
-	return discovery.Event{Kind: discovery.Update, Endpoints: []discovery.Endpoint{{Address: r.addr, Endpoint: routing.Endpoint{ID: id, Kind: kind, Weight: 8}}}}
+	return discovery.Event{Kind: discovery.Update, Endpoints: []discovery.Endpoint{{Address: r.addr, Endpoint: routing.Endpoint{ID: routing.EndpointID(id), Kind: kind, Weight: 8}}}}
 }
 
 // origin starts one whose objects have versions that a test sets.
--- a/internal/lab/town.go
+++ b/internal/lab/town.go
@@ -201,7 +201,7 @@
 }
 
 func (p *place) row() discovery.Endpoint {
-	return discovery.Endpoint{Address: p.addr, Endpoint: routing.Endpoint{ID: p.id, Zone: p.location, Kind: p.kind, Status: p.status, Weight: 8, StartedAt: p.started}}
+	return discovery.Endpoint{Address: p.addr, Endpoint: routing.Endpoint{ID: routing.EndpointID(p.id), Zone: p.location, Kind: p.kind, Status: p.status, Weight: 8, StartedAt: p.started}}
 }
 
 // list tells the board how a member stands.
--- a/internal/sim/routing/model.go
+++ b/internal/sim/routing/model.go
@@ -92,7 +92,7 @@
 
 // station is a cache, a parent, the archive or a link by numbers.
 type station struct {
-	id      string
+	id      routing.EndpointID
 	carry   float64
 	out     float64
 	keeps   float64
@@ -150,21 +150,21 @@
 type hop struct {
 	over bool
 	sent float64
-	to   string
+	to   routing.EndpointID
 }
 
 type router struct {
 	t      *town
 	brain  routing.Decider
 	campus int
-	open   map[string]*txn
+	open   map[routing.RequestID]*txn
 	talk   *observation.Tracker
 	seq    uint32
 }
 
 type town struct {
 	*clock.World
-	members map[string]*station
+	members map[routing.EndpointID]*station
 	links   [campuses]*station
 	sizes   map[key]float64
 	cum     []float64
@@ -192,8 +192,10 @@
 
 func zeros() []string { return strings.Split("0"+strings.Repeat(",0", hubs+campuses-1), ",") }
 
-func cacheID(campus, i int) string { return fmt.Sprintf("c%d-%d", campus, i) }
-func parentID(i int) string        { return fmt.Sprintf("p%d", i) }
+func cacheID(campus, i int) routing.EndpointID {
+	return routing.EndpointID(fmt.Sprintf("c%d-%d", campus, i))
+}
+func parentID(i int) routing.EndpointID { return routing.EndpointID(fmt.Sprintf("p%d", i)) }
 
 const originID = "origin"
 
@@ -225,7 +227,7 @@
 	}
 	res := &Result{Routers: routers, Requests: map[string]int{}, OnTime: map[string]int{}, Late: map[string]int{}, Rejected: map[string]int{},
 		Aborted: map[string]int{}, Attempts: map[string]int{}, sent: make([]int, int(lasts)+1), good: make([]int, int(lasts)+1)}
-	t := &town{World: clock.New(seed, 0x7417, clock0), members: map[string]*station{}, sizes: map[key]float64{}, res: res,
+	t := &town{World: clock.New(seed, 0x7417, clock0), members: map[routing.EndpointID]*station{}, sizes: map[key]float64{}, res: res,
 		gossip: rand.New(rand.NewPCG(seed, 0x60551))}
 	sum := 0.0
 	for i := range objects {
@@ -236,7 +238,7 @@
 		}
 	}
 	var rows []routing.Endpoint
-	add := func(id string, location, kind int, carry, keeps float64) {
+	add := func(id routing.EndpointID, location, kind int, carry, keeps float64) {
 		t.members[id] = &station{id: id, carry: carry, keeps: keeps, held: map[key]*copyHeld{}, filling: map[key][]func(bool){}}
 		rows = append(rows, routing.Endpoint{ID: id, Zone: location, Kind: kind, Weight: carry})
 	}
@@ -251,7 +253,7 @@
 	}
 	add(originID, 0, 2, originCarry, 0)
 	for i := range routers {
-		r := &router{t: t, campus: i % campuses, open: map[string]*txn{}}
+		r := &router{t: t, campus: i % campuses, open: map[routing.RequestID]*txn{}}
 		r.brain = routing.New(seed+uint64(i)*977, records(i, routers, r.campus))
 		if t.routers = append(t.routers, r); talk.Enabled {
 			r.talk = observation.New(i, fmt.Sprint("campus-", r.campus), talk.FaultyRouters, 1)
@@ -341,7 +343,7 @@
 	kb := t.sizes[k]
 	x := &txn{k: k, kb: kb, sent: t.Now(), sla: slaBase + slaStretch*kb/pace, phase: phaseOf(t.Now() - clock0)}
 	x.limit = x.sent + x.sla + giveUpAfter
-	id := strconv.Itoa(t.n)
+	id := routing.RequestID(strconv.Itoa(t.n))
 	r.open[id] = x
 	t.res.Requests[x.phase]++
 	t.res.sent[int(x.sent-clock0)]++
@@ -369,7 +371,7 @@
 	}
 }
 
-func (r *router) answer(id string, count map[string]int) {
+func (r *router) answer(id routing.RequestID, count map[string]int) {
 	x := r.open[id]
 	if x.answers++; x.answers > 1 {
 		r.t.res.AnsweredTwice++
@@ -380,7 +382,7 @@
 	r.tidy(id, x)
 }
 
-func (r *router) tidy(id string, x *txn) {
+func (r *router) tidy(id routing.RequestID, x *txn) {
 	for _, h := range x.hops {
 		if !h.over {
 			return
@@ -392,7 +394,7 @@
 }
 
 // end tells the module how a hop ended; the first completed one answers its txn.
-func (r *router) end(id string, no int, h *hop, code routing.AttemptResult, remark routing.ResultDetail) {
+func (r *router) end(id routing.RequestID, no int, h *hop, code routing.AttemptResult, remark routing.ResultDetail) {
 	if h.over {
 		return
 	}
@@ -518,13 +520,13 @@
 }
 
 // saw tells a router's rumours how a hop ended, and the module what comes of it.
-func (r *router) saw(member string, code routing.AttemptResult, late bool) {
+func (r *router) saw(member routing.EndpointID, code routing.AttemptResult, late bool) {
 	if r.talk == nil {
 		return
 	}
 	now := r.t.Now() - clock0
 	if says, ok := observation.Classify(code, late); ok {
-		r.heed(r.talk.AttemptEnded(now, member, says))
+		r.heed(r.talk.AttemptEnded(now, string(member), says))
 	}
 	for _, w := range r.talk.TakeUnsigned() {
 		r.t.tell(w)
@@ -534,7 +536,7 @@
 func (r *router) heed(heeds []observation.Doubt) {
 	now := r.t.Now() - clock0
 	for _, h := range heeds {
-		r.decide(routing.HealthObservation{Endpoint: h.Endpoint, Suspicion: h.Level, ValidSeconds: max(h.Until-now, 0)})
+		r.decide(routing.HealthObservation{Endpoint: routing.EndpointID(h.Endpoint), Suspicion: h.Level, ValidSeconds: max(h.Until-now, 0)})
 	}
 }
 
@@ -559,7 +561,7 @@
 			if i < liars {
 				for _, m := range sortedNames(t.members) {
 					r.seq++
-					t.tell(observation.Observation{Witness: i, WitnessStartMillis: 2, Sequence: r.seq, Endpoint: m, Health: observation.Failing, Zone: fmt.Sprint("z", r.seq%7)})
+					t.tell(observation.Observation{Witness: i, WitnessStartMillis: 2, Sequence: r.seq, Endpoint: string(m), Health: observation.Failing, Zone: fmt.Sprint("z", r.seq%7)})
 				}
 			}
 		}
@@ -570,4 +572,6 @@
 	t.After(1, each)
 }
 
-func sortedNames(m map[string]*station) []string { return slices.Sorted(maps.Keys(m)) }
+func sortedNames(m map[routing.EndpointID]*station) []routing.EndpointID {
+	return slices.Sorted(maps.Keys(m))
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -112,10 +112,10 @@
 		}
 	}
 	for _, row := range rows {
-		m := p.members[row.ID]
+		m := p.members[string(row.ID)]
 		if m == nil {
 			m = &member{}
-			p.members[row.ID] = m
+			p.members[string(row.ID)] = m
 		}
 		m.row, m.addr, m.gone = row, row.Address, row.Status == routing.Removed
 		p.reaches(row, m)
@@ -183,7 +183,7 @@
 // Send starts a hop.
 func (p *Pool) Send(d cacheproto.Attempt, avoid []*Connection, owner Owner) *Attempt {
 	head := cacheproto.AppendAttempt(nil, d)
-	return p.call(d.Endpoint, &Attempt{Owner: owner, id: d.Txn.ID, head: head, body: d.Txn.Body, txn: d.Txn, hop: true,
+	return p.call(string(d.Endpoint), &Attempt{Owner: owner, id: d.Txn.ID, head: head, body: d.Txn.Body, txn: d.Txn, hop: true,
 		repeatable: p.IsIdempotent != nil && p.IsIdempotent(d.Txn.Class)}, avoid)
 }
 
--- a/internal/upstream/several.go
+++ b/internal/upstream/several.go
@@ -38,15 +38,15 @@
 		return
 	}
 	if m.gone {
-		p.AddressSelector.RemoveEndpoint(row.ID)
+		p.AddressSelector.RemoveEndpoint(string(row.ID))
 		return
 	}
 	list := []address.Addr{address.Addr(row.Address)}
 	if more := p.EndpointAddresses(row); len(more) > 0 {
 		list = more
 	}
-	p.AddressSelector.SetAddresses(unix(time.Now()), row.ID, row.StartedAt, list)
-	m.several = p.AddressSelector.HasAlternatives(row.ID)
+	p.AddressSelector.SetAddresses(unix(time.Now()), string(row.ID), row.StartedAt, list)
+	m.several = p.AddressSelector.HasAlternatives(string(row.ID))
 	listed := map[address.Addr]bool{}
 	for _, a := range list {
 		listed[a] = true
--- a/routing/brain.go
+++ b/routing/brain.go
@@ -62,8 +62,8 @@
 
 // New starts a router that knows nothing but its records.
 func New(seed uint64, rec Settings) *Router {
-	return &Router{rec: rec, pcg: seed, nums: map[string]float64{}, rules: map[int]*rule{},
-		txns: map[string]*txn{}, bySeq: map[uint64]*txn{}, objects: map[string]*object{},
+	return &Router{rec: rec, pcg: seed, nums: map[string]float64{}, rules: map[ClassIndex]*rule{},
+		txns: map[RequestID]*txn{}, bySeq: map[uint64]*txn{}, objects: map[string]*object{},
 		purges: map[void]float64{}}
 }
 
@@ -336,7 +336,7 @@
 
 // place orders members by the hash of an object; a larger one, or one at a nearer hub, is first more often.
 func place(id string, m *member) float64 {
-	return math.Log(unit(id+" "+m.ID)) / max(m.Weight, 1e-3) * math.Pow(hubFactor, m.away)
+	return math.Log(unit(id+" "+string(m.ID))) / max(m.Weight, 1e-3) * math.Pow(hubFactor, m.away)
 }
 
 // usable says whether a txn may use a member: at level 0 if it has not failed it, at level 1 if it is not on
--- a/routing/brain_test.go
+++ b/routing/brain_test.go
@@ -66,7 +66,7 @@
 	r := router("keyed")
 	all, _ := r.ordered(r.object("x", 0))
 	less := inOrder("x", all[1:])
-	assert.Equal(t, []string{all[1].ID, all[2].ID}, []string{less[0].ID, less[1].ID})
+	assert.Equal(t, []EndpointID{all[1].ID, all[2].ID}, []EndpointID{less[0].ID, less[1].ID})
 	all[0].out = all[0].room // its gate is full
 	h := of[StartAttempt](r.Decide(100, arrival("t", "x")))
 	require.Len(t, h, 1)
@@ -179,7 +179,7 @@
 		p := r.object("x", 0).part(0)
 		r.member("c0").list(&holding{p: p, kb: 1, used: 100}, p.key())
 		for i := range 5 {
-			hops := of[StartAttempt](r.Decide(100, arrival(fmt.Sprint(i), "x")))
+			hops := of[StartAttempt](r.Decide(100, arrival(RequestID(fmt.Sprint(i)), "x")))
 			assert.Len(t, hops, 1)
 			for _, h := range hops {
 				assert.Equal(t, "c2", h.Endpoint)
@@ -214,11 +214,11 @@
 func TestColdParentIsChargedForFillsAndSharedByAllRouters(t *testing.T) {
 	r := router("keyed")
 	for _, id := range []string{"p0", "p1"} {
-		r.member(id).StartedAt = 100
+		r.member(EndpointID(id)).StartedAt = 100
 	}
 	total := 0.0
 	for i := range 50 {
-		r.Decide(100, arrival(fmt.Sprint("t", i), fmt.Sprint("x", i)))
+		r.Decide(100, arrival(RequestID(fmt.Sprint("t", i)), fmt.Sprint("x", i)))
 	}
 	for _, s := range append(r.member("p0").spent, r.member("p1").spent...) {
 		total += s.cost
@@ -233,9 +233,9 @@
 	const sharers = 6
 	rows := []Endpoint{{ID: "o", Kind: 2, Weight: 1}, {ID: "p0", Kind: 1, Weight: 20, StartedAt: 100}, {ID: "p1", Kind: 1, Weight: 20}}
 	for _, id := range []string{"c0", "c1", "c2"} {
-		rows = append(rows, Endpoint{ID: id, Zone: 1, Weight: 8, StartedAt: 100})
+		rows = append(rows, Endpoint{ID: EndpointID(id), Zone: 1, Weight: 8, StartedAt: 100})
 	}
-	came := map[string][]float64{} // times at which a hop, or a fill, came to a member
+	came := map[EndpointID][]float64{} // times at which a hop, or a fill, came to a member
 	for i := range sharers {
 		rec := records("keyed")
 		rec["routers"], rec["routers_at"] = strconv.Itoa(sharers), "0,"+strconv.Itoa(sharers)
@@ -243,20 +243,20 @@
 		r.Decide(100, EndpointUpdate{Kind: Restored, Endpoints: rows})
 		for n := range 300 { // 50 a second for 6 s, each answered a tenth of a second later by a fill
 			now := 100 + float64(n)/50
-			for _, h := range of[StartAttempt](r.Decide(now, RequestArrived{Request: fmt.Sprint(n), Object: fmt.Sprint("x", n), SizeKB: 100, Deadline: now + 5})) {
+			for _, h := range of[StartAttempt](r.Decide(now, RequestArrived{Request: RequestID(fmt.Sprint(n)), Object: fmt.Sprint("x", n), SizeKB: 100, Deadline: now + 5})) {
 				came[h.Endpoint] = append(came[h.Endpoint], now)
 				if h.Source != h.Endpoint {
 					came[h.Source] = append(came[h.Source], now)
 				}
 			}
 			if n >= 5 {
-				for _, h := range of[StartAttempt](r.Decide(now, AttemptEnded{Request: fmt.Sprint(n - 5), Detail: Filled, ElapsedSeconds: 0.1, RequestDone: true})) {
+				for _, h := range of[StartAttempt](r.Decide(now, AttemptEnded{Request: RequestID(fmt.Sprint(n - 5)), Detail: Filled, ElapsedSeconds: 0.1, RequestDone: true})) {
 					came[h.Endpoint] = append(came[h.Endpoint], now)
 				}
 			}
 		}
 	}
-	for id, most := range map[string][2]float64{"c0": {0.25, 10}, "c1": {0.25, 10}, "c2": {0.25, 10}, "p0": {0.1, 20}} {
+	for id, most := range map[EndpointID][2]float64{"c0": {0.25, 10}, "c1": {0.25, 10}, "c2": {0.25, 10}, "p0": {0.1, 20}} {
 		weight := map[bool]float64{true: 20, false: 8}[id == "p0"]
 		assert.NotEmpty(t, came[id])
 		for _, end := range came[id] {
@@ -558,9 +558,9 @@
 		r := router("keyed")
 		for i := range 60 {
 			now := 100 + float64(i)/50
-			out = append(out, r.Decide(now, arrival(fmt.Sprint(i), fmt.Sprint("x", i%7)))...)
+			out = append(out, r.Decide(now, arrival(RequestID(fmt.Sprint(i)), fmt.Sprint("x", i%7)))...)
 			if i%3 == 0 {
-				out = append(out, r.Decide(now, AttemptEnded{Request: fmt.Sprint(i / 2), Endpoint: "c0", Result: AttemptResult(i % 9)})...)
+				out = append(out, r.Decide(now, AttemptEnded{Request: RequestID(fmt.Sprint(i / 2)), Endpoint: "c0", Result: AttemptResult(i % 9)})...)
 			}
 		}
 		return out
@@ -689,7 +689,7 @@
 	r := router("repeatable")
 	for i := range 20 {
 		now := 100 + float64(i)*forgetAfter/2
-		r.Decide(now, EndpointUpdate{Endpoints: []Endpoint{{ID: "n" + strconv.Itoa(i), Zone: 1, Weight: 4}, {ID: "n" + strconv.Itoa(i-1), Zone: 1, Status: Removed}}})
+		r.Decide(now, EndpointUpdate{Endpoints: []Endpoint{{ID: EndpointID("n" + strconv.Itoa(i)), Zone: 1, Weight: 4}, {ID: EndpointID("n" + strconv.Itoa(i-1)), Zone: 1, Status: Removed}}})
 	}
 	assert.Len(t, r.all, 6+1+2)
 	assert.Len(t, r.caches, 4)
@@ -714,7 +714,7 @@
 	r.Decide(100, EndpointUpdate{Kind: Snapshot, Endpoints: []Endpoint{{ID: "o", Kind: 2, Weight: 1, StartedAt: 100},
 		{ID: "c", Zone: 1, Weight: 4, StartedAt: 100}, {ID: "p", Kind: 1, Weight: 40, StartedAt: 100}}})
 	for i := range 40 {
-		r.Decide(100, RequestArrived{Request: fmt.Sprint(i), Object: fmt.Sprint("x", i), Deadline: 105})
+		r.Decide(100, RequestArrived{Request: RequestID(fmt.Sprint(i)), Object: fmt.Sprint("x", i), Deadline: 105})
 	}
 	for _, m := range r.all {
 		assert.LessOrEqual(t, m.spentSince(98), coldSpend*r.warmth(m)*m.Weight*2/m.sharers, m.ID)
--- a/routing/helpers_test.go
+++ b/routing/helpers_test.go
@@ -21,16 +21,16 @@
 	r := New(7, records(effect))
 	rows := []Endpoint{{ID: "o", Kind: 2, Weight: 1}}
 	for i := range 3 {
-		rows = append(rows, Endpoint{ID: "c" + strconv.Itoa(i), Zone: 1, Weight: 4})
+		rows = append(rows, Endpoint{ID: EndpointID("c" + strconv.Itoa(i)), Zone: 1, Weight: 4})
 	}
 	for i := range 2 {
-		rows = append(rows, Endpoint{ID: "p" + strconv.Itoa(i), Kind: 1, Weight: 20})
+		rows = append(rows, Endpoint{ID: EndpointID("p" + strconv.Itoa(i)), Kind: 1, Weight: 20})
 	}
 	r.Decide(100, EndpointUpdate{Kind: Restored, Endpoints: rows})
 	return r
 }
 
-func arrival(txn, object string) RequestArrived {
+func arrival(txn RequestID, object string) RequestArrived {
 	return RequestArrived{Request: txn, Object: object, SizeKB: 100, Deadline: 105}
 }
 
--- a/routing/interface.go
+++ b/routing/interface.go
@@ -2,7 +2,16 @@
 // brain.go; this file holds what goes in and what comes out, in words that no protocol owns.
 package routing
 
-// Records are the standing facts that a router is handed at its start, by name.
+// RequestID names a request among all that one router has open.
+type RequestID string
+
+// EndpointID names an edge cache, a parent cache or the origin, as the endpoint list does.
+type EndpointID string
+
+// ClassIndex is the position of a request class in the settings.
+type ClassIndex int
+
+// Settings are the standing facts that a router is handed at its start, by name.
 type Settings map[string]string
 
 // Decider is one router's decision logic. Events come in the order in which they happened and never
@@ -40,7 +49,7 @@
 
 // Row is one member of the list: an edge cache, a parent or the origin.
 type Endpoint struct {
-	ID        string
+	ID        EndpointID
 	Zone      int
 	Kind      int
 	Cell      int
@@ -57,8 +66,8 @@
 
 // Arrival is a txn that this router has taken.
 type RequestArrived struct {
-	Request     string
-	Class       int
+	Request     RequestID
+	Class       ClassIndex
 	Object      string
 	Chunk       int
 	ObjectGroup int
@@ -109,9 +118,9 @@
 
 // Outcome is the end of a hop. Every hop has exactly one.
 type AttemptEnded struct {
-	Request          string
+	Request          RequestID
 	Attempt          int
-	Endpoint         string
+	Endpoint         EndpointID
 	Result           AttemptResult
 	Detail           ResultDetail
 	ElapsedSeconds   float64
@@ -121,14 +130,14 @@
 }
 
 // ClientGone says that a client has left; nothing more is owed.
-type ClientDisconnected struct{ Request string }
+type ClientDisconnected struct{ Request RequestID }
 
 // Bell is a timer come due.
 type TimerFired struct{ Token uint64 }
 
 // Checked is the answer to a Check.
 type ProbeResult struct {
-	Endpoint       string
+	Endpoint       EndpointID
 	Result         AttemptResult
 	ElapsedSeconds float64
 	LoadReport     []LoadMetric
@@ -144,53 +153,53 @@
 // Spare says whether there is something left of a budget of further hops: a remap rule's, or a member's where one is
 // named.
 type RetryBudgetChanged struct {
-	Class     int
-	Endpoint  string
+	Class     ClassIndex
+	Endpoint  EndpointID
 	Available bool
 }
 
 // Stuck says that a hop's connection is silent while its member answers another way, or may be asked so: the way is
 // held to be bad before the member is.
 type AttemptStalled struct {
-	Request string
+	Request RequestID
 	Attempt int
 }
 
 // Doubt says how far several witnesses doubt a member, from 0 to 1, and for how many seconds that counts.
 type HealthObservation struct {
-	Endpoint     string
+	Endpoint     EndpointID
 	Suspicion    float64
 	ValidSeconds float64
 }
 
 // Hop sends a txn to a member.
 type StartAttempt struct {
-	Request       string
-	Endpoint      string
-	Deadline      float64 // clock time at which the hop is dropped
-	Source        string  // who fills a miss; To itself for nobody
-	RetentionRank int     // 0 keeps nothing
-	MaxAgeSeconds float64 // oldest copy that will do; 0 for the remap rule's fresh time
-	JoinFill      bool    // wait for a fill that runs already
-	CacheOnly     bool    // the source gives only what it holds
-	ParentNoStore bool    // the parent keeps no copy
-	Revalidate    bool    // an ageing copy is served and renewed behind
+	Request       RequestID
+	Endpoint      EndpointID
+	Deadline      float64    // clock time at which the hop is dropped
+	Source        EndpointID // who fills a miss; To itself for nobody
+	RetentionRank int        // 0 keeps nothing
+	MaxAgeSeconds float64    // oldest copy that will do; 0 for the remap rule's fresh time
+	JoinFill      bool       // wait for a fill that runs already
+	CacheOnly     bool       // the source gives only what it holds
+	ParentNoStore bool       // the parent keeps no copy
+	Revalidate    bool       // an ageing copy is served and renewed behind
 }
 
 // Cancel stops waiting for a hop.
 type CancelAttempt struct {
-	Request string
+	Request RequestID
 	Attempt int
 }
 
 // Reject is the final answer that says that trying again is harmless.
 type RejectRequest struct {
-	Request           string
+	Request           RequestID
 	RetryAfterSeconds float64 // seconds the client should stay away, 0 for no advice
 }
 
 // Abort is the final answer that promises nothing.
-type AbortRequest struct{ Request string }
+type AbortRequest struct{ Request RequestID }
 
 // Timer asks for a Bell.
 type SetTimer struct {
@@ -199,7 +208,7 @@
 }
 
 // Check asks a member for its state.
-type Probe struct{ Endpoint string }
+type Probe struct{ Endpoint EndpointID }
 
 // Subscribe asks for list changes from now on.
 type SubscribeEndpoints struct{}
--- a/routing/records.go
+++ b/routing/records.go
@@ -39,4 +39,6 @@
 }
 
 // Remap is the name of a record of remap rule n.
-func ClassSetting(n int, name string) string { return "remap." + strconv.Itoa(n) + "." + name }
+func ClassSetting(n ClassIndex, name string) string {
+	return "remap." + strconv.Itoa(int(n)) + "." + name
+}
--- a/routing/state.go
+++ b/routing/state.go
@@ -125,7 +125,7 @@
 	now     float64
 	acts    []Action
 	nums    map[string]float64 // records read as numbers
-	rules   map[int]*rule
+	rules   map[ClassIndex]*rule
 	all     []*member // in order of their ids
 	local   []*member // caches of this location, whatever their status
 	caches  []*member // ready
@@ -133,7 +133,7 @@
 	origins []*member // ready
 	listed  int       // version of these lists
 	link    gate      // the location's link in
-	txns    map[string]*txn
+	txns    map[RequestID]*txn
 	bySeq   map[uint64]*txn
 	queue   []*txn // held, densest in importance first
 	seq     uint64
@@ -287,8 +287,8 @@
 }
 
 // member finds a member by its id, or adds one of which nothing is known.
-func (r *Router) member(id string) *member {
-	at, found := slices.BinarySearchFunc(r.all, id, func(m *member, id string) int {
+func (r *Router) member(id EndpointID) *member {
+	at, found := slices.BinarySearchFunc(r.all, id, func(m *member, id EndpointID) int {
 		return cmp.Compare(m.ID, id)
 	})
 	if !found {
@@ -298,8 +298,8 @@
 }
 
 // known finds a member by its id; nil where there is none.
-func (r *Router) known(id string) *member {
-	at, found := slices.BinarySearchFunc(r.all, id, func(m *member, id string) int { return cmp.Compare(m.ID, id) })
+func (r *Router) known(id EndpointID) *member {
+	at, found := slices.BinarySearchFunc(r.all, id, func(m *member, id EndpointID) int { return cmp.Compare(m.ID, id) })
 	if !found {
 		return nil
 	}
@@ -404,15 +404,15 @@
 }
 
 // rule reads what the records say of a remap rule, once.
-func (r *Router) rule(n int) *rule {
+func (r *Router) rule(n ClassIndex) *rule {
 	u := r.rules[n]
 	if u == nil {
 		num := func(name string, otherwise float64) float64 { return r.rec.Float(ClassSetting(n, name), otherwise) }
 		u = &rule{sla: num("sla_s", 1), stretch: num("sla_stretch", 0), importance: num("importance", 1),
 			late: num("late_importance", 0), window: num("window_s", 0),
-			fresh: r.rec.FloatItem("fresh_s", n, 0), stale: r.rec.FloatItem("stale_s", n, 0),
-			old: r.rec.FloatItem("stale_importance", n, 0), effect: r.rec[ClassSetting(n, "effect")],
-			group: r.rec[ClassSetting(n, "group")], uncacheable: r.rec.ListItem("uncacheable", n) == "true"}
+			fresh: r.rec.FloatItem("fresh_s", int(n), 0), stale: r.rec.FloatItem("stale_s", int(n), 0),
+			old: r.rec.FloatItem("stale_importance", int(n), 0), effect: r.rec[ClassSetting(n, "effect")],
+			group: r.rec[ClassSetting(n, "group")], uncacheable: r.rec.ListItem("uncacheable", int(n)) == "true"}
 		r.rules[n] = u
 	}
 	return u
--- a/simadapter/wire.go
+++ b/simadapter/wire.go
@@ -185,24 +185,24 @@
 		}
 		ev = l
 	case "ACCEPT":
-		a := routing.RequestArrived{Request: f.id(), Class: f.integer()}
+		a := routing.RequestArrived{Request: routing.RequestID(f.id()), Class: routing.ClassIndex(f.integer())}
 		f.next() // tenant
 		a.Object, a.Deadline, a.SizeKB, a.ObjectGroup, a.Chunk = f.text(), f.float(), f.float(), f.integer(), f.integer()
 		a.Write = f.integer()&4 != 0
 		ev = a
 	case "REPLY":
-		o := routing.AttemptEnded{Request: f.id(), FirstByteSeconds: f.float()}
+		o := routing.AttemptEnded{Request: routing.RequestID(f.id()), FirstByteSeconds: f.float()}
 		o.Result = f.code()
 		o.Detail = routing.ResultDetail(f.integer())
-		o.Endpoint, o.ElapsedSeconds, o.Attempt, o.RequestDone = f.text(), f.float(), f.integer(), f.integer() == 1
+		o.Endpoint, o.ElapsedSeconds, o.Attempt, o.RequestDone = routing.EndpointID(f.text()), f.float(), f.integer(), f.integer() == 1
 		o.LoadReport = f.load()
 		ev = o
 	case "TIMED_OUT_CLIENT":
-		ev = routing.ClientDisconnected{Request: f.id()}
+		ev = routing.ClientDisconnected{Request: routing.RequestID(f.id())}
 	case "BELL":
 		ev = routing.TimerFired{Token: f.token()}
 	case "STATUS_BACK":
-		c := routing.ProbeResult{Endpoint: f.id()}
+		c := routing.ProbeResult{Endpoint: routing.EndpointID(f.id())}
 		c.Result = f.code()
 		c.ElapsedSeconds, c.LoadReport = f.float(), f.load()
 		ev = c
@@ -258,7 +258,7 @@
 		if string(g.next()) != "ROW" {
 			return fmt.Errorf("expected a row of the list, found %q", clip(line))
 		}
-		r := routing.Endpoint{ID: g.id(), Zone: g.integer(), Kind: g.integer(), Cell: g.integer()}
+		r := routing.Endpoint{ID: routing.EndpointID(g.id()), Zone: g.integer(), Kind: g.integer(), Cell: g.integer()}
 		status, ok := statuses[string(g.next())]
 		if !ok {
 			g.fail("unknown status")
@@ -370,20 +370,20 @@
 	switch a := a.(type) {
 	case routing.StartAttempt:
 		how := flag(a.JoinFill, 1) + flag(a.CacheOnly, 2) + flag(a.ParentNoStore, 4) + flag(a.Revalidate, 8)
-		s.buf = s.text(s.text(s.word("ANSWER_FROM", router), a.Request), a.Endpoint)
-		s.buf = s.text(s.float(s.buf, a.Deadline), a.Source)
+		s.buf = s.text(s.text(s.word("ANSWER_FROM", router), string(a.Request)), string(a.Endpoint))
+		s.buf = s.text(s.float(s.buf, a.Deadline), string(a.Source))
 		s.buf = s.integer(s.float(s.integer(s.buf, a.RetentionRank), a.MaxAgeSeconds), how)
 	case routing.CancelAttempt:
-		s.buf = s.integer(s.text(s.word("STOP_ATTEMPT", router), a.Request), a.Attempt)
+		s.buf = s.integer(s.text(s.word("STOP_ATTEMPT", router), string(a.Request)), a.Attempt)
 	case routing.RejectRequest:
-		s.buf = s.float(s.text(s.word("DENY", router), a.Request), a.RetryAfterSeconds)
+		s.buf = s.float(s.text(s.word("DENY", router), string(a.Request)), a.RetryAfterSeconds)
 	case routing.AbortRequest:
-		s.buf = s.text(s.word("LOSE", router), a.Request)
+		s.buf = s.text(s.word("LOSE", router), string(a.Request))
 	case routing.SetTimer:
 		s.buf = s.float(s.word("NOTIFY_ME", router), a.AfterSeconds)
 		s.buf = strconv.AppendUint(append(s.buf, ' '), a.Token, 10)
 	case routing.Probe:
-		s.buf = s.text(s.word("CHECK", router), a.Endpoint)
+		s.buf = s.text(s.word("CHECK", router), string(a.Endpoint))
 	case routing.SubscribeEndpoints:
 		s.buf = s.integer(s.word("KEEP_INFORMED", router), 1)
 	case routing.LogNote:
