Clientproto: typed frames and errors, a table of request fields, one file a concern

Frame types were untyped numbers, and one function read all fields through a switch with its faults as texts. Types and faults have Go types now, each field of a request has its own parser in a table.

--- a/cmd/cairnfront/serve_test.go
+++ b/cmd/cairnfront/serve_test.go
@@ -338,7 +338,7 @@
 		_, _ = c.Write(append(clientproto.AppendHeader(nil, clientproto.TypeReadinessQuery, 0, 1), 0))
 		said := make([]byte, clientproto.HeaderSize+1) // or nothing: the port may still be another's
 		_, err = io.ReadFull(c, said)
-		return err == nil && said[4] == clientproto.TypeReadinessReply && said[clientproto.HeaderSize] == 1
+		return err == nil && clientproto.FrameType(said[4]) == clientproto.TypeReadinessReply && said[clientproto.HeaderSize] == 1
 	}, patience, 10*time.Millisecond)
 }
 
@@ -401,7 +401,7 @@
 }
 
 // next reads one frame.
-func (c *client) next(t *testing.T) (kind byte, stream uint32, payload string) {
+func (c *client) next(t *testing.T) (kind clientproto.FrameType, stream uint32, payload string) {
 	head := make([]byte, clientproto.HeaderSize)
 	_, err := io.ReadFull(c, head)
 	require.NoError(t, err)
@@ -563,7 +563,7 @@
 func TestSigterm(t *testing.T) {
 	release, _, s, c := signalled(t, syscall.SIGTERM)
 	kind, stream, _ := c.next(t)
-	assert.Equal(t, []any{byte(clientproto.TypeGoAway), uint32(0)}, []any{kind, stream})
+	assert.Equal(t, []any{clientproto.TypeGoAway, uint32(0)}, []any{kind, stream})
 	late := s.dial(t)
 	late.ask("order", "0000000000000002", "")
 	kind, _, _ = late.next(t)
@@ -779,7 +779,7 @@
 func TestBadClientsBesideAGoodOne(t *testing.T) {
 	m := serveMember(t, func(h hop) string { return served(h, "x") })
 	s := begin(t, 64, m, m)
-	head := func(kind byte, stream uint32, size int) []byte {
+	head := func(kind clientproto.FrameType, stream uint32, size int) []byte {
 		return clientproto.AppendHeader(nil, kind, stream, size)
 	}
 	ends := make(chan error)
--- a/internal/clientproto/golden_test.go
+++ b/internal/clientproto/golden_test.go
@@ -39,21 +39,28 @@
 
 func TestFramesAreEncodedToTheGoldenBytes(t *testing.T) {
 	const streamID = 258
-	fields := AppendFields(nil,
-		Field{"op", "page"}, Field{"call", "9b1f03aa5c7e2d41"}, Field{"ttl", "1500"},
-		Field{"dedupe", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"}, Field{"row", "7f3a9c21e0b4d655"}, Field{"seg", "3"},
-		Field{"bucket", "17"}, Field{"heap", "412.5"}, Field{"etag", "4be0c1927d55a6f3"})
-	requestPayload := append(fields, "body"...)
+	requestPayload := append(AppendFields(nil,
+		Field{"op", "page"},
+		Field{"call", "9b1f03aa5c7e2d41"},
+		Field{"ttl", "1500"},
+		Field{"dedupe", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"},
+		Field{"row", "7f3a9c21e0b4d655"},
+		Field{"seg", "3"},
+		Field{"bucket", "17"},
+		Field{"heap", "412.5"},
+		Field{"etag", "4be0c1927d55a6f3"}), "body"...)
+	requestHeader := AppendHeader(nil, TypeRequest, streamID, len(requestPayload))
 	body := &request.Body{Bytes: []byte("seven b")}
+	response := func(r request.Response) []byte { return AppendResponse(nil, streamID, r) }
 	completed := request.Response{ETag: "4be0c1927d55a6f3", Body: body}
-	notModified := request.Response{ETag: "4be0c1927d55a6f3", NotModified: true}
+	aborted := request.Response{Result: request.Aborted, RetryAfterSeconds: 1, ErrorText: "broken"}
 	for name, frame := range map[string][]byte{
-		"request":                      append(AppendHeader(nil, TypeRequest, streamID, len(requestPayload)), requestPayload...),
-		"response completed":           append(AppendResponse(nil, streamID, completed), body.Bytes...),
-		"response not modified":        AppendResponse(nil, streamID, notModified),
-		"response rejected with retry": AppendResponse(nil, streamID, request.Response{Result: request.Rejected, RetryAfterSeconds: 0.2501}),
-		"response rejected":            AppendResponse(nil, streamID, request.Response{Result: request.Rejected, Reason: request.ReasonQueueFull}),
-		"response aborted":             AppendResponse(nil, 0, request.Response{Result: request.Aborted, RetryAfterSeconds: 1, ErrorText: "broken"}),
+		"request":                      append(requestHeader, requestPayload...),
+		"response completed":           append(response(completed), body.Bytes...),
+		"response not modified":        response(request.Response{ETag: "4be0c1927d55a6f3", NotModified: true}),
+		"response rejected with retry": response(request.Response{Result: request.Rejected, RetryAfterSeconds: 0.2501}),
+		"response rejected":            response(request.Response{Result: request.Rejected, Reason: request.ReasonQueueFull}),
+		"response aborted":             AppendResponse(nil, 0, aborted),
 		"cancel":                       AppendHeader(nil, TypeCancel, streamID, 0),
 		"readiness query":              append(AppendHeader(nil, TypeReadinessQuery, streamID, 1), 0),
 		"readiness reply: ready":       AppendReadinessReply(nil, streamID, true),
--- /dev/null
+++ b/internal/clientproto/request_test.go
@@ -0,0 +1,131 @@
+package clientproto
+
+import (
+	"slices"
+	"strings"
+	"testing"
+
+	"cairnfront/internal/request"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// validFields is a request's list of fields, with one at its end that the router does not know.
+var validFields = []Field{
+	{"op", "page"},
+	{"call", "9b1f03aa5c7e2d41"},
+	{"ttl", "1500"},
+	{"dedupe", "k1"},
+	{"row", "7F3a9c21e0b4d655"},
+	{"seg", "3"},
+	{"bucket", "17"},
+	{"heap", "412.5"},
+	{"etag", "4be0"},
+	{"later", "what"},
+}
+
+func indexOfField(t *testing.T, name string) int {
+	i := slices.IndexFunc(validFields, func(f Field) bool { return f.Name == name })
+	assert.GreaterOrEqual(t, i, 0, name)
+	return i
+}
+
+func TestRequestIsParsed(t *testing.T) {
+	got, err := ParseRequest(append(AppendFields(nil, validFields...), "body"...))
+	assert.NoError(t, err)
+	want := Request{
+		Request: request.Request{
+			ID:             "9b1f03aa5c7e2d41",
+			ClassName:      "page",
+			Object:         "7F3a9c21e0b4d655",
+			Part:           "3",
+			PartNumber:     3,
+			PurgeGroup:     17,
+			SizeKB:         412.5,
+			IdempotencyKey: "k1",
+			ETag:           "4be0",
+		},
+		TimeoutSeconds: 1.5,
+		RawBody:        []byte("body"),
+	}
+	assert.Equal(t, want, got)
+}
+
+func TestUnusableValuesAreNamed(t *testing.T) {
+	for name, values := range map[string][]string{
+		"op":     {""},
+		"call":   {"", "12", "9b1f03aa5c7e2d4x"},
+		"ttl":    {"0", "-1", "x", "4294967296", ""},
+		"dedupe": {"", "a,b", "a b", "a\r\nb", "a=b", strings.Repeat("x", 257)},
+		"row":    {"xyz"},
+		"seg":    {"", "-1", "1.5"},
+		"bucket": {"256", "x"},
+		"heap":   {"x", "NaN", "-1", "1e99"},
+		"etag":   {"a\nb", ""},
+	} {
+		for _, value := range values {
+			fields := slices.Clone(validFields)
+			fields[indexOfField(t, name)].Value = value
+			_, err := ParseRequest(AppendFields(nil, fields...))
+			var fieldErr FieldError
+			assert.ErrorAs(t, err, &fieldErr, value)
+			assert.Equal(t, name, fieldErr.Name, value)
+		}
+	}
+}
+
+func TestMissingFieldsAreNamed(t *testing.T) {
+	for _, name := range []string{"op", "call", "ttl", "row", "seg"} {
+		i := indexOfField(t, name)
+		fields := slices.Delete(slices.Clone(validFields), i, i+1)
+		_, err := ParseRequest(AppendFields(nil, fields...))
+		assert.Equal(t, FieldError{Name: name}, err)
+		assert.ErrorContains(t, err, name)
+	}
+}
+
+func TestFieldThatStandsTwiceIsNamed(t *testing.T) {
+	_, err := ParseRequest(AppendFields(nil, append(slices.Clone(validFields), validFields[0])...))
+	assert.Equal(t, FieldError{Name: "op"}, err)
+}
+
+func TestUnknownFieldWithTheLongestNameIsPassedOver(t *testing.T) {
+	fields := append(slices.Clone(validFields), Field{strings.Repeat("n", 255), "x"})
+	_, err := ParseRequest(AppendFields(nil, fields...))
+	assert.NoError(t, err)
+}
+
+func TestBodyHasABound(t *testing.T) {
+	_, err := ParseRequest(append(AppendFields(nil, validFields...), make([]byte, MaxBodyBytes+1)...))
+	assert.Equal(t, BodySizeError{Bytes: MaxBodyBytes + 1}, err)
+	assert.ErrorContains(t, err, "body")
+}
+
+func TestTruncatedFieldsAreRejected(t *testing.T) {
+	whole := AppendFields(nil, validFields...)
+	for n := range whole {
+		_, err := ParseRequest(whole[:n])
+		assert.ErrorIs(t, err, ErrFieldsTruncated, "cut at %d", n)
+	}
+}
+
+// TestFaultTextsStayTheSame: the texts are sent to the client.
+func TestFaultTextsStayTheSame(t *testing.T) {
+	assert.EqualError(t, FieldError{Name: "op"}, "field op is missing or can't be used")
+	assert.EqualError(t, BodySizeError{Bytes: 48001}, "body of 48001 bytes is over 48000")
+	assert.EqualError(t, FrameLengthError{Length: 4}, "frame length 4 is out of bounds")
+	assert.EqualError(t, ErrFieldsTruncated, "fields overrun the frame")
+}
+
+func FuzzParseRequest(f *testing.F) {
+	f.Add(append(AppendFields(nil, validFields...), "body"...))
+	f.Fuzz(func(t *testing.T, payload []byte) {
+		r, err := ParseRequest(payload)
+		if err != nil {
+			return
+		}
+		if r.TimeoutSeconds <= 0 || len(r.ID) != idLength || r.SizeKB < 0 || len(r.RawBody) > MaxBodyBytes {
+			t.Fatalf("%+v", r)
+		}
+	})
+}
--- /dev/null
+++ b/internal/clientproto/response_test.go
@@ -0,0 +1,35 @@
+package clientproto
+
+import (
+	"testing"
+
+	"cairnfront/internal/request"
+
+	"github.com/stretchr/testify/assert"
+)
+
+func TestResponsesAreEncoded(t *testing.T) {
+	body := &request.Body{Bytes: []byte("abc")}
+	const header = "\x65\x00\x00\x00\x07"
+	for want, response := range map[string]request.Response{
+		"\x00\x00\x00\x14" + header + "\x01\x01\x04etag\x00\x02t1":  {ETag: "t1", Body: body},
+		"\x00\x00\x00\x11" + header + "\x01\x01\x06notmod\x00\x011": {NotModified: true},
+		"\x00\x00\x00\x13" + header + "\x00\x01\x08pushback\x00\x01\x32": {
+			Result:            request.Rejected,
+			RetryAfterSeconds: 0.0011,
+		},
+		"\x00\x00\x00\x07" + header + "\x09\x00": {Result: request.Aborted, RetryAfterSeconds: 1},
+	} {
+		got := AppendResponse(nil, 7, response)
+		header, err := ParseHeader(got)
+		assert.NoError(t, err)
+		withBody := len(got) + response.Body.Len()
+		assert.Equal(t, withBody-HeaderSize, header.PayloadBytes, "the length counts the body that follows")
+		assert.Equal(t, want[4:], string(got[4:]))
+	}
+}
+
+func TestReadinessRepliesAreEncoded(t *testing.T) {
+	assert.Equal(t, "\x00\x00\x00\x07\x6f\x00\x00\x00\x03\x01\x00", string(AppendReadinessReply(nil, 3, true)))
+	assert.Equal(t, "\x00\x00\x00\x07\x6f\x00\x00\x00\x03\x00\x00", string(AppendReadinessReply(nil, 3, false)))
+}
--- a/internal/frontend/take_test.go
+++ b/internal/frontend/take_test.go
@@ -80,7 +80,7 @@
 }
 
 // next reads one frame: its type, stream and payload.
-func (c *client) next(t *testing.T) (byte, uint32, string) {
+func (c *client) next(t *testing.T) (clientproto.FrameType, uint32, string) {
 	head := make([]byte, clientproto.HeaderSize)
 	_, err := io.ReadFull(c, head)
 	assert.NoError(t, err)
@@ -103,7 +103,7 @@
 	assert.True(t, x.ResponseWriter.Respond(x, request.Response{ETag: "t", Body: &request.Body{Bytes: []byte("xyz")}}))
 	assert.False(t, x.ResponseWriter.Respond(x, request.Response{}), "one answer a txn")
 	kind, stream, payload := c.next(t)
-	assert.Equal(t, []any{byte(clientproto.TypeResponse), uint32(1), "\x01\x01\x04etag\x00\x01txyz"}, []any{kind, stream, payload})
+	assert.Equal(t, []any{clientproto.TypeResponse, uint32(1), "\x01\x01\x04etag\x00\x01txyz"}, []any{kind, stream, payload})
 	_, _ = c.Write(clientproto.AppendHeader(nil, clientproto.TypeCancel, 1, 0)) // too late to matter
 	_, _ = c.Write(requestFrame(2, "bb"))
 	x = (<-c.posted).(*request.Request)
@@ -123,19 +123,19 @@
 	for _, want := range []string{"\x00\x00", "\x01\x00"} {
 		_, _ = c.Write(ask)
 		kind, stream, payload := c.next(t)
-		assert.Equal(t, []any{byte(clientproto.TypeReadinessReply), uint32(5), want}, []any{kind, stream, payload})
+		assert.Equal(t, []any{clientproto.TypeReadinessReply, uint32(5), want}, []any{kind, stream, payload})
 		c.Admission.SetReady()
 	}
 	go c.BeginDrain()
 	kind, stream, payload := c.next(t)
-	assert.Equal(t, []any{byte(clientproto.TypeGoAway), uint32(0), ""}, []any{kind, stream, payload})
+	assert.Equal(t, []any{clientproto.TypeGoAway, uint32(0), ""}, []any{kind, stream, payload})
 	_, _ = c.Write(ask)
 	_, _, payload = c.next(t)
 	assert.Equal(t, "\x00\x00", payload, "no new clients while it ends")
 	_, _ = c.Write(requestFrame(1, "aa"))
 	x := (<-c.posted).(*request.Request)
 	kind, _, _ = c.next(t)
-	assert.Equal(t, byte(clientproto.TypeGoAway), kind)
+	assert.Equal(t, clientproto.TypeGoAway, kind)
 	assert.True(t, x.ResponseWriter.Respond(x, request.Response{}), "and yet what comes is served")
 	_, stream, _ = c.next(t)
 	assert.EqualValues(t, 1, stream)
@@ -150,7 +150,7 @@
 		bytes.Replace(requestFrame(5, "aa"), []byte("\x04page"), []byte("\x04what"), 1), bytes.Replace(requestFrame(6, "aa"), []byte("page"), []byte("what"), 1)} {
 		_, _ = c.Write(bad)
 		kind, on, payload := c.next(t)
-		assert.Equal(t, []any{byte(clientproto.TypeResponse), uint32(stream + 1)}, []any{kind, on})
+		assert.Equal(t, []any{clientproto.TypeResponse, uint32(stream + 1)}, []any{kind, on})
 		assert.Equal(t, byte(9), payload[0])
 		assert.Contains(t, payload, "error")
 	}
@@ -170,7 +170,7 @@
 		x := (<-c.posted).(*request.Request)
 		_, _ = c.Write(bad)
 		kind, stream, payload := c.next(t)
-		assert.Equal(t, []any{byte(clientproto.TypeResponse), uint32(0)}, []any{kind, stream})
+		assert.Equal(t, []any{clientproto.TypeResponse, uint32(0)}, []any{kind, stream})
 		assert.Contains(t, payload, want)
 		x.ResponseWriter.Respond(x, request.Response{})
 		_, stream, _ = c.next(t)
@@ -664,10 +664,10 @@
 	}()
 	x := (<-posted).(*request.Request)
 	assert.True(t, x.ResponseWriter.Respond(x, request.Response{}))
-	for kind := byte(clientproto.TypeGoAway); kind == clientproto.TypeGoAway; {
+	for kind := clientproto.TypeGoAway; kind == clientproto.TypeGoAway; {
 		var stream uint32
 		if kind, stream, _ = c.next(t); kind != clientproto.TypeGoAway {
-			assert.Equal(t, []any{byte(clientproto.TypeResponse), uint32(1)}, []any{kind, stream})
+			assert.Equal(t, []any{clientproto.TypeResponse, uint32(1)}, []any{kind, stream})
 		}
 	}
 	_, err := io.Copy(io.Discard, c)
--- a/internal/lab/town.go
+++ b/internal/lab/town.go
@@ -455,7 +455,7 @@
 	}
 	b := make([]byte, clientproto.HeaderSize+2)
 	_, err = io.ReadFull(c, b)
-	return err == nil && b[4] == clientproto.TypeReadinessReply && b[clientproto.HeaderSize] == 1
+	return err == nil && clientproto.FrameType(b[4]) == clientproto.TypeReadinessReply && b[clientproto.HeaderSize] == 1
 }
 
 // close ends all that the town started: routers by SIGTERM, as an operator would. A router that does not end well is
