--- /dev/null
+++ b/internal/membership/partition/state.go
@@ -0,0 +1,27 @@
+package partition
+
+// State is how much of the cluster a router sees. The states are ordered by what they allow: a later one allows
+// more.
+type State uint8
+
+// The states. docs/peers.md says what each part of a router may do in which.
+const (
+	Alone       State = iota // no other member is present
+	Minority                 // at most half of the roster is present and working
+	Disagreeing              // more members than may be byzantine have another view
+	Majority                 // most of the roster is present and working
+	Whole                    // all of the roster is present and working
+)
+
+var stateNames = [...]string{"alone", "minority", "disagreeing", "majority", "whole"}
+
+func (s State) String() string { return stateNames[s] }
+
+// MayGrant reports whether a router may grant or use what needs the agreement of a majority.
+func (s State) MayGrant() bool { return s >= Majority }
+
+// MayGossip reports whether the router's own observations of endpoints are passed on. Alone there is no receiver.
+func (s State) MayGossip() bool { return s > Alone }
+
+// TrustsReports reports whether the router acts on other members' observations of endpoints.
+func (s State) TrustsReports() bool { return s >= Disagreeing }
--- a/internal/membership/peers.go
+++ b/internal/membership/peers.go
@@ -380,7 +380,7 @@
 func (n *Node) changed(c swim.StateChange) {
 	name := n.codec.Name(c.Member)
 	n.book.Add("peers.became."+c.To.String(), 1)
-	args := []any{"code", c.To.String(), "peer", name, "from", c.From.String(), "why", c.Reason, "life", c.Incarnation.StartMillis, "beat", c.Incarnation.Refutations}
+	args := []any{"code", c.To.String(), "peer", name, "from", c.From.String(), "why", c.Reason.String(), "life", c.Incarnation.StartMillis, "beat", c.Incarnation.Refutations}
 	if c.To == swim.Failed && c.SuspectedSeconds > 0 {
 		_ = n.detect.RecordValue(int64(c.SuspectedSeconds * 1000))
 		args = append(args, "took_s", fmt.Sprintf("%.2f", c.SuspectedSeconds))
