--- /dev/null
+++ b/routing/traceworld_test.go
@@ -0,0 +1,485 @@
+package routing_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+
+	"cairnfront/routing"
+)
+
+const (
+	traceStart       = 1000.0 // s, the clock at the start
+	traceZone        = 2
+	traceParentKind  = 1
+	traceOriginKind  = 2
+	traceObjects     = 250
+	traceChunks      = 5
+	traceGroups      = 8
+	traceClasses     = 6
+	cachedChunks     = 120   // kept by a cache
+	cancelDelay      = 0.001 // s until a cancelled attempt's end is heard
+	traceIdleGap     = 75.0  // s without traffic before the last requests, longer than anything is remembered
+	requestsAfterGap = 200
+)
+
+// condition is how an endpoint behaves for a while.
+type condition int
+
+const (
+	healthy condition = iota
+	failing
+	overloaded
+	slow
+	silent
+	refusingConnections
+	conditionCount
+)
+
+// traceEndpoint is an endpoint as the synthetic deployment plays it.
+type traceEndpoint struct {
+	routing.Endpoint
+	condition condition
+	inFlight  int
+	cached    map[string]bool
+	order     []string // of cached, oldest first
+}
+
+type traceAttempt struct {
+	routing.StartAttempt
+	endpoint, source *traceEndpoint
+	sentAt           float64
+	ended            bool
+}
+
+type traceRequest struct {
+	class    routing.ClassIndex
+	chunk    string
+	sizeKB   float64
+	deadline float64
+	attempts []*traceAttempt
+	done     bool
+}
+
+// scheduled is something that happens at a time. Equal times keep the order in which they were scheduled.
+type scheduled struct {
+	at    float64
+	order int
+	run   func()
+}
+
+type schedule []scheduled
+
+func (s schedule) Len() int { return len(s) }
+func (s schedule) Less(i, j int) bool {
+	return s[i].at < s[j].at || (s[i].at == s[j].at && s[i].order < s[j].order)
+}
+func (s schedule) Swap(i, j int) { s[i], s[j] = s[j], s[i] }
+func (s *schedule) Push(x any)   { *s = append(*s, x.(scheduled)) }
+func (s *schedule) Pop() any {
+	last := (*s)[len(*s)-1]
+	*s = (*s)[:len(*s)-1]
+	return last
+}
+
+// traceWorld feeds one router with what a deployment would tell it and carries its actions out.
+type traceWorld struct {
+	scenario  traceScenario
+	random    *rand.Rand
+	router    routing.Decider
+	trace     *decisionTrace
+	now       float64
+	queue     schedule
+	order     int
+	endpoints []*traceEndpoint
+	byID      map[routing.EndpointID]*traceEndpoint
+	requests  map[routing.RequestID]*traceRequest
+	arrived   int
+}
+
+func playScenario(scenario traceScenario, seed uint64) *decisionTrace {
+	w := &traceWorld{
+		scenario: scenario,
+		random:   rand.New(rand.NewPCG(seed, 0x7ace)),
+		router:   routing.New(seed+scenario.moduleSeedOffset, scenario.settings),
+		trace:    newDecisionTrace(),
+		now:      traceStart,
+		byID:     map[routing.EndpointID]*traceEndpoint{},
+		requests: map[routing.RequestID]*traceRequest{},
+	}
+	w.addEndpoints()
+	w.decide(routing.EndpointUpdate{Kind: routing.Restored, Endpoints: w.listed()})
+	w.scheduleAll()
+	for w.queue.Len() > 0 {
+		next := heap.Pop(&w.queue).(scheduled)
+		w.now = max(w.now, next.at)
+		next.run()
+	}
+	return w.trace
+}
+
+func (w *traceWorld) addEndpoints() {
+	add := func(id string, zone, kind, cell int, weight float64) {
+		e := &traceEndpoint{cached: map[string]bool{}}
+		e.Endpoint = routing.Endpoint{ID: routing.EndpointID(id), Zone: zone, Kind: kind, Cell: cell, Weight: weight}
+		w.endpoints = append(w.endpoints, e)
+		w.byID[e.ID] = e
+	}
+	for i := range w.scenario.caches {
+		add(fmt.Sprint("cache-", i), traceZone, 0, i/2, 5+float64(i))
+	}
+	add("elsewhere", 1, 0, 0, 5)
+	for i := range w.scenario.parents {
+		add(fmt.Sprint("parent-", i), i%2, traceParentKind, 0, 12)
+	}
+	if w.scenario.origin {
+		add("origin", 0, traceOriginKind, 0, 1)
+	}
+}
+
+func (w *traceWorld) listed() []routing.Endpoint {
+	var all []routing.Endpoint
+	for _, e := range w.endpoints {
+		all = append(all, e.Endpoint)
+	}
+	return all
+}
+
+func (w *traceWorld) at(at float64, run func()) {
+	w.order++
+	heap.Push(&w.queue, scheduled{at: at, order: w.order, run: run})
+}
+
+func (w *traceWorld) after(seconds float64, run func()) { w.at(w.now+seconds, run) }
+
+// scheduleAll sets the traffic and what happens to the endpoints.
+func (w *traceWorld) scheduleAll() {
+	end := traceStart + w.scenario.seconds
+	for at := traceStart; at < end; at += w.random.ExpFloat64() / w.scenario.requestsPerS {
+		w.at(at, w.arrive)
+	}
+	for at := traceStart + 5; at < end; at += 1.5 + 2*w.random.Float64() {
+		w.at(at, w.changeCondition)
+	}
+	for at := traceStart + 1; at < end; at += 0.4 + w.random.Float64() {
+		w.at(at, w.disturb)
+	}
+	if w.scenario.purges > 0 {
+		w.at(traceStart+w.scenario.seconds*2/3, w.purgeMany)
+	}
+	for i := range requestsAfterGap {
+		w.at(end+traceIdleGap+float64(i)/w.scenario.requestsPerS, w.arrive)
+	}
+}
+
+// decide hands an event to the router, records its actions and carries them out.
+func (w *traceWorld) decide(event routing.Event) {
+	w.trace.events++
+	number := w.trace.events
+	actions := append([]routing.Action(nil), w.router.Decide(w.now, event)...)
+	for _, action := range actions {
+		w.trace.record(w.now, number, action)
+	}
+	for _, action := range actions {
+		w.carryOut(action)
+	}
+}
+
+func (w *traceWorld) carryOut(action routing.Action) {
+	switch a := action.(type) {
+	case routing.StartAttempt:
+		w.start(a)
+	case routing.CancelAttempt:
+		w.cancel(a)
+	case routing.RejectRequest:
+		w.requests[a.Request].done = true
+	case routing.AbortRequest:
+		w.requests[a.Request].done = true
+	case routing.SetTimer:
+		w.after(a.AfterSeconds, func() { w.decide(routing.TimerFired{Token: a.Token}) })
+	}
+}
+
+// arrive brings a request for a chunk; low numbers are asked for more often.
+func (w *traceWorld) arrive() {
+	w.arrived++
+	id := routing.RequestID(fmt.Sprint("r", w.arrived))
+	class := routing.ClassIndex(0)
+	if w.random.Float64() < 0.5 {
+		class = routing.ClassIndex(w.random.IntN(traceClasses))
+	}
+	object := int(traceObjects * w.random.Float64() * w.random.Float64() * w.random.Float64())
+	chunk := w.random.IntN(traceChunks)
+	size := 20 + 180*w.random.Float64()
+	if w.random.IntN(20) == 0 {
+		size = 0
+	}
+	request := &traceRequest{
+		class:    class,
+		chunk:    fmt.Sprint(object, "/", chunk),
+		sizeKB:   size,
+		deadline: w.now + 0.8 + 1.5*w.random.Float64(),
+	}
+	w.requests[id] = request
+	w.decide(routing.RequestArrived{
+		Request:     id,
+		Class:       class,
+		Object:      fmt.Sprint("object-", object),
+		Chunk:       chunk,
+		ObjectGroup: object % traceGroups,
+		Deadline:    request.deadline,
+		SizeKB:      size,
+		Write:       class != 0 && w.random.IntN(8) == 0,
+	})
+	if w.random.IntN(25) == 0 {
+		w.after(w.random.Float64(), func() { w.disconnect(id) })
+	}
+}
+
+func (w *traceWorld) disconnect(id routing.RequestID) {
+	if request := w.requests[id]; !request.done {
+		request.done = true
+		w.decide(routing.ClientDisconnected{Request: id})
+	}
+}
+
+// start plays an attempt: how it ends and when follows from the endpoint, its source and chance.
+func (w *traceWorld) start(action routing.StartAttempt) {
+	request := w.requests[action.Request]
+	attempt := &traceAttempt{
+		StartAttempt: action,
+		endpoint:     w.byID[action.Endpoint],
+		source:       w.byID[action.Source],
+		sentAt:       w.now,
+	}
+	number := len(request.attempts)
+	request.attempts = append(request.attempts, attempt)
+	attempt.endpoint.inFlight++
+	result, detail, took := w.play(request, attempt)
+	if result == routing.TimedOut || w.now+took > action.Deadline {
+		result, detail, took = routing.TimedOut, routing.NoDetail, action.Deadline-w.now
+		if w.random.IntN(2) == 0 {
+			w.after(0.3+0.3*w.random.Float64(), func() { w.stall(action.Request, number, attempt) })
+		}
+	}
+	w.after(took, func() { w.end(action.Request, number, result, detail) })
+}
+
+func (w *traceWorld) stall(id routing.RequestID, number int, attempt *traceAttempt) {
+	if !attempt.ended {
+		w.decide(routing.AttemptStalled{Request: id, Attempt: number})
+	}
+}
+
+func (w *traceWorld) cancel(action routing.CancelAttempt) {
+	if w.random.IntN(4) > 0 { // else its answer was faster than the cancel
+		w.after(cancelDelay, func() { w.end(action.Request, action.Attempt, routing.Cancelled, routing.NoDetail) })
+	}
+}
+
+func (w *traceWorld) end(id routing.RequestID, number int, result routing.AttemptResult, detail routing.ResultDetail) {
+	request := w.requests[id]
+	attempt := request.attempts[number]
+	if attempt.ended {
+		return
+	}
+	attempt.ended = true
+	attempt.endpoint.inFlight--
+	if result == routing.Completed {
+		request.done = true
+	}
+	took := w.now - attempt.sentAt
+	w.decide(routing.AttemptEnded{
+		Request:          id,
+		Attempt:          number,
+		Endpoint:         attempt.Endpoint,
+		Result:           result,
+		Detail:           detail,
+		ElapsedSeconds:   took,
+		FirstByteSeconds: took * (0.2 + 0.7*w.random.Float64()),
+		RequestDone:      request.done,
+		LoadReport:       []routing.LoadMetric{{Name: "inflight", Value: float64(attempt.endpoint.inFlight)}},
+	})
+}
+
+// play says how an attempt ends at its endpoint, and after how long.
+func (w *traceWorld) play(request *traceRequest, attempt *traceAttempt) (routing.AttemptResult, routing.ResultDetail, float64) {
+	e := attempt.endpoint
+	round := 0.001 + 0.004*w.random.Float64()
+	transfer := (request.sizeKB/1000 + 0.01) * max(1, float64(e.inFlight)/max(e.Weight, 4))
+	switch e.condition {
+	case failing:
+		if w.random.IntN(5) > 0 {
+			return routing.ServerError, routing.NoDetail, round
+		}
+	case overloaded:
+		return routing.Overloaded, routing.NoDetail, round
+	case slow:
+		transfer *= 4
+	case silent:
+		return routing.TimedOut, routing.NoDetail, 0
+	case refusingConnections:
+		if w.random.IntN(2) == 0 {
+			return routing.ConnectFailed, routing.NoDetail, round
+		}
+		return routing.ConnectionBroken, routing.NoDetail, transfer
+	}
+	if float64(e.inFlight) > 4*max(e.Weight, 4) {
+		return routing.Overloaded, routing.NoDetail, round
+	}
+	if w.random.IntN(200) == 0 {
+		return routing.NotSent, routing.NoDetail, 0
+	}
+	if e.Kind == 0 {
+		return w.playCache(request, attempt, round, transfer)
+	}
+	return routing.Completed, w.told(routing.CacheHit), round + 0.02 + transfer
+}
+
+// playCache answers from the cache, or fills from the source.
+func (w *traceWorld) playCache(
+	request *traceRequest, attempt *traceAttempt, round, transfer float64,
+) (routing.AttemptResult, routing.ResultDetail, float64) {
+	e, source := attempt.endpoint, attempt.source
+	if e.cached[request.chunk] {
+		if w.random.IntN(15) == 0 {
+			return routing.Completed, w.told(routing.StaleHit), round + transfer
+		}
+		return routing.Completed, w.told(routing.CacheHit), round + transfer
+	}
+	if source == e || (attempt.CacheOnly && source.Kind == 0 && !source.cached[request.chunk]) {
+		return routing.CacheMiss, routing.NoDetail, round
+	}
+	if attempt.CacheOnly && w.random.IntN(2) == 0 {
+		return routing.Overloaded, w.told(routing.SourceCacheMiss), round + 0.01
+	}
+	if result, detail, took, failed := w.sourceFailure(source); failed {
+		return result, detail, took + round
+	}
+	if attempt.RetentionRank > 0 {
+		e.store(request.chunk)
+	}
+	if source.condition == slow {
+		transfer *= 5
+	}
+	details := []routing.ResultDetail{routing.Filled, routing.Filled, routing.FilledByOrigin, routing.JoinedFill}
+	return routing.Completed, w.told(details[w.random.IntN(len(details))]), round + 0.03 + 1.5*transfer
+}
+
+// sourceFailure says how a fill fails at its source, if it does.
+func (w *traceWorld) sourceFailure(source *traceEndpoint) (routing.AttemptResult, routing.ResultDetail, float64, bool) {
+	switch source.condition {
+	case failing:
+		return routing.ServerError, w.told(routing.OriginFailed), 0.03, true
+	case overloaded:
+		return routing.Overloaded, w.told(routing.SourceRefused), 0.02, true
+	case silent:
+		return routing.ServerError, w.told(routing.SourceUnreachable), 0.25, true
+	case refusingConnections:
+		return routing.Overloaded, w.told(routing.FillSlotsExhausted), 0.001, true
+	}
+	return 0, 0, 0, false
+}
+
+// told is a detail as far as the deployment tells it.
+func (w *traceWorld) told(detail routing.ResultDetail) routing.ResultDetail {
+	switch w.scenario.settings["tells"] {
+	case "all":
+		return detail
+	case "hit":
+		if detail <= routing.StaleHit {
+			return detail
+		}
+	}
+	return routing.NoDetail
+}
+
+func (e *traceEndpoint) store(chunk string) {
+	e.cached[chunk] = true
+	if e.order = append(e.order, chunk); len(e.order) > cachedChunks {
+		delete(e.cached, e.order[0])
+		e.order = e.order[1:]
+	}
+}
+
+// changeCondition lets one endpoint misbehave; most recover soon.
+func (w *traceWorld) changeCondition() {
+	e := w.endpoints[w.random.IntN(len(w.endpoints))]
+	e.condition = condition(w.random.IntN(int(conditionCount)))
+	w.after(0.5+4*w.random.Float64(), func() { e.condition = healthy })
+}
+
+// disturb brings one event that is of no request.
+func (w *traceWorld) disturb() {
+	e := w.endpoints[w.random.IntN(len(w.endpoints))]
+	switch w.random.IntN(12) {
+	case 0, 1:
+		w.restart(e)
+	case 2:
+		w.drain(e)
+	case 3:
+		w.decide(routing.EndpointUpdate{Kind: routing.Snapshot, Endpoints: w.listed()})
+	case 4:
+		w.decide(routing.EndpointUpdate{Kind: routing.Unavailable})
+	case 5, 6:
+		w.decide(routing.HealthObservation{
+			Endpoint:     e.ID,
+			Suspicion:    w.random.Float64(),
+			ValidSeconds: 3 * w.random.Float64(),
+		})
+	case 7, 8:
+		w.spendBudget(e)
+	case 9:
+		w.decide(routing.Purge{AgeSeconds: w.random.Float64(), ObjectGroup: w.random.IntN(traceGroups)})
+	case 10:
+		object := fmt.Sprint("object-", w.random.IntN(traceObjects/8))
+		w.decide(routing.Purge{AgeSeconds: w.random.Float64(), Object: object})
+	case 11:
+		w.strayEvents(e)
+	}
+}
+
+func (w *traceWorld) restart(e *traceEndpoint) {
+	e.Status = routing.Ready
+	e.StartedAt = w.now - 0.5*w.random.Float64()
+	e.cached, e.order = map[string]bool{}, nil
+	w.decide(routing.EndpointUpdate{Endpoints: []routing.Endpoint{e.Endpoint}})
+}
+
+func (w *traceWorld) drain(e *traceEndpoint) {
+	e.Status = routing.Draining
+	w.decide(routing.EndpointUpdate{Endpoints: []routing.Endpoint{e.Endpoint}})
+	w.after(1, func() {
+		e.Status = routing.Removed
+		w.decide(routing.EndpointUpdate{Endpoints: []routing.Endpoint{e.Endpoint}})
+	})
+	w.after(2+2*w.random.Float64(), func() { w.restart(e) })
+}
+
+func (w *traceWorld) spendBudget(e *traceEndpoint) {
+	change := routing.RetryBudgetChanged{Class: routing.ClassIndex(w.random.IntN(traceClasses))}
+	if w.random.IntN(2) == 0 {
+		change.Endpoint = e.ID
+	}
+	w.decide(change)
+	change.Available = true
+	w.after(2*w.random.Float64(), func() { w.decide(change) })
+}
+
+// strayEvents are about requests, attempts and endpoints that the router does not know or has no use for.
+func (w *traceWorld) strayEvents(e *traceEndpoint) {
+	w.decide(routing.ProbeResult{Endpoint: e.ID, Result: routing.Completed})
+	w.decide(routing.AttemptEnded{Request: "unknown", Endpoint: e.ID})
+	w.decide(routing.AttemptStalled{Request: "unknown"})
+	w.decide(routing.HealthObservation{Endpoint: "unknown", Suspicion: 1, ValidSeconds: 1})
+	w.decide(routing.RetryBudgetChanged{Endpoint: "unknown"})
+	w.decide(routing.TimerFired{Token: 1 << 40})
+}
+
+// purgeMany sends more purges than the router remembers.
+func (w *traceWorld) purgeMany() {
+	for i := range w.scenario.purges {
+		age := 2 - 2*float64(i)/float64(w.scenario.purges)
+		w.decide(routing.Purge{AgeSeconds: age, Object: fmt.Sprint("purged-", i)})
+	}
+}
