Simadapter: one file a concern, named steps, typed errors; wirenames holds the shared tables

The translation of setting and load-metric names was part of the simulator's adapter though bootstrap and cacheproto use it too; it is internal/wirenames now.

--- a/cmd/cairnfront-sim/main.go
+++ b/cmd/cairnfront-sim/main.go
@@ -1,4 +1,5 @@
-// Command cairnfront-sim hosts routers on the bench's wire: events on standard input, actions on standard output.
+// Command cairnfront-sim runs the routing module for the simulator. It reads batches of events from standard input and
+// writes the routers' actions to standard output.
 package main
 
 import (
@@ -10,8 +11,8 @@
 )
 
 func main() {
-	fresh := func(seed uint64, rec routing.Settings) routing.Decider { return routing.New(seed, rec) }
-	if err := simadapter.Serve(os.Stdin, os.Stdout, fresh); err != nil {
+	newRouter := func(seed uint64, settings routing.Settings) routing.Decider { return routing.New(seed, settings) }
+	if err := simadapter.Serve(os.Stdin, os.Stdout, newRouter); err != nil {
 		fmt.Fprintln(os.Stderr, "cairnfront-sim:", err)
 		os.Exit(1)
 	}
--- a/internal/bootstrap/start.go
+++ b/internal/bootstrap/start.go
@@ -14,8 +14,8 @@
 	"strings"
 
 	"cairnfront/internal/discovery"
+	"cairnfront/internal/wirenames"
 	"cairnfront/routing"
-	"cairnfront/simadapter"
 )
 
 // Manifest is all that a router is told at its start.
@@ -160,7 +160,7 @@
 // flatten turns nested objects into the paths and texts in which the simulator's wire gives them, and renames both.
 func flatten(rec routing.Settings, path string, v any) {
 	put := func(text string) {
-		key, value := simadapter.TranslateSetting(path, text)
+		key, value := wirenames.Setting(path, text)
 		rec[key] = value
 	}
 	switch v := v.(type) {
--- a/internal/cacheproto/line.go
+++ b/internal/cacheproto/line.go
@@ -10,8 +10,8 @@
 	"strings"
 
 	"cairnfront/internal/request"
+	"cairnfront/internal/wirenames"
 	"cairnfront/routing"
-	"cairnfront/simadapter"
 )
 
 // MostBody is the size of the largest object.
@@ -140,7 +140,7 @@
 	for pair := range strings.SplitSeq(text, ";") {
 		name, value, _ := strings.Cut(pair, ":")
 		if x, err := strconv.ParseFloat(value, 64); err == nil && !math.IsNaN(x) && !math.IsInf(x, 0) {
-			out = append(out, routing.LoadMetric{Name: simadapter.TranslateLoadMetric(name), Value: x})
+			out = append(out, routing.LoadMetric{Name: wirenames.LoadMetric(name), Value: x})
 		}
 	}
 	return out
--- a/internal/clientproto/golden_test.go
+++ b/internal/clientproto/golden_test.go
@@ -53,13 +53,14 @@
 	body := &request.Body{Bytes: []byte("seven b")}
 	response := func(r request.Response) []byte { return AppendResponse(nil, streamID, r) }
 	completed := request.Response{ETag: "4be0c1927d55a6f3", Body: body}
+	rejected := request.Response{Result: request.Rejected, Reason: request.ReasonQueueFull}
 	aborted := request.Response{Result: request.Aborted, RetryAfterSeconds: 1, ErrorText: "broken"}
 	for name, frame := range map[string][]byte{
 		"request":                      append(requestHeader, requestPayload...),
 		"response completed":           append(response(completed), body.Bytes...),
 		"response not modified":        response(request.Response{ETag: "4be0c1927d55a6f3", NotModified: true}),
 		"response rejected with retry": response(request.Response{Result: request.Rejected, RetryAfterSeconds: 0.2501}),
-		"response rejected":            response(request.Response{Result: request.Rejected, Reason: request.ReasonQueueFull}),
+		"response rejected":            response(rejected),
 		"response aborted":             AppendResponse(nil, 0, aborted),
 		"cancel":                       AppendHeader(nil, TypeCancel, streamID, 0),
 		"readiness query":              append(AppendHeader(nil, TypeReadinessQuery, streamID, 1), 0),
--- /dev/null
+++ b/simadapter/server.go
@@ -0,0 +1,205 @@
+// Package simadapter connects the routing module to the simulator: it reads batches of events from one stream, hands
+// them to the routers that it hosts, and writes their actions to another.
+//
+// It owns the syntax of the simulator's lines and the routers of the process. It makes no decision, keeps no time of
+// its own, and shares nothing between routers but the numbered endpoint lists that the simulator sends.
+package simadapter
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+
+	"cairnfront/routing"
+)
+
+// NewRouterFunc makes a router's decision logic.
+type NewRouterFunc func(seed uint64, settings routing.Settings) routing.Decider
+
+var (
+	// ErrTruncated is returned where the input ends within a batch.
+	ErrTruncated = errors.New("the input ends within a batch")
+
+	// ErrSyntax is wrapped by the errors on lines that cannot be read.
+	ErrSyntax = errors.New("bad line")
+
+	// ErrUnknownRouter is wrapped by the error on an event for a router that is not started.
+	ErrUnknownRouter = errors.New("router is not started")
+)
+
+// reply holds what one router wants done after one event, or the text of its panic.
+type reply struct {
+	router    int
+	actions   []routing.Action
+	panicText string
+}
+
+type server struct {
+	lines         *lineReader
+	actions       *actionWriter
+	newRouter     NewRouterFunc
+	routers       map[int]routing.Decider
+	endpointLists map[int][]routing.Endpoint // by the number that the simulator gave them
+
+	now     float64 // the simulator's clock in seconds, from the batch
+	batch   string  // the batch's number
+	replies []reply // to the events of the batch
+}
+
+// Serve answers batches until the input ends.
+func Serve(in io.Reader, out io.Writer, newRouter NewRouterFunc) error {
+	s := &server{
+		lines:         newLineReader(in),
+		actions:       newActionWriter(out),
+		newRouter:     newRouter,
+		routers:       map[int]routing.Decider{},
+		endpointLists: map[int][]routing.Endpoint{},
+	}
+	for {
+		err := s.serveBatch()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("batch %s line %d: %w", s.batch, s.lines.number, err)
+		}
+	}
+}
+
+// serveBatch reads one batch, hands out its events and writes the reply. It returns io.EOF where no batch follows.
+func (s *server) serveBatch() error {
+	if err := s.readBatchHeader(); err != nil {
+		return err
+	}
+	for {
+		line, err := s.lines.nextInBatch()
+		if err != nil {
+			return err
+		}
+		if string(line) == "END" {
+			break
+		}
+		if len(line) == 0 {
+			continue
+		}
+		if err := s.handleLine(line); err != nil {
+			return err
+		}
+	}
+	return s.writeReplies()
+}
+
+func (s *server) readBatchHeader() error {
+	var line []byte
+	for len(line) == 0 {
+		var err error
+		if line, err = s.lines.next(); err != nil {
+			return err
+		}
+	}
+	f := fieldReader{rest: line}
+	if string(f.next()) != "BATCH" {
+		return fmt.Errorf("%w: expected a batch, found %q", ErrSyntax, clip(line))
+	}
+	s.now = f.float()
+	s.batch = f.text()
+	s.lines.number = 1
+	s.replies = s.replies[:0]
+	if f.err != nil || s.batch == "" {
+		return fmt.Errorf("%w: batch %q", ErrSyntax, clip(line))
+	}
+	return nil
+}
+
+func (s *server) writeReplies() error {
+	for _, reply := range s.replies {
+		for _, action := range reply.actions {
+			s.actions.writeAction(reply.router, action)
+		}
+		if reply.panicText != "" {
+			s.actions.writePanic(reply.router, reply.panicText)
+		}
+	}
+	s.actions.writeEndOfReply(s.batch)
+	return s.actions.flush()
+}
+
+// handleLine reads one line of a batch and acts on it. Lines with unknown names are passed over.
+func (s *server) handleLine(line []byte) error {
+	f := fieldReader{rest: line}
+	name := string(f.next())
+	switch name {
+	case "SNAPSHOT_ROWS":
+		return s.readEndpointList(&f, line)
+	case "NEW_INSTANCE":
+		return s.startRouter(&f, line)
+	case "DOWN":
+		return s.stopRouter(&f, line)
+	default:
+		return s.decide(name, &f, line)
+	}
+}
+
+// startRouter makes a router from its seed and settings. One of the same number is replaced.
+func (s *server) startRouter(f *fieldReader, line []byte) error {
+	router := f.router()
+	seed := f.unsigned()
+	settings := f.settings()
+	if f.err != nil {
+		return f.errorIn(line)
+	}
+	s.callRouter(router, func() []routing.Action {
+		s.routers[router] = s.newRouter(seed, settings)
+		return nil
+	})
+	return nil
+}
+
+// stopRouter forgets a router and drops the actions that it wanted in this batch.
+func (s *server) stopRouter(f *fieldReader, line []byte) error {
+	router := f.router()
+	if f.err != nil {
+		return f.errorIn(line)
+	}
+	delete(s.routers, router)
+	for i := range s.replies {
+		if s.replies[i].router == router {
+			s.replies[i].actions = nil
+		}
+	}
+	return nil
+}
+
+// decide hands an event to its router.
+func (s *server) decide(name string, f *fieldReader, line []byte) error {
+	router := f.router()
+	event := s.parseEvent(name, f)
+	if event == nil {
+		return nil
+	}
+	if f.err != nil {
+		return f.errorIn(line)
+	}
+	decider := s.routers[router]
+	if decider == nil {
+		return fmt.Errorf("%w: number %d in %q", ErrUnknownRouter, router, clip(line))
+	}
+	s.callRouter(router, func() []routing.Action { return decider.Decide(s.now, event) })
+	return nil
+}
+
+// callRouter runs the routing module for one event and notes its reply. A panic is reported as that router's fault and
+// leaves the other routers running.
+func (s *server) callRouter(router int, call func() []routing.Action) {
+	defer func() {
+		if p := recover(); p != nil {
+			text := strings.ReplaceAll(fmt.Sprint(p), "\n", " ")
+			s.replies = append(s.replies, reply{router: router, panicText: text})
+		}
+	}()
+	if actions := call(); len(actions) > 0 { // the module may use the slice again for its next event
+		s.replies = append(s.replies, reply{router: router, actions: slices.Clone(actions)})
+	}
+}
