Frontend: connections and response writers are one package of named parts

The relay package had one caller and shared its locks' order with it. Server, connection, timeouts, drain, frame reader, stream window and response writer are a file each; the dispatcher takes requests through the interface RequestSink that frontend declares. The golden session and log lines are as before.

--- a/cmd/cairnfront/serve.go
+++ b/cmd/cairnfront/serve.go
@@ -72,7 +72,7 @@
 	for i, name := range m.ClassNames {
 		rules[name] = i
 	}
-	taker := &frontend.Server{ClassIndexes: rules, Admission: gate, Book: k, Offer: loop.Offer, Post: loop.Post}
+	taker := &frontend.Server{ClassIndexes: rules, Admission: gate, Metrics: k, Requests: loop}
 	news := &discovery.Client{Address: m.DiscoveryAddress, LastRevision: m.LastRevision, Telemetry: k, OnEvent: func(ev discovery.Event) { loop.Post(ev) },
 		AddressChanges: make(chan string, 1)}
 
--- /dev/null
+++ b/internal/frontend/drain.go
@@ -0,0 +1,66 @@
+package frontend
+
+import (
+	"cairnfront/internal/netconn"
+	"context"
+	"time"
+)
+
+// drainPollInterval lies between two looks for connections that may end.
+const drainPollInterval = 10 * time.Millisecond
+
+// BeginDrain sends GOAWAY to every client. A connection that is accepted from now on gets it at once.
+func (s *Server) BeginDrain() {
+	s.Admission.StartDraining()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if !c.finalGoAwaySent.Load() {
+			c.sendGoAway()
+		}
+	}
+}
+
+// FinishDrain, after BeginDrain, accepts what is in the listener's backlog, closes the listener, and closes each
+// connection once nothing is open on it and its client's input is read. It returns when all connections have ended, or
+// with the context.
+func (s *Server) FinishDrain(ctx context.Context) {
+	ticker := time.NewTicker(drainPollInterval)
+	defer ticker.Stop()
+	for {
+		listenerClosed := s.closeIdleConns()
+		if !listenerClosed {
+			s.limitAcceptWait()
+		} else if s.Admission.OpenClients() == 0 {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// closeIdleConns requests the close of each connection on which nothing is open. A connection that is ending already
+// keeps its code. It reports whether the listener is closed.
+func (s *Server) closeIdleConns() (listenerClosed bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for c := range s.conns {
+		if !c.writer.busy() && c.EndCode() == netconn.NoEndCode {
+			c.requestClose(netconn.Shutdown, now)
+		}
+	}
+	return s.listenerClosed
+}
+
+// limitAcceptWait makes an accept that finds an empty backlog return soon.
+func (s *Server) limitAcceptWait() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if ln, ok := s.listener.(interface{ SetDeadline(time.Time) error }); ok {
+		_ = ln.SetDeadline(time.Now().Add(backlogAcceptWait))
+	}
+}
--- a/internal/frontend/golden_test.go
+++ b/internal/frontend/golden_test.go
@@ -1,6 +1,9 @@
 package frontend
 
 import (
+	"cairnfront/internal/clientproto"
+	"cairnfront/internal/netconn"
+	"cairnfront/internal/request"
 	"context"
 	"errors"
 	"flag"
@@ -14,10 +17,6 @@
 	"testing"
 	"time"
 
-	"cairnfront/internal/clientproto"
-	"cairnfront/internal/netconn"
-	"cairnfront/internal/request"
-
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
@@ -78,10 +77,10 @@
 		return endedLine(t, c)
 	}
 	lines := []string{
-		"# no first frame\n", swept(nil, muteAfter),
-		"# partial first frame\n", swept(query[:5], muteAfter+halfAfter),
-		"# partial frame\n", swept(append(query[:len(query):len(query)], query[:5]...), halfAfter),
-		"# idle\n", swept(query, idleAfter),
+		"# no first frame\n", swept(nil, firstFrameTimeout),
+		"# partial first frame\n", swept(query[:5], firstFrameTimeout+partialFrameTimeout),
+		"# partial frame\n", swept(append(query[:len(query):len(query)], query[:5]...), partialFrameTimeout),
+		"# idle\n", swept(query, idleTimeout),
 	}
 	add := func(what, line string) { lines = append(lines, "# "+what+"\n", line) }
 
@@ -145,11 +144,11 @@
 
 	c = connect(t, true)
 	_, _ = c.Write(requestFrame(1, "aa"))
-	r := (<-c.posted).(*request.Request)
+	r := <-c.sink.arrived
 	body := c.Admission.Bodies.TryAllocate(22 << 20)
 	r.ResponseWriter.Respond(r, request.Response{Body: body})
 	for ended := false; !ended; {
-		c.Sweep(time.Now().Add(2 * stalledAfter))
+		c.sweep(time.Now().Add(2 * stalledTimeout))
 		select {
 		case <-c.done:
 			ended = true
@@ -203,7 +202,7 @@
 	t.Helper()
 	_, err := s.Write(requestFrame(stream, id, more...))
 	require.NoError(t, err)
-	return (<-s.posted).(*request.Request)
+	return <-s.sink.arrived
 }
 
 // TestGoldenSession compares the bytes that a client sees: readiness, each kind of response, a rejected request, GOAWAY
@@ -242,11 +241,10 @@
 	_, _ = s.Write([]byte(strings.Replace(string(requestFrame(22, "aa")), "page", "what", 1)))
 	s.frame(t)
 	s.step("no room in the queue")
-	accept := s.Offer
-	s.Offer = func(any) bool { return false }
+	s.sink.accept = func() bool { return false }
 	_, _ = s.Write(requestFrame(23, "ab"))
 	s.frame(t)
-	s.Offer = accept
+	s.sink.accept = nil
 	s.step("memory is short")
 	body := s.Admission.Bodies.TryAllocate(64<<20*35/100 - 10)
 	_, _ = s.Write(requestFrame(24, "ac"))
--- /dev/null
+++ b/internal/frontend/server.go
@@ -0,0 +1,149 @@
+// Package frontend serves the clients' connections: it accepts them, decodes their frames into requests, hands the
+// requests to the event loop, and writes the responses, with one reader and one writer a connection.
+//
+// The package owns the listener, the connections, their timeouts and their end. The goroutine that reads a connection
+// owns its end: others ask for it with RequestClose, and the reader ends the connection once nothing is under way on
+// it. So a request that has arrived before the end is taken in, and one that crosses it is not reset but meets a
+// half-closed connection. docs/crossings.md lists the races that this answers.
+//
+// The package does not decide where a request goes (routing), what the process may hold (admission), or how frames
+// look on the wire (clientproto).
+package frontend
+
+import (
+	"cairnfront/internal/admission"
+	"cairnfront/internal/request"
+	"cairnfront/internal/telemetry"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"runtime/debug"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+const (
+	acceptRetryDelay  = 10 * time.Millisecond // after an accept that failed
+	backlogAcceptWait = time.Millisecond      // for one more accept before the listener closes
+)
+
+// RequestSink takes the requests that clients send. The event loop implements it.
+type RequestSink interface {
+	// RequestArrived hands over an admitted request and reports whether there was room for it. It does not wait: the
+	// goroutine that reads a connection would not see its client disconnect.
+	RequestArrived(r *request.Request) bool
+
+	// RequestCancelled says that the client of a request that has arrived does not wait any more. It does not wait
+	// either, and it goes before all other events.
+	RequestCancelled(r *request.Request)
+}
+
+// Server accepts the clients' connections and serves them. Its exported fields are set before Serve.
+type Server struct {
+	ClassIndexes map[string]int // request classes by name
+	Admission    *admission.Controller
+	Metrics      *telemetry.Metrics
+	Requests     RequestSink
+
+	mu             sync.Mutex // guards the fields below
+	listener       net.Listener
+	listenerClosed bool
+	conns          map[*clientConn]struct{}
+}
+
+// Serve accepts connections until the listener is closed or the context ends, then waits for the connections to end.
+func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
+	s.mu.Lock()
+	s.listener = ln
+	s.mu.Unlock()
+	g, ctx := errgroup.WithContext(ctx)
+	defer context.AfterFunc(ctx, func() { _ = ln.Close() })()
+	g.Go(func() error {
+		s.sweepPeriodically(ctx)
+		return nil
+	})
+	backlogWaited := false
+	for {
+		raw, err := ln.Accept()
+		switch {
+		case err == nil:
+			backlogWaited = false
+			s.admitConn(ctx, g, raw)
+		case ctx.Err() != nil || errors.Is(err, net.ErrClosed):
+			s.mu.Lock()
+			s.listenerClosed = true
+			s.mu.Unlock()
+			return g.Wait()
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			// FinishDrain set the deadline. The listener closes only once no connection came until a second deadline:
+			// the first one may have passed before the first accept.
+			if backlogWaited {
+				_ = ln.Close()
+			}
+			backlogWaited = true
+			s.limitAcceptWait()
+		default:
+			s.acceptFailed(ctx, err)
+		}
+	}
+}
+
+// acceptFailed handles an error after which the listener goes on: the process is out of descriptors, or the connection
+// was reset before the accept.
+func (s *Server) acceptFailed(ctx context.Context, err error) {
+	s.Metrics.Log.Warn("accept", "err", err.Error())
+	if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+		s.evict(time.Now())
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(acceptRetryDelay):
+	}
+}
+
+// admitConn starts to serve an accepted connection. Over the limit of connections it takes the place of an idle one.
+// Where there is none, the client is told so; far past the limit the connection is closed at once.
+func (s *Server) admitConn(ctx context.Context, g *errgroup.Group, raw net.Conn) {
+	admitted, mayRefuse := s.Admission.AdmitClient()
+	if !admitted && !mayRefuse {
+		_ = raw.Close()
+		s.Metrics.Add("conn.client.turned-away", 1)
+		return
+	}
+	if !admitted {
+		admitted = s.evict(time.Now())
+	}
+	g.Go(func() error {
+		defer s.Admission.ClientDone()
+		s.serveConn(ctx, raw, admitted)
+		return nil
+	})
+}
+
+// addConn registers a connection.
+func (s *Server) addConn(c *clientConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.conns == nil {
+		s.conns = map[*clientConn]struct{}{}
+	}
+	s.conns[c] = struct{}{}
+}
+
+// removeConn forgets a connection that has ended.
+func (s *Server) removeConn(c *clientConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
+
+// recordPanic counts a recovered panic and logs its stack.
+func (s *Server) recordPanic(p any) {
+	s.Metrics.Add("panics", 1)
+	s.Metrics.Log.Error("panic", "where", "client", "what", fmt.Sprint(p), "stack", string(debug.Stack()))
+}
--- a/internal/frontend/take_test.go
+++ b/internal/frontend/take_test.go
@@ -2,6 +2,11 @@
 
 import (
 	"bytes"
+	"cairnfront/internal/admission"
+	"cairnfront/internal/clientproto"
+	"cairnfront/internal/netconn"
+	"cairnfront/internal/request"
+	"cairnfront/internal/telemetry"
 	"context"
 	"fmt"
 	"io"
@@ -15,13 +20,6 @@
 	"testing"
 	"time"
 
-	"cairnfront/internal/admission"
-	"cairnfront/internal/clientproto"
-	"cairnfront/internal/netconn"
-	"cairnfront/internal/relay"
-	"cairnfront/internal/request"
-	"cairnfront/internal/telemetry"
-
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
@@ -30,28 +28,58 @@
 type client struct {
 	*Server
 	net.Conn
-	posted chan any
+	sink   *testSink
 	log    *bytes.Buffer
 	done   chan bool
 	gate   *admission.Controller
 	socket *ending // over TCP
 }
 
+// testSink is a RequestSink that keeps what it is handed.
+type testSink struct {
+	arrived   chan *request.Request
+	cancelled chan *request.Request
+	accept    func() bool // instead of keeping a request that arrives; nil to keep it
+}
+
+func newTestSink() *testSink {
+	return &testSink{
+		arrived:   make(chan *request.Request, 99),
+		cancelled: make(chan *request.Request, 99),
+	}
+}
+
+func (s *testSink) RequestArrived(r *request.Request) bool {
+	if s.accept != nil {
+		return s.accept()
+	}
+	s.arrived <- r
+	return true
+}
+
+func (s *testSink) RequestCancelled(r *request.Request) { s.cancelled <- r }
+
+// assertEmpty checks that nothing more was handed over.
+func (s *testSink) assertEmpty(t *testing.T, msgAndArgs ...any) {
+	t.Helper()
+	assert.Empty(t, s.arrived, msgAndArgs...)
+	assert.Empty(t, s.cancelled, msgAndArgs...)
+}
+
 func connect(t *testing.T, in bool) *client {
 	near, far := net.Pipe()
 	return connectOver(t, near, far, in)
 }
 
 func connectOver(t *testing.T, near, far net.Conn, in bool) *client {
-	c := &client{Conn: far, posted: make(chan any, 99), log: &bytes.Buffer{}, done: make(chan bool)}
-	c.Server = &Server{ClassIndexes: map[string]int{"page": 1}, Admission: admission.New(64, 256), Book: telemetry.New(c.log, ""),
-		Offer: func(ev any) bool {
-			c.posted <- ev
-			return true
-		}, Post: func(ev any) { c.posted <- ev }}
+	c := &client{Conn: far, sink: newTestSink(), log: &bytes.Buffer{}, done: make(chan bool)}
+	c.Server = &Server{
+		ClassIndexes: map[string]int{"page": 1}, Admission: admission.New(64, 256), Metrics: telemetry.New(c.log, ""),
+		Requests: c.sink,
+	}
 	c.gate = c.Admission
 	go func() {
-		c.client(t.Context(), near, in)
+		c.serveConn(t.Context(), near, in)
 		close(c.done)
 	}()
 	t.Cleanup(func() {
@@ -59,7 +87,7 @@
 		<-c.done
 		assert.Equal(t, 1, strings.Count(c.log.String(), "connection ended"), "one line")
 		assert.Zero(t, c.gate.OpenRequests(), "nothing is owed after the end")
-		assert.Equal(t, c.Book.Value("taken"), c.Book.Value("answered")+c.Book.Value("left"))
+		assert.Equal(t, c.Metrics.Value("taken"), c.Metrics.Value("answered")+c.Metrics.Value("left"))
 	})
 	return c
 }
@@ -67,15 +95,20 @@
 func (c *client) conn() *clientConn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, p := range c.conns {
+	for p := range c.conns {
 		return p
 	}
 	return nil
 }
 
 func requestFrame(stream uint32, id string, more ...clientproto.Field) []byte {
-	payload := clientproto.AppendFields(nil, append([]clientproto.Field{{Name: "op", Value: "page"}, {Name: "call", Value: id + "0123456789abcd"},
-		{Name: "ttl", Value: "1500"}, {Name: "row", Value: "7f3a9c21e0b4d655"}, {Name: "seg", Value: "3"}}, more...)...)
+	payload := clientproto.AppendFields(nil, append([]clientproto.Field{
+		{Name: "op", Value: "page"},
+		{Name: "call", Value: id + "0123456789abcd"},
+		{Name: "ttl", Value: "1500"},
+		{Name: "row", Value: "7f3a9c21e0b4d655"},
+		{Name: "seg", Value: "3"},
+	}, more...)...)
 	return append(clientproto.AppendHeader(nil, clientproto.TypeRequest, stream, len(payload)), payload...)
 }
 
@@ -96,7 +129,7 @@
 	c := connect(t, true)
 	before := float64(time.Now().UnixMicro()) / 1e6
 	_, _ = c.Write(requestFrame(1, "aa", clientproto.Field{Name: "heap", Value: "412.5"}))
-	x := (<-c.posted).(*request.Request)
+	x := <-c.sink.arrived
 	assert.Equal(t, []any{"aa0123456789abcd", "page", 1, 3, 412.5}, []any{x.ID, x.ClassName, x.Class, x.PartNumber, x.SizeKB})
 	assert.GreaterOrEqual(t, x.ArrivedAt, before)
 	assert.InDelta(t, x.ArrivedAt+1.5, x.Deadline, 1e-6)
@@ -106,15 +139,15 @@
 	assert.Equal(t, []any{clientproto.TypeResponse, uint32(1), "\x01\x01\x04etag\x00\x01txyz"}, []any{kind, stream, payload})
 	_, _ = c.Write(clientproto.AppendHeader(nil, clientproto.TypeCancel, 1, 0)) // too late to matter
 	_, _ = c.Write(requestFrame(2, "bb"))
-	x = (<-c.posted).(*request.Request)
+	x = <-c.sink.arrived
 	_, _ = c.Write(clientproto.AppendHeader(nil, clientproto.TypeCancel, 2, 0))
-	assert.Equal(t, RequestCancelled{x}, <-c.posted)
+	assert.Equal(t, x, <-c.sink.cancelled)
 	assert.False(t, x.ResponseWriter.Respond(x, request.Response{}), "nobody waits")
 	_, _ = c.Write(requestFrame(3, "cc"))
-	x = (<-c.posted).(*request.Request)
+	x = <-c.sink.arrived
 	_ = c.Close()
-	assert.Equal(t, RequestCancelled{x}, <-c.posted)
-	assert.EqualValues(t, 1, c.Book.Value("left.page.connection-ended"))
+	assert.Equal(t, x, <-c.sink.cancelled)
+	assert.EqualValues(t, 1, c.Metrics.Value("left.page.connection-ended"))
 }
 
 func TestReadiness(t *testing.T) {
@@ -133,7 +166,7 @@
 	_, _, payload = c.next(t)
 	assert.Equal(t, "\x00\x00", payload, "no new clients while it ends")
 	_, _ = c.Write(requestFrame(1, "aa"))
-	x := (<-c.posted).(*request.Request)
+	x := <-c.sink.arrived
 	kind, _, _ = c.next(t)
 	assert.Equal(t, clientproto.TypeGoAway, kind)
 	assert.True(t, x.ResponseWriter.Respond(x, request.Response{}), "and yet what comes is served")
@@ -145,9 +178,11 @@
 func TestBadRequestsAreAnsweredOnTheirStream(t *testing.T) {
 	c := connect(t, true)
 	big := clientproto.AppendHeader(nil, clientproto.TypeRequest, 1, clientproto.MaxRequestBytes+1)
-	for stream, bad := range [][]byte{append(big, make([]byte, clientproto.MaxRequestBytes+1)...), append(clientproto.AppendHeader(nil, clientproto.TypeRequest, 2, 1), 9),
+	for stream, bad := range [][]byte{
+		append(big, make([]byte, clientproto.MaxRequestBytes+1)...), append(clientproto.AppendHeader(nil, clientproto.TypeRequest, 2, 1), 9),
 		requestFrame(3, "zz"), requestFrame(4, "aa", clientproto.Field{Name: "op", Value: "page"}),
-		bytes.Replace(requestFrame(5, "aa"), []byte("\x04page"), []byte("\x04what"), 1), bytes.Replace(requestFrame(6, "aa"), []byte("page"), []byte("what"), 1)} {
+		bytes.Replace(requestFrame(5, "aa"), []byte("\x04page"), []byte("\x04what"), 1), bytes.Replace(requestFrame(6, "aa"), []byte("page"), []byte("what"), 1),
+	} {
 		_, _ = c.Write(bad)
 		kind, on, payload := c.next(t)
 		assert.Equal(t, []any{clientproto.TypeResponse, uint32(stream + 1)}, []any{kind, on})
@@ -155,7 +190,7 @@
 		assert.Contains(t, payload, "error")
 	}
 	_, _ = c.Write(requestFrame(7, "aa"))
-	x := (<-c.posted).(*request.Request)
+	x := <-c.sink.arrived
 	x.ResponseWriter.Respond(x, request.Response{})
 	_, stream, _ := c.next(t)
 	assert.EqualValues(t, 7, stream)
@@ -163,11 +198,13 @@
 
 // TestWhatCanNotBeFollowedEndsTheConnection: but what was taken is answered first.
 func TestWhatCanNotBeFollowedEndsTheConnection(t *testing.T) {
-	for want, bad := range map[string][]byte{"length": {0xff, 0, 0, 0, 100, 0, 0, 0, 9}, "type 77": clientproto.AppendHeader(nil, 77, 9, 0),
-		"stream 0": requestFrame(0, "bb"), "not new": requestFrame(1, "bb")} {
+	for want, bad := range map[string][]byte{
+		"length": {0xff, 0, 0, 0, 100, 0, 0, 0, 9}, "type 77": clientproto.AppendHeader(nil, 77, 9, 0),
+		"stream 0": requestFrame(0, "bb"), "not new": requestFrame(1, "bb"),
+	} {
 		c := connect(t, true)
 		_, _ = c.Write(requestFrame(1, "aa"))
-		x := (<-c.posted).(*request.Request)
+		x := <-c.sink.arrived
 		_, _ = c.Write(bad)
 		kind, stream, payload := c.next(t)
 		assert.Equal(t, []any{clientproto.TypeResponse, uint32(0)}, []any{kind, stream})
@@ -184,34 +221,34 @@
 
 func TestPastALimitTheAnswerIsNo(t *testing.T) {
 	c := connect(t, true)
-	for stream := uint32(1); stream <= mostOpen; stream++ {
+	for stream := uint32(1); stream <= maxOpenRequests; stream++ {
 		_, _ = c.Write(requestFrame(stream, string([]byte{'a' + byte(stream%6), 'a' + byte(stream/6)})))
-		<-c.posted
+		<-c.sink.arrived
 	}
-	_, _ = c.Write(requestFrame(mostOpen+1, "ff"))
+	_, _ = c.Write(requestFrame(maxOpenRequests+1, "ff"))
 	_, stream, payload := c.next(t)
-	assert.Equal(t, []any{uint32(mostOpen + 1), "\x00\x00"}, []any{stream, payload})
+	assert.Equal(t, []any{uint32(maxOpenRequests + 1), "\x00\x00"}, []any{stream, payload})
 	_, _ = c.Write(clientproto.AppendHeader(nil, clientproto.TypeCancel, 1, 0))
-	<-c.posted
+	<-c.sink.cancelled
 	body := c.Admission.Bodies.TryAllocate(64<<20*35/100 - 50)
 	assert.NotNil(t, body)
-	_, _ = c.Write(requestFrame(mostOpen+2, "ff"))
+	_, _ = c.Write(requestFrame(maxOpenRequests+2, "ff"))
 	_, stream, payload = c.next(t)
-	assert.Equal(t, []any{uint32(mostOpen + 2), "\x00\x00"}, []any{stream, payload}, "no memory for a body")
+	assert.Equal(t, []any{uint32(maxOpenRequests + 2), "\x00\x00"}, []any{stream, payload}, "no memory for a body")
 	body.Free()
-	assert.EqualValues(t, 1, c.Book.Value("answered.page.rejected.streams"))
-	assert.EqualValues(t, 1, c.Book.Value("answered.unknown.rejected.memory"))
+	assert.EqualValues(t, 1, c.Metrics.Value("answered.page.rejected.streams"))
+	assert.EqualValues(t, 1, c.Metrics.Value("answered.unknown.rejected.memory"))
 }
 
 // TestPanicCostsOneTxn: one in the stages that a request is handed to is answered; one in a reader ends its connection.
 func TestPanicCostsOneTxn(t *testing.T) {
 	c := connect(t, true)
-	c.Offer = func(any) bool { panic("a fault") }
+	c.sink.accept = func() bool { panic("a fault") }
 	_, _ = c.Write(requestFrame(1, "aa"))
 	_, stream, payload := c.next(t)
 	assert.Equal(t, []any{uint32(1), "\x09\x00"}, []any{stream, payload})
 	assert.Contains(t, c.log.String(), "a fault")
-	assert.EqualValues(t, 1, c.Book.Value("answered.page.aborted.panic"))
+	assert.EqualValues(t, 1, c.Metrics.Value("answered.page.aborted.panic"))
 	c.Admission = nil
 	_, _ = c.Write(append(clientproto.AppendHeader(nil, clientproto.TypeReadinessQuery, 0, 1), 0))
 	_, err := c.Read(make([]byte, 1))
@@ -236,33 +273,33 @@
 func TestStalledReadersEndWhileMemoryIsShort(t *testing.T) {
 	c := connect(t, true)
 	_, _ = c.Write(requestFrame(1, "aa"))
-	x := (<-c.posted).(*request.Request)
+	x := <-c.sink.arrived
 	body := c.Admission.Bodies.TryAllocate(22 << 20)
-	c.Sweep(time.Now().Add(2 * stalledAfter))
+	c.sweep(time.Now().Add(2 * stalledTimeout))
 	x.ResponseWriter.Respond(x, request.Response{Body: body})
 	_, err := io.ReadFull(c, make([]byte, 1<<20))
 	assert.NoError(t, err, "nothing waited")
-	c.Sweep(time.Now())
+	c.sweep(time.Now())
 	_, err = io.ReadFull(c, make([]byte, 1<<20))
 	assert.NoError(t, err, "it reads")
-	c.Sweep(time.Now().Add(2 * stalledAfter))
+	c.sweep(time.Now().Add(2 * stalledTimeout))
 	<-c.done
 	assert.Contains(t, c.log.String(), "code=slow-reader")
 	assert.Zero(t, c.Admission.Bodies.UsedBytes())
 }
 
 func TestStreamsAreNewOnce(t *testing.T) {
-	r := &reader{used: map[uint32]bool{}, next: 1}
+	w := newStreamWindow()
 	for _, s := range []uint32{2, 1, 3, 1 << 31} {
-		assert.True(t, r.use(s))
-		assert.False(t, r.use(s))
+		assert.True(t, w.use(s))
+		assert.False(t, w.use(s))
 	}
-	for s := uint32(10); s < 10+4*mostSparse; s += 2 {
-		assert.True(t, r.use(s))
+	for s := uint32(10); s < 10+4*maxSparseStreams; s += 2 {
+		assert.True(t, w.use(s))
 	}
-	assert.LessOrEqual(t, len(r.used), mostSparse)
-	assert.False(t, r.use(11), "what lies far back counts as used")
-	assert.False(t, r.use(1<<31))
+	assert.LessOrEqual(t, len(w.sparse), maxSparseStreams)
+	assert.False(t, w.use(11), "what lies far back counts as used")
+	assert.False(t, w.use(1<<31))
 }
 
 func TestOneTooManyIsTold(t *testing.T) {
@@ -281,29 +318,29 @@
 		says []byte
 		age  time.Duration
 		code string
-	}{{nil, muteAfter, "mute"}, {ask, idleAfter, "idle"}, {append(ask, ask[:5]...), halfAfter, "half-frame"}, {ask[:9], halfAfter, "half-frame"}} {
+	}{{nil, firstFrameTimeout, "mute"}, {ask, idleTimeout, "idle"}, {append(ask, ask[:5]...), partialFrameTimeout, "half-frame"}, {ask[:9], partialFrameTimeout, "half-frame"}} {
 		c := connect(t, true)
 		_, _ = c.Write(x.says)
 		if len(x.says) >= len(ask) {
 			c.next(t)
 		}
 		assert.Eventually(t, func() bool { // until the bytes have been seen
-			c.Sweep(time.Now().Add(x.age - 300*time.Millisecond))
-			return c.conn().whole.Load() == (len(x.says) >= len(ask)) && (c.conn().FrameStartUnixNano() != 0) == (x.code == "half-frame")
+			c.sweep(time.Now().Add(x.age - 300*time.Millisecond))
+			return c.conn().firstFrameRead.Load() == (len(x.says) >= len(ask)) && (c.conn().FrameStartUnixNano() != 0) == (x.code == "half-frame")
 		}, time.Minute, time.Millisecond)
 		c.sweepUntilDone(x.age + time.Second)
 		assert.Contains(t, c.log.String(), "code="+x.code)
 	}
 	late := connect(t, true) // one that begins its first frame late has not two more seconds for it
 	assert.Eventually(t, func() bool { return late.conn() != nil }, time.Minute, time.Millisecond)
-	late.conn().SetStartTime(time.Now().Add(-2 * muteAfter))
+	late.conn().SetStartTime(time.Now().Add(-2 * firstFrameTimeout))
 	_, _ = late.Write(ask[:5])
 	late.sweepUntilDone(0)
 	assert.Contains(t, late.log.String(), "code=mute")
 	c := connect(t, true)
 	_, _ = c.Write(append(requestFrame(1, "aa"), 0, 0))
-	x := (<-c.posted).(*request.Request)
-	c.Sweep(time.Now().Add(time.Hour))
+	x := <-c.sink.arrived
+	c.sweep(time.Now().Add(time.Hour))
 	x.ResponseWriter.Respond(x, request.Response{})
 	_, stream, _ := c.next(t)
 	assert.EqualValues(t, 1, stream, "what is open is answered")
@@ -313,7 +350,7 @@
 // answer that its client has read may not yet be known as written.
 func (c *client) sweepUntilDone(later time.Duration) {
 	for {
-		c.Sweep(time.Now().Add(later))
+		c.sweep(time.Now().Add(later))
 		select {
 		case <-c.done:
 			return
@@ -326,8 +363,8 @@
 func TestStillOnesMakeRoom(t *testing.T) {
 	a, b := connect(t, true), connect(t, true)
 	_, _ = a.Write(requestFrame(1, "aa"))
-	x := (<-a.posted).(*request.Request)
-	k := &Server{conns: map[*relay.Outlet]*clientConn{}}
+	x := <-a.sink.arrived
+	k := &Server{conns: map[*clientConn]struct{}{}}
 	for _, c := range []*client{a, b} {
 		assert.Eventually(t, func() bool { return c.conn() != nil }, time.Minute, time.Millisecond)
 		c.mu.Lock()
@@ -350,7 +387,7 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NoError(t, err)
 	ctx, cancel := context.WithCancel(t.Context())
-	k := &Server{Admission: admission.New(64, 256), Book: telemetry.New(io.Discard, "")}
+	k := &Server{Admission: admission.New(64, 256), Metrics: telemetry.New(io.Discard, "")}
 	done := make(chan error)
 	go func() { done <- k.Serve(ctx, ln) }()
 	far, err := net.Dial("tcp", ln.Addr().String())
@@ -372,7 +409,7 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NoError(t, err)
 	ctx, cancel := context.WithCancel(t.Context())
-	k := &Server{Admission: admission.New(64, 256), Book: telemetry.New(io.Discard, "")}
+	k := &Server{Admission: admission.New(64, 256), Metrics: telemetry.New(io.Discard, "")}
 	done := make(chan error)
 	go func() { done <- k.Serve(ctx, ln) }()
 	far, err := net.Dial("tcp", ln.Addr().String())
@@ -384,7 +421,7 @@
 	assert.NoError(t, <-done)
 	_, err = far.Read(make([]byte, 1))
 	assert.Error(t, err)
-	assert.EqualValues(t, 1, k.Book.Value("conn.client.ended.shutdown"))
+	assert.EqualValues(t, 1, k.Metrics.Value("conn.client.ended.shutdown"))
 }
 
 // ending is a client's socket that tells when the router ends it, before that is done, and when it wakes its reader.
@@ -456,10 +493,9 @@
 	c.next(t)
 	var x *request.Request
 	for x == nil { // until a sweep has seen that nothing is open
-		c.Sweep(time.Now().Add(idleAfter + time.Second))
+		c.sweep(time.Now().Add(idleTimeout + time.Second))
 		select {
-		case ev := <-c.posted:
-			x = ev.(*request.Request)
+		case x = <-c.sink.arrived:
 		case <-time.After(time.Millisecond):
 		}
 	}
@@ -468,14 +504,14 @@
 	assert.EqualValues(t, 1, stream, "it came before the end")
 	c.sweepUntil(t, netconn.IdleTimeout)
 	c.whole(t)
-	assert.Empty(t, c.posted, "what crossed the end is not taken")
+	c.sink.assertEmpty(t, "what crossed the end is not taken")
 	assert.Contains(t, c.log.String(), "code=idle")
 }
 
 // sweepUntil sweeps until the connection is about to end for a reason.
 func (c *client) sweepUntil(t *testing.T, code netconn.EndCode) {
 	assert.Eventually(t, func() bool {
-		c.Sweep(time.Now().Add(time.Hour))
+		c.sweep(time.Now().Add(time.Hour))
 		x := c.conn()
 		return x == nil || x.EndCode() == code
 	}, time.Minute, time.Millisecond)
@@ -508,14 +544,14 @@
 func TestClientThatGoesAfterAFaultIsNoticed(t *testing.T) {
 	c := connect(t, true)
 	_, _ = c.Write(requestFrame(1, "aa"))
-	x := (<-c.posted).(*request.Request)
+	x := <-c.sink.arrived
 	_, _ = c.Write(clientproto.AppendHeader(nil, 77, 9, 0))
 	c.next(t)
 	_, _ = c.Write(requestFrame(2, "bb"))
 	_ = c.Close()
-	assert.Equal(t, RequestCancelled{x}, <-c.posted)
+	assert.Equal(t, x, <-c.sink.cancelled)
 	assert.True(t, x.Cancelled())
-	assert.Empty(t, c.posted)
+	c.sink.assertEmpty(t)
 }
 
 // flood writes until the connection fails, and then says so.
@@ -537,10 +573,10 @@
 func TestFloodWhileAnAnswerIsOwedIsSlowed(t *testing.T) {
 	c := overTCP(t, nothing, nothing)
 	_, _ = c.Write(requestFrame(1, "aa"))
-	x := (<-c.posted).(*request.Request)
+	x := <-c.sink.arrived
 	_, _ = c.Write(clientproto.AppendHeader(nil, 77, 9, 0))
 	flooded := c.flood()
-	assert.Eventually(t, func() bool { return c.conn().BytesRead() > lingerBytes }, time.Minute, time.Millisecond)
+	assert.Eventually(t, func() bool { return c.conn().BytesRead() > discardedInputBytes }, time.Minute, time.Millisecond)
 	before, began := c.conn().BytesRead(), time.Now()
 	assert.Eventually(t, func() bool { return c.conn().BytesRead() > before+20*admission.ClientRingBytes }, time.Minute, time.Millisecond)
 	assert.Greater(t, time.Since(began), 50*time.Millisecond)
@@ -562,18 +598,17 @@
 // TestNoRoomInTheQueue: the txn is rejected at once, and the reader goes on: it sees what comes next, an end too.
 func TestNoRoomInTheQueue(t *testing.T) {
 	c := connect(t, true)
-	full := c.Offer
-	c.Offer = func(any) bool { return false }
+	c.sink.accept = func() bool { return false }
 	_, _ = c.Write(requestFrame(1, "aa", clientproto.Field{Name: "heap", Value: "1"}))
 	_, stream, payload := c.next(t)
 	assert.Equal(t, []any{uint32(1), "\x00\x00"}, []any{stream, payload})
-	assert.EqualValues(t, 1, c.Book.Value("answered.page.rejected.queue"))
+	assert.EqualValues(t, 1, c.Metrics.Value("answered.page.rejected.queue"))
 	assert.Zero(t, c.Admission.Bodies.UsedBytes())
-	c.Offer = full
+	c.sink.accept = nil
 	_, _ = c.Write(requestFrame(2, "bb"))
-	x := (<-c.posted).(*request.Request)
+	x := <-c.sink.arrived
 	_ = c.Close()
-	assert.Equal(t, RequestCancelled{x}, <-c.posted)
+	assert.Equal(t, x, <-c.sink.cancelled)
 }
 
 // starved is a listener that finds no descriptor, once.
@@ -595,7 +630,7 @@
 	c := overTCP(t, nothing, nothing)
 	assert.Eventually(t, func() bool {
 		x := c.conn()
-		return x != nil && time.Since(time.Unix(0, x.LastReadUnixNano())) > evictAfter
+		return x != nil && time.Since(time.Unix(0, x.LastReadUnixNano())) > evictionMinIdle
 	}, time.Minute, time.Millisecond)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -609,15 +644,11 @@
 }
 
 // listening is a taker that accepts on loopback.
-func listening(t *testing.T, before func(net.Listener)) (k *Server, posted chan any, dial func() *client) {
+func listening(t *testing.T, before func(net.Listener)) (k *Server, sink *testSink, dial func() *client) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	posted = make(chan any, 99)
-	k = &Server{ClassIndexes: map[string]int{"page": 1}, Admission: admission.New(64, 256), Book: telemetry.New(io.Discard, ""), Post: func(ev any) { posted <- ev },
-		Offer: func(ev any) bool {
-			posted <- ev
-			return true
-		}}
+	sink = newTestSink()
+	k = &Server{ClassIndexes: map[string]int{"page": 1}, Admission: admission.New(64, 256), Metrics: telemetry.New(io.Discard, ""), Requests: sink}
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan error)
 	dial = func() *client {
@@ -634,7 +665,7 @@
 		cancel()
 		assert.NoError(t, <-done)
 	})
-	return k, posted, dial
+	return k, sink, dial
 }
 
 // TestDrainTellsThoseThatComeAfterIt: at once, without a request of theirs.
@@ -649,7 +680,7 @@
 // time is up before the first accept: without a last look it would close over its backlog and reset it.
 func TestBacklogIsTakenInAtTheEnd(t *testing.T) {
 	var c *client
-	k, posted, _ := listening(t, func(ln net.Listener) {
+	k, sink, _ := listening(t, func(ln net.Listener) {
 		far, err := net.Dial("tcp", ln.Addr().String())
 		require.NoError(t, err)
 		c = &client{Conn: far}
@@ -662,7 +693,7 @@
 		k.FinishDrain(t.Context())
 		close(finished)
 	}()
-	x := (<-posted).(*request.Request)
+	x := <-sink.arrived
 	assert.True(t, x.ResponseWriter.Respond(x, request.Response{}))
 	for kind := clientproto.TypeGoAway; kind == clientproto.TypeGoAway; {
 		var stream uint32
@@ -682,18 +713,18 @@
 	assert.Eventually(t, func() bool { return c.evict(time.Now().Add(time.Hour)) }, time.Minute, time.Millisecond)
 	<-c.done
 	assert.Positive(t, c.socket.linger.Load())
-	assert.LessOrEqual(t, c.socket.linger.Load(), int64(lingerRoom), "the place is needed")
+	assert.LessOrEqual(t, c.socket.linger.Load(), int64(evictionCloseTimeout), "the place is needed")
 }
 
 // TestFinishEndsInOrder: a resting connection ends at once, one with something open after its answer, one in the middle
 // of a request once that has come whole and is answered.
 func TestFinishEndsInOrder(t *testing.T) {
-	k, posted, dial := listening(t, nil)
+	k, sink, dial := listening(t, nil)
 	rests, waits, writes := dial(), dial(), dial()
 	_, _ = rests.Write(append(clientproto.AppendHeader(nil, clientproto.TypeReadinessQuery, 5, 1), 0))
 	rests.next(t)
 	_, _ = waits.Write(requestFrame(1, "aa"))
-	x := (<-posted).(*request.Request)
+	x := <-sink.arrived
 	text := requestFrame(1, "bb")
 	_, _ = writes.Write(append(append([]byte{}, clientproto.AppendHeader(nil, clientproto.TypeReadinessQuery, 5, 1)...), append([]byte{0}, text[:20]...)...))
 	writes.next(t)
@@ -707,7 +738,7 @@
 	assert.NoError(t, err)
 	_ = rests.Close()
 	_, _ = writes.Write(text[20:])
-	y := (<-posted).(*request.Request)
+	y := <-sink.arrived
 	for _, z := range []*request.Request{x, y} {
 		assert.True(t, z.ResponseWriter.Respond(z, request.Response{Body: &request.Body{Bytes: make([]byte, 200_000)}}))
 	}
@@ -737,7 +768,7 @@
 				_, _ = c.Write(append(clientproto.AppendHeader(nil, clientproto.TypeRequest, stream, len(payload)), payload...))
 			}()
 			if !full {
-				x := (<-c.posted).(*request.Request)
+				x := <-c.sink.arrived
 				x.Body.Free()
 				x.ResponseWriter.Respond(x, request.Response{})
 			}
--- /dev/null
+++ b/internal/frontend/writeloop.go
@@ -0,0 +1,118 @@
+package frontend
+
+import (
+	"cairnfront/internal/netconn"
+	"cairnfront/internal/request"
+	"context"
+	"time"
+)
+
+// lateLoggedSeconds is how long after its deadline a response has to be written to be logged.
+const lateLoggedSeconds = 0.02
+
+// run writes queued frames until the context ends, the socket fails, or all is written after finish. Frames that wait
+// together are written together: the output is flushed when its ring is full or nothing more waits.
+func (w *responseWriter) run(ctx context.Context, conn *netconn.Conn) error {
+	var unflushed []*request.Request
+	defer func() {
+		for range unflushed {
+			w.admission.RequestDone()
+		}
+	}()
+	for {
+		if frame, ok := w.dequeue(); ok {
+			if frame.request != nil {
+				unflushed = append(unflushed, frame.request)
+			}
+			if err := writeFrame(conn, frame); err != nil {
+				return err
+			}
+			continue
+		}
+		if err := conn.Flush(); err != nil {
+			conn.Close(netconn.ClassifyError(err), err)
+			return err
+		}
+		for _, r := range unflushed {
+			w.recordWritten(r)
+		}
+		unflushed = unflushed[:0]
+		if more, finished := w.flushed(); finished {
+			return nil
+		} else if more {
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-w.wake:
+		}
+	}
+}
+
+// dequeue takes the next frame to write.
+func (w *responseWriter) dequeue() (frame outgoingFrame, ok bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.queue) == 0 {
+		return outgoingFrame{}, false
+	}
+	frame = w.queue[0]
+	w.queue[0] = outgoingFrame{}
+	w.queue = w.queue[1:]
+	if len(w.queue) == 0 {
+		w.queue = nil
+	}
+	w.writing = true
+	return frame, true
+}
+
+// flushed records that the socket has taken all that was dequeued. It reports whether more waits, and whether run is to
+// return.
+func (w *responseWriter) flushed() (more, finished bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.writing = len(w.queue) > 0
+	finished = w.finishing && !w.busyLocked()
+	if finished {
+		w.quiesceLocked()
+	}
+	return w.writing, finished
+}
+
+// writeFrame writes a frame to the output ring. Its body counts in the budget until then.
+func writeFrame(conn *netconn.Conn, frame outgoingFrame) error {
+	defer frame.body.Free()
+	writeFrom := time.Now()
+	if frame.request != nil {
+		if deadline := time.UnixMicro(int64(frame.request.Deadline * 1e6)); deadline.After(writeFrom) {
+			writeFrom = deadline
+		}
+	}
+	conn.SetWriteDeadline(writeFrom.Add(maxWriteDuration))
+	err := conn.Write(frame.header)
+	if err == nil && frame.body != nil {
+		err = conn.Write(frame.body.Bytes)
+	}
+	if err != nil {
+		conn.Close(netconn.ClassifyError(err), err)
+	}
+	return err
+}
+
+// recordWritten records that the socket has taken a response, and logs one that is late.
+func (w *responseWriter) recordWritten(r *request.Request) {
+	w.admission.RequestDone()
+	if r.Deadline == 0 { // the request could not be decoded
+		return
+	}
+	lateSeconds := float64(time.Now().UnixMicro())/1e6 - r.Deadline
+	if lateSeconds <= 0 {
+		return
+	}
+	w.metrics.Add("answers.after-limit", 1)
+	w.metrics.Max("answers.after-limit.most-us", int64(lateSeconds*1e6))
+	if lateSeconds > lateLoggedSeconds {
+		w.metrics.Log.Warn("late answer", "txn", r.ID, "rule", r.ClassName, "by_s", lateSeconds)
+	}
+}
--- a/internal/request/body.go
+++ b/internal/request/body.go
@@ -74,3 +74,11 @@
 	}
 	return len(b.Bytes)
 }
+
+// AllocatedBytes returns how many bytes the body takes of its budget, 0 for nil.
+func (b *Body) AllocatedBytes() int {
+	if b == nil {
+		return 0
+	}
+	return int(b.sizeBytes)
+}
--- a/internal/request/request_test.go
+++ b/internal/request/request_test.go
@@ -10,8 +10,10 @@
 
 // TestReasonTextsStandInCounterNames holds the texts that operators read in the counters' dump.
 func TestReasonTextsStandInCounterNames(t *testing.T) {
-	reasons := []string{"", "by-a-hop", "decided", "id-in-use", "overdue", "malformed", "memory", "open-txns", "streams",
-		"queue", "panic", "shutdown"}
+	reasons := []string{
+		"", "by-a-hop", "decided", "id-in-use", "overdue", "malformed", "memory", "open-txns", "streams",
+		"queue", "panic", "shutdown",
+	}
 	for i, want := range reasons {
 		assert.Equal(t, want, Reason(i).String())
 	}
