Observations of endpoints: one concern a file, typed ids, the field's terms

Cause: one file of 400 lines held receiving, weighing, gossip and the witnesses' records in words of its own; ids were int and string.

--- a/cmd/cairnfront/peers.go
+++ b/cmd/cairnfront/peers.go
@@ -71,13 +71,13 @@
 	loop.OnAttemptEnd = func(member string, rule int, code routing.AttemptResult, took float64) {
 		sla := loop.Settings.Float(routing.ClassSetting(routing.ClassIndex(rule), "sla_s"), 1)
 		if says, ok := observation.Classify(code, took > sla); ok {
-			node.ReportAttempt(member, says)
+			node.ReportAttempt(routing.EndpointID(member), says)
 		}
 	}
 	doubts := make(chan routing.HealthObservation, mostDoubts) // the loop may be slow; the node must not wait for it
-	node.OnDoubt = func(member string, doubt, s float64) {
+	node.OnDoubt = func(member routing.EndpointID, doubt, s float64) {
 		select {
-		case doubts <- routing.HealthObservation{Endpoint: routing.EndpointID(member), Suspicion: doubt, ValidSeconds: s}:
+		case doubts <- routing.HealthObservation{Endpoint: member, Suspicion: doubt, ValidSeconds: s}:
 		default:
 			k.Add("peers.doubts-untold", 1)
 		}
--- a/internal/lab/hostile.go
+++ b/internal/lab/hostile.go
@@ -12,6 +12,7 @@
 	"cairnfront/internal/membership/datagram"
 	"cairnfront/internal/membership/observation"
 	"cairnfront/internal/membership/swim"
+	"cairnfront/routing"
 )
 
 // hugeLife is an incarnation that no honest peer has: a view in which it turns up took a forgery.
@@ -137,8 +138,8 @@
 	case 1: // every member fails
 		var words [][]byte
 		for range 3 {
-			seal, err := h.codec.SignObservation(observation.Observation{Witness: int(h.me), WitnessStartMillis: h.core.SelfRecord().Incarnation.StartMillis, Sequence: seq*4 + uint32(len(words)),
-				Endpoint: h.members[h.rnd.IntN(len(h.members))], Health: observation.Failing, Zone: string(rune('a' + h.rnd.IntN(26)))})
+			seal, err := h.codec.SignObservation(observation.Observation{Witness: h.me, WitnessStartMillis: h.core.SelfRecord().Incarnation.StartMillis, Sequence: seq*4 + uint32(len(words)),
+				Endpoint: routing.EndpointID(h.members[h.rnd.IntN(len(h.members))]), Health: observation.Failing, Zone: string(rune('a' + h.rnd.IntN(26)))})
 			if err == nil {
 				words = append(words, seal)
 			}
--- a/internal/membership/datagram/wire.go
+++ b/internal/membership/datagram/wire.go
@@ -15,6 +15,7 @@
 	"cairnfront/internal/cborcodec"
 	"cairnfront/internal/membership/observation"
 	"cairnfront/internal/membership/swim"
+	"cairnfront/routing"
 
 	"github.com/fxamacker/cbor/v2"
 )
@@ -481,7 +482,7 @@
 
 // SealRumour signs a word of our own.
 func (c *Codec) SignObservation(r observation.Observation) ([]byte, error) {
-	text, err := enc.Marshal(word{c.people[c.me].Name, r.WitnessStartMillis, r.Sequence, r.Endpoint, uint8(r.Health), r.Zone})
+	text, err := enc.Marshal(word{c.people[c.me].Name, r.WitnessStartMillis, r.Sequence, string(r.Endpoint), uint8(r.Health), r.Zone})
 	if err != nil {
 		return nil, fmt.Errorf("sealing a rumour: %w", err)
 	}
@@ -498,7 +499,7 @@
 	if !ok || by == c.me || len(t.Member) > mostName || len(t.Zone) > mostName || !c.checked(forRumour, by, seal) {
 		return observation.Observation{}, false
 	}
-	return observation.Observation{Witness: int(by), WitnessStartMillis: t.Start, Sequence: t.Seq, Endpoint: t.Member, Health: observation.Health(t.Says), Zone: t.Zone, Signed: slices.Clone(seal)}, true
+	return observation.Observation{Witness: by, WitnessStartMillis: t.Start, Sequence: t.Seq, Endpoint: routing.EndpointID(t.Member), Health: observation.Health(t.Says), Zone: t.Zone, Signed: slices.Clone(seal)}, true
 }
 
 // NewKey makes a key and its public half as the operators' file has it.
--- a/internal/membership/datagram/wire_test.go
+++ b/internal/membership/datagram/wire_test.go
@@ -7,6 +7,7 @@
 
 	"cairnfront/internal/membership/observation"
 	"cairnfront/internal/membership/swim"
+	"cairnfront/routing"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -49,7 +50,7 @@
 	assert.Equal(t, m.Records[0].Incarnation, h.Message.Records[0].Incarnation)
 	assert.Equal(t, m.Entries, h.Message.Entries)
 	require.Len(t, h.Observations, 1)
-	assert.Equal(t, "s-00000001", h.Observations[0].Endpoint)
+	assert.Equal(t, routing.EndpointID("s-00000001"), h.Observations[0].Endpoint)
 	addr, zone := RecordLocation(h.Message.Records[0].Signed)
 	assert.Equal(t, []string{"127.0.0.1:1000", "zone"}, []string{addr, zone})
 	// What one hears it hands on, and the next one holds it against its author's key.
--- /dev/null
+++ b/internal/membership/observation/gossip.go
@@ -0,0 +1,83 @@
+package observation
+
+import (
+	"cairnfront/internal/membership/swim"
+	"cmp"
+	"math"
+	"slices"
+)
+
+// queuedObservation is an observation that is passed on, and how often it was sent.
+type queuedObservation struct {
+	Observation
+	sent int
+}
+
+// tokenBucket bounds the rate of own observations.
+type tokenBucket struct {
+	tokens     float64
+	refilledAt float64
+}
+
+func (b *tokenBucket) take(now float64) bool {
+	b.tokens = min(b.tokens+reportsPerSecond*max(now-b.refilledAt, 0), reportBurst)
+	b.refilledAt = now
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// TakeUnsigned returns the own observations that wait for a signature. The caller signs each and hands it to
+// Enqueue.
+func (t *Tracker) TakeUnsigned() []Observation {
+	unsigned := t.unsigned
+	t.unsigned = nil
+	return unsigned
+}
+
+// Enqueue queues a signed observation to be passed on, in place of an older one of its witness on the endpoint. If
+// the queue is full, the one that was sent most goes.
+func (t *Tracker) Enqueue(o Observation) {
+	older := slices.IndexFunc(t.queue, func(q queuedObservation) bool {
+		return q.Witness == o.Witness && q.Endpoint == o.Endpoint
+	})
+	if older >= 0 {
+		t.queue[older] = queuedObservation{Observation: o}
+		return
+	}
+	if len(t.queue) >= maxQueue {
+		t.dropMostSent()
+	}
+	t.queue = append(t.queue, queuedObservation{Observation: o})
+}
+
+func (t *Tracker) dropMostSent() {
+	most := 0
+	for i := range t.queue {
+		if t.queue[i].sent > t.queue[most].sent {
+			most = i
+		}
+	}
+	t.queue = slices.Delete(t.queue, most, most+1)
+}
+
+// Piggyback returns observations for a datagram to a member, the least sent first. The number of present members
+// decides how often an observation is sent.
+func (t *Tracker) Piggyback(to swim.MemberID, present int) (list []Observation) {
+	transmissions := max(int(gossipFactor*math.Ceil(math.Log2(float64(present+1)))), minTransmissions)
+	slices.SortStableFunc(t.queue, func(a, b queuedObservation) int { return cmp.Compare(a.sent, b.sent) })
+	for i := range t.queue {
+		q := &t.queue[i]
+		if len(list) >= maxPerDatagram {
+			break
+		}
+		if q.Witness != to {
+			list = append(list, q.Observation)
+			q.sent++
+		}
+	}
+	t.queue = slices.DeleteFunc(t.queue, func(q queuedObservation) bool { return q.sent >= transmissions })
+	return list
+}
--- /dev/null
+++ b/internal/membership/observation/tracker_test.go
@@ -0,0 +1,161 @@
+package observation
+
+import (
+	"cairnfront/internal/membership/swim"
+	"cairnfront/routing"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// failing is an observation that the endpoint e fails.
+func failing(witness swim.MemberID, sequence uint32, zone string) Observation {
+	return Observation{
+		Witness:            witness,
+		WitnessStartMillis: 1,
+		Sequence:           sequence,
+		Endpoint:           "e",
+		Health:             Failing,
+		Zone:               zone,
+	}
+}
+
+func TestByzantineWitnessesAloneRaiseNoDoubt(t *testing.T) {
+	tracker := New(0, "z", 1, 1)
+	for i := range 20 {
+		doubts, _ := tracker.HandleObservation(float64(i)*0.1, failing(1, uint32(i+1), fmt.Sprint("z", i)))
+		assert.Empty(t, doubts)
+	}
+	doubts, fresh := tracker.HandleObservation(2, failing(2, 1, "z2"))
+	require.True(t, fresh)
+	require.Len(t, doubts, 1)
+	assert.InDelta(t, 0.75, doubts[0].Level, 1e-9)
+	ended := tracker.Tick(2 + expiry + 1)
+	require.Len(t, ended, 1)
+	assert.Zero(t, ended[0].Level, "it expires")
+	assert.Empty(t, tracker.Tick(2+expiry+2))
+}
+
+func TestWitnessesOfOneZoneCountLess(t *testing.T) {
+	doubt := func(zones ...string) float64 {
+		tracker := New(0, "z", 0, 1)
+		for i, zone := range zones {
+			tracker.HandleObservation(1, failing(swim.MemberID(i+1), 1, zone))
+		}
+		return tracker.Snapshot(1)[0].Doubt
+	}
+	assert.Greater(t, doubt("a", "b", "c"), doubt("a", "a", "a"))
+	assert.Greater(t, doubt("a", "a"), doubt("a"))
+}
+
+func TestOftenRefutedWitnessIsIgnored(t *testing.T) {
+	tracker := New(0, "z", 0, 1)
+	now := 0.0
+	for i := range 4 {
+		now++
+		for range successesToReport {
+			tracker.AttemptEnded(now, "e", Healthy)
+		}
+		tracker.HandleObservation(now, failing(1, uint32(i+1), "z"))
+	}
+	_, refuted, trusted := tracker.Reputation(1)
+	assert.Greater(t, refuted, minRefuted)
+	assert.False(t, trusted)
+	assert.Zero(t, tracker.Snapshot(now)[0].Doubt)
+	tracker.AttemptEnded(now, "f", Failing)
+	o := failing(2, 1, "")
+	o.Endpoint = "f"
+	tracker.HandleObservation(now, o)
+	confirmed, _, trusted := tracker.Reputation(2)
+	assert.InDelta(t, 1, confirmed, 1e-9)
+	assert.True(t, trusted)
+}
+
+func TestOldObservationsAndOldLivesAreRefused(t *testing.T) {
+	tracker := New(0, "z", 0, 5)
+	_, fresh := tracker.HandleObservation(1, Observation{
+		Witness: 1, WitnessStartMillis: 5, Sequence: 9, Endpoint: "e", Health: Failing,
+	})
+	assert.True(t, fresh)
+	tooFar := uint32(10 + maxSequenceAhead)
+	for name, o := range map[string]Observation{
+		"the same":       {Witness: 1, WitnessStartMillis: 5, Sequence: 9, Endpoint: "e", Health: Failing},
+		"an older one":   {Witness: 1, WitnessStartMillis: 5, Sequence: 8, Endpoint: "e", Health: Healthy},
+		"an older life":  {Witness: 1, WitnessStartMillis: 4, Sequence: 99, Endpoint: "f", Health: Failing},
+		"our own":        {Witness: 0, WitnessStartMillis: 9, Sequence: 1, Endpoint: "e", Health: Failing},
+		"too far ahead":  {Witness: 1, WitnessStartMillis: 5, Sequence: tooFar, Endpoint: "e", Health: Failing},
+		"unknown health": {Witness: 2, WitnessStartMillis: 1, Sequence: 1, Endpoint: "e", Health: 9},
+	} {
+		_, fresh = tracker.HandleObservation(2, o)
+		assert.False(t, fresh, name)
+	}
+	_, fresh = tracker.HandleObservation(2, Observation{
+		Witness: 1, WitnessStartMillis: 5, Sequence: 7, Endpoint: "other", Health: Failing,
+	})
+	assert.True(t, fresh, "one on another endpoint that arrived out of order")
+}
+
+func TestOwnObservationsAreFewAndTrue(t *testing.T) {
+	tracker := New(0, "z", 0, 1)
+	tracker.AttemptEnded(1, "e", Failing)
+	assert.Empty(t, tracker.TakeUnsigned(), "one failure is chance")
+	for range 100 {
+		tracker.AttemptEnded(1, "e", Failing)
+	}
+	own := tracker.TakeUnsigned()
+	require.Len(t, own, 1)
+	assert.Equal(t, Failing, own[0].Health)
+	tracker.Enqueue(own[0])
+	sent := 0
+	for range 100 {
+		sent += len(tracker.Piggyback(3, 20))
+	}
+	assert.Equal(t, int(gossipFactor*5), sent, "sent by the logarithm of the members")
+	for range successesToReport {
+		tracker.AttemptEnded(2, "e", Healthy)
+	}
+	assert.Equal(t, Healthy, tracker.TakeUnsigned()[0].Health)
+	for i := range 1000 {
+		endpoint := routing.EndpointID(fmt.Sprint("e", i))
+		tracker.AttemptEnded(3, endpoint, Failing)
+		tracker.AttemptEnded(3, endpoint, Failing)
+	}
+	assert.LessOrEqual(t, len(tracker.TakeUnsigned()), int(reportBurst))
+}
+
+func TestHeldObservationsAreBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tracker := New(0, "z", 1, 1)
+		now := 0.0
+		for i := range rapid.IntRange(1, 3000).Draw(t, "observations") {
+			now += 0.001
+			o := failing(swim.MemberID(1+i%40), uint32(i/40+1), "z")
+			o.Endpoint = routing.EndpointID(fmt.Sprint(i % 1500))
+			tracker.HandleObservation(now, o)
+		}
+		held, queued := tracker.Sizes()
+		if held > maxHeld || queued > maxQueue || len(tracker.held) > maxEndpoints {
+			t.Fatalf("%d observations, %d queued, %d endpoints", held, queued, len(tracker.held))
+		}
+	})
+}
+
+func TestClassify(t *testing.T) {
+	for result, want := range map[routing.AttemptResult]Health{
+		routing.Completed:        Healthy,
+		routing.ServerError:      Failing,
+		routing.Overloaded:       Slow,
+		routing.ConnectionBroken: Failing,
+		routing.Cancelled:        0,
+		routing.NotSent:          0,
+	} {
+		got, ok := Classify(result, false)
+		assert.Equal(t, want, got)
+		assert.Equal(t, want != 0, ok)
+	}
+	got, _ := Classify(routing.Completed, true)
+	assert.Equal(t, Slow, got)
+}
--- a/internal/membership/partition/tracker.go
+++ b/internal/membership/partition/tracker.go
@@ -3,6 +3,8 @@
 // no I/O and no clock: the same calls at the same times give the same states.
 package partition
 
+import "cairnfront/internal/membership/swim"
+
 // Times in seconds.
 const (
 	improveAfter  = 1.0 // a better state has to last before it counts: a partition that heals and returns must not flap
@@ -32,8 +34,8 @@
 	state         State
 	epoch         uint64
 	since         float64
-	candidate     *candidate           // nil while no better state waits
-	disagreements map[int]disagreement // by member; bounded by the roster
+	candidate     *candidate                     // nil while no better state waits
+	disagreements map[swim.MemberID]disagreement // by member; bounded by the roster
 }
 
 // New begins in the state Alone and the epoch 1. At most maxByzantine members are taken to be byzantine.
@@ -42,12 +44,12 @@
 		maxByzantine:  maxByzantine,
 		epoch:         1,
 		since:         now,
-		disagreements: map[int]disagreement{},
+		disagreements: map[swim.MemberID]disagreement{},
 	}
 }
 
 // RecordViewComparison notes whether the view of a present member differs from ours.
-func (t *Tracker) RecordViewComparison(now float64, member int, differs bool) {
+func (t *Tracker) RecordViewComparison(now float64, member swim.MemberID, differs bool) {
 	if !differs {
 		delete(t.disagreements, member)
 		return
@@ -61,7 +63,7 @@
 }
 
 // Forget drops what is known of a member's view, because the member is no longer present.
-func (t *Tracker) Forget(member int) { delete(t.disagreements, member) }
+func (t *Tracker) Forget(member swim.MemberID) { delete(t.disagreements, member) }
 
 // DissentingMembers counts the members that have had another view for disagreeAfter.
 func (t *Tracker) DissentingMembers(now float64) (n int) {
--- a/internal/membership/peers.go
+++ b/internal/membership/peers.go
@@ -23,6 +23,7 @@
 	"cairnfront/internal/membership/ratelimit"
 	"cairnfront/internal/membership/swim"
 	"cairnfront/internal/telemetry"
+	"cairnfront/routing"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"golang.org/x/sync/errgroup"
@@ -66,7 +67,7 @@
 	// Pulse asks the router's own work to call back; Heed hears how far a member is doubted, for so many seconds. Both are
 	// set before Run, and called from goroutines of the node.
 	ProbeEventLoop func(done func())
-	OnDoubt        func(member string, doubt, s float64)
+	OnDoubt        func(member routing.EndpointID, doubt, s float64)
 
 	plan  Config
 	book  *telemetry.Metrics
@@ -98,7 +99,7 @@
 }
 
 type end struct {
-	member string
+	member routing.EndpointID
 	says   observation.Health
 }
 
@@ -142,7 +143,7 @@
 	birth := uint64(time.Now().UnixNano()) ^ uint64(os.Getpid())<<44
 	n.view = swim.New(swim.Config{MaxByzantine: p.MaxByzantine}, n.me, marks, p.Seed, start, birth, 0)
 	n.stand = partition.New(p.MaxByzantine, 0)
-	n.talk = observation.New(int(n.me), p.Zone, p.MaxByzantine, start)
+	n.talk = observation.New(n.me, p.Zone, p.MaxByzantine, start)
 	return n, nil
 }
 
@@ -161,7 +162,7 @@
 func (n *Node) now() float64 { return time.Since(n.base).Seconds() }
 
 // Ended tells how a hop to a member ended. It never waits.
-func (n *Node) ReportAttempt(member string, says observation.Health) {
+func (n *Node) ReportAttempt(member routing.EndpointID, says observation.Health) {
 	select {
 	case n.ends <- end{member, says}:
 	default:
@@ -301,10 +302,10 @@
 	now := n.now()
 	n.act(n.view.HandleMessage(now, h.From, h.Message))
 	if s, _ := n.view.Lookup(h.From); s.Present() {
-		n.stand.RecordViewComparison(now, int(h.From), n.view.ViewDiffers(now, h.From))
+		n.stand.RecordViewComparison(now, h.From, n.view.ViewDiffers(now, h.From))
 	}
 	for _, r := range h.Observations {
-		if s, _ := n.view.Lookup(swim.MemberID(r.Witness)); s.Present() {
+		if s, _ := n.view.Lookup(r.Witness); s.Present() {
 			heeds, _ := n.talk.HandleObservation(now, r)
 			n.heed(heeds)
 		}
@@ -386,7 +387,7 @@
 		args = append(args, "took_s", fmt.Sprintf("%.2f", c.SuspectedSeconds))
 	}
 	if !c.To.Present() {
-		n.stand.Forget(int(c.Member))
+		n.stand.Forget(c.Member)
 	}
 	n.book.Log.Info("peer", args...)
 }
@@ -412,7 +413,7 @@
 	}
 	there, _, _ := n.view.Counts()
 	var words [][]byte
-	for _, r := range n.talk.Piggyback(int(a.To), there) {
+	for _, r := range n.talk.Piggyback(a.To, there) {
 		words = append(words, r.Signed)
 	}
 	text, err := n.codec.Encode(n.view.SelfRecord().Incarnation.StartMillis, a.To, a.Message, words)
@@ -420,7 +421,7 @@
 		n.book.Log.Error("peers", "code", "unsent", "to", n.codec.Name(a.To), "err", err.Error())
 		return
 	}
-	if !n.out.AllowSend(now, int(a.To), len(text), a.Kind >= swim.PushPullRequest) {
+	if !n.out.AllowSend(now, a.To, len(text), a.Kind >= swim.PushPullRequest) {
 		n.dropped++
 		n.book.Add("peers.out.over", 1)
 		return
@@ -563,7 +564,7 @@
 		}
 		n.act(n.view.SetRemoved(n.now(), swim.MemberID(i), !listed[x.Name]))
 		if !listed[x.Name] {
-			n.talk.ForgetWitness(i)
+			n.talk.ForgetWitness(swim.MemberID(i))
 		}
 	}
 	return nil
@@ -602,14 +603,14 @@
 		for _, p := range l.Accusers {
 			x.Accusers = append(x.Accusers, n.codec.Name(p))
 		}
-		x.ConfirmedObservations, x.RefutedObservations, x.Trusted = n.talk.Reputation(int(l.Member))
+		x.ConfirmedObservations, x.RefutedObservations, x.Trusted = n.talk.Reputation(l.Member)
 		r.Members = append(r.Members, x)
 	}
 	slices.SortFunc(r.Members, func(a, b MemberReport) int { return strings.Compare(a.Name, b.Name) })
 	for _, l := range n.talk.Snapshot(now) {
-		d := EndpointDoubt{Endpoint: l.Endpoint, Level: l.Doubt}
+		d := EndpointDoubt{Endpoint: string(l.Endpoint), Level: l.Doubt}
 		for i, p := range l.Witnesses {
-			d.Witnesses = append(d.Witnesses, n.codec.Name(swim.MemberID(p))+": "+l.Healths[i])
+			d.Witnesses = append(d.Witnesses, n.codec.Name(p)+": "+l.Healths[i].String())
 		}
 		r.Doubts = append(r.Doubts, d)
 	}
--- a/internal/membership/ratelimit/limiter.go
+++ b/internal/membership/ratelimit/limiter.go
@@ -3,6 +3,7 @@
 package ratelimit
 
 import (
+	"cairnfront/internal/membership/swim"
 	"net/netip"
 	"time"
 
@@ -51,7 +52,7 @@
 type Limiter struct {
 	limits  Limits
 	total   buckets
-	members map[int]buckets            // when sending
+	members map[swim.MemberID]buckets  // when sending
 	sources map[netip.AddrPort]buckets // when receiving
 }
 
@@ -60,7 +61,7 @@
 	return &Limiter{
 		limits:  limits,
 		total:   newBuckets(limits.TotalDatagrams, limits.TotalBytes),
-		members: map[int]buckets{},
+		members: map[swim.MemberID]buckets{},
 		sources: map[netip.AddrPort]buckets{},
 	}
 }
@@ -70,7 +71,7 @@
 
 // AllowSend reports whether a datagram may be sent to a member. One of low priority must leave the reserved share
 // of the total.
-func (l *Limiter) AllowSend(now float64, member, size int, lowPriority bool) bool {
+func (l *Limiter) AllowSend(now float64, member swim.MemberID, size int, lowPriority bool) bool {
 	b, ok := l.members[member]
 	if !ok {
 		b = newBuckets(l.limits.PerPeerDatagrams, l.limits.PerPeerBytes)
--- a/internal/sim/membership/fleet.go
+++ b/internal/sim/membership/fleet.go
@@ -266,7 +266,7 @@
 	now := x.w.Now()
 	x.act(to, to.core.HandleMessage(now, swim.MemberID(from.id), a.Message))
 	if s, _ := to.core.Lookup(swim.MemberID(from.id)); s.Present() {
-		to.stand.RecordViewComparison(now, from.id, to.core.ViewDiffers(now, swim.MemberID(from.id)))
+		to.stand.RecordViewComparison(now, swim.MemberID(from.id), to.core.ViewDiffers(now, swim.MemberID(from.id)))
 	}
 	if to.core.NextDeadline() < now+0.3 {
 		x.set(to)
--- a/internal/sim/routing/model.go
+++ b/internal/sim/routing/model.go
@@ -14,6 +14,7 @@
 	"strings"
 
 	"cairnfront/internal/membership/observation"
+	"cairnfront/internal/membership/swim"
 	"cairnfront/internal/sim/clock"
 	"cairnfront/routing"
 )
@@ -256,7 +257,7 @@
 		r := &router{t: t, campus: i % campuses, open: map[routing.RequestID]*txn{}}
 		r.brain = routing.New(seed+uint64(i)*977, records(i, routers, r.campus))
 		if t.routers = append(t.routers, r); talk.Enabled {
-			r.talk = observation.New(i, fmt.Sprint("campus-", r.campus), talk.FaultyRouters, 1)
+			r.talk = observation.New(swim.MemberID(i), fmt.Sprint("campus-", r.campus), talk.FaultyRouters, 1)
 		}
 		r.decide(routing.EndpointUpdate{Kind: routing.Restored, Endpoints: rows})
 	}
@@ -526,7 +527,7 @@
 	}
 	now := r.t.Now() - clock0
 	if says, ok := observation.Classify(code, late); ok {
-		r.heed(r.talk.AttemptEnded(now, string(member), says))
+		r.heed(r.talk.AttemptEnded(now, member, says))
 	}
 	for _, w := range r.talk.TakeUnsigned() {
 		r.t.tell(w)
@@ -536,14 +537,14 @@
 func (r *router) heed(heeds []observation.Doubt) {
 	now := r.t.Now() - clock0
 	for _, h := range heeds {
-		r.decide(routing.HealthObservation{Endpoint: routing.EndpointID(h.Endpoint), Suspicion: h.Level, ValidSeconds: max(h.Until-now, 0)})
+		r.decide(routing.HealthObservation{Endpoint: h.Endpoint, Suspicion: h.Level, ValidSeconds: max(h.Until-now, 0)})
 	}
 }
 
 // tell brings a word to all other routers, to each after a time as gossip takes it there.
 func (t *town) tell(w observation.Observation) {
 	for i, to := range t.routers {
-		if i != w.Witness {
+		if swim.MemberID(i) != w.Witness {
 			t.After(gossipLeast+t.gossip.Float64()*(gossipMost-gossipLeast), func() {
 				heeds, _ := to.talk.HandleObservation(t.Now()-clock0, w)
 				to.heed(heeds)
@@ -561,7 +562,7 @@
 			if i < liars {
 				for _, m := range sortedNames(t.members) {
 					r.seq++
-					t.tell(observation.Observation{Witness: i, WitnessStartMillis: 2, Sequence: r.seq, Endpoint: string(m), Health: observation.Failing, Zone: fmt.Sprint("z", r.seq%7)})
+					t.tell(observation.Observation{Witness: swim.MemberID(i), WitnessStartMillis: 2, Sequence: r.seq, Endpoint: m, Health: observation.Failing, Zone: fmt.Sprint("z", r.seq%7)})
 				}
 			}
 		}
