--- a/cmd/cairnfront/reach.go
+++ b/cmd/cairnfront/reach.go
@@ -16,6 +16,7 @@
 	"cairnfront/internal/upstream"
 	"cairnfront/internal/upstream/address"
 	"cairnfront/internal/upstream/retrybudget"
+	"cairnfront/routing"
 
 	"github.com/spf13/cobra"
 	"golang.org/x/sync/errgroup"
@@ -91,9 +92,9 @@
 		return nil, fmt.Errorf("router.socket: %w", err)
 	}
 	now := func() float64 { return float64(time.Now().UnixMicro()) / 1e6 }
-	by := func(f func(float64, string, address.Addr) bool, no string) admin.Handler {
+	by := func(f func(float64, routing.EndpointID, address.Addr) bool, no string) admin.Handler {
 		return admin.OnLoop(loop.Post, func(args map[string]string) (any, error) {
-			if pool.AddressSelector == nil || !f(now(), args["member"], address.Addr(args["address"])) {
+			if pool.AddressSelector == nil || !f(now(), routing.EndpointID(args["member"]), address.Addr(args["address"])) {
 				return nil, errors.New(no)
 			}
 			return "done", nil
@@ -106,9 +107,13 @@
 			}
 			return pool.AddressSelector.Status(now()), nil
 		}),
-		"rest": by(func(t float64, id string, a address.Addr) bool { return pool.AddressSelector.Disable(t, id, a) },
+		"rest": by(func(t float64, id routing.EndpointID, a address.Addr) bool {
+			return pool.AddressSelector.Disable(t, id, a)
+		},
 			"no such member and address, or the last that is not at rest"),
-		"unrest": by(func(t float64, id string, a address.Addr) bool { return pool.AddressSelector.Reinstate(t, id, a) }, "no such member and address"),
+		"unrest": by(func(t float64, id routing.EndpointID, a address.Addr) bool {
+			return pool.AddressSelector.Reinstate(t, id, a)
+		}, "no such member and address"),
 	}}
 	for do, h := range peerHandlers(node) {
 		door.Handlers[do] = h
--- a/internal/dispatch/route.go
+++ b/internal/dispatch/route.go
@@ -401,7 +401,7 @@
 		l.at(l.now+a.AfterSeconds, timer{token: a.Token})
 	case routing.Probe:
 		c := &check{member: string(a.Endpoint), sent: l.now}
-		if c.call = l.Pool.SendHealthCheck(string(a.Endpoint), c); c.call == nil {
+		if c.call = l.Pool.SendHealthCheck(a.Endpoint, c); c.call == nil {
 			l.later(func() { l.checked(c, request.AttemptEnd{Result: routing.ConnectFailed}) })
 			return
 		}
@@ -427,7 +427,7 @@
 	}
 	d := cacheproto.Attempt{Txn: o.t, TimeoutSeconds: until - l.now, FillSource: l.fill(a), StartAttempt: a}
 	if l.RetryBudget != nil {
-		l.RetryBudget.RecordAttempt(l.now, o.t.Class, string(a.Endpoint), h.no > 0)
+		l.RetryBudget.RecordAttempt(l.now, routing.ClassIndex(o.t.Class), a.Endpoint, h.no > 0)
 		l.later(l.spare)
 	}
 	switch {
@@ -462,7 +462,7 @@
 		if l.Metrics.Add("spend.changes", 1); !c.Available {
 			l.Metrics.Add("spend.spent", 1)
 		}
-		l.decide(routing.RetryBudgetChanged{Class: routing.ClassIndex(c.Class), Endpoint: routing.EndpointID(c.Endpoint), Available: c.Available}, nil)
+		l.decide(routing.RetryBudgetChanged{Class: c.Class, Endpoint: c.Endpoint, Available: c.Available}, nil)
 	}
 }
 
--- a/internal/netconn/conn.go
+++ b/internal/netconn/conn.go
@@ -12,13 +12,13 @@
 	"cairnfront/internal/ringbuffer"
 )
 
-// Conn is a connection. One goroutine may read while another one writes; each method's comment says where it is bound
-// to one of them. The reading goroutine owns the end of a connection that has not failed: others call RequestClose, and
-// the reader calls CloseGracefully where no request is open.
+// Conn is a connection. One goroutine may read while another one writes; each method's comment says where it is
+// bound to one of them. The reading goroutine owns the end of a connection that has not failed: others call
+// RequestClose, and the reader calls CloseGracefully where no request is open.
 type Conn struct {
-	// OnCloseRequest says whether the connection may end now with the requested code. It has to be set before reading
-	// begins. The reading goroutine calls it between two reads, after all input that the system had was read. An error
-	// ends the read with it. After nil the connection goes on, and the end may be requested again.
+	// OnCloseRequest says whether the connection may end now with the requested code. It has to be set before
+	// reading begins. The reading goroutine calls it between two reads, after all input that the system had was
+	// read. An error ends the read with it. After nil the connection goes on, and the end may be requested again.
 	OnCloseRequest func(code EndCode) error
 
 	// DiscardInput says that unread input does not matter any more. A requested end is then handled before the next
@@ -54,7 +54,8 @@
 	endErr  error
 }
 
-// New wraps a socket. Each direction's ring buffer has bufferBytes. A writeStallTimeout of 0 sets no limit to a write.
+// New wraps a socket. Each direction's ring buffer has bufferBytes. A writeStallTimeout of 0 sets no limit to a
+// write.
 func New(raw net.Conn, bufferBytes int, writeStallTimeout time.Duration) *Conn {
 	c := &Conn{
 		raw:               raw,
@@ -83,7 +84,8 @@
 // LastWriteUnixNano returns when the socket last took output, or a write to it began, in Unix nanoseconds.
 func (c *Conn) LastWriteUnixNano() int64 { return c.lastWrite.Load() }
 
-// FrameStartUnixNano returns when a frame began that is not whole yet, in Unix nanoseconds, and 0 where there is none.
+// FrameStartUnixNano returns when a frame began that is not whole yet, in Unix nanoseconds, and 0 where there is
+// none.
 func (c *Conn) FrameStartUnixNano() int64 { return c.frameStart.Load() }
 
 // BytesRead returns how many bytes have come.
--- a/internal/netconn/conn_test.go
+++ b/internal/netconn/conn_test.go
@@ -193,8 +193,8 @@
 	return nil
 }
 
-// TestCloseRequestReadsPendingInputFirst tests that input which came as the end was requested is taken in. The user is
-// asked whether the connection may end only once nothing is unread, and after a no the connection goes on.
+// TestCloseRequestReadsPendingInputFirst tests that input which came as the end was requested is taken in. The user
+// is asked whether the connection may end only once nothing is unread, and after a no the connection goes on.
 func TestCloseRequestReadsPendingInputFirst(t *testing.T) {
 	timeout := func([]byte) (int, error) { return 0, os.ErrDeadlineExceeded }
 	bring := func(text string) func([]byte) (int, error) {
--- a/internal/netconn/endcode.go
+++ b/internal/netconn/endcode.go
@@ -10,7 +10,8 @@
 )
 
 // EndCode says why a connection ended. Its text stands in the log line of an ended connection and in the name of the
-// counter of such ends; docs/oncall.md lists the texts. The zero value is that of a connection without a reason to end.
+// counter of such ends; docs/oncall.md lists the texts. The zero value is that of a connection without a reason to
+// end.
 type EndCode uint8
 
 // The end codes.
--- a/internal/netconn/read.go
+++ b/internal/netconn/read.go
@@ -105,8 +105,8 @@
 	}
 }
 
-// fill does one read that brings input. A requested end is handled after a read that brought none: what came before the
-// end was decided is taken in and not destroyed by it.
+// fill does one read that brings input. A requested end is handled after a read that brought none: what came before
+// the end was decided is taken in and not destroyed by it.
 func (c *Conn) fill() error {
 	for {
 		deadline := c.applyReadDeadline()
@@ -154,8 +154,8 @@
 	return deadline
 }
 
-// handleCloseRequest takes a requested end, nil for none, and asks the connection's user about it. Once CloseGracefully
-// has begun there is nobody to ask.
+// handleCloseRequest takes a requested end, nil for none, and asks the connection's user about it. Once
+// CloseGracefully has begun there is nobody to ask.
 func (c *Conn) handleCloseRequest(request *EndCode) error {
 	if request == nil {
 		return nil
--- a/internal/upstream/address/golden_test.go
+++ b/internal/upstream/address/golden_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"testing"
 
+	"cairnfront/routing"
+
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
@@ -43,8 +45,9 @@
 	c, d, now := New(seed), dice(seed), 100.0
 	c.HealthChecksAllowed = healthChecks
 	addrs := []Addr{sock, four, six, far4, far6}
-	ids := []string{"a", "b", "c"}
-	conditions := []Condition{Healthy, Refused, TimedOut}
+	ids := []routing.EndpointID{"a", "b", "c"}
+	results := []DialResult{DialSucceeded, DialRefused, DialTimedOut}
+	resultTexts := []string{"well", "refused", "hung"}
 	for i, id := range ids {
 		c.SetAddresses(now, id, 0, addrs[:len(addrs)-2*i])
 	}
@@ -58,9 +61,9 @@
 		seconds := float64(d.below(300)) / 1000
 		switch d.below(16) {
 		case 0, 1:
-			condition := conditions[d.below(len(conditions))]
-			note("dial %s %s %s %.3f", id, a, condition, seconds)
-			c.DialEnded(now, id, a, condition, seconds)
+			result := d.below(len(results))
+			note("dial %s %s %s %.3f", id, a, resultTexts[result], seconds)
+			c.DialEnded(now, id, a, results[result], seconds)
 		case 2, 3, 4:
 			note("response %s %s %.3f", id, a, seconds)
 			c.ResponseReceived(now, id, a, seconds)
@@ -81,7 +84,7 @@
 			note("plan %s %v: %v", id, idempotent, c.Plan(now, id, idempotent))
 		case 11, 12:
 			linked := d.below(2) == 0
-			note("probes %v: %v", linked, c.DueProbes(now, func(string, Addr) bool { return linked }))
+			note("probes %v: %v", linked, c.DueProbes(now, func(routing.EndpointID, Addr) bool { return linked }))
 		case 13:
 			note("elsewhere %s %s: %v", id, a, c.ReachableElsewhere(now, id, a, now-seconds))
 		case 14:
--- a/internal/upstream/address/reach.go
+++ b/internal/upstream/address/reach.go
@@ -10,8 +10,9 @@
 	"math"
 	"net/netip"
 	"slices"
-	"sort"
 	"strings"
+
+	"cairnfront/routing"
 )
 
 const (
@@ -118,6 +119,17 @@
 	return [...]string{"well", "refused", "hung", "broken", "quiet", "by-hand"}[w]
 }
 
+// DialResult says how a dial of an address ended.
+type DialResult int
+
+// The results of a dial.
+const (
+	DialSucceeded    DialResult = iota
+	DialRefused                 // refused, or failed at once in another way
+	DialTimedOut                // not established in its time
+	DialInconclusive            // called off, or failed for want of local resources: it says nothing of the address
+)
+
 // address is what is known of one. About 250 bytes.
 type address struct {
 	Addr
@@ -137,7 +149,7 @@
 // member is one with its addresses in order. A start of its own is another member: nothing known carries over but
 // the addresses' order.
 type member struct {
-	id      string
+	id      routing.EndpointID
 	started float64
 	list    []*address
 	used    float64 // when a connection to it was last planned
@@ -156,13 +168,15 @@
 
 	pcg     uint64
 	now     float64
-	members map[string]*member
-	order   []string // their names
-	stale   bool     // the order is not that of the members
+	members map[routing.EndpointID]*member
+	order   []routing.EndpointID // their names
+	stale   bool                 // the order is not that of the members
 }
 
 // New makes an empty one.
-func New(seed uint64) *Selector { return &Selector{pcg: seed, members: map[string]*member{}} }
+func New(seed uint64) *Selector {
+	return &Selector{pcg: seed, members: map[routing.EndpointID]*member{}}
+}
 
 // chance is the next number of a permuted congruential generator, 0 to 1.
 func (c *Selector) chance() float64 {
@@ -178,7 +192,7 @@
 
 // List says which addresses a member has, in any order. What is known of those that stay is kept, unless the member has
 // started again.
-func (c *Selector) SetAddresses(now float64, id string, started float64, list []Addr) {
+func (c *Selector) SetAddresses(now float64, id routing.EndpointID, started float64, list []Addr) {
 	c.tick(now)
 	m := c.members[id]
 	if m == nil || m.started != started { // used stays unset: what nobody uses needs no second link
@@ -197,7 +211,7 @@
 }
 
 // Gone forgets a member.
-func (c *Selector) RemoveEndpoint(id string) {
+func (c *Selector) RemoveEndpoint(id routing.EndpointID) {
 	delete(c.members, id)
 	c.stale = true
 }
@@ -212,7 +226,7 @@
 }
 
 // Several says whether a member has more than one address. What has one is never rested: its faults are its own.
-func (c *Selector) HasAlternatives(id string) bool {
+func (c *Selector) HasAlternatives(id routing.EndpointID) bool {
 	m := c.members[id]
 	return m != nil && len(m.list) > 1
 }
@@ -235,7 +249,7 @@
 // Plan says which addresses to try for a new connection, in order. It is empty where all rest: then the member is
 // sick and that is told at once. Repeatable says whether the hop that wants it may be used to try an address that was
 // silent; anything else goes only where answers came.
-func (c *Selector) Plan(now float64, id string, repeatable bool) []PlannedDial {
+func (c *Selector) Plan(now float64, id routing.EndpointID, repeatable bool) []PlannedDial {
 	c.tick(now)
 	m := c.members[id]
 	if m == nil {
@@ -278,7 +292,7 @@
 
 // Usable says whether a new hop may be written on a link over an address, and how good that address is: 0 for the
 // first choice, more for later ones.
-func (c *Selector) Usable(now float64, id string, a Addr, repeatable bool) (rank int, ok bool) {
+func (c *Selector) Usable(now float64, id routing.EndpointID, a Addr, repeatable bool) (rank int, ok bool) {
 	c.tick(now)
 	m := c.members[id]
 	if m == nil {
@@ -293,13 +307,13 @@
 }
 
 // Sent says that a hop is on its way over an address; the one that tries a silent address is the only one there.
-func (c *Selector) AttemptSent(now float64, id string, a Addr) {
+func (c *Selector) AttemptSent(now float64, id routing.EndpointID, a Addr) {
 	if x := c.at(now, id, a); x != nil && x.why == Silent {
 		x.trial = true
 	}
 }
 
-func (c *Selector) at(now float64, id string, a Addr) *address {
+func (c *Selector) at(now float64, id routing.EndpointID, a Addr) *address {
 	c.tick(now)
 	if m := c.members[id]; m != nil {
 		return m.find(a)
@@ -307,25 +321,28 @@
 	return nil
 }
 
-// Dialed says how a connection attempt ended: Well with its time, or Refused or Hung.
-func (c *Selector) DialEnded(now float64, id string, a Addr, why Condition, took float64) {
+// DialEnded says how a dial of an address ended, and for one that succeeded how long it took.
+func (c *Selector) DialEnded(now float64, id routing.EndpointID, a Addr, result DialResult, seconds float64) {
 	x := c.at(now, id, a)
 	if x == nil {
 		return
 	}
 	x.looking = false
-	if why == Healthy {
-		x.connects = keep(x.connects, took)
+	switch result {
+	case DialSucceeded:
+		x.connects = keep(x.connects, seconds)
 		if x.why == Refused || x.why == TimedOut || x.why == Broken {
 			x.why, x.since, x.until = Healthy, c.now, 0
 		}
-		return
+	case DialRefused:
+		c.blame(c.members[id], x, Refused)
+	case DialTimedOut:
+		c.blame(c.members[id], x, TimedOut)
 	}
-	c.blame(c.members[id], x, why)
 }
 
 // Answered says that a member sent something over an address, so long after what it answers was written.
-func (c *Selector) ResponseReceived(now float64, id string, a Addr, wait float64) {
+func (c *Selector) ResponseReceived(now float64, id routing.EndpointID, a Addr, wait float64) {
 	x := c.at(now, id, a)
 	if x == nil || x.why == Disabled {
 		return
@@ -342,7 +359,7 @@
 // Waits says that a hop was written over an address so long ago and nothing at all has come over that link since. It
 // returns whether the address is now held to be silent: no other hop goes there. That is told apart from a silent
 // member by what its other addresses do.
-func (c *Selector) AwaitingResponse(now float64, id string, a Addr, wait float64) bool {
+func (c *Selector) AwaitingResponse(now float64, id routing.EndpointID, a Addr, wait float64) bool {
 	x := c.at(now, id, a)
 	if x == nil || !c.HasAlternatives(id) || x.why == Disabled {
 		return false
@@ -360,7 +377,7 @@
 // Elsewhere says whether a member has sent something over another address since a time, or may be asked over another
 // now: then an address that is silent since is held to be bad before its member is. Where every other is silent too,
 // all of them rest, and the next hop is told at once that the member can't be reached.
-func (c *Selector) ReachableElsewhere(now float64, id string, a Addr, since float64) bool {
+func (c *Selector) ReachableElsewhere(now float64, id routing.EndpointID, a Addr, since float64) bool {
 	c.tick(now)
 	m := c.members[id]
 	return m != nil && slices.ContainsFunc(m.list, func(x *address) bool {
@@ -369,7 +386,7 @@
 }
 
 // Broke says that a connection over an address ended while txns were open on it.
-func (c *Selector) ConnectionBroken(now float64, id string, a Addr) {
+func (c *Selector) ConnectionBroken(now float64, id routing.EndpointID, a Addr) {
 	if x := c.at(now, id, a); x != nil {
 		c.blame(c.members[id], x, Broken)
 	}
@@ -397,7 +414,7 @@
 }
 
 // Rest and Unrest are an operator's word. Rest refuses to rest a member's last address that is not rested.
-func (c *Selector) Disable(now float64, id string, a Addr) bool {
+func (c *Selector) Disable(now float64, id routing.EndpointID, a Addr) bool {
 	x := c.at(now, id, a)
 	if x == nil {
 		return false
@@ -416,7 +433,7 @@
 }
 
 // Unrest ends any rest of an address.
-func (c *Selector) Reinstate(now float64, id string, a Addr) bool {
+func (c *Selector) Reinstate(now float64, id routing.EndpointID, a Addr) bool {
 	x := c.at(now, id, a)
 	if x == nil {
 		return false
@@ -429,14 +446,14 @@
 // link warm. Probe asks for a check on it where the deployment allows one: a connection alone tells nothing of an
 // address that accepts and stays silent.
 type Probe struct {
-	Endpoint    string
+	Endpoint    routing.EndpointID
 	Addr        Addr
 	HealthCheck bool
 }
 
 // Looks names what is to be looked at now, in the order of members' names. Each is begun once; Dialed or Answered ends
 // it. Linked says whether a live link is there already.
-func (c *Selector) DueProbes(now float64, linked func(id string, a Addr) bool) []Probe {
+func (c *Selector) DueProbes(now float64, linked func(id routing.EndpointID, a Addr) bool) []Probe {
 	c.tick(now)
 	var out []Probe
 	for _, id := range c.ids() {
@@ -483,27 +500,27 @@
 }
 
 // ids are the members in the order of their names, sorted again only when one has come or gone.
-func (c *Selector) ids() []string {
+func (c *Selector) ids() []routing.EndpointID {
 	if len(c.order) != len(c.members) || c.stale {
 		c.order, c.stale = c.order[:0], false
 		for id := range c.members {
 			c.order = append(c.order, id)
 		}
-		sort.Strings(c.order)
+		slices.Sort(c.order)
 	}
 	return c.order
 }
 
 // State is what an operator is shown of an address.
 type AddressStatus struct {
-	Endpoint         string  `json:"member"`
-	Addr             Addr    `json:"address"`
-	Condition        string  `json:"state"`
-	SinceSeconds     float64 `json:"since_s"` // s ago
-	CooldownSeconds  float64 `json:"rest_s"`  // s left of its rest
-	ConnectSeconds   float64 `json:"connect_s"`
-	FirstByteSeconds float64 `json:"first_byte_s"`
-	Rank             int     `json:"rank"`
+	Endpoint         routing.EndpointID `json:"member"`
+	Addr             Addr               `json:"address"`
+	Condition        string             `json:"state"`
+	SinceSeconds     float64            `json:"since_s"` // s ago
+	CooldownSeconds  float64            `json:"rest_s"`  // s left of its rest
+	ConnectSeconds   float64            `json:"connect_s"`
+	FirstByteSeconds float64            `json:"first_byte_s"`
+	Rank             int                `json:"rank"`
 }
 
 // States lists every address in the order in which it would be tried.
--- a/internal/upstream/address/reach_test.go
+++ b/internal/upstream/address/reach_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 
+	"cairnfront/routing"
+
 	"github.com/stretchr/testify/assert"
 	"pgregory.net/rapid"
 )
@@ -37,29 +39,29 @@
 func TestAPlanStaggersByWhatWasMeasured(t *testing.T) {
 	c := two()
 	assert.Equal(t, []PlannedDial{{sock, 0}, {four, staggerMost}}, c.Plan(100, "a", true))
-	c.DialEnded(100, "a", sock, Healthy, 0.02)
+	c.DialEnded(100, "a", sock, DialSucceeded, 0.02)
 	assert.Equal(t, []PlannedDial{{sock, 0}, {four, 0.08}}, c.Plan(100, "a", true))
-	c.DialEnded(100, "a", four, Healthy, 0.001)
+	c.DialEnded(100, "a", four, DialSucceeded, 0.001)
 	assert.Equal(t, []Addr{four, sock}, addrs(c.Plan(100, "a", true)), "the slower one goes behind")
 }
 
 func TestARefusalRestsTheAddressUntilALookSucceeds(t *testing.T) {
 	c := two()
-	none := func(string, Addr) bool { return true }
-	c.DialEnded(100, "a", sock, Refused, 0)
+	none := func(routing.EndpointID, Addr) bool { return true }
+	c.DialEnded(100, "a", sock, DialRefused, 0)
 	assert.Equal(t, []Addr{four}, addrs(c.Plan(100, "a", true)))
 	assert.Empty(t, c.DueProbes(100.1, none), "it rests")
 	assert.Equal(t, []Probe{{"a", sock, false}}, c.DueProbes(101, none))
 	assert.Equal(t, []Addr{four}, addrs(c.Plan(101, "a", true)), "a look carries nothing, and no hop goes there yet")
 	assert.Empty(t, c.DueProbes(101.05, none), "one at a time")
-	c.DialEnded(101.1, "a", sock, Healthy, 0.001)
+	c.DialEnded(101.1, "a", sock, DialSucceeded, 0.001)
 	assert.Equal(t, []Addr{sock, four}, addrs(c.Plan(101.1, "a", true)))
 }
 
 func TestAllAddressesBadIsToldAtOnce(t *testing.T) {
 	c := two()
-	c.DialEnded(100, "a", sock, Refused, 0)
-	c.DialEnded(100, "a", four, TimedOut, 0)
+	c.DialEnded(100, "a", sock, DialRefused, 0)
+	c.DialEnded(100, "a", four, DialTimedOut, 0)
 	assert.Empty(t, c.Plan(100, "a", true))
 }
 
@@ -67,12 +69,12 @@
 	c := New(1)
 	c.SetAddresses(100, "a", 0, []Addr{four})
 	for range 9 {
-		c.DialEnded(100, "a", four, Refused, 0)
+		c.DialEnded(100, "a", four, DialRefused, 0)
 		c.ConnectionBroken(100, "a", four)
 	}
 	assert.False(t, c.AwaitingResponse(100, "a", four, 10))
 	assert.Equal(t, []Addr{four}, addrs(c.Plan(100, "a", false)))
-	assert.Empty(t, c.DueProbes(200, func(string, Addr) bool { return false }))
+	assert.Empty(t, c.DueProbes(200, func(routing.EndpointID, Addr) bool { return false }))
 }
 
 // An address that accepts and stays silent: no hop goes there; then one repeatable txn tries it, an order never.
@@ -105,7 +107,7 @@
 	assert.True(t, c.ReachableElsewhere(101, "a", sock, 100.5), "it may be asked over the other")
 	c.AwaitingResponse(101, "a", four, 0.5)
 	assert.False(t, c.ReachableElsewhere(101, "a", sock, 100.5), "both are silent, nothing came since")
-	none := func(string, Addr) bool { return true }
+	none := func(routing.EndpointID, Addr) bool { return true }
 	assert.Empty(t, c.DueProbes(101, none), "no checks here")
 	c.HealthChecksAllowed = true
 	assert.Empty(t, c.DueProbes(101, none), "the doubt was gone into once")
@@ -129,13 +131,13 @@
 func TestRestsGrowUntilItHasAnsweredForAWhile(t *testing.T) {
 	c, now, longest := two(), 100.0, 0.0
 	for range 40 {
-		c.DialEnded(now, "a", sock, Refused, 0)
+		c.DialEnded(now, "a", sock, DialRefused, 0)
 		x := c.at(now, "a", sock)
 		assert.GreaterOrEqual(t, x.rest, restFirst)
 		assert.LessOrEqual(t, x.rest, restMost)
 		longest = max(longest, x.rest)
 		now = x.until + 0.1
-		c.DialEnded(now, "a", sock, Healthy, 0.001) // flapping: it is back and gone again
+		c.DialEnded(now, "a", sock, DialSucceeded, 0.001) // flapping: it is back and gone again
 	}
 	assert.Greater(t, longest, 2.0)
 	c.ResponseReceived(now, "a", sock, 0.01)
@@ -145,12 +147,12 @@
 
 func TestAMemberThatStartsAgainIsUnknownAndAListCanChange(t *testing.T) {
 	c := two()
-	c.DialEnded(100, "a", sock, Refused, 0)
+	c.DialEnded(100, "a", sock, DialRefused, 0)
 	c.SetAddresses(100, "a", 0, []Addr{sock, six})
 	assert.Equal(t, []Addr{six}, addrs(c.Plan(100, "a", true)), "what is known of one that stays is kept")
 	_, ok := c.Usable(100, "a", four, true)
 	assert.False(t, ok, "it has left the list")
-	c.DialEnded(100, "a", four, Healthy, 1) // an attempt that was under way: nothing comes of it
+	c.DialEnded(100, "a", four, DialSucceeded, 1) // an attempt that was under way: nothing comes of it
 	c.SetAddresses(101, "a", 101, []Addr{sock, six})
 	assert.Equal(t, []Addr{sock, six}, addrs(c.Plan(101, "a", true)))
 }
@@ -159,7 +161,7 @@
 	c := two()
 	assert.True(t, c.Disable(100, "a", sock))
 	assert.False(t, c.Disable(100, "a", four), "the last one")
-	c.DialEnded(100, "a", sock, Healthy, 0.001)
+	c.DialEnded(100, "a", sock, DialSucceeded, 0.001)
 	c.ResponseReceived(100, "a", sock, 0.001)
 	assert.Equal(t, []Addr{four}, addrs(c.Plan(1e6, "a", true)))
 	assert.Equal(t, -1.0, c.Status(1e6)[0].CooldownSeconds)
@@ -169,7 +171,7 @@
 
 func TestASecondLinkIsKeptWarmForMembersInUse(t *testing.T) {
 	c := two()
-	linked := func(string, Addr) bool { return false }
+	linked := func(routing.EndpointID, Addr) bool { return false }
 	assert.Empty(t, c.DueProbes(100, linked))
 	c.Plan(100, "a", true)
 	assert.Equal(t, []Probe{{"a", four, false}}, c.DueProbes(100.5, linked))
@@ -270,7 +272,7 @@
 			a := rapid.SampledFrom(all).Draw(t, "a")
 			switch rapid.IntRange(0, 6).Draw(t, "what") {
 			case 0:
-				c.DialEnded(now, "a", a, rapid.SampledFrom([]Condition{Healthy, Refused, TimedOut}).Draw(t, "why"), 0.01)
+				c.DialEnded(now, "a", a, rapid.SampledFrom([]DialResult{DialSucceeded, DialRefused, DialTimedOut}).Draw(t, "why"), 0.01)
 			case 1:
 				c.ResponseReceived(now, "a", a, 0.02)
 			case 2:
@@ -282,7 +284,7 @@
 			case 5:
 				c.SetAddresses(now, "a", 0, all[rapid.IntRange(0, 1).Draw(t, "from"):])
 			case 6:
-				c.DueProbes(now, func(string, Addr) bool { return false })
+				c.DueProbes(now, func(routing.EndpointID, Addr) bool { return false })
 			}
 			last := -1.0
 			for _, try := range c.Plan(now, "a", false) {
@@ -295,8 +297,8 @@
 		for range 3 { // with looks that succeed all addresses come back
 			now += quietMost + 100
 			c.HealthChecksAllowed = true
-			for _, l := range c.DueProbes(now, func(string, Addr) bool { return true }) {
-				c.DialEnded(now, l.Endpoint, l.Addr, Healthy, 0.01)
+			for _, l := range c.DueProbes(now, func(routing.EndpointID, Addr) bool { return true }) {
+				c.DialEnded(now, l.Endpoint, l.Addr, DialSucceeded, 0.01)
 				c.ResponseReceived(now, l.Endpoint, l.Addr, 0.01)
 			}
 		}
@@ -311,23 +313,23 @@
 // An address flaps every 300 ms for a minute: hops go over the other one all the time, and the looks at it stay few.
 func TestAMinuteOfFlapping(t *testing.T) {
 	c, looks, tried := two(), 0, 0
-	none := func(string, Addr) bool { return true }
+	none := func(routing.EndpointID, Addr) bool { return true }
 	up := func(now float64) bool { return int((now-100)/0.3)%2 == 1 }
 	for now := 100.0; now < 160; now += 0.02 {
 		plan := c.Plan(now, "a", false)
 		assert.Contains(t, addrs(plan), four)
 		if plan[0].Addr == sock {
 			if tried++; up(now) {
-				c.DialEnded(now, "a", sock, Healthy, 0.001)
+				c.DialEnded(now, "a", sock, DialSucceeded, 0.001)
 			} else {
-				c.DialEnded(now, "a", sock, Refused, 0)
+				c.DialEnded(now, "a", sock, DialRefused, 0)
 			}
 		}
 		for _, l := range c.DueProbes(now, none) {
 			if looks++; up(now) {
-				c.DialEnded(now, l.Endpoint, l.Addr, Healthy, 0.001)
+				c.DialEnded(now, l.Endpoint, l.Addr, DialSucceeded, 0.001)
 			} else {
-				c.DialEnded(now, l.Endpoint, l.Addr, Refused, 0)
+				c.DialEnded(now, l.Endpoint, l.Addr, DialRefused, 0)
 			}
 		}
 	}
@@ -342,7 +344,7 @@
 		c := New(seed*0x9e3779b97f4a7c15 + 1)
 		c.SetAddresses(100, "a", 0, []Addr{four, sock})
 		for now, n := 100.0, 0; n < 4; n++ { // four failures in a row
-			c.DialEnded(now, "a", sock, Refused, 0)
+			c.DialEnded(now, "a", sock, DialRefused, 0)
 			now = c.at(now, "a", sock).until
 		}
 		at[fmt.Sprintf("%.1f", c.at(100, "a", sock).until)]++
--- /dev/null
+++ b/internal/upstream/attempt.go
@@ -0,0 +1,63 @@
+package upstream
+
+import (
+	"time"
+
+	"cairnfront/internal/cacheproto"
+	"cairnfront/internal/netconn"
+	"cairnfront/internal/request"
+	"cairnfront/routing"
+)
+
+// Owner is what the caller of Send or SendHealthCheck knows an attempt by. It comes back with the attempt's end.
+type Owner interface{ OwnsUpstreamAttempt() }
+
+// Attempt is one try of a request at an endpoint, or one health check, on a connection. Its unexported fields belong
+// to the connection and are guarded by its lock.
+type Attempt struct {
+	Owner Owner
+
+	connection    *Connection
+	id            string
+	head          []byte           // the command line
+	body          *request.Body    // nil for none
+	request       *request.Request // nil for a health check
+	isHealthCheck bool
+	isIdempotent  bool // its request's class may be repeated
+
+	written   bool      // some of it may be in the socket
+	writtenAt time.Time // when writing began
+	endOffset int64     // the connection's count of buffered bytes after the attempt's last one
+
+	cancelResult routing.AttemptResult // with which it ends once the endpoint was told that it is cancelled
+}
+
+// Connection returns the connection that carries the attempt.
+func (a *Attempt) Connection() *Connection { return a.connection }
+
+// wireBytes returns how many bytes the attempt has on the wire.
+func (a *Attempt) wireBytes() int {
+	if a.isHealthCheck {
+		return len(a.head)
+	}
+	return len(a.head) + a.body.Len() + len(cacheproto.LineEnd)
+}
+
+// writeTo buffers the attempt for the socket.
+func (a *Attempt) writeTo(conn *netconn.Conn) error {
+	if err := conn.Write(a.head); err != nil || a.isHealthCheck {
+		return err
+	}
+	if a.body != nil {
+		if err := conn.Write(a.body.Bytes); err != nil {
+			return err
+		}
+	}
+	return conn.Write([]byte(cacheproto.LineEnd))
+}
+
+// wantsBody says whether the body of a response is of use. It is dropped unread for a cancelled attempt, which is nil
+// here, and where the response has none for the client.
+func (a *Attempt) wantsBody(response cacheproto.Response) bool {
+	return a != nil && !a.isHealthCheck && response.Result == routing.Completed && !response.NotModified
+}
--- /dev/null
+++ b/internal/upstream/connection.go
@@ -0,0 +1,172 @@
+package upstream
+
+import (
+	"sync"
+	"time"
+
+	"cairnfront/internal/cacheproto"
+	"cairnfront/internal/netconn"
+	"cairnfront/internal/request"
+	"cairnfront/internal/upstream/address"
+	"cairnfront/routing"
+)
+
+// Connection is one connection to an endpoint, with the attempts that are open on it. A reading and a writing
+// goroutine serve it; its other methods may be called by any goroutine.
+type Connection struct {
+	pool              *Pool
+	endpointID        routing.EndpointID
+	endpointStartedAt float64               // the endpoint's start for which it was made
+	dialPlan          []address.PlannedDial // of an endpoint with several addresses, nil for one with one
+
+	mu           sync.Mutex            // guards all below
+	addr         string                // empty while several are dialed
+	listedAddrs  map[address.Addr]bool // those that the endpoint still has; nil for any
+	conn         *netconn.Conn         // nil until it is established
+	attempts     map[string]*Attempt   // open, by id
+	cancelled    map[string]*Attempt   // cancelled, and the endpoint was not told yet
+	writeQueue   []command             // not begun
+	writeSignal  chan struct{}         // holds a value while the queue may have commands
+	lastUsed     time.Time             // when an attempt was last added or ended
+	suspectSince time.Time             // when an attempt was cancelled during which nothing came
+	closing      bool                  // takes no more attempts
+}
+
+// command is what the writing goroutine writes next: an attempt, or the line that cancels one.
+type command struct {
+	attempt    *Attempt
+	cancelLine []byte // nil for the attempt itself
+}
+
+// dialedAddr returns the address of the connection, empty while several are dialed.
+func (c *Connection) dialedAddr() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.addr
+}
+
+// setListedAddrs says which addresses the endpoint still has.
+func (c *Connection) setListedAddrs(listed map[address.Addr]bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.listedAddrs = listed
+}
+
+// isListed says whether the endpoint still has an address.
+func (c *Connection) isListed(addr address.Addr) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.listedAddrs == nil || c.listedAddrs[addr]
+}
+
+// load returns how many attempts are open, and whether the connection takes more. It takes none while it is silent
+// after a cancel: the endpoint may have vanished or be a new process. Nor does it while the response to a cancelled
+// attempt is still coming.
+func (c *Connection) load() (open int, available bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	lateResponse := len(c.attempts) == 0 && c.conn != nil && c.conn.FrameStartUnixNano() != 0
+	return len(c.attempts), !c.closing && !c.isSilentLocked() && !lateResponse
+}
+
+// isSilentLocked says whether nothing came since an attempt was cancelled during which nothing had come.
+func (c *Connection) isSilentLocked() bool {
+	return !c.suspectSince.IsZero() && c.conn != nil && c.conn.LastReadUnixNano() < c.suspectSince.UnixNano()
+}
+
+// add queues an attempt, unless the connection takes no more or carries the same id already.
+func (c *Connection) add(a *Attempt) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing || c.attempts[a.id] != nil || c.cancelled[a.id] != nil {
+		return false
+	}
+	a.connection = c
+	c.lastUsed = time.Now()
+	c.attempts[a.id] = a
+	c.enqueueLocked(command{attempt: a})
+	return true
+}
+
+func (c *Connection) enqueueLocked(next command) {
+	c.writeQueue = append(c.writeQueue, next)
+	select {
+	case c.writeSignal <- struct{}{}:
+	default:
+	}
+}
+
+// cancel gives an attempt up and returns how it ends by that, and whether at once. One that the endpoint may know of
+// is over only when the socket has taken the line that tells it, or the connection has ended: a retry sent before
+// that line would be out at the same time as the attempt. Its end then comes like any other.
+func (c *Connection) cancel(a *Attempt, result routing.AttemptResult) (end routing.AttemptResult, atOnce bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.attempts[a.id] != a { // its end is on the way, or was lost with a panic
+		if !a.written {
+			return routing.NotSent, true
+		}
+		return result, true
+	}
+	delete(c.attempts, a.id)
+	now := time.Now()
+	c.lastUsed = now
+	if !a.written {
+		c.dequeueLocked(a)
+		return routing.NotSent, true
+	}
+	if c.closing || a.isHealthCheck {
+		return result, true
+	}
+	a.cancelResult = result
+	c.cancelled[a.id] = a
+	c.enqueueLocked(command{attempt: a, cancelLine: cacheproto.AppendCancel(nil, a.id)})
+	nothingCame := c.conn != nil && c.conn.LastReadUnixNano() < a.writtenAt.UnixNano()
+	if nothingCame && now.Sub(a.writtenAt) > c.pool.ConnectTimeout {
+		c.suspectSince = now
+	}
+	return result, false
+}
+
+// dequeueLocked takes an attempt that was not begun out of the write queue.
+func (c *Connection) dequeueLocked(a *Attempt) {
+	for i, queued := range c.writeQueue {
+		if queued.attempt == a {
+			c.writeQueue = append(c.writeQueue[:i:i], c.writeQueue[i+1:]...)
+			return
+		}
+	}
+}
+
+// reportCancelled ends attempts of which the endpoint was told that they are cancelled.
+func (c *Connection) reportCancelled(attempts []*Attempt) {
+	for _, a := range attempts {
+		c.mu.Lock()
+		delete(c.cancelled, a.id)
+		c.mu.Unlock()
+		c.reportEnd(a, request.AttemptEnd{Result: a.cancelResult})
+	}
+}
+
+// reportEnd tells the pool's owner of an attempt's end.
+func (c *Connection) reportEnd(a *Attempt, end request.AttemptEnd) {
+	c.pool.OnEvent(AttemptEnded{Attempt: a, End: end})
+}
+
+// silentWait returns how long a written attempt has waited without any input since, the connection's address, and all
+// attempts that wait so.
+func (c *Connection) silentWait(now time.Time) (longest time.Duration, addr address.Addr, waiting []*Attempt) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn == nil || c.closing {
+		return 0, "", nil
+	}
+	lastRead := time.Unix(0, c.conn.LastReadUnixNano())
+	for _, a := range c.attempts {
+		if a.written && lastRead.Before(a.writtenAt) {
+			longest = max(longest, now.Sub(a.writtenAt))
+			waiting = append(waiting, a)
+		}
+	}
+	return longest, address.Addr(c.addr), waiting
+}
--- a/internal/upstream/golden_test.go
+++ b/internal/upstream/golden_test.go
@@ -157,9 +157,9 @@
 		s.AddressSelector = address.New(1)
 		s.EndpointAddresses = func(discovery.Endpoint) []address.Addr { return []address.Addr{first, second} }
 		s.RefreshAddresses()
-		now := unix(time.Now())
-		s.AddressSelector.DialEnded(now, "m", first, address.Refused, 0)
-		s.AddressSelector.DialEnded(now, "m", second, address.Refused, 0)
+		now := unixSeconds(time.Now())
+		s.AddressSelector.DialEnded(now, "m", first, address.DialRefused, 0)
+		s.AddressSelector.DialEnded(now, "m", second, address.DialRefused, 0)
 		return s.send("a", 0)
 	}},
 	{"shutdown", func(t *testing.T, s *side) *Attempt {
@@ -169,8 +169,8 @@
 	}},
 }
 
-// TestEndedConnectionLogLines causes each kind of end and compares the log lines with the golden file. Times, durations
-// and the error text of the codec, which is another package's, are masked.
+// TestEndedConnectionLogLines causes each kind of end and compares the log lines with the golden file. Times,
+// durations and the error text of the codec, which is another package's, are masked.
 func TestEndedConnectionLogLines(t *testing.T) {
 	volatile := regexp.MustCompile(`(time|lasted_s|stack)=("(\\.|[^"])*"|\S+)`)
 	codecError := regexp.MustCompile(`err=.*what.*`)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -1,5 +1,6 @@
-// Package send keeps the connections to members and carries hops, cancels and checks on them. It decides nothing:
-// it says how each hop ended, as far as the connection can prove it.
+// Package upstream keeps the connections to endpoints and carries attempts, cancels and health checks on them. It
+// owns the pool, the connections with their goroutines, and the truth of how each attempt ended, as far as the
+// connection can prove it. It decides nothing: not which endpoint gets a request, and not whether one is retried.
 package upstream
 
 import (
@@ -12,7 +13,6 @@
 	"cairnfront/internal/cacheproto"
 	"cairnfront/internal/discovery"
 	"cairnfront/internal/netconn"
-	"cairnfront/internal/request"
 	"cairnfront/internal/telemetry"
 	"cairnfront/internal/upstream/address"
 	"cairnfront/routing"
@@ -20,224 +20,161 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// idleMargin is the part of the members' idle time after which a connection is closed from here, so that no hop
-// crosses a close of theirs.
-const idleMargin = 0.8
+// idleCloseFraction is the part of the endpoints' idle timeout after which an idle connection is closed from this
+// side, so that no attempt crosses a close of theirs.
+const idleCloseFraction = 0.8
 
-// writeStall is how long a member may take nothing of what is written to it: small lines, and bodies that fit the
-// sockets' own buffers.
-const writeStall = time.Second
+// telemetrySide names connections to endpoints in counters and log lines.
+const telemetrySide = "member"
 
-// stallLeast is how long at least a member may send no more of an answer that it began: over the pauses of a core that
-// is shared, on either side.
-const stallLeast = time.Second
-
-// How long a connection that is not used any more is read on, and how much: a member that is in the middle of a late
-// answer is not reset, and no descriptor is held for one that says nothing.
-const (
-	lingerMost  = 100 * time.Millisecond
-	lingerBytes = 1 << 20
-)
-
-// Event is what a pool tells its owner: AttemptEnded, DialEnded or ConnectionClosed.
-type Event interface{ isUpstreamEvent() }
-
-func (AttemptEnded) isUpstreamEvent()     {}
-func (DialEnded) isUpstreamEvent()        {}
-func (ConnectionClosed) isUpstreamEvent() {}
-
-// AttemptEnded says that a call is over. Each call has one, unless its undoing ended it at once.
-type AttemptEnded struct {
-	Attempt *Attempt
-	End     request.AttemptEnd
-}
+// Pool holds the connections to all endpoints. Its methods belong to one goroutine, its owner. What it learns it
+// hands to OnEvent, which is called by the connections' goroutines.
+type Pool struct {
+	Admission *admission.Controller
+	Telemetry *telemetry.Metrics
+	OnEvent   func(Event)
 
-// Dropped says that a link carries nothing any more.
-type ConnectionClosed struct{ Connection *Connection }
+	ConnectTimeout           time.Duration // longest wait for a connection to be established
+	EndpointIdleTimeout      time.Duration // after which endpoints close idle connections, 0 for never
+	MaxAttemptsPerConnection int           // attempts open at once on one connection
+	RequestLoadReports       bool          // health checks ask for the load report
 
-// Pool holds the links to all members. Its methods belong to one goroutine; what it hears it hands to Post.
-type Pool struct {
-	Admission                *admission.Controller
-	Telemetry                *telemetry.Metrics
-	OnEvent                  func(Event)
-	ConnectTimeout           time.Duration // longest wait for a connection
-	EndpointIdleTimeout      time.Duration // after which members close idle ones
-	MaxAttemptsPerConnection int           // hops that one connection carries
-	RequestLoadReports       bool          // checks ask for the load report
-
-	// Dial makes a connection; the network's own where nil. An address is host:port or unix:PATH.
+	// Dial establishes a connection; the network's own dialer where nil. An address is host:port or unix:PATH.
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
 
-	// Reach decides over which address a member is reached, and Addrs says which it has beside the one of the notice
-	// board; nil where each has that one only. Repeatable says of a remap rule whether it may run again.
+	// AddressSelector decides over which address an endpoint is reached, and EndpointAddresses returns the addresses
+	// of one that has several. Both are nil where each endpoint has the one of the endpoint list only. IsIdempotent
+	// says of a request class whether its requests may be repeated.
 	AddressSelector   *address.Selector
 	EndpointAddresses func(discovery.Endpoint) []address.Addr
-	IsIdempotent      func(rule int) bool
+	IsIdempotent      func(class int) bool
 
-	ctx     context.Context
-	group   *errgroup.Group
-	members map[string]*member
-	checks  int
+	ctx          context.Context // ends the connections
+	group        *errgroup.Group // of the connections' goroutines
+	endpoints    map[routing.EndpointID]*endpoint
+	healthChecks int // sent so far, for their ids
 }
 
-type member struct {
-	row     discovery.Endpoint
-	addr    string
-	several bool // addresses: Reach knows them
-	started float64
-	gone    bool
-	links   []*Connection
+// endpoint is one of the endpoint list, with its connections.
+type endpoint struct {
+	listed          discovery.Endpoint
+	hasSeveralAddrs bool // AddressSelector knows them
+	startedAt       float64
+	removed         bool // from the endpoint list
+	connections     []*Connection
 }
 
-// Start makes the pool ready; Wait returns once all its links have ended.
+// Start makes the pool ready. Wait returns once all its connections have ended.
 func (p *Pool) Start(ctx context.Context) {
 	p.group, p.ctx = errgroup.WithContext(ctx)
-	p.members = map[string]*member{}
+	p.endpoints = map[routing.EndpointID]*endpoint{}
 	if p.Dial == nil {
-		p.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
-			a := address.Addr(addr)
-			return (&net.Dialer{}).DialContext(ctx, a.Network(), a.Target())
-		}
+		p.Dial = dialNetwork
 	}
 }
 
-// Wait waits for the links to end, after the context has.
+// Wait waits for the connections to end, after the context has.
 func (p *Pool) Wait() error { return p.group.Wait() }
 
-// List takes news of where members are. A link belongs to the member's id and the address it was made for.
-func (p *Pool) UpdateEndpoints(full bool, rows []discovery.Endpoint) {
-	if full {
-		for _, m := range p.members {
-			m.gone = true
+// UpdateEndpoints takes an update of the endpoint list. A snapshot names every endpoint. A connection belongs to the
+// endpoint's id and the address that it was made for.
+func (p *Pool) UpdateEndpoints(snapshot bool, listed []discovery.Endpoint) {
+	if snapshot {
+		for _, e := range p.endpoints {
+			e.removed = true
 		}
 	}
-	for _, row := range rows {
-		m := p.members[string(row.ID)]
-		if m == nil {
-			m = &member{}
-			p.members[string(row.ID)] = m
+	for _, l := range listed {
+		e := p.endpoints[l.ID]
+		if e == nil {
+			e = &endpoint{}
+			p.endpoints[l.ID] = e
 		}
-		m.row, m.addr, m.gone = row, row.Address, row.Status == routing.Removed
-		p.reaches(row, m)
+		e.listed = l
+		e.removed = l.Status == routing.Removed
+		p.updateAddresses(e)
 	}
 }
 
-// Call starts a hop or a check on a link of a member. Avoid names the links on which the same txn was out
-// before: an answer that comes late, or twice, would be taken for this one's. A connection that breaks, or brings what can't be read, ends all that is open on it: while descriptors
-// allow, each has one to itself. It returns nil where no connection may be made; then surely nothing ran.
-func (p *Pool) call(id string, c *Attempt, avoid []*Connection) *Attempt {
-	m := p.members[id]
-	if m == nil {
-		return nil
-	}
-	if m.several {
-		return p.over(id, m, c, avoid)
-	}
-	var best *Connection
-	least := p.MaxAttemptsPerConnection
-	for _, l := range m.links {
-		if n, ok := l.load(); ok && n < least && l.over() == m.addr && !contains(avoid, l) {
-			best, least = l, n
-		}
-	}
-	if best != nil && least == 0 && best.add(c) {
-		return c
-	}
-	if !p.Admission.AdmitEndpointConn(best == nil) {
-		if best != nil && best.add(c) {
-			return c
-		}
-		return nil
-	}
-	l := p.link(id, m)
-	l.addr = m.addr
-	l.add(c)
-	p.run(m, l)
-	return c
-}
-
-func (p *Pool) link(id string, m *member) *Connection {
-	return &Connection{pool: p, member: id, started: m.started, calls: map[string]*Attempt{}, undone: map[string]*Attempt{}, wake: make(chan struct{}, 1)}
+// Send starts an attempt. Connections to avoid are those on which the same request was out before: a late or doubled
+// response there would be taken for this attempt's. Send returns nil where no connection may be made; then nothing
+// ran.
+func (p *Pool) Send(command cacheproto.Attempt, avoid []*Connection, owner Owner) *Attempt {
+	r := command.Txn
+	return p.start(command.Endpoint, &Attempt{
+		Owner:        owner,
+		id:           r.ID,
+		head:         cacheproto.AppendAttempt(nil, command),
+		body:         r.Body,
+		request:      r,
+		isIdempotent: p.IsIdempotent != nil && p.IsIdempotent(r.Class),
+	}, avoid)
 }
 
-// run lets a link live; a descriptor was granted for it.
-func (p *Pool) run(m *member, l *Connection) {
-	m.links = append(m.links, l)
-	p.Telemetry.ConnectionOpened("member")
-	p.group.Go(func() error {
-		defer p.Admission.EndpointConnDone()
-		l.run(p.ctx)
-		return nil
-	})
+// SendHealthCheck asks an endpoint for its state. It returns nil where no connection may be made.
+func (p *Pool) SendHealthCheck(endpointID routing.EndpointID, owner Owner) *Attempt {
+	check := p.newHealthCheck("check", p.RequestLoadReports)
+	check.Owner = owner
+	return p.start(endpointID, check, nil)
 }
 
-func contains(links []*Connection, l *Connection) bool {
-	for _, x := range links {
-		if x == l {
-			return true
-		}
+// newHealthCheck makes a health check whose id begins with a prefix.
+func (p *Pool) newHealthCheck(idPrefix string, loadReport bool) *Attempt {
+	p.healthChecks++
+	id := idPrefix + strconv.Itoa(p.healthChecks)
+	return &Attempt{
+		id:            id,
+		head:          cacheproto.AppendProbe(nil, id, loadReport),
+		isHealthCheck: true,
 	}
-	return false
-}
-
-// Send starts a hop.
-func (p *Pool) Send(d cacheproto.Attempt, avoid []*Connection, owner Owner) *Attempt {
-	head := cacheproto.AppendAttempt(nil, d)
-	return p.call(string(d.Endpoint), &Attempt{Owner: owner, id: d.Txn.ID, head: head, body: d.Txn.Body, txn: d.Txn, hop: true,
-		repeatable: p.IsIdempotent != nil && p.IsIdempotent(d.Txn.Class)}, avoid)
-}
-
-// Check asks a member for its state.
-func (p *Pool) SendHealthCheck(id string, owner Owner) *Attempt {
-	p.checks++
-	tag := "check" + strconv.Itoa(p.checks)
-	return p.call(id, &Attempt{Owner: owner, id: tag, head: cacheproto.AppendProbe(nil, tag, p.RequestLoadReports)}, nil)
 }
 
-// Undo gives a call up. It says how that ends it, and whether at once; else its end follows.
-func (p *Pool) Cancel(c *Attempt, code routing.AttemptResult) (end routing.AttemptResult, atOnce bool) {
-	return c.link.undo(c, code)
+// Cancel gives an attempt up. It returns how that ends it, and whether at once; else an AttemptEnded follows.
+func (p *Pool) Cancel(a *Attempt, result routing.AttemptResult) (end routing.AttemptResult, atOnce bool) {
+	return a.connection.cancel(a, result)
 }
 
-// Drop forgets a link that has ended.
-func (p *Pool) RemoveConnection(l *Connection) {
-	m := p.members[l.member]
-	if m == nil {
+// RemoveConnection forgets a connection that has ended.
+func (p *Pool) RemoveConnection(c *Connection) {
+	e := p.endpoints[c.endpointID]
+	if e == nil {
 		return
 	}
-	for i, x := range m.links {
-		if x == l {
-			m.links = append(m.links[:i], m.links[i+1:]...)
+	for i, other := range e.connections {
+		if other == c {
+			e.connections = append(e.connections[:i], e.connections[i+1:]...)
 			break
 		}
 	}
-	if m.gone && len(m.links) == 0 {
-		delete(p.members, l.member)
+	if e.removed && len(e.connections) == 0 {
+		delete(p.endpoints, c.endpointID)
 	}
 }
 
-// Sweep closes links that nothing is open on and nothing will be.
+// CloseIdle closes connections on which no attempt is open and none will be: those that were idle for too long, and
+// those to an endpoint or an address that left the endpoint list.
 func (p *Pool) CloseIdle(now time.Time) {
-	for id, m := range p.members {
-		for _, l := range m.links {
+	idleTimeout := time.Duration(idleCloseFraction * float64(p.EndpointIdleTimeout))
+	for id, e := range p.endpoints {
+		for _, c := range e.connections {
 			switch {
-			case m.gone || !p.current(m, l):
-				l.endIf(netconn.EndpointRemoved, now)
-			case p.EndpointIdleTimeout > 0:
-				l.endIf(netconn.IdleTimeout, now.Add(-time.Duration(idleMargin*float64(p.EndpointIdleTimeout))))
+			case e.removed || !p.isCurrent(e, c):
+				c.closeIfIdle(netconn.EndpointRemoved, now)
+			case idleTimeout > 0:
+				c.closeIfIdle(netconn.IdleTimeout, now.Add(-idleTimeout))
 			}
 		}
-		if m.gone && len(m.links) == 0 {
-			delete(p.members, id)
+		if e.removed && len(e.connections) == 0 {
+			delete(p.endpoints, id)
 		}
 	}
 }
 
-// Links is how many links there are.
+// ConnectionCount returns how many connections there are.
 func (p *Pool) ConnectionCount() int {
 	n := 0
-	for _, m := range p.members {
-		n += len(m.links)
+	for _, e := range p.endpoints {
+		n += len(e.connections)
 	}
 	return n
 }
--- /dev/null
+++ b/internal/upstream/reader.go
@@ -0,0 +1,111 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"cairnfront/internal/cacheproto"
+	"cairnfront/internal/netconn"
+	"cairnfront/internal/request"
+	"cairnfront/routing"
+)
+
+// errNoLineEnd tells of a response whose body is not followed by a line end.
+var errNoLineEnd = errors.New("no line end after a body")
+
+// readLoop reads responses until an error, and returns the end code for it.
+func (c *Connection) readLoop(ctx context.Context, conn *netconn.Conn) (netconn.EndCode, error) {
+	for {
+		if code, err := c.readResponse(ctx, conn); err != nil {
+			return code, err
+		}
+	}
+}
+
+// readResponse reads one response. Its body is read whole before the attempt ends; that of a cancelled attempt is
+// dropped.
+func (c *Connection) readResponse(ctx context.Context, conn *netconn.Conn) (netconn.EndCode, error) {
+	line, err := conn.ReadLine()
+	if err != nil {
+		return netconn.ClassifyError(err), err
+	}
+	response, err := cacheproto.ParseResponse(line)
+	if err != nil {
+		return netconn.ProtocolError, err
+	}
+	a := c.openAttempt(response.ID)
+	if a == nil {
+		c.pool.Telemetry.Add("member.late-answers", 1)
+	}
+	if a.wantsBody(response) {
+		response.Body, err = c.pool.Admission.Bodies.Allocate(ctx, response.BodyBytes)
+		if err != nil {
+			return netconn.Shutdown, err
+		}
+		err = conn.ReadFull(response.Body.Bytes)
+	} else {
+		err = conn.Discard(response.BodyBytes)
+	}
+	if err == nil {
+		err = readLineEnd(conn)
+	}
+	if err != nil {
+		response.Body.Free()
+		if errors.Is(err, errNoLineEnd) {
+			return netconn.ProtocolError, err
+		}
+		return netconn.ClassifyError(err), err
+	}
+	conn.FrameComplete()
+	c.endByResponse(a, response)
+	return netconn.NoEndCode, nil
+}
+
+// readLineEnd reads the line end that follows a body.
+func readLineEnd(conn *netconn.Conn) error {
+	var end [len(cacheproto.LineEnd)]byte
+	if err := conn.ReadFull(end[:]); err != nil {
+		return err
+	}
+	if string(end[:]) != cacheproto.LineEnd {
+		return errNoLineEnd
+	}
+	return nil
+}
+
+// openAttempt returns the open attempt with an id, nil where there is none.
+func (c *Connection) openAttempt(id string) *Attempt {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.attempts[id]
+}
+
+// endByResponse ends an attempt, unless it was cancelled while its response was read.
+func (c *Connection) endByResponse(a *Attempt, response cacheproto.Response) {
+	if a == nil {
+		return
+	}
+	if !c.takeOpen(a) {
+		response.Body.Free()
+		return
+	}
+	end := response.AttemptEnd
+	if response.IsProbeReply != a.isHealthCheck { // the response is of the other kind: what it means is not known
+		response.Body.Free()
+		end = request.AttemptEnd{Result: routing.ServerError}
+	}
+	c.reportEnd(a, end)
+}
+
+// takeOpen takes an attempt off the connection. It returns false where it is not open any more.
+func (c *Connection) takeOpen(a *Attempt) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.attempts[a.id] != a {
+		return false
+	}
+	delete(c.attempts, a.id)
+	c.lastUsed = time.Now()
+	return true
+}
--- a/internal/upstream/retrybudget/golden_test.go
+++ b/internal/upstream/retrybudget/golden_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"testing"
 
+	"cairnfront/routing"
+
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
@@ -27,7 +29,7 @@
 		if below(10) == 0 {
 			b.Advance(now)
 		} else {
-			b.RecordAttempt(now, below(3), string(rune('a'+below(4))), below(4) == 0)
+			b.RecordAttempt(now, routing.ClassIndex(below(3)), routing.EndpointID(rune('a'+below(4))), below(4) == 0)
 		}
 		for _, c := range b.TakeChanges() {
 			fmt.Fprintf(&lines, "%.3f class %d endpoint %q available %v\n", now, c.Class, c.Endpoint, c.Available)
--- a/internal/upstream/retrybudget/spend.go
+++ b/internal/upstream/retrybudget/spend.go
@@ -3,7 +3,11 @@
 // decisions. In a bad hour every txn wants a further hop, and without a budget the load doubles just then.
 package retrybudget
 
-import "sort"
+import (
+	"sort"
+
+	"cairnfront/routing"
+)
 
 const (
 	slots    = 8   // of the window: old hops leave it an eighth at a time
@@ -20,8 +24,8 @@
 
 // Scope is what a budget is for: a remap rule, or a member where it is named.
 type Scope struct {
-	Class    int
-	Endpoint string
+	Class    routing.ClassIndex
+	Endpoint routing.EndpointID
 }
 
 // Change says that a budget is spent, or open again.
@@ -48,7 +52,7 @@
 // New makes a ledger; a share of 0 or less is no budget at all.
 func New(t Limits) *Budget { return &Budget{terms: t, accounts: map[Scope]*account{}} }
 
-func scopes(rule int, member string) [2]Scope {
+func scopes(rule routing.ClassIndex, member routing.EndpointID) [2]Scope {
 	return [2]Scope{{Class: rule}, {Class: -1, Endpoint: member}}
 }
 
@@ -89,7 +93,7 @@
 }
 
 // Sent notes a hop: a txn's first, or a further one.
-func (l *Budget) RecordAttempt(now float64, rule int, member string, further bool) {
+func (l *Budget) RecordAttempt(now float64, rule routing.ClassIndex, member routing.EndpointID, further bool) {
 	if l.terms.RetryRatio <= 0 {
 		return
 	}
--- a/internal/upstream/send_test.go
+++ b/internal/upstream/send_test.go
@@ -233,8 +233,8 @@
 	assert.NotSame(t, b.Connection(), s.send("b", 0, b.Connection()).Connection(), "the id is not used again where it may still be answered")
 }
 
-// TestGivenUpOnceTold: a hop that its member knows of is over when the member has been told, not before: a further hop
-// would be a second one out at the same time. Where the member takes nothing, the connection's end tells it.
+// TestGivenUpOnceTold: a hop that its member knows of is over when the member has been told, not before: a further
+// hop would be a second one out at the same time. Where the member takes nothing, the connection's end tells it.
 func TestGivenUpOnceTold(t *testing.T) {
 	for _, reads := range []bool{true, false} {
 		s := pool(t)
@@ -280,7 +280,7 @@
 			assert.Contains(t, s.after(t, a.Connection()), "code=stalled")
 			continue
 		}
-		assert.Eventually(t, func() bool { return a.link.c.FrameStartUnixNano() != 0 }, time.Minute, time.Millisecond)
+		assert.Eventually(t, func() bool { return a.connection.conn.FrameStartUnixNano() != 0 }, time.Minute, time.Millisecond)
 		go func() { _, _ = io.Copy(io.Discard, far) }()
 		s.Cancel(a, routing.TimedOut)
 		assert.Equal(t, routing.TimedOut, s.end(t).End.Result)
@@ -373,14 +373,14 @@
 	assert.Nil(t, s.send("c", 0))
 }
 
-// TestNothingBeginsForAClientThatLeft: a hop that waits for its connection, or its turn on one, is never written once its
-// client is gone, though the route stage has not heard of it; what else waits there goes on.
+// TestNothingBeginsForAClientThatLeft: a hop that waits for its connection, or its turn on one, is never written
+// once its client is gone, though the route stage has not heard of it; what else waits there goes on.
 func TestNothingBeginsForAClientThatLeft(t *testing.T) {
 	s := pool(t)
 	hold := s.holdDials()
 	a := s.send("a", 0)
 	b := s.send("b", 0)
-	a.txn.Cancel()
+	a.request.Cancel()
 	close(hold)
 	r := bufio.NewReader(<-s.dialed)
 	assert.Equal(t, "do b", asked(t, r))
@@ -427,7 +427,8 @@
 	}
 }
 
-// TestHalfALineThatMeetsAnEndIsNotReset: or the first part of a long answer, so long that it can't all be read before; of a member that left the list, of an idle connection, at the router's end.
+// TestHalfALineThatMeetsAnEndIsNotReset: or the first part of a long answer, so long that it can't all be read
+// before; of a member that left the list, of an idle connection, at the router's end.
 func TestHalfALineThatMeetsAnEndIsNotReset(t *testing.T) {
 	for _, how := range []string{"unlisted", "idle", "shutdown"} {
 		s := pool(t)
--- a/internal/upstream/several_test.go
+++ b/internal/upstream/several_test.go
@@ -109,11 +109,11 @@
 	assert.Equal(t, "do a", asked(t, r))
 	_, _ = io.WriteString(far, "a not_here - 0\r\n\r\n")
 	assert.Equal(t, AttemptEnded{Attempt: c, End: request.AttemptEnd{Result: routing.CacheMiss}}, s.hear(t))
-	assert.Equal(t, "refused", s.AddressSelector.Status(unix(time.Now()))[0].Condition)
+	assert.Equal(t, "refused", s.AddressSelector.Status(unixSeconds(time.Now()))[0].Condition)
 }
 
-// The first address hangs: after its stagger the second is tried beside it, and the hop goes there. The first comes up
-// later and is closed.
+// The first address hangs: after its stagger the second is tried beside it, and the hop goes there. The first comes
+// up later and is closed.
 func TestAHungAddressIsPassedAndClosedWhenItComesUp(t *testing.T) {
 	s := several(t, 20)
 	s.send("a", 0)
@@ -125,7 +125,7 @@
 	case x.to <- nil:
 	default:
 	}
-	assert.Equal(t, string(second), s.members["m"].links[0].over())
+	assert.Equal(t, string(second), s.endpoints["m"].connections[0].dialedAddr())
 }
 
 // Both come up at the same moment: one is used, and the other is closed without a byte.
@@ -171,9 +171,9 @@
 
 func TestAllAddressesRestingIsToldAtOnce(t *testing.T) {
 	s := several(t, 20)
-	now := unix(time.Now())
-	s.AddressSelector.DialEnded(now, "m", first, address.Refused, 0)
-	s.AddressSelector.DialEnded(now, "m", second, address.Refused, 0)
+	now := unixSeconds(time.Now())
+	s.AddressSelector.DialEnded(now, "m", first, address.DialRefused, 0)
+	s.AddressSelector.DialEnded(now, "m", second, address.DialRefused, 0)
 	c := s.send("a", 0)
 	assert.Equal(t, AttemptEnded{Attempt: c, End: request.AttemptEnd{Result: routing.ConnectFailed}}, s.hear(t))
 	assert.Empty(t, s.attempts)
@@ -218,7 +218,7 @@
 	assert.Equal(t, "do a", asked(t, r))
 	require.Eventually(t, func() bool { // the watch tells it once it has waited for long enough
 		s.CheckAddresses(time.Now())
-		return s.AddressSelector.Status(unix(time.Now()))[0].Condition == "quiet"
+		return s.AddressSelector.Status(unixSeconds(time.Now()))[0].Condition == "quiet"
 	}, 5*time.Second, 10*time.Millisecond)
 	b := s.send("b", 0)
 	assert.NotSame(t, a.Connection(), b.Connection())
@@ -233,7 +233,7 @@
 	assert.Same(t, b.Connection(), c.Connection())
 	_, _ = io.WriteString(far, "a not_here - 0\r\n\r\n")
 	assert.Equal(t, a, s.hear(t).Attempt, "its late answer is its end")
-	assert.Equal(t, "well", s.AddressSelector.Status(unix(time.Now()))[0].Condition)
+	assert.Equal(t, "well", s.AddressSelector.Status(unixSeconds(time.Now()))[0].Condition)
 }
 
 // A member that starts again is another one: its old links get no new hop.
@@ -255,14 +255,14 @@
 // A rested address is looked at with a connection that carries nothing.
 func TestALookCarriesNothing(t *testing.T) {
 	s := several(t, 40)
-	s.AddressSelector.DialEnded(unix(time.Now()), "m", first, address.Refused, 0)
+	s.AddressSelector.DialEnded(unixSeconds(time.Now()), "m", first, address.DialRefused, 0)
 	s.CheckAddresses(time.Now().Add(time.Minute))
 	x := <-s.attempts
 	assert.Equal(t, string(first), x.addr)
 	far := x.up()
 	s.dialed()
-	assert.Equal(t, "well", s.AddressSelector.Status(unix(time.Now()))[0].Condition)
-	require.Eventually(t, func() bool { s.send("a", 0); return len(s.members["m"].links) > 0 }, time.Second, time.Millisecond)
+	assert.Equal(t, "well", s.AddressSelector.Status(unixSeconds(time.Now()))[0].Condition)
+	require.Eventually(t, func() bool { s.send("a", 0); return len(s.endpoints["m"].connections) > 0 }, time.Second, time.Millisecond)
 	assert.Equal(t, "do a", asked(t, bufio.NewReader(far)), "and then it is warm")
 }
 
@@ -285,8 +285,8 @@
 	}
 }
 
-// On real sockets: a Unix socket's file that is gone, one that is no socket, and a black hole are passed for the address
-// that answers, and only that one gets a byte.
+// On real sockets: a Unix socket's file that is gone, one that is no socket, and a black hole are passed for the
+// address that answers, and only that one gets a byte.
 func TestBadAddressesOfEveryKindArePassed(t *testing.T) {
 	dir := t.TempDir()
 	file := filepath.Join(dir, "file")
@@ -310,7 +310,7 @@
 	_, _ = io.WriteString(far, "a not_here - 0\r\n\r\n")
 	assert.Equal(t, AttemptEnded{Attempt: c, End: request.AttemptEnd{Result: routing.CacheMiss}}, s.hear(t))
 	for i, want := range []string{"refused", "refused"} {
-		assert.Equal(t, want, s.AddressSelector.Status(unix(time.Now()))[i].Condition)
+		assert.Equal(t, want, s.AddressSelector.Status(unixSeconds(time.Now()))[i].Condition)
 	}
 }
 
