--- a/internal/diskcache/eviction/cafe_test.go
+++ b/internal/diskcache/eviction/cafe_test.go
@@ -12,7 +12,8 @@
 
 func key(o, p int) Key { return Key{uint64(o), uint32(p)} }
 
-// fullDisk returns a policy with a full disk of ten chunks of ten bytes, requested twice each, a second apart, until t = 20.
+// fullDisk returns a policy with a full disk of ten chunks of ten bytes, requested twice each, a second apart, until
+// t = 20.
 func fullDisk(alpha float64) *Cafe {
 	c := NewCafe(Config{Alpha: alpha, CapacityBytes: 100, MaxGhosts: 100})
 	for i := range 20 {
@@ -109,7 +110,9 @@
 func TestCafeProperties(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		c := NewCafe(Config{
-			Alpha: rapid.SampledFrom([]float64{0.5, 1, 2, 4}).Draw(t, "alpha"), CapacityBytes: 500, MaxGhosts: 20,
+			Alpha:           rapid.SampledFrom([]float64{0.5, 1, 2, 4}).Draw(t, "alpha"),
+			CapacityBytes:   500,
+			MaxGhosts:       20,
 			DailyWriteBytes: rapid.SampledFrom([]int64{0, 100000}).Draw(t, "daily"),
 		})
 		now, cached := 1000.0, map[Key]int64{}
--- a/internal/diskcache/eviction/golden_test.go
+++ b/internal/diskcache/eviction/golden_test.go
@@ -69,9 +69,9 @@
 			printDecision(&out, key, size, policy.Request(now, key, size))
 		}
 		history, known := policy.History(key)
-		fmt.Fprintf(&out, "  bytes=%d n=%d ghosts=%d has=%v T=%.9g gap=%.9g budget=%.9g known=%v %.9g %.9g\n", policy.Bytes(),
-			policy.Chunks(), policy.Ghosts(), policy.Contains(key), policy.CacheAge(now), policy.Gap(now, key),
-			policy.WriteBudget(now), known, history.MeanGap, history.LastAccess)
+		fmt.Fprintf(&out, "  bytes=%d n=%d ghosts=%d has=%v T=%.9g gap=%.9g budget=%.9g known=%v %.9g %.9g\n",
+			policy.Bytes(), policy.Chunks(), policy.Ghosts(), policy.Contains(key), policy.CacheAge(now),
+			policy.Gap(now, key), policy.WriteBudget(now), known, history.MeanGap, history.LastAccess)
 	}
 	return out.String()
 }
