--- a/routing/brain_test.go
+++ b/routing/brain_test.go
@@ -82,7 +82,7 @@
 	h := of[StartAttempt](r.Decide(100, arrival("t", "x")))
 	require.Len(t, h, 1)
 	assert.Equal(t, 0, h[0].RetentionRank)
-	assert.Contains(t, []string{"p0", "p1"}, h[0].Source)
+	assert.Contains(t, []EndpointID{"p0", "p1"}, h[0].Source)
 }
 
 func TestAnswerAtTheTimeLimit(t *testing.T) {
@@ -158,7 +158,7 @@
 	assert.Len(t, x.hops, 1)
 	acts := r.Decide(100.41, AttemptEnded{Request: "t", Endpoint: "c0", Result: Cancelled})
 	require.Len(t, of[StartAttempt](acts), 1)
-	assert.NotEqual(t, "c0", of[StartAttempt](acts)[0].Endpoint)
+	assert.NotEqual(t, EndpointID("c0"), of[StartAttempt](acts)[0].Endpoint)
 }
 
 func TestUnrepeatableIsNotCancelledWhenSilent(t *testing.T) {
@@ -182,8 +182,8 @@
 			hops := of[StartAttempt](r.Decide(100, arrival(RequestID(fmt.Sprint(i)), "x")))
 			assert.Len(t, hops, 1)
 			for _, h := range hops {
-				assert.Equal(t, "c2", h.Endpoint)
-				assert.Equal(t, "p1", h.Source)
+				assert.Equal(t, EndpointID("c2"), h.Endpoint)
+				assert.Equal(t, EndpointID("p1"), h.Source)
 			}
 		}
 	}
@@ -348,7 +348,7 @@
 	r.think(x)
 	assert.Greater(t, r.member("c0").benched, r.now)
 	require.Len(t, x.hops, 2)
-	assert.NotEqual(t, "c0", x.hops[1].to.ID)
+	assert.NotEqual(t, EndpointID("c0"), x.hops[1].to.ID)
 	assert.Empty(t, of[CancelAttempt](r.acts), "a second copy runs beside the first")
 }
 
@@ -539,7 +539,7 @@
 	}
 	acts := of[StartAttempt](r.Decide(100.05, AttemptEnded{Request: "t", Endpoint: "c0", Result: Cancelled}))
 	require.NotEmpty(t, acts)
-	assert.Equal(t, "small", acts[0].Request)
+	assert.Equal(t, RequestID("small"), acts[0].Request)
 }
 
 func TestBareRecordsAndOddLists(t *testing.T) {
@@ -596,7 +596,7 @@
 	h := of[StartAttempt](r.Decide(100, arrival("t", "x")))
 	require.Len(t, h, 1)
 	assert.True(t, h[0].CacheOnly)
-	assert.Contains(t, []string{"p0", "p1"}, h[0].Source)
+	assert.Contains(t, []EndpointID{"p0", "p1"}, h[0].Source)
 	r.txns["t"].p.near = true // a parent has it: no need to look
 	assert.False(t, of[StartAttempt](r.Decide(100, arrival("u", "x")))[0].CacheOnly)
 }
@@ -678,7 +678,7 @@
 		assert.Equal(t, lost, len(x.hops) == 2)
 		assert.Zero(t, r.member("c0").benched)
 		if lost {
-			assert.NotEqual(t, "c0", x.hops[1].to.ID)
+			assert.NotEqual(t, EndpointID("c0"), x.hops[1].to.ID)
 			assert.InDelta(t, 3*lostMore, r.slow[len(r.slow)-1], 1e-6)
 		}
 	}
