--- a/internal/cacheproto/far.go
+++ b/internal/cacheproto/far.go
@@ -25,7 +25,7 @@
 const MaxRequestBodyBytes = 48000
 
 // UnknownGroup is the group of a copy of which nobody told it.
-const UnknownGroup = 0xffff
+const UnknownPurgeGroup = 0xffff
 
 // Asked is a line that comes to a cache box. What is text goes on unchanged.
 type Command struct {
@@ -35,7 +35,7 @@
 	Object         string
 	Part           string
 	ObjectID       uint64
-	PartIndex      uint32
+	PartNumber     uint32
 	TimeoutSeconds float64 // seconds
 	IdempotencyKey string
 	FillSource     string
@@ -86,7 +86,7 @@
 			ok = ok && err == nil && len(v) == 16
 		case "nth":
 			n, err := strconv.ParseUint(v, 10, 31)
-			a.Part, a.PartIndex, ok = v, uint32(n), ok && err == nil
+			a.Part, a.PartNumber, ok = v, uint32(n), ok && err == nil
 		case "max":
 			a.TimeoutSeconds = ms()
 		case "replay":
@@ -129,13 +129,13 @@
 }
 
 // Reply is an answer of a cache box. The bytes of its body have to follow, and End.
-type AttemptResult struct {
-	Code             routing.AttemptResult
+type AttemptReply struct {
+	Result           routing.AttemptResult
 	NotModified      bool
-	Remark           routing.ResultDetail
+	Detail           routing.ResultDetail
 	ETag             string
 	OriginUnixMillis int64 // Unix ms, 0 for none
-	Group            int   // UnknownGroup for none
+	PurgeGroup       int   // UnknownGroup for none
 	BodyBytes        int
 }
 
@@ -143,8 +143,8 @@
 	routing.NotSent: "nobody", routing.CacheMiss: "not_here"}
 
 // AppendReply writes the line of an answer.
-func AppendAttemptResult(b []byte, id string, r AttemptResult) []byte {
-	word := replies[r.Code]
+func AppendAttemptReply(b []byte, id string, r AttemptReply) []byte {
+	word := replies[r.Result]
 	if r.NotModified {
 		word = "still_good"
 	}
@@ -156,18 +156,18 @@
 		}
 		b = append(append(append(b, name...), '='), v...)
 	}
-	if r.Code == routing.Completed {
+	if r.Result == routing.Completed {
 		if r.ETag != "" {
 			field("digest", r.ETag)
 		}
 		if r.OriginUnixMillis > 0 {
 			field("dated", strconv.FormatInt(r.OriginUnixMillis, 10))
 		}
-		if r.OriginUnixMillis > 0 && r.Group != UnknownGroup {
-			field(groupField, strconv.Itoa(r.Group))
+		if r.OriginUnixMillis > 0 && r.PurgeGroup != UnknownPurgeGroup {
+			field(groupField, strconv.Itoa(r.PurgeGroup))
 		}
 		for mark, is := range remarks {
-			if is == r.Remark {
+			if is == r.Detail {
 				field("remark", mark)
 			}
 		}
--- a/internal/cacheproto/golden_test.go
+++ b/internal/cacheproto/golden_test.go
@@ -19,42 +19,42 @@
 // goldenResults holds each form of an attempt's result as it stands on the wire, and what it is decoded to.
 var goldenResults = []struct {
 	line     string
-	encoded  AttemptResult
+	encoded  AttemptReply
 	response Response
 }{
 	{
 		"a1 served digest=d1,dated=1764576000123,bucket=17,remark=h 4\r\n",
-		AttemptResult{Code: routing.Completed, Remark: routing.CacheHit, ETag: "d1", OriginUnixMillis: 1764576000123, Group: 17, BodyBytes: 4},
+		AttemptReply{Result: routing.Completed, Detail: routing.CacheHit, ETag: "d1", OriginUnixMillis: 1764576000123, PurgeGroup: 17, BodyBytes: 4},
 		Response{ID: "a1", BodyBytes: 4, AttemptEnd: request.AttemptEnd{Result: routing.Completed, Detail: routing.CacheHit, ETag: "d1", OriginUnixMillis: 1764576000123, PurgeGroupPlusOne: 18}},
 	},
 	{
 		"a1 served digest=d1,dated=7,remark=f 240000\r\n",
-		AttemptResult{Code: routing.Completed, Remark: routing.Filled, ETag: "d1", OriginUnixMillis: 7, Group: UnknownGroup, BodyBytes: 240000},
+		AttemptReply{Result: routing.Completed, Detail: routing.Filled, ETag: "d1", OriginUnixMillis: 7, PurgeGroup: UnknownPurgeGroup, BodyBytes: 240000},
 		Response{ID: "a1", BodyBytes: 240000, AttemptEnd: request.AttemptEnd{Result: routing.Completed, Detail: routing.Filled, ETag: "d1", OriginUnixMillis: 7}},
 	},
 	{
 		"a1 served remark=j 0\r\n",
-		AttemptResult{Code: routing.Completed, Remark: routing.JoinedFill, Group: 3},
+		AttemptReply{Result: routing.Completed, Detail: routing.JoinedFill, PurgeGroup: 3},
 		Response{ID: "a1", AttemptEnd: request.AttemptEnd{Result: routing.Completed, Detail: routing.JoinedFill}},
 	},
 	{
 		"a1 served - 0\r\n",
-		AttemptResult{Code: routing.Completed, Group: UnknownGroup},
+		AttemptReply{Result: routing.Completed, PurgeGroup: UnknownPurgeGroup},
 		Response{ID: "a1", AttemptEnd: request.AttemptEnd{Result: routing.Completed}},
 	},
 	{
 		"a1 still_good digest=d1,dated=7,bucket=0,remark=s 0\r\n",
-		AttemptResult{Code: routing.Completed, NotModified: true, Remark: routing.StaleHit, ETag: "d1", OriginUnixMillis: 7},
+		AttemptReply{Result: routing.Completed, NotModified: true, Detail: routing.StaleHit, ETag: "d1", OriginUnixMillis: 7},
 		Response{ID: "a1", AttemptEnd: request.AttemptEnd{Result: routing.Completed, NotModified: true, Detail: routing.StaleHit, ETag: "d1", OriginUnixMillis: 7, PurgeGroupPlusOne: 1}},
 	},
 	{
 		"a1 not_here - 0\r\n",
-		AttemptResult{Code: routing.CacheMiss, Remark: routing.JoinedFill, ETag: "d1"},
+		AttemptReply{Result: routing.CacheMiss, Detail: routing.JoinedFill, ETag: "d1"},
 		Response{ID: "a1", AttemptEnd: request.AttemptEnd{Result: routing.CacheMiss}},
 	},
-	{"a1 overload - 0\r\n", AttemptResult{Code: routing.Overloaded}, Response{ID: "a1", AttemptEnd: request.AttemptEnd{Result: routing.Overloaded}}},
-	{"a1 crashed - 0\r\n", AttemptResult{Code: routing.ServerError}, Response{ID: "a1", AttemptEnd: request.AttemptEnd{Result: routing.ServerError}}},
-	{"a1 nobody - 0\r\n", AttemptResult{Code: routing.NotSent}, Response{ID: "a1", AttemptEnd: request.AttemptEnd{Result: routing.NotSent}}},
+	{"a1 overload - 0\r\n", AttemptReply{Result: routing.Overloaded}, Response{ID: "a1", AttemptEnd: request.AttemptEnd{Result: routing.Overloaded}}},
+	{"a1 crashed - 0\r\n", AttemptReply{Result: routing.ServerError}, Response{ID: "a1", AttemptEnd: request.AttemptEnd{Result: routing.ServerError}}},
+	{"a1 nobody - 0\r\n", AttemptReply{Result: routing.NotSent}, Response{ID: "a1", AttemptEnd: request.AttemptEnd{Result: routing.NotSent}}},
 }
 
 func TestCommandsAreEncodedToTheGoldenBytes(t *testing.T) {
@@ -77,8 +77,8 @@
 		Revalidate:    true,
 	}
 	for want, got := range map[string][]byte{
-		goldenAttempt:      AppendAttempt(nil, Attempt{Txn: whole, TimeoutSeconds: 1.5, FillSource: "s-1", StartAttempt: action}),
-		goldenPlainAttempt: AppendAttempt(nil, Attempt{Txn: plain, TimeoutSeconds: 0.25}),
+		goldenAttempt:      AppendAttempt(nil, Attempt{Request: whole, TimeoutSeconds: 1.5, FillSource: "s-1", StartAttempt: action}),
+		goldenPlainAttempt: AppendAttempt(nil, Attempt{Request: plain, TimeoutSeconds: 0.25}),
 		"undo a1\r\n":      AppendCancel(nil, "a1"),
 		"ping c1\r\n":      AppendProbe(nil, "c1", false),
 		"top c1\r\n":       AppendProbe(nil, "c1", true),
@@ -95,7 +95,7 @@
 			Object:         "7f3a9c21e0b4d655",
 			ObjectID:       0x7f3a9c21e0b4d655,
 			Part:           "3",
-			PartIndex:      3,
+			PartNumber:     3,
 			TimeoutSeconds: 1.5,
 			IdempotencyKey: "k1",
 			FillSource:     "s-1",
@@ -130,7 +130,7 @@
 
 func TestResultsMatchTheGoldenBytes(t *testing.T) {
 	for _, c := range goldenResults {
-		assert.Equal(t, c.line, string(AppendAttemptResult(nil, "a1", c.encoded)))
+		assert.Equal(t, c.line, string(AppendAttemptReply(nil, "a1", c.encoded)))
 		got, err := ParseResponse([]byte(c.line[:len(c.line)-len(LineEnd)]))
 		require.NoError(t, err, c.line)
 		assert.Equal(t, c.response, got, c.line)
--- a/internal/cacheproto/line.go
+++ b/internal/cacheproto/line.go
@@ -22,7 +22,7 @@
 
 // Do is a hop as it goes to a member. Fill names who fills a miss, empty for nobody.
 type Attempt struct {
-	Txn            *request.Request
+	Request        *request.Request
 	TimeoutSeconds float64 // seconds
 	FillSource     string
 	routing.StartAttempt
@@ -30,7 +30,7 @@
 
 // AppendDo writes the line of a hop; the body and End have to follow.
 func AppendAttempt(b []byte, d Attempt) []byte {
-	t := d.Txn
+	t := d.Request
 	b = append(append(append(b, "do "...), t.ID...), " profile="...)
 	b = append(append(b, t.ClassName...), ",thing="...)
 	b = append(append(b, t.Object...), ",nth="...)
--- a/internal/cacheproto/line_test.go
+++ b/internal/cacheproto/line_test.go
@@ -14,11 +14,11 @@
 		Body: &request.Body{Bytes: []byte("ab")}}
 	assert.Equal(t, "do 9b1f03aa5c7e2d41 profile=page,thing=7f3a9c21e0b4d655,nth=3,max=1500,replay=k1,parent=s-1,shelf=2,"+
 		"accept=12,hints=ride+have-only+through+update,got=t1 2\r\n",
-		string(AppendAttempt(nil, Attempt{Txn: x, TimeoutSeconds: 1.5004, FillSource: "s-1", StartAttempt: routing.StartAttempt{RetentionRank: 2, MaxAgeSeconds: 0.0129, JoinFill: true,
+		string(AppendAttempt(nil, Attempt{Request: x, TimeoutSeconds: 1.5004, FillSource: "s-1", StartAttempt: routing.StartAttempt{RetentionRank: 2, MaxAgeSeconds: 0.0129, JoinFill: true,
 			CacheOnly: true, ParentNoStore: true, Revalidate: true}})))
 	x.Body, x.IdempotencyKey, x.ETag = nil, "", ""
 	assert.Equal(t, "do 9b1f03aa5c7e2d41 profile=page,thing=7f3a9c21e0b4d655,nth=3,max=1,accept=1 0\r\n",
-		string(AppendAttempt(nil, Attempt{Txn: x, TimeoutSeconds: 1e-5, StartAttempt: routing.StartAttempt{MaxAgeSeconds: 2e-6}})), "no time and no age becomes 0")
+		string(AppendAttempt(nil, Attempt{Request: x, TimeoutSeconds: 1e-5, StartAttempt: routing.StartAttempt{MaxAgeSeconds: 2e-6}})), "no time and no age becomes 0")
 	assert.Equal(t, "undo ab\r\nping c1\r\ntop c2\r\n",
 		string(AppendProbe(AppendProbe(AppendCancel(nil, "ab"), "c1", false), "c2", true)))
 }
@@ -63,19 +63,19 @@
 func TestBothSidesAgree(t *testing.T) {
 	x := &request.Request{ID: "9b1f03aa5c7e2d41", ClassName: "page", Object: "7f3a9c21e0b4d655", Part: "3", IdempotencyKey: "k1", ETag: "t1", Body: &request.Body{Bytes: []byte("hi")}}
 	hop := routing.StartAttempt{RetentionRank: 2, MaxAgeSeconds: 0.012, JoinFill: true, CacheOnly: true, ParentNoStore: true, Revalidate: true}
-	text := AppendAttempt(nil, Attempt{Txn: x, TimeoutSeconds: 1.5, FillSource: "s-1", StartAttempt: hop})
+	text := AppendAttempt(nil, Attempt{Request: x, TimeoutSeconds: 1.5, FillSource: "s-1", StartAttempt: hop})
 	a, err := ParseCommand(text[:len(text)-2])
 	assert.NoError(t, err)
-	assert.Equal(t, Command{ID: x.ID, ClassName: "page", Object: x.Object, ObjectID: 0x7f3a9c21e0b4d655, Part: "3", PartIndex: 3, TimeoutSeconds: 1.5, IdempotencyKey: "k1",
+	assert.Equal(t, Command{ID: x.ID, ClassName: "page", Object: x.Object, ObjectID: 0x7f3a9c21e0b4d655, Part: "3", PartNumber: 3, TimeoutSeconds: 1.5, IdempotencyKey: "k1",
 		FillSource: "s-1", ETag: "t1", StartAttempt: hop, BodyBytes: 2}, a)
-	for _, r := range []AttemptResult{{Code: routing.Completed, Remark: routing.CacheHit, ETag: "t", OriginUnixMillis: 7, Group: 12, BodyBytes: 4},
-		{Code: routing.Completed, NotModified: true, Remark: routing.StaleHit, ETag: "t", OriginUnixMillis: 7, Group: UnknownGroup}, {Code: routing.Overloaded, Group: UnknownGroup},
-		{Code: routing.CacheMiss, Group: UnknownGroup}, {Code: routing.ServerError, Group: UnknownGroup}} {
-		text := AppendAttemptResult(nil, "ab", r)
+	for _, r := range []AttemptReply{{Result: routing.Completed, Detail: routing.CacheHit, ETag: "t", OriginUnixMillis: 7, PurgeGroup: 12, BodyBytes: 4},
+		{Result: routing.Completed, NotModified: true, Detail: routing.StaleHit, ETag: "t", OriginUnixMillis: 7, PurgeGroup: UnknownPurgeGroup}, {Result: routing.Overloaded, PurgeGroup: UnknownPurgeGroup},
+		{Result: routing.CacheMiss, PurgeGroup: UnknownPurgeGroup}, {Result: routing.ServerError, PurgeGroup: UnknownPurgeGroup}} {
+		text := AppendAttemptReply(nil, "ab", r)
 		got, err := ParseResponse(text[:len(text)-2])
 		assert.NoError(t, err, string(text))
-		group := (r.Group + 1) % (UnknownGroup + 1)
-		assert.Equal(t, Response{ID: "ab", BodyBytes: r.BodyBytes, AttemptEnd: request.AttemptEnd{Result: r.Code, Detail: r.Remark, ETag: r.ETag, OriginUnixMillis: r.OriginUnixMillis, PurgeGroupPlusOne: group, NotModified: r.NotModified}}, got)
+		group := (r.PurgeGroup + 1) % (UnknownPurgeGroup + 1)
+		assert.Equal(t, Response{ID: "ab", BodyBytes: r.BodyBytes, AttemptEnd: request.AttemptEnd{Result: r.Result, Detail: r.Detail, ETag: r.ETag, OriginUnixMillis: r.OriginUnixMillis, PurgeGroupPlusOne: group, NotModified: r.NotModified}}, got)
 	}
 }
 
--- a/internal/dispatch/route.go
+++ b/internal/dispatch/route.go
@@ -425,7 +425,7 @@
 	if a.Deadline > 0 {
 		until = min(until, a.Deadline)
 	}
-	d := cacheproto.Attempt{Txn: o.t, TimeoutSeconds: until - l.now, FillSource: l.fill(a), StartAttempt: a}
+	d := cacheproto.Attempt{Request: o.t, TimeoutSeconds: until - l.now, FillSource: l.fill(a), StartAttempt: a}
 	if l.RetryBudget != nil {
 		l.RetryBudget.RecordAttempt(l.now, routing.ClassIndex(o.t.Class), a.Endpoint, h.no > 0)
 		l.later(l.spare)
--- a/internal/edgecache/box.go
+++ b/internal/edgecache/box.go
@@ -280,7 +280,7 @@
 		a.body.Free()
 		if !p.over {
 			b.Telemetry.Add("box.turned-away", 1)
-			p.say(item{head: cacheproto.AppendAttemptResult(nil, a.line.ID, cacheproto.AttemptResult{Code: routing.Overloaded})})
+			p.say(item{head: cacheproto.AppendAttemptReply(nil, a.line.ID, cacheproto.AttemptReply{Result: routing.Overloaded})})
 		}
 		return
 	}
@@ -294,13 +294,13 @@
 	rule, known := b.rules[a.line.ClassName]
 	if !known {
 		b.Telemetry.Add("box.unknown-rule", 1)
-		b.finish(a, cacheproto.AttemptResult{Code: routing.ServerError}, nil)
+		b.finish(a, cacheproto.AttemptReply{Result: routing.ServerError}, nil)
 		return
 	}
 	done, ok := b.machine.Process(now)
 	if !ok {
 		b.Telemetry.Add("box.overload", 1)
-		b.finish(a, cacheproto.AttemptResult{Code: routing.Overloaded}, nil)
+		b.finish(a, cacheproto.AttemptReply{Result: routing.Overloaded}, nil)
 		return
 	}
 	b.after(done, func() {
@@ -337,22 +337,22 @@
 	if !rule.Cacheable {
 		err := b.Origin.Execute(a.line.ID, a.line.ClassName, a.line.IdempotencyKey, a.key, rule.Effect)
 		if err != nil {
-			b.finish(a, cacheproto.AttemptResult{Code: routing.ServerError}, nil)
+			b.finish(a, cacheproto.AttemptReply{Result: routing.ServerError}, nil)
 			return
 		}
 		b.Telemetry.Add("box.ran", 1)
-		b.finish(a, cacheproto.AttemptResult{Code: routing.Completed}, nil)
+		b.finish(a, cacheproto.AttemptReply{Result: routing.Completed}, nil)
 		return
 	}
 	dated := b.now().UnixMilli()
 	tag, group, body, ok := b.Origin.Get(a.key)
 	switch {
 	case !ok:
-		b.finish(a, cacheproto.AttemptResult{Code: routing.CacheMiss}, nil)
+		b.finish(a, cacheproto.AttemptReply{Result: routing.CacheMiss}, nil)
 	case tag == a.line.ETag:
-		b.finish(a, cacheproto.AttemptResult{Code: routing.Completed, NotModified: true, Remark: routing.CacheHit, ETag: tag, OriginUnixMillis: dated, Group: int(group)}, nil)
+		b.finish(a, cacheproto.AttemptReply{Result: routing.Completed, NotModified: true, Detail: routing.CacheHit, ETag: tag, OriginUnixMillis: dated, PurgeGroup: int(group)}, nil)
 	default:
-		b.finish(a, cacheproto.AttemptResult{Code: routing.Completed, Remark: routing.CacheHit, ETag: tag, OriginUnixMillis: dated, Group: int(group)}, body)
+		b.finish(a, cacheproto.AttemptReply{Result: routing.Completed, Detail: routing.CacheHit, ETag: tag, OriginUnixMillis: dated, PurgeGroup: int(group)}, body)
 	}
 }
 
@@ -372,14 +372,14 @@
 }
 
 // finish ends a txn with an answer; its bytes go out when the machine that is played has sent them.
-func (b *Server) finish(a *asked, r cacheproto.AttemptResult, body []byte) {
+func (b *Server) finish(a *asked, r cacheproto.AttemptReply, body []byte) {
 	if b.open[a.no] != a || a.sent {
 		return
 	}
 	a.sent = true
 	r.BodyBytes = len(body)
-	b.Telemetry.Add("box.answers."+a.line.ClassName+"."+codes[r.Code]+remarks[r.Remark], 1)
-	b.Telemetry.Add("box.bytes."+remarks[r.Remark], int64(len(body)))
+	b.Telemetry.Add("box.answers."+a.line.ClassName+"."+codes[r.Result]+remarks[r.Detail], 1)
+	b.Telemetry.Add("box.bytes."+remarks[r.Detail], int64(len(body)))
 	b.after(b.machine.Transmit(seconds(b.now()), len(body)), func() {
 		if b.open[a.no] != a {
 			return
@@ -388,7 +388,7 @@
 			b.OnResponse(a.line.ID, len(body))
 		}
 		b.close(a)
-		a.peer.say(item{head: cacheproto.AppendAttemptResult(nil, a.line.ID, r), body: body})
+		a.peer.say(item{head: cacheproto.AppendAttemptReply(nil, a.line.ID, r), body: body})
 	})
 }
 
@@ -440,10 +440,10 @@
 	if x == nil {
 		return
 	}
-	r := cacheproto.AttemptResult{Code: a.Code, Remark: a.Remark, NotModified: a.NotModified, Group: cacheproto.UnknownGroup}
+	r := cacheproto.AttemptReply{Result: a.Code, Detail: a.Remark, NotModified: a.NotModified, PurgeGroup: cacheproto.UnknownPurgeGroup}
 	var body []byte
 	if c := a.Copy; c != nil {
-		r.ETag, r.OriginUnixMillis, r.Group = c.Tag, c.IssuedAt, int(c.Group)
+		r.ETag, r.OriginUnixMillis, r.PurgeGroup = c.Tag, c.IssuedAt, int(c.Group)
 		if !a.NotModified {
 			body = c.Body
 		}
@@ -474,7 +474,7 @@
 	if a := b.open[f.Request]; a != nil {
 		t.IdempotencyKey, t.Body = a.line.IdempotencyKey, a.body
 	}
-	call := b.pool.Send(cacheproto.Attempt{Txn: t, TimeoutSeconds: f.TimeoutSeconds, StartAttempt: routing.StartAttempt{Endpoint: routing.EndpointID(f.Source), RetentionRank: f.Rank, MaxAgeSeconds: f.MaxAge, JoinFill: f.Join,
+	call := b.pool.Send(cacheproto.Attempt{Request: t, TimeoutSeconds: f.TimeoutSeconds, StartAttempt: routing.StartAttempt{Endpoint: routing.EndpointID(f.Source), RetentionRank: f.Rank, MaxAgeSeconds: f.MaxAge, JoinFill: f.Join,
 		CacheOnly: f.NoFetch, ParentNoStore: f.NoTrace}}, nil, fillOwner(f.Fill))
 	if call == nil {
 		b.post(due{func() {
@@ -639,7 +639,7 @@
 			b.post(checked{p, a.ID, a.Kind == cacheproto.CommandProbeLoad})
 			continue
 		}
-		x := &asked{peer: p, line: a, key: eviction.Key{Object: a.ObjectID, Chunk: a.PartIndex}}
+		x := &asked{peer: p, line: a, key: eviction.Key{Object: a.ObjectID, Chunk: a.PartNumber}}
 		if a.BodyBytes > 0 {
 			if x.body, err = b.pool.Admission.Bodies.Allocate(ctx, a.BodyBytes); err != nil {
 				return netconn.Shutdown, err
--- a/internal/lab/addresses.go
+++ b/internal/lab/addresses.go
@@ -214,7 +214,7 @@
 			if a.ClassName == "print-order" || a.ClassName == "record" {
 				return nil
 			}
-			return edgecache.SyntheticBody(s.Seed, eviction.Key{Object: a.ObjectID, Chunk: a.PartIndex}, 0, t.made.MinBytes, t.made.MaxBytes)
+			return edgecache.SyntheticBody(s.Seed, eviction.Key{Object: a.ObjectID, Chunk: a.PartNumber}, 0, t.made.MinBytes, t.made.MaxBytes)
 		}
 		members = append(members, m)
 		last := m.doors[len(m.doors)-1] // the notice board knows IPv4 alone
--- a/internal/lab/brownout.go
+++ b/internal/lab/brownout.go
@@ -66,7 +66,7 @@
 			if a.ClassName == "print-order" {
 				return nil
 			}
-			return edgecache.SyntheticBody(s.Seed, eviction.Key{Object: a.ObjectID, Chunk: a.PartIndex}, 0, t.made.MinBytes, t.made.MaxBytes)
+			return edgecache.SyntheticBody(s.Seed, eviction.Key{Object: a.ObjectID, Chunk: a.PartNumber}, 0, t.made.MinBytes, t.made.MaxBytes)
 		}
 		m.fails = func(a cacheproto.Command, n int) bool { // drawn from the txn's id and the hop's number: the same in both plays
 			return failing.Load() && float64(mixed(a.ID, n)%1000) < brownFails*1000
--- a/internal/lab/doors.go
+++ b/internal/lab/doors.go
@@ -234,12 +234,12 @@
 				writing.Lock()
 				defer writing.Unlock()
 				if end(a.ID) {
-					_, _ = c.Write(append(cacheproto.AppendAttemptResult(nil, a.ID, cacheproto.AttemptResult{Code: routing.ServerError}), cacheproto.LineEnd...))
+					_, _ = c.Write(append(cacheproto.AppendAttemptReply(nil, a.ID, cacheproto.AttemptReply{Result: routing.ServerError}), cacheproto.LineEnd...))
 				}
 				return
 			}
 			body := m.body(a)
-			out := cacheproto.AppendAttemptResult(nil, a.ID, cacheproto.AttemptResult{Code: routing.Completed, Remark: routing.CacheHit, ETag: "v1", OriginUnixMillis: time.Now().UnixMilli(), Group: cacheproto.UnknownGroup, BodyBytes: len(body)})
+			out := cacheproto.AppendAttemptReply(nil, a.ID, cacheproto.AttemptReply{Result: routing.Completed, Detail: routing.CacheHit, ETag: "v1", OriginUnixMillis: time.Now().UnixMilli(), PurgeGroup: cacheproto.UnknownPurgeGroup, BodyBytes: len(body)})
 			out = append(append(out, body...), cacheproto.LineEnd...)
 			if now == half {
 				out = out[:len(out)/2]
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -100,7 +100,7 @@
 // response there would be taken for this attempt's. Send returns nil where no connection may be made; then nothing
 // ran.
 func (p *Pool) Send(command cacheproto.Attempt, avoid []*Connection, owner Owner) *Attempt {
-	r := command.Txn
+	r := command.Request
 	return p.start(command.Endpoint, &Attempt{
 		Owner:        owner,
 		id:           r.ID,
--- a/internal/upstream/send_test.go
+++ b/internal/upstream/send_test.go
@@ -71,7 +71,7 @@
 	if body > 0 {
 		x.Body = &request.Body{Bytes: make([]byte, body)}
 	}
-	return s.Send(cacheproto.Attempt{Txn: x, TimeoutSeconds: 1, StartAttempt: routing.StartAttempt{Endpoint: "m"}}, avoid, testOwner(id))
+	return s.Send(cacheproto.Attempt{Request: x, TimeoutSeconds: 1, StartAttempt: routing.StartAttempt{Endpoint: "m"}}, avoid, testOwner(id))
 }
 
 // end waits for the next end of a call.
--- a/internal/upstream/several_test.go
+++ b/internal/upstream/several_test.go
@@ -229,7 +229,7 @@
 	_, _ = io.WriteString(other, "b not_here - 0\r\n\r\n")
 	assert.Equal(t, b, s.hear(t).Attempt)
 	x := &request.Request{ID: "c", ClassName: "order", Object: "ff", Part: "0", Class: 1}
-	c := s.Send(cacheproto.Attempt{Txn: x, TimeoutSeconds: 1, StartAttempt: routing.StartAttempt{Endpoint: "m"}}, nil, testOwner("c"))
+	c := s.Send(cacheproto.Attempt{Request: x, TimeoutSeconds: 1, StartAttempt: routing.StartAttempt{Endpoint: "m"}}, nil, testOwner("c"))
 	assert.Same(t, b.Connection(), c.Connection())
 	_, _ = io.WriteString(far, "a not_here - 0\r\n\r\n")
 	assert.Equal(t, a, s.hear(t).Attempt, "its late answer is its end")
