Routing internals take the field's terms

Types, fields, methods and tuned constants of the decision module are renamed by object: limiter, ejection, attempt, request, endpoint, cached chunk.

--- a/routing/helpers_test.go
+++ b/routing/helpers_test.go
@@ -46,12 +46,12 @@
 }
 
 // sent is a txn of rule 1 whose single hop to c0 ended as told, or is still out.
-func sent(r *Router, end AttemptResult, out bool) *txn {
-	t := &txn{RequestArrived: RequestArrived{Request: "t", Class: 1, SizeKB: 100, Deadline: 105}, seq: 1, came: 100, sla: 0.5}
-	t.obj = r.object("x", 0)
-	t.p = t.obj.part(0)
-	c := r.member("c0")
-	t.hops = []*hop{{to: c, source: c, begun: true, out: out, wanted: out, end: end, sent: 100, over: 100}}
-	r.txns["t"], r.bySeq[1] = t, t
+func sent(r *Router, end AttemptResult, out bool) *request {
+	t := &request{RequestArrived: RequestArrived{Request: "t", Class: 1, SizeKB: 100, Deadline: 105}, token: 1, arrivedAt: 100, objective: 0.5}
+	t.object = r.findOrAddObject("x", 0)
+	t.chunk = t.object.findOrAddChunk(0)
+	c := r.findOrAddEndpoint("c0")
+	t.attempts = []*attempt{{target: c, source: c, started: true, inFlight: out, wanted: out, result: end, sentAt: 100, endedAt: 100}}
+	r.requests["t"], r.requestsByToken[1] = t, t
 	return t
 }
