Transport: frames, queue and TLS are files of their own

The connection's loop parsed frames inline and the queue had a counter that nothing read. Frames keep their bytes by the golden test, and the tests of connections pass.

--- a/internal/replication/transport/golden_test.go
+++ b/internal/replication/transport/golden_test.go
@@ -1,13 +1,12 @@
 package transport
 
 import (
+	"cairnfront/internal/replication/statemachine"
 	"encoding/hex"
 	"os"
 	"strings"
 	"testing"
 
-	"cairnfront/internal/replication/statemachine"
-
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
@@ -53,7 +52,13 @@
 		}},
 		{"raft", Frame{Kind: KindRaft, Shard: 63, Payload: []byte{1, 2, 3}}},
 		{"propose", Frame{Kind: KindPropose, Shard: 7, Number: 1<<40 + 1, Payload: []byte("command")}},
-		{"read", Frame{Kind: KindRead, Shard: 7, Number: 9, Key: "k", ReservationKind: statemachine.KindAttemptLocation}},
+		{"read", Frame{
+			Kind:            KindRead,
+			Shard:           7,
+			Number:          9,
+			Key:             "k",
+			ReservationKind: statemachine.KindAttemptLocation,
+		}},
 		{"result", Frame{Kind: KindResult, Number: 9, Result: result}},
 		{"empty-result", Frame{Kind: KindResult, Number: 10, Result: &statemachine.Result{}}},
 		{"not-leader", Frame{Kind: KindNotLeader, Shard: 7, Number: 9, Replica: 5}},
@@ -61,11 +66,11 @@
 	}
 	assert.Len(t, golden, len(frames))
 	for _, f := range frames {
-		encoded, err := framed(f.frame)
+		encoded, err := encodeFrame(f.frame)
 		require.NoError(t, err, f.name)
 		assert.Equal(t, golden[f.name], encoded, f.name)
 		var decoded Frame
-		require.NoError(t, dec.Unmarshal(golden[f.name][4:], &decoded), f.name)
+		require.NoError(t, decoding.Unmarshal(golden[f.name][lengthBytes:], &decoded), f.name)
 		assert.Equal(t, f.frame, decoded, f.name)
 	}
 }
--- a/internal/replication/transport/transport.go
+++ b/internal/replication/transport/transport.go
@@ -1,74 +1,31 @@
-// Package link is the connections between the ledger's routers: one a pair, with frames of CBOR in it, each side known by the key that
-// the roster has of it. Frames that can't be sent at once wait, bounded; what does not fit is dropped, for everything on it is asked
-// or said again. It decides nothing.
+// Package transport carries frames between the routers that replicate shards: one TLS connection a
+// pair of routers, each side known by its public key in the list of peers.
+//
+// It owns the connections and the bounded queue of frames a peer. A frame that finds no room is
+// dropped, as is one on a connection that fails: whatever goes by frames is asked or sent again by
+// its sender. It decides nothing about what the frames say.
 package transport
 
 import (
 	"context"
 	"crypto/ed25519"
-	"crypto/rand"
 	"crypto/tls"
-	"crypto/x509"
-	"encoding/binary"
-	"errors"
-	"fmt"
-	"io"
-	"math/big"
 	"net"
 	"sync"
 	"time"
 
-	"cairnfront/internal/cborcodec"
-	"cairnfront/internal/replication/statemachine"
-
 	"golang.org/x/sync/errgroup"
 )
 
-// Bounds and times of connections.
-const (
-	MaxFrameBytes   = 8 << 20 // bytes of a frame: a snapshot of a slice with 40,000 promises
-	maxQueuedFrames = 4096    // frames that wait for a peer
-	maxQueuedBytes  = 16 << 20
-	dialEvery       = 200 * time.Millisecond // between attempts, up to
-	dialMost        = 2 * time.Second
-	patience        = 2 * time.Second // for a handshake
-	idleMost        = 10 * time.Second
-	beatEvery       = time.Second
-	protocol        = "cairnfront-ledger/1" // of the handshake: another version is refused before a frame is read
-)
-
-// Kind of a frame.
-type Kind uint8
-
-// The kinds: who speaks; a message of raft; a command or a read for a slice, its answer, and who leads instead; nothing.
+// Times of connections.
 const (
-	KindHello Kind = iota + 1
-	KindRaft
-	KindPropose
-	KindRead
-	KindResult
-	KindNotLeader
-	KindHeartbeat
+	dialInterval      = 200 * time.Millisecond // before the second attempt; it doubles
+	maxDialInterval   = 2 * time.Second
+	handshakeTimeout  = 2 * time.Second
+	idleTimeout       = 10 * time.Second
+	heartbeatInterval = time.Second
 )
 
-// Frame is what goes between two routers. Parts that a version does not know are skipped.
-type Frame struct {
-	Kind            Kind                 `cbor:"1,keyasint"`
-	Shard           int                  `cbor:"2,keyasint,omitempty"`
-	Payload         []byte               `cbor:"3,keyasint,omitempty"` // Raft: the message; Ask: the command
-	Number          uint64               `cbor:"4,keyasint,omitempty"` // of a question
-	Key             string               `cbor:"5,keyasint,omitempty"` // Read
-	ReservationKind statemachine.Kind    `cbor:"6,keyasint,omitempty"` // Read
-	Result          *statemachine.Result `cbor:"7,keyasint,omitempty"` // Answer
-	Replica         uint64               `cbor:"8,keyasint,omitempty"` // Hello: the disk's number; NotHere: who leads, 0 for nobody known
-	StartCount      uint32               `cbor:"9,keyasint,omitempty"` // Hello
-	Zone            string               `cbor:"10,keyasint,omitempty"`
-	ShardVoters     map[int][]uint64     `cbor:"11,keyasint,omitempty"` // Hello: the slices held, with their voters
-	SeenStartCounts map[uint64]uint32    `cbor:"12,keyasint,omitempty"` // Hello: how often each disk was seen to start
-}
-
-var enc, dec = cborcodec.Modes(1 << 16)
-
 // Peer is another router.
 type Peer struct {
 	Name      string
@@ -76,253 +33,146 @@
 	Address   string
 }
 
-// Net is one router's connections. Took hears each frame with who sent it; it must not wait for long.
+// Transport is one router's connections. Its exported fields are set before Run. Both callbacks
+// must return soon; they are called from the connections' goroutines.
 type Transport struct {
 	Name        string
 	PrivateKey  ed25519.PrivateKey
 	Peers       []Peer
-	OnFrame     func(from string, f Frame)
-	OnPeerState func(name string, up bool)
-
-	mu    sync.Mutex
-	lines map[string]*line
-}
-
-// line is what waits for one peer.
-type line struct {
-	mu    sync.Mutex
-	queue [][]byte
-	bytes int
-	wake  chan struct{}
-	drops int64
-}
-
-// certificate names this router by its key; nobody signs for it but itself, the roster does.
-func (n *Transport) certificate() (tls.Certificate, error) {
-	t := &x509.Certificate{SerialNumber: big.NewInt(1), DNSNames: []string{n.Name}, NotBefore: time.Unix(0, 0), NotAfter: time.Unix(1<<33, 0)}
-	der, err := x509.CreateCertificate(rand.Reader, t, t, n.PrivateKey.Public(), n.PrivateKey)
-	if err != nil {
-		return tls.Certificate{}, fmt.Errorf("the ledger's certificate: %w", err)
-	}
-	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: n.PrivateKey}, nil
-}
+	OnFrame     func(from string, frame Frame)
+	OnPeerState func(name string, connected bool) // nil for nobody
 
-func (n *Transport) terms() (*tls.Config, error) {
-	cert, err := n.certificate()
-	if err != nil {
-		return nil, err
-	}
-	return &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS13, NextProtos: []string{protocol}, ClientAuth: tls.RequireAnyClientCert,
-		InsecureSkipVerify:     true, // the roster's keys are what is believed, see who
-		SessionTicketsDisabled: true}, nil
-}
-
-// who is the peer at the other end, by its key.
-func (n *Transport) who(c *tls.Conn) (string, error) {
-	s := c.ConnectionState()
-	if s.NegotiatedProtocol != protocol {
-		return "", fmt.Errorf("it speaks %q, this program %q", s.NegotiatedProtocol, protocol)
-	}
-	if len(s.PeerCertificates) == 0 {
-		return "", errors.New("it shows no key")
-	}
-	key, ok := s.PeerCertificates[0].PublicKey.(ed25519.PublicKey)
-	for _, p := range n.Peers {
-		if ok && key.Equal(p.PublicKey) && p.Name != n.Name {
-			return p.Name, nil
-		}
-	}
-	return "", errors.New("its key is not in the roster")
+	mu     sync.Mutex
+	queues map[string]*queue // by peer
 }
 
-// Run serves until the context ends. Of a pair the one with the lesser name dials.
-func (n *Transport) Run(ctx context.Context, ln net.Listener) error {
-	terms, err := n.terms()
+// Run serves connections until the context ends. Of two routers the one whose name sorts first dials.
+func (t *Transport) Run(ctx context.Context, listener net.Listener) error {
+	config, err := t.tlsConfig()
 	if err != nil {
 		return err
 	}
-	n.mu.Lock()
-	if n.lines == nil {
-		n.lines = map[string]*line{}
-	}
-	n.mu.Unlock()
-	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
 		<-ctx.Done()
-		return ln.Close()
+		return listener.Close()
 	})
-	g.Go(func() error {
+	group.Go(func() error {
 		for {
-			c, err := ln.Accept()
+			conn, err := listener.Accept()
 			if err != nil {
 				if ctx.Err() != nil {
 					return nil
 				}
 				continue
 			}
-			g.Go(func() error {
-				n.serve(ctx, tls.Server(c, terms), "")
+			group.Go(func() error {
+				t.serve(ctx, tls.Server(conn, config), "")
 				return nil
 			})
 		}
 	})
-	for _, p := range n.Peers {
-		if n.Name < p.Name {
-			g.Go(func() error {
-				n.dial(ctx, p, terms)
+	for _, peer := range t.Peers {
+		if t.Name < peer.Name {
+			group.Go(func() error {
+				t.dial(ctx, peer, config)
 				return nil
 			})
 		}
 	}
-	return g.Wait()
+	return group.Wait()
 }
 
-func (n *Transport) dial(ctx context.Context, p Peer, terms *tls.Config) {
-	wait := dialEvery
+// dial keeps a connection to a peer until the context ends.
+func (t *Transport) dial(ctx context.Context, peer Peer, config *tls.Config) {
+	interval := dialInterval
 	for ctx.Err() == nil {
-		d := net.Dialer{Timeout: patience}
-		c, err := d.DialContext(ctx, "tcp", p.Address)
+		dialer := net.Dialer{Timeout: handshakeTimeout}
+		conn, err := dialer.DialContext(ctx, "tcp", peer.Address)
 		if err == nil {
-			began := time.Now()
-			n.serve(ctx, tls.Client(c, terms), p.Name)
-			if time.Since(began) > idleMost {
-				wait = dialEvery
+			connectedAt := time.Now()
+			t.serve(ctx, tls.Client(conn, config), peer.Name)
+			if time.Since(connectedAt) > idleTimeout {
+				interval = dialInterval
 			}
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(wait):
+		case <-time.After(interval):
 		}
-		wait = min(2*wait, dialMost)
+		interval = min(2*interval, maxDialInterval)
 	}
 }
 
-// serve carries one connection until it ends.
-func (n *Transport) serve(ctx context.Context, c *tls.Conn, want string) {
-	defer c.Close()
-	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+// serve carries one connection until it ends. The peer's name is known before where this side dialed.
+func (t *Transport) serve(ctx context.Context, conn *tls.Conn, expected string) {
+	defer func() { _ = conn.Close() }() // both ends close it
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
-	_ = c.SetDeadline(time.Now().Add(patience))
-	if c.HandshakeContext(ctx) != nil {
+	name, err := t.handshake(ctx, conn)
+	if err != nil || expected != "" && name != expected {
 		return
 	}
-	name, err := n.who(c)
-	if err != nil || want != "" && name != want {
-		return
-	}
-	_ = c.SetDeadline(time.Time{})
-	l := n.line(name)
-	if n.OnPeerState != nil {
-		n.OnPeerState(name, true)
-		defer n.OnPeerState(name, false)
+	queue := t.queue(name)
+	if t.OnPeerState != nil {
+		t.OnPeerState(name, true)
+		defer t.OnPeerState(name, false)
 	}
-	done := make(chan struct{})
+	written := make(chan struct{})
 	go func() {
-		defer close(done)
-		defer c.Close()
-		l.write(ctx, c, done)
+		defer close(written)
+		defer func() { _ = conn.Close() }()
+		queue.writeTo(ctx, conn)
 	}()
-	head := make([]byte, 4)
-	for {
-		_ = c.SetReadDeadline(time.Now().Add(idleMost))
-		if _, err := io.ReadFull(c, head); err != nil {
-			break
-		}
-		size := binary.BigEndian.Uint32(head)
-		if size > MaxFrameBytes {
-			break
-		}
-		text := make([]byte, size)
-		if _, err := io.ReadFull(c, text); err != nil {
-			break
-		}
-		var f Frame
-		if dec.Unmarshal(text, &f) != nil {
-			break
-		}
-		if f.Kind != KindHeartbeat {
-			n.OnFrame(name, f)
-		}
-	}
-	_ = c.Close()
-	l.kick()
-	<-done
-}
-
-func (n *Transport) line(name string) *line {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.lines == nil {
-		n.lines = map[string]*line{}
-	}
-	l := n.lines[name]
-	if l == nil {
-		l = &line{wake: make(chan struct{}, 1)}
-		n.lines[name] = l
-	}
-	return l
+	t.readFrames(name, conn)
+	_ = conn.Close()
+	queue.notify() // the writer finds the connection closed
+	<-written
 }
 
-func (l *line) kick() {
-	select {
-	case l.wake <- struct{}{}:
-	default:
+// handshake finds out who the peer is.
+func (t *Transport) handshake(ctx context.Context, conn *tls.Conn) (string, error) {
+	_ = conn.SetDeadline(time.Now().Add(handshakeTimeout)) // a closed connection fails at the handshake
+	if err := conn.HandshakeContext(ctx); err != nil {
+		return "", err
 	}
+	_ = conn.SetDeadline(time.Time{}) // a closed connection fails at the next read
+	return t.identify(conn)
 }
 
-// write sends what waits, and a beat where nothing does.
-func (l *line) write(ctx context.Context, c net.Conn, _ chan struct{}) {
-	beat := time.NewTicker(beatEvery)
-	defer beat.Stop()
-	empty, _ := framed(Frame{Kind: KindHeartbeat})
+// readFrames hands on a peer's frames until the connection fails or sends one that is invalid.
+func (t *Transport) readFrames(name string, conn net.Conn) {
 	for {
-		l.mu.Lock()
-		list := l.queue
-		l.queue, l.bytes = nil, 0
-		l.mu.Unlock()
-		_ = c.SetWriteDeadline(time.Now().Add(idleMost))
-		bufs := net.Buffers(list)
-		if _, err := bufs.WriteTo(c); err != nil {
+		_ = conn.SetReadDeadline(time.Now().Add(idleTimeout)) // a closed connection fails at the read
+		frame, err := readFrame(conn)
+		if err != nil {
 			return
 		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-l.wake:
-		case <-beat.C:
-			if _, err := c.Write(empty); err != nil {
-				return
-			}
+		if frame.Kind != KindHeartbeat {
+			t.OnFrame(name, frame)
 		}
 	}
 }
 
-func framed(f Frame) ([]byte, error) {
-	text, err := enc.Marshal(f)
-	if err != nil {
-		return nil, fmt.Errorf("a frame: %w", err)
+// queue is the frames that wait for a peer.
+func (t *Transport) queue(name string) *queue {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.queues == nil {
+		t.queues = map[string]*queue{}
 	}
-	if len(text) > MaxFrameBytes {
-		return nil, fmt.Errorf("a frame of %d bytes, over %d", len(text), MaxFrameBytes)
+	if t.queues[name] == nil {
+		t.queues[name] = newQueue()
 	}
-	return append(binary.BigEndian.AppendUint32(make([]byte, 0, 4+len(text)), uint32(len(text))), text...), nil
+	return t.queues[name]
 }
 
-// Send queues a frame for a peer; false where there is no room, and then it is lost.
-func (n *Transport) Send(to string, f Frame) bool {
-	text, err := framed(f)
+// Send queues a frame for a peer. It says false where the frame was dropped, as it is invalid or
+// there is no room.
+func (t *Transport) Send(to string, frame Frame) bool {
+	encoded, err := encodeFrame(frame)
 	if err != nil {
 		return false
 	}
-	l := n.line(to)
-	l.mu.Lock()
-	ok := len(l.queue) < maxQueuedFrames && l.bytes+len(text) <= maxQueuedBytes
-	if ok {
-		l.queue, l.bytes = append(l.queue, text), l.bytes+len(text)
-	} else {
-		l.drops++
-	}
-	l.mu.Unlock()
-	l.kick()
-	return ok
+	return t.queue(to).push(encoded)
 }
--- a/internal/replication/transport/transport_test.go
+++ b/internal/replication/transport/transport_test.go
@@ -12,76 +12,98 @@
 	"github.com/stretchr/testify/require"
 )
 
-const waits = 20 * time.Second
+const testTimeout = 20 * time.Second
 
-func key(c string) ed25519.PrivateKey { return ed25519.NewKeyFromSeed([]byte(strings.Repeat(c, 32))) }
+func key(letter string) ed25519.PrivateKey {
+	return ed25519.NewKeyFromSeed([]byte(strings.Repeat(letter, 32)))
+}
+
+func publicKey(letter string) ed25519.PublicKey { return key(letter).Public().(ed25519.PublicKey) }
 
-// start runs a router's connections; what it takes comes out of the channel.
-func start(t *testing.T, me string, k ed25519.PrivateKey, ln net.Listener, peers []Peer) (*Transport, chan Frame, chan bool) {
-	took, up := make(chan Frame, 100), make(chan bool, 100)
-	n := &Transport{Name: me, PrivateKey: k, Peers: peers, OnFrame: func(_ string, f Frame) { took <- f }, OnPeerState: func(_ string, is bool) { up <- is }}
+// startTransport runs a router's connections until the test ends. What it receives comes out of the
+// channels.
+func startTransport(
+	t *testing.T, name string, privateKey ed25519.PrivateKey, listener net.Listener, peers []Peer,
+) (transport *Transport, frames chan Frame, connected chan bool) {
+	frames, connected = make(chan Frame, 100), make(chan bool, 100)
+	transport = &Transport{
+		Name:        name,
+		PrivateKey:  privateKey,
+		Peers:       peers,
+		OnFrame:     func(_ string, frame Frame) { frames <- frame },
+		OnPeerState: func(_ string, is bool) { connected <- is },
+	}
 	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error)
-	go func() { done <- n.Run(ctx, ln) }()
-	t.Cleanup(func() { cancel(); <-done })
-	return n, took, up
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = transport.Run(ctx, listener)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return transport, frames, connected
 }
 
 func listen(t *testing.T) net.Listener {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	return ln
+	return listener
 }
 
-func TestFramesGoBetweenThoseOfTheRosterOnly(t *testing.T) {
-	a, b := listen(t), listen(t)
-	peers := []Peer{{"a", key("a").Public().(ed25519.PublicKey), a.Addr().String()}, {"b", key("b").Public().(ed25519.PublicKey), b.Addr().String()}}
-	one, _, up := start(t, "a", key("a"), a, peers)
-	_, took, _ := start(t, "b", key("b"), b, peers)
+func TestFramesAreTakenFromListedPeersOnly(t *testing.T) {
+	listenerA, listenerB := listen(t), listen(t)
+	peers := []Peer{
+		{"a", publicKey("a"), listenerA.Addr().String()},
+		{"b", publicKey("b"), listenerB.Addr().String()},
+	}
+	transportA, _, connected := startTransport(t, "a", key("a"), listenerA, peers)
+	_, framesB, _ := startTransport(t, "b", key("b"), listenerB, peers)
 	select {
-	case is := <-up:
+	case is := <-connected:
 		require.True(t, is)
-	case <-time.After(waits):
-		t.Fatal("they do not meet")
+	case <-time.After(testTimeout):
+		t.Fatal("not connected")
 	}
-	require.True(t, one.Send("b", Frame{Kind: KindRead, Shard: 7, Key: "k", Number: 3}))
+	sent := Frame{Kind: KindRead, Shard: 7, Key: "k", Number: 3}
+	require.True(t, transportA.Send("b", sent))
 	select {
-	case f := <-took:
-		assert.Equal(t, Frame{Kind: KindRead, Shard: 7, Key: "k", Number: 3}, f)
-	case <-time.After(waits):
-		t.Fatal("nothing came")
+	case frame := <-framesB:
+		assert.Equal(t, sent, frame)
+	case <-time.After(testTimeout):
+		t.Fatal("no frame arrived")
 	}
-	// Somebody with a key of its own under a's name.
-	c := listen(t)
-	liar, _, up := start(t, "a", key("x"), c, []Peer{{"a", key("x").Public().(ed25519.PublicKey), ""}, peers[1]})
-	liar.Send("b", Frame{Kind: KindRead, Key: "forged"})
+
+	// Another router under the name of a, with a key of its own.
+	forgedPeers := []Peer{{"a", publicKey("x"), ""}, peers[1]}
+	forger, _, connected := startTransport(t, "a", key("x"), listen(t), forgedPeers)
+	forger.Send("b", Frame{Kind: KindRead, Key: "forged"})
 	select {
-	case <-up: // TLS 1.3 lets a client think that it is through until it reads
+	case <-connected: // with TLS 1.3 a client takes the handshake for complete until it reads
 	case <-time.After(time.Second):
 	}
 	select {
-	case f := <-took:
-		t.Fatalf("taken: %+v", f)
+	case frame := <-framesB:
+		t.Fatalf("a forged frame was taken: %+v", frame)
 	case <-time.After(300 * time.Millisecond):
 	}
 }
 
-func TestWhatWaitsIsBounded(t *testing.T) {
-	n := &Transport{Name: "a", PrivateKey: key("a")}
+// countSent sends frames of a size to a peer that is not connected and counts those that were queued.
+func countSent(frames, payloadBytes int) int {
+	transport := &Transport{Name: "a", PrivateKey: key("a")}
 	sent := 0
-	for range 2 * maxQueuedFrames {
-		if n.Send("b", Frame{Kind: KindRaft, Payload: make([]byte, 10)}) {
+	for range frames {
+		if transport.Send("b", Frame{Kind: KindRaft, Payload: make([]byte, payloadBytes)}) {
 			sent++
 		}
 	}
-	assert.Equal(t, maxQueuedFrames, sent)
-	assert.False(t, n.Send("b", Frame{Kind: KindRaft, Payload: make([]byte, MaxFrameBytes+1)}))
-	n = &Transport{Name: "a", PrivateKey: key("a")}
-	sent = 0
-	for range 100 {
-		if n.Send("b", Frame{Kind: KindRaft, Payload: make([]byte, 1<<20)}) {
-			sent++
-		}
-	}
-	assert.LessOrEqual(t, sent, maxQueuedBytes>>20)
+	return sent
+}
+
+func TestQueueIsBounded(t *testing.T) {
+	assert.Equal(t, maxQueuedFrames, countSent(2*maxQueuedFrames, 10))
+	assert.Zero(t, countSent(1, MaxFrameBytes+1))
+	assert.LessOrEqual(t, countSent(100, 1<<20), maxQueuedBytes>>20)
 }
