Replication's node: typed events and outcomes in place of closures

Callers handed callbacks and closures to the goroutine that owns the state, through a channel of any.

--- a/internal/replication/node_test.go
+++ b/internal/replication/node_test.go
@@ -1,6 +1,11 @@
 package replication
 
 import (
+	"cairnfront/internal/diskcache/vfs"
+	"cairnfront/internal/faultproxy"
+	"cairnfront/internal/replication/statemachine"
+	"cairnfront/internal/replication/transport"
+	"cairnfront/internal/sim/faults"
 	"context"
 	"crypto/ed25519"
 	"fmt"
@@ -11,197 +16,215 @@
 	"testing"
 	"time"
 
-	"cairnfront/internal/diskcache/vfs"
-	"cairnfront/internal/faultproxy"
-	"cairnfront/internal/replication/statemachine"
-	"cairnfront/internal/replication/transport"
-	"cairnfront/internal/sim/faults"
-
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
 
-const patience = 30 * time.Second
+const testTimeout = 30 * time.Second
 
-// town is routers' ledgers in three zones, each way between two over a relay.
-type town struct {
-	t     *testing.T
-	net   *faultproxy.Net
-	peers []transport.Peer
-	keys  []ed25519.PrivateKey
-	lns   []net.Listener
-	addrs []string
-	ways  [][]string
-	runs  []*running
+// testCluster is nodes in three zones, with a fault proxy on each way between two.
+type testCluster struct {
+	t         *testing.T
+	net       *faultproxy.Net
+	peers     []transport.Peer
+	keys      []ed25519.PrivateKey
+	listeners []net.Listener
+	addresses []string   // of the listeners, by node
+	proxies   [][]string // addresses, by sender and receiver
+	nodes     []*runningNode
 }
 
-type running struct {
+type runningNode struct {
 	*Node
-	stop func()
-	fs   vfs.FS
-	ask  uint64
+	stop        func()
+	fs          vfs.FS
+	lastRequest uint64
 }
 
-func newTown(t *testing.T, n int) *town {
-	x := &town{t: t, net: faultproxy.New(1, n)}
-	t.Cleanup(x.net.Close)
-	for i := range n {
+func newTestCluster(t *testing.T, size int) *testCluster {
+	c := &testCluster{t: t, net: faultproxy.New(1, size), nodes: make([]*runningNode, size)}
+	t.Cleanup(c.net.Close)
+	for i := range size {
 		key := ed25519.NewKeyFromSeed([]byte(strings.Repeat(string(rune('a'+i)), 32)))
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(t, err)
-		x.keys, x.lns, x.addrs = append(x.keys, key), append(x.lns, ln), append(x.addrs, ln.Addr().String())
-		x.peers = append(x.peers, transport.Peer{Name: fmt.Sprint("r", i), PublicKey: key.Public().(ed25519.PublicKey)})
-		x.runs = append(x.runs, nil)
+		c.keys = append(c.keys, key)
+		c.listeners = append(c.listeners, listener)
+		c.addresses = append(c.addresses, listener.Addr().String())
+		c.peers = append(c.peers, transport.Peer{Name: fmt.Sprint("r", i), PublicKey: key.Public().(ed25519.PublicKey)})
 	}
-	for i := range n {
-		var row []string
-		for j := range n {
-			way, err := x.net.Stream(i, j, x.lns[j].Addr().String())
+	for i := range size {
+		var proxies []string
+		for j := range size {
+			proxy, err := c.net.Stream(i, j, c.addresses[j])
 			require.NoError(t, err)
-			row = append(row, way)
+			proxies = append(proxies, proxy)
 		}
-		x.ways = append(x.ways, row)
+		c.proxies = append(c.proxies, proxies)
 	}
-	for i := range n {
-		x.start(i, vfs.NewFaultFS(uint64(i+1)))
+	for i := range size {
+		c.start(i, vfs.NewFaultFS(uint64(i+1)))
 	}
 	t.Cleanup(func() {
-		for i := range x.runs {
-			x.end(i)
+		for i := range c.nodes {
+			c.stop(i)
 		}
 	})
-	return x
+	return c
 }
 
-func (x *town) start(i int, fs vfs.FS) {
+func (c *testCluster) start(i int, fs vfs.FS) {
 	var peers []transport.Peer
 	var names []string
-	for j, p := range x.peers {
-		p.Address = x.ways[i][j]
-		peers, names = append(peers, p), append(names, p.Name)
+	for j, peer := range c.peers {
+		peer.Address = c.proxies[i][j]
+		peers = append(peers, peer)
+		names = append(names, peer.Name)
 	}
-	if x.lns[i] == nil {
+	if c.listeners[i] == nil {
 		var err error
-		require.Eventually(x.t, func() bool { // where it was
-			x.lns[i], err = net.Listen("tcp", x.addrs[i])
+		require.Eventually(c.t, func() bool { // its port may still be in use
+			c.listeners[i], err = net.Listen("tcp", c.addresses[i])
 			return err == nil
-		}, patience, 10*time.Millisecond)
+		}, testTimeout, 10*time.Millisecond)
 	}
-	l, err := New(Config{Name: x.peers[i].Name, Zone: fmt.Sprint("z", i%3), ReplicaCount: 3, InitialMembers: names, ReplaceAfterSeconds: 1.5, Disk: fs,
-		Transport: &transport.Transport{Name: x.peers[i].Name, PrivateKey: x.keys[i], Peers: peers}, Logger: slog.New(slog.NewTextHandler(io.Discard, nil))})
-	require.NoError(x.t, err)
+	node, err := New(Config{
+		Name:                c.peers[i].Name,
+		Zone:                fmt.Sprint("z", i%3),
+		ReplicaCount:        3,
+		InitialMembers:      names,
+		ReplaceAfterSeconds: 1.5,
+		Transport:           &transport.Transport{Name: c.peers[i].Name, PrivateKey: c.keys[i], Peers: peers},
+		Disk:                fs,
+		Logger:              slog.New(slog.NewTextHandler(io.Discard, nil)),
+	})
+	require.NoError(c.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
-	ln := x.lns[i]
+	listener := c.listeners[i]
 	go func() {
-		_ = l.Run(ctx, ln)
+		_ = node.Run(ctx, listener)
 		close(done)
 	}()
-	x.runs[i] = &running{Node: l, fs: fs, stop: func() { cancel(); <-done }}
+	stop := func() {
+		cancel()
+		<-done
+	}
+	c.nodes[i] = &runningNode{Node: node, fs: fs, stop: stop}
 }
 
-// end stops a router; nothing of what it did not sync is on its disk.
-func (x *town) end(i int) vfs.FS {
-	r := x.runs[i]
-	if r == nil {
+// stop stops a node. What it did not sync is not on its disk.
+func (c *testCluster) stop(i int) vfs.FS {
+	node := c.nodes[i]
+	if node == nil {
 		return nil
 	}
-	r.stop()
-	x.runs[i], x.lns[i] = nil, nil
-	return r.fs
+	node.stop()
+	c.nodes[i] = nil
+	c.listeners[i] = nil
+	return node.fs
+}
+
+// reserveCommand is a reservation of a key by one of a node's requests.
+func reserveCommand(requester string, number uint64, key, group string) statemachine.Command {
+	return statemachine.Command{
+		Op:              statemachine.OpReserve,
+		Key:             key,
+		Group:           group,
+		LifetimeSeconds: 60,
+		Requester:       requester,
+		RequestNumber:   number,
+	}
 }
 
-// claim asks at a router for a key; tried again while nobody answers.
-func (x *town) claim(i int, key, group string) statemachine.Result {
-	x.t.Helper()
-	r := x.runs[i]
-	r.ask++
-	for end := time.Now().Add(patience); time.Now().Before(end); {
-		got := make(chan any, 1)
-		r.Propose(statemachine.Command{Op: statemachine.OpReserve, Key: key, Group: group, LifetimeSeconds: 60, Requester: x.peers[i].Name, RequestNumber: r.ask}, time.Now().Add(2*time.Second), func(res statemachine.Result, err error) {
-			if err != nil {
-				got <- err
-			} else {
-				got <- res
-			}
-		})
-		if res, ok := (<-got).(statemachine.Result); ok {
-			return res
+// reserve reserves a key at a node. It retries while nobody answers.
+func (c *testCluster) reserve(i int, key, group string) statemachine.Result {
+	c.t.Helper()
+	node := c.nodes[i]
+	node.lastRequest++
+	command := reserveCommand(c.peers[i].Name, node.lastRequest, key, group)
+	for end := time.Now().Add(testTimeout); time.Now().Before(end); {
+		outcome := <-node.Propose(command, time.Now().Add(2*time.Second))
+		if outcome.Err == nil {
+			return outcome.Result
 		}
 	}
-	x.t.Fatalf("r%d: no answer for %s", i, key)
+	c.t.Fatalf("r%d: no answer for %s", i, key)
 	return statemachine.Result{}
 }
 
-func (x *town) report(i int) Report {
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
+func (c *testCluster) report(i int) Report {
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
 	defer cancel()
-	r, err := x.runs[i].Report(ctx)
-	require.NoError(x.t, err)
-	return r
+	report, err := c.nodes[i].Report(ctx)
+	require.NoError(c.t, err)
+	return report
 }
 
-func (x *town) healthy(i int, want string) {
-	x.t.Helper()
-	require.Eventually(x.t, func() bool { return strings.Contains(x.report(i).Health, want) }, patience, 50*time.Millisecond, "r%d: %+v", i, x.report(i).Health)
+func (c *testCluster) waitForHealth(i int, want Health) {
+	c.t.Helper()
+	require.Eventually(c.t, func() bool { return c.report(i).Health == want }, testTimeout, 50*time.Millisecond,
+		"r%d: %s", i, c.report(i).Health)
 }
 
-// TestKeyedTxnIsFollowedAfterItsRoutersDeath: a claim made at a router that is then lost with its disk is known at each other router,
-// and its slices get another holder.
-func TestKeyedTxnIsFollowedAfterItsRoutersDeath(t *testing.T) {
-	x := newTown(t, 5)
-	x.healthy(0, "bears the loss of a zone")
+// TestReservationSurvivesItsRouter: a reservation made at a router that is then lost with its disk
+// is known at each other router, and its shards get another replica.
+func TestReservationSurvivesItsRouter(t *testing.T) {
+	c := newTestCluster(t, 5)
+	c.waitForHealth(0, HealthBearsZoneLoss)
 	for k := range 20 {
-		assert.True(t, x.claim(1, fmt.Sprint("k", k), "g1").Granted)
+		assert.True(t, c.reserve(1, fmt.Sprint("k", k), "g1").Granted)
 	}
-	lost := time.Now()
-	x.end(1) // the machine burns, its disk with it
+	lostAt := time.Now()
+	c.stop(1) // with its disk
 	for k := range 20 {
-		r := x.claim([]int{0, 2, 3, 4}[k%4], fmt.Sprint("k", k), "g2")
-		assert.False(t, r.Granted)
-		assert.Equal(t, "g1", r.Reservation.Group)
+		result := c.reserve([]int{0, 2, 3, 4}[k%4], fmt.Sprint("k", k), "g2")
+		assert.False(t, result.Granted)
+		assert.Equal(t, "g1", result.Reservation.Group)
 	}
-	t.Logf("20 claims followed %.1f s after the loss", time.Since(lost).Seconds())
-	x.healthy(0, "bears the loss of a zone") // others took its place
-	t.Logf("whole again %.1f s after the loss", time.Since(lost).Seconds())
-	for _, l := range x.report(0).Shards {
-		assert.Len(t, l.Replicas, 3)
-		assert.NotContains(t, l.Replicas, "r1")
+	t.Logf("20 reservations found %.1f s after the loss", time.Since(lostAt).Seconds())
+	c.waitForHealth(0, HealthBearsZoneLoss) // other replicas took the place of the lost ones
+	t.Logf("all shards complete %.1f s after the loss", time.Since(lostAt).Seconds())
+	for _, shard := range c.report(0).Shards {
+		assert.Len(t, shard.Replicas, 3)
+		assert.NotContains(t, shard.Replicas, "r1")
 	}
-	x.start(1, vfs.NewFaultFS(99)) // a new machine under the old name
-	require.Eventually(t, func() bool { return len(x.report(1).Shards) > 0 }, patience, 50*time.Millisecond, "it is taken in")
-	t.Logf("taken in %.1f s after the loss", time.Since(lost).Seconds())
-	assert.False(t, x.claim(1, "k3", "g2").Granted)
+	c.start(1, vfs.NewFaultFS(99)) // a new machine under the old name
+	require.Eventually(t, func() bool { return len(c.report(1).Shards) > 0 }, testTimeout, 50*time.Millisecond,
+		"its replicas are added as members")
+	t.Logf("replicas added %.1f s after the loss", time.Since(lostAt).Seconds())
+	assert.False(t, c.reserve(1, "k3", "g2").Granted)
 }
 
-// TestMinorityGrantsNothing: of two halves that get the same key only one grants it, and the other learns of it after the cut.
+// TestMinorityGrantsNothing: of two sides of a cut that get the same key only one grants it, and
+// the other learns of it after the cut.
 func TestMinorityGrantsNothing(t *testing.T) {
-	x := newTown(t, 3)
-	x.healthy(0, "bears the loss of a zone")
-	x.net.Play(faults.Script{Peers: 3, Until: 1e6, Acts: []faults.Act{{Do: faults.Cut, From: []int{0}, To: []int{1, 2}, Both: true}}})
-	got := make(chan error, 1)
-	x.runs[0].Propose(statemachine.Command{Op: statemachine.OpReserve, Key: "k", Group: "g1", LifetimeSeconds: 60, Requester: "r0", RequestNumber: 1 << 50}, time.Now().Add(1500*time.Millisecond),
-		func(_ statemachine.Result, err error) { got <- err })
-	assert.True(t, x.claim(1, "k", "g2").Granted)
-	assert.ErrorIs(t, <-got, ErrNoAnswer)
-	x.net.Play(faults.Script{Peers: 3, Until: 1e6})
-	r := x.claim(0, "k", "g3")
-	assert.False(t, r.Granted)
-	assert.Equal(t, "g2", r.Reservation.Group)
+	c := newTestCluster(t, 3)
+	c.waitForHealth(0, HealthBearsZoneLoss)
+	cut := faults.Act{Do: faults.Cut, From: []int{0}, To: []int{1, 2}, Both: true}
+	c.net.Play(faults.Script{Peers: 3, Until: 1e6, Acts: []faults.Act{cut}})
+	minority := c.nodes[0].Propose(reserveCommand("r0", 1<<50, "k", "g1"), time.Now().Add(1500*time.Millisecond))
+	assert.True(t, c.reserve(1, "k", "g2").Granted)
+	assert.ErrorIs(t, (<-minority).Err, ErrNoAnswer)
+	c.net.Play(faults.Script{Peers: 3, Until: 1e6})
+	result := c.reserve(0, "k", "g3")
+	assert.False(t, result.Granted)
+	assert.Equal(t, "g2", result.Reservation.Group)
 }
 
-// TestAllOffAndOnAgain: what was acknowledged is there after all machines were off at once.
-func TestAllOffAndOnAgain(t *testing.T) {
-	x := newTown(t, 3)
-	x.healthy(0, "bears the loss of a zone")
-	assert.True(t, x.claim(0, "k", "g1").Granted)
+// TestReservationSurvivesRestartOfAll: what was acknowledged is there after all routers were off at
+// once.
+func TestReservationSurvivesRestartOfAll(t *testing.T) {
+	c := newTestCluster(t, 3)
+	c.waitForHealth(0, HealthBearsZoneLoss)
+	assert.True(t, c.reserve(0, "k", "g1").Granted)
 	var disks []vfs.FS
 	for i := range 3 {
-		disks = append(disks, x.end(i))
+		disks = append(disks, c.stop(i))
 	}
 	for i := range 3 {
 		disks[i].(*vfs.FaultFS).Restart()
-		x.start(i, disks[i])
+		c.start(i, disks[i])
 	}
-	assert.False(t, x.claim(2, "k", "g2").Granted)
+	assert.False(t, c.reserve(2, "k", "g2").Granted)
 }
--- a/internal/replication/verify.go
+++ b/internal/replication/verify.go
@@ -2,107 +2,140 @@
 
 import (
 	"bytes"
-	"fmt"
-	"io"
-	"slices"
-
 	"cairnfront/internal/diskcache/vfs"
 	"cairnfront/internal/replication/shard"
 	"cairnfront/internal/replication/statemachine"
 	"cairnfront/internal/replication/wal"
+	"fmt"
+	"io"
+	"slices"
 
 	pb "go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 )
 
-// Verify reads the folders of stopped routers, changes nothing, and writes what each holds and whether they agree. It says false if any
-// can't be read, or two tell different things of what was agreed on.
+// inspectedFolder is what a stopped router's folder holds, by shard.
+type inspectedFolder struct {
+	path   string
+	shards map[int]shard.PersistentState
+}
+
+// Verify reads the folders of stopped routers, changes nothing, and writes what each holds and
+// whether they agree. It returns false if any can't be read, or two differ in what was committed.
+// The words of its output are those of the documented command.
 func Verify(w io.Writer, paths []string) bool {
-	type one struct {
-		path  string
-		saved map[int]shard.PersistentState
-	}
-	var all []one
-	ok := true
+	var folders []inspectedFolder
+	readable := true
 	for _, path := range paths {
-		me, saved, err := wal.Inspect(vfs.Dir(path))
+		identity, shards, err := wal.Inspect(vfs.Dir(path))
 		if err != nil {
-			fmt.Fprintf(w, "%s: %v\n", path, err)
-			ok = false
+			writef(w, "%s: %v\n", path, err)
+			readable = false
 			continue
 		}
-		promises, entries := 0, 0
-		var times float64
-		for no, s := range saved {
-			state, err := replay(s)
-			if err != nil {
-				fmt.Fprintf(w, "%s: slice %d: %v\n", path, no, err)
-				ok = false
-				continue
-			}
-			promises += state.Len()
-			entries += len(s.Entries)
-			times = max(times, state.Now())
+		if !summarize(w, path, identity, shards) {
+			readable = false
+		}
+		folders = append(folders, inspectedFolder{path, shards})
+	}
+	same, different := 0, 0
+	for i, a := range folders {
+		for _, b := range folders[i+1:] {
+			sameHere, differentHere := compareFolders(w, a, b)
+			same += sameHere
+			different += differentHere
 		}
-		fmt.Fprintf(w, "%s: router %s, holder %x, started %d times: %d slices, %d promises, %d commands in the log, newest at Unix %.0f s\n", path, me.Owner, me.ID, me.StartCount,
-			len(saved), promises, entries, times)
-		all = append(all, one{path, saved})
 	}
-	same, differ := 0, 0
-	for i, a := range all {
-		for _, b := range all[i+1:] {
-			for no, x := range a.saved {
-				y, both := b.saved[no]
-				if !both {
-					continue
-				}
-				if at, why := compare(x, y); why != "" {
-					fmt.Fprintf(w, "slice %d: %s and %s differ at command %d: %s\n", no, a.path, b.path, at, why)
-					differ++
-				} else {
-					same++
-				}
-			}
+	if len(folders) > 1 {
+		writef(w, "%d slices compared in pairs agree, %d differ\n", same, different)
+	}
+	return readable && different == 0
+}
+
+// writef writes a line of the output. A failed write shows at the command's exit.
+func writef(w io.Writer, format string, args ...any) { _, _ = fmt.Fprintf(w, format, args...) }
+
+// summarize writes what a folder holds, and says whether each shard's state could be restored.
+func summarize(w io.Writer, path string, identity wal.Identity, shards map[int]shard.PersistentState) bool {
+	restored := true
+	reservations, entries := 0, 0
+	newest := 0.0
+	for number, saved := range shards {
+		state, err := replay(saved)
+		if err != nil {
+			writef(w, "%s: slice %d: %v\n", path, number, err)
+			restored = false
+			continue
 		}
+		reservations += state.Len()
+		entries += len(saved.Entries)
+		newest = max(newest, state.Now())
 	}
-	if len(all) > 1 {
-		fmt.Fprintf(w, "%d slices compared in pairs agree, %d differ\n", same, differ)
+	writef(w, "%s: router %s, holder %x, started %d times: ", path, identity.Owner, identity.ID, identity.StartCount)
+	writef(w, "%d slices, %d promises, %d commands in the log, newest at Unix %.0f s\n",
+		len(shards), reservations, entries, newest)
+	return restored
+}
+
+// compareFolders counts the shards that two folders both hold and agree or differ on.
+func compareFolders(w io.Writer, a, b inspectedFolder) (same, different int) {
+	for number, savedA := range a.shards {
+		savedB, both := b.shards[number]
+		if !both {
+			continue
+		}
+		index, reason := findDifference(savedA, savedB)
+		if reason == "" {
+			same++
+			continue
+		}
+		writef(w, "slice %d: %s and %s differ at command %d: %s\n", number, a.path, b.path, index, reason)
+		different++
 	}
-	return ok && differ == 0
+	return same, different
 }
 
-// replay is the state that a holder's snapshot and agreed commands come to.
-func replay(s shard.PersistentState) (*statemachine.State, error) {
+// replay is the state that a replica's snapshot and committed entries come to.
+func replay(saved shard.PersistentState) (*statemachine.State, error) {
 	state := statemachine.New()
-	from := uint64(0)
-	if s.Snapshot != nil {
+	snapshotIndex := uint64(0)
+	if saved.Snapshot != nil {
 		var err error
-		if state, err = statemachine.Restore(s.Snapshot.GetData()); err != nil {
+		if state, err = statemachine.Restore(saved.Snapshot.GetData()); err != nil {
 			return nil, err
 		}
-		from = s.Snapshot.GetMetadata().GetIndex()
+		snapshotIndex = saved.Snapshot.GetMetadata().GetIndex()
 	}
-	for _, e := range s.Entries {
-		if e.GetIndex() <= from || e.GetIndex() > s.HardState.GetCommit() || e.GetType() != pb.EntryType_EntryNormal || len(e.GetData()) == 0 {
+	for _, entry := range saved.Entries {
+		isCommitted := entry.GetIndex() > snapshotIndex && entry.GetIndex() <= saved.HardState.GetCommit()
+		isCommand := entry.GetType() == pb.EntryType_EntryNormal && len(entry.GetData()) > 0
+		if !isCommitted || !isCommand {
 			continue
 		}
-		if c, err := statemachine.Decode(e.GetData()); err == nil {
-			state.Apply(e.GetIndex(), c)
+		if command, err := statemachine.Decode(entry.GetData()); err == nil {
+			state.Apply(entry.GetIndex(), command)
 		}
 	}
 	return state, nil
 }
 
-// compare looks through the commands that two holders both have and both know to be agreed on.
-func compare(a, b shard.PersistentState) (at uint64, why string) {
-	agreed := min(a.HardState.GetCommit(), b.HardState.GetCommit())
-	for _, x := range a.Entries {
-		i := slices.IndexFunc(b.Entries, func(e *pb.Entry) bool { return e.GetIndex() == x.GetIndex() })
-		if x.GetIndex() > agreed || i < 0 {
+// findDifference looks through the entries that two replicas both have and both know to be
+// committed. The reason is "" where they are the same.
+func findDifference(a, b shard.PersistentState) (index uint64, reason string) {
+	committed := min(a.HardState.GetCommit(), b.HardState.GetCommit())
+	for _, entryA := range a.Entries {
+		index := entryA.GetIndex()
+		i := slices.IndexFunc(b.Entries, func(entry *pb.Entry) bool { return entry.GetIndex() == index })
+		if index > committed || i < 0 {
 			continue
 		}
-		if y := b.Entries[i]; x.GetTerm() != y.GetTerm() || !bytes.Equal(x.GetData(), y.GetData()) || x.GetType() != y.GetType() {
-			return x.GetIndex(), fmt.Sprintf("terms %d and %d, %d and %d bytes", x.GetTerm(), y.GetTerm(), proto.Size(x), proto.Size(y))
+		entryB := b.Entries[i]
+		isSame := entryA.GetTerm() == entryB.GetTerm() &&
+			entryA.GetType() == entryB.GetType() &&
+			bytes.Equal(entryA.GetData(), entryB.GetData())
+		if !isSame {
+			return index, fmt.Sprintf("terms %d and %d, %d and %d bytes",
+				entryA.GetTerm(), entryB.GetTerm(), proto.Size(entryA), proto.Size(entryB))
 		}
 	}
 	return 0, ""
--- a/internal/replication/verify_golden_test.go
+++ b/internal/replication/verify_golden_test.go
@@ -9,7 +9,8 @@
 	"github.com/stretchr/testify/require"
 )
 
-// TestVerifyOutputOfGoldenFolders compares the output for folders that an earlier version wrote with what that version printed.
+// TestVerifyOutputOfGoldenFolders compares the output for folders that an earlier version wrote
+// with what that version printed.
 func TestVerifyOutputOfGoldenFolders(t *testing.T) {
 	want, err := os.ReadFile("testdata/verify.txt")
 	require.NoError(t, err)
