Dispatch: typed events and timer tasks, one concern a file, the field's names

The queue was a chan any with closures in it, and one file of 570 lines held events, attempts, timers and endpoint news. Each event and each timer task has a type now, each hand-over a method of its own (RequestArrived, RequestCancelled, UpstreamEvent, DiscoveryEvent, HealthObserved, AbortAll, ProbeLiveness, Pause, address commands), and files go by concern. Two undocumented log words follow the names and with them the golden file: where=dispatch (was route) and the key request of 'overdue' (was txn). The package's tests pass, and the counters' dump and the tests of serve that were run are unchanged.

--- a/cmd/cairnfront/peers.go
+++ b/cmd/cairnfront/peers.go
@@ -67,11 +67,11 @@
 	if err != nil {
 		return nil, err
 	}
-	node.ProbeEventLoop = func(done func()) { loop.Post(done) }
-	loop.OnAttemptEnd = func(member string, rule int, code routing.AttemptResult, took float64) {
-		sla := loop.Settings.Float(routing.ClassSetting(routing.ClassIndex(rule), "sla_s"), 1)
-		if says, ok := observation.Classify(code, took > sla); ok {
-			node.ReportAttempt(routing.EndpointID(member), says)
+	node.ProbeEventLoop = loop.ProbeLiveness
+	loop.OnAttemptEnd = func(r dispatch.AttemptReport) {
+		objectiveSeconds := loop.Settings.Float(routing.ClassSetting(r.Class, "sla_s"), 1)
+		if says, ok := observation.Classify(r.Result, r.ElapsedSeconds > objectiveSeconds); ok {
+			node.ReportAttempt(r.Endpoint, says)
 		}
 	}
 	doubts := make(chan routing.HealthObservation, mostDoubts) // the loop may be slow; the node must not wait for it
@@ -88,7 +88,7 @@
 			case <-ctx.Done():
 				return nil
 			case d := <-doubts:
-				loop.Post(d)
+				loop.HealthObserved(d)
 			}
 		}
 	})
--- a/cmd/cairnfront/reach.go
+++ b/cmd/cairnfront/reach.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"os"
-	"time"
 
 	"cairnfront/internal/admin"
 	"cairnfront/internal/config"
@@ -22,20 +21,21 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// addressed gives a pool what the operators' file says of members with several addresses. It is changed by the loop.
-type addressed struct{ list []config.EndpointAddresses }
-
-func (a *addressed) of(row discovery.Endpoint) []address.Addr {
-	for _, s := range a.list {
-		if s.Matches(string(row.ID), row.Address) {
-			out := make([]address.Addr, len(s.Addresses))
-			for i, text := range s.Addresses {
-				out[i] = address.Addr(text)
+// addressLookup returns a lookup in the configured addresses of endpoints.
+func addressLookup(configured []config.EndpointAddresses) dispatch.AddressLookup {
+	return func(endpoint discovery.Endpoint) []address.Addr {
+		for _, entry := range configured {
+			if !entry.Matches(string(endpoint.ID), endpoint.Address) {
+				continue
+			}
+			addresses := make([]address.Addr, len(entry.Addresses))
+			for i, text := range entry.Addresses {
+				addresses[i] = address.Addr(text)
 			}
-			return out
+			return addresses
 		}
+		return nil
 	}
-	return nil
 }
 
 // extend makes a router of what the operators' file asks beside its start file. Nothing of it is there without one.
@@ -58,18 +58,15 @@
 	}
 	apply := func(config.File) error { return nil }
 	if len(book.Router.Addresses) > 0 {
-		a := &addressed{book.Router.Addresses}
-		pool.AddressSelector, pool.EndpointAddresses = address.New(seed), a.of
+		pool.AddressSelector = address.New(seed)
+		pool.EndpointAddresses = addressLookup(book.Router.Addresses)
 		pool.AddressSelector.HealthChecksAllowed = probes
 		pool.IsIdempotent = func(rule int) bool { return rules[rule] }
 		apply = func(fresh config.File) error {
 			if len(fresh.Router.Addresses) == 0 {
 				return errors.New("router.addresses: the last ones can't go while the router runs")
 			}
-			loop.Post(func() {
-				a.list = fresh.Router.Addresses
-				pool.RefreshAddresses()
-			})
+			loop.ReplaceAddresses(addressLookup(fresh.Router.Addresses))
 			k.Log.Info("reload", "code", "addresses", "entries", len(fresh.Router.Addresses))
 			return nil
 		}
@@ -91,30 +88,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("router.socket: %w", err)
 	}
-	now := func() float64 { return float64(time.Now().UnixMicro()) / 1e6 }
-	by := func(f func(float64, routing.EndpointID, address.Addr) bool, no string) admin.Handler {
-		return admin.OnLoop(loop.Post, func(args map[string]string) (any, error) {
-			if pool.AddressSelector == nil || !f(now(), routing.EndpointID(args["member"]), address.Addr(args["address"])) {
-				return nil, errors.New(no)
-			}
-			return "done", nil
-		})
-	}
-	door := &admin.Server{Count: k.Add, Handlers: map[string]admin.Handler{
-		"reach": admin.OnLoop(loop.Post, func(map[string]string) (any, error) {
-			if pool.AddressSelector == nil {
-				return []address.AddressStatus{}, nil
-			}
-			return pool.AddressSelector.Status(now()), nil
-		}),
-		"rest": by(func(t float64, id routing.EndpointID, a address.Addr) bool {
-			return pool.AddressSelector.Disable(t, id, a)
-		},
-			"no such member and address, or the last that is not at rest"),
-		"unrest": by(func(t float64, id routing.EndpointID, a address.Addr) bool {
-			return pool.AddressSelector.Reinstate(t, id, a)
-		}, "no such member and address"),
-	}}
+	door := &admin.Server{Count: k.Add, Handlers: addressHandlers(loop)}
 	for do, h := range peerHandlers(node) {
 		door.Handlers[do] = h
 	}
@@ -122,6 +96,20 @@
 	return reload, nil
 }
 
+// addressHandlers are the admin socket's requests about the addresses of endpoints.
+func addressHandlers(loop *dispatch.Dispatcher) map[string]admin.Handler {
+	command := func(run func(ctx context.Context, endpoint routing.EndpointID, addr string) error) admin.Handler {
+		return func(ctx context.Context, args map[string]string) (any, error) {
+			return "done", run(ctx, routing.EndpointID(args["member"]), args["address"])
+		}
+	}
+	return map[string]admin.Handler{
+		"reach":  func(ctx context.Context, _ map[string]string) (any, error) { return loop.AddressStatus(ctx) },
+		"rest":   command(loop.DisableAddress),
+		"unrest": command(loop.ReinstateAddress),
+	}
+}
+
 func reachCommand() *cobra.Command {
 	var socket string
 	var asJSON bool
--- a/cmd/cairnfront/serve.go
+++ b/cmd/cairnfront/serve.go
@@ -67,13 +67,13 @@
 	pool := &upstream.Pool{Admission: gate, Telemetry: k, ConnectTimeout: seconds("connect_s"), EndpointIdleTimeout: seconds("idle_close_s"),
 		MaxAttemptsPerConnection: int(m.Settings.Float("hops_a_connection", 1)), RequestLoadReports: m.Settings["load_by"] == "checks"}
 	loop := dispatch.New(routing.New(m.Seed, m.Settings), m.Settings, pool, k)
-	pool.OnEvent = func(ev upstream.Event) { loop.Post(ev) }
+	pool.OnEvent = loop.UpstreamEvent
 	rules := map[string]int{}
 	for i, name := range m.ClassNames {
 		rules[name] = i
 	}
 	taker := &frontend.Server{ClassIndexes: rules, Admission: gate, Metrics: k, Requests: loop}
-	news := &discovery.Client{Address: m.DiscoveryAddress, LastRevision: m.LastRevision, Telemetry: k, OnEvent: func(ev discovery.Event) { loop.Post(ev) },
+	news := &discovery.Client{Address: m.DiscoveryAddress, LastRevision: m.LastRevision, Telemetry: k, OnEvent: loop.DiscoveryEvent,
 		AddressChanges: make(chan string, 1)}
 
 	ctx, cancel := context.WithCancel(context.Background())
@@ -144,7 +144,7 @@
 	case <-time.After(drainLeast):
 	}
 	if taker.FinishDrain(end); gate.OpenRequests() > 0 {
-		loop.Post(dispatch.FailAll{})
+		loop.AbortAll()
 		gate.WaitDrained(ctx, 0, flushMost)
 	}
 }
@@ -219,18 +219,13 @@
 				return
 			case <-stall:
 			}
-			over := make(chan struct{})
-			loop.Post(func() {
-				defer close(over)
-				select {
-				case <-stall:
-				case <-ctx.Done():
-				}
-			})
-			select { // the next signal is for it, not for here
-			case <-over:
+			resume := make(chan struct{})
+			loop.Pause(resume)
+			select {
+			case <-stall:
 			case <-ctx.Done():
 			}
+			close(resume)
 		}
 	}()
 }
--- a/internal/admin/hatch.go
+++ b/internal/admin/hatch.go
@@ -11,7 +11,6 @@
 	"io"
 	"net"
 	"os"
-	"sync"
 	"syscall"
 	"time"
 
@@ -238,25 +237,3 @@
 	}
 	return a.Data, nil
 }
-
-// OnLoop makes a handler of a function that has to run where a goroutine owns the state. Post hands it there.
-func OnLoop(post func(any), f func(args map[string]string) (any, error)) Handler {
-	return func(ctx context.Context, args map[string]string) (any, error) {
-		type result struct {
-			data any
-			err  error
-		}
-		done := make(chan result, 1)
-		var once sync.Once
-		post(func() {
-			data, err := f(args)
-			once.Do(func() { done <- result{data, err} })
-		})
-		select {
-		case r := <-done:
-			return r.data, r.err
-		case <-ctx.Done():
-			return nil, errors.New("the program did not come to it in time")
-		}
-	}
-}
--- /dev/null
+++ b/internal/dispatch/attempts.go
@@ -0,0 +1,180 @@
+package dispatch
+
+import (
+	"cairnfront/internal/cacheproto"
+	"cairnfront/internal/request"
+	"cairnfront/internal/upstream"
+	"cairnfront/routing"
+)
+
+// attempt is one try of a request at an endpoint.
+type attempt struct {
+	request    *openRequest
+	number     int // in request.attempts
+	endpoint   routing.EndpointID
+	startedAt  float64              // Unix time in seconds
+	sent       *upstream.Attempt    // nil if it could not be sent, and once it has ended
+	connection *upstream.Connection // nil if it could not be sent
+
+	ended         bool
+	cancelled     bool
+	stallReported bool // the decisions know that its connection is silent
+}
+
+// OwnsUpstreamAttempt makes an attempt an upstream.Owner.
+func (*attempt) OwnsUpstreamAttempt() {}
+
+// AttemptReport says how an attempt ended.
+type AttemptReport struct {
+	Endpoint       routing.EndpointID
+	Class          routing.ClassIndex
+	Result         routing.AttemptResult
+	ElapsedSeconds float64
+}
+
+// resultNames are the results of attempts in the names of counters.
+var resultNames = map[routing.AttemptResult]string{
+	routing.Completed:        "completed",
+	routing.ServerError:      "errored",
+	routing.Overloaded:       "busy",
+	routing.TimedOut:         "timed-out",
+	routing.ConnectFailed:    "no-connect",
+	routing.ConnectionBroken: "broken",
+	routing.Cancelled:        "cancelled",
+	routing.NotSent:          "moot",
+	routing.CacheMiss:        "miss",
+}
+
+// startAttempt sends a request to an endpoint. An attempt that can't be sent ends as NotSent after the event in hand.
+func (d *Dispatcher) startAttempt(o *openRequest, action routing.StartAttempt) {
+	a := &attempt{
+		request:   o,
+		number:    len(o.attempts),
+		endpoint:  action.Endpoint,
+		startedAt: d.now,
+	}
+	earlier := o.connections()
+	o.attempts = append(o.attempts, a)
+	o.running++
+	deadline := o.request.Deadline
+	if action.Deadline > 0 {
+		deadline = min(deadline, action.Deadline)
+	}
+	if d.RetryBudget != nil {
+		d.RetryBudget.RecordAttempt(d.now, routing.ClassIndex(o.request.Class), a.endpoint, a.number > 0)
+		d.runNext(retryBudgetCheck{})
+	}
+	switch {
+	case o.request.Cancelled(): // its cancellation is not handled yet
+		d.runNext(requestDisconnected{o})
+	case !o.ended && deadline > d.now:
+		d.Metrics.Add("hops."+o.request.ClassName+".sent", 1)
+		a.sent = d.Pool.Send(cacheproto.Attempt{
+			Request:        o.request,
+			TimeoutSeconds: deadline - d.now,
+			FillSource:     d.fillSource(action),
+			StartAttempt:   action,
+		}, earlier, a)
+	}
+	if a.sent == nil {
+		d.runNext(attemptFinished{a, request.AttemptEnd{Result: routing.NotSent}})
+		return
+	}
+	a.connection = a.sent.Connection()
+	d.schedule(deadline, attemptDeadline{a})
+}
+
+// connections returns the connections that the request's attempts were sent on. A further attempt avoids them: what
+// went wrong on one is likely to go wrong there again.
+func (o *openRequest) connections() []*upstream.Connection {
+	var used []*upstream.Connection
+	for _, a := range o.attempts {
+		if a.connection != nil {
+			used = append(used, a.connection)
+		}
+	}
+	return used
+}
+
+// finishAttempt handles the end of an attempt, once. The first one that completed answers the request.
+func (d *Dispatcher) finishAttempt(a *attempt, end request.AttemptEnd) {
+	if a.ended {
+		end.Body.Free()
+		return
+	}
+	o := a.request
+	a.ended = true
+	a.sent = nil // it holds the body, and a timer still holds the attempt
+	o.running--
+	elapsed := d.now - a.startedAt
+	d.Metrics.Add("hops."+o.request.ClassName+"."+resultNames[end.Result], 1)
+	if end.Result == routing.Completed {
+		d.respond(o, request.Response{
+			Result:      request.Completed,
+			Reason:      request.ReasonAttemptCompleted,
+			ETag:        end.ETag,
+			NotModified: end.NotModified,
+			Body:        end.Body,
+		})
+	}
+	if d.OnAttemptEnd != nil {
+		d.OnAttemptEnd(AttemptReport{
+			Endpoint:       a.endpoint,
+			Class:          routing.ClassIndex(o.request.Class),
+			Result:         end.Result,
+			ElapsedSeconds: elapsed,
+		})
+	}
+	d.decide(routing.AttemptEnded{
+		Request:        o.id(),
+		Attempt:        a.number,
+		Endpoint:       a.endpoint,
+		Result:         end.Result,
+		Detail:         end.Detail,
+		ElapsedSeconds: elapsed,
+		RequestDone:    o.ended,
+		LoadReport:     end.LoadReport,
+	}, o)
+	d.forgetIfDone(o)
+}
+
+// cancelAttempt gives an attempt up. Its end is reported once its endpoint was told. If the endpoint can't know of the
+// attempt, its end is handled after the event in hand.
+func (d *Dispatcher) cancelAttempt(a *attempt, result routing.AttemptResult) {
+	if a.ended || a.cancelled || a.sent == nil { // one that was not sent is about to end
+		return
+	}
+	a.cancelled = true
+	if result, atOnce := d.Pool.Cancel(a.sent, result); atOnce {
+		d.runNext(attemptFinished{a, request.AttemptEnd{Result: result}})
+	}
+}
+
+// reportStalled tells the decisions, once each, of attempts whose connection is silent while their endpoint answers on
+// another.
+func (d *Dispatcher) reportStalled(stalled []*upstream.Attempt) {
+	for _, sent := range stalled {
+		a, ok := sent.Owner.(*attempt)
+		if !ok || a.ended || a.stallReported {
+			continue
+		}
+		a.stallReported = true
+		d.Metrics.Add("reach.stuck", 1)
+		d.decide(routing.AttemptStalled{Request: a.request.id(), Attempt: a.number}, a.request)
+	}
+}
+
+// reportRetryBudget tells the decisions which retry budgets were used up, and which are available again.
+func (d *Dispatcher) reportRetryBudget() {
+	for _, change := range d.RetryBudget.TakeChanges() {
+		d.Metrics.Add("spend.changes", 1)
+		if !change.Available {
+			d.Metrics.Add("spend.spent", 1)
+		}
+		d.decide(routing.RetryBudgetChanged{
+			Class:     change.Class,
+			Endpoint:  change.Endpoint,
+			Available: change.Available,
+		}, nil)
+	}
+}
--- /dev/null
+++ b/internal/dispatch/dispatcher.go
@@ -0,0 +1,153 @@
+// Package dispatch runs the event loop that owns the routing state.
+//
+// One goroutine, the one in Dispatcher.Run, brings events to the routing decisions in order, with a clock that never
+// goes back, and carries out the actions that they return. It starts and cancels attempts, answers requests, sets
+// timers and sends health probes. The loop owns the open requests, their attempts, the probes and the timers. The
+// methods of the upstream pool belong to it too.
+//
+// The package decides nothing itself and does no I/O: the loop never waits for a socket or a disk. What it adds to the
+// decisions is protection against them. A panic in a decision aborts the request that it was about, and a request that
+// the decisions fail to end is aborted shortly after its deadline.
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"cairnfront/internal/request"
+	"cairnfront/internal/telemetry"
+	"cairnfront/internal/upstream"
+	"cairnfront/internal/upstream/retrybudget"
+	"cairnfront/routing"
+)
+
+const (
+	// queueCapacity is how many events may wait for the loop.
+	queueCapacity = 4096
+	// closeIdleInterval is the time between sweeps of the pool for idle connections.
+	closeIdleInterval = time.Second
+	// watchInterval is the time between checks for silent attempts and for the retry budget's windows.
+	watchInterval = 20 * time.Millisecond
+	// overdueGrace is the time after a request's deadline at which it is aborted if the decisions failed to end it.
+	overdueGrace = 20 * time.Millisecond
+)
+
+// Dispatcher brings events to the routing decisions and carries out their actions. It has to be made by New. The
+// exported fields are set before Run and belong to Run's goroutine from then on.
+type Dispatcher struct {
+	Decider     routing.Decider
+	Settings    routing.Settings
+	Pool        *upstream.Pool
+	Metrics     *telemetry.Metrics
+	Clock       func() float64      // Unix time in seconds
+	RetryBudget *retrybudget.Budget // nil for no budget
+
+	// OnAttemptEnd is told of each attempt that ended; nil for nobody. It must not block.
+	OnAttemptEnd func(AttemptReport)
+
+	queue   chan event
+	stopped chan struct{} // closed when Run returns
+
+	mu               sync.Mutex
+	cancelled        []*request.Request // not yet handled; a request is cancelled at most once, which bounds the list
+	cancelledPending chan struct{}      // holds a value while cancelled may be non-empty
+
+	now           float64 // time of the event in hand, Unix seconds
+	requests      map[routing.RequestID]*openRequest
+	endpointKinds map[routing.EndpointID]int
+	timers        timerQueue
+}
+
+// New returns a dispatcher that is not running.
+func New(
+	decider routing.Decider,
+	settings routing.Settings,
+	pool *upstream.Pool,
+	metrics *telemetry.Metrics,
+) *Dispatcher {
+	return &Dispatcher{
+		Decider:          decider,
+		Settings:         settings,
+		Pool:             pool,
+		Metrics:          metrics,
+		Clock:            unixNow,
+		queue:            make(chan event, queueCapacity),
+		stopped:          make(chan struct{}),
+		cancelledPending: make(chan struct{}, 1),
+		requests:         map[routing.RequestID]*openRequest{},
+		endpointKinds:    map[routing.EndpointID]int{},
+	}
+}
+
+// unixNow returns the system's time in Unix seconds.
+func unixNow() float64 { return float64(time.Now().UnixMicro()) / 1e6 }
+
+// Run handles events and timers until the context ends. It may be called once.
+func (d *Dispatcher) Run(ctx context.Context) error {
+	defer close(d.stopped)
+	nextTimer := time.NewTimer(0)
+	defer nextTimer.Stop()
+	closeIdle := time.NewTicker(closeIdleInterval)
+	defer closeIdle.Stop()
+	var watch <-chan time.Time
+	if d.Pool.AddressSelector != nil || d.RetryBudget != nil {
+		ticker := time.NewTicker(watchInterval)
+		defer ticker.Stop()
+		watch = ticker.C
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-d.cancelledPending: // handled below, as before each other event
+		case ev := <-d.queue:
+			d.handleCancelled()
+			d.recovering(func() { d.handle(ev) })
+		case <-nextTimer.C:
+		case <-closeIdle.C:
+			d.recovering(func() { d.Pool.CloseIdle(time.Now()) })
+		case <-watch:
+			d.recovering(d.watch)
+		}
+		d.handleCancelled()
+		d.recovering(d.runDueTimers)
+		if due, ok := d.timers.next(); ok {
+			nextTimer.Reset(time.Duration(max(due-d.Clock(), 0) * float64(time.Second)))
+		}
+	}
+}
+
+// watch looks for silent attempts and moves the retry budget's windows on.
+func (d *Dispatcher) watch() {
+	d.advanceClock()
+	d.reportStalled(d.Pool.CheckAddresses(time.Now()))
+	if d.RetryBudget != nil {
+		d.RetryBudget.Advance(d.now)
+		d.reportRetryBudget()
+	}
+}
+
+// advanceClock sets the time of the event in hand. It never goes back, even if the system's clock does.
+func (d *Dispatcher) advanceClock() { d.now = max(d.now, d.Clock()) }
+
+// recovering calls step and keeps the loop going if it panics. The request that the panic was about is aborted once it
+// is overdue.
+func (d *Dispatcher) recovering(step func()) {
+	defer func() {
+		if p := recover(); p != nil {
+			d.logPanic("dispatch", "", p)
+		}
+	}()
+	step()
+}
+
+// logPanic counts a recovered panic and logs it with its stack. Event is the type of the event that a decision failed
+// at, empty for none.
+func (d *Dispatcher) logPanic(where, event string, recovered any) {
+	d.Metrics.Add("panics", 1)
+	d.Metrics.Log.Error("panic", "where", where, "event", event, "what", fmt.Sprint(recovered),
+		"stack", string(debug.Stack()))
+}
--- a/internal/dispatch/golden_test.go
+++ b/internal/dispatch/golden_test.go
@@ -7,7 +7,6 @@
 	"testing"
 
 	"cairnfront/internal/request"
-	"cairnfront/internal/upstream"
 	"cairnfront/routing"
 
 	"github.com/stretchr/testify/assert"
@@ -18,29 +17,35 @@
 
 // TestLogLinesKeepMessageAndKeys holds the message, level and keys of each kind of log line that this package writes.
 func TestLogLinesKeepMessageAndKeys(t *testing.T) {
-	l, _, x, _, log := stage(t, func(ev routing.Event) []routing.Action {
+	f := newFixture(t, func(ev routing.Event) []routing.Action {
 		switch ev := ev.(type) {
 		case routing.RequestArrived:
 			if ev.Request == "silent" {
 				return nil
 			}
-			return []routing.Action{routing.StartAttempt{Request: "ab", Endpoint: "c"}, routing.LogNote{Message: "a note"}}
+			return []routing.Action{
+				routing.StartAttempt{Request: "ab", Endpoint: "c"},
+				routing.LogNote{Message: "a note"},
+			}
 		case routing.AttemptEnded:
 			panic("in a decision")
 		}
 		return nil
 	})
-	l.Handle(x)
-	l.Clock = func() float64 { return 106 }
-	l.ring()
-	l.Handle(&request.Request{ID: "silent", ClassName: "page", Class: 1, Deadline: 110, ResponseWriter: &outlet{}})
-	l.Clock = func() float64 { return 111 }
-	l.ring()
-	l.Handle(&request.Request{ID: "cd", ClassName: "page", Class: 1, Deadline: 120, ResponseWriter: &outlet{}})
-	l.Handle(&request.Request{ID: "ab", ClassName: "page", Class: 1, Deadline: 120, ResponseWriter: &outlet{}})
-	l.Handle(upstream.AttemptEnded{Attempt: l.open["ab"].hops[0].call, End: request.AttemptEnd{Result: routing.Overloaded}})
-	l.safely(func() { panic("beside the decisions") })
-	got := regexp.MustCompile(`(?m)^time=\S+ `).ReplaceAllString(log.String(), "")
+	arrive := func(id string, deadline float64) {
+		f.arrive(&request.Request{ID: id, ClassName: "page", Class: 1, Deadline: deadline, ResponseWriter: f.recorder})
+	}
+	f.arrive(f.request)
+	f.setTime(106)
+	f.runDueTimers()
+	arrive("silent", 110)
+	f.setTime(111)
+	f.runDueTimers()
+	arrive("cd", 120)
+	arrive("ab", 120)
+	f.endAttempt(0, request.AttemptEnd{Result: routing.Overloaded})
+	f.recovering(func() { panic("beside the decisions") })
+	got := regexp.MustCompile(`(?m)^time=\S+ `).ReplaceAllString(f.log.String(), "")
 	got = regexp.MustCompile(`stack=".*"`).ReplaceAllString(got, "stack=...")
 	if *update {
 		require.NoError(t, os.WriteFile("testdata/log.golden.txt", []byte(got), 0o600))
--- /dev/null
+++ b/internal/dispatch/probes.go
@@ -0,0 +1,43 @@
+package dispatch
+
+import (
+	"cairnfront/internal/request"
+	"cairnfront/internal/upstream"
+	"cairnfront/routing"
+)
+
+// probe is a health probe in progress.
+type probe struct {
+	endpoint  routing.EndpointID
+	startedAt float64 // Unix time in seconds
+	sent      *upstream.Attempt
+	ended     bool
+}
+
+// OwnsUpstreamAttempt makes a probe an upstream.Owner.
+func (*probe) OwnsUpstreamAttempt() {}
+
+// startProbe sends a health probe. One that can't be sent fails after the event in hand.
+func (d *Dispatcher) startProbe(endpoint routing.EndpointID) {
+	p := &probe{endpoint: endpoint, startedAt: d.now}
+	p.sent = d.Pool.SendHealthCheck(endpoint, p)
+	if p.sent == nil {
+		d.runNext(probeFinished{p, request.AttemptEnd{Result: routing.ConnectFailed}})
+		return
+	}
+	d.schedule(d.now+d.Pool.ConnectTimeout.Seconds(), probeTimeout{p})
+}
+
+// finishProbe tells the decisions, once, how a probe ended.
+func (d *Dispatcher) finishProbe(p *probe, end request.AttemptEnd) {
+	if p.ended {
+		return
+	}
+	p.ended = true
+	d.decide(routing.ProbeResult{
+		Endpoint:       p.endpoint,
+		Result:         end.Result,
+		ElapsedSeconds: d.now - p.startedAt,
+		LoadReport:     end.LoadReport,
+	}, nil)
+}
--- /dev/null
+++ b/internal/dispatch/timers_test.go
@@ -0,0 +1,33 @@
+package dispatch
+
+import (
+	"testing"
+
+	"cairnfront/routing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+func TestTimersRunByDueTimeThenInTheOrderInWhichTheyWereSet(t *testing.T) {
+	f := newFixture(t, func(ev routing.Event) []routing.Action {
+		if ev == (routing.TimerFired{Token: 1}) {
+			return []routing.Action{routing.Probe{Endpoint: "x"}, routing.SetTimer{AfterSeconds: 0, Token: 5}}
+		}
+		return nil
+	})
+	f.schedule(102, decisionTimer{3})
+	f.schedule(101, decisionTimer{1})
+	f.schedule(101, decisionTimer{2})
+	f.schedule(103, decisionTimer{4})
+	f.setTime(102.5)
+	f.runDueTimers()
+	assert.Equal(t, []routing.Event{
+		routing.TimerFired{Token: 1},
+		// What follows from an event goes before the timers that are due.
+		routing.ProbeResult{Endpoint: "x", Result: routing.ConnectFailed},
+		routing.TimerFired{Token: 2},
+		routing.TimerFired{Token: 3},
+		routing.TimerFired{Token: 5},
+	}, f.decider.events[1:])
+	assert.EqualValues(t, 1.5e6, f.Metrics.Value("loop.late.most-us"))
+}
