--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -37,8 +37,8 @@
 	// statePartialFrame: as stateIdle, but the first bytes of a frame have come. The timeout is partialFrameTimeout.
 	statePartialFrame
 
-	// stateActive: a request is open, or output is not wholly written. The only timeout is stalledTimeout, while the body
-	// budget is nearly full.
+	// stateActive: a request is open, or output is not wholly written. The only timeout is stalledTimeout, while the
+	// body budget is nearly full.
 	stateActive
 
 	// stateClosed: the socket is closed.
--- /dev/null
+++ b/internal/frontend/connection_test.go
@@ -0,0 +1,194 @@
+package frontend
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"cairnfront/internal/admission"
+	"cairnfront/internal/clientproto"
+	"cairnfront/internal/netconn"
+	"cairnfront/internal/request"
+	"cairnfront/internal/telemetry"
+
+	"github.com/stretchr/testify/assert"
+)
+
+func TestClientThatDoesNotReadIsClosed(t *testing.T) {
+	c := newTestConn(t, true)
+	for range 1030 {
+		if _, err := c.Write(readinessQuery(0)); err != nil {
+			break
+		}
+	}
+	<-c.done
+	assert.Contains(t, c.log.String(), "code=slow-reader")
+}
+
+// TestViolationClosesAfterOpenRequestsAreAnswered: the client is told of its fault first.
+func TestViolationClosesAfterOpenRequestsAreAnswered(t *testing.T) {
+	for want, bad := range map[string][]byte{
+		"length": {0xff, 0, 0, 0, 100, 0, 0, 0, 9}, "type 77": clientproto.AppendHeader(nil, 77, 9, 0),
+		"stream 0": requestFrame(0, "bb"), "not new": requestFrame(1, "bb"),
+	} {
+		c := newTestConn(t, true)
+		_, _ = c.Write(requestFrame(1, "aa"))
+		r := <-c.sink.arrived
+		_, _ = c.Write(bad)
+		kind, stream, payload := c.readFrame(t)
+		assert.Equal(t, []any{clientproto.TypeResponse, uint32(0)}, []any{kind, stream})
+		assert.Contains(t, payload, want)
+		r.ResponseWriter.Respond(r, request.Response{})
+		_, stream, _ = c.readFrame(t)
+		assert.EqualValues(t, 1, stream)
+		_, err := c.Read(make([]byte, 1))
+		assert.ErrorIs(t, err, io.EOF)
+		<-c.done
+		assert.Contains(t, c.log.String(), "code=protocol")
+	}
+}
+
+// TestDisconnectAfterViolationIsNoticed: frames are not followed any more, but a disconnect cancels open requests.
+func TestDisconnectAfterViolationIsNoticed(t *testing.T) {
+	c := newTestConn(t, true)
+	_, _ = c.Write(requestFrame(1, "aa"))
+	r := <-c.sink.arrived
+	_, _ = c.Write(clientproto.AppendHeader(nil, 77, 9, 0))
+	c.readFrame(t)
+	_, _ = c.Write(requestFrame(2, "bb"))
+	_ = c.Close()
+	assert.Equal(t, r, <-c.sink.cancelled)
+	assert.True(t, r.Cancelled())
+	c.sink.assertEmpty(t)
+}
+
+// flood writes until the connection fails, and then closes the channel.
+func (c *testClient) flood() <-chan bool {
+	over := make(chan bool)
+	go func() {
+		defer close(over)
+		for text := make([]byte, 64<<10); ; {
+			if _, err := c.Write(text); err != nil {
+				return
+			}
+		}
+	}()
+	return over
+}
+
+// TestFloodIsSlowedWhileRequestIsOpen: after a violation input is read on while a request is open, but slowly, so that
+// a flood does not cost the processor.
+func TestFloodIsSlowedWhileRequestIsOpen(t *testing.T) {
+	c := newTestConnOverTCP(t, ignoreSocket, ignoreSocket)
+	_, _ = c.Write(requestFrame(1, "aa"))
+	r := <-c.sink.arrived
+	_, _ = c.Write(clientproto.AppendHeader(nil, 77, 9, 0))
+	flooded := c.flood()
+	assert.Eventually(t, func() bool {
+		return c.conn().BytesRead() > discardedInputBytes
+	}, time.Minute, time.Millisecond)
+	before, began := c.conn().BytesRead(), time.Now()
+	assert.Eventually(t, func() bool {
+		return c.conn().BytesRead() > before+20*admission.ClientRingBytes
+	}, time.Minute, time.Millisecond)
+	assert.Greater(t, time.Since(began), 50*time.Millisecond)
+	assert.True(t, r.ResponseWriter.Respond(r, request.Response{}))
+	<-c.done
+	<-flooded
+}
+
+// TestFloodAfterViolationDoesNotDelayClose: the close comes though input never ends.
+func TestFloodAfterViolationDoesNotDelayClose(t *testing.T) {
+	c := newTestConnOverTCP(t, ignoreSocket, ignoreSocket)
+	_, _ = c.Write(clientproto.AppendHeader(nil, 77, 9, 0))
+	flooded := c.flood()
+	<-c.done
+	<-flooded
+	assert.Contains(t, c.log.String(), "code=protocol")
+}
+
+// TestLastOutputReachesClientThatStillSends: a close with unread input would reset the connection.
+func TestLastOutputReachesClientThatStillSends(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	s := &Server{Admission: admission.New(64, 256), Metrics: telemetry.New(io.Discard, "")}
+	done := make(chan error)
+	go func() { done <- s.Serve(ctx, ln) }()
+	far, err := net.Dial("tcp", ln.Addr().String())
+	assert.NoError(t, err)
+	_, _ = far.Write(clientproto.AppendHeader(nil, 77, 1, 0))
+	for range 20 {
+		_, err = far.Write(make([]byte, 64<<10))
+		assert.NoError(t, err)
+	}
+	words, err := io.ReadAll(far)
+	assert.NoError(t, err)
+	assert.Contains(t, string(words), "unknown type 77")
+	_ = far.Close()
+	cancel()
+	assert.NoError(t, <-done)
+}
+
+// TestRequestThatCrossesIdleClose: a request that arrives before the close is decided is served. One that crosses the
+// close meets a half-closed connection and no reset, so its client knows that it was not served.
+func TestRequestThatCrossesIdleClose(t *testing.T) {
+	query := readinessQuery(5)
+	var came atomic.Bool
+	c := newTestConnOverTCP(t, func(far net.Conn) {
+		if came.CompareAndSwap(false, true) {
+			_, _ = far.Write(requestFrame(1, "aa"))
+		}
+	}, func(far net.Conn) { _, _ = far.Write(requestFrame(2, "bb")) })
+	_, _ = c.Write(query)
+	c.readFrame(t)
+	var r *request.Request
+	for r == nil { // until a sweep has seen that nothing is open
+		c.sweep(time.Now().Add(idleTimeout + time.Second))
+		select {
+		case r = <-c.sink.arrived:
+		case <-time.After(time.Millisecond):
+		}
+	}
+	assert.True(t, r.ResponseWriter.Respond(r, request.Response{}))
+	_, stream, _ := c.readFrame(t)
+	assert.EqualValues(t, 1, stream, "it came before the end")
+	c.sweepUntil(t, netconn.IdleTimeout)
+	c.readUntilEnd(t)
+	c.sink.assertEmpty(t, "what crossed the end is not taken")
+	assert.Contains(t, c.log.String(), "code=idle")
+}
+
+// TestGracefulClosesResetNothing: whatever a client writes at the moment of the close, under every timeout.
+func TestGracefulClosesResetNothing(t *testing.T) {
+	query := readinessQuery(5)
+	for code, says := range map[netconn.EndCode][]byte{
+		netconn.NoFirstFrame: nil,
+		netconn.IdleTimeout:  query,
+		netconn.PartialFrame: query[:7],
+	} {
+		c := newTestConnOverTCP(t, ignoreSocket, func(far net.Conn) {
+			_, _ = far.Write(append(query, make([]byte, 50_000)...))
+		})
+		_, _ = c.Write(says)
+		if code == netconn.IdleTimeout {
+			c.readFrame(t)
+		}
+		assert.Eventually(t, func() bool {
+			x := c.conn()
+			return x != nil && (x.FrameStartUnixNano() != 0) == (code == netconn.PartialFrame)
+		}, time.Minute, time.Millisecond)
+		c.sweepUntil(t, code)
+		c.readUntilEnd(t)
+		assert.Contains(t, c.log.String(), "code="+code.String())
+	}
+	c := newTestConnOverTCP(t, ignoreSocket, func(far net.Conn) {
+		_, _ = far.Write(append(query, make([]byte, 500_000)...))
+	})
+	assert.Eventually(t, func() bool { return c.evict(time.Now().Add(time.Hour)) }, time.Minute, time.Millisecond)
+	c.readUntilEnd(t)
+	assert.Contains(t, c.log.String(), "code=crowded")
+}
--- a/internal/frontend/drain.go
+++ b/internal/frontend/drain.go
@@ -22,9 +22,9 @@
 	}
 }
 
-// FinishDrain accepts what is in the listener's backlog, closes the listener, and closes each connection once nothing is
-// open on it and its client's input is read. It is called after BeginDrain, and returns when all connections have ended,
-// or with the context.
+// FinishDrain accepts what is in the listener's backlog, closes the listener, and closes each connection once nothing
+// is open on it and its client's input is read. It is called after BeginDrain, and returns when all connections have
+// ended, or with the context.
 func (s *Server) FinishDrain(ctx context.Context) {
 	ticker := time.NewTicker(drainPollInterval)
 	defer ticker.Stop()
--- /dev/null
+++ b/internal/frontend/drain_test.go
@@ -0,0 +1,88 @@
+package frontend
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"cairnfront/internal/clientproto"
+	"cairnfront/internal/request"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// TestConnAcceptedDuringDrainGetsGoAway: at once, before it sends a request.
+func TestConnAcceptedDuringDrainGetsGoAway(t *testing.T) {
+	s, _, dial := startServer(t, nil)
+	s.BeginDrain()
+	kind, _, _ := dial().readFrame(t)
+	assert.EqualValues(t, clientproto.TypeGoAway, kind)
+}
+
+// TestBacklogIsServedDuringDrain: a client that connected and wrote before the listener closed gets a response. The
+// accept deadline has passed before the first accept: without a second wait the listener would reset its backlog.
+func TestBacklogIsServedDuringDrain(t *testing.T) {
+	var c *testClient
+	s, sink, _ := startServer(t, func(ln net.Listener) {
+		far, err := net.Dial("tcp", ln.Addr().String())
+		require.NoError(t, err)
+		c = &testClient{Conn: far}
+		_, _ = c.Write(requestFrame(1, "aa"))
+		_ = ln.(*net.TCPListener).SetDeadline(time.Unix(1, 0))
+	})
+	s.BeginDrain()
+	finished := make(chan bool)
+	go func() {
+		s.FinishDrain(t.Context())
+		close(finished)
+	}()
+	r := <-sink.arrived
+	assert.True(t, r.ResponseWriter.Respond(r, request.Response{}))
+	for kind := clientproto.TypeGoAway; kind == clientproto.TypeGoAway; {
+		var stream uint32
+		if kind, stream, _ = c.readFrame(t); kind != clientproto.TypeGoAway {
+			assert.Equal(t, []any{clientproto.TypeResponse, uint32(1)}, []any{kind, stream})
+		}
+	}
+	_, err := io.Copy(io.Discard, c)
+	assert.NoError(t, err, "ended, not reset")
+	_ = c.Close()
+	<-finished
+}
+
+// TestFinishDrainClosesInOrder: an idle connection is closed at once, one with an open request after the response, one
+// in the middle of a request after that has come and is answered.
+func TestFinishDrainClosesInOrder(t *testing.T) {
+	s, sink, dial := startServer(t, nil)
+	rests, waits, writes := dial(), dial(), dial()
+	_, _ = rests.Write(readinessQuery(5))
+	rests.readFrame(t)
+	_, _ = waits.Write(requestFrame(1, "aa"))
+	r := <-sink.arrived
+	text := requestFrame(1, "bb")
+	_, _ = writes.Write(append(readinessQuery(5), text[:20]...))
+	writes.readFrame(t)
+	s.BeginDrain()
+	finished := make(chan bool)
+	go func() {
+		s.FinishDrain(t.Context())
+		close(finished)
+	}()
+	_, err := io.Copy(io.Discard, rests)
+	assert.NoError(t, err)
+	_ = rests.Close()
+	_, _ = writes.Write(text[20:])
+	y := <-sink.arrived
+	for _, z := range []*request.Request{r, y} {
+		assert.True(t, z.ResponseWriter.Respond(z, request.Response{Body: &request.Body{Bytes: make([]byte, 200_000)}}))
+	}
+	for _, c := range []*testClient{waits, writes} {
+		n, err := io.Copy(io.Discard, c)
+		assert.NoError(t, err)
+		assert.Greater(t, n, int64(200_000), "the answer is whole")
+		_ = c.Close()
+	}
+	<-finished
+}
--- /dev/null
+++ b/internal/frontend/framereader_test.go
@@ -0,0 +1,176 @@
+package frontend
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"cairnfront/internal/clientproto"
+	"cairnfront/internal/request"
+
+	"github.com/stretchr/testify/assert"
+)
+
+func TestRequestIsDecodedAnsweredAndCancelled(t *testing.T) {
+	c := newTestConn(t, true)
+	before := float64(time.Now().UnixMicro()) / 1e6
+	_, _ = c.Write(requestFrame(1, "aa", clientproto.Field{Name: "heap", Value: "412.5"}))
+	r := <-c.sink.arrived
+	assert.Equal(t, []any{"aa0123456789abcd", "page", 1, 3, 412.5},
+		[]any{r.ID, r.ClassName, r.Class, r.PartNumber, r.SizeKB})
+	assert.GreaterOrEqual(t, r.ArrivedAt, before)
+	assert.InDelta(t, r.ArrivedAt+1.5, r.Deadline, 1e-6)
+	assert.True(t, r.ResponseWriter.Respond(r, request.Response{ETag: "t", Body: &request.Body{Bytes: []byte("xyz")}}))
+	assert.False(t, r.ResponseWriter.Respond(r, request.Response{}), "one response a request")
+	kind, stream, payload := c.readFrame(t)
+	assert.Equal(t, []any{clientproto.TypeResponse, uint32(1), "\x01\x01\x04etag\x00\x01txyz"},
+		[]any{kind, stream, payload})
+	_, _ = c.Write(clientproto.AppendHeader(nil, clientproto.TypeCancel, 1, 0)) // too late to matter
+	_, _ = c.Write(requestFrame(2, "bb"))
+	r = <-c.sink.arrived
+	_, _ = c.Write(clientproto.AppendHeader(nil, clientproto.TypeCancel, 2, 0))
+	assert.Equal(t, r, <-c.sink.cancelled)
+	assert.False(t, r.ResponseWriter.Respond(r, request.Response{}), "nobody waits")
+	_, _ = c.Write(requestFrame(3, "cc"))
+	r = <-c.sink.arrived
+	_ = c.Close()
+	assert.Equal(t, r, <-c.sink.cancelled)
+	assert.EqualValues(t, 1, c.Metrics.Value("left.page.connection-ended"))
+}
+
+func TestReadinessFollowsAdmission(t *testing.T) {
+	c := newTestConn(t, true)
+	query := readinessQuery(5)
+	for _, want := range []string{"\x00\x00", "\x01\x00"} {
+		_, _ = c.Write(query)
+		kind, stream, payload := c.readFrame(t)
+		assert.Equal(t, []any{clientproto.TypeReadinessReply, uint32(5), want}, []any{kind, stream, payload})
+		c.Admission.SetReady()
+	}
+	go c.BeginDrain()
+	kind, stream, payload := c.readFrame(t)
+	assert.Equal(t, []any{clientproto.TypeGoAway, uint32(0), ""}, []any{kind, stream, payload})
+	_, _ = c.Write(query)
+	_, _, payload = c.readFrame(t)
+	assert.Equal(t, "\x00\x00", payload, "no new clients while it ends")
+	_, _ = c.Write(requestFrame(1, "aa"))
+	r := <-c.sink.arrived
+	kind, _, _ = c.readFrame(t)
+	assert.Equal(t, clientproto.TypeGoAway, kind)
+	assert.True(t, r.ResponseWriter.Respond(r, request.Response{}), "and yet what comes is served")
+	_, stream, _ = c.readFrame(t)
+	assert.EqualValues(t, 1, stream)
+}
+
+// TestMalformedRequestsAreAnsweredOnTheirStream: the connection goes on.
+func TestMalformedRequestsAreAnsweredOnTheirStream(t *testing.T) {
+	c := newTestConn(t, true)
+	big := clientproto.AppendHeader(nil, clientproto.TypeRequest, 1, clientproto.MaxRequestBytes+1)
+	for stream, bad := range [][]byte{
+		append(big, make([]byte, clientproto.MaxRequestBytes+1)...),
+		append(clientproto.AppendHeader(nil, clientproto.TypeRequest, 2, 1), 9),
+		requestFrame(3, "zz"), requestFrame(4, "aa", clientproto.Field{Name: "op", Value: "page"}),
+		bytes.Replace(requestFrame(5, "aa"), []byte("\x04page"), []byte("\x04what"), 1),
+		bytes.Replace(requestFrame(6, "aa"), []byte("page"), []byte("what"), 1),
+	} {
+		_, _ = c.Write(bad)
+		kind, on, payload := c.readFrame(t)
+		assert.Equal(t, []any{clientproto.TypeResponse, uint32(stream + 1)}, []any{kind, on})
+		assert.Equal(t, byte(9), payload[0])
+		assert.Contains(t, payload, "error")
+	}
+	_, _ = c.Write(requestFrame(7, "aa"))
+	r := <-c.sink.arrived
+	r.ResponseWriter.Respond(r, request.Response{})
+	_, stream, _ := c.readFrame(t)
+	assert.EqualValues(t, 7, stream)
+}
+
+func TestRequestsOverLimitsAreRejected(t *testing.T) {
+	c := newTestConn(t, true)
+	for stream := uint32(1); stream <= maxOpenRequests; stream++ {
+		_, _ = c.Write(requestFrame(stream, string([]byte{'a' + byte(stream%6), 'a' + byte(stream/6)})))
+		<-c.sink.arrived
+	}
+	_, _ = c.Write(requestFrame(maxOpenRequests+1, "ff"))
+	_, stream, payload := c.readFrame(t)
+	assert.Equal(t, []any{uint32(maxOpenRequests + 1), "\x00\x00"}, []any{stream, payload})
+	_, _ = c.Write(clientproto.AppendHeader(nil, clientproto.TypeCancel, 1, 0))
+	<-c.sink.cancelled
+	body := c.Admission.Bodies.TryAllocate(64<<20*35/100 - 50)
+	assert.NotNil(t, body)
+	_, _ = c.Write(requestFrame(maxOpenRequests+2, "ff"))
+	_, stream, payload = c.readFrame(t)
+	assert.Equal(t, []any{uint32(maxOpenRequests + 2), "\x00\x00"}, []any{stream, payload}, "no memory for a body")
+	body.Free()
+	assert.EqualValues(t, 1, c.Metrics.Value("answered.page.rejected.streams"))
+	assert.EqualValues(t, 1, c.Metrics.Value("answered.unknown.rejected.memory"))
+}
+
+// TestFullQueueRejectsAtOnce: and the reader goes on, so it sees what comes next, a disconnect too.
+func TestFullQueueRejectsAtOnce(t *testing.T) {
+	c := newTestConn(t, true)
+	c.sink.accept = func() bool { return false }
+	_, _ = c.Write(requestFrame(1, "aa", clientproto.Field{Name: "heap", Value: "1"}))
+	_, stream, payload := c.readFrame(t)
+	assert.Equal(t, []any{uint32(1), "\x00\x00"}, []any{stream, payload})
+	assert.EqualValues(t, 1, c.Metrics.Value("answered.page.rejected.queue"))
+	assert.Zero(t, c.Admission.Bodies.UsedBytes())
+	c.sink.accept = nil
+	_, _ = c.Write(requestFrame(2, "bb"))
+	r := <-c.sink.arrived
+	_ = c.Close()
+	assert.Equal(t, r, <-c.sink.cancelled)
+}
+
+// TestShortMemoryRejectsAllSizesAlike: small requests do not fill what is left of the budget while large ones starve.
+func TestShortMemoryRejectsAllSizesAlike(t *testing.T) {
+	c := newTestConn(t, true)
+	stream := uint32(0)
+	for _, full := range []bool{false, true} {
+		held := c.Admission.Bodies.TryAllocate(64<<20*35/100*9/10 - 1000)
+		more := (*request.Body)(nil)
+		if full {
+			more = c.Admission.Bodies.TryAllocate(2000)
+		}
+		for _, size := range []int{0, clientproto.MaxBodyBytes} {
+			stream++
+			fields := requestFrame(stream, fmt.Sprintf("%02x", stream))[clientproto.HeaderSize:]
+			payload := append(fields, make([]byte, size)...)
+			go func() {
+				header := clientproto.AppendHeader(nil, clientproto.TypeRequest, stream, len(payload))
+				_, _ = c.Write(append(header, payload...))
+			}()
+			if !full {
+				r := <-c.sink.arrived
+				r.Body.Free()
+				r.ResponseWriter.Respond(r, request.Response{})
+			}
+			_, on, answer := c.readFrame(t)
+			assert.Equal(t, stream, on)
+			assert.Equal(t, map[bool]byte{false: 1, true: 0}[full], answer[0])
+		}
+		held.Free()
+		more.Free()
+	}
+}
+
+// TestPanicAbortsOneRequest: a panic of the sink aborts the request; one of the reader closes its connection.
+func TestPanicAbortsOneRequest(t *testing.T) {
+	c := newTestConn(t, true)
+	c.sink.accept = func() bool { panic("a fault") }
+	_, _ = c.Write(requestFrame(1, "aa"))
+	_, stream, payload := c.readFrame(t)
+	assert.Equal(t, []any{uint32(1), "\x09\x00"}, []any{stream, payload})
+	assert.Contains(t, c.log.String(), "a fault")
+	assert.EqualValues(t, 1, c.Metrics.Value("answered.page.aborted.panic"))
+	c.Admission = nil
+	_, _ = c.Write(readinessQuery(0))
+	_, err := c.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, io.EOF)
+	c.Admission = c.admission
+	<-c.done
+	assert.Contains(t, c.log.String(), "code=panic")
+}
--- a/internal/frontend/golden_test.go
+++ b/internal/frontend/golden_test.go
@@ -63,7 +63,7 @@
 
 // TestGoldenEndedLines compares the log line of an ended client connection, in full, for each end code of a client.
 func TestGoldenEndedLines(t *testing.T) {
-	query := append(clientproto.AppendHeader(nil, clientproto.TypeReadinessQuery, 0, 1), 0)
+	query := readinessQuery(0)
 	swept := func(says []byte, age time.Duration) string {
 		c := newTestConn(t, true)
 		_, _ = c.Write(says)
@@ -210,7 +210,7 @@
 // and a graceful close.
 func TestGoldenSession(t *testing.T) {
 	s := &transcript{testClient: newTestConnOverTCP(t, ignoreSocket, ignoreSocket)}
-	query := append(clientproto.AppendHeader(nil, clientproto.TypeReadinessQuery, 7, 1), 0)
+	query := readinessQuery(7)
 	s.step("readiness: no, then yes")
 	for range 2 {
 		_, _ = s.Write(query)
--- /dev/null
+++ b/internal/frontend/helpers_test.go
@@ -0,0 +1,248 @@
+package frontend
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"cairnfront/internal/admission"
+	"cairnfront/internal/clientproto"
+	"cairnfront/internal/netconn"
+	"cairnfront/internal/request"
+	"cairnfront/internal/telemetry"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// testClient is a client's connection to a Server of its own.
+type testClient struct {
+	*Server
+	net.Conn
+	sink      *testSink
+	log       *bytes.Buffer
+	done      chan bool
+	admission *admission.Controller
+	socket    *observedSocket // over TCP
+}
+
+// testSink is a RequestSink that keeps what it is handed.
+type testSink struct {
+	arrived   chan *request.Request
+	cancelled chan *request.Request
+	accept    func() bool // instead of keeping a request that arrives; nil to keep it
+}
+
+func newTestSink() *testSink {
+	return &testSink{
+		arrived:   make(chan *request.Request, 99),
+		cancelled: make(chan *request.Request, 99),
+	}
+}
+
+func (s *testSink) RequestArrived(r *request.Request) bool {
+	if s.accept != nil {
+		return s.accept()
+	}
+	s.arrived <- r
+	return true
+}
+
+func (s *testSink) RequestCancelled(r *request.Request) { s.cancelled <- r }
+
+// assertEmpty checks that nothing more was handed over.
+func (s *testSink) assertEmpty(t *testing.T, msgAndArgs ...any) {
+	t.Helper()
+	assert.Empty(t, s.arrived, msgAndArgs...)
+	assert.Empty(t, s.cancelled, msgAndArgs...)
+}
+
+// newTestConn connects a client over a pipe. A connection that is not admitted is one over the limit.
+func newTestConn(t *testing.T, admitted bool) *testClient {
+	near, far := net.Pipe()
+	return newTestConnOver(t, near, far, admitted)
+}
+
+// newTestConnOver connects a client over a pair of sockets, and checks at the end of the test what holds for each
+// connection: one log line, no open request, balanced counters.
+func newTestConnOver(t *testing.T, near, far net.Conn, admitted bool) *testClient {
+	c := &testClient{Conn: far, sink: newTestSink(), log: &bytes.Buffer{}, done: make(chan bool)}
+	c.Server = &Server{
+		ClassIndexes: map[string]int{"page": 1},
+		Admission:    admission.New(64, 256),
+		Metrics:      telemetry.New(c.log, ""),
+		Requests:     c.sink,
+	}
+	c.admission = c.Admission
+	go func() {
+		c.serveConn(t.Context(), near, admitted)
+		close(c.done)
+	}()
+	t.Cleanup(func() {
+		_ = far.Close()
+		<-c.done
+		assert.Equal(t, 1, strings.Count(c.log.String(), "connection ended"), "one line")
+		assert.Zero(t, c.admission.OpenRequests(), "no request is open after the end")
+		assert.Equal(t, c.Metrics.Value("taken"), c.Metrics.Value("answered")+c.Metrics.Value("left"))
+	})
+	return c
+}
+
+// conn returns the connection, nil before and after it is served.
+func (c *testClient) conn() *clientConn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for p := range c.conns {
+		return p
+	}
+	return nil
+}
+
+// requestFrame is the frame of a request whose id begins with two hexadecimal digits.
+func requestFrame(stream uint32, id string, more ...clientproto.Field) []byte {
+	payload := clientproto.AppendFields(nil, append([]clientproto.Field{
+		{Name: "op", Value: "page"},
+		{Name: "call", Value: id + "0123456789abcd"},
+		{Name: "ttl", Value: "1500"},
+		{Name: "row", Value: "7f3a9c21e0b4d655"},
+		{Name: "seg", Value: "3"},
+	}, more...)...)
+	return append(clientproto.AppendHeader(nil, clientproto.TypeRequest, stream, len(payload)), payload...)
+}
+
+// readinessQuery is the frame of a readiness query.
+func readinessQuery(stream uint32) []byte {
+	return append(clientproto.AppendHeader(nil, clientproto.TypeReadinessQuery, stream, 1), 0)
+}
+
+// readFrame reads one frame: its type, stream and payload.
+func (c *testClient) readFrame(t *testing.T) (clientproto.FrameType, uint32, string) {
+	head := make([]byte, clientproto.HeaderSize)
+	_, err := io.ReadFull(c, head)
+	assert.NoError(t, err)
+	h, err := clientproto.ParseHeader(head)
+	assert.NoError(t, err)
+	payload := make([]byte, h.PayloadBytes)
+	_, err = io.ReadFull(c, payload)
+	assert.NoError(t, err)
+	return h.Type, h.StreamID, string(payload)
+}
+
+// sweepUntilDone sweeps as of a later time until the connection has ended. One sweep is not enough: the reader refuses
+// a close while something is under way, and a response that its client has read may not be recorded as written yet.
+func (c *testClient) sweepUntilDone(later time.Duration) {
+	for {
+		c.sweep(time.Now().Add(later))
+		select {
+		case <-c.done:
+			return
+		case <-time.After(time.Millisecond):
+		}
+	}
+}
+
+// observedSocket is the server's side of a connection. It reports when its reader is woken and when it is closed,
+// before that happens.
+type observedSocket struct {
+	*net.TCPConn
+	onReaderWoken, onClose func()
+	halfClosed             atomic.Bool
+	lingerNanos            atomic.Int64 // ns for which it is read on after its end at the most
+}
+
+func (e *observedSocket) SetReadDeadline(at time.Time) error {
+	if at.Equal(time.Unix(1, 0)) && e.onReaderWoken != nil {
+		e.onReaderWoken()
+	}
+	if e.halfClosed.Load() {
+		e.lingerNanos.Store(max(e.lingerNanos.Load(), int64(time.Until(at))))
+	}
+	return e.TCPConn.SetReadDeadline(at)
+}
+
+func (e *observedSocket) CloseWrite() error {
+	e.onClose()
+	e.halfClosed.Store(true)
+	return e.TCPConn.CloseWrite()
+}
+
+func (e *observedSocket) Close() error {
+	e.onClose()
+	return e.TCPConn.Close()
+}
+
+// newTestConnOverTCP is newTestConn over loopback. onClose is called once, at the moment of the close or half-close;
+// onReaderWoken each time that the reader is woken.
+func newTestConnOverTCP(t *testing.T, onReaderWoken, onClose func(far net.Conn)) *testClient {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	far, err := net.Dial("tcp", ln.Addr().String())
+	require.NoError(t, err)
+	near, err := ln.Accept()
+	require.NoError(t, err)
+	e := &observedSocket{
+		TCPConn:       near.(*net.TCPConn),
+		onReaderWoken: func() { onReaderWoken(far) },
+		onClose:       sync.OnceFunc(func() { onClose(far) }),
+	}
+	c := newTestConnOver(t, e, far, true)
+	c.socket = e
+	return c
+}
+
+// ignoreSocket is a hook that does nothing.
+func ignoreSocket(net.Conn) {}
+
+// readUntilEnd reads until the server closes its side, and fails on a reset.
+func (c *testClient) readUntilEnd(t *testing.T) {
+	_, err := io.Copy(io.Discard, c)
+	assert.NoError(t, err, "ended, not reset")
+	_ = c.Close()
+	<-c.done
+}
+
+// sweepUntil sweeps until the connection is about to end with a code.
+func (c *testClient) sweepUntil(t *testing.T, code netconn.EndCode) {
+	assert.Eventually(t, func() bool {
+		c.sweep(time.Now().Add(time.Hour))
+		x := c.conn()
+		return x == nil || x.EndCode() == code
+	}, time.Minute, time.Millisecond)
+}
+
+// startServer serves a listener on loopback until the test ends. prepare, where set, is called before the first accept.
+func startServer(t *testing.T, prepare func(net.Listener)) (s *Server, sink *testSink, dial func() *testClient) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	sink = newTestSink()
+	s = &Server{
+		ClassIndexes: map[string]int{"page": 1},
+		Admission:    admission.New(64, 256),
+		Metrics:      telemetry.New(io.Discard, ""),
+		Requests:     sink,
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error)
+	dial = func() *testClient {
+		far, err := net.Dial("tcp", ln.Addr().String())
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = far.Close() })
+		return &testClient{Conn: far}
+	}
+	if prepare != nil {
+		prepare(ln)
+	}
+	go func() { done <- s.Serve(ctx, ln) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.NoError(t, <-done)
+	})
+	return s, sink, dial
+}
--- a/internal/frontend/responsewriter_test.go
+++ b/internal/frontend/responsewriter_test.go
@@ -15,11 +15,12 @@
 	"github.com/stretchr/testify/assert"
 )
 
-// outlet is one with an open txn on stream 1.
+// newTestWriter makes a response writer with an open request on stream 1.
 func newTestWriter(t *testing.T) (*responseWriter, *request.Request) {
-	g := admission.New(64, 256)
-	w, r := newResponseWriter(telemetry.New(&bytes.Buffer{}, ""), g), &request.Request{StreamID: 1, ClassName: "page"}
-	assert.Empty(t, g.AdmitRequest(0))
+	admitted := admission.New(64, 256)
+	w := newResponseWriter(telemetry.New(&bytes.Buffer{}, ""), admitted)
+	r := &request.Request{StreamID: 1, ClassName: "page"}
+	assert.Empty(t, admitted.AdmitRequest(0))
 	w.open(r)
 	return w, r
 }
@@ -42,9 +43,14 @@
 	assert.True(t, w.Respond(y, request.Response{Body: w.admission.Bodies.TryAllocate(100)}))
 	assert.Equal(t, []*request.Request{r}, w.close(request.ConnectionEnded))
 	assert.False(t, w.Respond(r, request.Response{Body: w.admission.Bodies.TryAllocate(100)}))
-	assert.Zero(t, w.admission.Bodies.UsedBytes(), "what comes too late is freed as well")
+	assert.Zero(t, w.admission.Bodies.UsedBytes(), "the body of a response that is not accepted is freed")
 	assert.Zero(t, w.admission.OpenRequests())
-	assert.Equal(t, []int64{2, 1, 1, 0}, []int64{w.metrics.Value("taken"), w.metrics.Value("answered"), w.metrics.Value("left"), w.metrics.Value("open")})
+	assert.Equal(t, []int64{2, 1, 1, 0}, []int64{
+		w.metrics.Value("taken"),
+		w.metrics.Value("answered"),
+		w.metrics.Value("left"),
+		w.metrics.Value("open"),
+	})
 }
 
 func TestWriteToSlowReaderFails(t *testing.T) {
@@ -65,13 +71,14 @@
 	assert.True(t, w.queueFull())
 }
 
-// TestLookAndEndAreOneStep: nothing may be open, wait, or be on its way into the socket; after a yes nothing more is said.
+// TestQuiesceChecksAndClosesInOneStep: no request may be open, and no output queued or on its way into the socket.
+// After quiesce returned true no control frame is queued.
 func TestQuiesceChecksAndClosesInOneStep(t *testing.T) {
 	near, far := net.Pipe()
 	w, r := newTestWriter(t)
-	assert.False(t, w.quiesce(), "a txn is open")
+	assert.False(t, w.quiesce(), "a request is open")
 	assert.True(t, w.Respond(r, request.Response{}))
-	assert.False(t, w.quiesce(), "its answer waits")
+	assert.False(t, w.quiesce(), "its response is queued")
 	done := make(chan error)
 	go func() { done <- w.run(t.Context(), netconn.New(near, 64, time.Minute)) }()
 	_, _ = far.Read(make([]byte, 1))
@@ -79,13 +86,13 @@
 	go func() { _, _ = io.Copy(io.Discard, far) }()
 	assert.Eventually(t, w.quiesce, time.Minute, time.Millisecond)
 	w.sendControl([]byte("more"))
-	assert.False(t, w.busy(), "nothing more is said")
+	assert.False(t, w.busy(), "no control frame is queued any more")
 	w.finish()
 	assert.NoError(t, <-done)
 	assert.True(t, w.quiesce())
 }
 
-// TestNewsOfALeaverCountsAtOnce: whoever holds the txn sees it before the route stage has heard.
+// TestCancellationTakesEffectAtOnce: every holder of the request sees it before the event loop handles it.
 func TestCancellationTakesEffectAtOnce(t *testing.T) {
 	w, r := newTestWriter(t)
 	assert.False(t, r.Cancelled())
--- /dev/null
+++ b/internal/frontend/server_test.go
@@ -0,0 +1,82 @@
+package frontend
+
+import (
+	"context"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"cairnfront/internal/admission"
+	"cairnfront/internal/telemetry"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func TestServeEndsWithItsContext(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	s := &Server{Admission: admission.New(64, 256), Metrics: telemetry.New(io.Discard, "")}
+	done := make(chan error)
+	go func() { done <- s.Serve(ctx, ln) }()
+	far, err := net.Dial("tcp", ln.Addr().String())
+	assert.NoError(t, err)
+	_, _ = far.Write(readinessQuery(0))
+	_, err = io.ReadFull(far, make([]byte, 11))
+	assert.NoError(t, err)
+	cancel()
+	assert.NoError(t, <-done)
+	_, err = far.Read(make([]byte, 1))
+	assert.Error(t, err)
+	assert.EqualValues(t, 1, s.Metrics.Value("conn.client.ended.shutdown"))
+}
+
+// TestClientOverLimitIsTold: a connection over the limit gets an error frame and is closed.
+func TestClientOverLimitIsTold(t *testing.T) {
+	c := newTestConn(t, false)
+	_, stream, payload := c.readFrame(t)
+	assert.EqualValues(t, 0, stream)
+	assert.Contains(t, payload, "too many connections")
+	<-c.done
+	assert.Contains(t, c.log.String(), "code=limit")
+}
+
+// descriptorlessListener finds no descriptor for its first accept.
+type descriptorlessListener struct {
+	net.Listener
+	once sync.Once
+}
+
+func (s *descriptorlessListener) Accept() (net.Conn, error) {
+	var err error
+	s.once.Do(func() {
+		err = &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	})
+	if err != nil {
+		return nil, err
+	}
+	return s.Listener.Accept()
+}
+
+// TestAcceptWithoutDescriptorEvicts: an idle connection is closed, and the listener goes on.
+func TestAcceptWithoutDescriptorEvicts(t *testing.T) {
+	c := newTestConnOverTCP(t, ignoreSocket, ignoreSocket)
+	assert.Eventually(t, func() bool {
+		x := c.conn()
+		return x != nil && time.Since(time.Unix(0, x.LastReadUnixNano())) > evictionMinIdle
+	}, time.Minute, time.Millisecond)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error)
+	go func() { done <- c.Serve(ctx, &descriptorlessListener{Listener: ln}) }()
+	c.readUntilEnd(t)
+	assert.Contains(t, c.log.String(), "code=crowded")
+	cancel()
+	assert.NoError(t, <-done, "the listener itself goes on until it is told")
+}
--- /dev/null
+++ b/internal/frontend/timeouts_test.go
@@ -0,0 +1,106 @@
+package frontend
+
+import (
+	"io"
+	"maps"
+	"testing"
+	"time"
+
+	"cairnfront/internal/request"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// TestTimeoutsCloseConnections: each under its code, and none while a request is open.
+func TestTimeoutsCloseConnections(t *testing.T) {
+	query := readinessQuery(0)
+	for _, x := range []struct {
+		says []byte
+		age  time.Duration
+		code string
+	}{
+		{nil, firstFrameTimeout, "mute"},
+		{query, idleTimeout, "idle"},
+		{append(query, query[:5]...), partialFrameTimeout, "half-frame"},
+		{query[:9], partialFrameTimeout, "half-frame"},
+	} {
+		c := newTestConn(t, true)
+		_, _ = c.Write(x.says)
+		if len(x.says) >= len(query) {
+			c.readFrame(t)
+		}
+		assert.Eventually(t, func() bool { // until the bytes have been seen
+			c.sweep(time.Now().Add(x.age - 300*time.Millisecond))
+			return c.conn().firstFrameRead.Load() == (len(x.says) >= len(query)) &&
+				(c.conn().FrameStartUnixNano() != 0) == (x.code == "half-frame")
+		}, time.Minute, time.Millisecond)
+		c.sweepUntilDone(x.age + time.Second)
+		assert.Contains(t, c.log.String(), "code="+x.code)
+	}
+	late := newTestConn(t, true) // one that begins its first frame late has not two more seconds for it
+	assert.Eventually(t, func() bool { return late.conn() != nil }, time.Minute, time.Millisecond)
+	late.conn().SetStartTime(time.Now().Add(-2 * firstFrameTimeout))
+	_, _ = late.Write(query[:5])
+	late.sweepUntilDone(0)
+	assert.Contains(t, late.log.String(), "code=mute")
+	c := newTestConn(t, true)
+	_, _ = c.Write(append(requestFrame(1, "aa"), 0, 0))
+	r := <-c.sink.arrived
+	c.sweep(time.Now().Add(time.Hour))
+	r.ResponseWriter.Respond(r, request.Response{})
+	_, stream, _ := c.readFrame(t)
+	assert.EqualValues(t, 1, stream, "the open request is answered")
+}
+
+// TestStalledReaderIsClosedWhileMemoryIsShort: but no client that reads, and none while there is memory.
+func TestStalledReaderIsClosedWhileMemoryIsShort(t *testing.T) {
+	c := newTestConn(t, true)
+	_, _ = c.Write(requestFrame(1, "aa"))
+	r := <-c.sink.arrived
+	body := c.Admission.Bodies.TryAllocate(22 << 20)
+	c.sweep(time.Now().Add(2 * stalledTimeout))
+	r.ResponseWriter.Respond(r, request.Response{Body: body})
+	_, err := io.ReadFull(c, make([]byte, 1<<20))
+	assert.NoError(t, err, "nothing waited")
+	c.sweep(time.Now())
+	_, err = io.ReadFull(c, make([]byte, 1<<20))
+	assert.NoError(t, err, "it reads")
+	c.sweep(time.Now().Add(2 * stalledTimeout))
+	<-c.done
+	assert.Contains(t, c.log.String(), "code=slow-reader")
+	assert.Zero(t, c.Admission.Bodies.UsedBytes())
+}
+
+// TestEvictionPrefersConnsWithoutRequests: a connection that never carried a request goes first, and none with an open
+// request goes.
+func TestEvictionPrefersConnsWithoutRequests(t *testing.T) {
+	a, b := newTestConn(t, true), newTestConn(t, true)
+	_, _ = a.Write(requestFrame(1, "aa"))
+	r := <-a.sink.arrived
+	s := &Server{conns: map[*clientConn]struct{}{}}
+	for _, c := range []*testClient{a, b} {
+		assert.Eventually(t, func() bool { return c.conn() != nil }, time.Minute, time.Millisecond)
+		c.mu.Lock()
+		maps.Copy(s.conns, c.conns)
+		c.mu.Unlock()
+	}
+	assert.False(t, s.evict(time.Now().Add(-time.Hour)), "none has been idle")
+	assert.True(t, s.evict(time.Now().Add(time.Hour)))
+	<-b.done
+	assert.Contains(t, b.log.String(), "code=crowded")
+	assert.False(t, s.evict(time.Now().Add(time.Hour)), "a request is open")
+	r.ResponseWriter.Respond(r, request.Response{})
+	a.readFrame(t)
+	assert.Eventually(t, func() bool { return s.evict(time.Now().Add(time.Hour)) }, time.Minute, time.Millisecond,
+		"once the response is recorded as written")
+	<-a.done
+}
+
+// TestEvictedConnFreesItsPlaceSoon: even if its client never closes its side.
+func TestEvictedConnFreesItsPlaceSoon(t *testing.T) {
+	c := newTestConnOverTCP(t, ignoreSocket, ignoreSocket)
+	assert.Eventually(t, func() bool { return c.evict(time.Now().Add(time.Hour)) }, time.Minute, time.Millisecond)
+	<-c.done
+	assert.Positive(t, c.socket.lingerNanos.Load())
+	assert.LessOrEqual(t, c.socket.lingerNanos.Load(), int64(evictionCloseTimeout), "the place is needed")
+}
