--- a/cmd/cairnfront/serve.go
+++ b/cmd/cairnfront/serve.go
@@ -64,7 +64,7 @@
 	seconds := func(name string) time.Duration {
 		return time.Duration(m.Settings.Float(name, 0) * float64(time.Second))
 	}
-	pool := &upstream.Pool{Admission: gate, Telemetry: k, ConnectTimeout: seconds("connect_s"), EndpointIdleTimeout: seconds("idle_close_s"),
+	pool := &upstream.Pool{Admission: gate, Metrics: k, ConnectTimeout: seconds("connect_s"), EndpointIdleTimeout: seconds("idle_close_s"),
 		MaxAttemptsPerConnection: int(m.Settings.Float("hops_a_connection", 1)), RequestLoadReports: m.Settings["load_by"] == "checks"}
 	loop := dispatch.New(routing.New(m.Seed, m.Settings), m.Settings, pool, k)
 	pool.OnEvent = loop.UpstreamEvent
--- a/internal/dispatch/helpers_test.go
+++ b/internal/dispatch/helpers_test.go
@@ -70,7 +70,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	pool := &upstream.Pool{
 		Admission:                admission.New(64, 256),
-		Telemetry:                metrics,
+		Metrics:                  metrics,
 		ConnectTimeout:           time.Hour,
 		MaxAttemptsPerConnection: 4,
 		OnEvent:                  func(upstream.Event) {},
--- a/internal/edgecache/box.go
+++ b/internal/edgecache/box.go
@@ -145,7 +145,7 @@
 	memory := int64(b.Config.MemoryMB * (1 << 20))
 	b.desk = handler.New(b, handler.Limits{MemoryBytes: memory, MaxFills: b.Config.MaxFetches, FillTimeoutSeconds: float64(b.Config.FetchTimeout)})
 	gate := admission.New(max(int(b.Config.MemoryMB), memberMB), max(b.Config.MaxConnections, 64))
-	b.pool = &upstream.Pool{Admission: gate, Telemetry: b.Telemetry, OnEvent: func(ev upstream.Event) { b.post(ev) }, ConnectTimeout: connectFor, EndpointIdleTimeout: b.Config.IdleTimeout.Duration(), MaxAttemptsPerConnection: 32}
+	b.pool = &upstream.Pool{Admission: gate, Metrics: b.Telemetry, OnEvent: func(ev upstream.Event) { b.post(ev) }, ConnectTimeout: connectFor, EndpointIdleTimeout: b.Config.IdleTimeout.Duration(), MaxAttemptsPerConnection: 32}
 
 	// What serves ends in steps: first the listener, then what is open, then all else.
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
--- a/internal/upstream/addresses.go
+++ b/internal/upstream/addresses.go
@@ -130,7 +130,7 @@
 		if wait == 0 || !p.AddressSelector.AwaitingResponse(unixSeconds(now), c.endpointID, addr, wait.Seconds()) {
 			continue
 		}
-		p.Telemetry.Add("reach.silent", 1)
+		p.Metrics.Add("reach.silent", 1)
 		for _, a := range waiting {
 			sentAt := unixSeconds(a.writtenAt)
 			if p.AddressSelector.ReachableElsewhere(unixSeconds(now), c.endpointID, addr, sentAt) {
@@ -148,7 +148,7 @@
 		if e == nil || !p.Admission.AdmitEndpointConn(false) {
 			continue
 		}
-		p.Telemetry.Add("reach.looks", 1)
+		p.Metrics.Add("reach.looks", 1)
 		c := p.newConnection(e)
 		c.dialPlan = []address.PlannedDial{{Addr: probe.Addr}}
 		if probe.HealthCheck {
--- /dev/null
+++ b/internal/upstream/addresses_test.go
@@ -0,0 +1,347 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"cairnfront/internal/admission"
+	"cairnfront/internal/discovery"
+	"cairnfront/internal/request"
+	"cairnfront/internal/upstream/address"
+	"cairnfront/routing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	first  = address.Addr("127.0.0.1:1")
+	second = address.Addr("127.0.0.1:2")
+)
+
+// pendingDial is a dial under way. The test says how it ends.
+type pendingDial struct {
+	addr   string
+	result chan net.Conn // takes a connection, or is closed for a refusal
+}
+
+// multiAddressPool is a pool with one endpoint of two addresses.
+type multiAddressPool struct {
+	*testPool
+	dials chan pendingDial
+}
+
+// newMultiAddressPool returns such a pool with so many descriptors. The test ends its dials.
+func newMultiAddressPool(t *testing.T, sockets int) *multiAddressPool {
+	s := &multiAddressPool{newTestPool(t), make(chan pendingDial, 9)}
+	s.Admission = admission.New(64, sockets)
+	s.ConnectTimeout = 5 * time.Second
+	s.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
+		d := pendingDial{addr, make(chan net.Conn, 1)}
+		s.dials <- d
+		select {
+		case c, ok := <-d.result:
+			if !ok {
+				return nil, errors.New("connection refused")
+			}
+			return c, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	s.AddressSelector = address.New(1)
+	s.setAddresses(first, second)
+	s.IsIdempotent = func(class int) bool { return class == 0 }
+	s.listEndpoint(0)
+	return s
+}
+
+// setAddresses sets the endpoint's addresses for the next update.
+func (s *multiAddressPool) setAddresses(addrs ...address.Addr) {
+	s.EndpointAddresses = func(discovery.Endpoint) []address.Addr { return addrs }
+}
+
+// listEndpoint lists the endpoint with the time of its start.
+func (s *multiAddressPool) listEndpoint(startedAt float64) {
+	e := routing.Endpoint{ID: "m", StartedAt: startedAt}
+	s.UpdateEndpoints(true, []discovery.Endpoint{{Address: string(first), Endpoint: e}})
+}
+
+// condition returns the condition of the address that stands at an index of the order of preference.
+func (s *multiAddressPool) condition(index int) string {
+	return s.AddressSelector.Status(unixSeconds(time.Now()))[index].Condition
+}
+
+// establish ends a dial with a connection and returns the endpoint's side of it.
+func (d pendingDial) establish() net.Conn {
+	near, far := net.Pipe()
+	d.result <- near
+	return far
+}
+
+// handleUntilEnd handles events until an attempt ends.
+func (s *multiAddressPool) handleUntilEnd(t *testing.T) AttemptEnded {
+	for ev := range s.events {
+		s.HandleEvent(ev)
+		if e, ok := ev.(AttemptEnded); ok {
+			return e
+		}
+	}
+	t.Fatal("no end")
+	return AttemptEnded{}
+}
+
+// handleUntilDialed handles events until a dial ends.
+func (s *multiAddressPool) handleUntilDialed() {
+	for {
+		ev := <-s.events
+		s.HandleEvent(ev)
+		if _, ok := ev.(DialEnded); ok {
+			return
+		}
+	}
+}
+
+func TestRefusedAddressDoesNotEndTheAttempt(t *testing.T) {
+	s := newMultiAddressPool(t, 20)
+	c := s.send("a", 0)
+	x := <-s.dials
+	assert.Equal(t, string(first), x.addr)
+	close(x.result)
+	y := <-s.dials
+	assert.Equal(t, string(second), y.addr)
+	far := y.establish()
+	r := bufio.NewReader(far)
+	assert.Equal(t, "do a", readCommand(t, r))
+	_, _ = io.WriteString(far, "a not_here - 0\r\n\r\n")
+	assert.Equal(t, endedWith(c, routing.CacheMiss), s.handleUntilEnd(t))
+	assert.Equal(t, "refused", s.condition(0))
+}
+
+// TestSecondAddressIsDialedAfterTheDelay tests a first address that does not respond: the second is dialed beside it
+// after a delay, and the attempt goes there. The first is closed where it is established later.
+func TestSecondAddressIsDialedAfterTheDelay(t *testing.T) {
+	s := newMultiAddressPool(t, 20)
+	s.send("a", 0)
+	x, y := <-s.dials, <-s.dials
+	assert.Equal(t, string(second), y.addr)
+	far := y.establish()
+	assert.Equal(t, "do a", readCommand(t, bufio.NewReader(far)))
+	select { // called off, unless it came up in the same moment
+	case x.result <- nil:
+	default:
+	}
+	assert.Equal(t, string(second), s.endpoints["m"].connections[0].dialedAddr())
+}
+
+// TestOneOfTwoEstablishedConnectionsIsUsed tests two that are established at the same moment: the other one is closed
+// without a byte.
+func TestOneOfTwoEstablishedConnectionsIsUsed(t *testing.T) {
+	s := newMultiAddressPool(t, 20)
+	s.send("a", 0)
+	x, y := <-s.dials, <-s.dials
+	a, b := x.establish(), y.establish()
+	got := make(chan string, 2)
+	for _, far := range []net.Conn{a, b} {
+		go func() {
+			text, err := bufio.NewReader(far).ReadString('\n')
+			if err != nil {
+				text = "closed"
+			}
+			got <- text
+		}()
+	}
+	one := <-got
+	if one == "closed" {
+		one = <-got
+	} else {
+		go func() { _, _ = io.Copy(io.Discard, a) }()
+		go func() { _, _ = io.Copy(io.Discard, b) }()
+	}
+	assert.Contains(t, one, "do a ")
+}
+
+// TestUnlistedAddressIsNotUsed tests a list that changes while an address is dialed: nothing is written there.
+func TestUnlistedAddressIsNotUsed(t *testing.T) {
+	s := newMultiAddressPool(t, 20)
+	s.send("a", 0)
+	x := <-s.dials
+	s.setAddresses(second, "127.0.0.1:3")
+	s.RefreshAddresses()
+	far := x.establish()
+	_, err := far.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, io.EOF, "closed unwritten")
+	y := <-s.dials
+	assert.Equal(t, string(second), y.addr)
+	assert.Equal(t, "do a", readCommand(t, bufio.NewReader(y.establish())))
+}
+
+func TestAttemptFailsAtOnceWhileAllAddressesAreInCooldown(t *testing.T) {
+	s := newMultiAddressPool(t, 20)
+	now := unixSeconds(time.Now())
+	s.AddressSelector.DialEnded(now, "m", first, address.DialRefused, 0)
+	s.AddressSelector.DialEnded(now, "m", second, address.DialRefused, 0)
+	c := s.send("a", 0)
+	assert.Equal(t, endedWith(c, routing.ConnectFailed), s.handleUntilEnd(t))
+	assert.Empty(t, s.dials)
+}
+
+// TestDialsGoOneByOneWithoutDescriptors tests that without a descriptor for a second dial the first is waited for.
+func TestDialsGoOneByOneWithoutDescriptors(t *testing.T) {
+	s := newMultiAddressPool(t, 3) // one for endpoints
+	s.send("a", 0)
+	x := <-s.dials
+	select {
+	case <-s.dials:
+		t.Fatal("a second dial without a descriptor")
+	case <-time.After(400 * time.Millisecond): // over the delay between dials; it only bounds how soon a fault shows
+	}
+	close(x.result)
+	assert.Equal(t, "do a", readCommand(t, bufio.NewReader((<-s.dials).establish())))
+	assert.False(t, s.Admission.AdmitEndpointConn(true), "the connection's own is the only one held")
+}
+
+// TestAttemptCancelledWhileDialingIsNotWritten tests that nothing of it is written once the connection is
+// established.
+func TestAttemptCancelledWhileDialingIsNotWritten(t *testing.T) {
+	s := newMultiAddressPool(t, 20)
+	c := s.send("a", 0)
+	x := <-s.dials
+	result, atOnce := s.Cancel(c, routing.Cancelled)
+	assert.Equal(t, routing.NotSent, result)
+	assert.True(t, atOnce)
+	far := x.establish()
+	s.send("b", 0)
+	assert.Equal(t, "do b", readCommand(t, bufio.NewReader(far)))
+}
+
+// TestSilentAddressGetsNoFurtherAttempt tests an address that takes an attempt and stays silent. The attempt stays
+// where it is, the next one goes over the other address, and a non-idempotent one never goes to the silent address.
+func TestSilentAddressGetsNoFurtherAttempt(t *testing.T) {
+	s := newMultiAddressPool(t, 40)
+	a := s.send("a", 0)
+	far := (<-s.dials).establish()
+	r := bufio.NewReader(far)
+	assert.Equal(t, "do a", readCommand(t, r))
+	require.Eventually(t, func() bool { // once the attempt has waited for long enough
+		s.CheckAddresses(time.Now())
+		return s.condition(0) == "quiet"
+	}, 5*time.Second, 10*time.Millisecond)
+	b := s.send("b", 0)
+	assert.NotSame(t, a.Connection(), b.Connection())
+	y := <-s.dials
+	assert.Equal(t, string(second), y.addr)
+	other := y.establish()
+	assert.Equal(t, "do b", readCommand(t, bufio.NewReader(other)))
+	_, _ = io.WriteString(other, "b not_here - 0\r\n\r\n")
+	assert.Equal(t, b, s.handleUntilEnd(t).Attempt)
+	order := &request.Request{ID: "c", ClassName: "order", Object: "ff", Part: "0", Class: 1}
+	c := s.Send(attemptOf(order), nil, testOwner("c"))
+	assert.Same(t, b.Connection(), c.Connection())
+	_, _ = io.WriteString(far, "a not_here - 0\r\n\r\n")
+	assert.Equal(t, a, s.handleUntilEnd(t).Attempt, "its late response is its end")
+	assert.Equal(t, "well", s.condition(0))
+}
+
+// TestConnectionsBelongToAStart tests that after a restart of the endpoint its old connections get no attempt.
+func TestConnectionsBelongToAStart(t *testing.T) {
+	s := newMultiAddressPool(t, 40)
+	a := s.send("a", 0)
+	far := (<-s.dials).establish()
+	assert.Equal(t, "do a", readCommand(t, bufio.NewReader(far)))
+	_, _ = io.WriteString(far, "a not_here - 0\r\n\r\n")
+	s.handleUntilEnd(t)
+	s.listEndpoint(7)
+	b := s.send("b", 0)
+	assert.NotSame(t, a.Connection(), b.Connection())
+	s.CloseIdle(time.Now())
+	_, err := far.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, io.EOF, "closed")
+}
+
+// TestProbeCarriesNothing tests that an address in cooldown is probed with a connection that carries nothing.
+func TestProbeCarriesNothing(t *testing.T) {
+	s := newMultiAddressPool(t, 40)
+	s.AddressSelector.DialEnded(unixSeconds(time.Now()), "m", first, address.DialRefused, 0)
+	s.CheckAddresses(time.Now().Add(time.Minute))
+	x := <-s.dials
+	assert.Equal(t, string(first), x.addr)
+	far := x.establish()
+	s.handleUntilDialed()
+	assert.Equal(t, "well", s.condition(0))
+	connected := func() bool {
+		s.send("a", 0)
+		return len(s.endpoints["m"].connections) > 0
+	}
+	require.Eventually(t, connected, time.Second, time.Millisecond)
+	assert.Equal(t, "do a", readCommand(t, bufio.NewReader(far)), "then the connection is used")
+}
+
+// blackHole returns an address whose dials never end: nobody accepts, and the backlog is full.
+func blackHole(t *testing.T) address.Addr {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	require.NoError(t, syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	require.NoError(t, syscall.Listen(fd, 0))
+	name, err := syscall.Getsockname(fd)
+	require.NoError(t, err)
+	addr := fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
+	for { // fill the backlog until one more is not established
+		c, err := net.DialTimeout("tcp", addr, 100*time.Millisecond)
+		if err != nil {
+			return address.Addr(addr)
+		}
+		t.Cleanup(func() { _ = c.Close() })
+	}
+}
+
+// TestBadAddressesOfEveryKindArePassedOver tests real sockets: the file of a Unix socket that is gone, one that is no
+// socket, and a black hole are passed over for the address that accepts, and only that one gets a byte.
+func TestBadAddressesOfEveryKindArePassedOver(t *testing.T) {
+	dir := t.TempDir()
+	file := filepath.Join(dir, "file")
+	require.NoError(t, os.WriteFile(file, nil, 0o600))
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	hole := blackHole(t)
+	s := newMultiAddressPool(t, 40)
+	s.Dial = dialNetwork
+	s.setAddresses(
+		address.Addr("unix:"+filepath.Join(dir, "gone")),
+		address.Addr("unix:"+file),
+		hole,
+		address.Addr(ln.Addr().String()),
+	)
+	s.RefreshAddresses()
+	c := s.send("a", 0)
+	far, err := ln.Accept()
+	require.NoError(t, err)
+	assert.Equal(t, "do a", readCommand(t, bufio.NewReader(far)))
+	_, _ = io.WriteString(far, "a not_here - 0\r\n\r\n")
+	assert.Equal(t, endedWith(c, routing.CacheMiss), s.handleUntilEnd(t))
+	for i, want := range []string{"refused", "refused"} {
+		assert.Equal(t, want, s.condition(i))
+	}
+}
+
+// TestEndpointKeepsToItsShareOfDescriptors tests that attempts share connections past the endpoint's share.
+func TestEndpointKeepsToItsShareOfDescriptors(t *testing.T) {
+	s := newMultiAddressPool(t, 40) // sixteen for endpoints, four for one
+	s.MaxAttemptsPerConnection = 99
+	connections := map[*Connection]bool{}
+	for i := range 20 {
+		connections[s.send(fmt.Sprint("t", i), 0).Connection()] = true
+	}
+	assert.Len(t, connections, 4)
+}
--- /dev/null
+++ b/internal/upstream/attempt_test.go
@@ -0,0 +1,223 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"syscall"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"cairnfront/internal/admission"
+	"cairnfront/internal/request"
+	"cairnfront/routing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+func TestResponsesComeInAnyOrder(t *testing.T) {
+	s := newTestPool(t)
+	a, b := s.send("a", 0), s.send("b", 0)
+	far := <-s.dialed
+	r := bufio.NewReader(far)
+	assert.Equal(t, "do a", readCommand(t, r))
+	assert.Equal(t, "do b", readCommand(t, r))
+	_, _ = io.WriteString(far, "b served digest=d,dated=1,remark=h 3\r\nxyz\r\n"+
+		"zz served - 2\r\nno\r\n"+
+		"a not_here - 0\r\n\r\n")
+	e := s.nextEnd()
+	assert.Equal(t, b, e.Attempt)
+	assert.Equal(t, "xyz", string(e.End.Body.Bytes))
+	assert.Equal(t, routing.CacheHit, e.End.Detail)
+	assert.EqualValues(t, 3, s.Admission.Bodies.UsedBytes())
+	e.End.Body.Free()
+	e.End.Body.Free()
+	assert.Zero(t, s.Admission.Bodies.UsedBytes())
+	assert.Equal(t, endedWith(a, routing.CacheMiss), s.nextEnd())
+	assert.EqualValues(t, 1, s.Metrics.Value("member.late-answers"))
+	assert.Equal(t, 1, s.ConnectionCount(), "one connection carries both")
+}
+
+// TestBrokenConnectionTellsWhatMayHaveRun tests that only what the socket took whole may have run.
+func TestBrokenConnectionTellsWhatMayHaveRun(t *testing.T) {
+	s := newTestPool(t)
+	whole, part := s.send("a", 0), s.send("b", 200_000)
+	far := <-s.dialed
+	assert.Equal(t, "do a", readCommand(t, bufio.NewReaderSize(far, 16))) // and some of b
+	_ = far.Close()
+	ends := map[*Attempt]routing.AttemptResult{}
+	for range 2 {
+		e := s.nextEnd()
+		ends[e.Attempt] = e.End.Result
+	}
+	assert.Len(t, ends, 2)
+	assert.Equal(t, routing.ConnectionBroken, ends[whole])
+	assert.Equal(t, routing.ConnectFailed, ends[part])
+}
+
+// TestAttemptThatCrossesACloseIsNotSent tests an attempt of which nothing was written: the endpoint may just have
+// closed an idle connection.
+func TestAttemptThatCrossesACloseIsNotSent(t *testing.T) {
+	s := newTestPool(t)
+	s.MaxAttemptsPerConnection = 3
+	s.send("a", 200_000) // holds the writer up
+	b := s.send("b", 0)
+	far := <-s.dialed
+	_, _ = far.Read(make([]byte, 16))
+	_ = far.Close()
+	ends := map[*Attempt]routing.AttemptResult{}
+	for range 2 {
+		e := s.nextEnd()
+		ends[e.Attempt] = e.End.Result
+	}
+	assert.Equal(t, routing.NotSent, ends[b])
+}
+
+func TestBodyCutShortIsBroken(t *testing.T) {
+	s := newTestPool(t)
+	s.send("a", 0)
+	far := <-s.dialed
+	readCommand(t, bufio.NewReader(far))
+	_, _ = io.WriteString(far, "a served digest=d,dated=1 10\r\nhalf")
+	_ = far.Close()
+	assert.Equal(t, request.AttemptEnd{Result: routing.ConnectionBroken}, s.nextEnd().End)
+	assert.Zero(t, s.Admission.Bodies.UsedBytes())
+}
+
+func TestNoConnectionProvesThatNothingRan(t *testing.T) {
+	for cause, result := range map[error]routing.AttemptResult{
+		syscall.ECONNREFUSED: routing.ConnectFailed,
+		nil:                  routing.ConnectFailed,
+		syscall.EMFILE:       routing.NotSent,
+	} {
+		s := newTestPool(t)
+		s.ConnectTimeout = 20 * time.Millisecond
+		s.Dial = func(ctx context.Context, _ string) (net.Conn, error) {
+			if cause == nil { // an endpoint that does not respond
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			return nil, cause
+		}
+		c := s.send("a", 0)
+		assert.Equal(t, endedWith(c, result), s.nextEnd())
+		assert.Equal(t, ConnectionClosed{Connection: c.Connection()}, <-s.events)
+		s.RemoveConnection(c.Connection())
+		assert.Zero(t, s.ConnectionCount())
+	}
+}
+
+func TestCancel(t *testing.T) {
+	s := newTestPool(t)
+	hold := s.holdDials()
+	a := s.send("a", 0)
+	b := s.send("b", 0)
+	result, atOnce := s.Cancel(a, routing.Cancelled)
+	assert.True(t, atOnce && result == routing.NotSent, "nothing of it was written")
+	close(hold)
+	far := <-s.dialed
+	r := bufio.NewReader(far)
+	assert.Equal(t, "do b", readCommand(t, r), "and nothing of it will be")
+	c := s.send("c", 0)
+	assert.Equal(t, "do c", readCommand(t, r))
+	_, atOnce = s.Cancel(b, routing.Cancelled)
+	assert.False(t, atOnce)
+	assert.Equal(t, "undo b", readCommand(t, r))
+	assert.Equal(t, endedWith(b, routing.Cancelled), s.nextEnd())
+	_, _ = io.WriteString(far, "b served - 4\r\nlate\r\nc overload - 0\r\n\r\n")
+	assert.Equal(t, endedWith(c, routing.Overloaded), s.nextEnd(), "a late response to a cancelled attempt is dropped")
+	again := s.send("b", 0, b.Connection())
+	assert.NotSame(t, b.Connection(), again.Connection(), "the id is not used again where a response may still come")
+}
+
+// TestCancelledAttemptEndsOnceTheEndpointIsTold tests that an attempt which its endpoint knows of is over when the
+// endpoint was told, not before: a retry would be out at the same time. Where the endpoint does not read, the
+// connection's end tells it.
+func TestCancelledAttemptEndsOnceTheEndpointIsTold(t *testing.T) {
+	for _, reads := range []bool{true, false} {
+		s := newTestPool(t)
+		s.MaxAttemptsPerConnection = 3
+		a := s.send("a", 0)
+		far := <-s.dialed
+		r := bufio.NewReader(iotest.OneByteReader(far))
+		assert.Equal(t, "do a", readCommand(t, r))
+		s.send("b", 200_000)
+		_, _ = r.ReadByte() // the writer is busy with b
+		_, atOnce := s.Cancel(a, routing.TimedOut)
+		assert.False(t, atOnce)
+		assert.Empty(t, s.events)
+		if reads {
+			_, _ = io.CopyN(io.Discard, r, 200_000)
+			for line := ""; line != "undo a\r\n"; line, _ = r.ReadString('\n') {
+				assert.Empty(t, s.events)
+			}
+		} else {
+			_ = far.Close()
+		}
+		assert.Equal(t, endedWith(a, routing.TimedOut), s.nextEnd())
+	}
+}
+
+func TestConnectionCarriesItsMaximumOfAttempts(t *testing.T) {
+	s := newTestPool(t)
+	a, b, c := s.send("a", 0), s.send("b", 0), s.send("c", 0)
+	assert.Same(t, a.Connection(), b.Connection())
+	assert.NotSame(t, a.Connection(), c.Connection())
+}
+
+// TestProtocolErrorEndsItsOwnAttemptOnly tests that no attempt shares its connection while descriptors allow.
+func TestProtocolErrorEndsItsOwnAttemptOnly(t *testing.T) {
+	s := newTestPool(t)
+	s.Admission = admission.New(64, 256)
+	a := s.send("a", 0)
+	far := <-s.dialed
+	b := s.send("b", 0)
+	other := <-s.dialed
+	readCommand(t, bufio.NewReader(far))
+	readCommand(t, bufio.NewReader(other))
+	_, _ = io.WriteString(far, "a served digest=\x00\r\n")
+	assert.Equal(t, endedWith(a, routing.ConnectionBroken), s.nextEnd())
+	_, _ = io.WriteString(other, "b not_here - 0\r\n\r\n")
+	assert.Equal(t, endedWith(b, routing.CacheMiss), s.nextEnd())
+	assert.Same(t, b.Connection(), s.send("c", 0).Connection(), "an idle connection is used again")
+}
+
+func TestHealthCheckBringsTheLoadReport(t *testing.T) {
+	s := newTestPool(t)
+	s.RequestLoadReports = true
+	c := s.SendHealthCheck("m", testOwner("owner"))
+	far := <-s.dialed
+	assert.Equal(t, "top check1", readCommand(t, bufio.NewReader(far)))
+	_, _ = io.WriteString(far, "check1 green report=util:0.5 0\r\n\r\n")
+	end := request.AttemptEnd{LoadReport: []routing.LoadMetric{{Name: "util", Value: 0.5}}}
+	assert.Equal(t, AttemptEnded{Attempt: c, End: end}, s.nextEnd())
+	assert.Nil(t, s.SendHealthCheck("nobody", nil))
+}
+
+func TestDescriptorsAreBounded(t *testing.T) {
+	s := newTestPool(t)
+	s.Admission = admission.New(64, 5) // two for endpoints
+	s.MaxAttemptsPerConnection = 0
+	assert.NotNil(t, s.send("a", 0))
+	assert.NotNil(t, s.send("b", 0))
+	assert.Nil(t, s.send("c", 0))
+}
+
+// TestNothingIsWrittenForADisconnectedClient tests that an attempt which waits for its connection, or for its turn on
+// one, is not written once its client is gone, also before the event loop has heard of that. Others go on.
+func TestNothingIsWrittenForADisconnectedClient(t *testing.T) {
+	s := newTestPool(t)
+	hold := s.holdDials()
+	a := s.send("a", 0)
+	b := s.send("b", 0)
+	a.request.Cancel()
+	close(hold)
+	r := bufio.NewReader(<-s.dialed)
+	assert.Equal(t, "do b", readCommand(t, r))
+	assert.Equal(t, endedWith(a, routing.NotSent), s.nextEnd())
+	_, atOnce := s.Cancel(a, routing.Cancelled)
+	assert.True(t, atOnce, "and no line cancels it")
+	assert.NotNil(t, b.Connection())
+}
--- /dev/null
+++ b/internal/upstream/close_test.go
@@ -0,0 +1,175 @@
+package upstream
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"cairnfront/internal/admission"
+	"cairnfront/internal/discovery"
+	"cairnfront/routing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+func TestProtocolErrorsCloseTheConnection(t *testing.T) {
+	for _, bad := range []string{
+		"a what - 0\r\n",
+		"a served - 1\r\nxyz",
+		"a served - x\r\n",
+		strings.Repeat("x", admission.EndpointRingBytes),
+		"\r\n",
+	} {
+		s := newTestPool(t)
+		s.send("a", 0)
+		far := <-s.dialed
+		readCommand(t, bufio.NewReader(far))
+		_, _ = io.WriteString(far, bad)
+		assert.Equal(t, routing.ConnectionBroken, s.nextEnd().End.Result, bad[:min(len(bad), 20)])
+		s.stop()
+		assert.Contains(t, s.log.String(), "code=protocol")
+		assert.Equal(t, 1, strings.Count(s.log.String(), "connection ended"), "one line a connection")
+	}
+}
+
+func TestPanicEndsItsConnectionOnly(t *testing.T) {
+	s := newTestPool(t)
+	a, b := s.send("a", 0), s.send("b", 0)
+	far := <-s.dialed
+	r := bufio.NewReader(far)
+	readCommand(t, r)
+	readCommand(t, r)
+	onEvent := s.OnEvent
+	s.OnEvent = func(ev Event) {
+		if e, ok := ev.(AttemptEnded); ok && e.Attempt == a && e.End.Result == routing.CacheMiss {
+			panic("a fault")
+		}
+		onEvent(ev)
+	}
+	_, _ = io.WriteString(far, "a not_here - 0\r\n\r\n")
+	assert.Equal(t, endedWith(b, routing.ConnectionBroken), s.nextEnd())
+	assert.Contains(t, s.logAfterEnd(a.Connection()), "code=panic")
+}
+
+// TestStalledResponseEndsItsConnection tests that a connection ends while a response stalls, and that it takes no
+// attempt while the response to a cancelled one is coming.
+func TestStalledResponseEndsItsConnection(t *testing.T) {
+	for _, cancelled := range []bool{true, false} {
+		s := newTestPool(t)
+		a := s.send("a", 0)
+		far := <-s.dialed
+		readCommand(t, bufio.NewReader(far))
+		_, _ = io.WriteString(far, "a served digest=d,dated=1,remark=h 10\r\nhalf")
+		if !cancelled {
+			assert.Equal(t, endedWith(a, routing.ConnectionBroken), s.nextEnd())
+			assert.Contains(t, s.logAfterEnd(a.Connection()), "code=stalled")
+			continue
+		}
+		bodyBegan := func() bool { return a.connection.conn.FrameStartUnixNano() != 0 }
+		assert.Eventually(t, bodyBegan, time.Minute, time.Millisecond)
+		go func() { _, _ = io.Copy(io.Discard, far) }()
+		s.Cancel(a, routing.TimedOut)
+		assert.Equal(t, routing.TimedOut, s.nextEnd().End.Result)
+		assert.NotSame(t, a.Connection(), s.send("b", 0).Connection())
+	}
+}
+
+// TestSilentConnectionIsNotUsed tests an endpoint that took an attempt and sent nothing until it was cancelled: it
+// may have vanished. That counts after a wait as long as the connect timeout.
+func TestSilentConnectionIsNotUsed(t *testing.T) {
+	for connectTimeout, silent := range map[time.Duration]bool{time.Hour: false, 0: true} {
+		s := newTestPool(t)
+		a := s.send("a", 0)
+		far := <-s.dialed
+		r := bufio.NewReader(far)
+		assert.Equal(t, "do a", readCommand(t, r))
+		s.ConnectTimeout = connectTimeout
+		s.Cancel(a, routing.TimedOut)
+		assert.Equal(t, "undo a", readCommand(t, r))
+		b := s.send("b", 0)
+		assert.Equal(t, silent, a.Connection() != b.Connection())
+		if silent {
+			s.CloseIdle(time.Now())
+			assert.Contains(t, s.logAfterEnd(a.Connection()), "code=silent")
+		}
+	}
+}
+
+func TestConnectionToAFormerAddressIsClosed(t *testing.T) {
+	s := newTestPool(t)
+	c := s.send("a", 0)
+	far := <-s.dialed
+	readCommand(t, bufio.NewReader(far))
+	s.UpdateEndpoints(false, []discovery.Endpoint{{Address: "b:1", Endpoint: routing.Endpoint{ID: "m"}}})
+	s.CloseIdle(time.Now())
+	assert.NotSame(t, c.Connection(), s.send("b", 0).Connection(), "the address passed to another machine")
+	_, _ = io.WriteString(far, "a nobody - 0\r\n\r\n")
+	assert.Equal(t, endedWith(c, routing.NotSent), s.nextEnd())
+	s.CloseIdle(time.Now().Add(time.Second))
+	assert.Equal(t, ConnectionClosed{Connection: c.Connection()}, <-s.events, "it ends once idle")
+	s.stop()
+	assert.Contains(t, s.log.String(), "code=unlisted")
+}
+
+// TestCloseWithInputOnItsWayIsNoReset tests the close of a connection to a removed endpoint, of an idle one, and of
+// one at the pool's end, while the endpoint sends the first part of a response that is too long to be read before.
+func TestCloseWithInputOnItsWayIsNoReset(t *testing.T) {
+	for _, code := range []string{"unlisted", "idle", "shutdown"} {
+		s := newTestPool(t)
+		s.dialLoopback(func(far net.Conn) {
+			_, _ = io.WriteString(far, "a served digest=d,dated=1 240000\r\n"+strings.Repeat("x", 200_000))
+		})
+		a := s.send("a", 0)
+		far := <-s.dialed
+		r := bufio.NewReader(far)
+		assert.Equal(t, "do a", readCommand(t, r))
+		_, _ = io.WriteString(far, "a nobody - 0\r\n\r\n")
+		s.nextEnd()
+		readEnd := make(chan error)
+		go func() {
+			_, err := io.Copy(io.Discard, r)
+			_ = far.Close()
+			readEnd <- err
+		}()
+		switch code {
+		case "unlisted":
+			s.UpdateEndpoints(true, nil)
+			s.CloseIdle(time.Now().Add(time.Second))
+		case "idle":
+			s.CloseIdle(time.Now().Add(time.Hour))
+		}
+		if code == "shutdown" {
+			s.stop()
+			assert.Contains(t, s.log.String(), "code=shutdown")
+		} else {
+			assert.Contains(t, s.logAfterEnd(a.Connection()), "code="+code)
+		}
+		assert.NoError(t, <-readEnd, "ended, not reset")
+	}
+}
+
+// TestFloodDoesNotDelayAClose tests an endpoint that floods a connection which is not used any more.
+func TestFloodDoesNotDelayAClose(t *testing.T) {
+	s := newTestPool(t)
+	s.dialLoopback(func(net.Conn) {})
+	a := s.send("a", 0)
+	far := <-s.dialed
+	readCommand(t, bufio.NewReader(far))
+	_, _ = io.WriteString(far, "a nobody - 0\r\n\r\n")
+	s.nextEnd()
+	go func() {
+		for flood := strings.Repeat("zz nobody - 0\r\n\r\n", 10_000); ; {
+			if _, err := io.WriteString(far, flood); err != nil {
+				return
+			}
+		}
+	}()
+	flooded := func() bool { return s.Metrics.Value("member.late-answers") > 1000 }
+	assert.Eventually(t, flooded, time.Minute, time.Millisecond)
+	s.UpdateEndpoints(true, nil)
+	s.CloseIdle(time.Now().Add(time.Second))
+	assert.Contains(t, s.logAfterEnd(a.Connection()), "code=unlisted")
+}
--- a/internal/upstream/golden_test.go
+++ b/internal/upstream/golden_test.go
@@ -49,23 +49,23 @@
 func (failingConn) SetWriteDeadline(time.Time) error { return nil }
 
 // dialFails makes the pool's dials fail.
-func dialFails(s *side, err error) {
+func dialFails(s *testPool, err error) {
 	s.Dial = func(context.Context, string) (net.Conn, error) { return nil, err }
 }
 
 // sendAndRead sends an attempt and reads it at the far side, which is returned.
-func sendAndRead(t *testing.T, s *side) (*Attempt, net.Conn) {
+func sendAndRead(t *testing.T, s *testPool) (*Attempt, net.Conn) {
 	a := s.send("a", 0)
 	far := <-s.dialed
-	asked(t, bufio.NewReader(far))
+	readCommand(t, bufio.NewReader(far))
 	return a, far
 }
 
 // answered sends an attempt that is answered, so that its connection is idle.
-func answered(t *testing.T, s *side) (*Attempt, net.Conn) {
+func answered(t *testing.T, s *testPool) (*Attempt, net.Conn) {
 	a, far := sendAndRead(t, s)
 	_, _ = io.WriteString(far, "a nobody - 0\r\n\r\n")
-	s.end(t)
+	s.nextEnd()
 	return a, far
 }
 
@@ -73,63 +73,63 @@
 // connection ends.
 var connectionEnds = []struct {
 	name  string
-	cause func(t *testing.T, s *side) *Attempt
+	cause func(t *testing.T, s *testPool) *Attempt
 }{
-	{"closed by the endpoint", func(t *testing.T, s *side) *Attempt {
+	{"closed by the endpoint", func(t *testing.T, s *testPool) *Attempt {
 		a, far := answered(t, s)
 		_ = far.Close()
 		return a
 	}},
-	{"closed inside a body", func(t *testing.T, s *side) *Attempt {
+	{"closed inside a body", func(t *testing.T, s *testPool) *Attempt {
 		a, far := sendAndRead(t, s)
 		_, _ = io.WriteString(far, "a served digest=d,dated=1 10\r\nhalf")
 		_ = far.Close()
 		return a
 	}},
-	{"unknown code", func(t *testing.T, s *side) *Attempt {
+	{"unknown code", func(t *testing.T, s *testPool) *Attempt {
 		a, far := sendAndRead(t, s)
 		_, _ = io.WriteString(far, "a what - 0\r\n")
 		return a
 	}},
-	{"line too long", func(t *testing.T, s *side) *Attempt {
+	{"line too long", func(t *testing.T, s *testPool) *Attempt {
 		a, far := sendAndRead(t, s)
 		_, _ = io.WriteString(far, strings.Repeat("x", admission.EndpointRingBytes))
 		return a
 	}},
-	{"no line end after a body", func(t *testing.T, s *side) *Attempt {
+	{"no line end after a body", func(t *testing.T, s *testPool) *Attempt {
 		a, far := sendAndRead(t, s)
 		_, _ = io.WriteString(far, "a served - 1\r\nxyz")
 		return a
 	}},
-	{"response stalls", func(t *testing.T, s *side) *Attempt {
+	{"response stalls", func(t *testing.T, s *testPool) *Attempt {
 		a, far := sendAndRead(t, s)
 		_, _ = io.WriteString(far, "a served digest=d,dated=1,remark=h 10\r\nhalf")
 		return a
 	}},
-	{"endpoint does not read", func(_ *testing.T, s *side) *Attempt {
+	{"endpoint does not read", func(_ *testing.T, s *testPool) *Attempt {
 		return s.send("a", 200_000)
 	}},
-	{"idle", func(t *testing.T, s *side) *Attempt {
+	{"idle", func(t *testing.T, s *testPool) *Attempt {
 		a, _ := answered(t, s)
 		s.CloseIdle(time.Now().Add(time.Hour))
 		return a
 	}},
-	{"endpoint removed", func(t *testing.T, s *side) *Attempt {
+	{"endpoint removed", func(t *testing.T, s *testPool) *Attempt {
 		a, _ := answered(t, s)
 		s.UpdateEndpoints(true, nil)
 		s.CloseIdle(time.Now().Add(time.Second))
 		return a
 	}},
-	{"silent after a cancel", func(t *testing.T, s *side) *Attempt {
+	{"silent after a cancel", func(t *testing.T, s *testPool) *Attempt {
 		a, far := sendAndRead(t, s)
 		s.ConnectTimeout = 0
 		s.Cancel(a, routing.TimedOut)
-		assert.Equal(t, "undo a", asked(t, bufio.NewReader(far)))
-		s.end(t)
+		assert.Equal(t, "undo a", readCommand(t, bufio.NewReader(far)))
+		s.nextEnd()
 		s.CloseIdle(time.Now())
 		return a
 	}},
-	{"panic", func(t *testing.T, s *side) *Attempt {
+	{"panic", func(t *testing.T, s *testPool) *Attempt {
 		onEvent := s.OnEvent
 		s.OnEvent = func(ev Event) {
 			if e, ok := ev.(AttemptEnded); ok && e.End.Result == routing.CacheMiss {
@@ -141,19 +141,19 @@
 		_, _ = io.WriteString(far, "a not_here - 0\r\n\r\n")
 		return a
 	}},
-	{"read error", func(_ *testing.T, s *side) *Attempt {
+	{"read error", func(_ *testing.T, s *testPool) *Attempt {
 		s.Dial = func(context.Context, string) (net.Conn, error) { return failingConn{written: make(chan bool)}, nil }
 		return s.send("a", 0)
 	}},
-	{"refused", func(_ *testing.T, s *side) *Attempt {
+	{"refused", func(_ *testing.T, s *testPool) *Attempt {
 		dialFails(s, syscall.ECONNREFUSED)
 		return s.send("a", 0)
 	}},
-	{"no descriptors", func(_ *testing.T, s *side) *Attempt {
+	{"no descriptors", func(_ *testing.T, s *testPool) *Attempt {
 		dialFails(s, syscall.EMFILE)
 		return s.send("a", 0)
 	}},
-	{"all addresses in cooldown", func(_ *testing.T, s *side) *Attempt {
+	{"all addresses in cooldown", func(_ *testing.T, s *testPool) *Attempt {
 		s.AddressSelector = address.New(1)
 		s.EndpointAddresses = func(discovery.Endpoint) []address.Addr { return []address.Addr{first, second} }
 		s.RefreshAddresses()
@@ -162,7 +162,7 @@
 		s.AddressSelector.DialEnded(now, "m", second, address.DialRefused, 0)
 		return s.send("a", 0)
 	}},
-	{"shutdown", func(t *testing.T, s *side) *Attempt {
+	{"shutdown", func(t *testing.T, s *testPool) *Attempt {
 		a, _ := answered(t, s)
 		go s.stop()
 		return a
@@ -176,9 +176,9 @@
 	codecError := regexp.MustCompile(`err=.*what.*`)
 	var lines strings.Builder
 	for _, end := range connectionEnds {
-		s := pool(t)
+		s := newTestPool(t)
 		a := end.cause(t, s)
-		log := s.after(t, a.Connection())
+		log := s.logAfterEnd(a.Connection())
 		log = codecError.ReplaceAllString(volatile.ReplaceAllString(log, "$1=*"), "err=*")
 		lines.WriteString(end.name + "\n" + log)
 	}
--- a/internal/upstream/lifecycle.go
+++ b/internal/upstream/lifecycle.go
@@ -84,7 +84,7 @@
 	conn.SetFrameTimeout(max(c.pool.ConnectTimeout, minResponseStall))
 	c.serve(ctx, conn)
 	c.endAttempts(conn, routing.ConnectFailed)
-	conn.LogEnd(c.pool.Telemetry, telemetrySide, c.peerName())
+	conn.LogEnd(c.pool.Metrics, telemetrySide, c.peerName())
 }
 
 // peerName is the connection's peer in the log.
@@ -103,7 +103,7 @@
 	conn.SetStartTime(began)
 	conn.Close(code, cause)
 	c.endAttempts(nil, result)
-	conn.LogEnd(c.pool.Telemetry, telemetrySide, c.peerName())
+	conn.LogEnd(c.pool.Metrics, telemetrySide, c.peerName())
 }
 
 // isLocalShortage says whether a dial failed for want of this machine's own resources, which says nothing of the
@@ -157,8 +157,11 @@
 // recoverPanic ends the connection after a panic of one of its goroutines, and logs the stack. It has to be deferred.
 func (c *Connection) recoverPanic(conn *netconn.Conn, stop context.CancelFunc) {
 	if p := recover(); p != nil {
-		c.pool.Telemetry.Add("panics", 1)
-		c.pool.Telemetry.Log.Error("panic", "where", telemetrySide, "what", fmt.Sprint(p), "stack", string(debug.Stack()))
+		c.pool.Metrics.Add("panics", 1)
+		c.pool.Metrics.Log.Error("panic",
+			"where", telemetrySide,
+			"what", fmt.Sprint(p),
+			"stack", string(debug.Stack()))
 		conn.Close(netconn.Panic, nil)
 		stop()
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -31,7 +31,7 @@
 // hands to OnEvent, which is called by the connections' goroutines.
 type Pool struct {
 	Admission *admission.Controller
-	Telemetry *telemetry.Metrics
+	Metrics   *telemetry.Metrics
 	OnEvent   func(Event)
 
 	ConnectTimeout           time.Duration // longest wait for a connection to be established
--- a/internal/upstream/reader.go
+++ b/internal/upstream/reader.go
@@ -36,7 +36,7 @@
 	}
 	a := c.openAttempt(response.ID)
 	if a == nil {
-		c.pool.Telemetry.Add("member.late-answers", 1)
+		c.pool.Metrics.Add("member.late-answers", 1)
 	}
 	if a.wantsBody(response) {
 		response.Body, err = c.pool.Admission.Bodies.Allocate(ctx, response.BodyBytes)
--- a/internal/upstream/selection.go
+++ b/internal/upstream/selection.go
@@ -144,7 +144,7 @@
 // run establishes and serves a connection in a goroutine. A descriptor was granted for it.
 func (p *Pool) run(e *endpoint, c *Connection) {
 	e.connections = append(e.connections, c)
-	p.Telemetry.ConnectionOpened(telemetrySide)
+	p.Metrics.ConnectionOpened(telemetrySide)
 	p.group.Go(func() error {
 		defer p.Admission.EndpointConnDone()
 		c.run(p.ctx)
