--- a/internal/cacheproto/golden_test.go
+++ b/internal/cacheproto/golden_test.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	goldenAttempt = "do 9b1f03aa5c7e2d41 profile=page,thing=7f3a9c21e0b4d655,nth=3,max=1500,replay=k1,parent=s-1,shelf=2," +
-		"accept=12,hints=ride+have-only+through+update,got=t1 2\r\n"
+	goldenAttempt = "do 9b1f03aa5c7e2d41 profile=page,thing=7f3a9c21e0b4d655,nth=3,max=1500," +
+		"replay=k1,parent=s-1,shelf=2,accept=12,hints=ride+have-only+through+update,got=t1 2\r\n"
 	goldenPlainAttempt = "do 9b1f03aa5c7e2d41 profile=page,thing=7f3a9c21e0b4d655,nth=0,max=250 0\r\n"
 )
 
@@ -20,41 +20,69 @@
 var goldenResults = []struct {
 	line     string
 	encoded  AttemptReply
-	response Response
+	response request.AttemptEnd
+	bytes    int
 }{
 	{
 		"a1 served digest=d1,dated=1764576000123,bucket=17,remark=h 4\r\n",
-		AttemptReply{Result: routing.Completed, Detail: routing.CacheHit, ETag: "d1", OriginUnixMillis: 1764576000123, PurgeGroup: 17, BodyBytes: 4},
-		Response{ID: "a1", BodyBytes: 4, AttemptEnd: request.AttemptEnd{Result: routing.Completed, Detail: routing.CacheHit, ETag: "d1", OriginUnixMillis: 1764576000123, PurgeGroupPlusOne: 18}},
+		AttemptReply{Detail: routing.CacheHit, ETag: "d1", OriginUnixMillis: 1764576000123, PurgeGroup: 17},
+		request.AttemptEnd{
+			Detail:            routing.CacheHit,
+			ETag:              "d1",
+			OriginUnixMillis:  1764576000123,
+			PurgeGroupPlusOne: 18,
+		},
+		4,
 	},
 	{
 		"a1 served digest=d1,dated=7,remark=f 240000\r\n",
-		AttemptReply{Result: routing.Completed, Detail: routing.Filled, ETag: "d1", OriginUnixMillis: 7, PurgeGroup: UnknownPurgeGroup, BodyBytes: 240000},
-		Response{ID: "a1", BodyBytes: 240000, AttemptEnd: request.AttemptEnd{Result: routing.Completed, Detail: routing.Filled, ETag: "d1", OriginUnixMillis: 7}},
+		AttemptReply{Detail: routing.Filled, ETag: "d1", OriginUnixMillis: 7, PurgeGroup: UnknownPurgeGroup},
+		request.AttemptEnd{Detail: routing.Filled, ETag: "d1", OriginUnixMillis: 7},
+		240000,
 	},
 	{
 		"a1 served remark=j 0\r\n",
-		AttemptReply{Result: routing.Completed, Detail: routing.JoinedFill, PurgeGroup: 3},
-		Response{ID: "a1", AttemptEnd: request.AttemptEnd{Result: routing.Completed, Detail: routing.JoinedFill}},
-	},
-	{
-		"a1 served - 0\r\n",
-		AttemptReply{Result: routing.Completed, PurgeGroup: UnknownPurgeGroup},
-		Response{ID: "a1", AttemptEnd: request.AttemptEnd{Result: routing.Completed}},
+		AttemptReply{Detail: routing.JoinedFill, PurgeGroup: 3},
+		request.AttemptEnd{Detail: routing.JoinedFill},
+		0,
 	},
+	{"a1 served - 0\r\n", AttemptReply{PurgeGroup: UnknownPurgeGroup}, request.AttemptEnd{}, 0},
 	{
 		"a1 still_good digest=d1,dated=7,bucket=0,remark=s 0\r\n",
-		AttemptReply{Result: routing.Completed, NotModified: true, Detail: routing.StaleHit, ETag: "d1", OriginUnixMillis: 7},
-		Response{ID: "a1", AttemptEnd: request.AttemptEnd{Result: routing.Completed, NotModified: true, Detail: routing.StaleHit, ETag: "d1", OriginUnixMillis: 7, PurgeGroupPlusOne: 1}},
+		AttemptReply{NotModified: true, Detail: routing.StaleHit, ETag: "d1", OriginUnixMillis: 7},
+		request.AttemptEnd{
+			NotModified:       true,
+			Detail:            routing.StaleHit,
+			ETag:              "d1",
+			OriginUnixMillis:  7,
+			PurgeGroupPlusOne: 1,
+		},
+		0,
 	},
 	{
 		"a1 not_here - 0\r\n",
 		AttemptReply{Result: routing.CacheMiss, Detail: routing.JoinedFill, ETag: "d1"},
-		Response{ID: "a1", AttemptEnd: request.AttemptEnd{Result: routing.CacheMiss}},
+		request.AttemptEnd{Result: routing.CacheMiss},
+		0,
+	},
+	{
+		"a1 overload - 0\r\n",
+		AttemptReply{Result: routing.Overloaded},
+		request.AttemptEnd{Result: routing.Overloaded},
+		0,
+	},
+	{
+		"a1 crashed - 0\r\n",
+		AttemptReply{Result: routing.ServerError},
+		request.AttemptEnd{Result: routing.ServerError},
+		0,
+	},
+	{
+		"a1 nobody - 0\r\n",
+		AttemptReply{Result: routing.NotSent},
+		request.AttemptEnd{Result: routing.NotSent},
+		0,
 	},
-	{"a1 overload - 0\r\n", AttemptReply{Result: routing.Overloaded}, Response{ID: "a1", AttemptEnd: request.AttemptEnd{Result: routing.Overloaded}}},
-	{"a1 crashed - 0\r\n", AttemptReply{Result: routing.ServerError}, Response{ID: "a1", AttemptEnd: request.AttemptEnd{Result: routing.ServerError}}},
-	{"a1 nobody - 0\r\n", AttemptReply{Result: routing.NotSent}, Response{ID: "a1", AttemptEnd: request.AttemptEnd{Result: routing.NotSent}}},
 }
 
 func TestCommandsAreEncodedToTheGoldenBytes(t *testing.T) {
@@ -76,8 +104,9 @@
 		ParentNoStore: true,
 		Revalidate:    true,
 	}
+	attempt := Attempt{Request: whole, TimeoutSeconds: 1.5, FillSource: "s-1", StartAttempt: action}
 	for want, got := range map[string][]byte{
-		goldenAttempt:      AppendAttempt(nil, Attempt{Request: whole, TimeoutSeconds: 1.5, FillSource: "s-1", StartAttempt: action}),
+		goldenAttempt:      AppendAttempt(nil, attempt),
 		goldenPlainAttempt: AppendAttempt(nil, Attempt{Request: plain, TimeoutSeconds: 0.25}),
 		"undo a1\r\n":      AppendCancel(nil, "a1"),
 		"ping c1\r\n":      AppendProbe(nil, "c1", false),
@@ -130,10 +159,11 @@
 
 func TestResultsMatchTheGoldenBytes(t *testing.T) {
 	for _, c := range goldenResults {
+		c.encoded.BodyBytes = c.bytes
 		assert.Equal(t, c.line, string(AppendAttemptReply(nil, "a1", c.encoded)))
 		got, err := ParseResponse([]byte(c.line[:len(c.line)-len(LineEnd)]))
 		require.NoError(t, err, c.line)
-		assert.Equal(t, c.response, got, c.line)
+		assert.Equal(t, Response{ID: "a1", AttemptEnd: c.response, BodyBytes: c.bytes}, got, c.line)
 	}
 }
 
@@ -145,12 +175,17 @@
 
 	got, err := ParseResponse([]byte("c1 green report=inflight:7;concurrent:8;util:0.61;load_share:0.5;x0:1;x1:2 0"))
 	require.NoError(t, err)
-	assert.Equal(t, Response{ID: "c1", IsProbeReply: true, AttemptEnd: request.AttemptEnd{Result: routing.Completed, LoadReport: []routing.LoadMetric{
+	want := []routing.LoadMetric{
 		{Name: "inflight", Value: 7},
 		{Name: "inflight", Value: 8},
 		{Name: "util", Value: 0.61},
 		{Name: "util", Value: 0.5},
 		{Name: "hit_share", Value: 1},
 		{Name: "link_fill", Value: 2},
-	}}}, got)
+	}
+	assert.Equal(t, Response{
+		ID:           "c1",
+		IsProbeReply: true,
+		AttemptEnd:   request.AttemptEnd{Result: routing.Completed, LoadReport: want},
+	}, got)
 }
--- /dev/null
+++ b/internal/cacheproto/words.go
@@ -0,0 +1,162 @@
+// Package cacheproto is the codec of the text lines between routers and caches.
+//
+// It owns the words of the protocol and the checks of their values, for both sides: routers write commands and read
+// responses, caches the other way round. It does no I/O and keeps no state; bodies, which follow the lines, are their
+// callers' business.
+package cacheproto
+
+import (
+	"errors"
+	"strconv"
+
+	"cairnfront/routing"
+)
+
+const (
+	// LineEnd ends each line and each body.
+	LineEnd = "\r\n"
+
+	// MaxObjectBytes is the size of the largest body of a response.
+	MaxObjectBytes = 240000
+
+	// MaxRequestBodyBytes is the size of the largest body of an attempt.
+	MaxRequestBodyBytes = 48000
+
+	// UnknownPurgeGroup is the purge group of a copy whose group is not known.
+	UnknownPurgeGroup = 0xffff
+)
+
+const (
+	millisInSecond = 1000
+	noFields       = "-" // stands for an empty list of fields
+)
+
+// ErrMalformed is wrapped by the errors on lines that break the protocol. The connection is then out of step.
+var ErrMalformed = errors.New("malformed line")
+
+// Commands.
+const (
+	wordAttempt   = "do"
+	wordCancel    = "undo"
+	wordProbe     = "ping"
+	wordProbeLoad = "top"
+)
+
+// Fields of an attempt.
+const (
+	fieldClass          = "profile"
+	fieldObject         = "thing"
+	fieldPart           = "nth"
+	fieldTimeout        = "max"
+	fieldIdempotencyKey = "replay"
+	fieldFillSource     = "parent"
+	fieldRetentionRank  = "shelf"
+	fieldMaxAge         = "accept"
+	fieldOptions        = "hints"
+	fieldClientETag     = "got"
+)
+
+// Options of an attempt, joined by optionSeparator.
+const (
+	optionSeparator     = "+"
+	optionJoinFill      = "ride"
+	optionCacheOnly     = "have-only"
+	optionParentNoStore = "through"
+	optionRevalidate    = "update"
+)
+
+// Results.
+const (
+	wordCompleted   = "served"
+	wordNotModified = "still_good"
+	wordCacheMiss   = "not_here"
+	wordOverloaded  = "overload"
+	wordServerError = "crashed"
+	wordNotSent     = "nobody"
+	wordHealthy     = "green"
+	wordUnhealthy   = "red"
+)
+
+// Fields of a response.
+const (
+	fieldETag       = "digest"
+	fieldOriginTime = "dated"
+	fieldDetail     = "remark"
+	fieldLoadReport = "report"
+
+	// fieldPurgeGroup is written by this project's caches alone: a cache learns the purge group of an object from its
+	// source, since routers do not name it. Others pass the field over.
+	fieldPurgeGroup = "bucket"
+)
+
+// results has the result that each word of a response stands for.
+var results = map[string]routing.AttemptResult{
+	wordCompleted:   routing.Completed,
+	wordNotModified: routing.Completed,
+	wordCacheMiss:   routing.CacheMiss,
+	wordOverloaded:  routing.Overloaded,
+	wordServerError: routing.ServerError,
+	wordNotSent:     routing.NotSent,
+	wordHealthy:     routing.Completed,
+	wordUnhealthy:   routing.ServerError,
+}
+
+// resultWords has the word for each result that a cache gives an attempt.
+var resultWords = map[routing.AttemptResult]string{
+	routing.Completed:   wordCompleted,
+	routing.CacheMiss:   wordCacheMiss,
+	routing.Overloaded:  wordOverloaded,
+	routing.ServerError: wordServerError,
+	routing.NotSent:     wordNotSent,
+}
+
+// details has the detail that each mark of a response stands for.
+var details = map[string]routing.ResultDetail{
+	"h": routing.CacheHit,
+	"f": routing.Filled,
+	"j": routing.JoinedFill,
+	"s": routing.StaleHit,
+}
+
+// detailMarks is the inverse of details.
+var detailMarks = func() map[routing.ResultDetail]string {
+	marks := make(map[routing.ResultDetail]string, len(details))
+	for mark, detail := range details {
+		marks[detail] = mark
+	}
+	return marks
+}()
+
+// fieldWriter appends name=value pairs set apart by commas.
+type fieldWriter struct {
+	line  []byte
+	start int // length of the line before the first field
+}
+
+func (w *fieldWriter) text(name, value string) {
+	w.name(name)
+	w.line = append(w.line, value...)
+}
+
+func (w *fieldWriter) integer(name string, value int64) {
+	w.name(name)
+	w.line = strconv.AppendInt(w.line, value, 10)
+}
+
+func (w *fieldWriter) name(name string) {
+	if len(w.line) > w.start {
+		w.line = append(w.line, ',')
+	}
+	w.line = append(w.line, name...)
+	w.line = append(w.line, '=')
+}
+
+// end appends the length of the body and the line's end.
+func (w *fieldWriter) end(bodyBytes int) []byte {
+	if len(w.line) == w.start {
+		w.line = append(w.line, noFields...)
+	}
+	w.line = append(w.line, ' ')
+	w.line = strconv.AppendInt(w.line, int64(bodyBytes), 10)
+	return append(w.line, LineEnd...)
+}
