Telemetry: one table of typed counters, one concern a file

They stand in counters.go now as typed counters and families with labels; dispatch and cmd use them.

--- a/cmd/cairnfront/peers.go
+++ b/cmd/cairnfront/peers.go
@@ -79,7 +79,7 @@
 		select {
 		case doubts <- routing.HealthObservation{Endpoint: member, Suspicion: doubt, ValidSeconds: s}:
 		default:
-			k.Add("peers.doubts-untold", 1)
+			k.Inc(telemetry.PeerDoubtsDropped)
 		}
 	}
 	g.Go(func() error {
--- a/cmd/cairnfront/reach.go
+++ b/cmd/cairnfront/reach.go
@@ -77,7 +77,7 @@
 			err = errors.Join(apply(fresh), rejoin(ctx, node, fresh.Membership, k))
 		}
 		if err != nil {
-			k.Add("reloads.failed", 1)
+			k.Inc(telemetry.ReloadsFailed)
 			k.Log.Error("reload", "code", "kept-old", "err", err.Error())
 		}
 	}
--- a/cmd/cairnfront/serve.go
+++ b/cmd/cairnfront/serve.go
@@ -188,11 +188,11 @@
 		err = m.CheckReload(old)
 	}
 	if err != nil {
-		k.Add("reloads.failed", 1)
+		k.Inc(telemetry.ReloadsFailed)
 		k.Log.Error("reload", "code", "kept-old", "err", err.Error())
 		return old
 	}
-	k.Add("reloads", 1)
+	k.Inc(telemetry.Reloads)
 	k.Log.Info("reload", "code", "followed", "board", m.DiscoveryAddress)
 	if m.DiscoveryAddress != old.DiscoveryAddress { // the newest address counts, and no signal waits for one that is not followed yet
 		select {
--- a/internal/dispatch/addresses.go
+++ b/internal/dispatch/addresses.go
@@ -59,7 +59,12 @@
 }
 
 // commandAddress queues a command on an address and waits for its result.
-func (d *Dispatcher) commandAddress(ctx context.Context, action addressAction, endpoint routing.EndpointID, addr string) error {
+func (d *Dispatcher) commandAddress(
+	ctx context.Context,
+	action addressAction,
+	endpoint routing.EndpointID,
+	addr string,
+) error {
 	reply := make(chan error, 1)
 	d.post(addressCommand{action: action, endpoint: endpoint, address: addr, reply: reply})
 	select {
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -3,6 +3,7 @@
 import (
 	"cairnfront/internal/cacheproto"
 	"cairnfront/internal/request"
+	"cairnfront/internal/telemetry"
 	"cairnfront/internal/upstream"
 	"cairnfront/routing"
 )
@@ -68,7 +69,7 @@
 	case o.request.Cancelled(): // its cancellation is not handled yet
 		d.runNext(requestDisconnected{o})
 	case !o.ended && deadline > d.now:
-		d.Metrics.Add("hops."+o.request.ClassName+".sent", 1)
+		d.Metrics.Inc(telemetry.AttemptsSent.With(o.request.ClassName))
 		a.sent = d.Pool.Send(cacheproto.Attempt{
 			Request:        o.request,
 			TimeoutSeconds: deadline - d.now,
@@ -107,7 +108,7 @@
 	a.sent = nil // it holds the body, and a timer still holds the attempt
 	o.running--
 	elapsed := d.now - a.startedAt
-	d.Metrics.Add("hops."+o.request.ClassName+"."+resultNames[end.Result], 1)
+	d.Metrics.Inc(telemetry.AttemptsEnded.With(o.request.ClassName, resultNames[end.Result]))
 	if end.Result == routing.Completed {
 		d.respond(o, request.Response{
 			Result:      request.Completed,
@@ -159,7 +160,7 @@
 			continue
 		}
 		a.stallReported = true
-		d.Metrics.Add("reach.stuck", 1)
+		d.Metrics.Inc(telemetry.AttemptsStalled)
 		d.decide(routing.AttemptStalled{Request: a.request.id(), Attempt: a.number}, a.request)
 	}
 }
@@ -167,9 +168,9 @@
 // reportRetryBudget tells the decisions which retry budgets were used up, and which are available again.
 func (d *Dispatcher) reportRetryBudget() {
 	for _, change := range d.RetryBudget.TakeChanges() {
-		d.Metrics.Add("spend.changes", 1)
+		d.Metrics.Inc(telemetry.RetryBudgetChanges)
 		if !change.Available {
-			d.Metrics.Add("spend.spent", 1)
+			d.Metrics.Inc(telemetry.RetryBudgetsExhausted)
 		}
 		d.decide(routing.RetryBudgetChanged{
 			Class:     change.Class,
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -147,7 +147,7 @@
 // logPanic counts a recovered panic and logs it with its stack. Event is the type of the event that a decision failed
 // at, empty for none.
 func (d *Dispatcher) logPanic(where, event string, recovered any) {
-	d.Metrics.Add("panics", 1)
+	d.Metrics.Inc(telemetry.Panics)
 	d.Metrics.Log.Error("panic", "where", where, "event", event, "what", fmt.Sprint(recovered),
 		"stack", string(debug.Stack()))
 }
--- a/internal/dispatch/timers.go
+++ b/internal/dispatch/timers.go
@@ -3,6 +3,8 @@
 import (
 	"container/heap"
 
+	"cairnfront/internal/telemetry"
+
 	"cairnfront/internal/request"
 	"cairnfront/routing"
 )
@@ -98,7 +100,7 @@
 		}
 		t := heap.Pop(&d.timers).(timer)
 		if t.due > runNextDue {
-			d.Metrics.Max("loop.late.most-us", int64((d.now-t.due)*1e6))
+			d.Metrics.SetMax(telemetry.MaxTimerDelayMicros, int64((d.now-t.due)*1e6))
 		}
 		t.task.run(d)
 	}
