--- /dev/null
+++ b/internal/membership/actions.go
@@ -0,0 +1,100 @@
+package membership
+
+import (
+	"fmt"
+
+	"cairnfront/internal/membership/observation"
+	"cairnfront/internal/membership/partition"
+	"cairnfront/internal/membership/swim"
+)
+
+// carryOut does what the swim core asks for, and then updates the partition state.
+func (n *Node) carryOut(actions []swim.Action) {
+	now := n.now()
+	for _, action := range actions {
+		switch action := action.(type) {
+		case swim.Send:
+			n.send(now, action)
+		case swim.StateChange:
+			n.recordStateChange(action)
+		case swim.NameConflict:
+			n.silent = true
+			n.metrics.Add(counterNameConflicts, 1)
+			n.metrics.Log.Error("peers", "code", "twin",
+				"what", "a newer process has this router's name; this one sends nothing more to peers",
+				"birth", action.InstanceID)
+		}
+	}
+	n.updatePartition(now)
+}
+
+func (n *Node) updatePartition(now float64) {
+	present, roster, stuck := n.view.Counts()
+	if n.silent {
+		present = 1
+	}
+	before, _, _ := n.partition.Current()
+	if !n.partition.Update(now, partition.View{Roster: roster, Present: present, Stuck: stuck}) {
+		return
+	}
+	state, epoch, _ := n.partition.Current()
+	n.metrics.Add(counterPartitionPrefix+state.String(), 1)
+	n.metrics.Log.Info("standing", "code", state.String(), "from", before.String(), "epoch", epoch,
+		"there", present, "roster", roster, "stuck", stuck)
+}
+
+func (n *Node) recordStateChange(c swim.StateChange) {
+	n.metrics.Add(counterStatePrefix+c.To.String(), 1)
+	attributes := []any{
+		"code", c.To.String(),
+		"peer", n.codec.Name(c.Member),
+		"from", c.From.String(),
+		"why", c.Reason.String(),
+		"life", c.Incarnation.StartMillis,
+		"beat", c.Incarnation.Refutations,
+	}
+	if c.To == swim.Failed && c.SuspectedSeconds > 0 {
+		_ = n.detectionTimes.RecordValue(int64(c.SuspectedSeconds * 1000)) // over the bound it is not counted
+		attributes = append(attributes, "took_s", fmt.Sprintf("%.2f", c.SuspectedSeconds))
+	}
+	if !c.To.Present() {
+		n.partition.Forget(c.Member)
+	}
+	n.metrics.Log.Info("peer", attributes...)
+}
+
+// handleDoubts tells the routing module of doubts, where the partition state lets it act on other members'
+// observations, and signs own observations that wait.
+func (n *Node) handleDoubts(doubts []observation.Doubt) {
+	now := n.now()
+	state, _, _ := n.partition.Current()
+	for _, d := range doubts {
+		if d.Level > 0 && !state.TrustsReports() {
+			continue
+		}
+		seconds := max(d.Until-now, 0)
+		n.metrics.Add(counterDoubts, 1)
+		n.metrics.Log.Info("member", "code", "doubted", "member", string(d.Endpoint),
+			"doubt", fmt.Sprintf("%.2f", d.Level), "for_s", fmt.Sprintf("%.1f", seconds))
+		if n.OnDoubt != nil {
+			n.OnDoubt(d.Endpoint, d.Level, seconds)
+		}
+	}
+	for _, o := range n.observations.TakeUnsigned() {
+		if state.MayGossip() {
+			n.passOnOwn(o)
+		}
+	}
+}
+
+// passOnOwn signs an own observation and queues it for the other members.
+func (n *Node) passOnOwn(o observation.Observation) {
+	signed, err := n.codec.SignObservation(o)
+	if err != nil {
+		n.metrics.Log.Error("peers", "code", "unsealed", "err", err.Error())
+		return
+	}
+	o.Signed = signed
+	n.metrics.Add(counterOwnObservations, 1)
+	n.observations.Enqueue(o)
+}
--- a/internal/membership/datagram/codec.go
+++ b/internal/membership/datagram/codec.go
@@ -1,12 +1,13 @@
 package datagram
 
 import (
-	"cairnfront/internal/membership/swim"
 	"crypto/ed25519"
 	"encoding/binary"
 	"errors"
 	"fmt"
 	"slices"
+
+	"cairnfront/internal/membership/swim"
 )
 
 // maxVerified bounds the signed texts that are remembered as verified.
--- a/internal/membership/datagram/codec_test.go
+++ b/internal/membership/datagram/codec_test.go
@@ -1,13 +1,14 @@
 package datagram
 
 import (
-	"cairnfront/internal/membership/observation"
-	"cairnfront/internal/membership/swim"
-	"cairnfront/routing"
 	"crypto/ed25519"
 	"strings"
 	"testing"
 
+	"cairnfront/internal/membership/observation"
+	"cairnfront/internal/membership/swim"
+	"cairnfront/routing"
+
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
--- a/internal/membership/datagram/decode.go
+++ b/internal/membership/datagram/decode.go
@@ -1,11 +1,12 @@
 package datagram
 
 import (
+	"crypto/ed25519"
+	"slices"
+
 	"cairnfront/internal/membership/observation"
 	"cairnfront/internal/membership/swim"
 	"cairnfront/routing"
-	"crypto/ed25519"
-	"slices"
 )
 
 // Received is a datagram that was accepted.
--- a/internal/membership/datagram/encode.go
+++ b/internal/membership/datagram/encode.go
@@ -1,10 +1,11 @@
 package datagram
 
 import (
-	"cairnfront/internal/membership/observation"
-	"cairnfront/internal/membership/swim"
 	"crypto/ed25519"
 	"fmt"
+
+	"cairnfront/internal/membership/observation"
+	"cairnfront/internal/membership/swim"
 )
 
 // Encode makes a datagram. startMillis is the sender's incarnation. What exceeds MaxSize is left out: observations
--- a/internal/membership/datagram/golden_test.go
+++ b/internal/membership/datagram/golden_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"bytes"
-	"cairnfront/internal/membership/observation"
-	"cairnfront/internal/membership/swim"
 	"encoding/hex"
 	"flag"
 	"fmt"
@@ -12,6 +10,9 @@
 	"strings"
 	"testing"
 
+	"cairnfront/internal/membership/observation"
+	"cairnfront/internal/membership/swim"
+
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
--- a/internal/membership/datagram/wire.go
+++ b/internal/membership/datagram/wire.go
@@ -1,11 +1,12 @@
 package datagram
 
 import (
-	"cairnfront/internal/cborcodec"
-	"cairnfront/internal/membership/swim"
 	"crypto/ed25519"
 	"errors"
 
+	"cairnfront/internal/cborcodec"
+	"cairnfront/internal/membership/swim"
+
 	"github.com/fxamacker/cbor/v2"
 )
 
--- a/internal/membership/observation/doubt.go
+++ b/internal/membership/observation/doubt.go
@@ -1,10 +1,11 @@
 package observation
 
 import (
-	"cairnfront/routing"
 	"cmp"
 	"math"
 	"slices"
+
+	"cairnfront/routing"
 )
 
 // updateDoubt computes the doubt about an endpoint and gives it if it changed. Byzantine witnesses alone raise
--- a/internal/membership/observation/gossip.go
+++ b/internal/membership/observation/gossip.go
@@ -1,10 +1,11 @@
 package observation
 
 import (
-	"cairnfront/internal/membership/swim"
 	"cmp"
 	"math"
 	"slices"
+
+	"cairnfront/internal/membership/swim"
 )
 
 // queuedObservation is an observation that is passed on, and how often it was sent.
--- a/internal/membership/observation/receive.go
+++ b/internal/membership/observation/receive.go
@@ -1,9 +1,10 @@
 package observation
 
 import (
+	"slices"
+
 	"cairnfront/internal/membership/swim"
 	"cairnfront/routing"
-	"slices"
 )
 
 // HandleObservation takes an observation whose signature the caller has verified. It is not fresh, and ignored, if
--- a/internal/membership/observation/trace_test.go
+++ b/internal/membership/observation/trace_test.go
@@ -1,8 +1,6 @@
 package observation
 
 import (
-	"cairnfront/internal/membership/swim"
-	"cairnfront/routing"
 	"crypto/sha256"
 	"flag"
 	"fmt"
@@ -13,6 +11,9 @@
 	"strings"
 	"testing"
 
+	"cairnfront/internal/membership/swim"
+	"cairnfront/routing"
+
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
--- a/internal/membership/observation/tracker.go
+++ b/internal/membership/observation/tracker.go
@@ -1,10 +1,11 @@
 package observation
 
 import (
-	"cairnfront/internal/membership/swim"
-	"cairnfront/routing"
 	"maps"
 	"slices"
+
+	"cairnfront/internal/membership/swim"
+	"cairnfront/routing"
 )
 
 // Times in seconds unless a constant says otherwise.
--- a/internal/membership/observation/tracker_test.go
+++ b/internal/membership/observation/tracker_test.go
@@ -1,11 +1,12 @@
 package observation
 
 import (
-	"cairnfront/internal/membership/swim"
-	"cairnfront/routing"
 	"fmt"
 	"testing"
 
+	"cairnfront/internal/membership/swim"
+	"cairnfront/routing"
+
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
--- a/internal/membership/observation/witness.go
+++ b/internal/membership/observation/witness.go
@@ -1,9 +1,10 @@
 package observation
 
 import (
+	"math"
+
 	"cairnfront/internal/membership/swim"
 	"cairnfront/routing"
-	"math"
 )
 
 // witness is what is known of a member as a witness: 40 bytes. The counts decay with trustHalfLife.
--- a/internal/membership/ratelimit/limiter.go
+++ b/internal/membership/ratelimit/limiter.go
@@ -3,10 +3,11 @@
 package ratelimit
 
 import (
-	"cairnfront/internal/membership/swim"
 	"net/netip"
 	"time"
 
+	"cairnfront/internal/membership/swim"
+
 	"golang.org/x/time/rate"
 )
 
--- /dev/null
+++ b/internal/membership/socket.go
@@ -0,0 +1,159 @@
+package membership
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"slices"
+	"time"
+
+	"cairnfront/internal/membership/datagram"
+	"cairnfront/internal/membership/ratelimit"
+	"cairnfront/internal/membership/swim"
+)
+
+// location is where a member is reached.
+type location struct {
+	address         netip.AddrPort
+	configured      bool             // the address is of the operators' file
+	incarnation     swim.Incarnation // of the record that told the address
+	staleAnsweredAt time.Time        // when a datagram of an earlier life was answered last
+}
+
+func listen(address string) (*net.UDPConn, error) {
+	udp, err := net.ResolveUDPAddr("udp", address)
+	if err != nil {
+		return nil, err
+	}
+	conn, err := net.ListenUDP("udp", udp)
+	if err != nil {
+		return nil, err
+	}
+	_ = conn.SetReadBuffer(receiveBufferBytes) // a smaller buffer works too
+	return conn, nil
+}
+
+// growLocations adds the locations of the members behind the known ones.
+func (n *Node) growLocations(roster []RosterEntry) {
+	for i := len(n.locations); i < len(roster); i++ {
+		address, err := netip.ParseAddrPort(roster[i].Address)
+		n.locations = append(n.locations, location{address: address, configured: err == nil})
+	}
+}
+
+// receive takes datagrams from the socket as long as their senders keep within the limits.
+func (n *Node) receive(ctx context.Context) error {
+	limiter := ratelimit.New(n.config.ReceiveLimits)
+	buffer := make([]byte, datagram.MaxSize+1)
+	for ctx.Err() == nil {
+		size, from, err := n.conn.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			continue // an ICMP error to something sent: the next read does not depend on it
+		}
+		if size > datagram.MaxSize || !limiter.AllowReceive(n.now(), from, size) {
+			n.metrics.Add(counterReceiveOverLimit, 1)
+			continue
+		}
+		select {
+		case n.received <- slices.Clone(buffer[:size]):
+		default:
+			n.metrics.Add(counterReceiveQueueFull, 1)
+		}
+	}
+	return nil
+}
+
+func (n *Node) handleDatagram(raw []byte) {
+	if n.silent {
+		return
+	}
+	n.receivedTotal.add(len(raw))
+	r, err := n.codec.Decode(raw, n.view.IsNewer)
+	if err != nil {
+		n.metrics.Add(counterRefusedPrefix+refusalReason(err), 1)
+		if errors.Is(err, datagram.ErrStaleIncarnation) {
+			n.answerStale(r.From)
+		}
+		return
+	}
+	if r.Skipped > 0 {
+		n.metrics.Add(counterPartsRefused, int64(r.Skipped))
+	}
+	now := n.now()
+	n.carryOut(n.view.HandleMessage(now, r.From, r.Message))
+	if n.isPresent(r.From) {
+		n.partition.RecordViewComparison(now, r.From, n.view.ViewDiffers(now, r.From))
+	}
+	for _, o := range r.Observations {
+		if n.isPresent(o.Witness) {
+			doubts, _ := n.observations.HandleObservation(now, o)
+			n.handleDoubts(doubts)
+		}
+	}
+}
+
+func (n *Node) isPresent(id swim.MemberID) bool {
+	state, _ := n.view.Lookup(id)
+	return state.Present()
+}
+
+// answerStale sends a member its own record of a later life, which it may not know of.
+func (n *Node) answerStale(id swim.MemberID) {
+	l := &n.locations[id]
+	if time.Since(l.staleAnsweredAt) <= staleAnswerEach {
+		return
+	}
+	l.staleAnsweredAt = time.Now()
+	_, record := n.view.Lookup(id)
+	n.carryOut([]swim.Action{swim.Send{To: id, Message: swim.Message{
+		Kind:     swim.Push,
+		ViewHash: n.view.ViewHash(),
+		Records:  []swim.MemberRecord{record},
+	}}})
+}
+
+// addressOf is a member's address: of the operators' file, or else as its record says. It is invalid while none is
+// known.
+func (n *Node) addressOf(id swim.MemberID) netip.AddrPort {
+	l := &n.locations[id]
+	if l.configured {
+		return l.address
+	}
+	_, record := n.view.Lookup(id)
+	if l.incarnation != record.Incarnation && record.Signed != nil {
+		text, _ := datagram.RecordLocation(record.Signed)
+		if address, err := netip.ParseAddrPort(text); err == nil {
+			l.address, l.incarnation = address, record.Incarnation
+		}
+	}
+	return l.address
+}
+
+func (n *Node) send(now float64, s swim.Send) {
+	to := n.addressOf(s.To)
+	if !to.IsValid() {
+		return
+	}
+	present, _, _ := n.view.Counts()
+	var signed [][]byte
+	for _, o := range n.observations.Piggyback(s.To, present) {
+		signed = append(signed, o.Signed)
+	}
+	raw, err := n.codec.Encode(n.view.SelfRecord().Incarnation.StartMillis, s.To, s.Message, signed)
+	if err != nil {
+		n.metrics.Log.Error("peers", "code", "unsent", "to", n.codec.Name(s.To), "err", err.Error())
+		return
+	}
+	lowPriority := s.Kind >= swim.PushPullRequest
+	if !n.sendLimiter.AllowSend(now, s.To, len(raw), lowPriority) {
+		n.sendsDropped++
+		n.metrics.Add(counterSendOverLimit, 1)
+		return
+	}
+	n.sentTotal.add(len(raw))
+	_, _ = n.conn.WriteToUDPAddrPort(raw, to) // the protocol tolerates loss
+}
