Bootstrap: config, parser and settings apart, typed errors

Parse was one function of 55 lines with its faults as texts; the check of the addresses named either one, as the map's order had it. Faults are a FieldError with a sentinel, tested with errors.Is and errors.As.

--- /dev/null
+++ b/internal/bootstrap/config_test.go
@@ -0,0 +1,129 @@
+package bootstrap
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"cairnfront/internal/discovery"
+
+	"github.com/stretchr/testify/assert"
+)
+
+const validFile = `{"name":"n3","listen":"127.0.0.1:9090","seed":"8c1f30d27a5be964",
+"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
+"board":"127.0.0.1:2379","known":{"rev":1,"notices":[{"rev":1,"pool":{"endpoints":[]}}]},
+"settings":{"me":2,"zones":["north hub","east"],"flavors":["std"],
+"extra":{"fresh_for_s":[0,12.0],"joins":true,"never_kept":[false,true]},
+"limits":{"connect_timeout_s":0.4,"max_streams":32},"stats":{"source":"on_probe"},
+"request_classes":[{"name":"page","effect":"retryable"},{"name":"order","effect":"fragile"}]}}`
+
+func TestFileIsParsed(t *testing.T) {
+	config, err := Parse([]byte(validFile))
+	assert.NoError(t, err)
+	assert.Equal(t, []string{"page", "order"}, config.ClassNames)
+	assert.Equal(t, uint64(0x8c1f30d27a5be964), config.Seed)
+	assert.Len(t, config.KnownEvents, 1)
+	for name, want := range map[string]string{
+		"router":            "2",
+		"zones":             "north_hub,east",
+		"fresh_s":           "0,12.0",
+		"may_join":          "true",
+		"uncacheable":       "false,true",
+		"connect_s":         "0.4",
+		"hops_a_connection": "32",
+		"load_by":           "checks",
+		"remap.count":       "2",
+		"remap.0.effect":    "repeatable",
+		"remap.1.effect":    "unrepeatable",
+		"remap.1.name":      "order",
+	} {
+		assert.Equal(t, want, config.Settings[name], name)
+	}
+}
+
+func TestInvalidFieldsAreNamed(t *testing.T) {
+	for _, c := range []struct {
+		old, replacement string
+		field            string
+		want             error
+	}{
+		{`"127.0.0.1:9090"`, `"nowhere"`, "listen", ErrInvalidAddress},
+		{`"board":"127.0.0.1:2379",`, "", "board", ErrInvalidAddress},
+		{"8c1f", "zz", "seed", ErrInvalidSeed},
+		{`"memory_mb":192`, `"memory_mb":1`, "limits", ErrLimitTooLow},
+		{`"sockets":1024`, `"sockets":63`, "limits", ErrLimitTooLow},
+		{"request_classes", "other", "settings", ErrNoClasses},
+		{`"name":"page",`, "", "settings", ErrUnnamedClass},
+		{`"known"`, `"unknown"`, "known", ErrMissing},
+		{`{"rev":1,"pool":{"endpoints":[]}}`, "", "known", discovery.ErrNoEvents},
+		{`"settings"`, `"x"`, "settings", ErrMissing},
+	} {
+		_, err := Parse([]byte(strings.Replace(validFile, c.old, c.replacement, 1)))
+		var fieldErr *FieldError
+		assert.ErrorAs(t, err, &fieldErr, c.old)
+		assert.Equal(t, c.field, fieldErr.Field, c.old)
+		assert.ErrorIs(t, err, c.want, c.old)
+		assert.ErrorContains(t, err, c.field+": "+c.want.Error())
+	}
+	_, err := Parse([]byte("[" + validFile[1:]))
+	var syntaxErr *json.SyntaxError
+	assert.ErrorAs(t, err, &syntaxErr)
+	assert.ErrorContains(t, err, "JSON")
+}
+
+func TestUnreadableFilesAreNamed(t *testing.T) {
+	t.Setenv(PathVariable, "")
+	_, err := LoadFromEnv()
+	assert.ErrorIs(t, err, ErrNoPath)
+	assert.ErrorContains(t, err, PathVariable)
+	path := filepath.Join(t.TempDir(), "x.json")
+	t.Setenv(PathVariable, path)
+	_, err = LoadFromEnv()
+	assert.ErrorIs(t, err, os.ErrNotExist)
+	assert.NoError(t, os.WriteFile(path, []byte("nonsense"), 0o600))
+	_, err = LoadFromEnv()
+	assert.ErrorContains(t, err, path)
+}
+
+func TestReloadMayChangeOnlyTheDiscoveryAddress(t *testing.T) {
+	running, err := Parse([]byte(validFile))
+	assert.NoError(t, err)
+	for _, c := range []struct {
+		old, replacement string
+		fixedField       string
+	}{
+		{"127.0.0.1:2379", "127.0.0.1:2380", ""},
+		{"n3", "n4", "name"},
+		{"9090", "9091", "listen"},
+		{`"memory_mb":192`, `"memory_mb":64`, "limits"},
+		{`"max_streams":32`, `"max_streams":31`, "settings"},
+	} {
+		changed, err := Parse([]byte(strings.Replace(validFile, c.old, c.replacement, 1)))
+		assert.NoError(t, err)
+		err = changed.CheckReload(running)
+		if c.fixedField == "" {
+			assert.NoError(t, err)
+			continue
+		}
+		assert.ErrorIs(t, err, ErrFixed)
+		assert.ErrorContains(t, err, c.fixedField+": can't change")
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	const endpoint = `{"name":"s-1","address":"10.1.0.9:9090","zone":"east","type":"std","status":"SERVING"}`
+	f.Add([]byte(validFile))
+	f.Add([]byte(strings.Replace(validFile, `"endpoints":[]`, `"endpoints":[`+endpoint+`]`, 1)))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		config, err := Parse(text)
+		if err != nil {
+			return
+		}
+		if len(config.ClassNames) == 0 || len(config.KnownEvents) == 0 || config.MemoryMB < minMemoryMB {
+			t.Fatalf("%+v", config)
+		}
+	})
+}
--- a/internal/bootstrap/golden_test.go
+++ b/internal/bootstrap/golden_test.go
@@ -28,10 +28,17 @@
 	}
 	line("last revision %d", c.LastRevision)
 	for _, ev := range c.KnownEvents {
-		line("event %d heartbeat=%t full=%t purge=%t object=%q group=%d at=%.3f", ev.Revision,
-			ev.Kind == discovery.Heartbeat, ev.Kind == discovery.Snapshot, ev.IsPurge(), ev.Purge.Object, ev.Purge.Group, ev.Purge.PurgedAt)
+		line("event %d heartbeat=%t full=%t purge=%t object=%q group=%d at=%.3f",
+			ev.Revision,
+			ev.Kind == discovery.Heartbeat,
+			ev.Kind == discovery.Snapshot,
+			ev.IsPurge(),
+			ev.Purge.Object,
+			ev.Purge.Group,
+			ev.Purge.PurgedAt)
 		for _, e := range ev.Endpoints {
-			line("  endpoint %s at %s zone=%d kind=%d cell=%d status=%d weight=%g started=%.3f", e.ID, e.Address, e.Zone, e.Kind, e.Cell, e.Status, e.Weight, e.StartedAt)
+			line("  endpoint %s at %s zone=%d kind=%d cell=%d status=%d weight=%g started=%.3f",
+				e.ID, e.Address, e.Zone, e.Kind, e.Cell, e.Status, e.Weight, e.StartedAt)
 		}
 	}
 	for _, key := range slices.Sorted(maps.Keys(c.Settings)) {
--- /dev/null
+++ b/internal/bootstrap/parse.go
@@ -0,0 +1,149 @@
+package bootstrap
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"strconv"
+
+	"cairnfront/internal/discovery"
+	"cairnfront/routing"
+)
+
+// Fields of the file, as errors name them.
+const (
+	fieldName     = "name"
+	fieldListen   = "listen"
+	fieldBoard    = "board"
+	fieldSeed     = "seed"
+	fieldLimits   = "limits"
+	fieldSettings = "settings"
+	fieldKnown    = "known"
+)
+
+// Settings that the parser itself reads.
+const (
+	settingClasses = "request_classes"
+	settingTenants = "tenants"
+	settingZones   = "zones"
+	settingKinds   = "flavors"
+)
+
+// Least limits that a router can run with.
+const (
+	minMemoryMB = 32
+	minSockets  = 64
+)
+
+// file is the JSON form of a Config.
+type file struct {
+	Name     string          `json:"name"`
+	Listen   string          `json:"listen"`
+	Board    string          `json:"board"`
+	Seed     string          `json:"seed"`
+	Limits   fileLimits      `json:"limits"`
+	Settings map[string]any  `json:"settings"`
+	Known    json.RawMessage `json:"known"`
+}
+
+type fileLimits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int     `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+// Parse reads the text of a file. Its errors are a *FieldError, or one of the JSON itself.
+func Parse(text []byte) (Config, error) {
+	var parsed file
+	decoder := json.NewDecoder(bytes.NewReader(text))
+	decoder.UseNumber() // numbers in settings keep the form in which they are written
+	if err := decoder.Decode(&parsed); err != nil {
+		return Config{}, fmt.Errorf("parse JSON: %w", err)
+	}
+	return parsed.config()
+}
+
+func (f *file) config() (Config, error) {
+	config := Config{
+		Name:             f.Name,
+		ListenAddress:    f.Listen,
+		DiscoveryAddress: f.Board,
+		Cores:            f.Limits.Cores,
+		MemoryMB:         f.Limits.MemoryMB,
+		MaxSockets:       f.Limits.Sockets,
+		Settings:         routing.Settings{},
+	}
+	if err := f.checkAddresses(); err != nil {
+		return config, err
+	}
+	var err error
+	if config.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
+		return config, &FieldError{fieldSeed, fmt.Errorf("%w: %q", ErrInvalidSeed, f.Seed)}
+	}
+	if config.MemoryMB < minMemoryMB || config.MaxSockets < minSockets {
+		err := fmt.Errorf("%w: %d MB, %d sockets", ErrLimitTooLow, config.MemoryMB, config.MaxSockets)
+		return config, &FieldError{fieldLimits, err}
+	}
+	if len(f.Settings) == 0 {
+		return config, &FieldError{fieldSettings, ErrMissing}
+	}
+	flatten(config.Settings, "", f.Settings)
+	if config.ClassNames, err = f.classNames(); err != nil {
+		return config, &FieldError{fieldSettings, err}
+	}
+	if len(f.Known) == 0 {
+		return config, &FieldError{fieldKnown, ErrMissing}
+	}
+	names := discovery.IndexNames{
+		Zones: stringsOf(f.Settings[settingZones]),
+		Kinds: stringsOf(f.Settings[settingKinds]),
+	}
+	if config.KnownEvents, config.LastRevision, err = discovery.ParseKnownEvents(f.Known, names); err != nil {
+		return config, &FieldError{fieldKnown, err}
+	}
+	return config, nil
+}
+
+func (f *file) checkAddresses() error {
+	for _, field := range []struct{ name, address string }{
+		{fieldListen, f.Listen},
+		{fieldBoard, f.Board},
+	} {
+		if _, _, err := net.SplitHostPort(field.address); err != nil {
+			return &FieldError{field.name, fmt.Errorf("%w: %q", ErrInvalidAddress, field.address)}
+		}
+	}
+	return nil
+}
+
+func (f *file) classNames() ([]string, error) {
+	classes, _ := f.Settings[settingClasses].([]any)
+	if len(classes) == 0 {
+		return nil, ErrNoClasses
+	}
+	names := make([]string, len(classes))
+	for i, class := range classes {
+		names[i], _ = member(class, "name").(string)
+		if names[i] == "" {
+			return nil, fmt.Errorf("%w: index %d", ErrUnnamedClass, i)
+		}
+	}
+	return names, nil
+}
+
+// member is the value under a key of a JSON object, nil where value is no object.
+func member(value any, key string) any {
+	object, _ := value.(map[string]any)
+	return object[key]
+}
+
+// stringsOf is the list of strings that value is. What is no string is the empty one.
+func stringsOf(value any) []string {
+	list, _ := value.([]any)
+	out := make([]string, len(list))
+	for i, item := range list {
+		out[i], _ = item.(string)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/bootstrap/settings.go
@@ -0,0 +1,78 @@
+package bootstrap
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"cairnfront/internal/wirenames"
+	"cairnfront/routing"
+)
+
+// flatten adds a JSON value to the settings in the form that the simulator's wire gives them, under the names of the
+// routing module: objects become paths, lists of objects numbered paths, and lists of plain values one text.
+func flatten(settings routing.Settings, path string, value any) {
+	switch value := value.(type) {
+	case map[string]any:
+		for key, item := range value {
+			flatten(settings, joinPath(path, key), item)
+		}
+	case []any:
+		if isObjectList(path, value) {
+			flattenObjectList(settings, path, value)
+			return
+		}
+		texts := make([]string, len(value))
+		for i, item := range value {
+			texts[i] = plainText(item)
+		}
+		put(settings, path, strings.Join(texts, ","))
+	default:
+		put(settings, path, plainText(value))
+	}
+}
+
+// isObjectList reports whether a list holds objects with names. Lists that may be empty are known by their paths.
+func isObjectList(path string, list []any) bool {
+	if path == settingClasses || path == settingTenants {
+		return true
+	}
+	return len(list) > 0 && member(list[0], "name") != nil
+}
+
+func flattenObjectList(settings routing.Settings, path string, list []any) {
+	put(settings, joinPath(path, "count"), strconv.Itoa(len(list)))
+	for i, item := range list {
+		flatten(settings, joinPath(path, strconv.Itoa(i)), item)
+	}
+}
+
+func joinPath(path, key string) string {
+	if path == "" {
+		return key
+	}
+	return path + "." + key
+}
+
+func put(settings routing.Settings, path, text string) {
+	path, text = wirenames.Setting(path, text)
+	settings[path] = text
+}
+
+// separators are the characters that set values apart on the simulator's wire.
+var separators = strings.NewReplacer(" ", "_", ",", "_")
+
+// plainText is the text of a value that is no list and no object.
+func plainText(value any) string {
+	switch value := value.(type) {
+	case nil:
+		return ""
+	case string:
+		return separators.Replace(value)
+	case json.Number:
+		return value.String()
+	default:
+		return fmt.Sprint(value)
+	}
+}
