--- /dev/null
+++ b/internal/admission/controller_test.go
@@ -0,0 +1,76 @@
+package admission
+
+import (
+	"context"
+	"testing"
+
+	"cairnfront/internal/request"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// TestLimitsFollowMemoryAndDescriptors holds the limits of some sizes of a process.
+func TestLimitsFollowMemoryAndDescriptors(t *testing.T) {
+	for _, x := range []struct {
+		memoryMB    int
+		descriptors int
+		want        limits
+		heapBytes   int64
+	}{
+		{32, 256, limits{
+			bodyBytes: 11744051, nearlyFullBytes: 10569645, requests: 409, clients: 115, refusedClients: 15,
+			endpointConns: 102, optionalConns: 76, connsPerEndpoint: 25,
+		}, 23488102},
+		{64, 256, limits{
+			bodyBytes: 23488102, nearlyFullBytes: 21139291, requests: 819, clients: 115, refusedClients: 15,
+			endpointConns: 102, optionalConns: 76, connsPerEndpoint: 25,
+		}, 46976204},
+		{192, 1024, limits{
+			bodyBytes: 70464307, nearlyFullBytes: 63417876, requests: 2457, clients: 460, refusedClients: 61,
+			endpointConns: 409, optionalConns: 306, connsPerEndpoint: 102,
+		}, 140928614},
+		{1000, 65536, limits{
+			bodyBytes: 367001600, nearlyFullBytes: 330301440, requests: 12800, clients: 29491, refusedClients: 3932,
+			endpointConns: 26214, optionalConns: 19660, connsPerEndpoint: 6553,
+		}, 734003200},
+	} {
+		assert.Equal(t, x.want, New(x.memoryMB, x.descriptors).limits)
+		assert.Equal(t, x.heapBytes, HeapLimitBytes(x.memoryMB))
+	}
+}
+
+func TestLimitsLeaveRoom(t *testing.T) {
+	c := New(192, 1024)
+	heapBytes := float64(HeapLimitBytes(192))
+	assert.Less(t, float64(c.limits.nearlyFullBytes)+heapBytes*(requestsShare+heapShare-1), float64(192*bytesPerMB))
+	assert.GreaterOrEqual(t, c.limits.clients, int64(1024/3), "clients need a third at most")
+	assert.Less(t, c.limits.clients+c.limits.endpointConns+c.limits.refusedClients, int64(1024-32))
+}
+
+func TestRequestsOverTheLimitsAreNotAdmitted(t *testing.T) {
+	c := New(192, 1024)
+	c.limits.requests = 2
+	assert.Equal(t,
+		[]request.Reason{request.ReasonNone, request.ReasonNone, request.ReasonTooManyRequests},
+		[]request.Reason{c.AdmitRequest(0), c.AdmitRequest(0), c.AdmitRequest(0)})
+	c.RequestDone()
+	assert.Empty(t, c.AdmitRequest(0))
+	body, err := c.Bodies.Allocate(t.Context(), int(c.limits.nearlyFullBytes)+1)
+	assert.NoError(t, err)
+	assert.Equal(t, request.ReasonMemoryShort, c.AdmitRequest(0))
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err = c.Bodies.Allocate(ctx, int(c.limits.nearlyFullBytes))
+	assert.ErrorIs(t, err, context.Canceled)
+	body.Free()
+}
+
+// TestOwnBodyDoesNotCount: a request is admitted whatever the size of its own body.
+func TestOwnBodyDoesNotCount(t *testing.T) {
+	c := New(192, 1024)
+	own := c.Bodies.TryAllocate(int(c.limits.nearlyFullBytes) + 1)
+	assert.True(t, c.BodiesNearlyFull())
+	assert.Equal(t, request.ReasonNone, c.AdmitRequest(own.AllocatedBytes()))
+	own.Free()
+	assert.False(t, c.BodiesNearlyFull())
+}
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -110,15 +110,13 @@
 // admitConn starts to serve an accepted connection. Over the limit of connections it takes the place of an idle one.
 // Where there is none, the client is told so; far past the limit the connection is closed at once.
 func (s *Server) admitConn(ctx context.Context, g *errgroup.Group, raw net.Conn) {
-	admitted, mayRefuse := s.Admission.AdmitClient()
-	if !admitted && !mayRefuse {
+	decision := s.Admission.AdmitClient()
+	if decision == admission.ClientDropped {
 		_ = raw.Close()
 		s.Metrics.Add("conn.client.turned-away", 1)
 		return
 	}
-	if !admitted {
-		admitted = s.evict(time.Now())
-	}
+	admitted := decision == admission.ClientAdmitted || s.evict(time.Now())
 	g.Go(func() error {
 		defer s.Admission.ClientDone()
 		s.serveConn(ctx, raw, admitted)
