--- a/cmd/cairnfront/lab.go
+++ b/cmd/cairnfront/lab.go
@@ -11,6 +11,7 @@
 	"syscall"
 
 	"cairnfront/internal/lab"
+	"cairnfront/internal/lab/report"
 
 	"github.com/spf13/cobra"
 )
@@ -46,7 +47,7 @@
 			if err != nil {
 				return err
 			}
-			return report(cmd, r, asJSON, asHTML)
+			return writeReport(cmd, r, asJSON, asHTML)
 		}}
 	run.Flags().Uint64Var(&s.Seed, "seed", 1, "of all chance")
 	run.Flags().StringVar(&size, "size", "small", "small or full")
@@ -63,7 +64,7 @@
 	c := &cobra.Command{Use: "sim", Short: "The cores alone, by the thousand, on virtual time"}
 	var p lab.SimPeers
 	peers := simulation("peers", "Detection, false drops and bytes by size and loss; with --acts, drawn fault scripts held to the invariants",
-		func(ctx context.Context, from, to uint64, tell func(string, ...any)) (*lab.Report, error) {
+		func(ctx context.Context, from, to uint64, tell func(string, ...any)) (*report.Report, error) {
 			p.From, p.To, p.Tell = from, to, tell
 			if p.Peers < 2 || p.Hostile < 0 || p.Hostile >= p.Peers || slices.ContainsFunc(p.Sizes, func(n int) bool { return n < 2 }) {
 				return nil, errors.New("at least two peers that are not hostile are needed")
@@ -78,7 +79,7 @@
 	peers.Flags().StringVar(&p.Script, "script", "", "file of one script to be played instead")
 	var l lab.SimLedger
 	ledger := simulation("ledger", "Promises through machines lost with their disks, losses of power, stops and cuts; what clients were told is checked for linearizability",
-		func(ctx context.Context, from, to uint64, tell func(string, ...any)) (*lab.Report, error) {
+		func(ctx context.Context, from, to uint64, tell func(string, ...any)) (*report.Report, error) {
 			l.From, l.To, l.Tell = from, to, tell
 			if l.Routers < 3 || l.Slices < 1 || l.Slices > 64 || l.Lasts < 30 {
 				return nil, errors.New("at least 3 routers, 1 to 64 slices and 30 s are needed")
@@ -94,7 +95,7 @@
 }
 
 // simulation is a command that plays seeds and reports.
-func simulation(name, short string, play func(ctx context.Context, from, to uint64, tell func(string, ...any)) (*lab.Report, error)) *cobra.Command {
+func simulation(name, short string, play func(ctx context.Context, from, to uint64, tell func(string, ...any)) (*report.Report, error)) *cobra.Command {
 	var seeds, asJSON, asHTML string
 	c := &cobra.Command{Use: name, Short: short, Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
@@ -113,7 +114,7 @@
 			if err != nil {
 				return err
 			}
-			return report(cmd, r, asJSON, asHTML)
+			return writeReport(cmd, r, asJSON, asHTML)
 		}}
 	c.Flags().StringVar(&seeds, "seeds", "1..2", "A..B")
 	c.Flags().StringVar(&asJSON, "json", "", "file for the report as JSON, - for standard output")
@@ -121,8 +122,8 @@
 	return c
 }
 
-// report writes what was found in the forms that were asked for; errBroken where it did not hold.
-func report(cmd *cobra.Command, r *lab.Report, asJSON, asHTML string) error {
+// writeReport writes what was found in the forms that were asked for; errBroken where it did not hold.
+func writeReport(cmd *cobra.Command, r *report.Report, asJSON, asHTML string) error {
 	if asJSON != "-" {
 		r.WriteText(cmd.OutOrStdout())
 	}
--- a/internal/lab/addresses.go
+++ b/internal/lab/addresses.go
@@ -14,6 +14,7 @@
 	"cairnfront/internal/config"
 	"cairnfront/internal/diskcache/eviction"
 	"cairnfront/internal/edgecache"
+	"cairnfront/internal/lab/report"
 	"cairnfront/routing"
 )
 
@@ -51,13 +52,13 @@
 const settleFor = 2.0 // s after a fault begins before times are judged
 
 var addresses = Scenario{Name: "addresses", About: "Members with three addresses, one made to hang, reset, stop half way, shut or flap; the same load on one address each",
-	Run: func(ctx context.Context, s Setting, r *Report) error {
+	Run: func(ctx context.Context, s Setting, r *report.Report) error {
 		txns, clients := 2000, 16
 		if s.Full {
 			txns, clients = 100_000, 32
 		}
 		r.Counts["overlapping_hops"], r.Counts["order_repeats"], r.Counts["hung_connects"], r.Counts["orders_run"] = 0, 0, 0, 0
-		p99 := Plot{Title: "Times to an answer after the first two seconds", X: "share of txns", Y: "ms"}
+		p99 := report.Plot{Title: "Times to an answer after the first two seconds", XLabel: "share of txns", YLabel: "ms"}
 		for _, v := range variants {
 			s.Tell("%s", v.name)
 			l, err := playVariant(ctx, s, r, v, txns/len(variants), clients)
@@ -68,14 +69,14 @@
 		}
 		r.Plots = append(r.Plots, p99)
 		r.Figures["cpu_several_over_single"] = r.Figures["cpu_us_a_txn.all_good"] / max(r.Figures["cpu_us_a_txn.single_good"], 1)
-		r.Did = append(r.Did, fmt.Sprintf("%d txns of a repeatable, a keyed and an unrepeatable rule in each of %d ways, over a router and four stand-in members", txns/len(variants), len(variants)),
+		r.Steps = append(r.Steps, fmt.Sprintf("%d txns of a repeatable, a keyed and an unrepeatable rule in each of %d ways, over a router and four stand-in members", txns/len(variants), len(variants)),
 			"the fault is at the first address of one cache; times count from two seconds after it began")
 		return playPairs(ctx, s, r, clients)
 	}}
 
 // playVariant plays one and adds to the report; the line is the times to an answer, in order.
-func playVariant(ctx context.Context, s Setting, r *Report, v variant, txns, clients int) (Line, error) {
-	none := Line{Name: v.name}
+func playVariant(ctx context.Context, s Setting, r *report.Report, v variant, txns, clients int) (report.Line, error) {
+	none := report.Line{Name: v.name}
 	t, members, hurt, err := severalTown(s, v.several)
 	if err != nil {
 		return none, err
@@ -247,7 +248,7 @@
 	return t, members, hurt, t.addRouter(1)
 }
 
-func closeSeveral(t *town, members []*manyDoors, r *Report) {
+func closeSeveral(t *town, members []*manyDoors, r *report.Report) {
 	t.close(r)
 	for _, m := range members {
 		m.close()
@@ -290,7 +291,7 @@
 // playPairs measures what one hung address costs at the 99th percentile. Phases with all addresses good and with one hung
 // take turns on one router under one load, so that what else the machine does falls on both; the first seconds of a
 // phase, in which the router finds the fault or the way back, do not count.
-func playPairs(ctx context.Context, s Setting, r *Report, clients int) error {
+func playPairs(ctx context.Context, s Setting, r *report.Report, clients int) error {
 	n, phase := pairsSmall, phaseSmall
 	if s.Full {
 		n, phase = pairsFull, phaseFull
--- a/internal/lab/admit.go
+++ b/internal/lab/admit.go
@@ -9,6 +9,7 @@
 	"sort"
 
 	"cairnfront/internal/diskcache/eviction"
+	"cairnfront/internal/lab/report"
 
 	"golang.org/x/sync/errgroup"
 )
@@ -110,7 +111,7 @@
 var admitAlphas = []float64{0.5, 1, 2, 4}
 
 var diskAdmit = Scenario{Name: "disk-admit", About: "What a disk should keep: the tier's choice against LRU and xLRU over a video-like day, by the paper's Eq. 2",
-	Run: func(ctx context.Context, s Setting, r *Report) error {
+	Run: func(ctx context.Context, s Setting, r *report.Report) error {
 		n := 100_000
 		if s.Full {
 			n = 1_000_000
@@ -122,7 +123,7 @@
 		}
 		all := float64(len(distinct)) * partBytes
 		r.Counts["requests"], r.Counts["parts"] = int64(len(day)), int64(len(distinct))
-		r.Did = append(r.Did, fmt.Sprintf("%d requests of one day for %d parts of 2 MiB; disks of 2%%, 5%% and 10%% of the bytes of all of them", len(day), len(distinct)),
+		r.Steps = append(r.Steps, fmt.Sprintf("%d requests of one day for %d parts of 2 MiB; disks of 2%%, 5%% and 10%% of the bytes of all of them", len(day), len(distinct)),
 			fmt.Sprintf("judged from %.0f%% of the day on; a simulation of the choice alone, no disk is written", judgedFrom*100))
 		policies := []struct {
 			name string
@@ -179,9 +180,9 @@
 			}
 		}
 		for si, share := range admitSizes {
-			pl := Plot{Title: fmt.Sprintf("Efficiency with a disk of %g%% of all bytes", share*100), X: "alpha (cost of a fill over that of a pass)", Y: "efficiency (Eq. 2)"}
+			pl := report.Plot{Title: fmt.Sprintf("Efficiency with a disk of %g%% of all bytes", share*100), XLabel: "alpha (cost of a fill over that of a pass)", YLabel: "efficiency (Eq. 2)"}
 			for pi, p := range policies {
-				l := Line{Name: p.name}
+				l := report.Line{Name: p.name}
 				for ai, alpha := range admitAlphas {
 					l.X, l.Y = append(l.X, alpha), append(l.Y, got[cell{pi, si, ai}][0])
 				}
--- a/internal/lab/brownout.go
+++ b/internal/lab/brownout.go
@@ -13,6 +13,7 @@
 	"cairnfront/internal/cacheproto"
 	"cairnfront/internal/diskcache/eviction"
 	"cairnfront/internal/edgecache"
+	"cairnfront/internal/lab/report"
 	"cairnfront/routing"
 )
 
@@ -20,12 +21,12 @@
 const brownFails = 0.5
 
 var brownout = Scenario{Name: "brownout", About: "All caches fail half of their hops for a while, with and without a budget of further hops: how many hops a txn costs",
-	Run: func(ctx context.Context, s Setting, r *Report) error {
+	Run: func(ctx context.Context, s Setting, r *report.Report) error {
 		calm, brown, clients := 2*time.Second, 5*time.Second, 24
 		if s.Full {
 			calm, brown, clients = 5*time.Second, 30*time.Second, 40
 		}
-		p := Plot{Title: "Hops a txn, second by second", X: "s", Y: "hops"}
+		p := report.Plot{Title: "Hops a txn, second by second", XLabel: "s", YLabel: "hops"}
 		for _, share := range []float64{0, 0.2} {
 			name := map[bool]string{true: "budget", false: "none"}[share > 0]
 			s.Tell("%s", name)
@@ -35,17 +36,17 @@
 			}
 			p.Lines = append(p.Lines, l)
 		}
-		p.Marks = []Mark{{calm.Seconds(), "brown-out"}, {calm.Seconds() + brown.Seconds(), "over"}}
+		p.Marks = []report.Mark{{At: calm.Seconds(), Name: "brown-out"}, {At: (calm + brown).Seconds(), Name: "over"}}
 		r.Plots = append(r.Plots, p)
-		r.Did = append(r.Did, fmt.Sprintf("four stand-in members, %d clients; for %.0f s each hop fails with odds of %.1f", clients, brown.Seconds(), brownFails))
+		r.Steps = append(r.Steps, fmt.Sprintf("four stand-in members, %d clients; for %.0f s each hop fails with odds of %.1f", clients, brown.Seconds(), brownFails))
 		if with, without := r.Figures["hops_a_txn.budget"], r.Figures["hops_a_txn.none"]; with-1 > (without-1)/2 {
 			r.Broke("with a budget of 0.2 a txn costs %.2f hops in the brown-out, without one %.2f", with, without)
 		}
 		return nil
 	}}
 
-func playBrownout(ctx context.Context, s Setting, r *Report, name string, share float64, calm, brown time.Duration, clients int) (Line, error) {
-	out := Line{Name: name}
+func playBrownout(ctx context.Context, s Setting, r *report.Report, name string, share float64, calm, brown time.Duration, clients int) (report.Line, error) {
+	out := report.Line{Name: name}
 	t, err := newTown(s, 1)
 	if err != nil {
 		return out, err
--- a/internal/lab/demo.go
+++ b/internal/lab/demo.go
@@ -7,11 +7,12 @@
 	"sync"
 	"time"
 
+	"cairnfront/internal/lab/report"
 	"cairnfront/routing"
 )
 
 var demo = Scenario{Name: "demo", About: "A first look: two campuses with two boxes each, two routers, clients of three remap rules, a purge, a drain, a lost box",
-	Run: func(ctx context.Context, s Setting, r *Report) error {
+	Run: func(ctx context.Context, s Setting, r *report.Report) error {
 		step, clients := 2*time.Second, 16
 		if s.Full {
 			step, clients = 12*time.Second, 48
@@ -53,9 +54,9 @@
 		defer func() { stop(); all.Wait() }()
 		rnd := rand.New(rand.NewPCG(s.Seed, 6))
 		began := unix(time.Now())
-		var marks []Mark
+		var marks []report.Mark
 		mark := func(name string) {
-			marks = append(marks, Mark{unix(time.Now()) - began, name})
+			marks = append(marks, report.Mark{At: unix(time.Now()) - began, Name: name})
 			s.Tell("%s", name)
 		}
 		rest := func() error {
@@ -117,15 +118,15 @@
 		t.mu.Unlock()
 		r.Figures["completed_share"] = float64(r.Counts["completed"]) / float64(max(r.Counts["txns"], 1))
 		r.Figures["from_own_boxes"] = t.share(began, ended)
-		r.Did = append(r.Did, fmt.Sprintf("two campuses of two boxes, a parent, an archive, two routers, %d clients of three remap rules", 2*clients),
+		r.Steps = append(r.Steps, fmt.Sprintf("two campuses of two boxes, a parent, an archive, two routers, %d clients of three remap rules", 2*clients),
 			"five purges (one of a group), a box drained, a box lost and back empty", "cold members are not judged here; the bench does")
 		if r.Figures["completed_share"] < 0.97 {
 			r.Broke("%.3f of the txns were completed, 0.97 are expected", r.Figures["completed_share"])
 		}
-		l := Line{Name: "share of bytes from own boxes"}
+		l := report.Line{Name: "share of bytes from own boxes"}
 		for at := began; at+1 < ended; at++ {
 			l.X, l.Y = append(l.X, at-began), append(l.Y, t.share(at, at+1))
 		}
-		r.Plots = append(r.Plots, Plot{Title: "Bytes that came from the campuses' own boxes", X: "s", Y: "share", Lines: []Line{l}, Marks: marks})
+		r.Plots = append(r.Plots, report.Plot{Title: "Bytes that came from the campuses' own boxes", XLabel: "s", YLabel: "share", Lines: []report.Line{l}, Marks: marks})
 		return nil
 	}}
--- a/internal/lab/doors.go
+++ b/internal/lab/doors.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"cairnfront/internal/cacheproto"
+	"cairnfront/internal/lab/report"
 	"cairnfront/routing"
 )
 
@@ -296,7 +297,7 @@
 		}
 		m.mu.Unlock()
 	}
-	for _, id := range sortedKeys(byID) {
+	for _, id := range report.SortedKeys(byID) {
 		list := byID[id]
 		for i, a := range list {
 			for _, b := range list[:i] {
--- a/internal/lab/judge.go
+++ b/internal/lab/judge.go
@@ -7,6 +7,7 @@
 
 	"cairnfront/internal/diskcache/eviction"
 	"cairnfront/internal/edgecache"
+	"cairnfront/internal/lab/report"
 )
 
 // tally is what clients heard.
@@ -42,7 +43,7 @@
 }
 
 // judge reckons the rules from what clients, archive and members in this process recorded.
-func (t *town) judge(r *Report, crowds []*crowd) {
+func (t *town) judge(r *report.Report, crowds []*crowd) {
 	t.replies.mu.Lock()
 	defer t.replies.mu.Unlock()
 	t.mu.Lock()
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -4,60 +4,14 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
 	"os"
 	"slices"
 	"sort"
 	"time"
-)
-
-// Report is what a scenario found.
-type Report struct {
-	Scenario string             `json:"scenario"`
-	Seed     uint64             `json:"seed"`
-	Size     string             `json:"size"`
-	Held     bool               `json:"held"`
-	Rules    Rules              `json:"rules"`
-	Counts   map[string]int64   `json:"counts"`
-	Figures  map[string]float64 `json:"figures"`
-	Broken   []string           `json:"broken"`
-
-	Numbers bool `json:"-"` // nothing ran on sockets
-
-	Did   []string `json:"-"` // what was done, a line each
-	Plots []Plot   `json:"-"`
-}
-
-// Rules are how often each rule was broken.
-type Rules struct {
-	Lost          int64 `json:"lost"`
-	SecondAnswers int64 `json:"second_answers"`
-	SecondEffects int64 `json:"second_effects"`
-	Drain         int64 `json:"drain"`
-	Cold          int64 `json:"cold"`
-	Purge         int64 `json:"purge"`
-}
-
-// Plot is a drawing of a report.
-type Plot struct {
-	Title, X, Y string
-	Lines       []Line
-	Marks       []Mark // faults, at a place of X
-}
 
-// Line is one of a plot.
-type Line struct {
-	Name string
-	X, Y []float64
-}
-
-// Mark is a moment worth seeing.
-type Mark struct {
-	At   float64
-	Name string
-}
+	"cairnfront/internal/lab/report"
+)
 
 // Setting is how a scenario is run.
 type Setting struct {
@@ -72,7 +26,7 @@
 // Scenario is one.
 type Scenario struct {
 	Name, About string
-	Run         func(ctx context.Context, s Setting, r *Report) error
+	Run         func(ctx context.Context, s Setting, r *report.Report) error
 }
 
 // Scenarios are all there are, by name.
@@ -83,7 +37,7 @@
 }
 
 // Run runs a scenario. An error says that it could not be run; whether it held is in the report.
-func Run(ctx context.Context, name string, s Setting) (*Report, error) {
+func Run(ctx context.Context, name string, s Setting) (*report.Report, error) {
 	scenarios := Scenarios()
 	at := slices.IndexFunc(scenarios, func(sc Scenario) bool { return sc.Name == name })
 	if at < 0 {
@@ -98,23 +52,17 @@
 	if s.Tell == nil {
 		s.Tell = func(string, ...any) {}
 	}
-	r := &Report{
-		Scenario: name,
-		Seed:     s.Seed,
-		Size:     "small",
-		Counts:   map[string]int64{},
-		Figures:  map[string]float64{},
-		Broken:   []string{},
-	}
+	size := "small"
 	if s.Full {
-		r.Size = "full"
+		size = "full"
 	}
+	r := report.New(name, s.Seed, size)
 	began := time.Now()
 	if err := scenarios[at].Run(ctx, s, r); err != nil {
 		return nil, fmt.Errorf("scenario %s: %w", name, err)
 	}
 	r.Figures["took_s"] = time.Since(began).Seconds()
-	r.close()
+	r.Close()
 	return r, nil
 }
 
@@ -132,65 +80,3 @@
 	}
 	return folder, func() { _ = os.RemoveAll(folder) }, nil
 }
-
-// close lists the broken rules among what broke, and gives the verdict.
-func (r *Report) close() {
-	for what, n := range map[string]int64{
-		"txns lost":                  r.Rules.Lost,
-		"second answers":             r.Rules.SecondAnswers,
-		"second effects":             r.Rules.SecondEffects,
-		"drains not kept":            r.Rules.Drain,
-		"cold members pushed over":   r.Rules.Cold,
-		"answers older than a purge": r.Rules.Purge,
-	} {
-		if n > 0 {
-			r.Broke("%d %s", n, what)
-		}
-	}
-	sort.Strings(r.Broken)
-	r.Held = len(r.Broken) == 0
-}
-
-// Broke notes a bound that did not hold; the first few of a kind are enough.
-func (r *Report) Broke(form string, args ...any) {
-	if len(r.Broken) < 50 {
-		r.Broken = append(r.Broken, fmt.Sprintf(form, args...))
-	}
-}
-
-// WriteJSON writes the report.
-func (r *Report) WriteJSON(w io.Writer) error {
-	e := json.NewEncoder(w)
-	e.SetIndent("", "  ")
-	return e.Encode(r)
-}
-
-// WriteText writes it for a person.
-func (r *Report) WriteText(w io.Writer) {
-	verdict := "held"
-	if !r.Held {
-		verdict = "BROKEN"
-	}
-	_, _ = fmt.Fprintf(w, "%s, seed %d, %s: %s\n", r.Scenario, r.Seed, r.Size, verdict)
-	for _, line := range r.Did {
-		_, _ = fmt.Fprintf(w, "  %s\n", line)
-	}
-	for _, name := range sortedKeys(r.Counts) {
-		_, _ = fmt.Fprintf(w, "  %-28s %d\n", name, r.Counts[name])
-	}
-	for _, name := range sortedKeys(r.Figures) {
-		_, _ = fmt.Fprintf(w, "  %-28s %.4g\n", name, r.Figures[name])
-	}
-	for _, line := range r.Broken {
-		_, _ = fmt.Fprintf(w, "  broken: %s\n", line)
-	}
-}
-
-func sortedKeys[V any](m map[string]V) []string {
-	names := make([]string, 0, len(m))
-	for name := range m {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	return names
-}
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -1,23 +1,21 @@
 package lab
 
 import (
-	"bytes"
-	"encoding/json"
 	"os"
 	"path/filepath"
-	"strings"
 	"testing"
 	"time"
 
 	"cairnfront/internal/diskcache/eviction"
 	"cairnfront/internal/edgecache"
+	"cairnfront/internal/lab/report"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
 
 // judged is a town in which one txn of object 5 got a part of a version, some time after a purge to version 2 was told.
-func judged(t *testing.T, change func(*town, *reply)) *Report {
+func judged(t *testing.T, change func(*town, *reply)) *report.Report {
 	x, err := newTown(Setting{Seed: 3}, 1)
 	require.NoError(t, err)
 	defer x.close(nil)
@@ -28,7 +26,7 @@
 		body: edgecache.SyntheticBody(3, eviction.Key{Object: 5}, 2, x.made.MinBytes, x.made.MaxBytes)}
 	change(x, &r)
 	x.hear(r)
-	rep := &Report{Counts: map[string]int64{}}
+	rep := &report.Report{Counts: map[string]int64{}}
 	x.judge(rep, []*crowd{{second: x.replies.all[0].pushback.Nanoseconds()}})
 	return rep
 }
@@ -61,19 +59,19 @@
 	}
 	for name, c := range map[string]struct {
 		change func(*town, *reply)
-		want   Rules
+		want   report.Rules
 		wrong  int64
 	}{
-		"all well":            {func(*town, *reply) {}, Rules{}, 0},
-		"older than a purge":  {old, Rules{Purge: 1}, 0},
-		"within the grace":    {func(x *town, r *reply) { old(x, r); r.sent -= 0.2 }, Rules{}, 0},
-		"purged with a group": {func(x *town, _ *reply) { x.purges[0].all, x.purges[0].group, x.purges[0].version = true, 5, 9 }, Rules{Purge: 1}, 0},
-		"a flipped bit":       {func(_ *town, r *reply) { r.body[500] ^= 1 }, Rules{}, 1},
-		"cut short":           {func(_ *town, r *reply) { r.body = r.body[:10] }, Rules{}, 1},
-		"no answer":           {func(_ *town, r *reply) { r.code = noAnswer }, Rules{Lost: 1}, 0},
-		"a late answer":       {func(_ *town, r *reply) { r.done = r.sent + 1.06 }, Rules{Lost: 1}, 0},
-		"a second answer":     {func(_ *town, r *reply) { r.pushback = 1 }, Rules{SecondAnswers: 1}, 0},
-		"a second effect":     {func(x *town, _ *reply) { x.ran["k"] = 2 }, Rules{SecondEffects: 1}, 0},
+		"all well":            {func(*town, *reply) {}, report.Rules{}, 0},
+		"older than a purge":  {old, report.Rules{Purge: 1}, 0},
+		"within the grace":    {func(x *town, r *reply) { old(x, r); r.sent -= 0.2 }, report.Rules{}, 0},
+		"purged with a group": {func(x *town, _ *reply) { x.purges[0].all, x.purges[0].group, x.purges[0].version = true, 5, 9 }, report.Rules{Purge: 1}, 0},
+		"a flipped bit":       {func(_ *town, r *reply) { r.body[500] ^= 1 }, report.Rules{}, 1},
+		"cut short":           {func(_ *town, r *reply) { r.body = r.body[:10] }, report.Rules{}, 1},
+		"no answer":           {func(_ *town, r *reply) { r.code = noAnswer }, report.Rules{Lost: 1}, 0},
+		"a late answer":       {func(_ *town, r *reply) { r.done = r.sent + 1.06 }, report.Rules{Lost: 1}, 0},
+		"a second answer":     {func(_ *town, r *reply) { r.pushback = 1 }, report.Rules{SecondAnswers: 1}, 0},
+		"a second effect":     {func(x *town, _ *reply) { x.ran["k"] = 2 }, report.Rules{SecondEffects: 1}, 0},
 	} {
 		rep := judged(t, c.change)
 		assert.Equal(t, c.want, rep.Rules, name)
@@ -81,23 +79,6 @@
 	}
 }
 
-func TestAReportIsWrittenInThreeForms(t *testing.T) {
-	r := &Report{Scenario: "x", Counts: map[string]int64{"n": 3}, Figures: map[string]float64{"f": 0.5}, Broken: []string{"<b>that</b>"},
-		Plots: []Plot{{Title: "t", Lines: []Line{{"a", []float64{0, 1}, []float64{0, 2}}}, Marks: []Mark{{0.5, "fault"}}}}}
-	var b bytes.Buffer
-	require.NoError(t, r.WriteJSON(&b))
-	var back Report
-	require.NoError(t, json.Unmarshal(b.Bytes(), &back))
-	assert.Equal(t, r.Counts, back.Counts)
-	b.Reset()
-	require.NoError(t, r.WriteHTML(&b))
-	assert.Equal(t, 1, strings.Count(b.String(), "<svg"))
-	assert.Contains(t, b.String(), "&lt;b&gt;that")
-	b.Reset()
-	r.WriteText(&b)
-	assert.Contains(t, b.String(), "BROKEN")
-}
-
 // The same seed draws the same day, and the choice's figures are the same.
 func TestADayIsDrawnFromItsSeed(t *testing.T) {
 	a, b, c := drawDay(1, 5000), drawDay(1, 5000), drawDay(2, 5000)
--- a/internal/lab/peers.go
+++ b/internal/lab/peers.go
@@ -19,6 +19,7 @@
 	"cairnfront/internal/admin"
 	"cairnfront/internal/config"
 	"cairnfront/internal/faultproxy"
+	"cairnfront/internal/lab/report"
 	"cairnfront/internal/membership"
 	"cairnfront/internal/membership/datagram"
 	"cairnfront/internal/sim/faults"
@@ -39,7 +40,7 @@
 )
 
 var peersScenario = Scenario{Name: "peers", About: "Twenty routers that know each other, some hostile peers, relays between all; kills, cuts, stops, losses, from a script",
-	Run: func(ctx context.Context, s Setting, r *Report) error {
+	Run: func(ctx context.Context, s Setting, r *report.Report) error {
 		script := peersScript(s)
 		if s.Script != "" {
 			read, err := faults.Read(s.Script)
@@ -152,7 +153,7 @@
 	names    []string
 	began    time.Time // of the script
 	made     time.Time
-	marks    []Mark
+	marks    []report.Mark
 	mu       sync.Mutex
 	twins    int
 }
@@ -319,7 +320,7 @@
 		}
 		f.s.Tell("%5.1f of %.0f s: %s", m.At, f.script.Until, m.Act)
 		if !m.End {
-			f.marks = append(f.marks, Mark{m.At, string(m.Act.Do)})
+			f.marks = append(f.marks, report.Mark{At: m.At, Name: string(m.Act.Do)})
 		}
 		if err := f.moment(m); err != nil {
 			return err
@@ -462,7 +463,7 @@
 
 // judge reckons what came of it from what clients, boxes, archive and relays recorded, and from what each router's log says that
 // it held, against what the script made true.
-func (f *peerFleet) judge(r *Report) error {
+func (f *peerFleet) judge(r *report.Report) error {
 	f.t.judge(r, f.crowds)
 	if err := f.readLogs(); err != nil {
 		return err
@@ -520,7 +521,7 @@
 	f.members(r)
 	r.Figures["standing_wrong_s"] = f.standings()
 	first, last := int(f.began.Sub(f.made).Seconds()), int(f.began.Sub(f.made).Seconds()+s.Until)
-	var rate Line
+	var rate report.Line
 	total := int64(0)
 	for at := first; at < last; at++ {
 		sum := int64(0)
@@ -557,7 +558,7 @@
 		}
 	}
 	text, _ := json.Marshal(s)
-	r.Did = append(r.Did, fmt.Sprintf("%d routers of the program and %d hostile peers, each way between two over a relay; a client at each, two campuses of two boxes", peersOf, len(f.hostiles)),
+	r.Steps = append(r.Steps, fmt.Sprintf("%d routers of the program and %d hostile peers, each way between two over a relay; a client at each, two campuses of two boxes", peersOf, len(f.hostiles)),
 		"script: "+string(text))
 	return nil
 }
@@ -589,7 +590,7 @@
 }
 
 // agrees is how long after a cut it took until each router saw just those who ran; nothing where another fault came first.
-func (f *peerFleet) agrees(r *Report, from float64) []float64 {
+func (f *peerFleet) agrees(r *report.Report, from float64) []float64 {
 	s := &f.script
 	const most = 12.0
 	for _, a := range s.Acts {
@@ -615,7 +616,7 @@
 }
 
 // members looks whether a healthy box was left out by what was said of it.
-func (f *peerFleet) members(r *Report) {
+func (f *peerFleet) members(r *report.Report) {
 	f.t.mu.Lock()
 	defer f.t.mu.Unlock()
 	from := unix(f.began)
@@ -663,9 +664,9 @@
 	return wrong / float64(peersOf)
 }
 
-func (f *peerFleet) plots(r *Report, rate Line) {
-	seen := Line{Name: "peers seen, least of all routers"}
-	most := Line{Name: "most of all routers"}
+func (f *peerFleet) plots(r *report.Report, rate report.Line) {
+	seen := report.Line{Name: "peers seen, least of all routers"}
+	most := report.Line{Name: "most of all routers"}
 	for at := 0.0; at < f.script.Until; at += 0.5 {
 		least, top := peersOf, 0
 		for _, p := range f.procs {
@@ -683,11 +684,11 @@
 		seen.X, seen.Y = append(seen.X, at), append(seen.Y, float64(least))
 		most.X, most.Y = append(most.X, at), append(most.Y, float64(top))
 	}
-	r.Plots = append(r.Plots, Plot{Title: "How many of the routers each sees", X: "s", Y: "routers", Lines: []Line{seen, most}, Marks: f.marks},
-		Plot{Title: "Datagrams between peers", X: "s", Y: "a second a router", Lines: []Line{rate}, Marks: f.marks})
+	r.Plots = append(r.Plots, report.Plot{Title: "How many of the routers each sees", XLabel: "s", YLabel: "routers", Lines: []report.Line{seen, most}, Marks: f.marks},
+		report.Plot{Title: "Datagrams between peers", XLabel: "s", YLabel: "a second a router", Lines: []report.Line{rate}, Marks: f.marks})
 }
 
-func (f *peerFleet) close(r *Report) {
+func (f *peerFleet) close(r *report.Report) {
 	for _, p := range f.procs {
 		if p.cmd != nil {
 			_ = p.cmd.Process.Signal(syscall.SIGCONT)
--- a/internal/lab/peers_test.go
+++ b/internal/lab/peers_test.go
@@ -9,6 +9,7 @@
 
 	"cairnfront/internal/cacheproto"
 	"cairnfront/internal/faultproxy"
+	"cairnfront/internal/lab/report"
 	"cairnfront/internal/sim/faults"
 
 	"github.com/stretchr/testify/assert"
@@ -16,7 +17,7 @@
 )
 
 // judgedFleet is twenty routers' logs as they are when all goes well under one kill and one cut, changed by a test.
-func judgedFleet(t *testing.T, change func(say func(router int, at float64, text string), x *peerFleet)) *Report {
+func judgedFleet(t *testing.T, change func(say func(router int, at float64, text string), x *peerFleet)) *report.Report {
 	dir := t.TempDir()
 	x, err := newTown(Setting{Seed: 3, Folder: dir}, 2)
 	require.NoError(t, err)
@@ -56,7 +57,7 @@
 		require.NoError(t, err)
 		f.procs = append(f.procs, &process{router: &router{name: f.names[i], log: file}, index: i})
 	}
-	r := &Report{Counts: map[string]int64{}, Figures: map[string]float64{}}
+	r := &report.Report{Counts: map[string]int64{}, Figures: map[string]float64{}}
 	require.NoError(t, f.judge(r))
 	return r
 }
--- a/internal/lab/peerscost.go
+++ b/internal/lab/peerscost.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"cairnfront/internal/lab/report"
 	"cairnfront/internal/membership"
 	"cairnfront/internal/membership/datagram"
 	"cairnfront/internal/membership/ratelimit"
@@ -26,7 +27,7 @@
 )
 
 var peersCost = Scenario{Name: "peers-cost", About: "What peers cost a router: CPU and memory with hundreds of them and with none, idle and under load",
-	Run: func(ctx context.Context, s Setting, r *Report) error {
+	Run: func(ctx context.Context, s Setting, r *report.Report) error {
 		n, lasts := costPeersSmall, 4*time.Second
 		if s.Full {
 			n, lasts = costPeersFull, 20*time.Second
@@ -114,7 +115,7 @@
 		if more := r.Figures["mb_with.loaded"] - r.Figures["mb_without.loaded"]; more > mostCostMB {
 			r.Broke("%.1f MB for %d peers, under load", more, n)
 		}
-		r.Did = append(r.Did, fmt.Sprintf("a router with %d peers (the product's node, all in the laboratory's process) and one without, side by side on loopback; %v idle, then under the same load", n, lasts))
+		r.Steps = append(r.Steps, fmt.Sprintf("a router with %d peers (the product's node, all in the laboratory's process) and one without, side by side on loopback; %v idle, then under the same load", n, lasts))
 		return nil
 	}}
 
--- /dev/null
+++ b/internal/lab/report/html.go
@@ -0,0 +1,40 @@
+package report
+
+import (
+	_ "embed"
+	"fmt"
+	"html/template"
+	"io"
+)
+
+//go:embed report.html.tmpl
+var pageText string
+
+var page = template.Must(template.New("report").Funcs(template.FuncMap{"keys": templateKeys}).Parse(pageText))
+
+// templateKeys returns the ordered keys of a report's counts or figures.
+func templateKeys(values any) []string {
+	switch values := values.(type) {
+	case map[string]int64:
+		return SortedKeys(values)
+	case map[string]float64:
+		return SortedKeys(values)
+	}
+	return nil
+}
+
+// WriteHTML writes one page that needs no other file.
+func (r *Report) WriteHTML(w io.Writer) error {
+	var plots []template.HTML
+	for _, p := range r.Plots {
+		svg, err := p.svg()
+		if err != nil {
+			return fmt.Errorf("draw plot %q: %w", p.Title, err)
+		}
+		plots = append(plots, svg)
+	}
+	return page.Execute(w, struct {
+		R     *Report
+		Plots []template.HTML
+	}{r, plots})
+}
--- /dev/null
+++ b/internal/lab/report/report.go
@@ -0,0 +1,144 @@
+// Package report holds the result of a laboratory run and writes it as text, as JSON and as one HTML page with plots.
+// It judges nothing: scenarios and simulations fill it in.
+package report
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"sort"
+)
+
+// maxBroken is how many of the things that broke a report lists.
+const maxBroken = 50
+
+// Report is the result of a scenario or of a simulation. Its zero value is not usable; New makes one.
+type Report struct {
+	Scenario string             `json:"scenario"`
+	Seed     uint64             `json:"seed"`
+	Size     string             `json:"size"`
+	Held     bool               `json:"held"`
+	Rules    Rules              `json:"rules"`
+	Counts   map[string]int64   `json:"counts"`
+	Figures  map[string]float64 `json:"figures"`
+	Broken   []string           `json:"broken"`
+
+	// Simulated says that nothing ran on sockets: the run was on virtual time.
+	Simulated bool `json:"-"`
+
+	Steps []string `json:"-"` // what was done, a line each
+	Plots []Plot   `json:"-"`
+}
+
+// Rules counts how often each of the five rules was broken. The first rule has two counts: losses and second answers.
+type Rules struct {
+	Lost          int64 `json:"lost"`
+	SecondAnswers int64 `json:"second_answers"`
+	SecondEffects int64 `json:"second_effects"`
+	Drain         int64 `json:"drain"`
+	Cold          int64 `json:"cold"`
+	Purge         int64 `json:"purge"`
+}
+
+// Plot is one drawing: lines over a common axis, and marks where faults began.
+type Plot struct {
+	Title  string
+	XLabel string
+	YLabel string
+	Lines  []Line
+	Marks  []Mark
+}
+
+// Line is one line of a plot. X and Y have the same length.
+type Line struct {
+	Name string
+	X    []float64
+	Y    []float64
+}
+
+// Add appends a point.
+func (l *Line) Add(x, y float64) {
+	l.X = append(l.X, x)
+	l.Y = append(l.Y, y)
+}
+
+// Mark is a named place on the X axis, for example the begin of a fault.
+type Mark struct {
+	At   float64
+	Name string
+}
+
+// New makes an empty report. Size is the size of the run in words, for example "small" or "20 seeds".
+func New(scenario string, seed uint64, size string) *Report {
+	return &Report{
+		Scenario: scenario,
+		Seed:     seed,
+		Size:     size,
+		Counts:   map[string]int64{},
+		Figures:  map[string]float64{},
+		Broken:   []string{},
+	}
+}
+
+// Close lists the broken rules among what broke, and sets the verdict.
+func (r *Report) Close() {
+	for what, n := range map[string]int64{
+		"txns lost":                  r.Rules.Lost,
+		"second answers":             r.Rules.SecondAnswers,
+		"second effects":             r.Rules.SecondEffects,
+		"drains not kept":            r.Rules.Drain,
+		"cold members pushed over":   r.Rules.Cold,
+		"answers older than a purge": r.Rules.Purge,
+	} {
+		if n > 0 {
+			r.Broke("%d %s", n, what)
+		}
+	}
+	sort.Strings(r.Broken)
+	r.Held = len(r.Broken) == 0
+}
+
+// Broke records a rule or a bound that did not hold. The first maxBroken are kept.
+func (r *Report) Broke(format string, args ...any) {
+	if len(r.Broken) < maxBroken {
+		r.Broken = append(r.Broken, fmt.Sprintf(format, args...))
+	}
+}
+
+// WriteJSON writes the report as JSON. Steps and plots are left out.
+func (r *Report) WriteJSON(w io.Writer) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	return e.Encode(r)
+}
+
+// WriteText writes the report for a terminal.
+func (r *Report) WriteText(w io.Writer) {
+	verdict := "held"
+	if !r.Held {
+		verdict = "BROKEN"
+	}
+	_, _ = fmt.Fprintf(w, "%s, seed %d, %s: %s\n", r.Scenario, r.Seed, r.Size, verdict)
+	for _, line := range r.Steps {
+		_, _ = fmt.Fprintf(w, "  %s\n", line)
+	}
+	for _, name := range SortedKeys(r.Counts) {
+		_, _ = fmt.Fprintf(w, "  %-28s %d\n", name, r.Counts[name])
+	}
+	for _, name := range SortedKeys(r.Figures) {
+		_, _ = fmt.Fprintf(w, "  %-28s %.4g\n", name, r.Figures[name])
+	}
+	for _, line := range r.Broken {
+		_, _ = fmt.Fprintf(w, "  broken: %s\n", line)
+	}
+}
+
+// SortedKeys returns the keys of a map in order.
+func SortedKeys[V any](m map[string]V) []string {
+	names := make([]string, 0, len(m))
+	for name := range m {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
--- a/internal/lab/restart.go
+++ b/internal/lab/restart.go
@@ -12,13 +12,14 @@
 	"time"
 
 	"cairnfront/internal/diskcache"
+	"cairnfront/internal/lab/report"
 	"cairnfront/routing"
 
 	"golang.org/x/sync/errgroup"
 )
 
 // playPowerCuts plays so many scripts on faulty disks, each with the power cut at another operation.
-func playPowerCuts(ctx context.Context, s Setting, r *Report, n int) error {
+func playPowerCuts(ctx context.Context, s Setting, r *report.Report, n int) error {
 	const seeds = 40 // scripts; the cuts go round their operations
 	ops := make([]int, seeds)
 	for i := range ops {
@@ -57,7 +58,7 @@
 }
 
 var diskRestart = Scenario{Name: "disk-restart", About: "Boxes killed outright and started again under load, purges told while they are down; power cuts on faulty disks",
-	Run: func(ctx context.Context, s Setting, r *Report) (err error) {
+	Run: func(ctx context.Context, s Setting, r *report.Report) (err error) {
 		warm, window, restarts, cuts, clients := 5*time.Second, 3*time.Second, 6, 500, 24
 		if s.Full {
 			warm, window, restarts, cuts, clients = 25*time.Second, 10*time.Second, 50, 20000, 40
@@ -118,12 +119,15 @@
 		now := unix(time.Now())
 		r.Figures["hit_before"] = t.share(now-window.Seconds(), now)
 		r.Figures["window_s"] = window.Seconds()
-		var marks []Mark
+		var marks []report.Mark
 		recovery := 0.0
 		for n := range restarts {
 			s.Tell("restart %d of %d", n+1, restarts)
 			emptied := n == 1
-			marks = append(marks, Mark{unix(time.Now()) - began, map[bool]string{false: "killed", true: "killed, emptied"}[emptied]})
+			marks = append(marks, report.Mark{
+				At:   unix(time.Now()) - began,
+				Name: map[bool]string{false: "killed", true: "killed, emptied"}[emptied],
+			})
 			for _, p := range boxes {
 				p.kill()
 			}
@@ -186,7 +190,7 @@
 			r.Counts["disk_bad_records"] += int64(bad)
 		}
 		t.judge(r, []*crowd{c})
-		r.Did = append(r.Did, fmt.Sprintf("%d power cuts on faulty disks, each followed by a second one in the recovery", cuts),
+		r.Steps = append(r.Steps, fmt.Sprintf("%d power cuts on faulty disks, each followed by a second one in the recovery", cuts),
 			fmt.Sprintf("a campus of two boxes with disks, a parent, an archive, a router, %d clients; both boxes killed %d times, once emptied", clients, restarts),
 			"each time four purges while they are down (one of a group) and one while they catch up",
 			"drains and cold members are not judged here; the demo and the bench do")
@@ -196,12 +200,12 @@
 		if r.Figures["hit_empty"] >= r.Figures["hit_disk"] {
 			r.Broke("an emptied box gives as much (%.3f) as one with its disk (%.3f)", r.Figures["hit_empty"], r.Figures["hit_disk"])
 		}
-		pl := Plot{Title: "Bytes that came from the campus's own boxes", X: "s", Y: "share", Marks: marks}
-		l := Line{Name: "share"}
+		pl := report.Plot{Title: "Bytes that came from the campus's own boxes", XLabel: "s", YLabel: "share", Marks: marks}
+		l := report.Line{Name: "share"}
 		for at := began; at+1 < ended; at++ {
 			l.X, l.Y = append(l.X, at-began), append(l.Y, t.share(at, at+1))
 		}
-		pl.Lines = []Line{l}
+		pl.Lines = []report.Line{l}
 		r.Plots = append(r.Plots, pl)
 		return nil
 	}}
--- a/internal/lab/rumours.go
+++ b/internal/lab/rumours.go
@@ -1,10 +1,12 @@
 package lab
 
 import (
-	simrouting "cairnfront/internal/sim/routing"
 	"context"
 	"fmt"
 
+	"cairnfront/internal/lab/report"
+	simrouting "cairnfront/internal/sim/routing"
+
 	"golang.org/x/sync/errgroup"
 )
 
@@ -16,7 +18,7 @@
 )
 
 var rumours = Scenario{Name: "rumours", About: "Sixty routers that each see little, one box that fails all it is sent: with words between routers, without, and with liars among them",
-	Run: func(ctx context.Context, s Setting, r *Report) error {
+	Run: func(ctx context.Context, s Setting, r *report.Report) error {
 		ways := []struct {
 			name string
 			talk simrouting.Gossip
@@ -39,10 +41,13 @@
 		if err := g.Wait(); err != nil {
 			return err
 		}
-		seconds := Plot{Title: "Share of txns in time, second by second (first seed)", X: "s", Y: "share",
-			Marks: []Mark{{simrouting.Phases[1].From, "bad box"}, {simrouting.Phases[1].To, "well"}}}
+		seconds := report.Plot{Title: "Share of txns in time, second by second (first seed)", XLabel: "s", YLabel: "share",
+			Marks: []report.Mark{
+				{At: simrouting.Phases[1].From, Name: "bad box"},
+				{At: simrouting.Phases[1].To, Name: "well"},
+			}}
 		for w, way := range ways {
-			l := Line{Name: way.name}
+			l := report.Line{Name: way.name}
 			for at, share := range played[w*seeds].OnTimePerSecond {
 				l.X, l.Y = append(l.X, float64(at)), append(l.Y, share)
 			}
@@ -64,9 +69,9 @@
 				r.Counts["txns"] += int64(txns)
 			}
 		}
-		r.Numbers = true
+		r.Simulated = true
 		r.Plots = append(r.Plots, seconds)
-		r.Did = append(r.Did, fmt.Sprintf("%d routers of the module over 12 caches on virtual time, %d seeds; one cache fails all it is sent from %.0f to %.0f s", talking, seeds, simrouting.Phases[1].From, simrouting.Phases[1].To),
+		r.Steps = append(r.Steps, fmt.Sprintf("%d routers of the module over 12 caches on virtual time, %d seeds; one cache fails all it is sent from %.0f to %.0f s", talking, seeds, simrouting.Phases[1].From, simrouting.Phases[1].To),
 			"with_liars: three routers say of every member, each second, that it fails")
 		if a, b := r.Figures["bad_hops.with"], r.Figures["bad_hops.without"]; a > lessSpent*b {
 			r.Broke("%.0f hops failed at the bad box with rumours, %.0f without", a, b)
--- a/internal/lab/simledger.go
+++ b/internal/lab/simledger.go
@@ -1,12 +1,14 @@
 package lab
 
 import (
-	"cairnfront/internal/sim/faults"
-	simreplication "cairnfront/internal/sim/replication"
 	"context"
 	"encoding/json"
 	"fmt"
 	"sort"
+
+	"cairnfront/internal/lab/report"
+	"cairnfront/internal/sim/faults"
+	simreplication "cairnfront/internal/sim/replication"
 )
 
 // SimLedger is what 'lab sim ledger' plays: the ledger's cores on virtual time, with faulty disks.
@@ -20,8 +22,8 @@
 }
 
 // Run plays one after the other: raft draws its election times from a reader that the process has one of.
-func (c SimLedger) Run(ctx context.Context) (*Report, error) {
-	r := &Report{Scenario: "sim-ledger", Seed: c.From, Size: fmt.Sprintf("%d seeds", c.To-c.From+1), Counts: map[string]int64{}, Figures: map[string]float64{}, Broken: []string{}, Numbers: true}
+func (c SimLedger) Run(ctx context.Context) (*report.Report, error) {
+	r := &report.Report{Scenario: "sim-ledger", Seed: c.From, Size: fmt.Sprintf("%d seeds", c.To-c.From+1), Counts: map[string]int64{}, Figures: map[string]float64{}, Broken: []string{}, Simulated: true}
 	if c.Tell == nil {
 		c.Tell = func(string, ...any) {}
 	}
@@ -81,7 +83,7 @@
 	}
 	r.Figures["leaderless_most_s"] = leaderless
 	r.Figures["answered_share"] = float64(r.Counts["answered"]) / max(float64(r.Counts["claims"]+r.Counts["reads"]), 1)
-	r.Did = append(r.Did, fmt.Sprintf("%d plays of %.0f s: %d routers in three zones, %d slices of three holders on faulty disks; machines lost with their disks one at a time, losses of power, stops, cuts, losses on top",
+	r.Steps = append(r.Steps, fmt.Sprintf("%d plays of %.0f s: %d routers in three zones, %d slices of three holders on faulty disks; machines lost with their disks one at a time, losses of power, stops, cuts, losses on top",
 		r.Counts["plays"], c.Lasts, c.Routers, c.Slices))
 	r.Held = len(r.Broken) == 0
 	return r, nil
--- a/internal/lab/simpeers.go
+++ b/internal/lab/simpeers.go
@@ -9,6 +9,7 @@
 	"sort"
 	"sync"
 
+	"cairnfront/internal/lab/report"
 	"cairnfront/internal/membership/swim"
 	"cairnfront/internal/sim/faults"
 	simmembership "cairnfront/internal/sim/membership"
@@ -40,11 +41,11 @@
 )
 
 // Run plays and reports.
-func (c SimPeers) Run(ctx context.Context) (*Report, error) {
+func (c SimPeers) Run(ctx context.Context) (*report.Report, error) {
 	if c.Tell == nil {
 		c.Tell = func(string, ...any) {}
 	}
-	r := &Report{Scenario: "sim-peers", Seed: c.From, Size: fmt.Sprintf("%d seeds", c.To-c.From+1), Counts: map[string]int64{}, Figures: map[string]float64{}, Broken: []string{}, Numbers: true}
+	r := &report.Report{Scenario: "sim-peers", Seed: c.From, Size: fmt.Sprintf("%d seeds", c.To-c.From+1), Counts: map[string]int64{}, Figures: map[string]float64{}, Broken: []string{}, Simulated: true}
 	var err error
 	switch {
 	case c.Script != "":
@@ -59,7 +60,7 @@
 }
 
 // curves compares our core with SWIM as published on the same scripts.
-func (c SimPeers) curves(ctx context.Context, r *Report) error {
+func (c SimPeers) curves(ctx context.Context, r *report.Report) error {
 	type point struct {
 		size  int
 		loss  float64
@@ -97,9 +98,9 @@
 	if err := g.Wait(); err != nil {
 		return err
 	}
-	detect := Plot{Title: "From a kill until half of the others know, and until 99 in 100 do", X: "peers", Y: "s"}
-	wrong := Plot{Title: "Wrong drops a minute a peer", X: "peers", Y: "drops"}
-	bytes := Plot{Title: "KB a second a peer, with two kills and returns in 48 s", X: "peers", Y: "KB/s"}
+	detect := report.Plot{Title: "From a kill until half of the others know, and until 99 in 100 do", XLabel: "peers", YLabel: "s"}
+	wrong := report.Plot{Title: "Wrong drops a minute a peer", XLabel: "peers", YLabel: "drops"}
+	bytes := report.Plot{Title: "KB a second a peer, with two kills and returns in 48 s", XLabel: "peers", YLabel: "KB/s"}
 	var ours, plain int
 	for _, loss := range c.Losses {
 		for _, isPlain := range []bool{false, true} {
@@ -107,7 +108,7 @@
 			if isPlain {
 				name = "SWIM, " + name
 			}
-			p50, p99, w, b := Line{Name: name + ", p50"}, Line{Name: name + ", p99"}, Line{Name: name}, Line{Name: name}
+			p50, p99, w, b := report.Line{Name: name + ", p50"}, report.Line{Name: name + ", p99"}, report.Line{Name: name}, report.Line{Name: name}
 			for i, p := range points {
 				if p.loss != loss || p.plain != isPlain {
 					continue
@@ -147,7 +148,7 @@
 	}
 	r.Plots = append(r.Plots, detect, wrong, bytes)
 	r.Counts["wrong"], r.Counts["wrong_swim"] = int64(ours), int64(plain)
-	r.Did = append(r.Did, fmt.Sprintf("%d seeds of %.0f s each, two kills and returns; the same scripts with SWIM as published (fixed suspicion, one accuser believed)", seeds, simLasts))
+	r.Steps = append(r.Steps, fmt.Sprintf("%d seeds of %.0f s each, two kills and returns; the same scripts with SWIM as published (fixed suspicion, one accuser believed)", seeds, simLasts))
 	if r.Counts["resurrected"] > 0 {
 		r.Broke("%d peers came back without a higher incarnation", r.Counts["resurrected"])
 	}
@@ -183,7 +184,7 @@
 }
 
 // drawn plays a script drawn from each seed; one that breaks an invariant is shortened and told.
-func (c SimPeers) drawn(ctx context.Context, r *Report) error {
+func (c SimPeers) drawn(ctx context.Context, r *report.Report) error {
 	var mu sync.Mutex
 	var found []faults.Script
 	g, ctx := errgroup.WithContext(ctx)
@@ -209,7 +210,7 @@
 				c.Tell("%d of %d plays", r.Counts["plays"], c.To-c.From+1)
 			}
 			if x.FalseFailures > 0 && r.Counts["plays_wrong"] < 5 {
-				r.Did = append(r.Did, fmt.Sprintf("seed %d: %s", seed, x.FalseFailureDetails[0]))
+				r.Steps = append(r.Steps, fmt.Sprintf("seed %d: %s", seed, x.FalseFailureDetails[0]))
 			}
 			r.Counts["plays_wrong"] += int64(min(x.FalseFailures, 1))
 			if why := c.broken(x, &s); why != "" {
@@ -236,13 +237,13 @@
 	if r.Figures["wrong_a_play_and_peer"] > mostWrong {
 		r.Broke("%.4f wrong drops a play and peer, %.4f are borne", r.Figures["wrong_a_play_and_peer"], mostWrong)
 	}
-	slices.Sort(r.Did)
-	r.Did = append(r.Did, fmt.Sprintf("%d scripts of %d faults each among %d peers (%d hostile), %.0f s", r.Counts["plays"], c.Scripts, c.Peers, c.Hostile, simLasts))
+	slices.Sort(r.Steps)
+	r.Steps = append(r.Steps, fmt.Sprintf("%d scripts of %d faults each among %d peers (%d hostile), %.0f s", r.Counts["plays"], c.Scripts, c.Peers, c.Hostile, simLasts))
 	return nil
 }
 
 // one plays one script twice: it has to come to the same, byte for byte.
-func (c SimPeers) one(r *Report) error {
+func (c SimPeers) one(r *report.Report) error {
 	s, err := faults.Read(c.Script)
 	if err != nil {
 		return err
@@ -264,15 +265,15 @@
 	}
 	r.Counts["wrong"], r.Counts["suspicions"], r.Counts["resurrected"] = int64(x.FalseFailures), int64(x.Suspicions), int64(x.Resurrected)
 	r.Figures["bytes_s_each"] = x.BytesPerSecond
-	l := Line{Name: "datagrams a second a peer"}
+	l := report.Line{Name: "datagrams a second a peer"}
 	for i, d := range x.DatagramsPerSecond {
 		l.X, l.Y = append(l.X, float64(i)), append(l.Y, d)
 	}
-	plot := Plot{Title: "Datagrams between peers", X: "s", Y: "a second a peer", Lines: []Line{l}}
+	plot := report.Plot{Title: "Datagrams between peers", XLabel: "s", YLabel: "a second a peer", Lines: []report.Line{l}}
 	for _, a := range s.Acts {
-		plot.Marks = append(plot.Marks, Mark{a.At, string(a.Do)})
+		plot.Marks = append(plot.Marks, report.Mark{At: a.At, Name: string(a.Do)})
 	}
 	r.Plots = append(r.Plots, plot)
-	r.Did = append(r.Did, x.FalseFailureDetails...)
+	r.Steps = append(r.Steps, x.FalseFailureDetails...)
 	return nil
 }
--- a/internal/lab/thin.go
+++ b/internal/lab/thin.go
@@ -1,10 +1,12 @@
 package lab
 
 import (
-	simrouting "cairnfront/internal/sim/routing"
 	"context"
 	"fmt"
 
+	"cairnfront/internal/lab/report"
+	simrouting "cairnfront/internal/sim/routing"
+
 	"golang.org/x/sync/errgroup"
 )
 
@@ -13,20 +15,20 @@
 const leastOfWide = 0.8
 
 var thinViews = Scenario{Name: "thin-views", About: "The same traffic seen by 3, 30 and 300 routers on virtual time: a burst with a purge, then a lost hub; does service come back",
-	Run: func(ctx context.Context, s Setting, r *Report) error {
+	Run: func(ctx context.Context, s Setting, r *report.Report) error {
 		for name, trouble := range map[string]simrouting.Fault{"burst": simrouting.TrafficBurst, "hub": simrouting.ParentZoneLost} {
 			if err := playThin(ctx, s, r, name, trouble); err != nil {
 				return err
 			}
 		}
-		r.Numbers = true
-		r.Did = append(r.Did, "the module alone; members, links and clients are numbers on virtual time",
+		r.Simulated = true
+		r.Steps = append(r.Steps, "the module alone; members, links and clients are numbers on virtual time",
 			fmt.Sprintf("from %.0f to %.0f s half as much traffic again and a purge of one group, or half of the parents lost and back empty", simrouting.Phases[1].From, simrouting.Phases[1].To))
 		return nil
 	}}
 
 // playThin plays one trouble for each number of routers and adds to the report.
-func playThin(ctx context.Context, s Setting, r *Report, trouble string, what simrouting.Fault) error {
+func playThin(ctx context.Context, s Setting, r *report.Report, trouble string, what simrouting.Fault) error {
 	counts, seeds := []int{3, 30, 300}, 1
 	if s.Full {
 		counts, seeds = []int{3, 9, 30, 90, 300, 900}, 4
@@ -44,12 +46,15 @@
 	if err := g.Wait(); err != nil {
 		return err
 	}
-	seconds := Plot{Title: trouble + ": share of txns in time, second by second (first seed)", X: "s", Y: "share",
-		Marks: []Mark{{simrouting.Phases[1].From, trouble}, {simrouting.Phases[1].To, "over"}}}
-	curve := Plot{Title: trouble + ": share in time by the number of routers, the same traffic", X: "routers", Y: "share"}
-	curve.Lines = make([]Line, len(simrouting.Phases))
+	seconds := report.Plot{Title: trouble + ": share of txns in time, second by second (first seed)", XLabel: "s", YLabel: "share",
+		Marks: []report.Mark{
+			{At: simrouting.Phases[1].From, Name: trouble},
+			{At: simrouting.Phases[1].To, Name: "over"},
+		}}
+	curve := report.Plot{Title: trouble + ": share in time by the number of routers, the same traffic", XLabel: "routers", YLabel: "share"}
+	curve.Lines = make([]report.Line, len(simrouting.Phases))
 	for i, n := range counts {
-		l := Line{Name: fmt.Sprintf("%d routers", n)}
+		l := report.Line{Name: fmt.Sprintf("%d routers", n)}
 		for at, share := range played[i*seeds].OnTimePerSecond {
 			l.X, l.Y = append(l.X, float64(at)), append(l.Y, share)
 		}
--- a/internal/lab/town.go
+++ b/internal/lab/town.go
@@ -21,6 +21,7 @@
 	"cairnfront/internal/config"
 	"cairnfront/internal/discovery"
 	"cairnfront/internal/edgecache"
+	"cairnfront/internal/lab/report"
 	"cairnfront/internal/telemetry"
 	"cairnfront/routing"
 )
@@ -460,7 +461,7 @@
 
 // close ends all that the town started: routers by SIGTERM, as an operator would. A router that does not end well is
 // told of.
-func (t *town) close(r *Report) {
+func (t *town) close(r *report.Report) {
 	for _, x := range t.routers {
 		if x.cmd != nil {
 			_ = x.cmd.Process.Signal(syscall.SIGTERM)
