Admin: protocol, server and client apart, sentinel errors, typed counters

One file held all three, and tests went by texts alone. The lines of the protocol and the answers' texts stay; Listen's texts name the operation first. Tests of admin, telemetry and dispatch pass with -race.

--- a/cmd/cairnfront/reach.go
+++ b/cmd/cairnfront/reach.go
@@ -88,7 +88,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("router.socket: %w", err)
 	}
-	door := &admin.Server{Count: k.Add, Handlers: addressHandlers(loop)}
+	door := &admin.Server{Metrics: k, Handlers: addressHandlers(loop)}
 	for do, h := range peerHandlers(node) {
 		door.Handlers[do] = h
 	}
--- /dev/null
+++ b/internal/admin/server.go
@@ -0,0 +1,212 @@
+package admin
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"time"
+
+	"cairnfront/internal/telemetry"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// Server answers requests. Its exported fields are set before Run.
+type Server struct {
+	Handlers map[string]Handler // by command
+	Metrics  *telemetry.Metrics // nil for none
+
+	allowed func(uid uint32) bool // root and the program's own user where nil
+}
+
+// Listen opens the socket. It replaces a socket that a program which has ended left behind, but no other file.
+func Listen(path string) (net.Listener, error) {
+	if err := removeStaleSocket(path); err != nil {
+		return nil, fmt.Errorf("open admin socket: %w", err)
+	}
+	oldMask := syscall.Umask(0o177) // no other user may connect, not even before a chmod
+	ln, err := net.Listen("unix", path)
+	syscall.Umask(oldMask)
+	if err != nil {
+		return nil, fmt.Errorf("open admin socket: %w", err)
+	}
+	return ln, nil
+}
+
+// removeStaleSocket removes a socket on which no program listens.
+func removeStaleSocket(path string) error {
+	info, err := os.Lstat(path)
+	if err != nil { // no file, or one that listening will fail at
+		return nil
+	}
+	if info.Mode()&os.ModeSocket == 0 {
+		return fmt.Errorf("%s is %w", path, ErrNotASocket)
+	}
+	if conn, err := net.DialTimeout("unix", path, requestTimeout); err == nil {
+		_ = conn.Close()
+		return fmt.Errorf("%s is %w", path, ErrSocketInUse)
+	}
+	return os.Remove(path)
+}
+
+// Run serves until the context ends or the listener is closed. It returns once all connections have ended.
+func (s *Server) Run(ctx context.Context, ln net.Listener) error {
+	if s.allowed == nil {
+		s.allowed = func(uid uint32) bool { return uid == 0 || int(uid) == os.Getuid() }
+	}
+	g, ctx := errgroup.WithContext(ctx)
+	defer context.AfterFunc(ctx, func() { _ = ln.Close() })()
+	slots := make(chan struct{}, maxConnections)
+	for {
+		conn, err := ln.Accept()
+		if err != nil {
+			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return g.Wait()
+			}
+			time.Sleep(acceptRetryDelay)
+			continue
+		}
+		select {
+		case slots <- struct{}{}:
+		default:
+			s.count(telemetry.AdminConnectionsRejected)
+			_ = conn.Close()
+			continue
+		}
+		g.Go(func() error {
+			defer func() { <-slots }()
+			s.serveConnection(ctx, conn)
+			return nil
+		})
+	}
+}
+
+// serveConnection answers the requests of one client until it ends, breaks a bound or sends nothing for a while.
+func (s *Server) serveConnection(ctx context.Context, conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
+	_ = conn.SetDeadline(time.Now().Add(requestTimeout))
+	if err := s.authorize(conn); err != nil {
+		s.count(telemetry.AdminUsersRefused)
+		_ = respond(conn, nil, err)
+		return
+	}
+	in := bufio.NewReaderSize(io.LimitReader(conn, maxConnectionBytes), maxRequestBytes)
+	for {
+		_ = conn.SetDeadline(time.Now().Add(requestTimeout))
+		line, err := in.ReadSlice('\n')
+		if errors.Is(err, bufio.ErrBufferFull) {
+			_ = respond(conn, nil, fmt.Errorf("a line over %d bytes", maxRequestBytes))
+			return
+		}
+		if err != nil {
+			return
+		}
+		data, err := s.handle(ctx, line)
+		if err := respond(conn, data, err); err != nil {
+			return
+		}
+	}
+}
+
+// authorize returns an error unless the client's user is allowed.
+func (s *Server) authorize(conn net.Conn) error {
+	uid, err := peerUID(conn)
+	if err != nil {
+		return fmt.Errorf("read peer credentials: %w", err)
+	}
+	if !s.allowed(uid) {
+		return fmt.Errorf("user %d %w", uid, ErrUserNotAllowed)
+	}
+	return nil
+}
+
+// peerUID returns the user of the process on the other side.
+func peerUID(conn net.Conn) (uint32, error) {
+	unixConn, ok := conn.(*net.UnixConn)
+	if !ok {
+		return 0, fmt.Errorf("connection of type %T is no Unix socket", conn)
+	}
+	raw, err := unixConn.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	var credentials *syscall.Ucred
+	var optionErr error
+	err = raw.Control(func(fd uintptr) {
+		credentials, optionErr = syscall.GetsockoptUcred(int(fd), syscall.SOL_SOCKET, syscall.SO_PEERCRED)
+	})
+	if err = errors.Join(err, optionErr); err != nil {
+		return 0, err
+	}
+	return credentials.Uid, nil
+}
+
+// handle carries out the request on a line. A panic of its handler is counted and becomes its error.
+func (s *Server) handle(ctx context.Context, line []byte) (data any, err error) {
+	var request Request
+	if err := json.Unmarshal(line, &request); err != nil {
+		return nil, fmt.Errorf("not a line of JSON as expected: %w", err)
+	}
+	if request.Version != Version {
+		return nil, fmt.Errorf("version %d, this program speaks %d", request.Version, Version)
+	}
+	handler := s.Handlers[request.Command]
+	if handler == nil {
+		return nil, fmt.Errorf("unknown request %.40q", request.Command)
+	}
+	defer func() {
+		if p := recover(); p != nil {
+			s.count(telemetry.Panics)
+			err = fmt.Errorf("the program failed at this: %v", p)
+		}
+	}()
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	s.count(telemetry.AdminRequests.With(request.Command))
+	return handler(ctx, request.Args)
+}
+
+// respond writes the response to a request, which failed unless failure is nil. Its error is that of writing.
+func respond(conn net.Conn, data any, failure error) error {
+	response := Response{Version: Version}
+	if failure == nil {
+		response.Data, failure = encodeData(data)
+	}
+	response.OK = failure == nil
+	if failure != nil {
+		response.Error = failure.Error()
+	}
+	text, err := json.Marshal(response)
+	if err != nil {
+		return err
+	}
+	_ = conn.SetWriteDeadline(time.Now().Add(requestTimeout))
+	_, err = conn.Write(append(text, '\n'))
+	return err
+}
+
+// encodeData encodes what a handler returned, within the bound of a response.
+func encodeData(data any) (json.RawMessage, error) {
+	encoded, err := json.Marshal(data)
+	if err != nil {
+		return nil, err
+	}
+	if len(encoded) > maxResponseBytes {
+		return nil, fmt.Errorf("the answer has %d bytes, over %d: ask for less", len(encoded), maxResponseBytes)
+	}
+	return encoded, nil
+}
+
+// count adds one to a counter.
+func (s *Server) count(c telemetry.Counter) {
+	if s.Metrics != nil {
+		s.Metrics.Inc(c)
+	}
+}
--- a/internal/telemetry/metrics_test.go
+++ b/internal/telemetry/metrics_test.go
@@ -60,7 +60,8 @@
 		BytesOut:   4,
 	})
 	got := regexp.MustCompile(`time=\S+|lasted_s=\S+`).ReplaceAllString(out.String(), "_")
-	want := `_ level=INFO msg="connection ended" router=n1 side=client code=reset peer=192.0.2.1:5 _ in=3 out=4 err=gone`
+	want := `_ level=INFO msg="connection ended" router=n1 side=client code=reset peer=192.0.2.1:5 ` +
+		"_ in=3 out=4 err=gone"
 	assert.Equal(t, want+"\n", got)
 	assert.EqualValues(t, 0, m.Value("conn.client.open"))
 	assert.EqualValues(t, 3, m.Value("bytes.client.in"))
