upstream/address: one file a concern, cooldowns and probes in the field's terms

reach.go held addresses, decisions, observations, probes and the operators' view, with state named why, until and looked. They are files of their own, samples are a type, and a race needs no start time.

--- a/cmd/cairnfront/reach.go
+++ b/cmd/cairnfront/reach.go
@@ -119,7 +119,7 @@
 			if err != nil {
 				return err
 			}
-			var list []address.AddressStatus
+			var list []address.Status
 			if err := json.Unmarshal(data, &list); err != nil {
 				return err
 			}
--- a/cmd/cairnfront/reach_test.go
+++ b/cmd/cairnfront/reach_test.go
@@ -65,7 +65,7 @@
 	require.Eventually(t, func() bool { return strings.Contains(s.log.String(), "code=addresses") }, patience, 5*time.Millisecond)
 	require.Eventually(t, func() bool { return over() == "tcp" }, patience, 5*time.Millisecond)
 	out, _, _ = command(t, "reach", "--socket", door, "--json")
-	var list []address.AddressStatus
+	var list []address.Status
 	require.NoError(t, json.Unmarshal([]byte(out), &list))
 	for _, x := range list {
 		if x.Endpoint == "s-00000001" {
--- a/internal/dispatch/addresses.go
+++ b/internal/dispatch/addresses.go
@@ -31,13 +31,13 @@
 )
 
 // addressStatusReply is the answer to an addressStatusQuery.
-type addressStatusReply []address.AddressStatus
+type addressStatusReply []address.Status
 
 // ReplaceAddresses queues the addresses of a configuration file read anew. The pool must have an address selector.
 func (d *Dispatcher) ReplaceAddresses(lookup AddressLookup) { d.post(addressesReplaced{lookup}) }
 
 // AddressStatus returns the state of every address that the address selector knows.
-func (d *Dispatcher) AddressStatus(ctx context.Context) ([]address.AddressStatus, error) {
+func (d *Dispatcher) AddressStatus(ctx context.Context) ([]address.Status, error) {
 	reply := make(chan addressStatusReply, 1)
 	d.post(addressStatusQuery{reply})
 	select {
--- a/internal/upstream/address/golden_test.go
+++ b/internal/upstream/address/golden_test.go
@@ -23,7 +23,8 @@
 func assertTrace(t *testing.T, file string, lines []string) {
 	t.Helper()
 	sum := sha256.Sum256([]byte(strings.Join(lines, "\n")))
-	got := fmt.Sprintf("%d lines, sha256 %x\n%s\n", len(lines), sum, strings.Join(lines[:min(len(lines), traceHead)], "\n"))
+	head := strings.Join(lines[:min(len(lines), traceHead)], "\n")
+	got := fmt.Sprintf("%d lines, sha256 %x\n%s\n", len(lines), sum, head)
 	if *update {
 		require.NoError(t, os.WriteFile(file, []byte(got), 0o644))
 	}
@@ -107,8 +108,8 @@
 			}
 		default:
 			for _, s := range c.Status(now) {
-				note("status %s %s %s %.3f %.3f %.4f %.4f %d", s.Endpoint, s.Addr, s.Condition, s.SinceSeconds, s.CooldownSeconds,
-					s.ConnectSeconds, s.FirstByteSeconds, s.Rank)
+				note("status %s %s %s %.3f %.3f %.4f %.4f %d", s.Endpoint, s.Addr, s.Condition, s.SinceSeconds,
+					s.CooldownSeconds, s.ConnectSeconds, s.FirstByteSeconds, s.Rank)
 			}
 		}
 	}
@@ -125,7 +126,7 @@
 	var lines []string
 	d := dice(3)
 	for range 2000 {
-		r, now := NewRace(0, []PlannedDial{{sock, 0}, {four, 0.05}, {six, 0.12}}, 0.4), 0.0
+		r, now := NewRace([]PlannedDial{{sock, 0}, {four, 0.05}, {six, 0.12}}, 0.4), 0.0
 		line := ""
 		for range 8 {
 			now += float64(d.below(60)) / 1000
--- a/internal/upstream/address/race.go
+++ b/internal/upstream/address/race.go
@@ -2,110 +2,125 @@
 
 import "math"
 
-// Race is the making of one connection over several addresses (RFC 8305, section 5): attempts begin one after another,
-// each some time after the one before it or as soon as that has failed; the first that succeeds is used and every other
-// is closed. It holds nothing but the attempts' states: whoever dials tells how each ended.
+// Race is the establishing of one connection over several addresses (RFC 8305, section 5). Dials begin one after
+// another, each some time after the one before it or as soon as that has failed. The first that succeeds is used, and
+// every other one is closed. It holds the dials' states only: its user dials and tells how each dial ended.
 type Race struct {
-	tries []PlannedDial
-	state []attempt
-	began float64
-	by    float64 // after which none succeeds any more
-	last  float64 // when the latest attempt began
-	used  bool
-	over  bool
+	plan     []PlannedDial
+	states   []dialState
+	deadline float64 // Unix seconds; no dial succeeds after it
+	lastDial float64 // Unix seconds at which the latest dial began
+	won      bool
+	stopped  bool
 }
 
-type attempt int
+// dialState is the state of one dial of a race.
+type dialState int
 
 const (
-	waiting attempt = iota
-	underWay
-	failed
-	won
+	dialWaiting dialState = iota
+	dialUnderWay
+	dialFailed
+	dialEstablished
 )
 
-// NewRace makes one over a plan, to be won by a time.
-func NewRace(now float64, plan []PlannedDial, by float64) *Race {
-	return &Race{tries: plan, state: make([]attempt, len(plan)), began: now, by: by, last: math.Inf(-1)}
+// NewRace returns a race over a plan, to be won by a deadline in Unix seconds.
+func NewRace(plan []PlannedDial, deadline float64) *Race {
+	return &Race{
+		plan:     plan,
+		states:   make([]dialState, len(plan)),
+		deadline: deadline,
+		lastDial: math.Inf(-1),
+	}
 }
 
-// Due says which attempt begins now, -1 for none. Grant is asked for each but the only one under way: where it says no,
-// the attempt waits until the others have failed.
-func (r *Race) NextDial(now float64, grant func() bool) int {
-	if r.used || r.over || now >= r.by {
+// isOver says whether no more dials begin.
+func (r *Race) isOver(now float64) bool { return r.won || r.stopped || now >= r.deadline }
+
+// NextDial returns the index of the dial that begins now, -1 for none. Admit is asked for each dial beside another
+// one: where it returns false, the dial waits until the others have failed.
+func (r *Race) NextDial(now float64, admit func() bool) int {
+	next := r.firstWaiting()
+	if next < 0 || r.isOver(now) {
 		return -1
 	}
-	for i, s := range r.state {
-		if s != waiting {
-			continue
-		}
-		alone := r.count(underWay) == 0
-		if !alone && now < r.last+r.gap(i) {
+	if r.count(dialUnderWay) > 0 {
+		if now < r.lastDial+r.delayBefore(next) || !admit() {
 			return -1
 		}
-		if !alone && !grant() {
-			return -1
+	}
+	r.states[next] = dialUnderWay
+	r.lastDial = now
+	return next
+}
+
+// firstWaiting returns the index of the first dial that has not begun, -1 for none.
+func (r *Race) firstWaiting() int {
+	for i, state := range r.states {
+		if state == dialWaiting {
+			return i
 		}
-		r.state[i], r.last = underWay, now
-		return i
 	}
 	return -1
 }
 
-// gap is the delay between an attempt and the one before it.
-func (r *Race) gap(i int) float64 {
-	if i == 0 {
+// delayBefore returns the seconds between a dial and the one before it.
+func (r *Race) delayBefore(index int) float64 {
+	if index == 0 {
 		return 0
 	}
-	return r.tries[i].DelaySeconds - r.tries[i-1].DelaySeconds
+	return r.plan[index].DelaySeconds - r.plan[index-1].DelaySeconds
 }
 
-func (r *Race) count(s attempt) (n int) {
-	for _, x := range r.state {
-		if x == s {
+// count returns how many dials are in a state.
+func (r *Race) count(wanted dialState) (n int) {
+	for _, state := range r.states {
+		if state == wanted {
 			n++
 		}
 	}
 	return n
 }
 
-// Next is when the next attempt is due, or the race is over, if nothing happens before.
+// NextDeadline returns when the next dial is due, or the race is over, if nothing happens before.
 func (r *Race) NextDeadline(now float64) float64 {
-	at := r.by
-	for i, s := range r.state {
-		if s == waiting && r.count(underWay) > 0 {
-			if due := r.last + r.gap(i); due > now {
-				at = min(at, due)
-			}
-			break
-		}
+	next := r.firstWaiting()
+	if next < 0 || r.count(dialUnderWay) == 0 {
+		return r.deadline
+	}
+	due := r.lastDial + r.delayBefore(next)
+	if due <= now { // it waits for a descriptor
+		return r.deadline
 	}
-	return at
+	return min(r.deadline, due)
 }
 
-// Up says that an attempt has succeeded; use says whether its connection is the one. Any other has to be closed.
-func (r *Race) Connected(i int, now float64) (use bool) {
-	if r.state[i] != underWay {
+// Connected says that a dial has succeeded, and returns whether its connection is the one to use. Any other one has
+// to be closed.
+func (r *Race) Connected(index int, now float64) (use bool) {
+	if r.states[index] != dialUnderWay {
 		return false
 	}
-	if r.state[i] = won; r.used || r.over || now >= r.by {
+	r.states[index] = dialEstablished
+	if r.isOver(now) {
 		return false
 	}
-	r.used = true
+	r.won = true
 	return true
 }
 
-// Down says that an attempt has failed.
-func (r *Race) Failed(i int) {
-	if r.state[i] == underWay {
-		r.state[i] = failed
+// Failed says that a dial has failed.
+func (r *Race) Failed(index int) {
+	if r.states[index] == dialUnderWay {
+		r.states[index] = dialFailed
 	}
 }
 
-// Stop ends the race: nobody wants the connection any more. A success that comes later is not used.
-func (r *Race) Stop() { r.over = true }
+// Stop ends the race: nobody wants the connection any more. A dial that succeeds later is not used.
+func (r *Race) Stop() { r.stopped = true }
 
-// Lost says whether the race can't be won any more.
+// Lost says whether the race cannot be won any more.
 func (r *Race) Lost(now float64) bool {
-	return !r.used && (r.over || now >= r.by || r.count(waiting)+r.count(underWay) == 0)
+	noneLeft := r.count(dialWaiting)+r.count(dialUnderWay) == 0
+	return !r.won && (r.stopped || now >= r.deadline || noneLeft)
 }
--- a/internal/upstream/address/reach_test.go
+++ b/internal/upstream/address/selector_test.go
@@ -18,12 +18,24 @@
 	far6 = Addr("[2001:db8::1]:1")
 )
 
-func two() *Selector {
+// twoAddresses returns a selector with the endpoint a, which has a Unix socket and an IPv4 address.
+func twoAddresses() *Selector {
 	c := New(1)
 	c.SetAddresses(100, "a", 0, []Addr{four, sock})
 	return c
 }
 
+// lookup returns what a selector knows of the endpoint's Unix socket.
+func lookup(s *Selector, now float64) *address {
+	_, a := s.lookup(now, "a", sock)
+	return a
+}
+
+// connected and unconnected say of each address whether it has a connection.
+func connected(routing.EndpointID, Addr) bool   { return true }
+func unconnected(routing.EndpointID, Addr) bool { return false }
+
+// addrs returns the addresses of a plan.
 func addrs(plan []PlannedDial) (out []Addr) {
 	for _, t := range plan {
 		out = append(out, t.Addr)
@@ -31,41 +43,40 @@
 	return out
 }
 
-func TestOrderIsNearFirstAndFamiliesInTurns(t *testing.T) {
+func TestAddressesAreSortedByFamily(t *testing.T) {
 	assert.Equal(t, []Addr{sock, six, four, far6, far4, "10.0.0.2:1"},
-		SortAddrs([]Addr{far4, four, "10.0.0.2:1", far6, six, sock, four}))
+		sortAddrs([]Addr{far4, four, "10.0.0.2:1", far6, six, sock, four}))
 }
 
-func TestAPlanStaggersByWhatWasMeasured(t *testing.T) {
-	c := two()
-	assert.Equal(t, []PlannedDial{{sock, 0}, {four, staggerMost}}, c.Plan(100, "a", true))
+func TestPlanDelaysDialsByMeasuredConnectTimes(t *testing.T) {
+	c := twoAddresses()
+	assert.Equal(t, []PlannedDial{{sock, 0}, {four, defaultDialDelay}}, c.Plan(100, "a", true))
 	c.DialEnded(100, "a", sock, DialSucceeded, 0.02)
 	assert.Equal(t, []PlannedDial{{sock, 0}, {four, 0.08}}, c.Plan(100, "a", true))
 	c.DialEnded(100, "a", four, DialSucceeded, 0.001)
 	assert.Equal(t, []Addr{four, sock}, addrs(c.Plan(100, "a", true)), "the slower one goes behind")
 }
 
-func TestARefusalRestsTheAddressUntilALookSucceeds(t *testing.T) {
-	c := two()
-	none := func(routing.EndpointID, Addr) bool { return true }
+func TestRefusedAddressIsInCooldownUntilAProbeSucceeds(t *testing.T) {
+	c := twoAddresses()
 	c.DialEnded(100, "a", sock, DialRefused, 0)
 	assert.Equal(t, []Addr{four}, addrs(c.Plan(100, "a", true)))
-	assert.Empty(t, c.DueProbes(100.1, none), "it rests")
-	assert.Equal(t, []Probe{{"a", sock, false}}, c.DueProbes(101, none))
-	assert.Equal(t, []Addr{four}, addrs(c.Plan(101, "a", true)), "a look carries nothing, and no hop goes there yet")
-	assert.Empty(t, c.DueProbes(101.05, none), "one at a time")
+	assert.Empty(t, c.DueProbes(100.1, connected), "in cooldown")
+	assert.Equal(t, []Probe{{"a", sock, false}}, c.DueProbes(101, connected))
+	assert.Equal(t, []Addr{four}, addrs(c.Plan(101, "a", true)), "no attempt goes there yet")
+	assert.Empty(t, c.DueProbes(101.05, connected), "one at a time")
 	c.DialEnded(101.1, "a", sock, DialSucceeded, 0.001)
 	assert.Equal(t, []Addr{sock, four}, addrs(c.Plan(101.1, "a", true)))
 }
 
-func TestAllAddressesBadIsToldAtOnce(t *testing.T) {
-	c := two()
+func TestPlanIsEmptyWhileAllAddressesAreInCooldown(t *testing.T) {
+	c := twoAddresses()
 	c.DialEnded(100, "a", sock, DialRefused, 0)
 	c.DialEnded(100, "a", four, DialTimedOut, 0)
 	assert.Empty(t, c.Plan(100, "a", true))
 }
 
-func TestASingleAddressIsNeverRested(t *testing.T) {
+func TestOnlyAddressHasNoCooldown(t *testing.T) {
 	c := New(1)
 	c.SetAddresses(100, "a", 0, []Addr{four})
 	for range 9 {
@@ -74,24 +85,25 @@
 	}
 	assert.False(t, c.AwaitingResponse(100, "a", four, 10))
 	assert.Equal(t, []Addr{four}, addrs(c.Plan(100, "a", false)))
-	assert.Empty(t, c.DueProbes(200, func(routing.EndpointID, Addr) bool { return false }))
+	assert.Empty(t, c.DueProbes(200, unconnected))
 }
 
-// An address that accepts and stays silent: no hop goes there; then one repeatable txn tries it, an order never.
-func TestASilentAddressIsTriedByOneRepeatableTxn(t *testing.T) {
-	c := two()
+// TestSilentAddressIsTriedByOneIdempotentAttempt tests an address that accepts and stays silent: no attempt goes
+// there. After its cooldown one idempotent attempt tries it, and a non-idempotent one does not.
+func TestSilentAddressIsTriedByOneIdempotentAttempt(t *testing.T) {
+	c := twoAddresses()
 	assert.False(t, c.AwaitingResponse(100, "a", sock, 0.1))
 	assert.True(t, c.AwaitingResponse(100, "a", sock, 0.13))
 	_, ok := c.Usable(100, "a", sock, true)
 	assert.False(t, ok)
 	_, ok = c.Usable(110, "a", sock, false)
-	assert.False(t, ok, "an order does not try it")
+	assert.False(t, ok, "a non-idempotent attempt does not try it")
 	_, ok = c.Usable(110, "a", sock, true)
 	assert.True(t, ok)
 	c.AttemptSent(110, "a", sock)
 	_, ok = c.Usable(110, "a", sock, true)
 	assert.False(t, ok, "one at a time")
-	first := c.at(110, "a", sock).rest
+	first := lookup(c, 110).lastCooldown
 	assert.True(t, c.AwaitingResponse(110.5, "a", sock, 0.5))
 	assert.NotZero(t, first)
 	c.ResponseReceived(140, "a", sock, 0.01)
@@ -99,28 +111,28 @@
 	assert.True(t, ok)
 }
 
-// Whether an address or its member is silent is told by the other addresses; where checks are allowed, one is asked.
-func TestAnotherAddressTellsWhetherTheMemberIsSilent(t *testing.T) {
-	c := two()
+// TestAnotherAddressTellsWhetherTheEndpointIsSilent tests that the other addresses tell a silent address from a
+// silent endpoint. Where health checks are allowed, one is asked.
+func TestAnotherAddressTellsWhetherTheEndpointIsSilent(t *testing.T) {
+	c := twoAddresses()
 	c.ResponseReceived(99, "a", four, 0.01)
 	assert.True(t, c.AwaitingResponse(101, "a", sock, 0.5))
-	assert.True(t, c.ReachableElsewhere(101, "a", sock, 100.5), "it may be asked over the other")
+	assert.True(t, c.ReachableElsewhere(101, "a", sock, 100.5), "it may be asked over the other one")
 	c.AwaitingResponse(101, "a", four, 0.5)
 	assert.False(t, c.ReachableElsewhere(101, "a", sock, 100.5), "both are silent, nothing came since")
-	none := func(routing.EndpointID, Addr) bool { return true }
-	assert.Empty(t, c.DueProbes(101, none), "no checks here")
+	assert.Empty(t, c.DueProbes(101, connected), "no health checks here")
 	c.HealthChecksAllowed = true
-	assert.Empty(t, c.DueProbes(101, none), "the doubt was gone into once")
-	c = two()
+	assert.Empty(t, c.DueProbes(101, connected), "asked once")
+	c = twoAddresses()
 	c.HealthChecksAllowed = true
 	c.AwaitingResponse(101, "a", sock, 0.5)
-	assert.Equal(t, []Probe{{"a", four, true}}, c.DueProbes(101, none))
+	assert.Equal(t, []Probe{{"a", four, true}}, c.DueProbes(101, connected))
 	c.ResponseReceived(101.1, "a", four, 0.01)
 	assert.True(t, c.ReachableElsewhere(101.1, "a", sock, 100.5))
 }
 
-func TestSilenceIsJudgedByUsualWaits(t *testing.T) {
-	c := two()
+func TestSilenceIsMeasuredByUsualWaits(t *testing.T) {
+	c := twoAddresses()
 	for range 4 {
 		c.ResponseReceived(100, "a", sock, 0.2)
 	}
@@ -128,37 +140,37 @@
 	assert.True(t, c.AwaitingResponse(100, "a", sock, 0.81))
 }
 
-func TestRestsGrowUntilItHasAnsweredForAWhile(t *testing.T) {
-	c, now, longest := two(), 100.0, 0.0
+func TestCooldownsGrowUntilItHasRespondedForAWhile(t *testing.T) {
+	c, now, longest := twoAddresses(), 100.0, 0.0
 	for range 40 {
 		c.DialEnded(now, "a", sock, DialRefused, 0)
-		x := c.at(now, "a", sock)
-		assert.GreaterOrEqual(t, x.rest, restFirst)
-		assert.LessOrEqual(t, x.rest, restMost)
-		longest = max(longest, x.rest)
-		now = x.until + 0.1
+		x := lookup(c, now)
+		assert.GreaterOrEqual(t, x.lastCooldown, firstCooldown)
+		assert.LessOrEqual(t, x.lastCooldown, maxCooldown)
+		longest = max(longest, x.lastCooldown)
+		now = x.cooldownUntil + 0.1
 		c.DialEnded(now, "a", sock, DialSucceeded, 0.001) // flapping: it is back and gone again
 	}
 	assert.Greater(t, longest, 2.0)
 	c.ResponseReceived(now, "a", sock, 0.01)
-	c.ConnectionBroken(now+provenAfter, "a", sock)
-	assert.Less(t, c.at(now, "a", sock).rest, 3*restFirst)
+	c.ConnectionBroken(now+healthyReset, "a", sock)
+	assert.Less(t, lookup(c, now).lastCooldown, 3*firstCooldown)
 }
 
-func TestAMemberThatStartsAgainIsUnknownAndAListCanChange(t *testing.T) {
-	c := two()
+func TestRestartForgetsAndAListCanChange(t *testing.T) {
+	c := twoAddresses()
 	c.DialEnded(100, "a", sock, DialRefused, 0)
 	c.SetAddresses(100, "a", 0, []Addr{sock, six})
 	assert.Equal(t, []Addr{six}, addrs(c.Plan(100, "a", true)), "what is known of one that stays is kept")
 	_, ok := c.Usable(100, "a", four, true)
 	assert.False(t, ok, "it has left the list")
-	c.DialEnded(100, "a", four, DialSucceeded, 1) // an attempt that was under way: nothing comes of it
+	c.DialEnded(100, "a", four, DialSucceeded, 1) // a dial that was under way: nothing comes of it
 	c.SetAddresses(101, "a", 101, []Addr{sock, six})
 	assert.Equal(t, []Addr{sock, six}, addrs(c.Plan(101, "a", true)))
 }
 
-func TestAnOperatorsWordHoldsUntilItIsTakenBack(t *testing.T) {
-	c := two()
+func TestDisabledAddressIsUnusedUntilReinstated(t *testing.T) {
+	c := twoAddresses()
 	assert.True(t, c.Disable(100, "a", sock))
 	assert.False(t, c.Disable(100, "a", four), "the last one")
 	c.DialEnded(100, "a", sock, DialSucceeded, 0.001)
@@ -169,18 +181,17 @@
 	assert.Equal(t, []Addr{sock, four}, addrs(c.Plan(1e6, "a", true)))
 }
 
-func TestASecondLinkIsKeptWarmForMembersInUse(t *testing.T) {
-	c := two()
-	linked := func(routing.EndpointID, Addr) bool { return false }
-	assert.Empty(t, c.DueProbes(100, linked))
+func TestSpareConnectionIsKeptForEndpointsInUse(t *testing.T) {
+	c := twoAddresses()
+	assert.Empty(t, c.DueProbes(100, unconnected))
 	c.Plan(100, "a", true)
-	assert.Equal(t, []Probe{{"a", four, false}}, c.DueProbes(100.5, linked))
-	assert.Empty(t, c.DueProbes(101, linked))
-	assert.Empty(t, c.DueProbes(200, linked), "not used lately")
+	assert.Equal(t, []Probe{{"a", four, false}}, c.DueProbes(100.5, unconnected))
+	assert.Empty(t, c.DueProbes(101, unconnected))
+	assert.Empty(t, c.DueProbes(200, unconnected), "not used lately")
 }
 
-// Every interleaving of what can happen to the attempts for two txns over two addresses, to a depth of seven: never two
-// connections used for one race, none after it was stopped, and every one that came up is used or closed.
+// TestEveryInterleavingOfARace plays every interleaving of what can happen to the dials of two races over two
+// addresses, to a depth of seven: never are two connections used for one race, and none after it was stopped.
 func TestEveryInterleavingOfARace(t *testing.T) {
 	type world struct {
 		races [2]*Race
@@ -194,7 +205,7 @@
 	play := func(path []int) (legal bool) {
 		w := world{now: 0}
 		for i := range w.races {
-			w.races[i], w.out[i] = NewRace(0, []PlannedDial{{sock, 0}, {four, 0.05}}, 0.4), map[int]bool{}
+			w.races[i], w.out[i] = NewRace([]PlannedDial{{sock, 0}, {four, 0.05}}, 0.4), map[int]bool{}
 		}
 		for _, p := range path {
 			w.now += 0.03
@@ -250,9 +261,9 @@
 	assert.Greater(t, runs, 100000)
 }
 
-func TestARaceWithoutGrantsGoesOneByOne(t *testing.T) {
+func TestRaceWithoutDescriptorsDialsOneByOne(t *testing.T) {
 	no := func() bool { return false }
-	r := NewRace(0, []PlannedDial{{sock, 0}, {four, 0.05}}, 0.4)
+	r := NewRace([]PlannedDial{{sock, 0}, {four, 0.05}}, 0.4)
 	assert.Equal(t, 0, r.NextDial(0, no))
 	assert.Equal(t, -1, r.NextDial(0.1, no))
 	r.Failed(0)
@@ -261,8 +272,9 @@
 	assert.True(t, r.Lost(0.1))
 }
 
-// Whatever is heard in whatever order, a plan names only listed addresses that may be used, and rests end.
-func TestProperties(t *testing.T) {
+// TestPlansNameUsableAddressesOnly tests that after any events in any order a plan names only listed addresses that
+// may be used, and that cooldowns end.
+func TestPlansNameUsableAddressesOnly(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		c, now := New(7), 100.0
 		all := []Addr{sock, four, six}
@@ -272,7 +284,8 @@
 			a := rapid.SampledFrom(all).Draw(t, "a")
 			switch rapid.IntRange(0, 6).Draw(t, "what") {
 			case 0:
-				c.DialEnded(now, "a", a, rapid.SampledFrom([]DialResult{DialSucceeded, DialRefused, DialTimedOut}).Draw(t, "why"), 0.01)
+				results := []DialResult{DialSucceeded, DialRefused, DialTimedOut}
+				c.DialEnded(now, "a", a, rapid.SampledFrom(results).Draw(t, "result"), 0.01)
 			case 1:
 				c.ResponseReceived(now, "a", a, 0.02)
 			case 2:
@@ -284,7 +297,7 @@
 			case 5:
 				c.SetAddresses(now, "a", 0, all[rapid.IntRange(0, 1).Draw(t, "from"):])
 			case 6:
-				c.DueProbes(now, func(routing.EndpointID, Addr) bool { return false })
+				c.DueProbes(now, unconnected)
 			}
 			last := -1.0
 			for _, try := range c.Plan(now, "a", false) {
@@ -294,10 +307,10 @@
 				last = try.DelaySeconds
 			}
 		}
-		for range 3 { // with looks that succeed all addresses come back
-			now += quietMost + 100
+		for range 3 { // with probes that succeed all addresses come back
+			now += maxSilentCooldown + 100
 			c.HealthChecksAllowed = true
-			for _, l := range c.DueProbes(now, func(routing.EndpointID, Addr) bool { return true }) {
+			for _, l := range c.DueProbes(now, connected) {
 				c.DialEnded(now, l.Endpoint, l.Addr, DialSucceeded, 0.01)
 				c.ResponseReceived(now, l.Endpoint, l.Addr, 0.01)
 			}
@@ -310,10 +323,10 @@
 	})
 }
 
-// An address flaps every 300 ms for a minute: hops go over the other one all the time, and the looks at it stay few.
-func TestAMinuteOfFlapping(t *testing.T) {
-	c, looks, tried := two(), 0, 0
-	none := func(routing.EndpointID, Addr) bool { return true }
+// TestFlappingAddress tests an address that flaps every 300 ms for a minute: attempts go over the other one all the
+// time, and the probes stay few.
+func TestFlappingAddress(t *testing.T) {
+	c, probes, tried := twoAddresses(), 0, 0
 	up := func(now float64) bool { return int((now-100)/0.3)%2 == 1 }
 	for now := 100.0; now < 160; now += 0.02 {
 		plan := c.Plan(now, "a", false)
@@ -325,29 +338,30 @@
 				c.DialEnded(now, "a", sock, DialRefused, 0)
 			}
 		}
-		for _, l := range c.DueProbes(now, none) {
-			if looks++; up(now) {
+		for _, l := range c.DueProbes(now, connected) {
+			if probes++; up(now) {
 				c.DialEnded(now, l.Endpoint, l.Addr, DialSucceeded, 0.001)
 			} else {
 				c.DialEnded(now, l.Endpoint, l.Addr, DialRefused, 0)
 			}
 		}
 	}
-	assert.Less(t, looks, 120, "of 200 changes")
+	assert.Less(t, probes, 120, "of 200 changes")
 	assert.Greater(t, tried, 0, "and it is used when it is up")
 }
 
-// All addresses of a member go and come back together: routers with other seeds look again at other times.
-func TestRoutersDoNotComeBackInTheSameMoment(t *testing.T) {
+// TestRoutersProbeAtDifferentTimes tests that routers with different seeds probe an address at different times after
+// it failed for all of them together.
+func TestRoutersProbeAtDifferentTimes(t *testing.T) {
 	at := map[string]int{}
 	for seed := range uint64(40) {
 		c := New(seed*0x9e3779b97f4a7c15 + 1)
 		c.SetAddresses(100, "a", 0, []Addr{four, sock})
 		for now, n := 100.0, 0; n < 4; n++ { // four failures in a row
 			c.DialEnded(now, "a", sock, DialRefused, 0)
-			now = c.at(now, "a", sock).until
+			now = lookup(c, now).cooldownUntil
 		}
-		at[fmt.Sprintf("%.1f", c.at(100, "a", sock).until)]++
+		at[fmt.Sprintf("%.1f", lookup(c, 100).cooldownUntil)]++
 	}
 	for moment, n := range at {
 		assert.LessOrEqual(t, n, 10, "%s s", moment)
--- /dev/null
+++ b/internal/upstream/address/status.go
@@ -0,0 +1,52 @@
+package address
+
+import (
+	"math"
+
+	"cairnfront/routing"
+)
+
+// disabledCooldown is the cooldown that operators see of a disabled address: it ends when they end it.
+const disabledCooldown = -1
+
+// Status is what operators see of an address.
+type Status struct {
+	Endpoint         routing.EndpointID `json:"member"`
+	Addr             Addr               `json:"address"`
+	Condition        string             `json:"state"`
+	SinceSeconds     float64            `json:"since_s"` // how long the condition holds
+	CooldownSeconds  float64            `json:"rest_s"`  // how much is left of its cooldown, -1 for a disabled address
+	ConnectSeconds   float64            `json:"connect_s"`
+	FirstByteSeconds float64            `json:"first_byte_s"`
+	Rank             int                `json:"rank"`
+}
+
+// Status returns the status of every address, in the order in which they would be dialed.
+func (s *Selector) Status(now float64) []Status {
+	s.advance(now)
+	var list []Status
+	for _, id := range s.ids() {
+		for rank, a := range s.endpoints[id].byPreference() {
+			list = append(list, Status{
+				Endpoint:         id,
+				Addr:             a.Addr,
+				Condition:        a.condition.String(),
+				SinceSeconds:     s.now - a.changedAt,
+				CooldownSeconds:  a.cooldownLeft(s.now),
+				ConnectSeconds:   a.connectSeconds.mean(),
+				FirstByteSeconds: a.firstByteSeconds.mean(),
+				Rank:             rank,
+			})
+		}
+	}
+	return list
+}
+
+// cooldownLeft returns the seconds left of the address's cooldown, as operators see them.
+func (a *address) cooldownLeft(now float64) float64 {
+	left := max(a.cooldownUntil-now, 0)
+	if math.IsInf(left, 1) {
+		return disabledCooldown
+	}
+	return left
+}
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -35,7 +35,7 @@
 	deadline := began.Add(c.pool.ConnectTimeout)
 	r := &dialRace{
 		connection: c,
-		race:       address.NewRace(unixSeconds(began), c.dialPlan, unixSeconds(deadline)),
+		race:       address.NewRace(c.dialPlan, unixSeconds(deadline)),
 		results:    make(chan dialResult, len(c.dialPlan)),
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
