--- a/internal/faultproxy/relay.go
+++ b/internal/faultproxy/relay.go
@@ -24,7 +24,7 @@
 )
 
 // Net is the ways between processes. A script's clock starts with Play; before that all passes.
-type Net struct {
+type Network struct {
 	mu      sync.Mutex
 	script  faults.Script
 	began   time.Time
@@ -44,8 +44,8 @@
 }
 
 // New makes the ways between so many processes.
-func New(seed uint64, processes int) *Net {
-	n := &Net{rnd: rand.New(rand.NewPCG(seed, 0x2e1a)), began: time.Now(), made: time.Now()}
+func New(seed uint64, processes int) *Network {
+	n := &Network{rnd: rand.New(rand.NewPCG(seed, 0x2e1a)), began: time.Now(), made: time.Now()}
 	n.ctx, n.stop = context.WithCancel(context.Background())
 	for range processes {
 		n.sent = append(n.sent, &traffic{})
@@ -54,7 +54,7 @@
 }
 
 // Play starts a script's clock.
-func (n *Net) Play(s faults.Script) time.Time {
+func (n *Network) StartScript(s faults.Script) time.Time {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.script, n.began = s, time.Now()
@@ -62,27 +62,27 @@
 }
 
 // fate is what becomes of one datagram now.
-func (n *Net) fate(from, to int) (delays []float64, spoilt bool) {
+func (n *Network) fate(from, to int) (delays []float64, spoilt bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	w := n.script.Way(from, to, time.Since(n.began).Seconds())
-	delays, spoilt = w.Passing(n.rnd)
+	w := n.script.LinkAt(from, to, time.Since(n.began).Seconds())
+	delays, spoilt = w.Deliver(n.rnd)
 	if spoilt {
 		n.spoiled++
 	}
 	return delays, spoilt
 }
 
-func (n *Net) cut(from, to int) (bool, float64) {
+func (n *Network) cut(from, to int) (bool, float64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	w := n.script.Way(from, to, time.Since(n.began).Seconds())
-	return w.Cut, w.Delay
+	w := n.script.LinkAt(from, to, time.Since(n.began).Seconds())
+	return w.Cut, w.DelaySeconds
 }
 
 // Datagrams opens the way from one process to another, whose own address is given; what is sent to the address that comes
 // back passes it.
-func (n *Net) Datagrams(from, to int, at netip.AddrPort) (netip.AddrPort, error) {
+func (n *Network) ForwardDatagrams(from, to int, at netip.AddrPort) (netip.AddrPort, error) {
 	c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	if err != nil {
 		return netip.AddrPort{}, fmt.Errorf("a way from %d to %d: %w", from, to, err)
@@ -125,7 +125,7 @@
 
 // Stream opens a way for connections. While it is cut nothing passes and nothing is closed, as on a network; what waited
 // passes afterwards, in its order.
-func (n *Net) Stream(from, to int, at string) (string, error) {
+func (n *Network) ForwardConnections(from, to int, at string) (string, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", fmt.Errorf("a way from %d to %d: %w", from, to, err)
@@ -146,7 +146,7 @@
 	return ln.Addr().String(), nil
 }
 
-func (n *Net) carry(from, to int, in net.Conn, at string) {
+func (n *Network) carry(from, to int, in net.Conn, at string) {
 	defer in.Close()
 	if !n.open(from, to) {
 		return
@@ -166,7 +166,7 @@
 }
 
 // open waits until a way is not cut; false once the net is closed.
-func (n *Net) open(from, to int) bool {
+func (n *Network) open(from, to int) bool {
 	for {
 		cut, _ := n.cut(from, to)
 		if !cut {
@@ -180,7 +180,7 @@
 	}
 }
 
-func (n *Net) pass(from, to int, w, r net.Conn) {
+func (n *Network) pass(from, to int, w, r net.Conn) {
 	defer func() {
 		if c, ok := w.(*net.TCPConn); ok {
 			_ = c.CloseWrite()
@@ -215,7 +215,7 @@
 }
 
 // Sent is what a process put out in some seconds since the net was made.
-func (n *Net) Sent(from, first, last int) (datagrams, bytes int64) {
+func (n *Network) SentBetween(from, first, last int) (datagrams, bytes int64) {
 	t := n.sent[from]
 	for s := max(first, 0); s < min(last, len(t.bytes)); s++ {
 		datagrams += t.datagrams[s].Load()
@@ -225,7 +225,7 @@
 }
 
 // Close ends all ways.
-func (n *Net) Close() {
+func (n *Network) Close() {
 	n.stop()
 	n.all.Wait()
 }
--- a/internal/faultproxy/relay_test.go
+++ b/internal/faultproxy/relay_test.go
@@ -29,7 +29,7 @@
 	n := New(1, 2)
 	defer n.Close()
 	to, from := udp(t), udp(t)
-	way, err := n.Datagrams(0, 1, at(to))
+	way, err := n.ForwardDatagrams(0, 1, at(to))
 	require.NoError(t, err)
 	send := func(text string) {
 		_, err := from.WriteToUDPAddrPort([]byte(text), way)
@@ -44,15 +44,15 @@
 	}
 	send("as it is")
 	assert.Equal(t, "as it is", hear())
-	n.Play(faults.Script{Peers: 2, Until: 60, Acts: []faults.Act{{Do: faults.Spoil, Share: 1}, {Do: faults.Double, Share: 1}}})
+	n.StartScript(faults.Script{Processes: 2, Duration: 60, Faults: []faults.Fault{{Kind: faults.Corrupt, Share: 1}, {Kind: faults.Duplicate, Share: 1}}})
 	send("spoilt")
 	a, b := hear(), hear()
 	assert.NotEqual(t, "spoilt", a)
 	assert.Equal(t, a, b, "and twice")
-	n.Play(faults.Script{Peers: 2, Until: 60, Acts: []faults.Act{{Do: faults.Cut, From: []int{0}, To: []int{1}}}})
+	n.StartScript(faults.Script{Processes: 2, Duration: 60, Faults: []faults.Fault{{Kind: faults.Cut, From: []int{0}, To: []int{1}}}})
 	send("lost")
-	require.Eventually(t, func() bool { d, _ := n.Sent(0, 0, 3600); return d == 3 }, patience, time.Millisecond, "what is cut is counted as sent")
-	n.Play(faults.Script{Peers: 2, Until: 60})
+	require.Eventually(t, func() bool { d, _ := n.SentBetween(0, 0, 3600); return d == 3 }, patience, time.Millisecond, "what is cut is counted as sent")
+	n.StartScript(faults.Script{Processes: 2, Duration: 60})
 	send("after")
 	assert.Equal(t, "after", hear(), "what was cut does not come later")
 }
@@ -72,7 +72,7 @@
 	}()
 	n := New(1, 2)
 	defer n.Close()
-	way, err := n.Stream(0, 1, ln.Addr().String())
+	way, err := n.ForwardConnections(0, 1, ln.Addr().String())
 	require.NoError(t, err)
 	c, err := net.Dial("tcp", way)
 	require.NoError(t, err)
@@ -87,11 +87,11 @@
 	}
 	say("one")
 	assert.Equal(t, "one\n", hear())
-	n.Play(faults.Script{Peers: 2, Until: 60, Acts: []faults.Act{{Do: faults.Cut, From: []int{1}, To: []int{0}}}}) // the way back
+	n.StartScript(faults.Script{Processes: 2, Duration: 60, Faults: []faults.Fault{{Kind: faults.Cut, From: []int{1}, To: []int{0}}}}) // the way back
 	say("two")
 	_ = c.SetReadDeadline(time.Now().Add(150 * time.Millisecond))
 	_, err = r.ReadByte()
 	require.Error(t, err, "nothing comes")
-	n.Play(faults.Script{Peers: 2, Until: 60})
+	n.StartScript(faults.Script{Processes: 2, Duration: 60})
 	assert.Equal(t, "two\n", hear(), "and nothing is lost")
 }
--- a/internal/lab/peers.go
+++ b/internal/lab/peers.go
@@ -43,16 +43,16 @@
 	Run: func(ctx context.Context, s Setting, r *report.Report) error {
 		script := peersScript(s)
 		if s.Script != "" {
-			read, err := faults.Read(s.Script)
+			read, err := faults.ReadFile(s.Script)
 			if err != nil {
 				return err
 			}
 			script = read
 		}
-		if script.Peers < peersOf {
-			return fmt.Errorf("the script is for %d processes, this scenario has %d", script.Peers, peersOf)
+		if script.Processes < peersOf {
+			return fmt.Errorf("the script is for %d processes, this scenario has %d", script.Processes, peersOf)
 		}
-		f, err := newFleet(s, script, script.Peers-peersOf)
+		f, err := newFleet(s, script, script.Processes-peersOf)
 		if err != nil {
 			return err
 		}
@@ -72,48 +72,50 @@
 		}
 		return out
 	}
-	x := faults.Script{Seed: s.Seed, Peers: peersOf + 1}
+	x := faults.Script{Seed: s.Seed, Processes: peersOf + 1}
 	k := int(s.Seed) % 7
 	if !s.Full {
-		x.Until = 20
-		x.Acts = []faults.Act{{Do: faults.Kill, At: 1, Until: 6, From: []int{10 + k}}, {Do: faults.Cut, At: 8, Until: 13, From: up(0, 7), To: up(7, 21), Both: true},
-			{Do: faults.Pause, At: 9, Until: 9.5, From: []int{8 + k}}}
+		x.Duration = 20
+		x.Faults = []faults.Fault{{Kind: faults.Kill, Start: 1, End: 6, From: []int{10 + k}}, {Kind: faults.Cut, Start: 8, End: 13, From: up(0, 7), To: up(7, 21), BothWays: true},
+			{Kind: faults.Pause, Start: 9, End: 9.5, From: []int{8 + k}}}
 		return x
 	}
-	x.Peers = peersOf + 3
+	x.Processes = peersOf + 3
 	at := 1.0
-	then := func(lasts, rest float64, acts ...faults.Act) {
+	then := func(lasts, rest float64, acts ...faults.Fault) {
 		for _, a := range acts {
-			a.At, a.Until = at, at+lasts
-			x.Acts = append(x.Acts, a)
+			a.Start, a.End = at, at+lasts
+			x.Faults = append(x.Faults, a)
 		}
 		at += lasts + rest
 	}
-	both := func(from, to []int) faults.Act { return faults.Act{Do: faults.Cut, From: from, To: to, Both: true} }
+	both := func(from, to []int) faults.Fault {
+		return faults.Fault{Kind: faults.Cut, From: from, To: to, BothWays: true}
+	}
 	for i := range 5 {
-		then(6, 5, faults.Act{Do: faults.Kill, From: []int{(3*i + k) % peersOf}})
-	}
-	then(10, 8, both(up(0, 10), up(10, x.Peers)))
-	then(10, 8, both(up(0, 7), up(7, x.Peers)))
-	then(10, 8, both(up(0, 6), up(6, x.Peers)), both(up(6, 12), up(12, x.Peers)))
-	then(8, 6, faults.Act{Do: faults.Cut, From: []int{k}, To: []int{k + 1}})                          // one way between two
-	then(8, 6, faults.Act{Do: faults.Cut, From: []int{k}, To: slices.Delete(up(0, x.Peers), k, k+1)}) // nobody hears one
-	then(8, 6, both([]int{0}, []int{2}), both([]int{5}, []int{7}))                                    // chains
-	then(20, 6, faults.Act{Do: faults.Lose, Share: 0.3})                                              //
-	then(20, 6, faults.Act{Do: faults.Delay, S: 0.4})                                                 //
-	then(10, 4, faults.Act{Do: faults.Double, Share: 0.3}, faults.Act{Do: faults.Reorder, Share: 0.5, S: 0.3}, faults.Act{Do: faults.Spoil, Share: 0.1})
+		then(6, 5, faults.Fault{Kind: faults.Kill, From: []int{(3*i + k) % peersOf}})
+	}
+	then(10, 8, both(up(0, 10), up(10, x.Processes)))
+	then(10, 8, both(up(0, 7), up(7, x.Processes)))
+	then(10, 8, both(up(0, 6), up(6, x.Processes)), both(up(6, 12), up(12, x.Processes)))
+	then(8, 6, faults.Fault{Kind: faults.Cut, From: []int{k}, To: []int{k + 1}})                              // one way between two
+	then(8, 6, faults.Fault{Kind: faults.Cut, From: []int{k}, To: slices.Delete(up(0, x.Processes), k, k+1)}) // nobody hears one
+	then(8, 6, both([]int{0}, []int{2}), both([]int{5}, []int{7}))                                            // chains
+	then(20, 6, faults.Fault{Kind: faults.Loss, Share: 0.3})                                                  //
+	then(20, 6, faults.Fault{Kind: faults.Delay, Seconds: 0.4})                                               //
+	then(10, 4, faults.Fault{Kind: faults.Duplicate, Share: 0.3}, faults.Fault{Kind: faults.Reorder, Share: 0.5, Seconds: 0.3}, faults.Fault{Kind: faults.Corrupt, Share: 0.1})
 	for _, s := range []float64{0.3, 1, 2.5, 5} {
-		then(s, 1, faults.Act{Do: faults.Pause, From: []int{9 + k}})
+		then(s, 1, faults.Fault{Kind: faults.Pause, From: []int{9 + k}})
 	}
-	then(5, 6, faults.Act{Do: faults.Stuck, From: []int{4}})
-	x.Acts = append(x.Acts, faults.Act{Do: faults.Clock, At: at, Until: at + 20, From: []int{11, 12}, S: -3600}, faults.Act{Do: faults.Clock, At: at, Until: at + 20, From: []int{13}, S: 3600})
-	then(0.6, 6, faults.Act{Do: faults.Kill, From: []int{11, 13}}) // back while their death is still being spread
-	then(6, 6, faults.Act{Do: faults.Kill, From: []int{12}})
+	then(5, 6, faults.Fault{Kind: faults.Stall, From: []int{4}})
+	x.Faults = append(x.Faults, faults.Fault{Kind: faults.ClockSkew, Start: at, End: at + 20, From: []int{11, 12}, Seconds: -3600}, faults.Fault{Kind: faults.ClockSkew, Start: at, End: at + 20, From: []int{13}, Seconds: 3600})
+	then(0.6, 6, faults.Fault{Kind: faults.Kill, From: []int{11, 13}}) // back while their death is still being spread
+	then(6, 6, faults.Fault{Kind: faults.Kill, From: []int{12}})
 	for i := 0; i < peersOf; i += 2 { // a tenth at a time
-		then(1, 3, faults.Act{Do: faults.Wipe, From: []int{i, i + 1}})
+		then(1, 3, faults.Fault{Kind: faults.Wipe, From: []int{i, i + 1}})
 	}
-	then(12, 10, faults.Act{Do: faults.Kill, From: up(0, 14)}) // seven in ten at once
-	x.Until = at + 2
+	then(12, 10, faults.Fault{Kind: faults.Kill, From: up(0, 14)}) // seven in ten at once
+	x.Duration = at + 2
 	return x
 }
 
@@ -145,7 +147,7 @@
 	s        Setting
 	t        *town
 	script   faults.Script
-	net      *faultproxy.Net
+	net      *faultproxy.Network
 	procs    []*process
 	hostiles []*hostile
 	crowds   []*crowd
@@ -163,7 +165,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f = &peerFleet{s: s, t: t, script: script, net: faultproxy.New(s.Seed, script.Peers), made: time.Now()}
+	f = &peerFleet{s: s, t: t, script: script, net: faultproxy.New(s.Seed, script.Processes), made: time.Now()}
 	defer func() {
 		if err != nil {
 			f.close(nil)
@@ -186,7 +188,7 @@
 		}
 		t.list(p, routing.Ready)
 	}
-	n := script.Peers
+	n := script.Processes
 	var people []datagram.Identity
 	var seeds, public []string
 	var conns []*net.UDPConn // hold the ports until their processes take them
@@ -208,7 +210,7 @@
 		ways[i] = make([]netip.AddrPort, n)
 		for j := range n {
 			if i != j {
-				if ways[i][j], err = f.net.Datagrams(i, j, conns[j].LocalAddr().(*net.UDPAddr).AddrPort()); err != nil {
+				if ways[i][j], err = f.net.ForwardDatagrams(i, j, conns[j].LocalAddr().(*net.UDPAddr).AddrPort()); err != nil {
 					return nil, err
 				}
 			}
@@ -282,7 +284,7 @@
 		began := f.began
 		f.mu.Unlock()
 		for at := x.sent; at < x.sent+x.ttl.Seconds()+0.6; at += 0.05 {
-			if !began.IsZero() && !f.script.Works(p.index, at-unix(began)) {
+			if !began.IsZero() && !f.script.IsWorking(p.index, at-unix(began)) {
 				return
 			}
 		}
@@ -305,7 +307,7 @@
 	if err := sleep(ctx, time.Duration(settlePeers*float64(time.Second))); err != nil {
 		return err
 	}
-	began := f.net.Play(f.script)
+	began := f.net.StartScript(f.script)
 	f.mu.Lock()
 	f.began = began
 	f.mu.Unlock()
@@ -314,33 +316,33 @@
 			h.flood.Store(floodOf / int64(len(f.hostiles)))
 		}
 	}
-	for _, m := range f.script.Moments() {
-		if err := sleep(ctx, time.Until(began.Add(time.Duration(m.At*float64(time.Second))))); err != nil {
+	for _, m := range f.script.Transitions() {
+		if err := sleep(ctx, time.Until(began.Add(time.Duration(m.Time*float64(time.Second))))); err != nil {
 			return err
 		}
-		f.s.Tell("%5.1f of %.0f s: %s", m.At, f.script.Until, m.Act)
-		if !m.End {
-			f.marks = append(f.marks, report.Mark{At: m.At, Name: string(m.Act.Do)})
+		f.s.Tell("%5.1f of %.0f s: %s", m.Time, f.script.Duration, m.Fault)
+		if !m.IsEnd {
+			f.marks = append(f.marks, report.Mark{At: m.Time, Name: string(m.Fault.Kind)})
 		}
 		if err := f.moment(m); err != nil {
 			return err
 		}
 	}
-	return sleep(ctx, time.Until(began.Add(time.Duration(f.script.Until*float64(time.Second)))))
+	return sleep(ctx, time.Until(began.Add(time.Duration(f.script.Duration*float64(time.Second)))))
 }
 
-func (f *peerFleet) moment(m faults.Moment) error {
+func (f *peerFleet) moment(m faults.Transition) error {
 	var waits sync.WaitGroup
 	var mu sync.Mutex
 	var first error
-	for _, i := range m.Act.From {
+	for _, i := range m.Fault.From {
 		if i >= len(f.procs) {
 			continue
 		}
 		p := f.procs[i]
-		switch m.Act.Do {
+		switch m.Fault.Kind {
 		case faults.Kill, faults.Wipe:
-			if !m.End {
+			if !m.IsEnd {
 				p.kill()
 				continue
 			}
@@ -351,19 +353,19 @@
 					mu.Unlock()
 				}
 			})
-		case faults.Pause, faults.Stuck:
+		case faults.Pause, faults.Stall:
 			if p.cmd == nil {
 				continue
 			}
-			sig := map[bool]syscall.Signal{false: syscall.SIGSTOP, true: syscall.SIGCONT}[m.End]
-			if m.Act.Do == faults.Stuck {
+			sig := map[bool]syscall.Signal{false: syscall.SIGSTOP, true: syscall.SIGCONT}[m.IsEnd]
+			if m.Fault.Kind == faults.Stall {
 				sig = syscall.SIGUSR2
 			}
 			_ = p.cmd.Process.Signal(sig)
-		case faults.Clock:
+		case faults.ClockSkew:
 			p.env = []string{LabVariable + "=1"}
-			if !m.End {
-				p.env = append(p.env, fmt.Sprintf("CAIRNFRONT_LAB_CLOCK_S=%g", m.Act.S))
+			if !m.IsEnd {
+				p.env = append(p.env, fmt.Sprintf("CAIRNFRONT_LAB_CLOCK_S=%g", m.Fault.Seconds))
 			}
 		}
 	}
@@ -474,27 +476,27 @@
 		r.Counts[name] = 0
 	}
 	var detect, agree []float64
-	for _, a := range s.Acts {
-		switch a.Do {
+	for _, a := range s.Faults {
+		switch a.Kind {
 		case faults.Cut:
 			r.Counts["cuts"]++
-			agree = append(agree, f.agrees(r, a.Until)...)
+			agree = append(agree, f.agrees(r, a.End)...)
 		case faults.Pause:
 			r.Counts["pauses"]++
 		case faults.Kill, faults.Wipe:
 			for _, i := range a.From {
 				r.Counts["kills"]++
-				if a.Until-a.At < aimDetect+slack || len(a.From) > 1 {
+				if a.End-a.Start < aimDetect+slack || len(a.From) > 1 {
 					continue // back before all could know, or most of those who could tell are gone too
 				}
 				all := 0.0
 				for _, p := range f.procs {
-					if p.index == i || !s.Runs(p.index, a.At) {
+					if p.index == i || !s.IsRunning(p.index, a.Start) {
 						continue
 					}
-					took := f.drop(p, i, a.At, a.Until)
+					took := f.drop(p, i, a.Start, a.End)
 					if took < 0 {
-						r.Broke("%s never dropped %s, killed at %.1f s", p.name, f.names[i], a.At)
+						r.Broke("%s never dropped %s, killed at %.1f s", p.name, f.names[i], a.Start)
 						continue
 					}
 					all = max(all, took)
@@ -512,7 +514,7 @@
 			case x.life >= hugeLife:
 				r.Counts["forged_taken"]++
 				r.Broke("%s took a forged life of %s", p.name, f.names[x.of])
-			case x.code == "failed" && x.of < peersOf && x.at > 0 && !s.Excused(p.index, x.of, x.at, blameFor):
+			case x.code == "failed" && x.of < peersOf && x.at > 0 && !s.ExplainsUnreachable(p.index, x.of, x.at, blameFor):
 				r.Counts["wrongly_dropped"]++
 				r.Broke("%s dropped %s at %.2f s, which ran", p.name, f.names[x.of], x.at)
 			}
@@ -520,13 +522,13 @@
 	}
 	f.members(r)
 	r.Figures["standing_wrong_s"] = f.standings()
-	first, last := int(f.began.Sub(f.made).Seconds()), int(f.began.Sub(f.made).Seconds()+s.Until)
+	first, last := int(f.began.Sub(f.made).Seconds()), int(f.began.Sub(f.made).Seconds()+s.Duration)
 	var rate report.Line
 	total := int64(0)
 	for at := first; at < last; at++ {
 		sum := int64(0)
 		for i := range peersOf {
-			d, b := f.net.Sent(i, at, at+1)
+			d, b := f.net.SentBetween(i, at, at+1)
 			sum += d
 			total += b
 		}
@@ -593,16 +595,16 @@
 func (f *peerFleet) agrees(r *report.Report, from float64) []float64 {
 	s := &f.script
 	const most = 12.0
-	for _, a := range s.Acts {
-		if a.At <= from+aimAgree+slack && a.Until > from && a.Do != faults.Lose {
+	for _, a := range s.Faults {
+		if a.Start <= from+aimAgree+slack && a.End > from && a.Kind != faults.Loss {
 			return nil
 		}
 	}
-	for at := from; at < min(from+most, s.Until); at += 0.05 {
+	for at := from; at < min(from+most, s.Duration); at += 0.05 {
 		all := true
 		for _, p := range f.procs {
 			for o := range peersOf {
-				if o != p.index && there(p.holds(o, at)) != s.Runs(o, at) {
+				if o != p.index && there(p.holds(o, at)) != s.IsRunning(o, at) {
 					all = false
 				}
 			}
@@ -627,7 +629,7 @@
 				asked[int((a.at-from)/boxWindow)] = true
 			}
 		}
-		for w := range int(f.script.Until / boxWindow) {
+		for w := range int(f.script.Duration / boxWindow) {
 			if !asked[w] {
 				r.Counts["members_dropped"]++
 				r.Broke("box %s was asked nothing from %.1f to %.1f s", b.id, float64(w)*boxWindow, float64(w+1)*boxWindow)
@@ -641,12 +643,12 @@
 	const step = 0.1
 	wrong := 0.0
 	s := &f.script
-	for at := 0.0; at < s.Until; at += step {
+	for at := 0.0; at < s.Duration; at += step {
 		for _, p := range f.procs {
-			if !s.Runs(p.index, at) {
+			if !s.IsRunning(p.index, at) {
 				continue
 			}
-			there, all := s.Reaches(p.index, at), s.Peers
+			there, all := s.ReachableCount(p.index, at), s.Processes
 			want := "whole"
 			switch {
 			case there == 1:
@@ -667,10 +669,10 @@
 func (f *peerFleet) plots(r *report.Report, rate report.Line) {
 	seen := report.Line{Name: "peers seen, least of all routers"}
 	most := report.Line{Name: "most of all routers"}
-	for at := 0.0; at < f.script.Until; at += 0.5 {
+	for at := 0.0; at < f.script.Duration; at += 0.5 {
 		least, top := peersOf, 0
 		for _, p := range f.procs {
-			if !f.script.Runs(p.index, at) {
+			if !f.script.IsRunning(p.index, at) {
 				continue
 			}
 			n := 1
--- a/internal/lab/peers_test.go
+++ b/internal/lab/peers_test.go
@@ -21,8 +21,8 @@
 	dir := t.TempDir()
 	x, err := newTown(Setting{Seed: 3, Folder: dir}, 2)
 	require.NoError(t, err)
-	f := &peerFleet{t: x, net: faultproxy.New(1, peersOf), began: time.Now().Truncate(time.Millisecond), made: time.Now(), script: faults.Script{Peers: peersOf, Until: 30,
-		Acts: []faults.Act{{Do: faults.Kill, At: 1, Until: 8, From: []int{3}}, {Do: faults.Cut, At: 15, Until: 20, From: []int{0}, Both: true}}}}
+	f := &peerFleet{t: x, net: faultproxy.New(1, peersOf), began: time.Now().Truncate(time.Millisecond), made: time.Now(), script: faults.Script{Processes: peersOf, Duration: 30,
+		Faults: []faults.Fault{{Kind: faults.Kill, Start: 1, End: 8, From: []int{3}}, {Kind: faults.Cut, Start: 15, End: 20, From: []int{0}, BothWays: true}}}}
 	defer f.net.Close()
 	defer x.close(nil)
 	logs := make([]string, peersOf)
@@ -75,7 +75,7 @@
 			s(5, 17, "msg=peer code=failed peer=n1 from=suspect life=5 beat=0")
 			s(5, 20.5, "msg=peer code=alive peer=n1 from=failed life=5 beat=1")
 		}, ""},
-		"never found out": {func(_ say, f *peerFleet) { f.script.Acts[0].From = []int{9} }, "n1 never dropped n10, killed at 1.0 s"},
+		"never found out": {func(_ say, f *peerFleet) { f.script.Faults[0].From = []int{9} }, "n1 never dropped n10, killed at 1.0 s"},
 		"a forgery taken": {func(s say, _ *peerFleet) {
 			s(2, 12, fmt.Sprintf("msg=peer code=alive peer=n8 from=suspect life=%d beat=0", uint64(hugeLife)))
 		}, "n3 took a forged life of n8"},
--- a/internal/lab/simledger.go
+++ b/internal/lab/simledger.go
@@ -39,7 +39,7 @@
 		s := simreplication.GenerateScript(seed, c.Routers, c.Lasts)
 		if c.Script != "" {
 			var err error
-			if s, err = faults.Read(c.Script); err != nil {
+			if s, err = faults.ReadFile(c.Script); err != nil {
 				return nil, err
 			}
 		}
--- a/internal/lab/simpeers.go
+++ b/internal/lab/simpeers.go
@@ -83,13 +83,13 @@
 			}
 			p := points[i/seeds]
 			c.Tell("%d peers, %.0f%% lost, plain %v", p.size, p.loss*100, p.plain)
-			s := faults.Script{Seed: c.From + uint64(i%seeds), Peers: p.size, Until: simLasts}
+			s := faults.Script{Seed: c.From + uint64(i%seeds), Processes: p.size, Duration: simLasts}
 			if p.loss > 0 {
-				s.Acts = append(s.Acts, faults.Act{Do: faults.Lose, Share: p.loss})
+				s.Faults = append(s.Faults, faults.Fault{Kind: faults.Loss, Share: p.loss})
 			}
 			for k := range 2 {
 				at := 15 + 20*float64(k)
-				s.Acts = append(s.Acts, faults.Act{Do: faults.Kill, At: at, Until: at + longKill, From: []int{(7*k + int(s.Seed)) % p.size}})
+				s.Faults = append(s.Faults, faults.Fault{Kind: faults.Kill, Start: at, End: at + longKill, From: []int{(7*k + int(s.Seed)) % p.size}})
 			}
 			results[i], err = simmembership.Run(simmembership.Config{Script: s, SWIM: swim.Config{MaxByzantine: simLiars, PublishedSWIM: p.plain}, Preloaded: p.size > largestJoin})
 			return err
@@ -160,7 +160,7 @@
 
 // broken says which invariant a play broke.
 func (c SimPeers) broken(x *simmembership.Result, s *faults.Script) string {
-	bound := s.Peers * 12 // a claim and up to eleven charges of each
+	bound := s.Processes * 12 // a claim and up to eleven charges of each
 	switch {
 	case x.Resurrected > 0:
 		return "a peer came back without a higher incarnation"
@@ -178,7 +178,7 @@
 func (c SimPeers) plan(s faults.Script) simmembership.Config {
 	p := simmembership.Config{Script: s, SWIM: swim.Config{MaxByzantine: max(simLiars, c.Hostile)}}
 	for i := range c.Hostile {
-		p.Hostile = append(p.Hostile, s.Peers-1-i)
+		p.Hostile = append(p.Hostile, s.Processes-1-i)
 	}
 	return p
 }
@@ -194,7 +194,7 @@
 			if err := ctx.Err(); err != nil {
 				return err
 			}
-			s := faults.Draw(seed, c.Peers, c.Scripts, simLasts)
+			s := faults.Generate(seed, c.Peers, c.Scripts, simLasts)
 			x, err := simmembership.Run(c.plan(s))
 			if err != nil {
 				return fmt.Errorf("seed %d: %w", seed, err)
@@ -226,12 +226,12 @@
 		return err
 	}
 	for _, s := range found {
-		short, plays := faults.Shorten(s, shortenPlays, func(s faults.Script) bool {
+		short, plays := faults.Shrink(s, shortenPlays, func(s faults.Script) bool {
 			x, err := simmembership.Run(c.plan(s))
 			return err == nil && c.broken(x, &s) != ""
 		})
 		text, _ := json.Marshal(short)
-		r.Broke("seed %d shortened from %d to %d acts in %d plays: %s", s.Seed, len(s.Acts), len(short.Acts), plays, text)
+		r.Broke("seed %d shortened from %d to %d acts in %d plays: %s", s.Seed, len(s.Faults), len(short.Faults), plays, text)
 	}
 	r.Figures["wrong_a_play_and_peer"] = float64(r.Counts["wrong"]) / float64(r.Counts["plays"]) / float64(c.Peers)
 	if r.Figures["wrong_a_play_and_peer"] > mostWrong {
@@ -244,7 +244,7 @@
 
 // one plays one script twice: it has to come to the same, byte for byte.
 func (c SimPeers) one(r *report.Report) error {
-	s, err := faults.Read(c.Script)
+	s, err := faults.ReadFile(c.Script)
 	if err != nil {
 		return err
 	}
@@ -270,8 +270,8 @@
 		l.X, l.Y = append(l.X, float64(i)), append(l.Y, d)
 	}
 	plot := report.Plot{Title: "Datagrams between peers", XLabel: "s", YLabel: "a second a peer", Lines: []report.Line{l}}
-	for _, a := range s.Acts {
-		plot.Marks = append(plot.Marks, report.Mark{At: a.At, Name: string(a.Do)})
+	for _, a := range s.Faults {
+		plot.Marks = append(plot.Marks, report.Mark{At: a.Start, Name: string(a.Kind)})
 	}
 	r.Plots = append(r.Plots, plot)
 	r.Steps = append(r.Steps, x.FalseFailureDetails...)
--- a/internal/replication/node_test.go
+++ b/internal/replication/node_test.go
@@ -26,7 +26,7 @@
 // testCluster is nodes in three zones, with a fault proxy on each way between two.
 type testCluster struct {
 	t         *testing.T
-	net       *faultproxy.Net
+	net       *faultproxy.Network
 	peers     []transport.Peer
 	keys      []ed25519.PrivateKey
 	listeners []net.Listener
@@ -57,7 +57,7 @@
 	for i := range size {
 		var proxies []string
 		for j := range size {
-			proxy, err := c.net.Stream(i, j, c.addresses[j])
+			proxy, err := c.net.ForwardConnections(i, j, c.addresses[j])
 			require.NoError(t, err)
 			proxies = append(proxies, proxy)
 		}
@@ -202,12 +202,12 @@
 func TestMinorityGrantsNothing(t *testing.T) {
 	c := newTestCluster(t, 3)
 	c.waitForHealth(0, HealthBearsZoneLoss)
-	cut := faults.Act{Do: faults.Cut, From: []int{0}, To: []int{1, 2}, Both: true}
-	c.net.Play(faults.Script{Peers: 3, Until: 1e6, Acts: []faults.Act{cut}})
+	cut := faults.Fault{Kind: faults.Cut, From: []int{0}, To: []int{1, 2}, BothWays: true}
+	c.net.StartScript(faults.Script{Processes: 3, Duration: 1e6, Faults: []faults.Fault{cut}})
 	minority := c.nodes[0].Propose(reserveCommand("r0", 1<<50, "k", "g1"), time.Now().Add(1500*time.Millisecond))
 	assert.True(t, c.reserve(1, "k", "g2").Granted)
 	assert.ErrorIs(t, (<-minority).Err, ErrNoAnswer)
-	c.net.Play(faults.Script{Peers: 3, Until: 1e6})
+	c.net.StartScript(faults.Script{Processes: 3, Duration: 1e6})
 	result := c.reserve(0, "k", "g3")
 	assert.False(t, result.Granted)
 	assert.Equal(t, "g2", result.Reservation.Group)
--- a/internal/sim/clock/sim.go
+++ b/internal/sim/clock/sim.go
@@ -9,7 +9,7 @@
 )
 
 // World is a run. The zero value is not ready; use New.
-type World struct {
+type Scheduler struct {
 	Rand *rand.Rand
 
 	now    float64
@@ -40,15 +40,15 @@
 }
 
 // New makes a world whose clock stands at a time, in seconds. Streams of chance with other numbers are independent.
-func New(seed, stream uint64, at float64) *World {
-	return &World{Rand: rand.New(rand.NewPCG(seed, stream)), now: at}
+func New(seed, stream uint64, at float64) *Scheduler {
+	return &Scheduler{Rand: rand.New(rand.NewPCG(seed, stream)), now: at}
 }
 
 // Now is the clock, s.
-func (w *World) Now() float64 { return w.now }
+func (w *Scheduler) Now() float64 { return w.now }
 
 // At does something at a time; one that has passed counts as now.
-func (w *World) At(at float64, then func()) {
+func (w *Scheduler) At(at float64, then func()) {
 	if math.IsNaN(at) {
 		at = w.now
 	}
@@ -57,10 +57,10 @@
 }
 
 // After does something so many seconds from now.
-func (w *World) After(s float64, then func()) { w.At(w.now+s, then) }
+func (w *Scheduler) After(s float64, then func()) { w.At(w.now+s, then) }
 
 // Run plays until a time, which the clock then shows; it tells how many events there were.
-func (w *World) Run(until float64) (n int) {
+func (w *Scheduler) RunUntil(until float64) (n int) {
 	for len(w.events) > 0 && w.events[0].at <= until {
 		e := heap.Pop(&w.events).(event)
 		w.now = e.at
--- a/internal/sim/membership/fleet.go
+++ b/internal/sim/membership/fleet.go
@@ -80,7 +80,7 @@
 
 // player is a run.
 type player struct {
-	w      *clock.World
+	w      *clock.Scheduler
 	plan   Config
 	nodes  []*node
 	marks  []uint64
@@ -99,13 +99,13 @@
 
 // Play plays a plan.
 func Run(p Config) (*Result, error) {
-	if err := p.Script.Check(); err != nil {
+	if err := p.Script.Validate(); err != nil {
 		return nil, err
 	}
 	h := fnv.New64a()
-	x := &player{w: clock.New(p.Script.Seed, 7, 0), plan: p, r: &Result{Members: p.Script.Peers, AgreementSeconds: -1}, hash: h, kills: map[int]float64{},
+	x := &player{w: clock.New(p.Script.Seed, 7, 0), plan: p, r: &Result{Members: p.Script.Processes, AgreementSeconds: -1}, hash: h, kills: map[int]float64{},
 		rnd: rand.New(rand.NewPCG(p.Script.Seed, 8)), highest: map[[2]int]swim.Incarnation{}}
-	for i := range p.Script.Peers {
+	for i := range p.Script.Processes {
 		x.marks = append(x.marks, swim.NameHash(fmt.Sprintf("n%d", i)))
 		x.nodes = append(x.nodes, &node{id: i, hostile: slices.Contains(p.Hostile, i)})
 	}
@@ -115,10 +115,10 @@
 		}
 		x.w.After(0.05*x.rnd.Float64(), func() { x.start(n) })
 	}
-	for _, m := range p.Script.Moments() {
-		x.w.At(m.At, func() { x.moment(m) })
+	for _, m := range p.Script.Transitions() {
+		x.w.At(m.Time, func() { x.moment(m) })
 	}
-	over := p.Script.Until
+	over := p.Script.Duration
 	var settledBytes int
 	x.w.At(min(settle, over), func() { settledBytes = x.bytes })
 	for s := 1.0; s <= over; s++ {
@@ -131,7 +131,7 @@
 	if p.MeasureAgreement {
 		x.w.At(lastOf(p.Script)+0.001, func() { x.watch(lastOf(p.Script)) })
 	}
-	x.w.Run(over)
+	x.w.RunUntil(over)
 	x.r.BytesPerSecond = float64(x.bytes-settledBytes) / float64(len(x.nodes)) / max(over-settle, 1)
 	x.r.TraceHash = h.Sum64()
 	x.r.WrongPartitionStateSeconds /= float64(len(x.nodes))
@@ -147,8 +147,8 @@
 
 func lastOf(s faults.Script) float64 {
 	end := 0.0
-	for _, a := range s.Acts {
-		end = max(end, a.At, a.Until)
+	for _, a := range s.Faults {
+		end = max(end, a.Start, a.End)
 	}
 	return end
 }
@@ -240,8 +240,8 @@
 	size := headBytes + claimBytes*len(a.Records) + chargeBytes*len(a.Accusations) + rowBytes*len(a.Entries)
 	x.bytes += size
 	x.datagrams++
-	way := x.plan.Script.Way(n.id, int(a.To), x.w.Now())
-	delays, spoilt := way.Passing(x.w.Rand)
+	way := x.plan.Script.LinkAt(n.id, int(a.To), x.w.Now())
+	delays, spoilt := way.Deliver(x.w.Rand)
 	if spoilt {
 		return // its signature does not hold
 	}
@@ -292,7 +292,7 @@
 				x.r.DetectionSeconds = append(x.r.DetectionSeconds, now-at)
 				x.allKnow(int(c.Member), at)
 			}
-		} else if !n.hostile && !of.hostile && now > settle && !x.plan.Script.Excused(n.id, of.id, now, blameFor) {
+		} else if !n.hostile && !of.hostile && now > settle && !x.plan.Script.ExplainsUnreachable(n.id, of.id, now, blameFor) {
 			x.r.FalseFailures++
 			if len(x.r.FalseFailureDetails) < 10 {
 				x.r.FalseFailureDetails = append(x.r.FalseFailureDetails, fmt.Sprintf("%.2f s: %d dropped %d: %s", now, n.id, c.Member, c.Reason))
@@ -316,12 +316,12 @@
 }
 
 // moment begins or ends a fault of processes; those of ways go by the time alone.
-func (x *player) moment(m faults.Moment) {
-	for _, i := range m.Act.From {
+func (x *player) moment(m faults.Transition) {
+	for _, i := range m.Fault.From {
 		n := x.nodes[i]
-		switch m.Act.Do {
+		switch m.Fault.Kind {
 		case faults.Kill, faults.Wipe:
-			if m.End {
+			if m.IsEnd {
 				if !n.up {
 					x.r.Restarts++
 					x.start(n)
@@ -337,7 +337,7 @@
 				}
 			}
 		case faults.Pause:
-			if !m.End {
+			if !m.IsEnd {
 				n.paused = true
 				continue
 			}
@@ -350,13 +350,13 @@
 					f()
 				}
 			}
-		case faults.Stuck:
-			n.stuck = !m.End
+		case faults.Stall:
+			n.stuck = !m.IsEnd
 			if n.up && !n.paused {
-				x.act(n, n.core.SetWorking(x.w.Now(), m.End))
+				x.act(n, n.core.SetWorking(x.w.Now(), m.IsEnd))
 			}
-		case faults.Clock:
-			n.clock = m.Act.S
+		case faults.ClockSkew:
+			n.clock = m.Fault.Seconds
 		}
 	}
 }
--- a/internal/sim/replication/moments.go
+++ b/internal/sim/replication/moments.go
@@ -3,22 +3,22 @@
 import "cairnfront/internal/sim/faults"
 
 // playMoment begins or ends a fault of routers. Faults of the network act on each message that is sent.
-func (s *simulation) playMoment(moment faults.Moment) {
-	if moment.Act.OfWay() {
+func (s *simulation) playMoment(moment faults.Transition) {
+	if moment.Fault.IsLinkFault() {
 		return
 	}
-	for _, i := range moment.Act.From {
+	for _, i := range moment.Fault.From {
 		if i >= len(s.routers) {
 			continue
 		}
 		r := s.routers[i]
-		switch moment.Act.Do {
+		switch moment.Fault.Kind {
 		case faults.Kill:
-			s.playPowerLoss(r, moment.End)
+			s.playPowerLoss(r, moment.IsEnd)
 		case faults.Wipe:
-			s.playDiskLoss(r, moment.End)
+			s.playDiskLoss(r, moment.IsEnd)
 		case faults.Pause:
-			s.playPause(r, moment.End)
+			s.playPause(r, moment.IsEnd)
 		}
 	}
 }
--- a/internal/sim/replication/router.go
+++ b/internal/sim/replication/router.go
@@ -196,8 +196,8 @@
 		}
 		return
 	}
-	way := s.config.Script.Way(from.index, to.index, s.world.Now())
-	delays, spoilt := way.Passing(s.world.Rand)
+	way := s.config.Script.LinkAt(from.index, to.index, s.world.Now())
+	delays, spoilt := way.Deliver(s.world.Rand)
 	if len(delays) == 0 || spoilt {
 		if isSnapshot {
 			replica.ReportSnapshot(id, false)
--- a/internal/sim/replication/script.go
+++ b/internal/sim/replication/script.go
@@ -21,46 +21,46 @@
 // cuts and bad networks come on top, and the last seconds are quiet.
 func GenerateScript(seed uint64, routers int, until float64) faults.Script {
 	rnd := rand.New(rand.NewPCG(seed, scriptStream))
-	script := faults.Script{Seed: seed, Peers: routers, Until: until}
+	script := faults.Script{Seed: seed, Processes: routers, Duration: until}
 	end := until - quietSeconds
 	for at := 4 + 3*rnd.Float64(); at < end; at += diskLossIntervalSeconds * (0.9 + 0.4*rnd.Float64()) {
-		script.Acts = append(script.Acts, faults.Act{
-			Do:    faults.Wipe,
-			At:    at,
-			Until: at + 1 + 4*rnd.Float64(),
+		script.Faults = append(script.Faults, faults.Fault{
+			Kind:  faults.Wipe,
+			Start: at,
+			End:   at + 1 + 4*rnd.Float64(),
 			From:  []int{rnd.IntN(routers)},
 		})
 	}
 	for range 2 + rnd.IntN(5) {
-		if act := generateAct(rnd, routers, end); act.Until > act.At {
-			script.Acts = append(script.Acts, act)
+		if act := generateAct(rnd, routers, end); act.End > act.Start {
+			script.Faults = append(script.Faults, act)
 		}
 	}
-	sort.SliceStable(script.Acts, func(i, j int) bool { return script.Acts[i].At < script.Acts[j].At })
+	sort.SliceStable(script.Faults, func(i, j int) bool { return script.Faults[i].Start < script.Faults[j].Start })
 	return script
 }
 
 // generateAct makes a fault other than the loss of a disk.
-func generateAct(rnd *rand.Rand, routers int, end float64) faults.Act {
-	act := faults.Act{At: 3 + rnd.Float64()*(end-6)}
-	act.Until = min(act.At+0.3+rnd.ExpFloat64()*2, end)
+func generateAct(rnd *rand.Rand, routers int, end float64) faults.Fault {
+	act := faults.Fault{Start: 3 + rnd.Float64()*(end-6)}
+	act.End = min(act.Start+0.3+rnd.ExpFloat64()*2, end)
 	switch rnd.IntN(6) {
 	case 0, 1:
-		act.Do = faults.Kill
+		act.Kind = faults.Kill
 		act.From = []int{rnd.IntN(routers)}
 	case 2:
-		act.Do = faults.Pause
+		act.Kind = faults.Pause
 		act.From = []int{rnd.IntN(routers)}
 	case 3:
-		act.Do = faults.Cut
-		act.Both = rnd.IntN(3) > 0
+		act.Kind = faults.Cut
+		act.BothWays = rnd.IntN(3) > 0
 		act.From, act.To = generateSides(rnd, routers)
 	case 4:
-		act.Do = faults.Lose
+		act.Kind = faults.Loss
 		act.Share = 0.3 * rnd.Float64()
 	default:
-		act.Do = faults.Delay
-		act.S = 0.15 * rnd.Float64()
+		act.Kind = faults.Delay
+		act.Seconds = 0.15 * rnd.Float64()
 	}
 	return act
 }
--- a/internal/sim/replication/simulation.go
+++ b/internal/sim/replication/simulation.go
@@ -75,7 +75,7 @@
 
 // simulation is one run. All of it happens in the events of the world.
 type simulation struct {
-	world      *clock.World
+	world      *clock.Scheduler
 	config     Config
 	routers    []*router
 	byReplica  map[uint64]*router
@@ -107,7 +107,7 @@
 
 // Run plays a simulation. One runs at a time in a process.
 func Run(config Config) (*Result, error) {
-	if err := config.Script.Check(); err != nil {
+	if err := config.Script.Validate(); err != nil {
 		return nil, err
 	}
 	electionReader.Lock()
@@ -121,7 +121,7 @@
 		return nil, err
 	}
 	s.schedule()
-	s.world.Run(config.Script.Until)
+	s.world.RunUntil(config.Script.Duration)
 	if s.err != nil {
 		s.result.Failure = s.err.Error()
 	}
@@ -146,7 +146,7 @@
 			s.keys = append(s.keys, key)
 		}
 	}
-	for i := range config.Script.Peers {
+	for i := range config.Script.Processes {
 		r := &router{
 			index:      i,
 			name:       fmt.Sprint("r", i),
@@ -161,8 +161,8 @@
 
 // schedule sets the first events: faults, ticks, rebalancing and clients.
 func (s *simulation) schedule() {
-	for _, moment := range s.config.Script.Moments() {
-		s.world.At(moment.At, func() { s.playMoment(moment) })
+	for _, moment := range s.config.Script.Transitions() {
+		s.world.At(moment.Time, func() { s.playMoment(moment) })
 	}
 	for _, r := range s.routers {
 		s.world.After(shard.TickSeconds*s.world.Rand.Float64(), func() { s.tick(r) })
--- a/internal/sim/replication/simulation_test.go
+++ b/internal/sim/replication/simulation_test.go
@@ -17,7 +17,7 @@
 	hash := sha256.New()
 	for seed := range uint64(200) {
 		script := GenerateScript(seed, 9, 60)
-		require.NoError(t, script.Check())
+		require.NoError(t, script.Validate())
 		text, err := json.Marshal(script)
 		require.NoError(t, err)
 		_, _ = hash.Write(text)
--- a/internal/sim/routing/model.go
+++ b/internal/sim/routing/model.go
@@ -164,7 +164,7 @@
 }
 
 type town struct {
-	*clock.World
+	*clock.Scheduler
 	members map[routing.EndpointID]*station
 	links   [campuses]*station
 	sizes   map[key]float64
@@ -228,7 +228,7 @@
 	}
 	res := &Result{Routers: routers, Requests: map[string]int{}, OnTime: map[string]int{}, Late: map[string]int{}, Rejected: map[string]int{},
 		Aborted: map[string]int{}, Attempts: map[string]int{}, sent: make([]int, int(lasts)+1), good: make([]int, int(lasts)+1)}
-	t := &town{World: clock.New(seed, 0x7417, clock0), members: map[routing.EndpointID]*station{}, sizes: map[key]float64{}, res: res,
+	t := &town{Scheduler: clock.New(seed, 0x7417, clock0), members: map[routing.EndpointID]*station{}, sizes: map[key]float64{}, res: res,
 		gossip: rand.New(rand.NewPCG(seed, 0x60551))}
 	sum := 0.0
 	for i := range objects {
@@ -280,7 +280,7 @@
 		}
 	}
 	t.arrive(-1, key{})
-	t.Run(clock0 + lasts + slaBase + giveUpAfter + slaStretch*mostKB/pace + 1)
+	t.RunUntil(clock0 + lasts + slaBase + giveUpAfter + slaStretch*mostKB/pace + 1)
 	for _, r := range t.routers {
 		for _, x := range r.open {
 			if x.answers == 0 {
