Requests carry the id types of routing: RequestID and ClassIndex

The dispatcher converted at each use. Only the codec, which reads the id, and the cache's own requests convert now. Tests of the touched packages pass.

--- a/cmd/cairnfront/serve.go
+++ b/cmd/cairnfront/serve.go
@@ -68,11 +68,11 @@
 		MaxAttemptsPerConnection: int(m.Settings.Float("hops_a_connection", 1)), RequestLoadReports: m.Settings["load_by"] == "checks"}
 	loop := dispatch.New(routing.New(m.Seed, m.Settings), m.Settings, pool, k)
 	pool.OnEvent = loop.UpstreamEvent
-	rules := map[string]int{}
+	classes := map[string]routing.ClassIndex{}
 	for i, name := range m.ClassNames {
-		rules[name] = i
+		classes[name] = routing.ClassIndex(i)
 	}
-	taker := &frontend.Server{ClassIndexes: rules, Admission: gate, Metrics: k, Requests: loop}
+	taker := &frontend.Server{ClassIndexes: classes, Admission: gate, Metrics: k, Requests: loop}
 	news := &discovery.Client{Address: m.DiscoveryAddress, LastRevision: m.LastRevision, Telemetry: k, OnEvent: loop.DiscoveryEvent,
 		AddressChanges: make(chan string, 1)}
 
--- a/internal/cacheproto/command_test.go
+++ b/internal/cacheproto/command_test.go
@@ -59,7 +59,7 @@
 	got, err := ParseCommand(line[:len(line)-len(LineEnd)])
 	assert.NoError(t, err)
 	assert.Equal(t, Command{
-		ID:             r.ID,
+		ID:             string(r.ID),
 		ClassName:      "page",
 		Object:         r.Object,
 		ObjectID:       0x7f3a9c21e0b4d655,
--- a/internal/clientproto/request.go
+++ b/internal/clientproto/request.go
@@ -6,6 +6,7 @@
 	"strconv"
 
 	"cairnfront/internal/request"
+	"cairnfront/routing"
 )
 
 const (
@@ -146,7 +147,7 @@
 }
 
 func parseID(r *Request, value string) bool {
-	r.ID = value
+	r.ID = routing.RequestID(value)
 	return isHex(value, idLength)
 }
 
--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -62,7 +62,7 @@
 		deadline = min(deadline, action.Deadline)
 	}
 	if d.RetryBudget != nil {
-		d.RetryBudget.RecordAttempt(d.now, routing.ClassIndex(o.request.Class), a.endpoint, a.number > 0)
+		d.RetryBudget.RecordAttempt(d.now, o.request.Class, a.endpoint, a.number > 0)
 		d.runNext(retryBudgetCheck{})
 	}
 	switch {
@@ -121,7 +121,7 @@
 	if d.OnAttemptEnd != nil {
 		d.OnAttemptEnd(AttemptReport{
 			Endpoint:       a.endpoint,
-			Class:          routing.ClassIndex(o.request.Class),
+			Class:          o.request.Class,
 			Result:         end.Result,
 			ElapsedSeconds: elapsed,
 		})
--- a/internal/dispatch/golden_test.go
+++ b/internal/dispatch/golden_test.go
@@ -32,7 +32,7 @@
 		}
 		return nil
 	})
-	arrive := func(id string, deadline float64) {
+	arrive := func(id routing.RequestID, deadline float64) {
 		f.arrive(&request.Request{ID: id, ClassName: "page", Class: 1, Deadline: deadline, ResponseWriter: f.recorder})
 	}
 	f.arrive(f.request)
--- a/internal/dispatch/requests.go
+++ b/internal/dispatch/requests.go
@@ -19,7 +19,7 @@
 }
 
 // id is the request's id as the decisions know it.
-func (o *openRequest) id() routing.RequestID { return routing.RequestID(o.request.ID) }
+func (o *openRequest) id() routing.RequestID { return o.request.ID }
 
 // openRequest takes in a request that arrived.
 func (d *Dispatcher) openRequest(r *request.Request) {
@@ -27,7 +27,7 @@
 		r.Body.Free()
 		return
 	}
-	id := routing.RequestID(r.ID)
+	id := r.ID
 	if d.requests[id] != nil { // the decisions know a request by its id
 		r.Body.Free()
 		r.ResponseWriter.Respond(r, request.Response{Result: request.Rejected, Reason: request.ReasonDuplicateID})
@@ -38,13 +38,13 @@
 	d.schedule(r.Deadline+overdueGrace.Seconds(), requestOverdue{o})
 	d.decide(routing.RequestArrived{
 		Request:     id,
-		Class:       routing.ClassIndex(r.Class),
+		Class:       r.Class,
 		Object:      strings.ToLower(r.Object),
 		Chunk:       r.PartNumber,
 		ObjectGroup: r.PurgeGroup,
 		Deadline:    r.Deadline,
 		SizeKB:      r.SizeKB,
-		Write:       d.Settings.ListItem("uncacheable", r.Class) == "true",
+		Write:       d.Settings.ListItem("uncacheable", int(r.Class)) == "true",
 	}, o)
 }
 
@@ -52,7 +52,7 @@
 // open.
 func (d *Dispatcher) handleRequestCancelled(r *request.Request) {
 	d.advanceClock()
-	if o := d.requests[routing.RequestID(r.ID)]; o != nil && o.request == r {
+	if o := d.requests[r.ID]; o != nil && o.request == r {
 		d.disconnect(o)
 	}
 }
--- a/internal/edgecache/box.go
+++ b/internal/edgecache/box.go
@@ -470,7 +470,7 @@
 
 // fetch asks a source.
 func (b *Server) fetch(f handler.Fetch) {
-	t := &request.Request{ID: fmt.Sprintf("%s-%x", b.Config.ID[2:], f.Fill), ClassName: f.Class, Object: fmt.Sprintf("%016x", f.Key.Object), Part: strconv.Itoa(int(f.Key.Chunk)), ETag: f.Tag}
+	t := &request.Request{ID: routing.RequestID(fmt.Sprintf("%s-%x", b.Config.ID[2:], f.Fill)), ClassName: f.Class, Object: fmt.Sprintf("%016x", f.Key.Object), Part: strconv.Itoa(int(f.Key.Chunk)), ETag: f.Tag}
 	if a := b.open[f.Request]; a != nil {
 		t.IdempotencyKey, t.Body = a.line.IdempotencyKey, a.body
 	}
--- a/internal/frontend/framereader_test.go
+++ b/internal/frontend/framereader_test.go
@@ -9,6 +9,7 @@
 
 	"cairnfront/internal/clientproto"
 	"cairnfront/internal/request"
+	"cairnfront/routing"
 
 	"github.com/stretchr/testify/assert"
 )
@@ -18,7 +19,7 @@
 	before := float64(time.Now().UnixMicro()) / 1e6
 	_, _ = c.Write(requestFrame(1, "aa", clientproto.Field{Name: "heap", Value: "412.5"}))
 	r := <-c.sink.arrived
-	assert.Equal(t, []any{"aa0123456789abcd", "page", 1, 3, 412.5},
+	assert.Equal(t, []any{routing.RequestID("aa0123456789abcd"), "page", routing.ClassIndex(1), 3, 412.5},
 		[]any{r.ID, r.ClassName, r.Class, r.PartNumber, r.SizeKB})
 	assert.GreaterOrEqual(t, r.ArrivedAt, before)
 	assert.InDelta(t, r.ArrivedAt+1.5, r.Deadline, 1e-6)
--- a/internal/frontend/helpers_test.go
+++ b/internal/frontend/helpers_test.go
@@ -16,6 +16,7 @@
 	"cairnfront/internal/netconn"
 	"cairnfront/internal/request"
 	"cairnfront/internal/telemetry"
+	"cairnfront/routing"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -74,7 +75,7 @@
 func newTestConnOver(t *testing.T, near, far net.Conn, admitted bool) *testClient {
 	c := &testClient{Conn: far, sink: newTestSink(), log: &bytes.Buffer{}, done: make(chan bool)}
 	c.Server = &Server{
-		ClassIndexes: map[string]int{"page": 1},
+		ClassIndexes: map[string]routing.ClassIndex{"page": 1},
 		Admission:    admission.New(64, 256),
 		Metrics:      telemetry.New(c.log, ""),
 		Requests:     c.sink,
@@ -223,7 +224,7 @@
 	require.NoError(t, err)
 	sink = newTestSink()
 	s = &Server{
-		ClassIndexes: map[string]int{"page": 1},
+		ClassIndexes: map[string]routing.ClassIndex{"page": 1},
 		Admission:    admission.New(64, 256),
 		Metrics:      telemetry.New(io.Discard, ""),
 		Requests:     sink,
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -24,6 +24,7 @@
 	"cairnfront/internal/admission"
 	"cairnfront/internal/request"
 	"cairnfront/internal/telemetry"
+	"cairnfront/routing"
 
 	"golang.org/x/sync/errgroup"
 )
@@ -46,7 +47,7 @@
 
 // Server accepts the clients' connections and serves them. Its exported fields are set before Serve.
 type Server struct {
-	ClassIndexes map[string]int // request classes by name
+	ClassIndexes map[string]routing.ClassIndex // request classes by name
 	Admission    *admission.Controller
 	Metrics      *telemetry.Metrics
 	Requests     RequestSink
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -5,13 +5,17 @@
 // and how often is up to the packages admission and routing. How a request looks on the wire is up to clientproto.
 package request
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+
+	"cairnfront/routing"
+)
 
 // Request is a client's request. Fields of type string hold the client's text and are sent on unchanged.
 type Request struct {
-	ID             string
+	ID             routing.RequestID
 	StreamID       uint32 // of the client's connection
-	Class          int    // index of the request class
+	Class          routing.ClassIndex
 	ClassName      string
 	Object         string
 	Part           string  // number of the part, as the client wrote it
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -103,11 +103,11 @@
 	r := command.Request
 	return p.start(command.Endpoint, &Attempt{
 		Owner:        owner,
-		id:           r.ID,
+		id:           string(r.ID),
 		head:         cacheproto.AppendAttempt(nil, command),
 		body:         r.Body,
 		request:      r,
-		isIdempotent: p.IsIdempotent != nil && p.IsIdempotent(r.Class),
+		isIdempotent: p.IsIdempotent != nil && p.IsIdempotent(int(r.Class)),
 	}, avoid)
 }
 
--- a/internal/upstream/testpool_test.go
+++ b/internal/upstream/testpool_test.go
@@ -74,7 +74,7 @@
 
 // send sends an attempt of an idempotent class, with a body of so many bytes.
 func (s *testPool) send(id string, bodyBytes int, avoid ...*Connection) *Attempt {
-	r := &request.Request{ID: id, ClassName: "page", Object: "ff", Part: "0"}
+	r := &request.Request{ID: routing.RequestID(id), ClassName: "page", Object: "ff", Part: "0"}
 	if bodyBytes > 0 {
 		r.Body = &request.Body{Bytes: make([]byte, bodyBytes)}
 	}
