--- /dev/null
+++ b/internal/sim/faults/golden_test.go
@@ -0,0 +1,56 @@
+package faults
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// goldenScripts prints generated scripts, what becomes of datagrams under them, and the scripts that they shrink to.
+func goldenScripts(t *testing.T) string {
+	var out strings.Builder
+	for seed := range uint64(5) {
+		script := Generate(seed, 12, 9, 70)
+		text, err := json.Marshal(script)
+		require.NoError(t, err)
+		fmt.Fprintf(&out, "%s\n", text)
+
+		rnd := rand.New(rand.NewPCG(seed, 3))
+		for second := range 70 {
+			link := script.LinkAt(second%12, (second*5+1)%12, float64(second))
+			delays, corrupt := link.Deliver(rnd)
+			fmt.Fprintf(&out, "%d %+v %.6f %t running=%t working=%t reachable=%d explained=%t\n", second, link, delays, corrupt,
+				script.IsRunning(second%12, float64(second)), script.IsWorking(second%12, float64(second)),
+				script.ReachableCount(second%12, float64(second)), script.ExplainsUnreachable(second%12, 3, float64(second), 2))
+		}
+		for _, transition := range script.Transitions() {
+			fmt.Fprintf(&out, "%.6f end=%t %s\n", transition.Time, transition.IsEnd, transition.Fault)
+		}
+		hasKillAndLink := func(s Script) bool {
+			var kill, link bool
+			for _, fault := range s.Faults {
+				kill = kill || fault.Kind == Kill || fault.Kind == Pause
+				link = link || fault.IsLinkFault()
+			}
+			return kill && link
+		}
+		shrunk, runs := Shrink(script, 100, hasKillAndLink)
+		text, err = json.Marshal(shrunk)
+		require.NoError(t, err)
+		fmt.Fprintf(&out, "shrunk in %d runs: %s\n", runs, text)
+	}
+	return out.String()
+}
+
+// TestScriptsStayTheSame: scripts that were printed in reports have to be replayed the same.
+func TestScriptsStayTheSame(t *testing.T) {
+	want, err := os.ReadFile("testdata/scripts.golden")
+	require.NoError(t, err)
+	assert.Equal(t, strings.Split(string(want), "\n"), strings.Split(goldenScripts(t), "\n"))
+}
