--- /dev/null
+++ b/internal/upstream/retrybudget/budget_test.go
@@ -0,0 +1,72 @@
+package retrybudget
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+)
+
+func TestBudgetIsAShareOfFirstAttempts(t *testing.T) {
+	b := New(Limits{RetryRatio: 0.2, MinRetries: 2})
+	for i := range 50 {
+		b.RecordAttempt(100+float64(i)/100, 0, "a", false)
+	}
+	for range 11 {
+		b.RecordAttempt(100.6, 0, "b", true)
+	}
+	assert.Equal(t, []Change{{Scope{-1, "b"}, false}}, b.TakeChanges(), "b had no first attempt: its minimum is spent")
+	b.RecordAttempt(100.6, 0, "c", true)
+	assert.Equal(t, []Change{{Scope{0, ""}, false}}, b.TakeChanges())
+	b.Advance(102)
+	assert.Empty(t, b.TakeChanges(), "within the window")
+	b.Advance(105)
+	assert.Equal(t, []Change{{Scope{-1, "b"}, true}, {Scope{0, ""}, true}}, b.TakeChanges())
+	assert.Empty(t, b.windows, "scopes without attempts are forgotten")
+}
+
+func TestWithoutARatioThereIsNoBudget(t *testing.T) {
+	b := New(Limits{})
+	for range 99 {
+		b.RecordAttempt(1, 0, "a", true)
+	}
+	assert.Empty(t, b.TakeChanges())
+	assert.Empty(t, b.windows)
+}
+
+// TestRetriesStayWithinTheBudget tests that while no retry is sent on a spent budget, the retries in any window stay
+// within it.
+func TestRetriesStayWithinTheBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := New(Limits{RetryRatio: 0.25, MinRetries: 3})
+		now, spent := 50.0, map[Scope]bool{}
+		type attempt struct {
+			at      float64
+			isRetry bool
+		}
+		var all []attempt
+		for range rapid.IntRange(10, 400).Draw(t, "n") {
+			now += rapid.Float64Range(0, 0.1).Draw(t, "dt")
+			isRetry := rapid.Bool().Draw(t, "isRetry")
+			b.Advance(now)
+			if !isRetry || (!spent[Scope{0, ""}] && !spent[Scope{-1, "a"}]) {
+				b.RecordAttempt(now, 0, "a", isRetry)
+				all = append(all, attempt{now, isRetry})
+			}
+			for _, c := range b.TakeChanges() {
+				spent[c.Scope] = !c.Available
+			}
+			firstAttempts, retries := 0.0, 0.0
+			for _, a := range all {
+				if a.isRetry && a.at > now-windowSeconds+slotSeconds {
+					retries++
+				} else if !a.isRetry && a.at > now-windowSeconds-slotSeconds {
+					firstAttempts++
+				}
+			}
+			if retries > 3+0.25*firstAttempts+1 {
+				t.Fatalf("%v retries for %v first attempts", retries, firstAttempts)
+			}
+		}
+	})
+}
