Replication: comments name what they are at, units stand in the simulation's names

Long trailing comments had lost their subject when lines were wrapped. Two methods of a replica that nothing calls are gone. The linter has no finding, and the simulation's tests pass with the race detector.

--- a/internal/replication/node.go
+++ b/internal/replication/node.go
@@ -59,7 +59,8 @@
 	Clock               func() time.Time // by which reservations expire; nil for the system's
 }
 
-// Node is one router's part. All fields after events belong to the goroutine of Run.
+// Node is one router's part. Its exported methods may be called from any goroutine. All fields but
+// config, events and stopped belong to the goroutine of Run.
 type Node struct {
 	config    Config
 	wal       *wal.WAL
--- a/internal/replication/placement/rebalancer.go
+++ b/internal/replication/placement/rebalancer.go
@@ -7,9 +7,11 @@
 )
 
 const (
-	// Proposed at a time by one router, so that copying leaves the network to reservations
+	// maxConcurrentChanges bounds the changes that one router proposes at a time, so that copying
+	// leaves the network to reservations.
 	maxConcurrentChanges = 4
-	// Between two proposals for a shard; a learner that catches up is asked for this often
+	// changeIntervalSeconds is the time between two proposals for a shard. Whether a learner has
+	// caught up is looked at this often.
 	changeIntervalSeconds = 0.5
 )
 
--- a/internal/replication/report.go
+++ b/internal/replication/report.go
@@ -21,21 +21,21 @@
 	HealthBearsZoneLoss Health = "bears the loss of a zone"
 )
 
-// ShardReport is a shard as operators see it.
+// ShardReport is a shard as operators see it. Its JSON keys are those of the first version.
 type ShardReport struct {
 	Shard    int      `json:"slice"`
 	IsLeader bool     `json:"leads"`
 	Leader   string   `json:"leader"`
 	Replicas []string `json:"holders"`
 	Learners []string `json:"coming"`
-	// Entries that the member furthest behind lacks, where this router leads
+	// Lag is the entries that the member furthest behind lacks, where this router leads.
 	Lag                 uint64 `json:"lag"`
 	Reservations        int    `json:"promises"`
 	TolerableNodeLosses int    `json:"bears_machines"`
 	TolerableZoneLosses int    `json:"bears_zones"`
 }
 
-// Report is what a router knows of its shards.
+// Report is what a router knows of its shards. Its JSON keys are those of the first version.
 type Report struct {
 	Name       string        `json:"name"`
 	Replica    uint64        `json:"holder"`
--- a/internal/replication/shard/replica.go
+++ b/internal/replication/shard/replica.go
@@ -29,8 +29,9 @@
 const TickSeconds = 0.05
 
 const (
-	// Of silence until an election; raft draws one to two times as many, 0.5 to 1 s
-	electionTicks            = 10
+	// electionTicks of silence lead to an election. Raft draws one to two times as many, 0.5 to 1 s.
+	electionTicks = 10
+
 	heartbeatTicks           = 2       // between a leader's heartbeats
 	maxInflightMessages      = 64      // under way to a replica
 	maxMessageBytes          = 1 << 18 // of entries in a message
@@ -192,9 +193,3 @@
 	}
 	r.node.ReportSnapshot(id, status)
 }
-
-// Campaign starts an election now.
-func (r *Replica) Campaign() { _ = r.node.Campaign() }
-
-// TransferLeadership hands the leadership to another replica.
-func (r *Replica) TransferLeadership(to uint64) { r.node.TransferLeader(to) }
--- a/internal/replication/transport/frame.go
+++ b/internal/replication/transport/frame.go
@@ -32,24 +32,27 @@
 	KindHeartbeat                      // keeps an idle connection open
 )
 
-// Frame is what goes between two routers. Fields that a version does not know are skipped.
+// Frame is what goes between two routers. Which fields are set depends on its kind. Fields that a
+// version does not know are skipped.
 type Frame struct {
 	Kind  FrameKind `cbor:"1,keyasint"`
 	Shard int       `cbor:"2,keyasint,omitempty"`
-	// KindRaft: the message; KindPropose: the command
-	Payload         []byte               `cbor:"3,keyasint,omitempty"`
-	Number          uint64               `cbor:"4,keyasint,omitempty"` // of a proposal or read and its result
-	Key             string               `cbor:"5,keyasint,omitempty"` // KindRead
-	ReservationKind statemachine.Kind    `cbor:"6,keyasint,omitempty"` // KindRead
-	Result          *statemachine.Result `cbor:"7,keyasint,omitempty"` // KindResult
-	// KindHello: the sender's; KindNotLeader: the leader's, 0 if unknown
+	// Payload is the message of a KindRaft and the command of a KindPropose.
+	Payload []byte `cbor:"3,keyasint,omitempty"`
+	// Number names a proposal or read and comes back with its result.
+	Number uint64 `cbor:"4,keyasint,omitempty"`
+	// Key and ReservationKind say what a KindRead reads.
+	Key             string               `cbor:"5,keyasint,omitempty"`
+	ReservationKind statemachine.Kind    `cbor:"6,keyasint,omitempty"`
+	Result          *statemachine.Result `cbor:"7,keyasint,omitempty"` // of a KindResult
+	// Replica is the sender's of a KindHello, and the leader's of a KindNotLeader, 0 if unknown.
 	Replica uint64 `cbor:"8,keyasint,omitempty"`
-	// KindHello: how often the sender's disk was opened
+	// StartCount of a KindHello is how often the sender's disk was opened.
 	StartCount uint32 `cbor:"9,keyasint,omitempty"`
-	Zone       string `cbor:"10,keyasint,omitempty"`
-	// KindHello: the shards held, with their voters
+	Zone       string `cbor:"10,keyasint,omitempty"` // the sender's of a KindHello
+	// ShardVoters of a KindHello are the shards that the sender holds, with their voters.
 	ShardVoters map[int][]uint64 `cbor:"11,keyasint,omitempty"`
-	// KindHello: how often each disk was seen to be opened
+	// SeenStartCounts of a KindHello is how often the sender saw each replica's disk be opened.
 	SeenStartCounts map[uint64]uint32 `cbor:"12,keyasint,omitempty"`
 }
 
--- a/internal/replication/wal/wal.go
+++ b/internal/replication/wal/wal.go
@@ -24,7 +24,7 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// Files of the folder.
+// Files of the folder. Their names are part of the format.
 const (
 	formatVersion      = 1
 	identityFile       = "holder"
--- a/internal/sim/replication/client.go
+++ b/internal/sim/replication/client.go
@@ -38,10 +38,10 @@
 		isRead:    isRead,
 		command: statemachine.Command{
 			Op:              statemachine.OpReserve,
-			Now:             clockStart,
+			Now:             clockStartUnixSeconds,
 			Key:             key,
 			Group:           group,
-			LifetimeSeconds: reservationLifetime,
+			LifetimeSeconds: reservationLifetimeSeconds,
 			Requester:       requester,
 			RequestNumber:   number,
 		},
@@ -59,7 +59,7 @@
 		Return:   history.Unanswered,
 	})
 	s.submit(number)
-	s.world.After(s.world.Rand.ExpFloat64()*meanRequestInterval, s.startRequest)
+	s.world.After(s.world.Rand.ExpFloat64()*meanRequestIntervalSeconds, s.startRequest)
 }
 
 // timestamp is the time of the history, in ns.
@@ -69,7 +69,7 @@
 // answered or timed out.
 func (s *simulation) submit(number uint64) {
 	request := s.requests[number]
-	if request.answered || s.world.Now() > request.startedAt+requestTimeout {
+	if request.answered || s.world.Now() > request.startedAt+requestTimeoutSeconds {
 		return
 	}
 	shardNumber := placement.ShardOf(request.key)
@@ -77,7 +77,7 @@
 		leader := leaders[s.world.Rand.IntN(len(leaders))]
 		s.handle(leader, func() { request.submitTo(leader.replicas[shardNumber], number) })
 	}
-	s.world.After(retryInterval, func() { s.submit(number) })
+	s.world.After(retryIntervalSeconds, func() { s.submit(number) })
 }
 
 // submitTo proposes a request to a replica. One that is refused is sent again later.
--- a/internal/sim/replication/moments.go
+++ b/internal/sim/replication/moments.go
@@ -29,7 +29,7 @@
 	if !end {
 		s.result.PowerCuts++
 		r.fs.PowerLossAfter = r.fs.OpCount() + 1 + s.world.Rand.IntN(maxPowerLossOperation)
-		s.world.After(powerLossTime, func() { s.stop(r) })
+		s.world.After(powerLossSeconds, func() { s.stop(r) })
 		return
 	}
 	s.stop(r)
--- a/internal/sim/replication/router.go
+++ b/internal/sim/replication/router.go
@@ -108,7 +108,7 @@
 		update()
 		return
 	}
-	s.world.After(detectionTime, update)
+	s.world.After(detectionSeconds, update)
 }
 
 // handle lets a router handle an event, later where it is paused, and never where it is down.
@@ -157,7 +157,7 @@
 	}
 	r.writing = true
 	log := r.log
-	s.world.After(maxSyncTime*s.world.Rand.Float64(), func() {
+	s.world.After(maxSyncSeconds*s.world.Rand.Float64(), func() {
 		if r.log != log || !r.up {
 			return
 		}
@@ -204,7 +204,7 @@
 		}
 		return
 	}
-	s.world.After(delays[0]+networkLatency+networkJitter*s.world.Rand.Float64(), func() {
+	s.world.After(delays[0]+networkLatencySeconds+networkJitterSeconds*s.world.Rand.Float64(), func() {
 		s.handle(to, func() { s.receive(to, replica.Shard(), message) })
 		if isSnapshot && from.up && from.replicas[replica.Shard()] == replica {
 			replica.ReportSnapshot(id, true)
@@ -245,7 +245,7 @@
 		}
 	})
 	s.measureLeaderlessTime()
-	s.world.After(rebalanceInterval, func() { s.rebalance(r) })
+	s.world.After(rebalanceIntervalSeconds, func() { s.rebalance(r) })
 }
 
 func (s *simulation) measureLeaderlessTime() {
--- a/internal/sim/replication/simulation.go
+++ b/internal/sim/replication/simulation.go
@@ -24,27 +24,28 @@
 	"github.com/anishathalye/porcupine"
 )
 
-// Sizes and times of a simulation, in seconds where not stated.
+// Sizes and times of a simulation.
 const (
-	zoneCount         = 3
-	replicaCount      = 3
-	networkLatency    = 0.0005
-	networkJitter     = 0.002
-	maxSyncTime       = 0.002 // that a batch is on its way to the disk
-	detectionTime     = 2.0   // until others know that a router is down or up again
-	replaceAfter      = 4.0   // for which a replica has to be away before it is replaced
-	rebalanceInterval = 0.5
-	// After which a router whose power is lost is down, wherever its disk's operations stand
-	powerLossTime         = 0.3
-	meanRequestInterval   = 0.05 // of all clients
-	requestTimeout        = 3.0
-	retryInterval         = 0.4
-	keyCount              = 24  // keys that clients ask for
-	reservationLifetime   = 1e6 // so that none expires in a simulation
-	clockStart            = 1.7e9
-	linearizabilityLimit  = 30 * time.Second // of the machine's time
-	maxPostponedEvents    = 500              // that a paused router handles when it continues
-	maxPowerLossOperation = 6                // disk operations after which the power is lost
+	zoneCount                = 3
+	replicaCount             = 3
+	networkLatencySeconds    = 0.0005
+	networkJitterSeconds     = 0.002
+	maxSyncSeconds           = 0.002 // that a batch is on its way to the disk
+	detectionSeconds         = 2.0   // until others know that a router is down or up again
+	replaceAfterSeconds      = 4.0   // for which a replica has to be away before it is replaced
+	rebalanceIntervalSeconds = 0.5
+	// powerLossSeconds is after how long a router whose power is lost is down, wherever its disk's
+	// operations stand.
+	powerLossSeconds           = 0.3
+	meanRequestIntervalSeconds = 0.05 // of all clients
+	requestTimeoutSeconds      = 3.0
+	retryIntervalSeconds       = 0.4
+	keyCount                   = 24  // keys that clients ask for
+	reservationLifetimeSeconds = 1e6 // so that none expires in a simulation
+	clockStartUnixSeconds      = 1.7e9
+	linearizabilityLimit       = 30 * time.Second // of the machine's time
+	maxPostponedEvents         = 500              // that a paused router handles when it continues
+	maxPowerLossOperation      = 6                // disk operations after which the power is lost
 )
 
 // Streams of random numbers from a script's seed.
@@ -151,7 +152,7 @@
 			index:      i,
 			name:       fmt.Sprint("r", i),
 			zone:       fmt.Sprint("z", i%zoneCount),
-			rebalancer: placement.NewRebalancer(replicaCount, replaceAfter),
+			rebalancer: placement.NewRebalancer(replicaCount, replaceAfterSeconds),
 		}
 		s.routers = append(s.routers, r)
 		s.startWithEmptyDisk(r)
@@ -166,7 +167,7 @@
 	}
 	for _, r := range s.routers {
 		s.world.After(shard.TickSeconds*s.world.Rand.Float64(), func() { s.tick(r) })
-		s.world.After(rebalanceInterval*s.world.Rand.Float64(), func() { s.rebalance(r) })
+		s.world.After(rebalanceIntervalSeconds*s.world.Rand.Float64(), func() { s.rebalance(r) })
 	}
 	s.world.After(1, s.startRequest)
 }
