--- a/cmd/cairnfront/tier.go
+++ b/cmd/cairnfront/tier.go
@@ -24,11 +24,11 @@
 			if asJSON {
 				return json.NewEncoder(out).Encode(in)
 			}
-			fmt.Fprintf(out, "parts      %d of %d objects; by rank 0 to 3: %v\n", in.Parts, in.Objects, in.ByRank)
-			fmt.Fprintf(out, "bytes      %d live of %d in %d segments; the index takes about %d\n", in.Live, in.OnDisk, in.Segments, in.IndexBytes)
-			fmt.Fprintf(out, "purges     %d remembered, notice %d followed, log of %d bytes\n", in.Purges, in.Followed, in.LogBytes)
-			fmt.Fprintf(out, "trust      doubted up to seq %d; forgotten purges up to %s\n", in.Doubted, moment(in.Floor))
-			fmt.Fprintf(out, "oldest     %s\n", moment(in.OldestDated))
+			fmt.Fprintf(out, "parts      %d of %d objects; by rank 0 to 3: %v\n", in.Chunks, in.Objects, in.ByRank)
+			fmt.Fprintf(out, "bytes      %d live of %d in %d segments; the index takes about %d\n", in.LiveBytes, in.DiskBytes, in.Segments, in.IndexBytes)
+			fmt.Fprintf(out, "purges     %d remembered, notice %d followed, log of %d bytes\n", in.Purges, in.LastEvent, in.PurgeLogBytes)
+			fmt.Fprintf(out, "trust      doubted up to seq %d; forgotten purges up to %s\n", in.SuspectUpTo, moment(in.PurgeFloor))
+			fmt.Fprintf(out, "oldest     %s\n", moment(in.OldestIssuedAt))
 			fmt.Fprintf(out, "opened     in %.3f s, %d parts by the snapshot, %d bytes read; faults %v\n", in.Took.Seconds(), in.FromSnapshot, in.Scanned, in.FaultsByCode)
 			return nil
 		}}
@@ -47,7 +47,7 @@
 			if err != nil {
 				return err
 			}
-			fmt.Fprintf(cmd.OutOrStdout(), "%d parts are whole, %d of them voided by a purge; %d bad\n", in.Sound+in.Voided, in.Voided, bad)
+			fmt.Fprintf(cmd.OutOrStdout(), "%d parts are whole, %d of them voided by a purge; %d bad\n", in.Valid+in.Invalidated, in.Invalidated, bad)
 			if bad > 0 {
 				return fmt.Errorf("%d bad records", bad)
 			}
--- /dev/null
+++ b/internal/diskcache/cache.go
@@ -0,0 +1,189 @@
+package diskcache
+
+import (
+	"cairnfront/internal/diskcache/eviction"
+	"cairnfront/internal/diskcache/validity"
+	"cairnfront/internal/diskcache/vfs"
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// Config configures a Cache, from the operators' file.
+type Config struct {
+	SpaceBytes       int64 // of disk that all segments may take
+	SegmentBytes     int64
+	Alpha            float64 // see eviction.Config
+	DailyWriteBytes  int64   // 0 for no limit
+	MaxGhosts        int     // chunks remembered that are not cached
+	MaxPurges        int     // purges remembered
+	Readers          int
+	ReadQueue        int           // reads that may wait for a reader
+	ReadTimeout      time.Duration // after which a read is a miss
+	WriteQueue       int           // chunks that may wait to be written
+	SyncInterval     time.Duration
+	SnapshotInterval time.Duration // 0 for none
+}
+
+const (
+	// liveShare is the share of the space that live chunks may take. The rest is for dead records not yet reclaimed.
+	liveShare = 0.85
+	// restoredGapSeconds is the mean gap assumed for a chunk whose access history a crash lost: worth keeping for a
+	// while.
+	restoredGapSeconds = 600
+	// retryPause is the pause after a failed write.
+	retryPause = time.Second
+)
+
+// Counter counts events by name.
+type Counter interface{ Add(name string, n int64) }
+
+// Cache is the disk in the path of requests. Only Close waits for the disk without a bound. It is safe for concurrent
+// use.
+type Cache struct {
+	config  Config
+	store   *Store
+	counter Counter
+	log     *slog.Logger
+	now     func() time.Time
+
+	policyMu sync.Mutex
+	policy   *eviction.Cafe
+
+	trackerMu sync.Mutex
+	tracker   *validity.Tracker
+
+	reads  chan *readRequest
+	writes chan writeRequest
+
+	purgeRecords purgeQueue
+
+	writesPausedUntil atomic.Int64 // Unix ns
+}
+
+// OpenCache opens a folder. Nothing is read or written before Run is called.
+func OpenCache(fs vfs.FS, config Config, counter Counter, log *slog.Logger) (*Cache, RecoveryReport, error) {
+	config.Readers = max(config.Readers, 1)
+	config.ReadQueue = max(config.ReadQueue, 1)
+	config.WriteQueue = max(config.WriteQueue, 1)
+	c := &Cache{
+		config:  config,
+		counter: counter,
+		log:     log,
+		now:     time.Now,
+		tracker: validity.NewTracker(config.MaxPurges),
+		policy: eviction.NewCafe(eviction.Config{
+			Alpha:           config.Alpha,
+			CapacityBytes:   int64(float64(config.SpaceBytes) * liveShare),
+			MaxGhosts:       config.MaxGhosts,
+			DailyWriteBytes: config.DailyWriteBytes,
+		}),
+		reads:  make(chan *readRequest, config.ReadQueue),
+		writes: make(chan writeRequest, config.WriteQueue),
+	}
+	c.purgeRecords.init()
+	store, report, err := OpenStore(fs, StoreOptions{SegmentBytes: config.SegmentBytes}, true, c.reportFault)
+	if err != nil {
+		return nil, report, err
+	}
+	c.store = store
+	now := c.now()
+	c.purgeRecords.enqueue(c.tracker.Restore(report.Records, store.LastSeq(), now.UnixMilli()))
+	c.restorePolicy(report.Known, unixSeconds(now))
+	report.Known, report.Records = nil, nil
+	return c, report, nil
+}
+
+// restorePolicy tells the eviction policy what the disk holds. A chunk without an access history counts as requested
+// now.
+func (c *Cache) restorePolicy(known map[eviction.Key]eviction.AccessHistory, now float64) {
+	type stored struct {
+		key  eviction.Key
+		size int64
+	}
+	var all []stored
+	c.store.Each(func(key eviction.Key, size int64, _ uint8) bool {
+		all = append(all, stored{key, size})
+		return true
+	})
+	for _, chunk := range all {
+		history, ok := known[chunk.key]
+		if !ok || history.LastAccess > now {
+			history = eviction.AccessHistory{MeanGap: restoredGapSeconds, LastAccess: now}
+		}
+		for _, evicted := range c.policy.Restore(chunk.key, chunk.size, history) {
+			c.store.Delete(evicted)
+		}
+	}
+}
+
+func unixSeconds(t time.Time) float64 { return float64(t.UnixMilli()) / 1000 }
+
+func (c *Cache) reportFault(fault StoreError) {
+	c.counter.Add("tier.fault."+string(fault.Code), 1)
+	c.log.Warn("tier", "code", string(fault.Code), "file", fault.File, "at", fault.Offset, "err", fault.Err.Error())
+}
+
+// Run reads, writes and maintains the folder until the context ends.
+func (c *Cache) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	start := func(loop func(context.Context)) {
+		g.Go(func() error {
+			loop(ctx)
+			return nil
+		})
+	}
+	for range c.config.Readers {
+		start(c.readLoop)
+	}
+	start(c.writeLoop)
+	start(c.purgeRecordLoop)
+	start(c.maintenanceLoop)
+	return g.Wait()
+}
+
+// Close writes what waits and a snapshot, and releases the folder. Run must have returned.
+func (c *Cache) Close() error {
+	for len(c.writes) > 0 {
+		c.write(<-c.writes)
+	}
+	c.writePendingRecords()
+	c.writeSnapshot()
+	return c.store.Close()
+}
+
+// Status describes a Cache for operators.
+type Status struct {
+	validity.Status
+	Chunks         int
+	LiveBytes      int64
+	DiskBytes      int64
+	WriteBudget    float64 // bytes that may be written now
+	Ghosts         int     // chunks remembered that are not cached
+	IndexBytes     int64
+	PendingRecords int // purge records that wait for the disk
+	PendingWrites  int // chunks that wait for the disk
+}
+
+// Status returns the present state.
+func (c *Cache) Status() Status {
+	now := c.now()
+	var s Status
+	c.trackerMu.Lock()
+	s.Status = c.tracker.Status(now.UnixMilli())
+	c.trackerMu.Unlock()
+	s.Chunks = c.store.Chunks()
+	s.LiveBytes, s.DiskBytes = c.store.Sizes()
+	c.policyMu.Lock()
+	s.WriteBudget = c.policy.WriteBudget(unixSeconds(now))
+	s.Ghosts = c.policy.Ghosts()
+	c.policyMu.Unlock()
+	s.IndexBytes = int64(s.Chunks) * IndexBytesPerChunk
+	s.PendingRecords = c.purgeRecords.count()
+	s.PendingWrites = len(c.writes)
+	return s
+}
--- /dev/null
+++ b/internal/diskcache/cache_maintenance.go
@@ -0,0 +1,83 @@
+package diskcache
+
+import (
+	"cairnfront/internal/diskcache/eviction"
+	"cairnfront/internal/diskcache/validity"
+	"context"
+	"time"
+)
+
+const (
+	maintenanceInterval = 500 * time.Millisecond
+	checkpointInterval  = 10 * time.Second // between records of the clock and the event stream's position
+	longPurgeLogBytes   = 4 << 20          // from which the purge log is rewritten
+)
+
+// maintenanceLoop reclaims space, shortens the purge log, and writes checkpoints and snapshots.
+func (c *Cache) maintenanceLoop(ctx context.Context) {
+	ticker := time.NewTicker(maintenanceInterval)
+	defer ticker.Stop()
+	checkpointAt, snapshotAt := c.now(), c.now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		c.compact(ctx)
+		now := c.now()
+		if now.Sub(checkpointAt) > checkpointInterval {
+			checkpointAt = now
+			c.writeCheckpoint(now)
+		}
+		if c.store.PurgeLogBytes() > longPurgeLogBytes {
+			c.purgeRecords.requestRewrite()
+			c.purgeRecords.enqueue([]validity.Record{{Kind: validity.Checkpoint}}) // wakes the writer
+		}
+		if c.config.SnapshotInterval > 0 && now.Sub(snapshotAt) > c.config.SnapshotInterval {
+			snapshotAt = now
+			c.writeSnapshot()
+		}
+	}
+}
+
+func (c *Cache) writeCheckpoint(now time.Time) {
+	c.trackerMu.Lock()
+	defer c.trackerMu.Unlock()
+	c.purgeRecords.enqueue([]validity.Record{c.tracker.Checkpoint(now.UnixMilli())})
+}
+
+func (c *Cache) writeSnapshot() {
+	err := c.store.WriteSnapshot(func(key eviction.Key) (eviction.AccessHistory, bool) {
+		c.policyMu.Lock()
+		defer c.policyMu.Unlock()
+		return c.policy.History(key)
+	})
+	if err == nil {
+		c.counter.Add("tier.snapshots", 1)
+	}
+}
+
+// compact rewrites segments while any is worth it. Chunks that a purge invalidates are dropped.
+func (c *Cache) compact(ctx context.Context) {
+	wanted := func(m Meta) bool {
+		if c.purged(m) {
+			c.removeFromPolicy(m.Key)
+			return false
+		}
+		return true
+	}
+	for ctx.Err() == nil {
+		id, ok := PickCompaction(c.store.SegmentUsage(), c.config.SpaceBytes)
+		if !ok {
+			return
+		}
+		result, err := c.store.Compact(id, wanted)
+		c.counter.Add("tier.compact.freed", result.Freed)
+		if err != nil {
+			c.counter.Add("tier.compact.failed", 1)
+			return
+		}
+		c.counter.Add("tier.compact.segments", 1)
+	}
+}
--- /dev/null
+++ b/internal/diskcache/cache_read.go
@@ -0,0 +1,81 @@
+package diskcache
+
+import (
+	"cairnfront/internal/diskcache/eviction"
+	"cairnfront/internal/diskcache/validity"
+	"context"
+	"time"
+)
+
+// readRequest is a read that waits for a reader.
+type readRequest struct {
+	key  eviction.Key
+	done chan readResult // buffered, so that a reader never waits for a caller that gave up
+}
+
+type readResult struct {
+	chunk Chunk
+	err   error
+}
+
+// Contains reports whether the index has a chunk.
+func (c *Cache) Contains(key eviction.Key) bool { return c.store.Contains(key) }
+
+// Get reads a chunk. It waits for the disk up to the configured timeout. Every error is a miss: ErrNotFound,
+// ErrReadQueueFull, ErrReadTimeout, ErrInvalidated or a StoreError. The verdict says whether the copy may be served
+// at once.
+func (c *Cache) Get(key eviction.Key) (Chunk, validity.Verdict, error) {
+	if !c.store.Contains(key) {
+		return Chunk{}, validity.Invalidated, ErrNotFound
+	}
+	request := &readRequest{key: key, done: make(chan readResult, 1)}
+	select {
+	case c.reads <- request:
+	default:
+		c.counter.Add("tier.read.queue-full", 1)
+		return Chunk{}, validity.Invalidated, ErrReadQueueFull
+	}
+	timeout := time.NewTimer(c.config.ReadTimeout)
+	defer timeout.Stop()
+	select {
+	case result := <-request.done:
+		return c.evaluateRead(key, result)
+	case <-timeout.C:
+		c.counter.Add("tier.read.slow", 1)
+		return Chunk{}, validity.Invalidated, ErrReadTimeout
+	}
+}
+
+// evaluateRead evaluates what a reader read. A chunk that could not be read or was purged is removed.
+func (c *Cache) evaluateRead(key eviction.Key, result readResult) (Chunk, validity.Verdict, error) {
+	if result.err != nil {
+		c.removeFromPolicy(key)
+		return Chunk{}, validity.Invalidated, result.err
+	}
+	verdict := c.Evaluate(validity.Copy{
+		Object:         key.Object,
+		Group:          result.chunk.Group,
+		IssuedAt:       result.chunk.IssuedAt,
+		Seq:            result.chunk.Seq,
+		ConfirmedEpoch: result.chunk.ConfirmedEpoch,
+	})
+	if verdict == validity.Invalidated {
+		c.counter.Add("tier.read.void", 1)
+		c.Delete(key)
+		return Chunk{}, verdict, ErrInvalidated
+	}
+	c.counter.Add("tier.read.served", 1)
+	return result.chunk, verdict, nil
+}
+
+func (c *Cache) readLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case request := <-c.reads:
+			chunk, err := c.store.Get(request.key)
+			request.done <- readResult{chunk, err}
+		}
+	}
+}
--- a/internal/diskcache/tier_test.go
+++ b/internal/diskcache/cache_test.go
@@ -1,7 +1,10 @@
 package diskcache
 
 import (
+	"cairnfront/internal/diskcache/validity"
+	"cairnfront/internal/diskcache/vfs"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -9,9 +12,6 @@
 	"testing"
 	"time"
 
-	"cairnfront/internal/diskcache/validity"
-	"cairnfront/internal/diskcache/vfs"
-
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
@@ -32,10 +32,12 @@
 
 func (c *counts) get(name string) int64 { c.mu.Lock(); defer c.mu.Unlock(); return c.m[name] }
 
-var plan = Config{SpaceBytes: 1 << 20, SegmentBytes: 16 << 10, Alpha: 1, MaxGhosts: 1000, Readers: 2, ReadQueue: 4,
-	ReadTimeout: 50 * time.Millisecond, WriteQueue: 64, SyncInterval: 20 * time.Millisecond}
+var testConfig = Config{
+	SpaceBytes: 1 << 20, SegmentBytes: 16 << 10, Alpha: 1, MaxGhosts: 1000, Readers: 2, ReadQueue: 4,
+	ReadTimeout: 50 * time.Millisecond, WriteQueue: 64, SyncInterval: 20 * time.Millisecond,
+}
 
-// running is a tier that runs, caught up with a board that told one event.
+// running is a cache that runs and has caught up with an event stream of one event.
 func running(t *testing.T, fs vfs.FS, p Config) (*Cache, *counts, func()) {
 	t.Helper()
 	c := &counts{}
@@ -53,19 +55,19 @@
 	return x, c, stop
 }
 
-func offered(t *testing.T, x *Cache, o, p int, dated int64) {
+func admitted(t *testing.T, x *Cache, o, p int, dated int64) {
 	t.Helper()
-	for range 2 { // a first one is passed
+	for range 2 { // the first request is not admitted
 		x.Admit(meta(k(o, p), dated), body(k(o, p), dated, 300), x.Epoch())
 	}
 	require.Eventually(t, func() bool { return x.store.Contains(k(o, p)) }, 5*time.Second, time.Millisecond)
 }
 
-func TestTierKeepsThroughAStartWhatWasNotPurgedMeanwhile(t *testing.T) {
+func TestRestartKeepsChunksNotPurgedMeanwhile(t *testing.T) {
 	fs := vfs.NewFaultFS(1)
-	x, _, stop := running(t, fs, plan)
+	x, _, stop := running(t, fs, testConfig)
 	for o := range 5 {
-		offered(t, x, o, 0, 100)
+		admitted(t, x, o, 0, 100)
 	}
 	_, v, err := x.Get(k(1, 0))
 	require.NoError(t, err)
@@ -73,7 +75,7 @@
 	stop()
 	require.NoError(t, x.Close())
 
-	x, _, _ = running(t, fs, plan)
+	x, _, _ = running(t, fs, testConfig)
 	x.Apply(validity.Event{Number: 2, Purge: true, Object: 1, PurgedAt: 150})
 	x.Apply(validity.Event{Number: 3, Purge: true, WholeGroup: true, Group: 2, PurgedAt: 150})
 	_, _, err = x.Get(k(1, 0))
@@ -86,10 +88,10 @@
 	assert.Equal(t, body(k(3, 0), 100, 300), p.Body)
 }
 
-func TestAPurgeThatIsSettledOutlastsAPowerCut(t *testing.T) {
+func TestFlushedPurgeSurvivesPowerLoss(t *testing.T) {
 	fs := vfs.NewFaultFS(3)
-	x, _, stop := running(t, fs, plan)
-	offered(t, x, 1, 0, 100)
+	x, _, stop := running(t, fs, testConfig)
+	admitted(t, x, 1, 0, 100)
 	require.NoError(t, x.store.Sync())
 	x.Apply(validity.Event{Number: 2, Checksum: 9, Purge: true, Object: 1, PurgedAt: 150})
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
@@ -99,32 +101,34 @@
 	_ = x.store.Sync()
 	stop()
 	fs.Restart()
-	x, _, err := OpenCache(fs, plan, &counts{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	x, _, err := OpenCache(fs, testConfig, &counts{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	require.NoError(t, err)
 	assert.Equal(t, validity.Invalidated, x.Evaluate(validity.Copy{Object: 1, IssuedAt: 100, Seq: 1}))
-	assert.Equal(t, uint64(1), x.ResumeAfter(), "the last one once more")
+	assert.Equal(t, uint64(1), x.ResumeAfter(), "the last event is requested again")
 }
 
-// A disk that hangs: reads are misses within their wait, full queues at once; parts are not kept; purges count.
-func TestADiskThatHangsCostsMissesOnly(t *testing.T) {
+// While a disk hangs, reads are misses after their timeout, or at once when the queue is full. Chunks are not stored,
+// and purges apply.
+func TestHangingDiskCostsOnlyMisses(t *testing.T) {
 	fs := vfs.NewFaultFS(1)
-	x, c, stop := running(t, fs, plan)
+	x, c, stop := running(t, fs, testConfig)
 	for o := range 30 {
-		offered(t, x, o, 0, 100)
+		admitted(t, x, o, 0, 100)
 	}
 	release := fs.Hang()
 	slow, busy := 0, 0
 	for o := range 30 {
-		switch _, _, err := x.Get(k(o, 0)); err {
-		case ErrReadTimeout:
+		_, _, err := x.Get(k(o, 0))
+		switch {
+		case errors.Is(err, ErrReadTimeout):
 			slow++
-		case ErrReadQueueFull:
+		case errors.Is(err, ErrReadQueueFull):
 			busy++
 		default:
-			t.Fatalf("a read from a disk that hangs: %v", err)
+			t.Fatalf("a read from a hanging disk: %v", err)
 		}
 	}
-	assert.LessOrEqual(t, slow, plan.Readers+plan.ReadQueue)
+	assert.LessOrEqual(t, slow, testConfig.Readers+testConfig.ReadQueue)
 	assert.Equal(t, 30, slow+busy)
 	for o := range 500 {
 		for range 2 {
@@ -132,32 +136,41 @@
 		}
 	}
 	assert.Greater(t, c.get("tier.offer.queue-full"), int64(0))
-	assert.LessOrEqual(t, len(x.writes), plan.WriteQueue)
+	assert.LessOrEqual(t, len(x.writes), testConfig.WriteQueue)
 	x.Apply(validity.Event{Number: 2, Purge: true, Object: 3, PurgedAt: 150})
-	assert.Equal(t, validity.Invalidated, x.Evaluate(validity.Copy{Object: 3, IssuedAt: 100, Seq: 1}), "purges don't wait for the disk")
+	assert.Equal(
+		t,
+		validity.Invalidated,
+		x.Evaluate(validity.Copy{Object: 3, IssuedAt: 100, Seq: 1}),
+		"purges do not wait for the disk",
+	)
 	release()
-	require.Eventually(t, func() bool { _, _, err := x.Get(k(1, 0)); return err == nil }, 5*time.Second, time.Millisecond)
+	readable := func() bool {
+		_, _, err := x.Get(k(1, 0))
+		return err == nil
+	}
+	require.Eventually(t, readable, 5*time.Second, time.Millisecond)
 	stop()
 	require.NoError(t, x.Close())
 }
 
-func TestAPurgeMeetsAPartThatIsBeingWritten(t *testing.T) {
+func TestPurgeAppliesToChunkBeingWritten(t *testing.T) {
 	fs := vfs.NewFaultFS(1)
-	x, _, _ := running(t, fs, plan)
+	x, _, _ := running(t, fs, testConfig)
 	release := fs.Hang()
 	for range 2 {
 		x.Admit(meta(k(1, 0), 100), body(k(1, 0), 100, 300), x.Epoch())
 	}
 	x.Apply(validity.Event{Number: 2, Purge: true, Object: 1, PurgedAt: 150})
 	release()
-	offered(t, x, 2, 0, 200)
+	admitted(t, x, 2, 0, 200)
 	_, _, err := x.Get(k(1, 0))
 	assert.Error(t, err)
 }
 
-func TestAFillAskedForBeforeADoubtIsNotKept(t *testing.T) {
-	x, _, _ := running(t, vfs.NewFaultFS(1), plan)
-	offered(t, x, 1, 0, 100)
+func TestFillRequestedInEarlierEpochIsNotStored(t *testing.T) {
+	x, _, _ := running(t, vfs.NewFaultFS(1), testConfig)
+	admitted(t, x, 1, 0, 100)
 	before := x.Epoch()
 	x.Apply(validity.Event{Number: 9}) // a gap
 	assert.False(t, x.Admit(meta(k(2, 0), 100), body(k(2, 0), 100, 300), before))
@@ -169,8 +182,8 @@
 	assert.Equal(t, validity.Valid, v)
 }
 
-func TestSpaceStaysWithinItsBound(t *testing.T) {
-	p := plan
+func TestSpaceStaysWithinBound(t *testing.T) {
+	p := testConfig
 	p.SpaceBytes = 64 << 10
 	x, _, _ := running(t, vfs.NewFaultFS(1), p)
 	for i := range 3000 {
@@ -184,11 +197,11 @@
 	}
 }
 
-func TestAnEndlessWaitOfNoticesIsWrittenAnew(t *testing.T) {
+func TestFullRecordQueueRewritesPurgeLog(t *testing.T) {
 	fs := vfs.NewFaultFS(1)
-	x, _, stop := running(t, fs, plan)
+	x, _, stop := running(t, fs, testConfig)
 	release := fs.Hang()
-	for n := range uint64(mostNotice + 10) {
+	for n := range uint64(maxPendingRecords + 10) {
 		x.Apply(validity.Event{Number: 2 + n, Purge: true, Object: n % 1000, PurgedAt: int64(n)})
 	}
 	release()
@@ -197,22 +210,22 @@
 	require.NoError(t, x.Flush(ctx))
 	stop()
 	require.NoError(t, x.Close())
-	y, _, err := OpenCache(fs, plan, &counts{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	y, _, err := OpenCache(fs, testConfig, &counts{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	require.NoError(t, err)
-	assert.Equal(t, uint64(mostNotice+10), y.ResumeAfter())
+	assert.Equal(t, uint64(maxPendingRecords+10), y.ResumeAfter())
 }
 
-// A part that is displaced while it waits for the disk is not written: the choice would not count it.
-func TestAPartDisplacedWhileItWaitsTakesNoSpace(t *testing.T) {
+// A chunk that is evicted while it waits for the disk is not written: the policy would not count it.
+func TestChunkEvictedWhileWaitingIsNotWritten(t *testing.T) {
 	fs := vfs.NewFaultFS(1)
-	x, c, _ := running(t, fs, plan)
+	x, c, _ := running(t, fs, testConfig)
 	release := fs.Hang()
 	for range 2 {
 		x.Admit(meta(k(1, 0), 100), body(k(1, 0), 100, 300), x.Epoch())
 		x.Admit(meta(k(2, 0), 100), body(k(2, 0), 100, 300), x.Epoch())
 		x.Admit(meta(k(3, 0), 100), body(k(3, 0), 100, 300), x.Epoch())
 	}
-	x.lost(k(2, 0)) // as if another had taken its place
+	x.removeFromPolicy(k(2, 0)) // as if another chunk had displaced it
 	release()
 	require.Eventually(t, func() bool { return c.get("tier.write.parts") == 2 }, 5*time.Second, time.Millisecond)
 	assert.False(t, x.store.Contains(k(2, 0)))
--- a/internal/diskcache/format.go
+++ b/internal/diskcache/format.go
@@ -1,83 +1,94 @@
 package diskcache
 
 import (
+	"cairnfront/internal/diskcache/eviction"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"hash/crc32"
-
-	"cairnfront/internal/diskcache/eviction"
 )
 
-// The form on the disk; docs/disk-format.md names every byte. All numbers are little-endian.
+// The format on the disk; docs/disk-format.md names every byte. All numbers are little-endian.
 const (
 	formatVersion = 1
-	formatName    = "FORMAT" // the folder's version, in text
+	formatText    = "cairnfront disk tier %d\n"
+	formatName    = "FORMAT" // the folder's version, as formatText
 	lockName      = "LOCK"
-	noticesName   = "notices.log"
+	purgeLogName  = "notices.log"
 	snapshotName  = "index.snap"
-	segmentForm   = "seg-%08x.cf"
-	freshSuffix   = ".new" // of a file that is yet to take its name
+	segmentPrefix = "seg-"
+	segmentForm   = segmentPrefix + "%08x.cf"
+	newSuffix     = ".new" // of a file that is not yet renamed to its final name
 
-	grain       = 8 // records begin at multiples of it
-	segmentHead = 64
-	recordHead  = 64
-	mostTag     = 256
-	mostBody    = 240000 // as the protocol's objects
+	grain             = 8 // bytes; records begin at multiples of it
+	segmentHeaderSize = 64
+	recordHeaderSize  = 64
+	maxTagBytes       = 256
+	maxBodyBytes      = 240000 // as the protocol's objects
 
 	segmentMagic = 0x4745534e52494143 // "CAIRNSEG"
 	recordMagic  = 0x54524150         // "PART"
-	partKind     = 1
-	struckKind   = 2 // was torn; passed over
+)
+
+// recordKind is the kind of a segment's record.
+type recordKind byte
+
+const (
+	kindChunk  recordKind = 1
+	kindStruck recordKind = 2 // was torn; skipped
 )
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
-// Meta is what is told of a copy. Dated is the Unix ms at which the origin gave it out.
+func segmentName(id uint32) string { return fmt.Sprintf(segmentForm, id) }
+
+// Meta describes a copy of a chunk.
 type Meta struct {
 	eviction.Key
-	Group    uint16 // trust.UnknownGroup where nobody told
-	Rank     uint8
-	IssuedAt int64
-	Tag      string
-	Seq      uint64 // place in the order of writing; the store gives it
+	Group    uint16 // validity.UnknownGroup if the source named none
+	Rank     uint8  // 0 to 3, higher is kept longer
+	IssuedAt int64  // Unix ms at which the origin issued the copy
+	Tag      string // entity tag
+	Seq      uint64 // sequence number of the write; the store assigns it
 }
 
-// Part is a copy with its bytes.
+// Chunk is a copy of a chunk with its bytes.
 type Chunk struct {
 	Meta
 	Body           []byte
-	ConfirmedEpoch uint16 // the doubt in which its source last confirmed it
+	ConfirmedEpoch uint16 // epoch in which its source last confirmed it
 }
 
-// recordSize is what a copy takes on the disk.
+// recordSize is the size of a record on the disk in bytes.
 func recordSize(tag, body int) int64 {
-	return (int64(recordHead+tag+body) + grain - 1) / grain * grain
+	return (int64(recordHeaderSize+tag+body) + grain - 1) / grain * grain
 }
 
-// salted starts a checksum from the segment's salt. A body may hold what looks like a record; without the salt,
-// which no maker of bodies knows, its checksum does not hold.
-func salted(salt uint64) uint32 {
+// saltedChecksum starts a checksum from the segment's salt. A body may contain what looks like a record. Its checksum
+// does not hold, because whoever made the body does not know the salt.
+func saltedChecksum(salt uint64) uint32 {
 	return crc32.Checksum(binary.LittleEndian.AppendUint64(nil, salt), castagnoli)
 }
 
-func appendSegmentHead(b []byte, id uint32, salt uint64, madeMS int64) []byte {
-	from := len(b)
+func appendSegmentHeader(b []byte, id uint32, salt uint64, createdMS int64) []byte {
+	start := len(b)
 	b = binary.LittleEndian.AppendUint64(b, segmentMagic)
 	b = binary.LittleEndian.AppendUint32(b, formatVersion)
 	b = binary.LittleEndian.AppendUint32(b, id)
 	b = binary.LittleEndian.AppendUint64(b, salt)
-	b = binary.LittleEndian.AppendUint64(b, uint64(madeMS))
-	b = append(b, make([]byte, from+segmentHead-4-len(b))...)
-	return binary.LittleEndian.AppendUint32(b, crc32.Checksum(b[from:], castagnoli))
+	b = binary.LittleEndian.AppendUint64(b, uint64(createdMS))
+	b = append(b, make([]byte, start+segmentHeaderSize-4-len(b))...)
+	return binary.LittleEndian.AppendUint32(b, crc32.Checksum(b[start:], castagnoli))
 }
 
-func parseSegmentHead(b []byte, id uint32) (salt uint64, err error) {
+func parseSegmentHeader(b []byte, id uint32) (salt uint64, err error) {
 	le := binary.LittleEndian
 	switch {
-	case len(b) < segmentHead:
+	case len(b) < segmentHeaderSize:
 		return 0, fmt.Errorf("head of %d bytes", len(b))
-	case le.Uint64(b) != segmentMagic || le.Uint32(b[segmentHead-4:]) != crc32.Checksum(b[:segmentHead-4], castagnoli):
-		return 0, fmt.Errorf("head's checksum does not hold")
+	case le.Uint64(b) != segmentMagic,
+		le.Uint32(b[segmentHeaderSize-4:]) != crc32.Checksum(b[:segmentHeaderSize-4], castagnoli):
+		return 0, errors.New("head's checksum does not hold")
 	case le.Uint32(b[8:]) != formatVersion:
 		return 0, fmt.Errorf("version %d, this program knows %d", le.Uint32(b[8:]), formatVersion)
 	case le.Uint32(b[12:]) != id:
@@ -86,71 +97,82 @@
 	return le.Uint64(b[16:]), nil
 }
 
-// appendRecord writes a record whole: head, tag, body and what fills the grain.
-func appendRecord(b []byte, salt uint64, m Meta, body []byte, wroteMS int64) []byte {
-	from := len(b)
-	b = appendHead(b, salt, m, len(body), crc32.Checksum(body, castagnoli), wroteMS, partKind)
+// appendRecord encodes a whole record: header, tag, body and padding up to the grain.
+func appendRecord(b []byte, salt uint64, m Meta, body []byte, writtenMS int64) []byte {
+	start := len(b)
+	h := recordHeader{Meta: m, bodyLen: len(body), bodyChecksum: crc32.Checksum(body, castagnoli)}
+	b = appendRecordHeader(b, salt, h, writtenMS, kindChunk)
 	b = append(b, body...)
-	return append(b, make([]byte, from+int(recordSize(len(m.Tag), len(body)))-len(b))...)
+	return append(b, make([]byte, start+int(h.size())-len(b))...)
 }
 
-// appendHead writes a record's head and tag.
-func appendHead(b []byte, salt uint64, m Meta, size int, bodySum uint32, wroteMS int64, kind byte) []byte {
-	from := len(b)
+// recordHeader is the content of a record's header and tag.
+type recordHeader struct {
+	Meta
+	bodyLen      int
+	bodyChecksum uint32
+	struck       bool
+}
+
+// size is the size of the whole record on the disk in bytes.
+func (h recordHeader) size() int64 { return recordSize(len(h.Tag), h.bodyLen) }
+
+// appendRecordHeader encodes a record's header and tag.
+func appendRecordHeader(b []byte, salt uint64, h recordHeader, writtenMS int64, kind recordKind) []byte {
+	start := len(b)
 	le := binary.LittleEndian
 	b = le.AppendUint32(b, recordMagic)
-	b = append(b, formatVersion, kind)
-	b = le.AppendUint16(b, uint16(len(m.Tag)))
-	b = le.AppendUint64(b, m.Object)
-	b = le.AppendUint32(b, m.Chunk)
-	b = le.AppendUint16(b, m.Group)
-	b = append(b, m.Rank, 0)
-	b = le.AppendUint64(b, m.Seq)
-	b = le.AppendUint64(b, uint64(m.IssuedAt))
-	b = le.AppendUint32(b, uint32(size))
-	b = le.AppendUint32(b, bodySum)
-	b = le.AppendUint64(b, uint64(wroteMS))
+	b = append(b, formatVersion, byte(kind))
+	b = le.AppendUint16(b, uint16(len(h.Tag)))
+	b = le.AppendUint64(b, h.Object)
+	b = le.AppendUint32(b, h.Chunk)
+	b = le.AppendUint16(b, h.Group)
+	b = append(b, h.Rank, 0)
+	b = le.AppendUint64(b, h.Seq)
+	b = le.AppendUint64(b, uint64(h.IssuedAt))
+	b = le.AppendUint32(b, uint32(h.bodyLen))
+	b = le.AppendUint32(b, h.bodyChecksum)
+	b = le.AppendUint64(b, uint64(writtenMS))
 	b = le.AppendUint32(b, 0)
-	sum := crc32.Update(salted(salt), castagnoli, b[from:])
-	b = le.AppendUint32(b, crc32.Update(sum, castagnoli, []byte(m.Tag)))
-	return append(b, m.Tag...)
-}
-
-// head is what a record's head says of it.
-type head struct {
-	Meta
-	bodyLen int
-	bodySum uint32
-	struck  bool
+	sum := crc32.Update(saltedChecksum(salt), castagnoli, b[start:])
+	b = le.AppendUint32(b, crc32.Update(sum, castagnoli, []byte(h.Tag)))
+	return append(b, h.Tag...)
 }
 
-func (h head) size() int64 { return recordSize(len(h.Tag), h.bodyLen) }
-
-// parseHead reads a record's head and tag. Whatever is wrong with it, nothing of it is used.
-func parseHead(b []byte, salt uint64) (head, error) {
-	var h head
+// parseRecordHeader decodes a record's header and tag. After an error nothing of it may be used.
+func parseRecordHeader(b []byte, salt uint64) (recordHeader, error) {
 	le := binary.LittleEndian
-	if len(b) < recordHead || le.Uint32(b) != recordMagic {
-		return h, fmt.Errorf("no record")
+	if len(b) < recordHeaderSize || le.Uint32(b) != recordMagic {
+		return recordHeader{}, errors.New("no record")
+	}
+	tagLen := int(le.Uint16(b[6:]))
+	if tagLen > maxTagBytes || len(b) < recordHeaderSize+tagLen {
+		return recordHeader{}, fmt.Errorf("a tag of %d bytes", tagLen)
 	}
-	tag := int(le.Uint16(b[6:]))
-	if tag > mostTag || len(b) < recordHead+tag {
-		return h, fmt.Errorf("a tag of %d bytes", tag)
+	sum := crc32.Update(saltedChecksum(salt), castagnoli, b[:recordHeaderSize-4])
+	sum = crc32.Update(sum, castagnoli, b[recordHeaderSize:recordHeaderSize+tagLen])
+	if le.Uint32(b[recordHeaderSize-4:]) != sum {
+		return recordHeader{}, errors.New("head's checksum does not hold")
 	}
-	sum := crc32.Update(salted(salt), castagnoli, b[:recordHead-4])
-	if le.Uint32(b[recordHead-4:]) != crc32.Update(sum, castagnoli, b[recordHead:recordHead+tag]) {
-		return h, fmt.Errorf("head's checksum does not hold")
+	kind := recordKind(b[5])
+	if b[4] != formatVersion || kind != kindChunk && kind != kindStruck {
+		return recordHeader{}, fmt.Errorf("record of version %d and kind %d", b[4], kind)
 	}
-	if b[4] != formatVersion || b[5] != partKind && b[5] != struckKind {
-		return h, fmt.Errorf("record of version %d and kind %d", b[4], b[5])
+	h := recordHeader{
+		Meta: Meta{
+			Key:      eviction.Key{Object: le.Uint64(b[8:]), Chunk: le.Uint32(b[16:])},
+			Group:    le.Uint16(b[20:]),
+			Rank:     b[22],
+			IssuedAt: int64(le.Uint64(b[32:])),
+			Tag:      string(b[recordHeaderSize : recordHeaderSize+tagLen]),
+			Seq:      le.Uint64(b[24:]),
+		},
+		bodyLen:      int(le.Uint32(b[40:])),
+		bodyChecksum: le.Uint32(b[44:]),
+		struck:       kind == kindStruck,
 	}
-	h.Object, h.Chunk, h.Group, h.Rank = le.Uint64(b[8:]), le.Uint32(b[16:]), le.Uint16(b[20:]), b[22]
-	h.struck = b[5] == struckKind
-	h.Seq, h.IssuedAt = le.Uint64(b[24:]), int64(le.Uint64(b[32:]))
-	h.bodyLen, h.bodySum = int(le.Uint32(b[40:])), le.Uint32(b[44:])
-	h.Tag = string(b[recordHead : recordHead+tag])
-	if h.bodyLen > mostBody {
-		return h, fmt.Errorf("a body of %d bytes", h.bodyLen)
+	if h.bodyLen > maxBodyBytes {
+		return recordHeader{}, fmt.Errorf("a body of %d bytes", h.bodyLen)
 	}
 	return h, nil
 }
--- a/internal/diskcache/golden_test.go
+++ b/internal/diskcache/golden_test.go
@@ -1,6 +1,9 @@
 package diskcache
 
 import (
+	"cairnfront/internal/diskcache/eviction"
+	"cairnfront/internal/diskcache/validity"
+	"cairnfront/internal/diskcache/vfs"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -11,10 +14,6 @@
 	"testing"
 	"time"
 
-	"cairnfront/internal/diskcache/eviction"
-	"cairnfront/internal/diskcache/validity"
-	"cairnfront/internal/diskcache/vfs"
-
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
@@ -53,7 +52,13 @@
 	require.NoError(t, err)
 	put := func(object uint64, chunk uint32, issuedAt int64, size int) {
 		key := eviction.Key{Object: object, Chunk: chunk}
-		info := Meta{Key: key, Group: uint16(object % 5), Rank: uint8(object % 4), IssuedAt: issuedAt, Tag: fmt.Sprintf("v%d", issuedAt)}
+		info := Meta{
+			Key:      key,
+			Group:    uint16(object % 5),
+			Rank:     uint8(object % 4),
+			IssuedAt: issuedAt,
+			Tag:      fmt.Sprintf("v%d", issuedAt),
+		}
 		if object == 9 {
 			info.Group = validity.UnknownGroup
 		}
@@ -69,8 +74,14 @@
 	put(7, 2, 2000, 99)
 	require.NoError(t, store.AppendPurgeRecords([]validity.Record{
 		{Kind: validity.Checkpoint, Number: 40, Checksum: 0xabcdef01, WrittenAt: 1_700_000_000_000},
-		{Kind: validity.PurgeObject, Object: 3, PurgedAt: 1600, Number: 41, Checksum: 0x11223344, WrittenAt: 1_700_000_000_100},
-		{Kind: validity.PurgeGroup, Group: 4, PurgedAt: 1700, Number: 42, Checksum: 0x55667788, WrittenAt: 1_700_000_000_200},
+		{
+			Kind: validity.PurgeObject, Object: 3, PurgedAt: 1600, Number: 41, Checksum: 0x11223344,
+			WrittenAt: 1_700_000_000_100,
+		},
+		{
+			Kind: validity.PurgeGroup, Group: 4, PurgedAt: 1700, Number: 42, Checksum: 0x55667788,
+			WrittenAt: 1_700_000_000_200,
+		},
 		{Kind: validity.Gap, Seq: 3, WrittenAt: 1_700_000_000_300},
 		{Kind: validity.PurgeFloor, PurgedAt: 900, WrittenAt: 1_700_000_000_400},
 	}))
@@ -144,7 +155,7 @@
 		require.NoError(t, os.WriteFile(path, edit(content), 0o600))
 	}
 	change("seg-00000001.cf", func(b []byte) []byte {
-		b[segmentHead+20] ^= 1
+		b[segmentHeaderSize+20] ^= 1
 		b[len(b)-9] ^= 4
 		return b
 	})
@@ -184,9 +195,10 @@
 		Seq:      0x31323334353637,
 	}
 	const salt = 0x4142434445464748
-	text := "segment\n" + hex.Dump(appendSegmentHead(nil, 0x51525354, salt, 0x61626364656667)) +
+	struck := recordHeader{Meta: info, bodyLen: 10, bodyChecksum: 0x81828384}
+	text := "segment\n" + hex.Dump(appendSegmentHeader(nil, 0x51525354, salt, 0x61626364656667)) +
 		"record\n" + hex.Dump(appendRecord(nil, salt, info, []byte("some bytes"), 0x71727374757677)) +
-		"struck\n" + hex.Dump(appendHead(nil, salt, info, 10, 0x81828384, 0, struckKind))
+		"struck\n" + hex.Dump(appendRecordHeader(nil, salt, struck, 0, kindStruck))
 	compareGolden(t, "headers.txt", text)
 }
 
--- a/internal/diskcache/index.go
+++ b/internal/diskcache/index.go
@@ -1,172 +1,193 @@
 package diskcache
 
 import (
-	"math/bits"
-
 	"cairnfront/internal/diskcache/eviction"
+	"math/bits"
 )
 
-// IndexBytes is what the index takes in memory a part: 40 bytes a place, and a table is between 64% and 80% full once
-// it has grown. Measured over a million parts by BenchmarkOpen: 50 to 63.
-const IndexBytesPerChunk = 63
-
 const (
-	shards      = 256  // so that a table that grows copies few entries
-	leastLen    = 16   // places of a table at first
-	fullest     = 0.80 // share of places used at most: linear probing is short up to there
-	growthBy    = 1.25
-	reserveMore = 1.05 // a shard holds a little more or less than its even part
-	noSegment   = 0
-	placeBytes  = 40
+	// IndexBytesPerChunk is the memory that the index takes for a chunk: locationBytes for each slot, in tables that
+	// are 64% to 80% full once they have grown. Measured over a million chunks by BenchmarkOpen: 50 to 63.
+	IndexBytesPerChunk = 63
+
+	locationBytes = 40
+	shardCount    = 256  // so that growing a table copies few entries
+	minTableLen   = 16   // slots
+	maxLoad       = 0.80 // share of slots used; linear probing is short up to there
+	tableGrowth   = 1.25
+	reserveMargin = 1.05 // a shard may hold a little more than its even share
+	noSegment     = 0
 )
 
-// place is where a copy lies. A free place has no segment.
-type place struct {
-	object    uint64
-	seq       uint64
-	part      uint32
-	segment   uint32
-	at        uint32 // in grains
-	size      uint32 // on the disk, in bytes
-	confirmed uint16 // the doubt in which its source last confirmed it
-	rank      uint8
+// location says where a chunk's record lies. A free slot of the index has no segment.
+type location struct {
+	object         uint64
+	seq            uint64
+	chunk          uint32
+	segment        uint32
+	grains         uint32 // offset in the segment, in grains
+	size           uint32 // of the record, in bytes
+	confirmedEpoch uint16 // epoch in which the source last confirmed the copy
+	rank           uint8
 }
 
-func (p *place) key() eviction.Key { return eviction.Key{Object: p.object, Chunk: p.part} }
+func newLocation(segmentID uint32, offset, size int64, m Meta) location {
+	return location{
+		object:  m.Object,
+		seq:     m.Seq,
+		chunk:   m.Chunk,
+		segment: segmentID,
+		grains:  uint32(offset / grain),
+		size:    uint32(size),
+		rank:    m.Rank,
+	}
+}
 
-// index is an open table of places in shards; the zero value is empty.
+func (l *location) key() eviction.Key { return eviction.Key{Object: l.object, Chunk: l.chunk} }
+
+// offset is the record's offset in its segment in bytes.
+func (l *location) offset() int64 { return int64(l.grains) * grain }
+
+// index is a sharded open-addressing table of locations. The zero value is empty.
 type index struct {
-	tables [shards][]place
-	used   [shards]int
-	n      int
+	tables [shardCount][]location
+	used   [shardCount]int
+	count  int
 }
 
-func hash(k eviction.Key) uint64 {
-	x := k.Object ^ uint64(k.Chunk)*0x9e3779b97f4a7c15
-	x = (x ^ x>>33) * 0xff51afd7ed558ccd
-	x = (x ^ x>>33) * 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
+// hashKey mixes a key into 64 bits. The top eight select the shard.
+func hashKey(key eviction.Key) uint64 {
+	h := key.Object ^ uint64(key.Chunk)*0x9e3779b97f4a7c15
+	h = (h ^ h>>33) * 0xff51afd7ed558ccd
+	h = (h ^ h>>33) * 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
 }
 
-func home(h uint64, n int) int {
-	hi, _ := bits.Mul64(h<<8, uint64(n))
+func shardOf(hash uint64) uint64 { return hash >> 56 }
+
+// homeSlot is the slot at which the search for a hash begins.
+func homeSlot(hash uint64, tableLen int) int {
+	hi, _ := bits.Mul64(hash<<8, uint64(tableLen))
 	return int(hi)
 }
 
-// find returns the place of a key, nil if there is none. It is good until the next put or remove.
-func (x *index) find(k eviction.Key) *place {
-	h := hash(k)
-	table := x.tables[h>>56]
+func nextSlot(slot, tableLen int) int {
+	if slot+1 == tableLen {
+		return 0
+	}
+	return slot + 1
+}
+
+// find returns the location of a key, nil if there is none. It is valid until the next put or remove.
+func (x *index) find(key eviction.Key) *location {
+	hash := hashKey(key)
+	table := x.tables[shardOf(hash)]
 	if len(table) == 0 {
 		return nil
 	}
-	for i := home(h, len(table)); ; {
-		p := &table[i]
-		if p.segment == noSegment {
+	for slot := homeSlot(hash, len(table)); ; slot = nextSlot(slot, len(table)) {
+		loc := &table[slot]
+		if loc.segment == noSegment {
 			return nil
 		}
-		if p.object == k.Object && p.part == k.Chunk {
-			return p
-		}
-		if i++; i == len(table) {
-			i = 0
+		if loc.object == key.Object && loc.chunk == key.Chunk {
+			return loc
 		}
 	}
 }
 
-// put adds a place or replaces that of the same key.
-func (x *index) put(p place) {
-	if old := x.find(p.key()); old != nil {
-		*old = p
+// put adds a location or replaces that of the same key.
+func (x *index) put(loc location) {
+	if old := x.find(loc.key()); old != nil {
+		*old = loc
 		return
 	}
-	s := hash(p.key()) >> 56
-	if float64(x.used[s]+1) > fullest*float64(len(x.tables[s])) {
-		old := x.tables[s]
-		x.tables[s] = make([]place, max(int(float64(len(old))*growthBy), leastLen))
-		for i := range old {
-			if old[i].segment != noSegment {
-				x.insert(s, old[i])
-			}
+	shard := shardOf(hashKey(loc.key()))
+	if float64(x.used[shard]+1) > maxLoad*float64(len(x.tables[shard])) {
+		x.grow(shard)
+	}
+	x.insert(shard, loc)
+	x.used[shard]++
+	x.count++
+}
+
+func (x *index) grow(shard uint64) {
+	old := x.tables[shard]
+	x.tables[shard] = make([]location, max(int(float64(len(old))*tableGrowth), minTableLen))
+	for i := range old {
+		if old[i].segment != noSegment {
+			x.insert(shard, old[i])
 		}
 	}
-	x.insert(s, p)
-	x.used[s]++
-	x.n++
 }
 
-// reserve makes room for n parts in an empty index. Without it, parts that come in the order of another table's places
-// would crowd at the front of each small table that grows.
-func (x *index) reserve(n int) {
-	for s := range x.tables {
-		x.tables[s] = make([]place, max(int(float64(n)/shards*reserveMore/fullest), leastLen))
+// reserve makes room for chunks in an empty index. Without it, chunks that arrive in the order of another table's slots
+// would cluster at the front of each small table that grows.
+func (x *index) reserve(chunks int) {
+	slots := int(float64(chunks) / shardCount * reserveMargin / maxLoad)
+	for shard := range x.tables {
+		x.tables[shard] = make([]location, max(slots, minTableLen))
 	}
 }
 
-func (x *index) insert(s uint64, p place) {
-	table := x.tables[s]
-	i := home(hash(p.key()), len(table))
-	for table[i].segment != noSegment {
-		if i++; i == len(table) {
-			i = 0
-		}
+// insert puts a location whose key is not in the table into the next free slot.
+func (x *index) insert(shard uint64, loc location) {
+	table := x.tables[shard]
+	slot := homeSlot(hashKey(loc.key()), len(table))
+	for table[slot].segment != noSegment {
+		slot = nextSlot(slot, len(table))
 	}
-	table[i] = p
+	table[slot] = loc
 }
 
-// remove takes a key out; those that follow it move up, so that no search ends too early.
-func (x *index) remove(k eviction.Key) bool {
-	p := x.find(k)
-	if p == nil {
+// remove removes a key. Locations that follow it move up, so that no search ends too early.
+func (x *index) remove(key eviction.Key) bool {
+	loc := x.find(key)
+	if loc == nil {
 		return false
 	}
-	s := hash(k) >> 56
-	table := x.tables[s]
-	gap := home(hash(k), len(table))
-	for &table[gap] != p {
-		if gap++; gap == len(table) {
-			gap = 0
-		}
+	hash := hashKey(key)
+	shard := shardOf(hash)
+	table := x.tables[shard]
+	gap := homeSlot(hash, len(table))
+	for &table[gap] != loc {
+		gap = nextSlot(gap, len(table))
 	}
-	for i := gap; ; {
-		if i++; i == len(table) {
-			i = 0
-		}
-		if table[i].segment == noSegment {
-			break
-		}
-		at := home(hash(table[i].key()), len(table))
-		// It may move to the gap unless its home lies after the gap, round the end of the table.
-		if (i-at+len(table))%len(table) >= (i-gap+len(table))%len(table) {
-			table[gap], gap = table[i], i
+	for slot := nextSlot(gap, len(table)); table[slot].segment != noSegment; slot = nextSlot(slot, len(table)) {
+		home := homeSlot(hashKey(table[slot].key()), len(table))
+		distance := (slot - home + len(table)) % len(table)
+		// It may move into the gap unless its home lies behind the gap, around the end of the table.
+		if distance >= (slot-gap+len(table))%len(table) {
+			table[gap], gap = table[slot], slot
 		}
 	}
-	table[gap] = place{}
-	x.used[s]--
-	x.n--
+	table[gap] = location{}
+	x.used[shard]--
+	x.count--
 	return true
 }
 
-// each calls f for every place until it says no.
-func (x *index) each(f func(*place) bool) {
-	for s := range x.tables {
-		for i := range x.tables[s] {
-			if p := &x.tables[s][i]; p.segment != noSegment && !f(p) {
+// each calls f for every location until f returns false.
+func (x *index) each(f func(*location) bool) {
+	for shard := range x.tables {
+		for i := range x.tables[shard] {
+			if loc := &x.tables[shard][i]; loc.segment != noSegment && !f(loc) {
 				return
 			}
 		}
 	}
 }
 
-// IndexBytesFor is what the index takes a part once it holds so many, exactly: the places of its tables.
-func MeasureIndexBytes(parts int) float64 {
+// MeasureIndexBytes returns the exact memory that an index of so many chunks takes for each: the slots of its tables.
+func MeasureIndexBytes(chunks int) float64 {
+	const chunksPerObject = 15
 	var x index
-	for i := range parts {
-		x.put(place{object: uint64(i / 15), part: uint32(i % 15), segment: 1})
+	for i := range chunks {
+		x.put(location{object: uint64(i / chunksPerObject), chunk: uint32(i % chunksPerObject), segment: 1})
 	}
-	places := 0
-	for s := range x.tables {
-		places += len(x.tables[s])
+	slots := 0
+	for shard := range x.tables {
+		slots += len(x.tables[shard])
 	}
-	return float64(places) * placeBytes / float64(max(parts, 1))
+	return float64(slots) * locationBytes / float64(max(chunks, 1))
 }
--- /dev/null
+++ b/internal/diskcache/powerloss.go
@@ -0,0 +1,262 @@
+package diskcache
+
+import (
+	"bytes"
+	"cairnfront/internal/diskcache/eviction"
+	"cairnfront/internal/diskcache/validity"
+	"cairnfront/internal/diskcache/vfs"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+// PowerLossResult says what a power-loss run showed.
+type PowerLossResult struct {
+	Ops        int      // disk operations of the first life
+	Checked    int      // chunks read after a restart
+	Recovered  int      // of them whole
+	Purges     int      // acknowledged before the power loss
+	Violations []string // what broke, one line each
+}
+
+// Size of the script that a power-loss run plays.
+const (
+	powerLossLives   = 3
+	powerLossSteps   = 45
+	powerLossObjects = 8
+	powerLossChunks  = 3 // of an object
+)
+
+// powerLossRun plays a script of puts, purges, compactions and snapshots on a faulty disk whose power fails in the
+// middle, and checks what is there after each restart. Tests and the lab use it.
+type powerLossRun struct {
+	seed uint64
+	cut  int // operation at which the power fails, 0 for the end
+
+	// Faults that tests inject to show that the checks fail.
+	unsyncedLog   bool
+	uncheckedBody bool
+
+	rnd      *rand.Rand
+	fs       *vfs.FaultFS
+	options  StoreOptions
+	clock    int64 // Unix ms
+	life     int
+	versions map[eviction.Key]map[int64][]byte // every version ever put; only one of these may be served
+	purgedAt map[uint64]int64                  // acknowledged purges
+	synced   map[eviction.Key]int64            // newest version that a sync has covered, unless deleted
+	result   PowerLossResult
+}
+
+// RunPowerLoss plays the script drawn from the seed with a power loss at the disk operation numbered cut, 0 for none
+// before the end.
+func RunPowerLoss(seed uint64, cut int) PowerLossResult {
+	return (&powerLossRun{seed: seed, cut: cut}).run()
+}
+
+func (p *powerLossRun) run() PowerLossResult {
+	const segmentBytes = 2500
+	p.rnd = rand.New(rand.NewPCG(p.seed, 77))
+	p.fs = vfs.NewFaultFS(p.seed*31 + uint64(p.cut))
+	salt := p.seed
+	p.options = StoreOptions{
+		SegmentBytes: segmentBytes,
+		Clock:        func() time.Time { return time.UnixMilli(1) },
+		Salt:         func() uint64 { salt++; return salt * 0x9e3779b97f4a7c15 },
+	}
+	p.versions = map[eviction.Key]map[int64][]byte{}
+	p.purgedAt = map[uint64]int64{}
+	p.synced = map[eviction.Key]int64{}
+	p.clock = 1000
+	for p.life = range powerLossLives {
+		p.fs.PowerLossAfter = p.powerLossAfter()
+		p.live()
+		if p.life == 0 {
+			p.result.Ops = p.fs.OpCount()
+		}
+		p.fs.Restart()
+	}
+	return p.result
+}
+
+// powerLossAfter is the operation at which the power fails in this life: the given one in the first, one during or soon
+// after recovery in the second, none in the third.
+func (p *powerLossRun) powerLossAfter() int {
+	switch p.life {
+	case 0:
+		return p.cut
+	case 1:
+		return 1 + int(p.seed+uint64(p.cut))%25
+	}
+	return 0
+}
+
+func (p *powerLossRun) violation(format string, args ...any) {
+	line := fmt.Sprintf("life %d: ", p.life) + fmt.Sprintf(format, args...)
+	p.result.Violations = append(p.result.Violations, line)
+}
+
+// powerLossLife is the time between two restarts.
+type powerLossLife struct {
+	*powerLossRun
+	store    *Store
+	tracker  *validity.Tracker
+	restored []validity.Record
+	log      []validity.Record      // appended in this life
+	current  map[eviction.Key]int64 // the version of each chunk that the index names
+}
+
+// live opens the folder, checks what is there and continues the script until the power fails or the script ends.
+func (p *powerLossRun) live() {
+	store, report, err := OpenStore(p.fs, p.options, true, nil)
+	if err != nil {
+		if !errors.Is(err, vfs.ErrPowerLoss) {
+			p.violation("can't be opened: %v", err)
+		}
+		return
+	}
+	l := &powerLossLife{
+		powerLossRun: p,
+		store:        store,
+		tracker:      validity.NewTracker(0),
+		restored:     report.Records,
+	}
+	l.tracker.Restore(report.Records, store.LastSeq(), p.clock)
+	l.current = l.check(true)
+	for range powerLossSteps {
+		l.step()
+	}
+	l.check(false)
+	_ = store.Close()
+}
+
+func (l *powerLossLife) step() {
+	l.clock += int64(1 + l.rnd.IntN(3))
+	key := eviction.Key{
+		Object: uint64(l.rnd.IntN(powerLossObjects)),
+		Chunk:  uint32(l.rnd.IntN(powerLossChunks)),
+	}
+	switch l.rnd.IntN(12) {
+	case 0, 1:
+		l.purge(key.Object)
+	case 2:
+		if id, ok := PickCompaction(l.store.SegmentUsage(), 1); ok {
+			_, _ = l.store.Compact(id, func(m Meta) bool { return m.IssuedAt > l.purgedAt[m.Object] })
+		}
+	case 3:
+		_ = l.store.WriteSnapshot(func(eviction.Key) (eviction.AccessHistory, bool) {
+			return eviction.AccessHistory{MeanGap: 1, LastAccess: 2}, true
+		})
+	case 4:
+		if l.store.Sync() == nil {
+			for key, version := range l.current {
+				l.synced[key] = version
+			}
+		}
+	case 5:
+		l.store.Delete(key)
+		delete(l.synced, key)
+		delete(l.current, key)
+	case 6:
+		_ = l.store.RewritePurgeLog(l.shortLog)
+	default:
+		l.put(key)
+	}
+}
+
+func (l *powerLossLife) purge(object uint64) {
+	record := validity.Record{Kind: validity.PurgeObject, Object: object, PurgedAt: l.clock}
+	l.log = append(l.log, record)
+	if l.unsyncedLog {
+		if _, err := l.store.purgeLog.WriteAt(validity.AppendRecord(nil, record), l.store.purgeLogSize); err == nil {
+			l.store.purgeLogSize += validity.RecordSize
+			l.purgedAt[object] = l.clock
+		}
+		return
+	}
+	if l.store.AppendPurgeRecords([]validity.Record{record}) == nil {
+		l.purgedAt[object] = l.clock
+		l.result.Purges++
+	}
+}
+
+// shortLog is the shortest log that restores the purges so far.
+func (l *powerLossLife) shortLog() []validity.Record {
+	tracker := validity.NewTracker(0)
+	tracker.Restore(append(l.restored, l.log...), 0, l.clock)
+	return tracker.Records(l.clock)
+}
+
+func (l *powerLossLife) put(key eviction.Key) {
+	body := make([]byte, 20+l.rnd.IntN(700))
+	for i := range body {
+		body[i] = byte(l.rnd.Uint32())
+	}
+	if l.versions[key] == nil {
+		l.versions[key] = map[int64][]byte{}
+	}
+	l.versions[key][l.clock] = body
+	if _, err := l.store.Put(Meta{Key: key, IssuedAt: l.clock, Tag: versionTag(l.clock)}, body); err == nil {
+		l.current[key] = l.clock
+	}
+}
+
+func versionTag(version int64) string { return fmt.Sprint("v", version) }
+
+// check reads every chunk and returns the versions served. Each must be, whole, a version that was put under that name.
+// afterRestart also checks that nothing synced is gone and no acknowledged purge forgotten.
+func (l *powerLossLife) check(afterRestart bool) map[eviction.Key]int64 {
+	served := map[eviction.Key]int64{}
+	for object := range uint64(powerLossObjects) {
+		for chunk := range uint32(powerLossChunks) {
+			key := eviction.Key{Object: object, Chunk: chunk}
+			if !l.checkChunk(key, afterRestart, served) {
+				return served
+			}
+		}
+		at := l.purgedAt[object]
+		if afterRestart && at > 0 && !l.tracker.IsInvalidated(validity.Copy{Object: object, IssuedAt: at}) {
+			l.violation("object %d: the purge at %d was acknowledged and is forgotten", object, at)
+		}
+	}
+	return served
+}
+
+// checkChunk checks one chunk and reports whether the power is still on.
+func (l *powerLossLife) checkChunk(key eviction.Key, afterRestart bool, served map[eviction.Key]int64) (powerOn bool) {
+	chunk, err := l.store.Get(key)
+	if l.uncheckedBody && err != nil {
+		err = l.ignoreBadBody(key, err)
+	}
+	if errors.Is(err, vfs.ErrPowerLoss) {
+		return false
+	}
+	l.result.Checked++
+	if err != nil {
+		version := l.synced[key]
+		if afterRestart && version > 0 && version > l.purgedAt[key.Object] {
+			l.violation("object %d part %d: version %d was synced and is gone: %v", key.Object, key.Chunk, version, err)
+		}
+		return true
+	}
+	l.result.Recovered++
+	served[key] = chunk.IssuedAt
+	body, known := l.versions[key][chunk.IssuedAt]
+	if !known || !bytes.Equal(body, chunk.Body) || chunk.Tag != versionTag(chunk.IssuedAt) {
+		l.violation("object %d part %d: wrong bytes for version %d", key.Object, key.Chunk, chunk.IssuedAt)
+	}
+	return true
+}
+
+// ignoreBadBody plays a store that does not check bodies: what it would serve torn is a violation.
+func (l *powerLossLife) ignoreBadBody(key eviction.Key, err error) error {
+	var fault StoreError
+	if errors.As(err, &fault) && fault.Code == CodeBadBody {
+		l.violation("object %d part %d: torn bytes", key.Object, key.Chunk)
+	}
+	if l.store.index.find(key) != nil {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/diskcache/recovery.go
@@ -0,0 +1,181 @@
+package diskcache
+
+import (
+	"cairnfront/internal/diskcache/eviction"
+	"cairnfront/internal/diskcache/validity"
+	"cairnfront/internal/diskcache/vfs"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// RecoveryReport says what opening a folder found. The JSON keys are part of the output of tier inspect.
+type RecoveryReport struct {
+	Chunks       int `json:"Parts"`
+	Segments     int
+	Bytes        int64 // of live records
+	Scanned      int64 // bytes read of segments
+	FromSnapshot int   // chunks that the snapshot named
+	Records      []validity.Record
+	Faults       int
+	Took         time.Duration
+	Known        map[eviction.Key]eviction.AccessHistory `json:"-"` // from the snapshot, nil without one
+	SnapshotUsed bool
+	Created      bool
+}
+
+// recover reads the folder: format, purge log, segments, snapshot, and the records that the snapshot does not cover.
+func (s *Store) recover(report *RecoveryReport, withHistory bool) error {
+	names, err := s.fs.List()
+	if err != nil {
+		return fmt.Errorf("listing the folder: %w", err)
+	}
+	if err := s.checkFormat(names, report); err != nil {
+		return err
+	}
+	if report.Records, err = s.readPurgeLog(); err != nil {
+		return err
+	}
+	if err := s.openSegments(names); err != nil {
+		return err
+	}
+	covered := s.readSnapshot(report, withHistory)
+	for _, r := range report.Records { // new chunks must be above every sequence number that is suspect
+		s.lastSeq = max(s.lastSeq, r.Seq)
+	}
+	ids := make([]uint32, 0, len(s.segments))
+	for id := range s.segments {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	for i, id := range ids {
+		last := i == len(ids)-1
+		n, err := s.scan(s.segments[id], max(covered[id], segmentHeaderSize), last)
+		report.Scanned += n
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// checkFormat checks the folder's format version and writes it into a new folder.
+func (s *Store) checkFormat(names []string, report *RecoveryReport) error {
+	if slices.Contains(names, formatName) {
+		version, parsed, err := s.readFormat()
+		if err != nil {
+			return fmt.Errorf("reading %s: %w", formatName, err)
+		}
+		if parsed && version == formatVersion {
+			return nil
+		}
+		if parsed {
+			return fmt.Errorf(
+				"%w: version %d, this program reads version %d; empty the folder or use the program that wrote it",
+				ErrUnsupportedFormat, version, formatVersion)
+		}
+		// The file was torn by a power loss at the first start. It is written again.
+	} else if i := slices.IndexFunc(names, holdsData); i >= 0 {
+		return fmt.Errorf("%w: it holds %s and no %s", ErrUnsupportedFormat, names[i], formatName)
+	}
+	report.Created = true
+	if err := s.replaceFile(formatName, fmt.Appendf(nil, formatText, formatVersion)); err != nil {
+		return fmt.Errorf("writing %s: %w", formatName, err)
+	}
+	return nil
+}
+
+// readFormat reads the format version; parsed is false if the file's text is not one.
+func (s *Store) readFormat() (version int, parsed bool, err error) {
+	const maxFormatBytes = 64
+	file, err := s.fs.Open(formatName)
+	if err != nil {
+		return 0, false, err
+	}
+	defer func() { _ = file.Close() }() // only read
+	text := make([]byte, maxFormatBytes)
+	n, _ := file.ReadAt(text, 0)
+	_, parseErr := fmt.Sscanf(string(text[:n]), formatText, &version)
+	return version, parseErr == nil, nil
+}
+
+// holdsData reports whether a file's name shows that the folder was in use.
+func holdsData(name string) bool {
+	return strings.HasPrefix(name, segmentPrefix) || name == purgeLogName
+}
+
+// replaceFile writes a small file whole or not at all.
+func (s *Store) replaceFile(name string, content []byte) error {
+	file, err := s.fs.Create(name + newSuffix)
+	if err != nil {
+		return err
+	}
+	_, err = file.WriteAt(content, 0)
+	if err == nil {
+		err = file.Sync()
+	}
+	if err = errors.Join(err, file.Close()); err != nil {
+		return err
+	}
+	if err := s.fs.Rename(name+newSuffix, name); err != nil {
+		return err
+	}
+	return s.fs.SyncDir()
+}
+
+// openSegments opens every segment and removes files that were never renamed to their final name.
+func (s *Store) openSegments(names []string) error {
+	for _, name := range names {
+		if strings.HasSuffix(name, newSuffix) {
+			_ = s.fs.Remove(name)
+			continue
+		}
+		var id uint32
+		if n, _ := fmt.Sscanf(name, segmentForm, &id); n != 1 || name != segmentName(id) {
+			continue
+		}
+		s.nextID = max(s.nextID, id+1)
+		err := s.openSegment(id, name)
+		if errors.Is(err, vfs.ErrPowerLoss) {
+			return err
+		}
+		if err != nil {
+			s.onFault(StoreError{Code: CodeBadSegment, File: name, Err: err})
+		}
+	}
+	return nil
+}
+
+func (s *Store) openSegment(id uint32, name string) error {
+	file, err := s.fs.Open(name)
+	if err != nil {
+		return err
+	}
+	buf := make([]byte, segmentHeaderSize)
+	n, err := file.ReadAt(buf, 0)
+	if errors.Is(err, vfs.ErrPowerLoss) {
+		return err
+	}
+	salt, err := parseSegmentHeader(buf[:n], id)
+	if err != nil {
+		_ = file.Close()
+		return err
+	}
+	size, err := file.Size()
+	if err != nil {
+		_ = file.Close()
+		return err
+	}
+	s.segments[id] = &segment{
+		id:             id,
+		name:           name,
+		salt:           salt,
+		file:           file,
+		size:           size,
+		oldestIssuedAt: noRecord,
+		sealed:         true,
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/diskcache/segment.go
@@ -0,0 +1,144 @@
+package diskcache
+
+import (
+	"cairnfront/internal/diskcache/vfs"
+	"errors"
+	"fmt"
+)
+
+// segment is one append-only file of records.
+type segment struct {
+	id             uint32
+	name           string
+	salt           uint64
+	file           vfs.File
+	size           int64 // bytes written
+	liveBytes      int64 // bytes of records that the index names
+	oldestIssuedAt int64 // Unix ms, of its oldest record, live or not
+	sealed         bool
+	readers        int  // reads under way; the last one closes the file of a removed segment
+	removed        bool // compacted away, or the store is closed
+}
+
+// closeIfRemoved closes the file of a removed segment that nobody reads. The caller holds Store.mu.
+func (g *segment) closeIfRemoved() {
+	if g.removed && g.readers == 0 && g.file != nil {
+		_ = g.file.Close()
+		g.file = nil
+	}
+}
+
+// Put writes a chunk and returns the sequence number that the store gave it. A failed write is a StoreError.
+func (s *Store) Put(m Meta, body []byte) (uint64, error) {
+	if len(m.Tag) > maxTagBytes || len(body) > maxBodyBytes {
+		return 0, fmt.Errorf("a tag of %d and a body of %d bytes are too long", len(m.Tag), len(body))
+	}
+	s.writeMu.Lock()
+	defer s.writeMu.Unlock()
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return 0, errClosed
+	}
+	s.lastSeq++
+	m.Seq = s.lastSeq
+	s.mu.Unlock()
+	return m.Seq, s.append(m, body, nil)
+}
+
+// append writes a record to the active segment and enters it into the index. moved is the location of a record that a
+// compaction moves, nil for a new one. The caller holds writeMu.
+func (s *Store) append(m Meta, body []byte, moved *location) error {
+	size := recordSize(len(m.Tag), len(body))
+	if err := s.prepareActive(size); err != nil {
+		return s.reportWriteError(StoreError{File: segmentName(s.nextID), Key: m.Key, Err: err})
+	}
+	seg := s.active
+	offset := seg.size
+	record := appendRecord(nil, seg.salt, m, body, s.options.Clock().UnixMilli())
+	if _, err := seg.file.WriteAt(record, offset); err != nil {
+		// The next record overwrites this one.
+		return s.reportWriteError(StoreError{
+			File:   seg.name,
+			Offset: offset,
+			Key:    m.Key,
+			Err:    err,
+		})
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	seg.size += size
+	seg.oldestIssuedAt = min(seg.oldestIssuedAt, m.IssuedAt)
+	s.indexAppended(seg, offset, size, m, moved)
+	return nil
+}
+
+// indexAppended enters an appended record. A moved record replaces the location of the same copy only: if the copy was
+// deleted or replaced meanwhile, the record is dead. The caller holds mu.
+func (s *Store) indexAppended(seg *segment, offset, size int64, m Meta, moved *location) {
+	old := s.index.find(m.Key)
+	if moved != nil && (old == nil || old.seq != moved.seq) {
+		return
+	}
+	loc := newLocation(seg.id, offset, size, m)
+	if old != nil {
+		s.segments[old.segment].liveBytes -= int64(old.size)
+	}
+	if moved != nil {
+		loc.confirmedEpoch = old.confirmedEpoch
+	}
+	seg.liveBytes += size
+	s.index.put(loc)
+}
+
+// prepareActive makes sure that the active segment has room for a record, and starts a new segment if not.
+func (s *Store) prepareActive(size int64) error {
+	if s.active != nil && s.active.size+size <= s.options.SegmentBytes {
+		return nil
+	}
+	if s.active != nil {
+		if err := s.active.file.Sync(); err != nil {
+			return err
+		}
+		s.mu.Lock()
+		s.active.sealed = true
+		s.mu.Unlock()
+		s.active = nil
+	}
+	seg, err := s.createSegment(s.nextID)
+	if err != nil {
+		return err
+	}
+	s.nextID++
+	s.active = seg
+	s.mu.Lock()
+	s.segments[seg.id] = seg
+	s.mu.Unlock()
+	return nil
+}
+
+func (s *Store) createSegment(id uint32) (*segment, error) {
+	seg := &segment{
+		id:             id,
+		name:           segmentName(id),
+		salt:           s.options.Salt(),
+		size:           segmentHeaderSize,
+		oldestIssuedAt: noRecord,
+	}
+	file, err := s.fs.Create(seg.name)
+	if err != nil {
+		return nil, err
+	}
+	header := appendSegmentHeader(nil, id, seg.salt, s.options.Clock().UnixMilli())
+	if _, err := file.WriteAt(header, 0); err != nil {
+		_ = file.Close()
+		_ = s.fs.Remove(seg.name)
+		return nil, err
+	}
+	if err := errors.Join(file.Sync(), s.fs.SyncDir()); err != nil {
+		_ = file.Close()
+		return nil, err
+	}
+	seg.file = file
+	return seg, nil
+}
--- a/internal/diskcache/snapshot.go
+++ b/internal/diskcache/snapshot.go
@@ -2,221 +2,339 @@
 
 import (
 	"bufio"
+	"cairnfront/internal/diskcache/eviction"
+	"cairnfront/internal/diskcache/vfs"
 	"encoding/binary"
 	"errors"
 	"fmt"
 	"hash/crc32"
 	"io"
 	"math"
-
-	"cairnfront/internal/diskcache/eviction"
-	"cairnfront/internal/diskcache/vfs"
 )
 
-// The snapshot only speeds the start: it spares reading the heads of what it covers. Nothing is served on its word:
-// each read holds the record against its head and checksums.
+// The format of the index snapshot. The snapshot only speeds up a start: the headers of the records that it covers need
+// not be read. No chunk is served on its word; each read verifies the record's header and checksums.
 const (
-	snapMagic   = 0x5844494e52494143 // "CAIRNIDX"
-	snapHead    = 32
-	snapSegment = 32
-	snapEntry   = 64
+	snapshotMagic        = 0x5844494e52494143 // "CAIRNIDX"
+	snapshotHeaderSize   = 32
+	snapshotSegmentSize  = 32
+	snapshotEntrySize    = 64
+	snapshotChecksumSize = 4
+	snapshotBufferSize   = 256 << 10
+	maxSnapshotEntries   = 1 << 40 // bounds the arithmetic on a damaged header
 )
 
-// Snapshot writes the index with what is known of each part's gaps.
-func (s *Store) WriteSnapshot(recall func(eviction.Key) (eviction.AccessHistory, bool)) error {
-	s.write.Lock()
-	defer s.write.Unlock()
-	if s.active != nil { // what is named must be there
+// HistoryFunc returns the access history of a cached chunk, if there is one.
+type HistoryFunc func(eviction.Key) (eviction.AccessHistory, bool)
+
+// WriteSnapshot writes the index with the access history of each chunk; history may be nil.
+func (s *Store) WriteSnapshot(history HistoryFunc) error {
+	s.writeMu.Lock()
+	defer s.writeMu.Unlock()
+	if s.active != nil { // what the snapshot names must be durable
 		if err := s.active.file.Sync(); err != nil {
-			return s.writeFault(StoreError{File: s.active.name, Err: err})
+			return s.reportWriteError(StoreError{File: s.active.name, Err: err})
 		}
 	}
-	s.mu.Lock()
-	places := make([]place, 0, s.index.n)
-	s.index.each(func(p *place) bool { places = append(places, *p); return true })
-	var segs []segment
-	for _, g := range s.segments {
-		segs = append(segs, *g)
+	content := s.copyIndex()
+	const newName = snapshotName + newSuffix
+	file, err := s.fs.Create(newName)
+	if err != nil {
+		return s.reportWriteError(StoreError{File: snapshotName, Err: err})
+	}
+	err = content.write(file, history)
+	if err = errors.Join(err, file.Close()); err == nil {
+		err = errors.Join(s.fs.Rename(newName, snapshotName), s.fs.SyncDir())
 	}
-	seq := s.seq
-	s.mu.Unlock()
-
-	f, err := s.fs.Create(snapshotName + freshSuffix)
 	if err != nil {
-		return s.writeFault(StoreError{File: snapshotName, Err: err})
+		_ = s.fs.Remove(newName)
+		return s.reportWriteError(StoreError{File: snapshotName, Err: err})
 	}
-	w := &at{f: f}
-	buf := bufio.NewWriterSize(w, 256<<10)
-	sum := uint32(0)
-	le := binary.LittleEndian
-	put := func(b []byte) {
-		sum = crc32.Update(sum, castagnoli, b)
-		_, _ = buf.Write(b) // the first error is the one that Flush tells
+	return nil
+}
+
+// snapshotContent is a copy of the store's state.
+type snapshotContent struct {
+	locations []location
+	segments  []segment
+	lastSeq   uint64
+}
+
+func (s *Store) copyIndex() snapshotContent {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	content := snapshotContent{locations: make([]location, 0, s.index.count), lastSeq: s.lastSeq}
+	s.index.each(func(loc *location) bool {
+		content.locations = append(content.locations, *loc)
+		return true
+	})
+	for _, seg := range s.segments {
+		content.segments = append(content.segments, *seg)
 	}
-	b := le.AppendUint64(nil, snapMagic)
-	b = le.AppendUint32(b, formatVersion)
-	b = le.AppendUint32(b, uint32(len(segs)))
-	b = le.AppendUint64(b, uint64(len(places)))
-	put(le.AppendUint64(b, seq))
-	for _, g := range segs {
-		b = le.AppendUint32(b[:0], g.id)
-		b = le.AppendUint32(b, 0)
-		b = le.AppendUint64(b, g.salt)
-		b = le.AppendUint64(b, uint64(g.size))
-		put(le.AppendUint64(b, uint64(g.oldest)))
-	}
-	for _, p := range places {
-		b = le.AppendUint64(b[:0], p.object)
-		b = le.AppendUint64(b, p.seq)
-		b = le.AppendUint32(b, p.part)
-		b = le.AppendUint32(b, p.segment)
-		b = le.AppendUint32(b, p.at)
-		b = le.AppendUint32(b, p.size)
-		b = append(b, p.rank, 0, 0, 0, 0, 0, 0, 0)
-		m := eviction.AccessHistory{MeanGap: math.NaN()}
-		if recall != nil {
-			if known, ok := recall(p.key()); ok {
-				m = known
-			}
-		}
-		b = le.AppendUint64(b, math.Float64bits(m.MeanGap))
-		b = le.AppendUint64(b, math.Float64bits(m.LastAccess))
-		put(le.AppendUint64(b, 0))
+	return content
+}
+
+// write writes and syncs the snapshot.
+func (c *snapshotContent) write(file vfs.File, history HistoryFunc) error {
+	w := &checksumWriter{buf: bufio.NewWriterSize(&fileCursor{file: file}, snapshotBufferSize)}
+	w.write(c.appendHeader(nil))
+	var b []byte
+	for i := range c.segments {
+		b = appendSnapshotSegment(b[:0], &c.segments[i])
+		w.write(b)
 	}
-	_, _ = buf.Write(le.AppendUint32(nil, sum))
-	err = buf.Flush()
-	if err == nil {
-		err = f.Sync()
+	for i := range c.locations {
+		b = appendSnapshotEntry(b[:0], &c.locations[i], history)
+		w.write(b)
 	}
-	if err = errors.Join(err, f.Close()); err == nil {
-		err = errors.Join(s.fs.Rename(snapshotName+freshSuffix, snapshotName), s.fs.SyncDir())
+	w.write(binary.LittleEndian.AppendUint32(nil, w.sum))
+	if err := w.buf.Flush(); err != nil {
+		return err
 	}
-	if err != nil {
-		_ = s.fs.Remove(snapshotName + freshSuffix)
-		return s.writeFault(StoreError{File: snapshotName, Err: err})
+	return file.Sync()
+}
+
+func (c *snapshotContent) appendHeader(b []byte) []byte {
+	le := binary.LittleEndian
+	b = le.AppendUint64(b, snapshotMagic)
+	b = le.AppendUint32(b, formatVersion)
+	b = le.AppendUint32(b, uint32(len(c.segments)))
+	b = le.AppendUint64(b, uint64(len(c.locations)))
+	return le.AppendUint64(b, c.lastSeq)
+}
+
+func appendSnapshotSegment(b []byte, seg *segment) []byte {
+	le := binary.LittleEndian
+	b = le.AppendUint32(b, seg.id)
+	b = le.AppendUint32(b, 0)
+	b = le.AppendUint64(b, seg.salt)
+	b = le.AppendUint64(b, uint64(seg.size))
+	return le.AppendUint64(b, uint64(seg.oldestIssuedAt))
+}
+
+// appendSnapshotEntry encodes a location. A chunk without an access history has a gap of NaN.
+func appendSnapshotEntry(b []byte, loc *location, history HistoryFunc) []byte {
+	access := eviction.AccessHistory{MeanGap: math.NaN()}
+	if history != nil {
+		if known, ok := history(loc.key()); ok {
+			access = known
+		}
 	}
-	return nil
+	le := binary.LittleEndian
+	b = le.AppendUint64(b, loc.object)
+	b = le.AppendUint64(b, loc.seq)
+	b = le.AppendUint32(b, loc.chunk)
+	b = le.AppendUint32(b, loc.segment)
+	b = le.AppendUint32(b, loc.grains)
+	b = le.AppendUint32(b, loc.size)
+	b = append(b, loc.rank, 0, 0, 0, 0, 0, 0, 0)
+	b = le.AppendUint64(b, math.Float64bits(access.MeanGap))
+	b = le.AppendUint64(b, math.Float64bits(access.LastAccess))
+	return le.AppendUint64(b, 0)
+}
+
+// checksumWriter sums what it writes. Flush of its buffer returns the first error.
+type checksumWriter struct {
+	buf *bufio.Writer
+	sum uint32
+}
+
+func (w *checksumWriter) write(b []byte) {
+	w.sum = crc32.Update(w.sum, castagnoli, b)
+	_, _ = w.buf.Write(b)
 }
 
-// at writes one after the other.
-type at struct {
-	f   vfs.File
-	off int64
+// fileCursor reads and writes a file sequentially.
+type fileCursor struct {
+	file   vfs.File
+	offset int64
 }
 
-func (w *at) Write(p []byte) (int, error) {
-	n, err := w.f.WriteAt(p, w.off)
-	w.off += int64(n)
+func (c *fileCursor) Write(p []byte) (int, error) {
+	n, err := c.file.WriteAt(p, c.offset)
+	c.offset += int64(n)
 	return n, err
 }
 
-func (w *at) Read(p []byte) (int, error) {
-	n, err := w.f.ReadAt(p, w.off)
-	w.off += int64(n)
+func (c *fileCursor) Read(p []byte) (int, error) {
+	n, err := c.file.ReadAt(p, c.offset)
+	c.offset += int64(n)
 	if n > 0 {
 		err = nil
 	}
 	return n, err
 }
 
-// readSnapshot enters what the snapshot names and says up to where it covers each segment. One that can't be used is
-// passed over whole.
-func (s *Store) readSnapshot(rep *RecoveryReport, want bool) map[uint32]int64 {
-	f, err := s.fs.Open(snapshotName)
+// readSnapshot enters what the snapshot names into the index and returns the offset up to which it covers each segment.
+// A snapshot that cannot be used is ignored as a whole.
+func (s *Store) readSnapshot(report *RecoveryReport, withHistory bool) map[uint32]int64 {
+	file, err := s.fs.Open(snapshotName)
 	if err != nil {
 		return nil
 	}
-	defer f.Close()
-	known := map[eviction.Key]eviction.AccessHistory{}
-	covered, err := s.loadSnapshot(f, rep, want, known)
-	if err != nil {
-		s.fault(StoreError{Code: CodeBadSnapshot, File: snapshotName, Err: err})
-		s.index, s.seq = index{}, 0
-		for _, g := range s.segments {
-			g.live, g.oldest = 0, 1<<63-1
+	defer func() { _ = file.Close() }() // only read
+	r := newSnapshotReader(s, file)
+	if withHistory {
+		r.history = map[eviction.Key]eviction.AccessHistory{}
+	}
+	if err := r.load(); err != nil {
+		s.onFault(StoreError{Code: CodeBadSnapshot, File: snapshotName, Err: err})
+		s.index, s.lastSeq = index{}, 0
+		for _, seg := range s.segments {
+			seg.liveBytes, seg.oldestIssuedAt = 0, noRecord
 		}
-		rep.FromSnapshot = 0
 		return nil
 	}
-	rep.SnapshotUsed = true
-	if want {
-		rep.Known = known
+	report.SnapshotUsed = true
+	report.FromSnapshot = r.entered
+	report.Known = r.history
+	return r.covered
+}
+
+// snapshotReader reads a snapshot into a store.
+type snapshotReader struct {
+	store   *Store
+	file    vfs.File
+	in      *bufio.Reader
+	sum     uint32
+	buf     []byte
+	covered map[uint32]int64                        // offset up to which each existing segment is covered
+	missing map[uint32]bool                         // segments that do not exist, or not as the snapshot knew them
+	history map[eviction.Key]eviction.AccessHistory // nil if not wanted
+	entered int
+}
+
+func newSnapshotReader(s *Store, file vfs.File) *snapshotReader {
+	return &snapshotReader{
+		store:   s,
+		file:    file,
+		in:      bufio.NewReaderSize(&fileCursor{file: file}, snapshotBufferSize),
+		buf:     make([]byte, snapshotEntrySize),
+		covered: map[uint32]int64{},
+		missing: map[uint32]bool{},
+	}
+}
+
+// next reads n bytes, which are valid until the next call.
+func (r *snapshotReader) next(n int) ([]byte, error) {
+	_, err := io.ReadFull(r.in, r.buf[:n])
+	r.sum = crc32.Update(r.sum, castagnoli, r.buf[:n])
+	return r.buf[:n], err
+}
+
+func (r *snapshotReader) load() error {
+	segments, entries, lastSeq, err := r.readHeader()
+	if err != nil {
+		return err
 	}
-	return covered
+	for range segments {
+		if err := r.readSegment(); err != nil {
+			return err
+		}
+	}
+	r.store.index.reserve(int(entries))
+	for range entries {
+		if err := r.readEntry(); err != nil {
+			return err
+		}
+	}
+	sum := r.sum
+	b, err := r.next(snapshotChecksumSize)
+	if err != nil {
+		return err
+	}
+	if binary.LittleEndian.Uint32(b) != sum {
+		return errors.New("its checksum does not hold")
+	}
+	r.store.lastSeq = max(r.store.lastSeq, lastSeq)
+	return nil
 }
 
-func (s *Store) loadSnapshot(f vfs.File, rep *RecoveryReport, want bool, known map[eviction.Key]eviction.AccessHistory) (map[uint32]int64, error) {
-	r := bufio.NewReaderSize(&at{f: f}, 256<<10)
-	sum := uint32(0)
-	buf := make([]byte, snapEntry)
-	next := func(n int) ([]byte, error) {
-		_, err := io.ReadFull(r, buf[:n])
-		sum = crc32.Update(sum, castagnoli, buf[:n])
-		return buf[:n], err
+func (r *snapshotReader) readHeader() (segments uint32, entries, lastSeq uint64, err error) {
+	le := binary.LittleEndian
+	b, err := r.next(snapshotHeaderSize)
+	if err != nil {
+		return 0, 0, 0, err
+	}
+	if le.Uint64(b) != snapshotMagic || le.Uint32(b[8:]) != formatVersion {
+		return 0, 0, 0, fmt.Errorf("not a snapshot of version %d", formatVersion)
+	}
+	segments, entries, lastSeq = le.Uint32(b[12:]), le.Uint64(b[16:]), le.Uint64(b[24:])
+	size, err := r.file.Size()
+	want := snapshotHeaderSize + int64(segments)*snapshotSegmentSize +
+		int64(min(entries, maxSnapshotEntries))*snapshotEntrySize + snapshotChecksumSize
+	if err != nil || size != want {
+		return 0, 0, 0, fmt.Errorf("%d bytes do not fit what its head says", size)
 	}
+	return segments, entries, lastSeq, nil
+}
+
+func (r *snapshotReader) readSegment() error {
 	le := binary.LittleEndian
-	b, err := next(snapHead)
+	b, err := r.next(snapshotSegmentSize)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	if le.Uint64(b) != snapMagic || le.Uint32(b[8:]) != formatVersion {
-		return nil, fmt.Errorf("not a snapshot of version %d", formatVersion)
+	id, salt, upTo := le.Uint32(b), le.Uint64(b[8:]), int64(le.Uint64(b[16:]))
+	seg := r.store.segments[id]
+	if seg == nil || seg.salt != salt {
+		r.missing[id] = true
+		r.store.onFault(StoreError{
+			Code: CodeMissingSegment,
+			File: segmentName(id),
+			Err:  errors.New("the snapshot names it: lost, or compacted since"),
+		})
+		return nil
 	}
-	segs, entries, seq := le.Uint32(b[12:]), le.Uint64(b[16:]), le.Uint64(b[24:])
-	size, err := f.Size()
-	if err != nil || size != snapHead+int64(segs)*snapSegment+int64(min(entries, 1<<40))*snapEntry+4 {
-		return nil, fmt.Errorf("%d bytes do not fit what its head says", size)
+	if upTo < segmentHeaderSize || upTo%grain != 0 {
+		return fmt.Errorf("segment %08x is covered up to %d", id, upTo)
 	}
-	covered, gone, stated := map[uint32]int64{}, map[uint32]bool{}, map[uint32]bool{}
-	for range segs {
-		if b, err = next(snapSegment); err != nil {
-			return nil, err
-		}
-		id, upto := le.Uint32(b), int64(le.Uint64(b[16:]))
-		stated[id] = true
-		if g := s.segments[id]; g != nil && g.salt == le.Uint64(b[8:]) {
-			if upto < segmentHead || upto%grain != 0 {
-				return nil, fmt.Errorf("segment %08x is covered up to %d", id, upto)
-			}
-			if covered[id] = min(upto, g.size); g.size < upto {
-				s.fault(StoreError{Code: CodeTruncated, File: g.name, Offset: g.size, Err: fmt.Errorf("it was %d bytes long", upto)})
-			}
-			g.oldest = int64(le.Uint64(b[24:]))
-		} else {
-			gone[id] = true
-			s.fault(StoreError{Code: CodeMissingSegment, File: fmt.Sprintf(segmentForm, id), Err: errors.New("the snapshot names it: lost, or compacted since")})
-		}
+	r.covered[id] = min(upTo, seg.size)
+	if seg.size < upTo {
+		r.store.onFault(StoreError{
+			Code:   CodeTruncated,
+			File:   seg.name,
+			Offset: seg.size,
+			Err:    fmt.Errorf("it was %d bytes long", upTo),
+		})
 	}
-	s.index.reserve(int(entries))
-	for range entries {
-		if b, err = next(snapEntry); err != nil {
-			return nil, err
-		}
-		p := place{object: le.Uint64(b), seq: le.Uint64(b[8:]), part: le.Uint32(b[16:]), segment: le.Uint32(b[20:]),
-			at: le.Uint32(b[24:]), size: le.Uint32(b[28:]), rank: b[32]}
-		if !stated[p.segment] || p.size < recordHead || p.size > recordHead+mostTag+mostBody+grain {
-			return nil, fmt.Errorf("an entry can't be")
-		}
-		if gone[p.segment] || int64(p.at)*grain+int64(p.size) > covered[p.segment] {
-			continue
-		}
-		if old := s.index.find(p.key()); old != nil {
-			return nil, fmt.Errorf("a part stands there twice")
-		}
-		s.segments[p.segment].live += int64(p.size)
-		s.index.put(p)
-		rep.FromSnapshot++
-		if gap := math.Float64frombits(le.Uint64(b[40:])); want && !math.IsNaN(gap) {
-			known[p.key()] = eviction.AccessHistory{MeanGap: gap, LastAccess: math.Float64frombits(le.Uint64(b[48:]))}
-		}
+	seg.oldestIssuedAt = int64(le.Uint64(b[24:]))
+	return nil
+}
+
+func (r *snapshotReader) readEntry() error {
+	le := binary.LittleEndian
+	b, err := r.next(snapshotEntrySize)
+	if err != nil {
+		return err
 	}
-	want32 := sum
-	if b, err = next(4); err != nil {
-		return nil, err
+	loc := location{
+		object:  le.Uint64(b),
+		seq:     le.Uint64(b[8:]),
+		chunk:   le.Uint32(b[16:]),
+		segment: le.Uint32(b[20:]),
+		grains:  le.Uint32(b[24:]),
+		size:    le.Uint32(b[28:]),
+		rank:    b[32],
 	}
-	if le.Uint32(b) != want32 {
-		return nil, errors.New("its checksum does not hold")
+	covered, exists := r.covered[loc.segment]
+	missing := r.missing[loc.segment]
+	const maxRecordSize = recordHeaderSize + maxTagBytes + maxBodyBytes + grain
+	if !exists && !missing || loc.size < recordHeaderSize || loc.size > maxRecordSize {
+		return errors.New("an entry can't be")
 	}
-	s.seq = max(s.seq, seq)
-	return covered, nil
+	if missing || loc.offset()+int64(loc.size) > covered {
+		return nil
+	}
+	if r.store.index.find(loc.key()) != nil {
+		return errors.New("a part stands there twice")
+	}
+	r.store.segments[loc.segment].liveBytes += int64(loc.size)
+	r.store.index.put(loc)
+	r.entered++
+	if gap := math.Float64frombits(le.Uint64(b[40:])); r.history != nil && !math.IsNaN(gap) {
+		access := eviction.AccessHistory{MeanGap: gap, LastAccess: math.Float64frombits(le.Uint64(b[48:]))}
+		r.history[loc.key()] = access
+	}
+	return nil
 }
--- a/internal/diskcache/store_test.go
+++ b/internal/diskcache/store_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"bytes"
+	"cairnfront/internal/diskcache/eviction"
+	"cairnfront/internal/diskcache/validity"
+	"cairnfront/internal/diskcache/vfs"
 	"fmt"
 	"math/rand/v2"
 	"path/filepath"
@@ -9,10 +12,6 @@
 	"testing"
 	"time"
 
-	"cairnfront/internal/diskcache/eviction"
-	"cairnfront/internal/diskcache/validity"
-	"cairnfront/internal/diskcache/vfs"
-
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -20,7 +19,7 @@
 
 func k(o, p int) eviction.Key { return eviction.Key{Object: uint64(o), Chunk: uint32(p)} }
 
-// body is made of the part and its time, so that a wrong one shows.
+// body derives the bytes of a chunk from its key and issue time, so that a wrong one is detected.
 func body(key eviction.Key, dated int64, n int) []byte {
 	b := make([]byte, n)
 	r := rand.New(rand.NewPCG(key.Object<<8|uint64(key.Chunk), uint64(dated)))
@@ -34,16 +33,18 @@
 	return Meta{Key: key, Group: uint16(key.Object % 5), IssuedAt: dated, Tag: fmt.Sprintf("t%d", dated), Rank: 2}
 }
 
-func small() StoreOptions {
+func smallOptions() StoreOptions {
 	salt := uint64(0)
-	return StoreOptions{SegmentBytes: 4096, Salt: func() uint64 { salt++; return salt * 0x9e3779b97f4a7c15 },
-		Clock: func() time.Time { return time.UnixMilli(5000) }}
+	return StoreOptions{
+		SegmentBytes: 4096, Salt: func() uint64 { salt++; return salt * 0x9e3779b97f4a7c15 },
+		Clock: func() time.Time { return time.UnixMilli(5000) },
+	}
 }
 
 func open(t *testing.T, fs vfs.FS) (*Store, RecoveryReport, *[]StoreError) {
 	t.Helper()
 	var faults []StoreError
-	s, rep, err := OpenStore(fs, small(), true, func(f StoreError) { faults = append(faults, f) })
+	s, rep, err := OpenStore(fs, smallOptions(), true, func(f StoreError) { faults = append(faults, f) })
 	require.NoError(t, err)
 	return s, rep, &faults
 }
@@ -64,7 +65,7 @@
 	assert.True(t, bytes.Equal(body(key, dated, n), p.Body))
 }
 
-func TestPartsComeBackFromARealFolder(t *testing.T) {
+func TestChunksSurviveReopeningRealFolder(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "tier")
 	d, err := vfs.MakeDir(path)
 	require.NoError(t, err)
@@ -95,12 +96,12 @@
 	holds(t, s, k(7, 0), 200, 33)
 	holds(t, s, k(9, 0), 100, 309)
 	holds(t, s, k(99, 0), 300, 40)
-	_, _, err = OpenStore(d, small(), false, nil)
+	_, _, err = OpenStore(d, smallOptions(), false, nil)
 	assert.ErrorIs(t, err, vfs.ErrLocked)
 	require.NoError(t, s.Close())
 }
 
-func TestCompactionGivesSpaceBackAndKeepsWhatIsWanted(t *testing.T) {
+func TestCompactionReclaimsSpaceAndKeepsWantedChunks(t *testing.T) {
 	fs := vfs.NewFaultFS(1)
 	s, _, _ := open(t, fs)
 	for i := range 40 {
@@ -133,14 +134,14 @@
 	holds(t, s, k(36, 0), 100, 400)
 }
 
-// A part that is dropped while it is being moved stays dropped.
-func TestAPartDroppedWhileItIsMovedStaysDropped(t *testing.T) {
+// A chunk that is deleted while a compaction moves it stays deleted.
+func TestChunkDeletedDuringMoveStaysDeleted(t *testing.T) {
 	s, _, _ := open(t, vfs.NewFaultFS(1))
 	for i := range 12 {
 		put(t, s, k(i, 0), 100, 400)
 	}
 	_, err := s.Compact(1, func(m Meta) bool {
-		s.Delete(m.Key) // a purge comes in between
+		s.Delete(m.Key) // a purge arrives in between
 		return true
 	})
 	require.NoError(t, err)
@@ -149,29 +150,35 @@
 	}
 }
 
-func TestEachFaultCostsThePartsConcerned(t *testing.T) {
-	const parts, size = 20, 400 // eight a segment
+func TestEachFaultCostsOnlyChunksConcerned(t *testing.T) {
+	const chunks, size = 20, 400 // eight a segment
 	rec := recordSize(len("t100"), size)
 	cases := []struct {
 		name string
 		hurt func(*vfs.FaultFS)
 		lost int
-		code string
+		code FaultCode
 	}{
-		{"a bit in a head", func(f *vfs.FaultFS) { f.FlipBit("seg-00000001.cf", segmentHead+rec+20, 3) }, 1, CodeBadHeader},
-		{"a bit in a body", func(f *vfs.FaultFS) { f.FlipBit("seg-00000001.cf", segmentHead+rec+recordHead+50, 3) }, 1, CodeBadBody},
+		{"a bit in a header", func(f *vfs.FaultFS) {
+			f.FlipBit("seg-00000001.cf", segmentHeaderSize+rec+20, 3)
+		}, 1, CodeBadHeader},
+		{"a bit in a body", func(f *vfs.FaultFS) {
+			f.FlipBit("seg-00000001.cf", segmentHeaderSize+rec+recordHeaderSize+50, 3)
+		}, 1, CodeBadBody},
 		{"a segment cut off", func(f *vfs.FaultFS) {
 			h, _ := f.Open("seg-00000002.cf")
-			_ = h.Truncate(segmentHead + 3*rec + 100)
+			_ = h.Truncate(segmentHeaderSize + 3*rec + 100)
 		}, -1, CodeTruncated},
-		{"a segment's head", func(f *vfs.FaultFS) { f.FlipBit("seg-00000001.cf", 17, 0) }, 8, CodeBadSegment},
+		{"a segment's header", func(f *vfs.FaultFS) { f.FlipBit("seg-00000001.cf", 17, 0) }, 8, CodeBadSegment},
 		{"a segment missing", func(f *vfs.FaultFS) { _ = f.Remove("seg-00000001.cf") }, 8, CodeMissingSegment},
 		{"a read that fails", func(f *vfs.FaultFS) {
-			f.FailRead = func(name string, at int64) bool { return name == "seg-00000001.cf" && at == segmentHead+rec }
+			f.FailRead = func(name string, offset int64) bool {
+				return name == "seg-00000001.cf" && offset == segmentHeaderSize+rec
+			}
 		}, 1, CodeReadFailed},
 		{"a snapshot's bit", func(f *vfs.FaultFS) { f.FlipBit(snapshotName, 200, 1) }, 0, CodeBadSnapshot},
-		{"the notices' end", func(f *vfs.FaultFS) {
-			h, _ := f.Open(noticesName)
+		{"the purge log's end", func(f *vfs.FaultFS) {
+			h, _ := f.Open(purgeLogName)
 			_, _ = h.WriteAt([]byte("garbage"), validity.RecordSize)
 		}, 0, CodeBadPurgeLog},
 	}
@@ -183,19 +190,22 @@
 			t.Run(fmt.Sprint(c.name, snapshot), func(t *testing.T) {
 				fs := vfs.NewFaultFS(1)
 				s, _, _ := open(t, fs)
-				for i := range parts {
+				for i := range chunks {
 					put(t, s, k(i, 0), 100, size)
 				}
-				require.NoError(t, s.AppendPurgeRecords([]validity.Record{{Kind: validity.PurgeObject, Object: 77, PurgedAt: 5}}))
+				require.NoError(
+					t,
+					s.AppendPurgeRecords([]validity.Record{{Kind: validity.PurgeObject, Object: 77, PurgedAt: 5}}),
+				)
 				if snapshot {
 					require.NoError(t, s.WriteSnapshot(nil))
 				}
 				require.NoError(t, s.Close())
 				c.hurt(fs)
 				s, rep, faults := open(t, fs)
-				assert.Len(t, rep.Records, 1, "no purge is lost")
+				assert.Len(t, rep.Records, 1, "no purge record is lost")
 				lost := 0
-				for i := range parts {
+				for i := range chunks {
 					if p, err := s.Get(k(i, 0)); err != nil {
 						lost++
 					} else {
@@ -208,7 +218,7 @@
 					assert.Greater(t, lost, 0)
 					assert.Less(t, lost, 9)
 				}
-				codes := map[string]int{}
+				codes := map[FaultCode]int{}
 				for _, f := range *faults {
 					codes[f.Code]++
 				}
@@ -220,7 +230,7 @@
 	}
 }
 
-func TestAFullDiskCostsTheWriteAndNothingElse(t *testing.T) {
+func TestFullDiskFailsOnlyTheWrite(t *testing.T) {
 	fs := vfs.NewFaultFS(1)
 	s, _, faults := open(t, fs)
 	put(t, s, k(1, 0), 100, 400)
@@ -239,33 +249,33 @@
 	assert.Equal(t, CodeWriteFailed, f.Code)
 	fs.ShortWrite = nil
 	put(t, s, k(3, 0), 100, 800)
-	s, _, _ = open2(t, fs, s)
+	s, _, _ = reopen(t, fs, s)
 	holds(t, s, k(3, 0), 100, 800)
 	assert.False(t, s.Contains(k(2, 0)))
 }
 
-func open2(t *testing.T, fs vfs.FS, s *Store) (*Store, RecoveryReport, *[]StoreError) {
+func reopen(t *testing.T, fs vfs.FS, s *Store) (*Store, RecoveryReport, *[]StoreError) {
 	t.Helper()
 	require.NoError(t, s.Close())
 	return open(t, fs)
 }
 
-func TestAnotherFormatIsRefusedWithALine(t *testing.T) {
+func TestOtherFormatIsRefused(t *testing.T) {
 	fs := vfs.NewFaultFS(1)
 	h, _ := fs.Create(formatName)
 	_, _ = h.WriteAt([]byte("cairnfront disk tier 9\n"), 0)
-	_, _, err := OpenStore(fs, small(), false, nil)
+	_, _, err := OpenStore(fs, smallOptions(), false, nil)
 	assert.ErrorIs(t, err, ErrUnsupportedFormat)
 	assert.ErrorContains(t, err, "version 9, this program reads version 1")
 	fs = vfs.NewFaultFS(1)
 	_, _ = fs.Create("seg-00000001.cf")
-	_, _, err = OpenStore(fs, small(), false, nil)
+	_, _, err = OpenStore(fs, smallOptions(), false, nil)
 	assert.ErrorIs(t, err, ErrUnsupportedFormat)
 }
 
-// A body may hold what looks like a record. After the true head before it is hurt, the scan meets it and must not
-// believe it: its maker does not know the segment's salt.
-func TestARecordWithinABodyIsNotBelieved(t *testing.T) {
+// A body may contain what looks like a record. When the header before it is damaged, the scan reaches it and must not
+// accept it: whoever made the body does not know the segment's salt.
+func TestRecordWithinBodyIsNotAccepted(t *testing.T) {
 	fs := vfs.NewFaultFS(1)
 	s, _, _ := open(t, fs)
 	forged := appendRecord(nil, 0, meta(k(666, 0), 1), []byte("not what it was"), 0)
@@ -276,46 +286,45 @@
 	require.NoError(t, err)
 	put(t, s, k(2, 0), 100, 100)
 	require.NoError(t, s.Close())
-	fs.FlipBit("seg-00000001.cf", segmentHead+9, 0)
+	fs.FlipBit("seg-00000001.cf", segmentHeaderSize+9, 0)
 	s, _, _ = open(t, fs)
 	assert.Equal(t, 1, s.Chunks())
 	holds(t, s, k(2, 0), 100, 100)
 }
 
-// PowerCut plays a script of puts, purges, compactions and snapshots, drawn from the seed, with the power cut at the
-// operation numbered cut, and opens the folder again. It returns how many operations there were in all if the power
-// stayed on, and what was wrong after.
-func powerCut(t require.TestingT, seed uint64, cut int) (ops int) {
+// powerLoss plays the script drawn from the seed with a power loss at the operation numbered cut and requires that
+// nothing broke. It returns the number of operations of the first life.
+func powerLoss(t require.TestingT, seed uint64, cut int) (ops int) {
 	out := RunPowerLoss(seed, cut)
 	require.Empty(t, out.Violations, "seed %d, cut at %d", seed, cut)
 	return out.Ops
 }
 
-// The power is cut at every single write, sync, renaming, removal and truncation of the script, several times with
-// other chances for what was not synced.
-func TestPowerCutAtEveryOperation(t *testing.T) {
-	ops := powerCut(t, 1, 0)
+// The power fails at every single write, sync, renaming, removal and truncation of the script, twice with other draws
+// of what survives unsynced.
+func TestPowerLossAtEveryOperation(t *testing.T) {
+	ops := powerLoss(t, 1, 0)
 	require.Greater(t, ops, 100)
 	for cut := 1; cut <= ops; cut++ {
 		for s := range uint64(2) {
-			powerCut(t, 1+s*1000, cut)
+			powerLoss(t, 1+s*1000, cut)
 		}
 	}
 }
 
-// The check of the power cuts is shown to fail: a log that is not synced loses an acknowledged purge, and a body that
-// is not checked is served torn.
-func TestPowerCutsAreNoticedWhereTheGuardIsMissing(t *testing.T) {
-	for name, breakIt := range map[string]func(*powerScript){
-		"log without a sync": func(p *powerScript) { p.unsyncedLog = true },
-		"body not checked":   func(p *powerScript) { p.uncheckedBody = true },
+// The checks of a power-loss run can fail: a log that is not synced loses an acknowledged purge, and a body that is not
+// verified is served torn.
+func TestPowerLossChecksFailWithoutGuards(t *testing.T) {
+	for name, breakIt := range map[string]func(*powerLossRun){
+		"log without a sync": func(p *powerLossRun) { p.unsyncedLog = true },
+		"body not checked":   func(p *powerLossRun) { p.uncheckedBody = true },
 	} {
 		wrong := 0
 		for seed := range uint64(40) {
 			for cut := 20; cut < 100; cut += 7 {
-				p := powerScript{seed: seed, cut: cut}
+				p := powerLossRun{seed: seed, cut: cut}
 				breakIt(&p)
-				wrong += len(p.play().Violations)
+				wrong += len(p.run().Violations)
 			}
 		}
 		assert.Greater(t, wrong, 0, name)
@@ -335,12 +344,12 @@
 				}
 				delete(want, key)
 			} else {
-				x.put(place{object: key.Object, segment: 1, seq: uint64(n)})
+				x.put(location{object: key.Object, segment: 1, seq: uint64(n)})
 				want[key] = uint64(n)
 			}
 		}
-		if x.n != len(want) {
-			t.Fatalf("%d places for %d", x.n, len(want))
+		if x.count != len(want) {
+			t.Fatalf("%d places for %d", x.count, len(want))
 		}
 		for key, seq := range want {
 			if p := x.find(key); p == nil || p.seq != seq {
@@ -350,21 +359,22 @@
 	})
 }
 
-func FuzzParseHead(f *testing.F) {
+func FuzzParseRecordHeader(f *testing.F) {
 	f.Add(appendRecord(nil, 7, meta(k(1, 2), 3), []byte("body"), 4), uint64(7))
-	f.Add(make([]byte, recordHead), uint64(0))
+	f.Add(make([]byte, recordHeaderSize), uint64(0))
 	f.Fuzz(func(t *testing.T, b []byte, salt uint64) {
-		h, err := parseHead(b, salt)
-		if err == nil && (h.bodyLen > mostBody || len(h.Tag) > mostTag || h.size() < recordHead) {
+		h, err := parseRecordHeader(b, salt)
+		if err == nil && (h.bodyLen > maxBodyBytes || len(h.Tag) > maxTagBytes || h.size() < recordHeaderSize) {
 			t.Fatalf("%+v", h)
 		}
 	})
 }
 
-// FuzzOpen gives a store segments, logs and snapshots of any bytes: it opens or says why, and serves nothing wrong.
+// FuzzOpen opens segments, logs and snapshots of arbitrary bytes: the store opens or returns an error, and serves no
+// chunk under another key.
 func FuzzOpen(f *testing.F) {
 	fs := vfs.NewFaultFS(1)
-	s, _, err := OpenStore(fs, small(), true, nil)
+	s, _, err := OpenStore(fs, smallOptions(), true, nil)
 	if err != nil {
 		f.Fatal(err)
 	}
@@ -374,14 +384,20 @@
 	_ = s.AppendPurgeRecords([]validity.Record{{Kind: validity.PurgeObject, Object: 1, PurgedAt: 5}})
 	_ = s.WriteSnapshot(nil)
 	_ = s.Close()
-	f.Add(fs.Contents("seg-00000001.cf"), fs.Contents(snapshotName), fs.Contents(noticesName))
+	f.Add(fs.Contents("seg-00000001.cf"), fs.Contents(snapshotName), fs.Contents(purgeLogName))
 	f.Fuzz(func(t *testing.T, seg, snap, log []byte) {
 		fs := vfs.NewFaultFS(1)
-		for name, b := range map[string][]byte{formatName: []byte("cairnfront disk tier 1\n"), "seg-00000001.cf": seg, snapshotName: snap, noticesName: log} {
+		files := map[string][]byte{
+			formatName:        []byte("cairnfront disk tier 1\n"),
+			"seg-00000001.cf": seg,
+			snapshotName:      snap,
+			purgeLogName:      log,
+		}
+		for name, b := range files {
 			h, _ := fs.Create(name)
 			_, _ = h.WriteAt(b, 0)
 		}
-		s, _, err := OpenStore(fs, small(), true, nil)
+		s, _, err := OpenStore(fs, smallOptions(), true, nil)
 		if err != nil {
 			return
 		}
@@ -398,8 +414,8 @@
 	})
 }
 
-// benched is a store in a real folder.
-func benched(b *testing.B) *Store {
+// benchStore is a store in a real folder.
+func benchStore(b *testing.B) *Store {
 	d, err := vfs.MakeDir(filepath.Join(b.TempDir(), "t"))
 	require.NoError(b, err)
 	s, _, err := OpenStore(d, StoreOptions{}, false, nil)
@@ -411,7 +427,7 @@
 func BenchmarkPut(b *testing.B) {
 	for _, n := range []int{4 << 10, 100 << 10} {
 		b.Run(fmt.Sprint(n>>10, "KB"), func(b *testing.B) {
-			s := benched(b)
+			s := benchStore(b)
 			x := body(k(1, 1), 1, n)
 			b.SetBytes(int64(n))
 			b.ReportAllocs()
@@ -425,7 +441,7 @@
 func BenchmarkGet(b *testing.B) {
 	for _, n := range []int{4 << 10, 100 << 10} {
 		b.Run(fmt.Sprint(n>>10, "KB"), func(b *testing.B) {
-			s := benched(b)
+			s := benchStore(b)
 			for i := range 500 {
 				_, _ = s.Put(meta(k(i, 0), 1), body(k(i, 0), 1, n))
 			}
@@ -439,15 +455,18 @@
 	}
 }
 
-// BenchmarkOpen opens a store of a million parts of 24 bytes, with and without the snapshot, and tells the heap that
-// the index takes a part and the most that the heap held on the way.
+// BenchmarkOpen opens a store of a million chunks of 24 bytes, with and without the snapshot, and reports the heap that
+// the index takes for a chunk and the peak of the heap.
 func BenchmarkOpen(b *testing.B) {
-	const parts = 1_000_000
+	const chunks = 1_000_000
 	d, _ := vfs.MakeDir(filepath.Join(b.TempDir(), "t"))
 	s, _, err := OpenStore(d, StoreOptions{}, false, nil)
 	require.NoError(b, err)
-	for i := range parts {
-		_, err := s.Put(Meta{Key: k(i/15, i%15), IssuedAt: 1, Tag: "4be0c1927d55a6f3"}, []byte("a body of 24 bytes, so. "))
+	for i := range chunks {
+		_, err := s.Put(
+			Meta{Key: k(i/15, i%15), IssuedAt: 1, Tag: "4be0c1927d55a6f3"},
+			[]byte("a body of 24 bytes, so. "),
+		)
 		require.NoError(b, err)
 	}
 	require.NoError(b, s.Close())
@@ -469,8 +488,8 @@
 				top := float64(after.HeapSys-after.HeapReleased) / (1 << 20)
 				runtime.GC()
 				runtime.ReadMemStats(&after)
-				require.Equal(b, parts, rep.Parts)
-				b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/parts, "B/part")
+				require.Equal(b, chunks, rep.Chunks)
+				b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/chunks, "B/chunk")
 				b.ReportMetric(top, "MB-heap")
 				b.ReportMetric(rep.Took.Seconds(), "s/open")
 				require.NoError(b, s.Close())
@@ -479,23 +498,23 @@
 	}
 }
 
-// midway calls a function in the middle of a read.
-type midway struct {
+// interruptFS calls a function in the middle of a read.
+type interruptFS struct {
 	vfs.FS
 	then func()
 }
 
-type midwayFile struct {
+type interruptFile struct {
 	vfs.File
-	fs *midway
+	fs *interruptFS
 }
 
-func (m *midway) Open(name string) (vfs.File, error) {
+func (m *interruptFS) Open(name string) (vfs.File, error) {
 	f, err := m.FS.Open(name)
-	return midwayFile{f, m}, err
+	return interruptFile{f, m}, err
 }
 
-func (f midwayFile) ReadAt(p []byte, at int64) (int, error) {
+func (f interruptFile) ReadAt(p []byte, at int64) (int, error) {
 	if then := f.fs.then; then != nil && at > 0 {
 		f.fs.then = nil
 		then()
@@ -503,16 +522,16 @@
 	return f.File.ReadAt(p, at)
 }
 
-// A part is dropped and its segment compacted away while it is being read, and while a slow client is being sent it:
-// the bytes are the ones that were asked for, and the file is closed after the last reader.
-func TestAPartGoesWhileItIsBeingSent(t *testing.T) {
-	real := vfs.NewFaultFS(1)
-	s, _, _ := open(t, real)
+// A chunk is deleted and its segment compacted away while it is being read and sent: the bytes are the requested ones,
+// and the file is closed after the last reader.
+func TestChunkDeletedWhileRead(t *testing.T) {
+	disk := vfs.NewFaultFS(1)
+	s, _, _ := open(t, disk)
 	for i := range 20 {
 		put(t, s, k(i, 0), 100, 400)
 	}
 	require.NoError(t, s.Close())
-	fs := &midway{FS: real}
+	fs := &interruptFS{FS: disk}
 	s, _, _ = open(t, fs)
 	fs.then = func() {
 		s.Delete(k(1, 0))
@@ -521,7 +540,7 @@
 	}
 	p, err := s.Get(k(1, 0))
 	require.NoError(t, err)
-	assert.Nil(t, real.Contents("seg-00000001.cf"), "the segment is gone")
+	assert.Nil(t, disk.Contents("seg-00000001.cf"), "the segment is gone")
 	put(t, s, k(1, 0), 200, 400)
 	assert.True(t, bytes.Equal(body(k(1, 0), 100, 400), p.Body))
 	holds(t, s, k(1, 0), 200, 400)
--- a/internal/diskcache/vfs/vfs.go
+++ b/internal/diskcache/vfs/vfs.go
@@ -1,8 +1,8 @@
 // Package vfs is the file system as the disk cache and the write-ahead log see it: one directory without
 // subdirectories, whose files are read and written at offsets.
 //
-// [Dir] is a real directory. [FaultFS] is one in memory that loses power, fills up, hangs and flips bits on request. The
-// package does not cache, buffer or retry anything.
+// [Dir] is a real directory. [FaultFS] is one in memory that loses power, fills up, hangs and flips bits on request.
+// The package does not cache, buffer or retry anything.
 package vfs
 
 import (
--- a/internal/edgecache/start.go
+++ b/internal/edgecache/start.go
@@ -53,7 +53,7 @@
 		if err != nil {
 			return fmt.Errorf("tier.folder: %w", err)
 		}
-		k.Log.Info("tier", "code", "opened", "parts", rep.Parts, "bytes", rep.Bytes, "segments", rep.Segments, "faults", rep.Faults,
+		k.Log.Info("tier", "code", "opened", "parts", rep.Chunks, "bytes", rep.Bytes, "segments", rep.Segments, "faults", rep.Faults,
 			"snapshot", rep.SnapshotUsed, "took_s", rep.Took.Seconds())
 		b.Disk = t
 		defer func() {
--- a/internal/lab/restart.go
+++ b/internal/lab/restart.go
@@ -185,8 +185,8 @@
 				r.Broke("the folder of %s after the last kill: %v", p.id, err)
 				continue
 			}
-			r.Counts["disk_parts"] += int64(in.Sound)
-			r.Counts["disk_parts_voided"] += int64(in.Voided)
+			r.Counts["disk_parts"] += int64(in.Valid)
+			r.Counts["disk_parts_voided"] += int64(in.Invalidated)
 			r.Counts["disk_bad_records"] += int64(bad)
 		}
 		t.judge(r, []*crowd{c})
