--- a/internal/diskcache/cache.go
+++ b/internal/diskcache/cache.go
@@ -1,15 +1,16 @@
 package diskcache
 
 import (
-	"cairnfront/internal/diskcache/eviction"
-	"cairnfront/internal/diskcache/validity"
-	"cairnfront/internal/diskcache/vfs"
 	"context"
 	"log/slog"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"cairnfront/internal/diskcache/eviction"
+	"cairnfront/internal/diskcache/validity"
+	"cairnfront/internal/diskcache/vfs"
+
 	"golang.org/x/sync/errgroup"
 )
 
--- a/internal/diskcache/cache_events.go
+++ b/internal/diskcache/cache_events.go
@@ -1,9 +1,10 @@
 package diskcache
 
 import (
-	"cairnfront/internal/diskcache/validity"
 	"context"
 	"time"
+
+	"cairnfront/internal/diskcache/validity"
 )
 
 // inFlightTime bounds the age of a copy that may still arrive: the purges of that time are not forgotten.
--- a/internal/diskcache/cache_maintenance.go
+++ b/internal/diskcache/cache_maintenance.go
@@ -1,10 +1,11 @@
 package diskcache
 
 import (
-	"cairnfront/internal/diskcache/eviction"
-	"cairnfront/internal/diskcache/validity"
 	"context"
 	"time"
+
+	"cairnfront/internal/diskcache/eviction"
+	"cairnfront/internal/diskcache/validity"
 )
 
 const (
--- a/internal/diskcache/cache_test.go
+++ b/internal/diskcache/cache_test.go
@@ -1,8 +1,6 @@
 package diskcache
 
 import (
-	"cairnfront/internal/diskcache/validity"
-	"cairnfront/internal/diskcache/vfs"
 	"context"
 	"errors"
 	"fmt"
@@ -12,6 +10,9 @@
 	"testing"
 	"time"
 
+	"cairnfront/internal/diskcache/validity"
+	"cairnfront/internal/diskcache/vfs"
+
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
--- a/internal/diskcache/cache_write.go
+++ b/internal/diskcache/cache_write.go
@@ -1,9 +1,10 @@
 package diskcache
 
 import (
-	"cairnfront/internal/diskcache/eviction"
 	"context"
 	"time"
+
+	"cairnfront/internal/diskcache/eviction"
 )
 
 // minSyncInterval bounds how often the active segment is synced.
--- a/internal/diskcache/compaction.go
+++ b/internal/diskcache/compaction.go
@@ -1,9 +1,10 @@
 package diskcache
 
 import (
-	"cairnfront/internal/diskcache/vfs"
 	"errors"
 	"fmt"
+
+	"cairnfront/internal/diskcache/vfs"
 )
 
 // Thresholds of compaction, as shares.
--- a/internal/diskcache/errors.go
+++ b/internal/diskcache/errors.go
@@ -1,10 +1,11 @@
 package diskcache
 
 import (
-	"cairnfront/internal/diskcache/eviction"
-	"cairnfront/internal/diskcache/vfs"
 	"errors"
 	"fmt"
+
+	"cairnfront/internal/diskcache/eviction"
+	"cairnfront/internal/diskcache/vfs"
 )
 
 // FaultCode names a kind of fault in counters, log lines and tools; docs/operate/disk-tier.md lists the codes.
--- a/internal/diskcache/format.go
+++ b/internal/diskcache/format.go
@@ -1,11 +1,12 @@
 package diskcache
 
 import (
-	"cairnfront/internal/diskcache/eviction"
 	"encoding/binary"
 	"errors"
 	"fmt"
 	"hash/crc32"
+
+	"cairnfront/internal/diskcache/eviction"
 )
 
 // The format on the disk; docs/disk-format.md names every byte. All numbers are little-endian.
--- a/internal/diskcache/golden_test.go
+++ b/internal/diskcache/golden_test.go
@@ -1,9 +1,6 @@
 package diskcache
 
 import (
-	"cairnfront/internal/diskcache/eviction"
-	"cairnfront/internal/diskcache/validity"
-	"cairnfront/internal/diskcache/vfs"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -14,6 +11,10 @@
 	"testing"
 	"time"
 
+	"cairnfront/internal/diskcache/eviction"
+	"cairnfront/internal/diskcache/validity"
+	"cairnfront/internal/diskcache/vfs"
+
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
--- a/internal/diskcache/index.go
+++ b/internal/diskcache/index.go
@@ -1,8 +1,9 @@
 package diskcache
 
 import (
-	"cairnfront/internal/diskcache/eviction"
 	"math/bits"
+
+	"cairnfront/internal/diskcache/eviction"
 )
 
 const (
--- a/internal/diskcache/inspect.go
+++ b/internal/diskcache/inspect.go
@@ -2,14 +2,15 @@
 
 import (
 	"archive/tar"
-	"cairnfront/internal/diskcache/eviction"
-	"cairnfront/internal/diskcache/validity"
-	"cairnfront/internal/diskcache/vfs"
 	"errors"
 	"fmt"
 	"io"
 	"slices"
 	"time"
+
+	"cairnfront/internal/diskcache/eviction"
+	"cairnfront/internal/diskcache/validity"
+	"cairnfront/internal/diskcache/vfs"
 )
 
 // The operators' tools work on the folder of a stopped edge cache. A folder in use is refused by its lock.
--- a/internal/diskcache/powerloss.go
+++ b/internal/diskcache/powerloss.go
@@ -2,13 +2,14 @@
 
 import (
 	"bytes"
-	"cairnfront/internal/diskcache/eviction"
-	"cairnfront/internal/diskcache/validity"
-	"cairnfront/internal/diskcache/vfs"
 	"errors"
 	"fmt"
 	"math/rand/v2"
 	"time"
+
+	"cairnfront/internal/diskcache/eviction"
+	"cairnfront/internal/diskcache/validity"
+	"cairnfront/internal/diskcache/vfs"
 )
 
 // PowerLossResult says what a power-loss run showed.
--- a/internal/diskcache/purgelog.go
+++ b/internal/diskcache/purgelog.go
@@ -1,11 +1,12 @@
 package diskcache
 
 import (
-	"cairnfront/internal/diskcache/validity"
-	"cairnfront/internal/diskcache/vfs"
 	"errors"
 	"fmt"
 	"io"
+
+	"cairnfront/internal/diskcache/validity"
+	"cairnfront/internal/diskcache/vfs"
 )
 
 // purgeLogBatch is the number of records of the purge log that are read at once.
--- a/internal/diskcache/purgequeue.go
+++ b/internal/diskcache/purgequeue.go
@@ -1,9 +1,10 @@
 package diskcache
 
 import (
-	"cairnfront/internal/diskcache/validity"
 	"context"
 	"sync"
+
+	"cairnfront/internal/diskcache/validity"
 )
 
 // maxPendingRecords bounds the purge records that wait for the disk, validity.RecordSize bytes each.
--- a/internal/diskcache/recovery.go
+++ b/internal/diskcache/recovery.go
@@ -1,14 +1,15 @@
 package diskcache
 
 import (
-	"cairnfront/internal/diskcache/eviction"
-	"cairnfront/internal/diskcache/validity"
-	"cairnfront/internal/diskcache/vfs"
 	"errors"
 	"fmt"
 	"slices"
 	"strings"
 	"time"
+
+	"cairnfront/internal/diskcache/eviction"
+	"cairnfront/internal/diskcache/validity"
+	"cairnfront/internal/diskcache/vfs"
 )
 
 // RecoveryReport says what opening a folder found. The JSON keys are part of the output of tier inspect.
--- a/internal/diskcache/scan.go
+++ b/internal/diskcache/scan.go
@@ -1,8 +1,9 @@
 package diskcache
 
 import (
-	"cairnfront/internal/diskcache/vfs"
 	"errors"
+
+	"cairnfront/internal/diskcache/vfs"
 )
 
 // Windows of a scan in bytes: narrow where bodies are long and only headers are needed.
--- a/internal/diskcache/segment.go
+++ b/internal/diskcache/segment.go
@@ -1,9 +1,10 @@
 package diskcache
 
 import (
-	"cairnfront/internal/diskcache/vfs"
 	"errors"
 	"fmt"
+
+	"cairnfront/internal/diskcache/vfs"
 )
 
 // segment is one append-only file of records.
--- a/internal/diskcache/snapshot.go
+++ b/internal/diskcache/snapshot.go
@@ -2,14 +2,15 @@
 
 import (
 	"bufio"
-	"cairnfront/internal/diskcache/eviction"
-	"cairnfront/internal/diskcache/vfs"
 	"encoding/binary"
 	"errors"
 	"fmt"
 	"hash/crc32"
 	"io"
 	"math"
+
+	"cairnfront/internal/diskcache/eviction"
+	"cairnfront/internal/diskcache/vfs"
 )
 
 // The format of the index snapshot. The snapshot only speeds up a start: the headers of the records that it covers need
--- a/internal/diskcache/store.go
+++ b/internal/diskcache/store.go
@@ -11,9 +11,6 @@
 package diskcache
 
 import (
-	"cairnfront/internal/diskcache/eviction"
-	"cairnfront/internal/diskcache/validity"
-	"cairnfront/internal/diskcache/vfs"
 	"crypto/rand"
 	"encoding/binary"
 	"errors"
@@ -22,6 +19,10 @@
 	"math"
 	"sync"
 	"time"
+
+	"cairnfront/internal/diskcache/eviction"
+	"cairnfront/internal/diskcache/validity"
+	"cairnfront/internal/diskcache/vfs"
 )
 
 // defaultSegmentBytes is the size at which a segment is sealed unless configured.
--- a/internal/diskcache/store_test.go
+++ b/internal/diskcache/store_test.go
@@ -2,9 +2,6 @@
 
 import (
 	"bytes"
-	"cairnfront/internal/diskcache/eviction"
-	"cairnfront/internal/diskcache/validity"
-	"cairnfront/internal/diskcache/vfs"
 	"fmt"
 	"math/rand/v2"
 	"path/filepath"
@@ -12,6 +9,10 @@
 	"testing"
 	"time"
 
+	"cairnfront/internal/diskcache/eviction"
+	"cairnfront/internal/diskcache/validity"
+	"cairnfront/internal/diskcache/vfs"
+
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
