Routing decisions are split by concern into eight policy files

Endpoint selection, caching, limits, slow start, outlier ejection, retries and what an attempt's end shows are files of their own; the long functions are named steps, and events, actions, settings and state hold no decision.

--- a/routing/brain_test.go
+++ b/routing/brain_test.go
@@ -36,8 +36,8 @@
 			c.addCached(&cachedChunk{chunk: p, sizeKB: 1}, p.gapKey())
 		}
 	}
-	assert.InDelta(t, 9, r.gap(&request{object: o, chunk: o.findOrAddChunk(9), firstOfChunk: true}, c), 1e-9)
-	assert.True(t, math.IsInf(r.gap(&request{object: o, chunk: o.findOrAddChunk(9), firstOfChunk: true}, r.findOrAddEndpoint("c1")), 1))
+	assert.InDelta(t, 9, r.gapOf(&request{object: o, chunk: o.findOrAddChunk(9), firstOfChunk: true}, c), 1e-9)
+	assert.True(t, math.IsInf(r.gapOf(&request{object: o, chunk: o.findOrAddChunk(9), firstOfChunk: true}, r.findOrAddEndpoint("c1")), 1))
 }
 
 // With T = 10 and a part of 100 KB, serving costs 100 CF and what it displaces; passing 100 CR and 100 T/gap.
@@ -583,7 +583,7 @@
 	r := router("keyed")
 	r.missSamples = []float64{1, 0, 0, 0, 1, 0, 0, 0}
 	x := &request{object: r.findOrAddObject("y", 0), chunk: &chunk{}, firstOfChunk: true}
-	assert.InDelta(t, initialHorizon/0.75, r.gap(x, r.findOrAddEndpoint("c0")), 1e-9)
+	assert.InDelta(t, initialHorizon/0.75, r.gapOf(x, r.findOrAddEndpoint("c0")), 1e-9)
 	require.Len(t, of[StartAttempt](r.Decide(100, arrival("t", "x"))), 1)
 	assert.InDelta(t, 0.25, r.zoneLink.inFlight, 1e-9)
 	r.Decide(100.1, AttemptEnded{Request: "t", Endpoint: "c0", Result: Completed, Detail: CacheHit, RequestDone: true})
--- /dev/null
+++ b/routing/cachestate.go
@@ -0,0 +1,148 @@
+package routing
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
+// cachedChunk is a chunk that answers showed to be at a cache.
+type cachedChunk struct {
+	chunk    *chunk
+	sizeKB   float64
+	gapKey   float64 // orders chunks by their gaps, see chunk.gapKey
+	lastUsed float64
+	filledAt float64
+	sequence uint64 // orders chunks of the same gap key
+}
+
+// purgeKey names what a purge invalidates: an object, or a group where there is none.
+type purgeKey struct {
+	object string
+	group  int
+}
+
+// gapKey orders chunks by their gaps, largest first. The order is the same at any time.
+func (c *chunk) gapKey() float64 {
+	return newestGapWeight*c.lastRequest - (1-newestGapWeight)*c.averageGap
+}
+
+func compareGapKeys(a, b *cachedChunk) int {
+	return cmp.Or(cmp.Compare(a.gapKey, b.gapKey), cmp.Compare(a.sequence, b.sequence))
+}
+
+// addCached adds a chunk to what is known to be cached, at its place in the order of gaps.
+func (e *endpoint) addCached(c *cachedChunk, gapKey float64) {
+	c.gapKey = gapKey
+	at, _ := slices.BinarySearchFunc(e.byGap, c, compareGapKeys)
+	e.byGap = slices.Insert(e.byGap, at, c)
+	e.cached[c.chunk] = c
+}
+
+// removeCached takes a chunk out of the order of gaps and, if it is no longer cached, forgets it.
+func (e *endpoint) removeCached(c *chunk, forget bool) {
+	copied := e.cached[c]
+	if copied == nil {
+		return
+	}
+	if at, found := slices.BinarySearchFunc(e.byGap, copied, compareGapKeys); found {
+		e.byGap = slices.Delete(e.byGap, at, at+1)
+	}
+	if forget {
+		delete(e.cached, c)
+	}
+}
+
+// setGap notes a request for a chunk, with its mean gap, and moves the chunk in the caches' orders.
+func (r *Router) setGap(c *chunk, gap float64) {
+	for _, e := range r.localCaches {
+		e.removeCached(c, false)
+	}
+	c.requested, c.averageGap, c.lastRequest = true, gap, r.now
+	for _, e := range r.localCaches {
+		if copied := e.cached[c]; copied != nil {
+			e.addCached(copied, c.gapKey())
+		}
+	}
+}
+
+// addCopy adds a chunk to what is known to be at a cache.
+func (r *Router) addCopy(cache *endpoint, c *chunk) *cachedChunk {
+	r.sequence++
+	copied := &cachedChunk{chunk: c, sequence: r.sequence, filledAt: r.now}
+	cache.addCached(copied, c.gapKey())
+	return copied
+}
+
+// findOrAddObject finds an object, or adds it.
+func (r *Router) findOrAddObject(id string, group int) *object {
+	if r.objects[id] == nil {
+		r.objects[id] = &object{id: id, group: group}
+	}
+	return r.objects[id]
+}
+
+// findOrAddChunk finds a chunk of the object, or adds it.
+func (o *object) findOrAddChunk(index int) *chunk {
+	at, found := slices.BinarySearchFunc(o.chunks, index, func(c *chunk, index int) int {
+		return cmp.Compare(c.index, index)
+	})
+	if !found {
+		o.chunks = slices.Insert(o.chunks, at, &chunk{index: index})
+	}
+	return o.chunks[at]
+}
+
+// recordPurge remembers a purge and forgets what was thought cached of it.
+func (r *Router) recordPurge(p Purge) {
+	key := purgeKey{object: p.Object}
+	if p.Object == "" {
+		key.group = p.ObjectGroup
+	}
+	r.purges[key] = max(r.purges[key], r.now-p.AgeSeconds)
+	if len(r.purges) > maxPurges {
+		r.forgetOldestPurges()
+	}
+	for id, o := range r.objects {
+		if id == p.Object || (p.Object == "" && o.group == p.ObjectGroup) {
+			r.dropCached(o)
+		}
+	}
+}
+
+// forgetOldestPurges drops an eighth of the purges, so that it is not done for each one.
+func (r *Router) forgetOldestPurges() {
+	times := make([]float64, 0, len(r.purges))
+	for _, at := range r.purges {
+		times = append(times, at)
+	}
+	slices.Sort(times)
+	r.purgesForgottenUntil = max(r.purgesForgottenUntil, times[len(times)/8])
+	maps.DeleteFunc(r.purges, func(_ purgeKey, at float64) bool { return at <= r.purgesForgottenUntil })
+}
+
+// dropCached forgets what is thought cached of an object.
+func (r *Router) dropCached(o *object) {
+	for _, c := range o.chunks {
+		c.filledByParent = false
+		for _, e := range r.localCaches {
+			e.removeCached(c, true)
+		}
+	}
+}
+
+// forgetIdleObjects forgets objects that were idle for long, sooner if there are too many.
+func (r *Router) forgetIdleObjects() {
+	if r.now < r.sweptAt+sweepInterval && len(r.objects) < maxObjects {
+		return
+	}
+	r.sweptAt = r.now
+	for age := forgetAfter; age == forgetAfter || len(r.objects) > maxObjects/2; age /= 2 {
+		for id, o := range r.objects {
+			if r.now-o.lastRequest >= age {
+				r.dropCached(o)
+				delete(r.objects, id)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/routing/caching.go
@@ -0,0 +1,137 @@
+package routing
+
+import (
+	"cmp"
+	"math"
+)
+
+// Keeping a fill or passing it is decided as in Cafe Cache (docs/design.md); its symbols are in parentheses.
+const (
+	fillCostRatio      = 0.75   // (alpha) cost of a kept fill over a pass: only a fill leaves a copy
+	newestGapWeight    = 0.25   // (gamma) weight of the newest gap between requests in the mean gap
+	initialHorizon     = 10.0   // s, (T) before any idle time was seen
+	minHorizon         = 1.0    // s, (T) at least: a purge heard late must not close the cache to new chunks
+	storedRank         = 2      // retention rank of 1 to 3 of a kept chunk: the middle one
+	cachedIdleHorizons = 3.0    // horizons of idle time after which a chunk has surely been evicted
+	congestionLasts    = 1.0    // s after a decrease for which stale copies will do: congestion passes slower
+	forgetAfter        = 60.0   // s of idle time after which an object or a removed endpoint is forgotten
+	sweepInterval      = 5.0    // s between searches for idle objects
+	maxObjects         = 131072 // objects remembered, some tens of MB; above it forgetting is faster
+	maxPurges          = 16384  // purges remembered, some MB: hours of them, as caches may return with a disk
+	purgeAgeMargin     = 1e-4   // s by which a copy must be younger than a purge: rounding of times
+	minCopyAge         = 2e-6   // s, an age that no rounding turns into 0, which means any age
+)
+
+// gap is the mean time between requests for the chunk, the time since the last one included.
+func (c *chunk) gap(now float64) float64 {
+	return newestGapWeight*(now-c.lastRequest) + (1-newestGapWeight)*c.averageGap
+}
+
+// gapOf is the mean gap of a request's chunk. A chunk not seen before takes the largest gap of its object's
+// cached chunks. Without any, another router may have seen it with a gap of T: the miss rate says how likely.
+func (r *Router) gapOf(req *request, cache *endpoint) float64 {
+	if !req.firstOfChunk {
+		return req.chunk.gap(r.now)
+	}
+	largest := 0.0
+	for _, c := range req.object.chunks {
+		if cache.cached[c] != nil {
+			largest = max(largest, c.gap(r.now))
+		}
+	}
+	return cmp.Or(largest, r.horizon(cache)/(1-r.missRate()))
+}
+
+// updateGap counts a request in its chunk's gap, once. A chunk not seen before starts with the horizon.
+func (r *Router) updateGap(req *request, cache *endpoint) {
+	gap := r.horizon(cache)
+	if req.chunk.requested {
+		gap = req.chunk.gap(r.now)
+	}
+	r.setGap(req.chunk, gap)
+}
+
+// horizon (T) is the mean idle time after which chunks thought cached were missed.
+func (r *Router) horizon(cache *endpoint) float64 {
+	if len(cache.idleSamples) == 0 {
+		return initialHorizon
+	}
+	return max(mean(cache.idleSamples), minHorizon)
+}
+
+func (r *Router) uncacheable(req *request) bool { return req.Write || r.class(req.Class).uncacheable }
+
+// shouldStore says whether a missing chunk is kept (serve) or passed without a copy. The cost of a kept fill
+// includes later fills of what it evicts, that of a pass later requests for the chunk.
+func (r *Router) shouldStore(req *request, cache *endpoint) bool {
+	if r.uncacheable(req) {
+		return false
+	}
+	horizon := r.horizon(cache)
+	for len(cache.byGap) > 0 && r.now-cache.byGap[0].lastUsed > cachedIdleHorizons*horizon {
+		cache.removeCached(cache.byGap[0].chunk, true)
+	}
+	if cache.cached[req.chunk] != nil {
+		return true
+	}
+	fillCost, passCost := 2*fillCostRatio/(fillCostRatio+1), 2/(fillCostRatio+1) // (C_F, C_R) a KB
+	needed := req.SizeKB
+	serve := needed * fillCost
+	pass := needed*passCost + needed*horizon/r.gapOf(req, cache)*min(fillCost, passCost)
+	for _, evicted := range cache.byGap {
+		if needed <= 0 || serve >= pass {
+			break
+		}
+		serve += min(evicted.sizeKB, needed) * horizon / evicted.chunk.gap(r.now) * min(fillCost, passCost)
+		needed -= evicted.sizeKB
+	}
+	return serve < pass
+}
+
+// recordCached notes what an answer showed of a cache. A fill of a chunk thought cached tells of an eviction:
+// the idle time before it is a sample of the horizon. Chunks that expire tell nothing.
+func (r *Router) recordCached(req *request, a *attempt, filled bool) {
+	cache := a.target
+	if cache.role != edgeCache || r.uncacheable(req) {
+		return
+	}
+	copied := cache.cached[req.chunk]
+	if copied != nil && filled && r.class(req.Class).freshSeconds == 0 {
+		cache.idleSamples = appendSample(cache.idleSamples, max(a.sentAt-copied.lastUsed, 0), recentSamples)
+	}
+	if filled && a.retentionRank == 0 {
+		cache.removeCached(req.chunk, true)
+		return
+	}
+	if copied == nil {
+		copied = r.addCopy(cache, req.chunk)
+	}
+	if filled {
+		copied.filledAt = r.now
+	}
+	copied.sizeKB, copied.lastUsed = req.SizeKB, r.now
+}
+
+// maxCopyAge is the age of the oldest copy that will do, 0 for the class's fresh time. It guards against
+// purged copies (rule 5) on the disk of a cache that was down: forgotten purges count for endpoints started
+// since. A stale copy will do if it is worth more than a late answer and fills are congested or failed.
+func (r *Router) maxCopyAge(req *request, a *attempt) float64 {
+	purgedAt := max(r.purges[purgeKey{object: req.Object}], r.purges[purgeKey{group: req.ObjectGroup}])
+	for _, e := range [2]*endpoint{a.target, a.source} {
+		purgedAt = max(purgedAt, r.purgesForgottenUntil*indicator(e.StartedAt > r.purgesForgottenUntil))
+	}
+	age := math.Inf(1)
+	if purgedAt > 0 {
+		age = max(r.now-purgedAt-purgeAgeMargin, minCopyAge)
+	}
+	class := r.class(req.Class)
+	congestedUntil := max(r.originLimiter().decreasedAt, r.zoneLink.decreasedAt) + congestionLasts
+	staleWillDo := class.staleSeconds > 0 && class.stalePriority > class.latePriority
+	switch {
+	case staleWillDo && (len(req.attempts) > 0 || r.now < congestedUntil):
+		return min(age, class.freshSeconds+class.staleSeconds)
+	case math.IsInf(age, 1) || (class.freshSeconds > 0 && age > class.freshSeconds):
+		return 0
+	}
+	return age
+}
--- /dev/null
+++ b/routing/outcome.go
@@ -0,0 +1,113 @@
+package routing
+
+import "slices"
+
+// attemptEnded learns from the end of an attempt and plans its request and then the first of the queued ones.
+func (r *Router) attemptEnded(end AttemptEnded) {
+	req, a := r.findAttempt(end.Request, end.Attempt)
+	if a == nil || !a.inFlight {
+		return
+	}
+	a.inFlight, a.wanted, a.result, a.endedAt = false, false, end.Result, r.now
+	a.target.release(r.now, 1, end.ElapsedSeconds, true)
+	for _, l := range a.fillLimiters {
+		l.release(r.now, a.expectedFills, end.ElapsedSeconds, !end.answeredFromCache())
+	}
+	r.learn(req, a, end)
+	req.done = req.done || end.RequestDone
+	r.plan(req)
+	for _, queued := range slices.Clone(r.queue[:min(len(r.queue), maxQueueRetries)]) {
+		r.plan(queued)
+	}
+}
+
+// learn takes what an end shows of the attempt's target, its source and the paths between.
+func (r *Router) learn(req *request, a *attempt, end AttemptEnded) {
+	slowness := end.ElapsedSeconds / (a.suspectAt - a.sentAt) // 0 for an attempt that was taken for lost
+	if len(r.slownessSamples) == longSamples && slowness > slices.Max(r.slownessSamples) {
+		unanswered := indicator(end.Result == Cancelled || end.Result == TimedOut)
+		r.unansweredSamples = appendSample(r.unansweredSamples, unanswered, recentSamples)
+	}
+	if end.Result.isAnswer() {
+		a.target.recordSign(r.now)
+	}
+	switch end.Result {
+	case Completed:
+		r.learnFromSuccess(req, a, end, slowness)
+	case ServerError, Overloaded:
+		r.learnFromFailure(req, a, end)
+	case CacheMiss:
+		if a.fromPeer {
+			a.source.removeCached(req.chunk, true)
+		}
+	case ConnectFailed, ConnectionBroken:
+		r.recordResult(a.target, true)
+	}
+}
+
+// learnFromSuccess counts a completed attempt. Earlier errors count only now: one met everywhere is the
+// request's own fault, not that of its targets.
+func (r *Router) learnFromSuccess(req *request, a *attempt, end AttemptEnded, slowness float64) {
+	for _, earlier := range req.attempts {
+		if earlier.failedAtTarget {
+			r.recordResult(earlier.target, true)
+			if earlier.sourceMayBeAtFault {
+				r.recordResult(earlier.source, true)
+			}
+		}
+	}
+	r.recordResult(a.target, false)
+	r.slownessSamples = appendSample(r.slownessSamples, slowness, longSamples)
+	filled := !end.answeredFromCache()
+	if filled && a.source != a.target {
+		a.source.recordSign(r.now)
+		r.recordResult(a.source, false)
+	}
+	req.chunk.filledByParent = req.chunk.filledByParent || filled && !a.fromPeer
+	if a.expectMiss && !a.fromPeer && !a.cacheOnly && a.target.role == edgeCache {
+		r.missSamples = appendSample(r.missSamples, indicator(filled), longSamples)
+	}
+	r.recordCached(req, a, filled)
+	r.adjustLimits(req, a, end, filled)
+}
+
+// learnFromFailure finds out from an error or a refusal who is at fault.
+func (r *Router) learnFromFailure(req *request, a *attempt, end AttemptEnded) {
+	switch end.Detail {
+	case SourceRefused, SourceUnreachable, OriginFailed:
+		// A source that was heard since is not the one that failed: the origin behind it is.
+		heardSince := a.originLimiter != nil && a.source.lastHeard() > a.sentAt
+		if end.Detail == OriginFailed || (end.Detail == SourceUnreachable && heardSince) {
+			a.source.recordSign(r.now)
+			r.originLimiter().decrease(r.now, true)
+			return
+		}
+		a.source.decrease(r.now, true)
+		if end.Detail == SourceUnreachable {
+			r.recordResult(a.source, true)
+		}
+	case SourceCacheMiss:
+		a.source.recordSign(r.now)
+		a.source.removeCached(req.chunk, true)
+	default:
+		r.learnFromUnexplained(a, end)
+	}
+}
+
+// learnFromUnexplained judges a failure that tells nothing of its source, which may be at fault all the same.
+func (r *Router) learnFromUnexplained(a *attempt, end AttemptEnded) {
+	refused := end.Result == Overloaded
+	a.sourceMayBeAtFault = a.expectMiss && a.source != a.target && !r.tellsAll()
+	refusedFill := refused && a.sourceMayBeAtFault
+	switch {
+	case end.Detail == FillSlotsExhausted || refusedFill && end.ElapsedSeconds < localRefusal:
+		r.zoneLink.decrease(r.now, true) // fills have taken all of the cache's slots
+	case refusedFill:
+		a.source.decrease(r.now, true)
+		r.recordResult(a.source, true)
+	case refused:
+		a.target.decrease(r.now, true)
+	default:
+		a.failedAtTarget = true
+	}
+}
--- /dev/null
+++ b/routing/retry.go
@@ -0,0 +1,46 @@
+package routing
+
+import "slices"
+
+const idempotencyMargin = 0.25 // s kept free of an idempotency key's window for the way to the endpoint
+const retryAfterMean = 1.5     // s that a rejected client is told to wait: congestion lasts seconds
+
+// mayHaveRun says whether an attempt may have had its effect.
+func (a *attempt) mayHaveRun() bool { return a.started && (a.inFlight || !a.result.provesNotRun()) }
+
+// mayRetry allows a further attempt if it can't run a request twice (rule 2), or only within the window of
+// its idempotency key, and if the class's retry budget is not spent.
+func (r *Router) mayRetry(req *request) bool {
+	class := r.class(req.Class)
+	spent := class.retryBudgetSpent && len(req.attempts) > 0
+	if spent || float64(len(req.attempts)) >= r.number("max_hops", 1) {
+		return false
+	}
+	return class.effect == idempotent || !slices.ContainsFunc(req.attempts, func(a *attempt) bool {
+		windowEnd := a.sentAt + class.idempotencyWindow - idempotencyMargin
+		return a.mayHaveRun() && (class.effect != withIdempotencyKey || r.now > windowEnd)
+	})
+}
+
+// inDeduplicationScope keeps a request that may have run where its idempotency key is recognized (rule 2).
+func (r *Router) inDeduplicationScope(req *request, e *endpoint) bool {
+	class := r.class(req.Class)
+	return class.effect != withIdempotencyKey || !slices.ContainsFunc(req.attempts, func(a *attempt) bool {
+		outside := class.deduplicationScope == zoneScope && a.target.Zone != e.Zone ||
+			class.deduplicationScope == cellScope && a.target.Cell != e.Cell
+		return outside && a.mayHaveRun()
+	})
+}
+
+// giveUp answers at once: rejected where the client may safely repeat the request, else aborted (rule 2).
+func (r *Router) giveUp(req *request) {
+	class := r.class(req.Class)
+	recognized := class.effect == withIdempotencyKey && class.deduplicationScope == anyScope
+	if class.effect != idempotent && !recognized && slices.ContainsFunc(req.attempts, (*attempt).mayHaveRun) {
+		req.finalAction = AbortRequest{Request: req.Request}
+		return
+	}
+	retryAfter := indicator(r.settings.Bool("tells_retry")) * retryAfterMean * (0.5 + r.nextRandom())
+	retryAfter = min(retryAfter, r.number("max_retry_s", 0))
+	req.finalAction = RejectRequest{Request: req.Request, RetryAfterSeconds: retryAfter}
+}
--- /dev/null
+++ b/routing/selection.go
@@ -0,0 +1,158 @@
+package routing
+
+import (
+	"math"
+	"slices"
+)
+
+const zoneDistanceFactor = 2.0  // times as seldom first in hash order a zone of distance: fills cost more
+const minCacheOnlyHitRate = 0.1 // hit rate where a miss is expected that makes a cache-only attempt worth it
+
+// chooseAttempt picks the target and the fill's source of a next attempt, or returns nil if nobody has room.
+func (r *Router) chooseAttempt(req *request) *attempt {
+	caches, parents := r.hashOrder(req.object)
+	sources := [2][]*endpoint{parents, r.origins}
+	if r.uncacheable(req) {
+		sources = [2][]*endpoint{r.origins, parents}
+	}
+	target := r.chooseTarget(req, caches, sources)
+	if target == nil {
+		return nil
+	}
+	a := &attempt{target: target, source: target, expectedFills: 1}
+	if target.role != edgeCache {
+		a.expectMiss = true
+		if r.uncacheable(req) && len(r.origins) > 0 {
+			a.source = r.origins[0]
+		}
+		a.fillLimiters = []*limiter{&r.zoneLink}
+		return a
+	}
+	a.expectMiss = target.cached[req.chunk] == nil
+	if peer := r.peerWithChunk(req, target); peer != nil {
+		a.source, a.fromPeer = peer, true
+		a.fillLimiters = []*limiter{&peer.limiter}
+		return a
+	}
+	a.source = r.chooseSource(req, target, sources)
+	if a.expectMiss && !r.limitFill(req, a) {
+		return nil
+	}
+	return a
+}
+
+// chooseTarget is the first usable cache in hash order. Where caches may be bypassed, uncacheable requests do
+// so, and others do if no cache is usable at the first level and the zone's link has room.
+func (r *Router) chooseTarget(req *request, caches []*endpoint, sources [2][]*endpoint) *endpoint {
+	direct, uncacheable := r.settings.Bool("may_go_direct"), r.uncacheable(req)
+	for level := untried; level < strictnessLevels; level++ {
+		lists := [3][]*endpoint{caches}
+		if direct && uncacheable {
+			lists = [3][]*endpoint{sources[0], sources[1], caches}
+		} else if direct && level > untried && r.zoneLink.hasRoom(r.now) {
+			lists = [3][]*endpoint{caches, sources[0], sources[1]}
+		}
+		for _, list := range lists {
+			for _, e := range list {
+				if r.usable(req, e, level, wasTarget) && r.inDeduplicationScope(req, e) {
+					return e
+				}
+			}
+		}
+	}
+	return nil
+}
+
+// chooseSource is the first usable parent or origin, or the target itself if there is none.
+func (r *Router) chooseSource(req *request, target *endpoint, sources [2][]*endpoint) *endpoint {
+	for level := untried; level < strictnessLevels; level++ {
+		for _, list := range sources {
+			for _, e := range list {
+				if r.usable(req, e, level, wasSource) {
+					return e
+				}
+			}
+		}
+	}
+	return target
+}
+
+// usable says whether a request may use an endpoint at a level of strictness. Writes pass limits not
+// decreased lately. Used tells whether an attempt has used the endpoint as target, or as source.
+func (r *Router) usable(req *request, e *endpoint, level strictness, used usedFunc) bool {
+	ejected := e.ejectedUntil > r.now && (level < anyAllowed || r.hasAlternative(e))
+	full := !e.hasRoom(r.now) && (!req.Write || e.provenLimit > e.limit)
+	if ejected || full || (e.retryBudgetSpent && len(req.attempts) > 0) {
+		return false
+	}
+	for _, a := range req.attempts {
+		if used(a, e) && (level == untried || r.now < a.endedAt+recheckInterval) {
+			return false
+		}
+	}
+	return r.withinColdBudget(req, e)
+}
+
+// limitFill holds a fill to the limits on its way, and says whether there is room. Where a limit is reached,
+// one attempt reaches only as far as the cache or the parent: a wrong guess costs one short attempt.
+func (r *Router) limitFill(req *request, a *attempt) bool {
+	a.expectedFills = r.missRate()
+	if !req.chunk.filledByParent {
+		a.originLimiter = r.originLimiter()
+	}
+	fillBlocked := a.source == a.target || (!req.Write && !r.zoneLink.hasRoom(r.now))
+	originBlocked := !req.Write && a.originLimiter != nil && !a.originLimiter.hasRoom(r.now)
+	if fillBlocked || originBlocked {
+		a.originLimiter, a.cacheOnly = nil, true
+		if fillBlocked || a.source.role == originServer {
+			a.source, a.expectMiss = a.target, false
+		}
+		if !r.mayTryCacheOnly(req, a) {
+			return false
+		}
+		if a.source == a.target {
+			return true
+		}
+	}
+	a.fillLimiters = []*limiter{&a.source.limiter, &r.zoneLink}
+	if a.originLimiter != nil && a.originLimiter != &a.source.limiter {
+		a.fillLimiters = append(a.fillLimiters, a.originLimiter)
+	}
+	return true
+}
+
+// mayTryCacheOnly allows one cache-only attempt a request, and to the cache alone only where hits are likely.
+func (r *Router) mayTryCacheOnly(req *request, a *attempt) bool {
+	if r.uncacheable(req) || slices.ContainsFunc(req.attempts, isCacheOnly) {
+		return false
+	}
+	return a.source != a.target || r.missRate() <= 1-minCacheOnlyHitRate
+}
+
+// missRate is the share of the last attempts expected to miss that did.
+func (r *Router) missRate() float64 { return meanIfEnough(r.missSamples, 1) }
+
+// peerWithChunk is another cache of the zone that is known to have a chunk which the target lacks, after
+// restarts, ejections and full limits. It spares the link; a wrong guess costs one short attempt.
+func (r *Router) peerWithChunk(req *request, target *endpoint) *endpoint {
+	tried := slices.ContainsFunc(req.attempts, isFromPeer)
+	if !r.mayUsePeers() || tried || target.cached[req.chunk] != nil || r.uncacheable(req) {
+		return nil
+	}
+	fresh := r.class(req.Class).freshSeconds
+	for _, e := range r.caches {
+		copied := e.cached[req.chunk]
+		if copied != nil && e != target && e.ejectedUntil <= r.now && e.hasRoom(r.now) &&
+			r.withinColdBudget(req, e) && r.now-copied.lastUsed < r.horizon(e) &&
+			(fresh == 0 || r.now-copied.filledAt < fresh/2) {
+			return e
+		}
+	}
+	return nil
+}
+
+// hashScore is that of weighted rendezvous hashing. Nearer and heavier endpoints come first more often.
+func hashScore(object string, e *endpoint) float64 {
+	score := math.Log(hashToUnit(object+" "+string(e.ID))) / max(e.Weight, 1e-3)
+	return score * math.Pow(zoneDistanceFactor, e.zonesAway)
+}
--- /dev/null
+++ b/routing/slowstart.go
@@ -0,0 +1,31 @@
+package routing
+
+const coldLimit = 2.0       // attempts in flight at an endpoint that has just started; each answer adds one
+const coldBudgetShare = 1.0 // share of a cold endpoint's capacity that is used: half of what topples it
+
+// warmShare is the share of its capacity that an endpoint surely has: linear from the cold share to 1.
+func (r *Router) warmShare(e *endpoint) float64 {
+	if e.StartedAt <= 0 || e.role == originServer {
+		return 1
+	}
+	floor, warmUp := r.coldCapacity(e)
+	if warmUp <= 0 || r.now >= e.StartedAt+warmUp {
+		return 1
+	}
+	return floor + (1-floor)*max(r.now-e.StartedAt, 0)/warmUp
+}
+
+// workOf is the seconds of sending that an attempt counts for: its class's mean, at a parent its own if more.
+func (r *Router) workOf(req *request, e *endpoint) float64 {
+	class := r.class(req.Class)
+	usual := meanIfEnough(class.sendSamples, max(req.sendSeconds, class.objective))
+	return max(usual, indicator(e.role == parentCache)*req.sendSeconds)
+}
+
+// withinColdBudget protects cold endpoints (rule 4): in any window this router sends no more than its even
+// share of what a cache, or a parent with its fills, can do then. Capacity is wasted where others are idle.
+func (r *Router) withinColdBudget(req *request, e *endpoint) bool {
+	warm, window := r.warmShare(e), r.number("fall_s", 1)
+	return warm >= 1 ||
+		r.workOf(req, e)+e.workSince(r.now-window) <= coldBudgetShare*warm*e.Weight*window/e.sharers
+}
--- a/routing/state.go
+++ b/routing/state.go
@@ -2,497 +2,298 @@
 
 import (
 	"cmp"
-	"hash/fnv"
-	"maps"
-	"math"
 	"slices"
 )
 
-// What a router keeps, and the plain mechanics of keeping it. What is done with it is decided in brain.go.
-
+// chunk is a part of an object that is cached and requested by itself.
 type chunk struct {
-	index                   int
-	averageGap, lastRequest float64
-	requested               bool // requested before
-	filledByParent          bool // filled by a parent since its last purge
+	index          int
+	averageGap     float64 // s between requests, as of the last one
+	lastRequest    float64
+	requested      bool
+	filledByParent bool // since its last purge
 }
 
+// object is what is known of a requested object.
 type object struct {
 	id               string
 	group            int
-	chunks           []*chunk
+	chunks           []*chunk // by index
 	lastRequest      float64
-	caches, parents  []*endpoint // in hash order, as of a version of the list
-	endpointsVersion int
-}
-
-// holding is a part that answers showed held at a cache. key orders by gap, largest gap first, at any time.
-type cachedChunk struct {
-	chunk                              *chunk
-	sizeKB, gapKey, lastUsed, filledAt float64
-	sequence                           uint64
+	caches, parents  []*endpoint // in hash order
+	endpointsVersion int         // of the lists that these were ordered from
 }
 
-// gate bounds what this router has in flight at a member, a link or the way to the origin. It grows with
-// answers in time, by one each up to what is proven, and shrinks with late and refused ones.
+// limiter bounds what this router has in flight at an endpoint, on a link or on the path to the origin. The limit
+// grows with answers in time, by one each up to what is proven, and shrinks with late and refused ones.
 type limiter struct {
-	limit, provenLimit, inFlight, decreasedAt float64
-	pausedUntil                               float64   // closed until then
-	minLimit, growthStep                      float64   // what is always let through; what an answer in time adds
-	lateSamples                               []float64 // the last few answers, 1 for a late one
+	limit       float64
+	provenLimit float64 // limit in use when the last decrease ended
+	inFlight    float64
+	decreasedAt float64
+	pausedUntil float64
+	minLimit    float64
+	growthStep  float64   // what an answer in time adds
+	lateSamples []float64 // the last few answers, 1 for a late one
 }
 
+// workSample is work sent to a cold endpoint, in seconds of sending.
 type workSample struct{ at, seconds float64 }
 
-// role is what a member is to this router.
+// role is what an endpoint is to this router.
 type role int
 
 const (
-	otherZone role = iota // a cache of another location
+	otherZone role = iota // an edge cache of another zone
 	edgeCache
 	parentCache
 	originServer
 )
 
+// strictness says which endpoints a request may use. Limits and cold budgets hold at each level; see usable.
+type strictness int
+
+const (
+	untried    strictness = iota // not used by this request, and not ejected
+	retryable                    // not failed for this request just now, and not ejected
+	anyAllowed                   // as before; ejected ones too if there is no other
+	strictnessLevels
+)
+
+// usedFunc tells whether an attempt has used an endpoint in one of its places.
+type usedFunc func(*attempt, *endpoint) bool
+
+// endpoint is what this router knows of an endpoint.
 type endpoint struct {
 	Endpoint
 	limiter
 	role             role
-	zonesAway        float64   // hubs on the way
-	sharers          float64   // routers that can send to it
-	signsOfLife      []float64 // times of its last few signs of life
-	recentFailures   []float64 // the last few ends laid to it, 1 for a failed one
-	ejectedUntil     float64   // nothing is sent before this time if there is another
-	removedAt        float64   // when the list first told that it is gone, 0 if it does not
-	retryBudgetSpent bool      // gets no further hops for now
-	suspectedUntil   float64   // until when others' word makes one own failed end enough
-	ejections        int       // times on the bench since it was last proven
+	zonesAway        float64
+	sharers          float64   // routers that send to it
+	signsOfLife      []float64 // times of the last few
+	recentFailures   []float64 // the last few results, 1 for a failure
+	ejectedUntil     float64
+	removedAt        float64 // when the list first said so, 0 if it does not
+	retryBudgetSpent bool
+	suspectedUntil   float64 // by other routers
+	ejections        int     // since it last worked at its proven limit
 	recentWork       []workSample
 	cached           map[*chunk]*cachedChunk
-	byGap            []*cachedChunk
-	idleSamples      []float64
+	byGap            []*cachedChunk // largest gap first
+	idleSamples      []float64      // s, idle times of chunks before they were missed
 }
 
+// attempt is one try of a request at an endpoint.
 type attempt struct {
-	target, source                       *endpoint
-	fillLimiters                         []*limiter // of the ways behind the cache
-	retentionRank                        int
-	maxAge, sentAt, suspectAt, endedAt   float64
-	expectedFills                        float64  // places taken in the gates: the odds of a fill
-	originLimiter                        *limiter // the origin's, of one thought to reach it
-	fromPeer, expectMiss                 bool     // filled by a sibling; thought to miss
-	cacheOnly                            bool     // is not to reach behind its source
-	wanted, started, inFlight, cancelled bool
-	stalled                              bool // its connection is silent though its member is not
-	sourceMayBeAtFault, failedAtTarget   bool // its failure may be its source's; failed by a fault of its own or of its txn
-	result                               AttemptResult
-}
-
-// rule is a remap rule as the records have it, read once, and the last few sending times seen of it.
-type class struct {
-	objective, objectiveStretch, priority, latePriority, idempotencyWindow float64
-	freshSeconds, staleSeconds, stalePriority                              float64 // old: share of the importance past the fresh time
-	effect, deduplicationScope                                             string
-	uncacheable, retryBudgetSpent                                          bool
-	sendSamples                                                            []float64
-}
-
+	target         *endpoint
+	source         *endpoint  // who fills a miss; the target for nobody
+	fillLimiters   []*limiter // of the paths behind the target
+	originLimiter  *limiter   // of an attempt thought to reach the origin
+	expectedFills  float64    // load at the fill limiters: how likely a fill is
+	retentionRank  int
+	maxAge         float64
+	sentAt         float64
+	suspectAt      float64 // when it is late; +Inf once it was taken for lost
+	endedAt        float64
+	result         AttemptResult
+	fromPeer       bool // a peer cache fills a miss
+	expectMiss     bool
+	cacheOnly      bool // it must not reach behind its source
+	wanted         bool
+	started        bool
+	inFlight       bool
+	cancelled      bool
+	stalled        bool // its connection is silent though its endpoint is not
+	failedAtTarget bool // by a fault of the target or of the request
+	// sourceMayBeAtFault says that its failure may be that of its source.
+	sourceMayBeAtFault bool
+}
+
+// request is an open request with what is wanted for it.
 type request struct {
 	RequestArrived
-	token                                 uint64
-	arrivedAt, sendSeconds, priorityPerKB float64
-	objective                             float64 // the SLA time of its size
-	chunk                                 *chunk
-	object                                *object
-	firstOfChunk, queued                  bool
-	inQueue                               bool
-	attempts                              []*attempt
-	finalAction                           Action
-	done                                  bool
-	wakeAt, timerAt                       float64
-}
-
-// void names what a purge voids: an object, or a group where there is none.
-type purgeKey struct {
-	object string
-	group  int
-}
-
-// Router decides for one instance.
+	token         uint64 // of its timers
+	arrivedAt     float64
+	sendSeconds   float64 // of its size
+	priorityPerKB float64
+	objective     float64 // s, of its size
+	chunk         *chunk
+	object        *object
+	firstOfChunk  bool // no request for the chunk was seen before
+	queued        bool // wanted in the queue
+	inQueue       bool
+	attempts      []*attempt
+	finalAction   Action
+	done          bool
+	wakeAt        float64
+	timerAt       float64 // when its next timer fires, 0 for none
+}
+
+// Router decides for one instance. Its zero value is of no use: see New.
 type Router struct {
 	settings             Settings
 	randomState          uint64
 	now                  float64
 	actions              []Action
-	numbers              map[string]float64 // records read as numbers
+	numbers              map[string]float64 // settings read as numbers
 	classes              map[ClassIndex]*class
-	endpoints            []*endpoint // in order of their ids
-	localCaches          []*endpoint // caches of this location, whatever their status
-	caches               []*endpoint // ready
+	endpoints            []*endpoint // by id
+	localCaches          []*endpoint // of this zone, whatever their status
+	caches               []*endpoint // ready ones of this zone
 	parents              []*endpoint // ready
 	origins              []*endpoint // ready
-	endpointsVersion     int         // version of these lists
-	zoneLink             limiter     // the location's link in
+	endpointsVersion     int         // of the lists above
+	zoneLink             limiter     // the link into the zone
 	requests             map[RequestID]*request
 	requestsByToken      map[uint64]*request
-	queue                []*request // held, densest in importance first
+	queue                []*request // highest priority a KB first
 	sequence             uint64
 	objects              map[string]*object
 	sweptAt              float64
-	purges               map[purgeKey]float64 // when each was told to be void, the newest of each
-	purgesForgottenUntil float64              // purges up to then are not remembered
-	slownessSamples      []float64            // the last few times to an answer, over those after which hops are looked at
-	unansweredSamples    []float64            // the last few hops slower than any of those, 1 for one that had no answer until it was given up
-	missSamples          []float64            // the last few hops thought to miss, 1 for one that was filled
+	purges               map[purgeKey]float64 // time of the newest of each
+	purgesForgottenUntil float64
+	slownessSamples      []float64 // the last durations over those after which attempts are suspected
+	unansweredSamples    []float64 // the last attempts slower than any of those, 1 for one that was given up
+	missSamples          []float64 // the last attempts expected to miss, 1 for one that was filled
 }
 
-// chance is the next of a permuted congruential generator, from 0 up to 1.
+// nextRandom is the next number of a permuted congruential generator, from 0 up to 1.
 func (r *Router) nextRandom() float64 {
 	old := r.randomState
 	r.randomState = old*6364136223846793005 + 1442695040888963407
-	x := uint32((old>>18 ^ old) >> 27)
-	rot := uint32(old >> 59)
-	return float64(x>>rot|x<<(-rot&31)) / (1 << 32)
-}
-
-// keep appends to the last few samples.
-func appendSample[S any](list []S, s S, most int) []S {
-	if len(list) >= most {
-		list = append(list[:0], list[len(list)-most+1:]...)
-	}
-	return append(list, s)
+	shifted := uint32((old>>18 ^ old) >> 27)
+	rotation := uint32(old >> 59)
+	return float64(shifted>>rotation|shifted<<(-rotation&31)) / (1 << 32)
 }
 
-func compareGapKeys(a, b *cachedChunk) int {
-	return cmp.Or(cmp.Compare(a.gapKey, b.gapKey), cmp.Compare(a.sequence, b.sequence))
+// addRequest enters a request under its id and a new token, and finds its chunk.
+func (r *Router) addRequest(req *request) {
+	r.sequence++
+	req.token = r.sequence
+	r.requests[req.Request] = req
+	r.requestsByToken[req.token] = req
+	req.object = r.findOrAddObject(req.Object, req.ObjectGroup)
+	req.object.lastRequest = r.now
+	req.chunk = req.object.findOrAddChunk(req.Chunk)
+	req.firstOfChunk = !req.chunk.requested
 }
 
-func (m *endpoint) addCached(h *cachedChunk, key float64) {
-	h.gapKey = key
-	at, _ := slices.BinarySearchFunc(m.byGap, h, compareGapKeys)
-	m.byGap = slices.Insert(m.byGap, at, h)
-	m.cached[h.chunk] = h
-}
-
-// unlist takes a part out of the order and, if it is gone, off the held list.
-func (m *endpoint) removeCached(p *chunk, gone bool) {
-	if h := m.cached[p]; h != nil {
-		if at, found := slices.BinarySearchFunc(m.byGap, h, compareGapKeys); found {
-			m.byGap = slices.Delete(m.byGap, at, at+1)
-		}
-		if gone {
-			delete(m.cached, p)
-		}
+// removeUnlessInFlight forgets a request that has ended, once the ends of all its attempts are known.
+func (r *Router) removeUnlessInFlight(req *request) {
+	if !slices.ContainsFunc(req.attempts, isInFlight) {
+		delete(r.requests, req.Request)
+		delete(r.requestsByToken, req.token)
 	}
 }
 
-// unit maps a text to a number between 0 and 1. FNV alone leaves texts alike alike in their high bits.
-func hashToUnit(text string) float64 {
-	f := fnv.New64a()
-	f.Write([]byte(text))
-	x := f.Sum64()
-	x = (x ^ x>>33) * 0xff51afd7ed558ccd
-	x = (x ^ x>>33) * 0xc4ceb9fe1a85ec53
-	return (float64((x^x>>33)>>11) + 0.5) / (1 << 53)
-}
-
-// ordered gives the caches and the parents in the order of an object's hash.
-func (r *Router) hashOrder(o *object) (caches, parents []*endpoint) {
-	if o.endpointsVersion != r.endpointsVersion {
-		o.endpointsVersion, o.caches, o.parents = r.endpointsVersion, sortByHash(o.id, r.caches), sortByHash(o.id, r.parents)
+// findAttempt finds an attempt of an open request, nil where there is none.
+func (r *Router) findAttempt(id RequestID, number int) (*request, *attempt) {
+	req := r.requests[id]
+	if req == nil || number < 0 || number >= len(req.attempts) {
+		return nil, nil
 	}
-	return o.caches, o.parents
+	return req, req.attempts[number]
 }
 
-func sortByHash(id string, list []*endpoint) []*endpoint {
-	score := make([]float64, len(list))
-	list = slices.Clone(list)
-	for i, m := range list {
-		x := hashScore(id, m)
-		at := i
-		for ; at > 0 && score[at-1] < x; at-- {
-			score[at], list[at] = score[at-1], list[at-1]
-		}
-		score[at], list[at] = x, m
+// retryBudgetChanged notes whether there are retries left for an endpoint, or for a class where none is named.
+func (r *Router) retryBudgetChanged(ev RetryBudgetChanged) {
+	if e := r.findEndpoint(ev.Endpoint); e != nil {
+		e.retryBudgetSpent = !ev.Available
+	} else if ev.Endpoint == "" {
+		r.class(ev.Class).retryBudgetSpent = !ev.Available
 	}
-	return list
 }
 
-// enqueue puts a txn among the held ones, densest in importance first, or takes it out.
-func (r *Router) setQueued(t *request, held bool) {
-	if held == t.inQueue {
+// setQueued puts a request into the queue, by priority a KB and then by age, or takes it out.
+func (r *Router) setQueued(req *request, queued bool) {
+	if queued == req.inQueue {
 		return
 	}
-	at, _ := slices.BinarySearchFunc(r.queue, t, func(a, b *request) int {
+	at, _ := slices.BinarySearchFunc(r.queue, req, func(a, b *request) int {
 		return cmp.Or(cmp.Compare(b.priorityPerKB, a.priorityPerKB), cmp.Compare(a.token, b.token))
 	})
-	if t.inQueue = held; held {
-		r.queue = slices.Insert(r.queue, at, t)
+	req.inQueue = queued
+	if queued {
+		r.queue = slices.Insert(r.queue, at, req)
 	} else {
 		r.queue = slices.Delete(r.queue, at, at+1)
 	}
 }
 
-// spentSince adds up what was sent to a member after a time, and forgets the rest.
-func (m *endpoint) workSince(then float64) (sum float64) {
-	m.recentWork = slices.DeleteFunc(m.recentWork, func(s workSample) bool { return s.at <= then })
-	for _, s := range m.recentWork {
-		sum += s.seconds
+// workSince adds up what was sent to an endpoint after a time, and forgets the rest.
+func (e *endpoint) workSince(since float64) (seconds float64) {
+	e.recentWork = slices.DeleteFunc(e.recentWork, func(s workSample) bool { return s.at <= since })
+	for _, s := range e.recentWork {
+		seconds += s.seconds
 	}
-	return sum
+	return seconds
 }
 
-// slowness is how long a hop is out over the time after which it is looked at, which goes by its size.
-func (r *Router) slownessOf(h *attempt) float64 { return (r.now - h.sentAt) / (h.suspectAt - h.sentAt) }
+// slownessOf is how long an attempt is in flight over the time after which it is suspected, which goes by its size.
+func (r *Router) slownessOf(a *attempt) float64 { return (r.now - a.sentAt) / (a.suspectAt - a.sentAt) }
 
-// slowest is the greatest slowness of the last few hops that had an answer, 1 at least.
+// greatestSlowness is that of the last attempts that had an answer, 1 at least.
 func (r *Router) greatestSlowness() float64 {
-	most := 1.0
-	for _, x := range r.slownessSamples {
-		most = max(most, x)
+	greatest := 1.0
+	for _, slowness := range r.slownessSamples {
+		greatest = max(greatest, slowness)
 	}
-	return most
+	return greatest
 }
 
-func (m *endpoint) recordSign(now float64) {
-	m.signsOfLife = appendSample(m.signsOfLife, now, recentSamples)
+func (e *endpoint) recordSign(now float64) {
+	e.signsOfLife = appendSample(e.signsOfLife, now, recentSamples)
 }
 
-// heard is the time of the last sign of life, interval the mean time between the last few.
-func (m *endpoint) lastHeard() float64 {
-	if len(m.signsOfLife) == 0 {
+// lastHeard is the time of the last sign of life, 0 for none.
+func (e *endpoint) lastHeard() float64 {
+	if len(e.signsOfLife) == 0 {
 		return 0
 	}
-	return m.signsOfLife[len(m.signsOfLife)-1]
+	return e.signsOfLife[len(e.signsOfLife)-1]
 }
 
-func (m *endpoint) signInterval() float64 {
-	if len(m.signsOfLife) < 2 {
+// signInterval is the mean time between the last few signs of life, 0 if there are fewer than two.
+func (e *endpoint) signInterval() float64 {
+	if len(e.signsOfLife) < 2 {
 		return 0
 	}
-	return (m.lastHeard() - m.signsOfLife[0]) / float64(len(m.signsOfLife)-1)
-}
-
-// object finds an object, or adds it.
-func (r *Router) findOrAddObject(id string, group int) *object {
-	if r.objects[id] == nil {
-		r.objects[id] = &object{id: id, group: group}
-	}
-	return r.objects[id]
+	return (e.lastHeard() - e.signsOfLife[0]) / float64(len(e.signsOfLife)-1)
 }
 
-// part finds a part of the object, or adds it.
-func (o *object) findOrAddChunk(no int) *chunk {
-	at, found := slices.BinarySearchFunc(o.chunks, no, func(p *chunk, no int) int { return cmp.Compare(p.index, no) })
-	if !found {
-		o.chunks = slices.Insert(o.chunks, at, &chunk{index: no})
-	}
-	return o.chunks[at]
-}
+func wasTarget(a *attempt, e *endpoint) bool { return a.target == e && !a.cacheOnly }
+func wasSource(a *attempt, e *endpoint) bool { return a.source == e && !a.fromPeer && !a.cacheOnly }
+func isCacheOnly(a *attempt) bool            { return a.cacheOnly }
+func isFromPeer(a *attempt) bool             { return a.fromPeer }
+func isInFlight(a *attempt) bool             { return a.inFlight }
 
-// member finds a member by its id, or adds one of which nothing is known.
-func (r *Router) findOrAddEndpoint(id EndpointID) *endpoint {
-	at, found := slices.BinarySearchFunc(r.endpoints, id, func(m *endpoint, id EndpointID) int {
-		return cmp.Compare(m.ID, id)
-	})
-	if !found {
-		r.endpoints = slices.Insert(r.endpoints, at, &endpoint{Endpoint: Endpoint{ID: id}})
+// appendSample appends to the last samples, of which it keeps a number at most.
+func appendSample[S any](samples []S, sample S, most int) []S {
+	if len(samples) >= most {
+		samples = append(samples[:0], samples[len(samples)-most+1:]...)
 	}
-	return r.endpoints[at]
+	return append(samples, sample)
 }
 
-// known finds a member by its id; nil where there is none.
-func (r *Router) findEndpoint(id EndpointID) *endpoint {
-	at, found := slices.BinarySearchFunc(r.endpoints, id, func(m *endpoint, id EndpointID) int { return cmp.Compare(m.ID, id) })
-	if !found {
-		return nil
-	}
-	return r.endpoints[at]
-}
-
-// believed is the mean of samples once there are enough of them.
-func meanIfEnough(list []float64, otherwise float64) float64 {
-	if len(list) < minSamples {
+// meanIfEnough is the mean of samples once there are enough of them.
+func meanIfEnough(samples []float64, otherwise float64) float64 {
+	if len(samples) < minSamples {
 		return otherwise
 	}
-	return mean(list)
+	return mean(samples)
 }
 
-func mean(list []float64) float64 {
+func mean(samples []float64) float64 {
 	sum := 0.0
-	for _, x := range list {
-		sum += x
-	}
-	return sum / float64(len(list))
-}
-
-// take brings the list up to date and returns the members that are new or have started again.
-func (r *Router) mergeEndpoints(l EndpointUpdate) (again []*endpoint) {
-	if l.Kind == Snapshot || l.Kind == Restored {
-		for _, m := range r.endpoints {
-			m.Status = Removed
-		}
-	}
-	for _, row := range l.Endpoints {
-		m := r.findOrAddEndpoint(row.ID)
-		if m.cached == nil || row.StartedAt > m.StartedAt {
-			*m = endpoint{cached: map[*chunk]*cachedChunk{}, limiter: limiter{inFlight: m.inFlight}, recentWork: m.recentWork}
-			again = append(again, m)
-		}
-		m.Endpoint = row
-	}
-	r.endpoints = slices.DeleteFunc(r.endpoints, func(m *endpoint) bool {
-		m.removedAt = indicator(m.Status == Removed) * cmp.Or(m.removedAt, r.now)
-		return m.removedAt > 0 && r.now >= m.removedAt+forgetAfter
-	})
-	r.classifyEndpoints()
-	return again
-}
-
-// relist works out what each member is by the records, and who is in service.
-func (r *Router) classifyEndpoints() {
-	r.localCaches, r.caches, r.parents, r.origins = nil, nil, nil, nil
-	r.endpointsVersion++
-	here, all := int(r.number("location", 0)), max(r.number("routers", 1), 1)
-	for _, m := range r.endpoints {
-		m.role, m.zonesAway, m.sharers = otherZone, r.zonesAway(m), all
-		list := new([]*endpoint)
-		switch kind := float64(m.Kind); {
-		case kind == r.number("parent_kind", -1):
-			m.role, list = parentCache, &r.parents
-		case kind == r.number("origin_kind", -1):
-			m.role, list = originServer, &r.origins
-		case m.Zone == here:
-			m.role, list = edgeCache, &r.caches
-			m.sharers = max(r.settings.FloatItem("routers_at", here, all), 1)
-			r.localCaches = append(r.localCaches, m)
-		}
-		if m.Status == Ready {
-			*list = append(*list, m)
-		}
-	}
-}
-
-// spare says whether another of a member's role is ready and not on the bench.
-func (r *Router) hasAlternative(m *endpoint) bool {
-	peers := r.parents
-	if m.role == edgeCache {
-		peers = r.caches
-	}
-	return slices.ContainsFunc(peers, func(x *endpoint) bool { return x != m && x.ejectedUntil <= r.now })
-}
-
-// wayToOrigin is the gate of the first origin listed; one that is always open where there is none.
-func (r *Router) originLimiter() *limiter {
-	if len(r.origins) > 0 {
-		return &r.origins[0].limiter
-	}
-	return &limiter{limit: math.Inf(1)}
-}
-
-func sentTo(h *attempt, m *endpoint) bool     { return h.target == m && !h.cacheOnly }
-func filledFrom(h *attempt, m *endpoint) bool { return h.source == m && !h.fromPeer && !h.cacheOnly }
-func isCacheOnly(h *attempt) bool             { return h.cacheOnly }
-
-// num reads a number of the records, once.
-func (r *Router) number(name string, otherwise float64) float64 {
-	x, ok := r.numbers[name]
-	if !ok {
-		x = r.settings.Float(name, math.NaN())
-		r.numbers[name] = x
-	}
-	if math.IsNaN(x) {
-		return otherwise
-	}
-	return x
-}
-
-// rule reads what the records say of a remap rule, once.
-func (r *Router) class(n ClassIndex) *class {
-	u := r.classes[n]
-	if u == nil {
-		num := func(name string, otherwise float64) float64 {
-			return r.settings.Float(ClassSetting(n, name), otherwise)
-		}
-		u = &class{objective: num("sla_s", 1), objectiveStretch: num("sla_stretch", 0), priority: num("importance", 1),
-			latePriority: num("late_importance", 0), idempotencyWindow: num("window_s", 0),
-			freshSeconds: r.settings.FloatItem("fresh_s", int(n), 0), staleSeconds: r.settings.FloatItem("stale_s", int(n), 0),
-			stalePriority: r.settings.FloatItem("stale_importance", int(n), 0), effect: r.settings[ClassSetting(n, "effect")],
-			deduplicationScope: r.settings[ClassSetting(n, "group")], uncacheable: r.settings.ListItem("uncacheable", int(n)) == "true"}
-		r.classes[n] = u
-	}
-	return u
-}
-
-// hubsAway is the number of hubs on the ring between this location's hub and a parent's.
-func (r *Router) zonesAway(m *endpoint) float64 {
-	if float64(m.Kind) != r.number("parent_kind", -1) {
-		return 0
-	}
-	own := int(r.settings.FloatItem("hub_of", int(r.number("location", 0)), float64(m.Zone)))
-	ring := 0.0 // hubs come first among the locations and are their own
-	for r.settings.FloatItem("hub_of", int(ring), -1) == ring {
-		ring++
-	}
-	way := math.Abs(float64(own - m.Zone))
-	return min(way, max(ring-way, 0))
-}
-
-// purged remembers a purge and forgets what was thought held.
-func (r *Router) recordPurge(p Purge) {
-	v := purgeKey{object: p.Object}
-	if p.Object == "" {
-		v.group = p.ObjectGroup
-	}
-	if r.purges[v] = max(r.purges[v], r.now-p.AgeSeconds); len(r.purges) > maxPurges {
-		r.forgetOldestPurges()
-	}
-	for name, o := range r.objects {
-		if name == p.Object || (p.Object == "" && o.group == p.ObjectGroup) {
-			r.dropCached(o)
-		}
-	}
-}
-
-// forget drops the oldest eighth of the purges, so that it is not done for each one.
-func (r *Router) forgetOldestPurges() {
-	times := make([]float64, 0, len(r.purges))
-	for _, at := range r.purges {
-		times = append(times, at)
-	}
-	slices.Sort(times)
-	r.purgesForgottenUntil = max(r.purgesForgottenUntil, times[len(times)/8])
-	maps.DeleteFunc(r.purges, func(_ purgeKey, at float64) bool { return at <= r.purgesForgottenUntil })
-}
-
-// drop forgets what is thought held of an object.
-func (r *Router) dropCached(o *object) {
-	for _, p := range o.chunks {
-		p.filledByParent = false
-		for _, m := range r.localCaches {
-			m.removeCached(p, true)
-		}
-	}
-}
-
-// sweep forgets objects that were idle for long, sooner if there are too many.
-func (r *Router) forgetIdleObjects() {
-	if r.now < r.sweptAt+sweepInterval && len(r.objects) < maxObjects {
-		return
-	}
-	r.sweptAt = r.now
-	for age := forgetAfter; age == forgetAfter || len(r.objects) > maxObjects/2; age /= 2 {
-		for name, o := range r.objects {
-			if r.now-o.lastRequest >= age {
-				r.dropCached(o)
-				delete(r.objects, name)
-			}
-		}
+	for _, sample := range samples {
+		sum += sample
 	}
+	return sum / float64(len(samples))
 }
 
-func indicator(on bool) float64 {
-	if on {
+// indicator is 1 for true and 0 for false.
+func indicator(condition bool) float64 {
+	if condition {
 		return 1
 	}
 	return 0
