--- a/internal/sim/clock/scheduler.go
+++ b/internal/sim/clock/scheduler.go
@@ -1,5 +1,7 @@
-// Package sim is virtual time for cores: events in the order of their times, chance from one seed, no clock and no
-// goroutine. The same seed and the same calls give the same events, byte for byte.
+// Package clock is the virtual time of simulations: it runs scheduled functions in the order of their times.
+//
+// It uses no real clock and no goroutines, and all randomness comes from one seed, so the same seed and the same calls
+// give the same run, byte for byte.
 package clock
 
 import (
@@ -8,65 +10,78 @@
 	"math/rand/v2"
 )
 
-// World is a run. The zero value is not ready; use New.
+// Scheduler runs the events of a simulation. Use New: the zero value has no randomness.
 type Scheduler struct {
 	Rand *rand.Rand
 
-	now    float64
-	seq    uint64
-	events events
+	now       float64 // seconds
+	scheduled uint64  // events so far
+	queue     eventQueue
 }
 
-type event struct {
-	at   float64
-	seq  uint64 // events of one time come in the order in which they were set
-	then func()
+// New returns a scheduler whose clock shows a time in seconds. Streams of the same seed with different numbers are
+// independent.
+func New(seed, stream uint64, now float64) *Scheduler {
+	return &Scheduler{Rand: rand.New(rand.NewPCG(seed, stream)), now: now}
 }
 
-type events []event
+// Now is the clock in seconds.
+func (s *Scheduler) Now() float64 { return s.now }
 
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+// At schedules a function for a time in seconds. A time that has passed, or that is no number, counts as now.
+func (s *Scheduler) At(time float64, run func()) {
+	if math.IsNaN(time) {
+		time = s.now
+	}
+	s.scheduled++
+	heap.Push(&s.queue, event{
+		time:     max(time, s.now),
+		sequence: s.scheduled,
+		run:      run,
+	})
 }
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	n := len(*e) - 1
-	x := (*e)[n]
-	(*e)[n] = event{}
-	*e = (*e)[:n]
-	return x
+
+// After schedules a function for so many seconds from now.
+func (s *Scheduler) After(seconds float64, run func()) { s.At(s.now+seconds, run) }
+
+// RunUntil runs all events up to a time, which the clock shows afterwards, and returns their number.
+func (s *Scheduler) RunUntil(end float64) (events int) {
+	for len(s.queue) > 0 && s.queue[0].time <= end {
+		next := heap.Pop(&s.queue).(event)
+		s.now = next.time
+		next.run()
+		events++
+	}
+	s.now = max(s.now, end)
+	return events
 }
 
-// New makes a world whose clock stands at a time, in seconds. Streams of chance with other numbers are independent.
-func New(seed, stream uint64, at float64) *Scheduler {
-	return &Scheduler{Rand: rand.New(rand.NewPCG(seed, stream)), now: at}
+type event struct {
+	time     float64
+	sequence uint64 // events of the same time run in the order in which they were scheduled
+	run      func()
 }
 
-// Now is the clock, s.
-func (w *Scheduler) Now() float64 { return w.now }
+// eventQueue is a heap.Interface with the next event first.
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
 
-// At does something at a time; one that has passed counts as now.
-func (w *Scheduler) At(at float64, then func()) {
-	if math.IsNaN(at) {
-		at = w.now
+func (q eventQueue) Less(i, j int) bool {
+	if q[i].time != q[j].time {
+		return q[i].time < q[j].time
 	}
-	w.seq++
-	heap.Push(&w.events, event{max(at, w.now), w.seq, then})
+	return q[i].sequence < q[j].sequence
 }
 
-// After does something so many seconds from now.
-func (w *Scheduler) After(s float64, then func()) { w.At(w.now+s, then) }
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
 
-// Run plays until a time, which the clock then shows; it tells how many events there were.
-func (w *Scheduler) RunUntil(until float64) (n int) {
-	for len(w.events) > 0 && w.events[0].at <= until {
-		e := heap.Pop(&w.events).(event)
-		w.now = e.at
-		e.then()
-		n++
-	}
-	w.now = max(w.now, until)
-	return n
+func (q *eventQueue) Push(item any) { *q = append(*q, item.(event)) }
+
+func (q *eventQueue) Pop() any {
+	last := len(*q) - 1
+	item := (*q)[last]
+	(*q)[last] = event{} // so that the function can be collected
+	*q = (*q)[:last]
+	return item
 }
--- a/internal/sim/faults/golden_test.go
+++ b/internal/sim/faults/golden_test.go
@@ -23,11 +23,13 @@
 
 		rnd := rand.New(rand.NewPCG(seed, 3))
 		for second := range 70 {
-			link := script.LinkAt(second%12, (second*5+1)%12, float64(second))
+			from, to, time := second%12, (second*5+1)%12, float64(second)
+			link := script.LinkAt(from, to, time)
 			delays, corrupt := link.Deliver(rnd)
-			fmt.Fprintf(&out, "%d %+v %.6f %t running=%t working=%t reachable=%d explained=%t\n", second, link, delays, corrupt,
-				script.IsRunning(second%12, float64(second)), script.IsWorking(second%12, float64(second)),
-				script.ReachableCount(second%12, float64(second)), script.ExplainsUnreachable(second%12, 3, float64(second), 2))
+			fmt.Fprintf(&out, "%d %+v %.6f %t", second, link, delays, corrupt)
+			fmt.Fprintf(&out, " running=%t working=%t", script.IsRunning(from, time), script.IsWorking(from, time))
+			fmt.Fprintf(&out, " reachable=%d", script.ReachableCount(from, time))
+			fmt.Fprintf(&out, " explained=%t\n", script.ExplainsUnreachable(from, 3, time, 2))
 		}
 		for _, transition := range script.Transitions() {
 			fmt.Fprintf(&out, "%.6f end=%t %s\n", transition.Time, transition.IsEnd, transition.Fault)
