The check of histories has a test that it accepts and refuses what it should

The model that judges the shards' histories was tested only through defects of the cluster. Eight histories, four of them impossible, are held to their verdicts; the test passes.

--- /dev/null
+++ b/internal/replication/history/history_test.go
@@ -0,0 +1,60 @@
+package history
+
+import (
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/stretchr/testify/assert"
+)
+
+// sequence is operations one after the other.
+func sequence(operations ...porcupine.Operation) []porcupine.Operation {
+	for i := range operations {
+		operations[i].Call = int64(2 * i)
+		if operations[i].Return != Unanswered {
+			operations[i].Return = int64(2*i + 1)
+		}
+	}
+	return operations
+}
+
+func reserve(group string, granted bool, told string) porcupine.Operation {
+	return porcupine.Operation{
+		Input:  Input{Key: "k", Group: group},
+		Output: Output{Answered: true, Granted: granted, Group: told},
+	}
+}
+
+func read(found bool, told string) porcupine.Operation {
+	return porcupine.Operation{
+		Input:  Input{Read: true, Key: "k"},
+		Output: Output{Answered: true, Granted: found, Group: told},
+	}
+}
+
+func unanswered(group string) porcupine.Operation {
+	return porcupine.Operation{Input: Input{Key: "k", Group: group}, Output: Output{}, Return: Unanswered}
+}
+
+func TestLinearizable(t *testing.T) {
+	for name, test := range map[string]struct {
+		history []porcupine.Operation
+		want    bool
+	}{
+		"first group keeps the key": {
+			sequence(reserve("a", true, "a"), reserve("b", false, "a"), read(true, "a")), true,
+		},
+		"same group is granted again":     {sequence(reserve("a", true, "a"), reserve("a", true, "a")), true},
+		"unanswered one was carried out":  {sequence(unanswered("a"), reserve("b", false, "a")), true},
+		"unanswered one was not":          {sequence(unanswered("a"), reserve("b", true, "b")), true},
+		"key granted to two groups":       {sequence(reserve("a", true, "a"), reserve("b", true, "b")), false},
+		"grant lost":                      {sequence(reserve("a", true, "a"), read(false, "")), false},
+		"read of a group that never held": {sequence(read(true, "a")), false},
+		"stale read after a later one": {
+			sequence(unanswered("a"), read(true, "a"), read(false, "")), false,
+		},
+	} {
+		assert.Equal(t, test.want, Linearizable(test.history, time.Minute), name)
+	}
+}
