Config: types, parser, schema, validation, errors and defaults apart

One file of 536 lines read YAML, explained the validator, filled and printed defaults and checked what no schema can.

--- /dev/null
+++ b/internal/config/defaults.go
@@ -0,0 +1,122 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"strings"
+)
+
+// indent is what the keys of an object stand further in than the object's own.
+const indent = "  "
+
+// Defaults returns a file that says every default, with what each key means. It is made from the schema, whose order of
+// keys it keeps.
+func Defaults() []byte {
+	var out bytes.Buffer
+	out.WriteString("# Every key of the operators' file with its default, its unit and what it is for.\n")
+	writeProperties(&out, decodeOrdered(Schema), 0)
+	return out.Bytes()
+}
+
+// writeProperties writes the keys of an object's schema at a depth of the file.
+func writeProperties(out *bytes.Buffer, schema *orderedObject, depth int) {
+	properties := schema.object("properties")
+	if properties == nil {
+		return
+	}
+	pad := strings.Repeat(indent, depth)
+	for _, name := range properties.keys {
+		property := properties.object(name)
+		if value, ok := property.values["default"]; ok {
+			fmt.Fprintf(out, "%s%s: %s   # %s\n", pad, name, encode(value), property.values["description"])
+			writeItemProperties(out, property.object("items"), pad)
+			continue
+		}
+		if depth == 0 {
+			out.WriteString("\n")
+		}
+		fmt.Fprintf(out, "%s# %s\n%s%s:\n", pad, property.values["description"], pad, name)
+		writeProperties(out, property, depth+1)
+	}
+}
+
+// writeItemProperties writes, as comments, the keys of a list's items. Items is nil unless the list holds objects.
+func writeItemProperties(out *bytes.Buffer, items *orderedObject, pad string) {
+	if items == nil {
+		return
+	}
+	properties := items.object("properties")
+	for _, name := range properties.keys {
+		property := properties.object(name)
+		text := []byte("needed")
+		if value, ok := property.values["default"]; ok {
+			text = encode(value)
+		}
+		fmt.Fprintf(out, "%s  # of each, %s: %s   %s\n", pad, name, text, property.values["description"])
+	}
+}
+
+// encode returns a default as JSON, which is YAML too.
+func encode(value any) []byte {
+	text, err := json.Marshal(value)
+	if err != nil {
+		panic(err) // it came from JSON
+	}
+	return text
+}
+
+// orderedObject is a JSON object whose keys keep their order.
+type orderedObject struct {
+	keys   []string
+	values map[string]any
+}
+
+// object returns the object of a key, nil if there is none.
+func (o *orderedObject) object(key string) *orderedObject {
+	value, _ := o.values[key].(*orderedObject)
+	return value
+}
+
+// decodeOrdered decodes a JSON object. It panics at anything else, since only the program's own schema is read with it.
+func decodeOrdered(text []byte) *orderedObject {
+	decoder := json.NewDecoder(bytes.NewReader(text))
+	object, ok := decodeValue(decoder).(*orderedObject)
+	if !ok {
+		panic("the schema is no object")
+	}
+	return object
+}
+
+// decodeValue decodes the next JSON value.
+func decodeValue(decoder *json.Decoder) any {
+	token := nextToken(decoder)
+	switch token {
+	case json.Delim('{'):
+		object := &orderedObject{values: map[string]any{}}
+		for decoder.More() {
+			key := nextToken(decoder).(string)
+			object.keys = append(object.keys, key)
+			object.values[key] = decodeValue(decoder)
+		}
+		nextToken(decoder) // the closing brace
+		return object
+	case json.Delim('['):
+		list := []any{}
+		for decoder.More() {
+			list = append(list, decodeValue(decoder))
+		}
+		nextToken(decoder) // the closing bracket
+		return list
+	}
+	return token
+}
+
+// nextToken returns the next token of the schema.
+func nextToken(decoder *json.Decoder) json.Token {
+	token, err := decoder.Token()
+	if err != nil {
+		panic(err)
+	}
+	return token
+}
--- /dev/null
+++ b/internal/config/schema.go
@@ -0,0 +1,61 @@
+package config
+
+import (
+	"bytes"
+	_ "embed" // for the schema
+	"sync"
+
+	"github.com/santhosh-tekuri/jsonschema/v6"
+)
+
+// Schema is the published JSON Schema of the file.
+//
+//go:embed schema.json
+var Schema []byte
+
+// schemaName is the name of the schema in the validator's errors.
+const schemaName = "operators.json"
+
+// compiledSchema returns the validator of the schema and the schema as a plain value. It panics if the schema that is
+// part of the program is broken.
+var compiledSchema = sync.OnceValues(func() (*jsonschema.Schema, any) {
+	value, err := jsonschema.UnmarshalJSON(bytes.NewReader(Schema))
+	if err != nil {
+		panic(err)
+	}
+	compiler := jsonschema.NewCompiler()
+	if err := compiler.AddResource(schemaName, value); err != nil {
+		panic(err)
+	}
+	return compiler.MustCompile(schemaName), value
+})
+
+// fillDefaults adds the schema's defaults to a value where it says nothing.
+func fillDefaults(schema, value any) {
+	object, _ := schema.(map[string]any)
+	switch v := value.(type) {
+	case []any:
+		for _, item := range v {
+			fillDefaults(object["items"], item)
+		}
+	case map[string]any:
+		properties, _ := object["properties"].(map[string]any)
+		for name, property := range properties {
+			if _, present := v[name]; !present {
+				addDefault(v, name, property.(map[string]any))
+			}
+			if item, present := v[name]; present {
+				fillDefaults(property, item)
+			}
+		}
+	}
+}
+
+// addDefault adds a property's default to an object: an empty object if it is an object, nothing if it has none.
+func addDefault(object map[string]any, name string, property map[string]any) {
+	if value, ok := property["default"]; ok {
+		object[name] = value
+	} else if property["type"] == "object" {
+		object[name] = map[string]any{}
+	}
+}
--- /dev/null
+++ b/internal/config/validate.go
@@ -0,0 +1,100 @@
+package config
+
+import (
+	"encoding/base64"
+	"fmt"
+	"net/netip"
+	"path"
+	"strconv"
+	"strings"
+)
+
+// publicKeyBytes is the length of an Ed25519 public key.
+const publicKeyBytes = 32
+
+// validate checks what the schema can't express. It returns the first mistake.
+func (f File) validate(d document) error {
+	for i, addresses := range f.Router.Addresses {
+		if err := addresses.validate(d, []string{"router", "addresses", strconv.Itoa(i)}); err != nil {
+			return err
+		}
+	}
+	if err := f.Membership.validate(d); err != nil {
+		return err
+	}
+	if c := f.EdgeCache.Synthetic; c.MinBytes > c.MaxBytes {
+		reason := fmt.Sprintf("%d is over most_bytes, %d", c.MinBytes, c.MaxBytes)
+		return d.errorAt(reason, "box", "made", "least_bytes")
+	}
+	return nil
+}
+
+// validate checks that the addresses name an endpoint and can be dialled. At is their path.
+func (e EndpointAddresses) validate(d document, at []string) error {
+	if e.Endpoint == "" && e.DiscoveryAddress == "" {
+		return d.errorAt("it names neither member nor board", at...)
+	}
+	if _, err := path.Match(e.Endpoint, ""); err != nil {
+		return d.errorAt(fmt.Sprintf("%q is no pattern", e.Endpoint), append(at, "member")...)
+	}
+	for i, address := range e.Addresses {
+		if _, err := netip.ParseAddrPort(address); err != nil && !strings.HasPrefix(address, "unix:/") {
+			reason := fmt.Sprintf("%q is neither IP:PORT nor unix:/PATH", address)
+			return d.errorAt(reason, append(at, "list", strconv.Itoa(i))...)
+		}
+	}
+	return nil
+}
+
+// validate checks that the roster has no duplicates and that this router can take part in it.
+func (m Membership) validate(d document) error {
+	if m.Listen == "" {
+		return nil
+	}
+	names, reachable, err := m.validateRoster(d)
+	if err != nil {
+		return err
+	}
+	switch {
+	case m.KeyFile == "":
+		return d.errorAt("needed where listen is set", "peers", "key_file")
+	case len(m.Roster) == 0:
+		return d.errorAt("needed where listen is set", "peers", "roster")
+	case len(m.Roster) > 1 && !reachable:
+		return d.errorAt("none of the others has an address: nobody could be reached", "peers", "roster")
+	case m.Name != "" && !names[m.Name]:
+		return d.errorAt(fmt.Sprintf("%q is not in the roster", m.Name), "peers", "name")
+	case 3*m.FaultyPeers >= len(m.Roster) && m.FaultyPeers > 1:
+		reason := fmt.Sprintf("%d of %d may not lie: under a third", m.FaultyPeers, len(m.Roster))
+		return d.errorAt(reason, "peers", "liars")
+	}
+	return nil
+}
+
+// validateRoster checks each entry of the roster. It returns the names in it and whether any other router has an
+// address.
+func (m Membership) validateRoster(d document) (names map[string]bool, reachable bool, err error) {
+	names = map[string]bool{}
+	keys := map[string]bool{}
+	for i, peer := range m.Roster {
+		at := func(key string) []string { return []string{"peers", "roster", strconv.Itoa(i), key} }
+		if raw, err := base64.StdEncoding.DecodeString(peer.Key); err != nil || len(raw) != publicKeyBytes {
+			return nil, false, d.errorAt("no public key of 32 bytes in base64", at("key")...)
+		}
+		if names[peer.Name] {
+			return nil, false, d.errorAt(fmt.Sprintf("%q stands twice", peer.Name), at("name")...)
+		}
+		if keys[peer.Key] {
+			return nil, false, d.errorAt("the key of two: each router has its own", at("key")...)
+		}
+		if peer.Address != "" {
+			if _, err := netip.ParseAddrPort(peer.Address); err != nil {
+				return nil, false, d.errorAt(fmt.Sprintf("%q is no IP:PORT", peer.Address), at("address")...)
+			}
+		}
+		names[peer.Name] = true
+		keys[peer.Key] = true
+		reachable = reachable || peer.Address != "" && peer.Name != m.Name
+	}
+	return names, reachable, nil
+}
