--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -148,7 +148,7 @@
 // serveConn serves a connection until it ends. One that is not admitted is told so and closed.
 func (s *Server) serveConn(ctx context.Context, raw net.Conn, admitted bool) {
 	c := s.newConn(raw)
-	s.Metrics.ConnectionOpened("client")
+	s.Metrics.ConnectionOpened(side)
 	s.addConn(c)
 	if s.Admission.Draining() { // BeginDrain came before addConn, or sees the connection
 		c.sendFinalGoAway()
@@ -162,7 +162,7 @@
 		s.Requests.RequestCancelled(r)
 	}
 	s.removeConn(c)
-	c.LogEnd(s.Metrics, "client", c.RemoteAddr())
+	c.LogEnd(s.Metrics, side, c.RemoteAddr())
 }
 
 // readConn reads the connection until it ends, and ends it.
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -29,6 +29,9 @@
 	"golang.org/x/sync/errgroup"
 )
 
+// side names the clients' connections in log lines and counters.
+const side = "client"
+
 const (
 	acceptRetryDelay  = 10 * time.Millisecond // after an accept that failed
 	backlogAcceptWait = time.Millisecond      // for one more accept before the listener closes
@@ -114,7 +117,7 @@
 	decision := s.Admission.AdmitClient()
 	if decision == admission.ClientDropped {
 		_ = raw.Close()
-		s.Metrics.Add("conn.client.turned-away", 1)
+		s.Metrics.Inc(telemetry.ConnectionsRejected.With(side))
 		return
 	}
 	admitted := decision == admission.ClientAdmitted || s.evict(time.Now())
@@ -144,6 +147,6 @@
 
 // recordPanic counts a recovered panic and logs its stack.
 func (s *Server) recordPanic(p any) {
-	s.Metrics.Add("panics", 1)
-	s.Metrics.Log.Error("panic", "where", "client", "what", fmt.Sprint(p), "stack", string(debug.Stack()))
+	s.Metrics.Inc(telemetry.Panics)
+	s.Metrics.Log.Error("panic", "where", side, "what", fmt.Sprint(p), "stack", string(debug.Stack()))
 }
--- a/internal/frontend/writeloop.go
+++ b/internal/frontend/writeloop.go
@@ -6,6 +6,7 @@
 
 	"cairnfront/internal/netconn"
 	"cairnfront/internal/request"
+	"cairnfront/internal/telemetry"
 )
 
 // lateLoggedSeconds is how long after its deadline a response has to be written to be logged.
@@ -111,8 +112,8 @@
 	if lateSeconds <= 0 {
 		return
 	}
-	w.metrics.Add("answers.after-limit", 1)
-	w.metrics.Max("answers.after-limit.most-us", int64(lateSeconds*1e6))
+	w.metrics.Inc(telemetry.ResponsesAfterDeadline)
+	w.metrics.SetMax(telemetry.MaxResponseDelayMicros, int64(lateSeconds*1e6))
 	if lateSeconds > lateLoggedSeconds {
 		w.metrics.Log.Warn("late answer", "txn", r.ID, "rule", r.ClassName, "by_s", lateSeconds)
 	}
