--- a/internal/frontend/responsewriter_test.go
+++ b/internal/frontend/responsewriter_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -102,3 +103,29 @@
 	w.close(request.ConnectionEnded)
 	assert.True(t, r.Cancelled())
 }
+
+// TestLateResponsesAreCountedAndLogged: those written after the deadline count; those well after it are logged.
+func TestLateResponsesAreCountedAndLogged(t *testing.T) {
+	for _, x := range []struct {
+		lateSeconds float64
+		counted     int64
+		logged      bool
+	}{{-3600, 0, false}, {3600, 1, true}} {
+		near, far := net.Pipe()
+		go func() { _, _ = io.Copy(io.Discard, far) }()
+		var log bytes.Buffer
+		admitted := admission.New(64, 256)
+		w := newResponseWriter(telemetry.New(&log, ""), admitted)
+		r := &request.Request{ID: "ab", StreamID: 1, ClassName: "page"}
+		r.Deadline = float64(time.Now().Unix()) - x.lateSeconds
+		assert.Empty(t, admitted.AdmitRequest(0))
+		w.open(r)
+		assert.True(t, w.Respond(r, request.Response{}))
+		w.finish()
+		assert.NoError(t, w.run(t.Context(), netconn.New(near, 64, time.Minute)))
+		_ = far.Close()
+		assert.Equal(t, x.counted, w.metrics.Value("answers.after-limit"))
+		assert.Equal(t, x.logged, strings.Contains(log.String(), `msg="late answer" request=ab class=page by_s=36`))
+		assert.Zero(t, admitted.OpenRequests())
+	}
+}
--- a/internal/frontend/writeloop.go
+++ b/internal/frontend/writeloop.go
@@ -115,6 +115,6 @@
 	w.metrics.Inc(telemetry.ResponsesAfterDeadline)
 	w.metrics.SetMax(telemetry.MaxResponseDelayMicros, int64(lateSeconds*1e6))
 	if lateSeconds > lateLoggedSeconds {
-		w.metrics.Log.Warn("late answer", "txn", r.ID, "rule", r.ClassName, "by_s", lateSeconds)
+		w.metrics.Log.Warn("late answer", "request", r.ID, "class", r.ClassName, "by_s", lateSeconds)
 	}
 }
