--- a/internal/codestyle/names_test.go
+++ b/internal/codestyle/names_test.go
@@ -27,7 +27,11 @@
 }
 
 // done lists the folders whose code is held to the withdrawn words. A folder that is added here stays.
-var done = []string{}
+var done = []string{
+	"internal/admission",
+	"internal/frontend",
+	"internal/request",
+}
 
 // TestIdentifiersUseTheGlossary walks the folders that are done and fails for each identifier with a withdrawn word.
 func TestIdentifiersUseTheGlossary(t *testing.T) {
