--- a/internal/netconn/golden_test.go
+++ b/internal/netconn/golden_test.go
@@ -21,15 +21,15 @@
 // the golden file. The time and the duration are masked.
 func TestEndedConnectionLogLines(t *testing.T) {
 	var log bytes.Buffer
-	book := telemetry.New(&log, "n1")
+	metrics := telemetry.New(&log, "n1")
 	for code := NoEndCode + 1; code <= SocketError; code++ {
 		near, _ := net.Pipe()
 		c := New(near, 8, 0)
-		book.ConnectionOpened("member")
+		metrics.ConnectionOpened("member")
 		c.Close(code, errors.New("cause"))
-		c.LogEnd(book, "member", "m@a:1")
+		c.LogEnd(metrics, "member", "m@a:1")
 	}
-	book.Dump(&log)
+	metrics.Dump(&log)
 	masked := regexp.MustCompile(`(time|lasted_s)=\S+`).ReplaceAll(log.Bytes(), []byte("$1=*"))
 	masked = regexp.MustCompile(`counter process\.\S+ \d+\n`).ReplaceAll(masked, nil)
 	const file = "testdata/ended-connections.golden"
