--- /dev/null
+++ b/internal/faultproxy/network_test.go
@@ -0,0 +1,122 @@
+package faultproxy
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"cairnfront/internal/sim/faults"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const timeout = 10 * time.Second
+
+func listenUDP(t *testing.T) *net.UDPConn {
+	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+func addressOf(conn *net.UDPConn) netip.AddrPort { return conn.LocalAddr().(*net.UDPAddr).AddrPort() }
+
+func scriptOf(list ...faults.Fault) faults.Script {
+	return faults.Script{Processes: 2, Duration: 60, Faults: list}
+}
+
+func TestDatagramsPassAsTheScriptSays(t *testing.T) {
+	network := New(1, 2)
+	defer network.Close()
+	receiver, sender := listenUDP(t), listenUDP(t)
+	proxy, err := network.ForwardDatagrams(0, 1, addressOf(receiver))
+	require.NoError(t, err)
+	send := func(text string) {
+		_, err := sender.WriteToUDPAddrPort([]byte(text), proxy)
+		require.NoError(t, err)
+	}
+	receive := func() string {
+		buffer := make([]byte, 100)
+		_ = receiver.SetReadDeadline(time.Now().Add(timeout))
+		size, err := receiver.Read(buffer)
+		require.NoError(t, err)
+		return string(buffer[:size])
+	}
+	send("as it is")
+	assert.Equal(t, "as it is", receive())
+
+	network.StartScript(scriptOf(
+		faults.Fault{Kind: faults.Corrupt, Share: 1},
+		faults.Fault{Kind: faults.Duplicate, Share: 1}))
+	send("corrupt")
+	first, second := receive(), receive()
+	assert.NotEqual(t, "corrupt", first)
+	assert.Equal(t, first, second, "and twice")
+
+	network.StartScript(scriptOf(faults.Fault{Kind: faults.Cut, From: []int{0}, To: []int{1}}))
+	send("lost")
+	allSent := func() bool {
+		datagrams, _ := network.SentBetween(0, 0, recordedSeconds)
+		return datagrams == 3
+	}
+	require.Eventually(t, allSent, timeout, time.Millisecond, "what is cut is counted as sent")
+
+	network.StartScript(scriptOf())
+	send("after")
+	assert.Equal(t, "after", receive(), "what was cut does not come later")
+}
+
+// serveEcho answers each connection with what it sends.
+func serveEcho(listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			_, _ = io.Copy(conn, conn)
+			_ = conn.Close()
+		}()
+	}
+}
+
+func TestConnectionsWaitWhileCutAndContinue(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	go serveEcho(listener)
+	network := New(1, 2)
+	defer network.Close()
+	proxy, err := network.ForwardConnections(0, 1, listener.Addr().String())
+	require.NoError(t, err)
+	conn, err := net.Dial("tcp", proxy)
+	require.NoError(t, err)
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	send := func(text string) {
+		_, err := io.WriteString(conn, text+"\n")
+		require.NoError(t, err)
+	}
+	receive := func() string {
+		_ = conn.SetReadDeadline(time.Now().Add(timeout))
+		text, err := reader.ReadString('\n')
+		require.NoError(t, err)
+		return text
+	}
+	send("one")
+	assert.Equal(t, "one\n", receive())
+
+	wayBack := faults.Fault{Kind: faults.Cut, From: []int{1}, To: []int{0}}
+	network.StartScript(scriptOf(wayBack))
+	send("two")
+	_ = conn.SetReadDeadline(time.Now().Add(150 * time.Millisecond))
+	_, err = reader.ReadByte()
+	require.Error(t, err, "nothing comes")
+
+	network.StartScript(scriptOf())
+	assert.Equal(t, "two\n", receive(), "and nothing is lost")
+}
--- a/internal/sim/faults/expectation.go
+++ b/internal/sim/faults/expectation.go
@@ -48,9 +48,9 @@
 	return s.LinkAt(a, b, time).Cut || s.LinkAt(b, a, time).Cut
 }
 
-// ExplainsUnreachable reports whether the script gave an observer a reason to hold a peer for failed. At the time, or up
-// to grace seconds before, the peer was stopped or killed, or a link between them was cut or lost as much as a cut one.
-// That the observer itself was stopped is no reason.
+// ExplainsUnreachable reports whether the script gave an observer a reason to hold a peer for failed. At the time, or
+// up to grace seconds before, the peer was stopped or killed, or a link between them was cut or lost as much as a cut
+// one. That the observer itself was stopped is no reason.
 func (s *Script) ExplainsUnreachable(observer, peer int, time, grace float64) bool {
 	for i := range s.Faults {
 		fault := &s.Faults[i]
--- a/internal/sim/faults/script_test.go
+++ b/internal/sim/faults/script_test.go
@@ -69,7 +69,11 @@
 		want     error
 		wantText string
 	}{
-		{`{"peers":3,"until":9,"acts":[{"do":"burn","at":1}]}`, ErrUnknownKind, `acts[0]: unknown kind of fault`},
+		{
+			`{"peers":3,"until":9,"acts":[{"do":"burn","at":1}]}`,
+			ErrUnknownKind,
+			`acts[0]: unknown kind of fault "burn"`,
+		},
 		{`{"peers":3,"until":9,"acts":[{"do":"cut","at":4,"until":3}]}`, ErrInvalidTime, "acts[0]"},
 		{`{"peers":3,"until":9,"acts":[{"do":"kill","at":1,"from":[7]}]}`, ErrUnknownProcess, "process 7"},
 		{`{"peers":3,"until":9,"acts":[{"do":"lose","share":2}]}`, ErrInvalidShare, "share"},
