--- a/cmd/cairnfront/lab.go
+++ b/cmd/cairnfront/lab.go
@@ -12,6 +12,7 @@
 
 	"cairnfront/internal/lab"
 	"cairnfront/internal/lab/report"
+	"cairnfront/internal/lab/simulation"
 
 	"github.com/spf13/cobra"
 )
@@ -62,10 +63,10 @@
 // simCommand plays cores on virtual time.
 func simCommand() *cobra.Command {
 	c := &cobra.Command{Use: "sim", Short: "The cores alone, by the thousand, on virtual time"}
-	var p lab.SimPeers
-	peers := simulation("peers", "Detection, false drops and bytes by size and loss; with --acts, drawn fault scripts held to the invariants",
+	var p simulation.Membership
+	peers := simulationCommand("peers", "Detection, false drops and bytes by size and loss; with --acts, drawn fault scripts held to the invariants",
 		func(ctx context.Context, from, to uint64, tell func(string, ...any)) (*report.Report, error) {
-			p.From, p.To, p.Tell = from, to, tell
+			p.Seeds, p.Progress = simulation.Seeds{From: from, To: to}, tell
 			if p.Peers < 2 || p.Hostile < 0 || p.Hostile >= p.Peers || slices.ContainsFunc(p.Sizes, func(n int) bool { return n < 2 }) {
 				return nil, errors.New("at least two peers that are not hostile are needed")
 			}
@@ -73,29 +74,29 @@
 		})
 	peers.Flags().IntSliceVar(&p.Sizes, "sizes", []int{20, 100}, "numbers of peers of the curves")
 	peers.Flags().Float64SliceVar(&p.Losses, "losses", []float64{0, 0.05, 0.3}, "shares of datagrams lost")
-	peers.Flags().IntVar(&p.Scripts, "acts", 0, "faults of a script drawn from each seed; 0: the curves")
+	peers.Flags().IntVar(&p.Acts, "acts", 0, "faults of a script drawn from each seed; 0: the curves")
 	peers.Flags().IntVar(&p.Peers, "peers", 50, "peers of a drawn script")
 	peers.Flags().IntVar(&p.Hostile, "hostile", 0, "of them hostile")
 	peers.Flags().StringVar(&p.Script, "script", "", "file of one script to be played instead")
-	var l lab.SimLedger
-	ledger := simulation("ledger", "Promises through machines lost with their disks, losses of power, stops and cuts; what clients were told is checked for linearizability",
+	var l simulation.Replication
+	ledger := simulationCommand("ledger", "Promises through machines lost with their disks, losses of power, stops and cuts; what clients were told is checked for linearizability",
 		func(ctx context.Context, from, to uint64, tell func(string, ...any)) (*report.Report, error) {
-			l.From, l.To, l.Tell = from, to, tell
-			if l.Routers < 3 || l.Slices < 1 || l.Slices > 64 || l.Lasts < 30 {
+			l.Seeds, l.Progress = simulation.Seeds{From: from, To: to}, tell
+			if l.Routers < 3 || l.Shards < 1 || l.Shards > 64 || l.DurationSeconds < 30 {
 				return nil, errors.New("at least 3 routers, 1 to 64 slices and 30 s are needed")
 			}
 			return l.Run(ctx)
 		})
 	ledger.Flags().IntVar(&l.Routers, "routers", 9, "routers, in three zones")
-	ledger.Flags().IntVar(&l.Slices, "slices", 3, "slices of the ledger that are played")
-	ledger.Flags().Float64Var(&l.Lasts, "lasts", 60, "s of a play")
+	ledger.Flags().IntVar(&l.Shards, "slices", 3, "slices of the ledger that are played")
+	ledger.Flags().Float64Var(&l.DurationSeconds, "lasts", 60, "s of a play")
 	ledger.Flags().StringVar(&l.Script, "script", "", "file of one script to be played instead")
 	c.AddCommand(peers, ledger)
 	return c
 }
 
-// simulation is a command that plays seeds and reports.
-func simulation(name, short string, play func(ctx context.Context, from, to uint64, tell func(string, ...any)) (*report.Report, error)) *cobra.Command {
+// simulationCommand is a command that plays seeds and reports.
+func simulationCommand(name, short string, play func(ctx context.Context, from, to uint64, tell func(string, ...any)) (*report.Report, error)) *cobra.Command {
 	var seeds, asJSON, asHTML string
 	c := &cobra.Command{Use: name, Short: short, Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
--- a/internal/lab/mutants_test.go
+++ b/internal/lab/simulation/mutants_test.go
@@ -1,4 +1,4 @@
-package lab
+package simulation
 
 import (
 	"encoding/json"
@@ -12,7 +12,8 @@
 	"github.com/stretchr/testify/require"
 )
 
-// mutant is the code broken on purpose: texts of a file and what stands in their place, and the play that has to find it.
+// mutant is the code broken on purpose: texts of a file and what stands in their place, and the simulation that has to
+// find it.
 type mutant struct {
 	name, file string
 	edits      [][2]string
@@ -50,16 +51,17 @@
 	},
 }
 
-// TestMutantsAreFound builds the program with each mutant laid over its file, and holds that the drawn scripts on virtual time
-// find it; without it the same plays hold.
+// TestMutantsAreFound builds the program with each mutant laid over its file, and holds that the drawn scripts on
+// virtual time find it; without it the same plays hold.
 func TestMutantsAreFound(t *testing.T) {
 	if testing.Short() {
 		t.Skip("builds the program several times")
 	}
-	root, err := filepath.Abs("../..")
+	root, err := filepath.Abs("../../..")
 	require.NoError(t, err)
 	dir := t.TempDir()
-	for _, m := range append([]mutant{{name: "none", play: []string{"--seeds", "1..20", "--acts", "8", "--peers", "20"}}}, mutants...) {
+	unchanged := mutant{name: "none", play: []string{"--seeds", "1..20", "--acts", "8", "--peers", "20"}}
+	for _, m := range append([]mutant{unchanged}, mutants...) {
 		overlay := map[string]map[string]string{"Replace": {}}
 		if m.file != "" {
 			path := filepath.Join(root, m.file)
