Simulation of the membership: one concern a file, named checks

Cause: one file of 390 lines held scheduling, network, faults and verdicts; it ran a partition tracker whose state nobody read, and had result fields that nothing set. Change: the concerns are files, the verdict on a state change is named checks; the tracker and the dead fields go.

--- /dev/null
+++ b/internal/sim/membership/simulation.go
@@ -0,0 +1,110 @@
+package membership
+
+import (
+	"fmt"
+	"hash"
+	"hash/fnv"
+	"math/rand/v2"
+	"slices"
+
+	"cairnfront/internal/membership/swim"
+	"cairnfront/internal/sim/clock"
+	"cairnfront/internal/sim/faults"
+)
+
+// simulation is one run.
+type simulation struct {
+	world       *clock.Scheduler
+	config      Config
+	random      *rand.Rand
+	instances   []*instance
+	nameHashes  []uint64
+	instanceIDs []uint64 // of preloaded instances
+	killedAt    map[int]float64
+	failedAt    map[observedMember]swim.Incarnation
+	bytes       int
+	datagrams   int
+	trace       hash.Hash64
+	result      *Result
+}
+
+// observedMember is a member as one observer sees it.
+type observedMember struct{ observer, member int }
+
+// Run simulates a configuration.
+func Run(config Config) (*Result, error) {
+	if err := config.Script.Validate(); err != nil {
+		return nil, err
+	}
+	s := newSimulation(config)
+	for _, i := range s.instances {
+		if config.Preloaded {
+			s.instanceIDs = append(s.instanceIDs, s.random.Uint64())
+		}
+		s.world.After(startSpread*s.random.Float64(), func() { s.start(i) })
+	}
+	for _, transition := range config.Script.Transitions() {
+		s.world.At(transition.Time, func() { s.applyTransition(transition) })
+	}
+	end := config.Script.Duration
+	settledBytes := 0
+	s.world.At(min(settleTime, end), func() { settledBytes = s.bytes })
+	s.countDatagrams(end)
+	if config.MeasureAgreement {
+		last := lastFaultEnd(config.Script)
+		s.world.At(last+minTimer, func() { s.checkAgreement(last) })
+	}
+	s.world.RunUntil(end)
+	s.finish(float64(s.bytes-settledBytes), end)
+	return s.result, nil
+}
+
+func newSimulation(config Config) *simulation {
+	s := &simulation{
+		world:    clock.New(config.Script.Seed, clockStream, 0),
+		config:   config,
+		random:   rand.New(rand.NewPCG(config.Script.Seed, scriptStream)),
+		killedAt: map[int]float64{},
+		failedAt: map[observedMember]swim.Incarnation{},
+		trace:    fnv.New64a(),
+		result:   &Result{Members: config.Script.Processes, AgreementSeconds: -1},
+	}
+	for i := range config.Script.Processes {
+		s.nameHashes = append(s.nameHashes, swim.NameHash(fmt.Sprintf("n%d", i)))
+		s.instances = append(s.instances, &instance{id: i, hostile: slices.Contains(config.Hostile, i)})
+	}
+	return s
+}
+
+// countDatagrams measures the datagrams of each second.
+func (s *simulation) countDatagrams(end float64) {
+	const beforeNext = 1e-9 // the end of a second is counted before the next one begins
+	for second := 1.0; second <= end; second++ {
+		before := 0
+		s.world.At(second-1, func() { before = s.datagrams })
+		s.world.At(second-beforeNext, func() {
+			rate := float64(s.datagrams-before) / float64(len(s.instances))
+			s.result.DatagramsPerSecond = append(s.result.DatagramsPerSecond, rate)
+		})
+	}
+}
+
+func (s *simulation) finish(bytes, end float64) {
+	s.result.BytesPerSecond = bytes / float64(len(s.instances)) / max(end-settleTime, 1)
+	s.result.TraceHash = s.trace.Sum64()
+	for _, i := range s.instances {
+		if i.up {
+			present, _, _ := i.core.Counts()
+			s.result.FinalPresent = append(s.result.FinalPresent, present)
+		}
+	}
+	slices.Sort(s.result.DetectionSeconds)
+}
+
+func lastFaultEnd(script faults.Script) float64 {
+	end := 0.0
+	for _, fault := range script.Faults {
+		end = max(end, fault.Start, fault.End)
+	}
+	return end
+}
