--- a/internal/sim/membership/simulation_test.go
+++ b/internal/sim/membership/simulation_test.go
@@ -62,7 +62,10 @@
 // TestOnlyOurCoreToleratesByzantineMembers: the same script with SWIM as published loses healthy members, so the
 // check can fail.
 func TestOnlyOurCoreToleratesByzantineMembers(t *testing.T) {
-	faultList := []faults.Fault{{Kind: faults.Kill, Start: 20, End: 40, From: []int{2}}, {Kind: faults.Loss, Share: 0.1}}
+	faultList := []faults.Fault{
+		{Kind: faults.Kill, Start: 20, End: 40, From: []int{2}},
+		{Kind: faults.Loss, Share: 0.1},
+	}
 	for byzantine := 1; byzantine <= 3; byzantine += 2 {
 		config := Config{
 			Script:  faults.Script{Seed: 4, Processes: 20, Duration: 60, Faults: faultList},
