--- /dev/null
+++ b/routing/caching_test.go
@@ -0,0 +1,78 @@
+package routing
+
+import (
+	"math"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func TestUpdateGapAveragesWithTheNewestGap(t *testing.T) {
+	r := newTestRouter("keyed")
+	req := &request{chunk: &chunk{requested: true, lastRequest: 90, averageGap: 8}}
+	r.updateGap(req, r.findOrAddEndpoint("c0"))
+	assert.InDelta(t, 0.25*10+0.75*8, req.chunk.averageGap, 1e-9)
+	assert.Equal(t, 100.0, req.chunk.lastRequest)
+}
+
+func TestUpdateGapStartsAtTheHorizon(t *testing.T) {
+	r := newTestRouter("keyed")
+	req := &request{chunk: &chunk{}}
+	r.findOrAddEndpoint("c0").idleSamples = []float64{4, 6}
+	r.updateGap(req, r.findOrAddEndpoint("c0"))
+	assert.Equal(t, 5.0, req.chunk.averageGap)
+}
+
+func TestGapOfUnseenChunkIsTheLargestCachedOfItsObject(t *testing.T) {
+	r := newTestRouter("keyed")
+	c, o := r.findOrAddEndpoint("c0"), r.findOrAddObject("x", 0)
+	for i, dt := range []float64{4, 12, 40} {
+		p := o.findOrAddChunk(i)
+		p.requested, p.averageGap, p.lastRequest = true, dt, 100
+		if i < 2 {
+			c.addCached(&cachedChunk{chunk: p, sizeKB: 1}, p.gapKey())
+		}
+	}
+	unseen := &request{object: o, chunk: o.findOrAddChunk(9), firstOfChunk: true}
+	assert.InDelta(t, 9, r.gapOf(unseen, c), 1e-9)
+	assert.True(t, math.IsInf(r.gapOf(unseen, r.findOrAddEndpoint("c1")), 1))
+}
+
+// With a horizon of 10 s and a chunk of 100 KB, a kept fill costs 100 times the fill cost and what it evicts, a pass
+// 100 times the pass cost and 100 times 10/gap.
+func TestShouldStoreComparesKeepingWithPassing(t *testing.T) {
+	cf, cr := 2*fillCostRatio/(fillCostRatio+1), 2/(fillCostRatio+1)
+	for _, gap := range []float64{2, 8, 60} {
+		for _, old := range []float64{1, 5, 20} {
+			r := newTestRouter("keyed")
+			c := r.findOrAddEndpoint("c0")
+			p := &chunk{requested: true, lastRequest: 100, averageGap: old / 0.75}
+			c.addCached(&cachedChunk{chunk: p, sizeKB: 300, lastUsed: 100}, p.gapKey())
+			missing := &chunk{requested: true, lastRequest: 100, averageGap: gap / 0.75}
+			req := &request{RequestArrived: RequestArrived{SizeKB: 100}, chunk: missing}
+			want := 100*cf+100*10/old*min(cf, cr) < 100*cr+100*10/gap*min(cf, cr)
+			assert.Equal(t, want, r.shouldStore(req, c), "gap %v against %v", gap, old)
+		}
+	}
+}
+
+func TestShouldStoreRefusesUncacheableClass(t *testing.T) {
+	r := newTestRouter("keyed")
+	r.settings["uncacheable"] = "true,true"
+	popular := &chunk{requested: true, lastRequest: 100, averageGap: 0.1}
+	req := &request{RequestArrived: RequestArrived{SizeKB: 1}, chunk: popular}
+	assert.False(t, r.shouldStore(req, r.findOrAddEndpoint("c0")))
+}
+
+func TestPassedFillNamesItsSourceAndKeepsNothing(t *testing.T) {
+	r := newTestRouter("keyed")
+	for _, c := range r.caches { // full of what is wanted all the time
+		p := &chunk{requested: true, lastRequest: 100, averageGap: 0.1}
+		c.addCached(&cachedChunk{chunk: p, sizeKB: 1e6, lastUsed: 100}, p.gapKey())
+	}
+	starts := actionsOf[StartAttempt](r.Decide(100, newArrival("t", "x")))
+	require.Len(t, starts, 1)
+	assert.Equal(t, 0, starts[0].RetentionRank)
+	assert.Contains(t, []EndpointID{"p0", "p1"}, starts[0].Source)
+}
--- a/routing/concurrency.go
+++ b/routing/concurrency.go
@@ -87,7 +87,7 @@
 	}
 }
 
-// adjustLimits moves the limits that an attempt has passed. A late one tells of congestion at one of them.
+// adjustLimits moves the limits that an attempt has passed: a late one lowers the first that may be to blame.
 func (r *Router) adjustLimits(req *request, a *attempt, end AttemptEnded, filled bool) {
 	if end.ElapsedSeconds <= timelyShare*req.objective {
 		a.target.increase()
--- /dev/null
+++ b/routing/concurrency_test.go
@@ -0,0 +1,109 @@
+package routing
+
+import (
+	"math"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func TestLimiterBelowOnePausesBetweenAttempts(t *testing.T) {
+	l := limiter{limit: 0.25, provenLimit: 0.25, growthStep: 0.1}
+	require.True(t, l.hasRoom(100))
+	l.inFlight++
+	assert.False(t, l.hasRoom(100))
+	l.release(101, 1, 1, true) // in flight for 1 s: a pause of three more
+	assert.False(t, l.hasRoom(103.9))
+	assert.True(t, l.hasRoom(104))
+	l.pausedUntil = 0
+	l.release(105, 1, 1, false) // nothing went through
+	assert.True(t, l.hasRoom(105))
+}
+
+func TestLimiterIgnoresOneLateAnswerButNotRefusals(t *testing.T) {
+	l := limiter{limit: 10, provenLimit: 10, lateSamples: []float64{0, 0, 0, 0, 0, 0}}
+	l.decrease(100, false)
+	assert.Equal(t, 10.0, l.limit)
+	l.decrease(100, true)
+	assert.Equal(t, 10*decreaseFactor, l.limit)
+	l.decrease(100.1, true)
+	assert.Equal(t, 10*decreaseFactor, l.limit, "attempts then in flight tell of the same congestion")
+}
+
+// Answers in time must not raise the limit faster than late ones between them lower it, however many routers share
+// it.
+func TestLimiterShrinksWhileOneAnswerInFiveIsLate(t *testing.T) {
+	for _, sharers := range []float64{3, 30, 300} {
+		var l limiter
+		l.setShare(10, sharers)
+		l.inFlight = 8
+		for i := range 200 {
+			if i%5 == 4 {
+				l.decrease(100+float64(i)/10, false)
+			} else {
+				l.increase()
+			}
+		}
+		assert.Less(t, l.limit, 8.0, "%v routers", sharers)
+	}
+}
+
+func TestUnexplainedLateFillLowersSourceAndLinkLimits(t *testing.T) {
+	r := newTestRouter("repeatable")
+	r.settings["tells"] = "hit"
+	req := addSentRequest(r, 0, true)
+	a := req.attempts[0]
+	a.source, a.expectMiss, a.suspectAt = r.findOrAddEndpoint("p0"), true, 100.2
+	r.zoneLink.minLimit = 1
+	before := [2]float64{a.source.limit, r.zoneLink.limit}
+	r.adjustLimits(req, a, AttemptEnded{ElapsedSeconds: 0.6}, true)
+	assert.Less(t, a.source.limit, before[0])
+	assert.Less(t, r.zoneLink.limit, before[1])
+}
+
+// Under congestion so deep that nothing answers in time, no answer is left to tell of it.
+func TestUnansweredAttemptsLowerLimitsOfTheirPath(t *testing.T) {
+	for name, c := range map[string]struct {
+		change   func(*attempt)
+		narrower bool
+	}{
+		"out at the end of its time": {func(*attempt) {}, true},
+		"sent shortly before it":     {func(a *attempt) { a.sentAt = 104.8 }, false},
+		"taken for lost":             {func(a *attempt) { a.suspectAt = math.Inf(1) }, false},
+		"given up before":            {func(a *attempt) { a.inFlight, a.result = false, Cancelled }, false},
+	} {
+		r := newTestRouter("repeatable")
+		r.settings["tells"] = "hit"
+		req := addSentRequest(r, 0, true)
+		a, o := req.attempts[0], r.findOrAddEndpoint("o")
+		a.source, a.expectMiss, a.originLimiter, a.suspectAt = r.findOrAddEndpoint("p0"), true, &o.limiter, 100.4
+		cache := a.target.limit
+		ways := []*limiter{&a.source.limiter, &r.zoneLink, &o.limiter}
+		var before []float64
+		for _, g := range ways {
+			g.minLimit = 0.1
+			before = append(before, g.limit)
+		}
+		c.change(a)
+		r.now = req.Deadline
+		r.plan(req)
+		assert.IsType(t, RejectRequest{}, req.finalAction, name)
+		for i, g := range ways {
+			assert.Equal(t, c.narrower, g.limit < before[i], "%s, way %d", name, i)
+		}
+		assert.Equal(t, cache, a.target.limit, "%s: a fill is not laid to the cache", name)
+	}
+}
+
+func TestSharedPathLimitsKeepAHigherMinimum(t *testing.T) {
+	for n, least := range map[float64]float64{1: 10, 4: 5, 400: 10 * minLimitShare} {
+		l := limiter{}
+		l.setShare(10, n)
+		l.raiseMinimum(n)
+		for i := range 50 {
+			l.decrease(float64(i), true)
+		}
+		assert.InDelta(t, least, l.limit, 1e-9, "%v routers", n)
+	}
+}
--- a/routing/helpers_test.go
+++ b/routing/helpers_test.go
@@ -2,8 +2,8 @@
 
 import "strconv"
 
-// records are those of a small made-up deployment with two rules: one repeatable, one as named.
-func records(effect string) Settings {
+// testSettings are those of a small deployment with two classes: an idempotent one and one of the given effect.
+func testSettings(effect string) Settings {
 	return Settings{
 		"router": "0", "routers": "2", "location": "1", "routers_at": "0,1", "parent_kind": "1", "origin_kind": "2",
 		"pace_kb_s": "1000", "siblings": "location", "tells": "all", "may_double": "true", "may_cancel": "true",
@@ -16,9 +16,9 @@
 	}
 }
 
-// router is one that knows three caches, two parents and the origin, all warm, at clock 100.
-func router(effect string) *Router {
-	r := New(7, records(effect))
+// newTestRouter knows three caches, two parents and the origin, all warm, at time 100.
+func newTestRouter(effect string) *Router {
+	r := New(7, testSettings(effect))
 	rows := []Endpoint{{ID: "o", Kind: 2, Weight: 1}}
 	for i := range 3 {
 		rows = append(rows, Endpoint{ID: EndpointID("c" + strconv.Itoa(i)), Zone: 1, Weight: 4})
@@ -30,28 +30,44 @@
 	return r
 }
 
-func arrival(txn RequestID, object string) RequestArrived {
-	return RequestArrived{Request: txn, Object: object, SizeKB: 100, Deadline: 105}
+func newArrival(id RequestID, object string) RequestArrived {
+	return RequestArrived{Request: id, Object: object, SizeKB: 100, Deadline: 105}
 }
 
-// of picks the actions of one type.
-func of[A Action](acts []Action) []A {
-	var out []A
-	for _, a := range acts {
-		if x, ok := a.(A); ok {
-			out = append(out, x)
+// actionsOf picks the actions of one type.
+func actionsOf[A Action](actions []Action) []A {
+	var picked []A
+	for _, action := range actions {
+		if a, ok := action.(A); ok {
+			picked = append(picked, a)
 		}
 	}
-	return out
+	return picked
 }
 
-// sent is a txn of rule 1 whose single hop to c0 ended as told, or is still out.
-func sent(r *Router, end AttemptResult, out bool) *request {
-	t := &request{RequestArrived: RequestArrived{Request: "t", Class: 1, SizeKB: 100, Deadline: 105}, token: 1, arrivedAt: 100, objective: 0.5}
-	t.object = r.findOrAddObject("x", 0)
-	t.chunk = t.object.findOrAddChunk(0)
-	c := r.findOrAddEndpoint("c0")
-	t.attempts = []*attempt{{target: c, source: c, started: true, inFlight: out, wanted: out, result: end, sentAt: 100, endedAt: 100}}
-	r.requests["t"], r.requestsByToken[1] = t, t
-	return t
+// addSentRequest adds a request of class 1 whose single attempt, to c0, ended with the result or is still in flight.
+func addSentRequest(r *Router, result AttemptResult, inFlight bool) *request {
+	cache := r.findOrAddEndpoint("c0")
+	object := r.findOrAddObject("x", 0)
+	req := &request{
+		RequestArrived: RequestArrived{Request: "t", Class: 1, SizeKB: 100, Deadline: 105},
+		token:          1,
+		arrivedAt:      100,
+		objective:      0.5,
+		object:         object,
+		chunk:          object.findOrAddChunk(0),
+		attempts: []*attempt{{
+			target:   cache,
+			source:   cache,
+			started:  true,
+			inFlight: inFlight,
+			wanted:   inFlight,
+			result:   result,
+			sentAt:   100,
+			endedAt:  100,
+		}},
+	}
+	r.requests["t"] = req
+	r.requestsByToken[1] = req
+	return req
 }
--- a/routing/outcome.go
+++ b/routing/outcome.go
@@ -45,8 +45,7 @@
 	}
 }
 
-// learnFromSuccess counts a completed attempt. Earlier errors count only now: one met everywhere is the
-// request's own fault, not that of its targets.
+// learnFromSuccess counts a completed attempt, and errors before it: one met everywhere is the request's own.
 func (r *Router) learnFromSuccess(req *request, a *attempt, end AttemptEnded, slowness float64) {
 	for _, earlier := range req.attempts {
 		if earlier.failedAtTarget {
--- /dev/null
+++ b/routing/outcome_test.go
@@ -0,0 +1,76 @@
+package routing
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func TestOriginFailureIsNotCountedAgainstParent(t *testing.T) {
+	r := newTestRouter("repeatable")
+	req := addSentRequest(r, 0, true)
+	p, o := r.findOrAddEndpoint("p0"), r.findOrAddEndpoint("o")
+	req.attempts[0].source, req.attempts[0].expectMiss = p, true
+	o.limit, p.limit = 10, 10
+	for range 6 {
+		r.learn(req, req.attempts[0], AttemptEnded{Result: ServerError, Detail: OriginFailed})
+	}
+	assert.Less(t, o.limit, 10.0)
+	assert.Equal(t, 10.0, p.limit)
+	assert.Zero(t, p.ejectedUntil)
+}
+
+func TestUnexplainedRefusalIsAttributedByItsDuration(t *testing.T) {
+	for took, link := range map[float64]bool{localRefusal / 2: true, localRefusal * 2: false} {
+		r := newTestRouter("repeatable")
+		r.settings["tells"] = "hit"
+		req := addSentRequest(r, 0, true)
+		p := r.findOrAddEndpoint("p0")
+		req.attempts[0].source, req.attempts[0].expectMiss = p, true
+		r.zoneLink.minLimit = 1 // shared with others
+		before, source := r.zoneLink.limit, p.limit
+		r.learn(req, req.attempts[0], AttemptEnded{Result: Overloaded, ElapsedSeconds: took})
+		assert.Equal(t, link, r.zoneLink.limit < before)
+		assert.Equal(t, !link, p.limit < source)
+	}
+}
+
+// Whatever its cause, one refusal only lowers the limit of the source.
+func TestRepeatedlyRefusedFillsEjectTheirSource(t *testing.T) {
+	r := newTestRouter("repeatable")
+	r.settings["tells"] = "hit"
+	p := r.findOrAddEndpoint("p0")
+	for i := range ejectFailureCount {
+		assert.Zero(t, p.ejectedUntil, "after %d", i)
+		req := addSentRequest(r, 0, true)
+		req.attempts[0].source, req.attempts[0].expectMiss = p, true
+		r.learn(req, req.attempts[0], AttemptEnded{Result: Overloaded, ElapsedSeconds: 0.8})
+	}
+	assert.Greater(t, p.ejectedUntil, r.now)
+	assert.Zero(t, r.findOrAddEndpoint("c0").ejectedUntil)
+}
+
+func TestErrorCountsOnlyOnceRequestCompletesElsewhere(t *testing.T) {
+	for _, completed := range []bool{false, true} {
+		r := newTestRouter("repeatable")
+		for range 2 * ejectFailureCount {
+			req := addSentRequest(r, 0, true)
+			r.Decide(100, AttemptEnded{Request: "t", Endpoint: "c0", Result: ServerError})
+			require.Len(t, req.attempts, 2, "retried")
+			result := ServerError
+			if completed {
+				result = Completed
+			}
+			r.Decide(100.01, AttemptEnded{
+				Request:     "t",
+				Attempt:     1,
+				Endpoint:    req.attempts[1].target.ID,
+				Result:      result,
+				Detail:      CacheHit,
+				RequestDone: completed,
+			})
+		}
+		assert.Equal(t, completed, r.findOrAddEndpoint("c0").ejectedUntil > r.now)
+	}
+}
--- a/routing/outlier.go
+++ b/routing/outlier.go
@@ -7,7 +7,7 @@
 	longSamples        = 64    // samples kept of sending times, durations and misses: these vary widely
 	minSamples         = 8     // samples before their mean is used
 	minSilence         = 0.35  // s without a sign of life before silence is suspected: over usual pauses
-	silenceIntervals   = 4.0   // usual intervals between signs of life that tell of silence: one in fifty
+	silenceIntervals   = 4.0   // usual intervals between signs that tell of silence: one in fifty by chance
 	lostSlownessFactor = 1.3   // times as slow for its size as any of late is lost: congestion slows all
 	recheckInterval    = 0.1   // s between looks at a suspected attempt, and before a failed endpoint's retry
 	firstEjection      = 1.0   // s of the first ejection: dozens of requests would go there in it
--- /dev/null
+++ b/routing/outlier_test.go
@@ -0,0 +1,125 @@
+package routing
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func TestSilentEndpointIsEjectedAndAttemptHedged(t *testing.T) {
+	r := newTestRouter("repeatable")
+	req := addSentRequest(r, 0, true)
+	req.attempts[0].suspectAt = 100.25
+	r.now = 100 + minSilence + 0.01
+	r.plan(req)
+	assert.Greater(t, r.findOrAddEndpoint("c0").ejectedUntil, r.now)
+	require.Len(t, req.attempts, 2)
+	assert.NotEqual(t, EndpointID("c0"), req.attempts[1].target.ID)
+	assert.Empty(t, actionsOf[CancelAttempt](r.actions), "a second copy runs beside the first")
+}
+
+// A router that seldom hears a cache hears nothing during a long transfer. The attempt is lost only once it is
+// slower for its size, by a margin, than any of late.
+func TestLongTransferIsNotTakenForSilence(t *testing.T) {
+	for _, slow := range [][]float64{nil, {0.7, 2, 0.9}} {
+		r := newTestRouter("repeatable")
+		r.slownessSamples = slow
+		c, a := r.findOrAddEndpoint("c0"), addSentRequest(r, 0, true).attempts[0]
+		a.suspectAt = 102 // for its size it may take two seconds
+		bar := 2 * lostSlownessFactor * r.greatestSlowness()
+		r.now = 100 + bar - 0.01
+		assert.False(t, r.isSilent(a))
+		assert.Zero(t, c.ejectedUntil)
+		r.now = 100 + bar + 0.01
+		assert.True(t, r.isSilent(a))
+		assert.Greater(t, c.ejectedUntil, r.now)
+	}
+}
+
+func TestHeardEndpointIsNotSilent(t *testing.T) {
+	r := newTestRouter("repeatable")
+	req := addSentRequest(r, 0, true)
+	r.findOrAddEndpoint("c0").recordSign(100.1)
+	r.now = 101
+	assert.False(t, r.isSilent(req.attempts[0]))
+}
+
+func TestEjectedEndpointsAreUsedWhenAllAreEjected(t *testing.T) {
+	r := newTestRouter("keyed")
+	for _, e := range r.endpoints {
+		e.ejectedUntil = 200
+	}
+	assert.Len(t, actionsOf[StartAttempt](r.Decide(100, newArrival("t", "x"))), 1)
+}
+
+func TestSilenceIsMeasuredInUsualSignIntervals(t *testing.T) {
+	r := newTestRouter("repeatable")
+	c, a := r.findOrAddEndpoint("c0"), addSentRequest(r, 0, true).attempts[0]
+	c.signsOfLife, a.suspectAt = []float64{96, 97, 98, 99}, 100.2
+	for wait, want := range map[float64]bool{silenceIntervals - 0.1: false, silenceIntervals + 0.1: true} {
+		r.now, c.ejectedUntil = 100+wait, 0
+		assert.Equal(t, want, r.isSilent(a), "after %v s", wait)
+		assert.Equal(t, want, c.ejectedUntil > r.now)
+	}
+}
+
+// An attempt slower than any of the last dozens is retried elsewhere once such attempts mostly had no answer. The
+// next one waits longer.
+func TestAttemptThatNeverEndsIsLostThoughEndpointIsHeard(t *testing.T) {
+	for _, lost := range []bool{true, false} {
+		r := newTestRouter("repeatable")
+		for range longSamples {
+			r.slownessSamples = append(r.slownessSamples, 2)
+		}
+		late := func() *request {
+			req := addSentRequest(r, 0, true)
+			req.attempts[0].suspectAt = 100.25
+			r.findOrAddEndpoint("c0").recordSign(100.2)
+			return req
+		}
+		for range ejectFailureCount {
+			code := Cancelled
+			if !lost {
+				code = ServerError // it came after all
+			}
+			r.learn(late(), r.requests["t"].attempts[0], AttemptEnded{Result: code, ElapsedSeconds: 0.75})
+		}
+		req := late()
+		r.Decide(100.5, TimerFired{1})
+		assert.Len(t, req.attempts, 1, "as long as others took")
+		r.Decide(100.75, TimerFired{1})
+		assert.Equal(t, lost, len(req.attempts) == 2)
+		assert.Zero(t, r.findOrAddEndpoint("c0").ejectedUntil)
+		if lost {
+			assert.NotEqual(t, EndpointID("c0"), req.attempts[1].target.ID)
+			assert.InDelta(t, 3*lostSlownessFactor, r.slownessSamples[len(r.slownessSamples)-1], 1e-6)
+		}
+	}
+}
+
+// With suspicion by other routers one own failure is enough; the suspicion expires.
+func TestHealthObservationAloneEjectsNothing(t *testing.T) {
+	ejects := map[float64]bool{0: false, suspicionThreshold / 2: false, suspicionThreshold: true, 1: true}
+	for suspicion, want := range ejects {
+		r := newTestRouter("repeatable")
+		c := r.findOrAddEndpoint("c0")
+		r.Decide(r.now, HealthObservation{Endpoint: "c0", Suspicion: suspicion, ValidSeconds: 10})
+		r.Decide(r.now, HealthObservation{Endpoint: "nobody", Suspicion: suspicion, ValidSeconds: 10})
+		assert.Zero(t, c.ejectedUntil)
+		r.recordResult(c, false)
+		assert.Zero(t, c.ejectedUntil, "suspicion %v", suspicion)
+		r.recordResult(c, true)
+		assert.Equal(t, want, c.ejectedUntil > r.now, "suspicion %v", suspicion)
+		if want {
+			assert.InDelta(t, min(firstEjection*4, maxEjection), c.ejectedUntil-r.now, 1e-9,
+				"as long as one that failed before: other routers found it so")
+		}
+	}
+	r := newTestRouter("repeatable")
+	c := r.findOrAddEndpoint("c0")
+	r.Decide(r.now, HealthObservation{Endpoint: "c0", Suspicion: 1, ValidSeconds: 10})
+	r.now += 11
+	r.recordResult(c, true)
+	assert.Zero(t, c.ejectedUntil, "the suspicion has expired")
+}
--- /dev/null
+++ b/routing/purge_test.go
@@ -0,0 +1,55 @@
+package routing
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// A cache that was down during a purge may return with its disk, long after running caches dropped their copies.
+func TestPurgeBoundsCopyAgeHoweverLongAgo(t *testing.T) {
+	r := newTestRouter("keyed")
+	p := r.findOrAddObject("x", 3).findOrAddChunk(0)
+	r.findOrAddEndpoint("c0").addCached(&cachedChunk{chunk: p, sizeKB: 1}, 0)
+	r.Decide(100, Purge{AgeSeconds: 0.2, ObjectGroup: 3, Object: "x"})
+	assert.Empty(t, r.findOrAddEndpoint("c0").cached)
+	req := &request{RequestArrived: RequestArrived{Object: "x", ObjectGroup: 3}}
+	other := &request{RequestArrived: RequestArrived{Object: "y", ObjectGroup: 3}}
+	a := &attempt{target: r.findOrAddEndpoint("c0"), source: r.findOrAddEndpoint("p0")}
+	assert.InDelta(t, 0.2-purgeAgeMargin, r.maxCopyAge(req, a), 1e-9)
+	assert.Zero(t, r.maxCopyAge(other, a))
+	r.now = 3700
+	assert.InDelta(t, 3600.2-purgeAgeMargin, r.maxCopyAge(req, a), 1e-9)
+	r.Decide(3710, Purge{ObjectGroup: 3})
+	assert.Equal(t, minCopyAge, r.maxCopyAge(other, a), "never 0, which means any")
+}
+
+// Purges are forgotten in the end. An endpoint that started since may serve nothing from before them.
+func TestForgottenPurgesBoundCopyAgeOfEndpointsStartedSince(t *testing.T) {
+	r := newTestRouter("keyed")
+	for i := range maxPurges + 1 {
+		r.Decide(100+float64(i)/100, Purge{Object: string(rune(i + 1000))})
+	}
+	assert.LessOrEqual(t, len(r.purges), maxPurges)
+	a := &attempt{target: r.findOrAddEndpoint("c0"), source: r.findOrAddEndpoint("p0")}
+	req := &request{RequestArrived: RequestArrived{Object: "never purged", ObjectGroup: 3}}
+	assert.Zero(t, r.maxCopyAge(req, a))
+	a.target.StartedAt = r.purgesForgottenUntil + 1
+	assert.InDelta(t, r.now-r.purgesForgottenUntil-purgeAgeMargin, r.maxCopyAge(req, a), 1e-9)
+	a.target, a.source = a.source, a.target
+	assert.Positive(t, r.maxCopyAge(req, a), "as a source of fills too")
+}
+
+func TestStaleCopyWillDoUnderCongestionUnlessPurged(t *testing.T) {
+	r := newTestRouter("keyed")
+	r.settings["fresh_s"], r.settings["stale_s"], r.settings["stale_importance"] = "5,0", "10,0", "0.5,0.5"
+	req := &request{RequestArrived: RequestArrived{Object: "x", ObjectGroup: 3}}
+	a := &attempt{target: r.findOrAddEndpoint("c0"), source: r.findOrAddEndpoint("p0")}
+	assert.Zero(t, r.maxCopyAge(req, a))
+	r.zoneLink.decreasedAt = 100
+	assert.Equal(t, 15.0, r.maxCopyAge(req, a))
+	r.purges[purgeKey{object: "x"}] = 97
+	assert.InDelta(t, 3-purgeAgeMargin, r.maxCopyAge(req, a), 1e-9)
+	r.class(0).latePriority, r.purges = 0.6, nil
+	assert.Zero(t, r.maxCopyAge(req, a), "a late answer is worth more")
+}
--- a/routing/retry.go
+++ b/routing/retry.go
@@ -2,8 +2,10 @@
 
 import "slices"
 
-const idempotencyMargin = 0.25 // s kept free of an idempotency key's window for the way to the endpoint
-const retryAfterMean = 1.5     // s that a rejected client is told to wait: congestion lasts seconds
+const (
+	idempotencyMargin = 0.25 // s kept free of an idempotency key's window for the way to the endpoint
+	retryAfterMean    = 1.5  // s that a rejected client is told to wait: congestion lasts seconds
+)
 
 // mayHaveRun says whether an attempt may have had its effect.
 func (a *attempt) mayHaveRun() bool { return a.started && (a.inFlight || !a.result.provesNotRun()) }
--- /dev/null
+++ b/routing/retry_test.go
@@ -0,0 +1,101 @@
+package routing
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+func TestGiveUpAtDeadlineRejectsUnlessRequestMayHaveRun(t *testing.T) {
+	for _, c := range []struct {
+		effect string
+		out    bool
+		want   any
+	}{
+		{"repeatable", true, RejectRequest{}},
+		{"keyed", true, RejectRequest{}},
+		{"unrepeatable", true, AbortRequest{}},
+		{"unrepeatable", false, RejectRequest{}},
+	} {
+		r := newTestRouter(c.effect)
+		req := addSentRequest(r, Overloaded, c.out)
+		r.now = 104.9
+		r.plan(req)
+		assert.Nil(t, req.finalAction, "before its time")
+		r.now = 105 - deadlineMargin
+		req.attempts = req.attempts[:1]
+		r.plan(req)
+		assert.IsType(t, c.want, req.finalAction, c.effect)
+	}
+}
+
+func TestRetryDependsOnEffectAndResult(t *testing.T) {
+	proves := map[AttemptResult]bool{Overloaded: true, ConnectFailed: true, NotSent: true, CacheMiss: true}
+	results := []AttemptResult{
+		ServerError, Overloaded, TimedOut, ConnectFailed, ConnectionBroken, Cancelled, NotSent, CacheMiss,
+	}
+	for _, result := range results {
+		for _, effect := range []string{"repeatable", "keyed", "unrepeatable"} {
+			r := newTestRouter(effect)
+			req := addSentRequest(r, 0, true)
+			actions := r.Decide(100.2, AttemptEnded{Request: "t", Endpoint: "c0", Result: result})
+			allowed := effect != "unrepeatable" || proves[result]
+			assert.Equal(t, allowed, len(actionsOf[StartAttempt](actions)) == 1, "%s after %v", effect, result)
+			assert.Equal(t, !allowed, len(actionsOf[AbortRequest](actions)) == 1, "%s after %v", effect, result)
+			assert.Empty(t, actionsOf[RejectRequest](actions), req.Request)
+		}
+	}
+}
+
+func TestIdempotencyWindowCountsFromAttemptThatMayHaveRun(t *testing.T) {
+	r := newTestRouter("keyed")
+	req := addSentRequest(r, ConnectionBroken, false)
+	r.now = 105 - idempotencyMargin
+	assert.True(t, r.mayRetry(req))
+	r.now += 0.001
+	assert.False(t, r.mayRetry(req))
+	req.attempts[0].result = Overloaded
+	assert.True(t, r.mayRetry(req))
+}
+
+func TestRetryWithIdempotencyKeyStaysInItsScope(t *testing.T) {
+	r := newTestRouter("keyed")
+	r.settings["remap.1.group"] = "cell"
+	req := addSentRequest(r, ConnectionBroken, false)
+	r.findOrAddEndpoint("c1").Cell = 5
+	assert.False(t, r.inDeduplicationScope(req, r.findOrAddEndpoint("c1")))
+	assert.True(t, r.inDeduplicationScope(req, r.findOrAddEndpoint("c2")))
+}
+
+func TestNonIdempotentAttemptIsNotCancelledWhenSilent(t *testing.T) {
+	r := newTestRouter("unrepeatable")
+	r.settings["may_double"] = "false"
+	req := addSentRequest(r, 0, true)
+	r.now = 101
+	r.plan(req)
+	assert.Empty(t, actionsOf[CancelAttempt](r.actions))
+	assert.Nil(t, req.finalAction)
+}
+
+// A spent budget stops the retries of a class and leaves first attempts alone; that of an endpoint bars it alone.
+func TestSpentRetryBudgetStopsRetriesOnly(t *testing.T) {
+	r := newTestRouter("keyed")
+	fresh, once := &request{}, &request{attempts: []*attempt{{started: true, result: Overloaded}}}
+	r.settings["max_hops"] = "6"
+	assert.True(t, r.mayRetry(once))
+	r.Decide(100, RetryBudgetChanged{Class: 0})
+	assert.True(t, r.mayRetry(fresh))
+	assert.False(t, r.mayRetry(once))
+	r.Decide(100, RetryBudgetChanged{Class: 0, Available: true})
+	assert.True(t, r.mayRetry(once))
+	e := r.findOrAddEndpoint("c0")
+	e.limit = 5
+	once.attempts[0].target = r.findOrAddEndpoint("c1")
+	used := func(*attempt, *endpoint) bool { return false }
+	r.Decide(100, RetryBudgetChanged{Endpoint: "c0"})
+	assert.True(t, r.usable(fresh, e, 0, used))
+	assert.False(t, r.usable(once, e, 0, used))
+	r.Decide(100, RetryBudgetChanged{Endpoint: "never heard of"})
+	r.Decide(100, RetryBudgetChanged{Endpoint: "c0", Available: true})
+	assert.True(t, r.usable(once, e, 0, used))
+}
--- a/routing/router.go
+++ b/routing/router.go
@@ -5,9 +5,11 @@
 	"math"
 )
 
-const deadlineMargin = 0.006 // s before the deadline at which a request is given up: a few ticks of the clock
-const queuedSendTimes = 2.0  // sending times that a queued request's attempt needs: the paths are full then
-const maxQueueRetries = 12   // queued requests planned after each end of an attempt: bounds the work
+const (
+	deadlineMargin  = 0.006 // s before the deadline at which a request is given up: a few ticks of the clock
+	queuedSendTimes = 2.0   // sending times that a queued request's attempt needs: the paths are full then
+	maxQueueRetries = 12    // queued requests planned after each end of an attempt: bounds the work
+)
 
 // updateEndpoints takes news of the endpoints. One that started again is empty, cold and unjudged.
 func (r *Router) updateEndpoints(update EndpointUpdate) {
@@ -150,8 +152,7 @@
 		inFlight = true
 		if a.wanted && (a.stalled || (r.now >= a.suspectAt && r.isSilent(a))) {
 			a.wanted = r.settings.Bool("may_double") || r.class(req.Class).effect == nonIdempotent
-			a.suspectAt = math.Inf(1)
-			a.stalled = false
+			a.suspectAt, a.stalled = math.Inf(1), false
 		}
 		if a.wanted && !math.IsInf(a.suspectAt, 1) {
 			waiting = true
--- /dev/null
+++ b/routing/router_test.go
@@ -0,0 +1,125 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func TestDisconnectedClientStartsNoAttempt(t *testing.T) {
+	r := newTestRouter("repeatable")
+	addSentRequest(r, 0, true)
+	r.Decide(100.1, ClientDisconnected{"t"})
+	actions := r.Decide(100.2, AttemptEnded{Request: "t", Endpoint: "c0", Result: ServerError, RequestDone: true})
+	assert.Empty(t, actionsOf[StartAttempt](actions))
+	assert.Empty(t, r.requests)
+}
+
+func TestWithoutHedgingLostAttemptIsCancelledBeforeRetry(t *testing.T) {
+	r := newTestRouter("repeatable")
+	r.settings["may_double"] = "false"
+	req := addSentRequest(r, 0, true)
+	req.attempts[0].suspectAt = 100.3
+	r.now = 100.4
+	r.plan(req) // silent: cancelled, and the end is awaited
+	assert.Equal(t, []CancelAttempt{{"t", 0}}, actionsOf[CancelAttempt](r.actions))
+	assert.Len(t, req.attempts, 1)
+	actions := r.Decide(100.41, AttemptEnded{Request: "t", Endpoint: "c0", Result: Cancelled})
+	require.Len(t, actionsOf[StartAttempt](actions), 1)
+	assert.NotEqual(t, EndpointID("c0"), actionsOf[StartAttempt](actions)[0].Endpoint)
+}
+
+func TestRequestWithoutEndpointsIsRejectedAtOnce(t *testing.T) {
+	r := newTestRouter("keyed")
+	r.Decide(100, EndpointUpdate{Kind: Snapshot})
+	assert.Len(t, actionsOf[RejectRequest](r.Decide(100, newArrival("t", "x"))), 1)
+}
+
+// A request that nobody has room for is given up once twice its sending time would end past the timely share of its
+// objective; a large one at once.
+func TestRequestIsQueuedOnlyWhileAttemptCouldBeInTime(t *testing.T) {
+	for kb, most := range map[float64]float64{20: timelyShare*0.54 - 0.04, 100: timelyShare*0.7 - 0.2, 4000: 0} {
+		r := newTestRouter("repeatable")
+		for _, e := range r.endpoints {
+			e.limit, e.provenLimit = 0, 0
+		}
+		a := newArrival("t", "x")
+		a.SizeKB = kb // at 1000 KB a second, the objective being half a second and two sending times
+		actions := r.Decide(100, a)
+		if most > 0 {
+			assert.Empty(t, actionsOf[RejectRequest](actions))
+			r.now = 100 + most - 0.01
+			r.plan(r.requests["t"])
+			assert.Nil(t, r.requests["t"].finalAction)
+			actions = r.Decide(100+most+0.01, TimerFired{r.requests["t"].token})
+		}
+		assert.Len(t, actionsOf[RejectRequest](actions), 1, "%v KB", kb)
+	}
+}
+
+func TestQueueReleasesHighestPriorityPerKBFirst(t *testing.T) {
+	r := newTestRouter("keyed")
+	for _, c := range r.caches {
+		c.limit, c.provenLimit = 0, 0
+	}
+	big, small := newArrival("big", "x"), newArrival("small", "x")
+	big.SizeKB = 400
+	r.Decide(100, big)
+	r.Decide(100, small)
+	req := addSentRequest(r, 0, true)
+	req.done = true
+	for _, c := range r.caches {
+		c.limit = 0.5
+	}
+	acts := actionsOf[StartAttempt](r.Decide(100.05, AttemptEnded{Request: "t", Endpoint: "c0", Result: Cancelled}))
+	require.NotEmpty(t, acts)
+	assert.Equal(t, RequestID("small"), acts[0].Request)
+}
+
+func TestBareSettingsAndOddEndpointListsAreAnswered(t *testing.T) {
+	lists := map[string][]Endpoint{"empty": nil, "one cache": {{ID: "c"}}, "zero weight": {{ID: "c"}, {ID: "d"}}}
+	for name, rows := range lists {
+		r := New(1, Settings{"unheard": "of", "remap.0.effect": "repeatable", "parent_kind": "-1"})
+		r.Decide(5, EndpointUpdate{Kind: Restored, Endpoints: rows})
+		actions := r.Decide(5, RequestArrived{Request: "t", Object: "x", Deadline: 6})
+		actions = append([]Action{}, actions...)
+		actions = append(actions, r.Decide(6, TimerFired{1})...)
+		assert.Equal(t, 1, len(actionsOf[RejectRequest](actions))+len(actionsOf[AbortRequest](actions)), name)
+	}
+}
+
+func TestSameEventsGiveSameActions(t *testing.T) {
+	run := func() (out []Action) {
+		r := newTestRouter("keyed")
+		for i := range 60 {
+			now := 100 + float64(i)/50
+			out = append(out, r.Decide(now, newArrival(RequestID(fmt.Sprint(i)), fmt.Sprint("x", i%7)))...)
+			if i%3 == 0 {
+				end := AttemptEnded{Endpoint: "c0", Result: AttemptResult(i % 9)}
+				end.Request = RequestID(fmt.Sprint(i / 2))
+				out = append(out, r.Decide(now, end)...)
+			}
+		}
+		return out
+	}
+	assert.Equal(t, run(), run())
+}
+
+// An attempt whose connection stalled is given up and its endpoint is not ejected. One that must not run twice is
+// waited for.
+func TestStalledAttemptIsGivenUpWithoutEjection(t *testing.T) {
+	for effect, want := range map[string]bool{"repeatable": false, "keyed": false, "unrepeatable": true} {
+		r := newTestRouter(effect)
+		r.settings["may_double"] = "false"
+		req := addSentRequest(r, 0, true)
+		req.attempts[0].suspectAt = 200
+		r.Decide(100.2, AttemptStalled{Request: "t", Attempt: 7})
+		r.Decide(100.2, AttemptStalled{Request: "gone"})
+		assert.True(t, req.attempts[0].wanted)
+		r.Decide(100.2, AttemptStalled{Request: "t", Attempt: 0})
+		assert.Equal(t, want, req.attempts[0].wanted, effect)
+		assert.Zero(t, r.findOrAddEndpoint("c0").ejectedUntil)
+	}
+}
--- a/routing/selection.go
+++ b/routing/selection.go
@@ -5,8 +5,10 @@
 	"slices"
 )
 
-const zoneDistanceFactor = 2.0  // times as seldom first in hash order a zone of distance: fills cost more
-const minCacheOnlyHitRate = 0.1 // hit rate where a miss is expected that makes a cache-only attempt worth it
+const (
+	zoneDistanceFactor  = 2.0 // times as seldom first in hash order a zone of distance: fills cost more
+	minCacheOnlyHitRate = 0.1 // hit rate where a miss is expected that makes a cache-only attempt worth it
+)
 
 // chooseAttempt picks the target and the fill's source of a next attempt, or returns nil if nobody has room.
 func (r *Router) chooseAttempt(req *request) *attempt {
--- /dev/null
+++ b/routing/selection_test.go
@@ -0,0 +1,88 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func TestHashOrderIsStableAndSkipsFullCaches(t *testing.T) {
+	r := newTestRouter("keyed")
+	all, _ := r.hashOrder(r.findOrAddObject("x", 0))
+	less := sortByHash("x", all[1:])
+	assert.Equal(t, []EndpointID{all[1].ID, all[2].ID}, []EndpointID{less[0].ID, less[1].ID})
+	all[0].inFlight = all[0].limit // it has no room
+	starts := actionsOf[StartAttempt](r.Decide(100, newArrival("t", "x")))
+	require.Len(t, starts, 1)
+	assert.Equal(t, all[1].ID, starts[0].Endpoint)
+}
+
+func TestDrainingAndRemovedEndpointsAreNeverUsed(t *testing.T) {
+	for _, status := range []EndpointStatus{Draining, Removed} {
+		r := newTestRouter("keyed")
+		r.Decide(100, EndpointUpdate{Kind: Incremental, Endpoints: []Endpoint{
+			{ID: "c0", Zone: 1, Weight: 4, Status: status},
+			{ID: "c1", Zone: 1, Weight: 4, Status: status},
+			{ID: "p0", Kind: 1, Weight: 20, Status: status},
+		}})
+		p := r.findOrAddObject("x", 0).findOrAddChunk(0)
+		r.findOrAddEndpoint("c0").addCached(&cachedChunk{chunk: p, sizeKB: 1, lastUsed: 100}, p.gapKey())
+		for i := range 5 {
+			starts := actionsOf[StartAttempt](r.Decide(100, newArrival(RequestID(fmt.Sprint(i)), "x")))
+			assert.Len(t, starts, 1)
+			for _, start := range starts {
+				assert.Equal(t, EndpointID("c2"), start.Endpoint)
+				assert.Equal(t, EndpointID("p1"), start.Source)
+			}
+		}
+	}
+}
+
+func TestHashOrderPrefersNearerParents(t *testing.T) {
+	r := newTestRouter("keyed")
+	r.findOrAddEndpoint("p1").Zone, r.settings["hub_of"], r.numbers["location"] = 1, "0,1,0", 2
+	r.classifyEndpoints()
+	near := 0
+	for i := range 300 {
+		if sortByHash(fmt.Sprint(i), r.parents)[0].ID == "p0" {
+			near++
+		}
+	}
+	assert.InDelta(t, 300*zoneDistanceFactor/(1+zoneDistanceFactor), near, 40)
+}
+
+func TestFullLinkAllowsOneCacheOnlyAttempt(t *testing.T) {
+	r := newTestRouter("keyed")
+	r.zoneLink.limit, r.missSamples = 0, []float64{1, 0, 0, 0, 1, 0, 0, 0}
+	starts := actionsOf[StartAttempt](r.Decide(100, newArrival("t", "x")))
+	require.Len(t, starts, 1)
+	assert.Equal(t, starts[0].Endpoint, starts[0].Source, "nothing is filled")
+	actions := r.Decide(100.01, AttemptEnded{Request: "t", Endpoint: starts[0].Endpoint, Result: CacheMiss})
+	assert.Empty(t, actionsOf[StartAttempt](actions), "queued, no second cache-only attempt")
+	r.zoneLink.limit = 5
+	assert.Len(t, actionsOf[StartAttempt](r.Decide(100.11, TimerFired{r.requests["t"].token})), 1)
+}
+
+func TestMissRateScalesUnseenGapAndFillLoad(t *testing.T) {
+	r := newTestRouter("keyed")
+	r.missSamples = []float64{1, 0, 0, 0, 1, 0, 0, 0}
+	req := &request{object: r.findOrAddObject("y", 0), chunk: &chunk{}, firstOfChunk: true}
+	assert.InDelta(t, initialHorizon/0.75, r.gapOf(req, r.findOrAddEndpoint("c0")), 1e-9)
+	require.Len(t, actionsOf[StartAttempt](r.Decide(100, newArrival("t", "x"))), 1)
+	assert.InDelta(t, 0.25, r.zoneLink.inFlight, 1e-9)
+	r.Decide(100.1, AttemptEnded{Request: "t", Endpoint: "c0", Result: Completed, Detail: CacheHit, RequestDone: true})
+	assert.Zero(t, r.zoneLink.inFlight)
+}
+
+func TestFullOriginAllowsCacheOnlyAttemptUpToTheParent(t *testing.T) {
+	r := newTestRouter("keyed")
+	r.findOrAddEndpoint("o").limit = 0
+	starts := actionsOf[StartAttempt](r.Decide(100, newArrival("t", "x")))
+	require.Len(t, starts, 1)
+	assert.True(t, starts[0].CacheOnly)
+	assert.Contains(t, []EndpointID{"p0", "p1"}, starts[0].Source)
+	r.requests["t"].chunk.filledByParent = true // a parent has it: the origin is not reached
+	assert.False(t, actionsOf[StartAttempt](r.Decide(100, newArrival("u", "x")))[0].CacheOnly)
+}
--- a/routing/slowstart.go
+++ b/routing/slowstart.go
@@ -1,7 +1,9 @@
 package routing
 
-const coldLimit = 2.0       // attempts in flight at an endpoint that has just started; each answer adds one
-const coldBudgetShare = 1.0 // share of a cold endpoint's capacity that is used: half of what topples it
+const (
+	coldLimit       = 2.0 // attempts in flight at an endpoint that has just started; each answer adds one
+	coldBudgetShare = 1.0 // share of a cold endpoint's capacity that is used: half of what topples it
+)
 
 // warmShare is the share of its capacity that an endpoint surely has: linear from the cold share to 1.
 func (r *Router) warmShare(e *endpoint) float64 {
--- a/routing/tracescenarios_test.go
+++ b/routing/tracescenarios_test.go
@@ -58,14 +58,15 @@
 		{
 			name: "no-cancel-no-details",
 			settings: traceSettings(routing.Settings{
-				"may_cancel": "false", "may_join": "false", "tells": "", "siblings": "", "max_hops": "3", "tells_retry": "false",
-				"link_in_kb_s": "",
+				"may_cancel": "false", "may_join": "false", "tells": "", "siblings": "", "max_hops": "3",
+				"tells_retry": "false", "link_in_kb_s": "",
 			}),
 			seeds: []uint64{7, 8}, caches: 3, parents: 2, origin: true, requestsPerS: 50, seconds: 50,
 		},
 		{
-			name: "one-cache-one-parent", settings: traceSettings(routing.Settings{"routers": "1", "routers_at": "1,1,1"}),
-			seeds: []uint64{9, 10}, caches: 1, parents: 1, origin: true, requestsPerS: 20, seconds: 50,
+			name:     "one-cache-one-parent",
+			settings: traceSettings(routing.Settings{"routers": "1", "routers_at": "1,1,1"}),
+			seeds:    []uint64{9, 10}, caches: 1, parents: 1, origin: true, requestsPerS: 20, seconds: 50,
 		},
 		{
 			name: "no-sizes-no-origin", settings: traceSettings(routing.Settings{"pace_kb_s": "0", "origin_kind": "7"}),
@@ -76,8 +77,9 @@
 			seeds: []uint64{12}, caches: 3, parents: 2, origin: true, requestsPerS: 30, seconds: 45, purges: 17000,
 		},
 		{
-			name: "direct-hedged-overload", settings: traceSettings(routing.Settings{"may_go_direct": "true", "link_in_kb_s": "0,0,2500"}),
-			seeds: []uint64{13, 14}, caches: 3, parents: 2, origin: true, requestsPerS: 120, seconds: 40,
+			name:     "direct-hedged-overload",
+			settings: traceSettings(routing.Settings{"may_go_direct": "true", "link_in_kb_s": "0,0,2500"}),
+			seeds:    []uint64{13, 14}, caches: 3, parents: 2, origin: true, requestsPerS: 120, seconds: 40,
 		},
 	}
 }
--- a/routing/traceworld_test.go
+++ b/routing/traceworld_test.go
@@ -303,7 +303,9 @@
 }
 
 // play says how an attempt ends at its endpoint, and after how long.
-func (w *traceWorld) play(request *traceRequest, attempt *traceAttempt) (routing.AttemptResult, routing.ResultDetail, float64) {
+func (w *traceWorld) play(
+	request *traceRequest, attempt *traceAttempt,
+) (routing.AttemptResult, routing.ResultDetail, float64) {
 	e := attempt.endpoint
 	round := 0.001 + 0.004*w.random.Float64()
 	transfer := (request.sizeKB/1000 + 0.01) * max(1, float64(e.inFlight)/max(e.Weight, 4))
