--- a/internal/diskcache/powerloss.go
+++ b/internal/diskcache/powerloss.go
@@ -237,7 +237,7 @@
 	if err != nil {
 		version := l.synced[key]
 		if afterRestart && version > 0 && version > l.purgedAt[key.Object] {
-			l.violation("object %d part %d: version %d was synced and is gone: %v", key.Object, key.Chunk, version, err)
+			l.violation("object %d chunk %d: version %d was synced and is gone: %v", key.Object, key.Chunk, version, err)
 		}
 		return true
 	}
@@ -245,7 +245,7 @@
 	served[key] = chunk.IssuedAt
 	body, known := l.versions[key][chunk.IssuedAt]
 	if !known || !bytes.Equal(body, chunk.Body) || chunk.Tag != versionTag(chunk.IssuedAt) {
-		l.violation("object %d part %d: wrong bytes for version %d", key.Object, key.Chunk, chunk.IssuedAt)
+		l.violation("object %d chunk %d: wrong bytes for version %d", key.Object, key.Chunk, chunk.IssuedAt)
 	}
 	return true
 }
@@ -254,7 +254,7 @@
 func (l *powerLossLife) ignoreBadBody(key eviction.Key, err error) error {
 	var fault StoreError
 	if errors.As(err, &fault) && fault.Code == CodeBadBody {
-		l.violation("object %d part %d: torn bytes", key.Object, key.Chunk)
+		l.violation("object %d chunk %d: torn bytes", key.Object, key.Chunk)
 	}
 	if l.store.index.find(key) != nil {
 		return nil
