Split the edge cache's request handler by concern, and name it and the capacity model

One file held actions, fetches, memory and events, in the earlier words. It is now handler, fill, memory, request and action.

--- a/internal/edgecache/handler/golden_test.go
+++ b/internal/edgecache/handler/golden_test.go
@@ -34,8 +34,8 @@
 	if c == nil {
 		return "-"
 	}
-	return fmt.Sprintf("%d/%d,%s,at=%d,g=%d,r=%d,seq=%d,conf=%d,%dB", c.Object, c.Key.Chunk, c.Tag, c.IssuedAt, c.Group, c.Rank,
-		c.Seq, c.ConfirmedEpoch, len(c.Body))
+	return fmt.Sprintf("%d/%d,%s,at=%d,g=%d,r=%d,seq=%d,conf=%d,%dB",
+		c.Object, c.Chunk, c.Tag, c.IssuedAt, c.Group, c.Rank, c.Seq, c.ConfirmedEpoch, len(c.Body))
 }
 
 // printActions writes actions without any Go name.
@@ -43,14 +43,15 @@
 	for _, action := range actions {
 		switch a := action.(type) {
 		case Respond:
-			fmt.Fprintf(out, "  answer %d code=%d remark=%d same=%v passed=%v fill=%d copy=%s\n", a.Request, a.Code, a.Remark,
-				a.NotModified, a.PassThrough, a.Fill, printCopy(a.Copy))
+			fmt.Fprintf(out, "  answer %d code=%d remark=%d same=%v passed=%v fill=%d copy=%s\n",
+				a.Request, a.Code, a.Remark, a.NotModified, a.PassThrough, a.Fill, printCopy(a.Copy))
 		case ReadDisk:
 			fmt.Fprintf(out, "  read %d/%d\n", a.Key.Object, a.Key.Chunk)
 		case Fetch:
-			fmt.Fprintf(out, "  fetch %d txn=%d %d/%d rule=%s source=%s tag=%s wait=%.6f maxage=%v rank=%d nofetch=%v notrace=%v join=%v\n",
-				a.Fill, a.Request, a.Key.Object, a.Key.Chunk, a.Class, a.Source, a.Tag, a.TimeoutSeconds, a.MaxAge, a.Rank,
-				a.NoFetch, a.NoTrace, a.Join)
+			fmt.Fprintf(out, "  fetch %d txn=%d %d/%d rule=%s source=%s tag=%s wait=%.6f maxage=%v "+
+				"rank=%d nofetch=%v notrace=%v join=%v\n",
+				a.Fill, a.Request, a.Key.Object, a.Key.Chunk, a.Class, a.Source, a.Tag, a.TimeoutSeconds, a.MaxAge,
+				a.Rank, a.NoFetch, a.NoTrace, a.Join)
 		case CancelFetch:
 			fmt.Fprintf(out, "  abandon %d\n", a.Fill)
 		case WriteDisk:
@@ -69,7 +70,7 @@
 type session struct {
 	rnd     *rand.Rand
 	handler *Handler
-	env     *world
+	env     *fakeEnvironment
 	clock   float64
 	out     strings.Builder
 	fetches []Fetch
@@ -116,7 +117,15 @@
 	}
 	s.env.disk[request.Key] = s.chance(25)
 	s.open = append(s.open, request)
-	fmt.Fprintf(&s.out, "%.3f ask %d %d/%d kept=%v\n", s.clock, id, request.Key.Object, request.Key.Chunk, request.Class.Cacheable)
+	fmt.Fprintf(
+		&s.out,
+		"%.3f ask %d %d/%d kept=%v\n",
+		s.clock,
+		id,
+		request.Key.Object,
+		request.Key.Chunk,
+		request.Class.Cacheable,
+	)
 	s.take(s.handler.HandleRequest(s.clock, request))
 }
 
@@ -127,8 +136,10 @@
 	i := s.rnd.IntN(len(s.fetches))
 	f := s.fetches[i]
 	s.fetches = append(s.fetches[:i:i], s.fetches[i+1:]...)
-	codes := []routing.AttemptResult{routing.Completed, routing.Completed, routing.Completed, routing.Completed, routing.Overloaded,
-		routing.CacheMiss, routing.TimedOut, routing.ConnectFailed, routing.NotSent}
+	codes := []routing.AttemptResult{
+		routing.Completed, routing.Completed, routing.Completed, routing.Completed,
+		routing.Overloaded, routing.CacheMiss, routing.TimedOut, routing.ConnectFailed, routing.NotSent,
+	}
 	result := FetchResult{
 		Code:     codes[s.rnd.IntN(len(codes))],
 		Tag:      fmt.Sprint("v", s.rnd.IntN(4)),
@@ -154,8 +165,15 @@
 	s.reads = s.reads[1:]
 	var c *Copy
 	if s.chance(70) {
-		c = &Copy{Key: k, Tag: "v2", IssuedAt: int64((s.clock - 15*s.rnd.Float64()) * 1000), Group: 1, Rank: s.rnd.IntN(4),
-			Seq: 1 + uint64(s.rnd.IntN(50)), Body: make([]byte, 700)}
+		c = &Copy{
+			Key:      k,
+			Tag:      "v2",
+			IssuedAt: int64((s.clock - 15*s.rnd.Float64()) * 1000),
+			Group:    1,
+			Rank:     s.rnd.IntN(4),
+			Seq:      1 + uint64(s.rnd.IntN(50)),
+			Body:     make([]byte, 700),
+		}
 	}
 	fmt.Fprintf(&s.out, "%.3f disk %d/%d found=%v\n", s.clock, k.Object, k.Chunk, c != nil)
 	s.take(s.handler.HandleDiskRead(s.clock, k, c))
@@ -181,7 +199,7 @@
 	case choice == 17:
 		object := uint64(s.rnd.IntN(9))
 		s.env.verdict[object] = validity.Verdict(s.rnd.IntN(2))
-		s.env.doubts++
+		s.env.epoch++
 		fmt.Fprintf(&s.out, "verdict %d %d\n", object, s.env.verdict[object])
 	default:
 		fmt.Fprintf(&s.out, "%.3f tick\n", s.clock)
@@ -190,7 +208,7 @@
 }
 
 func playSession(seed uint64, steps int) string {
-	h, env := fresh()
+	h, env := newHandler()
 	s := &session{rnd: rand.New(rand.NewPCG(seed, 9)), handler: h, env: env, clock: now}
 	for id := range uint64(steps) {
 		s.step(id + 1)
@@ -202,5 +220,9 @@
 func TestGoldenSession(t *testing.T) {
 	compareGolden(t, "session.txt", playSession(3, 400))
 	long := playSession(4, 20000)
-	compareGolden(t, "session-long.txt", fmt.Sprintf("%d lines, sha256 %x\n", strings.Count(long, "\n"), sha256.Sum256([]byte(long))))
+	compareGolden(
+		t,
+		"session-long.txt",
+		fmt.Sprintf("%d lines, sha256 %x\n", strings.Count(long, "\n"), sha256.Sum256([]byte(long))),
+	)
 }
--- /dev/null
+++ b/internal/edgecache/handler/handler.go
@@ -0,0 +1,211 @@
+// Package handler decides what an edge cache does with each request: respond from memory, read the disk, fetch from a
+// source, join a fetch under way, or report a miss.
+//
+// The package owns the copies in memory and the state of requests and fetches. It does no I/O: events come in with the
+// time, actions come out, and the caller reports the result of each.
+package handler
+
+import (
+	"slices"
+
+	"cairnfront/internal/diskcache/eviction"
+	"cairnfront/internal/diskcache/validity"
+	"cairnfront/routing"
+)
+
+// Environment is what a handler may look up. The answers hold for the event under way.
+type Environment interface {
+	Evaluate(validity.Copy) validity.Verdict
+	Epoch() uint16
+	OnDisk(eviction.Key) bool
+}
+
+// Limits bound a handler.
+type Limits struct {
+	MemoryBytes        int64   // of copies
+	MaxFills           int     // fetches under way
+	FillTimeoutSeconds float64 // after which a fetch is cancelled
+}
+
+// Handler is the state. It is not safe for concurrent use.
+type Handler struct {
+	env     Environment
+	limits  Limits
+	now     float64 // Unix seconds
+	actions []Action
+
+	memory    *memoryCache
+	diskReads map[eviction.Key][]Request // waiting for the disk
+
+	fills         map[uint64]*fill
+	fillByKey     map[eviction.Key]*fill // that may be joined
+	fillByRequest map[uint64]*fill
+	lastFill      uint64
+}
+
+// New returns a handler with nothing in memory.
+func New(env Environment, limits Limits) *Handler {
+	return &Handler{
+		env:           env,
+		limits:        limits,
+		memory:        newMemoryCache(limits.MemoryBytes),
+		diskReads:     map[eviction.Key][]Request{},
+		fills:         map[uint64]*fill{},
+		fillByKey:     map[eviction.Key]*fill{},
+		fillByRequest: map[uint64]*fill{},
+	}
+}
+
+// Bytes returns the memory that the copies take.
+func (h *Handler) Bytes() int64 { return h.memory.bytes }
+
+// Fills returns the number of fetches under way.
+func (h *Handler) Fills() int { return len(h.fills) }
+
+func (h *Handler) begin(now float64) {
+	h.now = max(h.now, now)
+	h.actions = h.actions[:0]
+}
+
+func (h *Handler) do(a Action) { h.actions = append(h.actions, a) }
+
+// HandleRequest takes a request. The returned actions, like those of the other events, are valid until the next call.
+func (h *Handler) HandleRequest(now float64, r Request) []Action {
+	h.begin(now)
+	r.receivedAt = h.now
+	if !r.Class.Cacheable {
+		h.fetch(r, nil, 0)
+		return h.actions
+	}
+	if c := h.memory.get(r.Key); c != nil {
+		h.evaluate(r, c, true)
+		return h.actions
+	}
+	if !h.env.OnDisk(r.Key) {
+		h.fetch(r, nil, 0)
+		return h.actions
+	}
+	waiting := append(h.diskReads[r.Key], r)
+	h.diskReads[r.Key] = waiting
+	if len(waiting) == 1 {
+		h.do(ReadDisk{r.Key})
+	}
+	return h.actions
+}
+
+// HandleDiskRead takes the result of a ReadDisk: the copy, or nil if there is none.
+func (h *Handler) HandleDiskRead(now float64, key eviction.Key, c *Copy) []Action {
+	h.begin(now)
+	waiting := h.diskReads[key]
+	delete(h.diskReads, key)
+	inMemory := h.memory.get(key)
+	if inMemory != nil && (c == nil || inMemory.IssuedAt >= c.IssuedAt) {
+		c = inMemory // a fetch has finished first
+	} else if c != nil {
+		h.memory.put(c)
+	}
+	for _, r := range waiting {
+		if c == nil {
+			h.fetch(r, nil, 0)
+		} else {
+			h.evaluate(r, c, false)
+		}
+	}
+	return h.actions
+}
+
+// ageOf is the age of a copy in seconds.
+func (h *Handler) ageOf(c *Copy) float64 { return h.now - float64(c.IssuedAt)/1000 }
+
+// evaluate decides whether a copy satisfies a request. fromMemory says that it was in memory already.
+func (h *Handler) evaluate(r Request, c *Copy, fromMemory bool) {
+	switch h.env.Evaluate(c.validityCopy()) {
+	case validity.Invalidated:
+		h.memory.remove(c.Key)
+		h.do(DeleteFromDisk{c.Key})
+		h.fetch(r, nil, 0)
+		return
+	case validity.Unconfirmed:
+		h.fetch(r, c, 0) // only its source can confirm it
+		return
+	}
+	age := h.ageOf(c)
+	if age > r.maxAge() {
+		h.fetch(r, c, 0)
+		return
+	}
+	stale := r.Class.FreshSeconds > 0 && age > r.Class.FreshSeconds
+	if !stale {
+		h.serve(r, c, routing.CacheHit, fromMemory)
+		return
+	}
+	h.serve(r, c, routing.StaleHit, fromMemory)
+	if r.Renew && r.Source != "" && h.fillByKey[r.Key] == nil && len(h.fills) < h.limits.MaxFills {
+		renewal := r
+		renewal.ID = 0
+		renewal.Deadline = h.now + h.limits.FillTimeoutSeconds
+		h.fetch(renewal, c, 0)
+	}
+}
+
+// serve completes a request with a copy. touchDisk says that the disk's eviction policy is to count the request.
+func (h *Handler) serve(r Request, c *Copy, detail routing.ResultDetail, touchDisk bool) {
+	h.memory.touch(c.Key)
+	if touchDisk {
+		h.do(TouchDisk{c})
+	}
+	h.do(Respond{
+		Request:     r.ID,
+		Code:        routing.Completed,
+		Remark:      detail,
+		NotModified: r.Tag != "" && r.Tag == c.Tag,
+		Copy:        c,
+	})
+}
+
+// fail ends a request without a copy.
+func (h *Handler) fail(r Request, code routing.AttemptResult) {
+	if r.ID != 0 {
+		delete(h.fillByRequest, r.ID)
+		h.do(Respond{Request: r.ID, Code: code})
+	}
+}
+
+// HandleCancel records that nobody waits for a request any more. A fetch of a cacheable chunk continues; one for this
+// request alone is cancelled.
+func (h *Handler) HandleCancel(now float64, id uint64, key eviction.Key) []Action {
+	h.begin(now)
+	isCancelled := func(r Request) bool { return r.ID == id }
+	if waiting, ok := h.diskReads[key]; ok {
+		h.diskReads[key] = slices.DeleteFunc(waiting, isCancelled)
+	}
+	if f := h.fillByRequest[id]; f != nil {
+		delete(h.fillByRequest, id)
+		f.waiting = slices.DeleteFunc(f.waiting, isCancelled)
+		if f.passThrough {
+			h.removeFill(f)
+			h.do(CancelFetch{f.id})
+		}
+	}
+	return h.actions
+}
+
+// HandleTick cancels the fetches that have timed out.
+func (h *Handler) HandleTick(now float64) []Action {
+	h.begin(now)
+	var late []*fill
+	for _, f := range h.fills {
+		if h.now >= f.deadline {
+			late = append(late, f)
+		}
+	}
+	slices.SortFunc(late, func(a, b *fill) int { return int(a.id) - int(b.id) })
+	for _, f := range late {
+		h.removeFill(f)
+		h.do(CancelFetch{f.id})
+		for _, r := range f.waiting {
+			h.fail(r, routing.ServerError)
+		}
+	}
+	return h.actions
+}
