Golden results of the routing simulation

Seven short runs of the simulation are held by their figures, so that its reshaping can't change them.

--- /dev/null
+++ b/internal/sim/routing/golden_test.go
@@ -0,0 +1,64 @@
+package routing
+
+import (
+	"crypto/sha256"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+var update = flag.Bool("update", false, "write the golden file anew")
+
+// TestResultsAreUnchanged compares the results of short runs with those of an earlier version: the same seed has to
+// give the same figures.
+func TestResultsAreUnchanged(t *testing.T) {
+	runs := []struct {
+		name    string
+		seed    uint64
+		routers int
+		fault   Fault
+		gossip  Gossip
+	}{
+		{"burst of 3", 1, 3, TrafficBurst, Gossip{}},
+		{"burst of 30", 2, 30, TrafficBurst, Gossip{}},
+		{"lost parents of 3", 3, 3, ParentZoneLost, Gossip{}},
+		{"lost parents of 30", 4, 30, ParentZoneLost, Gossip{}},
+		{"failing cache of 12", 5, 12, FailingCache, Gossip{}},
+		{"failing cache of 12 with gossip", 5, 12, FailingCache, Gossip{Enabled: true, FaultyRouters: 1}},
+		{"failing cache of 60 with faulty routers", 6, 60, FailingCache, Gossip{Enabled: true, FaultyRouters: 3}},
+	}
+	var got strings.Builder
+	for _, run := range runs {
+		result, err := RunWithGossip(run.seed, run.routers, run.fault, run.gossip)
+		require.NoError(t, err)
+		fmt.Fprintf(&got, "%s: %s\n", run.name, describe(result))
+	}
+	path := filepath.Join("testdata", "results.golden")
+	if *update {
+		require.NoError(t, os.MkdirAll("testdata", 0o755))
+		require.NoError(t, os.WriteFile(path, []byte(got.String()), 0o644))
+	}
+	want, err := os.ReadFile(path)
+	require.NoError(t, err)
+	assert.Equal(t, string(want), got.String())
+}
+
+// describe names no Go fields, so that a renaming does not change it. Maps are printed in the order of their keys.
+func describe(r *Result) string {
+	seconds := sha256.Sum256([]byte(fmt.Sprint(r.OnTimePerSecond)))
+	return fmt.Sprint(r.Routers, r.Requests, r.OnTime, r.Late, r.Rejected, r.Aborted, r.Attempts, r.Unanswered,
+		r.AnsweredTwice, r.Fills, r.StoredFills, r.FailingCacheAttempts, fmt.Sprintf(" %x", seconds[:8]))
+}
+
+func TestRunRefusesRoutersThatZonesCannotShareEvenly(t *testing.T) {
+	for _, routers := range []int{0, 2, 4} {
+		_, err := Run(1, routers, TrafficBurst)
+		assert.Error(t, err, "%d routers", routers)
+	}
+}
