--- a/internal/frontend/framereader_test.go
+++ b/internal/frontend/framereader_test.go
@@ -167,6 +167,8 @@
 	assert.Equal(t, []any{uint32(1), "\x09\x00"}, []any{stream, payload})
 	assert.Contains(t, c.log.String(), "a fault")
 	assert.EqualValues(t, 1, c.Metrics.Value("answered.page.aborted.panic"))
+	_, _ = c.Write(readinessQuery(0))
+	c.readFrame(t) // the reader is done with the request, and with Admission until the next frame
 	c.Admission = nil
 	_, _ = c.Write(readinessQuery(0))
 	_, err := c.Read(make([]byte, 1))
