--- a/cmd/cairnfront/lab.go
+++ b/cmd/cairnfront/lab.go
@@ -23,10 +23,10 @@
 	c := &cobra.Command{Use: "lab", Short: "The laboratory: scenarios on loopback, with faults, judged from what the stand-ins saw"}
 	c.AddCommand(&cobra.Command{Use: "list", Short: "List the scenarios", Args: cobra.NoArgs, Run: func(cmd *cobra.Command, _ []string) {
 		for _, s := range lab.Scenarios() {
-			fmt.Fprintf(cmd.OutOrStdout(), "%-14s %s\n", s.Name, s.About)
+			fmt.Fprintf(cmd.OutOrStdout(), "%-14s %s\n", s.Name, s.Description)
 		}
 	}})
-	var s lab.Setting
+	var s lab.Options
 	var size, asJSON, asHTML string
 	run := &cobra.Command{Use: "run SCENARIO", Short: "Run a scenario; exit 0 only if every rule and bound held", Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
@@ -39,7 +39,7 @@
 			}
 			s.Program, s.Full = program, size == "full"
 			if terminal(os.Stderr) {
-				s.Tell = func(form string, args ...any) { fmt.Fprintf(os.Stderr, "\r\x1b[K"+form, args...) }
+				s.Progress = func(form string, args ...any) { fmt.Fprintf(os.Stderr, "\r\x1b[K"+form, args...) }
 				defer fmt.Fprint(os.Stderr, "\r\x1b[K")
 			}
 			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
@@ -53,7 +53,7 @@
 	run.Flags().Uint64Var(&s.Seed, "seed", 1, "of all chance")
 	run.Flags().StringVar(&size, "size", "small", "small or full")
 	run.Flags().StringVar(&s.Script, "script", "", "file of a fault script to be played instead of the scenario's own, where it has one")
-	run.Flags().StringVar(&s.Folder, "folder", "", "folder for files and logs, which are kept; by default one that is removed")
+	run.Flags().StringVar(&s.Directory, "folder", "", "folder for files and logs, which are kept; by default one that is removed")
 	run.Flags().StringVar(&asJSON, "json", "", "file for the report as JSON, - for standard output")
 	run.Flags().StringVar(&asHTML, "html", "", "file for the report as one page")
 	c.AddCommand(run, simCommand())
--- a/cmd/cairnfront/serve.go
+++ b/cmd/cairnfront/serve.go
@@ -207,7 +207,7 @@
 // labHooks lets the laboratory, and nobody else, make the decisions stand still while the rest of the process goes on: from one
 // SIGUSR2 to the next.
 func labHooks(ctx context.Context, loop *dispatch.Dispatcher) {
-	if os.Getenv(lab.LabVariable) == "" {
+	if os.Getenv(lab.EnvironmentVariable) == "" {
 		return
 	}
 	stall := make(chan os.Signal, 1)
--- a/internal/lab/addresses.go
+++ b/internal/lab/addresses.go
@@ -20,80 +20,103 @@
 
 // variant is one way in which the same load is played.
 type variant struct {
-	name    string
-	several bool // the router is told of all addresses; else of the first alone, as earlier versions were
-	fault   func(ctx context.Context, d *door, s float64)
+	name         string
+	allAddresses bool // the router is told of all addresses; else of the first alone, as earlier versions were
+	fault        func(ctx context.Context, address *standInAddress, s float64)
 }
 
-// hold lets an address behave otherwise from the start on until near the end.
-func hold(m mode) func(context.Context, *door, float64) {
-	return func(_ context.Context, d *door, _ float64) { _ = d.set(m) }
+// holdMode lets an address behave otherwise from the start on until near the end.
+func holdMode(m addressMode) func(context.Context, *standInAddress, float64) {
+	return func(_ context.Context, address *standInAddress, _ float64) { _ = address.setMode(m) }
 }
 
-// flap shuts and opens an address every 300 ms.
-func flap(ctx context.Context, d *door, _ float64) {
-	for to := shut; ctx.Err() == nil; to = shut - to {
-		_ = d.set(to)
+// flapMode shuts and opens an address every 300 ms.
+func flapMode(ctx context.Context, address *standInAddress, _ float64) {
+	for to := closed; ctx.Err() == nil; to = closed - to {
+		_ = address.setMode(to)
 		select {
 		case <-ctx.Done():
 		case <-time.After(300 * time.Millisecond):
 		}
 	}
-	_ = d.set(good)
+	_ = address.setMode(healthy)
 }
 
 var variants = []variant{
-	{"all_good", true, nil}, {"one_hung", true, hold(silent)}, {"one_reset", true, hold(resets)}, {"one_shut", true, hold(shut)},
-	{"one_half", true, hold(half)}, {"one_flapping", true, flap}, {"single_good", false, nil}, {"single_hung", false, hold(silent)},
+	{"all_good", true, nil},
+	{"one_hung", true, holdMode(unresponsive)},
+	{"one_reset", true, holdMode(resetting)},
+	{"one_shut", true, holdMode(closed)},
+	{"one_half", true, holdMode(truncating)},
+	{"one_flapping", true, flapMode},
+	{"single_good", false, nil},
+	{"single_hung", false, holdMode(unresponsive)},
 }
 
-const listed = 1000 // members in the list
+const listedEndpoints = 1000 // members in the list
 
-const settleFor = 2.0 // s after a fault begins before times are judged
+const settleSeconds = 2.0 // s after a fault begins before times are judged
 
-var addresses = Scenario{Name: "addresses", About: "Members with three addresses, one made to hang, reset, stop half way, shut or flap; the same load on one address each",
-	Run: func(ctx context.Context, s Setting, r *report.Report) error {
+var addressesScenario = Scenario{
+	Name: "addresses",
+	Description: "Members with three addresses, one made to hang, reset, stop half way, shut or flap; the same " +
+		"load on one address each",
+	Run: func(ctx context.Context, options Options, r *report.Report) error {
 		txns, clients := 2000, 16
-		if s.Full {
+		if options.Full {
 			txns, clients = 100_000, 32
 		}
-		r.Counts["overlapping_hops"], r.Counts["order_repeats"], r.Counts["hung_connects"], r.Counts["orders_run"] = 0, 0, 0, 0
+		r.Counts["overlapping_hops"] = 0
+		r.Counts["order_repeats"] = 0
+		r.Counts["hung_connects"] = 0
+		r.Counts["orders_run"] = 0
 		p99 := report.Plot{Title: "Times to an answer after the first two seconds", XLabel: "share of txns", YLabel: "ms"}
 		for _, v := range variants {
-			s.Tell("%s", v.name)
-			l, err := playVariant(ctx, s, r, v, txns/len(variants), clients)
+			options.Progress("%s", v.name)
+			l, err := runVariant(ctx, options, r, v, txns/len(variants), clients)
 			if err != nil {
 				return fmt.Errorf("%s: %w", v.name, err)
 			}
 			p99.Lines = append(p99.Lines, l)
 		}
 		r.Plots = append(r.Plots, p99)
-		r.Figures["cpu_several_over_single"] = r.Figures["cpu_us_a_txn.all_good"] / max(r.Figures["cpu_us_a_txn.single_good"], 1)
-		r.Steps = append(r.Steps, fmt.Sprintf("%d txns of a repeatable, a keyed and an unrepeatable rule in each of %d ways, over a router and four stand-in members", txns/len(variants), len(variants)),
+		r.Figures["cpu_several_over_single"] = r.Figures["cpu_us_a_txn.all_good"] / max(
+			r.Figures["cpu_us_a_txn.single_good"],
+			1,
+		)
+		r.Steps = append(r.Steps, fmt.Sprintf(
+			"%d txns of a repeatable, a keyed and an unrepeatable rule in each of %d ways, over a router "+
+				"and four stand-in members",
+			txns/len(variants),
+			len(variants),
+		),
 			"the fault is at the first address of one cache; times count from two seconds after it began")
-		return playPairs(ctx, s, r, clients)
-	}}
+		return runPairs(ctx, options, r, clients)
+	},
+}
 
-// playVariant plays one and adds to the report; the line is the times to an answer, in order.
-func playVariant(ctx context.Context, s Setting, r *report.Report, v variant, txns, clients int) (report.Line, error) {
+// runVariant plays one and adds to the report; the line is the times to an answer, in order.
+func runVariant(
+	ctx context.Context, options Options, r *report.Report, v variant, txns, clients int,
+) (report.Line, error) {
 	none := report.Line{Name: v.name}
-	t, members, hurt, err := severalTown(s, v.several)
+	cluster, members, hurt, err := newMultiAddressCluster(options, v.allAddresses)
 	if err != nil {
 		return none, err
 	}
-	defer closeSeveral(t, members, r)
-	var late lateness
-	c := severalCrowd(t, clients)
+	defer closeMultiAddressCluster(cluster, members, r)
+	var late schedulingDelay
+	group := mixedClients(cluster, clients)
 	play, stop := context.WithCancel(ctx)
 	defer stop()
-	began := unix(time.Now())
+	began := unixSeconds(time.Now())
 	n, enough := 0, make(chan struct{})
 	var mu sync.Mutex
-	c.heard = func(x reply) {
-		t.hear(x)
+	group.onResponse = func(response clientResponse) {
+		cluster.recordResponse(response)
 		mu.Lock()
 		defer mu.Unlock()
-		if unix(time.Now()) > began+settleFor {
+		if unixSeconds(time.Now()) > began+settleSeconds {
 			if n++; n == txns {
 				close(enough)
 			}
@@ -105,7 +128,7 @@
 	if v.fault != nil {
 		all.Go(func() { v.fault(faulty, hurt, began) })
 	}
-	all.Go(func() { c.run(play) })
+	all.Go(func() { group.run(play) })
 	all.Go(func() { late.watch(play) })
 	select {
 	case <-enough:
@@ -114,19 +137,20 @@
 	case <-time.After(10 * time.Minute):
 		return none, fmt.Errorf("%d of %d txns came to an end", n, txns)
 	}
-	ended := unix(time.Now())
+	ended := unixSeconds(time.Now())
 	heal()
 	if v.fault == nil {
-		cpu, rss := t.routers[0].usage()
-		t.replies.mu.Lock()
-		r.Figures["cpu_us_a_txn."+v.name], r.Figures["rss_mb."+v.name] = cpu*1e6/float64(max(len(t.replies.all), 1)), rss
-		t.replies.mu.Unlock()
+		cpu, rss := cluster.routers[0].usage()
+		cluster.responses.mu.Lock()
+		r.Figures["cpu_us_a_txn."+v.name] = cpu * 1e6 / float64(max(len(cluster.responses.all), 1))
+		r.Figures["rss_mb."+v.name] = rss
+		cluster.responses.mu.Unlock()
 	}
 	if v.name == "one_hung" || v.name == "one_shut" { // how long until the address is used again
-		_ = hurt.set(good)
-		back := unix(time.Now())
-		err := until(healWithin, func() bool { return members[2].used(hurt, back) })
-		if r.Figures["healed_s."+v.name] = unix(time.Now()) - back; err != nil {
+		_ = hurt.setMode(healthy)
+		back := unixSeconds(time.Now())
+		err := waitUntil(recoveryLimit, func() bool { return members[2].usedAfter(hurt, back) })
+		if r.Figures["healed_s."+v.name] = unixSeconds(time.Now()) - back; err != nil {
 			r.Broke("%s: the address is back and not used", v.name)
 		}
 	}
@@ -134,21 +158,26 @@
 	all.Wait()
 	time.Sleep(20 * time.Millisecond) // what is on its way to the stand-ins
 	before := r.Counts["txns"]
-	t.judge(r, []*crowd{c})
+	cluster.verify(r, []*clientGroup{group})
 	r.Counts["txns."+v.name] = r.Counts["txns"] - before
 	var ms []float64
 	inTime := 0
 	slowest := 0.0 // in the first seconds, before anything was known of the fault
-	for _, h := range t.replies.all {
-		if h.sent < began+settleFor {
-			slowest = max(slowest, h.done-h.sent)
+	for _, h := range cluster.responses.all {
+		if h.sentAt < began+settleSeconds {
+			slowest = max(slowest, h.doneAt-h.sentAt)
 		}
-		if h.sent < began+settleFor || h.sent > ended {
+		if h.sentAt < began+settleSeconds || h.sentAt > ended {
 			continue
 		}
-		took := h.took()
+		took := h.latencySeconds()
 		ms = append(ms, took*1000)
-		if limit := map[string]float64{"video-part": 0.4, "page-asset": 0.25, "print-order": 0.6, "record": 0.6}[h.rule]; h.code == 1 && took <= limit {
+		if limit := map[string]float64{
+			"video-part":  0.4,
+			"page-asset":  0.25,
+			"print-order": 0.6,
+			"record":      0.6,
+		}[h.class]; h.code == 1 && took <= limit {
 			inTime++
 		}
 	}
@@ -160,21 +189,21 @@
 	r.Figures["slowest_at_first_ms."+v.name] = slowest * 1000
 	r.Figures["p50_ms."+v.name] = ms[len(ms)/2]
 	r.Figures["in_time."+v.name] = float64(inTime) / float64(len(ms))
-	r.Figures["order_told_ms"] = max(r.Figures["order_told_ms"], late.lag()*1000)
-	overlapping, repeats, said := overlaps(members, late.lag(), map[string]bool{"record": true})
+	r.Figures["order_told_ms"] = max(r.Figures["order_told_ms"], late.orderingMargin()*1000)
+	overlapping, repeats, said := findOverlappingAttempts(members, late.orderingMargin(), map[string]bool{"record": true})
 	r.Counts["overlapping_hops"] += overlapping
 	r.Counts["order_repeats"] += repeats
 	for _, x := range said {
 		r.Broke("%s: %s", v.name, x)
 	}
-	for _, m := range members {
-		r.Counts["hops"] += int64(len(m.hops))
-		r.Counts["hung_connects"] += m.hung.Load()
-		for _, h := range m.hops {
-			switch h.mode {
-			case silent:
+	for _, standIn := range members {
+		r.Counts["hops"] += int64(len(standIn.attempts))
+		r.Counts["hung_connects"] += standIn.hungConnections.Load()
+		for _, attempt := range standIn.attempts {
+			switch attempt.mode {
+			case unresponsive:
 				r.Counts["hung_hops"]++
-			case resets:
+			case resetting:
 				r.Counts["resets"]++
 			}
 		}
@@ -186,154 +215,184 @@
 	return none, nil
 }
 
-// severalTown is a router over four stand-in members of three addresses each, in a list of a thousand; hurt is the
+// newMultiAddressCluster is a router over four stand-in members of three addresses each, in a list of a thousand;
+// hurt is the
 // address that a fault is to hit, the first of one cache. Members run an order once a key and window between them.
-func severalTown(s Setting, several bool) (t *town, members []*manyDoors, hurt *door, err error) {
-	if t, err = newTown(s, 2); err != nil {
+func newMultiAddressCluster(
+	options Options, several bool,
+) (cluster *testCluster, members []*endpointStandIn, hurt *standInAddress, err error) {
+	if cluster, err = newTestCluster(options, 2); err != nil {
 		return nil, nil, nil, err
 	}
 	defer func() {
 		if err != nil {
-			closeSeveral(t, members, nil)
+			closeMultiAddressCluster(cluster, members, nil)
 		}
 	}()
-	if t.s.Folder, err = os.MkdirTemp(s.Folder, "v"); err != nil {
+	if cluster.options.Directory, err = os.MkdirTemp(options.Directory, "v"); err != nil {
 		return nil, nil, nil, err
 	}
-	t.fragile = true
-	orders := orderBook{}
+	cluster.nonIdempotentClass = true
+	orders := idempotencyRecords{}
 	var rules config.File
 	for i, kind := range []int{2, 1, 0, 0} {
-		m, err := newDoors(fmt.Sprintf("s-%08x", i+1), t.s.Folder, time.Millisecond)
+		standIn, err := newEndpointStandIn(fmt.Sprintf("s-%08x", i+1), cluster.options.Directory, time.Millisecond)
 		if err != nil {
 			return nil, nil, nil, err
 		}
-		m.body = func(a cacheproto.Command) []byte {
-			if a.ClassName == "print-order" && orders.runs(a.IdempotencyKey, unix(time.Now())) {
-				t.made.OnExecute(a.ClassName, a.IdempotencyKey)
+		standIn.body = func(a cacheproto.Command) []byte {
+			if a.ClassName == "print-order" && orders.shouldRun(a.IdempotencyKey, unixSeconds(time.Now())) {
+				cluster.content.OnExecute(a.ClassName, a.IdempotencyKey)
 			}
 			if a.ClassName == "print-order" || a.ClassName == "record" {
 				return nil
 			}
-			return edgecache.SyntheticBody(s.Seed, eviction.Key{Object: a.ObjectID, Chunk: a.PartNumber}, 0, t.made.MinBytes, t.made.MaxBytes)
+			return edgecache.SyntheticBody(
+				options.Seed,
+				eviction.Key{Object: a.ObjectID, Chunk: a.PartNumber},
+				0,
+				cluster.content.MinBytes,
+				cluster.content.MaxBytes,
+			)
+		}
+		members = append(members, standIn)
+		last := standIn.addresses[len(standIn.addresses)-1] // the discovery service knows IPv4 alone
+		endpoint := &clusterEndpoint{
+			id:   standIn.id,
+			kind: kind,
+			zone: min(1-min(kind, 1), 1),
+			addr: last.addr,
 		}
-		members = append(members, m)
-		last := m.doors[len(m.doors)-1] // the notice board knows IPv4 alone
-		p := &place{id: m.id, kind: kind, location: min(1-min(kind, 1), 1), addr: last.addr}
-		t.places = append(t.places, p)
-		t.list(p, routing.Ready)
-		entry := config.EndpointAddresses{Endpoint: m.id}
-		for _, d := range m.doors {
-			entry.Addresses = append(entry.Addresses, d.addr)
+		cluster.endpoints = append(cluster.endpoints, endpoint)
+		cluster.publishStatus(endpoint, routing.Ready)
+		entry := config.EndpointAddresses{Endpoint: standIn.id}
+		for _, address := range standIn.addresses {
+			entry.Addresses = append(entry.Addresses, address.addr)
 		}
 		rules.Router.Addresses = append(rules.Router.Addresses, entry)
 	}
-	for i := len(members); i < listed; i++ { // of the other campus: listed, never asked
-		p := &place{id: fmt.Sprintf("s-%08x", i+1), location: 2, addr: "127.0.0.1:9"}
-		t.places = append(t.places, p)
-		rules.Router.Addresses = append(rules.Router.Addresses, config.EndpointAddresses{Endpoint: p.id, Addresses: []string{"unix:/nowhere/" + p.id, "[::1]:9", "127.0.0.1:9"}})
+	for i := len(members); i < listedEndpoints; i++ { // of the other zone: listed, never asked
+		endpoint := &clusterEndpoint{id: fmt.Sprintf("s-%08x", i+1), zone: 2, addr: "127.0.0.1:9"}
+		cluster.endpoints = append(cluster.endpoints, endpoint)
+		rules.Router.Addresses = append(
+			rules.Router.Addresses,
+			config.EndpointAddresses{
+				Endpoint:  endpoint.id,
+				Addresses: []string{"unix:/nowhere/" + endpoint.id, "[::1]:9", "127.0.0.1:9"},
+			},
+		)
 	}
-	doors := members[2].doors
+	doors := members[2].addresses
 	if hurt = doors[len(doors)-1]; several {
 		hurt = doors[0]
 		text, err := json.Marshal(map[string]any{"router": map[string]any{"addresses": rules.Router.Addresses}})
 		if err != nil {
 			return nil, nil, nil, err
 		}
-		t.operators = filepath.Join(t.s.Folder, "operators.yaml")
-		if err := os.WriteFile(t.operators, text, 0o600); err != nil {
+		cluster.operatorsFile = filepath.Join(cluster.options.Directory, "operators.yaml")
+		if err := os.WriteFile(cluster.operatorsFile, text, 0o600); err != nil {
 			return nil, nil, nil, err
 		}
 	}
-	return t, members, hurt, t.addRouter(1)
+	return cluster, members, hurt, cluster.addRouter(1)
 }
 
-func closeSeveral(t *town, members []*manyDoors, r *report.Report) {
-	t.close(r)
-	for _, m := range members {
-		m.close()
+func closeMultiAddressCluster(cluster *testCluster, members []*endpointStandIn, r *report.Report) {
+	cluster.close(r)
+	for _, standIn := range members {
+		standIn.close()
 	}
 }
 
-// severalCrowd is families of all three remap rules, those that must not be sent twice among them.
-func severalCrowd(t *town, clients int) *crowd {
-	return &crowd{addr: t.routers[0].addr, n: clients, seed: t.s.Seed, objects: 60, parts: 6, groups: t.made.Groups, pause: 10 * time.Millisecond, fragile: true}
+// mixedClients is families of all three request classes, those that must not be sent twice among them.
+func mixedClients(cluster *testCluster, clients int) *clientGroup {
+	return &clientGroup{
+		addr:          cluster.routers[0].addr,
+		clients:       clients,
+		seed:          cluster.options.Seed,
+		objects:       60,
+		parts:         6,
+		groups:        cluster.content.Groups,
+		meanPause:     10 * time.Millisecond,
+		nonIdempotent: true,
+	}
 }
 
-// orderBook is what a group of members knows of keys between them: a repeat within the window is dropped.
-type orderBook struct {
-	mu  sync.Mutex
-	ran map[string]float64 // by key, when it ran last, Unix s
+// idempotencyRecords is what a group of members knows of keys between them: a repeat within the window is dropped.
+type idempotencyRecords struct {
+	mu        sync.Mutex
+	lastRunAt map[string]float64 // by key, when it ran last, Unix s
 }
 
-// runs says whether an order that comes now runs.
-func (o *orderBook) runs(key string, now float64) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if at, ok := o.ran[key]; ok && now < at+keyWindow {
+// shouldRun says whether an order that comes now runs.
+func (records *idempotencyRecords) shouldRun(key string, now float64) bool {
+	records.mu.Lock()
+	defer records.mu.Unlock()
+	if at, ok := records.lastRunAt[key]; ok && now < at+keyRetentionSeconds {
 		return false
 	}
-	if o.ran == nil {
-		o.ran = map[string]float64{}
+	if records.lastRunAt == nil {
+		records.lastRunAt = map[string]float64{}
 	}
-	o.ran[key] = now
+	records.lastRunAt[key] = now
 	return true
 }
 
 // Sizes of the paired measure.
 const (
-	pairsFull, pairsSmall = 12, 1
-	phaseFull, phaseSmall = 4 * time.Second, time.Second
-	healWithin            = 25 * time.Second // the longest rest is 20 s
-	mostWait              = 100.0            // ms more at small size, where some hundred txns play beside a build
+	pairsFull, pairsSmall         = 12, 1
+	pairPhaseFull, pairPhaseSmall = 4 * time.Second, time.Second
+	recoveryLimit                 = 25 * time.Second // the longest rest is 20 s
+	maxExtraMillis                = 100.0            // ms more at small size, where some hundred requests play beside a build
 )
 
-// playPairs measures what one hung address costs at the 99th percentile. Phases with all addresses good and with one hung
+// runPairs measures what one hung address costs at the 99th percentile. Phases with all addresses good and with
+// one hung
 // take turns on one router under one load, so that what else the machine does falls on both; the first seconds of a
 // phase, in which the router finds the fault or the way back, do not count.
-func playPairs(ctx context.Context, s Setting, r *report.Report, clients int) error {
-	n, phase := pairsSmall, phaseSmall
-	if s.Full {
-		n, phase = pairsFull, phaseFull
+func runPairs(ctx context.Context, options Options, r *report.Report, clients int) error {
+	n, phase := pairsSmall, pairPhaseSmall
+	if options.Full {
+		n, phase = pairsFull, pairPhaseFull
 	}
-	t, members, hurt, err := severalTown(s, true)
+	cluster, members, hurt, err := newMultiAddressCluster(options, true)
 	if err != nil {
 		return err
 	}
-	defer closeSeveral(t, members, r)
-	var late lateness
-	c := severalCrowd(t, clients)
-	c.heard = t.hear
+	defer closeMultiAddressCluster(cluster, members, r)
+	var late schedulingDelay
+	group := mixedClients(cluster, clients)
+	group.onResponse = cluster.recordResponse
 	play, stop := context.WithCancel(ctx)
 	defer stop()
 	var all sync.WaitGroup
-	all.Go(func() { c.run(play) })
+	all.Go(func() { group.run(play) })
 	all.Go(func() { late.watch(play) })
 	measure := func() (float64, error) {
-		if err := sleep(ctx, time.Duration(settleFor*float64(time.Second))); err != nil {
+		if err := sleep(ctx, time.Duration(settleSeconds*float64(time.Second))); err != nil {
 			return 0, err
 		}
-		from := unix(time.Now())
+		from := unixSeconds(time.Now())
 		if err := sleep(ctx, phase); err != nil {
 			return 0, err
 		}
-		return t.p99(from, unix(time.Now()))
+		return cluster.p99Millis(from, unixSeconds(time.Now()))
 	}
 	var well, hung, ratios []float64
 	for i := range n {
-		s.Tell("pair %d of %d", i+1, n)
+		options.Progress("pair %d of %d", i+1, n)
 		a, err := measure()
 		if err != nil {
 			return err
 		}
-		_ = hurt.set(silent)
+		_ = hurt.setMode(unresponsive)
 		b, err := measure()
 		if err != nil {
 			return err
 		}
-		back := unix(time.Now())
-		_ = hurt.set(good)
-		if until(healWithin, func() bool { return members[2].used(hurt, back) }) != nil {
+		back := unixSeconds(time.Now())
+		_ = hurt.setMode(healthy)
+		if waitUntil(recoveryLimit, func() bool { return members[2].usedAfter(hurt, back) }) != nil {
 			r.Broke("pair %d: the address is back and not used", i+1)
 		}
 		well, hung, ratios = append(well, a), append(hung, b), append(ratios, b/a)
@@ -342,22 +401,31 @@
 	all.Wait()
 	for name, list := range map[string][]float64{"good_ms": well, "hung_ms": hung, "ratio": ratios} {
 		sort.Float64s(list)
-		r.Figures["pairs_"+name+".least"], r.Figures["pairs_"+name+".median"], r.Figures["pairs_"+name+".most"] = list[0], median(list), list[len(list)-1]
+		r.Figures["pairs_"+name+".least"] = list[0]
+		r.Figures["pairs_"+name+".median"] = median(list)
+		r.Figures["pairs_"+name+".most"] = list[len(list)-1]
 	}
 	r.Counts["pairs"] = int64(n)
-	if s.Full && median(hung) > well[len(well)-1] { // ways without any fault differ by several times: what can be told is worse than all of them
-		r.Broke("with one address hung the p99 is %.1f ms in the median of %d pairs, over the worst of all phases with all good, %.1f", median(hung), n, well[len(well)-1])
-	} else if !s.Full && median(hung) > median(well)+mostWait {
+	// ways without any fault differ by several times: what can be told is worse than all of them
+	if options.Full && median(hung) > well[len(well)-1] {
+		r.Broke(
+			"with one address hung the p99 is %.1f ms in the median of %d pairs, over the worst of all "+
+				"phases with all good, %.1f",
+			median(hung),
+			n,
+			well[len(well)-1],
+		)
+	} else if !options.Full && median(hung) > median(well)+maxExtraMillis {
 		r.Broke("with one address hung the p99 is %.1f ms, with all good %.1f", median(hung), median(well))
 	}
-	r.Figures["order_told_ms"] = max(r.Figures["order_told_ms"], late.lag()*1000)
-	overlapping, repeats, said := overlaps(members, late.lag(), map[string]bool{"record": true})
+	r.Figures["order_told_ms"] = max(r.Figures["order_told_ms"], late.orderingMargin()*1000)
+	overlapping, repeats, said := findOverlappingAttempts(members, late.orderingMargin(), map[string]bool{"record": true})
 	r.Counts["overlapping_hops"] += overlapping
 	r.Counts["order_repeats"] += repeats
 	for _, x := range said {
 		r.Broke("pairs: %s", x)
 	}
-	t.judge(r, []*crowd{c})
+	cluster.verify(r, []*clientGroup{group})
 	return nil
 }
 
@@ -377,14 +445,15 @@
 	return (sorted[(n-1)/2] + sorted[n/2]) / 2
 }
 
-// p99 is the time to an answer, in ms, of the txns sent in a time; one without an answer counts with its time limit.
-func (t *town) p99(from, to float64) (float64, error) {
-	t.replies.mu.Lock()
-	defer t.replies.mu.Unlock()
+// p99Millis is the time to an answer, in ms, of the requests sent in a time; one without an answer counts with its
+// time limit.
+func (cluster *testCluster) p99Millis(from, to float64) (float64, error) {
+	cluster.responses.mu.Lock()
+	defer cluster.responses.mu.Unlock()
 	var ms []float64
-	for _, h := range t.replies.all {
-		if h.sent >= from && h.sent < to {
-			ms = append(ms, h.took()*1000)
+	for _, h := range cluster.responses.all {
+		if h.sentAt >= from && h.sentAt < to {
+			ms = append(ms, h.latencySeconds()*1000)
 		}
 	}
 	if len(ms) == 0 {
@@ -394,10 +463,10 @@
 	return ms[int(0.99*float64(len(ms)-1))], nil
 }
 
-// took is the time to an answer, s; the client's whole time where none came.
-func (h *heard) took() float64 {
+// latencySeconds is the time to an answer, s; the client's whole time where none came.
+func (h *observedResponse) latencySeconds() float64 {
 	if h.code == noAnswer {
-		return h.ttl.Seconds()
+		return h.deadline.Seconds()
 	}
-	return h.done - h.sent
+	return h.doneAt - h.sentAt
 }
--- a/internal/lab/admit.go
+++ b/internal/lab/diskadmit.go
@@ -17,21 +17,21 @@
 // A video-like day: views of objects by Zipf's law, parts one after another, many views that end early, objects that
 // are new and soon forgotten, a publication night with a few of them wanted by all.
 const (
-	dayObjects   = 20000
-	dayExponent  = 0.8 // of Zipf's law: as request logs of videos show, under 1
-	leastParts   = 11  // as the users' objects have
-	mostParts    = 19
-	partBytes    = 1 << 21 // the paper's chunk
-	stayOdds     = 0.88    // that a view goes on to the next part
-	partPause    = 0.6     // s between a view's parts
-	freshShare   = 0.15    // of views that go to objects published in the last hours
-	freshLives   = 4 * 3600.0
-	nightAt      = 0.8  // of the day: the publication
-	nightLength  = 0.08 // of the day
-	nightObjects = 40
-	nightShare   = 0.5 // of the night's views
-	dayLength    = 86400.0
-	judgedFrom   = 0.4 // of the day: before, the disks fill
+	dayObjects          = 20000
+	dayExponent         = 0.8 // of Zipf's law: as request logs of videos show, under 1
+	minParts            = 11  // as the users' objects have
+	maxParts            = 19
+	partBytes           = 1 << 21 // the paper's chunk
+	continueProbability = 0.88    // that a view goes on to the next part
+	partPause           = 0.6     // s between a view's parts
+	freshShare          = 0.15    // of views that go to objects published in the last hours
+	freshLives          = 4 * 3600.0
+	nightAt             = 0.8  // of the day: the publication
+	nightLength         = 0.08 // of the day
+	nightObjects        = 40
+	nightShare          = 0.5 // of the night's views
+	dayLength           = 86400.0
+	measuredFrom        = 0.4 // of the day: before, the disks fill
 )
 
 type request struct {
@@ -40,8 +40,8 @@
 	size int64
 }
 
-// drawDay draws so many requests.
-func drawDay(seed uint64, n int) []request {
+// generateDay draws so many requests.
+func generateDay(seed uint64, n int) []request {
 	r := rand.New(rand.NewPCG(seed, 0xda7))
 	cum := make([]float64, dayObjects)
 	sum := 0.0
@@ -49,9 +49,9 @@
 		sum += math.Pow(float64(i+1), -dayExponent)
 		cum[i] = sum
 	}
-	parts := func(o uint64) int { return leastParts + int(o*2654435761>>7%uint64(mostParts-leastParts+1)) }
-	out := make([]request, 0, n+mostParts)
-	views := float64(n) * (1 - stayOdds) * 1.15 // a view has 1/(1-stay) parts at the most
+	parts := func(o uint64) int { return minParts + int(o*2654435761>>7%uint64(maxParts-minParts+1)) }
+	out := make([]request, 0, n+maxParts)
+	views := float64(n) * (1 - continueProbability) * 1.15 // a view has 1/(1-stay) parts at the most
 	for len(out) < n {
 		at := r.Float64() * dayLength
 		if wave := 0.6 + 0.4*math.Sin(2*math.Pi*(at/dayLength-0.4)); r.Float64() > wave {
@@ -76,7 +76,7 @@
 		for p := from; p < last; p++ {
 			out = append(out, request{at, eviction.Key{Object: o, Chunk: uint32(p)}, partBytes})
 			at += partPause * (0.6 + 0.8*r.Float64())
-			if r.Float64() > stayOdds {
+			if r.Float64() > continueProbability {
 				break
 			}
 		}
@@ -91,7 +91,7 @@
 	var asked, fill, pass float64
 	for _, q := range day {
 		c := p.Request(q.at, q.key, q.size)
-		if q.at < judgedFrom*dayLength {
+		if q.at < measuredFrom*dayLength {
 			continue
 		}
 		asked += float64(q.size)
@@ -110,21 +110,31 @@
 
 var admitAlphas = []float64{0.5, 1, 2, 4}
 
-var diskAdmit = Scenario{Name: "disk-admit", About: "What a disk should keep: the tier's choice against LRU and xLRU over a video-like day, by the paper's Eq. 2",
-	Run: func(ctx context.Context, s Setting, r *report.Report) error {
+var diskAdmitScenario = Scenario{
+	Name: "disk-admit",
+	Description: "What a disk should keep: the tier's choice against LRU and xLRU over a video-like day, by the " +
+		"paper's Eq. 2",
+	Run: func(ctx context.Context, options Options, r *report.Report) error {
 		n := 100_000
-		if s.Full {
+		if options.Full {
 			n = 1_000_000
 		}
-		day := drawDay(s.Seed, n)
+		day := generateDay(options.Seed, n)
 		distinct := map[eviction.Key]bool{}
 		for _, q := range day {
 			distinct[q.key] = true
 		}
 		all := float64(len(distinct)) * partBytes
 		r.Counts["requests"], r.Counts["parts"] = int64(len(day)), int64(len(distinct))
-		r.Steps = append(r.Steps, fmt.Sprintf("%d requests of one day for %d parts of 2 MiB; disks of 2%%, 5%% and 10%% of the bytes of all of them", len(day), len(distinct)),
-			fmt.Sprintf("judged from %.0f%% of the day on; a simulation of the choice alone, no disk is written", judgedFrom*100))
+		r.Steps = append(r.Steps, fmt.Sprintf(
+			"%d requests of one day for %d parts of 2 MiB; disks of 2%%, 5%% and 10%% of the bytes of all of them",
+			len(day),
+			len(distinct),
+		),
+			fmt.Sprintf(
+				"judged from %.0f%% of the day on; a simulation of the choice alone, no disk is written",
+				measuredFrom*100,
+			))
 		policies := []struct {
 			name string
 			make func(size int64, alpha float64) eviction.Policy
@@ -162,7 +172,7 @@
 		for f := range results {
 			f()
 			done++
-			s.Tell("%d of %d runs", done, len(policies)*len(admitSizes)*len(admitAlphas))
+			options.Progress("%d of %d runs", done, len(policies)*len(admitSizes)*len(admitAlphas))
 		}
 		if err := ctx.Err(); err != nil && len(got) < len(policies)*len(admitSizes)*len(admitAlphas) {
 			return err
@@ -180,7 +190,11 @@
 			}
 		}
 		for si, share := range admitSizes {
-			pl := report.Plot{Title: fmt.Sprintf("Efficiency with a disk of %g%% of all bytes", share*100), XLabel: "alpha (cost of a fill over that of a pass)", YLabel: "efficiency (Eq. 2)"}
+			pl := report.Plot{
+				Title:  fmt.Sprintf("Efficiency with a disk of %g%% of all bytes", share*100),
+				XLabel: "alpha (cost of a fill over that of a pass)",
+				YLabel: "efficiency (Eq. 2)",
+			}
 			for pi, p := range policies {
 				l := report.Line{Name: p.name}
 				for ai, alpha := range admitAlphas {
@@ -196,10 +210,22 @@
 			tierAt := func(ai int) [3]float64 { return got[cell{2, si, ai}] }
 			for ai, alpha := range admitAlphas {
 				if alpha >= 2 && tierAt(ai)[0] < got[cell{1, si, ai}][0] {
-					r.Broke("disk %g%%, alpha %g: the tier's choice has %.3f, xLRU %.3f", share*100, alpha, tierAt(ai)[0], got[cell{1, si, ai}][0])
+					r.Broke(
+						"disk %g%%, alpha %g: the tier's choice has %.3f, xLRU %.3f",
+						share*100,
+						alpha,
+						tierAt(ai)[0],
+						got[cell{1, si, ai}][0],
+					)
 				}
 				if alpha >= 1 && tierAt(ai)[0] < got[cell{0, si, ai}][0] {
-					r.Broke("disk %g%%, alpha %g: the tier's choice has %.3f, LRU %.3f", share*100, alpha, tierAt(ai)[0], got[cell{0, si, ai}][0])
+					r.Broke(
+						"disk %g%%, alpha %g: the tier's choice has %.3f, LRU %.3f",
+						share*100,
+						alpha,
+						tierAt(ai)[0],
+						got[cell{0, si, ai}][0],
+					)
 				}
 			}
 			if tierAt(3)[1] > tierAt(0)[1] {
@@ -213,11 +239,12 @@
 				needs = times
 				break
 			}
-			s.Tell("xLRU with %.2f times the disk", times)
+			options.Progress("xLRU with %.2f times the disk", times)
 		}
 		r.Figures["xlru_disk_for_the_same"] = needs
 		if math.IsNaN(needs) {
 			r.Figures["xlru_disk_for_the_same"] = 4.25 // more than was tried
 		}
 		return nil
-	}}
+	},
+}
--- a/internal/lab/hostile.go
+++ b/internal/lab/hostile.go
@@ -15,26 +15,29 @@
 	"cairnfront/routing"
 )
 
-// hugeLife is an incarnation that no honest peer has: a view in which it turns up took a forgery.
-const hugeLife = 1 << 60
+// forgedIncarnation is an incarnation that no honest peer has: a view in which it turns up took a forgery.
+const forgedIncarnation = 1 << 60
 
-// hostile is a peer with a key of the roster that does all the harm it can: it answers checks, so that it stays in, and charges
+// hostilePeer is a peer with a key of the roster that does all the harm it can: it answers checks, so that it stays in,
+// and charges
 // every peer, speaks ill of every member, forges others' words, replays what it heard, answers for the dead and floods.
-type hostile struct {
-	me      swim.MemberID
-	conn    *net.UDPConn
-	codec   *datagram.Codec
-	core    *swim.Core
-	members []string
-	to      []netip.AddrPort // the ways to the others
-	rnd     *rand.Rand
-	heard   [][]byte // datagrams and seals to replay
-	seals   [][]byte
-	count   map[string]int64
-	flood   atomic.Int64 // datagrams to be sent as fast as they go
+type hostilePeer struct {
+	id            swim.MemberID
+	conn          *net.UDPConn
+	codec         *datagram.Codec
+	core          *swim.Core
+	endpoints     []string
+	routes        []netip.AddrPort // the ways to the others
+	rnd           *rand.Rand
+	captured      [][]byte // datagrams and seals to replay
+	signedRecords [][]byte
+	counts        map[string]int64
+	flood         atomic.Int64 // datagrams to be sent as fast as they go
 }
 
-func newHostile(me int, key ed25519.PrivateKey, people []datagram.Identity, at *net.UDPConn, members []string, seed uint64) (*hostile, error) {
+func newHostilePeer(
+	me int, key ed25519.PrivateKey, people []datagram.Identity, at *net.UDPConn, members []string, seed uint64,
+) (*hostilePeer, error) {
 	codec, err := datagram.New(swim.MemberID(me), key, at.LocalAddr().String(), "nowhere", people)
 	if err != nil {
 		return nil, err
@@ -43,20 +46,27 @@
 	for _, p := range people {
 		marks = append(marks, swim.NameHash(p.Name))
 	}
-	h := &hostile{me: swim.MemberID(me), conn: at, codec: codec, members: members, rnd: rand.New(rand.NewPCG(seed, uint64(me))), count: map[string]int64{}}
-	h.core = swim.New(swim.Config{MaxByzantine: 1}, h.me, marks, seed, uint64(time.Now().UnixMilli()), seed, 0)
-	return h, nil
+	peer := &hostilePeer{
+		id:        swim.MemberID(me),
+		conn:      at,
+		codec:     codec,
+		endpoints: members,
+		rnd:       rand.New(rand.NewPCG(seed, uint64(me))),
+		counts:    map[string]int64{},
+	}
+	peer.core = swim.New(swim.Config{MaxByzantine: 1}, peer.id, marks, seed, uint64(time.Now().UnixMilli()), seed, 0)
+	return peer, nil
 }
 
 // run lies until the context ends.
-func (h *hostile) run(ctx context.Context) {
+func (peer *hostilePeer) run(ctx context.Context) {
 	began := time.Now()
 	now := func() float64 { return time.Since(began).Seconds() }
 	in := make(chan []byte, 1024)
 	go func() {
 		buf := make([]byte, datagram.MaxSize+1)
 		for {
-			size, _, err := h.conn.ReadFromUDPAddrPort(buf)
+			size, _, err := peer.conn.ReadFromUDPAddrPort(buf)
 			if err != nil {
 				if ctx.Err() != nil {
 					return
@@ -77,106 +87,155 @@
 		case <-ctx.Done():
 			return
 		case text := <-in:
-			if len(h.heard) < 500 {
-				h.heard = append(h.heard, text)
+			if len(peer.captured) < 500 {
+				peer.captured = append(peer.captured, text)
 			}
-			if d, err := h.codec.Decode(text, h.core.IsNewer); err == nil {
+			if d, err := peer.codec.Decode(text, peer.core.IsNewer); err == nil {
 				for _, c := range d.Message.Records {
-					h.seals = append(h.seals, c.Signed)
+					peer.signedRecords = append(peer.signedRecords, c.Signed)
 				}
-				h.carry(h.core.HandleMessage(now(), d.From, d.Message))
+				peer.perform(peer.core.HandleMessage(now(), d.From, d.Message))
 			}
 		case <-lies.C:
-			h.carry(h.core.Tick(now()))
+			peer.perform(peer.core.Tick(now()))
 			seq++
-			h.lie(seq)
+			peer.attack(seq)
 		}
 	}
 }
 
-// carry sends what its core wants, which keeps it in, but answers nobody who asks it to look for them.
-func (h *hostile) carry(acts []swim.Action) {
+// perform sends what its core wants, which keeps it in, but answers nobody who asks it to look for them.
+func (peer *hostilePeer) perform(acts []swim.Action) {
 	for _, a := range acts {
 		s, ok := a.(swim.Send)
 		if !ok || s.Kind == swim.IndirectAck || s.Kind == swim.Ack && s.Requester != s.To {
 			continue
 		}
-		h.send(s.To, s.Message, nil)
+		peer.send(s.To, s.Message, nil)
 	}
 }
 
-func (h *hostile) send(to swim.MemberID, m swim.Message, words [][]byte) {
-	if text, err := h.codec.Encode(h.core.SelfRecord().Incarnation.StartMillis, to, m, words); err == nil {
-		h.write(to, text)
+func (peer *hostilePeer) send(to swim.MemberID, m swim.Message, words [][]byte) {
+	if text, err := peer.codec.Encode(peer.core.SelfRecord().Incarnation.StartMillis, to, m, words); err == nil {
+		peer.write(to, text)
 	}
 }
 
-func (h *hostile) write(to swim.MemberID, text []byte) {
-	if int(to) < len(h.to) && h.to[to].IsValid() {
-		_, _ = h.conn.WriteToUDPAddrPort(text, h.to[to])
+func (peer *hostilePeer) write(to swim.MemberID, text []byte) {
+	if int(to) < len(peer.routes) && peer.routes[to].IsValid() {
+		_, _ = peer.conn.WriteToUDPAddrPort(text, peer.routes[to])
 	}
 }
 
-func (h *hostile) lie(seq uint32) {
-	to, of := swim.MemberID(h.rnd.IntN(len(h.to))), swim.MemberID(h.rnd.IntN(len(h.to)))
-	if to == h.me {
+func (peer *hostilePeer) attack(seq uint32) {
+	to, of := swim.MemberID(peer.rnd.IntN(len(peer.routes))), swim.MemberID(peer.rnd.IntN(len(peer.routes)))
+	if to == peer.id {
 		return
 	}
-	_, cl := h.core.Lookup(of)
+	_, cl := peer.core.Lookup(of)
 	switch seq % 6 {
 	case 0: // charges, and a table in which all have failed
-		m := swim.Message{Kind: swim.PushPullReply, ViewHash: h.rnd.Uint64()}
-		for p := range h.to {
-			_, cl := h.core.Lookup(swim.MemberID(p))
-			m.Accusations = append(m.Accusations, swim.Accusation{Accuser: h.me, Member: swim.MemberID(p), Incarnation: cl.Incarnation})
-			m.Entries = append(m.Entries, swim.PushPullEntry{Member: swim.MemberID(p), Incarnation: cl.Incarnation, State: swim.Failed})
+		m := swim.Message{Kind: swim.PushPullReply, ViewHash: peer.rnd.Uint64()}
+		for p := range peer.routes {
+			_, cl := peer.core.Lookup(swim.MemberID(p))
+			m.Accusations = append(
+				m.Accusations,
+				swim.Accusation{Accuser: peer.id, Member: swim.MemberID(p), Incarnation: cl.Incarnation},
+			)
+			m.Entries = append(
+				m.Entries,
+				swim.PushPullEntry{Member: swim.MemberID(p), Incarnation: cl.Incarnation, State: swim.Failed},
+			)
 		}
-		h.rnd.Shuffle(len(m.Accusations), func(i, j int) { m.Accusations[i], m.Accusations[j] = m.Accusations[j], m.Accusations[i] })
+		peer.rnd.Shuffle(
+			len(m.Accusations),
+			func(i, j int) { m.Accusations[i], m.Accusations[j] = m.Accusations[j], m.Accusations[i] },
+		)
 		m.Accusations = m.Accusations[:min(len(m.Accusations), 4)]
-		h.send(to, m, nil)
-		h.count["charges"] += int64(len(m.Accusations))
+		peer.send(to, m, nil)
+		peer.counts["charges"] += int64(len(m.Accusations))
 	case 1: // every member fails
 		var words [][]byte
 		for range 3 {
-			seal, err := h.codec.SignObservation(observation.Observation{Witness: h.me, WitnessStartMillis: h.core.SelfRecord().Incarnation.StartMillis, Sequence: seq*4 + uint32(len(words)),
-				Endpoint: routing.EndpointID(h.members[h.rnd.IntN(len(h.members))]), Health: observation.Failing, Zone: string(rune('a' + h.rnd.IntN(26)))})
+			seal, err := peer.codec.SignObservation(observation.Observation{
+				Witness:            peer.id,
+				WitnessStartMillis: peer.core.SelfRecord().Incarnation.StartMillis,
+				Sequence:           seq*4 + uint32(len(words)),
+				Endpoint:           routing.EndpointID(peer.endpoints[peer.rnd.IntN(len(peer.endpoints))]),
+				Health:             observation.Failing,
+				Zone:               string(rune('a' + peer.rnd.IntN(26))),
+			})
 			if err == nil {
 				words = append(words, seal)
 			}
 		}
-		h.send(to, swim.Message{Kind: swim.Push, ViewHash: h.core.ViewHash()}, words)
-		h.count["slanders"] += int64(len(words))
+		peer.send(to, swim.Message{Kind: swim.Push, ViewHash: peer.core.ViewHash()}, words)
+		peer.counts["slanders"] += int64(len(words))
 	case 2: // a claim and a charge in others' names: its own seal under them, and one of theirs with another life
 		var forged [][]byte
-		if len(h.seals) > 0 {
-			forged = append(forged, append([]byte(nil), h.seals[h.rnd.IntN(len(h.seals))]...))
-			forged[0][len(forged[0])-1-h.rnd.IntN(40)] ^= 1
+		if len(peer.signedRecords) > 0 {
+			forged = append(forged, append([]byte(nil), peer.signedRecords[peer.rnd.IntN(len(peer.signedRecords))]...))
+			forged[0][len(forged[0])-1-peer.rnd.IntN(40)] ^= 1
+		}
+		m := swim.Message{
+			Kind: swim.Push, ViewHash: peer.core.ViewHash(),
+			Records: []swim.MemberRecord{{
+				Member: of,
+				Signed: peer.codec.ForgeRecord(of, swim.Incarnation{StartMillis: forgedIncarnation}, swim.Alive),
+			}, {Member: of, Signed: peer.codec.ForgeRecord(of, swim.Incarnation{StartMillis: forgedIncarnation}, swim.Left)}},
 		}
-		m := swim.Message{Kind: swim.Push, ViewHash: h.core.ViewHash(),
-			Records: []swim.MemberRecord{{Member: of, Signed: h.codec.ForgeRecord(of, swim.Incarnation{StartMillis: hugeLife}, swim.Alive)}, {Member: of, Signed: h.codec.ForgeRecord(of, swim.Incarnation{StartMillis: hugeLife}, swim.Left)}}}
 		for _, f := range forged {
 			m.Records = append(m.Records, swim.MemberRecord{Member: of, Signed: f})
 		}
-		h.send(to, m, nil)
-		h.count["forgeries"] += int64(len(m.Records))
+		peer.send(to, m, nil)
+		peer.counts["forgeries"] += int64(len(m.Records))
 	case 3: // what it heard, to whom it came from and to others
-		if len(h.heard) > 0 {
-			h.write(to, h.heard[h.rnd.IntN(len(h.heard))])
-			h.count["replays"]++
+		if len(peer.captured) > 0 {
+			peer.write(to, peer.captured[peer.rnd.IntN(len(peer.captured))])
+			peer.counts["replays"]++
 		}
-		if len(h.seals) > 0 { // an old claim of somebody
-			h.send(to, swim.Message{Kind: swim.Push, ViewHash: h.core.ViewHash(), Records: []swim.MemberRecord{{Member: of, Signed: h.seals[h.rnd.IntN(len(h.seals))]}}}, nil)
+		if len(peer.signedRecords) > 0 { // an old claim of somebody
+			peer.send(
+				to,
+				swim.Message{
+					Kind:     swim.Push,
+					ViewHash: peer.core.ViewHash(),
+					Records:  []swim.MemberRecord{{Member: of, Signed: peer.signedRecords[peer.rnd.IntN(len(peer.signedRecords))]}},
+				},
+				nil,
+			)
 		}
 	case 4: // an answer for anybody, dead or not
-		h.send(to, swim.Message{Kind: swim.IndirectAck, Nonce: h.rnd.Uint64(), Requester: to, Target: of, Proof: make([]byte, ed25519.SignatureSize)}, nil)
-		h.count["false_answers"]++
+		peer.send(
+			to,
+			swim.Message{
+				Kind:      swim.IndirectAck,
+				Nonce:     peer.rnd.Uint64(),
+				Requester: to,
+				Target:    of,
+				Proof:     make([]byte, ed25519.SignatureSize),
+			},
+			nil,
+		)
+		peer.counts["false_answers"]++
 	case 5: // an own life far ahead
-		h.send(to, swim.Message{Kind: swim.Push, Records: []swim.MemberRecord{{Member: of, Incarnation: swim.Incarnation{StartMillis: cl.Incarnation.StartMillis, Refutations: 1 << 30}, Signed: cl.Signed}},
-			Accusations: []swim.Accusation{{Accuser: h.me, Member: of, Incarnation: swim.Incarnation{StartMillis: cl.Incarnation.StartMillis, Refutations: 1 << 30}}}}, nil)
+		peer.send(to, swim.Message{
+			Kind: swim.Push,
+			Records: []swim.MemberRecord{{
+				Member:      of,
+				Incarnation: swim.Incarnation{StartMillis: cl.Incarnation.StartMillis, Refutations: 1 << 30},
+				Signed:      cl.Signed,
+			}},
+			Accusations: []swim.Accusation{{
+				Accuser:     peer.id,
+				Member:      of,
+				Incarnation: swim.Incarnation{StartMillis: cl.Incarnation.StartMillis, Refutations: 1 << 30},
+			}},
+		}, nil)
 	}
-	for n := 0; n < 500 && h.flood.Load() > 0 && len(h.heard) > 0; n++ { // the rest at the next turn
-		h.flood.Add(-1)
-		h.write(to, h.heard[h.rnd.IntN(len(h.heard))])
-		h.count["flood"]++
+	for n := 0; n < 500 && peer.flood.Load() > 0 && len(peer.captured) > 0; n++ { // the rest at the next turn
+		peer.flood.Add(-1)
+		peer.write(to, peer.captured[peer.rnd.IntN(len(peer.captured))])
+		peer.counts["flood"]++
 	}
 }
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -14,51 +14,61 @@
 )
 
 // Setting is how a scenario is run.
-type Setting struct {
-	Seed    uint64
-	Full    bool
-	Program string // of the product, to be started
-	Folder  string // for what it writes; removed by who made it
-	Script  string // file of a fault script to be played instead of the scenario's own
-	Tell    func(form string, args ...any)
+type Options struct {
+	Seed      uint64
+	Full      bool
+	Program   string // of the product, to be started
+	Directory string // for what it writes; removed by who made it
+	Script    string // file of a fault script to be played instead of the scenario's own
+	Progress  func(form string, args ...any)
 }
 
 // Scenario is one.
 type Scenario struct {
-	Name, About string
-	Run         func(ctx context.Context, s Setting, r *report.Report) error
+	Name, Description string
+	Run               func(ctx context.Context, options Options, r *report.Report) error
 }
 
 // Scenarios are all there are, by name.
 func Scenarios() []Scenario {
-	list := []Scenario{addresses, brownout, demo, diskRestart, diskAdmit, peersCost, peersScenario, rumours, thinViews}
+	list := []Scenario{
+		addressesScenario,
+		brownoutScenario,
+		demoScenario,
+		diskRestartScenario,
+		diskAdmitScenario,
+		peersCostScenario,
+		peersScenario,
+		rumoursScenario,
+		thinViewsScenario,
+	}
 	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
 	return list
 }
 
 // Run runs a scenario. An error says that it could not be run; whether it held is in the report.
-func Run(ctx context.Context, name string, s Setting) (*report.Report, error) {
+func Run(ctx context.Context, name string, options Options) (*report.Report, error) {
 	scenarios := Scenarios()
 	at := slices.IndexFunc(scenarios, func(sc Scenario) bool { return sc.Name == name })
 	if at < 0 {
 		return nil, fmt.Errorf("there is no scenario %q; see 'lab list'", name)
 	}
-	folder, remove, err := scenarioFolder(s.Folder)
+	folder, remove, err := makeScenarioDirectory(options.Directory)
 	if err != nil {
 		return nil, fmt.Errorf("scenario %s: %w", name, err)
 	}
 	defer remove()
-	s.Folder = folder
-	if s.Tell == nil {
-		s.Tell = func(string, ...any) {}
+	options.Directory = folder
+	if options.Progress == nil {
+		options.Progress = func(string, ...any) {}
 	}
 	size := "small"
-	if s.Full {
+	if options.Full {
 		size = "full"
 	}
-	r := report.New(name, s.Seed, size)
+	r := report.New(name, options.Seed, size)
 	began := time.Now()
-	if err := scenarios[at].Run(ctx, s, r); err != nil {
+	if err := scenarios[at].Run(ctx, options, r); err != nil {
 		return nil, fmt.Errorf("scenario %s: %w", name, err)
 	}
 	r.Figures["took_s"] = time.Since(began).Seconds()
@@ -66,8 +76,9 @@
 	return r, nil
 }
 
-// scenarioFolder makes the folder that a scenario writes to. Without a name it is a temporary one, which remove deletes.
-func scenarioFolder(name string) (folder string, remove func(), err error) {
+// makeScenarioDirectory makes the folder that a scenario writes to. Without a name it is a temporary one, which remove
+// deletes.
+func makeScenarioDirectory(name string) (folder string, remove func(), err error) {
 	if name != "" {
 		if err := os.MkdirAll(name, 0o700); err != nil {
 			return "", nil, fmt.Errorf("make its folder: %w", err)
--- a/internal/lab/peers_test.go
+++ b/internal/lab/peers_test.go
@@ -16,26 +16,55 @@
 	"github.com/stretchr/testify/require"
 )
 
-// judgedFleet is twenty routers' logs as they are when all goes well under one kill and one cut, changed by a test.
-func judgedFleet(t *testing.T, change func(say func(router int, at float64, text string), x *peerFleet)) *report.Report {
+// verifiedFleet is twenty routers' logs as they are when all goes well under one kill and one cut, changed by a test.
+func verifiedFleet(
+	t *testing.T, change func(say func(router int, at float64, text string), x *routerFleet),
+) *report.Report {
 	dir := t.TempDir()
-	x, err := newTown(Setting{Seed: 3, Folder: dir}, 2)
+	cluster, err := newTestCluster(Options{Seed: 3, Directory: dir}, 2)
 	require.NoError(t, err)
-	f := &peerFleet{t: x, net: faultproxy.New(1, peersOf), began: time.Now().Truncate(time.Millisecond), made: time.Now(), script: faults.Script{Processes: peersOf, Duration: 30,
-		Faults: []faults.Fault{{Kind: faults.Kill, Start: 1, End: 8, From: []int{3}}, {Kind: faults.Cut, Start: 15, End: 20, From: []int{0}, BothWays: true}}}}
-	defer f.net.Close()
-	defer x.close(nil)
-	logs := make([]string, peersOf)
+	fleet := &routerFleet{
+		cluster:      cluster,
+		network:      faultproxy.New(1, fleetSize),
+		scriptStart:  time.Now().Truncate(time.Millisecond),
+		networkStart: time.Now(),
+		script: faults.Script{
+			Processes: fleetSize, Duration: 30,
+			Faults: []faults.Fault{{
+				Kind:  faults.Kill,
+				Start: 1,
+				End:   8,
+				From:  []int{3},
+			}, {
+				Kind:     faults.Cut,
+				Start:    15,
+				End:      20,
+				From:     []int{0},
+				BothWays: true,
+			}},
+		},
+	}
+	defer fleet.network.Close()
+	defer cluster.close(nil)
+	logs := make([]string, fleetSize)
 	say := func(router int, at float64, text string) {
-		logs[router] += fmt.Sprintf("time=%s level=INFO %s\n", f.began.Add(time.Duration(at*float64(time.Second))).Format(time.RFC3339Nano), text)
+		logs[router] += fmt.Sprintf(
+			"time=%s level=INFO %s\n",
+			fleet.scriptStart.Add(time.Duration(at*float64(time.Second))).Format(time.RFC3339Nano),
+			text,
+		)
 	}
-	for i := range peersOf {
-		f.names = append(f.names, fmt.Sprintf("n%d", i+1))
+	for i := range fleetSize {
+		fleet.names = append(fleet.names, fmt.Sprintf("n%d", i+1))
 	}
-	for i := range peersOf {
-		for o := range peersOf {
+	for i := range fleetSize {
+		for o := range fleetSize {
 			if o != i {
-				say(i, -2, fmt.Sprintf("msg=peer code=alive peer=%s from=unknown why=\"its newer claim\" life=5 beat=0", f.names[o]))
+				say(
+					i,
+					-2,
+					fmt.Sprintf("msg=peer code=alive peer=%s from=unknown why=\"its newer claim\" life=5 beat=0", fleet.names[o]),
+				)
 			}
 		}
 		say(i, -1, "msg=standing code=whole from=alone epoch=2")
@@ -44,21 +73,27 @@
 			say(i, 8.5, "msg=peer code=alive peer=n4 from=failed why=x life=6 beat=0")
 		}
 	}
-	box := &place{id: "s-00000001"}
-	f.boxes = []*place{box}
+	box := &clusterEndpoint{id: "s-00000001"}
+	fleet.edgeCaches = []*clusterEndpoint{box}
 	for at := 0.5; at < 30; at++ {
-		x.asks = append(x.asks, saw{unix(f.began) + at, box.id, cacheproto.Command{}})
+		cluster.requests = append(
+			cluster.requests,
+			requestRecord{unixSeconds(fleet.scriptStart) + at, box.id, cacheproto.Command{}},
+		)
 	}
-	change(say, f)
+	change(say, fleet)
 	for i, text := range logs {
-		path := filepath.Join(dir, f.names[i]+".log")
+		path := filepath.Join(dir, fleet.names[i]+".log")
 		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
 		file, err := os.Open(path)
 		require.NoError(t, err)
-		f.procs = append(f.procs, &process{router: &router{name: f.names[i], log: file}, index: i})
+		fleet.routers = append(
+			fleet.routers,
+			&fleetRouter{routerProcess: &routerProcess{name: fleet.names[i], log: file}, index: i},
+		)
 	}
 	r := &report.Report{Counts: map[string]int64{}, Figures: map[string]float64{}}
-	require.NoError(t, f.judge(r))
+	require.NoError(t, fleet.verify(r))
 	return r
 }
 
@@ -66,34 +101,42 @@
 func TestPeerChecksSeeWhatIsBroken(t *testing.T) {
 	type say = func(int, float64, string)
 	for name, c := range map[string]struct {
-		change func(say, *peerFleet)
+		change func(say, *routerFleet)
 		want   string
 	}{
-		"all well":               {func(say, *peerFleet) {}, ""},
-		"a healthy peer dropped": {func(s say, _ *peerFleet) { s(5, 12, "msg=peer code=failed peer=n8 from=suspect life=5 beat=0") }, "n6 dropped n8 at 12.00 s, which ran"},
-		"a drop that the cut explains": {func(s say, _ *peerFleet) {
+		"all well": {func(say, *routerFleet) {}, ""},
+		"a healthy peer dropped": {func(s say, _ *routerFleet) {
+			s(5, 12, "msg=peer code=failed peer=n8 from=suspect life=5 beat=0")
+		}, "n6 dropped n8 at 12.00 s, which ran"},
+		"a drop that the cut explains": {func(s say, _ *routerFleet) {
 			s(5, 17, "msg=peer code=failed peer=n1 from=suspect life=5 beat=0")
 			s(5, 20.5, "msg=peer code=alive peer=n1 from=failed life=5 beat=1")
 		}, ""},
-		"never found out": {func(_ say, f *peerFleet) { f.script.Faults[0].From = []int{9} }, "n1 never dropped n10, killed at 1.0 s"},
-		"a forgery taken": {func(s say, _ *peerFleet) {
-			s(2, 12, fmt.Sprintf("msg=peer code=alive peer=n8 from=suspect life=%d beat=0", uint64(hugeLife)))
+		"never found out": {func(_ say, fleet *routerFleet) {
+			fleet.script.Faults[0].From = []int{9}
+		}, "n1 never dropped n10, killed at 1.0 s"},
+		"a forgery taken": {func(s say, _ *routerFleet) {
+			s(2, 12, fmt.Sprintf("msg=peer code=alive peer=n8 from=suspect life=%d beat=0", uint64(forgedIncarnation)))
 		}, "n3 took a forged life of n8"},
-		"no agreement after a cut": {func(s say, _ *peerFleet) { s(5, 17, "msg=peer code=failed peer=n1 from=suspect life=5 beat=0") }, "not all agreed"},
-		"a panic":                  {func(s say, _ *peerFleet) { s(5, 17, "msg=panic where=peers") }, "a panic"},
-		"a healthy box left out":   {func(_ say, f *peerFleet) { f.t.asks = f.t.asks[:12] }, "box s-00000001 was asked nothing from 12.5 to 15.0 s"},
+		"no agreement after a cut": {func(s say, _ *routerFleet) {
+			s(5, 17, "msg=peer code=failed peer=n1 from=suspect life=5 beat=0")
+		}, "not all agreed"},
+		"a panic": {func(s say, _ *routerFleet) { s(5, 17, "msg=panic where=peers") }, "a panic"},
+		"a healthy box left out": {func(_ say, fleet *routerFleet) {
+			fleet.cluster.requests = fleet.cluster.requests[:12]
+		}, "box s-00000001 was asked nothing from 12.5 to 15.0 s"},
 	} {
-		r := judgedFleet(t, c.change)
+		r := verifiedFleet(t, c.change)
 		if c.want == "" {
 			assert.Empty(t, r.Broken, name)
 		} else {
 			assert.Contains(t, fmt.Sprint(r.Broken), c.want, name)
 		}
 	}
-	r := judgedFleet(t, func(say, *peerFleet) {})
+	r := verifiedFleet(t, func(say, *routerFleet) {})
 	assert.InDelta(t, 3-1, r.Figures["detect_p50_s"], 0.01)
 }
 
 func TestLogLinesAreRead(t *testing.T) {
-	assert.Equal(t, map[string]string{"time": "x", "msg": "a b", "code": "c"}, fields(`time=x msg="a b" code=c`))
+	assert.Equal(t, map[string]string{"time": "x", "msg": "a b", "code": "c"}, logFields(`time=x msg="a b" code=c`))
 }
--- a/internal/lab/rumours.go
+++ b/internal/lab/rumours.go
@@ -12,19 +12,25 @@
 
 // Bounds of the scenario, at sixty routers.
 const (
-	talking     = 60
-	lessSpent   = 0.8   // of the hops that a bad box fails without rumours
-	sameService = 0.005 // of the share in time, that rumours or liars may take
+	rumourRouters         = 60
+	maxFailedAttemptShare = 0.8   // of the attempts that a bad edge cache fails without rumours
+	maxOnTimeLoss         = 0.005 // of the share in time, that rumours or liars may take
 )
 
-var rumours = Scenario{Name: "rumours", About: "Sixty routers that each see little, one box that fails all it is sent: with words between routers, without, and with liars among them",
-	Run: func(ctx context.Context, s Setting, r *report.Report) error {
+var rumoursScenario = Scenario{
+	Name: "rumours",
+	Description: "Sixty routers that each see little, one box that fails all it is sent: with words between " +
+		"routers, without, and with liars among them",
+	Run: func(ctx context.Context, options Options, r *report.Report) error {
 		ways := []struct {
 			name string
 			talk simrouting.Gossip
-		}{{"without", simrouting.Gossip{}}, {"with", simrouting.Gossip{Enabled: true, FaultyRouters: 1}}, {"with_liars", simrouting.Gossip{Enabled: true, FaultyRouters: 3}}}
+		}{{"without", simrouting.Gossip{}}, {"with", simrouting.Gossip{
+			Enabled:       true,
+			FaultyRouters: 1,
+		}}, {"with_liars", simrouting.Gossip{Enabled: true, FaultyRouters: 3}}}
 		seeds := 2
-		if s.Full {
+		if options.Full {
 			seeds = 12
 		}
 		played := make([]*simrouting.Result, len(ways)*seeds)
@@ -33,7 +39,12 @@
 		for i := range played {
 			g.Go(func() (err error) {
 				if err = ctx.Err(); err == nil {
-					played[i], err = simrouting.RunWithGossip(s.Seed+uint64(i%seeds), talking, simrouting.FailingCache, ways[i/seeds].talk)
+					played[i], err = simrouting.RunWithGossip(
+						options.Seed+uint64(i%seeds),
+						rumourRouters,
+						simrouting.FailingCache,
+						ways[i/seeds].talk,
+					)
 				}
 				return err
 			})
@@ -41,11 +52,15 @@
 		if err := g.Wait(); err != nil {
 			return err
 		}
-		seconds := report.Plot{Title: "Share of txns in time, second by second (first seed)", XLabel: "s", YLabel: "share",
+		seconds := report.Plot{
+			Title:  "Share of txns in time, second by second (first seed)",
+			XLabel: "s",
+			YLabel: "share",
 			Marks: []report.Mark{
 				{At: simrouting.Phases[1].From, Name: "bad box"},
 				{At: simrouting.Phases[1].To, Name: "well"},
-			}}
+			},
+		}
 		for w, way := range ways {
 			l := report.Line{Name: way.name}
 			for at, share := range played[w*seeds].OnTimePerSecond {
@@ -71,17 +86,25 @@
 		}
 		r.Simulated = true
 		r.Plots = append(r.Plots, seconds)
-		r.Steps = append(r.Steps, fmt.Sprintf("%d routers of the module over 12 caches on virtual time, %d seeds; one cache fails all it is sent from %.0f to %.0f s", talking, seeds, simrouting.Phases[1].From, simrouting.Phases[1].To),
+		r.Steps = append(r.Steps, fmt.Sprintf(
+			"%d routers of the module over 12 caches on virtual time, %d seeds; one cache fails all it is "+
+				"sent from %.0f to %.0f s",
+			rumourRouters,
+			seeds,
+			simrouting.Phases[1].From,
+			simrouting.Phases[1].To,
+		),
 			"with_liars: three routers say of every member, each second, that it fails")
-		if a, b := r.Figures["bad_hops.with"], r.Figures["bad_hops.without"]; a > lessSpent*b {
+		if a, b := r.Figures["bad_hops.with"], r.Figures["bad_hops.without"]; a > maxFailedAttemptShare*b {
 			r.Broke("%.0f hops failed at the bad box with rumours, %.0f without", a, b)
 		}
 		for _, w := range []string{"with", "with_liars"} {
 			for _, p := range simrouting.Phases {
-				if a, b := r.Figures["in_time."+w+"."+p.Name], r.Figures["in_time.without."+p.Name]; a < b-sameService {
+				if a, b := r.Figures["in_time."+w+"."+p.Name], r.Figures["in_time.without."+p.Name]; a < b-maxOnTimeLoss {
 					r.Broke("%s, %s: %.4f in time, %.4f without rumours", w, p.Name, a, b)
 				}
 			}
 		}
 		return nil
-	}}
+	},
+}
