--- /dev/null
+++ b/internal/edgecache/conn.go
@@ -0,0 +1,206 @@
+package edgecache
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"cairnfront/internal/cacheproto"
+	"cairnfront/internal/diskcache/eviction"
+	"cairnfront/internal/netconn"
+)
+
+// acceptRetryPause is the pause after a failed accept.
+const acceptRetryPause = 10 * time.Millisecond
+
+// clientConn is a client's connection: that of a router or of another cache.
+type clientConn struct {
+	conn *netconn.Conn
+
+	// Owned by the event loop.
+	requests map[string]*openRequest // by the client's id
+	gone     bool
+
+	mu    sync.Mutex
+	queue []outgoing
+	wake  chan struct{}
+}
+
+// outgoing is a response that waits for the writer.
+type outgoing struct {
+	head []byte
+	body []byte
+}
+
+// accept takes connections until the listener is closed.
+func (s *Server) accept(ctx context.Context, ln net.Listener, clients *sync.WaitGroup) {
+	for {
+		raw, err := ln.Accept()
+		if err != nil {
+			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return
+			}
+			s.Telemetry.Log.Warn("accept", "err", err.Error())
+			time.Sleep(acceptRetryPause)
+			continue
+		}
+		if s.connections.Add(1) > int64(s.Config.MaxConnections) {
+			s.connections.Add(-1)
+			s.Telemetry.Add("conn.asker.turned-away", 1)
+			_ = raw.Close()
+			continue
+		}
+		s.Telemetry.ConnectionOpened("asker")
+		clients.Go(func() {
+			defer s.connections.Add(-1)
+			s.serveConn(ctx, raw)
+		})
+	}
+}
+
+// serveConn reads and writes one connection until it ends.
+func (s *Server) serveConn(ctx context.Context, raw net.Conn) {
+	c := &clientConn{
+		conn:     netconn.New(raw, ringBytes, clientStallTimeout),
+		requests: map[string]*openRequest{},
+		wake:     make(chan struct{}, 1),
+	}
+	remote := c.conn.RemoteAddr()
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(ctx, func() { c.conn.Close(netconn.Shutdown, nil) })
+	var both sync.WaitGroup
+	run := func(f func() (netconn.EndCode, error)) {
+		both.Go(func() {
+			defer cancel()
+			defer func() {
+				if cause := recover(); cause != nil {
+					s.logPanic("asker", cause)
+					c.conn.Close(netconn.Panic, nil)
+				}
+			}()
+			c.conn.Close(f())
+		})
+	}
+	run(func() (netconn.EndCode, error) { return s.readCommands(ctx, c) })
+	run(func() (netconn.EndCode, error) { return c.writeResponses(ctx) })
+	both.Wait()
+	stop()
+	s.post(clientGone{c})
+	c.conn.LogEnd(s.Telemetry, "asker", remote)
+}
+
+// readCommands reads a connection's commands and returns why it ended.
+func (s *Server) readCommands(ctx context.Context, c *clientConn) (netconn.EndCode, error) {
+	idleTimeout := s.Config.IdleTimeout.Duration()
+	for {
+		c.conn.SetReadDeadline(time.Now().Add(idleTimeout))
+		line, err := c.conn.ReadLine()
+		if err != nil {
+			if code := netconn.ClassifyError(err); code != netconn.SlowReader {
+				return code, err
+			}
+			return netconn.IdleTimeout, nil
+		}
+		command, err := cacheproto.ParseCommand(line)
+		if err != nil {
+			return netconn.ProtocolError, err
+		}
+		switch command.Kind {
+		case cacheproto.CommandCancel:
+			s.post(requestCancelled{c, command.ID})
+		case cacheproto.CommandProbe, cacheproto.CommandProbeLoad:
+			s.post(probeReceived{c, command.ID, command.Kind == cacheproto.CommandProbeLoad})
+		default:
+			if code, err := s.readRequest(ctx, c, command); err != nil {
+				return code, err
+			}
+		}
+	}
+}
+
+var errNoLineEnd = errors.New("no line end after a body")
+
+// readRequest reads a request's body and posts the request. After an error the connection ends with the code.
+func (s *Server) readRequest(
+	ctx context.Context, c *clientConn, command cacheproto.Command,
+) (code netconn.EndCode, err error) {
+	r := &openRequest{
+		conn:    c,
+		command: command,
+		key:     eviction.Key{Object: command.ObjectID, Chunk: command.PartNumber},
+	}
+	if command.BodyBytes > 0 {
+		if r.body, err = s.pool.Admission.Bodies.Allocate(ctx, command.BodyBytes); err != nil {
+			return netconn.Shutdown, err
+		}
+		err = c.conn.ReadFull(r.body.Bytes)
+	}
+	var end [len(cacheproto.LineEnd)]byte
+	if err == nil {
+		err = c.conn.ReadFull(end[:])
+	}
+	if err != nil {
+		r.body.Free()
+		return netconn.ClassifyError(err), err
+	}
+	if string(end[:]) != cacheproto.LineEnd {
+		r.body.Free()
+		return netconn.ProtocolError, errNoLineEnd
+	}
+	s.post(requestReceived{r})
+	return code, nil
+}
+
+// send hands a response to the connection's writer. At most as many wait as requests may be open.
+func (c *clientConn) send(response outgoing) {
+	c.mu.Lock()
+	c.queue = append(c.queue, response)
+	c.mu.Unlock()
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (c *clientConn) takeQueue() []outgoing {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	batch := c.queue
+	c.queue = nil
+	return batch
+}
+
+// writeResponses writes a connection's responses and returns why it ended.
+func (c *clientConn) writeResponses(ctx context.Context) (netconn.EndCode, error) {
+	for {
+		batch := c.takeQueue()
+		if len(batch) == 0 {
+			if err := c.conn.Flush(); err != nil {
+				return netconn.ClassifyError(err), err
+			}
+			select {
+			case <-ctx.Done():
+				return netconn.Shutdown, ctx.Err()
+			case <-c.wake:
+			}
+			continue
+		}
+		for _, response := range batch {
+			if err := c.write(response); err != nil {
+				return netconn.ClassifyError(err), err
+			}
+		}
+	}
+}
+
+func (c *clientConn) write(response outgoing) error {
+	if err := c.conn.Write(response.head); err != nil {
+		return err
+	}
+	if err := c.conn.Write(response.body); err != nil {
+		return err
+	}
+	return c.conn.Write([]byte(cacheproto.LineEnd))
+}
--- /dev/null
+++ b/internal/edgecache/discovery.go
@@ -0,0 +1,129 @@
+package edgecache
+
+import (
+	"strconv"
+	"sync"
+	"time"
+
+	"cairnfront/internal/discovery"
+	"cairnfront/internal/diskcache/eviction"
+	"cairnfront/internal/diskcache/validity"
+)
+
+// validityTracker evaluates copies: the disk cache, or a memoryTracker without a disk.
+type validityTracker interface {
+	Evaluate(validity.Copy) validity.Verdict
+	Epoch() uint16
+	ResumeAfter() uint64
+	Position() (number uint64, continuous bool)
+	StreamOpened()
+	Apply(validity.Event) (reconnect bool)
+}
+
+// Evaluate implements handler.Environment.
+func (s *Server) Evaluate(c validity.Copy) validity.Verdict { return s.validity.Evaluate(c) }
+
+// Epoch implements handler.Environment.
+func (s *Server) Epoch() uint16 { return s.validity.Epoch() }
+
+// OnDisk implements handler.Environment.
+func (s *Server) OnDisk(key eviction.Key) bool { return s.Disk != nil && s.Disk.Contains(key) }
+
+// startRevision returns the revision after which events are requested. At a start it is 0, for all: the endpoint list
+// is not stored. Later it makes the last event applied come once more.
+func (s *Server) startRevision() uint64 {
+	s.validity.StreamOpened()
+	if s.needFullListing.Load() {
+		return 0
+	}
+	return s.validity.ResumeAfter()
+}
+
+// handleDiscoveryEvent applies an event's endpoints and purge.
+func (s *Server) handleDiscoveryEvent(ev discovery.Event) error {
+	if len(ev.Endpoints) > 0 {
+		s.post(endpointsChanged{ev})
+	}
+	heartbeat := ev.Kind == discovery.Heartbeat
+	if heartbeat {
+		s.needFullListing.Store(false)
+	}
+	if number, continuous := s.validity.Position(); !continuous && !heartbeat && ev.Revision < number {
+		return nil // applied before the start; only its endpoints were wanted
+	}
+	event := validityEvent(ev)
+	if s.validity.Apply(event) {
+		s.Telemetry.Add("box.board-anew", 1)
+		s.Telemetry.Log.Warn("box", "code", "board-anew", "event", ev.Revision)
+		return discovery.ErrRevisionGap
+	}
+	if event.Purge {
+		s.Telemetry.Add("box.purges", 1)
+	}
+	return nil
+}
+
+func validityEvent(ev discovery.Event) validity.Event {
+	event := validity.Event{
+		Number:     ev.Revision,
+		Checksum:   ev.Checksum,
+		Heartbeat:  ev.Kind == discovery.Heartbeat,
+		Purge:      ev.IsPurge(),
+		WholeGroup: ev.Kind == discovery.PurgeGroup,
+		Group:      uint16(ev.Purge.Group),
+		PurgedAt:   int64(ev.Purge.PurgedAt*msPerSecond + 0.5),
+	}
+	if event.Purge && !event.WholeGroup {
+		event.Object, _ = strconv.ParseUint(ev.Purge.Object, 16, 64)
+	}
+	return event
+}
+
+// memoryTracker is a validity tracker without a disk. It is safe for concurrent use.
+type memoryTracker struct {
+	mu      sync.Mutex
+	tracker *validity.Tracker
+	now     func() time.Time
+}
+
+func newMemoryTracker(now func() time.Time) *memoryTracker {
+	return &memoryTracker{tracker: validity.NewTracker(0), now: now}
+}
+
+func (m *memoryTracker) Evaluate(c validity.Copy) validity.Verdict {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.tracker.Evaluate(m.now().UnixMilli(), c)
+}
+
+func (m *memoryTracker) Epoch() uint16 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.tracker.Epoch()
+}
+
+func (m *memoryTracker) ResumeAfter() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.tracker.ResumeAfter()
+}
+
+func (m *memoryTracker) Position() (number uint64, continuous bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.tracker.Position()
+}
+
+func (m *memoryTracker) StreamOpened() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.tracker.StreamOpened()
+}
+
+func (m *memoryTracker) Apply(event validity.Event) (reconnect bool) {
+	const anyCopy = 1 // memory may hold copies, so that missed purges count
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, reconnect = m.tracker.Apply(m.now().UnixMilli(), anyCopy, event)
+	return reconnect
+}
--- /dev/null
+++ b/internal/edgecache/loop.go
@@ -0,0 +1,163 @@
+package edgecache
+
+import (
+	"context"
+	"fmt"
+	"runtime/debug"
+	"strconv"
+	"time"
+
+	"cairnfront/internal/cacheproto"
+	"cairnfront/internal/discovery"
+	"cairnfront/internal/diskcache/eviction"
+	"cairnfront/internal/edgecache/handler"
+	"cairnfront/internal/upstream"
+)
+
+// event is what the event loop takes. The types below are all of them.
+type event interface{ edgeCacheEvent() }
+
+type (
+	// requestReceived is a request with its whole body.
+	requestReceived struct{ request *openRequest }
+	// requestCancelled is a client's cancel of a request.
+	requestCancelled struct {
+		conn *clientConn
+		id   string
+	}
+	// clientGone is the end of a client's connection.
+	clientGone struct{ conn *clientConn }
+	// probeReceived is a client's health probe.
+	probeReceived struct {
+		conn     *clientConn
+		id       string
+		withLoad bool
+	}
+	// workDone says that the modelled cores have done a request's work.
+	workDone struct{ request *openRequest }
+	// responseDue says that the modelled link has transmitted a response.
+	responseDue struct {
+		request *openRequest
+		reply   cacheproto.AttemptReply
+		body    []byte
+	}
+	// diskReadDone is the result of a disk read, nil for none.
+	diskReadDone struct {
+		key  eviction.Key
+		copy *handler.Copy
+	}
+	// fetchNotSent says that a fetch could not be sent.
+	fetchNotSent struct{ fill uint64 }
+	// endpointsChanged is an event of the discovery service with endpoints.
+	endpointsChanged struct{ event discovery.Event }
+	// upstreamEvent is an event of the pool.
+	upstreamEvent struct{ event upstream.Event }
+	// openRequestsQuery asks for the number of open requests.
+	openRequestsQuery struct{ reply chan int }
+)
+
+func (requestReceived) edgeCacheEvent()   {}
+func (requestCancelled) edgeCacheEvent()  {}
+func (clientGone) edgeCacheEvent()        {}
+func (probeReceived) edgeCacheEvent()     {}
+func (workDone) edgeCacheEvent()          {}
+func (responseDue) edgeCacheEvent()       {}
+func (diskReadDone) edgeCacheEvent()      {}
+func (fetchNotSent) edgeCacheEvent()      {}
+func (endpointsChanged) edgeCacheEvent()  {}
+func (upstreamEvent) edgeCacheEvent()     {}
+func (openRequestsQuery) edgeCacheEvent() {}
+
+// post queues an event; after the end of the loop it is dropped.
+func (s *Server) post(ev event) {
+	select {
+	case s.events <- ev:
+	case <-s.loopDone:
+	}
+}
+
+// handleAt handles an event at a time in Unix seconds, at once if that has passed.
+func (s *Server) handleAt(at float64, ev event) {
+	if wait := at - unixSeconds(s.now()); wait > 0 {
+		time.AfterFunc(time.Duration(wait*float64(time.Second)), func() { s.post(ev) })
+		return
+	}
+	s.handle(ev)
+}
+
+// loop owns the handler, the pool and the open requests.
+func (s *Server) loop(ctx context.Context) error {
+	defer close(s.loopDone)
+	tick, sweep := time.NewTicker(tickInterval), time.NewTicker(idleSweepInterval)
+	defer tick.Stop()
+	defer sweep.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case ev := <-s.events:
+			s.recovering(func() { s.handle(ev) })
+		case <-tick.C:
+			s.recovering(func() { s.perform(s.handler.HandleTick(unixSeconds(s.now()))) })
+		case <-sweep.C:
+			s.recovering(func() { s.pool.CloseIdle(s.now()) })
+		}
+	}
+}
+
+// recovering calls f and logs a panic.
+func (s *Server) recovering(f func()) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			s.logPanic("box", cause)
+		}
+	}()
+	f()
+}
+
+func (s *Server) logPanic(where string, cause any) {
+	s.Telemetry.Add("panics", 1)
+	s.Telemetry.Log.Error("panic", "where", where, "what", fmt.Sprint(cause), "stack", string(debug.Stack()))
+}
+
+func (s *Server) handle(ev event) {
+	now := unixSeconds(s.now())
+	switch ev := ev.(type) {
+	case requestReceived:
+		s.handleRequest(now, ev.request)
+	case requestCancelled:
+		if r := ev.conn.requests[ev.id]; r != nil {
+			s.cancel(now, r)
+		}
+	case clientGone:
+		ev.conn.gone = true
+		for _, r := range ev.conn.requests {
+			s.cancel(now, r)
+		}
+	case probeReceived:
+		ev.conn.send(outgoing{head: cacheproto.AppendProbeReply(nil, ev.id, true, s.loadReport(now, ev.withLoad))})
+	case workDone:
+		s.dispatch(ev.request)
+	case responseDue:
+		s.transmit(ev)
+	case diskReadDone:
+		s.perform(s.handler.HandleDiskRead(now, ev.key, ev.copy))
+	case fetchNotSent:
+		s.handleFetchNotSent(now, ev.fill)
+	case endpointsChanged:
+		s.pool.UpdateEndpoints(ev.event.Kind == discovery.Snapshot, ev.event.Endpoints)
+	case upstreamEvent:
+		s.handleUpstream(now, ev.event)
+	case openRequestsQuery:
+		ev.reply <- len(s.requests)
+	}
+}
+
+// loadReport is the load that a probe reports, empty if it did not ask for it.
+func (s *Server) loadReport(now float64, wanted bool) string {
+	if !wanted {
+		return ""
+	}
+	utilization := strconv.FormatFloat(s.capacity.Utilization(now), 'f', 3, 64)
+	return "inflight:" + strconv.Itoa(len(s.requests)) + ";util:" + utilization
+}
--- /dev/null
+++ b/internal/edgecache/origin.go
@@ -0,0 +1,47 @@
+package edgecache
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"cairnfront/internal/cacheproto"
+	"cairnfront/internal/diskcache/eviction"
+	"cairnfront/internal/diskcache/validity"
+)
+
+// Origin provides content and executes requests that are not cacheable.
+type Origin interface {
+	// Get returns the current copy of a chunk; ok is false if there is none.
+	Get(key eviction.Key) (tag string, group uint16, body []byte, ok bool)
+	// Execute executes a request. One with an idempotency key that was executed before succeeds without executing
+	// again.
+	Execute(id, class, idempotencyKey string, key eviction.Key, effect string) error
+}
+
+// DirOrigin serves the files OBJECT/CHUNK of a directory. A tag consists of the file's size and modification time. It
+// executes no requests.
+type DirOrigin string
+
+// Get implements Origin.
+func (d DirOrigin) Get(key eviction.Key) (tag string, group uint16, body []byte, ok bool) {
+	path := filepath.Join(string(d), fmt.Sprintf("%016x", key.Object), fmt.Sprint(key.Chunk))
+	info, err := os.Stat(path)
+	if err != nil || info.Size() > cacheproto.MaxObjectBytes {
+		return "", 0, nil, false
+	}
+	body, err = os.ReadFile(path)
+	if err != nil {
+		return "", 0, nil, false
+	}
+	tag = fmt.Sprintf("%x-%x", info.Size(), info.ModTime().UnixNano())
+	return tag, validity.UnknownGroup, body, true
+}
+
+var errReadOnlyOrigin = errors.New("this origin runs no writes")
+
+// Execute implements Origin.
+func (d DirOrigin) Execute(string, string, string, eviction.Key, string) error {
+	return errReadOnlyOrigin
+}
--- /dev/null
+++ b/internal/edgecache/perform.go
@@ -0,0 +1,195 @@
+package edgecache
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+
+	"cairnfront/internal/cacheproto"
+	"cairnfront/internal/diskcache"
+	"cairnfront/internal/diskcache/eviction"
+	"cairnfront/internal/diskcache/validity"
+	"cairnfront/internal/edgecache/handler"
+	"cairnfront/internal/request"
+	"cairnfront/internal/upstream"
+	"cairnfront/routing"
+)
+
+// perform carries out the handler's actions. Some call the handler again, which reuses the slice.
+func (s *Server) perform(actions []handler.Action) {
+	for _, action := range slices.Clone(actions) {
+		switch a := action.(type) {
+		case handler.Respond:
+			s.respondWith(a)
+		case handler.ReadDisk:
+			go s.readDisk(a.Key) // bounded by the open requests; the disk cache bounds the wait
+		case handler.Fetch:
+			s.fetch(a)
+		case handler.CancelFetch:
+			s.cancelFetch(a.Fill)
+		default:
+			s.performOnDisk(action)
+		}
+	}
+}
+
+// performOnDisk carries out an action on the disk cache.
+func (s *Server) performOnDisk(action handler.Action) {
+	if a, ok := action.(handler.ConfirmOnDisk); ok {
+		if s.Disk != nil {
+			s.Disk.Confirm(a.Key, a.Seq, a.Epoch)
+		}
+		s.Telemetry.Add("box.confirmed", 1)
+		return
+	}
+	if s.Disk == nil {
+		return
+	}
+	switch a := action.(type) {
+	case handler.WriteDisk:
+		if a.Copy.Tag != "" {
+			s.Disk.Admit(diskMeta(a.Copy), a.Copy.Body, a.Epoch)
+		}
+	case handler.TouchDisk:
+		if a.Copy.Tag != "" {
+			s.Disk.Touch(diskMeta(a.Copy), a.Copy.Body, a.Copy.ConfirmedEpoch)
+		}
+	case handler.DeleteFromDisk:
+		s.Disk.Delete(a.Key)
+	}
+}
+
+func diskMeta(c *handler.Copy) diskcache.Meta {
+	return diskcache.Meta{
+		Key:      c.Key,
+		Group:    c.Group,
+		Rank:     uint8(c.Rank),
+		IssuedAt: c.IssuedAt,
+		Tag:      c.Tag,
+	}
+}
+
+func (s *Server) respondWith(a handler.Respond) {
+	r := s.requests[a.Request]
+	if r == nil {
+		return
+	}
+	reply := cacheproto.AttemptReply{
+		Result:      a.Code,
+		Detail:      a.Remark,
+		NotModified: a.NotModified,
+		PurgeGroup:  cacheproto.UnknownPurgeGroup,
+	}
+	var body []byte
+	if c := a.Copy; c != nil {
+		reply.ETag, reply.OriginUnixMillis, reply.PurgeGroup = c.Tag, c.IssuedAt, int(c.Group)
+		if !a.NotModified {
+			body = c.Body
+		}
+	}
+	s.respond(r, reply, body)
+}
+
+// readDisk reads a chunk from the disk and posts the result.
+func (s *Server) readDisk(key eviction.Key) {
+	chunk, verdict, err := s.Disk.Get(key)
+	if err != nil || verdict == validity.Invalidated {
+		s.post(diskReadDone{key, nil})
+		return
+	}
+	s.post(diskReadDone{key, &handler.Copy{
+		Key:            key,
+		Tag:            chunk.Tag,
+		IssuedAt:       chunk.IssuedAt,
+		Group:          chunk.Group,
+		Rank:           int(chunk.Rank),
+		Seq:            chunk.Seq,
+		ConfirmedEpoch: chunk.ConfirmedEpoch,
+		Body:           chunk.Body,
+	}})
+}
+
+// fillOwner is the number of a fill, as the owner of its attempt.
+type fillOwner uint64
+
+// OwnsUpstreamAttempt implements upstream.Owner.
+func (fillOwner) OwnsUpstreamAttempt() {}
+
+// fetch sends a request to a source.
+func (s *Server) fetch(f handler.Fetch) {
+	outbound := &request.Request{
+		ID:        routing.RequestID(fmt.Sprintf("%s-%x", s.Config.ID[2:], f.Fill)),
+		ClassName: f.Class,
+		Object:    fmt.Sprintf("%016x", f.Key.Object),
+		Part:      strconv.Itoa(int(f.Key.Chunk)),
+		ETag:      f.Tag,
+	}
+	if r := s.requests[f.Request]; r != nil {
+		outbound.IdempotencyKey, outbound.Body = r.command.IdempotencyKey, r.body
+	}
+	attempt := s.pool.Send(cacheproto.Attempt{
+		Request:        outbound,
+		TimeoutSeconds: f.TimeoutSeconds,
+		StartAttempt: routing.StartAttempt{
+			Endpoint:      routing.EndpointID(f.Source),
+			RetentionRank: f.Rank,
+			MaxAgeSeconds: f.MaxAge,
+			JoinFill:      f.Join,
+			CacheOnly:     f.NoFetch,
+			ParentNoStore: f.NoTrace,
+		},
+	}, nil, fillOwner(f.Fill))
+	if attempt == nil {
+		s.post(fetchNotSent{f.Fill})
+		return
+	}
+	s.Telemetry.Add("box.fetches", 1)
+	s.attempts[f.Fill] = attempt
+}
+
+func (s *Server) handleFetchNotSent(now float64, fill uint64) {
+	s.perform(s.handler.HandleFetched(now, fill, handler.FetchResult{Code: routing.NotSent}))
+}
+
+func (s *Server) handleUpstream(now float64, ev upstream.Event) {
+	switch ev := ev.(type) {
+	case upstream.AttemptEnded:
+		s.handleAttemptEnded(now, ev)
+	case upstream.ConnectionClosed:
+		s.pool.RemoveConnection(ev.Connection)
+	}
+}
+
+// handleAttemptEnded passes the result of a fetch to the handler.
+func (s *Server) handleAttemptEnded(now float64, ev upstream.AttemptEnded) {
+	owner, _ := ev.Attempt.Owner.(fillOwner)
+	fill := uint64(owner)
+	if s.attempts[fill] == nil {
+		ev.End.Body.Free()
+		return
+	}
+	delete(s.attempts, fill)
+	result := handler.FetchResult{
+		Code:        ev.End.Result,
+		NotModified: ev.End.NotModified,
+		Tag:         ev.End.ETag,
+		IssuedAt:    ev.End.OriginUnixMillis,
+		Group:       validity.UnknownGroup,
+	}
+	if ev.End.PurgeGroupPlusOne > 0 {
+		result.Group = uint16(ev.End.PurgeGroupPlusOne - 1)
+	}
+	if body := ev.End.Body; body != nil {
+		result.Body = body.Bytes
+		s.Telemetry.Add("box.fetched-bytes", int64(len(result.Body)))
+		body.Free() // from here on the memory cache's limit counts what is kept of it
+	}
+	s.perform(s.handler.HandleFetched(now, fill, result))
+}
+
+func (s *Server) cancelFetch(fill uint64) {
+	if attempt := s.attempts[fill]; attempt != nil {
+		delete(s.attempts, fill)
+		s.pool.Cancel(attempt, routing.Cancelled)
+	}
+}
--- /dev/null
+++ b/internal/edgecache/request.go
@@ -0,0 +1,198 @@
+package edgecache
+
+import (
+	"cairnfront/internal/cacheproto"
+	"cairnfront/internal/config"
+	"cairnfront/internal/diskcache/eviction"
+	"cairnfront/internal/edgecache/handler"
+	"cairnfront/internal/request"
+	"cairnfront/routing"
+)
+
+// openRequest is a request that has no response yet. The event loop owns it.
+type openRequest struct {
+	number     uint64
+	conn       *clientConn
+	command    cacheproto.Command
+	key        eviction.Key
+	body       *request.Body
+	class      config.Class
+	deadline   float64 // Unix seconds
+	responding bool
+}
+
+// handleRequest admits a request and models its work.
+func (s *Server) handleRequest(now float64, r *openRequest) {
+	conn := r.conn
+	if conn.gone || conn.requests[r.command.ID] != nil || len(conn.requests) >= s.Config.StreamsPerConnection {
+		r.body.Free()
+		if !conn.gone {
+			s.Telemetry.Add("box.turned-away", 1)
+			reply := cacheproto.AttemptReply{Result: routing.Overloaded}
+			conn.send(outgoing{head: cacheproto.AppendAttemptReply(nil, r.command.ID, reply)})
+		}
+		return
+	}
+	if s.OnRequest != nil {
+		s.OnRequest(r.command)
+	}
+	s.lastRequest++
+	r.number = s.lastRequest
+	r.deadline = now + r.command.TimeoutSeconds
+	s.requests[r.number] = r
+	conn.requests[r.command.ID] = r
+	s.Telemetry.Add("box.txns."+r.command.ClassName, 1)
+	class, known := s.classes[r.command.ClassName]
+	if !known {
+		s.Telemetry.Add("box.unknown-rule", 1)
+		s.respond(r, cacheproto.AttemptReply{Result: routing.ServerError}, nil)
+		return
+	}
+	r.class = class
+	doneAt, accepted := s.capacity.Process(now)
+	if !accepted {
+		s.Telemetry.Add("box.overload", 1)
+		s.respond(r, cacheproto.AttemptReply{Result: routing.Overloaded}, nil)
+		return
+	}
+	s.handleAt(doneAt, workDone{r})
+}
+
+// isOpen reports whether a request has neither been answered nor cancelled.
+func (s *Server) isOpen(r *openRequest) bool { return s.requests[r.number] == r }
+
+// dispatch passes a request whose work is done to the origin or the handler.
+func (s *Server) dispatch(r *openRequest) {
+	if !s.isOpen(r) {
+		return
+	}
+	if s.Origin != nil {
+		s.serveFromOrigin(r)
+		return
+	}
+	command := &r.command
+	s.perform(s.handler.HandleRequest(unixSeconds(s.now()), handler.Request{
+		ID:  r.number,
+		Key: r.key,
+		Class: handler.Class{
+			Name:         r.class.Name,
+			Cacheable:    r.class.Cacheable,
+			FreshSeconds: r.class.FreshSeconds,
+			StaleSeconds: r.class.StaleSeconds,
+		},
+		Deadline: r.deadline,
+		Source:   s.sourceOf(r),
+		Rank:     command.RetentionRank,
+		MaxAge:   command.MaxAgeSeconds,
+		Join:     command.JoinFill,
+		NoFetch:  command.CacheOnly,
+		NoTrace:  command.ParentNoStore,
+		Renew:    command.Revalidate,
+		Tag:      command.ETag,
+	}))
+}
+
+// sourceOf is the endpoint that a request's miss is fetched from, empty for none.
+func (s *Server) sourceOf(r *openRequest) string {
+	source := r.command.FillSource
+	if source == "" && s.Config.Role == roleParent && !r.command.CacheOnly {
+		source = s.Config.DefaultSource
+	}
+	if source == s.Config.ID {
+		return ""
+	}
+	return source
+}
+
+// serveFromOrigin responds with the origin's content, or executes a request of a class that is not cacheable.
+func (s *Server) serveFromOrigin(r *openRequest) {
+	if !r.class.Cacheable {
+		command := &r.command
+		err := s.Origin.Execute(command.ID, command.ClassName, command.IdempotencyKey, r.key, r.class.Effect)
+		if err != nil {
+			s.respond(r, cacheproto.AttemptReply{Result: routing.ServerError}, nil)
+			return
+		}
+		s.Telemetry.Add("box.ran", 1)
+		s.respond(r, cacheproto.AttemptReply{Result: routing.Completed}, nil)
+		return
+	}
+	issuedAt := s.now().UnixMilli()
+	tag, group, body, ok := s.Origin.Get(r.key)
+	if !ok {
+		s.respond(r, cacheproto.AttemptReply{Result: routing.CacheMiss}, nil)
+		return
+	}
+	reply := cacheproto.AttemptReply{
+		Result:           routing.Completed,
+		Detail:           routing.CacheHit,
+		ETag:             tag,
+		OriginUnixMillis: issuedAt,
+		PurgeGroup:       int(group),
+	}
+	if tag == r.command.ETag {
+		reply.NotModified = true
+		body = nil
+	}
+	s.respond(r, reply, body)
+}
+
+// cancel ends a request that nobody waits for.
+func (s *Server) cancel(now float64, r *openRequest) {
+	if !s.isOpen(r) {
+		return
+	}
+	s.remove(r)
+	s.Telemetry.Add("box.left", 1)
+	s.perform(s.handler.HandleCancel(now, r.number, r.key))
+}
+
+func (s *Server) remove(r *openRequest) {
+	delete(s.requests, r.number)
+	delete(r.conn.requests, r.command.ID)
+	r.body.Free()
+}
+
+// respond ends a request with a reply, which is sent when the modelled link has transmitted it.
+func (s *Server) respond(r *openRequest, reply cacheproto.AttemptReply, body []byte) {
+	if !s.isOpen(r) || r.responding {
+		return
+	}
+	r.responding = true
+	reply.BodyBytes = len(body)
+	detail := detailSuffixes[reply.Detail]
+	s.Telemetry.Add("box.answers."+r.command.ClassName+"."+resultNames[reply.Result]+detail, 1)
+	s.Telemetry.Add("box.bytes."+detail, int64(len(body)))
+	transmittedAt := s.capacity.Transmit(unixSeconds(s.now()), len(body))
+	s.handleAt(transmittedAt, responseDue{r, reply, body})
+}
+
+// transmit hands a response to the connection's writer.
+func (s *Server) transmit(due responseDue) {
+	r := due.request
+	if !s.isOpen(r) {
+		return
+	}
+	if s.OnResponse != nil {
+		s.OnResponse(r.command.ID, len(due.body))
+	}
+	s.remove(r)
+	head := cacheproto.AppendAttemptReply(nil, r.command.ID, due.reply)
+	r.conn.send(outgoing{head: head, body: due.body})
+}
+
+// resultNames are the names of results in counters.
+var resultNames = map[routing.AttemptResult]string{
+	routing.Completed:   "completed",
+	routing.ServerError: "errored",
+	routing.Overloaded:  "busy",
+	routing.CacheMiss:   "miss",
+}
+
+// detailSuffixes are the suffixes of counters by a response's detail.
+var detailSuffixes = map[routing.ResultDetail]string{
+	routing.CacheHit:   ".hit",
+	routing.Filled:     ".filled",
+	routing.JoinedFill: ".joined",
+	routing.StaleHit:   ".old",
+}
--- /dev/null
+++ b/internal/edgecache/serve.go
@@ -0,0 +1,121 @@
+package edgecache
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"path/filepath"
+
+	"cairnfront/internal/config"
+	"cairnfront/internal/diskcache"
+	"cairnfront/internal/diskcache/vfs"
+	"cairnfront/internal/telemetry"
+)
+
+// DiskCacheConfig returns the disk cache's configuration in the operators' file.
+func DiskCacheConfig(c config.DiskCache) diskcache.Config {
+	return diskcache.Config{
+		SpaceBytes:       int64(c.CapacityMB * bytesPerMB),
+		SegmentBytes:     int64(c.SegmentMB * bytesPerMB),
+		Alpha:            c.Alpha,
+		DailyWriteBytes:  int64(c.DailyWriteMB * bytesPerMB),
+		MaxGhosts:        c.GhostEntries,
+		MaxPurges:        c.RememberedPurges,
+		Readers:          c.Readers,
+		ReadQueue:        c.ReadQueue,
+		ReadTimeout:      c.ReadTimeout.Duration(),
+		WriteQueue:       c.WriteQueue,
+		SyncInterval:     c.SyncInterval.Duration(),
+		SnapshotInterval: c.SnapshotInterval.Duration(),
+	}
+}
+
+// Serve runs a server configured by the operators' file until the context ends. Log lines go to out. The counters
+// follow at the end, and whenever dump receives.
+func Serve(ctx context.Context, file config.File, out io.Writer, dump <-chan struct{}) error {
+	metrics := telemetry.New(out, file.EdgeCache.ID)
+	defer metrics.Dump(out)
+	s := &Server{Config: file.EdgeCache, Telemetry: metrics}
+	if len(s.Config.Classes) == 0 {
+		return errors.New("box.rules: an edge cache needs the request classes that it serves")
+	}
+	if s.Config.Role == roleOrigin {
+		s.Origin = newOrigin(s.Config.Synthetic)
+	} else if file.DiskCache.Directory != "" {
+		disk, err := openDisk(file.DiskCache, metrics)
+		if err != nil {
+			return fmt.Errorf("tier.folder: %w", err)
+		}
+		s.Disk = disk
+		defer func() {
+			if err := disk.Close(); err != nil {
+				metrics.Log.Error("tier", "code", "close-failed", "err", err.Error())
+			}
+		}()
+	}
+	ln, err := net.Listen("tcp", s.Config.Listen)
+	if err != nil {
+		return fmt.Errorf("box.listen: %w", err)
+	}
+	done := make(chan struct{})
+	defer close(done)
+	go s.dumpOnRequest(out, dump, done)
+	return s.Run(ctx, ln)
+}
+
+func newOrigin(c config.SyntheticContent) Origin {
+	if c.Directory != "" {
+		return DirOrigin(c.Directory)
+	}
+	return &SyntheticOrigin{
+		Seed:         c.Seed,
+		MinBytes:     c.MinBytes,
+		MaxBytes:     c.MaxBytes,
+		Groups:       c.Groups,
+		KeyRetention: c.IdempotencyWindow.Duration(),
+	}
+}
+
+func openDisk(c config.DiskCache, metrics *telemetry.Metrics) (*diskcache.Cache, error) {
+	path, err := filepath.Abs(c.Directory)
+	if err != nil {
+		return nil, err
+	}
+	dir, err := vfs.MakeDir(path)
+	if err != nil {
+		return nil, err
+	}
+	disk, report, err := diskcache.OpenCache(dir, DiskCacheConfig(c), metrics, metrics.Log)
+	if err != nil {
+		return nil, err
+	}
+	metrics.Log.Info("tier", "code", "opened", "parts", report.Chunks, "bytes", report.Bytes,
+		"segments", report.Segments, "faults", report.Faults, "snapshot", report.SnapshotUsed,
+		"took_s", report.Took.Seconds())
+	return disk, nil
+}
+
+// dumpOnRequest writes the disk cache's status and the counters whenever dump receives.
+func (s *Server) dumpOnRequest(out io.Writer, dump, done <-chan struct{}) {
+	for {
+		select {
+		case <-done:
+			return
+		case <-dump:
+			if s.Disk != nil {
+				s.logDiskStatus()
+			}
+			s.Telemetry.Dump(out)
+		}
+	}
+}
+
+func (s *Server) logDiskStatus() {
+	status := s.Disk.Status()
+	s.Telemetry.Log.Info("tier", "code", "state", "parts", status.Chunks, "live", status.LiveBytes,
+		"on_disk", status.DiskBytes, "certain", status.UpToDate, "followed", status.Number,
+		"purges", status.Purges, "doubted_up_to", status.SuspectUpTo, "writes_waiting", status.PendingWrites,
+		"notes_waiting", status.PendingRecords)
+}
