Cacheproto: no embedded action in commands and attempts

A command embedded the routing module's action, of which it filled six of eight fields. It has these fields itself now, and an attempt holds the action as a named field.

--- a/internal/cacheproto/attempt.go
+++ b/internal/cacheproto/attempt.go
@@ -12,7 +12,7 @@
 	Request        *request.Request
 	TimeoutSeconds float64
 	FillSource     string // ID of the endpoint that fills a miss; empty for no fill
-	routing.StartAttempt
+	StartAttempt   routing.StartAttempt
 }
 
 // AppendAttempt appends the line of an attempt. The body and LineEnd have to follow.
@@ -33,11 +33,11 @@
 	if attempt.FillSource != "" {
 		w.text(fieldFillSource, attempt.FillSource)
 	}
-	if attempt.RetentionRank > 0 {
-		w.integer(fieldRetentionRank, int64(attempt.RetentionRank))
+	if attempt.StartAttempt.RetentionRank > 0 {
+		w.integer(fieldRetentionRank, int64(attempt.StartAttempt.RetentionRank))
 	}
-	if attempt.MaxAgeSeconds > 0 { // rounded down, as a younger copy will do as well
-		w.integer(fieldMaxAge, floorMillis(attempt.MaxAgeSeconds))
+	if attempt.StartAttempt.MaxAgeSeconds > 0 { // rounded down, as a younger copy will do as well
+		w.integer(fieldMaxAge, floorMillis(attempt.StartAttempt.MaxAgeSeconds))
 	}
 	w.options(attempt.StartAttempt)
 	if r.ETag != "" {
--- a/internal/cacheproto/command.go
+++ b/internal/cacheproto/command.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"strconv"
 	"strings"
-
-	"cairnfront/routing"
 )
 
 // CommandKind says what a command asks for.
@@ -30,10 +28,15 @@
 	PartNumber     uint32 // the number that Part is
 	TimeoutSeconds float64
 	IdempotencyKey string
-	FillSource     string // ID of the endpoint that fills a miss; empty for no fill
-	ETag           string // of the copy that the client has
-	routing.StartAttempt
-	BodyBytes int // of the body, which follows with LineEnd
+	FillSource     string  // ID of the endpoint that fills a miss; empty for no fill
+	ETag           string  // of the copy that the client has
+	RetentionRank  int     // 0 to 3; 0 keeps no copy
+	MaxAgeSeconds  float64 // oldest copy that will do; 0 for the fresh time of the class
+	JoinFill       bool    // wait for a fill that runs already
+	CacheOnly      bool    // the source gives only what it holds
+	ParentNoStore  bool    // the parent keeps no copy
+	Revalidate     bool    // an ageing copy is served and fetched anew
+	BodyBytes      int     // of the body, which follows with LineEnd
 }
 
 // Sizes and bounds of the parts of a command.
--- a/internal/cacheproto/command_test.go
+++ b/internal/cacheproto/command_test.go
@@ -69,7 +69,12 @@
 		IdempotencyKey: "k1",
 		FillSource:     "s-1",
 		ETag:           "t1",
-		StartAttempt:   testOptions,
+		RetentionRank:  2,
+		MaxAgeSeconds:  0.012,
+		JoinFill:       true,
+		CacheOnly:      true,
+		ParentNoStore:  true,
+		Revalidate:     true,
 		BodyBytes:      2,
 	}, got)
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -101,7 +101,7 @@
 // ran.
 func (p *Pool) Send(command cacheproto.Attempt, avoid []*Connection, owner Owner) *Attempt {
 	r := command.Request
-	return p.start(command.Endpoint, &Attempt{
+	return p.start(command.StartAttempt.Endpoint, &Attempt{
 		Owner:        owner,
 		id:           string(r.ID),
 		head:         cacheproto.AppendAttempt(nil, command),
