--- a/internal/membership/datagram/wire.go
+++ b/internal/membership/datagram/wire.go
@@ -47,7 +47,7 @@
 
 const maxNestedElements = 64
 
-var encMode, decMode = cborcodec.Modes(maxNestedElements)
+var encMode, decMode = cborcodec.NewModes(maxNestedElements)
 
 // envelope is the signed part of a datagram.
 type envelope struct {
--- a/internal/replication/statemachine/command.go
+++ b/internal/replication/statemachine/command.go
@@ -86,7 +86,7 @@
 // maxEntries is how many reservations a snapshot may hold.
 const maxEntries = 1 << 24
 
-var encoding, decoding = cborcodec.Modes(maxEntries)
+var encoding, decoding = cborcodec.NewModes(maxEntries)
 
 // Encode validates a command and writes it.
 func (c Command) Encode() ([]byte, error) {
--- a/internal/replication/transport/frame.go
+++ b/internal/replication/transport/frame.go
@@ -56,7 +56,7 @@
 	SeenStartCounts map[uint64]uint32 `cbor:"12,keyasint,omitempty"`
 }
 
-var encoding, decoding = cborcodec.Modes(maxFrameItems)
+var encoding, decoding = cborcodec.NewModes(maxFrameItems)
 
 // encodeFrame writes a frame with its length before it.
 func encodeFrame(frame Frame) ([]byte, error) {
