--- a/internal/diskcache/powerloss.go
+++ b/internal/diskcache/powerloss.go
@@ -237,7 +237,8 @@
 	if err != nil {
 		version := l.synced[key]
 		if afterRestart && version > 0 && version > l.purgedAt[key.Object] {
-			l.violation("object %d chunk %d: version %d was synced and is gone: %v", key.Object, key.Chunk, version, err)
+			l.violation("object %d chunk %d: version %d was synced and is gone: %v",
+				key.Object, key.Chunk, version, err)
 		}
 		return true
 	}
--- a/internal/edgecache/server_test.go
+++ b/internal/edgecache/server_test.go
@@ -253,8 +253,8 @@
 	assert.Equal(t, "served", word)
 }
 
-// After a restart the chunks that were not purged meanwhile are served, the purged ones are not. When the event stream's
-// numbering has restarted, copies are served only once their source has confirmed them.
+// After a restart the chunks that were not purged meanwhile are served, the purged ones are not. When the event
+// stream's numbering has restarted, copies are served only once their source has confirmed them.
 func TestServerRestartsWithItsDisk(t *testing.T) {
 	b := startDiscovery(t)
 	o, _ := startOrigin(t, b)
