--- a/internal/lab/addresses.go
+++ b/internal/lab/addresses.go
@@ -173,10 +173,10 @@
 		took := h.latencySeconds()
 		ms = append(ms, took*1000)
 		if limit := map[string]float64{
-			"video-part":  0.4,
-			"page-asset":  0.25,
-			"print-order": 0.6,
-			"record":      0.6,
+			classVideoPart:  0.4,
+			classPageAsset:  0.25,
+			classPrintOrder: 0.6,
+			classRecord:     0.6,
 		}[h.class]; h.code == 1 && took <= limit {
 			inTime++
 		}
@@ -190,7 +190,7 @@
 	r.Figures["p50_ms."+v.name] = ms[len(ms)/2]
 	r.Figures["in_time."+v.name] = float64(inTime) / float64(len(ms))
 	r.Figures["order_told_ms"] = max(r.Figures["order_told_ms"], late.orderingMargin()*1000)
-	overlapping, repeats, said := findOverlappingAttempts(members, late.orderingMargin(), map[string]bool{"record": true})
+	overlapping, repeats, said := findOverlappingAttempts(members, late.orderingMargin(), map[string]bool{classRecord: true})
 	r.Counts["overlapping_hops"] += overlapping
 	r.Counts["order_repeats"] += repeats
 	for _, x := range said {
@@ -235,16 +235,16 @@
 	cluster.nonIdempotentClass = true
 	orders := idempotencyRecords{}
 	var rules config.File
-	for i, kind := range []int{2, 1, 0, 0} {
-		standIn, err := newEndpointStandIn(fmt.Sprintf("s-%08x", i+1), cluster.options.Directory, time.Millisecond)
+	for i, kind := range []int{kindOrigin, kindParent, kindEdge, kindEdge} {
+		standIn, err := newEndpointStandIn(endpointID(i+1), cluster.options.Directory, time.Millisecond)
 		if err != nil {
 			return nil, nil, nil, err
 		}
 		standIn.body = func(a cacheproto.Command) []byte {
-			if a.ClassName == "print-order" && orders.shouldRun(a.IdempotencyKey, unixSeconds(time.Now())) {
+			if a.ClassName == classPrintOrder && orders.shouldRun(a.IdempotencyKey, unixSeconds(time.Now())) {
 				cluster.content.OnExecute(a.ClassName, a.IdempotencyKey)
 			}
-			if a.ClassName == "print-order" || a.ClassName == "record" {
+			if a.ClassName == classPrintOrder || a.ClassName == classRecord {
 				return nil
 			}
 			return edgecache.SyntheticBody(
@@ -260,7 +260,7 @@
 		endpoint := &clusterEndpoint{
 			id:   standIn.id,
 			kind: kind,
-			zone: min(1-min(kind, 1), 1),
+			zone: zoneOf(kind),
 			addr: last.addr,
 		}
 		cluster.endpoints = append(cluster.endpoints, endpoint)
@@ -272,7 +272,7 @@
 		rules.Router.Addresses = append(rules.Router.Addresses, entry)
 	}
 	for i := len(members); i < listedEndpoints; i++ { // of the other zone: listed, never asked
-		endpoint := &clusterEndpoint{id: fmt.Sprintf("s-%08x", i+1), zone: 2, addr: "127.0.0.1:9"}
+		endpoint := &clusterEndpoint{id: endpointID(i + 1), zone: 2, addr: "127.0.0.1:9"}
 		cluster.endpoints = append(cluster.endpoints, endpoint)
 		rules.Router.Addresses = append(
 			rules.Router.Addresses,
@@ -419,7 +419,7 @@
 		r.Broke("with one address hung the p99 is %.1f ms, with all good %.1f", median(hung), median(well))
 	}
 	r.Figures["order_told_ms"] = max(r.Figures["order_told_ms"], late.orderingMargin()*1000)
-	overlapping, repeats, said := findOverlappingAttempts(members, late.orderingMargin(), map[string]bool{"record": true})
+	overlapping, repeats, said := findOverlappingAttempts(members, late.orderingMargin(), map[string]bool{classRecord: true})
 	r.Counts["overlapping_hops"] += overlapping
 	r.Counts["order_repeats"] += repeats
 	for _, x := range said {
@@ -429,44 +429,8 @@
 	return nil
 }
 
-// sleep waits, or tells why it did not.
-func sleep(ctx context.Context, d time.Duration) error {
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-time.After(d):
-		return nil
-	}
-}
-
 // median is of a sorted list that holds something.
 func median(sorted []float64) float64 {
 	n := len(sorted)
 	return (sorted[(n-1)/2] + sorted[n/2]) / 2
 }
-
-// p99Millis is the time to an answer, in ms, of the requests sent in a time; one without an answer counts with its
-// time limit.
-func (cluster *testCluster) p99Millis(from, to float64) (float64, error) {
-	cluster.responses.mu.Lock()
-	defer cluster.responses.mu.Unlock()
-	var ms []float64
-	for _, h := range cluster.responses.all {
-		if h.sentAt >= from && h.sentAt < to {
-			ms = append(ms, h.latencySeconds()*1000)
-		}
-	}
-	if len(ms) == 0 {
-		return 0, fmt.Errorf("no txn was sent in a phase")
-	}
-	sort.Float64s(ms)
-	return ms[int(0.99*float64(len(ms)-1))], nil
-}
-
-// latencySeconds is the time to an answer, s; the client's whole time where none came.
-func (h *observedResponse) latencySeconds() float64 {
-	if h.code == noAnswer {
-		return h.deadline.Seconds()
-	}
-	return h.doneAt - h.sentAt
-}
--- a/internal/lab/brownout.go
+++ b/internal/lab/brownout.go
@@ -72,14 +72,14 @@
 	}
 	var failing atomic.Bool
 	var members []*endpointStandIn
-	for i, kind := range []int{2, 1, 0, 0} {
-		standIn, err := newEndpointStandIn(fmt.Sprintf("s-%08x", i+1), cluster.options.Directory, time.Millisecond)
+	for i, kind := range []int{kindOrigin, kindParent, kindEdge, kindEdge} {
+		standIn, err := newEndpointStandIn(endpointID(i+1), cluster.options.Directory, time.Millisecond)
 		if err != nil {
 			return out, err
 		}
 		defer standIn.close()
 		standIn.body = func(a cacheproto.Command) []byte {
-			if a.ClassName == "print-order" {
+			if a.ClassName == classPrintOrder {
 				return nil
 			}
 			return edgecache.SyntheticBody(
@@ -98,7 +98,7 @@
 		endpoint := &clusterEndpoint{
 			id:   standIn.id,
 			kind: kind,
-			zone: min(1-min(kind, 1), 1),
+			zone: zoneOf(kind),
 			addr: standIn.addresses[len(standIn.addresses)-1].addr,
 		}
 		cluster.endpoints = append(cluster.endpoints, endpoint)
--- a/internal/lab/client.go
+++ b/internal/lab/client.go
@@ -30,12 +30,23 @@
 	clientRequest
 	id             string
 	sentAt, doneAt float64 // Unix s
-	code           byte    // 1 served, 0 refused, 9 failed; 255 where no answer came
+	code           byte
 	body           []byte
 	retryAfter     time.Duration
 }
 
-const noAnswer = 255
+// The codes of responses.
+const (
+	codeRejected  = 0
+	codeCompleted = 1
+	codeAborted   = 9
+	noAnswer      = 255 // on the client's side alone: no response came
+)
+
+// hasContent says whether completed responses of a request's class have a body that follows from the origin's seed.
+func (request *clientRequest) hasContent() bool {
+	return request.class != classPrintOrder && request.class != classRecord
+}
 
 // clientConn is a client's connection to a router: one request at a time.
 type clientConn struct {
@@ -171,27 +182,27 @@
 				switch x := r.Float64(); {
 				case x > 0.97 && group.nonIdempotent:
 					request = clientRequest{
-						class:    "record",
+						class:    classRecord,
 						object:   0xffe0000 + uint64(r.IntN(9)),
 						body:     make([]byte, 200),
 						deadline: 3 * time.Second,
 					}
 				case x < 0.03:
 					request = clientRequest{
-						class:          "print-order",
+						class:          classPrintOrder,
 						object:         0xfff0000 + uint64(r.IntN(9)),
 						idempotencyKey: fmt.Sprintf("%016x%016x", r.Uint64(), r.Uint64()),
 						body:           make([]byte, 200),
 						deadline:       3 * time.Second,
 					}
-				case x < 0.4 || request.class != "video-part":
+				case x < 0.4 || request.class != classVideoPart:
 					request = clientRequest{
-						class:    "page-asset",
+						class:    classPageAsset,
 						object:   0x100000 + uint64(sort.SearchFloat64s(cum, r.Float64()*sum)),
 						deadline: 2500 * time.Millisecond,
 					}
 					if r.Float64() < 0.6 {
-						request.class, request.object, request.deadline = "video-part", request.object-0x100000+1, 5*time.Second
+						request.class, request.object, request.deadline = classVideoPart, request.object-0x100000+1, 5*time.Second
 					}
 				default: // the next part
 					if request.part++; int(request.part) >= group.parts {
--- a/internal/lab/discovery.go
+++ b/internal/lab/discovery.go
@@ -67,8 +67,6 @@
 	}
 }
 
-func unixSeconds(t time.Time) float64 { return float64(t.UnixMicro()) / 1e6 }
-
 // publish publishes an event and returns its place.
 func (server *discoveryServer) publish(ev discovery.Event) int {
 	server.mu.Lock()
--- a/internal/lab/diskrestart.go
+++ b/internal/lab/diskrestart.go
@@ -77,18 +77,18 @@
 		defer func() { cluster.close(r) }()
 		var boxes []*clusterEndpoint
 		folders := map[*clusterEndpoint]string{}
-		for _, kind := range []int{2, 1, 0, 0} {
-			endpoint, err := cluster.addEndpoint(kind, min(1-min(kind, 1), 1))
+		for _, kind := range []int{kindOrigin, kindParent, kindEdge, kindEdge} {
+			endpoint, err := cluster.addEndpoint(kind, zoneOf(kind))
 			if err != nil {
 				return err
 			}
-			if kind == 0 {
+			if kind == kindEdge {
 				boxes = append(boxes, endpoint)
 				folders[endpoint] = filepath.Join(options.Directory, endpoint.id+"-disk")
 			}
 		}
 		for _, endpoint := range cluster.endpoints {
-			if endpoint.kind > 0 {
+			if endpoint.kind != kindEdge {
 				if err := cluster.startInProcess(endpoint); err != nil {
 					return err
 				}
--- /dev/null
+++ b/internal/lab/endpoint.go
@@ -0,0 +1,203 @@
+package lab
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"cairnfront/internal/cacheproto"
+	"cairnfront/internal/config"
+	"cairnfront/internal/discovery"
+	"cairnfront/internal/edgecache"
+	"cairnfront/internal/telemetry"
+	"cairnfront/routing"
+)
+
+// The kinds of endpoints, as the endpoint list names them.
+const (
+	kindEdge = iota
+	kindParent
+	kindOrigin
+)
+
+const (
+	endpointIDPrefix = "s-"
+	endpointWeight   = 8
+	fillPrefixLength = 8 // characters of a fill's id that come from the id of the cache that fills
+)
+
+// endpointID is the id of the nth endpoint.
+func endpointID(n int) string { return fmt.Sprintf(endpointIDPrefix+"%08x", n) }
+
+// zoneOf is where endpoints of a kind stand in a cluster of one zone: edge caches in zone 1, others in the parent zone.
+func zoneOf(kind int) int {
+	if kind == kindEdge {
+		return 1
+	}
+	return 0
+}
+
+// clusterEndpoint is an endpoint of a test cluster. It runs in this process or as a program of its own.
+type clusterEndpoint struct {
+	id        string
+	kind      int
+	zone      int // 0 is the parent zone
+	addr      string
+	startedAt float64 // Unix s; 0 for long ago
+	status    routing.EndpointStatus
+
+	stop func() // of one that runs in this process
+
+	// Of one that runs as a program:
+	cmd        *exec.Cmd
+	configPath string
+	log        *os.File
+}
+
+// addEndpoint makes a member with an address of its own.
+func (cluster *testCluster) addEndpoint(kind, zone int) (*clusterEndpoint, error) {
+	ln, err := listenReusableTCP()
+	if err != nil {
+		return nil, err
+	}
+	endpoint := &clusterEndpoint{
+		id:   endpointID(len(cluster.endpoints) + 1),
+		kind: kind,
+		zone: zone,
+		addr: ln.Addr().String(),
+	}
+	_ = ln.Close()
+	cluster.endpoints = append(cluster.endpoints, endpoint)
+	return endpoint, nil
+}
+
+func (endpoint *clusterEndpoint) discoveryEntry() discovery.Endpoint {
+	return discovery.Endpoint{
+		Address: endpoint.addr,
+		Endpoint: routing.Endpoint{
+			ID:        routing.EndpointID(endpoint.id),
+			Zone:      endpoint.zone,
+			Kind:      endpoint.kind,
+			Status:    endpoint.status,
+			Weight:    endpointWeight,
+			StartedAt: endpoint.startedAt,
+		},
+	}
+}
+
+// publishStatus tells the discovery server how a member stands.
+func (cluster *testCluster) publishStatus(endpoint *clusterEndpoint, status routing.EndpointStatus) {
+	endpoint.status = status
+	cluster.discovery.publish(discovery.Event{
+		Kind:      discovery.Update,
+		Endpoints: []discovery.Endpoint{endpoint.discoveryEntry()},
+	})
+}
+
+// edgeCacheConfig is the operators' file of a member.
+func (cluster *testCluster) edgeCacheConfig(endpoint *clusterEndpoint, folder string) config.File {
+	rules, err := config.Parse("lab", nil)
+	if err != nil {
+		panic(err) // the product's own defaults
+	}
+	b := &rules.EdgeCache
+	b.ID, b.Listen, b.DiscoveryAddress, b.Classes = endpoint.id, endpoint.addr, cluster.discovery.addr(), clusterClasses
+	b.Role = [...]string{"cache", "parent", "origin"}[endpoint.kind]
+	b.MemoryMB, b.DrainTimeout = 4, 0.5
+	if endpoint.kind == kindParent {
+		b.MemoryMB = 256
+		for _, x := range cluster.endpoints {
+			if x.kind == kindOrigin {
+				b.DefaultSource = x.id
+			}
+		}
+	}
+	rules.DiskCache.Directory, rules.DiskCache.CapacityMB, rules.DiskCache.SegmentMB = folder, 256, 4
+	rules.DiskCache.SyncInterval, rules.DiskCache.SnapshotInterval = 0.25, 2
+	return rules
+}
+
+// startInProcess starts an endpoint in this process; what it is asked and gives is noted.
+func (cluster *testCluster) startInProcess(endpoint *clusterEndpoint) error {
+	ln, err := net.Listen("tcp", endpoint.addr)
+	if err != nil {
+		return err
+	}
+	rules := cluster.edgeCacheConfig(endpoint, "")
+	b := &edgecache.Server{Config: rules.EdgeCache, Telemetry: telemetry.New(io.Discard, endpoint.id)}
+	if endpoint.kind == kindOrigin {
+		b.Origin = &cluster.content
+	}
+	b.OnRequest = func(a cacheproto.Command) {
+		cluster.mu.Lock()
+		cluster.requests = append(cluster.requests, requestRecord{unixSeconds(time.Now()), endpoint.id, a})
+		cluster.mu.Unlock()
+	}
+	b.OnResponse = func(id string, bytes int) {
+		cluster.mu.Lock()
+		cluster.served = append(cluster.served, servedRecord{unixSeconds(time.Now()), endpoint.id, id, bytes})
+		cluster.mu.Unlock()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		_ = b.Run(ctx, ln)
+		close(done)
+	}()
+	endpoint.stop = func() { cancel(); <-done }
+	return nil
+}
+
+// startProgram starts a member as a program of its own.
+func (cluster *testCluster) startProgram(endpoint *clusterEndpoint, folder string) error {
+	rules := cluster.edgeCacheConfig(endpoint, folder)
+	text, err := json.Marshal(rules) // JSON is YAML
+	if err != nil {
+		return err
+	}
+	endpoint.configPath = filepath.Join(cluster.options.Directory, endpoint.id+".yaml")
+	if err := os.WriteFile(endpoint.configPath, text, 0o600); err != nil {
+		return err
+	}
+	if endpoint.log, err = os.OpenFile(
+		filepath.Join(cluster.options.Directory, endpoint.id+".log"),
+		os.O_CREATE|os.O_APPEND|os.O_WRONLY,
+		0o600,
+	); err != nil {
+		return err
+	}
+	endpoint.cmd = exec.Command(cluster.options.Program, "box", "--operators", endpoint.configPath)
+	endpoint.cmd.Stderr = endpoint.log
+	endpoint.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := endpoint.cmd.Start(); err != nil {
+		return fmt.Errorf("starting box %s: %w", endpoint.id, err)
+	}
+	endpoint.startedAt = unixSeconds(time.Now())
+	if err := waitUntil(10*time.Second, func() bool {
+		c, err := net.Dial("tcp", endpoint.addr)
+		if err == nil {
+			_ = c.Close()
+		}
+		return err == nil
+	}); err != nil {
+		return fmt.Errorf("box %s does not come up: %w; its log: %s", endpoint.id, err, logTail(endpoint.log.Name()))
+	}
+	return nil
+}
+
+// kill ends a program outright.
+func (endpoint *clusterEndpoint) kill() {
+	if endpoint.cmd != nil {
+		_ = endpoint.cmd.Process.Kill()
+		_ = endpoint.cmd.Wait()
+		_ = endpoint.log.Close()
+		endpoint.cmd = nil
+	}
+}
--- a/internal/lab/verify.go
+++ b/internal/lab/verify.go
@@ -1,158 +1,160 @@
 package lab
 
 import (
-	"bytes"
-	"encoding/binary"
-	"sync"
-
-	"cairnfront/internal/diskcache/eviction"
-	"cairnfront/internal/edgecache"
 	"cairnfront/internal/lab/report"
 )
 
-// responseLog is what clients heard.
-type responseLog struct {
-	mu  sync.Mutex
-	all []observedResponse
+// evidence is what clients, the origin and the discovery server recorded of a run. The checks read nothing else: in
+// particular no counter of the router.
+type evidence struct {
+	responses       []observedResponse
+	purges          []deliveredPurge
+	executions      map[string]int // runs of a request, by its idempotency key
+	secondResponses int64          // responses to a stream that had its own already
+	groups          int            // purge groups that objects are spread over
 }
 
-// observedResponse is a reply without its body: what it was is judged at once.
-type observedResponse struct {
-	clientResponse
-	bytes   int
-	corrupt bool
-	version uint64
+// deliveredPurge is a published purge and the time by which it had been delivered to all, Unix s.
+type deliveredPurge struct {
+	publishedPurge
+	deliveredAt float64
 }
 
-// recordResponse judges a body against the origin's seed: every byte can be told.
-func (cluster *testCluster) recordResponse(response clientResponse) {
-	h := observedResponse{clientResponse: response, bytes: len(response.body)}
-	if response.code == 1 && response.class != "print-order" && response.class != "record" {
-		if len(response.body) < edgecache.SyntheticHeaderBytes {
-			h.corrupt = true
-		} else {
-			h.version = binary.BigEndian.Uint64(response.body[12:])
-			want := edgecache.SyntheticBody(
-				cluster.content.Seed,
-				eviction.Key{Object: response.object, Chunk: response.part},
-				h.version,
-				cluster.content.MinBytes,
-				cluster.content.MaxBytes,
-			)
-			h.corrupt = !bytes.Equal(want, response.body)
-		}
+// concerns says whether a purge covers an object.
+func (p *deliveredPurge) concerns(object uint64, groups int) bool {
+	if p.wholeGroup {
+		return p.group == object%uint64(groups)
 	}
-	h.body, h.clientRequest.body = nil, nil
-	cluster.responses.mu.Lock()
-	cluster.responses.all = append(cluster.responses.all, h)
-	cluster.responses.mu.Unlock()
+	return p.object == object
 }
 
-// verify reckons the rules from what clients, origin and endpoints in this process recorded.
-func (cluster *testCluster) verify(r *report.Report, crowds []*clientGroup) {
+// verify checks the rules from what clients, origin and the endpoints in this process recorded.
+func (cluster *testCluster) verify(r *report.Report, groups []*clientGroup) {
 	cluster.responses.mu.Lock()
 	defer cluster.responses.mu.Unlock()
 	cluster.mu.Lock()
 	defer cluster.mu.Unlock()
-	told := make([]float64, len(cluster.purges))
-	for i, p := range cluster.purges {
-		told[i] = cluster.discovery.deliveryTime(p.eventIndex)
+	e := cluster.collectEvidence(groups)
+	countOutcomes(r, e)
+	answeredInTime(r, e)
+	bytesWhole(r, e)
+	purgesKept(r, e)
+	effectsRunOnce(r, e)
+	answersOnlyOnce(r, e)
+}
+
+// collectEvidence gathers the records of a run. The caller holds the locks of the cluster and of its response log.
+func (cluster *testCluster) collectEvidence(groups []*clientGroup) *evidence {
+	e := &evidence{
+		responses:  cluster.responses.all,
+		executions: cluster.executions,
+		groups:     cluster.content.Groups,
+	}
+	for _, p := range cluster.purges {
+		e.purges = append(e.purges, deliveredPurge{p, cluster.discovery.deliveryTime(p.eventIndex)})
+	}
+	for _, group := range groups {
+		e.secondResponses += group.secondResponses
 	}
-	for _, h := range cluster.responses.all {
+	return e
+}
+
+// countOutcomes counts how the requests ended. A request that was not answered in time counts as none of the outcomes.
+func countOutcomes(r *report.Report, e *evidence) {
+	for i := range e.responses {
+		response := &e.responses[i]
 		r.Counts["txns"]++
 		switch {
-		case h.code == noAnswer || h.doneAt > h.sentAt+h.deadline.Seconds()+deadlineMarginSeconds:
-			r.Rules.Lost++
-			r.Broke("txn %s of %s sent at %.3f has no answer in its time", h.id, h.class, h.sentAt)
-			continue
-		case h.code == 0:
+		case !response.inTime():
+		case response.code == codeRejected:
 			r.Counts["rejected"]++
-			continue
-		case h.code == 9:
+		case response.code == codeAborted:
 			r.Counts["aborted"]++
-			continue
+		default:
+			r.Counts["completed"]++
 		}
-		r.Counts["completed"]++
-		if h.class == "print-order" || h.class == "record" {
+	}
+	r.Counts["purges"] += int64(len(e.purges))
+	r.Counts["orders_run"] += int64(len(e.executions))
+}
+
+// answeredInTime checks that each request has an answer within its deadline.
+func answeredInTime(r *report.Report, e *evidence) {
+	for i := range e.responses {
+		if response := &e.responses[i]; !response.inTime() {
+			r.Rules.Lost++
+			r.Broke("txn %s of %s sent at %.3f has no answer in its time", response.id, response.class, response.sentAt)
+		}
+	}
+}
+
+// bytesWhole checks that each body in a completed answer is the origin's, byte for byte.
+func bytesWhole(r *report.Report, e *evidence) {
+	r.Counts["wrong_bytes"] += 0 // the report has the key also where nothing was wrong
+	for i := range e.responses {
+		response := &e.responses[i]
+		if !response.deliversContent() {
 			continue
 		}
 		r.Counts["parts_checked"]++
-		if h.corrupt {
+		if response.corrupt {
 			r.Counts["wrong_bytes"]++
-			r.Broke("txn %s: object %d part %d has wrong bytes", h.id, h.object, h.part)
-			continue
-		}
-		if want, by := cluster.requiredVersion(h, told); h.version < want {
-			r.Rules.Purge++
-			r.Broke(
-				"txn %s sent %.3f s after a purge was told: object %d has version %d, purged by %d",
-				h.id,
-				h.sentAt-by,
-				h.object,
-				h.version,
-				want,
-			)
+			r.Broke("txn %s: object %d part %d has wrong bytes", response.id, response.object, response.part)
 		}
 	}
-	for key, n := range cluster.executions {
-		if n > 1 {
-			r.Rules.SecondEffects++
-			r.Broke("the order with key %s ran %d times", key, n)
-		}
-	}
-	for _, group := range crowds {
-		r.Rules.SecondAnswers += group.secondResponses
-	}
-	r.Counts["purges"] += int64(len(cluster.purges))
-	r.Counts["orders_run"] += int64(len(cluster.executions))
-	r.Counts["stale_after_purge"] = r.Rules.Purge
-	if _, ok := r.Counts["wrong_bytes"]; !ok {
-		r.Counts["wrong_bytes"] = 0
-	}
 }
 
-// requiredVersion is the least version that a request's answer may have, and when the purge that says so was told.
-func (cluster *testCluster) requiredVersion(h observedResponse, told []float64) (version uint64, by float64) {
-	for i, p := range cluster.purges {
-		concerns := p.object == h.object && !p.wholeGroup ||
-			p.wholeGroup && p.group == h.object%uint64(cluster.content.Groups)
-		if concerns && told[i]+purgeGraceSeconds < h.sentAt && p.version > version {
-			version, by = p.version, told[i]
+// purgesKept checks that no answer to a request sent after a purge is older than that purge.
+func purgesKept(r *report.Report, e *evidence) {
+	for i := range e.responses {
+		response := &e.responses[i]
+		if !response.deliversContent() || response.corrupt {
+			continue
+		}
+		purge := e.bindingPurge(response)
+		if purge == nil || response.version >= purge.version {
+			continue
 		}
+		r.Rules.Purge++
+		r.Broke(
+			"txn %s sent %.3f s after a purge was told: object %d has version %d, purged by %d",
+			response.id,
+			response.sentAt-purge.deliveredAt,
+			response.object,
+			response.version,
+			purge.version,
+		)
 	}
-	return version, by
+	r.Counts["stale_after_purge"] = r.Rules.Purge
 }
 
-// localByteShare is the part of the bytes that clients got in a time which did not come from outside their zones.
-func (cluster *testCluster) localByteShare(from, to float64) float64 {
-	cluster.responses.mu.Lock()
-	got := 0
-	for _, h := range cluster.responses.all {
-		if h.code == 1 && h.doneAt >= from && h.doneAt < to {
-			got += h.bytes
+// bindingPurge is the purge that sets the lowest version that a response may have, or nil where none does. A purge binds
+// the requests that were sent after its grace period.
+func (e *evidence) bindingPurge(response *observedResponse) *deliveredPurge {
+	var binding *deliveredPurge
+	for i := range e.purges {
+		p := &e.purges[i]
+		if !p.concerns(response.object, e.groups) || p.deliveredAt+purgeGraceSeconds >= response.sentAt {
+			continue
 		}
-	}
-	cluster.responses.mu.Unlock()
-	cluster.mu.Lock()
-	defer cluster.mu.Unlock()
-	outside := 0
-	kinds := map[string]int{}
-	for _, endpoint := range cluster.endpoints {
-		kinds[endpoint.id] = endpoint.kind
-	}
-	ours := map[string]bool{} // parents, whose own fills do not go to a zone
-	for _, endpoint := range cluster.endpoints {
-		if endpoint.kind == 1 {
-			ours[endpoint.id[2:]] = true
+		if binding == nil || p.version > binding.version {
+			binding = p
 		}
 	}
-	for _, g := range cluster.served {
-		if kinds[g.endpoint] > 0 && g.at >= from && g.at < to && (len(g.requestID) < 8 || !ours[g.requestID[:8]]) {
-			outside += g.bytes
+	return binding
+}
+
+// effectsRunOnce checks that no request with an idempotency key was run more than once.
+func effectsRunOnce(r *report.Report, e *evidence) {
+	for key, n := range e.executions {
+		if n > 1 {
+			r.Rules.SecondEffects++
+			r.Broke("the order with key %s ran %d times", key, n)
 		}
 	}
-	if got == 0 {
-		return 0
-	}
-	return max(1-float64(outside)/float64(got), 0)
+}
+
+// answersOnlyOnce checks that no request got a second answer.
+func answersOnlyOnce(r *report.Report, e *evidence) {
+	r.Rules.SecondAnswers += e.secondResponses
 }
