--- a/internal/membership/datagram/replay.go
+++ b/internal/membership/datagram/replay.go
@@ -23,11 +23,11 @@
 	} else if g.highest-counter >= replayWindow {
 		return ErrReplayed
 	}
-	word, bit := counter%replayWindow/64, uint64(1)<<(counter%64)
-	if g.seen[word]&bit != 0 {
+	index, bit := counter%replayWindow/64, uint64(1)<<(counter%64)
+	if g.seen[index]&bit != 0 {
 		return ErrReplayed
 	}
-	g.seen[word] |= bit
+	g.seen[index] |= bit
 	return nil
 }
 
--- a/internal/membership/partition/tracker.go
+++ b/internal/membership/partition/tracker.go
@@ -9,7 +9,7 @@
 const (
 	improveAfter  = 1.0 // a better state has to last before it counts: a partition that heals and returns must not flap
 	disagreeAfter = 4.0 // a member has to have another view: a change takes about 1.5 s to reach all
-	reportExpiry  = 3.0 // after which a member's last word on its view is stale
+	reportExpiry  = 3.0 // after which a member's last report on its view is stale
 )
 
 // View is what the membership view shows at a moment.
--- a/internal/membership/swim/config.go
+++ b/internal/membership/swim/config.go
@@ -15,7 +15,7 @@
 	minAckTimeout        = 0.08 // a pause of the garbage collector or of the scheduler is shorter
 	maxAckTimeout        = 2.0  // a member with a longer round trip is no help in a probe
 	initialAckTimeout    = 0.15 // until a round trip time is known
-	maxScaledAckTimeout  = 2.0  // with the health score: a probe must not outlast what it looks for
+	maxScaledAckTimeout  = 2.0  // with the health score: a probe must not outlast a short failure
 	indirectProbes       = 3    // members asked to ping on our behalf: SWIM's k
 	indirectCandidates   = 9    // drawn, of which the indirectProbes heard last are asked
 	leaveFanout          = 6    // members that a leaving one tells at once
