--- /dev/null
+++ b/internal/diskcache/fuzz_test.go
@@ -0,0 +1,64 @@
+package diskcache
+
+import (
+	"testing"
+
+	"cairnfront/internal/diskcache/eviction"
+	"cairnfront/internal/diskcache/validity"
+	"cairnfront/internal/diskcache/vfs"
+)
+
+func FuzzParseRecordHeader(f *testing.F) {
+	f.Add(appendRecord(nil, 7, meta(k(1, 2), 3), []byte("body"), 4), uint64(7))
+	f.Add(make([]byte, recordHeaderSize), uint64(0))
+	f.Fuzz(func(t *testing.T, b []byte, salt uint64) {
+		h, err := parseRecordHeader(b, salt)
+		if err == nil && (h.bodyLen > maxBodyBytes || len(h.Tag) > maxTagBytes || h.size() < recordHeaderSize) {
+			t.Fatalf("%+v", h)
+		}
+	})
+}
+
+// FuzzOpen opens segments, logs and snapshots of arbitrary bytes: the store opens or returns an error, and serves no
+// chunk under another key.
+func FuzzOpen(f *testing.F) {
+	fs := vfs.NewFaultFS(1)
+	s, _, err := OpenStore(fs, smallOptions(), true, nil)
+	if err != nil {
+		f.Fatal(err)
+	}
+	for i := range 5 {
+		_, _ = s.Put(meta(k(i, 0), 100), body(k(i, 0), 100, 90))
+	}
+	_ = s.AppendPurgeRecords([]validity.Record{{Kind: validity.PurgeObject, Object: 1, PurgedAt: 5}})
+	_ = s.WriteSnapshot(nil)
+	_ = s.Close()
+	f.Add(fs.Contents("seg-00000001.cf"), fs.Contents(snapshotName), fs.Contents(purgeLogName))
+	f.Fuzz(func(t *testing.T, seg, snap, log []byte) {
+		fs := vfs.NewFaultFS(1)
+		files := map[string][]byte{
+			formatName:        []byte("cairnfront disk tier 1\n"),
+			"seg-00000001.cf": seg,
+			snapshotName:      snap,
+			purgeLogName:      log,
+		}
+		for name, b := range files {
+			h, _ := fs.Create(name)
+			_, _ = h.WriteAt(b, 0)
+		}
+		s, _, err := OpenStore(fs, smallOptions(), true, nil)
+		if err != nil {
+			return
+		}
+		var keys []eviction.Key
+		s.Each(func(key eviction.Key, _ int64, _ uint8) bool { keys = append(keys, key); return true })
+		for _, key := range keys {
+			if p, err := s.Get(key); err == nil && p.Key != key {
+				t.Fatalf("%v for %v", p.Key, key)
+			}
+		}
+		if _, err := s.Put(meta(k(1, 1), 1), []byte("x")); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/diskcache/index_test.go
@@ -0,0 +1,37 @@
+package diskcache
+
+import (
+	"testing"
+
+	"cairnfront/internal/diskcache/eviction"
+
+	"pgregory.net/rapid"
+)
+
+func TestIndexAgainstAMap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var x index
+		want := map[eviction.Key]uint64{}
+		for n := range rapid.IntRange(1, 3000).Draw(t, "n") {
+			key := k(n*7919%rapid.SampledFrom([]int{50, 400}).Draw(t, "wide"), 0)
+			if n%3 == 0 {
+				_, had := want[key]
+				if x.remove(key) != had {
+					t.Fatalf("remove of %v", key)
+				}
+				delete(want, key)
+			} else {
+				x.put(location{object: key.Object, segment: 1, seq: uint64(n)})
+				want[key] = uint64(n)
+			}
+		}
+		if x.count != len(want) {
+			t.Fatalf("%d places for %d", x.count, len(want))
+		}
+		for key, seq := range want {
+			if p := x.find(key); p == nil || p.seq != seq {
+				t.Fatalf("%v is lost", key)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/diskcache/powerloss_test.go
@@ -0,0 +1,47 @@
+package diskcache
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// powerLoss plays the script drawn from the seed with a power loss at the operation numbered cut and requires that
+// nothing broke. It returns the number of operations of the first life.
+func powerLoss(t require.TestingT, seed uint64, cut int) (ops int) {
+	out := RunPowerLoss(seed, cut)
+	require.Empty(t, out.Violations, "seed %d, cut at %d", seed, cut)
+	return out.Ops
+}
+
+// The power fails at every single write, sync, renaming, removal and truncation of the script, twice with other draws
+// of what survives unsynced.
+func TestPowerLossAtEveryOperation(t *testing.T) {
+	ops := powerLoss(t, 1, 0)
+	require.Greater(t, ops, 100)
+	for cut := 1; cut <= ops; cut++ {
+		for s := range uint64(2) {
+			powerLoss(t, 1+s*1000, cut)
+		}
+	}
+}
+
+// The checks of a power-loss run can fail: a log that is not synced loses an acknowledged purge, and a body that is not
+// verified is served torn.
+func TestPowerLossChecksFailWithoutGuards(t *testing.T) {
+	for name, breakIt := range map[string]func(*powerLossRun){
+		"log without a sync": func(p *powerLossRun) { p.unsyncedLog = true },
+		"body not checked":   func(p *powerLossRun) { p.uncheckedBody = true },
+	} {
+		wrong := 0
+		for seed := range uint64(40) {
+			for cut := 20; cut < 100; cut += 7 {
+				p := powerLossRun{seed: seed, cut: cut}
+				breakIt(&p)
+				wrong += len(p.run().Violations)
+			}
+		}
+		assert.Greater(t, wrong, 0, name)
+	}
+}
--- /dev/null
+++ b/internal/diskcache/store_bench_test.go
@@ -0,0 +1,96 @@
+package diskcache
+
+import (
+	"fmt"
+	"path/filepath"
+	"runtime"
+	"testing"
+
+	"cairnfront/internal/diskcache/vfs"
+
+	"github.com/stretchr/testify/require"
+)
+
+// benchStore is a store in a real folder.
+func benchStore(b *testing.B) *Store {
+	d, err := vfs.MakeDir(filepath.Join(b.TempDir(), "t"))
+	require.NoError(b, err)
+	s, _, err := OpenStore(d, StoreOptions{}, false, nil)
+	require.NoError(b, err)
+	b.Cleanup(func() { _ = s.Close() })
+	return s
+}
+
+func BenchmarkPut(b *testing.B) {
+	for _, n := range []int{4 << 10, 100 << 10} {
+		b.Run(fmt.Sprint(n>>10, "KB"), func(b *testing.B) {
+			s := benchStore(b)
+			x := body(k(1, 1), 1, n)
+			b.SetBytes(int64(n))
+			b.ReportAllocs()
+			for i := range b.N {
+				_, _ = s.Put(meta(k(i%500, 0), 1), x)
+			}
+		})
+	}
+}
+
+func BenchmarkGet(b *testing.B) {
+	for _, n := range []int{4 << 10, 100 << 10} {
+		b.Run(fmt.Sprint(n>>10, "KB"), func(b *testing.B) {
+			s := benchStore(b)
+			for i := range 500 {
+				_, _ = s.Put(meta(k(i, 0), 1), body(k(i, 0), 1, n))
+			}
+			b.SetBytes(int64(n))
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				_, _ = s.Get(k(i*37%500, 0))
+			}
+		})
+	}
+}
+
+// BenchmarkOpen opens a store of a million chunks of 24 bytes, with and without the snapshot, and reports the heap that
+// the index takes for a chunk and the peak of the heap.
+func BenchmarkOpen(b *testing.B) {
+	const chunks = 1_000_000
+	d, _ := vfs.MakeDir(filepath.Join(b.TempDir(), "t"))
+	s, _, err := OpenStore(d, StoreOptions{}, false, nil)
+	require.NoError(b, err)
+	for i := range chunks {
+		_, err := s.Put(
+			Meta{Key: k(i/15, i%15), IssuedAt: 1, Tag: "4be0c1927d55a6f3"},
+			[]byte("a body of 24 bytes, so. "),
+		)
+		require.NoError(b, err)
+	}
+	require.NoError(b, s.Close())
+	for _, snapshot := range []bool{false, true} {
+		b.Run(fmt.Sprintf("snapshot=%v", snapshot), func(b *testing.B) {
+			if snapshot {
+				s, _, err := OpenStore(d, StoreOptions{}, false, nil)
+				require.NoError(b, err)
+				require.NoError(b, s.WriteSnapshot(nil))
+				require.NoError(b, s.Close())
+			}
+			for range b.N {
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				s, rep, err := OpenStore(d, StoreOptions{}, false, nil)
+				require.NoError(b, err)
+				runtime.ReadMemStats(&after)
+				top := float64(after.HeapSys-after.HeapReleased) / (1 << 20)
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				require.Equal(b, chunks, rep.Chunks)
+				b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/chunks, "B/chunk")
+				b.ReportMetric(top, "MB-heap")
+				b.ReportMetric(rep.Took.Seconds(), "s/open")
+				require.NoError(b, s.Close())
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/diskcache/vfs/vfs_test.go
@@ -0,0 +1,97 @@
+package vfs
+
+import (
+	"errors"
+	"io"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func writeFile(t *testing.T, fs FS, name, content string) File {
+	t.Helper()
+	file, err := fs.Create(name)
+	require.NoError(t, err)
+	_, err = file.WriteAt([]byte(content), 0)
+	require.NoError(t, err)
+	return file
+}
+
+// Both file systems behave alike while nothing fails.
+func TestFileSystemsBehaveAlike(t *testing.T) {
+	dir, err := MakeDir(t.TempDir() + "/a/b")
+	require.NoError(t, err)
+	for name, fs := range map[string]FS{"dir": dir, "fault": NewFaultFS(1)} {
+		t.Run(name, func(t *testing.T) {
+			release, err := fs.Lock("LOCK")
+			require.NoError(t, err)
+			_, err = fs.Lock("LOCK")
+			assert.ErrorIs(t, err, ErrLocked)
+			release()
+			again, err := fs.Lock("LOCK")
+			require.NoError(t, err)
+			again()
+
+			file := writeFile(t, fs, "one", "hello")
+			require.NoError(t, file.Truncate(4))
+			require.NoError(t, file.Sync())
+			size, err := file.Size()
+			require.NoError(t, err)
+			assert.Equal(t, int64(4), size)
+			require.NoError(t, fs.Rename("one", "two"))
+			require.NoError(t, fs.SyncDir())
+			_, err = fs.Open("one")
+			assert.ErrorIs(t, err, ErrNotExist)
+			file, err = fs.Open("two")
+			require.NoError(t, err)
+			buf := make([]byte, 9)
+			n, err := file.ReadAt(buf, 1)
+			assert.ErrorIs(t, err, io.EOF)
+			assert.Equal(t, "ell", string(buf[:n]))
+			names, err := fs.List()
+			require.NoError(t, err)
+			assert.Contains(t, names, "two")
+			require.NoError(t, fs.Remove("two"))
+			assert.ErrorIs(t, fs.Remove("two"), ErrNotExist)
+		})
+	}
+}
+
+func TestPowerLossKeepsWhatWasSynced(t *testing.T) {
+	lost := false
+	for seed := range uint64(20) {
+		fs := NewFaultFS(seed)
+		file := writeFile(t, fs, "file", "synced")
+		require.NoError(t, file.Sync())
+		require.NoError(t, fs.SyncDir())
+		_, err := file.WriteAt([]byte("UNSYNC"), 0)
+		require.NoError(t, err)
+		fs.PowerLossAfter = 1
+		assert.ErrorIs(t, fs.SyncDir(), ErrPowerLoss)
+		_, err = fs.List()
+		assert.ErrorIs(t, err, ErrPowerLoss)
+		fs.Restart()
+		content := string(fs.Contents("file"))
+		assert.Contains(t, []string{"synced", "UNSYNC"}, content, "a sector is whole")
+		lost = lost || content == "synced"
+	}
+	assert.True(t, lost, "an unsynced write can be lost")
+}
+
+func TestFaultsAreTold(t *testing.T) {
+	fs := NewFaultFS(1)
+	file := writeFile(t, fs, "file", "0123456789")
+	fs.CapacityBytes = 12
+	n, err := file.WriteAt([]byte("abcdef"), 10)
+	assert.ErrorIs(t, err, ErrNoSpace)
+	assert.Equal(t, 3, n, "half of it is written")
+	fs.CapacityBytes = 0
+	fs.FailRead = func(name string, offset int64) bool { return name == "file" && offset == 4 }
+	_, err = file.ReadAt(make([]byte, 1), 4)
+	assert.True(t, errors.Is(err, ErrIO))
+	_, err = file.ReadAt(make([]byte, 1), 5)
+	assert.NoError(t, err)
+	fs.FlipBit("file", 0, 1)
+	assert.Equal(t, byte('0'^2), fs.Contents("file")[0])
+}
--- /dev/null
+++ b/internal/edgecache/origin_test.go
@@ -0,0 +1,70 @@
+package edgecache
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"cairnfront/internal/config"
+	"cairnfront/internal/diskcache/eviction"
+	"cairnfront/internal/diskcache/validity"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// goldenSyntheticHash is the hash of 150 synthetic chunks, generated before the origin was renamed.
+const goldenSyntheticHash = "2aafbf97907ba656a409d444a07a92ca4a6883807df0ae73476ff299e590e002"
+
+func TestGoldenSyntheticChunks(t *testing.T) {
+	origin := &SyntheticOrigin{Seed: 7, MinBytes: 100, MaxBytes: 3000, Groups: 16}
+	hash := sha256.New()
+	for object := range uint64(50) {
+		for chunk := range uint32(3) {
+			tag, group, body, ok := origin.Get(eviction.Key{Object: object * 977, Chunk: chunk})
+			_, _ = fmt.Fprintf(hash, "%s %d %v %d\n", tag, group, ok, len(body))
+			_, _ = hash.Write(body)
+		}
+	}
+	assert.Equal(t, goldenSyntheticHash, fmt.Sprintf("%x", hash.Sum(nil)))
+}
+
+func TestSyntheticOriginExecutesIdempotencyKeyOnce(t *testing.T) {
+	var executed []string
+	origin := &SyntheticOrigin{
+		KeyRetention: time.Minute,
+		OnExecute:    func(id, _ string) { executed = append(executed, id) },
+	}
+	key := eviction.Key{Object: 1}
+	require.NoError(t, origin.Execute("1", "order", "k", key, "keyed"))
+	require.NoError(t, origin.Execute("2", "order", "k", key, "keyed"))
+	require.NoError(t, origin.Execute("3", "order", "other", key, "keyed"))
+	require.NoError(t, origin.Execute("4", "order", "k", key, ""))
+	assert.Equal(t, []string{"1", "3", "4"}, executed)
+	origin.KeyRetention = 0
+	time.Sleep(time.Millisecond)
+	require.NoError(t, origin.Execute("5", "order", "k", key, "keyed"))
+	assert.Equal(t, "5", executed[len(executed)-1], "the key was forgotten")
+}
+
+func TestDirOriginServesFiles(t *testing.T) {
+	path := t.TempDir()
+	require.NoError(t, os.MkdirAll(filepath.Join(path, "000000000000000a"), 0o750))
+	require.NoError(t, os.WriteFile(filepath.Join(path, "000000000000000a", "2"), []byte("content"), 0o600))
+	origin := DirOrigin(path)
+	tag, group, body, ok := origin.Get(eviction.Key{Object: 10, Chunk: 2})
+	assert.True(t, ok)
+	assert.Regexp(t, "^7-[0-9a-f]+$", tag)
+	assert.Equal(t, uint16(validity.UnknownGroup), group)
+	assert.Equal(t, "content", string(body))
+	_, _, _, ok = origin.Get(eviction.Key{Object: 10, Chunk: 3})
+	assert.False(t, ok)
+	assert.ErrorIs(t, origin.Execute("1", "order", "", eviction.Key{}, ""), errReadOnlyOrigin)
+}
+
+func TestServeRejectsConfigurationWithoutClasses(t *testing.T) {
+	assert.ErrorIs(t, Serve(t.Context(), config.File{}, os.Stderr, nil), errNoClasses)
+}
--- a/internal/edgecache/serve.go
+++ b/internal/edgecache/serve.go
@@ -14,6 +14,9 @@
 	"cairnfront/internal/telemetry"
 )
 
+// errNoClasses reports a configuration without request classes.
+var errNoClasses = errors.New("box.rules: an edge cache needs the request classes that it serves")
+
 // DiskCacheConfig returns the disk cache's configuration in the operators' file.
 func DiskCacheConfig(c config.DiskCache) diskcache.Config {
 	return diskcache.Config{
@@ -39,7 +42,7 @@
 	defer metrics.Dump(out)
 	s := &Server{Config: file.EdgeCache, Telemetry: metrics}
 	if len(s.Config.Classes) == 0 {
-		return errors.New("box.rules: an edge cache needs the request classes that it serves")
+		return errNoClasses
 	}
 	if s.Config.Role == roleOrigin {
 		s.Origin = newOrigin(s.Config.Synthetic)
