--- a/internal/lab/client.go
+++ b/internal/lab/client.go
@@ -225,3 +225,23 @@
 	}
 	all.Wait()
 }
+
+// Shape of the load that all client groups have.
+const (
+	loadObjects        = 60
+	loadPartsPerObject = 6
+)
+
+// newClientGroup makes the clients of a router. Their responses are recorded in the cluster.
+func (cluster *testCluster) newClientGroup(router *routerProcess, clients int, meanPause time.Duration) *clientGroup {
+	return &clientGroup{
+		addr:       router.addr,
+		clients:    clients,
+		seed:       cluster.options.Seed,
+		objects:    loadObjects,
+		parts:      loadPartsPerObject,
+		groups:     cluster.content.Groups,
+		meanPause:  meanPause,
+		onResponse: cluster.recordResponse,
+	}
+}
--- a/internal/lab/endpoint.go
+++ b/internal/lab/endpoint.go
@@ -33,6 +33,9 @@
 	fillPrefixLength = 8 // characters of a fill's id that come from the id of the cache that fills
 )
 
+// endpointRoles are the names of the kinds in the operators' file of an edge cache.
+var endpointRoles = [...]string{kindEdge: "cache", kindParent: "parent", kindOrigin: "origin"}
+
 // endpointID is the id of the nth endpoint.
 func endpointID(n int) string { return fmt.Sprintf(endpointIDPrefix+"%08x", n) }
 
@@ -61,7 +64,13 @@
 	log        *os.File
 }
 
-// addEndpoint makes a member with an address of its own.
+// endpointPlace is the kind of an endpoint and the zone in which it stands.
+type endpointPlace struct {
+	kind int
+	zone int
+}
+
+// addEndpoint makes an endpoint with an address of its own. It does not start it.
 func (cluster *testCluster) addEndpoint(kind, zone int) (*clusterEndpoint, error) {
 	ln, err := listenReusableTCP()
 	if err != nil {
@@ -78,6 +87,7 @@
 	return endpoint, nil
 }
 
+// discoveryEntry is an endpoint as the discovery server lists it.
 func (endpoint *clusterEndpoint) discoveryEntry() discovery.Endpoint {
 	return discovery.Endpoint{
 		Address: endpoint.addr,
@@ -92,7 +102,7 @@
 	}
 }
 
-// publishStatus tells the discovery server how a member stands.
+// publishStatus publishes the status of an endpoint.
 func (cluster *testCluster) publishStatus(endpoint *clusterEndpoint, status routing.EndpointStatus) {
 	endpoint.status = status
 	cluster.discovery.publish(discovery.Event{
@@ -101,27 +111,35 @@
 	})
 }
 
-// edgeCacheConfig is the operators' file of a member.
-func (cluster *testCluster) edgeCacheConfig(endpoint *clusterEndpoint, folder string) config.File {
-	rules, err := config.Parse("lab", nil)
+// edgeCacheConfig is the operators' file of an endpoint. Without a directory it has no disk cache.
+func (cluster *testCluster) edgeCacheConfig(endpoint *clusterEndpoint, directory string) config.File {
+	file, err := config.Parse("lab", nil)
 	if err != nil {
 		panic(err) // the product's own defaults
 	}
-	b := &rules.EdgeCache
-	b.ID, b.Listen, b.DiscoveryAddress, b.Classes = endpoint.id, endpoint.addr, cluster.discovery.addr(), clusterClasses
-	b.Role = [...]string{"cache", "parent", "origin"}[endpoint.kind]
-	b.MemoryMB, b.DrainTimeout = 4, 0.5
+	cache := &file.EdgeCache
+	cache.ID = endpoint.id
+	cache.Listen = endpoint.addr
+	cache.DiscoveryAddress = cluster.discovery.addr()
+	cache.Classes = clusterClasses
+	cache.Role = endpointRoles[endpoint.kind]
+	cache.MemoryMB = 4
+	cache.DrainTimeout = 0.5
 	if endpoint.kind == kindParent {
-		b.MemoryMB = 256
-		for _, x := range cluster.endpoints {
-			if x.kind == kindOrigin {
-				b.DefaultSource = x.id
+		cache.MemoryMB = 256
+		for _, other := range cluster.endpoints {
+			if other.kind == kindOrigin {
+				cache.DefaultSource = other.id
 			}
 		}
 	}
-	rules.DiskCache.Directory, rules.DiskCache.CapacityMB, rules.DiskCache.SegmentMB = folder, 256, 4
-	rules.DiskCache.SyncInterval, rules.DiskCache.SnapshotInterval = 0.25, 2
-	return rules
+	disk := &file.DiskCache
+	disk.Directory = directory
+	disk.CapacityMB = 256
+	disk.SegmentMB = 4
+	disk.SyncInterval = 0.25
+	disk.SnapshotInterval = 2
+	return file
 }
 
 // startInProcess starts an endpoint in this process; what it is asked and gives is noted.
@@ -201,3 +219,36 @@
 		endpoint.cmd = nil
 	}
 }
+
+// startEndpoints adds endpoints of the kinds and zones that are given, starts them in this process and lists them as
+// ready. It returns the edge caches among them.
+func (cluster *testCluster) startEndpoints(places []endpointPlace) (edgeCaches []*clusterEndpoint, err error) {
+	for _, place := range places {
+		endpoint, err := cluster.addEndpoint(place.kind, place.zone)
+		if err != nil {
+			return nil, err
+		}
+		if place.kind == kindEdge {
+			edgeCaches = append(edgeCaches, endpoint)
+		}
+	}
+	for _, endpoint := range cluster.endpoints {
+		if err := cluster.startInProcess(endpoint); err != nil {
+			return nil, err
+		}
+		cluster.publishStatus(endpoint, routing.Ready)
+	}
+	return edgeCaches, nil
+}
+
+// startTwoZones starts an origin, a parent cache and two edge caches in each of two zones.
+func (cluster *testCluster) startTwoZones() (edgeCaches []*clusterEndpoint, err error) {
+	return cluster.startEndpoints([]endpointPlace{
+		{kindOrigin, 0},
+		{kindParent, 0},
+		{kindEdge, 1},
+		{kindEdge, 1},
+		{kindEdge, 2},
+		{kindEdge, 2},
+	})
+}
--- /dev/null
+++ b/internal/lab/fleet_log.go
@@ -0,0 +1,129 @@
+package lab
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+)
+
+// maxLogLineBytes is the longest line of a router's log that is read.
+const maxLogLineBytes = 1 << 20
+
+// peerEvent is a line of a router's log about a peer.
+type peerEvent struct {
+	at          float64 // s of the script
+	peer        int
+	state       string
+	incarnation uint64
+}
+
+// partitionEvent is a line of a router's log about its own partition state.
+type partitionEvent struct {
+	at    float64 // s of the script
+	state string
+}
+
+// readLogs reads from the routers' logs what they knew of each other, and when.
+func (fleet *routerFleet) readLogs() error {
+	peers := map[string]int{}
+	for i, name := range fleet.names {
+		peers[name] = i
+	}
+	for _, router := range fleet.routers {
+		if err := router.readLog(peers, fleet.scriptStart); err != nil {
+			return fmt.Errorf("read the log of %s: %w", router.name, err)
+		}
+	}
+	return nil
+}
+
+// readLog reads a router's log. Peers are the indices by name.
+func (router *fleetRouter) readLog(peers map[string]int, scriptStart time.Time) error {
+	file, err := os.Open(router.log.Name())
+	if err != nil {
+		return err
+	}
+	defer func() { _ = file.Close() }()
+	lines := bufio.NewScanner(file)
+	lines.Buffer(nil, maxLogLineBytes)
+	for lines.Scan() {
+		fields := logFields(lines.Text())
+		at, err := time.Parse(time.RFC3339Nano, fields["time"])
+		if err != nil {
+			continue // not a line of the log, for example of a stack trace
+		}
+		router.addLogLine(fields, at.Sub(scriptStart).Seconds(), peers)
+	}
+	return nil
+}
+
+// addLogLine keeps what a line says of a peer, of the partition state or of a panic.
+func (router *fleetRouter) addLogLine(fields map[string]string, at float64, peers map[string]int) {
+	switch fields["msg"] {
+	case "peer":
+		event := peerEvent{at: at, peer: peers[fields["peer"]], state: fields["code"]}
+		_, _ = fmt.Sscan(fields["life"], &event.incarnation)
+		router.peerEvents = append(router.peerEvents, event)
+	case "standing":
+		router.partitionEvents = append(router.partitionEvents, partitionEvent{at, fields["code"]})
+	case "panic":
+		router.peerEvents = append(router.peerEvents, peerEvent{at: at, state: statePanic})
+	}
+}
+
+// logFields parses the key=value pairs of a log line. A value with spaces stands in quotes.
+func logFields(line string) map[string]string {
+	fields := map[string]string{}
+	for line != "" {
+		key, rest, found := strings.Cut(line, "=")
+		if !found {
+			return fields
+		}
+		value := ""
+		if strings.HasPrefix(rest, `"`) {
+			end := strings.Index(rest[1:], `"`)
+			if end < 0 {
+				return fields
+			}
+			value, rest = rest[1:end+1], strings.TrimPrefix(rest[end+2:], " ")
+		} else {
+			value, rest, _ = strings.Cut(rest, " ")
+		}
+		fields[strings.TrimSpace(key)] = value
+		line = rest
+	}
+	return fields
+}
+
+// isPresent says whether a peer in a state counts as running.
+func isPresent(state string) bool {
+	return state == stateAlive || state == stateSuspect || state == stateStuck
+}
+
+// peerStateAt is the state that a peer had to a router at a time of the script.
+func (router *fleetRouter) peerStateAt(peer int, at float64) string {
+	state := stateUnknown
+	for _, event := range router.peerEvents {
+		if event.at > at {
+			break
+		}
+		if event.peer == peer {
+			state = event.state
+		}
+	}
+	return state
+}
+
+// partitionStateAt is a router's partition state at a time of the script.
+func (router *fleetRouter) partitionStateAt(at float64) string {
+	state := partitionAlone
+	for _, event := range router.partitionEvents {
+		if event.at > at {
+			break
+		}
+		state = event.state
+	}
+	return state
+}
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -91,3 +91,6 @@
 	}
 	return folder, func() { _ = os.RemoveAll(folder) }, nil
 }
+
+// LabVariable opens what only the laboratory may ask of a process.
+const EnvironmentVariable = "CAIRNFRONT_LAB"
--- a/internal/lab/peerscost.go
+++ b/internal/lab/peerscost.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"cairnfront/internal/admin"
+	"cairnfront/internal/config"
 	"cairnfront/internal/lab/report"
 	"cairnfront/internal/membership"
 	"cairnfront/internal/membership/datagram"
@@ -232,3 +234,16 @@
 	}
 	return stop, nil
 }
+
+// queryMembership asks a router at its operators' socket how it stands.
+func queryMembership(router *routerProcess) (rep membership.Report, err error) {
+	book, err := config.Read(router.operatorsFile)
+	if err != nil {
+		return rep, err
+	}
+	data, err := admin.Call(book.Router.AdminSocket, "peers", nil)
+	if err != nil {
+		return rep, err
+	}
+	return rep, json.Unmarshal(data, &rep)
+}
--- a/internal/lab/records.go
+++ b/internal/lab/records.go
@@ -144,7 +144,8 @@
 	return outside
 }
 
-// p99Millis is the 99th percentile of the latencies of the requests sent between two times, Unix s. A request without an
+// p99Millis is the 99th percentile of the latencies of the requests sent between two times, Unix s. A request
+// without an
 // answer counts with its deadline.
 func (cluster *testCluster) p99Millis(from, to float64) (float64, error) {
 	cluster.responses.mu.Lock()
--- a/internal/lab/router.go
+++ b/internal/lab/router.go
@@ -134,3 +134,12 @@
 	_, err = io.ReadFull(c, b)
 	return err == nil && clientproto.FrameType(b[4]) == clientproto.TypeReadinessReply && b[clientproto.HeaderSize] == 1
 }
+
+// writeOperatorsFile writes settings as an operators' file. JSON is YAML.
+func writeOperatorsFile(path string, settings map[string]any) error {
+	text, err := json.Marshal(settings)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, text, 0o600)
+}
--- a/internal/lab/verify.go
+++ b/internal/lab/verify.go
@@ -128,7 +128,8 @@
 	r.Counts["stale_after_purge"] = r.Rules.Purge
 }
 
-// bindingPurge is the purge that sets the lowest version that a response may have, or nil where none does. A purge binds
+// bindingPurge is the purge that sets the lowest version that a response may have, or nil where none does. A purge
+// binds
 // the requests that were sent after its grace period.
 func (e *evidence) bindingPurge(response *observedResponse) *deliveredPurge {
 	var binding *deliveredPurge
--- a/internal/lab/wait.go
+++ b/internal/lab/wait.go
@@ -35,3 +35,6 @@
 }
 
 func unixSeconds(t time.Time) float64 { return float64(t.UnixMicro()) / 1e6 }
+
+// seconds is a number of seconds as a duration.
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
