--- a/cmd/cairnfront/tier_test.go
+++ b/cmd/cairnfront/tier_test.go
@@ -38,7 +38,7 @@
 	s, _, err := diskcache.OpenStore(d, diskcache.StoreOptions{}, false, nil)
 	require.NoError(t, err)
 	for i := range 20 {
-		_, err := s.Put(diskcache.Meta{Key: eviction.Key{Object: uint64(i / 2), Chunk: uint32(i % 2)}, IssuedAt: 1000, Tag: "t", Rank: 2}, bytes.Repeat([]byte{byte(i)}, 500))
+		_, err := s.Put(diskcache.Meta{Key: eviction.Key{Object: uint64(i / 2), Chunk: uint32(i % 2)}, IssuedAt: 1000, ETag: "t", Rank: 2}, bytes.Repeat([]byte{byte(i)}, 500))
 		require.NoError(t, err)
 	}
 	require.NoError(t, s.AppendPurgeRecords([]validity.Record{{Kind: validity.PurgeObject, Object: 3, PurgedAt: 2000, Number: 7}}))
--- a/internal/diskcache/cache_write.go
+++ b/internal/diskcache/cache_write.go
@@ -22,7 +22,7 @@
 	c.policyMu.Lock()
 	cached := c.policy.Contains(m.Key)
 	if cached {
-		c.policy.Request(unixSeconds(c.now()), m.Key, recordSize(len(m.Tag), len(body)))
+		c.policy.Request(unixSeconds(c.now()), m.Key, recordSize(len(m.ETag), len(body)))
 	}
 	c.policyMu.Unlock()
 	if !cached {
@@ -37,7 +37,7 @@
 		return false
 	}
 	c.Delete(m.Key) // an older copy, if any
-	size := recordSize(len(m.Tag), len(body))
+	size := recordSize(len(m.ETag), len(body))
 	c.policyMu.Lock()
 	decision := c.policy.Request(unixSeconds(c.now()), m.Key, size)
 	c.policyMu.Unlock()
--- a/internal/diskcache/format.go
+++ b/internal/diskcache/format.go
@@ -49,7 +49,7 @@
 	Group    uint16 // validity.UnknownGroup if the source named none
 	Rank     uint8  // 0 to 3, higher is kept longer
 	IssuedAt int64  // Unix ms at which the origin issued the copy
-	Tag      string // entity tag
+	ETag     string // entity tag
 	Seq      uint64 // sequence number of the write; the store assigns it
 }
 
@@ -116,7 +116,7 @@
 }
 
 // size is the size of the whole record on the disk in bytes.
-func (h recordHeader) size() int64 { return recordSize(len(h.Tag), h.bodyLen) }
+func (h recordHeader) size() int64 { return recordSize(len(h.ETag), h.bodyLen) }
 
 // appendRecordHeader encodes a record's header and tag.
 func appendRecordHeader(b []byte, salt uint64, h recordHeader, writtenMS int64, kind recordKind) []byte {
@@ -124,7 +124,7 @@
 	le := binary.LittleEndian
 	b = le.AppendUint32(b, recordMagic)
 	b = append(b, formatVersion, byte(kind))
-	b = le.AppendUint16(b, uint16(len(h.Tag)))
+	b = le.AppendUint16(b, uint16(len(h.ETag)))
 	b = le.AppendUint64(b, h.Object)
 	b = le.AppendUint32(b, h.Chunk)
 	b = le.AppendUint16(b, h.Group)
@@ -136,8 +136,8 @@
 	b = le.AppendUint64(b, uint64(writtenMS))
 	b = le.AppendUint32(b, 0)
 	sum := crc32.Update(saltedChecksum(salt), castagnoli, b[start:])
-	b = le.AppendUint32(b, crc32.Update(sum, castagnoli, []byte(h.Tag)))
-	return append(b, h.Tag...)
+	b = le.AppendUint32(b, crc32.Update(sum, castagnoli, []byte(h.ETag)))
+	return append(b, h.ETag...)
 }
 
 // parseRecordHeader decodes a record's header and tag. After an error nothing of it may be used.
@@ -165,7 +165,7 @@
 			Group:    le.Uint16(b[20:]),
 			Rank:     b[22],
 			IssuedAt: int64(le.Uint64(b[32:])),
-			Tag:      string(b[recordHeaderSize : recordHeaderSize+tagLen]),
+			ETag:     string(b[recordHeaderSize : recordHeaderSize+tagLen]),
 			Seq:      le.Uint64(b[24:]),
 		},
 		bodyLen:      int(le.Uint32(b[40:])),
--- a/internal/diskcache/fuzz_test.go
+++ b/internal/diskcache/fuzz_test.go
@@ -13,7 +13,7 @@
 	f.Add(make([]byte, recordHeaderSize), uint64(0))
 	f.Fuzz(func(t *testing.T, b []byte, salt uint64) {
 		h, err := parseRecordHeader(b, salt)
-		if err == nil && (h.bodyLen > maxBodyBytes || len(h.Tag) > maxTagBytes || h.size() < recordHeaderSize) {
+		if err == nil && (h.bodyLen > maxBodyBytes || len(h.ETag) > maxTagBytes || h.size() < recordHeaderSize) {
 			t.Fatalf("%+v", h)
 		}
 	})
--- a/internal/diskcache/golden_test.go
+++ b/internal/diskcache/golden_test.go
@@ -58,7 +58,7 @@
 			Group:    uint16(object % 5),
 			Rank:     uint8(object % 4),
 			IssuedAt: issuedAt,
-			Tag:      fmt.Sprintf("v%d", issuedAt),
+			ETag:     fmt.Sprintf("v%d", issuedAt),
 		}
 		if object == 9 {
 			info.Group = validity.UnknownGroup
@@ -126,7 +126,7 @@
 		}
 		history, known := report.Known[key]
 		fmt.Fprintf(&out, "%016x/%d seq=%d group=%d rank=%d at=%d tag=%s bytes=%d known=%v gap=%v last=%v sha256=%x\n",
-			key.Object, key.Chunk, chunk.Seq, chunk.Group, chunk.Rank, chunk.IssuedAt, chunk.Tag, len(chunk.Body),
+			key.Object, key.Chunk, chunk.Seq, chunk.Group, chunk.Rank, chunk.IssuedAt, chunk.ETag, len(chunk.Body),
 			known, history.MeanGap, history.LastAccess, sha256.Sum256(chunk.Body))
 	}
 	require.NoError(t, store.Close())
@@ -192,7 +192,7 @@
 		Group:    0x1122,
 		Rank:     3,
 		IssuedAt: 0x21222324252627,
-		Tag:      "4be0c1927d55a6f3",
+		ETag:     "4be0c1927d55a6f3",
 		Seq:      0x31323334353637,
 	}
 	const salt = 0x4142434445464748
--- a/internal/diskcache/inspect.go
+++ b/internal/diskcache/inspect.go
@@ -224,7 +224,7 @@
 		ModTime: time.UnixMilli(chunk.IssuedAt),
 		Format:  tar.FormatPAX,
 		PAXRecords: map[string]string{
-			"CAIRNFRONT.tag":   chunk.Tag,
+			"CAIRNFRONT.tag":   chunk.ETag,
 			"CAIRNFRONT.group": fmt.Sprint(chunk.Group),
 			"CAIRNFRONT.dated": fmt.Sprint(chunk.IssuedAt),
 		},
--- a/internal/diskcache/powerloss.go
+++ b/internal/diskcache/powerloss.go
@@ -198,7 +198,7 @@
 		l.versions[key] = map[int64][]byte{}
 	}
 	l.versions[key][l.clock] = body
-	if _, err := l.store.Put(Meta{Key: key, IssuedAt: l.clock, Tag: versionTag(l.clock)}, body); err == nil {
+	if _, err := l.store.Put(Meta{Key: key, IssuedAt: l.clock, ETag: versionTag(l.clock)}, body); err == nil {
 		l.current[key] = l.clock
 	}
 }
@@ -245,7 +245,7 @@
 	l.result.Recovered++
 	served[key] = chunk.IssuedAt
 	body, known := l.versions[key][chunk.IssuedAt]
-	if !known || !bytes.Equal(body, chunk.Body) || chunk.Tag != versionTag(chunk.IssuedAt) {
+	if !known || !bytes.Equal(body, chunk.Body) || chunk.ETag != versionTag(chunk.IssuedAt) {
 		l.violation("object %d chunk %d: wrong bytes for version %d", key.Object, key.Chunk, chunk.IssuedAt)
 	}
 	return true
--- a/internal/diskcache/segment.go
+++ b/internal/diskcache/segment.go
@@ -31,8 +31,8 @@
 
 // Put writes a chunk and returns the sequence number that the store gave it. A failed write is a StoreError.
 func (s *Store) Put(m Meta, body []byte) (uint64, error) {
-	if len(m.Tag) > maxTagBytes || len(body) > maxBodyBytes {
-		return 0, fmt.Errorf("a tag of %d and a body of %d bytes are too long", len(m.Tag), len(body))
+	if len(m.ETag) > maxTagBytes || len(body) > maxBodyBytes {
+		return 0, fmt.Errorf("a tag of %d and a body of %d bytes are too long", len(m.ETag), len(body))
 	}
 	s.writeMu.Lock()
 	defer s.writeMu.Unlock()
@@ -50,7 +50,7 @@
 // append writes a record to the active segment and enters it into the index. moved is the location of a record that a
 // compaction moves, nil for a new one. The caller holds writeMu.
 func (s *Store) append(m Meta, body []byte, moved *location) error {
-	size := recordSize(len(m.Tag), len(body))
+	size := recordSize(len(m.ETag), len(body))
 	if err := s.prepareActive(size); err != nil {
 		return s.reportWriteError(StoreError{File: segmentName(s.nextID), Key: m.Key, Err: err})
 	}
--- a/internal/diskcache/store.go
+++ b/internal/diskcache/store.go
@@ -230,7 +230,7 @@
 			fmt.Errorf("another part stands there: object %016x part %d", h.Object, h.Chunk),
 		}
 	}
-	body := buf[recordHeaderSize+len(h.Tag):][:h.bodyLen:h.bodyLen]
+	body := buf[recordHeaderSize+len(h.ETag):][:h.bodyLen:h.bodyLen]
 	if crc32.Checksum(body, castagnoli) != h.bodyChecksum {
 		return Chunk{}, corruptRecord{CodeBadBody, errors.New("body's checksum does not hold")}
 	}
--- a/internal/diskcache/store_bench_test.go
+++ b/internal/diskcache/store_bench_test.go
@@ -61,7 +61,7 @@
 	require.NoError(b, err)
 	for i := range chunks {
 		_, err := s.Put(
-			Meta{Key: k(i/15, i%15), IssuedAt: 1, Tag: "4be0c1927d55a6f3"},
+			Meta{Key: k(i/15, i%15), IssuedAt: 1, ETag: "4be0c1927d55a6f3"},
 			[]byte("a body of 24 bytes, so. "),
 		)
 		require.NoError(b, err)
--- a/internal/diskcache/store_test.go
+++ b/internal/diskcache/store_test.go
@@ -28,7 +28,7 @@
 }
 
 func meta(key eviction.Key, dated int64) Meta {
-	return Meta{Key: key, Group: uint16(key.Object % 5), IssuedAt: dated, Tag: fmt.Sprintf("t%d", dated), Rank: 2}
+	return Meta{Key: key, Group: uint16(key.Object % 5), IssuedAt: dated, ETag: fmt.Sprintf("t%d", dated), Rank: 2}
 }
 
 func smallOptions() StoreOptions {
@@ -58,7 +58,7 @@
 	p, err := s.Get(key)
 	require.NoError(t, err)
 	assert.Equal(t, dated, p.IssuedAt)
-	assert.Equal(t, meta(key, dated).Tag, p.Tag)
+	assert.Equal(t, meta(key, dated).ETag, p.ETag)
 	assert.Equal(t, uint16(key.Object%5), p.Group)
 	assert.True(t, bytes.Equal(body(key, dated, n), p.Body))
 }
--- a/internal/edgecache/handler/action.go
+++ b/internal/edgecache/handler/action.go
@@ -11,8 +11,8 @@
 // Respond ends a request.
 type Respond struct {
 	Request     uint64
-	Code        routing.AttemptResult
-	Remark      routing.ResultDetail
+	Result      routing.AttemptResult
+	Detail      routing.ResultDetail
 	NotModified bool   // the client's copy is current
 	Copy        *Copy  // what it is completed with, nil for none
 	PassThrough bool   // completed with the response of Fill, which is not cached
@@ -29,12 +29,12 @@
 	Key            eviction.Key
 	Class          string
 	Source         string
-	Tag            string // of the copy to be confirmed
+	ETag           string // of the copy to be confirmed
 	TimeoutSeconds float64
-	MaxAge         float64 // seconds, 0 for the class's fresh time
+	MaxAgeSeconds  float64 // seconds, 0 for the class's fresh time
 	Rank           int
 
-	NoFetch, NoTrace, Join bool
+	CacheOnly, NoStore, JoinFill bool
 }
 
 // CancelFetch cancels a fetch; no result is expected.
--- a/internal/edgecache/handler/fill.go
+++ b/internal/edgecache/handler/fill.go
@@ -32,9 +32,9 @@
 
 // FetchResult is the result of a Fetch.
 type FetchResult struct {
-	Code        routing.AttemptResult
+	Result      routing.AttemptResult
 	NotModified bool // the copy of the fetch's tag is current
-	Tag         string
+	ETag        string
 	IssuedAt    int64 // Unix ms
 	Group       uint16
 	Body        []byte
@@ -74,7 +74,7 @@
 		f.waiting = []Request{r}
 		h.fillByRequest[r.ID] = f
 	}
-	if !f.passThrough && (r.Join || r.ID == 0) {
+	if !f.passThrough && (r.JoinFill || r.ID == 0) {
 		h.fillByKey[r.Key] = f
 	}
 	h.do(h.fetchAction(f))
@@ -82,7 +82,7 @@
 
 // mayJoin reports whether a request may wait for a fill: its result has to be young enough and still to come.
 func (h *Handler) mayJoin(f *fill, r Request) bool {
-	return r.Class.Cacheable && r.Join && r.ID != 0 && f.first.maxAge() <= r.maxAge() && f.deadline > h.now
+	return r.Class.Cacheable && r.JoinFill && r.ID != 0 && f.first.maxAge() <= r.maxAge() && f.deadline > h.now
 }
 
 func (h *Handler) fetchAction(f *fill) Fetch {
@@ -93,23 +93,23 @@
 		Class:          r.Class.Name,
 		Source:         r.Source,
 		TimeoutSeconds: max(f.deadline-h.now-returnSeconds, returnSeconds),
-		NoFetch:        r.NoFetch,
-		NoTrace:        r.NoTrace,
+		CacheOnly:      r.CacheOnly,
+		NoStore:        r.NoStore,
 	}
 	if f.passThrough {
 		action.Request = r.ID
-		action.Tag = r.Tag
+		action.ETag = r.ETag
 		return action
 	}
-	action.Join = true
+	action.JoinFill = true
 	if maxAge := r.maxAge(); !math.IsInf(maxAge, 1) {
-		action.MaxAge = maxAge
+		action.MaxAgeSeconds = maxAge
 	}
-	if !r.NoFetch && !r.NoTrace {
+	if !r.CacheOnly && !r.NoStore {
 		action.Rank = parentRank
 	}
 	if f.base != nil {
-		action.Tag = f.base.Tag
+		action.ETag = f.base.ETag
 	}
 	return action
 }
@@ -133,14 +133,14 @@
 	}
 	h.removeFill(f)
 	switch {
-	case result.Code != routing.Completed:
-		h.failAll(f, responseCode(result.Code))
+	case result.Result != routing.Completed:
+		h.failAll(f, responseCode(result.Result))
 	case f.passThrough:
 		for _, r := range f.waiting {
 			h.do(Respond{
 				Request:     r.ID,
-				Code:        routing.Completed,
-				Remark:      routing.Filled,
+				Result:      routing.Completed,
+				Detail:      routing.Filled,
 				NotModified: result.NotModified,
 				PassThrough: true,
 				Fill:        f.id,
@@ -201,7 +201,7 @@
 	if !result.NotModified {
 		return &Copy{
 			Key:            f.key,
-			Tag:            result.Tag,
+			ETag:           result.ETag,
 			IssuedAt:       result.IssuedAt,
 			Group:          result.Group,
 			Rank:           f.first.Rank,
@@ -228,7 +228,7 @@
 		if inMemory := h.memory.get(c.Key); inMemory == nil || inMemory.IssuedAt <= c.IssuedAt {
 			h.memory.put(c)
 		}
-	case c.Rank > 0 && !f.first.NoTrace:
+	case c.Rank > 0 && !f.first.NoStore:
 		h.memory.put(c)
 		h.do(WriteDisk{c, f.epoch})
 	default:
--- a/internal/edgecache/handler/golden_test.go
+++ b/internal/edgecache/handler/golden_test.go
@@ -35,7 +35,7 @@
 		return "-"
 	}
 	return fmt.Sprintf("%d/%d,%s,at=%d,g=%d,r=%d,seq=%d,conf=%d,%dB",
-		c.Object, c.Chunk, c.Tag, c.IssuedAt, c.Group, c.Rank, c.Seq, c.ConfirmedEpoch, len(c.Body))
+		c.Object, c.Chunk, c.ETag, c.IssuedAt, c.Group, c.Rank, c.Seq, c.ConfirmedEpoch, len(c.Body))
 }
 
 // printActions writes actions without any Go name.
@@ -44,14 +44,15 @@
 		switch a := action.(type) {
 		case Respond:
 			fmt.Fprintf(out, "  answer %d code=%d remark=%d same=%v passed=%v fill=%d copy=%s\n",
-				a.Request, a.Code, a.Remark, a.NotModified, a.PassThrough, a.Fill, printCopy(a.Copy))
+				a.Request, a.Result, a.Detail, a.NotModified, a.PassThrough, a.Fill, printCopy(a.Copy))
 		case ReadDisk:
 			fmt.Fprintf(out, "  read %d/%d\n", a.Key.Object, a.Key.Chunk)
 		case Fetch:
 			fmt.Fprintf(out, "  fetch %d txn=%d %d/%d rule=%s source=%s tag=%s wait=%.6f maxage=%v "+
 				"rank=%d nofetch=%v notrace=%v join=%v\n",
-				a.Fill, a.Request, a.Key.Object, a.Key.Chunk, a.Class, a.Source, a.Tag, a.TimeoutSeconds, a.MaxAge,
-				a.Rank, a.NoFetch, a.NoTrace, a.Join)
+				a.Fill, a.Request, a.Key.Object, a.Key.Chunk, a.Class, a.Source, a.ETag, a.TimeoutSeconds,
+				a.MaxAgeSeconds,
+				a.Rank, a.CacheOnly, a.NoStore, a.JoinFill)
 		case CancelFetch:
 			fmt.Fprintf(out, "  abandon %d\n", a.Fill)
 		case WriteDisk:
@@ -95,25 +96,25 @@
 
 func (s *session) request(id uint64) {
 	request := Request{
-		ID:       id,
-		Key:      eviction.Key{Object: uint64(s.rnd.IntN(9)), Chunk: uint32(s.rnd.IntN(2))},
-		Class:    []Class{video, page, order}[s.rnd.IntN(3)],
-		Deadline: s.clock + 5,
-		Rank:     s.rnd.IntN(4),
-		Join:     s.chance(80),
-		NoFetch:  s.chance(10),
-		NoTrace:  s.chance(10),
-		Renew:    s.chance(50),
+		ID:         id,
+		Key:        eviction.Key{Object: uint64(s.rnd.IntN(9)), Chunk: uint32(s.rnd.IntN(2))},
+		Class:      []Class{video, page, order}[s.rnd.IntN(3)],
+		Deadline:   s.clock + 5,
+		Rank:       s.rnd.IntN(4),
+		JoinFill:   s.chance(80),
+		CacheOnly:  s.chance(10),
+		NoStore:    s.chance(10),
+		Revalidate: s.chance(50),
 	}
 	request.Class.Name = "c"
 	if s.chance(85) {
 		request.Source = "s-1"
 	}
 	if s.chance(30) {
-		request.MaxAge = 5 + 25*s.rnd.Float64()
+		request.MaxAgeSeconds = 5 + 25*s.rnd.Float64()
 	}
 	if s.chance(20) {
-		request.Tag = "v2"
+		request.ETag = "v2"
 	}
 	s.env.disk[request.Key] = s.chance(25)
 	s.open = append(s.open, request)
@@ -141,19 +142,19 @@
 		routing.Overloaded, routing.CacheMiss, routing.TimedOut, routing.ConnectFailed, routing.NotSent,
 	}
 	result := FetchResult{
-		Code:     codes[s.rnd.IntN(len(codes))],
-		Tag:      fmt.Sprint("v", s.rnd.IntN(4)),
+		Result:   codes[s.rnd.IntN(len(codes))],
+		ETag:     fmt.Sprint("v", s.rnd.IntN(4)),
 		IssuedAt: int64((s.clock - 12*s.rnd.Float64()) * 1000),
 		Group:    uint16(s.rnd.IntN(3)),
 		Body:     make([]byte, 100+s.rnd.IntN(2500)),
 	}
-	if f.Tag != "" && s.chance(60) {
+	if f.ETag != "" && s.chance(60) {
 		result.NotModified, result.Body = true, nil
 	}
 	if s.chance(20) {
 		result.Group = validity.UnknownGroup
 	}
-	fmt.Fprintf(&s.out, "%.3f fetched %d code=%d same=%v\n", s.clock, f.Fill, result.Code, result.NotModified)
+	fmt.Fprintf(&s.out, "%.3f fetched %d code=%d same=%v\n", s.clock, f.Fill, result.Result, result.NotModified)
 	s.take(s.handler.HandleFetched(s.clock, f.Fill, result))
 }
 
@@ -167,7 +168,7 @@
 	if s.chance(70) {
 		c = &Copy{
 			Key:      k,
-			Tag:      "v2",
+			ETag:     "v2",
 			IssuedAt: int64((s.clock - 15*s.rnd.Float64()) * 1000),
 			Group:    1,
 			Rank:     s.rnd.IntN(4),
--- a/internal/edgecache/handler/handler.go
+++ b/internal/edgecache/handler/handler.go
@@ -140,7 +140,7 @@
 		return
 	}
 	h.serve(r, c, routing.StaleHit, fromMemory)
-	if r.Renew && r.Source != "" && h.fillByKey[r.Key] == nil && len(h.fills) < h.limits.MaxFills {
+	if r.Revalidate && r.Source != "" && h.fillByKey[r.Key] == nil && len(h.fills) < h.limits.MaxFills {
 		renewal := r
 		renewal.ID = 0
 		renewal.Deadline = h.now + h.limits.FillTimeoutSeconds
@@ -156,9 +156,9 @@
 	}
 	h.do(Respond{
 		Request:     r.ID,
-		Code:        routing.Completed,
-		Remark:      detail,
-		NotModified: r.Tag != "" && r.Tag == c.Tag,
+		Result:      routing.Completed,
+		Detail:      detail,
+		NotModified: r.ETag != "" && r.ETag == c.ETag,
 		Copy:        c,
 	})
 }
@@ -167,7 +167,7 @@
 func (h *Handler) fail(r Request, code routing.AttemptResult) {
 	if r.ID != 0 {
 		delete(h.fillByRequest, r.ID)
-		h.do(Respond{Request: r.ID, Code: code})
+		h.do(Respond{Request: r.ID, Result: code})
 	}
 }
 
--- a/internal/edgecache/handler/handler_test.go
+++ b/internal/edgecache/handler/handler_test.go
@@ -51,13 +51,13 @@
 }
 
 func newRequest(id uint64, r Class) Request {
-	return Request{ID: id, Key: key, Class: r, Deadline: now + 5, Source: "s-1", Rank: 2, Join: true}
+	return Request{ID: id, Key: key, Class: r, Deadline: now + 5, Source: "s-1", Rank: 2, JoinFill: true}
 }
 
 func fetchedCopy(age float64) FetchResult {
 	return FetchResult{
-		Code:     routing.Completed,
-		Tag:      "v",
+		Result:   routing.Completed,
+		ETag:     "v",
 		IssuedAt: int64((now - age) * 1000),
 		Group:    3,
 		Body:     make([]byte, 500),
@@ -68,14 +68,14 @@
 func cacheCopy(d *Handler, age float64) {
 	d.begin(now)
 	e := fetchedCopy(age)
-	d.memory.put(&Copy{Key: key, Tag: e.Tag, IssuedAt: e.IssuedAt, Rank: 2, Body: e.Body, Seq: 5})
+	d.memory.put(&Copy{Key: key, ETag: e.ETag, IssuedAt: e.IssuedAt, Rank: 2, Body: e.Body, Seq: 5})
 }
 
 func responseCodes(acts []Action) []routing.AttemptResult {
 	var out []routing.AttemptResult
 	for _, a := range acts {
 		if x, ok := a.(Respond); ok {
-			out = append(out, x.Code)
+			out = append(out, x.Result)
 		}
 	}
 	return out
@@ -89,14 +89,14 @@
 	assert.Equal(t, "s-1", f.Source)
 	assert.Empty(t, d.HandleRequest(now, newRequest(2, video)))
 	alone := newRequest(3, video)
-	alone.Join = false
+	alone.JoinFill = false
 	assert.Len(t, d.HandleRequest(now, alone), 1, "a request that may not join has its own fetch")
 	acts = append([]Action{}, d.HandleFetched(now+0.1, f.Fill, fetchedCopy(0))...)
 	assert.IsType(t, WriteDisk{}, acts[0])
-	assert.Equal(t, routing.Filled, acts[1].(Respond).Remark)
-	assert.Equal(t, routing.JoinedFill, acts[2].(Respond).Remark)
+	assert.Equal(t, routing.Filled, acts[1].(Respond).Detail)
+	assert.Equal(t, routing.JoinedFill, acts[2].(Respond).Detail)
 	hit := d.HandleRequest(now+0.2, newRequest(4, video))
-	assert.Equal(t, routing.CacheHit, hit[1].(Respond).Remark)
+	assert.Equal(t, routing.CacheHit, hit[1].(Respond).Detail)
 }
 
 func TestMissWithoutSource(t *testing.T) {
@@ -112,7 +112,7 @@
 	assert.Equal(t, []Action{ReadDisk{key}}, d.HandleRequest(now, newRequest(1, video)))
 	assert.Empty(t, d.HandleRequest(now, newRequest(2, video)))
 	e := fetchedCopy(50)
-	acts := d.HandleDiskRead(now, key, &Copy{Key: key, Tag: "v", IssuedAt: e.IssuedAt, Rank: 2, Seq: 4, Body: e.Body})
+	acts := d.HandleDiskRead(now, key, &Copy{Key: key, ETag: "v", IssuedAt: e.IssuedAt, Rank: 2, Seq: 4, Body: e.Body})
 	assert.Equal(t, []routing.AttemptResult{routing.Completed, routing.Completed}, responseCodes(acts))
 	d, w = newHandler()
 	w.disk[key] = true
@@ -126,10 +126,10 @@
 		w.verdict[7], w.epoch = validity.Unconfirmed, 9
 		cacheCopy(d, 50)
 		f := d.HandleRequest(now, newRequest(1, video))[0].(Fetch)
-		assert.Equal(t, "v", f.Tag)
+		assert.Equal(t, "v", f.ETag)
 		e := fetchedCopy(1)
 		if e.NotModified = same; same {
-			e.Body, e.Tag = nil, ""
+			e.Body, e.ETag = nil, ""
 		}
 		acts := d.HandleFetched(now+0.1, f.Fill, e)
 		assert.Equal(t, []routing.AttemptResult{routing.Completed}, responseCodes(acts))
@@ -163,7 +163,7 @@
 	acts := d.HandleRequest(now, newRequest(1, video))
 	assert.Contains(t, acts, DeleteFromDisk{key})
 	f := acts[1].(Fetch)
-	assert.Empty(t, f.Tag)
+	assert.Empty(t, f.ETag)
 	// The source's copy is older than the purge too: it is fetched once more, then the request fails.
 	acts = append([]Action{}, d.HandleFetched(now+0.1, f.Fill, fetchedCopy(30))...)
 	assert.Empty(t, responseCodes(acts))
@@ -196,7 +196,7 @@
 		d, _ := newHandler()
 		cacheCopy(d, c.age)
 		x := newRequest(1, c.rule)
-		if x.MaxAge, x.Renew = c.most, c.renew; !c.source {
+		if x.MaxAgeSeconds, x.Revalidate = c.most, c.renew; !c.source {
 			x.Source = ""
 		}
 		got := ""
@@ -207,7 +207,7 @@
 					routing.CacheHit: "hit",
 					routing.StaleHit: "stale",
 					routing.NoDetail: "miss",
-				}[a.Remark]
+				}[a.Detail]
 			case Fetch:
 				if got != "" {
 					got += "+"
@@ -234,11 +234,11 @@
 		d, _ := newHandler()
 		f := d.HandleRequest(now, newRequest(1, order))[0].(Fetch)
 		assert.Equal(t, uint64(1), f.Request)
-		assert.False(t, f.Join)
+		assert.False(t, f.JoinFill)
 		assert.Equal(
 			t,
 			[]routing.AttemptResult{to},
-			responseCodes(d.HandleFetched(now, f.Fill, FetchResult{Code: from})),
+			responseCodes(d.HandleFetched(now, f.Fill, FetchResult{Result: from})),
 		)
 	}
 }
--- a/internal/edgecache/handler/properties_test.go
+++ b/internal/edgecache/handler/properties_test.go
@@ -48,8 +48,8 @@
 					f := fetches[0]
 					fetches = fetches[1:]
 					e := FetchResult{
-						Code:        routing.AttemptResult(rapid.IntRange(0, 8).Draw(t, "code")),
-						Tag:         "x",
+						Result:      routing.AttemptResult(rapid.IntRange(0, 8).Draw(t, "code")),
+						ETag:        "x",
 						IssuedAt:    int64((clock - rapid.Float64Range(0, 20).Draw(t, "age")) * 1000),
 						Body:        make([]byte, rapid.IntRange(0, 4000).Draw(t, "size")),
 						NotModified: rapid.Bool().Draw(t, "same"),
@@ -62,7 +62,7 @@
 					if rapid.Bool().Draw(t, "found") {
 						c = &Copy{
 							Key:      reads[0],
-							Tag:      "y",
+							ETag:     "y",
 							Rank:     2,
 							IssuedAt: int64((clock - 30) * 1000),
 							Seq:      3,
@@ -85,15 +85,15 @@
 				}
 			default:
 				x := Request{
-					ID:       id + 1,
-					Key:      k,
-					Class:    rapid.SampledFrom([]Class{video, page, order}).Draw(t, "class"),
-					Deadline: clock + 5,
-					Source:   rapid.SampledFrom([]string{"", "s-1"}).Draw(t, "source"),
-					Rank:     rapid.IntRange(0, 3).Draw(t, "rank"),
-					MaxAge:   rapid.SampledFrom([]float64{0, 0.5, 30}).Draw(t, "most"),
-					Join:     rapid.Bool().Draw(t, "join"),
-					Renew:    true,
+					ID:            id + 1,
+					Key:           k,
+					Class:         rapid.SampledFrom([]Class{video, page, order}).Draw(t, "class"),
+					Deadline:      clock + 5,
+					Source:        rapid.SampledFrom([]string{"", "s-1"}).Draw(t, "source"),
+					Rank:          rapid.IntRange(0, 3).Draw(t, "rank"),
+					MaxAgeSeconds: rapid.SampledFrom([]float64{0, 0.5, 30}).Draw(t, "most"),
+					JoinFill:      rapid.Bool().Draw(t, "join"),
+					Revalidate:    true,
 				}
 				open[x.ID] = k
 				take(d.HandleRequest(clock, x))
--- a/internal/edgecache/handler/request.go
+++ b/internal/edgecache/handler/request.go
@@ -17,20 +17,20 @@
 
 // Request is a request for a chunk. Times are Unix seconds.
 type Request struct {
-	ID       uint64 // assigned by the caller; 0 for a renewal that nobody waits for
-	Key      eviction.Key
-	Class    Class
-	Deadline float64
-	Source   string  // endpoint that a miss is fetched from, empty for none
-	Rank     int     // with which a copy is cached, 0 for not at all
-	MaxAge   float64 // seconds, 0 for the class's fresh time
+	ID            uint64 // assigned by the caller; 0 for a renewal that nobody waits for
+	Key           eviction.Key
+	Class         Class
+	Deadline      float64
+	Source        string  // endpoint that a miss is fetched from, empty for none
+	Rank          int     // with which a copy is cached, 0 for not at all
+	MaxAgeSeconds float64 // seconds, 0 for the class's fresh time
 
-	Join    bool // may wait for a fetch under way
-	NoFetch bool // the source must not fetch
-	NoTrace bool // must not be cached
-	Renew   bool // a stale copy is to be renewed
+	JoinFill   bool // may wait for a fetch under way
+	CacheOnly  bool // the source must not fetch
+	NoStore    bool // must not be cached
+	Revalidate bool // a stale copy is to be renewed
 
-	Tag string // of the copy that the client holds
+	ETag string // of the copy that the client holds
 
 	receivedAt float64
 }
@@ -38,8 +38,8 @@
 // maxAge is the greatest age in seconds of a copy that satisfies the request.
 func (r *Request) maxAge() float64 {
 	switch {
-	case r.MaxAge > 0:
-		return r.MaxAge
+	case r.MaxAgeSeconds > 0:
+		return r.MaxAgeSeconds
 	case r.Class.FreshSeconds > 0:
 		return r.Class.FreshSeconds
 	}
@@ -49,7 +49,7 @@
 // Copy is a copy of a chunk.
 type Copy struct {
 	eviction.Key
-	Tag            string
+	ETag           string
 	IssuedAt       int64 // Unix ms
 	Group          uint16
 	Rank           int
--- a/internal/edgecache/perform.go
+++ b/internal/edgecache/perform.go
@@ -47,11 +47,11 @@
 	}
 	switch a := action.(type) {
 	case handler.WriteDisk:
-		if a.Copy.Tag != "" {
+		if a.Copy.ETag != "" {
 			s.Disk.Admit(diskMeta(a.Copy), a.Copy.Body, a.Epoch)
 		}
 	case handler.TouchDisk:
-		if a.Copy.Tag != "" {
+		if a.Copy.ETag != "" {
 			s.Disk.Touch(diskMeta(a.Copy), a.Copy.Body, a.Copy.ConfirmedEpoch)
 		}
 	case handler.DeleteFromDisk:
@@ -65,7 +65,7 @@
 		Group:    c.Group,
 		Rank:     uint8(c.Rank),
 		IssuedAt: c.IssuedAt,
-		Tag:      c.Tag,
+		ETag:     c.ETag,
 	}
 }
 
@@ -75,14 +75,14 @@
 		return
 	}
 	reply := cacheproto.AttemptReply{
-		Result:      a.Code,
-		Detail:      a.Remark,
+		Result:      a.Result,
+		Detail:      a.Detail,
 		NotModified: a.NotModified,
 		PurgeGroup:  cacheproto.UnknownPurgeGroup,
 	}
 	var body []byte
 	if c := a.Copy; c != nil {
-		reply.ETag, reply.OriginUnixMillis, reply.PurgeGroup = c.Tag, c.IssuedAt, int(c.Group)
+		reply.ETag, reply.OriginUnixMillis, reply.PurgeGroup = c.ETag, c.IssuedAt, int(c.Group)
 		if !a.NotModified {
 			body = c.Body
 		}
@@ -99,7 +99,7 @@
 	}
 	s.post(diskReadDone{key, &handler.Copy{
 		Key:            key,
-		Tag:            chunk.Tag,
+		ETag:           chunk.ETag,
 		IssuedAt:       chunk.IssuedAt,
 		Group:          chunk.Group,
 		Rank:           int(chunk.Rank),
@@ -122,7 +122,7 @@
 		ClassName: f.Class,
 		Object:    fmt.Sprintf("%016x", f.Key.Object),
 		Part:      strconv.Itoa(int(f.Key.Chunk)),
-		ETag:      f.Tag,
+		ETag:      f.ETag,
 	}
 	if r := s.requests[f.Request]; r != nil {
 		outbound.IdempotencyKey, outbound.Body = r.command.IdempotencyKey, r.body
@@ -133,10 +133,10 @@
 		StartAttempt: routing.StartAttempt{
 			Endpoint:      routing.EndpointID(f.Source),
 			RetentionRank: f.Rank,
-			MaxAgeSeconds: f.MaxAge,
-			JoinFill:      f.Join,
-			CacheOnly:     f.NoFetch,
-			ParentNoStore: f.NoTrace,
+			MaxAgeSeconds: f.MaxAgeSeconds,
+			JoinFill:      f.JoinFill,
+			CacheOnly:     f.CacheOnly,
+			ParentNoStore: f.NoStore,
 		},
 	}, nil, fillOwner(f.Fill))
 	if attempt == nil {
@@ -148,7 +148,7 @@
 }
 
 func (s *Server) handleFetchNotSent(now float64, fill uint64) {
-	s.perform(s.handler.HandleFetched(now, fill, handler.FetchResult{Code: routing.NotSent}))
+	s.perform(s.handler.HandleFetched(now, fill, handler.FetchResult{Result: routing.NotSent}))
 }
 
 func (s *Server) handleUpstream(now float64, ev upstream.Event) {
@@ -170,9 +170,9 @@
 	}
 	delete(s.attempts, fill)
 	result := handler.FetchResult{
-		Code:        ev.End.Result,
+		Result:      ev.End.Result,
 		NotModified: ev.End.NotModified,
-		Tag:         ev.End.ETag,
+		ETag:        ev.End.ETag,
 		IssuedAt:    ev.End.OriginUnixMillis,
 		Group:       validity.UnknownGroup,
 	}
