Laboratory: stand-ins, addresses and brown-out taken apart by concern

A connection of a stand-in is a type with one function a command, attempts and their overlaps are a file, the cluster with several addresses is a type that both measurements share. A failed set-up no longer hides its error behind a nil cluster's close.

--- /dev/null
+++ b/internal/lab/addresses_pairs.go
@@ -0,0 +1,137 @@
+package lab
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	"cairnfront/internal/lab/report"
+)
+
+// Sizes and bounds of the paired measurement.
+const (
+	pairsSmall     = 1
+	pairsFull      = 12
+	pairPhaseSmall = time.Second
+	pairPhaseFull  = 4 * time.Second
+	recoveryLimit  = 25 * time.Second // the longest cooldown of an address is 20 s
+	maxExtraMillis = 100.0            // at small size, where some hundred requests run beside a build
+)
+
+// addressPairs are the 99th percentiles of the latencies of pairs of phases, ms, and their ratios.
+type addressPairs struct {
+	healthyMillis []float64
+	hungMillis    []float64
+	ratios        []float64
+}
+
+// runPairs measures what one unresponsive address costs at the 99th percentile. Phases with all addresses healthy
+// and with
+// one unresponsive alternate on one router under one load, so that what else the machine does falls on both. The first
+// seconds of a phase, in which the router detects the fault or the recovery, do not count.
+func runPairs(ctx context.Context, options Options, r *report.Report, clients int) error {
+	count, phase := pairsSmall, pairPhaseSmall
+	if options.Full {
+		count, phase = pairsFull, pairPhaseFull
+	}
+	cluster, err := newMultiAddressCluster(options, true)
+	if err != nil {
+		return err
+	}
+	defer cluster.close(r)
+	load := cluster.startLoad(ctx, clients, cluster.recordResponse)
+	defer load.stop()
+	var pairs addressPairs
+	for i := range count {
+		options.Progress("pair %d of %d", i+1, count)
+		if err := cluster.measurePair(ctx, &pairs, phase); err != nil {
+			return err
+		}
+		if _, recovered := cluster.healFaultyAddress(); !recovered {
+			r.Broke("pair %d: the address is back and not used", i+1)
+		}
+	}
+	load.stop()
+	r.Counts["pairs"] = int64(count)
+	pairs.addFigures(r)
+	pairs.hungAddressCheap(r, options.Full)
+	cluster.noOverlappingAttempts(r, "pairs", load)
+	cluster.verify(r, []*clientGroup{load.group})
+	return nil
+}
+
+// measurePair measures a phase with all addresses healthy and one with the faulty address unresponsive.
+func (c *multiAddressCluster) measurePair(ctx context.Context, pairs *addressPairs, phase time.Duration) error {
+	healthyMillis, err := c.measurePhase(ctx, phase)
+	if err != nil {
+		return err
+	}
+	_ = c.faulty.setMode(unresponsive)
+	hungMillis, err := c.measurePhase(ctx, phase)
+	if err != nil {
+		return err
+	}
+	pairs.healthyMillis = append(pairs.healthyMillis, healthyMillis)
+	pairs.hungMillis = append(pairs.hungMillis, hungMillis)
+	pairs.ratios = append(pairs.ratios, hungMillis/healthyMillis)
+	return nil
+}
+
+// measurePhase waits until the router has settled and measures the 99th percentile of a phase, ms.
+func (c *multiAddressCluster) measurePhase(ctx context.Context, phase time.Duration) (float64, error) {
+	if err := sleep(ctx, seconds(settleSeconds)); err != nil {
+		return 0, err
+	}
+	from := unixSeconds(time.Now())
+	if err := sleep(ctx, phase); err != nil {
+		return 0, err
+	}
+	return c.p99Millis(from, unixSeconds(time.Now()))
+}
+
+// healFaultyAddress makes the faulty address healthy and waits until the router uses it again.
+func (c *multiAddressCluster) healFaultyAddress() (tookSeconds float64, recovered bool) {
+	_ = c.faulty.setMode(healthy)
+	healedAt := unixSeconds(time.Now())
+	err := waitUntil(recoveryLimit, func() bool { return c.faultyEdge().usedAfter(c.faulty, healedAt) })
+	return unixSeconds(time.Now()) - healedAt, err == nil
+}
+
+// addFigures sorts the lists and reports the least, the median and the most of each.
+func (p *addressPairs) addFigures(r *report.Report) {
+	for name, list := range map[string][]float64{
+		"good_ms": p.healthyMillis,
+		"hung_ms": p.hungMillis,
+		"ratio":   p.ratios,
+	} {
+		sort.Float64s(list)
+		r.Figures["pairs_"+name+".least"] = list[0]
+		r.Figures["pairs_"+name+".median"] = median(list)
+		r.Figures["pairs_"+name+".most"] = list[len(list)-1]
+	}
+}
+
+// hungAddressCheap checks that an unresponsive address costs little at the 99th percentile. At full size the bound
+// is the
+// worst of the healthy phases, which differ by several times among themselves. The lists must be sorted.
+func (p *addressPairs) hungAddressCheap(r *report.Report, full bool) {
+	hung, worst := median(p.hungMillis), p.healthyMillis[len(p.healthyMillis)-1]
+	if full && hung > worst {
+		r.Broke(
+			"with one address hung the p99 is %.1f ms in the median of %d pairs, over the worst of all "+
+				"phases with all good, %.1f",
+			hung,
+			len(p.hungMillis),
+			worst,
+		)
+	}
+	if healthyMedian := median(p.healthyMillis); !full && hung > healthyMedian+maxExtraMillis {
+		r.Broke("with one address hung the p99 is %.1f ms, with all good %.1f", hung, healthyMedian)
+	}
+}
+
+// median is the median of a sorted list that is not empty.
+func median(sorted []float64) float64 {
+	n := len(sorted)
+	return (sorted[(n-1)/2] + sorted[n/2]) / 2
+}
--- a/internal/lab/brownout.go
+++ b/internal/lab/brownout.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -11,164 +10,195 @@
 	"time"
 
 	"cairnfront/internal/cacheproto"
-	"cairnfront/internal/diskcache/eviction"
-	"cairnfront/internal/edgecache"
 	"cairnfront/internal/lab/report"
-	"cairnfront/routing"
 )
 
-// Half of a brown-out's attempts fail: that is what makes every request want another one.
-const brownoutFailureRate = 0.5
+const (
+	// brownoutFailureRate is the share of the attempts that fail, so that nearly every request wants a retry.
+	brownoutFailureRate = 0.5
+	// retryBudget is the retries that the routers may make beside the first attempts, in the variant with a budget.
+	retryBudget = 0.2
+)
+
+// brownoutSize is how long and with how many clients a brown-out is played.
+type brownoutSize struct {
+	calm    time.Duration // before and after
+	brown   time.Duration
+	clients int
+}
 
 var brownoutScenario = Scenario{
 	Name: "brownout",
 	Description: "All caches fail half of their hops for a while, with and without a budget of further hops: how " +
 		"many hops a txn costs",
-	Run: func(ctx context.Context, options Options, r *report.Report) error {
-		calm, brown, clients := 2*time.Second, 5*time.Second, 24
-		if options.Full {
-			calm, brown, clients = 5*time.Second, 30*time.Second, 40
-		}
-		p := report.Plot{Title: "Hops a txn, second by second", XLabel: "s", YLabel: "hops"}
-		for _, share := range []float64{0, 0.2} {
-			name := map[bool]string{true: "budget", false: "none"}[share > 0]
-			options.Progress("%s", name)
-			l, err := runBrownout(ctx, options, r, name, share, calm, brown, clients)
-			if err != nil {
-				return fmt.Errorf("%s: %w", name, err)
-			}
-			p.Lines = append(p.Lines, l)
-		}
-		p.Marks = []report.Mark{{At: calm.Seconds(), Name: "brown-out"}, {At: (calm + brown).Seconds(), Name: "over"}}
-		r.Plots = append(r.Plots, p)
-		r.Steps = append(
-			r.Steps,
-			fmt.Sprintf(
-				"four stand-in members, %d clients; for %.0f s each hop fails with odds of %.1f",
-				clients,
-				brown.Seconds(),
-				brownoutFailureRate,
-			),
-		)
-		if with, without := r.Figures["hops_a_txn.budget"], r.Figures["hops_a_txn.none"]; with-1 > (without-1)/2 {
-			r.Broke("with a budget of 0.2 a txn costs %.2f hops in the brown-out, without one %.2f", with, without)
+	Run: runBrownouts,
+}
+
+func runBrownouts(ctx context.Context, options Options, r *report.Report) error {
+	size := brownoutSize{calm: 2 * time.Second, brown: 5 * time.Second, clients: 24}
+	if options.Full {
+		size = brownoutSize{calm: 5 * time.Second, brown: 30 * time.Second, clients: 40}
+	}
+	plot := report.Plot{
+		Title:  "Hops a txn, second by second",
+		XLabel: "s",
+		YLabel: "hops",
+		Marks: []report.Mark{
+			{At: size.calm.Seconds(), Name: "brown-out"},
+			{At: (size.calm + size.brown).Seconds(), Name: "over"},
+		},
+	}
+	for _, variant := range []struct {
+		name   string
+		budget float64
+	}{{"none", 0}, {"budget", retryBudget}} {
+		options.Progress("%s", variant.name)
+		line, err := runBrownout(ctx, options, r, variant.name, variant.budget, size)
+		if err != nil {
+			return fmt.Errorf("%s: %w", variant.name, err)
 		}
-		return nil
-	},
+		plot.Lines = append(plot.Lines, line)
+	}
+	r.Plots = append(r.Plots, plot)
+	r.Steps = append(
+		r.Steps,
+		fmt.Sprintf(
+			"four stand-in members, %d clients; for %.0f s each hop fails with odds of %.1f",
+			size.clients,
+			size.brown.Seconds(),
+			brownoutFailureRate,
+		),
+	)
+	retriesBounded(r)
+	return nil
 }
 
+// retriesBounded checks that a budget halves the retries of a request, at least.
+func retriesBounded(r *report.Report) {
+	with, without := r.Figures["hops_a_txn.budget"], r.Figures["hops_a_txn.none"]
+	if with-1 > (without-1)/2 {
+		r.Broke("with a budget of 0.2 a txn costs %.2f hops in the brown-out, without one %.2f", with, without)
+	}
+}
+
+// runBrownout plays a brown-out with a retry budget. The line is the attempts a request, second by second.
 func runBrownout(
-	ctx context.Context, options Options, r *report.Report, name string, share float64,
-	calm, brown time.Duration, clients int,
+	ctx context.Context, options Options, r *report.Report, name string, budget float64, size brownoutSize,
 ) (report.Line, error) {
-	out := report.Line{Name: name}
 	cluster, err := newTestCluster(options, 1)
 	if err != nil {
-		return out, err
+		return report.Line{}, err
 	}
-	defer func() { cluster.close(r) }()
+	defer cluster.close(r)
 	if cluster.options.Directory, err = os.MkdirTemp(options.Directory, "b"); err != nil {
-		return out, err
+		return report.Line{}, err
 	}
 	var failing atomic.Bool
-	var members []*endpointStandIn
-	for i, kind := range []int{kindOrigin, kindParent, kindEdge, kindEdge} {
-		standIn, err := newEndpointStandIn(endpointID(i+1), cluster.options.Directory, time.Millisecond)
-		if err != nil {
-			return out, err
+	standIns, err := cluster.startFailingStandIns(&failing)
+	defer func() {
+		for _, standIn := range standIns {
+			standIn.close()
 		}
-		defer standIn.close()
-		standIn.body = func(a cacheproto.Command) []byte {
-			if a.ClassName == classPrintOrder {
-				return nil
-			}
-			return edgecache.SyntheticBody(
-				options.Seed,
-				eviction.Key{Object: a.ObjectID, Chunk: a.PartNumber},
-				0,
-				cluster.content.MinBytes,
-				cluster.content.MaxBytes,
-			)
-		}
-		// drawn from the request's id and the attempt's number: the same in both plays
-		standIn.failAttempt = func(a cacheproto.Command, n int) bool {
-			return failing.Load() && float64(attemptHash(a.ID, n)%1000) < brownoutFailureRate*1000
-		}
-		members = append(members, standIn)
-		endpoint := &clusterEndpoint{
-			id:   standIn.id,
-			kind: kind,
-			zone: zoneOf(kind),
-			addr: standIn.addresses[len(standIn.addresses)-1].addr,
-		}
-		cluster.endpoints = append(cluster.endpoints, endpoint)
-		cluster.publishStatus(endpoint, routing.Ready)
-	}
-	text, err := json.Marshal(map[string]any{"router": map[string]any{"further_share": share}})
+	}()
 	if err != nil {
-		return out, err
+		return report.Line{}, err
 	}
 	cluster.operatorsFile = filepath.Join(cluster.options.Directory, "operators.yaml")
-	if err := os.WriteFile(cluster.operatorsFile, text, 0o600); err != nil {
-		return out, err
+	settings := map[string]any{"router": map[string]any{"further_share": budget}}
+	if err := writeOperatorsFile(cluster.operatorsFile, settings); err != nil {
+		return report.Line{}, err
 	}
 	if err := cluster.addRouter(1); err != nil {
-		return out, err
-	}
-	group := &clientGroup{
-		addr:       cluster.routers[0].addr,
-		clients:    clients,
-		seed:       options.Seed,
-		objects:    60,
-		parts:      6,
-		groups:     cluster.content.Groups,
-		meanPause:  20 * time.Millisecond,
-		onResponse: cluster.recordResponse,
-	}
-	play, stop := context.WithCancel(ctx)
-	defer stop()
-	var all sync.WaitGroup
-	all.Go(func() { group.run(play) })
-	began := unixSeconds(time.Now())
-	for _, step := range []struct {
-		length time.Duration
-		fails  bool
-	}{{calm, false}, {brown, true}, {calm, false}} {
-		failing.Store(step.fails)
-		select {
-		case <-ctx.Done():
-			return out, ctx.Err()
-		case <-time.After(step.length):
-		}
+		return report.Line{}, err
+	}
+	group := cluster.newClientGroup(cluster.routers[0], size.clients, 20*time.Millisecond)
+	startedAt := unixSeconds(time.Now())
+	if err := playBrownoutPhases(ctx, group, &failing, size); err != nil {
+		return report.Line{}, err
 	}
-	stop()
-	all.Wait()
 	before := r.Counts["completed"]
 	cluster.verify(r, []*clientGroup{group})
-	txns, hops := map[int]float64{}, map[int]float64{}
-	for _, h := range cluster.responses.all {
-		txns[int(h.sentAt-began)]++
+	completed := float64(r.Counts["completed"] - before)
+	r.Figures["completed_share."+name] = completed / float64(max(len(cluster.responses.all), 1))
+	requests, attempts := cluster.countPerSecond(standIns, startedAt)
+	return addAttemptFigures(r, name, requests, attempts, size), nil
+}
+
+// startFailingStandIns starts stand-ins that fail some attempts while failing is set. Which ones is drawn from the
+// request's id and the attempt's number, and so the same in both variants.
+func (cluster *testCluster) startFailingStandIns(failing *atomic.Bool) (standIns []*endpointStandIn, err error) {
+	for _, kind := range standInKinds {
+		standIn, err := cluster.addStandIn(kind, func(command cacheproto.Command) []byte {
+			if command.ClassName == classPrintOrder {
+				return nil
+			}
+			return cluster.syntheticBody(command)
+		})
+		if err != nil {
+			return standIns, err
+		}
+		standIn.failAttempt = func(command cacheproto.Command, n int) bool {
+			return failing.Load() && float64(attemptHash(command.ID, n)%1000) < brownoutFailureRate*1000
+		}
+		standIns = append(standIns, standIn)
 	}
-	for _, standIn := range members {
+	return standIns, nil
+}
+
+// playBrownoutPhases runs the clients through a calm, a brown-out and a calm again.
+func playBrownoutPhases(ctx context.Context, group *clientGroup, failing *atomic.Bool, size brownoutSize) error {
+	loadCtx, stop := context.WithCancel(ctx)
+	var load sync.WaitGroup
+	load.Go(func() { group.run(loadCtx) })
+	defer load.Wait()
+	defer stop()
+	for _, phase := range []struct {
+		duration time.Duration
+		failing  bool
+	}{{size.calm, false}, {size.brown, true}, {size.calm, false}} {
+		failing.Store(phase.failing)
+		if err := sleep(ctx, phase.duration); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// countPerSecond counts the clients' requests and the attempts that came to stand-ins, by the second since the start.
+func (cluster *testCluster) countPerSecond(
+	standIns []*endpointStandIn, startedAt float64,
+) (requests, attempts map[int]float64) {
+	requests, attempts = map[int]float64{}, map[int]float64{}
+	for _, response := range cluster.responses.all {
+		requests[int(response.sentAt-startedAt)]++
+	}
+	for _, standIn := range standIns {
 		standIn.mu.Lock()
 		for _, attempt := range standIn.attempts {
-			hops[int(attempt.startedAt-began)]++
+			attempts[int(attempt.startedAt-startedAt)]++
 		}
 		standIn.mu.Unlock()
 	}
-	sums := [2]float64{}
-	for sec := 0; sec < int((2*calm + brown).Seconds()); sec++ {
-		out.X, out.Y = append(out.X, float64(sec)), append(out.Y, hops[sec]/max(txns[sec], 1))
-		if sec > int(calm.Seconds()) && sec < int((calm+brown).Seconds()) { // its first second fills the window
-			sums[0] += hops[sec]
-			sums[1] += txns[sec]
+	return requests, attempts
+}
+
+// addAttemptFigures reports the attempts a request in the brown-out, without its first second, which fills the budget's
+// window. The line is the same second by second.
+func addAttemptFigures(
+	r *report.Report, name string, requests, attempts map[int]float64, size brownoutSize,
+) report.Line {
+	line := report.Line{Name: name}
+	brownRequests, brownAttempts := 0.0, 0.0
+	for second := range int((2*size.calm + size.brown).Seconds()) {
+		line.Add(float64(second), attempts[second]/max(requests[second], 1))
+		if second > int(size.calm.Seconds()) && second < int((size.calm+size.brown).Seconds()) {
+			brownAttempts += attempts[second]
+			brownRequests += requests[second]
 		}
 	}
-	r.Figures["hops_a_txn."+name] = sums[0] / max(sums[1], 1)
-	r.Figures["hops_a_s."+name] = sums[0] / max(brown.Seconds()-1, 1)
-	completed := float64(r.Counts["completed"] - before)
-	r.Figures["completed_share."+name] = completed / float64(max(len(cluster.responses.all), 1))
-	return out, nil
+	r.Figures["hops_a_txn."+name] = brownAttempts / max(brownRequests, 1)
+	r.Figures["hops_a_s."+name] = brownAttempts / max(size.brown.Seconds()-1, 1)
+	return line
 }
 
 // attemptHash draws a number from a request's id and the number of its attempt.
--- a/internal/lab/cluster.go
+++ b/internal/lab/cluster.go
@@ -31,6 +31,14 @@
 	classRecord     = "record" // non-idempotent; only where a cluster has nonIdempotentClass
 )
 
+// classObjectiveSeconds are the latency objectives of the classes.
+var classObjectiveSeconds = map[string]float64{
+	classVideoPart:  0.4,
+	classPageAsset:  0.25,
+	classPrintOrder: 0.6,
+	classRecord:     0.6,
+}
+
 // clusterClasses are the classes as the edge caches are told them.
 var clusterClasses = []config.Class{
 	{Name: classVideoPart, Cacheable: true, Effect: "repeatable"},
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -55,12 +55,12 @@
 }
 
 // newRouterFleet starts a cluster of two zones, its routers and the hostile peers, and waits until all are ready.
-func newRouterFleet(options Options, script faults.Script, hostilePeers int) (fleet *routerFleet, err error) {
+func newRouterFleet(options Options, script faults.Script, hostilePeers int) (_ *routerFleet, err error) {
 	cluster, err := newTestCluster(options, 2)
 	if err != nil {
 		return nil, err
 	}
-	fleet = &routerFleet{
+	fleet := &routerFleet{
 		options:      options,
 		cluster:      cluster,
 		script:       script,
--- a/internal/lab/router_settings.go
+++ b/internal/lab/router_settings.go
@@ -69,22 +69,22 @@
 // classSettings are the request classes of a cluster.
 func (cluster *testCluster) classSettings() []any {
 	classes := []any{
-		classSetting(classVideoPart, "retryable", 0.4, 6, 2),
-		classSetting(classPageAsset, "retryable", 0.25, 2.5, 1),
-		classSetting(classPrintOrder, "dedup", 0.6, 3, 3),
+		classSetting(classVideoPart, "retryable", 6, 2),
+		classSetting(classPageAsset, "retryable", 2.5, 1),
+		classSetting(classPrintOrder, "dedup", 3, 3),
 	}
 	if cluster.nonIdempotentClass {
-		classes = append(classes, classSetting(classRecord, "fragile", 0.6, 3, 3))
+		classes = append(classes, classSetting(classRecord, "fragile", 3, 3))
 	}
 	return classes
 }
 
-func classSetting(name, effect string, objectiveSeconds, deadlineSeconds, priorityWeight float64) map[string]any {
+func classSetting(name, effect string, deadlineSeconds, priorityWeight float64) map[string]any {
 	return map[string]any{
 		"name":         name,
 		"effect":       effect,
 		"group":        "all",
-		"on_time_s":    objectiveSeconds,
+		"on_time_s":    classObjectiveSeconds[name],
 		"aim_stretch":  2.0,
 		"hard_limit_s": deadlineSeconds,
 		"window_s":     keyRetentionSeconds,
--- /dev/null
+++ b/internal/lab/standin_conn.go
@@ -0,0 +1,195 @@
+package lab
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"cairnfront/internal/cacheproto"
+	"cairnfront/routing"
+)
+
+// attemptLookback is how many of the latest attempts are searched for earlier ones of the same request.
+const attemptLookback = 200
+
+// standInConn is a connection of a router to an address of a stand-in.
+type standInConn struct {
+	address *standInAddress
+	conn    net.Conn
+
+	writing sync.Mutex                // one line at a time
+	open    map[string]*attemptRecord // by request id; guarded by the stand-in's lock
+}
+
+func newStandInConn(address *standInAddress, conn net.Conn) *standInConn {
+	return &standInConn{
+		address: address,
+		conn:    conn,
+		open:    map[string]*attemptRecord{},
+	}
+}
+
+// serve speaks the cache protocol until the connection ends.
+func (c *standInConn) serve() {
+	c.register()
+	defer c.unregister()
+	reader := bufio.NewReader(c.conn)
+	for {
+		line, err := reader.ReadString('\n')
+		if err != nil {
+			return
+		}
+		command, err := cacheproto.ParseCommand([]byte(strings.TrimRight(line, "\r\n")))
+		if err != nil {
+			return
+		}
+		if !c.handle(command, reader) {
+			return
+		}
+	}
+}
+
+// register adds the connection to its address.
+func (c *standInConn) register() {
+	standIn := c.address.standIn
+	standIn.mu.Lock()
+	defer standIn.mu.Unlock()
+	c.address.conns[c.conn] = true
+	if c.address.mode == unresponsive {
+		standIn.hungConnections.Add(1)
+	}
+}
+
+// unregister closes the connection and ends its attempts.
+func (c *standInConn) unregister() {
+	_ = c.conn.Close()
+	standIn := c.address.standIn
+	standIn.mu.Lock()
+	defer standIn.mu.Unlock()
+	delete(c.address.conns, c.conn)
+	for _, attempt := range c.open {
+		attempt.endedAt = unixSeconds(time.Now())
+	}
+	clear(c.open)
+}
+
+// handle carries out a command. It returns false when the connection is to end.
+func (c *standInConn) handle(command cacheproto.Command, reader io.Reader) bool {
+	mode := c.address.currentMode()
+	switch command.Kind {
+	case cacheproto.CommandCancel:
+		c.endAttempt(command.ID)
+		return true
+	case cacheproto.CommandProbe, cacheproto.CommandProbeLoad:
+		if mode == healthy {
+			c.write(cacheproto.AppendProbeReply(nil, command.ID, true, ""))
+		}
+		return true
+	}
+	if _, err := io.ReadFull(reader, make([]byte, command.BodyBytes+len(cacheproto.LineEnd))); err != nil {
+		return false
+	}
+	c.beginAttempt(command, mode)
+	switch mode {
+	case unresponsive, closed:
+		return true
+	case resetting:
+		if tcp, isTCP := c.conn.(*net.TCPConn); isTCP {
+			_ = tcp.SetLinger(0)
+		}
+		return false
+	}
+	time.AfterFunc(c.address.standIn.delay, func() { c.answer(command, mode) })
+	return true
+}
+
+// beginAttempt records an attempt that has come whole.
+func (c *standInConn) beginAttempt(command cacheproto.Command, mode addressMode) {
+	attempt := &attemptRecord{
+		id:        command.ID,
+		class:     command.ClassName,
+		key:       command.IdempotencyKey,
+		address:   c.address.index,
+		startedAt: unixSeconds(time.Now()),
+		mode:      mode,
+	}
+	standIn := c.address.standIn
+	standIn.mu.Lock()
+	defer standIn.mu.Unlock()
+	standIn.attempts = append(standIn.attempts, attempt)
+	c.open[command.ID] = attempt
+}
+
+// endAttempt records the end of an attempt. It returns false where the attempt has ended already.
+func (c *standInConn) endAttempt(id string) bool {
+	standIn := c.address.standIn
+	standIn.mu.Lock()
+	defer standIn.mu.Unlock()
+	attempt := c.open[id]
+	if attempt == nil {
+		return false
+	}
+	delete(c.open, id)
+	attempt.endedAt = unixSeconds(time.Now())
+	return true
+}
+
+// answer ends an attempt with success or failure, unless it was cancelled. A truncated answer leaves it open.
+func (c *standInConn) answer(command cacheproto.Command, mode addressMode) {
+	standIn := c.address.standIn
+	if standIn.failAttempt != nil && standIn.failAttempt(command, standIn.attemptsOf(command.ID)) {
+		failure := cacheproto.AttemptReply{Result: routing.ServerError}
+		c.writeAnswer(command.ID, cacheproto.AppendAttemptReply(nil, command.ID, failure))
+		return
+	}
+	body := standIn.body(command)
+	reply := cacheproto.AppendAttemptReply(nil, command.ID, cacheproto.AttemptReply{
+		Result:           routing.Completed,
+		Detail:           routing.CacheHit,
+		ETag:             "v1",
+		OriginUnixMillis: time.Now().UnixMilli(),
+		PurgeGroup:       cacheproto.UnknownPurgeGroup,
+		BodyBytes:        len(body),
+	})
+	reply = append(reply, body...)
+	if mode == truncating {
+		c.writing.Lock()
+		defer c.writing.Unlock()
+		_, _ = c.conn.Write(reply[:(len(reply)+len(cacheproto.LineEnd))/2])
+		return
+	}
+	c.writeAnswer(command.ID, reply)
+}
+
+// writeAnswer ends an attempt and writes its answer, unless it has ended already.
+func (c *standInConn) writeAnswer(id string, reply []byte) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	if c.endAttempt(id) {
+		_, _ = c.conn.Write(append(reply, cacheproto.LineEnd...))
+	}
+}
+
+// write writes a line.
+func (c *standInConn) write(line []byte) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	_, _ = c.conn.Write(append(line, cacheproto.LineEnd...))
+}
+
+// attemptsOf counts the latest attempts of a request.
+func (standIn *endpointStandIn) attemptsOf(id string) int {
+	standIn.mu.Lock()
+	defer standIn.mu.Unlock()
+	recent := standIn.attempts[max(len(standIn.attempts)-(attemptLookback-1), 0):]
+	n := 0
+	for _, attempt := range recent {
+		if attempt.id == id {
+			n++
+		}
+	}
+	return n
+}
