--- /dev/null
+++ b/cmd/cairnfront/client_test.go
@@ -0,0 +1,87 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"testing"
+
+	"cairnfront/internal/clientproto"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+type client struct {
+	net.Conn
+	stream uint32
+}
+
+var requestIDs struct {
+	sync.Mutex
+	n int
+}
+
+// send writes a request of a remap rule and returns its id.
+func (c *client) send(op, row, body string, more ...clientproto.Field) string {
+	requestIDs.Lock()
+	requestIDs.n++
+	id := fmt.Sprintf("%016x", requestIDs.n)
+	requestIDs.Unlock()
+	c.stream++
+	fields := append([]clientproto.Field{
+		{Name: "op", Value: op},
+		{Name: "call", Value: id},
+		{Name: "ttl", Value: "4000"},
+		{Name: "row", Value: row},
+		{Name: "seg", Value: "0"},
+		{Name: "bucket", Value: "7"},
+		{Name: "heap", Value: "10"},
+	}, more...)
+	payload := append(clientproto.AppendFields(nil, fields...), body...)
+	_, _ = c.Write(append(clientproto.AppendHeader(nil, clientproto.TypeRequest, c.stream, len(payload)), payload...))
+	return id
+}
+
+// readFrame reads one frame.
+func (c *client) readFrame(t *testing.T) (kind clientproto.FrameType, stream uint32, payload string) {
+	head := make([]byte, clientproto.HeaderSize)
+	_, err := io.ReadFull(c, head)
+	require.NoError(t, err)
+	h, err := clientproto.ParseHeader(head)
+	require.NoError(t, err)
+	text := make([]byte, h.PayloadBytes)
+	_, err = io.ReadFull(c, text)
+	require.NoError(t, err)
+	return h.Type, h.StreamID, string(text)
+}
+
+// readResponse reads one answer: its code, fields and body.
+func (c *client) readResponse(t *testing.T) (byte, map[string]string, string) {
+	kind, _, payload := c.readFrame(t)
+	require.EqualValues(t, clientproto.TypeResponse, kind)
+	list, body, err := clientproto.ParseFields([]byte(payload[1:]))
+	require.NoError(t, err)
+	fields := map[string]string{}
+	for _, f := range list {
+		fields[f.Name] = f.Value
+	}
+	return payload[0], fields, string(body)
+}
+
+// sendFromClients has many clients ask one after another, each waiting for its answer, and counts those that had one.
+func sendFromClients(t *testing.T, s *routerProcess, clients, each int) *sync.WaitGroup {
+	var all sync.WaitGroup
+	for range clients {
+		c := s.dial(t)
+		all.Go(func() {
+			for range each {
+				c.send("page", objectID, "")
+				code, _, _ := c.readResponse(t)
+				assert.EqualValues(t, 1, code)
+			}
+		})
+	}
+	return &all
+}
--- /dev/null
+++ b/cmd/cairnfront/commands_test.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func TestCommandsPrintWhatTheyDid(t *testing.T) {
+	dir := t.TempDir()
+	write := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+		return path
+	}
+	m := startCache(t, nil)
+	good := string(bootstrapFile("127.0.0.1:1", "127.0.0.1:2", 192, m, m))
+	taken := m.Addr().String()
+	for _, c := range []struct {
+		args []string
+		env  string
+		ok   bool
+		says string
+	}{
+		{[]string{"version"}, "", true, "cairnfront"},
+		{[]string{"--help"}, "", true, "serve"},
+		{[]string{"check", write("good", good)}, "", true, "3 remap rules"},
+		{[]string{"check"}, write("bad", "{"), false, "JSON"},
+		{[]string{"serve"}, "", false, "LB_CONFIG is not set"},
+		{[]string{"serve"}, filepath.Join(dir, "absent"), false, "no such file"},
+		{[]string{"serve"}, write("parts", strings.Replace(good, `"known"`, `"x"`, 1)), false, "known"},
+		{[]string{"serve"}, write("taken", strings.Replace(good, "127.0.0.1:1", taken, 1)), false, "address already in use"},
+		{[]string{"what"}, "", false, "unknown command"},
+	} {
+		cmd := exec.Command(program, c.args...)
+		cmd.Env = append(os.Environ(), "LB_CONFIG="+c.env)
+		var out, errs bytes.Buffer
+		cmd.Stdout, cmd.Stderr = &out, &errs
+		err := cmd.Run()
+		assert.Equal(t, c.ok, err == nil, c.args)
+		if c.ok {
+			assert.Contains(t, out.String(), c.says)
+			continue
+		}
+		assert.Contains(t, errs.String(), c.says)
+		assert.Equal(t, 1, strings.Count(errs.String(), "\n"), "one plain line: %s", errs.String())
+	}
+}
--- a/cmd/cairnfront/golden_test.go
+++ b/cmd/cairnfront/golden_test.go
@@ -23,33 +23,34 @@
 // volatile matches the counters whose values depend on the machine or on the time that it took.
 var volatile = regexp.MustCompile(`(?m)^(counter (?:process|conn|bytes)\.\S+|counter \S+\.most-us) -?\d+$`)
 
-// TestCounterDumpKeepsNamesAndForm holds the whole dump on SIGUSR1 after a fixed script of requests, faults and commands.
+// TestCounterDumpKeepsNamesAndForm holds the whole dump on SIGUSR1 after a fixed script of requests, faults and
+// commands.
 func TestCounterDumpKeepsNamesAndForm(t *testing.T) {
-	cache := serveMember(t, func(h hop) string {
+	cache := startCache(t, func(h receivedAttempt) string {
 		switch h.fields["thing"] {
 		case "00000000000000aa":
 			return ""
 		case "00000000000000bb":
 			return h.id + " refused - 0\r\n\r\n"
 		}
-		return served(h, "x")
+		return okResponse(h, "x")
 	})
 	path := filepath.Join(t.TempDir(), "operators.yaml")
 	socket := filepath.Join(t.TempDir(), "admin")
 	text := fmt.Sprintf("router:\n  socket: %s\n  further_share: 0.5\n  addresses:\n  - {member: s-00000001, list: [%q]}\n", socket, cache.Addr())
 	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
-	s := beginWith(t, []string{"--operators", path}, 192, cache, cache)
+	s := startRouterWith(t, []string{"--operators", path}, 192, cache, cache)
 	c := s.dial(t)
 	for _, class := range []string{"page", "order", "write"} {
-		c.ask(class, row, "")
-		code, _, _ := c.answer(t)
+		c.send(class, objectID, "")
+		code, _, _ := c.readResponse(t)
 		assert.EqualValues(t, 1, code)
 	}
-	before := cache.count()
-	c.ask("page", "00000000000000aa", "")
-	require.Eventually(t, func() bool { return cache.count() > before }, patience, time.Millisecond)
+	before := cache.attemptCount()
+	c.send("page", "00000000000000aa", "")
+	require.Eventually(t, func() bool { return cache.attemptCount() > before }, patience, time.Millisecond)
 	_, _ = c.Write(clientproto.AppendHeader(nil, clientproto.TypeCancel, c.stream, 0))
-	<-cache.undone
+	<-cache.cancelled
 	bad := s.dial(t)
 	_, _ = bad.Write([]byte(strings.Repeat("\xff", 64)))
 	_, _ = bad.Read(make([]byte, 1))
@@ -57,13 +58,16 @@
 		_, _ = admin.Call(socket, command, nil)
 	}
 	require.NoError(t, s.Process.Signal(syscall.SIGHUP))
-	require.Eventually(t, func() bool { return strings.Contains(s.log.String(), "code=addresses") }, patience, time.Millisecond)
+	require.Eventually(t, func() bool { return strings.Contains(s.log.String(), "code=addresses") }, patience,
+		time.Millisecond)
 	require.NoError(t, os.WriteFile(path, []byte("router: 1\n"), 0o600))
 	require.NoError(t, s.Process.Signal(syscall.SIGHUP))
-	require.Eventually(t, func() bool { return strings.Contains(s.log.String(), "code=kept-old") }, patience, time.Millisecond)
+	require.Eventually(t, func() bool { return strings.Contains(s.log.String(), "code=kept-old") }, patience,
+		time.Millisecond)
 	require.NoError(t, s.Process.Signal(syscall.SIGUSR1))
-	require.Eventually(t, func() bool { return strings.Contains(s.log.String(), "counter taken ") }, patience, time.Millisecond)
-	assert.NoError(t, s.end(t, syscall.SIGTERM))
+	require.Eventually(t, func() bool { return strings.Contains(s.log.String(), "counter taken ") }, patience,
+		time.Millisecond)
+	assert.NoError(t, s.stop(t, syscall.SIGTERM))
 	var dump strings.Builder
 	for line := range strings.Lines(s.log.String()) {
 		if strings.HasPrefix(line, "counter ") {
--- /dev/null
+++ b/cmd/cairnfront/harness_test.go
@@ -0,0 +1,270 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"cairnfront/internal/clientproto"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+)
+
+// These tests start the built program and speak to it over loopback, against stand-ins of cache and notice board
+// written from the protocol's pages. Waits end with what they wait for; patience only bounds a failure.
+const patience = 30 * time.Second
+
+var program string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "cairnfront")
+	if err == nil {
+		program = filepath.Join(dir, "cairnfront")
+		var out []byte
+		if out, err = exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
+			fmt.Fprintln(os.Stderr, string(out))
+		}
+	}
+	code := 1
+	if err == nil {
+		code = m.Run()
+	}
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// logBuffer is what a program wrote so far.
+type logBuffer struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (x *logBuffer) Write(p []byte) (int, error) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.buffer.Write(p)
+}
+
+func (x *logBuffer) String() string {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.buffer.String()
+}
+
+// routerProcess is a running router.
+type routerProcess struct {
+	*exec.Cmd
+	addr          string
+	discovery     *discoveryStub
+	log           *logBuffer
+	exited        chan error
+	killed        bool
+	bootstrapPath string
+	args          []string
+	shellCommand  string // starts the program in place of a plain start, where set
+}
+
+// bootstrapFile is a start file with caches s-00000001 and on, and an origin s-000000ff.
+func bootstrapFile(listen, board string, memory int, origin *cacheStub, caches ...*cacheStub) []byte {
+	var list []map[string]any
+	for i, m := range append(caches, origin) {
+		row := map[string]any{
+			"name": fmt.Sprintf("s-%08x", i+1), "address": m.Addr().String(), "zone": "here", "type": "box",
+			"group": 0, "status": "SERVING", "weight": 8, "since_ms": 0,
+		}
+		if i == len(caches) {
+			row["name"], row["type"] = "s-000000ff", "origin"
+		}
+		list = append(list, row)
+	}
+	rule := func(name, effect string) map[string]any {
+		return map[string]any{
+			"name": name, "effect": effect, "group": "all", "on_time_s": 1.0, "aim_stretch": 1.0, "hard_limit_s": 5.0,
+			"window_s": 5.0, "worth": 1.0, "late_worth": 0.5, "streaming": false,
+		}
+	}
+	text, _ := json.Marshal(map[string]any{
+		"name": "n1", "listen": listen, "board": board, "seed": "8c1f30d27a5be964",
+		"limits": map[string]any{"cores": 1.0, "memory_mb": memory, "sockets": 1024},
+		"known": map[string]any{"rev": 1, "notices": []any{map[string]any{
+			"rev":  1,
+			"pool": map[string]any{"snapshot": true, "endpoints": list},
+		}}},
+		"settings": map[string]any{
+			"me": 0, "group_size": 1, "zone": 0, "zones": []string{"here"}, "flavors": []string{"box", "parent", "origin"},
+			"extra": map[string]any{
+				"count_by_zone": []int{1}, "fresh_for_s": []float64{0, 0, 0}, "usable_after_s": []float64{0, 0, 0},
+				"worth_when_old": []float64{1, 1, 1}, "never_kept": []bool{false, false, true}, "origin_kind": 2, "upper_kind": 1,
+				"pace_kb_per_s": 10000.0, "gone_everywhere_s": 6.0, "notice_time_s": 0.5, "pass_through_ok": true, "sideways": "location",
+				"tells": "all", "link_in_kb_per_s": []float64{1e6}, "hub_of": []int{0},
+			},
+			"limits": map[string]any{
+				"cancelling": true, "connect_timeout_s": 0.4, "idle_close_s": 15.0, "max_attempts": 6, "max_streams": 32,
+				"parallel_tries": false, "may_probe": true, "retry_after": true, "max_retry_after_s": 2.0,
+			},
+			"rules": map[string]any{
+				"stop_sending_within_s": 1.0, "fall_multiple": 2.0, "overload_for_s": 1.0,
+				"start_capacity": 0.3, "cold_s": 5.0,
+			},
+			"registry_mode":   "pushed",
+			"request_classes": []any{rule("page", "retryable"), rule("order", "fragile"), rule("write", "dedup")},
+		},
+	})
+	return text
+}
+
+// startRouter starts a router of its own address and board.
+func startRouter(t *testing.T, memory int, origin *cacheStub, caches ...*cacheStub) *routerProcess {
+	return startRouterWith(t, nil, memory, origin, caches...)
+}
+
+// startRouterWith does so with more arguments.
+func startRouterWith(t *testing.T, args []string, memory int, origin *cacheStub, caches ...*cacheStub) *routerProcess {
+	ln, err := net.Listen("tcp", "127.0.0.1:0") // a port that is free
+	require.NoError(t, err)
+	s := &routerProcess{
+		args: args, addr: ln.Addr().String(), discovery: startDiscovery(t), log: &logBuffer{},
+		exited: make(chan error, 1),
+	}
+	_ = ln.Close()
+	s.bootstrapPath = filepath.Join(t.TempDir(), "start.json")
+	require.NoError(t, os.WriteFile(s.bootstrapPath, bootstrapFile(s.addr, s.discovery.Addr().String(), memory, origin,
+		caches...), 0o600))
+	t.Cleanup(func() {
+		if !s.killed {
+			s.stop(t, syscall.SIGKILL)
+		}
+	})
+	s.start(t)
+	return s
+}
+
+// start runs the program and waits until it is ready.
+func (s *routerProcess) start(t *testing.T) {
+	s.killed, s.Cmd = false, exec.Command(program, append([]string{"serve"}, s.args...)...)
+	if s.shellCommand != "" {
+		s.Cmd = exec.Command("/bin/sh", "-c", s.shellCommand)
+	}
+	s.Env = append(os.Environ(), "LB_CONFIG="+s.bootstrapPath)
+	out, err := s.StderrPipe()
+	require.NoError(t, err)
+	require.NoError(t, s.Start())
+	read := make(chan bool)
+	go func() {
+		_, _ = io.Copy(s.log, out)
+		close(read)
+	}()
+	go func() {
+		<-read
+		s.exited <- s.Wait()
+	}()
+	require.Eventually(t, func() bool {
+		c, err := net.Dial("tcp", s.addr)
+		if err != nil {
+			return false
+		}
+		defer c.Close()
+		_, _ = c.Write(append(clientproto.AppendHeader(nil, clientproto.TypeReadinessQuery, 0, 1), 0))
+		said := make([]byte, clientproto.HeaderSize+1) // or nothing: the port may still be another's
+		_, err = io.ReadFull(c, said)
+		return err == nil && clientproto.FrameType(said[4]) == clientproto.TypeReadinessReply && said[clientproto.HeaderSize] == 1
+	}, patience, 10*time.Millisecond)
+}
+
+// stop sends a signal and waits for the program to end.
+func (s *routerProcess) stop(t *testing.T, sig syscall.Signal) error {
+	s.killed = true
+	require.NoError(t, s.Process.Signal(sig))
+	select {
+	case err := <-s.exited:
+		return err
+	case <-time.After(patience):
+		t.Fatal("does not end")
+		return nil
+	}
+}
+
+// counters is what the program printed last.
+func (s *routerProcess) counters() map[string]int {
+	out := map[string]int{}
+	for text := range strings.Lines(s.log.String()) {
+		var name string
+		var n int
+		if k, _ := fmt.Sscanf(text, "counter %s %d", &name, &n); k == 2 {
+			out[name] = n
+		}
+	}
+	return out
+}
+
+func (s *routerProcess) dial(t *testing.T) *client {
+	c, err := net.Dial("tcp", s.addr)
+	require.NoError(t, err)
+	require.NoError(t, c.SetDeadline(time.Now().Add(patience)))
+	t.Cleanup(func() { _ = c.Close() })
+	return &client{Conn: c}
+}
+
+const objectID = "7f3a9c21e0b4d655"
+
+// routerSignalledDuringRequest is a router that hears a signal while a cache holds back a client's page until
+// release is closed.
+func routerSignalledDuringRequest(t *testing.T, sig syscall.Signal) (release chan bool, m *cacheStub,
+	s *routerProcess, c *client,
+) {
+	release = make(chan bool)
+	m = startCache(t, func(h receivedAttempt) string {
+		if h.fields["thing"] == objectID {
+			<-release
+		}
+		return okResponse(h, "x")
+	})
+	s = startRouter(t, 192, m, m)
+	c = s.dial(t)
+	c.send("page", objectID, "")
+	require.Eventually(t, func() bool { return m.attemptCount() == 1 }, patience, time.Millisecond)
+	require.NoError(t, s.Process.Signal(sig))
+	return release, m, s, c
+}
+
+// pinToOneCPU lets the program run on one core only, every thread that it has.
+func pinToOneCPU(t *testing.T, pid int) {
+	var one unix.CPUSet
+	require.NoError(t, unix.SchedGetaffinity(pid, &one))
+	for core := range 8 * len(one) * 8 {
+		if one.IsSet(core) {
+			one.Zero()
+			one.Set(core)
+			break
+		}
+	}
+	threads, err := os.ReadDir(fmt.Sprintf("/proc/%d/task", pid))
+	require.NoError(t, err)
+	for _, x := range threads {
+		id, _ := strconv.Atoi(x.Name())
+		require.NoError(t, unix.SchedSetaffinity(id, &one))
+	}
+}
+
+// cpuSeconds is the processor time that a process has used, in seconds.
+func cpuSeconds(t *testing.T, pid int) float64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	require.NoError(t, err)
+	_, rest, _ := strings.Cut(string(text), ") ")
+	f := strings.Fields(rest)
+	user, _ := strconv.ParseFloat(f[11], 64)
+	system, _ := strconv.ParseFloat(f[12], 64)
+	return (user + system) / 100
+}
--- /dev/null
+++ b/cmd/cairnfront/limits_test.go
@@ -0,0 +1,281 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"cairnfront/internal/admission"
+	"cairnfront/internal/clientproto"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// TestMalformedInputEndsOnlyItsConnection: the codecs' own tests have the kinds.
+func TestMalformedInputEndsOnlyItsConnection(t *testing.T) {
+	m := startCache(t, func(h receivedAttempt) string { return okResponse(h, "x") })
+	s := startRouter(t, 192, m, m)
+	good := s.dial(t)
+	for _, bad := range []string{"\x00\x00\x00\x01", "GET / HTTP/1.1\r\n\r\n", "\x00\x00\x00\x05\x64\x00\x00\x00\x00"} {
+		c := s.dial(t)
+		_, _ = io.WriteString(c, bad+"123456789")
+		_, stream, payload := c.readFrame(t)
+		assert.EqualValues(t, 0, stream)
+		assert.Contains(t, payload, "error")
+		_, err := c.Read(make([]byte, 1))
+		assert.Error(t, err)
+	}
+	good.send("what", objectID, "")
+	code, fields, _ := good.readResponse(t)
+	assert.EqualValues(t, 9, code)
+	assert.Contains(t, fields["error"], "what")
+	good.send("page", objectID, "")
+	code, _, _ = good.readResponse(t)
+	assert.EqualValues(t, 1, code)
+}
+
+// TestMemoryAndConnectionLimitsHold fills every client connection with requests for the largest objects and reads
+// none of the answers. The router stays under its memory and descriptors, says no to what does not fit, and goes
+// back to where it was.
+func TestMemoryAndConnectionLimitsHold(t *testing.T) {
+	if testing.Short() {
+		t.Skip("long")
+	}
+	object := strings.Repeat("x", 240_000)
+	m := startCache(t, func(h receivedAttempt) string { return okResponse(h, object) })
+	s := startRouter(t, 192, m, m, m)
+	usage := func() map[string]int {
+		before := strings.Count(s.log.String(), "counter process.goroutines")
+		require.NoError(t, s.Process.Signal(syscall.SIGUSR1))
+		require.Eventually(t, func() bool { return strings.Count(s.log.String(), "counter process.goroutines") > before },
+			patience, time.Millisecond)
+		return s.counters()
+	}
+	status := func(name string) int {
+		text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", s.Process.Pid))
+		require.NoError(t, err)
+		_, rest, _ := strings.Cut(string(text), name+":")
+		n, err := strconv.Atoi(strings.Fields(rest)[0])
+		require.NoError(t, err)
+		return n / 1024
+	}
+	before := usage()
+	var clients []*client
+	for i := range 341 {
+		c := s.dial(t)
+		for j := range 32 {
+			c.send("page", fmt.Sprintf("%08x%08x", i, j), "")
+		}
+		clients = append(clients, c)
+	}
+	var full map[string]int
+	require.Eventually(t, func() bool { full = usage(); return full["open"] == 0 && full["taken"] == 341*32 }, patience,
+		100*time.Millisecond)
+	t.Logf("at most %d MB, %d descriptors; %d of %d completed", status("VmHWM"), full["process.descriptors"],
+		full["answered.page.completed.by-a-hop"], full["taken"])
+	assert.Less(t, status("VmHWM"), 192, "MB at most")
+	assert.Less(t, full["process.descriptors"], 1024)
+	assert.Equal(t, full["taken"], full["answered"]+full["left"]+full["open"])
+	assert.Positive(t, full["answered.page.completed.by-a-hop"])
+	refused := full["taken"] - full["answered.page.completed.by-a-hop"] - full["left"]
+	assert.Positive(t, refused, "what does not fit is refused")
+	for _, c := range clients {
+		_ = c.Close()
+	}
+	var after map[string]int
+	held := false
+	for end := time.Now().Add(patience); !held && time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		after = usage()
+		// Connections to members that are kept open have their rings; how many there are is the machine's luck.
+		rings := after["conn.member.open"] * 2 * admission.EndpointRingBytes
+		// The connection that asked whether the router is ready may have been open still when the first counters were read.
+		held = after["conn.client.open"] <= before["conn.client.open"] && after["process.descriptors"] <= before["process.descriptors"]+after["conn.member.open"]+1 &&
+			after["process.goroutines"] <= before["process.goroutines"]+4*after["conn.member.open"] &&
+			after["process.heap-bytes"] <= before["process.heap-bytes"]+rings+12<<20
+	}
+	require.True(t, held, "what the module remembers of the objects stays; before %v, after %v", before, after)
+	t.Logf("after: %d descriptors, %d goroutines, %d bytes in use (%d before), %d connections to members",
+		after["process.descriptors"],
+		after["process.goroutines"], after["process.heap-bytes"], before["process.heap-bytes"], after["conn.member.open"])
+	c := s.dial(t)
+	c.send("page", objectID, "")
+	code, _, body := c.readResponse(t)
+	assert.EqualValues(t, 1, code)
+	assert.Len(t, body, 240_000, "and it serves")
+}
+
+// TestBadClientsDoNotDisturbAGoodOne: whatever they send, each is told or closed, never served, and the good one
+// loses nothing.
+func TestBadClientsDoNotDisturbAGoodOne(t *testing.T) {
+	m := startCache(t, func(h receivedAttempt) string { return okResponse(h, "x") })
+	s := startRouter(t, 64, m, m)
+	head := func(kind clientproto.FrameType, stream uint32, size int) []byte {
+		return clientproto.AppendHeader(nil, kind, stream, size)
+	}
+	ends := make(chan error)
+	bad := [][]byte{
+		[]byte("GET / HTTP/1.1\r\n\r\n"), bytes.Repeat([]byte{0xff}, 100_000),
+		{0, 0, 0, 0, 100, 0, 0, 0, 1},
+		head(77, 1, 0), head(clientproto.TypeRequest, 0, 1),
+		append([]byte{3, 0x93, 0x87, 0, 100, 0, 0, 0, 1}, make([]byte, 1<<20)...), head(clientproto.TypeRequest, 1,
+			200)[:7], head(clientproto.TypeRequest, 1, 200), nil,
+	}
+	for _, text := range bad {
+		c := s.dial(t)
+		go func() {
+			_, err := c.Write(text)
+			if err == nil {
+				_, err = io.Copy(io.Discard, c) // until it is closed
+			}
+			ends <- err
+		}()
+	}
+	c := s.dial(t)
+	for open := len(bad); open > 0; {
+		c.send("page", objectID, "")
+		code, _, body := c.readResponse(t)
+		assert.EqualValues(t, 1, code)
+		assert.Equal(t, "x", body)
+		select {
+		case err := <-ends:
+			assert.NotErrorIs(t, err, os.ErrDeadlineExceeded)
+			open--
+		default:
+		}
+	}
+	odd := s.dial(t)
+	for _, f := range []clientproto.Field{
+		{Name: "ttl", Value: "-1"},
+		{Name: "seg", Value: "x"},
+		{Name: "heap", Value: "NaN"},
+		{Name: "row", Value: "a,b=c"},
+	} {
+		odd.send("page", objectID, "", f)
+		code, _, _ := odd.readResponse(t)
+		assert.EqualValues(t, 9, code, f)
+	}
+	assert.NoError(t, s.stop(t, syscall.SIGTERM))
+	for _, code := range []string{"protocol", "half-frame", "mute"} {
+		assert.Contains(t, s.log.String(), "code="+code)
+	}
+}
+
+// TestDescriptorsGoroutinesAndHeapStayFlat: members, clients and objects are always new; what is held does not grow
+// with them.
+func TestDescriptorsGoroutinesAndHeapStayFlat(t *testing.T) {
+	o := startCache(t, func(h receivedAttempt) string { return okResponse(h, "x") })
+	s := startRouter(t, 64, o, o)
+	usage := func() map[string]int {
+		before := strings.Count(s.log.String(), "counter process.goroutines")
+		require.NoError(t, s.Process.Signal(syscall.SIGUSR1))
+		require.Eventually(t, func() bool { return strings.Count(s.log.String(), "counter process.goroutines") > before },
+			patience, time.Millisecond)
+		return s.counters()
+	}
+	before := usage()
+	stay := s.dial(t) // asks once and keeps its connection
+	stay.send("page", objectID, "")
+	stay.readResponse(t)
+	for i := range 60 {
+		m := startCache(t, func(h receivedAttempt) string { return okResponse(h, "x") })
+		s.discovery.send <- discoveryFrame(uint64(i+2), 2,
+			append(endpointRecord(uint32(i+2), m, 0), endpointRecord(uint32(i+1), m, 2)...))
+		for range 10 {
+			c := s.dial(t)
+			c.send("page", fmt.Sprintf("%016x", requestIDs.n), "")
+			code, _, _ := c.readResponse(t)
+			assert.EqualValues(t, 1, code)
+			_ = c.Close()
+		}
+	}
+	require.Eventually(t, func() bool {
+		k := usage()
+		return k["taken"] == 601 && k["open"] == 0 && k["conn.client.open"] == 0 && k["conn.member.open"] <= 4 &&
+			k["process.descriptors"] <= before["process.descriptors"]+4 && k["process.heap-bytes"] < before["process.heap-bytes"]+2<<20
+	}, patience, 100*time.Millisecond)
+}
+
+// TestRouterUsesOneCoreAtATime: with one core for all its threads a router serves as many at once as with several,
+// and while nothing is asked of it it waits and does not spin: it uses less than a tenth of the time that passes.
+func TestRouterUsesOneCoreAtATime(t *testing.T) {
+	m := startCache(t, func(h receivedAttempt) string { return okResponse(h, "x") })
+	s := startRouter(t, 64, m, m)
+	pinToOneCPU(t, s.Process.Pid)
+	all := sendFromClients(t, s, 16, 25)
+	all.Wait()
+	before, since := cpuSeconds(t, s.Process.Pid), time.Now()
+	for time.Since(since) < time.Second { // idle but for one that asks whether it is ready
+		c := s.dial(t)
+		_, _ = c.Write(append(clientproto.AppendHeader(nil, clientproto.TypeReadinessQuery, 0, 1), 0))
+		c.readFrame(t)
+		time.Sleep(100 * time.Millisecond)
+	}
+	assert.Less(t, cpuSeconds(t, s.Process.Pid)-before, 0.1*time.Since(since).Seconds())
+	assert.NoError(t, s.stop(t, syscall.SIGTERM))
+	assert.Equal(t, 400, s.counters()["answered.page.completed.by-a-hop"])
+}
+
+// TestDiscoveryComesBackWhileClientsFillTheDescriptors: the system's limit is lower than what the program was told.
+// Clients that rest take all that they may; the board goes away and comes back, and who asks is served.
+func TestDiscoveryComesBackWhileClientsFillTheDescriptors(t *testing.T) {
+	old, m := startCache(t, func(h receivedAttempt) string { return okResponse(h, "old") }), startCache(t,
+		func(h receivedAttempt) string { return okResponse(h, "new") })
+	s := startRouter(t, 64, old, old)
+	require.NoError(t, s.stop(t, syscall.SIGTERM))
+	s.shellCommand = "ulimit -n 64; exec " + program + " serve"
+	s.start(t)
+	stop := make(chan bool)
+	rest := sync.WaitGroup{}
+	for range 80 { // each comes again when it is ended
+		rest.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				if c, err := net.Dial("tcp", s.addr); err == nil {
+					_, _ = c.Write(append(clientproto.AppendHeader(nil, clientproto.TypeReadinessQuery, 0, 1), 0))
+					_ = c.SetReadDeadline(time.Now().Add(time.Second))
+					_, _ = io.Copy(io.Discard, c)
+					_ = c.Close()
+				}
+			}
+		})
+	}
+	defer rest.Wait()
+	defer close(stop)
+	full := func() bool {
+		before := strings.Count(s.log.String(), "counter process.descriptors")
+		require.NoError(t, s.Process.Signal(syscall.SIGUSR1))
+		require.Eventually(t, func() bool { return strings.Count(s.log.String(), "counter process.descriptors") > before },
+			patience, time.Millisecond)
+		return s.counters()["conn.client.open"] >= 28
+	}
+	require.Eventually(t, full, patience, 10*time.Millisecond)
+	next := startDiscovery(t)
+	require.NoError(t, os.WriteFile(s.bootstrapPath, bootstrapFile(s.addr, next.Addr().String(), 64, old, old), 0o600))
+	require.NoError(t, s.Process.Signal(syscall.SIGHUP))
+	next.send <- discoveryFrame(2, 2, append(endpointRecord(9, m, 0), endpointRecord(1, old, 2)...))
+	require.Eventually(t, func() bool {
+		c, err := net.Dial("tcp", s.addr)
+		if err != nil {
+			return false
+		}
+		defer c.Close()
+		_ = c.SetDeadline(time.Now().Add(time.Second))
+		(&client{Conn: c}).send("page", objectID, "")
+		text, _ := io.ReadAll(c)
+		return strings.HasSuffix(string(text), "new")
+	}, patience, time.Millisecond, "it is heard of, and a new client gets in")
+	assert.Less(t, s.counters()["process.descriptors"], 64)
+}
--- a/cmd/cairnfront/main_test.go
+++ b/cmd/cairnfront/main_test.go
@@ -29,7 +29,7 @@
 		{[]string{"lab", "run", "unknown"}, exitFailure},
 		{[]string{"lab", "sim", "peers", "--seeds", "2..1"}, exitFailure},
 	} {
-		_, errs, code := command(t, c.args...)
+		_, errs, code := runCommand(t, c.args...)
 		assert.Equal(t, c.code, code, "%v: %s", c.args, errs)
 		if c.code == exitFailure {
 			assert.Regexp(t, `^cairnfront: [^\n]+\n$`, errs, "%v: one line", c.args)
--- a/cmd/cairnfront/peers_test.go
+++ b/cmd/cairnfront/peers_test.go
@@ -20,110 +20,121 @@
 	"github.com/stretchr/testify/require"
 )
 
-// fellowship is three routers of the program that know each other.
-type fellowship struct {
+// peerGroup is three routers of the program that know each other.
+type peerGroup struct {
 	folder  string
 	entries []map[string]string
 }
 
-func (f *fellowship) operators(t *testing.T, i int, listen string, entries []map[string]string) string {
+func (f *peerGroup) operatorsFile(t *testing.T, i int, listen string, entries []map[string]string) string {
 	path := filepath.Join(f.folder, fmt.Sprintf("operators-%d.yaml", i))
 	text, err := json.Marshal(map[string]any{
-		"router": map[string]any{"socket": f.door(i)},
-		"peers":  map[string]any{"listen": listen, "name": f.entries[i]["name"], "key_file": filepath.Join(f.folder, fmt.Sprint("key-", i)), "liars": 0, "roster": entries},
+		"router": map[string]any{"socket": f.adminSocket(i)},
+		"peers": map[string]any{
+			"listen": listen, "name": f.entries[i]["name"],
+			"key_file": filepath.Join(f.folder, fmt.Sprint("key-", i)), "liars": 0, "roster": entries,
+		},
 	})
 	require.NoError(t, err)
 	require.NoError(t, os.WriteFile(path, text, 0o600))
 	return path
 }
 
-func (f *fellowship) door(i int) string { return filepath.Join(f.folder, fmt.Sprint("door-", i)) }
+func (f *peerGroup) adminSocket(i int) string { return filepath.Join(f.folder, fmt.Sprint("door-", i)) }
 
-func port(t *testing.T) string {
+func freePort(t *testing.T) string {
 	c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	require.NoError(t, err)
 	defer c.Close()
 	return c.LocalAddr().String()
 }
 
-func (f *fellowship) report(i int) (r membership.Report) {
-	if data, err := admin.Call(f.door(i), "peers", nil); err == nil {
+func (f *peerGroup) report(i int) (r membership.Report) {
+	if data, err := admin.Call(f.adminSocket(i), "peers", nil); err == nil {
 		_ = json.Unmarshal(data, &r)
 	}
 	return r
 }
 
-func (f *fellowship) stands(t *testing.T, i int, want string) {
+func (f *peerGroup) waitForState(t *testing.T, i int, want string) {
 	t.Helper()
-	require.Eventually(t, func() bool { return f.report(i).PartitionState == want }, patience, 20*time.Millisecond, "router %d is %+v", i, f.report(i))
+	require.Eventually(t, func() bool { return f.report(i).PartitionState == want }, patience, 20*time.Millisecond,
+		"router %d is %+v", i, f.report(i))
 }
 
-// TestRoutersKnowEachOther starts three routers with keys that the program made, loses one, stops one, lets one leave, adds one
-// by SIGHUP, and starts one under the name of another.
+// TestRoutersKnowEachOther starts three routers with keys that the program made, loses one, stops one, lets one
+// leave, adds one by SIGHUP, and starts one under the name of another.
 func TestRoutersKnowEachOther(t *testing.T) {
-	f := &fellowship{folder: t.TempDir()}
+	f := &peerGroup{folder: t.TempDir()}
 	for i := range 4 {
 		key := filepath.Join(f.folder, fmt.Sprint("key-", i))
 		out, err := exec.Command(program, "peers", "key", key).Output()
 		require.NoError(t, err)
-		f.entries = append(f.entries, map[string]string{"name": fmt.Sprint("r", i), "key": strings.TrimSpace(string(out)), "address": port(t)})
+		f.entries = append(f.entries, map[string]string{
+			"name": fmt.Sprint("r", i), "key": strings.TrimSpace(string(out)),
+			"address": freePort(t),
+		})
 		_, err = exec.Command(program, "peers", "key", key).Output()
 		assert.Error(t, err, "a key that is there is not written over")
 	}
 	f.entries[2]["address"] = "" // learnt from the others
-	third := port(t)
-	m := serveMember(t, func(h hop) string { return served(h, "x") })
-	var procs []*started
+	third := freePort(t)
+	m := startCache(t, func(h receivedAttempt) string { return okResponse(h, "x") })
+	var procs []*routerProcess
 	for i := range 3 {
 		listen := f.entries[i]["address"]
 		if i == 2 {
 			listen = third
 		}
-		procs = append(procs, beginWith(t, []string{"--operators", f.operators(t, i, listen, f.entries[:3])}, 192, m, m))
+		procs = append(procs, startRouterWith(t, []string{"--operators", f.operatorsFile(t, i, listen, f.entries[:3])}, 192,
+			m, m))
 	}
 	for i := range 3 {
-		f.stands(t, i, "whole")
+		f.waitForState(t, i, "whole")
 	}
 	require.NoError(t, procs[1].Process.Signal(syscall.SIGSTOP))
-	f.stands(t, 0, "majority")
+	f.waitForState(t, 0, "majority")
 	require.NoError(t, procs[1].Process.Signal(syscall.SIGCONT))
-	f.stands(t, 0, "whole")
-	f.stands(t, 1, "whole")
-	out, err := exec.Command(program, "peers", "--socket", f.door(0)).Output()
+	f.waitForState(t, 0, "whole")
+	f.waitForState(t, 1, "whole")
+	out, err := exec.Command(program, "peers", "--socket", f.adminSocket(0)).Output()
 	require.NoError(t, err)
 	assert.Contains(t, string(out), "r0: whole")
 	assert.Contains(t, string(out), third, "the address that r2 told")
 
-	require.NoError(t, exec.Command(program, "peers", "leave", "--socket", f.door(2)).Run())
-	require.Eventually(t, func() bool { r := f.report(0); return r.Roster == 2 && r.Present == 2 }, patience, 20*time.Millisecond)
+	require.NoError(t, exec.Command(program, "peers", "leave", "--socket", f.adminSocket(2)).Run())
+	require.Eventually(t, func() bool { r := f.report(0); return r.Roster == 2 && r.Present == 2 }, patience,
+		20*time.Millisecond)
 	assert.Equal(t, "whole", f.report(0).PartitionState, "who left is not missed")
 
-	f.operators(t, 0, f.entries[0]["address"], append(f.entries[:2:2], f.entries[3]))
+	f.operatorsFile(t, 0, f.entries[0]["address"], append(f.entries[:2:2], f.entries[3]))
 	require.NoError(t, procs[0].Process.Signal(syscall.SIGHUP))
-	require.Eventually(t, func() bool { return len(f.report(0).Members) == 3 && f.report(0).Roster == 3 }, patience, 20*time.Millisecond, "r3 came, r2 went")
+	require.Eventually(t, func() bool { return len(f.report(0).Members) == 3 && f.report(0).Roster == 3 }, patience,
+		20*time.Millisecond, "r3 came, r2 went")
 
 	// A second process under r1's name: the newest goes on, the older one falls silent.
-	f.entries[1]["address"] = port(t)
+	f.entries[1]["address"] = freePort(t)
 	twin := filepath.Join(f.folder, "twin")
 	require.NoError(t, os.Mkdir(twin, 0o700))
 	text, err := os.ReadFile(filepath.Join(f.folder, "operators-1.yaml"))
 	require.NoError(t, err)
 	file := filepath.Join(twin, "operators.yaml")
-	text = []byte(strings.ReplaceAll(string(text), f.door(1), filepath.Join(twin, "door")))
+	text = []byte(strings.ReplaceAll(string(text), f.adminSocket(1), filepath.Join(twin, "door")))
 	var book map[string]any
 	require.NoError(t, json.Unmarshal(text, &book))
 	book["peers"].(map[string]any)["listen"] = f.entries[1]["address"]
 	text, err = json.Marshal(book)
 	require.NoError(t, err)
 	require.NoError(t, os.WriteFile(file, text, 0o600))
-	require.Eventually(t, func() bool { return f.report(1).UptimeSeconds > 21 }, patience, 100*time.Millisecond, "past the time in which it may think of an earlier life")
-	beginWith(t, []string{"--operators", file}, 192, m, m)
+	require.Eventually(t, func() bool { return f.report(1).UptimeSeconds > 21 }, patience, 100*time.Millisecond,
+		"past the time in which it may think of an earlier life")
+	startRouterWith(t, []string{"--operators", file}, 192, m, m)
 	require.Eventually(t, func() bool { return f.report(1).Silent }, patience, 20*time.Millisecond)
 	assert.Equal(t, "alone", f.report(1).PartitionState)
 }
 
-// TestPeersAreRefusedWithPlaceAndReason: what is wrong in the operators' file ends the start, in one line.
-func TestPeersAreRefusedWithPlaceAndReason(t *testing.T) {
+// TestInvalidPeerConfigIsRefusedWithPlaceAndReason: what is wrong in the operators' file ends the start, in one line.
+func TestInvalidPeerConfigIsRefusedWithPlaceAndReason(t *testing.T) {
 	folder := t.TempDir()
 	key := filepath.Join(folder, "key")
 	public, err := exec.Command(program, "peers", "key", key).Output()
@@ -131,9 +142,9 @@
 	other, err := exec.Command(program, "peers", "key", key+"2").Output()
 	require.NoError(t, err)
 	mine, yours := strings.TrimSpace(string(public)), strings.TrimSpace(string(other))
-	m := serveMember(t, func(h hop) string { return served(h, "x") })
+	m := startCache(t, func(h receivedAttempt) string { return okResponse(h, "x") })
 	start := filepath.Join(folder, "start.json")
-	require.NoError(t, os.WriteFile(start, manifest("127.0.0.1:0", m.Addr().String(), 192, m, m), 0o600))
+	require.NoError(t, os.WriteFile(start, bootstrapFile("127.0.0.1:0", m.Addr().String(), 192, m, m), 0o600))
 	for text, want := range map[string]string{
 		`{peers: {listen: "127.0.0.1:0"}}`: "operators.yaml:1:9: peers.key_file: needed",
 		`{peers: {listen: "127.0.0.1:0", name: a, key_file: KEY, roster: [{name: a, key: MINE}, {name: b, key: MINE, address: "127.0.0.1:9"}]}}`:            "the key of two",
--- /dev/null
+++ b/cmd/cairnfront/reload_test.go
@@ -0,0 +1,109 @@
+package main
+
+import (
+	"io"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"cairnfront/internal/bootstrap"
+	"cairnfront/internal/discovery"
+	"cairnfront/internal/telemetry"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// TestReloadFollowsTheNewFile: on SIGHUP the board's new address is followed and no open txn is disturbed; a file
+// that can't be used leaves the old one in force, and many signals at once do no harm.
+func TestReloadFollowsTheNewFile(t *testing.T) {
+	release := make(chan bool)
+	m := startCache(t, func(h receivedAttempt) string {
+		<-release
+		return okResponse(h, "x")
+	})
+	s := startRouter(t, 64, m, m)
+	c := s.dial(t)
+	c.send("page", objectID, "")
+	require.Eventually(t, func() bool { return m.attemptCount() == 1 }, patience, time.Millisecond)
+	for i, bad := range []string{"{", strings.Replace(string(bootstrapFile(s.addr, s.discovery.Addr().String(), 64, m,
+		m)), `"memory_mb":64`, `"memory_mb":65`, 1)} {
+		require.NoError(t, os.WriteFile(s.bootstrapPath, []byte(bad), 0o600))
+		require.NoError(t, s.Process.Signal(syscall.SIGHUP))
+		require.Eventually(t, func() bool { return strings.Count(s.log.String(), "code=kept-old") == i+1 }, patience,
+			time.Millisecond)
+	}
+	next := startDiscovery(t)
+	require.NoError(t, os.WriteFile(s.bootstrapPath, bootstrapFile(s.addr, next.Addr().String(), 64, m, m), 0o600))
+	for range 50 {
+		require.NoError(t, s.Process.Signal(syscall.SIGHUP))
+	}
+	m2 := startCache(t, func(h receivedAttempt) string { return okResponse(h, "new") })
+	next.send <- discoveryFrame(2, 2, append(endpointRecord(9, m2, 0), endpointRecord(1, m, 2)...))
+	close(release)
+	code, _, body := c.readResponse(t)
+	assert.EqualValues(t, 1, code)
+	assert.Equal(t, "x", body)
+	require.Eventually(t, func() bool {
+		c.send("page", objectID, "")
+		_, _, body := c.readResponse(t)
+		return body == "new"
+	}, patience, time.Millisecond, "the new board's list counts")
+	assert.NoError(t, s.stop(t, syscall.SIGTERM))
+}
+
+// TestReloadWhileOtherRoutersRestart: one router hears SIGHUP again and again while another that shares its cache
+// is ended and started; the first one's clients notice nothing, and the second serves after each start.
+func TestReloadWhileOtherRoutersRestart(t *testing.T) {
+	m := startCache(t, func(h receivedAttempt) string { return okResponse(h, "x") })
+	a, b := startRouter(t, 64, m, m), startRouter(t, 64, m, m)
+	stop := make(chan bool)
+	var asks sync.WaitGroup
+	asks.Go(func() {
+		for c := a.dial(t); ; {
+			select {
+			case <-stop:
+				return
+			default:
+				c.send("page", objectID, "")
+				code, _, _ := c.readResponse(t)
+				assert.EqualValues(t, 1, code)
+			}
+		}
+	})
+	for _, sig := range []syscall.Signal{syscall.SIGTERM, syscall.SIGKILL, syscall.SIGTERM} {
+		next := startDiscovery(t)
+		require.NoError(t, os.WriteFile(a.bootstrapPath, bootstrapFile(a.addr, next.Addr().String(), 64, m, m), 0o600))
+		require.NoError(t, a.Process.Signal(syscall.SIGHUP))
+		_ = b.stop(t, sig)
+		require.NoError(t, a.Process.Signal(syscall.SIGHUP))
+		b.start(t)
+		c := b.dial(t)
+		c.send("page", objectID, "")
+		code, _, _ := c.readResponse(t)
+		assert.EqualValues(t, 1, code)
+	}
+	close(stop)
+	asks.Wait()
+	assert.NoError(t, a.stop(t, syscall.SIGTERM))
+	k := a.counters()
+	assert.Equal(t, []int{k["taken"], 6}, []int{k["answered.page.completed.by-a-hop"], k["reloads"]})
+}
+
+// TestReloadsNeverWait shows that, while the discovery client follows no address, a reload does not wait for it,
+// and that the newest address is the one that it will follow.
+func TestReloadsNeverWait(t *testing.T) {
+	r := &router{
+		metrics:   telemetry.New(io.Discard, ""),
+		discovery: &discovery.Client{AddressChanges: make(chan string, 1)},
+	}
+	for _, addr := range []string{"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"} {
+		r.load = func() (bootstrap.Config, error) { return bootstrap.Config{DiscoveryAddress: addr}, nil }
+		r.reload(t.Context())
+	}
+	assert.Equal(t, "127.0.0.1:3", <-r.discovery.AddressChanges)
+	assert.Equal(t, "127.0.0.1:3", r.config.DiscoveryAddress)
+}
--- /dev/null
+++ b/cmd/cairnfront/requests_test.go
@@ -0,0 +1,210 @@
+package main
+
+import (
+	"encoding/binary"
+	"fmt"
+	"net"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"cairnfront/internal/clientproto"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func TestRequestsArePassedOnAndAnswered(t *testing.T) {
+	m := startCache(t, func(h receivedAttempt) string {
+		if h.fields["got"] == "t1" {
+			return h.id + " still_good digest=t1,dated=1 0\r\n\r\n"
+		}
+		return okResponse(h, "object "+h.body)
+	})
+	s := startRouter(t, 192, startCache(t, func(h receivedAttempt) string { return h.id + " served - 0\r\n\r\n" }), m)
+	c := s.dial(t)
+	id := c.send("page", objectID, "", clientproto.Field{Name: "dedupe", Value: "k1"})
+	code, fields, body := c.readResponse(t)
+	assert.Equal(t, []any{byte(1), "d1", "object "}, []any{code, fields["etag"], body})
+	f := m.lastAttempt().fields
+	assert.Equal(t, []string{id, "page", objectID, "0", "k1", "s-000000ff"}, []string{
+		m.lastAttempt().id, f["profile"], f["thing"], f["nth"], f["replay"],
+		f["parent"],
+	}, "passed on unchanged")
+	c.send("page", objectID, "", clientproto.Field{Name: "etag", Value: "t1"})
+	code, fields, body = c.readResponse(t)
+	assert.Equal(t, []any{byte(1), "1", "t1", ""}, []any{code, fields["notmod"], fields["etag"], body})
+	c.send("write", objectID, "order me")
+	code, _, _ = c.readResponse(t)
+	assert.EqualValues(t, 1, code, "a write's answer has no digest")
+	assert.NoError(t, s.Process.Signal(syscall.SIGUSR1))
+	assert.NoError(t, s.stop(t, syscall.SIGTERM))
+	got := s.counters()
+	assert.Equal(t, []int{3, 3, 0, 2, 1}, []int{
+		got["taken"], got["answered"], got["open"], got["answered.page.completed.by-a-hop"],
+		got["answered.write.completed.by-a-hop"],
+	})
+	assert.Equal(t, 2, strings.Count(s.log.String(), "counter taken 3\n"), "on request and at the end")
+	assert.Equal(t, got["conn.client.begun"]+got["conn.member.begun"]+got["conn.board.begun"],
+		strings.Count(s.log.String(), "msg=\"connection ended\""), "one line for each connection")
+}
+
+// TestOnlyIdempotentRequestsAreRetriedAfterAReset: what is repeatable goes on elsewhere; what must not run twice is
+// aborted, not rejected.
+func TestOnlyIdempotentRequestsAreRetriedAfterAReset(t *testing.T) {
+	reset := func(h receivedAttempt) string {
+		_ = h.conn.(*net.TCPConn).SetLinger(0)
+		_ = h.conn.Close()
+		return ""
+	}
+	bad, worse := startCache(t, reset), startCache(t, reset)
+	good := startCache(t, func(h receivedAttempt) string { return okResponse(h, "x") })
+	s := startRouter(t, 192, good, bad)
+	c := s.dial(t)
+	c.send("page", objectID, "")
+	code, _, _ := c.readResponse(t)
+	assert.EqualValues(t, 1, code)
+	assert.Equal(t, 1, bad.attemptCount())
+	s = startRouter(t, 192, worse, worse)
+	c = s.dial(t)
+	c.send("order", objectID, "")
+	code, _, _ = c.readResponse(t)
+	assert.EqualValues(t, 9, code)
+	assert.Equal(t, 1, worse.attemptCount())
+	gone := startCache(t, nil)
+	_ = gone.Close()
+	s = startRouter(t, 192, gone, gone)
+	c = s.dial(t)
+	c.send("order", objectID, "")
+	code, fields, _ := c.readResponse(t)
+	assert.EqualValues(t, 0, code, "a refused connection proves that it did not run")
+	assert.NotEmpty(t, fields["pushback"])
+}
+
+func TestPurgesAndDrainingCachesTakeEffect(t *testing.T) {
+	origin := startCache(t, func(h receivedAttempt) string { return okResponse(h, "x") })
+	a, b := startCache(t, func(h receivedAttempt) string { return okResponse(h, "a") }), startCache(t,
+		func(h receivedAttempt) string { return okResponse(h, "b") })
+	s := startRouter(t, 192, origin, a, b)
+	c := s.dial(t)
+	first := func() (string, receivedAttempt) {
+		c.send("page", objectID, "")
+		code, _, body := c.readResponse(t)
+		require.EqualValues(t, 1, code)
+		return body, map[string]*cacheStub{"a": a, "b": b}[body].lastAttempt()
+	}
+	was, h := first()
+	assert.Empty(t, h.fields["accept"])
+	s.discovery.send <- discoveryFrame(2, 3, binary.BigEndian.AppendUint64([]byte("\x7f\x3a\x9c\x21\xe0\xb4\xd6\x55"),
+		uint64(time.Now().UnixMilli())))
+	require.Eventually(t, func() bool { _, h = first(); return h.fields["accept"] != "" }, patience, time.Millisecond,
+		"only younger copies will do")
+	draining, id, other := a, uint32(1), "b"
+	if was == "b" {
+		draining, id, other = b, 2, "a"
+	}
+	s.discovery.send <- discoveryFrame(3, 2, endpointRecord(id, draining, 1))
+	require.Eventually(t, func() bool { now, _ := first(); return now == other }, patience, time.Millisecond)
+	n := draining.attemptCount()
+	for range 50 {
+		now, _ := first()
+		assert.Equal(t, other, now)
+	}
+	assert.Equal(t, n, draining.attemptCount(), "nothing new goes to a draining cache")
+}
+
+// TestCancelledRequestFreesItsAttempt: a client that stops waiting frees its hop, and gets nothing more.
+func TestCancelledRequestFreesItsAttempt(t *testing.T) {
+	m := startCache(t, func(h receivedAttempt) string {
+		if h.fields["thing"] == objectID {
+			return ""
+		}
+		return okResponse(h, "x")
+	})
+	s := startRouter(t, 192, m, m)
+	c := s.dial(t)
+	id := c.send("page", objectID, "")
+	require.Eventually(t, func() bool { return m.attemptCount() == 1 }, patience, time.Millisecond)
+	_, _ = c.Write(clientproto.AppendHeader(nil, clientproto.TypeCancel, 1, 0))
+	assert.Equal(t, id, <-m.cancelled)
+	c.send("page", "0000000000000001", "")
+	_, stream, _ := c.readFrame(t)
+	assert.EqualValues(t, 2, stream)
+	_ = c.send("page", objectID, "")
+	require.Eventually(t, func() bool { return m.attemptCount() == 3 }, patience, time.Millisecond)
+	_ = c.Close()
+	assert.NotEmpty(t, <-m.cancelled, "a closed connection gives up what is open on it")
+}
+
+// TestMalformedCacheResponsesAreRetried: two caches spoil some answers, in turns; each txn is completed by another
+// hop.
+func TestMalformedCacheResponsesAreRetried(t *testing.T) {
+	var n atomic.Int64
+	spoil := func(h receivedAttempt) string {
+		switch n.Add(1) % 5 {
+		case 0:
+			return "\x00\x01 noise\r\n"
+		case 2:
+			return h.id + " served digest=d1,dated=1,remark=h 3000000000\r\nx"
+		case 3: // twice, and one that nobody asked for
+			return "ffffffffffffffff served digest=d1,dated=1,remark=h 1\r\ny\r\n" + okResponse(h, "x") + okResponse(h, "x")
+		}
+		return okResponse(h, "x")
+	}
+	a, b, o := startCache(t, spoil), startCache(t, spoil), startCache(t,
+		func(h receivedAttempt) string { return okResponse(h, "x") })
+	s := startRouter(t, 64, o, a, b)
+	c := s.dial(t)
+	for i := range 60 {
+		c.send("page", fmt.Sprintf("%016x", i), "")
+		code, _, body := c.readResponse(t)
+		assert.EqualValues(t, 1, code, i)
+		assert.Equal(t, "x", body)
+	}
+	assert.NoError(t, s.stop(t, syscall.SIGTERM))
+	k := s.counters()
+	assert.Equal(t, 60, k["answered.page.completed.by-a-hop"])
+	assert.Positive(t, k["hops.page.broken"])
+	assert.Equal(t, k["conn.member.begun"], k["conn.member.open"]+strings.Count(s.log.String(), "side=member"),
+		"one line a connection")
+}
+
+// TestLateEndpointListCostsFewAttempts: a cache is dead for seconds before the list says so. Its txns are completed
+// elsewhere, with few attempts lost to it, and the news is obeyed when it comes, also where a new cache has the old
+// one's address.
+func TestLateEndpointListCostsFewAttempts(t *testing.T) {
+	dead := startCache(t, func(h receivedAttempt) string { return okResponse(h, "old") })
+	good := startCache(t, func(h receivedAttempt) string { return okResponse(h, "good") })
+	s := startRouter(t, 64, good, dead, good)
+	c := s.dial(t)
+	ask := func(from, to int) (bodies map[string]int) {
+		bodies = map[string]int{}
+		for i := from; i < to; i++ {
+			c.send("page", fmt.Sprintf("%016x", i), "")
+			code, _, body := c.readResponse(t)
+			assert.EqualValues(t, 1, code)
+			bodies[body]++
+		}
+		return bodies
+	}
+	assert.Positive(t, ask(0, 40)["old"])
+	addr := dead.Addr().String()
+	dead.kill()
+	assert.Zero(t, ask(40, 400)["old"])
+	require.NoError(t, s.Process.Signal(syscall.SIGUSR1))
+	require.Eventually(t, func() bool { return s.counters()["hops.page.sent"] >= 400 }, patience, time.Millisecond)
+	assert.Less(t, s.counters()["hops.page.sent"], 440, "few hops are lost to a cache that is dead and listed")
+	ln, err := net.Listen("tcp", addr)
+	require.NoError(t, err)
+	fresh := &cacheStub{
+		Listener: ln, answer: func(h receivedAttempt) string { return okResponse(h, "new") },
+		cancelled: make(chan string, 1000),
+	}
+	fresh.accept(t, ln)
+	s.discovery.send <- discoveryFrame(2, 2, append(endpointRecord(9, fresh, 0), endpointRecord(1, fresh, 2)...))
+	require.Eventually(t, func() bool { return ask(400, 440)["new"] > 0 }, patience, time.Millisecond)
+	assert.NoError(t, s.stop(t, syscall.SIGTERM))
+	assert.Equal(t, s.counters()["taken"], s.counters()["answered.page.completed.by-a-hop"])
+}
--- /dev/null
+++ b/cmd/cairnfront/restart_test.go
@@ -0,0 +1,112 @@
+package main
+
+import (
+	"io"
+	"net"
+	"os"
+	"regexp"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"cairnfront/internal/telemetry"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// TestRouterServesAgainAfterAKill: it begins again from nothing, under its name and address.
+func TestRouterServesAgainAfterAKill(t *testing.T) {
+	m := startCache(t, func(h receivedAttempt) string { return okResponse(h, "x") })
+	s := startRouter(t, 192, m, m)
+	c := s.dial(t)
+	c.send("page", objectID, "")
+	c.readResponse(t)
+	assert.Error(t, s.stop(t, syscall.SIGKILL))
+	_, err := c.Read(make([]byte, 1))
+	assert.Error(t, err)
+	s.start(t)
+	c = s.dial(t)
+	c.send("page", objectID, "")
+	code, _, _ := c.readResponse(t)
+	assert.EqualValues(t, 1, code)
+	assert.Equal(t, 2, m.attemptCount())
+}
+
+// TestClockJumpLosesNoRequest: a process that stood still for longer than any of its times goes on: what was open
+// and what came meanwhile is answered once, the member that spoke goes on being used, the notice board's news are
+// had.
+func TestClockJumpLosesNoRequest(t *testing.T) {
+	hold, m, s, c := routerSignalledDuringRequest(t, syscall.SIGSTOP)
+	close(hold) // the answer comes while nobody reads
+	late := s.dial(t)
+	late.send("page", "0000000000000002", "")
+	m2 := startCache(t, func(h receivedAttempt) string { return okResponse(h, "new") })
+	s.discovery.send <- discoveryFrame(2, 2, append(endpointRecord(9, m2, 0), endpointRecord(1, m, 2)...))
+	time.Sleep(3 * time.Second) // over the board's silence, the connect time and a second of stall
+	require.NoError(t, s.Process.Signal(syscall.SIGCONT))
+	for _, c := range []*client{c, late} {
+		code, _, _ := c.readResponse(t)
+		assert.Contains(t, []byte{0, 1}, code, "past its SLA time it may be rejected")
+	}
+	require.Eventually(t, func() bool {
+		c.send("page", "0000000000000003", "")
+		_, _, body := c.readResponse(t)
+		return body == "new"
+	}, patience, 10*time.Millisecond, "the list that came meanwhile counts")
+	assert.NoError(t, s.stop(t, syscall.SIGTERM))
+	k := s.counters()
+	assert.Equal(t, []int{k["taken"], 0}, []int{k["answered"], k["open"]})
+}
+
+// TestListenWaitsForAPortInUse: the process before may still hold it. A signal is heard only between two tries, so
+// it proves the first.
+func TestListenWaitsForAPortInUse(t *testing.T) {
+	type result struct {
+		net.Listener
+		error
+	}
+	for _, last := range []os.Signal{syscall.SIGUSR1, syscall.SIGTERM} {
+		held, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		signals, got := make(chan os.Signal), make(chan result)
+		go func() {
+			ln, err := listen(held.Addr().String(), signals, telemetry.New(io.Discard, ""))
+			got <- result{ln, err}
+		}()
+		signals <- syscall.SIGUSR1
+		signals <- last
+		require.NoError(t, held.Close())
+		r := <-got
+		require.NoError(t, r.error)
+		if last == syscall.SIGTERM {
+			assert.Nil(t, r.Listener, "it is told to end before it began")
+			continue
+		}
+		assert.NoError(t, r.Listener.Close())
+	}
+}
+
+// TestSighupBeforeTheStartIsSurvived: a SIGHUP that meets the shell, or the program before it hears signals, does
+// not end it, and those after the start are followed. The line is the deploy file's own.
+func TestSighupBeforeTheStartIsSurvived(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/balancer.toml")
+	require.NoError(t, err)
+	run := regexp.MustCompile(`(?m)^run = "(.*)"`).FindSubmatch(text)
+	require.NotNil(t, run)
+	m := startCache(t, func(h receivedAttempt) string { return okResponse(h, "x") })
+	s := startRouter(t, 64, m, m)
+	require.NoError(t, s.stop(t, syscall.SIGTERM))
+	s.shellCommand = strings.Replace(string(run[1]), "exec bin/cairnfront", "kill -HUP $$; exec "+program, 1)
+	require.Contains(t, s.shellCommand, "kill")
+	s.start(t)
+	next := startDiscovery(t)
+	require.NoError(t, os.WriteFile(s.bootstrapPath, bootstrapFile(s.addr, next.Addr().String(), 64, m, m), 0o600))
+	require.NoError(t, s.Process.Signal(syscall.SIGHUP))
+	select {
+	case next.send <- discoveryFrame(2, 2, endpointRecord(1, m, 0)):
+	case <-time.After(patience):
+		t.Fatal("the new board is not asked")
+	}
+}
--- /dev/null
+++ b/cmd/cairnfront/stubs_test.go
@@ -0,0 +1,194 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// cacheStub is a stand-in of a cache. It hands each hop to answer, which says what to write, empty for nothing.
+type cacheStub struct {
+	net.Listener
+	answer      func(h receivedAttempt) string
+	mu          sync.Mutex
+	attempts    []receivedAttempt
+	connections []net.Conn
+	cancelled   chan string
+}
+
+type receivedAttempt struct {
+	id     string
+	fields map[string]string
+	body   string
+	conn   net.Conn
+}
+
+func startCache(t *testing.T, answer func(receivedAttempt) string) *cacheStub {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	m := &cacheStub{Listener: ln, answer: answer, cancelled: make(chan string, 1000)}
+	m.accept(t, ln)
+	return m
+}
+
+// accept serves on a listener until the test ends.
+func (m *cacheStub) accept(t *testing.T, ln net.Listener) {
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go m.serve(c)
+		}
+	}()
+}
+
+func (m *cacheStub) serve(c net.Conn) {
+	defer c.Close()
+	m.mu.Lock()
+	m.connections = append(m.connections, c)
+	m.mu.Unlock()
+	r := bufio.NewReader(c)
+	for {
+		text, err := r.ReadString('\n')
+		if err != nil {
+			return
+		}
+		w := strings.Fields(text)
+		if w[0] == "undo" {
+			m.cancelled <- w[1]
+			continue
+		}
+		h := receivedAttempt{id: w[1], fields: map[string]string{}, conn: c}
+		for pair := range strings.SplitSeq(w[2], ",") {
+			name, value, _ := strings.Cut(pair, "=")
+			h.fields[name] = value
+		}
+		n, _ := strconv.Atoi(w[3])
+		body := make([]byte, n+2)
+		if _, err := io.ReadFull(r, body); err != nil {
+			return
+		}
+		h.body = string(body[:n])
+		m.mu.Lock()
+		m.attempts = append(m.attempts, h)
+		m.mu.Unlock()
+		if _, err := io.WriteString(c, m.answer(h)); err != nil {
+			return
+		}
+	}
+}
+
+// kill ends the listener and every connection, as a process that dies does.
+func (m *cacheStub) kill() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_ = m.Close()
+	for _, c := range m.connections {
+		_ = c.Close()
+	}
+}
+
+func (m *cacheStub) lastAttempt() receivedAttempt {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.attempts[len(m.attempts)-1]
+}
+
+func (m *cacheStub) attemptCount() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.attempts)
+}
+
+func okResponse(h receivedAttempt, body string) string {
+	return fmt.Sprintf("%s served digest=d1,dated=%d,remark=h %d\r\n%s\r\n", h.id, time.Now().UnixMilli(), len(body), body)
+}
+
+// discovery is a stand-in of the notice board. What it is told to say goes to the router that follows it, and again
+// to one that comes later without it.
+type discoveryStub struct {
+	net.Listener
+	send chan []byte
+	mu   sync.Mutex
+	sent [][]byte
+}
+
+// sentAfter is what was said after an event.
+func (b *discoveryStub) sentAfter(last []byte) []byte {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	i := slices.IndexFunc(b.sent, func(x []byte) bool { return bytes.Compare(x[4:12], last) > 0 })
+	if i < 0 {
+		return nil
+	}
+	return slices.Concat(b.sent[i:]...)
+}
+
+func startDiscovery(t *testing.T) *discoveryStub {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	b := &discoveryStub{Listener: ln, send: make(chan []byte, 10)}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				last := make([]byte, 8)
+				if _, err := io.ReadFull(c, last); err != nil {
+					return
+				}
+				if _, err := c.Write(b.sentAfter(last)); err != nil {
+					return
+				}
+				beat := time.NewTicker(time.Second)
+				defer beat.Stop()
+				for {
+					out := append([]byte{0, 0, 0, 9}, append(last, 0)...)
+					select {
+					case out = <-b.send:
+						b.mu.Lock()
+						b.sent = append(b.sent, out)
+						b.mu.Unlock()
+					case <-beat.C:
+					}
+					if _, err := c.Write(out); err != nil {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return b
+}
+
+func discoveryFrame(number uint64, kind byte, payload []byte) []byte {
+	b := binary.BigEndian.AppendUint32(nil, uint32(9+len(payload)))
+	return append(append(binary.BigEndian.AppendUint64(b, number), kind), payload...)
+}
+
+// endpointRecord is a member's row in the notice board's binary form.
+func endpointRecord(id uint32, m *cacheStub, state byte) []byte {
+	a := m.Addr().(*net.TCPAddr)
+	b := append(binary.BigEndian.AppendUint32(nil, id), a.IP.To4()...)
+	b = binary.BigEndian.AppendUint16(b, uint16(a.Port))
+	b = append(b, state, 0, 0, 0, 0)
+	return append(binary.BigEndian.AppendUint32(b, 8000), make([]byte, 8)...)
+}
--- a/cmd/cairnfront/tier_golden_test.go
+++ b/cmd/cairnfront/tier_golden_test.go
@@ -29,7 +29,7 @@
 			if _, err := os.Stat(path); err != nil {
 				require.NoError(t, os.CopyFS(path, os.DirFS(golden)))
 			}
-			out, errs, code := command(t, append(append([]string{"tier"}, args...), path)...)
+			out, errs, code := runCommand(t, append(append([]string{"tier"}, args...), path)...)
 			fmt.Fprintf(&text, "== %s %s\n%s%sexit %d\n", name, args[0], out, errs, code)
 		}
 		run("1", "inspect")
--- a/cmd/cairnfront/tier_test.go
+++ b/cmd/cairnfront/tier_test.go
@@ -20,8 +20,8 @@
 	"github.com/stretchr/testify/require"
 )
 
-// command runs the program and returns what it printed and its exit code.
-func command(t *testing.T, args ...string) (out, errs string, code int) {
+// runCommand runs the program and returns what it printed and its exit code.
+func runCommand(t *testing.T, args ...string) (out, errs string, code int) {
 	t.Helper()
 	c := exec.Command(program, args...)
 	var a, b bytes.Buffer
@@ -30,43 +30,49 @@
 	return a.String(), b.String(), c.ProcessState.ExitCode()
 }
 
-// folder is one of a stopped box: twenty parts, one of them purged since.
-func folder(t *testing.T) string {
+// stoppedCacheDirectory is one of a stopped box: twenty parts, one of them purged since.
+func stoppedCacheDirectory(t *testing.T) string {
 	path := filepath.Join(t.TempDir(), "disk")
 	d, err := vfs.MakeDir(path)
 	require.NoError(t, err)
 	s, _, err := diskcache.OpenStore(d, diskcache.StoreOptions{}, false, nil)
 	require.NoError(t, err)
 	for i := range 20 {
-		_, err := s.Put(diskcache.Meta{Key: eviction.Key{Object: uint64(i / 2), Chunk: uint32(i % 2)}, IssuedAt: 1000, ETag: "t", Rank: 2}, bytes.Repeat([]byte{byte(i)}, 500))
+		_, err := s.Put(diskcache.Meta{
+			Key: eviction.Key{Object: uint64(i / 2), Chunk: uint32(i % 2)}, IssuedAt: 1000,
+			ETag: "t", Rank: 2,
+		}, bytes.Repeat([]byte{byte(i)}, 500))
 		require.NoError(t, err)
 	}
-	require.NoError(t, s.AppendPurgeRecords([]validity.Record{{Kind: validity.PurgeObject, Object: 3, PurgedAt: 2000, Number: 7}}))
+	require.NoError(t, s.AppendPurgeRecords([]validity.Record{{
+		Kind: validity.PurgeObject, Object: 3, PurgedAt: 2000,
+		Number: 7,
+	}}))
 	require.NoError(t, s.Close())
 	return path
 }
 
-func TestTierTools(t *testing.T) {
-	path := folder(t)
-	out, _, code := command(t, "tier", "inspect", path)
+func TestTierCommandsOnAStoppedCache(t *testing.T) {
+	path := stoppedCacheDirectory(t)
+	out, _, code := runCommand(t, "tier", "inspect", path)
 	assert.Equal(t, 0, code)
 	assert.Contains(t, out, "20 of 10 objects")
 	assert.Contains(t, out, "notice 7 followed")
-	out, _, code = command(t, "tier", "inspect", "--json", path)
+	out, _, code = runCommand(t, "tier", "inspect", "--json", path)
 	var in map[string]any
 	require.NoError(t, json.Unmarshal([]byte(out), &in))
 	assert.Equal(t, 20.0, in["Parts"])
 	assert.Equal(t, 0, code)
-	out, _, code = command(t, "tier", "verify", path)
+	out, _, code = runCommand(t, "tier", "verify", path)
 	assert.Equal(t, 0, code, out)
 	assert.Contains(t, out, "20 parts are whole, 2 of them voided by a purge; 0 bad")
 	tar := filepath.Join(t.TempDir(), "x.tar")
-	_, errs, code := command(t, "tier", "export", "--to", tar, path)
+	_, errs, code := runCommand(t, "tier", "export", "--to", tar, path)
 	assert.Equal(t, "18 parts\n", errs)
 	assert.Equal(t, 0, code)
-	out, _, code = command(t, "tier", "compact", path)
+	out, _, code = runCommand(t, "tier", "compact", path)
 	assert.Equal(t, 0, code, out)
-	out, _, _ = command(t, "tier", "verify", path)
+	out, _, _ = runCommand(t, "tier", "verify", path)
 	assert.Contains(t, out, "18 parts are whole, 0 of them voided")
 
 	names, _ := filepath.Glob(filepath.Join(path, "seg-*"))
@@ -74,44 +80,46 @@
 	require.NoError(t, err)
 	b[len(b)/2] ^= 4
 	require.NoError(t, os.WriteFile(names[len(names)-1], b, 0o600))
-	out, _, code = command(t, "tier", "verify", path)
+	out, _, code = runCommand(t, "tier", "verify", path)
 	assert.Equal(t, 1, code)
 	assert.Contains(t, out, "bad-body seg-")
-	_, errs, code = command(t, "tier", "inspect", t.TempDir())
+	_, errs, code = runCommand(t, "tier", "inspect", t.TempDir())
 	assert.Equal(t, 1, code)
 	assert.Contains(t, errs, "is no folder of a disk tier")
 }
 
-func TestABoxHoldsItsFolderAndDrains(t *testing.T) {
-	path := folder(t)
+func TestBoxLocksItsFolderAndDrains(t *testing.T) {
+	path := stoppedCacheDirectory(t)
 	file := filepath.Join(t.TempDir(), "o.yaml")
-	require.NoError(t, os.WriteFile(file, []byte(fmt.Sprintf("box:\n  rules: [{name: video}]\n  drain_s: 0.1\ntier:\n  folder: %q\n", path)), 0o600))
-	_, errs, code := command(t, "box", "--operators", filepath.Join(t.TempDir(), "none.yaml"))
+	require.NoError(t, os.WriteFile(file,
+		[]byte(fmt.Sprintf("box:\n  rules: [{name: video}]\n  drain_s: 0.1\ntier:\n  folder: %q\n", path)), 0o600))
+	_, errs, code := runCommand(t, "box", "--operators", filepath.Join(t.TempDir(), "none.yaml"))
 	assert.Equal(t, 1, code)
 	assert.Contains(t, errs, "none.yaml")
 	c := exec.Command(program, "box", "--operators", file)
-	log := &text{}
+	log := &logBuffer{}
 	c.Stderr = log
 	require.NoError(t, c.Start())
-	require.Eventually(t, func() bool { return bytes.Contains([]byte(log.String()), []byte("serving")) }, patience, 5*time.Millisecond, log)
-	_, errs, code = command(t, "tier", "verify", path)
+	require.Eventually(t, func() bool { return bytes.Contains([]byte(log.String()), []byte("serving")) }, patience,
+		5*time.Millisecond, log)
+	_, errs, code = runCommand(t, "tier", "verify", path)
 	assert.Equal(t, 1, code)
 	assert.Contains(t, errs, "in use by another process")
 	require.NoError(t, c.Process.Signal(syscall.SIGTERM))
 	require.NoError(t, c.Wait(), log.String())
-	out, _, code := command(t, "tier", "verify", path)
+	out, _, code := runCommand(t, "tier", "verify", path)
 	assert.Equal(t, 0, code, out)
 }
 
-func TestOperatorsCommands(t *testing.T) {
+func TestOperatorsCommandsPrintSchemaDefaultsAndErrors(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "o.yaml")
-	out, _, code := command(t, "operators", "defaults")
+	out, _, code := runCommand(t, "operators", "defaults")
 	assert.Equal(t, 0, code)
 	require.NoError(t, os.WriteFile(file, []byte(out), 0o600))
-	_, errs, code := command(t, "operators", "check", file)
+	_, errs, code := runCommand(t, "operators", "check", file)
 	assert.Equal(t, 0, code, errs)
 	require.NoError(t, os.WriteFile(file, []byte("tier:\n  alpha: dear\n"), 0o600))
-	_, errs, code = command(t, "operators", "check", file)
+	_, errs, code = runCommand(t, "operators", "check", file)
 	assert.Equal(t, 1, code)
 	assert.Contains(t, errs, "o.yaml:2:10: tier.alpha")
 }
