--- a/cmd/cairnfront/drain.go
+++ b/cmd/cairnfront/drain.go
@@ -38,7 +38,7 @@
 func drainTimeout(c bootstrap.Config) time.Duration {
 	longestSeconds := 0.0
 	for i := range c.ClassNames {
-		key := routing.ClassSetting(routing.ClassIndex(i), "limit_s")
+		key := routing.ClassSetting(routing.ClassIndex(i), routing.ClassDeadline)
 		longestSeconds = max(longestSeconds, c.Settings.Float(key, maxDeadline.Seconds()))
 	}
 	longest := min(time.Duration(longestSeconds*float64(time.Second)), maxDeadline)
--- a/cmd/cairnfront/drain_test.go
+++ b/cmd/cairnfront/drain_test.go
@@ -124,8 +124,8 @@
 		6: 3400 * time.Millisecond,
 	} {
 		m := bootstrap.Config{ClassNames: []string{"a", "b"}, Settings: routing.Settings{
-			routing.ClassSetting(0, "limit_s"): "0.5",
-			routing.ClassSetting(1, "limit_s"): strconv.FormatFloat(longest, 'f', -1, 64),
+			routing.ClassSetting(0, routing.ClassDeadline): "0.5",
+			routing.ClassSetting(1, routing.ClassDeadline): strconv.FormatFloat(longest, 'f', -1, 64),
 		}}
 		assert.Equal(t, want, drainTimeout(m), longest)
 	}
--- a/cmd/cairnfront/extensions.go
+++ b/cmd/cairnfront/extensions.go
@@ -62,11 +62,11 @@
 func (r *router) selectAddresses(configured []config.EndpointAddresses) {
 	idempotent := map[int]bool{}
 	for i := range r.config.ClassNames {
-		effect := r.config.Settings[routing.ClassSetting(routing.ClassIndex(i), "effect")]
-		idempotent[i] = effect == "repeatable"
+		effect := r.config.Settings[routing.ClassSetting(routing.ClassIndex(i), routing.ClassEffect)]
+		idempotent[i] = routing.Effect(effect) == routing.Idempotent
 	}
 	r.pool.AddressSelector = address.New(r.config.Seed)
-	r.pool.AddressSelector.HealthChecksAllowed = r.config.Settings.Bool("may_check")
+	r.pool.AddressSelector.HealthChecksAllowed = r.config.Settings.Bool(routing.SettingHealthChecks)
 	r.pool.EndpointAddresses = addressLookup(configured)
 	r.pool.IsIdempotent = func(class int) bool { return idempotent[class] }
 }
--- a/cmd/cairnfront/membership.go
+++ b/cmd/cairnfront/membership.go
@@ -91,7 +91,7 @@
 	node.ProbeEventLoop = r.dispatcher.ProbeLiveness
 	settings := r.config.Settings
 	r.dispatcher.OnAttemptEnd = func(a dispatch.AttemptReport) {
-		objectiveSeconds := settings.Float(routing.ClassSetting(a.Class, "sla_s"), 1)
+		objectiveSeconds := settings.Float(routing.ClassSetting(a.Class, routing.ClassLatencyObjective), 1)
 		if observed, ok := observation.Classify(a.Result, a.ElapsedSeconds > objectiveSeconds); ok {
 			node.ReportAttempt(a.Endpoint, observed)
 		}
--- a/cmd/cairnfront/serve.go
+++ b/cmd/cairnfront/serve.go
@@ -100,10 +100,10 @@
 	pool := &upstream.Pool{
 		Admission:                controller,
 		Metrics:                  metrics,
-		ConnectTimeout:           settingDuration(c.Settings, "connect_s"),
-		EndpointIdleTimeout:      settingDuration(c.Settings, "idle_close_s"),
-		MaxAttemptsPerConnection: int(c.Settings.Float("hops_a_connection", 1)),
-		RequestLoadReports:       c.Settings["load_by"] == "checks",
+		ConnectTimeout:           settingDuration(c.Settings, routing.SettingConnectTimeout),
+		EndpointIdleTimeout:      settingDuration(c.Settings, routing.SettingIdleTimeout),
+		MaxAttemptsPerConnection: int(c.Settings.Float(routing.SettingMaxAttemptsPerConnection, 1)),
+		RequestLoadReports:       c.Settings[routing.SettingLoadReportSource] == routing.LoadFromProbes,
 	}
 	dispatcher := dispatch.New(routing.New(c.Seed, c.Settings), c.Settings, pool, metrics)
 	pool.OnEvent = dispatcher.UpstreamEvent
@@ -134,7 +134,7 @@
 }
 
 // settingDuration returns a setting that is given in seconds, 0 if it is missing.
-func settingDuration(settings routing.Settings, name string) time.Duration {
+func settingDuration(settings routing.Settings, name routing.SettingName) time.Duration {
 	return time.Duration(settings.Float(name, 0) * float64(time.Second))
 }
 
--- a/internal/bootstrap/config_test.go
+++ b/internal/bootstrap/config_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"cairnfront/internal/discovery"
+	"cairnfront/routing"
 
 	"github.com/stretchr/testify/assert"
 )
@@ -26,19 +27,19 @@
 	assert.Equal(t, []string{"page", "order"}, config.ClassNames)
 	assert.Equal(t, uint64(0x8c1f30d27a5be964), config.Seed)
 	assert.Len(t, config.KnownEvents, 1)
-	for name, want := range map[string]string{
-		"router":            "2",
-		"zones":             "north_hub,east",
-		"fresh_s":           "0,12.0",
-		"may_join":          "true",
-		"uncacheable":       "false,true",
-		"connect_s":         "0.4",
-		"hops_a_connection": "32",
-		"load_by":           "checks",
-		"remap.count":       "2",
-		"remap.0.effect":    "repeatable",
-		"remap.1.effect":    "unrepeatable",
-		"remap.1.name":      "order",
+	for name, want := range map[routing.SettingName]string{
+		routing.SettingRouter:                        "2",
+		"zones":                                      "north_hub,east",
+		routing.SettingFreshTime:                     "0,12.0",
+		routing.SettingFillJoining:                   "true",
+		routing.SettingUncacheable:                   "false,true",
+		routing.SettingConnectTimeout:                "0.4",
+		routing.SettingMaxAttemptsPerConnection:      "32",
+		routing.SettingLoadReportSource:              routing.LoadFromProbes,
+		routing.SettingClassCount:                    "2",
+		routing.ClassSetting(0, routing.ClassEffect): string(routing.Idempotent),
+		routing.ClassSetting(1, routing.ClassEffect): string(routing.NonIdempotent),
+		routing.ClassSetting(1, "name"):              "order",
 	} {
 		assert.Equal(t, want, config.Settings[name], name)
 	}
--- a/internal/bootstrap/settings.go
+++ b/internal/bootstrap/settings.go
@@ -56,8 +56,8 @@
 }
 
 func put(settings routing.Settings, path, text string) {
-	path, text = wirenames.Setting(path, text)
-	settings[path] = text
+	name, value := wirenames.Setting(path, text)
+	settings[name] = value
 }
 
 // separators are the characters that set values apart on the simulator's wire.
--- a/internal/config/file.go
+++ b/internal/config/file.go
@@ -114,11 +114,18 @@
 	IdempotencyWindow Seconds `json:"window_s"`
 }
 
+// Effects of a request class in the file: what running a request twice does.
+const (
+	EffectIdempotent     = "repeatable"
+	EffectIdempotencyKey = "keyed" // run once by an origin that recognizes the key
+	EffectNonIdempotent  = "unrepeatable"
+)
+
 // Class is a request class as a cache has to know it.
 type Class struct {
 	Name         string  `json:"name"`
 	Cacheable    bool    `json:"kept"`
-	Effect       string  `json:"effect"`
+	Effect       string  `json:"effect"` // EffectIdempotent, EffectIdempotencyKey or EffectNonIdempotent
 	FreshSeconds float64 `json:"fresh_s"`
 	StaleSeconds float64 `json:"stale_s"`
 }
--- a/internal/dispatch/endpoints.go
+++ b/internal/dispatch/endpoints.go
@@ -51,8 +51,8 @@
 // fills nothing; a parent cache or the origin is named all the same.
 func (d *Dispatcher) fillSource(action routing.StartAttempt) string {
 	kind := d.endpointKinds[action.Endpoint]
-	isParent := kind == int(d.Settings.Float("parent_kind", -1))
-	isOrigin := kind == int(d.Settings.Float("origin_kind", -1))
+	isParent := kind == int(d.Settings.Float(routing.SettingParentKind, -1))
+	isOrigin := kind == int(d.Settings.Float(routing.SettingOriginKind, -1))
 	if action.Source == action.Endpoint && !isParent && !isOrigin {
 		return ""
 	}
--- a/internal/dispatch/helpers_test.go
+++ b/internal/dispatch/helpers_test.go
@@ -84,7 +84,11 @@
 		cancel()
 		assert.NoError(t, pool.Wait())
 	})
-	settings := routing.Settings{"uncacheable": "false,true", "parent_kind": "1", "origin_kind": "2"}
+	settings := routing.Settings{
+		routing.SettingUncacheable: "false,true",
+		routing.SettingParentKind:  "1",
+		routing.SettingOriginKind:  "2",
+	}
 	f.Dispatcher = New(f.decider, settings, pool, metrics)
 	f.setTime(100)
 	f.LoadBootstrap([]discovery.Event{{Kind: discovery.Snapshot, Endpoints: []discovery.Endpoint{
--- a/internal/dispatch/requests.go
+++ b/internal/dispatch/requests.go
@@ -44,7 +44,7 @@
 		ObjectGroup: r.PurgeGroup,
 		Deadline:    r.Deadline,
 		SizeKB:      r.SizeKB,
-		Write:       d.Settings.ListItem("uncacheable", int(r.Class)) == "true",
+		Write:       d.Settings.ListItem(routing.SettingUncacheable, int(r.Class)) == "true",
 	}, o)
 }
 
--- a/internal/edgecache/origin_test.go
+++ b/internal/edgecache/origin_test.go
@@ -39,14 +39,14 @@
 		OnExecute:    func(id, _ string) { executed = append(executed, id) },
 	}
 	key := eviction.Key{Object: 1}
-	require.NoError(t, origin.Execute("1", "order", "k", key, "keyed"))
-	require.NoError(t, origin.Execute("2", "order", "k", key, "keyed"))
-	require.NoError(t, origin.Execute("3", "order", "other", key, "keyed"))
+	require.NoError(t, origin.Execute("1", "order", "k", key, config.EffectIdempotencyKey))
+	require.NoError(t, origin.Execute("2", "order", "k", key, config.EffectIdempotencyKey))
+	require.NoError(t, origin.Execute("3", "order", "other", key, config.EffectIdempotencyKey))
 	require.NoError(t, origin.Execute("4", "order", "k", key, ""))
 	assert.Equal(t, []string{"1", "3", "4"}, executed)
 	origin.KeyRetention = 0
 	time.Sleep(time.Millisecond)
-	require.NoError(t, origin.Execute("5", "order", "k", key, "keyed"))
+	require.NoError(t, origin.Execute("5", "order", "k", key, config.EffectIdempotencyKey))
 	assert.Equal(t, "5", executed[len(executed)-1], "the key was forgotten")
 }
 
--- a/internal/edgecache/synthetic.go
+++ b/internal/edgecache/synthetic.go
@@ -7,12 +7,10 @@
 	"sync"
 	"time"
 
+	"cairnfront/internal/config"
 	"cairnfront/internal/diskcache/eviction"
 )
 
-// effectKeyed is the effect of a class whose requests may carry an idempotency key.
-const effectKeyed = "keyed"
-
 // SyntheticOrigin generates every chunk from a seed. Its exported fields are set before use.
 type SyntheticOrigin struct {
 	Seed         uint64
@@ -70,7 +68,7 @@
 func (o *SyntheticOrigin) Execute(id, _, idempotencyKey string, _ eviction.Key, effect string) error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if effect == effectKeyed && idempotencyKey != "" && o.isRepeat(idempotencyKey) {
+	if effect == config.EffectIdempotencyKey && idempotencyKey != "" && o.isRepeat(idempotencyKey) {
 		return nil
 	}
 	if o.OnExecute != nil {
--- a/internal/lab/cluster.go
+++ b/internal/lab/cluster.go
@@ -41,15 +41,15 @@
 
 // clusterClasses are the classes as the edge caches are told them.
 var clusterClasses = []config.Class{
-	{Name: classVideoPart, Cacheable: true, Effect: "repeatable"},
+	{Name: classVideoPart, Cacheable: true, Effect: config.EffectIdempotent},
 	{
 		Name:         classPageAsset,
 		Cacheable:    true,
-		Effect:       "repeatable",
+		Effect:       config.EffectIdempotent,
 		FreshSeconds: pageFreshSeconds,
 		StaleSeconds: pageStaleSeconds,
 	},
-	{Name: classPrintOrder, Cacheable: false, Effect: "keyed"},
+	{Name: classPrintOrder, Cacheable: false, Effect: config.EffectIdempotencyKey},
 }
 
 // testCluster is a discovery service, an origin, parents, edge caches, routers and clients on loopback.
--- a/internal/wirenames/wirenames.go
+++ b/internal/wirenames/wirenames.go
@@ -4,78 +4,95 @@
 // of this package are the one place that knows both sides. It parses nothing and gives no name a meaning.
 package wirenames
 
-import "strings"
+import (
+	"strings"
 
-const (
-	classList       = "request_classes." // prefix of the settings of request classes on the wire
-	routerClassList = "remap."           // and in the routing module
+	"cairnfront/routing"
 )
 
+// classList is the prefix of the settings of request classes on the wire.
+const classList = "request_classes."
+
 // settingNames maps the paths of settings to the names in the routing module. Other settings keep their names.
-var settingNames = map[string]string{
-	"me":                          "router",
-	"group_size":                  "routers",
-	"zone":                        "location",
-	"registry_mode":               "list",
-	"extra.count_by_zone":         "routers_at",
-	"extra.fresh_for_s":           "fresh_s",
-	"extra.usable_after_s":        "stale_s",
-	"extra.worth_when_old":        "stale_importance",
-	"extra.never_kept":            "uncacheable",
-	"extra.multi_part":            "parts",
-	"extra.hub_of":                "hub_of",
-	"extra.gone_everywhere_s":     "purge_done_s",
-	"extra.notice_time_s":         "purge_grace_s",
-	"extra.joins":                 "may_join",
-	"extra.link_in_kb_per_s":      "link_in_kb_s",
-	"extra.link_price":            "link_price",
-	"extra.origin_kind":           "origin_kind",
-	"extra.upper_kind":            "parent_kind",
-	"extra.pace_kb_per_s":         "pace_kb_s",
-	"extra.parent_fall_multiple":  "parent_fall_multiple",
-	"extra.parent_floor":          "parent_cold_share",
-	"extra.parent_warms_in_s":     "parent_cold_s",
-	"extra.pass_through_ok":       "may_go_direct",
-	"extra.sideways":              "siblings",
-	"extra.tells":                 "tells",
-	"limits.cancelling":           "may_cancel",
-	"limits.idle_close_s":         "idle_close_s",
-	"limits.max_streams":          "hops_a_connection",
-	"limits.max_attempts":         "max_hops",
-	"limits.max_retry_after_s":    "max_retry_s",
-	"limits.may_probe":            "may_check",
-	"limits.parallel_tries":       "may_double",
-	"limits.retry_after":          "tells_retry",
-	"limits.connect_timeout_s":    "connect_s",
-	"rules.cold_s":                "cold_s",
-	"rules.fall_multiple":         "fall_multiple",
-	"rules.grace_to_answer_s":     "answer_grace_s",
-	"rules.overload_for_s":        "fall_s",
-	"rules.start_capacity":        "cold_share",
-	"rules.stop_sending_within_s": "drain_grace_s",
-	"rules.ask_within_s":          "ask_within_s",
-	"step_s":                      "tick_s",
-	"stats.source":                "load_by",
-	"request_classes.count":       "remap.count",
+var settingNames = map[string]routing.SettingName{
+	"me":                          routing.SettingRouter,
+	"group_size":                  routing.SettingRouters,
+	"zone":                        routing.SettingZone,
+	"registry_mode":               routing.SettingDiscoveryMode,
+	"extra.count_by_zone":         routing.SettingRoutersByZone,
+	"extra.fresh_for_s":           routing.SettingFreshTime,
+	"extra.usable_after_s":        routing.SettingStaleTime,
+	"extra.worth_when_old":        routing.SettingStalePriority,
+	"extra.never_kept":            routing.SettingUncacheable,
+	"extra.multi_part":            routing.SettingChunked,
+	"extra.hub_of":                routing.SettingParentZoneOf,
+	"extra.gone_everywhere_s":     routing.SettingPurgeComplete,
+	"extra.notice_time_s":         routing.SettingPurgeGrace,
+	"extra.joins":                 routing.SettingFillJoining,
+	"extra.link_in_kb_per_s":      routing.SettingZoneLinkRate,
+	"extra.link_price":            routing.SettingLinkPrice,
+	"extra.origin_kind":           routing.SettingOriginKind,
+	"extra.upper_kind":            routing.SettingParentKind,
+	"extra.pace_kb_per_s":         routing.SettingTransferRate,
+	"extra.parent_fall_multiple":  routing.SettingParentOverloadFactor,
+	"extra.parent_floor":          routing.SettingParentColdCapacity,
+	"extra.parent_warms_in_s":     routing.SettingParentWarmUp,
+	"extra.pass_through_ok":       routing.SettingDirectAttempts,
+	"extra.sideways":              routing.SettingPeerCaches,
+	"extra.tells":                 routing.SettingResultDetails,
+	"limits.cancelling":           routing.SettingCancellation,
+	"limits.idle_close_s":         routing.SettingIdleTimeout,
+	"limits.max_streams":          routing.SettingMaxAttemptsPerConnection,
+	"limits.max_attempts":         routing.SettingMaxAttempts,
+	"limits.max_retry_after_s":    routing.SettingMaxRetryAfter,
+	"limits.may_probe":            routing.SettingHealthChecks,
+	"limits.parallel_tries":       routing.SettingHedging,
+	"limits.retry_after":          routing.SettingRetryAfterAllowed,
+	"limits.connect_timeout_s":    routing.SettingConnectTimeout,
+	"rules.cold_s":                routing.SettingWarmUp,
+	"rules.fall_multiple":         routing.SettingOverloadFactor,
+	"rules.grace_to_answer_s":     routing.SettingResponseGrace,
+	"rules.overload_for_s":        routing.SettingOverloadWindow,
+	"rules.start_capacity":        routing.SettingColdCapacity,
+	"rules.stop_sending_within_s": routing.SettingDrainGrace,
+	"rules.ask_within_s":          routing.SettingEndpointRefresh,
+	"step_s":                      routing.SettingTick,
+	"stats.source":                routing.SettingLoadReportSource,
+	"request_classes.count":       routing.SettingClassCount,
 }
 
 // classFieldNames maps the fields of a request class in the same way.
-var classFieldNames = map[string]string{
-	"aim_stretch":  "sla_stretch",
-	"hard_limit_s": "limit_s",
-	"late_worth":   "late_importance",
-	"on_time_s":    "sla_s",
-	"worth":        "importance",
+var classFieldNames = map[string]routing.ClassField{
+	"aim_stretch":  routing.ClassObjectiveStretch,
+	"hard_limit_s": routing.ClassDeadline,
+	"late_worth":   routing.ClassLatePriority,
+	"on_time_s":    routing.ClassLatencyObjective,
+	"worth":        routing.ClassPriority,
+	"effect":       routing.ClassEffect,
+	"group":        routing.ClassDeduplicationScope,
+	"window_s":     routing.ClassIdempotencyWindow,
+}
+
+// settingValues maps the words that stand as values of a setting. Other values stay as they are.
+var settingValues = map[routing.SettingName]map[string]string{
+	routing.SettingDiscoveryMode:    {"on_request": routing.DiscoveryOnRequest},
+	routing.SettingLoadReportSource: {"inline": routing.LoadFromResponses, "on_probe": routing.LoadFromProbes},
+	routing.SettingPeerCaches:       {"location": routing.PeerCachesInZone, "any": routing.PeerCachesAnywhere},
+	routing.SettingResultDetails:    {"all": routing.DetailsOfAll, "hit": routing.DetailsOfHits},
 }
 
-// valueNames maps words that stand as values of settings.
-var valueNames = map[string]string{
-	"retryable":  "repeatable",
-	"dedup":      "keyed",
-	"fragile":    "unrepeatable",
-	"on_request": "asked",
-	"inline":     "answers",
-	"on_probe":   "checks",
+// classFieldValues maps the words that stand as values of a field of a request class in the same way.
+var classFieldValues = map[routing.ClassField]map[string]string{
+	routing.ClassEffect: {
+		"retryable": string(routing.Idempotent),
+		"dedup":     string(routing.WithIdempotencyKey),
+		"fragile":   string(routing.NonIdempotent),
+	},
+	routing.ClassDeduplicationScope: {
+		"all":  string(routing.AnyScope),
+		"cell": string(routing.CellScope),
+		"zone": string(routing.ZoneScope),
+	},
 }
 
 // loadMetricNames maps the names in load reports.
@@ -94,26 +111,33 @@
 	return name
 }
 
-// Setting translates the path of a setting and its value. Setting F of request class N, request_classes.N.F, becomes
-// remap.N.F. Unknown names and values stay as they are.
-func Setting(path, value string) (translatedPath, translatedValue string) {
-	if translated, ok := valueNames[value]; ok {
-		value = translated
+// Setting translates the path of a setting and its value. Unknown names and values stay as they are.
+func Setting(path, value string) (name routing.SettingName, translatedValue string) {
+	if name, ok := settingNames[path]; ok {
+		return name, translated(settingValues[name], value)
 	}
 	if classPath, ok := strings.CutPrefix(path, classList); ok {
 		if index, field, ok := strings.Cut(classPath, "."); ok {
-			return routerClassList + index + "." + classField(field), value
+			return classSetting(index, field, value)
 		}
 	}
-	if translated, ok := settingNames[path]; ok {
-		path = translated
+	return routing.SettingName(path), value
+}
+
+// classSetting translates a field of the request class of an index, and its value.
+func classSetting(index, wireField, value string) (name routing.SettingName, translatedValue string) {
+	field, ok := classFieldNames[wireField]
+	if !ok {
+		field = routing.ClassField(wireField)
 	}
-	return path, value
+	name = routing.SettingName(routing.ClassSettingPrefix + index + "." + string(field))
+	return name, translated(classFieldValues[field], value)
 }
 
-func classField(field string) string {
-	if translated, ok := classFieldNames[field]; ok {
-		return translated
+// translated returns the word that stands for a value, or the value itself.
+func translated(words map[string]string, value string) string {
+	if word, ok := words[value]; ok {
+		return word
 	}
-	return field
+	return value
 }
--- a/internal/wirenames/wirenames_test.go
+++ b/internal/wirenames/wirenames_test.go
@@ -3,24 +3,72 @@
 import (
 	"testing"
 
+	"cairnfront/routing"
+
 	"github.com/stretchr/testify/assert"
 )
 
 func TestSettingsAreTranslated(t *testing.T) {
-	for _, c := range []struct{ path, value, wantPath, wantValue string }{
-		{"request_classes.1.effect", "fragile", "remap.1.effect", "unrepeatable"},
-		{"me", "2", "router", "2"},
-		{"request_classes.count", "2", "remap.count", "2"},
+	for _, c := range []struct {
+		path, value string
+		wantName    routing.SettingName
+		wantValue   string
+	}{
+		{
+			"request_classes.1.effect", "fragile",
+			routing.ClassSetting(1, routing.ClassEffect), string(routing.NonIdempotent),
+		},
+		{"me", "2", routing.SettingRouter, "2"},
+		{"request_classes.count", "2", routing.SettingClassCount, "2"},
+		{"extra.sideways", "location", routing.SettingPeerCaches, routing.PeerCachesInZone},
+		{"stats.source", "on_probe", routing.SettingLoadReportSource, routing.LoadFromProbes},
 		{"never.heard", "x", "never.heard", "x"},
 	} {
-		path, value := Setting(c.path, c.value)
-		assert.Equal(t, [2]string{c.wantPath, c.wantValue}, [2]string{path, value})
+		name, value := Setting(c.path, c.value)
+		assert.Equal(t, c.wantName, name)
+		assert.Equal(t, c.wantValue, value)
+	}
+}
+
+// A word is translated only as the value of the setting that it belongs to.
+func TestValuesOfOtherSettingsStayAsTheyAre(t *testing.T) {
+	for _, path := range []string{"zones", "request_classes.0.name", "request_classes.0.deep.er"} {
+		for _, word := range []string{"location", "fragile", "inline"} {
+			_, value := Setting(path, word)
+			assert.Equal(t, word, value, path)
+		}
+	}
+}
+
+// Settings that are not translated keep their names, so none of these may be a name of the routing module, and no two
+// settings may get the same name.
+func TestNamesDoNotCollide(t *testing.T) {
+	paths := map[routing.SettingName]string{}
+	add := func(path string) {
+		name, _ := Setting(path, "")
+		assert.Empty(t, paths[name], "%s and %s are both %s", path, paths[name], name)
+		paths[name] = path
+	}
+	for path := range settingNames {
+		add(path)
+	}
+	for field := range classFieldNames {
+		add("request_classes.0." + field)
+	}
+	for _, path := range []string{
+		"clients.marks_retry", "domain_type", "extra.origin_bears_s", "extra.origin_stops_at", "extra.report_x0",
+		"extra.report_x1", "flavors", "goal.whole", "layer", "limits.cpu_us_per_request", "limits.cpu_us_per_s",
+		"limits.most_held", "limits.peer_messages", "over_share_worth", "prices.connection", "prices.waste",
+		"request_classes.0.name", "request_classes.0.streaming", "stats.names", "tenants.0.allowance_per_s",
+		"tenants.0.name", "tenants.0.portion", "tenants.count", "tiers", "weights", "worth_by", "zones",
+	} {
+		add(path)
 	}
 }
 
 func TestUnknownClassFieldKeepsItsName(t *testing.T) {
-	path, value := Setting("request_classes.0.deep.er", "x")
-	assert.Equal(t, "remap.0.deep.er", path)
+	name, value := Setting("request_classes.0.deep.er", "x")
+	assert.Equal(t, routing.ClassSetting(0, "deep.er"), name)
 	assert.Equal(t, "x", value)
 }
 
--- a/routing/caching_test.go
+++ b/routing/caching_test.go
@@ -9,7 +9,7 @@
 )
 
 func TestUpdateGapAveragesWithTheNewestGap(t *testing.T) {
-	r := newTestRouter("keyed")
+	r := newTestRouter(WithIdempotencyKey)
 	req := &request{chunk: &chunk{requested: true, lastRequest: 90, averageGap: 8}}
 	r.updateGap(req, r.findOrAddEndpoint("c0"))
 	assert.InDelta(t, 0.25*10+0.75*8, req.chunk.averageGap, 1e-9)
@@ -17,7 +17,7 @@
 }
 
 func TestUpdateGapStartsAtTheHorizon(t *testing.T) {
-	r := newTestRouter("keyed")
+	r := newTestRouter(WithIdempotencyKey)
 	req := &request{chunk: &chunk{}}
 	r.findOrAddEndpoint("c0").idleSamples = []float64{4, 6}
 	r.updateGap(req, r.findOrAddEndpoint("c0"))
@@ -25,7 +25,7 @@
 }
 
 func TestGapOfUnseenChunkIsTheLargestCachedOfItsObject(t *testing.T) {
-	r := newTestRouter("keyed")
+	r := newTestRouter(WithIdempotencyKey)
 	c, o := r.findOrAddEndpoint("c0"), r.findOrAddObject("x", 0)
 	for i, dt := range []float64{4, 12, 40} {
 		p := o.findOrAddChunk(i)
@@ -45,7 +45,7 @@
 	cf, cr := 2*fillCostRatio/(fillCostRatio+1), 2/(fillCostRatio+1)
 	for _, gap := range []float64{2, 8, 60} {
 		for _, old := range []float64{1, 5, 20} {
-			r := newTestRouter("keyed")
+			r := newTestRouter(WithIdempotencyKey)
 			c := r.findOrAddEndpoint("c0")
 			p := &chunk{requested: true, lastRequest: 100, averageGap: old / 0.75}
 			c.addCached(&cachedChunk{chunk: p, sizeKB: 300, lastUsed: 100}, p.gapKey())
@@ -58,15 +58,15 @@
 }
 
 func TestShouldStoreRefusesUncacheableClass(t *testing.T) {
-	r := newTestRouter("keyed")
-	r.settings["uncacheable"] = "true,true"
+	r := newTestRouter(WithIdempotencyKey)
+	r.settings[SettingUncacheable] = "true,true"
 	popular := &chunk{requested: true, lastRequest: 100, averageGap: 0.1}
 	req := &request{RequestArrived: RequestArrived{SizeKB: 1}, chunk: popular}
 	assert.False(t, r.shouldStore(req, r.findOrAddEndpoint("c0")))
 }
 
 func TestPassedFillNamesItsSourceAndKeepsNothing(t *testing.T) {
-	r := newTestRouter("keyed")
+	r := newTestRouter(WithIdempotencyKey)
 	for _, c := range r.caches { // full of what is wanted all the time
 		p := &chunk{requested: true, lastRequest: 100, averageGap: 0.1}
 		c.addCached(&cachedChunk{chunk: p, sizeKB: 1e6, lastUsed: 100}, p.gapKey())
--- a/routing/concurrency_test.go
+++ b/routing/concurrency_test.go
@@ -50,8 +50,8 @@
 }
 
 func TestUnexplainedLateFillLowersSourceAndLinkLimits(t *testing.T) {
-	r := newTestRouter("repeatable")
-	r.settings["tells"] = "hit"
+	r := newTestRouter(Idempotent)
+	r.settings[SettingResultDetails] = DetailsOfHits
 	req := addSentRequest(r, 0, true)
 	a := req.attempts[0]
 	a.source, a.expectMiss, a.suspectAt = r.findOrAddEndpoint("p0"), true, 100.2
@@ -73,8 +73,8 @@
 		"taken for lost":             {func(a *attempt) { a.suspectAt = math.Inf(1) }, false},
 		"given up before":            {func(a *attempt) { a.inFlight, a.result = false, Cancelled }, false},
 	} {
-		r := newTestRouter("repeatable")
-		r.settings["tells"] = "hit"
+		r := newTestRouter(Idempotent)
+		r.settings[SettingResultDetails] = DetailsOfHits
 		req := addSentRequest(r, 0, true)
 		a, o := req.attempts[0], r.findOrAddEndpoint("o")
 		a.source, a.expectMiss, a.originLimiter, a.suspectAt = r.findOrAddEndpoint("p0"), true, &o.limiter, 100.4
--- a/routing/decide.go
+++ b/routing/decide.go
@@ -5,7 +5,7 @@
 	return &Router{
 		settings:        settings,
 		randomState:     seed,
-		numbers:         map[string]float64{},
+		numbers:         map[SettingName]float64{},
 		classes:         map[ClassIndex]*class{},
 		requests:        map[RequestID]*request{},
 		requestsByToken: map[uint64]*request{},
--- a/routing/endpoints.go
+++ b/routing/endpoints.go
@@ -67,20 +67,20 @@
 func (r *Router) classifyEndpoints() {
 	r.localCaches, r.caches, r.parents, r.origins = nil, nil, nil, nil
 	r.endpointsVersion++
-	zone := int(r.number("location", 0))
-	routers := max(r.number("routers", 1), 1)
+	zone := int(r.number(SettingZone, 0))
+	routers := max(r.number(SettingRouters, 1), 1)
 	for _, e := range r.endpoints {
 		e.role, e.zonesAway, e.sharers = otherZone, r.zonesAway(e), routers
 		var ready []*endpoint
 		list := &ready
 		switch kind := float64(e.Kind); {
-		case kind == r.number("parent_kind", -1):
+		case kind == r.number(SettingParentKind, -1):
 			e.role, list = parentCache, &r.parents
-		case kind == r.number("origin_kind", -1):
+		case kind == r.number(SettingOriginKind, -1):
 			e.role, list = originServer, &r.origins
 		case e.Zone == zone:
 			e.role, list = edgeCache, &r.caches
-			e.sharers = max(r.settings.FloatItem("routers_at", zone, routers), 1)
+			e.sharers = max(r.settings.FloatItem(SettingRoutersByZone, zone, routers), 1)
 			r.localCaches = append(r.localCaches, e)
 		}
 		if e.Status == Ready {
@@ -91,12 +91,12 @@
 
 // zonesAway is the number of parent zones on the ring between this zone's parent zone and a parent's.
 func (r *Router) zonesAway(e *endpoint) float64 {
-	if float64(e.Kind) != r.number("parent_kind", -1) {
+	if float64(e.Kind) != r.number(SettingParentKind, -1) {
 		return 0
 	}
-	own := int(r.settings.FloatItem("hub_of", int(r.number("location", 0)), float64(e.Zone)))
+	own := int(r.settings.FloatItem(SettingParentZoneOf, int(r.number(SettingZone, 0)), float64(e.Zone)))
 	ringSize := 0.0 // parent zones come first among the zones and are their own
-	for r.settings.FloatItem("hub_of", int(ringSize), -1) == ringSize {
+	for r.settings.FloatItem(SettingParentZoneOf, int(ringSize), -1) == ringSize {
 		ringSize++
 	}
 	distance := math.Abs(float64(own - e.Zone))
--- a/routing/endpoints_test.go
+++ b/routing/endpoints_test.go
@@ -9,7 +9,7 @@
 
 // Over a long time endpoints are always new.
 func TestRemovedEndpointsAreForgotten(t *testing.T) {
-	r := newTestRouter("repeatable")
+	r := newTestRouter(Idempotent)
 	for i := range 20 {
 		now := 100 + float64(i)*forgetAfter/2
 		added := Endpoint{ID: EndpointID("n" + strconv.Itoa(i)), Zone: 1, Weight: 4}
@@ -23,15 +23,15 @@
 // However many routers there are said to be, a request is sent, and all shares together stay near the capacity.
 func TestAnyCountOfRoutersGetsSharesOfTheCapacity(t *testing.T) {
 	for _, told := range []string{"", "0", "-3", "0.5", "1", "400"} {
-		r := New(7, testSettings("keyed"))
-		r.settings["routers"], r.settings["routers_at"] = told, "0,"+told
+		r := New(7, testSettings(WithIdempotencyKey))
+		r.settings[SettingRouters], r.settings[SettingRoutersByZone] = told, "0,"+told
 		r.Decide(100, EndpointUpdate{Kind: Restored, Endpoints: []Endpoint{
 			{ID: "o", Kind: 2, Weight: 1},
 			{ID: "c", Zone: 1, Weight: 4},
 			{ID: "p", Kind: 1, Weight: 400},
 		}})
 		assert.Len(t, actionsOf[StartAttempt](r.Decide(100, newArrival("t", "x"))), 1, "told %q", told)
-		n := max(r.settings.Float("routers", 1), 1)
+		n := max(r.settings.Float(SettingRouters, 1), 1)
 		assert.InDelta(t, limitPerCapacity*400, n*r.findOrAddEndpoint("p").limit, 1e-6, "told %q", told)
 	}
 }
--- a/routing/helpers_test.go
+++ b/routing/helpers_test.go
@@ -3,21 +3,47 @@
 import "strconv"
 
 // testSettings are those of a small deployment with two classes: an idempotent one and one of the given effect.
-func testSettings(effect string) Settings {
+func testSettings(effect Effect) Settings {
 	return Settings{
-		"router": "0", "routers": "2", "location": "1", "routers_at": "0,1", "parent_kind": "1", "origin_kind": "2",
-		"pace_kb_s": "1000", "siblings": "location", "tells": "all", "may_double": "true", "may_cancel": "true",
-		"max_hops": "5", "tells_retry": "true", "max_retry_s": "2", "cold_s": "10", "cold_share": "0.25",
-		"fall_multiple": "2", "fall_s": "2", "parent_cold_s": "20", "parent_cold_share": "0.1", "purge_done_s": "6",
-		"fresh_s": "0,0", "uncacheable": "false,false", "link_in_kb_s": "0,8000",
-		"remap.0.effect": "repeatable", "remap.0.group": "all", "remap.0.sla_s": "0.5", "remap.0.sla_stretch": "2",
-		"remap.0.importance": "2", "remap.1.effect": effect, "remap.1.group": "all", "remap.1.sla_s": "0.5",
-		"remap.1.window_s": "5", "remap.1.importance": "3",
+		SettingRouter:                            "0",
+		SettingRouters:                           "2",
+		SettingZone:                              "1",
+		SettingRoutersByZone:                     "0,1",
+		SettingParentKind:                        "1",
+		SettingOriginKind:                        "2",
+		SettingTransferRate:                      "1000",
+		SettingPeerCaches:                        PeerCachesInZone,
+		SettingResultDetails:                     DetailsOfAll,
+		SettingHedging:                           "true",
+		SettingCancellation:                      "true",
+		SettingMaxAttempts:                       "5",
+		SettingRetryAfterAllowed:                 "true",
+		SettingMaxRetryAfter:                     "2",
+		SettingWarmUp:                            "10",
+		SettingColdCapacity:                      "0.25",
+		SettingOverloadFactor:                    "2",
+		SettingOverloadWindow:                    "2",
+		SettingParentWarmUp:                      "20",
+		SettingParentColdCapacity:                "0.1",
+		SettingPurgeComplete:                     "6",
+		SettingFreshTime:                         "0,0",
+		SettingUncacheable:                       "false,false",
+		SettingZoneLinkRate:                      "0,8000",
+		ClassSetting(0, ClassEffect):             string(Idempotent),
+		ClassSetting(0, ClassDeduplicationScope): string(AnyScope),
+		ClassSetting(0, ClassLatencyObjective):   "0.5",
+		ClassSetting(0, ClassObjectiveStretch):   "2",
+		ClassSetting(0, ClassPriority):           "2",
+		ClassSetting(1, ClassEffect):             string(effect),
+		ClassSetting(1, ClassDeduplicationScope): string(AnyScope),
+		ClassSetting(1, ClassLatencyObjective):   "0.5",
+		ClassSetting(1, ClassIdempotencyWindow):  "5",
+		ClassSetting(1, ClassPriority):           "3",
 	}
 }
 
 // newTestRouter knows three caches, two parents and the origin, all warm, at time 100.
-func newTestRouter(effect string) *Router {
+func newTestRouter(effect Effect) *Router {
 	r := New(7, testSettings(effect))
 	rows := []Endpoint{{ID: "o", Kind: 2, Weight: 1}}
 	for i := range 3 {
--- a/routing/outcome_test.go
+++ b/routing/outcome_test.go
@@ -8,7 +8,7 @@
 )
 
 func TestOriginFailureIsNotCountedAgainstParent(t *testing.T) {
-	r := newTestRouter("repeatable")
+	r := newTestRouter(Idempotent)
 	req := addSentRequest(r, 0, true)
 	p, o := r.findOrAddEndpoint("p0"), r.findOrAddEndpoint("o")
 	req.attempts[0].source, req.attempts[0].expectMiss = p, true
@@ -23,8 +23,8 @@
 
 func TestUnexplainedRefusalIsAttributedByItsDuration(t *testing.T) {
 	for took, link := range map[float64]bool{localRefusal / 2: true, localRefusal * 2: false} {
-		r := newTestRouter("repeatable")
-		r.settings["tells"] = "hit"
+		r := newTestRouter(Idempotent)
+		r.settings[SettingResultDetails] = DetailsOfHits
 		req := addSentRequest(r, 0, true)
 		p := r.findOrAddEndpoint("p0")
 		req.attempts[0].source, req.attempts[0].expectMiss = p, true
@@ -38,8 +38,8 @@
 
 // Whatever its cause, one refusal only lowers the limit of the source.
 func TestRepeatedlyRefusedFillsEjectTheirSource(t *testing.T) {
-	r := newTestRouter("repeatable")
-	r.settings["tells"] = "hit"
+	r := newTestRouter(Idempotent)
+	r.settings[SettingResultDetails] = DetailsOfHits
 	p := r.findOrAddEndpoint("p0")
 	for i := range ejectFailureCount {
 		assert.Zero(t, p.ejectedUntil, "after %d", i)
@@ -53,7 +53,7 @@
 
 func TestErrorCountsOnlyOnceRequestCompletesElsewhere(t *testing.T) {
 	for _, completed := range []bool{false, true} {
-		r := newTestRouter("repeatable")
+		r := newTestRouter(Idempotent)
 		for range 2 * ejectFailureCount {
 			req := addSentRequest(r, 0, true)
 			r.Decide(100, AttemptEnded{Request: "t", Endpoint: "c0", Result: ServerError})
--- a/routing/outlier_test.go
+++ b/routing/outlier_test.go
@@ -8,7 +8,7 @@
 )
 
 func TestSilentEndpointIsEjectedAndAttemptHedged(t *testing.T) {
-	r := newTestRouter("repeatable")
+	r := newTestRouter(Idempotent)
 	req := addSentRequest(r, 0, true)
 	req.attempts[0].suspectAt = 100.25
 	r.now = 100 + minSilence + 0.01
@@ -23,7 +23,7 @@
 // slower for its size, by a margin, than any of late.
 func TestLongTransferIsNotTakenForSilence(t *testing.T) {
 	for _, slow := range [][]float64{nil, {0.7, 2, 0.9}} {
-		r := newTestRouter("repeatable")
+		r := newTestRouter(Idempotent)
 		r.slownessSamples = slow
 		c, a := r.findOrAddEndpoint("c0"), addSentRequest(r, 0, true).attempts[0]
 		a.suspectAt = 102 // for its size it may take two seconds
@@ -38,7 +38,7 @@
 }
 
 func TestHeardEndpointIsNotSilent(t *testing.T) {
-	r := newTestRouter("repeatable")
+	r := newTestRouter(Idempotent)
 	req := addSentRequest(r, 0, true)
 	r.findOrAddEndpoint("c0").recordSign(100.1)
 	r.now = 101
@@ -46,7 +46,7 @@
 }
 
 func TestEjectedEndpointsAreUsedWhenAllAreEjected(t *testing.T) {
-	r := newTestRouter("keyed")
+	r := newTestRouter(WithIdempotencyKey)
 	for _, e := range r.endpoints {
 		e.ejectedUntil = 200
 	}
@@ -54,7 +54,7 @@
 }
 
 func TestSilenceIsMeasuredInUsualSignIntervals(t *testing.T) {
-	r := newTestRouter("repeatable")
+	r := newTestRouter(Idempotent)
 	c, a := r.findOrAddEndpoint("c0"), addSentRequest(r, 0, true).attempts[0]
 	c.signsOfLife, a.suspectAt = []float64{96, 97, 98, 99}, 100.2
 	for wait, want := range map[float64]bool{silenceIntervals - 0.1: false, silenceIntervals + 0.1: true} {
@@ -68,7 +68,7 @@
 // next one waits longer.
 func TestAttemptThatNeverEndsIsLostThoughEndpointIsHeard(t *testing.T) {
 	for _, lost := range []bool{true, false} {
-		r := newTestRouter("repeatable")
+		r := newTestRouter(Idempotent)
 		for range longSamples {
 			r.slownessSamples = append(r.slownessSamples, 2)
 		}
@@ -102,7 +102,7 @@
 func TestHealthObservationAloneEjectsNothing(t *testing.T) {
 	ejects := map[float64]bool{0: false, suspicionThreshold / 2: false, suspicionThreshold: true, 1: true}
 	for suspicion, want := range ejects {
-		r := newTestRouter("repeatable")
+		r := newTestRouter(Idempotent)
 		c := r.findOrAddEndpoint("c0")
 		r.Decide(r.now, HealthObservation{Endpoint: "c0", Suspicion: suspicion, ValidSeconds: 10})
 		r.Decide(r.now, HealthObservation{Endpoint: "nobody", Suspicion: suspicion, ValidSeconds: 10})
@@ -116,7 +116,7 @@
 				"as long as one that failed before: other routers found it so")
 		}
 	}
-	r := newTestRouter("repeatable")
+	r := newTestRouter(Idempotent)
 	c := r.findOrAddEndpoint("c0")
 	r.Decide(r.now, HealthObservation{Endpoint: "c0", Suspicion: 1, ValidSeconds: 10})
 	r.now += 11
--- a/routing/purge_test.go
+++ b/routing/purge_test.go
@@ -8,7 +8,7 @@
 
 // A cache that was down during a purge may return with its disk, long after running caches dropped their copies.
 func TestPurgeBoundsCopyAgeHoweverLongAgo(t *testing.T) {
-	r := newTestRouter("keyed")
+	r := newTestRouter(WithIdempotencyKey)
 	p := r.findOrAddObject("x", 3).findOrAddChunk(0)
 	r.findOrAddEndpoint("c0").addCached(&cachedChunk{chunk: p, sizeKB: 1}, 0)
 	r.Decide(100, Purge{AgeSeconds: 0.2, ObjectGroup: 3, Object: "x"})
@@ -26,7 +26,7 @@
 
 // Purges are forgotten in the end. An endpoint that started since may serve nothing from before them.
 func TestForgottenPurgesBoundCopyAgeOfEndpointsStartedSince(t *testing.T) {
-	r := newTestRouter("keyed")
+	r := newTestRouter(WithIdempotencyKey)
 	for i := range maxPurges + 1 {
 		r.Decide(100+float64(i)/100, Purge{Object: string(rune(i + 1000))})
 	}
@@ -41,8 +41,10 @@
 }
 
 func TestStaleCopyWillDoUnderCongestionUnlessPurged(t *testing.T) {
-	r := newTestRouter("keyed")
-	r.settings["fresh_s"], r.settings["stale_s"], r.settings["stale_importance"] = "5,0", "10,0", "0.5,0.5"
+	r := newTestRouter(WithIdempotencyKey)
+	r.settings[SettingFreshTime] = "5,0"
+	r.settings[SettingStaleTime] = "10,0"
+	r.settings[SettingStalePriority] = "0.5,0.5"
 	req := &request{RequestArrived: RequestArrived{Object: "x", ObjectGroup: 3}}
 	a := &attempt{target: r.findOrAddEndpoint("c0"), source: r.findOrAddEndpoint("p0")}
 	assert.Zero(t, r.maxCopyAge(req, a))
--- a/routing/retry.go
+++ b/routing/retry.go
@@ -15,21 +15,21 @@
 func (r *Router) mayRetry(req *request) bool {
 	class := r.class(req.Class)
 	spent := class.retryBudgetSpent && len(req.attempts) > 0
-	if spent || float64(len(req.attempts)) >= r.number("max_hops", 1) {
+	if spent || float64(len(req.attempts)) >= r.number(SettingMaxAttempts, 1) {
 		return false
 	}
-	return class.effect == idempotent || !slices.ContainsFunc(req.attempts, func(a *attempt) bool {
+	return class.effect == Idempotent || !slices.ContainsFunc(req.attempts, func(a *attempt) bool {
 		windowEnd := a.sentAt + class.idempotencyWindow - idempotencyMargin
-		return a.mayHaveRun() && (class.effect != withIdempotencyKey || r.now > windowEnd)
+		return a.mayHaveRun() && (class.effect != WithIdempotencyKey || r.now > windowEnd)
 	})
 }
 
 // inDeduplicationScope keeps a request that may have run where its idempotency key is recognized (rule 2).
 func (r *Router) inDeduplicationScope(req *request, e *endpoint) bool {
 	class := r.class(req.Class)
-	return class.effect != withIdempotencyKey || !slices.ContainsFunc(req.attempts, func(a *attempt) bool {
-		outside := class.deduplicationScope == zoneScope && a.target.Zone != e.Zone ||
-			class.deduplicationScope == cellScope && a.target.Cell != e.Cell
+	return class.effect != WithIdempotencyKey || !slices.ContainsFunc(req.attempts, func(a *attempt) bool {
+		outside := class.deduplicationScope == ZoneScope && a.target.Zone != e.Zone ||
+			class.deduplicationScope == CellScope && a.target.Cell != e.Cell
 		return outside && a.mayHaveRun()
 	})
 }
@@ -37,12 +37,12 @@
 // giveUp answers at once: rejected where the client may safely repeat the request, else aborted (rule 2).
 func (r *Router) giveUp(req *request) {
 	class := r.class(req.Class)
-	recognized := class.effect == withIdempotencyKey && class.deduplicationScope == anyScope
-	if class.effect != idempotent && !recognized && slices.ContainsFunc(req.attempts, (*attempt).mayHaveRun) {
+	recognized := class.effect == WithIdempotencyKey && class.deduplicationScope == AnyScope
+	if class.effect != Idempotent && !recognized && slices.ContainsFunc(req.attempts, (*attempt).mayHaveRun) {
 		req.finalAction = AbortRequest{Request: req.Request}
 		return
 	}
-	retryAfter := indicator(r.settings.Bool("tells_retry")) * retryAfterMean * (0.5 + r.nextRandom())
-	retryAfter = min(retryAfter, r.number("max_retry_s", 0))
+	retryAfter := indicator(r.settings.Bool(SettingRetryAfterAllowed)) * retryAfterMean * (0.5 + r.nextRandom())
+	retryAfter = min(retryAfter, r.number(SettingMaxRetryAfter, 0))
 	req.finalAction = RejectRequest{Request: req.Request, RetryAfterSeconds: retryAfter}
 }
--- a/routing/retry_test.go
+++ b/routing/retry_test.go
@@ -8,14 +8,14 @@
 
 func TestGiveUpAtDeadlineRejectsUnlessRequestMayHaveRun(t *testing.T) {
 	for _, c := range []struct {
-		effect string
+		effect Effect
 		out    bool
 		want   any
 	}{
-		{"repeatable", true, RejectRequest{}},
-		{"keyed", true, RejectRequest{}},
-		{"unrepeatable", true, AbortRequest{}},
-		{"unrepeatable", false, RejectRequest{}},
+		{Idempotent, true, RejectRequest{}},
+		{WithIdempotencyKey, true, RejectRequest{}},
+		{NonIdempotent, true, AbortRequest{}},
+		{NonIdempotent, false, RejectRequest{}},
 	} {
 		r := newTestRouter(c.effect)
 		req := addSentRequest(r, Overloaded, c.out)
@@ -35,11 +35,11 @@
 		ServerError, Overloaded, TimedOut, ConnectFailed, ConnectionBroken, Cancelled, NotSent, CacheMiss,
 	}
 	for _, result := range results {
-		for _, effect := range []string{"repeatable", "keyed", "unrepeatable"} {
+		for _, effect := range []Effect{Idempotent, WithIdempotencyKey, NonIdempotent} {
 			r := newTestRouter(effect)
 			req := addSentRequest(r, 0, true)
 			actions := r.Decide(100.2, AttemptEnded{Request: "t", Endpoint: "c0", Result: result})
-			allowed := effect != "unrepeatable" || proves[result]
+			allowed := effect != NonIdempotent || proves[result]
 			assert.Equal(t, allowed, len(actionsOf[StartAttempt](actions)) == 1, "%s after %v", effect, result)
 			assert.Equal(t, !allowed, len(actionsOf[AbortRequest](actions)) == 1, "%s after %v", effect, result)
 			assert.Empty(t, actionsOf[RejectRequest](actions), req.Request)
@@ -48,7 +48,7 @@
 }
 
 func TestIdempotencyWindowCountsFromAttemptThatMayHaveRun(t *testing.T) {
-	r := newTestRouter("keyed")
+	r := newTestRouter(WithIdempotencyKey)
 	req := addSentRequest(r, ConnectionBroken, false)
 	r.now = 105 - idempotencyMargin
 	assert.True(t, r.mayRetry(req))
@@ -59,8 +59,8 @@
 }
 
 func TestRetryWithIdempotencyKeyStaysInItsScope(t *testing.T) {
-	r := newTestRouter("keyed")
-	r.settings["remap.1.group"] = "cell"
+	r := newTestRouter(WithIdempotencyKey)
+	r.settings[ClassSetting(1, ClassDeduplicationScope)] = string(CellScope)
 	req := addSentRequest(r, ConnectionBroken, false)
 	r.findOrAddEndpoint("c1").Cell = 5
 	assert.False(t, r.inDeduplicationScope(req, r.findOrAddEndpoint("c1")))
@@ -68,8 +68,8 @@
 }
 
 func TestNonIdempotentAttemptIsNotCancelledWhenSilent(t *testing.T) {
-	r := newTestRouter("unrepeatable")
-	r.settings["may_double"] = "false"
+	r := newTestRouter(NonIdempotent)
+	r.settings[SettingHedging] = "false"
 	req := addSentRequest(r, 0, true)
 	r.now = 101
 	r.plan(req)
@@ -79,9 +79,9 @@
 
 // A spent budget stops the retries of a class and leaves first attempts alone; that of an endpoint bars it alone.
 func TestSpentRetryBudgetStopsRetriesOnly(t *testing.T) {
-	r := newTestRouter("keyed")
+	r := newTestRouter(WithIdempotencyKey)
 	fresh, once := &request{}, &request{attempts: []*attempt{{started: true, result: Overloaded}}}
-	r.settings["max_hops"] = "6"
+	r.settings[SettingMaxAttempts] = "6"
 	assert.True(t, r.mayRetry(once))
 	r.Decide(100, RetryBudgetChanged{Class: 0})
 	assert.True(t, r.mayRetry(fresh))
--- a/routing/router.go
+++ b/routing/router.go
@@ -13,7 +13,7 @@
 
 // updateEndpoints takes news of the endpoints. One that started again is empty, cold and unjudged.
 func (r *Router) updateEndpoints(update EndpointUpdate) {
-	if update.Kind == Unavailable || (update.Kind == Restored && r.settings["list"] == "asked") {
+	if update.Kind == Unavailable || (update.Kind == Restored && r.subscribesOnRequest()) {
 		r.actions = append(r.actions, SubscribeEndpoints{})
 	}
 	for _, started := range r.mergeEndpoints(update) {
@@ -29,7 +29,7 @@
 	arrived.SizeKB = cmp.Or(max(arrived.SizeKB, 0), 1) // where sizes are not known chunks are counted
 	class := r.class(arrived.Class)
 	req := &request{RequestArrived: arrived, arrivedAt: r.now}
-	if pace := r.number("pace_kb_s", 0); pace > 0 {
+	if pace := r.number(SettingTransferRate, 0); pace > 0 {
 		req.sendSeconds = arrived.SizeKB / pace
 	}
 	req.objective = class.objective + req.sendSeconds*class.objectiveStretch
@@ -58,7 +58,7 @@
 		return
 	}
 	inFlight, waiting := r.reviewAttempts(req)
-	if waiting || (inFlight && !r.settings.Bool("may_double")) {
+	if waiting || (inFlight && !r.settings.Bool(SettingHedging)) {
 		return
 	}
 	if !r.mayRetry(req) {
@@ -105,7 +105,7 @@
 func (r *Router) reconcile(req *request) {
 	ended := req.done || req.finalAction != nil
 	for i, a := range req.attempts {
-		if a.inFlight && (ended || !a.wanted) && !a.cancelled && r.settings.Bool("may_cancel") {
+		if a.inFlight && (ended || !a.wanted) && !a.cancelled && r.settings.Bool(SettingCancellation) {
 			a.cancelled = true
 			r.actions = append(r.actions, CancelAttempt{Request: req.Request, Attempt: i})
 		}
@@ -129,7 +129,7 @@
 // startAttempt emits an attempt and counts it at the limiters and at the cold endpoints that it loads.
 func (r *Router) startAttempt(req *request, a *attempt) {
 	a.started, a.inFlight, a.sentAt = true, true, r.now
-	join, revalidate := r.settings.Bool("may_join"), r.class(req.Class).freshSeconds > 0
+	join, revalidate := r.settings.Bool(SettingFillJoining), r.class(req.Class).freshSeconds > 0
 	r.actions = append(r.actions, a.startAction(req, join, revalidate))
 	a.target.inFlight++
 	for _, l := range a.fillLimiters {
@@ -151,7 +151,7 @@
 		}
 		inFlight = true
 		if a.wanted && (a.stalled || (r.now >= a.suspectAt && r.isSilent(a))) {
-			a.wanted = r.settings.Bool("may_double") || r.class(req.Class).effect == nonIdempotent
+			a.wanted = r.settings.Bool(SettingHedging) || r.class(req.Class).effect == NonIdempotent
 			a.suspectAt, a.stalled = math.Inf(1), false
 		}
 		if a.wanted && !math.IsInf(a.suspectAt, 1) {
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -9,7 +9,7 @@
 )
 
 func TestDisconnectedClientStartsNoAttempt(t *testing.T) {
-	r := newTestRouter("repeatable")
+	r := newTestRouter(Idempotent)
 	addSentRequest(r, 0, true)
 	r.Decide(100.1, ClientDisconnected{"t"})
 	actions := r.Decide(100.2, AttemptEnded{Request: "t", Endpoint: "c0", Result: ServerError, RequestDone: true})
@@ -18,8 +18,8 @@
 }
 
 func TestWithoutHedgingLostAttemptIsCancelledBeforeRetry(t *testing.T) {
-	r := newTestRouter("repeatable")
-	r.settings["may_double"] = "false"
+	r := newTestRouter(Idempotent)
+	r.settings[SettingHedging] = "false"
 	req := addSentRequest(r, 0, true)
 	req.attempts[0].suspectAt = 100.3
 	r.now = 100.4
@@ -32,7 +32,7 @@
 }
 
 func TestRequestWithoutEndpointsIsRejectedAtOnce(t *testing.T) {
-	r := newTestRouter("keyed")
+	r := newTestRouter(WithIdempotencyKey)
 	r.Decide(100, EndpointUpdate{Kind: Snapshot})
 	assert.Len(t, actionsOf[RejectRequest](r.Decide(100, newArrival("t", "x"))), 1)
 }
@@ -41,7 +41,7 @@
 // objective; a large one at once.
 func TestRequestIsQueuedOnlyWhileAttemptCouldBeInTime(t *testing.T) {
 	for kb, most := range map[float64]float64{20: timelyShare*0.54 - 0.04, 100: timelyShare*0.7 - 0.2, 4000: 0} {
-		r := newTestRouter("repeatable")
+		r := newTestRouter(Idempotent)
 		for _, e := range r.endpoints {
 			e.limit, e.provenLimit = 0, 0
 		}
@@ -60,7 +60,7 @@
 }
 
 func TestQueueReleasesHighestPriorityPerKBFirst(t *testing.T) {
-	r := newTestRouter("keyed")
+	r := newTestRouter(WithIdempotencyKey)
 	for _, c := range r.caches {
 		c.limit, c.provenLimit = 0, 0
 	}
@@ -81,7 +81,11 @@
 func TestBareSettingsAndOddEndpointListsAreAnswered(t *testing.T) {
 	lists := map[string][]Endpoint{"empty": nil, "one cache": {{ID: "c"}}, "zero weight": {{ID: "c"}, {ID: "d"}}}
 	for name, rows := range lists {
-		r := New(1, Settings{"unheard": "of", "remap.0.effect": "repeatable", "parent_kind": "-1"})
+		r := New(1, Settings{
+			"unheard":                    "of",
+			ClassSetting(0, ClassEffect): string(Idempotent),
+			SettingParentKind:            "-1",
+		})
 		r.Decide(5, EndpointUpdate{Kind: Restored, Endpoints: rows})
 		actions := r.Decide(5, RequestArrived{Request: "t", Object: "x", Deadline: 6})
 		actions = append([]Action{}, actions...)
@@ -92,7 +96,7 @@
 
 func TestSameEventsGiveSameActions(t *testing.T) {
 	run := func() (out []Action) {
-		r := newTestRouter("keyed")
+		r := newTestRouter(WithIdempotencyKey)
 		for i := range 60 {
 			now := 100 + float64(i)/50
 			out = append(out, r.Decide(now, newArrival(RequestID(fmt.Sprint(i)), fmt.Sprint("x", i%7)))...)
@@ -110,9 +114,9 @@
 // An attempt whose connection stalled is given up and its endpoint is not ejected. One that must not run twice is
 // waited for.
 func TestStalledAttemptIsGivenUpWithoutEjection(t *testing.T) {
-	for effect, want := range map[string]bool{"repeatable": false, "keyed": false, "unrepeatable": true} {
+	for effect, want := range map[Effect]bool{Idempotent: false, WithIdempotencyKey: false, NonIdempotent: true} {
 		r := newTestRouter(effect)
-		r.settings["may_double"] = "false"
+		r.settings[SettingHedging] = "false"
 		req := addSentRequest(r, 0, true)
 		req.attempts[0].suspectAt = 200
 		r.Decide(100.2, AttemptStalled{Request: "t", Attempt: 7})
--- a/routing/selection.go
+++ b/routing/selection.go
@@ -46,7 +46,7 @@
 // chooseTarget is the first usable cache in hash order. Where caches may be bypassed, uncacheable requests do
 // so, and others do if no cache is usable at the first level and the zone's link has room.
 func (r *Router) chooseTarget(req *request, caches []*endpoint, sources [2][]*endpoint) *endpoint {
-	direct, uncacheable := r.settings.Bool("may_go_direct"), r.uncacheable(req)
+	direct, uncacheable := r.settings.Bool(SettingDirectAttempts), r.uncacheable(req)
 	for level := untried; level < strictnessLevels; level++ {
 		lists := [3][]*endpoint{caches}
 		if direct && uncacheable {
--- a/routing/selection_test.go
+++ b/routing/selection_test.go
@@ -9,7 +9,7 @@
 )
 
 func TestHashOrderIsStableAndSkipsFullCaches(t *testing.T) {
-	r := newTestRouter("keyed")
+	r := newTestRouter(WithIdempotencyKey)
 	all, _ := r.hashOrder(r.findOrAddObject("x", 0))
 	less := sortByHash("x", all[1:])
 	assert.Equal(t, []EndpointID{all[1].ID, all[2].ID}, []EndpointID{less[0].ID, less[1].ID})
@@ -21,7 +21,7 @@
 
 func TestDrainingAndRemovedEndpointsAreNeverUsed(t *testing.T) {
 	for _, status := range []EndpointStatus{Draining, Removed} {
-		r := newTestRouter("keyed")
+		r := newTestRouter(WithIdempotencyKey)
 		r.Decide(100, EndpointUpdate{Kind: Incremental, Endpoints: []Endpoint{
 			{ID: "c0", Zone: 1, Weight: 4, Status: status},
 			{ID: "c1", Zone: 1, Weight: 4, Status: status},
@@ -41,8 +41,8 @@
 }
 
 func TestHashOrderPrefersNearerParents(t *testing.T) {
-	r := newTestRouter("keyed")
-	r.findOrAddEndpoint("p1").Zone, r.settings["hub_of"], r.numbers["location"] = 1, "0,1,0", 2
+	r := newTestRouter(WithIdempotencyKey)
+	r.findOrAddEndpoint("p1").Zone, r.settings[SettingParentZoneOf], r.numbers[SettingZone] = 1, "0,1,0", 2
 	r.classifyEndpoints()
 	near := 0
 	for i := range 300 {
@@ -54,7 +54,7 @@
 }
 
 func TestFullLinkAllowsOneCacheOnlyAttempt(t *testing.T) {
-	r := newTestRouter("keyed")
+	r := newTestRouter(WithIdempotencyKey)
 	r.zoneLink.limit, r.missSamples = 0, []float64{1, 0, 0, 0, 1, 0, 0, 0}
 	starts := actionsOf[StartAttempt](r.Decide(100, newArrival("t", "x")))
 	require.Len(t, starts, 1)
@@ -66,7 +66,7 @@
 }
 
 func TestMissRateScalesUnseenGapAndFillLoad(t *testing.T) {
-	r := newTestRouter("keyed")
+	r := newTestRouter(WithIdempotencyKey)
 	r.missSamples = []float64{1, 0, 0, 0, 1, 0, 0, 0}
 	req := &request{object: r.findOrAddObject("y", 0), chunk: &chunk{}, firstOfChunk: true}
 	assert.InDelta(t, initialHorizon/0.75, r.gapOf(req, r.findOrAddEndpoint("c0")), 1e-9)
@@ -77,7 +77,7 @@
 }
 
 func TestFullOriginAllowsCacheOnlyAttemptUpToTheParent(t *testing.T) {
-	r := newTestRouter("keyed")
+	r := newTestRouter(WithIdempotencyKey)
 	r.findOrAddEndpoint("o").limit = 0
 	starts := actionsOf[StartAttempt](r.Decide(100, newArrival("t", "x")))
 	require.Len(t, starts, 1)
--- a/routing/settings.go
+++ b/routing/settings.go
@@ -7,10 +7,10 @@
 )
 
 // Settings are the standing facts that a router is given at its start, by name. Lists are separated by commas.
-type Settings map[string]string
+type Settings map[SettingName]string
 
 // Float reads a number, or returns the other value where the setting is missing or no number.
-func (s Settings) Float(name string, otherwise float64) float64 {
+func (s Settings) Float(name SettingName, otherwise float64) float64 {
 	if number, err := strconv.ParseFloat(s[name], 64); err == nil {
 		return number
 	}
@@ -18,10 +18,10 @@
 }
 
 // Bool tells whether a setting is true.
-func (s Settings) Bool(name string) bool { return s[name] == "true" }
+func (s Settings) Bool(name SettingName) bool { return s[name] == "true" }
 
 // ListItem reads item i of a list, empty where there is none.
-func (s Settings) ListItem(name string, i int) string {
+func (s Settings) ListItem(name SettingName, i int) string {
 	list := s[name]
 	for ; i > 0; i-- {
 		_, rest, ok := strings.Cut(list, ",")
@@ -35,36 +35,13 @@
 }
 
 // FloatItem reads item i of a list of numbers.
-func (s Settings) FloatItem(name string, i int, otherwise float64) float64 {
+func (s Settings) FloatItem(name SettingName, i int, otherwise float64) float64 {
 	if number, err := strconv.ParseFloat(s.ListItem(name, i), 64); err == nil {
 		return number
 	}
 	return otherwise
 }
 
-// ClassSetting is the name of a setting of one request class.
-func ClassSetting(class ClassIndex, name string) string {
-	return "remap." + strconv.Itoa(int(class)) + "." + name
-}
-
-// effect says what running a request of a class twice does. The values are those of the setting.
-type effect string
-
-const (
-	idempotent         effect = "repeatable"
-	withIdempotencyKey effect = "keyed"
-	nonIdempotent      effect = "unrepeatable"
-)
-
-// deduplicationScope is the set of endpoints that recognize an idempotency key. The values are those of the setting.
-type deduplicationScope string
-
-const (
-	cellScope deduplicationScope = "cell"
-	zoneScope deduplicationScope = "zone"
-	anyScope  deduplicationScope = "all"
-)
-
 // class is a request class as the settings have it, and what was last seen of it.
 type class struct {
 	objective          float64 // s, the latency objective of a request without size
@@ -75,8 +52,8 @@
 	freshSeconds       float64 // 0 where copies do not expire
 	staleSeconds       float64 // after the fresh time, in which a copy may still be served
 	stalePriority      float64 // share of the priority of such an answer
-	effect             effect
-	deduplicationScope deduplicationScope
+	effect             Effect
+	deduplicationScope DeduplicationScope
 	uncacheable        bool
 	retryBudgetSpent   bool
 	sendSamples        []float64 // s, the last sending times
@@ -88,26 +65,28 @@
 		return known
 	}
 	s, item := r.settings, int(index)
-	number := func(name string, otherwise float64) float64 { return s.Float(ClassSetting(index, name), otherwise) }
+	number := func(field ClassField, otherwise float64) float64 {
+		return s.Float(ClassSetting(index, field), otherwise)
+	}
 	read := &class{
-		objective:          number("sla_s", 1),
-		objectiveStretch:   number("sla_stretch", 0),
-		priority:           number("importance", 1),
-		latePriority:       number("late_importance", 0),
-		idempotencyWindow:  number("window_s", 0),
-		freshSeconds:       s.FloatItem("fresh_s", item, 0),
-		staleSeconds:       s.FloatItem("stale_s", item, 0),
-		stalePriority:      s.FloatItem("stale_importance", item, 0),
-		effect:             effect(s[ClassSetting(index, "effect")]),
-		deduplicationScope: deduplicationScope(s[ClassSetting(index, "group")]),
-		uncacheable:        s.ListItem("uncacheable", item) == "true",
+		objective:          number(ClassLatencyObjective, 1),
+		objectiveStretch:   number(ClassObjectiveStretch, 0),
+		priority:           number(ClassPriority, 1),
+		latePriority:       number(ClassLatePriority, 0),
+		idempotencyWindow:  number(ClassIdempotencyWindow, 0),
+		freshSeconds:       s.FloatItem(SettingFreshTime, item, 0),
+		staleSeconds:       s.FloatItem(SettingStaleTime, item, 0),
+		stalePriority:      s.FloatItem(SettingStalePriority, item, 0),
+		effect:             Effect(s[ClassSetting(index, ClassEffect)]),
+		deduplicationScope: DeduplicationScope(s[ClassSetting(index, ClassDeduplicationScope)]),
+		uncacheable:        s.ListItem(SettingUncacheable, item) == "true",
 	}
 	r.classes[index] = read
 	return read
 }
 
 // number reads a number of the settings, once.
-func (r *Router) number(name string, otherwise float64) float64 {
+func (r *Router) number(name SettingName, otherwise float64) float64 {
 	number, known := r.numbers[name]
 	if !known {
 		number = r.settings.Float(name, math.NaN())
@@ -119,24 +98,30 @@
 	return number
 }
 
+// subscribesOnRequest says whether the discovery service tells only those who ask it.
+func (r *Router) subscribesOnRequest() bool {
+	return r.settings[SettingDiscoveryMode] == DiscoveryOnRequest
+}
+
 // tellsAll says whether endpoints tell the details of all results, failures of sources included.
-func (r *Router) tellsAll() bool { return r.settings["tells"] == "all" }
+func (r *Router) tellsAll() bool { return r.settings[SettingResultDetails] == DetailsOfAll }
 
 // mayUsePeers says whether misses may be filled by other caches of the zone.
 func (r *Router) mayUsePeers() bool {
-	return r.settings["siblings"] == "location" || r.settings["siblings"] == "any"
+	allowed := r.settings[SettingPeerCaches]
+	return allowed == PeerCachesInZone || allowed == PeerCachesAnywhere
 }
 
 // coldCapacity is the share of its capacity that an endpoint has when it starts, and how long it takes to warm up.
 func (r *Router) coldCapacity(e *endpoint) (share, seconds float64) {
 	if e.role == parentCache {
-		return r.number("parent_cold_share", 1), r.number("parent_cold_s", 0)
+		return r.number(SettingParentColdCapacity, 1), r.number(SettingParentWarmUp, 0)
 	}
-	return r.number("cold_share", 1), r.number("cold_s", 0)
+	return r.number(SettingColdCapacity, 1), r.number(SettingWarmUp, 0)
 }
 
 // linkTransfers is the capacity of the zone's link in transfers at a time, 0 if it is not known.
 func (r *Router) linkTransfers() float64 {
-	linkKBPerSecond := r.settings.FloatItem("link_in_kb_s", int(r.number("location", 0)), 0)
-	return linkKBPerSecond / max(r.number("pace_kb_s", 0), 1)
+	linkKBPerSecond := r.settings.FloatItem(SettingZoneLinkRate, int(r.number(SettingZone, 0)), 0)
+	return linkKBPerSecond / max(r.number(SettingTransferRate, 0), 1)
 }
--- a/routing/slowstart.go
+++ b/routing/slowstart.go
@@ -27,7 +27,7 @@
 // withinColdBudget protects cold endpoints (rule 4): in any window this router sends no more than its even
 // share of what a cache, or a parent with its fills, can do then. Capacity is wasted where others are idle.
 func (r *Router) withinColdBudget(req *request, e *endpoint) bool {
-	warm, window := r.warmShare(e), r.number("fall_s", 1)
+	warm, window := r.warmShare(e), r.number(SettingOverloadWindow, 1)
 	return warm >= 1 ||
 		r.workOf(req, e)+e.workSince(r.now-window) <= coldBudgetShare*warm*e.Weight*window/e.sharers
 }
--- a/routing/slowstart_test.go
+++ b/routing/slowstart_test.go
@@ -9,7 +9,7 @@
 )
 
 func TestColdBudgetHoldsOverAnyWindow(t *testing.T) {
-	r := newTestRouter("keyed")
+	r := newTestRouter(WithIdempotencyKey)
 	c := r.findOrAddEndpoint("c0")
 	c.StartedAt = 100
 	req := &request{RequestArrived: RequestArrived{SizeKB: 100}, sendSeconds: 0.1}
@@ -25,7 +25,7 @@
 }
 
 func TestColdParentIsChargedForFillsAndSharedByAllRouters(t *testing.T) {
-	r := newTestRouter("keyed")
+	r := newTestRouter(WithIdempotencyKey)
 	for _, id := range []string{"p0", "p1"} {
 		r.findOrAddEndpoint(EndpointID(id)).StartedAt = 100
 	}
@@ -54,8 +54,8 @@
 	}
 	came := map[EndpointID][]float64{} // times at which an attempt, or a fill, came to an endpoint
 	for i := range sharers {
-		settings := testSettings("keyed")
-		settings["routers"], settings["routers_at"] = strconv.Itoa(sharers), "0,"+strconv.Itoa(sharers)
+		settings := testSettings(WithIdempotencyKey)
+		settings[SettingRouters], settings[SettingRoutersByZone] = strconv.Itoa(sharers), "0,"+strconv.Itoa(sharers)
 		r := New(uint64(i), settings)
 		r.Decide(100, EndpointUpdate{Kind: Restored, Endpoints: rows})
 		for n := range 300 { // 50 a second for 6 s, each answered a tenth of a second later by a fill
@@ -95,7 +95,7 @@
 }
 
 func TestRestartedEndpointIsEmptyAndStartsAtColdLimit(t *testing.T) {
-	r := newTestRouter("keyed")
+	r := newTestRouter(WithIdempotencyKey)
 	c, p := r.findOrAddEndpoint("c0"), &chunk{}
 	c.addCached(&cachedChunk{chunk: p}, 0)
 	restarted := Endpoint{ID: "c0", Zone: 1, Weight: 4, StartedAt: 99}
@@ -107,8 +107,8 @@
 }
 
 func TestColdBudgetHoldsWithoutSizesOrLinks(t *testing.T) {
-	r := New(7, testSettings("keyed"))
-	r.settings["link_in_kb_s"], r.settings["pace_kb_s"] = "", ""
+	r := New(7, testSettings(WithIdempotencyKey))
+	r.settings[SettingZoneLinkRate], r.settings[SettingTransferRate] = "", ""
 	r.Decide(100, EndpointUpdate{Kind: Snapshot, Endpoints: []Endpoint{
 		{ID: "o", Kind: 2, Weight: 1, StartedAt: 100},
 		{ID: "c", Zone: 1, Weight: 4, StartedAt: 100},
--- a/routing/state.go
+++ b/routing/state.go
@@ -135,7 +135,7 @@
 	randomState          uint64
 	now                  float64
 	actions              []Action
-	numbers              map[string]float64 // settings read as numbers
+	numbers              map[SettingName]float64 // settings read as numbers
 	classes              map[ClassIndex]*class
 	endpoints            []*endpoint // by id
 	localCaches          []*endpoint // of this zone, whatever their status
--- a/routing/traceworld_test.go
+++ b/routing/traceworld_test.go
@@ -385,10 +385,10 @@
 
 // told is a detail as far as the deployment tells it.
 func (w *traceWorld) told(detail routing.ResultDetail) routing.ResultDetail {
-	switch w.scenario.settings["tells"] {
-	case "all":
+	switch w.scenario.settings[routing.SettingResultDetails] {
+	case routing.DetailsOfAll:
 		return detail
-	case "hit":
+	case routing.DetailsOfHits:
 		if detail <= routing.StaleHit {
 			return detail
 		}
--- a/simadapter/events.go
+++ b/simadapter/events.go
@@ -174,8 +174,8 @@
 	settings := routing.Settings{}
 	for pair := f.next(); len(pair) > 0; pair = f.next() {
 		path, value, _ := strings.Cut(string(pair), "=")
-		path, value = wirenames.Setting(path, value)
-		settings[path] = value
+		name, translated := wirenames.Setting(path, value)
+		settings[name] = translated
 	}
 	return settings
 }
