--- a/internal/lab/demo.go
+++ b/internal/lab/demo.go
@@ -91,7 +91,7 @@
 		mark("drain")
 		drained := boxes[0]
 		cluster.publishStatus(drained, routing.Draining)
-		event := len(cluster.discovery.events) - 1
+		event := cluster.discovery.lastEvent()
 		if err := rest(); err != nil {
 			return err
 		}
--- a/internal/lab/discovery.go
+++ b/internal/lab/discovery.go
@@ -10,73 +10,74 @@
 	"cairnfront/internal/discovery"
 )
 
-// discoveryServer is a stand-in of the discovery service. It notes when each event had been written to every
-// connection that
-// was there.
+// heartbeatInterval is how often a watcher that has everything hears from the discovery server.
+const heartbeatInterval = time.Second
+
+// discoveryServer is a stand-in of the discovery service. It records when each event had been written to every
+// connection
+// that was open.
 type discoveryServer struct {
 	listener net.Listener
+	workers  sync.WaitGroup
 
 	mu          sync.Mutex
-	events      []discovery.Event
-	frames      [][]byte
+	frames      [][]byte  // of the events, in order
 	deliveredAt []float64 // Unix s by which every connection had the event
 	watchers    map[*watcher]bool
-	refusing    bool // new connections are turned away: the discovery server is out of reach
-	workers     sync.WaitGroup
+	refusing    bool // new connections are refused
 }
 
+// watcher is a connection that watches.
 type watcher struct {
 	conn net.Conn
-	wake chan struct{}
+	wake chan struct{} // there is something new; holds one
 }
 
+// newDiscoveryServer starts one on a port of the system's choice.
 func newDiscoveryServer() (*discoveryServer, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	server := &discoveryServer{listener: ln, watchers: map[*watcher]bool{}}
-	server.workers.Go(func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			server.workers.Go(func() { server.serve(c) })
-		}
-	})
+	server := &discoveryServer{listener: listener, watchers: map[*watcher]bool{}}
+	server.workers.Go(server.accept)
 	return server, nil
 }
 
+func (server *discoveryServer) accept() {
+	for {
+		conn, err := server.listener.Accept()
+		if err != nil {
+			return
+		}
+		server.workers.Go(func() { server.serve(conn) })
+	}
+}
+
 func (server *discoveryServer) addr() string { return server.listener.Addr().String() }
 
 // close ends it and all its connections.
 func (server *discoveryServer) close() {
 	_ = server.listener.Close()
-	server.dropConnections(true)
-	server.workers.Wait()
-}
-
-// dropConnections ends all connections; with stay, new ones are turned away until it is called without.
-func (server *discoveryServer) dropConnections(stay bool) {
 	server.mu.Lock()
-	defer server.mu.Unlock()
-	server.refusing = stay
+	server.refusing = true
 	for w := range server.watchers {
 		_ = w.conn.Close()
 	}
+	server.mu.Unlock()
+	server.workers.Wait()
 }
 
-// publish publishes an event and returns its place.
-func (server *discoveryServer) publish(ev discovery.Event) int {
+// publish publishes an event and returns its index.
+func (server *discoveryServer) publish(event discovery.Event) int {
 	server.mu.Lock()
 	defer server.mu.Unlock()
-	ev.Revision = uint64(len(server.events) + 1)
-	f, err := discovery.AppendEvent(nil, ev)
+	event.Revision = uint64(len(server.frames) + 1)
+	frame, err := discovery.AppendEvent(nil, event)
 	if err != nil {
 		panic(err) // the scenario's own mistake
 	}
-	server.events, server.frames = append(server.events, ev), append(server.frames, f)
+	server.frames = append(server.frames, frame)
 	server.deliveredAt = append(server.deliveredAt, unixSeconds(time.Now()))
 	for w := range server.watchers {
 		select {
@@ -84,71 +85,109 @@
 		default:
 		}
 	}
-	return len(server.events) - 1
+	return len(server.frames) - 1
 }
 
-// deliveryTime says by when an event was told to all.
-func (server *discoveryServer) deliveryTime(i int) float64 {
+// lastEvent is the index of the event that was published last.
+func (server *discoveryServer) lastEvent() int {
 	server.mu.Lock()
 	defer server.mu.Unlock()
-	return server.deliveredAt[i]
+	return len(server.frames) - 1
 }
 
-func (server *discoveryServer) serve(c net.Conn) {
-	defer c.Close()
-	last := make([]byte, 8)
-	if _, err := io.ReadFull(c, last); err != nil {
+// deliveryTime is when an event had been delivered to all, Unix s.
+func (server *discoveryServer) deliveryTime(event int) float64 {
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	return server.deliveredAt[event]
+}
+
+// serve sends a connection the events after the revision that it says it has, and then the new ones.
+func (server *discoveryServer) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	request := make([]byte, 8)
+	if _, err := io.ReadFull(conn, request); err != nil {
 		return
 	}
-	w := &watcher{conn: c, wake: make(chan struct{}, 1)}
-	server.mu.Lock()
-	if server.refusing {
-		server.mu.Unlock()
+	w := &watcher{conn: conn, wake: make(chan struct{}, 1)}
+	if !server.addWatcher(w) {
 		return
 	}
-	server.watchers[w] = true
-	server.mu.Unlock()
-	defer func() {
-		server.mu.Lock()
-		delete(server.watchers, w)
-		server.mu.Unlock()
-	}()
-	gone := make(chan struct{})
+	defer server.removeWatcher(w)
+	disconnected := make(chan struct{})
 	go func() {
-		_, _ = c.Read(make([]byte, 1)) // it brings nothing more: this ends with the connection
-		close(gone)
+		_, _ = conn.Read(make([]byte, 1)) // it sends nothing more: this ends with the connection
+		close(disconnected)
 	}()
-	beat := time.NewTicker(time.Second)
-	defer beat.Stop()
-	at := binary.BigEndian.Uint64(last)
+	heartbeat := time.NewTicker(heartbeatInterval)
+	defer heartbeat.Stop()
+	revision := binary.BigEndian.Uint64(request)
 	for first := true; ; first = false {
-		server.mu.Lock()
-		live := len(server.frames)
-		var out []byte
-		for from := min(int(at), live); from < live; from++ {
-			out = append(out, server.frames[from]...)
-		}
-		server.mu.Unlock()
-		if len(out) == 0 || first { // what there was is told whole: the beat says so
-			out, _ = discovery.AppendEvent(out, discovery.Event{Revision: uint64(live), Kind: discovery.Heartbeat})
-		}
-		if _, err := c.Write(out); err != nil {
+		var sent bool
+		if revision, sent = server.sendEvents(conn, revision, first); !sent {
 			return
 		}
-		now := unixSeconds(time.Now())
-		server.mu.Lock()
-		for i := int(at); i < live; i++ {
-			if !first { // a connection that comes later does not count
-				server.deliveredAt[i] = max(server.deliveredAt[i], now)
-			}
-		}
-		server.mu.Unlock()
-		at = max(at, uint64(live))
 		select {
-		case <-gone:
+		case <-disconnected:
 			return
 		case <-w.wake:
-		case <-beat.C:
+		case <-heartbeat.C:
 		}
 	}
 }
+
+// addWatcher returns false where new connections are refused.
+func (server *discoveryServer) addWatcher(w *watcher) bool {
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	if server.refusing {
+		return false
+	}
+	server.watchers[w] = true
+	return true
+}
+
+func (server *discoveryServer) removeWatcher(w *watcher) {
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	delete(server.watchers, w)
+}
+
+// sendEvents sends the events after a revision, and a heartbeat where there are none. The first time the heartbeat
+// follows
+// the events: it says that the list is whole. It returns the revision that the connection has now.
+func (server *discoveryServer) sendEvents(conn net.Conn, revision uint64, first bool) (now uint64, sent bool) {
+	out, latest := server.framesAfter(revision)
+	if len(out) == 0 || first {
+		heartbeat := discovery.Event{Revision: latest, Kind: discovery.Heartbeat}
+		out, _ = discovery.AppendEvent(out, heartbeat)
+	}
+	if _, err := conn.Write(out); err != nil {
+		return revision, false
+	}
+	if !first { // a connection that comes later does not count
+		server.markDelivered(revision, latest)
+	}
+	return max(revision, latest), true
+}
+
+// framesAfter is the events after a revision, on the wire, and the latest revision.
+func (server *discoveryServer) framesAfter(revision uint64) (out []byte, latest uint64) {
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	latest = uint64(len(server.frames))
+	for _, frame := range server.frames[min(revision, latest):] {
+		out = append(out, frame...)
+	}
+	return out, latest
+}
+
+// markDelivered records that a connection has the events after a revision up to another.
+func (server *discoveryServer) markDelivered(after, upTo uint64) {
+	now := unixSeconds(time.Now())
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	for i := after; i < upTo; i++ {
+		server.deliveredAt[i] = max(server.deliveredAt[i], now)
+	}
+}
--- a/internal/lab/diskadmit.go
+++ b/internal/lab/diskadmit.go
@@ -18,7 +18,7 @@
 // are new and soon forgotten, a publication night with a few of them wanted by all.
 const (
 	dayObjects          = 20000
-	dayExponent         = 0.8 // of Zipf's law: as request logs of videos show, under 1
+	zipfExponent        = 0.8 // of Zipf's law: as request logs of videos show, under 1
 	minParts            = 11  // as the users' objects have
 	maxParts            = 19
 	partBytes           = 1 << 21 // the paper's chunk
@@ -46,7 +46,7 @@
 	cum := make([]float64, dayObjects)
 	sum := 0.0
 	for i := range cum {
-		sum += math.Pow(float64(i+1), -dayExponent)
+		sum += math.Pow(float64(i+1), -zipfExponent)
 		cum[i] = sum
 	}
 	parts := func(o uint64) int { return minParts + int(o*2654435761>>7%uint64(maxParts-minParts+1)) }
