--- a/cmd/cairnfront/client_test.go
+++ b/cmd/cairnfront/client_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 )
 
+// client is a connection of a client to a router.
 type client struct {
 	net.Conn
 	stream uint32
@@ -23,7 +24,7 @@
 	n int
 }
 
-// send writes a request of a remap rule and returns its id.
+// send writes a request of a class and returns its id.
 func (c *client) send(op, row, body string, more ...clientproto.Field) string {
 	requestIDs.Lock()
 	requestIDs.n++
@@ -57,7 +58,7 @@
 	return h.Type, h.StreamID, string(text)
 }
 
-// readResponse reads one answer: its code, fields and body.
+// readResponse reads one response and returns its code, fields and body.
 func (c *client) readResponse(t *testing.T) (byte, map[string]string, string) {
 	kind, _, payload := c.readFrame(t)
 	require.EqualValues(t, clientproto.TypeResponse, kind)
@@ -70,7 +71,7 @@
 	return payload[0], fields, string(body)
 }
 
-// sendFromClients has many clients ask one after another, each waiting for its answer, and counts those that had one.
+// sendFromClients has clients send requests at the same time, each one after another.
 func sendFromClients(t *testing.T, s *routerProcess, clients, each int) *sync.WaitGroup {
 	var all sync.WaitGroup
 	for range clients {
--- a/cmd/cairnfront/commands_test.go
+++ b/cmd/cairnfront/commands_test.go
@@ -21,7 +21,7 @@
 	}
 	m := startCache(t, nil)
 	good := string(bootstrapFile("127.0.0.1:1", "127.0.0.1:2", 192, m, m))
-	taken := m.Addr().String()
+	portTaken := strings.Replace(good, "127.0.0.1:1", m.Addr().String(), 1)
 	for _, c := range []struct {
 		args []string
 		env  string
@@ -35,7 +35,7 @@
 		{[]string{"serve"}, "", false, "LB_CONFIG is not set"},
 		{[]string{"serve"}, filepath.Join(dir, "absent"), false, "no such file"},
 		{[]string{"serve"}, write("parts", strings.Replace(good, `"known"`, `"x"`, 1)), false, "known"},
-		{[]string{"serve"}, write("taken", strings.Replace(good, "127.0.0.1:1", taken, 1)), false, "address already in use"},
+		{[]string{"serve"}, write("taken", portTaken), false, "address already in use"},
 		{[]string{"what"}, "", false, "unknown command"},
 	} {
 		cmd := exec.Command(program, c.args...)
--- a/cmd/cairnfront/golden_test.go
+++ b/cmd/cairnfront/golden_test.go
@@ -37,7 +37,8 @@
 	})
 	path := filepath.Join(t.TempDir(), "operators.yaml")
 	socket := filepath.Join(t.TempDir(), "admin")
-	text := fmt.Sprintf("router:\n  socket: %s\n  further_share: 0.5\n  addresses:\n  - {member: s-00000001, list: [%q]}\n", socket, cache.Addr())
+	text := fmt.Sprintf("router:\n  socket: %s\n  further_share: 0.5\n  addresses:\n"+
+		"  - {member: s-00000001, list: [%q]}\n", socket, cache.Addr())
 	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
 	s := startRouterWith(t, []string{"--operators", path}, 192, cache, cache)
 	c := s.dial(t)
--- a/cmd/cairnfront/harness_test.go
+++ b/cmd/cairnfront/harness_test.go
@@ -22,10 +22,11 @@
 	"golang.org/x/sys/unix"
 )
 
-// These tests start the built program and speak to it over loopback, against stand-ins of cache and notice board
-// written from the protocol's pages. Waits end with what they wait for; patience only bounds a failure.
+// patience bounds the waits of the tests. They start the built program and speak to it over loopback, against stand-ins
+// of caches and the discovery service that are written from the protocol's pages. A wait ends with what it waits for.
 const patience = 30 * time.Second
 
+// program is the path of the built program.
 var program string
 
 func TestMain(m *testing.M) {
@@ -45,7 +46,7 @@
 	os.Exit(code)
 }
 
-// logBuffer is what a program wrote so far.
+// logBuffer holds what a program wrote so far.
 type logBuffer struct {
 	mu     sync.Mutex
 	buffer bytes.Buffer
@@ -73,11 +74,11 @@
 	killed        bool
 	bootstrapPath string
 	args          []string
-	shellCommand  string // starts the program in place of a plain start, where set
+	shellCommand  string // starts the program in place of a plain start; empty for that
 }
 
-// bootstrapFile is a start file with caches s-00000001 and on, and an origin s-000000ff.
-func bootstrapFile(listen, board string, memory int, origin *cacheStub, caches ...*cacheStub) []byte {
+// bootstrapFile returns a bootstrap file with caches s-00000001 and on, and an origin s-000000ff.
+func bootstrapFile(listen, discovery string, memory int, origin *cacheStub, caches ...*cacheStub) []byte {
 	var list []map[string]any
 	for i, m := range append(caches, origin) {
 		row := map[string]any{
@@ -96,22 +97,25 @@
 		}
 	}
 	text, _ := json.Marshal(map[string]any{
-		"name": "n1", "listen": listen, "board": board, "seed": "8c1f30d27a5be964",
+		"name": "n1", "listen": listen, "board": discovery, "seed": "8c1f30d27a5be964",
 		"limits": map[string]any{"cores": 1.0, "memory_mb": memory, "sockets": 1024},
 		"known": map[string]any{"rev": 1, "notices": []any{map[string]any{
 			"rev":  1,
 			"pool": map[string]any{"snapshot": true, "endpoints": list},
 		}}},
 		"settings": map[string]any{
-			"me": 0, "group_size": 1, "zone": 0, "zones": []string{"here"}, "flavors": []string{"box", "parent", "origin"},
+			"me": 0, "group_size": 1, "zone": 0, "zones": []string{"here"},
+			"flavors": []string{"box", "parent", "origin"},
 			"extra": map[string]any{
 				"count_by_zone": []int{1}, "fresh_for_s": []float64{0, 0, 0}, "usable_after_s": []float64{0, 0, 0},
-				"worth_when_old": []float64{1, 1, 1}, "never_kept": []bool{false, false, true}, "origin_kind": 2, "upper_kind": 1,
-				"pace_kb_per_s": 10000.0, "gone_everywhere_s": 6.0, "notice_time_s": 0.5, "pass_through_ok": true, "sideways": "location",
+				"worth_when_old": []float64{1, 1, 1}, "never_kept": []bool{false, false, true},
+				"origin_kind": 2, "upper_kind": 1, "pace_kb_per_s": 10000.0, "gone_everywhere_s": 6.0,
+				"notice_time_s": 0.5, "pass_through_ok": true, "sideways": "location",
 				"tells": "all", "link_in_kb_per_s": []float64{1e6}, "hub_of": []int{0},
 			},
 			"limits": map[string]any{
-				"cancelling": true, "connect_timeout_s": 0.4, "idle_close_s": 15.0, "max_attempts": 6, "max_streams": 32,
+				"cancelling": true, "connect_timeout_s": 0.4, "idle_close_s": 15.0,
+				"max_attempts": 6, "max_streams": 32,
 				"parallel_tries": false, "may_probe": true, "retry_after": true, "max_retry_after_s": 2.0,
 			},
 			"rules": map[string]any{
@@ -125,12 +129,12 @@
 	return text
 }
 
-// startRouter starts a router of its own address and board.
+// startRouter starts a router with an address and a discovery service of its own.
 func startRouter(t *testing.T, memory int, origin *cacheStub, caches ...*cacheStub) *routerProcess {
 	return startRouterWith(t, nil, memory, origin, caches...)
 }
 
-// startRouterWith does so with more arguments.
+// startRouterWith starts a router as startRouter does, with further arguments.
 func startRouterWith(t *testing.T, args []string, memory int, origin *cacheStub, caches ...*cacheStub) *routerProcess {
 	ln, err := net.Listen("tcp", "127.0.0.1:0") // a port that is free
 	require.NoError(t, err)
@@ -144,7 +148,7 @@
 		caches...), 0o600))
 	t.Cleanup(func() {
 		if !s.killed {
-			s.stop(t, syscall.SIGKILL)
+			_ = s.stop(t, syscall.SIGKILL) // it reports the signal
 		}
 	})
 	s.start(t)
@@ -179,7 +183,8 @@
 		_, _ = c.Write(append(clientproto.AppendHeader(nil, clientproto.TypeReadinessQuery, 0, 1), 0))
 		said := make([]byte, clientproto.HeaderSize+1) // or nothing: the port may still be another's
 		_, err = io.ReadFull(c, said)
-		return err == nil && clientproto.FrameType(said[4]) == clientproto.TypeReadinessReply && said[clientproto.HeaderSize] == 1
+		isReply := clientproto.FrameType(said[4]) == clientproto.TypeReadinessReply
+		return err == nil && isReply && said[clientproto.HeaderSize] == 1
 	}, patience, 10*time.Millisecond)
 }
 
@@ -196,7 +201,17 @@
 	}
 }
 
-// counters is what the program printed last.
+// dumpCounters has the program print its counters and returns them.
+func (s *routerProcess) dumpCounters(t *testing.T) map[string]int {
+	const lastButFew = "counter process.goroutines"
+	before := strings.Count(s.log.String(), lastButFew)
+	require.NoError(t, s.Process.Signal(syscall.SIGUSR1))
+	printed := func() bool { return strings.Count(s.log.String(), lastButFew) > before }
+	require.Eventually(t, printed, patience, time.Millisecond)
+	return s.counters()
+}
+
+// counters returns what the program printed last.
 func (s *routerProcess) counters() map[string]int {
 	out := map[string]int{}
 	for text := range strings.Lines(s.log.String()) {
@@ -217,9 +232,10 @@
 	return &client{Conn: c}
 }
 
+// objectID is the object that tests request.
 const objectID = "7f3a9c21e0b4d655"
 
-// routerSignalledDuringRequest is a router that hears a signal while a cache holds back a client's page until
+// routerSignalledDuringRequest sends a router a signal while a cache withholds the response to a client's request until
 // release is closed.
 func routerSignalledDuringRequest(t *testing.T, sig syscall.Signal) (release chan bool, m *cacheStub,
 	s *routerProcess, c *client,
@@ -239,7 +255,7 @@
 	return release, m, s, c
 }
 
-// pinToOneCPU lets the program run on one core only, every thread that it has.
+// pinToOneCPU lets all threads of a process run on one core only.
 func pinToOneCPU(t *testing.T, pid int) {
 	var one unix.CPUSet
 	require.NoError(t, unix.SchedGetaffinity(pid, &one))
@@ -258,7 +274,7 @@
 	}
 }
 
-// cpuSeconds is the processor time that a process has used, in seconds.
+// cpuSeconds returns the processor time that a process has used.
 func cpuSeconds(t *testing.T, pid int) float64 {
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
 	require.NoError(t, err)
--- a/cmd/cairnfront/limits_test.go
+++ b/cmd/cairnfront/limits_test.go
@@ -53,13 +53,7 @@
 	object := strings.Repeat("x", 240_000)
 	m := startCache(t, func(h receivedAttempt) string { return okResponse(h, object) })
 	s := startRouter(t, 192, m, m, m)
-	usage := func() map[string]int {
-		before := strings.Count(s.log.String(), "counter process.goroutines")
-		require.NoError(t, s.Process.Signal(syscall.SIGUSR1))
-		require.Eventually(t, func() bool { return strings.Count(s.log.String(), "counter process.goroutines") > before },
-			patience, time.Millisecond)
-		return s.counters()
-	}
+	usage := func() map[string]int { return s.dumpCounters(t) }
 	status := func(name string) int {
 		text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", s.Process.Pid))
 		require.NoError(t, err)
@@ -78,8 +72,10 @@
 		clients = append(clients, c)
 	}
 	var full map[string]int
-	require.Eventually(t, func() bool { full = usage(); return full["open"] == 0 && full["taken"] == 341*32 }, patience,
-		100*time.Millisecond)
+	require.Eventually(t, func() bool {
+		full = usage()
+		return full["open"] == 0 && full["taken"] == 341*32
+	}, patience, 100*time.Millisecond)
 	t.Logf("at most %d MB, %d descriptors; %d of %d completed", status("VmHWM"), full["process.descriptors"],
 		full["answered.page.completed.by-a-hop"], full["taken"])
 	assert.Less(t, status("VmHWM"), 192, "MB at most")
@@ -97,15 +93,17 @@
 		after = usage()
 		// Connections to members that are kept open have their rings; how many there are is the machine's luck.
 		rings := after["conn.member.open"] * 2 * admission.EndpointRingBytes
-		// The connection that asked whether the router is ready may have been open still when the first counters were read.
-		held = after["conn.client.open"] <= before["conn.client.open"] && after["process.descriptors"] <= before["process.descriptors"]+after["conn.member.open"]+1 &&
+		// The connection of the readiness query may have been open still when the first counters were read.
+		maxDescriptors := before["process.descriptors"] + after["conn.member.open"] + 1
+		held = after["conn.client.open"] <= before["conn.client.open"] &&
+			after["process.descriptors"] <= maxDescriptors &&
 			after["process.goroutines"] <= before["process.goroutines"]+4*after["conn.member.open"] &&
 			after["process.heap-bytes"] <= before["process.heap-bytes"]+rings+12<<20
 	}
 	require.True(t, held, "what the module remembers of the objects stays; before %v, after %v", before, after)
 	t.Logf("after: %d descriptors, %d goroutines, %d bytes in use (%d before), %d connections to members",
-		after["process.descriptors"],
-		after["process.goroutines"], after["process.heap-bytes"], before["process.heap-bytes"], after["conn.member.open"])
+		after["process.descriptors"], after["process.goroutines"], after["process.heap-bytes"],
+		before["process.heap-bytes"], after["conn.member.open"])
 	c := s.dial(t)
 	c.send("page", objectID, "")
 	code, _, body := c.readResponse(t)
@@ -174,13 +172,7 @@
 func TestDescriptorsGoroutinesAndHeapStayFlat(t *testing.T) {
 	o := startCache(t, func(h receivedAttempt) string { return okResponse(h, "x") })
 	s := startRouter(t, 64, o, o)
-	usage := func() map[string]int {
-		before := strings.Count(s.log.String(), "counter process.goroutines")
-		require.NoError(t, s.Process.Signal(syscall.SIGUSR1))
-		require.Eventually(t, func() bool { return strings.Count(s.log.String(), "counter process.goroutines") > before },
-			patience, time.Millisecond)
-		return s.counters()
-	}
+	usage := func() map[string]int { return s.dumpCounters(t) }
 	before := usage()
 	stay := s.dial(t) // asks once and keeps its connection
 	stay.send("page", objectID, "")
@@ -200,7 +192,8 @@
 	require.Eventually(t, func() bool {
 		k := usage()
 		return k["taken"] == 601 && k["open"] == 0 && k["conn.client.open"] == 0 && k["conn.member.open"] <= 4 &&
-			k["process.descriptors"] <= before["process.descriptors"]+4 && k["process.heap-bytes"] < before["process.heap-bytes"]+2<<20
+			k["process.descriptors"] <= before["process.descriptors"]+4 &&
+			k["process.heap-bytes"] < before["process.heap-bytes"]+2<<20
 	}, patience, 100*time.Millisecond)
 }
 
@@ -255,11 +248,7 @@
 	defer rest.Wait()
 	defer close(stop)
 	full := func() bool {
-		before := strings.Count(s.log.String(), "counter process.descriptors")
-		require.NoError(t, s.Process.Signal(syscall.SIGUSR1))
-		require.Eventually(t, func() bool { return strings.Count(s.log.String(), "counter process.descriptors") > before },
-			patience, time.Millisecond)
-		return s.counters()["conn.client.open"] >= 28
+		return s.dumpCounters(t)["conn.client.open"] >= 28
 	}
 	require.Eventually(t, full, patience, 10*time.Millisecond)
 	next := startDiscovery(t)
--- a/cmd/cairnfront/peers_test.go
+++ b/cmd/cairnfront/peers_test.go
@@ -45,7 +45,7 @@
 func freePort(t *testing.T) string {
 	c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
 	require.NoError(t, err)
-	defer c.Close()
+	defer func() { _ = c.Close() }()
 	return c.LocalAddr().String()
 }
 
@@ -86,8 +86,8 @@
 		if i == 2 {
 			listen = third
 		}
-		procs = append(procs, startRouterWith(t, []string{"--operators", f.operatorsFile(t, i, listen, f.entries[:3])}, 192,
-			m, m))
+		args := []string{"--operators", f.operatorsFile(t, i, listen, f.entries[:3])}
+		procs = append(procs, startRouterWith(t, args, 192, m, m))
 	}
 	for i := range 3 {
 		f.waitForState(t, i, "whole")
@@ -147,13 +147,21 @@
 	require.NoError(t, os.WriteFile(start, bootstrapFile("127.0.0.1:0", m.Addr().String(), 192, m, m), 0o600))
 	for text, want := range map[string]string{
 		`{peers: {listen: "127.0.0.1:0"}}`: "operators.yaml:1:9: peers.key_file: needed",
-		`{peers: {listen: "127.0.0.1:0", name: a, key_file: KEY, roster: [{name: a, key: MINE}, {name: b, key: MINE, address: "127.0.0.1:9"}]}}`:            "the key of two",
-		`{peers: {listen: "127.0.0.1:0", name: a, key_file: KEY, roster: [{name: a, key: YOURS}, {name: b, key: MINE, address: "127.0.0.1:9"}]}}`:           "the own key is not the one in the roster",
-		`{peers: {listen: "127.0.0.1:0", name: a, key_file: KEY, roster: [{name: a, key: MINE}, {name: a, key: YOURS, address: "127.0.0.1:9"}]}}`:           "stands twice",
-		`{peers: {listen: "127.0.0.1:0", name: c, key_file: KEY, roster: [{name: a, key: MINE}, {name: b, key: YOURS, address: "127.0.0.1:9"}]}}`:           "is not in the roster",
-		`{peers: {listen: "127.0.0.1:0", name: a, key_file: KEY, roster: [{name: a, key: MINE}, {name: b, key: YOURS}]}}`:                                   "nobody could be reached",
-		`{peers: {listen: "127.0.0.1:0", name: a, key_file: /nowhere, roster: [{name: a, key: MINE}, {name: b, key: YOURS, address: "127.0.0.1:9"}]}}`:      "key_file",
-		`{peers: {listen: "127.0.0.1:0", name: a, key_file: KEY, liars: 5, roster: [{name: a, key: MINE}, {name: b, key: YOURS, address: "127.0.0.1:9"}]}}`: "may not lie",
+		`{peers: {listen: "127.0.0.1:0", name: a, key_file: KEY, ` +
+			`roster: [{name: a, key: MINE}, {name: b, key: MINE, address: "127.0.0.1:9"}]}}`: "the key of two",
+		`{peers: {listen: "127.0.0.1:0", name: a, key_file: KEY, ` +
+			`roster: [{name: a, key: YOURS}, {name: b, key: MINE, address: "127.0.0.1:9"}]}}`: "the own key is not " +
+			"the one in the roster",
+		`{peers: {listen: "127.0.0.1:0", name: a, key_file: KEY, ` +
+			`roster: [{name: a, key: MINE}, {name: a, key: YOURS, address: "127.0.0.1:9"}]}}`: "stands twice",
+		`{peers: {listen: "127.0.0.1:0", name: c, key_file: KEY, ` +
+			`roster: [{name: a, key: MINE}, {name: b, key: YOURS, address: "127.0.0.1:9"}]}}`: "is not in the roster",
+		`{peers: {listen: "127.0.0.1:0", name: a, key_file: KEY, ` +
+			`roster: [{name: a, key: MINE}, {name: b, key: YOURS}]}}`: "nobody could be reached",
+		`{peers: {listen: "127.0.0.1:0", name: a, key_file: /nowhere, ` +
+			`roster: [{name: a, key: MINE}, {name: b, key: YOURS, address: "127.0.0.1:9"}]}}`: "key_file",
+		`{peers: {listen: "127.0.0.1:0", name: a, key_file: KEY, liars: 5, ` +
+			`roster: [{name: a, key: MINE}, {name: b, key: YOURS, address: "127.0.0.1:9"}]}}`: "may not lie",
 	} {
 		text = strings.NewReplacer("KEY", key, "MINE", mine, "YOURS", yours).Replace(text)
 		file := filepath.Join(folder, "operators.yaml")
--- a/cmd/cairnfront/requests_test.go
+++ b/cmd/cairnfront/requests_test.go
@@ -149,7 +149,8 @@
 		case 2:
 			return h.id + " served digest=d1,dated=1,remark=h 3000000000\r\nx"
 		case 3: // twice, and one that nobody asked for
-			return "ffffffffffffffff served digest=d1,dated=1,remark=h 1\r\ny\r\n" + okResponse(h, "x") + okResponse(h, "x")
+			const unknown = "ffffffffffffffff served digest=d1,dated=1,remark=h 1\r\ny\r\n"
+			return unknown + okResponse(h, "x") + okResponse(h, "x")
 		}
 		return okResponse(h, "x")
 	}
--- a/cmd/cairnfront/restart_test.go
+++ b/cmd/cairnfront/restart_test.go
@@ -84,7 +84,7 @@
 			assert.Nil(t, r.Listener, "it is told to end before it began")
 			continue
 		}
-		assert.NoError(t, r.Listener.Close())
+		assert.NoError(t, r.Close())
 	}
 }
 
--- a/cmd/cairnfront/stubs_test.go
+++ b/cmd/cairnfront/stubs_test.go
@@ -17,7 +17,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-// cacheStub is a stand-in of a cache. It hands each hop to answer, which says what to write, empty for nothing.
+// cacheStub is a stand-in of a cache. It hands each attempt to answer and writes what that returns.
 type cacheStub struct {
 	net.Listener
 	answer      func(h receivedAttempt) string
@@ -27,6 +27,7 @@
 	cancelled   chan string
 }
 
+// receivedAttempt is a request as the cache got it.
 type receivedAttempt struct {
 	id     string
 	fields map[string]string
@@ -34,6 +35,7 @@
 	conn   net.Conn
 }
 
+// startCache starts a stand-in of a cache.
 func startCache(t *testing.T, answer func(receivedAttempt) string) *cacheStub {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -114,12 +116,14 @@
 	return len(m.attempts)
 }
 
+// okResponse is a response that completes an attempt.
 func okResponse(h receivedAttempt, body string) string {
-	return fmt.Sprintf("%s served digest=d1,dated=%d,remark=h %d\r\n%s\r\n", h.id, time.Now().UnixMilli(), len(body), body)
+	now := time.Now().UnixMilli()
+	return fmt.Sprintf("%s served digest=d1,dated=%d,remark=h %d\r\n%s\r\n", h.id, now, len(body), body)
 }
 
-// discovery is a stand-in of the notice board. What it is told to say goes to the router that follows it, and again
-// to one that comes later without it.
+// discoveryStub is a stand-in of the discovery service. What it is told to send goes to the router that watches it, and
+// again to one that comes later without it.
 type discoveryStub struct {
 	net.Listener
 	send chan []byte
@@ -127,7 +131,7 @@
 	sent [][]byte
 }
 
-// sentAfter is what was said after an event.
+// sentAfter returns what was sent after an event.
 func (b *discoveryStub) sentAfter(last []byte) []byte {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -138,6 +142,7 @@
 	return slices.Concat(b.sent[i:]...)
 }
 
+// startDiscovery starts a stand-in of the discovery service.
 func startDiscovery(t *testing.T) *discoveryStub {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -179,12 +184,13 @@
 	return b
 }
 
+// discoveryFrame returns an event as the discovery service sends it.
 func discoveryFrame(number uint64, kind byte, payload []byte) []byte {
 	b := binary.BigEndian.AppendUint32(nil, uint32(9+len(payload)))
 	return append(append(binary.BigEndian.AppendUint64(b, number), kind), payload...)
 }
 
-// endpointRecord is a member's row in the notice board's binary form.
+// endpointRecord returns an endpoint in the binary form of the discovery service.
 func endpointRecord(id uint32, m *cacheStub, state byte) []byte {
 	a := m.Addr().(*net.TCPAddr)
 	b := append(binary.BigEndian.AppendUint32(nil, id), a.IP.To4()...)
