--- a/internal/lab/brownout.go
+++ b/internal/lab/brownout.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"os"
 	"path/filepath"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -147,10 +146,7 @@
 
 // playBrownoutPhases runs the clients through a calm, a brown-out and a calm again.
 func playBrownoutPhases(ctx context.Context, group *clientGroup, failing *atomic.Bool, size brownoutSize) error {
-	loadCtx, stop := context.WithCancel(ctx)
-	var load sync.WaitGroup
-	load.Go(func() { group.run(loadCtx) })
-	defer load.Wait()
+	stop := startLoad(ctx, group)
 	defer stop()
 	for _, phase := range []struct {
 		duration time.Duration
--- a/internal/lab/cluster.go
+++ b/internal/lab/cluster.go
@@ -139,9 +139,8 @@
 	cluster.mu.Unlock()
 }
 
-// close ends all that the test cluster started: routers by SIGTERM, as an operator would. A router that does not
-// end well is
-// told of.
+// close ends all that the cluster started: routers by SIGTERM, as an operator would. A router that does not end well
+// breaks the report, where there is one.
 func (cluster *testCluster) close(r *report.Report) {
 	for _, router := range cluster.routers {
 		if router.cmd != nil {
@@ -152,21 +151,9 @@
 		if router.cmd == nil {
 			continue
 		}
-		done := make(chan error, 1)
-		go func() { done <- router.cmd.Wait() }()
-		select {
-		case err := <-done:
-			if err != nil && r != nil {
-				r.Broke("router %s ended with %v: %s", router.name, err, logTail(router.log.Name()))
-			}
-		case <-time.After(10 * time.Second):
-			_ = router.cmd.Process.Kill()
-			<-done
-			if r != nil {
-				r.Broke("router %s did not end on SIGTERM", router.name)
-			}
+		if problem := router.awaitEnd(); problem != "" && r != nil {
+			r.Broke("%s", problem)
 		}
-		_ = router.log.Close()
 	}
 	for _, endpoint := range cluster.endpoints {
 		endpoint.kill()
--- a/internal/lab/diskrestart.go
+++ b/internal/lab/diskrestart.go
@@ -8,7 +8,6 @@
 	"path/filepath"
 	"runtime"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"cairnfront/internal/diskcache"
@@ -18,228 +17,309 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// runPowerCuts plays so many scripts on faulty disks, each with the power cut at another operation.
-func runPowerCuts(ctx context.Context, options Options, r *report.Report, n int) error {
-	const seeds = 40 // scripts; the cuts go round their operations
-	ops := make([]int, seeds)
-	for i := range ops {
-		ops[i] = diskcache.RunPowerLoss(options.Seed*1000+uint64(i), 0).Ops
-	}
-	var mu sync.Mutex
-	var done atomic.Int64
-	g, ctx := errgroup.WithContext(ctx)
-	g.SetLimit(runtime.GOMAXPROCS(0))
-	for i := range n {
-		g.Go(func() error {
-			if ctx.Err() != nil {
-				return ctx.Err()
-			}
-			script := i % seeds
-			cut := 1 + i/seeds%ops[script]
-			again := uint64(i / seeds / ops[script]) // round again with other chances
-			out := diskcache.RunPowerLoss(options.Seed*1000+uint64(script)+again<<32, cut)
-			mu.Lock()
-			defer mu.Unlock()
-			r.Counts["power_cuts"]++
-			r.Counts["cut_parts_checked"] += int64(out.Checked)
-			r.Counts["cut_parts_whole"] += int64(out.Recovered)
-			r.Counts["cut_purges"] += int64(out.Purges)
-			for _, w := range out.Violations {
-				r.Counts["cut_wrong"]++
-				r.Broke("script %d cut at %d: %s", script, cut, w)
-			}
-			if d := done.Add(1); d%200 == 0 {
-				options.Progress("%d of %d power cuts", d, n)
-			}
-			return nil
-		})
-	}
-	return g.Wait()
+const (
+	powerCutScripts       = 40 // scripts on faulty disks; the cuts go through their operations in turn
+	powerCutProgressEvery = 200
+
+	killedPause     = 100 * time.Millisecond // after the kills, before they are listed
+	downPause       = 200 * time.Millisecond // after the purges while the edge caches are down
+	purgesWhileDown = 4                      // the last of them of a whole group
+	emptiedRestart  = 1                      // the index of the restart after which the disks are empty
+	minKeptHitShare = 0.9                    // of the hits before a restart that must be left after one with the disk
+	measuredParts   = 1_000_000              // for the size of the index
+)
+
+// diskRestartSize is how long and how often the scenario plays.
+type diskRestartSize struct {
+	warm     time.Duration
+	window   time.Duration // in which hits are measured
+	restarts int
+	cuts     int
+	clients  int
 }
 
 var diskRestartScenario = Scenario{
 	Name: "disk-restart",
 	Description: "Boxes killed outright and started again under load, purges told while they are down; power " +
 		"cuts on faulty disks",
-	Run: func(ctx context.Context, options Options, r *report.Report) (err error) {
-		warm, window, restarts, cuts, clients := 5*time.Second, 3*time.Second, 6, 500, 24
-		if options.Full {
-			warm, window, restarts, cuts, clients = 25*time.Second, 10*time.Second, 50, 20000, 40
+	Run: runDiskRestart,
+}
+
+// diskRestartRun is a run of the scenario.
+type diskRestartRun struct {
+	*testCluster
+	size            diskRestartSize
+	edgeCaches      []*clusterEndpoint
+	directories     map[*clusterEndpoint]string
+	rnd             *rand.Rand
+	startedAt       float64 // Unix s
+	marks           []report.Mark
+	recoverySeconds float64 // of all restarts of edge caches
+}
+
+func runDiskRestart(ctx context.Context, options Options, r *report.Report) error {
+	size := diskRestartSize{
+		warm:     5 * time.Second,
+		window:   3 * time.Second,
+		restarts: 6,
+		cuts:     500,
+		clients:  24,
+	}
+	if options.Full {
+		size = diskRestartSize{
+			warm:     25 * time.Second,
+			window:   10 * time.Second,
+			restarts: 50,
+			cuts:     20000,
+			clients:  40,
 		}
-		r.Counts["wrong_bytes"], r.Counts["stale_after_purge"] = 0, 0
-		if err := runPowerCuts(ctx, options, r, cuts); err != nil {
+	}
+	r.Counts["wrong_bytes"] = 0
+	r.Counts["stale_after_purge"] = 0
+	if err := runPowerCuts(ctx, options, r, size.cuts); err != nil {
+		return err
+	}
+	cluster, err := newTestCluster(options, 1)
+	if err != nil {
+		return err
+	}
+	defer cluster.close(r)
+	run := &diskRestartRun{
+		testCluster: cluster,
+		size:        size,
+		directories: map[*clusterEndpoint]string{},
+		rnd:         rand.New(rand.NewPCG(options.Seed, 5)),
+	}
+	if err := run.startWithDisks(); err != nil {
+		return err
+	}
+	if err := cluster.addRouter(1); err != nil {
+		return err
+	}
+	group := cluster.newClientGroup(cluster.routers[0], size.clients, 40*time.Millisecond)
+	stop := startLoad(ctx, group)
+	defer stop()
+	run.startedAt = unixSeconds(time.Now())
+	if err := run.playScript(ctx, r); err != nil {
+		return err
+	}
+	stop()
+	endedAt := unixSeconds(time.Now())
+	r.Figures["recovery_s"] = run.recoverySeconds / float64(r.Counts["restarts"])
+	r.Figures["index_bytes_a_part"] = diskcache.MeasureIndexBytes(measuredParts)
+	run.disksWhole(r)
+	cluster.verify(r, []*clientGroup{group})
+	run.diskKeepsHits(r)
+	run.describe(r, endedAt)
+	return nil
+}
+
+// startWithDisks starts origin and parent in this process and two edge caches as programs with disks.
+func (d *diskRestartRun) startWithDisks() error {
+	for _, kind := range []int{kindOrigin, kindParent, kindEdge, kindEdge} {
+		endpoint, err := d.addEndpoint(kind, zoneOf(kind))
+		if err != nil {
 			return err
 		}
-		cluster, err := newTestCluster(options, 1)
-		if err != nil {
+		if kind == kindEdge {
+			d.edgeCaches = append(d.edgeCaches, endpoint)
+			d.directories[endpoint] = filepath.Join(d.options.Directory, endpoint.id+"-disk")
+		}
+	}
+	for _, endpoint := range d.endpoints {
+		if err := d.startEndpoint(endpoint); err != nil {
 			return err
 		}
-		defer func() { cluster.close(r) }()
-		var boxes []*clusterEndpoint
-		folders := map[*clusterEndpoint]string{}
-		for _, kind := range []int{kindOrigin, kindParent, kindEdge, kindEdge} {
-			endpoint, err := cluster.addEndpoint(kind, zoneOf(kind))
-			if err != nil {
-				return err
-			}
-			if kind == kindEdge {
-				boxes = append(boxes, endpoint)
-				folders[endpoint] = filepath.Join(options.Directory, endpoint.id+"-disk")
-			}
+		endpoint.startedAt = 0 // listed as warm
+		d.publishStatus(endpoint, routing.Ready)
+	}
+	return nil
+}
+
+func (d *diskRestartRun) startEndpoint(endpoint *clusterEndpoint) error {
+	if endpoint.kind == kindEdge {
+		return d.startProgram(endpoint, d.directories[endpoint])
+	}
+	return d.startInProcess(endpoint)
+}
+
+// playScript warms the edge caches up and restarts them again and again. It measures the share of bytes that they serve
+// before, after a restart with the disks, and after one with empty disks.
+func (d *diskRestartRun) playScript(ctx context.Context, r *report.Report) error {
+	if err := sleep(ctx, d.size.warm); err != nil {
+		return err
+	}
+	window := d.size.window.Seconds()
+	now := unixSeconds(time.Now())
+	r.Figures["hit_before"] = d.localByteShare(now-window, now)
+	r.Figures["window_s"] = window
+	for n := range d.size.restarts {
+		d.options.Progress("restart %d of %d", n+1, d.size.restarts)
+		if err := d.restart(ctx, r, n == emptiedRestart); err != nil {
+			return err
 		}
-		for _, endpoint := range cluster.endpoints {
-			if endpoint.kind != kindEdge {
-				if err := cluster.startInProcess(endpoint); err != nil {
-					return err
-				}
-			} else if err := cluster.startProgram(endpoint, folders[endpoint]); err != nil {
-				return err
-			}
-			endpoint.startedAt = 0 // warm long since, as far as anybody is told
-			cluster.publishStatus(endpoint, routing.Ready)
+		from := unixSeconds(time.Now())
+		d.purgeWanted(false) // while they catch up
+		duration := d.size.window
+		if n > emptiedRestart {
+			duration /= 4 // nothing is measured
 		}
-		if err := cluster.addRouter(1); err != nil {
+		if err := sleep(ctx, duration); err != nil {
 			return err
 		}
-		rnd := rand.New(rand.NewPCG(options.Seed, 5))
-		group := &clientGroup{
-			addr:       cluster.routers[0].addr,
-			clients:    clients,
-			seed:       options.Seed,
-			objects:    60,
-			parts:      6,
-			groups:     cluster.content.Groups,
-			meanPause:  40 * time.Millisecond,
-			onResponse: cluster.recordResponse,
+		switch n {
+		case 0:
+			r.Figures["hit_disk"] = d.localByteShare(from, from+window)
+		case emptiedRestart:
+			r.Figures["hit_empty"] = d.localByteShare(from, from+window)
 		}
-		play, stop := context.WithCancel(ctx)
-		var all sync.WaitGroup
-		all.Go(func() { group.run(play) })
-		defer func() { stop(); all.Wait() }()
-		began := unixSeconds(time.Now())
-		wait := func(d time.Duration) error {
-			select {
-			case <-ctx.Done():
-				return ctx.Err()
-			case <-time.After(d):
-				return nil
-			}
+	}
+	return nil
+}
+
+// restart kills the edge caches, purges while they are down, and starts them again.
+func (d *diskRestartRun) restart(ctx context.Context, r *report.Report, emptied bool) error {
+	mark := report.Mark{At: unixSeconds(time.Now()) - d.startedAt, Name: "killed"}
+	if emptied {
+		mark.Name = "killed, emptied"
+	}
+	d.marks = append(d.marks, mark)
+	for _, endpoint := range d.edgeCaches {
+		endpoint.kill()
+	}
+	if err := sleep(ctx, killedPause); err != nil {
+		return err
+	}
+	for _, endpoint := range d.edgeCaches {
+		d.publishStatus(endpoint, routing.Removed)
+	}
+	for i := range purgesWhileDown {
+		d.purgeWanted(i == purgesWhileDown-1)
+	}
+	if err := sleep(ctx, downPause); err != nil {
+		return err
+	}
+	for _, endpoint := range d.edgeCaches {
+		if emptied {
+			_ = os.RemoveAll(d.directories[endpoint])
 		}
-		if err := wait(warm); err != nil {
+		from := time.Now()
+		if err := d.startProgram(endpoint, d.directories[endpoint]); err != nil {
 			return err
 		}
-		now := unixSeconds(time.Now())
-		r.Figures["hit_before"] = cluster.localByteShare(now-window.Seconds(), now)
-		r.Figures["window_s"] = window.Seconds()
-		var marks []report.Mark
-		recovery := 0.0
-		for n := range restarts {
-			options.Progress("restart %d of %d", n+1, restarts)
-			emptied := n == 1
-			marks = append(marks, report.Mark{
-				At:   unixSeconds(time.Now()) - began,
-				Name: map[bool]string{false: "killed", true: "killed, emptied"}[emptied],
-			})
-			for _, endpoint := range boxes {
-				endpoint.kill()
-			}
-			if err := wait(100 * time.Millisecond); err != nil {
-				return err
-			}
-			for _, endpoint := range boxes {
-				cluster.publishStatus(endpoint, routing.Removed)
-			}
-			for i := range 4 { // told while they are down; what is much wanted among them
-				cluster.purge(1+uint64(rnd.IntN(12)), i == 3)
-			}
-			if err := wait(200 * time.Millisecond); err != nil {
-				return err
-			}
-			for _, endpoint := range boxes {
-				if emptied {
-					_ = os.RemoveAll(folders[endpoint])
-				}
-				from := time.Now()
-				if err := cluster.startProgram(endpoint, folders[endpoint]); err != nil {
-					return err
-				}
-				recovery += time.Since(from).Seconds()
-				r.Counts["restarts"]++
-			}
-			for _, endpoint := range boxes {
-				cluster.publishStatus(endpoint, routing.Ready)
-			}
-			from := unixSeconds(time.Now())
-			cluster.purge(1+uint64(rnd.IntN(12)), false) // and one while they catch up
-			length := window
-			if n > 1 {
-				length = window / 4
-			}
-			if err := wait(length); err != nil {
-				return err
-			}
-			switch n {
-			case 0:
-				r.Figures["hit_disk"] = cluster.localByteShare(from, from+window.Seconds())
-			case 1:
-				r.Figures["hit_empty"] = cluster.localByteShare(from, from+window.Seconds())
-			}
-		}
-		stop()
-		all.Wait()
-		ended := unixSeconds(time.Now())
-		r.Figures["recovery_s"] = recovery / float64(r.Counts["restarts"])
-		r.Figures["index_bytes_a_part"] = diskcache.MeasureIndexBytes(1_000_000)
-		for _, endpoint := range boxes {
-			endpoint.kill()
-			in, bad, err := diskcache.Verify(folders[endpoint], func(diskcache.StoreError) {}, nil)
-			if err != nil {
-				r.Broke("the folder of %s after the last kill: %v", endpoint.id, err)
-				continue
-			}
-			r.Counts["disk_parts"] += int64(in.Valid)
-			r.Counts["disk_parts_voided"] += int64(in.Invalidated)
-			r.Counts["disk_bad_records"] += int64(bad)
+		d.recoverySeconds += time.Since(from).Seconds()
+		r.Counts["restarts"]++
+	}
+	for _, endpoint := range d.edgeCaches {
+		d.publishStatus(endpoint, routing.Ready)
+	}
+	return nil
+}
+
+// purgeWanted purges one of the most wanted objects, or its group.
+func (d *diskRestartRun) purgeWanted(wholeGroup bool) {
+	d.purge(1+uint64(d.rnd.IntN(wantedObjects)), wholeGroup)
+}
+
+// disksWhole checks that the disks can be read after a last kill, and counts what is on them.
+func (d *diskRestartRun) disksWhole(r *report.Report) {
+	for _, endpoint := range d.edgeCaches {
+		endpoint.kill()
+		chunks, badRecords, err := diskcache.Verify(d.directories[endpoint], func(diskcache.StoreError) {}, nil)
+		if err != nil {
+			r.Broke("the folder of %s after the last kill: %v", endpoint.id, err)
+			continue
 		}
-		cluster.verify(r, []*clientGroup{group})
-		r.Steps = append(r.Steps, fmt.Sprintf(
+		r.Counts["disk_parts"] += int64(chunks.Valid)
+		r.Counts["disk_parts_voided"] += int64(chunks.Invalidated)
+		r.Counts["disk_bad_records"] += int64(badRecords)
+	}
+}
+
+// diskKeepsHits checks that a restart with the disks keeps most of the hits, and more than one with empty disks.
+func (d *diskRestartRun) diskKeepsHits(r *report.Report) {
+	before, disk, empty := r.Figures["hit_before"], r.Figures["hit_disk"], r.Figures["hit_empty"]
+	if disk < minKeptHitShare*before {
+		r.Broke(
+			"after a restart with the disk %.3f of the bytes come from the boxes, under 0.9 of the %.3f before",
+			disk,
+			before,
+		)
+	}
+	if empty >= disk {
+		r.Broke("an emptied box gives as much (%.3f) as one with its disk (%.3f)", empty, disk)
+	}
+}
+
+// describe adds to the report what was done, and the plot.
+func (d *diskRestartRun) describe(r *report.Report, endedAt float64) {
+	r.Steps = append(
+		r.Steps,
+		fmt.Sprintf(
 			"%d power cuts on faulty disks, each followed by a second one in the recovery",
-			cuts,
+			d.size.cuts,
 		),
-			fmt.Sprintf(
-				"a campus of two boxes with disks, a parent, an archive, a router, %d clients; both boxes "+
-					"killed %d times, once emptied",
-				clients,
-				restarts,
-			),
-			"each time four purges while they are down (one of a group) and one while they catch up",
-			"drains and cold members are not judged here; the demo and the bench do")
-		if r.Figures["hit_disk"] < 0.9*r.Figures["hit_before"] {
-			r.Broke(
-				"after a restart with the disk %.3f of the bytes come from the boxes, under 0.9 of the %.3f before",
-				r.Figures["hit_disk"],
-				r.Figures["hit_before"],
-			)
-		}
-		if r.Figures["hit_empty"] >= r.Figures["hit_disk"] {
-			r.Broke(
-				"an emptied box gives as much (%.3f) as one with its disk (%.3f)",
-				r.Figures["hit_empty"],
-				r.Figures["hit_disk"],
-			)
-		}
-		pl := report.Plot{
+		fmt.Sprintf(
+			"a campus of two boxes with disks, a parent, an archive, a router, %d clients; both boxes "+
+				"killed %d times, once emptied",
+			d.size.clients,
+			d.size.restarts,
+		),
+		"each time four purges while they are down (one of a group) and one while they catch up",
+		"drains and cold members are not judged here; the demo and the bench do",
+	)
+	r.Plots = append(
+		r.Plots,
+		report.Plot{
 			Title:  "Bytes that came from the campus's own boxes",
 			XLabel: "s",
 			YLabel: "share",
-			Marks:  marks,
-		}
-		l := report.Line{Name: "share"}
-		for at := began; at+1 < ended; at++ {
-			l.X, l.Y = append(l.X, at-began), append(l.Y, cluster.localByteShare(at, at+1))
-		}
-		pl.Lines = []report.Line{l}
-		r.Plots = append(r.Plots, pl)
-		return nil
-	},
+			Lines:  []report.Line{d.localByteShareLine("share", d.startedAt, endedAt)},
+			Marks:  d.marks,
+		},
+	)
+}
+
+// runPowerCuts plays scripts on faulty disks, each with the power cut at another operation.
+func runPowerCuts(ctx context.Context, options Options, r *report.Report, cuts int) error {
+	operations := make([]int, powerCutScripts)
+	for script := range operations {
+		operations[script] = diskcache.RunPowerLoss(options.Seed*1000+uint64(script), 0).Ops
+	}
+	var mu sync.Mutex
+	done := 0
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(runtime.GOMAXPROCS(0))
+	for i := range cuts {
+		group.Go(func() error {
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			script := i % powerCutScripts
+			cut := 1 + i/powerCutScripts%operations[script]
+			round := uint64(i / powerCutScripts / operations[script]) // the same cut with other chances
+			outcome := diskcache.RunPowerLoss(options.Seed*1000+uint64(script)+round<<32, cut)
+			mu.Lock()
+			defer mu.Unlock()
+			addPowerCut(r, outcome, script, cut)
+			done++
+			if done%powerCutProgressEvery == 0 {
+				options.Progress("%d of %d power cuts", done, cuts)
+			}
+			return nil
+		})
+	}
+	return group.Wait()
+}
+
+// addPowerCut adds the outcome of a power cut to the report.
+func addPowerCut(r *report.Report, outcome diskcache.PowerLossResult, script, cut int) {
+	r.Counts["power_cuts"]++
+	r.Counts["cut_parts_checked"] += int64(outcome.Checked)
+	r.Counts["cut_parts_whole"] += int64(outcome.Recovered)
+	r.Counts["cut_purges"] += int64(outcome.Purges)
+	for _, violation := range outcome.Violations {
+		r.Counts["cut_wrong"]++
+		r.Broke("script %d cut at %d: %s", script, cut, violation)
+	}
 }
--- a/internal/lab/endpoint.go
+++ b/internal/lab/endpoint.go
@@ -59,9 +59,8 @@
 	stop func() // of one that runs in this process
 
 	// Of one that runs as a program:
-	cmd        *exec.Cmd
-	configPath string
-	log        *os.File
+	cmd *exec.Cmd
+	log *os.File
 }
 
 // endpointPlace is the kind of an endpoint and the zone in which it stands.
@@ -72,7 +71,7 @@
 
 // addEndpoint makes an endpoint with an address of its own. It does not start it.
 func (cluster *testCluster) addEndpoint(kind, zone int) (*clusterEndpoint, error) {
-	ln, err := listenReusableTCP()
+	listener, err := listenReusableTCP()
 	if err != nil {
 		return nil, err
 	}
@@ -80,9 +79,9 @@
 		id:   endpointID(len(cluster.endpoints) + 1),
 		kind: kind,
 		zone: zone,
-		addr: ln.Addr().String(),
+		addr: listener.Addr().String(),
 	}
-	_ = ln.Close()
+	_ = listener.Close()
 	cluster.endpoints = append(cluster.endpoints, endpoint)
 	return endpoint, nil
 }
@@ -142,75 +141,85 @@
 	return file
 }
 
-// startInProcess starts an endpoint in this process; what it is asked and gives is noted.
+// startInProcess starts an endpoint in this process. What it is asked and serves is recorded.
 func (cluster *testCluster) startInProcess(endpoint *clusterEndpoint) error {
-	ln, err := net.Listen("tcp", endpoint.addr)
+	listener, err := net.Listen("tcp", endpoint.addr)
 	if err != nil {
 		return err
 	}
-	rules := cluster.edgeCacheConfig(endpoint, "")
-	b := &edgecache.Server{Config: rules.EdgeCache, Telemetry: telemetry.New(io.Discard, endpoint.id)}
-	if endpoint.kind == kindOrigin {
-		b.Origin = &cluster.content
-	}
-	b.OnRequest = func(a cacheproto.Command) {
-		cluster.mu.Lock()
-		cluster.requests = append(cluster.requests, requestRecord{unixSeconds(time.Now()), endpoint.id, a})
-		cluster.mu.Unlock()
+	server := &edgecache.Server{
+		Config:    cluster.edgeCacheConfig(endpoint, "").EdgeCache,
+		Telemetry: telemetry.New(io.Discard, endpoint.id),
+		OnRequest: func(command cacheproto.Command) {
+			cluster.mu.Lock()
+			defer cluster.mu.Unlock()
+			record := requestRecord{unixSeconds(time.Now()), endpoint.id, command}
+			cluster.requests = append(cluster.requests, record)
+		},
+		OnResponse: func(requestID string, bytes int) {
+			cluster.mu.Lock()
+			defer cluster.mu.Unlock()
+			record := servedRecord{unixSeconds(time.Now()), endpoint.id, requestID, bytes}
+			cluster.served = append(cluster.served, record)
+		},
 	}
-	b.OnResponse = func(id string, bytes int) {
-		cluster.mu.Lock()
-		cluster.served = append(cluster.served, servedRecord{unixSeconds(time.Now()), endpoint.id, id, bytes})
-		cluster.mu.Unlock()
+	if endpoint.kind == kindOrigin {
+		server.Origin = &cluster.content
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
+	ended := make(chan struct{})
 	go func() {
-		_ = b.Run(ctx, ln)
-		close(done)
+		_ = server.Run(ctx, listener)
+		close(ended)
 	}()
-	endpoint.stop = func() { cancel(); <-done }
+	endpoint.stop = func() {
+		cancel()
+		<-ended
+	}
 	return nil
 }
 
-// startProgram starts a member as a program of its own.
-func (cluster *testCluster) startProgram(endpoint *clusterEndpoint, folder string) error {
-	rules := cluster.edgeCacheConfig(endpoint, folder)
-	text, err := json.Marshal(rules) // JSON is YAML
+// startProgram starts an endpoint as a program of its own, with a disk cache in a directory, and waits until it
+// listens. A
+// restarted program appends to its log.
+func (cluster *testCluster) startProgram(endpoint *clusterEndpoint, directory string) error {
+	text, err := json.Marshal(cluster.edgeCacheConfig(endpoint, directory)) // JSON is YAML
 	if err != nil {
 		return err
 	}
-	endpoint.configPath = filepath.Join(cluster.options.Directory, endpoint.id+".yaml")
-	if err := os.WriteFile(endpoint.configPath, text, 0o600); err != nil {
+	base := filepath.Join(cluster.options.Directory, endpoint.id)
+	operatorsFile := base + ".yaml"
+	if err := os.WriteFile(operatorsFile, text, 0o600); err != nil {
 		return err
 	}
-	if endpoint.log, err = os.OpenFile(
-		filepath.Join(cluster.options.Directory, endpoint.id+".log"),
-		os.O_CREATE|os.O_APPEND|os.O_WRONLY,
-		0o600,
-	); err != nil {
+	endpoint.log, err = os.OpenFile(base+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
 		return err
 	}
-	endpoint.cmd = exec.Command(cluster.options.Program, "box", "--operators", endpoint.configPath)
+	endpoint.cmd = exec.Command(cluster.options.Program, "box", "--operators", operatorsFile)
 	endpoint.cmd.Stderr = endpoint.log
 	endpoint.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := endpoint.cmd.Start(); err != nil {
 		return fmt.Errorf("starting box %s: %w", endpoint.id, err)
 	}
 	endpoint.startedAt = unixSeconds(time.Now())
-	if err := waitUntil(10*time.Second, func() bool {
-		c, err := net.Dial("tcp", endpoint.addr)
-		if err == nil {
-			_ = c.Close()
-		}
-		return err == nil
-	}); err != nil {
+	if err := waitUntil(startTimeout, endpoint.listens); err != nil {
 		return fmt.Errorf("box %s does not come up: %w; its log: %s", endpoint.id, err, logTail(endpoint.log.Name()))
 	}
 	return nil
 }
 
-// kill ends a program outright.
+// listens says whether an endpoint takes connections.
+func (endpoint *clusterEndpoint) listens() bool {
+	conn, err := net.Dial("tcp", endpoint.addr)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
+// kill ends a program by SIGKILL. It does nothing for an endpoint in this process.
 func (endpoint *clusterEndpoint) kill() {
 	if endpoint.cmd != nil {
 		_ = endpoint.cmd.Process.Kill()
@@ -241,6 +250,17 @@
 	return edgeCaches, nil
 }
 
+// startOneZone starts an origin, a parent cache and two edge caches in one zone.
+func (cluster *testCluster) startOneZone() error {
+	_, err := cluster.startEndpoints([]endpointPlace{
+		{kindOrigin, 0},
+		{kindParent, 0},
+		{kindEdge, 1},
+		{kindEdge, 1},
+	})
+	return err
+}
+
 // startTwoZones starts an origin, a parent cache and two edge caches in each of two zones.
 func (cluster *testCluster) startTwoZones() (edgeCaches []*clusterEndpoint, err error) {
 	return cluster.startEndpoints([]endpointPlace{
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -78,6 +78,19 @@
 	clients.Wait()
 }
 
+// startLoad starts client groups. The function that it returns ends them and waits; it may be called again.
+func startLoad(ctx context.Context, groups ...*clientGroup) (stop func()) {
+	loadCtx, cancel := context.WithCancel(ctx)
+	var running sync.WaitGroup
+	for _, group := range groups {
+		running.Go(func() { group.run(loadCtx) })
+	}
+	return func() {
+		cancel()
+		running.Wait()
+	}
+}
+
 // runClient plays one client until the context ends.
 func (group *clientGroup) runClient(ctx context.Context, generator *requestGenerator) {
 	conn := &clientConn{}
--- a/internal/lab/ports.go
+++ b/internal/lab/ports.go
@@ -6,34 +6,40 @@
 	"net"
 )
 
-// Addresses that are given up and taken again, as by a process that is killed and started anew, lie below the range
-// from which the
-// system takes ports for outgoing connections: else another connection may have the port meanwhile.
+// Ports that are released and taken again, as by a process that is killed and restarted, lie below the range from
+// which the
+// system takes ports for outgoing connections. Otherwise another connection could have the port meanwhile.
 const (
 	firstReusablePort = 20000
 	reusablePorts     = 12000
 	maxPortAttempts   = 200
 )
 
-// listenReusableTCP listens on an address of the loopback that stays free while nobody listens on it.
-func listenReusableTCP() (ln net.Listener, err error) {
+// randomReusablePort draws a port that may be in use.
+func randomReusablePort() int { return firstReusablePort + rand.IntN(reusablePorts) }
+
+// listenReusableTCP listens on a loopback port that stays free while nobody listens on it.
+func listenReusableTCP() (net.Listener, error) {
+	var lastErr error
 	for range maxPortAttempts {
-		if ln, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstReusablePort+rand.IntN(reusablePorts))); err == nil {
-			return ln, nil
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", randomReusablePort()))
+		if err == nil {
+			return listener, nil
 		}
+		lastErr = err
 	}
-	return nil, fmt.Errorf("no port from %d on is free: %w", firstReusablePort, err)
+	return nil, fmt.Errorf("no port from %d on is free: %w", firstReusablePort, lastErr)
 }
 
 // listenReusableUDP is the same for datagrams.
-func listenReusableUDP() (c *net.UDPConn, err error) {
+func listenReusableUDP() (*net.UDPConn, error) {
+	var lastErr error
 	for range maxPortAttempts {
-		if c, err = net.ListenUDP(
-			"udp",
-			&net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: firstReusablePort + rand.IntN(reusablePorts)},
-		); err == nil {
-			return c, nil
+		conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: randomReusablePort()})
+		if err == nil {
+			return conn, nil
 		}
+		lastErr = err
 	}
-	return nil, fmt.Errorf("no port from %d on is free: %w", firstReusablePort, err)
+	return nil, fmt.Errorf("no port from %d on is free: %w", firstReusablePort, lastErr)
 }
--- a/internal/lab/records.go
+++ b/internal/lab/records.go
@@ -10,6 +10,7 @@
 	"cairnfront/internal/cacheproto"
 	"cairnfront/internal/diskcache/eviction"
 	"cairnfront/internal/edgecache"
+	"cairnfront/internal/lab/report"
 )
 
 // responseLog is what all clients of a cluster observed.
@@ -107,6 +108,15 @@
 	return max(1-float64(cluster.bytesFromOutside(from, to))/float64(received), 0)
 }
 
+// localByteShareLine is the share second by second between two times, Unix s.
+func (cluster *testCluster) localByteShareLine(name string, from, to float64) report.Line {
+	line := report.Line{Name: name}
+	for at := from; at+1 < to; at++ {
+		line.Add(at-from, cluster.localByteShare(at, at+1))
+	}
+	return line
+}
+
 // bytesReceived counts the bytes that clients got between two times, Unix s.
 func (cluster *testCluster) bytesReceived(from, to float64) int {
 	cluster.responses.mu.Lock()
--- a/internal/lab/router.go
+++ b/internal/lab/router.go
@@ -16,6 +16,14 @@
 	"cairnfront/internal/clientproto"
 )
 
+const (
+	startTimeout       = 10 * time.Second // until a program has to be ready
+	terminationTimeout = 10 * time.Second // until a router has to end on SIGTERM
+	clockTicks         = 100              // a second of CPU time, on Linux
+	cpuTimeFields      = 2                // utime and stime, proc(5)
+	firstCPUTimeField  = 11               // after the command's name in /proc/PID/stat
+)
+
 // routerProcess is a router that runs as a program of its own.
 type routerProcess struct {
 	name          string
@@ -87,7 +95,7 @@
 
 // awaitRouter waits until a router is ready.
 func (cluster *testCluster) awaitRouter(router *routerProcess) error {
-	if err := waitUntil(10*time.Second, func() bool { return routerReady(router.addr) }); err != nil {
+	if err := waitUntil(startTimeout, func() bool { return routerReady(router.addr) }); err != nil {
 		return fmt.Errorf("router %s is not ready: %w; its log: %s", router.name, err, logTail(router.log.Name()))
 	}
 	return nil
@@ -102,37 +110,62 @@
 	}
 }
 
-// usage is the CPU seconds that a router has used and its memory in MB, as the system counts them.
-func (router *routerProcess) usage() (cpu, rss float64) {
-	const ticks = 100 // a second, on Linux
-	if b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", router.cmd.Process.Pid)); err == nil {
-		fields := strings.Fields(string(b[strings.LastIndexByte(string(b), ')')+1:]))
-		for _, i := range []int{11, 12} { // utime and stime, proc(5)
-			n, _ := strconv.ParseFloat(fields[i], 64)
-			cpu += n / ticks
+// awaitEnd waits until a router that got SIGTERM has ended, and kills one that does not. It returns what went wrong.
+func (router *routerProcess) awaitEnd() (problem string) {
+	defer func() { _ = router.log.Close() }()
+	ended := make(chan error, 1)
+	go func() { ended <- router.cmd.Wait() }()
+	select {
+	case err := <-ended:
+		if err != nil {
+			return fmt.Sprintf("router %s ended with %v: %s", router.name, err, logTail(router.log.Name()))
 		}
+		return ""
+	case <-time.After(terminationTimeout):
+		_ = router.cmd.Process.Kill()
+		<-ended
+		return fmt.Sprintf("router %s did not end on SIGTERM", router.name)
 	}
-	if b, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", router.cmd.Process.Pid)); err == nil {
-		n, _ := strconv.ParseFloat(strings.Fields(string(b))[1], 64)
-		rss = n * float64(os.Getpagesize()) / (1 << 20)
+}
+
+// usage is the CPU time that a router has used, s, and its resident memory, MB, as the system counts them. Both are
+// 0 for
+// a router that does not run.
+func (router *routerProcess) usage() (cpuSeconds, memoryMB float64) {
+	pid := router.cmd.Process.Pid
+	if stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid)); err == nil {
+		afterName := string(stat[strings.LastIndexByte(string(stat), ')')+1:])
+		times := strings.Fields(afterName)[firstCPUTimeField:]
+		for _, text := range times[:cpuTimeFields] {
+			ticks, _ := strconv.ParseFloat(text, 64)
+			cpuSeconds += ticks / clockTicks
+		}
+	}
+	if statm, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", pid)); err == nil {
+		pages, _ := strconv.ParseFloat(strings.Fields(string(statm))[1], 64)
+		memoryMB = pages * float64(os.Getpagesize()) / (1 << 20)
 	}
-	return cpu, rss
+	return cpuSeconds, memoryMB
 }
 
 // routerReady asks a router whether it takes requests.
 func routerReady(addr string) bool {
-	c, err := net.Dial("tcp", addr)
+	conn, err := net.Dial("tcp", addr)
 	if err != nil {
 		return false
 	}
-	defer c.Close()
-	_ = c.SetDeadline(time.Now().Add(time.Second))
-	if _, err := c.Write(append(clientproto.AppendHeader(nil, clientproto.TypeReadinessQuery, 0, 1), 0)); err != nil {
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(time.Second))
+	query := append(clientproto.AppendHeader(nil, clientproto.TypeReadinessQuery, 0, 1), 0)
+	if _, err := conn.Write(query); err != nil {
+		return false
+	}
+	reply := make([]byte, clientproto.HeaderSize+2)
+	if _, err := io.ReadFull(conn, reply); err != nil {
 		return false
 	}
-	b := make([]byte, clientproto.HeaderSize+2)
-	_, err = io.ReadFull(c, b)
-	return err == nil && clientproto.FrameType(b[4]) == clientproto.TypeReadinessReply && b[clientproto.HeaderSize] == 1
+	isReply := clientproto.FrameType(reply[4]) == clientproto.TypeReadinessReply
+	return isReply && reply[clientproto.HeaderSize] == 1
 }
 
 // writeOperatorsFile writes settings as an operators' file. JSON is YAML.
--- a/internal/lab/wait.go
+++ b/internal/lab/wait.go
@@ -7,24 +7,30 @@
 	"time"
 )
 
-// waitUntil waits for something to be so.
-func waitUntil(most time.Duration, so func() bool) error {
-	for end := time.Now().Add(most); ; time.Sleep(5 * time.Millisecond) {
-		if so() {
+const (
+	conditionPollInterval = 5 * time.Millisecond
+	logTailBytes          = 600
+)
+
+// waitUntil waits until a condition holds, for a time at the most.
+func waitUntil(limit time.Duration, condition func() bool) error {
+	for end := time.Now().Add(limit); ; time.Sleep(conditionPollInterval) {
+		if condition() {
 			return nil
 		}
 		if time.Now().After(end) {
-			return fmt.Errorf("waited %v", most)
+			return fmt.Errorf("waited %v", limit)
 		}
 	}
 }
 
+// logTail is the end of a log.
 func logTail(path string) string {
-	b, _ := os.ReadFile(path)
-	return string(b[max(len(b)-600, 0):])
+	text, _ := os.ReadFile(path)
+	return string(text[max(len(text)-logTailBytes, 0):])
 }
 
-// sleep waits, or tells why it did not.
+// sleep waits for a duration, or returns the context's error when that ends before.
 func sleep(ctx context.Context, d time.Duration) error {
 	select {
 	case <-ctx.Done():
@@ -34,6 +40,7 @@
 	}
 }
 
+// unixSeconds is a time in seconds since 1970, to the microsecond.
 func unixSeconds(t time.Time) float64 { return float64(t.UnixMicro()) / 1e6 }
 
 // seconds is a number of seconds as a duration.
