--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -1,5 +1,13 @@
-// Package lab is the laboratory: scenarios that load the product's own programs and stand-ins on loopback, cause the
-// failures that a subsystem is to bear, and judge what came of it from what the stand-ins recorded.
+// Package lab runs scenarios: they load the product's own programs and stand-ins on loopback, cause the failures that a
+// subsystem has to bear, and verify the outcome.
+//
+// A scenario is a script of load and faults drawn from a seed, and named checks. The checks read what clients and
+// stand-ins
+// recorded, never the router's own counters. Each check has a test that shows that it can fail.
+//
+// The package owns the processes that it starts and their directory. It does not write reports (package report) and
+// does not
+// simulate whole clusters on virtual time (package simulation).
 package lab
 
 import (
@@ -13,30 +21,43 @@
 	"cairnfront/internal/lab/report"
 )
 
-// Setting is how a scenario is run.
+// EnvironmentVariable is set for each process that the laboratory starts. It allows what only the laboratory may
+// ask for.
+const EnvironmentVariable = "CAIRNFRONT_LAB"
+
+// Options say how a scenario is run.
 type Options struct {
 	Seed      uint64
-	Full      bool
-	Program   string // of the product, to be started
-	Directory string // for what it writes; removed by who made it
-	Script    string // file of a fault script to be played instead of the scenario's own
-	Progress  func(form string, args ...any)
+	Full      bool   // at the size that commits and pages quote, not at the small one
+	Program   string // path of the product's program
+	Directory string // for what the scenario writes; empty for a temporary one, which is removed
+	Script    string // file of a fault script that is played in place of the scenario's own
+	Progress  func(format string, args ...any)
+}
+
+// size is the name of the size in the report.
+func (options *Options) size() string {
+	if options.Full {
+		return "full"
+	}
+	return "small"
 }
 
-// Scenario is one.
+// Scenario is a named scenario. Run fills in the report; an error says that the scenario could not be run.
 type Scenario struct {
-	Name, Description string
-	Run               func(ctx context.Context, options Options, r *report.Report) error
+	Name        string
+	Description string
+	Run         func(ctx context.Context, options Options, r *report.Report) error
 }
 
-// Scenarios are all there are, by name.
+// Scenarios are all scenarios, by name.
 func Scenarios() []Scenario {
 	list := []Scenario{
 		addressesScenario,
 		brownoutScenario,
 		demoScenario,
-		diskRestartScenario,
 		diskAdmitScenario,
+		diskRestartScenario,
 		peersCostScenario,
 		peersScenario,
 		rumoursScenario,
@@ -49,48 +70,42 @@
 // Run runs a scenario. An error says that it could not be run; whether it held is in the report.
 func Run(ctx context.Context, name string, options Options) (*report.Report, error) {
 	scenarios := Scenarios()
-	at := slices.IndexFunc(scenarios, func(sc Scenario) bool { return sc.Name == name })
-	if at < 0 {
+	index := slices.IndexFunc(scenarios, func(scenario Scenario) bool { return scenario.Name == name })
+	if index < 0 {
 		return nil, fmt.Errorf("there is no scenario %q; see 'lab list'", name)
 	}
-	folder, remove, err := makeScenarioDirectory(options.Directory)
+	directory, remove, err := makeScenarioDirectory(options.Directory)
 	if err != nil {
 		return nil, fmt.Errorf("scenario %s: %w", name, err)
 	}
 	defer remove()
-	options.Directory = folder
+	options.Directory = directory
 	if options.Progress == nil {
 		options.Progress = func(string, ...any) {}
 	}
-	size := "small"
-	if options.Full {
-		size = "full"
-	}
-	r := report.New(name, options.Seed, size)
-	began := time.Now()
-	if err := scenarios[at].Run(ctx, options, r); err != nil {
+	r := report.New(name, options.Seed, options.size())
+	startedAt := time.Now()
+	if err := scenarios[index].Run(ctx, options, r); err != nil {
 		return nil, fmt.Errorf("scenario %s: %w", name, err)
 	}
-	r.Figures["took_s"] = time.Since(began).Seconds()
+	r.Figures["took_s"] = time.Since(startedAt).Seconds()
 	r.Close()
 	return r, nil
 }
 
-// makeScenarioDirectory makes the folder that a scenario writes to. Without a name it is a temporary one, which remove
+// makeScenarioDirectory makes the directory that a scenario writes to. Without a name it is a temporary one, which
+// remove
 // deletes.
-func makeScenarioDirectory(name string) (folder string, remove func(), err error) {
+func makeScenarioDirectory(name string) (directory string, remove func(), err error) {
 	if name != "" {
 		if err := os.MkdirAll(name, 0o700); err != nil {
 			return "", nil, fmt.Errorf("make its folder: %w", err)
 		}
 		return name, func() {}, nil
 	}
-	folder, err = os.MkdirTemp("", "cairnfront-lab")
+	directory, err = os.MkdirTemp("", "cairnfront-lab")
 	if err != nil {
 		return "", nil, fmt.Errorf("make its temporary folder: %w", err)
 	}
-	return folder, func() { _ = os.RemoveAll(folder) }, nil
+	return directory, func() { _ = os.RemoveAll(directory) }, nil
 }
-
-// LabVariable opens what only the laboratory may ask of a process.
-const EnvironmentVariable = "CAIRNFRONT_LAB"
--- a/internal/lab/peers_test.go
+++ b/internal/lab/peers_test.go
@@ -60,11 +60,8 @@
 	for i := range fleetSize {
 		for o := range fleetSize {
 			if o != i {
-				say(
-					i,
-					-2,
-					fmt.Sprintf("msg=peer code=alive peer=%s from=unknown why=\"its newer claim\" life=5 beat=0", fleet.names[o]),
-				)
+				const alive = "msg=peer code=alive peer=%s from=unknown why=\"its newer claim\" life=5 beat=0"
+				say(i, -2, fmt.Sprintf(alive, fleet.names[o]))
 			}
 		}
 		say(i, -1, "msg=standing code=whole from=alone epoch=2")
--- a/internal/lab/peerscost.go
+++ b/internal/lab/peerscost.go
@@ -265,15 +265,18 @@
 	})
 }
 
-func newInProcessPeer(roster []membership.RosterEntry, i int, seed string, randomSeed uint64) (*membership.Node, error) {
+// newInProcessPeer makes the peer of an entry of the roster.
+func newInProcessPeer(
+	roster []membership.RosterEntry, index int, seed string, randomSeed uint64,
+) (*membership.Node, error) {
 	key, err := datagram.ParsePrivateKey(seed)
 	if err != nil {
 		return nil, err
 	}
 	return membership.New(
 		membership.Config{
-			Name:          roster[i].Name,
-			Listen:        roster[i].Address,
+			Name:          roster[index].Name,
+			Listen:        roster[index].Address,
 			Key:           key,
 			Roster:        roster,
 			MaxByzantine:  costMaxByzantine,
--- a/internal/lab/router.go
+++ b/internal/lab/router.go
@@ -113,12 +113,16 @@
 // awaitEnd waits until a router that got SIGTERM has ended, and kills one that does not. It returns what went wrong.
 func (router *routerProcess) awaitEnd() (problem string) {
 	defer func() { _ = router.log.Close() }()
-	ended := make(chan error, 1)
-	go func() { ended <- router.cmd.Wait() }()
+	var waitErr error
+	ended := make(chan struct{})
+	go func() {
+		waitErr = router.cmd.Wait()
+		close(ended)
+	}()
 	select {
-	case err := <-ended:
-		if err != nil {
-			return fmt.Sprintf("router %s ended with %v: %s", router.name, err, logTail(router.log.Name()))
+	case <-ended:
+		if waitErr != nil {
+			return fmt.Sprintf("router %s ended with %v: %s", router.name, waitErr, logTail(router.log.Name()))
 		}
 		return ""
 	case <-time.After(terminationTimeout):
--- a/internal/lab/rumours.go
+++ b/internal/lab/rumours.go
@@ -10,101 +10,134 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// Bounds of the scenario, at sixty routers.
+// Sizes and bounds of the scenario.
 const (
 	rumourRouters         = 60
-	maxFailedAttemptShare = 0.8   // of the attempts that a bad edge cache fails without rumours
-	maxOnTimeLoss         = 0.005 // of the share in time, that rumours or liars may take
+	rumourWorkers         = 4     // simulations at a time
+	maxFailedAttemptShare = 0.8   // of the attempts that a failing edge cache gets without gossip
+	maxOnTimeLoss         = 0.005 // of the share in time, that gossip or faulty routers may take
 )
 
 var rumoursScenario = Scenario{
 	Name: "rumours",
 	Description: "Sixty routers that each see little, one box that fails all it is sent: with words between " +
 		"routers, without, and with liars among them",
-	Run: func(ctx context.Context, options Options, r *report.Report) error {
-		ways := []struct {
-			name string
-			talk simrouting.Gossip
-		}{{"without", simrouting.Gossip{}}, {"with", simrouting.Gossip{
-			Enabled:       true,
-			FaultyRouters: 1,
-		}}, {"with_liars", simrouting.Gossip{Enabled: true, FaultyRouters: 3}}}
-		seeds := 2
-		if options.Full {
-			seeds = 12
-		}
-		played := make([]*simrouting.Result, len(ways)*seeds)
-		var g errgroup.Group
-		g.SetLimit(4)
-		for i := range played {
-			g.Go(func() (err error) {
-				if err = ctx.Err(); err == nil {
-					played[i], err = simrouting.RunWithGossip(
-						options.Seed+uint64(i%seeds),
-						rumourRouters,
-						simrouting.FailingCache,
-						ways[i/seeds].talk,
-					)
-				}
-				return err
-			})
-		}
-		if err := g.Wait(); err != nil {
-			return err
-		}
-		seconds := report.Plot{
-			Title:  "Share of txns in time, second by second (first seed)",
-			XLabel: "s",
-			YLabel: "share",
-			Marks: []report.Mark{
-				{At: simrouting.Phases[1].From, Name: "bad box"},
-				{At: simrouting.Phases[1].To, Name: "well"},
-			},
-		}
-		for w, way := range ways {
-			l := report.Line{Name: way.name}
-			for at, share := range played[w*seeds].OnTimePerSecond {
-				l.X, l.Y = append(l.X, float64(at)), append(l.Y, share)
-			}
-			seconds.Lines = append(seconds.Lines, l)
-			bad, hops := 0, 0
-			for _, x := range played[w*seeds : (w+1)*seeds] {
-				bad += x.FailingCacheAttempts
-				hops += x.Attempts["trouble"]
-				r.Rules.Lost += int64(x.Unanswered)
-				r.Rules.SecondAnswers += int64(x.AnsweredTwice)
-			}
-			r.Figures["bad_hops."+way.name] = float64(bad) / float64(seeds)
-			for _, p := range simrouting.Phases {
-				txns, good := 0, 0
-				for _, x := range played[w*seeds : (w+1)*seeds] {
-					txns, good = txns+x.Requests[p.Name], good+x.OnTime[p.Name]
-				}
-				r.Figures["in_time."+way.name+"."+p.Name] = float64(good) / max(float64(txns), 1)
-				r.Counts["txns"] += int64(txns)
-			}
-		}
-		r.Simulated = true
-		r.Plots = append(r.Plots, seconds)
-		r.Steps = append(r.Steps, fmt.Sprintf(
+	Run: runRumours,
+}
+
+// gossipVariant is one way in which routers tell each other of endpoints, and its simulations.
+type gossipVariant struct {
+	name    string
+	gossip  simrouting.Gossip
+	results []*simrouting.Result // by seed
+}
+
+func runRumours(ctx context.Context, options Options, r *report.Report) error {
+	variants := []*gossipVariant{
+		{name: "without"},
+		{name: "with", gossip: simrouting.Gossip{Enabled: true, FaultyRouters: 1}},
+		{name: "with_liars", gossip: simrouting.Gossip{Enabled: true, FaultyRouters: 3}},
+	}
+	seeds := 2
+	if options.Full {
+		seeds = 12
+	}
+	if err := simulateGossip(ctx, options, variants, seeds); err != nil {
+		return err
+	}
+	plot := report.Plot{
+		Title:  "Share of txns in time, second by second (first seed)",
+		XLabel: "s",
+		YLabel: "share",
+		Marks: []report.Mark{
+			{At: faultPhase.From, Name: "bad box"},
+			{At: faultPhase.To, Name: "well"},
+		},
+	}
+	for _, variant := range variants {
+		variant.addFigures(r)
+		plot.Lines = append(plot.Lines, onTimeLine(variant.name, variant.results[0]))
+	}
+	gossipHelps(r)
+	gossipHarmless(r, "with")
+	gossipHarmless(r, "with_liars")
+	r.Simulated = true
+	r.Plots = append(r.Plots, plot)
+	r.Steps = append(
+		r.Steps,
+		fmt.Sprintf(
 			"%d routers of the module over 12 caches on virtual time, %d seeds; one cache fails all it is "+
 				"sent from %.0f to %.0f s",
 			rumourRouters,
 			seeds,
-			simrouting.Phases[1].From,
-			simrouting.Phases[1].To,
+			faultPhase.From,
+			faultPhase.To,
 		),
-			"with_liars: three routers say of every member, each second, that it fails")
-		if a, b := r.Figures["bad_hops.with"], r.Figures["bad_hops.without"]; a > maxFailedAttemptShare*b {
-			r.Broke("%.0f hops failed at the bad box with rumours, %.0f without", a, b)
-		}
-		for _, w := range []string{"with", "with_liars"} {
-			for _, p := range simrouting.Phases {
-				if a, b := r.Figures["in_time."+w+"."+p.Name], r.Figures["in_time.without."+p.Name]; a < b-maxOnTimeLoss {
-					r.Broke("%s, %s: %.4f in time, %.4f without rumours", w, p.Name, a, b)
+		"with_liars: three routers say of every member, each second, that it fails",
+	)
+	return nil
+}
+
+// simulateGossip simulates each variant with each seed.
+func simulateGossip(ctx context.Context, options Options, variants []*gossipVariant, seeds int) error {
+	var group errgroup.Group
+	group.SetLimit(rumourWorkers)
+	for _, variant := range variants {
+		variant.results = make([]*simrouting.Result, seeds)
+		for seed := range seeds {
+			group.Go(func() error {
+				if err := ctx.Err(); err != nil {
+					return err
 				}
-			}
+				result, err := simrouting.RunWithGossip(
+					options.Seed+uint64(seed),
+					rumourRouters,
+					simrouting.FailingCache,
+					variant.gossip,
+				)
+				variant.results[seed] = result
+				return err
+			})
+		}
+	}
+	return group.Wait()
+}
+
+// addFigures reports the attempts at the failing edge cache, and the shares in time by phase.
+func (variant *gossipVariant) addFigures(r *report.Report) {
+	failed := 0
+	for _, result := range variant.results {
+		failed += result.FailingCacheAttempts
+		r.Rules.Lost += int64(result.Unanswered)
+		r.Rules.SecondAnswers += int64(result.AnsweredTwice)
+	}
+	r.Figures["bad_hops."+variant.name] = float64(failed) / float64(len(variant.results))
+	for _, phase := range simrouting.Phases {
+		requests, onTime := 0, 0
+		for _, result := range variant.results {
+			requests += result.Requests[phase.Name]
+			onTime += result.OnTime[phase.Name]
+		}
+		r.Figures["in_time."+variant.name+"."+phase.Name] = ratio(onTime, requests)
+		r.Counts["txns"] += int64(requests)
+	}
+}
+
+// gossipHelps checks that with gossip fewer attempts go to the failing edge cache.
+func gossipHelps(r *report.Report) {
+	with, without := r.Figures["bad_hops.with"], r.Figures["bad_hops.without"]
+	if with > maxFailedAttemptShare*without {
+		r.Broke("%.0f hops failed at the bad box with rumours, %.0f without", with, without)
+	}
+}
+
+// gossipHarmless checks that a variant with gossip has as many requests in time as the one without.
+func gossipHarmless(r *report.Report, variant string) {
+	for _, phase := range simrouting.Phases {
+		with := r.Figures["in_time."+variant+"."+phase.Name]
+		without := r.Figures["in_time.without."+phase.Name]
+		if with < without-maxOnTimeLoss {
+			r.Broke("%s, %s: %.4f in time, %.4f without rumours", variant, phase.Name, with, without)
 		}
-		return nil
-	},
+	}
 }
--- a/internal/lab/verify_test.go
+++ b/internal/lab/verify_test.go
@@ -14,7 +14,8 @@
 	"github.com/stretchr/testify/require"
 )
 
-// verifiedCluster is a test cluster in which one request of object 5 got a part of a version, some time after a
+// verifiedCluster is the report on a test cluster in which one request of object 5 got a part of a version, some
+// time after a
 // purge to version 2 was told.
 func verifiedCluster(t *testing.T, change func(*testCluster, *clientResponse)) *report.Report {
 	cluster, err := newTestCluster(Options{Seed: 3}, 1)
@@ -27,7 +28,7 @@
 		clientRequest: clientRequest{class: "video-part", object: 5, deadline: time.Second},
 		sentAt:        at + purgeGraceSeconds + 0.1,
 		doneAt:        at + purgeGraceSeconds + 0.2,
-		code:          1,
+		code:          codeCompleted,
 		body: edgecache.SyntheticBody(
 			3,
 			eviction.Key{Object: 5},
@@ -68,7 +69,8 @@
 // Each check is shown to fail where its rule is broken, and to hold where it is not.
 func TestChecksSeeWhatIsBroken(t *testing.T) {
 	old := func(cluster *testCluster, r *clientResponse) {
-		r.body = edgecache.SyntheticBody(3, eviction.Key{Object: 5}, 1, cluster.content.MinBytes, cluster.content.MaxBytes)
+		content := &cluster.content
+		r.body = edgecache.SyntheticBody(3, eviction.Key{Object: 5}, 1, content.MinBytes, content.MaxBytes)
 	}
 	for name, c := range map[string]struct {
 		change func(*testCluster, *clientResponse)
@@ -84,11 +86,15 @@
 		"purged with a group": {func(cluster *testCluster, _ *clientResponse) {
 			cluster.purges[0].wholeGroup, cluster.purges[0].group, cluster.purges[0].version = true, 5, 9
 		}, report.Rules{Purge: 1}, 0},
-		"a flipped bit":   {func(_ *testCluster, r *clientResponse) { r.body[500] ^= 1 }, report.Rules{}, 1},
-		"cut short":       {func(_ *testCluster, r *clientResponse) { r.body = r.body[:10] }, report.Rules{}, 1},
-		"no answer":       {func(_ *testCluster, r *clientResponse) { r.code = noAnswer }, report.Rules{Lost: 1}, 0},
-		"a late answer":   {func(_ *testCluster, r *clientResponse) { r.doneAt = r.sentAt + 1.06 }, report.Rules{Lost: 1}, 0},
-		"a second answer": {func(_ *testCluster, r *clientResponse) { r.retryAfter = 1 }, report.Rules{SecondAnswers: 1}, 0},
+		"a flipped bit": {func(_ *testCluster, r *clientResponse) { r.body[500] ^= 1 }, report.Rules{}, 1},
+		"cut short":     {func(_ *testCluster, r *clientResponse) { r.body = r.body[:10] }, report.Rules{}, 1},
+		"no answer":     {func(_ *testCluster, r *clientResponse) { r.code = noAnswer }, report.Rules{Lost: 1}, 0},
+		"a late answer": {func(_ *testCluster, r *clientResponse) {
+			r.doneAt = r.sentAt + 1.06
+		}, report.Rules{Lost: 1}, 0},
+		"a second answer": {func(_ *testCluster, r *clientResponse) {
+			r.retryAfter = 1
+		}, report.Rules{SecondAnswers: 1}, 0},
 		"a second effect": {func(cluster *testCluster, _ *clientResponse) {
 			cluster.executions["k"] = 2
 		}, report.Rules{SecondEffects: 1}, 0},
@@ -104,8 +110,8 @@
 	a, b, c := generateDay(1, 5000), generateDay(1, 5000), generateDay(2, 5000)
 	assert.Equal(t, a, b)
 	assert.NotEqual(t, a, c)
-	x, _, _ := efficiency(a, eviction.NewLRU(1<<33), 1)
-	y, _, _ := efficiency(b, eviction.NewLRU(1<<33), 1)
+	x := playDay(a, eviction.NewLRU(1<<33), 1)
+	y := playDay(b, eviction.NewLRU(1<<33), 1)
 	assert.Equal(t, x, y)
 }
 
