--- a/internal/lab/addresses_pairs.go
+++ b/internal/lab/addresses_pairs.go
@@ -25,10 +25,9 @@
 	ratios        []float64
 }
 
-// runPairs measures what one unresponsive address costs at the 99th percentile. Phases with all addresses healthy
-// and with
-// one unresponsive alternate on one router under one load, so that what else the machine does falls on both. The first
-// seconds of a phase, in which the router detects the fault or the recovery, do not count.
+// runPairs measures what one unresponsive address costs at the 99th percentile. Phases with all addresses healthy and
+// with one unresponsive alternate on one router under one load, so that what else the machine does falls on both. The
+// first seconds of a phase, in which the router detects the fault or the recovery, do not count.
 func runPairs(ctx context.Context, options Options, r *report.Report, clients int) error {
 	count, phase := pairsSmall, pairPhaseSmall
 	if options.Full {
@@ -111,9 +110,8 @@
 	}
 }
 
-// hungAddressCheap checks that an unresponsive address costs little at the 99th percentile. At full size the bound
-// is the
-// worst of the healthy phases, which differ by several times among themselves. The lists must be sorted.
+// hungAddressCheap checks that an unresponsive address costs little at the 99th percentile. At full size the bound is
+// the worst of the healthy phases, which differ by several times among themselves. The lists must be sorted.
 func (p *addressPairs) hungAddressCheap(r *report.Report, full bool) {
 	hung, worst := median(p.hungMillis), p.healthyMillis[len(p.healthyMillis)-1]
 	if full && hung > worst {
--- a/internal/lab/attempts.go
+++ b/internal/lab/attempts.go
@@ -10,8 +10,7 @@
 )
 
 // attemptRecord is an attempt from when it had come whole until its answer was written, it was cancelled or its
-// connection
-// ended.
+// connection ended.
 type attemptRecord struct {
 	id        string // of the request
 	class     string
@@ -33,12 +32,11 @@
 }
 
 // minOrderingMargin is how much later, s, a stand-in's goroutine may come to read a line than another that was
-// written after
-// it on another connection, on a machine with idle cores. A shorter overlap is none.
+// written after it on another connection, on a machine with idle cores. A shorter overlap is none.
 const minOrderingMargin = 0.010
 
-// schedulingDelay measures how late goroutines of this process come to run. On a machine whose cores are busy they wait
-// tens of milliseconds. What two of them saw cannot be ordered more finely than that.
+// schedulingDelay measures how late goroutines of this process come to run. On a machine whose cores are busy they
+// wait tens of milliseconds. What two of them saw cannot be ordered more finely than that.
 type schedulingDelay struct {
 	mu         sync.Mutex
 	maxSeconds float64
@@ -57,18 +55,16 @@
 	}
 }
 
-// orderingMargin is the time, s, within which two lines on two connections cannot be ordered. One goroutine may
-// have been
-// as late as the latest, and the other not at all, and each waits for a core and for a lock.
+// orderingMargin is the time, s, within which two lines on two connections cannot be ordered. One goroutine may have
+// been as late as the latest, and the other not at all, and each waits for a core and for a lock.
 func (delay *schedulingDelay) orderingMargin() float64 {
 	delay.mu.Lock()
 	defer delay.mu.Unlock()
 	return minOrderingMargin + 2*delay.maxSeconds
 }
 
-// findOverlappingAttempts counts the pairs of attempts of a request that were open at the same time, and the
-// requests of
-// non-idempotent classes that came whole more than once. Said has one line for each.
+// findOverlappingAttempts counts the pairs of attempts of a request that were open at the same time, and the requests
+// of non-idempotent classes that came whole more than once. Said has one line for each.
 func findOverlappingAttempts(
 	standIns []*endpointStandIn, margin float64, nonIdempotent map[string]bool,
 ) (overlapping, repeats int64, said []string) {
--- a/internal/lab/brownout.go
+++ b/internal/lab/brownout.go
@@ -178,8 +178,8 @@
 	return requests, attempts
 }
 
-// addAttemptFigures reports the attempts a request in the brown-out, without its first second, which fills the budget's
-// window. The line is the same second by second.
+// addAttemptFigures reports the attempts a request in the brown-out, without its first second, which fills the
+// budget's window. The line is the same second by second.
 func addAttemptFigures(
 	r *report.Report, name string, requests, attempts map[int]float64, size brownoutSize,
 ) report.Line {
--- a/internal/lab/client.go
+++ b/internal/lab/client.go
@@ -61,8 +61,7 @@
 }
 
 // send sends a request and waits for its response until the deadline and a little longer. An error says that the
-// request
-// could not be sent; a connection that ends meanwhile leaves the code at noAnswer.
+// request could not be sent; a connection that ends meanwhile leaves the code at noAnswer.
 func (client *clientConn) send(addr string, request clientRequest, id string) (clientResponse, error) {
 	response := clientResponse{clientRequest: request, id: id, code: noAnswer}
 	if client.conn == nil {
--- a/internal/lab/demo.go
+++ b/internal/lab/demo.go
@@ -76,8 +76,8 @@
 	return nil
 }
 
-// playScript purges objects, drains an edge cache, and loses one of the other zone, which comes back empty. Before each
-// step and after the last one the load runs for a while.
+// playScript purges objects, drains an edge cache, and loses one of the other zone, which comes back empty. Before
+// each step and after the last one the load runs for a while.
 func (d *demoRun) playScript(ctx context.Context, pause time.Duration) error {
 	rnd := rand.New(rand.NewPCG(d.options.Seed, 6))
 	drainEvent := 0
@@ -161,10 +161,8 @@
 }
 
 // drainKept checks that no request came to the drained edge cache once its drain had been delivered for the grace
-// period.
-// The rule is about when a request was sent; one that comes later than the period and the protocol's margin was
-// sent too
-// late.
+// period. The rule is about when a request was sent; one that comes later than the period and the protocol's margin
+// was sent too late.
 func (d *demoRun) drainKept(r *report.Report) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/lab/discovery.go
+++ b/internal/lab/discovery.go
@@ -14,8 +14,7 @@
 const heartbeatInterval = time.Second
 
 // discoveryServer is a stand-in of the discovery service. It records when each event had been written to every
-// connection
-// that was open.
+// connection that was open.
 type discoveryServer struct {
 	listener net.Listener
 	workers  sync.WaitGroup
@@ -154,8 +153,7 @@
 }
 
 // sendEvents sends the events after a revision, and a heartbeat where there are none. The first time the heartbeat
-// follows
-// the events: it says that the list is whole. It returns the revision that the connection has now.
+// follows the events: it says that the list is whole. It returns the revision that the connection has now.
 func (server *discoveryServer) sendEvents(conn net.Conn, revision uint64, first bool) (now uint64, sent bool) {
 	out, latest := server.framesAfter(revision)
 	if len(out) == 0 || first {
--- a/internal/lab/diskadmit.go
+++ b/internal/lab/diskadmit.go
@@ -159,9 +159,8 @@
 	}
 }
 
-// policyBeatsOthers checks what must hold whatever the day: where fills are expensive the product's policy beats
-// LRU and
-// xLRU, and it fills less the more expensive fills are.
+// policyBeatsOthers checks what must hold whatever the day: where fills are expensive the product's policy beats LRU
+// and xLRU, and it fills less the more expensive fills are.
 func (outcomes admitOutcomes) policyBeatsOthers(r *report.Report) {
 	for sizeIndex, share := range admitSizes {
 		tier := outcomes["tier"][sizeIndex]
@@ -184,9 +183,8 @@
 	}
 }
 
-// xlruDiskForSame is how many times the disk xLRU needs to reach an efficiency. It is one step over the most that
-// is tried
-// where that is not enough.
+// xlruDiskForSame is how many times the disk xLRU needs to reach an efficiency. It is one step over the most that is
+// tried where that is not enough.
 func xlruDiskForSame(options Options, day []view, sizeBytes, efficiency float64) float64 {
 	for times := 1.0; times <= xlruMaxDisk; times += xlruDiskStep {
 		policy := eviction.NewXLRU(int64(sizeBytes*times), xlruAlpha)
--- a/internal/lab/diskrestart.go
+++ b/internal/lab/diskrestart.go
@@ -143,8 +143,8 @@
 	return d.startInProcess(endpoint)
 }
 
-// playScript warms the edge caches up and restarts them again and again. It measures the share of bytes that they serve
-// before, after a restart with the disks, and after one with empty disks.
+// playScript warms the edge caches up and restarts them again and again. It measures the share of bytes that they
+// serve before, after a restart with the disks, and after one with empty disks.
 func (d *diskRestartRun) playScript(ctx context.Context, r *report.Report) error {
 	if err := sleep(ctx, d.size.warm); err != nil {
 		return err
--- a/internal/lab/endpoint.go
+++ b/internal/lab/endpoint.go
@@ -180,8 +180,7 @@
 }
 
 // startProgram starts an endpoint as a program of its own, with a disk cache in a directory, and waits until it
-// listens. A
-// restarted program appends to its log.
+// listens. A restarted program appends to its log.
 func (cluster *testCluster) startProgram(endpoint *clusterEndpoint, directory string) error {
 	text, err := json.Marshal(cluster.edgeCacheConfig(endpoint, directory)) // JSON is YAML
 	if err != nil {
--- a/internal/lab/fleet.go
+++ b/internal/lab/fleet.go
@@ -27,8 +27,8 @@
 	partitionEvents []partitionEvent
 }
 
-// routerFleet is routers of the program that know each other, hostile peers among them, and a small test cluster around
-// them. All datagrams between two of them pass a fault proxy.
+// routerFleet is routers of the program that know each other, hostile peers among them, and a small test cluster
+// around them. All datagrams between two of them pass a fault proxy.
 type routerFleet struct {
 	options      Options
 	cluster      *testCluster
--- a/internal/lab/fleet_script.go
+++ b/internal/lab/fleet_script.go
@@ -23,8 +23,7 @@
 )
 
 // recordResponse keeps a client's response, unless it is missing or late because the script had its router killed,
-// stopped
-// or stuck meanwhile: such a client has to ask elsewhere.
+// stopped or stuck meanwhile: such a client has to ask elsewhere.
 func (fleet *routerFleet) recordResponse(router *fleetRouter, response clientResponse) {
 	late := response.code == noAnswer || response.doneAt > response.sentAt+response.deadline.Seconds()
 	if late && !fleet.workedThroughout(router, response.sentAt, response.deadline.Seconds()+clientWaitSeconds) {
--- a/internal/lab/hostile.go
+++ b/internal/lab/hostile.go
@@ -25,11 +25,9 @@
 	floodDatagramsPerTurn = 500 // sent before the peer receives again
 )
 
-// hostilePeer is a peer with a key of the roster that does all the harm it can. It answers health checks, so that
-// it stays a
-// member, and accuses every peer, reports every endpoint as failing, forges and replays messages, answers for
-// failed peers
-// and floods.
+// hostilePeer is a peer with a key of the roster that does all the harm it can. It answers health checks, so that it
+// stays a member, and accuses every peer, reports every endpoint as failing, forges and replays messages, answers for
+// failed peers and floods.
 type hostilePeer struct {
 	id            swim.MemberID
 	conn          *net.UDPConn
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -1,13 +1,11 @@
-// Package lab runs scenarios: they load the product's own programs and stand-ins on loopback, cause the failures that a
-// subsystem has to bear, and verify the outcome.
+// Package lab runs scenarios: they load the product's own programs and stand-ins on loopback, cause the failures that
+// a subsystem has to bear, and verify the outcome.
 //
 // A scenario is a script of load and faults drawn from a seed, and named checks. The checks read what clients and
-// stand-ins
-// recorded, never the router's own counters. Each check has a test that shows that it can fail.
+// stand-ins recorded, never the router's own counters. Each check has a test that shows that it can fail.
 //
 // The package owns the processes that it starts and their directory. It does not write reports (package report) and
-// does not
-// simulate whole clusters on virtual time (package simulation).
+// does not simulate whole clusters on virtual time (package simulation).
 package lab
 
 import (
@@ -21,8 +19,8 @@
 	"cairnfront/internal/lab/report"
 )
 
-// EnvironmentVariable is set for each process that the laboratory starts. It allows what only the laboratory may
-// ask for.
+// EnvironmentVariable is set for each process that the laboratory starts. It allows what only the laboratory may ask
+// for.
 const EnvironmentVariable = "CAIRNFRONT_LAB"
 
 // Options say how a scenario is run.
@@ -94,8 +92,7 @@
 }
 
 // makeScenarioDirectory makes the directory that a scenario writes to. Without a name it is a temporary one, which
-// remove
-// deletes.
+// remove deletes.
 func makeScenarioDirectory(name string) (directory string, remove func(), err error) {
 	if name != "" {
 		if err := os.MkdirAll(name, 0o700); err != nil {
--- a/internal/lab/multiaddress.go
+++ b/internal/lab/multiaddress.go
@@ -24,7 +24,8 @@
 	entries  []config.EndpointAddresses // of the operators' file
 }
 
-// newMultiAddressCluster starts one. The router is told of all addresses or, as earlier versions were, of one for each.
+// newMultiAddressCluster starts one. The router is configured with all addresses or, like earlier versions, knows one
+// for each.
 func newMultiAddressCluster(options Options, allAddresses bool) (_ *multiAddressCluster, err error) {
 	cluster, err := newTestCluster(options, 2)
 	if err != nil {
--- a/internal/lab/peers_script.go
+++ b/internal/lab/peers_script.go
@@ -18,8 +18,8 @@
 	at     float64 // s: where the next group begins
 }
 
-// peersScript is what is done to the routers. At small size it is one kill, one cut and one pause, at full size all the
-// hard cases.
+// peersScript is what is done to the routers. At small size it is one kill, one cut and one pause, at full size all
+// the hard cases.
 func peersScript(options Options) faults.Script {
 	victim := int(options.Seed) % 7 // which router a fault hits is drawn from the seed
 	if options.Full {
@@ -107,8 +107,8 @@
 	)
 }
 
-// addClockSkews sets the clocks of three routers wrong while the next groups play. A skew holds from a router's
-// next start.
+// addClockSkews sets the clocks of three routers wrong while the next groups play. A skew holds from a router's next
+// start.
 func (b *scriptBuilder) addClockSkews() {
 	const hour, duration = 3600, 20
 	skew := faults.Fault{Kind: faults.ClockSkew, Start: b.at, End: b.at + duration}
--- a/internal/lab/peerscost.go
+++ b/internal/lab/peerscost.go
@@ -172,8 +172,7 @@
 }
 
 // peersCheap checks what peers cost. Memory is compared under load alone: idle, the router without peers makes no
-// garbage,
-// while the other fills the 16 MB before the first collection (4 MB times GCPercent).
+// garbage, while the other fills the 16 MB before the first collection (4 MB times GCPercent).
 func peersCheap(r *report.Report, peers int) {
 	if cores := r.Figures["cores_with.idle"] - r.Figures["cores_without.idle"]; cores > maxExtraCores {
 		r.Broke("%.3f of a core for %d peers, idle", cores, peers)
@@ -184,8 +183,7 @@
 }
 
 // startInProcessPeers starts peers in this process and writes the operators' file of a router among them. The
-// function that
-// it returns ends them and waits.
+// function that it returns ends them and waits.
 func startInProcessPeers(
 	ctx context.Context, options Options, router *routerProcess, peers int,
 ) (stop func(), err error) {
--- a/internal/lab/ports.go
+++ b/internal/lab/ports.go
@@ -7,8 +7,7 @@
 )
 
 // Ports that are released and taken again, as by a process that is killed and restarted, lie below the range from
-// which the
-// system takes ports for outgoing connections. Otherwise another connection could have the port meanwhile.
+// which the system takes ports for outgoing connections. Otherwise another connection could have the port meanwhile.
 const (
 	firstReusablePort = 20000
 	reusablePorts     = 12000
--- a/internal/lab/records.go
+++ b/internal/lab/records.go
@@ -44,7 +44,7 @@
 
 // publishedPurge is a purge: whatever it covers has at least its version afterwards.
 type publishedPurge struct {
-	eventIndex int // of the discovery server's event that told it
+	eventIndex int // of the discovery server's event
 	object     uint64
 	wholeGroup bool // the group is purged, not the object alone
 	group      uint64
@@ -98,8 +98,8 @@
 	return version, !bytes.Equal(want, response.body)
 }
 
-// localByteShare is the share of the bytes that clients got between two times, Unix s, which did not come from outside
-// their zones.
+// localByteShare is the share of the bytes that clients got between two times, Unix s, which did not come from
+// outside their zones.
 func (cluster *testCluster) localByteShare(from, to float64) float64 {
 	received := cluster.bytesReceived(from, to)
 	if received == 0 {
@@ -154,9 +154,8 @@
 	return outside
 }
 
-// p99Millis is the 99th percentile of the latencies of the requests sent between two times, Unix s. A request
-// without an
-// answer counts with its deadline.
+// p99Millis is the 99th percentile of the latencies of the requests sent between two times, Unix s. A request without
+// an answer counts with its deadline.
 func (cluster *testCluster) p99Millis(from, to float64) (float64, error) {
 	cluster.responses.mu.Lock()
 	defer cluster.responses.mu.Unlock()
--- a/internal/lab/router.go
+++ b/internal/lab/router.go
@@ -132,9 +132,8 @@
 	}
 }
 
-// usage is the CPU time that a router has used, s, and its resident memory, MB, as the system counts them. Both are
-// 0 for
-// a router that does not run.
+// usage is the CPU time that a router has used, s, and its resident memory, MB, as the system counts them. Both are 0
+// for a router that does not run.
 func (router *routerProcess) usage() (cpuSeconds, memoryMB float64) {
 	pid := router.cmd.Process.Pid
 	if stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid)); err == nil {
--- a/internal/lab/standin.go
+++ b/internal/lab/standin.go
@@ -106,8 +106,7 @@
 }
 
 // setMode changes how an address behaves from now on. One that is closed ends its connections; an unresponsive one
-// keeps
-// them.
+// keeps them.
 func (address *standInAddress) setMode(mode addressMode) error {
 	address.standIn.mu.Lock()
 	before := address.mode
--- a/internal/lab/thinviews.go
+++ b/internal/lab/thinviews.go
@@ -11,8 +11,7 @@
 )
 
 // minRecoveredShare is what many routers have to keep, after a fault, of the share in time that few have. One means
-// that the
-// number of routers costs nothing.
+// that the number of routers costs nothing.
 const minRecoveredShare = 0.8
 
 var thinViewsScenario = Scenario{
--- a/internal/lab/verify.go
+++ b/internal/lab/verify.go
@@ -129,8 +129,7 @@
 }
 
 // bindingPurge is the purge that sets the lowest version that a response may have, or nil where none does. A purge
-// binds
-// the requests that were sent after its grace period.
+// binds the requests that were sent after its grace period.
 func (e *evidence) bindingPurge(response *observedResponse) *deliveredPurge {
 	var binding *deliveredPurge
 	for i := range e.purges {
--- a/internal/lab/verify_fleet.go
+++ b/internal/lab/verify_fleet.go
@@ -37,8 +37,8 @@
 	partitionAlone    = "alone"
 )
 
-// verify checks a run from what clients, edge caches, origin and relays recorded, and from what each router's log says
-// that it knew, against what the script made true.
+// verify checks a run from what clients, edge caches, origin and relays recorded, and from what each router's log
+// says that it knew, against what the script made true.
 func (fleet *routerFleet) verify(r *report.Report) error {
 	fleet.cluster.verify(r, fleet.clientGroups)
 	if err := fleet.readLogs(); err != nil {
@@ -93,10 +93,9 @@
 	}
 }
 
-// failuresDetected checks that every running router drops a killed one, and in time. Kills that cannot be judged
-// are left
-// out: of a router that is back before all could know, and of several at once, as most of those who could tell are
-// gone.
+// failuresDetected checks that every running router drops a killed one, and in time. Kills that cannot be judged are
+// left out: of a router that is back before all could know, and of several at once, as most of those who could tell
+// are gone.
 func (fleet *routerFleet) failuresDetected(r *report.Report) {
 	var slowest []float64 // s until the last router knew, one for each kill
 	for _, fault := range fleet.script.Faults {
@@ -140,8 +139,7 @@
 }
 
 // detectionSeconds is how long after a kill a router dropped a peer. It is not found where the router did not do so
-// before
-// the peer was started again.
+// before the peer was started again.
 func (router *fleetRouter) detectionSeconds(peer int, killedAt, restartedAt float64) (took float64, found bool) {
 	for _, event := range router.peerEvents {
 		inTime := event.at >= killedAt && event.at < restartedAt
--- a/internal/lab/videoday.go
+++ b/internal/lab/videoday.go
@@ -8,9 +8,8 @@
 	"cairnfront/internal/diskcache/eviction"
 )
 
-// A video-like day: views of objects by Zipf's law, chunks one after another, many views that end early, objects
-// that are
-// new and soon forgotten, and a night with a publication that many want.
+// A video-like day: views of objects by Zipf's law, chunks one after another, many views that end early, objects that
+// are new and soon forgotten, and a night with a publication that many want.
 const (
 	dayObjects          = 20000
 	zipfExponent        = 0.8 // as request logs of videos show, under 1
