membership: a request to a node that has stopped ends at once

A request that was queued as the node stopped was never answered: its caller waited until its own context ended, as before this work too (select chooses at random between the queue and the end). The new test TestNodesFindEachOtherAndLeave asks without a bound and so hung for ten minutes in one of two runs of the whole suite. The second wait now ends with the node, too.

--- a/internal/membership/requests.go
+++ b/internal/membership/requests.go
@@ -65,9 +65,16 @@
 	select {
 	case answer = <-reply:
 		return answer, nil
+	case <-n.stopped: // a node that stopped leaves the requests in its queue unanswered
 	case <-ctx.Done():
 		return answer, ErrNoAnswer
 	}
+	select {
+	case answer = <-reply: // it was answered just before
+		return answer, nil
+	default:
+		return answer, ErrStopped
+	}
 }
 
 func (n *Node) handleRequest(r request) {
