TestReloadWhileOtherRoutersRestart waits until each SIGHUP was followed

The test sent SIGHUPs without waiting and demanded six reloads. It now waits for each reload's log line and still demands exactly six.

--- a/cmd/cairnfront/harness_test.go
+++ b/cmd/cairnfront/harness_test.go
@@ -211,6 +211,15 @@
 	return s.counters()
 }
 
+// reload has the program read its files again and waits until it has followed them. Two signals that come close together
+// may reach a process as one.
+func (s *routerProcess) reload(t *testing.T) {
+	followed := func() int { return strings.Count(s.log.String(), "code=followed") }
+	before := followed()
+	require.NoError(t, s.Process.Signal(syscall.SIGHUP))
+	require.Eventually(t, func() bool { return followed() == before+1 }, patience, time.Millisecond)
+}
+
 // counters returns what the program printed last.
 func (s *routerProcess) counters() map[string]int {
 	out := map[string]int{}
--- a/cmd/cairnfront/reload_test.go
+++ b/cmd/cairnfront/reload_test.go
@@ -78,9 +78,9 @@
 	for _, sig := range []syscall.Signal{syscall.SIGTERM, syscall.SIGKILL, syscall.SIGTERM} {
 		next := startDiscovery(t)
 		require.NoError(t, os.WriteFile(a.bootstrapPath, bootstrapFile(a.addr, next.Addr().String(), 64, m, m), 0o600))
-		require.NoError(t, a.Process.Signal(syscall.SIGHUP))
+		a.reload(t)
 		_ = b.stop(t, sig)
-		require.NoError(t, a.Process.Signal(syscall.SIGHUP))
+		a.reload(t)
 		b.start(t)
 		c := b.dial(t)
 		c.send("page", objectID, "")
