--- a/internal/cacheproto/golden_test.go
+++ b/internal/cacheproto/golden_test.go
@@ -86,15 +86,7 @@
 }
 
 func TestCommandsAreEncodedToTheGoldenBytes(t *testing.T) {
-	whole := &request.Request{
-		ID:             "9b1f03aa5c7e2d41",
-		ClassName:      "page",
-		Object:         "7f3a9c21e0b4d655",
-		Part:           "3",
-		IdempotencyKey: "k1",
-		ETag:           "t1",
-		Body:           &request.Body{Bytes: []byte("ab")},
-	}
+	whole := testRequest()
 	plain := &request.Request{ID: "9b1f03aa5c7e2d41", ClassName: "page", Object: "7f3a9c21e0b4d655", Part: "0"}
 	action := routing.StartAttempt{
 		RetentionRank: 2,
--- a/internal/diskcache/eviction/golden_test.go
+++ b/internal/diskcache/eviction/golden_test.go
@@ -4,28 +4,12 @@
 	"crypto/sha256"
 	"fmt"
 	"math/rand/v2"
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 
-	"github.com/stretchr/testify/assert"
-	"github.com/stretchr/testify/require"
+	"cairnfront/internal/golden"
 )
 
-// compareGolden compares a text with a file of testdata; UPDATE_GOLDEN=1 writes the file instead.
-func compareGolden(t *testing.T, name, got string) {
-	t.Helper()
-	path := filepath.Join("testdata", name)
-	if os.Getenv("UPDATE_GOLDEN") == "1" {
-		require.NoError(t, os.MkdirAll("testdata", 0o750))
-		require.NoError(t, os.WriteFile(path, []byte(got), 0o600))
-	}
-	want, err := os.ReadFile(path)
-	require.NoError(t, err)
-	assert.Equal(t, string(want), got)
-}
-
 func printDecision(out *strings.Builder, key Key, size int64, decision Decision) {
 	fmt.Fprintf(
 		out,
@@ -104,5 +88,5 @@
 	}
 	add("lru", baselineTrace(NewLRU(4000), 7, steps))
 	add("xlru", baselineTrace(NewXLRU(4000, 2), 7, steps))
-	compareGolden(t, "traces.txt", sums.String())
+	golden.Compare(t, "traces.txt", sums.String())
 }
--- a/internal/diskcache/golden_test.go
+++ b/internal/diskcache/golden_test.go
@@ -14,6 +14,7 @@
 	"cairnfront/internal/diskcache/eviction"
 	"cairnfront/internal/diskcache/validity"
 	"cairnfront/internal/diskcache/vfs"
+	"cairnfront/internal/golden"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -24,19 +25,6 @@
 	goldenDamaged = "testdata/golden/damaged"
 )
 
-// compareGolden compares a text with a file of testdata. UPDATE_GOLDEN=1 writes the file instead, which is only right
-// where the format on disk is meant to change.
-func compareGolden(t *testing.T, name, got string) {
-	t.Helper()
-	path := filepath.Join("testdata", "golden", name)
-	if os.Getenv("UPDATE_GOLDEN") == "1" {
-		require.NoError(t, os.WriteFile(path, []byte(got), 0o600))
-	}
-	want, err := os.ReadFile(path)
-	require.NoError(t, err)
-	assert.Equal(t, string(want), got)
-}
-
 // writeGoldenFolder writes a folder with three segments, several chunks of one object, a replaced chunk, purge
 // records, a snapshot, and records that the snapshot does not cover.
 func writeGoldenFolder(t *testing.T, path string) {
@@ -134,13 +122,13 @@
 }
 
 func TestGoldenFolderIsReadAsWritten(t *testing.T) {
-	if os.Getenv("UPDATE_GOLDEN") == "1" {
+	if os.Getenv(golden.UpdateVariable) == "1" {
 		require.NoError(t, os.RemoveAll(goldenFolder))
 		writeGoldenFolder(t, goldenFolder)
 		writeDamagedFolder(t)
 	}
-	compareGolden(t, "folder.txt", describeFolder(t, copyFolder(t, goldenFolder)))
-	compareGolden(t, "damaged.txt", describeFolder(t, copyFolder(t, goldenDamaged)))
+	golden.Compare(t, "golden/folder.txt", describeFolder(t, copyFolder(t, goldenFolder)))
+	golden.Compare(t, "golden/damaged.txt", describeFolder(t, copyFolder(t, goldenDamaged)))
 }
 
 // writeDamagedFolder makes a copy with a bit flipped in a record's head and in a body, a segment cut off and garbage
@@ -200,7 +188,7 @@
 	text := "segment\n" + hex.Dump(appendSegmentHeader(nil, 0x51525354, salt, 0x61626364656667)) +
 		"record\n" + hex.Dump(appendRecord(nil, salt, info, []byte("some bytes"), 0x71727374757677)) +
 		"struck\n" + hex.Dump(appendRecordHeader(nil, salt, struck, 0, kindStruck))
-	compareGolden(t, "headers.txt", text)
+	golden.Compare(t, "golden/headers.txt", text)
 }
 
 // The tools' result goes to operators as JSON, keyed by what the fields were called first.
@@ -210,7 +198,7 @@
 	result.Took = 0
 	text, err := json.MarshalIndent(result, "", " ")
 	require.NoError(t, err)
-	compareGolden(t, "inspect.json", string(text)+"\n")
+	golden.Compare(t, "golden/inspect.json", string(text)+"\n")
 }
 
 // The outcomes of scripts with a power loss, drawn from seeds, stay the same.
@@ -223,5 +211,5 @@
 				seed, cut, result.Ops, result.Checked, result.Recovered, result.Purges, len(result.Violations))
 		}
 	}
-	compareGolden(t, "powerloss.txt", text.String())
+	golden.Compare(t, "golden/powerloss.txt", text.String())
 }
--- a/internal/diskcache/validity/golden_test.go
+++ b/internal/diskcache/validity/golden_test.go
@@ -5,28 +5,12 @@
 	"encoding/hex"
 	"fmt"
 	"math/rand/v2"
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 
-	"github.com/stretchr/testify/assert"
-	"github.com/stretchr/testify/require"
+	"cairnfront/internal/golden"
 )
 
-// compareGolden compares a text with a file of testdata; UPDATE_GOLDEN=1 writes the file instead.
-func compareGolden(t *testing.T, name, got string) {
-	t.Helper()
-	path := filepath.Join("testdata", name)
-	if os.Getenv("UPDATE_GOLDEN") == "1" {
-		require.NoError(t, os.MkdirAll("testdata", 0o750))
-		require.NoError(t, os.WriteFile(path, []byte(got), 0o600))
-	}
-	want, err := os.ReadFile(path)
-	require.NoError(t, err)
-	assert.Equal(t, string(want), got)
-}
-
 func TestGoldenRecordBytes(t *testing.T) {
 	var text strings.Builder
 	for kind := PurgeObject; kind <= PurgeFloor; kind++ {
@@ -42,7 +26,7 @@
 		}
 		text.WriteString(hex.Dump(AppendRecord(nil, record)))
 	}
-	compareGolden(t, "records.txt", text.String())
+	golden.Compare(t, "records.txt", text.String())
 }
 
 func printRecords(out *strings.Builder, records []Record) {
@@ -137,7 +121,7 @@
 // The decisions of a script drawn from a seed stay the same, by hash; they are printed without any Go name.
 func TestGoldenTrace(t *testing.T) {
 	trace := validityTrace(11, 3000)
-	compareGolden(
+	golden.Compare(
 		t,
 		"trace.txt",
 		fmt.Sprintf("%d lines, sha256 %x\n", strings.Count(trace, "\n"), sha256.Sum256([]byte(trace))),
--- a/internal/edgecache/handler/golden_test.go
+++ b/internal/edgecache/handler/golden_test.go
@@ -4,32 +4,15 @@
 	"crypto/sha256"
 	"fmt"
 	"math/rand/v2"
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 
 	"cairnfront/internal/diskcache/eviction"
 	"cairnfront/internal/diskcache/validity"
+	"cairnfront/internal/golden"
 	"cairnfront/routing"
-
-	"github.com/stretchr/testify/assert"
-	"github.com/stretchr/testify/require"
 )
 
-// compareGolden compares a text with a file of testdata; UPDATE_GOLDEN=1 writes the file instead.
-func compareGolden(t *testing.T, name, got string) {
-	t.Helper()
-	path := filepath.Join("testdata", name)
-	if os.Getenv("UPDATE_GOLDEN") == "1" {
-		require.NoError(t, os.MkdirAll("testdata", 0o750))
-		require.NoError(t, os.WriteFile(path, []byte(got), 0o600))
-	}
-	want, err := os.ReadFile(path)
-	require.NoError(t, err)
-	assert.Equal(t, string(want), got)
-}
-
 func printCopy(c *Copy) string {
 	if c == nil {
 		return "-"
@@ -219,9 +202,9 @@
 
 // A short session is stored as text, a long one by its hash.
 func TestGoldenSession(t *testing.T) {
-	compareGolden(t, "session.txt", playSession(3, 400))
+	golden.Compare(t, "session.txt", playSession(3, 400))
 	long := playSession(4, 20000)
-	compareGolden(
+	golden.Compare(
 		t,
 		"session-long.txt",
 		fmt.Sprintf("%d lines, sha256 %x\n", strings.Count(long, "\n"), sha256.Sum256([]byte(long))),
