--- a/internal/diskcache/cache_test.go
+++ b/internal/diskcache/cache_test.go
@@ -59,19 +59,19 @@
 	return x, c, stop
 }
 
-func admitted(t *testing.T, x *Cache, o, p int, dated int64) {
+func admitted(t *testing.T, x *Cache, o int, dated int64) {
 	t.Helper()
 	for range 2 { // the first request is not admitted
-		x.Admit(meta(k(o, p), dated), body(k(o, p), dated, 300), x.Epoch())
+		x.Admit(meta(k(o, 0), dated), body(k(o, 0), dated, 300), x.Epoch())
 	}
-	require.Eventually(t, func() bool { return x.store.Contains(k(o, p)) }, 5*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return x.store.Contains(k(o, 0)) }, 5*time.Second, time.Millisecond)
 }
 
 func TestRestartKeepsChunksNotPurgedMeanwhile(t *testing.T) {
 	fs := vfs.NewFaultFS(1)
 	x, _, stop := running(t, fs, testConfig)
 	for o := range 5 {
-		admitted(t, x, o, 0, 100)
+		admitted(t, x, o, 100)
 	}
 	_, v, err := x.Get(k(1, 0))
 	require.NoError(t, err)
@@ -95,7 +95,7 @@
 func TestFlushedPurgeSurvivesPowerLoss(t *testing.T) {
 	fs := vfs.NewFaultFS(3)
 	x, _, stop := running(t, fs, testConfig)
-	admitted(t, x, 1, 0, 100)
+	admitted(t, x, 1, 100)
 	require.NoError(t, x.store.Sync())
 	x.Apply(validity.Event{Number: 2, Checksum: 9, Purge: true, Object: 1, PurgedAt: 150})
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
@@ -117,7 +117,7 @@
 	fs := vfs.NewFaultFS(1)
 	x, c, stop := running(t, fs, testConfig)
 	for o := range 30 {
-		admitted(t, x, o, 0, 100)
+		admitted(t, x, o, 100)
 	}
 	release := fs.Hang()
 	slow, busy := 0, 0
@@ -167,14 +167,14 @@
 	}
 	x.Apply(validity.Event{Number: 2, Purge: true, Object: 1, PurgedAt: 150})
 	release()
-	admitted(t, x, 2, 0, 200)
+	admitted(t, x, 2, 200)
 	_, _, err := x.Get(k(1, 0))
 	assert.Error(t, err)
 }
 
 func TestFillRequestedInEarlierEpochIsNotStored(t *testing.T) {
 	x, _, _ := running(t, vfs.NewFaultFS(1), testConfig)
-	admitted(t, x, 1, 0, 100)
+	admitted(t, x, 1, 100)
 	before := x.Epoch()
 	x.Apply(validity.Event{Number: 9}) // a gap
 	assert.False(t, x.Admit(meta(k(2, 0), 100), body(k(2, 0), 100, 300), before))
--- a/internal/replication/node_test.go
+++ b/internal/replication/node_test.go
@@ -162,17 +162,18 @@
 	return report
 }
 
-func (c *testCluster) waitForHealth(i int, want Health) {
+// waitUntilHealthy waits until the first router reports that the loss of a zone is borne.
+func (c *testCluster) waitUntilHealthy() {
 	c.t.Helper()
-	require.Eventually(c.t, func() bool { return c.report(i).Health == want }, testTimeout, 50*time.Millisecond,
-		"r%d: %s", i, c.report(i).Health)
+	healthy := func() bool { return c.report(0).Health == HealthBearsZoneLoss }
+	require.Eventually(c.t, healthy, testTimeout, 50*time.Millisecond, "r0: %s", c.report(0).Health)
 }
 
 // TestReservationSurvivesItsRouter: a reservation made at a router that is then lost with its disk
 // is known at each other router, and its shards get another replica.
 func TestReservationSurvivesItsRouter(t *testing.T) {
 	c := newTestCluster(t, 5)
-	c.waitForHealth(0, HealthBearsZoneLoss)
+	c.waitUntilHealthy()
 	for k := range 20 {
 		assert.True(t, c.reserve(1, fmt.Sprint("k", k), "g1").Granted)
 	}
@@ -184,7 +185,7 @@
 		assert.Equal(t, "g1", result.Reservation.Group)
 	}
 	t.Logf("20 reservations found %.1f s after the loss", time.Since(lostAt).Seconds())
-	c.waitForHealth(0, HealthBearsZoneLoss) // other replicas took the place of the lost ones
+	c.waitUntilHealthy() // other replicas took the place of the lost ones
 	t.Logf("all shards complete %.1f s after the loss", time.Since(lostAt).Seconds())
 	for _, shard := range c.report(0).Shards {
 		assert.Len(t, shard.Replicas, 3)
@@ -201,7 +202,7 @@
 // the other learns of it after the cut.
 func TestMinorityGrantsNothing(t *testing.T) {
 	c := newTestCluster(t, 3)
-	c.waitForHealth(0, HealthBearsZoneLoss)
+	c.waitUntilHealthy()
 	cut := faults.Fault{Kind: faults.Cut, From: []int{0}, To: []int{1, 2}, BothWays: true}
 	c.net.StartScript(faults.Script{Processes: 3, Duration: 1e6, Faults: []faults.Fault{cut}})
 	minority := c.nodes[0].Propose(reserveCommand("r0", 1<<50, "k", "g1"), time.Now().Add(1500*time.Millisecond))
@@ -217,7 +218,7 @@
 // once.
 func TestReservationSurvivesRestartOfAll(t *testing.T) {
 	c := newTestCluster(t, 3)
-	c.waitForHealth(0, HealthBearsZoneLoss)
+	c.waitUntilHealthy()
 	assert.True(t, c.reserve(0, "k", "g1").Granted)
 	var disks []vfs.FS
 	for i := range 3 {
--- a/internal/replication/statemachine/golden_test.go
+++ b/internal/replication/statemachine/golden_test.go
@@ -37,7 +37,7 @@
 		Requester:       "r1",
 		RequestNumber:   1<<20 + 1,
 	}
-	completed := settle(1700000001, "k", "g", "r1", 1<<20+1, StatusCompleted)
+	completed := settle(1700000001, "g", "r1", 1<<20+1, StatusCompleted)
 	completed.Value = []byte("200")
 	put := func(now float64, kind Kind, key string, lifetimeSeconds float64, value []byte) Command {
 		return Command{Op: OpPut, Now: now, Kind: kind, Key: key, LifetimeSeconds: lifetimeSeconds, Value: value}
@@ -48,7 +48,7 @@
 	}{
 		{"reserve", reserveCommand},
 		{"settle-completed", completed},
-		{"settle-not-executed", settle(1700000001, "k", "g", "r1", 1<<20+1, StatusNotExecuted)},
+		{"settle-not-executed", settle(1700000001, "g", "r1", 1<<20+1, StatusNotExecuted)},
 		{"put-request-outcome", put(1700000002, KindRequestOutcome, "o", 60, []byte("ok"))},
 		{"put-purge", put(1700000003, KindPurge, "p", 3600, []byte("tag"))},
 		{"put-drain", put(1700000004, KindDrain, "d", 3600, nil)},
--- a/internal/replication/statemachine/state_test.go
+++ b/internal/replication/statemachine/state_test.go
@@ -23,11 +23,11 @@
 	}
 }
 
-func settle(now float64, key, group, requester string, number uint64, status Status) Command {
+func settle(now float64, group, requester string, number uint64, status Status) Command {
 	return Command{
 		Op:            OpSettle,
 		Now:           now,
-		Key:           key,
+		Key:           "k",
 		Group:         group,
 		Requester:     requester,
 		RequestNumber: number,
@@ -44,7 +44,7 @@
 	r = s.Apply(3, reserve(102, "k", "g1", "b", 2))
 	assert.True(t, r.Granted)
 	assert.Equal(t, 106.0, r.Reservation.ExpiresAt, "the window starts with the first attempt")
-	s.Apply(4, settle(103, "k", "g1", "a", 1, StatusCompleted))
+	s.Apply(4, settle(103, "g1", "a", 1, StatusCompleted))
 	r = s.Apply(5, reserve(104, "k", "g1", "c", 1))
 	assert.False(t, r.Granted)
 	assert.Equal(t, StatusCompleted, r.Reservation.Status)
@@ -66,17 +66,17 @@
 	s.Apply(1, reserve(100, "k", "g1", "a", 1))
 	s.Apply(2, reserve(100, "k", "g1", "a", 1)) // repeated: the same grant
 	s.Apply(3, reserve(100, "k", "g1", "b", 7))
-	s.Apply(4, settle(101, "k", "g1", "b", 7, StatusNotExecuted))
-	s.Apply(5, settle(101, "k", "g1", "b", 7, StatusNotExecuted)) // repeated: it must not count for the grant of a
+	s.Apply(4, settle(101, "g1", "b", 7, StatusNotExecuted))
+	s.Apply(5, settle(101, "g1", "b", 7, StatusNotExecuted)) // repeated: it must not count for the grant of a
 	assert.False(t, s.Apply(6, reserve(101, "k", "g2", "c", 1)).Granted, "the attempt of a may have run")
-	s.Apply(7, settle(101, "k", "g1", "a", 1, StatusNotExecuted))
+	s.Apply(7, settle(101, "g1", "a", 1, StatusNotExecuted))
 	assert.True(t, s.Apply(8, reserve(101, "k", "g2", "c", 1)).Granted)
 	s = New()
 	for i := range maxGrants + 2 {
 		s.Apply(uint64(i+1), reserve(100, "k", "g", "a", uint64(i)))
 	}
 	for i := range maxGrants + 2 {
-		s.Apply(uint64(100+i), settle(100, "k", "g", "a", uint64(i), StatusNotExecuted))
+		s.Apply(uint64(100+i), settle(100, "g", "a", uint64(i), StatusNotExecuted))
 	}
 	assert.False(t, s.Apply(200, reserve(100, "k", "other", "b", 1)).Granted, "more grants than are told apart")
 }
