--- a/routing/cachestate.go
+++ b/routing/cachestate.go
@@ -36,9 +36,35 @@
 	c.gapKey = gapKey
 	at, _ := slices.BinarySearchFunc(e.byGap, c, compareGapKeys)
 	e.byGap = slices.Insert(e.byGap, at, c)
+	if e.cached[c.chunk] == nil {
+		c.chunk.addHolder(e)
+	}
 	e.cached[c.chunk] = c
 }
 
+// addHolder notes that a cache has the chunk.
+func (c *chunk) addHolder(e *endpoint) {
+	if at, found := slices.BinarySearchFunc(c.holders, e.ID, compareIDs); !found {
+		c.holders = slices.Insert(c.holders, at, e)
+	}
+}
+
+// removeHolder notes that a cache does not have the chunk.
+func (c *chunk) removeHolder(e *endpoint) {
+	if at, found := slices.BinarySearchFunc(c.holders, e.ID, compareIDs); found {
+		c.holders = slices.Delete(c.holders, at, at+1)
+	}
+}
+
+// forgetCached forgets all that is thought cached at an endpoint.
+func (e *endpoint) forgetCached() {
+	for c := range e.cached {
+		c.removeHolder(e)
+	}
+	clear(e.cached)
+	e.byGap = nil
+}
+
 // removeCached takes a chunk out of the order of gaps and, if it is no longer cached, forgets it.
 func (e *endpoint) removeCached(c *chunk, forget bool) {
 	copied := e.cached[c]
@@ -50,19 +76,18 @@
 	}
 	if forget {
 		delete(e.cached, c)
+		c.removeHolder(e)
 	}
 }
 
 // setGap notes a request for a chunk, with its mean gap, and moves the chunk in the caches' orders.
 func (r *Router) setGap(c *chunk, gap float64) {
-	for _, e := range r.localCaches {
+	for _, e := range c.holders {
 		e.removeCached(c, false)
 	}
 	c.requested, c.averageGap, c.lastRequest = true, gap, r.now
-	for _, e := range r.localCaches {
-		if copied := e.cached[c]; copied != nil {
-			e.addCached(copied, c.gapKey())
-		}
+	for _, e := range c.holders {
+		e.addCached(e.cached[c], c.gapKey())
 	}
 }
 
@@ -103,9 +128,15 @@
 	if len(r.purges) > maxPurges {
 		r.forgetOldestPurges()
 	}
-	for id, o := range r.objects {
-		if id == p.Object || (p.Object == "" && o.group == p.ObjectGroup) {
-			r.dropCached(o)
+	if p.Object != "" {
+		if o := r.objects[p.Object]; o != nil {
+			o.dropCached()
+		}
+		return
+	}
+	for _, o := range r.objects {
+		if o.group == p.ObjectGroup {
+			o.dropCached()
 		}
 	}
 }
@@ -122,11 +153,11 @@
 }
 
 // dropCached forgets what is thought cached of an object.
-func (r *Router) dropCached(o *object) {
+func (o *object) dropCached() {
 	for _, c := range o.chunks {
 		c.filledByParent = false
-		for _, e := range r.localCaches {
-			e.removeCached(c, true)
+		for len(c.holders) > 0 {
+			c.holders[len(c.holders)-1].removeCached(c, true)
 		}
 	}
 }
@@ -140,7 +171,7 @@
 	for age := forgetAfter; age == forgetAfter || len(r.objects) > maxObjects/2; age /= 2 {
 		for id, o := range r.objects {
 			if r.now-o.lastRequest >= age {
-				r.dropCached(o)
+				o.dropCached()
 				delete(r.objects, id)
 			}
 		}
--- a/routing/caching_test.go
+++ b/routing/caching_test.go
@@ -67,7 +67,7 @@
 
 func TestPassedFillNamesItsSourceAndKeepsNothing(t *testing.T) {
 	r := newTestRouter(WithIdempotencyKey)
-	for _, c := range r.caches { // full of what is wanted all the time
+	for _, c := range r.caches.members { // full of what is wanted all the time
 		p := &chunk{requested: true, lastRequest: 100, averageGap: 0.1}
 		c.addCached(&cachedChunk{chunk: p, sizeKB: 1e6, lastUsed: 100}, p.gapKey())
 	}
--- a/routing/concurrency.go
+++ b/routing/concurrency.go
@@ -74,7 +74,7 @@
 // weight says nothing: it starts at as much as the link.
 func (r *Router) setSharedLimits() {
 	sum, transfers := 0.0, r.linkTransfers()
-	for _, cache := range r.caches {
+	for _, cache := range r.caches.members {
 		sum += limitPerCapacity * cache.Weight / cache.sharers
 		if transfers > 0 {
 			sum = limitPerCapacity * transfers / cache.sharers
@@ -82,7 +82,7 @@
 		r.zoneLink.setShare(sum, cache.sharers)
 		r.zoneLink.raiseMinimum(cache.sharers)
 	}
-	for _, e := range r.origins {
+	for _, e := range r.origins.members {
 		e.setShare(sum, e.sharers)
 	}
 }
--- a/routing/endpoints.go
+++ b/routing/endpoints.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"hash/fnv"
 	"math"
 	"slices"
 )
@@ -35,7 +34,8 @@
 // mergeEndpoints brings the list up to date and returns the endpoints that are new or have started again. Of those
 // only what is in flight and was sent to them is kept.
 func (r *Router) mergeEndpoints(update EndpointUpdate) (started []*endpoint) {
-	if update.Kind == Snapshot || update.Kind == Restored {
+	snapshot := update.Kind == Snapshot || update.Kind == Restored
+	if snapshot {
 		for _, e := range r.endpoints {
 			e.Status = Removed
 		}
@@ -43,49 +43,76 @@
 	for _, listed := range update.Endpoints {
 		e := r.findOrAddEndpoint(listed.ID)
 		if e.cached == nil || listed.StartedAt > e.StartedAt {
+			e.forgetCached()
 			*e = endpoint{
+				Endpoint:   e.Endpoint,
+				listed:     e.listed,
 				cached:     map[*chunk]*cachedChunk{},
 				limiter:    limiter{inFlight: e.inFlight},
 				recentWork: e.recentWork,
+				removedAt:  e.removedAt,
 			}
 			started = append(started, e)
 		}
 		e.Endpoint = listed
+		if !snapshot {
+			r.classify(e)
+		}
+	}
+	if snapshot {
+		r.classifyEndpoints()
 	}
-	r.endpoints = slices.DeleteFunc(r.endpoints, r.isForgotten)
-	r.classifyEndpoints()
+	r.forgetRemoved()
 	return started
 }
 
-// isForgotten notes when an endpoint was removed and tells whether that is long ago.
-func (r *Router) isForgotten(e *endpoint) bool {
-	e.removedAt = indicator(e.Status == Removed) * cmp.Or(e.removedAt, r.now)
-	return e.removedAt > 0 && r.now >= e.removedAt+forgetAfter
+// forgetRemoved forgets endpoints that were removed long ago.
+func (r *Router) forgetRemoved() {
+	r.removed = slices.DeleteFunc(r.removed, func(e *endpoint) bool {
+		if e.Status != Removed {
+			e.removedAt = 0
+			return true
+		}
+		if r.now < e.removedAt+forgetAfter {
+			return false
+		}
+		e.forgetCached()
+		if at, found := r.search(e.ID); found {
+			r.endpoints = slices.Delete(r.endpoints, at, at+1)
+		}
+		return true
+	})
 }
 
 // classifyEndpoints works out what each endpoint is by the settings, and which are ready.
 func (r *Router) classifyEndpoints() {
-	r.localCaches, r.caches, r.parents, r.origins = nil, nil, nil, nil
-	r.endpointsVersion++
+	for _, e := range r.endpoints {
+		r.classify(e)
+	}
+}
+
+// classify works out what an endpoint is by the settings, and lists it if it is ready.
+func (r *Router) classify(e *endpoint) {
 	zone := int(r.number(SettingZone, 0))
 	routers := max(r.number(SettingRouters, 1), 1)
-	for _, e := range r.endpoints {
-		e.role, e.zonesAway, e.sharers = otherZone, r.zonesAway(e), routers
-		var ready []*endpoint
-		list := &ready
-		switch kind := float64(e.Kind); {
-		case kind == r.number(SettingParentKind, -1):
-			e.role, list = parentCache, &r.parents
-		case kind == r.number(SettingOriginKind, -1):
-			e.role, list = originServer, &r.origins
-		case e.Zone == zone:
-			e.role, list = edgeCache, &r.caches
-			e.sharers = max(r.settings.FloatItem(SettingRoutersByZone, zone, routers), 1)
-			r.localCaches = append(r.localCaches, e)
-		}
-		if e.Status == Ready {
-			*list = append(*list, e)
-		}
+	e.role, e.zonesAway, e.sharers = otherZone, r.zonesAway(e), routers
+	var list *endpointList
+	switch kind := float64(e.Kind); {
+	case kind == r.number(SettingParentKind, -1):
+		e.role, list = parentCache, &r.parents
+	case kind == r.number(SettingOriginKind, -1):
+		e.role, list = originServer, &r.origins
+	case e.Zone == zone:
+		e.role, list = edgeCache, &r.caches
+		e.sharers = max(r.settings.FloatItem(SettingRoutersByZone, zone, routers), 1)
+	}
+	if e.Status != Ready {
+		list = nil
+	}
+	e.list(list)
+	if e.Status == Removed && e.removedAt == 0 {
+		e.removedAt = r.now
+		r.removed = append(r.removed, e)
 	}
 }
 
@@ -105,53 +132,28 @@
 
 // hasAlternative says whether another endpoint of the same role is ready and not ejected.
 func (r *Router) hasAlternative(e *endpoint) bool {
-	peers := r.parents
+	peers := r.parents.members
 	if e.role == edgeCache {
-		peers = r.caches
+		peers = r.caches.members
 	}
 	return slices.ContainsFunc(peers, func(peer *endpoint) bool { return peer != e && peer.ejectedUntil <= r.now })
 }
 
 // originLimiter is the limiter of the first origin listed; one without a limit where there is none.
 func (r *Router) originLimiter() *limiter {
-	if len(r.origins) > 0 {
-		return &r.origins[0].limiter
+	if len(r.origins.members) > 0 {
+		return &r.origins.members[0].limiter
 	}
 	return &limiter{limit: math.Inf(1)}
 }
 
-// hashOrder gives the ready caches and parents in the order of an object's hash.
-func (r *Router) hashOrder(o *object) (caches, parents []*endpoint) {
-	if o.endpointsVersion != r.endpointsVersion {
-		o.endpointsVersion = r.endpointsVersion
-		o.caches = sortByHash(o.id, r.caches)
-		o.parents = sortByHash(o.id, r.parents)
-	}
-	return o.caches, o.parents
-}
-
-// sortByHash copies a list of endpoints, highest score for the object first.
-func sortByHash(id string, list []*endpoint) []*endpoint {
-	scores := make([]float64, len(list))
-	sorted := slices.Clone(list)
-	for i, e := range list {
-		score := hashScore(id, e)
-		at := i
-		for ; at > 0 && scores[at-1] < score; at-- {
-			scores[at], sorted[at] = scores[at-1], sorted[at-1]
-		}
-		scores[at], sorted[at] = score, e
-	}
-	return sorted
+// cacheCandidates and parentCandidates are the ready caches and parents in the order of an object's hash.
+func (r *Router) cacheCandidates(o *object) candidates {
+	r.caches.refresh(&o.caches, o.id)
+	return candidates{list: &r.caches, order: &o.caches, object: o.id}
 }
 
-// hashToUnit maps a text to a number between 0 and 1. The last mixing steps are MurmurHash3's: FNV alone gives
-// similar texts similar high bits.
-func hashToUnit(text string) float64 {
-	hash := fnv.New64a()
-	hash.Write([]byte(text))
-	mixed := hash.Sum64()
-	mixed = (mixed ^ mixed>>33) * 0xff51afd7ed558ccd
-	mixed = (mixed ^ mixed>>33) * 0xc4ceb9fe1a85ec53
-	return (float64((mixed^mixed>>33)>>11) + 0.5) / (1 << 53)
+func (r *Router) parentCandidates(o *object) candidates {
+	r.parents.refresh(&o.parents, o.id)
+	return candidates{list: &r.parents, order: &o.parents, object: o.id}
 }
--- a/routing/endpoints_test.go
+++ b/routing/endpoints_test.go
@@ -17,7 +17,7 @@
 		r.Decide(now, EndpointUpdate{Endpoints: []Endpoint{added, removed}})
 	}
 	assert.Len(t, r.endpoints, 6+1+2)
-	assert.Len(t, r.caches, 4)
+	assert.Len(t, r.caches.members, 4)
 }
 
 // However many routers there are said to be, a request is sent, and all shares together stay near the capacity.
--- /dev/null
+++ b/routing/hashorder.go
@@ -0,0 +1,212 @@
+package routing
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+const (
+	keptCandidates  = 4   // endpoints of its hash order that an object keeps: mostly the first one is used
+	rememberedMoves = 256 // changes of a list by which orders are repaired; after more they are worked out anew
+)
+
+// hashOrder is the beginning of the order in which an object prefers the endpoints of a list, highest score first. It
+// takes 40 bytes and 8 for each endpoint of best, which are keptCandidates at most between two decisions.
+type hashOrder struct {
+	best    []*endpoint
+	version int // of the list that it is of
+}
+
+// endpointList holds the ready endpoints of one role and what changed in it of late.
+type endpointList struct {
+	members []*endpoint // by id
+	version int         // number of the last change
+	moves   []*endpoint // that came, left or got another score, with the last changes
+}
+
+// listing is an endpoint's place in a list, and what its score depends on there.
+type listing struct {
+	list              *endpointList // nil for none
+	weight, zonesAway float64
+}
+
+// list brings an endpoint's place in the lists up to date.
+func (e *endpoint) list(list *endpointList) {
+	wanted := listing{list: list, weight: e.Weight, zonesAway: e.zonesAway}
+	if list == nil {
+		wanted = listing{}
+	}
+	if e.listed == wanted {
+		return
+	}
+	if e.listed.list != nil {
+		e.listed.list.remove(e)
+	}
+	e.listed = wanted
+	if list != nil {
+		list.add(e)
+	}
+}
+
+func compareIDs(e *endpoint, id EndpointID) int { return cmp.Compare(e.ID, id) }
+
+func (l *endpointList) add(e *endpoint) {
+	if at, found := slices.BinarySearchFunc(l.members, e.ID, compareIDs); !found {
+		l.members = slices.Insert(l.members, at, e)
+	}
+	l.noteMove(e)
+}
+
+func (l *endpointList) remove(e *endpoint) {
+	if at, found := slices.BinarySearchFunc(l.members, e.ID, compareIDs); found {
+		l.members = slices.Delete(l.members, at, at+1)
+	}
+	l.noteMove(e)
+}
+
+func (l *endpointList) noteMove(e *endpoint) {
+	l.version++
+	if len(l.moves) >= 2*rememberedMoves {
+		l.moves = append(l.moves[:0], l.moves[len(l.moves)-rememberedMoves:]...)
+	}
+	l.moves = append(l.moves, e)
+}
+
+// refresh brings an object's order up to date with the list. Only the endpoints that moved are looked at: those that
+// stayed keep their order, and one that moved has its place if it is before the last of these.
+func (l *endpointList) refresh(order *hashOrder, object string) {
+	missed := l.version - order.version
+	order.version = l.version
+	if missed == 0 {
+		return
+	}
+	if missed > len(l.moves) || missed > rememberedMoves {
+		order.best = nil
+		return
+	}
+	moved := l.moves[len(l.moves)-missed:]
+	order.best = slices.DeleteFunc(order.best, func(e *endpoint) bool { return slices.Contains(moved, e) })
+	if len(order.best) == 0 {
+		return
+	}
+	prefix := newHashPrefix(object)
+	for i, e := range moved {
+		if e.listed.list == l && !slices.Contains(moved[:i], e) {
+			order.insert(prefix, e)
+		}
+	}
+	order.best = order.best[:min(len(order.best), keptCandidates)]
+}
+
+// insert puts an endpoint at its place if that is before the last one.
+func (order *hashOrder) insert(prefix hashPrefix, e *endpoint) {
+	score := prefix.score(e)
+	for i, other := range order.best {
+		otherScore := prefix.score(other)
+		if score > otherScore || (score == otherScore && e.ID < other.ID) {
+			order.best = slices.Insert(order.best, i, e)
+			return
+		}
+	}
+}
+
+// candidates are the endpoints of a list in the order of an object's hash, or in that of their ids where order is nil.
+type candidates struct {
+	list   *endpointList
+	order  *hashOrder
+	object string
+}
+
+// at returns the candidate of a rank, nil past the last one. The order is worked out as far as it is asked for, and for
+// maxCandidates at most.
+func (c candidates) at(rank int) *endpoint {
+	best := c.list.members
+	if c.order != nil {
+		known := len(c.order.best)
+		if rank >= known && known < min(len(c.list.members), maxCandidates) {
+			c.order.best = highestByHash(c.object, c.list.members, min(max(2*known, keptCandidates), maxCandidates))
+		}
+		best = c.order.best
+	}
+	if rank >= len(best) {
+		return nil
+	}
+	return best[rank]
+}
+
+// release lets go of what was worked out past the candidates that an object keeps.
+func (c candidates) release() {
+	if c.order != nil && len(c.order.best) > keptCandidates {
+		c.order.best = slices.Clone(c.order.best[:keptCandidates])
+	}
+}
+
+// highestByHash returns the first endpoints of a list in the order of an object's hash, so many at most. Of equal
+// scores the smaller id goes first, as in the list.
+func highestByHash(object string, list []*endpoint, count int) []*endpoint {
+	prefix := newHashPrefix(object)
+	best, scores := make([]*endpoint, 0, count), make([]float64, 0, count)
+	for _, e := range list {
+		unit := prefix.extend(string(e.ID)).unit()
+		full := len(best) == count
+		if full && scoreBound(unit, e) <= scores[count-1] {
+			continue
+		}
+		score := hashScore(unit, e)
+		at, _ := slices.BinarySearchFunc(scores, score, func(kept, score float64) int {
+			if kept >= score {
+				return -1
+			}
+			return 1
+		})
+		if at == count {
+			continue
+		}
+		if full {
+			best, scores = best[:count-1], scores[:count-1]
+		}
+		best, scores = slices.Insert(best, at, e), slices.Insert(scores, at, score)
+	}
+	return best
+}
+
+// The parameters of the FNV-1a hash with 64 bits.
+const (
+	fnvOffset = 14695981039346656037
+	fnvPrime  = 1099511628211
+)
+
+// hashPrefix is the hash of the beginning of a text.
+type hashPrefix uint64
+
+// newHashPrefix returns the hash of an object's name and the space behind it.
+func newHashPrefix(object string) hashPrefix { return hashPrefix(fnvOffset).extend(object).extend(" ") }
+
+func (h hashPrefix) extend(text string) hashPrefix {
+	for i := range len(text) {
+		h = (h ^ hashPrefix(text[i])) * fnvPrime
+	}
+	return h
+}
+
+// unit maps the text to a number between 0 and 1. The last mixing steps are MurmurHash3's: FNV alone gives similar
+// texts similar high bits.
+func (h hashPrefix) unit() float64 {
+	mixed := uint64(h)
+	mixed = (mixed ^ mixed>>33) * 0xff51afd7ed558ccd
+	mixed = (mixed ^ mixed>>33) * 0xc4ceb9fe1a85ec53
+	return (float64((mixed^mixed>>33)>>11) + 0.5) / (1 << 53)
+}
+
+// score is the hash score of an endpoint for the object.
+func (h hashPrefix) score(e *endpoint) float64 { return hashScore(h.extend(string(e.ID)).unit(), e) }
+
+// scoreBound is no less than the score and costs no logarithm: the logarithm of a number is at most the number less 1.
+func scoreBound(unit float64, e *endpoint) float64 {
+	bound := (unit - 1) / max(e.Weight, minHashWeight)
+	if e.zonesAway != 0 {
+		bound *= math.Pow(zoneDistanceFactor, e.zonesAway)
+	}
+	return bound
+}
--- a/routing/router.go
+++ b/routing/router.go
@@ -93,7 +93,7 @@
 // time. One sent later would only fill the paths of others.
 func (r *Router) queueOrGiveUp(req *request, inFlight bool) {
 	giveUpAt := req.arrivedAt + timelyShare*req.objective - queuedSendTimes*req.sendSeconds
-	if !inFlight && (r.now >= giveUpAt || len(r.caches) == 0) {
+	if !inFlight && (r.now >= giveUpAt || len(r.caches.members) == 0) {
 		r.giveUp(req)
 		return
 	}
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -61,7 +61,7 @@
 
 func TestQueueReleasesHighestPriorityPerKBFirst(t *testing.T) {
 	r := newTestRouter(WithIdempotencyKey)
-	for _, c := range r.caches {
+	for _, c := range r.caches.members {
 		c.limit, c.provenLimit = 0, 0
 	}
 	big, small := newArrival("big", "x"), newArrival("small", "x")
@@ -70,7 +70,7 @@
 	r.Decide(100, small)
 	req := addSentRequest(r, 0, true)
 	req.done = true
-	for _, c := range r.caches {
+	for _, c := range r.caches.members {
 		c.limit = 0.5
 	}
 	acts := actionsOf[StartAttempt](r.Decide(100.05, AttemptEnded{Request: "t", Endpoint: "c0", Result: Cancelled}))
--- a/routing/selection.go
+++ b/routing/selection.go
@@ -6,16 +6,21 @@
 )
 
 const (
-	zoneDistanceFactor  = 2.0 // times as seldom first in hash order a zone of distance: fills cost more
-	minCacheOnlyHitRate = 0.1 // hit rate where a miss is expected that makes a cache-only attempt worth it
+	zoneDistanceFactor  = 2.0  // times as seldom first in hash order a zone of distance: fills cost more
+	minCacheOnlyHitRate = 0.1  // hit rate where a miss is expected that makes a cache-only attempt worth it
+	minHashWeight       = 1e-3 // capacity that an endpoint counts for at least in the hash order
+	maxCandidates       = 64   // endpoints of a list that a choice looks at: where these have no room, few others do
 )
 
 // chooseAttempt picks the target and the fill's source of a next attempt, or returns nil if nobody has room.
 func (r *Router) chooseAttempt(req *request) *attempt {
-	caches, parents := r.hashOrder(req.object)
-	sources := [2][]*endpoint{parents, r.origins}
+	caches, parents := r.cacheCandidates(req.object), r.parentCandidates(req.object)
+	defer caches.release()
+	defer parents.release()
+	origins := candidates{list: &r.origins}
+	sources := [2]candidates{parents, origins}
 	if r.uncacheable(req) {
-		sources = [2][]*endpoint{r.origins, parents}
+		sources = [2]candidates{origins, parents}
 	}
 	target := r.chooseTarget(req, caches, sources)
 	if target == nil {
@@ -24,8 +29,8 @@
 	a := &attempt{target: target, source: target, expectedFills: 1}
 	if target.role != edgeCache {
 		a.expectMiss = true
-		if r.uncacheable(req) && len(r.origins) > 0 {
-			a.source = r.origins[0]
+		if r.uncacheable(req) && len(r.origins.members) > 0 {
+			a.source = r.origins.members[0]
 		}
 		a.fillLimiters = []*limiter{&r.zoneLink}
 		return a
@@ -45,17 +50,17 @@
 
 // chooseTarget is the first usable cache in hash order. Where caches may be bypassed, uncacheable requests do
 // so, and others do if no cache is usable at the first level and the zone's link has room.
-func (r *Router) chooseTarget(req *request, caches []*endpoint, sources [2][]*endpoint) *endpoint {
+func (r *Router) chooseTarget(req *request, caches candidates, sources [2]candidates) *endpoint {
 	direct, uncacheable := r.settings.Bool(SettingDirectAttempts), r.uncacheable(req)
 	for level := untried; level < strictnessLevels; level++ {
-		lists := [3][]*endpoint{caches}
+		lists := []candidates{caches}
 		if direct && uncacheable {
-			lists = [3][]*endpoint{sources[0], sources[1], caches}
+			lists = []candidates{sources[0], sources[1], caches}
 		} else if direct && level > untried && r.zoneLink.hasRoom(r.now) {
-			lists = [3][]*endpoint{caches, sources[0], sources[1]}
+			lists = []candidates{caches, sources[0], sources[1]}
 		}
 		for _, list := range lists {
-			for _, e := range list {
+			for rank, e := 0, list.at(0); e != nil; rank, e = rank+1, list.at(rank+1) {
 				if r.usable(req, e, level, wasTarget) && r.inDeduplicationScope(req, e) {
 					return e
 				}
@@ -66,10 +71,10 @@
 }
 
 // chooseSource is the first usable parent or origin, or the target itself if there is none.
-func (r *Router) chooseSource(req *request, target *endpoint, sources [2][]*endpoint) *endpoint {
+func (r *Router) chooseSource(req *request, target *endpoint, sources [2]candidates) *endpoint {
 	for level := untried; level < strictnessLevels; level++ {
 		for _, list := range sources {
-			for _, e := range list {
+			for rank, e := 0, list.at(0); e != nil; rank, e = rank+1, list.at(rank+1) {
 				if r.usable(req, e, level, wasSource) {
 					return e
 				}
@@ -142,9 +147,9 @@
 		return nil
 	}
 	fresh := r.class(req.Class).freshSeconds
-	for _, e := range r.caches {
+	for _, e := range req.chunk.holders {
 		copied := e.cached[req.chunk]
-		if copied != nil && e != target && e.ejectedUntil <= r.now && e.hasRoom(r.now) &&
+		if e.listed.list == &r.caches && e != target && e.ejectedUntil <= r.now && e.hasRoom(r.now) &&
 			r.withinColdBudget(req, e) && r.now-copied.lastUsed < r.horizon(e) &&
 			(fresh == 0 || r.now-copied.filledAt < fresh/2) {
 			return e
@@ -153,8 +158,8 @@
 	return nil
 }
 
-// hashScore is that of weighted rendezvous hashing. Nearer and heavier endpoints come first more often.
-func hashScore(object string, e *endpoint) float64 {
-	score := math.Log(hashToUnit(object+" "+string(e.ID))) / max(e.Weight, 1e-3)
+// hashScore is that of weighted rendezvous hashing, of a hash between 0 and 1. Nearer and heavier endpoints come first more often.
+func hashScore(unit float64, e *endpoint) float64 {
+	score := math.Log(unit) / max(e.Weight, minHashWeight)
 	return score * math.Pow(zoneDistanceFactor, e.zonesAway)
 }
--- a/routing/selection_test.go
+++ b/routing/selection_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -10,8 +11,10 @@
 
 func TestHashOrderIsStableAndSkipsFullCaches(t *testing.T) {
 	r := newTestRouter(WithIdempotencyKey)
-	all, _ := r.hashOrder(r.findOrAddObject("x", 0))
-	less := sortByHash("x", all[1:])
+	all := highestByHash("x", r.caches.members, 3)
+	less := highestByHash("x", slices.DeleteFunc(slices.Clone(r.caches.members), func(e *endpoint) bool {
+		return e == all[0]
+	}), 3)
 	assert.Equal(t, []EndpointID{all[1].ID, all[2].ID}, []EndpointID{less[0].ID, less[1].ID})
 	all[0].inFlight = all[0].limit // it has no room
 	starts := actionsOf[StartAttempt](r.Decide(100, newArrival("t", "x")))
@@ -46,7 +49,7 @@
 	r.classifyEndpoints()
 	near := 0
 	for i := range 300 {
-		if sortByHash(fmt.Sprint(i), r.parents)[0].ID == "p0" {
+		if highestByHash(fmt.Sprint(i), r.parents.members, 1)[0].ID == "p0" {
 			near++
 		}
 	}
--- a/routing/state.go
+++ b/routing/state.go
@@ -11,17 +11,17 @@
 	averageGap     float64 // s between requests, as of the last one
 	lastRequest    float64
 	requested      bool
-	filledByParent bool // since its last purge
+	filledByParent bool        // since its last purge
+	holders        []*endpoint // caches of the zone that are known to have it, by id
 }
 
 // object is what is known of a requested object.
 type object struct {
-	id               string
-	group            int
-	chunks           []*chunk // by index
-	lastRequest      float64
-	caches, parents  []*endpoint // in hash order
-	endpointsVersion int         // of the lists that these were ordered from
+	id              string
+	group           int
+	chunks          []*chunk // by index
+	lastRequest     float64
+	caches, parents hashOrder
 }
 
 // limiter bounds what this router has in flight at an endpoint, on a link or on the path to the origin. The limit
@@ -68,6 +68,7 @@
 	Endpoint
 	limiter
 	role             role
+	listed           listing
 	zonesAway        float64
 	sharers          float64   // routers that send to it
 	signsOfLife      []float64 // times of the last few
@@ -138,13 +139,12 @@
 	actions              []Action
 	numbers              map[SettingName]float64 // settings read as numbers
 	classes              map[ClassIndex]*class
-	endpoints            []*endpoint // by id
-	localCaches          []*endpoint // of this zone, whatever their status
-	caches               []*endpoint // ready ones of this zone
-	parents              []*endpoint // ready
-	origins              []*endpoint // ready
-	endpointsVersion     int         // of the lists above
-	zoneLink             limiter     // the link into the zone
+	endpoints            []*endpoint  // by id
+	removed              []*endpoint  // of these, removed from the list and not forgotten
+	caches               endpointList // of this zone
+	parents              endpointList
+	origins              endpointList
+	zoneLink             limiter // the link into the zone
 	requests             map[RequestID]*request
 	requestsByToken      map[uint64]*request
 	queue                []*request // highest priority a KB first
