--- a/internal/frontend/helpers_test.go
+++ b/internal/frontend/helpers_test.go
@@ -248,3 +248,16 @@
 	})
 	return s, sink, dial
 }
+
+// serveOn starts a server on a listener and returns a function that ends it.
+func serveOn(t *testing.T, ln net.Listener) (stop func()) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	s := &Server{Admission: admission.New(64, 256), Metrics: telemetry.New(io.Discard, "")}
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(ctx, ln) }()
+	return func() {
+		cancel()
+		assert.NoError(t, <-done)
+	}
+}
--- /dev/null
+++ b/internal/upstream/errors_test.go
@@ -0,0 +1,98 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"cairnfront/routing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// TestDialErrorsBlameTheEndpointOnlyForItsOwn walks the errors that socket, bind and connect document.
+func TestDialErrorsBlameTheEndpointOnlyForItsOwn(t *testing.T) {
+	for errno, want := range map[syscall.Errno]routing.AttemptResult{
+		syscall.EMFILE:        routing.NotSent,
+		syscall.ENFILE:        routing.NotSent,
+		syscall.ENOBUFS:       routing.NotSent,
+		syscall.ENOMEM:        routing.NotSent,
+		syscall.EADDRNOTAVAIL: routing.NotSent,
+		syscall.ENETUNREACH:   routing.NotSent,
+		syscall.EAGAIN:        routing.NotSent,
+		syscall.EINTR:         routing.NotSent,
+		syscall.EPERM:         routing.NotSent,
+		syscall.EACCES:        routing.NotSent,
+		syscall.ECONNREFUSED:  routing.ConnectFailed,
+		syscall.ECONNRESET:    routing.ConnectFailed,
+		syscall.EHOSTUNREACH:  routing.ConnectFailed,
+		syscall.ETIMEDOUT:     routing.ConnectFailed,
+	} {
+		s := newTestPool(t)
+		s.Dial = func(context.Context, string) (net.Conn, error) {
+			return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", errno)}
+		}
+		a := s.send("a", 0)
+		assert.Equal(t, endedWith(a, want), s.nextEnd(), "%v", errno)
+	}
+}
+
+// failingOnceConn is a socket whose reads or writes fail once.
+type failingOnceConn struct {
+	net.Conn
+	readErr, writeErr error
+	failed            atomic.Bool
+}
+
+func (c *failingOnceConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if c.readErr != nil && c.failed.CompareAndSwap(false, true) {
+		return 0, c.readErr
+	}
+	return n, err
+}
+
+func (c *failingOnceConn) Write(p []byte) (int, error) {
+	if c.writeErr != nil && c.failed.CompareAndSwap(false, true) {
+		return 0, c.writeErr
+	}
+	return c.Conn.Write(p)
+}
+
+// TestErrorsOfAConnectionEndItsAttempts fails one write, or one read, with each error that tells of a broken
+// connection: its attempt ends, as one that did not run or as one that may have.
+func TestErrorsOfAConnectionEndItsAttempts(t *testing.T) {
+	for _, errno := range []syscall.Errno{
+		syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ECONNRESET, syscall.EPIPE, syscall.EIO,
+	} {
+		for _, write := range []bool{true, false} {
+			s := newTestPool(t)
+			dial := s.Dial
+			s.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
+				raw, err := dial(ctx, addr)
+				if write {
+					return &failingOnceConn{Conn: raw, writeErr: errno}, err
+				}
+				return &failingOnceConn{Conn: raw, readErr: errno}, err
+			}
+			a := s.send("a", 0)
+			far := <-s.dialed
+			want := routing.ConnectFailed
+			if !write {
+				want = routing.ConnectionBroken
+				assert.Equal(t, "do a", readCommand(t, bufio.NewReader(far)))
+				go func() { _, _ = io.WriteString(far, "a") }()
+			}
+			assert.Equal(t, endedWith(a, want), s.nextEnd(), "%v, write %t", errno, write)
+			_ = far.SetReadDeadline(time.Now().Add(time.Second)) // an error where the other side is closed already
+			_, err := io.Copy(io.Discard, far)
+			assert.NoError(t, err, "the endpoint sees the end")
+		}
+	}
+}
