Calls that fail for a moment are tried again and blame no endpoint

Change: netconn tells shortages of this machine from the other side's faults, and tries such reads and writes again within their limits. Dials and connections that end so blame nobody. Accept waits only for want of descriptors or memory, or in a long series. Listen and an unreadable file at a reload are tried again for a bounded time. TestReloadAndSecondSigtermDuringADrain could not fail where the new address was not asked (a buffered channel took the event): it now waits until a connection has taken it.

--- a/cmd/cairnfront/drain_test.go
+++ b/cmd/cairnfront/drain_test.go
@@ -101,11 +101,7 @@
 	require.NoError(t, s.Process.Signal(syscall.SIGHUP))
 	require.Eventually(t, func() bool { return strings.Contains(s.log.String(), "code=followed") }, patience,
 		time.Millisecond)
-	select {
-	case next.send <- discoveryFrame(2, 2, endpointRecord(1, m, 1)): // taken by the connection to the router
-	case <-time.After(patience):
-		t.Fatal("the new board is not asked")
-	}
+	next.deliver(t, discoveryFrame(2, 2, endpointRecord(1, m, 1)))
 	require.NoError(t, s.Process.Signal(syscall.SIGTERM))
 	require.Eventually(t, func() bool { return strings.Contains(s.log.String(), "again=true") }, patience,
 		time.Millisecond)
--- a/cmd/cairnfront/listen.go
+++ b/cmd/cairnfront/listen.go
@@ -7,11 +7,13 @@
 	"syscall"
 	"time"
 
+	"cairnfront/internal/netconn"
 	"cairnfront/internal/telemetry"
 )
 
-// A port that is in use at the start is tried again for a bounded time. A restarted process has to be ready soon
-// after the one before has ended, and one that waits for ever would hide that its address is wrong.
+// A port that is in use at the start, or a call that fails for a moment, is tried again for a bounded time. A restarted
+// process has to be ready soon after the one before has ended, and one that waits for ever would hide that its address
+// is wrong.
 const (
 	portInUseTimeout  = 4 * time.Second
 	portRetryInterval = 20 * time.Millisecond
@@ -27,7 +29,8 @@
 		if err == nil && tries > 0 {
 			metrics.Log.Warn("listen", "code", "port-was-in-use", "address", addr, "for_s", waited.Seconds())
 		}
-		if err == nil || !errors.Is(err, syscall.EADDRINUSE) || waited > portInUseTimeout {
+		passing := errors.Is(err, syscall.EADDRINUSE) || netconn.IsLocalShortage(err)
+		if err == nil || !passing || waited > portInUseTimeout {
 			return ln, err
 		}
 		select {
--- a/cmd/cairnfront/reload_test.go
+++ b/cmd/cairnfront/reload_test.go
@@ -103,8 +103,26 @@
 	}
 	for _, addr := range []string{"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"} {
 		r.load = func() (bootstrap.Config, error) { return bootstrap.Config{DiscoveryAddress: addr}, nil }
-		r.reload(t.Context())
+		require.NoError(t, r.reload(t.Context()))
 	}
 	assert.Equal(t, "127.0.0.1:3", <-r.discovery.AddressChanges)
 	assert.Equal(t, "127.0.0.1:3", r.config.DiscoveryAddress)
 }
+
+// TestReloadIsTriedAgainWhereTheFileCannotBeRead takes the file away for a moment around SIGHUP, twice in a row.
+func TestReloadIsTriedAgainWhereTheFileCannotBeRead(t *testing.T) {
+	m := startCache(t, func(h receivedAttempt) string { return okResponse(h, "x") })
+	s := startRouter(t, 64, m, m)
+	for range 2 {
+		next := startDiscovery(t)
+		fresh := bootstrapFile(s.addr, next.Addr().String(), 64, m, m)
+		require.NoError(t, os.Remove(s.bootstrapPath))
+		require.NoError(t, s.Process.Signal(syscall.SIGHUP))
+		failed := strings.Count(s.log.String(), "code=kept-old")
+		require.Eventually(t, func() bool { return strings.Count(s.log.String(), "code=kept-old") > failed }, patience,
+			time.Millisecond)
+		require.NoError(t, os.WriteFile(s.bootstrapPath+".new", fresh, 0o600))
+		require.NoError(t, os.Rename(s.bootstrapPath+".new", s.bootstrapPath))
+		next.deliver(t, discoveryFrame(2, 0, nil))
+	}
+}
--- a/cmd/cairnfront/serve.go
+++ b/cmd/cairnfront/serve.go
@@ -170,6 +170,7 @@
 // counters, SIGHUP reloads the configuration, SIGTERM and SIGINT start a drain.
 func (r *router) handleSignals(ctx context.Context, signals, reloads <-chan os.Signal) {
 	var drained chan struct{} // closed when the drain is over; nil before it
+	var retry reloadRetry
 	for {
 		select {
 		case <-ctx.Done():
@@ -177,7 +178,9 @@
 		case <-drained:
 			return
 		case <-reloads:
-			r.reload(ctx)
+			retry = r.reloadOrRetry(ctx, maxReloadRetries)
+		case <-retry.due:
+			retry = r.reloadOrRetry(ctx, retry.left)
 		case s := <-signals:
 			if s == syscall.SIGUSR1 {
 				r.metrics.Dump(os.Stderr)
--- a/cmd/cairnfront/stubs_test.go
+++ b/cmd/cairnfront/stubs_test.go
@@ -142,6 +142,13 @@
 	return slices.Concat(b.sent[i:]...)
 }
 
+// deliver sends an event and waits until the connection to a router has taken it.
+func (b *discoveryStub) deliver(t *testing.T, event []byte) {
+	t.Helper()
+	b.send <- event
+	require.Eventually(t, func() bool { return len(b.send) == 0 }, 2*time.Second, time.Millisecond, "nobody asks")
+}
+
 // startDiscovery starts a stand-in of the discovery service.
 func startDiscovery(t *testing.T) *discoveryStub {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/frontend/accept_test.go
+++ b/internal/frontend/accept_test.go
@@ -39,14 +39,18 @@
 		syscall.EMFILE: true, syscall.ENFILE: true, syscall.ENOBUFS: true, syscall.ENOMEM: true,
 	}
 	for _, errno := range []syscall.Errno{
-		syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED, syscall.EINTR, syscall.EAGAIN,
-		syscall.EPROTO, syscall.ENETDOWN, syscall.EHOSTUNREACH, syscall.ENETUNREACH, syscall.EPERM,
+		syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED, syscall.EINTR,
+		syscall.EAGAIN, syscall.EPROTO, syscall.ENETDOWN, syscall.EHOSTUNREACH, syscall.ENETUNREACH, syscall.EPERM,
 	} {
 		for _, c := range []struct {
 			failures int
 			lasting  time.Duration
 			most     time.Duration // until the client is served
-		}{{1, 0, 8 * time.Millisecond}, {10, 0, 8 * time.Millisecond}, {0, 300 * time.Millisecond, 400 * time.Millisecond}} {
+		}{
+			{1, 0, 8 * time.Millisecond},
+			{10, 0, 8 * time.Millisecond},
+			{0, 300 * time.Millisecond, 400 * time.Millisecond},
+		} {
 			t.Run(errno.Error(), func(t *testing.T) {
 				ln, err := net.Listen("tcp", "127.0.0.1:0")
 				require.NoError(t, err)
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -18,11 +18,11 @@
 	"os"
 	"runtime/debug"
 	"sync"
-	"syscall"
 	"time"
 
 	"cairnfront/internal/admission"
 	"cairnfront/internal/clock"
+	"cairnfront/internal/netconn"
 	"cairnfront/internal/request"
 	"cairnfront/internal/telemetry"
 	"cairnfront/routing"
@@ -34,8 +34,9 @@
 const side = "client"
 
 const (
-	acceptRetryDelay  = 10 * time.Millisecond // after an accept that failed
-	backlogAcceptWait = time.Millisecond      // for one more accept before the listener closes
+	acceptRetryDelay    = 10 * time.Millisecond // after an accept that failed for want of descriptors
+	acceptRetriesAtOnce = 16                    // accepts in series that may fail otherwise before there is a delay too
+	backlogAcceptWait   = time.Millisecond      // for one more accept before the listener closes
 )
 
 // RequestSink takes the requests that clients send. The event loop implements it.
@@ -73,12 +74,12 @@
 		s.sweepPeriodically(ctx)
 		return nil
 	})
-	backlogWaited := false
+	backlogWaited, failures := false, 0
 	for {
 		raw, err := ln.Accept()
 		switch {
 		case err == nil:
-			backlogWaited = false
+			backlogWaited, failures = false, 0
 			s.admitConn(ctx, g, raw)
 		case ctx.Err() != nil || errors.Is(err, net.ErrClosed):
 			s.mu.Lock()
@@ -94,17 +95,22 @@
 			backlogWaited = true
 			s.limitAcceptWait()
 		default:
-			s.acceptFailed(ctx, err)
+			failures++
+			s.acceptFailed(ctx, err, failures)
 		}
 	}
 }
 
-// acceptFailed handles an error after which the listener goes on: the process is out of descriptors, or the connection
-// was reset before the accept.
-func (s *Server) acceptFailed(ctx context.Context, err error) {
-	s.Metrics.Log.Warn("accept", "err", err.Error())
-	if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+// acceptFailed handles an error after which the listener goes on: the process is out of descriptors or memory, or the
+// connection ended before the accept. Only the first kind is waited for, or a series of failures.
+func (s *Server) acceptFailed(ctx context.Context, err error, inSeries int) {
+	if inSeries == 1 {
+		s.Metrics.Log.Warn("accept", "err", err.Error())
+	}
+	if netconn.IsDescriptorShortage(err) {
 		s.evict(clock.Now())
+	} else if inSeries <= acceptRetriesAtOnce {
+		return
 	}
 	select {
 	case <-ctx.Done():
--- a/internal/netconn/close.go
+++ b/internal/netconn/close.go
@@ -37,6 +37,13 @@
 	return c.endCode
 }
 
+// EndErr returns the cause with which the connection ends, nil where there is none.
+func (c *Conn) EndErr() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.endErr
+}
+
 // Close closes the socket at once, which resets the connection where input is unread. It is for a socket that has
 // failed, for a peer that does not read, and for the end of the process. More calls do nothing.
 func (c *Conn) Close(code EndCode, cause error) {
@@ -58,7 +65,10 @@
 	c.SetEndCode(code, cause)
 	defer c.Close(code, cause)
 	sender, ok := c.raw.(interface{ CloseWrite() error })
-	if !ok || sender.CloseWrite() != nil {
+	if !ok {
+		return
+	}
+	if err := sender.CloseWrite(); err != nil && !IsLocalShortage(err) {
 		return
 	}
 	c.OnCloseRequest = nil
--- a/internal/netconn/errors_test.go
+++ b/internal/netconn/errors_test.go
@@ -95,7 +95,8 @@
 // TestShortageThatLastsEnds shows that a write is not tried for longer than its limit.
 func TestShortageThatLastsEnds(t *testing.T) {
 	near, _ := net.Pipe()
-	c := New(&failingSocket{Conn: near, err: syscall.ENOBUFS, until: time.Now().Add(time.Hour)}, 64, 50*time.Millisecond)
+	failing := &failingSocket{Conn: near, err: syscall.ENOBUFS, until: time.Now().Add(time.Hour)}
+	c := New(failing, 64, 50*time.Millisecond)
 	startedAt := time.Now()
 	require.NoError(t, c.Write([]byte("x")))
 	assert.ErrorIs(t, c.Flush(), syscall.ENOBUFS)
--- a/internal/netconn/read.go
+++ b/internal/netconn/read.go
@@ -110,6 +110,7 @@
 // fill does one read that brings input. A requested end is handled after a read that brought none: what came before
 // the end was decided is taken in and not destroyed by it.
 func (c *Conn) fill() error {
+	var failingSince clock.Instant // when reads began to fail for a cause on this machine; zero while they don't
 	for {
 		deadline := c.applyReadDeadline()
 		if (c.DiscardInput || c.readNoMore.Load()) && c.OnCloseRequest != nil {
@@ -118,15 +119,14 @@
 			}
 		}
 		request := c.closeRequest.Load() // after the deadline was set: a later request sets it anew
-		if request != nil {
-			_ = c.raw.SetReadDeadline(time.Now().Add(lastReadTimeout))
-			c.readDeadlineStale = true
-		}
-		n, readErr := c.in.ReadOnceFrom(c.raw)
+		n, readErr := c.readOnce(request)
 		if n > 0 {
 			c.countRead(n)
 			return nil
 		}
+		if IsLocalShortage(readErr) && c.waitForShortage(&failingSince, deadline) {
+			continue
+		}
 		if !errors.Is(readErr, os.ErrDeadlineExceeded) {
 			return readErr
 		}
@@ -140,6 +140,29 @@
 	}
 }
 
+// readOnce does one read. The last one before a requested end takes what the system has already.
+func (c *Conn) readOnce(request *EndCode) (int, error) {
+	if request != nil {
+		_ = c.raw.SetReadDeadline(time.Now().Add(lastReadTimeout))
+		c.readDeadlineStale = true
+	}
+	return c.in.ReadOnceFrom(c.raw)
+}
+
+// waitForShortage pauses after a read that failed for a cause on this machine. It returns false where reads are not
+// tried again: the deadline or shortageTimeout has passed, or the connection is closed.
+func (c *Conn) waitForShortage(failingSince *clock.Instant, deadline time.Time) bool {
+	now := clock.Now()
+	if failingSince.IsZero() {
+		*failingSince = now
+	}
+	if now.Sub(*failingSince) > shortageTimeout || hasPassed(deadline) || c.IsClosed() {
+		return false
+	}
+	time.Sleep(shortagePause)
+	return true
+}
+
 // hasPassed says whether there is a deadline and it has passed.
 func hasPassed(deadline time.Time) bool { return !deadline.IsZero() && !time.Now().Before(deadline) }
 
--- a/internal/netconn/write.go
+++ b/internal/netconn/write.go
@@ -44,15 +44,28 @@
 	c.out.Discard(c.out.Len())
 }
 
-// writeOnce does one write to the socket within the write limits.
+// writeOnce does one write to the socket within the write limits. A write that fails for a cause on this machine is
+// tried again until then.
 func (c *Conn) writeOnce() error {
+	deadline := time.Now().Add(shortageTimeout)
 	if c.writeStallTimeout > 0 {
-		deadline := time.Now().Add(c.writeStallTimeout)
+		deadline = time.Now().Add(c.writeStallTimeout)
 		if !c.writeDeadline.IsZero() && c.writeDeadline.Before(deadline) {
 			deadline = c.writeDeadline
 		}
 		_ = c.raw.SetWriteDeadline(deadline)
 	}
+	for {
+		err := c.tryWrite()
+		if err == nil || !IsLocalShortage(err) || hasPassed(deadline) || c.IsClosed() {
+			return err
+		}
+		time.Sleep(shortagePause)
+	}
+}
+
+// tryWrite does one write to the socket.
+func (c *Conn) tryWrite() error {
 	c.lastWrite.Store(clock.Now())
 	n, err := c.out.WriteOnceTo(c.raw)
 	c.bytesWritten.Add(int64(n))
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cairnfront/internal/clock"
+	"cairnfront/internal/netconn"
 	"cairnfront/internal/upstream/address"
 )
 
@@ -179,7 +180,7 @@
 	switch {
 	case err == nil:
 		return address.DialSucceeded
-	case errors.Is(err, context.Canceled), isLocalShortage(err):
+	case errors.Is(err, context.Canceled), netconn.IsLocalShortage(err):
 		return address.DialInconclusive
 	case errors.Is(err, context.DeadlineExceeded):
 		return address.DialTimedOut
--- a/internal/upstream/errors_test.go
+++ b/internal/upstream/errors_test.go
@@ -96,3 +96,19 @@
 		}
 	}
 }
+
+// TestShortageOnAConnectionBlamesNobody: a socket that fails for want of memory until its attempts are given up.
+func TestShortageOnAConnectionBlamesNobody(t *testing.T) {
+	s := newTestPool(t)
+	s.Dial = func(context.Context, string) (net.Conn, error) {
+		near, _ := net.Pipe()
+		return shortOfMemory{near}, nil
+	}
+	a := s.send("a", 0)
+	assert.Equal(t, endedWith(a, routing.NotSent), s.nextEnd())
+}
+
+// shortOfMemory is a socket whose writes fail for want of memory.
+type shortOfMemory struct{ net.Conn }
+
+func (shortOfMemory) Write([]byte) (int, error) { return 0, syscall.ENOBUFS }
--- a/internal/upstream/lifecycle.go
+++ b/internal/upstream/lifecycle.go
@@ -8,7 +8,6 @@
 	"net"
 	"runtime/debug"
 	"slices"
-	"syscall"
 	"time"
 
 	"cairnfront/internal/admission"
@@ -85,7 +84,11 @@
 	conn := netconn.New(socket, admission.EndpointRingBytes, writeStallTimeout)
 	conn.SetFrameTimeout(max(c.pool.ConnectTimeout, minResponseStall))
 	c.serve(ctx, conn)
-	c.endAttempts(conn, routing.ConnectFailed)
+	unsent := routing.ConnectFailed
+	if netconn.IsLocalShortage(conn.EndErr()) { // no fault of the endpoint
+		unsent = routing.NotSent
+	}
+	c.endAttempts(conn, unsent)
 	conn.LogEnd(c.pool.Metrics, telemetrySide, c.peerName())
 }
 
@@ -98,7 +101,7 @@
 	switch {
 	case ctx.Err() != nil:
 		code = netconn.Shutdown
-	case isLocalShortage(cause):
+	case netconn.IsLocalShortage(cause):
 		code, result = netconn.ResourceLimit, routing.NotSent
 	}
 	conn := netconn.New(noSocket{}, 0, 0)
@@ -108,12 +111,6 @@
 	conn.LogEnd(c.pool.Metrics, telemetrySide, c.peerName())
 }
 
-// isLocalShortage says whether a dial failed for want of this machine's own resources, which says nothing of the
-// endpoint.
-func isLocalShortage(err error) bool {
-	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.EADDRNOTAVAIL) || errors.Is(err, syscall.ENOBUFS)
-}
-
 // noSocket stands for the socket of a connection that was never established.
 type noSocket struct{ net.Conn }
 
--- a/internal/upstream/writer.go
+++ b/internal/upstream/writer.go
@@ -88,7 +88,8 @@
 		w.stalledSince = 0
 		return nil
 	}
-	if !errors.Is(err, os.ErrDeadlineExceeded) || w.conn.BytesWritten() > before || w.stalledTooLong(a) {
+	momentary := errors.Is(err, os.ErrDeadlineExceeded) || netconn.IsLocalShortage(err)
+	if !momentary || w.conn.BytesWritten() > before || w.stalledTooLong(a) {
 		return err
 	}
 	w.conn.DropUnwritten()
