--- a/internal/upstream/errors_test.go
+++ b/internal/upstream/errors_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"cairnfront/internal/request"
 	"cairnfront/routing"
 
 	"github.com/stretchr/testify/assert"
@@ -112,3 +113,26 @@
 type shortOfMemory struct{ net.Conn }
 
 func (shortOfMemory) Write([]byte) (int, error) { return 0, syscall.ENOBUFS }
+
+// TestNotModifiedHasToNameTheClientsCopy: a client's copy may be called current only if the endpoint has named it.
+func TestNotModifiedHasToNameTheClientsCopy(t *testing.T) {
+	for _, c := range []struct {
+		clientETag, fields string
+		want               routing.AttemptResult
+	}{
+		{"t1", "digest=t1,dated=1", routing.Completed},
+		{"t1", "digest=t2,dated=1", routing.ServerError},
+		{"t1", "dated=1", routing.ServerError},
+		{"t1", "-", routing.ServerError},
+		{"", "digest=t1,dated=1", routing.ServerError},
+		{"", "-", routing.ServerError},
+	} {
+		s := newTestPool(t)
+		r := &request.Request{ID: "a", ClassName: "page", Object: "ff", Part: "0", ETag: c.clientETag}
+		s.Send(attemptOf(r), Bounds{}, nil, testOwner("a"))
+		far := <-s.dialed
+		assert.Equal(t, "do a", readCommand(t, bufio.NewReader(far)))
+		_, _ = io.WriteString(far, "a still_good "+c.fields+" 0\r\n\r\n")
+		assert.Equal(t, c.want, s.nextEnd().End.Result, "%+v", c)
+	}
+}
