still_good counts only where it names the client's copy

Change: a response that calls the requester's copy current without naming its tag, or to a request without one, ends its attempt as an error, of which nothing is known.

--- a/internal/upstream/reader.go
+++ b/internal/upstream/reader.go
@@ -92,13 +92,21 @@
 		return
 	}
 	end := response.AttemptEnd
-	if response.IsProbeReply != a.isHealthCheck { // the response is of the other kind: what it means is not known
+	if response.IsProbeReply != a.isHealthCheck || !a.isNamedBy(response) { // what it means is not known
 		response.Body.Free()
 		end = request.AttemptEnd{Result: routing.ServerError}
 	}
 	c.reportEnd(a, end)
 }
 
+// isNamedBy says whether a response that calls the requester's copy current names that copy. Others don't have to.
+func (a *Attempt) isNamedBy(response cacheproto.Response) bool {
+	if !response.NotModified {
+		return true
+	}
+	return a.request != nil && a.request.ETag != "" && response.ETag == a.request.ETag
+}
+
 // takeOpen takes an attempt off the connection. It returns false where it is not open any more.
 func (c *Connection) takeOpen(a *Attempt) bool {
 	c.mu.Lock()
