--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -17,7 +17,6 @@
 const (
 	bufferBytes      = 16 << 10
 	heartbeatTimeout = 2500 * time.Millisecond // two heartbeats of the service and a margin
-	dialTimeout      = time.Second
 	initialBackoff   = 100 * time.Millisecond
 	maxBackoff       = 400 * time.Millisecond
 
@@ -50,6 +49,9 @@
 	OnRawEvent    func(Event) error
 	StartRevision func() uint64
 
+	// Dial establishes a connection; over TCP where nil.
+	Dial func(ctx context.Context, addr string) (net.Conn, error)
+
 	readTimeout time.Duration // heartbeatTimeout unless a test sets another
 	gapRevision uint64        // revision that came after a gap, when it was seen first; 0 for none
 }
@@ -57,6 +59,9 @@
 // Run watches the service until the context ends. Between connections it waits with an exponential backoff, which a new
 // address cuts short.
 func (c *Client) Run(ctx context.Context) error {
+	if c.Dial == nil {
+		c.Dial = dialNetwork
+	}
 	backoff := initialBackoff
 	for ctx.Err() == nil {
 		newAddress, receivedAny := c.watchUntilAddressChange(ctx)
@@ -106,8 +111,7 @@
 func (c *Client) watch(ctx context.Context) (receivedAny bool) {
 	c.Telemetry.ConnectionOpened(telemetrySide)
 	startedAt := time.Now()
-	dialer := net.Dialer{Timeout: dialTimeout}
-	rawConn, err := dialer.DialContext(ctx, "tcp", c.Address)
+	rawConn, err := c.dial(ctx)
 	if err != nil {
 		c.Telemetry.ConnectionEnded(telemetry.ConnectionEnd{
 			Side:       telemetrySide,
@@ -156,12 +160,14 @@
 		return netconn.ClassifyError(err), err
 	}
 	headerBytes := make([]byte, HeaderSize)
+	conn.SetFrameTimeout(c.readTimeout) // a long list may take longer as long as more of it comes
 	for {
 		conn.SetReadDeadline(time.Now().Add(c.readTimeout))
 		ev, err := readEvent(conn, headerBytes)
 		if err != nil {
 			return readErrorCode(err), err
 		}
+		conn.FrameComplete()
 		if err := c.deliver(ev); err != nil {
 			return netconn.SequenceGap, err
 		}
--- a/internal/discovery/slow_test.go
+++ b/internal/discovery/slow_test.go
@@ -14,8 +14,8 @@
 	"github.com/stretchr/testify/require"
 )
 
-// TestListThatComesSlowlyIsRead sends a list in pieces, each soon enough after the one before, that take longer than the
-// silence after which a connection is given up.
+// TestListThatComesSlowlyIsRead sends a list in pieces, each soon enough after the one before, that take longer than
+// the silence after which a connection is given up.
 func TestListThatComesSlowlyIsRead(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
