--- a/internal/diskcache/validity/tracker_test.go
+++ b/internal/diskcache/validity/tracker_test.go
@@ -287,3 +287,21 @@
 		}
 	})
 }
+
+// TestEventSentAgainDoesNotCatchUpAfterSilence: after a long silence and a reconnect the last event comes again, before
+// those that were missed. A heartbeat that names a later event catches up no more than that.
+func TestEventSentAgainDoesNotCatchUpAfterSilence(t *testing.T) {
+	c, _ := caughtUpTracker()
+	now := startMS + maxSilenceMS + 1
+	assert.Equal(t, Unconfirmed, c.Evaluate(now, olderCopy))
+	c.StreamOpened()
+	_, reconnect := c.Apply(now, 10, Event{Number: 7, Checksum: 106})
+	assert.False(t, reconnect)
+	assert.Equal(t, Unconfirmed, c.Evaluate(now, olderCopy), "purges may follow")
+	c.Apply(now, 10, Event{Heartbeat: true, Number: 9})
+	assert.Equal(t, Unconfirmed, c.Evaluate(now, olderCopy), "two events are missing")
+	c.Apply(now, 10, Event{Number: 8, Purge: true, Object: 2, PurgedAt: startMS})
+	c.Apply(now, 10, Event{Number: 9, Checksum: 109})
+	c.Apply(now, 10, Event{Heartbeat: true, Number: 9})
+	assert.Equal(t, Valid, c.Evaluate(now, olderCopy))
+}
--- a/internal/replication/wal/wal_test.go
+++ b/internal/replication/wal/wal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"syscall"
 	"testing"
 
 	"cairnfront/internal/diskcache/vfs"
@@ -156,3 +157,68 @@
 		}
 	})
 }
+
+// TestLeadersSnapshotEndsLaterEntriesOnDisk: a snapshot that a leader sent replaces the whole log, also after a
+// reopening.
+func TestLeadersSnapshotEndsLaterEntriesOnDisk(t *testing.T) {
+	fs := vfs.NewFaultFS(5)
+	w, _ := open(t, fs)
+	entries := []*pb.Entry{entry(1, 1, "a"), entry(2, 1, "b"), entry(3, 1, "c"), entry(4, 1, "d"), entry(5, 1, "e")}
+	require.NoError(t, w.Write([]shard.Ready{{Shard: 1, HardState: hardState(1, 0), Entries: entries, MustSync: true}}))
+	require.NoError(t, w.Write([]shard.Ready{
+		{Shard: 1, HardState: hardState(2, 3), Snapshot: snapshot(3, "state"), MustSync: true},
+	}))
+	w.Close()
+	w, saved := open(t, fs)
+	assert.Empty(t, saved[1].Entries)
+	assert.Equal(t, "state", string(saved[1].Snapshot.Data))
+	require.NoError(t, w.Write([]shard.Ready{{Shard: 1, Entries: []*pb.Entry{entry(4, 2, "new")}, MustSync: true}}))
+	w.Close()
+	w, saved = open(t, fs)
+	assert.Len(t, saved[1].Entries, 1)
+	w.Close()
+}
+
+// syncFailure is a folder whose files can't be synced. It counts renames.
+type syncFailure struct {
+	vfs.FS
+	failing bool
+	renamed int
+}
+
+func (f *syncFailure) Create(name string) (vfs.File, error) {
+	file, err := f.FS.Create(name)
+	return unsyncedFile{file, f}, err
+}
+
+func (f *syncFailure) Rename(from, to string) error {
+	f.renamed++
+	return f.FS.Rename(from, to)
+}
+
+type unsyncedFile struct {
+	vfs.File
+	folder *syncFailure
+}
+
+func (f unsyncedFile) Sync() error {
+	if f.folder.failing {
+		return syscall.EIO
+	}
+	return f.File.Sync()
+}
+
+// TestLogFileIsNotUsedUnlessItIsOnDisk: a rotation whose sync fails leaves the older file the newest.
+func TestLogFileIsNotUsedUnlessItIsOnDisk(t *testing.T) {
+	fs := &syncFailure{FS: vfs.NewFaultFS(6)}
+	w, _ := open(t, fs)
+	require.NoError(t, w.Write([]shard.Ready{{Shard: 1, HardState: hardState(1, 0), MustSync: true}}))
+	fs.failing, fs.renamed = true, 0
+	assert.ErrorIs(t, w.rotate(), syscall.EIO)
+	assert.Zero(t, fs.renamed)
+	w.Close()
+	fs.failing = false
+	w, saved := open(t, fs)
+	assert.EqualValues(t, 1, saved[1].HardState.GetTerm())
+	w.Close()
+}
