--- a/internal/diskcache/validity/tracker.go
+++ b/internal/diskcache/validity/tracker.go
@@ -87,6 +87,9 @@
 	if !t.continuous {
 		if t.isLastApplied(event) {
 			t.continuous = true
+			if !t.UpToDate(now) { // events that were missed in the silence follow
+				t.caughtUp = false
+			}
 			t.lastEventAt = now
 			return nil, false
 		}
@@ -95,7 +98,7 @@
 	}
 	t.lastEventAt = now
 	if event.Heartbeat {
-		t.caughtUp = true
+		t.caughtUp = t.caughtUp || event.Number <= t.number
 		return nil, false
 	}
 	if event.Number <= t.number {
--- a/internal/replication/wal/record.go
+++ b/internal/replication/wal/record.go
@@ -16,6 +16,7 @@
 	kindRemoveShard recordKind = 4 // the shard is no longer held
 	kindFileHeader  recordKind = 5 // first of a file: version, and the bytes of what the file begins with
 	kindBatchHeader recordKind = 6 // before each batch: up to where the file was synced
+	kindTruncate    recordKind = 7 // entries after an index no longer count
 )
 
 // A record is its payload's length (4), the checksum of all that follows it (4), kind (1), shard
--- a/internal/replication/wal/replay.go
+++ b/internal/replication/wal/replay.go
@@ -118,6 +118,11 @@
 			return fmt.Errorf("%w: snapshot index of %d bytes", ErrCorrupt, len(r.payload))
 		}
 		w.shardLog(r.shard).setSnapshot(binary.BigEndian.Uint64(r.payload))
+	case kindTruncate:
+		if len(r.payload) != indexBytes {
+			return fmt.Errorf("%w: index of a truncation of %d bytes", ErrCorrupt, len(r.payload))
+		}
+		w.shardLog(r.shard).truncate(binary.BigEndian.Uint64(r.payload))
 	case kindFileHeader, kindBatchHeader:
 	}
 	return nil
--- a/internal/replication/wal/rotate.go
+++ b/internal/replication/wal/rotate.go
@@ -28,7 +28,7 @@
 	if _, err := file.WriteAt(content, 0); err != nil {
 		return errors.Join(err, file.Close())
 	}
-	if err := errors.Join(file.Sync(), w.fs.Rename(name+temporarySuffix, name), w.fs.SyncDir()); err != nil {
+	if err := w.publish(file, name); err != nil {
 		return errors.Join(err, file.Close())
 	}
 	if w.file != nil {
@@ -45,6 +45,17 @@
 	return nil
 }
 
+// publish gives a file its name once its content is on disk, each step only after the one before has succeeded.
+func (w *WAL) publish(file vfs.File, name string) error {
+	if err := file.Sync(); err != nil {
+		return err
+	}
+	if err := w.fs.Rename(name+temporarySuffix, name); err != nil {
+		return err
+	}
+	return w.fs.SyncDir()
+}
+
 // encodeAll writes all that counts, as a file begins with it.
 func (w *WAL) encodeAll() ([]byte, error) {
 	content := make([]byte, len(fileHeader(0))) // the header is filled in once the size is known
--- a/internal/replication/wal/wal.go
+++ b/internal/replication/wal/wal.go
@@ -12,6 +12,7 @@
 package wal
 
 import (
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"slices"
@@ -89,6 +90,13 @@
 	})
 }
 
+// truncate drops the entries after an index.
+func (l *shardLog) truncate(index uint64) {
+	for len(l.entries) > 0 && l.entries[len(l.entries)-1].GetIndex() > index {
+		l.entries = l.entries[:len(l.entries)-1]
+	}
+}
+
 // Open opens a router's folder, or fills an empty one, and gives what it holds by shard. The ID of
 // a new folder is drawn.
 func Open(fs vfs.FS, owner string, drawID func() uint64) (*WAL, map[int]shard.PersistentState, error) {
@@ -232,7 +240,9 @@
 // appendReady adds the records of one shard to the batch. A snapshot's file is written at once.
 func (w *WAL) appendReady(ready shard.Ready) error {
 	log := w.shardLog(ready.Shard)
-	if ready.Snapshot != nil {
+	if ready.Snapshot != nil { // of a leader: it replaces the whole log
+		index := binary.BigEndian.AppendUint64(nil, ready.Snapshot.GetMetadata().GetIndex())
+		w.buffer = appendRecord(w.buffer, kindTruncate, ready.Shard, index)
 		if err := w.writeSnapshot(ready.Shard, ready.Snapshot); err != nil {
 			return err
 		}
