A seeded soak of one router on loopback, judged by what clients and caches recorded

Judged: lost and second answers, answers over 0.5 s late, attempts after a cancel or an answer, two out at once, repeats of a non-idempotent request or past the window, rejections after a possible run, deadlines told, drains, purges, exit before SIGKILL.

--- /dev/null
+++ b/cmd/cairnfront/soak_test.go
@@ -0,0 +1,330 @@
+package main
+
+import (
+	"encoding/binary"
+	"flag"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"cairnfront/internal/clientproto"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// The soak plays a few seconds of load on a router from each seed, with troubles of all kinds at once, until SIGKILL at
+// the protocol's earliest moment, and judges it by what clients and caches have recorded.
+var (
+	soakSeeds     = flag.Int("soak-seeds", 8, "seeds of the soak")
+	soakFirstSeed = flag.Int("soak-first-seed", 1, "first seed of the soak")
+)
+
+const (
+	soakParallel     = 4 // seeds at a time
+	soakLoad         = 3 * time.Second
+	soakCaches       = 3
+	soakClients      = 6
+	busyPause        = 3  // ms at most between two requests of a client that keeps its connection in use
+	soakCrowd        = 60 // idle connections
+	maxSoakProblems  = 5  // that are printed of a seed
+	judgeSlack       = 40 * time.Millisecond
+	drainGrace       = time.Second            // stop_sending_within_s of bootstrapFile
+	purgeGrace       = 500 * time.Millisecond // notice_time_s
+	answerGrace      = 500 * time.Millisecond // after the deadline an answer earns nothing; later it is lost
+	cancelGrace      = 100 * time.Millisecond
+	deadlineSlackMs  = 150
+	idempotencySpanS = 5 // window_s
+)
+
+func TestSoak(t *testing.T) {
+	places := make(chan struct{}, soakParallel)
+	for seed := *soakFirstSeed; seed < *soakFirstSeed+*soakSeeds; seed++ {
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+			t.Parallel()
+			places <- struct{}{}
+			defer func() { <-places }()
+			newSoak(t, seed).play()
+		})
+	}
+}
+
+// soak is one run.
+type soak struct {
+	t        *testing.T
+	rng      *rand.Rand // of the script's goroutine
+	seed     uint64
+	router   *routerProcess
+	caches   []*soakCache
+	clients  sync.WaitGroup
+	ending   chan struct{} // closed at SIGTERM
+	journal  soakJournal
+	revision uint64
+}
+
+func newSoak(t *testing.T, seed int) *soak {
+	s := &soak{
+		t: t, rng: rand.New(rand.NewPCG(uint64(seed), 0)), seed: uint64(seed), ending: make(chan struct{}), revision: 1,
+	}
+	s.journal.requests = map[string]*soakRequest{}
+	s.journal.purges = map[string]time.Time{}
+	var stubs []*cacheStub
+	for i := range soakCaches + 1 { // the last one is the origin
+		cache := newSoakCache(t, &s.journal, i, rand.New(rand.NewPCG(uint64(seed), uint64(100+i))))
+		s.caches = append(s.caches, cache)
+		stubs = append(stubs, &cacheStub{Listener: cache.Listener})
+	}
+	s.router = startRouter(t, 64, stubs[soakCaches], stubs[:soakCaches]...)
+	return s
+}
+
+// play runs the script and judges it.
+func (s *soak) play() {
+	for i := range soakClients {
+		s.startClient(i)
+	}
+	if s.rng.IntN(2) == 0 {
+		s.startCrowd()
+	}
+	end := time.Now().Add(soakLoad)
+	for time.Now().Before(end) {
+		time.Sleep(time.Duration(50+s.rng.IntN(300)) * time.Millisecond)
+		s.disturb()
+	}
+	s.endRouter()
+	s.clients.Wait()
+	for _, problem := range s.journal.judge() {
+		s.t.Error(problem)
+	}
+}
+
+// disturb does one thing to the router or its surroundings.
+func (s *soak) disturb() {
+	switch s.rng.IntN(6) {
+	case 0: // a cache begins to drain; the last two stay
+		cache := s.caches[s.rng.IntN(soakCaches-2)]
+		s.tell(2, endpointRecord(uint32(cache.index+1), &cacheStub{Listener: cache.Listener}, 1))
+		s.journal.drain(cache)
+	case 1, 2: // a purge
+		object := s.rng.IntN(soakObjects)
+		payload := binary.BigEndian.AppendUint64(nil, uint64(object))
+		s.tell(3, binary.BigEndian.AppendUint64(payload, uint64(time.Now().UnixMilli())))
+		s.journal.purge(soakObject(object))
+	case 3: // caches end their idle connections, or reset all
+		s.caches[s.rng.IntN(len(s.caches))].endConnections(s.rng.IntN(2) == 0)
+	case 4:
+		assert.NoError(s.t, s.router.Process.Signal(syscall.SIGHUP))
+	case 5:
+		assert.NoError(s.t, s.router.Process.Signal(syscall.SIGUSR1))
+	}
+}
+
+// tell has the discovery service send an event, and waits until a connection has taken it.
+func (s *soak) tell(kind byte, payload []byte) {
+	s.revision++
+	s.router.discovery.deliver(s.t, discoveryFrame(s.revision, kind, payload))
+}
+
+// endRouter sends SIGTERM, sometimes in series with other signals, and SIGKILL at the earliest.
+func (s *soak) endRouter() {
+	startedAt := time.Now()
+	close(s.ending)
+	series := []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGUSR1, syscall.SIGHUP}
+	for _, signal := range series[:1+s.rng.IntN(len(series))] {
+		assert.NoError(s.t, s.router.Process.Signal(signal))
+		time.Sleep(time.Duration(s.rng.IntN(80)) * time.Millisecond)
+	}
+	kill := time.AfterFunc(time.Until(startedAt.Add(maxDeadline+minDrain)), func() { _ = s.router.Process.Kill() })
+	defer kill.Stop()
+	s.router.killed = true
+	assert.NoError(s.t, <-s.router.exited, "exit 0 before SIGKILL")
+}
+
+// startCrowd connects clients that say nothing.
+func (s *soak) startCrowd() {
+	for range soakCrowd {
+		conn, err := net.Dial("tcp", s.router.addr)
+		require.NoError(s.t, err)
+		s.t.Cleanup(func() { _ = conn.Close() })
+	}
+}
+
+// startClient starts a client that sends requests on one connection after another until the router is gone. Half of
+// them heed GOAWAY.
+func (s *soak) startClient(i int) {
+	rng := rand.New(rand.NewPCG(s.seed, uint64(200+i)))
+	s.clients.Go(func() {
+		for {
+			raw, err := net.Dial("tcp", s.router.addr)
+			if err != nil {
+				select {
+				case <-s.ending:
+					return
+				case <-time.After(10 * time.Millisecond):
+					continue
+				}
+			}
+			c := &soakClient{
+				Conn: raw, journal: &s.journal, rng: rng, heedsGoAway: i%2 == 0, mostPause: 12,
+				open: map[uint32]*soakRequest{},
+			}
+			if i%3 == 1 {
+				c.mostPause = busyPause
+			}
+			c.run()
+		}
+	})
+}
+
+// soakClient is one connection of a client. Its reader ends it.
+type soakClient struct {
+	net.Conn
+	journal     *soakJournal
+	rng         *rand.Rand
+	heedsGoAway bool
+	mostPause   int // ms between two requests
+
+	mu       sync.Mutex
+	open     map[uint32]*soakRequest // by stream
+	goneAway bool
+	ended    bool
+}
+
+// run sends requests until the connection has ended, or the client ends it.
+func (c *soakClient) run() {
+	read := make(chan struct{})
+	go func() {
+		defer close(read)
+		c.readAnswers()
+	}()
+	leaveAfter := 20 + c.rng.IntN(200)
+	if c.mostPause == busyPause { // in use until the router ends it
+		leaveAfter = math.MaxInt
+	}
+	for stream := uint32(1); ; stream++ {
+		time.Sleep(time.Duration(c.rng.IntN(c.mostPause)) * time.Millisecond)
+		c.mu.Lock()
+		done, idle, full := c.ended, c.goneAway && c.heedsGoAway, len(c.open) >= 20
+		c.mu.Unlock()
+		switch {
+		case done:
+			_ = c.Close()
+			<-read
+			return
+		case idle, full:
+			stream--
+		case int(stream) > leaveAfter:
+			c.leave()
+			<-read
+			return
+		default:
+			c.sendRequest(stream)
+		}
+		c.cancelOne()
+	}
+}
+
+// sendRequest writes a request, sometimes in pieces.
+func (c *soakClient) sendRequest(stream uint32) {
+	class := []string{"page", "page", "order", "write"}[c.rng.IntN(4)]
+	ttl := []int{1, 5, 20, 200, 1000, 2500}[c.rng.IntN(6)]
+	r := c.journal.newRequest(class, soakObject(c.rng.IntN(soakObjects)), time.Duration(ttl)*time.Millisecond)
+	fields := []clientproto.Field{
+		{Name: "op", Value: class},
+		{Name: "call", Value: r.id},
+		{Name: "ttl", Value: fmt.Sprint(ttl)},
+		{Name: "row", Value: r.object},
+		{Name: "seg", Value: "0"},
+		{Name: "bucket", Value: "7"},
+		{Name: "heap", Value: "10"},
+	}
+	body := ""
+	if class == "write" {
+		fields = append(fields, clientproto.Field{Name: "dedupe", Value: "k" + r.id})
+		body = string(make([]byte, c.rng.IntN(48_000)))
+	}
+	payload := append(clientproto.AppendFields(nil, fields...), body...)
+	frame := append(clientproto.AppendHeader(nil, clientproto.TypeRequest, stream, len(payload)), payload...)
+	if piece := c.rng.IntN(4 * len(frame)); piece > 0 && piece < len(frame) {
+		_, _ = c.Write(frame[:piece])
+		time.Sleep(time.Duration(c.rng.IntN(20)) * time.Millisecond)
+		frame = frame[piece:]
+	}
+	c.mu.Lock()
+	c.open[stream] = r
+	c.mu.Unlock()
+	c.journal.sending(r)
+	if _, err := c.Write(frame); err == nil {
+		c.journal.sent(r)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended && c.open[stream] == r { // the reader has not seen it
+		c.journal.connectionEnded(r)
+	}
+}
+
+// cancelOne sometimes cancels an open request.
+func (c *soakClient) cancelOne() {
+	if c.rng.IntN(12) > 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for stream, r := range c.open {
+		if _, err := c.Write(clientproto.AppendHeader(nil, clientproto.TypeCancel, stream, 0)); err == nil {
+			c.journal.cancelled(r)
+			delete(c.open, stream)
+		}
+		return
+	}
+}
+
+// leave closes the connection with requests open.
+func (c *soakClient) leave() {
+	c.mu.Lock()
+	for stream, r := range c.open {
+		c.journal.cancelled(r)
+		delete(c.open, stream)
+	}
+	c.mu.Unlock()
+	_ = c.Close()
+}
+
+func (c *soakClient) readAnswers() {
+	head := make([]byte, clientproto.HeaderSize)
+	for {
+		if _, err := io.ReadFull(c, head); err != nil {
+			break
+		}
+		h, err := clientproto.ParseHeader(head)
+		if err != nil {
+			break
+		}
+		payload := make([]byte, h.PayloadBytes)
+		if _, err := io.ReadFull(c, payload); err != nil {
+			break
+		}
+		c.mu.Lock()
+		switch {
+		case h.Type == clientproto.TypeGoAway:
+			c.goneAway = true
+		case h.Type == clientproto.TypeResponse && c.open[h.StreamID] != nil:
+			c.journal.answered(c.open[h.StreamID], payload[0])
+			delete(c.open, h.StreamID)
+		}
+		c.mu.Unlock()
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ended = true
+	for _, r := range c.open {
+		c.journal.connectionEnded(r)
+	}
+}
