A connection that stays silent over several short attempts is suspected

Change: the silence counts from the first attempt that was written since the last input, over all that follow.

--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -29,6 +29,7 @@
 	writeQueue   []command             // not begun
 	writeSignal  chan struct{}         // holds a value while the queue may have commands
 	lastUsed     clock.Instant         // when an attempt was last added or ended
+	silentSince  clock.Instant         // when the first attempt was written of those since which nothing came
 	suspectSince clock.Instant         // when an attempt was cancelled during which nothing came; zero for never
 	closing      bool                  // takes no more attempts
 }
@@ -122,13 +123,21 @@
 	a.cancelResult = result
 	c.cancelled[a.id] = a
 	c.enqueueLocked(command{attempt: a, cancelLine: cacheproto.AppendCancel(nil, a.id)})
-	nothingCame := c.conn != nil && c.conn.LastRead() < a.writtenAt
-	if nothingCame && now.Sub(a.writtenAt) > c.pool.ConnectTimeout {
+	nothingCame := c.conn != nil && c.conn.LastRead() < c.silentSince
+	if nothingCame && now.Sub(c.silentSince) > c.pool.ConnectTimeout {
 		c.suspectSince = now
 	}
 	return result, false
 }
 
+// noteWrittenLocked notes that an attempt is written. Those that follow one another without any input count together:
+// attempts with little time are cancelled before they could show by themselves that the connection is dead.
+func (c *Connection) noteWrittenLocked(now clock.Instant, conn *netconn.Conn) {
+	if c.silentSince.IsZero() || conn.LastRead() >= c.silentSince {
+		c.silentSince = now
+	}
+}
+
 // dequeueLocked takes an attempt that was not begun out of the write queue.
 func (c *Connection) dequeueLocked(a *Attempt) {
 	for i, queued := range c.writeQueue {
--- a/internal/upstream/writer.go
+++ b/internal/upstream/writer.go
@@ -163,6 +163,7 @@
 	a.formatLine(now)
 	a.written = true
 	a.writtenAt = now
+	c.noteWrittenLocked(now, conn)
 	a.endOffset = conn.BytesBuffered() + int64(a.wireBytes())
 	return next, false, true
 }
