--- a/cmd/cairnfront/drain.go
+++ b/cmd/cairnfront/drain.go
@@ -13,7 +13,7 @@
 const (
 	minDrain        = 700 * time.Millisecond
 	maxDeadline     = 3 * time.Second
-	shutdownReserve = 300 * time.Millisecond // before SIGKILL, for aborting requests and ending the process
+	shutdownReserve = 450 * time.Millisecond // before SIGKILL: for aborting requests and ending a slow process
 	flushTimeout    = 120 * time.Millisecond // for the last responses; connections to endpoints end after it
 )
 
