--- a/cmd/cairnfront/soak_judge_test.go
+++ b/cmd/cairnfront/soak_judge_test.go
@@ -293,11 +293,7 @@
 
 // receive records an attempt and answers it in the background.
 func (c *soakCache) receive(conn *soakCacheConn, id, fieldText string) {
-	fields := map[string]string{}
-	for pair := range strings.SplitSeq(fieldText, ",") {
-		name, value, _ := strings.Cut(pair, "=")
-		fields[name] = value
-	}
+	fields := parseFields(fieldText)
 	a := &soakAttempt{cache: c.index}
 	a.maxMillis, _ = strconv.Atoi(fields["max"])
 	a.accept, _ = strconv.Atoi(fields["accept"])
--- a/cmd/cairnfront/stubs_test.go
+++ b/cmd/cairnfront/stubs_test.go
@@ -74,11 +74,7 @@
 			m.cancelled <- w[1]
 			continue
 		}
-		h := receivedAttempt{id: w[1], fields: map[string]string{}, conn: c}
-		for pair := range strings.SplitSeq(w[2], ",") {
-			name, value, _ := strings.Cut(pair, "=")
-			h.fields[name] = value
-		}
+		h := receivedAttempt{id: w[1], fields: parseFields(w[2]), conn: c}
 		n, _ := strconv.Atoi(w[3])
 		body := make([]byte, n+2)
 		if _, err := io.ReadFull(r, body); err != nil {
@@ -94,6 +90,16 @@
 	}
 }
 
+// parseFields reads the fields of a command.
+func parseFields(text string) map[string]string {
+	fields := map[string]string{}
+	for pair := range strings.SplitSeq(text, ",") {
+		name, value, _ := strings.Cut(pair, "=")
+		fields[name] = value
+	}
+	return fields
+}
+
 // kill ends the listener and every connection, as a process that dies does.
 func (m *cacheStub) kill() {
 	m.mu.Lock()
--- a/internal/codestyle/names_test.go
+++ b/internal/codestyle/names_test.go
@@ -52,13 +52,21 @@
 
 // TestIdentifiersUseTheGlossary walks all code and fails for each identifier with a withdrawn word.
 func TestIdentifiersUseTheGlossary(t *testing.T) {
+	forEachGoFile(t, func(root, file string) {
+		for _, found := range withdrawnIn(t, file) {
+			assert.Fail(t, "a withdrawn word", "%s", strings.TrimPrefix(found, root+"/"))
+		}
+	})
+}
+
+// forEachGoFile calls check with the repository's folder and each file of its code.
+func forEachGoFile(t *testing.T, check func(root, file string)) {
+	t.Helper()
 	root, err := filepath.Abs("../..")
 	require.NoError(t, err)
 	for _, folder := range checkedFolders {
 		for _, file := range goFiles(t, filepath.Join(root, folder)) {
-			for _, found := range withdrawnIn(t, file) {
-				assert.Fail(t, "a withdrawn word", "%s", strings.TrimPrefix(found, root+"/"))
-			}
+			check(root, file)
 		}
 	}
 }
@@ -88,25 +96,35 @@
 // withdrawnIn lists the identifiers of a file that have a withdrawn word, with their places.
 func withdrawnIn(t *testing.T, file string) []string {
 	t.Helper()
-	set := token.NewFileSet()
-	tree, err := parser.ParseFile(set, file, nil, parser.SkipObjectResolution)
-	require.NoError(t, err)
 	var found []string
-	ast.Inspect(tree, func(node ast.Node) bool {
+	inspectFile(t, file, func(node ast.Node, place string) {
 		identifier, ok := node.(*ast.Ident)
 		if !ok {
-			return true
+			return
 		}
 		for _, word := range words(identifier.Name) {
 			if term := withdrawn[word]; term != "" {
-				found = append(found, set.Position(identifier.Pos()).String()+": "+identifier.Name+": say "+term)
+				found = append(found, place+": "+identifier.Name+": say "+term)
 			}
 		}
-		return true
 	})
 	return found
 }
 
+// inspectFile calls visit with each node of a file's syntax and its place.
+func inspectFile(t *testing.T, file string, visit func(node ast.Node, place string)) {
+	t.Helper()
+	set := token.NewFileSet()
+	tree, err := parser.ParseFile(set, file, nil, parser.SkipObjectResolution)
+	require.NoError(t, err)
+	ast.Inspect(tree, func(node ast.Node) bool {
+		if node != nil {
+			visit(node, set.Position(node.Pos()).String())
+		}
+		return true
+	})
+}
+
 // words splits an identifier in mixed caps into lower-case words; a run of capitals is one word.
 func words(identifier string) []string {
 	var list []string
--- a/internal/codestyle/unixtime_test.go
+++ b/internal/codestyle/unixtime_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"go/ast"
-	"go/parser"
-	"go/token"
 	"os"
 	"path/filepath"
 	"strings"
@@ -21,19 +19,15 @@
 
 // TestUnixTimeIsReadByOnePackageOnly keeps conversions between times and Unix time in internal/clock.
 func TestUnixTimeIsReadByOnePackageOnly(t *testing.T) {
-	root, err := filepath.Abs("../..")
-	require.NoError(t, err)
-	for _, folder := range checkedFolders {
-		for _, file := range goFiles(t, filepath.Join(root, folder)) {
-			path := strings.TrimPrefix(file, root+"/")
-			if strings.HasPrefix(path, "internal/clock/") || strings.HasSuffix(path, "_test.go") {
-				continue
-			}
-			for _, found := range unixConversionsIn(t, file) {
-				assert.Fail(t, "Unix time outside of internal/clock", "%s", strings.TrimPrefix(found, root+"/"))
-			}
+	forEachGoFile(t, func(root, file string) {
+		path := strings.TrimPrefix(file, root+"/")
+		if strings.HasPrefix(path, "internal/clock/") || strings.HasSuffix(path, "_test.go") {
+			return
 		}
-	}
+		for _, found := range unixConversionsIn(t, file) {
+			assert.Fail(t, "Unix time outside of internal/clock", "%s", strings.TrimPrefix(found, root+"/"))
+		}
+	})
 }
 
 // TestUnixConversionsAreFound shows that the check can fail.
@@ -47,15 +41,11 @@
 // unixConversionsIn lists the places of a file that convert between a time and Unix time.
 func unixConversionsIn(t *testing.T, file string) []string {
 	t.Helper()
-	set := token.NewFileSet()
-	tree, err := parser.ParseFile(set, file, nil, parser.SkipObjectResolution)
-	require.NoError(t, err)
 	var found []string
-	ast.Inspect(tree, func(node ast.Node) bool {
+	inspectFile(t, file, func(node ast.Node, place string) {
 		if selector, ok := node.(*ast.SelectorExpr); ok && unixConversions[selector.Sel.Name] {
-			found = append(found, set.Position(selector.Pos()).String()+": "+selector.Sel.Name)
+			found = append(found, place+": "+selector.Sel.Name)
 		}
-		return true
 	})
 	return found
 }
