Laboratory: a port is drawn once, as its owner may be down for a moment

Looked at: listen (as before for EADDRINUSE), the range (20000 to 31999, below the system's own). The lab listens on a drawn port, closes it and hands the number to a process; a later draw of the same number by the same lab then holds it.

Change: the lab draws no port twice.

--- a/internal/lab/ports.go
+++ b/internal/lab/ports.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"sync"
 )
 
 // Ports that are released and taken again, as by a process that is killed and restarted, lie below the range from
@@ -14,8 +15,28 @@
 	maxPortAttempts   = 200
 )
 
-// randomReusablePort draws a port that may be in use.
-func randomReusablePort() int { return firstReusablePort + rand.IntN(reusablePorts) }
+// drawnPorts are the ports that this process has drawn. One that was drawn belongs to its first owner, also while that
+// does not listen on it.
+var drawnPorts struct {
+	sync.Mutex
+	ports map[int]bool
+}
+
+// randomReusablePort draws a port that was not drawn before. Another process may use it.
+func randomReusablePort() int {
+	drawnPorts.Lock()
+	defer drawnPorts.Unlock()
+	if drawnPorts.ports == nil || len(drawnPorts.ports) > reusablePorts/2 { // the oldest owners are long gone
+		drawnPorts.ports = map[int]bool{}
+	}
+	for {
+		port := firstReusablePort + rand.IntN(reusablePorts)
+		if !drawnPorts.ports[port] {
+			drawnPorts.ports[port] = true
+			return port
+		}
+	}
+}
 
 // listenReusableTCP listens on a loopback port that stays free while nobody listens on it.
 func listenReusableTCP() (net.Listener, error) {
