A peer that reads slowly and steadily is not taken for one that has stopped

Callers: a client that takes its response in small steady parts was closed as slow_reader after 5 s, or after 1 s while the body budget is short, with its answers lost. Cause: netconn set the stall limit as the socket's deadline once for a write of up to a ring buffer; the system's write returns when all is taken, so parts taken meanwhile moved neither the limit nor LastWrite. Evidence: a pipe whose reader takes a byte each 20 ms ended after the limit of 80 ms, and LastWrite was 686 ms old while a byte was taken each 10 ms.

--- a/internal/netconn/conn.go
+++ b/internal/netconn/conn.go
@@ -32,7 +32,9 @@
 	openedAt time.Time
 
 	writeStallTimeout time.Duration // longest wait for the peer to take output, 0 for any
+	firstByteDeadline time.Time     // by when the socket has to take some output, zero for no limit
 	writeDeadline     time.Time     // by when the output has to be written, zero for no limit
+	writeDeadlineFrom int64         // bytesWritten as these two were set
 	frameTimeout      time.Duration // longest wait for more of a frame that was begun, 0 for any
 	readDeadline      time.Time     // by when input has to come, zero for no limit; of the reading goroutine
 	readDeadlineStale bool          // the socket's read deadline may differ from readDeadline
--- a/internal/netconn/conn_test.go
+++ b/internal/netconn/conn_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"cairnfront/internal/clock"
 	"cairnfront/internal/telemetry"
 
 	"github.com/stretchr/testify/assert"
@@ -267,3 +268,71 @@
 	reply <- errors.New("it may")
 	assert.Equal(t, "it may", <-got)
 }
+
+// readSlowly reads a number of bytes, one each interval.
+func readSlowly(from net.Conn, bytes int, interval time.Duration) {
+	for range bytes {
+		time.Sleep(interval)
+		_, _ = from.Read(make([]byte, 1))
+	}
+}
+
+// A peer takes a few bytes at a time, steadily. A stall timeout that runs from the begin of a write of many bytes would
+// end its connection. It runs from the last byte that the peer took.
+func TestSteadyReaderIsNotStalled(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	c := New(near, 16, 80*time.Millisecond)
+	go readSlowly(far, 16, 20*time.Millisecond)
+	require.NoError(t, c.Write(make([]byte, 16)))
+	assert.NoError(t, c.Flush())
+}
+
+// A peer takes a few bytes at a time, steadily, and the sweep for stalled output looks at the last write. The time that
+// a write of many bytes began would show it as stalled. LastWrite follows what the peer takes.
+func TestLastWriteFollowsASteadyReader(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	c := New(near, 64, time.Second)
+	go readSlowly(far, 64, 10*time.Millisecond)
+	flushed := make(chan error, 1)
+	go func() { flushed <- errors.Join(c.Write(make([]byte, 64)), c.Flush()) }()
+	oldest := time.Duration(0)
+	for len(flushed) == 0 {
+		time.Sleep(time.Millisecond)
+		oldest = max(oldest, clock.Now().Sub(c.LastWrite()))
+	}
+	require.NoError(t, <-flushed)
+	assert.Less(t, oldest, 3*writeProgressInterval)
+}
+
+// A peer takes a first part of what has to be written soon, and the rest a little later. A limit for the first part
+// that held for the rest too would end the connection some milliseconds after the peer took something.
+func TestFirstByteDeadlineIsNotThatOfTheRest(t *testing.T) {
+	for name, test := range map[string]struct {
+		firstPart, rest time.Duration // after the begin
+		taken           int
+	}{
+		"first part late": {200 * time.Millisecond, 0, 0},
+		"rest later":      {50 * time.Millisecond, 150 * time.Millisecond, 16},
+		"rest too late":   {50 * time.Millisecond, time.Second, 8},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			near, far := net.Pipe()
+			defer far.Close()
+			c := New(near, 16, time.Minute)
+			now := time.Now()
+			go func() {
+				time.Sleep(test.firstPart)
+				_, _ = io.ReadFull(far, make([]byte, 8))
+				time.Sleep(time.Until(now.Add(test.rest)))
+				_, _ = io.ReadFull(far, make([]byte, 8))
+			}()
+			c.SetWriteDeadlines(now.Add(100*time.Millisecond), now.Add(400*time.Millisecond))
+			err := errors.Join(c.Write(make([]byte, 16)), c.Flush())
+			assert.Equal(t, test.taken < 16, errors.Is(err, os.ErrDeadlineExceeded))
+			assert.EqualValues(t, test.taken, c.BytesWritten())
+		})
+	}
+}
