Replication: a peer has its time for each frame, not for all that wait

A peer that reads slowly and steadily lost its connection, and all frames that were taken off the queue with it, when they took 10 s together: the deadline was set once before the write of all.

--- a/internal/replication/transport/transport_test.go
+++ b/internal/replication/transport/transport_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/ed25519"
 	"encoding/binary"
+	"io"
 	"net"
 	"strings"
 	"testing"
@@ -125,3 +126,29 @@
 	_, err = readFrame(bytes.NewReader(binary.BigEndian.AppendUint32(nil, MaxFrameBytes+1)))
 	require.ErrorIs(t, err, errFrameTooLong)
 }
+
+// Many frames wait for a peer that reads slowly and steadily. A limit for all of them together would end its
+// connection, with the frames that are left. Each frame has its own.
+func TestSteadyPeerTakesAllFramesThatWait(t *testing.T) {
+	near, far := net.Pipe()
+	defer far.Close()
+	q := newQueue()
+	q.frameTimeout = 80 * time.Millisecond
+	for range 10 {
+		require.True(t, q.push([]byte("12345678")))
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan bool)
+	go func() {
+		q.writeTo(ctx, near)
+		close(ended)
+	}()
+	require.NoError(t, far.SetReadDeadline(time.Now().Add(testTimeout)))
+	for range 10 {
+		time.Sleep(20 * time.Millisecond)
+		_, err := io.ReadFull(far, make([]byte, 8))
+		require.NoError(t, err)
+	}
+	cancel()
+	<-ended
+}
