An endpoint that begins to read late in an attempt's 0.1 s takes the rest of it

Cause: the limit ran from the begin of the line, whenever the first byte was taken. Evidence: forced on a pipe, first bytes read 95 ms and 198 ms after the begin, the rest 20 ms later: both ended by the close on the text before. Change: the first byte is waited for 40 ms, then the line is formatted anew; the rest has 60 ms at least of the 0.1 s. After a stall the line tells 50 ms less than the client has left, and the rest has 110 ms. What is told still exceeds what is left by 0.1 s at most. TestEndpointThatBeginsToReadLateTakesAnAttempt fails before (2 of 4 cases).

--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -1,6 +1,8 @@
 package upstream
 
 import (
+	"time"
+
 	"cairnfront/internal/cacheproto"
 	"cairnfront/internal/clock"
 	"cairnfront/internal/netconn"
@@ -30,6 +32,9 @@
 	writtenAt clock.Instant // when writing began
 	endOffset int64         // the connection's count of buffered bytes after the attempt's last one
 
+	requeued   bool          // the socket took nothing of it in time, and its line is formatted anew
+	lineMargin time.Duration // by how much the deadline in its line is shortened
+
 	cancelResult routing.AttemptResult // with which it ends once its cancel was sent to the endpoint
 }
 
--- a/internal/upstream/writer.go
+++ b/internal/upstream/writer.go
@@ -13,9 +13,19 @@
 	"cairnfront/routing"
 )
 
-// maxLineAge is how long the socket may take to accept an attempt after its line was formatted. By the protocol's terms
-// the deadline in the line may exceed what the client has left by 0.15 s when all of the attempt has arrived.
-const maxLineAge = 100 * time.Millisecond
+const (
+	// maxFirstByteWait is how long the socket may take nothing of an attempt before its line is formatted anew.
+	maxFirstByteWait = 40 * time.Millisecond
+
+	// maxLineAge is how long the socket may take to accept all of an attempt after its line was formatted. By the
+	// protocol's terms the deadline in the line may exceed what the client has left by 0.15 s when all of the attempt
+	// has arrived.
+	maxLineAge = 100 * time.Millisecond
+
+	// stalledLineMargin is by how much the deadline in a line is shortened, and the socket's time to accept the
+	// attempt extended, where the socket took nothing before. An endpoint that begins to read again may be slow.
+	stalledLineMargin = 50 * time.Millisecond
+)
 
 // minTimeLeft is the least time to an attempt's deadline with which its line is begun: the line has whole milliseconds.
 const minTimeLeft = time.Millisecond
@@ -73,14 +83,15 @@
 }
 
 // writeAttempt writes an attempt to the socket, behind nothing that is unwritten. If the socket takes nothing of it for
-// a while, the attempt goes back to the head of the queue, so that its line is formatted anew. If it takes a part, the
-// connection has to end.
+// maxFirstByteWait, the attempt goes back to the head of the queue, so that its line is formatted anew. If it takes a
+// part and not the rest in time, nothing more can be written on the connection.
 //
 // It guards against a line that arrives with a deadline that the client does not have any more: the endpoint would work
-// on for nobody. An attempt of which the socket took a part does not run, as it is incomplete.
+// on for nobody. An attempt of which the socket took a part does not run, as it is incomplete. The first part is waited
+// for only so long that there is time for the rest: an endpoint that begins to read late takes all of it.
 func (w *connectionWriter) writeAttempt(a *Attempt) error {
 	before := w.conn.BytesWritten()
-	w.conn.SetWriteDeadline(a.writtenAt.Add(maxLineAge).Time())
+	w.conn.SetWriteDeadlines(a.writtenAt.Add(maxFirstByteWait).Time(), a.writtenAt.Add(maxLineAge+a.lineMargin).Time())
 	defer w.conn.SetWriteDeadline(time.Time{})
 	err := a.writeTo(w.conn)
 	if err == nil {
@@ -115,6 +126,7 @@
 		return
 	}
 	a.written = false
+	a.requeued = true
 	c.writeQueue = append([]command{{attempt: a}}, c.writeQueue...)
 }
 
@@ -195,7 +207,17 @@
 		return
 	}
 	if !a.bounds.Deadline.IsZero() {
-		a.command.TimeoutSeconds = a.bounds.Deadline.Sub(now).Seconds()
+		left := a.bounds.Deadline.Sub(now)
+		a.lineMargin = a.marginOf(left)
+		a.command.TimeoutSeconds = (left - a.lineMargin).Seconds()
 	}
 	a.head = cacheproto.AppendAttempt(nil, a.command)
 }
+
+// marginOf returns by how much the deadline in the line is shortened, of the time that is left.
+func (a *Attempt) marginOf(left time.Duration) time.Duration {
+	if !a.requeued {
+		return 0
+	}
+	return min(stalledLineMargin, left/2)
+}
--- a/internal/upstream/writer_test.go
+++ b/internal/upstream/writer_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"bufio"
+	"bytes"
+	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
+	"cairnfront/internal/cacheproto"
 	"cairnfront/internal/clock"
 	"cairnfront/internal/request"
 	"cairnfront/routing"
@@ -101,3 +105,39 @@
 	assert.Equal(t, "undo a", readCommand(t, reader))
 	assert.Equal(t, endedWith(a, routing.Cancelled), s.nextEnd())
 }
+
+// An endpoint begins to read just before a line that waits for it would be formatted anew, and takes the rest some
+// milliseconds later. A limit that ran from the begin of the write ended the connection right after the endpoint had
+// taken a part. The attempt arrives, with a deadline that its client has.
+func TestEndpointThatBeginsToReadLateTakesAnAttempt(t *testing.T) {
+	const left, tooLong = 10 * time.Second, 0.15 // the latter in seconds, by the protocol's terms
+	for _, readsAfter := range []time.Duration{
+		maxFirstByteWait - 5*time.Millisecond, 2*maxFirstByteWait - 5*time.Millisecond, maxLineAge - 5*time.Millisecond,
+		5*maxFirstByteWait - 2*time.Millisecond,
+	} {
+		t.Run(readsAfter.String(), func(t *testing.T) {
+			s := newTestPool(t)
+			deadline := clock.Now().Add(left)
+			s.Send(attemptOf(&request.Request{
+				ID: "9b1f03aa5c7e2d41", ClassName: "page", Object: "7f3a9c21e0b4d655", Part: "0",
+				Body: &request.Body{Bytes: make([]byte, 40_000)},
+			}), Bounds{Deadline: deadline}, nil, testOwner("a"))
+			far := <-s.dialed
+			time.Sleep(readsAfter)
+			first := make([]byte, 16)
+			_, err := io.ReadFull(far, first)
+			require.NoError(t, err)
+			time.Sleep(20 * time.Millisecond)
+			reader := bufio.NewReader(io.MultiReader(bytes.NewReader(first), far))
+			line, err := reader.ReadString('\n')
+			require.NoError(t, err)
+			_, err = io.CopyN(io.Discard, reader, 40_000+int64(len(cacheproto.LineEnd)))
+			require.NoError(t, err, "the connection was ended inside the attempt")
+			command, err := cacheproto.ParseCommand([]byte(strings.TrimSpace(line)))
+			require.NoError(t, err)
+			leftNow := deadline.Sub(clock.Now()).Seconds()
+			assert.LessOrEqual(t, command.TimeoutSeconds, leftNow+tooLong)
+			assert.Greater(t, command.TimeoutSeconds, leftNow-tooLong, "and not much less")
+		})
+	}
+}
