An attempt that is not taken does not end the others on its connection

Callers: an endpoint stopped reading inside an attempt's body, or took nothing for a second; the connection was closed, and each other attempt on it ended as connection_broken. An order in flight there failed though its endpoint was about to answer, since it must not be repeated. Cause: the writing goroutine's error ended both directions. Evidence: on the text before, the order ends as broken together with the attempt that was not taken (TestOrderOutlivesAnAttemptThatIsNotTaken, both cases, run there). Change: a new state, receiving. Nothing more is written, so a stale attempt never becomes complete; what the socket has not taken completely ends at once; attempts in flight are answered until their deadlines, and the last one closes the connection. A cancel that can't be written ends with the connection, so no retry overlaps it; such a retry may wait for it.

--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -98,7 +98,7 @@
 
 // cancel gives an attempt up and returns how it ends by that, and whether at once. One that the endpoint may know of
 // is over only when the socket has taken the cancel line, or the connection has ended. Its end then comes like any
-// other.
+// other. The line is not written where nothing is written any more.
 //
 // It guards against two attempts of a request at once: a retry that is sent before the cancel line would run beside the
 // attempt, which the settings may forbid.
@@ -118,11 +118,15 @@
 		c.dequeueLocked(a)
 		return routing.NotSent, true
 	}
-	if !c.state.takesAttempts() || a.isHealthCheck {
+	defer c.closeIfDoneLocked()
+	if !c.state.hasAttempts() || a.isHealthCheck {
 		return result, true
 	}
 	a.cancelResult = result
 	c.cancelled[a.id] = a
+	if c.state == connReceiving {
+		return result, false
+	}
 	c.enqueueLocked(command{attempt: a, cancelLine: cacheproto.AppendCancel(nil, a.id)})
 	c.suspectSilenceLocked(now)
 	return result, false
--- a/internal/upstream/lifecycle.go
+++ b/internal/upstream/lifecycle.go
@@ -65,11 +65,7 @@
 	conn := netconn.New(socket, admission.EndpointRingBytes, writeStallTimeout)
 	conn.SetFrameTimeout(max(c.pool.ConnectTimeout, minResponseStall))
 	c.serve(ctx, conn)
-	unsent := routing.ConnectFailed
-	if netconn.IsLocalShortage(conn.EndErr()) { // no fault of the endpoint
-		unsent = routing.NotSent
-	}
-	c.endAttempts(conn, unsent)
+	c.endAttempts(conn, unsentResult(conn.EndErr()))
 	conn.LogEnd(c.pool.Metrics, c.remote())
 }
 
@@ -131,6 +127,9 @@
 	g.Go(func() error {
 		defer c.recoverPanic(conn, stop)
 		err := c.writeLoop(ctx, conn)
+		if c.stopWriting(conn, err) {
+			return nil // the reading goroutine goes on
+		}
 		if ctx.Err() == nil { // else the reading goroutine ends the connection
 			conn.Close(netconn.ClassifyError(err), err)
 		}
--- a/internal/upstream/reader.go
+++ b/internal/upstream/reader.go
@@ -116,5 +116,6 @@
 	}
 	delete(c.attempts, a.id)
 	c.lastUsed = clock.Now()
+	c.closeIfDoneLocked()
 	return true
 }
--- a/internal/upstream/silence.go
+++ b/internal/upstream/silence.go
@@ -44,7 +44,7 @@
 func (c *Connection) silentWait(now clock.Instant) (longest time.Duration, addr address.Addr, waiting []*Attempt) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state != connReady {
+	if c.conn == nil || !c.state.hasAttempts() {
 		return 0, "", nil
 	}
 	for _, a := range c.attempts {
