A response does not end an attempt that was not begun

An endpoint that answers an id which waits for its turn on the connection ended that attempt; its line stayed in the queue and was written later, so the request could run beside its next attempt or after its final answer (rule 2). Cause: the reader took any open attempt with the response's id. Change: only one that was begun; else the response is dropped and counted as late.

--- a/internal/upstream/attempt_test.go
+++ b/internal/upstream/attempt_test.go
@@ -230,3 +230,33 @@
 	assert.True(t, atOnce, "and no line cancels it")
 	assert.NotNil(t, b.Connection())
 }
+
+// An endpoint answers an attempt that still waits for its turn, so it cannot have seen it. Ended by that, the attempt
+// would be written after its end and run beside the next one. The response is dropped, and the attempt is written and
+// gets its own.
+func TestResponseToAQueuedAttemptDoesNotEndIt(t *testing.T) {
+	for name, stray := range map[string]string{
+		"refusal": "b overload - 0\r\n\r\n",
+		"body":    "b served digest=d,dated=1 5\r\nstray\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newTestPool(t)
+			s.MaxAttemptsPerConnection = 3
+			s.Admission.AdmitEndpointConn(true) // so that both share a connection
+			s.send("a", 20_000)
+			far := <-s.dialed
+			reader := bufio.NewReaderSize(far, 16)
+			_, _ = reader.ReadByte() // the writer is busy with a
+			b := s.send("b", 0)
+			_, _ = io.WriteString(far, stray)
+			_, _ = reader.ReadString('\n')
+			_, _ = io.CopyN(io.Discard, reader, 20_002)
+			assert.Equal(t, "do b", readCommand(t, reader))
+			assert.EqualValues(t, 1, s.Metrics.Value("upstream_late_responses_total"))
+			_, _ = io.WriteString(far, "b served digest=d,dated=1 2\r\nok\r\n")
+			end := s.nextEnd()
+			assert.Equal(t, b, end.Attempt)
+			assert.Equal(t, "ok", string(end.End.Body.Bytes))
+		})
+	}
+}
--- a/internal/upstream/reader.go
+++ b/internal/upstream/reader.go
@@ -75,13 +75,22 @@
 	return nil
 }
 
-// openAttempt returns the open attempt with an id, nil where there is none.
+// openAttempt returns the open attempt with an id that a response may be for, nil where there is none.
 func (c *Connection) openAttempt(id string) *Attempt {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.attempts[id]
+	if a := c.attempts[id]; a.mayBeAnswered() {
+		return a
+	}
+	return nil
 }
 
+// mayBeAnswered says whether an open attempt can have a response. It is guarded by the connection's lock.
+//
+// It guards against an attempt that a stray response ends while it waits for its turn: it would be written after its
+// end, and run beside the next attempt or after the request's final response (rule 2). One that was not begun has none.
+func (a *Attempt) mayBeAnswered() bool { return a != nil && a.written }
+
 // endByResponse ends an attempt, unless it was cancelled while its response was read.
 func (c *Connection) endByResponse(a *Attempt, response cacheproto.Response) {
 	if a == nil {
@@ -107,11 +116,12 @@
 	return a.request != nil && a.request.ETag != "" && response.ETag == a.request.ETag
 }
 
-// takeOpen takes an attempt off the connection. It returns false where it is not open any more.
+// takeOpen takes an attempt off the connection that its response ends. It returns false where it is not open any more,
+// or waits to be written anew.
 func (c *Connection) takeOpen(a *Attempt) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.attempts[a.id] != a {
+	if c.attempts[a.id] != a || !a.mayBeAnswered() {
 		return false
 	}
 	delete(c.attempts, a.id)
