Work at a cold endpoint is charged once to each endpoint

Callers: an attempt at a cold endpoint that has no source of its own took two shares of the endpoint's budget, so half of what it bears was refused. Cause: recordColdWork went over target and source, which are one endpoint there. Change: the source is charged where it is another endpoint that fills. Decision traces change where endpoints are cold.

--- a/routing/slowstart.go
+++ b/routing/slowstart.go
@@ -41,12 +41,18 @@
 	return usual
 }
 
-// recordColdWork charges an attempt to its target, and a fill to its source too, while they are cold.
+// recordColdWork charges an attempt to its target, and a fill to the source that it has beside, while they are cold.
 func (r *Router) recordColdWork(req *request, a *attempt) {
-	for _, e := range [2]*endpoint{a.target, a.source} {
-		if r.warmShare(e) < 1 && (e == a.target || a.fill.missExpected()) {
-			e.recentWork = append(e.recentWork, workSample{at: r.now, seconds: r.workOf(req, e)})
-		}
+	r.chargeWhileCold(req, a.target)
+	if a.hasSource() && a.fill.missExpected() {
+		r.chargeWhileCold(req, a.source)
+	}
+}
+
+// chargeWhileCold charges an attempt of a request to an endpoint if that is cold.
+func (r *Router) chargeWhileCold(req *request, e *endpoint) {
+	if r.warmShare(e) < 1 {
+		e.recentWork = append(e.recentWork, workSample{at: r.now, seconds: r.workOf(req, e)})
 	}
 }
 
--- a/routing/slowstart_test.go
+++ b/routing/slowstart_test.go
@@ -236,6 +236,22 @@
 	}
 }
 
+// An attempt goes to a cold endpoint that is its own source, as one straight to a parent does. Charged as target and as
+// source, it would count twice, and half of the endpoint's budget would be left unused. It counts once; a fill through a
+// cold cache from a cold parent counts at both.
+func TestColdWorkIsChargedOnceToEachEndpoint(t *testing.T) {
+	r := newTestRouter(Idempotent)
+	cache, parent := r.findOrAddEndpoint("c0"), r.findOrAddEndpoint("p0")
+	cache.StartedAt, parent.StartedAt = 100, 100
+	req := &request{sendSeconds: 0.1}
+	r.recordColdWork(req, &attempt{target: parent, source: parent, fill: expectFill})
+	assert.Len(t, parent.recentWork, 1)
+	r.recordColdWork(req, &attempt{target: cache, source: parent, fill: expectFill})
+	assert.Equal(t, []int{1, 2}, []int{len(cache.recentWork), len(parent.recentWork)})
+	r.recordColdWork(req, &attempt{target: cache, source: parent, fill: expectHit})
+	assert.Equal(t, []int{2, 2}, []int{len(cache.recentWork), len(parent.recentWork)})
+}
+
 // The least number of samples is held here, apart from that of the miss rate, which is as large.
 func TestWorkIsTheMeanSendingTimeFromEightSamples(t *testing.T) {
 	r := newTestRouter(Idempotent)
