A decrease never raises the limit of a recovering endpoint

Callers: where the limit's minimum is above what a cold start or an ejection sets, the first refusal raised the limit to the minimum: the endpoint got more for being overloaded (rule 4). Cause: decrease took the greater of four fifths of the limit and its minimum. Evidence: limits of 0.5, 1 and 2 with a minimum of 4 are 4 after a decrease. Change: below the minimum the limit stays and the ramp leads less far. TestDecreaseNeverRaisesALimit fails on the text before. Traces change where endpoints recover.

--- a/routing/concurrency.go
+++ b/routing/concurrency.go
@@ -33,7 +33,7 @@
 //
 // A limit is in its recovery ramp while it is below the proven limit. Only an ejection or a cold start puts it there;
 // each answer in time then adds recoveryStep. A decrease sets the proven limit to the limit that it leaves: no ramp
-// follows it, and it ends one that is under way. Growth above the proven limit is slow and does not raise it.
+// follows it, and it ends one that has come to the minimum. Growth above the proven limit is slow and does not raise it.
 type limiter struct {
 	limit       float64
 	provenLimit float64 // this router's share at the start, then the limit that the last decrease left
@@ -100,18 +100,30 @@
 }
 
 // decrease takes a sign of congestion: a refusal counts at once, a late answer if many of the last were late. The
-// lowered limit is the proven one from then on: it grows back slowly, not in a recovery ramp. A limit that a ramp has
-// below its minimum goes up to that.
+// lowered limit is the proven one from then on: it grows back slowly, not in a recovery ramp.
 func (l *limiter) decrease(now float64, refused bool) {
 	l.lateSamples = appendSample(l.lateSamples, 1, maxLateSamples)
 	intervalOver := now > l.decreasedAt+decreaseIntervalSeconds
 	if intervalOver && (refused || mean(l.lateSamples) >= congestionShare) {
-		l.limit = max(l.limit*decreaseFactor, l.minLimit)
-		l.provenLimit = l.limit
+		l.lower()
 		l.decreasedAt = now
 	}
 }
 
+// lower lowers a limit for congestion, down to its minimum. One that a recovery ramp has below that stays where it is,
+// and the ramp leads less far.
+//
+// It guards against a refusal that lets more through to an endpoint which has just started or failed (rule 4): raised
+// to the minimum, the limit of a cold endpoint would grow for its being overloaded.
+func (l *limiter) lower() {
+	if l.limit < l.minLimit {
+		l.provenLimit = max(l.provenLimit*decreaseFactor, l.minLimit)
+		return
+	}
+	l.limit = max(l.limit*decreaseFactor, l.minLimit)
+	l.provenLimit = l.limit
+}
+
 // setStartingLimit gives this router its share of an endpoint's capacity as proven limit. The limit of a cold endpoint
 // starts below it, in a recovery ramp.
 func (r *Router) setStartingLimit(e *endpoint) {
--- a/routing/concurrency_test.go
+++ b/routing/concurrency_test.go
@@ -118,3 +118,22 @@
 		assert.InDelta(t, least, l.limit, 1e-9, "%v routers", n)
 	}
 }
+
+// An endpoint in its recovery ramp, below the least that its limit falls to, refuses an attempt. A decrease up to that
+// minimum would send it more for refusing, while it is cold (rule 4). The limit stays, and its ramp leads less far.
+func TestDecreaseNeverRaisesALimit(t *testing.T) {
+	for _, limit := range []float64{0.5, 1, 2, 4, 20} {
+		l := limiter{}
+		l.setShare(20, 1)
+		l.limit = limit // as an ejection or a cold start sets it; the minimum is 4
+		for now := range 10 {
+			limitBefore, provenBefore := l.limit, l.provenLimit
+			l.decrease(100+float64(now), true)
+			assert.LessOrEqual(t, l.limit, limitBefore)
+			assert.LessOrEqual(t, l.provenLimit, provenBefore)
+			assert.GreaterOrEqual(t, l.provenLimit, l.minLimit)
+			assert.Equal(t, limit >= l.minLimit, l.atProvenLimit(), "a ramp goes on below the minimum alone")
+		}
+		assert.InDelta(t, l.minLimit, l.provenLimit, 1e-9)
+	}
+}
