--- a/routing/retry_test.go
+++ b/routing/retry_test.go
@@ -4,6 +4,7 @@
 	"testing"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 )
 
 // A rejection tells the client that trying again is harmless. For a non-idempotent request that is still out this would
@@ -129,3 +130,20 @@
 	r.now = 108.99
 	assert.InDelta(t, 108.99, r.sendBefore(req), 1e-9, "not before now: the deadline itself bounds it")
 }
+
+// A zone has one cache, and the connection of an attempt there is silent while the cache answers others. Left alone for
+// the attempt that is still in flight, it could not serve the request, which would end at its deadline. It gets another
+// attempt, and only once the first is taken for lost.
+func TestLostAttemptIsRetriedAtTheOnlyEndpoint(t *testing.T) {
+	r := New(7, testSettings(Idempotent))
+	r.Decide(100, EndpointUpdate{Kind: Restored, Endpoints: []Endpoint{
+		{ID: "o", Kind: 2, Weight: 1}, {ID: "p", Kind: 1, Weight: 20}, {ID: "c", Zone: 1, Weight: 4},
+	}})
+	first := actionsOf[StartAttempt](r.Decide(100, newArrival("t", "x")))
+	require.Len(t, first, 1)
+	assert.Equal(t, EndpointID("c"), first[0].Endpoint)
+	assert.Empty(t, actionsOf[StartAttempt](r.Decide(100.05, TimerFired{Token: r.requests["t"].token})))
+	second := actionsOf[StartAttempt](r.Decide(100.1, AttemptStalled{Request: "t", Attempt: 0}))
+	require.Len(t, second, 1)
+	assert.Equal(t, EndpointID("c"), second[0].Endpoint)
+}
