A hang soon after a quiet time is noticed as soon as any other

Cause: silence is measured in the mean of the last nine intervals between an endpoint's answers, which held the pause: 6.8 s, so 27 s of silence. Evidence: TestHangAfterAQuietTimeIsNoticed on the text before. Change: an interval over ten times the mean of the others does not count, once ten answers are known.

--- a/routing/endpoint.go
+++ b/routing/endpoint.go
@@ -46,11 +46,26 @@
 	return e.heardAt[len(e.heardAt)-1]
 }
 
-// heardIntervalSeconds is the mean time between the last few times that an endpoint was heard, 0 if there are fewer
-// than two.
+// quietFactor is how many times as long as the mean of the others an interval between answers is that tells of a
+// pause in the traffic.
+const quietFactor = 10.0
+
+// heardIntervalSeconds is the mean time between the last few times that an endpoint was heard, and 0 if there are fewer
+// than two. A pause in the traffic does not count, which shows once maxHeardTimes of them are known.
+//
+// It guards against an endpoint that hangs soon after a quiet time: with the pause counted, it would be silent only
+// after several times the pause's share. That shows as requests that wait for their deadlines.
 func (e *endpoint) heardIntervalSeconds() float64 {
 	if len(e.heardAt) < 2 {
 		return 0
 	}
-	return (e.lastHeardAt() - e.heardAt[0]) / float64(len(e.heardAt)-1)
+	sum, longest, count := e.lastHeardAt()-e.heardAt[0], 0.0, float64(len(e.heardAt)-1)
+	for i, at := range e.heardAt[1:] {
+		longest = max(longest, at-e.heardAt[i])
+	}
+	others := sum - longest
+	if len(e.heardAt) == maxHeardTimes && longest*(count-1) > quietFactor*others {
+		return others / (count - 1)
+	}
+	return sum / count
 }
--- a/routing/outlier_test.go
+++ b/routing/outlier_test.go
@@ -61,6 +61,46 @@
 	assert.Len(t, actionsOf[StartAttempt](r.Decide(100, newArrival("t", "x"))), 1)
 }
 
+// An endpoint has been quiet for a minute, as there was no traffic, answers once and hangs. Counted as an interval
+// between answers, the minute would hide the hang: requests wait for their deadlines. Its silence shows as soon
+// as that of an endpoint without the pause.
+func TestHangAfterAQuietTimeIsNoticed(t *testing.T) {
+	for name, pause := range map[string]float64{"a minute": 60, "ten seconds": 10, "none": 0.1} {
+		t.Run(name, func(t *testing.T) {
+			r := newTestRouter(Idempotent)
+			c, req := r.findOrAddEndpoint("c0"), addSentRequest(r, 0, true)
+			for n := range maxHeardTimes {
+				c.heardAt = append(c.heardAt, 99.9-pause-0.1*float64(maxHeardTimes-n))
+			}
+			c.recordHeard(99.9)
+			req.attempts[0].suspectAt = 100.25
+			for waited := 0.25; len(req.attempts) == 1 && waited < 5; waited += 0.01 {
+				r.now = 100 + waited
+				r.plan(req)
+			}
+			assert.Len(t, req.attempts, 2)
+			assert.Less(t, r.now-100, silenceIntervals*0.1+minSilenceSeconds)
+		})
+	}
+}
+
+// Intervals between answers vary. One that is a few times as long as the others is no pause in the traffic: a
+// router that left it out would take the next such one for silence.
+func TestUsualIntervalsCountAllThatVaryAsUsual(t *testing.T) {
+	e := &endpoint{}
+	at := 100.0
+	for _, interval := range []float64{1, 1, 1, 1, 1, 1, 1, 1, 9} {
+		e.recordHeard(at)
+		at += interval
+	}
+	e.recordHeard(at)
+	assert.InDelta(t, 17.0/9, e.heardIntervalSeconds(), 1e-9)
+	e.recordHeard(at + 100)
+	assert.InDelta(t, 16.0/8, e.heardIntervalSeconds(), 1e-9, "a hundred seconds are a pause")
+	e.heardAt = e.heardAt[maxHeardTimes-3:]
+	assert.InDelta(t, 109.0/2, e.heardIntervalSeconds(), 1e-9, "two intervals are too few to tell")
+}
+
 // An endpoint with little traffic is heard seldom. A fixed bound would take its usual pauses for silence. The bound
 // must be a multiple of the interval at which it was heard until then.
 func TestSilenceIsMeasuredInUsualSignIntervals(t *testing.T) {
