--- a/internal/frontend/close.go
+++ b/internal/frontend/close.go
@@ -15,7 +15,7 @@
 // half-close, so that the last output reaches a client that still sends.
 const (
 	gracefulCloseTimeout = 500 * time.Millisecond
-	evictionCloseTimeout = 50 * time.Millisecond // shorter, as the place is needed; a crossing request comes by then
+	evictionCloseTimeout = 80 * time.Millisecond // as the place is needed; a crossing request comes within 50 ms
 	discardedInputBytes  = 2 << 20
 
 	// finalWriteTimeout is how long a connection waits for its last output at the end of the process.
--- a/internal/frontend/helpers_test.go
+++ b/internal/frontend/helpers_test.go
@@ -167,6 +167,15 @@
 	onReaderWoken, onClose func()
 	halfClosed             atomic.Bool
 	lingerNanos            atomic.Int64 // ns for which it is read on after its end at the most
+	readAfterEnd           atomic.Int64 // bytes read after the half-close
+}
+
+func (e *observedSocket) Read(p []byte) (int, error) {
+	n, err := e.TCPConn.Read(p)
+	if e.halfClosed.Load() {
+		e.readAfterEnd.Add(int64(n))
+	}
+	return n, err
 }
 
 func (e *observedSocket) SetReadDeadline(at time.Time) error {
@@ -193,6 +202,12 @@
 // newTestConnOverTCP is newTestConn over loopback. onClose is called once, at the time of the close or half-close;
 // onReaderWoken each time that the reader is woken.
 func newTestConnOverTCP(t *testing.T, onReaderWoken, onClose func(far net.Conn)) *testClient {
+	t.Helper()
+	return newObservedConn(t, true, onReaderWoken, onClose)
+}
+
+// newObservedConn is newTestConnOverTCP, also for a connection that is not admitted.
+func newObservedConn(t *testing.T, admitted bool, onReaderWoken, onClose func(far net.Conn)) *testClient {
 	t.Helper()
 	ln, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -208,7 +223,7 @@
 		onReaderWoken: func() { onReaderWoken(far) },
 		onClose:       sync.OnceFunc(func() { onClose(far) }),
 	}
-	c := newTestConnOver(t, e, far, true)
+	c := newTestConnOver(t, e, far, admitted)
 	c.socket = e
 	return c
 }
