Membership: a member silenced by a name conflict wakes once a second

It woke each millisecond until its end: Tick returns early for a conflicted member, so its deadlines stay in the past and NextDeadline names them. It is due once a second now. TestConflictedMemberWakesSeldom has 60,000 ticks in a minute on the text before, and 60 here.

--- a/internal/membership/swim/core.go
+++ b/internal/membership/swim/core.go
@@ -126,6 +126,7 @@
 // Tick does what is due at a time. It is to be called at NextDeadline; it may be called earlier.
 func (c *Core) Tick(now float64) []Action {
 	if c.conflicted {
+		c.lastTick = now
 		return c.takeActions()
 	}
 	c.detectPause(now)
@@ -141,8 +142,17 @@
 	return c.takeActions()
 }
 
+// conflictedTickSeconds is the time between two ticks of a member that a name conflict has silenced.
+const conflictedTickSeconds = 1.0
+
 // NextDeadline is when the next tick is due, in seconds.
+//
+// It guards against a member that a name conflict has silenced and that wakes all the time, for deadlines that have
+// passed and that nothing moves.
 func (c *Core) NextDeadline() float64 {
+	if c.conflicted {
+		return c.lastTick + conflictedTickSeconds
+	}
 	next := min(c.prober.nextAt, c.pushPull.nextAt)
 	if len(c.prober.suspectQueue) > 0 {
 		next = min(next, c.prober.nextSuspectsAt)
--- a/internal/membership/swim/self_test.go
+++ b/internal/membership/swim/self_test.go
@@ -58,3 +58,19 @@
 	assert.Equal(t, Left, c.SelfRecord().State)
 	assert.NotEmpty(t, actions)
 }
+
+// TestConflictedMemberWakesSeldom silences a member by a name conflict. Its deadlines had passed and nothing moved them,
+// so its node woke each millisecond until its end. It must be due about once a second.
+func TestConflictedMemberWakesSeldom(t *testing.T) {
+	c := newTestCore(3, Config{})
+	other := MemberRecord{Member: 0, Incarnation: Incarnation{StartMillis: 200}, InstanceID: 9, State: Alive}
+	c.HandleMessage(1, 1, pushRecord(other))
+	other.Incarnation.StartMillis = 300
+	c.HandleMessage(2, 1, pushRecord(other))
+	ticks := 0
+	for now := 2.0; now < 62; ticks++ {
+		assert.Empty(t, c.Tick(now))
+		now = max(c.NextDeadline(), now+0.001)
+	}
+	assert.InDelta(t, 60, ticks, 2)
+}
