Membership: an observation refused for room does not use up its number

A copy that came once there was room counted as replayed, so nothing was known of that endpoint from its witness: HandleObservation advanced the witness's sequence before it looked for room. Room is looked for first. The new test fails on the text before.

--- a/internal/membership/observation/receive.go
+++ b/internal/membership/observation/receive.go
@@ -21,7 +21,10 @@
 	if o.Witness == t.self || !o.Health.valid() || o.Endpoint == "" {
 		return nil, false
 	}
-	if !t.acceptSequence(now, o) || !t.makeRoom(now, o.Endpoint) || !t.hold(now, o) {
+	if !t.makeRoom(now, o.Endpoint) { // before its number is used up: a later copy may find room
+		return nil, false
+	}
+	if !t.acceptSequence(now, o) || !t.hold(now, o) {
 		return nil, false
 	}
 	t.Enqueue(o)
--- a/internal/membership/observation/tracker_test.go
+++ b/internal/membership/observation/tracker_test.go
@@ -184,3 +184,20 @@
 	got, _ := Classify(routing.Completed, true)
 	assert.Equal(t, Slow, got)
 }
+
+// TestObservationRefusedForRoomMayComeAgain sends an observation while the tracker is full, and a copy of it once there
+// is room. With its number used up the copy counted as replayed, and nothing was ever known of that endpoint from its
+// witness. The copy must be taken.
+func TestObservationRefusedForRoomMayComeAgain(t *testing.T) {
+	tracker := New(0, "z", 0, 1)
+	for i := range maxEndpoints {
+		o := failing(1, uint32(i+1), "z1")
+		o.Endpoint = routing.EndpointID(strconv.Itoa(i))
+		_, fresh := tracker.HandleObservation(1, o)
+		require.True(t, fresh)
+	}
+	_, fresh := tracker.HandleObservation(1, failing(2, 1, "z2"))
+	assert.False(t, fresh, "there is no room")
+	_, fresh = tracker.HandleObservation(1+expiry, failing(2, 1, "z2"))
+	assert.True(t, fresh, "there is room")
+}
