Membership: what is held of a forgotten witness goes with it

After SIGHUP removed a peer, each look at its observations panicked for up to 10 s, until they expired: they were weighed by a witness that was gone. What is held of it is dropped, and the next tick ends the doubts that stood on it. TestForgottenWitnessLeavesNothingHeld panics on the text before.

--- a/internal/membership/observation/tracker.go
+++ b/internal/membership/observation/tracker.go
@@ -168,9 +168,19 @@
 }
 
 func (t *Tracker) expire(now float64) {
+	t.dropHeld(func(h heldObservation) bool { return now >= h.expiresAt })
+	for endpoint, e := range t.local {
+		if now > max(e.lastSuccessAt, e.lastFailureAt)+localExpiry {
+			delete(t.local, endpoint)
+		}
+	}
+}
+
+// dropHeld drops the observations that meet a condition.
+func (t *Tracker) dropHeld(condition func(heldObservation) bool) {
 	for endpoint, list := range t.held {
 		before := len(list)
-		list = slices.DeleteFunc(list, func(h heldObservation) bool { return now >= h.expiresAt })
+		list = slices.DeleteFunc(list, condition)
 		t.heldCount -= before - len(list)
 		if len(list) == 0 {
 			delete(t.held, endpoint)
@@ -178,11 +188,6 @@
 			t.held[endpoint] = list
 		}
 	}
-	for endpoint, e := range t.local {
-		if now > max(e.lastSuccessAt, e.lastFailureAt)+localExpiry {
-			delete(t.local, endpoint)
-		}
-	}
 }
 
 // EndpointEvidence is what is held of an endpoint, for operators.
--- a/internal/membership/observation/tracker_test.go
+++ b/internal/membership/observation/tracker_test.go
@@ -185,6 +185,24 @@
 	assert.Equal(t, Slow, got)
 }
 
+// TestForgottenWitnessLeavesNothingHeld removes a witness from the roster while its observations are held. Weighed
+// without it they panicked, for up to ten seconds after a SIGHUP. Its doubt must end, and another witness must count.
+func TestForgottenWitnessLeavesNothingHeld(t *testing.T) {
+	tracker := New(0, "z", 0, 1)
+	doubts, _ := tracker.HandleObservation(1, failing(1, 1, "z1"))
+	require.Len(t, doubts, 1)
+	tracker.ForgetWitness(1)
+	ended := tracker.Tick(1.1)
+	require.Len(t, ended, 1)
+	assert.Zero(t, ended[0].Level)
+	held, _ := tracker.Sizes()
+	assert.Zero(t, held)
+	doubts, fresh := tracker.HandleObservation(2, failing(2, 1, "z2"))
+	assert.True(t, fresh)
+	assert.Len(t, doubts, 1)
+	tracker.AttemptEnded(2.1, "e", Failing)
+}
+
 // TestObservationRefusedForRoomMayComeAgain sends an observation while the tracker is full, and a copy of it once there
 // is room. With its number used up the copy counted as replayed, and nothing was ever known of that endpoint from its
 // witness. The copy must be taken.
--- a/internal/membership/observation/witness.go
+++ b/internal/membership/observation/witness.go
@@ -68,8 +68,14 @@
 		e.last != Failing && e.run >= successesToReport
 }
 
-// ForgetWitness drops the record of a member that is no longer in the roster.
-func (t *Tracker) ForgetWitness(id swim.MemberID) { delete(t.witnesses, id) }
+// ForgetWitness drops the record of a member that is no longer in the roster, and what is held of its observations. The
+// next Tick brings the doubts that follow.
+//
+// It guards against observations without a witness to weigh them by, which panic.
+func (t *Tracker) ForgetWitness(id swim.MemberID) {
+	delete(t.witnesses, id)
+	t.dropHeld(func(h heldObservation) bool { return h.Witness == id })
+}
 
 // Reputation is how many observations of a member were confirmed and refuted, decayed, and whether it is trusted.
 func (t *Tracker) Reputation(id swim.MemberID) (confirmed, refuted float64, trusted bool) {
