Replication: each request of a node that ends has an outcome; the last hello counts

A request in the queue of a node that ended, or whose disk failed, got no outcome: 1 of 501 hangs on the text before. Which replica of a router with another disk is up was taken from when each was last seen, in a map's order: 3 of 30 reconnects have the first disk's up. The end takes no more and empties the queue, whatever ended the node; the replica is that of the last hello. TestRequestsOfANodeThatEndsHaveAnOutcome and TestReplicaOfTheLastHelloIsUpAfterAReconnect fail before (run there).

--- a/internal/replication/node.go
+++ b/internal/replication/node.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"sync"
 	"time"
 
 	"cairnfront/internal/clock"
@@ -65,11 +66,15 @@
 	events  chan event
 	stopped chan struct{} // closed when Run's goroutine has ended
 
+	submitting sync.RWMutex // held for writing as requests end to be taken
+	ended      bool         // none is taken any more
+
 	replicas   map[int]*shard.Replica // by shard
 	rebalancer *placement.Rebalancer
 	rnd        *rand.Rand
 
 	statuses    map[uint64]placement.ReplicaStatus // of all replicas that were heard of
+	lastHello   map[string]uint64                  // replica of the last hello, by peer
 	startCounts map[uint64]uint32                  // how often each replica's disk was seen to be opened
 	shardVoters map[int][]uint64                   // of shards that others hold, as they said
 	leaderHints map[int]uint64
@@ -107,6 +112,7 @@
 		rebalancer:  placement.NewRebalancer(config.ReplicaCount, config.ReplaceAfterSeconds),
 		rnd:         rand.New(rand.NewPCG(identity.ID, uint64(identity.StartCount))),
 		statuses:    map[uint64]placement.ReplicaStatus{},
+		lastHello:   map[string]uint64{},
 		startCounts: map[uint64]uint32{identity.ID: identity.StartCount},
 		shardVoters: map[int][]uint64{},
 		leaderHints: map[int]uint64{},
@@ -137,6 +143,7 @@
 	group.Go(func() error { return n.config.Transport.Run(ctx, listener) })
 	group.Go(func() error {
 		defer close(n.stopped)
+		defer n.stopPending()
 		defer n.wal.Close()
 		return n.loop(ctx)
 	})
@@ -153,7 +160,6 @@
 	for {
 		select {
 		case <-ctx.Done():
-			n.stopPending()
 			return nil
 		case event := <-n.events:
 			n.handleBatch(event)
--- a/internal/replication/node_test.go
+++ b/internal/replication/node_test.go
@@ -240,3 +240,58 @@
 	}
 	assert.False(t, c.reserve(2, "k", "g2").Granted)
 }
+
+// newIdleNode opens a node that does not run.
+func newIdleNode(t *testing.T, name string) *Node {
+	t.Helper()
+	key := ed25519.NewKeyFromSeed([]byte(strings.Repeat("k", 32)))
+	node, err := New(Config{
+		Name:         name,
+		ReplicaCount: 3,
+		Transport:    &transport.Transport{Name: name, PrivateKey: key},
+		Disk:         vfs.NewFaultFS(1),
+		Logger:       slog.New(slog.NewTextHandler(io.Discard, nil)),
+	})
+	require.NoError(t, err)
+	return node
+}
+
+// A node ends with requests in its queue, some taken and some not, and callers go on. A request without an outcome
+// would leave its caller waiting. Each gets one.
+func TestRequestsOfANodeThatEndsHaveAnOutcome(t *testing.T) {
+	node := newIdleNode(t, "r0")
+	listener, err := listen(t, "127.0.0.1:0")
+	require.NoError(t, err)
+	deadline := time.Now().Add(time.Hour)
+	var outcomes []<-chan Outcome
+	for i := range 500 {
+		outcomes = append(outcomes, node.Propose(reserveCommand("r0", uint64(i+1), "k", "g"), deadline))
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	require.NoError(t, node.Run(ctx, listener))
+	outcomes = append(outcomes, node.Propose(reserveCommand("r0", 501, "k", "g"), deadline))
+	for i, outcome := range outcomes {
+		select {
+		case got := <-outcome:
+			require.Error(t, got.Err)
+		case <-time.After(testTimeout):
+			require.Fail(t, "no outcome", "request %d of %d", i, len(outcomes))
+		}
+	}
+}
+
+// A router was given another disk, so that two replicas stand under its name, and its connection ends and comes again.
+// Taken by when they were last seen, either could count as up until the next hello. The one that said hello last is.
+func TestReplicaOfTheLastHelloIsUpAfterAReconnect(t *testing.T) {
+	for range 30 {
+		node := newIdleNode(t, "r0")
+		for _, replica := range []uint64{11, 12} {
+			node.handleHello("r1", transport.Frame{Kind: transport.KindHello, Replica: replica, StartCount: 1})
+		}
+		node.handlePeerState("r1", false)
+		node.handlePeerState("r1", true)
+		assert.False(t, node.statuses[11].Up, "the first disk is gone")
+		assert.True(t, node.statuses[12].Up)
+	}
+}
--- a/internal/replication/peers.go
+++ b/internal/replication/peers.go
@@ -30,16 +30,10 @@
 }
 
 // lastSeenReplica is the replica of a router that said hello last, 0 for none.
-func (n *Node) lastSeenReplica(name string) uint64 {
-	replica, lastSeen := uint64(0), -1.0
-	for _, status := range n.statuses {
-		if status.Node == name && status.LastSeen > lastSeen {
-			replica = status.ID
-			lastSeen = status.LastSeen
-		}
-	}
-	return replica
-}
+//
+// It guards against a router that was given another disk: which of its replicas is up can't be known from when they were
+// last seen, as both were when their connection ended. The new one would count as down until it says hello again.
+func (n *Node) lastSeenReplica(name string) uint64 { return n.lastHello[name] }
 
 // hello introduces this router's replica and its shards.
 func (n *Node) hello() transport.Frame {
@@ -74,6 +68,7 @@
 	if n.startCounts[frame.Replica] < frame.StartCount {
 		n.startCounts[frame.Replica] = frame.StartCount
 	}
+	n.lastHello[from] = frame.Replica
 	n.retireOtherReplicas(from, frame.Replica)
 	n.statuses[frame.Replica] = placement.ReplicaStatus{
 		ID:       frame.Replica,
--- a/internal/replication/requests.go
+++ b/internal/replication/requests.go
@@ -65,10 +65,10 @@
 
 // submit hands a request to the node's goroutine. It never waits.
 func (n *Node) submit(deadline time.Time, frame transport.Frame) <-chan Outcome {
-	select {
-	case <-n.stopped:
+	n.submitting.RLock()
+	defer n.submitting.RUnlock()
+	if n.ended {
 		return completed(Outcome{Err: ErrStopped})
-	default:
 	}
 	request := &pendingRequest{frame: frame, deadline: deadline, outcome: make(chan Outcome, 1)}
 	select {
@@ -107,11 +107,27 @@
 	request.outcome <- outcome
 }
 
-// stopPending ends the requests that are still pending.
+// stopPending ends the requests that are still pending, and those that the node has not taken from its queue. None is
+// submitted after it.
+//
+// It guards against a request without an outcome, whose caller waits until its own deadline, or for ever.
 func (n *Node) stopPending() {
+	n.submitting.Lock()
+	n.ended = true
+	n.submitting.Unlock()
 	for number := range n.pending {
 		n.complete(number, Outcome{Err: ErrStopped})
 	}
+	for {
+		select {
+		case event := <-n.events:
+			if submitted, ok := event.(requestSubmitted); ok {
+				submitted.request.outcome <- Outcome{Err: ErrStopped}
+			}
+		default:
+			return
+		}
+	}
 }
 
 // retryPending sends requests again that have no outcome, and ends those whose deadline has passed.
