Edge cache's loop does not wait for its own queue; export reports a failed close

A fetch that can't be sent was posted by the loop into its own queue; with that full the loop waits for room that only it makes, and the edge cache answers nothing. Events for itself wait in a list of the loop's, handled after the one in hand.

--- a/cmd/cairnfront/diskcache.go
+++ b/cmd/cairnfront/diskcache.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"maps"
 	"os"
 	"slices"
@@ -152,18 +153,18 @@
 	return c
 }
 
-// exportChunks writes the chunks of a disk cache to a file, or to standard output for "-".
+// exportChunks writes the chunks of a disk cache to a file, or to standard output for "-". An error of closing the file
+// is one of writing it: the system may tell only then that the disk is full.
 func exportChunks(cmd *cobra.Command, dir, to string) error {
-	out := os.Stdout
+	var out io.WriteCloser = os.Stdout
 	if to != "-" {
 		f, err := os.Create(to)
 		if err != nil {
 			return err
 		}
-		defer func() { _ = f.Close() }()
 		out = f
 	}
-	count, err := diskcache.Export(dir, out)
+	count, err := exportAndClose(dir, out)
 	if err != nil {
 		return err
 	}
@@ -171,6 +172,12 @@
 	return nil
 }
 
+// exportAndClose writes the chunks of a disk cache and closes what they were written to.
+func exportAndClose(dir string, out io.WriteCloser) (count int, err error) {
+	count, err = diskcache.Export(dir, out)
+	return count, errors.Join(err, out.Close())
+}
+
 // formatFaults lists the number of faults of each kind, or says that there are none.
 func formatFaults(byCode map[diskcache.FaultCode]int) string {
 	if len(byCode) == 0 {
--- a/cmd/cairnfront/diskcache_test.go
+++ b/cmd/cairnfront/diskcache_test.go
@@ -137,3 +137,17 @@
 	assert.Equal(t, 1, code)
 	assert.Contains(t, errs, "o.yaml:2:10: tier.alpha")
 }
+
+// lateErrorFile takes all that is written, and tells as it is closed that the disk was full.
+type lateErrorFile struct{ bytes.Buffer }
+
+// Close fails.
+func (*lateErrorFile) Close() error { return syscall.ENOSPC }
+
+// The system may tell only as a file is closed that it could not be written. An export that ignored that ended with
+// success and left a tar file that is cut short. It ends with the error.
+func TestExportReportsAnErrorOfClosing(t *testing.T) {
+	count, err := exportAndClose(stoppedCacheDirectory(t), &lateErrorFile{})
+	assert.Positive(t, count)
+	assert.ErrorIs(t, err, syscall.ENOSPC)
+}
--- a/internal/edgecache/loop.go
+++ b/internal/edgecache/loop.go
@@ -74,6 +74,21 @@
 	}
 }
 
+// handleNext has the loop handle an event after the one in hand. It is for the loop's own goroutine.
+//
+// It guards against a loop that waits for room in its own queue, which nobody else empties: the edge cache would answer
+// nothing any more.
+func (s *Server) handleNext(ev event) { s.next = append(s.next, ev) }
+
+// handleAllNext handles the events of handleNext, also those that come meanwhile.
+func (s *Server) handleAllNext() {
+	for len(s.next) > 0 {
+		ev := s.next[0]
+		s.next = s.next[1:]
+		s.recovering(func() { s.handle(ev) })
+	}
+}
+
 // handleAt handles an event at a time in monotonic seconds, at once if that has passed. The timer's goroutine only
 // posts the event, which is dropped after the end of the loop.
 func (s *Server) handleAt(at float64, ev event) {
@@ -101,6 +116,7 @@
 		case <-sweep.C:
 			s.recovering(func() { s.pool.CloseIdle(s.now()) })
 		}
+		s.handleAllNext()
 	}
 }
 
--- a/internal/edgecache/perform.go
+++ b/internal/edgecache/perform.go
@@ -143,7 +143,7 @@
 		},
 	}, upstream.Bounds{Deadline: clock.FromSeconds(s.now().Seconds() + f.TimeoutSeconds)}, nil, fillOwner(f.Fill))
 	if attempt == nil {
-		s.post(fetchNotSent{f.Fill})
+		s.handleNext(fetchNotSent{f.Fill})
 		return
 	}
 	s.Telemetry.Inc(telemetry.CacheFetches)
--- a/internal/edgecache/server.go
+++ b/internal/edgecache/server.go
@@ -68,6 +68,7 @@
 	now      func() clock.Instant
 
 	events      chan event
+	next        []event // to be handled after the one in hand; of the loop
 	loopDone    chan struct{}
 	lastRequest uint64
 	requests    map[uint64]*openRequest
