Bootstrap file: no attempts and unknown effects are errors with their place

An operator's file with max_attempts 0 was accepted by check and by a start, and each request was then rejected; an unknown effect was taken for one that must not run twice; an objective over its deadline was not named. Change: the first two are errors of the file with their place, for check, a start and SIGHUP; the third for check alone, as deployments may have shorter deadlines. TestInvalidFieldsAreNamed has two cases more; the two new tests fail, or do not build, on the text before.

--- a/cmd/cairnfront/check.go
+++ b/cmd/cairnfront/check.go
@@ -20,6 +20,9 @@
 			if err != nil {
 				return err
 			}
+			if err := c.CheckObjectives(); err != nil {
+				return err
+			}
 			printf(cmd, "router %s, listen address %s: %d request classes, %d settings, %d known discovery events, "+
 				"memory limit %d MB, limit of %d sockets\n",
 				c.Name, c.ListenAddress, len(c.ClassNames), len(c.Settings), len(c.KnownEvents),
--- a/internal/bootstrap/config_test.go
+++ b/internal/bootstrap/config_test.go
@@ -63,6 +63,8 @@
 		{`"sockets":1024`, `"sockets":63`, "limits", ErrLimitTooLow},
 		{"request_classes", "other", "settings", ErrNoClasses},
 		{`"name":"page",`, "", "settings", ErrUnnamedClass},
+		{`"max_streams":32`, `"max_attempts":0`, "settings.limits.max_attempts", ErrNoAttempts},
+		{`"fragile"`, `"harmless"`, "settings.request_classes[1].effect", ErrUnknownEffect},
 		{`"known"`, `"unknown"`, "known", ErrMissing},
 		{`{"rev":1,"pool":{"endpoints":[]}}`, "", "known", discovery.ErrNoEvents},
 		{`"settings"`, `"x"`, "settings", ErrMissing},
@@ -80,6 +82,37 @@
 	assert.ErrorContains(t, err, "JSON")
 }
 
+// A class with an objective over its deadline is most likely a mistake. Checking the file must name it; a start accepts
+// it, as deployments may have it.
+func TestObjectiveOverTheDeadlineIsNamed(t *testing.T) {
+	for seconds, want := range map[string]error{"0.4": nil, "0.5": nil, "0.6": ErrObjectiveTooLong} {
+		class := `"name":"order","on_time_s":` + seconds + `,"hard_limit_s":0.5,`
+		config, err := Parse([]byte(strings.Replace(validFile, `"name":"order",`, class, 1)))
+		require.NoError(t, err)
+		err = config.CheckObjectives()
+		require.ErrorIs(t, err, want)
+		if want != nil {
+			require.ErrorContains(t, err, "settings.request_classes[1].on_time_s: over the deadline: 0.6 s")
+		}
+	}
+}
+
+// The protocol has new keys skipped. A start that refused one would fail at each extension of the deployment's file. New
+// keys, and settings that are missing, must be accepted.
+func TestUnknownAndMissingKeysAreAccepted(t *testing.T) {
+	for old, replacement := range map[string]string{
+		`"me":2`:                    `"me":2,"new":{"key":1}`,
+		`"name":"n3"`:               `"name":"n3","flow_bytes_per_s":310000`,
+		`"effect":"fragile"`:        `"new":"value"`,
+		`"cores":1.0`:               `"cores":1.0,"files":7`,
+		`"connect_timeout_s":0.4,`:  "",
+		`,"effect":"retryable"},{"`: `,"effect":"dedup"},{"`,
+	} {
+		_, err := Parse([]byte(strings.Replace(validFile, old, replacement, 1)))
+		assert.NoError(t, err, replacement)
+	}
+}
+
 // A start that fails for want of the file has to say which file. The error must name the variable or the path, and keep
 // its cause.
 func TestUnreadableFilesAreNamed(t *testing.T) {
--- a/internal/bootstrap/parse.go
+++ b/internal/bootstrap/parse.go
@@ -92,6 +92,9 @@
 	if config.ClassNames, err = f.classNames(); err != nil {
 		return config, &FieldError{fieldSettings, err}
 	}
+	if err := config.validateSettings(); err != nil {
+		return config, err
+	}
 	if len(f.Known) == 0 {
 		return config, &FieldError{fieldKnown, ErrMissing}
 	}
--- a/internal/membership/swim/self_test.go
+++ b/internal/membership/swim/self_test.go
@@ -59,8 +59,8 @@
 	assert.NotEmpty(t, actions)
 }
 
-// TestConflictedMemberWakesSeldom silences a member by a name conflict. Its deadlines had passed and nothing moved them,
-// so its node woke each millisecond until its end. It must be due about once a second.
+// TestConflictedMemberWakesSeldom silences a member by a name conflict. Its deadlines had passed and nothing moved
+// them, so its node woke each millisecond until its end. It must be due about once a second.
 func TestConflictedMemberWakesSeldom(t *testing.T) {
 	c := newTestCore(3, Config{})
 	other := MemberRecord{Member: 0, Incarnation: Incarnation{StartMillis: 200}, InstanceID: 9, State: Alive}
--- a/internal/replication/peers.go
+++ b/internal/replication/peers.go
@@ -31,8 +31,8 @@
 
 // lastSeenReplica is the replica of a router that said hello last, 0 for none.
 //
-// It guards against a router that was given another disk: which of its replicas is up can't be known from when they were
-// last seen, as both were when their connection ended. The new one would count as down until it says hello again.
+// It guards against a router that was given another disk: which of its replicas is up can't be known from when they
+// were last seen, as both were when their connection ended. The new one would count as down until it says hello again.
 func (n *Node) lastSeenReplica(name string) uint64 { return n.lastHello[name] }
 
 // hello introduces this router's replica and its shards.
--- a/internal/upstream/attempt_test.go
+++ b/internal/upstream/attempt_test.go
@@ -252,6 +252,7 @@
 			_, _ = reader.ReadString('\n')
 			_, _ = io.CopyN(io.Discard, reader, 20_002)
 			assert.Equal(t, "do b", readCommand(t, reader))
+			//nolint:testifylint // exact by intent
 			assert.EqualValues(t, 1, s.Metrics.Value("upstream_late_responses_total"))
 			_, _ = io.WriteString(far, "b served digest=d,dated=1 2\r\nok\r\n")
 			end := s.nextEnd()
--- a/routing/concurrency.go
+++ b/routing/concurrency.go
@@ -33,7 +33,8 @@
 //
 // A limit is in its recovery ramp while it is below the proven limit. Only an ejection or a cold start puts it there;
 // each answer in time then adds recoveryStep. A decrease sets the proven limit to the limit that it leaves: no ramp
-// follows it, and it ends one that has come to the minimum. Growth above the proven limit is slow and does not raise it.
+// follows it, and it ends one that has come to the minimum. Growth above the proven limit is slow and does not raise
+// it.
 type limiter struct {
 	limit       float64
 	provenLimit float64 // this router's share at the start, then the limit that the last decrease left
--- a/routing/retry.go
+++ b/routing/retry.go
@@ -60,7 +60,8 @@
 // triedAlready says whether a request has used an endpoint: at all at the first fallback level, just now at the
 // others. It guards against a request that uses up its attempts within milliseconds at one endpoint that refuses at
 // once. Used tells whether an attempt has used it as target, or as source. An attempt in flight bars nothing at the
-// other levels: where there is a further attempt beside it, it was taken for lost, and its endpoint may be the only one.
+// other levels: where there is a further attempt beside it, it was taken for lost, and its endpoint may be the only
+// one.
 func triedAlready(req *request, e *endpoint, level fallbackLevel, now float64, used usedFunc) bool {
 	for _, a := range req.attempts {
 		if used(a, e) && (level == untriedOnly || now < a.endedAt+endpointPauseSeconds) {
--- a/routing/slowstart_test.go
+++ b/routing/slowstart_test.go
@@ -237,8 +237,8 @@
 }
 
 // An attempt goes to a cold endpoint that is its own source, as one straight to a parent does. Charged as target and as
-// source, it would count twice, and half of the endpoint's budget would be left unused. It counts once; a fill through a
-// cold cache from a cold parent counts at both.
+// source, it would count twice, and half of the endpoint's budget would be left unused. It counts once; a fill through
+// a cold cache from a cold parent counts at both.
 func TestColdWorkIsChargedOnceToEachEndpoint(t *testing.T) {
 	r := newTestRouter(Idempotent)
 	cache, parent := r.findOrAddEndpoint("c0"), r.findOrAddEndpoint("p0")
