--- a/internal/bootstrap/config_test.go
+++ b/internal/bootstrap/config_test.go
@@ -97,8 +97,8 @@
 	}
 }
 
-// The protocol has new keys skipped. A start that refused one would fail at each extension of the deployment's file. New
-// keys, and settings that are missing, must be accepted.
+// The protocol has new keys skipped. A start that refused one would fail at each extension of the deployment's file.
+// New keys, and settings that are missing, must be accepted.
 func TestUnknownAndMissingKeysAreAccepted(t *testing.T) {
 	for old, replacement := range map[string]string{
 		`"me":2`:                    `"me":2,"new":{"key":1}`,
