Replication: the time of commands follows no step of the wall clock

Commands took the wall clock as they were made; it is read once at the start now, and the monotonic clock moves it on. The new test fails on the text before by the whole step (3,600, -3,600 and 5 s).

--- a/internal/replication/node.go
+++ b/internal/replication/node.go
@@ -63,6 +63,8 @@
 	replicaID uint64
 	start     time.Time // zero of the times in statuses
 
+	startUnixSeconds float64 // the wall clock's time at start
+
 	events  chan event
 	stopped chan struct{} // closed when Run's goroutine has ended
 
@@ -122,6 +124,7 @@
 		pending:     map[uint64]*pendingRequest{},
 		requesters:  map[responseKey]pendingRequester{},
 	}
+	n.startUnixSeconds = float64(clock.UnixMillis(config.Clock())) / 1000
 	n.statuses[n.replicaID] = placement.ReplicaStatus{ID: n.replicaID, Node: config.Name, Zone: config.Zone, Up: true}
 	for number, state := range saved {
 		replica, err := shard.New(number, n.replicaID, state, nil)
@@ -202,8 +205,11 @@
 // secondsSinceStart is the time of the statuses.
 func (n *Node) secondsSinceStart() float64 { return time.Since(n.start).Seconds() }
 
-// unixSeconds is the time of commands.
-func (n *Node) unixSeconds() float64 { return float64(clock.UnixMillis(n.config.Clock())) / 1000 }
+// unixSeconds is the time of commands: that of the wall clock at the start, moved on by the monotonic one.
+//
+// It guards against a wall clock that is set while the node leads, which would end reservations early, or keep them, by
+// as much as the clock was set.
+func (n *Node) unixSeconds() float64 { return n.startUnixSeconds + n.secondsSinceStart() }
 
 // Outcome is what became of a request.
 type Outcome struct {
--- a/internal/replication/node_test.go
+++ b/internal/replication/node_test.go
@@ -241,17 +241,22 @@
 	assert.False(t, c.reserve(2, "k", "g2").Granted)
 }
 
-// newIdleNode opens a node that does not run.
-func newIdleNode(t *testing.T, name string) *Node {
-	t.Helper()
+// idleNodeConfig is the configuration of a node that does not run.
+func idleNodeConfig(name string) Config {
 	key := ed25519.NewKeyFromSeed([]byte(strings.Repeat("k", 32)))
-	node, err := New(Config{
+	return Config{
 		Name:         name,
 		ReplicaCount: 3,
 		Transport:    &transport.Transport{Name: name, PrivateKey: key},
 		Disk:         vfs.NewFaultFS(1),
 		Logger:       slog.New(slog.NewTextHandler(io.Discard, nil)),
-	})
+	}
+}
+
+// newIdleNode opens a node that does not run.
+func newIdleNode(t *testing.T, name string) *Node {
+	t.Helper()
+	node, err := New(idleNodeConfig(name))
 	require.NoError(t, err)
 	return node
 }
@@ -295,3 +300,19 @@
 		assert.True(t, node.statuses[12].Up)
 	}
 }
+
+// The wall clock is set by an hour, forward or back, while a node leads. Commands that took their time from it would end
+// reservations early, or keep them for an hour more. The time of commands goes on with real time.
+func TestTimeOfCommandsFollowsNoStepOfTheWallClock(t *testing.T) {
+	for _, step := range []time.Duration{time.Hour, -time.Hour, 5 * time.Second} {
+		var offset time.Duration
+		config := idleNodeConfig("r0")
+		config.Clock = func() time.Time { return time.Now().Add(offset) }
+		node, err := New(config)
+		require.NoError(t, err)
+		before := node.unixSeconds()
+		offset = step
+		assert.InDelta(t, before, node.unixSeconds(), 1)
+		assert.InDelta(t, float64(time.Now().UnixMilli())/1000, before, 1)
+	}
+}
