Replication: a restarted router is heard, whatever is left of its earlier connection

Cause: the end of its earlier connection, noticed after the new one stood, was reported as the peer's own, so nothing was sent to it; and that connection's writer could take what waited for the new one. A peer's earlier connection is ended, to its last goroutine, before the new one counts.

--- a/internal/replication/transport/transport.go
+++ b/internal/replication/transport/transport.go
@@ -42,8 +42,9 @@
 	OnFrame     func(from string, frame Frame)
 	OnPeerState func(name string, connected bool) // nil for nobody
 
-	mu     sync.Mutex
-	queues map[string]*queue // by peer
+	mu       sync.Mutex
+	queues   map[string]*queue  // by peer
+	sessions map[string]session // by peer
 }
 
 // Run serves connections until the context ends. Of two routers the one whose name sorts first dials. Run owns the
@@ -103,8 +104,18 @@
 	}
 }
 
+// session is a peer's newest connection.
+type session struct {
+	conn  *tls.Conn
+	ended chan struct{} // closed once nothing of it goes on
+}
+
 // serve carries one connection until it ends. The peer's name is known before where this side dialed. It owns the
-// goroutine that writes and waits for it.
+// goroutine that writes and waits for it. A peer's earlier connection is ended first.
+//
+// It guards against a peer that restarts and is back before the end of its earlier connection is noticed: that end would
+// count as the peer's own, and the earlier connection's writer would take what waits for the new one. It shows as a
+// peer that is connected and never heard of.
 func (t *Transport) serve(ctx context.Context, conn *tls.Conn, expected string) {
 	defer func() { _ = conn.Close() }() // both ends close it
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
@@ -113,6 +124,19 @@
 	if err != nil || expected != "" && name != expected {
 		return
 	}
+	ended := make(chan struct{})
+	defer close(ended)
+	t.mu.Lock()
+	if t.sessions == nil {
+		t.sessions = map[string]session{}
+	}
+	earlier, known := t.sessions[name]
+	t.sessions[name] = session{conn, ended}
+	t.mu.Unlock()
+	if known {
+		_ = earlier.conn.Close()
+		<-earlier.ended
+	}
 	queue := t.queue(name)
 	if t.OnPeerState != nil {
 		t.OnPeerState(name, true)
