--- a/internal/replication/node_test.go
+++ b/internal/replication/node_test.go
@@ -301,8 +301,8 @@
 	}
 }
 
-// The wall clock is set by an hour, forward or back, while a node leads. Commands that took their time from it would end
-// reservations early, or keep them for an hour more. The time of commands goes on with real time.
+// The wall clock is set by an hour, forward or back, while a node leads. Commands that took their time from it would
+// end reservations early, or keep them for an hour more. The time of commands goes on with real time.
 func TestTimeOfCommandsFollowsNoStepOfTheWallClock(t *testing.T) {
 	for _, step := range []time.Duration{time.Hour, -time.Hour, 5 * time.Second} {
 		var offset time.Duration
--- a/internal/replication/transport/transport.go
+++ b/internal/replication/transport/transport.go
@@ -113,9 +113,9 @@
 // serve carries one connection until it ends. The peer's name is known before where this side dialed. It owns the
 // goroutine that writes and waits for it. A peer's earlier connection is ended first.
 //
-// It guards against a peer that restarts and is back before the end of its earlier connection is noticed: that end would
-// count as the peer's own, and the earlier connection's writer would take what waits for the new one. It shows as a
-// peer that is connected and never heard of.
+// It guards against a peer that restarts and is back before the end of its earlier connection is noticed: that end
+// would count as the peer's own, and the earlier connection's writer would take what waits for the new one. It shows as
+// a peer that is connected and never heard of.
 func (t *Transport) serve(ctx context.Context, conn *tls.Conn, expected string) {
 	defer func() { _ = conn.Close() }() // both ends close it
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
