Replication: a node whose disk fails for a while comes back by itself

Callers saw: once one write to the write-ahead log had failed, the router's requests had no answer until it was restarted, though the disk took writes again.

Cause: the log takes nothing after a failed write, as the content of the disk is not known, and the node ended with it. Seen beside it: opening went on in the same file, so what a failed sync had lost was still read, believed, and never brought to the disk; a later loss of power took what was acknowledged behind it.

Mend: a failed write ends the replicas, not the node. Peers are told by a hello without a replica, so they replace what stays away; this router's requests go to other replicas; once a second the folder is opened anew and the replicas are made from it, as at a start. Each opening writes what counts to a new, synced file.

wal's TestDamageIsRefusedAndTornEndIsCutOff named the first file throughout; each opening begins a file now, so it takes the name and the synced size from the log that it damages. The checks are the same.

--- a/internal/diskcache/vfs/faultfile.go
+++ b/internal/diskcache/vfs/faultfile.go
@@ -134,6 +134,10 @@
 	if h.fs.countOp() {
 		return ErrPowerLoss
 	}
+	if h.fs.FailSync != nil && h.fs.FailSync() {
+		h.node.pending = nil
+		return ErrIO
+	}
 	for _, w := range h.node.pending {
 		h.node.commit(w, func() bool { return true })
 	}
--- a/internal/diskcache/vfs/faultfs.go
+++ b/internal/diskcache/vfs/faultfs.go
@@ -12,7 +12,7 @@
 var (
 	// ErrPowerLoss is returned by every call between a power loss and the restart.
 	ErrPowerLoss = errors.New("the power is off")
-	// ErrIO is returned by a read that FailRead selects.
+	// ErrIO is returned by a read that FailRead selects, and by a sync that FailSync selects.
 	ErrIO = errors.New("input/output error")
 )
 
@@ -31,6 +31,9 @@
 	FailRead func(name string, offset int64) bool
 	// ShortWrite selects writes that stop half way.
 	ShortWrite func() bool
+	// FailSync selects syncs of files that fail. What was to be synced never comes to the medium, though the running
+	// system still reads it.
+	FailSync func() bool
 
 	mu         sync.Mutex
 	rnd        *rand.Rand
--- a/internal/replication/node.go
+++ b/internal/replication/node.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -59,7 +58,8 @@
 // config, events and stopped belong to the goroutine of Run.
 type Node struct {
 	config    Config
-	wal       *wal.WAL
+	wal       *wal.WAL // nil while the disk takes no writes
+	identity  wal.Identity
 	replicaID uint64
 	start     time.Time // zero of the times in statuses
 
@@ -88,16 +88,18 @@
 	requesters map[responseKey]pendingRequester // of commands and reads that were proposed to replicas here
 
 	lastTimeAdvance time.Time
-	failure         error // that ends the node
+	lastOpening     time.Time // of the folder, after its disk has failed
+	failure         error     // of the disk, or one that ends the node
 
 	proposalCount, syncCount int64 // for the report
+	earlierSyncs             int64 // of logs before the one that is open
 }
 
 // New opens a router's folder and takes over the transport's callbacks.
 func New(config Config) (*Node, error) {
-	log, saved, err := wal.Open(config.Disk, config.Name, rand.Uint64)
+	log, replicas, err := openFolder(config)
 	if err != nil {
-		return nil, fmt.Errorf("open replication: %w", err)
+		return nil, err
 	}
 	if config.Clock == nil {
 		config.Clock = time.Now
@@ -106,11 +108,12 @@
 	n := &Node{
 		config:      config,
 		wal:         log,
+		identity:    identity,
 		replicaID:   identity.ID,
 		start:       time.Now(),
 		events:      make(chan event, maxQueuedEvents),
 		stopped:     make(chan struct{}),
-		replicas:    map[int]*shard.Replica{},
+		replicas:    replicas,
 		rebalancer:  placement.NewRebalancer(config.ReplicaCount, config.ReplaceAfterSeconds),
 		rnd:         rand.New(rand.NewPCG(identity.ID, uint64(identity.StartCount))),
 		statuses:    map[uint64]placement.ReplicaStatus{},
@@ -125,29 +128,21 @@
 		requesters:  map[responseKey]pendingRequester{},
 	}
 	n.startUnixSeconds = float64(clock.UnixMillis(config.Clock())) / 1000
-	n.statuses[n.replicaID] = placement.ReplicaStatus{ID: n.replicaID, Node: config.Name, Zone: config.Zone, Up: true}
-	for number, state := range saved {
-		replica, err := shard.New(number, n.replicaID, state, nil)
-		if err != nil {
-			log.Close()
-			return nil, fmt.Errorf("open replication: %w", err)
-		}
-		n.replicas[number] = replica
-	}
+	n.setUp(true)
 	config.Transport.OnFrame = func(from string, frame transport.Frame) { n.post(frameReceived{from, frame}) }
 	config.Transport.OnPeerState = func(peer string, connected bool) { n.post(peerStateChanged{peer, connected}) }
 	return n, nil
 }
 
-// Run plays the router's part until the context ends or its disk fails. It owns the goroutine of the replicas and those
-// of the transport, and returns when they have ended.
+// Run plays the router's part until the context ends or the router's folder proves to be of no use. It owns the
+// goroutine of the replicas and those of the transport, and returns when they have ended.
 func (n *Node) Run(ctx context.Context, listener net.Listener) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return n.config.Transport.Run(ctx, listener) })
 	group.Go(func() error {
 		defer close(n.stopped)
 		defer n.stopPending()
-		defer n.wal.Close()
+		defer n.closeLog()
 		return n.loop(ctx)
 	})
 	return group.Wait()
@@ -171,11 +166,7 @@
 		case <-rebalanceTicker.C:
 			n.maintainLedShards()
 		}
-		err := n.advanceReplicas()
-		if err == nil {
-			err = n.failure
-		}
-		if err != nil {
+		if err := n.advance(); err != nil {
 			n.config.Logger.Error("replication stopped", "error", err.Error())
 			return err
 		}
@@ -200,6 +191,7 @@
 		replica.Tick()
 	}
 	n.retryPending()
+	n.reopenFolder()
 }
 
 // secondsSinceStart is the time of the statuses.
--- a/internal/replication/peers.go
+++ b/internal/replication/peers.go
@@ -35,12 +35,15 @@
 // were last seen, as both were when their connection ended. The new one would count as down until it says hello again.
 func (n *Node) lastSeenReplica(name string) uint64 { return n.lastHello[name] }
 
-// hello introduces this router's replica and its shards.
+// hello introduces this router's replica and its shards. It names no replica while the disk takes no writes.
 func (n *Node) hello() transport.Frame {
+	if n.wal == nil {
+		return transport.Frame{Kind: transport.KindHello, Zone: n.config.Zone, SeenStartCounts: n.startCounts}
+	}
 	frame := transport.Frame{
 		Kind:            transport.KindHello,
 		Replica:         n.replicaID,
-		StartCount:      n.wal.Identity().StartCount,
+		StartCount:      n.identity.StartCount,
 		Zone:            n.config.Zone,
 		ShardVoters:     map[int][]uint64{},
 		SeenStartCounts: n.startCounts,
@@ -61,7 +64,7 @@
 }
 
 func (n *Node) handleHello(from string, frame transport.Frame) {
-	if frame.SeenStartCounts[n.replicaID] > n.wal.Identity().StartCount {
+	if frame.SeenStartCounts[n.replicaID] > n.identity.StartCount {
 		n.failure = ErrStaleFolder
 		return
 	}
@@ -70,6 +73,9 @@
 	}
 	n.lastHello[from] = frame.Replica
 	n.retireOtherReplicas(from, frame.Replica)
+	if frame.Replica == 0 {
+		return // its disk takes no writes
+	}
 	n.statuses[frame.Replica] = placement.ReplicaStatus{
 		ID:       frame.Replica,
 		Node:     from,
@@ -104,8 +110,8 @@
 	if proto.Unmarshal(frame.Payload, message) != nil {
 		return
 	}
-	if message.GetTo() != n.replicaID || n.statuses[message.GetFrom()].Node != from {
-		return // for an earlier disk of this router, or from a replica that did not say hello
+	if n.wal == nil || message.GetTo() != n.replicaID || n.statuses[message.GetFrom()].Node != from {
+		return // no replica is up here, or it is for an earlier disk, or from a replica that did not say hello
 	}
 	replica := n.replicas[frame.Shard]
 	if replica == nil {
@@ -122,7 +128,7 @@
 // beginShards begins the shards once all initial members are up and none of them holds anything, or
 // joins those that began already.
 func (n *Node) beginShards() {
-	if len(n.replicas) > 0 || !slices.Contains(n.config.InitialMembers, n.config.Name) {
+	if n.wal == nil || len(n.replicas) > 0 || !slices.Contains(n.config.InitialMembers, n.config.Name) {
 		return
 	}
 	nodes, replicaIDs, ok := n.initialMembers()
--- a/internal/replication/replicas.go
+++ b/internal/replication/replicas.go
@@ -65,7 +65,7 @@
 		if err := n.wal.Write(batch); err != nil {
 			return err
 		}
-		n.syncCount = n.wal.SyncCount
+		n.syncCount = n.earlierSyncs + n.wal.SyncCount
 		votersChanged := false
 		for _, ready := range batch {
 			changed, err := n.advanceReplica(ready)
--- a/internal/replication/report.go
+++ b/internal/replication/report.go
@@ -77,7 +77,7 @@
 	report := Report{
 		Name:       n.config.Name,
 		Replica:    n.replicaID,
-		StartCount: n.wal.Identity().StartCount,
+		StartCount: n.identity.StartCount,
 		Connected:  []string{},
 		Shards:     []ShardReport{},
 		Proposals:  n.proposalCount,
--- a/internal/replication/transport/frame.go
+++ b/internal/replication/transport/frame.go
@@ -46,7 +46,8 @@
 	Key             string               `cbor:"5,keyasint,omitempty"`
 	ReservationKind statemachine.Kind    `cbor:"6,keyasint,omitempty"`
 	Result          *statemachine.Result `cbor:"7,keyasint,omitempty"` // of a KindResult
-	// Replica is the sender's of a KindHello, and the leader's of a KindNotLeader, 0 if unknown.
+	// Replica is the sender's of a KindHello, 0 while its disk takes no writes, and the leader's of a KindNotLeader,
+	// 0 if unknown.
 	Replica uint64 `cbor:"8,keyasint,omitempty"`
 	// StartCount of a KindHello is how often the sender's disk was opened.
 	StartCount uint32 `cbor:"9,keyasint,omitempty"`
--- a/internal/replication/wal/inspect.go
+++ b/internal/replication/wal/inspect.go
@@ -25,7 +25,7 @@
 	if name == "" {
 		return w.identity, nil, fmt.Errorf("%w: no log file", ErrCorrupt)
 	}
-	if err := w.replay(name, false); err != nil {
+	if err := w.replay(name); err != nil {
 		return w.identity, nil, err
 	}
 	saved, err := w.persistentStates()
--- a/internal/replication/wal/replay.go
+++ b/internal/replication/wal/replay.go
@@ -2,16 +2,14 @@
 
 import (
 	"encoding/binary"
-	"errors"
 	"fmt"
 
 	pb "go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 )
 
-// replay reads a log file's records. A torn end is left out, and where truncate is set it is cut
-// off the file.
-func (w *WAL) replay(name string, truncate bool) error {
+// replay reads a log file's records. A torn end is left out.
+func (w *WAL) replay(name string) error {
 	content, err := readFile(w.fs, name)
 	if err != nil {
 		return fmt.Errorf("read %s: %w", name, err)
@@ -24,18 +22,8 @@
 		return err
 	}
 	if end < len(content) {
-		if err := checkTornEnd(name, content, end); err != nil {
-			return err
-		}
-		if !truncate {
-			return nil
-		}
-		if err := w.truncate(name, int64(end)); err != nil {
-			return fmt.Errorf("truncate torn end of %s: %w", name, err)
-		}
+		return checkTornEnd(name, content, end)
 	}
-	w.size = int64(end)
-	w.synced = int64(end)
 	return nil
 }
 
@@ -89,14 +77,6 @@
 	return nil
 }
 
-func (w *WAL) truncate(name string, size int64) error {
-	file, err := w.fs.Open(name)
-	if err != nil {
-		return err
-	}
-	return errors.Join(file.Truncate(size), file.Sync(), file.Close())
-}
-
 // apply takes one record. Batch headers and kinds of later versions change nothing.
 func (w *WAL) apply(r record) error {
 	switch r.kind {
--- a/internal/replication/wal/snapshot.go
+++ b/internal/replication/wal/snapshot.go
@@ -2,8 +2,11 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"fmt"
 
+	"cairnfront/internal/diskcache/vfs"
+
 	pb "go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
 )
@@ -52,9 +55,12 @@
 func (w *WAL) readSnapshot(number int, index uint64) (*pb.Snapshot, error) {
 	name := fmt.Sprintf(snapshotNameFormat, number, index)
 	content, err := readFile(w.fs, name)
-	if err != nil {
+	if errors.Is(err, vfs.ErrNotExist) {
 		return nil, fmt.Errorf("%w: %s: %w", ErrCorrupt, name, err)
 	}
+	if err != nil {
+		return nil, fmt.Errorf("read %s: %w", name, err)
+	}
 	body, ok := cutChecksum(content)
 	if !ok {
 		return nil, fmt.Errorf("%w: checksum of %s does not match", ErrCorrupt, name)
--- a/internal/replication/wal/wal.go
+++ b/internal/replication/wal/wal.go
@@ -38,6 +38,7 @@
 	ErrCorrupt      = errors.New("write-ahead log is damaged")
 	ErrNewerVersion = errors.New("write-ahead log was written by a newer version")
 	ErrForeignOwner = errors.New("write-ahead log belongs to another router")
+	ErrWriteFailed  = errors.New("write to write-ahead log failed")
 )
 
 // WAL is an open log. It belongs to one goroutine.
@@ -91,23 +92,19 @@
 	return w.persistentStates()
 }
 
-// openLog opens the newest log file, or begins the first one, and removes what no longer counts.
+// openLog reads the newest log file, begins the next one with all of it that counts, and removes what no longer counts.
+//
+// It guards against what a failed sync left behind: the system still reads it, so it would be believed, but it is not
+// on the disk, and no later sync of that file brings it there.
 func (w *WAL) openLog(names []string) error {
-	name := newestLog(names)
-	if name == "" {
-		if err := w.rotate(); err != nil {
+	if name := newestLog(names); name != "" {
+		if err := w.replay(name); err != nil {
 			return err
 		}
-		return w.removeObsolete(names)
-	}
-	if err := w.replay(name, true); err != nil {
-		return err
 	}
-	file, err := w.fs.Open(name)
-	if err != nil {
+	if err := w.rotate(); err != nil {
 		return err
 	}
-	w.file = file
 	return w.removeObsolete(names)
 }
 
--- a/internal/replication/wal/wal_test.go
+++ b/internal/replication/wal/wal_test.go
@@ -125,8 +125,9 @@
 	}
 	w, _ = open(t, fs)
 	require.NoError(t, w.Write([]shard.Ready{{Shard: 1, Entries: []*pb.Entry{entry(21, 1, "unsynced")}}}))
+	name = fmt.Sprintf(logNameFormat, w.number) // each opening begins a file
 	w.Close()
-	fs.FlipBit(name, size+30, 1)
+	fs.FlipBit(name, w.synced+30, 1)
 	w, saved := open(t, fs)
 	assert.Len(t, saved[1].Entries, 20)
 	w.Close()
@@ -212,6 +213,29 @@
 	w.Close()
 }
 
+// A sync fails, the log is opened anew by the same system, and the power is lost later. The system still reads what the
+// failed sync lost; a log that goes on behind it acknowledges entries that a loss of power takes with it.
+func TestLogOpenedAfterAFailedSyncKeepsWhatItAcknowledges(t *testing.T) {
+	for seed := range uint64(20) {
+		fs := vfs.NewFaultFS(seed)
+		w, _ := open(t, fs)
+		first := shard.Ready{Shard: 1, HardState: hardState(1, 0), Entries: []*pb.Entry{entry(1, 1, "a")}, MustSync: true}
+		fs.FailSync = func() bool { return true }
+		require.ErrorIs(t, w.Write([]shard.Ready{first}), ErrWriteFailed)
+		fs.FailSync = nil
+		w.Close()
+		w, saved := open(t, fs)
+		require.Len(t, saved[1].Entries, 1, "the system still reads it")
+		require.NoError(t, w.Write([]shard.Ready{{Shard: 1, Entries: []*pb.Entry{entry(2, 1, "b")}, MustSync: true}}))
+		w.Close()
+		fs.Restart()
+		w, saved = open(t, fs)
+		require.Len(t, saved[1].Entries, 2, "seed %d", seed)
+		assert.EqualValues(t, 1, saved[1].HardState.GetTerm())
+		w.Close()
+	}
+}
+
 // syncFailure is a folder whose files can't be synced. It counts renames.
 type syncFailure struct {
 	vfs.FS
--- a/internal/replication/wal/write.go
+++ b/internal/replication/wal/write.go
@@ -72,9 +72,9 @@
 	return nil
 }
 
-// fail ends the writing for good.
+// fail ends the writing until the log is opened anew.
 func (w *WAL) fail(err error) error {
-	w.failure = fmt.Errorf("write to write-ahead log: %w", err)
+	w.failure = fmt.Errorf("%w: %w", ErrWriteFailed, err)
 	return w.failure
 }
 
