A response that came before its attempt was begun is not taken for its answer

Callers saw nothing yet; an attempt could end with a stray response as its answer while its line was being written (rule 2).

Cause: a response was judged by what its attempt was when it was parsed. The reader had it already; before it parsed it, the writer marked the attempt as begun.

Mend: a writer that takes up an attempt which was not begun at once waits until the reader has parsed what it had; a response that begins before and is complete after is told by its offset. The wait ends after 0.1 s (tested: a reader that waits for room for a body) and with the connection (tested). Interrupted reads do not put off a stalled response's deadline (tested).

--- a/internal/netconn/close.go
+++ b/internal/netconn/close.go
@@ -60,6 +60,7 @@
 func (c *Conn) Close(code EndCode, cause error) {
 	c.closeOnce.Do(func() {
 		c.closed.Store(true)
+		c.endInputRequest()
 		c.SetEndCode(code, cause)
 		_ = c.raw.Close() // the cause of the end is recorded
 	})
--- a/internal/netconn/conn.go
+++ b/internal/netconn/conn.go
@@ -39,8 +39,9 @@
 	readDeadline      time.Time     // by when input has to come, zero for no limit; of the reading goroutine
 	readDeadlineStale bool          // the socket's read deadline may differ from readDeadline
 
-	closeRequest atomic.Pointer[EndCode] // the requested end that was not handled yet, nil for none
-	readNoMore   atomic.Bool             // a requested end is handled before the next read
+	closeRequest atomic.Pointer[EndCode]      // the requested end that was not handled yet, nil for none
+	inputRequest atomic.Pointer[inputRequest] // who waits for the reading goroutine, nil for nobody
+	readNoMore   atomic.Bool                  // a requested end is handled before the next read
 
 	bytesRead     atomic.Int64
 	bytesWritten  atomic.Int64
@@ -104,6 +105,10 @@
 // BytesRead returns how many bytes have come.
 func (c *Conn) BytesRead() int64 { return c.bytesRead.Load() }
 
+// BytesConsumed returns how many of the bytes that have come the reader has taken: the offset in the input of the next
+// one. It is for the reading goroutine.
+func (c *Conn) BytesConsumed() int64 { return c.bytesRead.Load() - int64(c.in.Len()) }
+
 // BytesWritten returns how many bytes the socket has taken.
 func (c *Conn) BytesWritten() int64 { return c.bytesWritten.Load() }
 
--- a/internal/netconn/conn_test.go
+++ b/internal/netconn/conn_test.go
@@ -336,3 +336,45 @@
 		})
 	}
 }
+
+// A writer waits until the reader has taken what came, while the reader waits for more, or is elsewhere, or has ended.
+// It is not held longer than it takes, nor past its timeout, and the reader's own deadline stays.
+func TestAwaitReader(t *testing.T) {
+	near, far := net.Pipe()
+	c := New(near, 64, 0)
+	c.SetFrameTimeout(100 * time.Millisecond)
+	lines := make(chan string, 9)
+	elsewhere, ended := make(chan struct{}), make(chan error)
+	go func() {
+		line, _ := c.ReadLine()
+		<-elsewhere
+		lines <- string(line)
+		_, err := c.ReadLine()
+		c.Close(IdleTimeout, nil)
+		ended <- err
+	}()
+	_, _ = io.WriteString(far, "one\npart")
+	c.AwaitReader(20 * time.Millisecond)
+	assert.Empty(t, lines, "it waits no longer than the timeout")
+	close(elsewhere)
+	startedAt := time.Now()
+	c.AwaitReader(time.Minute)
+	assert.Len(t, lines, 1)
+	for time.Since(startedAt) < 80*time.Millisecond {
+		c.AwaitReader(time.Minute)
+	}
+	require.ErrorIs(t, <-ended, os.ErrDeadlineExceeded)
+	assert.Less(t, time.Since(startedAt), 150*time.Millisecond, "the stall was put off")
+	c.AwaitReader(time.Minute) // returns at once
+}
+
+// A connection ends while a writer waits for its reader, which is elsewhere. The ends of its attempts would be late by
+// the timeout.
+func TestAwaitReaderEndsWithTheConnection(t *testing.T) {
+	near, _ := net.Pipe()
+	c := New(near, 64, 0)
+	time.AfterFunc(20*time.Millisecond, func() { c.Close(IdleTimeout, nil) })
+	startedAt := time.Now()
+	c.AwaitReader(10 * time.Second)
+	assert.Less(t, time.Since(startedAt), time.Second)
+}
--- a/internal/netconn/read.go
+++ b/internal/netconn/read.go
@@ -116,14 +116,16 @@
 // its client would see a reset. The reading goroutine alone decides the end, with nothing unread.
 func (c *Conn) fill() error {
 	var failingSince clock.Instant // when reads began to fail for a cause on this machine; zero while they don't
+	frameDeadline := c.frameDeadline()
 	for {
-		deadline := c.applyReadDeadline()
+		deadline := c.applyReadDeadline(frameDeadline)
+		c.answerInputRequest() // after the deadline was set: a later request sets it anew
 		if (c.DiscardInput || c.readNoMore.Load()) && c.OnCloseRequest != nil {
 			if err := c.handleCloseRequest(c.closeRequest.Load()); err != nil {
 				return err
 			}
 		}
-		request := c.closeRequest.Load() // after the deadline was set: a later request sets it anew
+		request := c.closeRequest.Load() // after the deadline was set, too
 		n, readErr := c.readOnce(request)
 		if n > 0 {
 			c.countRead(n)
@@ -175,11 +177,21 @@
 // hasPassed says whether there is a deadline and it has passed.
 func hasPassed(deadline time.Time) bool { return !deadline.IsZero() && !time.Now().Before(deadline) }
 
-// applyReadDeadline sets the socket's read deadline where it may be another one, and returns the deadline in force.
-func (c *Conn) applyReadDeadline() time.Time {
-	deadline := c.readDeadline
+// frameDeadline is by when more has to come of a frame that was begun, zero for no limit. Interrupted reads do not put
+// it off.
+func (c *Conn) frameDeadline() time.Time {
 	if c.frameTimeout > 0 && !c.frameStart.Load().IsZero() {
-		deadline = time.Now().Add(c.frameTimeout)
+		return time.Now().Add(c.frameTimeout)
+	}
+	return time.Time{}
+}
+
+// applyReadDeadline sets the socket's read deadline where it may be another one, and returns the deadline in force:
+// that of a frame that was begun, if any.
+func (c *Conn) applyReadDeadline(frameDeadline time.Time) time.Time {
+	deadline := c.readDeadline
+	if !frameDeadline.IsZero() {
+		deadline = frameDeadline
 	}
 	if c.readDeadlineStale || c.frameTimeout > 0 {
 		_ = c.raw.SetReadDeadline(deadline) // fails on a closed socket only, as the read then does
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -32,6 +32,9 @@
 	writtenAt clock.Instant // when writing began
 	endOffset int64         // the connection's count of buffered bytes after the attempt's last one
 
+	inputOffset int64 // the connection's count of bytes read as writing began
+	waits       bool  // it is not begun at once: the writing goroutine is at others, or the socket took nothing of it
+
 	requeued   bool          // the socket took nothing of it in time, and its line is formatted anew
 	lineMargin time.Duration // by how much the deadline in its line is shortened
 
--- a/internal/upstream/attempt_test.go
+++ b/internal/upstream/attempt_test.go
@@ -261,3 +261,49 @@
 		})
 	}
 }
+
+// A response begins before its attempt does and is complete only after it. Judged by when it is complete, it would end
+// the attempt, which runs on. Where it began counts.
+func TestResponseBegunBeforeItsAttemptDoesNotEndIt(t *testing.T) {
+	s := newTestPool(t)
+	s.MaxAttemptsPerConnection = 3
+	s.Admission.AdmitEndpointConn(true) // so that both share a connection
+	s.send("a", 20_000)
+	far := <-s.dialed
+	reader := bufio.NewReaderSize(far, 16)
+	_, _ = reader.ReadByte() // the writer is busy with a
+	b := s.send("b", 0)
+	_, _ = io.WriteString(far, "b served digest=d,da")
+	_, _ = reader.ReadString('\n')
+	_, _ = io.CopyN(io.Discard, reader, 20_002)
+	assert.Equal(t, "do b", readCommand(t, reader))
+	_, _ = io.WriteString(far, "ted=1 5\r\nstray\r\nb served digest=d,dated=1 2\r\nok\r\n")
+	end := s.nextEnd()
+	assert.Equal(t, b, end.Attempt)
+	assert.Equal(t, "ok", string(end.End.Body.Bytes))
+	assert.InDelta(t, 1, s.Metrics.Value("upstream_late_responses_total"), 0)
+}
+
+// The reader of a connection waits for room for a body. An attempt that waited for its turn there would wait with it,
+// for as long as others keep their bodies. It is written within maxReaderWait.
+func TestAttemptIsNotHeldBackByAReaderThatWaitsForRoom(t *testing.T) {
+	s := newTestPool(t)
+	s.MaxAttemptsPerConnection = 3
+	s.Admission.AdmitEndpointConn(true) // so that all share a connection
+	s.send("a", 0)
+	far := <-s.dialed
+	reader := bufio.NewReaderSize(far, 16)
+	assert.Equal(t, "do a", readCommand(t, reader))
+	s.Admission.Bodies = request.NewBodyBudget(1)
+	_, _ = io.WriteString(far, "a served digest=d,dated=1 5\r\n")
+	s.send("b", 20_000)
+	_, _ = reader.ReadByte() // the writer is busy with b
+	s.send("c", 0)
+	_, _ = reader.ReadString('\n')
+	startedAt := time.Now()
+	_, _ = io.CopyN(io.Discard, reader, 20_002)
+	assert.Equal(t, "do c", readCommand(t, reader))
+	waited := time.Since(startedAt)
+	assert.Less(t, waited, 2*maxReaderWait)
+	assert.Greater(t, waited, maxReaderWait/2, "the reader did not wait for room")
+}
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -27,6 +27,7 @@
 	cancelled    map[string]*Attempt   // cancelled, and the cancel was not sent yet
 	writeQueue   []command             // not begun
 	writeSignal  chan struct{}         // holds a value while the queue may have commands
+	writerBusy   bool                  // the writing goroutine has not found the queue empty since its last command
 	lastUsed     clock.Instant         // when an attempt was last added or ended
 	silentSince  clock.Instant         // when the first attempt was written of those since which nothing came
 	suspectSince clock.Instant         // when an attempt was cancelled during which nothing came; zero for never
@@ -82,6 +83,7 @@
 		return false
 	}
 	a.connection = c
+	a.waits = c.writerBusy
 	c.lastUsed = clock.Now()
 	c.attempts[a.id] = a
 	c.enqueueLocked(command{attempt: a})
--- a/internal/upstream/reader.go
+++ b/internal/upstream/reader.go
@@ -27,6 +27,7 @@
 // readResponse reads one response. All of its body is read before the attempt ends; that of a cancelled attempt is
 // dropped.
 func (c *Connection) readResponse(ctx context.Context, conn *netconn.Conn) (netconn.EndCode, error) {
+	offset := conn.BytesConsumed()
 	line, err := conn.ReadLine()
 	if err != nil {
 		return netconn.ClassifyReadError(err, netconn.StalledResponse), err
@@ -35,7 +36,7 @@
 	if err != nil {
 		return netconn.ProtocolError, err
 	}
-	a := c.openAttempt(response.ID)
+	a := c.openAttempt(response.ID, offset)
 	if a == nil {
 		c.pool.Metrics.Inc(telemetry.LateResponses)
 	}
@@ -59,7 +60,7 @@
 		return netconn.ClassifyReadError(err, netconn.StalledResponse), err
 	}
 	conn.FrameComplete()
-	c.endByResponse(a, response)
+	c.endByResponse(a, response, offset)
 	return netconn.NoEndCode, nil
 }
 
@@ -75,28 +76,33 @@
 	return nil
 }
 
-// openAttempt returns the open attempt with an id that a response may be for, nil where there is none.
-func (c *Connection) openAttempt(id string) *Attempt {
+// openAttempt returns the open attempt with an id that a response that begins at an offset of the input may be for, nil
+// where there is none.
+func (c *Connection) openAttempt(id string, responseOffset int64) *Attempt {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if a := c.attempts[id]; a.mayBeAnswered() {
+	if a := c.attempts[id]; a.mayBeAnswered(responseOffset) {
 		return a
 	}
 	return nil
 }
 
-// mayBeAnswered says whether an open attempt can have a response. It is guarded by the connection's lock.
+// mayBeAnswered says whether an open attempt can have a response that begins at an offset of the input. It is guarded
+// by the connection's lock.
 //
 // It guards against an attempt that a stray response ends while it waits for its turn: it would be written after its
-// end, and run beside the next attempt or after the request's final response (rule 2). One that was not begun has none.
-func (a *Attempt) mayBeAnswered() bool { return a != nil && a.written }
+// end, and run beside the next attempt or after the request's final response (rule 2). What had come before the attempt
+// was begun is not for it, also where it is parsed later.
+func (a *Attempt) mayBeAnswered(responseOffset int64) bool {
+	return a != nil && a.written && responseOffset >= a.inputOffset
+}
 
 // endByResponse ends an attempt, unless it was cancelled while its response was read.
-func (c *Connection) endByResponse(a *Attempt, response cacheproto.Response) {
+func (c *Connection) endByResponse(a *Attempt, response cacheproto.Response, responseOffset int64) {
 	if a == nil {
 		return
 	}
-	if !c.takeOpen(a) {
+	if !c.takeOpen(a, responseOffset) {
 		response.Body.Free()
 		return
 	}
@@ -118,10 +124,10 @@
 
 // takeOpen takes an attempt off the connection that its response ends. It returns false where it is not open any more,
 // or waits to be written anew.
-func (c *Connection) takeOpen(a *Attempt) bool {
+func (c *Connection) takeOpen(a *Attempt, responseOffset int64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.attempts[a.id] != a || !a.mayBeAnswered() {
+	if c.attempts[a.id] != a || !a.mayBeAnswered(responseOffset) {
 		return false
 	}
 	delete(c.attempts, a.id)
--- a/internal/upstream/writer.go
+++ b/internal/upstream/writer.go
@@ -27,6 +27,9 @@
 	stalledLineMargin = 50 * time.Millisecond
 )
 
+// maxReaderWait is how long an attempt that waited for its turn is held back until the input from before it is parsed.
+const maxReaderWait = 100 * time.Millisecond
+
 // minTimeLeft is the least time to an attempt's deadline with which its line is begun: the line has whole milliseconds.
 const minTimeLeft = time.Millisecond
 
@@ -127,6 +130,7 @@
 	}
 	a.written = false
 	a.requeued = true
+	a.waits = true
 	c.writeQueue = append([]command{{attempt: a}}, c.writeQueue...)
 }
 
@@ -144,10 +148,23 @@
 	return len(c.writeQueue) > 0 && c.writeQueue[0].cancelLine == nil
 }
 
+// nextHasWaited says whether an attempt is next that was not begun at once.
+//
+// It guards against a response that came meanwhile, to which the attempt's begin would give a meaning: it is parsed
+// first, while no response can be for the attempt.
+func (c *Connection) nextHasWaited() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.writeQueue) > 0 && c.writeQueue[0].cancelLine == nil && c.writeQueue[0].attempt.waits
+}
+
 // nextCommand takes the next command from the queue. Attempts end here, unwritten, whose client disconnected while they
 // waited for the connection or for their turn, or whose bounds have passed.
 func (c *Connection) nextCommand(conn *netconn.Conn) (next command, ok bool) {
 	for {
+		if c.nextHasWaited() {
+			conn.AwaitReader(maxReaderWait)
+		}
 		next, unwanted, ok := c.dequeue(conn)
 		if !unwanted {
 			return next, ok
@@ -161,7 +178,8 @@
 func (c *Connection) dequeue(conn *netconn.Conn) (next command, unwanted, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.writeQueue) == 0 {
+	c.writerBusy = len(c.writeQueue) > 0
+	if !c.writerBusy {
 		return command{}, false, false
 	}
 	next = c.writeQueue[0]
@@ -177,6 +195,7 @@
 	a.formatLine(now)
 	a.written = true
 	a.writtenAt = now
+	a.inputOffset = conn.BytesRead()
 	c.noteWrittenLocked(now, conn)
 	a.endOffset = conn.BytesBuffered() + int64(a.wireBytes())
 	return next, false, true
