A retry is not held back by a connection whose endpoint hangs

Callers saw: an endpoint takes an order and a read, stops reading inside a third attempt and answers nothing more. The read's retry waited for the order's deadline, and the request was lost where the settings forbid two attempts at once.

Cause: the read's cancel can't be written, so its end comes with the connection's, which waits for the last attempt on it. Nothing bounded that.

Evidence: on TestRetryIsNotHeldByAnEndpointThatHangs sees no end, nor does TestCancelThatWaitsForTheSocketIsNotHeld, where the cancel waits for the socket; TestEndpointThatAnswersKeepsItsAttempts runs into its time-out there, since an answer to the cancelled read does not end it.

Mend: from such a cancel on the connection may be silent for the connect timeout, and each answer begins that anew; then it ends.

Price, tested: the order ends with a silent connection, as one that may have run; where its endpoint answers anything meanwhile it stays.

A requested end is handled before the read's deadline is set, not after: a deadline that the handler set was not in force in the read that followed.

--- a/internal/netconn/read.go
+++ b/internal/netconn/read.go
@@ -118,14 +118,15 @@
 	var failingSince clock.Instant // when reads began to fail for a cause on this machine; zero while they don't
 	frameDeadline := c.frameDeadline()
 	for {
-		deadline := c.applyReadDeadline(frameDeadline)
-		c.answerInputRequest() // after the deadline was set: a later request sets it anew
 		if (c.DiscardInput || c.readNoMore.Load()) && c.OnCloseRequest != nil {
 			if err := c.handleCloseRequest(c.closeRequest.Load()); err != nil {
 				return err
 			}
 		}
-		request := c.closeRequest.Load() // after the deadline was set, too
+		deadline := c.applyReadDeadline(frameDeadline)
+		// After the deadline was set: later requests set it anew.
+		c.answerInputRequest()
+		request := c.closeRequest.Load()
 		n, readErr := c.readOnce(request)
 		if n > 0 {
 			c.countRead(n)
--- a/internal/telemetry/table.go
+++ b/internal/telemetry/table.go
@@ -51,6 +51,8 @@
 		"Attempts whose connection was silent while the endpoint answered over another address.")
 	ConnectionsSilent = newCounter("upstream_connections_silent_total",
 		"Times that a connection was found silent while an attempt waited on it.")
+	ConnectionsUnwritable = newCounterVec[fmt.Stringer]("upstream_unwritable_connections_total", "end",
+		"Connections that ended after their endpoint had stopped reading: answered, silent or failed.")
 	AddressProbes = newCounter("upstream_address_probes_total",
 		"Connections that were opened to probe an address of an endpoint.")
 	RetryBudgetChanges = newCounter("retry_budget_changes_total",
--- a/internal/upstream/connection.go
+++ b/internal/upstream/connection.go
@@ -32,6 +32,8 @@
 	silentSince  clock.Instant         // when the first attempt was written of those since which nothing came
 	suspectSince clock.Instant         // when an attempt was cancelled during which nothing came; zero for never
 	state        connState
+
+	unwritableSince clock.Instant // when the first attempt was cancelled whose cancel can't be written; zero for none
 }
 
 // command is what the writing goroutine writes next: an attempt, or the line that cancels one.
@@ -127,6 +129,7 @@
 	a.cancelResult = result
 	c.cancelled[a.id] = a
 	if c.state == connReceiving {
+		c.noteUnwritableCancelLocked(now)
 		return result, false
 	}
 	c.enqueueLocked(command{attempt: a, cancelLine: cacheproto.AppendCancel(nil, a.id)})
--- a/internal/upstream/halfwritten_test.go
+++ b/internal/upstream/halfwritten_test.go
@@ -100,3 +100,67 @@
 	_ = s.far.Close()
 	assert.Equal(t, endedWith(s.inFlight[0], routing.ConnectionBroken), s.nextEnd())
 }
+
+// resultsWithin are the ends of attempts that come until a time has passed.
+func (s *halfTakenAttempt) resultsWithin(wait time.Duration) map[*Attempt]routing.AttemptResult {
+	results := map[*Attempt]routing.AttemptResult{}
+	for timeout := time.After(wait); ; {
+		select {
+		case event := <-s.events:
+			if ended, ok := event.(AttemptEnded); ok {
+				results[ended.Attempt] = ended.End.Result
+			}
+		case <-timeout:
+			return results
+		}
+	}
+}
+
+// An endpoint hangs with an order and a read, and the read is cancelled for its retry. The cancel can't be written, and
+// the retry would wait for the order's deadline. The connection ends once it has been silent for the connect timeout.
+func TestRetryIsNotHeldByAnEndpointThatHangs(t *testing.T) {
+	s := newHalfTakenAttempt(t, 16, "order", "read")
+	order, read := s.inFlight[0], s.inFlight[1]
+	s.nextTwoResults()
+	s.Cancel(read, routing.TimedOut)
+	assert.Empty(t, s.resultsWithin(s.ConnectTimeout-100*time.Millisecond))
+	assert.Equal(t, map[*Attempt]routing.AttemptResult{
+		read:  routing.TimedOut,
+		order: routing.ConnectionBroken,
+	}, s.resultsWithin(300*time.Millisecond))
+	assert.InDelta(t, 1, s.Metrics.Value(`upstream_unwritable_connections_total{end="silent"}`), 0)
+}
+
+// An endpoint reads no more and answers slowly. Ended for a cancel that can't be written, its connection would take the
+// order with it. Each answer shows that it goes on, and one to the cancelled attempt ends that.
+func TestEndpointThatAnswersKeepsItsAttempts(t *testing.T) {
+	s := newHalfTakenAttempt(t, 16, "order", "read", "other", "slow")
+	s.nextTwoResults()
+	read, slow := s.inFlight[1], s.inFlight[3]
+	pause := s.ConnectTimeout * 2 / 3
+	results := []routing.AttemptResult{routing.Completed, routing.TimedOut, routing.Completed}
+	s.Cancel(read, routing.TimedOut)
+	s.Cancel(slow, routing.Cancelled)
+	for i, id := range []string{"other", "read", "order"} {
+		assert.Empty(t, s.resultsWithin(pause))
+		_, _ = io.WriteString(s.far, id+" served digest=d,dated=1 2\r\nok\r\n")
+		end := s.nextEnd()
+		assert.Equal(t, id, end.Attempt.id)
+		assert.Equal(t, results[i], end.End.Result)
+	}
+	assert.Equal(t, endedWith(slow, routing.Cancelled), s.nextEnd(), "with the last attempt")
+	s.logAfterEnd(slow.Connection())
+	assert.InDelta(t, 1, s.Metrics.Value(`upstream_unwritable_connections_total{end="answered"}`), 0)
+}
+
+// A cancel waits for a socket that takes nothing, until the write stall timeout ends the writing, and the endpoint
+// hangs. Its retry would wait for the order's deadline.
+func TestCancelThatWaitsForTheSocketIsNotHeld(t *testing.T) {
+	s := newHalfTakenAttempt(t, 0, "order", "read")
+	order, read := s.inFlight[0], s.inFlight[1]
+	s.Cancel(s.queue, routing.Cancelled)
+	s.Cancel(read, routing.TimedOut)
+	results := s.resultsWithin(writeStallTimeout + s.ConnectTimeout + 300*time.Millisecond)
+	assert.Equal(t, routing.TimedOut, results[read])
+	assert.Equal(t, routing.ConnectionBroken, results[order])
+}
--- a/internal/upstream/lifecycle.go
+++ b/internal/upstream/lifecycle.go
@@ -48,6 +48,7 @@
 	poolEnds := ctx.Err() != nil
 	unused := !c.state.takesAttempts() && len(c.attempts) == 0
 	if !poolEnds && !unused {
+		c.conn.SetReadDeadline(c.silenceDeadlineLocked(c.conn.LastRead()))
 		return nil
 	}
 	c.conn.SetEndCode(code, nil)
@@ -117,6 +118,7 @@
 	g.Go(func() error {
 		defer c.recoverPanic(conn, stop)
 		code, err := c.readLoop(ctx, conn)
+		c.countUnwritable(code, err)
 		if errors.Is(err, errCloseRequested) {
 			conn.CloseGracefully(netconn.Shutdown, nil, lingerTimeout, lingerBytes)
 			return errConnectionEnded
--- a/internal/upstream/reader.go
+++ b/internal/upstream/reader.go
@@ -27,10 +27,11 @@
 // readResponse reads one response. All of its body is read before the attempt ends; that of a cancelled attempt is
 // dropped.
 func (c *Connection) readResponse(ctx context.Context, conn *netconn.Conn) (netconn.EndCode, error) {
+	c.boundSilence(conn)
 	offset := conn.BytesConsumed()
 	line, err := conn.ReadLine()
 	if err != nil {
-		return netconn.ClassifyReadError(err, netconn.StalledResponse), err
+		return netconn.ClassifyReadError(err, passedDeadlineCode(conn)), err
 	}
 	response, err := cacheproto.ParseResponse(line)
 	if err != nil {
@@ -60,10 +61,21 @@
 		return netconn.ClassifyReadError(err, netconn.StalledResponse), err
 	}
 	conn.FrameComplete()
+	if a == nil {
+		c.endByLateResponse(response.ID)
+	}
 	c.endByResponse(a, response, offset)
 	return netconn.NoEndCode, nil
 }
 
+// passedDeadlineCode says what a read deadline was for that has passed: the rest of a response, or any input.
+func passedDeadlineCode(conn *netconn.Conn) netconn.EndCode {
+	if conn.FrameStart().IsZero() {
+		return netconn.Unresponsive
+	}
+	return netconn.StalledResponse
+}
+
 // readLineEnd reads the line end that follows a body.
 func readLineEnd(conn *netconn.Conn) error {
 	var end [len(cacheproto.LineEnd)]byte
--- a/internal/upstream/stopwriting.go
+++ b/internal/upstream/stopwriting.go
@@ -3,9 +3,12 @@
 import (
 	"errors"
 	"os"
+	"time"
 
+	"cairnfront/internal/clock"
 	"cairnfront/internal/netconn"
 	"cairnfront/internal/request"
+	"cairnfront/internal/telemetry"
 	"cairnfront/routing"
 )
 
@@ -53,9 +56,59 @@
 		delete(c.attempts, a.id)
 	}
 	c.writeQueue = nil
+	if len(c.cancelled) > 0 {
+		c.noteUnwritableCancelLocked(clock.Now())
+	}
 	return removed, true
 }
 
+// noteUnwritableCancelLocked notes that an attempt was cancelled whose cancel can't be written. The reading goroutine
+// then waits for input for the connect timeout at the most.
+//
+// It guards against an endpoint that hangs and holds a retry back until the deadlines of the other attempts on its
+// connection. That shows as requests that could go on elsewhere and time out. The others end with the connection: one
+// that must not run twice is not retried.
+func (c *Connection) noteUnwritableCancelLocked(now clock.Instant) {
+	if c.unwritableSince.IsZero() {
+		c.unwritableSince = now
+	}
+	c.conn.RequestClose(c.conn.EndCode()) // interrupts the read, so that its deadline is set
+}
+
+// silenceDeadlineLocked returns by when input has to come on a connection on which a cancel can't be written and input
+// last came at a time; zero where there is no such cancel.
+func (c *Connection) silenceDeadlineLocked(lastRead clock.Instant) time.Time {
+	if c.unwritableSince.IsZero() {
+		return time.Time{}
+	}
+	return max(c.unwritableSince, lastRead).Add(c.pool.ConnectTimeout).Time()
+}
+
+// boundSilence sets by when the next response has to begin. It is for the reading goroutine, which has just taken the
+// one before.
+func (c *Connection) boundSilence(conn *netconn.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	conn.SetReadDeadline(c.silenceDeadlineLocked(clock.Now()))
+}
+
+// endByLateResponse ends an attempt that was cancelled and whose cancel can't be written, as the endpoint is done with
+// it.
+func (c *Connection) endByLateResponse(id string) {
+	c.mu.Lock()
+	a := c.cancelled[id]
+	if a == nil || c.state != connReceiving {
+		c.mu.Unlock()
+		return
+	}
+	delete(c.cancelled, id)
+	if len(c.cancelled) == 0 {
+		c.unwritableSince = 0
+	}
+	c.mu.Unlock()
+	c.reportEnd(a, request.AttemptEnd{Result: a.cancelResult})
+}
+
 // closeIfDoneLocked ends a connection that only receives once no attempt is open on it. Attempts that were cancelled
 // meanwhile end with it: their cancel lines can't be written.
 func (c *Connection) closeIfDoneLocked() {
@@ -64,6 +117,37 @@
 	}
 }
 
+// unwritableEnd is how a connection ends on which nothing can be written any more, a label of its counter.
+type unwritableEnd string
+
+// The ends of such connections.
+const (
+	unwritableAnswered unwritableEnd = "answered" // each attempt on it had its end
+	unwritableSilent   unwritableEnd = "silent"   // it held back an attempt that was cancelled, and nothing came
+	unwritableFailed   unwritableEnd = "failed"   // the other side ended it, or its input broke the protocol
+)
+
+// String returns the label.
+func (e unwritableEnd) String() string { return string(e) }
+
+// countUnwritable counts the end of a connection on which nothing can be written any more, by what ended its reading.
+func (c *Connection) countUnwritable(code netconn.EndCode, err error) {
+	c.mu.Lock()
+	receiving := c.state == connReceiving
+	c.mu.Unlock()
+	if !receiving {
+		return
+	}
+	end := unwritableFailed
+	switch {
+	case errors.Is(err, errCloseRequested):
+		end = unwritableAnswered
+	case code == netconn.Unresponsive:
+		end = unwritableSilent
+	}
+	c.pool.Metrics.Inc(telemetry.ConnectionsUnwritable.With(end))
+}
+
 // unsentResult returns how attempts end of which nothing is known to have been sent, by the error that ended their
 // connection. A shortage of this machine is no fault of the endpoint.
 func unsentResult(cause error) routing.AttemptResult {
