A cache that goes on after a freeze is not sent what was given up; played with processes

Cause: the connection was closed, and a close leaves what is not sent to be sent.

Mend: a connection that holds an attempt whose cancel can't be written is reset.

--- /dev/null
+++ b/cmd/cairnfront/freeze_test.go
@@ -0,0 +1,221 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"cairnfront/internal/clientproto"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// fillingDelay is how long a freezingCache takes for an answer while connections to it are filled.
+const fillingDelay = 50 * time.Millisecond
+
+// largePages are more than a connection to a freezingCache holds.
+const largePages = 6
+
+// freezingCache is a cache whose connections hold little. Once it is armed it freezes: it answers nothing more, takes
+// two attempts, and reads the line of a third.
+type freezingCache struct {
+	net.Listener
+	mu             sync.Mutex
+	filling, armed bool
+	served         int
+	taken          []receivedAttempt
+	resuming       chan struct{} // closed when a frozen cache reads on
+	readOn         chan int      // how many attempts it then reads completely
+}
+
+func startFreezingCache(t *testing.T) *freezingCache {
+	t.Helper()
+	cache := &freezingCache{
+		Listener: listenNarrow(t), resuming: make(chan struct{}), readOn: make(chan int, 1),
+	}
+	t.Cleanup(func() { _ = cache.Close() })
+	go func() {
+		for {
+			conn, err := cache.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { _ = conn.Close() })
+			go cache.serve(conn)
+		}
+	}()
+	return cache
+}
+
+// set changes the cache's state.
+func (c *freezingCache) set(change func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	change()
+}
+
+// servedCount returns how many attempts the cache has answered.
+func (c *freezingCache) servedCount() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.served
+}
+
+// takenAttempts are those that the cache has taken since it was armed, the third in part.
+func (c *freezingCache) takenAttempts() []receivedAttempt {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.taken
+}
+
+// receive says what the cache does with an attempt.
+func (c *freezingCache) receive(h receivedAttempt) (delay time.Duration, answers, readsOn bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.armed {
+		c.taken = append(c.taken, h)
+		return 0, false, len(c.taken) < 3
+	}
+	c.served++
+	if c.filling {
+		delay = fillingDelay
+	}
+	return delay, true, true
+}
+
+func (c *freezingCache) serve(conn net.Conn) {
+	reader := bufio.NewReaderSize(conn, 1<<10)
+	for {
+		line, err := reader.ReadString('\n')
+		if err != nil {
+			return
+		}
+		words := strings.Fields(line)
+		if words[0] != "do" {
+			continue
+		}
+		h := receivedAttempt{id: words[1], conn: conn}
+		delay, answers, readsOn := c.receive(h)
+		length, _ := strconv.Atoi(words[3])
+		if !readsOn {
+			<-c.resuming
+			c.readOn <- countAttempts(reader, length)
+			return
+		}
+		if _, err := io.CopyN(io.Discard, reader, int64(length)+2); err != nil {
+			return
+		}
+		time.Sleep(delay)
+		if answers {
+			_, _ = io.WriteString(conn, okResponse(h, "x"))
+		}
+	}
+}
+
+// countAttempts reads to the end of a connection, from the body of an attempt on, and returns how many attempts came
+// completely.
+func countAttempts(reader *bufio.Reader, bodyBytes int) (complete int) {
+	for {
+		if _, err := io.CopyN(io.Discard, reader, int64(bodyBytes)+2); err != nil {
+			return complete
+		}
+		complete++
+		line, err := reader.ReadString('\n')
+		if words := strings.Fields(line); err == nil && words[0] == "do" {
+			bodyBytes, _ = strconv.Atoi(words[3])
+		} else {
+			return complete
+		}
+	}
+}
+
+// objectsOf requests objects of a class one after another and returns those that a cache has served.
+func objectsOf(t *testing.T, c *client, cache *freezingCache, class string) []string {
+	t.Helper()
+	var objects []string
+	for i := range 40 {
+		before := cache.servedCount()
+		c.send(class, fmt.Sprintf("%016x", i), "")
+		c.expectCode(t, codeCompleted)
+		if cache.servedCount() > before {
+			objects = append(objects, fmt.Sprintf("%016x", i))
+		}
+	}
+	require.NotEmpty(t, objects)
+	return objects
+}
+
+// A cache takes an order and a page, and freezes inside the third attempt on their connection, which goes on elsewhere.
+// The page's retry was held back until the order's deadline, and so the page was lost. Another cache answers it in
+// time, whether the settings allow two attempts at once or not, and the order that may have run is answered, too. What
+// was given up does not run when the cache goes on.
+func TestPageIsNotLostWithACacheThatFreezes(t *testing.T) {
+	for _, parallel := range []bool{false, true} {
+		t.Run(fmt.Sprint("parallel tries ", parallel), func(t *testing.T) {
+			frozen, other := startFreezingCache(t), startFreezingCache(t)
+			stub := func(c *freezingCache) *cacheStub { return &cacheStub{Listener: c.Listener} }
+			router := startEditedRouter(t, func(content []byte) []byte {
+				content = bytes.Replace(content, []byte(`"sockets":1024`), []byte(`"sockets":64`), 1)
+				return bytes.Replace(content, []byte(`"parallel_tries":false`),
+					fmt.Appendf(nil, `"parallel_tries":%t`, parallel), 1)
+			}, stub(other), stub(frozen), stub(other))
+			c := router.dial(t)
+			frozenObjects := map[string]string{}
+			for _, class := range []string{"order", "page"} {
+				frozenObjects[class] = objectsOf(t, c, frozen, class)[0]
+			}
+			other.set(func() { other.filling = true })
+			for i := range 32 { // to the origin, so that one connection is left to the cache that freezes
+				c.send("write", objectID, "", clientproto.Field{Name: "dedupe", Value: fmt.Sprint("k", i)})
+			}
+			for range 32 {
+				c.expectCode(t, codeCompleted)
+			}
+			other.set(func() { other.filling = false })
+			frozen.set(func() { frozen.armed = true })
+			playFreeze(t, c, frozen, frozenObjects)
+		})
+	}
+}
+
+// playFreeze sends a cache that is armed an order, a page and large pages, all on one connection, and holds their
+// answers against what is owed.
+func playFreeze(t *testing.T, c *client, frozen *freezingCache, objects map[string]string) {
+	t.Helper()
+	startedAt := time.Now()
+	names := map[uint32]string{}
+	send := func(name, class string, bodyBytes, ttlMillis int) {
+		c.ttlMillis = ttlMillis
+		c.send(class, objects[class], string(make([]byte, bodyBytes)))
+		names[c.stream] = name
+	}
+	send("order", "order", 0, 4000)
+	send("page", "page", 0, 2500)
+	require.Eventually(t, func() bool { return len(frozen.takenAttempts()) == 2 }, patience, time.Millisecond)
+	for range largePages {
+		send("large page", "page", clientproto.MaxBodyBytes, 3000)
+	}
+	codes := map[string]map[byte]int{"order": {}, "page": {}, "large page": {}}
+	for range names {
+		_, stream, payload := c.readFrame(t)
+		codes[names[stream]][payload[0]]++
+		t.Logf("%s: code %d after %v", names[stream], payload[0], time.Since(startedAt).Round(time.Millisecond))
+	}
+	taken := frozen.takenAttempts()
+	require.Same(t, taken[0].conn, taken[1].conn)
+	close(frozen.resuming)
+	assert.Zero(t, <-frozen.readOn, "attempts that the cache would run although they were given up")
+	assert.Equal(t, map[string]map[byte]int{
+		"order":      {codeAborted: 1},
+		"page":       {codeCompleted: 1},
+		"large page": {codeCompleted: largePages},
+	}, codes)
+}
--- a/cmd/cairnfront/harness_test.go
+++ b/cmd/cairnfront/harness_test.go
@@ -149,8 +149,9 @@
 
 // launch says which program is started as a router, with what further arguments and environment.
 type launch struct {
-	program   string // path
-	args, env []string
+	program       string // path
+	args, env     []string
+	editBootstrap func(content []byte) []byte // nil for none
 }
 
 // startProgram starts a router by a launch.
@@ -163,8 +164,11 @@
 	}
 	_ = ln.Close()
 	s.bootstrapPath = filepath.Join(t.TempDir(), "start.json")
-	require.NoError(t, os.WriteFile(s.bootstrapPath, bootstrapFile(s.addr, s.discovery.Addr().String(), memory, origin,
-		caches...), 0o600))
+	bootstrap := bootstrapFile(s.addr, s.discovery.Addr().String(), memory, origin, caches...)
+	if l.editBootstrap != nil {
+		bootstrap = l.editBootstrap(bootstrap)
+	}
+	require.NoError(t, os.WriteFile(s.bootstrapPath, bootstrap, 0o600))
 	t.Cleanup(func() {
 		if !s.killed {
 			_ = s.stop(t, syscall.SIGKILL) // it reports the signal
--- a/cmd/cairnfront/stubs_test.go
+++ b/cmd/cairnfront/stubs_test.go
@@ -12,12 +12,34 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 )
 
+// Sizes of connections that hold little.
+const (
+	narrowReceiveBytes = 2048
+	narrowSegmentBytes = 536 // it makes the sender's system hold little, too
+)
+
+// listenNarrow listens on a free port of loopback for connections that hold little.
+func listenNarrow(t *testing.T) net.Listener {
+	t.Helper()
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) {
+			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, narrowReceiveBytes)
+			_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_MAXSEG, narrowSegmentBytes)
+		})
+	}}
+	ln, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	return ln
+}
+
 // cacheStub is a stand-in of a cache. It hands each attempt to answer and writes what that returns.
 type cacheStub struct {
 	net.Listener
--- a/cmd/cairnfront/wallclock_test.go
+++ b/cmd/cairnfront/wallclock_test.go
@@ -43,6 +43,14 @@
 }
 
 func startSteppedRouter(t *testing.T, origin *cacheStub, caches ...*cacheStub) *steppedRouter {
+	t.Helper()
+	return startEditedRouter(t, nil, origin, caches...)
+}
+
+// startEditedRouter is startSteppedRouter with an edited bootstrap file.
+func startEditedRouter(
+	t *testing.T, edit func([]byte) []byte, origin *cacheStub, caches ...*cacheStub,
+) *steppedRouter {
 	t.Helper()
 	s := &steppedRouter{offsetFile: filepath.Join(t.TempDir(), "offset")}
 	s.step(t, 0)
@@ -51,7 +59,7 @@
 	l := launch{program: this, env: []string{
 		wallOffsetVariable + "=" + s.offsetFile,
 		"GORACE=atexit_sleep_ms=0", // else the race detector holds the end of the process back for a second
-	}}
+	}, editBootstrap: edit}
 	s.routerProcess = startProgram(t, l, 192, origin, caches...)
 	return s
 }
--- a/internal/netconn/close.go
+++ b/internal/netconn/close.go
@@ -66,6 +66,15 @@
 	})
 }
 
+// Reset closes the socket at once and drops what the system still holds of the output, which a Close would leave to be
+// sent. It is for a peer that reads nothing and must not take up later what it was sent.
+func (c *Conn) Reset(code EndCode, cause error) {
+	if socket, ok := c.raw.(interface{ SetLinger(seconds int) error }); ok {
+		_ = socket.SetLinger(0) // fails on a closed socket only
+	}
+	c.Close(code, cause)
+}
+
 // IsClosed says whether the socket is closed.
 func (c *Conn) IsClosed() bool { return c.closed.Load() }
 
--- a/internal/netconn/conn_test.go
+++ b/internal/netconn/conn_test.go
@@ -378,3 +378,16 @@
 	c.AwaitReader(10 * time.Second)
 	assert.Less(t, time.Since(startedAt), time.Second)
 }
+
+// A peer reads nothing while it is sent more than it has room for, and the connection is given up. What the system
+// still holds would reach the peer once it reads again, and it would work on it. A reset drops it.
+func TestResetDropsWhatIsNotSent(t *testing.T) {
+	near, far := tcpPair(t)
+	c := New(near, 1<<10, 50*time.Millisecond)
+	for c.Write(make([]byte, 1<<10)) == nil { // until the system takes no more
+	}
+	c.Reset(Unresponsive, nil)
+	n, err := io.Copy(io.Discard, far)
+	require.ErrorIs(t, err, syscall.ECONNRESET)
+	assert.Less(t, n, c.BytesWritten())
+}
--- a/internal/upstream/lifecycle.go
+++ b/internal/upstream/lifecycle.go
@@ -119,11 +119,14 @@
 		defer c.recoverPanic(conn, stop)
 		code, err := c.readLoop(ctx, conn)
 		c.countUnwritable(code, err)
-		if errors.Is(err, errCloseRequested) {
+		switch {
+		case c.holdsUnwritableCancel():
+			conn.Reset(code, err)
+		case errors.Is(err, errCloseRequested):
 			conn.CloseGracefully(netconn.Shutdown, nil, lingerTimeout, lingerBytes)
-			return errConnectionEnded
+		default:
+			conn.Close(code, err)
 		}
-		conn.Close(code, err)
 		return errConnectionEnded
 	})
 	g.Go(func() error {
--- a/internal/upstream/stopwriting.go
+++ b/internal/upstream/stopwriting.go
@@ -92,6 +92,17 @@
 	conn.SetReadDeadline(c.silenceDeadlineLocked(clock.Now()))
 }
 
+// holdsUnwritableCancel says whether the connection has an attempt whose cancel can't be written. Only its end then
+// shows the endpoint that the attempt is given up.
+//
+// It guards against attempts that were given up and that the system still sends once the endpoint reads again. They
+// would run beside their retries, or after the final answer.
+func (c *Connection) holdsUnwritableCancel() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.unwritableSince.IsZero()
+}
+
 // endByLateResponse ends an attempt that was cancelled and whose cancel can't be written, as the endpoint is done with
 // it.
 func (c *Connection) endByLateResponse(id string) {
