--- a/cmd/cairnfront/wallclock_test.go
+++ b/cmd/cairnfront/wallclock_test.go
@@ -83,6 +83,7 @@
 		"an hour back": {-3600}, "5 s back": {-5}, "5 s forward": {5}, "an hour forward": {3600},
 		"twice back": {-3600, -3600}, "forward and back": {3600, -3600},
 		"forward, back and slewed": {3600, -3600, 0.02}, "back, forward and slewed": {-3600, 3600, 0.02},
+		"slewed back": {-0.1, -0.1},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/clock/clock_test.go
+++ b/internal/clock/clock_test.go
@@ -95,6 +95,28 @@
 
 // TestStepsAreBounded shows that the memory of a clock that is stepped without end does not grow.
 //
+// A time service slews the clock back by less than a step, a little at a time, and a purge is made by the slewed clock.
+// Taken for older than it is, it would leave copies from just before it to be served.
+func TestSlewedBackClockMakesNoTimeOlder(t *testing.T) {
+	for _, before := range [][]time.Duration{nil, {time.Hour}, {time.Hour, 0}} {
+		clocks := &steppedClock{monotonic: 10000 * time.Second}
+		wall := NewWall(clocks.read)
+		for _, offset := range before {
+			clocks.offset = offset
+			wall.Observe()
+		}
+		settled := clocks.offset
+		for slewed := time.Duration(0); slewed < 2*minStep; slewed += 10 * time.Millisecond {
+			clocks.monotonic += time.Second
+			clocks.offset = settled - slewed
+			happened := clocks.monotonic - time.Second/2
+			latest := wall.LatestInstant((happened + clocks.offset).Seconds())
+			assert.GreaterOrEqual(t, latest, happened.Seconds()-1e-6, "%v after %v", slewed, before)
+			assert.LessOrEqual(t, latest, happened.Seconds()+minStep.Seconds(), "%v after %v", slewed, before)
+		}
+	}
+}
+
 // A machine whose clock is set again and again would let the process grow.
 func TestStepsAreBounded(t *testing.T) {
 	clocks := &steppedClock{}
@@ -103,5 +125,5 @@
 		clocks.offset += time.Hour
 		assert.True(t, wall.Observe())
 	}
-	assert.Len(t, wall.offsets, maxSteps)
+	assert.Len(t, wall.settings, maxSteps)
 }
--- a/internal/clock/wall.go
+++ b/internal/clock/wall.go
@@ -9,6 +9,9 @@
 	// minStep is the least change between the clocks that is taken for a step of the wall clock. Slewing moves both.
 	minStep = 250 * time.Millisecond
 
+	// minSlew is the least change that is taken for slewing. What is less may lie between the reads of the two clocks.
+	minSlew = time.Millisecond
+
 	// maxSteps is how many settings of the wall clock are remembered, the newest ones.
 	maxSteps = 16
 )
@@ -25,17 +28,23 @@
 	return Reading{Instant: At(now), UnixTime: time.Duration(now.UnixNano())}
 }
 
+// setting is how the wall clock was set: its offset from the monotonic one.
+type setting struct {
+	offset time.Duration // as it was first observed
+	lowest time.Duration // to which it was slewed since
+}
+
 // Wall translates Unix times that other processes sent to instants. It remembers how the wall clock was set since the
 // process started, as it is not known whether a time was taken before a step or after it, nor whose clock was right. It
-// holds maxSteps durations and is for one goroutine.
+// holds maxSteps settings and is for one goroutine.
 type Wall struct {
-	read    func() Reading
-	offsets []time.Duration // of the wall clock from the monotonic one, each setting once
+	read     func() Reading
+	settings []setting // each once
 }
 
 // NewWall returns a Wall over a reading of the clocks, System in production.
 func NewWall(read func() Reading) *Wall {
-	w := &Wall{read: read, offsets: []time.Duration{0}}
+	w := &Wall{read: read, settings: []setting{{}}}
 	w.Observe()
 	return w
 }
@@ -44,32 +53,44 @@
 func (w *Wall) Observe() (stepped bool) {
 	reading := w.read()
 	offset := reading.UnixTime - time.Duration(reading.Instant)
-	known := slices.ContainsFunc(w.offsets, func(other time.Duration) bool { return (offset - other).Abs() < minStep })
-	if known {
-		return false
+	for i := range w.settings {
+		if (offset - w.settings[i].offset).Abs() < minStep {
+			w.settings[i].slewTo(offset)
+			return false
+		}
 	}
-	w.offsets = append(w.offsets, offset)
-	if len(w.offsets) > maxSteps {
-		w.offsets = slices.Delete(w.offsets, 0, len(w.offsets)-maxSteps)
+	w.settings = append(w.settings, setting{offset: offset, lowest: offset})
+	if len(w.settings) > maxSteps {
+		w.settings = slices.Delete(w.settings, 0, len(w.settings)-maxSteps)
 	}
 	return true
 }
 
+// slewTo notes an offset of the setting.
+//
+// It guards against a clock that is slewed back by less than a step: a purge would seem older than it is by as much,
+// and copies from just before it would be served.
+func (s *setting) slewTo(offset time.Duration) {
+	if offset <= s.lowest-minSlew {
+		s.lowest = offset
+	}
+}
+
 // LatestInstant returns the latest instant, now at the latest, that a Unix time may stand for, both in seconds. Where
-// the wall clock was never stepped that is the time itself, unchanged.
+// the wall clock was neither stepped nor slewed back that is the time itself, unchanged.
 //
 // A setting is known to less than minStep, as the clock may be slewed after it. So a time that is ahead of now by less
 // than that was read just now. Passing over it would leave settings under which it is hours old: a new purge would seem
 // old, and copies from before it would be served.
 func (w *Wall) LatestInstant(unixSeconds float64) (instantSeconds float64) {
 	w.Observe()
-	if len(w.offsets) == 1 {
-		return unixSeconds - w.offsets[0].Seconds()
+	if len(w.settings) == 1 {
+		return unixSeconds - w.settings[0].lowest.Seconds()
 	}
 	now := w.read().Instant.Seconds()
 	latest, found := now, false
-	for _, offset := range w.offsets {
-		candidate := unixSeconds - offset.Seconds()
+	for _, s := range w.settings {
+		candidate := unixSeconds - s.lowest.Seconds()
 		if candidate-now >= minStep.Seconds() { // under this setting it is still to come
 			continue
 		}
@@ -84,5 +105,9 @@
 // EarliestInstant returns the earliest instant that a Unix time may stand for, both in seconds.
 func (w *Wall) EarliestInstant(unixSeconds float64) (instantSeconds float64) {
 	w.Observe()
-	return unixSeconds - slices.Max(w.offsets).Seconds()
+	highest := w.settings[0].offset
+	for _, s := range w.settings {
+		highest = max(highest, s.offset)
+	}
+	return unixSeconds - highest.Seconds()
 }
