--- a/cmd/cairnfront/soak_narrow_test.go
+++ b/cmd/cairnfront/soak_narrow_test.go
@@ -2,10 +2,11 @@
 
 import (
 	"fmt"
-	"golang.org/x/sys/unix"
 	"io"
 	"net"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Narrow seeds of the soak have caches whose connections hold little that is not read, so that the router's socket
