Replication: a leader with a wrong clock ends no reservation

Callers saw nothing yet, as it is off in run; known from reading. A router that starts with a wall clock an hour ahead and comes to lead shards ended their reservations, and a second group got their keys though a first attempt may have run.

Cause: the time of commands was the leader's wall clock at its start, moved on by the monotonic one.

Mend: the time of a command is the shard's own as last applied here, moved on by the monotonic clock; a shard without any begins with the wall clock.

Price: while no replica of a shard runs its time stands still, and what is reserved lasts longer by as much.

--- a/internal/replication/node.go
+++ b/internal/replication/node.go
@@ -80,8 +80,9 @@
 	startCounts map[uint64]uint32                  // how often each replica's disk was seen to be opened
 	shardVoters map[int][]uint64                   // of shards that others hold, as they said
 	leaderHints map[int]uint64
-	emptyPeers  map[string]bool // that said that they hold no shard
-	connected   map[string]bool // peers
+	shardTimes  map[int]shardTime // by shard
+	emptyPeers  map[string]bool   // that said that they hold no shard
+	connected   map[string]bool   // peers
 
 	lastNumber uint64
 	pending    map[uint64]*pendingRequest       // requests of this router by number
@@ -121,6 +122,7 @@
 		startCounts: map[uint64]uint32{identity.ID: identity.StartCount},
 		shardVoters: map[int][]uint64{},
 		leaderHints: map[int]uint64{},
+		shardTimes:  map[int]shardTime{},
 		emptyPeers:  map[string]bool{},
 		connected:   map[string]bool{},
 		lastNumber:  uint64(identity.StartCount) << startCountNumberBits,
@@ -129,6 +131,9 @@
 	}
 	n.startUnixSeconds = float64(clock.UnixMillis(config.Clock())) / 1000
 	n.setUp(true)
+	for _, replica := range replicas {
+		n.noteShardTime(replica)
+	}
 	config.Transport.OnFrame = func(from string, frame transport.Frame) { n.post(frameReceived{from, frame}) }
 	config.Transport.OnPeerState = func(peer string, connected bool) { n.post(peerStateChanged{peer, connected}) }
 	return n, nil
@@ -197,7 +202,7 @@
 // secondsSinceStart is the time of the statuses.
 func (n *Node) secondsSinceStart() float64 { return time.Since(n.start).Seconds() }
 
-// unixSeconds is the time of commands: that of the wall clock at the start, moved on by the monotonic one.
+// unixSeconds is the time with which shards begin: that of the wall clock at the start, moved on by the monotonic one.
 //
 // It guards against a wall clock that is set while the node leads, which would end reservations early, or keep them, by
 // as much as the clock was set.
--- a/internal/replication/node_test.go
+++ b/internal/replication/node_test.go
@@ -33,6 +33,7 @@
 	addresses []string   // of the listeners, by node
 	proxies   [][]string // addresses, by sender and receiver
 	nodes     []*runningNode
+	ahead     []time.Duration // of the wall clock, by node
 }
 
 type runningNode struct {
@@ -49,7 +50,7 @@
 
 func newTestCluster(t *testing.T, size int) *testCluster {
 	t.Helper()
-	c := &testCluster{t: t, net: faultproxy.New(1, size), nodes: make([]*runningNode, size)}
+	c := &testCluster{t: t, net: faultproxy.New(1, size), nodes: make([]*runningNode, size), ahead: make([]time.Duration, size)}
 	t.Cleanup(c.net.Close)
 	for i := range size {
 		key := ed25519.NewKeyFromSeed([]byte(strings.Repeat(string(rune('a'+i)), 32)))
@@ -107,6 +108,7 @@
 		Transport:           &transport.Transport{Name: c.peers[i].Name, PrivateKey: c.keys[i], Peers: peers},
 		Disk:                fs,
 		Logger:              slog.New(slog.NewTextHandler(io.Discard, nil)),
+		Clock:               func() time.Time { return time.Now().Add(c.ahead[i]) },
 	})
 	require.NoError(c.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/replication/replicas.go
+++ b/internal/replication/replicas.go
@@ -25,7 +25,7 @@
 		led = append(led, placement.LedShard{Shard: number, Voters: voters, Learners: learners})
 		if advanceTime {
 			// A proposal that is refused is made again at the next interval.
-			_ = replica.Propose(statemachine.Command{Op: statemachine.OpAdvanceTime, Now: n.unixSeconds()})
+			_ = replica.Propose(statemachine.Command{Op: statemachine.OpAdvanceTime, Now: n.commandTime(number)})
 		}
 	}
 	if advanceTime {
@@ -92,6 +92,7 @@
 	if err != nil {
 		return false, err
 	}
+	n.noteShardTime(replica)
 	after, _ := replica.Members()
 	for _, response := range responses {
 		n.respond(response)
--- a/internal/replication/requests.go
+++ b/internal/replication/requests.go
@@ -236,7 +236,7 @@
 	if err != nil {
 		return err
 	}
-	command.Now = n.unixSeconds() // the leader's clock counts
+	command.Now = n.commandTime(frame.Shard)
 	if err := replica.Propose(command); err != nil {
 		return err
 	}
