Known failures: replicas of shards whose members no longer include the router

Not mended: a replica that is removed may never hear of it, as the leader sends it nothing more, and its term and vote have to stay, or it could vote twice in a term.

--- a/internal/replication/diskfailure_test.go
+++ b/internal/replication/diskfailure_test.go
@@ -10,6 +10,7 @@
 	"cairnfront/internal/diskcache/vfs"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 )
 
 // A disk takes nothing for a while. The write-ahead log takes nothing more then, and the node ends; it has to come
@@ -115,3 +116,36 @@
 		assert.False(t, c.reserve(0, fmt.Sprint("k", round), "g2").Granted)
 	}
 }
+
+// A router's replicas are replaced while its disk fails, and take their places again once it is back. Those that stood
+// in for them would stay on their router's disk, and be told to its peers, for ever.
+func TestReplicasThatAreNoMembersAreGivenUp(t *testing.T) {
+	c := newTestCluster(t, 4)
+	c.waitUntilHealthy()
+	disk := c.stop(3)
+	disk.Restart()
+	var full atomic.Bool
+	disk.ShortWrite = full.Load
+	c.start(3, disk)
+	c.waitUntilHealthy()
+	full.Store(true)
+	for k := range 200 { // each shard writes
+		c.reserve(1, fmt.Sprint("k", k), "g1")
+	}
+	membersAt := func(name string) map[int]bool { // by the only router of its zone, which holds all shards
+		members := map[int]bool{}
+		for _, s := range c.report(1).Shards {
+			if slices.Contains(append(s.Replicas, s.Learners...), name) {
+				members[s.Shard] = true
+			}
+		}
+		return members
+	}
+	require.Eventually(t, func() bool { return len(membersAt("r3")) == 0 }, testTimeout, 50*time.Millisecond)
+	full.Store(false)
+	standIns := func() int { return len(membersAt("r0")) }
+	before := standIns()
+	require.Eventually(t, func() bool { return standIns() < before }, testTimeout, 50*time.Millisecond)
+	givenUp := func() bool { return len(c.report(0).Shards) <= standIns() }
+	assert.Eventually(t, givenUp, 10*time.Second, 50*time.Millisecond)
+}
--- a/internal/replication/node_test.go
+++ b/internal/replication/node_test.go
@@ -50,7 +50,12 @@
 
 func newTestCluster(t *testing.T, size int) *testCluster {
 	t.Helper()
-	c := &testCluster{t: t, net: faultproxy.New(1, size), nodes: make([]*runningNode, size), ahead: make([]time.Duration, size)}
+	c := &testCluster{
+		t:     t,
+		net:   faultproxy.New(1, size),
+		nodes: make([]*runningNode, size),
+		ahead: make([]time.Duration, size),
+	}
 	t.Cleanup(c.net.Close)
 	for i := range size {
 		key := ed25519.NewKeyFromSeed([]byte(strings.Repeat(string(rune('a'+i)), 32)))
--- a/internal/replication/wal/wal_test.go
+++ b/internal/replication/wal/wal_test.go
@@ -219,7 +219,8 @@
 	for seed := range uint64(20) {
 		fs := vfs.NewFaultFS(seed)
 		w, _ := open(t, fs)
-		first := shard.Ready{Shard: 1, HardState: hardState(1, 0), Entries: []*pb.Entry{entry(1, 1, "a")}, MustSync: true}
+		entries := []*pb.Entry{entry(1, 1, "a")}
+		first := shard.Ready{Shard: 1, HardState: hardState(1, 0), Entries: entries, MustSync: true}
 		fs.FailSync = func() bool { return true }
 		require.ErrorIs(t, w.Write([]shard.Ready{first}), ErrWriteFailed)
 		fs.FailSync = nil
