--- a/internal/netconn/awaitreader.go
+++ b/internal/netconn/awaitreader.go
@@ -25,19 +25,10 @@
 	}
 }
 
-// answerInputRequest tells who waits for the reading goroutine that all input was taken. It is for that goroutine.
-func (c *Conn) answerInputRequest() {
-	if c.endInputRequest() {
-		c.readDeadlineStale = true // the socket's deadline may be the one that interrupts
+// endInputRequest ends the wait for the reading goroutine, if there is one. That goroutine calls it with all input
+// taken, and the end of the connection does.
+func (c *Conn) endInputRequest() {
+	if request := c.inputRequest.Swap(nil); request != nil {
+		close(request.ended)
 	}
 }
-
-// endInputRequest ends the wait for the reading goroutine, and says whether there was one.
-func (c *Conn) endInputRequest() bool {
-	request := c.inputRequest.Swap(nil)
-	if request == nil {
-		return false
-	}
-	close(request.ended)
-	return true
-}
--- a/internal/netconn/conn_test.go
+++ b/internal/netconn/conn_test.go
@@ -391,3 +391,66 @@
 	require.ErrorIs(t, err, syscall.ECONNRESET)
 	assert.Less(t, n, c.BytesWritten())
 }
+
+// Whether an endpoint is silent is told by when input last came. A time that stands still would take each for silent.
+func TestLastReadFollowsTheInput(t *testing.T) {
+	near, far := net.Pipe()
+	c := New(near, 64, 0)
+	before := clock.Now()
+	go func() { _, _ = io.WriteString(far, "one\n") }()
+	_, err := c.ReadLine()
+	require.NoError(t, err)
+	assert.GreaterOrEqual(t, c.LastRead(), before)
+}
+
+// A peer floods and the end of its connection is requested. Input would put the end off for as long as it comes. Where
+// it does not matter any more, the end comes before the next read.
+func TestRequestedEndIsNotPutOffByAFlood(t *testing.T) {
+	errEnd := errors.New("end")
+	for name, ignoreInput := range map[string]func(*Conn){
+		"discarded":    func(c *Conn) { c.DiscardInput = true },
+		"read no more": (*Conn).ReadNoMore,
+	} {
+		near, far := net.Pipe()
+		c := New(near, 8, 0)
+		c.OnCloseRequest = func(EndCode) error { return errEnd }
+		go func() {
+			for {
+				if _, err := io.WriteString(far, "line\n"); err != nil {
+					return
+				}
+			}
+		}()
+		_, err := c.ReadLine()
+		require.NoError(t, err)
+		ignoreInput(c)
+		c.RequestClose(Shutdown)
+		var lines int
+		for err == nil {
+			_, err = c.ReadLine()
+			lines++
+		}
+		require.ErrorIs(t, err, errEnd, name)
+		assert.LessOrEqual(t, lines, 2, "%s: what was read before, and no more", name)
+		c.Close(Shutdown, nil)
+	}
+}
+
+// The sending side is ended and the other side still sends. Another cause that shows meanwhile would take the place of
+// the one for which the connection ends.
+func TestGracefulCloseKeepsItsCause(t *testing.T) {
+	near, far := tcpPair(t)
+	c := New(near, 64, 0)
+	ended := make(chan struct{})
+	go func() {
+		c.CloseGracefully(IdleTimeout, io.ErrNoProgress, time.Second, 1<<10)
+		close(ended)
+	}()
+	_, err := io.Copy(io.Discard, far)
+	require.NoError(t, err, "the sending side has ended")
+	c.SetEndCode(SocketError, io.ErrClosedPipe)
+	_ = far.Close()
+	<-ended
+	assert.Equal(t, IdleTimeout, c.EndCode())
+	assert.Equal(t, io.ErrNoProgress, c.EndErr())
+}
--- a/internal/netconn/errors_test.go
+++ b/internal/netconn/errors_test.go
@@ -105,3 +105,17 @@
 	assert.Less(t, time.Since(startedAt), time.Second)
 	c.Close(Shutdown, nil)
 }
+
+// Reads fail for a want of memory, and the time for input is over. Tried on for as long as writes are, a request would
+// wait past its connection's limit.
+func TestShortageEndsWithTheReadDeadline(t *testing.T) {
+	near, _ := net.Pipe()
+	failing := &failingSocket{Conn: near, err: syscall.ENOBUFS, until: time.Now().Add(time.Hour)}
+	c := New(failing, 64, 0)
+	startedAt := time.Now()
+	c.SetReadDeadline(startedAt.Add(50 * time.Millisecond))
+	_, err := c.ReadLine()
+	require.ErrorIs(t, err, syscall.ENOBUFS)
+	assert.Less(t, time.Since(startedAt), time.Second)
+	c.Close(Shutdown, nil)
+}
--- a/internal/netconn/read.go
+++ b/internal/netconn/read.go
@@ -125,7 +125,7 @@
 		}
 		deadline := c.applyReadDeadline(frameDeadline)
 		// After the deadline was set: later requests set it anew.
-		c.answerInputRequest()
+		c.endInputRequest()
 		request := c.closeRequest.Load()
 		n, readErr := c.readOnce(request)
 		if n > 0 {
