--- a/internal/dispatch/attempts_test.go
+++ b/internal/dispatch/attempts_test.go
@@ -124,3 +124,18 @@
 	}
 	assert.Equal(t, "o", f.fillSource(routing.StartAttempt{Endpoint: "c", Source: "o"}))
 }
+
+// Several attempts stall, and one has ended meanwhile. The others would go unreported behind it. Each that is open is
+// reported and counted once.
+func TestStalledAttemptsAreReportedOnceEach(t *testing.T) {
+	f := newFixture(t, startsAttempt())
+	f.arrive(f.request)
+	open := f.requests["ab"].attempts[0]
+	ended := &attempt{request: open.request, state: sendEnded}
+	before := len(f.decider.events)
+	for range 2 {
+		f.reportStalled([]*upstream.Attempt{{Owner: ended}, open.sent, {Owner: ended}})
+	}
+	assert.Equal(t, []routing.Event{routing.AttemptStalled{Request: "ab"}}, f.decider.events[before:])
+	assert.InDelta(t, 1, f.Metrics.Value("upstream_attempts_stalled_total"), 0)
+}
--- a/internal/frontend/helpers_test.go
+++ b/internal/frontend/helpers_test.go
@@ -92,6 +92,7 @@
 		_ = far.Close()
 		<-c.done
 		assert.Equal(t, 1, strings.Count(c.log.String(), "connection closed"), "one line")
+		assert.Nil(t, c.conn(), "it is not remembered")
 		assert.Zero(t, c.admission.OpenRequests(), "no request is open after the end")
 		//nolint:testifylint // exact by intent
 		assert.Equal(t, c.Metrics.Total("requests_received_total"),
--- a/internal/frontend/responsewriter_test.go
+++ b/internal/frontend/responsewriter_test.go
@@ -34,7 +34,7 @@
 	w, r := newTestWriter(t)
 	body := w.admission.Bodies.TryAllocate(100)
 	assert.True(t, w.Respond(r, request.Response{Body: body}))
-	assert.Nil(t, w.cancel(1, request.CancelledByClient))
+	assert.Nil(t, w.cancel(1, request.ConnectionEnded))
 	assert.False(t, w.busy())
 	assert.Zero(t, w.admission.Bodies.UsedBytes())
 	assert.Zero(t, w.admission.OpenRequests())
@@ -108,7 +108,7 @@
 func TestCancellationTakesEffectAtOnce(t *testing.T) {
 	w, r := newTestWriter(t)
 	assert.False(t, r.Cancelled())
-	w.cancel(1, request.CancelledByClient)
+	w.cancel(1, request.ConnectionEnded)
 	assert.True(t, r.Cancelled())
 	w, r = newTestWriter(t)
 	w.close(request.ConnectionEnded)
@@ -143,3 +143,23 @@
 		assert.Zero(t, admitted.OpenRequests())
 	}
 }
+
+// A client cancels a request whose response waits to be written, behind another one's. A response to another stream
+// must not be dropped in its place.
+func TestCancelDropsTheWaitingResponseOfItsStreamOnly(t *testing.T) {
+	w := newResponseWriter(telemetry.New(io.Discard, ""), admission.New(64, 256))
+	w.sendControl([]byte("control"))
+	for stream := range uint32(3) {
+		r := &request.Request{StreamID: stream}
+		w.admission.CountRequest()
+		w.open(r)
+		assert.True(t, w.Respond(r, request.Response{}))
+	}
+	assert.Nil(t, w.cancel(1, request.ConnectionEnded))
+	var streams []uint32
+	for _, frame := range w.queue[1:] {
+		streams = append(streams, frame.request.StreamID)
+	}
+	assert.Equal(t, []uint32{0, 2}, streams)
+	assert.EqualValues(t, 2, w.admission.OpenRequests())
+}
--- a/internal/frontend/timeouts_test.go
+++ b/internal/frontend/timeouts_test.go
@@ -110,3 +110,18 @@
 	assert.Positive(t, c.socket.lingerNanos.Load())
 	assert.LessOrEqual(t, c.socket.lingerNanos.Load(), int64(evictionCloseTimeout), "the place is needed")
 }
+
+// Clients end a connection after 4 s with nothing open. One that is closed sooner from this side crosses requests that
+// they send until then.
+func TestIdleConnOutlivesItsClientsTimeout(t *testing.T) {
+	const clientsIdleTimeout = 4 * time.Second
+	c := newTestConn(t, true)
+	_, _ = c.Write(readinessQuery(0))
+	c.readFrame(t)
+	for range 10 {
+		c.sweep(clock.Now().Add(clientsIdleTimeout))
+		time.Sleep(time.Millisecond)
+	}
+	go func() { _, _ = c.Write(readinessQuery(0)) }()
+	c.readFrame(t)
+}
--- a/internal/netconn/conn_test.go
+++ b/internal/netconn/conn_test.go
@@ -392,7 +392,7 @@
 	assert.Less(t, n, c.BytesWritten())
 }
 
-// Whether an endpoint is silent is told by when input last came. A time that stands still would take each for silent.
+// Whether an endpoint is silent is shown by when input last came. A time that stands still would take each for silent.
 func TestLastReadFollowsTheInput(t *testing.T) {
 	near, far := net.Pipe()
 	c := New(near, 64, 0)
--- a/internal/replication/diskfailure_test.go
+++ b/internal/replication/diskfailure_test.go
@@ -118,7 +118,7 @@
 }
 
 // A router's replicas are replaced while its disk fails, and take their places again once it is back. Those that stood
-// in for them would stay on their router's disk, and be told to its peers, for ever.
+// in for them would stay on their router's disk, and be shown to its peers, for ever.
 func TestReplicasThatAreNoMembersAreGivenUp(t *testing.T) {
 	c := newTestCluster(t, 4)
 	c.waitUntilHealthy()
