--- a/review/driver/deployment.go
+++ b/review/driver/deployment.go
@@ -50,6 +50,7 @@
 	windowSeconds float64 // for which a repeat of a keyed request is known
 	maxHops       int
 	direct        bool // a router may go straight to a parent or the origin
+	secondCopies  bool // two hops of a request may be out together
 }
 
 // yearbook has the remap rules of yearbook-campus-net.
@@ -62,6 +63,16 @@
 	windowSeconds: 6, maxHops: 6, direct: true,
 }
 
+// branch has the remap rules of branch-cache.
+var branch = site{
+	classes: []class{
+		{"route-video", "retryable", 0.4, 2, 5, 0, 0, 2, 1, false},
+		{"parcel-page", "retryable", 0.3, 2, 3, 0, 0, 1, 1, false},
+		{"scan-record", "dedup", 0.7, 0, 3, 0, 0, 3, 1, true},
+	},
+	windowSeconds: 2, maxHops: 8, secondCopies: true,
+}
+
 // deployment is a router with the stand-ins that it talks to.
 type deployment struct {
 	router   *router
@@ -141,7 +152,7 @@
 			},
 			"limits": map[string]any{
 				"cancelling": true, "connect_timeout_s": 0.4, "idle_close_s": 30.0, "max_attempts": s.maxHops, "max_streams": 32,
-				"parallel_tries": false, "may_probe": true, "retry_after": true, "max_retry_after_s": 2.0,
+				"parallel_tries": s.secondCopies, "may_probe": true, "retry_after": true, "max_retry_after_s": 2.0,
 			},
 			"rules": map[string]any{
 				"stop_sending_within_s": 1.0, "fall_multiple": fallMultiple, "overload_for_s": fallWindow.Seconds(),
--- a/review/driver/parent.go
+++ b/review/driver/edgecache.go
@@ -13,34 +13,33 @@
 	"time"
 )
 
-// cacheProcess is a cache process of the project.
-type cacheProcess struct {
+// edgeCache is an edge cache process of the project.
+type edgeCache struct {
 	addr string
 	cmd  *exec.Cmd
 }
 
-// startParent starts a parent cache without a disk on a free port, and waits until it serves. It fetches from the
-// machine with the id source.
-func startParent(dir string, id, source int, boardAddr string, s site) (*cacheProcess, error) {
+// startEdgeCache starts an edge cache without a disk on a free port, and waits until it serves.
+func startEdgeCache(dir string, id int, boardAddr string, s site) (*edgeCache, error) {
 	addr, err := freeAddr()
 	if err != nil {
 		return nil, err
 	}
-	config := fmt.Appendf(nil, "box:\n  id: s-%08x\n  role: parent\n  source: s-%08x\n", id, source)
-	config = fmt.Appendf(config, "  listen: %q\n  board: %q\n  rules:\n", addr, boardAddr)
+	config := fmt.Appendf(nil, "box:\n  id: s-%08x\n  listen: %q\n  board: %q\n  rules:\n", id, addr, boardAddr)
 	effects := map[string]string{"retryable": "repeatable", "dedup": "keyed", "fragile": "unrepeatable"}
 	for _, c := range s.classes {
-		config = fmt.Appendf(config, "    - {name: %s, kept: %v, effect: %s}\n", c.name, !c.neverKept, effects[c.effect])
+		kept := !c.neverKept
+		config = fmt.Appendf(config, "    - {name: %s, kept: %v, effect: %s}\n", c.name, kept, effects[c.effect])
 	}
-	path := filepath.Join(dir, fmt.Sprintf("parent-%d.yaml", id))
+	path := filepath.Join(dir, fmt.Sprintf("edge-cache-%d.yaml", id))
 	if err := os.WriteFile(path, config, 0o600); err != nil {
 		return nil, err
 	}
-	log, err := os.Create(filepath.Join(dir, fmt.Sprintf("parent-%d.log", id)))
+	log, err := os.Create(filepath.Join(dir, fmt.Sprintf("edge-cache-%d.log", id)))
 	if err != nil {
 		return nil, err
 	}
-	e := &cacheProcess{addr: addr, cmd: exec.Command("bin/cairnfront", "edge-cache", "--config", path)}
+	e := &edgeCache{addr: addr, cmd: exec.Command("bin/cairnfront", "edge-cache", "--config", path)}
 	e.cmd.Stdout, e.cmd.Stderr = log, log
 	e.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := e.cmd.Start(); err != nil {
@@ -52,10 +51,14 @@
 		}
 	}
 	e.kill()
-	return nil, errors.New("the parent did not serve within 5 s")
+	return nil, errors.New("an edge cache did not serve within 5 s")
 }
 
-func (e *cacheProcess) kill() {
+// hang stops the process, and resume lets it go on.
+func (e *edgeCache) hang()   { _ = e.cmd.Process.Signal(syscall.SIGSTOP) }
+func (e *edgeCache) resume() { _ = e.cmd.Process.Signal(syscall.SIGCONT) }
+
+func (e *edgeCache) kill() {
 	_ = e.cmd.Process.Kill()
 	_ = e.cmd.Wait()
 }
--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -18,9 +18,9 @@
 
 // cases are the cases by name. Each reports whether its rule held.
 var cases = map[string]func(*record) (held bool, err error){
+	"twice":      playTwice,
 	"memory":     playMemory,
 	"cold-cache": playColdCache,
-	"receipt":    playReceipt,
 }
 
 // Exit codes.
