dispatch: a gauge shows the timers that wait

Guesses: timers that hold answered requests; routing's objects; requests that routing or the loop never removes; goroutines. requests_open and process_goroutines were there, nothing told of timers.

dispatch_timers_pending is set once a second.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -26,8 +26,8 @@
 const (
 	// queueCapacity is the maximum number of queued events. A request that arrives when the queue is full is rejected.
 	queueCapacity = 4096
-	// closeIdleInterval is the time between two scans of the pool for idle connections to close, and between two checks
-	// of the wall clock.
+	// closeIdleInterval is the time between two scans of the pool for idle connections to close, between two checks of
+	// the wall clock, and between two updates of the gauge of pending timers.
 	closeIdleInterval = time.Second
 	// stallCheckInterval is the time between two checks for stalled attempts and for expired retry budget windows.
 	stallCheckInterval = 20 * time.Millisecond
@@ -107,6 +107,7 @@
 		case <-nextTimer.C:
 		case <-closeIdle.C:
 			d.recoverPanics(d.closeIdleAndCheckClock)
+			d.Metrics.SetGauge(telemetry.TimersPending, float64(d.timers.Len()))
 		case <-checkStalls:
 			d.recoverPanics(d.checkStalls)
 		}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -52,3 +52,10 @@
 	defer m.mu.Unlock()
 	m.values[maximum.series] = max(m.values[maximum.series], value)
 }
+
+// SetGauge sets a gauge to value.
+func (m *Metrics) SetGauge(gauge Gauge, value float64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.values[gauge.series] = value
+}
--- a/internal/telemetry/table.go
+++ b/internal/telemetry/table.go
@@ -41,6 +41,8 @@
 		"Panics that were recovered.")
 	MaxTimerDelay = newMaximum("dispatch_timer_delay_max_seconds",
 		"Longest time after its due time at which a timer of the dispatch loop fired.")
+	TimersPending = newGauge("dispatch_timers_pending",
+		"Timers of the dispatch loop that have not fired, as of the last second.")
 	// AttemptsSent includes attempts that could not be sent because no connection could be opened.
 	AttemptsSent = newCounterVec[Class]("upstream_attempts_total", "class",
 		"Attempts that were started before their deadline.")
