dispatch: timers of requests and attempts leave the queue when these end

Cause: the timers of a request's deadline, of its attempts' and of routing's next look waited for that time, and each held the request, its attempts and connections.

Change: timers belong to a request or attempt and are removed with it, so no timeout has to be refused. SetTimer names its request; a new one replaces the earlier one.

--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -50,6 +50,7 @@
 	endpoint   routing.EndpointID
 	startedAt  float64              // monotonic seconds
 	sent       *upstream.Attempt    // nil if the attempt could not be sent, and after it has ended
+	deadline   *timer               // runs attemptDeadline; nil if the attempt could not be sent
 	connection *upstream.Connection // nil if the attempt could not be sent
 
 	state         sendState
@@ -102,7 +103,7 @@
 		return
 	}
 	a.connection = a.sent.Connection()
-	d.schedule(deadline, attemptDeadline{a})
+	a.deadline = d.schedule(deadline, attemptDeadline{a})
 }
 
 // effectiveDeadline returns the deadline of an attempt: the earlier of its request's deadline and attemptDeadline,
@@ -134,7 +135,8 @@
 		return
 	}
 	o := a.request
-	a.sent = nil // releases the request body; the attemptDeadline timer still refers to the attempt
+	a.sent = nil // releases the request body; the request refers to the attempt until it is removed
+	d.cancelTimer(a.deadline)
 	o.activeAttempts--
 	elapsed := d.now - a.startedAt
 	class := telemetry.Class(o.request.ClassName)
--- a/internal/dispatch/decisions.go
+++ b/internal/dispatch/decisions.go
@@ -59,7 +59,7 @@
 			d.respond(o, request.Response{Result: request.Aborted, Reason: request.ReasonRoutingDecision})
 		}
 	case routing.SetTimer:
-		d.schedule(d.now+action.AfterSeconds, decisionTimer{action.Token})
+		d.setDecisionTimer(action)
 	case routing.Probe:
 		d.startProbe(action.Endpoint)
 	case routing.LogNote:
--- a/internal/dispatch/golden_test.go
+++ b/internal/dispatch/golden_test.go
@@ -44,7 +44,7 @@
 	f.runDueTimers()
 	arrive("cd", 120)
 	arrive("ab", 120)
-	f.endAttempt(0, request.AttemptEnd{Result: routing.Overloaded})
+	f.endFirstAttempt(request.AttemptEnd{Result: routing.Overloaded})
 	f.recoverPanics(func() { panic("beside the decisions") })
 	got := regexp.MustCompile(`(?m)^time=\S+ `).ReplaceAllString(f.log.String(), "")
 	got = regexp.MustCompile(`stack=".*"`).ReplaceAllString(got, "stack=...")
--- a/internal/dispatch/helpers_test.go
+++ b/internal/dispatch/helpers_test.go
@@ -104,9 +104,9 @@
 // arrive handles the arrival of a request.
 func (f *fixture) arrive(r *request.Request) { f.handle(requestArrived{r}) }
 
-// endAttempt handles the end of an attempt of the fixture's request.
-func (f *fixture) endAttempt(number int, end request.AttemptEnd) {
-	sent := f.requests["ab"].attempts[number].sent
+// endFirstAttempt handles the end of the first attempt of the fixture's request.
+func (f *fixture) endFirstAttempt(end request.AttemptEnd) {
+	sent := f.requests["ab"].attempts[0].sent
 	f.handle(upstreamEvent{upstream.AttemptEnded{Attempt: sent, End: end}})
 }
 
--- a/internal/dispatch/requests.go
+++ b/internal/dispatch/requests.go
@@ -20,6 +20,9 @@
 
 	state               requestState
 	abandonReportQueued bool // a reportAbandoned task was queued for the request
+
+	overdueTimer  *timer // runs requestOverdue
+	decisionTimer *timer // the last timer that the Decider requested for the request, nil if none
 }
 
 // requestState is the state of a request. The table lists all transitions; openRequest.transition rejects any other:
@@ -77,7 +80,7 @@
 	}
 	o := &openRequest{request: r}
 	d.requests[id] = o
-	d.schedule(overdueAt(r.Deadline), requestOverdue{o})
+	o.overdueTimer = d.schedule(overdueAt(r.Deadline), requestOverdue{o})
 	d.decide(routing.RequestArrived{
 		Request:     id,
 		Class:       r.Class,
@@ -110,7 +113,7 @@
 // handleCancelledByClient passes a ClientDisconnected event for a request to the Decider, at most once. If the request
 // was abandoned, a reportAbandoned task passes such an event too.
 func (d *Dispatcher) handleCancelledByClient(o *openRequest) {
-	if !o.transition(requestCancelled) {
+	if !d.endRequest(o, requestCancelled) {
 		return
 	}
 	d.decide(routing.ClientDisconnected{Request: o.id()}, o)
@@ -120,7 +123,7 @@
 // respond passes the final response to the request's ResponseWriter, or frees the response's body if the request is not
 // open any more.
 func (d *Dispatcher) respond(o *openRequest, response request.Response) {
-	if !o.transition(requestAnswered) {
+	if !d.endRequest(o, requestAnswered) {
 		response.Body.Free()
 		return
 	}
@@ -128,6 +131,33 @@
 	d.removeIfDone(o)
 }
 
+// endRequest moves a request to the state requestAnswered or requestCancelled and removes its timers. It reports
+// whether the transition was allowed.
+func (d *Dispatcher) endRequest(o *openRequest, to requestState) bool {
+	if !o.transition(to) {
+		return false
+	}
+	d.cancelTimer(o.overdueTimer)
+	d.cancelTimer(o.decisionTimer)
+	return true
+}
+
+// setDecisionTimer sets the timer that the Decider requested for an open request, or for no request if it names none.
+// It replaces an earlier timer of the request.
+func (d *Dispatcher) setDecisionTimer(action routing.SetTimer) {
+	due := d.now + action.AfterSeconds
+	if action.Request == "" {
+		d.schedule(due, decisionTimer{token: action.Token})
+		return
+	}
+	o := d.requests[action.Request]
+	if o == nil || o.state != requestOpen {
+		return
+	}
+	d.cancelTimer(o.decisionTimer)
+	o.decisionTimer = d.schedule(due, decisionTimer{action.Token, o})
+}
+
 // removeIfDone removes a request that was answered or cancelled and has no attempt in progress.
 func (d *Dispatcher) removeIfDone(o *openRequest) {
 	if o.state == requestOpen || o.activeAttempts > 0 || d.requests[o.id()] != o {
@@ -135,7 +165,7 @@
 	}
 	delete(d.requests, o.id())
 	o.request.Body.Free()
-	o.request.Body = nil // releases the body although pending timers still refer to the request
+	o.request.Body = nil // releases the body although a response that is not written yet refers to the request
 }
 
 // abandon aborts a request that the Decider failed to end, and cancels its attempts.
--- a/internal/dispatch/requests_test.go
+++ b/internal/dispatch/requests_test.go
@@ -21,7 +21,7 @@
 		panic(errors.New("a fault"))
 	})
 	f.arrive(f.request)
-	f.endAttempt(0, request.AttemptEnd{Result: routing.Overloaded})
+	f.endFirstAttempt(request.AttemptEnd{Result: routing.Overloaded})
 	f.runDueTimers()
 	assert.Equal(t, []request.Response{{Result: request.Aborted, Reason: request.ReasonPanic}}, f.recorder.responses)
 	assert.Contains(t, f.log.String(), "a fault")
@@ -77,7 +77,7 @@
 	})
 	f.arrive(f.request)
 	f.request.Cancel()
-	f.endAttempt(0, request.AttemptEnd{Result: routing.Overloaded})
+	f.endFirstAttempt(request.AttemptEnd{Result: routing.Overloaded})
 	assert.Nil(t, f.requests["ab"].attempts[1].sent)
 	f.runDueTimers()
 	assert.Equal(t, []routing.Event{
--- a/internal/dispatch/timers.go
+++ b/internal/dispatch/timers.go
@@ -14,8 +14,11 @@
 
 // The tasks that run at a given time.
 type (
-	// decisionTimer fires a timer that the Decider requested with routing.SetTimer.
-	decisionTimer struct{ token uint64 }
+	// decisionTimer fires a timer that the Decider requested with routing.SetTimer, for a request or for none (nil).
+	decisionTimer struct {
+		token   uint64
+		request *openRequest
+	}
 	// attemptDeadline cancels an attempt that has not ended by its deadline.
 	attemptDeadline struct{ attempt *attempt }
 	// probeTimeout ends a health probe that was not answered in time.
@@ -45,7 +48,7 @@
 	retryBudgetCheck struct{}
 )
 
-func (t decisionTimer) run(d *Dispatcher) { d.decide(routing.TimerFired{Token: t.token}, nil) }
+func (t decisionTimer) run(d *Dispatcher) { d.decide(routing.TimerFired{Token: t.token}, t.request) }
 
 func (t attemptDeadline) run(d *Dispatcher) { d.cancelAttempt(t.attempt, routing.TimedOut) }
 
@@ -80,13 +83,31 @@
 	due      float64 // monotonic seconds; dueAfterEvent for a task that runs directly after the current event
 	sequence int     // position in the order in which timers were added; orders timers with the same due time
 	task     timerTask
+	index    int // index in timerQueue.timers, notPending once the timer has fired or was removed
 }
 
-// dueAfterEvent is the due time of tasks that run directly after the current event. It is before every other due time.
-const dueAfterEvent = 0
+const (
+	// dueAfterEvent is the due time of tasks that run directly after the current event. It is before every other due
+	// time.
+	dueAfterEvent = 0
+	// notPending is the index of a timer that is not in the queue.
+	notPending = -1
+)
 
-// schedule adds a task that runs at the due time, in monotonic seconds.
-func (d *Dispatcher) schedule(due float64, task timerTask) { d.timers.add(due, task) }
+// schedule adds a task that runs at the due time, in monotonic seconds. A timer whose task belongs to a request or an
+// attempt is removed when that ends (cancelTimer).
+func (d *Dispatcher) schedule(due float64, task timerTask) *timer { return d.timers.add(due, task) }
+
+// cancelTimer removes a timer, which may be nil or have fired.
+//
+// It guards against requests and attempts that have ended and stay in memory because of their timers: these are due at
+// a deadline that the client chooses, so that clients with long timeouts would make the process grow until the system
+// ends it.
+func (d *Dispatcher) cancelTimer(t *timer) {
+	if t != nil {
+		d.timers.remove(t)
+	}
+}
 
 // runAfterEvent adds a task that runs after the current event, before all timers that are due.
 func (d *Dispatcher) runAfterEvent(task timerTask) { d.timers.add(dueAfterEvent, task) }
@@ -104,7 +125,7 @@
 		if !ok || due > d.now {
 			return
 		}
-		t := heap.Pop(&d.timers).(timer) //nolint:forcetypeassert // Pop returns what add has pushed
+		t := heap.Pop(&d.timers).(*timer) //nolint:forcetypeassert // Pop returns what add has pushed
 		if t.due > dueAfterEvent {
 			d.Metrics.SetMax(telemetry.MaxTimerDelay, d.now-t.due)
 		}
@@ -114,14 +135,23 @@
 
 // timerQueue is a min-heap of timers ordered by due time, then by insertion order.
 type timerQueue struct {
-	timers       []timer
+	timers       []*timer
 	lastSequence int
 }
 
 // add inserts a task that is due at the given time.
-func (q *timerQueue) add(due float64, task timerTask) {
+func (q *timerQueue) add(due float64, task timerTask) *timer {
 	q.lastSequence++
-	heap.Push(q, timer{due: due, sequence: q.lastSequence, task: task})
+	t := &timer{due: due, sequence: q.lastSequence, task: task}
+	heap.Push(q, t)
+	return t
+}
+
+// remove removes a timer. It has no effect on a timer that is not in the queue.
+func (q *timerQueue) remove(t *timer) {
+	if t.index != notPending {
+		heap.Remove(q, t.index)
+	}
 }
 
 // next returns the due time of the first timer; ok is false if there is no timer.
@@ -137,23 +167,29 @@
 
 // Less implements heap.Interface.
 func (q *timerQueue) Less(i, j int) bool {
-	a, b := &q.timers[i], &q.timers[j]
+	a, b := q.timers[i], q.timers[j]
 	return a.due < b.due || a.due == b.due && a.sequence < b.sequence
 }
 
 // Swap implements heap.Interface.
-func (q *timerQueue) Swap(i, j int) { q.timers[i], q.timers[j] = q.timers[j], q.timers[i] }
+func (q *timerQueue) Swap(i, j int) {
+	q.timers[i], q.timers[j] = q.timers[j], q.timers[i]
+	q.timers[i].index, q.timers[j].index = i, j
+}
 
 // Push implements heap.Interface.
-func (q *timerQueue) Push(t any) {
-	q.timers = append(q.timers, t.(timer)) //nolint:forcetypeassert // only add calls it
+func (q *timerQueue) Push(x any) {
+	t := x.(*timer) //nolint:forcetypeassert // only add calls it
+	t.index = len(q.timers)
+	q.timers = append(q.timers, t)
 }
 
 // Pop implements heap.Interface.
 func (q *timerQueue) Pop() any {
 	last := len(q.timers) - 1
 	t := q.timers[last]
-	q.timers[last] = timer{} // releases the references of its task
+	t.index = notPending
+	q.timers[last] = nil // releases the references of its task
 	q.timers = q.timers[:last]
 	return t
 }
--- a/routing/actions.go
+++ b/routing/actions.go
@@ -34,10 +34,12 @@
 // AbortRequest is the final action of a request that may or may not have run.
 type AbortRequest struct{ Request RequestID }
 
-// SetTimer requests a TimerFired event with the token.
+// SetTimer requests a TimerFired event with the token, for an open request. It replaces an earlier timer of the
+// request, if the caller can withdraw timers; the Decider ignores events of replaced timers and of ended requests.
 type SetTimer struct {
 	AfterSeconds float64
 	Token        uint64
+	Request      RequestID
 }
 
 // Probe starts a health check of an endpoint.
--- a/routing/router.go
+++ b/routing/router.go
@@ -155,7 +155,11 @@
 		r.removeUnlessInFlight(req)
 	} else if req.timerAt == 0 || req.wakeAt < req.timerAt {
 		req.timerAt = req.wakeAt
-		r.actions = append(r.actions, SetTimer{AfterSeconds: max(req.wakeAt-r.now, 0), Token: req.token})
+		r.actions = append(r.actions, SetTimer{
+			AfterSeconds: max(req.wakeAt-r.now, 0),
+			Token:        req.token,
+			Request:      req.Request,
+		})
 	}
 }
 
