routing: work at cold endpoints is measured by answers, not by claimed sizes

Cause: an attempt costs the mean sending time of its class, whose samples were the sizes of all arriving requests; at a parent it cost its own claim as well.

Change: samples are durations of answers without a fill, one of each chunk, its shortest, of the last 256; answers that confirm a client's copy don't count. An attempt costs the mean of its class at each endpoint. One way of learning in place of two.

--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -165,6 +165,7 @@
 		Result:         end.Result,
 		Detail:         end.Detail,
 		ElapsedSeconds: elapsed,
+		NotModified:    end.NotModified,
 		RequestDone:    o.state != requestOpen,
 		LoadReport:     end.LoadReport,
 	}, o)
--- a/internal/dispatch/attempts_test.go
+++ b/internal/dispatch/attempts_test.go
@@ -18,16 +18,21 @@
 	f.arrive(f.request)
 	sent := f.requests["ab"].attempts[0].sent
 	body := &request.Body{Bytes: []byte("x")}
-	end := request.AttemptEnd{Result: routing.Completed, ETag: "t", Detail: routing.CacheHit, Body: body}
+	end := request.AttemptEnd{
+		Result: routing.Completed, ETag: "t", NotModified: true, Detail: routing.CacheHit, Body: body,
+	}
 	f.handle(upstreamEvent{upstream.AttemptEnded{Attempt: sent, End: end}})
 	f.handle(upstreamEvent{upstream.AttemptEnded{Attempt: sent, End: end}})
-	want := request.Response{Result: request.Completed, Reason: request.ReasonAttemptCompleted, ETag: "t", Body: body}
+	want := request.Response{
+		Result: request.Completed, Reason: request.ReasonAttemptCompleted, ETag: "t", NotModified: true, Body: body,
+	}
 	assert.Equal(t, []request.Response{want}, f.recorder.responses)
 	assert.Equal(t, routing.AttemptEnded{
 		Request:     "ab",
 		Endpoint:    "c",
 		Result:      routing.Completed,
 		Detail:      routing.CacheHit,
+		NotModified: true,
 		RequestDone: true,
 	}, f.decider.events[2])
 	assert.Len(t, f.decider.events, 3, "the second report of the end is ignored")
--- a/routing/events.go
+++ b/routing/events.go
@@ -124,6 +124,7 @@
 	Detail           ResultDetail
 	ElapsedSeconds   float64
 	FirstByteSeconds float64
+	NotModified      bool // a completed attempt confirmed the client's copy and brought no body
 	RequestDone      bool // whether the request has ended, by this attempt or earlier
 	LoadReport       []LoadMetric
 }
--- a/routing/request.go
+++ b/routing/request.go
@@ -8,19 +8,18 @@
 // request is an open request with its desired state.
 type request struct {
 	RequestArrived
-	token             uint64 // token of its timers
-	arrivedAt         float64
-	sendSeconds       float64 // expected sending time, from its size or the mean of its class
-	sendTimeEstimated bool    // size or transfer rate unknown: sendSeconds is estimated from samples of the class
-	priorityPerKB     float64
-	objectiveSeconds  float64 // latency objective for its size
-	chunk             *chunk
-	object            *object
-	firstForChunk     bool // first request for the chunk that this router has received
-	state             requestState
-	attempts          []*attempt
-	wakeAt            float64 // time of its next planning
-	timerAt           float64 // time of its pending timer, 0 if none
+	token            uint64 // token of its timers
+	arrivedAt        float64
+	sendSeconds      float64 // expected sending time, from its size or the mean of its class
+	priorityPerKB    float64
+	objectiveSeconds float64 // latency objective for its size
+	chunk            *chunk
+	object           *object
+	firstForChunk    bool // first request for the chunk that this router has received
+	state            requestState
+	attempts         []*attempt
+	wakeAt           float64 // time of its next planning
+	timerAt          float64 // time of its pending timer, 0 if none
 }
 
 // requestState is the state of a request between its arrival and its end. The table lists all transitions; only
--- a/routing/settings.go
+++ b/routing/settings.go
@@ -56,7 +56,7 @@
 	deduplicationScope       DeduplicationScope
 	uncacheable              bool
 	retryBudgetExhausted     bool
-	sendSecondsSamples       []float64 // recent sending times
+	sendSamples              []sendSample // recent chunks
 }
 
 // class returns a request class. Its settings are parsed once.
--- a/routing/slowstart.go
+++ b/routing/slowstart.go
@@ -32,16 +32,8 @@
 	return floor + (1-floor)*max(r.now-e.StartedAt, 0)/warmUp
 }
 
-// workOf returns the seconds of sending that an attempt counts as: the mean of its class, and at a parent at least its
-// own sending time.
-func (r *Router) workOf(req *request, e *endpoint) float64 {
-	class := r.class(req.Class)
-	usual := meanIfEnough(class.sendSecondsSamples, minSendSamples, max(req.sendSeconds, class.objectiveSeconds))
-	if e.role == parentCache {
-		return max(usual, req.sendSeconds)
-	}
-	return usual
-}
+// workOf returns the seconds of sending that an attempt counts as: the mean of its class, whatever its own size.
+func (r *Router) workOf(req *request) float64 { return r.class(req.Class).meanSendSeconds() }
 
 // recordSlowStartWork charges an attempt to its target, and a fill to a separate source, during their slow start.
 func (r *Router) recordSlowStartWork(req *request, a *attempt) {
@@ -54,7 +46,7 @@
 // chargeDuringSlowStart charges an attempt of a request to an endpoint that is in slow start.
 func (r *Router) chargeDuringSlowStart(req *request, e *endpoint) {
 	if r.capacityShare(e) < 1 {
-		e.recentWork = append(e.recentWork, workSample{at: r.now, seconds: r.workOf(req, e)})
+		e.recentWork = append(e.recentWork, workSample{at: r.now, seconds: r.workOf(req)})
 	}
 }
 
@@ -66,7 +58,7 @@
 func (r *Router) withinSlowStartBudget(req *request, e *endpoint) bool {
 	warm, window := r.capacityShare(e), r.number(SettingOverloadWindow, 1)
 	return warm >= 1 ||
-		r.workOf(req, e)+e.workSince(r.now-window) <= slowStartShare*warm*e.Weight*window/e.routersSharing
+		r.workOf(req)+e.workSince(r.now-window) <= slowStartShare*warm*e.Weight*window/e.routersSharing
 }
 
 // workSince returns the sum of the work sent to an endpoint after a time, and drops older samples.
--- a/routing/slowstart_test.go
+++ b/routing/slowstart_test.go
@@ -16,7 +16,7 @@
 	c := r.findOrAddEndpoint("c0")
 	c.StartedAt = 100
 	req := &request{RequestArrived: RequestArrived{SizeKB: 100}, sendSeconds: 0.1}
-	r.class(0).sendSecondsSamples = []float64{.1, .1, .1, .1, .1, .1, .1, .1}
+	r.class(0).sendSamples = sampledChunks(minSendSamples, 0.1)
 	budget := slowStartShare * 0.25 * 4 * 2 // capacity share, capacity and window, for a single router
 	c.recentWork = []workSample{{100, budget - 0.1}}
 	r.now = 100
@@ -254,9 +254,71 @@
 // Checks the minimum number of samples, separately from that of the miss rate, which has the same value.
 func TestWorkIsMeanSendingTimeWithEightSamples(t *testing.T) {
 	r := newTestRouter(Idempotent)
-	req, cache := &request{sendSeconds: 0.3}, r.findOrAddEndpoint("c0")
-	r.class(0).sendSecondsSamples = []float64{.1, .1, .1, .1, .1, .1, .1}
-	assert.InDelta(t, 0.5, r.workOf(req, cache), 1e-9, "the objective, as there are too few samples")
-	r.class(0).sendSecondsSamples = append(r.class(0).sendSecondsSamples, .1)
-	assert.InDelta(t, 0.1, r.workOf(req, cache), 1e-9)
+	req := &request{sendSeconds: 0.3}
+	r.class(0).sendSamples = sampledChunks(7, 0.1)
+	assert.InDelta(t, 0.5, r.workOf(req), 1e-9, "the objective, as there are too few samples")
+	r.class(0).sendSamples = sampledChunks(8, 0.1)
+	assert.InDelta(t, 0.1, r.workOf(req), 1e-9)
+}
+
+// sampledChunks returns samples of chunks with one sending time.
+func sampledChunks(count int, seconds float64) (samples []sendSample) {
+	for range count {
+		samples = append(samples, sendSample{&chunk{}, seconds})
+	}
+	return samples
+}
+
+// Reproduces clients whose requests claim a wrong size, before a cache restarts. If the claims count as sending times
+// of the class, small ones let the cold cache get far more than it can do, so that it fails again (rule 4), and large
+// ones leave it unused. Other clients' requests must use the cold cache as if these clients were not there.
+func TestClaimedSizesDoNotChangeTheSlowStartBudget(t *testing.T) {
+	quiet := attemptsAtColdCache(t, 0, 0)
+	assert.InDelta(t, 0.4*4*2/0.3, quiet, 1, "two fifths of four transfers for two seconds, at 0.3 s each")
+	for _, claimedKB := range []float64{1e-30, 1, 30, 100, 1000, 1e30} {
+		assert.Equal(t, quiet, attemptsAtColdCache(t, 200, claimedKB), "claimed size %v KB", claimedKB)
+	}
+}
+
+// attemptsAtColdCache returns how many of 100 usual requests, in the two seconds after the restart of the cache c0,
+// have an attempt there. Before the restart, a number of requests claim a size: half of them fail at the caches, and
+// half are for one object of the usual size and are answered from a copy.
+func attemptsAtColdCache(t *testing.T, claims int, claimedKB float64) (attempts int) {
+	t.Helper()
+	const usualKB, usualSeconds = 300.0, 0.3
+	r := newTestRouter(Idempotent)
+	serve := func(now float64, arrived RequestArrived, end AttemptEnded) {
+		arrived.Deadline = now + 5
+		for _, start := range actionsOf[StartAttempt](r.Decide(now, arrived)) {
+			end.Request, end.Endpoint, end.RequestDone = arrived.Request, start.Endpoint, true
+			r.Decide(now+end.ElapsedSeconds, end)
+		}
+	}
+	hit := AttemptEnded{Detail: CacheHit, ElapsedSeconds: usualSeconds}
+	for n := range 20 {
+		id := RequestID(fmt.Sprint("usual", n))
+		serve(100+float64(n), RequestArrived{Request: id, Object: string(id), SizeKB: usualKB}, hit)
+	}
+	for n := range claims {
+		id := RequestID(fmt.Sprint("claim", n))
+		if n%2 == 0 {
+			serve(120+float64(n)/10, RequestArrived{Request: id, Object: string(id), SizeKB: claimedKB},
+				AttemptEnded{Result: ServerError, ElapsedSeconds: 0.001})
+			continue
+		}
+		serve(120+float64(n)/10, RequestArrived{Request: id, Object: "usual0", SizeKB: claimedKB}, hit)
+	}
+	restarted := Endpoint{ID: "c0", Zone: 1, Weight: 4, StartedAt: 200}
+	r.Decide(200, EndpointUpdate{Kind: Incremental, Endpoints: []Endpoint{restarted}})
+	r.findOrAddEndpoint("c0").limiter.limit = 100 // only the budget limits the attempts
+	for n := range 100 {
+		now, id := 200+float64(n)/50, RequestID(fmt.Sprint("cold", n))
+		arrived := RequestArrived{Request: id, Object: string(id), SizeKB: usualKB, Deadline: now + 5}
+		for _, start := range actionsOf[StartAttempt](r.Decide(now, arrived)) {
+			if start.Endpoint == "c0" {
+				attempts++
+			}
+		}
+	}
+	return attempts
 }
