routing: a small claimed size lowers no limit and comes no earlier in the queue

Cause: an answer is late by the objective of its claimed size, and lowers the limits of all; the queue is ordered by priority per claimed KB.

Change: a claim below an earlier one for the chunk is taken for that, as far as the chunk's shortest answer from a copy allows, so true claims never change.

--- a/routing/object.go
+++ b/routing/object.go
@@ -14,6 +14,8 @@
 	lastRequestAt     float64
 	requested         bool
 	filledSincePurge  bool        // a parent cache is presumed to have it
+	sendSeconds       float64     // duration of the shortest answer without a fill, 0 if there was none
+	largestClaimKB    float64     // largest size that a client has claimed
 	cachedBy          []*endpoint // caches of the zone known to have it, sorted by ID
 }
 
--- a/routing/request.go
+++ b/routing/request.go
@@ -10,6 +10,7 @@
 	RequestArrived
 	token            uint64 // token of its timers
 	arrivedAt        float64
+	sizeKnown        bool    // the client named a size
 	sendSeconds      float64 // expected sending time, from its size or the mean of its class
 	priorityPerKB    float64
 	objectiveSeconds float64 // latency objective for its size
--- a/routing/router.go
+++ b/routing/router.go
@@ -1,7 +1,5 @@
 package routing
 
-import "cmp"
-
 const (
 	deadlineMarginSeconds = 0.006 // margin before the deadline for giving up a request: a few clock ticks
 	queueShare            = 0.8   // share of the objective within which a queued request's attempt has to end
@@ -27,13 +25,12 @@
 
 // requestArrived registers a request and decides its first attempt.
 func (r *Router) requestArrived(arrived RequestArrived) {
-	sizeKnown := arrived.SizeKB > 0
-	arrived.SizeKB = cmp.Or(max(arrived.SizeKB, 0), unknownSizeKB)
 	req := &request{RequestArrived: arrived, arrivedAt: r.now}
-	r.setSendTime(req, sizeKnown)
-	req.priorityPerKB = r.class(arrived.Class).priority / arrived.SizeKB
 	r.evictIdleObjects()
 	r.addRequest(req)
+	r.setSize(req)
+	r.setSendTime(req)
+	req.priorityPerKB = r.class(req.Class).priority / req.SizeKB
 	r.plan(req)
 }
 
--- a/routing/settings.go
+++ b/routing/settings.go
@@ -56,7 +56,7 @@
 	deduplicationScope       DeduplicationScope
 	uncacheable              bool
 	retryBudgetExhausted     bool
-	sendSamples              []sendSample // recent chunks
+	sampledChunks            []*chunk // chunks whose sending time was measured last, each once
 }
 
 // class returns a request class. Its settings are parsed once.
--- a/routing/slowstart_test.go
+++ b/routing/slowstart_test.go
@@ -16,7 +16,7 @@
 	c := r.findOrAddEndpoint("c0")
 	c.StartedAt = 100
 	req := &request{RequestArrived: RequestArrived{SizeKB: 100}, sendSeconds: 0.1}
-	r.class(0).sendSamples = sampledChunks(minSendSamples, 0.1)
+	r.class(0).sampledChunks = sampledChunks(minSendSamples, 0.1)
 	budget := slowStartShare * 0.25 * 4 * 2 // capacity share, capacity and window, for a single router
 	c.recentWork = []workSample{{100, budget - 0.1}}
 	r.now = 100
@@ -255,18 +255,18 @@
 func TestWorkIsMeanSendingTimeWithEightSamples(t *testing.T) {
 	r := newTestRouter(Idempotent)
 	req := &request{sendSeconds: 0.3}
-	r.class(0).sendSamples = sampledChunks(7, 0.1)
+	r.class(0).sampledChunks = sampledChunks(7, 0.1)
 	assert.InDelta(t, 0.5, r.workOf(req), 1e-9, "the objective, as there are too few samples")
-	r.class(0).sendSamples = sampledChunks(8, 0.1)
+	r.class(0).sampledChunks = sampledChunks(8, 0.1)
 	assert.InDelta(t, 0.1, r.workOf(req), 1e-9)
 }
 
-// sampledChunks returns samples of chunks with one sending time.
-func sampledChunks(count int, seconds float64) (samples []sendSample) {
+// sampledChunks returns chunks with one sending time.
+func sampledChunks(count int, seconds float64) (sampled []*chunk) {
 	for range count {
-		samples = append(samples, sendSample{&chunk{}, seconds})
+		sampled = append(sampled, &chunk{sendSeconds: seconds})
 	}
-	return samples
+	return sampled
 }
 
 // Reproduces clients whose requests claim a wrong size, before a cache restarts. If the claims count as sending times
