frontend: a client's timeout bounds the write of its response by 70 s at the most

A client that names 49 days and reads a few bytes now and then holds its response's part of the body budget, which all clients share, until then.

TestWriteDeadlineIsBoundedWhateverTheRequestsDeadline fails before for timeouts of 61 s, 600 s and 49 days. Not played with processes.

--- a/internal/frontend/connstate_test.go
+++ b/internal/frontend/connstate_test.go
@@ -1,7 +1,9 @@
 package frontend
 
 import (
+	"math"
 	"testing"
+	"time"
 
 	"cairnfront/internal/clock"
 	"cairnfront/internal/netconn"
@@ -64,6 +66,20 @@
 	assert.Equal(t, now.Add(maxWriteDuration), outgoingFrame{}.writeDeadline(now))
 }
 
+// Guards against a client that names a long timeout and reads its response a few bytes at a time: the response would
+// hold the body budget, which all clients share, until that timeout has passed. The deadline of a request must count
+// for a minute at most, and completely up to that.
+func TestWriteDeadlineIsBoundedWhateverTheRequestsDeadline(t *testing.T) {
+	now := clock.FromSeconds(100)
+	for timeoutSeconds, want := range map[float64]time.Duration{
+		6: 16 * time.Second, 60: 70 * time.Second, 61: 70 * time.Second, 600: 70 * time.Second,
+		math.MaxUint32 / 1000: 70 * time.Second, // the longest that the protocol allows
+	} {
+		frame := outgoingFrame{request: &request.Request{Deadline: 100 + timeoutSeconds}}
+		assert.Equal(t, now.Add(want), frame.writeDeadline(now), "a timeout of %v s", timeoutSeconds)
+	}
+}
+
 // Guards against a loop of failing accepts that uses a full processor core. After a shortage of descriptors the next
 // accept must be delayed; after another failure only if many occur consecutively.
 func TestRetryAfterConsecutiveAcceptFailuresIsDelayed(t *testing.T) {
--- a/internal/frontend/responsewriter.go
+++ b/internal/frontend/responsewriter.go
@@ -14,6 +14,7 @@
 const (
 	writeStallTimeout = 5 * time.Second  // since the socket last accepted bytes
 	maxWriteDuration  = 10 * time.Second // for one frame; from its request's deadline if that is later than the start
+	maxDeadlineGrant  = 60 * time.Second // how long after the start that deadline counts: the client chooses it
 	maxQueuedFrames   = 1024             // a correct client leaves fewer frames unread; above it, the connection ends
 )
 
--- a/internal/frontend/writeloop.go
+++ b/internal/frontend/writeloop.go
@@ -99,15 +99,17 @@
 }
 
 // writeDeadline returns the deadline for writing a frame on which writing begins now. For a response it counts from the
-// request's deadline, if that is in the future.
+// request's deadline, if that is in the future, but at most from maxDeadlineGrant after now.
 //
 // It guards against a client that reads a few bytes now and then, so that writeStallTimeout never passes: its responses
-// would hold the body budget.
+// would hold the body budget, and with the longest timeout that the protocol allows they would hold it for weeks.
 func (f outgoingFrame) writeDeadline(now clock.Instant) clock.Instant {
+	from := now
 	if f.request != nil {
-		now = max(now, clock.FromSeconds(f.request.Deadline))
+		from = max(from, clock.FromSeconds(f.request.Deadline))
 	}
-	return now.Add(maxWriteDuration)
+	from = min(from, now.Add(maxDeadlineGrant))
+	return from.Add(maxWriteDuration)
 }
 
 // recordWritten records that the socket has accepted a response, and logs a late one.
