--- a/routing/sendtime.go
+++ b/routing/sendtime.go
@@ -12,8 +12,9 @@
 // has claimed for the chunk, as far as the shortest answer with it allows.
 //
 // It guards against clients that claim small sizes for large chunks, which concerns all clients: their answers count as
-// late and lower the limits, and their requests are the first of the queue. Clients that claim the true size are not
-// affected, and too large a claim is limited by what answers show. Uncacheable requests for a chunk differ in size.
+// late and lower the limits, and their requests are the first of the queue. Where all claims for a chunk are true they
+// stay as they are, and too large a claim raises another only to what answers show. Uncacheable requests for a chunk
+// differ in size.
 func (r *Router) setSize(req *request) {
 	req.sizeKnown = req.SizeKB > 0
 	if !req.sizeKnown {
