routing: the repeat of a request that may have run and whose client left is aborted

Cause: the routing module forgot a request once its attempts had ended, and an id that came while they were in flight was rejected as a duplicate, which says that nothing ran. Change: ended requests that may have run, and whose key not every endpoint recognizes, are remembered for 10 s, 4,096 at most; a repeat is aborted.

--- a/internal/dispatch/requests.go
+++ b/internal/dispatch/requests.go
@@ -73,9 +73,10 @@
 		return
 	}
 	id := r.ID
-	if d.requests[id] != nil { // the Decider identifies a request by its id alone
+	if earlier := d.requests[id]; earlier != nil { // the Decider identifies a request by its id alone
 		drop(r)
-		r.ResponseWriter.Respond(r, request.Response{Result: request.Rejected, Reason: request.ReasonDuplicateID})
+		result := duplicateResult(earlier)
+		r.ResponseWriter.Respond(r, request.Response{Result: result, Reason: request.ReasonDuplicateID})
 		return
 	}
 	o := &openRequest{request: r}
@@ -94,6 +95,15 @@
 	}, o)
 }
 
+// duplicateResult returns the result of a request whose id is that of an earlier one that the loop still has. A
+// rejection says that no attempt has run, which is not known once the client of the earlier request has left.
+func duplicateResult(earlier *openRequest) request.Result {
+	if earlier.state == requestOpen {
+		return request.Rejected
+	}
+	return request.Aborted
+}
+
 // overdueAt returns the time at which a request is aborted if the Decider has not ended it.
 //
 // It guards against a request that the Decider never ends, for example after a panic: its client would get no response,
--- a/routing/decide.go
+++ b/routing/decide.go
@@ -22,11 +22,13 @@
 	sequence        uint64
 
 	objects            map[string]*object
-	chunkCount         int                  // number of chunks of all objects
-	maxObjects         int                  // limits the number of objects, and that of chunks
-	maxPurges          int                  // limits the number of purges
-	sweptAt            float64              // time of the last sweep for idle objects
-	purges             map[purgeKey]float64 // time of the latest purge of each key
+	chunkCount         int                    // number of chunks of all objects
+	maxObjects         int                    // limits the number of objects, and that of chunks
+	maxPurges          int                    // limits the number of purges
+	sweptAt            float64                // time of the last sweep for idle objects
+	endedIDs           map[RequestID]struct{} // of endedRequests
+	endedRequests      []endedRequest         // oldest first
+	purges             map[purgeKey]float64   // time of the latest purge of each key
 	purgesDroppedUntil float64
 
 	slownessSamples   []float64 // slowness of recent completed or lost attempts, see attempt.slowness and maxSlowness
@@ -44,6 +46,7 @@
 		requests:        map[RequestID]*request{},
 		requestsByToken: map[uint64]*request{},
 		objects:         map[string]*object{},
+		endedIDs:        map[RequestID]struct{}{},
 		purges:          map[purgeKey]float64{},
 		maxObjects:      maxObjects,
 		maxPurges:       maxPurges,
--- a/routing/request.go
+++ b/routing/request.go
@@ -74,6 +74,7 @@
 // removeUnlessInFlight removes an ended request once all its attempts have ended.
 func (r *Router) removeUnlessInFlight(req *request) {
 	if !slices.ContainsFunc(req.attempts, isInFlight) {
+		r.rememberEnded(req)
 		delete(r.requests, req.Request)
 		delete(r.requestsByToken, req.token)
 	}
--- a/routing/retry.go
+++ b/routing/retry.go
@@ -11,8 +11,60 @@
 	endpointPauseSeconds     = 0.1  // delay after an attempt's end before its request uses that endpoint again
 	retryAfterMeanSeconds    = 1.5  // mean delay before a rejected client retries: congestion lasts seconds
 	retryAfterMinShare       = 0.5  // minimum as a share of the mean; a random part of up to the mean is added
+
+	repeatSeconds  = 10.0 // for how long a repeat of an ended request is recognized: longer than clients try again
+	maxRepeatables = 4096 // bounds the memory for ended requests
 )
 
+// endedRequest is a request that has ended, may have run, and must not run again.
+type endedRequest struct {
+	id RequestID
+	at float64
+}
+
+// rememberEnded remembers a request that has ended, if it may have run and endpoints would run it again.
+func (r *Router) rememberEnded(req *request) {
+	if !r.runsAgain(req) || !slices.ContainsFunc(req.attempts, (*attempt).mayHaveRun) {
+		return
+	}
+	if _, known := r.endedIDs[req.Request]; known {
+		return
+	}
+	r.endedIDs[req.Request] = struct{}{}
+	r.endedRequests = append(r.endedRequests, endedRequest{id: req.Request, at: r.now})
+	r.expireEnded()
+}
+
+// runsAgain reports whether a repeat of a request may run although the request did: it has no idempotency key that
+// all endpoints recognize.
+func (r *Router) runsAgain(req *request) bool {
+	class := r.class(req.Class)
+	recognized := class.effect == WithIdempotencyKey && class.deduplicationScope == AnyScope
+	return class.effect != Idempotent && !recognized
+}
+
+// expireEnded forgets ended requests after repeatSeconds, and the oldest ones if there are too many.
+func (r *Router) expireEnded() {
+	expired := max(len(r.endedRequests)-maxRepeatables, 0)
+	for expired < len(r.endedRequests) && r.now-r.endedRequests[expired].at > repeatSeconds {
+		expired++
+	}
+	for _, ended := range r.endedRequests[:expired] {
+		delete(r.endedIDs, ended.id)
+	}
+	r.endedRequests = slices.Delete(r.endedRequests, 0, expired)
+}
+
+// repeatsEnded reports whether an arriving request has the id of one that has ended, may have run, and would run again
+// (rule 2).
+//
+// It guards against a client that leaves before the answer and sends the same request on a new connection.
+func (r *Router) repeatsEnded(arrived RequestArrived) bool {
+	r.expireEnded()
+	_, known := r.endedIDs[arrived.Request]
+	return known
+}
+
 // provesNotRun reports whether the result proves that the request had no effect at the endpoint.
 func (a AttemptResult) provesNotRun() bool {
 	return a == Overloaded || a == ConnectFailed || a == NotSent || a == CacheMiss
--- a/routing/retry_test.go
+++ b/routing/retry_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"strconv"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -149,3 +150,55 @@
 	require.Len(t, second, 1)
 	assert.Equal(t, EndpointID("c"), second[0].Endpoint)
 }
+
+// Guards against a request that runs twice because its client left before the answer and sends it again. While it is
+// remembered, a repeat must be aborted, neither attempted nor rejected. If no attempt can have run, or endpoints
+// recognize a repeat, it is served.
+func TestRepeatOfAnEndedRequestIsAborted(t *testing.T) {
+	for name, test := range map[string]struct {
+		effect  Effect
+		result  AttemptResult
+		later   float64
+		aborted bool
+	}{
+		"non-idempotent":       {NonIdempotent, Cancelled, 1, true},
+		"answered":             {NonIdempotent, Completed, 1, true},
+		"did not run":          {NonIdempotent, NotSent, 1, false},
+		"idempotent":           {Idempotent, Cancelled, 1, false},
+		"key known everywhere": {WithIdempotencyKey, Cancelled, 1, false},
+		"long ago":             {NonIdempotent, Cancelled, repeatSeconds + 2, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newTestRouter(test.effect)
+			first := newArrival("t", "x")
+			first.Class = 1
+			starts := actionsOf[StartAttempt](r.Decide(100, first))
+			require.Len(t, starts, 1)
+			r.Decide(100.1, ClientDisconnected{Request: "t"})
+			end := AttemptEnded{Request: "t", Endpoint: starts[0].Endpoint, Result: test.result, RequestDone: true}
+			r.Decide(100.2, end)
+			again := first
+			again.Deadline = 100.2 + test.later + 5
+			actions := r.Decide(100.2+test.later, again)
+			if test.aborted {
+				assert.Equal(t, []Action{AbortRequest{Request: "t"}}, actions)
+				return
+			}
+			assert.Len(t, actionsOf[StartAttempt](actions), 1)
+		})
+	}
+}
+
+// Guards against memory that grows with the requests that have ended.
+func TestEndedRequestsAreLimited(t *testing.T) {
+	r := newTestRouter(NonIdempotent)
+	for i := range maxRepeatables + 10 {
+		req := &request{RequestArrived: RequestArrived{Request: RequestID(strconv.Itoa(i)), Class: 1}}
+		req.attempts = []*attempt{{state: attemptEnded, result: Cancelled}}
+		r.rememberEnded(req)
+	}
+	assert.Len(t, r.endedRequests, maxRepeatables)
+	assert.Len(t, r.endedIDs, maxRepeatables)
+	assert.False(t, r.repeatsEnded(RequestArrived{Request: "9"}))
+	assert.True(t, r.repeatsEnded(RequestArrived{Request: "10"}))
+}
--- a/routing/router.go
+++ b/routing/router.go
@@ -25,6 +25,10 @@
 
 // requestArrived registers a request and decides its first attempt.
 func (r *Router) requestArrived(arrived RequestArrived) {
+	if r.repeatsEnded(arrived) {
+		r.actions = append(r.actions, AbortRequest{Request: arrived.Request})
+		return
+	}
 	req := &request{RequestArrived: arrived, arrivedAt: r.now}
 	r.evictIdleObjects()
 	r.addRequest(req)
