routing: a key known to one zone or cell does not return to an endpoint that broke

Cause: a retry counts the endpoint of the broken connection as being in its cell, though the process may be another. Change: such a request does not go to that endpoint again; others of its scope are used, else it is aborted at its deadline. It costs the retry where a sound process only lost a connection and is alone in its scope. Keys that every endpoint recognizes are as before.

--- a/routing/retry.go
+++ b/routing/retry.go
@@ -140,16 +140,26 @@
 }
 
 // inDeduplicationScope reports whether an endpoint recognizes the idempotency key of a request that may have run at
-// other endpoints (rule 2).
+// other endpoints, or at a former process of this one (rule 2).
 func (r *Router) inDeduplicationScope(req *request, e *endpoint) bool {
 	class := r.class(req.Class)
 	return class.effect != WithIdempotencyKey || !slices.ContainsFunc(req.attempts, func(a *attempt) bool {
 		outside := class.deduplicationScope == ZoneScope && a.target.Zone != e.Zone ||
 			class.deduplicationScope == CellScope && a.target.Cell != e.Cell
-		return outside && a.mayHaveRun()
+		return outside && a.mayHaveRun() || class.deduplicationScope != AnyScope && a.mayHaveBeenReplaced(e)
 	})
 }
 
+// mayHaveBeenReplaced reports whether an attempt has shown that another process may be at the address of an endpoint:
+// the connection broke that the attempt was sent on.
+//
+// It guards against a request that runs again in another cell or zone, as the endpoint list tells of a new process at
+// the address of one that has gone only later. It also prevents a retry at an endpoint that only lost a connection;
+// others in its scope are used.
+func (a *attempt) mayHaveBeenReplaced(e *endpoint) bool {
+	return a.target == e && a.state == attemptEnded && a.result == ConnectionBroken
+}
+
 // chooseFinalAction returns the final action for a request that is given up: a rejection if the client may safely
 // repeat it, otherwise an abort (rule 2).
 func (r *Router) chooseFinalAction(req *request) Action {
--- a/routing/retry_test.go
+++ b/routing/retry_test.go
@@ -202,3 +202,23 @@
 	assert.False(t, r.repeatsEnded(RequestArrived{Request: "9"}))
 	assert.True(t, r.repeatsEnded(RequestArrived{Request: "10"}))
 }
+
+// Guards against a keyed request that runs in two cells, as a new process has taken the address of an endpoint whose
+// connection broke. Only where every endpoint recognizes the key may the request go there again.
+func TestKeyedRequestDoesNotReturnToAnEndpointThatMayBeReplaced(t *testing.T) {
+	for scope, wants := range map[DeduplicationScope]map[AttemptResult]bool{
+		AnyScope:  {ConnectionBroken: true, ServerError: true},
+		ZoneScope: {ConnectionBroken: false, ServerError: true},
+		CellScope: {ConnectionBroken: false, ServerError: true},
+	} {
+		for result, want := range wants {
+			r := newTestRouter(WithIdempotencyKey)
+			r.settings[ClassSetting(1, ClassDeduplicationScope)] = string(scope)
+			e := r.findOrAddEndpoint("c1")
+			req := &request{RequestArrived: RequestArrived{Request: "t", Class: 1}}
+			req.attempts = []*attempt{{target: e, source: e, state: attemptEnded, result: result}}
+			assert.Equal(t, want, r.inDeduplicationScope(req, e), "%v after %v", scope, result)
+			assert.True(t, r.inDeduplicationScope(req, r.findOrAddEndpoint("c2")), "others of its cell")
+		}
+	}
+}
