--- a/cmd/cairnfront/overload_test.go
+++ b/cmd/cairnfront/overload_test.go
@@ -31,6 +31,7 @@
 	usualRequestInterval = time.Second / 15
 	usualTTLMillis       = 2500
 	usualObjects         = 200
+	usualStartTime       = time.Second // until the usual clients have connected
 	minUsualServedShare  = 0.95
 	maxBadClientWait     = 3 * time.Second
 	maxGrowthShare       = 0.05 // growth of the peak from the third quarter to the fourth, as a share of the limit
@@ -88,6 +89,7 @@
 	for range usualClientCount {
 		o.clients.Go(func() { o.usual.play(o.router.addr, o.stop) })
 	}
+	time.Sleep(usualStartTime)
 	if kind != "none" {
 		for i := range badClients {
 			client := badClient{record: &o.bad, addr: o.router.addr, stop: o.stop, number: i}
