--- a/cmd/cairnfront/clientclose_test.go
+++ b/cmd/cairnfront/clientclose_test.go
@@ -88,7 +88,7 @@
 	closedAt time.Time
 }
 
-// arrivedAttempt is an attempt that came whole to a cache.
+// arrivedAttempt is an attempt that a cache received completely.
 type arrivedAttempt struct {
 	id string
 	at time.Time
