request: buffers of bodies without a share are not used again

Only bodies of a router's client connection have a share, and nothing refers to these after Free and the last Release.

--- a/internal/request/body.go
+++ b/internal/request/body.go
@@ -148,7 +148,9 @@
 // release returns the buffer of a body to the budget.
 func (b *BodyBudget) release(body *Body) {
 	size := int64(cap(body.buffer))
-	b.idle.put(body.buffer)
+	if body.share != nil { // a body without a share may stay in use: an edge cache stores the bytes
+		b.idle.put(body.buffer)
+	}
 	b.pools[body.pool].Release(body.share.bodiesAccount(body.pool), size)
 	body.buffer, body.Bytes = nil, nil
 }
@@ -156,8 +158,8 @@
 // Body is the body of a request or response. A body from a BodyBudget counts against it until Free, even if Bytes is
 // changed, and until each Hold has its Release. A body made as a literal counts against no budget.
 //
-// The owner frees a body; whoever reads it on another goroutine meanwhile holds it, as the buffer is used again for
-// another body.
+// The owner frees a body; whoever reads it on another goroutine meanwhile holds it, as the buffer of a body with a share
+// is used again for another body.
 type Body struct {
 	Bytes []byte
 
--- a/internal/request/request_test.go
+++ b/internal/request/request_test.go
@@ -106,27 +106,37 @@
 // then.
 func TestHeldBodyStaysInTheBudget(t *testing.T) {
 	budget := NewBodyBudget(1 << 20)
-	body := budget.TryAllocateResponse(nil, 20_000)
+	body := budget.TryAllocateResponse(&Share{}, 20_000)
 	bytes := body.Bytes
 	require.True(t, body.Hold())
 	body.Free()
 	assert.False(t, body.Hold(), "a freed body is not begun to be used")
 	assert.EqualValues(t, 24<<10, budget.UsedBytes())
-	other := budget.TryAllocateResponse(nil, 20_000)
+	other := budget.TryAllocateResponse(&Share{}, 20_000)
 	assert.NotSame(t, &bytes[0], &other.Bytes[0])
 	body.Release()
 	assert.EqualValues(t, 24<<10, budget.UsedBytes())
 	assert.Nil(t, body.Bytes)
-	again := budget.TryAllocateResponse(nil, 17_000)
+	again := budget.TryAllocateResponse(&Share{}, 17_000)
 	assert.Same(t, &bytes[0], &again.Bytes[0], "the buffer is used again")
 }
 
+// Guards against an edge cache whose stored copies change: it stores the bytes of bodies that it has freed.
+func TestBytesOfABodyWithoutAShareAreNotUsedAgain(t *testing.T) {
+	budget := NewBodyBudget(1 << 20)
+	body := budget.TryAllocateResponse(nil, 20_000)
+	stored := body.Bytes
+	body.Free()
+	assert.NotSame(t, &stored[0], &budget.TryAllocateResponse(nil, 20_000).Bytes[0])
+	assert.NotSame(t, &stored[0], &budget.TryAllocateResponse(&Share{}, 20_000).Bytes[0])
+}
+
 // Guards against idle buffers that exceed the budget together with the bodies in use.
 func TestIdleBuffersStayWithinTheBudget(t *testing.T) {
 	budget := NewBodyBudget(1 << 20)
 	for _, size := range []int{200_000, 100_000, 60_000, 20_000, 200_000} {
 		var bodies []*Body
-		for body := budget.TryAllocateResponse(nil, size); body != nil; body = budget.TryAllocateResponse(nil, size) {
+		for body := budget.TryAllocateResponse(&Share{}, size); body != nil; body = budget.TryAllocateResponse(&Share{}, size) {
 			bodies = append(bodies, body)
 		}
 		require.NotEmpty(t, bodies)
@@ -137,7 +147,7 @@
 		assert.LessOrEqual(t, budget.idle.idleBytes, budget.SizeBytes())
 	}
 	budget.TrimIdle()
-	budget.TryAllocateResponse(nil, 200_000).Free()
+	budget.TryAllocateResponse(&Share{}, 200_000).Free()
 	budget.TrimIdle()
 	assert.LessOrEqual(t, budget.idle.idleBytes, int64(240<<10), "only what was used since the last call stays")
 	budget.TrimIdle()
