--- a/internal/request/body.go
+++ b/internal/request/body.go
@@ -158,8 +158,8 @@
 // Body is the body of a request or response. A body from a BodyBudget counts against it until Free, even if Bytes is
 // changed, and until each Hold has its Release. A body made as a literal counts against no budget.
 //
-// The owner frees a body; whoever reads it on another goroutine meanwhile holds it, as the buffer of a body with a share
-// is used again for another body.
+// The owner frees a body; whoever reads it on another goroutine meanwhile holds it, as the buffer of a body with a
+// share is used again for another body.
 type Body struct {
 	Bytes []byte
 
--- a/internal/request/request_test.go
+++ b/internal/request/request_test.go
@@ -136,7 +136,8 @@
 	budget := NewBodyBudget(1 << 20)
 	for _, size := range []int{200_000, 100_000, 60_000, 20_000, 200_000} {
 		var bodies []*Body
-		for body := budget.TryAllocateResponse(&Share{}, size); body != nil; body = budget.TryAllocateResponse(&Share{}, size) {
+		allocate := func() *Body { return budget.TryAllocateResponse(&Share{}, size) }
+		for body := allocate(); body != nil; body = allocate() {
 			bodies = append(bodies, body)
 		}
 		require.NotEmpty(t, bodies)
