--- a/review/driver-2/board.go
+++ b/review/driver-2/board.go
@@ -16,7 +16,8 @@
 type board struct {
 	listener net.Listener
 	mu       sync.Mutex
-	events   [][]byte // frames of the events after the first one, which is in the routers' configuration
+	first    []byte   // frame of the first event, which is also in the routers' configuration
+	events   [][]byte // frames of the events after the first one
 }
 
 func startBoard() (*board, error) {
@@ -44,6 +45,18 @@
 // firstEvent is the number of the event that the routers' configuration holds.
 const firstEvent = 1
 
+// setList sets the first event: the whole list.
+func (b *board) setList(caches []*cache) error {
+	payload, err := listPayload(caches)
+	if err != nil {
+		return err
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.first = boardFrame(firstEvent, eventList, payload)
+	return nil
+}
+
 // publish adds an event of a kind.
 func (b *board) publish(kind byte, payload []byte) {
 	b.mu.Lock()
@@ -62,6 +75,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	last = uint64(firstEvent + len(b.events))
+	if number < firstEvent {
+		frames = append(frames, b.first...)
+	}
 	for i := max(number, firstEvent); i < last; i++ {
 		frames = append(frames, b.events[i-firstEvent]...)
 	}
@@ -79,7 +95,7 @@
 		frames, last := b.framesAfter(had)
 		had = last
 		if !time.Now().Before(nextHeartbeat) {
-			frames = append(frames, boardFrame(last, 0, nil)...)
+			frames = append(frames, boardFrame(last, eventNothing, nil)...)
 			nextHeartbeat = time.Now().Add(heartbeatInterval)
 		}
 		if _, err := conn.Write(frames); err != nil {
--- a/review/driver-2/cache.go
+++ b/review/driver-2/cache.go
@@ -32,6 +32,7 @@
 // cache is a stand-in of a cache, a parent or the origin.
 type cache struct {
 	id, zone, kind string
+	fixedAddress   string // address of an edge cache that is a process of its own; empty for a stand-in
 	listener       net.Listener
 	record         *record
 	decide         func(attempt) reply
@@ -66,7 +67,12 @@
 	return c, nil
 }
 
-func (c *cache) address() string { return c.listener.Addr().String() }
+func (c *cache) address() string {
+	if c.fixedAddress != "" {
+		return c.fixedAddress
+	}
+	return c.listener.Addr().String()
+}
 
 // close ends the cache and its connections.
 func (c *cache) close() {
--- a/review/driver-2/client.go
+++ b/review/driver-2/client.go
@@ -10,6 +10,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -42,7 +43,8 @@
 	answerAt time.Time
 	code     byte
 	answers  int
-	bodySize int
+	pushback time.Duration // how long a refusal asks the client to stay away
+	body     string
 }
 
 // client is a connection of a client to the router.
@@ -163,7 +165,8 @@
 	default:
 		r := c.requests[stream]
 		r.answers++
-		r.code, r.bodySize = payload[0], len(payload)
+		r.code = payload[0]
+		r.pushback, r.body = parseAnswer(payload[1:])
 		if r.answers == 1 {
 			r.answerAt = time.Now()
 		}
@@ -185,6 +188,22 @@
 	return c.endedAt
 }
 
+// parseAnswer returns the value of the field pushback of an answer, 0 if it has none, and the body behind the fields.
+func parseAnswer(payload []byte) (pushback time.Duration, body string) {
+	rest := payload[1:]
+	for range payload[0] {
+		name := string(rest[1 : 1+int(rest[0])])
+		rest = rest[1+len(name):]
+		length := int(binary.BigEndian.Uint16(rest))
+		if name == "pushback" {
+			millis, _ := strconv.Atoi(string(rest[2 : 2+length])) // 0 if it is no number
+			pushback = time.Duration(millis) * time.Millisecond
+		}
+		rest = rest[2+length:]
+	}
+	return pushback, string(rest)
+}
+
 var errFrameLength = errors.New("frame length out of bounds")
 
 func readFrame(reader io.Reader) (frameType byte, stream uint32, payload []byte, err error) {
--- a/review/driver-2/main.go
+++ b/review/driver-2/main.go
@@ -76,7 +76,7 @@
 	return exitCouldNotRun
 }
 
-// endWhenInterrupted ends the routers and the command when the case is interrupted or takes too long.
+// endWhenInterrupted ends the processes and the command when the case is interrupted or takes too long.
 func endWhenInterrupted(rec *record) {
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
@@ -85,6 +85,6 @@
 	case <-time.After(caseLimit):
 	}
 	rec.printf("could not run: interrupted, or over %v", caseLimit)
-	stopAllRouters()
+	stopAllProcesses()
 	os.Exit(exitCouldNotRun)
 }
--- a/review/driver-2/router.go
+++ b/review/driver-2/router.go
@@ -16,6 +16,9 @@
 	"time"
 )
 
+// endpointWeight is the weight of each cache, in transfers.
+const endpointWeight = 40
+
 const (
 	readyTimeout = 10 * time.Second // until a started router answers that it is ready
 	exitTimeout  = 5 * time.Second  // until a router has exited after SIGKILL
@@ -112,13 +115,13 @@
 	}
 }
 
-// running holds the routers that were started and not stopped.
+// running holds the processes that were started and not stopped.
 var running sync.Map
 
-// stopAllRouters kills the routers that are still running.
-func stopAllRouters() {
+// stopAllProcesses kills the processes that are still running.
+func stopAllProcesses() {
 	running.Range(func(p, _ any) bool {
-		p.(*routerProcess).stop() //nolint:forcetypeassert // start stores only routers
+		p.(interface{ stop() }).stop() //nolint:forcetypeassert // only processes are stored
 		return true
 	})
 }
@@ -151,7 +154,7 @@
 func endpointEntry(c *cache) map[string]any {
 	return map[string]any{
 		"name": c.id, "address": c.address(), "zone": c.zone, "type": c.kind, "group": 0,
-		"status": "SERVING", "weight": 40, "since_ms": 0,
+		"status": "SERVING", "weight": endpointWeight, "since_ms": 0,
 	}
 }
 
@@ -177,8 +180,8 @@
 			map[string]any{"rev": 1, "pool": map[string]any{"index": 1, "snapshot": true, "endpoints": entries}},
 		}},
 		"settings": map[string]any{
-			"me": 0, "group_size": 1, "zone": 1, "zones": []string{"hub", "z1"},
-			"flavors": []string{"box", "parent", "origin"}, "registry_mode": "pushed", "step_s": 0.002,
+			"me": 0, "group_size": 1, "zone": 1, "zones": zoneNames,
+			"flavors": kindNames, "registry_mode": "pushed", "step_s": 0.002,
 			"extra": map[string]any{
 				"count_by_zone": []int{0, 1}, "hub_of": []int{0, 0}, "link_in_kb_per_s": []float64{0, 200000},
 				"fresh_for_s": zeros, "usable_after_s": zeros, "worth_when_old": ones, "never_kept": neverKept,
