--- a/review/driver-2/case_passed.go
+++ b/review/driver-2/case_passed.go
@@ -14,6 +14,7 @@
 const (
 	passedWrites    = 20
 	passedEdgeCount = 3
+	originWork      = 20 * time.Millisecond
 	passedTTL       = 3 * time.Second
 	passedInterval  = 150 * time.Millisecond
 	passedWait      = 3500 * time.Millisecond
--- a/review/driver-2/client.go
+++ b/review/driver-2/client.go
@@ -10,7 +10,6 @@
 	"io"
 	"math/rand/v2"
 	"net"
-	"strconv"
 	"sync"
 	"time"
 )
@@ -43,7 +42,6 @@
 	answerAt time.Time
 	code     byte
 	answers  int
-	pushback time.Duration // how long a refusal asks the client to stay away
 	body     string
 }
 
@@ -165,8 +163,7 @@
 	default:
 		r := c.requests[stream]
 		r.answers++
-		r.code = payload[0]
-		r.pushback, r.body = parseAnswer(payload[1:])
+		r.code, r.body = payload[0], answerBody(payload[1:])
 		if r.answers == 1 {
 			r.answerAt = time.Now()
 		}
@@ -188,20 +185,14 @@
 	return c.endedAt
 }
 
-// parseAnswer returns the value of the field pushback of an answer, 0 if it has none, and the body behind the fields.
-func parseAnswer(payload []byte) (pushback time.Duration, body string) {
+// answerBody returns the body of an answer, which is behind its fields.
+func answerBody(payload []byte) string {
 	rest := payload[1:]
 	for range payload[0] {
-		name := string(rest[1 : 1+int(rest[0])])
-		rest = rest[1+len(name):]
-		length := int(binary.BigEndian.Uint16(rest))
-		if name == "pushback" {
-			millis, _ := strconv.Atoi(string(rest[2 : 2+length])) // 0 if it is no number
-			pushback = time.Duration(millis) * time.Millisecond
-		}
-		rest = rest[2+length:]
+		rest = rest[1+int(rest[0]):]                       // the name
+		rest = rest[2+int(binary.BigEndian.Uint16(rest)):] // the value
 	}
-	return pushback, string(rest)
+	return string(rest)
 }
 
 var errFrameLength = errors.New("frame length out of bounds")
--- a/review/driver-2/edge.go
+++ b/review/driver-2/edge.go
@@ -81,8 +81,6 @@
 	return errors.New("the edge cache did not listen")
 }
 
-func (e *edgeProcess) signal(signal syscall.Signal) { _ = e.command.Process.Signal(signal) }
-
 // stop kills the process, also if it is stopped, and removes its folder.
 func (e *edgeProcess) stop() {
 	if e == nil || e.command == nil || e.command.Process == nil {
--- a/review/driver-2/router.go
+++ b/review/driver-2/router.go
@@ -102,19 +102,6 @@
 	return errors.New("the router did not become ready")
 }
 
-// signal sends a signal to the process that the run command started.
-func (p *routerProcess) signal(signal syscall.Signal) { _ = p.command.Process.Signal(signal) }
-
-// hasExited reports whether the process has ended.
-func (p *routerProcess) hasExited() bool {
-	select {
-	case <-p.exited:
-		return true
-	default:
-		return false
-	}
-}
-
 // running holds the processes that were started and not stopped.
 var running sync.Map
 
