--- a/review/driver-2/router.go
+++ b/review/driver-2/router.go
@@ -113,6 +113,19 @@
 	})
 }
 
+// hasExited reports whether the process has ended.
+func (p *routerProcess) hasExited() bool {
+	select {
+	case <-p.exited:
+		return true
+	default:
+		return false
+	}
+}
+
+// signal sends a signal to the process that the run command started.
+func (p *routerProcess) signal(signal syscall.Signal) { _ = p.command.Process.Signal(signal) }
+
 // stop kills the process and removes its folder.
 func (p *routerProcess) stop() {
 	if p == nil || p.command == nil || p.command.Process == nil {
