--- a/review/driver-2/client.go
+++ b/review/driver-2/client.go
@@ -97,7 +97,9 @@
 
 // send writes a request on a stream. It returns once the connection has taken its last byte. Further fields are given
 // as names and values.
-func (c *client) send(stream uint32, class, object string, ttl time.Duration, body []byte, more ...string) *clientRequest {
+func (c *client) send(
+	stream uint32, class, object string, ttl time.Duration, body []byte, more ...string,
+) *clientRequest {
 	r := &clientRequest{id: newID(), stream: stream, ttl: ttl}
 	fields := append([]string{
 		"op", class, "call", r.id, "ttl", fmt.Sprint(ttl.Milliseconds()), "row", object, "seg", "0", "bucket", "7",
