frontend: the end of a restart answers what was read before large bodies

Cause: their answers stood behind up to 26 bodies of 240,000 bytes, over a second at the client's pace, and 0.12 s were left; what was unread had no answer. The connection closed while the kernel still held output, so that requests sent meanwhile met the end more than 50 ms later.

Change: at the end, deferred requests are rejected, and large answers that cannot be written within a third of the 0.3 s (0.12 before) fail at once. Connections are read on, and reject, until all is answered and the client has taken it; only for the last 60 ms one closes with input unread. A connection that ends in the drain, or is evicted, waits for its client in the same way.

TestDrainEndsBeforeTheKill is unchanged.

--- a/cmd/cairnfront/drain.go
+++ b/cmd/cairnfront/drain.go
@@ -18,7 +18,7 @@
 // The parts of that time that this process reserves for itself.
 const (
 	shutdownReserve = 450 * time.Millisecond // before SIGKILL, to abort requests and to exit on a slow machine
-	flushTimeout    = 120 * time.Millisecond // to send the last responses, before connections to endpoints close
+	flushTimeout    = 300 * time.Millisecond // to send the last responses, before connections to endpoints close
 )
 
 // drain closes the clients' connections. It sends clients GOAWAY, serves requests that still arrive, and closes each
@@ -42,8 +42,10 @@
 // response.
 func (r *router) endBusyConnections(ctx context.Context) {
 	r.admission.StartEnding()
+	deadline := time.Now().Add(flushTimeout)
+	r.frontend.BeginEnd(deadline)
 	r.dispatcher.AbortAll()
-	flush, cancel := context.WithTimeout(ctx, flushTimeout)
+	flush, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	r.frontend.FinishDrain(flush)
 }
--- a/internal/frontend/close.go
+++ b/internal/frontend/close.go
@@ -24,9 +24,14 @@
 	// before the half-close too (refuseInput), reading beyond this many bytes only becomes slower.
 	maxDiscardedInputBytes = 2 << 20
 
-	// finalWriteTimeout is how long a connection waits for its last output to be written when the process ends.
-	finalWriteTimeout      = 100 * time.Millisecond
+	// finalWriteTimeout is how long a connection that is not read any more waits for its last output to be written when
+	// the process ends.
+	finalWriteTimeout      = 50 * time.Millisecond
 	finalWritePollInterval = time.Millisecond
+
+	// bodyDeliveryTime is how long the kernel's buffers take to pass on the end of a large body, at the slowest pace of
+	// a usual client.
+	bodyDeliveryTime = 100 * time.Millisecond
 )
 
 // errReadyToClose ends the reading of a connection whose requested close may take effect.
@@ -73,7 +78,7 @@
 		return c.readyToCloseAtShutdown(code)
 	}
 	observedAt := clock.Instant(c.observedAt.Load())
-	if !c.activity().closeDue(code, observedAt) || !c.writer.quiesce() {
+	if !c.activity().closeDue(code, observedAt) || !c.endIsSeenSoon(code) || !c.writer.quiesce() {
 		c.evictionRequested.Store(false)
 		return nil
 	}
@@ -81,13 +86,28 @@
 	return errReadyToClose
 }
 
-// readyToCloseAtShutdown handles a close that is requested because the process ends. Input may be unread, as a client
-// that ignores GOAWAY keeps sending; if the connection closes, requests that arrive from now on are not answered.
-// Requests that were read are answered first: until then, for at most finalWriteTimeout, nothing more is read. If that
-// time is not enough, the connection stays open, and requests that arrive are rejected.
+// endIsSeenSoon reports whether the client will see a close with a code as soon as it is made, as no body is under way
+// to it. A client that takes no output is not waited for.
+//
+// It guards against a request that is lost because its client sends it while it still receives a response behind which
+// the connection has ended: by the protocol, only requests of the last 50 ms are sent again.
+func (c *clientConn) endIsSeenSoon(code netconn.EndCode) bool {
+	if code != netconn.Shutdown && code != netconn.Evicted || c.writer.isStalled() {
+		return true
+	}
+	return c.UnacknowledgedBytes() == 0 && c.writer.sinceLargeWritten(clock.Now()) >= bodyDeliveryTime
+}
+
+// readyToCloseAtShutdown handles a close that is requested because the process ends. Requests that arrive are still
+// read, and rejected, until the connection closes at a moment at which all of them are answered. A connection that
+// CloseBeforeNextRead was called for closes with input unread, as a client that ignores GOAWAY may keep sending: then
+// requests that were read are answered first, for at most finalWriteTimeout.
 func (c *clientConn) readyToCloseAtShutdown(code netconn.EndCode) error {
+	if !c.inputIgnored.Load() && !c.endIsSeenSoon(code) {
+		return nil
+	}
 	for waited := time.Duration(0); !c.writer.quiesce(); waited += finalWritePollInterval {
-		if waited >= finalWriteTimeout {
+		if !c.inputIgnored.Load() || waited >= finalWriteTimeout {
 			return nil
 		}
 		time.Sleep(finalWritePollInterval)
--- a/internal/frontend/drain.go
+++ b/internal/frontend/drain.go
@@ -7,11 +7,19 @@
 	"cairnfront/internal/clientproto"
 	"cairnfront/internal/clock"
 	"cairnfront/internal/netconn"
+	"cairnfront/internal/request"
 )
 
 // drainPollInterval is the time between two searches for connections that can be closed.
 const drainPollInterval = 10 * time.Millisecond
 
+// At the end of the process, large bodies are written for outputShare of the time that is left, and connections close
+// with input unread for the last forcedCloseTime.
+const (
+	outputShare     = 0.33
+	forcedCloseTime = 60 * time.Millisecond
+)
+
 // BeginDrain sends GOAWAY to every client. A connection that is accepted later receives it immediately.
 func (s *Server) BeginDrain() {
 	s.Admission.StartDraining()
@@ -45,6 +53,20 @@
 	}
 }
 
+// BeginEnd rejects the requests that were not handed over, and makes responses fail that are not sent soon. It must be
+// called after admission.Controller.StartEnding, and before FinishDrain, which closes the connections by deadline.
+func (s *Server) BeginEnd(deadline time.Time) {
+	now := clock.Now()
+	left := clock.At(deadline).Sub(now)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.forceCloseAt = clock.At(deadline).Add(-forcedCloseTime)
+	for c := range s.conns {
+		c.writer.limitOutput(now.Add(time.Duration(outputShare * float64(left))))
+		c.writer.rejectDeferred(request.ReasonShutdown, func(*request.Request) bool { return true })
+	}
+}
+
 // closeIdleConns requests the close of each connection without open requests and unwritten output. At the end of the
 // process it also requests the close of busy ones. A connection that already has an end code is skipped. It reports
 // whether the listener is closed.
@@ -55,16 +77,17 @@
 	ending := s.Admission.Ending()
 	for c := range s.conns {
 		if (ending || !c.writer.busy()) && c.EndCode() == netconn.NoEndCode {
-			c.requestShutdown(ending, now)
+			c.requestShutdown(ending && now >= s.forceCloseAt, now)
 		}
 	}
 	return s.listenerClosed
 }
 
-// requestShutdown asks the reader to close the connection because the process drains or, if ending is set, ends. In the
-// latter case the reader does not wait for further input of the client.
-func (c *clientConn) requestShutdown(ending bool, now clock.Instant) {
-	if ending {
+// requestShutdown asks the reader to close the connection because the process drains or ends. If ignoreInput is set,
+// the reader does not read the client's input before.
+func (c *clientConn) requestShutdown(ignoreInput bool, now clock.Instant) {
+	if ignoreInput {
+		c.inputIgnored.Store(true)
 		c.CloseBeforeNextRead()
 	}
 	c.requestClose(netconn.Shutdown, now)
