edge-cache: the answer of a class that is not kept is passed on whole

Cause: Respond.PassThrough and Fill said that the answer is to be forwarded, and nothing read them. The project's origin answers such requests without bytes, and the handler's tests stop at the action.

Change: the action carries the forwarded response: body, tag, time, purge group. A body that was dropped for want of memory is an error, no longer an empty answer. A request waits 40 ms for memory for its body and is then answered 'overload'; its time counts from its command line. The golden files lose the column of Fill.

--- a/internal/edgecache/conn.go
+++ b/internal/edgecache/conn.go
@@ -10,12 +10,17 @@
 	"cairnfront/internal/cacheproto"
 	"cairnfront/internal/diskcache/eviction"
 	"cairnfront/internal/netconn"
+	"cairnfront/internal/request"
 	"cairnfront/internal/telemetry"
+	"cairnfront/routing"
 )
 
 // acceptRetryPause is the delay before accepting again after an accept error.
 const acceptRetryPause = 10 * time.Millisecond
 
+// maxBodyWait is how long a request waits for memory for its body.
+const maxBodyWait = 40 * time.Millisecond
+
 // clientConn is a connection from a client, which is a router or another cache.
 type clientConn struct {
 	conn *netconn.Conn
@@ -126,21 +131,26 @@
 
 var errNoLineEnd = errors.New("no line end after a body")
 
-// readRequest reads a request's body and posts the request to the event loop. If it returns an error, the caller closes
-// the connection with the returned code.
+// readRequest reads a request's body and posts the request to the event loop. If there is no memory for the body in
+// time, the request is rejected. If readRequest returns an error, the caller closes the connection with the returned
+// code.
 func (s *Server) readRequest(
 	ctx context.Context, c *clientConn, command cacheproto.Command,
 ) (code netconn.EndCode, err error) {
 	r := &openRequest{
-		conn:    c,
-		command: command,
-		key:     eviction.Key{Object: command.ObjectID, Chunk: command.PartNumber},
+		conn:      c,
+		command:   command,
+		key:       eviction.Key{Object: command.ObjectID, Chunk: command.PartNumber},
+		arrivedAt: s.now().Seconds(),
 	}
+	hasMemory := true
 	if command.BodyBytes > 0 {
-		if r.body, err = s.pool.Admission.Bodies.AllocateRequest(ctx, nil, command.BodyBytes); err != nil {
-			return netconn.Shutdown, err
+		if r.body = s.allocateBody(ctx, command.BodyBytes); r.body != nil {
+			err = c.conn.ReadFull(r.body.Bytes)
+		} else {
+			hasMemory = false
+			err = c.conn.Discard(command.BodyBytes)
 		}
-		err = c.conn.ReadFull(r.body.Bytes)
 	}
 	var lineEnd [len(cacheproto.LineEnd)]byte
 	if err == nil {
@@ -154,10 +164,39 @@
 		r.body.Free()
 		return netconn.ProtocolError, errNoLineEnd
 	}
+	if !hasMemory {
+		c.reject(s.Telemetry, command.ID)
+		return code, nil
+	}
 	s.post(requestReceived{r})
 	return code, nil
 }
 
+// allocateBody returns memory for the body of a request, or nil if there is none within maxBodyWait.
+//
+// It guards against a connection that is not read on: cancellations of earlier requests would be seen late, and later
+// requests would begin after their time.
+func (s *Server) allocateBody(ctx context.Context, bodyBytes int) *request.Body {
+	bodies := s.pool.Admission.Bodies
+	if body := bodies.TryAllocateRequest(nil, bodyBytes); body != nil {
+		return body
+	}
+	ctx, cancel := context.WithTimeout(ctx, maxBodyWait)
+	defer cancel()
+	body, err := bodies.AllocateRequest(ctx, nil, bodyBytes)
+	if err != nil {
+		return nil
+	}
+	return body
+}
+
+// reject responds that the cache is overloaded and that a request has not run.
+func (c *clientConn) reject(metrics *telemetry.Metrics, id string) {
+	metrics.Inc(telemetry.CacheRequestsRejected)
+	reply := cacheproto.AttemptReply{Result: routing.Overloaded}
+	c.send(queuedResponse{head: cacheproto.AppendAttemptReply(nil, id, reply)})
+}
+
 // send queues a response for the connection's writer. The queue has no limit: a request no longer counts as open once
 // its response is queued, and probe replies and rejections never count. A client that reads nothing is disconnected
 // after clientStallTimeout.
--- a/internal/edgecache/handler/action.go
+++ b/internal/edgecache/handler/action.go
@@ -14,10 +14,9 @@
 	Request     uint64
 	Result      routing.AttemptResult
 	Detail      routing.ResultDetail
-	NotModified bool   // the client's copy is still current
-	Copy        *Copy  // content of the response, nil if there is none
-	PassThrough bool   // forwards the response of Fill, which is not cached
-	Fill        uint64 // fill to forward if PassThrough is set
+	NotModified bool         // the client's copy is still current
+	Copy        *Copy        // cached content of the response, nil if there is none
+	Forwarded   *FetchResult // response of a source, which is not cached; nil if there is none
 }
 
 // ReadDisk reads a chunk from the disk. The caller passes the result to HandleDiskRead.
--- a/internal/edgecache/handler/fill.go
+++ b/internal/edgecache/handler/fill.go
@@ -150,16 +150,7 @@
 	case result.Result != routing.Completed:
 		h.failWaiting(f, responseCode(result.Result))
 	case f.passThrough:
-		for _, r := range f.waiting {
-			h.addAction(Respond{
-				Request:     r.ID,
-				Result:      routing.Completed,
-				Detail:      routing.Filled,
-				NotModified: result.NotModified,
-				PassThrough: true,
-				Fill:        f.id,
-			})
-		}
+		h.forward(f, result)
 	case result.NotModified && f.cachedCopy == nil: // a "not modified" response to a fetch without an ETag
 		h.failWaiting(f, routing.ServerError)
 	default:
@@ -168,6 +159,19 @@
 	return h.actions
 }
 
+// forward passes the response of a source on to the request that it belongs to. It is not cached.
+func (h *Handler) forward(f *fill, result FetchResult) {
+	for _, r := range f.waiting {
+		h.addAction(Respond{
+			Request:     r.ID,
+			Result:      routing.Completed,
+			Detail:      routing.Filled,
+			NotModified: result.NotModified,
+			Forwarded:   &result,
+		})
+	}
+}
+
 func (h *Handler) failWaiting(f *fill, code routing.AttemptResult) {
 	for _, r := range f.waiting {
 		h.fail(r, code)
--- a/internal/edgecache/handler/golden_test.go
+++ b/internal/edgecache/handler/golden_test.go
@@ -26,8 +26,8 @@
 	for _, action := range actions {
 		switch a := action.(type) {
 		case Respond:
-			fmt.Fprintf(out, "  answer %d code=%d remark=%d same=%v passed=%v fill=%d copy=%s\n",
-				a.Request, a.Result, a.Detail, a.NotModified, a.PassThrough, a.Fill, printCopy(a.Copy))
+			fmt.Fprintf(out, "  answer %d code=%d remark=%d same=%v passed=%v copy=%s\n",
+				a.Request, a.Result, a.Detail, a.NotModified, a.Forwarded != nil, printCopy(a.Copy))
 		case ReadDisk:
 			fmt.Fprintf(out, "  read %d/%d\n", a.Key.Object, a.Key.Chunk)
 		case Fetch:
--- a/internal/edgecache/perform.go
+++ b/internal/edgecache/perform.go
@@ -86,11 +86,16 @@
 		PurgeGroup:  cacheproto.UnknownPurgeGroup,
 	}
 	var body []byte
-	if c := a.Copy; c != nil {
-		reply.ETag, reply.OriginUnixMillis, reply.PurgeGroup = c.ETag, c.IssuedAt, int(c.Group)
-		if !a.NotModified {
-			body = c.Body
-		}
+	switch {
+	case a.Copy != nil:
+		c := a.Copy
+		reply.ETag, reply.OriginUnixMillis, reply.PurgeGroup, body = c.ETag, c.IssuedAt, int(c.Group), c.Body
+	case a.Forwarded != nil:
+		f := a.Forwarded
+		reply.ETag, reply.OriginUnixMillis, reply.PurgeGroup, body = f.ETag, f.IssuedAt, int(f.Group), f.Body
+	}
+	if a.NotModified {
+		body = nil
 	}
 	s.respond(r, reply, body)
 }
@@ -181,6 +186,9 @@
 		IssuedAt:    ev.End.OriginUnixMillis,
 		Group:       validity.UnknownGroup,
 	}
+	if ev.End.BodyDropped { // there was no memory for it
+		result.Result = routing.ServerError
+	}
 	if ev.End.PurgeGroupPlusOne > 0 { // 0 if the source sent no purge group
 		result.Group = uint16(ev.End.PurgeGroupPlusOne - 1)
 	}
--- a/internal/edgecache/request.go
+++ b/internal/edgecache/request.go
@@ -18,6 +18,7 @@
 	key        eviction.Key
 	body       *request.Body
 	class      config.Class
+	arrivedAt  float64 // Unix seconds at which its command line was read
 	deadline   float64 // Unix seconds
 	responding bool
 }
@@ -31,9 +32,7 @@
 	}
 	if !conn.mayOpenRequest(r.command.ID, s.Config.StreamsPerConnection) {
 		r.body.Free()
-		s.Telemetry.Inc(telemetry.CacheRequestsRejected)
-		reply := cacheproto.AttemptReply{Result: routing.Overloaded}
-		conn.send(queuedResponse{head: cacheproto.AppendAttemptReply(nil, r.command.ID, reply)})
+		conn.reject(s.Telemetry, r.command.ID)
 		return
 	}
 	if s.OnRequest != nil {
@@ -41,7 +40,7 @@
 	}
 	s.lastRequestNumber++
 	r.number = s.lastRequestNumber
-	r.deadline = now + r.command.TimeoutSeconds
+	r.deadline = r.arrivedAt + r.command.TimeoutSeconds
 	s.requests[r.number] = r
 	conn.requests[r.command.ID] = r
 	s.Telemetry.Inc(telemetry.CacheRequests.With(telemetry.Class(r.command.ClassName)))
