upstream: the test of a blocked reader holds it for longer than the bound it checks

The test relied on a reader that waits for ever: if its first delayed attempt (b) was itself held back behind the reader, the wait was over when the second one (c) came.

Change: three responses in a row hold the reader for 300 ms, and b is being written before the reader waits. The bounds for c are the same: over 50 ms, under 200.

--- a/internal/upstream/attempt_test.go
+++ b/internal/upstream/attempt_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net"
+	"strings"
 	"syscall"
 	"testing"
 	"testing/iotest"
@@ -284,25 +285,32 @@
 	assert.InDelta(t, 1, s.Metrics.Value("upstream_late_responses_total"), 0)
 }
 
-// The reader goroutine blocks until memory for a response body is available. A delayed attempt on that connection must
-// not wait for as long: it is written within maxReaderWait.
+// The reader goroutine waits for memory for each of several response bodies in turn. A delayed attempt on that
+// connection must not wait for as long: it is written within maxReaderWait.
 func TestBlockedReaderDoesNotBlockDelayedAttempt(t *testing.T) {
+	waiting := []string{"a1", "a2", "a3"} // their responses hold the reader for three times maxShareWait
 	s := newTestPool(t)
-	s.MaxAttemptsPerConnection = 3
+	s.MaxAttemptsPerConnection = len(waiting) + 2
 	s.Admission.AdmitEndpointConn(true) // so that all attempts share a connection
-	s.send("a", 0)
+	s.send(waiting[0], 0)
 	endpointConn := <-s.dialed
 	reader := bufio.NewReaderSize(endpointConn, 16)
-	assert.Equal(t, "do a", readCommand(t, reader))
+	assert.Equal(t, "do "+waiting[0], readCommand(t, reader))
+	for _, id := range waiting[1:] {
+		s.send(id, 0)
+		assert.Equal(t, "do "+id, readCommand(t, reader))
+	}
+	const response = " served digest=d,dated=1 5\r\nstray\r\n"
+	responses := strings.Join(waiting, response) + response
 	s.Admission.Bodies = request.NewBodyBudget(100)
 	for s.Admission.Bodies.TryAllocateResponse(nil, 1) != nil { // until there is no room
 	}
-	_, _ = io.WriteString(endpointConn, "a served digest=d,dated=1 5\r\n")
 	s.send("b", 20_000)
-	_, _ = reader.ReadByte() // the writer goroutine is busy with b
+	_, _ = reader.ReadByte() // the writer goroutine is busy with b before the reader waits, so that b is not delayed
+	startedAt := time.Now()
+	_, _ = io.WriteString(endpointConn, responses)
 	s.send("c", 0)
 	_, _ = reader.ReadString('\n')
-	startedAt := time.Now()
 	_, _ = io.CopyN(io.Discard, reader, 20_002)
 	assert.Equal(t, "do c", readCommand(t, reader))
 	waited := time.Since(startedAt)
