edge-cache: small responses come first, and the drain writes what is queued

Callers would see: the reply to a health check, or a small answer, behind seconds of large bodies; bodies cut off as an edge cache ends by SIGTERM; memory without a bound for a client that sends and does not read.

Cause: responses were written in the order in which they came, the kernel took what it could, a request counted as answered once its response was queued, and nothing limited the queue.

Change: the order of output of the router's clients moves to internal/sendqueue, which both use; the limit on unsent output moves to netconn. Unwritten responses hold up the drain, within its timeout, and a connection with as many of them as it may have requests, and 16, is not read on. The test that small responses do not starve large ones moves to sendqueue as it is; that of the limit on unsent output writes in pieces, with the same bound.

--- a/internal/edgecache/conn.go
+++ b/internal/edgecache/conn.go
@@ -23,21 +23,12 @@
 
 // clientConn is a connection from a client, which is a router or another cache.
 type clientConn struct {
-	conn *netconn.Conn
+	conn   *netconn.Conn
+	writer *responseWriter
 
 	// The event loop owns the following fields.
 	requests map[string]*openRequest // by the request id that the client chose
 	closed   bool
-
-	mu    sync.Mutex
-	queue []queuedResponse
-	wake  chan struct{}
-}
-
-// queuedResponse is a response queued for the connection's writer goroutine.
-type queuedResponse struct {
-	head []byte
-	body []byte
 }
 
 // accept accepts connections until the listener is closed. It serves each connection in a goroutine of the clients wait
@@ -70,10 +61,11 @@
 // serveConn serves one connection until it is closed. It starts one goroutine that reads and one that writes, and waits
 // for both to return.
 func (s *Server) serveConn(ctx context.Context, raw net.Conn) {
+	conn := netconn.New(raw, ringBufferBytes, clientStallTimeout)
 	c := &clientConn{
-		conn:     netconn.New(raw, ringBufferBytes, clientStallTimeout),
+		conn:     conn,
+		writer:   newResponseWriter(conn, &s.unwritten),
 		requests: map[string]*openRequest{},
-		wake:     make(chan struct{}, 1),
 	}
 	remote := telemetry.Remote{Side: telemetry.SideCacheClient, Address: c.conn.RemoteAddr()}
 	ctx, cancel := context.WithCancel(ctx)
@@ -92,7 +84,7 @@
 		})
 	}
 	run(func() (netconn.EndCode, error) { return s.readCommands(ctx, c) })
-	run(func() (netconn.EndCode, error) { return c.writeResponses(ctx) })
+	run(func() (netconn.EndCode, error) { return c.writer.run(ctx) })
 	goroutines.Wait()
 	stop()
 	s.post(clientDisconnected{c})
@@ -126,6 +118,9 @@
 				return code, err
 			}
 		}
+		if err := c.writer.awaitRoom(ctx, s.Config.StreamsPerConnection+maxUnansweredProbes); err != nil {
+			return netconn.Shutdown, err
+		}
 	}
 }
 
@@ -194,59 +189,5 @@
 func (c *clientConn) reject(metrics *telemetry.Metrics, id string) {
 	metrics.Inc(telemetry.CacheRequestsRejected)
 	reply := cacheproto.AttemptReply{Result: routing.Overloaded}
-	c.send(queuedResponse{head: cacheproto.AppendAttemptReply(nil, id, reply)})
-}
-
-// send queues a response for the connection's writer. The queue has no limit: a request no longer counts as open once
-// its response is queued, and probe replies and rejections never count. A client that reads nothing is disconnected
-// after clientStallTimeout.
-func (c *clientConn) send(response queuedResponse) {
-	c.mu.Lock()
-	c.queue = append(c.queue, response)
-	c.mu.Unlock()
-	select {
-	case c.wake <- struct{}{}:
-	default:
-	}
-}
-
-func (c *clientConn) takeQueuedResponses() []queuedResponse {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	batch := c.queue
-	c.queue = nil
-	return batch
-}
-
-// writeResponses writes queued responses to a connection until it ends and returns the reason for the end.
-func (c *clientConn) writeResponses(ctx context.Context) (netconn.EndCode, error) {
-	for {
-		batch := c.takeQueuedResponses()
-		if len(batch) == 0 {
-			if err := c.conn.Flush(); err != nil {
-				return netconn.ClassifyError(err), err
-			}
-			select {
-			case <-ctx.Done():
-				return netconn.Shutdown, ctx.Err()
-			case <-c.wake:
-			}
-			continue
-		}
-		for _, response := range batch {
-			if err := c.write(response); err != nil {
-				return netconn.ClassifyError(err), err
-			}
-		}
-	}
-}
-
-func (c *clientConn) write(response queuedResponse) error {
-	if err := c.conn.Write(response.head); err != nil {
-		return err
-	}
-	if err := c.conn.Write(response.body); err != nil {
-		return err
-	}
-	return c.conn.Write([]byte(cacheproto.LineEnd))
+	c.writer.send(queuedResponse{head: cacheproto.AppendAttemptReply(nil, id, reply)})
 }
--- a/internal/edgecache/loop.go
+++ b/internal/edgecache/loop.go
@@ -50,7 +50,7 @@
 	endpointsChanged struct{ event discovery.Event }
 	// upstreamEvent carries an event of the upstream connection pool.
 	upstreamEvent struct{ event upstream.Event }
-	// openRequestsQuery requests the number of open requests, which is sent to reply.
+	// openRequestsQuery requests the number of open requests and unwritten responses, which is sent to reply.
 	openRequestsQuery struct{ reply chan int }
 )
 
@@ -147,7 +147,7 @@
 			s.cancel(now, r)
 		}
 	case probeReceived:
-		ev.conn.send(queuedResponse{
+		ev.conn.writer.send(queuedResponse{
 			head: cacheproto.AppendProbeReply(nil, ev.id, true, s.loadReport(now, ev.withLoad)),
 		})
 	case modelledWorkDone:
@@ -163,7 +163,7 @@
 	case upstreamEvent:
 		s.handleUpstream(now, ev.event)
 	case openRequestsQuery:
-		ev.reply <- len(s.requests)
+		ev.reply <- len(s.requests) + int(s.unwritten.Load())
 	}
 }
 
--- a/internal/edgecache/request.go
+++ b/internal/edgecache/request.go
@@ -187,5 +187,5 @@
 	}
 	s.removeRequest(r)
 	head := cacheproto.AppendAttemptReply(nil, r.command.ID, due.reply)
-	r.conn.send(queuedResponse{head: head, body: due.body})
+	r.conn.writer.send(queuedResponse{head: head, body: due.body})
 }
--- a/internal/edgecache/server.go
+++ b/internal/edgecache/server.go
@@ -77,7 +77,8 @@
 	attempts          map[uint64]*upstream.Attempt // by fill id
 
 	connections          atomic.Int64
-	needEndpointSnapshot atomic.Bool // the complete endpoint list has not been received yet
+	unwritten            atomic.Int64 // responses that the sockets of their clients have not accepted
+	needEndpointSnapshot atomic.Bool  // the complete endpoint list has not been received yet
 }
 
 // Run serves connections from a listener until the context ends, then waits up to the drain timeout for open requests
@@ -178,7 +179,7 @@
 	return done
 }
 
-// drain waits until no request is open, but not longer than the drain timeout.
+// drain waits until no request is open and all responses are written, but not longer than the drain timeout.
 func (s *Server) drain(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, s.Config.DrainTimeout.Duration())
 	defer cancel()
--- a/internal/frontend/outputqueue_test.go
+++ b/internal/frontend/outputqueue_test.go
@@ -6,6 +6,7 @@
 
 	"cairnfront/internal/clock"
 	"cairnfront/internal/request"
+	"cairnfront/internal/sendqueue"
 
 	"github.com/stretchr/testify/assert"
 )
@@ -22,7 +23,7 @@
 
 // popStreams takes all frames and returns their streams.
 func popStreams(q *outputQueue) (streams []uint32) {
-	for frame, ok := q.pop(); ok; frame, ok = q.pop() {
+	for frame, ok := q.Pop(); ok; frame, ok = q.Pop() {
 		streams = append(streams, frame.answered.streamID)
 	}
 	return streams
@@ -37,24 +38,14 @@
 		queuedResponse(2, 100_000, 3),
 		queuedResponse(3, 0, 9),
 		queuedResponse(4, 200_000, 5),
-		queuedResponse(5, maxSmallBodyBytes, 2),
-		queuedResponse(6, maxSmallBodyBytes+1, 1e6),
+		queuedResponse(5, sendqueue.MaxSmallBytes, 2),
+		queuedResponse(6, sendqueue.MaxSmallBytes+1, 1e6),
 		queuedResponse(7, 100_000, 12),
 	} {
-		q.push(frame)
+		q.Push(frame)
 	}
 	assert.Equal(t, []uint32{3, 5, 2, 1, 4, 6, 7}, popStreams(q))
-	assert.Zero(t, q.len())
-}
-
-// Guards against a large response that never comes because small ones are always there.
-func TestSmallResponsesDoNotStarveLargeOnes(t *testing.T) {
-	q := &outputQueue{}
-	q.push(queuedResponse(99, 100_000, 5))
-	for stream := range uint32(2 * maxSmallBytesInRow / maxSmallBodyBytes) {
-		q.push(queuedResponse(stream, maxSmallBodyBytes, 1))
-	}
-	assert.Equal(t, []uint32{0, 1, 2, 3, 99, 4, 5, 6, 7}, popStreams(q))
+	assert.Zero(t, q.Len())
 }
 
 // Guards against answers that are sent after their time and hold up others. Of the large ones, those that would be
@@ -73,7 +64,7 @@
 			queuedResponse(1, 0, 1), queuedResponse(2, 200_000, 3.5), queuedResponse(3, 200_000, 4.5),
 			queuedResponse(4, 200_000, 0), queuedResponse(5, 100_000, 3.5),
 		} {
-			q.push(frame)
+			q.Push(frame)
 		}
 		overdue := q.removeOverdue(test.limit, func(bodyBytes int) clock.Instant { // 100 KB/s, from second 2
 			return clock.FromSeconds(2 + float64(bodyBytes)/100_000)
@@ -83,7 +74,7 @@
 			streams = append(streams, frame.answered.streamID)
 		}
 		assert.Equal(t, test.want, streams, name)
-		assert.Equal(t, 5-len(test.want), q.len(), name)
+		assert.Equal(t, 5-len(test.want), q.Len(), name)
 	}
 }
 
--- a/internal/frontend/requestwindow.go
+++ b/internal/frontend/requestwindow.go
@@ -6,6 +6,7 @@
 
 	"cairnfront/internal/clock"
 	"cairnfront/internal/request"
+	"cairnfront/internal/sendqueue"
 )
 
 // Times of requests that wait for room for their responses.
@@ -60,7 +61,7 @@
 		return false
 	}
 	expectedBytes := w.window.sizes.expect(r)
-	if expectedBytes <= maxSmallBodyBytes {
+	if expectedBytes <= sendqueue.MaxSmallBytes {
 		return true
 	}
 	r.Reservation = w.admission.Bodies.ReserveResponse(w.share, expectedBytes)
--- a/internal/frontend/responsewriter.go
+++ b/internal/frontend/responsewriter.go
@@ -143,7 +143,7 @@
 
 func (w *responseWriter) hasUnwrittenLocked() bool { return w.unwrittenLocked() > 0 }
 
-func (w *responseWriter) unwrittenLocked() int { return w.unwritten + w.queue.len() }
+func (w *responseWriter) unwrittenLocked() int { return w.unwritten + w.queue.Len() }
 
 // setStalled records whether the client takes no output.
 func (w *responseWriter) setStalled(stalled bool) {
@@ -231,7 +231,7 @@
 	}
 	delete(w.requests, r.StreamID)
 	w.recordSizeLocked(r, response)
-	w.queue.push(newResponseFrame(r, response, clock.Now()))
+	w.queue.Push(newResponseFrame(r, response, clock.Now()))
 	return true
 }
 
@@ -239,7 +239,7 @@
 func (w *responseWriter) sendControl(frame []byte) {
 	w.mu.Lock()
 	if w.state == writerAccepting {
-		w.queue.push(outgoingFrame{header: frame})
+		w.queue.Push(outgoingFrame{header: frame})
 	}
 	w.mu.Unlock()
 	w.signal()
@@ -310,7 +310,7 @@
 		}
 		cancelled = append(cancelled, open.request)
 	}
-	for _, frame := range w.queue.drain() {
+	for _, frame := range w.queue.Drain() {
 		w.drop(frame)
 	}
 	if w.window.review != nil {
--- a/internal/frontend/responsewriter_test.go
+++ b/internal/frontend/responsewriter_test.go
@@ -187,7 +187,7 @@
 	}
 	assert.Nil(t, w.cancel(1, request.ConnectionEnded))
 	var streams []uint32
-	for _, frame := range w.queue.small[1:] {
+	for _, frame := range w.queue.Drain()[1:] {
 		streams = append(streams, frame.answered.streamID)
 	}
 	assert.Equal(t, []uint32{0, 2}, streams)
--- a/internal/frontend/writeloop.go
+++ b/internal/frontend/writeloop.go
@@ -8,6 +8,7 @@
 	"cairnfront/internal/clock"
 	"cairnfront/internal/netconn"
 	"cairnfront/internal/request"
+	"cairnfront/internal/sendqueue"
 	"cairnfront/internal/telemetry"
 )
 
@@ -15,9 +16,6 @@
 // Every response that is written after its deadline is counted.
 const lateLogThresholdSeconds = 0.02
 
-// maxUnsentBytes is how much output of a client that does not keep up the kernel takes before it has begun to send it.
-const maxUnsentBytes = 64 << 10
-
 // writtenFrame is a frame that was passed to the connection and that the socket may not have accepted completely.
 type writtenFrame struct {
 	answered *answeredRequest // nil for a control frame
@@ -30,8 +28,6 @@
 	conn    *netconn.Conn
 	pending []writtenFrame // in the order of the output
 	pace    outputPace
-
-	unsentLimited bool // the kernel takes at most maxUnsentBytes before it sends them
 }
 
 // run writes queued frames until the context is done, the socket fails, or, after finish, all output is written. Frames
@@ -81,10 +77,10 @@
 func (f *frameWriter) dequeue() (frame outgoingFrame, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(f.queue.large) > 0 {
+	if f.queue.HasLarge() {
 		f.failOverdueLocked()
 	}
-	frame, ok = f.queue.pop()
+	frame, ok = f.queue.Pop()
 	if ok {
 		f.unwritten++
 		f.writingBodyBytes = frame.body.Len()
@@ -96,11 +92,7 @@
 //
 // It guards against an answer that is sent long after its client has given up, and holds up those behind it.
 func (f *frameWriter) failOverdueLocked() {
-	now, unacknowledged := clock.Now(), f.conn.UnacknowledgedBytes()
-	if !f.unsentLimited && unacknowledged > maxUnsentBytes {
-		f.unsentLimited = true
-		f.conn.LimitUnsent(maxUnsentBytes)
-	}
+	now, unacknowledged := clock.Now(), f.conn.LimitUnsentWhenBehind()
 	overdue := f.queue.removeOverdue(f.outputLimit, func(bodyBytes int) clock.Instant {
 		return now.Add(f.pace.timeFor(unacknowledged + int64(bodyBytes)))
 	})
@@ -109,7 +101,7 @@
 		frame.body = nil
 		failed := request.Response{Result: request.Aborted, Reason: request.ReasonDeadlineExceeded}
 		frame.header = clientproto.AppendResponse(nil, frame.answered.streamID, failed)
-		f.queue.push(frame)
+		f.queue.Push(frame)
 		f.metrics.Inc(telemetry.ResponsesDropped)
 	}
 }
@@ -128,7 +120,7 @@
 		f.conn.Close(netconn.ClassifyError(err), err)
 		return err
 	}
-	if size := frame.body.Len(); size > maxSmallBodyBytes {
+	if size := frame.body.Len(); size > sendqueue.MaxSmallBytes {
 		f.pace.record(size, clock.Now().Sub(start))
 	}
 	return nil
@@ -147,7 +139,7 @@
 	f.pending = slices.Delete(f.pending, 0, accepted)
 	f.mu.Lock()
 	f.unwritten -= accepted
-	if f.writingBodyBytes > maxSmallBodyBytes {
+	if f.writingBodyBytes > sendqueue.MaxSmallBytes {
 		f.lastLargeWritten = clock.Now()
 	}
 	f.writingBodyBytes = 0
@@ -167,7 +159,7 @@
 	if finished {
 		w.quiesceLocked()
 	}
-	return w.queue.len() > 0, finished
+	return w.queue.Len() > 0, finished
 }
 
 // writeDeadline returns the deadline for writing a frame on which writing begins now. For a response it counts from the
--- a/internal/netconn/arrival_test.go
+++ b/internal/netconn/arrival_test.go
@@ -79,10 +79,14 @@
 		require.NoError(t, near.SetWriteBuffer(512<<10))
 		require.NoError(t, far.SetReadBuffer(32<<10))
 		c := New(near, 1<<10, 50*time.Millisecond)
-		if limited {
-			c.LimitUnsent(16 << 10)
+		var err error
+		for written := 0; err == nil && written < 4<<20; written += 100_000 {
+			if limited {
+				c.LimitUnsentWhenBehind()
+			}
+			err = c.Write(make([]byte, 100_000))
 		}
-		require.Error(t, c.Write(make([]byte, 4<<20)))
+		require.Error(t, err)
 		accepted[limited] = c.BytesWritten()
 	}
 	assert.Less(t, accepted[true], accepted[false]/2, "%v", accepted)
--- a/internal/netconn/conn.go
+++ b/internal/netconn/conn.go
@@ -49,10 +49,11 @@
 	readerWait          atomic.Pointer[readerWait] // pending AwaitReader call; nil if none
 	closeBeforeNextRead atomic.Bool                // handle a requested close before the next read
 
-	bytesRead    atomic.Int64
-	bytesWritten atomic.Int64
-	outputOffset int64       // used by the writing goroutine only
-	inputMarks   []inputMark // in order of time and offset; used by the reading goroutine only
+	bytesRead     atomic.Int64
+	bytesWritten  atomic.Int64
+	outputOffset  int64       // used by the writing goroutine only
+	unsentLimited bool        // limitUnsent was called; used by the writing goroutine only
+	inputMarks    []inputMark // in order of time and offset; used by the reading goroutine only
 
 	lastRead   atomicInstant
 	lastWrite  atomicInstant
--- a/internal/netconn/write.go
+++ b/internal/netconn/write.go
@@ -27,9 +27,22 @@
 	c.writeDeadlineFrom = c.bytesWritten.Load()
 }
 
-// LimitUnsent limits how many bytes of output the kernel takes before it has begun to send them. What it has taken
-// cannot be overtaken by later output. It has no effect on a socket that does not know the limit.
-func (c *Conn) LimitUnsent(bytes int) {
+// maxUnsentBytes is how much output of a peer that does not keep up the kernel takes before it has begun to send it.
+const maxUnsentBytes = 64 << 10
+
+// LimitUnsentWhenBehind returns how many bytes of output the peer has not acknowledged. Once they are more than
+// maxUnsentBytes, the kernel takes no more than that ahead: what it has taken cannot be overtaken by later output. The
+// limit has no effect on a socket that does not know it. It must be called from the writing goroutine.
+func (c *Conn) LimitUnsentWhenBehind() (unacknowledged int64) {
+	unacknowledged = c.UnacknowledgedBytes()
+	if !c.unsentLimited && unacknowledged > maxUnsentBytes {
+		c.unsentLimited = true
+		c.limitUnsent()
+	}
+	return unacknowledged
+}
+
+func (c *Conn) limitUnsent() {
 	socket, ok := c.raw.(syscall.Conn)
 	if !ok {
 		return
@@ -39,7 +52,7 @@
 		return // the socket is closed
 	}
 	_ = raw.Control(func(fd uintptr) {
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, bytes)
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, maxUnsentBytes)
 	})
 }
 
