--- a/cmd/cairnfront/clientclose_test.go
+++ b/cmd/cairnfront/clientclose_test.go
@@ -6,8 +6,6 @@
 	"flag"
 	"io"
 	"net"
-	"strconv"
-	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -127,42 +125,20 @@
 // startCache starts a cache that records each attempt and answers after some time.
 func (r *closeRecord) startCache(t *testing.T) *cacheStub {
 	t.Helper()
-	ln := listenLoopback(t)
-	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go r.serveCache(conn)
-		}
-	}()
-	return &cacheStub{Listener: ln}
+	return startCacheServing(t, r.serveCache)
 }
 
 func (r *closeRecord) serveCache(conn net.Conn) {
 	defer conn.Close()
 	in := bufio.NewReader(conn)
 	for {
-		line, err := in.ReadString('\n')
-		if err != nil {
-			return
-		}
-		words := strings.Fields(line)
-		if words[0] != "do" {
-			continue
-		}
-		length, err := strconv.Atoi(words[3])
+		id, _, err := readAttempt(in)
 		if err != nil {
 			return
 		}
-		if _, err := in.Discard(length + len("\r\n")); err != nil {
-			return
-		}
-		r.received(words[1])
+		r.received(id)
 		time.AfterFunc(closingBeforeClose, func() {
-			_, _ = io.WriteString(conn, okResponse(receivedAttempt{id: words[1]}, "x"))
+			_, _ = io.WriteString(conn, okResponse(receivedAttempt{id: id}, "x"))
 		})
 	}
 }
--- a/cmd/cairnfront/overload_clients_test.go
+++ b/cmd/cairnfront/overload_clients_test.go
@@ -29,18 +29,7 @@
 // Objects whose id starts with large have the greatest size that the protocol allows.
 func startQuickCache(t *testing.T) *cacheStub {
 	t.Helper()
-	ln := listenLoopback(t)
-	t.Cleanup(func() { _ = ln.Close() })
-	go func() {
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go serveQuickly(conn)
-		}
-	}()
-	return &cacheStub{Listener: ln}
+	return startCacheServing(t, serveQuickly)
 }
 
 const (
@@ -54,24 +43,16 @@
 	in, out := bufio.NewReader(conn), bufio.NewWriter(conn)
 	large, usual := strings.Repeat("x", largeObjectBytes), strings.Repeat("x", usualObjectBytes)
 	for {
-		line, err := in.ReadString('\n')
+		id, fields, err := readAttempt(in)
 		if err != nil {
 			return
 		}
-		words := strings.Fields(line)
-		if words[0] != "do" {
-			continue
-		}
-		length, _ := strconv.Atoi(words[3])
-		if _, err := in.Discard(length + len("\r\n")); err != nil {
-			return
-		}
 		body := usual
-		if strings.Contains(words[2], "thing="+largeObjectPrefix) {
+		if strings.Contains(fields, "thing="+largeObjectPrefix) {
 			body = large
 		}
 		_, _ = fmt.Fprintf(out, "%s served digest=d1,dated=%d,remark=h %d\r\n%s\r\n", // Flush returns the error
-			words[1], time.Now().UnixMilli(), len(body), body)
+			id, time.Now().UnixMilli(), len(body), body)
 		if in.Buffered() == 0 {
 			if err := out.Flush(); err != nil {
 				return
--- a/cmd/cairnfront/streaming_client_test.go
+++ b/cmd/cairnfront/streaming_client_test.go
@@ -253,18 +253,7 @@
 	site := &streamingSite{blockBytes: load.blockBytes}
 	var stubs []*cacheStub
 	for range 3 {
-		ln := listenLoopback(t)
-		t.Cleanup(func() { _ = ln.Close() })
-		go func() {
-			for {
-				conn, err := ln.Accept()
-				if err != nil {
-					return
-				}
-				go site.serve(conn)
-			}
-		}()
-		stubs = append(stubs, &cacheStub{Listener: ln})
+		stubs = append(stubs, startCacheServing(t, site.serve))
 	}
 	edit := func(content []byte) []byte {
 		return []byte(strings.Replace(string(content), `"cores":1`, fmt.Sprintf(`"cores":%d`, load.cores), 1))
@@ -279,20 +268,12 @@
 	in := bufio.NewReader(conn)
 	var writing sync.Mutex
 	for {
-		line, err := in.ReadString('\n')
+		id, fieldText, err := readAttempt(in)
 		if err != nil {
 			return
 		}
-		words := strings.Fields(line)
-		if words[0] != "do" {
-			continue
-		}
-		length, _ := strconv.Atoi(words[3])
-		if _, err := in.Discard(length + len("\r\n")); err != nil {
-			return
-		}
-		fields := parseFields(words[2])
-		if s.record(words[1], fields["max"]) {
+		fields := parseFields(fieldText)
+		if s.record(id, fields["max"]) {
 			continue
 		}
 		size := 0
@@ -303,7 +284,7 @@
 			writing.Lock()
 			defer writing.Unlock()
 			_, _ = fmt.Fprintf(conn, "%s served digest=d1,dated=%d,remark=h %d\r\n%s\r\n",
-				words[1], time.Now().UnixMilli(), size, strings.Repeat("b", size))
+				id, time.Now().UnixMilli(), size, strings.Repeat("b", size))
 		})
 	}
 }
@@ -338,6 +319,16 @@
 		len(v.broken))
 }
 
+// judgeAll checks the requests of clients and their attempts, and closes the connections.
+func (s *streamingSite) judgeAll(clients []*streamingClient) *streamingVerdict {
+	v := &streamingVerdict{}
+	for _, c := range clients {
+		s.judge(v, c)
+		_ = c.conn.Close()
+	}
+	return v
+}
+
 // judge checks the requests of a client and their attempts.
 func (s *streamingSite) judge(v *streamingVerdict, c *streamingClient) {
 	c.mu.Lock()
--- a/cmd/cairnfront/streaming_test.go
+++ b/cmd/cairnfront/streaming_test.go
@@ -100,11 +100,7 @@
 	defer end.Stop()
 	clients := site.playClients(t, load, (*streamingClient).play, start.Add(silentAfter+silentTime+streamingTail), nil)
 	time.Sleep(max(load.blockTTL, load.recordTTL) + lostAfter)
-	v := &streamingVerdict{}
-	for _, c := range clients {
-		site.judge(v, c)
-		_ = c.conn.Close()
-	}
+	v := site.judgeAll(clients)
 	require.NoError(t, site.router.stop(t, syscall.SIGTERM))
 	return v
 }
@@ -118,11 +114,7 @@
 	end := time.Now().Add(2*load.recordTTL + time.Second)
 	clients := site.playClients(t, load, (*streamingClient).playRecords, end, nil)
 	time.Sleep(load.recordTTL + lostAfter)
-	v := &streamingVerdict{}
-	for _, c := range clients {
-		site.judge(v, c)
-		_ = c.conn.Close()
-	}
+	v := site.judgeAll(clients)
 	require.NoError(t, site.router.stop(t, syscall.SIGTERM))
 	return v
 }
@@ -147,12 +139,7 @@
 		require.Error(t, <-site.router.exited)
 	}
 	time.Sleep(time.Second) // the clients read what they were sent
-	v := &streamingVerdict{}
-	for _, c := range clients {
-		site.judge(v, c)
-		_ = c.conn.Close()
-	}
-	return v
+	return site.judgeAll(clients)
 }
 
 // playClients lets clients play until a time, and meanwhile runs a function that may be nil.
--- a/cmd/cairnfront/stubs_test.go
+++ b/cmd/cairnfront/stubs_test.go
@@ -69,6 +69,20 @@
 
 // accept serves the connections of a listener until the test ends.
 func (cache *cacheStub) accept(t *testing.T, ln net.Listener) {
+	t.Helper()
+	acceptUntilEnd(t, ln, cache.serve)
+}
+
+// startCacheServing starts a stub of a cache whose connections a function serves.
+func startCacheServing(t *testing.T, serve func(c net.Conn)) *cacheStub {
+	t.Helper()
+	ln := listenLoopback(t)
+	acceptUntilEnd(t, ln, serve)
+	return &cacheStub{Listener: ln}
+}
+
+// acceptUntilEnd accepts connections until the test ends. Each is served by a goroutine of its own.
+func acceptUntilEnd(t *testing.T, ln net.Listener, serve func(c net.Conn)) {
 	t.Helper()
 	t.Cleanup(func() { _ = ln.Close() })
 	go func() {
@@ -77,11 +91,31 @@
 			if err != nil {
 				return
 			}
-			go cache.serve(c)
+			go serve(c)
 		}
 	}()
 }
 
+// readAttempt reads the next attempt that a cache is sent, with its body. Other commands are passed over.
+func readAttempt(in *bufio.Reader) (id, fields string, err error) {
+	for {
+		line, err := in.ReadString('\n')
+		if err != nil {
+			return "", "", err
+		}
+		words := strings.Fields(line)
+		if words[0] != "do" {
+			continue
+		}
+		length, err := strconv.Atoi(words[3])
+		if err != nil {
+			return "", "", err
+		}
+		_, err = in.Discard(length + len("\r\n"))
+		return words[1], words[2], err
+	}
+}
+
 func (cache *cacheStub) serve(c net.Conn) {
 	defer c.Close()
 	cache.mu.Lock()
