frontend: refusals are sent as they are known; floods take turns at the processor

What callers saw: of the requests that a client sent and that were refused, the ninth and later ones in a second were answered one every 50 ms, each up to half of the client's shortest timeout late. Readiness queries too.

Change: an answer is queued as soon as its frame is handled. A reader that has answered a frame itself and finds the next one waiting needs the process's one turn for it; a turn ends after eight frames, its answers are written together, and all others run before the next one. Dropped payloads are read in pieces of 32 KB. After 256 requests in a row that break the protocol a client gets GOAWAY once; the connection stays open. Rejections name a time to come back as before.

Tests: the tests of the pace go with it. That the reader reads on, that waits are limited together (now also: none that is too short) and that each refused request counts until it is answered or cancelled are held as before, that answers are not held and that floods take turns are new. TestRequestThatIsReadLateIsRejected stops the reader with large unread answers, as replies are not held any more. The log of the flood test has quantiles and the CPU time of a request.

--- a/cmd/cairnfront/overload_clients_test.go
+++ b/cmd/cairnfront/overload_clients_test.go
@@ -83,7 +83,7 @@
 type usualRecord struct {
 	mu                            sync.Mutex
 	sent, served, refused, failed int
-	slowest                       time.Duration
+	waits                         []time.Duration
 }
 
 // play sends requests at a steady rate on one connection until stop is closed. A connection that ends is replaced.
@@ -148,7 +148,7 @@
 func (u *usualRecord) answered(code byte, wait time.Duration) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.slowest = max(u.slowest, wait)
+	u.waits = append(u.waits, wait)
 	switch code {
 	case codeCompleted:
 		u.served++
@@ -159,10 +159,21 @@
 	}
 }
 
+// quantile returns the time within which a share of the answers came.
+func (u *usualRecord) quantile(share float64) time.Duration {
+	if len(u.waits) == 0 {
+		return 0
+	}
+	slices.Sort(u.waits)
+	return u.waits[min(int(share*float64(len(u.waits))), len(u.waits)-1)]
+}
+
 // String returns the counts for the log.
 func (u *usualRecord) String() string {
-	return fmt.Sprintf("usual: sent %d, served %d, refused %d, failed %d, slowest %v",
-		u.sent, u.served, u.refused, u.failed, u.slowest.Round(time.Millisecond))
+	const precision = 100 * time.Microsecond
+	return fmt.Sprintf("usual: sent %d, served %d, refused %d, failed %d, median %v, 99%% %v, slowest %v",
+		u.sent, u.served, u.refused, u.failed, u.quantile(0.5).Round(precision), u.quantile(0.99).Round(precision),
+		u.quantile(1).Round(precision))
 }
 
 // readFrames reads frames until the connection ends.
--- a/cmd/cairnfront/overload_test.go
+++ b/cmd/cairnfront/overload_test.go
@@ -100,12 +100,13 @@
 	cpuBefore := cpuSeconds(o.t, o.router.Process.Pid)
 	o.memory.sample(o.t, o.router, duration)
 	o.t.Log(o.answerReasons())
-	cpuShare := (cpuSeconds(o.t, o.router.Process.Pid) - cpuBefore) / duration.Seconds()
+	cpu := cpuSeconds(o.t, o.router.Process.Pid) - cpuBefore
 	o.bad.stopAt(time.Now())
 	close(o.stop)
 	o.clients.Wait()
-	o.t.Logf("%d MB, %d x %s: %v; %v; %v; CPU %.2f",
-		o.memoryMB, badClients, kind, &o.memory, &o.usual, &o.bad, cpuShare)
+	requests := float64(o.bad.requests.Load()) + float64(o.usual.sent)
+	o.t.Logf("%d MB, %d x %s: %v; %v; %v; CPU %.2f, %.0f us a request",
+		o.memoryMB, badClients, kind, &o.memory, &o.usual, &o.bad, cpu/duration.Seconds(), cpu/requests*1e6)
 }
 
 // answerReasons lists what the router's answers were, for the log.
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -23,6 +23,7 @@
 	limits limits
 
 	places        *fairshare.Pool // of requests that the event loop has or gets
+	turns         *fairshare.Pool // the turn to handle frames of floods
 	openRequests  atomic.Int64    // requests without a written response, with those that were never admitted
 	clients       atomic.Int64
 	endpointConns atomic.Int64
@@ -39,6 +40,7 @@
 		Bodies: request.NewBodyBudget(derived.bodyBytes),
 		limits: derived,
 		places: fairshare.New(derived.requests),
+		turns:  fairshare.New(1),
 	}
 }
 
--- a/internal/fairshare/pool.go
+++ b/internal/fairshare/pool.go
@@ -52,6 +52,13 @@
 	return p.used
 }
 
+// Awaited reports whether a call of Acquire waits.
+func (p *Pool) Awaited() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.waiters) > 0
+}
+
 // OverShare reports whether an account holds more than what is free.
 func (p *Pool) OverShare(account *Account) bool {
 	p.mu.Lock()
--- a/internal/frontend/drain.go
+++ b/internal/frontend/drain.go
@@ -53,9 +53,8 @@
 	}
 }
 
-// BeginEnd rejects the requests that were not handed over, sends the responses that are held back, and makes those
-// fail that are not sent soon. It must be
-// called after admission.Controller.StartEnding, and before FinishDrain, which closes the connections by deadline.
+// BeginEnd rejects the requests that were not handed over, and makes the responses fail that are not sent soon. It must
+// be called after admission.Controller.StartEnding, and before FinishDrain, which closes the connections by deadline.
 func (s *Server) BeginEnd(deadline time.Time) {
 	now := clock.Now()
 	left := clock.At(deadline).Sub(now)
@@ -64,7 +63,6 @@
 	s.forceCloseAt = clock.At(deadline).Add(-forcedCloseTime)
 	for c := range s.conns {
 		c.writer.limitOutput(now.Add(time.Duration(outputShare * float64(left))))
-		c.writer.releaseHeld(now.Add(maxHoldTime))
 		c.writer.rejectDeferred(request.ReasonShutdown, func(*request.Request) bool { return true })
 	}
 }
--- a/internal/frontend/framereader.go
+++ b/internal/frontend/framereader.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"runtime"
-	"time"
 
 	"cairnfront/internal/clientproto"
 	"cairnfront/internal/clock"
@@ -24,8 +23,9 @@
 	writer  *responseWriter
 	streams streamWindow
 
-	waits waitBudget
-	pacer answerPacer
+	waits  waitBudget
+	turn   processorTurn
+	misuse misuseCounter
 
 	rejectAll request.Reason // reason for rejecting every request; ReasonNone to admit requests
 }
@@ -42,25 +42,35 @@
 
 // readFrames reads frames until an error: a socket error, a connectionError, or errReadyToClose.
 func (r *frameReader) readFrames() error {
+	defer r.endTurn()
 	header := make([]byte, clientproto.HeaderSize)
 	for {
+		r.endTurnUnlessAvailable(clientproto.HeaderSize)
+		r.turn.beginRead()
 		if err := r.conn.ReadFull(header); err != nil {
 			return err
 		}
+		r.turn.endRead()
 		h, err := clientproto.ParseHeader(header)
 		if err != nil {
 			return &connectionError{err.Error()}
 		}
+		if err := r.beginTurnToRead(h.PayloadBytes); err != nil {
+			return err
+		}
 		if err := r.readFrame(h); err != nil {
 			return err
 		}
+		r.frameHandled()
 		r.conn.FrameComplete()
 		r.conn.firstFrameRead.Store(true)
 		r.conn.noteProgress()
 		if err := r.awaitRoom(); err != nil {
 			return err
 		}
-		runtime.Gosched() // a reader that always has input would delay all others by its time slice
+		if !r.turn.held {
+			runtime.Gosched() // a reader that always has input would delay all others by its time slice
+		}
 	}
 }
 
@@ -69,6 +79,7 @@
 	if !r.writer.full() {
 		return nil
 	}
+	r.endTurn()
 	resume := r.conn.pauseReading()
 	err := r.writer.awaitRoom(r.ctx)
 	resume()
@@ -93,8 +104,12 @@
 		if err := r.conn.Discard(h.PayloadBytes); err != nil {
 			return err
 		}
+		if err := r.beginTurn(); err != nil {
+			return err
+		}
 		reply := clientproto.AppendReadinessReply(nil, h.StreamID, r.server.Admission.Ready())
-		r.writer.sendControlAt(r.answerAt(), reply)
+		r.writer.queueControl(reply)
+		r.answeredByReader()
 		return nil
 	case clientproto.TypeResponse, clientproto.TypeReadinessReply, clientproto.TypeGoAway: // only a router sends these
 	}
@@ -130,7 +145,12 @@
 		payload.Free()
 		return err
 	}
-	r.handleRequest(req, payload, r.conn.ArrivedAt())
+	arrivedAt := r.conn.ArrivedAt() // before the wait for a turn
+	if err := r.beginTurn(); err != nil {
+		payload.Free()
+		return err
+	}
+	r.handleRequest(req, payload, arrivedAt)
 	if r.server.Admission.Draining() { // the client may have sent this request before it received the first GOAWAY
 		r.conn.sendFinalGoAway()
 	}
@@ -156,6 +176,7 @@
 // hold marks the connection as not read on, and returns a context that limits the wait of what arrived at a time for
 // its share.
 func (r *frameReader) hold(arrivedAt clock.Instant) (ctx context.Context, done func()) {
+	r.endTurn()
 	resume := r.conn.pauseReading()
 	start := clock.Now()
 	limit := min(r.waits.available(start), arrivedAt.Add(maxShareWait).Sub(start))
@@ -172,35 +193,23 @@
 	if err := r.conn.Discard(payloadBytes); err != nil {
 		return err
 	}
+	if err := r.beginTurn(); err != nil {
+		return err
+	}
 	r.respondNow(req, response)
 	return nil
 }
 
 // respondNow responds to a request that is not handed to the event loop. The request counts as open until the response
-// is written, regardless of the limits. Responses that cost the client nothing are held back as the pacer says.
+// is written, regardless of the limits.
 func (r *frameReader) respondNow(req *request.Request, response request.Response) {
 	r.server.Admission.CountRequest()
 	r.writer.open(req)
-	if !r.isPaced(response.Reason) {
-		r.writer.Respond(req, response)
-		return
-	}
-	r.writer.respondAt(r.answerAt(), req, response)
-}
-
-// isPaced reports whether responses with a reason are held back.
-func (r *frameReader) isPaced(reason request.Reason) bool {
-	switch reason { //nolint:exhaustive // all others are not the fault of the client
-	case request.ReasonMalformed, request.ReasonMemoryShort, request.ReasonReadLate,
-		request.ReasonTooManyRequests, request.ReasonTooManyStreams:
-		return r.rejectAll == request.ReasonNone
+	r.writer.queueAnswer(req, response)
+	if r.misuse.exceededBy(response.Reason) {
+		r.conn.sendGoAway()
 	}
-	return false
-}
-
-// answerAt returns the time at which a fruitless frame that was read now is answered.
-func (r *frameReader) answerAt() clock.Instant {
-	return r.pacer.answerAt(clock.Now(), r.conn.ArrivedAt())
+	r.answeredByReader()
 }
 
 // handleRequest decodes a complete request, admits it and hands it to the event loop. A panic in these steps aborts
@@ -235,6 +244,8 @@
 		r.respondNow(req, r.server.rejection(reason))
 		return
 	}
+	r.misuse.reset()
+	r.turn.answered = false
 	if r.writer.openAdmitted(req) {
 		r.server.handOver(req)
 	}
@@ -251,7 +262,6 @@
 	if !known {
 		return &unknownClassError{decoded.ClassName}
 	}
-	r.pacer.noteTimeout(time.Duration(decoded.TimeoutSeconds * float64(time.Second)))
 	streamID := req.StreamID
 	*req = decoded.Request
 	req.StreamID = streamID
--- a/internal/frontend/helpers_test.go
+++ b/internal/frontend/helpers_test.go
@@ -170,6 +170,12 @@
 	halfClosed             atomic.Bool
 	lingerNanos            atomic.Int64 // longest time in ns for which input is read after the half-close
 	readAfterHalfClose     atomic.Int64 // bytes read after the half-close
+	writes                 atomic.Int64 // calls of Write
+}
+
+func (e *observedSocket) Write(p []byte) (int, error) {
+	e.writes.Add(1)
+	return e.TCPConn.Write(p)
 }
 
 func (e *observedSocket) Read(p []byte) (int, error) {
--- a/internal/frontend/requestwindow.go
+++ b/internal/frontend/requestwindow.go
@@ -26,7 +26,6 @@
 type openRequest struct {
 	request      *request.Request
 	handedOverAt clock.Instant // zero while it is deferred, and if it is answered at once
-	held         bool          // its response is held back
 }
 
 // requestWindow decides when the requests of a connection are handed over to the event loop. A request whose response
--- a/internal/frontend/responsewriter.go
+++ b/internal/frontend/responsewriter.go
@@ -77,7 +77,6 @@
 	mu        sync.Mutex // guards the fields below
 	requests  map[uint32]openRequest
 	window    requestWindow
-	held      heldResponses
 	queue     outputQueue
 	state     writerState
 	stalled   bool // the client takes no output, as of the last sweep
@@ -132,7 +131,7 @@
 }
 
 func (w *responseWriter) busyLocked() bool {
-	return len(w.requests) > 0 || w.hasUnwrittenLocked() || w.holdsControlLocked()
+	return len(w.requests) > 0 || w.hasUnwrittenLocked()
 }
 
 // hasUnwritten reports whether output is not completely written.
@@ -171,11 +170,11 @@
 	return now.Sub(w.lastLargeWritten)
 }
 
-// full reports whether so many requests are open and frames unwritten or held back that the connection is not read on.
+// full reports whether so many requests are open and frames unwritten that the connection is not read on.
 func (w *responseWriter) full() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return len(w.requests)+w.unwrittenLocked()+w.heldBesidesRequestsLocked() >= maxFrames
+	return len(w.requests)+w.unwrittenLocked() >= maxFrames
 }
 
 // awaitRoom waits until the connection is not full any more, or the context is done.
@@ -214,12 +213,20 @@
 // Respond implements request.ResponseWriter. It does not accept a response to a request that was already answered or
 // cancelled.
 func (w *responseWriter) Respond(r *request.Request, response request.Response) bool {
+	if !w.queueAnswer(r, response) {
+		return false
+	}
+	w.signal()
+	return true
+}
+
+// queueAnswer is like Respond, and leaves it to the caller to signal run, so that several frames are written together.
+func (w *responseWriter) queueAnswer(r *request.Request, response request.Response) bool {
 	if !w.queueResponse(r, response) {
 		response.Body.Free()
 		return false
 	}
 	w.metrics.RequestAnswered(r.ClassName, response.Result, response.Reason)
-	w.signal()
 	return true
 }
 
@@ -238,12 +245,17 @@
 
 // sendControl queues a control frame, which answers no request.
 func (w *responseWriter) sendControl(frame []byte) {
+	w.queueControl(frame)
+	w.signal()
+}
+
+// queueControl is like sendControl, and leaves it to the caller to signal run.
+func (w *responseWriter) queueControl(frame []byte) {
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	if w.state == writerAccepting {
 		w.queue.Push(outgoingFrame{header: frame})
 	}
-	w.mu.Unlock()
-	w.signal()
 }
 
 // cancel records that the client no longer waits for a stream. If the request is open and was handed over, cancel
@@ -256,9 +268,6 @@
 		r := open.request
 		delete(w.requests, streamID)
 		w.recordCancelled(r, reason)
-		if open.held {
-			return nil
-		}
 		if w.removeDeferredLocked(r) {
 			release(r)
 			return nil
@@ -309,9 +318,6 @@
 	var cancelled []*request.Request
 	for _, open := range w.requests {
 		w.recordCancelled(open.request, request.ConnectionEnded)
-		if open.held {
-			continue
-		}
 		if w.removeDeferredLocked(open.request) {
 			release(open.request)
 			continue
@@ -324,7 +330,6 @@
 	if w.window.review != nil {
 		w.window.review.Stop()
 	}
-	w.closeHeldLocked()
 	w.requests = nil
 	return cancelled
 }
--- a/internal/frontend/waitbudget.go
+++ b/internal/frontend/waitbudget.go
@@ -15,6 +15,9 @@
 	// one wait or several in a row. After it requests are rejected.
 	maxShareWait = maxReadLag / 2
 
+	// minShareWait is the shortest wait: shorter ones would cost more than the room that comes in them.
+	minShareWait = maxShareWait / 8
+
 	// waitRefillShare is the part of the time without a wait that may be waited for later.
 	waitRefillShare = 0.5
 )
@@ -27,17 +30,24 @@
 	updatedAt clock.Instant // end of the last wait
 }
 
-// available returns how long the reader may wait now.
+// available returns how long the reader may wait now, 0 for less than minShareWait.
 func (b *waitBudget) available(now clock.Instant) time.Duration {
 	if b.updatedAt.IsZero() {
 		return maxShareWait
 	}
 	refill := time.Duration(waitRefillShare * float64(now.Sub(b.updatedAt)))
+	if b.left+refill < minShareWait {
+		return 0
+	}
 	return min(b.left+refill, maxShareWait)
 }
 
-// spend records a wait.
+// spend records a wait. One for which no time was available changes nothing.
 func (b *waitBudget) spend(from, to clock.Instant) {
-	b.left = max(b.available(from)-to.Sub(from), 0)
+	available := b.available(from)
+	if available == 0 {
+		return
+	}
+	b.left = max(available-to.Sub(from), 0)
 	b.updatedAt = to
 }
--- a/internal/netconn/read.go
+++ b/internal/netconn/read.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"os"
+	"sync"
 	"time"
 
 	"cairnfront/internal/clock"
@@ -19,6 +20,12 @@
 	floodReadPause = 5 * time.Millisecond
 )
 
+// discardBufferBytes is the size of the pieces in which long input is dropped.
+const discardBufferBytes = 32 << 10
+
+// discardBuffers are the buffers for input that is dropped. None is in use while a read waits.
+var discardBuffers = sync.Pool{New: func() any { return new([discardBufferBytes]byte) }}
+
 // ErrLineTooLong is returned for a line that does not fit in the ring buffer.
 var ErrLineTooLong = errors.New("line too long")
 
@@ -66,19 +73,37 @@
 	}
 }
 
-// Discard reads and drops n bytes.
+// BufferedBytes returns how many bytes can be read without a read from the socket. It must be called from the reading
+// goroutine.
+func (c *Conn) BufferedBytes() int { return c.in.Len() }
+
+// Discard reads and drops n bytes. What does not fit into the ring buffer is read in larger pieces, as far as it has
+// arrived.
 func (c *Conn) Discard(n int) error {
 	for {
 		n -= c.in.Discard(n)
 		if n == 0 {
 			return nil
 		}
-		if err := c.fill(); err != nil {
+		if n > c.in.Free() && c.UnreadBytes() > int64(c.in.Free()) {
+			dropped, err := c.discardArrived(n)
+			if err != nil {
+				return err
+			}
+			n -= dropped
+		} else if err := c.fill(); err != nil {
 			return err
 		}
 	}
 }
 
+// discardArrived reads and drops up to n bytes of input that has arrived, with one read. The ring buffer must be empty.
+func (c *Conn) discardArrived(n int) (int, error) {
+	buffer := discardBuffers.Get().(*[discardBufferBytes]byte) //nolint:forcetypeassert // it holds nothing else
+	defer discardBuffers.Put(buffer)
+	return c.fillFrom(func() (int, error) { return c.raw.Read(buffer[:min(n, len(buffer))]) })
+}
+
 // DiscardUntilClosed reads and drops all input until an error: either the connection has ended, or a close was
 // requested and OnCloseRequest allowed it. After allowanceBytes it reads slowly.
 //
