frontend: a deferred request waits by its caller's time and the work left, not for half

What callers saw: a request that waited for room for its response was refused at half of its time, though it could still have been answered, and one that could not be answered in time waited all the same until then. Its refusal named 0.25 s to come back, whatever there was to wait for.

Change: a deferred request waits until its deadline, less the mean time that requests of its class took on the connection, less what its client needs for the bytes that are to be sent before; once that has passed it is refused at once, as it arrives too. Room is reserved for a response for the latency objective of its class, and a rejection names that objective and the time for what is unsent, within the settings' bound, also where the event loop's queue is full.

Evidence: TestDeferredRequestIsRejectedOnceItCannotBeInTime and TestHopelessRequestIsRejectedAtOnce in place of the check for half of the time (400 ms, of which requests take 80: refused after 320 ms, within 50; before, after 200), and TestRejectionNamesTheTimeOfTheBacklog.

--- a/cmd/cairnfront/serve.go
+++ b/cmd/cairnfront/serve.go
@@ -73,9 +73,6 @@
 	extensions *extensions // nil if there is no configuration file
 }
 
-// usualBacklogTime is how long a usual client takes for what a connection holds for it.
-const usualBacklogTime = 250 * time.Millisecond
-
 // pendingSignals is the number of signals that are buffered while one is handled. Further signals are dropped, as
 // signal.Notify does not block when it sends to a channel.
 const pendingSignals = 4
@@ -157,7 +154,9 @@
 			Admission:    controller,
 			Metrics:      metrics,
 			Requests:     dispatcher,
-			RetryAfter:   backlogRetryAfter(c.Settings),
+
+			LatencyObjectives: latencyObjectives(c.Settings, len(c.ClassNames)),
+			MaxRetryAfter:     maxRetryAfter(c.Settings),
 		},
 		discovery: &discovery.Client{
 			Address:        c.DiscoveryAddress,
@@ -169,13 +168,25 @@
 	}
 }
 
-// backlogRetryAfter returns the retry delay for a client whose own connection has no room for its request, 0 if the
-// settings allow none.
-func backlogRetryAfter(settings routing.Settings) time.Duration {
+// defaultObjectiveSeconds is the latency objective of a class whose settings have none, in seconds.
+const defaultObjectiveSeconds = 1.0
+
+// maxRetryAfter returns the longest delay that a rejection may ask for, 0 if the settings allow none.
+func maxRetryAfter(settings routing.Settings) time.Duration {
 	if !settings.Bool(routing.SettingRetryAfterAllowed) {
 		return 0
 	}
-	return min(usualBacklogTime, settingDuration(settings, routing.SettingMaxRetryAfter))
+	return settingDuration(settings, routing.SettingMaxRetryAfter)
+}
+
+// latencyObjectives returns the latency objectives of the classes, for a request without a size.
+func latencyObjectives(settings routing.Settings, classes int) []time.Duration {
+	objectives := make([]time.Duration, classes)
+	for i := range objectives {
+		name := routing.ClassSetting(routing.ClassIndex(i), routing.ClassLatencyObjective)
+		objectives[i] = time.Duration(settings.Float(name, defaultObjectiveSeconds) * float64(time.Second))
+	}
+	return objectives
 }
 
 // settingDuration returns the value of a setting in seconds as a duration, 0 if it is missing.
--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -44,7 +44,9 @@
 		admission: s.Admission,
 	}
 	c.OnCloseRequest = c.readyToClose
-	c.writer.share, c.writer.handOver, c.writer.rejection = &c.share, s.handOver, s.rejection
+	c.writer.share = &c.share
+	c.writer.handOver = func(r *request.Request) { s.handOver(r, c.writer) }
+	c.writer.objectives, c.writer.maxRetryAfter = s.LatencyObjectives, s.MaxRetryAfter
 	return c
 }
 
--- a/internal/frontend/framereader.go
+++ b/internal/frontend/framereader.go
@@ -139,7 +139,7 @@
 	}
 	payload := r.allocatePayload(h.PayloadBytes)
 	if payload == nil {
-		return r.discardRequest(req, h.PayloadBytes, r.server.rejection(request.ReasonMemoryShort))
+		return r.discardRequest(req, h.PayloadBytes, r.writer.rejection(req, request.ReasonMemoryShort))
 	}
 	if err := r.conn.ReadFull(payload.Bytes); err != nil {
 		payload.Free()
@@ -241,13 +241,13 @@
 	r.conn.carriedRequest.Store(true)
 	if reason := r.admit(req, arrivedAt); reason != request.ReasonNone {
 		req.Body.Free()
-		r.respondNow(req, r.server.rejection(reason))
+		r.respondNow(req, r.writer.rejection(req, reason))
 		return
 	}
 	r.misuse.reset()
 	r.turn.answered = false
 	if r.writer.openAdmitted(req) {
-		r.server.handOver(req)
+		r.server.handOver(req, r.writer)
 	}
 }
 
--- a/internal/frontend/outputqueue.go
+++ b/internal/frontend/outputqueue.go
@@ -1,6 +1,7 @@
 package frontend
 
 import (
+	"math"
 	"time"
 
 	"cairnfront/internal/clientproto"
@@ -39,6 +40,9 @@
 // SendOrder implements sendqueue.Item.
 func (f outgoingFrame) SendOrder() clock.Instant { return f.order }
 
+// maxInstant is later than any deadline.
+const maxInstant = clock.Instant(math.MaxInt64)
+
 // outputQueue orders the frames of a connection. Responses with a large body are sent by their deadlines.
 type outputQueue struct{ sendqueue.Queue[outgoingFrame] }
 
@@ -47,6 +51,21 @@
 	return q.RemoveFirst(func(f outgoingFrame) bool { return f.answered != nil && f.answered.streamID == streamID })
 }
 
+// bodyBytes returns the size of all bodies.
+func (q *outputQueue) bodyBytes() int { return q.bytesBefore(maxInstant) }
+
+// bytesBefore returns the size of the bodies that are sent before a response with a large body and a deadline: small
+// ones, and large ones with an earlier deadline.
+func (q *outputQueue) bytesBefore(deadline clock.Instant) int {
+	total := 0
+	for frame := range q.All() {
+		if frame.BodyBytes() <= sendqueue.MaxSmallBytes || frame.SendOrder() <= deadline {
+			total += frame.BodyBytes()
+		}
+	}
+	return total
+}
+
 // removeOverdue removes the responses with a large body that would not be written by their time, or by the limit if
 // that is earlier and not zero. writtenAt returns when a body of a size would be written if its frame were next.
 func (q *outputQueue) removeOverdue(limit clock.Instant, writtenAt func(bodyBytes int) clock.Instant) []outgoingFrame {
--- a/internal/frontend/requestwindow_test.go
+++ b/internal/frontend/requestwindow_test.go
@@ -29,7 +29,10 @@
 	smallClass
 )
 
-const windowBodyBytes = 200_000
+const (
+	windowBodyBytes = 200_000
+	testObjective   = 250 * time.Millisecond
+)
 
 // newTestWindow returns a writer that knows that responses of largeClass have windowBodyBytes.
 func newTestWindow(t *testing.T) *testWindow {
@@ -40,7 +43,7 @@
 		handedOver:     make(chan uint32, 99),
 	}
 	w.handOver = func(r *request.Request) { w.handedOver <- r.StreamID }
-	w.rejection = (&Server{}).rejection
+	w.objectives = []time.Duration{largeClass: testObjective, smallClass: testObjective}
 	w.window.sizes.record(&request.Request{Class: largeClass}, windowBodyBytes)
 	w.window.sizes.record(&request.Request{Class: smallClass}, 100)
 	t.Cleanup(func() {
@@ -115,30 +118,73 @@
 func TestSilentEndpointDoesNotHoldUpOtherRequests(t *testing.T) {
 	w := newTestWindow(t)
 	open := w.fill()
-	w.releaseOverdue(clock.Now().Add(expectationTime / 2))
+	w.releaseOverdue(clock.Now().Add(testObjective / 2))
 	time.Sleep(2 * deferralReviewInterval)
 	assert.Empty(t, w.handedOver)
-	w.releaseOverdue(clock.Now().Add(expectationTime))
+	w.releaseOverdue(clock.Now().Add(testObjective))
 	assert.EqualValues(t, len(open)+1, <-w.handedOver)
 }
 
-// Guards against a request that is refused late because it was deferred: it must be rejected by half of its time.
-func TestDeferredRequestIsRejectedInTime(t *testing.T) {
-	const timeout = 400 * time.Millisecond
+// Guards against a request that is refused while it could still be answered, and against one that is refused late: it
+// may be deferred until what is left of its time is what requests of its class take, and must be rejected then.
+func TestDeferredRequestIsRejectedOnceItCannotBeInTime(t *testing.T) {
+	const timeout, serviceTime = 400 * time.Millisecond, 80 * time.Millisecond
 	w := newTestWindow(t)
+	w.window.times.record(smallClass, serviceTime)
 	w.setStalled(true)
 	startedAt := time.Now()
 	_, handOver := w.open(1, smallClass, timeout)
 	assert.False(t, handOver, "the client takes no output")
 	require.Eventually(t, func() bool { return w.hasUnwritten() }, time.Minute, time.Millisecond)
-	assert.InDelta(t, maxDeferralShare*timeout.Seconds(), time.Since(startedAt).Seconds(),
-		2*deferralReviewInterval.Seconds())
+	assert.InDelta(t, (timeout - serviceTime).Seconds(), time.Since(startedAt).Seconds(), socketAllowance.Seconds())
 	assert.Empty(t, w.handedOver)
 	//nolint:testifylint // exact by intent
 	assert.EqualValues(t, 1,
 		w.metrics.Value(`requests_answered_total{class="",result="rejected",reason="output_backlog"}`))
 }
 
+// Guards against a request that waits although it is known as it arrives that it cannot be answered in time: with so
+// little time, or behind so much that its client takes slowly. Where there is time, it must be deferred.
+func TestHopelessRequestIsRejectedAtOnce(t *testing.T) {
+	for name, prepare := range map[string]func(w *testWindow){
+		"service time": func(w *testWindow) { w.window.times.record(smallClass, time.Second) },
+		"slow client": func(w *testWindow) {
+			w.pace.record(100_000, 100*time.Millisecond)
+			w.writingBodyBytes = 1_000_000
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newTestWindow(t)
+			w.setStalled(true)
+			prepare(w)
+			_, handOver := w.open(1, smallClass, 900*time.Millisecond)
+			assert.False(t, handOver)
+			assert.True(t, w.hasUnwritten(), "it is rejected")
+			_, handOver = w.open(2, smallClass, 10*time.Second)
+			assert.False(t, handOver)
+			assert.Equal(t, 1, w.openRequests(), "it is deferred")
+		})
+	}
+}
+
+// Guards against a client that is asked to stay away for a time that has nothing to do with what it waits for: the
+// requests that are open end within their objective, and unsent output takes the time that its client needs. No longer
+// time may be named than the settings allow.
+func TestRejectionNamesTheTimeOfTheBacklog(t *testing.T) {
+	w := newTestWindow(t)
+	r := &request.Request{Class: smallClass}
+	assert.Zero(t, w.rejection(r, request.ReasonTooManyRequests).RetryAfterSeconds, "the settings allow none")
+	w.maxRetryAfter = 2 * time.Second
+	assert.InDelta(t, testObjective.Seconds(), w.rejection(r, request.ReasonTooManyRequests).RetryAfterSeconds, 1e-9)
+	w.pace.record(100_000, 100*time.Millisecond)
+	w.writingBodyBytes = 500_000
+	want := testObjective.Seconds() + 0.5
+	assert.InDelta(t, want, w.rejection(r, request.ReasonOutputBacklog).RetryAfterSeconds, 1e-6)
+	w.writingBodyBytes = 50_000_000
+	assert.InDelta(t, 2, w.rejection(r, request.ReasonOutputBacklog).RetryAfterSeconds, 1e-9)
+	w.writingBodyBytes = 0
+}
+
 // Guards against a deferred request that is handed over although its client has cancelled it, and against one whose
 // client reads again and that stays deferred.
 func TestDeferredRequestIsCancelledOrHandedOver(t *testing.T) {
--- a/internal/frontend/responsewriter.go
+++ b/internal/frontend/responsewriter.go
@@ -70,14 +70,17 @@
 	admission *admission.Controller
 	share     *request.Share           // of the connection
 	handOver  func(r *request.Request) // hands a deferred request over to the event loop
-	rejection func(reason request.Reason) request.Response
-	wake      chan struct{} // receives a token when run has work to do
-	room      chan struct{} // receives a token when the reader may go on
+	wake      chan struct{}            // receives a token when run has work to do
+	room      chan struct{}            // receives a token when the reader may go on
+
+	objectives    []time.Duration // latency objectives by class, of requests without a size
+	maxRetryAfter time.Duration   // longest retry delay of a rejection; 0 for none
 
 	mu        sync.Mutex // guards the fields below
 	requests  map[uint32]openRequest
 	window    requestWindow
 	queue     outputQueue
+	pace      outputPace
 	state     writerState
 	stalled   bool // the client takes no output, as of the last sweep
 	finishing bool // run returns once no request is open and all output is written
@@ -102,7 +105,7 @@
 		admission: a,
 		share:     &request.Share{},
 		requests:  map[uint32]openRequest{},
-		window:    requestWindow{sizes: responseSizes{}},
+		window:    requestWindow{sizes: responseSizes{}, times: serviceTimes{}},
 		wake:      make(chan struct{}, 1),
 		room:      make(chan struct{}, 1),
 	}
@@ -237,8 +240,8 @@
 	if w.state == writerClosed || w.requests[r.StreamID].request != r {
 		return false
 	}
+	w.recordResponseLocked(w.requests[r.StreamID], response)
 	delete(w.requests, r.StreamID)
-	w.recordSizeLocked(r, response)
 	w.queue.Push(newResponseFrame(r, response, clock.Now()))
 	return true
 }
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -49,7 +49,9 @@
 	Admission    *admission.Controller
 	Metrics      *telemetry.Metrics
 	Requests     RequestSink
-	RetryAfter   time.Duration // sent to a client whose connection has no room for its request; 0 for no recommendation
+
+	LatencyObjectives []time.Duration // of the classes, for a request without a size
+	MaxRetryAfter     time.Duration   // longest delay that a rejection asks for; 0 for none
 
 	mu             sync.Mutex // guards the fields below
 	listener       net.Listener
@@ -97,21 +99,12 @@
 	}
 }
 
-// rejection returns the response to a request that is rejected because of what its own connection holds.
-func (s *Server) rejection(reason request.Reason) request.Response {
-	return request.Response{
-		Result:            request.Rejected,
-		Reason:            reason,
-		RetryAfterSeconds: s.RetryAfter.Seconds(),
-	}
-}
-
 // handOver hands an admitted request over to the event loop, or rejects it if the loop's queue is full.
-func (s *Server) handOver(r *request.Request) {
+func (s *Server) handOver(r *request.Request, w *responseWriter) {
 	if !s.Requests.RequestArrived(r) {
 		r.Body.Free()
 		r.Done()
-		r.ResponseWriter.Respond(r, request.Response{Result: request.Rejected, Reason: request.ReasonQueueFull})
+		w.Respond(r, w.rejection(r, request.ReasonQueueFull))
 	}
 }
 
--- a/internal/frontend/writeloop.go
+++ b/internal/frontend/writeloop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"cairnfront/internal/clientproto"
 	"cairnfront/internal/clock"
@@ -27,7 +28,6 @@
 	*responseWriter
 	conn    *netconn.Conn
 	pending []writtenFrame // in the order of the output
-	pace    outputPace
 }
 
 // run writes queued frames until the context is done, the socket fails, or, after finish, all output is written. Frames
@@ -121,11 +121,18 @@
 		return err
 	}
 	if size := frame.body.Len(); size > sendqueue.MaxSmallBytes {
-		f.pace.record(size, clock.Now().Sub(start))
+		f.recordPace(size, clock.Now().Sub(start))
 	}
 	return nil
 }
 
+// recordPace records how long the client took for a body.
+func (f *frameWriter) recordPace(bodyBytes int, took time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.pace.record(bodyBytes, took)
+}
+
 // recordAccepted records the frames that the socket has accepted completely, and that no body is being written. What
 // is left of a body in the output ring buffer does not count.
 func (f *frameWriter) recordAccepted() {
--- a/internal/sendqueue/sendqueue.go
+++ b/internal/sendqueue/sendqueue.go
@@ -3,6 +3,7 @@
 package sendqueue
 
 import (
+	"iter"
 	"slices"
 
 	"cairnfront/internal/clock"
@@ -42,6 +43,19 @@
 // HasLarge reports whether an item with a large body waits.
 func (q *Queue[T]) HasLarge() bool { return len(q.large) > 0 }
 
+// All returns an iterator over all items, in no particular order.
+func (q *Queue[T]) All() iter.Seq[T] {
+	return func(yield func(T) bool) {
+		for _, items := range [2][]T{q.small, q.large} {
+			for _, item := range items {
+				if !yield(item) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // Push adds an item.
 func (q *Queue[T]) Push(item T) {
 	if item.BodyBytes() <= MaxSmallBytes {
