routing: a request waits in the queue by its caller's time and how long attempts take

What callers saw: with less time than the class's latency objective, a request without a place was refused 6 ms before its deadline, though it was known before that no attempt could be in time.

Cause: queueUntil did not look at the deadline.

Change: a request is queued until its latency objective (a setting) or its deadline, the earlier one, less the time that its attempt is expected to take: that of nine in ten of the last 64 attempts for their size, at least the sending times that follow from the limits. Refused at once if that has passed as it arrives.

--- a/routing/decide.go
+++ b/routing/decide.go
@@ -32,6 +32,7 @@
 	purgesDroppedUntil float64
 
 	slownessSamples   []float64 // slowness of recent completed or lost attempts, see attempt.slowness and maxSlowness
+	usualSlowness     float64   // quantile of slownessSamples, 0 if they have changed since it was computed
 	unansweredSamples []float64 // recent attempts slower than all slownessSamples, 1 if timed out or cancelled
 	missSamples       []float64 // recent attempts that expected a miss, 1 for one that was filled
 }
--- a/routing/outcome.go
+++ b/routing/outcome.go
@@ -83,7 +83,7 @@
 		}
 	}
 	r.recordResult(a.target, false)
-	r.slownessSamples = appendSample(r.slownessSamples, slowness, maxSlownessSamples)
+	r.recordSlowness(slowness)
 	filled := !end.answeredFromCache()
 	if filled && a.hasSource() {
 		a.source.recordResponse(r.now)
--- a/routing/outlier.go
+++ b/routing/outlier.go
@@ -63,7 +63,7 @@
 		return false
 	}
 	raised := lostSlownessFactor * slowness // the next such attempt waits longer
-	r.slownessSamples = appendSample(r.slownessSamples, raised, maxSlownessSamples)
+	r.recordSlowness(raised)
 	return true
 }
 
@@ -125,6 +125,12 @@
 	return greatest
 }
 
+// recordSlowness records the slowness of an attempt that has completed, or was presumed lost.
+func (r *Router) recordSlowness(slowness float64) {
+	r.slownessSamples = appendSample(r.slownessSamples, slowness, maxSlownessSamples)
+	r.usualSlowness = 0
+}
+
 // recordSlowest records whether an ended attempt that was slower than all slownessSamples timed out or was cancelled.
 // All other results count as answered. It has no effect until there are maxSlownessSamples.
 func (r *Router) recordSlowest(slowness float64, result AttemptResult) {
--- a/routing/router.go
+++ b/routing/router.go
@@ -1,12 +1,18 @@
 package routing
 
+import "slices"
+
 const (
 	deadlineMarginSeconds = 0.006 // margin before the deadline for giving up a request: a few clock ticks
-	queueShare            = 0.8   // share of the objective within which a queued request's attempt has to end
-	queuedSendTimes       = 2.0   // sending times expected for a queued request's attempt: its paths are full
 	queueRecheckSeconds   = 0.1   // interval between plans of a queued request from queueUntil on, without other events
 	maxQueuePlans         = 12    // queued requests of each kind planned after an attempt's end: bounds the work
 	unknownSizeKB         = 1.0   // assumed size of a chunk of unknown size: all chunks count the same
+
+	// minQueuedSendTimes is how many sending times the attempt of a queued request takes at least: its paths are at their
+	// limits, so that as many attempts share each transfer of capacity.
+	minQueuedSendTimes = limitPerCapacity
+	minSlownessSamples = 8   // slownessSamples required before their quantile is used
+	usualSlownessShare = 0.9 // share of the recent attempts that were at most as slow as a queued one is expected to be
 )
 
 // updateEndpoints applies an endpoint update. An endpoint that has restarted is empty, in slow start and without
@@ -60,7 +66,7 @@
 		r.addAttempt(req, next)
 	case queueRequest:
 		r.moveRequest(req, requestQueued)
-		req.wakeAt = min(req.wakeAt, max(queueUntil(req), r.now+queueRecheckSeconds))
+		req.wakeAt = min(req.wakeAt, max(r.queueUntil(req), r.now+queueRecheckSeconds))
 		req.pausedUntil = pauseEnd(req)
 		if req.pausedUntil > r.now {
 			req.wakeAt = min(req.wakeAt, req.pausedUntil)
@@ -111,17 +117,34 @@
 // giveUpTime returns when a request is given up, so that its final action precedes the client's deadline.
 func giveUpTime(req *request) float64 { return req.Deadline - deadlineMarginSeconds }
 
-// queueUntil returns the latest time at which an attempt on paths at their limits can start and still be in time.
-func queueUntil(req *request) float64 {
-	return req.arrivedAt + queueShare*req.objectiveSeconds - queuedSendTimes*req.sendSeconds
+// queueUntil returns the latest time at which the attempt of a queued request can start and still end within the latency
+// objective of the settings, and within the client's time.
+func (r *Router) queueUntil(req *request) float64 {
+	return min(req.arrivedAt+req.objectiveSeconds, giveUpTime(req)) - r.queuedAttemptSeconds(req)
+}
+
+// queuedAttemptSeconds returns how long the attempt of a queued request is expected to take, on paths at their limits:
+// as long, for its size, as the slower ones of the recent attempts.
+func (r *Router) queuedAttemptSeconds(req *request) float64 {
+	least := minQueuedSendTimes * req.sendSeconds
+	if len(r.slownessSamples) < minSlownessSamples {
+		return least
+	}
+	if r.usualSlowness == 0 { // the samples have changed
+		sorted := slices.Sorted(slices.Values(r.slownessSamples))
+		r.usualSlowness = sorted[int(usualSlownessShare*float64(len(sorted)))]
+	}
+	suspectSeconds := suspectTime(0, r.class(req.Class).objectiveSeconds, req.sendSeconds)
+	return max(least, r.usualSlowness*suspectSeconds)
 }
 
 // worthQueueing reports whether a request may wait in the queue for capacity. It guards against attempts that are sent
-// too late to be useful and take capacity from other requests, visible as late answers after a burst has ended. Until
-// queueUntil, an attempt on paths at their limits still ends in time. Without a ready edge cache in the zone no request
-// waits.
+// too late to be useful and take capacity from other requests, visible as late answers after a burst has ended; and
+// against rejections that come when the client's time is nearly over, though it was known before that no attempt could
+// be in time. Until queueUntil one is. Without a ready edge cache in the zone no
+// request waits.
 func (r *Router) worthQueueing(req *request) bool {
-	return r.now < queueUntil(req) && len(r.caches.endpoints) > 0
+	return r.now < r.queueUntil(req) && len(r.caches.endpoints) > 0
 }
 
 // addAttempt adds an attempt to a request and sets its retention rank, maximum copy age and suspicion time.
