routing: a request that must not run twice is remembered by number, not for ten seconds

What callers saw: a request that may have run, must not run twice and came again with its id after 10 s was sent on.

Change: ended requests are forgotten only when 4,096 later ones have taken their place, which bounded the memory before.

--- a/routing/decide.go
+++ b/routing/decide.go
@@ -27,7 +27,7 @@
 	maxPurges          int                    // limits the number of purges
 	sweptAt            float64                // time of the last sweep for idle objects
 	endedIDs           map[RequestID]struct{} // of endedRequests
-	endedRequests      []endedRequest         // oldest first
+	endedRequests      []RequestID            // oldest first
 	purges             map[purgeKey]float64   // time of the latest purge of each key
 	purgesDroppedUntil float64
 
--- a/routing/retry.go
+++ b/routing/retry.go
@@ -12,16 +12,9 @@
 	retryAfterMeanSeconds    = 1.5  // mean delay before a rejected client retries: congestion lasts seconds
 	retryAfterMinShare       = 0.5  // minimum as a share of the mean; a random part of up to the mean is added
 
-	repeatSeconds  = 10.0 // for how long a repeat of an ended request is recognized: longer than clients try again
-	maxRepeatables = 4096 // bounds the memory for ended requests
+	maxRepeatables = 4096 // ended requests that are remembered: bounds the memory
 )
 
-// endedRequest is a request that has ended, may have run, and must not run again.
-type endedRequest struct {
-	id RequestID
-	at float64
-}
-
 // rememberEnded remembers a request that has ended, if it may have run and endpoints would run it again.
 func (r *Router) rememberEnded(req *request) {
 	if !r.runsAgain(req) || !slices.ContainsFunc(req.attempts, (*attempt).mayHaveRun) {
@@ -31,7 +24,7 @@
 		return
 	}
 	r.endedIDs[req.Request] = struct{}{}
-	r.endedRequests = append(r.endedRequests, endedRequest{id: req.Request, at: r.now})
+	r.endedRequests = append(r.endedRequests, req.Request)
 	r.expireEnded()
 }
 
@@ -43,16 +36,15 @@
 	return class.effect != Idempotent && !recognized
 }
 
-// expireEnded forgets ended requests after repeatSeconds, and the oldest ones if there are too many.
+// expireEnded forgets the oldest ended requests if there are too many. They are not forgotten by their age: an id is new
+// with every request, so one that comes again is a repeat, however late.
 func (r *Router) expireEnded() {
 	expired := max(len(r.endedRequests)-maxRepeatables, 0)
-	for expired < len(r.endedRequests) && r.now-r.endedRequests[expired].at > repeatSeconds {
-		expired++
-	}
 	for _, ended := range r.endedRequests[:expired] {
-		delete(r.endedIDs, ended.id)
+		delete(r.endedIDs, ended)
 	}
-	r.endedRequests = slices.Delete(r.endedRequests, 0, expired)
+	clear(r.endedRequests[:expired]) // their ids are not referred to any more
+	r.endedRequests = r.endedRequests[expired:]
 }
 
 // repeatsEnded reports whether an arriving request has the id of one that has ended, may have run, and would run again
@@ -60,7 +52,6 @@
 //
 // It guards against a client that leaves before the answer and sends the same request on a new connection.
 func (r *Router) repeatsEnded(arrived RequestArrived) bool {
-	r.expireEnded()
 	_, known := r.endedIDs[arrived.Request]
 	return known
 }
--- a/routing/retry_test.go
+++ b/routing/retry_test.go
@@ -166,7 +166,7 @@
 		"did not run":          {NonIdempotent, NotSent, 1, false},
 		"idempotent":           {Idempotent, Cancelled, 1, false},
 		"key known everywhere": {WithIdempotencyKey, Cancelled, 1, false},
-		"long ago":             {NonIdempotent, Cancelled, repeatSeconds + 2, false},
+		"an hour later":        {NonIdempotent, Cancelled, 3600, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := newTestRouter(test.effect)
