routing: a rejection names the latency objective as the time to come back

What callers saw: a rejected client was asked to stay away for 0.75 to 2.25 s, within the settings' bound, whatever its request, also with less time than that left.

Change: the mean is the request's latency objective, which depends on its size: by then the attempts are to have ended that have the capacity. It is spread by half as before, so that clients do not come back together.

Evidence: TestRetryAfterFollowsTheLatencyObjective, which does not build on the text before.

--- a/routing/retry.go
+++ b/routing/retry.go
@@ -9,7 +9,6 @@
 	idempotencyMarginSeconds = 0.25 // margin before the end of the idempotency window: travel time to the endpoint
 	sendMarginSeconds        = 0.05 // margin before the latest time of sending: time until the socket is written
 	endpointPauseSeconds     = 0.1  // delay after an attempt's end before its request uses that endpoint again
-	retryAfterMeanSeconds    = 1.5  // mean delay before a rejected client retries: congestion lasts seconds
 	retryAfterMinShare       = 0.5  // minimum as a share of the mean; a random part of up to the mean is added
 
 	maxRepeatables = 4096 // ended requests that are remembered: bounds the memory
@@ -170,13 +169,14 @@
 	if class.effect != Idempotent && !recognized && slices.ContainsFunc(req.attempts, (*attempt).mayHaveRun) {
 		return AbortRequest{Request: req.Request}
 	}
-	return RejectRequest{Request: req.Request, RetryAfterSeconds: r.retryAfterSeconds()}
+	return RejectRequest{Request: req.Request, RetryAfterSeconds: r.retryAfterSeconds(req)}
 }
 
-// retryAfterSeconds returns the delay before a rejected client retries, 0 if unset. The delay is random, so that
-// clients that were rejected together do not retry together.
-func (r *Router) retryAfterSeconds() float64 {
-	drawn := retryAfterMeanSeconds * (retryAfterMinShare + r.nextRandom())
+// retryAfterSeconds returns the delay before the client of a rejected request retries, 0 if unset. Its mean is the latency
+// objective: by then the attempts are to have ended that took the capacity. The delay is random, so that clients that
+// were rejected together do not retry together.
+func (r *Router) retryAfterSeconds(req *request) float64 {
+	drawn := req.objectiveSeconds * (retryAfterMinShare + r.nextRandom())
 	if !r.settings.Bool(SettingRetryAfterAllowed) {
 		drawn = 0 // after the draw, so that settings do not change the random sequence
 	}
--- a/routing/retry_test.go
+++ b/routing/retry_test.go
@@ -189,6 +189,24 @@
 	}
 }
 
+// Guards against a client that is asked to stay away for a time that has nothing to do with what it waits for, and
+// against clients that all come back together: the attempts that have the capacity end within the latency objective.
+func TestRetryAfterFollowsTheLatencyObjective(t *testing.T) {
+	r := newTestRouter(Idempotent)
+	const objective, count = 0.5 + 2*0.1, 200
+	var sum float64
+	for range count {
+		after := r.retryAfterSeconds(&request{objectiveSeconds: objective})
+		assert.GreaterOrEqual(t, after, 0.5*objective)
+		assert.LessOrEqual(t, after, 1.5*objective)
+		sum += after
+	}
+	assert.InDelta(t, objective, sum/count, 0.1*objective)
+	assert.InDelta(t, 2, r.retryAfterSeconds(&request{objectiveSeconds: 60}), 1e-9, "the longest that is allowed")
+	r.settings[SettingRetryAfterAllowed] = "false"
+	assert.Zero(t, r.retryAfterSeconds(&request{objectiveSeconds: objective}))
+}
+
 // Guards against memory that grows with the requests that have ended.
 func TestEndedRequestsAreLimited(t *testing.T) {
 	r := newTestRouter(NonIdempotent)
