edge-cache: work that would end after the request's deadline is refused as it arrives

What callers saw: an edge cache with work queued took a request whose time would be over before its work, let it wait and spent a core on it; the router heard nothing until the deadline.

Change: Process is given the deadline and refuses work that would end after it, without taking a core's time.

Evidence: TestWorkThatEndsTooLateIsRefusedAtOnce; it does not build on the text before, whose model accepts all four.

--- a/internal/edgecache/capacity/model.go
+++ b/internal/edgecache/capacity/model.go
@@ -41,16 +41,21 @@
 	return m.InitialCoreShare + (1-m.InitialCoreShare)*max(now-m.StartedAt, 0)/m.WarmUpSeconds
 }
 
-// Process queues a request's work and returns when it will be done. accepted is false if too much work is queued.
-func (m *Model) Process(now float64) (doneAt float64, accepted bool) {
+// Process queues a request's work and returns when it will be done. accepted is false if too much work is queued, or if
+// the work would end after the request's deadline: it is then refused before it uses a core for nothing.
+func (m *Model) Process(now, deadline float64) (doneAt float64, accepted bool) {
 	if m.Cores <= 0 || m.WorkSeconds <= 0 {
 		return now, true
 	}
 	if m.coresFreeAt-now > maxQueueSeconds {
 		return 0, false
 	}
-	m.coresFreeAt = max(m.coresFreeAt, now) + m.WorkSeconds/(m.Cores*max(m.AvailableCoreShare(now), minCoreShare))
-	return m.coresFreeAt, true
+	doneAt = max(m.coresFreeAt, now) + m.WorkSeconds/(m.Cores*max(m.AvailableCoreShare(now), minCoreShare))
+	if doneAt > deadline {
+		return 0, false
+	}
+	m.coresFreeAt = doneAt
+	return doneAt, true
 }
 
 // Transmit returns when a response of the given size, whose work is done at doneAt, will have been transmitted.
--- a/internal/edgecache/capacity/model_test.go
+++ b/internal/edgecache/capacity/model_test.go
@@ -15,13 +15,29 @@
 	accepted := func(now float64) (n int) {
 		m.coresFreeAt = 0
 		for ok := true; ok; n++ {
-			_, ok = m.Process(now)
+			_, ok = m.Process(now, now+60)
 		}
 		return n
 	}
 	assert.Less(t, accepted(100)*3, accepted(200))
 }
 
+// TestWorkThatEndsTooLateIsRefusedAtOnce offers work whose requester will not wait for its end, behind other work. It must
+// be refused as it arrives and take no time of the cores, so that one with more time is still accepted.
+func TestWorkThatEndsTooLateIsRefusedAtOnce(t *testing.T) {
+	m := &Model{Params: Params{Cores: 1, WorkSeconds: 0.1}}
+	_, accepted := m.Process(10, 10.05)
+	assert.False(t, accepted, "the work itself takes longer")
+	doneAt, accepted := m.Process(10, 10.15)
+	assert.True(t, accepted)
+	assert.InDelta(t, 10.1, doneAt, 1e-9)
+	_, accepted = m.Process(10, 10.15)
+	assert.False(t, accepted, "it would wait for the first one")
+	doneAt, accepted = m.Process(10, 10.25)
+	assert.True(t, accepted)
+	assert.InDelta(t, 10.2, doneAt, 1e-9)
+}
+
 // TestLinkTransmitsInOrder sends several bodies over the modelled link. Each must wait until the previous one has been
 // transmitted; a link that transmitted them in parallel would show no congestion.
 func TestLinkTransmitsInOrder(t *testing.T) {
--- a/internal/edgecache/request.go
+++ b/internal/edgecache/request.go
@@ -51,7 +51,7 @@
 		return
 	}
 	r.class = class
-	doneAt, accepted := s.capacity.Process(now)
+	doneAt, accepted := s.capacity.Process(now, r.deadline)
 	if !accepted {
 		s.Telemetry.Inc(telemetry.CacheOverloaded)
 		s.respond(r, cacheproto.AttemptReply{Result: routing.Overloaded}, nil)
