--- a/internal/edgecache/capacity/model_test.go
+++ b/internal/edgecache/capacity/model_test.go
@@ -22,8 +22,8 @@
 	assert.Less(t, accepted(100)*3, accepted(200))
 }
 
-// TestWorkThatEndsTooLateIsRefusedAtOnce offers work whose requester will not wait for its end, behind other work. It must
-// be refused as it arrives and take no time of the cores, so that one with more time is still accepted.
+// TestWorkThatEndsTooLateIsRefusedAtOnce offers work whose requester will not wait for its end, behind other work. It
+// must be refused as it arrives and take no time of the cores, so that one with more time is still accepted.
 func TestWorkThatEndsTooLateIsRefusedAtOnce(t *testing.T) {
 	m := &Model{Params: Params{Cores: 1, WorkSeconds: 0.1}}
 	_, accepted := m.Process(10, 10.05)
--- a/routing/retry.go
+++ b/routing/retry.go
@@ -35,8 +35,8 @@
 	return class.effect != Idempotent && !recognized
 }
 
-// expireEnded forgets the oldest ended requests if there are too many. They are not forgotten by their age: an id is new
-// with every request, so one that comes again is a repeat, however late.
+// expireEnded forgets the oldest ended requests if there are too many. They are not forgotten by their age: an id is
+// new with every request, so one that comes again is a repeat, however late.
 func (r *Router) expireEnded() {
 	expired := max(len(r.endedRequests)-maxRepeatables, 0)
 	for _, ended := range r.endedRequests[:expired] {
@@ -172,8 +172,8 @@
 	return RejectRequest{Request: req.Request, RetryAfterSeconds: r.retryAfterSeconds(req)}
 }
 
-// retryAfterSeconds returns the delay before the client of a rejected request retries, 0 if unset. Its mean is the latency
-// objective: by then the attempts are to have ended that took the capacity. The delay is random, so that clients that
+// retryAfterSeconds returns the delay before the client of a rejected request retries, 0 if unset. Its mean is the
+// latency objective: by then the attempts are to have ended that took the capacity. The delay is random, so that clients that
 // were rejected together do not retry together.
 func (r *Router) retryAfterSeconds(req *request) float64 {
 	drawn := req.objectiveSeconds * (retryAfterMinShare + r.nextRandom())
--- a/routing/router.go
+++ b/routing/router.go
@@ -8,8 +8,8 @@
 	maxQueuePlans         = 12    // queued requests of each kind planned after an attempt's end: bounds the work
 	unknownSizeKB         = 1.0   // assumed size of a chunk of unknown size: all chunks count the same
 
-	// minQueuedSendTimes is how many sending times the attempt of a queued request takes at least: its paths are at their
-	// limits, so that as many attempts share each transfer of capacity.
+	// minQueuedSendTimes is how many sending times the attempt of a queued request takes at least: its paths are at
+	// their limits, so that as many attempts share each transfer of capacity.
 	minQueuedSendTimes = limitPerCapacity
 	minSlownessSamples = 8   // slownessSamples required before their quantile is used
 	usualSlownessShare = 0.9 // share of the recent attempts that were at most as slow as a queued one is expected to be
@@ -117,8 +117,8 @@
 // giveUpTime returns when a request is given up, so that its final action precedes the client's deadline.
 func giveUpTime(req *request) float64 { return req.Deadline - deadlineMarginSeconds }
 
-// queueUntil returns the latest time at which the attempt of a queued request can start and still end within the latency
-// objective of the settings, and within the client's time.
+// queueUntil returns the latest time at which the attempt of a queued request can start and still end within the
+// latency objective of the settings, and within the client's time.
 func (r *Router) queueUntil(req *request) float64 {
 	return min(req.arrivedAt+req.objectiveSeconds, giveUpTime(req)) - r.queuedAttemptSeconds(req)
 }
--- a/routing/router_test.go
+++ b/routing/router_test.go
@@ -73,8 +73,8 @@
 	}
 }
 
-// The attempt of a queued request takes as long as recent ones did. Where these were slow for their size, fewer requests
-// must wait, as their attempts would end too late.
+// The attempt of a queued request takes as long as recent ones did. Where these were slow for their size, fewer
+// requests must wait, as their attempts would end too late.
 func TestQueueTimeFollowsHowSlowAttemptsAre(t *testing.T) {
 	r := newTestRouter(Idempotent)
 	req := &request{RequestArrived: newArrival("t", "x"), arrivedAt: 100, objectiveSeconds: 0.7, sendSeconds: 0.1}
