--- a/routing/retry.go
+++ b/routing/retry.go
@@ -173,8 +173,8 @@
 }
 
 // retryAfterSeconds returns the delay before the client of a rejected request retries, 0 if unset. Its mean is the
-// latency objective: by then the attempts are to have ended that took the capacity. The delay is random, so that clients that
-// were rejected together do not retry together.
+// latency objective: by then the attempts are to have ended that took the capacity. The delay is random, so that
+// clients that were rejected together do not retry together.
 func (r *Router) retryAfterSeconds(req *request) float64 {
 	drawn := req.objectiveSeconds * (retryAfterMinShare + r.nextRandom())
 	if !r.settings.Bool(SettingRetryAfterAllowed) {
