frontend: a turn at the processor lasts 250 us, and does not sleep

Cause: a turn ended after eight frames, whatever they cost. Short ones were read at some 20 KB/s, and TCP opens a full window only after tens of KB. Readers that slept after a turn were also run before those that yield (runtime.Gosched), which wait in the global queue.

Change: a turn lasts 250 us to the end of a frame, so that hundreds of connections have theirs within 80 ms, and yields as other readers do. A reader that had to wait for its input does not yield besides.

--- a/internal/frontend/framereader.go
+++ b/internal/frontend/framereader.go
@@ -68,7 +68,7 @@
 		if err := r.awaitRoom(); err != nil {
 			return err
 		}
-		if !r.turn.held {
+		if !r.turn.held && r.turn.inputWaited {
 			runtime.Gosched() // a reader that always has input would delay all others by its time slice
 		}
 	}
--- a/internal/frontend/processorturn.go
+++ b/internal/frontend/processorturn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime"
 	"time"
 
 	"cairnfront/internal/clientproto"
@@ -13,12 +14,9 @@
 	// inputWaitTime is how long a read takes at least that has to wait for input: far longer than one that does not.
 	inputWaitTime = 100 * time.Microsecond
 
-	// maxFramesPerTurn is how many frames a connection handles in one turn: few, so that the turn passes on soon.
-	maxFramesPerTurn = 8
-
-	// turnPause is the time between two turns if there is more to do. It is the shortest in which the runtime looks at
-	// all sockets: while a goroutine can run, it does so only every 10 ms.
-	turnPause = 50 * time.Microsecond
+	// maxTurnTime is how long a turn lasts, to the end of a frame: so short that hundreds of connections have theirs
+	// within maxReadLag.
+	maxTurnTime = 250 * time.Microsecond
 
 	// maxTurnWait is how long a frame waits for a turn. After that it would be rejected as read late in any case.
 	maxTurnWait = maxReadLag
@@ -36,11 +34,11 @@
 // answers of a turn are written together. A reader with the turn reads only what has arrived, so it never blocks, and
 // all others run between two turns.
 type processorTurn struct {
-	answered     bool          // the reader has answered the last frame itself
-	inputWaited  bool          // the last read found its input
-	readStart    clock.Instant // of the current header
-	held         bool
-	framesInTurn int
+	answered    bool          // the reader has answered the last frame itself
+	inputWaited bool          // the last read found its input
+	readStart   clock.Instant // of the current header
+	held        bool
+	begunAt     clock.Instant // of the turn that is held
 }
 
 // required reports whether the frame that was read needs the turn.
@@ -58,18 +56,21 @@
 	if r.turn.held || !r.turn.required() {
 		return nil
 	}
-	r.turn.held, r.turn.framesInTurn = r.conn.admission.TryTurn() || r.awaitTurn(), 0
+	r.turn.held = r.conn.admission.TryTurn() || r.awaitTurn()
+	r.turn.begunAt = clock.Now()
 	return r.ctx.Err()
 }
 
-// frameHandled records that a frame was handled, and ends the turn after maxFramesPerTurn of them.
+// frameHandled ends the turn after a frame if it has lasted for maxTurnTime.
 func (r *frameReader) frameHandled() {
-	r.turn.framesInTurn++
-	if r.turn.held && r.turn.framesInTurn >= maxFramesPerTurn {
+	if r.turn.held && r.turn.expired() {
 		r.endTurn()
 	}
 }
 
+// expired reports whether the turn has lasted for maxTurnTime.
+func (t *processorTurn) expired() bool { return clock.Now().Sub(t.begunAt) >= maxTurnTime }
+
 // awaitTurn waits for a turn for at most maxTurnWait, and reports whether the reader has it.
 func (r *frameReader) awaitTurn() bool {
 	resume := r.conn.pauseReading()
@@ -111,15 +112,17 @@
 	return r.beginTurn()
 }
 
-// endTurn ends the turn, if the reader has it. It must be called before anything that blocks.
+// endTurn ends the turn, if the reader has it. It must be called before anything that blocks. If there is more to do,
+// all that can run runs first: a sleep in place of that would put readers that take turns ahead of those that yield,
+// which then wait for seconds.
 func (r *frameReader) endTurn() {
 	if !r.turn.held {
 		return
 	}
 	r.turn.held = false
 	r.writer.signal()
-	if r.turn.framesInTurn >= maxFramesPerTurn || r.conn.admission.TurnAwaited() {
-		time.Sleep(turnPause)
+	if r.turn.expired() || r.conn.admission.TurnAwaited() {
+		runtime.Gosched()
 	}
 	r.conn.admission.EndTurn()
 }
--- a/internal/frontend/processorturn_test.go
+++ b/internal/frontend/processorturn_test.go
@@ -205,7 +205,7 @@
 // must be written together.
 func TestAnswersToAFloodAreWrittenTogether(t *testing.T) {
 	c := newTestConnOverTCP(t, ignoreSocket, ignoreSocket)
-	const refused = 4 * maxFramesPerTurn
+	const refused = 32
 	_, _ = c.Write(malformedFrames(1, 1))
 	c.readFrame(t)
 	before := c.socket.writes.Load()
