frontend: the end of a connection logs which requests and bytes it takes

The log line of a client connection's end named the cause and the bytes passed, and not what was lost with it. It names now the open requests, the responses that the socket had not accepted whole, unread and unsent bytes, and the memory that bodies use; connection_requests_unanswered_total counts such requests by cause. Unread input is named in bytes: its frames are not parsed.

--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -99,11 +99,14 @@
 	_ = s.readConn(ctx, c, admitted) // the end code and its cause are stored in c
 	cancel()
 	<-written
-	for _, r := range c.writer.close() {
+	bodyMemory := c.admission.Bodies.UsedBytes()
+	handedOver, taken := c.writer.close()
+	for _, r := range handedOver {
 		s.Requests.RequestCancelled(r)
 	}
 	s.removeConn(c)
-	c.LogEnd(s.Metrics, telemetry.Remote{Side: telemetry.SideClient, Address: c.RemoteAddr()})
+	taken.BodyMemoryBytes = bodyMemory
+	c.LogClientEnd(s.Metrics, telemetry.Remote{Side: telemetry.SideClient, Address: c.RemoteAddr()}, taken)
 }
 
 // readConn reads the connection until it ends, and closes it.
--- a/internal/frontend/golden_test.go
+++ b/internal/frontend/golden_test.go
@@ -189,7 +189,7 @@
 		c.sweep(now)
 	})
 	<-written
-	return endedLine(t, c, "bytes_received", "bytes_sent")
+	return endedLine(t, c, "bytes_received", "bytes_sent", "unread_bytes", "unsent_bytes")
 }
 
 // endedByStall returns the log line of a client that reads no byte of a response while memory is nearly used up.
--- a/internal/frontend/processorturn_test.go
+++ b/internal/frontend/processorturn_test.go
@@ -330,6 +330,7 @@
 	w.limitOutput(clock.Now())
 	refuse(101)
 	assert.Equal(t, maxFrames+1, w.queue.Len(), "at the end of the process all are sent")
-	require.Empty(t, w.close(), "the event loop has none of them")
+	handedOver, _ := w.close()
+	require.Empty(t, handedOver, "the event loop has none of them")
 	assert.Zero(t, admitted.OpenRequests())
 }
--- a/internal/frontend/requestwindow_test.go
+++ b/internal/frontend/requestwindow_test.go
@@ -47,7 +47,8 @@
 	w.window.sizes.record(&request.Request{Class: largeClass}, windowBodyBytes)
 	w.window.sizes.record(&request.Request{Class: smallClass}, 100)
 	t.Cleanup(func() {
-		for _, r := range w.close() {
+		handedOver, _ := w.close()
+		for _, r := range handedOver {
 			release(r) // as the event loop does
 		}
 		assert.Zero(t, w.admission.Bodies.UsedBytes())
--- a/internal/frontend/responsewriter.go
+++ b/internal/frontend/responsewriter.go
@@ -89,6 +89,8 @@
 	writingBodyBytes int           // size of the body that run is writing
 	lastLargeWritten clock.Instant // when the socket accepted the last large body; zero if it never did
 	outputLimit      clock.Instant // time after which large bodies are of no use; zero for none
+
+	taken telemetry.TakenByEnd // what the end of the connection took, as far as it is known
 }
 
 // answeredRequest is what remains of a request until its response is written: the request itself refers to more memory.
@@ -313,28 +315,34 @@
 	w.signal()
 }
 
-// close drops the queued frames, cancels the open requests and returns those that were handed over.
-func (w *responseWriter) close() []*request.Request {
+// close drops the queued frames and cancels the open requests. It returns those that were handed over, and what the end
+// took. It must be called after run.
+func (w *responseWriter) close() (handedOver []*request.Request, taken telemetry.TakenByEnd) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.moveLocked(writerClosed)
-	var cancelled []*request.Request
+	taken = w.taken
+	taken.OpenRequests = len(w.requests)
 	for _, open := range w.requests {
 		w.recordCancelled(open.request, request.ConnectionEnded)
 		if w.removeDeferredLocked(open.request) {
 			release(open.request)
 			continue
 		}
-		cancelled = append(cancelled, open.request)
+		handedOver = append(handedOver, open.request)
 	}
 	for _, frame := range w.queue.Drain() {
+		taken.UnsentBytes += int64(len(frame.header) + frame.body.Len())
+		if frame.answered != nil {
+			taken.UnsentResponses++
+		}
 		w.drop(frame)
 	}
 	if w.window.review != nil {
 		w.window.review.Stop()
 	}
 	w.requests = nil
-	return cancelled
+	return handedOver, taken
 }
 
 // signalRoom wakes up the reader in awaitRoom.
--- a/internal/frontend/writeloop.go
+++ b/internal/frontend/writeloop.go
@@ -26,8 +26,9 @@
 // frameWriter is the state of run.
 type frameWriter struct {
 	*responseWriter
-	conn    *netconn.Conn
-	pending []writtenFrame // in the order of the output
+	conn          *netconn.Conn
+	pending       []writtenFrame // in the order of the output
+	unpassedBytes int64          // of the frame whose write failed, that were not passed to the connection
 }
 
 // run writes queued frames until the context is done, the socket fails, or, after finish, all output is written. Frames
@@ -66,9 +67,13 @@
 
 // abandonPending counts the responses as done that the socket will not accept any more.
 func (f *frameWriter) abandonPending() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.taken.UnsentBytes = f.unpassedBytes
 	for _, frame := range f.pending {
 		if frame.answered != nil {
 			f.admission.RequestDone()
+			f.taken.UnsentResponses++
 		}
 	}
 }
@@ -109,7 +114,7 @@
 // writeFrame writes a frame to the output ring buffer. Until then its body counts against the body budget.
 func (f *frameWriter) writeFrame(frame outgoingFrame) error {
 	defer frame.body.Free()
-	start := clock.Now()
+	start, end := clock.Now(), f.conn.OutputOffset()+int64(len(frame.header)+frame.body.Len())
 	f.conn.SetWriteDeadline(frame.writeDeadline(start).Time())
 	err := f.conn.Write(frame.header)
 	if err == nil && frame.body != nil {
@@ -117,6 +122,7 @@
 	}
 	f.pending = append(f.pending, writtenFrame{frame.answered, f.conn.OutputOffset()})
 	if err != nil {
+		f.unpassedBytes = end - f.conn.OutputOffset()
 		f.conn.Close(netconn.ClassifyError(err), err)
 		return err
 	}
--- a/internal/netconn/close.go
+++ b/internal/netconn/close.go
@@ -63,6 +63,7 @@
 		c.closed.Store(true)
 		c.endReaderWait()
 		c.SetEndCode(code, cause)
+		c.unreadAtClose, c.unackedAtClose = c.UnreadBytes(), c.UnacknowledgedBytes()
 		_ = c.raw.Close() // the end code and its cause are already recorded
 	})
 }
@@ -111,15 +112,30 @@
 // LogEnd closes the connection if it is still open, logs its end and updates the counters. It must be called after all
 // goroutines that use the connection have stopped.
 func (c *Conn) LogEnd(metrics *telemetry.Metrics, remote telemetry.Remote) {
+	metrics.ConnectionEnded(c.finalState(remote))
+}
+
+// LogClientEnd is like LogEnd for the connection of a client, whose requests the end may have taken. It adds to taken
+// what the connection has not read and what its peer has not taken.
+func (c *Conn) LogClientEnd(metrics *telemetry.Metrics, remote telemetry.Remote, taken telemetry.TakenByEnd) {
+	end := c.finalState(remote)
+	taken.UnreadBytes = c.unreadAtClose + int64(c.in.Len())
+	taken.UnsentBytes += c.unackedAtClose + int64(c.out.Len())
+	end.Taken = &taken
+	metrics.ConnectionEnded(end)
+}
+
+// finalState closes the connection if it is still open, and returns how it ended.
+func (c *Conn) finalState(remote telemetry.Remote) telemetry.ConnectionEnd {
 	c.Close(Shutdown, nil)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	metrics.ConnectionEnded(telemetry.ConnectionEnd{
+	return telemetry.ConnectionEnd{
 		Remote:        remote,
 		Reason:        c.endCode,
 		Err:           c.endErr,
 		OpenedAt:      c.openedAt,
 		BytesReceived: c.bytesRead.Load(),
 		BytesSent:     c.bytesWritten.Load(),
-	})
+	}
 }
--- a/internal/netconn/conn.go
+++ b/internal/netconn/conn.go
@@ -59,8 +59,10 @@
 	lastWrite  atomicInstant
 	frameStart atomicInstant // time of the first byte of a partial frame; zero if none
 
-	closeOnce sync.Once
-	closed    atomic.Bool
+	closeOnce      sync.Once
+	closed         atomic.Bool
+	unreadAtClose  int64 // bytes that had arrived and were not read from the socket; set by Close
+	unackedAtClose int64 // bytes that the socket had accepted and the peer had not; set by Close
 
 	mu      sync.Mutex // guards the two fields below
 	endCode EndCode
--- a/internal/telemetry/connections.go
+++ b/internal/telemetry/connections.go
@@ -20,6 +20,16 @@
 	OpenedAt      time.Time
 	BytesReceived int64
 	BytesSent     int64
+	Taken         *TakenByEnd // nil except for the connection of a client
+}
+
+// TakenByEnd is what the end of a client's connection took with it.
+type TakenByEnd struct {
+	OpenRequests    int   // requests without a response, except those that the client had cancelled
+	UnsentResponses int   // responses that the socket had not accepted completely
+	UnreadBytes     int64 // input that had arrived and was not read
+	UnsentBytes     int64 // output that the client's socket had not accepted
+	BodyMemoryBytes int64 // what bodies used of their memory in the whole process
 }
 
 // ConnectionOpened counts a connection that was accepted or is being established.
@@ -43,6 +53,15 @@
 		"bytes_received", e.BytesReceived,
 		"bytes_sent", e.BytesSent,
 	)
+	if e.Taken != nil {
+		attributes = append(attributes,
+			"open_requests", e.Taken.OpenRequests,
+			"unsent_responses", e.Taken.UnsentResponses,
+			"unread_bytes", e.Taken.UnreadBytes,
+			"unsent_bytes", e.Taken.UnsentBytes,
+			"body_memory_bytes", e.Taken.BodyMemoryBytes,
+		)
+	}
 	if e.Err != nil {
 		attributes = append(attributes, "error", e.Err.Error())
 	}
@@ -56,4 +75,8 @@
 	m.values[ConnectionsOpen.With(e.Remote.Side).series]--
 	m.values[BytesReceived.With(e.Remote.Side).series] += float64(e.BytesReceived)
 	m.values[BytesSent.With(e.Remote.Side).series] += float64(e.BytesSent)
+	if e.Taken != nil && e.Taken.OpenRequests+e.Taken.UnsentResponses > 0 {
+		unanswered := float64(e.Taken.OpenRequests + e.Taken.UnsentResponses)
+		m.values[RequestsTakenByClose.With(e.Reason).series] += unanswered
+	}
 }
--- a/internal/telemetry/metrics_test.go
+++ b/internal/telemetry/metrics_test.go
@@ -125,6 +125,20 @@
 	assert.EqualValues(t, 4, m.Value(`connection_sent_bytes_total{side="client"}`))
 }
 
+// Guards against the end of a client's connection whose log line and counter do not tell which requests it took.
+func TestEndOfClientConnectionTellsWhatItTook(t *testing.T) {
+	var out bytes.Buffer
+	m := New(&out, "")
+	m.ConnectionEnded(ConnectionEnd{
+		Remote: Remote{Side: SideClient}, Reason: label("slow_reader"), OpenedAt: time.Now(),
+		Taken: &TakenByEnd{OpenRequests: 2, UnsentResponses: 3, UnreadBytes: 4, UnsentBytes: 5, BodyMemoryBytes: 6},
+	})
+	assert.Contains(t, out.String(),
+		"open_requests=2 unsent_responses=3 unread_bytes=4 unsent_bytes=5 body_memory_bytes=6\n")
+	//nolint:testifylint // exact by intent
+	assert.EqualValues(t, 5, m.Value(`connection_requests_unanswered_total{reason="slow_reader"}`))
+}
+
 // TestLogLinesIdentifyTheProcess checks the key with which each log line identifies its process. Log lines of an edge
 // cache with the key router would point operators to the wrong machine; with the key endpoint, the key would occur
 // twice.
