frontend: a client that takes no output keeps its connection while requests are open

Cause: bounds on unread output were kept by ending the connection, judged by its output alone: after 1 s without a write while memory was short, 2 s without a delivery if the client sent, 5 s in a write, 10 s past a deadline. All requests on it, open or unread, went with it. Class: a resource is taken back by an end that loses accepted work.

Change: what a stalled client holds is taken back without an end. No large body begins, queued ones become failures as they are overdue or memory is short, and one that has begun is passed to the kernel whole. The connection ends only if that loses nothing: all deadlines passed by 0.55 s and nothing sent for 6 s; nothing left but a response that has begun; or more than 48 frames are open or untaken, 16 over what the protocol allows, and their time is over. Frames that the client cancelled do not count, so one that keeps to 32 is always read. A write goes on past its limits while other requests are open, for 70 s at most. The log line names which of these it was.

Golden lines: the two of slow readers name their cause now.

--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -27,6 +27,7 @@
 	stalledSince clock.Instant // first sweep since which they have not changed; zero if none; used by sweep only
 
 	held              atomic.Bool  // the reader does not read, so that the client has to wait
+	waitsUntil        atomic.Int64 // clock.Instant of the latest deadline of a request that was read
 	unreadSince       atomic.Int64 // clock.Instant of the earliest input that may be unread after that; zero if none is
 	firstFrameRead    atomic.Bool  // a complete frame was received
 	carriedRequest    atomic.Bool  // a request was received and decoded
@@ -44,6 +45,7 @@
 		admission: s.Admission,
 	}
 	c.OnCloseRequest = c.readyToClose
+	c.writer.mayEnd = c.endLosesNothing
 	c.writer.share = &c.share
 	c.writer.handOver = func(r *request.Request) { s.handOver(r, c.writer) }
 	c.writer.objectives, c.writer.maxRetryAfter = s.LatencyObjectives, s.MaxRetryAfter
--- a/internal/frontend/framereader.go
+++ b/internal/frontend/framereader.go
@@ -271,6 +271,7 @@
 	req.Class = class
 	req.ArrivedAt = arrivedAt
 	req.Deadline = arrivedAt + decoded.TimeoutSeconds
+	r.conn.noteDeadline(clock.FromSeconds(arrivedAt), clock.FromSeconds(req.Deadline))
 	if len(decoded.RawBody) == 0 {
 		payload.Free()
 		return nil
--- a/internal/frontend/golden_test.go
+++ b/internal/frontend/golden_test.go
@@ -185,7 +185,7 @@
 	}()
 	now := clock.Now()
 	c.untilDone(func() {
-		now = now.Add(floodStallTimeout / 10)
+		now = now.Add(outputStallTimeout / 10)
 		c.sweep(now)
 	})
 	<-written
@@ -201,7 +201,7 @@
 	body := c.Admission.Bodies.TryAllocateResponse(nil, 200_000)
 	useUpBodies(t, c.Admission.Bodies)
 	r.ResponseWriter.Respond(r, request.Response{Body: body})
-	c.untilDone(func() { c.sweep(clock.Now().Add(2 * stalledTimeout)) })
+	c.untilDone(func() { c.sweep(clock.Now().Add(2 * memoryStallTimeout)) })
 	return endedLine(t, c)
 }
 
--- a/internal/frontend/outputqueue.go
+++ b/internal/frontend/outputqueue.go
@@ -69,7 +69,10 @@
 // removeOverdue removes the responses with a large body that would not be written by their time, or by the limit if
 // that is earlier and not zero. writtenAt returns when a body of a size would be written if its frame were next.
 func (q *outputQueue) removeOverdue(limit clock.Instant, writtenAt func(bodyBytes int) clock.Instant) []outgoingFrame {
-	return q.RemoveLarge(func(frame outgoingFrame) bool {
+	return q.RemoveAll(func(frame outgoingFrame) bool {
+		if frame.body.Len() <= sendqueue.MaxSmallBytes {
+			return false
+		}
 		at := writtenAt(frame.body.Len())
 		return !frame.writeBy.IsZero() && at > frame.writeBy || !limit.IsZero() && at > limit
 	})
--- a/internal/frontend/responsewriter.go
+++ b/internal/frontend/responsewriter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,8 +19,11 @@
 	maxWriteDuration  = 10 * time.Second // for one frame; from its request's deadline if that is later than the start
 	maxDeadlineGrant  = 60 * time.Second // how long after the start that deadline counts: the client chooses it
 
-	// maxFrames is the number of open requests and unwritten frames from which the connection is not read on. It is
-	// above maxOpenRequests, so that a client that keeps to the protocol is always read.
+	// maxTotalWriteDuration is for one frame whose client waits for other responses on the connection too.
+	maxTotalWriteDuration = maxDeadlineGrant + maxWriteDuration
+
+	// maxFrames is the number of open requests, and of frames that the client has not taken, from which the connection
+	// is not read on. It is above maxOpenRequests, so that a client that keeps to the protocol is always read.
 	maxFrames = maxOpenRequests + 16
 )
 
@@ -70,6 +74,7 @@
 	admission *admission.Controller
 	share     *request.Share           // of the connection
 	handOver  func(r *request.Request) // hands a deferred request over to the event loop
+	mayEnd    func() bool              // the end of the connection loses nothing; nil if that is always so
 	wake      chan struct{}            // receives a token when run has work to do
 	room      chan struct{}            // receives a token when the reader may go on
 
@@ -82,8 +87,9 @@
 	queue     outputQueue
 	pace      outputPace
 	state     writerState
-	stalled   bool // the client takes no output, as of the last sweep
-	finishing bool // run returns once no request is open and all output is written
+	stalled   bool     // the client takes no output, as of the last sweep
+	untaken   []uint32 // streams of the frames that the socket has accepted since, except those cancelled; 0 for none
+	finishing bool     // run returns once no request is open and all output is written
 
 	unwritten        int           // number of frames that run has dequeued and the socket has not accepted completely
 	writingBodyBytes int           // size of the body that run is writing
@@ -146,17 +152,20 @@
 	return w.hasUnwrittenLocked()
 }
 
-func (w *responseWriter) hasUnwrittenLocked() bool { return w.unwrittenLocked() > 0 }
-
-func (w *responseWriter) unwrittenLocked() int { return w.unwritten + w.queue.Len() }
+func (w *responseWriter) hasUnwrittenLocked() bool { return w.unwritten+w.queue.Len() > 0 }
 
 // setStalled records whether the client takes no output.
 func (w *responseWriter) setStalled(stalled bool) {
 	w.mu.Lock()
 	ended := w.stalled && !stalled
 	w.stalled = stalled
+	if !stalled {
+		w.untaken = nil
+	}
 	w.mu.Unlock()
 	if ended {
+		w.signalRoom()
+		w.signal()
 		w.handOverDeferred()
 	}
 }
@@ -175,11 +184,11 @@
 	return now.Sub(w.lastLargeWritten)
 }
 
-// full reports whether so many requests are open and frames unwritten that the connection is not read on.
+// full reports whether so many requests are open, and frames queued or not taken, that the connection is not read on.
 func (w *responseWriter) full() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return len(w.requests)+w.unwrittenLocked() >= maxFrames
+	return len(w.requests)+w.queue.Len()+len(w.untaken) >= maxFrames
 }
 
 // awaitRoom waits until the connection is not full any more, or the context is done.
@@ -282,6 +291,7 @@
 	if frame, queued := w.queue.removeStream(streamID); queued {
 		w.drop(frame)
 	}
+	w.untaken = slices.DeleteFunc(w.untaken, func(untaken uint32) bool { return untaken == streamID })
 	return nil
 }
 
--- a/internal/frontend/timeouts.go
+++ b/internal/frontend/timeouts.go
@@ -17,14 +17,6 @@
 	idleTimeout         = 6 * time.Second         // since the last input, without an open request
 	firstFrameTimeout   = 2500 * time.Millisecond // from the accept to the first complete frame
 	partialFrameTimeout = 2 * time.Second         // since the first byte of a partial frame
-	stalledTimeout      = time.Second             // since the last output; only if the body budget is nearly full
-
-	// floodStallTimeout is the time since the client took any output, if it sends more meanwhile. It is shorter than
-	// writeStallTimeout, as such a client may hold all that its connection may have.
-	floodStallTimeout = 2 * time.Second
-
-	// holdStalledAfter is the time since the client took any output after which its connection is not read on.
-	holdStalledAfter = 300 * time.Millisecond
 )
 
 // sweepPeriodically closes connections whose timeout has passed, and drops idle buffers, until the context is done.
@@ -47,47 +39,21 @@
 
 // sweep requests the close of connections whose timeout has passed. The reader of each connection confirms the close
 // after it has processed the input that arrived by then. Connections that do not read their responses are closed
-// immediately: a graceful close needs a client that reads.
+// immediately, once that loses nothing: a graceful close needs a client that reads.
 func (s *Server) sweep(now clock.Instant) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	memoryShort := s.Admission.BodiesNearlyFull()
 	for c := range s.conns {
 		c.writer.releaseOverdue(now)
-		if c.outputStalled(now, memoryShort) {
-			c.Close(netconn.SlowReader, nil)
+		if cause := c.handleStall(now, memoryShort); cause != nil {
+			c.Close(netconn.SlowReader, cause)
 		} else if code := c.timeoutPassed(now); code != netconn.NoEndCode {
 			c.requestClose(code, now)
 		}
 	}
 }
 
-// outputStalled reports whether output is unwritten and the socket has not accepted any for stalledTimeout while the
-// memory for bodies is short, or whether the client has taken nothing for floodStallTimeout although it sends.
-func (c *clientConn) outputStalled(now clock.Instant, memoryShort bool) bool {
-	if memoryShort && c.writer.hasUnwritten() && now.Sub(c.LastWrite()) > stalledTimeout {
-		return true
-	}
-	stalled := c.deliveryStalledFor(now)
-	c.writer.setStalled(stalled > holdStalledAfter)
-	return stalled > floodStallTimeout && (c.held.Load() || c.LastRead() > c.stalledSince)
-}
-
-// deliveryStalledFor returns for how long output has been on its way to the client while the client has taken none.
-// Only the sweep may call it.
-func (c *clientConn) deliveryStalledFor(now clock.Instant) time.Duration {
-	written, unacknowledged := c.BytesWritten(), c.UnacknowledgedBytes()
-	underWay := unacknowledged > 0 || c.writer.hasUnwritten()
-	if delivered := written - unacknowledged; !underWay || delivered > c.delivered {
-		c.delivered, c.stalledSince = delivered, 0
-		return 0
-	}
-	if c.stalledSince.IsZero() {
-		c.stalledSince = now
-	}
-	return now.Sub(c.stalledSince)
-}
-
 // timeoutPassed returns the end code of the timeout that has passed on a connection, or NoEndCode if none has. A
 // connection with an open request or unwritten output has no timeout.
 func (c *clientConn) timeoutPassed(now clock.Instant) netconn.EndCode {
--- a/internal/frontend/timeouts_test.go
+++ b/internal/frontend/timeouts_test.go
@@ -63,14 +63,14 @@
 	r := <-c.sink.arrived
 	body := c.Admission.Bodies.TryAllocateResponse(nil, 200_000)
 	free := useUpBodies(t, c.Admission.Bodies)
-	c.sweep(clock.Now().Add(2 * stalledTimeout))
+	c.sweep(clock.Now().Add(2 * memoryStallTimeout))
 	r.ResponseWriter.Respond(r, request.Response{Body: body})
 	_, err := io.ReadFull(c, make([]byte, 50_000))
 	require.NoError(t, err, "no output was unwritten at the sweep")
 	c.sweep(clock.Now())
 	_, err = io.ReadFull(c, make([]byte, 50_000))
 	require.NoError(t, err, "the client reads")
-	c.sweep(clock.Now().Add(2 * stalledTimeout))
+	c.sweep(clock.Now().Add(2 * memoryStallTimeout))
 	<-c.done
 	assert.Contains(t, c.log.String(), "reason=slow_reader")
 	free()
--- a/internal/frontend/writeloop.go
+++ b/internal/frontend/writeloop.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
+	"errors"
+	"os"
 	"slices"
 	"time"
 
-	"cairnfront/internal/clientproto"
 	"cairnfront/internal/clock"
 	"cairnfront/internal/netconn"
-	"cairnfront/internal/request"
 	"cairnfront/internal/sendqueue"
 	"cairnfront/internal/telemetry"
 )
@@ -23,6 +23,10 @@
 	end      int64            // offset in the output
 }
 
+// maxPendingFrames limits the frames that were passed to the connection and that the socket has not accepted: their
+// client cannot cancel them any more, and they do not count for maxFrames.
+const maxPendingFrames = 32
+
 // frameWriter is the state of run.
 type frameWriter struct {
 	*responseWriter
@@ -38,14 +42,16 @@
 	f := &frameWriter{responseWriter: w, conn: conn}
 	defer f.abandonPending()
 	for {
-		if frame, ok := f.dequeue(); ok {
-			if err := f.writeFrame(frame); err != nil {
-				return err
+		if len(f.pending) < maxPendingFrames {
+			if frame, ok := f.dequeue(); ok {
+				if err := f.writeFrame(frame); err != nil {
+					return err
+				}
+				f.recordAccepted()
+				continue
 			}
-			f.recordAccepted()
-			continue
 		}
-		if err := conn.Flush(); err != nil {
+		if err := f.continueWhileNeeded(clock.Now(), conn.Flush); err != nil {
 			conn.Close(netconn.ClassifyError(err), err)
 			return err
 		}
@@ -78,14 +84,19 @@
 	}
 }
 
-// dequeue removes the next frame from the queue. Responses that cannot be written in time are failed first.
+// dequeue removes the next frame from the queue. Responses that cannot be written in time are failed first. While the
+// client takes no output, no large body begins: once begun, it could not be replaced by a failure any more.
 func (f *frameWriter) dequeue() (frame outgoingFrame, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.queue.HasLarge() {
-		f.failOverdueLocked()
+	if f.stalled {
+		frame, ok = f.queue.PopSmall()
+	} else {
+		if f.queue.HasLarge() {
+			f.failOverdueLocked()
+		}
+		frame, ok = f.queue.Pop()
 	}
-	frame, ok = f.queue.Pop()
 	if ok {
 		f.unwritten++
 		f.writingBodyBytes = frame.body.Len()
@@ -101,14 +112,7 @@
 	overdue := f.queue.removeOverdue(f.outputLimit, func(bodyBytes int) clock.Instant {
 		return now.Add(f.pace.timeFor(unacknowledged + int64(bodyBytes)))
 	})
-	for _, frame := range overdue {
-		frame.body.Free()
-		frame.body = nil
-		failed := request.Response{Result: request.Aborted, Reason: request.ReasonDeadlineExceeded}
-		frame.header = clientproto.AppendResponse(nil, frame.answered.streamID, failed)
-		f.queue.Push(frame)
-		f.metrics.Inc(telemetry.ResponsesDropped)
-	}
+	f.failLocked(overdue)
 }
 
 // writeFrame writes a frame to the output ring buffer. Until then its body counts against the body budget.
@@ -116,9 +120,9 @@
 	defer frame.body.Free()
 	start, end := clock.Now(), f.conn.OutputOffset()+int64(len(frame.header)+frame.body.Len())
 	f.conn.SetWriteDeadline(frame.writeDeadline(start).Time())
-	err := f.conn.Write(frame.header)
+	err := f.write(start, frame.header)
 	if err == nil && frame.body != nil {
-		err = f.conn.Write(frame.body.Bytes)
+		err = f.write(start, frame.body.Bytes)
 	}
 	f.pending = append(f.pending, writtenFrame{frame.answered, f.conn.OutputOffset()})
 	if err != nil {
@@ -132,6 +136,31 @@
 	return nil
 }
 
+// write passes a part of a frame, on which writing began at start, to the connection.
+func (f *frameWriter) write(start clock.Instant, part []byte) error {
+	return f.continueWhileNeeded(start, func() error {
+		before := f.conn.OutputOffset()
+		err := f.conn.Write(part)
+		part = part[f.conn.OutputOffset()-before:]
+		return err
+	})
+}
+
+// continueWhileNeeded repeats a write that its client does not take in time while the end of the connection would lose
+// other requests, for at most maxTotalWriteDuration from start.
+func (f *frameWriter) continueWhileNeeded(start clock.Instant, write func() error) error {
+	for {
+		err := write()
+		if !errors.Is(err, os.ErrDeadlineExceeded) || f.mayEnd == nil || f.mayEnd() {
+			return err
+		}
+		if clock.Now().Sub(start) > maxTotalWriteDuration {
+			return err
+		}
+		f.conn.SetWriteDeadline(time.Now().Add(writeStallTimeout))
+	}
+}
+
 // recordPace records how long the client took for a body.
 func (f *frameWriter) recordPace(bodyBytes int, took time.Duration) {
 	f.mu.Lock()
@@ -149,9 +178,10 @@
 		}
 		accepted++
 	}
-	f.pending = slices.Delete(f.pending, 0, accepted)
 	f.mu.Lock()
 	f.unwritten -= accepted
+	f.recordUntakenLocked(f.pending[:accepted])
+	f.pending = slices.Delete(f.pending, 0, accepted)
 	if f.writingBodyBytes > sendqueue.MaxSmallBytes {
 		f.lastLargeWritten = clock.Now()
 	}
@@ -164,6 +194,20 @@
 	}
 }
 
+// recordUntakenLocked records frames that the socket accepts while the client takes no output.
+func (f *frameWriter) recordUntakenLocked(accepted []writtenFrame) {
+	if !f.stalled {
+		return
+	}
+	for _, frame := range accepted[:min(len(accepted), maxFrames-len(f.untaken))] {
+		streamID := uint32(0)
+		if frame.answered != nil {
+			streamID = frame.answered.streamID
+		}
+		f.untaken = append(f.untaken, streamID)
+	}
+}
+
 // flushed reports whether more frames are queued, and whether run must return.
 func (w *responseWriter) flushed() (more, finished bool) {
 	w.mu.Lock()
@@ -172,7 +216,7 @@
 	if finished {
 		w.quiesceLocked()
 	}
-	return w.queue.Len() > 0, finished
+	return w.queue.HasSmall() || w.queue.HasLarge() && !w.stalled, finished
 }
 
 // writeDeadline returns the deadline for writing a frame on which writing begins now. For a response it counts from the
--- a/internal/netconn/conn.go
+++ b/internal/netconn/conn.go
@@ -49,11 +49,10 @@
 	readerWait          atomic.Pointer[readerWait] // pending AwaitReader call; nil if none
 	closeBeforeNextRead atomic.Bool                // handle a requested close before the next read
 
-	bytesRead     atomic.Int64
-	bytesWritten  atomic.Int64
-	outputOffset  int64       // used by the writing goroutine only
-	unsentLimited bool        // limitUnsent was called; used by the writing goroutine only
-	inputMarks    []inputMark // in order of time and offset; used by the reading goroutine only
+	bytesRead    atomic.Int64
+	bytesWritten atomic.Int64
+	outputOffset int64       // used by the writing goroutine only
+	inputMarks   []inputMark // in order of time and offset; used by the reading goroutine only
 
 	lastRead   atomicInstant
 	lastWrite  atomicInstant
@@ -64,9 +63,10 @@
 	unreadAtClose  int64 // bytes that had arrived and were not read from the socket; set by Close
 	unackedAtClose int64 // bytes that the socket had accepted and the peer had not; set by Close
 
-	mu      sync.Mutex // guards the two fields below
-	endCode EndCode
-	endErr  error
+	mu            sync.Mutex // guards the fields below
+	endCode       EndCode
+	endErr        error
+	unsentLimited bool // the kernel takes only maxUnsentBytes of output ahead
 }
 
 // atomicInstant is an instant that is safe for concurrent use.
--- a/internal/netconn/write.go
+++ b/internal/netconn/write.go
@@ -35,14 +35,27 @@
 // limit has no effect on a socket that does not know it. It must be called from the writing goroutine.
 func (c *Conn) LimitUnsentWhenBehind() (unacknowledged int64) {
 	unacknowledged = c.UnacknowledgedBytes()
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if !c.unsentLimited && unacknowledged > maxUnsentBytes {
 		c.unsentLimited = true
-		c.limitUnsent()
+		c.setUnsentLimit(maxUnsentBytes)
 	}
 	return unacknowledged
 }
 
-func (c *Conn) limitUnsent() {
+// AllowUnsent lets the kernel take so many bytes more ahead, if LimitUnsentWhenBehind has limited them, until that is
+// called again. It is safe for concurrent use.
+func (c *Conn) AllowUnsent(bytes int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.unsentLimited {
+		c.unsentLimited = false
+		c.setUnsentLimit(maxUnsentBytes + bytes)
+	}
+}
+
+func (c *Conn) setUnsentLimit(bytes int) {
 	socket, ok := c.raw.(syscall.Conn)
 	if !ok {
 		return
@@ -52,7 +65,7 @@
 		return // the socket is closed
 	}
 	_ = raw.Control(func(fd uintptr) {
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, maxUnsentBytes)
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_NOTSENT_LOWAT, bytes)
 	})
 }
 
--- a/internal/sendqueue/sendqueue.go
+++ b/internal/sendqueue/sendqueue.go
@@ -43,6 +43,9 @@
 // HasLarge reports whether an item with a large body waits.
 func (q *Queue[T]) HasLarge() bool { return len(q.large) > 0 }
 
+// HasSmall reports whether an item with a small body or none waits.
+func (q *Queue[T]) HasSmall() bool { return len(q.small) > 0 }
+
 // All returns an iterator over all items, in no particular order.
 func (q *Queue[T]) All() iter.Seq[T] {
 	return func(yield func(T) bool) {
@@ -86,6 +89,15 @@
 	return item, true
 }
 
+// PopSmall removes the next item with a small body or none. It returns false if there is none.
+func (q *Queue[T]) PopSmall() (item T, ok bool) {
+	if len(q.small) == 0 {
+		return item, false
+	}
+	item, q.small = takeFirst(q.small)
+	return item, true
+}
+
 // takeFirst removes the first item, and the slice with the last one.
 func takeFirst[T any](items []T) (first T, rest []T) {
 	var none T
@@ -108,15 +120,17 @@
 	return removed, false
 }
 
-// RemoveLarge removes the items with a large body that a condition selects.
-func (q *Queue[T]) RemoveLarge(condition func(item T) bool) (removed []T) {
-	q.large = slices.DeleteFunc(q.large, func(item T) bool {
-		if !condition(item) {
-			return false
-		}
-		removed = append(removed, item)
-		return true
-	})
+// RemoveAll removes the items that a condition selects.
+func (q *Queue[T]) RemoveAll(condition func(item T) bool) (removed []T) {
+	for _, items := range []*[]T{&q.small, &q.large} {
+		*items = slices.DeleteFunc(*items, func(item T) bool {
+			if !condition(item) {
+				return false
+			}
+			removed = append(removed, item)
+			return true
+		})
+	}
 	return removed
 }
 
