frontend: an eviction or a restart does not cut off responses that are not taken yet

A client that had paused for 0.3 s with a response in the socket counted as one that is not waited for: its connection was evicted, or closed in a drain, read on for 80 ms, and reset as the client sent its next request, with the rest of the response.

Change: such a connection is neither evicted nor closed in a drain until the client has taken its responses, or none counts any more.

--- a/internal/frontend/close.go
+++ b/internal/frontend/close.go
@@ -86,16 +86,17 @@
 	return errReadyToClose
 }
 
-// endIsSeenSoon reports whether the client will see a close with a code as soon as it is made, as no body is under way
-// to it. A client that takes no output is not waited for.
+// endIsSeenSoon reports whether the client will see a close with a code as soon as it is made, as nothing that it may
+// still wait for is under way to it.
 //
 // It guards against a request that is lost because its client sends it while it still receives a response behind which
 // the connection has ended: by the protocol, only requests of the last 50 ms are sent again.
 func (c *clientConn) endIsSeenSoon(code netconn.EndCode) bool {
-	if code != netconn.Shutdown && code != netconn.Evicted || c.writer.isStalled() {
+	now := clock.Now()
+	if code != netconn.Shutdown && code != netconn.Evicted || c.answersExpired(now) {
 		return true
 	}
-	return c.UnacknowledgedBytes() == 0 && c.writer.sinceLargeWritten(clock.Now()) >= bodyDeliveryTime
+	return c.UnacknowledgedBytes() == 0 && c.writer.sinceLargeWritten(now) >= bodyDeliveryTime
 }
 
 // readyToCloseAtShutdown handles a close that is requested because the process ends. Requests that arrive are still
--- a/internal/frontend/eviction.go
+++ b/internal/frontend/eviction.go
@@ -34,9 +34,11 @@
 	return true
 }
 
-// evictable reports whether the connection is idle and no eviction of it was requested.
+// evictable reports whether the connection is idle, its client has taken all responses that it may still wait for, and
+// no eviction of it was requested.
 func (c *clientConn) evictable(now clock.Instant) bool {
-	return c.activity().closeDue(netconn.Evicted, now) && !c.evictionRequested.Load() && c.state() == stateIdle
+	return c.activity().closeDue(netconn.Evicted, now) && !c.evictionRequested.Load() && c.state() == stateIdle &&
+		(c.answersExpired(now) || c.UnacknowledgedBytes() == 0)
 }
 
 // evictBefore orders the candidates for eviction: connections on which no request was decoded first, then by the
--- /dev/null
+++ b/internal/frontend/outputstall_test.go
@@ -0,0 +1,42 @@
+package frontend
+
+import (
+	"net"
+	"testing"
+	"time"
+
+	"cairnfront/internal/clock"
+	"cairnfront/internal/request"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against an eviction that resets a connection as its client, which has paused, sends on before it reads.
+func TestResponseThatIsNotTakenIsNotCutOffByAnEviction(t *testing.T) {
+	c := newTestConnOverTCP(t, ignoreSocket, ignoreSocket)
+	client, ok := c.Conn.(*net.TCPConn)
+	require.True(t, ok)
+	require.NoError(t, client.SetReadBuffer(8<<10))
+	_, _ = c.Write(requestFrame(1, "aa"))
+	r := <-c.sink.arrived
+	r.ResponseWriter.Respond(r, request.Response{Body: c.Admission.Bodies.TryAllocateResponse(nil, 200_000)})
+	require.Eventually(t, func() bool { return c.conn().state() == stateIdle }, time.Second, time.Millisecond)
+	for i := range time.Duration(3) {
+		c.sweep(clock.Now().Add(i * 2 * holdStalledAfter))
+	}
+	c.evict(clock.Now().Add(2 * evictionMinIdle))
+	time.Sleep(2 * evictionCloseTimeout)
+	_, _ = c.Write(requestFrame(2, "bb"))
+	go func() { // the request may be rejected in place of being handed over
+		select {
+		case second := <-c.sink.arrived:
+			second.ResponseWriter.Respond(second, request.Response{})
+		case <-t.Context().Done():
+		}
+	}()
+	for stream := range uint32(2) {
+		_, answered, _ := c.readFrame(t)
+		assert.Equal(t, stream+1, answered)
+	}
+}
--- a/internal/frontend/responsewriter.go
+++ b/internal/frontend/responsewriter.go
@@ -170,13 +170,6 @@
 	}
 }
 
-// isStalled reports whether the client takes no output.
-func (w *responseWriter) isStalled() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.stalled
-}
-
 // sinceLargeWritten returns how long ago the socket accepted the last large body.
 func (w *responseWriter) sinceLargeWritten(now clock.Instant) time.Duration {
 	w.mu.Lock()
