--- a/internal/frontend/outputstall_test.go
+++ b/internal/frontend/outputstall_test.go
@@ -1,6 +1,7 @@
 package frontend
 
 import (
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -40,3 +41,20 @@
 		assert.Equal(t, stream+1, answered)
 	}
 }
+
+// Guards against a connection that is ended for the time in which the process was stopped, as a response was written.
+func TestTimeOfAStoppedProcessDoesNotCountAsStall(t *testing.T) {
+	const stopped = 3 * time.Second
+	c := newTestConn(t, true)
+	_, _ = c.Write(requestFrame(1, "aa"))
+	r := <-c.sink.arrived
+	body := c.Admission.Bodies.TryAllocateResponse(nil, 200_000)
+	defer useUpBodies(t, c.Admission.Bodies)()
+	r.ResponseWriter.Respond(r, request.Response{Body: body})
+	_, err := io.ReadFull(c, make([]byte, 50_000))
+	require.NoError(t, err)
+	c.sweepAfter(sweepInterval, clock.Now())
+	c.sweepAfter(stopped, clock.Now().Add(stopped))
+	_, err = io.ReadFull(c, make([]byte, 100_000))
+	require.NoError(t, err, "the client reads")
+}
--- a/internal/frontend/timeouts.go
+++ b/internal/frontend/timeouts.go
@@ -11,8 +11,10 @@
 // Timeouts of a client connection. Clients close their connections after 4 s without an open request. A connection
 // without a complete frame must end within 3 s.
 const (
-	sweepInterval = 200 * time.Millisecond
-	trimInterval  = time.Second // between two looks for buffers that are not used any more
+	sweepInterval    = 200 * time.Millisecond
+	maxSweepInterval = 2 * sweepInterval // a later sweep shows that the process was stopped
+
+	trimInterval = time.Second // between two looks for buffers that are not used any more
 
 	idleTimeout         = 6 * time.Second         // since the last input, without an open request
 	firstFrameTimeout   = 2500 * time.Millisecond // from the accept to the first complete frame
@@ -25,18 +27,36 @@
 	defer ticker.Stop()
 	trim := time.NewTicker(trimInterval)
 	defer trim.Stop()
+	last := clock.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			s.sweep(clock.Now())
+			now := clock.Now()
+			s.sweepAfter(now.Sub(last), now)
+			last = now
 		case <-trim.C:
 			s.Admission.Bodies.TrimIdle()
 		}
 	}
 }
 
+// sweepAfter sweeps, unless it comes much later than it should.
+//
+// It guards against connections that are ended for the time in which this process stood still.
+func (s *Server) sweepAfter(interval time.Duration, now clock.Instant) {
+	if interval <= maxSweepInterval {
+		s.sweep(now)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.stalledSince = 0
+	}
+}
+
 // sweep requests the close of connections whose timeout has passed. The reader of each connection confirms the close
 // after it has processed the input that arrived by then. Connections that do not read their responses are closed
 // immediately, once that loses nothing: a graceful close needs a client that reads.
