--- a/cmd/cairnfront/pausedreader_client_test.go
+++ b/cmd/cairnfront/pausedreader_client_test.go
@@ -17,6 +17,7 @@
 	pausingRecordTTL    = 1500 * time.Millisecond
 	pausingObjectTTL    = 1700 * time.Millisecond
 	pausingSendInterval = 20 * time.Millisecond
+	maxRelayStop        = 1500 * time.Millisecond
 )
 
 // readGate decides when what has arrived on a connection is read.
@@ -86,8 +87,19 @@
 // time. It keeps to the protocol's number of open requests.
 type pausingClient struct {
 	*streamingClient
-	gate *readGate
-	end  *connectionEnd
+	gates []*readGate // that pause with the client
+	end   *connectionEnd
+}
+
+// pause makes the client take no output for a time. What stops its input has to be shorter than the router waits for
+// the rest of a frame.
+func (c *pausingClient) pause(d time.Duration) {
+	for i, gate := range c.gates {
+		if i > 0 {
+			d = min(d, maxRelayStop)
+		}
+		gate.pause(d)
+	}
 }
 
 // connectionEnd is when a router ended a connection, which a client may learn later.
@@ -112,8 +124,11 @@
 	return e.at
 }
 
-// dialPausing connects a client with a receive buffer of a size, 0 for the system's.
-func dialPausing(t *testing.T, addr string, receiveBuffer int, gate *readGate) (*pausingClient, error) {
+// dialPausing connects a client with a receive buffer of a size, 0 for the system's. If end is nil, the client's own
+// socket is watched.
+func dialPausing(
+	t *testing.T, addr string, receiveBuffer int, gate *readGate, end *connectionEnd,
+) (*pausingClient, error) {
 	t.Helper()
 	conn, err := dialTCP(t.Context(), addr)
 	if err != nil {
@@ -129,10 +144,14 @@
 	}
 	c := &pausingClient{
 		streamingClient: &streamingClient{load: load, conn: gatedConn{conn, gate}},
-		gate:            gate, end: &connectionEnd{},
+		gates:           []*readGate{gate},
+		end:             end,
+	}
+	if end == nil {
+		c.end = &connectionEnd{}
+		go c.end.watch(raw)
 	}
 	go c.read()
-	go c.end.watch(raw)
 	return c, nil
 }
 
--- a/cmd/cairnfront/pausedreader_test.go
+++ b/cmd/cairnfront/pausedreader_test.go
@@ -29,6 +29,9 @@
 	receiveBuffer int           // of the clients' sockets, 0 for the system's
 	silentReaders int           // other clients, which read nothing
 	stopped       time.Duration // for which the router's process is stopped
+	killed        bool          // the router is killed and started again before the clients connect
+	relayed       bool          // the clients connect through relays, which also stop, one way or the other
+	relayDelay    time.Duration // of what each relay passes on
 }
 
 // Guards against open requests that are lost as their connection ends because its client, or the router, stood still.
@@ -69,6 +72,10 @@
 	startedAt := time.Now()
 	site := startStreamingSite(t, streamingLoad{blockBytes: largeObjectBytes, memoryMB: test.memoryMB, cores: 2})
 	startSilentReaders(t, site.router.addr, test.silentReaders)
+	if test.killed {
+		require.Error(t, site.router.stop(t, syscall.SIGKILL))
+		site.router.start(t)
+	}
 	end := time.Now().Add(pauseBegin + max(test.pause, test.stopped) + afterPauseTime)
 	if test.bytesPerSec > 0 {
 		end = end.Add(slowReadTime)
@@ -77,7 +84,7 @@
 	var playing sync.WaitGroup
 	for i := range test.clients {
 		gate := &readGate{bytesPerSec: test.bytesPerSec}
-		c, err := dialPausing(t, site.router.addr, test.receiveBuffer, gate)
+		c, err := test.dial(t, site.router.addr, gate, i%2 == 0)
 		require.NoError(t, err)
 		clients = append(clients, c)
 		random := rand.New(rand.NewPCG(uint64(i), 81)) //nolint:gosec // it has to be repeatable
@@ -86,7 +93,7 @@
 	var memory memoryRecord
 	memory.sample(t, site.router, pauseBegin)
 	for _, c := range clients {
-		c.gate.pause(test.pause)
+		c.pause(test.pause)
 	}
 	if test.stopped > 0 {
 		stopProcess(t, site.router, test.stopped)
@@ -100,6 +107,23 @@
 	assert.Less(t, memory.peak(), float64(test.memoryMB), "anonymous memory in MB")
 }
 
+// dial connects a client, if the case says so through a relay.
+func (test pausedReaderCase) dial(t *testing.T, addr string, gate *readGate, stopsInput bool) (*pausingClient, error) {
+	t.Helper()
+	if !test.relayed {
+		return dialPausing(t, addr, test.receiveBuffer, gate, nil)
+	}
+	end := &connectionEnd{}
+	r, relayAddr := startRelay(t, addr, test.relayDelay, end)
+	c, err := dialPausing(t, relayAddr, test.receiveBuffer, gate, end)
+	if err == nil && stopsInput {
+		c.gates = append(c.gates, r.toClient)
+	} else if err == nil {
+		c.gates = append(c.gates, r.toRouter)
+	}
+	return c, err
+}
+
 // stopProcess stops a router's process for a time.
 func stopProcess(t *testing.T, router *routerProcess, d time.Duration) {
 	t.Helper()
--- a/internal/frontend/connstate.go
+++ b/internal/frontend/connstate.go
@@ -29,8 +29,8 @@
 	statePartialFrame
 
 	// stateActive: a request is open, or output is not completely written. Writes are limited by writeStallTimeout and
-	// maxWriteDuration. The only timeout that Server.sweep applies is stalledTimeout, and only while the body budget is
-	// nearly full.
+	// maxWriteDuration, or maxTotalWriteDuration while other requests are open. Server.sweep ends the connection only
+	// if its client takes no output and that loses nothing (outputstall.go).
 	stateActive
 
 	// stateClosed: the socket is closed, no request is open, and no output is unwritten. A connection whose socket is
