frontend: an end because of a begun response does not lose those sent before it

While memory was short, a connection on which only a response that had begun was left could be ended although the client's socket had not taken responses before it: with the next bytes of the client the connection is reset, and they go.

Change: only a response of which a part was written, and before which the client's socket has taken all, may be ended. TestConnectionWithEarlierResponsesIsNotEndedForABegunOne fails to compile on the text before, which knew no offsets.

--- a/internal/frontend/outputstall.go
+++ b/internal/frontend/outputstall.go
@@ -90,7 +90,8 @@
 // onlyBegunLeft reports whether the client waits for nothing but a response that was begun. By the protocol, one that
 // cannot be finished has failed, and is not lost.
 func (c *clientConn) onlyBegunLeft() bool {
-	return c.writer.onlyBegunLeft() && c.BytesWritten() > 0 && c.UnreadBytes() == 0
+	written := c.BytesWritten()
+	return c.writer.onlyBegunLeft(written-c.UnacknowledgedBytes(), written) && c.UnreadBytes() == 0
 }
 
 // silentFor reports whether the client has sent nothing for longer than a time. What it sends after a violation of the
@@ -114,11 +115,13 @@
 	return now.Sub(c.stalledSince)
 }
 
-// onlyBegunLeft reports whether no request is open, no frame is queued, and at most one is not completely written.
-func (w *responseWriter) onlyBegunLeft() bool {
+// onlyBegunLeft reports whether no request is open, no frame is queued, and the only one that the client has not taken
+// is being written. The arguments are how much of the output the client's socket and this one have accepted.
+func (w *responseWriter) onlyBegunLeft(taken, written int64) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return len(w.requests) == 0 && w.queue.Len() == 0 && w.unwritten <= 1
+	return len(w.requests) == 0 && w.queue.Len() == 0 && w.unwritten == 1 && taken >= w.writingFrom &&
+		written > w.writingFrom
 }
 
 // failStalledBodies replaces queued responses by ones without a body: those that are overdue, and all of them if the
--- a/internal/frontend/outputstall_test.go
+++ b/internal/frontend/outputstall_test.go
@@ -58,3 +58,15 @@
 	_, err = io.ReadFull(c, make([]byte, 100_000))
 	require.NoError(t, err, "the client reads")
 }
+
+// Guards against responses in the socket that are lost as the connection ends because of one that has begun after them.
+func TestConnectionWithEarlierResponsesIsNotEndedForABegunOne(t *testing.T) {
+	w, r := newTestWriter(t)
+	w.cancel(r.StreamID, request.CancelledByClient)
+	w.unwritten, w.writingFrom = 1, 100
+	assert.True(t, w.onlyBegunLeft(100, 101))
+	assert.False(t, w.onlyBegunLeft(99, 101), "an earlier response is not taken")
+	assert.False(t, w.onlyBegunLeft(100, 100), "it has not begun")
+	w.unwritten = 2
+	assert.False(t, w.onlyBegunLeft(100, 101), "the response before it is not written")
+}
--- a/internal/frontend/responsewriter.go
+++ b/internal/frontend/responsewriter.go
@@ -92,6 +92,7 @@
 	finishing bool     // run returns once no request is open and all output is written
 
 	unwritten        int           // number of frames that run has dequeued and the socket has not accepted completely
+	writingFrom      int64         // offset in the output of the frame that run dequeued last
 	writingBodyBytes int           // size of the body that run is writing
 	lastLargeWritten clock.Instant // when the socket accepted the last large body; zero if it never did
 	outputLimit      clock.Instant // time after which large bodies are of no use; zero for none
--- a/internal/frontend/writeloop.go
+++ b/internal/frontend/writeloop.go
@@ -99,6 +99,7 @@
 	}
 	if ok {
 		f.unwritten++
+		f.writingFrom = f.conn.OutputOffset()
 		f.writingBodyBytes = frame.body.Len()
 	}
 	return frame, ok
