--- a/internal/telemetry/connections.go
+++ b/internal/telemetry/connections.go
@@ -29,7 +29,7 @@
 	UnsentResponses int   // responses that the socket had not accepted completely
 	UnreadBytes     int64 // input that had arrived and was not read
 	UnsentBytes     int64 // output that the client's socket had not accepted
-	BodyMemoryBytes int64 // what bodies used of their memory in the whole process
+	BodyMemoryBytes int64 // what bodies used of their memory in the process
 }
 
 // ConnectionOpened counts a connection that was accepted or is being established.
--- a/internal/telemetry/table.go
+++ b/internal/telemetry/table.go
@@ -31,7 +31,7 @@
 		"Connections that ended, by the reason that their log line has.")
 	// RequestsTakenByClose includes those whose client closed or reset the connection.
 	RequestsTakenByClose = newCounterVec[fmt.Stringer]("connection_requests_unanswered_total", "reason",
-		"Requests without a whole response as their client's connection ended, by the reason of the end.")
+		"Requests without a complete response as their client's connection ended, by the reason of the end.")
 	ConnectionsRejected = newCounterVec[Side]("connections_rejected_total", "side",
 		"Connections that were closed at once because too many were open.")
 	BytesReceived = newCounterVec[Side]("connection_received_bytes_total", "side",
