cairnfront tests: the address of a router is reserved until the test ends

The harness listened on a free port, closed that listener, and had the router listen on the same port later. In between, a listener of a test that ran beside could be given the port. Then the router waited for the port, and gave up after some seconds if the other test went on; the harness meanwhile waited for a reply from the other test's stub, without a limit.

A socket that is bound and does not listen holds the port now: the system assigns it to no other socket, but the router may listen on it, also when it is started again. A start that fails shows the router's log, and a program that has ended fails it at once.

--- a/cmd/cairnfront/harness_test.go
+++ b/cmd/cairnfront/harness_test.go
@@ -28,6 +28,8 @@
 // protocol specifications.
 const waitTimeout = 30 * time.Second
 
+const readyPollInterval = 10 * time.Millisecond
+
 // program is the path of the program that TestMain builds.
 var program string
 
@@ -159,12 +161,10 @@
 // startProgram starts a router as l describes.
 func startProgram(t *testing.T, l launch, memory int, origin *cacheStub, caches ...*cacheStub) *routerProcess {
 	t.Helper()
-	ln := listenLoopback(t) // finds a free port
 	router := &routerProcess{
-		launch: l, addr: ln.Addr().String(), discovery: startDiscovery(t), log: &logBuffer{},
+		launch: l, addr: reserveAddress(t), discovery: startDiscovery(t), log: &logBuffer{},
 		exited: make(chan error, 1),
 	}
-	_ = ln.Close()
 	router.bootstrapPath = filepath.Join(t.TempDir(), "start.json")
 	bootstrap := bootstrapFile(router.addr, router.discovery.Addr().String(), memory, origin, caches...)
 	if l.editBootstrap != nil {
@@ -202,18 +202,39 @@
 		<-read
 		router.exited <- router.Wait()
 	}()
-	require.Eventually(t, func() bool {
-		c, err := dialTCP(t.Context(), router.addr)
-		if err != nil {
-			return false
+	router.awaitReady(t)
+}
+
+// awaitReady waits until the program reports that it is ready.
+func (router *routerProcess) awaitReady(t *testing.T) {
+	t.Helper()
+	timeout := time.After(waitTimeout)
+	for !router.ready(t) {
+		select {
+		case err := <-router.exited:
+			router.stopping = true
+			t.Fatalf("the program ended before it was ready: %v\n%s", err, router.log)
+		case <-timeout:
+			t.Fatalf("the program is not ready after %v\n%s", waitTimeout, router.log)
+		case <-time.After(readyPollInterval):
 		}
-		defer c.Close()
-		_, _ = c.Write(append(clientproto.AppendHeader(nil, clientproto.TypeReadinessQuery, 0, 1), 0))
-		reply := make([]byte, clientproto.HeaderSize+1) // stays zero if another process still uses the port
-		_, err = io.ReadFull(c, reply)
-		isReply := clientproto.FrameType(reply[4]) == clientproto.TypeReadinessReply
-		return err == nil && isReply && reply[clientproto.HeaderSize] == 1
-	}, waitTimeout, 10*time.Millisecond)
+	}
+}
+
+// ready asks the program whether it is ready.
+func (router *routerProcess) ready(t *testing.T) bool {
+	t.Helper()
+	c, err := dialTCP(t.Context(), router.addr)
+	if err != nil {
+		return false
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(waitTimeout))
+	_, _ = c.Write(append(clientproto.AppendHeader(nil, clientproto.TypeReadinessQuery, 0, 1), 0))
+	reply := make([]byte, clientproto.HeaderSize+1) // stays zero if another process still uses the port
+	_, err = io.ReadFull(c, reply)
+	isReply := clientproto.FrameType(reply[4]) == clientproto.TypeReadinessReply
+	return err == nil && isReply && reply[clientproto.HeaderSize] == 1
 }
 
 // stop sends a signal and waits for the program to end.
@@ -338,6 +359,21 @@
 	return ln
 }
 
+// reserveAddress returns a free address of the loopback interface. Until the end of the test, the system assigns its
+// port to no other socket, but a program that asks for the port may listen on it.
+func reserveAddress(t *testing.T) string {
+	t.Helper()
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = unix.Close(fd) })
+	require.NoError(t, unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1))
+	require.NoError(t, unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	bound, err := unix.Getsockname(fd)
+	require.NoError(t, err)
+	port := requireType[*unix.SockaddrInet4](t, bound).Port
+	return net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
+}
+
 // dialTCP connects to an address. The context limits only the dial, not the connection.
 func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
 	return new(net.Dialer).DialContext(ctx, "tcp", addr)
