frontend: a frame that the network holds up does not end a connection with requests

Callers saw connections end with no answer to requests that they had written within the last 0.1 to 2 s. A request counts as taken once it is written, read or not. When the network stopped within a frame, the router saw a part of a frame and no open request, and closed the connection 2 s later (partial_frame). The requests behind that frame, still in the network, went with it.

On a connection that has carried a request the limit is 6 s now, as for one that is idle. A connection that has brought nothing but a part of a frame ends after 2 s (2.5 s from the accept) as before, as the users' page asks.

A link that stands still for over 6 s still loses what is behind it. A client that leaves half a frame after a request holds its descriptor, and may hold a restart, 4 s longer.

--- a/cmd/cairnfront/pausedreader_test.go
+++ b/cmd/cairnfront/pausedreader_test.go
@@ -59,6 +59,10 @@
 			name: "stopped router", memoryMB: 32, clients: 12, objects: 20, stopped: 2400 * time.Millisecond,
 			receiveBuffer: smallReceiveBytes, bytesPerSec: 2_000_000,
 		},
+		{
+			name: "link that stops within a frame", memoryMB: 192, clients: 4, objects: 4, pause: 3 * time.Second,
+			relayed: true,
+		},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/frontend/connstate.go
+++ b/internal/frontend/connstate.go
@@ -25,7 +25,8 @@
 	stateIdle connState = iota
 
 	// statePartialFrame: like stateIdle, but the first bytes of a frame were received. The timeouts are
-	// partialFrameTimeout and, until the first complete frame, firstFrameTimeout.
+	// partialFrameTimeout, or heldUpFrameTimeout after a request, and, until the first complete frame,
+	// firstFrameTimeout.
 	statePartialFrame
 
 	// stateActive: a request is open, or output is not completely written. Writes are limited by writeStallTimeout and
--- a/internal/frontend/connstate_test.go
+++ b/internal/frontend/connstate_test.go
@@ -28,6 +28,8 @@
 	start := clock.FromSeconds(100)
 	idle := activity{lastRead: start, firstFrameRead: true}
 	partial := activity{lastRead: start, frameStart: start, firstFrameRead: true}
+	heldUp := partial
+	heldUp.carriedRequest = true
 	for _, test := range []struct {
 		seen  activity
 		code  netconn.EndCode
@@ -43,9 +45,13 @@
 		{idle, netconn.PartialFrame, start.Add(partialFrameTimeout + 1), false},
 		{partial, netconn.PartialFrame, start.Add(partialFrameTimeout), false},
 		{partial, netconn.PartialFrame, start.Add(partialFrameTimeout + 1), true},
+		{heldUp, netconn.PartialFrame, start.Add(heldUpFrameTimeout), false},
+		{heldUp, netconn.PartialFrame, start.Add(heldUpFrameTimeout + 1), true},
 		{idle, netconn.Shutdown, start, true},
 		{partial, netconn.Shutdown, start.Add(partialFrameTimeout), false},
 		{partial, netconn.Shutdown, start.Add(partialFrameTimeout + 1), true},
+		{heldUp, netconn.Shutdown, start.Add(heldUpFrameTimeout), false},
+		{heldUp, netconn.Shutdown, start.Add(heldUpFrameTimeout + 1), true},
 		{idle, netconn.NoFirstFrame, start, false},
 		{activity{lastRead: start}, netconn.NoFirstFrame, start, true},
 		{partial, netconn.ProtocolError, start, true},
--- a/internal/frontend/timeouts.go
+++ b/internal/frontend/timeouts.go
@@ -19,6 +19,10 @@
 	idleTimeout         = 6 * time.Second         // since the last input, without an open request
 	firstFrameTimeout   = 2500 * time.Millisecond // from the accept to the first complete frame
 	partialFrameTimeout = 2 * time.Second         // since the first byte of a partial frame
+
+	// heldUpFrameTimeout is the same on a connection that has carried requests: further ones may be under way behind
+	// the frame.
+	heldUpFrameTimeout = idleTimeout
 )
 
 // sweepPeriodically closes connections whose timeout has passed, and drops idle buffers, until the context is done.
@@ -97,6 +101,7 @@
 	frameStart     clock.Instant // start of the current partial frame; zero if none
 	lastRead       clock.Instant // time of the last input, or of the accept
 	firstFrameRead bool          // a complete frame was received
+	carriedRequest bool          // a request was received and decoded
 }
 
 // activity returns the activity that the reader has observed so far.
@@ -105,6 +110,7 @@
 		frameStart:     c.FrameStart(),
 		lastRead:       c.LastRead(),
 		firstFrameRead: c.firstFrameRead.Load(),
+		carriedRequest: c.carriedRequest.Load(),
 	}
 }
 
@@ -129,9 +135,16 @@
 	return true
 }
 
-// frameOverdue reports whether a frame began and was not completed within partialFrameTimeout.
+// frameOverdue reports whether a frame began and was not completed within its timeout.
+//
+// It guards against requests that are lost with the connection, as the network holds them up within a frame: they count
+// as taken once they are written.
 func (a activity) frameOverdue(at clock.Instant) bool {
-	return !a.frameStart.IsZero() && at.Sub(a.frameStart) > partialFrameTimeout
+	timeout := partialFrameTimeout
+	if a.carriedRequest {
+		timeout = heldUpFrameTimeout
+	}
+	return !a.frameStart.IsZero() && at.Sub(a.frameStart) > timeout
 }
 
 // idleFor reports whether no frame has begun and no input was received for longer than the timeout.
