cairnfront: the pausing soak plays restarts, broken cache connections, few descriptors

The soak of clients that stand still had none of the three. A third of the cases now end with SIGTERM in the middle of the pause, followed by SIGHUP, a second SIGTERM and SIGUSR1, while the clients go on using their connections until SIGKILL at the protocol's earliest, 3.7 s after SIGTERM; the router has to exit by itself before. In a third the caches reset a connection each 150 ms, and in a third the router has 192 descriptors.

A restarted case has no relay and clients that take at least 5.2 MB/s, the protocol's slowest: what a client cannot take before SIGKILL is lost whatever the router does.

--- a/cmd/cairnfront/pausedreader_client_test.go
+++ b/cmd/cairnfront/pausedreader_client_test.go
@@ -182,6 +182,13 @@
 	}
 }
 
+// awaitEnd waits until the client has read everything that it was sent, for a time at most.
+func (c *pausingClient) awaitEnd(timeout time.Duration) {
+	for end := time.Now().Add(timeout); !c.hasEnded() && time.Now().Before(end); {
+		time.Sleep(endPollInterval)
+	}
+}
+
 // giveUpOverdue cancels the requests whose time has passed.
 func (c *pausingClient) giveUpOverdue() {
 	c.mu.Lock()
--- a/cmd/cairnfront/pausedreader_soak_test.go
+++ b/cmd/cairnfront/pausedreader_soak_test.go
@@ -17,7 +17,12 @@
 	pausingFirstSeed = flag.Uint64("pausing-first-seed", 1, "seed of the first case of that soak")
 )
 
-const pausingParallel = 4 // cases that run at the same time
+const (
+	pausingParallel    = 4 // cases that run at the same time
+	shortDescriptors   = 192
+	maxRestartPause    = 2600 * time.Millisecond
+	restartBytesPerSec = 5_200_000 // the slowest pace of a usual client
+)
 
 // Plays drawn cases of clients that stand still, also behind a relay, after a kill, and beside a crowd.
 func TestPausingSoak(t *testing.T) {
@@ -38,7 +43,7 @@
 func drawPausedReaderCase(seed uint64) pausedReaderCase {
 	random := rand.New(rand.NewPCG(seed, 45)) //nolint:gosec // it has to be repeatable
 	pick := func(values ...int) int { return values[random.IntN(len(values))] }
-	return pausedReaderCase{
+	test := pausedReaderCase{
 		memoryMB:      pick(32, 32, 64, 192),
 		clients:       pick(1, 4, 12),
 		objects:       pick(1, 4, 20),
@@ -50,6 +55,27 @@
 		killed:        random.IntN(2) == 0,
 		relayed:       random.IntN(2) == 0,
 		relayDelay:    time.Duration(pick(0, 1, 5)) * time.Millisecond,
+
+		cachesBreakOff: random.IntN(3) == 0,
+	}
+	if random.IntN(3) == 0 {
+		test.descriptors = shortDescriptors
+		test.silentReaders = min(test.silentReaders, shortDescriptors/3-test.clients) // the clients' share
+	}
+	if random.IntN(3) == 0 {
+		test.restart()
+	}
+	return test
+}
+
+// restart makes the router of the case restart. Its clients have to be able to take what was open before SIGKILL: the
+// protocol leaves no time for others.
+func (test *pausedReaderCase) restart() {
+	test.restarted = true
+	test.pause = min(test.pause, maxRestartPause)
+	test.relayed = false
+	if test.bytesPerSec > 0 {
+		test.bytesPerSec = restartBytesPerSec
 	}
 }
 
--- a/cmd/cairnfront/pausedreader_test.go
+++ b/cmd/cairnfront/pausedreader_test.go
@@ -16,6 +16,10 @@
 	afterPauseTime    = 1500 * time.Millisecond
 	slowReadTime      = 5 * time.Second
 	smallReceiveBytes = 64 << 10
+	samplingSlack     = 200 * time.Millisecond // a sample of the memory may take so long
+	lastReadTime      = 5 * time.Second        // in which clients read what a router left for them
+	signalInterval    = 30 * time.Millisecond
+	breakOffInterval  = 150 * time.Millisecond // between two resets of a connection by a cache
 )
 
 // pausedReaderCase is a way in which clients take no output for some time.
@@ -32,6 +36,10 @@
 	killed        bool          // the router is killed and started again before the clients connect
 	relayed       bool          // the clients connect through relays, which also stop, one way or the other
 	relayDelay    time.Duration // of what each relay passes on
+
+	restarted      bool // the router is terminated in the middle of the pause, and the clients go on until SIGKILL
+	cachesBreakOff bool // the caches reset connections all the time
+	descriptors    int  // that the router may use, 0 for the usual limit
 }
 
 // Guards against open requests that are lost as their connection ends because its client, or the router, stood still.
@@ -74,26 +82,17 @@
 func (test pausedReaderCase) run(t *testing.T) {
 	t.Helper()
 	startedAt := time.Now()
-	site := startStreamingSite(t, streamingLoad{blockBytes: largeObjectBytes, memoryMB: test.memoryMB, cores: 2})
+	site := test.startSite(t)
 	startSilentReaders(t, site.router.addr, test.silentReaders)
 	if test.killed {
 		require.Error(t, site.router.stop(t, syscall.SIGKILL))
 		site.router.start(t)
 	}
-	end := time.Now().Add(pauseBegin + max(test.pause, test.stopped) + afterPauseTime)
-	if test.bytesPerSec > 0 {
-		end = end.Add(slowReadTime)
-	}
-	var clients []*pausingClient
-	var playing sync.WaitGroup
-	for i := range test.clients {
-		gate := &readGate{bytesPerSec: test.bytesPerSec}
-		c, err := test.dial(t, site.router.addr, gate, i%2 == 0)
-		require.NoError(t, err)
-		clients = append(clients, c)
-		random := rand.New(rand.NewPCG(uint64(i), 81)) //nolint:gosec // it has to be repeatable
-		playing.Go(func() { c.play(random, test.objects, end) })
+	if test.cachesBreakOff {
+		breakOffUntilEnd(t, site)
 	}
+	end := time.Now().Add(test.playTime())
+	clients, playing := test.startClients(t, site.router.addr, end)
 	var memory memoryRecord
 	memory.sample(t, site.router, pauseBegin)
 	for _, c := range clients {
@@ -102,15 +101,61 @@
 	if test.stopped > 0 {
 		stopProcess(t, site.router, test.stopped)
 	}
-	memory.sample(t, site.router, time.Until(end))
+	if test.restarted {
+		memory.sample(t, site.router, time.Until(end.Add(-killAfter-samplingSlack)))
+		terminateInSeries(t, site.router)
+	} else {
+		memory.sample(t, site.router, time.Until(end))
+	}
 	playing.Wait()
 	for _, c := range clients {
+		if test.restarted {
+			c.awaitEnd(lastReadTime)
+		}
 		assert.Empty(t, c.lostRequests(startedAt))
 		_ = c.conn.Close()
 	}
 	assert.Less(t, memory.peak(), float64(test.memoryMB), "anonymous memory in MB")
 }
 
+// startSite starts a router with the case's limits.
+func (test pausedReaderCase) startSite(t *testing.T) *streamingSite {
+	t.Helper()
+	load := streamingLoad{
+		blockBytes: largeObjectBytes, memoryMB: test.memoryMB, cores: 2, descriptors: test.descriptors,
+	}
+	return startStreamingSite(t, load)
+}
+
+// playTime returns for how long the clients play.
+func (test pausedReaderCase) playTime() time.Duration {
+	if test.restarted {
+		return pauseBegin + test.stopped + test.pause/2 + killAfter + samplingSlack
+	}
+	d := pauseBegin + max(test.pause, test.stopped) + afterPauseTime
+	if test.bytesPerSec > 0 {
+		d += slowReadTime
+	}
+	return d
+}
+
+// startClients connects the clients and lets them play until a time.
+func (test pausedReaderCase) startClients(
+	t *testing.T, addr string, end time.Time,
+) (clients []*pausingClient, playing *sync.WaitGroup) {
+	t.Helper()
+	playing = &sync.WaitGroup{}
+	for i := range test.clients {
+		gate := &readGate{bytesPerSec: test.bytesPerSec}
+		c, err := test.dial(t, addr, gate, i%2 == 0)
+		require.NoError(t, err)
+		clients = append(clients, c)
+		random := rand.New(rand.NewPCG(uint64(i), 81)) //nolint:gosec // it has to be repeatable
+		playing.Go(func() { c.play(random, test.objects, end) })
+	}
+	return clients, playing
+}
+
 // dial connects a client, if the case says so through a relay.
 func (test pausedReaderCase) dial(t *testing.T, addr string, gate *readGate, stopsInput bool) (*pausingClient, error) {
 	t.Helper()
@@ -135,3 +180,41 @@
 	time.Sleep(d)
 	require.NoError(t, router.Process.Signal(syscall.SIGCONT))
 }
+
+// breakOffUntilEnd makes the caches reset their connections, one after another, until the end of the test.
+func breakOffUntilEnd(t *testing.T, site *streamingSite) {
+	t.Helper()
+	ticker := time.NewTicker(breakOffInterval)
+	stop := make(chan struct{})
+	var playing sync.WaitGroup
+	playing.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-ticker.C:
+				site.breakOff()
+			}
+		}
+	})
+	t.Cleanup(func() {
+		ticker.Stop()
+		close(stop)
+		playing.Wait()
+	})
+}
+
+// terminateInSeries sends a router SIGTERM and other signals after it, and SIGKILL at the protocol's earliest, before
+// which it has to end.
+func terminateInSeries(t *testing.T, router *routerProcess) {
+	t.Helper()
+	router.stopping = true
+	kill := time.AfterFunc(killAfter, func() { _ = router.Process.Kill() })
+	defer kill.Stop()
+	for _, signal := range []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGUSR1} {
+		//nolint:testifylint // assert: the clients' records are to be verified after a failure too
+		assert.NoError(t, router.Process.Signal(signal))
+		time.Sleep(signalInterval)
+	}
+	assert.NoError(t, <-router.exited, "exit 0 before SIGKILL")
+}
--- a/cmd/cairnfront/streaming_client_test.go
+++ b/cmd/cairnfront/streaming_client_test.go
@@ -28,6 +28,7 @@
 	recordBytes   int           // body of a record
 	memoryMB      int
 	cores         int
+	descriptors   int // that the router may use, 0 for the usual limit
 }
 
 // String describes the load for the log.
@@ -239,6 +240,7 @@
 	mu       sync.Mutex
 	silent   bool
 	attempts []streamedAttempt
+	conns    []net.Conn // of the router, oldest first
 }
 
 // streamedAttempt is an attempt that a cache received completely.
@@ -256,7 +258,11 @@
 		stubs = append(stubs, startCacheServing(t, site.serve))
 	}
 	edit := func(content []byte) []byte {
-		return []byte(strings.Replace(string(content), `"cores":1`, fmt.Sprintf(`"cores":%d`, load.cores), 1))
+		text := strings.Replace(string(content), `"cores":1`, fmt.Sprintf(`"cores":%d`, load.cores), 1)
+		if load.descriptors > 0 {
+			text = strings.Replace(text, `"sockets":1024`, fmt.Sprintf(`"sockets":%d`, load.descriptors), 1)
+		}
+		return []byte(text)
 	}
 	site.router = startProgram(t, launch{program: program, editBootstrap: edit}, load.memoryMB, stubs[0], stubs[1:]...)
 	return site
@@ -265,6 +271,7 @@
 // serve answers the attempts of one connection, each after blockDelay, unless the site is silent.
 func (s *streamingSite) serve(conn net.Conn) {
 	defer conn.Close()
+	s.addConn(conn)
 	in := bufio.NewReader(conn)
 	var writing sync.Mutex
 	for {
@@ -289,6 +296,27 @@
 	}
 }
 
+func (s *streamingSite) addConn(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns = append(s.conns, conn)
+}
+
+// breakOff resets the newest connection of the router.
+func (s *streamingSite) breakOff() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.conns) == 0 {
+		return
+	}
+	newest := s.conns[len(s.conns)-1]
+	s.conns = s.conns[:len(s.conns)-1]
+	if socket, ok := newest.(*net.TCPConn); ok {
+		_ = socket.SetLinger(0)
+	}
+	_ = newest.Close()
+}
+
 // record records an attempt, and reports whether the site is silent.
 func (s *streamingSite) record(id, timeout string) (silent bool) {
 	millis, _ := strconv.Atoi(timeout)
