frontend: the end of a client's connection tells how many requests it had not read

The log told the unread input in bytes, so that an end that takes requests before they are read could not be told from one that takes half a frame. Up to 16 KB of what the kernel holds are looked at as the connection closes, and the requests that begin in them, in the ring buffer, and in the frame that was being read are counted: unread_requests in "connection closed". The metric connection_requests_unanswered_total{reason} counts them too.

Golden lines: the one new field in each. The bound in bytes keeps a close cheap: nothing is read or copied where no input is unread.

--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -23,6 +23,8 @@
 	admission *admission.Controller
 	share     request.Share // what the connection holds of the resources that all share
 
+	progress frameProgress // used by the reader only
+
 	delivered    int64         // bytes that the client's socket has accepted, as of the last sweep; used by sweep only
 	stalledSince clock.Instant // first sweep since which they have not changed; zero if none; used by sweep only
 
@@ -108,6 +110,7 @@
 	}
 	s.removeConn(c)
 	taken.BodyMemoryBytes = bodyMemory
+	taken.UnreadRequests, taken.UnreadBytes = c.unreadInput()
 	c.LogClientEnd(s.Metrics, telemetry.Remote{Side: telemetry.SideClient, Address: c.RemoteAddr()}, taken)
 }
 
--- a/internal/frontend/framereader.go
+++ b/internal/frontend/framereader.go
@@ -43,7 +43,7 @@
 // readFrames reads frames until an error: a socket error, a connectionError, or errReadyToClose.
 func (r *frameReader) readFrames() error {
 	defer r.endTurn()
-	header := make([]byte, clientproto.HeaderSize)
+	header := r.conn.progress.header[:]
 	for {
 		r.endTurnUnlessAvailable(clientproto.HeaderSize)
 		r.turn.beginRead()
@@ -55,6 +55,7 @@
 		if err != nil {
 			return &connectionError{err.Error()}
 		}
+		r.conn.progress.end = r.conn.BytesConsumed() + int64(h.PayloadBytes)
 		if err := r.beginTurnToRead(h); err != nil {
 			return err
 		}
--- a/internal/netconn/close.go
+++ b/internal/netconn/close.go
@@ -63,6 +63,7 @@
 		c.closed.Store(true)
 		c.endReaderWait()
 		c.SetEndCode(code, cause)
+		c.peekedAtClose = c.peekUnread()
 		c.unreadAtClose, c.unackedAtClose = c.UnreadBytes(), c.UnacknowledgedBytes()
 		_ = c.raw.Close() // the end code and its cause are already recorded
 	})
@@ -109,6 +110,15 @@
 	}
 }
 
+// UnreadInput closes the connection if it is still open, and returns the start of the input that had arrived and was
+// not consumed, and its length in bytes. It must be called once, after the reading goroutine has stopped.
+func (c *Conn) UnreadInput() (start []byte, length int64) {
+	c.Close(Shutdown, nil)
+	buffered := make([]byte, c.in.Len())
+	c.in.Read(buffered)
+	return append(buffered, c.peekedAtClose...), int64(len(buffered)) + c.unreadAtClose
+}
+
 // LogEnd closes the connection if it is still open, logs its end and updates the counters. It must be called after all
 // goroutines that use the connection have stopped.
 func (c *Conn) LogEnd(metrics *telemetry.Metrics, remote telemetry.Remote) {
@@ -116,10 +126,9 @@
 }
 
 // LogClientEnd is like LogEnd for the connection of a client, whose requests the end may have taken. It adds to taken
-// what the connection has not read and what its peer has not taken.
+// what its peer has not taken.
 func (c *Conn) LogClientEnd(metrics *telemetry.Metrics, remote telemetry.Remote, taken telemetry.TakenByEnd) {
 	end := c.finalState(remote)
-	taken.UnreadBytes = c.unreadAtClose + int64(c.in.Len())
 	taken.UnsentBytes += c.unackedAtClose + int64(c.out.Len())
 	end.Taken = &taken
 	metrics.ConnectionEnded(end)
--- a/internal/netconn/conn.go
+++ b/internal/netconn/conn.go
@@ -60,8 +60,9 @@
 
 	closeOnce      sync.Once
 	closed         atomic.Bool
-	unreadAtClose  int64 // bytes that had arrived and were not read from the socket; set by Close
-	unackedAtClose int64 // bytes that the socket had accepted and the peer had not; set by Close
+	peekedAtClose  []byte // the first of the bytes that had arrived and were not read from the socket; set by Close
+	unreadAtClose  int64  // bytes that had arrived and were not read from the socket; set by Close
+	unackedAtClose int64  // bytes that the socket had accepted and the peer had not; set by Close
 
 	mu            sync.Mutex // guards the fields below
 	endCode       EndCode
--- a/internal/telemetry/connections.go
+++ b/internal/telemetry/connections.go
@@ -27,11 +27,15 @@
 type TakenByEnd struct {
 	OpenRequests    int   // requests without a response, except those that the client had cancelled
 	UnsentResponses int   // responses that the socket had not accepted completely
+	UnreadRequests  int   // requests of which a part had arrived and that were not read completely
 	UnreadBytes     int64 // input that had arrived and was not read
 	UnsentBytes     int64 // output that the client's socket had not accepted
 	BodyMemoryBytes int64 // what bodies used of their memory in the process
 }
 
+// requests returns how many requests were left without a complete response.
+func (t *TakenByEnd) requests() int { return t.OpenRequests + t.UnsentResponses + t.UnreadRequests }
+
 // ConnectionOpened counts a connection that was accepted or is being established.
 func (m *Metrics) ConnectionOpened(side Side) {
 	m.mu.Lock()
@@ -57,6 +61,7 @@
 		attributes = append(attributes,
 			"open_requests", e.Taken.OpenRequests,
 			"unsent_responses", e.Taken.UnsentResponses,
+			"unread_requests", e.Taken.UnreadRequests,
 			"unread_bytes", e.Taken.UnreadBytes,
 			"unsent_bytes", e.Taken.UnsentBytes,
 			"body_memory_bytes", e.Taken.BodyMemoryBytes,
@@ -75,8 +80,7 @@
 	m.values[ConnectionsOpen.With(e.Remote.Side).series]--
 	m.values[BytesReceived.With(e.Remote.Side).series] += float64(e.BytesReceived)
 	m.values[BytesSent.With(e.Remote.Side).series] += float64(e.BytesSent)
-	if e.Taken != nil && e.Taken.OpenRequests+e.Taken.UnsentResponses > 0 {
-		unanswered := float64(e.Taken.OpenRequests + e.Taken.UnsentResponses)
-		m.values[RequestsTakenByClose.With(e.Reason).series] += unanswered
+	if e.Taken != nil && e.Taken.requests() > 0 {
+		m.values[RequestsTakenByClose.With(e.Reason).series] += float64(e.Taken.requests())
 	}
 }
--- a/internal/telemetry/metrics_test.go
+++ b/internal/telemetry/metrics_test.go
@@ -131,12 +131,14 @@
 	m := New(&out, "")
 	m.ConnectionEnded(ConnectionEnd{
 		Remote: Remote{Side: SideClient}, Reason: label("slow_reader"), OpenedAt: time.Now(),
-		Taken: &TakenByEnd{OpenRequests: 2, UnsentResponses: 3, UnreadBytes: 4, UnsentBytes: 5, BodyMemoryBytes: 6},
+		Taken: &TakenByEnd{
+			OpenRequests: 2, UnsentResponses: 3, UnreadRequests: 7, UnreadBytes: 4, UnsentBytes: 5, BodyMemoryBytes: 6,
+		},
 	})
 	assert.Contains(t, out.String(),
-		"open_requests=2 unsent_responses=3 unread_bytes=4 unsent_bytes=5 body_memory_bytes=6\n")
+		"open_requests=2 unsent_responses=3 unread_requests=7 unread_bytes=4 unsent_bytes=5 body_memory_bytes=6\n")
 	//nolint:testifylint // exact by intent
-	assert.EqualValues(t, 5, m.Value(`connection_requests_unanswered_total{reason="slow_reader"}`))
+	assert.EqualValues(t, 12, m.Value(`connection_requests_unanswered_total{reason="slow_reader"}`))
 }
 
 // TestLogLinesIdentifyTheProcess checks the key with which each log line identifies its process. Log lines of an edge
