--- a/internal/frontend/outputstall.go
+++ b/internal/frontend/outputstall.go
@@ -115,6 +115,22 @@
 	return now.Sub(c.stalledSince)
 }
 
+// setStalled records whether the client takes no output.
+func (w *responseWriter) setStalled(stalled bool) {
+	w.mu.Lock()
+	ended := w.stalled && !stalled
+	w.stalled = stalled
+	if !stalled {
+		w.untaken = nil
+	}
+	w.mu.Unlock()
+	if ended {
+		w.signalRoom()
+		w.signal()
+		w.handOverDeferred()
+	}
+}
+
 // onlyBegunLeft reports whether no request is open, no frame is queued, and the only one that the client has not taken
 // is being written. The arguments are how much of the output the client's socket and this one have accepted.
 func (w *responseWriter) onlyBegunLeft(taken, written int64) bool {
--- a/internal/frontend/responsewriter.go
+++ b/internal/frontend/responsewriter.go
@@ -27,44 +27,6 @@
 	maxFrames = maxOpenRequests + 16
 )
 
-// writerState is the state of a responseWriter, which determines what it accepts. moveLocked makes all transitions and
-// rejects any other:
-//
-//	from       to        when
-//	accepting  quiesced  no request is open and all output is written, and either the reader closes the connection
-//	                     (quiesce) or run returns after finish
-//	accepting  closed    the connection has ended in another way (close)
-//	quiesced   closed    the connection has ended (close)
-type writerState uint8
-
-const (
-	// writerAccepting: responses to open requests and control frames are queued.
-	writerAccepting writerState = iota
-
-	// writerQuiesced: no request is open, all output is written, and control frames are no longer queued. The
-	// connection may be closed.
-	writerQuiesced
-
-	// writerClosed: the connection has ended; nothing is queued any more.
-	writerClosed
-	writerStateCount
-)
-
-// writerTransitions lists the states that a responseWriter may enter from each state.
-var writerTransitions = [writerStateCount][writerStateCount]bool{
-	writerAccepting: {writerQuiesced: true, writerClosed: true},
-	writerQuiesced:  {writerClosed: true},
-}
-
-// moveLocked changes the state if the table contains the transition, and reports whether it did.
-func (w *responseWriter) moveLocked(to writerState) bool {
-	if !writerTransitions[w.state][to] {
-		return false
-	}
-	w.state = to
-	return true
-}
-
 // responseWriter holds the open requests of one client connection and queues the frames that are written to it. Each
 // request has at most one response, responses may be in any order, and a single goroutine (run) writes them. Its
 // methods are safe for concurrent use, except that only the connection's reader may call open, openAdmitted and
@@ -155,22 +117,6 @@
 
 func (w *responseWriter) hasUnwrittenLocked() bool { return w.unwritten+w.queue.Len() > 0 }
 
-// setStalled records whether the client takes no output.
-func (w *responseWriter) setStalled(stalled bool) {
-	w.mu.Lock()
-	ended := w.stalled && !stalled
-	w.stalled = stalled
-	if !stalled {
-		w.untaken = nil
-	}
-	w.mu.Unlock()
-	if ended {
-		w.signalRoom()
-		w.signal()
-		w.handOverDeferred()
-	}
-}
-
 // sinceLargeWritten returns how long ago the socket accepted the last large body.
 func (w *responseWriter) sinceLargeWritten(now clock.Instant) time.Duration {
 	w.mu.Lock()
@@ -200,24 +146,6 @@
 	return nil
 }
 
-// quiesce reports whether no request is open and all output is written. If so, no control frame is queued any more.
-//
-// It guards against a request that arrives between this check and the close: its client would see the connection end
-// without a response. The check and the change of state are one step, and the caller is the reader, which opens
-// requests: therefore no request is opened after it.
-func (w *responseWriter) quiesce() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.quiesceLocked()
-	return w.state >= writerQuiesced
-}
-
-func (w *responseWriter) quiesceLocked() {
-	if !w.busyLocked() {
-		w.moveLocked(writerQuiesced)
-	}
-}
-
 // Respond implements request.ResponseWriter. It does not accept a response to a request that was already answered or
 // cancelled.
 func (w *responseWriter) Respond(r *request.Request, response request.Response) bool {
