frontend: a connection whose requests the network holds up does not count as idle

Callers saw the same ends as with a part of a frame: when the network stopped between two frames, or for over 6 s, the router saw no input, closed the connection as idle (idle_timeout, partial_frame) or as silent (slow_reader, if the network stopped both ways), and took the requests that were written meanwhile.

A client that has nothing to send closes its connection after 4 s by itself, so 6 s gained little where there is room. A connection that has carried a request now waits 30 s, unless over four fifths of the places for clients are in use; then it is 6 s as before. Clients need at most 74 of 100 places.

--- a/internal/admission/connections.go
+++ b/internal/admission/connections.go
@@ -42,6 +42,13 @@
 // OpenClients returns the number of client connections that were admitted or refused and have not ended.
 func (c *Controller) OpenClients() int64 { return c.clients.Load() }
 
+// ClientsNearLimit reports whether so many client connections are open that the places for further ones may become short.
+//
+// It guards against idle connections that use up the places: they are then closed sooner.
+func (c *Controller) ClientsNearLimit() bool {
+	return float64(c.OpenClients()) > nearLimitShare*float64(c.limits.clients)
+}
+
 // ClientDone records that a client connection has ended.
 func (c *Controller) ClientDone() { c.clients.Add(-1) }
 
--- a/internal/admission/limits.go
+++ b/internal/admission/limits.go
@@ -12,6 +12,10 @@
 	// endpoint that does not respond must not use the descriptors of the other endpoints.
 	perEndpointShare = 0.25
 
+	// nearLimitShare is the share of the client connections above which idle ones are closed sooner. It is above what
+	// clients need at most.
+	nearLimitShare = 0.8
+
 	// waitingConnsDivisor gives the fraction (1/n) of the connections to endpoints that may wait for memory.
 	waitingConnsDivisor = 8
 
--- a/internal/frontend/connstate.go
+++ b/internal/frontend/connstate.go
@@ -20,13 +20,12 @@
 
 // The states of a client connection.
 const (
-	// stateIdle: no request is open, all output is written, and no frame has begun. The timeouts are idleTimeout and,
-	// until the first complete frame, firstFrameTimeout. Only connections in this state are evicted.
+	// stateIdle: no request is open, all output is written, and no frame has begun. The timeouts are silenceTimeout
+	// and, until the first complete frame, firstFrameTimeout. Only connections in this state are evicted.
 	stateIdle connState = iota
 
 	// statePartialFrame: like stateIdle, but the first bytes of a frame were received. The timeouts are
-	// partialFrameTimeout, or heldUpFrameTimeout after a request, and, until the first complete frame,
-	// firstFrameTimeout.
+	// partialFrameTimeout, or silenceTimeout after a request, and, until the first complete frame, firstFrameTimeout.
 	statePartialFrame
 
 	// stateActive: a request is open, or output is not completely written. Writes are limited by writeStallTimeout and
--- a/internal/frontend/outputstall.go
+++ b/internal/frontend/outputstall.go
@@ -75,7 +75,7 @@
 	if c.writer.full() && now > clock.Instant(c.waitsUntil.Load()) {
 		return errStalledOutputFull
 	}
-	if c.answersExpired(now) && c.silentFor(idleTimeout, now) {
+	if c.answersExpired(now) && c.silent(now) {
 		return errStalledSilent
 	}
 	return nil
@@ -84,7 +84,7 @@
 // endLosesNothing reports whether the end of the connection takes no request that its client may still wait for.
 func (c *clientConn) endLosesNothing() bool {
 	now := clock.Now()
-	return c.onlyBegunLeft() || c.answersExpired(now) && c.silentFor(idleTimeout, now)
+	return c.onlyBegunLeft() || c.answersExpired(now) && c.silent(now)
 }
 
 // onlyBegunLeft reports whether the client waits for nothing but a response that was begun. By the protocol, one that
@@ -94,10 +94,11 @@
 	return c.writer.onlyBegunLeft(written-c.UnacknowledgedBytes(), written) && c.UnreadBytes() == 0
 }
 
-// silentFor reports whether the client has sent nothing for longer than a time. What it sends after a violation of the
-// protocol does not count.
-func (c *clientConn) silentFor(timeout time.Duration, now clock.Instant) bool {
-	return c.EndCode() != netconn.NoEndCode || c.UnreadBytes() == 0 && now.Sub(c.LastRead()) > timeout
+// silent reports whether the client has sent nothing for longer than silenceTimeout. What it sends after a violation of
+// the protocol does not count.
+func (c *clientConn) silent(now clock.Instant) bool {
+	return c.EndCode() != netconn.NoEndCode ||
+		c.UnreadBytes() == 0 && now.Sub(c.LastRead()) > c.activity().silenceTimeout()
 }
 
 // deliveryStalledFor returns for how long output has been on its way to the client while the client has taken none.
--- a/internal/frontend/timeouts.go
+++ b/internal/frontend/timeouts.go
@@ -20,9 +20,9 @@
 	firstFrameTimeout   = 2500 * time.Millisecond // from the accept to the first complete frame
 	partialFrameTimeout = 2 * time.Second         // since the first byte of a partial frame
 
-	// heldUpFrameTimeout is the same on a connection that has carried requests: further ones may be under way behind
-	// the frame.
-	heldUpFrameTimeout = idleTimeout
+	// heldUpTimeout takes the place of idleTimeout and partialFrameTimeout on a connection that has carried requests,
+	// unless client connections are near their limit: then it is idleTimeout.
+	heldUpTimeout = 30 * time.Second
 )
 
 // sweepPeriodically closes connections whose timeout has passed, and drops idle buffers, until the context is done.
@@ -102,6 +102,7 @@
 	lastRead       clock.Instant // time of the last input, or of the accept
 	firstFrameRead bool          // a complete frame was received
 	carriedRequest bool          // a request was received and decoded
+	nearLimit      bool          // the process has few places for further connections
 }
 
 // activity returns the activity that the reader has observed so far.
@@ -111,6 +112,7 @@
 		lastRead:       c.LastRead(),
 		firstFrameRead: c.firstFrameRead.Load(),
 		carriedRequest: c.carriedRequest.Load(),
+		nearLimit:      c.admission.ClientsNearLimit(),
 	}
 }
 
@@ -126,7 +128,7 @@
 	case netconn.NoFirstFrame:
 		return !a.firstFrameRead
 	case netconn.IdleTimeout:
-		return a.idleFor(idleTimeout, at)
+		return a.idleFor(a.silenceTimeout(), at)
 	case netconn.Evicted:
 		return a.idleFor(evictionMinIdle, at)
 	case netconn.Shutdown: // wait for the rest of a request that has begun to arrive
@@ -135,14 +137,22 @@
 	return true
 }
 
-// frameOverdue reports whether a frame began and was not completed within its timeout.
+// silenceTimeout returns for how long a client may send nothing.
 //
-// It guards against requests that are lost with the connection, as the network holds them up within a frame: they count
-// as taken once they are written.
+// It guards against requests that are lost with the connection, as the network holds them up: they count as taken once
+// they are written. A client that has nothing to send closes the connection itself.
+func (a activity) silenceTimeout() time.Duration {
+	if a.carriedRequest && !a.nearLimit {
+		return heldUpTimeout
+	}
+	return idleTimeout
+}
+
+// frameOverdue reports whether a frame began and was not completed within its timeout.
 func (a activity) frameOverdue(at clock.Instant) bool {
 	timeout := partialFrameTimeout
 	if a.carriedRequest {
-		timeout = heldUpFrameTimeout
+		timeout = a.silenceTimeout()
 	}
 	return !a.frameStart.IsZero() && at.Sub(a.frameStart) > timeout
 }
