frontend: a flood that takes no output is ended in time on a loaded router

Since a client that takes no output is ended once 48 frames of it are open or not taken and their time is over.

While a client takes no output, the reader now looks at up to 16 KB of the input that it has not read, and counts the requests that the client has open there. One that keeps to 32 open requests, and cancels what it gives up, never reaches 48 in any part of its input.

--- a/internal/admission/connections.go
+++ b/internal/admission/connections.go
@@ -42,7 +42,7 @@
 // OpenClients returns the number of client connections that were admitted or refused and have not ended.
 func (c *Controller) OpenClients() int64 { return c.clients.Load() }
 
-// ClientsNearLimit reports whether so many client connections are open that the places for further ones may become short.
+// ClientsNearLimit reports whether so many client connections are open that places for further ones may become short.
 //
 // It guards against idle connections that use up the places: they are then closed sooner.
 func (c *Controller) ClientsNearLimit() bool {
--- a/internal/frontend/framereader.go
+++ b/internal/frontend/framereader.go
@@ -77,6 +77,7 @@
 
 // awaitRoom waits until the connection's open requests and unwritten frames leave room for more.
 func (r *frameReader) awaitRoom() error {
+	r.noteUnread()
 	if !r.writer.full() {
 		return nil
 	}
--- a/internal/frontend/outputstall.go
+++ b/internal/frontend/outputstall.go
@@ -122,7 +122,7 @@
 	ended := w.stalled && !stalled
 	w.stalled = stalled
 	if !stalled {
-		w.untaken = nil
+		w.untaken, w.unread = nil, 0
 	}
 	w.mu.Unlock()
 	if ended {
@@ -132,6 +132,23 @@
 	}
 }
 
+// isStalled reports whether the client takes no output, as of the last sweep.
+func (w *responseWriter) isStalled() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.stalled
+}
+
+// setUnread records how many requests the client has open in the input that was not read. It has no effect once the
+// client takes output again.
+func (w *responseWriter) setUnread(requests int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stalled {
+		w.unread = requests
+	}
+}
+
 // onlyBegunLeft reports whether no request is open, no frame is queued, and the only one that the client has not taken
 // is being written. The arguments are how much of the output the client's socket and this one have accepted.
 func (w *responseWriter) onlyBegunLeft(taken, written int64) bool {
--- a/internal/frontend/responsewriter.go
+++ b/internal/frontend/responsewriter.go
@@ -51,6 +51,7 @@
 	state     writerState
 	stalled   bool     // the client takes no output, as of the last sweep
 	untaken   []uint32 // streams of the frames that the socket has accepted since, except those cancelled; 0 for none
+	unread    int      // requests that the client has open in the input that was not read, while it takes no output
 	finishing bool     // run returns once no request is open and all output is written
 
 	unwritten        int           // number of frames that run has dequeued and the socket has not accepted completely
@@ -124,11 +125,12 @@
 	return now.Sub(w.lastLargeWritten)
 }
 
-// full reports whether so many requests are open, and frames queued or not taken, that the connection is not read on.
+// full reports whether so many requests are open, read or not, and frames queued or not taken, that the connection is
+// not read on.
 func (w *responseWriter) full() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return len(w.requests)+w.queue.Len()+len(w.untaken) >= maxFrames
+	return len(w.requests)+w.queue.Len()+len(w.untaken)+w.unread >= maxFrames
 }
 
 // awaitRoom waits until the connection is not full any more, or the context is done.
--- a/internal/frontend/unreadinput.go
+++ b/internal/frontend/unreadinput.go
@@ -1,6 +1,8 @@
 package frontend
 
 import (
+	"sync"
+
 	"cairnfront/internal/clientproto"
 	"cairnfront/internal/netconn"
 )
@@ -34,15 +36,57 @@
 
 // requestCount returns how many requests begin in a piece of input that begins with a frame.
 func requestCount(input []byte) (count int) {
+	forEachFrame(input, func(h clientproto.Header) {
+		if h.Type == clientproto.TypeRequest {
+			count++
+		}
+	})
+	return count
+}
+
+// maxOpenIn returns the largest number of requests that a client has open within a piece of input that begins with a
+// frame, of those that it sends there, if it gets no response meanwhile.
+func maxOpenIn(input []byte) (most int) {
+	open := 0
+	forEachFrame(input, func(h clientproto.Header) {
+		switch h.Type {
+		case clientproto.TypeRequest:
+			open++
+		case clientproto.TypeCancel:
+			open--
+		case clientproto.TypeResponse, clientproto.TypeReadinessQuery, clientproto.TypeReadinessReply,
+			clientproto.TypeGoAway:
+		}
+		most = max(most, open)
+	})
+	return most
+}
+
+// forEachFrame calls a function for each frame that begins in a piece of input, up to one whose header is not complete
+// or not valid.
+func forEachFrame(input []byte, handle func(h clientproto.Header)) {
 	for len(input) >= clientproto.HeaderSize {
 		h, err := clientproto.ParseHeader(input)
 		if err != nil {
-			return count
-		}
-		if h.Type == clientproto.TypeRequest {
-			count++
+			return
 		}
+		handle(h)
 		input = input[min(clientproto.HeaderSize+h.PayloadBytes, len(input)):]
 	}
-	return count
+}
+
+// inputPeeks are the buffers in which input is looked at that was not read. None is in use while a read waits.
+var inputPeeks = sync.Pool{New: func() any { return new([netconn.MaxPeekedBytes]byte) }}
+
+// noteUnread records how many requests the client has open in the input after the last frame, if it takes no output.
+//
+// It guards against a flood of a client that reads nothing: its frames are handled so slowly, as they share one turn
+// with those of all others, that it would take seconds until the connection is full.
+func (r *frameReader) noteUnread() {
+	if !r.writer.isStalled() {
+		return
+	}
+	peek := inputPeeks.Get().(*[netconn.MaxPeekedBytes]byte) //nolint:forcetypeassert // it holds nothing else
+	defer inputPeeks.Put(peek)
+	r.writer.setUnread(maxOpenIn(peek[:r.conn.PeekInput(peek[:])]))
 }
--- a/internal/frontend/unreadinput_test.go
+++ b/internal/frontend/unreadinput_test.go
@@ -45,6 +45,16 @@
 	}
 }
 
+// Guards against taking a client that gives its requests up in time for one that has more open than it may.
+func TestCancelledRequestsDoNotCountAsUnread(t *testing.T) {
+	one := requestFrame(1, "aa")
+	cancel := clientproto.AppendHeader(nil, clientproto.TypeCancel, 1, 0)
+	assert.Zero(t, maxOpenIn(nil))
+	assert.Equal(t, 1, maxOpenIn(one))
+	assert.Equal(t, 2, maxOpenIn(slices.Concat(one, one, cancel, cancel, cancel, one)))
+	assert.Equal(t, 1, maxOpenIn(slices.Concat(cancel, one, one, readinessQuery(0), one[:5])))
+}
+
 // newUnreadConn returns a connection of a client that has sent something.
 func newUnreadConn(t *testing.T, sent []byte) *clientConn {
 	t.Helper()
--- a/internal/netconn/arrival.go
+++ b/internal/netconn/arrival.go
@@ -18,8 +18,8 @@
 // exact, never too late.
 const maxInputMarks = 8
 
-// maxPeekedBytes limits the unread input that is copied as a connection closes, to tell what the close takes.
-const maxPeekedBytes = 16 << 10
+// MaxPeekedBytes limits the unread input that is copied as a connection closes, to tell what the close takes.
+const MaxPeekedBytes = 16 << 10
 
 // inputMark records how many bytes had arrived by a time, with those that are still in the kernel's receive buffer.
 type inputMark struct {
@@ -101,24 +101,30 @@
 // UnreadBytes returns how many bytes of input are in the kernel's receive buffer, or 0 for a socket that cannot tell.
 func (c *Conn) UnreadBytes() int64 { return c.socketCount(unix.TIOCINQ) }
 
-// peekUnread returns the first bytes of the input in the kernel's receive buffer, at most maxPeekedBytes, and leaves
-// them there. It returns nil for a socket that cannot tell.
-func (c *Conn) peekUnread() []byte {
-	unread := min(c.UnreadBytes(), maxPeekedBytes)
+// PeekInput copies the start of the input that has arrived and was not consumed, and returns its length. It must be
+// called from the reading goroutine.
+func (c *Conn) PeekInput(p []byte) int {
+	n := c.in.Peek(p)
+	return n + c.peekUnread(p[n:])
+}
+
+// peekUnread copies the first bytes of the input in the kernel's receive buffer, leaves them there, and returns their
+// number. It returns 0 for a socket that cannot tell.
+func (c *Conn) peekUnread(p []byte) int {
 	socket, ok := c.raw.(syscall.Conn)
-	if !ok || unread == 0 {
-		return nil
+	if !ok || len(p) == 0 {
+		return 0
 	}
 	raw, err := socket.SyscallConn()
 	if err != nil {
-		return nil
+		return 0
 	}
-	peeked, n := make([]byte, unread), 0
-	peek := func(fd uintptr) { n, _, err = unix.Recvfrom(int(fd), peeked, unix.MSG_PEEK|unix.MSG_DONTWAIT) }
+	n := 0
+	peek := func(fd uintptr) { n, _, err = unix.Recvfrom(int(fd), p, unix.MSG_PEEK|unix.MSG_DONTWAIT) }
 	if raw.Control(peek) != nil || err != nil {
-		return nil
+		return 0
 	}
-	return peeked[:n]
+	return n
 }
 
 // UnacknowledgedBytes returns how many bytes the socket has accepted and the peer's has not: they stay in the kernel
--- a/internal/netconn/close.go
+++ b/internal/netconn/close.go
@@ -63,7 +63,8 @@
 		c.closed.Store(true)
 		c.endReaderWait()
 		c.SetEndCode(code, cause)
-		c.peekedAtClose = c.peekUnread()
+		c.peekedAtClose = make([]byte, min(c.UnreadBytes(), MaxPeekedBytes))
+		c.peekedAtClose = c.peekedAtClose[:c.peekUnread(c.peekedAtClose)]
 		c.unreadAtClose, c.unackedAtClose = c.UnreadBytes(), c.UnacknowledgedBytes()
 		_ = c.raw.Close() // the end code and its cause are already recorded
 	})
--- a/internal/ringbuffer/buffer.go
+++ b/internal/ringbuffer/buffer.go
@@ -75,6 +75,13 @@
 	return done
 }
 
+// Peek copies the first buffered bytes into p, without removing them, and returns their number.
+func (b *Buffer) Peek(p []byte) int {
+	done := copy(p, b.usedSpan())
+	wrapped := b.used - len(b.usedSpan())
+	return done + copy(p[done:], b.data[:wrapped])
+}
+
 // Discard removes up to n buffered bytes and returns the number of bytes removed.
 func (b *Buffer) Discard(n int) int {
 	n = min(n, b.used)
--- a/internal/ringbuffer/buffer_test.go
+++ b/internal/ringbuffer/buffer_test.go
@@ -57,3 +57,16 @@
 	assert.Equal(t, 2, b.Discard(5))
 	assert.Equal(t, -1, b.IndexByte('a', 0))
 }
+
+// Guards against a look at the input that misses the part behind the end of the buffer.
+func TestPeekLeavesTheBytes(t *testing.T) {
+	b := New(4)
+	b.Write([]byte("abc"))
+	b.Discard(2)
+	b.Write([]byte("def"))
+	for _, length := range []int{0, 1, 3, 4, 9} {
+		p := make([]byte, length)
+		assert.Equal(t, "cdef"[:min(length, 4)], string(p[:b.Peek(p)]))
+	}
+	assert.Equal(t, 4, b.Len())
+}
