--- a/internal/frontend/timeouts.go
+++ b/internal/frontend/timeouts.go
@@ -22,7 +22,7 @@
 
 	// heldUpTimeout takes the place of idleTimeout and partialFrameTimeout on a connection that has carried requests,
 	// unless client connections are near their limit: then it is idleTimeout.
-	heldUpTimeout = 30 * time.Second
+	heldUpTimeout = 15 * time.Second
 )
 
 // sweepPeriodically closes connections whose timeout has passed, and drops idle buffers, until the context is done.
