netconn: the unread input of at most 16 connections is held as they close

What a client's connection had not read was copied as it closed, up to 16 KB each and twice, without a bound on how many close together: 341 at once could have added 11 MB at 32 MB.

--- a/internal/frontend/connection.go
+++ b/internal/frontend/connection.go
@@ -47,6 +47,7 @@
 		admission: s.Admission,
 	}
 	c.OnCloseRequest = c.readyToClose
+	c.TellUnread = true
 	c.writer.mayEnd = c.endLosesNothing
 	c.writer.share = &c.share
 	c.writer.handOver = func(r *request.Request) { s.handOver(r, c.writer) }
--- a/internal/frontend/unreadinput.go
+++ b/internal/frontend/unreadinput.go
@@ -17,7 +17,10 @@
 // violation of the protocol no requests can be told apart. It must be called once, after the reader has stopped.
 func (c *clientConn) unreadInput() (requests int, unreadBytes int64) {
 	consumed := c.BytesConsumed()
-	input, unreadBytes := c.UnreadInput()
+	peek := inputPeeks.Get().(*[netconn.MaxPeekedBytes]byte) //nolint:forcetypeassert // it holds nothing else
+	defer inputPeeks.Put(peek)
+	copied, unreadBytes := c.UnreadInput(peek[:])
+	input := peek[:copied]
 	if c.EndCode() == netconn.ProtocolError {
 		return 0, unreadBytes
 	}
--- a/internal/frontend/unreadinput_test.go
+++ b/internal/frontend/unreadinput_test.go
@@ -69,6 +69,7 @@
 	_, err = client.Write(sent)
 	require.NoError(t, err)
 	c := &clientConn{Conn: netconn.New(accepted, 64, 0)}
+	c.TellUnread = true
 	require.Eventually(t, func() bool { return c.UnreadBytes() == int64(len(sent)) }, time.Minute, time.Millisecond)
 	return c
 }
--- a/internal/netconn/arrival.go
+++ b/internal/netconn/arrival.go
@@ -21,6 +21,12 @@
 // MaxPeekedBytes limits the unread input that is copied as a connection closes, to tell what the close takes.
 const MaxPeekedBytes = 16 << 10
 
+// maxHeldPeeks limits the connections of which that input is held at the same time, from the close to UnreadInput.
+const maxHeldPeeks = 16
+
+// heldPeeks has an element for each of them.
+var heldPeeks = make(chan struct{}, maxHeldPeeks)
+
 // inputMark records how many bytes had arrived by a time, with those that are still in the kernel's receive buffer.
 type inputMark struct {
 	at     clock.Instant
@@ -108,6 +114,20 @@
 	return n + c.peekUnread(p[n:])
 }
 
+// holdUnread copies the start of the input in the kernel's receive buffer for UnreadInput, unless it is not wanted or
+// too many connections hold theirs.
+func (c *Conn) holdUnread() {
+	if !c.TellUnread || c.unreadAtClose == 0 {
+		return
+	}
+	select {
+	case heldPeeks <- struct{}{}:
+		peeked := make([]byte, min(c.unreadAtClose, MaxPeekedBytes))
+		c.peekedAtClose = peeked[:c.peekUnread(peeked)]
+	default:
+	}
+}
+
 // peekUnread copies the first bytes of the input in the kernel's receive buffer, leaves them there, and returns their
 // number. It returns 0 for a socket that cannot tell.
 func (c *Conn) peekUnread(p []byte) int {
--- a/internal/netconn/arrival_test.go
+++ b/internal/netconn/arrival_test.go
@@ -91,3 +91,28 @@
 	}
 	assert.Less(t, accepted[true], accepted[false]/2, "%v", accepted)
 }
+
+// Guards against memory that grows with the connections that close at the same time, by their unread input.
+func TestUnreadInputOfFewConnectionsIsHeld(t *testing.T) {
+	const sent = 100
+	closeWithUnread := func() *Conn {
+		near, far := tcpPair(t)
+		_, err := far.Write(make([]byte, sent))
+		require.NoError(t, err)
+		c := New(near, 64, 0)
+		c.TellUnread = true
+		require.Eventually(t, func() bool { return c.UnreadBytes() == sent }, time.Minute, time.Millisecond)
+		c.Close(Shutdown, nil)
+		return c
+	}
+	var conns []*Conn
+	for range maxHeldPeeks + 1 {
+		conns = append(conns, closeWithUnread())
+	}
+	for i, c := range conns {
+		copied, length := c.UnreadInput(make([]byte, MaxPeekedBytes))
+		assert.EqualValues(t, sent, length)
+		assert.Equal(t, i < maxHeldPeeks, copied == sent, "connection %d", i)
+	}
+	assert.Empty(t, heldPeeks)
+}
--- a/internal/netconn/close.go
+++ b/internal/netconn/close.go
@@ -63,9 +63,8 @@
 		c.closed.Store(true)
 		c.endReaderWait()
 		c.SetEndCode(code, cause)
-		c.peekedAtClose = make([]byte, min(c.UnreadBytes(), MaxPeekedBytes))
-		c.peekedAtClose = c.peekedAtClose[:c.peekUnread(c.peekedAtClose)]
 		c.unreadAtClose, c.unackedAtClose = c.UnreadBytes(), c.UnacknowledgedBytes()
+		c.holdUnread()
 		_ = c.raw.Close() // the end code and its cause are already recorded
 	})
 }
@@ -111,13 +110,19 @@
 	}
 }
 
-// UnreadInput closes the connection if it is still open, and returns the start of the input that had arrived and was
-// not consumed, and its length in bytes. It must be called once, after the reading goroutine has stopped.
-func (c *Conn) UnreadInput() (start []byte, length int64) {
+// UnreadInput closes the connection if it is still open, copies the start of the input that had arrived and was not
+// consumed, and returns how many bytes it copied, and the length of that input. Of what the kernel had, nothing is
+// copied if many connections closed at the same time. It must be called once, after the reading goroutine has stopped.
+func (c *Conn) UnreadInput(p []byte) (copied int, length int64) {
 	c.Close(Shutdown, nil)
-	buffered := make([]byte, c.in.Len())
-	c.in.Read(buffered)
-	return append(buffered, c.peekedAtClose...), int64(len(buffered)) + c.unreadAtClose
+	length = int64(c.in.Len()) + c.unreadAtClose
+	copied = c.in.Peek(p)
+	if c.peekedAtClose != nil {
+		copied += copy(p[copied:], c.peekedAtClose)
+		c.peekedAtClose = nil
+		<-heldPeeks
+	}
+	return copied, length
 }
 
 // LogEnd closes the connection if it is still open, logs its end and updates the counters. It must be called after all
--- a/internal/netconn/conn.go
+++ b/internal/netconn/conn.go
@@ -32,6 +32,10 @@
 	// that floods the connection cannot delay it. Only the reading goroutine may access it.
 	DiscardInput bool
 
+	// TellUnread makes Close hold the start of the unread input for UnreadInput, which must be called then. It must be
+	// set before reading begins.
+	TellUnread bool
+
 	raw      net.Conn
 	in       *ringbuffer.Buffer
 	out      *ringbuffer.Buffer
